--- /dev/null
+++ b/src/orders/messages.ts
@@ -0,0 +1,77 @@
+/**
+ * Messages and effects of the orders decision.
+ *
+ * @module
+ */
+import { type Deployment } from "../generated/deployment.js";
+import {
+    type HostIdentity,
+    type OrderOutcome,
+    type OrderResult,
+    type WitnessAnswer,
+    type WitnessRequest,
+} from "../generated/peers.js";
+
+/** One call of a plain service, with the key that its caller chose. */
+export interface Order {
+    readonly key: string;
+    readonly service: string;
+    readonly call: string;
+    readonly body: string;
+    readonly contentType: string;
+    readonly bodyHash: string;
+}
+
+/** What the orders decision is told. */
+export type OrdersMessage =
+    | { readonly type: "deployment"; readonly deployment: Deployment; readonly revision: number; }
+    | { readonly type: "peers"; readonly identities: readonly HostIdentity[]; }
+    /** An order by a caller, or by the peer it reached; `identifier` names this waiting answer. */
+    | {
+        readonly type: "order-received";
+        readonly identifier: string;
+        readonly order: Order;
+        readonly from: "caller" | "peer";
+    }
+    /** Whoever waited for this answer has gone. */
+    | { readonly type: "abandoned"; readonly identifier: string; }
+    | { readonly type: "forward-answered"; readonly key: string; readonly outcome: OrderOutcome; }
+    /** `notSent` only where no byte can have reached the peer. */
+    | { readonly type: "forward-failed"; readonly key: string; readonly notSent: boolean; }
+    | {
+        readonly type: "witness-answered";
+        readonly key: string;
+        readonly request: WitnessRequest["type"];
+        readonly answer: WitnessAnswer;
+    }
+    | { readonly type: "witness-failed"; readonly key: string; readonly request: WitnessRequest["type"]; }
+    /** This host is asked as a witness. */
+    | { readonly type: "witness-asked"; readonly identifier: string; readonly request: WitnessRequest; }
+    | { readonly type: "dispatch-answered"; readonly key: string; readonly result: OrderResult; }
+    /** `notSent` only where no byte of the call can have reached the plain service. */
+    | { readonly type: "dispatch-failed"; readonly key: string; readonly notSent: boolean; readonly message: string; }
+    /** The key-value service answered a claim. */
+    | {
+        readonly type: "claim-answered";
+        readonly key: string;
+        readonly outcome: "claimed" | "claimed-by-another" | "other-body" | "not-claimed";
+    }
+    /** Whether the claim took effect is unknown, or the service cannot be reached. */
+    | { readonly type: "claim-failed"; readonly key: string; }
+    | { readonly type: "leave"; }
+    | { readonly type: "tick"; };
+
+/** What the orders decision asks for. */
+export type OrdersEffect =
+    | { readonly type: "reply"; readonly identifier: string; readonly outcome: OrderOutcome; }
+    | { readonly type: "forward"; readonly order: Order; readonly to: HostIdentity; }
+    | {
+        readonly type: "ask-witness";
+        readonly key: string;
+        readonly witness: { readonly host: string; readonly incarnation: string; };
+        readonly request: WitnessRequest;
+    }
+    | { readonly type: "answer-witness"; readonly identifier: string; readonly answer: WitnessAnswer; }
+    | { readonly type: "dispatch"; readonly order: Order; readonly url: string; readonly timeoutMilliseconds: number; }
+    | { readonly type: "claim"; readonly key: string; readonly bodyHash: string; }
+    | { readonly type: "count-retry"; readonly reason: string; readonly service: string; };
