--- /dev/null
+++ b/src/platform/_watch.ts
@@ -0,0 +1,100 @@
+/**
+ * Reads one watch stream of the key-value service.
+ *
+ * @module
+ */
+import { type Dispatcher } from "undici";
+import { decodeEntry, decodeText, encodeRangeEnd, encodeText, watchMessageSchema } from "./_gateway.js";
+import { describeError } from "./_http.js";
+import { type WatchEvent, type WatchOptions } from "./types.js";
+
+const FIRST_ERROR_STATUS = 400;
+
+/** Options of one watch stream. */
+export interface WatchStreamOptions extends WatchOptions {
+    readonly dispatcher: Dispatcher;
+    readonly origin: string;
+    readonly prefix: string;
+    /** The stream is ended when it is silent for this long. */
+    readonly silenceMilliseconds: number;
+    readonly maximumMessageBytes: number;
+    readonly onEvent: (event: WatchEvent) => void;
+    readonly signal: AbortSignal;
+}
+
+function createRequest(options: WatchStreamOptions): string {
+    const start = options.fromRevision === undefined ? {} : { start_revision: String(options.fromRevision) };
+    const key = encodeText(options.prefix);
+    return JSON.stringify({
+        create_request: { key, range_end: encodeRangeEnd(options.prefix), progress_notify: true, ...start },
+    });
+}
+
+/** Handles one message; gives why the watch ended where it did. */
+function handleMessage(line: string, options: WatchStreamOptions): string | undefined {
+    const { result } = watchMessageSchema.parse(JSON.parse(line));
+    if (result.created) {
+        options.onStarted?.();
+    }
+    for (const { type, kv } of result.events) {
+        const event: WatchEvent = type === "PUT"
+            ? { type: "put", entry: decodeEntry(kv) }
+            : { type: "delete", key: decodeText(kv.key), revision: kv.mod_revision };
+        options.onEvent(event);
+    }
+    return result.canceled ? `canceled by the service: ${result.cancel_reason}` : undefined;
+}
+
+async function readMessages(body: AsyncIterable<Buffer>, options: WatchStreamOptions): Promise<string> {
+    let pending = "";
+    const decoder = new TextDecoder();
+    for await (const part of body) {
+        pending += decoder.decode(part, { stream: true });
+        const lines = pending.split("\n");
+        pending = lines.pop() ?? "";
+        for (const line of lines.filter(line => line.trim() !== "")) {
+            const ended = handleMessage(line, options);
+            if (ended !== undefined) {
+                return ended;
+            }
+        }
+        if (pending.length > options.maximumMessageBytes) {
+            return `a message over ${options.maximumMessageBytes} bytes`;
+        }
+    }
+    return "the service closed the watch";
+}
+
+/**
+ * Runs a watch until it ends.
+ *
+ * @param options Where to watch, what, and the bounds on silence and size.
+ * @returns Why the watch ended.
+ *
+ * @example
+ * ```ts
+ * const reason = await runWatch({ dispatcher, origin, prefix: "engine/", onEvent, signal, ...bounds });
+ * ```
+ */
+export async function runWatch(options: WatchStreamOptions): Promise<string> {
+    try {
+        const answer = await options.dispatcher.request({
+            origin: options.origin,
+            path: "/v3/watch",
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: createRequest(options),
+            headersTimeout: options.silenceMilliseconds,
+            bodyTimeout: options.silenceMilliseconds,
+            signal: options.signal,
+        });
+        if (answer.statusCode >= FIRST_ERROR_STATUS) {
+            await answer.body.dump();
+            return `status ${answer.statusCode}`;
+        }
+        return await readMessages(answer.body, options);
+    }
+    catch (error) {
+        return describeError(error);
+    }
+}
--- /dev/null
+++ b/src/platform/hostListClient.ts
@@ -0,0 +1,55 @@
+/**
+ * Client of the platform's list of hosts.
+ *
+ * @module
+ */
+import { Agent } from "undici";
+import { z } from "zod";
+import { callPlatform } from "./_http.js";
+import { type HostList } from "./types.js";
+
+const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
+const MAXIMUM_ANSWER_BYTES = 1024 * 1024;
+
+const listingSchema = z.object({
+    live: z.array(z.object({ host: z.string(), peersUrl: z.string() })),
+    leaving: z.array(z.string()),
+    leavingEngines: z.array(z.string()).default([]),
+});
+
+/** Options of a host list client. */
+export interface HostListClientOptions {
+    readonly url: string;
+    /** Longest time for one reading. Default: 2000. */
+    readonly timeoutMilliseconds?: number;
+}
+
+/**
+ * Creates a client of the list of hosts.
+ *
+ * @param options Address and time bound.
+ *
+ * @example
+ * ```ts
+ * const hostList = createHostListClient({ url: "http://127.0.0.1:7001" });
+ * const listing = await hostList.read();
+ * await hostList.close();
+ * ```
+ */
+export function createHostListClient(options: HostListClientOptions): HostList {
+    const timeoutMilliseconds = options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS;
+    const dispatcher = new Agent({ connections: 1, pipelining: 1, connect: { timeout: timeoutMilliseconds } });
+    return {
+        read: () =>
+            callPlatform({
+                dispatcher,
+                origin: options.url,
+                path: "/v1/hosts",
+                method: "GET",
+                schema: listingSchema,
+                timeoutMilliseconds,
+                maximumAnswerBytes: MAXIMUM_ANSWER_BYTES,
+            }),
+        close: () => dispatcher.destroy(),
+    };
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,28 @@
+/**
+ * Clients of the platform: the key-value service and the list of hosts.
+ *
+ * Use them wherever something must outlast a process or be agreed between hosts. Each failure says whether the call
+ * can have taken effect.
+ *
+ * @example
+ * ```ts
+ * import { createKeyValueClient } from "./index.js";
+ *
+ * const keyValue = createKeyValueClient({ urls: ["http://127.0.0.1:2379"] });
+ * ```
+ *
+ * @module
+ */
+export { createHostListClient, type HostListClientOptions } from "./hostListClient.js";
+export { createKeyValueClient, type KeyValueClientOptions } from "./keyValueClient.js";
+export {
+    type HostList,
+    type HostListing,
+    type KeyValueEntry,
+    type KeyValueService,
+    type PlatformError,
+    type SwapOptions,
+    type SwapOutcome,
+    type WatchEvent,
+    type WatchOptions,
+} from "./types.js";
--- /dev/null
+++ b/src/platform/keyValueClient.ts
@@ -0,0 +1,180 @@
+/**
+ * Client of the platform's key-value service.
+ *
+ * @module
+ */
+import { Err, Ok, type Result } from "ts-results-es";
+import { Agent } from "undici";
+import { type z } from "zod";
+import {
+    decodeEntry,
+    encodeRangeEnd,
+    encodeText,
+    grantAnswerSchema,
+    keepAliveAnswerSchema,
+    rangeAnswerSchema,
+    revokeAnswerSchema,
+    transactionAnswerSchema,
+} from "./_gateway.js";
+import { callPlatform } from "./_http.js";
+import { runWatch } from "./_watch.js";
+import { type KeyValueService, type PlatformError, type SwapOptions, type SwapOutcome } from "./types.js";
+
+const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
+const DEFAULT_WATCH_SILENCE_MILLISECONDS = 30_000;
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAXIMUM_WATCH_MESSAGE_BYTES = 4 * 1024 * 1024;
+const MOST_CONNECTIONS = 64;
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Options of a key-value client. */
+export interface KeyValueClientOptions {
+    /** Addresses of the service; a call that could not be sent to one is sent to the next. */
+    readonly urls: readonly string[];
+    /** Longest time for one call. Default: 2000. */
+    readonly timeoutMilliseconds?: number;
+    /** A watch that is silent for this long is ended. Default: 30000. */
+    readonly watchSilenceMilliseconds?: number;
+}
+
+function createSwapRequest(key: string, options: SwapOptions): unknown {
+    const encodedKey = encodeText(key);
+    const lease = options.lease === undefined ? {} : { lease: options.lease };
+    const compare = {
+        key: encodedKey,
+        target: "MOD",
+        result: "EQUAL",
+        mod_revision: String(options.expectedRevision),
+    };
+    return {
+        compare: [compare],
+        success: [{ request_put: { key: encodedKey, value: encodeText(options.value), ...lease } }],
+        failure: [{ request_range: { key: encodedKey } }],
+    };
+}
+
+function readSwapAnswer(answer: z.infer<typeof transactionAnswerSchema>): SwapOutcome {
+    if (answer.succeeded) {
+        return { type: "written", revision: answer.header.revision };
+    }
+    const found = answer.responses[0]?.response_range?.kvs[0];
+    return { type: "conflict", current: found === undefined ? undefined : decodeEntry(found) };
+}
+
+/**
+ * Creates a client of the key-value service.
+ *
+ * A call is sent again, to the next address, only where no byte of it can have reached the service.
+ *
+ * @param options Addresses and time bounds.
+ *
+ * @example
+ * ```ts
+ * const keyValue = createKeyValueClient({ urls: ["http://127.0.0.1:2379"] });
+ * const entry = await keyValue.get("configuration");
+ * await keyValue.close();
+ * ```
+ */
+export function createKeyValueClient(options: KeyValueClientOptions): KeyValueService {
+    const timeoutMilliseconds = options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS;
+    const dispatcher = new Agent({
+        connections: MOST_CONNECTIONS,
+        pipelining: 1,
+        connect: { timeout: timeoutMilliseconds },
+    });
+    const watches = new Set<{ close(): Promise<void>; }>();
+    let preferred = 0;
+
+    function chooseUrl(): string {
+        return options.urls[preferred % options.urls.length] ?? "";
+    }
+
+    async function call<Schema extends z.ZodType>(
+        path: string,
+        body: unknown,
+        schema: Schema,
+    ): Promise<Result<z.infer<Schema>, PlatformError>> {
+        let outcome: Result<z.infer<Schema>, PlatformError> = Err({ kind: "not-sent", message: "no address is set" });
+        for (let attempt = 0; attempt < options.urls.length; attempt += 1) {
+            const bounds = { timeoutMilliseconds, maximumAnswerBytes: MAXIMUM_ANSWER_BYTES };
+            const target = { dispatcher, origin: chooseUrl(), path, method: "POST" as const, body, schema };
+            outcome = await callPlatform({ ...target, ...bounds });
+            if (outcome.isOk() || outcome.error.kind === "rejected" || outcome.error.kind === "invalid") {
+                return outcome;
+            }
+            preferred += 1;
+            if (outcome.error.kind !== "not-sent") {
+                return outcome;
+            }
+        }
+        return outcome;
+    }
+
+    return {
+        async get(key) {
+            const answer = await call("/v3/kv/range", { key: encodeText(key) }, rangeAnswerSchema);
+            return answer.map(({ kvs }) => kvs[0] === undefined ? undefined : decodeEntry(kvs[0]));
+        },
+        async list(prefix) {
+            const range = { key: encodeText(prefix), range_end: encodeRangeEnd(prefix) };
+            const answer = await call("/v3/kv/range", range, rangeAnswerSchema);
+            return answer.map(({ kvs }) => kvs.map(decodeEntry));
+        },
+        async compareAndSwap(key, swap) {
+            const answer = await call("/v3/kv/txn", createSwapRequest(key, swap), transactionAnswerSchema);
+            return answer.map(readSwapAnswer);
+        },
+        async grantLease(timeToLiveMilliseconds) {
+            const seconds = Math.ceil(timeToLiveMilliseconds / MILLISECONDS_PER_SECOND);
+            const answer = await call("/v3/lease/grant", { TTL: String(seconds) }, grantAnswerSchema);
+            return answer.map(({ ID }) => ({ lease: ID }));
+        },
+        async renewLease(lease) {
+            const answer = await call("/v3/lease/keepalive", { ID: lease }, keepAliveAnswerSchema);
+            return answer.andThen(({ result }) =>
+                result.TTL === 0
+                    ? Err({ kind: "rejected", message: `lease ${lease} has ended` })
+                    : Ok({ timeToLiveMilliseconds: result.TTL * MILLISECONDS_PER_SECOND })
+            );
+        },
+        async revokeLease(lease) {
+            const answer = await call("/v3/lease/revoke", { ID: lease }, revokeAnswerSchema);
+            return answer.map(() => undefined);
+        },
+        watch(prefix, onEvent, watchOptions = {}) {
+            const abort = new AbortController();
+            const finished = runWatch({
+                ...watchOptions,
+                dispatcher,
+                origin: chooseUrl(),
+                prefix,
+                silenceMilliseconds: options.watchSilenceMilliseconds ?? DEFAULT_WATCH_SILENCE_MILLISECONDS,
+                maximumMessageBytes: MAXIMUM_WATCH_MESSAGE_BYTES,
+                onEvent: event => {
+                    if (!abort.signal.aborted) {
+                        onEvent(event);
+                    }
+                },
+                signal: abort.signal,
+            }).then(message => {
+                watches.delete(watch);
+                if (!abort.signal.aborted) {
+                    preferred += 1;
+                    onEvent({ type: "ended", message });
+                }
+            });
+            const watch = {
+                async close() {
+                    abort.abort();
+                    await finished;
+                },
+            };
+            watches.add(watch);
+            return watch;
+        },
+        async close() {
+            await Promise.all([...watches].map(watch => watch.close()));
+            await dispatcher.destroy();
+        },
+    };
+}
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -46,6 +46,14 @@
     readonly lease?: string;
 }
 
+/** Options of a watch. */
+export interface WatchOptions {
+    /** Reports changes from this revision on too, as far as the service still has them. Default: new changes only. */
+    readonly fromRevision?: number;
+    /** Called once the service has begun the watch; a read after it misses nothing. */
+    readonly onStarted?: () => void;
+}
+
 /** The platform's key-value service. */
 export interface KeyValueService {
     get(key: string): Promise<Result<KeyValueEntry | undefined, PlatformError>>;
@@ -56,7 +64,7 @@
     renewLease(lease: string): Promise<Result<{ readonly timeToLiveMilliseconds: number; }, PlatformError>>;
     revokeLease(lease: string): Promise<Result<void, PlatformError>>;
     /** Reports changes under a prefix until closed or ended. */
-    watch(prefix: string, onEvent: (event: WatchEvent) => void): { close(): Promise<void>; };
+    watch(prefix: string, onEvent: (event: WatchEvent) => void, options?: WatchOptions): { close(): Promise<void>; };
     close(): Promise<void>;
 }
 
