Add clients of engines and plain services

Cause: hosts need completions that are whole or failed, orders that never reach a later engine incarnation, and plain calls that run at most once. Ruled out: one shared keep-alive pool for orders (undici reconnects, so an order could reach a restarted engine); counting a failed call as not sent by its error code alone. Change: each stream is checked chunk by chunk; an order goes only over a connection whose first answer named the incarnation and that is never made again; each plain call has a connection of its own.

--- /dev/null
+++ b/src/upstreams/_answers.ts
@@ -0,0 +1,42 @@
+/**
+ * Checks answers of engines against their schemas.
+ *
+ * @module
+ */
+import { Err, Ok, type Result } from "ts-results-es";
+import { type z } from "zod";
+import { type EngineReport, engineReportSchema } from "../generated/upstreams.js";
+import { describeError, type HttpAnswer, type SingleConnection } from "./_singleConnection.js";
+import { type UpstreamError } from "./types.js";
+
+const STATUS_OK = 200;
+const LONGEST_ERROR_TEXT = 300;
+const MAXIMUM_REPORT_BYTES = 4 * 1024 * 1024;
+
+/** Parses an answer's body; a status other than 200 is `rejected`. */
+export function parseAnswer<Schema extends z.ZodType>(
+    schema: Schema,
+    answer: HttpAnswer,
+): Result<z.infer<Schema>, UpstreamError> {
+    if (answer.status !== STATUS_OK) {
+        const message = `status ${answer.status}: ${answer.body.slice(0, LONGEST_ERROR_TEXT)}`;
+        return Err({ kind: "rejected", message });
+    }
+    try {
+        const parsed = schema.safeParse(JSON.parse(answer.body));
+        return parsed.success ? Ok(parsed.data) : Err({ kind: "invalid", message: parsed.error.message });
+    }
+    catch (error) {
+        return Err({ kind: "invalid", message: describeError(error) });
+    }
+}
+
+/** Reads an engine's report on a connection. */
+export async function readReportOn(
+    connection: SingleConnection,
+    timeoutMilliseconds: number,
+): Promise<Result<EngineReport, UpstreamError>> {
+    const bounds = { timeoutMilliseconds, maximumAnswerBytes: MAXIMUM_REPORT_BYTES };
+    const answer = await connection.call({ method: "GET", path: "/admin/report", ...bounds });
+    return answer.andThen(whole => parseAnswer(engineReportSchema, whole));
+}
--- /dev/null
+++ b/src/upstreams/_completion.ts
@@ -0,0 +1,199 @@
+/**
+ * Runs one completion on an engine.
+ *
+ * @module
+ */
+import { type Dispatcher } from "undici";
+import { upstreamRefusalSchema } from "../generated/upstreams.js";
+import { type AttemptFailure } from "../requests/messages.js";
+import { type ChunkOutcome, createChunkReader } from "./_chunks.js";
+import { describeError, readLimited } from "./_singleConnection.js";
+import { type Completion, type CompletionEvent, type CompletionOptions } from "./types.js";
+
+const STATUS_OK = 200;
+const STATUS_CONFLICT = 409;
+const STATUS_TOO_MANY_REQUESTS = 429;
+const STATUS_UNAVAILABLE = 503;
+const FIRST_CLIENT_ERROR_STATUS = 400;
+const FIRST_SERVER_ERROR_STATUS = 500;
+const MAXIMUM_REFUSAL_BYTES = 64 * 1024;
+const CANCEL_TIMEOUT_MILLISECONDS = 2000;
+const DRAIN_MILLISECONDS = 1000;
+
+/** Where and within which bounds completions run. */
+export interface CompletionTarget {
+    readonly dispatcher: Dispatcher;
+    readonly url: string;
+    readonly maximumLineBytes: number;
+    readonly maximumAnswerBytes: number;
+}
+
+/** Gives why an engine refused a completion before it began. */
+function classifyStatus(status: number, code: string | undefined): AttemptFailure {
+    if (status === STATUS_CONFLICT && code === "not-resident") {
+        return "not-resident";
+    }
+    if (status === STATUS_TOO_MANY_REQUESTS) {
+        return "engine-busy";
+    }
+    if (status === STATUS_UNAVAILABLE) {
+        return "not-started";
+    }
+    const clientError = status >= FIRST_CLIENT_ERROR_STATUS && status < FIRST_SERVER_ERROR_STATUS;
+    return clientError && status !== STATUS_CONFLICT ? "rejected" : "incomplete";
+}
+
+function readRefusalCode(text: string | undefined): string | undefined {
+    try {
+        return upstreamRefusalSchema.safeParse(JSON.parse(text ?? "")).data?.error.code;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Only a connection that was never made proves that the engine began nothing. */
+function classifyError(error: unknown): AttemptFailure {
+    const { code, syscall } = error as { readonly code?: unknown; readonly syscall?: unknown; };
+    return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT" ? "not-started" : "connection-lost";
+}
+
+/** Tells the engine to stop a request; its failure is of no consequence. */
+function tellCancelled({ dispatcher, url }: CompletionTarget, identifier: string): void {
+    const path = `/v1/requests/${encodeURIComponent(identifier)}`;
+    const signal = AbortSignal.timeout(CANCEL_TIMEOUT_MILLISECONDS);
+    dispatcher.request({ origin: url, path, method: "DELETE", signal })
+        .then(answer => answer.body.dump())
+        .catch(() => undefined);
+}
+
+function createBody({ body, resumeAtToken }: CompletionOptions): string {
+    const resume = resumeAtToken === 0 ? {} : { resume_offset: resumeAtToken };
+    return JSON.stringify({ ...body, stream: true, ...resume });
+}
+
+/** Splits a stream into lines within bounds and passes each on, to the end of the stream. */
+async function readLines(
+    stream: AsyncIterable<Buffer>,
+    target: CompletionTarget,
+    onLine: (line: string) => void,
+): Promise<CompletionEvent> {
+    const decoder = new TextDecoder();
+    let pending = "";
+    let received = 0;
+    for await (const part of stream) {
+        received += part.length;
+        pending += decoder.decode(part, { stream: true });
+        const lines = pending.split("\n");
+        pending = lines.pop() ?? "";
+        lines.forEach(line => onLine(line.trimEnd()));
+        if (pending.length > target.maximumLineBytes || received > target.maximumAnswerBytes) {
+            return { type: "failed", failure: "incomplete", message: "a line or an answer over its bound" };
+        }
+    }
+    return { type: "failed", failure: "incomplete", message: "the answer ended without its end marker" };
+}
+
+/**
+ * Starts a completion; events follow until one that ends it.
+ *
+ * @param target The engine and bounds.
+ * @param options The request and where to resume it.
+ *
+ * @example
+ * ```ts
+ * const completion = startCompletion(target, { identifier: "request-1", body, onEvent, ...options });
+ * completion.cancel();
+ * ```
+ */
+export function startCompletion(target: CompletionTarget, options: CompletionOptions): Completion {
+    const abort = new AbortController();
+    let ended = false;
+    let drain: NodeJS.Timeout | undefined;
+
+    /** Passes on the last event; what follows a whole answer is read for a while, so that its connection is kept. */
+    function end(event: CompletionEvent): void {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        clearTimeout(silence);
+        if (event.type === "finished") {
+            drain = setTimeout(() => abort.abort(), DRAIN_MILLISECONDS);
+        }
+        else {
+            abort.abort();
+        }
+        if (event.type === "failed" && (event.failure === "silent" || event.failure === "incomplete")) {
+            tellCancelled(target, options.identifier);
+        }
+        options.onEvent(event);
+    }
+
+    const silence = setTimeout(() => {
+        end({ type: "failed", failure: "silent", message: `no byte in ${options.silenceMilliseconds} ms` });
+    }, options.silenceMilliseconds);
+
+    async function* watchSilence(stream: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
+        for await (const part of stream) {
+            if (!ended) {
+                silence.refresh();
+            }
+            yield part;
+        }
+    }
+
+    function takeOutcome(outcome: ChunkOutcome): void {
+        if (ended || outcome.type === "nothing") {
+            return;
+        }
+        if (outcome.type === "tokens") {
+            options.onEvent(outcome);
+            return;
+        }
+        end(outcome);
+    }
+
+    async function refuse(answer: Dispatcher.ResponseData): Promise<CompletionEvent> {
+        const text = await readLimited(answer.body, MAXIMUM_REFUSAL_BYTES);
+        const failure = classifyStatus(answer.statusCode, readRefusalCode(text));
+        return { type: "failed", failure, message: `status ${answer.statusCode}: ${text ?? ""}` };
+    }
+
+    async function run(): Promise<CompletionEvent> {
+        const answer = await target.dispatcher.request({
+            origin: target.url,
+            path: "/v1/chat/completions",
+            method: "POST",
+            headers: {
+                "content-type": "application/json",
+                "x-request-id": options.identifier,
+                "x-priority": options.priority,
+            },
+            body: createBody(options),
+            signal: abort.signal,
+        });
+        if (answer.statusCode !== STATUS_OK) {
+            return refuse(answer);
+        }
+        const readLine = createChunkReader(options.identifier, options.resumeAtToken);
+        const ending = await readLines(watchSilence(answer.body), target, line => takeOutcome(readLine(line)));
+        clearTimeout(drain);
+        return ending;
+    }
+
+    run().then(
+        end,
+        (error: unknown) => end({ type: "failed", failure: classifyError(error), message: describeError(error) }),
+    );
+    return {
+        cancel() {
+            if (!ended) {
+                ended = true;
+                clearTimeout(silence);
+                abort.abort();
+                tellCancelled(target, options.identifier);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/upstreams/_singleConnection.ts
@@ -0,0 +1,124 @@
+/**
+ * HTTP over one connection that is never made a second time.
+ *
+ * Failures can then be told apart for certain: a call that fails before the connection stands was not sent.
+ *
+ * @module
+ */
+import { Err, Ok, type Result } from "ts-results-es";
+import { buildConnector, Client } from "undici";
+import { type UpstreamError } from "./types.js";
+
+/** One HTTP answer, read to its end. */
+export interface HttpAnswer {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: string;
+}
+
+/** Options of one call. */
+export interface HttpCall {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    readonly timeoutMilliseconds: number;
+    readonly maximumAnswerBytes: number;
+}
+
+class ConnectionEndedError extends Error {}
+
+/** Describes an error in one line. */
+export function describeError(error: unknown): string {
+    return error instanceof Error ? `${error.name}: ${error.message}` : String(error);
+}
+
+/** Reads a body to its end; undefined for one over the bound. */
+export async function readLimited(body: AsyncIterable<Buffer>, maximumBytes: number): Promise<string | undefined> {
+    const parts: Buffer[] = [];
+    let size = 0;
+    for await (const part of body) {
+        size += part.length;
+        if (size > maximumBytes) {
+            return undefined;
+        }
+        parts.push(part);
+    }
+    return Buffer.concat(parts).toString("utf8");
+}
+
+/** One connection to an upstream, made with its first call; calls on it run one after another. */
+export class SingleConnection {
+    readonly #client: Client;
+    #connected = false;
+    #ended = false;
+
+    /**
+     * Prepares a connection.
+     *
+     * @param url The upstream's origin.
+     * @param connectTimeoutMilliseconds Longest time to connect.
+     */
+    constructor(url: string, connectTimeoutMilliseconds: number) {
+        const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+        let asked = false;
+        this.#client = new Client(url, {
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            connect: (options, callback) => {
+                if (asked) {
+                    callback(new ConnectionEndedError("the connection has ended"), null);
+                    return;
+                }
+                asked = true;
+                connect(options, (...outcome) => {
+                    this.#connected = outcome[0] === null;
+                    callback(...outcome);
+                });
+            },
+        });
+        this.#client.on("disconnect", () => {
+            this.#ended = true;
+        });
+        this.#client.on("connectionError", () => {
+            this.#ended = true;
+        });
+    }
+
+    /** True once the connection cannot carry another call. */
+    get ended(): boolean {
+        return this.#ended;
+    }
+
+    /** Makes one call; `not-sent` where the connection never stood or had ended before. */
+    async call(call: HttpCall): Promise<Result<HttpAnswer, UpstreamError>> {
+        if (this.#ended) {
+            return Err({ kind: "not-sent", message: "the connection has ended" });
+        }
+        try {
+            const answer = await this.#client.request({
+                method: call.method,
+                path: call.path,
+                headers: { ...call.headers },
+                body: call.body ?? null,
+                signal: AbortSignal.timeout(call.timeoutMilliseconds),
+            });
+            const body = await readLimited(answer.body, call.maximumAnswerBytes);
+            if (body === undefined) {
+                return Err({ kind: "invalid", message: `an answer over ${call.maximumAnswerBytes} bytes` });
+            }
+            const contentType = String(answer.headers["content-type"] ?? "");
+            return Ok({ status: answer.statusCode, contentType, body });
+        }
+        catch (error) {
+            const notSent = !this.#connected || error instanceof ConnectionEndedError;
+            return Err({ kind: notSent ? "not-sent" : "no-answer", message: describeError(error) });
+        }
+    }
+
+    async close(): Promise<void> {
+        this.#ended = true;
+        await this.#client.destroy();
+    }
+}
--- /dev/null
+++ b/src/upstreams/engineClient.ts
@@ -0,0 +1,115 @@
+/**
+ * Client of one model engine.
+ *
+ * @module
+ */
+import { type Result } from "ts-results-es";
+import { Agent } from "undici";
+import { type z } from "zod";
+import { cacheEventsSchema } from "../generated/upstreams.js";
+import { parseAnswer, readReportOn } from "./_answers.js";
+import { startCompletion } from "./_completion.js";
+import { OrderConnections } from "./_orderConnections.js";
+import { type HttpAnswer, SingleConnection } from "./_singleConnection.js";
+import { type EngineClient, type UpstreamError } from "./types.js";
+
+const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 1000;
+const DEFAULT_REPORT_TIMEOUT_MILLISECONDS = 2000;
+const DEFAULT_ORDER_TIMEOUT_MILLISECONDS = 120_000;
+const DEFAULT_MAXIMUM_LINE_BYTES = 256 * 1024;
+const DEFAULT_MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+const MAXIMUM_EVENTS_BYTES = 4 * 1024 * 1024;
+const MOST_COMPLETION_CONNECTIONS = 1024;
+const MOST_ORDERS_AT_ONCE = 64;
+
+/** Options of an engine client. */
+export interface EngineClientOptions {
+    readonly name: string;
+    readonly url: string;
+    /** Longest time to connect. Default: 1000. */
+    readonly connectTimeoutMilliseconds?: number;
+    /** Longest time for a report or cache events. Default: 2000. */
+    readonly reportTimeoutMilliseconds?: number;
+    /** Longest time for an order, which includes the load it asks for. Default: 120000. */
+    readonly orderTimeoutMilliseconds?: number;
+    /** Longest line of a stream. Default: 256 KiB. */
+    readonly maximumLineBytes?: number;
+    /** Longest streamed answer. Default: 16 MiB. */
+    readonly maximumAnswerBytes?: number;
+}
+
+/**
+ * Creates a client of one engine.
+ *
+ * @param options The engine's name, address and bounds.
+ *
+ * @example
+ * ```ts
+ * const engine = createEngineClient({ name: "bag-llm-1", url: "http://127.0.0.1:8001" });
+ * const report = await engine.readReport();
+ * await engine.close();
+ * ```
+ */
+export function createEngineClient(options: EngineClientOptions): EngineClient {
+    const connectTimeoutMilliseconds = options.connectTimeoutMilliseconds ?? DEFAULT_CONNECT_TIMEOUT_MILLISECONDS;
+    const reportTimeoutMilliseconds = options.reportTimeoutMilliseconds ?? DEFAULT_REPORT_TIMEOUT_MILLISECONDS;
+    const dispatcher = new Agent({
+        connections: MOST_COMPLETION_CONNECTIONS,
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: { timeout: connectTimeoutMilliseconds },
+    });
+    const target = {
+        dispatcher,
+        url: options.url,
+        maximumLineBytes: options.maximumLineBytes ?? DEFAULT_MAXIMUM_LINE_BYTES,
+        maximumAnswerBytes: options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES,
+    };
+    const orders = new OrderConnections({
+        url: options.url,
+        connectTimeoutMilliseconds,
+        reportTimeoutMilliseconds,
+        orderTimeoutMilliseconds: options.orderTimeoutMilliseconds ?? DEFAULT_ORDER_TIMEOUT_MILLISECONDS,
+        mostOrdersAtOnce: MOST_ORDERS_AT_ONCE,
+    });
+    let reading = new SingleConnection(options.url, connectTimeoutMilliseconds);
+
+    /** Reads on a kept connection; one that failed is replaced for the next reading. */
+    async function read<Value>(
+        ask: (connection: SingleConnection) => Promise<Result<Value, UpstreamError>>,
+    ): Promise<Result<Value, UpstreamError>> {
+        if (reading.ended) {
+            reading = new SingleConnection(options.url, connectTimeoutMilliseconds);
+        }
+        const connection = reading;
+        const answer = await ask(connection);
+        if (answer.isErr()) {
+            await connection.close();
+        }
+        return answer;
+    }
+
+    return {
+        complete: completion => startCompletion(target, completion),
+        sendOrder: (order, incarnation) => orders.send(order, incarnation),
+        readReport: () => read(connection => readReportOn(connection, reportTimeoutMilliseconds)),
+        readCacheEvents: after =>
+            read(async connection => {
+                const answer = await connection.call({
+                    method: "GET",
+                    path: `/admin/cache-events?after=${after}`,
+                    timeoutMilliseconds: reportTimeoutMilliseconds,
+                    maximumAnswerBytes: MAXIMUM_EVENTS_BYTES,
+                });
+                return answer.andThen(whole => parseEvents(whole));
+            }),
+        async close() {
+            await Promise.all([dispatcher.destroy(), orders.close(), reading.close()]);
+        },
+    };
+}
+
+function parseEvents(answer: HttpAnswer): Result<z.infer<typeof cacheEventsSchema>, UpstreamError> {
+    return parseAnswer(cacheEventsSchema, answer);
+}
--- /dev/null
+++ b/src/upstreams/plainServiceClient.ts
@@ -0,0 +1,63 @@
+/**
+ * Client of plain services.
+ *
+ * @module
+ */
+import { SingleConnection } from "./_singleConnection.js";
+import { type PlainServiceClient } from "./types.js";
+
+const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 1000;
+const DEFAULT_MAXIMUM_ANSWER_BYTES = 1024 * 1024;
+
+/** Options of a client of plain services. */
+export interface PlainServiceClientOptions {
+    /** Longest time to connect. Default: 1000. */
+    readonly connectTimeoutMilliseconds?: number;
+    /** Longest answer. Default: 1 MiB. */
+    readonly maximumAnswerBytes?: number;
+}
+
+/**
+ * Creates a client of plain services.
+ *
+ * Each call has a connection of its own and is sent at most once, so `not-sent` is certain: no connection stood.
+ *
+ * @param options Bounds on connecting and on answers.
+ *
+ * @example
+ * ```ts
+ * const services = createPlainServiceClient();
+ * const outcome = await services.call("http://127.0.0.1:8101", {
+ *     call: "cut-reel",
+ *     key: "ticket/7",
+ *     body: "{}",
+ *     contentType: "application/json",
+ *     timeoutMilliseconds: 5000,
+ * });
+ * ```
+ */
+export function createPlainServiceClient(options: PlainServiceClientOptions = {}): PlainServiceClient {
+    const connectTimeoutMilliseconds = options.connectTimeoutMilliseconds ?? DEFAULT_CONNECT_TIMEOUT_MILLISECONDS;
+    const maximumAnswerBytes = options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES;
+    const open = new Set<SingleConnection>();
+    return {
+        async call(url, { call, key, body, contentType, timeoutMilliseconds }) {
+            const connection = new SingleConnection(new URL(url).origin, connectTimeoutMilliseconds);
+            open.add(connection);
+            const answer = await connection.call({
+                method: "POST",
+                path: `${new URL(url).pathname.replace(/\/$/, "")}/calls/${encodeURIComponent(call)}`,
+                headers: { "content-type": contentType, "idempotency-key": key },
+                body,
+                timeoutMilliseconds,
+                maximumAnswerBytes,
+            });
+            open.delete(connection);
+            await connection.close();
+            return answer;
+        },
+        async close() {
+            await Promise.all([...open].map(connection => connection.close()));
+        },
+    };
+}
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -5,7 +5,12 @@
  */
 import { type Result } from "ts-results-es";
 import { type OrderResult } from "../generated/peers.js";
-import { type EngineOrder, type EngineOrderAnswer, type EngineReport } from "../generated/upstreams.js";
+import {
+    type CacheEvents,
+    type EngineOrder,
+    type EngineOrderAnswer,
+    type EngineReport,
+} from "../generated/upstreams.js";
 import { type AttemptFailure } from "../requests/messages.js";
 
 /** Why a call on an upstream has no answer. */
@@ -50,6 +55,8 @@
     /** Sends an order on a connection whose first answer named this incarnation, never on a newer one. */
     sendOrder(order: EngineOrder, incarnation: string): Promise<Result<EngineOrderAnswer, UpstreamError>>;
     readReport(): Promise<Result<EngineReport, UpstreamError>>;
+    /** Reads changes of the prefix cache after a sequence; a gap between sequences means that some were lost. */
+    readCacheEvents(after: number): Promise<Result<CacheEvents, UpstreamError>>;
     close(): Promise<void>;
 }
 
