--- /dev/null
+++ b/src/membership/_fanOut.ts
@@ -0,0 +1,89 @@
+/**
+ * Which hosts get a heartbeat, and how long silence lasts before a host counts as lost.
+ *
+ * Up to `FULL_MESH_HOSTS` hosts, everybody tells everybody. Beyond that, a host tells a few random hosts of its zone,
+ * and a few relays of each zone tell each other zone.
+ *
+ * @module
+ */
+import { type RandomSource, rankByRendezvous } from "../decision/index.js";
+import { type HostIdentity } from "../generated/peers.js";
+
+/** Deployments of up to this many hosts exchange heartbeats between all pairs. */
+export const FULL_MESH_HOSTS = 16;
+/** Hosts of its own zone that a host tells with each heartbeat, beyond the full mesh. */
+export const ZONE_FAN_OUT = 2;
+/** Hosts of one zone that carry its heartbeats to one other zone. */
+export const RELAYS_PER_ZONE_PAIR = 2;
+
+const FAILURE_TIMEOUT_MILLISECONDS = 3000;
+const SPREAD_ROUND_MILLISECONDS = 1200;
+const OTHER_ZONE_TIMEOUT_MILLISECONDS = 90_000;
+
+/**
+ * Takes up to `count` members at random.
+ *
+ * @param items Candidates; left as they are.
+ * @param count Most to take.
+ * @param random Decides which.
+ */
+export function sample<Item>(items: readonly Item[], count: number, random: RandomSource): Item[] {
+    const rest = [...items];
+    const taken: Item[] = [];
+    while (taken.length < count && rest.length > 0) {
+        const [item] = rest.splice(Math.floor(random() * rest.length), 1);
+        if (item !== undefined) {
+            taken.push(item);
+        }
+    }
+    return taken;
+}
+
+function otherZones(self: HostIdentity, peers: readonly HostIdentity[]): string[] {
+    return [...new Set(peers.map(peer => peer.zone))].filter(zone => zone !== self.zone).sort();
+}
+
+function isRelay(self: HostIdentity, zone: string, peers: readonly HostIdentity[]): boolean {
+    const own = [self, ...peers.filter(peer => peer.zone === self.zone)].map(peer => peer.host);
+    return rankByRendezvous(`${self.zone}>${zone}`, own).slice(0, RELAYS_PER_ZONE_PAIR).includes(self.host);
+}
+
+/**
+ * Chooses the live peers that get this heartbeat.
+ *
+ * @param self This host.
+ * @param peers Live peers, in a defined order.
+ * @param random Chooses within a zone.
+ */
+export function chooseTargets(
+    self: HostIdentity,
+    peers: readonly HostIdentity[],
+    random: RandomSource,
+): readonly HostIdentity[] {
+    if (peers.length < FULL_MESH_HOSTS) {
+        return peers;
+    }
+    const near = sample(peers.filter(peer => peer.zone === self.zone), ZONE_FAN_OUT, random);
+    const far = otherZones(self, peers)
+        .filter(zone => isRelay(self, zone, peers))
+        .flatMap(zone => sample(peers.filter(peer => peer.zone === zone), 1, random));
+    return [...near, ...far];
+}
+
+/**
+ * Gives the silence after which a member counts as lost.
+ *
+ * @param self This host.
+ * @param peers Live peers.
+ * @param member The member in question.
+ */
+export function failureTimeout(self: HostIdentity, peers: readonly HostIdentity[], member: HostIdentity): number {
+    if (peers.length < FULL_MESH_HOSTS) {
+        return FAILURE_TIMEOUT_MILLISECONDS;
+    }
+    if (member.zone !== self.zone) {
+        return OTHER_ZONE_TIMEOUT_MILLISECONDS;
+    }
+    const zoneHosts = peers.filter(peer => peer.zone === self.zone).length + 1;
+    return FAILURE_TIMEOUT_MILLISECONDS + Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
+}
