--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,24 @@
+/**
+ * The operators' text: reading and checking it, changing it, and which revision is in force on a host.
+ *
+ * Use it to check a text before it is applied, to apply it, or to drive a host's configuration decision.
+ *
+ * @example
+ * ```ts
+ * import { formatProblems, parseDeployment } from "./index.js";
+ *
+ * const outcome = parseDeployment(text, { fileName: "sakan.jsonc" });
+ * console.log(outcome.isOk() ? "valid" : formatProblems(outcome.error));
+ * ```
+ *
+ * @module
+ */
+export {
+    type ConfigurationDecision,
+    type ConfigurationOptions,
+    type ConfigurationState,
+    createConfigurationDecision,
+} from "./configuration.js";
+export { type ConfigurationEffect, type ConfigurationMessage } from "./messages.js";
+export { parseDeployment, type ParseOptions, parseSettings } from "./parse.js";
+export { formatProblems, type TextProblem } from "./problems.js";
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -22,6 +22,16 @@
     /** A peer sent its record after `fetch-from-peer`. */
     | { readonly type: "peer-answered"; readonly host: string; readonly record: ConfigurationRecord | undefined; }
     | { readonly type: "peer-failed"; readonly host: string; }
+    /** What membership sees; told whenever it may have changed. */
+    | {
+        readonly type: "presence";
+        /** Live hosts of this host's zone, this host among them. */
+        readonly liveInZone: readonly string[];
+        /** Number of live hosts of this host's region, this host among them. */
+        readonly liveInRegion: number;
+        /** Number of live hosts in the platform's list of hosts, where that could be read within the last minute. */
+        readonly listedLive?: number;
+    }
     | { readonly type: "tick"; };
 
 /** What the configuration decision asks for. */
