Serve callers and peers; keep logs and metrics

Cause: the decisions need surfaces before a request can be served end to end. Change: callers' routes with typed refusals and event streams, peer procedures by tRPC over HTTP, structured logs, one checked list of metric names. Schemas may now refer to definitions of another schema file, so reasons and fencing numbers stand once. Ruled out: tRPC over WebSocket for peers. A call past its time limit ends its HTTP connection and the next one takes a new one, so a connection that went silent for good costs one call without a reconnect protocol of our own. Conclusion: ready to be wired.

--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -12,6 +12,7 @@
 const SCHEMA_FOLDER = "schema";
 const OUTPUT_FOLDER = join("src", "generated");
 const SCHEMA_SUFFIX = ".schema.json";
+const DEFINITIONS_POINTER = "#/$defs/";
 
 interface SchemaFile {
     readonly title: string;
@@ -22,24 +23,33 @@
     return `${definition.charAt(0).toLowerCase()}${definition.slice(1)}Schema`;
 }
 
-function referencedDefinition(schema: unknown): string | undefined {
+interface Reference {
+    /** Schema file that holds the definition; empty for the same file. */
+    readonly fileName: string;
+    readonly definition: string;
+}
+
+function parseReference(schema: unknown): Reference | undefined {
     const reference = (schema as { $ref?: unknown; }).$ref;
     if (typeof reference !== "string") {
         return undefined;
     }
-    return reference.replace("#/$defs/", "");
+    const [fileName = "", definition = ""] = reference.split(DEFINITIONS_POINTER);
+    return { fileName, definition };
 }
 
-function zodExpression(schema: Record<string, unknown>): string {
+function zodExpression(schema: Record<string, unknown>, onReference: (reference: Reference) => void): string {
     const code = jsonSchemaToZod(schema, {
         module: "none",
         noImport: true,
         zodVersion: 4,
         parserOverride: part => {
-            const definition = referencedDefinition(part);
-            return definition === undefined
-                ? undefined
-                : referenceExpression(definition, part as { default?: unknown; });
+            const reference = parseReference(part);
+            if (reference === undefined) {
+                return undefined;
+            }
+            onReference(reference);
+            return referenceExpression(reference.definition, part as { default?: unknown; });
         },
     });
     return code.trim();
@@ -52,12 +62,16 @@
         : `${name}.${typeof schema.default === "object" ? "prefault" : "default"}(${JSON.stringify(schema.default)})`;
 }
 
-function renderDefinition(name: string, schema: Record<string, unknown>): string {
+function renderDefinition(
+    name: string,
+    schema: Record<string, unknown>,
+    onReference: (reference: Reference) => void,
+): string {
     const constant = constantName(name);
     const description = typeof schema.description === "string" ? schema.description : `${name}.`;
     return [
         `/** Validates: ${description} */`,
-        `export const ${constant} = ${zodExpression(schema)};`,
+        `export const ${constant} = ${zodExpression(schema, onReference)};`,
         `/** ${description} */`,
         `export type ${name} = z.infer<typeof ${constant}>;`,
         "",
@@ -66,7 +80,16 @@
 
 /** Renders the TypeScript module of one schema file; definitions must stand before their first use. */
 function renderModule(fileName: string, file: SchemaFile): string {
-    const definitions = Object.entries(file.$defs).map(([name, schema]) => renderDefinition(name, schema));
+    const imports = new Set<string>();
+    function importDefinition(reference: Reference): void {
+        if (reference.fileName !== "") {
+            const module = basename(reference.fileName, SCHEMA_SUFFIX);
+            imports.add(`import { ${constantName(reference.definition)} } from "./${module}.js";`);
+        }
+    }
+    const definitions = Object.entries(file.$defs).map(([name, schema]) =>
+        renderDefinition(name, schema, importDefinition)
+    );
     return [
         "/**",
         ` * ${file.title}`,
@@ -76,6 +99,7 @@
         " * @module",
         " */",
         "import { z } from \"zod\";",
+        ...[...imports].sort(),
         "",
         ...definitions,
     ].join("\n");
--- /dev/null
+++ b/src/callers/index.ts
@@ -0,0 +1,20 @@
+/**
+ * The surface for callers and operators: chat completions, orders, addresses, health, status.
+ *
+ * Use `createCallersApplication` to answer requests in a program of your own, `startCallersServer` to listen.
+ *
+ * @example
+ * ```ts
+ * import { startCallersServer } from "./index.js";
+ *
+ * const server = await startCallersServer({ address: "127.0.0.1", port: 0 }, { handlers, limits });
+ * await server.close();
+ * ```
+ *
+ * @module
+ */
+export { createCallersApplication } from "./application.js";
+export { type CallersServer, startCallersServer } from "./callersServer.js";
+export { parseChatRequest, type ParsedChatRequest } from "./chatRequest.js";
+export { createRefusal, type RefusalOptions, renderRefusal } from "./refusals.js";
+export { type AnswerSink, type CallerHandlers, type CallerOrder, type Cancellable } from "./types.js";
--- /dev/null
+++ b/src/observability/index.ts
@@ -0,0 +1,20 @@
+/**
+ * Logs and metrics of a host.
+ *
+ * Use it where a shell has something to report; decisions return effects instead.
+ *
+ * @example
+ * ```ts
+ * import { createLogger, createMetrics } from "./index.js";
+ *
+ * const logger = createLogger({ level: "info", fields: { host: "entry-1" } });
+ * const metrics = createMetrics(undefined, "entry-1");
+ * metrics.increment("requests.accepted", { class: "urgent" });
+ * logger.info("accepted", { request: "r-1" });
+ * ```
+ *
+ * @module
+ */
+export { createLogger, type LogFields, type Logger, type LoggerOptions } from "./logger.js";
+export { type MetricDefinition, METRICS, renderMetricsTable, type RetryReason } from "./metricNames.js";
+export { createMetrics, type Metrics, type MetricTags } from "./metrics.js";
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,18 @@
+/**
+ * Calls between hosts, by tRPC over HTTP.
+ *
+ * Use `startPeerServer` once a host and one `createPeerClient` a peer.
+ *
+ * @example
+ * ```ts
+ * import { createPeerClient, startPeerServer } from "./index.js";
+ *
+ * const server = await startPeerServer({ address: "127.0.0.1", port: 0 }, handlers);
+ * const client = createPeerClient(`http://127.0.0.1:${server.port}`);
+ * ```
+ *
+ * @module
+ */
+export { createPeerClient, type PeerClient, type PeerError } from "./peerClient.js";
+export { type PeerServer, startPeerServer } from "./peerServer.js";
+export { createPeerRouter, type PeerHandlers, type PeerRouter, type WantedAdapter } from "./router.js";
--- /dev/null
+++ b/src/peers/peerClient.ts
@@ -0,0 +1,110 @@
+/**
+ * Calls the peer procedures of one other host.
+ *
+ * @module
+ */
+import { createTRPCClient, httpLink, TRPCClientError } from "@trpc/client";
+import { Err, Ok, type Result } from "ts-results-es";
+import { Agent, fetch } from "undici";
+import {
+    type Digest,
+    type ForwardedOrder,
+    type OrderOutcome,
+    type WitnessAnswer,
+    type WitnessRequest,
+} from "../generated/peers.js";
+import { type ConfigurationRecord } from "../generated/platform.js";
+import { type PeerRouter, type WantedAdapter } from "./router.js";
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+const CALL_TIMEOUT_MILLISECONDS = 2000;
+const MOST_CONNECTIONS = 8;
+const REFUSED_CONNECTION_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Why a peer gave no answer. */
+export interface PeerError {
+    /** `not-sent`: no byte reached the peer. `no-answer`: the peer may have acted. `rejected`: the peer found the call invalid. */
+    readonly kind: "not-sent" | "no-answer" | "rejected";
+    readonly message: string;
+}
+
+/** Calls on one peer. Each call has a time limit, after which its connection is given up. */
+export interface PeerClient {
+    sendDigest(digest: Digest): Promise<Result<void, PeerError>>;
+    fetchConfiguration(): Promise<Result<ConfigurationRecord | undefined, PeerError>>;
+    forwardOrder(order: ForwardedOrder, timeoutMilliseconds: number): Promise<Result<OrderOutcome, PeerError>>;
+    witness(request: WitnessRequest): Promise<Result<WitnessAnswer, PeerError>>;
+    wantAdapter(wanted: WantedAdapter): Promise<Result<void, PeerError>>;
+    close(): Promise<void>;
+}
+
+function errorCodes(error: unknown): string[] {
+    const codes: string[] = [];
+    let current: unknown = error;
+    while (current instanceof Error) {
+        const { code } = current as { code?: unknown; };
+        if (typeof code === "string") {
+            codes.push(code);
+        }
+        current = current.cause;
+    }
+    return codes;
+}
+
+function classify(error: unknown): PeerError {
+    const message = error instanceof Error ? error.message : String(error);
+    if (error instanceof TRPCClientError && error.data !== undefined && error.data !== null) {
+        return { kind: "rejected", message };
+    }
+    const refused = errorCodes(error).some(code => REFUSED_CONNECTION_CODES.has(code));
+    return { kind: refused ? "not-sent" : "no-answer", message };
+}
+
+async function outcomeOf<Answer>(call: Promise<Answer>): Promise<Result<Answer, PeerError>> {
+    try {
+        return Ok(await call);
+    }
+    catch (error) {
+        return Err(classify(error));
+    }
+}
+
+/**
+ * Creates a client of one peer. A call past its time limit ends its connection, so that the next call takes a new one:
+ * a connection that went silent for good costs one call.
+ *
+ * @param url The peer's base URL, with an IP number.
+ *
+ * @example
+ * ```ts
+ * const client = createPeerClient("http://127.0.0.1:7101");
+ * const sent = await client.sendDigest(digest);
+ * await client.close();
+ * ```
+ */
+export function createPeerClient(url: string): PeerClient {
+    const agent = new Agent({ connections: MOST_CONNECTIONS, connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
+    const client = createTRPCClient<PeerRouter>({
+        links: [
+            httpLink({
+                url,
+                fetch: (input, options) =>
+                    fetch(String(input), { ...options, dispatcher: agent } as Parameters<typeof fetch>[1]) as never,
+            }),
+        ],
+    });
+    const within = (timeoutMilliseconds = CALL_TIMEOUT_MILLISECONDS) => ({
+        signal: AbortSignal.timeout(timeoutMilliseconds),
+    });
+    return {
+        sendDigest: async digest => (await outcomeOf(client.digest.mutate(digest, within()))).map(() => undefined),
+        fetchConfiguration: async () =>
+            (await outcomeOf(client.fetchConfiguration.query(undefined, within()))).map(answer => answer.record),
+        forwardOrder: (order, timeoutMilliseconds) =>
+            outcomeOf(client.forwardOrder.mutate(order, within(timeoutMilliseconds))),
+        witness: request => outcomeOf(client.witness.mutate(request, within())),
+        wantAdapter: async wanted =>
+            (await outcomeOf(client.wantAdapter.mutate(wanted, within()))).map(() => undefined),
+        close: () => agent.destroy(),
+    };
+}
--- /dev/null
+++ b/src/peers/peerServer.ts
@@ -0,0 +1,53 @@
+/**
+ * Serves the peer procedures over HTTP.
+ *
+ * @module
+ */
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo } from "node:net";
+import { type Endpoint } from "../generated/settings.js";
+import { createPeerRouter, type PeerHandlers } from "./router.js";
+
+const MAXIMUM_MESSAGE_BYTES = 2 * 1024 * 1024;
+const IDLE_CONNECTION_MILLISECONDS = 15_000;
+
+/** A running server of peer procedures. */
+export interface PeerServer {
+    readonly port: number;
+    /** Stops listening and ends idle connections; calls in progress finish first. */
+    close(): Promise<void>;
+}
+
+function listen(server: Server, endpoint: Endpoint): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(endpoint.port, endpoint.address, () => resolve((server.address() as AddressInfo).port));
+    });
+}
+
+/**
+ * Starts serving peer procedures.
+ *
+ * @param endpoint Where to listen; port 0 takes a free one.
+ * @param handlers What each procedure does.
+ *
+ * @example
+ * ```ts
+ * const server = await startPeerServer({ address: "127.0.0.1", port: 0 }, handlers);
+ * await server.close();
+ * ```
+ */
+export async function startPeerServer(endpoint: Endpoint, handlers: PeerHandlers): Promise<PeerServer> {
+    const handler = createHTTPHandler({ router: createPeerRouter(handlers), maxBodySize: MAXIMUM_MESSAGE_BYTES });
+    const server = createServer({ keepAliveTimeout: IDLE_CONNECTION_MILLISECONDS }, handler);
+    const port = await listen(server, endpoint);
+    return {
+        port,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeIdleConnections();
+            }),
+    };
+}
--- /dev/null
+++ b/src/peers/router.ts
@@ -0,0 +1,62 @@
+/**
+ * The procedures that hosts call on each other.
+ *
+ * @module
+ */
+import { initTRPC } from "@trpc/server";
+import { z } from "zod";
+import {
+    type Digest,
+    digestSchema,
+    type ForwardedOrder,
+    forwardedOrderSchema,
+    type OrderOutcome,
+    type WitnessAnswer,
+    type WitnessRequest,
+    witnessRequestSchema,
+} from "../generated/peers.js";
+import { type ConfigurationRecord } from "../generated/platform.js";
+
+const wantedAdapterSchema = z.object({ model: z.string().max(256), adapter: z.string().max(256) }).strict();
+
+/** An adapter that requests at another host wait for. */
+export type WantedAdapter = z.infer<typeof wantedAdapterSchema>;
+
+/** What a host does when a peer calls. */
+export interface PeerHandlers {
+    takeDigest(digest: Digest): void;
+    configurationRecord(): ConfigurationRecord | undefined;
+    forwardOrder(order: ForwardedOrder): Promise<OrderOutcome>;
+    witness(request: WitnessRequest): Promise<WitnessAnswer>;
+    wantAdapter(wanted: WantedAdapter): void;
+}
+
+/**
+ * Creates the router of peer procedures over the given handlers.
+ *
+ * @param handlers What each procedure does.
+ *
+ * @example
+ * ```ts
+ * const router = createPeerRouter(handlers);
+ * ```
+ */
+export function createPeerRouter(handlers: PeerHandlers) {
+    const trpc = initTRPC.create();
+    return trpc.router({
+        digest: trpc.procedure.input(digestSchema).mutation(({ input }) => {
+            handlers.takeDigest(input);
+            return { taken: true };
+        }),
+        fetchConfiguration: trpc.procedure.query(() => ({ record: handlers.configurationRecord() })),
+        forwardOrder: trpc.procedure.input(forwardedOrderSchema).mutation(({ input }) => handlers.forwardOrder(input)),
+        witness: trpc.procedure.input(witnessRequestSchema).mutation(({ input }) => handlers.witness(input)),
+        wantAdapter: trpc.procedure.input(wantedAdapterSchema).mutation(({ input }) => {
+            handlers.wantAdapter(input);
+            return { taken: true };
+        }),
+    });
+}
+
+/** Type of the peer router, from which clients infer their calls. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/src/requests/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Requests for models: admission, queues, routing, retries and quarantine.
+ *
+ * @module
+ */
+export * from "./messages.js";
