Run orders at most once by tickets, witnesses and claims (thin)

Cause: non-idempotent calls need at most one run per key, also while the key-value service is down. Change: the orders decision: keys and tickets, owner with witness, forwarding with sealing, claims, idempotent retries. Ruled out so far: a claim per order in the key-value service, which cannot work through an outage. Not shown yet: histories under faults; the claim batcher is not written. Conclusion: enough to wire the path; fault tests follow.

--- /dev/null
+++ b/src/orders/_dispatcher.ts
@@ -0,0 +1,122 @@
+/**
+ * Passes an order to its plain service, at most once.
+ *
+ * @module
+ */
+import { type RandomSource } from "../decision/index.js";
+import { type OrderOutcome, type OrderResult } from "../generated/peers.js";
+import { type FoundCall } from "./_calls.js";
+import { refuse } from "./_outcomes.js";
+import { type Order, type OrdersEffect } from "./messages.js";
+
+interface Dispatch {
+    readonly order: Order;
+    readonly call: FoundCall;
+    /** Upstreams that have not been tried. */
+    readonly urls: string[];
+    deadlineMilliseconds: number;
+}
+
+/** Why a plain service gave no answer; `notSent` only where no byte can have reached it. */
+export interface DispatchFailure {
+    readonly notSent: boolean;
+    readonly message: string;
+}
+
+/** Orders that were passed on and have no outcome yet. */
+export interface Dispatcher {
+    start(order: Order, call: FoundCall, nowMilliseconds: number): void;
+    answered(key: string, result: OrderResult): void;
+    failed(key: string, failure: DispatchFailure, nowMilliseconds: number): void;
+    tick(nowMilliseconds: number): void;
+    has(key: string): boolean;
+    readonly size: number;
+}
+
+/** Options of the dispatcher. */
+export interface DispatcherOptions {
+    readonly emit: (effect: OrdersEffect) => void;
+    readonly random: RandomSource;
+    readonly onOutcome: (key: string, outcome: OrderOutcome) => void;
+}
+
+/** How long past a call's timeout the decision waits for the shell to report it. */
+const REPORT_MARGIN_MILLISECONDS = 1_000;
+const UPSTREAM_RETRY_MILLISECONDS = 1_000;
+
+/** Shuffles a copy of the candidates, so that hosts do not all begin with the same upstream. */
+export function shuffle<Item>(items: readonly Item[], random: RandomSource): Item[] {
+    const shuffled = [...items];
+    for (let index = shuffled.length - 1; index > 0; index -= 1) {
+        const other = Math.floor(random() * (index + 1));
+        [shuffled[index], shuffled[other]] = [shuffled[other] as Item, shuffled[index] as Item];
+    }
+    return shuffled;
+}
+
+/** Creates a dispatcher without orders. */
+export function createDispatcher(options: DispatcherOptions): Dispatcher {
+    const { emit, onOutcome } = options;
+    const dispatches = new Map<string, Dispatch>();
+
+    function send(dispatch: Dispatch, nowMilliseconds: number): boolean {
+        const url = dispatch.urls.pop();
+        if (url === undefined) {
+            return false;
+        }
+        const { timeoutMilliseconds } = dispatch.call;
+        dispatch.deadlineMilliseconds = nowMilliseconds + timeoutMilliseconds + REPORT_MARGIN_MILLISECONDS;
+        emit({ type: "dispatch", order: dispatch.order, url, timeoutMilliseconds });
+        return true;
+    }
+
+    function start(order: Order, call: FoundCall, nowMilliseconds: number): void {
+        const dispatch = { order, call, urls: shuffle(call.urls, options.random), deadlineMilliseconds: 0 };
+        dispatches.set(order.key, dispatch);
+        send(dispatch, nowMilliseconds);
+    }
+
+    function finish(key: string, outcome: OrderOutcome): void {
+        dispatches.delete(key);
+        onOutcome(key, outcome);
+    }
+
+    function failed(key: string, failure: DispatchFailure, nowMilliseconds: number): void {
+        const dispatch = dispatches.get(key);
+        if (dispatch === undefined) {
+            return;
+        }
+        if (!failure.notSent) {
+            finish(key, refuse("upstream-failed", "may-have-run", { message: failure.message }));
+            return;
+        }
+        if (send(dispatch, nowMilliseconds)) {
+            emit({ type: "count-retry", reason: "not-sent", service: dispatch.order.service });
+            return;
+        }
+        const message = `${failure.message}; repeat the order with a new key`;
+        finish(
+            key,
+            refuse("upstream-failed", "not-run", { message, retryAfterMilliseconds: UPSTREAM_RETRY_MILLISECONDS }),
+        );
+    }
+
+    function tick(nowMilliseconds: number): void {
+        for (const [key, { deadlineMilliseconds }] of dispatches) {
+            if (nowMilliseconds >= deadlineMilliseconds) {
+                finish(key, refuse("upstream-failed", "may-have-run", { message: "the plain service did not answer" }));
+            }
+        }
+    }
+
+    return {
+        start,
+        failed,
+        tick,
+        answered: (key, result) => finish(key, { type: "answered", result }),
+        has: key => dispatches.has(key),
+        get size() {
+            return dispatches.size;
+        },
+    };
+}
--- /dev/null
+++ b/src/orders/index.ts
@@ -0,0 +1,35 @@
+/**
+ * Non-idempotent calls of plain services, run at most once.
+ *
+ * Use it to decide on orders: who may run a key, what a repeat gets, and when a refusal may say `not-run`. The caller
+ * carries out the effects and reports their outcome as messages.
+ *
+ * @example
+ * ```ts
+ * import { createSeededRandom } from "../decision/index.js";
+ * import { createOrdersDecision } from "./index.js";
+ *
+ * const orders = createOrdersDecision({ identity, random: createSeededRandom(1), wallClockOffsetMilliseconds: 0 });
+ * const effects = orders.handle({ type: "tick" }, 0);
+ * ```
+ *
+ * @module
+ */
+export { type Order, type OrdersEffect, type OrdersMessage } from "./messages.js";
+export {
+    hashOrderBody,
+    isSameProcess,
+    issueTicket,
+    type MalformedOrderKey,
+    MAXIMUM_KEY_LENGTH,
+    type OrderKey,
+    parseOrderKey,
+    type ProcessName,
+    type Ticket,
+} from "./orderKey.js";
+export {
+    createOrdersDecision,
+    type OrdersDecision,
+    type OrdersOptions,
+    type OrdersSnapshot,
+} from "./ordersDecision.js";
--- a/src/orders/messages.ts
+++ b/src/orders/messages.ts
@@ -35,9 +35,15 @@
     }
     /** Whoever waited for this answer has gone. */
     | { readonly type: "abandoned"; readonly identifier: string; }
-    | { readonly type: "forward-answered"; readonly key: string; readonly outcome: OrderOutcome; }
+    /** `bodyHash` is that of the forwarded order; where given, an answer to an earlier order of the key is noticed. */
+    | {
+        readonly type: "forward-answered";
+        readonly key: string;
+        readonly outcome: OrderOutcome;
+        readonly bodyHash?: string;
+    }
     /** `notSent` only where no byte can have reached the peer. */
-    | { readonly type: "forward-failed"; readonly key: string; readonly notSent: boolean; }
+    | { readonly type: "forward-failed"; readonly key: string; readonly notSent: boolean; readonly bodyHash?: string; }
     | {
         readonly type: "witness-answered";
         readonly key: string;
@@ -55,6 +61,8 @@
         readonly type: "claim-answered";
         readonly key: string;
         readonly outcome: "claimed" | "claimed-by-another" | "other-body" | "not-claimed";
+        /** With `claimed-by-another`: the process that may run the order, and knows its outcome. */
+        readonly claimedBy?: { readonly host: string; readonly incarnation: string; };
     }
     /** Whether the claim took effect is unknown, or the service cannot be reached. */
     | { readonly type: "claim-failed"; readonly key: string; }
