Add the requests decision: queue, routing, admission, retries, quarantine

Change: createRequestsDecision with one module per job.

Not yet shown: the properties over several hosts and the policy measurement.

--- /dev/null
+++ b/src/requests/_attempts.ts
@@ -0,0 +1,148 @@
+/**
+ * What follows from the end of an attempt: the final answer, another attempt, or the wait for a verdict on its engine.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { type Context, end, enqueue, refuse, releaseEngine, spread } from "./_context.js";
+import { drawBackoffMilliseconds } from "./_retryBudget.js";
+import { awaitVerdict, endTrialOf, placeByStanding, recordFinishedSuspect } from "./_suspects.js";
+import { type TrackedRequest } from "./_trackedRequest.js";
+import { type AttemptFailure, type RequestsMessage } from "./messages.js";
+
+const MOST_URGENT_ATTEMPTS = 3;
+const MOST_PATIENT_ATTEMPTS = 6;
+const UPSTREAM_FAILED_RETRY_MILLISECONDS = 1_000;
+const PATIENT_BUDGET_WAIT_MILLISECONDS = 5_000;
+
+type FirstToken = Extract<RequestsMessage, { type: "attempt-first-token"; }>;
+type Finished = Extract<RequestsMessage, { type: "attempt-finished"; }>;
+type Failed = Extract<RequestsMessage, { type: "attempt-failed"; }>;
+
+/** Finds the request whose current attempt a message is about; older attempts no longer matter. */
+function findRunning(context: Context, identifier: string, attempt: number): TrackedRequest | undefined {
+    const tracked = context.requests.get(identifier);
+    return tracked?.phase === "running" && tracked.attempts === attempt ? tracked : undefined;
+}
+
+/** Notes an attempt's first token. */
+export function handleFirstToken(context: Context, message: FirstToken): void {
+    const tracked = findRunning(context, message.identifier, message.attempt);
+    if (tracked === undefined) {
+        return;
+    }
+    tracked.mayHaveRun = true;
+    tracked.firstTokenAtMilliseconds ??= context.nowMilliseconds;
+    context.times.recordFirstToken(tracked.request.model, context.nowMilliseconds - tracked.dispatchedAtMilliseconds);
+}
+
+/** Ends a request whose answer is whole. */
+export function handleFinished(context: Context, message: Finished): void {
+    const tracked = findRunning(context, message.identifier, message.attempt);
+    if (tracked === undefined) {
+        return;
+    }
+    releaseEngine(context, tracked);
+    context.times.recordHold(tracked.request.model, context.nowMilliseconds - tracked.dispatchedAtMilliseconds);
+    const firstTokenAt = tracked.firstTokenAtMilliseconds ?? context.nowMilliseconds;
+    const answeredAt = tracked.request.class === "urgent" ? firstTokenAt : context.nowMilliseconds;
+    end(context, tracked, answeredAt <= tracked.deadlineMilliseconds);
+    recordFinishedSuspect(context, tracked);
+}
+
+/** Decides what follows a failed attempt. */
+export function handleFailed(context: Context, message: Failed): void {
+    const tracked = findRunning(context, message.identifier, message.attempt);
+    if (tracked?.engine === undefined) {
+        return;
+    }
+    releaseEngine(context, tracked);
+    tracked.failedEngine = tracked.engine;
+    tracked.deliveredTokens = Math.max(tracked.deliveredTokens, message.deliveredTokens);
+    tracked.mayHaveRun ||= tracked.deliveredTokens > 0 || mayRunBefore(message.failure);
+    tracked.retryReason = message.failure;
+    noteOnEngine(context, tracked, tracked.engine, message.failure);
+    if (message.failure === "connection-lost") {
+        awaitVerdict(context, tracked);
+        return;
+    }
+    endTrialOf(context, tracked);
+    if (message.failure === "rejected") {
+        refuse(context, tracked, { reason: "invalid-request", message: "The engine found the request invalid." });
+        return;
+    }
+    retry(context, tracked);
+}
+
+function mayRunBefore(failure: AttemptFailure): boolean {
+    return match(failure)
+        .with("connection-lost", "silent", "incomplete", () => true)
+        .with("not-started", "engine-busy", "not-resident", "rejected", () => false)
+        .exhaustive();
+}
+
+/** Remembers what a failure says of its engine. */
+function noteOnEngine(context: Context, tracked: TrackedRequest, engine: string, failure: AttemptFailure): void {
+    const { nowMilliseconds, view } = context;
+    const { model, adapter } = tracked.request;
+    match(failure)
+        .with("not-started", "connection-lost", "silent", () => {
+            view.markUnreachable(engine, nowMilliseconds);
+            context.effects.push({ type: "probe-engine", engine });
+        })
+        .with("engine-busy", () => view.markBusy(engine, nowMilliseconds))
+        .with("not-resident", () => view.get(engine).missing.add(adapter === undefined ? model : `${model}:${adapter}`))
+        .with("incomplete", "rejected", () => undefined)
+        .exhaustive();
+}
+
+/** Queues a request for another attempt after its backoff, or gives it up. */
+export function retry(context: Context, tracked: TrackedRequest): void {
+    const mostAttempts = tracked.request.class === "urgent" ? MOST_URGENT_ATTEMPTS : MOST_PATIENT_ATTEMPTS;
+    const mayTryAgain = tracked.attempts < mostAttempts;
+    if (mayTryAgain && context.budget.tryTake(tracked.request.model)) {
+        const backoff = drawBackoffMilliseconds(tracked.attempts, context.random);
+        placeByStanding(context, tracked, context.nowMilliseconds + backoff);
+        return;
+    }
+    if (mayTryAgain && tracked.request.class === "patient") {
+        context.budget.take(tracked.request.model);
+        placeByStanding(context, tracked, context.nowMilliseconds + spread(context, PATIENT_BUDGET_WAIT_MILLISECONDS));
+        return;
+    }
+    giveUp(context, tracked);
+}
+
+/** Refuses a request that no further attempt is made for. */
+export function giveUp(context: Context, tracked: TrackedRequest): void {
+    refuse(context, tracked, {
+        reason: tracked.deliveredTokens > 0 ? "answer-incomplete" : "upstream-failed",
+        message: `Attempts on ${tracked.attempts} engines failed.`,
+        retryAfterMilliseconds: spread(context, UPSTREAM_FAILED_RETRY_MILLISECONDS),
+    });
+}
+
+/** Ends a request whose caller has gone. */
+export function handleCancel(context: Context, identifier: string): void {
+    const tracked = context.requests.get(identifier);
+    if (tracked === undefined) {
+        return;
+    }
+    if (tracked.phase === "running" && tracked.engine !== undefined) {
+        const { attempts: attempt, engine } = tracked;
+        context.effects.push({ type: "cancel-attempt", identifier, attempt, engine });
+        releaseEngine(context, tracked);
+    }
+    endTrialOf(context, tracked);
+    const firstTokenAt = tracked.firstTokenAtMilliseconds ?? Number.POSITIVE_INFINITY;
+    end(context, tracked, tracked.request.class === "urgent" && firstTokenAt <= tracked.deadlineMilliseconds);
+}
+
+/** Queues a request that has just been admitted. */
+export function startWaiting(context: Context, tracked: TrackedRequest): void {
+    if (context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds) === "suspect") {
+        placeByStanding(context, tracked, context.nowMilliseconds);
+        return;
+    }
+    enqueue(context, tracked, context.nowMilliseconds);
+}
--- /dev/null
+++ b/src/requests/_routing.ts
@@ -0,0 +1,100 @@
+/**
+ * Which engine takes a request.
+ *
+ * @module
+ */
+import { rankByRendezvous } from "../decision/index.js";
+import { type CatalogEngine } from "./_catalog.js";
+import { type ChooseEngine, type Context, isUrgentNow, type RoutingCandidate } from "./_context.js";
+import { type TrackedRequest } from "./_trackedRequest.js";
+
+const PATIENT_SLOT_SHARE = 0.75;
+const PREFIX_LOAD_SLACK_SHARE = 0.25;
+
+/** Where a request can go now. */
+export type Route =
+    | { readonly type: "engine"; readonly engine: string; }
+    /** Copies exist, and all are full or set apart. */
+    | { readonly type: "no-room"; }
+    | { readonly type: "no-adapter"; }
+    | { readonly type: "no-copy"; };
+
+/**
+ * Finds the engine for a request.
+ *
+ * @param context State of the decision.
+ * @param tracked The request.
+ * @returns The engine, or why there is none now.
+ */
+export function findRoute(context: Context, tracked: TrackedRequest): Route {
+    const { model, adapter } = tracked.request;
+    const copies = listCopies(context, model, undefined);
+    if (copies.length === 0) {
+        return { type: "no-copy" };
+    }
+    const ready = adapter === undefined ? copies : listCopies(context, model, adapter);
+    if (ready.length === 0) {
+        return { type: "no-adapter" };
+    }
+    const open = ready.filter(engine => isOpen(context, engine, tracked));
+    const elsewhere = open.filter(engine => engine.name !== tracked.failedEngine);
+    const engine = choose(context, elsewhere, tracked) ?? choose(context, open, tracked);
+    return engine === undefined ? { type: "no-room" } : { type: "engine", engine };
+}
+
+/** Lists engines with a proved copy that are not leaving. */
+export function listCopies(
+    context: Context,
+    model: string,
+    adapter: string | undefined,
+): readonly CatalogEngine[] {
+    const engines = context.catalog?.listEngines(model) ?? [];
+    return engines.filter(engine =>
+        !context.view.get(engine.name).leaving && context.view.holds(engine.name, model, adapter)
+    );
+}
+
+/** Tells whether an engine has room for the request and is not set apart for a suspect. */
+function isOpen(context: Context, engine: CatalogEngine, tracked: TrackedRequest): boolean {
+    const { view, trials, nowMilliseconds } = context;
+    if (view.get(engine.name).busyUntilMilliseconds > nowMilliseconds) {
+        return false;
+    }
+    if (trials.isSetApart(engine.name, nowMilliseconds)) {
+        return false;
+    }
+    const share = isUrgentNow(context, tracked) ? 1 : PATIENT_SLOT_SHARE;
+    return view.estimateLoad(engine.name) < Math.max(1, Math.floor(engine.slots * share));
+}
+
+/** Prefers engines heard of lately; the others serve before a request is refused. */
+function choose(context: Context, engines: readonly CatalogEngine[], tracked: TrackedRequest): string | undefined {
+    const { view, nowMilliseconds } = context;
+    const toCandidate = (engine: CatalogEngine): RoutingCandidate => ({
+        engine: engine.name,
+        load: view.estimateLoad(engine.name),
+        slots: engine.slots,
+        prefixMatch: view.get(engine.name).prefixes.matchLength(tracked.request.prefixKeys),
+    });
+    const known = engines.filter(engine => !view.isDoubtful(engine.name, nowMilliseconds));
+    const preferred = known.length > 0 ? known : engines;
+    return context.chooseEngine(preferred.map(toCandidate), tracked);
+}
+
+/**
+ * Prefers the longest cached prefix among engines whose load is near the least; hosts that know of no cached prefix
+ * agree on one of these engines by rendezvous, so that equal prompts meet.
+ */
+export const chooseByPrefixWithinLoadBound: ChooseEngine = (candidates, tracked) => {
+    if (candidates.length === 0) {
+        return undefined;
+    }
+    const leastLoad = Math.min(...candidates.map(candidate => candidate.load));
+    const near = candidates.filter(candidate =>
+        candidate.load <= leastLoad + Math.max(1, candidate.slots * PREFIX_LOAD_SLACK_SHARE)
+    );
+    const longest = Math.max(...near.map(candidate => candidate.prefixMatch));
+    const best = near.filter(candidate => candidate.prefixMatch === longest);
+    const affinityKey = tracked.request.prefixKeys[longest] ?? tracked.request.fingerprint;
+    return rankByRendezvous(affinityKey, best.map(candidate => candidate.engine))[0];
+};
--- /dev/null
+++ b/src/requests/_suspects.ts
@@ -0,0 +1,262 @@
+/**
+ * Crashes of engines: who was in flight, verdicts on lost connections, and trials of suspects.
+ *
+ * @module
+ */
+import { type EngineDigest, type SuspectDigest, type SuspectTrial } from "../generated/peers.js";
+import { type Context, enqueue, leavePhase, refuse, releaseEngine } from "./_context.js";
+import { type TrackedRequest } from "./_trackedRequest.js";
+import { type Claim } from "./_trials.js";
+
+const VERDICT_WAIT_MILLISECONDS = 1_500;
+const BLOCKED_RETRY_MILLISECONDS = 10_000;
+const SHARE_INTERVAL_MILLISECONDS = 1_000;
+const MOST_SHARED = 256;
+
+/** Names an engine incarnation as digests do. */
+export function nameCrash(engine: string, incarnation: string): string {
+    return `${engine}/${incarnation}`;
+}
+
+/** Holds a request whose connection was lost until it is known whether its engine crashed. */
+export function awaitVerdict(context: Context, tracked: TrackedRequest): void {
+    leavePhase(context, tracked);
+    context.awaitingVerdict.add(tracked);
+    tracked.phase = "awaiting-verdict";
+    tracked.lostAtMilliseconds = context.nowMilliseconds;
+    if (tracked.engine !== undefined && hasCrashed(context, tracked)) {
+        settleCrashed(context, tracked);
+    }
+}
+
+function hasCrashed(context: Context, tracked: TrackedRequest): boolean {
+    const { engine, incarnation } = tracked;
+    return engine !== undefined && incarnation !== undefined && context.view.hasEnded(engine, incarnation);
+}
+
+/** Takes in that an engine process crashed, once. */
+export function handleCrash(context: Context, engine: string, incarnation: string): void {
+    context.view.recordEnd(engine, incarnation);
+    accuseInFlight(context, engine, incarnation);
+}
+
+/** Counts the crash against all requests that were in flight there, here and by the claims of peers. */
+export function accuseInFlight(context: Context, engine: string, incarnation: string): void {
+    const crash = nameCrash(engine, incarnation);
+    context.quarantine.confirmPresumptions(crash);
+    const involved = [...context.requests.values()].filter(tracked =>
+        tracked.engine === engine && tracked.incarnation === incarnation
+        && (tracked.phase === "running" || tracked.phase === "awaiting-verdict")
+    );
+    for (const tracked of involved) {
+        context.quarantine.recordCrash(tracked.request.fingerprint, crash);
+    }
+    for (const claim of context.trials.listOn(engine, context.nowMilliseconds)) {
+        if (claim.state === "running") {
+            context.quarantine.recordCrash(claim.fingerprint, crash);
+        }
+    }
+    for (const tracked of involved) {
+        if (tracked.phase === "awaiting-verdict") {
+            settleCrashed(context, tracked);
+        }
+    }
+    refuseConvicted(context);
+}
+
+/** Ends the wait of a request whose engine is known to have crashed. */
+function settleCrashed(context: Context, tracked: TrackedRequest): void {
+    tracked.retryReason = "engine-crashed";
+    endTrialOf(context, tracked);
+    context.budget.take(tracked.request.model);
+    placeByStanding(context, tracked, context.nowMilliseconds);
+}
+
+/** Releases requests that lost only their connection to a process that has been heard of since. */
+export function settleAlive(context: Context, digest: EngineDigest, retry: (tracked: TrackedRequest) => void): void {
+    const observedAt = context.nowMilliseconds - digest.observedMillisecondsAgo;
+    context.quarantine.withdrawPresumptions(nameCrash(digest.engine, digest.incarnation));
+    for (const tracked of [...context.awaitingVerdict]) {
+        const isConcerned = tracked.engine === digest.engine && tracked.incarnation === digest.incarnation
+            && tracked.lostAtMilliseconds < observedAt;
+        if (isConcerned) {
+            endTrialOf(context, tracked);
+            retry(tracked);
+        }
+    }
+}
+
+/** Releases requests whose engine left in order and started again. */
+export function settleRestarted(
+    context: Context,
+    digest: EngineDigest,
+    retry: (tracked: TrackedRequest) => void,
+): void {
+    for (const tracked of [...context.awaitingVerdict]) {
+        const isConcerned = tracked.engine === digest.engine && tracked.incarnation !== digest.incarnation;
+        if (isConcerned) {
+            endTrialOf(context, tracked);
+            retry(tracked);
+        }
+    }
+}
+
+/** Presumes a crash where an engine was not heard of in time after a connection to it was lost. */
+export function presumeOverdue(context: Context): void {
+    for (const tracked of [...context.awaitingVerdict]) {
+        const isOverdue = context.nowMilliseconds - tracked.lostAtMilliseconds >= VERDICT_WAIT_MILLISECONDS;
+        if (!isOverdue || tracked.engine === undefined) {
+            continue;
+        }
+        const crash = nameCrash(tracked.engine, tracked.incarnation ?? "");
+        context.quarantine.presumeCrash(tracked.request.fingerprint, crash, context.nowMilliseconds);
+        settleCrashed(context, tracked);
+    }
+}
+
+/** Queues a request, or sets it apart or refuses it where its fingerprint is under suspicion. */
+export function placeByStanding(context: Context, tracked: TrackedRequest, notBeforeMilliseconds: number): void {
+    const standing = context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds);
+    if (standing === "clear") {
+        enqueue(context, tracked, notBeforeMilliseconds);
+        return;
+    }
+    if (standing === "suspect") {
+        leavePhase(context, tracked);
+        context.awaitingTrial.add(tracked);
+        tracked.phase = "awaiting-trial";
+        tracked.notBeforeMilliseconds = notBeforeMilliseconds;
+        return;
+    }
+    refuseByStanding(context, tracked, standing);
+}
+
+/** Refuses a request for what is known of its fingerprint. */
+export function refuseByStanding(context: Context, tracked: TrackedRequest, standing: "blocked" | "convicted"): void {
+    if (standing === "convicted") {
+        refuse(context, tracked, {
+            reason: "request-crashes-engines",
+            message: "Engines that ran this request crashed; it is not run again.",
+        });
+        return;
+    }
+    refuse(context, tracked, {
+        reason: "upstream-failed",
+        message: "Two engines were lost while they ran this request; it is not run until their state is known.",
+        retryAfterMilliseconds: BLOCKED_RETRY_MILLISECONDS,
+    });
+}
+
+/** Gives requests whose fingerprint changed its standing their place or their final answer. */
+export function refuseConvicted(context: Context): void {
+    for (const tracked of [...context.requests.values()]) {
+        const standing = context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds);
+        if (standing === "convicted") {
+            stopAttempt(context, tracked);
+            refuseByStanding(context, tracked, standing);
+        }
+        else if (standing === "clear" && tracked.phase === "awaiting-trial") {
+            endTrialOf(context, tracked);
+            enqueue(context, tracked, context.nowMilliseconds);
+        }
+        else if (standing !== "clear" && tracked.phase === "queued") {
+            placeByStanding(context, tracked, context.nowMilliseconds);
+        }
+    }
+}
+
+function stopAttempt(context: Context, tracked: TrackedRequest): void {
+    if (tracked.phase === "running" && tracked.engine !== undefined) {
+        const { attempts: attempt, engine, request } = tracked;
+        tracked.mayHaveRun = true;
+        context.effects.push({ type: "cancel-attempt", identifier: request.identifier, attempt, engine });
+        releaseEngine(context, tracked);
+    }
+    endTrialOf(context, tracked);
+}
+
+/** Clears a fingerprint that an engine has run to its end. */
+export function recordFinishedSuspect(context: Context, tracked: TrackedRequest): void {
+    endTrialOf(context, tracked);
+    if (context.quarantine.recordFinished(tracked.request.fingerprint)) {
+        refuseConvicted(context);
+    }
+}
+
+/** Ends the trial of a request, if it has one, and tells peers. */
+export function endTrialOf(context: Context, tracked: TrackedRequest): void {
+    const claim = context.trials.listOwn().find(own => own.identifier === tracked.trialIdentifier);
+    tracked.trialIdentifier = undefined;
+    if (claim !== undefined) {
+        context.trials.end(claim, context.nowMilliseconds);
+        shareClaim(context, claim, "ended");
+    }
+}
+
+/** Tells peers of a claim together with what is known of its fingerprint. */
+export function shareClaim(context: Context, claim: Claim, state: SuspectTrial["state"]): void {
+    const { identifier, host, engine } = claim;
+    const digest: SuspectDigest = {
+        ...context.quarantine.describe(claim.fingerprint, context.nowMilliseconds),
+        trial: { identifier, host, engine, state },
+    };
+    context.effects.push({ type: "share-suspects", digests: [digest] });
+}
+
+/** Takes in what peers know of suspects and claim for their trials. */
+export function handleSuspects(context: Context, digests: readonly SuspectDigest[]): void {
+    for (const digest of digests) {
+        context.quarantine.merge(digest, context.nowMilliseconds);
+        if (digest.trial !== undefined) {
+            context.trials.hear(digest.fingerprint, digest.trial, context.nowMilliseconds);
+        }
+    }
+    refuseConvicted(context);
+    claimRunningSuspects(context);
+}
+
+/** Claims, for peers to know, the engines on which this host already runs requests that have become suspects. */
+export function claimRunningSuspects(context: Context): void {
+    for (const tracked of context.requests.values()) {
+        const { engine, phase, request } = tracked;
+        const isRunning = engine !== undefined && phase === "running" && tracked.trialIdentifier === undefined;
+        if (!isRunning || hasCrashed(context, tracked)) {
+            continue;
+        }
+        if (context.quarantine.standing(request.fingerprint, context.nowMilliseconds) !== "clear") {
+            announceClaim(context, tracked, engine, "running");
+        }
+    }
+}
+
+/** Claims an engine for a request and tells peers. */
+export function announceClaim(context: Context, tracked: TrackedRequest, engine: string, state: Claim["state"]): void {
+    const identifier = `${context.host}-${Math.floor(context.random() * Number.MAX_SAFE_INTEGER).toString(36)}`;
+    const claim = context.trials.announce({
+        identifier,
+        host: context.host,
+        fingerprint: tracked.request.fingerprint,
+        engine,
+        announcedAtMilliseconds: context.nowMilliseconds,
+        state,
+    });
+    tracked.trialIdentifier = identifier;
+    shareClaim(context, claim, state);
+}
+
+/** Shares what changed at once, and everything now and then for peers that missed it. */
+export function shareSuspects(context: Context): void {
+    const isDue = context.nowMilliseconds - context.sharedAtMilliseconds >= SHARE_INTERVAL_MILLISECONDS;
+    const changed = context.quarantine.takeChanged();
+    const fingerprints = isDue ? context.quarantine.list().slice(0, MOST_SHARED) : changed;
+    if (isDue) {
+        context.sharedAtMilliseconds = context.nowMilliseconds;
+        for (const claim of context.trials.listOwn()) {
+            shareClaim(context, claim, claim.state);
+        }
+    }
+    if (fingerprints.length > 0) {
+        const digests = fingerprints.map(each => context.quarantine.describe(each, context.nowMilliseconds));
+        context.effects.push({ type: "share-suspects", digests });
+    }
+}
--- /dev/null
+++ b/src/requests/_trialScheduling.ts
@@ -0,0 +1,117 @@
+/**
+ * Runs suspects one at a time on engines that are set apart for them.
+ *
+ * @module
+ */
+import { type Context, dispatch } from "./_context.js";
+import { listCopies } from "./_routing.js";
+import { announceClaim, endTrialOf, shareClaim } from "./_suspects.js";
+import { type TrackedRequest } from "./_trackedRequest.js";
+import { type Claim, SETTLE_MILLISECONDS } from "./_trials.js";
+
+const DRAIN_WAIT_MILLISECONDS = 5_000;
+const SET_APART_SHARE = 0.5;
+
+/** Claims engines for suspects, gives way to peers' claims, and starts the trials whose time has come. */
+export function runTrials(context: Context): void {
+    endOrphanedClaims(context);
+    const waiting = [...context.awaitingTrial];
+    waiting.sort((left, right) => left.deadlineMilliseconds - right.deadlineMilliseconds);
+    for (const tracked of waiting) {
+        const claim = context.trials.listOwn().find(own => own.identifier === tracked.trialIdentifier);
+        if (claim === undefined) {
+            tryToClaim(context, tracked);
+        }
+        else {
+            advanceClaim(context, tracked, claim);
+        }
+    }
+}
+
+/** Ends claims whose request has its final answer or is no longer under suspicion. */
+function endOrphanedClaims(context: Context): void {
+    const claims = context.trials.listOwn();
+    if (claims.length === 0) {
+        return;
+    }
+    const held = new Set([...context.requests.values()].map(tracked => tracked.trialIdentifier));
+    for (const claim of claims) {
+        if (!held.has(claim.identifier)) {
+            context.trials.end(claim, context.nowMilliseconds);
+            shareClaim(context, claim, "ended");
+        }
+    }
+}
+
+function tryToClaim(context: Context, tracked: TrackedRequest): void {
+    const { nowMilliseconds, trials } = context;
+    if (tracked.notBeforeMilliseconds > nowMilliseconds) {
+        return;
+    }
+    if (trials.listFor(tracked.request.fingerprint, nowMilliseconds).length > 0) {
+        return;
+    }
+    const engine = findTrialEngine(context, tracked);
+    if (engine === undefined) {
+        return;
+    }
+    announceClaim(context, tracked, engine, "claimed");
+    const claim = trials.listOwn().find(own => own.identifier === tracked.trialIdentifier);
+    if (claim !== undefined) {
+        advanceClaim(context, tracked, claim);
+    }
+}
+
+/** Finds the least loaded engine that may be set apart, while enough copies stay open to healthy work. */
+function findTrialEngine(context: Context, tracked: TrackedRequest): string | undefined {
+    const { nowMilliseconds, trials, view } = context;
+    const { model, adapter } = tracked.request;
+    const copies = listCopies(context, model, adapter).map(engine => engine.name);
+    const setApart = copies.filter(engine => trials.isSetApart(engine, nowMilliseconds));
+    if (setApart.length >= Math.max(1, Math.floor(copies.length * SET_APART_SHARE))) {
+        return undefined;
+    }
+    const free = copies.filter(engine =>
+        !setApart.includes(engine) && trials.restsUntil(engine) <= nowMilliseconds
+        && !view.isDoubtful(engine, nowMilliseconds)
+    );
+    const fallback = copies.filter(engine =>
+        !setApart.includes(engine) && trials.restsUntil(engine) <= nowMilliseconds
+    );
+    const candidates = free.length > 0 ? free : fallback;
+    candidates.sort((left, right) => view.estimateLoad(left) - view.estimateLoad(right) || (left < right ? -1 : 1));
+    return candidates[0];
+}
+
+function advanceClaim(context: Context, tracked: TrackedRequest, claim: Claim): void {
+    const { nowMilliseconds, trials, view } = context;
+    const { model, adapter } = tracked.request;
+    const isUsable = view.holds(claim.engine, model, adapter) && !view.get(claim.engine).leaving;
+    if (!isUsable || trials.mustYield(claim, nowMilliseconds)) {
+        endTrialOf(context, tracked);
+        return;
+    }
+    if (!hasSettled(context, claim) || !isDrained(context, claim)) {
+        return;
+    }
+    claim.state = "running";
+    dispatch(context, tracked, claim.engine);
+    shareClaim(context, claim, "running");
+}
+
+function hasSettled(context: Context, claim: Claim): boolean {
+    return context.peers.length === 0
+        || context.nowMilliseconds - claim.announcedAtMilliseconds >= SETTLE_MILLISECONDS;
+}
+
+/** Tells whether healthy work has left the engine, as far as a report since the claim says, or was waited for. */
+function isDrained(context: Context, claim: Claim): boolean {
+    const waitedMilliseconds = context.nowMilliseconds - claim.announcedAtMilliseconds;
+    if (waitedMilliseconds >= DRAIN_WAIT_MILLISECONDS) {
+        return true;
+    }
+    const { observedAtMilliseconds } = context.view.get(claim.engine);
+    const settledAt = claim.announcedAtMilliseconds + (context.peers.length === 0 ? 0 : SETTLE_MILLISECONDS);
+    const isFresh = observedAtMilliseconds !== undefined && observedAtMilliseconds >= settledAt;
+    return isFresh && context.view.estimateLoad(claim.engine) === 0;
+}
--- /dev/null
+++ b/src/requests/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Requests for models: admission, queues, routing, retries, and quarantine of requests that crash engines.
+ *
+ * Use it to drive one host's decision with a clock, a random source and message delivery of your own. Many hosts'
+ * decisions route to the same engines without a common state; they share suspects of engine crashes by digests.
+ *
+ * @example
+ * ```ts
+ * import { createSeededRandom } from "../decision/index.js";
+ * import { createRequestsDecision } from "./index.js";
+ *
+ * const decision = createRequestsDecision({ host: "host-1", random: createSeededRandom(1) });
+ * const effects = decision.handle({ type: "tick" }, 0);
+ * ```
+ *
+ * @module
+ */
+export { type ChooseEngine, type RoutingCandidate } from "./_context.js";
+export { chooseByPrefixWithinLoadBound } from "./_routing.js";
+export { type AttemptFailure, type ModelRequest, type RequestsEffect, type RequestsMessage } from "./messages.js";
+export { createRequestsDecision, type RequestsDecisionOptions } from "./requestsDecision.js";
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -93,6 +93,8 @@
     }
     /** Tell every peer at once, before a suspect is tried again. */
     | { readonly type: "share-suspects"; readonly digests: readonly SuspectDigest[]; }
+    /** Read this engine's report at once: a connection to it was lost, and a crash has to be told from a cut. */
+    | { readonly type: "probe-engine"; readonly engine: string; }
     /** An adapter that requests wait for is not loaded anywhere. */
     | { readonly type: "want-adapter"; readonly model: string; readonly adapter: string; }
     /** Count a retry under its reason. */
--- /dev/null
+++ b/src/requests/requestsDecision.ts
@@ -0,0 +1,147 @@
+/**
+ * The requests decision: what one host does with callers' requests for models.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { type Decision, type RandomSource } from "../decision/index.js";
+import { type EngineDigest } from "../generated/peers.js";
+import { handleCancel, handleFailed, handleFinished, handleFirstToken, retry } from "./_attempts.js";
+import { type ChooseEngine, type Context } from "./_context.js";
+import { dispatchQueued, endOverdue } from "./_dispatching.js";
+import { createEngineView } from "./_engineView.js";
+import { createQuarantine } from "./_quarantine.js";
+import { createRequestQueue } from "./_queue.js";
+import { createRetryBudget } from "./_retryBudget.js";
+import { chooseByPrefixWithinLoadBound } from "./_routing.js";
+import { createServiceTimes } from "./_serviceTimes.js";
+import { handleDeployment, handleSubmit } from "./_submission.js";
+import {
+    accuseInFlight,
+    handleCrash,
+    handleSuspects,
+    presumeOverdue,
+    settleAlive,
+    settleRestarted,
+    shareSuspects,
+} from "./_suspects.js";
+import { createTrials } from "./_trials.js";
+import { runTrials } from "./_trialScheduling.js";
+import { type RequestsEffect, type RequestsMessage } from "./messages.js";
+
+const QUEUED_REQUESTS = 2_000;
+
+/** Options of a requests decision. */
+export interface RequestsDecisionOptions {
+    /** Name of this host, as peers know it. */
+    readonly host: string;
+    readonly random: RandomSource;
+    /**
+     * Most requests that wait at a time.
+     *
+     * @default 2000
+     */
+    readonly queuedRequests?: number;
+    /**
+     * Chooses among engines that may take a request.
+     *
+     * @default chooseByPrefixWithinLoadBound
+     */
+    readonly chooseEngine?: ChooseEngine;
+}
+
+/**
+ * Creates the requests decision of one host.
+ *
+ * The shell sends `tick` about every 50 ms, for backoff, deadlines and trials.
+ *
+ * @param options The host's name, its random source and limits.
+ * @returns The decision.
+ *
+ * @example
+ * ```ts
+ * const decision = createRequestsDecision({ host: "host-1", random: createSeededRandom(1) });
+ * decision.handle({ type: "deployment", deployment, revision: 1 }, 0);
+ * const effects = decision.handle({ type: "submit", request }, 10);
+ * ```
+ */
+export function createRequestsDecision(options: RequestsDecisionOptions): Decision<RequestsMessage, RequestsEffect> {
+    const context = createContext(options);
+    return {
+        handle: (message, nowMilliseconds) => {
+            context.nowMilliseconds = nowMilliseconds;
+            context.effects = [];
+            handleMessage(context, message);
+            runTrials(context);
+            dispatchQueued(context);
+            shareSuspects(context);
+            return context.effects;
+        },
+    };
+}
+
+function createContext(options: RequestsDecisionOptions): Context {
+    return {
+        host: options.host,
+        random: options.random,
+        queuedRequests: options.queuedRequests ?? QUEUED_REQUESTS,
+        chooseEngine: options.chooseEngine ?? chooseByPrefixWithinLoadBound,
+        requests: new Map(),
+        awaitingVerdict: new Set(),
+        awaitingTrial: new Set(),
+        queue: createRequestQueue(),
+        view: createEngineView(),
+        budget: createRetryBudget(),
+        quarantine: createQuarantine(),
+        trials: createTrials(options.host),
+        times: createServiceTimes(),
+        agedShares: new Map(),
+        adaptersWanted: new Map(),
+        catalog: undefined,
+        peers: [],
+        leaving: false,
+        nowMilliseconds: 0,
+        sharedAtMilliseconds: Number.NEGATIVE_INFINITY,
+        effects: [],
+    };
+}
+
+function handleMessage(context: Context, message: RequestsMessage): void {
+    match(message)
+        .with({ type: "deployment" }, deployment => handleDeployment(context, deployment))
+        .with({ type: "submit" }, ({ request }) => handleSubmit(context, request))
+        .with({ type: "cancel" }, ({ identifier }) => handleCancel(context, identifier))
+        .with({ type: "attempt-first-token" }, firstToken => handleFirstToken(context, firstToken))
+        .with({ type: "attempt-finished" }, finished => handleFinished(context, finished))
+        .with({ type: "attempt-failed" }, failed => handleFailed(context, failed))
+        .with({ type: "engine-observed" }, ({ digest }) => handleObserved(context, digest))
+        .with({ type: "residency" }, ({ digest }) => context.view.recordResidency(digest))
+        .with({ type: "engine-crashed" }, ({ engine, incarnation }) => handleCrash(context, engine, incarnation))
+        .with({ type: "suspects" }, ({ digests }) => handleSuspects(context, digests))
+        .with({ type: "peers" }, ({ hosts }) => {
+            context.peers = hosts.filter(host => host !== context.host);
+        })
+        .with({ type: "cache-event" }, ({ engine, prefixKey, cached }) => {
+            context.view.recordCacheEvent(engine, prefixKey, cached);
+        })
+        .with({ type: "leave" }, () => {
+            context.leaving = true;
+        })
+        .with({ type: "tick" }, () => {
+            presumeOverdue(context);
+            endOverdue(context);
+        })
+        .exhaustive();
+}
+
+/** Takes in a load report, and what it shows of the engine's process. */
+function handleObserved(context: Context, digest: EngineDigest): void {
+    const before = context.view.get(digest.engine).incarnation;
+    const change = context.view.observe(digest, context.nowMilliseconds);
+    match(change)
+        .with("same", "first", () => settleAlive(context, digest, tracked => retry(context, tracked)))
+        .with("crashed", () => accuseInFlight(context, digest.engine, before ?? ""))
+        .with("restarted", () => settleRestarted(context, digest, tracked => retry(context, tracked)))
+        .with("outdated", () => undefined)
+        .exhaustive();
+}
