--- a/src/callers/callersServer.ts
+++ b/src/callers/callersServer.ts
@@ -13,6 +13,7 @@
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
 const IDLE_CONNECTION_MILLISECONDS = 30_000;
+const IDLE_CHECK_MILLISECONDS = 50;
 const KEEP_ALIVE_PROBE_MILLISECONDS = 15_000;
 
 /** A running callers' surface. */
@@ -24,6 +25,17 @@
     abort(): void;
 }
 
+/** Ends connections as they become idle, until none is left. */
+function closeGracefully(server: Server): Promise<void> {
+    return new Promise(resolve => {
+        const timer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MILLISECONDS);
+        server.close(() => {
+            clearInterval(timer);
+            resolve();
+        });
+    });
+}
+
 /**
  * Starts the callers' surface.
  *
@@ -58,13 +70,10 @@
         server.once("error", reject);
         server.listen(endpoint.port, endpoint.address, () => resolve((server.address() as AddressInfo).port));
     });
+    let closing: Promise<void> | undefined;
     return {
         port,
-        close: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            }),
+        close: () => closing ??= closeGracefully(server),
         abort: () => server.closeAllConnections(),
     };
 }
