--- /dev/null
+++ b/src/residency/_publishing.ts
@@ -0,0 +1,49 @@
+/**
+ * Tells other hosts which copies are proved.
+ *
+ * @module
+ */
+import { type ResidencyDigest } from "../generated/peers.js";
+import { type EngineState, subjectKey } from "./_engineState.js";
+import { type Holder } from "./_holder.js";
+import { isProvedCopy } from "./ledger.js";
+
+const PUBLISH_INTERVAL_MILLISECONDS = 5_000;
+
+function digestOf(state: EngineState): ResidencyDigest | undefined {
+    if (state.record === undefined) {
+        return undefined;
+    }
+    const proved = state.record.entries.filter(entry => isProvedCopy(entry));
+    const models = proved.filter(entry => entry.kind === "model").map(({ name, version }) => ({ name, version }));
+    const adapters = proved.filter(entry => entry.kind === "adapter").map(({ name }) => name);
+    const { engine, incarnation } = state.record;
+    return { engine, incarnation, recordRevision: state.storeRevision, models, adapters };
+}
+
+/** Notes since when each copy is proved. */
+function noteProved(state: EngineState, nowMilliseconds: number): void {
+    const proved = (state.record?.entries ?? []).filter(entry => isProvedCopy(entry)).map(entry => subjectKey(entry));
+    for (const key of [...state.provedSince.keys()].filter(known => !proved.includes(known))) {
+        state.provedSince.delete(key);
+    }
+    for (const key of proved.filter(found => !state.provedSince.has(found))) {
+        state.provedSince.set(key, nowMilliseconds);
+    }
+}
+
+/** Publishes an engine's proved copies when its stored record has changed, and at intervals. */
+export function publishIfDue(holder: Holder, state: EngineState, nowMilliseconds: number): void {
+    const digest = digestOf(state);
+    if (digest === undefined || !state.stamped) {
+        return;
+    }
+    noteProved(state, nowMilliseconds);
+    const text = JSON.stringify(digest);
+    const isDue = nowMilliseconds - state.publishedAtMilliseconds >= PUBLISH_INTERVAL_MILLISECONDS;
+    if (text !== state.published || isDue) {
+        state.published = text;
+        state.publishedAtMilliseconds = nowMilliseconds;
+        holder.effects.push({ type: "publish-residency", digest });
+    }
+}
--- /dev/null
+++ b/src/residency/_startLedger.ts
@@ -0,0 +1,52 @@
+/**
+ * The first ledger of an engine incarnation.
+ *
+ * @module
+ */
+import { type Adapter, type Model } from "../generated/deployment.js";
+import { type EngineRecord, type FencingNumber, type LedgerEntry } from "../generated/platform.js";
+import { type EngineReport } from "../generated/upstreams.js";
+import { chargedMegabytes, type EngineCapacity } from "./ledger.js";
+
+/** What a first ledger is made of. */
+export interface StartLedgerOptions {
+    readonly report: EngineReport;
+    readonly lastFencing: FencingNumber;
+    readonly capacity: EngineCapacity;
+    readonly models: readonly Model[];
+    readonly adapters: readonly Adapter[];
+}
+
+function reportedEntries(options: StartLedgerOptions): LedgerEntry[] {
+    const { report, models, adapters } = options;
+    const resident = { resident: true, openOrders: [] };
+    const modelEntries = report.models.map(({ name, version }): LedgerEntry => {
+        const megabytes = models.find(model => model.name === name)?.megabytes ?? 0;
+        return { kind: "model", name, version, megabytes, ...resident };
+    });
+    const adapterEntries = report.adapters.map((name): LedgerEntry => {
+        const listed = adapters.find(adapter => adapter.name === name);
+        return { kind: "adapter", name, version: listed?.model ?? "", megabytes: listed?.megabytes ?? 0, ...resident };
+    });
+    return [...modelEntries, ...adapterEntries];
+}
+
+/**
+ * Starts the ledger of an engine incarnation that no order was sent to: it holds what the engine itself says.
+ *
+ * Something reported whose size is unknown takes all the room that is left, until its evict is proved.
+ */
+export function startLedger(options: StartLedgerOptions): EngineRecord {
+    const { report, capacity } = options;
+    const record: EngineRecord = {
+        engine: report.engine,
+        incarnation: report.incarnation,
+        lastFencing: options.lastFencing,
+        writeIdentifier: "",
+        role: { current: report.role, open: [] },
+        entries: reportedEntries(options),
+    };
+    const free = Math.max(0, capacity.memoryMegabytes - chargedMegabytes(record, capacity.roles));
+    const sized = record.entries.map(entry => entry.megabytes === 0 ? { ...entry, megabytes: free } : entry);
+    return { ...record, entries: sized };
+}
--- /dev/null
+++ b/src/residency/_testFleet.ts
@@ -0,0 +1,465 @@
+/**
+ * Fakes for the residency tests: engines, the key-value service, leases and hosts under one seeded clock.
+ *
+ * @module
+ */
+import { createSeededRandom, type Decision, type RandomSource } from "../decision/index.js";
+import { type Deployment } from "../generated/deployment.js";
+import { type EngineRecord } from "../generated/platform.js";
+import { type EngineOrder, type EngineOrderAnswer, type EngineReport } from "../generated/upstreams.js";
+import {
+    compareFencing,
+    createResidencyDecision,
+    isProvedCopy,
+    type ResidencyEffect,
+    type ResidencyMessage,
+} from "./index.js";
+
+const LEASE_MILLISECONDS = 10_000;
+const TICK_MILLISECONDS = 500;
+const LOAD_MILLISECONDS = 1_500;
+const ANSWER_TIMEOUT_MILLISECONDS = 4_000;
+/** For this long after a restart, evicts recorded in ignorance of it are not the system's own doing. */
+const IGNORANCE_MILLISECONDS = 40_000;
+
+/** Something that goes wrong at a time. */
+export interface Fault {
+    readonly kind:
+        | "pause"
+        | "restart"
+        | "store-outage"
+        | "lose-order"
+        | "lose-answer"
+        | "delay-order"
+        | "lose-store-answer"
+        | "delay-store-write"
+        | "refuse-memory"
+        | "stale-report"
+        | "lease-lapse"
+        | "text";
+    readonly atMilliseconds: number;
+    /** Picks the host, engine or text, and the length. */
+    readonly choice: number;
+}
+
+/** What a run is made of. */
+export interface FleetOptions {
+    readonly seed: number;
+    readonly texts: readonly Deployment[];
+    readonly faults: readonly Fault[];
+}
+
+interface Host {
+    readonly name: string;
+    readonly decision: Decision<ResidencyMessage, ResidencyEffect>;
+    pausedUntil: number;
+    epoch: number | undefined;
+    inbox: ResidencyMessage[];
+}
+
+/** One engine; it accepts whatever it is told, so that the test sees when too much is asked. */
+export class EngineFake {
+    incarnation = 1;
+    restartedAt = -Infinity;
+    role = "";
+    highest = { epoch: 0, sequence: 0 };
+    readonly holds = new Map<string, number>();
+    readonly loaded = new Set<string>();
+    frozen = false;
+    constructor(readonly name: string, readonly checksFencing: boolean) {}
+    get incarnationName(): string {
+        return `${this.name}-${this.incarnation}`;
+    }
+    restart(now: number): void {
+        this.incarnation += 1;
+        this.restartedAt = now;
+        this.role = "";
+        this.highest = { epoch: 0, sequence: 0 };
+        this.holds.clear();
+        this.loaded.clear();
+    }
+    report(): EngineReport {
+        const of = (kind: string): string[][] =>
+            [...this.loaded].map(key => key.split(" ")).filter(([k]) => k === kind);
+        return {
+            engine: this.name,
+            incarnation: this.incarnationName,
+            leaving: false,
+            running: 0,
+            waiting: 0,
+            role: this.role,
+            models: of("model").map(([, name = "", version = ""]) => ({ name, version })),
+            adapters: of("adapter").map(([, name = ""]) => name),
+        };
+    }
+    models(): string[] {
+        return this.report().models.map(model => model.name);
+    }
+}
+
+/** Runs holders' decisions over fakes; `violations` is empty as long as every promise is kept. */
+export class Fleet {
+    now = 0;
+    readonly violations: string[] = [];
+    readonly engines: EngineFake[];
+    readonly store = new Map<string, { record: EngineRecord; revision: number; }>();
+    readonly explained: string[] = [];
+    mostLoadsAtOnce = 0;
+    loads = 0;
+    text: Deployment;
+    private readonly hosts: Host[];
+    private readonly random: RandomSource;
+    private readonly queue: { at: number; order: number; run: () => void; }[] = [];
+    private readonly armed = new Map<Fault["kind"], number>();
+    private order = 0;
+    private revision = 0;
+    private textRevision = 1;
+    private epoch = 0;
+    private leaseUntil = 0;
+    private outageUntil = 0;
+    private identifiers = 0;
+
+    constructor(private readonly options: FleetOptions) {
+        this.random = createSeededRandom(options.seed);
+        this.text = options.texts[0] as Deployment;
+        this.engines = this.pool.engines.map(engine => new EngineFake(engine.name, this.pool.checksFencing));
+        const createIdentifier = (): string => `id-${this.identifiers += 1}`;
+        this.hosts = ["host-1", "host-2", "host-3"].map(name => ({
+            name,
+            pausedUntil: 0,
+            epoch: undefined,
+            inbox: [],
+            decision: createResidencyDecision({ pool: this.pool.name, host: name, createIdentifier }),
+        }));
+        for (const host of this.hosts) {
+            this.tell(host, { type: "deployment", deployment: this.text, revision: 1 });
+            this.after(TICK_MILLISECONDS * (1 + this.random()), () => this.beat(host));
+        }
+        for (const fault of options.faults) {
+            this.after(fault.atMilliseconds, () => this.inject(fault));
+        }
+    }
+
+    get pool(): Deployment["pools"][number] {
+        return this.text.pools[0] as Deployment["pools"][number];
+    }
+
+    runUntil(end: number): void {
+        for (;;) {
+            this.queue.sort((left, right) => left.at - right.at || left.order - right.order);
+            const next = this.queue[0];
+            if (next === undefined || next.at > end || this.violations.length > 0) {
+                this.now = end;
+                return;
+            }
+            this.queue.shift();
+            this.now = next.at;
+            next.run();
+            this.check();
+        }
+    }
+
+    /** Sends a message to every host. */
+    tellAll(message: ResidencyMessage): void {
+        this.hosts.forEach(host => this.tell(host, message));
+    }
+
+    private after(delay: number, run: () => void): void {
+        this.order += 1;
+        this.queue.push({ at: this.now + delay, order: this.order, run });
+    }
+
+    private takeFault(kind: Fault["kind"]): boolean {
+        const left = this.armed.get(kind) ?? 0;
+        this.armed.set(kind, Math.max(0, left - 1));
+        return left > 0;
+    }
+
+    private inject({ kind, choice }: Fault): void {
+        const host = this.hosts[choice % this.hosts.length] as Host;
+        const holder = this.hosts.find(candidate => candidate.epoch === this.epoch) ?? host;
+        const engine = this.engines[choice % this.engines.length] as EngineFake;
+        const length = 2_000 + choice * 300;
+        if (kind === "pause") {
+            holder.pausedUntil = this.now + length;
+        }
+        else if (kind === "lease-lapse") {
+            this.leaseUntil = this.now;
+        }
+        else if (kind === "restart") {
+            engine.restart(this.now);
+        }
+        else if (kind === "store-outage") {
+            this.outageUntil = this.now + length;
+        }
+        else if (kind === "stale-report") {
+            const report = engine.report();
+            this.after(length, () => this.tellAll({ type: "engine-reported", report }));
+        }
+        else if (kind === "text") {
+            this.text = this.options.texts[choice % this.options.texts.length] as Deployment;
+            this.textRevision += 1;
+            const message = { type: "deployment" as const, deployment: this.text, revision: this.textRevision };
+            this.hosts.forEach(reader => this.after(this.random() * 3_000, () => this.tell(reader, message)));
+        }
+        else {
+            this.armed.set(kind, 1 + choice % 3);
+        }
+    }
+
+    private beat(host: Host): void {
+        this.after(TICK_MILLISECONDS, () => this.beat(host));
+        if (this.now < host.pausedUntil) {
+            return;
+        }
+        if (this.now >= this.outageUntil) {
+            this.keepLease(host);
+        }
+        this.tell(host, { type: "tick" });
+    }
+
+    private keepLease(host: Host): void {
+        const expiresAtMilliseconds = this.now + LEASE_MILLISECONDS;
+        if (host.epoch !== undefined && host.epoch === this.epoch && this.now < this.leaseUntil) {
+            this.leaseUntil = expiresAtMilliseconds;
+            this.tell(host, { type: "lease-renewed", expiresAtMilliseconds });
+        }
+        else if (this.now >= this.leaseUntil) {
+            this.epoch += 1;
+            host.epoch = this.epoch;
+            this.leaseUntil = expiresAtMilliseconds;
+            this.tell(host, { type: "lease-acquired", epoch: this.epoch, expiresAtMilliseconds });
+        }
+        else if (host.epoch !== undefined) {
+            host.epoch = undefined;
+            this.tell(host, { type: "lease-lost" });
+        }
+    }
+
+    /** Hands a message over; a paused host takes it when it wakes. */
+    private tell(host: Host, message: ResidencyMessage): void {
+        if (this.now < host.pausedUntil) {
+            this.after(host.pausedUntil - this.now, () => this.tell(host, message));
+            return;
+        }
+        for (const effect of host.decision.handle(message, this.now)) {
+            this.after(this.random() * 5, () => this.carryOut(host, effect));
+        }
+    }
+
+    private carryOut(host: Host, effect: ResidencyEffect): void {
+        if (this.now < host.pausedUntil) {
+            this.after(host.pausedUntil - this.now, () => this.carryOut(host, effect));
+            return;
+        }
+        const answer = (message: ResidencyMessage, delay = this.random() * 10): void =>
+            this.after(delay, () => this.tell(host, message));
+        switch (effect.type) {
+            case "read-record":
+                this.after(this.random() * 5, () => this.readRecord(effect.engine, answer));
+                return;
+            case "write-record":
+                this.writeRecord(effect, answer);
+                return;
+            case "read-report":
+                this.after(this.random() * 20, () => {
+                    const report = this.engine(effect.engine).report();
+                    answer({ type: "engine-reported", report, readIdentifier: effect.readIdentifier });
+                });
+                return;
+            case "send-order":
+                this.sendOrder(effect, answer);
+                return;
+            case "explain":
+                this.explained.push(
+                    `${this.now} ${effect.action} ${effect.engine ?? ""} ${effect.name}: ${effect.reason}`,
+                );
+                return;
+            case "publish-residency":
+                return;
+        }
+    }
+
+    private engine(name: string): EngineFake {
+        return this.engines.find(engine => engine.name === name) as EngineFake;
+    }
+
+    private readRecord(engine: string, answer: (message: ResidencyMessage) => void): void {
+        if (this.now < this.outageUntil) {
+            answer({ type: "record-read-failed", engine });
+            return;
+        }
+        const stored = this.store.get(engine);
+        answer({ type: "record-read", engine, record: stored?.record, storeRevision: stored?.revision ?? 0 });
+    }
+
+    private writeRecord(
+        { engine, record, expectedStoreRevision }: Extract<ResidencyEffect, { type: "write-record"; }>,
+        answer: (message: ResidencyMessage) => void,
+    ): void {
+        const writeIdentifier = record.writeIdentifier;
+        const unknown: ResidencyMessage = { type: "record-write-unknown", engine, writeIdentifier };
+        const swap = (): number | undefined => {
+            const current = this.store.get(engine);
+            if ((current?.revision ?? 0) !== expectedStoreRevision) {
+                return undefined;
+            }
+            this.checkEvicts(engine, current?.record, record);
+            this.revision += 1;
+            this.store.set(engine, { record, revision: this.revision });
+            return this.revision;
+        };
+        if (this.now < this.outageUntil) {
+            answer(unknown);
+            return;
+        }
+        if (this.takeFault("delay-store-write")) {
+            this.after(this.random() * 12_000, swap);
+            answer(unknown);
+            return;
+        }
+        this.after(this.random() * 5, () => {
+            const storeRevision = swap();
+            if (this.takeFault("lose-store-answer")) {
+                answer(unknown);
+            }
+            else if (storeRevision === undefined) {
+                answer({ type: "record-conflict", engine, writeIdentifier });
+            }
+            else {
+                answer({ type: "record-written", engine, writeIdentifier, storeRevision });
+            }
+        });
+    }
+
+    private sendOrder(
+        { engine: name, incarnation, order }: Extract<ResidencyEffect, { type: "send-order"; }>,
+        answer: (message: ResidencyMessage, delay?: number) => void,
+    ): void {
+        const engine = this.engine(name);
+        if (engine.incarnationName !== incarnation) {
+            answer({ type: "order-not-sent", engine: name, order });
+            return;
+        }
+        const unanswered: ResidencyMessage = { type: "order-unanswered", engine: name, order };
+        if (this.takeFault("lose-order")) {
+            answer(unanswered, ANSWER_TIMEOUT_MILLISECONDS);
+            return;
+        }
+        const isLate = this.takeFault("delay-order");
+        const isLost = isLate || this.takeFault("lose-answer");
+        if (isLost) {
+            answer(unanswered, isLate ? ANSWER_TIMEOUT_MILLISECONDS * this.random() : ANSWER_TIMEOUT_MILLISECONDS);
+        }
+        this.after(isLate ? this.random() * 25_000 : this.random() * 30, () => {
+            if (engine.incarnationName !== incarnation) {
+                if (!isLost) {
+                    answer(unanswered);
+                }
+                return;
+            }
+            this.perform(engine, order, outcome => {
+                if (!isLost) {
+                    answer({ type: "order-answered", engine: name, order, answer: { outcome, incarnation } });
+                }
+            });
+        });
+    }
+
+    private perform(
+        engine: EngineFake,
+        order: EngineOrder,
+        done: (outcome: EngineOrderAnswer["outcome"]) => void,
+    ): void {
+        if (engine.checksFencing && compareFencing(order.fencing, engine.highest) < 0) {
+            done("refused-fencing");
+            return;
+        }
+        engine.highest = order.fencing;
+        if (order.kind !== "evict-model" && order.kind !== "evict-adapter" && this.takeFault("refuse-memory")) {
+            done(order.fencing.sequence % 2 === 0 ? "failed" : "refused-memory");
+            return;
+        }
+        const kind = order.kind.endsWith("model") ? "model" : "adapter";
+        const key = `${kind} ${order.name} ${order.version ?? order.model ?? ""}`;
+        if (order.kind === "change-role") {
+            engine.role = order.name;
+        }
+        else if (order.kind.startsWith("evict")) {
+            engine.holds.delete(key);
+            engine.loaded.delete(key);
+        }
+        else if (!engine.loaded.has(key)) {
+            this.startLoad(engine, order, key, done);
+            return;
+        }
+        done("done");
+    }
+
+    private startLoad(engine: EngineFake, order: EngineOrder, key: string, done: (outcome: "done") => void): void {
+        const incarnation = engine.incarnation;
+        engine.holds.set(key, order.megabytes ?? 0);
+        this.loads += 1;
+        const running = this.engines.flatMap(other =>
+            [...other.holds.keys()].filter(held => held.startsWith("model") && !other.loaded.has(held))
+        );
+        this.mostLoadsAtOnce = Math.max(this.mostLoadsAtOnce, running.length);
+        this.after(order.kind === "load-model" ? LOAD_MILLISECONDS : 5, () => {
+            if (engine.incarnation !== incarnation) {
+                return;
+            }
+            if (engine.holds.has(key)) {
+                engine.loaded.add(key);
+            }
+            done("done");
+        });
+    }
+
+    private megabytesUsed(engine: EngineFake): number {
+        const role = this.pool.roles.find(({ name }) => name === engine.role)?.megabytes ?? 0;
+        return [...engine.holds.values()].reduce((sum, megabytes) => sum + megabytes, role);
+    }
+
+    private violate(what: string): void {
+        this.violations.push(`${Math.round(this.now)} ${what}`);
+    }
+
+    /** Checked after every step. */
+    private check(): void {
+        for (const engine of this.engines) {
+            if (this.megabytesUsed(engine) > this.pool.memoryMegabytes) {
+                this.violate(`${engine.name} is overcommitted: ${[...engine.holds.keys()].join(", ")}`);
+            }
+            const record = this.store.get(engine.name)?.record;
+            if (record?.incarnation !== engine.incarnationName) {
+                continue;
+            }
+            for (const { kind, name, version } of record.entries.filter(entry => isProvedCopy(entry))) {
+                if (!engine.loaded.has(`${kind} ${name} ${version}`)) {
+                    this.violate(`${engine.name} does not hold ${name} ${version}, which its record proves`);
+                }
+            }
+        }
+    }
+
+    /** Checked at each write: a proved copy is only given up while another one stands. */
+    private checkEvicts(engine: string, before: EngineRecord | undefined, after: EngineRecord): void {
+        const listed = new Set(this.text.models.map(model => model.name));
+        const proved = (record: EngineRecord): string[] =>
+            record.entries.filter(entry => entry.kind === "model" && isProvedCopy(entry)).map(entry => entry.name);
+        if (before === undefined || before.incarnation !== after.incarnation) {
+            return;
+        }
+        for (const name of proved(before).filter(model => listed.has(model) && !proved(after).includes(model))) {
+            const others = this.engines.filter(other => other.name !== engine).filter(other => {
+                const record = this.store.get(other.name)?.record;
+                const isLate = this.now - other.restartedAt < IGNORANCE_MILLISECONDS;
+                return record !== undefined && proved(record).includes(name)
+                    && (isLate || other.models().includes(name));
+            });
+            if (others.length === 0) {
+                this.violate(`the last proved copy of ${name} is given up on ${engine}`);
+            }
+        }
+    }
+}
--- a/src/residency/messages.ts
+++ b/src/residency/messages.ts
@@ -42,8 +42,11 @@
     | { readonly type: "order-not-sent"; readonly engine: string; readonly order: EngineOrder; }
     /** No answer came; the order may still arrive or have taken effect. */
     | { readonly type: "order-unanswered"; readonly engine: string; readonly order: EngineOrder; }
-    | { readonly type: "engine-reported"; readonly report: EngineReport; }
+    /** `readIdentifier` is that of the `read-report` effect that this answers; missing in reports from elsewhere. */
+    | { readonly type: "engine-reported"; readonly report: EngineReport; readonly readIdentifier?: string; }
     | { readonly type: "engine-unreachable"; readonly engine: string; }
+    /** Engines that the platform's host list names as leaving; replaces the list given before. */
+    | { readonly type: "engines-leaving"; readonly engines: readonly string[]; }
     | { readonly type: "demand"; readonly demand: readonly DemandDigest[]; }
     | { readonly type: "adapter-wanted"; readonly model: string; readonly adapter: string; }
     | { readonly type: "tick"; };
@@ -57,6 +60,11 @@
         readonly record: EngineRecord;
         readonly expectedStoreRevision: number;
     }
+    /**
+     * Reads the engine's report now, from the engine itself; answered by `engine-reported` with this identifier or by
+     * `engine-unreachable`. Only such an answer can tell that the engine has restarted.
+     */
+    | { readonly type: "read-report"; readonly engine: string; readonly readIdentifier: string; }
     /** Sent only on a connection that was opened to this incarnation; never on a new one. */
     | {
         readonly type: "send-order";
--- /dev/null
+++ b/src/residency/placement.ts
@@ -0,0 +1,103 @@
+/**
+ * What the placement planner is told and what it answers.
+ *
+ * @module
+ */
+
+/**
+ * What is known of a copy: `proved`; `loading` or `evicting` under an order that is awaited; `uncertain` where it takes
+ * room and a new load would prove it; `stuck` where an open evict can remove it at any time, so that no load proves it.
+ */
+export type CopyState = "proved" | "loading" | "evicting" | "uncertain" | "stuck";
+
+/** A copy of a model version on an engine, or what may be one. */
+export interface PlacementCopy {
+    readonly name: string;
+    readonly version: string;
+    readonly megabytes: number;
+    readonly state: CopyState;
+    /** True where the answer to an evict would free its room. */
+    readonly clearable: boolean;
+    /** True where it may not be dropped for another copy yet. */
+    readonly settling: boolean;
+}
+
+/** An adapter that an engine may hold. */
+export interface PlacementGrant {
+    readonly adapter: string;
+    readonly model: string;
+    readonly megabytes: number;
+    /** True where the answer to an evict would free its room. */
+    readonly clearable: boolean;
+    readonly lastWantedMilliseconds: number;
+}
+
+/** One engine, with the memory that its ledger leaves. */
+export interface PlacementEngine {
+    readonly engine: string;
+    readonly zone: string;
+    /** False while it is leaving, unreachable or unknown: nothing is placed there and its copies don't count. */
+    readonly usable: boolean;
+    readonly freeMegabytes: number;
+    readonly copies: readonly PlacementCopy[];
+    readonly grants: readonly PlacementGrant[];
+    /** Models, as `model <name> <version>`, whose load the engine has lately answered with a failure. */
+    readonly unfit: ReadonlySet<string>;
+}
+
+/** A model that the pool has to keep resident. */
+export interface PlacementModel {
+    readonly name: string;
+    readonly version: string;
+    readonly megabytes: number;
+    readonly minimumCopies: number;
+    readonly arrivalsPerSecond: number;
+    readonly missedPerSecond: number;
+}
+
+/** An adapter that may be granted. */
+export interface PlacementAdapter {
+    readonly name: string;
+    readonly model: string;
+    readonly megabytes: number;
+    /** When a request last named it; 0 for never. */
+    readonly lastWantedMilliseconds: number;
+}
+
+/** Everything that the planner looks at. */
+export interface PlacementView {
+    readonly engines: readonly PlacementEngine[];
+    readonly models: readonly PlacementModel[];
+    readonly adapters: readonly PlacementAdapter[];
+}
+
+/** How easily the planner moves. */
+export interface PlacementOptions {
+    /** Weight of missed targets avoided, from 0 to 1; 0.5 by default. */
+    readonly attainmentWeight?: number;
+    /** Weight of a move, from 0 to 1; 0.5 by default. */
+    readonly moveWeight?: number;
+}
+
+/** Something to be done on an engine; loads come in the order in which they are needed. */
+export interface PlannedAction {
+    readonly action: "load" | "evict" | "grant" | "withdraw";
+    readonly engine: string;
+    readonly name: string;
+    /** Version of a model; the model of an adapter. */
+    readonly version: string;
+    readonly megabytes: number;
+    readonly reason: string;
+}
+
+/** Something that should be done and cannot. */
+export interface PlacementProblem {
+    readonly name: string;
+    readonly reason: string;
+}
+
+/** The planner's answer. */
+export interface PlacementPlan {
+    readonly actions: readonly PlannedAction[];
+    readonly problems: readonly PlacementProblem[];
+}
