Apply a text by compare-and-swap, and share a digest at once on demand

Change: applyDeployment checks, names the revision it read, repeats the same write where its answer was lost, and tells by the change's identifier what became of it. Membership takes 'share-now', which the lead's shell sends for suspects. Not yet: tests of apply.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+export { type AppliedChange, applyDeployment, type ApplyFailure, type ApplyOptions } from "./apply.js";
 export {
     type ConfigurationDecision,
     type ConfigurationOptions,
@@ -22,3 +23,4 @@
 export { type ConfigurationEffect, type ConfigurationMessage } from "./messages.js";
 export { parseDeployment, type ParseOptions, parseSettings } from "./parse.js";
 export { formatProblems, type TextProblem } from "./problems.js";
+export { CONFIGURATION_KEY, decodeConfiguration, readConfiguration, type StoredConfiguration } from "./store.js";
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -24,6 +24,8 @@
         readonly storeConfirmedMillisecondsAgo: number;
         readonly advertise: boolean;
     }
+    /** Something in this host's digest must not wait for the next heartbeat. */
+    | { readonly type: "share-now"; }
     /** This host begins its graceful shutdown. */
     | { readonly type: "leave"; }
     | { readonly type: "tick"; };
