--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -75,8 +75,8 @@
             .with({ type: "host-list" }, listing => this.#takeHostList(listing))
             .with({ type: "send-failed" }, ({ host }) => this.#noteSendFailure(host, nowMilliseconds))
             .with({ type: "own-state" }, state => this.#takeOwnState(state, nowMilliseconds))
-            .with({ type: "share-now" }, () => this.#heartbeats(nowMilliseconds))
             .with({ type: "leave" }, () => this.#leave(nowMilliseconds))
+            .with({ type: "share-now" }, () => this.#heartbeats(nowMilliseconds))
             .with({ type: "tick" }, () => this.#tick(nowMilliseconds))
             .exhaustive();
     }
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -24,10 +24,10 @@
         readonly storeConfirmedMillisecondsAgo: number;
         readonly advertise: boolean;
     }
-    /** Something in this host's digest must not wait for the next heartbeat. */
-    | { readonly type: "share-now"; }
     /** This host begins its graceful shutdown. */
     | { readonly type: "leave"; }
+    /** Something in the digest must not wait for the next heartbeat. */
+    | { readonly type: "share-now"; }
     | { readonly type: "tick"; };
 
 /** What the membership decision asks for. */
