--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+export { checkBaseUrl } from "./_urls.js";
 export { type AppliedChange, applyDeployment, type ApplyFailure, type ApplyOptions } from "./apply.js";
 export {
     type ConfigurationDecision,
