--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -13,6 +13,8 @@
  *
  * @module
  */
+export { checkBaseUrl } from "./_urls.js";
+export { type AppliedChange, applyDeployment, type ApplyFailure, type ApplyOptions } from "./apply.js";
 export {
     type ConfigurationDecision,
     type ConfigurationOptions,
@@ -22,3 +24,4 @@
 export { type ConfigurationEffect, type ConfigurationMessage } from "./messages.js";
 export { parseDeployment, type ParseOptions, parseSettings } from "./parse.js";
 export { formatProblems, type TextProblem } from "./problems.js";
+export { CONFIGURATION_KEY, decodeConfiguration, readConfiguration, type StoredConfiguration } from "./store.js";
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -26,6 +26,8 @@
     }
     /** This host begins its graceful shutdown. */
     | { readonly type: "leave"; }
+    /** Something in the digest must not wait for the next heartbeat. */
+    | { readonly type: "share-now"; }
     | { readonly type: "tick"; };
 
 /** What the membership decision asks for. */
