--- a/src/callers/application.test.ts
+++ b/src/callers/application.test.ts
@@ -78,6 +78,11 @@
     });
 }
 
+function lastRequest(handlers: FakeHandlers) {
+    assert.ok(handlers.submitted !== undefined);
+    return handlers.submitted.request.request;
+}
+
 const chat = { model: "quotes", messages: [{ role: "user", content: "A quote, please" }] };
 
 describe("callers' application", () => {
@@ -120,20 +125,20 @@
         const { handlers, application } = createApplication();
         handlers.onSubmit = sink => sink.finished({ finishReason: "stop", totalTokens: 0 });
         await post(application, chat);
-        assert.equal(handlers.submitted?.request.request.class, "patient");
+        assert.equal(lastRequest(handlers).class, "patient");
         await post(application, { ...chat, service_tier: "urgent" });
-        assert.equal(handlers.submitted.request.request.class, "urgent");
+        assert.equal(lastRequest(handlers).class, "urgent");
     });
 
     test("gives one fingerprint to a request that is sent again in another form of delivery", async () => {
         const { handlers, application } = createApplication();
         handlers.onSubmit = sink => sink.finished({ finishReason: "stop", totalTokens: 0 });
         await post(application, chat);
-        const first = handlers.submitted?.request.request.fingerprint;
+        const first = lastRequest(handlers).fingerprint;
         await post(application, { ...chat, stream: true, service_tier: "urgent" });
-        assert.equal(handlers.submitted?.request.request.fingerprint, first);
+        assert.equal(lastRequest(handlers).fingerprint, first);
         await post(application, { ...chat, messages: [{ role: "user", content: "Another" }] });
-        assert.notEqual(handlers.submitted.request.request.fingerprint, first);
+        assert.notEqual(lastRequest(handlers).fingerprint, first);
     });
 
     test("streams tokens as events and ends with the end marker", async () => {
