Measure the requests policy against baselines

Change: measurements/policy.ts with an engine model (batching in steps, prefix cache, token rate falling with the batch), hosts under one seeded clock, two workload shapes and the baselines.

--- /dev/null
+++ b/measurements/policy.ts
@@ -0,0 +1,152 @@
+/**
+ * Measures the requests policy against baselines and prints a table: `node dist/measurements/policy.js`.
+ *
+ * @module
+ */
+import { type Decision, type RandomSource } from "../src/decision/index.js";
+import {
+    type ChooseEngine,
+    createRequestsDecision,
+    type RequestsEffect,
+    type RequestsMessage,
+} from "../src/requests/index.js";
+import {
+    createBaselineDecision,
+    createLeastReportedChoice,
+    createRandomChoice,
+    createRoundRobinChoice,
+} from "./policy/baselines.js";
+import { HostsRun, type Network } from "./policy/hostsRun.js";
+import {
+    describeDeployment,
+    drawArrivals,
+    listHosts,
+    MORNING_RUSH,
+    placeStatically,
+    type Shape,
+    SPORTS_DAY,
+} from "./policy/shapes.js";
+import { type RunFigures, spreadOf, summarize } from "./policy/summary.js";
+
+const SEEDS = Array.from({ length: 10 }, (_, index) => 100 + index);
+const CACHE_TOKENS = 30_000;
+const NETWORK: Network = {
+    reportIntervalMilliseconds: 500,
+    digestDelayMilliseconds: 1_000,
+    suspectsDelayMilliseconds: 20,
+    crashNoticeLoss: 0,
+    cacheEventLoss: 0.1,
+    engineRestartMilliseconds: 5_000,
+};
+
+interface Policy {
+    readonly name: string;
+    readonly isOurs: boolean;
+    readonly createDecision: (host: string, random: RandomSource) => Decision<RequestsMessage, RequestsEffect>;
+}
+
+/** Least estimated load, whatever the caches hold. */
+function createChoiceWithoutPrefix(random: RandomSource): ChooseEngine {
+    return candidates => {
+        const least = Math.min(...candidates.map(candidate => candidate.load));
+        const equal = candidates.filter(candidate => candidate.load === least);
+        return equal[Math.floor(random() * equal.length)]?.engine;
+    };
+}
+
+const POLICIES: readonly Policy[] = [
+    {
+        name: "random",
+        isOurs: false,
+        createDecision: (_, random) => createBaselineDecision(createRandomChoice(random)),
+    },
+    {
+        name: "round robin",
+        isOurs: false,
+        createDecision: (_, random) => createBaselineDecision(createRoundRobinChoice(random)),
+    },
+    {
+        name: "least reported load",
+        isOurs: false,
+        createDecision: (_, random) => createBaselineDecision(createLeastReportedChoice(random)),
+    },
+    {
+        name: "ours without prefix preference",
+        isOurs: false,
+        createDecision: (host, random) =>
+            createRequestsDecision({ host, random, chooseEngine: createChoiceWithoutPrefix(random) }),
+    },
+    { name: "ours", isOurs: true, createDecision: (host, random) => createRequestsDecision({ host, random }) },
+];
+
+function measure(shape: Shape, policy: Policy, seed: number): RunFigures {
+    const deployment = describeDeployment(shape);
+    const run = new HostsRun({
+        seed,
+        hosts: listHosts(shape),
+        deployment,
+        placement: placeStatically(shape),
+        cacheTokens: CACHE_TOKENS,
+        network: NETWORK,
+        arrivals: drawArrivals(shape, seed),
+        createDecision: policy.createDecision,
+        endMilliseconds: shape.durationMilliseconds * 2,
+    });
+    run.run();
+    return summarize(run.records.values(), deployment);
+}
+
+function formatSpread(values: readonly number[], scale: number, digits: number): string {
+    const { deviation, mean } = spreadOf(values);
+    return `${(mean * scale).toFixed(digits)} ± ${(deviation * scale).toFixed(digits)}`;
+}
+
+function formatRow(policy: Policy, figures: readonly RunFigures[], accelerators: number): string {
+    const cells = [
+        policy.name,
+        formatSpread(figures.map(each => each.attainment / accelerators), 100, 2),
+        formatSpread(figures.map(each => each.attainment), 100, 1),
+        formatSpread(figures.map(each => each.urgentAttainment), 100, 1),
+        formatSpread(figures.map(each => each.patientAttainment), 100, 1),
+        formatSpread(figures.map(each => each.refused), 100, 1),
+        formatSpread(figures.map(each => each.attempts), 1, 3),
+    ];
+    return `| ${cells.join(" | ")} |`;
+}
+
+function printShape(shape: Shape): void {
+    const accelerators = shape.pools.reduce((sum, pool) => sum + pool.engines, 0);
+    console.log(`\n### ${shape.name}, ${SEEDS.length} seeds\n`);
+    console.log(
+        "| policy | attainment per accelerator, % | attainment, % | urgent, % | patient, % | refused, % | attempts per request |",
+    );
+    console.log("|---|---|---|---|---|---|---|");
+    const results = POLICIES.map(policy => ({
+        policy,
+        figures: SEEDS.map(seed => measure(shape, policy, seed)),
+    }));
+    for (const { figures, policy } of results) {
+        console.log(formatRow(policy, figures, accelerators));
+    }
+    printGain(results);
+}
+
+/** Compares seed by seed, so that the spread is that of the gain. */
+function printGain(results: readonly { readonly policy: Policy; readonly figures: readonly RunFigures[]; }[]): void {
+    const meanOf = (figures: readonly RunFigures[]): number => spreadOf(figures.map(each => each.attainment)).mean;
+    const baselines = results.filter(({ policy }) => !policy.isOurs);
+    baselines.sort((left, right) => meanOf(right.figures) - meanOf(left.figures));
+    const best = baselines[0];
+    const ours = results.find(({ policy }) => policy.isOurs);
+    if (best === undefined || ours === undefined) {
+        return;
+    }
+    const gains = ours.figures.map((figures, index) =>
+        figures.attainment / (best.figures[index]?.attainment ?? figures.attainment) - 1
+    );
+    console.log(`\nGain over the best baseline (${best.policy.name}): ${formatSpread(gains, 100, 1)} %`);
+}
+
+for (const shape of [MORNING_RUSH, SPORTS_DAY]) {
+    printShape(shape);
+}
--- /dev/null
+++ b/measurements/policy/hostsRun.ts
@@ -0,0 +1,408 @@
+/**
+ * Runs several hosts' requests decisions over engine models under one seeded clock, and records what became of each
+ * request.
+ *
+ * @module
+ */
+import { createSeededRandom, type Decision, type RandomSource, rankByRendezvous } from "../../src/decision/index.js";
+import { type RefusalReason } from "../../src/generated/callers.js";
+import { type Deployment } from "../../src/generated/deployment.js";
+import {
+    type AttemptFailure,
+    type ModelRequest,
+    type RequestsEffect,
+    type RequestsMessage,
+} from "../../src/requests/index.js";
+import { createEngineModel, type EngineJob, type EngineModel, type PromptPart } from "./engineModel.js";
+import { createEventQueue, type EventQueue } from "./eventQueue.js";
+
+const TICK_MILLISECONDS = 50;
+
+/** A request as its caller sends it. */
+export interface Arrival {
+    readonly atMilliseconds: number;
+    readonly host: string;
+    readonly request: ModelRequest;
+    readonly prompt: readonly PromptPart[];
+    readonly outputTokens: number;
+    readonly crashesAfterMilliseconds?: number;
+}
+
+/** What became of a request. */
+export interface RequestRecord {
+    readonly arrival: Arrival;
+    /** Final answers: whole answers and refusals. */
+    answers: number;
+    refusal:
+        | { readonly reason: RefusalReason; readonly ran: string; readonly retryAfterMilliseconds?: number; }
+        | undefined;
+    finishedAtMilliseconds: number | undefined;
+    refusedAtMilliseconds: number | undefined;
+    firstTokenAtMilliseconds: number | undefined;
+    tokens: number;
+    attempts: number;
+    /** True once an engine took an attempt. */
+    taken: boolean;
+}
+
+/** Delays and losses between hosts and engines. */
+export interface Network {
+    readonly reportIntervalMilliseconds: number;
+    /** Longest time until a poll's report is at the other hosts. */
+    readonly digestDelayMilliseconds: number;
+    readonly suspectsDelayMilliseconds: number;
+    /** Share of engine-crashed messages that never come, so that a new incarnation tells the crash. */
+    readonly crashNoticeLoss: number;
+    readonly cacheEventLoss: number;
+    readonly engineRestartMilliseconds: number;
+}
+
+/** Options of a run. */
+export interface HostsRunOptions {
+    readonly seed: number;
+    readonly hosts: readonly string[];
+    readonly deployment: Deployment;
+    /** Models that each engine holds. */
+    readonly placement: ReadonlyMap<string, readonly string[]>;
+    readonly cacheTokens: number;
+    readonly network: Network;
+    readonly arrivals: readonly Arrival[];
+    readonly createDecision: (host: string, random: RandomSource) => Decision<RequestsMessage, RequestsEffect>;
+    readonly endMilliseconds: number;
+    /** Schedules faults before the run begins. */
+    readonly prepare?: (run: HostsRun) => void;
+    /** Sees every effect before it is carried out. */
+    readonly onEffect?: (host: string, effect: RequestsEffect, nowMilliseconds: number) => void;
+}
+
+interface Attempt {
+    readonly host: string;
+    readonly identifier: string;
+    readonly attempt: number;
+    readonly engine: EngineModel;
+    readonly job: EngineJob;
+}
+
+/** One run and the faults that can be brought about in it. */
+export class HostsRun {
+    readonly events: EventQueue = createEventQueue();
+    readonly records = new Map<string, RequestRecord>();
+    readonly crashes: { readonly engine: string; readonly atMilliseconds: number; }[] = [];
+    readonly leaving = new Set<string>();
+    readonly random: RandomSource;
+    readonly #options: HostsRunOptions;
+    readonly #decisions = new Map<string, Decision<RequestsMessage, RequestsEffect>>();
+    readonly #engines = new Map<string, EngineModel>();
+    readonly #attempts = new Map<string, Attempt>();
+    #recordRevision = 0;
+
+    constructor(options: HostsRunOptions) {
+        this.#options = options;
+        this.random = createSeededRandom(options.seed);
+        for (const host of options.hosts) {
+            const random = createSeededRandom(Math.floor(this.random() * 2 ** 31));
+            this.#decisions.set(host, options.createDecision(host, random));
+        }
+        for (const pool of options.deployment.pools) {
+            for (const { name } of pool.engines) {
+                this.#engines.set(name, this.#createEngine(name, pool.slots));
+            }
+        }
+    }
+
+    /** Runs to the end. */
+    run(): void {
+        const { arrivals, deployment, endMilliseconds, hosts } = this.#options;
+        this.tellAll({ type: "deployment", deployment, revision: 1 });
+        this.tellAll({ type: "peers", hosts });
+        for (const engine of this.#engines.values()) {
+            this.#publishResidency(engine);
+            this.#poll(engine);
+        }
+        for (const host of hosts) {
+            this.events.schedule(this.random() * TICK_MILLISECONDS, () => this.#tick(host));
+        }
+        for (const arrival of arrivals) {
+            this.events.schedule(arrival.atMilliseconds, () => this.submit(arrival));
+        }
+        this.#options.prepare?.(this);
+        this.events.runUntil(endMilliseconds);
+    }
+
+    /** Hands a request to its host. */
+    submit(arrival: Arrival): void {
+        this.records.set(arrival.request.identifier, {
+            arrival,
+            answers: 0,
+            refusal: undefined,
+            finishedAtMilliseconds: undefined,
+            refusedAtMilliseconds: undefined,
+            firstTokenAtMilliseconds: undefined,
+            tokens: 0,
+            attempts: 0,
+            taken: false,
+        });
+        this.tell(arrival.host, { type: "submit", request: arrival.request });
+    }
+
+    /** Hands a message to one host now. */
+    tell(host: string, message: RequestsMessage): void {
+        const now = this.events.now();
+        const effects = this.#decisions.get(host)?.handle(message, now) ?? [];
+        for (const effect of effects) {
+            this.#options.onEffect?.(host, effect, now);
+            this.#carryOut(host, effect);
+        }
+    }
+
+    /** Hands a message to every host now. */
+    tellAll(message: RequestsMessage): void {
+        for (const host of this.#options.hosts) {
+            this.tell(host, message);
+        }
+    }
+
+    /** Crashes an engine now. */
+    crashEngine(engine: string): void {
+        const model = this.#engines.get(engine);
+        if (model?.isUp() === true) {
+            model.crash();
+        }
+    }
+
+    /** Has an engine say with its next report that it leaves. */
+    leaveEngine(engine: string): void {
+        this.leaving.add(engine);
+    }
+
+    /** Cuts a running attempt's connection without harm to its engine; false where nothing runs. */
+    cutConnection(failure: AttemptFailure = "connection-lost"): boolean {
+        const attempts = [...this.#attempts.values()];
+        const cut = attempts[Math.floor(this.random() * attempts.length)];
+        if (cut === undefined) {
+            return false;
+        }
+        cut.engine.cancel(cut.job);
+        this.#fail(cut, failure);
+        return true;
+    }
+
+    #createEngine(name: string, slots: number): EngineModel {
+        return createEngineModel({
+            name,
+            slots,
+            cacheTokens: this.#options.cacheTokens,
+            events: this.events,
+            onCacheChange: (prefixKey, cached) => this.#publishCacheEvent(name, prefixKey, cached),
+            onCrash: () => this.#noticeCrash(name),
+        });
+    }
+
+    #poller(engine: string): string {
+        return rankByRendezvous(engine, this.#options.hosts)[0] ?? "";
+    }
+
+    #tick(host: string): void {
+        this.tell(host, { type: "tick" });
+        this.events.schedule(TICK_MILLISECONDS, () => this.#tick(host));
+    }
+
+    #poll(engine: EngineModel): void {
+        if (engine.isUp()) {
+            this.#publishReport(engine);
+        }
+        const { reportIntervalMilliseconds } = this.#options.network;
+        this.events.schedule(reportIntervalMilliseconds * (0.9 + 0.2 * this.random()), () => this.#poll(engine));
+    }
+
+    #publishReport(engine: EngineModel): void {
+        const observedAt = this.events.now();
+        const digest = {
+            engine: engine.name,
+            incarnation: engine.incarnation(),
+            running: engine.running(),
+            waiting: engine.waiting(),
+            leaving: this.leaving.has(engine.name),
+        };
+        for (const host of this.#options.hosts) {
+            const relay = host === this.#poller(engine.name) ? 0 : this.#options.network.digestDelayMilliseconds;
+            this.events.schedule(2 + relay * this.random(), () => {
+                const observedMillisecondsAgo = Math.round(this.events.now() - observedAt);
+                this.tell(host, { type: "engine-observed", digest: { ...digest, observedMillisecondsAgo } });
+            });
+        }
+    }
+
+    #publishResidency(engine: EngineModel): void {
+        this.#recordRevision += 1;
+        const names = this.#options.placement.get(engine.name) ?? [];
+        const adapters = this.#options.deployment.adapters.filter(adapter => names.includes(adapter.model));
+        const digest = {
+            engine: engine.name,
+            incarnation: engine.incarnation(),
+            recordRevision: this.#recordRevision,
+            models: names.map(name => ({ name, version: "1" })),
+            adapters: adapters.map(adapter => adapter.name),
+        };
+        for (const host of this.#options.hosts) {
+            this.events.schedule(this.random() * 50, () => this.tell(host, { type: "residency", digest }));
+        }
+    }
+
+    #publishCacheEvent(engine: string, prefixKey: string, cached: boolean): void {
+        if (this.random() < this.#options.network.cacheEventLoss) {
+            return;
+        }
+        const { reportIntervalMilliseconds } = this.#options.network;
+        this.events.schedule(reportIntervalMilliseconds * this.random(), () => {
+            this.tell(this.#poller(engine), { type: "cache-event", engine, prefixKey, cached });
+        });
+    }
+
+    #noticeCrash(name: string): void {
+        const engine = this.#engines.get(name);
+        if (engine === undefined) {
+            return;
+        }
+        const { crashNoticeLoss, digestDelayMilliseconds, engineRestartMilliseconds } = this.#options.network;
+        const incarnation = engine.incarnation();
+        this.crashes.push({ engine: name, atMilliseconds: this.events.now() });
+        for (const host of this.#options.hosts) {
+            if (this.random() >= crashNoticeLoss) {
+                const delay = digestDelayMilliseconds * this.random();
+                this.events.schedule(
+                    delay,
+                    () => this.tell(host, { type: "engine-crashed", engine: name, incarnation }),
+                );
+            }
+        }
+        this.events.schedule(engineRestartMilliseconds, () => {
+            engine.restart();
+            this.#publishReport(engine);
+            this.#publishResidency(engine);
+        });
+    }
+
+    #carryOut(host: string, effect: RequestsEffect): void {
+        if (effect.type === "dispatch") {
+            this.#dispatch(host, effect);
+        }
+        else if (effect.type === "cancel-attempt") {
+            const attempt = this.#attempts.get(nameAttempt(effect.identifier, effect.attempt));
+            attempt?.engine.cancel(attempt.job);
+            this.#attempts.delete(nameAttempt(effect.identifier, effect.attempt));
+        }
+        else if (effect.type === "refuse") {
+            this.#recordRefusal(effect);
+        }
+        else if (effect.type === "share-suspects") {
+            this.#share(host, effect.digests);
+        }
+        else if (effect.type === "probe-engine") {
+            this.#probe(host, effect.engine);
+        }
+    }
+
+    #share(from: string, digests: Extract<RequestsMessage, { type: "suspects"; }>["digests"]): void {
+        for (const host of this.#options.hosts.filter(other => other !== from)) {
+            const delay = this.#options.network.suspectsDelayMilliseconds * this.random();
+            this.events.schedule(delay, () => this.tell(host, { type: "suspects", digests }));
+        }
+    }
+
+    #probe(host: string, name: string): void {
+        const engine = this.#engines.get(name);
+        this.events.schedule(2, () => {
+            if (engine?.isUp() !== true) {
+                return;
+            }
+            const digest = {
+                engine: name,
+                incarnation: engine.incarnation(),
+                observedMillisecondsAgo: 0,
+                running: engine.running(),
+                waiting: engine.waiting(),
+                leaving: this.leaving.has(name),
+            };
+            this.events.schedule(2, () => this.tell(host, { type: "engine-observed", digest }));
+        });
+    }
+
+    #dispatch(host: string, effect: Extract<RequestsEffect, { type: "dispatch"; }>): void {
+        const record = this.records.get(effect.identifier);
+        const engine = this.#engines.get(effect.engine);
+        if (record === undefined || engine === undefined) {
+            return;
+        }
+        record.attempts += 1;
+        const { arrival } = record;
+        const name = nameAttempt(effect.identifier, effect.attempt);
+        const job: EngineJob = {
+            model: arrival.request.model,
+            class: effect.class,
+            prompt: arrival.prompt,
+            outputTokens: arrival.outputTokens,
+            resumeAtToken: effect.resumeAtToken,
+            ...(arrival.crashesAfterMilliseconds === undefined
+                ? {}
+                : { crashesAfterMilliseconds: arrival.crashesAfterMilliseconds }),
+            onToken: tokens => {
+                if (tokens === effect.resumeAtToken + 1) {
+                    record.firstTokenAtMilliseconds ??= this.events.now();
+                    this.tell(host, {
+                        type: "attempt-first-token",
+                        identifier: effect.identifier,
+                        attempt: effect.attempt,
+                    });
+                }
+                record.tokens = tokens;
+            },
+            onFinished: () => {
+                this.#attempts.delete(name);
+                record.answers += 1;
+                record.finishedAtMilliseconds = this.events.now();
+                this.tell(host, { type: "attempt-finished", identifier: effect.identifier, attempt: effect.attempt });
+            },
+            onCrash: () => {
+                this.events.schedule(20 * this.random(), () => this.#fail(attempt, "connection-lost"));
+            },
+        };
+        const attempt: Attempt = { host, identifier: effect.identifier, attempt: effect.attempt, engine, job };
+        this.#attempts.set(name, attempt);
+        this.events.schedule(1, () => {
+            if (!this.#attempts.has(name)) {
+                return;
+            }
+            if (!engine.isUp()) {
+                this.#fail(attempt, "not-started");
+                return;
+            }
+            record.taken = true;
+            engine.submit(job);
+        });
+    }
+
+    #fail(attempt: Attempt, failure: AttemptFailure): void {
+        const { host, identifier } = attempt;
+        if (!this.#attempts.delete(nameAttempt(identifier, attempt.attempt))) {
+            return;
+        }
+        const deliveredTokens = this.records.get(identifier)?.tokens ?? 0;
+        this.tell(host, { type: "attempt-failed", identifier, attempt: attempt.attempt, failure, deliveredTokens });
+    }
+
+    #recordRefusal(effect: Extract<RequestsEffect, { type: "refuse"; }>): void {
+        const record = this.records.get(effect.identifier);
+        if (record === undefined) {
+            return;
+        }
+        const { ran, reason, retryAfterMilliseconds } = effect;
+        record.answers += 1;
+        record.refusedAtMilliseconds = this.events.now();
+        record.refusal = { reason, ran, ...(retryAfterMilliseconds === undefined ? {} : { retryAfterMilliseconds }) };
+    }
+}
+
+function nameAttempt(identifier: string, attempt: number): string {
+    return `${identifier}#${attempt}`;
+}
--- /dev/null
+++ b/measurements/policy/summary.ts
@@ -0,0 +1,62 @@
+/**
+ * What a run came to, and its spread over seeds.
+ *
+ * @module
+ */
+import { type Deployment } from "../../src/generated/deployment.js";
+import { type RequestRecord } from "./hostsRun.js";
+
+/** Figures of one run. */
+export interface RunFigures {
+    /** Requests answered within target, of all. */
+    readonly attainment: number;
+    readonly urgentAttainment: number;
+    readonly patientAttainment: number;
+    readonly refused: number;
+    /** Upstream attempts for each request. */
+    readonly attempts: number;
+}
+
+/** A mean with its standard deviation. */
+export interface Spread {
+    readonly mean: number;
+    readonly deviation: number;
+}
+
+/** Condenses the records of one run. */
+export function summarize(records: Iterable<RequestRecord>, deployment: Deployment): RunFigures {
+    const all = [...records];
+    const urgent = all.filter(record => record.arrival.request.class === "urgent");
+    const patient = all.filter(record => record.arrival.request.class === "patient");
+    const share = (group: readonly RequestRecord[]): number =>
+        group.filter(record => isWithinTarget(record, deployment)).length / Math.max(1, group.length);
+    return {
+        attainment: share(all),
+        urgentAttainment: share(urgent),
+        patientAttainment: share(patient),
+        refused: all.filter(record => record.refusal !== undefined).length / Math.max(1, all.length),
+        attempts: all.reduce((sum, record) => sum + record.attempts, 0) / Math.max(1, all.length),
+    };
+}
+
+/** Tells whether a whole answer kept its targets. */
+export function isWithinTarget(record: RequestRecord, deployment: Deployment): boolean {
+    const { arrival, finishedAtMilliseconds, firstTokenAtMilliseconds } = record;
+    const model = deployment.models.find(each => each.name === arrival.request.model);
+    if (finishedAtMilliseconds === undefined || firstTokenAtMilliseconds === undefined || model === undefined) {
+        return false;
+    }
+    if (arrival.request.class === "patient") {
+        return finishedAtMilliseconds - arrival.atMilliseconds <= model.patientMilliseconds;
+    }
+    const betweenTokens = (finishedAtMilliseconds - firstTokenAtMilliseconds) / Math.max(1, arrival.outputTokens - 1);
+    return firstTokenAtMilliseconds - arrival.atMilliseconds <= model.firstTokenMilliseconds
+        && betweenTokens <= model.betweenTokensMilliseconds;
+}
+
+/** Computes mean and standard deviation. */
+export function spreadOf(values: readonly number[]): Spread {
+    const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+    const variance = values.reduce((sum, value) => sum + (value - mean) ** 2, 0) / Math.max(1, values.length - 1);
+    return { mean, deviation: Math.sqrt(variance) };
+}
