Prove that a crashing request takes at most two engines

Cause: the quarantine was untested. Found by the property test and mended: a blocked fingerprint's waiting twin was tried a third time; duplicates on one host spread over three engines; a retry budget without new requests never refilled, so patient requests starved; attempts were burnt on the only engine while its connection was refused.

Change: a lost connection is presumed a crash, and told to peers, until its engine is seen alive; alike requests not yet known to be harmless stay on one engine of a host; crash retries are not charged, refills come with time as well.

--- a/src/requests/_attempts.ts
+++ b/src/requests/_attempts.ts
@@ -13,7 +13,6 @@
 const MOST_URGENT_ATTEMPTS = 3;
 const MOST_PATIENT_ATTEMPTS = 6;
 const UPSTREAM_FAILED_RETRY_MILLISECONDS = 1_000;
-const PATIENT_BUDGET_WAIT_MILLISECONDS = 5_000;
 
 type FirstToken = Extract<RequestsMessage, { type: "attempt-first-token"; }>;
 type Finished = Extract<RequestsMessage, { type: "attempt-finished"; }>;
@@ -100,17 +99,14 @@
 export function retry(context: Context, tracked: TrackedRequest): void {
     const mostAttempts = tracked.request.class === "urgent" ? MOST_URGENT_ATTEMPTS : MOST_PATIENT_ATTEMPTS;
     const mayTryAgain = tracked.attempts < mostAttempts;
-    if (mayTryAgain && context.budget.tryTake(tracked.request.model)) {
-        const backoff = drawBackoffMilliseconds(tracked.attempts, context.random);
-        placeByStanding(context, tracked, context.nowMilliseconds + backoff);
+    const isPatient = tracked.request.class === "patient";
+    tracked.needsBudget = mayTryAgain && !context.budget.tryTake(tracked.request.model, context.nowMilliseconds);
+    if (!mayTryAgain || (tracked.needsBudget && !isPatient)) {
+        giveUp(context, tracked);
         return;
     }
-    if (mayTryAgain && tracked.request.class === "patient") {
-        context.budget.take(tracked.request.model);
-        placeByStanding(context, tracked, context.nowMilliseconds + spread(context, PATIENT_BUDGET_WAIT_MILLISECONDS));
-        return;
-    }
-    giveUp(context, tracked);
+    const backoff = drawBackoffMilliseconds(tracked.attempts, context.random);
+    placeByStanding(context, tracked, context.nowMilliseconds + backoff);
 }
 
 /** Refuses a request that no further attempt is made for. */
@@ -140,7 +136,7 @@
 
 /** Queues a request that has just been admitted. */
 export function startWaiting(context: Context, tracked: TrackedRequest): void {
-    if (context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds) === "suspect") {
+    if (context.quarantine.standing(tracked.request.fingerprint) === "suspect") {
         placeByStanding(context, tracked, context.nowMilliseconds);
         return;
     }
--- a/src/requests/_context.ts
+++ b/src/requests/_context.ts
@@ -34,6 +34,8 @@
     readonly queuedRequests: number;
     readonly chooseEngine: ChooseEngine;
     readonly requests: Map<string, TrackedRequest>;
+    /** Requests that are running or await the verdict on their engine, by fingerprint. */
+    readonly inFlight: Map<string, Set<TrackedRequest>>;
     readonly awaitingVerdict: Set<TrackedRequest>;
     readonly awaitingTrial: Set<TrackedRequest>;
     readonly queue: RequestQueue;
@@ -102,6 +104,17 @@
     context.queue.remove(tracked);
     context.awaitingVerdict.delete(tracked);
     context.awaitingTrial.delete(tracked);
+    const alike = context.inFlight.get(tracked.request.fingerprint);
+    alike?.delete(tracked);
+    if (alike?.size === 0) {
+        context.inFlight.delete(tracked.request.fingerprint);
+    }
+}
+
+/** Notes that an engine has a request, or had it when its connection was lost. */
+export function markInFlight(context: Context, tracked: TrackedRequest): void {
+    const alike = context.inFlight.get(tracked.request.fingerprint) ?? new Set();
+    context.inFlight.set(tracked.request.fingerprint, alike.add(tracked));
 }
 
 /** Puts a request into the queue, for now or for after its backoff. */
@@ -117,6 +130,7 @@
     const { nowMilliseconds, view } = context;
     const state = view.get(engine);
     leavePhase(context, tracked);
+    markInFlight(context, tracked);
     tracked.phase = "running";
     tracked.attempts += 1;
     tracked.engine = engine;
--- a/src/requests/_dispatching.ts
+++ b/src/requests/_dispatching.ts
@@ -50,8 +50,12 @@
         if (tracked.phase !== "queued" || tracked.notBeforeMilliseconds > context.nowMilliseconds) {
             continue;
         }
+        if (tracked.needsBudget && !context.budget.has(tracked.request.model, context.nowMilliseconds)) {
+            continue;
+        }
         const route = findRoute(context, tracked);
         if (route.type === "engine") {
+            takeOwedRetry(context, tracked);
             dispatch(context, tracked, route.engine);
             if (!afterDispatch()) {
                 return;
@@ -63,6 +67,12 @@
     }
 }
 
+function takeOwedRetry(context: Context, tracked: TrackedRequest): void {
+    if (tracked.needsBudget) {
+        tracked.needsBudget = !context.budget.tryTake(tracked.request.model, context.nowMilliseconds);
+    }
+}
+
 /** Notes what a request lacks; tells whether a request behind it could go all the same. */
 function mayOthersGo(context: Context, tracked: TrackedRequest, route: Exclude<Route, { type: "engine"; }>): boolean {
     if (route.type === "no-adapter") {
--- a/src/requests/_engineView.ts
+++ b/src/requests/_engineView.ts
@@ -36,6 +36,7 @@
     readonly missing: Set<string>;
     readonly endedIncarnations: string[];
     readonly prefixes: PrefixMemory;
+    unreachableSinceMilliseconds: number;
     unreachableUntilMilliseconds: number;
     busyUntilMilliseconds: number;
 }
@@ -56,7 +57,9 @@
     /** Requests on the engine by now, as far as this host can tell. */
     estimateLoad(engine: string): number;
     holds(engine: string, model: string, adapter: string | undefined): boolean;
-    /** True for an engine not heard of for long, or whose last connection was refused. */
+    /** True while an engine that refused or lost a connection is left alone, until it is heard of again. */
+    isUnreachable(engine: string, nowMilliseconds: number): boolean;
+    /** True for an engine not heard of for long. */
     isDoubtful(engine: string, nowMilliseconds: number): boolean;
 }
 
@@ -97,6 +100,7 @@
         recordStart: (engine, nowMilliseconds) => changeOwnAttempts(get(engine), 1, nowMilliseconds),
         recordStop: (engine, nowMilliseconds) => changeOwnAttempts(get(engine), -1, nowMilliseconds),
         markUnreachable: (engine, nowMilliseconds) => {
+            get(engine).unreachableSinceMilliseconds = nowMilliseconds;
             get(engine).unreachableUntilMilliseconds = nowMilliseconds + UNREACHABLE_MILLISECONDS;
         },
         markBusy: (engine, nowMilliseconds) => {
@@ -104,6 +108,7 @@
         },
         estimateLoad: engine => estimateLoad(get(engine)),
         holds: (engine, model, adapter) => holdsCopy(get(engine), model, adapter),
+        isUnreachable: (engine, nowMilliseconds) => nowMilliseconds < get(engine).unreachableUntilMilliseconds,
         isDoubtful: (engine, nowMilliseconds) => isDoubtful(get(engine), nowMilliseconds),
     };
 }
@@ -121,6 +126,7 @@
         missing: new Set(),
         endedIncarnations: [],
         prefixes: createPrefixMemory(),
+        unreachableSinceMilliseconds: 0,
         unreachableUntilMilliseconds: 0,
         busyUntilMilliseconds: 0,
     };
@@ -159,6 +165,9 @@
     state.incarnation = digest.incarnation;
     state.leaving = digest.leaving;
     state.observedAtMilliseconds = observedAt;
+    if (observedAt > state.unreachableSinceMilliseconds) {
+        state.unreachableUntilMilliseconds = 0;
+    }
     state.reportedLoad = digest.running + digest.waiting;
     state.ownHistory = keepSince(state.ownHistory, observedAt);
     if (before === undefined) {
@@ -232,8 +241,6 @@
 }
 
 function isDoubtful(state: EngineState, nowMilliseconds: number): boolean {
-    if (nowMilliseconds < state.unreachableUntilMilliseconds || state.observedAtMilliseconds === undefined) {
-        return true;
-    }
-    return nowMilliseconds - state.observedAtMilliseconds > STALE_AFTER_MILLISECONDS;
+    return state.observedAtMilliseconds === undefined
+        || nowMilliseconds - state.observedAtMilliseconds > STALE_AFTER_MILLISECONDS;
 }
--- a/src/requests/_quarantine.ts
+++ b/src/requests/_quarantine.ts
@@ -8,7 +8,6 @@
 const CRASHES_TO_CONVICT = 2;
 const MOST_ENTRIES = 2_048;
 const MOST_FINISHED = 4_096;
-const PRESUMPTION_MILLISECONDS = 60_000;
 
 /** How a fingerprint is treated. */
 export type Standing =
@@ -24,32 +23,36 @@
     readonly fingerprint: string;
     readonly crashes: Set<string>;
     readonly excused: Set<string>;
-    /** Lost engine incarnations with the time at which the presumption ends. */
+    /** Lost engine incarnations with the time from which that is presumed. */
     readonly presumed: Map<string, number>;
     /** Presumptions that this host made itself, which are the ones it shares. */
     readonly ownPresumed: Set<string>;
     convicted: boolean;
+    changedAtMilliseconds: number;
 }
 
 /** Fingerprints under suspicion, merged over hosts. */
 export interface Quarantine {
-    standing(fingerprint: string, nowMilliseconds: number): Standing;
+    standing(fingerprint: string): Standing;
     /** Counts a proved crash of an engine incarnation that ran the fingerprint. */
     recordCrash(fingerprint: string, crash: string): void;
     /** Notes that an engine incarnation was lost while it ran the fingerprint. */
     presumeCrash(fingerprint: string, crash: string, nowMilliseconds: number): void;
     /** Counts all presumptions about an engine incarnation, as its crash is proved. */
     confirmPresumptions(crash: string): void;
-    /** Drops all presumptions about an engine incarnation that was heard of again. */
-    withdrawPresumptions(crash: string): void;
+    /** Drops presumptions about an engine incarnation that was seen alive after they were made. */
+    withdrawPresumptions(crash: string, aliveAtMilliseconds: number): void;
+    /** Tells whether an engine has run the fingerprint to its end. */
+    hasFinished(fingerprint: string): boolean;
     /** Excuses a fingerprint that an engine ran to its end; tells whether it was under suspicion. */
     recordFinished(fingerprint: string): boolean;
-    merge(digest: SuspectDigest, nowMilliseconds: number): void;
+    /** Takes in what a peer knows; tells whether any of it was news. */
+    merge(digest: SuspectDigest, nowMilliseconds: number): boolean;
     /** Takes the fingerprints that changed since the last call. */
-    takeChanged(): readonly string[];
-    describe(fingerprint: string, nowMilliseconds: number): SuspectDigest;
-    /** Lists fingerprints with a history, the latest first. */
-    list(): readonly string[];
+    takeChanged(nowMilliseconds: number): readonly string[];
+    describe(fingerprint: string): SuspectDigest;
+    /** Lists fingerprints with a history that changed after a time, the latest last. */
+    listChangedSince(sinceMilliseconds: number): readonly string[];
 }
 
 /**
@@ -69,7 +72,8 @@
         changed.add(entry.fingerprint);
     };
     return {
-        standing: (fingerprint, nowMilliseconds) => standingOf(entries.get(fingerprint), nowMilliseconds),
+        standing: fingerprint => standingOf(entries.get(fingerprint)),
+        hasFinished: fingerprint => finished.has(fingerprint),
         recordCrash: (fingerprint, crash) => {
             const entry = open(fingerprint);
             if (entry.crashes.has(crash)) {
@@ -82,8 +86,11 @@
             settle(entry);
         },
         presumeCrash: (fingerprint, crash, nowMilliseconds) => {
+            if (finished.has(fingerprint)) {
+                return;
+            }
             const entry = open(fingerprint);
-            entry.presumed.set(crash, nowMilliseconds + PRESUMPTION_MILLISECONDS);
+            entry.presumed.set(crash, nowMilliseconds);
             entry.ownPresumed.add(crash);
             changed.add(fingerprint);
         },
@@ -95,10 +102,12 @@
                 }
             }
         },
-        withdrawPresumptions: crash => {
+        withdrawPresumptions: (crash, aliveAtMilliseconds) => {
             for (const entry of entries.values()) {
-                entry.presumed.delete(crash);
-                entry.ownPresumed.delete(crash);
+                if ((entry.presumed.get(crash) ?? Number.POSITIVE_INFINITY) < aliveAtMilliseconds) {
+                    entry.presumed.delete(crash);
+                    entry.ownPresumed.delete(crash);
+                }
             }
         },
         recordFinished: fingerprint => {
@@ -118,17 +127,28 @@
             if (finished.has(digest.fingerprint) && !entry.convicted) {
                 excuseAll(entry);
             }
-            if (fingerprintState(entry) !== before) {
-                settle(entry);
+            if (fingerprintState(entry) === before) {
+                return false;
             }
+            settle(entry);
+            return true;
         },
-        takeChanged: () => {
+        takeChanged: nowMilliseconds => {
             const taken = [...changed];
+            for (const fingerprint of taken) {
+                const entry = open(fingerprint);
+                entry.changedAtMilliseconds = nowMilliseconds;
+                entries.delete(fingerprint);
+                entries.set(fingerprint, entry);
+            }
             changed.clear();
             return taken;
         },
-        describe: (fingerprint, nowMilliseconds) => describeEntry(open(fingerprint), nowMilliseconds),
-        list: () => [...entries.keys()].reverse(),
+        describe: fingerprint => describeEntry(open(fingerprint)),
+        listChangedSince: sinceMilliseconds => {
+            const recent = [...entries.values()].filter(entry => entry.changedAtMilliseconds > sinceMilliseconds);
+            return recent.map(entry => entry.fingerprint);
+        },
     };
 }
 
@@ -144,6 +164,7 @@
         presumed: new Map(),
         ownPresumed: new Set(),
         convicted: false,
+        changedAtMilliseconds: 0,
     };
     entries.set(fingerprint, created);
     if (entries.size > MOST_ENTRIES) {
@@ -157,19 +178,18 @@
     return [...entry.crashes].filter(crash => !entry.excused.has(crash)).length;
 }
 
-function countPresumed(entry: Entry, nowMilliseconds: number): number {
-    const open = [...entry.presumed].filter(([crash, until]) => until > nowMilliseconds && !entry.crashes.has(crash));
-    return open.length;
+function countPresumed(entry: Entry): number {
+    return [...entry.presumed.keys()].filter(crash => !entry.crashes.has(crash)).length;
 }
 
-function standingOf(entry: Entry | undefined, nowMilliseconds: number): Standing {
+function standingOf(entry: Entry | undefined): Standing {
     if (entry === undefined) {
         return "clear";
     }
     if (entry.convicted) {
         return "convicted";
     }
-    const lost = countCrashes(entry) + countPresumed(entry, nowMilliseconds);
+    const lost = countCrashes(entry) + countPresumed(entry);
     if (lost >= CRASHES_TO_CONVICT) {
         return "blocked";
     }
@@ -201,7 +221,7 @@
         entry.excused.add(crash);
     }
     for (const crash of digest.presumed ?? []) {
-        entry.presumed.set(crash, nowMilliseconds + PRESUMPTION_MILLISECONDS);
+        entry.presumed.set(crash, entry.presumed.get(crash) ?? nowMilliseconds);
     }
     entry.convicted ||= digest.convicted ?? false;
 }
@@ -211,8 +231,8 @@
     return [entry.crashes.size, entry.excused.size, entry.presumed.size, entry.convicted].join("/");
 }
 
-function describeEntry(entry: Entry, nowMilliseconds: number): SuspectDigest {
-    const presumed = [...entry.ownPresumed].filter(crash => (entry.presumed.get(crash) ?? 0) > nowMilliseconds);
+function describeEntry(entry: Entry): SuspectDigest {
+    const presumed = [...entry.ownPresumed].filter(crash => entry.presumed.has(crash));
     return {
         fingerprint: entry.fingerprint,
         crashes: [...entry.crashes],
--- a/src/requests/_routing.ts
+++ b/src/requests/_routing.ts
@@ -36,7 +36,8 @@
     if (ready.length === 0) {
         return { type: "no-adapter" };
     }
-    const open = ready.filter(engine => isOpen(context, engine, tracked));
+    const allowed = keepTogether(context, ready, tracked);
+    const open = allowed.filter(engine => isOpen(context, engine, tracked));
     const elsewhere = open.filter(engine => engine.name !== tracked.failedEngine);
     const engine = choose(context, elsewhere, tracked) ?? choose(context, open, tracked);
     return engine === undefined ? { type: "no-room" } : { type: "engine", engine };
@@ -54,12 +55,33 @@
     );
 }
 
+/**
+ * Keeps requests that are alike and not yet known to be harmless on one engine, and holds them back while one of them
+ * awaits the verdict on its engine: should they crash engines, they crash no more than one from this host at a time.
+ */
+function keepTogether(
+    context: Context,
+    engines: readonly CatalogEngine[],
+    tracked: TrackedRequest,
+): readonly CatalogEngine[] {
+    const { fingerprint } = tracked.request;
+    const alike = context.quarantine.hasFinished(fingerprint) ? undefined : context.inFlight.get(fingerprint);
+    if (alike === undefined) {
+        return engines;
+    }
+    const isHeld = [...alike].some(other => other.phase === "awaiting-verdict");
+    return isHeld ? [] : engines.filter(engine => [...alike].some(other => other.engine === engine.name));
+}
+
 /** Tells whether an engine has room for the request and is not set apart for a suspect. */
 function isOpen(context: Context, engine: CatalogEngine, tracked: TrackedRequest): boolean {
     const { view, trials, nowMilliseconds } = context;
     if (view.get(engine.name).busyUntilMilliseconds > nowMilliseconds) {
         return false;
     }
+    if (view.isUnreachable(engine.name, nowMilliseconds)) {
+        return false;
+    }
     if (trials.isSetApart(engine.name, nowMilliseconds)) {
         return false;
     }
--- a/src/requests/_submission.ts
+++ b/src/requests/_submission.ts
@@ -42,7 +42,7 @@
 }
 
 function admit(context: Context, tracked: TrackedRequest): void {
-    const standing = context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds);
+    const standing = context.quarantine.standing(tracked.request.fingerprint);
     if (standing === "convicted" || standing === "blocked") {
         refuseByStanding(context, tracked, standing);
         return;
@@ -52,7 +52,7 @@
         refuse(context, tracked, refusal);
         return;
     }
-    context.budget.recordRequest(tracked.request.model);
+    context.budget.recordRequest(tracked.request.model, context.nowMilliseconds);
     startWaiting(context, tracked);
 }
 
--- a/src/requests/_suspects.ts
+++ b/src/requests/_suspects.ts
@@ -4,13 +4,15 @@
  * @module
  */
 import { type EngineDigest, type SuspectDigest, type SuspectTrial } from "../generated/peers.js";
-import { type Context, enqueue, leavePhase, refuse, releaseEngine } from "./_context.js";
+import { type Context, enqueue, leavePhase, markInFlight, refuse, releaseEngine } from "./_context.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type Claim } from "./_trials.js";
 
-const VERDICT_WAIT_MILLISECONDS = 1_500;
+/** Longest wait for news of an engine whose connection was lost. */
+export const VERDICT_WAIT_MILLISECONDS = 1_500;
 const BLOCKED_RETRY_MILLISECONDS = 10_000;
 const SHARE_INTERVAL_MILLISECONDS = 1_000;
+const SHARE_AGAIN_MILLISECONDS = 10_000;
 const MOST_SHARED = 256;
 
 /** Names an engine incarnation as digests do. */
@@ -18,15 +20,20 @@
     return `${engine}/${incarnation}`;
 }
 
-/** Holds a request whose connection was lost until it is known whether its engine crashed. */
+/** Holds a request whose connection was lost until it is known whether its engine crashed, which is presumed. */
 export function awaitVerdict(context: Context, tracked: TrackedRequest): void {
     leavePhase(context, tracked);
     context.awaitingVerdict.add(tracked);
+    markInFlight(context, tracked);
     tracked.phase = "awaiting-verdict";
-    tracked.lostAtMilliseconds = context.nowMilliseconds;
-    if (tracked.engine !== undefined && hasCrashed(context, tracked)) {
+    tracked.waitsSinceMilliseconds = context.nowMilliseconds;
+    if (hasCrashed(context, tracked)) {
         settleCrashed(context, tracked);
+        return;
     }
+    const crash = nameCrash(tracked.engine ?? "", tracked.incarnation ?? "");
+    context.quarantine.presumeCrash(tracked.request.fingerprint, crash, context.nowMilliseconds);
+    reviewStandings(context);
 }
 
 function hasCrashed(context: Context, tracked: TrackedRequest): boolean {
@@ -61,24 +68,23 @@
             settleCrashed(context, tracked);
         }
     }
-    refuseConvicted(context);
+    reviewStandings(context);
 }
 
 /** Ends the wait of a request whose engine is known to have crashed. */
 function settleCrashed(context: Context, tracked: TrackedRequest): void {
     tracked.retryReason = "engine-crashed";
     endTrialOf(context, tracked);
-    context.budget.take(tracked.request.model);
     placeByStanding(context, tracked, context.nowMilliseconds);
 }
 
 /** Releases requests that lost only their connection to a process that has been heard of since. */
 export function settleAlive(context: Context, digest: EngineDigest, retry: (tracked: TrackedRequest) => void): void {
     const observedAt = context.nowMilliseconds - digest.observedMillisecondsAgo;
-    context.quarantine.withdrawPresumptions(nameCrash(digest.engine, digest.incarnation));
+    context.quarantine.withdrawPresumptions(nameCrash(digest.engine, digest.incarnation), observedAt);
     for (const tracked of [...context.awaitingVerdict]) {
         const isConcerned = tracked.engine === digest.engine && tracked.incarnation === digest.incarnation
-            && tracked.lostAtMilliseconds < observedAt;
+            && tracked.waitsSinceMilliseconds < observedAt;
         if (isConcerned) {
             endTrialOf(context, tracked);
             retry(tracked);
@@ -101,22 +107,19 @@
     }
 }
 
-/** Presumes a crash where an engine was not heard of in time after a connection to it was lost. */
+/** Stops waiting for a verdict where an engine was not heard of in time; its crash stays presumed. */
 export function presumeOverdue(context: Context): void {
-    for (const tracked of [...context.awaitingVerdict]) {
-        const isOverdue = context.nowMilliseconds - tracked.lostAtMilliseconds >= VERDICT_WAIT_MILLISECONDS;
-        if (!isOverdue || tracked.engine === undefined) {
-            continue;
-        }
-        const crash = nameCrash(tracked.engine, tracked.incarnation ?? "");
-        context.quarantine.presumeCrash(tracked.request.fingerprint, crash, context.nowMilliseconds);
+    const overdue = [...context.awaitingVerdict].filter(tracked =>
+        context.nowMilliseconds - tracked.waitsSinceMilliseconds >= VERDICT_WAIT_MILLISECONDS
+    );
+    for (const tracked of overdue) {
         settleCrashed(context, tracked);
     }
 }
 
 /** Queues a request, or sets it apart or refuses it where its fingerprint is under suspicion. */
 export function placeByStanding(context: Context, tracked: TrackedRequest, notBeforeMilliseconds: number): void {
-    const standing = context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds);
+    const standing = context.quarantine.standing(tracked.request.fingerprint);
     if (standing === "clear") {
         enqueue(context, tracked, notBeforeMilliseconds);
         return;
@@ -125,6 +128,7 @@
         leavePhase(context, tracked);
         context.awaitingTrial.add(tracked);
         tracked.phase = "awaiting-trial";
+        tracked.waitsSinceMilliseconds = context.nowMilliseconds;
         tracked.notBeforeMilliseconds = notBeforeMilliseconds;
         return;
     }
@@ -148,10 +152,11 @@
 }
 
 /** Gives requests whose fingerprint changed its standing their place or their final answer. */
-export function refuseConvicted(context: Context): void {
+export function reviewStandings(context: Context): void {
     for (const tracked of [...context.requests.values()]) {
-        const standing = context.quarantine.standing(tracked.request.fingerprint, context.nowMilliseconds);
-        if (standing === "convicted") {
+        const standing = context.quarantine.standing(tracked.request.fingerprint);
+        const isStopped = standing === "convicted" || (standing === "blocked" && tracked.phase === "running");
+        if (isStopped) {
             stopAttempt(context, tracked);
             refuseByStanding(context, tracked, standing);
         }
@@ -179,7 +184,7 @@
 export function recordFinishedSuspect(context: Context, tracked: TrackedRequest): void {
     endTrialOf(context, tracked);
     if (context.quarantine.recordFinished(tracked.request.fingerprint)) {
-        refuseConvicted(context);
+        reviewStandings(context);
     }
 }
 
@@ -197,7 +202,7 @@
 export function shareClaim(context: Context, claim: Claim, state: SuspectTrial["state"]): void {
     const { identifier, host, engine } = claim;
     const digest: SuspectDigest = {
-        ...context.quarantine.describe(claim.fingerprint, context.nowMilliseconds),
+        ...context.quarantine.describe(claim.fingerprint),
         trial: { identifier, host, engine, state },
     };
     context.effects.push({ type: "share-suspects", digests: [digest] });
@@ -205,14 +210,17 @@
 
 /** Takes in what peers know of suspects and claim for their trials. */
 export function handleSuspects(context: Context, digests: readonly SuspectDigest[]): void {
+    let isNews = false;
     for (const digest of digests) {
-        context.quarantine.merge(digest, context.nowMilliseconds);
+        isNews = context.quarantine.merge(digest, context.nowMilliseconds) || isNews;
         if (digest.trial !== undefined) {
             context.trials.hear(digest.fingerprint, digest.trial, context.nowMilliseconds);
         }
     }
-    refuseConvicted(context);
-    claimRunningSuspects(context);
+    if (isNews) {
+        reviewStandings(context);
+        claimRunningSuspects(context);
+    }
 }
 
 /** Claims, for peers to know, the engines on which this host already runs requests that have become suspects. */
@@ -223,7 +231,7 @@
         if (!isRunning || hasCrashed(context, tracked)) {
             continue;
         }
-        if (context.quarantine.standing(request.fingerprint, context.nowMilliseconds) !== "clear") {
+        if (context.quarantine.standing(request.fingerprint) !== "clear") {
             announceClaim(context, tracked, engine, "running");
         }
     }
@@ -244,19 +252,30 @@
     shareClaim(context, claim, state);
 }
 
-/** Shares what changed at once, and everything now and then for peers that missed it. */
+/** Shares what changed at once, and what changed lately again for peers that missed it. */
 export function shareSuspects(context: Context): void {
-    const isDue = context.nowMilliseconds - context.sharedAtMilliseconds >= SHARE_INTERVAL_MILLISECONDS;
-    const changed = context.quarantine.takeChanged();
-    const fingerprints = isDue ? context.quarantine.list().slice(0, MOST_SHARED) : changed;
-    if (isDue) {
-        context.sharedAtMilliseconds = context.nowMilliseconds;
-        for (const claim of context.trials.listOwn()) {
-            shareClaim(context, claim, claim.state);
-        }
+    const changed = context.quarantine.takeChanged(context.nowMilliseconds);
+    if (context.nowMilliseconds - context.sharedAtMilliseconds < SHARE_INTERVAL_MILLISECONDS) {
+        shareFingerprints(context, changed);
+        return;
+    }
+    context.sharedAtMilliseconds = context.nowMilliseconds;
+    for (const claim of context.trials.listOwn()) {
+        shareClaim(context, claim, claim.state);
     }
-    if (fingerprints.length > 0) {
-        const digests = fingerprints.map(each => context.quarantine.describe(each, context.nowMilliseconds));
-        context.effects.push({ type: "share-suspects", digests });
+    const since = context.nowMilliseconds - SHARE_AGAIN_MILLISECONDS;
+    shareFingerprints(context, context.quarantine.listChangedSince(since));
+}
+
+/** Tells everything to peers of which some may be new. */
+export function shareAllSuspects(context: Context): void {
+    shareFingerprints(context, context.quarantine.listChangedSince(Number.NEGATIVE_INFINITY));
+}
+
+function shareFingerprints(context: Context, fingerprints: readonly string[]): void {
+    if (fingerprints.length === 0) {
+        return;
     }
+    const digests = fingerprints.slice(-MOST_SHARED).map(fingerprint => context.quarantine.describe(fingerprint));
+    context.effects.push({ type: "share-suspects", digests });
 }
--- /dev/null
+++ b/src/requests/_testRuns.ts
@@ -0,0 +1,94 @@
+/**
+ * Small runs of several hosts over engine models, for tests.
+ *
+ * @module
+ */
+import { type Arrival, HostsRun, type HostsRunOptions, type Network } from "../../measurements/policy/hostsRun.js";
+import { deploymentSchema } from "../generated/deployment.js";
+import { createRequestsDecision, type ModelRequest } from "./index.js";
+
+/** Delays of the tests' runs. */
+export const NETWORK: Network = {
+    reportIntervalMilliseconds: 500,
+    digestDelayMilliseconds: 500,
+    suspectsDelayMilliseconds: 50,
+    crashNoticeLoss: 0,
+    cacheEventLoss: 0,
+    engineRestartMilliseconds: 3_000,
+};
+
+/** What a small run varies. */
+export interface SmallRun {
+    readonly seed: number;
+    readonly hosts: number;
+    readonly engines: number;
+    readonly slots?: number;
+    readonly patientMilliseconds?: number;
+    readonly network?: Partial<Network>;
+    readonly arrivals: readonly Arrival[];
+    readonly endMilliseconds: number;
+    readonly prepare?: (run: HostsRun) => void;
+    readonly onEffect?: NonNullable<HostsRunOptions["onEffect"]>;
+}
+
+/** Runs hosts before one pool whose engines all hold the one model. */
+export function runSmall(options: SmallRun): HostsRun {
+    const engines = Array.from({ length: options.engines }, (_, index) => `engine-${index}`);
+    const deployment = deploymentSchema.parse({
+        deployment: "small",
+        zones: [{ name: "zone", region: "region" }],
+        weightStore: { loadsPerSecond: 1, concurrentLoads: 1 },
+        pools: [{
+            name: "pool",
+            checksFencing: true,
+            memoryMegabytes: 100,
+            slots: options.slots ?? 8,
+            engines: engines.map(name => ({ name, url: "http://127.0.0.1:1", zone: "zone" })),
+        }],
+        models: [{
+            name: "quotes",
+            version: "1",
+            megabytes: 10,
+            pools: ["pool"],
+            patientMilliseconds: options.patientMilliseconds ?? 120_000,
+        }],
+    });
+    const run = new HostsRun({
+        seed: options.seed,
+        hosts: Array.from({ length: options.hosts }, (_, index) => nameHost(index)),
+        deployment,
+        placement: new Map(engines.map(engine => [engine, ["quotes"]])),
+        cacheTokens: 20_000,
+        network: { ...NETWORK, ...options.network },
+        arrivals: options.arrivals,
+        createDecision: (host, random) => createRequestsDecision({ host, random }),
+        endMilliseconds: options.endMilliseconds,
+        ...(options.prepare === undefined ? {} : { prepare: options.prepare }),
+        ...(options.onEffect === undefined ? {} : { onEffect: options.onEffect }),
+    });
+    run.run();
+    return run;
+}
+
+/** Names a host of a small run. */
+export function nameHost(index: number): string {
+    return `host-${index}`;
+}
+
+/** Describes a request that arrives at a host. */
+export function describeArrival(
+    identifier: string,
+    host: number,
+    atMilliseconds: number,
+    change: Partial<Pick<ModelRequest, "class" | "fingerprint">> & Partial<Arrival> = {},
+): Arrival {
+    const { class: requestClass = "urgent", fingerprint = identifier, ...rest } = change;
+    return {
+        atMilliseconds,
+        host: nameHost(host),
+        request: { identifier, model: "quotes", class: requestClass, fingerprint, prefixKeys: [fingerprint] },
+        prompt: [{ prefixKey: fingerprint, tokens: 200 }],
+        outputTokens: 40,
+        ...rest,
+    };
+}
--- a/src/requests/_trackedRequest.ts
+++ b/src/requests/_trackedRequest.ts
@@ -36,7 +36,10 @@
     /** True once an engine may have worked on it. */
     mayHaveRun: boolean;
     notBeforeMilliseconds: number;
-    lostAtMilliseconds: number;
+    /** Since when it waits for a verdict or a trial. */
+    waitsSinceMilliseconds: number;
+    /** True while a retry is due that the budget did not allow yet. */
+    needsBudget: boolean;
     /** This host's claim to run it as a suspect. */
     trialIdentifier: string | undefined;
     /** Engine of the last failed attempt, avoided while others can take the request. */
@@ -71,7 +74,8 @@
         deliveredTokens: 0,
         mayHaveRun: false,
         notBeforeMilliseconds: nowMilliseconds,
-        lostAtMilliseconds: 0,
+        waitsSinceMilliseconds: 0,
+        needsBudget: false,
         trialIdentifier: undefined,
         failedEngine: undefined,
         retryReason: undefined,
--- a/src/requests/_trialScheduling.ts
+++ b/src/requests/_trialScheduling.ts
@@ -5,11 +5,12 @@
  */
 import { type Context, dispatch } from "./_context.js";
 import { listCopies } from "./_routing.js";
-import { announceClaim, endTrialOf, shareClaim } from "./_suspects.js";
+import { announceClaim, endTrialOf, refuseByStanding, shareClaim, VERDICT_WAIT_MILLISECONDS } from "./_suspects.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type Claim, SETTLE_MILLISECONDS } from "./_trials.js";
 
 const DRAIN_WAIT_MILLISECONDS = 5_000;
+const PROBE_INTERVAL_MILLISECONDS = 100;
 const SET_APART_SHARE = 0.5;
 
 /** Claims engines for suspects, gives way to peers' claims, and starts the trials whose time has come. */
@@ -18,6 +19,10 @@
     const waiting = [...context.awaitingTrial];
     waiting.sort((left, right) => left.deadlineMilliseconds - right.deadlineMilliseconds);
     for (const tracked of waiting) {
+        if (isBlockedForLong(context, tracked)) {
+            refuseByStanding(context, tracked, "blocked");
+            continue;
+        }
         const claim = context.trials.listOwn().find(own => own.identifier === tracked.trialIdentifier);
         if (claim === undefined) {
             tryToClaim(context, tracked);
@@ -28,6 +33,12 @@
     }
 }
 
+/** Tells whether two engines were lost to the request, and no news of them came in time. */
+function isBlockedForLong(context: Context, tracked: TrackedRequest): boolean {
+    return context.quarantine.standing(tracked.request.fingerprint) === "blocked"
+        && context.nowMilliseconds - tracked.waitsSinceMilliseconds >= VERDICT_WAIT_MILLISECONDS;
+}
+
 /** Ends claims whose request has its final answer or is no longer under suspicion. */
 function endOrphanedClaims(context: Context): void {
     const claims = context.trials.listOwn();
@@ -44,10 +55,13 @@
 }
 
 function tryToClaim(context: Context, tracked: TrackedRequest): void {
-    const { nowMilliseconds, trials } = context;
+    const { nowMilliseconds, quarantine, trials } = context;
     if (tracked.notBeforeMilliseconds > nowMilliseconds) {
         return;
     }
+    if (quarantine.standing(tracked.request.fingerprint) !== "suspect") {
+        return;
+    }
     if (trials.listFor(tracked.request.fingerprint, nowMilliseconds).length > 0) {
         return;
     }
@@ -91,7 +105,11 @@
         endTrialOf(context, tracked);
         return;
     }
-    if (!hasSettled(context, claim) || !isDrained(context, claim)) {
+    if (!hasSettled(context, claim)) {
+        return;
+    }
+    if (!isDrained(context, claim)) {
+        probe(context, claim);
         return;
     }
     claim.state = "running";
@@ -99,6 +117,14 @@
     shareClaim(context, claim, "running");
 }
 
+/** Asks for a report now and then, so that a drained engine is noticed soon. */
+function probe(context: Context, claim: Claim): void {
+    if (context.nowMilliseconds - claim.probedAtMilliseconds >= PROBE_INTERVAL_MILLISECONDS) {
+        claim.probedAtMilliseconds = context.nowMilliseconds;
+        context.effects.push({ type: "probe-engine", engine: claim.engine });
+    }
+}
+
 function hasSettled(context: Context, claim: Claim): boolean {
     return context.peers.length === 0
         || context.nowMilliseconds - claim.announcedAtMilliseconds >= SETTLE_MILLISECONDS;
--- a/src/requests/_trials.ts
+++ b/src/requests/_trials.ts
@@ -24,11 +24,12 @@
     readonly announcedAtMilliseconds: number;
     state: "claimed" | "running";
     expiresAtMilliseconds: number;
+    probedAtMilliseconds: number;
 }
 
 /** All claims that this host knows, its own included. */
 export interface Trials {
-    announce(claim: Omit<Claim, "expiresAtMilliseconds">): Claim;
+    announce(claim: Omit<Claim, "expiresAtMilliseconds" | "probedAtMilliseconds">): Claim;
     hear(fingerprint: string, trial: SuspectTrial, nowMilliseconds: number): void;
     /** Ends one of this host's claims. */
     end(claim: Claim, nowMilliseconds: number): void;
@@ -73,7 +74,7 @@
     };
     return {
         announce: announced => {
-            const claim = { ...announced, expiresAtMilliseconds: Number.POSITIVE_INFINITY };
+            const claim = { ...announced, expiresAtMilliseconds: Number.POSITIVE_INFINITY, probedAtMilliseconds: 0 };
             claims.set(claim.identifier, claim);
             return claim;
         },
@@ -94,6 +95,7 @@
                 announcedAtMilliseconds: known?.announcedAtMilliseconds ?? nowMilliseconds,
                 state: known?.state === "running" ? "running" : trial.state,
                 expiresAtMilliseconds: nowMilliseconds + CLAIM_LEASE_MILLISECONDS,
+                probedAtMilliseconds: 0,
             });
         },
         end: (claim, nowMilliseconds) => {
--- a/src/requests/requestsDecision.ts
+++ b/src/requests/requestsDecision.ts
@@ -23,6 +23,7 @@
     presumeOverdue,
     settleAlive,
     settleRestarted,
+    shareAllSuspects,
     shareSuspects,
 } from "./_suspects.js";
 import { createTrials } from "./_trials.js";
@@ -87,6 +88,7 @@
         queuedRequests: options.queuedRequests ?? QUEUED_REQUESTS,
         chooseEngine: options.chooseEngine ?? chooseByPrefixWithinLoadBound,
         requests: new Map(),
+        inFlight: new Map(),
         awaitingVerdict: new Set(),
         awaitingTrial: new Set(),
         queue: createRequestQueue(),
@@ -119,7 +121,7 @@
         .with({ type: "engine-crashed" }, ({ engine, incarnation }) => handleCrash(context, engine, incarnation))
         .with({ type: "suspects" }, ({ digests }) => handleSuspects(context, digests))
         .with({ type: "peers" }, ({ hosts }) => {
-            context.peers = hosts.filter(host => host !== context.host);
+            handlePeers(context, hosts);
         })
         .with({ type: "cache-event" }, ({ engine, prefixKey, cached }) => {
             context.view.recordCacheEvent(engine, prefixKey, cached);
@@ -134,6 +136,15 @@
         .exhaustive();
 }
 
+/** Takes in which other hosts live, and tells new ones of all suspects. */
+function handlePeers(context: Context, hosts: readonly string[]): void {
+    const known = new Set(context.peers);
+    context.peers = hosts.filter(host => host !== context.host);
+    if (context.peers.some(host => !known.has(host))) {
+        shareAllSuspects(context);
+    }
+}
+
 /** Takes in a load report, and what it shows of the engine's process. */
 function handleObserved(context: Context, digest: EngineDigest): void {
     const before = context.view.get(digest.engine).incarnation;
