Carry counters in columns beyond 16 hosts, and split the member table off

Cause: at 390 hosts a digest of whole statuses has some 330 bytes a host; columns of counters have about a sixth. New query presence() for the configuration decision.

--- a/src/membership/_fanOut.ts
+++ b/src/membership/_fanOut.ts
@@ -70,20 +70,29 @@
     return [...near, ...far];
 }
 
+/** Silence after which members count as lost. */
+export interface FailureTimeouts {
+    readonly ownZoneMilliseconds: number;
+    readonly otherZonesMilliseconds: number;
+}
+
 /**
  * Gives the silence after which a member counts as lost.
  *
  * @param self This host.
  * @param peers Live peers.
- * @param member The member in question.
  */
-export function failureTimeout(self: HostIdentity, peers: readonly HostIdentity[], member: HostIdentity): number {
+export function failureTimeouts(self: HostIdentity, peers: readonly HostIdentity[]): FailureTimeouts {
     if (peers.length < FULL_MESH_HOSTS) {
-        return FAILURE_TIMEOUT_MILLISECONDS;
-    }
-    if (member.zone !== self.zone) {
-        return OTHER_ZONE_TIMEOUT_MILLISECONDS;
+        return {
+            ownZoneMilliseconds: FAILURE_TIMEOUT_MILLISECONDS,
+            otherZonesMilliseconds: FAILURE_TIMEOUT_MILLISECONDS,
+        };
     }
     const zoneHosts = peers.filter(peer => peer.zone === self.zone).length + 1;
-    return FAILURE_TIMEOUT_MILLISECONDS + Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
+    const spreading = Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
+    return {
+        ownZoneMilliseconds: FAILURE_TIMEOUT_MILLISECONDS + spreading,
+        otherZonesMilliseconds: OTHER_ZONE_TIMEOUT_MILLISECONDS,
+    };
 }
--- a/src/membership/_hostList.ts
+++ b/src/membership/_hostList.ts
@@ -6,13 +6,16 @@
 import { type HostIdentity } from "../generated/peers.js";
 import { type MembershipMessage } from "./messages.js";
 
-type Listing = Extract<MembershipMessage, { type: "host-list"; }>;
-type ListedHost = Listing["live"][number];
+const RECENT_MILLISECONDS = 60_000;
+
+/** A reading of the list. */
+export type HostListing = Extract<MembershipMessage, { type: "host-list"; }>;
+type ListedHost = HostListing["live"][number];
 
 /** Remembers which incarnation the platform meant when it listed a host as leaving. */
 export class HostListView {
     #live: readonly ListedHost[] = [];
-    #read = false;
+    #readAtMilliseconds: number | undefined;
     readonly #leaving = new Map<string, string | undefined>();
 
     /**
@@ -20,9 +23,10 @@
      *
      * @param listing The reading.
      * @param incarnationOf The incarnation that is known of a host by now.
+     * @param nowMilliseconds When it was read.
      */
-    update(listing: Listing, incarnationOf: (host: string) => string | undefined): void {
-        this.#read = true;
+    update(listing: HostListing, incarnationOf: (host: string) => string | undefined, nowMilliseconds: number): void {
+        this.#readAtMilliseconds = nowMilliseconds;
         this.#live = listing.live;
         const named = new Set(listing.leaving);
         [...this.#leaving.keys()].filter(host => !named.has(host)).forEach(host => this.#leaving.delete(host));
@@ -35,6 +39,12 @@
         return this.#live;
     }
 
+    /** Counts the hosts listed as live, where the list was read lately. */
+    recentCount(nowMilliseconds: number): number | undefined {
+        const readAt = this.#readAtMilliseconds;
+        return readAt === undefined || nowMilliseconds - readAt > RECENT_MILLISECONDS ? undefined : this.#live.length;
+    }
+
     /** Tells whether the platform lists this incarnation as leaving; a later one of that name is not meant. */
     isLeaving(identity: HostIdentity): boolean {
         if (!this.#leaving.has(identity.host)) {
@@ -46,6 +56,6 @@
 
     /** Tells whether the list was read and does not name this host. */
     isGone(host: string): boolean {
-        return this.#read && !this.#live.some(listed => listed.host === host);
+        return this.#readAtMilliseconds !== undefined && !this.#live.some(listed => listed.host === host);
     }
 }
--- a/src/membership/_known.ts
+++ b/src/membership/_known.ts
@@ -8,36 +8,49 @@
 import { FULL_MESH_HOSTS, sample } from "./_fanOut.js";
 import { type Member } from "./_members.js";
 
-/** Changed members that one digest tells of, beyond the full mesh. */
-const NEWS_PER_DIGEST = 8;
-/** Unchanged members of other zones that one digest tells of, beyond the full mesh. */
-const OTHER_ZONES_PER_DIGEST = 8;
+/** Changed members that one digest tells of in full, beyond the full mesh. */
+const NEWS_PER_DIGEST = 4;
+/** Unchanged members that one digest tells of in full, beyond the full mesh. */
+const REMINDERS_PER_DIGEST = 1;
+/** Members of other zones whose counters one digest carries, beyond the full mesh. */
+const OTHER_ZONES_PER_DIGEST = 16;
+
+/** Members that a digest tells of. */
+export interface KnownSelection {
+    /** Told with their identities. */
+    readonly whole: readonly Member[];
+    /** Told by their counters alone. */
+    readonly counters: readonly Member[];
+}
 
 /**
- * Selects the members that a digest tells of: all that are heard while hosts are few; else the own zone, the latest
- * changes and a few others.
+ * Selects the members that a digest tells of: all that are heard while hosts are few; else the latest changes whole,
+ * and the counters of the own zone and of a few others.
  *
  * @param members Candidates, in a defined order.
  * @param self This host.
- * @param targetZone Zone of the host that gets the digest.
- * @param random Chooses among unchanged members of other zones.
+ * @param random Chooses among unchanged members.
  */
-export function selectKnown(
-    members: readonly Member[],
-    self: HostIdentity,
-    targetZone: string,
-    random: RandomSource,
-): Member[] {
+export function selectKnown(members: readonly Member[], self: HostIdentity, random: RandomSource): KnownSelection {
     const heard = members.filter(member => member.lostAtMilliseconds === undefined);
     if (heard.length < FULL_MESH_HOSTS) {
-        return heard;
+        return { whole: heard, counters: [] };
     }
-    const news = [...members].filter(member => member.newsLeft > 0)
+    const news = takeNews(members);
+    const reminders = sample(heard, REMINDERS_PER_DIGEST, random).filter(member => !news.includes(member));
+    const own = heard.filter(member => member.identity.zone === self.zone);
+    const others = heard.filter(member => member.identity.zone !== self.zone);
+    return {
+        whole: [...news, ...reminders],
+        counters: [...own, ...sample(others, OTHER_ZONES_PER_DIGEST, random)],
+    };
+}
+
+/** Takes the changes that were told least often, and counts them as told once more. */
+function takeNews(members: readonly Member[]): Member[] {
+    const news = members.filter(member => member.newsLeft > 0)
         .sort((left, right) => right.newsLeft - left.newsLeft)
         .slice(0, NEWS_PER_DIGEST);
     news.forEach(member => member.newsLeft -= 1);
-    const own = heard.filter(member => member.identity.zone === self.zone);
-    const others = heard.filter(member => member.identity.zone !== self.zone && member.identity.zone !== targetZone);
-    const selected = new Set([...news, ...own, ...sample(others, OTHER_ZONES_PER_DIGEST, random)]);
-    return [...selected];
+    return news;
 }
--- a/src/membership/_members.ts
+++ b/src/membership/_members.ts
@@ -98,11 +98,21 @@
         };
     }
     if (status.heartbeat <= member.heartbeat) {
-        return { type: "none" };
+        return noteLeaving(member, status);
     }
     return progress(member, status, nowMilliseconds);
 }
 
+/** Takes the notice to leave from a status that is otherwise old: an incarnation that leaves never stays again. */
+function noteLeaving(member: Member, status: PeerStatus): MemberChange {
+    if (member.leaving || !status.leaving) {
+        return { type: "none" };
+    }
+    member.leaving = true;
+    member.newsLeft = NEWS_REPEATS;
+    return { type: "began-leaving", member };
+}
+
 function progress(member: Member, status: PeerStatus, nowMilliseconds: number): MemberChange {
     const wasLeaving = member.leaving;
     const wasLost = member.lostAtMilliseconds !== undefined;
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -14,5 +14,10 @@
  * @module
  */
 export { type CallerPlace } from "./_ranking.js";
-export { createMembershipDecision, type MembershipDecision, type MembershipOptions } from "./membership.js";
+export {
+    createMembershipDecision,
+    type MembershipDecision,
+    type MembershipOptions,
+    type MembershipPresence,
+} from "./membership.js";
 export { type MembershipEffect, type MembershipMessage } from "./messages.js";
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -6,20 +6,25 @@
 import { match } from "ts-pattern";
 import { type Decision, type RandomSource } from "../decision/index.js";
 import { type HostIdentity, type PeerStatus } from "../generated/peers.js";
-import { chooseTargets, failureTimeout, FULL_MESH_HOSTS, sample } from "./_fanOut.js";
-import { HostListView } from "./_hostList.js";
+import { chooseTargets, sample } from "./_fanOut.js";
 import { selectKnown } from "./_known.js";
-import { markLost, type Member, type MemberChange, mergeStatus, renderStatus } from "./_members.js";
+import { type Member, renderStatus } from "./_members.js";
+import { MemberTable } from "./_memberTable.js";
+import { readProgress, renderProgress } from "./_progress.js";
 import { type CallerPlace, choosePoller, rankByDistance } from "./_ranking.js";
 import { type MembershipEffect, type MembershipMessage } from "./messages.js";
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 1000;
 const UNREACHABLE_MILLISECONDS = 2500;
-const FORGET_MILLISECONDS = 3_600_000;
 /** A gap between two ticks beyond this is this host's own pause, not silence of others. */
 const OWN_PAUSE_MILLISECONDS = 1500;
 /** Lost or not yet known hosts that are tried with each heartbeat. */
 const PROBES_PER_HEARTBEAT = 3;
+/** Bound of `known` in the schema of digests. */
+const MOST_KNOWN = 512;
+
+type Message<Type extends MembershipMessage["type"]> = Extract<MembershipMessage, { type: Type; }>;
+type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key]; };
 
 /** Options of {@linkcode createMembershipDecision}. */
 export interface MembershipOptions {
@@ -27,11 +32,21 @@
     readonly random: RandomSource;
 }
 
+/** How many hosts there are, for the configuration decision's `presence`. */
+export interface MembershipPresence {
+    /** Live hosts of this host's zone, this host among them. */
+    readonly liveInZone: readonly string[];
+    /** Number of live hosts of this host's region, this host among them. */
+    readonly liveInRegion: number;
+    /** Number of live hosts in the platform's list, where it was read lately. */
+    readonly listedLive?: number;
+}
+
 /** The membership decision, with the questions that other tasks ask it. */
 export interface MembershipDecision extends Decision<MembershipMessage, MembershipEffect> {
     /** Gives the other hosts that are heard and stay, by name. */
     livePeers(): HostIdentity[];
-    /** Gives the hosts that a heartbeat still goes to, those that are leaving among them. */
+    /** Gives the other hosts that are heard, those that leave among them. */
     heardPeers(): HostIdentity[];
     /** Gives every host that is remembered, this one first. */
     allKnown(): HostIdentity[];
@@ -41,15 +56,14 @@
     pollerOf(engine: string, engineZone: string): string | undefined;
     /** Tells whether a host is heard and this host's heartbeats to it are answered. */
     reachable(host: string): boolean;
+    /** Tells how many hosts there are. */
+    presence(nowMilliseconds: number): MembershipPresence;
 }
 
-type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key]; };
-
 class Membership implements MembershipDecision {
     readonly #identity: HostIdentity;
     readonly #random: RandomSource;
-    readonly #members = new Map<string, Member>();
-    readonly #hostList = new HostListView();
+    readonly #table: MemberTable;
     readonly #own: Mutable<Omit<PeerStatus, "identity">> = {
         heartbeat: 0,
         leaving: false,
@@ -59,20 +73,18 @@
     #mayAdvertise = true;
     #superseded = false;
     #lastTickMilliseconds: number | undefined;
-    #lastHeartbeatMilliseconds: number | undefined;
+    #lastHeartbeatMilliseconds = -Infinity;
 
     constructor(options: MembershipOptions) {
         this.#identity = options.identity;
         this.#random = options.random;
+        this.#table = new MemberTable(options.identity);
     }
 
     handle(message: MembershipMessage, nowMilliseconds: number): readonly MembershipEffect[] {
         return match(message)
-            .with(
-                { type: "heartbeat-received" },
-                ({ status, known }) => this.#hear([status, ...known], nowMilliseconds),
-            )
-            .with({ type: "host-list" }, listing => this.#takeHostList(listing))
+            .with({ type: "heartbeat-received" }, heartbeat => this.#hear(heartbeat, nowMilliseconds))
+            .with({ type: "host-list" }, listing => this.#table.takeHostList(listing, nowMilliseconds))
             .with({ type: "send-failed" }, ({ host }) => this.#noteSendFailure(host, nowMilliseconds))
             .with({ type: "own-state" }, state => this.#takeOwnState(state, nowMilliseconds))
             .with({ type: "leave" }, () => this.#leave(nowMilliseconds))
@@ -82,21 +94,21 @@
     }
 
     livePeers(): HostIdentity[] {
-        return this.#heard().filter(member => this.#stays(member)).map(member => member.identity);
+        return this.#staying().map(member => member.identity);
     }
 
     heardPeers(): HostIdentity[] {
-        return this.#heard().map(member => member.identity);
+        return this.#table.heard().map(member => member.identity);
     }
 
     allKnown(): HostIdentity[] {
-        return [this.#identity, ...this.#sorted().map(member => member.identity)];
+        return [this.#identity, ...this.#table.all().map(member => member.identity)];
     }
 
     rankAddresses(place: CallerPlace): HostIdentity[] {
-        const others = this.#heard().filter(member => member.advertise && this.#stays(member));
+        const others = this.#staying().filter(member => member.advertise).map(member => member.identity);
         const self = this.#advertisesItself() ? [this.#identity] : [];
-        return rankByDistance([...self, ...others.map(member => member.identity)], place, this.#random);
+        return rankByDistance([...self, ...others], place, this.#random);
     }
 
     pollerOf(engine: string, engineZone: string): string | undefined {
@@ -105,7 +117,7 @@
     }
 
     reachable(host: string): boolean {
-        const member = this.#members.get(host);
+        const member = this.#table.get(host);
         if (member === undefined || member.lostAtMilliseconds !== undefined) {
             return host === this.#identity.host;
         }
@@ -113,105 +125,62 @@
         return failedAt === undefined || (this.#lastTickMilliseconds ?? failedAt) - failedAt > UNREACHABLE_MILLISECONDS;
     }
 
-    #sorted(): Member[] {
-        return [...this.#members.values()].sort((left, right) => left.identity.host < right.identity.host ? -1 : 1);
-    }
-
-    #heard(): Member[] {
-        return this.#sorted().filter(member => member.lostAtMilliseconds === undefined);
+    presence(nowMilliseconds: number): MembershipPresence {
+        const live = [this.#identity, ...this.livePeers()];
+        const listedLive = this.#table.hostList.recentCount(nowMilliseconds);
+        return {
+            liveInZone: live.filter(({ zone }) => zone === this.#identity.zone).map(({ host }) => host),
+            liveInRegion: live.filter(({ region }) => region === this.#identity.region).length,
+            ...(listedLive === undefined ? {} : { listedLive }),
+        };
     }
 
-    #stays(member: Member): boolean {
-        return !member.leaving && !this.#hostList.isLeaving(member.identity);
+    #staying(): Member[] {
+        return this.#table.heard().filter(member => !this.#table.isLeaving(member));
     }
 
     #advertisesItself(): boolean {
-        return this.#mayAdvertise && !this.#own.leaving && !this.#superseded
-            && !this.#hostList.isLeaving(this.#identity);
+        const listedLeaving = this.#table.hostList.isLeaving(this.#identity);
+        return this.#mayAdvertise && !this.#own.leaving && !this.#superseded && !listedLeaving;
     }
 
-    #hear(statuses: readonly PeerStatus[], nowMilliseconds: number): MembershipEffect[] {
-        const effects: MembershipEffect[] = [];
-        let urgentNews = false;
-        for (const status of statuses) {
-            if (status.identity.host === this.#identity.host) {
-                this.#superseded ||= status.identity.incarnation > this.#identity.incarnation;
-                continue;
-            }
-            if (status.lost === true) {
-                effects.push(...this.#hearLoss(status, nowMilliseconds));
-                continue;
-            }
-            const change = mergeStatus(this.#members, status, nowMilliseconds);
-            effects.push(...this.#announce(change));
-            urgentNews ||= change.type === "began-leaving";
+    #hear(heartbeat: Message<"heartbeat-received">, nowMilliseconds: number): MembershipEffect[] {
+        const sender = heartbeat.status.identity;
+        const before = this.#table.get(sender.host)?.identity.incarnation;
+        const changes = this.#takeAll([heartbeat.status, ...heartbeat.known], nowMilliseconds);
+        if (heartbeat.progress !== undefined) {
+            const counters = readProgress(heartbeat.progress, this.#table.byName());
+            changes.push(...this.#takeAll(counters, nowMilliseconds));
         }
-        return urgentNews && this.#usesRumours() ? [...effects, ...this.#heartbeats(nowMilliseconds)] : effects;
-    }
-
-    /** Believes another zone about the loss of a host of that zone; hosts of its own zone it judges itself. */
-    #hearLoss(status: PeerStatus, nowMilliseconds: number): MembershipEffect[] {
-        const member = this.#members.get(status.identity.host);
-        const same = member?.identity.incarnation === status.identity.incarnation;
-        if (member === undefined || !same || status.identity.zone === this.#identity.zone || !this.#usesRumours()) {
-            return [];
-        }
-        if (member.lostAtMilliseconds !== undefined || member.heartbeat > status.heartbeat) {
-            return [];
+        if (!this.#table.usesRumours()) {
+            return changes;
         }
-        markLost(member, nowMilliseconds);
-        return [{ type: "peer-down", identity: member.identity }];
-    }
-
-    #usesRumours(): boolean {
-        return this.#heard().length >= FULL_MESH_HOSTS;
-    }
-
-    #announce(change: MemberChange): MembershipEffect[] {
-        return match(change)
-            .with({ type: "none" }, { type: "progressed" }, () => [])
-            .with({ type: "joined" }, { type: "returned" }, ({ member }) => this.#announceUp(member))
-            .with({ type: "replaced" }, ({ member, before, wasLost }): MembershipEffect[] => [
-                ...(wasLost ? [] : [{ type: "peer-down" as const, identity: before }]),
-                ...this.#announceUp(member),
-            ])
-            .with({ type: "began-leaving" }, ({ member }): MembershipEffect[] => [
-                { type: "peer-leaving", identity: member.identity },
-            ])
-            .exhaustive();
+        const isNewcomer = before !== this.#table.get(sender.host)?.identity.incarnation;
+        const isUrgent = changes.some(change => change.type === "peer-leaving");
+        return [
+            ...changes,
+            ...(isNewcomer ? [this.#welcome(sender, nowMilliseconds)] : []),
+            ...(isUrgent ? this.#heartbeats(nowMilliseconds) : []),
+        ];
     }
 
-    #announceUp(member: Member): MembershipEffect[] {
-        const up: MembershipEffect = { type: "peer-up", identity: member.identity };
-        return this.#stays(member) ? [up] : [up, { type: "peer-leaving", identity: member.identity }];
-    }
-
-    #takeHostList(listing: Extract<MembershipMessage, { type: "host-list"; }>): MembershipEffect[] {
-        const stayed = this.#heard().filter(member => this.#stays(member));
-        this.#hostList.update(listing, host => this.#incarnationOf(host));
-        return stayed
-            .filter(member => !this.#stays(member))
-            .map(member => ({ type: "peer-leaving", identity: member.identity }));
-    }
-
-    #incarnationOf(host: string): string | undefined {
-        return host === this.#identity.host
-            ? this.#identity.incarnation
-            : this.#members.get(host)?.identity.incarnation;
+    #takeAll(statuses: readonly PeerStatus[], nowMilliseconds: number): MembershipEffect[] {
+        const own = statuses.filter(({ identity }) => identity.host === this.#identity.host);
+        this.#superseded ||= own.some(({ identity }) => identity.incarnation > this.#identity.incarnation);
+        return statuses
+            .filter(({ identity }) => identity.host !== this.#identity.host)
+            .flatMap(status => this.#table.take(status, nowMilliseconds));
     }
 
     #noteSendFailure(host: string, nowMilliseconds: number): MembershipEffect[] {
-        const member = this.#members.get(host);
+        const member = this.#table.get(host);
         if (member !== undefined) {
             member.sendFailedAtMilliseconds = nowMilliseconds;
         }
         return [];
     }
 
-    #takeOwnState(
-        state: Extract<MembershipMessage, { type: "own-state"; }>,
-        nowMilliseconds: number,
-    ): MembershipEffect[] {
+    #takeOwnState(state: Message<"own-state">, nowMilliseconds: number): MembershipEffect[] {
         const rises = state.configurationRevision > this.#own.configurationRevision;
         this.#own.configurationRevision = state.configurationRevision;
         this.#own.storeConfirmedMillisecondsAgo = state.storeConfirmedMillisecondsAgo;
@@ -225,66 +194,48 @@
     }
 
     #tick(nowMilliseconds: number): MembershipEffect[] {
-        this.#forgiveOwnPause(nowMilliseconds);
-        this.#lastTickMilliseconds = nowMilliseconds;
-        const effects = this.#findLost(nowMilliseconds);
-        const due = (this.#lastHeartbeatMilliseconds ?? -Infinity) + HEARTBEAT_INTERVAL_MILLISECONDS;
-        if (nowMilliseconds < due) {
-            return effects;
-        }
-        this.#lastHeartbeatMilliseconds = nowMilliseconds;
-        this.#forgetLongLost(nowMilliseconds);
-        return [...effects, ...this.#heartbeats(nowMilliseconds), ...this.#probes(nowMilliseconds)];
-    }
-
-    /** Moves all deadlines by the length of a pause of this host, during which it could hear nobody. */
-    #forgiveOwnPause(nowMilliseconds: number): void {
         const gap = nowMilliseconds - (this.#lastTickMilliseconds ?? nowMilliseconds);
-        if (gap <= OWN_PAUSE_MILLISECONDS) {
-            return;
-        }
-        for (const member of this.#members.values()) {
-            member.progressedAtMilliseconds = Math.min(nowMilliseconds, member.progressedAtMilliseconds + gap);
+        if (gap > OWN_PAUSE_MILLISECONDS) {
+            this.#table.forgiveOwnPause(gap, nowMilliseconds);
         }
-    }
-
-    #findLost(nowMilliseconds: number): MembershipEffect[] {
-        const heard = this.#heard();
-        const identities = heard.map(member => member.identity);
-        const silent = heard.filter(member => {
-            const timeout = failureTimeout(this.#identity, identities, member.identity);
-            return nowMilliseconds - member.progressedAtMilliseconds > timeout;
-        });
-        silent.forEach(member => markLost(member, nowMilliseconds));
-        return silent.map(member => ({ type: "peer-down", identity: member.identity }));
-    }
-
-    /** Forgets hosts that are lost for long and no longer listed by the platform. */
-    #forgetLongLost(nowMilliseconds: number): void {
-        for (const [host, member] of this.#members) {
-            const lostFor = nowMilliseconds - (member.lostAtMilliseconds ?? nowMilliseconds);
-            if (lostFor > FORGET_MILLISECONDS && this.#hostList.isGone(host)) {
-                this.#members.delete(host);
-            }
+        this.#lastTickMilliseconds = nowMilliseconds;
+        const lost = this.#table.findLost(nowMilliseconds);
+        if (nowMilliseconds < this.#lastHeartbeatMilliseconds + HEARTBEAT_INTERVAL_MILLISECONDS) {
+            return lost;
         }
+        this.#lastHeartbeatMilliseconds = nowMilliseconds;
+        this.#table.forgetLongLost(nowMilliseconds);
+        return [...lost, ...this.#heartbeats(nowMilliseconds), ...this.#probes(nowMilliseconds)];
     }
 
     #heartbeats(nowMilliseconds: number): MembershipEffect[] {
         this.#own.heartbeat += 1;
-        const heard = this.#heard();
-        const targets = chooseTargets(this.#identity, heard.map(member => member.identity), this.#random);
-        return targets.map(target => this.#heartbeat(target, nowMilliseconds));
+        return chooseTargets(this.#identity, this.heardPeers(), this.#random)
+            .map(target => this.#heartbeat(target, nowMilliseconds));
     }
 
-    #heartbeat(target: Pick<HostIdentity, "host" | "peersUrl" | "zone">, nowMilliseconds: number): MembershipEffect {
-        const members = this.#sorted().filter(member => member.identity.host !== target.host);
+    #heartbeat(target: Pick<HostIdentity, "host" | "peersUrl">, nowMilliseconds: number): MembershipEffect {
+        const members = this.#table.all().filter(member => member.identity.host !== target.host);
+        const { whole, counters } = selectKnown(members, this.#identity, this.#random);
         return {
             type: "send-heartbeat",
             host: target.host,
             peersUrl: target.peersUrl,
             status: this.#ownStatus(),
-            known: selectKnown(members, this.#identity, target.zone, this.#random)
-                .map(member => renderStatus(member, nowMilliseconds)),
+            known: whole.map(member => renderStatus(member, nowMilliseconds)),
+            ...(counters.length === 0 ? {} : { progress: renderProgress(counters, nowMilliseconds) }),
+        };
+    }
+
+    /** Tells a newcomer of every host that is heard, because counters alone mean nothing to it. */
+    #welcome(newcomer: HostIdentity, nowMilliseconds: number): MembershipEffect {
+        const others = this.#table.heard().filter(member => member.identity.host !== newcomer.host);
+        return {
+            type: "send-heartbeat",
+            host: newcomer.host,
+            peersUrl: newcomer.peersUrl,
+            status: this.#ownStatus(),
+            known: others.slice(0, MOST_KNOWN).map(member => renderStatus(member, nowMilliseconds)),
         };
     }
 
@@ -294,12 +245,11 @@
 
     /** Tries hosts that are lost, or listed by the platform and not yet heard. */
     #probes(nowMilliseconds: number): MembershipEffect[] {
-        const lost = this.#sorted().filter(member => member.lostAtMilliseconds !== undefined)
+        const lost = this.#table.all().filter(member => member.lostAtMilliseconds !== undefined)
             .map(member => member.identity);
-        const unknown = this.#hostList.live()
-            .filter(({ host }) => host !== this.#identity.host && !this.#members.has(host));
-        const candidates = [...lost, ...unknown.map(listed => ({ ...listed, zone: this.#identity.zone }))];
-        return sample(candidates, PROBES_PER_HEARTBEAT, this.#random)
+        const unknown = this.#table.hostList.live()
+            .filter(({ host }) => host !== this.#identity.host && this.#table.get(host) === undefined);
+        return sample([...lost, ...unknown], PROBES_PER_HEARTBEAT, this.#random)
             .map(target => this.#heartbeat(target, nowMilliseconds));
     }
 }
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -3,12 +3,17 @@
  *
  * @module
  */
-import { type HostIdentity, type PeerStatus } from "../generated/peers.js";
+import { type HostIdentity, type PeerProgress, type PeerStatus } from "../generated/peers.js";
 
 /** What the membership decision is told. */
 export type MembershipMessage =
     /** A peer's heartbeat arrived, with what that peer knows of others. */
-    | { readonly type: "heartbeat-received"; readonly status: PeerStatus; readonly known: readonly PeerStatus[]; }
+    | {
+        readonly type: "heartbeat-received";
+        readonly status: PeerStatus;
+        readonly known: readonly PeerStatus[];
+        readonly progress?: PeerProgress | undefined;
+    }
     /** The platform's list of live and leaving hosts, which lags. */
     | {
         readonly type: "host-list";
@@ -40,6 +45,8 @@
         readonly host: string | undefined;
         readonly status: PeerStatus;
         readonly known: readonly PeerStatus[];
+        /** Counters of further hosts, whose identities the peer was told before; only beyond 16 hosts. */
+        readonly progress?: PeerProgress;
     }
     | { readonly type: "peer-up"; readonly identity: HostIdentity; }
     /** No heartbeat within the failure timeout, or another incarnation took its name. */
