--- /dev/null
+++ b/measurements/capacity/membership.ts
@@ -0,0 +1,101 @@
+/**
+ * Heartbeats of one host: number, bytes, processor time and state, against the number of hosts.
+ *
+ * @module
+ */
+import { createSeededRandom } from "../../src/decision/index.js";
+import { type PeerStatus } from "../../src/generated/peers.js";
+import { createMembershipDecision, type MembershipDecision } from "../../src/membership/index.js";
+import { heapBytes } from "./probe.js";
+import { sampleIdentity } from "./sampleDeployment.js";
+
+const TICK_MILLISECONDS = 250;
+const WARM_UP_MILLISECONDS = 20_000;
+const MEASURED_MILLISECONDS = 20_000;
+const MILLISECONDS_IN_SECOND = 1000;
+
+/** What one host spends on membership in a second, with its state. */
+export interface MembershipFigures {
+    readonly hosts: number;
+    readonly heartbeatsPerSecond: number;
+    readonly bytesPerSecond: number;
+    readonly processorMillisecondsPerSecond: number;
+    readonly stateBytes: number;
+}
+
+interface Delivery {
+    readonly to: number;
+    readonly status: PeerStatus;
+    readonly known: readonly PeerStatus[];
+}
+
+/**
+ * Runs all hosts' membership decisions in this process.
+ *
+ * @param hosts How many hosts.
+ * @param zones How many zones they are spread over.
+ *
+ * @example
+ * ```ts
+ * console.log(measureMembership(390, 9).bytesPerSecond);
+ * ```
+ */
+export function measureMembership(hosts: number, zones: number): MembershipFigures {
+    const before = heapBytes();
+    const decisions = Array.from(
+        { length: hosts },
+        (_, index) =>
+            createMembershipDecision({ identity: sampleIdentity(index, zones), random: createSeededRandom(index) }),
+    );
+    const listing = decisions.map((_, index) => {
+        const { host, peersUrl } = sampleIdentity(index, zones);
+        return { host, peersUrl };
+    });
+    decisions.forEach(decision => decision.handle({ type: "host-list", live: listing, leaving: [] }, 0));
+    const tally = { heartbeats: 0, bytes: 0, processorMilliseconds: 0 };
+    const run = (from: number, until: number) => {
+        for (let now = from; now < until; now += TICK_MILLISECONDS) {
+            tickAll(decisions, now, tally);
+        }
+    };
+    run(0, WARM_UP_MILLISECONDS);
+    Object.assign(tally, { heartbeats: 0, bytes: 0, processorMilliseconds: 0 });
+    run(WARM_UP_MILLISECONDS, WARM_UP_MILLISECONDS + MEASURED_MILLISECONDS);
+    const hostSeconds = hosts * MEASURED_MILLISECONDS / MILLISECONDS_IN_SECOND;
+    return {
+        hosts,
+        heartbeatsPerSecond: tally.heartbeats / hostSeconds,
+        bytesPerSecond: tally.bytes / hostSeconds,
+        processorMillisecondsPerSecond: tally.processorMilliseconds / hostSeconds,
+        stateBytes: (heapBytes() - before) / hosts,
+    };
+}
+
+function tickAll(
+    decisions: readonly MembershipDecision[],
+    now: number,
+    tally: { heartbeats: number; bytes: number; processorMilliseconds: number; },
+): void {
+    const startedAt = performance.now();
+    let counting = 0;
+    const deliveries: Delivery[] = [];
+    for (const decision of decisions) {
+        for (const effect of decision.handle({ type: "tick" }, now)) {
+            if (effect.type === "send-heartbeat" && effect.host !== undefined) {
+                const countingStartedAt = performance.now();
+                tally.heartbeats += 1;
+                tally.bytes += Buffer.byteLength(JSON.stringify({ status: effect.status, known: effect.known }));
+                counting += performance.now() - countingStartedAt;
+                deliveries.push({
+                    to: Number(effect.host.replace("entry-", "")),
+                    status: effect.status,
+                    known: effect.known,
+                });
+            }
+        }
+    }
+    for (const { to, status, known } of deliveries) {
+        decisions[to]?.handle({ type: "heartbeat-received", status, known }, now);
+    }
+    tally.processorMilliseconds += performance.now() - startedAt - counting;
+}
