Check histories of orders under faults; prove not-run for keys without a ticket by asking every process

The receiving host cannot know from its own memory. Ruled out: leaving it (the refusal would speak of the request only, and a caller reads it as speaking of its order); always saying may-have-run (no order without a ticket would get a definite refusal in an outage). Change: the claim batcher says when the record was last read without the key; the host then asks every process that may live, each of which holds the key back for a while. Without the proof the refusal is may-have-run with a time to come back. Also: the claim batcher; peers that were lost but not replaced count as possibly alive; the fabric, callers and history checker in standins/orders; the decision split into modules of one job.

--- a/src/orders/_claims.ts
+++ b/src/orders/_claims.ts
@@ -12,17 +12,19 @@
 
 interface Claim {
     readonly order: Order;
-    /** `unknown`: the claim may have taken effect. `held`: it did, and nobody waited any more. */
-    state: "asked" | "unknown" | "held";
-    deadlineMilliseconds: number;
+    readonly deadlineMilliseconds: number;
+    /** The claim is this process's own, and the order waits for the end of a hold. */
+    isClaimed: boolean;
 }
 
-/** Orders that wait for a claim, and claims that no order was passed on for. */
+/** Orders that wait for a claim. A forgotten claim does no harm: asking again finds it in the record. */
 export interface Claims {
     begin(order: Order, nowMilliseconds: number): void;
     find(key: string): Order | undefined;
     answered(answer: ClaimAnswer, nowMilliseconds: number): void;
-    failed(key: string, nowMilliseconds: number): void;
+    failed(key: string, absentSinceMilliseconds: number | undefined, nowMilliseconds: number): void;
+    /** Keeps this host from passing the key on before a time. */
+    hold(key: string, untilMilliseconds: number): void;
     tick(nowMilliseconds: number): void;
     readonly size: number;
 }
@@ -33,105 +35,83 @@
     readonly isAwaited: (key: string) => boolean;
     readonly onClaimed: (order: Order, nowMilliseconds: number) => void;
     readonly onClaimedByAnother: (order: Order, claimer: ProcessName, nowMilliseconds: number) => void;
+    /** Called where the key is not claimed, or nobody knows; the key was absent from the record at the given time. */
+    readonly onUnclaimed: (order: Order, absentSinceMilliseconds: number | undefined, nowMilliseconds: number) => void;
     readonly onRefused: (key: string, outcome: RefusedOutcome) => void;
     readonly claimMilliseconds: number;
-    readonly retentionMilliseconds: number;
 }
 
-const STORE_RETRY_MILLISECONDS = 1_000;
-
-function refuseWithoutStore(): RefusedOutcome {
-    return refuse("store-unavailable", "not-run", {
-        message: "the key-value service cannot confirm the key now; repeat the same key later, "
-            + "or take an address and use a key under its ticket",
-        retryAfterMilliseconds: STORE_RETRY_MILLISECONDS,
-    });
-}
+const UNKNOWN_PROCESS: ProcessName = { host: "", incarnation: "" };
 
 /** Creates an empty set of claims. */
 export function createClaims(options: ClaimsOptions): Claims {
     const claims = new Map<string, Claim>();
-
-    function ask(claim: Claim, nowMilliseconds: number): void {
-        claim.state = "asked";
-        claim.deadlineMilliseconds = nowMilliseconds + options.claimMilliseconds;
-        emitClaim(claim.order);
-    }
-
-    function emitClaim({ key, bodyHash }: Order): void {
-        options.emit({ type: "claim", key, bodyHash });
-    }
+    const holds = new Map<string, number>();
 
     function begin(order: Order, nowMilliseconds: number): void {
-        const present = claims.get(order.key);
-        if (present?.state === "held") {
-            run(present, nowMilliseconds);
+        if (claims.has(order.key)) {
             return;
         }
-        const claim: Claim = present ?? { order, state: "asked", deadlineMilliseconds: nowMilliseconds };
-        claims.set(order.key, claim);
-        if (present?.state !== "asked") {
-            ask(claim, nowMilliseconds);
-        }
+        const deadlineMilliseconds = nowMilliseconds + options.claimMilliseconds;
+        claims.set(order.key, { order, deadlineMilliseconds, isClaimed: false });
+        options.emit({ type: "claim", key: order.key, bodyHash: order.bodyHash });
     }
 
-    function run(claim: Claim, nowMilliseconds: number): void {
-        claims.delete(claim.order.key);
-        options.onClaimed(claim.order, nowMilliseconds);
-    }
-
-    function claimed(claim: Claim, nowMilliseconds: number): void {
-        if (options.isAwaited(claim.order.key)) {
-            run(claim, nowMilliseconds);
+    function runUnlessHeld(claim: Claim, nowMilliseconds: number): void {
+        const { key } = claim.order;
+        claim.isClaimed = true;
+        if ((holds.get(key) ?? nowMilliseconds) > nowMilliseconds) {
             return;
         }
-        claim.state = "held";
-        claim.deadlineMilliseconds = nowMilliseconds + options.retentionMilliseconds;
+        claims.delete(key);
+        if (options.isAwaited(key)) {
+            options.onClaimed(claim.order, nowMilliseconds);
+        }
     }
 
     function answered(answer: ClaimAnswer, nowMilliseconds: number): void {
         const claim = claims.get(answer.key);
-        if (claim === undefined || claim.state === "held") {
+        if (claim === undefined || claim.isClaimed) {
             return;
         }
         match(answer)
-            .with({ outcome: "claimed" }, () => claimed(claim, nowMilliseconds))
+            .with({ outcome: "claimed" }, () => runUnlessHeld(claim, nowMilliseconds))
             .with({ outcome: "claimed-by-another" }, ({ key, claimedBy }) => {
                 claims.delete(key);
-                options.onClaimedByAnother(claim.order, claimedBy ?? { host: "", incarnation: "" }, nowMilliseconds);
+                options.onClaimedByAnother(claim.order, claimedBy ?? UNKNOWN_PROCESS, nowMilliseconds);
             })
             .with({ outcome: "other-body" }, ({ key }) => {
                 claims.delete(key);
                 const message = "this key was first used for another order; this one was not passed on";
                 options.onRefused(key, refuse("order-key-reused", "may-have-run", { message }));
             })
-            .with({ outcome: "not-claimed" }, ({ key }) => {
-                claims.delete(key);
-                options.onRefused(key, refuseWithoutStore());
+            .with({ outcome: "not-claimed" }, ({ key, absentSinceMilliseconds }) => {
+                failed(key, absentSinceMilliseconds, nowMilliseconds);
             })
             .exhaustive();
     }
 
-    function failed(key: string, nowMilliseconds: number): void {
+    function failed(key: string, absentSinceMilliseconds: number | undefined, nowMilliseconds: number): void {
         const claim = claims.get(key);
-        if (claim?.state !== "asked") {
+        if (claim === undefined || claim.isClaimed) {
             return;
         }
-        claim.state = "unknown";
-        claim.deadlineMilliseconds = nowMilliseconds + options.retentionMilliseconds;
-        options.onRefused(key, refuseWithoutStore());
+        claims.delete(key);
+        options.onUnclaimed(claim.order, absentSinceMilliseconds, nowMilliseconds);
     }
 
     function tick(nowMilliseconds: number): void {
-        for (const [key, { state, deadlineMilliseconds }] of claims) {
-            if (nowMilliseconds < deadlineMilliseconds) {
-                continue;
+        for (const [key, untilMilliseconds] of holds) {
+            if (untilMilliseconds <= nowMilliseconds) {
+                holds.delete(key);
             }
-            if (state === "asked") {
-                failed(key, nowMilliseconds);
+        }
+        for (const [key, claim] of claims) {
+            if (claim.isClaimed) {
+                runUnlessHeld(claim, nowMilliseconds);
             }
-            else {
-                claims.delete(key);
+            else if (nowMilliseconds >= claim.deadlineMilliseconds) {
+                failed(key, undefined, nowMilliseconds);
             }
         }
     }
@@ -142,6 +122,7 @@
         failed,
         tick,
         find: key => claims.get(key)?.order,
+        hold: (key, untilMilliseconds) => void holds.set(key, Math.max(untilMilliseconds, holds.get(key) ?? 0)),
         get size() {
             return claims.size;
         },
--- a/src/orders/_dispatcher.ts
+++ b/src/orders/_dispatcher.ts
@@ -26,7 +26,7 @@
 /** Orders that were passed on and have no outcome yet. */
 export interface Dispatcher {
     start(order: Order, call: FoundCall, nowMilliseconds: number): void;
-    answered(key: string, result: OrderResult): void;
+    answered(key: string, result: OrderResult, nowMilliseconds: number): void;
     failed(key: string, failure: DispatchFailure, nowMilliseconds: number): void;
     tick(nowMilliseconds: number): void;
     has(key: string): boolean;
@@ -37,7 +37,7 @@
 export interface DispatcherOptions {
     readonly emit: (effect: OrdersEffect) => void;
     readonly random: RandomSource;
-    readonly onOutcome: (key: string, outcome: OrderOutcome) => void;
+    readonly onOutcome: (key: string, outcome: OrderOutcome, nowMilliseconds: number) => void;
 }
 
 /** How long past a call's timeout the decision waits for the shell to report it. */
@@ -76,9 +76,9 @@
         send(dispatch, nowMilliseconds);
     }
 
-    function finish(key: string, outcome: OrderOutcome): void {
+    function finish(key: string, outcome: OrderOutcome, nowMilliseconds: number): void {
         dispatches.delete(key);
-        onOutcome(key, outcome);
+        onOutcome(key, outcome, nowMilliseconds);
     }
 
     function failed(key: string, failure: DispatchFailure, nowMilliseconds: number): void {
@@ -87,7 +87,7 @@
             return;
         }
         if (!failure.notSent) {
-            finish(key, refuse("upstream-failed", "may-have-run", { message: failure.message }));
+            finish(key, refuse("upstream-failed", "may-have-run", { message: failure.message }), nowMilliseconds);
             return;
         }
         if (send(dispatch, nowMilliseconds)) {
@@ -98,13 +98,15 @@
         finish(
             key,
             refuse("upstream-failed", "not-run", { message, retryAfterMilliseconds: UPSTREAM_RETRY_MILLISECONDS }),
+            nowMilliseconds,
         );
     }
 
     function tick(nowMilliseconds: number): void {
         for (const [key, { deadlineMilliseconds }] of dispatches) {
             if (nowMilliseconds >= deadlineMilliseconds) {
-                finish(key, refuse("upstream-failed", "may-have-run", { message: "the plain service did not answer" }));
+                const message = "the plain service did not answer";
+                finish(key, refuse("upstream-failed", "may-have-run", { message }), nowMilliseconds);
             }
         }
     }
@@ -113,7 +115,7 @@
         start,
         failed,
         tick,
-        answered: (key, result) => finish(key, { type: "answered", result }),
+        answered: (key, result, nowMilliseconds) => finish(key, { type: "answered", result }, nowMilliseconds),
         has: key => dispatches.has(key),
         get size() {
             return dispatches.size;
--- a/src/orders/_ledger.ts
+++ b/src/orders/_ledger.ts
@@ -35,7 +35,7 @@
 /** Bounds of the ledger. */
 export interface LedgerOptions {
     readonly mostKeys: number;
-    readonly mostResultBytes: number;
+    readonly mostResultCharacters: number;
 }
 
 const RESULT_FORGOTTEN = refuse("ticket-expired", "may-have-run", {
@@ -52,16 +52,16 @@
 export function createLedger(options: LedgerOptions): Ledger {
     const entries = new Map<string, LedgerEntry>();
     const results = new Map<string, number>();
-    let resultBytes = 0;
+    let resultCharacters = 0;
 
     function dropResult(key: string): void {
-        resultBytes -= results.get(key) ?? 0;
+        resultCharacters -= results.get(key) ?? 0;
         results.delete(key);
     }
 
     function shrink(): void {
         for (const key of results.keys()) {
-            if (resultBytes <= options.mostResultBytes) {
+            if (resultCharacters <= options.mostResultCharacters) {
                 return;
             }
             dropResult(key);
@@ -83,7 +83,7 @@
         const size = sizeOf(outcome);
         if (size > 0) {
             results.set(key, size);
-            resultBytes += size;
+            resultCharacters += size;
             shrink();
         }
     }
--- a/src/orders/_outcomes.ts
+++ b/src/orders/_outcomes.ts
@@ -32,7 +32,7 @@
     });
 }
 
-/** Estimates the memory that an outcome holds, in bytes. */
+/** Counts the characters that an outcome holds. */
 export function sizeOf(outcome: OrderOutcome): number {
     return outcome.type === "answered" ? outcome.result.body.length + outcome.result.contentType.length : 0;
 }
--- a/src/orders/_ticketIssuer.ts
+++ b/src/orders/_ticketIssuer.ts
@@ -5,7 +5,7 @@
  */
 import { type RandomSource } from "../decision/index.js";
 import { type HostIdentity } from "../generated/peers.js";
-import { isSameProcess, issueTicket, type ProcessName } from "./orderKey.js";
+import { issueTicket, type ProcessName } from "./orderKey.js";
 
 /** How long a witness that gave no answer is passed over. */
 const AVOID_MILLISECONDS = 5_000;
@@ -67,8 +67,3 @@
             void avoided.set(witness.incarnation, nowMilliseconds + AVOID_MILLISECONDS),
     };
 }
-
-/** Finds a process among identities. */
-export function findProcess(identities: readonly HostIdentity[], name: ProcessName): HostIdentity | undefined {
-    return identities.find(identity => isSameProcess(identity, name));
-}
--- a/src/orders/_witness.ts
+++ b/src/orders/_witness.ts
@@ -32,19 +32,19 @@
     readonly identity: ProcessName;
     readonly generations: Generations;
     readonly mostKeys: number;
-    readonly mostResultBytes: number;
+    readonly mostResultCharacters: number;
 }
 
 /** Creates an empty table. */
 export function createWitness(options: WitnessOptions): Witness {
     const { identity, generations } = options;
     const entries = new Map<string, Entry>();
-    let resultBytes = 0;
+    let resultCharacters = 0;
 
     function put(key: string, entry: Entry): void {
         const before = entries.get(key)?.testimony;
-        resultBytes -= before?.type === "finished" ? sizeOf(before.outcome) : 0;
-        resultBytes += entry.testimony.type === "finished" ? sizeOf(entry.testimony.outcome) : 0;
+        resultCharacters -= before?.type === "finished" ? sizeOf(before.outcome) : 0;
+        resultCharacters += entry.testimony.type === "finished" ? sizeOf(entry.testimony.outcome) : 0;
         entries.set(key, entry);
     }
 
@@ -89,7 +89,7 @@
         if (present?.type === "sealed" || (present?.type === "finished" && present.outcome.type === "answered")) {
             return present;
         }
-        const fits = resultBytes + sizeOf(outcome) <= options.mostResultBytes;
+        const fits = resultCharacters + sizeOf(outcome) <= options.mostResultCharacters;
         if (!fits && mayHaveRun(outcome)) {
             return { type: "dispatched" };
         }
@@ -113,7 +113,7 @@
     function forget(): void {
         for (const [key, { generation, testimony }] of entries) {
             if (generation < generations.floor) {
-                resultBytes -= testimony.type === "finished" ? sizeOf(testimony.outcome) : 0;
+                resultCharacters -= testimony.type === "finished" ? sizeOf(testimony.outcome) : 0;
                 entries.delete(key);
             }
         }
--- /dev/null
+++ b/src/orders/histories.test.ts
@@ -0,0 +1,98 @@
+import fastCheck from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { startCallers } from "../../standins/orders/callers.js";
+import { createFabric, type FabricFaults } from "../../standins/orders/fabric.js";
+import { findViolations } from "../../standins/orders/history.js";
+
+const PROPERTY_SEED = 20261203;
+const CALLERS = {
+    orders: 120,
+    intervalMilliseconds: 200,
+    ticketShare: 0.7,
+    doubledShare: 0.2,
+    strayShare: 0.3,
+    reusedShare: 0.1,
+    abandonedShare: 0.1,
+};
+const QUIET: FabricFaults = {
+    dropShare: 0,
+    duplicateShare: 0,
+    slowShare: 0,
+    killsPerMinute: 0,
+    pausesPerMinute: 0,
+    leavesPerMinute: 0,
+    plain: { refusedShare: 0, lostAnswerShare: 0, hangShare: 0 },
+    store: { down: "never", lostAnswerShare: 0 },
+};
+
+function share(max: number): fastCheck.Arbitrary<number> {
+    return fastCheck.double({ min: 0, max, noNaN: true });
+}
+
+const FAULTS = fastCheck.record({
+    dropShare: share(0.1),
+    duplicateShare: share(0.3),
+    slowShare: share(0.1),
+    killsPerMinute: share(15),
+    pausesPerMinute: share(15),
+    leavesPerMinute: share(6),
+    plain: fastCheck.record({ refusedShare: share(0.1), lostAnswerShare: share(0.1), hangShare: share(0.1) }),
+    store: fastCheck.record({
+        down: fastCheck.constantFrom("never" as const, "always" as const, "at times" as const),
+        lostAnswerShare: share(0.2),
+    }),
+});
+
+function run(seed: number, faults: FabricFaults, options: { readonly hosts: number; readonly ticketShare: number; }) {
+    const fabric = createFabric({ seed, hosts: options.hosts, faults });
+    const tally = startCallers(fabric, { ...CALLERS, ticketShare: options.ticketShare });
+    fabric.schedule.runUntil(fabric.schedule.now + 40_000);
+    fabric.calm();
+    fabric.schedule.runUntil(fabric.schedule.now + 100_000);
+    return { fabric, tally, violations: findViolations(fabric.history) };
+}
+
+test("each key runs at most once, not-run is true, results are the run's own, and nothing waits for ever", () => {
+    const ticketShare = fastCheck.constantFrom(0, 0.7, 1);
+    const hosts = fastCheck.integer({ min: 1, max: 9 });
+    fastCheck.assert(
+        fastCheck.property(fastCheck.nat(), FAULTS, ticketShare, hosts, (seed, faults, tickets, hostCount) => {
+            const { fabric, tally, violations } = run(seed, faults, { hosts: hostCount, ticketShare: tickets });
+            assert.deepEqual(violations, []);
+            assert.equal(tally.open, 0);
+            for (const { decision } of fabric.hosts) {
+                const { waiting, underWay } = decision.snapshot();
+                assert.deepEqual({ waiting, underWay }, { waiting: 0, underWay: 0 });
+            }
+        }),
+        { seed: PROPERTY_SEED, numRuns: 150 },
+    );
+});
+
+test("without faults every order is answered, with a ticket and without", () => {
+    for (const ticketShare of [0, 1]) {
+        const { tally, violations } = run(7, QUIET, { hosts: 7, ticketShare });
+        assert.deepEqual(violations, []);
+        assert.equal(tally.answered, CALLERS.orders);
+    }
+});
+
+test("while the key-value service is down and one host dies, may-have-run is said only of orders that were passed on", () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+        const fabric = createFabric({
+            seed,
+            hosts: 7,
+            faults: { ...QUIET, store: { down: "always", lostAnswerShare: 0 } },
+        });
+        const tally = startCallers(fabric, { ...CALLERS, ticketShare: 1, reusedShare: 0 });
+        fabric.schedule.after(5_000 + seed * 37, () => fabric.kill(seed % 7));
+        fabric.schedule.runUntil(fabric.schedule.now + 120_000);
+        assert.deepEqual(findViolations(fabric.history), []);
+        const guessed = fabric.history.told.filter(({ outcome, dispatched }) =>
+            outcome.type === "refused" && outcome.ran === "may-have-run" && !dispatched
+        );
+        assert.deepEqual(guessed, []);
+        assert.equal(tally.answered + tally.mayHaveRun, CALLERS.orders);
+    }
+});
--- a/src/orders/index.ts
+++ b/src/orders/index.ts
@@ -15,6 +15,13 @@
  *
  * @module
  */
+export {
+    type ClaimBatcherEffect,
+    type ClaimBatcherMessage,
+    type ClaimBatcherOptions,
+    createClaimBatcher,
+    type ReadClaims,
+} from "./claimBatcher.js";
 export { type Order, type OrdersEffect, type OrdersMessage } from "./messages.js";
 export {
     hashOrderBody,
@@ -26,10 +33,7 @@
     parseOrderKey,
     type ProcessName,
     type Ticket,
+    ticketOf,
 } from "./orderKey.js";
-export {
-    createOrdersDecision,
-    type OrdersDecision,
-    type OrdersOptions,
-    type OrdersSnapshot,
-} from "./ordersDecision.js";
+export { createOrdersDecision, type OrdersDecision, type OrdersSnapshot } from "./ordersDecision.js";
+export { type OrdersOptions } from "./ordersOptions.js";
--- a/src/orders/messages.ts
+++ b/src/orders/messages.ts
@@ -25,6 +25,7 @@
 /** What the orders decision is told. */
 export type OrdersMessage =
     | { readonly type: "deployment"; readonly deployment: Deployment; readonly revision: number; }
+    /** Every live process, leaving ones too until they have ended. */
     | { readonly type: "peers"; readonly identities: readonly HostIdentity[]; }
     /** An order by a caller, or by the peer it reached; `identifier` names this waiting answer. */
     | {
@@ -49,6 +50,8 @@
         readonly key: string;
         readonly request: WitnessRequest["type"];
         readonly answer: WitnessAnswer;
+        /** Who answered, as in the effect; without it no answer proves that a key without a ticket has not run. */
+        readonly witness?: { readonly host: string; readonly incarnation: string; };
     }
     | { readonly type: "witness-failed"; readonly key: string; readonly request: WitnessRequest["type"]; }
     /** This host is asked as a witness. */
@@ -63,9 +66,11 @@
         readonly outcome: "claimed" | "claimed-by-another" | "other-body" | "not-claimed";
         /** With `claimed-by-another`: the process that may run the order, and knows its outcome. */
         readonly claimedBy?: { readonly host: string; readonly incarnation: string; };
+        /** With `not-claimed`: when the shard's record was last read and lacked the key. */
+        readonly absentSinceMilliseconds?: number;
     }
     /** Whether the claim took effect is unknown, or the service cannot be reached. */
-    | { readonly type: "claim-failed"; readonly key: string; }
+    | { readonly type: "claim-failed"; readonly key: string; readonly absentSinceMilliseconds?: number; }
     | { readonly type: "leave"; }
     | { readonly type: "tick"; };
 
--- a/src/orders/orderKey.ts
+++ b/src/orders/orderKey.ts
@@ -127,6 +127,20 @@
     return parseTicket(key.slice(0, separator)).map(ticket => ({ ticket, unique }));
 }
 
+/**
+ * Gives the ticket of a key.
+ *
+ * @returns The ticket; nothing for a key without one, or a malformed one.
+ *
+ * @example
+ * ```ts
+ * ticketOf("reel-cut-4711"); // undefined
+ * ```
+ */
+export function ticketOf(key: string): Ticket | undefined {
+    return parseOrderKey(key).map(parsed => parsed.ticket).unwrapOr(undefined);
+}
+
 /**
  * Hashes what a key stands for, so that a key used again for something else is noticed.
  *
--- a/src/orders/ordersDecision.ts
+++ b/src/orders/ordersDecision.ts
@@ -4,51 +4,27 @@
  * @module
  */
 import { match } from "ts-pattern";
-import { type Decision, type RandomSource } from "../decision/index.js";
+import { type Decision } from "../decision/index.js";
 import { type Deployment } from "../generated/deployment.js";
-import { type HostIdentity, type OrderOutcome, type WitnessRequest } from "../generated/peers.js";
-import { findCall, type FoundCall } from "./_calls.js";
+import { type HostIdentity, type OrderOutcome, type WitnessAnswer, type WitnessRequest } from "../generated/peers.js";
+import { findCall } from "./_calls.js";
 import { createClaims } from "./_claims.js";
-import { createDispatcher } from "./_dispatcher.js";
 import { createForwarder, WRONG_OWNER } from "./_forwarder.js";
 import { createGenerations } from "./_generations.js";
 import { createIdempotentCalls } from "./_idempotentCalls.js";
-import { createLedger, type Retention } from "./_ledger.js";
-import { mayHaveRun, refuse, type RefusedOutcome, refuseReusedKey } from "./_outcomes.js";
-import { createTicketIssuer, findProcess } from "./_ticketIssuer.js";
-import { createTicketOwner } from "./_ticketOwner.js";
+import { createInquiries } from "./_inquiry.js";
+import { refuse, refuseReusedKey } from "./_outcomes.js";
+import { createOwnedOrders } from "./_ownedOrders.js";
+import { createPeers } from "./_peers.js";
+import { createTicketIssuer } from "./_ticketIssuer.js";
 import { createWaiters } from "./_waiters.js";
 import { createWitness } from "./_witness.js";
 import { type Order, type OrdersEffect, type OrdersMessage } from "./messages.js";
-import { isSameProcess, parseOrderKey, type ProcessName, type Ticket } from "./orderKey.js";
+import { isSameProcess, parseOrderKey, type ProcessName, type Ticket, ticketOf } from "./orderKey.js";
+import { type OrdersOptions, withDefaults } from "./ordersOptions.js";
 
 type OrderReceived = Extract<OrdersMessage, { type: "order-received"; }>;
 
-/** Options of the orders decision. */
-export interface OrdersOptions {
-    /** This process. */
-    readonly identity: HostIdentity;
-    readonly random: RandomSource;
-    /** Added to the decision's clock, gives Unix time in milliseconds; hosts compare ticket generations by it. */
-    readonly wallClockOffsetMilliseconds: number;
-    /** Length of one ticket generation; by default 10 minutes. */
-    readonly generationMilliseconds?: number;
-    /** How many generations are accepted and remembered; by default 3. */
-    readonly keptGenerations?: number;
-    /** How long a claimed key is remembered; by default 30 minutes, and not less than the age of kept claims. */
-    readonly claimRetentionMilliseconds?: number;
-    /** How long a witness may take to answer; by default 1,000. */
-    readonly witnessMilliseconds?: number;
-    /** How long a claim may take; by default 2,000. */
-    readonly claimMilliseconds?: number;
-    /** How long a leaving host still begins orders of its own tickets; by default 0. */
-    readonly acceptWhileLeavingMilliseconds?: number;
-    /** Most keys remembered as owner, and as many as witness; by default 20,000. */
-    readonly mostKeys?: number;
-    /** Most bytes of results kept as owner, and as many as witness; by default 8 MiB. */
-    readonly mostResultBytes?: number;
-}
-
 /** What the decision holds, for tests and for capacity figures. */
 export interface OrdersSnapshot {
     readonly ownedKeys: number;
@@ -69,16 +45,9 @@
     snapshot(): OrdersSnapshot;
 }
 
-const DEFAULT_GENERATION_MILLISECONDS = 600_000;
-const DEFAULT_KEPT_GENERATIONS = 3;
-const DEFAULT_CLAIM_RETENTION_MILLISECONDS = 1_800_000;
-const DEFAULT_WITNESS_MILLISECONDS = 1_000;
-const DEFAULT_CLAIM_MILLISECONDS = 2_000;
-const DEFAULT_MOST_KEYS = 20_000;
-const DEFAULT_MOST_RESULT_BYTES = 8_388_608;
 const DEFAULT_CALL_MILLISECONDS = 10_000;
-const FULL_RETRY_MILLISECONDS = 5_000;
-const NEW_TICKET_MESSAGE = "take a new address and repeat the order with a new key under its ticket";
+/** How much longer than an inquiry a hold lasts. */
+const HOLDS_PER_INQUIRY = 3;
 
 /**
  * Creates the decision that runs non-idempotent orders at most once.
@@ -93,94 +62,58 @@
  * ```
  */
 export function createOrdersDecision(options: OrdersOptions): OrdersDecision {
-    const { identity, random } = options;
-    const witnessMilliseconds = options.witnessMilliseconds ?? DEFAULT_WITNESS_MILLISECONDS;
-    const claimRetention = options.claimRetentionMilliseconds ?? DEFAULT_CLAIM_RETENTION_MILLISECONDS;
-    const bounds = {
-        mostKeys: options.mostKeys ?? DEFAULT_MOST_KEYS,
-        mostResultBytes: options.mostResultBytes ?? DEFAULT_MOST_RESULT_BYTES,
-    };
+    const settings = withDefaults(options);
+    const { identity, random, witnessMilliseconds } = settings;
     let effects: OrdersEffect[] = [];
     let deployment: Deployment | undefined;
-    let peers: readonly HostIdentity[] = [];
-    let leavingSinceMilliseconds: number | undefined;
+    let startedAtMilliseconds: number | undefined;
     let now = 0;
 
     const emit = (effect: OrdersEffect): void => void effects.push(effect);
-    const generations = createGenerations({
-        wallClockOffsetMilliseconds: options.wallClockOffsetMilliseconds,
-        generationMilliseconds: options.generationMilliseconds ?? DEFAULT_GENERATION_MILLISECONDS,
-        keptGenerations: options.keptGenerations ?? DEFAULT_KEPT_GENERATIONS,
-    });
+    const generations = createGenerations(settings);
     const waiters = createWaiters(emit);
-    const ledger = createLedger(bounds);
-    const witness = createWitness({ identity, generations, ...bounds });
-    const issuer = createTicketIssuer({ random, candidates: () => [...peers, identity] });
-    const dispatcher = createDispatcher({ emit, random, onOutcome: finishOwned });
+    const answerWaiters = (key: string, outcome: OrderOutcome): void => waiters.answer(key, outcome);
+    const peers = createPeers({ ...settings, lostMilliseconds: settings.claimRetentionMilliseconds });
+    const witness = createWitness({ ...settings, generations });
+    const issuer = createTicketIssuer({ random, candidates: () => [...peers.live, identity] });
     const idempotentCalls = createIdempotentCalls({ emit, random });
-    const ticketOwner = createTicketOwner({
+    const owned = createOwnedOrders({
         emit,
-        witnessMilliseconds,
-        onRecorded: dispatch,
-        onRefused: (order, outcome) => settle(order.key, outcome),
+        settings,
+        random,
+        waiters,
+        generations,
+        deployment: () => deployment,
         onWitnessLost: (lost, at) => issuer.avoid(lost, at),
     });
     const forwarder = createForwarder({
         emit,
         witnessMilliseconds,
-        findPeer: name => findProcess(peers, name),
+        findPeer: name => peers.find(name),
         askOwnWitness: (name, request) => isSameProcess(name, identity) ? witness.ask(request) : undefined,
-        onOutcome: (key, outcome) => waiters.answer(key, outcome),
+        onOutcome: answerWaiters,
+    });
+    const inquiries = createInquiries({
+        emit,
+        peers,
+        inquiryMilliseconds: witnessMilliseconds,
+        onOutcome: answerWaiters,
+        onFound: (order, at) => forward(order, at, undefined),
     });
     const claims = createClaims({
         emit,
-        claimMilliseconds: options.claimMilliseconds ?? DEFAULT_CLAIM_MILLISECONDS,
-        retentionMilliseconds: claimRetention,
+        claimMilliseconds: settings.claimMilliseconds,
         isAwaited: key => waiters.countOf(key) > 0,
-        onClaimed: runClaimed,
+        onClaimed: (order, at) => owned.runClaimed(order, at),
         onClaimedByAnother: (order, claimer) => forward(order, claimer, undefined),
-        onRefused: (key, outcome) => waiters.answer(key, outcome),
+        onUnclaimed: (order, absentSince, at) => inquiries.begin(order, absentSince, at),
+        onRefused: answerWaiters,
     });
 
     function reply(identifier: string, outcome: OrderOutcome): void {
         emit({ type: "reply", identifier, outcome });
     }
 
-    /** Gives a key its outcome, for those who wait and those who will ask again. */
-    function settle(key: string, outcome: OrderOutcome): void {
-        ledger.finish(key, outcome);
-        waiters.answer(key, outcome);
-    }
-
-    function finishOwned(key: string, outcome: OrderOutcome): void {
-        const first = ledger.find(key);
-        if (first === undefined || (first.outcome !== undefined && !mayHaveRun(first.outcome))) {
-            return;
-        }
-        settle(key, outcome);
-        const ticket = ticketOf(key);
-        const named = ticket === undefined ? undefined : witnessOf(ticket);
-        if (named !== undefined) {
-            ticketOwner.report(key, named, outcome, now);
-        }
-    }
-
-    function ticketOf(key: string): Ticket | undefined {
-        return parseOrderKey(key).map(parsed => parsed.ticket).unwrapOr(undefined);
-    }
-
-    function witnessOf(ticket: Ticket): ProcessName | undefined {
-        return ticket.witness === undefined || isSameProcess(ticket.witness, identity) ? undefined : ticket.witness;
-    }
-
-    function dispatch(order: Order, call: FoundCall, at: number): void {
-        const ticket = ticketOf(order.key);
-        if (ticket !== undefined) {
-            generations.noteDispatch(ticket.generation);
-        }
-        dispatcher.start(order, call, at);
-    }
-
     function receive({ identifier, order, from }: OrderReceived): void {
         const call = findCall(deployment, order);
         if (call.isOk() && call.value.idempotent) {
@@ -188,10 +121,8 @@
             return;
         }
         if (order.key === "") {
-            const missing = refuse("missing-order-key", "not-run", {
-                message: "this call may not be repeated: it needs an Idempotency-Key",
-            });
-            reply(identifier, call.isErr() ? call.error : missing);
+            const message = "this call may not be repeated: it needs an Idempotency-Key";
+            reply(identifier, call.isErr() ? call.error : refuse("missing-order-key", "not-run", { message }));
             return;
         }
         const parsed = parseOrderKey(order.key);
@@ -199,20 +130,24 @@
             reply(identifier, refuse("malformed-order-key", "not-run", { message: parsed.error.message }));
             return;
         }
-        receiveKeyed(identifier, order, { ticket: parsed.value.ticket, from });
+        if (!joinKnown(identifier, order)) {
+            receiveNew(identifier, order, { ticket: parsed.value.ticket, from });
+        }
     }
 
-    function receiveKeyed(
+    function receiveNew(
         identifier: string,
         order: Order,
         { ticket, from }: { readonly ticket: Ticket | undefined; readonly from: OrderReceived["from"]; },
     ): void {
-        if (joinKnown(identifier, order)) {
+        if (ticket === undefined) {
+            waiters.join(order.key, identifier);
+            claims.hold(order.key, (startedAtMilliseconds ?? now) + settings.settleMilliseconds);
+            claims.begin(order, now);
             return;
         }
-        const owned = ticket !== undefined && isSameProcess(ticket.owner, identity);
-        if (owned) {
-            receiveOwned(identifier, order, ticket);
+        if (isSameProcess(ticket.owner, identity)) {
+            owned.receive(identifier, order, ticket, now);
             return;
         }
         if (from === "peer") {
@@ -220,117 +155,79 @@
             return;
         }
         waiters.join(order.key, identifier);
-        if (ticket === undefined) {
-            claims.begin(order, now);
-            return;
-        }
         forward(order, ticket.owner, ticket.witness);
     }
 
     /** Answers a key that this host already deals with; a repeat waits for, or gets, the first outcome. */
     function joinKnown(identifier: string, order: Order): boolean {
-        const entry = ledger.find(order.key);
-        const first = entry ?? forwarder.find(order.key) ?? claims.find(order.key);
+        const { key, bodyHash } = order;
+        const entry = owned.find(key);
+        const first = entry ?? forwarder.find(key) ?? claims.find(key) ?? inquiries.find(key);
         if (first === undefined) {
             return false;
         }
-        if (first.bodyHash !== order.bodyHash) {
+        if (first.bodyHash !== bodyHash) {
             reply(identifier, refuseReusedKey(entry?.outcome));
-            return true;
         }
-        if (entry?.outcome !== undefined) {
+        else if (entry?.outcome !== undefined) {
             reply(identifier, entry.outcome);
-            return true;
-        }
-        waiters.join(order.key, identifier);
-        if (claims.find(order.key) !== undefined) {
-            claims.begin(order, now);
-        }
-        return true;
-    }
-
-    function receiveOwned(identifier: string, order: Order, ticket: Ticket): void {
-        const refusal = refuseUnstorable(ticket);
-        if (refusal !== undefined) {
-            reply(identifier, refusal);
-            return;
-        }
-        waiters.join(order.key, identifier);
-        open(order, { type: "generation", generation: ticket.generation });
-        const call = refuseLeaving() ?? findCall(deployment, order);
-        if ("reason" in call) {
-            settle(order.key, call);
-        }
-        else if (call.isErr()) {
-            settle(order.key, call.error);
         }
         else {
-            runOwned(order, ticket, call.value);
+            waiters.join(key, identifier);
         }
+        return true;
     }
 
-    function runOwned(order: Order, ticket: Ticket, call: FoundCall): void {
-        const named = witnessOf(ticket);
-        if (named === undefined) {
-            dispatch(order, call, now);
-            return;
-        }
-        ticketOwner.begin(order, call, named, now);
+    function forward(order: Order, owner: ProcessName, named: ProcessName | undefined): void {
+        const call = findCall(deployment, order);
+        const callMilliseconds = call.isOk() ? call.value.timeoutMilliseconds : DEFAULT_CALL_MILLISECONDS;
+        forwarder.begin(order, { owner, witness: named, callMilliseconds }, now);
     }
 
-    function open(order: Order, retention: Retention): void {
-        ledger.open(order.key, order.bodyHash, retention);
+    function isForwarded(key: string, bodyHash: string | undefined): boolean {
+        return bodyHash === undefined || forwarder.find(key)?.bodyHash === bodyHash;
     }
 
-    function refuseUnstorable({ generation }: Ticket): RefusedOutcome | undefined {
-        const standing = generations.standingOf(generation);
-        if (standing !== "accepted") {
-            const ran = standing === "expired" ? "may-have-run" : "not-run";
-            const message = ran === "not-run" ? NEW_TICKET_MESSAGE : "what became of this key is no longer known";
-            return refuse("ticket-expired", ran, { message });
+    function witnessAnswered(message: Extract<OrdersMessage, { type: "witness-answered"; }>): void {
+        const { key, request, answer } = message;
+        if (request !== "seal") {
+            owned.witnessAnswered(key, request, answer, now);
         }
-        const message = "this host remembers too many orders";
-        const retryAfterMilliseconds = FULL_RETRY_MILLISECONDS;
-        return ledger.isFull ? refuse("queue-full", "not-run", { message, retryAfterMilliseconds }) : undefined;
-    }
-
-    function refuseLeaving(): RefusedOutcome | undefined {
-        if (leavingSinceMilliseconds === undefined) {
-            return undefined;
+        else if (ticketOf(key) === undefined) {
+            inquiries.answered(key, message.witness, answer, now);
         }
-        if (now < leavingSinceMilliseconds + (options.acceptWhileLeavingMilliseconds ?? 0)) {
-            return undefined;
+        else {
+            forwarder.sealAnswered(key, answer, now);
         }
-        return refuse("host-leaving", "not-run", { message: NEW_TICKET_MESSAGE, retryAfterMilliseconds: 0 });
     }
 
-    function runClaimed(order: Order, at: number): void {
-        open(order, { type: "until", untilMilliseconds: at + claimRetention });
-        const call = findCall(deployment, order);
-        if (call.isErr()) {
-            settle(order.key, call.error);
+    function witnessFailed({ key, request }: Extract<OrdersMessage, { type: "witness-failed"; }>): void {
+        if (request === "seal") {
+            inquiries.failed(key);
             return;
         }
-        dispatch(order, call.value, at);
+        owned.witnessFailed(key, request, now);
     }
 
-    function forward(order: Order, owner: ProcessName, named: ProcessName | undefined): void {
-        const call = findCall(deployment, order);
-        const callMilliseconds = call.isOk() ? call.value.timeoutMilliseconds : DEFAULT_CALL_MILLISECONDS;
-        forwarder.begin(order, { owner, witness: named, callMilliseconds }, now);
-    }
-
-    function isForwarded(key: string, bodyHash: string | undefined): boolean {
-        return bodyHash === undefined || forwarder.find(key)?.bodyHash === bodyHash;
+    function witnessAsked(identifier: string, request: WitnessRequest): void {
+        const bare = request.type === "seal" && ticketOf(request.key) === undefined;
+        emit({ type: "answer-witness", identifier, answer: bare ? holdBare(request) : witness.ask(request) });
     }
 
-    function witnessAnswered(message: Extract<OrdersMessage, { type: "witness-answered"; }>): void {
-        const { key, request, answer } = message;
-        if (request === "seal") {
-            forwarder.sealAnswered(key, answer, now);
-            return;
+    /** Says what this process did with a key without a ticket, and keeps from passing it on for a while. */
+    function holdBare({ key, witnessIncarnation }: WitnessRequest): WitnessAnswer {
+        if (witnessIncarnation !== identity.incarnation) {
+            return { type: "other-incarnation" };
+        }
+        const entry = owned.find(key);
+        if (entry?.outcome !== undefined) {
+            return { type: "finished", bodyHash: entry.bodyHash, outcome: entry.outcome };
         }
-        ticketOwner.answered(key, request, answer, now);
+        if (entry !== undefined || forwarder.find(key) !== undefined) {
+            return { type: "dispatched" };
+        }
+        claims.hold(key, now + HOLDS_PER_INQUIRY * witnessMilliseconds);
+        return { type: "sealed" };
     }
 
     function dispatchAnswered({ key, result }: Extract<OrdersMessage, { type: "dispatch-answered"; }>): void {
@@ -338,9 +235,7 @@
             idempotentCalls.answered(key, result);
             return;
         }
-        if (dispatcher.has(key) || ledger.find(key)?.outcome !== undefined) {
-            dispatcher.answered(key, result);
-        }
+        owned.dispatchAnswered(key, result, now);
     }
 
     function dispatchFailed(message: Extract<OrdersMessage, { type: "dispatch-failed"; }>): void {
@@ -348,11 +243,7 @@
             idempotentCalls.failed(message.key, message, now);
             return;
         }
-        dispatcher.failed(message.key, message, now);
-    }
-
-    function witnessAsked(identifier: string, request: WitnessRequest): void {
-        emit({ type: "answer-witness", identifier, answer: witness.ask(request) });
+        owned.dispatchFailed(message.key, message, now);
     }
 
     function abandon(identifier: string): void {
@@ -360,21 +251,21 @@
         idempotentCalls.abandon(identifier);
     }
 
+    function changePeers(identities: readonly HostIdentity[]): void {
+        peers.change(identities, now);
+        forwarder.peersChanged(now);
+    }
+
     function tick(): void {
-        ledger.forget(generations.floor, now);
+        owned.tick(now);
         witness.forget();
-        dispatcher.tick(now);
-        ticketOwner.tick(now);
+        peers.forget(now);
         forwarder.tick(now);
         claims.tick(now);
+        inquiries.tick(now);
         idempotentCalls.tick(now);
     }
 
-    function changePeers(identities: readonly HostIdentity[]): void {
-        peers = identities.filter(({ host }) => host !== identity.host);
-        forwarder.peersChanged(now);
-    }
-
     function route(received: OrdersMessage): void {
         match(received)
             .with({ type: "deployment" }, message => void (deployment = message.deployment))
@@ -392,20 +283,28 @@
                 }
             })
             .with({ type: "witness-answered" }, witnessAnswered)
-            .with({ type: "witness-failed" }, ({ key, request }) => ticketOwner.failed(key, request, now))
+            .with({ type: "witness-failed" }, witnessFailed)
             .with({ type: "witness-asked" }, ({ identifier, request }) => witnessAsked(identifier, request))
             .with({ type: "dispatch-answered" }, dispatchAnswered)
             .with({ type: "dispatch-failed" }, dispatchFailed)
             .with({ type: "claim-answered" }, message => claims.answered(message, now))
-            .with({ type: "claim-failed" }, ({ key }) => claims.failed(key, now))
-            .with({ type: "leave" }, () => void (leavingSinceMilliseconds ??= now))
+            .with({ type: "claim-failed" }, message => claims.failed(message.key, message.absentSinceMilliseconds, now))
+            .with({ type: "leave" }, () => owned.leave(now))
             .with({ type: "tick" }, tick)
             .exhaustive();
     }
 
+    function start(): void {
+        startedAtMilliseconds = now;
+        peers.start(now);
+    }
+
     function handle(message: OrdersMessage, nowMilliseconds: number): readonly OrdersEffect[] {
         effects = [];
         now = nowMilliseconds;
+        if (startedAtMilliseconds === undefined) {
+            start();
+        }
         generations.advance(now);
         issuer.advance(now);
         route(message);
@@ -416,10 +315,10 @@
         handle,
         ticketFor: owner => issuer.issue(owner, generations.current),
         snapshot: () => ({
-            ownedKeys: ledger.size,
+            ownedKeys: owned.size,
             witnessedKeys: witness.size,
             waiting: waiters.total,
-            underWay: dispatcher.size + ticketOwner.size + forwarder.size + claims.size + idempotentCalls.size,
+            underWay: owned.underWay + forwarder.size + claims.size + inquiries.size + idempotentCalls.size,
         }),
     };
 }
