--- /dev/null
+++ b/src/orders/claimBatcher.test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type ClaimBatcherEffect, createClaimBatcher } from "./index.js";
+
+const SELF = { host: "self", incarnation: "self-1" };
+const OTHER = { host: "other", incarnation: "other-1" };
+const READ = { type: "read-answered", attempt: 1, shard: 0, read: { revision: 0, record: undefined } } as const;
+
+function create(mostClaims = 100) {
+    let identifiers = 0;
+    const identifier = (): string => `write-${identifiers += 1}`;
+    return createClaimBatcher({
+        identity: SELF,
+        identifiers: identifier,
+        wallClockOffsetMilliseconds: 0,
+        shards: 1,
+        mostClaims,
+    });
+}
+
+function claim(key: string, bodyHash = "hash") {
+    return { type: "claim", key, bodyHash } as const;
+}
+
+function answersOf(effects: readonly ClaimBatcherEffect[]): string[] {
+    return effects.flatMap(effect => effect.type === "claim-answered" ? [`${effect.key} ${effect.outcome}`] : []);
+}
+
+test("keys that arrive while a call is under way go into one write, and beyond a record's bound they are not claimed", () => {
+    const batcher = create(3);
+    assert.deepEqual(batcher.handle(claim("a"), 1).map(({ type }) => type), ["read"]);
+    ["b", "c", "d"].forEach(key => assert.deepEqual(batcher.handle(claim(key), 1), []));
+    const effects = batcher.handle(READ, 2);
+    const write = effects.find(effect => effect.type === "write");
+    assert.deepEqual(write?.record.claims.map(({ key }) => key), ["a", "b", "c"]);
+    assert.deepEqual(answersOf(effects), ["d not-claimed"]);
+    const answered = batcher.handle({ type: "written", attempt: 2, shard: 0, revision: 1 }, 3);
+    assert.deepEqual(answersOf(answered), ["a claimed", "b claimed", "c claimed"]);
+});
+
+test("a write whose answer was lost is read back, and a conflict yields to whoever claimed first", () => {
+    const batcher = create();
+    batcher.handle(claim("a"), 1);
+    const [write] = batcher.handle(READ, 2);
+    assert.ok(write?.type === "write");
+    const [read] = batcher.handle({ type: "write-failed", attempt: 2, shard: 0, notSent: false }, 3);
+    assert.equal(read?.type, "read");
+    const back = { type: "read-answered", attempt: 3, shard: 0, read: { revision: 1, record: write.record } } as const;
+    assert.deepEqual(answersOf(batcher.handle(back, 4)), ["a claimed"]);
+    batcher.handle(claim("b"), 5);
+    const theirs = { ...OTHER, key: "b", bodyHash: "hash", claimedAtMilliseconds: 5 };
+    const current = { revision: 2, record: { writeIdentifier: "x", claims: [...write.record.claims, theirs] } };
+    const effects = batcher.handle({ type: "conflict", attempt: 4, shard: 0, current }, 6);
+    assert.deepEqual(answersOf(effects), ["b claimed-by-another"]);
+    assert.deepEqual(answersOf(batcher.handle(claim("b", "other-hash"), 7)), ["b other-body"]);
+});
+
+test("an unreachable service is answered with when the key was last known absent, and as unknown after a lost write", () => {
+    const batcher = create();
+    batcher.handle(claim("a"), 10);
+    batcher.handle(READ, 12);
+    batcher.handle({ type: "write-failed", attempt: 2, shard: 0, notSent: false }, 13);
+    assert.deepEqual(batcher.handle({ type: "read-failed", attempt: 3, shard: 0 }, 14), [
+        { type: "claim-failed", key: "a", absentSinceMilliseconds: 10 },
+    ]);
+    batcher.handle(claim("b"), 15);
+    assert.deepEqual(batcher.handle({ type: "tick" }, 5_000), [
+        { type: "claim-answered", key: "b", outcome: "not-claimed", absentSinceMilliseconds: 10 },
+    ]);
+    assert.deepEqual(batcher.handle({ type: "read-failed", attempt: 4, shard: 0 }, 5_001), []);
+});
