Let a host that has just started learn of an order's owner before it has the order sealed

Ruled out: the owner or the witness being at fault; both refused or answered rightly. Change: for 2 s after its start a host waits for the owner to appear among its peers before it asks for the seal. An order that the witness calls dispatched is given up 1 s after its owner is known to be lost.

--- a/src/orders/_forwarder.ts
+++ b/src/orders/_forwarder.ts
@@ -10,6 +10,8 @@
 import { type ProcessName } from "./orderKey.js";
 
 type Phase =
+    /** This host has just started and does not know the owner yet. */
+    | { readonly type: "waiting"; readonly deadlineMilliseconds: number; }
     | { readonly type: "forwarding"; readonly deadlineMilliseconds: number; }
     /** The witness is asked to seal; where it says `dispatched`, it is asked again for the outcome. */
     | {
@@ -53,6 +55,8 @@
 export interface ForwarderOptions {
     readonly emit: (effect: OrdersEffect) => void;
     readonly findPeer: (name: ProcessName) => HostIdentity | undefined;
+    /** When this host knows all others. */
+    readonly settledAtMilliseconds: () => number;
     /** This host's own testimony, where it is the witness itself. */
     readonly askOwnWitness: (witness: ProcessName, request: WitnessRequest) => WitnessAnswer | undefined;
     readonly onOutcome: (key: string, outcome: OrderOutcome) => void;
@@ -85,6 +89,11 @@
 
     function send(forward: Forward, nowMilliseconds: number): void {
         const to = findPeer(forward.owner);
+        const settledAtMilliseconds = options.settledAtMilliseconds();
+        if (to === undefined && nowMilliseconds < settledAtMilliseconds) {
+            forward.phase = { type: "waiting", deadlineMilliseconds: settledAtMilliseconds };
+            return;
+        }
         if (to === undefined || forward.forwards >= MOST_FORWARDS) {
             beginSeal(forward, nowMilliseconds);
             return;
@@ -171,7 +180,7 @@
     function tickForward(forward: Forward, nowMilliseconds: number): void {
         const { phase } = forward;
         const late = nowMilliseconds >= phase.deadlineMilliseconds;
-        if (phase.type === "forwarding") {
+        if (phase.type !== "sealing") {
             if (late) {
                 beginSeal(forward, nowMilliseconds);
             }
@@ -212,10 +221,25 @@
         send(forward, nowMilliseconds);
     }
 
+    function loseOwner(forward: Forward, nowMilliseconds: number): void {
+        const { phase } = forward;
+        if (phase.type === "forwarding") {
+            beginSeal(forward, nowMilliseconds);
+        }
+        else if (phase.type === "sealing" && phase.dispatched) {
+            const latest = nowMilliseconds + LOST_OWNER_OUTCOME_MILLISECONDS;
+            phase.deadlineMilliseconds = Math.min(phase.deadlineMilliseconds, latest);
+        }
+    }
+
     function peersChanged(nowMilliseconds: number): void {
         for (const forward of forwards.values()) {
-            if (forward.phase.type === "forwarding" && findPeer(forward.owner) === undefined) {
-                beginSeal(forward, nowMilliseconds);
+            const { phase } = forward;
+            if (phase.type === "waiting") {
+                send(forward, nowMilliseconds);
+            }
+            else if (findPeer(forward.owner) === undefined) {
+                loseOwner(forward, nowMilliseconds);
             }
         }
     }
--- a/src/orders/orders.test.ts
+++ b/src/orders/orders.test.ts
@@ -306,3 +306,15 @@
     assert.deepEqual(ask(sealed), { type: "finished", bodyHash: "hash", outcome: result });
     assert.deepEqual(ask({ ...sealed, witnessIncarnation: "first-0" }), { type: "other-incarnation" });
 });
+
+test("a host that has just started waits to learn of the owner before it has an order sealed", () => {
+    const decision = create();
+    const stranger = identityOf("stranger", "b");
+    const order = orderOf(`${decision.ticketFor(stranger)}/x`);
+    assert.deepEqual(send(decision, order, "1", 10), []);
+    const identities = [FIRST, SAME_ZONE, OTHER_ZONE, stranger];
+    assert.deepEqual(typesOf(decision.handle({ type: "peers", identities }, 20)), ["forward"]);
+    const unknown = orderOf(`${decision.ticketFor(identityOf("unknown", "b"))}/x`);
+    assert.deepEqual(send(decision, unknown, "2", 30), []);
+    assert.deepEqual(typesOf(decision.handle({ type: "tick" }, 2_000)), ["ask-witness"]);
+});
--- a/src/orders/ordersDecision.ts
+++ b/src/orders/ordersDecision.ts
@@ -90,6 +90,7 @@
         emit,
         witnessMilliseconds,
         findPeer: name => peers.find(name),
+        settledAtMilliseconds,
         askOwnWitness: (name, request) => isSameProcess(name, identity) ? witness.ask(request) : undefined,
         onOutcome: answerWaiters,
     });
@@ -110,6 +111,10 @@
         onRefused: answerWaiters,
     });
 
+    function settledAtMilliseconds(): number {
+        return (startedAtMilliseconds ?? now) + settings.settleMilliseconds;
+    }
+
     function reply(identifier: string, outcome: OrderOutcome): void {
         emit({ type: "reply", identifier, outcome });
     }
@@ -142,7 +147,7 @@
     ): void {
         if (ticket === undefined) {
             waiters.join(order.key, identifier);
-            claims.hold(order.key, (startedAtMilliseconds ?? now) + settings.settleMilliseconds);
+            claims.hold(order.key, settledAtMilliseconds());
             claims.begin(order, now);
             return;
         }
