Plan no evict and load of one copy together, and wait for the whole pool's view

Change: an evicted copy cannot be planned again in the same plan, one order a subject in a draft, and nothing is moved until each engine is confirmed or has been missing for 3 s.

--- a/src/residency/_carryOut.ts
+++ b/src/residency/_carryOut.ts
@@ -98,7 +98,8 @@
     nowMilliseconds: number,
 ): Outcome {
     const order = orderOf(holder, action);
-    if (isInMotion(draft.state, orderSubjectKey(order))) {
+    const subject = orderSubjectKey(order);
+    if (isInMotion(draft.state, subject) || draft.orders.some(other => orderSubjectKey(other) === subject)) {
         return { type: "wait", reason: "an order about it is under way" };
     }
     const check = match(action.action)
@@ -195,6 +196,6 @@
     const roleDrafts = [...drafts].filter(([, { state }]) => state.stamped && state.newIncarnation === undefined);
     changeRole(holder, new Map(roleDrafts), nowMilliseconds);
     for (const draft of drafts.values()) {
-        writeDraft(holder, draft.state, draft.record, draft.orders);
+        writeDraft(holder, draft.state, draft.record, draft.orders, draft.hasIntents);
     }
 }
--- a/src/residency/_engineState.ts
+++ b/src/residency/_engineState.ts
@@ -71,9 +71,11 @@
     /** A direct report of an incarnation that the record does not speak of. */
     newIncarnation: EngineReport | undefined;
     confirmedAtMilliseconds: number | undefined;
+    /** Since when its copies have not counted; `undefined` while they do. */
+    missingSinceMilliseconds: number | undefined;
     reachable: boolean;
     leaving: boolean;
-    published: string;
+    publishedRevision: number;
     publishedAtMilliseconds: number;
 }
 
@@ -97,9 +99,10 @@
         nextReportAtMilliseconds: 0,
         newIncarnation: undefined,
         confirmedAtMilliseconds: undefined,
+        missingSinceMilliseconds: undefined,
         reachable: true,
         leaving: false,
-        published: "",
+        publishedRevision: 0,
         publishedAtMilliseconds: 0,
     };
 }
--- a/src/residency/_publishing.ts
+++ b/src/residency/_publishing.ts
@@ -34,15 +34,14 @@
 
 /** Publishes an engine's proved copies when its stored record has changed, and at intervals. */
 export function publishIfDue(holder: Holder, state: EngineState, nowMilliseconds: number): void {
-    const digest = digestOf(state);
-    if (digest === undefined || !state.stamped) {
+    const isDue = nowMilliseconds - state.publishedAtMilliseconds >= PUBLISH_INTERVAL_MILLISECONDS;
+    if (!state.stamped || (state.storeRevision === state.publishedRevision && !isDue)) {
         return;
     }
     noteProved(state, nowMilliseconds);
-    const text = JSON.stringify(digest);
-    const isDue = nowMilliseconds - state.publishedAtMilliseconds >= PUBLISH_INTERVAL_MILLISECONDS;
-    if (text !== state.published || isDue) {
-        state.published = text;
+    const digest = digestOf(state);
+    if (digest !== undefined) {
+        state.publishedRevision = state.storeRevision;
         state.publishedAtMilliseconds = nowMilliseconds;
         holder.effects.push({ type: "publish-residency", digest });
     }
--- a/src/residency/_recordKeeping.ts
+++ b/src/residency/_recordKeeping.ts
@@ -161,15 +161,19 @@
  * @param holder The holder, active.
  * @param state The engine; its record has to be known, with no write under way.
  * @param draft The record to write.
- * @param orders Orders whose intents the draft contains.
+ * @param orders Orders whose intents the draft contains, to be sent after the write.
+ * @param hasIntents True where the draft contains intents, be they to be sent at once or not.
  */
 export function writeDraft(
     holder: ActiveHolder,
     state: EngineState,
     draft: EngineRecord,
     orders: readonly EngineOrder[],
+    hasIntents: boolean,
 ): void {
-    if (state.stamped && !differs(state.record, draft)) {
+    const isLearned = state.facts.length > 0 || state.newIncarnation !== undefined;
+    const isOfText = state.record?.deploymentRevision === draft.deploymentRevision;
+    if (state.stamped && ((!isLearned && !hasIntents && isOfText) || !differs(state.record, draft))) {
         return;
     }
     const record = { ...draft, writeIdentifier: holder.createIdentifier() };
--- a/src/residency/_reports.ts
+++ b/src/residency/_reports.ts
@@ -15,7 +15,7 @@
     const pending = state.pendingReport;
     const isUnderWay = pending !== undefined
         && nowMilliseconds - pending.sentAtMilliseconds < REPORT_TIMEOUT_MILLISECONDS;
-    const isKnown = state.phase === "ready" || state.phase === "writing";
+    const isKnown = state.phase === "ready" || state.phase === "writing" || state.stamped;
     if (isUnderWay || !isKnown || nowMilliseconds < state.nextReportAtMilliseconds) {
         return;
     }
--- a/src/residency/_standing.ts
+++ b/src/residency/_standing.ts
@@ -9,6 +9,9 @@
 import { type ActiveHolder, CONFIRMATION_LIFETIME_MILLISECONDS } from "./_holder.js";
 import { compareFencing, isProvedCopy } from "./ledger.js";
 
+/** An engine whose copies have not counted for this long is taken for lost, and its models are placed elsewhere. */
+const LOST_ENGINE_MILLISECONDS = 3_000;
+
 /** Tells whether an engine's stored record can be relied on: this holder's own, of an incarnation lately confirmed. */
 export function isStandingEngine(holder: ActiveHolder, state: EngineState, nowMilliseconds: number): boolean {
     return state.stamped
@@ -20,6 +23,26 @@
         && nowMilliseconds - state.confirmedAtMilliseconds < CONFIRMATION_LIFETIME_MILLISECONDS;
 }
 
+/** Notes which engines' copies count. */
+export function noteStanding(holder: ActiveHolder, nowMilliseconds: number): void {
+    for (const state of holder.engines.values()) {
+        state.missingSinceMilliseconds = isStandingEngine(holder, state, nowMilliseconds)
+            ? undefined
+            : state.missingSinceMilliseconds ?? nowMilliseconds;
+    }
+}
+
+/**
+ * Tells whether the view of the pool is good enough to move anything: each engine's copies count, or have not counted
+ * for so long that it has to be taken for lost.
+ */
+export function isPoolKnown(holder: ActiveHolder, nowMilliseconds: number): boolean {
+    return [...holder.engines.values()].every(({ missingSinceMilliseconds }) =>
+        missingSinceMilliseconds === undefined
+        || nowMilliseconds - missingSinceMilliseconds >= LOST_ENGINE_MILLISECONDS
+    );
+}
+
 /** Records that the store may hold by now: the known one, and one whose write is under way. */
 function possibleRecords(state: EngineState): readonly EngineRecord[] {
     return [state.record, state.pendingWrite?.record].filter(record => record !== undefined);
--- a/src/residency/_testFleet.ts
+++ b/src/residency/_testFleet.ts
@@ -109,9 +109,8 @@
     text: Deployment;
     private readonly hosts: Host[];
     private readonly random: RandomSource;
-    private readonly queue: { at: number; order: number; run: () => void; }[] = [];
+    private readonly queue: { at: number; run: () => void; }[] = [];
     private readonly armed = new Map<Fault["kind"], number>();
-    private order = 0;
     private revision = 0;
     private textRevision = 1;
     private epoch = 0;
@@ -146,7 +145,6 @@
 
     runUntil(end: number): void {
         for (;;) {
-            this.queue.sort((left, right) => left.at - right.at || left.order - right.order);
             const next = this.queue[0];
             if (next === undefined || next.at > end || this.violations.length > 0) {
                 this.now = end;
@@ -165,8 +163,9 @@
     }
 
     private after(delay: number, run: () => void): void {
-        this.order += 1;
-        this.queue.push({ at: this.now + delay, order: this.order, run });
+        const at = this.now + delay;
+        const index = this.queue.findLastIndex(queued => queued.at <= at);
+        this.queue.splice(index + 1, 0, { at, run });
     }
 
     private takeFault(kind: Fault["kind"]): boolean {
--- a/src/residency/_workspace.ts
+++ b/src/residency/_workspace.ts
@@ -97,10 +97,11 @@
     work.actions.push({ action: "load", engine: engine.engine, name, version, megabytes, reason });
 }
 
-/** Plans an evict; its room counts as free for the rest of the plan. */
+/** Plans an evict; its room counts as free for the rest of the plan, but not for the same version again. */
 export function planEvict(work: Workspace, engine: WorkEngine, copy: PlacementCopy, reason: string): void {
     const { name, version, megabytes } = copy;
-    engine.copies = engine.copies.filter(known => known !== copy);
+    const leaving: PlacementCopy = { ...copy, megabytes: 0, state: "evicting", clearable: false };
+    engine.copies = engine.copies.map(known => known === copy ? leaving : known);
     engine.freeMegabytes += megabytes;
     work.actions.push({ action: "evict", engine: engine.engine, name, version, megabytes, reason });
 }
--- a/src/residency/residencyDecision.ts
+++ b/src/residency/residencyDecision.ts
@@ -24,6 +24,7 @@
     takeWritten,
 } from "./_recordKeeping.js";
 import { readReportIfDue, takeReport, takeUnreachable } from "./_reports.js";
+import { isPoolKnown, noteStanding } from "./_standing.js";
 import { createStoreBudget, refillBudget } from "./_storeBudget.js";
 import { buildView } from "./_view.js";
 import { type ResidencyEffect, type ResidencyMessage } from "./messages.js";
@@ -169,6 +170,11 @@
     const { deployment } = holder.text;
     refillBudget(holder.budget, shareOfWeightStore(deployment, holder.pool), nowMilliseconds);
     const drafts = draftsOf(holder);
+    noteStanding(holder, nowMilliseconds);
+    if (!isPoolKnown(holder, nowMilliseconds)) {
+        carryOut(holder, [], drafts, nowMilliseconds);
+        return;
+    }
     const { actions, problems } = planPlacement(buildView(holder, drafts, nowMilliseconds), deployment.placement);
     for (const { name, reason } of problems) {
         explainOnce(holder, "none", undefined, name, reason);
@@ -176,12 +182,22 @@
     carryOut(holder, [...missingGrants(holder, nowMilliseconds), ...actions], drafts, nowMilliseconds);
 }
 
-function act(holder: ActiveHolder, nowMilliseconds: number): void {
+/** A report that confirms what is known, or demand, changes the plan no sooner than the next tick. */
+function isPlannedFor(holder: Holder, message: ResidencyMessage): boolean {
+    if (message.type === "engine-reported") {
+        return holder.engines.get(message.report.engine)?.newIncarnation !== undefined;
+    }
+    return message.type !== "demand" && message.type !== "lease-renewed";
+}
+
+function act(holder: ActiveHolder, message: ResidencyMessage, nowMilliseconds: number): void {
     for (const state of holder.engines.values()) {
         readIfNeeded(holder, state, nowMilliseconds);
         readReportIfDue(holder, state, nowMilliseconds);
     }
-    plan(holder, nowMilliseconds);
+    if (isPlannedFor(holder, message)) {
+        plan(holder, nowMilliseconds);
+    }
     loadWantedAdapters(holder, nowMilliseconds);
     for (const state of holder.engines.values()) {
         publishIfDue(holder, state, nowMilliseconds);
@@ -212,7 +228,7 @@
         handle(message, nowMilliseconds) {
             take(holder, message, nowMilliseconds);
             if (isActive(holder, nowMilliseconds)) {
-                act(holder, nowMilliseconds);
+                act(holder, message, nowMilliseconds);
             }
             return holder.effects.splice(0);
         },
