Keep planned targets from one plan to the next, and bound moves of standing copies

Change: a model's intended engine is kept while it serves, moves and exchanges have a budget, problems name the room in doubt until a restart.

--- a/src/residency/_adapterLoads.ts
+++ b/src/residency/_adapterLoads.ts
@@ -90,5 +90,6 @@
         version: entry.version,
         megabytes: entry.megabytes,
         reason: "wanted, and granted by an earlier holder",
+        isMove: false,
     }));
 }
--- a/src/residency/_adapterPlan.ts
+++ b/src/residency/_adapterPlan.ts
@@ -30,7 +30,15 @@
     engine.freeMegabytes -= megabytes;
     engine.grants.push({ adapter: name, model, megabytes, clearable: false, lastWantedMilliseconds });
     const reason = `adapter of ${model}, which is here`;
-    work.actions.push({ action: "grant", engine: engine.engine, name, version: model, megabytes, reason });
+    work.actions.push({
+        action: "grant",
+        engine: engine.engine,
+        name,
+        version: model,
+        megabytes,
+        reason,
+        isMove: false,
+    });
 }
 
 /** Withdraws adapters that were wanted longer ago until the wanted one fits. */
--- a/src/residency/_carryOut.ts
+++ b/src/residency/_carryOut.ts
@@ -119,6 +119,7 @@
     const outcome = addIntent(holder, draft, order);
     if (outcome.type === "recorded") {
         holder.budget.tokens -= action.action === "load" ? 1 : 0;
+        holder.moves.tokens -= action.isMove ? 1 : 0;
         if (action.action !== "grant") {
             draft.orders.push(order);
         }
--- a/src/residency/_holder.ts
+++ b/src/residency/_holder.ts
@@ -35,6 +35,10 @@
     engines: Map<string, EngineState>;
     leavingEngines: ReadonlySet<string>;
     budget: StoreBudget;
+    /** Moves of standing copies that may be made. */
+    moves: StoreBudget;
+    /** Engine that the last plan chose for each model's next copy. */
+    intended: ReadonlyMap<string, string>;
     sequence: number;
 }
 
--- a/src/residency/_roomMaking.ts
+++ b/src/residency/_roomMaking.ts
@@ -35,12 +35,14 @@
     const zones = new Set(enginesWith(work, model.name).map(engine => engine.zone));
     const ranked = work.engines.filter(engine => canHost(engine, model)).map(engine => ({
         engine,
+        unintended: work.intended.get(model.name) === engine.engine ? 0 : 1,
         sameZone: zones.has(engine.zone) ? 1 : 0,
         charged: engine.copies.some(copy => copy.name === model.name && copy.version === model.version) ? 0 : 1,
         load: context.loadOf(engine),
     }));
     ranked.sort((left, right) =>
         left.charged - right.charged
+        || left.unintended - right.unintended
         || left.sameZone - right.sameZone
         || left.load - right.load
         || right.engine.freeMegabytes - left.engine.freeMegabytes
@@ -189,7 +191,7 @@
     for (const attempt of attempts) {
         const engine = tryOn(work, ranked, model, attempt);
         if (engine !== undefined) {
-            planLoad(work, engine, model, options.reason);
+            planLoad(work, engine, model, options.reason, depth > 0);
             return true;
         }
     }
--- a/src/residency/_view.ts
+++ b/src/residency/_view.ts
@@ -153,5 +153,6 @@
             ? []
             : [engineOf(holder, state, draft, capacityOf(holder.text, state.name), nowMilliseconds)];
     });
-    return { engines, models: modelsOf(holder, nowMilliseconds), adapters: adaptersOf(holder) };
+    const models = modelsOf(holder, nowMilliseconds);
+    return { engines, models, adapters: adaptersOf(holder), intended: holder.intended };
 }
--- a/src/residency/_workspace.ts
+++ b/src/residency/_workspace.ts
@@ -23,6 +23,7 @@
 export interface Workspace {
     engines: WorkEngine[];
     actions: PlannedAction[];
+    readonly intended: ReadonlyMap<string, string>;
 }
 
 /** Copies a view, in a defined order of engines. */
@@ -33,7 +34,7 @@
         grants: [...engine.grants],
     }));
     engines.sort((left, right) => left.engine < right.engine ? -1 : 1);
-    return { engines, actions: [] };
+    return { engines, actions: [], intended: view.intended ?? new Map() };
 }
 
 /** Copies a workspace, so that a try can be dropped. */
@@ -43,7 +44,7 @@
         copies: [...engine.copies],
         grants: [...engine.grants],
     }));
-    return { engines, actions: [...work.actions] };
+    return { engines, actions: [...work.actions], intended: work.intended };
 }
 
 /** Puts the outcome of a try in place of what it began with. */
@@ -88,13 +89,19 @@
 }
 
 /** Plans a load. */
-export function planLoad(work: Workspace, engine: WorkEngine, model: PlacementModel, reason: string): void {
+export function planLoad(
+    work: Workspace,
+    engine: WorkEngine,
+    model: PlacementModel,
+    reason: string,
+    isMove = false,
+): void {
     const { name, version, megabytes } = model;
     const known = engine.copies.find(copy => copy.name === name && copy.version === version);
     engine.freeMegabytes -= Math.max(0, megabytes - (known?.megabytes ?? 0));
     engine.copies = engine.copies.filter(copy => copy !== known);
     engine.copies.push({ name, version, megabytes, state: "loading", clearable: false, settling: true });
-    work.actions.push({ action: "load", engine: engine.engine, name, version, megabytes, reason });
+    work.actions.push({ action: "load", engine: engine.engine, name, version, megabytes, reason, isMove });
 }
 
 /** Plans an evict; its room counts as free for the rest of the plan, but not for the same version again. */
@@ -103,7 +110,7 @@
     const leaving: PlacementCopy = { ...copy, megabytes: 0, state: "evicting", clearable: false };
     engine.copies = engine.copies.map(known => known === copy ? leaving : known);
     engine.freeMegabytes += megabytes;
-    work.actions.push({ action: "evict", engine: engine.engine, name, version, megabytes, reason });
+    work.actions.push({ action: "evict", engine: engine.engine, name, version, megabytes, reason, isMove: false });
 }
 
 /** Plans to withdraw an adapter from an engine; its room counts as free for the rest of the plan. */
@@ -111,5 +118,5 @@
     engine.grants = engine.grants.filter(known => known !== grant);
     engine.freeMegabytes += grant.megabytes;
     const { adapter: name, model: version, megabytes } = grant;
-    work.actions.push({ action: "withdraw", engine: engine.engine, name, version, megabytes, reason });
+    work.actions.push({ action: "withdraw", engine: engine.engine, name, version, megabytes, reason, isMove: false });
 }
--- a/src/residency/placement.ts
+++ b/src/residency/placement.ts
@@ -69,6 +69,8 @@
     readonly engines: readonly PlacementEngine[];
     readonly models: readonly PlacementModel[];
     readonly adapters: readonly PlacementAdapter[];
+    /** Engine that an earlier plan chose for a model's next copy; kept where it still serves. */
+    readonly intended?: ReadonlyMap<string, string>;
 }
 
 /** How easily the planner moves. */
@@ -77,6 +79,8 @@
     readonly attainmentWeight?: number;
     /** Weight of a move, from 0 to 1; 0.5 by default. */
     readonly moveWeight?: number;
+    /** False where no model may be moved or exchanged now, only loaded and cleared; true by default. */
+    readonly mayMove?: boolean;
 }
 
 /** Something to be done on an engine; loads come in the order in which they are needed. */
@@ -88,6 +92,8 @@
     readonly version: string;
     readonly megabytes: number;
     readonly reason: string;
+    /** True for a load that moves or exchanges copies that stand already. */
+    readonly isMove: boolean;
 }
 
 /** Something that should be done and cannot. */
--- a/src/residency/planPlacement.ts
+++ b/src/residency/planPlacement.ts
@@ -55,7 +55,15 @@
             return sum + (models.get(copy.name)?.arrivalsPerSecond ?? 0) / copies;
         }, 0);
     const moveWeight = options.moveWeight ?? DEFAULT_WEIGHT;
-    return { models, worthOf, loadOf, triesLeft: MOST_TRIES, moveWeight, ordered, problems: [] };
+    return {
+        models,
+        worthOf,
+        loadOf,
+        triesLeft: options.mayMove === false ? 0 : MOST_TRIES,
+        moveWeight,
+        ordered,
+        problems: [],
+    };
 }
 
 /** Clears what is not wanted: unlisted models, copies in doubt beside proved ones, room under lost orders. */
@@ -84,12 +92,18 @@
 
 function placeOrExplain(work: Workspace, model: PlacementModel, context: PlanContext, reason: string): void {
     if (!placeSomewhere(work, model, context, { reason })) {
-        const room = work.engines.filter(engine => engine.usable).map(engine =>
-            `${engine.engine} ${engine.freeMegabytes}`
-        );
+        const usable = work.engines.filter(engine => engine.usable);
+        const room = usable.map(engine => {
+            const doubtful = engine.copies.filter(copy => copy.megabytes > 0 && !copy.clearable).filter(copy =>
+                copy.state === "uncertain" || copy.state === "stuck"
+            );
+            const names = doubtful.map(copy => `${copy.name} ${copy.version}`).join(", ");
+            const until = names === "" ? "" : `, in doubt until it restarts: ${names}`;
+            return `${engine.engine}: ${engine.freeMegabytes} MB free${until}`;
+        });
         context.problems.push({
             name: model.name,
-            reason: `${reason}, and no engine can make ${model.megabytes} MB free (free: ${room.join(", ")})`,
+            reason: `${reason}, and no engine can make ${model.megabytes} MB free (${room.join("; ")})`,
         });
     }
 }
@@ -131,7 +145,8 @@
 function placeMinimumCopies(work: Workspace, context: PlanContext): void {
     for (const model of context.ordered) {
         const wanted = Math.min(model.minimumCopies, work.engines.filter(engine => engine.usable).length);
-        for (let copies = enginesWith(work, model.name).length; copies < wanted; copies += 1) {
+        const standing = enginesWith(work, model.name).length;
+        for (let copies = standing; copies > 0 && copies < wanted; copies += 1) {
             placeOrExplain(work, model, context, `${copies} of at least ${wanted} copies stand`);
         }
     }
@@ -199,7 +214,7 @@
                 planEvict(tried, engine, spare, `${model.name} is worth more here`);
             }
             if (missingMegabytes(engine, model) <= 0 && gain > lost * factor) {
-                planLoad(tried, engine, model, `copy ${copies}, worth more than what it replaces`);
+                planLoad(tried, engine, model, `copy ${copies}, worth more than what it replaces`, true);
                 work.engines = tried.engines;
                 work.actions = tried.actions;
                 return;
@@ -246,7 +261,7 @@
     shedOverfull(work, context);
     planAdapters(work, view.adapters);
     placeFurtherCopies(work, context);
-    if (isCalm(work)) {
+    if (options.mayMove !== false && isCalm(work)) {
         replaceOneCopy(work, context);
     }
     return { actions: work.actions, problems: context.problems };
--- a/src/residency/residencyDecision.ts
+++ b/src/residency/residencyDecision.ts
@@ -25,7 +25,7 @@
 } from "./_recordKeeping.js";
 import { readReportIfDue, takeReport, takeUnreachable } from "./_reports.js";
 import { isPoolKnown, noteStanding } from "./_standing.js";
-import { createStoreBudget, refillBudget } from "./_storeBudget.js";
+import { createStoreBudget, refillBudget, refillMoves } from "./_storeBudget.js";
 import { buildView } from "./_view.js";
 import { type ResidencyEffect, type ResidencyMessage } from "./messages.js";
 import { planPlacement } from "./planPlacement.js";
@@ -53,6 +53,8 @@
         engines: new Map(),
         leavingEngines: new Set(),
         budget: createStoreBudget(0),
+        moves: createStoreBudget(0),
+        intended: new Map(),
         sequence: 0,
     };
 }
@@ -75,6 +77,7 @@
     holder.engines = new Map();
     holder.explained.clear();
     holder.budget = createStoreBudget(nowMilliseconds);
+    holder.intended = new Map();
     alignEngines(holder);
 }
 
@@ -175,7 +178,12 @@
         carryOut(holder, [], drafts, nowMilliseconds);
         return;
     }
-    const { actions, problems } = planPlacement(buildView(holder, drafts, nowMilliseconds), deployment.placement);
+    refillMoves(holder.moves, holder.engines.size, nowMilliseconds);
+    const view = buildView(holder, drafts, nowMilliseconds);
+    const options = { ...deployment.placement, mayMove: holder.moves.tokens >= 1 };
+    const { actions, problems } = planPlacement(view, options);
+    const loads = actions.filter(({ action }) => action === "load");
+    holder.intended = new Map(loads.reverse().map(({ name, engine }) => [name, engine]));
     for (const { name, reason } of problems) {
         explainOnce(holder, "none", undefined, name, reason);
     }
