--- a/measurements/policy/hostsRun.ts
+++ b/measurements/policy/hostsRun.ts
@@ -17,6 +17,7 @@
 import { createEventQueue, type EventQueue } from "./eventQueue.js";
 
 const TICK_MILLISECONDS = 50;
+const CANCEL_DELAY_MILLISECONDS = 20;
 
 /** A request as its caller sends it. */
 export interface Arrival {
@@ -26,6 +27,8 @@
     readonly prompt: readonly PromptPart[];
     readonly outputTokens: number;
     readonly crashesAfterMilliseconds?: number;
+    /** The caller goes after this time. */
+    readonly cancelAfterMilliseconds?: number;
 }
 
 /** What became of a request. */
@@ -143,6 +146,13 @@
             taken: false,
         });
         this.tell(arrival.host, { type: "submit", request: arrival.request });
+        if (arrival.cancelAfterMilliseconds !== undefined) {
+            const { identifier } = arrival.request;
+            this.events.schedule(
+                arrival.cancelAfterMilliseconds,
+                () => this.tell(arrival.host, { type: "cancel", identifier }),
+            );
+        }
     }
 
     /** Hands a message to one host now. */
@@ -289,8 +299,8 @@
         }
         else if (effect.type === "cancel-attempt") {
             const attempt = this.#attempts.get(nameAttempt(effect.identifier, effect.attempt));
-            attempt?.engine.cancel(attempt.job);
             this.#attempts.delete(nameAttempt(effect.identifier, effect.attempt));
+            this.events.schedule(CANCEL_DELAY_MILLISECONDS * this.random(), () => attempt?.engine.cancel(attempt.job));
         }
         else if (effect.type === "refuse") {
             this.#recordRefusal(effect);
@@ -347,6 +357,9 @@
                 ? {}
                 : { crashesAfterMilliseconds: arrival.crashesAfterMilliseconds }),
             onToken: tokens => {
+                if (!this.#attempts.has(name)) {
+                    return;
+                }
                 if (tokens === effect.resumeAtToken + 1) {
                     record.firstTokenAtMilliseconds ??= this.events.now();
                     this.tell(host, {
@@ -358,7 +371,9 @@
                 record.tokens = tokens;
             },
             onFinished: () => {
-                this.#attempts.delete(name);
+                if (!this.#attempts.delete(name)) {
+                    return;
+                }
                 record.answers += 1;
                 record.finishedAtMilliseconds = this.events.now();
                 this.tell(host, { type: "attempt-finished", identifier: effect.identifier, attempt: effect.attempt });
--- a/src/requests/_attempts.ts
+++ b/src/requests/_attempts.ts
@@ -6,12 +6,12 @@
 import { match } from "ts-pattern";
 import { type Context, end, enqueue, refuse, releaseEngine, spread } from "./_context.js";
 import { drawBackoffMilliseconds } from "./_retryBudget.js";
-import { awaitVerdict, endTrialOf, placeByStanding, recordFinishedSuspect } from "./_suspects.js";
+import { awaitVerdict, endTrialOf, placeByStanding, recordFinishedSuspect, rememberStopped } from "./_suspects.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type AttemptFailure, type RequestsMessage } from "./messages.js";
 
-const MOST_URGENT_ATTEMPTS = 3;
-const MOST_PATIENT_ATTEMPTS = 6;
+const MOST_ATTEMPTS = 6;
+const MOST_TAKEN_URGENT = 3;
 const UPSTREAM_FAILED_RETRY_MILLISECONDS = 1_000;
 
 type FirstToken = Extract<RequestsMessage, { type: "attempt-first-token"; }>;
@@ -58,10 +58,12 @@
     releaseEngine(context, tracked);
     tracked.failedEngine = tracked.engine;
     tracked.deliveredTokens = Math.max(tracked.deliveredTokens, message.deliveredTokens);
-    tracked.mayHaveRun ||= tracked.deliveredTokens > 0 || mayRunBefore(message.failure);
+    const isTaken = message.deliveredTokens > 0 || mayRunBefore(message.failure);
+    tracked.taken += isTaken ? 1 : 0;
+    tracked.mayHaveRun ||= isTaken;
     tracked.retryReason = message.failure;
     noteOnEngine(context, tracked, tracked.engine, message.failure);
-    if (message.failure === "connection-lost") {
+    if (message.failure === "connection-lost" || message.failure === "silent") {
         awaitVerdict(context, tracked);
         return;
     }
@@ -97,9 +99,8 @@
 
 /** Queues a request for another attempt after its backoff, or gives it up. */
 export function retry(context: Context, tracked: TrackedRequest): void {
-    const mostAttempts = tracked.request.class === "urgent" ? MOST_URGENT_ATTEMPTS : MOST_PATIENT_ATTEMPTS;
-    const mayTryAgain = tracked.attempts < mostAttempts;
     const isPatient = tracked.request.class === "patient";
+    const mayTryAgain = tracked.attempts < MOST_ATTEMPTS && (isPatient || tracked.taken < MOST_TAKEN_URGENT);
     tracked.needsBudget = mayTryAgain && !context.budget.tryTake(tracked.request.model, context.nowMilliseconds);
     if (!mayTryAgain || (tracked.needsBudget && !isPatient)) {
         giveUp(context, tracked);
@@ -113,7 +114,7 @@
 export function giveUp(context: Context, tracked: TrackedRequest): void {
     refuse(context, tracked, {
         reason: tracked.deliveredTokens > 0 ? "answer-incomplete" : "upstream-failed",
-        message: `Attempts on ${tracked.attempts} engines failed.`,
+        message: `${tracked.attempts} attempts on engines failed.`,
         retryAfterMilliseconds: spread(context, UPSTREAM_FAILED_RETRY_MILLISECONDS),
     });
 }
@@ -128,6 +129,7 @@
         const { attempts: attempt, engine } = tracked;
         context.effects.push({ type: "cancel-attempt", identifier, attempt, engine });
         releaseEngine(context, tracked);
+        rememberStopped(context, tracked);
     }
     endTrialOf(context, tracked);
     const firstTokenAt = tracked.firstTokenAtMilliseconds ?? Number.POSITIVE_INFINITY;
--- a/src/requests/_context.ts
+++ b/src/requests/_context.ts
@@ -36,6 +36,8 @@
     readonly requests: Map<string, TrackedRequest>;
     /** Requests that are running or await the verdict on their engine, by fingerprint. */
     readonly inFlight: Map<string, Set<TrackedRequest>>;
+    /** Attempts that were cancelled lately, and that their engines may still have had. */
+    stopped: readonly StoppedAttempt[];
     readonly awaitingVerdict: Set<TrackedRequest>;
     readonly awaitingTrial: Set<TrackedRequest>;
     readonly queue: RequestQueue;
@@ -55,6 +57,14 @@
     effects: RequestsEffect[];
 }
 
+/** An attempt that was cancelled. */
+export interface StoppedAttempt {
+    readonly fingerprint: string;
+    readonly engine: string;
+    readonly incarnation: string | undefined;
+    readonly atMilliseconds: number;
+}
+
 /** A final answer without a result. */
 export interface RefusalDetails {
     readonly reason: RefusalReason;
@@ -63,6 +73,11 @@
     readonly retryAfterMilliseconds?: number;
 }
 
+/** Draws a name that is not drawn again. */
+export function drawName(random: RandomSource): string {
+    return Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36);
+}
+
 /** Spreads the times at which refused callers come back. */
 export function spread(context: Context, milliseconds: number): number {
     return Math.ceil(milliseconds * (1 + context.random() / 2));
--- a/src/requests/_engineView.ts
+++ b/src/requests/_engineView.ts
@@ -8,7 +8,7 @@
 import { createPrefixMemory, type PrefixMemory } from "./_prefixMemory.js";
 
 const STALE_AFTER_MILLISECONDS = 10_000;
-const UNREACHABLE_MILLISECONDS = 1_000;
+const UNREACHABLE_MILLISECONDS = 3_000;
 const BUSY_MILLISECONDS = 250;
 const MOST_ENDED_INCARNATIONS = 16;
 
@@ -34,7 +34,8 @@
     residency: ResidencyDigest | undefined;
     /** Models and adapters that the engine itself said it lacks, until a newer record. */
     readonly missing: Set<string>;
-    readonly endedIncarnations: string[];
+    /** Processes that ended, with the time at which each was last seen alive. */
+    readonly ended: Map<string, number>;
     readonly prefixes: PrefixMemory;
     unreachableSinceMilliseconds: number;
     unreachableUntilMilliseconds: number;
@@ -49,6 +50,8 @@
     /** Marks a process as ended; false where that was known. */
     recordEnd(engine: string, incarnation: string): boolean;
     hasEnded(engine: string, incarnation: string): boolean;
+    /** Tells when a process that ended was last seen alive. */
+    lastSeen(engine: string, incarnation: string): number;
     recordCacheEvent(engine: string, prefixKey: string, cached: boolean): void;
     recordStart(engine: string, nowMilliseconds: number): void;
     recordStop(engine: string, nowMilliseconds: number): void;
@@ -79,12 +82,12 @@
         engines.set(name, created);
         return created;
     };
-    const hasEnded = (engine: string, incarnation: string): boolean =>
-        get(engine).endedIncarnations.includes(incarnation);
+    const hasEnded = (engine: string, incarnation: string): boolean => get(engine).ended.has(incarnation);
     const recordEnd = (engine: string, incarnation: string): boolean => endIncarnation(get(engine), incarnation);
     return {
         get,
         hasEnded,
+        lastSeen: (engine, incarnation) => get(engine).ended.get(incarnation) ?? Number.NEGATIVE_INFINITY,
         recordEnd,
         observe: (digest, nowMilliseconds) => applyObservation(get(digest.engine), digest, nowMilliseconds),
         recordResidency: digest => applyResidency(get(digest.engine), digest),
@@ -124,7 +127,7 @@
         ownHistory: [],
         residency: undefined,
         missing: new Set(),
-        endedIncarnations: [],
+        ended: new Map(),
         prefixes: createPrefixMemory(),
         unreachableSinceMilliseconds: 0,
         unreachableUntilMilliseconds: 0,
@@ -133,14 +136,17 @@
 }
 
 function endIncarnation(state: EngineState, incarnation: string): boolean {
-    if (state.endedIncarnations.includes(incarnation)) {
+    if (state.ended.has(incarnation)) {
         return false;
     }
-    state.endedIncarnations.push(incarnation);
-    if (state.endedIncarnations.length > MOST_ENDED_INCARNATIONS) {
-        state.endedIncarnations.shift();
+    const isCurrent = state.incarnation === incarnation;
+    const seenAt = isCurrent ? state.observedAtMilliseconds : undefined;
+    state.ended.set(incarnation, seenAt ?? Number.NEGATIVE_INFINITY);
+    const oldest = state.ended.keys().next().value;
+    if (state.ended.size > MOST_ENDED_INCARNATIONS && oldest !== undefined) {
+        state.ended.delete(oldest);
     }
-    if (state.incarnation === incarnation) {
+    if (isCurrent) {
         state.incarnation = undefined;
         state.reportedLoad = 0;
         state.prefixes.clear();
@@ -151,7 +157,7 @@
 
 function applyObservation(state: EngineState, digest: EngineDigest, nowMilliseconds: number): ObservedChange {
     const observedAt = nowMilliseconds - digest.observedMillisecondsAgo;
-    if (state.endedIncarnations.includes(digest.incarnation)) {
+    if (state.ended.has(digest.incarnation)) {
         return "outdated";
     }
     if (state.observedAtMilliseconds !== undefined && observedAt < state.observedAtMilliseconds) {
@@ -187,7 +193,7 @@
 }
 
 function applyResidency(state: EngineState, digest: ResidencyDigest): void {
-    if (state.endedIncarnations.includes(digest.incarnation)) {
+    if (state.ended.has(digest.incarnation)) {
         return;
     }
     if (state.residency !== undefined && digest.recordRevision < state.residency.recordRevision) {
@@ -221,7 +227,7 @@
 
 function holdsCopy(state: EngineState, model: string, adapter: string | undefined): boolean {
     const { residency } = state;
-    if (residency === undefined || state.endedIncarnations.includes(residency.incarnation)) {
+    if (residency === undefined || state.ended.has(residency.incarnation)) {
         return false;
     }
     if (state.incarnation !== undefined && residency.incarnation !== state.incarnation) {
--- a/src/requests/_quarantine.ts
+++ b/src/requests/_quarantine.ts
@@ -4,48 +4,40 @@
  * @module
  */
 import { type SuspectDigest } from "../generated/peers.js";
+import {
+    createSuspectEntry,
+    describeEntry,
+    dropLoss,
+    excuseEntry,
+    judgeEntry,
+    listPresumed,
+    mergeDigest,
+    recordLoss,
+    type Standing,
+    standingOf,
+    type SuspectEntry,
+} from "./_suspectEntry.js";
 
-const CRASHES_TO_CONVICT = 2;
 const MOST_ENTRIES = 2_048;
 const MOST_FINISHED = 4_096;
 
-/** How a fingerprint is treated. */
-export type Standing =
-    | "clear"
-    /** In flight at one crash: run only by itself. */
-    | "suspect"
-    /** In flight where two engines were lost, not both proved to have crashed: not run until that is known. */
-    | "blocked"
-    /** Two crashes counted: refused for good. */
-    | "convicted";
-
-interface Entry {
-    readonly fingerprint: string;
-    readonly crashes: Set<string>;
-    readonly excused: Set<string>;
-    /** Lost engine incarnations with the time from which that is presumed. */
-    readonly presumed: Map<string, number>;
-    /** Presumptions that this host made itself, which are the ones it shares. */
-    readonly ownPresumed: Set<string>;
-    convicted: boolean;
-    changedAtMilliseconds: number;
-}
-
 /** Fingerprints under suspicion, merged over hosts. */
 export interface Quarantine {
     standing(fingerprint: string): Standing;
+    /** Tells when the latest loss was presumed. */
+    presumedSince(fingerprint: string): number;
     /** Counts a proved crash of an engine incarnation that ran the fingerprint. */
     recordCrash(fingerprint: string, crash: string): void;
     /** Notes that an engine incarnation was lost while it ran the fingerprint. */
     presumeCrash(fingerprint: string, crash: string, nowMilliseconds: number): void;
-    /** Counts all presumptions about an engine incarnation, as its crash is proved. */
+    /** Counts this host's presumptions about an engine incarnation, as its crash is proved; peers count theirs. */
     confirmPresumptions(crash: string): void;
     /** Drops presumptions about an engine incarnation that was seen alive after they were made. */
     withdrawPresumptions(crash: string, aliveAtMilliseconds: number): void;
-    /** Tells whether an engine has run the fingerprint to its end. */
-    hasFinished(fingerprint: string): boolean;
     /** Excuses a fingerprint that an engine ran to its end; tells whether it was under suspicion. */
     recordFinished(fingerprint: string): boolean;
+    /** Tells whether an engine has run the fingerprint to its end. */
+    hasFinished(fingerprint: string): boolean;
     /** Takes in what a peer knows; tells whether any of it was news. */
     merge(digest: SuspectDigest, nowMilliseconds: number): boolean;
     /** Takes the fingerprints that changed since the last call. */
@@ -58,55 +50,63 @@
 /**
  * Creates a quarantine without suspects.
  *
+ * @param processName A name that no other process of any host has had.
  * @returns The quarantine.
  */
-export function createQuarantine(): Quarantine {
-    const entries = new Map<string, Entry>();
+export function createQuarantine(processName: string): Quarantine {
+    const entries = new Map<string, SuspectEntry>();
     const finished = new Set<string>();
     const changed = new Set<string>();
-    const open = (fingerprint: string): Entry => openEntry(entries, fingerprint);
-    const settle = (entry: Entry): void => {
-        if (countCrashes(entry) >= CRASHES_TO_CONVICT) {
-            entry.convicted = true;
-        }
+    let sequence = 0;
+    const open = (fingerprint: string): SuspectEntry => openEntry(entries, fingerprint);
+    const say = (entry: SuspectEntry, crash: string, presumed: boolean, sinceMilliseconds: number): void => {
+        sequence += 1;
+        recordLoss(entry, { crash, by: processName, sequence, presumed }, sinceMilliseconds);
         changed.add(entry.fingerprint);
     };
     return {
         standing: fingerprint => standingOf(entries.get(fingerprint)),
-        hasFinished: fingerprint => finished.has(fingerprint),
+        presumedSince: fingerprint => {
+            const entry = entries.get(fingerprint);
+            const losses = entry === undefined ? [] : listPresumed(entry);
+            return Math.max(Number.NEGATIVE_INFINITY, ...losses.map(loss => loss.sinceMilliseconds));
+        },
         recordCrash: (fingerprint, crash) => {
             const entry = open(fingerprint);
-            if (entry.crashes.has(crash)) {
-                return;
-            }
             entry.crashes.add(crash);
             if (finished.has(fingerprint)) {
                 entry.excused.add(crash);
             }
-            settle(entry);
+            judgeEntry(entry);
+            changed.add(fingerprint);
         },
         presumeCrash: (fingerprint, crash, nowMilliseconds) => {
-            if (finished.has(fingerprint)) {
-                return;
+            if (!finished.has(fingerprint)) {
+                say(open(fingerprint), crash, true, nowMilliseconds);
             }
-            const entry = open(fingerprint);
-            entry.presumed.set(crash, nowMilliseconds);
-            entry.ownPresumed.add(crash);
-            changed.add(fingerprint);
         },
         confirmPresumptions: crash => {
             for (const entry of entries.values()) {
-                if (entry.presumed.delete(crash)) {
+                const own = listPresumed(entry).find(loss => loss.by === processName && loss.crash === crash);
+                if (own !== undefined) {
+                    say(entry, crash, false, own.sinceMilliseconds);
                     entry.crashes.add(crash);
-                    settle(entry);
+                    judgeEntry(entry);
                 }
             }
         },
         withdrawPresumptions: (crash, aliveAtMilliseconds) => {
             for (const entry of entries.values()) {
-                if ((entry.presumed.get(crash) ?? Number.POSITIVE_INFINITY) < aliveAtMilliseconds) {
-                    entry.presumed.delete(crash);
-                    entry.ownPresumed.delete(crash);
+                const refuted = listPresumed(entry).filter(loss =>
+                    loss.crash === crash && loss.sinceMilliseconds < aliveAtMilliseconds
+                );
+                for (const loss of refuted) {
+                    if (loss.by === processName) {
+                        say(entry, crash, false, loss.sinceMilliseconds);
+                    }
+                    else {
+                        dropLoss(entry, loss);
+                    }
                 }
             }
         },
@@ -116,32 +116,32 @@
             if (entry === undefined) {
                 return false;
             }
-            excuseAll(entry);
+            excuseEntry(entry);
             changed.add(fingerprint);
             return true;
         },
+        hasFinished: fingerprint => finished.has(fingerprint),
         merge: (digest, nowMilliseconds) => {
             const entry = open(digest.fingerprint);
-            const before = fingerprintState(entry);
-            mergeDigest(entry, digest, nowMilliseconds);
-            if (finished.has(digest.fingerprint) && !entry.convicted) {
-                excuseAll(entry);
+            const isNews = mergeDigest(entry, digest, nowMilliseconds);
+            if (isNews && finished.has(digest.fingerprint)) {
+                excuseEntry(entry);
             }
-            if (fingerprintState(entry) === before) {
-                return false;
+            if (isNews) {
+                judgeEntry(entry);
+                changed.add(digest.fingerprint);
             }
-            settle(entry);
-            return true;
+            return isNews;
         },
         takeChanged: nowMilliseconds => {
             const taken = [...changed];
+            changed.clear();
             for (const fingerprint of taken) {
                 const entry = open(fingerprint);
                 entry.changedAtMilliseconds = nowMilliseconds;
                 entries.delete(fingerprint);
                 entries.set(fingerprint, entry);
             }
-            changed.clear();
             return taken;
         },
         describe: fingerprint => describeEntry(open(fingerprint)),
@@ -152,20 +152,12 @@
     };
 }
 
-function openEntry(entries: Map<string, Entry>, fingerprint: string): Entry {
+function openEntry(entries: Map<string, SuspectEntry>, fingerprint: string): SuspectEntry {
     const known = entries.get(fingerprint);
     if (known !== undefined) {
         return known;
     }
-    const created: Entry = {
-        fingerprint,
-        crashes: new Set(),
-        excused: new Set(),
-        presumed: new Map(),
-        ownPresumed: new Set(),
-        convicted: false,
-        changedAtMilliseconds: 0,
-    };
+    const created = createSuspectEntry(fingerprint);
     entries.set(fingerprint, created);
     if (entries.size > MOST_ENTRIES) {
         const oldest = [...entries.values()].find(entry => !entry.convicted) ?? entries.values().next().value;
@@ -174,36 +166,6 @@
     return created;
 }
 
-function countCrashes(entry: Entry): number {
-    return [...entry.crashes].filter(crash => !entry.excused.has(crash)).length;
-}
-
-function countPresumed(entry: Entry): number {
-    return [...entry.presumed.keys()].filter(crash => !entry.crashes.has(crash)).length;
-}
-
-function standingOf(entry: Entry | undefined): Standing {
-    if (entry === undefined) {
-        return "clear";
-    }
-    if (entry.convicted) {
-        return "convicted";
-    }
-    const lost = countCrashes(entry) + countPresumed(entry);
-    if (lost >= CRASHES_TO_CONVICT) {
-        return "blocked";
-    }
-    return lost === 0 ? "clear" : "suspect";
-}
-
-function excuseAll(entry: Entry): void {
-    for (const crash of entry.crashes) {
-        entry.excused.add(crash);
-    }
-    entry.presumed.clear();
-    entry.ownPresumed.clear();
-}
-
 function rememberFinished(finished: Set<string>, fingerprint: string): void {
     finished.delete(fingerprint);
     finished.add(fingerprint);
@@ -212,32 +174,3 @@
         finished.delete(oldest ?? fingerprint);
     }
 }
-
-function mergeDigest(entry: Entry, digest: SuspectDigest, nowMilliseconds: number): void {
-    for (const crash of digest.crashes) {
-        entry.crashes.add(crash);
-    }
-    for (const crash of digest.excused ?? []) {
-        entry.excused.add(crash);
-    }
-    for (const crash of digest.presumed ?? []) {
-        entry.presumed.set(crash, entry.presumed.get(crash) ?? nowMilliseconds);
-    }
-    entry.convicted ||= digest.convicted ?? false;
-}
-
-/** Condenses what merging can change, to tell news from repetition. */
-function fingerprintState(entry: Entry): string {
-    return [entry.crashes.size, entry.excused.size, entry.presumed.size, entry.convicted].join("/");
-}
-
-function describeEntry(entry: Entry): SuspectDigest {
-    const presumed = [...entry.ownPresumed].filter(crash => entry.presumed.has(crash));
-    return {
-        fingerprint: entry.fingerprint,
-        crashes: [...entry.crashes],
-        excused: [...entry.excused],
-        presumed,
-        convicted: entry.convicted,
-    };
-}
--- a/src/requests/_suspects.ts
+++ b/src/requests/_suspects.ts
@@ -4,7 +4,16 @@
  * @module
  */
 import { type EngineDigest, type SuspectDigest, type SuspectTrial } from "../generated/peers.js";
-import { type Context, enqueue, leavePhase, markInFlight, refuse, releaseEngine } from "./_context.js";
+import {
+    type Context,
+    drawName,
+    enqueue,
+    leavePhase,
+    markInFlight,
+    refuse,
+    releaseEngine,
+    type StoppedAttempt,
+} from "./_context.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type Claim } from "./_trials.js";
 
@@ -13,6 +22,8 @@
 const BLOCKED_RETRY_MILLISECONDS = 10_000;
 const SHARE_INTERVAL_MILLISECONDS = 1_000;
 const SHARE_AGAIN_MILLISECONDS = 10_000;
+const CANCEL_SETTLE_MILLISECONDS = 500;
+const STOPPED_KEPT_MILLISECONDS = 10_000;
 const MOST_SHARED = 256;
 
 /** Names an engine incarnation as digests do. */
@@ -27,11 +38,13 @@
     markInFlight(context, tracked);
     tracked.phase = "awaiting-verdict";
     tracked.waitsSinceMilliseconds = context.nowMilliseconds;
+    const crash = nameCrash(tracked.engine ?? "", tracked.incarnation ?? "");
     if (hasCrashed(context, tracked)) {
+        context.quarantine.recordCrash(tracked.request.fingerprint, crash);
         settleCrashed(context, tracked);
+        reviewStandings(context);
         return;
     }
-    const crash = nameCrash(tracked.engine ?? "", tracked.incarnation ?? "");
     context.quarantine.presumeCrash(tracked.request.fingerprint, crash, context.nowMilliseconds);
     reviewStandings(context);
 }
@@ -56,10 +69,15 @@
         && (tracked.phase === "running" || tracked.phase === "awaiting-verdict")
     );
     for (const tracked of involved) {
-        context.quarantine.recordCrash(tracked.request.fingerprint, crash);
+        accuse(context, tracked, crash);
+    }
+    for (const stopped of listStopped(context)) {
+        if (stopped.engine === engine && stopped.incarnation === incarnation) {
+            context.quarantine.recordCrash(stopped.fingerprint, crash);
+        }
     }
     for (const claim of context.trials.listOn(engine, context.nowMilliseconds)) {
-        if (claim.state === "running") {
+        if (claim.state === "running" && claim.incarnation === incarnation) {
             context.quarantine.recordCrash(claim.fingerprint, crash);
         }
     }
@@ -71,6 +89,44 @@
     reviewStandings(context);
 }
 
+/**
+ * Counts a crash against a request. One that was sent after the process was last seen may run on its successor: while
+ * its connection stands the crash is only presumed, and not against a trial, which nobody repeats meanwhile.
+ */
+function accuse(context: Context, tracked: TrackedRequest, crash: string): void {
+    const { engine = "", incarnation = "", request } = tracked;
+    const seenAt = context.view.lastSeen(engine, incarnation);
+    if (tracked.phase === "awaiting-verdict" || tracked.dispatchedAtMilliseconds <= seenAt) {
+        context.quarantine.recordCrash(request.fingerprint, crash);
+    }
+    else if (tracked.trialIdentifier === undefined) {
+        context.quarantine.presumeCrash(request.fingerprint, crash, context.nowMilliseconds);
+    }
+}
+
+/**
+ * Remembers for a while that a cancelled attempt may still be at its engine. A cancelled trial is presumed to have
+ * crashed its engine until that is seen alive afterwards.
+ */
+export function rememberStopped(context: Context, tracked: TrackedRequest): void {
+    const { engine, incarnation, request } = tracked;
+    if (engine === undefined) {
+        return;
+    }
+    if (tracked.trialIdentifier !== undefined) {
+        const settledAt = context.nowMilliseconds + CANCEL_SETTLE_MILLISECONDS;
+        context.quarantine.presumeCrash(request.fingerprint, nameCrash(engine, incarnation ?? ""), settledAt);
+    }
+    const { fingerprint } = request;
+    const stopped = { fingerprint, engine, incarnation, atMilliseconds: context.nowMilliseconds };
+    context.stopped = [...listStopped(context), stopped];
+}
+
+function listStopped(context: Context): readonly StoppedAttempt[] {
+    const since = context.nowMilliseconds - STOPPED_KEPT_MILLISECONDS;
+    return context.stopped.filter(stopped => stopped.atMilliseconds > since);
+}
+
 /** Ends the wait of a request whose engine is known to have crashed. */
 function settleCrashed(context: Context, tracked: TrackedRequest): void {
     tracked.retryReason = "engine-crashed";
@@ -128,7 +184,6 @@
         leavePhase(context, tracked);
         context.awaitingTrial.add(tracked);
         tracked.phase = "awaiting-trial";
-        tracked.waitsSinceMilliseconds = context.nowMilliseconds;
         tracked.notBeforeMilliseconds = notBeforeMilliseconds;
         return;
     }
@@ -200,10 +255,10 @@
 
 /** Tells peers of a claim together with what is known of its fingerprint. */
 export function shareClaim(context: Context, claim: Claim, state: SuspectTrial["state"]): void {
-    const { identifier, host, engine } = claim;
+    const { identifier, host, engine, incarnation } = claim;
     const digest: SuspectDigest = {
         ...context.quarantine.describe(claim.fingerprint),
-        trial: { identifier, host, engine, state },
+        trial: { identifier, host, engine, state, ...(incarnation === undefined ? {} : { incarnation }) },
     };
     context.effects.push({ type: "share-suspects", digests: [digest] });
 }
@@ -239,13 +294,14 @@
 
 /** Claims an engine for a request and tells peers. */
 export function announceClaim(context: Context, tracked: TrackedRequest, engine: string, state: Claim["state"]): void {
-    const identifier = `${context.host}-${Math.floor(context.random() * Number.MAX_SAFE_INTEGER).toString(36)}`;
+    const identifier = `${context.host}-${drawName(context.random)}`;
     const claim = context.trials.announce({
         identifier,
         host: context.host,
         fingerprint: tracked.request.fingerprint,
         engine,
         announcedAtMilliseconds: context.nowMilliseconds,
+        incarnation: state === "running" ? tracked.incarnation : undefined,
         state,
     });
     tracked.trialIdentifier = identifier;
--- a/src/requests/_trackedRequest.ts
+++ b/src/requests/_trackedRequest.ts
@@ -28,6 +28,8 @@
     phase: RequestPhase;
     /** Attempts made; the number of the current one while running. */
     attempts: number;
+    /** Of those, attempts that an engine may have worked on. */
+    taken: number;
     engine: string | undefined;
     incarnation: string | undefined;
     dispatchedAtMilliseconds: number;
@@ -36,7 +38,7 @@
     /** True once an engine may have worked on it. */
     mayHaveRun: boolean;
     notBeforeMilliseconds: number;
-    /** Since when it waits for a verdict or a trial. */
+    /** Since when it waits for a verdict. */
     waitsSinceMilliseconds: number;
     /** True while a retry is due that the budget did not allow yet. */
     needsBudget: boolean;
@@ -67,6 +69,7 @@
         agedAtMilliseconds: nowMilliseconds + allowedMilliseconds * AGED_AFTER_SHARE,
         phase: "queued",
         attempts: 0,
+        taken: 0,
         engine: undefined,
         incarnation: undefined,
         dispatchedAtMilliseconds: 0,
--- a/src/requests/_trialScheduling.ts
+++ b/src/requests/_trialScheduling.ts
@@ -36,7 +36,8 @@
 /** Tells whether two engines were lost to the request, and no news of them came in time. */
 function isBlockedForLong(context: Context, tracked: TrackedRequest): boolean {
     return context.quarantine.standing(tracked.request.fingerprint) === "blocked"
-        && context.nowMilliseconds - tracked.waitsSinceMilliseconds >= VERDICT_WAIT_MILLISECONDS;
+        && context.nowMilliseconds - context.quarantine.presumedSince(tracked.request.fingerprint)
+            >= VERDICT_WAIT_MILLISECONDS;
 }
 
 /** Ends claims whose request has its final answer or is no longer under suspicion. */
@@ -114,6 +115,7 @@
     }
     claim.state = "running";
     dispatch(context, tracked, claim.engine);
+    claim.incarnation = tracked.incarnation;
     shareClaim(context, claim, "running");
 }
 
--- a/src/requests/_trials.ts
+++ b/src/requests/_trials.ts
@@ -22,6 +22,8 @@
     readonly fingerprint: string;
     readonly engine: string;
     readonly announcedAtMilliseconds: number;
+    /** The engine's process, once the suspect runs. */
+    incarnation: string | undefined;
     state: "claimed" | "running";
     expiresAtMilliseconds: number;
     probedAtMilliseconds: number;
@@ -93,6 +95,7 @@
                 fingerprint,
                 engine: trial.engine,
                 announcedAtMilliseconds: known?.announcedAtMilliseconds ?? nowMilliseconds,
+                incarnation: trial.incarnation ?? known?.incarnation,
                 state: known?.state === "running" ? "running" : trial.state,
                 expiresAtMilliseconds: nowMilliseconds + CLAIM_LEASE_MILLISECONDS,
                 probedAtMilliseconds: 0,
--- a/src/requests/requestsDecision.ts
+++ b/src/requests/requestsDecision.ts
@@ -7,7 +7,7 @@
 import { type Decision, type RandomSource } from "../decision/index.js";
 import { type EngineDigest } from "../generated/peers.js";
 import { handleCancel, handleFailed, handleFinished, handleFirstToken, retry } from "./_attempts.js";
-import { type ChooseEngine, type Context } from "./_context.js";
+import { type ChooseEngine, type Context, drawName } from "./_context.js";
 import { dispatchQueued, endOverdue } from "./_dispatching.js";
 import { createEngineView } from "./_engineView.js";
 import { createQuarantine } from "./_quarantine.js";
@@ -89,12 +89,13 @@
         chooseEngine: options.chooseEngine ?? chooseByPrefixWithinLoadBound,
         requests: new Map(),
         inFlight: new Map(),
+        stopped: [],
         awaitingVerdict: new Set(),
         awaitingTrial: new Set(),
         queue: createRequestQueue(),
         view: createEngineView(),
         budget: createRetryBudget(),
-        quarantine: createQuarantine(),
+        quarantine: createQuarantine(`${options.host}-${drawName(options.random)}`),
         trials: createTrials(options.host),
         times: createServiceTimes(),
         agedShares: new Map(),
