Agree on trials between hosts, and excuse crashes from the attempts of a request

Cause: of two claims for one engine both ran, since each host ranked them by its own fingerprint (); a companion whose trial's connection was cut twice had used its attempts, one of them at the crash ().

--- a/src/requests/_quarantine.ts
+++ b/src/requests/_quarantine.ts
@@ -129,7 +129,7 @@
             }
             if (isNews) {
                 judgeEntry(entry);
-                changed.add(digest.fingerprint);
+                entry.changedAtMilliseconds = nowMilliseconds;
             }
             return isNews;
         },
--- a/src/requests/_suspects.ts
+++ b/src/requests/_suspects.ts
@@ -127,9 +127,10 @@
     return context.stopped.filter(stopped => stopped.atMilliseconds > since);
 }
 
-/** Ends the wait of a request whose engine is known to have crashed. */
+/** Ends the wait of a request whose engine crashed; crashes are bounded by themselves and not as attempts. */
 function settleCrashed(context: Context, tracked: TrackedRequest): void {
     tracked.retryReason = "engine-crashed";
+    tracked.taken -= 1;
     endTrialOf(context, tracked);
     placeByStanding(context, tracked, context.nowMilliseconds);
 }
--- a/src/requests/_trackedRequest.ts
+++ b/src/requests/_trackedRequest.ts
@@ -28,7 +28,7 @@
     phase: RequestPhase;
     /** Attempts made; the number of the current one while running. */
     attempts: number;
-    /** Of those, attempts that an engine may have worked on. */
+    /** Of those, attempts that an engine may have worked on and did not crash at. */
     taken: number;
     engine: string | undefined;
     incarnation: string | undefined;
--- a/src/requests/_trials.ts
+++ b/src/requests/_trials.ts
@@ -2,7 +2,8 @@
  * Claims of hosts to run one suspect by itself on an engine that all hosts leave alone meanwhile.
  *
  * A host announces a claim, waits until its peers' conflicting claims can have arrived, and then runs the suspect.
- * Of two claims for one engine or one fingerprint a running one wins, then the host that ranks higher for the engine.
+ * Of two claims for one engine or one fingerprint a running one wins, then the one whose identifier ranks higher, which both hosts
+ * agree on.
  *
  * @module
  */
@@ -126,7 +127,7 @@
     if (other.state === "running") {
         return true;
     }
-    return rankByRendezvous(own.fingerprint, [other.host, own.host])[0] === other.host;
+    return rankByRendezvous("", [other.identifier, own.identifier])[0] === other.identifier;
 }
 
 function forgetBefore(ended: Map<string, number>, nowMilliseconds: number): void {
