--- a/src/membership/_fanOut.ts
+++ b/src/membership/_fanOut.ts
@@ -6,11 +6,11 @@
  *
  * @module
  */
-import { type RandomSource, rankByRendezvous } from "../decision/index.js";
+import { type RandomSource } from "../decision/index.js";
 import { type HostIdentity } from "../generated/peers.js";
 
 /** Deployments of up to this many hosts exchange heartbeats between all pairs. */
-export const FULL_MESH_HOSTS = 16;
+export const FULL_MESH_HOSTS = 12;
 /** Hosts of its own zone that a host tells with each heartbeat, beyond the full mesh. */
 export const ZONE_FAN_OUT = 2;
 /** Hosts of one zone that carry its heartbeats to one other zone. */
@@ -43,9 +43,14 @@
     return [...new Set(peers.map(peer => peer.zone))].filter(zone => zone !== self.zone).sort();
 }
 
-function isRelay(self: HostIdentity, zone: string, peers: readonly HostIdentity[]): boolean {
-    const own = [self, ...peers.filter(peer => peer.zone === self.zone)].map(peer => peer.host);
-    return rankByRendezvous(`${self.zone}>${zone}`, own).slice(0, RELAYS_PER_ZONE_PAIR).includes(self.host);
+/** Gives the zones that this host relays to: relay duties go round the hosts of its zone, in the order of names. */
+function relayedZones(self: HostIdentity, peers: readonly HostIdentity[]): string[] {
+    const own = [self, ...peers.filter(peer => peer.zone === self.zone)].map(peer => peer.host).sort();
+    const position = own.indexOf(self.host);
+    return otherZones(self, peers).filter((_zone, zoneIndex) =>
+        Array.from({ length: RELAYS_PER_ZONE_PAIR }, (_, relay) => (zoneIndex * RELAYS_PER_ZONE_PAIR + relay))
+            .some(duty => duty % own.length === position)
+    );
 }
 
 /**
@@ -64,9 +69,7 @@
         return peers;
     }
     const near = sample(peers.filter(peer => peer.zone === self.zone), ZONE_FAN_OUT, random);
-    const far = otherZones(self, peers)
-        .filter(zone => isRelay(self, zone, peers))
-        .flatMap(zone => sample(peers.filter(peer => peer.zone === zone), 1, random));
+    const far = relayedZones(self, peers).flatMap(zone => sample(peers.filter(peer => peer.zone === zone), 1, random));
     return [...near, ...far];
 }
 
--- a/src/membership/_known.ts
+++ b/src/membership/_known.ts
@@ -10,10 +10,8 @@
 
 /** Changed members that one digest tells of in full, beyond the full mesh. */
 const NEWS_PER_DIGEST = 4;
-/** Unchanged members that one digest tells of in full, beyond the full mesh. */
-const REMINDERS_PER_DIGEST = 1;
 /** Members of other zones whose counters one digest carries, beyond the full mesh. */
-const OTHER_ZONES_PER_DIGEST = 16;
+const OTHER_ZONES_PER_DIGEST = 8;
 
 /** Members that a digest tells of. */
 export interface KnownSelection {
@@ -36,12 +34,10 @@
     if (heard.length < FULL_MESH_HOSTS) {
         return { whole: heard, counters: [] };
     }
-    const news = takeNews(members);
-    const reminders = sample(heard, REMINDERS_PER_DIGEST, random).filter(member => !news.includes(member));
     const own = heard.filter(member => member.identity.zone === self.zone);
     const others = heard.filter(member => member.identity.zone !== self.zone);
     return {
-        whole: [...news, ...reminders],
+        whole: takeNews(members),
         counters: [...own, ...sample(others, OTHER_ZONES_PER_DIGEST, random)],
     };
 }
--- a/src/membership/_memberTable.ts
+++ b/src/membership/_memberTable.ts
@@ -28,11 +28,6 @@
         return this.#members.get(host);
     }
 
-    /** Gives the members by name, for reading. */
-    byName(): ReadonlyMap<string, Member> {
-        return this.#members;
-    }
-
     /** Gives all members in the order of their names. */
     all(): readonly Member[] {
         this.#order ??= [...this.#members.values()]
--- a/src/membership/_members.ts
+++ b/src/membership/_members.ts
@@ -9,6 +9,8 @@
 
 /** Digests in which a change of a member is repeated before it counts as spread. */
 const NEWS_REPEATS = 12;
+/** The same for a host that joined; whoever meets its counter without knowing it asks for its identity. */
+const NEWCOMER_REPEATS = 2;
 
 /** What this host knows of one other host. */
 export interface Member {
@@ -52,7 +54,7 @@
         progressedAtMilliseconds: nowMilliseconds,
         lostAtMilliseconds: undefined,
         sendFailedAtMilliseconds: undefined,
-        newsLeft: NEWS_REPEATS,
+        newsLeft: NEWCOMER_REPEATS,
     };
 }
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -5,12 +5,12 @@
  */
 import { match } from "ts-pattern";
 import { type Decision, type RandomSource } from "../decision/index.js";
-import { type HostIdentity, type PeerStatus } from "../generated/peers.js";
+import { type HostIdentity, type PeerProgress, type PeerStatus } from "../generated/peers.js";
 import { chooseTargets, sample } from "./_fanOut.js";
 import { selectKnown } from "./_known.js";
 import { type Member, renderStatus } from "./_members.js";
 import { MemberTable } from "./_memberTable.js";
-import { readProgress, renderProgress } from "./_progress.js";
+import { indexMembers, readProgress, renderProgress, unknownHashes } from "./_progress.js";
 import { type CallerPlace, choosePoller, rankByDistance } from "./_ranking.js";
 import { type MembershipEffect, type MembershipMessage } from "./messages.js";
 
@@ -20,10 +20,14 @@
 const OWN_PAUSE_MILLISECONDS = 1500;
 /** Lost or not yet known hosts that are tried with each heartbeat. */
 const PROBES_PER_HEARTBEAT = 3;
-/** Bound of `known` in the schema of digests. */
-const MOST_KNOWN = 512;
+const PROBES_AMONG_MANY = 1;
+/** Bound of the columns in the schema of digests. */
+const MOST_COUNTERS = 512;
+/** Identities that are asked for, or told, in one message. */
+const MOST_WANTED = 64;
 
 type Message<Type extends MembershipMessage["type"]> = Extract<MembershipMessage, { type: Type; }>;
+type HeartbeatTarget = Pick<HostIdentity, "host" | "peersUrl">;
 type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key]; };
 
 /** Options of {@linkcode createMembershipDecision}. */
@@ -148,14 +152,13 @@
         const sender = heartbeat.status.identity;
         const before = this.#table.get(sender.host)?.identity.incarnation;
         const changes = this.#takeAll([heartbeat.status, ...heartbeat.known], nowMilliseconds);
+        const isNewcomer = before !== this.#table.get(sender.host)?.identity.incarnation;
         if (heartbeat.progress !== undefined) {
-            const counters = readProgress(heartbeat.progress, this.#table.byName());
-            changes.push(...this.#takeAll(counters, nowMilliseconds));
+            changes.push(...this.#hearProgress(sender, heartbeat.progress, nowMilliseconds));
         }
         if (!this.#table.usesRumours()) {
             return changes;
         }
-        const isNewcomer = before !== this.#table.get(sender.host)?.identity.incarnation;
         const isUrgent = changes.some(change => change.type === "peer-leaving");
         return [
             ...changes,
@@ -164,6 +167,22 @@
         ];
     }
 
+    /** Takes counters, asks for identities that they name and that are not known, and answers such a question. */
+    #hearProgress(sender: HostIdentity, progress: PeerProgress, nowMilliseconds: number): MembershipEffect[] {
+        const index = indexMembers(this.#table.all());
+        const changes = this.#takeAll(readProgress(progress, index), nowMilliseconds);
+        const unknown = unknownHashes(progress, index, this.#identity).slice(0, MOST_WANTED);
+        const wanted = (progress.wanted ?? []).map(hash => index.get(hash)).filter(member => member !== undefined);
+        if (unknown.length > 0) {
+            const question = { ...renderProgress([], nowMilliseconds), wanted: unknown };
+            changes.push(this.#message(sender, [], question, nowMilliseconds));
+        }
+        if (wanted.length > 0) {
+            changes.push(this.#message(sender, wanted.slice(0, MOST_WANTED), undefined, nowMilliseconds));
+        }
+        return changes;
+    }
+
     #takeAll(statuses: readonly PeerStatus[], nowMilliseconds: number): MembershipEffect[] {
         const own = statuses.filter(({ identity }) => identity.host === this.#identity.host);
         this.#superseded ||= own.some(({ identity }) => identity.incarnation > this.#identity.incarnation);
@@ -214,28 +233,33 @@
             .map(target => this.#heartbeat(target, nowMilliseconds));
     }
 
-    #heartbeat(target: Pick<HostIdentity, "host" | "peersUrl">, nowMilliseconds: number): MembershipEffect {
+    #heartbeat(target: HeartbeatTarget, nowMilliseconds: number): MembershipEffect {
         const members = this.#table.all().filter(member => member.identity.host !== target.host);
         const { whole, counters } = selectKnown(members, this.#identity, this.#random);
-        return {
-            type: "send-heartbeat",
-            host: target.host,
-            peersUrl: target.peersUrl,
-            status: this.#ownStatus(),
-            known: whole.map(member => renderStatus(member, nowMilliseconds)),
-            ...(counters.length === 0 ? {} : { progress: renderProgress(counters, nowMilliseconds) }),
-        };
+        const progress = counters.length === 0 ? undefined : renderProgress(counters, nowMilliseconds);
+        return this.#message(target, whole, progress, nowMilliseconds);
     }
 
-    /** Tells a newcomer of every host that is heard, because counters alone mean nothing to it. */
+    /** Tells a newcomer of every host that is heard; it asks back for the identities that it does not know. */
     #welcome(newcomer: HostIdentity, nowMilliseconds: number): MembershipEffect {
         const others = this.#table.heard().filter(member => member.identity.host !== newcomer.host);
+        const progress = renderProgress(others.slice(0, MOST_COUNTERS), nowMilliseconds);
+        return this.#message(newcomer, [], progress, nowMilliseconds);
+    }
+
+    #message(
+        target: HeartbeatTarget,
+        whole: readonly Member[],
+        progress: PeerProgress | undefined,
+        nowMilliseconds: number,
+    ): MembershipEffect {
         return {
             type: "send-heartbeat",
-            host: newcomer.host,
-            peersUrl: newcomer.peersUrl,
+            host: target.host,
+            peersUrl: target.peersUrl,
             status: this.#ownStatus(),
-            known: others.slice(0, MOST_KNOWN).map(member => renderStatus(member, nowMilliseconds)),
+            known: whole.map(member => renderStatus(member, nowMilliseconds)),
+            ...(progress === undefined ? {} : { progress }),
         };
     }
 
@@ -249,7 +273,8 @@
             .map(member => member.identity);
         const unknown = this.#table.hostList.live()
             .filter(({ host }) => host !== this.#identity.host && this.#table.get(host) === undefined);
-        return sample([...lost, ...unknown], PROBES_PER_HEARTBEAT, this.#random)
+        const count = this.#table.usesRumours() ? PROBES_AMONG_MANY : PROBES_PER_HEARTBEAT;
+        return sample([...lost, ...unknown], count, this.#random)
             .map(target => this.#heartbeat(target, nowMilliseconds));
     }
 }
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -45,7 +45,7 @@
         readonly host: string | undefined;
         readonly status: PeerStatus;
         readonly known: readonly PeerStatus[];
-        /** Counters of further hosts, whose identities the peer was told before; only beyond 16 hosts. */
+        /** Counters of further hosts, whose identities the peer was told before; only where hosts are many. */
         readonly progress?: PeerProgress;
     }
     | { readonly type: "peer-up"; readonly identity: HostIdentity; }
