--- a/measurements/fleet.ts
+++ b/measurements/fleet.ts
@@ -42,6 +42,8 @@
     pausedUntilMilliseconds: number;
     /** Revisions in the order in which they came into force. */
     readonly activated: ConfigurationRecord[];
+    /** Incarnations of peers that this process knows to leave, as `host/incarnation`. */
+    readonly knownLeaving: Set<string>;
     left: boolean;
 }
 
@@ -117,6 +119,7 @@
             alive: true,
             pausedUntilMilliseconds: 0,
             activated: [],
+            knownLeaving: new Set(),
             left: false,
         };
         this.hosts.set(name, host);
@@ -220,6 +223,9 @@
             if (effect.type === "send-heartbeat") {
                 this.#sendHeartbeat(host, effect);
             }
+            else if (effect.type === "peer-leaving") {
+                host.knownLeaving.add(`${effect.identity.host}/${effect.identity.incarnation}`);
+            }
         }
     }
 
--- a/src/membership/_fanOut.ts
+++ b/src/membership/_fanOut.ts
@@ -19,6 +19,9 @@
 const FAILURE_TIMEOUT_MILLISECONDS = 3000;
 const SPREAD_ROUND_MILLISECONDS = 1200;
 const OTHER_ZONE_TIMEOUT_MILLISECONDS = 90_000;
+const WHOLE_ZONE_TIMEOUT_MILLISECONDS = 20_000;
+/** A zone of at least this many hosts counts as lost when none of them is heard of. */
+const WHOLE_ZONE_HOSTS = 8;
 
 /**
  * Takes up to `count` members at random.
@@ -73,29 +76,53 @@
     return [...near, ...far];
 }
 
-/** Silence after which members count as lost. */
-export interface FailureTimeouts {
-    readonly ownZoneMilliseconds: number;
-    readonly otherZonesMilliseconds: number;
+/** What the failure detector looks at. */
+export interface HeardHost {
+    readonly identity: HostIdentity;
+    readonly progressedAtMilliseconds: number;
+}
+
+/** Gives, for each zone, when any of its hosts was last heard of, and how many hosts it has. */
+function zonesHeard(hosts: readonly HeardHost[]): ReadonlyMap<string, { lastMilliseconds: number; hosts: number; }> {
+    const zones = new Map<string, { lastMilliseconds: number; hosts: number; }>();
+    for (const { identity, progressedAtMilliseconds } of hosts) {
+        const zone = zones.get(identity.zone) ?? { lastMilliseconds: -Infinity, hosts: 0 };
+        zone.lastMilliseconds = Math.max(zone.lastMilliseconds, progressedAtMilliseconds);
+        zone.hosts += 1;
+        zones.set(identity.zone, zone);
+    }
+    return zones;
 }
 
 /**
- * Gives the silence after which a member counts as lost.
+ * Finds hosts that were silent for too long.
+ *
+ * Hosts of other zones are judged by their own zones, which tell of a loss; here they count as lost after a long
+ * silence, or when their whole zone is silent.
  *
  * @param self This host.
- * @param peers Live peers.
+ * @param hosts Hosts that are not lost yet.
+ * @param nowMilliseconds The time of the judgement.
  */
-export function failureTimeouts(self: HostIdentity, peers: readonly HostIdentity[]): FailureTimeouts {
-    if (peers.length < FULL_MESH_HOSTS) {
-        return {
-            ownZoneMilliseconds: FAILURE_TIMEOUT_MILLISECONDS,
-            otherZonesMilliseconds: FAILURE_TIMEOUT_MILLISECONDS,
-        };
+export function findSilent<Host extends HeardHost>(
+    self: HostIdentity,
+    hosts: readonly Host[],
+    nowMilliseconds: number,
+): Host[] {
+    const silence = (host: HeardHost): number => nowMilliseconds - host.progressedAtMilliseconds;
+    if (hosts.length < FULL_MESH_HOSTS) {
+        return hosts.filter(host => silence(host) > FAILURE_TIMEOUT_MILLISECONDS);
     }
-    const zoneHosts = peers.filter(peer => peer.zone === self.zone).length + 1;
-    const spreading = Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
-    return {
-        ownZoneMilliseconds: FAILURE_TIMEOUT_MILLISECONDS + spreading,
-        otherZonesMilliseconds: OTHER_ZONE_TIMEOUT_MILLISECONDS,
-    };
+    const zones = zonesHeard(hosts);
+    const zoneHosts = (zones.get(self.zone)?.hosts ?? 0) + 1;
+    const ownTimeout = FAILURE_TIMEOUT_MILLISECONDS + Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
+    return hosts.filter(host => {
+        const zone = zones.get(host.identity.zone);
+        if (zone === undefined || host.identity.zone === self.zone) {
+            return silence(host) > ownTimeout;
+        }
+        const zoneSilence = nowMilliseconds - zone.lastMilliseconds;
+        const wholeZone = zone.hosts >= WHOLE_ZONE_HOSTS && zoneSilence > WHOLE_ZONE_TIMEOUT_MILLISECONDS;
+        return wholeZone || silence(host) > OTHER_ZONE_TIMEOUT_MILLISECONDS;
+    });
 }
--- a/src/membership/_memberTable.ts
+++ b/src/membership/_memberTable.ts
@@ -5,7 +5,7 @@
  */
 import { match } from "ts-pattern";
 import { type HostIdentity, type PeerStatus } from "../generated/peers.js";
-import { failureTimeouts, FULL_MESH_HOSTS } from "./_fanOut.js";
+import { findSilent, FULL_MESH_HOSTS } from "./_fanOut.js";
 import { type HostListing, HostListView } from "./_hostList.js";
 import { markLost, type Member, type MemberChange, mergeStatus } from "./_members.js";
 import { type MembershipEffect } from "./messages.js";
@@ -83,14 +83,8 @@
 
     /** Marks members as lost whose counters have not risen for too long. */
     findLost(nowMilliseconds: number): MembershipEffect[] {
-        const heard = this.heard();
-        const timeouts = failureTimeouts(this.#self, heard.map(member => member.identity));
-        const silent = heard.filter(member => {
-            const own = member.identity.zone === this.#self.zone;
-            const timeout = own ? timeouts.ownZoneMilliseconds : timeouts.otherZonesMilliseconds;
-            return nowMilliseconds - member.progressedAtMilliseconds > timeout;
-        });
-        silent.forEach(member => markLost(member, nowMilliseconds));
+        const silent = findSilent(this.#self, this.heard(), nowMilliseconds);
+        silent.forEach(member => markLost(member, member.identity.zone === this.#self.zone, nowMilliseconds));
         return silent.map(member => ({ type: "peer-down", identity: member.identity }));
     }
 
@@ -115,7 +109,7 @@
         if (member.lostAtMilliseconds !== undefined || member.heartbeat > status.heartbeat) {
             return [];
         }
-        markLost(member, nowMilliseconds);
+        markLost(member, true, nowMilliseconds);
         return [{ type: "peer-down", identity: member.identity }];
     }
 
--- a/src/membership/_members.ts
+++ b/src/membership/_members.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { hashText } from "../decision/index.js";
 import { type HostIdentity, type PeerStatus } from "../generated/peers.js";
 
 const NEVER_CONFIRMED = -1;
@@ -14,7 +15,9 @@
 
 /** What this host knows of one other host. */
 export interface Member {
-    identity: HostIdentity;
+    readonly identity: HostIdentity;
+    /** Stands for host and incarnation in columns of counters. */
+    readonly identityHash: number;
     /** Highest counter seen of this incarnation. */
     heartbeat: number;
     leaving: boolean;
@@ -24,6 +27,8 @@
     /** When the counter last rose. */
     progressedAtMilliseconds: number;
     lostAtMilliseconds: number | undefined;
+    /** True where the host's own zone found the loss, so that it may be told to others. */
+    lossIsZonesOwn: boolean;
     sendFailedAtMilliseconds: number | undefined;
     /** Digests that still have to carry the latest change of this member. */
     newsLeft: number;
@@ -38,6 +43,15 @@
     | { readonly type: "returned"; readonly member: Member; }
     | { readonly type: "began-leaving"; readonly member: Member; };
 
+/**
+ * Hashes host and incarnation.
+ *
+ * @param identity The identity.
+ */
+export function hashIdentity(identity: HostIdentity): number {
+    return hashText(`${identity.host}/${identity.incarnation}`);
+}
+
 function confirmedAt(status: PeerStatus, nowMilliseconds: number): number | undefined {
     const ago = status.storeConfirmedMillisecondsAgo;
     return ago === NEVER_CONFIRMED ? undefined : nowMilliseconds - ago;
@@ -46,6 +60,7 @@
 function createMember(status: PeerStatus, nowMilliseconds: number): Member {
     return {
         identity: status.identity,
+        identityHash: hashIdentity(status.identity),
         heartbeat: status.heartbeat,
         leaving: status.leaving,
         advertise: status.advertise ?? true,
@@ -53,6 +68,7 @@
         storeConfirmedAtMilliseconds: confirmedAt(status, nowMilliseconds),
         progressedAtMilliseconds: nowMilliseconds,
         lostAtMilliseconds: undefined,
+        lossIsZonesOwn: false,
         sendFailedAtMilliseconds: undefined,
         newsLeft: NEWCOMER_REPEATS,
     };
@@ -128,14 +144,27 @@
 }
 
 /**
- * Marks a member as lost, which is news for other zones.
+ * Marks a member as lost, which is news for other zones where its own zone found it.
  *
  * @param member The member that was silent for too long.
+ * @param lossIsZonesOwn Whether the member's own zone found the loss.
  * @param nowMilliseconds When that was found.
  */
-export function markLost(member: Member, nowMilliseconds: number): void {
+export function markLost(member: Member, lossIsZonesOwn: boolean, nowMilliseconds: number): void {
     member.lostAtMilliseconds = nowMilliseconds;
-    member.newsLeft = NEWS_REPEATS;
+    member.lossIsZonesOwn = lossIsZonesOwn;
+    member.newsLeft = lossIsZonesOwn ? NEWS_REPEATS : 0;
+}
+
+/**
+ * Gives the age of a member's latest confirmation by the key-value service, as statuses tell it.
+ *
+ * @param member The member.
+ * @param nowMilliseconds Up to when the age counts.
+ */
+export function readConfirmedAgo(member: Member, nowMilliseconds: number): number {
+    const confirmed = member.storeConfirmedAtMilliseconds;
+    return confirmed === undefined ? NEVER_CONFIRMED : Math.max(0, Math.round(nowMilliseconds - confirmed));
 }
 
 /**
@@ -145,15 +174,12 @@
  * @param nowMilliseconds When it is told.
  */
 export function renderStatus(member: Member, nowMilliseconds: number): PeerStatus {
-    const confirmed = member.storeConfirmedAtMilliseconds;
     return {
         identity: member.identity,
         heartbeat: member.heartbeat,
         leaving: member.leaving,
         configurationRevision: member.configurationRevision,
-        storeConfirmedMillisecondsAgo: confirmed === undefined
-            ? NEVER_CONFIRMED
-            : Math.max(0, Math.round(nowMilliseconds - confirmed)),
+        storeConfirmedMillisecondsAgo: readConfirmedAgo(member, nowMilliseconds),
         advertise: member.advertise,
         ...(member.lostAtMilliseconds === undefined ? {} : { lost: true }),
     };
--- a/src/membership/_progress.ts
+++ b/src/membership/_progress.ts
@@ -3,13 +3,8 @@
  *
  * @module
  */
-import { hashText } from "../decision/index.js";
 import { type HostIdentity, type PeerProgress, type PeerStatus } from "../generated/peers.js";
-import { type Member, renderStatus } from "./_members.js";
-
-function hashIdentity(identity: HostIdentity): number {
-    return hashText(`${identity.host}/${identity.incarnation}`);
-}
+import { hashIdentity, type Member, readConfirmedAgo } from "./_members.js";
 
 /**
  * Renders the counters of members.
@@ -18,15 +13,14 @@
  * @param nowMilliseconds When they are told.
  */
 export function renderProgress(members: readonly Member[], nowMilliseconds: number): PeerProgress {
-    const statuses = members.map(member => renderStatus(member, nowMilliseconds));
-    const hashes = (some: readonly PeerStatus[]) => some.map(status => hashIdentity(status.identity));
+    const hashes = (some: readonly Member[]) => some.map(member => member.identityHash);
     return {
-        identityHashes: hashes(statuses),
-        heartbeats: statuses.map(status => status.heartbeat),
-        configurationRevisions: statuses.map(status => status.configurationRevision),
-        storeConfirmedMillisecondsAgo: statuses.map(status => status.storeConfirmedMillisecondsAgo),
-        leaving: hashes(statuses.filter(status => status.leaving)),
-        unadvertised: hashes(statuses.filter(status => status.advertise === false)),
+        identityHashes: hashes(members),
+        heartbeats: members.map(member => member.heartbeat),
+        configurationRevisions: members.map(member => member.configurationRevision),
+        storeConfirmedMillisecondsAgo: members.map(member => readConfirmedAgo(member, nowMilliseconds)),
+        leaving: hashes(members.filter(member => member.leaving)),
+        unadvertised: hashes(members.filter(member => !member.advertise)),
     };
 }
 
@@ -41,14 +35,14 @@
 export function indexMembers(members: readonly Member[]): MemberIndex {
     const index = new Map<number, Member | undefined>();
     for (const member of members) {
-        const hash = hashIdentity(member.identity);
+        const hash = member.identityHash;
         index.set(hash, index.has(hash) ? undefined : member);
     }
     return index;
 }
 
 /**
- * Reads counters of hosts that are known under the same incarnation; others are left out.
+ * Reads what counters tell anew of hosts that are known under the same incarnation.
  *
  * @param progress What a peer told.
  * @param index The members that are known.
@@ -57,15 +51,19 @@
     const leaving = new Set(progress.leaving);
     const unadvertised = new Set(progress.unadvertised);
     return progress.identityHashes.flatMap((hash, position) => {
-        const identity = index.get(hash)?.identity;
+        const member = index.get(hash);
         const heartbeat = progress.heartbeats[position];
-        if (identity === undefined || heartbeat === undefined) {
+        if (member === undefined || heartbeat === undefined) {
+            return [];
+        }
+        const leaves = leaving.has(hash);
+        if (heartbeat <= member.heartbeat && leaves === member.leaving) {
             return [];
         }
         return [{
-            identity,
+            identity: member.identity,
             heartbeat,
-            leaving: leaving.has(hash),
+            leaving: leaves,
             advertise: !unadvertised.has(hash),
             configurationRevision: progress.configurationRevisions[position] ?? 0,
             storeConfirmedMillisecondsAgo: progress.storeConfirmedMillisecondsAgo[position] ?? -1,
