--- a/src/residency/_answers.ts
+++ b/src/residency/_answers.ts
@@ -40,7 +40,7 @@
     backOff(state, order, false, nowMilliseconds);
     state.nextReportAtMilliseconds = nowMilliseconds;
     if (order.kind === "load-model") {
-        state.lostLoads.set(orderKey(order), nowMilliseconds + ASSUMED_LOAD_MILLISECONDS);
+        state.lostLoads.set(orderSubjectKey(order), nowMilliseconds + ASSUMED_LOAD_MILLISECONDS);
     }
     if (order.kind === "load-adapter") {
         state.lostAdapters.add(orderSubjectKey(order));
--- a/src/residency/_carryOut.ts
+++ b/src/residency/_carryOut.ts
@@ -27,13 +27,21 @@
 
 const RECORDED: Outcome = { type: "recorded" };
 
-function countRunningLoads(holder: ActiveHolder, drafts: Iterable<OpenDraft>, nowMilliseconds: number): number {
+/** Counts loads that may be running; a lost one that is sent again to the same engine counts once. */
+function countRunningLoads(
+    holder: ActiveHolder,
+    drafts: Iterable<OpenDraft>,
+    again: { readonly engine: string; readonly subject: string; },
+    nowMilliseconds: number,
+): number {
     const isLoad = (order: EngineOrder): boolean => order.kind === "load-model";
     let running = 0;
     for (const state of holder.engines.values()) {
         running += [...state.awaited.values()].filter(({ order }) => isLoad(order)).length;
         running += state.pendingWrite?.orders.filter(isLoad).length ?? 0;
-        running += [...state.lostLoads.values()].filter(until => until > nowMilliseconds).length;
+        running += [...state.lostLoads].filter(([subject, until]) =>
+            until > nowMilliseconds && (state.name !== again.engine || subject !== again.subject)
+        ).length;
     }
     for (const draft of drafts) {
         running += draft.orders.filter(isLoad).length;
@@ -80,9 +88,14 @@
         : { type: "wait", reason: "no other proved copy stands yet" };
 }
 
-function checkLoad(holder: ActiveHolder, drafts: Iterable<OpenDraft>, nowMilliseconds: number): Outcome {
+function checkLoad(
+    holder: ActiveHolder,
+    drafts: Iterable<OpenDraft>,
+    again: { readonly engine: string; readonly subject: string; },
+    nowMilliseconds: number,
+): Outcome {
     const share = shareOfWeightStore(holder.text.deployment, holder.pool);
-    if (countRunningLoads(holder, drafts, nowMilliseconds) >= share.concurrentLoads) {
+    if (countRunningLoads(holder, drafts, again, nowMilliseconds) >= share.concurrentLoads) {
         return { type: "wait", reason: `the pool's ${share.concurrentLoads} loads at once are running` };
     }
     return holder.budget.tokens >= 1
@@ -103,7 +116,7 @@
         return { type: "wait", reason: "an order about it is under way" };
     }
     const check = match(action.action)
-        .with("load", () => checkLoad(holder, drafts.values(), nowMilliseconds))
+        .with("load", () => checkLoad(holder, drafts.values(), { engine: action.engine, subject }, nowMilliseconds))
         .with("evict", () => checkEvict(holder, drafts, draft, order, nowMilliseconds))
         .with("grant", "withdraw", () => RECORDED)
         .exhaustive();
--- a/src/residency/_engineState.ts
+++ b/src/residency/_engineState.ts
@@ -59,7 +59,7 @@
     pendingWrite: PendingWrite | undefined;
     facts: LedgerFact[];
     readonly awaited: Map<string, AwaitedOrder>;
-    /** Loads that were sent and not answered, with the time until which they count as running at the weight store. */
+    /** Subjects of loads without an answer, with the time until which they count as running at the weight store. */
     readonly lostLoads: Map<string, number>;
     /** Adapters with a load that was sent under this epoch and never answered. */
     readonly lostAdapters: Set<string>;
--- a/src/residency/_recordKeeping.ts
+++ b/src/residency/_recordKeeping.ts
@@ -7,14 +7,14 @@
 import { type EngineRecord } from "../generated/platform.js";
 import { type EngineOrder } from "../generated/upstreams.js";
 import { composeDraft, differs } from "./_drafts.js";
-import { type EngineState, orderKey, type PendingWrite } from "./_engineState.js";
+import { type EngineState, orderKey, orderSubjectKey, type PendingWrite, subjectKey } from "./_engineState.js";
 import { type ActiveHolder, type Holder } from "./_holder.js";
 import { mayEvictModel } from "./_standing.js";
 import { findEntry } from "./ledger.js";
 
 const READ_RETRY_MILLISECONDS = 500;
 /** How long a load without an answer counts as running at the weight store. */
-export const ASSUMED_LOAD_MILLISECONDS = 30_000;
+export const ASSUMED_LOAD_MILLISECONDS = 10_000;
 
 /** Reads a record that is not known, unless the store has just failed to answer. */
 export function readIfNeeded(holder: Holder, state: EngineState, nowMilliseconds: number): void {
@@ -62,11 +62,9 @@
 
 /** Loads of earlier holders may still be running at the weight store. */
 function inheritLoads(state: EngineState, record: EngineRecord, nowMilliseconds: number): void {
-    const loads = record.entries.filter(entry => entry.kind === "model").flatMap(entry => entry.openOrders);
-    for (const { kind, fencing } of loads) {
-        if (kind === "load") {
-            const key = `${fencing.epoch}/${fencing.sequence}`;
-            state.lostLoads.set(key, nowMilliseconds + ASSUMED_LOAD_MILLISECONDS);
+    for (const entry of record.entries) {
+        if (entry.kind === "model" && entry.openOrders.some(open => open.kind === "load")) {
+            state.lostLoads.set(subjectKey(entry), nowMilliseconds + ASSUMED_LOAD_MILLISECONDS);
         }
     }
 }
@@ -143,6 +141,7 @@
 /** Hands an order to the shell; its intent is in the stored record. */
 export function sendOrder(holder: ActiveHolder, state: EngineState, order: EngineOrder, nowMilliseconds: number): void {
     const incarnation = state.record?.incarnation ?? "";
+    state.lostLoads.delete(orderSubjectKey(order));
     state.awaited.set(orderKey(order), { order, incarnation, sentAtMilliseconds: nowMilliseconds });
     holder.effects.push({ type: "send-order", engine: state.name, incarnation, order });
 }
--- a/src/residency/_testFleet.ts
+++ b/src/residency/_testFleet.ts
@@ -59,14 +59,19 @@
 
 /** One engine; it accepts whatever it is told, so that the test sees when too much is asked. */
 export class EngineFake {
-    incarnation = 1;
+    incarnation = 0;
     restartedAt = -Infinity;
     role = "";
     highest = { epoch: 0, sequence: 0 };
     readonly holds = new Map<string, number>();
     readonly loaded = new Set<string>();
-    frozen = false;
-    constructor(readonly name: string, readonly checksFencing: boolean) {}
+    constructor(
+        readonly name: string,
+        readonly checksFencing: boolean,
+        private readonly preloaded: ReadonlyMap<string, number>,
+    ) {
+        this.restart(-Infinity);
+    }
     get incarnationName(): string {
         return `${this.name}-${this.incarnation}`;
     }
@@ -77,6 +82,10 @@
         this.highest = { epoch: 0, sequence: 0 };
         this.holds.clear();
         this.loaded.clear();
+        for (const [key, megabytes] of this.preloaded) {
+            this.holds.set(key, megabytes);
+            this.loaded.add(key);
+        }
     }
     report(): EngineReport {
         const of = (kind: string): string[][] =>
@@ -121,7 +130,11 @@
     constructor(private readonly options: FleetOptions) {
         this.random = createSeededRandom(options.seed);
         this.text = options.texts[0] as Deployment;
-        this.engines = this.pool.engines.map(engine => new EngineFake(engine.name, this.pool.checksFencing));
+        this.engines = this.pool.engines.map(({ name }, index) => {
+            const preloaded = index === 0 ? this.text.models.slice(-1) : [];
+            const held = preloaded.map(model => [`model ${model.name} ${model.version}`, model.megabytes] as const);
+            return new EngineFake(name, this.pool.checksFencing, new Map(held));
+        });
         const createIdentifier = (): string => `id-${this.identifiers += 1}`;
         this.hosts = ["host-1", "host-2", "host-3"].map(name => ({
             name,
