--- a/src/residency/residencyDecision.ts
+++ b/src/residency/residencyDecision.ts
@@ -24,7 +24,8 @@
     takeWritten,
 } from "./_recordKeeping.js";
 import { readReportIfDue, takeReport, takeUnreachable } from "./_reports.js";
-import { createStoreBudget, refillBudget } from "./_storeBudget.js";
+import { isPoolKnown, noteStanding } from "./_standing.js";
+import { createStoreBudget, refillBudget, refillMoves } from "./_storeBudget.js";
 import { buildView } from "./_view.js";
 import { type ResidencyEffect, type ResidencyMessage } from "./messages.js";
 import { planPlacement } from "./planPlacement.js";
@@ -52,6 +53,8 @@
         engines: new Map(),
         leavingEngines: new Set(),
         budget: createStoreBudget(0),
+        moves: createStoreBudget(0),
+        intended: new Map(),
         sequence: 0,
     };
 }
@@ -74,6 +77,7 @@
     holder.engines = new Map();
     holder.explained.clear();
     holder.budget = createStoreBudget(nowMilliseconds);
+    holder.intended = new Map();
     alignEngines(holder);
 }
 
@@ -169,19 +173,39 @@
     const { deployment } = holder.text;
     refillBudget(holder.budget, shareOfWeightStore(deployment, holder.pool), nowMilliseconds);
     const drafts = draftsOf(holder);
-    const { actions, problems } = planPlacement(buildView(holder, drafts, nowMilliseconds), deployment.placement);
+    noteStanding(holder, nowMilliseconds);
+    if (!isPoolKnown(holder, nowMilliseconds)) {
+        carryOut(holder, [], drafts, nowMilliseconds);
+        return;
+    }
+    refillMoves(holder.moves, holder.engines.size, nowMilliseconds);
+    const view = buildView(holder, drafts, nowMilliseconds);
+    const options = { ...deployment.placement, mayMove: holder.moves.tokens >= 1 };
+    const { actions, problems } = planPlacement(view, options);
+    const loads = actions.filter(({ action }) => action === "load");
+    holder.intended = new Map(loads.reverse().map(({ name, engine }) => [name, engine]));
     for (const { name, reason } of problems) {
         explainOnce(holder, "none", undefined, name, reason);
     }
     carryOut(holder, [...missingGrants(holder, nowMilliseconds), ...actions], drafts, nowMilliseconds);
 }
 
-function act(holder: ActiveHolder, nowMilliseconds: number): void {
+/** A report that confirms what is known, or demand, changes the plan no sooner than the next tick. */
+function isPlannedFor(holder: Holder, message: ResidencyMessage): boolean {
+    if (message.type === "engine-reported") {
+        return holder.engines.get(message.report.engine)?.newIncarnation !== undefined;
+    }
+    return message.type !== "demand" && message.type !== "lease-renewed";
+}
+
+function act(holder: ActiveHolder, message: ResidencyMessage, nowMilliseconds: number): void {
     for (const state of holder.engines.values()) {
         readIfNeeded(holder, state, nowMilliseconds);
         readReportIfDue(holder, state, nowMilliseconds);
     }
-    plan(holder, nowMilliseconds);
+    if (isPlannedFor(holder, message)) {
+        plan(holder, nowMilliseconds);
+    }
     loadWantedAdapters(holder, nowMilliseconds);
     for (const state of holder.engines.values()) {
         publishIfDue(holder, state, nowMilliseconds);
@@ -212,7 +236,7 @@
         handle(message, nowMilliseconds) {
             take(holder, message, nowMilliseconds);
             if (isActive(holder, nowMilliseconds)) {
-                act(holder, nowMilliseconds);
+                act(holder, message, nowMilliseconds);
             }
             return holder.effects.splice(0);
         },
