Break each membership mechanism once; two tests were too weak and are now strict

Ten mutations, each alone, tests of src/membership run after each. Caught: advertise while leaving, count old counters as life, tell nothing of others, accept an old incarnation, never probe lost hosts, ignore a late notice to leave, do not ask for unknown identities. Not caught at first: a host's own pause not forgiven (the fleet delivered what had waited before the first tick; it now runs timers first, and the test takes ten seeds) and everybody spreading a loss (new unit test); both are caught now. Not caught, and redundant: taking back a notice to leave, because an incarnation never sends it.

--- a/measurements/fleet.ts
+++ b/measurements/fleet.ts
@@ -27,6 +27,8 @@
 const TICK_MILLISECONDS = 250;
 const HOST_LIST_INTERVAL_MILLISECONDS = 2000;
 const PLATFORM_DELAY_MILLISECONDS = 4;
+/** A process that wakes from a pause runs its timers before it reads its sockets. */
+const WAKING_MILLISECONDS = 300;
 
 /** Reads a text without looking at it; these runs are about revisions. */
 function parseAnything(): Result<Deployment, readonly TextProblem[]> {
@@ -195,7 +197,8 @@
                 return;
             }
             if (this.nowMilliseconds < host.pausedUntilMilliseconds) {
-                this.#deliver(host, host.pausedUntilMilliseconds - this.nowMilliseconds, action);
+                const untilAwake = host.pausedUntilMilliseconds - this.nowMilliseconds;
+                this.#deliver(host, untilAwake + WAKING_MILLISECONDS, action);
                 return;
             }
             action();
--- a/src/membership/faults.test.ts
+++ b/src/membership/faults.test.ts
@@ -105,10 +105,15 @@
 });
 
 test("a host that wakes from a pause of 10 s does not drop the others", () => {
-    const fleet = createFleet(SEED);
-    fleet.pause("host-002", 10_000);
-    fleet.run(10_500);
-    assertComplete(fleet, fleet.get("host-002"));
+    for (let seed = SEED; seed < SEED + 10; seed += 1) {
+        const fleet = createFleet(seed);
+        fleet.pause("host-002", 10_000);
+        fleet.run(10_000);
+        for (let step = 0; step < 10; step += 1) {
+            fleet.run(100);
+            assertComplete(fleet, fleet.get("host-002"));
+        }
+    }
 });
 
 test("every engine has one poller, in its zone while a host is there", () => {
--- a/src/membership/membership.test.ts
+++ b/src/membership/membership.test.ts
@@ -45,3 +45,22 @@
     );
     assert.deepEqual(membership.livePeers(), [after]);
 });
+
+test("a host tells others of a loss in its own zone, and of none that it only suspects in another zone", () => {
+    const membership = create();
+    const peers = Array.from({ length: 20 }, (_, index) => identity(`p${index}`, index % 2 === 0 ? "z1" : "z2"));
+    const lost = new Set<string>();
+    for (let second = 0; second <= 120; second += 1) {
+        const heard = second === 0 ? peers : peers.slice(2);
+        for (const peer of heard) {
+            const heartbeat = { type: "heartbeat-received", status: status(peer, second + 1), known: [] } as const;
+            membership.handle(heartbeat, second * 1000);
+        }
+        for (const effect of membership.handle({ type: "tick" }, second * 1000)) {
+            const known = effect.type === "send-heartbeat" ? effect.known : [];
+            known.filter(told => told.lost === true).forEach(told => lost.add(told.identity.host));
+        }
+    }
+    assert.deepEqual(membership.livePeers().length, 18);
+    assert.deepEqual([...lost], ["p0"]);
+});
