--- a/measurements/fleet.ts
+++ b/measurements/fleet.ts
@@ -119,7 +119,7 @@
             membership: createMembershipDecision({ identity, random: this.random }),
             configuration: createConfigurationDecision({ host: name, parse: parseAnything, random: this.random }),
             alive: true,
-            pausedUntilMilliseconds: 0,
+            pausedUntilMilliseconds: -WAKING_MILLISECONDS,
             activated: [],
             knownLeaving: new Set(),
             left: false,
@@ -196,9 +196,9 @@
             if (!host.alive) {
                 return;
             }
-            if (this.nowMilliseconds < host.pausedUntilMilliseconds) {
-                const untilAwake = host.pausedUntilMilliseconds - this.nowMilliseconds;
-                this.#deliver(host, untilAwake + WAKING_MILLISECONDS, action);
+            const readsAtMilliseconds = host.pausedUntilMilliseconds + WAKING_MILLISECONDS;
+            if (this.nowMilliseconds < readsAtMilliseconds) {
+                this.#deliver(host, readsAtMilliseconds - this.nowMilliseconds, action);
                 return;
             }
             action();
