Read claim records again after a start or a change of peers, and run nothing that comes after its time

A trial printed why: the record had been read 1 s after the start, before peers know each other, and not again for 5 minutes, so its age proved nothing. Ruled out: an answer lost between hosts, and a claim of this process that was not run; neither occurred in that scenario. A witness's or claim's answer that comes past its time (after a pause) no longer dispatches. Smaller default bounds of memory. Conclusion: what remains is an outage that begins before the records were read after a loss.

--- a/src/orders/_claims.ts
+++ b/src/orders/_claims.ts
@@ -74,6 +74,10 @@
         if (claim === undefined || claim.isClaimed) {
             return;
         }
+        if (nowMilliseconds >= claim.deadlineMilliseconds) {
+            failed(answer.key, undefined, nowMilliseconds);
+            return;
+        }
         match(answer)
             .with({ outcome: "claimed" }, () => runUnlessHeld(claim, nowMilliseconds))
             .with({ outcome: "claimed-by-another" }, ({ key, claimedBy }) => {
--- a/src/orders/_ticketOwner.ts
+++ b/src/orders/_ticketOwner.ts
@@ -94,6 +94,10 @@
 
     function recordAnswered(recording: Recording, answer: WitnessAnswer, nowMilliseconds: number): void {
         const { order, call } = recording;
+        if (nowMilliseconds >= recording.deadlineMilliseconds) {
+            loseWitness(recording, nowMilliseconds);
+            return;
+        }
         match(answer)
             .with({ type: "recorded" }, { type: "dispatched" }, () => {
                 recordings.delete(order.key);
--- a/src/orders/claimBatcher.ts
+++ b/src/orders/claimBatcher.ts
@@ -24,6 +24,8 @@
     | { readonly type: "conflict"; readonly attempt: number; readonly shard: number; readonly current: ReadClaims; }
     /** `notSent` only where the write cannot have taken effect. */
     | { readonly type: "write-failed"; readonly attempt: number; readonly shard: number; readonly notSent: boolean; }
+    /** A peer was lost or found: the records are read again, so that they prove absence since then. */
+    | { readonly type: "peers-changed"; }
     | { readonly type: "tick"; };
 
 /** What the claim batcher asks for; the last two are messages to the orders decision. */
@@ -96,6 +98,8 @@
 /** How long after the start every record is read, so that an outage finds them known. */
 const FIRST_READ_MILLISECONDS = 3_000;
 const READ_INTERVAL_MILLISECONDS = 300_000;
+/** Time between the records' reads after a change of peers. */
+const READ_SPREAD_MILLISECONDS = 50;
 const READ_RETRY_MILLISECONDS = 5_000;
 const RENEWAL_AGE_MILLISECONDS = 60_000;
 
@@ -250,7 +254,8 @@
     function learn(shard: Shard, known: ReadClaims): void {
         const atMilliseconds = shard.attempt?.beganAtMilliseconds ?? now;
         shard.seen = { claims: known.record?.claims ?? [], atMilliseconds };
-        shard.readAgainAtMilliseconds = now + READ_INTERVAL_MILLISECONDS;
+        const firstRead = startedAt + FIRST_READ_MILLISECONDS;
+        shard.readAgainAtMilliseconds = now < firstRead ? firstRead : now + READ_INTERVAL_MILLISECONDS;
         shard.attempt = undefined;
         shard.known = known;
         advance(shard);
@@ -300,6 +305,14 @@
         advance(shard);
     }
 
+    function readAgain(): void {
+        for (let number = 0; number < shardCount; number += 1) {
+            const shard = shardOf(number);
+            const soon = now + (number + 1) * READ_SPREAD_MILLISECONDS;
+            shard.readAgainAtMilliseconds = Math.min(shard.readAgainAtMilliseconds, soon);
+        }
+    }
+
     function tick(): void {
         for (let number = 0; number < shardCount; number += 1) {
             tickShard(shardOf(number));
@@ -349,6 +362,7 @@
                 { type: "write-failed" },
                 message => withAttempt(message, shard => writeFailed(shard, message.notSent)),
             )
+            .with({ type: "peers-changed" }, readAgain)
             .with({ type: "tick" }, tick)
             .exhaustive();
         return effects;
--- a/src/orders/orders.test.ts
+++ b/src/orders/orders.test.ts
@@ -318,3 +318,15 @@
     assert.deepEqual(send(decision, unknown, "2", 30), []);
     assert.deepEqual(typesOf(decision.handle({ type: "tick" }, 2_000)), ["ask-witness"]);
 });
+
+test("a host that was paused past its patience does not run an order whose record or claim then arrives", () => {
+    const decision = create();
+    const order = orderOf(`${decision.ticketFor(FIRST)}/x`);
+    send(decision, order);
+    const late = decision.handle(recordedFor(order.key), 60_000);
+    assert.deepEqual(outcomesOf(late), ["witness-unreachable not-run"]);
+    assert.deepEqual(typesOf(late), ["reply", "ask-witness"]);
+    send(decision, orderOf("bare"), "2", 61_000);
+    const claimed = decision.handle({ type: "claim-answered", key: "bare", outcome: "claimed" }, 120_000);
+    assert.deepEqual(outcomesOf(claimed), ["store-unavailable may-have-run"]);
+});
--- a/src/orders/ordersOptions.ts
+++ b/src/orders/ordersOptions.ts
@@ -27,9 +27,9 @@
     readonly settleMilliseconds?: number;
     /** How long a leaving host still begins orders of its own tickets; by default 0. */
     readonly acceptWhileLeavingMilliseconds?: number;
-    /** Most keys remembered as owner, and as many as witness; by default 20,000. */
+    /** Most keys remembered as owner, and as many as witness; by default 10,000. */
     readonly mostKeys?: number;
-    /** Most characters of results kept as owner, and as many as witness; by default 8 million. */
+    /** Most characters of results kept as owner, and as many as witness; by default 4 million. */
     readonly mostResultCharacters?: number;
 }
 
@@ -41,8 +41,8 @@
     claimMilliseconds: 4_000,
     settleMilliseconds: 2_000,
     acceptWhileLeavingMilliseconds: 0,
-    mostKeys: 20_000,
-    mostResultCharacters: 8_000_000,
+    mostKeys: 10_000,
+    mostResultCharacters: 4_000_000,
 };
 
 /** Fills in the defaults. */
