Wait for a leaving owner's answer, and name no leaving host as witness

Cause: peers that leave drop out of the list of live peers; their forwarded orders were given up 1 s after the witness said dispatched, though the owner was about to answer. Change: the peers message takes the processes that are heard, with those that leave named apart; an outcome is waited for as long as the forward itself is open.

--- a/measurements/orders.ts
+++ b/measurements/orders.ts
@@ -73,6 +73,7 @@
         faults: { ...QUIET, killsPerMinute: 6, pausesPerMinute: 6 },
         ticketShare: 1,
     },
+    { name: "tickets, 3 hosts a minute leave", faults: { ...QUIET, leavesPerMinute: 3 }, ticketShare: 1 },
     {
         name: "no tickets, service down at times",
         faults: { ...QUIET, store: { down: "at times", lostAnswerShare: 0 } },
--- a/src/orders/_forwarder.ts
+++ b/src/orders/_forwarder.ts
@@ -27,6 +27,8 @@
     readonly witness: ProcessName | undefined;
     readonly callMilliseconds: number;
     forwards: number;
+    /** The owner may still answer the forward itself. */
+    isOpen: boolean;
     phase: Phase;
 }
 
@@ -82,7 +84,7 @@
 
     function begin(order: Order, plan: ForwardPlan, nowMilliseconds: number): void {
         const phase = { type: "forwarding", deadlineMilliseconds: nowMilliseconds } as const;
-        const forward: Forward = { order, ...plan, forwards: 0, phase };
+        const forward: Forward = { order, ...plan, forwards: 0, isOpen: false, phase };
         forwards.set(order.key, forward);
         send(forward, nowMilliseconds);
     }
@@ -100,6 +102,7 @@
         }
         const patience = forward.callMilliseconds + options.witnessMilliseconds + FORWARD_MARGIN_MILLISECONDS;
         forward.forwards += 1;
+        forward.isOpen = true;
         forward.phase = { type: "forwarding", deadlineMilliseconds: nowMilliseconds + patience };
         emit({ type: "forward", order: forward.order, to });
     }
@@ -170,11 +173,9 @@
         if (phase.type !== "sealing" || phase.dispatched) {
             return;
         }
-        const patience = findPeer(forward.owner) === undefined
-            ? LOST_OWNER_OUTCOME_MILLISECONDS
-            : forward.callMilliseconds + FORWARD_MARGIN_MILLISECONDS;
         phase.dispatched = true;
-        phase.deadlineMilliseconds = nowMilliseconds + patience;
+        phase.deadlineMilliseconds = nowMilliseconds + forward.callMilliseconds + FORWARD_MARGIN_MILLISECONDS;
+        shortenForLostOwner(forward, nowMilliseconds);
     }
 
     function tickForward(forward: Forward, nowMilliseconds: number): void {
@@ -200,6 +201,7 @@
         if (forward === undefined) {
             return;
         }
+        forward.isOpen = false;
         const wrongOwner = outcome.type === "refused" && outcome.reason === WRONG_OWNER.reason;
         if (!wrongOwner) {
             finish(forward, outcome);
@@ -212,7 +214,12 @@
 
     function failed(key: string, nowMilliseconds: number): void {
         const forward = forwards.get(key);
-        if (forward?.phase.type !== "forwarding") {
+        if (forward === undefined) {
+            return;
+        }
+        forward.isOpen = false;
+        if (forward.phase.type !== "forwarding") {
+            shortenForLostOwner(forward, nowMilliseconds);
             return;
         }
         if (forward.forwards < MOST_FORWARDS) {
@@ -221,12 +228,9 @@
         send(forward, nowMilliseconds);
     }
 
-    function loseOwner(forward: Forward, nowMilliseconds: number): void {
-        const { phase } = forward;
-        if (phase.type === "forwarding") {
-            beginSeal(forward, nowMilliseconds);
-        }
-        else if (phase.type === "sealing" && phase.dispatched) {
+    /** Where the owner is lost and its connection too, only an outcome already on its way to the witness can come. */
+    function shortenForLostOwner({ phase, isOpen, owner }: Forward, nowMilliseconds: number): void {
+        if (phase.type === "sealing" && phase.dispatched && !isOpen && findPeer(owner) === undefined) {
             const latest = nowMilliseconds + LOST_OWNER_OUTCOME_MILLISECONDS;
             phase.deadlineMilliseconds = Math.min(phase.deadlineMilliseconds, latest);
         }
@@ -238,8 +242,11 @@
             if (phase.type === "waiting") {
                 send(forward, nowMilliseconds);
             }
-            else if (findPeer(forward.owner) === undefined) {
-                loseOwner(forward, nowMilliseconds);
+            else if (phase.type === "forwarding" && findPeer(forward.owner) === undefined) {
+                beginSeal(forward, nowMilliseconds);
+            }
+            else {
+                shortenForLostOwner(forward, nowMilliseconds);
             }
         }
     }
--- a/src/orders/messages.ts
+++ b/src/orders/messages.ts
@@ -25,8 +25,12 @@
 /** What the orders decision is told. */
 export type OrdersMessage =
     | { readonly type: "deployment"; readonly deployment: Deployment; readonly revision: number; }
-    /** Every live process, leaving ones too until they have ended. */
-    | { readonly type: "peers"; readonly identities: readonly HostIdentity[]; }
+    /** Every process that is heard, leaving ones too until they have ended; `leaving` names those by their host. */
+    | {
+        readonly type: "peers";
+        readonly identities: readonly HostIdentity[];
+        readonly leaving?: readonly string[];
+    }
     /** An order by a caller, or by the peer it reached; `identifier` names this waiting answer. */
     | {
         readonly type: "order-received";
--- a/src/orders/orders.test.ts
+++ b/src/orders/orders.test.ts
@@ -124,6 +124,8 @@
     const decision = create();
     const ticket = parseOrderKey(`${decision.ticketFor(FIRST)}/x`).unwrap().ticket;
     assert.deepEqual(ticket?.witness, { host: "other", incarnation: "other-1" });
+    decision.handle({ type: "peers", identities: [SAME_ZONE, OTHER_ZONE], leaving: ["other"] }, 0);
+    assert.equal(parseOrderKey(`${decision.ticketFor(FIRST)}/x`).unwrap().ticket?.witness?.host, "same");
     decision.handle({ type: "peers", identities: [] }, 0);
     assert.equal(parseOrderKey(`${decision.ticketFor(FIRST)}/x`).unwrap().ticket?.witness, undefined);
 });
@@ -330,3 +332,16 @@
     const claimed = decision.handle({ type: "claim-answered", key: "bare", outcome: "claimed" }, 120_000);
     assert.deepEqual(outcomesOf(claimed), ["store-unavailable may-have-run"]);
 });
+
+test("an order passed on by a host that is no longer listed is given up soon after its connection, not before", () => {
+    const decision = create();
+    const order = orderOf(`${decision.ticketFor(OTHER_ZONE)}/x`);
+    const key = order.key;
+    send(decision, order);
+    assert.deepEqual(typesOf(decision.handle({ type: "peers", identities: [SAME_ZONE] }, 1)), ["ask-witness"]);
+    decision.handle({ type: "witness-answered", key, request: "seal", answer: { type: "dispatched" } }, 2);
+    assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 5_000)), []);
+    decision.handle({ type: "forward-failed", key, notSent: false, bodyHash: order.bodyHash }, 5_001);
+    assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 6_000)), []);
+    assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 6_001)), ["owner-unreachable may-have-run"]);
+});
--- a/src/orders/ordersDecision.ts
+++ b/src/orders/ordersDecision.ts
@@ -66,6 +66,8 @@
     const { identity, random, witnessMilliseconds } = settings;
     let effects: OrdersEffect[] = [];
     let deployment: Deployment | undefined;
+    let isLeaving = false;
+    let leavingHosts: ReadonlySet<string> = new Set();
     let startedAtMilliseconds: number | undefined;
     let now = 0;
 
@@ -75,7 +77,7 @@
     const answerWaiters = (key: string, outcome: OrderOutcome): void => waiters.answer(key, outcome);
     const peers = createPeers({ ...settings, lostMilliseconds: settings.claimRetentionMilliseconds });
     const witness = createWitness({ ...settings, generations });
-    const issuer = createTicketIssuer({ random, candidates: () => [...peers.live, identity] });
+    const issuer = createTicketIssuer({ random, candidates: listWitnesses });
     const idempotentCalls = createIdempotentCalls({ emit, random });
     const owned = createOwnedOrders({
         emit,
@@ -111,6 +113,11 @@
         onRefused: answerWaiters,
     });
 
+    function listWitnesses(): readonly HostIdentity[] {
+        const candidates = isLeaving ? peers.live : [...peers.live, identity];
+        return candidates.filter(({ host }) => !leavingHosts.has(host));
+    }
+
     function settledAtMilliseconds(): number {
         return (startedAtMilliseconds ?? now) + settings.settleMilliseconds;
     }
@@ -256,11 +263,17 @@
         idempotentCalls.abandon(identifier);
     }
 
-    function changePeers(identities: readonly HostIdentity[]): void {
+    function changePeers(identities: readonly HostIdentity[], leaving: readonly string[] = []): void {
+        leavingHosts = new Set(leaving);
         peers.change(identities, now);
         forwarder.peersChanged(now);
     }
 
+    function leave(): void {
+        isLeaving = true;
+        owned.leave(now);
+    }
+
     function tick(): void {
         owned.tick(now);
         witness.forget();
@@ -274,7 +287,7 @@
     function route(received: OrdersMessage): void {
         match(received)
             .with({ type: "deployment" }, message => void (deployment = message.deployment))
-            .with({ type: "peers" }, ({ identities }) => changePeers(identities))
+            .with({ type: "peers" }, ({ identities, leaving }) => changePeers(identities, leaving))
             .with({ type: "order-received" }, receive)
             .with({ type: "abandoned" }, ({ identifier }) => abandon(identifier))
             .with({ type: "forward-answered" }, ({ key, outcome, bodyHash }) => {
@@ -294,7 +307,7 @@
             .with({ type: "dispatch-failed" }, dispatchFailed)
             .with({ type: "claim-answered" }, message => claims.answered(message, now))
             .with({ type: "claim-failed" }, message => claims.failed(message.key, message.absentSinceMilliseconds, now))
-            .with({ type: "leave" }, () => owned.leave(now))
+            .with({ type: "leave" }, leave)
             .with({ type: "tick" }, tick)
             .exhaustive();
     }
--- a/standins/orders/fabric.ts
+++ b/standins/orders/fabric.ts
@@ -318,9 +318,10 @@
     function sharePeers(): void {
         const awake = processes.filter(({ isAlive, pausedUntil }) => isAlive && pausedUntil <= schedule.now);
         const identities = awake.map(({ identity }) => identity);
+        const leaving = awake.filter(({ isLeaving }) => isLeaving).map(({ identity }) => identity.host);
         for (const host of processes) {
             schedule.after(random() * DETECTION_MILLISECONDS, () => {
-                tell(host, { type: "peers", identities });
+                tell(host, { type: "peers", identities, leaving });
                 host.handleClaims({ type: "peers-changed" });
             });
         }
@@ -362,6 +363,7 @@
         if (host?.isAlive === true) {
             host.isLeaving = true;
             tell(host, { type: "leave" });
+            sharePeers();
             schedule.after(LEAVING_MILLISECONDS, () => processes[index] === host && kill(index));
         }
     }
