Wire the whole path: hosts, demo, and the library's index

Change: one task per decision (configuration, membership, requests, orders with claims, residency per pool under its lease), an engine poller, events between tasks, start and graceful shutdown; the command line's program; a demo that starts stand-ins and four hosts as separate processes; the library's index and docs/DRIVING.md, whose example a test runs. Not shown yet: failures of processes, which the end-to-end tests are to bring about.

--- /dev/null
+++ b/demo/sites.ts
@@ -0,0 +1,199 @@
+/**
+ * Starts a whole site on loopback: stand-ins of the platform and of upstreams, and the hosts.
+ *
+ * @module
+ */
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { findFreePorts, type StartedProcess, startProcess, stopProcesses, waitForPort } from "./processes.js";
+
+const LOOPBACK = "127.0.0.1";
+const READY_TIMEOUT_MILLISECONDS = 60_000;
+const READY_POLL_MILLISECONDS = 100;
+
+/** A stand-in process and where it listens. */
+export interface StandInProcess {
+    readonly process: StartedProcess;
+    readonly url: string;
+}
+
+/** A host process and where it listens. */
+export interface HostProcess {
+    readonly process: StartedProcess;
+    readonly name: string;
+    readonly zone: string;
+    readonly callersUrl: string;
+    readonly peersUrl: string;
+    readonly settingsFile: string;
+}
+
+/** A running site. */
+export interface Site {
+    readonly keyValue: StandInProcess;
+    readonly hostList: StandInProcess;
+    readonly weightStore: StandInProcess;
+    readonly engines: ReadonlyMap<string, StandInProcess>;
+    readonly plainServices: ReadonlyMap<string, StandInProcess>;
+    readonly hosts: readonly HostProcess[];
+    /** Folder of the settings and of the operators' text. */
+    readonly folder: string;
+    /** File that holds the operators' text. */
+    readonly textFile: string;
+    /** Starts a host again under its name and addresses, as a new process. */
+    restartHost(name: string): Promise<HostProcess>;
+    close(): Promise<void>;
+}
+
+/** An engine to start. */
+export interface EngineToStart {
+    readonly name: string;
+    /** Options of the engine stand-in. */
+    readonly options: Readonly<Record<string, unknown>>;
+}
+
+/** Options of `startSite`. */
+export interface SiteOptions {
+    /** File of the operators' text, with each upstream's name in double braces for its address. */
+    readonly template: string;
+    readonly engines: readonly EngineToStart[];
+    readonly plainServices: readonly EngineToStart[];
+    /** Name and availability zone of each host. */
+    readonly hosts: readonly { readonly name: string; readonly zone: string; }[];
+    /** Region of every host. */
+    readonly region: string;
+    /** Options of the weight store stand-in. */
+    readonly weightStore: Readonly<Record<string, unknown>>;
+    /** Settings that replace those of every host. */
+    readonly settings?: Readonly<Record<string, unknown>>;
+}
+
+function renderArguments(options: Readonly<Record<string, unknown>>): string[] {
+    return Object.entries(options).flatMap((
+        [name, value],
+    ) => [`--${name}`, typeof value === "string" ? value : JSON.stringify(value)]);
+}
+
+async function startStandIn(
+    name: string,
+    file: string,
+    options: Readonly<Record<string, unknown>>,
+): Promise<StandInProcess> {
+    const started = startProcess(name, { file: `standins/${file}`, arguments: renderArguments(options) });
+    const port = await waitForPort(started);
+    return { process: started, url: `http://${LOOPBACK}:${port}` };
+}
+
+async function startStandIns(file: string, list: readonly EngineToStart[]): Promise<Map<string, StandInProcess>> {
+    const started = await Promise.all(list.map(({ name, options }) => startStandIn(name, file, { name, ...options })));
+    return new Map(list.map(({ name }, index) => [name, started[index]] as [string, StandInProcess]));
+}
+
+/** Waits until a condition holds. */
+export async function waitUntil(condition: () => Promise<boolean>, description: string): Promise<void> {
+    const deadline = performance.now() + READY_TIMEOUT_MILLISECONDS;
+    while (performance.now() < deadline) {
+        if (await condition()) {
+            return;
+        }
+        await new Promise(resolve => setTimeout(resolve, READY_POLL_MILLISECONDS));
+    }
+    throw new Error(`not within ${READY_TIMEOUT_MILLISECONDS} ms: ${description}`);
+}
+
+/** Reads JSON from a URL, or nothing where it does not answer. */
+export async function readJson(url: string): Promise<unknown> {
+    try {
+        const answer = await request(url);
+        return await answer.body.json();
+    }
+    catch {
+        return undefined;
+    }
+}
+
+async function writeSettings(folder: string, settings: { readonly host: string; }): Promise<string> {
+    const file = join(folder, `${settings.host}.jsonc`);
+    await writeFile(file, JSON.stringify(settings, undefined, 4));
+    return file;
+}
+
+async function startHostProcess(name: string, settingsFile: string, callersUrl: string): Promise<StartedProcess> {
+    const started = startProcess(name, { file: "bin/flamingospread", arguments: ["run", settingsFile] });
+    await waitUntil(async () => await readJson(`${callersUrl}/v1/health`) !== undefined, `${name} answers`);
+    return started;
+}
+
+/**
+ * Starts a site. The operators' text is written, not yet applied.
+ *
+ * @param options What to start.
+ *
+ * @example
+ * ```ts
+ * const site = await startSite(options);
+ * await site.close();
+ * ```
+ */
+export async function startSite(options: SiteOptions): Promise<Site> {
+    const folder = await mkdtemp(join(tmpdir(), "flamingospread-"));
+    const [keyValue, weightStore] = await Promise.all([
+        startStandIn("key-value", "keyValue", {}),
+        startStandIn("weight-store", "weightStore", options.weightStore),
+    ]);
+    const withStore = options.engines.map(({ name, options: given }) => ({
+        name,
+        options: { weightStore: weightStore.url, ...given },
+    }));
+    const [engines, plainServices] = await Promise.all([
+        startStandIns("engine", withStore),
+        startStandIns("plainService", options.plainServices),
+    ]);
+    const ports = await findFreePorts(2 * options.hosts.length);
+    const listed = options.hosts.map(({ name }, index) => ({
+        host: name,
+        peersUrl: `http://${LOOPBACK}:${ports[2 * index + 1]}`,
+    }));
+    const hostList = await startStandIn("host-list", "hostList", { hosts: { live: listed } });
+
+    const textFile = join(folder, "deployment.jsonc");
+    const upstreams = [...engines, ...plainServices];
+    const template = await readFile(options.template, "utf8");
+    await writeFile(
+        textFile,
+        upstreams.reduce((text, [name, { url }]) => text.replaceAll(`{{${name}}}`, url), template),
+    );
+
+    const hosts = await Promise.all(options.hosts.map(async ({ name, zone }, index): Promise<HostProcess> => {
+        const callers = { address: LOOPBACK, port: ports[2 * index] ?? 0 };
+        const peers = { address: LOOPBACK, port: ports[2 * index + 1] ?? 0 };
+        const platform = { keyValue: [keyValue.url], hostList: hostList.url };
+        const settings = { host: name, zone, region: options.region, callers, peers, platform, ...options.settings };
+        const settingsFile = await writeSettings(folder, settings);
+        const callersUrl = `http://${LOOPBACK}:${callers.port}`;
+        const process = await startHostProcess(name, settingsFile, callersUrl);
+        return { process, name, zone, callersUrl, peersUrl: `http://${LOOPBACK}:${peers.port}`, settingsFile };
+    }));
+
+    async function restartHost(name: string): Promise<HostProcess> {
+        const index = hosts.findIndex(host => host.name === name);
+        const before = hosts[index];
+        if (before === undefined) {
+            throw new Error(`no host is named ${name}`);
+        }
+        const process = await startHostProcess(name, before.settingsFile, before.callersUrl);
+        const restarted = { ...before, process };
+        hosts[index] = restarted;
+        return restarted;
+    }
+
+    async function close(): Promise<void> {
+        await stopProcesses(hosts.map(({ process }) => process));
+        const standIns = [keyValue, hostList, weightStore, ...engines.values(), ...plainServices.values()];
+        await stopProcesses(standIns.map(({ process }) => process));
+        await rm(folder, { recursive: true, force: true });
+    }
+
+    return { keyValue, hostList, weightStore, engines, plainServices, hosts, folder, textFile, restartHost, close };
+}
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -13,12 +13,12 @@
 import { run } from "node:test";
 import { spec } from "node:test/reporters";
 
-const TEST_FOLDERS = ["src", "tests", "standins", "scripts", "demo", "measurements"];
+const TEST_FOLDERS = ["examples", "src", "tests", "standins", "scripts", "demo", "measurements"];
 const TEST_FILE_SUFFIX = ".test.ts";
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const FIELD_SEPARATOR = " | ";
 const MOST_FILES_AT_ONCE = 6;
-const FILE_TIMEOUT_MILLISECONDS = 280_000;
+const FILE_TIMEOUT_MILLISECONDS = 120_000;
 
 interface Tally {
     passed: number;
--- /dev/null
+++ b/src/host/claimsTask.ts
@@ -0,0 +1,128 @@
+/**
+ * Runs the claim batcher: claims of order keys in the key-value service.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { type ClaimRecord, claimRecordSchema } from "../generated/platform.js";
+import {
+    type ClaimBatcherEffect,
+    type ClaimBatcherMessage,
+    createClaimBatcher,
+    type OrdersMessage,
+    type ReadClaims,
+} from "../orders/index.js";
+import { type KeyValueEntry } from "../platform/index.js";
+import { createIdentifier } from "./clock.js";
+import { type HostContext } from "./context.js";
+import { parseJson } from "./parseJson.js";
+import { createTask } from "./task.js";
+
+const TICK_MILLISECONDS = 20;
+
+/** The running claims task. */
+export interface ClaimsTask {
+    claim(key: string, bodyHash: string): void;
+    close(): void;
+}
+
+/** Reads a shard's record; an entry that does not fit its schema is no record to build on. */
+function readClaims(entry: KeyValueEntry | undefined): ReadClaims | undefined {
+    if (entry === undefined) {
+        return { revision: 0, record: undefined };
+    }
+    const record = claimRecordSchema.safeParse(parseJson(entry.value));
+    return record.success ? { revision: entry.revision, record: record.data } : undefined;
+}
+
+class ClaimsRunner implements ClaimsTask {
+    readonly #context: HostContext;
+    readonly #tell: (message: OrdersMessage) => void;
+    readonly #task;
+
+    constructor(context: HostContext, tell: (message: OrdersMessage) => void) {
+        this.#context = context;
+        this.#tell = tell;
+        const batcher = createClaimBatcher({
+            identity: context.identity,
+            identifiers: createIdentifier,
+            wallClockOffsetMilliseconds: performance.timeOrigin,
+        });
+        this.#task = createTask<ClaimBatcherMessage, ClaimBatcherEffect>(batcher, {
+            clock: context.clock,
+            perform: effects => effects.forEach(effect => this.#perform(effect)),
+            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+        });
+    }
+
+    claim(key: string, bodyHash: string): void {
+        this.#task.send({ type: "claim", key, bodyHash });
+    }
+
+    close(): void {
+        this.#task.close();
+    }
+
+    #perform(effect: ClaimBatcherEffect): void {
+        match(effect)
+            .with({ type: "read" }, read => void this.#read(read))
+            .with({ type: "write" }, write => void this.#write(write))
+            .with({ type: "claim-answered" }, answered => this.#tell(answered))
+            .with({ type: "claim-failed" }, failed => this.#tell(failed))
+            .exhaustive();
+    }
+
+    async #read(effect: Extract<ClaimBatcherEffect, { type: "read"; }>): Promise<void> {
+        const { attempt, shard, storeKey } = effect;
+        const entry = await this.#context.keyValue.get(storeKey);
+        const read = entry.isOk() ? readClaims(entry.value) : undefined;
+        this.#task.send(
+            read === undefined
+                ? { type: "read-failed", attempt, shard }
+                : { type: "read-answered", attempt, shard, read },
+        );
+    }
+
+    async #write(effect: Extract<ClaimBatcherEffect, { type: "write"; }>): Promise<void> {
+        const { attempt, shard, storeKey, expectedRevision } = effect;
+        const swap = await this.#context.keyValue.compareAndSwap(storeKey, {
+            expectedRevision,
+            value: renderRecord(effect.record),
+        });
+        if (swap.isErr()) {
+            this.#context.metrics.increment("platform.errors", { kind: swap.error.kind });
+            this.#task.send({ type: "write-failed", attempt, shard, notSent: swap.error.kind === "not-sent" });
+            return;
+        }
+        if (swap.value.type === "written") {
+            this.#task.send({ type: "written", attempt, shard, revision: swap.value.revision });
+            return;
+        }
+        const current = readClaims(swap.value.current);
+        this.#task.send(
+            current === undefined
+                ? { type: "write-failed", attempt, shard, notSent: true }
+                : { type: "conflict", attempt, shard, current },
+        );
+    }
+}
+
+function renderRecord(record: ClaimRecord): string {
+    return JSON.stringify(record);
+}
+
+/**
+ * Starts the claims task.
+ *
+ * @param context What the tasks of this host share.
+ * @param tell Takes the outcome of each claim.
+ *
+ * @example
+ * ```ts
+ * const claims = startClaimsTask(context, message => orders.send(message));
+ * claims.claim("customer-7/reel-4", bodyHash);
+ * ```
+ */
+export function startClaimsTask(context: HostContext, tell: (message: OrdersMessage) => void): ClaimsTask {
+    return new ClaimsRunner(context, tell);
+}
--- /dev/null
+++ b/src/host/events.ts
@@ -0,0 +1,62 @@
+/**
+ * Events that the tasks of one host tell each other.
+ *
+ * @module
+ */
+import { type Deployment } from "../generated/deployment.js";
+import {
+    type DemandDigest,
+    type EngineDigest,
+    type HostIdentity,
+    type PeerStatus,
+    type ResidencyDigest,
+    type SuspectDigest,
+} from "../generated/peers.js";
+import { type ConfigurationRecord } from "../generated/platform.js";
+import { type WantedAdapter } from "../peers/index.js";
+
+/** What one task tells the others. */
+export type HostEvent =
+    | { readonly type: "deployment-activated"; readonly deployment: Deployment; readonly record: ConfigurationRecord; }
+    | { readonly type: "advertise-changed"; readonly allowed: boolean; }
+    | { readonly type: "peers-changed"; readonly live: readonly HostIdentity[]; }
+    | { readonly type: "peer-heard"; readonly status: PeerStatus; }
+    | { readonly type: "engine-observed"; readonly digest: EngineDigest; readonly origin: "own-poll" | "peer"; }
+    | { readonly type: "engine-crashed"; readonly engine: string; readonly incarnation: string; }
+    /** An attempt lost its connection; the engine should be probed now. */
+    | { readonly type: "engine-suspected"; readonly engine: string; }
+    /** The platform's list names engines that are leaving. */
+    | { readonly type: "engines-leaving"; readonly engines: readonly string[]; }
+    | { readonly type: "residency"; readonly digest: ResidencyDigest; readonly origin: "holder" | "peer"; }
+    | { readonly type: "suspects"; readonly digests: readonly SuspectDigest[]; readonly origin: "own" | "peer"; }
+    | { readonly type: "demand"; readonly demand: readonly DemandDigest[]; readonly origin: "own" | "peer"; }
+    | { readonly type: "adapter-wanted"; readonly wanted: WantedAdapter; readonly origin: "own" | "peer"; }
+    | { readonly type: "leaving"; };
+
+/** Carries events between the tasks of a host. */
+export interface HostEvents {
+    publish(event: HostEvent): void;
+    subscribe(listener: (event: HostEvent) => void): void;
+}
+
+/**
+ * Creates the event carrier of a host. Listeners run in the order of their subscription.
+ *
+ * @example
+ * ```ts
+ * const events = createHostEvents();
+ * events.subscribe(event => console.log(event.type));
+ * events.publish({ type: "leaving" });
+ * ```
+ */
+export function createHostEvents(): HostEvents {
+    const listeners: ((event: HostEvent) => void)[] = [];
+    return {
+        publish: event => {
+            for (const listener of listeners) {
+                listener(event);
+            }
+        },
+        subscribe: listener => void listeners.push(listener),
+    };
+}
--- /dev/null
+++ b/src/host/membershipTask.ts
@@ -0,0 +1,176 @@
+/**
+ * Runs the membership decision: heartbeats to peers, and the platform's list of hosts.
+ *
+ * @module
+ */
+import { type ConfigurationState } from "../configuration/index.js";
+import { type Digest, type HostIdentity } from "../generated/peers.js";
+import {
+    createMembershipDecision,
+    type MembershipDecision,
+    type MembershipEffect,
+    type MembershipMessage,
+} from "../membership/index.js";
+import { type HostContext } from "./context.js";
+import { composeDigest, createDigestBoard, type DigestBoard } from "./digestBoard.js";
+import { type HostEvent } from "./events.js";
+import { createTask } from "./task.js";
+
+const TICK_MILLISECONDS = 250;
+const SHARE_SOON_MILLISECONDS = 20;
+const HOST_LIST_INTERVAL_MILLISECONDS = 2000;
+
+/** The running membership task. */
+export interface MembershipTask {
+    /** Questions to the decision; messages go through the task. */
+    readonly view: Pick<MembershipDecision, "livePeers" | "allKnown" | "rankAddresses" | "pollerOf" | "reachable">;
+    /** Takes a peer's heartbeat. */
+    takeDigest(digest: Digest): void;
+    tellOwnState(state: ConfigurationState): void;
+    /** Tells peers that this host leaves. */
+    leave(): void;
+    close(): void;
+}
+
+class MembershipRunner implements MembershipTask {
+    readonly view: MembershipDecision;
+    readonly #context: HostContext;
+    readonly #board: DigestBoard = createDigestBoard();
+    readonly #task;
+    readonly #hostListTimer: NodeJS.Timeout;
+    #shareTimer: NodeJS.Timeout | undefined;
+
+    constructor(context: HostContext) {
+        this.#context = context;
+        this.view = createMembershipDecision({ identity: context.identity, random: context.random });
+        this.#task = createTask<MembershipMessage, MembershipEffect>(this.view, {
+            clock: context.clock,
+            perform: effects => this.#perform(effects),
+            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+        });
+        context.events.subscribe(event => this.#hear(event));
+        this.#hostListTimer = setInterval(() => void this.#readHostList(), HOST_LIST_INTERVAL_MILLISECONDS);
+        void this.#readHostList();
+    }
+
+    takeDigest(digest: Digest): void {
+        const { events } = this.#context;
+        this.#task.send({ type: "heartbeat-received", status: digest.status, known: digest.known });
+        events.publish({ type: "peer-heard", status: digest.status });
+        digest.engines.forEach(engine => events.publish({ type: "engine-observed", digest: engine, origin: "peer" }));
+        digest.residency.forEach(residency => events.publish({ type: "residency", digest: residency, origin: "peer" }));
+        if (digest.suspects.length > 0) {
+            events.publish({ type: "suspects", digests: digest.suspects, origin: "peer" });
+        }
+        if (digest.demand.length > 0) {
+            events.publish({ type: "demand", demand: digest.demand, origin: "peer" });
+        }
+    }
+
+    tellOwnState(state: ConfigurationState): void {
+        this.#task.send({ type: "own-state", ...state });
+    }
+
+    leave(): void {
+        this.#task.send({ type: "leave" });
+    }
+
+    close(): void {
+        clearInterval(this.#hostListTimer);
+        clearTimeout(this.#shareTimer);
+        this.#task.close();
+    }
+
+    #hear(event: HostEvent): void {
+        if (event.type === "engine-observed" && event.origin === "own-poll") {
+            this.#board.noteEngine(event.digest, this.#context.clock());
+        }
+        else if (event.type === "residency" && event.origin === "holder") {
+            if (this.#board.noteResidency(event.digest)) {
+                this.#shareSoon();
+            }
+        }
+        else if (event.type === "suspects" && event.origin === "own") {
+            this.#board.noteSuspects(event.digests);
+            this.#shareNow();
+        }
+        else if (event.type === "demand" && event.origin === "own") {
+            event.demand.forEach(demand => this.#board.noteDemand(demand));
+        }
+    }
+
+    /** Peers have to know suspects before a suspect is tried again, so they are not left for the next heartbeat. */
+    #shareNow(): void {
+        this.#task.send({ type: "share-now" });
+    }
+
+    /** Peers route to a new copy as soon as they know it; changes that come together travel together. */
+    #shareSoon(): void {
+        this.#shareTimer ??= setTimeout(() => {
+            this.#shareTimer = undefined;
+            this.#shareNow();
+        }, SHARE_SOON_MILLISECONDS);
+    }
+
+    #perform(effects: readonly MembershipEffect[]): void {
+        const heartbeats = effects.filter(effect => effect.type === "send-heartbeat");
+        if (heartbeats.length > 0) {
+            const round = this.#board.takeRound(this.#context.clock());
+            heartbeats.forEach(heartbeat => void this.#sendHeartbeat(heartbeat, round));
+        }
+        const changes = effects.filter(effect => effect.type !== "send-heartbeat");
+        for (const change of changes) {
+            this.#context.logger.info(change.type, {
+                peer: change.identity.host,
+                incarnation: change.identity.incarnation,
+            });
+        }
+        if (changes.length > 0) {
+            this.#publishPeers(this.view.livePeers());
+        }
+    }
+
+    #publishPeers(live: readonly HostIdentity[]): void {
+        this.#context.metrics.gauge("membership.peers", live.length);
+        this.#context.peers.keepOnly(new Set(this.view.allKnown().map(({ peersUrl }) => peersUrl)));
+        this.#context.events.publish({ type: "peers-changed", live });
+    }
+
+    async #sendHeartbeat(
+        heartbeat: Extract<MembershipEffect, { type: "send-heartbeat"; }>,
+        round: ReturnType<DigestBoard["takeRound"]>,
+    ): Promise<void> {
+        const client = this.#context.peers.get(heartbeat.peersUrl, heartbeat.peersUrl);
+        const sent = await client.sendDigest(composeDigest(round, heartbeat));
+        if (sent.isErr() && heartbeat.host !== undefined) {
+            this.#context.logger.debug("heartbeat failed", { peer: heartbeat.host, cause: sent.error.message });
+            this.#task.send({ type: "send-failed", host: heartbeat.host });
+        }
+    }
+
+    async #readHostList(): Promise<void> {
+        const listing = await this.#context.hostList.read();
+        if (listing.isErr()) {
+            this.#context.metrics.increment("platform.errors", { kind: listing.error.kind });
+            return;
+        }
+        const { live, leaving, leavingEngines } = listing.value;
+        this.#task.send({ type: "host-list", live, leaving });
+        this.#context.events.publish({ type: "engines-leaving", engines: leavingEngines });
+    }
+}
+
+/**
+ * Starts the membership task.
+ *
+ * @param context What the tasks of this host share.
+ *
+ * @example
+ * ```ts
+ * const membership = startMembershipTask(context);
+ * const addresses = membership.view.rankAddresses({ zone: "ma-west-1" });
+ * ```
+ */
+export function startMembershipTask(context: HostContext): MembershipTask {
+    return new MembershipRunner(context);
+}
--- /dev/null
+++ b/src/host/ordersTask.ts
@@ -0,0 +1,249 @@
+/**
+ * Runs the orders decision: forwards, witnesses, claims and calls of plain services.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { type CallerOrder, type Cancellable } from "../callers/index.js";
+import { type Deployment } from "../generated/deployment.js";
+import {
+    type ForwardedOrder,
+    type HostIdentity,
+    type OrderOutcome,
+    type WitnessAnswer,
+    type WitnessRequest,
+} from "../generated/peers.js";
+import {
+    createOrdersDecision,
+    hashOrderBody,
+    type Order,
+    type OrdersDecision,
+    type OrdersEffect,
+    type OrdersMessage,
+} from "../orders/index.js";
+import { type ClaimsTask, startClaimsTask } from "./claimsTask.js";
+import { createIdentifier } from "./clock.js";
+import { type HostContext } from "./context.js";
+import { createTask } from "./task.js";
+
+const TICK_MILLISECONDS = 100;
+const DEFAULT_CALL_MILLISECONDS = 10_000;
+/** Added to a call's own time limit when its answer is waited for at another host. */
+const FORWARD_MARGIN_MILLISECONDS = 3000;
+
+/** The running orders task. */
+export interface OrdersTask {
+    order(order: CallerOrder, onOutcome: (outcome: OrderOutcome) => void): Cancellable;
+    takeForwarded(order: ForwardedOrder): Promise<OrderOutcome>;
+    takeWitnessRequest(request: WitnessRequest): Promise<WitnessAnswer>;
+    /** The ticket for orders sent to a host. */
+    ticketFor(owner: HostIdentity): string;
+    /** Orders that have no final answer yet. */
+    openOrders(): number;
+    close(): void;
+}
+
+class OrdersRunner implements OrdersTask {
+    readonly #context: HostContext;
+    readonly #decision: OrdersDecision;
+    readonly #task;
+    readonly #claims: ClaimsTask;
+    readonly #waiting = new Map<string, (outcome: OrderOutcome) => void>();
+    readonly #witnessing = new Map<string, (answer: WitnessAnswer) => void>();
+    #deployment: Deployment | undefined;
+    #live: readonly HostIdentity[] = [];
+
+    constructor(context: HostContext) {
+        this.#context = context;
+        this.#decision = createOrdersDecision({
+            identity: context.identity,
+            random: context.random,
+            wallClockOffsetMilliseconds: performance.timeOrigin,
+            acceptWhileLeavingMilliseconds: context.settings.addressKeepMilliseconds,
+        });
+        this.#task = createTask<OrdersMessage, OrdersEffect>(this.#decision, {
+            clock: context.clock,
+            perform: effects => effects.forEach(effect => this.#perform(effect)),
+            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+        });
+        this.#claims = startClaimsTask(context, message => this.#task.send(message));
+        context.events.subscribe(event => {
+            if (event.type === "deployment-activated") {
+                this.#deployment = event.deployment;
+                this.#task.send({ type: "deployment", deployment: event.deployment, revision: event.record.revision });
+            }
+            else if (event.type === "peers-changed") {
+                this.#live = event.live;
+                this.#task.send({ type: "peers", identities: event.live });
+            }
+            else if (event.type === "leaving") {
+                this.#task.send({ type: "leave" });
+            }
+        });
+    }
+
+    order(order: CallerOrder, onOutcome: (outcome: OrderOutcome) => void): Cancellable {
+        this.#context.metrics.increment("orders.accepted", { service: order.service });
+        const identifier = createIdentifier();
+        this.#waiting.set(identifier, outcome => {
+            this.#countOutcome(order.service, outcome);
+            onOutcome(outcome);
+        });
+        const { service, call, body, contentType, key = "" } = order;
+        const checked: Order = { key, service, call, body, contentType, bodyHash: hashOrderBody(order) };
+        this.#task.send({ type: "order-received", identifier, order: checked, from: "caller" });
+        return { cancel: () => this.#abandon(identifier) };
+    }
+
+    takeForwarded(order: ForwardedOrder): Promise<OrderOutcome> {
+        return new Promise(resolve => {
+            const identifier = createIdentifier();
+            this.#waiting.set(identifier, resolve);
+            this.#task.send({
+                type: "order-received",
+                identifier,
+                order: { ...order, bodyHash: hashOrderBody(order) },
+                from: "peer",
+            });
+        });
+    }
+
+    takeWitnessRequest(request: WitnessRequest): Promise<WitnessAnswer> {
+        return new Promise(resolve => {
+            const identifier = createIdentifier();
+            this.#witnessing.set(identifier, resolve);
+            this.#task.send({ type: "witness-asked", identifier, request });
+        });
+    }
+
+    ticketFor(owner: HostIdentity): string {
+        return this.#decision.ticketFor(owner);
+    }
+
+    openOrders(): number {
+        return this.#waiting.size;
+    }
+
+    close(): void {
+        this.#claims.close();
+        this.#task.close();
+    }
+
+    #abandon(identifier: string): void {
+        if (this.#waiting.delete(identifier)) {
+            this.#task.send({ type: "abandoned", identifier });
+        }
+    }
+
+    #perform(effect: OrdersEffect): void {
+        match(effect)
+            .with({ type: "reply" }, ({ identifier, outcome }) => this.#reply(identifier, outcome))
+            .with({ type: "forward" }, ({ order, to }) => void this.#forward(order, to))
+            .with({ type: "ask-witness" }, ask => void this.#askWitness(ask))
+            .with({ type: "answer-witness" }, ({ identifier, answer }) => this.#answerWitness(identifier, answer))
+            .with({ type: "dispatch" }, dispatch => void this.#dispatch(dispatch))
+            .with({ type: "claim" }, ({ key, bodyHash }) => this.#claims.claim(key, bodyHash))
+            .with({ type: "count-retry" }, ({ reason }) => this.#context.metrics.increment(`retries.${reason}`))
+            .exhaustive();
+    }
+
+    #countOutcome(service: string, outcome: OrderOutcome): void {
+        if (outcome.type === "answered") {
+            this.#context.metrics.increment("orders.answered", { service });
+            return;
+        }
+        if (outcome.ran === "may-have-run") {
+            this.#context.metrics.increment("orders.may_have_run", { service });
+        }
+        this.#context.logger.info("order refused", { service, reason: outcome.reason, ran: outcome.ran });
+    }
+
+    #reply(identifier: string, outcome: OrderOutcome): void {
+        const waiting = this.#waiting.get(identifier);
+        this.#waiting.delete(identifier);
+        waiting?.(outcome);
+    }
+
+    #answerWitness(identifier: string, answer: WitnessAnswer): void {
+        const waiting = this.#witnessing.get(identifier);
+        this.#witnessing.delete(identifier);
+        waiting?.(answer);
+    }
+
+    #callTimeout(order: Order): number {
+        const service = this.#deployment?.services.find(({ name }) => name === order.service);
+        const call = service?.calls.find(({ name }) => name === order.call);
+        return call?.timeoutMilliseconds ?? DEFAULT_CALL_MILLISECONDS;
+    }
+
+    async #forward(order: Order, to: HostIdentity): Promise<void> {
+        const { key, service, call, body, contentType } = order;
+        const client = this.#context.peers.get(to.peersUrl, to.peersUrl);
+        const answer = await client.forwardOrder(
+            { key, service, call, body, contentType },
+            this.#callTimeout(order) + FORWARD_MARGIN_MILLISECONDS,
+        );
+        if (answer.isOk()) {
+            this.#task.send({ type: "forward-answered", key, outcome: answer.value });
+            return;
+        }
+        this.#context.logger.info("forward failed", { order: key, peer: to.host, cause: answer.error.message });
+        this.#task.send({ type: "forward-failed", key, notSent: answer.error.kind === "not-sent" });
+    }
+
+    async #askWitness(ask: Extract<OrdersEffect, { type: "ask-witness"; }>): Promise<void> {
+        const { key, request } = ask;
+        const witness = this.#live.find(({ host }) => host === ask.witness.host);
+        const answer = witness === undefined
+            ? undefined
+            : await this.#context.peers.get(witness.peersUrl, witness.peersUrl).witness(request);
+        if (answer?.isOk() === true) {
+            this.#task.send({ type: "witness-answered", key, request: request.type, answer: answer.value });
+        }
+        else {
+            this.#task.send({ type: "witness-failed", key, request: request.type });
+        }
+    }
+
+    async #dispatch(dispatch: Extract<OrdersEffect, { type: "dispatch"; }>): Promise<void> {
+        const { order, url, timeoutMilliseconds } = dispatch;
+        const { key, call, body, contentType } = order;
+        const answer = await this.#context.plainServices.call(url, {
+            call,
+            key,
+            body,
+            contentType,
+            timeoutMilliseconds,
+        });
+        if (answer.isOk()) {
+            this.#task.send({ type: "dispatch-answered", key, result: answer.value });
+            return;
+        }
+        this.#context.logger.warn("call of a plain service failed", {
+            order: key,
+            service: order.service,
+            cause: answer.error.message,
+        });
+        this.#task.send({
+            type: "dispatch-failed",
+            key,
+            notSent: answer.error.kind === "not-sent",
+            message: answer.error.message,
+        });
+    }
+}
+
+/**
+ * Starts the orders task.
+ *
+ * @param context What the tasks of this host share.
+ *
+ * @example
+ * ```ts
+ * const orders = startOrdersTask(context);
+ * orders.order(callerOrder, outcome => console.log(outcome.type));
+ * ```
+ */
+export function startOrdersTask(context: HostContext): OrdersTask {
+    return new OrdersRunner(context);
+}
--- /dev/null
+++ b/src/host/poolTasks.ts
@@ -0,0 +1,98 @@
+/**
+ * Starts a residency task for each pool of the deployment, and passes wanted adapters to their holders.
+ *
+ * @module
+ */
+import { rankByRendezvous } from "../decision/index.js";
+import { type Deployment } from "../generated/deployment.js";
+import { type HostIdentity } from "../generated/peers.js";
+import { type WantedAdapter } from "../peers/index.js";
+import { type HostContext } from "./context.js";
+import { type Explanation, type ResidencyTask, startResidencyTask } from "./residencyTask.js";
+
+/** Live hosts, by rendezvous rank, that are told of a wanted adapter, since one of them holds the pool's lease. */
+const CANDIDATES_FOR_POOL = 3;
+
+/** The residency tasks of all pools. */
+export interface PoolTasks {
+    status(): Readonly<Record<string, { readonly holds: boolean; readonly explanations: readonly Explanation[]; }>>;
+    close(): Promise<void>;
+}
+
+/**
+ * Creates the residency tasks; they follow the deployment in force.
+ *
+ * @param context What the tasks of this host share.
+ * @param liveHosts Names of the live hosts, this one among them.
+ *
+ * @example
+ * ```ts
+ * const pools = createPoolTasks(context, () => ["entry-1", "entry-2"]);
+ * await pools.close();
+ * ```
+ */
+export function createPoolTasks(context: HostContext, liveHosts: () => readonly string[]): PoolTasks {
+    const tasks = new Map<string, ResidencyTask>();
+    let live: readonly HostIdentity[] = [];
+    let deployment: Deployment | undefined;
+    let leaving = false;
+
+    context.events.subscribe(event => {
+        if (event.type === "deployment-activated") {
+            deployment = event.deployment;
+            followDeployment(event.deployment, event.record.revision);
+        }
+        else if (event.type === "peers-changed") {
+            live = event.live;
+        }
+        else if (event.type === "adapter-wanted" && event.origin === "own") {
+            passToHolders(event.wanted);
+        }
+        else if (event.type === "leaving") {
+            leaving = true;
+            void closeAll();
+        }
+    });
+
+    function candidatesFor(pool: string): string[] {
+        return rankByRendezvous(`residency/${pool}`, liveHosts()).slice(0, CANDIDATES_FOR_POOL);
+    }
+
+    function followDeployment(followed: Deployment, revision: number): void {
+        if (leaving) {
+            return;
+        }
+        const pools = new Set(followed.pools.map(({ name }) => name));
+        for (const [pool, task] of [...tasks].filter(([name]) => !pools.has(name))) {
+            tasks.delete(pool);
+            void task.close();
+        }
+        for (const pool of [...pools].filter(name => !tasks.has(name))) {
+            tasks.set(pool, startResidencyTask(context, { pool, deployment: followed, revision, hosts: liveHosts() }));
+        }
+    }
+
+    /** Gives up the leases, so that other hosts take them at once. */
+    async function closeAll(): Promise<void> {
+        const closing = [...tasks.values()];
+        tasks.clear();
+        await Promise.all(closing.map(task => task.close()));
+    }
+
+    /** Tells the hosts that may hold a pool of the adapter's model; those that do not hold it ignore it. */
+    function passToHolders(wanted: WantedAdapter): void {
+        const pools = deployment?.models.find(({ name }) => name === wanted.model)?.pools ?? [];
+        const hosts = new Set(pools.flatMap(pool => candidatesFor(pool)));
+        for (const peer of live.filter(({ host }) => hosts.has(host))) {
+            void context.peers.get(peer.peersUrl, peer.peersUrl).wantAdapter(wanted);
+        }
+    }
+
+    return {
+        status: () =>
+            Object.fromEntries(
+                [...tasks].map(([pool, task]) => [pool, { holds: task.holds, explanations: task.explanations() }]),
+            ),
+        close: closeAll,
+    };
+}
