--- a/measurements/fleet.ts
+++ b/measurements/fleet.ts
@@ -27,6 +27,8 @@
 const TICK_MILLISECONDS = 250;
 const HOST_LIST_INTERVAL_MILLISECONDS = 2000;
 const PLATFORM_DELAY_MILLISECONDS = 4;
+/** A process that wakes from a pause runs its timers before it reads its sockets. */
+const WAKING_MILLISECONDS = 300;
 
 /** Reads a text without looking at it; these runs are about revisions. */
 function parseAnything(): Result<Deployment, readonly TextProblem[]> {
@@ -117,7 +119,7 @@
             membership: createMembershipDecision({ identity, random: this.random }),
             configuration: createConfigurationDecision({ host: name, parse: parseAnything, random: this.random }),
             alive: true,
-            pausedUntilMilliseconds: 0,
+            pausedUntilMilliseconds: -WAKING_MILLISECONDS,
             activated: [],
             knownLeaving: new Set(),
             left: false,
@@ -194,8 +196,9 @@
             if (!host.alive) {
                 return;
             }
-            if (this.nowMilliseconds < host.pausedUntilMilliseconds) {
-                this.#deliver(host, host.pausedUntilMilliseconds - this.nowMilliseconds, action);
+            const readsAtMilliseconds = host.pausedUntilMilliseconds + WAKING_MILLISECONDS;
+            if (this.nowMilliseconds < readsAtMilliseconds) {
+                this.#deliver(host, readsAtMilliseconds - this.nowMilliseconds, action);
                 return;
             }
             action();
--- a/standins/orders/fabric.ts
+++ b/standins/orders/fabric.ts
@@ -73,7 +73,7 @@
     readonly onDeath: Set<() => void>;
 }
 
-const START_MILLISECONDS = 1_000_000;
+const START_MILLISECONDS = 1_008_000;
 const TICK_MILLISECONDS = 100;
 const HOP_MILLISECONDS = 3;
 const SLOWEST_MILLISECONDS = 20_000;
@@ -318,8 +318,12 @@
     function sharePeers(): void {
         const awake = processes.filter(({ isAlive, pausedUntil }) => isAlive && pausedUntil <= schedule.now);
         const identities = awake.map(({ identity }) => identity);
+        const leaving = awake.filter(({ isLeaving }) => isLeaving).map(({ identity }) => identity.host);
         for (const host of processes) {
-            schedule.after(random() * DETECTION_MILLISECONDS, () => tell(host, { type: "peers", identities }));
+            schedule.after(random() * DETECTION_MILLISECONDS, () => {
+                tell(host, { type: "peers", identities, leaving });
+                host.handleClaims({ type: "peers-changed" });
+            });
         }
     }
 
@@ -359,6 +363,7 @@
         if (host?.isAlive === true) {
             host.isLeaving = true;
             tell(host, { type: "leave" });
+            sharePeers();
             schedule.after(LEAVING_MILLISECONDS, () => processes[index] === host && kill(index));
         }
     }
