--- a/src/residency/planPlacement.ts
+++ b/src/residency/planPlacement.ts
@@ -28,7 +28,7 @@
 /** Missed targets a second that a move has to avoid at a move weight of 1. */
 const MOVE_COST_PER_SECOND = 0.05;
 /** Worth of the second and third copy for reach alone: with three, two engines may fail together. */
-const REACH_WORTH = [0, 0, 0.2, 0.06] as const;
+const REACH_WORTH = [0, 0, 0.2, 0.02] as const;
 /** A copy replaces another only if it is worth this many times as much at a move weight of 1, beyond equality. */
 const REPLACEMENT_FACTOR = 2;
 const MOST_TRIES = 400;
@@ -161,7 +161,8 @@
 function rankFurtherCopies(work: Workspace, context: PlanContext): FurtherCopy[] {
     const candidates = context.ordered.flatMap(model => {
         const copies = enginesWith(work, model.name).length + 1;
-        const gain = context.worthOf(model.name, copies) - context.moveWeight * MOVE_COST_PER_SECOND;
+        const cost = copies < REACH_WORTH.length ? 0 : context.moveWeight * MOVE_COST_PER_SECOND;
+        const gain = context.worthOf(model.name, copies) - cost;
         return copies > 1 && gain > 0 ? [{ model, copies, gain }] : [];
     });
     return candidates.sort((left, right) =>
