--- a/src/residency/residencyDecision.test.ts
+++ b/src/residency/residencyDecision.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { type Deployment } from "../generated/deployment.js";
 import { type EngineRecord, type LedgerEntry } from "../generated/platform.js";
-import { type EngineOrder } from "../generated/upstreams.js";
+import { type EngineOrder, type EngineReport } from "../generated/upstreams.js";
 import { createText } from "./_testTexts.js";
 import { createResidencyDecision, type ResidencyEffect, type ResidencyMessage } from "./index.js";
 
@@ -16,6 +16,9 @@
     readonly sent: EngineOrder[] = [];
     readonly writes: Write[] = [];
     readonly effects: ResidencyEffect[] = [];
+    /** What engines say of themselves, where it is not what their record says. */
+    readonly reports = new Map<string, Partial<EngineReport>>();
+    answersReports = true;
     private revision = 100;
     private identifiers = 0;
     private readonly decision = createResidencyDecision({
@@ -63,9 +66,9 @@
             const stored = this.store.get(engine);
             this.tell({ type: "record-read", engine, record: stored?.record, storeRevision: stored?.revision ?? 0 });
         }
-        else if (effect.type === "read-report") {
+        else if (effect.type === "read-report" && this.answersReports) {
             const { engine, readIdentifier } = effect;
-            const report = {
+            const report: EngineReport = {
                 engine,
                 incarnation: this.store.get(engine)?.record.incarnation ?? "first",
                 leaving: false,
@@ -74,6 +77,7 @@
                 role: "serve",
                 models: [],
                 adapters: [],
+                ...this.reports.get(engine),
             };
             this.tell({ type: "engine-reported", report, readIdentifier });
         }
@@ -231,9 +235,109 @@
     driver.tell({ type: "adapter-wanted", model: "model-1", adapter: "adapter-1" });
     const load = driver.sent.find(order => order.kind === "load-adapter") as EngineOrder;
     driver.tell({ type: "order-unanswered", engine: "engine-0", order: load });
+    driver.pass(1_000);
+    const again = driver.sent.findLast(order => order.kind === "load-adapter") as EngineOrder;
+    assert.notEqual(again, load);
+    driver.tell({
+        type: "order-answered",
+        engine: "engine-0",
+        order: again,
+        answer: { outcome: "done", incarnation: "first" },
+    });
+    const entry = driver.store.get("engine-0")?.record.entries.find(({ name }) => name === "adapter-1");
+    assert.ok(entry?.resident === true && entry.openOrders.length === 1);
     driver.tell({ type: "deployment", deployment: unlisted, revision: 2 });
     driver.pass(1_000);
     const names = driver.store.get("engine-0")?.record.entries.map(entry => entry.name) ?? [];
     assert.ok(names.includes(load.name));
     assert.ok(!driver.sent.some(order => order.kind === "evict-adapter" && order.name === load.name));
 });
+
+test("a late report of another incarnation changes nothing, be it asked for or not", () => {
+    const driver = new Driver(fullPool());
+    driver.start(TIGHT, 1, 2);
+    const report: EngineReport = {
+        engine: "engine-0",
+        incarnation: "older",
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        role: "",
+        models: [],
+        adapters: [],
+    };
+    driver.tell({ type: "engine-reported", report });
+    driver.pass(300);
+    assert.equal(driver.store.get("engine-0")?.record.incarnation, "first");
+
+    driver.answersReports = false;
+    driver.pass(1_500);
+    const asked = driver.effects.findLast(effect => effect.type === "read-report" && effect.engine === "engine-0");
+    const readIdentifier = asked?.type === "read-report" ? asked.readIdentifier : "";
+    driver.now += 5_000;
+    driver.answersReports = true;
+    driver.reports.set("engine-0", { incarnation: "second" });
+    driver.tell({ type: "lease-renewed", expiresAtMilliseconds: driver.now + LEASE_MILLISECONDS });
+    driver.pass(1_000);
+    driver.tell({ type: "engine-reported", report, readIdentifier });
+    driver.pass(300);
+    assert.equal(driver.store.get("engine-0")?.record.incarnation, "second");
+});
+
+test("an answer to an order of a former incarnation does not touch the ledger of a new one", () => {
+    let isHeld = false;
+    const driver = new Driver(fullPool(), write => isHeld && write.engine === "engine-0" ? "none" : "written");
+    driver.start(TIGHT, 1, 2);
+    driver.pass(1_000);
+    const [first, second] = driver.sent.filter(order => order.kind === "evict-model") as [EngineOrder, EngineOrder];
+    const answer = { outcome: "done" as const, incarnation: "first" };
+    isHeld = true;
+    driver.tell({ type: "order-answered", engine: "engine-0", order: first, answer });
+    driver.tell({ type: "order-answered", engine: "engine-0", order: second, answer });
+    const models = [{ name: second.name, version: "1" }];
+    driver.reports.set("engine-0", { incarnation: "second", models });
+    driver.pass(1_500);
+    isHeld = false;
+    const held = driver.writes.findLast(write => write.engine === "engine-0") as Write;
+    const storeRevision = driver.swap(held) as number;
+    const { writeIdentifier } = held.record;
+    driver.tell({ type: "record-written", engine: "engine-0", writeIdentifier, storeRevision });
+    const { record } = driver.store.get("engine-0") as { record: EngineRecord; };
+    assert.equal(record.incarnation, "second");
+    assert.ok(record.entries.some(entry => entry.name === second.name && entry.resident));
+});
+
+test("an evict is not sent if the copy it relied on is in doubt by the time its intent is written", () => {
+    const held: Write[] = [];
+    const driver = new Driver(fullPool(), write => {
+        if (evictsIn([write]).length > 0) {
+            held.push(write);
+            return "none";
+        }
+        return "written";
+    });
+    driver.start(TIGHT, 1, 2);
+    const write = held[0] as Write;
+    driver.answersReports = false;
+    driver.tell({ type: "engine-unreachable", engine: "engine-1" });
+    const storeRevision = driver.swap(write) as number;
+    const { writeIdentifier } = write.record;
+    driver.tell({ type: "record-written", engine: write.engine, writeIdentifier, storeRevision });
+    assert.ok(!driver.sent.some(order => order.kind === "evict-model"));
+    assert.deepEqual(evictsIn(held.slice(1)), []);
+});
+
+test("an answer of another incarnation than the order was sent to leaves the order open", () => {
+    const driver = new Driver(fullPool());
+    driver.start(TIGHT, 1, 2);
+    const order = driver.sent.find(({ kind }) => kind === "evict-model") as EngineOrder;
+    driver.tell({
+        type: "order-answered",
+        engine: "engine-0",
+        order,
+        answer: { outcome: "done", incarnation: "other" },
+    });
+    driver.pass(200);
+    const entry = driver.store.get("engine-0")?.record.entries.find(({ name }) => name === order.name);
+    assert.deepEqual(entry?.openOrders[0]?.fencing, order.fencing);
+});
