Tick less while idle; measure the path through a host

Ruled out: longer ticks always, since refusals past their deadline would come late. Change: a task ticks at its short interval only while it has open work.

--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -39,6 +39,7 @@
     readonly #context: HostContext;
     readonly #tell: (message: OrdersMessage) => void;
     readonly #task;
+    readonly #pending = new Set<string>();
 
     constructor(context: HostContext, tell: (message: OrdersMessage) => void) {
         this.#context = context;
@@ -51,11 +52,16 @@
         this.#task = createTask<ClaimBatcherMessage, ClaimBatcherEffect>(batcher, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
-            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+            tick: {
+                message: { type: "tick" },
+                intervalMilliseconds: TICK_MILLISECONDS,
+                isIdle: () => this.#pending.size === 0,
+            },
         });
     }
 
     claim(key: string, bodyHash: string): void {
+        this.#pending.add(key);
         this.#task.send({ type: "claim", key, bodyHash });
     }
 
@@ -67,11 +73,15 @@
         match(effect)
             .with({ type: "read" }, read => void this.#read(read))
             .with({ type: "write" }, write => void this.#write(write))
-            .with({ type: "claim-answered" }, answered => this.#tell(answered))
-            .with({ type: "claim-failed" }, failed => this.#tell(failed))
+            .with({ type: "claim-answered" }, { type: "claim-failed" }, outcome => this.#settle(outcome))
             .exhaustive();
     }
 
+    #settle(outcome: Extract<ClaimBatcherEffect, { type: "claim-answered" | "claim-failed"; }>): void {
+        this.#pending.delete(outcome.key);
+        this.#tell(outcome);
+    }
+
     async #read(effect: Extract<ClaimBatcherEffect, { type: "read"; }>): Promise<void> {
         const { attempt, shard, storeKey } = effect;
         const entry = await this.#context.keyValue.get(storeKey);
--- a/src/host/ordersTask.ts
+++ b/src/host/ordersTask.ts
@@ -64,7 +64,11 @@
         this.#task = createTask<OrdersMessage, OrdersEffect>(this.#decision, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
-            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+            tick: {
+                message: { type: "tick" },
+                intervalMilliseconds: TICK_MILLISECONDS,
+                isIdle: () => this.#waiting.size === 0 && this.#witnessing.size === 0,
+            },
         });
         this.#claims = startClaimsTask(context, message => this.#task.send(message));
         context.events.subscribe(event => {
--- a/src/host/requestsTask.ts
+++ b/src/host/requestsTask.ts
@@ -52,7 +52,11 @@
         this.#task = createTask<RequestsMessage, RequestsEffect>(decision, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
-            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+            tick: {
+                message: { type: "tick" },
+                intervalMilliseconds: TICK_MILLISECONDS,
+                isIdle: () => this.#open.size === 0,
+            },
         });
         context.events.subscribe(event => this.#hear(event));
     }
--- a/src/host/startHost.ts
+++ b/src/host/startHost.ts
@@ -244,10 +244,17 @@
         openRequests: tasks.requests.openRequests(),
         openOrders: tasks.orders.openOrders(),
         pools: tasks.pools.status(),
+        process: renderProcess(),
         totals: context.metrics.totals(),
     };
 }
 
+function renderProcess(): Readonly<Record<string, number>> {
+    const { heapUsed, rss } = process.memoryUsage();
+    const { user, system } = process.cpuUsage();
+    return { heapBytes: heapUsed, residentBytes: rss, processorMicroseconds: user + system };
+}
+
 /**
  * Starts a host.
  *
--- a/src/host/task.test.ts
+++ b/src/host/task.test.ts
@@ -34,3 +34,28 @@
     task.send("late");
     assert.equal(handled, 0);
 });
+
+test("an idle task ticks at its long interval, and at its short one once it has something to wait for", context => {
+    context.mock.timers.enable({ apis: ["setTimeout"] });
+    let busy = false;
+    let ticks = 0;
+    const task = createTask<string, string>({
+        handle: message => {
+            ticks += message === "tick" ? 1 : 0;
+            return [];
+        },
+    }, {
+        clock: () => 0,
+        perform: () => undefined,
+        tick: { message: "tick", intervalMilliseconds: 10, idleIntervalMilliseconds: 1000, isIdle: () => !busy },
+    });
+    context.mock.timers.tick(900);
+    assert.equal(ticks, 0);
+    busy = true;
+    task.send("work");
+    for (let step = 0; step < 5; step += 1) {
+        context.mock.timers.tick(10);
+    }
+    assert.equal(ticks, 5);
+    task.close();
+});
--- a/src/host/task.ts
+++ b/src/host/task.ts
@@ -19,8 +19,59 @@
     readonly clock: Clock;
     /** Performs the effects of one message, in order. */
     readonly perform: (effects: readonly Effect[]) => void;
-    /** A message sent at each interval. */
-    readonly tick?: { readonly message: Message; readonly intervalMilliseconds: number; };
+    /** A message sent regularly; by default none is. */
+    readonly tick?: TickOptions<Message>;
+}
+
+/** When a task sends itself a message. */
+export interface TickOptions<Message> {
+    readonly message: Message;
+    readonly intervalMilliseconds: number;
+    /** Tells whether nothing waits for time to pass; by default something always does. */
+    readonly isIdle?: () => boolean;
+    /** Interval while idle; by default 1,000. */
+    readonly idleIntervalMilliseconds?: number;
+}
+
+const DEFAULT_IDLE_INTERVAL_MILLISECONDS = 1000;
+
+/** Sends ticks, fewer while the task is idle. */
+class Ticker<Message> {
+    readonly #options: TickOptions<Message>;
+    readonly #send: (message: Message) => void;
+    #timer: NodeJS.Timeout | undefined;
+    #waitsIdle = false;
+
+    constructor(options: TickOptions<Message>, send: (message: Message) => void) {
+        this.#options = options;
+        this.#send = send;
+        this.#schedule();
+    }
+
+    /** Returns to the short interval when the task is no longer idle. */
+    wake(): void {
+        if (this.#waitsIdle && !this.#isIdle()) {
+            clearTimeout(this.#timer);
+            this.#schedule();
+        }
+    }
+
+    close(): void {
+        clearTimeout(this.#timer);
+    }
+
+    #isIdle(): boolean {
+        return this.#options.isIdle?.() ?? false;
+    }
+
+    #schedule(): void {
+        const { intervalMilliseconds, idleIntervalMilliseconds = DEFAULT_IDLE_INTERVAL_MILLISECONDS } = this.#options;
+        this.#waitsIdle = this.#isIdle();
+        this.#timer = setTimeout(() => {
+            this.#schedule();
+            this.#send(this.#options.message);
+        }, this.#waitsIdle ? idleIntervalMilliseconds : intervalMilliseconds);
+    }
 }
 
 /**
@@ -43,8 +94,7 @@
     const waiting: Message[] = [];
     let handling = false;
     let closed = false;
-    const { tick } = options;
-    const timer = tick === undefined ? undefined : setInterval(() => send(tick.message), tick.intervalMilliseconds);
+    const ticker = options.tick === undefined ? undefined : new Ticker(options.tick, send);
 
     function send(message: Message): void {
         if (closed) {
@@ -53,6 +103,7 @@
         waiting.push(message);
         if (!handling) {
             handleWaiting();
+            ticker?.wake();
         }
     }
 
@@ -73,7 +124,7 @@
         close() {
             closed = true;
             waiting.length = 0;
-            clearInterval(timer);
+            ticker?.close();
         },
     };
 }
