Listen to an owner while its connection is open, and measure what an order costs

Cause: of the may-have-run with hosts leaving (2) and with lost messages (2), the trial printed: a ticket that a freshly started host had issued without a witness, forwarded before the owner was known here (2 + 1); the others' owner died with the dispatch recorded. With deaths and pauses together, a paused owner and a dead witness gave up after 1 s. Change: an owner that was never known may take 2 s to appear; where no witness can tell, the host listens on the open forward to its end; keys are swept once a second; what one order costs is measured.

--- a/measurements/orders.ts
+++ b/measurements/orders.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import { type CallersOptions, startCallers } from "../standins/orders/callers.js";
-import { createFabric, type FabricFaults } from "../standins/orders/fabric.js";
+import { createFabric, FABRIC_DEPLOYMENT, type FabricFaults } from "../standins/orders/fabric.js";
 import { findViolations, type Told } from "../standins/orders/history.js";
+import { measureOrderCost } from "./orders/cost.js";
 
 const SEEDS = Array.from({ length: 20 }, (_, index) => 100 + index);
 const HOSTS = 7;
@@ -143,3 +144,11 @@
         `  orders: ${total.ordersAnswered} of ${total.orders} answered in the end, ${total.ordersIndefinite} indefinite`,
     ].join("\n"));
 }
+
+const { microseconds, ownerBytes, witnessBytes, keyCharacters } = measureOrderCost(FABRIC_DEPLOYMENT);
+console.log(
+    `one order: ${microseconds.toFixed(1)} µs of owner and witness together, ${
+        ownerBytes.toFixed(0)
+    } bytes kept at the owner, `
+        + `${witnessBytes.toFixed(0)} at the witness, for a key of ${keyCharacters} characters and a small result`,
+);
--- a/src/orders/_forwarder.ts
+++ b/src/orders/_forwarder.ts
@@ -5,41 +5,11 @@
  */
 import { match } from "ts-pattern";
 import { type HostIdentity, type OrderOutcome, type WitnessAnswer, type WitnessRequest } from "../generated/peers.js";
+import { type Forward, type ForwardPlan, SEALED, UNKNOWN_BECAUSE, WRONG_OWNER } from "./_forward.js";
 import { refuse, refuseReusedKey } from "./_outcomes.js";
 import { type Order, type OrdersEffect } from "./messages.js";
 import { type ProcessName } from "./orderKey.js";
 
-type Phase =
-    /** This host has just started and does not know the owner yet. */
-    | { readonly type: "waiting"; readonly deadlineMilliseconds: number; }
-    | { readonly type: "forwarding"; readonly deadlineMilliseconds: number; }
-    /** The witness is asked to seal; where it says `dispatched`, it is asked again for the outcome. */
-    | {
-        readonly type: "sealing";
-        deadlineMilliseconds: number;
-        askAtMilliseconds: number;
-        dispatched: boolean;
-    };
-
-interface Forward {
-    readonly order: Order;
-    readonly owner: ProcessName;
-    readonly witness: ProcessName | undefined;
-    readonly callMilliseconds: number;
-    forwards: number;
-    /** The owner may still answer the forward itself. */
-    isOpen: boolean;
-    phase: Phase;
-}
-
-/** How one order is to be forwarded. */
-export interface ForwardPlan {
-    readonly owner: ProcessName;
-    readonly witness: ProcessName | undefined;
-    /** How long the call itself may take. */
-    readonly callMilliseconds: number;
-}
-
 /** Orders that wait for another process. */
 export interface Forwarder {
     begin(order: Order, plan: ForwardPlan, nowMilliseconds: number): void;
@@ -57,8 +27,10 @@
 export interface ForwarderOptions {
     readonly emit: (effect: OrdersEffect) => void;
     readonly findPeer: (name: ProcessName) => HostIdentity | undefined;
-    /** When this host knows all others. */
-    readonly settledAtMilliseconds: () => number;
+    /** Whether the process was ever among the peers. */
+    readonly wasKnown: (name: ProcessName) => boolean;
+    /** How long a process that was never known may take to appear. */
+    readonly settleMilliseconds: number;
     /** This host's own testimony, where it is the witness itself. */
     readonly askOwnWitness: (witness: ProcessName, request: WitnessRequest) => WitnessAnswer | undefined;
     readonly onOutcome: (key: string, outcome: OrderOutcome) => void;
@@ -69,14 +41,6 @@
 const FORWARD_MARGIN_MILLISECONDS = 2_000;
 const SEAL_INTERVAL_MILLISECONDS = 250;
 const LOST_OWNER_OUTCOME_MILLISECONDS = 1_000;
-const NEW_TICKET_MESSAGE = "the process that the ticket names gave no answer; the order is sealed and will never run: "
-    + "take a new address and repeat it with a new key under its ticket";
-
-/** What a process says of a key that names another process as its owner. */
-export const WRONG_OWNER = refuse("owner-unreachable", "may-have-run", {
-    message: "this process is not the one that the key names",
-});
-
 /** Creates a forwarder without orders. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
     const { emit, findPeer } = options;
@@ -84,25 +48,25 @@
 
     function begin(order: Order, plan: ForwardPlan, nowMilliseconds: number): void {
         const phase = { type: "forwarding", deadlineMilliseconds: nowMilliseconds } as const;
-        const forward: Forward = { order, ...plan, forwards: 0, isOpen: false, phase };
+        const forward: Forward = { order, ...plan, forwards: 0, openUntilMilliseconds: undefined, phase };
         forwards.set(order.key, forward);
+        if (findPeer(plan.owner) === undefined && !options.wasKnown(plan.owner)) {
+            const deadlineMilliseconds = nowMilliseconds + options.settleMilliseconds;
+            forward.phase = { type: "waiting", deadlineMilliseconds };
+            return;
+        }
         send(forward, nowMilliseconds);
     }
 
     function send(forward: Forward, nowMilliseconds: number): void {
         const to = findPeer(forward.owner);
-        const settledAtMilliseconds = options.settledAtMilliseconds();
-        if (to === undefined && nowMilliseconds < settledAtMilliseconds) {
-            forward.phase = { type: "waiting", deadlineMilliseconds: settledAtMilliseconds };
-            return;
-        }
         if (to === undefined || forward.forwards >= MOST_FORWARDS) {
             beginSeal(forward, nowMilliseconds);
             return;
         }
         const patience = forward.callMilliseconds + options.witnessMilliseconds + FORWARD_MARGIN_MILLISECONDS;
         forward.forwards += 1;
-        forward.isOpen = true;
+        forward.openUntilMilliseconds = nowMilliseconds + patience;
         forward.phase = { type: "forwarding", deadlineMilliseconds: nowMilliseconds + patience };
         emit({ type: "forward", order: forward.order, to });
     }
@@ -116,6 +80,16 @@
         finish(forward, refuse("owner-unreachable", "may-have-run", { message }));
     }
 
+    /** Gives up, unless the owner may still answer. */
+    function listen(forward: Forward, message: string, nowMilliseconds: number): void {
+        const deadlineMilliseconds = forward.openUntilMilliseconds ?? nowMilliseconds;
+        if (deadlineMilliseconds <= nowMilliseconds) {
+            giveUp(forward, message);
+            return;
+        }
+        forward.phase = { type: "listening", deadlineMilliseconds, message };
+    }
+
     function beginSeal(forward: Forward, nowMilliseconds: number): void {
         const deadlineMilliseconds = nowMilliseconds + options.witnessMilliseconds;
         forward.phase = {
@@ -130,7 +104,7 @@
     function askToSeal(forward: Forward, nowMilliseconds: number): void {
         const { witness, order: { key, bodyHash }, phase } = forward;
         if (witness === undefined || phase.type !== "sealing") {
-            giveUp(forward, "the process that holds the key gave no answer, and no other knows whether the order ran");
+            listen(forward, UNKNOWN_BECAUSE.noWitness, nowMilliseconds);
             return;
         }
         phase.askAtMilliseconds = nowMilliseconds + SEAL_INTERVAL_MILLISECONDS;
@@ -149,14 +123,11 @@
             return;
         }
         match(answer)
-            .with({ type: "sealed" }, () => {
-                const message = NEW_TICKET_MESSAGE;
-                finish(forward, refuse("owner-unreachable", "not-run", { message, retryAfterMilliseconds: 0 }));
-            })
+            .with({ type: "sealed" }, () => finish(forward, SEALED))
             .with({ type: "finished" }, ({ outcome, bodyHash }) => finishWith(forward, outcome, bodyHash))
             .with({ type: "dispatched" }, { type: "recorded" }, () => awaitOutcome(forward, nowMilliseconds))
             .with({ type: "other-incarnation" }, { type: "ticket-expired" }, () => {
-                giveUp(forward, "neither the process that the ticket names nor its witness can tell whether it ran");
+                listen(forward, UNKNOWN_BECAUSE.witnessLost, nowMilliseconds);
             })
             .exhaustive();
     }
@@ -180,28 +151,29 @@
 
     function tickForward(forward: Forward, nowMilliseconds: number): void {
         const { phase } = forward;
-        const late = nowMilliseconds >= phase.deadlineMilliseconds;
-        if (phase.type !== "sealing") {
-            if (late) {
-                beginSeal(forward, nowMilliseconds);
-            }
-            return;
+        if (nowMilliseconds >= phase.deadlineMilliseconds) {
+            endPhase(forward, nowMilliseconds);
         }
-        if (late) {
-            giveUp(forward, "the order was passed on, and the process that passed it on gave no answer");
-            return;
-        }
-        if (nowMilliseconds >= phase.askAtMilliseconds) {
+        else if (phase.type === "sealing" && nowMilliseconds >= phase.askAtMilliseconds) {
             askToSeal(forward, nowMilliseconds);
         }
     }
 
+    function endPhase(forward: Forward, nowMilliseconds: number): void {
+        match(forward.phase)
+            .with({ type: "waiting" }, { type: "forwarding" }, () => beginSeal(forward, nowMilliseconds))
+            .with({ type: "sealing", dispatched: true }, () => giveUp(forward, UNKNOWN_BECAUSE.dispatched))
+            .with({ type: "sealing" }, () => listen(forward, UNKNOWN_BECAUSE.witnessLost, nowMilliseconds))
+            .with({ type: "listening" }, ({ message }) => giveUp(forward, message))
+            .exhaustive();
+    }
+
     function answered(key: string, outcome: OrderOutcome, nowMilliseconds: number): void {
         const forward = forwards.get(key);
         if (forward === undefined) {
             return;
         }
-        forward.isOpen = false;
+        forward.openUntilMilliseconds = undefined;
         const wrongOwner = outcome.type === "refused" && outcome.reason === WRONG_OWNER.reason;
         if (!wrongOwner) {
             finish(forward, outcome);
@@ -209,7 +181,18 @@
         }
         if (forward.phase.type === "forwarding") {
             beginSeal(forward, nowMilliseconds);
+            return;
         }
+        stopListening(forward, nowMilliseconds);
+    }
+
+    /** Notes that the connection to the owner has ended. */
+    function stopListening(forward: Forward, nowMilliseconds: number): void {
+        if (forward.phase.type === "listening") {
+            giveUp(forward, forward.phase.message);
+            return;
+        }
+        shortenForLostOwner(forward, nowMilliseconds);
     }
 
     function failed(key: string, nowMilliseconds: number): void {
@@ -217,9 +200,9 @@
         if (forward === undefined) {
             return;
         }
-        forward.isOpen = false;
+        forward.openUntilMilliseconds = undefined;
         if (forward.phase.type !== "forwarding") {
-            shortenForLostOwner(forward, nowMilliseconds);
+            stopListening(forward, nowMilliseconds);
             return;
         }
         if (forward.forwards < MOST_FORWARDS) {
@@ -229,8 +212,10 @@
     }
 
     /** Where the owner is lost and its connection too, only an outcome already on its way to the witness can come. */
-    function shortenForLostOwner({ phase, isOpen, owner }: Forward, nowMilliseconds: number): void {
-        if (phase.type === "sealing" && phase.dispatched && !isOpen && findPeer(owner) === undefined) {
+    function shortenForLostOwner(forward: Forward, nowMilliseconds: number): void {
+        const { phase, openUntilMilliseconds } = forward;
+        const lost = openUntilMilliseconds === undefined && findPeer(forward.owner) === undefined;
+        if (lost && phase.type === "sealing" && phase.dispatched) {
             const latest = nowMilliseconds + LOST_OWNER_OUTCOME_MILLISECONDS;
             phase.deadlineMilliseconds = Math.min(phase.deadlineMilliseconds, latest);
         }
@@ -239,10 +224,11 @@
     function peersChanged(nowMilliseconds: number): void {
         for (const forward of forwards.values()) {
             const { phase } = forward;
-            if (phase.type === "waiting") {
+            const isKnown = findPeer(forward.owner) !== undefined;
+            if (phase.type === "waiting" && isKnown) {
                 send(forward, nowMilliseconds);
             }
-            else if (phase.type === "forwarding" && findPeer(forward.owner) === undefined) {
+            else if (phase.type === "forwarding" && !isKnown) {
                 beginSeal(forward, nowMilliseconds);
             }
             else {
--- a/src/orders/_ownedOrders.ts
+++ b/src/orders/_ownedOrders.ts
@@ -30,6 +30,8 @@
     dispatchFailed(key: string, failure: DispatchFailure, nowMilliseconds: number): void;
     leave(nowMilliseconds: number): void;
     tick(nowMilliseconds: number): void;
+    /** Drops keys whose time is over. */
+    forget(nowMilliseconds: number): void;
     readonly size: number;
     readonly underWay: number;
 }
@@ -155,7 +157,6 @@
     }
 
     function tick(nowMilliseconds: number): void {
-        ledger.forget(generations.floor, nowMilliseconds);
         dispatcher.tick(nowMilliseconds);
         ticketOwner.tick(nowMilliseconds);
     }
@@ -165,6 +166,7 @@
         runClaimed,
         dispatchAnswered,
         tick,
+        forget: nowMilliseconds => ledger.forget(generations.floor, nowMilliseconds),
         find: key => ledger.find(key),
         witnessAnswered: (key, request, answer, now) => ticketOwner.answered(key, request, answer, now),
         witnessFailed: (key, request, now) => ticketOwner.failed(key, request, now),
--- a/src/orders/_peers.ts
+++ b/src/orders/_peers.ts
@@ -10,6 +10,8 @@
 export interface Peers {
     change(identities: readonly HostIdentity[], nowMilliseconds: number): void;
     find(name: ProcessName): HostIdentity | undefined;
+    /** Tells whether the process is or was among the live ones. */
+    wasKnown(name: ProcessName): boolean;
     readonly live: readonly HostIdentity[];
     /** Live processes, and lost ones that no other process of their host has replaced: they may be paused. */
     readonly possiblyLive: readonly HostIdentity[];
@@ -32,6 +34,9 @@
 /** Creates an empty set of peers. */
 export function createPeers(options: PeersOptions): Peers {
     const lost = new Map<string, { readonly identity: HostIdentity; readonly atMilliseconds: number; }>();
+    /** When each process was last among the live ones, by incarnation. */
+    const heard = new Map<string, number>();
+    let liveByIncarnation: ReadonlyMap<string, HostIdentity> = new Map();
     let live: readonly HostIdentity[] = [];
     let knownSinceMilliseconds = 0;
 
@@ -49,9 +54,23 @@
             }
         }
         live = others;
+        liveByIncarnation = new Map(others.map(identity => [identity.incarnation, identity]));
+        for (const { incarnation } of live) {
+            heard.set(incarnation, nowMilliseconds);
+        }
+    }
+
+    function find(name: ProcessName): HostIdentity | undefined {
+        const found = liveByIncarnation.get(name.incarnation);
+        return found?.host === name.host ? found : undefined;
     }
 
     function forget(nowMilliseconds: number): void {
+        for (const [incarnation, atMilliseconds] of heard) {
+            if (!liveByIncarnation.has(incarnation) && atMilliseconds + options.lostMilliseconds <= nowMilliseconds) {
+                heard.delete(incarnation);
+            }
+        }
         for (const [incarnation, { atMilliseconds }] of lost) {
             if (atMilliseconds + options.lostMilliseconds <= nowMilliseconds) {
                 lost.delete(incarnation);
@@ -62,8 +81,9 @@
     return {
         change,
         forget,
+        wasKnown: ({ incarnation }) => heard.has(incarnation),
         start: nowMilliseconds => void (knownSinceMilliseconds = nowMilliseconds + options.settleMilliseconds),
-        find: name => live.find(identity => isSameProcess(identity, name)),
+        find,
         get live() {
             return live;
         },
--- a/src/orders/ordersDecision.ts
+++ b/src/orders/ordersDecision.ts
@@ -9,7 +9,8 @@
 import { type HostIdentity, type OrderOutcome, type WitnessAnswer, type WitnessRequest } from "../generated/peers.js";
 import { findCall } from "./_calls.js";
 import { createClaims } from "./_claims.js";
-import { createForwarder, WRONG_OWNER } from "./_forwarder.js";
+import { WRONG_OWNER } from "./_forward.js";
+import { createForwarder } from "./_forwarder.js";
 import { createGenerations } from "./_generations.js";
 import { createIdempotentCalls } from "./_idempotentCalls.js";
 import { createInquiries } from "./_inquiry.js";
@@ -46,6 +47,7 @@
 }
 
 const DEFAULT_CALL_MILLISECONDS = 10_000;
+const SWEEP_INTERVAL_MILLISECONDS = 1_000;
 /** How much longer than an inquiry a hold lasts. */
 const HOLDS_PER_INQUIRY = 3;
 
@@ -69,6 +71,8 @@
     let isLeaving = false;
     let leavingHosts: ReadonlySet<string> = new Set();
     let startedAtMilliseconds: number | undefined;
+    let sweepAtMilliseconds = 0;
+    let sweptFloor = 0;
     let now = 0;
 
     const emit = (effect: OrdersEffect): void => void effects.push(effect);
@@ -92,7 +96,8 @@
         emit,
         witnessMilliseconds,
         findPeer: name => peers.find(name),
-        settledAtMilliseconds,
+        wasKnown: name => peers.wasKnown(name),
+        settleMilliseconds: settings.settleMilliseconds,
         askOwnWitness: (name, request) => isSameProcess(name, identity) ? witness.ask(request) : undefined,
         onOutcome: answerWaiters,
     });
@@ -274,10 +279,19 @@
         owned.leave(now);
     }
 
-    function tick(): void {
-        owned.tick(now);
+    function sweep(): void {
+        owned.forget(now);
         witness.forget();
         peers.forget(now);
+    }
+
+    function tick(): void {
+        if (now >= sweepAtMilliseconds || generations.floor !== sweptFloor) {
+            sweepAtMilliseconds = now + SWEEP_INTERVAL_MILLISECONDS;
+            sweptFloor = generations.floor;
+            sweep();
+        }
+        owned.tick(now);
         forwarder.tick(now);
         claims.tick(now);
         inquiries.tick(now);
--- a/standins/orders/fabric.ts
+++ b/standins/orders/fabric.ts
@@ -86,7 +86,8 @@
 const GENERATION_MILLISECONDS = 10_000;
 const CALL_TIMEOUT_MILLISECONDS = 3_000;
 
-const DEPLOYMENT: Deployment = deploymentSchema.parse({
+/** The operators' text of the fabric. */
+export const FABRIC_DEPLOYMENT: Deployment = deploymentSchema.parse({
     deployment: "mill",
     zones: [{ name: "zone-0", region: "ma-west" }],
     weightStore: { loadsPerSecond: 1, concurrentLoads: 1 },
@@ -302,7 +303,7 @@
             backlog: [],
             onDeath: new Set(),
         };
-        tell(host, { type: "deployment", deployment: DEPLOYMENT, revision: 1 });
+        tell(host, { type: "deployment", deployment: FABRIC_DEPLOYMENT, revision: 1 });
         schedule.after(0, () => tickFor(host));
         return host;
     }
