--- a/src/configuration/_document.ts
+++ b/src/configuration/_document.ts
@@ -55,6 +55,9 @@
 
     /** Gives the places where the text is no JSON with comments, or names a key twice. */
     syntaxProblems(): TextProblem[] {
+        if (this.#root === undefined) {
+            return [{ ...this.#place(0), path: "", message: "The text is empty", allowed: "a JSON object" }];
+        }
         const broken = this.#errors.map(error => ({
             ...this.#place(error.offset),
             path: "",
@@ -62,10 +65,7 @@
             value: shorten(this.#text.slice(error.offset, error.offset + error.length)),
             allowed: "JSON with comments and trailing commas",
         }));
-        if (broken.length === 0 && this.#root === undefined) {
-            return [{ ...this.#place(0), path: "", message: "The text is empty", allowed: "a JSON object" }];
-        }
-        return this.#root === undefined ? broken : [...broken, ...this.#repeatedKeys(this.#root, [])];
+        return [...broken, ...this.#repeatedKeys(this.#root, [])];
     }
 
     /**
