--- a/src/orders/claimBatcher.test.ts
+++ b/src/orders/claimBatcher.test.ts
@@ -82,3 +82,15 @@
     batcher.handle({ type: "peers-changed" }, 10_001);
     assert.equal(reads(10_100), 1);
 });
+
+test("a claim of this process that was not used is written anew before it is used, so that it outlives the run", () => {
+    const batcher = create();
+    batcher.handle(claim("a"), 1);
+    const [write] = batcher.handle(READ, 2);
+    assert.ok(write?.type === "write");
+    batcher.handle({ type: "written", attempt: 2, shard: 0, revision: 1 }, 3);
+    assert.deepEqual(answersOf(batcher.handle(claim("a"), 60_000)), ["a claimed"]);
+    const [renewal] = batcher.handle(claim("a"), 61_000);
+    assert.ok(renewal?.type === "write");
+    assert.deepEqual(renewal.record.claims.map(({ claimedAtMilliseconds }) => claimedAtMilliseconds), [61_000]);
+});
