--- a/src/requests/_attempts.ts
+++ b/src/requests/_attempts.ts
@@ -32,7 +32,12 @@
     }
     tracked.mayHaveRun = true;
     tracked.firstTokenAtMilliseconds ??= context.nowMilliseconds;
-    context.times.recordFirstToken(tracked.request.model, context.nowMilliseconds - tracked.dispatchedAtMilliseconds);
+    const tookMilliseconds = context.nowMilliseconds - tracked.dispatchedAtMilliseconds;
+    context.times.recordFirstToken(tracked.request.model, tookMilliseconds);
+    if (tracked.engine !== undefined && tracked.request.class === "urgent") {
+        const { pace } = context.view.get(tracked.engine);
+        pace.recordFirstToken(tookMilliseconds / tracked.model.firstTokenMilliseconds, context.nowMilliseconds);
+    }
 }
 
 /** Ends a request whose answer is whole. */
--- a/src/requests/_engineView.ts
+++ b/src/requests/_engineView.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { type EngineDigest, type ResidencyDigest } from "../generated/peers.js";
+import { createEnginePace, type EnginePace } from "./_enginePace.js";
 import { createPrefixMemory, type PrefixMemory } from "./_prefixMemory.js";
 
 const STALE_AFTER_MILLISECONDS = 10_000;
@@ -37,6 +38,8 @@
     /** Processes that ended, with the time at which each was last seen alive. */
     readonly ended: Map<string, number>;
     readonly prefixes: PrefixMemory;
+    /** Which part of its slots keeps the target. */
+    readonly pace: EnginePace;
     unreachableSinceMilliseconds: number;
     unreachableUntilMilliseconds: number;
     busyUntilMilliseconds: number;
@@ -129,6 +132,7 @@
         missing: new Set(),
         ended: new Map(),
         prefixes: createPrefixMemory(),
+        pace: createEnginePace(),
         unreachableSinceMilliseconds: 0,
         unreachableUntilMilliseconds: 0,
         busyUntilMilliseconds: 0,
--- a/src/requests/_routing.ts
+++ b/src/requests/_routing.ts
@@ -89,12 +89,13 @@
     return view.estimateLoad(engine.name) < countSlotsFor(context, engine, tracked);
 }
 
-/** Leaves room for urgent requests, which may take a little more than the slots rather than be refused. */
-function countSlotsFor(context: Context, { slots }: CatalogEngine, tracked: TrackedRequest): number {
-    if (tracked.request.class === "urgent") {
-        return Math.ceil(slots * URGENT_SLOT_SHARE);
-    }
-    return isUrgentNow(context, tracked) ? slots : Math.max(1, Math.floor(slots * PATIENT_SLOT_SHARE));
+/**
+ * Leaves room for urgent and aged requests, which may take a little more than the slots rather than be refused, and
+ * less where first tokens have lately come late.
+ */
+function countSlotsFor(context: Context, { name, slots }: CatalogEngine, tracked: TrackedRequest): number {
+    const share = isUrgentNow(context, tracked) ? URGENT_SLOT_SHARE : PATIENT_SLOT_SHARE;
+    return Math.max(1, Math.ceil(slots * share * context.view.get(name).pace.share()));
 }
 
 /** Prefers engines heard of lately; the others serve before a request is refused. */
