--- a/src/requests/_admission.ts
+++ b/src/requests/_admission.ts
@@ -12,6 +12,7 @@
 const PATIENT_RETRY_MILLISECONDS = 30_000;
 const NO_COPY_RETRY_MILLISECONDS = 2_000;
 const URGENT_RESERVE_SHARE = 0.25;
+const MOST_FIRST_TOKEN_SHARE = 0.5;
 
 /**
  * Judges a request that has just arrived.
@@ -63,11 +64,14 @@
 }
 
 function judgeWait(context: Context, tracked: TrackedRequest): RefusalDetails | undefined {
-    const { model } = tracked.request;
-    const target = tracked.model.firstTokenMilliseconds;
-    const firstToken = Math.min(context.times.firstToken(model), target / 2);
-    const wait = estimateWait(context, tracked);
-    return wait + firstToken <= target ? undefined : targetCannotBeMet(context, tracked);
+    const dispatchedAt = context.nowMilliseconds + estimateWait(context, tracked);
+    return dispatchedAt <= latestDispatch(context, tracked) ? undefined : targetCannotBeMet(context, tracked);
+}
+
+/** Tells until when an urgent request has to be at an engine to keep its target, as far as its model's past shows. */
+export function latestDispatch(context: Context, tracked: TrackedRequest): number {
+    const longest = tracked.model.firstTokenMilliseconds * MOST_FIRST_TOKEN_SHARE;
+    return tracked.deadlineMilliseconds - Math.min(context.times.firstToken(tracked.request.model), longest);
 }
 
 /** Describes that the first token would come too late. */
--- a/src/requests/_dispatching.ts
+++ b/src/requests/_dispatching.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { noCopyReady, targetCannotBeMet } from "./_admission.js";
+import { latestDispatch, noCopyReady, targetCannotBeMet } from "./_admission.js";
 import { type Context, dispatch, isUrgentNow, refuse } from "./_context.js";
 import { findRoute, listCopies, type Route } from "./_routing.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
@@ -53,6 +53,10 @@
         if (tracked.needsBudget && !context.budget.has(tracked.request.model, context.nowMilliseconds)) {
             continue;
         }
+        if (context.nowMilliseconds > latestStart(context, tracked)) {
+            refuseOverdue(context, tracked);
+            continue;
+        }
         const route = findRoute(context, tracked);
         if (route.type === "engine") {
             takeOwedRetry(context, tracked);
@@ -102,13 +106,22 @@
         if (tracked.phase === "running") {
             continue;
         }
-        const patience = tracked.mayHaveRun && tracked.request.class === "urgent" ? STARTED_PATIENCE_MILLISECONDS : 0;
-        if (context.nowMilliseconds > tracked.deadlineMilliseconds + patience) {
+        if (context.nowMilliseconds > latestStart(context, tracked)) {
             refuseOverdue(context, tracked);
         }
     }
 }
 
+/** An urgent request that has begun is answered late rather than not. */
+function latestStart(context: Context, tracked: TrackedRequest): number {
+    if (tracked.request.class === "patient") {
+        return tracked.deadlineMilliseconds;
+    }
+    return tracked.mayHaveRun
+        ? tracked.deadlineMilliseconds + STARTED_PATIENCE_MILLISECONDS
+        : latestDispatch(context, tracked);
+}
+
 function refuseOverdue(context: Context, tracked: TrackedRequest): void {
     if (tracked.mayHaveRun || tracked.request.class === "patient") {
         refuse(context, tracked, {
