Tell a starting host where the models are before it is advertised

Cause: a restarted host learned of proved copies only when their holder refreshed them, up to ten heartbeats later, and of convicted requests perhaps never; meanwhile it was advertised and refused `no-copy-ready`. Ruled out: reading engine records from the key-value service at each start. It has outages, and everybody restarting at once would read 1,300 records 390 times. Change: a starting host fetches residency and suspects from a live peer, and is advertised once it has them and a deployment (a site's first host after 3 s without a peer). Facts of peers are passed on where heartbeats no longer reach every host. The configuration decision is told how many hosts live (`presence`). Not shown yet: a process-level restart during load.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -59,6 +59,11 @@
     }
 }
 
+async function allHostsAreAdvertised(site: Site): Promise<boolean> {
+    const answers = await Promise.all(site.hosts.map(({ callersUrl }) => readAddresses(callersUrl, "west-1")));
+    return answers.every(({ addresses }) => addresses.length === site.hosts.length);
+}
+
 async function modelsAreReachable(site: Site): Promise<boolean> {
     const hostUrl = site.hosts[0]?.callersUrl ?? "";
     const answers = await Promise.all(
@@ -120,6 +125,7 @@
     try {
         console.log(`applying ${site.textFile} ...`);
         await applyText(site);
+        await waitUntil(() => allHostsAreAdvertised(site), "every host is advertised");
         await waitUntil(() => modelsAreReachable(site), "every model answers");
         console.log("sending the load ...");
         const observations = await sendLoad(site);
--- a/src/host/configurationTask.ts
+++ b/src/host/configurationTask.ts
@@ -12,6 +12,7 @@
 } from "../configuration/index.js";
 import { type Deployment } from "../generated/deployment.js";
 import { type ConfigurationRecord, configurationRecordSchema } from "../generated/platform.js";
+import { type MembershipPresence } from "../membership/index.js";
 import { type WatchEvent } from "../platform/index.js";
 import { type HostContext } from "./context.js";
 import { parseJson } from "./parseJson.js";
@@ -24,6 +25,8 @@
 export interface ConfigurationTask {
     /** Questions to the decision; messages go through the task. */
     readonly view: Pick<ConfigurationDecision, "record" | "deployment" | "state">;
+    /** Tells how many hosts there are. */
+    tellPresence(presence: MembershipPresence): void;
     close(): Promise<void>;
 }
 
@@ -57,6 +60,10 @@
         void this.#readStore();
     }
 
+    tellPresence(presence: MembershipPresence): void {
+        this.#task.send({ type: "presence", ...presence });
+    }
+
     async close(): Promise<void> {
         this.#task.close();
         await this.#watch?.close();
--- a/src/host/digestBoard.test.ts
+++ b/src/host/digestBoard.test.ts
@@ -13,29 +13,29 @@
 const residency = { engine: "engine-1", incarnation: "a", recordRevision: 2, models: [], adapters: [] };
 
 test("an observed engine is sent once, with its age at the time of sending", () => {
-    const board = createDigestBoard();
-    board.noteEngine(engine, 1000);
+    const board = createDigestBoard({ relays: () => false });
+    board.noteEngine(engine, 1000, "own");
     assert.deepEqual(board.takeRound(1100).engines, [{ ...engine, observedMillisecondsAgo: 120 }]);
     assert.deepEqual(board.takeRound(1200).engines, []);
 });
 
 test("an older residency digest does not replace a newer one", () => {
-    const board = createDigestBoard();
-    assert.equal(board.noteResidency(residency), true);
-    assert.equal(board.noteResidency({ ...residency, recordRevision: 1, adapters: ["old"] }), false);
+    const board = createDigestBoard({ relays: () => false });
+    assert.equal(board.noteResidency(residency, "own"), true);
+    assert.equal(board.noteResidency({ ...residency, recordRevision: 1, adapters: ["old"] }, "own"), false);
     assert.deepEqual(board.takeRound(0).residency, [residency]);
 });
 
 test("residency is repeated for some rounds, then refreshed now and then, so that lost heartbeats lose nothing", () => {
-    const board = createDigestBoard();
-    board.noteResidency(residency);
+    const board = createDigestBoard({ relays: () => false });
+    board.noteResidency(residency, "own");
     const sent = Array.from({ length: 30 }, (_, round) => board.takeRound(round).residency.length);
     assert.deepEqual(sent.slice(0, 4), [1, 1, 1, 0]);
     assert.ok(sent.slice(4).filter(count => count === 1).length >= 2);
 });
 
 test("demand of one round is added up and told once", () => {
-    const board = createDigestBoard();
+    const board = createDigestBoard({ relays: () => false });
     board.noteDemand({ model: "quotes", arrivals: 1, missed: 0 });
     board.noteDemand({ model: "quotes", arrivals: 1, missed: 1 });
     board.noteDemand({ model: "quotes", adapter: "bakery", arrivals: 1, missed: 0 });
@@ -45,3 +45,30 @@
     ]);
     assert.deepEqual(board.takeRound(0).demand, []);
 });
+
+test("facts of peers are passed on only where heartbeats do not reach every host, and not again when heard again", () => {
+    const mesh = createDigestBoard({ relays: () => false });
+    const relay = createDigestBoard({ relays: () => true });
+    for (const board of [mesh, relay]) {
+        board.noteResidency(residency, "peer");
+        board.noteEngine(engine, 1000, "peer");
+    }
+    assert.deepEqual([mesh.takeRound(1000).residency.length, relay.takeRound(1000).residency.length], [0, 1]);
+    for (let round = 0; round < 3; round += 1) {
+        relay.takeRound(1000);
+    }
+    relay.noteResidency(residency, "peer");
+    relay.noteEngine(engine, 1000, "peer");
+    assert.deepEqual([relay.takeRound(1000).residency.length, relay.takeRound(1000).engines.length], [0, 0]);
+});
+
+test("a starting host is told all residency and suspects, learned ones too; a conviction outlives later digests", () => {
+    const board = createDigestBoard({ relays: () => false });
+    board.noteResidency(residency, "peer");
+    board.noteSuspects([{ fingerprint: "f", crashes: ["engine-1/a"], convicted: true }], "peer");
+    board.noteSuspects([{ fingerprint: "f", crashes: ["engine-2/a"] }], "own");
+    const state = board.sharedState();
+    assert.deepEqual(state.residency, [residency]);
+    assert.deepEqual(state.suspects[0]?.crashes, ["engine-1/a", "engine-2/a"]);
+    assert.equal(state.suspects[0].convicted, true);
+});
--- a/src/host/membershipTask.ts
+++ b/src/host/membershipTask.ts
@@ -3,16 +3,24 @@
  *
  * @module
  */
+import { match } from "ts-pattern";
 import { type ConfigurationState } from "../configuration/index.js";
-import { type Digest, type HostIdentity } from "../generated/peers.js";
+import {
+    type Digest,
+    type HostIdentity,
+    type ResidencyDigest,
+    type SharedState,
+    type SuspectDigest,
+} from "../generated/peers.js";
 import {
     createMembershipDecision,
+    FULL_MESH_HOSTS,
     type MembershipDecision,
     type MembershipEffect,
     type MembershipMessage,
 } from "../membership/index.js";
 import { type HostContext } from "./context.js";
-import { composeDigest, createDigestBoard, type DigestBoard } from "./digestBoard.js";
+import { composeDigest, createDigestBoard, type DigestRound } from "./digestBoard.js";
 import { type HostEvent } from "./events.js";
 import { createTask } from "./task.js";
 
@@ -23,10 +31,15 @@
 /** The running membership task. */
 export interface MembershipTask {
     /** Questions to the decision; messages go through the task. */
-    readonly view: Pick<MembershipDecision, "livePeers" | "allKnown" | "rankAddresses" | "pollerOf" | "reachable">;
+    readonly view: Pick<
+        MembershipDecision,
+        "livePeers" | "allKnown" | "presence" | "rankAddresses" | "pollerOf" | "reachable"
+    >;
     /** Takes a peer's heartbeat. */
     takeDigest(digest: Digest): void;
     tellOwnState(state: ConfigurationState): void;
+    /** What this host tells a peer that has just started. */
+    sharedState(): SharedState;
     /** Tells peers that this host leaves. */
     leave(): void;
     close(): void;
@@ -35,7 +48,7 @@
 class MembershipRunner implements MembershipTask {
     readonly view: MembershipDecision;
     readonly #context: HostContext;
-    readonly #board: DigestBoard = createDigestBoard();
+    readonly #board = createDigestBoard({ relays: () => this.view.livePeers().length >= FULL_MESH_HOSTS });
     readonly #task;
     readonly #hostListTimer: NodeJS.Timeout;
     #shareTimer: NodeJS.Timeout | undefined;
@@ -71,6 +84,10 @@
         this.#task.send({ type: "own-state", ...state });
     }
 
+    sharedState(): SharedState {
+        return this.#board.sharedState();
+    }
+
     leave(): void {
         this.#task.send({ type: "leave" });
     }
@@ -82,21 +99,33 @@
     }
 
     #hear(event: HostEvent): void {
-        if (event.type === "engine-observed" && event.origin === "own-poll") {
-            this.#board.noteEngine(event.digest, this.#context.clock());
-        }
-        else if (event.type === "residency" && event.origin === "holder") {
-            if (this.#board.noteResidency(event.digest)) {
-                this.#shareSoon();
-            }
+        match(event)
+            .with(
+                { type: "engine-observed" },
+                ({ digest, origin }) =>
+                    this.#board.noteEngine(digest, this.#context.clock(), origin === "own-poll" ? "own" : "peer"),
+            )
+            .with({ type: "residency" }, ({ digest, origin }) => this.#noteResidency(digest, origin))
+            .with({ type: "suspects" }, ({ digests, origin }) => this.#noteSuspects(digests, origin))
+            .with(
+                { type: "demand", origin: "own" },
+                ({ demand }) => demand.forEach(part => this.#board.noteDemand(part)),
+            )
+            .otherwise(() => undefined);
+    }
+
+    #noteResidency(digest: ResidencyDigest, origin: "holder" | "peer"): void {
+        const isNews = this.#board.noteResidency(digest, origin === "holder" ? "own" : "peer");
+        if (isNews && origin === "holder") {
+            this.#shareSoon();
         }
-        else if (event.type === "suspects" && event.origin === "own") {
-            this.#board.noteSuspects(event.digests);
+    }
+
+    #noteSuspects(digests: readonly SuspectDigest[], origin: "own" | "peer"): void {
+        this.#board.noteSuspects(digests, origin);
+        if (origin === "own") {
             this.#shareNow();
         }
-        else if (event.type === "demand" && event.origin === "own") {
-            event.demand.forEach(demand => this.#board.noteDemand(demand));
-        }
     }
 
     /** Peers have to know suspects before a suspect is tried again, so they are not left for the next heartbeat. */
@@ -138,7 +167,7 @@
 
     async #sendHeartbeat(
         heartbeat: Extract<MembershipEffect, { type: "send-heartbeat"; }>,
-        round: ReturnType<DigestBoard["takeRound"]>,
+        round: DigestRound,
     ): Promise<void> {
         const client = this.#context.peers.get(heartbeat.peersUrl, heartbeat.peersUrl);
         const sent = await client.sendDigest(composeDigest(round, heartbeat));
--- a/src/host/startHost.ts
+++ b/src/host/startHost.ts
@@ -6,7 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { type CallerHandlers, type CallersServer, createRefusal, startCallersServer } from "../callers/index.js";
 import { type AddressesAnswer, type Refusal } from "../generated/callers.js";
-import { type HostIdentity } from "../generated/peers.js";
+import { type HostIdentity, type SharedState } from "../generated/peers.js";
 import { type Settings } from "../generated/settings.js";
 import { createLogger, createMetrics } from "../observability/index.js";
 import { createPeerClient, type PeerServer, startPeerServer } from "../peers/index.js";
@@ -22,6 +22,7 @@
 import { type OrdersTask, startOrdersTask } from "./ordersTask.js";
 import { createPoolTasks, type PoolTasks } from "./poolTasks.js";
 import { type RequestsTask, startRequestsTask } from "./requestsTask.js";
+import { startStateFetch, type StateFetch } from "./stateFetch.js";
 
 const OWN_STATE_INTERVAL_MILLISECONDS = 500;
 const DRAIN_POLL_MILLISECONDS = 50;
@@ -97,6 +98,7 @@
     readonly #peers: PeerServer;
     readonly #timers: NodeJS.Timeout[] = [];
     readonly #poller;
+    readonly #stateFetch: StateFetch;
     #leaving = false;
     #takesRequests = true;
     #markClosed: () => void = () => undefined;
@@ -118,6 +120,11 @@
             context,
             ({ name, zone }) => this.#tasks.membership.view.pollerOf(name, zone) === host,
         );
+        this.#stateFetch = startStateFetch(context, {
+            livePeers: () => this.#tasks.membership.view.livePeers(),
+            onState: state => this.#takeSharedState(state),
+            onDone: () => this.#tellOwnState(),
+        });
         this.#timers.push(setInterval(() => this.#tellOwnState(), OWN_STATE_INTERVAL_MILLISECONDS));
         context.events.subscribe(event => {
             if (event.type === "deployment-activated" || event.type === "advertise-changed") {
@@ -169,15 +176,30 @@
         return this.#tasks.requests.openRequests() + this.#tasks.orders.openOrders() > 0;
     }
 
+    /** A host is advertised once it can serve: it knows the deployment, and from a peer where the models are. */
+    #isReady(): boolean {
+        return this.#tasks.configuration.view.deployment() !== undefined && this.#stateFetch.isDone();
+    }
+
+    #takeSharedState(state: SharedState): void {
+        const { events } = this.#context;
+        state.residency.forEach(digest => events.publish({ type: "residency", digest, origin: "peer" }));
+        events.publish({ type: "suspects", digests: state.suspects, origin: "peer" });
+    }
+
     #tellOwnState(): void {
         const { configuration, membership } = this.#tasks;
-        membership.tellOwnState(configuration.view.state(this.#context.clock()));
+        const now = this.#context.clock();
+        configuration.tellPresence(membership.view.presence(now));
+        const state = configuration.view.state(now);
+        membership.tellOwnState({ ...state, advertise: state.advertise && this.#isReady() });
     }
 
     async #closeParts(): Promise<void> {
         const context = this.#context;
         this.#timers.forEach(timer => clearInterval(timer));
         this.#poller.close();
+        this.#stateFetch.close();
         const callersClosed = this.#callers.close();
         await this.#tasks.pools.close();
         await this.#tasks.configuration.close();
@@ -274,6 +296,7 @@
     const tasks = startTasks(context);
     const peers = await startPeerServer(settings.peers, {
         takeDigest: digest => tasks.membership.takeDigest(digest),
+        sharedState: () => tasks.membership.sharedState(),
         configurationRecord: () => tasks.configuration.view.record(),
         forwardOrder: order => tasks.orders.takeForwarded(order),
         witness: request => tasks.orders.takeWitnessRequest(request),
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+export { FULL_MESH_HOSTS } from "./_fanOut.js";
 export { type CallerPlace } from "./_ranking.js";
 export {
     createMembershipDecision,
--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -10,6 +10,8 @@
     type Digest,
     type ForwardedOrder,
     type OrderOutcome,
+    type SharedState,
+    sharedStateSchema,
     type WitnessAnswer,
     type WitnessRequest,
 } from "../generated/peers.js";
@@ -32,6 +34,7 @@
 export interface PeerClient {
     sendDigest(digest: Digest): Promise<Result<void, PeerError>>;
     fetchConfiguration(): Promise<Result<ConfigurationRecord | undefined, PeerError>>;
+    fetchSharedState(): Promise<Result<SharedState, PeerError>>;
     forwardOrder(order: ForwardedOrder, timeoutMilliseconds: number): Promise<Result<OrderOutcome, PeerError>>;
     witness(request: WitnessRequest): Promise<Result<WitnessAnswer, PeerError>>;
     wantAdapter(wanted: WantedAdapter): Promise<Result<void, PeerError>>;
@@ -69,6 +72,11 @@
     }
 }
 
+function checkSharedState(state: unknown): Result<SharedState, PeerError> {
+    const checked = sharedStateSchema.safeParse(state);
+    return checked.success ? Ok(checked.data) : Err({ kind: "rejected", message: checked.error.message });
+}
+
 /**
  * Creates a client of one peer. A call past its time limit ends its connection, so that the next call takes a new one:
  * a connection that went silent for good costs one call.
@@ -100,6 +108,8 @@
         sendDigest: async digest => (await outcomeOf(client.digest.mutate(digest, within()))).map(() => undefined),
         fetchConfiguration: async () =>
             (await outcomeOf(client.fetchConfiguration.query(undefined, within()))).map(answer => answer.record),
+        fetchSharedState: async () =>
+            (await outcomeOf(client.fetchSharedState.query(undefined, within()))).andThen(checkSharedState),
         forwardOrder: (order, timeoutMilliseconds) =>
             outcomeOf(client.forwardOrder.mutate(order, within(timeoutMilliseconds))),
         witness: request => outcomeOf(client.witness.mutate(request, within())),
--- a/src/peers/peers.test.ts
+++ b/src/peers/peers.test.ts
@@ -35,6 +35,7 @@
         handlers: {
             takeDigest: received => void taken.push(received),
             configurationRecord: () => undefined,
+            sharedState: () => ({ residency: [], suspects: [] }),
             forwardOrder: () =>
                 Promise.resolve({ type: "refused", reason: "host-leaving", ran: "not-run", message: "leaving" }),
             witness: () => Promise.resolve({ type: "recorded" }),
--- a/src/peers/router.ts
+++ b/src/peers/router.ts
@@ -11,6 +11,7 @@
     type ForwardedOrder,
     forwardedOrderSchema,
     type OrderOutcome,
+    type SharedState,
     type WitnessAnswer,
     type WitnessRequest,
     witnessRequestSchema,
@@ -26,6 +27,7 @@
 export interface PeerHandlers {
     takeDigest(digest: Digest): void;
     configurationRecord(): ConfigurationRecord | undefined;
+    sharedState(): SharedState;
     forwardOrder(order: ForwardedOrder): Promise<OrderOutcome>;
     witness(request: WitnessRequest): Promise<WitnessAnswer>;
     wantAdapter(wanted: WantedAdapter): void;
@@ -49,6 +51,7 @@
             return { taken: true };
         }),
         fetchConfiguration: trpc.procedure.query(() => ({ record: handlers.configurationRecord() })),
+        fetchSharedState: trpc.procedure.query(() => handlers.sharedState()),
         forwardOrder: trpc.procedure.input(forwardedOrderSchema).mutation(({ input }) => handlers.forwardOrder(input)),
         witness: trpc.procedure.input(witnessRequestSchema).mutation(({ input }) => handlers.witness(input)),
         wantAdapter: trpc.procedure.input(wantedAdapterSchema).mutation(({ input }) => {
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -17,5 +17,6 @@
  */
 export { type ChooseEngine, type RoutingCandidate } from "./_context.js";
 export { chooseByPrefixWithinLoadBound } from "./_routing.js";
+export { mergeSuspectDigests } from "./mergeSuspectDigests.js";
 export { type AttemptFailure, type ModelRequest, type RequestsEffect, type RequestsMessage } from "./messages.js";
 export { createRequestsDecision, type RequestsDecisionOptions } from "./requestsDecision.js";
