Let requests finish before an evict, and load a copy again that its engine does not name

Cause: an evict could cut requests that hosts still sent there; a copy that an engine dropped by itself stayed proved for ever. Adapters in use count as wanted, may displace spare copies, and get a second engine where targets are missed; engines whose memory shrank also give single copies away by moves.

--- a/src/residency/_adapterLoads.ts
+++ b/src/residency/_adapterLoads.ts
@@ -8,7 +8,7 @@
 import { type EngineState, isInMotion, subjectKey } from "./_engineState.js";
 import { type ActiveHolder, nextFencing } from "./_holder.js";
 import { sendOrder } from "./_recordKeeping.js";
-import { isStandingEngine } from "./_standing.js";
+import { isDoubted, isStandingEngine } from "./_standing.js";
 import { isProvedCopy } from "./ledger.js";
 import { type PlannedAction } from "./placement.js";
 import { shareOfWeightStore } from "./storeShare.js";
@@ -29,7 +29,7 @@
 ): boolean {
     const backoff = state.backoffs.get(subjectKey(entry))?.untilMilliseconds ?? 0;
     return entry.kind === "adapter"
-        && !entry.resident
+        && (!entry.resident || isDoubted(state, entry, nowMilliseconds))
         && !entry.openOrders.some(open => open.kind === "evict")
         && !isInMotion(state, subjectKey(entry))
         && !state.facts.some(fact => fact.order.name === entry.name && fact.outcome === "done")
--- a/src/residency/_answers.ts
+++ b/src/residency/_answers.ts
@@ -67,6 +67,8 @@
     match(answer.outcome)
         .with("done", () => {
             state.backoffs.delete(backoffKey(order));
+            state.unreported.delete(orderSubjectKey(order));
+            state.draining.delete(orderSubjectKey(order));
             if (checksFencing) {
                 state.lostAdapters.delete(orderSubjectKey(order));
             }
--- a/src/residency/_carryOut.ts
+++ b/src/residency/_carryOut.ts
@@ -7,14 +7,19 @@
 import { type EngineRecord } from "../generated/platform.js";
 import { type EngineOrder } from "../generated/upstreams.js";
 import { capacityOf, endOwnGrant } from "./_drafts.js";
-import { type EngineState, isInMotion, orderSubjectKey } from "./_engineState.js";
+import { type EngineState, isInMotion, orderSubjectKey, subjectKey } from "./_engineState.js";
 import { type ActiveHolder, explainOnce, nextFencing } from "./_holder.js";
 import { writeDraft } from "./_recordKeeping.js";
 import { mayEvictModel } from "./_standing.js";
-import { findEntry, recordIntent } from "./ledger.js";
+import { findEntry, isProvedCopy, recordIntent } from "./ledger.js";
 import { type PlannedAction } from "./placement.js";
 import { shareOfWeightStore } from "./storeShare.js";
 
+/** Others have stopped sending requests to a copy this long after it is told to nobody any more. */
+const SHORTEST_DRAIN_MILLISECONDS = 1_000;
+/** An evict does not wait longer for an engine that always runs something. */
+const LONGEST_DRAIN_MILLISECONDS = 5_000;
+
 /** The next record of an engine as intents are added to it. */
 interface OpenDraft {
     readonly state: EngineState;
@@ -103,6 +108,36 @@
         : { type: "wait", reason: `the pool's ${share.loadsPerSecond.toFixed(2)} loads a second are used` };
 }
 
+/** Stops telling others of a proved copy, and says when requests that still use it have had their time. */
+function isDrained({ state, record }: OpenDraft, subject: string, nowMilliseconds: number): boolean {
+    const isInUse = record.entries.some(entry => subjectKey(entry) === subject && isProvedCopy(entry));
+    if (!isInUse) {
+        return true;
+    }
+    const since = state.draining.get(subject);
+    if (since === undefined) {
+        state.draining.set(subject, nowMilliseconds);
+        state.publishedRevision = undefined;
+        return false;
+    }
+    const drained = nowMilliseconds - since;
+    return drained >= (state.running === 0 ? SHORTEST_DRAIN_MILLISECONDS : LONGEST_DRAIN_MILLISECONDS);
+}
+
+/** Tells others again of copies whose evict is no longer planned. */
+function endDrains(holder: ActiveHolder, actions: readonly PlannedAction[]): void {
+    for (const state of holder.engines.values()) {
+        const evicts = actions.filter(({ action, engine }) => action === "evict" && engine === state.name);
+        const planned = new Set(evicts.map(({ name, version }) => subjectKey({ kind: "model", name, version })));
+        for (const subject of [...state.draining.keys()]) {
+            if (!planned.has(subject) && !isInMotion(state, subject)) {
+                state.draining.delete(subject);
+                state.publishedRevision = undefined;
+            }
+        }
+    }
+}
+
 function carryOutOne(
     holder: ActiveHolder,
     drafts: ReadonlyMap<string, OpenDraft>,
@@ -129,6 +164,9 @@
             ? draft.record
             : endOwnGrant(draft.state, draft.record, entry, holder.lease.epoch);
     }
+    if (action.action === "evict" && !isDrained(draft, subject, nowMilliseconds)) {
+        return { type: "wait", reason: "requests that use it finish first" };
+    }
     const outcome = addIntent(holder, draft, order);
     if (outcome.type === "recorded") {
         holder.budget.tokens -= action.action === "load" ? 1 : 0;
@@ -201,6 +239,7 @@
             drafts.set(state.name, { state, record, orders: [], hasIntents: false });
         }
     }
+    endDrains(holder, actions);
     for (const action of actions) {
         const draft = drafts.get(action.engine);
         if (draft?.state.stamped === true && draft.state.newIncarnation === undefined) {
--- a/src/residency/_engineState.ts
+++ b/src/residency/_engineState.ts
@@ -66,6 +66,12 @@
     readonly backoffs: Map<string, Backoff>;
     /** When a copy was first seen proved, by subject. */
     readonly provedSince: Map<string, number>;
+    /** Copies that are told to nobody any more, so that requests finish before the evict; since when. */
+    readonly draining: Map<string, number>;
+    /** Proved copies that the engine's own reports do not name; since when. */
+    readonly unreported: Map<string, number>;
+    /** Requests that the engine ran at its last direct report. */
+    running: number;
     pendingReport: PendingReport | undefined;
     nextReportAtMilliseconds: number;
     /** A direct report of an incarnation that the record does not speak of. */
@@ -75,7 +81,8 @@
     missingSinceMilliseconds: number | undefined;
     reachable: boolean;
     leaving: boolean;
-    publishedRevision: number;
+    /** Record revision last published; `undefined` where it has to be published again. */
+    publishedRevision: number | undefined;
     publishedAtMilliseconds: number;
 }
 
@@ -95,6 +102,9 @@
         lostAdapters: new Set(),
         backoffs: new Map(),
         provedSince: new Map(),
+        draining: new Map(),
+        unreported: new Map(),
+        running: 0,
         pendingReport: undefined,
         nextReportAtMilliseconds: 0,
         newIncarnation: undefined,
--- a/src/residency/_publishing.ts
+++ b/src/residency/_publishing.ts
@@ -6,15 +6,18 @@
 import { type ResidencyDigest } from "../generated/peers.js";
 import { type EngineState, subjectKey } from "./_engineState.js";
 import { type Holder } from "./_holder.js";
+import { isDoubted } from "./_standing.js";
 import { isProvedCopy } from "./ledger.js";
 
 const PUBLISH_INTERVAL_MILLISECONDS = 5_000;
 
-function digestOf(state: EngineState): ResidencyDigest | undefined {
+function digestOf(state: EngineState, nowMilliseconds: number): ResidencyDigest | undefined {
     if (state.record === undefined) {
         return undefined;
     }
-    const proved = state.record.entries.filter(entry => isProvedCopy(entry));
+    const proved = state.record.entries.filter(entry =>
+        isProvedCopy(entry) && !state.draining.has(subjectKey(entry)) && !isDoubted(state, entry, nowMilliseconds)
+    );
     const models = proved.filter(entry => entry.kind === "model").map(({ name, version }) => ({ name, version }));
     const adapters = proved.filter(entry => entry.kind === "adapter").map(({ name }) => name);
     const { engine, incarnation } = state.record;
@@ -39,7 +42,7 @@
         return;
     }
     noteProved(state, nowMilliseconds);
-    const digest = digestOf(state);
+    const digest = digestOf(state, nowMilliseconds);
     if (digest !== undefined) {
         state.publishedRevision = state.storeRevision;
         state.publishedAtMilliseconds = nowMilliseconds;
--- a/src/residency/_reports.ts
+++ b/src/residency/_reports.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import { type EngineReport } from "../generated/upstreams.js";
-import { type EngineState } from "./_engineState.js";
+import { type EngineState, subjectKey } from "./_engineState.js";
 import { type ActiveHolder } from "./_holder.js";
+import { isProvedCopy } from "./ledger.js";
 
 const REPORT_INTERVAL_MILLISECONDS = 1_000;
 const REPORT_TIMEOUT_MILLISECONDS = 5_000;
@@ -55,11 +56,29 @@
     state.leaving = report.leaving;
     if (report.incarnation === state.record?.incarnation) {
         state.confirmedAtMilliseconds = pending.sentAtMilliseconds;
+        state.running = report.running;
+        noteUnreported(state, report, nowMilliseconds);
         return;
     }
     noteNewIncarnation(state, report, pending.sentAtMilliseconds);
 }
 
+/** Notes which proved copies the engine does not name; a report lags, so this says little at first. */
+function noteUnreported(state: EngineState, report: EngineReport, nowMilliseconds: number): void {
+    const named = new Set(report.models.map(({ name, version }) => `model ${name} ${version}`));
+    const adapters = new Set(report.adapters);
+    for (const entry of state.record?.entries ?? []) {
+        const key = subjectKey(entry);
+        const isNamed = entry.kind === "model" ? named.has(key) : adapters.has(entry.name);
+        if (isNamed || !isProvedCopy(entry)) {
+            state.unreported.delete(key);
+        }
+        else if (!state.unreported.has(key)) {
+            state.unreported.set(key, nowMilliseconds);
+        }
+    }
+}
+
 function noteNewIncarnation(state: EngineState, report: EngineReport, askedAtMilliseconds: number): void {
     state.newIncarnation = report;
     state.confirmedAtMilliseconds = askedAtMilliseconds;
@@ -67,6 +86,8 @@
     state.lostLoads.clear();
     state.lostAdapters.clear();
     state.awaited.clear();
+    state.unreported.clear();
+    state.draining.clear();
 }
 
 /** Takes the word that an engine could not be reached. */
--- a/src/residency/_roomMaking.ts
+++ b/src/residency/_roomMaking.ts
@@ -58,7 +58,7 @@
         && enginesWith(work, copy.name).some(other => other !== engine)
     );
     const worth = (copy: PlacementCopy): number =>
-        copy.state === "uncertain"
+        copy.state === "uncertain" || copy.draining === true
             ? 0
             : context.worthOf(copy.name, enginesWith(work, copy.name).length) / copy.megabytes;
     return spares.sort((left, right) => worth(left) - worth(right) || (left.name < right.name ? -1 : 1));
--- a/src/residency/_view.ts
+++ b/src/residency/_view.ts
@@ -7,7 +7,7 @@
 import { capacityOf } from "./_drafts.js";
 import { type EngineState, findAwaited, isInMotion, subjectKey } from "./_engineState.js";
 import { type ActiveHolder } from "./_holder.js";
-import { isStandingEngine } from "./_standing.js";
+import { isDoubted, isStandingEngine } from "./_standing.js";
 import { chargedMegabytes, type EngineCapacity, isCharged, isProvedCopy } from "./ledger.js";
 import {
     type CopyState,
@@ -22,13 +22,18 @@
 /** A copy is not exchanged for another one before it has stood for this long, at a move weight of 1. */
 const SETTLING_MILLISECONDS = 120_000;
 
-function copyState(holder: ActiveHolder, state: EngineState, entry: LedgerEntry): CopyState {
+function copyState(
+    holder: ActiveHolder,
+    state: EngineState,
+    entry: LedgerEntry,
+    nowMilliseconds: number,
+): CopyState {
     const hasEvict = entry.openOrders.some(open => open.kind === "evict");
     if (isInMotion(state, subjectKey(entry))) {
         return hasEvict && findAwaited(state, subjectKey(entry))?.order.kind !== "load-model" ? "evicting" : "loading";
     }
     if (isProvedCopy(entry)) {
-        return "proved";
+        return isDoubted(state, entry, nowMilliseconds) ? "uncertain" : "proved";
     }
     return hasEvict && !holder.text.pool.checksFencing ? "stuck" : "uncertain";
 }
@@ -52,8 +57,9 @@
         name: entry.name,
         version: entry.version,
         megabytes: isCharged(entry) ? entry.megabytes : 0,
-        state: copyState(holder, state, entry),
+        state: copyState(holder, state, entry, nowMilliseconds),
         clearable: isClearable(holder, entry) && !isBackingOff(state, `evict ${key}`, nowMilliseconds),
+        draining: state.draining.has(key),
         settling: since === undefined || nowMilliseconds - since < settlingMilliseconds,
     };
 }
@@ -126,11 +132,12 @@
     });
 }
 
-function adaptersOf(holder: ActiveHolder): PlacementAdapter[] {
+function adaptersOf(holder: ActiveHolder, nowMilliseconds: number): PlacementAdapter[] {
     return holder.text.deployment.adapters.map(({ name, model, megabytes }) => ({
         name,
         model,
         megabytes,
+        missedPerSecond: holder.demand.rateOf(model, name, nowMilliseconds).missedPerSecond,
         lastWantedMilliseconds: holder.wantedAdapters.get(`${model}:${name}`) ?? 0,
     }));
 }
@@ -154,5 +161,5 @@
             : [engineOf(holder, state, draft, capacityOf(holder.text, state.name), nowMilliseconds)];
     });
     const models = modelsOf(holder, nowMilliseconds);
-    return { engines, models, adapters: adaptersOf(holder), intended: holder.intended };
+    return { engines, models, adapters: adaptersOf(holder, nowMilliseconds), intended: holder.intended };
 }
--- a/src/residency/placement.ts
+++ b/src/residency/placement.ts
@@ -18,6 +18,8 @@
     readonly state: CopyState;
     /** True where the answer to an evict would free its room. */
     readonly clearable: boolean;
+    /** True where an evict is being prepared: it is the first to go. */
+    readonly draining?: boolean;
     /** True where it may not be dropped for another copy yet. */
     readonly settling: boolean;
 }
@@ -62,6 +64,8 @@
     readonly megabytes: number;
     /** When a request last named it; 0 for never. */
     readonly lastWantedMilliseconds: number;
+    /** Missed targets of its requests; 0 by default. */
+    readonly missedPerSecond?: number;
 }
 
 /** Everything that the planner looks at. */
--- a/src/residency/planPlacement.ts
+++ b/src/residency/planPlacement.ts
@@ -227,11 +227,29 @@
 /** Takes spare copies off engines whose memory is not enough for what they hold. */
 function shedOverfull(work: Workspace, context: PlanContext): void {
     for (const engine of work.engines) {
+        const reason = "the engine's role or memory needs the room";
         for (const spare of spareCopies(work, engine, context)) {
             if (engine.freeMegabytes < 0) {
-                planEvict(work, engine, spare, "the engine's role or memory needs the room");
+                planEvict(work, engine, spare, reason);
             }
         }
+        moveSinglesOff(work, engine.engine, context, reason);
+    }
+}
+
+function moveSinglesOff(work: Workspace, name: string, context: PlanContext, reason: string): void {
+    const find = (): WorkEngine | undefined => work.engines.find(({ engine, usable }) => usable && engine === name);
+    const singles = find()?.copies.filter(copy => copy.state === "proved" && context.models.has(copy.name)) ?? [];
+    for (const single of singles.sort((left, right) => left.megabytes - right.megabytes)) {
+        const model = context.models.get(single.name);
+        const isOverfull = (find()?.freeMegabytes ?? 0) < 0;
+        if (model === undefined || !isOverfull || !placeSomewhere(work, model, context, { reason, excluded: name })) {
+            continue;
+        }
+        const engine = find();
+        if (engine !== undefined) {
+            planEvict(work, engine, single, reason);
+        }
     }
 }
 
@@ -260,7 +278,10 @@
     renewVersions(work, context);
     placeMinimumCopies(work, context);
     shedOverfull(work, context);
-    planAdapters(work, view.adapters);
+    planAdapters(work, view.adapters, {
+        moveCost: context.moveWeight * MOVE_COST_PER_SECOND,
+        spareCopies: engine => spareCopies(work, engine, context),
+    });
     placeFurtherCopies(work, context);
     if (options.mayMove !== false && isCalm(work)) {
         replaceOneCopy(work, context);
--- a/src/residency/residencyDecision.ts
+++ b/src/residency/residencyDecision.ts
@@ -6,6 +6,7 @@
  */
 import { match } from "ts-pattern";
 import { type Decision, type IdentifierSource } from "../decision/index.js";
+import { type DemandDigest } from "../generated/peers.js";
 import { type EngineRecord } from "../generated/platform.js";
 import { loadWantedAdapters, missingGrants } from "./_adapterLoads.js";
 import { expireAwaited, takeAnswer, takeNotSent, takeSilence } from "./_answers.js";
@@ -135,6 +136,16 @@
     }
 }
 
+/** An adapter that is in use counts as wanted. */
+function takeDemand(holder: Holder, demand: readonly DemandDigest[], now: number): void {
+    holder.demand.add(demand, now);
+    for (const { model, adapter, arrivals } of demand) {
+        if (adapter !== undefined && arrivals > 0) {
+            holder.wantedAdapters.set(`${model}:${adapter}`, now);
+        }
+    }
+}
+
 function take(holder: Holder, message: ResidencyMessage, now: number): void {
     match(message)
         .with({ type: "deployment" }, text => takeText(holder, text))
@@ -147,7 +158,7 @@
         .with({ type: "engines-leaving" }, ({ engines }) => {
             holder.leavingEngines = new Set(engines);
         })
-        .with({ type: "demand" }, ({ demand }) => holder.demand.add(demand, now))
+        .with({ type: "demand" }, ({ demand }) => takeDemand(holder, demand, now))
         .with({ type: "adapter-wanted" }, ({ model, adapter }) => {
             holder.wantedAdapters.set(`${model}:${adapter}`, now);
         })
