--- a/src/residency/_engineState.ts
+++ b/src/residency/_engineState.ts
@@ -64,7 +64,7 @@
     /** Adapters with a load that was sent under this epoch and never answered. */
     readonly lostAdapters: Set<string>;
     readonly backoffs: Map<string, Backoff>;
-    /** When a copy was first seen proved, by subject. */
+    /** When a proved copy was first published, by subject. */
     readonly provedSince: Map<string, number>;
     /** Copies that are told to nobody any more, so that requests finish before the evict; since when. */
     readonly draining: Map<string, number>;
--- a/src/residency/_standing.ts
+++ b/src/residency/_standing.ts
@@ -11,6 +11,8 @@
 
 /** Reports lag by less than this. */
 const REPORT_LAG_MILLISECONDS = 10_000;
+/** A published digest has reached the hosts by then. */
+const DIGEST_SPREAD_MILLISECONDS = 1_000;
 /** An engine whose copies have not counted for this long is taken for lost, and its models are placed elsewhere. */
 const LOST_ENGINE_MILLISECONDS = 3_000;
 
@@ -56,6 +58,13 @@
     return since !== undefined && nowMilliseconds - since >= REPORT_LAG_MILLISECONDS;
 }
 
+/** Tells whether other hosts know of a copy, and are to go on using it. */
+function isToldOf(state: EngineState, entry: LedgerEntry, nowMilliseconds: number): boolean {
+    const since = state.provedSince.get(subjectKey(entry));
+    const hasSpread = since !== undefined && nowMilliseconds - since >= DIGEST_SPREAD_MILLISECONDS;
+    return hasSpread && !state.draining.has(subjectKey(entry));
+}
+
 interface Sought {
     readonly name: string;
     readonly except: LedgerEntry | undefined;
@@ -68,7 +77,7 @@
         && entry.name === name
         && entry.version !== except?.version
         && isProvedCopy(entry)
-        && !state.draining.has(subjectKey(entry))
+        && isToldOf(state, entry, nowMilliseconds)
         && !isDoubted(state, entry, nowMilliseconds)
     );
 }
--- a/src/residency/_testFleet.ts
+++ b/src/residency/_testFleet.ts
@@ -5,6 +5,7 @@
  */
 import { createSeededRandom, type Decision, type RandomSource } from "../decision/index.js";
 import { type Deployment } from "../generated/deployment.js";
+import { type ResidencyDigest } from "../generated/peers.js";
 import { type EngineRecord } from "../generated/platform.js";
 import { type EngineOrder, type EngineOrderAnswer, type EngineReport } from "../generated/upstreams.js";
 import {
@@ -19,6 +20,7 @@
 const TICK_MILLISECONDS = 500;
 const LOAD_MILLISECONDS = 1_500;
 const ANSWER_TIMEOUT_MILLISECONDS = 4_000;
+const TOLD_AGAIN_MILLISECONDS = 4_000;
 /** For this long after a restart, evicts recorded in ignorance of it are not the system's own doing. */
 const IGNORANCE_MILLISECONDS = 40_000;
 
@@ -113,6 +115,7 @@
     readonly engines: EngineFake[];
     readonly store = new Map<string, { record: EngineRecord; revision: number; }>();
     readonly explained: string[] = [];
+    private readonly told = new Map<string, ResidencyDigest>();
     mostLoadsAtOnce = 0;
     loads = 0;
     text: Deployment;
@@ -288,6 +291,7 @@
                 );
                 return;
             case "publish-residency":
+                this.checkTold(effect.digest);
                 return;
         }
     }
@@ -454,6 +458,34 @@
         }
     }
 
+    /** A proved copy is left out of what others are told only while they are told of another one. */
+    private checkTold(digest: ResidencyDigest): void {
+        this.told.set(digest.engine, digest);
+        const models = this.store.get(digest.engine)?.record.entries.filter(({ kind }) => kind === "model") ?? [];
+        const hidden = models.filter(entry => isProvedCopy(entry) && !this.isTold(entry.name));
+        if (hidden.length > 0) {
+            this.after(
+                TOLD_AGAIN_MILLISECONDS,
+                () => this.checkToldAgain(digest.engine, hidden.map(({ name }) => name)),
+            );
+        }
+    }
+
+    private checkToldAgain(engine: string, hidden: readonly string[]): void {
+        const isQuiet = this.now >= this.outageUntil && this.hosts.every(host => this.now >= host.pausedUntil);
+        const record = this.store.get(engine)?.record;
+        for (const name of isQuiet ? hidden : []) {
+            const isProved = record?.entries.some(entry => entry.name === name && isProvedCopy(entry)) === true;
+            if (isProved && record?.incarnation === this.engine(engine).incarnationName && !this.isTold(name)) {
+                this.violate(`nobody is told of ${name}, which ${engine} holds`);
+            }
+        }
+    }
+
+    private isTold(name: string): boolean {
+        return [...this.told.values()].some(({ models }) => models.some(model => model.name === name));
+    }
+
     /** Checked at each write: a proved copy is only given up while another one stands. */
     private checkEvicts(engine: string, before: EngineRecord | undefined, after: EngineRecord): void {
         const listed = new Set(this.text.models.map(model => model.name));
