--- a/src/residency/_testFleet.ts
+++ b/src/residency/_testFleet.ts
@@ -476,7 +476,7 @@
         const record = this.store.get(engine)?.record;
         for (const name of isQuiet ? hidden : []) {
             const isProved = record?.entries.some(entry => entry.name === name && isProvedCopy(entry)) === true;
-            if (isProved && record?.incarnation === this.engine(engine).incarnationName && !this.isTold(name)) {
+            if (isProved && record.incarnation === this.engine(engine).incarnationName && !this.isTold(name)) {
                 this.violate(`nobody is told of ${name}, which ${engine} holds`);
             }
         }
--- a/src/residency/residencyDecision.test.ts
+++ b/src/residency/residencyDecision.test.ts
@@ -376,3 +376,27 @@
     assert.ok(!early.includes("model-2"));
     assert.ok(late.includes("model-2"));
 });
+
+test("an old version is told until others have had time to hear of the new one", () => {
+    const [one, two] = [stored("engine-0", 1, [{ name: "model-0", megabytes: 45 }]), stored("engine-1", 1, [])];
+    const driver = new Driver(new Map([one, two]));
+    const text = createText({ checksFencing: true, engines: 2, version: "2" });
+    driver.start({ ...text, models: text.models.slice(0, 1), adapters: [] }, 1, 2);
+    const isTold = (engine: string): boolean =>
+        driver.effects.findLast(effect =>
+            effect.type === "publish-residency" && effect.digest.engine === engine
+            && effect.digest.models.some(({ name }) => name === "model-0")
+        ) === driver.effects.findLast(effect => effect.type === "publish-residency" && effect.digest.engine === engine);
+    const load = driver.sent.find(order => order.kind === "load-model" && order.name === "model-0") as EngineOrder;
+    driver.tell({
+        type: "order-answered",
+        engine: "engine-1",
+        order: load,
+        answer: { outcome: "done", incarnation: "first" },
+    });
+    assert.ok(isTold("engine-1"));
+    driver.pass(900);
+    assert.ok(isTold("engine-0"));
+    driver.pass(500);
+    assert.ok(!isTold("engine-0"));
+});
