Count every retry reason by a checked name

Cause: a host ended at its first retry of an order with a dead owner or witness: ordersTask counted retries.owner-unreachable and retries.witness-unreachable, which the list of metric names lacks, and an unknown name is a broken invariant. Found by killing a host with orders in flight (tests/hosts.test.ts): both other hosts exited 1. Ruled out: ignoring unknown names at run time (the list would drift from the code). Change: names are a type, so a name outside the list does not compile; the orders decision's retry reasons are a union; the three missing reasons are in the list, and peer-unreachable, which nothing counted, is out. Shown: src/observability passes; the type check fails when a reason is taken from the list again.

--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -16,5 +16,11 @@
  * @module
  */
 export { createLogger, type LogFields, type Logger, type LoggerOptions } from "./logger.js";
-export { type MetricDefinition, METRICS, renderMetricsTable, type RetryReason } from "./metricNames.js";
+export {
+    type MetricDefinition,
+    type MetricName,
+    METRICS,
+    renderMetricsTable,
+    type RetryReason,
+} from "./metricNames.js";
 export { createMetrics, type Metrics, type MetricTags } from "./metrics.js";
--- a/src/observability/metricNames.ts
+++ b/src/observability/metricNames.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { refusalReasonSchema } from "../generated/callers.js";
+import { type RefusalReason, refusalReasonSchema } from "../generated/callers.js";
 
 /** What a metric measures. */
 export interface MetricDefinition {
@@ -21,14 +21,16 @@
     "incomplete",
     "rejected",
     "engine-crashed",
-    "peer-unreachable",
+    "not-sent",
+    "owner-unreachable",
+    "witness-unreachable",
     "idempotent-call-failed",
 ] as const;
 
 /** Why an attempt is made again; each has its own counter. */
 export type RetryReason = typeof RETRY_REASONS[number];
 
-const GENERAL_METRICS: Readonly<Record<string, MetricDefinition>> = {
+const GENERAL_METRICS = {
     "requests.accepted": { kind: "counter", description: "Requests taken from callers.", tags: ["class"] },
     "requests.finished": { kind: "counter", description: "Requests answered whole.", tags: ["class", "within_target"] },
     "requests.cancelled": { kind: "counter", description: "Requests whose caller went away.", tags: [] },
@@ -61,7 +63,10 @@
         description: "Calls on the platform without a usable answer.",
         tags: ["kind"],
     },
-};
+} satisfies Readonly<Record<string, MetricDefinition>>;
+
+/** A metric that is in the list. */
+export type MetricName = keyof typeof GENERAL_METRICS | `refusals.${RefusalReason}` | `retries.${RetryReason}`;
 
 function counterPerReason(
     group: string,
--- a/src/observability/metrics.test.ts
+++ b/src/observability/metrics.test.ts
@@ -13,6 +13,6 @@
     metrics.increment("refusals.queue-full");
     assert.equal(metrics.totals()["refusals.queue-full"], 2);
     assert.ok(METRICS["refusals.request-crashes-engines"] !== undefined);
-    assert.throws(() => metrics.increment("refusals.no-such-reason"));
+    assert.throws(() => metrics.increment("refusals.no-such-reason" as never));
     await metrics.close();
 });
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -5,7 +5,7 @@
  */
 import { StatsD } from "hot-shots";
 import { type Settings } from "../generated/settings.js";
-import { METRICS } from "./metricNames.js";
+import { type MetricName, METRICS } from "./metricNames.js";
 
 const METRIC_PREFIX = "flamingospread.";
 
@@ -14,9 +14,9 @@
 
 /** Takes measurements. */
 export interface Metrics {
-    increment(name: string, tags?: MetricTags): void;
-    timing(name: string, milliseconds: number, tags?: MetricTags): void;
-    gauge(name: string, value: number, tags?: MetricTags): void;
+    increment(name: MetricName, tags?: MetricTags): void;
+    timing(name: MetricName, milliseconds: number, tags?: MetricTags): void;
+    gauge(name: MetricName, value: number, tags?: MetricTags): void;
     /** Totals of counters and last values of gauges, by name. */
     totals(): Readonly<Record<string, number>>;
     close(): Promise<void>;
--- a/src/orders/messages.ts
+++ b/src/orders/messages.ts
@@ -78,6 +78,9 @@
     | { readonly type: "leave"; }
     | { readonly type: "tick"; };
 
+/** Why a call, a forward or a question to a witness is made again; each has its own counter. */
+export type OrderRetryReason = "not-sent" | "owner-unreachable" | "witness-unreachable" | "idempotent-call-failed";
+
 /** What the orders decision asks for. */
 export type OrdersEffect =
     | { readonly type: "reply"; readonly identifier: string; readonly outcome: OrderOutcome; }
@@ -91,4 +94,4 @@
     | { readonly type: "answer-witness"; readonly identifier: string; readonly answer: WitnessAnswer; }
     | { readonly type: "dispatch"; readonly order: Order; readonly url: string; readonly timeoutMilliseconds: number; }
     | { readonly type: "claim"; readonly key: string; readonly bodyHash: string; }
-    | { readonly type: "count-retry"; readonly reason: string; readonly service: string; };
+    | { readonly type: "count-retry"; readonly reason: OrderRetryReason; readonly service: string; };
--- /dev/null
+++ b/tests/_testSite.ts
@@ -0,0 +1,210 @@
+/**
+ * Starts a small site of real processes for tests, and calls it as callers do.
+ *
+ * @module
+ */
+import { readFile, writeFile } from "node:fs/promises";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { startProcess } from "../demo/processes.js";
+import { type HostProcess, type Site, startSite, type StandInProcess, waitUntil } from "../demo/sites.js";
+import { type AddressesAnswer, type Refusal } from "../src/generated/callers.js";
+import { type EngineState, expectedTokens } from "../standins/engine.js";
+import { type PlainServiceState } from "../standins/plainService.js";
+import { type Relay, startRelay } from "./_relay.js";
+
+const TEMPLATE = fileURLToPath(new URL("site.template.jsonc", import.meta.url));
+const ENGINES = ["engine-1", "engine-2", "engine-3"];
+const MODELS = ["quotes", "captions"];
+
+/** A site whose engine-1 is reached through a relay. */
+export interface TestSite extends Site {
+    readonly relay: Relay;
+}
+
+/** Options of a test site. */
+export interface TestSiteOptions {
+    /** Options of every engine stand-in. */
+    readonly engine?: Readonly<Record<string, unknown>>;
+    /** Options of the plain service stand-in. */
+    readonly plain?: Readonly<Record<string, unknown>>;
+    /** Settings of every host. */
+    readonly settings?: Readonly<Record<string, unknown>>;
+}
+
+/** What a caller got. */
+export interface ChatOutcome {
+    readonly status: number;
+    readonly text: string;
+    /** True where the stream ended with its end marker. */
+    readonly whole: boolean;
+    readonly refusal: Refusal | undefined;
+}
+
+/** Starts three hosts, three engines of one pool and a plain service, and waits until every model answers. */
+export async function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
+    const engine = { memoryMegabytes: 1000, slots: 8, checksFencing: true, ...options.engine };
+    const site = await startSite({
+        template: TEMPLATE,
+        engines: ENGINES.map(name => ({ name, options: engine })),
+        plainServices: [{ name: "line", options: options.plain ?? {} }],
+        hosts: [1, 2, 3].map(index => ({ name: `host-${index}`, zone: `zone-${index}` })),
+        region: "test",
+        weightStore: { loadsPerSecond: 50, concurrentLoads: 7, modelMilliseconds: 20 },
+        settings: { addressKeepMilliseconds: 1000, ...options.settings },
+    });
+    const engineUrl = site.engines.get("engine-1")?.url ?? "";
+    const relay = await startRelay(engineUrl);
+    const text = await readFile(site.textFile, "utf8");
+    await writeFile(site.textFile, text.replaceAll(engineUrl, relay.url));
+    await apply(site);
+    await waitForModels(site.hosts);
+    const close = async () => {
+        await site.close();
+        await relay.close();
+    };
+    return { ...site, relay, close };
+}
+
+/** Runs the apply command; gives its exit code and what it printed. */
+export async function apply(site: Site, ...options: string[]): Promise<{ code: number | string; output: string; }> {
+    const command = startProcess("apply", {
+        file: "bin/flamingospread",
+        arguments: ["apply", site.textFile, "--store", site.keyValue.url, ...options],
+    });
+    const code = await command.ended;
+    return { code, output: command.errorLines.join("\n") };
+}
+
+/** Waits until every host answers for every model. */
+export async function waitForModels(hosts: readonly HostProcess[]): Promise<void> {
+    for (const { callersUrl } of hosts) {
+        for (const model of MODELS) {
+            await waitUntil(
+                async () => (await chat(callersUrl, { model, prompt: "ready?" })).whole,
+                `${model} answers at ${callersUrl}`,
+            );
+        }
+    }
+}
+
+/** Options of one chat request. */
+export interface ChatOptions {
+    readonly model?: string;
+    readonly prompt: string;
+    readonly tokens?: number;
+    readonly class?: "urgent" | "patient";
+    readonly onText?: (text: string) => void;
+}
+
+function createBody(options: ChatOptions) {
+    return {
+        model: options.model ?? "quotes",
+        messages: [{ role: "user" as const, content: options.prompt }],
+        max_tokens: options.tokens ?? 8,
+        stream: true,
+        service_tier: options.class ?? "urgent",
+    };
+}
+
+/** Gives the whole answer to a request. */
+export function expectedText(options: ChatOptions): string {
+    return expectedTokens(createBody(options)).join("");
+}
+
+function readStreamedText(stream: string): string {
+    const events = stream.split("\n").filter(line => line.startsWith("data: {"));
+    return events.map(line => {
+        const chunk = JSON.parse(line.slice("data: ".length)) as { choices?: { delta?: { content?: string; }; }[]; };
+        return chunk.choices?.[0]?.delta?.content ?? "";
+    }).join("");
+}
+
+/** Sends a chat request and reads its stream to the end; a cut connection gives what came before. */
+export async function chat(hostUrl: string, options: ChatOptions): Promise<ChatOutcome> {
+    const answer = await request(`${hostUrl}/v1/chat/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(createBody(options)),
+    });
+    let stream = "";
+    try {
+        for await (const part of answer.body as AsyncIterable<Buffer>) {
+            stream += part.toString("utf8");
+            options.onText?.(stream);
+        }
+    }
+    catch {
+        // A cut stream lacks its end marker.
+    }
+    const refused = answer.statusCode === 200
+        ? stream.split("\n").find(line => line.startsWith("data: {\"error\""))?.slice("data: ".length)
+        : stream;
+    return {
+        status: answer.statusCode,
+        text: readStreamedText(stream),
+        whole: stream.includes("data: [DONE]"),
+        refusal: refused === undefined ? undefined : (JSON.parse(refused) as { error: Refusal; }).error,
+    };
+}
+
+/** What an order met. */
+export interface OrderOutcome {
+    readonly status: number;
+    readonly body: string;
+    readonly refusal: Refusal | undefined;
+}
+
+/** Sends an order; a connection that ends without an answer gives status 0. */
+export async function order(hostUrl: string, key: string, body = "{}"): Promise<OrderOutcome> {
+    try {
+        const answer = await request(`${hostUrl}/v1/services/line/cut`, {
+            method: "POST",
+            headers: { "content-type": "application/json", "idempotency-key": key },
+            body,
+        });
+        const text = await answer.body.text();
+        const refusal = answer.statusCode === 200 ? undefined : (JSON.parse(text) as { error: Refusal; }).error;
+        return { status: answer.statusCode, body: text, refusal };
+    }
+    catch {
+        return { status: 0, body: "", refusal: undefined };
+    }
+}
+
+/** Asks a host for addresses. */
+export async function addresses(hostUrl: string): Promise<AddressesAnswer> {
+    const answer = await request(`${hostUrl}/v1/addresses`);
+    return await answer.body.json() as AddressesAnswer;
+}
+
+/** Changes a stand-in's faults. */
+export async function setFaults(standIn: StandInProcess, faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await request(`${standIn.url}/standin/faults`, { method: "POST", body: JSON.stringify(faults) });
+}
+
+/** Reads what an engine recorded. */
+export async function readEngine(standIn: StandInProcess): Promise<EngineState> {
+    const answer = await request(`${standIn.url}/standin/state`);
+    return await answer.body.json() as EngineState;
+}
+
+/** Reads what the plain service recorded. */
+export async function readPlain(site: Site): Promise<PlainServiceState> {
+    const answer = await request(`${site.plainServices.get("line")?.url ?? ""}/standin/state`);
+    return await answer.body.json() as PlainServiceState;
+}
+
+/** Finds the engine that runs a request now. */
+export async function findRunning(site: Site): Promise<string> {
+    let found: string | undefined;
+    await waitUntil(async () => {
+        for (const [name, standIn] of site.engines) {
+            if (!standIn.process.child.killed && (await readEngine(standIn)).running > 0) {
+                found = name;
+            }
+        }
+        return found !== undefined;
+    }, "an engine runs a request");
+    return found ?? "";
+}
--- /dev/null
+++ b/tests/streams.test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { waitUntil } from "../demo/sites.js";
+import { startRelay } from "./_relay.js";
+import {
+    chat,
+    type ChatOptions,
+    expectedText,
+    findRunning,
+    readEngine,
+    setFaults,
+    startTestSite,
+    type TestSite,
+} from "./_testSite.js";
+
+/** "After a few seconds", as the brief says of an upstream that leaves. */
+const LEAVING_MILLISECONDS = 5000;
+const LONG: ChatOptions = { prompt: "A long quote", tokens: 400 };
+
+let site: TestSite;
+before(async () => {
+    site = await startTestSite({ engine: { tokenMilliseconds: 5 } });
+});
+after(() => site.close());
+
+function hostUrl(index: number): string {
+    return site.hosts[index]?.callersUrl ?? "";
+}
+
+function engine(name: string) {
+    const found = site.engines.get(name);
+    assert.ok(found !== undefined);
+    return found;
+}
+
+async function completionsAt(name: string): Promise<number> {
+    return Object.keys((await readEngine(engine(name))).completions).length;
+}
+
+/** Starts a long stream and waits until its caller has the first tokens. */
+async function startLongStream(url: string, options: ChatOptions = LONG) {
+    let received = "";
+    const outcome = chat(url, {
+        ...options,
+        onText: text => {
+            received = text;
+        },
+    });
+    await waitUntil(() => Promise.resolve(received.split("\n\n").length > 10), "the stream has begun");
+    return { outcome, read: () => received };
+}
+
+function assertWhole(outcome: Awaited<ReturnType<typeof chat>>, options: ChatOptions): void {
+    assert.deepEqual([outcome.status, outcome.refusal, outcome.whole], [200, undefined, true]);
+    assert.equal(outcome.text, expectedText(options));
+}
+
+test("a stream is whole when the connection to its engine goes silent for good while new ones work", async () => {
+    const streams = await Promise.all(Array.from({ length: 9 }, (_, index) => {
+        const options = { ...LONG, prompt: `Quote ${index}` };
+        return startLongStream(hostUrl(index % 3), options).then(({ outcome }) => ({ outcome, options }));
+    }));
+    assert.ok((await readEngine(engine("engine-1"))).running > 0, "no stream runs behind the relay");
+    site.relay.silence();
+    for (const { outcome, options } of streams) {
+        assertWhole(await outcome, options);
+    }
+});
+
+test("a caller whose connection goes silent gets its answer on a new one, and others are not affected", async () => {
+    const relay = await startRelay(hostUrl(0));
+    const silenced = await startLongStream(relay.url);
+    relay.silence();
+    assertWhole(await chat(relay.url, { prompt: "again" }), { prompt: "again" });
+    assertWhole(await chat(hostUrl(0), { prompt: "another caller" }), { prompt: "another caller" });
+    assert.ok(!silenced.read().includes("[DONE]"));
+    await relay.close();
+    await silenced.outcome;
+});
+
+test("an engine that leaves, by its own word, gets no new work after a few seconds", async () => {
+    await setFaults(engine("engine-2"), { leaving: true });
+    await new Promise(resolve => setTimeout(resolve, LEAVING_MILLISECONDS));
+    const before = await completionsAt("engine-2");
+    const prompts = Array.from({ length: 24 }, (_, index) => `After leaving ${index}`);
+    const outcomes = await Promise.all(prompts.map((prompt, index) => chat(hostUrl(index % 3), { prompt })));
+    outcomes.forEach((outcome, index) => assertWhole(outcome, { prompt: prompts[index] ?? "" }));
+    assert.equal(await completionsAt("engine-2"), before);
+    await setFaults(engine("engine-2"), { leaving: false });
+});
+
+test("a stream is whole when its engine is killed in the middle, and so are its companions", async () => {
+    const first = await startLongStream(hostUrl(0));
+    const victim = await findRunning(site);
+    const companions = await Promise.all(
+        [1, 2].map(index => startLongStream(hostUrl(index), { ...LONG, prompt: `Companion ${index}` })),
+    );
+    engine(victim).process.child.kill("SIGKILL");
+    assertWhole(await first.outcome, LONG);
+    for (const [index, { outcome }] of companions.entries()) {
+        assertWhole(await outcome, { ...LONG, prompt: `Companion ${index + 1}` });
+    }
+});
