Give up all kept connections once one is found silent

Cause: a client keeps several connections to one peer, engine or service; when all go silent together, each cost a call its whole time limit before a new connection was made (a host's call after a silenced one failed after 2 s more). Ruled out: no kept connections (a handshake for each call); probes on idle ones (calls that grow with connections). A completion's silence is judged after bytes that came during a pause of this process.

--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -5,7 +5,7 @@
  */
 import { createTRPCClient, httpLink, TRPCClientError } from "@trpc/client";
 import { Err, Ok, type Result } from "ts-results-es";
-import { Agent, fetch } from "undici";
+import { fetch } from "undici";
 import {
     type Digest,
     type ForwardedOrder,
@@ -14,12 +14,12 @@
     type WitnessRequest,
 } from "../generated/peers.js";
 import { type ConfigurationRecord } from "../generated/platform.js";
+import { createRenewableAgent, failedBeforeSending, type RenewableAgent } from "../transport/index.js";
 import { type PeerRouter, type WantedAdapter } from "./router.js";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 const CALL_TIMEOUT_MILLISECONDS = 2000;
 const MOST_CONNECTIONS = 8;
-const REFUSED_CONNECTION_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 
 /** Why a peer gave no answer. */
 export interface PeerError {
@@ -38,26 +38,12 @@
     close(): Promise<void>;
 }
 
-function errorCodes(error: unknown): string[] {
-    const codes: string[] = [];
-    let current: unknown = error;
-    while (current instanceof Error) {
-        const { code } = current as { code?: unknown; };
-        if (typeof code === "string") {
-            codes.push(code);
-        }
-        current = current.cause;
-    }
-    return codes;
-}
-
 function classify(error: unknown): PeerError {
     const message = error instanceof Error ? error.message : String(error);
     if (error instanceof TRPCClientError && error.data !== undefined && error.data !== null) {
         return { kind: "rejected", message };
     }
-    const refused = errorCodes(error).some(code => REFUSED_CONNECTION_CODES.has(code));
-    return { kind: refused ? "not-sent" : "no-answer", message };
+    return { kind: failedBeforeSending(error) ? "not-sent" : "no-answer", message };
 }
 
 async function outcomeOf<Answer>(call: Promise<Answer>): Promise<Result<Answer, PeerError>> {
@@ -69,9 +55,26 @@
     }
 }
 
+type RequestOptions = Parameters<typeof fetch>[1];
+
+/** Fetches on the current connections, and gives them all up where the time limit passes. */
+async function fetchWith(agent: RenewableAgent, url: string, options: RequestOptions): Promise<unknown> {
+    const dispatcher = agent.current;
+    try {
+        return await fetch(url, { ...options, dispatcher });
+    }
+    catch (error) {
+        // Calls are aborted by their time limits alone.
+        if (options?.signal?.aborted === true) {
+            agent.retire(dispatcher);
+        }
+        throw error;
+    }
+}
+
 /**
- * Creates a client of one peer. A call past its time limit ends its connection, so that the next call takes a new one:
- * a connection that went silent for good costs one call.
+ * Creates a client of one peer. A call past its time limit gives up the connections of that time, so that the next call
+ * takes a new one: connections that went silent for good together cost one call.
  *
  * @param url The peer's base URL, with an IP number.
  *
@@ -83,13 +86,15 @@
  * ```
  */
 export function createPeerClient(url: string): PeerClient {
-    const agent = new Agent({ connections: MOST_CONNECTIONS, connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
+    const agent = createRenewableAgent({
+        connections: MOST_CONNECTIONS,
+        connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    });
     const client = createTRPCClient<PeerRouter>({
         links: [
             httpLink({
                 url,
-                fetch: (input, options) =>
-                    fetch(String(input), { ...options, dispatcher: agent } as Parameters<typeof fetch>[1]) as never,
+                fetch: (input, options) => fetchWith(agent, String(input), options as RequestOptions) as never,
             }),
         ],
     });
--- a/src/platform/_http.ts
+++ b/src/platform/_http.ts
@@ -4,8 +4,14 @@
  * @module
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import { type Dispatcher } from "undici";
 import { type z } from "zod";
+import {
+    describeError,
+    failedBeforeSending,
+    ranOutOfTime,
+    readLimited,
+    type RenewableAgent,
+} from "../transport/index.js";
 import { type PlatformError } from "./types.js";
 
 const FIRST_ERROR_STATUS = 400;
@@ -13,7 +19,7 @@
 
 /** Options of one call. */
 export interface PlatformCall<Schema extends z.ZodType> {
-    readonly dispatcher: Dispatcher;
+    readonly agent: RenewableAgent;
     readonly origin: string;
     readonly path: string;
     readonly method: "GET" | "POST";
@@ -23,41 +29,6 @@
     readonly maximumAnswerBytes: number;
 }
 
-/**
- * Tells whether a call failed before any of its bytes can have reached the service.
- *
- * Only a connection that was never made proves that; an open connection that ends proves nothing.
- *
- * @param error What the call was rejected with.
- *
- * @example
- * ```ts
- * const kind = failedBeforeSending(error) ? "not-sent" : "no-answer";
- * ```
- */
-export function failedBeforeSending(error: unknown): boolean {
-    const { code, syscall } = error as { readonly code?: unknown; readonly syscall?: unknown; };
-    return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT";
-}
-
-/** Describes an error in one line. */
-export function describeError(error: unknown): string {
-    return error instanceof Error ? `${error.name}: ${error.message}` : String(error);
-}
-
-async function readLimited(body: AsyncIterable<Buffer>, maximumBytes: number): Promise<string | undefined> {
-    const parts: Buffer[] = [];
-    let size = 0;
-    for await (const part of body) {
-        size += part.length;
-        if (size > maximumBytes) {
-            return undefined;
-        }
-        parts.push(part);
-    }
-    return Buffer.concat(parts).toString("utf8");
-}
-
 function parseAnswer<Schema extends z.ZodType>(schema: Schema, text: string): Result<z.infer<Schema>, PlatformError> {
     try {
         const parsed = schema.safeParse(JSON.parse(text));
@@ -76,14 +47,15 @@
  *
  * @example
  * ```ts
- * const answer = await callPlatform({ dispatcher, origin, path: "/v1/hosts", method: "GET", schema, ...bounds });
+ * const answer = await callPlatform({ agent, origin, path: "/v1/hosts", method: "GET", schema, ...bounds });
  * ```
  */
 export async function callPlatform<Schema extends z.ZodType>(
     call: PlatformCall<Schema>,
 ): Promise<Result<z.infer<Schema>, PlatformError>> {
+    const agent = call.agent.current;
     try {
-        const answer = await call.dispatcher.request({
+        const answer = await agent.request({
             origin: call.origin,
             path: call.path,
             method: call.method,
@@ -102,6 +74,9 @@
         return parseAnswer(call.schema, text);
     }
     catch (error) {
+        if (ranOutOfTime(error)) {
+            call.agent.retire(agent);
+        }
         const kind = failedBeforeSending(error) ? "not-sent" : "no-answer";
         return Err({ kind, message: describeError(error) });
     }
--- a/src/platform/_watch.ts
+++ b/src/platform/_watch.ts
@@ -3,16 +3,15 @@
  *
  * @module
  */
-import { type Dispatcher } from "undici";
+import { describeError, type RenewableAgent } from "../transport/index.js";
 import { decodeEntry, decodeText, encodeRangeEnd, encodeText, watchMessageSchema } from "./_gateway.js";
-import { describeError } from "./_http.js";
 import { type WatchEvent, type WatchOptions } from "./types.js";
 
 const FIRST_ERROR_STATUS = 400;
 
 /** Options of one watch stream. */
 export interface WatchStreamOptions extends WatchOptions {
-    readonly dispatcher: Dispatcher;
+    readonly agent: RenewableAgent;
     readonly origin: string;
     readonly prefix: string;
     /** The stream is ended when it is silent for this long. */
@@ -73,12 +72,12 @@
  *
  * @example
  * ```ts
- * const reason = await runWatch({ dispatcher, origin, prefix: "engine/", onEvent, signal, ...bounds });
+ * const reason = await runWatch({ agent, origin, prefix: "engine/", onEvent, signal, ...bounds });
  * ```
  */
 export async function runWatch(options: WatchStreamOptions): Promise<string> {
     try {
-        const answer = await options.dispatcher.request({
+        const answer = await options.agent.current.request({
             origin: options.origin,
             path: "/v3/watch",
             method: "POST",
--- a/src/platform/hostListClient.ts
+++ b/src/platform/hostListClient.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { Agent } from "undici";
 import { z } from "zod";
+import { createRenewableAgent } from "../transport/index.js";
 import { callPlatform } from "./_http.js";
 import { type HostList } from "./types.js";
 
@@ -38,11 +38,11 @@
  */
 export function createHostListClient(options: HostListClientOptions): HostList {
     const timeoutMilliseconds = options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS;
-    const dispatcher = new Agent({ connections: 1, pipelining: 1, connect: { timeout: timeoutMilliseconds } });
+    const agent = createRenewableAgent({ connections: 1, pipelining: 1, connect: { timeout: timeoutMilliseconds } });
     return {
         read: () =>
             callPlatform({
-                dispatcher,
+                agent,
                 origin: options.url,
                 path: "/v1/hosts",
                 method: "GET",
@@ -50,6 +50,6 @@
                 timeoutMilliseconds,
                 maximumAnswerBytes: MAXIMUM_ANSWER_BYTES,
             }),
-        close: () => dispatcher.destroy(),
+        close: () => agent.destroy(),
     };
 }
--- a/src/platform/keyValueClient.ts
+++ b/src/platform/keyValueClient.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import { Agent } from "undici";
 import { type z } from "zod";
+import { createRenewableAgent } from "../transport/index.js";
 import {
     decodeEntry,
     encodeRangeEnd,
@@ -77,7 +77,7 @@
  */
 export function createKeyValueClient(options: KeyValueClientOptions): KeyValueService {
     const timeoutMilliseconds = options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS;
-    const dispatcher = new Agent({
+    const agent = createRenewableAgent({
         connections: MOST_CONNECTIONS,
         pipelining: 1,
         connect: { timeout: timeoutMilliseconds },
@@ -97,7 +97,7 @@
         let outcome: Result<z.infer<Schema>, PlatformError> = Err({ kind: "not-sent", message: "no address is set" });
         for (let attempt = 0; attempt < options.urls.length; attempt += 1) {
             const bounds = { timeoutMilliseconds, maximumAnswerBytes: MAXIMUM_ANSWER_BYTES };
-            const target = { dispatcher, origin: chooseUrl(), path, method: "POST" as const, body, schema };
+            const target = { agent, origin: chooseUrl(), path, method: "POST" as const, body, schema };
             outcome = await callPlatform({ ...target, ...bounds });
             if (outcome.isOk() || outcome.error.kind === "rejected" || outcome.error.kind === "invalid") {
                 return outcome;
@@ -145,7 +145,7 @@
             const abort = new AbortController();
             const finished = runWatch({
                 ...watchOptions,
-                dispatcher,
+                agent,
                 origin: chooseUrl(),
                 prefix,
                 silenceMilliseconds: options.watchSilenceMilliseconds ?? DEFAULT_WATCH_SILENCE_MILLISECONDS,
@@ -174,7 +174,7 @@
         },
         async close() {
             await Promise.all([...watches].map(watch => watch.close()));
-            await dispatcher.destroy();
+            await agent.destroy();
         },
     };
 }
--- a/src/upstreams/_answers.ts
+++ b/src/upstreams/_answers.ts
@@ -6,7 +6,8 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { type z } from "zod";
 import { type EngineReport, engineReportSchema } from "../generated/upstreams.js";
-import { describeError, type HttpAnswer, type SingleConnection } from "./_singleConnection.js";
+import { describeError } from "../transport/index.js";
+import { type HttpAnswer, type SingleConnection } from "./_singleConnection.js";
 import { type UpstreamError } from "./types.js";
 
 const STATUS_OK = 200;
--- a/src/upstreams/_completion.ts
+++ b/src/upstreams/_completion.ts
@@ -6,8 +6,8 @@
 import { type Dispatcher } from "undici";
 import { upstreamRefusalSchema } from "../generated/upstreams.js";
 import { type AttemptFailure } from "../requests/messages.js";
+import { describeError, failedBeforeSending, readLimited, type RenewableAgent } from "../transport/index.js";
 import { type ChunkOutcome, createChunkReader } from "./_chunks.js";
-import { describeError, readLimited } from "./_singleConnection.js";
 import { type Completion, type CompletionEvent, type CompletionOptions } from "./types.js";
 
 const STATUS_OK = 200;
@@ -22,7 +22,7 @@
 
 /** Where and within which bounds completions run. */
 export interface CompletionTarget {
-    readonly dispatcher: Dispatcher;
+    readonly agent: RenewableAgent;
     readonly url: string;
     readonly maximumLineBytes: number;
     readonly maximumAnswerBytes: number;
@@ -52,17 +52,15 @@
     }
 }
 
-/** Only a connection that was never made proves that the engine began nothing. */
 function classifyError(error: unknown): AttemptFailure {
-    const { code, syscall } = error as { readonly code?: unknown; readonly syscall?: unknown; };
-    return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT" ? "not-started" : "connection-lost";
+    return failedBeforeSending(error) ? "not-started" : "connection-lost";
 }
 
 /** Tells the engine to stop a request; its failure is of no consequence. */
-function tellCancelled({ dispatcher, url }: CompletionTarget, identifier: string): void {
+function tellCancelled({ agent, url }: CompletionTarget, identifier: string): void {
     const path = `/v1/requests/${encodeURIComponent(identifier)}`;
     const signal = AbortSignal.timeout(CANCEL_TIMEOUT_MILLISECONDS);
-    dispatcher.request({ origin: url, path, method: "DELETE", signal })
+    agent.current.request({ origin: url, path, method: "DELETE", signal })
         .then(answer => answer.body.dump())
         .catch(() => undefined);
 }
@@ -108,7 +106,9 @@
  */
 export function startCompletion(target: CompletionTarget, options: CompletionOptions): Completion {
     const abort = new AbortController();
+    const agent = target.agent.current;
     let ended = false;
+    let parts = 0;
     let drain: NodeJS.Timeout | undefined;
 
     /** Passes on the last event; what follows a whole answer is read for a while, so that its connection is kept. */
@@ -131,11 +131,25 @@
     }
 
     const silence = setTimeout(() => {
-        end({ type: "failed", failure: "silent", message: `no byte in ${options.silenceMilliseconds} ms` });
+        const partsBefore = parts;
+        // Bytes that came while this process was paused are read first.
+        setImmediate(() => {
+            if (parts === partsBefore) {
+                endSilent();
+            }
+        });
     }, options.silenceMilliseconds);
 
+    function endSilent(): void {
+        if (!ended) {
+            target.agent.retire(agent);
+            end({ type: "failed", failure: "silent", message: `no byte in ${options.silenceMilliseconds} ms` });
+        }
+    }
+
     async function* watchSilence(stream: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
         for await (const part of stream) {
+            parts += 1;
             if (!ended) {
                 silence.refresh();
             }
@@ -161,7 +175,7 @@
     }
 
     async function run(): Promise<CompletionEvent> {
-        const answer = await target.dispatcher.request({
+        const answer = await agent.request({
             origin: target.url,
             path: "/v1/chat/completions",
             method: "POST",
--- a/src/upstreams/_singleConnection.ts
+++ b/src/upstreams/_singleConnection.ts
@@ -7,6 +7,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import { buildConnector, Client } from "undici";
+import { describeError, readLimited } from "../transport/index.js";
 import { type UpstreamError } from "./types.js";
 
 /** One HTTP answer, read to its end. */
@@ -28,25 +29,6 @@
 
 class ConnectionEndedError extends Error {}
 
-/** Describes an error in one line. */
-export function describeError(error: unknown): string {
-    return error instanceof Error ? `${error.name}: ${error.message}` : String(error);
-}
-
-/** Reads a body to its end; undefined for one over the bound. */
-export async function readLimited(body: AsyncIterable<Buffer>, maximumBytes: number): Promise<string | undefined> {
-    const parts: Buffer[] = [];
-    let size = 0;
-    for await (const part of body) {
-        size += part.length;
-        if (size > maximumBytes) {
-            return undefined;
-        }
-        parts.push(part);
-    }
-    return Buffer.concat(parts).toString("utf8");
-}
-
 /** One connection to an upstream, made with its first call; calls on it run one after another. */
 export class SingleConnection {
     readonly #client: Client;
--- a/src/upstreams/engineClient.ts
+++ b/src/upstreams/engineClient.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { type Result } from "ts-results-es";
-import { Agent } from "undici";
 import { type z } from "zod";
 import { cacheEventsSchema } from "../generated/upstreams.js";
+import { createRenewableAgent } from "../transport/index.js";
 import { parseAnswer, readReportOn } from "./_answers.js";
 import { startCompletion } from "./_completion.js";
 import { OrderConnections } from "./_orderConnections.js";
@@ -53,7 +53,7 @@
 export function createEngineClient(options: EngineClientOptions): EngineClient {
     const connectTimeoutMilliseconds = options.connectTimeoutMilliseconds ?? DEFAULT_CONNECT_TIMEOUT_MILLISECONDS;
     const reportTimeoutMilliseconds = options.reportTimeoutMilliseconds ?? DEFAULT_REPORT_TIMEOUT_MILLISECONDS;
-    const dispatcher = new Agent({
+    const agent = createRenewableAgent({
         connections: MOST_COMPLETION_CONNECTIONS,
         pipelining: 1,
         headersTimeout: 0,
@@ -61,7 +61,7 @@
         connect: { timeout: connectTimeoutMilliseconds },
     });
     const target = {
-        dispatcher,
+        agent,
         url: options.url,
         maximumLineBytes: options.maximumLineBytes ?? DEFAULT_MAXIMUM_LINE_BYTES,
         maximumAnswerBytes: options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES,
@@ -105,7 +105,7 @@
                 return answer.andThen(whole => parseEvents(whole));
             }),
         async close() {
-            await Promise.all([dispatcher.destroy(), orders.close(), reading.close()]);
+            await Promise.all([agent.destroy(), orders.close(), reading.close()]);
         },
     };
 }
