Remember refused keys whose ticket lies ahead of the owner's clock

Ruled out: accepting any generation ahead, since a forged one would never be forgotten. Change: the refusal is remembered up to 16 generations ahead; a witness takes such keys too. The fabric sets clocks apart. Conclusion: clocks decide when a ticket expires, and nothing else.

--- a/measurements/orders.ts
+++ b/measurements/orders.ts
@@ -17,6 +17,7 @@
     dropShare: 0,
     duplicateShare: 0,
     slowShare: 0,
+    clockSkewMilliseconds: 0,
     killsPerMinute: 0,
     pausesPerMinute: 0,
     leavesPerMinute: 0,
--- a/src/orders/_generations.ts
+++ b/src/orders/_generations.ts
@@ -5,7 +5,7 @@
  */
 
 /** Where a generation stands against the window. */
-export type GenerationStanding = "accepted" | "ahead" | "expired-not-run" | "expired";
+export type GenerationStanding = "accepted" | "ahead" | "far-ahead" | "expired-not-run" | "expired";
 
 /** The window of accepted generations; it never moves back. */
 export interface Generations {
@@ -28,7 +28,10 @@
     readonly keptGenerations: number;
 }
 
-const GENERATIONS_AHEAD = 1;
+/** A clock that is a little slow still runs new tickets. */
+const ACCEPTED_GENERATIONS_AHEAD = 1;
+/** Up to here a refused key is remembered until its generation has come and gone. */
+const MOST_GENERATIONS_AHEAD = 16;
 const REMEMBERED_DISPATCH_GENERATIONS = 256;
 
 /** Creates the window; it begins where the first `advance` puts it. */
@@ -45,7 +48,10 @@
     }
 
     function standingOf(generation: number): GenerationStanding {
-        if (generation > current + GENERATIONS_AHEAD) {
+        if (generation > current + MOST_GENERATIONS_AHEAD) {
+            return "far-ahead";
+        }
+        if (generation > current + ACCEPTED_GENERATIONS_AHEAD) {
             return "ahead";
         }
         if (generation >= floor) {
--- a/src/orders/_ownedOrders.ts
+++ b/src/orders/_ownedOrders.ts
@@ -8,7 +8,7 @@
 import { type OrderOutcome, type OrderResult, type WitnessAnswer, type WitnessRequest } from "../generated/peers.js";
 import { findCall, type FoundCall } from "./_calls.js";
 import { createDispatcher, type DispatchFailure } from "./_dispatcher.js";
-import { type Generations } from "./_generations.js";
+import { type Generations, type GenerationStanding } from "./_generations.js";
 import { createLedger, type LedgerEntry } from "./_ledger.js";
 import { mayHaveRun, refuse, type RefusedOutcome } from "./_outcomes.js";
 import { createTicketOwner } from "./_ticketOwner.js";
@@ -50,6 +50,10 @@
 const FULL_RETRY_MILLISECONDS = 5_000;
 const NEW_TICKET_MESSAGE = "take a new address and repeat the order with a new key under its ticket";
 
+const TICKET_AHEAD = refuse("ticket-expired", "not-run", {
+    message: `the ticket lies ahead of this host's clock; ${NEW_TICKET_MESSAGE}`,
+});
+
 /** Creates an empty set of orders. */
 export function createOwnedOrders(options: OwnedOrdersOptions): OwnedOrders {
     const { emit, settings, waiters, generations } = options;
@@ -92,17 +96,18 @@
     }
 
     function receive(identifier: string, order: Order, ticket: Ticket, nowMilliseconds: number): void {
-        const refusal = refuseUnstorable(ticket);
+        const standing = generations.standingOf(ticket.generation);
+        const refusal = refuseUnstorable(standing);
         if (refusal !== undefined) {
             emit({ type: "reply", identifier, outcome: refusal });
             return;
         }
         waiters.join(order.key, identifier);
         ledger.open(order.key, order.bodyHash, { type: "generation", generation: ticket.generation });
-        const leaving = refuseLeaving(nowMilliseconds);
+        const refused = standing === "ahead" ? TICKET_AHEAD : refuseLeaving(nowMilliseconds);
         const call = findCall(options.deployment(), order);
-        if (leaving !== undefined || call.isErr()) {
-            settle(order.key, leaving ?? call.unwrapErr());
+        if (refused !== undefined || call.isErr()) {
+            settle(order.key, refused ?? call.unwrapErr());
             return;
         }
         run(order, ticket, call.value, nowMilliseconds);
@@ -117,12 +122,14 @@
         ticketOwner.begin(order, call, witness, nowMilliseconds);
     }
 
-    function refuseUnstorable({ generation }: Ticket): RefusedOutcome | undefined {
-        const standing = generations.standingOf(generation);
-        if (standing !== "accepted") {
-            const ran = standing === "expired" ? "may-have-run" : "not-run";
-            const message = ran === "not-run" ? NEW_TICKET_MESSAGE : "what became of this key is no longer known";
-            return refuse("ticket-expired", ran, { message });
+    /** Refuses a key that can't be remembered. */
+    function refuseUnstorable(standing: GenerationStanding): RefusedOutcome | undefined {
+        if (standing === "expired") {
+            const message = "what became of this key is no longer known";
+            return refuse("ticket-expired", "may-have-run", { message });
+        }
+        if (standing === "expired-not-run" || standing === "far-ahead") {
+            return refuse("ticket-expired", "not-run", { message: NEW_TICKET_MESSAGE });
         }
         const message = "this host remembers too many orders";
         const retryAfterMilliseconds = FULL_RETRY_MILLISECONDS;
--- a/src/orders/_witness.ts
+++ b/src/orders/_witness.ts
@@ -64,7 +64,7 @@
             return { type: "sealed" };
         }
         const full = !entries.has(request.key) && entries.size >= options.mostKeys;
-        if (standing !== "accepted" || full) {
+        if ((standing !== "accepted" && standing !== "ahead") || full) {
             return { type: "ticket-expired" };
         }
         return match(request)
--- a/standins/orders/fabric.ts
+++ b/standins/orders/fabric.ts
@@ -23,6 +23,8 @@
 export interface FabricFaults {
     readonly dropShare: number;
     readonly duplicateShare: number;
+    /** How far hosts' wall clocks lie apart at most. */
+    readonly clockSkewMilliseconds: number;
     /** Share of messages that take up to 20 seconds. */
     readonly slowShare: number;
     readonly killsPerMinute: number;
@@ -269,16 +271,17 @@
             callersUrl: name,
             peersUrl: name,
         };
+        const wallClockOffsetMilliseconds = random() * faults.clockSkewMilliseconds;
         const decision = createDecision({
             identity,
             random: createSeededRandom(options.seed + identifiers * 31 + index),
-            wallClockOffsetMilliseconds: 0,
+            wallClockOffsetMilliseconds,
             generationMilliseconds: GENERATION_MILLISECONDS,
         });
         const batcher = createClaimBatcher({
             identity,
             identifiers: nextIdentifier,
-            wallClockOffsetMilliseconds: 0,
+            wallClockOffsetMilliseconds,
             shards: 2,
         });
         const handleClaims = (message: ClaimBatcherMessage): void =>
