--- a/src/requests/requestsDecision.test.ts
+++ b/src/requests/requestsDecision.test.ts
@@ -1,7 +1,10 @@
+import fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createSeededRandom } from "../decision/index.js";
 import { deploymentSchema } from "../generated/deployment.js";
+import { createRequestQueue } from "./_queue.js";
+import { trackRequest } from "./_trackedRequest.js";
 import { createRequestsDecision, type ModelRequest, type RequestsEffect, type RequestsMessage } from "./index.js";
 
 const SEED = 20261203;
@@ -21,6 +24,11 @@
     adapters: [{ name: "gentle", model: "quotes", megabytes: 1 }],
 });
 
+function describeRequest(identifier: string): ModelRequest {
+    const fingerprint = `fingerprint-${identifier}`;
+    return { identifier, model: "quotes", class: "urgent", fingerprint, prefixKeys: [identifier] };
+}
+
 /** Drives one decision by hand. */
 class Driver {
     readonly #decision = createRequestsDecision({ host: "host-1", random: createSeededRandom(SEED) });
@@ -52,15 +60,7 @@
     }
 
     submit(identifier: string, change: Partial<ModelRequest> = {}): readonly RequestsEffect[] {
-        const request: ModelRequest = {
-            identifier,
-            model: "quotes",
-            class: "urgent",
-            fingerprint: `fingerprint-${identifier}`,
-            prefixKeys: [identifier],
-            ...change,
-        };
-        return this.handle({ type: "submit", request });
+        return this.handle({ type: "submit", request: { ...describeRequest(identifier), ...change } });
     }
 
     wait(milliseconds: number): readonly RequestsEffect[] {
@@ -118,3 +118,94 @@
         "not-run",
     ]]);
 });
+
+test("waiting requests stand in the order of their deadlines, and are taken out wherever they stand", () => {
+    const times = fastCheck.array(fastCheck.nat(1_000), { minLength: 1, maxLength: 50 });
+    fastCheck.assert(
+        fastCheck.property(times, fastCheck.nat(49), (submittedAt, removed) => {
+            const queue = createRequestQueue();
+            const model = DEPLOYMENT.models[0];
+            assert.ok(model !== undefined);
+            const tracked = submittedAt.map((at, index) => trackRequest(describeRequest(`${index}`), model, at));
+            tracked.forEach(each => queue.add(each));
+            const gone = tracked[removed % tracked.length];
+            assert.ok(gone !== undefined);
+            queue.remove(gone);
+            const rest = tracked.filter(each => each !== gone).map(each => each.deadlineMilliseconds);
+            rest.sort((left, right) => left - right);
+            assert.deepEqual(queue.list("quotes", "urgent").map(each => each.deadlineMilliseconds), rest);
+            assert.equal(queue.count("urgent"), rest.length);
+        }),
+        { seed: SEED },
+    );
+});
+
+test("urgent requests leave the queue before patient ones that came earlier", () => {
+    const driver = new Driver(["one"]);
+    for (const identifier of ["x", "y", "z"]) {
+        driver.submit(identifier);
+    }
+    driver.submit("patient", { class: "patient" });
+    driver.submit("urgent");
+    const order = ["x", "y", "z", "urgent"].flatMap(identifier =>
+        pick(driver.handle({ type: "attempt-finished", identifier, attempt: 1 }), "dispatch")
+    );
+    assert.deepEqual(order.map(({ identifier }) => identifier), ["urgent", "patient"]);
+});
+
+test("attempts stay under 1.1 for each request although every attempt fails", () => {
+    const driver = new Driver();
+    const requests = 2_000;
+    let attempts = 0;
+    const fail = (effects: readonly RequestsEffect[]): void => {
+        for (const { attempt, identifier } of pick(effects, "dispatch")) {
+            attempts += 1;
+            const failed = { type: "attempt-failed", identifier, attempt, failure: "incomplete" } as const;
+            fail(driver.handle({ ...failed, deliveredTokens: 0 }));
+        }
+    };
+    for (let index = 0; index < requests; index += 1) {
+        fail(driver.submit(`request-${index}`));
+        fail(driver.wait(50));
+    }
+    assert.ok(attempts > requests && attempts < 1.1 * requests, `${attempts} attempts for ${requests} requests`);
+});
+
+test("a request with delivered tokens that nothing can resume is refused as an incomplete answer that may have run", () => {
+    const driver = new Driver(["one"]);
+    driver.submit("a");
+    const effects = [1, 2, 3].flatMap(attempt => [
+        ...driver.handle({
+            type: "attempt-failed",
+            identifier: "a",
+            attempt,
+            failure: "incomplete",
+            deliveredTokens: attempt,
+        }),
+        ...driver.wait(3_000),
+    ]);
+    const [refused] = pick(effects, "refuse");
+    assert.deepEqual([refused?.reason, refused?.ran], ["answer-incomplete", "may-have-run"]);
+    assert.ok((refused?.retryAfterMilliseconds ?? 0) > 0);
+});
+
+test("an engine that was not heard of for long is avoided, and used before a request is refused", () => {
+    const driver = new Driver();
+    driver.nowMilliseconds += 60_000;
+    driver.observe("one", "first");
+    const engines = ["a", "b", "c"].map(identifier => pick(driver.submit(identifier), "dispatch")[0]?.engine);
+    assert.deepEqual(engines, ["one", "one", "one"]);
+    assert.equal(pick(driver.submit("d"), "dispatch")[0]?.engine, "two");
+});
+
+test("a suspect waits for its trial while a peer has claimed the engine, and is not run beside healthy work", () => {
+    const driver = new Driver(["one"]);
+    driver.handle({ type: "peers", hosts: ["host-1", "host-2"] });
+    const trial = { identifier: "claim", host: "host-2", engine: "one", state: "running" } as const;
+    const digest = { fingerprint: "other", crashes: ["two/first"], trial };
+    driver.handle({ type: "suspects", digests: [digest] });
+    assert.deepEqual(pick([...driver.submit("a", { class: "patient" }), ...driver.wait(100)], "dispatch"), []);
+    const ended = { ...digest, trial: { ...trial, state: "ended" as const } };
+    const [released] = pick(driver.handle({ type: "suspects", digests: [ended] }), "dispatch");
+    assert.equal(released?.identifier, "a");
+});
