--- a/src/requests/_suspects.ts
+++ b/src/requests/_suspects.ts
@@ -257,9 +257,17 @@
 /** Tells peers of a claim together with what is known of its fingerprint. */
 export function shareClaim(context: Context, claim: Claim, state: SuspectTrial["state"]): void {
     const { identifier, host, engine, incarnation } = claim;
+    claim.renewal += 1;
     const digest: SuspectDigest = {
         ...context.quarantine.describe(claim.fingerprint),
-        trial: { identifier, host, engine, state, ...(incarnation === undefined ? {} : { incarnation }) },
+        trial: {
+            identifier,
+            host,
+            engine,
+            renewal: claim.renewal,
+            state,
+            ...(incarnation === undefined ? {} : { incarnation }),
+        },
     };
     context.effects.push({ type: "share-suspects", digests: [digest] });
 }
--- a/src/requests/_trials.ts
+++ b/src/requests/_trials.ts
@@ -11,7 +11,7 @@
 import { type SuspectTrial } from "../generated/peers.js";
 
 const CLAIM_LEASE_MILLISECONDS = 5_000;
-const ENDED_KEPT_MILLISECONDS = 60_000;
+const ENDED_KEPT_MILLISECONDS = 600_000;
 
 /** Time within which peers' claims arrive, twice over. */
 export const SETTLE_MILLISECONDS = 300;
@@ -28,11 +28,13 @@
     state: "claimed" | "running";
     expiresAtMilliseconds: number;
     probedAtMilliseconds: number;
+    /** How often its host has repeated it. */
+    renewal: number;
 }
 
 /** All claims that this host knows, its own included. */
 export interface Trials {
-    announce(claim: Omit<Claim, "expiresAtMilliseconds" | "probedAtMilliseconds">): Claim;
+    announce(claim: Omit<Claim, "expiresAtMilliseconds" | "probedAtMilliseconds" | "renewal">): Claim;
     hear(fingerprint: string, trial: SuspectTrial, nowMilliseconds: number): void;
     /** Ends one of this host's claims. */
     end(claim: Claim, nowMilliseconds: number): void;
@@ -61,6 +63,7 @@
         for (const claim of claims.values()) {
             if (claim.host !== host && claim.expiresAtMilliseconds <= nowMilliseconds) {
                 claims.delete(claim.identifier);
+                ended.set(claim.identifier, nowMilliseconds + ENDED_KEPT_MILLISECONDS);
             }
         }
         return [...claims.values()].sort((left, right) => left.identifier < right.identifier ? -1 : 1);
@@ -77,7 +80,12 @@
     };
     return {
         announce: announced => {
-            const claim = { ...announced, expiresAtMilliseconds: Number.POSITIVE_INFINITY, probedAtMilliseconds: 0 };
+            const claim = {
+                ...announced,
+                expiresAtMilliseconds: Number.POSITIVE_INFINITY,
+                probedAtMilliseconds: 0,
+                renewal: 0,
+            };
             claims.set(claim.identifier, claim);
             return claim;
         },
@@ -90,6 +98,10 @@
                 return;
             }
             const known = claims.get(trial.identifier);
+            const renewal = trial.renewal ?? 0;
+            if (known !== undefined && renewal <= known.renewal) {
+                return;
+            }
             claims.set(trial.identifier, {
                 identifier: trial.identifier,
                 host: trial.host,
@@ -100,6 +112,7 @@
                 state: known?.state === "running" ? "running" : trial.state,
                 expiresAtMilliseconds: nowMilliseconds + CLAIM_LEASE_MILLISECONDS,
                 probedAtMilliseconds: 0,
+                renewal,
             });
         },
         end: (claim, nowMilliseconds) => {
--- a/src/requests/requestsDecision.test.ts
+++ b/src/requests/requestsDecision.test.ts
@@ -209,3 +209,42 @@
     const [released] = pick(driver.handle({ type: "suspects", digests: [ended] }), "dispatch");
     assert.equal(released?.identifier, "a");
 });
+
+test("requests that are alike stay on one engine until one of them has ended well, and wait for its verdict", () => {
+    const alike = { fingerprint: "alike", class: "patient" } as const;
+    const driver = new Driver();
+    const [first] = pick(driver.submit("a", alike), "dispatch");
+    assert.ok(first !== undefined);
+    const busy = { engine: first.engine, incarnation: "first", observedMillisecondsAgo: 0, waiting: 0, leaving: false };
+    driver.handle({ type: "engine-observed", digest: { ...busy, running: 2 } });
+    assert.deepEqual(pick(driver.submit("b", alike), "dispatch"), []);
+    driver.handle({
+        type: "attempt-failed",
+        identifier: "a",
+        attempt: 1,
+        failure: "connection-lost",
+        deliveredTokens: 0,
+    });
+    assert.deepEqual(pick([...driver.submit("c", alike), ...driver.wait(1_000)], "dispatch"), []);
+});
+
+test("a request that its caller took back is a suspect if its engine crashes then", () => {
+    const driver = new Driver(["one"]);
+    driver.submit("a", { fingerprint: "killer" });
+    driver.handle({ type: "cancel", identifier: "a" });
+    const effects = driver.handle({ type: "engine-crashed", engine: "one", incarnation: "first" });
+    const digests = pick(effects, "share-suspects").flatMap(effect => effect.digests);
+    assert.deepEqual(digests.map(({ crashes, fingerprint }) => [fingerprint, crashes]), [["killer", ["one/first"]]]);
+});
+
+test("a suspect whose trial was taken back is not run again until its engine is seen alive", () => {
+    const driver = new Driver(["one"]);
+    const suspect = { fingerprint: "suspect", class: "patient" } as const;
+    driver.handle({ type: "suspects", digests: [{ fingerprint: "suspect", crashes: ["two/first"] }] });
+    assert.equal(pick(driver.submit("a", suspect), "dispatch").length, 1);
+    driver.handle({ type: "cancel", identifier: "a" });
+    assert.equal(pick(driver.submit("b", suspect), "refuse")[0]?.reason, "upstream-failed");
+    driver.wait(1_000);
+    driver.observe("one", "first");
+    assert.equal(pick(driver.submit("c", suspect), "dispatch").length, 1);
+});
