--- a/src/membership/_fanOut.ts
+++ b/src/membership/_fanOut.ts
@@ -6,11 +6,11 @@
  *
  * @module
  */
-import { type RandomSource, rankByRendezvous } from "../decision/index.js";
+import { type RandomSource } from "../decision/index.js";
 import { type HostIdentity } from "../generated/peers.js";
 
 /** Deployments of up to this many hosts exchange heartbeats between all pairs. */
-export const FULL_MESH_HOSTS = 16;
+export const FULL_MESH_HOSTS = 12;
 /** Hosts of its own zone that a host tells with each heartbeat, beyond the full mesh. */
 export const ZONE_FAN_OUT = 2;
 /** Hosts of one zone that carry its heartbeats to one other zone. */
@@ -19,6 +19,9 @@
 const FAILURE_TIMEOUT_MILLISECONDS = 3000;
 const SPREAD_ROUND_MILLISECONDS = 1200;
 const OTHER_ZONE_TIMEOUT_MILLISECONDS = 90_000;
+const WHOLE_ZONE_TIMEOUT_MILLISECONDS = 20_000;
+/** A zone of at least this many hosts counts as lost when none of them is heard of. */
+const WHOLE_ZONE_HOSTS = 8;
 
 /**
  * Takes up to `count` members at random.
@@ -43,9 +46,14 @@
     return [...new Set(peers.map(peer => peer.zone))].filter(zone => zone !== self.zone).sort();
 }
 
-function isRelay(self: HostIdentity, zone: string, peers: readonly HostIdentity[]): boolean {
-    const own = [self, ...peers.filter(peer => peer.zone === self.zone)].map(peer => peer.host);
-    return rankByRendezvous(`${self.zone}>${zone}`, own).slice(0, RELAYS_PER_ZONE_PAIR).includes(self.host);
+/** Gives the zones that this host relays to: relay duties go round the hosts of its zone, in the order of names. */
+function relayedZones(self: HostIdentity, peers: readonly HostIdentity[]): string[] {
+    const own = [self, ...peers.filter(peer => peer.zone === self.zone)].map(peer => peer.host).sort();
+    const position = own.indexOf(self.host);
+    return otherZones(self, peers).filter((_zone, zoneIndex) =>
+        Array.from({ length: RELAYS_PER_ZONE_PAIR }, (_, relay) => (zoneIndex * RELAYS_PER_ZONE_PAIR + relay))
+            .some(duty => duty % own.length === position)
+    );
 }
 
 /**
@@ -64,35 +72,57 @@
         return peers;
     }
     const near = sample(peers.filter(peer => peer.zone === self.zone), ZONE_FAN_OUT, random);
-    const far = otherZones(self, peers)
-        .filter(zone => isRelay(self, zone, peers))
-        .flatMap(zone => sample(peers.filter(peer => peer.zone === zone), 1, random));
+    const far = relayedZones(self, peers).flatMap(zone => sample(peers.filter(peer => peer.zone === zone), 1, random));
     return [...near, ...far];
 }
 
-/** Silence after which members count as lost. */
-export interface FailureTimeouts {
-    readonly ownZoneMilliseconds: number;
-    readonly otherZonesMilliseconds: number;
+/** What the failure detector looks at. */
+export interface HeardHost {
+    readonly identity: HostIdentity;
+    readonly progressedAtMilliseconds: number;
+}
+
+/** Gives, for each zone, when any of its hosts was last heard of, and how many hosts it has. */
+function zonesHeard(hosts: readonly HeardHost[]): ReadonlyMap<string, { lastMilliseconds: number; hosts: number; }> {
+    const zones = new Map<string, { lastMilliseconds: number; hosts: number; }>();
+    for (const { identity, progressedAtMilliseconds } of hosts) {
+        const zone = zones.get(identity.zone) ?? { lastMilliseconds: -Infinity, hosts: 0 };
+        zone.lastMilliseconds = Math.max(zone.lastMilliseconds, progressedAtMilliseconds);
+        zone.hosts += 1;
+        zones.set(identity.zone, zone);
+    }
+    return zones;
 }
 
 /**
- * Gives the silence after which a member counts as lost.
+ * Finds hosts that were silent for too long.
+ *
+ * Hosts of other zones are judged by their own zones, which tell of a loss; here they count as lost after a long
+ * silence, or when their whole zone is silent.
  *
  * @param self This host.
- * @param peers Live peers.
+ * @param hosts Hosts that are not lost yet.
+ * @param nowMilliseconds The time of the judgement.
  */
-export function failureTimeouts(self: HostIdentity, peers: readonly HostIdentity[]): FailureTimeouts {
-    if (peers.length < FULL_MESH_HOSTS) {
-        return {
-            ownZoneMilliseconds: FAILURE_TIMEOUT_MILLISECONDS,
-            otherZonesMilliseconds: FAILURE_TIMEOUT_MILLISECONDS,
-        };
+export function findSilent<Host extends HeardHost>(
+    self: HostIdentity,
+    hosts: readonly Host[],
+    nowMilliseconds: number,
+): Host[] {
+    const silence = (host: HeardHost): number => nowMilliseconds - host.progressedAtMilliseconds;
+    if (hosts.length < FULL_MESH_HOSTS) {
+        return hosts.filter(host => silence(host) > FAILURE_TIMEOUT_MILLISECONDS);
     }
-    const zoneHosts = peers.filter(peer => peer.zone === self.zone).length + 1;
-    const spreading = Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
-    return {
-        ownZoneMilliseconds: FAILURE_TIMEOUT_MILLISECONDS + spreading,
-        otherZonesMilliseconds: OTHER_ZONE_TIMEOUT_MILLISECONDS,
-    };
+    const zones = zonesHeard(hosts);
+    const zoneHosts = (zones.get(self.zone)?.hosts ?? 0) + 1;
+    const ownTimeout = FAILURE_TIMEOUT_MILLISECONDS + Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
+    return hosts.filter(host => {
+        const zone = zones.get(host.identity.zone);
+        if (zone === undefined || host.identity.zone === self.zone) {
+            return silence(host) > ownTimeout;
+        }
+        const zoneSilence = nowMilliseconds - zone.lastMilliseconds;
+        const wholeZone = zone.hosts >= WHOLE_ZONE_HOSTS && zoneSilence > WHOLE_ZONE_TIMEOUT_MILLISECONDS;
+        return wholeZone || silence(host) > OTHER_ZONE_TIMEOUT_MILLISECONDS;
+    });
 }
--- a/src/residency/_carryOut.ts
+++ b/src/residency/_carryOut.ts
@@ -27,13 +27,21 @@
 
 const RECORDED: Outcome = { type: "recorded" };
 
-function countRunningLoads(holder: ActiveHolder, drafts: Iterable<OpenDraft>, nowMilliseconds: number): number {
+/** Counts loads that may be running; a lost one that is sent again to the same engine counts once. */
+function countRunningLoads(
+    holder: ActiveHolder,
+    drafts: Iterable<OpenDraft>,
+    again: { readonly engine: string; readonly subject: string; },
+    nowMilliseconds: number,
+): number {
     const isLoad = (order: EngineOrder): boolean => order.kind === "load-model";
     let running = 0;
     for (const state of holder.engines.values()) {
         running += [...state.awaited.values()].filter(({ order }) => isLoad(order)).length;
         running += state.pendingWrite?.orders.filter(isLoad).length ?? 0;
-        running += [...state.lostLoads.values()].filter(until => until > nowMilliseconds).length;
+        running += [...state.lostLoads].filter(([subject, until]) =>
+            until > nowMilliseconds && (state.name !== again.engine || subject !== again.subject)
+        ).length;
     }
     for (const draft of drafts) {
         running += draft.orders.filter(isLoad).length;
@@ -80,9 +88,14 @@
         : { type: "wait", reason: "no other proved copy stands yet" };
 }
 
-function checkLoad(holder: ActiveHolder, drafts: Iterable<OpenDraft>, nowMilliseconds: number): Outcome {
+function checkLoad(
+    holder: ActiveHolder,
+    drafts: Iterable<OpenDraft>,
+    again: { readonly engine: string; readonly subject: string; },
+    nowMilliseconds: number,
+): Outcome {
     const share = shareOfWeightStore(holder.text.deployment, holder.pool);
-    if (countRunningLoads(holder, drafts, nowMilliseconds) >= share.concurrentLoads) {
+    if (countRunningLoads(holder, drafts, again, nowMilliseconds) >= share.concurrentLoads) {
         return { type: "wait", reason: `the pool's ${share.concurrentLoads} loads at once are running` };
     }
     return holder.budget.tokens >= 1
@@ -98,11 +111,12 @@
     nowMilliseconds: number,
 ): Outcome {
     const order = orderOf(holder, action);
-    if (isInMotion(draft.state, orderSubjectKey(order))) {
+    const subject = orderSubjectKey(order);
+    if (isInMotion(draft.state, subject) || draft.orders.some(other => orderSubjectKey(other) === subject)) {
         return { type: "wait", reason: "an order about it is under way" };
     }
     const check = match(action.action)
-        .with("load", () => checkLoad(holder, drafts.values(), nowMilliseconds))
+        .with("load", () => checkLoad(holder, drafts.values(), { engine: action.engine, subject }, nowMilliseconds))
         .with("evict", () => checkEvict(holder, drafts, draft, order, nowMilliseconds))
         .with("grant", "withdraw", () => RECORDED)
         .exhaustive();
@@ -118,6 +132,7 @@
     const outcome = addIntent(holder, draft, order);
     if (outcome.type === "recorded") {
         holder.budget.tokens -= action.action === "load" ? 1 : 0;
+        holder.moves.tokens -= action.isMove ? 1 : 0;
         if (action.action !== "grant") {
             draft.orders.push(order);
         }
@@ -195,6 +210,6 @@
     const roleDrafts = [...drafts].filter(([, { state }]) => state.stamped && state.newIncarnation === undefined);
     changeRole(holder, new Map(roleDrafts), nowMilliseconds);
     for (const draft of drafts.values()) {
-        writeDraft(holder, draft.state, draft.record, draft.orders);
+        writeDraft(holder, draft.state, draft.record, draft.orders, draft.hasIntents);
     }
 }
--- a/src/residency/_engineState.ts
+++ b/src/residency/_engineState.ts
@@ -59,7 +59,7 @@
     pendingWrite: PendingWrite | undefined;
     facts: LedgerFact[];
     readonly awaited: Map<string, AwaitedOrder>;
-    /** Loads that were sent and not answered, with the time until which they count as running at the weight store. */
+    /** Subjects of loads without an answer, with the time until which they count as running at the weight store. */
     readonly lostLoads: Map<string, number>;
     /** Adapters with a load that was sent under this epoch and never answered. */
     readonly lostAdapters: Set<string>;
@@ -71,9 +71,11 @@
     /** A direct report of an incarnation that the record does not speak of. */
     newIncarnation: EngineReport | undefined;
     confirmedAtMilliseconds: number | undefined;
+    /** Since when its copies have not counted; `undefined` while they do. */
+    missingSinceMilliseconds: number | undefined;
     reachable: boolean;
     leaving: boolean;
-    published: string;
+    publishedRevision: number;
     publishedAtMilliseconds: number;
 }
 
@@ -97,9 +99,10 @@
         nextReportAtMilliseconds: 0,
         newIncarnation: undefined,
         confirmedAtMilliseconds: undefined,
+        missingSinceMilliseconds: undefined,
         reachable: true,
         leaving: false,
-        published: "",
+        publishedRevision: 0,
         publishedAtMilliseconds: 0,
     };
 }
--- a/src/residency/_testFleet.ts
+++ b/src/residency/_testFleet.ts
@@ -59,14 +59,19 @@
 
 /** One engine; it accepts whatever it is told, so that the test sees when too much is asked. */
 export class EngineFake {
-    incarnation = 1;
+    incarnation = 0;
     restartedAt = -Infinity;
     role = "";
     highest = { epoch: 0, sequence: 0 };
     readonly holds = new Map<string, number>();
     readonly loaded = new Set<string>();
-    frozen = false;
-    constructor(readonly name: string, readonly checksFencing: boolean) {}
+    constructor(
+        readonly name: string,
+        readonly checksFencing: boolean,
+        private readonly preloaded: ReadonlyMap<string, number>,
+    ) {
+        this.restart(-Infinity);
+    }
     get incarnationName(): string {
         return `${this.name}-${this.incarnation}`;
     }
@@ -77,6 +82,10 @@
         this.highest = { epoch: 0, sequence: 0 };
         this.holds.clear();
         this.loaded.clear();
+        for (const [key, megabytes] of this.preloaded) {
+            this.holds.set(key, megabytes);
+            this.loaded.add(key);
+        }
     }
     report(): EngineReport {
         const of = (kind: string): string[][] =>
@@ -109,9 +118,8 @@
     text: Deployment;
     private readonly hosts: Host[];
     private readonly random: RandomSource;
-    private readonly queue: { at: number; order: number; run: () => void; }[] = [];
+    private readonly queue: { at: number; run: () => void; }[] = [];
     private readonly armed = new Map<Fault["kind"], number>();
-    private order = 0;
     private revision = 0;
     private textRevision = 1;
     private epoch = 0;
@@ -122,7 +130,11 @@
     constructor(private readonly options: FleetOptions) {
         this.random = createSeededRandom(options.seed);
         this.text = options.texts[0] as Deployment;
-        this.engines = this.pool.engines.map(engine => new EngineFake(engine.name, this.pool.checksFencing));
+        this.engines = this.pool.engines.map(({ name }, index) => {
+            const preloaded = index === 0 ? this.text.models.slice(-1) : [];
+            const held = preloaded.map(model => [`model ${model.name} ${model.version}`, model.megabytes] as const);
+            return new EngineFake(name, this.pool.checksFencing, new Map(held));
+        });
         const createIdentifier = (): string => `id-${this.identifiers += 1}`;
         this.hosts = ["host-1", "host-2", "host-3"].map(name => ({
             name,
@@ -146,7 +158,6 @@
 
     runUntil(end: number): void {
         for (;;) {
-            this.queue.sort((left, right) => left.at - right.at || left.order - right.order);
             const next = this.queue[0];
             if (next === undefined || next.at > end || this.violations.length > 0) {
                 this.now = end;
@@ -165,8 +176,9 @@
     }
 
     private after(delay: number, run: () => void): void {
-        this.order += 1;
-        this.queue.push({ at: this.now + delay, order: this.order, run });
+        const at = this.now + delay;
+        const index = this.queue.findLastIndex(queued => queued.at <= at);
+        this.queue.splice(index + 1, 0, { at, run });
     }
 
     private takeFault(kind: Fault["kind"]): boolean {
