Let only the few chosen hosts of a zone watch the store, and pass counters through the shell

Cause: every host watched the key-value service, so waiting watches grew with the fleet; and the shell dropped the columns of counters that membership sends beyond 12 hosts. Change: the configuration task watches where watchesStore says so; membership task and digest board carry 'progress'. Also: command tests close their servers after a failed assertion too (a mutation run hung on them).

--- a/src/commands/commands.test.ts
+++ b/src/commands/commands.test.ts
@@ -43,8 +43,9 @@
     return JSON.parse(run.output) as Readonly<Record<string, unknown>>;
 }
 
-test("apply, show, a conflict that shows both, a lost answer and an outage end with their exit codes", async () => {
+test("apply, show, a conflict that shows both, a lost answer and an outage end with their exit codes", async context => {
     const store = await startKeyValueStandIn();
+    context.after(() => store.close());
     const on = ["--store", store.url];
     const empty = await runCommand(["show", ...on]);
     assert.equal(empty.exitCode, 1);
@@ -64,7 +65,6 @@
     store.setFaults({ pathPrefix: "/", outage: true });
     assert.equal((await runCommand(["apply", ...on, "examples/sakan.jsonc"])).exitCode, 5);
     assert.equal((await runCommand(["show", ...on])).exitCode, 5);
-    await store.close();
 });
 
 test("check and bad usage end with their exit codes, and --json prints one object", async () => {
@@ -106,18 +106,24 @@
     assert.equal((await runCommand(["run", "examples/host.jsonc"])).exitCode, 1);
 });
 
-test("status and drain call the host, and say so where it gives no answer", async () => {
+test("status and drain call the host, and say so where it gives no answer", async context => {
     const server = createServer((request, response) => {
         response.end(JSON.stringify({ path: request.url, method: request.method }));
     });
     await new Promise<void>(resolve => {
         server.listen(0, "127.0.0.1", resolve);
     });
+    context.after(() => {
+        server.closeAllConnections();
+        server.close();
+    });
     const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
     const status = await runCommand(["status", "--json", url]);
     assert.deepEqual(parseOutput(status).status, { path: "/v1/status", method: "GET" });
     assert.equal((await runCommand(["drain", url])).exitCode, 0);
-    server.close();
-    server.closeAllConnections();
+    await new Promise(resolve => {
+        server.close(resolve);
+        server.closeAllConnections();
+    });
     assert.equal((await runCommand(["drain", url])).exitCode, 1);
 });
--- a/src/host/configurationTask.ts
+++ b/src/host/configurationTask.ts
@@ -36,6 +36,7 @@
     readonly #peersUrlOf: (host: string) => string | undefined;
     readonly #task;
     #watch: { close(): Promise<void>; } | undefined;
+    #watches = false;
 
     constructor(context: HostContext, peersUrlOf: (host: string) => string | undefined) {
         this.#context = context;
@@ -56,12 +57,16 @@
                 this.#task.send({ type: "peer-heard", host: identity.host, revision, storeConfirmedMillisecondsAgo });
             }
         });
-        this.#startWatch();
         void this.#readStore();
     }
 
     tellPresence(presence: MembershipPresence): void {
         this.#task.send({ type: "presence", ...presence });
+        this.#watches = this.view.watchesStore(presence.liveInZone);
+        if (!this.#watches) {
+            void this.#watch?.close();
+            this.#watch = undefined;
+        }
     }
 
     async close(): Promise<void> {
@@ -110,7 +115,7 @@
             return;
         }
         this.#takeValue(entry.value?.value);
-        if (this.#watch === undefined) {
+        if (this.#watch === undefined && this.#watches) {
             this.#startWatch();
         }
     }
@@ -127,7 +132,7 @@
         this.#watch = this.#context.keyValue.watch(CONFIGURATION_KEY, event => this.#takeWatchEvent(event));
     }
 
-    /** An ended watch is started again once a read has succeeded. */
+    /** A watch that is missing or ended is started once a read has succeeded, on the few hosts that watch. */
     #takeWatchEvent(event: WatchEvent): void {
         if (event.type === "put") {
             this.#takeValue(event.entry.value);
--- a/src/host/digestBoard.ts
+++ b/src/host/digestBoard.ts
@@ -7,6 +7,7 @@
     type DemandDigest,
     type Digest,
     type EngineDigest,
+    type PeerProgress,
     type PeerStatus,
     type ResidencyDigest,
     type SharedState,
@@ -65,9 +66,14 @@
 /** Completes the parts of a round to the digest of one heartbeat. */
 export function composeDigest(
     round: DigestRound,
-    heartbeat: { readonly status: PeerStatus; readonly known: readonly PeerStatus[]; },
+    heartbeat: {
+        readonly status: PeerStatus;
+        readonly known: readonly PeerStatus[];
+        readonly progress?: PeerProgress;
+    },
 ): Digest {
-    return { ...round, status: heartbeat.status, known: [...heartbeat.known] };
+    const progress = heartbeat.progress === undefined ? {} : { progress: heartbeat.progress };
+    return { ...round, status: heartbeat.status, known: [...heartbeat.known], ...progress };
 }
 
 class Board implements DigestBoard {
--- a/src/host/membershipTask.ts
+++ b/src/host/membershipTask.ts
@@ -68,7 +68,8 @@
 
     takeDigest(digest: Digest): void {
         const { events } = this.#context;
-        this.#task.send({ type: "heartbeat-received", status: digest.status, known: digest.known });
+        const { status, known, progress } = digest;
+        this.#task.send({ type: "heartbeat-received", status, known, progress });
         events.publish({ type: "peer-heard", status: digest.status });
         digest.engines.forEach(engine => events.publish({ type: "engine-observed", digest: engine, origin: "peer" }));
         digest.residency.forEach(residency => events.publish({ type: "residency", digest: residency, origin: "peer" }));
