--- a/src/membership/_fanOut.ts
+++ b/src/membership/_fanOut.ts
@@ -77,13 +77,14 @@
 }
 
 /** What the failure detector looks at. */
-export interface HeardHost {
+export interface WatchedHost {
     readonly identity: HostIdentity;
     readonly progressedAtMilliseconds: number;
+    readonly lostAtMilliseconds: number | undefined;
 }
 
 /** Gives, for each zone, when any of its hosts was last heard of, and how many hosts it has. */
-function zonesHeard(hosts: readonly HeardHost[]): ReadonlyMap<string, { lastMilliseconds: number; hosts: number; }> {
+function zonesHeard(hosts: readonly WatchedHost[]): ReadonlyMap<string, { lastMilliseconds: number; hosts: number; }> {
     const zones = new Map<string, { lastMilliseconds: number; hosts: number; }>();
     for (const { identity, progressedAtMilliseconds } of hosts) {
         const zone = zones.get(identity.zone) ?? { lastMilliseconds: -Infinity, hosts: 0 };
@@ -101,19 +102,20 @@
  * silence, or when their whole zone is silent.
  *
  * @param self This host.
- * @param hosts Hosts that are not lost yet.
+ * @param all Every host that is known; those that are lost already count for the size of their zone.
  * @param nowMilliseconds The time of the judgement.
  */
-export function findSilent<Host extends HeardHost>(
+export function findSilent<Host extends WatchedHost>(
     self: HostIdentity,
-    hosts: readonly Host[],
+    all: readonly Host[],
     nowMilliseconds: number,
 ): Host[] {
-    const silence = (host: HeardHost): number => nowMilliseconds - host.progressedAtMilliseconds;
+    const hosts = all.filter(host => host.lostAtMilliseconds === undefined);
+    const silence = (host: WatchedHost): number => nowMilliseconds - host.progressedAtMilliseconds;
     if (hosts.length < FULL_MESH_HOSTS) {
         return hosts.filter(host => silence(host) > FAILURE_TIMEOUT_MILLISECONDS);
     }
-    const zones = zonesHeard(hosts);
+    const zones = zonesHeard(all);
     const zoneHosts = (zones.get(self.zone)?.hosts ?? 0) + 1;
     const ownTimeout = FAILURE_TIMEOUT_MILLISECONDS + Math.ceil(Math.log2(zoneHosts)) * SPREAD_ROUND_MILLISECONDS;
     return hosts.filter(host => {
--- a/src/membership/_known.ts
+++ b/src/membership/_known.ts
@@ -8,9 +8,9 @@
 import { FULL_MESH_HOSTS, sample } from "./_fanOut.js";
 import { type Member } from "./_members.js";
 
-/** Changed members that one digest tells of in full, beyond the full mesh. */
+/** Changed members that one digest tells of in full. */
 const NEWS_PER_DIGEST = 4;
-/** Members of other zones whose counters one digest carries, beyond the full mesh. */
+/** Members of other zones whose counters one digest carries; all of them in a full mesh. */
 const OTHER_ZONES_PER_DIGEST = 8;
 
 /** Members that a digest tells of. */
@@ -22,8 +22,8 @@
 }
 
 /**
- * Selects the members that a digest tells of: all that are heard while hosts are few; else the latest changes whole,
- * and the counters of the own zone and of a few others.
+ * Selects the members that a digest tells of: the latest changes whole, and the counters of the own zone and of a few
+ * others.
  *
  * @param members Candidates, in a defined order.
  * @param self This host.
@@ -31,14 +31,11 @@
  */
 export function selectKnown(members: readonly Member[], self: HostIdentity, random: RandomSource): KnownSelection {
     const heard = members.filter(member => member.lostAtMilliseconds === undefined);
-    if (heard.length < FULL_MESH_HOSTS) {
-        return { whole: heard, counters: [] };
-    }
     const own = heard.filter(member => member.identity.zone === self.zone);
     const others = heard.filter(member => member.identity.zone !== self.zone);
     return {
         whole: takeNews(members),
-        counters: [...own, ...sample(others, OTHER_ZONES_PER_DIGEST, random)],
+        counters: [...own, ...sample(others, Math.max(OTHER_ZONES_PER_DIGEST, FULL_MESH_HOSTS - own.length), random)],
     };
 }
 
--- a/src/membership/_memberTable.ts
+++ b/src/membership/_memberTable.ts
@@ -83,7 +83,7 @@
 
     /** Marks members as lost whose counters have not risen for too long. */
     findLost(nowMilliseconds: number): MembershipEffect[] {
-        const silent = findSilent(this.#self, this.heard(), nowMilliseconds);
+        const silent = findSilent(this.#self, this.all(), nowMilliseconds);
         silent.forEach(member => markLost(member, member.identity.zone === this.#self.zone, nowMilliseconds));
         return silent.map(member => ({ type: "peer-down", identity: member.identity }));
     }
