--- a/src/host/configurationTask.ts
+++ b/src/host/configurationTask.ts
@@ -12,6 +12,7 @@
 } from "../configuration/index.js";
 import { type Deployment } from "../generated/deployment.js";
 import { type ConfigurationRecord, configurationRecordSchema } from "../generated/platform.js";
+import { type MembershipPresence } from "../membership/index.js";
 import { type WatchEvent } from "../platform/index.js";
 import { type HostContext } from "./context.js";
 import { parseJson } from "./parseJson.js";
@@ -24,6 +25,8 @@
 export interface ConfigurationTask {
     /** Questions to the decision; messages go through the task. */
     readonly view: Pick<ConfigurationDecision, "record" | "deployment" | "state">;
+    /** Tells how many hosts there are. */
+    tellPresence(presence: MembershipPresence): void;
     close(): Promise<void>;
 }
 
@@ -33,6 +36,7 @@
     readonly #peersUrlOf: (host: string) => string | undefined;
     readonly #task;
     #watch: { close(): Promise<void>; } | undefined;
+    #watches = false;
 
     constructor(context: HostContext, peersUrlOf: (host: string) => string | undefined) {
         this.#context = context;
@@ -53,10 +57,18 @@
                 this.#task.send({ type: "peer-heard", host: identity.host, revision, storeConfirmedMillisecondsAgo });
             }
         });
-        this.#startWatch();
         void this.#readStore();
     }
 
+    tellPresence(presence: MembershipPresence): void {
+        this.#task.send({ type: "presence", ...presence });
+        this.#watches = this.view.watchesStore(presence.liveInZone);
+        if (!this.#watches) {
+            void this.#watch?.close();
+            this.#watch = undefined;
+        }
+    }
+
     async close(): Promise<void> {
         this.#task.close();
         await this.#watch?.close();
@@ -103,7 +115,7 @@
             return;
         }
         this.#takeValue(entry.value?.value);
-        if (this.#watch === undefined) {
+        if (this.#watch === undefined && this.#watches) {
             this.#startWatch();
         }
     }
@@ -120,7 +132,7 @@
         this.#watch = this.#context.keyValue.watch(CONFIGURATION_KEY, event => this.#takeWatchEvent(event));
     }
 
-    /** An ended watch is started again once a read has succeeded. */
+    /** A watch that is missing or ended is started once a read has succeeded, on the few hosts that watch. */
     #takeWatchEvent(event: WatchEvent): void {
         if (event.type === "put") {
             this.#takeValue(event.entry.value);
--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -10,6 +10,8 @@
     type Digest,
     type ForwardedOrder,
     type OrderOutcome,
+    type SharedState,
+    sharedStateSchema,
     type WitnessAnswer,
     type WitnessRequest,
 } from "../generated/peers.js";
@@ -32,6 +34,7 @@
 export interface PeerClient {
     sendDigest(digest: Digest): Promise<Result<void, PeerError>>;
     fetchConfiguration(): Promise<Result<ConfigurationRecord | undefined, PeerError>>;
+    fetchSharedState(): Promise<Result<SharedState, PeerError>>;
     forwardOrder(order: ForwardedOrder, timeoutMilliseconds: number): Promise<Result<OrderOutcome, PeerError>>;
     witness(request: WitnessRequest): Promise<Result<WitnessAnswer, PeerError>>;
     wantAdapter(wanted: WantedAdapter): Promise<Result<void, PeerError>>;
@@ -72,6 +75,11 @@
     }
 }
 
+function checkSharedState(state: unknown): Result<SharedState, PeerError> {
+    const checked = sharedStateSchema.safeParse(state);
+    return checked.success ? Ok(checked.data) : Err({ kind: "rejected", message: checked.error.message });
+}
+
 /**
  * Creates a client of one peer. A call past its time limit gives up the connections of that time, so that the next call
  * takes a new one: connections that went silent for good together cost one call.
@@ -105,6 +113,8 @@
         sendDigest: async digest => (await outcomeOf(client.digest.mutate(digest, within()))).map(() => undefined),
         fetchConfiguration: async () =>
             (await outcomeOf(client.fetchConfiguration.query(undefined, within()))).map(answer => answer.record),
+        fetchSharedState: async () =>
+            (await outcomeOf(client.fetchSharedState.query(undefined, within()))).andThen(checkSharedState),
         forwardOrder: (order, timeoutMilliseconds) =>
             outcomeOf(client.forwardOrder.mutate(order, within(timeoutMilliseconds))),
         witness: request => outcomeOf(client.witness.mutate(request, within())),
--- a/tests/_testSite.ts
+++ b/tests/_testSite.ts
@@ -6,7 +6,7 @@
 import { readFile, writeFile } from "node:fs/promises";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { startProcess } from "../demo/processes.js";
+import { killRunning, startProcess } from "../demo/processes.js";
 import { type HostProcess, type Site, type StandInProcess, startSite, waitUntil } from "../demo/sites.js";
 import { type AddressesAnswer, type Refusal } from "../src/generated/callers.js";
 import { type EngineState, expectedTokens } from "../standins/engine.js";
@@ -42,7 +42,14 @@
 }
 
 /** Starts three hosts, three engines of one pool and a plain service, and waits until every model answers. */
-export async function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
+export function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
+    return startWith(options).catch((error: unknown) => {
+        killRunning();
+        throw error;
+    });
+}
+
+async function startWith(options: TestSiteOptions): Promise<TestSite> {
     const engine = { memoryMegabytes: 1000, slots: 8, checksFencing: true, ...options.engine };
     const site = await startSite({
         template: TEMPLATE,
