Name prompt prefixes the same way on both sides; test slow callers and resumed streams

Cause: hosts and the engine stand-in named prompt prefixes by different hashes, so a cache event never matched a request; a caller that never reads was not seen to be closed, as no engine stand-in filled its buffers. Ruled out: a second hash in the stand-in alone (the rule would stand twice). Change: createPrefixKeys holds the callers' rule and both use it (src/callers/chatRequest.ts); an engine stand-in with no token pace writes as fast as it is read; tests of a caller that never reads and of a stream resumed at another host.

--- a/src/callers/chatRequest.ts
+++ b/src/callers/chatRequest.ts
@@ -9,10 +9,10 @@
 import { type ChatRequest, chatRequestSchema, type Refusal } from "../generated/callers.js";
 import { type Deployment, type Model, type RequestClass } from "../generated/deployment.js";
 import { type ModelRequest } from "../requests/index.js";
+import { createPrefixKeys } from "../upstreams/index.js";
 import { createRefusal } from "./refusals.js";
 
 const ADAPTER_SEPARATOR = ":";
-const PREFIX_KEY_CHARACTERS = 16;
 /** Fields that do not change what an engine computes, and so are left out of a fingerprint. */
 const DELIVERY_FIELDS = new Set(["stream", "service_tier", "resume_offset"]);
 
@@ -50,14 +50,6 @@
     return createHash("sha256").update(JSON.stringify(fields)).digest("hex");
 }
 
-function prefixKeysOf(body: ChatRequest): string[] {
-    const hash = createHash("sha256").update(body.model);
-    return body.messages.map(message => {
-        hash.update(`\u0000${message.role}\u0000${message.content}`);
-        return hash.copy().digest("hex").slice(0, PREFIX_KEY_CHARACTERS);
-    });
-}
-
 function resumeOffsetOf(body: ChatRequest): Result<number, Refusal> {
     const offset: unknown = body.resume_offset ?? 0;
     if (typeof offset !== "number" || !Number.isSafeInteger(offset) || offset < 0) {
@@ -108,7 +100,7 @@
                 ...(adapter === undefined ? {} : { adapter }),
                 class: classOf(body, model),
                 fingerprint: fingerprintOf(body),
-                prefixKeys: prefixKeysOf(body),
+                prefixKeys: createPrefixKeys(body.model, body.messages),
             },
             body,
             stream: body.stream === true,
--- a/src/upstreams/prefixKeys.ts
+++ b/src/upstreams/prefixKeys.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { hashText } from "../decision/index.js";
+import { createHash } from "node:crypto";
 
-const HEXADECIMAL = 16;
+const KEY_CHARACTERS = 16;
 
 /** The part of a chat message that a prefix depends on. */
 export interface PrefixMessage {
@@ -25,9 +25,9 @@
  * ```
  */
 export function createPrefixKeys(model: string, messages: readonly PrefixMessage[]): string[] {
-    let prefix = hashText(model).toString(HEXADECIMAL);
+    const hash = createHash("sha256").update(model);
     return messages.map(({ role, content }) => {
-        prefix = hashText(`${prefix}\u0000${role}\u0000${content}`).toString(HEXADECIMAL);
-        return prefix;
+        hash.update(`\u0000${role}\u0000${content}`);
+        return hash.copy().digest("hex").slice(0, KEY_CHARACTERS);
     });
 }
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -89,8 +89,9 @@
     return json(status, { error: { code, message } });
 }
 
+/** Waits; 0 lets other work run and goes on at once. */
 async function pause(milliseconds: number): Promise<void> {
-    await new Promise(resolve => setTimeout(resolve, milliseconds));
+    await new Promise(resolve => milliseconds === 0 ? setImmediate(resolve) : setTimeout(resolve, milliseconds));
 }
 
 /** Everything that a restart begins anew. */
--- a/tests/_testSite.ts
+++ b/tests/_testSite.ts
@@ -101,6 +101,8 @@
     readonly prompt: string;
     readonly tokens?: number;
     readonly class?: "urgent" | "patient";
+    /** Tokens that the caller has from an earlier stream. */
+    readonly resumeAt?: number;
     readonly onText?: (text: string) => void;
 }
 
@@ -111,12 +113,13 @@
         max_tokens: options.tokens ?? 8,
         stream: true,
         service_tier: options.class ?? "urgent",
+        ...(options.resumeAt === undefined ? {} : { resume_offset: options.resumeAt }),
     };
 }
 
-/** Gives the whole answer to a request. */
+/** Gives the whole answer to a request, or what follows where it is resumed. */
 export function expectedText(options: ChatOptions): string {
-    return expectedTokens(createBody(options)).join("");
+    return expectedTokens(createBody(options)).slice(options.resumeAt ?? 0).join("");
 }
 
 function readStreamedText(stream: string): string {
--- a/tests/badInput.test.ts
+++ b/tests/badInput.test.ts
@@ -3,6 +3,7 @@
 import { connect } from "node:net";
 import { after, before, test } from "node:test";
 import { request } from "undici";
+import { waitUntil } from "../demo/sites.js";
 import { type Refusal } from "../src/generated/callers.js";
 import { CRASH_MARKER } from "../standins/engine.js";
 import {
@@ -22,6 +23,7 @@
 let site: TestSite;
 before(async () => {
     site = await startTestSite({
+        engine: { tokenMilliseconds: 0 },
         settings: { limits: { requestBodyBytes: BODY_BYTES, headerBytes: HEADER_BYTES, slowCallerMilliseconds: 500 } },
     });
 });
@@ -98,12 +100,17 @@
     await assertUnaffected();
 });
 
-test("a caller that never reads is closed after a bounded wait", async () => {
-    const body = JSON.stringify({ model: "quotes", messages, max_tokens: 200_000, stream: true });
+test("a caller that never reads is closed after a bounded wait, and its request ends", async () => {
+    const body = JSON.stringify({ model: "quotes", messages, max_tokens: 500_000, stream: true });
     const socket = connect(Number(new URL(hostUrl(0)).port), "127.0.0.1");
     socket.on("error", () => undefined);
     socket.pause();
     socket.write(`POST ${CHAT} HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    await waitUntil(async () => {
+        const answer = await request(`${hostUrl(0)}/v1/status`);
+        const status = await answer.body.json() as { openRequests: number; totals: Record<string, number>; };
+        return status.openRequests === 0 && (status.totals["refusals.caller-too-slow"] ?? 0) > 0;
+    }, "the slow caller's request has ended");
     await assertUnaffected();
     socket.destroy();
 });
--- a/tests/hosts.test.ts
+++ b/tests/hosts.test.ts
@@ -60,6 +60,26 @@
     assert.deepEqual([runs[`${ticket}/during-outage`], runs["bare-key-during-outage"]], [1, undefined]);
 });
 
+test("a stream of a host that is killed is resumed at another host where its caller left off", async () => {
+    let received = "";
+    const cut = chat(host(2).callersUrl, {
+        ...LONG,
+        onText: text => {
+            received = text;
+        },
+    });
+    await waitUntil(() => Promise.resolve(received.split("\n\n").length > 20), "the stream has begun");
+    host(2).process.child.kill("SIGKILL");
+    const first = await cut;
+    assert.ok(!first.whole);
+    const resumeAt = first.text.split(" ").length - 1;
+    const second = await chat(host(0).callersUrl, { ...LONG, resumeAt });
+    assert.ok(second.whole);
+    assert.equal(first.text + second.text, expectedText(LONG));
+    await site.restartHost("host-3");
+    await waitForModels(site.hosts);
+});
+
 test("an order in flight on a host that is killed runs at most once, and 'not-run' is true", async () => {
     const ticket = await ticketOf(2);
     const keys = Array.from({ length: 6 }, (_, index) => `${ticket}/reel-${index}`);
--- a/tests/silentConnections.test.ts
+++ b/tests/silentConnections.test.ts
@@ -35,6 +35,7 @@
     const server = await startPeerServer({ address: "127.0.0.1", port: 0 }, {
         takeDigest: () => undefined,
         configurationRecord: () => undefined,
+        sharedState: () => ({ residency: [], suspects: [] }),
         forwardOrder: async ({ key }) => {
             runs.push(key);
             relay.silence();
