Hand a duty to its candidates, and tell all of them of a wanted adapter

Cause: a holder kept its duty when other hosts came to rank above it, and src/host/poolTasks.ts told three candidates of a wanted adapter where the lease has four: the holder might hear of none. Ruled out: telling every host (messages grow with the fleet); taking the duty from a holder at once (a change of holder for each host that starts). Change: a holder outside the candidates hands over when its renewal is due; listDutyCandidates is the one rule, used by poolTasks.

--- a/src/host/poolTasks.ts
+++ b/src/host/poolTasks.ts
@@ -3,16 +3,13 @@
  *
  * @module
  */
-import { rankByRendezvous } from "../decision/index.js";
 import { type Deployment } from "../generated/deployment.js";
 import { type HostIdentity } from "../generated/peers.js";
+import { listDutyCandidates } from "../leases/index.js";
 import { type WantedAdapter } from "../peers/index.js";
 import { type HostContext } from "./context.js";
 import { type Explanation, type ResidencyTask, startResidencyTask } from "./residencyTask.js";
 
-/** Live hosts, by rendezvous rank, that are told of a wanted adapter, since one of them holds the pool's lease. */
-const CANDIDATES_FOR_POOL = 3;
-
 /** The residency tasks of all pools. */
 export interface PoolTasks {
     status(): Readonly<Record<string, { readonly holds: boolean; readonly explanations: readonly Explanation[]; }>>;
@@ -54,8 +51,9 @@
         }
     });
 
+    /** One of these holds the pool's lease, but for a moment after the live hosts changed. */
     function candidatesFor(pool: string): string[] {
-        return rankByRendezvous(`residency/${pool}`, liveHosts()).slice(0, CANDIDATES_FOR_POOL);
+        return listDutyCandidates(`residency/${pool}`, liveHosts());
     }
 
     function followDeployment(followed: Deployment, revision: number): void {
--- a/src/leases/_candidacy.ts
+++ b/src/leases/_candidacy.ts
@@ -17,6 +17,21 @@
     readonly pollMilliseconds: number;
 }
 
+/**
+ * Lists the hosts that take a duty when nobody holds it, highest rank first; a holder outside of them hands it over.
+ *
+ * @param duty The duty.
+ * @param hosts Names of the live hosts.
+ *
+ * @example
+ * ```ts
+ * const [first] = listDutyCandidates("residency/bag-llm", ["entry-1", "entry-2"]);
+ * ```
+ */
+export function listDutyCandidates(duty: string, hosts: readonly string[]): string[] {
+    return rankByRendezvous(duty, hosts).slice(0, CANDIDATES);
+}
+
 /** This host's rank for a duty among the live hosts; lower ranks poll less often. */
 export class Candidacy {
     readonly #options: CandidacyOptions;
--- a/src/leases/dutyLeaseDecision.ts
+++ b/src/leases/dutyLeaseDecision.ts
@@ -105,7 +105,7 @@
         }
         match(this.#phase)
             .with({ type: "idle" }, () => this.#check())
-            .with({ type: "holding" }, ({ lease }) => this.#call({ type: "renew-lease", lease: lease.lease }))
+            .with({ type: "holding" }, ({ lease }) => this.#renew(lease))
             .with({ type: "creating" }, ({ lease }) => this.#callCreateHeld(lease))
             .with({ type: "swapping" }, ({ base }) => this.#callSwap(base))
             .with({ type: "checking" }, { type: "reading" }, { type: "granting" }, { type: "left" }, () => undefined)
@@ -119,6 +119,15 @@
         }
     }
 
+    /** Renews, or hands the duty to the candidates where this host is none of them any more. */
+    #renew(lease: PlatformLease): void {
+        if (this.#candidacy.standing) {
+            this.#call({ type: "renew-lease", lease: lease.lease });
+            return;
+        }
+        this.#giveUp();
+    }
+
     #takeAnswer(call: number, answer: LeaseAnswer): void {
         if (this.#pending?.call !== call) {
             this.#revokeStray(answer);
--- a/src/leases/index.ts
+++ b/src/leases/index.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+export { listDutyCandidates } from "./_candidacy.js";
 export { createDutyLease, type DutyLease, type DutyLeaseOptions } from "./dutyLease.js";
 export { createDutyLeaseDecision, type DutyLeaseDecisionOptions } from "./dutyLeaseDecision.js";
 export { type DutyLeaseEffect, type DutyLeaseMessage, type LeaseAnswer, type LeaseCall } from "./messages.js";
--- a/src/leases/leases.test.ts
+++ b/src/leases/leases.test.ts
@@ -318,6 +318,17 @@
     assert.equal(effects[0]?.type, "lost");
 });
 
+test("a holder that is no candidate any more hands the duty to one", () => {
+    const simulation = runQuiet(5, 3, 20_000);
+    const [holder] = simulation.believers();
+    assert.ok(holder !== undefined);
+    const others = Array.from({ length: 60 }, (_, index) => `new-host-${index}`);
+    const effects = holder.decision.handle({ type: "hosts", hosts: others }, simulation.now * holder.rate);
+    assert.deepEqual(effects.filter(({ type }) => type === "lost"), [], "the lease is kept until its renewal is due");
+    const due = simulation.now * holder.rate + LEASE_MILLISECONDS / 3;
+    assert.equal(holder.decision.handle({ type: "tick" }, due)[0]?.type, "lost");
+});
+
 test("a holder's time counts from before the calls that granted and renewed its lease", () => {
     const decision = createDutyLeaseDecision({ duty: DUTY, host: "host-1", incarnation: "1", random: () => 0.5 });
     const answers: Record<LeaseCall["type"], LeaseAnswer> = {
