Go on with an exchange until it is done

Change: the exchange is part of the plan's answer and given to the next plan. The planner is split into smaller modules.

--- a/src/residency/_holder.ts
+++ b/src/residency/_holder.ts
@@ -10,6 +10,7 @@
 import { createEngineState, type EngineState } from "./_engineState.js";
 import { type StoreBudget } from "./_storeBudget.js";
 import { type ResidencyEffect } from "./messages.js";
+import { type PlannedExchange } from "./placement.js";
 
 /** Nothing is written or sent when less than this is left of the lease. */
 const LEASE_MARGIN_MILLISECONDS = 1_000;
@@ -39,6 +40,7 @@
     moves: StoreBudget;
     /** Engine that the last plan chose for each model's next copy. */
     intended: ReadonlyMap<string, string>;
+    exchange: PlannedExchange | undefined;
     sequence: number;
 }
 
--- a/src/residency/_roomMaking.ts
+++ b/src/residency/_roomMaking.ts
@@ -84,7 +84,8 @@
     return missingMegabytes(engine, model) <= 0;
 }
 
-function pendingMegabytes(engine: WorkEngine): number {
+/** Adds up the room that evicts under way will free. */
+export function pendingMegabytes(engine: WorkEngine): number {
     const leaving = engine.copies.filter(copy => copy.state === "evicting");
     return leaving.reduce((sum, copy) => sum + copy.megabytes, 0);
 }
--- a/src/residency/_view.ts
+++ b/src/residency/_view.ts
@@ -161,5 +161,6 @@
             : [engineOf(holder, state, draft, capacityOf(holder.text, state.name), nowMilliseconds)];
     });
     const models = modelsOf(holder, nowMilliseconds);
-    return { engines, models, adapters: adaptersOf(holder, nowMilliseconds), intended: holder.intended };
+    const exchange = holder.exchange === undefined ? {} : { exchange: holder.exchange };
+    return { engines, models, adapters: adaptersOf(holder, nowMilliseconds), intended: holder.intended, ...exchange };
 }
--- a/src/residency/index.ts
+++ b/src/residency/index.ts
@@ -36,6 +36,7 @@
     type PlacementProblem,
     type PlacementView,
     type PlannedAction,
+    type PlannedExchange,
 } from "./placement.js";
 export { planPlacement } from "./planPlacement.js";
 export { createResidencyDecision, type ResidencyOptions } from "./residencyDecision.js";
--- a/src/residency/placement.ts
+++ b/src/residency/placement.ts
@@ -75,6 +75,8 @@
     readonly adapters: readonly PlacementAdapter[];
     /** Engine that an earlier plan chose for a model's next copy; kept where it still serves. */
     readonly intended?: ReadonlyMap<string, string>;
+    /** Exchange that an earlier plan began; it is gone on with. */
+    readonly exchange?: PlannedExchange;
 }
 
 /** How easily the planner moves. */
@@ -106,8 +108,16 @@
     readonly reason: string;
 }
 
+/** A copy that replaces others on an engine. */
+export interface PlannedExchange {
+    readonly name: string;
+    readonly engine: string;
+}
+
 /** The planner's answer. */
 export interface PlacementPlan {
     readonly actions: readonly PlannedAction[];
     readonly problems: readonly PlacementProblem[];
+    /** Exchange that is under way; to be given to the next plan. */
+    readonly exchange?: PlannedExchange;
 }
--- a/src/residency/planPlacement.ts
+++ b/src/residency/planPlacement.ts
@@ -4,67 +4,12 @@
  * @module
  */
 import { planAdapters } from "./_adapterPlan.js";
-import { placeSomewhere, rankHosts, type RoomContext, spareCopies } from "./_roomMaking.js";
-import {
-    cloneWorkspace,
-    enginesWith,
-    enginesWithVersion,
-    missingMegabytes,
-    openWorkspace,
-    planEvict,
-    planLoad,
-    type WorkEngine,
-    type Workspace,
-} from "./_workspace.js";
-import {
-    type PlacementModel,
-    type PlacementOptions,
-    type PlacementPlan,
-    type PlacementProblem,
-    type PlacementView,
-} from "./placement.js";
-
-const DEFAULT_WEIGHT = 0.5;
-/** Missed targets a second that a move has to avoid at a move weight of 1. */
-const MOVE_COST_PER_SECOND = 0.05;
-/** Worth of the second and third copy for reach alone: with three, two engines may fail together. */
-const REACH_WORTH = [0, 0, 0.2, 0.02] as const;
-/** A copy replaces another only if it is worth this many times as much at a move weight of 1, beyond equality. */
-const REPLACEMENT_FACTOR = 2;
-const MOST_TRIES = 400;
-
-interface PlanContext extends RoomContext {
-    readonly moveWeight: number;
-    readonly ordered: readonly PlacementModel[];
-    readonly problems: PlacementProblem[];
-}
-
-function createContext(view: PlacementView, work: Workspace, options: PlacementOptions): PlanContext {
-    const attainmentWeight = options.attainmentWeight ?? DEFAULT_WEIGHT;
-    const models = new Map(view.models.map(model => [model.name, model]));
-    const ordered = [...view.models].sort((left, right) =>
-        right.megabytes - left.megabytes || (left.name < right.name ? -1 : 1)
-    );
-    const worthOf = (name: string, copies: number): number => {
-        const missed = models.get(name)?.missedPerSecond ?? 0;
-        return attainmentWeight * missed / Math.max(1, copies) + (REACH_WORTH[copies] ?? 0);
-    };
-    const loadOf = (engine: WorkEngine): number =>
-        engine.copies.reduce((sum, copy) => {
-            const copies = Math.max(1, enginesWith(work, copy.name).length);
-            return sum + (models.get(copy.name)?.arrivalsPerSecond ?? 0) / copies;
-        }, 0);
-    const moveWeight = options.moveWeight ?? DEFAULT_WEIGHT;
-    return {
-        models,
-        worthOf,
-        loadOf,
-        triesLeft: options.mayMove === false ? 0 : MOST_TRIES,
-        moveWeight,
-        ordered,
-        problems: [],
-    };
-}
+import { beginExchange, continueExchange, placeFurtherCopies } from "./_furtherCopies.js";
+import { createPlanContext, type PlanContext } from "./_planContext.js";
+import { placeSomewhere, spareCopies } from "./_roomMaking.js";
+import { shedOverfull } from "./_shedding.js";
+import { enginesWith, enginesWithVersion, openWorkspace, planEvict, type Workspace } from "./_workspace.js";
+import { type PlacementModel, type PlacementOptions, type PlacementPlan, type PlacementView } from "./placement.js";
 
 /** Clears what is not wanted: unlisted models, copies in doubt beside proved ones, room under lost orders. */
 function clearUnwanted(work: Workspace, context: PlanContext): void {
@@ -152,107 +97,11 @@
     }
 }
 
-interface FurtherCopy {
-    readonly model: PlacementModel;
-    readonly copies: number;
-    readonly gain: number;
-}
-
-function rankFurtherCopies(work: Workspace, context: PlanContext): FurtherCopy[] {
-    const candidates = context.ordered.flatMap(model => {
-        const copies = enginesWith(work, model.name).length + 1;
-        const cost = copies < REACH_WORTH.length ? 0 : context.moveWeight * MOVE_COST_PER_SECOND;
-        const gain = context.worthOf(model.name, copies) - cost;
-        return copies > 1 && gain > 0 ? [{ model, copies, gain }] : [];
-    });
-    return candidates.sort((left, right) =>
-        right.gain / right.model.megabytes - left.gain / left.model.megabytes
-        || (left.model.name < right.model.name ? -1 : 1)
-    );
-}
-
-/** Fills free room with the further copies that are worth most for a megabyte. */
-function placeFurtherCopies(work: Workspace, context: PlanContext): void {
-    for (;;) {
-        const best = rankFurtherCopies(work, context).flatMap(further => {
-            const host = rankHosts(work, further.model, context).find(engine =>
-                !engine.copies.some(copy => copy.name === further.model.name)
-                && missingMegabytes(engine, further.model) <= 0
-            );
-            return host === undefined ? [] : [{ ...further, host }];
-        })[0];
-        if (best === undefined) {
-            return;
-        }
-        const reason = best.copies < REACH_WORTH.length
-            ? `copy ${best.copies}, for reach when engines fail`
-            : `copy ${best.copies}, for missed targets`;
-        planLoad(work, best.host, best.model, reason);
-    }
-}
-
 function isCalm(work: Workspace): boolean {
     return work.actions.length === 0
         && work.engines.every(engine => engine.copies.every(copy => copy.state === "proved"));
 }
 
-/** Exchanges spare copies for one that is worth clearly more. */
-function replaceOneCopy(work: Workspace, context: PlanContext): void {
-    const factor = 1 + REPLACEMENT_FACTOR * context.moveWeight;
-    for (const { model, copies, gain } of rankFurtherCopies(work, context)) {
-        for (const host of rankHosts(work, model, context)) {
-            const tried = cloneWorkspace(work);
-            const engine = tried.engines.find(candidate => candidate.engine === host.engine);
-            if (engine === undefined || engine.copies.some(copy => copy.name === model.name)) {
-                continue;
-            }
-            let lost = 0;
-            for (const spare of spareCopies(tried, engine, context)) {
-                if (missingMegabytes(engine, model) <= 0 || spare.settling) {
-                    break;
-                }
-                lost += context.worthOf(spare.name, enginesWith(tried, spare.name).length);
-                planEvict(tried, engine, spare, `${model.name} is worth more here`);
-            }
-            if (missingMegabytes(engine, model) <= 0 && gain > lost * factor) {
-                planLoad(tried, engine, model, `copy ${copies}, worth more than what it replaces`, true);
-                work.engines = tried.engines;
-                work.actions = tried.actions;
-                return;
-            }
-        }
-    }
-}
-
-/** Takes spare copies off engines whose memory is not enough for what they hold. */
-function shedOverfull(work: Workspace, context: PlanContext): void {
-    for (const engine of work.engines) {
-        const reason = "the engine's role or memory needs the room";
-        for (const spare of spareCopies(work, engine, context)) {
-            if (engine.freeMegabytes < 0) {
-                planEvict(work, engine, spare, reason);
-            }
-        }
-        moveSinglesOff(work, engine.engine, context, reason);
-    }
-}
-
-function moveSinglesOff(work: Workspace, name: string, context: PlanContext, reason: string): void {
-    const find = (): WorkEngine | undefined => work.engines.find(({ engine, usable }) => usable && engine === name);
-    const singles = find()?.copies.filter(copy => copy.state === "proved" && context.models.has(copy.name)) ?? [];
-    for (const single of singles.sort((left, right) => left.megabytes - right.megabytes)) {
-        const model = context.models.get(single.name);
-        const isOverfull = (find()?.freeMegabytes ?? 0) < 0;
-        if (model === undefined || !isOverfull || !placeSomewhere(work, model, context, { reason, excluded: name })) {
-            continue;
-        }
-        const engine = find();
-        if (engine !== undefined) {
-            planEvict(work, engine, single, reason);
-        }
-    }
-}
-
 /**
  * Plans what has to be loaded, evicted, granted and withdrawn next on the engines of one pool.
  *
@@ -272,19 +121,20 @@
  */
 export function planPlacement(view: PlacementView, options: PlacementOptions = {}): PlacementPlan {
     const work = openWorkspace(view);
-    const context = createContext(view, work, options);
+    const context = createPlanContext(view, work, options);
     clearUnwanted(work, context);
     placeFirstCopies(work, context);
     renewVersions(work, context);
     placeMinimumCopies(work, context);
     shedOverfull(work, context);
+    const continued = continueExchange(work, context, view.exchange);
     planAdapters(work, view.adapters, {
-        moveCost: context.moveWeight * MOVE_COST_PER_SECOND,
+        moveCost: context.moveCost,
         spareCopies: engine => spareCopies(work, engine, context),
     });
     placeFurtherCopies(work, context);
-    if (options.mayMove !== false && isCalm(work)) {
-        replaceOneCopy(work, context);
-    }
-    return { actions: work.actions, problems: context.problems };
+    const mayBegin = continued === undefined && options.mayMove !== false && isCalm(work);
+    const exchange = continued ?? (mayBegin ? beginExchange(work, context) : undefined);
+    const { actions } = work;
+    return { actions, problems: context.problems, ...(exchange === undefined ? {} : { exchange }) };
 }
--- a/src/residency/residencyDecision.ts
+++ b/src/residency/residencyDecision.ts
@@ -56,6 +56,7 @@
         budget: createStoreBudget(0),
         moves: createStoreBudget(0),
         intended: new Map(),
+        exchange: undefined,
         sequence: 0,
     };
 }
@@ -79,6 +80,7 @@
     holder.explained.clear();
     holder.budget = createStoreBudget(nowMilliseconds);
     holder.intended = new Map();
+    holder.exchange = undefined;
     alignEngines(holder);
 }
 
@@ -192,7 +194,8 @@
     refillMoves(holder.moves, holder.engines.size, nowMilliseconds);
     const view = buildView(holder, drafts, nowMilliseconds);
     const options = { ...deployment.placement, mayMove: holder.moves.tokens >= 1 };
-    const { actions, problems } = planPlacement(view, options);
+    const { actions, problems, exchange } = planPlacement(view, options);
+    holder.exchange = exchange;
     const loads = actions.filter(({ action }) => action === "load");
     holder.intended = new Map(loads.reverse().map(({ name, engine }) => [name, engine]));
     for (const { name, reason } of problems) {
