Keep the copies that the operators ask for when others want their room

Change: room about to be free counts; copies at their minimum go only for a model without any copy, or for their own new version.

--- a/src/residency/_furtherCopies.ts
+++ b/src/residency/_furtherCopies.ts
@@ -113,8 +113,8 @@
     }
     const dropped: PlacementCopy[] = [];
     let lost = 0;
-    for (const spare of spareCopies(tried, engine, context)) {
-        if (missingMegabytes(engine, model) > 0) {
+    for (const spare of spareCopies(tried, engine, context, {})) {
+        if (missingMegabytes(engine, model) > pendingMegabytes(engine)) {
             lost += context.worthOf(spare.name, enginesWith(tried, spare.name).length);
             dropped.push(spare);
             planEvict(tried, engine, spare, `${model.name} is worth more here`);
--- a/src/residency/_roomMaking.ts
+++ b/src/residency/_roomMaking.ts
@@ -51,10 +51,32 @@
     return ranked.map(({ engine }) => engine);
 }
 
-/** Lists copies that another copy stands beside, the least worth first. */
-export function spareCopies(work: Workspace, engine: WorkEngine, context: RoomContext): PlacementCopy[] {
+/** For whom room is made. */
+export interface RoomPurpose {
+    /** Model whose own copies may go below their minimum, as when its version changes. */
+    readonly name?: string;
+    /** True for a model without any copy: others' copies may go below their minimum for it. */
+    readonly isFirstCopy?: boolean;
+}
+
+function isAboveMinimum(work: Workspace, copy: PlacementCopy, context: RoomContext, purpose: RoomPurpose): boolean {
+    const minimum = context.models.get(copy.name)?.minimumCopies ?? 0;
+    return purpose.isFirstCopy === true
+        || purpose.name === copy.name
+        || copy.state !== "proved"
+        || enginesWith(work, copy.name).length > minimum;
+}
+
+/** Lists copies that another copy stands beside and that the operators' minimum spares, the least worth first. */
+export function spareCopies(
+    work: Workspace,
+    engine: WorkEngine,
+    context: RoomContext,
+    purpose: RoomPurpose,
+): PlacementCopy[] {
     const spares = engine.copies.filter(copy =>
-        (copy.state === "proved" || (copy.state === "uncertain" && copy.clearable))
+        isAboveMinimum(work, copy, context, purpose)
+        && (copy.state === "proved" || (copy.state === "uncertain" && copy.clearable))
         && enginesWith(work, copy.name).some(other => other !== engine)
     );
     const worth = (copy: PlacementCopy): number =>
@@ -64,12 +86,18 @@
     return spares.sort((left, right) => worth(left) - worth(right) || (left.name < right.name ? -1 : 1));
 }
 
-function dropSpares(work: Workspace, engine: WorkEngine, model: PlacementModel, context: RoomContext): boolean {
+function dropSpares(
+    work: Workspace,
+    engine: WorkEngine,
+    model: PlacementModel,
+    context: RoomContext,
+    isFirstCopy: boolean,
+): boolean {
     const reason = `makes room for ${model.name}`;
     const idleGrants = [...engine.grants].filter(grant => grant.clearable).sort((left, right) =>
         left.lastWantedMilliseconds - right.lastWantedMilliseconds || (left.adapter < right.adapter ? -1 : 1)
     );
-    for (const copy of spareCopies(work, engine, context)) {
+    for (const copy of spareCopies(work, engine, context, { name: model.name, isFirstCopy })) {
         if (missingMegabytes(engine, model) <= 0) {
             return true;
         }
@@ -95,7 +123,7 @@
     engine: WorkEngine,
     model: PlacementModel,
     context: RoomContext,
-    depth: number,
+    { depth, isFirstCopy }: { readonly depth: number; readonly isFirstCopy: boolean; },
 ): boolean {
     const singles = engine.copies
         .filter(copy => copy.state === "proved" && copy.name !== model.name && context.models.has(copy.name))
@@ -113,6 +141,7 @@
         const tried = cloneWorkspace(work);
         const placed = placeSomewhere(tried, moved, context, {
             depth: depth + 1,
+            isFirstCopy,
             excluded: engine.engine,
             reason: `moves ${copy.name} off ${engine.engine} so that ${model.name} fits there`,
         });
@@ -130,6 +159,8 @@
 /** How a copy may be placed. */
 export interface PlaceOptions {
     readonly reason: string;
+    /** True for a model without any copy: others' copies may go below their minimum for it. */
+    readonly isFirstCopy?: boolean;
     /** Moves already made for its sake. */
     readonly depth?: number;
     /** Engine that must not take it. */
@@ -171,6 +202,7 @@
     options: PlaceOptions,
 ): boolean {
     const depth = options.depth ?? 0;
+    const isFirstCopy = options.isFirstCopy === true;
     const ranked = rankHosts(work, model, context).map(engine => engine.engine).filter(name =>
         name !== options.excluded
     );
@@ -180,13 +212,13 @@
             engine.freeMegabytes += pendingMegabytes(engine);
             return missingMegabytes(engine, model) <= 0;
         },
-        (tried, engine) => dropSpares(tried, engine, model, context),
+        (tried, engine) => dropSpares(tried, engine, model, context, isFirstCopy),
     ];
     if (depth < MOST_CHAINED_MOVES) {
         attempts.push((tried, engine) => {
-            dropSpares(tried, engine, model, context);
+            dropSpares(tried, engine, model, context, isFirstCopy);
             const after = tried.engines.find(other => other.engine === engine.engine) ?? engine;
-            return moveSinglesAway(tried, after, model, context, depth);
+            return moveSinglesAway(tried, after, model, context, { depth, isFirstCopy });
         });
     }
     for (const attempt of attempts) {
--- a/src/residency/_shedding.ts
+++ b/src/residency/_shedding.ts
@@ -11,7 +11,7 @@
 export function shedOverfull(work: Workspace, context: PlanContext): void {
     for (const engine of work.engines) {
         const reason = "the engine's role or memory needs the room";
-        for (const spare of spareCopies(work, engine, context)) {
+        for (const spare of spareCopies(work, engine, context, { isFirstCopy: true })) {
             if (engine.freeMegabytes < 0) {
                 planEvict(work, engine, spare, reason);
             }
--- a/src/residency/placement.test.ts
+++ b/src/residency/placement.test.ts
@@ -175,3 +175,19 @@
         { seed: PROPERTY_SEED, numRuns: 200 },
     );
 });
+
+test("a copy that the operators ask for does not go for a further one or for another model's minimum", () => {
+    const held = [copy("p", 50), copy("q", 50)];
+    const engines = [engine("a1", 0, held), engine("b1", 0, held), engine("c1", 0, [copy("r", 100)])];
+    const models = [
+        model("p", 50, { minimumCopies: 2 }),
+        model("q", 50, { minimumCopies: 2 }),
+        model("r", 100, { minimumCopies: 2, missedPerSecond: 50 }),
+    ];
+    const plan = planPlacement({ engines, models, adapters: [] });
+    assert.deepEqual(plan.actions, []);
+    assert.match(plan.problems[0]?.reason ?? "", /1 of at least 2 copies stand/);
+    const lost = [...engines.slice(0, 2), engine("c1", 0, [copy("s", 100)])];
+    const needed = planPlacement({ engines: lost, models: [...models, model("s", 100)], adapters: [] });
+    assert.ok(needed.actions.some(({ action, name }) => action === "load" && name === "r"));
+});
--- a/src/residency/planPlacement.ts
+++ b/src/residency/planPlacement.ts
@@ -36,7 +36,8 @@
 }
 
 function placeOrExplain(work: Workspace, model: PlacementModel, context: PlanContext, reason: string): void {
-    if (!placeSomewhere(work, model, context, { reason })) {
+    const isFirstCopy = enginesWith(work, model.name).length === 0;
+    if (!placeSomewhere(work, model, context, { reason, isFirstCopy })) {
         const usable = work.engines.filter(engine => engine.usable);
         const room = usable.map(engine => {
             const doubtful = engine.copies.filter(copy => copy.megabytes > 0 && !copy.clearable).filter(copy =>
@@ -130,7 +131,7 @@
     const continued = continueExchange(work, context, view.exchange);
     planAdapters(work, view.adapters, {
         moveCost: context.moveCost,
-        spareCopies: engine => spareCopies(work, engine, context),
+        spareCopies: engine => spareCopies(work, engine, context, {}),
     });
     placeFurtherCopies(work, context);
     const mayBegin = continued === undefined && options.mayMove !== false && isCalm(work);
--- a/src/residency/residency.test.ts
+++ b/src/residency/residency.test.ts
@@ -1,5 +1,8 @@
+import { parse } from "jsonc-parser";
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { test } from "node:test";
+import { deploymentSchema } from "../generated/deployment.js";
 import { Fleet } from "./_testFleet.js";
 import { createText, missingModels, wantAdapters } from "./_testTexts.js";
 
@@ -17,3 +20,17 @@
         assert.ok(fleet.mostLoadsAtOnce <= 3);
     });
 }
+
+for (const name of ["sakan", "arrieta"]) {
+    test(`placement of ${name}'s first pool comes to rest when demand does not change`, () => {
+        const text = deploymentSchema.parse(parse(readFileSync(`examples/${name}.jsonc`, "utf8")));
+        const fleet = new Fleet({ seed: 1, texts: [text], faults: [] });
+        fleet.runUntil(60_000);
+        wantAdapters(fleet);
+        fleet.runUntil(180_000);
+        const loads = fleet.loads;
+        fleet.runUntil(360_000);
+        assert.equal(fleet.loads, loads);
+        assert.deepEqual(fleet.violations, []);
+    });
+}
