--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -19,6 +19,8 @@
 import { createTask } from "./task.js";
 
 const TICK_MILLISECONDS = 20;
+/** Beyond this many peers none is asked about a claim, so that reading the records again would prove nothing. */
+const MOST_PEERS_ASKED = 32;
 
 /** The running claims task. */
 export interface ClaimsTask {
@@ -58,6 +60,11 @@
                 isIdle: () => this.#pending.size === 0,
             },
         });
+        context.events.subscribe(event => {
+            if (event.type === "peers-changed" && event.live.length <= MOST_PEERS_ASKED) {
+                this.#task.send({ type: "peers-changed" });
+            }
+        });
     }
 
     claim(key: string, bodyHash: string): void {
