Wire the proof for keys without a ticket, and finish reports before a host ends

Cause: the orders task did not name the witness that answered, the order that a forward's answer belongs to, or the peers that leave; so no key without a ticket could be proved not run (tests/hosts.test.ts: may-have-run where not-run is expected), and orders at leaving owners were sealed. A leaving host could end with outcomes its witness had not confirmed. Change: src/host passes those on, has claim records read again when peers change, counts unconfirmed outcomes as open orders. The record's first read comes 2.5 s after the start instead of 3. In tests/hosts.test.ts the outage begins 6 s after the hosts advertise themselves: a host proves a key not run by a record read after it knew its peers, and what the test asks of the refusal is unchanged (not-run, with a time to come back, and no run of the key).

--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -23,6 +23,8 @@
 /** The running claims task. */
 export interface ClaimsTask {
     claim(key: string, bodyHash: string): void;
+    /** Has the records read again, so that they prove a key's absence since the change. */
+    peersChanged(): void;
     close(): void;
 }
 
@@ -65,6 +67,10 @@
         this.#task.send({ type: "claim", key, bodyHash });
     }
 
+    peersChanged(): void {
+        this.#task.send({ type: "peers-changed" });
+    }
+
     close(): void {
         this.#task.close();
     }
--- a/src/host/events.ts
+++ b/src/host/events.ts
@@ -19,7 +19,12 @@
 export type HostEvent =
     | { readonly type: "deployment-activated"; readonly deployment: Deployment; readonly record: ConfigurationRecord; }
     | { readonly type: "advertise-changed"; readonly allowed: boolean; }
-    | { readonly type: "peers-changed"; readonly live: readonly HostIdentity[]; }
+    /** `live` stay; `heard` are those and the ones that leave. */
+    | {
+        readonly type: "peers-changed";
+        readonly live: readonly HostIdentity[];
+        readonly heard: readonly HostIdentity[];
+    }
     | { readonly type: "peer-heard"; readonly status: PeerStatus; }
     | { readonly type: "engine-observed"; readonly digest: EngineDigest; readonly origin: "own-poll" | "peer"; }
     | { readonly type: "engine-crashed"; readonly engine: string; readonly incarnation: string; }
--- a/src/host/membershipTask.ts
+++ b/src/host/membershipTask.ts
@@ -33,7 +33,7 @@
     /** Questions to the decision; messages go through the task. */
     readonly view: Pick<
         MembershipDecision,
-        "livePeers" | "allKnown" | "presence" | "rankAddresses" | "pollerOf" | "reachable"
+        "livePeers" | "heardPeers" | "allKnown" | "presence" | "rankAddresses" | "pollerOf" | "reachable"
     >;
     /** Takes a peer's heartbeat. */
     takeDigest(digest: Digest): void;
@@ -163,7 +163,7 @@
     #publishPeers(live: readonly HostIdentity[]): void {
         this.#context.metrics.gauge("membership.peers", live.length);
         this.#context.peers.keepOnly(new Set(this.view.allKnown().map(({ peersUrl }) => peersUrl)));
-        this.#context.events.publish({ type: "peers-changed", live });
+        this.#context.events.publish({ type: "peers-changed", live, heard: this.view.heardPeers() });
     }
 
     async #sendHeartbeat(
--- a/src/host/ordersTask.ts
+++ b/src/host/ordersTask.ts
@@ -38,7 +38,7 @@
     takeWitnessRequest(request: WitnessRequest): Promise<WitnessAnswer>;
     /** The ticket for orders sent to a host. */
     ticketFor(owner: HostIdentity): string;
-    /** Orders that have no final answer yet. */
+    /** Orders that have no final answer yet, or whose outcome the witness has not confirmed. */
     openOrders(): number;
     close(): void;
 }
@@ -51,7 +51,7 @@
     readonly #waiting = new Map<string, (outcome: OrderOutcome) => void>();
     readonly #witnessing = new Map<string, (answer: WitnessAnswer) => void>();
     #deployment: Deployment | undefined;
-    #live: readonly HostIdentity[] = [];
+    #heard: readonly HostIdentity[] = [];
 
     constructor(context: HostContext) {
         this.#context = context;
@@ -67,7 +67,7 @@
             tick: {
                 message: { type: "tick" },
                 intervalMilliseconds: TICK_MILLISECONDS,
-                isIdle: () => this.#waiting.size === 0 && this.#witnessing.size === 0,
+                isIdle: () => this.openOrders() === 0 && this.#witnessing.size === 0,
             },
         });
         this.#claims = startClaimsTask(context, message => this.#task.send(message));
@@ -77,8 +77,7 @@
                 this.#task.send({ type: "deployment", deployment: event.deployment, revision: event.record.revision });
             }
             else if (event.type === "peers-changed") {
-                this.#live = event.live;
-                this.#task.send({ type: "peers", identities: event.live });
+                this.#changePeers(event.live, event.heard);
             }
             else if (event.type === "leaving") {
                 this.#task.send({ type: "leave" });
@@ -125,7 +124,7 @@
     }
 
     openOrders(): number {
-        return this.#waiting.size;
+        return Math.max(this.#waiting.size, this.#decision.snapshot().underWay);
     }
 
     close(): void {
@@ -139,6 +138,14 @@
         }
     }
 
+    #changePeers(live: readonly HostIdentity[], heard: readonly HostIdentity[]): void {
+        const staying = new Set(live.map(({ host }) => host));
+        const leaving = heard.map(({ host }) => host).filter(host => !staying.has(host));
+        this.#heard = heard;
+        this.#task.send({ type: "peers", identities: heard, leaving });
+        this.#claims.peersChanged();
+    }
+
     #perform(effect: OrdersEffect): void {
         match(effect)
             .with({ type: "reply" }, ({ identifier, outcome }) => this.#reply(identifier, outcome))
@@ -181,28 +188,34 @@
     }
 
     async #forward(order: Order, to: HostIdentity): Promise<void> {
-        const { key, service, call, body, contentType } = order;
+        const { key, service, call, body, contentType, bodyHash } = order;
         const client = this.#context.peers.get(to.peersUrl, to.peersUrl);
         const answer = await client.forwardOrder(
             { key, service, call, body, contentType },
             this.#callTimeout(order) + FORWARD_MARGIN_MILLISECONDS,
         );
         if (answer.isOk()) {
-            this.#task.send({ type: "forward-answered", key, outcome: answer.value });
+            this.#task.send({ type: "forward-answered", key, bodyHash, outcome: answer.value });
             return;
         }
         this.#context.logger.info("forward failed", { order: key, peer: to.host, cause: answer.error.message });
-        this.#task.send({ type: "forward-failed", key, notSent: answer.error.kind === "not-sent" });
+        this.#task.send({ type: "forward-failed", key, bodyHash, notSent: answer.error.kind === "not-sent" });
     }
 
     async #askWitness(ask: Extract<OrdersEffect, { type: "ask-witness"; }>): Promise<void> {
         const { key, request } = ask;
-        const witness = this.#live.find(({ host }) => host === ask.witness.host);
+        const witness = this.#heard.find(({ host }) => host === ask.witness.host);
         const answer = witness === undefined
             ? undefined
             : await this.#context.peers.get(witness.peersUrl, witness.peersUrl).witness(request);
         if (answer?.isOk() === true) {
-            this.#task.send({ type: "witness-answered", key, request: request.type, answer: answer.value });
+            this.#task.send({
+                type: "witness-answered",
+                key,
+                request: request.type,
+                answer: answer.value,
+                witness: ask.witness,
+            });
         }
         else {
             this.#task.send({ type: "witness-failed", key, request: request.type });
--- a/src/orders/claimBatcher.test.ts
+++ b/src/orders/claimBatcher.test.ts
@@ -76,8 +76,8 @@
     batcher.handle(READ, 101);
     batcher.handle({ type: "written", attempt: 2, shard: 0, revision: 1 }, 102);
     const reads = (now: number): number => batcher.handle({ type: "tick" }, now).length;
-    assert.deepEqual([reads(3_099), reads(3_100)], [0, 1]);
-    batcher.handle({ ...READ, attempt: 3 }, 3_101);
+    assert.deepEqual([reads(2_599), reads(2_600)], [0, 1]);
+    batcher.handle({ ...READ, attempt: 3 }, 2_601);
     assert.equal(reads(10_000), 0);
     batcher.handle({ type: "peers-changed" }, 10_001);
     assert.equal(reads(10_100), 1);
--- a/src/orders/claimBatcher.ts
+++ b/src/orders/claimBatcher.ts
@@ -96,7 +96,7 @@
 const DEFAULT_MOST_CLAIMS = 3_000;
 const DEFAULT_STORE_MILLISECONDS = 1_500;
 /** How long after the start every record is read, so that an outage finds them known. */
-const FIRST_READ_MILLISECONDS = 3_000;
+const FIRST_READ_MILLISECONDS = 2_500;
 const READ_INTERVAL_MILLISECONDS = 300_000;
 /** Time between the records' reads after a change of peers. */
 const READ_SPREAD_MILLISECONDS = 50;
--- a/tests/hosts.test.ts
+++ b/tests/hosts.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
 import { request } from "undici";
 import { waitUntil } from "../demo/sites.js";
 import {
@@ -17,6 +18,8 @@
 } from "./_testSite.js";
 
 const RUN_MILLISECONDS = 1500;
+/** After this long a host knows its peers and has read the claim records since, so it can prove that a key was not run. */
+const SETTLED_MILLISECONDS = 6000;
 const LONG: ChatOptions = { prompt: "A long quote", tokens: 500 };
 
 let site: TestSite;
@@ -44,6 +47,7 @@
 
 test("while the key-value service is down, hosts serve, orders with tickets run once, and apply says so", async () => {
     const ticket = await ticketOf(0);
+    await wait(SETTLED_MILLISECONDS);
     await setFaults(site.keyValue, { outage: true });
     assert.equal((await chat(host(0).callersUrl, { prompt: "outage" })).text, expectedText({ prompt: "outage" }));
     const ran = await order(host(0).callersUrl, `${ticket}/during-outage`);
