--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -25,6 +25,8 @@
 /** The running claims task. */
 export interface ClaimsTask {
     claim(key: string, bodyHash: string): void;
+    /** Has the records read again, so that they prove a key's absence since the change. */
+    peersChanged(): void;
     close(): void;
 }
 
@@ -72,6 +74,10 @@
         this.#task.send({ type: "claim", key, bodyHash });
     }
 
+    peersChanged(): void {
+        this.#task.send({ type: "peers-changed" });
+    }
+
     close(): void {
         this.#task.close();
     }
