--- a/src/requests/requestsDecision.test.ts
+++ b/src/requests/requestsDecision.test.ts
@@ -248,3 +248,14 @@
     driver.observe("one", "first");
     assert.equal(pick(driver.submit("c", suspect), "dispatch").length, 1);
 });
+
+test("a claim that only others still repeat runs out, as its host has died", () => {
+    const driver = new Driver(["one"]);
+    const trial = { identifier: "claim", host: "host-2", engine: "one", renewal: 1, state: "running" } as const;
+    const repeat = (): readonly RequestsEffect[] =>
+        driver.handle({ type: "suspects", digests: [{ fingerprint: "other", crashes: ["two/first"], trial }] });
+    repeat();
+    driver.submit("a", { class: "patient" });
+    const effects = [1, 2, 3, 4, 5, 6].flatMap(() => [...driver.wait(1_000), ...repeat()]);
+    assert.equal(pick(effects, "dispatch").length, 1);
+});
