--- a/measurements/policy.ts
+++ b/measurements/policy.ts
@@ -16,7 +16,8 @@
     createRandomChoice,
     createRoundRobinChoice,
 } from "./policy/baselines.js";
-import { HostsRun, type Network } from "./policy/hostsRun.js";
+import { HostsRun } from "./policy/hostsRun.js";
+import { CACHE_TOKENS, NETWORK, SEEDS } from "./policy/settings.js";
 import {
     describeDeployment,
     drawArrivals,
@@ -27,18 +28,7 @@
     type Shape,
     SPORTS_DAY,
 } from "./policy/shapes.js";
-import { type RunFigures, spreadOf, summarize } from "./policy/summary.js";
-
-const SEEDS = Array.from({ length: 10 }, (_, index) => 100 + index);
-const CACHE_TOKENS = 30_000;
-const NETWORK: Network = {
-    reportIntervalMilliseconds: 500,
-    digestDelayMilliseconds: 1_000,
-    suspectsDelayMilliseconds: 20,
-    crashNoticeLoss: 0,
-    cacheEventLoss: 0.1,
-    engineRestartMilliseconds: 5_000,
-};
+import { formatSpread, type RunFigures, spreadOf, summarize } from "./policy/summary.js";
 
 interface Policy {
     readonly name: string;
@@ -97,11 +87,6 @@
     return summarize(run, deployment);
 }
 
-function formatSpread(values: readonly number[], scale: number, digits: number): string {
-    const { deviation, mean } = spreadOf(values);
-    return `${(mean * scale).toFixed(digits)} ± ${(deviation * scale).toFixed(digits)}`;
-}
-
 function formatRow(policy: Policy, figures: readonly RunFigures[], accelerators: number): string {
     const cells = [
         policy.name,
--- a/measurements/policy/hostsRun.ts
+++ b/measurements/policy/hostsRun.ts
@@ -97,10 +97,12 @@
     readonly #decisions = new Map<string, Decision<RequestsMessage, RequestsEffect>>();
     readonly #engines = new Map<string, EngineModel>();
     readonly #attempts = new Map<string, Attempt>();
+    readonly #placement: Map<string, readonly string[]>;
     #recordRevision = 0;
 
     constructor(options: HostsRunOptions) {
         this.#options = options;
+        this.#placement = new Map(options.placement);
         this.random = createSeededRandom(options.seed);
         for (const host of options.hosts) {
             const random = createSeededRandom(Math.floor(this.random() * 2 ** 31));
@@ -179,6 +181,20 @@
         return 1 - totals.reduce((sum, total) => sum + total.uncached, 0) / Math.max(1, all);
     }
 
+    /** Lists the models that an engine holds. */
+    modelsOn(engine: string): readonly string[] {
+        return this.#placement.get(engine) ?? [];
+    }
+
+    /** Changes the models that an engine holds, and tells hosts. */
+    setModels(engine: string, models: readonly string[]): void {
+        const model = this.#engines.get(engine);
+        this.#placement.set(engine, models);
+        if (model !== undefined) {
+            this.#publishResidency(model);
+        }
+    }
+
     /** Crashes an engine now. */
     crashEngine(engine: string): void {
         const model = this.#engines.get(engine);
@@ -252,7 +268,7 @@
 
     #publishResidency(engine: EngineModel): void {
         this.#recordRevision += 1;
-        const names = this.#options.placement.get(engine.name) ?? [];
+        const names = this.modelsOn(engine.name);
         const adapters = this.#options.deployment.adapters.filter(adapter => names.includes(adapter.model));
         const digest = {
             engine: engine.name,
@@ -399,6 +415,10 @@
                 this.#fail(attempt, "not-started");
                 return;
             }
+            if (!this.modelsOn(engine.name).includes(arrival.request.model)) {
+                this.#fail(attempt, "not-resident");
+                return;
+            }
             record.taken = true;
             engine.submit(job);
         });
--- /dev/null
+++ b/measurements/policy/placements.ts
@@ -0,0 +1,190 @@
+/**
+ * Placement policies over the engine models: loads at the weight store's rate, evictions that never take a model's last
+ * copy, and the count of both.
+ *
+ * @module
+ */
+import { type Deployment } from "../../src/generated/deployment.js";
+import {
+    type PlacementEngine,
+    type PlacementModel,
+    type PlacementOptions,
+    type PlannedAction,
+    planPlacement,
+} from "../../src/residency/index.js";
+import { type HostsRun } from "./hostsRun.js";
+import { isWithinTarget } from "./summary.js";
+
+const PLAN_INTERVAL_MILLISECONDS = 1_000;
+const SETTLE_MILLISECONDS = 120_000;
+const DEMAND_SMOOTHING_MILLISECONDS = 60_000;
+const NEWEST_DEMAND_WEIGHT = 1 - Math.exp(-PLAN_INTERVAL_MILLISECONDS / DEMAND_SMOOTHING_MILLISECONDS);
+
+/** What a placement policy sees of one pool. */
+export interface PoolView {
+    readonly engines: readonly PlacementEngine[];
+    readonly models: readonly PlacementModel[];
+    /** When each model was last asked for. */
+    readonly lastAskedMilliseconds: ReadonlyMap<string, number>;
+}
+
+/** Says what to load and to evict now. */
+export type PlanMoves = (view: PoolView) => readonly PlannedAction[];
+
+/** Moves nothing. */
+export const planNothing: PlanMoves = () => [];
+
+/** Plans as the residency decision does. */
+export function createOurPlan(options: PlacementOptions): PlanMoves {
+    return ({ engines, models }) => planPlacement({ engines, models, adapters: [] }, options).actions;
+}
+
+/** Loads a further copy of each model that missed targets, in place of the spare copy least recently asked for. */
+export const planLeastRecentlyUsed: PlanMoves = ({ engines, lastAskedMilliseconds, models }) => {
+    const missed = models.filter(model => model.missedPerSecond > 0);
+    missed.sort((left, right) => right.missedPerSecond - left.missedPerSecond);
+    const wanted = missed[0];
+    if (wanted === undefined || engines.some(engine => engine.copies.some(copy => copy.state === "loading"))) {
+        return [];
+    }
+    const countCopies = (name: string): number =>
+        engines.filter(engine => engine.copies.some(copy => copy.name === name)).length;
+    const candidates = engines.filter(engine => !engine.copies.some(copy => copy.name === wanted.name)).flatMap(
+        engine => engine.copies.filter(copy => countCopies(copy.name) > 1).map(copy => ({ engine, copy })),
+    );
+    candidates.sort((left, right) =>
+        (lastAskedMilliseconds.get(left.copy.name) ?? 0) - (lastAskedMilliseconds.get(right.copy.name) ?? 0)
+    );
+    const oldest = candidates[0];
+    if (oldest === undefined) {
+        return [];
+    }
+    const { engine: { engine }, copy } = oldest;
+    const { megabytes, name, version } = wanted;
+    const move = { engine, megabytes, reason: "least recently used", isMove: true, version };
+    return [{ ...move, action: "evict", name: copy.name }, { ...move, action: "load", name }];
+};
+
+interface Copy {
+    readonly name: string;
+    state: "proved" | "loading";
+    readonly loadedAtMilliseconds: number;
+}
+
+/** Carries out one policy's moves in a run. */
+export class PlacementRun {
+    /** Loads and evictions so far. */
+    moves = 0;
+    readonly #run: HostsRun;
+    readonly #deployment: Deployment;
+    readonly #plan: PlanMoves;
+    readonly #copies = new Map<string, Copy[]>();
+    readonly #rates = new Map<string, { arrivals: number; missed: number; }>();
+    #seen = 0;
+    #loading = 0;
+
+    constructor(run: HostsRun, deployment: Deployment, plan: PlanMoves) {
+        this.#run = run;
+        this.#deployment = deployment;
+        this.#plan = plan;
+        for (const engine of deployment.pools.flatMap(pool => pool.engines)) {
+            const names = run.modelsOn(engine.name);
+            this.#copies.set(engine.name, names.map(name => ({ name, state: "proved", loadedAtMilliseconds: 0 })));
+        }
+        run.events.schedule(PLAN_INTERVAL_MILLISECONDS, () => this.#planNext());
+    }
+
+    #planNext(): void {
+        const lastAsked = this.#measureDemand();
+        for (const pool of this.#deployment.pools) {
+            this.#carryOut(this.#plan(this.#describePool(pool.name, lastAsked)));
+        }
+        this.#run.events.schedule(PLAN_INTERVAL_MILLISECONDS, () => this.#planNext());
+    }
+
+    /** Smooths arrivals and misses of the requests that came since the last plan. */
+    #measureDemand(): Map<string, number> {
+        const records = [...this.#run.records.values()];
+        const fresh = records.slice(this.#seen);
+        this.#seen = records.length;
+        for (const { name } of this.#deployment.models) {
+            const own = fresh.filter(record => record.arrival.request.model === name);
+            const missed = own.filter(record =>
+                record.refusal !== undefined
+                || (record.finishedAtMilliseconds !== undefined && !isWithinTarget(record, this.#deployment))
+            );
+            const rate = this.#rates.get(name) ?? { arrivals: 0, missed: 0 };
+            rate.arrivals += (own.length - rate.arrivals) * NEWEST_DEMAND_WEIGHT;
+            rate.missed += (missed.length - rate.missed) * NEWEST_DEMAND_WEIGHT;
+            this.#rates.set(name, rate);
+        }
+        return new Map(records.map(record => [record.arrival.request.model, record.arrival.atMilliseconds]));
+    }
+
+    #describePool(name: string, lastAskedMilliseconds: ReadonlyMap<string, number>): PoolView {
+        const pool = this.#deployment.pools.find(each => each.name === name);
+        const models = this.#deployment.models.filter(model => model.pools.includes(name));
+        return {
+            lastAskedMilliseconds,
+            engines: (pool?.engines ?? []).map(engine => this.#describeEngine(engine.name, pool?.memoryMegabytes ?? 0)),
+            models: models.map(model => ({
+                name: model.name,
+                version: model.version,
+                megabytes: model.megabytes,
+                minimumCopies: model.minimumCopies,
+                arrivalsPerSecond: this.#rates.get(model.name)?.arrivals ?? 0,
+                missedPerSecond: this.#rates.get(model.name)?.missed ?? 0,
+            })),
+        };
+    }
+
+    #describeEngine(engine: string, memoryMegabytes: number): PlacementEngine {
+        const megabytesOf = (name: string): number =>
+            this.#deployment.models.find(model => model.name === name)?.megabytes ?? 0;
+        const copies = (this.#copies.get(engine) ?? []).map(copy => ({
+            name: copy.name,
+            version: "1",
+            megabytes: megabytesOf(copy.name),
+            state: copy.state,
+            clearable: copy.state === "proved",
+            settling: this.#run.events.now() - copy.loadedAtMilliseconds < SETTLE_MILLISECONDS
+                && copy.loadedAtMilliseconds > 0,
+        }));
+        const freeMegabytes = memoryMegabytes - copies.reduce((sum, copy) => sum + copy.megabytes, 0);
+        return { engine, zone: "zone-1", usable: true, freeMegabytes, copies, grants: [], unfit: new Set() };
+    }
+
+    /** Evicts before it loads, and loads no more at once than the weight store serves at full speed. */
+    #carryOut(actions: readonly PlannedAction[]): void {
+        const { concurrentLoads, loadsPerSecond } = this.#deployment.weightStore;
+        const loads = actions.filter(action => action.action === "load");
+        for (const load of loads.slice(0, Math.max(0, concurrentLoads - this.#loading))) {
+            const evicts = actions.filter(action => action.action === "evict" && action.engine === load.engine);
+            evicts.forEach(evict => this.#evict(evict));
+            this.#load(load, 1_000 * concurrentLoads / loadsPerSecond);
+        }
+    }
+
+    #evict({ engine, name }: PlannedAction): void {
+        this.moves += 1;
+        this.#copies.set(engine, (this.#copies.get(engine) ?? []).filter(copy => copy.name !== name));
+        this.#publish(engine);
+    }
+
+    #load({ engine, name }: PlannedAction, lastsMilliseconds: number): void {
+        this.moves += 1;
+        this.#loading += 1;
+        const copy: Copy = { name, state: "loading", loadedAtMilliseconds: this.#run.events.now() + lastsMilliseconds };
+        this.#copies.get(engine)?.push(copy);
+        this.#run.events.schedule(lastsMilliseconds, () => {
+            copy.state = "proved";
+            this.#loading -= 1;
+            this.#publish(engine);
+        });
+    }
+
+    #publish(engine: string): void {
+        const proved = (this.#copies.get(engine) ?? []).filter(copy => copy.state === "proved");
+        this.#run.setModels(engine, proved.map(copy => copy.name));
+    }
+}
--- /dev/null
+++ b/measurements/policy/settings.ts
@@ -0,0 +1,20 @@
+/**
+ * What all runs of the policy measurements have in common.
+ *
+ * @module
+ */
+import { type Network } from "./hostsRun.js";
+
+/** Seeds of the runs. */
+export const SEEDS = Array.from({ length: 10 }, (_, index) => 100 + index);
+/** Prompt tokens that each engine caches. */
+export const CACHE_TOKENS = 30_000;
+/** Delays and losses. */
+export const NETWORK: Network = {
+    reportIntervalMilliseconds: 500,
+    digestDelayMilliseconds: 1_000,
+    suspectsDelayMilliseconds: 20,
+    crashNoticeLoss: 0,
+    cacheEventLoss: 0.1,
+    engineRestartMilliseconds: 5_000,
+};
--- a/measurements/policy/shapes.ts
+++ b/measurements/policy/shapes.ts
@@ -39,8 +39,15 @@
     readonly demandAt: (progress: number) => number;
     /** Length of shared prompts and turns against the usual. */
     readonly promptScale: number;
+    /** Models of a pool that are in demand one after another, and how many times the usual. */
+    readonly hotPhases: number;
+    readonly hotFactor: number;
+    readonly weightStore: { readonly loadsPerSecond: number; readonly concurrentLoads: number; };
 }
 
+const SAKAN_STORE = { loadsPerSecond: 1.4, concurrentLoads: 7 };
+const ARRIETA_STORE = { loadsPerSecond: 3, concurrentLoads: 3 };
+
 /** The Kraft Bag Line Order Assistant's morning dispatch rush: one rise, a plateau and a fall. */
 export const MORNING_RUSH: Shape = {
     name: "Sakan morning rush (6+3 engines, 14 models, 40 adapters)",
@@ -52,6 +59,9 @@
     durationMilliseconds: 120_000,
     demandAt: progress => Math.max(0.3, Math.min(1, 3 * progress, 3 * (1 - progress))),
     promptScale: 1,
+    hotPhases: 10,
+    hotFactor: 2.5,
+    weightStore: SAKAN_STORE,
 };
 
 /** The morning rush with bag specifications in the prompts. */
@@ -72,8 +82,20 @@
     durationMilliseconds: 120_000,
     demandAt: progress => 0.3 + 0.7 * Math.sin(progress * 3 * Math.PI) ** 2,
     promptScale: 1,
+    hotPhases: 11,
+    hotFactor: 2.5,
+    weightStore: ARRIETA_STORE,
 };
 
+/** The same days with demand that moves further and stays longer, so that placement matters. */
+export const SHIFTING_SHAPES: readonly Shape[] = [MORNING_RUSH, SPORTS_DAY].map(shape => ({
+    ...shape,
+    name: `${shape.name}, demand for one model after another rising tenfold`,
+    durationMilliseconds: 300_000,
+    hotPhases: 3,
+    hotFactor: 10,
+}));
+
 /** Writes the operators' text of a shape. */
 export function describeDeployment(shape: Shape): Deployment {
     const models = shape.pools.flatMap(pool =>
@@ -82,7 +104,7 @@
     return deploymentSchema.parse({
         deployment: "measured",
         zones: [{ name: "zone-1", region: "region-1" }],
-        weightStore: { loadsPerSecond: 1.4, concurrentLoads: 7 },
+        weightStore: shape.weightStore,
         pools: shape.pools.map(pool => ({
             name: pool.name,
             checksFencing: true,
@@ -147,7 +169,7 @@
 function drawPoolArrivals(shape: Shape, pool: PoolShape, random: RandomSource): Arrival[] {
     const arrivals: Arrival[] = [];
     const sessions: Session[] = [];
-    const pickModel = createModelPicker(pool, random);
+    const pickModel = createModelPicker(shape, pool, random);
     const perMillisecond = pool.peakRequestsPerSecond / 1_000;
     let atMilliseconds = 0;
     for (;;) {
@@ -170,12 +192,12 @@
 }
 
 /** Weighs models by rank, with one model after another in demand for a part of the run. */
-function createModelPicker(pool: PoolShape, random: RandomSource): (progress: number) => string {
+function createModelPicker(shape: Shape, pool: PoolShape, random: RandomSource): (progress: number) => string {
     const names = listNames(`${pool.name}-model`, pool.models);
     const hotOrder = [...names].sort((left, right) => hashText(left) - hashText(right));
     return progress => {
-        const hot = hotOrder[Math.floor(progress * hotOrder.length)];
-        const weights = names.map((name, rank) => (1 / (rank + 1) ** 0.6) * (name === hot ? 2.5 : 1));
+        const hot = hotOrder[Math.floor(progress * shape.hotPhases) % hotOrder.length];
+        const weights = names.map((name, rank) => (1 / (rank + 1) ** 0.6) * (name === hot ? shape.hotFactor : 1));
         let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
         const index = weights.findIndex(weight => (left -= weight) < 0);
         return names[index] ?? names[0] ?? "";
--- a/measurements/policy/summary.ts
+++ b/measurements/policy/summary.ts
@@ -63,3 +63,9 @@
     const variance = values.reduce((sum, value) => sum + (value - mean) ** 2, 0) / Math.max(1, values.length - 1);
     return { mean, deviation: Math.sqrt(variance) };
 }
+
+/** Writes mean and standard deviation for a table. */
+export function formatSpread(values: readonly number[], scale: number, digits: number): string {
+    const { deviation, mean } = spreadOf(values);
+    return `${(mean * scale).toFixed(digits)} ± ${(deviation * scale).toFixed(digits)}`;
+}
