--- a/src/commands/commands.test.ts
+++ b/src/commands/commands.test.ts
@@ -60,7 +60,7 @@
     assert.deepEqual([lost.exitCode, parseOutput(lost).revision], [0, 2]);
     const shown = await runCommand(["show", ...on]);
     assert.match(shown.output, /^\/\/ revision 2, change/);
-    const again = await runCommand(["apply", ...on, "examples/arrieta.jsonc"]);
+    const again = await runCommand(["apply", ...on, "--expect", "1", "examples/arrieta.jsonc"]);
     assert.match(again.output, /Nothing to change: already applied as revision 2/);
     store.setFaults({ pathPrefix: "/", outage: true });
     assert.equal((await runCommand(["apply", ...on, "examples/sakan.jsonc"])).exitCode, 5);
--- a/src/configuration/apply.ts
+++ b/src/configuration/apply.ts
@@ -108,13 +108,13 @@
         return new Err({ type: "unreachable", message: read.error.message });
     }
     const { record: before } = read.value;
-    if (options.expectedRevision !== undefined && (before?.revision ?? 0) !== options.expectedRevision) {
-        return new Err({ type: "conflict", read: undefined, current: before });
-    }
     const below = (before?.revision ?? 0) < (options.lowestRevision ?? 0);
     if (before?.text === text && !below) {
         return new Ok({ type: "unchanged", record: before });
     }
+    if (options.expectedRevision !== undefined && (before?.revision ?? 0) !== options.expectedRevision) {
+        return new Err({ type: "conflict", read: undefined, current: before });
+    }
     const record = createRecord(text, read.value, options);
     const oversized = checkSize(record, options.fileName);
     return oversized.length > 0
