--- a/src/configuration/_capacity.ts
+++ b/src/configuration/_capacity.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Adapter, type Deployment, type Model } from "../generated/deployment.js";
+import { type Deployment, type Model } from "../generated/deployment.js";
 import { type TextDocument } from "./_document.js";
 import { type PackingBin, type PackingItem, provePackingImpossible } from "./_packing.js";
 import { type TextProblem } from "./problems.js";
@@ -26,12 +26,26 @@
     });
 }
 
-function roomsFor(model: Model, all: readonly EngineRoom[]): EngineRoom[] {
-    return all.filter(room => model.pools.includes(room.pool));
+/** Rooms in megabytes, by pool. */
+type RoomsByPool = ReadonlyMap<string, readonly number[]>;
+
+function groupByPool(all: readonly EngineRoom[]): RoomsByPool {
+    const groups = new Map<string, number[]>();
+    for (const { pool, megabytes } of all) {
+        const group = groups.get(pool) ?? [];
+        group.push(megabytes);
+        groups.set(pool, group);
+    }
+    return groups;
+}
+
+function largestRoom(model: Model, largest: ReadonlyMap<string, number>): number {
+    return Math.max(0, ...model.pools.map(pool => largest.get(pool) ?? 0));
 }
 
-function largest(list: readonly EngineRoom[]): number {
-    return Math.max(0, ...list.map(room => room.megabytes));
+function countFitting(model: Model, rooms: RoomsByPool): number {
+    const inPool = (pool: string) => (rooms.get(pool) ?? []).filter(room => room >= model.megabytes).length;
+    return [...new Set(model.pools)].reduce((sum, pool) => sum + inPool(pool), 0);
 }
 
 function roleProblems(document: TextDocument, deployment: Deployment): TextProblem[] {
@@ -47,41 +61,41 @@
     );
 }
 
-function modelProblems(document: TextDocument, model: Model, index: number, all: readonly EngineRoom[]): TextProblem[] {
-    const candidates = roomsFor(model, all);
-    const fitting = candidates.filter(room => room.megabytes >= model.megabytes);
-    if (fitting.length === 0) {
-        return [document.problemAt(["models", index, "megabytes"], {
-            message: `The model ${model.name} fits on no engine of its pools`,
-            allowed: `at most ${largest(candidates)} megabytes, the largest room left beside the role`,
-        })];
-    }
-    if (fitting.length < model.minimumCopies) {
-        return [document.problemAt(["models", index, "minimumCopies"], {
+function modelProblems(
+    document: TextDocument,
+    deployment: Deployment,
+    rooms: RoomsByPool,
+    largest: ReadonlyMap<string, number>,
+): TextProblem[] {
+    return deployment.models.flatMap((model, index) => {
+        const fitting = countFitting(model, rooms);
+        if (fitting === 0) {
+            return [document.problemAt(["models", index, "megabytes"], {
+                message: `The model ${model.name} fits on no engine of its pools`,
+                allowed: `at most ${largestRoom(model, largest)} megabytes, the largest room left beside the role`,
+            })];
+        }
+        return fitting >= model.minimumCopies ? [] : [document.problemAt(["models", index, "minimumCopies"], {
             message: `The model ${model.name} fits on fewer engines than it needs copies`,
-            allowed: `at most ${fitting.length}, one for each engine that it fits on`,
+            allowed: `at most ${fitting}, one for each engine that it fits on`,
         })];
-    }
-    return [];
+    });
 }
 
 function adapterProblems(
     document: TextDocument,
-    adapter: Adapter,
-    index: number,
     deployment: Deployment,
-    all: readonly EngineRoom[],
+    largest: ReadonlyMap<string, number>,
 ): TextProblem[] {
-    const model = deployment.models.find(({ name }) => name === adapter.model);
-    if (model === undefined) {
-        return [];
-    }
-    const room = largest(roomsFor(model, all));
-    const left = room - model.megabytes;
-    return left < 0 || adapter.megabytes <= left ? [] : [document.problemAt(["adapters", index, "megabytes"], {
-        message: `The adapter ${adapter.name} fits on no engine beside its model ${model.name}`,
-        allowed: `at most ${left} megabytes`,
-    })];
+    const models = new Map(deployment.models.map(model => [model.name, model]));
+    return deployment.adapters.flatMap((adapter, index) => {
+        const model = models.get(adapter.model);
+        const left = model === undefined ? 0 : largestRoom(model, largest) - model.megabytes;
+        return left < 0 || adapter.megabytes <= left ? [] : [document.problemAt(["adapters", index, "megabytes"], {
+            message: `The adapter ${adapter.name} fits on no engine beside its model ${adapter.model}`,
+            allowed: `at most ${left} megabytes`,
+        })];
+    });
 }
 
 function packingProblems(document: TextDocument, deployment: Deployment, all: readonly EngineRoom[]): TextProblem[] {
@@ -108,10 +122,12 @@
  */
 export function capacityProblems(document: TextDocument, deployment: Deployment): TextProblem[] {
     const all = rooms(deployment);
+    const byPool = groupByPool(all);
+    const largest = new Map([...byPool].map(([pool, megabytes]) => [pool, Math.max(0, ...megabytes)]));
     const single = [
         ...roleProblems(document, deployment),
-        ...deployment.models.flatMap((model, index) => modelProblems(document, model, index, all)),
-        ...deployment.adapters.flatMap((adapter, index) => adapterProblems(document, adapter, index, deployment, all)),
+        ...modelProblems(document, deployment, byPool, largest),
+        ...adapterProblems(document, deployment, largest),
     ];
     return single.length > 0 ? single : packingProblems(document, deployment, all);
 }
--- a/src/configuration/_packing.ts
+++ b/src/configuration/_packing.ts
@@ -67,6 +67,12 @@
     room: number;
 }
 
+const NO_BINS: ReadonlySet<OpenBin> = new Set();
+
+function isFuller(left: OpenBin, right: OpenBin): boolean {
+    return left.room < right.room || (left.room === right.room && left.kind < right.kind);
+}
+
 class Search {
     readonly #copies: readonly PackingItem[];
     readonly #bins: OpenBin[];
@@ -80,7 +86,7 @@
 
     /** Gives `found`, `none` after a complete search, or `unknown` at the bound. */
     run(): "found" | "none" | "unknown" {
-        return this.#place(0, new Set());
+        return this.#place(0, NO_BINS);
     }
 
     /** Places the copy at `index`; `taken` are the bins that hold earlier copies of the same item. */
@@ -90,12 +96,12 @@
             return "found";
         }
         const sameNext = this.#copies[index + 1] === item;
-        for (const bin of this.#candidates(item, taken)) {
+        for (let bin = this.#next(item, taken); bin !== undefined; bin = this.#next(item, taken, bin)) {
             if (this.#steps > MOST_SEARCH_STEPS) {
                 return "unknown";
             }
             bin.room -= item.size;
-            const outcome = this.#place(index + 1, sameNext ? new Set([...taken, bin]) : new Set());
+            const outcome = this.#place(index + 1, sameNext ? new Set([...taken, bin]) : NO_BINS);
             bin.room += item.size;
             if (outcome !== "none") {
                 return outcome;
@@ -104,16 +110,18 @@
         return "none";
     }
 
-    /** Gives one of each set of equal bins, fullest first. */
-    #candidates(item: PackingItem, taken: ReadonlySet<OpenBin>): OpenBin[] {
+    /** Gives the fullest bin with room that comes behind another; bins of one kind and room are equal, one is given. */
+    #next(item: PackingItem, taken: ReadonlySet<OpenBin>, behind?: OpenBin): OpenBin | undefined {
         this.#steps += this.#bins.length;
-        const distinct = new Map<string, OpenBin>();
+        let best: OpenBin | undefined;
         for (const bin of this.#bins) {
-            if (bin.room >= item.size && item.kinds.has(bin.kind) && !taken.has(bin)) {
-                distinct.set(`${bin.kind}/${bin.room}`, bin);
+            const eligible = bin.room >= item.size && item.kinds.has(bin.kind) && !taken.has(bin);
+            const isBehind = behind === undefined || isFuller(behind, bin);
+            if (eligible && isBehind && (best === undefined || isFuller(bin, best))) {
+                best = bin;
             }
         }
-        return [...distinct.values()].sort((left, right) => left.room - right.room || left.kind - right.kind);
+        return best;
     }
 }
 
--- a/tests/_testSite.ts
+++ b/tests/_testSite.ts
@@ -7,7 +7,7 @@
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import { startProcess } from "../demo/processes.js";
-import { type HostProcess, type Site, startSite, type StandInProcess, waitUntil } from "../demo/sites.js";
+import { type HostProcess, type Site, type StandInProcess, startSite, waitUntil } from "../demo/sites.js";
 import { type AddressesAnswer, type Refusal } from "../src/generated/callers.js";
 import { type EngineState, expectedTokens } from "../standins/engine.js";
 import { type PlainServiceState } from "../standins/plainService.js";
--- a/tests/badInput.test.ts
+++ b/tests/badInput.test.ts
@@ -5,7 +5,16 @@
 import { request } from "undici";
 import { type Refusal } from "../src/generated/callers.js";
 import { CRASH_MARKER } from "../standins/engine.js";
-import { addresses, chat, expectedText, order, readEngine, readPlain, startTestSite, type TestSite } from "./_testSite.js";
+import {
+    addresses,
+    chat,
+    expectedText,
+    order,
+    readEngine,
+    readPlain,
+    startTestSite,
+    type TestSite,
+} from "./_testSite.js";
 
 const HEADER_BYTES = 16_384;
 const BODY_BYTES = 65_536;
@@ -38,7 +47,14 @@
 const CHAT = "/v1/chat/completions";
 const CUT = "/v1/services/line/cut";
 const REFUSED: readonly (readonly [string, string, string, Record<string, string>, number, string])[] = [
-    ["a body that is too large", CHAT, JSON.stringify({ model: "quotes", messages, x: "x".repeat(BODY_BYTES) }), {}, 413, "body-too-large"],
+    [
+        "a body that is too large",
+        CHAT,
+        JSON.stringify({ model: "quotes", messages, x: "x".repeat(BODY_BYTES) }),
+        {},
+        413,
+        "body-too-large",
+    ],
     ["a body that is not JSON", CHAT, "{\"model\":", {}, 400, "invalid-request"],
     ["a body of the wrong shape", CHAT, "{\"model\":\"quotes\",\"messages\":7}", {}, 400, "invalid-request"],
     ["an unknown model", CHAT, JSON.stringify({ model: "nothing", messages }), {}, 404, "unknown-model"],
--- a/tests/hosts.test.ts
+++ b/tests/hosts.test.ts
@@ -93,7 +93,9 @@
     const ticket = await ticketOf(1);
     const cut = order(leaving.callersUrl, `${ticket}/while-leaving`);
     await waitUntil(async () => {
-        const status = await (await request(`${leaving.callersUrl}/v1/status`)).body.json() as { openRequests: number; };
+        const status = await (await request(`${leaving.callersUrl}/v1/status`)).body.json() as {
+            openRequests: number;
+        };
         return status.openRequests >= streams.length;
     }, "the streams run");
     // A caller that asked another host a moment ago keeps the address that it got for as long as it may.
