Store long texts compressed

Change: over 32 KB the record's text is gzip in base64 (optional 'encoding'; missing means plain): 47 KB at that size. apply, show and the configuration decision read both forms; decompression is bounded.

--- a/measurements/configurationText.ts
+++ b/measurements/configurationText.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { parseDeployment } from "../src/configuration/index.js";
+import { encodeRecordText, parseDeployment } from "../src/configuration/index.js";
 
 const SIZES = [15, 150, 600, 1200];
 const ENGINES_PER_MODEL = 1300 / 1200;
@@ -54,10 +54,12 @@
     return times.sort((left, right) => left - right)[Math.floor(RUNS / 2)] ?? 0;
 }
 
-console.log("| models | engines | adapters | bytes | median to read and check (ms) |");
-console.log("| ---: | ---: | ---: | ---: | ---: |");
+console.log("| models | engines | adapters | bytes | bytes in the record | median to read and check (ms) |");
+console.log("| ---: | ---: | ---: | ---: | ---: | ---: |");
 for (const models of SIZES) {
     const text = createText(models);
-    const cells = [models, Math.ceil(models * ENGINES_PER_MODEL), models * ADAPTERS_PER_MODEL, text.length];
+    const inRecord = encodeRecordText(text).text.length;
+    const engines = Math.ceil(models * ENGINES_PER_MODEL);
+    const cells = [models, engines, models * ADAPTERS_PER_MODEL, text.length, inRecord];
     console.log(`| ${cells.join(" | ")} | ${measureMilliseconds(text).toFixed(1)} |`);
 }
--- a/src/commands/show.ts
+++ b/src/commands/show.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Command, Option } from "clipanion";
-import { readConfiguration } from "../configuration/index.js";
+import { decodeRecordText, readConfiguration } from "../configuration/index.js";
 import { type KeyValueService } from "../platform/index.js";
 import { type CommandOutcome, fail } from "./_operatorCommand.js";
 import { StoreCommand } from "./_store.js";
@@ -33,12 +33,17 @@
         if (record === undefined) {
             return fail(EXIT_CODES.failed, "no-configuration", "No text has been applied yet.");
         }
-        const { revision, changeIdentifier, operator, text } = record;
+        const decoded = decodeRecordText(record);
+        if (decoded.isErr()) {
+            return fail(EXIT_CODES.failed, "unreadable-record", decoded.error);
+        }
+        const text = decoded.value;
+        const { revision, changeIdentifier, operator } = record;
         const appliedAt = new Date(record.appliedAtMilliseconds).toISOString();
         const heading = `// revision ${revision}, change ${changeIdentifier} by ${operator} at ${appliedAt}`;
         return {
             exitCode: EXIT_CODES.ok,
-            data: { ok: true, ...record },
+            data: { ok: true, ...record, encoding: "plain", text },
             text: this.text ? text.trimEnd() : `${heading}\n${text.trimEnd()}`,
         };
     }
--- a/src/configuration/apply.test.ts
+++ b/src/configuration/apply.test.ts
@@ -6,7 +6,7 @@
 import { createSeededRandom, type RandomSource } from "../decision/index.js";
 import { type ConfigurationRecord } from "../generated/platform.js";
 import { type KeyValueEntry, type PlatformError, type SwapOptions, type SwapOutcome } from "../platform/types.js";
-import { type AppliedChange, applyDeployment, type ApplyFailure } from "./index.js";
+import { type AppliedChange, applyDeployment, type ApplyFailure, decodeRecordText } from "./index.js";
 
 const SAKAN = readFileSync("examples/sakan.jsonc", "utf8");
 const SEED = 20261203;
@@ -169,3 +169,23 @@
     });
     assert.deepEqual(outcome.map(change => [change.record.revision, change.supersededBy]), new Ok([2, 4]));
 });
+
+test("a long text is stored compressed, found unchanged, and read back whole", async () => {
+    const store = new FaultyStore(() => 0.9);
+    const long = `${SAKAN}\n// ${"a long remark ".repeat(20_000)}`;
+    const options = {
+        keyValue: store,
+        fileName: "text",
+        operator: "amina",
+        createIdentifier: () => "amina-0",
+        readTimeOfDay: () => 0,
+        wait: () => Promise.resolve(),
+    };
+    assert.equal((await applyDeployment(long, options)).unwrap().type, "applied");
+    assert.equal((await applyDeployment(long, options)).unwrap().type, "unchanged");
+    const [record] = store.written;
+    assert.ok(record !== undefined && record.text.length * 10 < long.length);
+    assert.equal(decodeRecordText(record).unwrap(), long);
+    const broken = decodeRecordText({ text: "!", encoding: "gzip-base64" });
+    assert.ok(broken.isErr());
+});
--- a/src/configuration/apply.ts
+++ b/src/configuration/apply.ts
@@ -9,6 +9,7 @@
 import { type KeyValueService, type PlatformError, type SwapOutcome } from "../platform/types.js";
 import { parseDeployment } from "./parse.js";
 import { type TextProblem } from "./problems.js";
+import { decodeRecordText, encodeRecordText } from "./recordText.js";
 import { CONFIGURATION_KEY, decodeConfiguration, readConfiguration, type StoredConfiguration } from "./store.js";
 
 const MOST_RECORD_BYTES = 1_000_000;
@@ -63,7 +64,7 @@
     return {
         revision: Math.max((before?.revision ?? 0) + 1, options.lowestRevision ?? 1),
         changeIdentifier: options.createIdentifier(),
-        text,
+        ...encodeRecordText(text),
         appliedAtMilliseconds: options.readTimeOfDay(),
         operator: options.operator,
         earlierChanges: earlier.slice(0, EARLIER_CHANGES_KEPT),
@@ -109,7 +110,7 @@
     }
     const { record: before } = read.value;
     const below = (before?.revision ?? 0) < (options.lowestRevision ?? 0);
-    if (before?.text === text && !below) {
+    if (before !== undefined && decodeRecordText(before).unwrapOr(undefined) === text && !below) {
         return new Ok({ type: "unchanged", record: before });
     }
     if (options.expectedRevision !== undefined && (before?.revision ?? 0) !== options.expectedRevision) {
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -12,6 +12,7 @@
 import { PeerRevisions } from "./_peerRevisions.js";
 import { type ConfigurationEffect, type ConfigurationMessage } from "./messages.js";
 import { formatProblems, type TextProblem } from "./problems.js";
+import { decodeRecordText } from "./recordText.js";
 
 const WATCHERS_PER_ZONE = 3;
 const WATCHER_READ_INTERVAL_MILLISECONDS = 2000;
@@ -160,10 +161,11 @@
         if (record.revision <= this.#revision() || this.#rejected.has(record.revision)) {
             return [];
         }
-        const outcome = this.#options.parse(record.text);
+        const outcome = decodeRecordText(record)
+            .andThen(text => this.#options.parse(text).mapErr(formatProblems));
         if (outcome.isErr()) {
             this.#rejected.add(record.revision);
-            return [{ type: "reject-record", revision: record.revision, message: formatProblems(outcome.error) }];
+            return [{ type: "reject-record", revision: record.revision, message: outcome.error }];
         }
         this.#inForce = { record, deployment: outcome.value };
         return [{ type: "activate", record, deployment: outcome.value }];
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -24,4 +24,5 @@
 export { type ConfigurationEffect, type ConfigurationMessage } from "./messages.js";
 export { parseDeployment, type ParseOptions, parseSettings } from "./parse.js";
 export { formatProblems, type TextProblem } from "./problems.js";
+export { decodeRecordText, encodeRecordText } from "./recordText.js";
 export { CONFIGURATION_KEY, decodeConfiguration, readConfiguration, type StoredConfiguration } from "./store.js";
