--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -6,11 +6,10 @@
 import { match } from "ts-pattern";
 import { type Decision, type RandomSource } from "../decision/index.js";
 import { type HostIdentity, type PeerProgress, type PeerStatus } from "../generated/peers.js";
-import { chooseTargets, sample } from "./_fanOut.js";
-import { selectKnown } from "./_known.js";
-import { type Member, renderStatus } from "./_members.js";
+import { HeartbeatWriter } from "./_heartbeats.js";
+import { type Member } from "./_members.js";
 import { MemberTable } from "./_memberTable.js";
-import { indexMembers, readProgress, renderProgress, unknownHashes } from "./_progress.js";
+import { indexMembers, readProgress, unknownHashes } from "./_progress.js";
 import { type CallerPlace, choosePoller, rankByDistance } from "./_ranking.js";
 import { type MembershipEffect, type MembershipMessage } from "./messages.js";
 
@@ -18,16 +17,8 @@
 const UNREACHABLE_MILLISECONDS = 2500;
 /** A gap between two ticks beyond this is this host's own pause, not silence of others. */
 const OWN_PAUSE_MILLISECONDS = 1500;
-/** Lost or not yet known hosts that are tried with each heartbeat. */
-const PROBES_PER_HEARTBEAT = 3;
-const PROBES_AMONG_MANY = 1;
-/** Bound of the columns in the schema of digests. */
-const MOST_COUNTERS = 512;
-/** Identities that are asked for, or told, in one message. */
-const MOST_WANTED = 64;
 
 type Message<Type extends MembershipMessage["type"]> = Extract<MembershipMessage, { type: Type; }>;
-type HeartbeatTarget = Pick<HostIdentity, "host" | "peersUrl">;
 type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key]; };
 
 /** Options of {@linkcode createMembershipDecision}. */
@@ -68,6 +59,7 @@
     readonly #identity: HostIdentity;
     readonly #random: RandomSource;
     readonly #table: MemberTable;
+    readonly #writer: HeartbeatWriter;
     readonly #own: Mutable<Omit<PeerStatus, "identity">> = {
         heartbeat: 0,
         leaving: false,
@@ -83,6 +75,7 @@
         this.#identity = options.identity;
         this.#random = options.random;
         this.#table = new MemberTable(options.identity);
+        this.#writer = new HeartbeatWriter(this.#table, options);
     }
 
     handle(message: MembershipMessage, nowMilliseconds: number): readonly MembershipEffect[] {
@@ -162,7 +155,7 @@
         const isUrgent = changes.some(change => change.type === "peer-leaving");
         return [
             ...changes,
-            ...(isNewcomer ? [this.#welcome(sender, nowMilliseconds)] : []),
+            ...(isNewcomer ? [this.#writer.welcome(sender, this.#ownStatus(), nowMilliseconds)] : []),
             ...(isUrgent ? this.#heartbeats(nowMilliseconds) : []),
         ];
     }
@@ -171,14 +164,14 @@
     #hearProgress(sender: HostIdentity, progress: PeerProgress, nowMilliseconds: number): MembershipEffect[] {
         const index = indexMembers(this.#table.all());
         const changes = this.#takeAll(readProgress(progress, index), nowMilliseconds);
-        const unknown = unknownHashes(progress, index, this.#identity).slice(0, MOST_WANTED);
+        const own = this.#ownStatus();
+        const unknown = unknownHashes(progress, index, this.#identity);
         const wanted = (progress.wanted ?? []).map(hash => index.get(hash)).filter(member => member !== undefined);
         if (unknown.length > 0) {
-            const question = { ...renderProgress([], nowMilliseconds), wanted: unknown };
-            changes.push(this.#message(sender, [], question, nowMilliseconds));
+            changes.push(this.#writer.question(sender, unknown, own, nowMilliseconds));
         }
         if (wanted.length > 0) {
-            changes.push(this.#message(sender, wanted.slice(0, MOST_WANTED), undefined, nowMilliseconds));
+            changes.push(this.#writer.answer(sender, wanted, own, nowMilliseconds));
         }
         return changes;
     }
@@ -224,59 +217,22 @@
         }
         this.#lastHeartbeatMilliseconds = nowMilliseconds;
         this.#table.forgetLongLost(nowMilliseconds);
-        return [...lost, ...this.#heartbeats(nowMilliseconds), ...this.#probes(nowMilliseconds)];
+        return [
+            ...lost,
+            ...this.#heartbeats(nowMilliseconds),
+            ...this.#writer.probes(this.#ownStatus(), nowMilliseconds),
+        ];
     }
 
+    /** Sends one heartbeat to each target; every round counts once. */
     #heartbeats(nowMilliseconds: number): MembershipEffect[] {
         this.#own.heartbeat += 1;
-        return chooseTargets(this.#identity, this.heardPeers(), this.#random)
-            .map(target => this.#heartbeat(target, nowMilliseconds));
-    }
-
-    #heartbeat(target: HeartbeatTarget, nowMilliseconds: number): MembershipEffect {
-        const members = this.#table.all().filter(member => member.identity.host !== target.host);
-        const { whole, counters } = selectKnown(members, this.#identity, this.#random);
-        const progress = counters.length === 0 ? undefined : renderProgress(counters, nowMilliseconds);
-        return this.#message(target, whole, progress, nowMilliseconds);
-    }
-
-    /** Tells a newcomer of every host that is heard; it asks back for the identities that it does not know. */
-    #welcome(newcomer: HostIdentity, nowMilliseconds: number): MembershipEffect {
-        const others = this.#table.heard().filter(member => member.identity.host !== newcomer.host);
-        const progress = renderProgress(others.slice(0, MOST_COUNTERS), nowMilliseconds);
-        return this.#message(newcomer, [], progress, nowMilliseconds);
-    }
-
-    #message(
-        target: HeartbeatTarget,
-        whole: readonly Member[],
-        progress: PeerProgress | undefined,
-        nowMilliseconds: number,
-    ): MembershipEffect {
-        return {
-            type: "send-heartbeat",
-            host: target.host,
-            peersUrl: target.peersUrl,
-            status: this.#ownStatus(),
-            known: whole.map(member => renderStatus(member, nowMilliseconds)),
-            ...(progress === undefined ? {} : { progress }),
-        };
+        return this.#writer.round(this.#ownStatus(), nowMilliseconds);
     }
 
     #ownStatus(): PeerStatus {
         return { identity: this.#identity, ...this.#own, advertise: this.#advertisesItself() };
     }
-
-    /** Tries hosts that are lost, or listed by the platform and not yet heard. */
-    #probes(nowMilliseconds: number): MembershipEffect[] {
-        const lost = this.#table.all().filter(member => member.lostAtMilliseconds !== undefined)
-            .map(member => member.identity);
-        const unknown = this.#table.hostList.live()
-            .filter(({ host }) => host !== this.#identity.host && this.#table.get(host) === undefined);
-        const count = this.#table.usesRumours() ? PROBES_AMONG_MANY : PROBES_PER_HEARTBEAT;
-        return sample([...lost, ...unknown], count, this.#random)
-            .map(target => this.#heartbeat(target, nowMilliseconds));
-    }
 }
 
 /**
