--- a/measurements/fleet.ts
+++ b/measurements/fleet.ts
@@ -3,51 +3,19 @@
  *
  * @module
  */
-import { Ok, type Result } from "ts-results-es";
-import {
-    type ConfigurationDecision,
-    type ConfigurationEffect,
-    type ConfigurationMessage,
-    createConfigurationDecision,
-} from "../src/configuration/index.js";
-import { type TextProblem } from "../src/configuration/index.js";
+import { type ConfigurationEffect, type ConfigurationMessage } from "../src/configuration/index.js";
 import { createSeededRandom, type RandomSource } from "../src/decision/index.js";
-import { type Deployment } from "../src/generated/deployment.js";
-import { type HostIdentity } from "../src/generated/peers.js";
 import { type ConfigurationRecord } from "../src/generated/platform.js";
-import {
-    createMembershipDecision,
-    type MembershipDecision,
-    type MembershipEffect,
-    type MembershipMessage,
-} from "../src/membership/index.js";
+import { type MembershipEffect, type MembershipMessage } from "../src/membership/index.js";
 import { Agenda } from "./_agenda.js";
+import { createFleetHost, type FleetHost, WAKING_MILLISECONDS } from "./_fleetHost.js";
 import { Network } from "./_network.js";
 
 const TICK_MILLISECONDS = 250;
 const HOST_LIST_INTERVAL_MILLISECONDS = 2000;
 const PLATFORM_DELAY_MILLISECONDS = 4;
-/** A process that wakes from a pause runs its timers before it reads its sockets. */
-const WAKING_MILLISECONDS = 300;
 
-/** Reads a text without looking at it; these runs are about revisions. */
-function parseAnything(): Result<Deployment, readonly TextProblem[]> {
-    return new Ok({} as Deployment);
-}
-
-/** One process of a host. */
-export interface FleetHost {
-    readonly identity: HostIdentity;
-    readonly membership: MembershipDecision;
-    readonly configuration: ConfigurationDecision;
-    alive: boolean;
-    pausedUntilMilliseconds: number;
-    /** Revisions in the order in which they came into force. */
-    readonly activated: ConfigurationRecord[];
-    /** Incarnations of peers that this process knows to leave, as `host/incarnation`. */
-    readonly knownLeaving: Set<string>;
-    left: boolean;
-}
+export { type FleetHost } from "./_fleetHost.js";
 
 /** Options of a fleet. */
 export interface FleetOptions {
@@ -103,27 +71,11 @@
     start(name: string): void {
         this.kill(name);
         this.#incarnations += 1;
-        const index = Number(name.split("-")[1]);
-        const zone = index % this.#options.zones;
-        const region = zone % (this.#options.regions ?? 1);
-        const identity: HostIdentity = {
-            host: name,
-            incarnation: `0mc${String(this.#incarnations).padStart(6, "0")}-1a2b3c4d`,
-            zone: `zone-${zone}`,
-            region: `region-${region}`,
-            callersUrl: `http://10.20.${zone}.${index}:8080`,
-            peersUrl: `http://10.20.${zone}.${index}:8081`,
-        };
-        const host: FleetHost = {
-            identity,
-            membership: createMembershipDecision({ identity, random: this.random }),
-            configuration: createConfigurationDecision({ host: name, parse: parseAnything, random: this.random }),
-            alive: true,
-            pausedUntilMilliseconds: -WAKING_MILLISECONDS,
-            activated: [],
-            knownLeaving: new Set(),
-            left: false,
-        };
+        const host = createFleetHost(name, this.#incarnations, {
+            zones: this.#options.zones,
+            regions: this.#options.regions ?? 1,
+            random: this.random,
+        });
         this.hosts.set(name, host);
         this.#repeat(host, TICK_MILLISECONDS, () => this.#tick(host));
         this.#repeat(host, HOST_LIST_INTERVAL_MILLISECONDS, () => this.#readHostList(host));
