Send answers about identities apart from the heartbeats of a round

Cause: since counters are sent at every size, questions and answers also occur among few hosts; the shell took a round of the digest board for each, so that one peer's answer consumed demand digests and repeats meant for all (found by reading). Change: effect 'send-reply', for which the shell sends no digest parts. measurements/capacity/membership.ts passes counters and replies on; without them its hosts would have lost one another's counters.

--- a/measurements/capacity/membership.ts
+++ b/measurements/capacity/membership.ts
@@ -4,8 +4,12 @@
  * @module
  */
 import { createSeededRandom } from "../../src/decision/index.js";
-import { type PeerStatus } from "../../src/generated/peers.js";
-import { createMembershipDecision, type MembershipDecision } from "../../src/membership/index.js";
+import { type PeerProgress, type PeerStatus } from "../../src/generated/peers.js";
+import {
+    createMembershipDecision,
+    type MembershipDecision,
+    type MembershipEffect,
+} from "../../src/membership/index.js";
 import { heapBytes } from "./probe.js";
 import { sampleIdentity } from "./sampleDeployment.js";
 
@@ -27,6 +31,7 @@
     readonly to: number;
     readonly status: PeerStatus;
     readonly known: readonly PeerStatus[];
+    readonly progress: PeerProgress | undefined;
 }
 
 /**
@@ -79,23 +84,23 @@
     const startedAt = performance.now();
     let counting = 0;
     const deliveries: Delivery[] = [];
-    for (const decision of decisions) {
-        for (const effect of decision.handle({ type: "tick" }, now)) {
-            if (effect.type === "send-heartbeat" && effect.host !== undefined) {
-                const countingStartedAt = performance.now();
-                tally.heartbeats += 1;
-                tally.bytes += Buffer.byteLength(JSON.stringify({ status: effect.status, known: effect.known }));
-                counting += performance.now() - countingStartedAt;
-                deliveries.push({
-                    to: Number(effect.host.replace("entry-", "")),
-                    status: effect.status,
-                    known: effect.known,
-                });
+    const take = (effects: readonly MembershipEffect[]): void => {
+        for (const effect of effects) {
+            if ((effect.type !== "send-heartbeat" && effect.type !== "send-reply") || effect.host === undefined) {
+                continue;
             }
+            const { status, known, progress } = effect;
+            const countingStartedAt = performance.now();
+            tally.heartbeats += 1;
+            tally.bytes += Buffer.byteLength(JSON.stringify({ status, known, progress }));
+            counting += performance.now() - countingStartedAt;
+            deliveries.push({ to: Number(effect.host.replace("entry-", "")), status, known, progress });
         }
-    }
-    for (const { to, status, known } of deliveries) {
-        decisions[to]?.handle({ type: "heartbeat-received", status, known }, now);
+    };
+    decisions.forEach(decision => take(decision.handle({ type: "tick" }, now)));
+    for (let next = deliveries.shift(); next !== undefined; next = deliveries.shift()) {
+        const { to, status, known, progress } = next;
+        take(decisions[to]?.handle({ type: "heartbeat-received", status, known, progress }, now) ?? []);
     }
     tally.processorMilliseconds += performance.now() - startedAt - counting;
 }
--- a/measurements/fleet.ts
+++ b/measurements/fleet.ts
@@ -17,6 +17,8 @@
 
 export { type FleetHost } from "./_fleetHost.js";
 
+type HeartbeatEffect = Extract<MembershipEffect, { type: "send-heartbeat" | "send-reply"; }>;
+
 /** Options of a fleet. */
 export interface FleetOptions {
     readonly seed: number;
@@ -24,7 +26,7 @@
     readonly zones: number;
     readonly regions?: number;
     /** Called with each heartbeat sent, for measuring. */
-    readonly onHeartbeat?: (from: string, effect: Extract<MembershipEffect, { type: "send-heartbeat"; }>) => void;
+    readonly onHeartbeat?: (from: string, effect: HeartbeatEffect) => void;
 }
 
 /** Hosts, their network, and a key-value service that can fail. */
@@ -175,7 +177,7 @@
 
     #tellMembership(host: FleetHost, message: MembershipMessage): void {
         for (const effect of host.membership.handle(message, this.nowMilliseconds)) {
-            if (effect.type === "send-heartbeat") {
+            if (effect.type === "send-heartbeat" || effect.type === "send-reply") {
                 this.#sendHeartbeat(host, effect);
             }
             else if (effect.type === "peer-leaving") {
@@ -184,7 +186,7 @@
         }
     }
 
-    #sendHeartbeat(from: FleetHost, effect: Extract<MembershipEffect, { type: "send-heartbeat"; }>): void {
+    #sendHeartbeat(from: FleetHost, effect: HeartbeatEffect): void {
         this.#options.onHeartbeat?.(from.identity.host, effect);
         const target = effect.host === undefined ? undefined : this.hosts.get(effect.host);
         const passes = target?.alive === true && this.network.passes(from.identity.host, target.identity.host);
--- a/src/host/membershipTask.ts
+++ b/src/host/membershipTask.ts
@@ -28,6 +28,9 @@
 const SHARE_SOON_MILLISECONDS = 20;
 const HOST_LIST_INTERVAL_MILLISECONDS = 2000;
 
+/** Digest parts of a reply: a round goes to all targets of its heartbeats, so a single peer gets none of it. */
+const EMPTY_ROUND: DigestRound = { engines: [], residency: [], suspects: [], demand: [] };
+
 /** The running membership task. */
 export interface MembershipTask {
     /** Questions to the decision; messages go through the task. */
@@ -148,7 +151,9 @@
             const round = this.#board.takeRound(this.#context.clock());
             heartbeats.forEach(heartbeat => void this.#sendHeartbeat(heartbeat, round));
         }
-        const changes = effects.filter(effect => effect.type !== "send-heartbeat");
+        const replies = effects.filter(effect => effect.type === "send-reply");
+        replies.forEach(reply => void this.#sendHeartbeat(reply, EMPTY_ROUND));
+        const changes = effects.filter(effect => effect.type !== "send-heartbeat" && effect.type !== "send-reply");
         for (const change of changes) {
             this.#context.logger.info(change.type, {
                 peer: change.identity.host,
@@ -167,7 +172,7 @@
     }
 
     async #sendHeartbeat(
-        heartbeat: Extract<MembershipEffect, { type: "send-heartbeat"; }>,
+        heartbeat: Extract<MembershipEffect, { type: "send-heartbeat" | "send-reply"; }>,
         round: DigestRound,
     ): Promise<void> {
         const client = this.#context.peers.get(heartbeat.peersUrl, heartbeat.peersUrl);
--- a/src/membership/_heartbeats.ts
+++ b/src/membership/_heartbeats.ts
@@ -22,6 +22,15 @@
 
 type Target = Pick<HostIdentity, "host" | "peersUrl">;
 
+/** What one message tells. */
+interface MessageParts {
+    readonly own: PeerStatus;
+    /** Members told with their identities. */
+    readonly whole: readonly Member[];
+    /** Members told by their counters. */
+    readonly progress?: PeerProgress;
+}
+
 /** Options of a writer. */
 export interface HeartbeatWriterOptions {
     readonly identity: HostIdentity;
@@ -62,37 +71,33 @@
     welcome(newcomer: Target, own: PeerStatus, nowMilliseconds: number): MembershipEffect {
         const others = this.#table.heard().filter(member => member.identity.host !== newcomer.host);
         const progress = renderProgress(others.slice(0, MOST_COUNTERS), nowMilliseconds);
-        return this.#message(newcomer, { own, whole: [], progress }, nowMilliseconds);
+        return this.#reply(newcomer, { own, whole: [], progress }, nowMilliseconds);
     }
 
     /** Asks for the identities behind hashes. */
     question(target: Target, hashes: readonly number[], own: PeerStatus, nowMilliseconds: number): MembershipEffect {
         const progress = { ...renderProgress([], nowMilliseconds), wanted: hashes.slice(0, MOST_WANTED) };
-        return this.#message(target, { own, whole: [], progress }, nowMilliseconds);
+        return this.#reply(target, { own, whole: [], progress }, nowMilliseconds);
     }
 
     /** Tells the identities that a peer asked for. */
     answer(target: Target, wanted: readonly Member[], own: PeerStatus, nowMilliseconds: number): MembershipEffect {
-        return this.#message(target, { own, whole: wanted.slice(0, MOST_WANTED) }, nowMilliseconds);
+        return this.#reply(target, { own, whole: wanted.slice(0, MOST_WANTED) }, nowMilliseconds);
     }
 
     #heartbeat(target: Target, own: PeerStatus, nowMilliseconds: number): MembershipEffect {
         const members = this.#table.all().filter(member => member.identity.host !== target.host);
         const { whole, counters } = selectKnown(members, this.#identity, this.#random);
-        return this.#message(
-            target,
-            { own, whole, ...(counters.length === 0 ? {} : { progress: renderProgress(counters, nowMilliseconds) }) },
-            nowMilliseconds,
-        );
+        const progress = counters.length === 0 ? {} : { progress: renderProgress(counters, nowMilliseconds) };
+        return { type: "send-heartbeat", ...this.#message(target, { own, whole, ...progress }, nowMilliseconds) };
+    }
+
+    #reply(target: Target, parts: MessageParts, nowMilliseconds: number): MembershipEffect {
+        return { type: "send-reply", ...this.#message(target, parts, nowMilliseconds) };
     }
 
-    #message(
-        target: Target,
-        parts: { readonly own: PeerStatus; readonly whole: readonly Member[]; readonly progress?: PeerProgress; },
-        nowMilliseconds: number,
-    ): MembershipEffect {
+    #message(target: Target, parts: MessageParts, nowMilliseconds: number) {
         return {
-            type: "send-heartbeat",
             host: target.host,
             peersUrl: target.peersUrl,
             status: parts.own,
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -48,6 +48,15 @@
         /** Counters of further hosts, whose identities the peer was told before; only where hosts are many. */
         readonly progress?: PeerProgress;
     }
+    /** Answers one peer about identities, at once and apart from the heartbeats of a round. */
+    | {
+        readonly type: "send-reply";
+        readonly peersUrl: string;
+        readonly host: string;
+        readonly status: PeerStatus;
+        readonly known: readonly PeerStatus[];
+        readonly progress?: PeerProgress;
+    }
     | { readonly type: "peer-up"; readonly identity: HostIdentity; }
     /** No heartbeat within the failure timeout, or another incarnation took its name. */
     | { readonly type: "peer-down"; readonly identity: HostIdentity; }
