--- a/standins/_server.ts
+++ b/standins/_server.ts
@@ -130,8 +130,8 @@
         }
     }
 
-    async function waitWhileFrozen(): Promise<void> {
-        while (faults.freeze) {
+    async function waitWhileFrozen(affected: boolean): Promise<void> {
+        while (affected && faults.freeze) {
             await delay(FREEZE_POLL_MILLISECONDS);
         }
     }
@@ -152,14 +152,14 @@
         });
     }
 
-    function createWriter(response: ServerResponse): StreamWriter {
+    function createWriter(response: ServerResponse, affected: boolean): StreamWriter {
         let ended = false;
         response.on("close", () => {
             ended = true;
         });
         return {
             async write(text) {
-                await waitWhileFrozen();
+                await waitWhileFrozen(affected);
                 if (!ended) {
                     response.write(text);
                 }
@@ -177,7 +177,7 @@
         const body = await readBody(incoming);
         if (affected) {
             await delay(faults.delayMilliseconds);
-            await waitWhileFrozen();
+            await waitWhileFrozen(affected);
         }
         if (affected && faults.outage) {
             incoming.socket.destroy();
@@ -195,7 +195,7 @@
             headers: incoming.headers,
             body,
         });
-        await waitWhileFrozen();
+        await waitWhileFrozen(affected);
         if (affected && faults.dropAnswers > 0) {
             faults.dropAnswers -= 1;
             incoming.socket.destroy();
@@ -207,7 +207,7 @@
         }
         response.writeHead(200, { "content-type": answer.contentType });
         response.flushHeaders();
-        await answer.run(createWriter(response));
+        await answer.run(createWriter(response, affected));
         response.end();
     }
 
--- a/tests/_testSite.ts
+++ b/tests/_testSite.ts
@@ -28,6 +28,8 @@
     readonly engine?: Readonly<Record<string, unknown>>;
     /** Options of the plain service stand-in. */
     readonly plain?: Readonly<Record<string, unknown>>;
+    /** Changes the operators' text before it is applied. */
+    readonly editText?: (text: string) => string;
     /** Settings of every host. */
     readonly settings?: Readonly<Record<string, unknown>>;
 }
@@ -63,7 +65,8 @@
     const engineUrl = site.engines.get("engine-1")?.url ?? "";
     const relay = await startRelay(engineUrl);
     const text = await readFile(site.textFile, "utf8");
-    await writeFile(site.textFile, text.replaceAll(engineUrl, relay.url));
+    const { editText = (unchanged: string) => unchanged } = options;
+    await writeFile(site.textFile, editText(text.replaceAll(engineUrl, relay.url)));
     await apply(site);
     await waitForModels(site.hosts);
     const close = async () => {
