--- a/tests/hosts.test.ts
+++ b/tests/hosts.test.ts
@@ -42,23 +42,27 @@
     return ticket ?? "";
 }
 
-test("while the key-value service is down, hosts serve, orders with tickets run once, and apply says so", async () => {
-    const ticket = await ticketOf(0);
-    await setFaults(site.keyValue, { outage: true });
-    assert.equal((await chat(host(0).callersUrl, { prompt: "outage" })).text, expectedText({ prompt: "outage" }));
-    const ran = await order(host(0).callersUrl, `${ticket}/during-outage`);
-    assert.equal(ran.status, 200);
-    const repeated = await order(host(1).callersUrl, `${ticket}/during-outage`);
-    assert.equal(repeated.body, ran.body);
-    const bare = await order(host(1).callersUrl, "bare-key-during-outage");
-    assert.equal(bare.refusal?.reason, "store-unavailable");
-    assert.ok((bare.refusal.retryAfterMilliseconds ?? 0) > 0);
-    const applied = await apply(site);
-    assert.equal(applied.code, 5);
-    await setFaults(site.keyValue, { outage: false });
-    const { runs } = await readPlain(site);
-    assert.deepEqual([runs[`${ticket}/during-outage`], runs["bare-key-during-outage"]], [1, undefined]);
-});
+for (const fault of ["outage", "freeze"]) {
+    test(`while the key-value service is in ${fault}, hosts serve, orders run once, and apply says so`, async () => {
+        const ticket = await ticketOf(0);
+        const key = `${ticket}/during-${fault}`;
+        const bareKey = `bare-key-during-${fault}`;
+        await setFaults(site.keyValue, { [fault]: true });
+        assert.equal((await chat(host(0).callersUrl, { prompt: fault })).text, expectedText({ prompt: fault }));
+        const ran = await order(host(0).callersUrl, key);
+        assert.equal(ran.status, 200);
+        const repeated = await order(host(1).callersUrl, key);
+        assert.equal(repeated.body, ran.body);
+        const bare = await order(host(1).callersUrl, bareKey);
+        assert.equal(bare.refusal?.reason, "store-unavailable");
+        assert.ok((bare.refusal.retryAfterMilliseconds ?? 0) > 0);
+        const applied = await apply(site);
+        assert.equal(applied.code, 5);
+        await setFaults(site.keyValue, { [fault]: false });
+        const { runs } = await readPlain(site);
+        assert.deepEqual([runs[key], runs[bareKey]], [1, undefined]);
+    });
+}
 
 test("a stream of a host that is killed is resumed at another host where its caller left off", async () => {
     let received = "";
--- a/tests/streams.test.ts
+++ b/tests/streams.test.ts
@@ -89,6 +89,17 @@
     await setFaults(engine("engine-2"), { leaving: false });
 });
 
+test("streams of an engine that is frozen are whole, and so is what comes meanwhile", async () => {
+    const first = await startLongStream(hostUrl(0), { ...LONG, prompt: "Frozen" });
+    const victim = await findRunning(site);
+    engine(victim).process.child.kill("SIGSTOP");
+    const prompts = Array.from({ length: 12 }, (_, index) => `While frozen ${index}`);
+    const outcomes = await Promise.all(prompts.map((prompt, index) => chat(hostUrl(index % 3), { prompt })));
+    assertWhole(await first.outcome, { ...LONG, prompt: "Frozen" });
+    outcomes.forEach((outcome, index) => assertWhole(outcome, { prompt: prompts[index] ?? "" }));
+    engine(victim).process.child.kill("SIGCONT");
+});
+
 test("a stream is whole when its engine is killed in the middle, and so are its companions", async () => {
     const first = await startLongStream(hostUrl(0));
     const victim = await findRunning(site);
