--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -19,10 +19,14 @@
 import { createTask } from "./task.js";
 
 const TICK_MILLISECONDS = 20;
+/** Beyond this many peers none is asked about a claim, so that reading the records again would prove nothing. */
+const MOST_PEERS_ASKED = 32;
 
 /** The running claims task. */
 export interface ClaimsTask {
     claim(key: string, bodyHash: string): void;
+    /** Has the records read again, so that they prove a key's absence since the change. */
+    changePeers(count: number): void;
     close(): void;
 }
 
@@ -65,6 +69,12 @@
         this.#task.send({ type: "claim", key, bodyHash });
     }
 
+    changePeers(count: number): void {
+        if (count <= MOST_PEERS_ASKED) {
+            this.#task.send({ type: "peers-changed" });
+        }
+    }
+
     close(): void {
         this.#task.close();
     }
