--- a/src/residency/_furtherCopies.ts
+++ b/src/residency/_furtherCopies.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { isForReach, type PlanContext } from "./_planContext.js";
-import { pendingMegabytes, rankHosts, spareCopies } from "./_roomMaking.js";
+import { pendingMegabytes, rankHosts, spareCopies, worthOfSpare } from "./_roomMaking.js";
 import {
     adoptWorkspace,
     canHost,
@@ -115,7 +115,7 @@
     let lost = 0;
     for (const spare of spareCopies(tried, engine, context, {})) {
         if (missingMegabytes(engine, model) > pendingMegabytes(engine)) {
-            lost += context.worthOf(spare.name, enginesWith(tried, spare.name).length);
+            lost += worthOfSpare(tried, engine, spare, context);
             dropped.push(spare);
             planEvict(tried, engine, spare, `${model.name} is worth more here`);
         }
--- a/src/residency/_planContext.ts
+++ b/src/residency/_planContext.ts
@@ -17,8 +17,6 @@
 /** What the steps of one plan share. */
 export interface PlanContext extends RoomContext {
     readonly moveWeight: number;
-    /** Missed targets a second that a move has to avoid. */
-    readonly moveCost: number;
     readonly ordered: readonly PlacementModel[];
     readonly problems: PlacementProblem[];
 }
--- a/src/residency/_roomMaking.ts
+++ b/src/residency/_roomMaking.ts
@@ -18,12 +18,16 @@
 import { type PlacementCopy, type PlacementModel } from "./placement.js";
 
 const MOST_CHAINED_MOVES = 2;
+/** Cost of moving an adapter, as a share of that of a model. */
+const ADAPTER_MOVE_SHARE = 0.1;
 
 /** What room-making needs to know besides the workspace. */
 export interface RoomContext {
     readonly models: ReadonlyMap<string, PlacementModel>;
     /** Worth of the last of `copies` copies of a model. */
     readonly worthOf: (name: string, copies: number) => number;
+    /** Missed targets a second that a move has to avoid. */
+    readonly moveCost: number;
     /** Expected load of an engine, for a choice between equals. */
     readonly loadOf: (engine: WorkEngine) => number;
     /** Moves of single copies that may still be tried; bounds the planner's time where nothing fits. */
@@ -67,6 +71,13 @@
         || enginesWith(work, copy.name).length > minimum;
 }
 
+/** Worth of a spare copy, with what it costs to load its adapters elsewhere. */
+export function worthOfSpare(work: Workspace, engine: WorkEngine, copy: PlacementCopy, context: RoomContext): number {
+    const adapters = engine.grants.filter(grant => grant.model === copy.name).length;
+    const copies = enginesWith(work, copy.name).length;
+    return context.worthOf(copy.name, copies) + adapters * context.moveCost * ADAPTER_MOVE_SHARE;
+}
+
 /** Lists copies that another copy stands beside and that the operators' minimum spares, the least worth first. */
 export function spareCopies(
     work: Workspace,
@@ -82,7 +93,7 @@
     const worth = (copy: PlacementCopy): number =>
         copy.state === "uncertain" || copy.draining === true
             ? 0
-            : context.worthOf(copy.name, enginesWith(work, copy.name).length) / copy.megabytes;
+            : worthOfSpare(work, engine, copy, context) / copy.megabytes;
     return spares.sort((left, right) => worth(left) - worth(right) || (left.name < right.name ? -1 : 1));
 }
 
