--- /dev/null
+++ b/measurements/capacity/configuration.ts
@@ -0,0 +1,51 @@
+/**
+ * Size, parse time and state of an operators' text, against its engines and models.
+ *
+ * @module
+ */
+import { gzipSync } from "node:zlib";
+import { parseDeployment } from "../../src/configuration/index.js";
+import { microsecondsPerCall, retainedBytes } from "./probe.js";
+import { sampleDeployment } from "./sampleDeployment.js";
+
+const PARSES_IN_BATCH = 5;
+const MICROSECONDS_IN_MILLISECOND = 1000;
+
+/** What one operators' text costs a host. */
+export interface ConfigurationFigures {
+    readonly engines: number;
+    readonly models: number;
+    readonly textBytes: number;
+    readonly compressedBytes: number;
+    readonly parseMilliseconds: number;
+    readonly stateBytes: number;
+}
+
+/**
+ * Measures the operators' text of one size.
+ *
+ * @param engines How many engines.
+ * @param models How many models.
+ *
+ * @example
+ * ```ts
+ * console.log(measureConfiguration(1300, 1200).textBytes);
+ * ```
+ */
+export function measureConfiguration(engines: number, models: number): ConfigurationFigures {
+    const text = JSON.stringify(sampleDeployment({ engines, models, zones: 9 }));
+    const parse = () => parseDeployment(text, { fileName: "sample" });
+    const outcome = parse();
+    if (outcome.isErr()) {
+        throw new Error(`the sample text is refused: ${JSON.stringify(outcome.error[0])}`);
+    }
+    const { bytes } = retainedBytes(parse);
+    return {
+        engines,
+        models,
+        textBytes: Buffer.byteLength(text),
+        compressedBytes: gzipSync(text).length,
+        parseMilliseconds: microsecondsPerCall(PARSES_IN_BATCH, () => void parse()) / MICROSECONDS_IN_MILLISECOND,
+        stateBytes: bytes,
+    };
+}
