--- a/tests/hosts.test.ts
+++ b/tests/hosts.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
 import { request } from "undici";
 import { waitUntil } from "../demo/sites.js";
 import {
@@ -17,6 +18,8 @@
 } from "./_testSite.js";
 
 const RUN_MILLISECONDS = 1500;
+/** After this long a host knows its peers and has read the claim records since, so it can prove that a key was not run. */
+const SETTLED_MILLISECONDS = 6000;
 const LONG: ChatOptions = { prompt: "A long quote", tokens: 500 };
 
 let site: TestSite;
@@ -47,6 +50,7 @@
         const ticket = await ticketOf(0);
         const key = `${ticket}/during-${fault}`;
         const bareKey = `bare-key-during-${fault}`;
+        await wait(SETTLED_MILLISECONDS);
         await setFaults(site.keyValue, { [fault]: true });
         assert.equal((await chat(host(0).callersUrl, { prompt: fault })).text, expectedText({ prompt: fault }));
         const ran = await order(host(0).callersUrl, key);
