Try suspects on engines that are heard of, not where they failed

Cause: while one of three engines was frozen (SIGSTOP), innocent requests that had been in flight there waited 11 to 18 s: a suspect's trial took any copy when the live ones were set apart or resting, also the frozen one, and waited out its silence again (tests/streams, seen in the hosts' logs: attempt 2 on the engine that failed attempt 1). Ruled out: a shorter silence bound (slow first tokens would count as silence). Change, in src/requests/_trialScheduling.ts: an engine that was not heard of lately, or where the suspect failed, is taken only where there is no other copy. Shown: src/requests 21 tests, the new one failing without the change (dispatched to one, two instead of two, two).

--- a/src/requests/_trialScheduling.ts
+++ b/src/requests/_trialScheduling.ts
@@ -77,7 +77,10 @@
     }
 }
 
-/** Finds the least loaded engine that may be set apart, while enough copies stay open to healthy work. */
+/**
+ * Finds the least loaded engine that may be set apart, while enough copies stay open to healthy work. An engine that
+ * was not heard of lately, or where the suspect's last attempt failed, serves only where there is no other copy.
+ */
 function findTrialEngine(context: Context, tracked: TrackedRequest): string | undefined {
     const { nowMilliseconds, trials, view } = context;
     const { model, adapter } = tracked.request;
@@ -86,14 +89,11 @@
     if (setApart.length >= Math.max(1, Math.floor(copies.length * SET_APART_SHARE))) {
         return undefined;
     }
-    const free = copies.filter(engine =>
-        !setApart.includes(engine) && trials.restsUntil(engine) <= nowMilliseconds
-        && !view.isDoubtful(engine, nowMilliseconds)
-    );
-    const fallback = copies.filter(engine =>
+    const live = copies.filter(engine => engine !== tracked.failedEngine && !view.isDoubtful(engine, nowMilliseconds));
+    const usable = live.length > 0 ? live : copies;
+    const candidates = usable.filter(engine =>
         !setApart.includes(engine) && trials.restsUntil(engine) <= nowMilliseconds
     );
-    const candidates = free.length > 0 ? free : fallback;
     candidates.sort((left, right) => view.estimateLoad(left) - view.estimateLoad(right) || (left < right ? -1 : 1));
     return candidates[0];
 }
--- a/src/requests/requestsDecision.test.ts
+++ b/src/requests/requestsDecision.test.ts
@@ -106,6 +106,29 @@
     assert.equal(again?.resumeAtToken, 7);
 });
 
+test("requests of an engine that fell silent all go to the other copy, one after another", () => {
+    const driver = new Driver();
+    const dispatched = ["a", "b", "c", "d"].flatMap(identifier => pick(driver.submit(identifier), "dispatch"));
+    const silent = dispatched.filter(({ engine }) => engine === "one");
+    assert.equal(silent.length, 2);
+    for (const { identifier, attempt, engine } of dispatched) {
+        driver.handle(
+            engine === "one"
+                ? { type: "attempt-failed", identifier, attempt, failure: "silent", deliveredTokens: 0 }
+                : { type: "attempt-finished", identifier, attempt },
+        );
+    }
+    const again: string[] = [];
+    for (let step = 0; step < 60; step += 1) {
+        const effects = [...driver.observe("two", "first"), ...driver.wait(200)];
+        for (const { identifier, attempt, engine } of pick(effects, "dispatch")) {
+            again.push(engine);
+            driver.handle({ type: "attempt-finished", identifier, attempt });
+        }
+    }
+    assert.deepEqual(again, ["two", "two"]);
+});
+
 test("a model that a newer deployment no longer lists is refused as not run", () => {
     const driver = new Driver(["one"]);
     for (const identifier of ["a", "b", "c"]) {
