--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -7,24 +7,16 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
-import { chatMessageSchema } from "../src/generated/callers.js";
 import { engineOrderSchema, type EngineReport } from "../src/generated/upstreams.js";
-import { createPrefixKeys } from "../src/upstreams/prefixKeys.js";
 import { EngineCache } from "./_engineCache.js";
+import { answerWhole, type CompletionRun, completionSchema, pause, streamCompletion } from "./_engineCompletions.js";
 import { EngineMemory } from "./_engineMemory.js";
+import { type EngineOptions, engineOptionsSchema, type EngineState } from "./_engineOptions.js";
 import { EngineQueue } from "./_engineQueue.js";
-import { expectedTokens } from "./_engineTokens.js";
 import { runAsProcess } from "./_process.js";
-import {
-    json,
-    type StandIn,
-    type StandInAnswer,
-    type StandInRequest,
-    startServer,
-    type StreamWriter,
-} from "./_server.js";
+import { json, type StandIn, type StandInAnswer, type StandInRequest, startServer } from "./_server.js";
 
+export { type EngineOptions, engineOptionsSchema, type EngineState } from "./_engineOptions.js";
 export { DEFAULT_ANSWER_TOKENS, expectedTokens, type TokenRequest } from "./_engineTokens.js";
 
 const CRASH_EXIT_CODE = 70;
@@ -32,68 +24,10 @@
 /** A prompt that holds this ends the engine that runs it. */
 export const CRASH_MARKER = "crash-this-engine";
 
-/** Validates: Options of an engine. */
-export const engineOptionsSchema = z.object({
-    port: z.number().default(0),
-    name: z.string().default("engine"),
-    memoryMegabytes: z.number().default(80_000),
-    roleMegabytes: z.record(z.string(), z.number()).default({}),
-    checksFencing: z.boolean().default(true),
-    slots: z.number().int().default(16),
-    longestQueue: z.number().int().default(64),
-    firstTokenMilliseconds: z.number().default(5),
-    /** Added to the first token for each message that the prefix cache does not hold. */
-    uncachedMessageMilliseconds: z.number().default(0),
-    tokenMilliseconds: z.number().default(2),
-    loadMilliseconds: z.number().default(20),
-    adapterMilliseconds: z.number().default(3),
-    /** Reads weights through this store; the load times above apply where it is missing. */
-    weightStore: z.string().optional(),
-    reportLagMilliseconds: z.number().default(0),
-    cacheEntries: z.number().int().default(64),
-    cacheEventLagMilliseconds: z.number().default(0),
-    loseEveryCacheEvent: z.number().int().default(0),
-    /** Whether the crash marker ends the process or restarts the stand-in within it. */
-    crashExits: z.boolean().default(false),
-}).strict();
-/** Options of an engine. */
-export type EngineOptions = z.input<typeof engineOptionsSchema>;
-
-/** What an engine recorded, over all its incarnations in this process. */
-export interface EngineState {
-    readonly incarnation: string;
-    readonly restarts: number;
-    readonly violations: readonly string[];
-    readonly loads: number;
-    readonly evictions: number;
-    readonly usedMegabytes: number;
-    readonly models: readonly { readonly name: string; readonly version: string; }[];
-    readonly adapters: readonly string[];
-    readonly role: string;
-    readonly orders: number;
-    readonly running: number;
-    /** Completions begun, by request identifier. */
-    readonly completions: Readonly<Record<string, number>>;
-}
-
-const completionSchema = z.looseObject({
-    model: z.string(),
-    messages: z.array(chatMessageSchema).min(1),
-    max_tokens: z.number().int().positive().optional(),
-    resume_offset: z.number().int().nonnegative().default(0),
-    stream: z.boolean().default(false),
-});
-type CompletionRequest = z.infer<typeof completionSchema>;
-
 function refuse(status: number, code: string, message: string): StandInAnswer {
     return json(status, { error: { code, message } });
 }
 
-/** Waits; 0 lets other work run and goes on at once. */
-async function pause(milliseconds: number): Promise<void> {
-    await new Promise(resolve => milliseconds === 0 ? setImmediate(resolve) : setTimeout(resolve, milliseconds));
-}
-
 /** Everything that a restart begins anew. */
 interface Incarnation {
     readonly identifier: string;
@@ -205,64 +139,6 @@
             && (adapter === undefined || memory.adapters().includes(adapter));
     }
 
-    async function generate(
-        asked: CompletionRequest,
-        cancelled: AbortSignal,
-        onToken: (token: string, index: number) => Promise<boolean>,
-    ): Promise<boolean> {
-        const tokens = expectedTokens(asked);
-        const prefixKeys = createPrefixKeys(asked.model, asked.messages);
-        const uncached = prefixKeys.length - current.cache.use(prefixKeys);
-        await pause(options.firstTokenMilliseconds + uncached * options.uncachedMessageMilliseconds);
-        for (const [index, token] of tokens.entries()) {
-            if (index < asked.resume_offset) {
-                continue;
-            }
-            if (cancelled.aborted || !await onToken(token, index)) {
-                return false;
-            }
-            await pause(options.tokenMilliseconds);
-        }
-        return !cancelled.aborted;
-    }
-
-    async function streamCompletion(
-        identifier: string,
-        asked: CompletionRequest,
-        cancelled: AbortSignal,
-        writer: StreamWriter,
-    ): Promise<void> {
-        const writeChunk = async (delta: object, finishReason: string | null, index: number) =>
-            writer.write(`data: ${
-                JSON.stringify({
-                    id: identifier,
-                    object: "chat.completion.chunk",
-                    choices: [{ index: 0, delta, finish_reason: finishReason }],
-                    token_index: index,
-                })
-            }\n\n`);
-        const whole = await generate(asked, cancelled, (token, index) => writeChunk({ content: token }, null, index));
-        if (whole) {
-            await writeChunk({}, "stop", expectedTokens(asked).length);
-            await writer.write("data: [DONE]\n\n");
-        }
-    }
-
-    async function answerWhole(
-        identifier: string,
-        asked: CompletionRequest,
-        cancelled: AbortSignal,
-    ): Promise<StandInAnswer> {
-        const tokens: string[] = [];
-        await generate(asked, cancelled, token => Promise.resolve(tokens.push(token) > 0));
-        const message = { role: "assistant", content: tokens.join("") };
-        return json(200, {
-            id: identifier,
-            object: "chat.completion",
-            choices: [{ index: 0, message, finish_reason: "stop" }],
-        });
-    }
-
     async function complete(request: StandInRequest): Promise<StandInAnswer> {
         const asked = completionSchema.safeParse(JSON.parse(request.body));
         if (!asked.success) {
@@ -283,17 +159,19 @@
         const cancel = new AbortController();
         incarnation.cancels.set(identifier, cancel);
         const urgent = request.headers["x-priority"] !== "patient";
-        const run = async <Value>(work: () => Promise<Value>): Promise<Value | undefined> => {
+        const { cache } = incarnation;
+        const work: CompletionRun = { identifier, asked: asked.data, cancelled: cancel.signal, cache, options };
+        const run = async <Value>(perform: () => Promise<Value>): Promise<Value | undefined> => {
             if (!await incarnation.queue.take(urgent, cancel.signal)) {
                 return undefined;
             }
-            return work().finally(() => {
+            return perform().finally(() => {
                 incarnation.queue.release();
                 incarnation.cancels.delete(identifier);
             });
         };
         if (!asked.data.stream) {
-            const whole = await run(() => answerWhole(identifier, asked.data, cancel.signal));
+            const whole = await run(() => answerWhole(work));
             return whole ?? refuse(409, "cancelled", "the request was cancelled");
         }
         return {
@@ -303,7 +181,7 @@
                 writer.onEnded(() => {
                     cancel.abort();
                 });
-                await run(() => streamCompletion(identifier, asked.data, cancel.signal, writer));
+                await run(() => streamCompletion(work, writer));
             },
         };
     }
