--- a/src/orders/orders.test.ts
+++ b/src/orders/orders.test.ts
@@ -345,3 +345,14 @@
     assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 6_000)), []);
     assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 6_001)), ["owner-unreachable may-have-run"]);
 });
+
+test("an order whose call is never reported ends as may-have-run, and a result that comes later replaces that", () => {
+    const decision = create();
+    const order = orderOf(`${decision.ticketFor(FIRST)}/x`);
+    send(decision, order);
+    decision.handle(recordedFor(order.key), 1);
+    assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 11_000)), []);
+    assert.deepEqual(outcomesOf(decision.handle({ type: "tick" }, 11_001)), ["upstream-failed may-have-run"]);
+    assert.deepEqual(typesOf(decision.handle(resultFor(order.key), 12_000)), ["ask-witness"]);
+    assert.deepEqual(outcomesOf(send(decision, order, "2", 12_001)), ["cut"]);
+});
