--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -18,11 +18,17 @@
 
 /** Processes that have not ended; none outlives the launcher. */
 const running = new Set<ChildProcess>();
-process.once("exit", () => {
+process.once("exit", killRunning);
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.once(signal, () => process.exit(1));
+}
+
+/** Ends every process that was started here and still runs. */
+export function killRunning(): void {
     for (const child of running) {
         child.kill("SIGKILL");
     }
-});
+}
 
 /** A process that was started here. */
 export interface StartedProcess {
--- a/tests/_testSite.ts
+++ b/tests/_testSite.ts
@@ -6,8 +6,8 @@
 import { readFile, writeFile } from "node:fs/promises";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { startProcess } from "../demo/processes.js";
-import { type HostProcess, type Site, startSite, type StandInProcess, waitUntil } from "../demo/sites.js";
+import { killRunning, startProcess } from "../demo/processes.js";
+import { type HostProcess, type Site, type StandInProcess, startSite, waitUntil } from "../demo/sites.js";
 import { type AddressesAnswer, type Refusal } from "../src/generated/callers.js";
 import { type EngineState, expectedTokens } from "../standins/engine.js";
 import { type PlainServiceState } from "../standins/plainService.js";
@@ -42,7 +42,14 @@
 }
 
 /** Starts three hosts, three engines of one pool and a plain service, and waits until every model answers. */
-export async function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
+export function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
+    return startWith(options).catch((error: unknown) => {
+        killRunning();
+        throw error;
+    });
+}
+
+async function startWith(options: TestSiteOptions): Promise<TestSite> {
     const engine = { memoryMegabytes: 1000, slots: 8, checksFencing: true, ...options.engine };
     const site = await startSite({
         template: TEMPLATE,
@@ -94,6 +101,8 @@
     readonly prompt: string;
     readonly tokens?: number;
     readonly class?: "urgent" | "patient";
+    /** Tokens that the caller has from an earlier stream. */
+    readonly resumeAt?: number;
     readonly onText?: (text: string) => void;
 }
 
@@ -104,12 +113,13 @@
         max_tokens: options.tokens ?? 8,
         stream: true,
         service_tier: options.class ?? "urgent",
+        ...(options.resumeAt === undefined ? {} : { resume_offset: options.resumeAt }),
     };
 }
 
-/** Gives the whole answer to a request. */
+/** Gives the whole answer to a request, or what follows where it is resumed. */
 export function expectedText(options: ChatOptions): string {
-    return expectedTokens(createBody(options)).join("");
+    return expectedTokens(createBody(options)).slice(options.resumeAt ?? 0).join("");
 }
 
 function readStreamedText(stream: string): string {
--- a/tests/badInput.test.ts
+++ b/tests/badInput.test.ts
@@ -1,11 +1,20 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import { connect } from "node:net";
 import { after, before, test } from "node:test";
 import { request } from "undici";
+import { waitUntil } from "../demo/sites.js";
 import { type Refusal } from "../src/generated/callers.js";
 import { CRASH_MARKER } from "../standins/engine.js";
-import { addresses, chat, expectedText, order, readEngine, readPlain, startTestSite, type TestSite } from "./_testSite.js";
+import {
+    addresses,
+    chat,
+    expectedText,
+    order,
+    readEngine,
+    readPlain,
+    startTestSite,
+    type TestSite,
+} from "./_testSite.js";
 
 const HEADER_BYTES = 16_384;
 const BODY_BYTES = 65_536;
@@ -13,6 +22,7 @@
 let site: TestSite;
 before(async () => {
     site = await startTestSite({
+        engine: { tokenMilliseconds: 0 },
         settings: { limits: { requestBodyBytes: BODY_BYTES, headerBytes: HEADER_BYTES, slowCallerMilliseconds: 500 } },
     });
 });
@@ -38,7 +48,14 @@
 const CHAT = "/v1/chat/completions";
 const CUT = "/v1/services/line/cut";
 const REFUSED: readonly (readonly [string, string, string, Record<string, string>, number, string])[] = [
-    ["a body that is too large", CHAT, JSON.stringify({ model: "quotes", messages, x: "x".repeat(BODY_BYTES) }), {}, 413, "body-too-large"],
+    [
+        "a body that is too large",
+        CHAT,
+        JSON.stringify({ model: "quotes", messages, x: "x".repeat(BODY_BYTES) }),
+        {},
+        413,
+        "body-too-large",
+    ],
     ["a body that is not JSON", CHAT, "{\"model\":", {}, 400, "invalid-request"],
     ["a body of the wrong shape", CHAT, "{\"model\":\"quotes\",\"messages\":7}", {}, 400, "invalid-request"],
     ["an unknown model", CHAT, JSON.stringify({ model: "nothing", messages }), {}, 404, "unknown-model"],
@@ -74,20 +91,26 @@
     const socket = connect(Number(new URL(hostUrl(0)).port), "127.0.0.1");
     socket.on("error", () => undefined);
     socket.resume();
+    const closed = new Promise<void>(resolve => socket.once("close", () => resolve()));
     socket.write("GET /v1/health HTTP/1.1\r\nhost: a\r\n");
     for (let index = 0; index < 4 * HEADER_BYTES / 64 && socket.writable; index += 1) {
         socket.write(`x-header-${index}: ${"x".repeat(64)}\r\n`);
     }
-    await once(socket, "close");
+    await closed;
     await assertUnaffected();
 });
 
-test("a caller that never reads is closed after a bounded wait", async () => {
-    const body = JSON.stringify({ model: "quotes", messages, max_tokens: 200_000, stream: true });
+test("a caller that never reads is closed after a bounded wait, and its request ends", async () => {
+    const body = JSON.stringify({ model: "quotes", messages, max_tokens: 500_000, stream: true });
     const socket = connect(Number(new URL(hostUrl(0)).port), "127.0.0.1");
     socket.on("error", () => undefined);
     socket.pause();
     socket.write(`POST ${CHAT} HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    await waitUntil(async () => {
+        const answer = await request(`${hostUrl(0)}/v1/status`);
+        const status = await answer.body.json() as { openRequests: number; totals: Record<string, number>; };
+        return status.openRequests === 0 && (status.totals["refusals.caller-too-slow"] ?? 0) > 0;
+    }, "the slow caller's request has ended");
     await assertUnaffected();
     socket.destroy();
 });
