--- a/src/requests/_attempts.ts
+++ b/src/requests/_attempts.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import { match } from "ts-pattern";
+import { endTrialOf } from "./_claims.js";
 import { type Context, end, enqueue, refuse, releaseEngine, spread } from "./_context.js";
+import { awaitVerdict, recordFinishedSuspect, rememberStopped } from "./_crashes.js";
 import { drawBackoffMilliseconds } from "./_retryBudget.js";
-import { awaitVerdict, endTrialOf, placeByStanding, recordFinishedSuspect, rememberStopped } from "./_suspects.js";
+import { placeByStanding } from "./_standings.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type AttemptFailure, type RequestsMessage } from "./messages.js";
 
--- a/src/requests/_context.ts
+++ b/src/requests/_context.ts
@@ -132,6 +132,12 @@
     context.inFlight.set(tracked.request.fingerprint, alike.add(tracked));
 }
 
+/** Tells whether the engine process that a request was sent to is known to have ended. */
+export function hasCrashed(context: Context, tracked: TrackedRequest): boolean {
+    const { engine, incarnation } = tracked;
+    return engine !== undefined && incarnation !== undefined && context.view.hasEnded(engine, incarnation);
+}
+
 /** Puts a request into the queue, for now or for after its backoff. */
 export function enqueue(context: Context, tracked: TrackedRequest, notBeforeMilliseconds: number): void {
     leavePhase(context, tracked);
--- a/src/requests/_suspects.ts
+++ b/src/requests/_crashes.ts
@@ -1,30 +1,18 @@
 /**
- * Crashes of engines: who was in flight, verdicts on lost connections, and trials of suspects.
+ * Crashes of engines: who was in flight, and verdicts on lost connections.
  *
  * @module
  */
-import { type EngineDigest, type SuspectDigest, type SuspectTrial } from "../generated/peers.js";
-import {
-    type Context,
-    drawName,
-    enqueue,
-    leavePhase,
-    markInFlight,
-    refuse,
-    releaseEngine,
-    type StoppedAttempt,
-} from "./_context.js";
+import { type EngineDigest, type SuspectDigest } from "../generated/peers.js";
+import { claimRunningSuspects, endTrialOf } from "./_claims.js";
+import { type Context, hasCrashed, leavePhase, markInFlight, type StoppedAttempt } from "./_context.js";
+import { placeByStanding, reviewStandings } from "./_standings.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
-import { type Claim } from "./_trials.js";
 
 /** Longest wait for news of an engine whose connection was lost. */
 export const VERDICT_WAIT_MILLISECONDS = 1_500;
-const BLOCKED_RETRY_MILLISECONDS = 10_000;
-const SHARE_INTERVAL_MILLISECONDS = 1_000;
-const SHARE_AGAIN_MILLISECONDS = 10_000;
 const CANCEL_SETTLE_MILLISECONDS = 500;
 const STOPPED_KEPT_MILLISECONDS = 10_000;
-const MOST_SHARED = 256;
 
 /** Names an engine incarnation as digests do. */
 export function nameCrash(engine: string, incarnation: string): string {
@@ -49,11 +37,6 @@
     reviewStandings(context);
 }
 
-function hasCrashed(context: Context, tracked: TrackedRequest): boolean {
-    const { engine, incarnation } = tracked;
-    return engine !== undefined && incarnation !== undefined && context.view.hasEnded(engine, incarnation);
-}
-
 /** Takes in that an engine process crashed, once. */
 export function handleCrash(context: Context, engine: string, incarnation: string): void {
     context.view.recordEnd(engine, incarnation);
@@ -174,68 +157,6 @@
     }
 }
 
-/** Queues a request, or sets it apart or refuses it where its fingerprint is under suspicion. */
-export function placeByStanding(context: Context, tracked: TrackedRequest, notBeforeMilliseconds: number): void {
-    const standing = context.quarantine.standing(tracked.request.fingerprint);
-    if (standing === "clear") {
-        enqueue(context, tracked, notBeforeMilliseconds);
-        return;
-    }
-    if (standing === "suspect") {
-        leavePhase(context, tracked);
-        context.awaitingTrial.add(tracked);
-        tracked.phase = "awaiting-trial";
-        tracked.notBeforeMilliseconds = notBeforeMilliseconds;
-        return;
-    }
-    refuseByStanding(context, tracked, standing);
-}
-
-/** Refuses a request for what is known of its fingerprint. */
-export function refuseByStanding(context: Context, tracked: TrackedRequest, standing: "blocked" | "convicted"): void {
-    if (standing === "convicted") {
-        refuse(context, tracked, {
-            reason: "request-crashes-engines",
-            message: "Engines that ran this request crashed; it is not run again.",
-        });
-        return;
-    }
-    refuse(context, tracked, {
-        reason: "upstream-failed",
-        message: "Two engines were lost while they ran this request; it is not run until their state is known.",
-        retryAfterMilliseconds: BLOCKED_RETRY_MILLISECONDS,
-    });
-}
-
-/** Gives requests whose fingerprint changed its standing their place or their final answer. */
-export function reviewStandings(context: Context): void {
-    for (const tracked of [...context.requests.values()]) {
-        const standing = context.quarantine.standing(tracked.request.fingerprint);
-        const isStopped = standing === "convicted" || (standing === "blocked" && tracked.phase === "running");
-        if (isStopped) {
-            stopAttempt(context, tracked);
-            refuseByStanding(context, tracked, standing);
-        }
-        else if (standing === "clear" && tracked.phase === "awaiting-trial") {
-            endTrialOf(context, tracked);
-            enqueue(context, tracked, context.nowMilliseconds);
-        }
-        else if (standing !== "clear" && tracked.phase === "queued") {
-            placeByStanding(context, tracked, context.nowMilliseconds);
-        }
-    }
-}
-
-function stopAttempt(context: Context, tracked: TrackedRequest): void {
-    if (tracked.phase === "running" && tracked.engine !== undefined) {
-        const { attempts: attempt, engine, request } = tracked;
-        tracked.mayHaveRun = true;
-        context.effects.push({ type: "cancel-attempt", identifier: request.identifier, attempt, engine });
-        releaseEngine(context, tracked);
-    }
-    endTrialOf(context, tracked);
-}
-
 /** Clears a fingerprint that an engine has run to its end. */
 export function recordFinishedSuspect(context: Context, tracked: TrackedRequest): void {
     endTrialOf(context, tracked);
@@ -244,34 +165,6 @@
     }
 }
 
-/** Ends the trial of a request, if it has one, and tells peers. */
-export function endTrialOf(context: Context, tracked: TrackedRequest): void {
-    const claim = context.trials.listOwn().find(own => own.identifier === tracked.trialIdentifier);
-    tracked.trialIdentifier = undefined;
-    if (claim !== undefined) {
-        context.trials.end(claim, context.nowMilliseconds);
-        shareClaim(context, claim, "ended");
-    }
-}
-
-/** Tells peers of a claim together with what is known of its fingerprint. */
-export function shareClaim(context: Context, claim: Claim, state: SuspectTrial["state"]): void {
-    const { identifier, host, engine, incarnation } = claim;
-    claim.renewal += 1;
-    const digest: SuspectDigest = {
-        ...context.quarantine.describe(claim.fingerprint),
-        trial: {
-            identifier,
-            host,
-            engine,
-            renewal: claim.renewal,
-            state,
-            ...(incarnation === undefined ? {} : { incarnation }),
-        },
-    };
-    context.effects.push({ type: "share-suspects", digests: [digest] });
-}
-
 /** Takes in what peers know of suspects and claim for their trials. */
 export function handleSuspects(context: Context, digests: readonly SuspectDigest[]): void {
     let isNews = false;
@@ -286,61 +179,3 @@
         claimRunningSuspects(context);
     }
 }
-
-/** Claims, for peers to know, the engines on which this host already runs requests that have become suspects. */
-export function claimRunningSuspects(context: Context): void {
-    for (const tracked of context.requests.values()) {
-        const { engine, phase, request } = tracked;
-        const isRunning = engine !== undefined && phase === "running" && tracked.trialIdentifier === undefined;
-        if (!isRunning || hasCrashed(context, tracked)) {
-            continue;
-        }
-        if (context.quarantine.standing(request.fingerprint) !== "clear") {
-            announceClaim(context, tracked, engine, "running");
-        }
-    }
-}
-
-/** Claims an engine for a request and tells peers. */
-export function announceClaim(context: Context, tracked: TrackedRequest, engine: string, state: Claim["state"]): void {
-    const identifier = `${context.host}-${drawName(context.random)}`;
-    const claim = context.trials.announce({
-        identifier,
-        host: context.host,
-        fingerprint: tracked.request.fingerprint,
-        engine,
-        announcedAtMilliseconds: context.nowMilliseconds,
-        incarnation: state === "running" ? tracked.incarnation : undefined,
-        state,
-    });
-    tracked.trialIdentifier = identifier;
-    shareClaim(context, claim, state);
-}
-
-/** Shares what changed at once, and what changed lately again for peers that missed it. */
-export function shareSuspects(context: Context): void {
-    const changed = context.quarantine.takeChanged(context.nowMilliseconds);
-    if (context.nowMilliseconds - context.sharedAtMilliseconds < SHARE_INTERVAL_MILLISECONDS) {
-        shareFingerprints(context, changed);
-        return;
-    }
-    context.sharedAtMilliseconds = context.nowMilliseconds;
-    for (const claim of context.trials.listOwn()) {
-        shareClaim(context, claim, claim.state);
-    }
-    const since = context.nowMilliseconds - SHARE_AGAIN_MILLISECONDS;
-    shareFingerprints(context, context.quarantine.listChangedSince(since));
-}
-
-/** Tells everything to peers of which some may be new. */
-export function shareAllSuspects(context: Context): void {
-    shareFingerprints(context, context.quarantine.listChangedSince(Number.NEGATIVE_INFINITY));
-}
-
-function shareFingerprints(context: Context, fingerprints: readonly string[]): void {
-    if (fingerprints.length === 0) {
-        return;
-    }
-    const digests = fingerprints.slice(-MOST_SHARED).map(fingerprint => context.quarantine.describe(fingerprint));
-    context.effects.push({ type: "share-suspects", digests });
-}
--- a/src/requests/_submission.ts
+++ b/src/requests/_submission.ts
@@ -7,7 +7,7 @@
 import { startWaiting } from "./_attempts.js";
 import { createCatalog } from "./_catalog.js";
 import { type Context, type RefusalDetails, refuse, spread } from "./_context.js";
-import { refuseByStanding } from "./_suspects.js";
+import { refuseByStanding } from "./_standings.js";
 import { type TrackedRequest, trackRequest } from "./_trackedRequest.js";
 import { type ModelRequest, type RequestsMessage } from "./messages.js";
 
--- a/src/requests/_trialScheduling.ts
+++ b/src/requests/_trialScheduling.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import { announceClaim, endTrialOf, shareClaim } from "./_claims.js";
 import { type Context, dispatch } from "./_context.js";
+import { VERDICT_WAIT_MILLISECONDS } from "./_crashes.js";
 import { listCopies } from "./_routing.js";
-import { announceClaim, endTrialOf, refuseByStanding, shareClaim, VERDICT_WAIT_MILLISECONDS } from "./_suspects.js";
+import { refuseByStanding } from "./_standings.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type Claim, SETTLE_MILLISECONDS } from "./_trials.js";
 
--- a/src/requests/requestsDecision.ts
+++ b/src/requests/requestsDecision.ts
@@ -7,7 +7,16 @@
 import { type Decision, type RandomSource } from "../decision/index.js";
 import { type EngineDigest } from "../generated/peers.js";
 import { handleCancel, handleFailed, handleFinished, handleFirstToken, retry } from "./_attempts.js";
+import { shareAllSuspects, shareSuspects } from "./_claims.js";
 import { type ChooseEngine, type Context, drawName } from "./_context.js";
+import {
+    accuseInFlight,
+    handleCrash,
+    handleSuspects,
+    presumeOverdue,
+    settleAlive,
+    settleRestarted,
+} from "./_crashes.js";
 import { dispatchQueued, endOverdue } from "./_dispatching.js";
 import { createEngineView } from "./_engineView.js";
 import { createQuarantine } from "./_quarantine.js";
@@ -16,16 +25,6 @@
 import { chooseByPrefixWithinLoadBound } from "./_routing.js";
 import { createServiceTimes } from "./_serviceTimes.js";
 import { handleDeployment, handleSubmit } from "./_submission.js";
-import {
-    accuseInFlight,
-    handleCrash,
-    handleSuspects,
-    presumeOverdue,
-    settleAlive,
-    settleRestarted,
-    shareAllSuspects,
-    shareSuspects,
-} from "./_suspects.js";
 import { createTrials } from "./_trials.js";
 import { runTrials } from "./_trialScheduling.js";
 import { type RequestsEffect, type RequestsMessage } from "./messages.js";
