--- a/src/requests/_attempts.ts
+++ b/src/requests/_attempts.ts
@@ -64,8 +64,8 @@
     }
     releaseEngine(context, tracked);
     tracked.failedEngine = tracked.engine;
+    const isTaken = message.deliveredTokens > tracked.deliveredTokens || mayRunBefore(message.failure);
     tracked.deliveredTokens = Math.max(tracked.deliveredTokens, message.deliveredTokens);
-    const isTaken = message.deliveredTokens > 0 || mayRunBefore(message.failure);
     tracked.taken += isTaken ? 1 : 0;
     tracked.mayHaveRun ||= isTaken;
     tracked.retryReason = message.failure;
--- a/src/requests/requestsDecision.test.ts
+++ b/src/requests/requestsDecision.test.ts
@@ -259,3 +259,13 @@
     const effects = [1, 2, 3, 4, 5, 6].flatMap(() => [...driver.wait(1_000), ...repeat()]);
     assert.equal(pick(effects, "dispatch").length, 1);
 });
+
+test("attempts that no engine took do not use up a request that has tokens already", () => {
+    const driver = new Driver();
+    driver.submit("a");
+    for (const [index, failure] of (["incomplete", "engine-busy", "engine-busy", "incomplete"] as const).entries()) {
+        const attempt = index + 1;
+        const failed = { type: "attempt-failed", identifier: "a", attempt, failure, deliveredTokens: 1 } as const;
+        assert.deepEqual(pick([...driver.handle(failed), ...driver.wait(3_000)], "refuse"), [], `attempt ${attempt}`);
+    }
+});
