--- a/measurements/policy/settings.ts
+++ b/measurements/policy/settings.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Network } from "./hostsRun.js";
+import { type Network } from "./runTypes.js";
 
 /** Seeds of the runs. */
 export const SEEDS = Array.from({ length: 10 }, (_, index) => 100 + index);
--- a/measurements/policy/shapes.ts
+++ b/measurements/policy/shapes.ts
@@ -6,7 +6,7 @@
 import { createSeededRandom, hashText, type RandomSource } from "../../src/decision/index.js";
 import { type Deployment, deploymentSchema } from "../../src/generated/deployment.js";
 import { type PromptPart } from "./engineModel.js";
-import { type Arrival } from "./hostsRun.js";
+import { type Arrival } from "./runTypes.js";
 
 const MODEL_MEGABYTES = 10_000;
 const SYSTEM_PROMPT_TOKENS = 800;
--- a/measurements/policy/summary.ts
+++ b/measurements/policy/summary.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { type Deployment } from "../../src/generated/deployment.js";
-import { type HostsRun, type RequestRecord } from "./hostsRun.js";
+import { type HostsRun } from "./hostsRun.js";
+import { type RequestRecord } from "./runTypes.js";
 
 /** Figures of one run. */
 export interface RunFigures {
--- a/src/requests/_testRuns.ts
+++ b/src/requests/_testRuns.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { type Arrival, HostsRun, type HostsRunOptions, type Network } from "../../measurements/policy/hostsRun.js";
+import { HostsRun } from "../../measurements/policy/hostsRun.js";
+import { type Arrival, type HostsRunOptions, type Network } from "../../measurements/policy/runTypes.js";
 import { deploymentSchema } from "../generated/deployment.js";
 import { createRequestsDecision, type ModelRequest } from "./index.js";
 
--- a/src/requests/crashes.test.ts
+++ b/src/requests/crashes.test.ts
@@ -1,7 +1,8 @@
 import fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type Arrival, type HostsRun } from "../../measurements/policy/hostsRun.js";
+import { type HostsRun } from "../../measurements/policy/hostsRun.js";
+import { type Arrival } from "../../measurements/policy/runTypes.js";
 import { describeArrival, runSmall } from "./_testRuns.js";
 
 const PROPERTY_SEED = 20261203;
--- a/src/requests/load.test.ts
+++ b/src/requests/load.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type Arrival, type HostsRun } from "../../measurements/policy/hostsRun.js";
+import { type HostsRun } from "../../measurements/policy/hostsRun.js";
+import { type Arrival } from "../../measurements/policy/runTypes.js";
 import { createSeededRandom } from "../decision/index.js";
 import { describeArrival, runSmall } from "./_testRuns.js";
 
