--- a/measurements/policy.ts
+++ b/measurements/policy.ts
@@ -33,6 +33,8 @@
 interface Policy {
     readonly name: string;
     readonly isOurs: boolean;
+    /** True for one that sends each request on at once. */
+    readonly isRouter: boolean;
     readonly createDecision: (host: string, random: RandomSource) => Decision<RequestsMessage, RequestsEffect>;
 }
 
@@ -49,25 +51,34 @@
     {
         name: "random",
         isOurs: false,
+        isRouter: true,
         createDecision: (_, random) => createBaselineDecision(createRandomChoice(random)),
     },
     {
         name: "round robin",
         isOurs: false,
+        isRouter: true,
         createDecision: (_, random) => createBaselineDecision(createRoundRobinChoice(random)),
     },
     {
         name: "least reported load",
         isOurs: false,
+        isRouter: true,
         createDecision: (_, random) => createBaselineDecision(createLeastReportedChoice(random)),
     },
     {
         name: "ours without prefix preference",
         isOurs: false,
+        isRouter: false,
         createDecision: (host, random) =>
             createRequestsDecision({ host, random, chooseEngine: createChoiceWithoutPrefix(random) }),
     },
-    { name: "ours", isOurs: true, createDecision: (host, random) => createRequestsDecision({ host, random }) },
+    {
+        name: "ours",
+        isOurs: true,
+        isRouter: false,
+        createDecision: (host, random) => createRequestsDecision({ host, random }),
+    },
 ];
 
 function measure(shape: Shape, policy: Policy, seed: number): RunFigures {
@@ -115,23 +126,38 @@
     for (const { figures, policy } of results) {
         console.log(formatRow(policy, figures, accelerators));
     }
-    printGain(results);
+    printGains(results);
 }
 
-/** Compares seed by seed, so that the spread is that of the gain. */
-function printGain(results: readonly { readonly policy: Policy; readonly figures: readonly RunFigures[]; }[]): void {
-    const meanOf = (figures: readonly RunFigures[]): number => spreadOf(figures.map(each => each.attainment)).mean;
-    const baselines = results.filter(({ policy }) => !policy.isOurs);
-    baselines.sort((left, right) => meanOf(right.figures) - meanOf(left.figures));
-    const best = baselines[0];
+interface PolicyResult {
+    readonly policy: Policy;
+    readonly figures: readonly RunFigures[];
+}
+
+function meanAttainment({ figures }: PolicyResult): number {
+    return spreadOf(figures.map(each => each.attainment)).mean;
+}
+
+function printGains(results: readonly PolicyResult[]): void {
     const ours = results.find(({ policy }) => policy.isOurs);
-    if (best === undefined || ours === undefined) {
+    const baselines = results.filter(({ policy }) => !policy.isOurs);
+    const routers = baselines.filter(({ policy }) => policy.isRouter);
+    if (ours !== undefined) {
+        printGain(ours, baselines, "baseline");
+        printGain(ours, routers, "router without admission");
+    }
+}
+
+/** Compares seed by seed, so that the spread is that of the gain. */
+function printGain(ours: PolicyResult, others: readonly PolicyResult[], kind: string): void {
+    const best = [...others].sort((left, right) => meanAttainment(right) - meanAttainment(left))[0];
+    if (best === undefined) {
         return;
     }
     const gains = ours.figures.map((figures, index) =>
         figures.attainment / (best.figures[index]?.attainment ?? figures.attainment) - 1
     );
-    console.log(`\nGain over the best baseline (${best.policy.name}): ${formatSpread(gains, 100, 1)} %`);
+    console.log(`\nGain over the best ${kind} (${best.policy.name}): ${formatSpread(gains, 100, 1)} %`);
 }
 
 for (const shape of [MORNING_RUSH, SPORTS_DAY, LONG_PROMPTS]) {
