--- a/src/configuration/revisions.test.ts
+++ b/src/configuration/revisions.test.ts
@@ -118,6 +118,23 @@
     assert.equal(advertised(fleet).length, 3);
 });
 
+test("a region without the others and the store serves on, and takes the latest revision when it is back", () => {
+    const fleet = new Fleet({ seed: SEED, hosts: 9, zones: 3, regions: 3 });
+    fleet.apply("first");
+    fleet.run(WARM_UP_MILLISECONDS);
+    const region = fleet.running().filter(host => host.identity.region === "region-1").map(host => host.identity.host);
+    fleet.network.partition([region, [...fleet.hosts.keys()].filter(host => !region.includes(host))]);
+    region.forEach(host => fleet.network.cutFromPlatform(host));
+    fleet.apply("second");
+    fleet.run(300_000);
+    assert.equal(advertised(fleet).length, 9);
+    assert.equal(fleet.get(region[0] ?? "").configuration.record()?.revision, 1);
+    fleet.network.heal();
+    fleet.run(IN_FORCE_WITHIN_MILLISECONDS);
+    assertInForceEverywhere(fleet);
+    assertNeverBack(fleet);
+});
+
 test("a change is in force on 390 hosts within 16 s, with loss and restarts under way", () => {
     const fleet = new Fleet({ seed: SEED, hosts: 390, zones: 9, regions: 3 });
     fleet.apply("first");
--- a/src/membership/faults.test.ts
+++ b/src/membership/faults.test.ts
@@ -126,6 +126,25 @@
     assert.equal(pollers().size, 1);
 });
 
+test("around the size at which heartbeats stop going to all, a loss makes no host drop one that lives", () => {
+    for (let seed = SEED; seed < SEED + 10; seed += 1) {
+        const fleet = new Fleet({ seed, hosts: 14, zones: 3 });
+        fleet.run(20_000);
+        fleet.kill("host-003");
+        fleet.kill("host-008");
+        for (let second = 0; second < 60; second += 1) {
+            fleet.run(1000);
+            for (const host of fleet.running()) {
+                const live = new Set(host.membership.livePeers().map(peer => peer.host));
+                const missing = fleet.running().map(other => other.identity.host)
+                    .filter(name => name !== host.identity.host && !live.has(name));
+                assert.deepEqual(missing, [], `${host.identity.host} in second ${second}, seed ${seed}`);
+            }
+        }
+        fleet.running().forEach(host => assertComplete(fleet, host));
+    }
+});
+
 test("390 hosts that start at once know their zones within 15 s, and none sends over 12 digests a second", () => {
     const sent = new Map<string, number>();
     let counting = false;
