--- a/scripts/reference.ts
+++ b/scripts/reference.ts
@@ -44,7 +44,7 @@
 - a URL names its host by anything but an IP number, or ends in a slash;
 - a service has urls and no calls, or calls and no urls;
 - a role leaves no memory on an engine; a model fits on no engine of its pools, or on fewer than it needs copies; an adapter fits on no engine beside its model;
-- the list provably can not be resident: models that may only go to some pools need more memory than these have, or a complete search finds no placement. A search that reaches its bound proves nothing, and the text is accepted;
+- the list provably cannot be resident: models that may only go to some pools need more memory than these have, or a complete search finds no placement. A search that reaches its bound proves nothing, and the text is accepted;
 - its record would be larger than the key-value service holds.
 `;
 
--- a/src/commands/_operatorCommand.ts
+++ b/src/commands/_operatorCommand.ts
@@ -46,7 +46,7 @@
     }
     catch (error) {
         const message = error instanceof Error ? error.message : String(error);
-        return new Err(fail(EXIT_CODES.usage, "unreadable-file", `The file ${path} can not be read: ${message}`));
+        return new Err(fail(EXIT_CODES.usage, "unreadable-file", `The file ${path} cannot be read: ${message}`));
     }
 }
 
--- a/src/commands/commandLine.ts
+++ b/src/commands/commandLine.ts
@@ -24,11 +24,12 @@
     Builtins.VersionCommand,
 ];
 
-function createCli(version: string): Cli<CommandContext> {
+function createCli(version: string, enableColors: boolean): Cli<CommandContext> {
     const cli = new Cli<CommandContext>({
         binaryLabel: "flamingospread",
         binaryName: "flamingospread",
         binaryVersion: version,
+        enableColors,
     });
     COMMANDS.forEach(command => cli.register(command));
     return cli;
@@ -56,7 +57,7 @@
     context: CommandContext,
     options: { readonly version?: string; } = {},
 ): Promise<number> {
-    const cli = createCli(options.version ?? "unknown");
+    const cli = createCli(options.version ?? "unknown", context.colorDepth > 1);
     try {
         const command = cli.process([...commandArguments], context);
         return await cli.run(command, context);
--- a/src/commands/commands.test.ts
+++ b/src/commands/commands.test.ts
@@ -83,10 +83,11 @@
     for (const command of ["run", "check", "apply", "show", "status", "drain"]) {
         const help = await runCommand([command, "--help"]);
         assert.deepEqual([help.exitCode, /Examples/.test(help.output)], [0, true]);
+        assert.ok(!help.output.includes("\u001b"), "no colours where the terminal has none");
     }
 });
 
-test("run exits with 0 after the host has left, and with 1 where it can not start", async () => {
+test("run exits with 0 after the host has left, and with 1 where it cannot start", async () => {
     let finish: () => void = () => undefined;
     const closed = new Promise<void>(resolve => {
         finish = resolve;
--- a/src/configuration/_capacity.ts
+++ b/src/configuration/_capacity.ts
@@ -1,5 +1,5 @@
 /**
- * Finds lists of models that can not all be resident, whatever is placed where.
+ * Finds lists of models that cannot all be resident, whatever is placed where.
  *
  * @module
  */
@@ -108,13 +108,13 @@
     }));
     const proof = provePackingImpossible(items, bins);
     return proof === undefined ? [] : [document.problemAt(["models"], {
-        message: `The listed models can not all be resident: ${proof}`,
+        message: `The listed models cannot all be resident: ${proof}`,
         allowed: "models and copies for which some placement exists; add engines, or remove models or copies",
     })];
 }
 
 /**
- * Gives what provably can not be resident: a model that fits nowhere, an adapter that fits nowhere beside its model,
+ * Gives what provably cannot be resident: a model that fits nowhere, an adapter that fits nowhere beside its model,
  * and a list for which no placement exists. A list is refused only where that is proved.
  *
  * @param document The text.
--- a/src/configuration/_packing.ts
+++ b/src/configuration/_packing.ts
@@ -1,5 +1,5 @@
 /**
- * Proves that items can not be packed into bins, where that can be proved with bounded work.
+ * Proves that items cannot be packed into bins, where that can be proved with bounded work.
  *
  * Two proofs are tried: more is asked than there is room, counted by sets of bin kinds; and a complete search without
  * result. A search that reaches its bound proves nothing.
--- a/src/configuration/_peerRevisions.ts
+++ b/src/configuration/_peerRevisions.ts
@@ -55,7 +55,7 @@
      * Chooses a peer to fetch from, unless a fetch is under way or no peer has more.
      *
      * @param revision Revision in force here.
-     * @param rejected Revisions that can not be used.
+     * @param rejected Revisions that cannot be used.
      * @param nowMilliseconds The time of the choice.
      */
     chooseSource(revision: number, rejected: ReadonlySet<number>, nowMilliseconds: number): string | undefined {
--- a/src/configuration/recordText.ts
+++ b/src/configuration/recordText.ts
@@ -30,7 +30,7 @@
  * Decodes the text of a record.
  *
  * @param record The record.
- * @returns The operators' text, or why it can not be decoded.
+ * @returns The operators' text, or why it cannot be decoded.
  *
  * @example
  * ```ts
@@ -46,6 +46,6 @@
         return new Ok(bytes.toString("utf8"));
     }
     catch (error) {
-        return new Err(`The text of the record can not be decompressed: ${String(error)}`);
+        return new Err(`The text of the record cannot be decompressed: ${String(error)}`);
     }
 }
--- a/src/configuration/refusals.test.ts
+++ b/src/configuration/refusals.test.ts
@@ -111,7 +111,7 @@
     const models = Array.from({ length: 1200 }, (_, index) => [`m${index}`, 10 + (index * 7) % 37] as const);
     assert.equal(refuse(small(engines, models)), "accepted");
     const tight = Array.from({ length: 1200 }, (_, index) => [`m${index}`, 41 + index % 7, 2] as const);
-    assert.match(refuse(small(engines, tight)), /can not all be resident/);
+    assert.match(refuse(small(engines, tight)), /cannot all be resident/);
 });
 
 test("settings with a host name, a clash or an unknown key are refused", () => {
--- a/src/configuration/revisions.test.ts
+++ b/src/configuration/revisions.test.ts
@@ -152,7 +152,7 @@
     return { revision, changeIdentifier: `c${revision}`, text, appliedAtMilliseconds: 0, operator: "tester" };
 }
 
-test("a store that went back and a text that can not be read change nothing in force", () => {
+test("a store that went back and a text that cannot be read change nothing in force", () => {
     const problem = { fileName: "f", line: 1, column: 1, path: "", message: "broken", allowed: "another" };
     const configuration = createConfigurationDecision({
         host: "a",
