--- a/src/requests/_attempts.ts
+++ b/src/requests/_attempts.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import { match } from "ts-pattern";
+import { endTrialOf } from "./_claims.js";
 import { type Context, end, enqueue, refuse, releaseEngine, spread } from "./_context.js";
+import { awaitVerdict, recordFinishedSuspect, rememberStopped } from "./_crashes.js";
 import { drawBackoffMilliseconds } from "./_retryBudget.js";
-import { awaitVerdict, endTrialOf, placeByStanding, recordFinishedSuspect, rememberStopped } from "./_suspects.js";
+import { placeByStanding } from "./_standings.js";
 import { type TrackedRequest } from "./_trackedRequest.js";
 import { type AttemptFailure, type RequestsMessage } from "./messages.js";
 
@@ -62,8 +64,8 @@
     }
     releaseEngine(context, tracked);
     tracked.failedEngine = tracked.engine;
+    const isTaken = message.deliveredTokens > tracked.deliveredTokens || mayRunBefore(message.failure);
     tracked.deliveredTokens = Math.max(tracked.deliveredTokens, message.deliveredTokens);
-    const isTaken = message.deliveredTokens > 0 || mayRunBefore(message.failure);
     tracked.taken += isTaken ? 1 : 0;
     tracked.mayHaveRun ||= isTaken;
     tracked.retryReason = message.failure;
--- a/src/requests/requestsDecision.test.ts
+++ b/src/requests/requestsDecision.test.ts
@@ -106,6 +106,29 @@
     assert.equal(again?.resumeAtToken, 7);
 });
 
+test("requests of an engine that fell silent all go to the other copy, one after another", () => {
+    const driver = new Driver();
+    const dispatched = ["a", "b", "c", "d"].flatMap(identifier => pick(driver.submit(identifier), "dispatch"));
+    const silent = dispatched.filter(({ engine }) => engine === "one");
+    assert.equal(silent.length, 2);
+    for (const { identifier, attempt, engine } of dispatched) {
+        driver.handle(
+            engine === "one"
+                ? { type: "attempt-failed", identifier, attempt, failure: "silent", deliveredTokens: 0 }
+                : { type: "attempt-finished", identifier, attempt },
+        );
+    }
+    const again: string[] = [];
+    for (let step = 0; step < 60; step += 1) {
+        const effects = [...driver.observe("two", "first"), ...driver.wait(200)];
+        for (const { identifier, attempt, engine } of pick(effects, "dispatch")) {
+            again.push(engine);
+            driver.handle({ type: "attempt-finished", identifier, attempt });
+        }
+    }
+    assert.deepEqual(again, ["two", "two"]);
+});
+
 test("a model that a newer deployment no longer lists is refused as not run", () => {
     const driver = new Driver(["one"]);
     for (const identifier of ["a", "b", "c"]) {
@@ -259,3 +282,13 @@
     const effects = [1, 2, 3, 4, 5, 6].flatMap(() => [...driver.wait(1_000), ...repeat()]);
     assert.equal(pick(effects, "dispatch").length, 1);
 });
+
+test("attempts that no engine took do not use up a request that has tokens already", () => {
+    const driver = new Driver();
+    driver.submit("a");
+    for (const [index, failure] of (["incomplete", "engine-busy", "engine-busy", "incomplete"] as const).entries()) {
+        const attempt = index + 1;
+        const failed = { type: "attempt-failed", identifier: "a", attempt, failure, deliveredTokens: 1 } as const;
+        assert.deepEqual(pick([...driver.handle(failed), ...driver.wait(3_000)], "refuse"), [], `attempt ${attempt}`);
+    }
+});
