Pass on that a copy drains within one revision of its record

Cause: a holder tells of fewer copies while one drains, under an unchanged record revision; the digest board took equal revisions for old news, so peers went on routing to the copy until it was evicted. Ruled out: taking every digest of an equal revision; where digests are passed on their order is unknown, and a late one would bring the copy back. Change: a holder's own digest replaces the held one if it differs; a digest passed on does if it names fewer copies. Measured: the new test fails before and passes after; src/host 10 passed.

--- a/src/host/digestBoard.test.ts
+++ b/src/host/digestBoard.test.ts
@@ -72,3 +72,15 @@
     assert.deepEqual(state.suspects[0]?.crashes, ["engine-1/a", "engine-2/a"]);
     assert.equal(state.suspects[0].convicted, true);
 });
+
+test("a copy that drains within one revision is told at once, and is not brought back by a digest passed on late", () => {
+    const full = { ...residency, models: [{ name: "quotes", version: "1" }] };
+    const holder = createDigestBoard({ relays: () => true });
+    holder.noteResidency(full, "own");
+    assert.equal(holder.noteResidency(residency, "own"), true);
+    assert.deepEqual(holder.takeRound(0).residency, [residency]);
+    const relay = createDigestBoard({ relays: () => true });
+    relay.noteResidency(full, "peer");
+    assert.equal(relay.noteResidency(residency, "peer"), true);
+    assert.equal(relay.noteResidency(full, "peer"), false);
+});
--- a/src/host/digestBoard.ts
+++ b/src/host/digestBoard.ts
@@ -102,7 +102,7 @@
 
     noteResidency(digest: ResidencyDigest, origin: FactOrigin): boolean {
         const present = this.#residencies.get(digest.engine);
-        if (present !== undefined && present.value.recordRevision >= digest.recordRevision) {
+        if (present !== undefined && !this.#isNewer(digest, present.value, origin)) {
             return false;
         }
         this.#residencies.set(digest.engine, {
@@ -113,6 +113,20 @@
         return true;
     }
 
+    /**
+     * Tells whether a digest replaces the held one. Within one revision a holder tells of fewer copies while one drains;
+     * where digests are passed on, their order is unknown, and the one with fewer copies is kept.
+     */
+    #isNewer(digest: ResidencyDigest, held: ResidencyDigest, origin: FactOrigin): boolean {
+        if (digest.recordRevision !== held.recordRevision) {
+            return digest.recordRevision > held.recordRevision;
+        }
+        if (origin === "peer" && this.#relays()) {
+            return countCopies(digest) < countCopies(held);
+        }
+        return JSON.stringify(digest) !== JSON.stringify(held);
+    }
+
     noteSuspects(digests: readonly SuspectDigest[], origin: FactOrigin): void {
         for (const digest of digests) {
             const present = this.#suspects.get(digest.fingerprint);
@@ -187,6 +201,10 @@
     }
 }
 
+function countCopies(digest: ResidencyDigest): number {
+    return digest.models.length + digest.adapters.length;
+}
+
 function takeFacts<Value>(facts: ReadonlyMap<string, Fact<Value>>, refresh: boolean): Value[] {
     const taken: Value[] = [];
     for (const fact of facts.values()) {
