Smooth demand over 15 s, and let a copy settle for 60 s

Cause: the planner reached fewer targets than least recently used, as it followed the tenfold swings of demand late: it smoothed demand over 60 s and kept a copy for 120 s. Ruled out: a settling time of 20 s with the old smoothing, which changed nothing beyond the spread (trial of the policy measurement). Change: both constants; the measurement now takes them from the planner in place of copies of its own.

--- a/measurements/policy/placements.ts
+++ b/measurements/policy/placements.ts
@@ -6,18 +6,18 @@
  */
 import { type Deployment } from "../../src/generated/deployment.js";
 import {
+    DEMAND_SMOOTHING_MILLISECONDS,
     type PlacementEngine,
     type PlacementModel,
     type PlacementOptions,
     type PlannedAction,
     planPlacement,
+    SETTLING_MILLISECONDS,
 } from "../../src/residency/index.js";
 import { type HostsRun } from "./hostsRun.js";
 import { isWithinTarget } from "./summary.js";
 
 const PLAN_INTERVAL_MILLISECONDS = 1_000;
-const SETTLE_MILLISECONDS = 120_000;
-const DEMAND_SMOOTHING_MILLISECONDS = 60_000;
 const NEWEST_DEMAND_WEIGHT = 1 - Math.exp(-PLAN_INTERVAL_MILLISECONDS / DEMAND_SMOOTHING_MILLISECONDS);
 
 /** What a placement policy sees of one pool. */
@@ -147,7 +147,7 @@
             megabytes: megabytesOf(copy.name),
             state: copy.state,
             clearable: copy.state === "proved",
-            settling: this.#run.events.now() - copy.loadedAtMilliseconds < SETTLE_MILLISECONDS
+            settling: this.#run.events.now() - copy.loadedAtMilliseconds < SETTLING_MILLISECONDS
                 && copy.loadedAtMilliseconds > 0,
         }));
         const freeMegabytes = memoryMegabytes - copies.reduce((sum, copy) => sum + copy.megabytes, 0);
--- a/src/residency/_demand.ts
+++ b/src/residency/_demand.ts
@@ -5,7 +5,8 @@
  */
 import { type DemandDigest } from "../generated/peers.js";
 
-const SMOOTHING_MILLISECONDS = 60_000;
+/** Time in which the weight of past demand falls to 37 in 100. */
+export const DEMAND_SMOOTHING_MILLISECONDS = 15_000;
 
 /** Smoothed rates of one model or adapter. */
 export interface DemandRate {
@@ -32,7 +33,7 @@
 }
 
 function decay(counts: Counts, nowMilliseconds: number): void {
-    const factor = Math.exp(-Math.max(0, nowMilliseconds - counts.atMilliseconds) / SMOOTHING_MILLISECONDS);
+    const factor = Math.exp(-Math.max(0, nowMilliseconds - counts.atMilliseconds) / DEMAND_SMOOTHING_MILLISECONDS);
     counts.arrivals *= factor;
     counts.missed *= factor;
     counts.atMilliseconds = nowMilliseconds;
@@ -65,7 +66,7 @@
                 return { arrivalsPerSecond: 0, missedPerSecond: 0 };
             }
             decay(counts, nowMilliseconds);
-            const seconds = SMOOTHING_MILLISECONDS / 1000;
+            const seconds = DEMAND_SMOOTHING_MILLISECONDS / 1000;
             return { arrivalsPerSecond: counts.arrivals / seconds, missedPerSecond: counts.missed / seconds };
         },
     };
--- a/src/residency/_view.ts
+++ b/src/residency/_view.ts
@@ -20,7 +20,7 @@
 } from "./placement.js";
 
 /** A copy is not exchanged for another one before it has stood for this long, at a move weight of 1. */
-const SETTLING_MILLISECONDS = 120_000;
+export const SETTLING_MILLISECONDS = 60_000;
 
 function copyState(
     holder: ActiveHolder,
--- a/src/residency/index.ts
+++ b/src/residency/index.ts
@@ -14,6 +14,8 @@
  *
  * @module
  */
+export { DEMAND_SMOOTHING_MILLISECONDS } from "./_demand.js";
+export { SETTLING_MILLISECONDS } from "./_view.js";
 export {
     chargedMegabytes,
     compareFencing,
