--- a/src/requests/crashes.test.ts
+++ b/src/requests/crashes.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { type HostsRun } from "../../measurements/policy/hostsRun.js";
 import { type Arrival } from "../../measurements/policy/runTypes.js";
-import { describeArrival, runSmall } from "./_testRuns.js";
+import { describeArrival, runSmall } from "../../tests/support/requestRuns.js";
 
 const PROPERTY_SEED = 20261203;
 const RUNS = 150;
--- a/src/requests/load.test.ts
+++ b/src/requests/load.test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import { type HostsRun } from "../../measurements/policy/hostsRun.js";
 import { type Arrival } from "../../measurements/policy/runTypes.js";
+import { describeArrival, runSmall } from "../../tests/support/requestRuns.js";
 import { createSeededRandom } from "../decision/index.js";
-import { describeArrival, runSmall } from "./_testRuns.js";
 
 const SEED = 20261203;
 const HOSTS = 3;
--- a/src/residency/placement.test.ts
+++ b/src/residency/placement.test.ts
@@ -1,8 +1,8 @@
 import fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createText } from "../../tests/support/residencyTexts.js";
 import { type Deployment } from "../generated/deployment.js";
-import { createText } from "./_testTexts.js";
 import {
     type PlacementCopy,
     type PlacementEngine,
--- a/src/residency/residency.test.ts
+++ b/src/residency/residency.test.ts
@@ -2,9 +2,9 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
+import { Fleet } from "../../tests/support/residencyFleet.js";
+import { createText, missingModels, wantAdapters } from "../../tests/support/residencyTexts.js";
 import { deploymentSchema } from "../generated/deployment.js";
-import { Fleet } from "./_testFleet.js";
-import { createText, missingModels, wantAdapters } from "./_testTexts.js";
 
 for (const checksFencing of [true, false]) {
     test(`without faults all models and wanted adapters become resident (fencing: ${checksFencing})`, () => {
--- a/src/residency/residencyDecision.test.ts
+++ b/src/residency/residencyDecision.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createText } from "../../tests/support/residencyTexts.js";
 import { type Deployment } from "../generated/deployment.js";
 import { type EngineRecord, type LedgerEntry } from "../generated/platform.js";
 import { type EngineOrder, type EngineReport } from "../generated/upstreams.js";
-import { createText } from "./_testTexts.js";
 import { createResidencyDecision, type ResidencyEffect, type ResidencyMessage } from "./index.js";
 
 const LEASE_MILLISECONDS = 10_000;
--- a/src/requests/_testRuns.ts
+++ b/tests/support/requestRuns.ts
@@ -5,8 +5,8 @@
  */
 import { HostsRun } from "../../measurements/policy/hostsRun.js";
 import { type Arrival, type HostsRunOptions, type Network } from "../../measurements/policy/runTypes.js";
-import { deploymentSchema } from "../generated/deployment.js";
-import { createRequestsDecision, type ModelRequest } from "./index.js";
+import { deploymentSchema } from "../../src/generated/deployment.js";
+import { createRequestsDecision, type ModelRequest } from "../../src/requests/index.js";
 
 /** Delays of the tests' runs. */
 export const NETWORK: Network = {
--- a/src/residency/_testFleet.ts
+++ b/tests/support/residencyFleet.ts
@@ -3,18 +3,18 @@
  *
  * @module
  */
-import { createSeededRandom, type Decision, type RandomSource } from "../decision/index.js";
-import { type Deployment } from "../generated/deployment.js";
-import { type ResidencyDigest } from "../generated/peers.js";
-import { type EngineRecord } from "../generated/platform.js";
-import { type EngineOrder, type EngineOrderAnswer, type EngineReport } from "../generated/upstreams.js";
+import { createSeededRandom, type Decision, type RandomSource } from "../../src/decision/index.js";
+import { type Deployment } from "../../src/generated/deployment.js";
+import { type ResidencyDigest } from "../../src/generated/peers.js";
+import { type EngineRecord } from "../../src/generated/platform.js";
+import { type EngineOrder, type EngineOrderAnswer, type EngineReport } from "../../src/generated/upstreams.js";
 import {
     compareFencing,
     createResidencyDecision,
     isProvedCopy,
     type ResidencyEffect,
     type ResidencyMessage,
-} from "./index.js";
+} from "../../src/residency/index.js";
 
 const LEASE_MILLISECONDS = 10_000;
 const TICK_MILLISECONDS = 500;
--- a/src/residency/_testTexts.ts
+++ b/tests/support/residencyTexts.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type Deployment, deploymentSchema } from "../generated/deployment.js";
-import { type Fleet } from "./_testFleet.js";
+import { type Deployment, deploymentSchema } from "../../src/generated/deployment.js";
+import { type Fleet } from "./residencyFleet.js";
 
 /** What differs between the texts of a test. */
 export interface TextOptions {
