Record traces of decisions on running hosts, and replay them against stated outcomes

Change: `log.trace` in the settings names decisions whose messages a host logs, each decision with a random source and identifiers of its own that a replay repeats; src/trace records, reads and replays; scripts/recordTraces.ts records two failures of a site of real processes: an owner that dies while its order runs, and a request that crashes its engine. docs/PROOFS.md lists what is shown and what is not. Ruled out: comparing all effects of a replay; a changed decision may act otherwise and still show the outcome, so the outcomes are stated.

--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -14,6 +14,7 @@
 import { type ClientDirectory } from "./clientDirectory.js";
 import { type Clock } from "./clock.js";
 import { type HostEvents } from "./events.js";
+import { type TraceLog } from "./traceLog.js";
 
 /** What every task of a host shares. */
 export interface HostContext {
@@ -22,6 +23,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
+    readonly traces: TraceLog;
     readonly metrics: Metrics;
     readonly events: HostEvents;
     readonly keyValue: KeyValueService;
--- a/src/host/membershipTask.ts
+++ b/src/host/membershipTask.ts
@@ -58,8 +58,11 @@
 
     constructor(context: HostContext) {
         this.#context = context;
-        this.view = createMembershipDecision({ identity: context.identity, random: context.random });
-        this.#task = createTask<MembershipMessage, MembershipEffect>(this.view, {
+        const { identity } = context;
+        const { random, seed } = context.traces.createSources();
+        this.view = createMembershipDecision({ identity, random });
+        const traced = context.traces.wrap("membership", { identity, seed }, this.view);
+        this.#task = createTask<MembershipMessage, MembershipEffect>(traced, {
             clock: context.clock,
             perform: effects => this.#perform(effects),
             tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
--- a/src/host/ordersTask.ts
+++ b/src/host/ordersTask.ts
@@ -55,13 +55,15 @@
 
     constructor(context: HostContext) {
         this.#context = context;
-        this.#decision = createOrdersDecision({
+        const { random, seed } = context.traces.createSources();
+        const options = {
             identity: context.identity,
-            random: context.random,
             wallClockOffsetMilliseconds: performance.timeOrigin,
             acceptWhileLeavingMilliseconds: context.settings.addressKeepMilliseconds,
-        });
-        this.#task = createTask<OrdersMessage, OrdersEffect>(this.#decision, {
+        };
+        this.#decision = createOrdersDecision({ ...options, random });
+        const traced = context.traces.wrap("orders", { ...options, seed }, this.#decision);
+        this.#task = createTask<OrdersMessage, OrdersEffect>(traced, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
             tick: {
--- a/src/host/requestsTask.ts
+++ b/src/host/requestsTask.ts
@@ -44,12 +44,12 @@
 
     constructor(context: HostContext) {
         this.#context = context;
-        const decision = createRequestsDecision({
-            host: context.identity.host,
-            random: context.random,
-            queuedRequests: context.settings.limits.queuedRequests,
-        });
-        this.#task = createTask<RequestsMessage, RequestsEffect>(decision, {
+        const { host } = context.identity;
+        const { queuedRequests } = context.settings.limits;
+        const { random, seed } = context.traces.createSources();
+        const decision = createRequestsDecision({ host, random, queuedRequests });
+        const traced = context.traces.wrap("requests", { host, seed, queuedRequests }, decision);
+        this.#task = createTask<RequestsMessage, RequestsEffect>(traced, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
             tick: {
--- a/src/host/residencyTask.ts
+++ b/src/host/residencyTask.ts
@@ -9,7 +9,6 @@
 import { type EngineOrder } from "../generated/upstreams.js";
 import { createDutyLease, type DutyLease } from "../leases/index.js";
 import { createResidencyDecision, type ResidencyEffect, type ResidencyMessage } from "../residency/index.js";
-import { createIdentifier } from "./clock.js";
 import { type HostContext, listEngines, type PlacedEngine } from "./context.js";
 import { type HostEvent } from "./events.js";
 import { parseJson } from "./parseJson.js";
@@ -59,8 +58,12 @@
     constructor(context: HostContext, options: ResidencyTaskOptions) {
         this.#context = context;
         this.#pool = options.pool;
-        const decision = createResidencyDecision({ pool: options.pool, host: context.identity.host, createIdentifier });
-        this.#task = createTask<ResidencyMessage, ResidencyEffect>(decision, {
+        const { pool } = options;
+        const { host } = context.identity;
+        const { createIdentifier, identifierPrefix } = context.traces.createSources();
+        const decision = createResidencyDecision({ pool, host, createIdentifier });
+        const traced = context.traces.wrap("residency", { pool, host, identifierPrefix }, decision);
+        this.#task = createTask<ResidencyMessage, ResidencyEffect>(traced, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
             tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
--- a/src/host/startHost.ts
+++ b/src/host/startHost.ts
@@ -23,6 +23,7 @@
 import { createPoolTasks, type PoolTasks } from "./poolTasks.js";
 import { type RequestsTask, startRequestsTask } from "./requestsTask.js";
 import { startStateFetch, type StateFetch } from "./stateFetch.js";
+import { createTraceLog } from "./traceLog.js";
 
 const OWN_STATE_INTERVAL_MILLISECONDS = 500;
 const DRAIN_POLL_MILLISECONDS = 50;
@@ -55,6 +56,7 @@
 
 function createContext(settings: Settings): HostContext {
     const incarnation = createIncarnation();
+    const logger = createLogger({ level: settings.log.level, fields: { host: settings.host, incarnation } });
     const identity: HostIdentity = {
         host: settings.host,
         incarnation,
@@ -68,7 +70,8 @@
         identity,
         clock: processClock,
         random: Math.random,
-        logger: createLogger({ level: settings.log.level, fields: { host: settings.host, incarnation } }),
+        logger,
+        traces: createTraceLog(logger, settings.log.trace),
         metrics: createMetrics(settings.metrics, settings.host),
         events: createHostEvents(),
         keyValue: createKeyValueClient({ urls: settings.platform.keyValue }),
--- a/src/index.ts
+++ b/src/index.ts
@@ -28,3 +28,4 @@
 export * from "./orders/index.js";
 export * from "./requests/index.js";
 export * from "./residency/index.js";
+export * from "./trace/index.js";
