Measure seven hosts at rest

Cause: the rest figure of the path measurement was taken in the first seconds of one host, where compiling code dominates, and without peers. Change: measurements/rest.ts measures seven hosts before five engines from the 20th to the 40th second.

--- a/measurements/path.ts
+++ b/measurements/path.ts
@@ -1,5 +1,5 @@
 /**
- * What the path through a host adds to a direct call of an engine; requests a second and memory of one host.
+ * What the path through a host adds to a direct call of an engine; requests a second of one host.
  *
  * Run with `npm run build && node dist/measurements/path.js`.
  *
@@ -19,7 +19,6 @@
 const ANSWER_TOKENS = 8;
 const MICROSECONDS_IN_MILLISECOND = 1000;
 const BYTES_IN_MEGABYTE = 1024 * 1024;
-const REST_MILLISECONDS = 5000;
 const PROJECT_FOLDER = fileURLToPath(new URL("../..", import.meta.url));
 
 interface ProcessFigures {
@@ -143,19 +142,6 @@
     );
 }
 
-async function measureRest(hostUrl: string): Promise<void> {
-    const before = await readFigures(hostUrl);
-    await new Promise(resolve => setTimeout(resolve, REST_MILLISECONDS));
-    const after = await readFigures(hostUrl);
-    const share = (after.processorMicroseconds - before.processorMicroseconds)
-        / (REST_MILLISECONDS * MICROSECONDS_IN_MILLISECOND);
-    console.log(
-        `\nAt rest: heap ${(after.heapBytes / BYTES_IN_MEGABYTE).toFixed(0)} MB, resident ${
-            (after.residentBytes / BYTES_IN_MEGABYTE).toFixed(0)
-        } MB, ${(100 * share).toFixed(2)}% of a core\n`,
-    );
-}
-
 async function prepare(): Promise<Site> {
     const site = await startSite({
         template: join(PROJECT_FOLDER, "measurements", "path.template.jsonc"),
@@ -183,7 +169,6 @@
         const hostUrl = site.hosts[0]?.callersUrl ?? "";
         const engineUrl = site.engines.get("engine-1")?.url ?? "";
         await waitUntil(() => timeRequest(hostUrl, "ready").then(() => true, () => false), "the model answers");
-        await measureRest(hostUrl);
         await measureAddedLatency(hostUrl, engineUrl);
         await measureThroughput(hostUrl);
     }
--- /dev/null
+++ b/measurements/rest.ts
@@ -0,0 +1,77 @@
+/**
+ * What seven hosts spend at rest, before five engines: processor time and memory.
+ *
+ * Run with `npm run build && node dist/measurements/rest.js`.
+ *
+ * @module
+ */
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { startProcess } from "../demo/processes.js";
+import { readJson, type Site, startSite } from "../demo/sites.js";
+
+const HOSTS = 7;
+const ZONES = 3;
+const WARM_UP_MILLISECONDS = 20_000;
+const MEASURED_MILLISECONDS = 20_000;
+const BYTES_IN_MEGABYTE = 1024 * 1024;
+const PROJECT_FOLDER = fileURLToPath(new URL("../..", import.meta.url));
+
+interface ProcessFigures {
+    readonly heapBytes: number;
+    readonly residentBytes: number;
+    readonly processorMicroseconds: number;
+}
+
+function wait(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+async function readFigures(site: Site): Promise<ProcessFigures[]> {
+    const statuses = await Promise.all(site.hosts.map(({ callersUrl }) => readJson(`${callersUrl}/v1/status`)));
+    return statuses.map(status => (status as { readonly process: ProcessFigures; }).process);
+}
+
+async function prepare(): Promise<Site> {
+    const site = await startSite({
+        template: join(PROJECT_FOLDER, "demo", "demo.template.jsonc"),
+        engines: ["bag-llm-1", "bag-llm-2", "bag-llm-3", "mill-ops-1", "mill-ops-2"].map(name => ({
+            name,
+            options: { memoryMegabytes: name.startsWith("bag") ? 40_000 : 30_000 },
+        })),
+        plainServices: [{ name: "cutting-line", options: {} }],
+        hosts: Array.from(
+            { length: HOSTS },
+            (_, index) => ({ name: `entry-${index + 1}`, zone: `west-${index % ZONES + 1}` }),
+        ),
+        region: "west",
+        weightStore: { loadsPerSecond: 50, concurrentLoads: 7 },
+        settings: { log: { level: "error" } },
+    });
+    await startProcess("apply", {
+        file: "bin/flamingospread",
+        arguments: ["apply", site.textFile, "--store", site.keyValue.url],
+    }).ended;
+    return site;
+}
+
+const site = await prepare();
+try {
+    await wait(WARM_UP_MILLISECONDS);
+    const before = await readFigures(site);
+    await wait(MEASURED_MILLISECONDS);
+    const after = await readFigures(site);
+    console.log("| host | processor, % of a core | heap, MB | resident, MB |\n|---|---|---|---|");
+    for (const [index, figures] of after.entries()) {
+        const spent = figures.processorMicroseconds - (before[index]?.processorMicroseconds ?? 0);
+        const share = spent / (MEASURED_MILLISECONDS * 1000) * 100;
+        const heap = figures.heapBytes / BYTES_IN_MEGABYTE;
+        const resident = figures.residentBytes / BYTES_IN_MEGABYTE;
+        console.log(
+            `| ${site.hosts[index]?.name ?? ""} | ${share.toFixed(2)} | ${heap.toFixed(0)} | ${resident.toFixed(0)} |`,
+        );
+    }
+}
+finally {
+    await site.close();
+}
