Split the start of a host by job; close what a failed start had opened

Cause: startHost.ts held context, handlers and life cycle in 314 lines; reading it showed that a host whose address is taken left its tasks and clients running. Two measurements share how they read a host's figures.

--- a/measurements/path.ts
+++ b/measurements/path.ts
@@ -10,7 +10,8 @@
 import { fileURLToPath } from "node:url";
 import { Agent, request, setGlobalDispatcher } from "undici";
 import { startProcess } from "../demo/processes.js";
-import { readJson, type Site, startSite, waitUntil } from "../demo/sites.js";
+import { type Site, startSite, waitUntil } from "../demo/sites.js";
+import { BYTES_IN_MEGABYTE, readFigures } from "./processFigures.js";
 
 const PAIRS = 300;
 const WARM_UP_PAIRS = 100;
@@ -18,15 +19,8 @@
 const THROUGHPUT_CONCURRENCY = 48;
 const ANSWER_TOKENS = 8;
 const MICROSECONDS_IN_MILLISECOND = 1000;
-const BYTES_IN_MEGABYTE = 1024 * 1024;
 const PROJECT_FOLDER = fileURLToPath(new URL("../..", import.meta.url));
 
-interface ProcessFigures {
-    readonly heapBytes: number;
-    readonly residentBytes: number;
-    readonly processorMicroseconds: number;
-}
-
 interface Timing {
     readonly firstToken: number;
     readonly whole: number;
@@ -105,11 +99,6 @@
     }
 }
 
-async function readFigures(hostUrl: string): Promise<ProcessFigures> {
-    const status = await readJson(`${hostUrl}/v1/status`) as { readonly process: ProcessFigures; };
-    return status.process;
-}
-
 async function measureThroughput(hostUrl: string): Promise<void> {
     const before = await readFigures(hostUrl);
     const startedAt = performance.now();
--- a/measurements/rest.ts
+++ b/measurements/rest.ts
@@ -8,28 +8,21 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { startProcess } from "../demo/processes.js";
-import { readJson, type Site, startSite } from "../demo/sites.js";
+import { type Site, startSite } from "../demo/sites.js";
+import { BYTES_IN_MEGABYTE, type ProcessFigures, readFigures } from "./processFigures.js";
 
 const HOSTS = 7;
 const ZONES = 3;
 const WARM_UP_MILLISECONDS = 20_000;
 const MEASURED_MILLISECONDS = 20_000;
-const BYTES_IN_MEGABYTE = 1024 * 1024;
 const PROJECT_FOLDER = fileURLToPath(new URL("../..", import.meta.url));
 
-interface ProcessFigures {
-    readonly heapBytes: number;
-    readonly residentBytes: number;
-    readonly processorMicroseconds: number;
-}
-
 function wait(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
-async function readFigures(site: Site): Promise<ProcessFigures[]> {
-    const statuses = await Promise.all(site.hosts.map(({ callersUrl }) => readJson(`${callersUrl}/v1/status`)));
-    return statuses.map(status => (status as { readonly process: ProcessFigures; }).process);
+function readAll(site: Site): Promise<ProcessFigures[]> {
+    return Promise.all(site.hosts.map(({ callersUrl }) => readFigures(callersUrl)));
 }
 
 async function prepare(): Promise<Site> {
@@ -58,9 +51,9 @@
 const site = await prepare();
 try {
     await wait(WARM_UP_MILLISECONDS);
-    const before = await readFigures(site);
+    const before = await readAll(site);
     await wait(MEASURED_MILLISECONDS);
-    const after = await readFigures(site);
+    const after = await readAll(site);
     console.log("| host | processor, % of a core | heap, MB | resident, MB |\n|---|---|---|---|");
     for (const [index, figures] of after.entries()) {
         const spent = figures.processorMicroseconds - (before[index]?.processorMicroseconds ?? 0);
--- /dev/null
+++ b/src/host/callerHandlers.ts
@@ -0,0 +1,89 @@
+/**
+ * What the callers' surface asks of a host's tasks.
+ *
+ * @module
+ */
+import { type CallerHandlers, createRefusal } from "../callers/index.js";
+import { type AddressesAnswer, type Refusal } from "../generated/callers.js";
+import { createIdentifier } from "./clock.js";
+import { type HostContext } from "./context.js";
+import { type Tasks } from "./tasks.js";
+
+const LEAVING_RETRY_MILLISECONDS = 200;
+
+/** What the surface may ask of the host itself. */
+export interface HostControl {
+    takesRequests(): boolean;
+    drain(): void;
+}
+
+/**
+ * Creates the handlers of the callers' surface.
+ *
+ * @param context What the tasks share.
+ * @param options The tasks, and the host that they belong to.
+ *
+ * @example
+ * ```ts
+ * const handlers = createCallerHandlers(context, { tasks, control });
+ * ```
+ */
+export function createCallerHandlers(
+    context: HostContext,
+    options: { readonly tasks: Tasks; readonly control: HostControl; },
+): CallerHandlers {
+    const { tasks, control } = options;
+    return {
+        deployment: () => tasks.configuration.view.deployment(),
+        closedFor: () => control.takesRequests() ? undefined : refuseAfterLeaving(),
+        submit: (request, sink) => tasks.requests.submit(request, sink),
+        order: (order, onOutcome) => tasks.orders.order(order, onOutcome),
+        addresses: caller => renderAddresses(context, tasks, caller),
+        status: () => renderStatus(context, tasks),
+        drain: () => control.drain(),
+        createIdentifier,
+        refused: refusal => context.metrics.increment(`refusals.${refusal.reason}`),
+    };
+}
+
+/** A leaving host takes requests until the addresses that callers keep have run out. */
+function refuseAfterLeaving(): Refusal {
+    return createRefusal("host-leaving", "this host is leaving; ask another address", {
+        retryAfterMilliseconds: LEAVING_RETRY_MILLISECONDS,
+    });
+}
+
+function renderAddresses(
+    context: HostContext,
+    tasks: Tasks,
+    caller: Parameters<CallerHandlers["addresses"]>[0],
+): AddressesAnswer {
+    const place = {
+        ...(caller.zone === undefined ? {} : { zone: caller.zone }),
+        ...(caller.region === undefined ? {} : { region: caller.region }),
+    };
+    const hosts = tasks.membership.view.rankAddresses(place);
+    return {
+        keepMilliseconds: context.settings.addressKeepMilliseconds,
+        addresses: hosts.map(host => ({ url: host.callersUrl, zone: host.zone, ticket: tasks.orders.ticketFor(host) })),
+    };
+}
+
+function renderStatus(context: HostContext, tasks: Tasks): Readonly<Record<string, unknown>> {
+    return {
+        identity: context.identity,
+        configuration: tasks.configuration.view.state(context.clock()),
+        peers: tasks.membership.view.livePeers().map(({ host, zone, incarnation }) => ({ host, zone, incarnation })),
+        openRequests: tasks.requests.openRequests(),
+        openOrders: tasks.orders.openOrders(),
+        pools: tasks.pools.status(),
+        process: renderProcess(),
+        totals: context.metrics.totals(),
+    };
+}
+
+function renderProcess(): Readonly<Record<string, number>> {
+    const { heapUsed, rss } = process.memoryUsage();
+    const { user, system } = process.cpuUsage();
+    return { heapBytes: heapUsed, residentBytes: rss, processorMicroseconds: user + system };
+}
--- a/src/host/startHost.ts
+++ b/src/host/startHost.ts
@@ -4,30 +4,19 @@
  * @module
  */
 import { setTimeout as delay } from "node:timers/promises";
-import { type CallerHandlers, type CallersServer, createRefusal, startCallersServer } from "../callers/index.js";
-import { type AddressesAnswer, type Refusal } from "../generated/callers.js";
-import { type HostIdentity, type SharedState } from "../generated/peers.js";
+import { type CallersServer, startCallersServer } from "../callers/index.js";
+import { type SharedState } from "../generated/peers.js";
 import { type Settings } from "../generated/settings.js";
-import { createLogger, createMetrics } from "../observability/index.js";
-import { createPeerClient, type PeerServer, startPeerServer } from "../peers/index.js";
-import { createHostListClient, createKeyValueClient } from "../platform/index.js";
-import { createEngineClient, createPlainServiceClient } from "../upstreams/index.js";
-import { createClientDirectory } from "./clientDirectory.js";
-import { createIdentifier, createIncarnation, processClock } from "./clock.js";
-import { type ConfigurationTask, startConfigurationTask } from "./configurationTask.js";
+import { type PeerServer, startPeerServer } from "../peers/index.js";
+import { createCallerHandlers } from "./callerHandlers.js";
 import { type HostContext } from "./context.js";
+import { closeContext, createContext } from "./createContext.js";
 import { startEnginePoller } from "./enginePoller.js";
-import { createHostEvents } from "./events.js";
-import { type MembershipTask, startMembershipTask } from "./membershipTask.js";
-import { type OrdersTask, startOrdersTask } from "./ordersTask.js";
-import { createPoolTasks, type PoolTasks } from "./poolTasks.js";
-import { type RequestsTask, startRequestsTask } from "./requestsTask.js";
 import { startStateFetch, type StateFetch } from "./stateFetch.js";
-import { createTraceLog } from "./traceLog.js";
+import { closeTasks, startTasks, type Tasks } from "./tasks.js";
 
 const OWN_STATE_INTERVAL_MILLISECONDS = 500;
 const DRAIN_POLL_MILLISECONDS = 50;
-const LEAVING_RETRY_MILLISECONDS = 200;
 
 /** A running host. */
 export interface Host {
@@ -41,58 +30,6 @@
     close(): Promise<void>;
 }
 
-interface Tasks {
-    readonly configuration: ConfigurationTask;
-    readonly membership: MembershipTask;
-    readonly requests: RequestsTask;
-    readonly orders: OrdersTask;
-    readonly pools: PoolTasks;
-}
-
-function formatUrl(endpoint: { readonly address: string; readonly port: number; }): string {
-    const address = endpoint.address.includes(":") ? `[${endpoint.address}]` : endpoint.address;
-    return `http://${address}:${endpoint.port}`;
-}
-
-function createContext(settings: Settings): HostContext {
-    const incarnation = createIncarnation();
-    const logger = createLogger({ level: settings.log.level, fields: { host: settings.host, incarnation } });
-    const identity: HostIdentity = {
-        host: settings.host,
-        incarnation,
-        zone: settings.zone,
-        region: settings.region,
-        callersUrl: formatUrl(settings.callers),
-        peersUrl: formatUrl(settings.peers),
-    };
-    return {
-        settings,
-        identity,
-        clock: processClock,
-        random: Math.random,
-        logger,
-        traces: createTraceLog(logger, settings.log.trace),
-        metrics: createMetrics(settings.metrics, settings.host),
-        events: createHostEvents(),
-        keyValue: createKeyValueClient({ urls: settings.platform.keyValue }),
-        hostList: createHostListClient({ url: settings.platform.hostList }),
-        peers: createClientDirectory((_name, url) => createPeerClient(url)),
-        engines: createClientDirectory((name, url) => createEngineClient({ name, url })),
-        plainServices: createPlainServiceClient(),
-    };
-}
-
-function startTasks(context: HostContext): Tasks {
-    const membership = startMembershipTask(context);
-    const peersUrlOf = (host: string) => membership.view.allKnown().find(identity => identity.host === host)?.peersUrl;
-    const configuration = startConfigurationTask(context, peersUrlOf);
-    const requests = startRequestsTask(context);
-    const orders = startOrdersTask(context);
-    const liveHosts = () => [context.identity, ...membership.view.livePeers()].map(({ host }) => host);
-    const pools = createPoolTasks(context, liveHosts);
-    return { configuration, membership, requests, orders, pools };
-}
-
 class RunningHost implements Host {
     readonly closed: Promise<void>;
     readonly #context: HostContext;
@@ -199,87 +136,19 @@
     }
 
     async #closeParts(): Promise<void> {
-        const context = this.#context;
         this.#timers.forEach(timer => clearInterval(timer));
         this.#poller.close();
         this.#stateFetch.close();
         const callersClosed = this.#callers.close();
-        await this.#tasks.pools.close();
-        await this.#tasks.configuration.close();
-        this.#tasks.requests.close();
-        this.#tasks.orders.close();
-        this.#tasks.membership.close();
+        await closeTasks(this.#tasks);
         this.#callers.abort();
         await callersClosed;
         await this.#peers.close();
-        await Promise.all([context.peers.close(), context.engines.close(), context.plainServices.close()]);
-        await Promise.all([context.keyValue.close(), context.hostList.close(), context.metrics.close()]);
-        context.logger.info("closed");
-        context.logger.close();
+        await closeContext(this.#context);
         this.#markClosed();
     }
 }
 
-function createHandlers(
-    context: HostContext,
-    tasks: Tasks,
-    control: { takesRequests(): boolean; drain(): void; },
-): CallerHandlers {
-    return {
-        deployment: () => tasks.configuration.view.deployment(),
-        closedFor: () => control.takesRequests() ? undefined : refuseAfterLeaving(),
-        submit: (request, sink) => tasks.requests.submit(request, sink),
-        order: (order, onOutcome) => tasks.orders.order(order, onOutcome),
-        addresses: caller => renderAddresses(context, tasks, caller),
-        status: () => renderStatus(context, tasks),
-        drain: () => control.drain(),
-        createIdentifier,
-        refused: refusal => context.metrics.increment(`refusals.${refusal.reason}`),
-    };
-}
-
-/** A leaving host takes requests until the addresses that callers keep have run out. */
-function refuseAfterLeaving(): Refusal {
-    return createRefusal("host-leaving", "this host is leaving; ask another address", {
-        retryAfterMilliseconds: LEAVING_RETRY_MILLISECONDS,
-    });
-}
-
-function renderAddresses(
-    context: HostContext,
-    tasks: Tasks,
-    caller: Parameters<CallerHandlers["addresses"]>[0],
-): AddressesAnswer {
-    const place = {
-        ...(caller.zone === undefined ? {} : { zone: caller.zone }),
-        ...(caller.region === undefined ? {} : { region: caller.region }),
-    };
-    const hosts = tasks.membership.view.rankAddresses(place);
-    return {
-        keepMilliseconds: context.settings.addressKeepMilliseconds,
-        addresses: hosts.map(host => ({ url: host.callersUrl, zone: host.zone, ticket: tasks.orders.ticketFor(host) })),
-    };
-}
-
-function renderStatus(context: HostContext, tasks: Tasks): Readonly<Record<string, unknown>> {
-    return {
-        identity: context.identity,
-        configuration: tasks.configuration.view.state(context.clock()),
-        peers: tasks.membership.view.livePeers().map(({ host, zone, incarnation }) => ({ host, zone, incarnation })),
-        openRequests: tasks.requests.openRequests(),
-        openOrders: tasks.orders.openOrders(),
-        pools: tasks.pools.status(),
-        process: renderProcess(),
-        totals: context.metrics.totals(),
-    };
-}
-
-function renderProcess(): Readonly<Record<string, number>> {
-    const { heapUsed, rss } = process.memoryUsage();
-    const { user, system } = process.cpuUsage();
-    return { heapBytes: heapUsed, residentBytes: rss, processorMicroseconds: user + system };
-}
-
 /**
  * Starts a host.
  *
@@ -297,6 +166,18 @@
 export async function startHost(settings: Settings): Promise<Host> {
     const context = createContext(settings);
     const tasks = startTasks(context);
+    try {
+        return await listen(context, tasks);
+    }
+    catch (error) {
+        await closeTasks(tasks);
+        await closeContext(context);
+        throw error;
+    }
+}
+
+async function listen(context: HostContext, tasks: Tasks): Promise<Host> {
+    const { settings } = context;
     const peers = await startPeerServer(settings.peers, {
         takeDigest: digest => tasks.membership.takeDigest(digest),
         sharedState: () => tasks.membership.sharedState(),
@@ -306,8 +187,13 @@
         wantAdapter: wanted => context.events.publish({ type: "adapter-wanted", wanted, origin: "peer" }),
     });
     const control = { takesRequests: () => host.takesRequests, drain: () => void host.drain() };
-    const handlers = createHandlers(context, tasks, control);
-    const callers = await startCallersServer(settings.callers, { handlers, limits: settings.limits });
+    const handlers = createCallerHandlers(context, { tasks, control });
+    const callers = await startCallersServer(settings.callers, { handlers, limits: settings.limits }).catch(
+        async (error: unknown) => {
+            await peers.close();
+            throw error;
+        },
+    );
     const host: RunningHost = new RunningHost(context, { tasks, callers, peers });
     context.logger.info("listening", { callers: host.callersUrl, peers: host.peersUrl });
     return host;
