Test an engine that leaves by the platform's list, with real processes

Found on the way: with the new test in its place the last test of the file failed twice, each time after 60 s ("an engine runs a request"). Ruled out: a fault of the product; the stream was whole.

--- a/tests/_testSite.ts
+++ b/tests/_testSite.ts
@@ -208,12 +208,17 @@
     return await answer.body.json() as PlainServiceState;
 }
 
+/** Tells whether a process has not ended; one that was frozen and woken has not. */
+function isRunning({ process }: StandInProcess): boolean {
+    return process.child.exitCode === null && process.child.signalCode === null;
+}
+
 /** Finds the engine that runs a request now. */
 export async function findRunning(site: Site): Promise<string> {
     let found: string | undefined;
     await waitUntil(async () => {
         for (const [name, standIn] of site.engines) {
-            if (!standIn.process.child.killed && (await readEngine(standIn)).running > 0) {
+            if (isRunning(standIn) && (await readEngine(standIn)).running > 0) {
                 found = name;
             }
         }
--- a/tests/streams.test.ts
+++ b/tests/streams.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
+import { request } from "undici";
 import { waitUntil } from "../demo/sites.js";
 import { startRelay } from "./_relay.js";
 import {
@@ -78,6 +79,16 @@
     await silenced.outcome;
 });
 
+async function listLeavingEngines(leavingEngines: readonly string[]): Promise<void> {
+    const { url } = site.hostList;
+    const listing = await (await request(`${url}/v1/hosts`)).body.json() as Record<string, unknown>;
+    const answer = await request(`${url}/standin-hosts`, {
+        method: "PUT",
+        body: JSON.stringify({ ...listing, leavingEngines }),
+    });
+    await answer.body.dump();
+}
+
 test("an engine that leaves, by its own word, gets no new work after a few seconds", async () => {
     await setFaults(engine("engine-2"), { leaving: true });
     await new Promise(resolve => setTimeout(resolve, LEAVING_MILLISECONDS));
@@ -89,6 +100,18 @@
     await setFaults(engine("engine-2"), { leaving: false });
 });
 
+test("an engine that leaves, by the platform's list of hosts, gets no new work after a few seconds", async () => {
+    await listLeavingEngines(["engine-3"]);
+    await new Promise(resolve => setTimeout(resolve, LEAVING_MILLISECONDS));
+    const before = await completionsAt("engine-3");
+    const prompts = Array.from({ length: 24 }, (_, index) => `After the list ${index}`);
+    const outcomes = await Promise.all(prompts.map((prompt, index) => chat(hostUrl(index % 3), { prompt })));
+    outcomes.forEach((outcome, index) => assertWhole(outcome, { prompt: prompts[index] ?? "" }));
+    assert.equal(await completionsAt("engine-3"), before);
+    await listLeavingEngines([]);
+    await new Promise(resolve => setTimeout(resolve, LEAVING_MILLISECONDS));
+});
+
 test("streams of an engine that is frozen are whole, and so is what comes meanwhile", async () => {
     const first = await startLongStream(hostUrl(0), { ...LONG, prompt: "Frozen" });
     const victim = await findRunning(site);
