Run a pool's task only on the hosts that may hold it

Cause: found by reading. Every host ran a residency task and a lease task for every pool, each with five ticks a second: 130 pools would make 1,300 ticks a second on each of 390 hosts, which grows with hosts times pools. Calls on the key-value service did not. Ruled out: fewer ticks alone; the tasks and their state would stay. Change: a host runs the task of a pool while it is one of its four candidates, or holds it; a task that does not hold ticks once a second; a closed task ends its subscription.

--- a/src/host/events.ts
+++ b/src/host/events.ts
@@ -41,7 +41,8 @@
 /** Carries events between the tasks of a host. */
 export interface HostEvents {
     publish(event: HostEvent): void;
-    subscribe(listener: (event: HostEvent) => void): void;
+    /** Returns a function that ends the subscription. */
+    subscribe(listener: (event: HostEvent) => void): () => void;
 }
 
 /**
@@ -55,13 +56,16 @@
  * ```
  */
 export function createHostEvents(): HostEvents {
-    const listeners: ((event: HostEvent) => void)[] = [];
+    const listeners = new Set<(event: HostEvent) => void>();
     return {
         publish: event => {
-            for (const listener of listeners) {
+            for (const listener of [...listeners]) {
                 listener(event);
             }
         },
-        subscribe: listener => void listeners.push(listener),
+        subscribe: listener => {
+            listeners.add(listener);
+            return () => void listeners.delete(listener);
+        },
     };
 }
--- a/src/host/poolTasks.ts
+++ b/src/host/poolTasks.ts
@@ -31,16 +31,17 @@
 export function createPoolTasks(context: HostContext, liveHosts: () => readonly string[]): PoolTasks {
     const tasks = new Map<string, ResidencyTask>();
     let live: readonly HostIdentity[] = [];
-    let deployment: Deployment | undefined;
+    let inForce: { readonly deployment: Deployment; readonly revision: number; } | undefined;
     let leaving = false;
 
     context.events.subscribe(event => {
         if (event.type === "deployment-activated") {
-            deployment = event.deployment;
-            followDeployment(event.deployment, event.record.revision);
+            inForce = { deployment: event.deployment, revision: event.record.revision };
+            followCandidates();
         }
         else if (event.type === "peers-changed") {
             live = event.live;
+            followCandidates();
         }
         else if (event.type === "adapter-wanted" && event.origin === "own") {
             passToHolders(event.wanted);
@@ -56,17 +57,22 @@
         return listDutyCandidates(`residency/${pool}`, liveHosts());
     }
 
-    function followDeployment(followed: Deployment, revision: number): void {
-        if (leaving) {
+    /** Runs the tasks of the pools that this host may come to hold; a host is a candidate for few of many pools. */
+    function followCandidates(): void {
+        if (leaving || inForce === undefined) {
             return;
         }
-        const pools = new Set(followed.pools.map(({ name }) => name));
-        for (const [pool, task] of [...tasks].filter(([name]) => !pools.has(name))) {
-            tasks.delete(pool);
-            void task.close();
+        const { deployment, revision } = inForce;
+        const listed = new Set(deployment.pools.map(({ name }) => name));
+        const mine = new Set([...listed].filter(pool => candidatesFor(pool).includes(context.identity.host)));
+        for (const [pool, task] of [...tasks]) {
+            if (!listed.has(pool) || (!mine.has(pool) && !task.holds)) {
+                tasks.delete(pool);
+                void task.close();
+            }
         }
-        for (const pool of [...pools].filter(name => !tasks.has(name))) {
-            tasks.set(pool, startResidencyTask(context, { pool, deployment: followed, revision, hosts: liveHosts() }));
+        for (const pool of [...mine].filter(name => !tasks.has(name))) {
+            tasks.set(pool, startResidencyTask(context, { pool, deployment, revision, hosts: liveHosts() }));
         }
     }
 
@@ -79,7 +85,7 @@
 
     /** Tells the hosts that may hold a pool of the adapter's model; those that do not hold it ignore it. */
     function passToHolders(wanted: WantedAdapter): void {
-        const pools = deployment?.models.find(({ name }) => name === wanted.model)?.pools ?? [];
+        const pools = inForce?.deployment.models.find(({ name }) => name === wanted.model)?.pools ?? [];
         const hosts = new Set(pools.flatMap(pool => candidatesFor(pool)));
         for (const peer of live.filter(({ host }) => hosts.has(host))) {
             void context.peers.get(peer.peersUrl, peer.peersUrl).wantAdapter(wanted);
--- a/src/host/residencyTask.ts
+++ b/src/host/residencyTask.ts
@@ -53,7 +53,7 @@
     readonly #explanations: Explanation[] = [];
     #engines = new Map<string, PlacedEngine>();
     #holds = false;
-    #closed = false;
+    readonly #unsubscribe: () => void;
 
     constructor(context: HostContext, options: ResidencyTaskOptions) {
         this.#context = context;
@@ -66,10 +66,14 @@
         this.#task = createTask<ResidencyMessage, ResidencyEffect>(traced, {
             clock: context.clock,
             perform: effects => effects.forEach(effect => this.#perform(effect)),
-            tick: { message: { type: "tick" }, intervalMilliseconds: TICK_MILLISECONDS },
+            tick: {
+                message: { type: "tick" },
+                intervalMilliseconds: TICK_MILLISECONDS,
+                isIdle: () => !this.#holds,
+            },
         });
         this.#takeDeployment(options.deployment, options.revision);
-        context.events.subscribe(event => this.#hear(event));
+        this.#unsubscribe = context.events.subscribe(event => this.#hear(event));
         this.#lease = this.#startLease(options);
         this.#reportTimer = setInterval(() => this.#readReports(), REPORT_INTERVAL_MILLISECONDS);
     }
@@ -83,7 +87,7 @@
     }
 
     async close(): Promise<void> {
-        this.#closed = true;
+        this.#unsubscribe();
         clearInterval(this.#reportTimer);
         this.#task.close();
         await this.#lease.leave();
@@ -116,9 +120,6 @@
     }
 
     #hear(event: HostEvent): void {
-        if (this.#closed) {
-            return;
-        }
         match(event)
             .with(
                 { type: "deployment-activated" },
