Name the bound on asked peers once; rank engines, not hosts

Cause: read-through. The bound of 32 peers stood twice, and a function of the planner that orders engines had the word for machines in its name. Change: claimsTask takes the bound from src/orders; rankHosts is rankEngines.

--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -9,6 +9,7 @@
     type ClaimBatcherEffect,
     type ClaimBatcherMessage,
     createClaimBatcher,
+    MOST_PEERS_ASKED,
     type OrdersMessage,
     type ReadClaims,
 } from "../orders/index.js";
@@ -19,8 +20,6 @@
 import { createTask } from "./task.js";
 
 const TICK_MILLISECONDS = 20;
-/** Beyond this many peers none is asked about a claim, so that reading the records again would prove nothing. */
-const MOST_PEERS_ASKED = 32;
 
 /** The running claims task. */
 export interface ClaimsTask {
--- a/src/orders/_inquiry.ts
+++ b/src/orders/_inquiry.ts
@@ -42,7 +42,8 @@
     readonly inquiryMilliseconds: number;
 }
 
-const MOST_PEERS_ASKED = 32;
+/** Beyond this many peers none is asked about a claim, so that reading the records again would prove nothing. */
+export const MOST_PEERS_ASKED = 32;
 const STORE_RETRY_MILLISECONDS = 1_000;
 
 function refuseWithoutStore(ran: RefusedOutcome["ran"]): RefusedOutcome {
--- a/src/orders/index.ts
+++ b/src/orders/index.ts
@@ -15,6 +15,7 @@
  *
  * @module
  */
+export { MOST_PEERS_ASKED } from "./_inquiry.js";
 export {
     type ClaimBatcherEffect,
     type ClaimBatcherMessage,
--- a/src/residency/_furtherCopies.ts
+++ b/src/residency/_furtherCopies.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { isForReach, type PlanContext } from "./_planContext.js";
-import { pendingMegabytes, rankHosts, spareCopies, worthOfSpare } from "./_roomMaking.js";
+import { pendingMegabytes, rankEngines, spareCopies, worthOfSpare } from "./_roomMaking.js";
 import {
     adoptWorkspace,
     canHost,
@@ -43,7 +43,7 @@
 export function placeFurtherCopies(work: Workspace, context: PlanContext): void {
     for (;;) {
         const best = rankFurtherCopies(work, context).flatMap(further => {
-            const host = rankHosts(work, further.model, context).find(engine =>
+            const host = rankEngines(work, further.model, context).find(engine =>
                 !engine.copies.some(copy => copy.name === further.model.name)
                 && missingMegabytes(engine, further.model) <= 0
             );
@@ -63,7 +63,7 @@
 export function beginExchange(work: Workspace, context: PlanContext): PlannedExchange | undefined {
     const factor = 1 + REPLACEMENT_FACTOR * context.moveWeight;
     for (const further of rankFurtherCopies(work, context)) {
-        for (const host of rankHosts(work, further.model, context)) {
+        for (const host of rankEngines(work, further.model, context)) {
             const found = tryExchange(work, context, further, host.engine);
             const isHeld = found?.dropped.some(copy => copy.settling) === true;
             if (found !== undefined && !isHeld && further.gain > found.lost * factor) {
--- a/src/residency/_roomMaking.ts
+++ b/src/residency/_roomMaking.ts
@@ -35,7 +35,7 @@
 }
 
 /** Orders engines for a new copy: another zone first, then the least loaded, then the emptiest. */
-export function rankHosts(work: Workspace, model: PlacementModel, context: RoomContext): WorkEngine[] {
+export function rankEngines(work: Workspace, model: PlacementModel, context: RoomContext): WorkEngine[] {
     const zones = new Set(enginesWith(work, model.name).map(engine => engine.zone));
     const ranked = work.engines.filter(engine => canHost(engine, model)).map(engine => ({
         engine,
@@ -214,7 +214,7 @@
 ): boolean {
     const depth = options.depth ?? 0;
     const isFirstCopy = options.isFirstCopy === true;
-    const ranked = rankHosts(work, model, context).map(engine => engine.engine).filter(name =>
+    const ranked = rankEngines(work, model, context).map(engine => engine.engine).filter(name =>
         name !== options.excluded
     );
     const attempts: Attempt[] = [
