Let one piece parse stored JSON, name the configuration's key, and apply a site's text

Cause: the last reading of the whole change found the same logic several times: reading JSON without throwing in src/host, src/configuration and src/leases; the key of the configuration in two places; `apply` by the command line in the demo, two measurements and the trace recorder, three of which went on when it failed. Change: parseJson stands in src/platform, the key in src/configuration, applyText in demo/sites, which throws with the command's own words.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -8,8 +8,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { type Observation, readAddresses, sendCall, sendChat } from "./load.js";
-import { startProcess } from "./processes.js";
-import { readJson, type Site, type SiteOptions, startSite, waitUntil } from "./sites.js";
+import { applyText, readJson, type Site, type SiteOptions, startSite, waitUntil } from "./sites.js";
 import { renderSummary } from "./summary.js";
 
 /** First-token target of the demo's models. */
@@ -48,17 +47,6 @@
     settings: { addressKeepMilliseconds: 1000 },
 };
 
-async function applyText(site: Site): Promise<void> {
-    const command = startProcess("apply", {
-        file: "bin/flamingospread",
-        arguments: ["apply", site.textFile, "--store", site.keyValue.url],
-    });
-    const outcome = await command.ended;
-    if (outcome !== 0) {
-        throw new Error(`apply ended with ${outcome}: ${command.errorLines.join("\n")}`);
-    }
-}
-
 async function allHostsAreAdvertised(site: Site): Promise<boolean> {
     const answers = await Promise.all(site.hosts.map(({ callersUrl }) => readAddresses(callersUrl, "west-1")));
     return answers.every(({ addresses }) => addresses.length === site.hosts.length);
--- a/demo/sites.ts
+++ b/demo/sites.ts
@@ -197,3 +197,25 @@
 
     return { keyValue, hostList, weightStore, engines, plainServices, hosts, folder, textFile, restartHost, close };
 }
+
+/**
+ * Applies a site's operators' text by the command line, as an operator does.
+ *
+ * @param site The site.
+ * @throws When the command does not end with 0.
+ *
+ * @example
+ * ```ts
+ * await applyText(site);
+ * ```
+ */
+export async function applyText(site: Site): Promise<void> {
+    const command = startProcess("apply", {
+        file: "bin/flamingospread",
+        arguments: ["apply", site.textFile, "--store", site.keyValue.url],
+    });
+    const outcome = await command.ended;
+    if (outcome !== 0) {
+        throw new Error(`apply ended with ${outcome}: ${command.errorLines.join("\n")}`);
+    }
+}
--- a/measurements/path.ts
+++ b/measurements/path.ts
@@ -9,8 +9,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Agent, request, setGlobalDispatcher } from "undici";
-import { startProcess } from "../demo/processes.js";
-import { type Site, startSite, waitUntil } from "../demo/sites.js";
+import { applyText, type Site, startSite, waitUntil } from "../demo/sites.js";
 import { BYTES_IN_MEGABYTE, readFigures } from "./processFigures.js";
 
 const PAIRS = 300;
@@ -144,10 +143,7 @@
         weightStore: { loadsPerSecond: 20, concurrentLoads: 7 },
         settings: { log: { level: "error" } },
     });
-    await startProcess("apply", {
-        file: "bin/flamingospread",
-        arguments: ["apply", site.textFile, "--store", site.keyValue.url],
-    }).ended;
+    await applyText(site);
     return site;
 }
 
--- a/measurements/rest.ts
+++ b/measurements/rest.ts
@@ -7,8 +7,7 @@
  */
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { startProcess } from "../demo/processes.js";
-import { type Site, startSite } from "../demo/sites.js";
+import { applyText, type Site, startSite } from "../demo/sites.js";
 import { BYTES_IN_MEGABYTE, type ProcessFigures, readFigures } from "./processFigures.js";
 
 const HOSTS = 7;
@@ -41,10 +40,7 @@
         weightStore: { loadsPerSecond: 50, concurrentLoads: 7 },
         settings: { log: { level: "error" } },
     });
-    await startProcess("apply", {
-        file: "bin/flamingospread",
-        arguments: ["apply", site.textFile, "--store", site.keyValue.url],
-    }).ended;
+    await applyText(site);
     return site;
 }
 
--- a/scripts/recordTraces.ts
+++ b/scripts/recordTraces.ts
@@ -10,8 +10,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { readAddresses, sendCall, sendChat } from "../demo/load.js";
-import { startProcess } from "../demo/processes.js";
-import { type HostProcess, type Site, startSite, waitUntil } from "../demo/sites.js";
+import { applyText, type HostProcess, type Site, startSite, waitUntil } from "../demo/sites.js";
 import { renderTrace, type StatedOutcome, type TraceEntry } from "../src/trace/index.js";
 import { CRASH_MARKER } from "../standins/engine.js";
 
@@ -83,10 +82,7 @@
         weightStore: { loadsPerSecond: 50, concurrentLoads: 7 },
         settings: { addressKeepMilliseconds: 1000, log: { level: "info", trace: ["orders", "requests"] } },
     });
-    await startProcess("apply", {
-        file: "bin/flamingospread",
-        arguments: ["apply", site.textFile, "--store", site.keyValue.url],
-    }).ended;
+    await applyText(site);
     await waitUntil(async () => {
         const answer = await sendChat(site.hosts[0]?.callersUrl ?? "", {
             model: "stock-helper",
--- a/src/configuration/store.ts
+++ b/src/configuration/store.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import { type ConfigurationRecord, configurationRecordSchema } from "../generated/platform.js";
+import { parseJson } from "../platform/parseJson.js";
 import { type KeyValueEntry, type KeyValueService, type PlatformError } from "../platform/types.js";
 
 /** Key of the record that is in force. */
@@ -16,16 +17,6 @@
     readonly storeRevision: number;
 }
 
-/** Reads JSON without throwing; broken text gives `undefined`. */
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
-
 /**
  * Decodes an entry of the key-value service.
  *
--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -13,10 +13,9 @@
     type OrdersMessage,
     type ReadClaims,
 } from "../orders/index.js";
-import { type KeyValueEntry } from "../platform/index.js";
+import { type KeyValueEntry, parseJson } from "../platform/index.js";
 import { createIdentifier } from "./clock.js";
 import { type HostContext } from "./context.js";
-import { parseJson } from "./parseJson.js";
 import { createTask } from "./task.js";
 
 const TICK_MILLISECONDS = 20;
--- a/src/host/configurationTask.ts
+++ b/src/host/configurationTask.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+    CONFIGURATION_KEY,
     type ConfigurationDecision,
     type ConfigurationEffect,
     type ConfigurationMessage,
@@ -13,12 +14,10 @@
 import { type Deployment } from "../generated/deployment.js";
 import { type ConfigurationRecord, configurationRecordSchema } from "../generated/platform.js";
 import { type MembershipPresence } from "../membership/index.js";
-import { type WatchEvent } from "../platform/index.js";
+import { parseJson, type WatchEvent } from "../platform/index.js";
 import { type HostContext } from "./context.js";
-import { parseJson } from "./parseJson.js";
 import { createTask } from "./task.js";
 
-const CONFIGURATION_KEY = "configuration";
 const TICK_MILLISECONDS = 250;
 
 /** The running configuration task. */
--- a/src/host/residencyTask.ts
+++ b/src/host/residencyTask.ts
@@ -8,10 +8,10 @@
 import { engineRecordSchema } from "../generated/platform.js";
 import { type EngineOrder } from "../generated/upstreams.js";
 import { createDutyLease, type DutyLease } from "../leases/index.js";
+import { parseJson } from "../platform/index.js";
 import { createResidencyDecision, type ResidencyEffect, type ResidencyMessage } from "../residency/index.js";
 import { type HostContext, listEngines, type PlacedEngine } from "./context.js";
 import { type HostEvent } from "./events.js";
-import { parseJson } from "./parseJson.js";
 import { createTask } from "./task.js";
 
 const TICK_MILLISECONDS = 200;
--- a/src/leases/dutyLease.ts
+++ b/src/leases/dutyLease.ts
@@ -8,7 +8,13 @@
 import { type z } from "zod";
 import { type RandomSource } from "../decision/index.js";
 import { heldRecordSchema, leaseRecordSchema } from "../generated/platform.js";
-import { type KeyValueEntry, type KeyValueService, type PlatformError, type SwapOutcome } from "../platform/index.js";
+import {
+    type KeyValueEntry,
+    type KeyValueService,
+    parseJson,
+    type PlatformError,
+    type SwapOutcome,
+} from "../platform/index.js";
 import { createDutyLeaseDecision } from "./dutyLeaseDecision.js";
 import { type DutyLeaseEffect, type DutyLeaseMessage, type LeaseAnswer, type LeaseCall } from "./messages.js";
 
@@ -49,12 +55,7 @@
     schema: Schema,
     entry: KeyValueEntry | undefined,
 ): z.infer<Schema> | undefined {
-    try {
-        return entry === undefined ? undefined : schema.safeParse(JSON.parse(entry.value)).data;
-    }
-    catch {
-        return undefined;
-    }
+    return entry === undefined ? undefined : schema.safeParse(parseJson(entry.value)).data;
 }
 
 function answerFailure(error: PlatformError): LeaseAnswer {
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -15,6 +15,7 @@
  */
 export { createHostListClient, type HostListClientOptions } from "./hostListClient.js";
 export { createKeyValueClient, type KeyValueClientOptions } from "./keyValueClient.js";
+export { parseJson } from "./parseJson.js";
 export {
     type HostList,
     type HostListing,
