--- /dev/null
+++ b/src/duties/index.ts
@@ -0,0 +1,20 @@
+/**
+ * Duties that are spread over hosts: which host gives orders to which engine, and when.
+ *
+ * @example
+ * ```ts
+ * import { EngineDuties } from "./index.js";
+ *
+ * const duties = new EngineDuties("entry-1", { confirmedMilliseconds: 1_500, handoverMilliseconds: 3_000 });
+ * ```
+ *
+ * @module
+ */
+export {
+    type Acquisition,
+    type ClockReading,
+    type DutyBounds,
+    EngineDuties,
+    type HolderRecord,
+    type StoredHolder,
+} from "./engineDuties.js";
--- /dev/null
+++ b/src/entry/engineOrders.ts
@@ -0,0 +1,308 @@
+/**
+ * Keeps the engines that this host holds: takes them over, sends their orders, tells peers what they hold.
+ *
+ * @module
+ */
+import { type ClockReading, EngineDuties } from "../duties/index.js";
+import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
+import { type EngineHolder } from "../generated/gossip.js";
+import { type EntryMetrics, type Logger } from "../observability/index.js";
+import {
+    EngineKeeper,
+    type EngineOrder,
+    type EngineRecord,
+    type KeeperStep,
+    planWeights,
+    type PlannedEngine,
+    type ResidencyView,
+} from "../placement/index.js";
+import { type KeyValueService } from "../platform/index.js";
+import { type EngineDefinition, type RouteTable } from "../routes/index.js";
+import { type EngineControl } from "./siteProtocol.js";
+
+/** Begins the keys of engines' holders. */
+export const HOLDER_KEY_PREFIX = "holders/";
+
+/** Time between two looks at all engines. */
+const TICK_MILLISECONDS = 200;
+
+/** Bounds on loads from the weight store. */
+export interface StoreLoadBounds {
+    readonly windowMilliseconds: number;
+    readonly overage: number;
+}
+
+/** A few loads beyond the rate are allowed in each window; this one is kept free. */
+const EXTRA_STORE_LOADS = 2;
+
+/** What keeping engines needs. */
+export interface EngineOrdersOptions {
+    readonly host: string;
+    readonly duties: EngineDuties;
+    readonly view: UpstreamView;
+    readonly residency: ResidencyView;
+    readonly keyValue: KeyValueService;
+    readonly control: EngineControl;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly storeLoads: StoreLoadBounds;
+    readonly readClocks: () => ClockReading;
+    readonly routeTable: () => RouteTable | undefined;
+    /** Tokens a second that callers ask of each model, over all hosts. */
+    readonly demand: () => ReadonlyMap<string, number>;
+    /** An engine's memory changed, or this host learned of it. */
+    readonly onNews: (record: EngineRecord) => void;
+}
+
+/** Takes over engines and orders them about, until closed. */
+export class EngineOrders {
+    readonly #options: EngineOrdersOptions;
+    readonly #keepers = new Map<string, EngineKeeper>();
+    readonly #acquiring = new Set<string>();
+    #ticker: NodeJS.Timeout | undefined;
+    #leaving = false;
+
+    constructor(options: EngineOrdersOptions) {
+        this.#options = options;
+    }
+
+    start(): void {
+        this.#ticker = setInterval(() => this.#tick(), TICK_MILLISECONDS);
+    }
+
+    /** Gives what this host knows of the engines that it holds. */
+    records(): EngineRecord[] {
+        return [...this.#keepers.values()].map(keeper => keeper.record());
+    }
+
+    get held(): number {
+        return this.#keepers.size;
+    }
+
+    /** Takes an engine's announcement. */
+    observe(announcement: UpstreamAnnouncement): void {
+        const keeper = this.#keepers.get(announcement.id);
+        if (keeper?.observe(announcement) === true) {
+            this.#tell(keeper);
+            this.#work(keeper);
+        }
+    }
+
+    /** Takes a request's wish for an adapter on an engine; false where this host does not hold the engine. */
+    want(engine: string, model: string, adapter: string): boolean {
+        const keeper = this.#keepers.get(engine);
+        if (keeper === undefined) {
+            return false;
+        }
+        const now = this.#now();
+        keeper.want(model, adapter, now);
+        keeper.noteUse(model, adapter, now);
+        this.#work(keeper);
+        return true;
+    }
+
+    noteUse(engine: string, model: string, adapter: string): void {
+        this.#keepers.get(engine)?.noteUse(model, adapter, this.#now());
+    }
+
+    /** Stops ordering and gives the engines up, so that other hosts may take them. */
+    async leave(): Promise<void> {
+        this.#leaving = true;
+        const held = this.#options.duties.held();
+        this.#keepers.clear();
+        await Promise.all(held.map(({ engine, expectedRevision }) => this.#write(engine, expectedRevision, true)));
+    }
+
+    close(): void {
+        clearInterval(this.#ticker);
+        this.#keepers.clear();
+        this.#options.control.close();
+    }
+
+    #now(): number {
+        return this.#options.readClocks().steadyMilliseconds;
+    }
+
+    #definitionOf(announcement: UpstreamAnnouncement): EngineDefinition | undefined {
+        return this.#options.routeTable()?.service(announcement.service)?.engine;
+    }
+
+    /** Engines of all services that run models. */
+    #engines(): UpstreamAnnouncement[] {
+        return this.#options.view.all().filter(announcement => this.#definitionOf(announcement) !== undefined);
+    }
+
+    #tick(): void {
+        if (this.#leaving) {
+            return;
+        }
+        this.#takeOver();
+        this.#syncKeepers();
+        for (const keeper of this.#keepers.values()) {
+            this.#work(keeper);
+        }
+    }
+
+    #takeOver(): void {
+        const engines = this.#engines().filter(({ leaving }) => !leaving).map(({ id }) => id);
+        for (const { engine, expectedRevision } of this.#options.duties.vacant(engines, this.#now())) {
+            if (!this.#acquiring.has(engine)) {
+                this.#acquiring.add(engine);
+                void this.#write(engine, expectedRevision, false).finally(() => this.#acquiring.delete(engine));
+            }
+        }
+    }
+
+    /** Writes who holds an engine; what the service has by then comes with the answer or the mirror. */
+    async #write(engine: string, expectedRevision: number, released: boolean): Promise<void> {
+        const { host, duties, keyValue, logger, metrics } = this.#options;
+        const session = duties.session;
+        if (session === undefined) {
+            return;
+        }
+        const record: EngineHolder = { host, session, released };
+        const value = JSON.stringify(record);
+        const swapped = await keyValue.compareAndSwap(`${HOLDER_KEY_PREFIX}${engine}`, { expectedRevision, value });
+        const change = released ? "released" : "taken";
+        if (swapped.isErr() || swapped.value.type === "conflict") {
+            const reason = swapped.isErr() ? swapped.error.kind : "conflict";
+            logger.info("holder record not written", { engine, change, reason, expectedRevision });
+            return;
+        }
+        duties.setHolder(engine, { ...record, revision: swapped.value.revision }, this.#now());
+        metrics.count("holder_changes", { change });
+        logger.info(`engine ${change}`, { engine, revision: swapped.value.revision, session });
+    }
+
+    /** Holds a keeper for each engine that this host's record names. */
+    #syncKeepers(): void {
+        const held = new Set(this.#options.duties.held().map(({ engine }) => engine));
+        for (const engine of this.#keepers.keys()) {
+            if (!held.has(engine) || this.#options.view.get(engine) === undefined) {
+                this.#keepers.delete(engine);
+            }
+        }
+        for (const engine of held) {
+            const announcement = this.#options.view.get(engine);
+            const definition = announcement === undefined ? undefined : this.#definitionOf(announcement);
+            if (announcement !== undefined && definition !== undefined && !this.#keepers.has(engine)) {
+                this.#keepers.set(engine, new EngineKeeper(announcement, definition));
+            }
+        }
+        this.#options.metrics.gauge("engines_held", this.#keepers.size);
+    }
+
+    /** Takes the next step on an engine, if it may be ordered now. */
+    #work(keeper: EngineKeeper): void {
+        const clocks = this.#options.readClocks();
+        const announcement = this.#options.view.get(keeper.engine);
+        const fencingNumber = this.#options.duties.fencingNumber(keeper.engine, clocks);
+        if (this.#leaving || announcement === undefined || announcement.leaving || fencingNumber === undefined) {
+            return;
+        }
+        const step = keeper.nextStep(clocks.steadyMilliseconds) ?? this.#planStep(keeper, announcement);
+        if (step === undefined || keeper.occupied) {
+            return;
+        }
+        if (step.type === "read-report") {
+            void this.#readReport(keeper, announcement);
+            return;
+        }
+        void this.#order(keeper, announcement, step, fencingNumber);
+    }
+
+    #planStep(keeper: EngineKeeper, announcement: UpstreamAnnouncement): KeeperStep | undefined {
+        const now = this.#now();
+        const engines = this.#options.view.usable(announcement.service);
+        const step = planWeights({
+            engine: keeper.engine,
+            engines: engines.map(engine => this.#describe(engine)),
+            definition: keeper.definition,
+            demand: this.#options.demand(),
+            storeLoadAllowed: this.#mayLoadFromStore(keeper, engines.length, now),
+        });
+        const order = step === undefined ? undefined : keeper.orderFor(step, now);
+        return step === undefined || order === undefined ? undefined : { type: "order", order, reason: step.reason };
+    }
+
+    #describe(engine: UpstreamAnnouncement): PlannedEngine {
+        const { inMemory, onDisk } = engine.weightsAtHand;
+        return {
+            id: engine.id,
+            models: this.#options.residency.models(engine.id),
+            loading: this.#keepers.get(engine.id)?.loadingModel ?? this.#options.residency.loading(engine.id),
+            atHand: [...inMemory, ...onDisk],
+        };
+    }
+
+    /** Every engine may use an equal part of the loads that the weight store allows in a window. */
+    #mayLoadFromStore(keeper: EngineKeeper, engineCount: number, nowMilliseconds: number): boolean {
+        const { windowMilliseconds, overage } = this.#options.storeLoads;
+        const inWindow = keeper.definition.loadsPerSecond * windowMilliseconds / 1_000 * overage + EXTRA_STORE_LOADS;
+        const part = Math.max(1, Math.floor(inWindow / Math.max(1, engineCount)));
+        return keeper.storeLoadsSince(nowMilliseconds - windowMilliseconds) < part;
+    }
+
+    async #order(
+        keeper: EngineKeeper,
+        target: UpstreamAnnouncement,
+        step: { readonly order: EngineOrder; readonly reason: string; },
+        fencingNumber: number,
+    ): Promise<void> {
+        const { control, host, logger, metrics } = this.#options;
+        const { order } = step;
+        keeper.sent(order, this.#now());
+        const outcome = await control.order(target, order, { holder: host, fencingNumber });
+        keeper.answered(order, outcome, this.#now());
+        const kind = order.adapter === undefined ? "weights" : "adapter";
+        metrics.count("engine_orders", { operation: order.operation, kind, outcome });
+        logger.info("engine ordered", {
+            engine: keeper.engine,
+            operation: order.operation,
+            model: order.model,
+            adapter: order.adapter,
+            reason: step.reason,
+            expectedOrderCount: order.expectedOrderCount,
+            fencingNumber,
+            outcome,
+        });
+        if (outcome === "accepted" || outcome === "holds") {
+            this.#tellWhenArrived(keeper);
+        }
+        if (outcome !== "unknown") {
+            this.#work(keeper);
+        }
+    }
+
+    async #readReport(keeper: EngineKeeper, target: UpstreamAnnouncement): Promise<void> {
+        keeper.reading();
+        const report = await this.#options.control.report(target);
+        keeper.reported(report, this.#now());
+        this.#options.logger.info("engine report read", {
+            engine: keeper.engine,
+            orderCount: report?.orderCount,
+            busy: report?.busy,
+        });
+        if (report !== undefined) {
+            this.#tell(keeper);
+        }
+    }
+
+    /** Tells what the engine holds now, and again once an adapter on its way has arrived. */
+    #tellWhenArrived(keeper: EngineKeeper): void {
+        this.#tell(keeper);
+        const arrival = keeper.nextArrivalMilliseconds;
+        if (arrival !== undefined) {
+            setTimeout(() => {
+                this.#work(keeper);
+                this.#tell(keeper);
+            }, Math.max(1, arrival - this.#now() + 1));
+        }
+    }
+
+    #tell(keeper: EngineKeeper): void {
+        if (this.#keepers.get(keeper.engine) === keeper) {
+            this.#options.onNews(keeper.record());
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/forwarder.ts
@@ -0,0 +1,182 @@
+/**
+ * Takes callers' requests and starts an exchange for each.
+ *
+ * @module
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Route } from "../routes/index.js";
+import { Exchange } from "./exchange.js";
+import { type ForwardingContext } from "./forwardingContext.js";
+
+const STATUS_BAD_REQUEST = 400;
+const STATUS_NOT_FOUND = 404;
+const STATUS_TOO_LARGE = 413;
+const STATUS_UNAVAILABLE = 503;
+
+/** A host that knows no configuration yet usually learns one within this time, in seconds. */
+const CONFIGURATION_WAIT_SECONDS = "0.5";
+
+/** Used for callers' bodies while no configuration is known. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Forwards the requests of callers. */
+export interface Forwarder {
+    handle(message: IncomingMessage, response: ServerResponse): void;
+    /** Requests that have no final answer yet. */
+    readonly open: number;
+    /** Lets requests that wait look for an upstream again; all, or those that wait for one model. */
+    wake(model?: string): void;
+    /** Gives every open request its final answer at once. */
+    abortAll(): void;
+}
+
+/** Reads a body up to a limit; `undefined` beyond it, or where the caller left. */
+function readBody(
+    message: IncomingMessage,
+    limit: number,
+    onBody: (body: Buffer | "too-large" | "caller-left") => void,
+): void {
+    const pieces: Buffer[] = [];
+    let length = 0;
+    let settled = false;
+    const settle = (body: Buffer | "too-large" | "caller-left"): void => {
+        if (!settled) {
+            settled = true;
+            onBody(body);
+        }
+    };
+    message.on("data", (piece: Buffer) => {
+        length += piece.length;
+        if (length > limit) {
+            settle("too-large");
+            return;
+        }
+        pieces.push(piece);
+    });
+    message.on("end", () => settle(Buffer.concat(pieces)));
+    message.on("error", () => settle("caller-left"));
+    message.on("close", () => settle("caller-left"));
+}
+
+class RunningForwarder implements Forwarder {
+    readonly #context: ForwardingContext;
+    readonly #exchanges = new Set<Exchange>();
+
+    constructor(context: ForwardingContext) {
+        this.#context = context;
+    }
+
+    get open(): number {
+        return this.#exchanges.size;
+    }
+
+    handle(message: IncomingMessage, response: ServerResponse): void {
+        const arrivedAtMilliseconds = this.#context.readClock();
+        const table = this.#context.routeTable();
+        const limit = table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+        response.on("error", error => this.#context.logger.debug("caller's connection failed", { error: error.message }));
+        readBody(message, limit, body => {
+            if (body === "caller-left") {
+                return;
+            }
+            if (body === "too-large") {
+                this.#reject(message, response, STATUS_TOO_LARGE, "body-too-large");
+                return;
+            }
+            this.#begin(message, response, body, arrivedAtMilliseconds);
+        });
+    }
+
+    wake(model?: string): void {
+        for (const exchange of this.#exchanges) {
+            const waitsFor = exchange.waitsFor;
+            if (waitsFor !== undefined && (model === undefined || model === waitsFor)) {
+                exchange.dispatch();
+            }
+        }
+    }
+
+    abortAll(): void {
+        for (const exchange of [...this.#exchanges]) {
+            exchange.abort();
+        }
+    }
+
+    #begin(message: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMilliseconds: number): void {
+        const table = this.#context.routeTable();
+        if (table === undefined) {
+            this.#reject(message, response, STATUS_UNAVAILABLE, "no-configuration");
+            return;
+        }
+        const requestId = message.headers[this.#context.headers.requestId];
+        if (typeof requestId !== "string" || requestId === "") {
+            this.#reject(message, response, STATUS_BAD_REQUEST, "no-request-identifier");
+            return;
+        }
+        const path = (message.url ?? "/").split("?")[0] ?? "/";
+        const route = table.match(message.headers.host ?? "", path);
+        if (route === undefined) {
+            this.#reject(message, response, STATUS_NOT_FOUND, "no-route");
+            return;
+        }
+        this.#start({ message, response, body, requestId, arrivedAtMilliseconds }, route, table.version);
+    }
+
+    #start(
+        parts: Omit<ConstructorParameters<typeof Exchange>[1], "route" | "configurationVersion">,
+        route: Route,
+        configurationVersion: number,
+    ): void {
+        this.#context.metrics.count("requests", { kind: route.kind });
+        const exchange: Exchange = new Exchange(
+            this.#context,
+            { ...parts, route, configurationVersion },
+            () => this.#exchanges.delete(exchange),
+        );
+        this.#exchanges.add(exchange);
+        exchange.start();
+    }
+
+    #reject(message: IncomingMessage, response: ServerResponse, status: number, reason: string): void {
+        const { headers, logger, metrics } = this.#context;
+        const requestId = message.headers[headers.requestId];
+        logger.info("request rejected", {
+            request: typeof requestId === "string" ? requestId : undefined,
+            reason,
+            status,
+            path: message.url?.slice(0, 100),
+            configurationVersion: this.#context.routeTable()?.version,
+        });
+        metrics.count("refusals", { reason });
+        if (response.headersSent || response.destroyed) {
+            return;
+        }
+        const body = JSON.stringify({ reason, ran: "not-run" });
+        const echoed = typeof requestId === "string" ? { [headers.requestId]: requestId } : {};
+        const later = status === STATUS_UNAVAILABLE ? { "retry-after": CONFIGURATION_WAIT_SECONDS } : {};
+        const closing = status === STATUS_TOO_LARGE || this.#context.isLeaving() ? { connection: "close" } : {};
+        response.writeHead(status, {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            ...echoed,
+            ...later,
+            ...closing,
+        });
+        response.end(body);
+    }
+}
+
+/**
+ * Creates the forwarder of a host.
+ *
+ * @param context Beliefs, books and tools that requests share.
+ *
+ * @example
+ * ```ts
+ * const forwarder = createForwarder(context);
+ * server.on("request", (message, response) => forwarder.handle(message, response));
+ * ```
+ */
+export function createForwarder(context: ForwardingContext): Forwarder {
+    return new RunningForwarder(context);
+}
--- /dev/null
+++ b/src/entry/forwardingContext.ts
@@ -0,0 +1,48 @@
+/**
+ * What all requests that a host forwards have in common.
+ *
+ * @module
+ */
+import { type Agent } from "node:http";
+import { type RandomSource } from "../decision/index.js";
+import { type UpstreamView } from "../fleet/index.js";
+import {
+    type CrashSuspects,
+    type PromptMemory,
+    type SharedRetryBudget,
+    type UpstreamHealth,
+    type UpstreamLoads,
+} from "../forwarding/index.js";
+import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type ResidencyView } from "../placement/index.js";
+import { type RouteTable } from "../routes/index.js";
+import { type DemandMeter } from "./demandMeter.js";
+import { type HeaderNames } from "./siteProtocol.js";
+
+/** Beliefs, books and tools of one host that its requests share. */
+export interface ForwardingContext {
+    readonly zone: string;
+    readonly headers: HeaderNames;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly random: RandomSource;
+    readonly readClock: () => number;
+    readonly view: UpstreamView;
+    readonly residency: ResidencyView;
+    readonly loads: UpstreamLoads;
+    readonly health: UpstreamHealth;
+    readonly budget: SharedRetryBudget;
+    readonly suspects: CrashSuspects;
+    readonly prompts: PromptMemory;
+    readonly demand: DemandMeter;
+    /** `undefined` while no configuration is known. */
+    routeTable(): RouteTable | undefined;
+    agentFor(service: string): Agent;
+    /** Asks the engine's holder to load an adapter; false where the engine has no holder that this host knows. */
+    wishAdapter(engine: string, model: string, adapter: string): boolean;
+    /** Tells the engine's holder that a request uses an adapter. */
+    noteAdapterUse(engine: string, model: string, adapter: string): void;
+    /** An attempt on this upstream met no listener, or another process. */
+    noteUnreachable(upstream: string): void;
+    isLeaving(): boolean;
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,27 @@
+/**
+ * Entry hosts on a site whose machines keep nothing: forwards requests byte for byte, keeps engines, answers the site.
+ *
+ * @example
+ * ```ts
+ * import { startEntryHost } from "./index.js";
+ *
+ * const host = await startEntryHost({ settings, protocol, keyValue, control, logger, metrics, random, readClocks });
+ * ```
+ *
+ * @module
+ */
+export { type EntryHost, type EntryHostOptions, startEntryHost } from "./entryHost.js";
+export { createUpstreamAgent } from "./upstreamAgent.js";
+export { type EntryBounds, type EntrySettings, type ListenAddress } from "./settings.js";
+export {
+    type AddressQuestion,
+    type DecodeError,
+    type EngineControl,
+    type EngineTarget,
+    type HeaderNames,
+    type OrderFencing,
+    type SiteKeys,
+    type SiteProtocol,
+    type SmallAnswer,
+    type SmallCalls,
+} from "./siteProtocol.js";
--- /dev/null
+++ b/src/entry/storeMirror.ts
@@ -0,0 +1,125 @@
+/**
+ * Keeps a copy of the key-value service's keys by listing once and watching from there.
+ *
+ * @module
+ */
+import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../platform/index.js";
+import { type Logger } from "../observability/index.js";
+
+/** Pause before the service is asked again after a failure. */
+const RETRY_MILLISECONDS = 250;
+
+/** What the mirror tells. */
+export type MirrorEvent =
+    | { readonly type: "listed"; readonly entries: readonly KeyValueEntry[]; readonly revision: number; }
+    | { readonly type: "put"; readonly entry: KeyValueEntry; }
+    | { readonly type: "removed"; readonly key: string; readonly revision: number; }
+    /** The service answered, or failed to. */
+    | { readonly type: "contact"; readonly succeeded: boolean; };
+
+/** Options of a mirror. */
+export interface StoreMirrorOptions {
+    readonly keyValue: KeyValueService;
+    readonly logger: Logger;
+    readonly onEvent: (event: MirrorEvent) => void;
+}
+
+/**
+ * A copy of all keys, kept up to date. After a watch that ended it goes on from the last revision, and lists again where
+ * the service has lost the changes since.
+ */
+export class StoreMirror {
+    readonly #options: StoreMirrorOptions;
+    #revision: number | undefined;
+    #watch: { close(): Promise<void>; } | undefined;
+    #timer: NodeJS.Timeout | undefined;
+    #closed = false;
+
+    constructor(options: StoreMirrorOptions) {
+        this.#options = options;
+    }
+
+    /** Revision up to which the copy is complete; `undefined` before the first list. */
+    get revision(): number | undefined {
+        return this.#revision;
+    }
+
+    start(): void {
+        void this.#list();
+    }
+
+    async close(): Promise<void> {
+        this.#closed = true;
+        clearTimeout(this.#timer);
+        await this.#watch?.close();
+    }
+
+    async #list(): Promise<void> {
+        const listed = await this.#options.keyValue.snapshot("");
+        if (this.#closed) {
+            return;
+        }
+        if (listed.isErr()) {
+            this.#options.logger.warn("listing the key-value service failed", {
+                reason: listed.error.kind,
+                detail: listed.error.message,
+            });
+            this.#options.onEvent({ type: "contact", succeeded: false });
+            this.#later(() => void this.#list());
+            return;
+        }
+        this.#revision = listed.value.revision;
+        this.#options.onEvent({ type: "contact", succeeded: true });
+        this.#options.onEvent({ type: "listed", entries: listed.value.entries, revision: listed.value.revision });
+        this.#startWatch();
+    }
+
+    #startWatch(): void {
+        if (this.#closed) {
+            return;
+        }
+        const fromRevision = (this.#revision ?? 0) + 1;
+        this.#watch = this.#options.keyValue.watch("", event => this.#take(event), { fromRevision });
+    }
+
+    #take(event: WatchEvent): void {
+        switch (event.type) {
+            case "put":
+                this.#advance(event.entry.revision);
+                this.#options.onEvent({ type: "put", entry: event.entry });
+                break;
+            case "delete":
+                this.#advance(event.revision);
+                this.#options.onEvent({ type: "removed", key: event.key, revision: event.revision });
+                break;
+            case "progress":
+                this.#advance(event.revision);
+                this.#options.onEvent({ type: "contact", succeeded: true });
+                break;
+            case "ended":
+                this.#options.logger.warn("watch ended", {
+                    detail: event.message,
+                    revision: this.#revision,
+                    historyLost: event.historyLost,
+                });
+                if (event.historyLost === true) {
+                    void this.#list();
+                    return;
+                }
+                this.#options.onEvent({ type: "contact", succeeded: false });
+                this.#later(() => this.#startWatch());
+        }
+    }
+
+    #advance(revision: number): void {
+        this.#revision = Math.max(this.#revision ?? 0, revision);
+    }
+
+    #later(step: () => void): void {
+        this.#timer = setTimeout(() => {
+            if (!this.#closed) {
+                step();
+            }
+        }, RETRY_MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/fleet/upstreamView.ts
@@ -0,0 +1,152 @@
+/**
+ * Which upstreams may be used, by what they announce in the key-value service.
+ *
+ * @module
+ */
+import { type UpstreamAnnouncement } from "./types.js";
+
+/** After its return, the service has the announcements of all live upstreams back within this time. */
+const ANNOUNCEMENTS_BACK_MILLISECONDS = 2_000;
+
+/** For so long after trouble with the service, a removed announcement may still name a live upstream. */
+const TROUBLE_MEMORY_MILLISECONDS = 1_500;
+
+/** Why an upstream left the view. */
+export type LeavingReason = "announced" | "removed" | "missing-after-outage" | "replaced";
+
+/** What changed in the view. */
+export type UpstreamChange =
+    | { readonly type: "joined"; readonly upstream: UpstreamAnnouncement; }
+    | { readonly type: "left"; readonly upstream: UpstreamAnnouncement; readonly reason: LeavingReason; }
+    /** The announcement is missing, perhaps only for an outage of the service; the upstream is used until it is over. */
+    | { readonly type: "in-doubt"; readonly upstream: UpstreamAnnouncement; }
+    | { readonly type: "updated"; readonly upstream: UpstreamAnnouncement; };
+
+interface Known {
+    readonly announcement: UpstreamAnnouncement;
+    readonly usable: boolean;
+    /** Set while the announcement is missing and its upstream may still live. */
+    readonly missing: boolean;
+}
+
+function isOlderRun(candidate: UpstreamAnnouncement, known: UpstreamAnnouncement): boolean {
+    return (candidate.startedAtMilliseconds ?? 0) < (known.startedAtMilliseconds ?? 0);
+}
+
+/** An announcement may be written after a later one of the same run, or of a run that has ended. */
+function isOlder(candidate: UpstreamAnnouncement, known: UpstreamAnnouncement): boolean {
+    const earlier = isSameRun(candidate, known) && candidate.announcementNumber < known.announcementNumber;
+    return earlier || isOlderRun(candidate, known);
+}
+
+/** Tells whether two announcements come from one run of a process. */
+export function isSameRun(left: UpstreamAnnouncement, right: UpstreamAnnouncement): boolean {
+    return left.id === right.id && left.startedAtMilliseconds === right.startedAtMilliseconds;
+}
+
+/**
+ * The upstreams that are known. Not usable are those that leave; an announcement that is removed around an outage of
+ * the key-value service stays in doubt until the service has been back for long enough.
+ */
+export class UpstreamView {
+    readonly #known = new Map<string, Known>();
+    /** Latest time at which the service was in trouble, as far as this host saw. */
+    #troubleAtMilliseconds = Number.NEGATIVE_INFINITY;
+
+    /** Takes note that a call to the key-value service failed. */
+    noteServiceTrouble(nowMilliseconds: number): void {
+        this.#troubleAtMilliseconds = nowMilliseconds;
+    }
+
+    /** Takes one announcement as it was written. */
+    put(announcement: UpstreamAnnouncement): readonly UpstreamChange[] {
+        const before = this.#known.get(announcement.id);
+        if (before !== undefined && isOlder(announcement, before.announcement)) {
+            return [];
+        }
+        const replaced = this.#dropOthersAt(announcement);
+        const usable = !announcement.leaving;
+        this.#known.set(announcement.id, { announcement, usable, missing: false });
+        if (before === undefined || !isSameRun(before.announcement, announcement)) {
+            return [...replaced, { type: usable ? "joined" : "updated", upstream: announcement }];
+        }
+        if (before.usable && !usable) {
+            return [...replaced, { type: "left", upstream: announcement, reason: "announced" }];
+        }
+        return [...replaced, { type: "updated", upstream: announcement }];
+    }
+
+    /** Takes the removal of an announcement. */
+    remove(id: string, nowMilliseconds: number): readonly UpstreamChange[] {
+        const known = this.#known.get(id);
+        if (known === undefined) {
+            return [];
+        }
+        if (known.usable && nowMilliseconds - this.#troubleAtMilliseconds < TROUBLE_MEMORY_MILLISECONDS) {
+            if (known.missing) {
+                return [];
+            }
+            this.#known.set(id, { ...known, missing: true });
+            return [{ type: "in-doubt", upstream: known.announcement }];
+        }
+        this.#known.delete(id);
+        return [{ type: "left", upstream: known.announcement, reason: "removed" }];
+    }
+
+    /** Takes all announcements at one moment; those that are missing from it were removed. */
+    replaceAll(announcements: readonly UpstreamAnnouncement[], nowMilliseconds: number): readonly UpstreamChange[] {
+        const present = new Set(announcements.map(({ id }) => id));
+        const missing = [...this.#known.keys()].filter(id => !present.has(id));
+        return [
+            ...missing.flatMap(id => this.remove(id, nowMilliseconds)),
+            ...announcements.flatMap(announcement => this.put(announcement)),
+        ];
+    }
+
+    /** Drops upstreams in doubt once the key-value service has been back for long enough. */
+    expire(nowMilliseconds: number): readonly UpstreamChange[] {
+        if (nowMilliseconds - this.#troubleAtMilliseconds < ANNOUNCEMENTS_BACK_MILLISECONDS) {
+            return [];
+        }
+        const gone = [...this.#known.values()].filter(({ missing }) => missing);
+        return gone.map(({ announcement }) => {
+            this.#known.delete(announcement.id);
+            return { type: "left", upstream: announcement, reason: "missing-after-outage" };
+        });
+    }
+
+    get(id: string): UpstreamAnnouncement | undefined {
+        return this.#known.get(id)?.announcement;
+    }
+
+    /** Gives the upstreams of a service that may take requests. */
+    usable(service: string): UpstreamAnnouncement[] {
+        const found: UpstreamAnnouncement[] = [];
+        for (const { announcement, usable } of this.#known.values()) {
+            if (usable && announcement.service === service) {
+                found.push(announcement);
+            }
+        }
+        return found;
+    }
+
+    isUsable(id: string): boolean {
+        return this.#known.get(id)?.usable === true;
+    }
+
+    all(): UpstreamAnnouncement[] {
+        return [...this.#known.values()].map(({ announcement }) => announcement);
+    }
+
+    /** An address belongs to the upstream that announced it last. */
+    #dropOthersAt(announcement: UpstreamAnnouncement): UpstreamChange[] {
+        const others = [...this.#known.values()].filter(({ announcement: other }) =>
+            other.address === announcement.address && other.id !== announcement.id
+        );
+        const older = others.filter(({ announcement: other }) => !isOlderRun(announcement, other));
+        return older.map(({ announcement: other }) => {
+            this.#known.delete(other.id);
+            return { type: "left", upstream: other, reason: "replaced" };
+        });
+    }
+}
--- /dev/null
+++ b/src/forwarding/chooseUpstream.ts
@@ -0,0 +1,76 @@
+/**
+ * Chooses the upstream of a request.
+ *
+ * @module
+ */
+import { type RandomSource } from "../decision/index.js";
+
+/** Requests beyond its slots that an upstream may have before it takes no more, as a share of its slots. */
+const QUEUE_SHARE = 1;
+
+/** What crossing to another zone counts for, as a share of an upstream's slots. */
+const OTHER_ZONE_SHARE = 0.12;
+
+/** What a prompt part that the upstream has read lately counts for, as a share of its slots. */
+const KNOWN_PROMPT_SHARE = 0.05;
+
+/** Largest random part, which keeps hosts with the same view from choosing alike; a share of an upstream's slots. */
+const JITTER_SHARE = 0.03;
+
+/** An upstream that may take the request. */
+export interface Candidate {
+    readonly id: string;
+    readonly slots: number;
+    /** Requests it probably has, running and waiting. */
+    readonly requests: number;
+    readonly sameZone: boolean;
+    readonly avoided: boolean;
+    /** True where it has read the beginning of the prompt lately. */
+    readonly knowsPrompt: boolean;
+}
+
+/** Outcome of a choice. */
+export type Choice =
+    | { readonly type: "send"; readonly upstream: string; }
+    /** Every candidate has as many waiting as it takes. */
+    | { readonly type: "all-full"; }
+    | { readonly type: "none"; };
+
+function costOf(candidate: Candidate, random: RandomSource): number {
+    return candidate.requests / candidate.slots
+        + (candidate.sameZone ? 0 : OTHER_ZONE_SHARE)
+        - (candidate.knowsPrompt ? KNOWN_PROMPT_SHARE : 0)
+        + random() * JITTER_SHARE;
+}
+
+function isFull(candidate: Candidate): boolean {
+    return candidate.requests >= candidate.slots * (1 + QUEUE_SHARE);
+}
+
+/**
+ * Chooses the upstream with the least load for its slots; those that fail often only where nothing else is left.
+ *
+ * @param candidates Upstreams that may take the request.
+ * @param random Source of the jitter.
+ *
+ * @example
+ * ```ts
+ * const choice = chooseUpstream(candidates, Math.random);
+ * ```
+ */
+export function chooseUpstream(candidates: readonly Candidate[], random: RandomSource): Choice {
+    if (candidates.length === 0) {
+        return { type: "none" };
+    }
+    const open = candidates.filter(candidate => !isFull(candidate));
+    const healthy = open.filter(({ avoided }) => !avoided);
+    const eligible = healthy.length > 0 ? healthy : open;
+    let best: { readonly id: string; readonly cost: number; } | undefined;
+    for (const candidate of eligible) {
+        const cost = costOf(candidate, random);
+        if (best === undefined || cost < best.cost) {
+            best = { id: candidate.id, cost };
+        }
+    }
+    return best === undefined ? { type: "all-full" } : { type: "send", upstream: best.id };
+}
--- /dev/null
+++ b/src/forwarding/index.ts
@@ -0,0 +1,27 @@
+/**
+ * Decisions on requests that are passed on byte for byte: which upstream, whether again, and how often.
+ *
+ * None of them opens a socket or reads a clock.
+ *
+ * @example
+ * ```ts
+ * import { chooseUpstream, decideAfterAttempt } from "./index.js";
+ * ```
+ *
+ * @module
+ */
+export { type Candidate, type Choice, chooseUpstream } from "./chooseUpstream.js";
+export { CrashSuspects, type SuspectRecord } from "./crashSuspects.js";
+export { EventSplitter, type WholeEvents } from "./eventSplitter.js";
+export { lastSharedPart, PromptMemory } from "./promptMemory.js";
+export {
+    type AttemptSituation,
+    decideAfterAttempt,
+    giveUpRepeat,
+    mayRunAgain,
+    type RepeatDecision,
+} from "./repeatDecision.js";
+export { type RetryBound, SharedRetryBudget } from "./sharedRetryBudget.js";
+export { type AttemptFailure, provesNotRun, type WantedModel } from "./types.js";
+export { UpstreamHealth } from "./upstreamHealth.js";
+export { type ReportedLoad, UpstreamLoads } from "./upstreamLoads.js";
--- /dev/null
+++ b/src/forwarding/promptMemory.ts
@@ -0,0 +1,54 @@
+/**
+ * Which parts of prompts each engine has read lately.
+ *
+ * @module
+ */
+
+const MOST_PARTS = 2_048;
+
+/**
+ * Remembers, for each engine, the shared prompt parts of the requests that it was sent.
+ *
+ * @example
+ * ```ts
+ * const memory = new PromptMemory();
+ * memory.note("engine-3", "91bd3f06");
+ * memory.knows("engine-3", "91bd3f06"); // true
+ * ```
+ */
+export class PromptMemory {
+    readonly #parts = new Map<string, Set<string>>();
+
+    note(engine: string, part: string): void {
+        const parts = this.#parts.get(engine) ?? new Set();
+        this.#parts.set(engine, parts);
+        parts.delete(part);
+        parts.add(part);
+        if (parts.size > MOST_PARTS) {
+            parts.delete(parts.values().next().value ?? part);
+        }
+    }
+
+    knows(engine: string, part: string): boolean {
+        return this.#parts.get(engine)?.has(part) === true;
+    }
+
+    forget(engine: string): void {
+        this.#parts.delete(engine);
+    }
+}
+
+/**
+ * Gives the last part of a prompt that other requests share; `undefined` where there is none.
+ *
+ * @param parts The prompt's parts in order, as `identifier:tokens` pairs separated by commas.
+ *
+ * @example
+ * ```ts
+ * lastSharedPart("5c1e07a2:800,91bd3f06:410,e4402b7d:250"); // "91bd3f06"
+ * ```
+ */
+export function lastSharedPart(parts: string | undefined): string | undefined {
+    const identifiers = (parts ?? "").split(",").map(part => part.split(":")[0] ?? "");
+    return identifiers.length < 2 ? undefined : identifiers.at(-2);
+}
--- /dev/null
+++ b/src/gossip/gossipLink.ts
@@ -0,0 +1,102 @@
+/**
+ * Datagrams between hosts.
+ *
+ * @module
+ */
+import { createSocket, type Socket } from "node:dgram";
+import {
+    type AdapterWish,
+    adapterWishSchema,
+    type EngineNews,
+    engineNewsSchema,
+    type HostDigest,
+    hostDigestSchema,
+} from "../generated/gossip.js";
+import { parseJson } from "../platform/parseJson.js";
+
+/** Larger datagrams are not sent; they would be cut into too many packets. */
+const LARGEST_DATAGRAM_BYTES = 48 * 1024;
+
+/** What hosts tell each other. */
+export type GossipMessage = HostDigest | AdapterWish | EngineNews;
+
+/** Options of a link. */
+export interface GossipLinkOptions {
+    readonly address: string;
+    readonly port: number;
+    readonly onMessage: (message: GossipMessage) => void;
+    /** A datagram could not be read or sent. */
+    readonly onProblem: (problem: string) => void;
+}
+
+/** Sends and receives datagrams until closed. */
+export interface GossipLink {
+    /** Sends a message to each of the addresses; datagrams may be lost. */
+    send(message: GossipMessage, addresses: readonly string[]): void;
+    close(): void;
+}
+
+const SCHEMAS = { digest: hostDigestSchema, wish: adapterWishSchema, news: engineNewsSchema };
+
+function decode(bytes: Buffer): GossipMessage | undefined {
+    const value = parseJson(bytes.toString("utf8"));
+    const type = (value as { readonly type?: unknown; } | undefined)?.type;
+    if (type !== "digest" && type !== "wish" && type !== "news") {
+        return undefined;
+    }
+    return SCHEMAS[type].safeParse(value).data;
+}
+
+function bind(socket: Socket, options: GossipLinkOptions): Promise<void> {
+    return new Promise((resolve, reject) => {
+        socket.once("error", reject);
+        socket.bind(options.port, options.address, () => {
+            socket.removeListener("error", reject);
+            resolve();
+        });
+    });
+}
+
+/**
+ * Opens a link.
+ *
+ * @param options Where to listen, and who is told of messages.
+ *
+ * @example
+ * ```ts
+ * const link = await openGossipLink({ address: "127.0.0.1", port: 0, onMessage, onProblem });
+ * link.close();
+ * ```
+ */
+export async function openGossipLink(options: GossipLinkOptions): Promise<GossipLink> {
+    const socket = createSocket("udp4");
+    await bind(socket, options);
+    socket.on("error", error => options.onProblem(error.message));
+    socket.on("message", bytes => {
+        const message = decode(bytes);
+        if (message === undefined) {
+            options.onProblem("a datagram that is no message");
+            return;
+        }
+        options.onMessage(message);
+    });
+    return {
+        send: (message, addresses) => {
+            const bytes = Buffer.from(JSON.stringify(message));
+            if (bytes.length > LARGEST_DATAGRAM_BYTES) {
+                options.onProblem(`a message of ${bytes.length} bytes was not sent`);
+                return;
+            }
+            for (const address of addresses) {
+                const separator = address.lastIndexOf(":");
+                const port = Number(address.slice(separator + 1));
+                socket.send(bytes, port, address.slice(0, separator), error => {
+                    if (error !== null) {
+                        options.onProblem(error.message);
+                    }
+                });
+            }
+        },
+        close: () => void socket.close(),
+    };
+}
--- /dev/null
+++ b/src/observability/entryMetrics.ts
@@ -0,0 +1,101 @@
+/**
+ * Counters and histograms of an entry host, served as text.
+ *
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8, 16, 32];
+const PREFIX = "flamingospread_";
+
+const COUNTERS = {
+    requests: { help: "Requests read from callers.", labels: ["kind"] },
+    endings: { help: "Requests by how they ended.", labels: ["kind", "outcome"] },
+    refusals: { help: "Requests refused as not run, by reason.", labels: ["reason"] },
+    failures: { help: "Requests that failed without a promise, by reason.", labels: ["reason"] },
+    attempts: { help: "Attempts on upstreams.", labels: ["service"] },
+    repeats: { help: "Further attempts of a request, by the failure before.", labels: ["reason"] },
+    repeats_denied: { help: "Further attempts that the shared budget had no room for.", labels: ["service"] },
+    attempt_failures: { help: "Failed attempts by reason.", labels: ["reason"] },
+    store_calls: { help: "Calls on the key-value service by outcome.", labels: ["call", "outcome"] },
+    engine_orders: { help: "Orders to engines by outcome.", labels: ["operation", "kind", "outcome"] },
+    holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
+    upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
+    gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
+    address_answers: { help: "Answers to callers that ask for addresses.", labels: ["outcome"] },
+} as const;
+
+const GAUGES = {
+    configuration_version: { help: "Version of the configuration in force; 0 for none." },
+    store_silence_seconds: { help: "Time since the key-value service answered last." },
+    upstreams: { help: "Upstreams in view." },
+    requests_open: { help: "Requests being served." },
+    engines_held: { help: "Engines that this host gives orders to." },
+    peers_heard: { help: "Hosts heard in the last seconds." },
+} as const;
+
+const HISTOGRAMS = {
+    first_byte_seconds: { help: "From a request's arrival to the first byte of its answer.", labels: ["kind"] },
+    answer_seconds: { help: "From a request's arrival to the end of its answer.", labels: ["kind"] },
+    residency_wait_seconds: { help: "Time that requests waited for a model or adapter.", labels: ["outcome"] },
+} as const;
+
+/** Name of a counter. */
+export type CounterName = keyof typeof COUNTERS;
+
+/** Name of a gauge. */
+export type GaugeName = keyof typeof GAUGES;
+
+/** Name of a histogram. */
+export type HistogramName = keyof typeof HISTOGRAMS;
+
+/** Takes the measurements of an entry host. */
+export interface EntryMetrics {
+    count<Name extends CounterName>(name: Name, labels: Readonly<Record<(typeof COUNTERS)[Name]["labels"][number], string>>): void;
+    gauge(name: GaugeName, value: number): void;
+    observe<Name extends HistogramName>(name: Name, milliseconds: number, labels: Readonly<Record<(typeof HISTOGRAMS)[Name]["labels"][number], string>>): void;
+    /** Renders everything in the text exposition format. */
+    render(): Promise<string>;
+}
+
+/** All metric names with their meaning, for the page that lists them. */
+export function listEntryMetrics(): readonly { readonly name: string; readonly type: string; readonly help: string; readonly labels: readonly string[]; }[] {
+    const counters = Object.entries(COUNTERS).map(([name, { help, labels }]) => ({ name: `${PREFIX}${name}_total`, type: "counter", help, labels }));
+    const gauges = Object.entries(GAUGES).map(([name, { help }]) => ({ name: `${PREFIX}${name}`, type: "gauge", help, labels: [] }));
+    const histograms = Object.entries(HISTOGRAMS).map(([name, { help, labels }]) => ({ name: `${PREFIX}${name}`, type: "histogram", help, labels }));
+    return [...counters, ...gauges, ...histograms];
+}
+
+/**
+ * Creates the metrics of one host.
+ *
+ * @example
+ * ```ts
+ * const metrics = createEntryMetrics();
+ * metrics.count("refusals", { reason: "all-full" });
+ * console.log(await metrics.render());
+ * ```
+ */
+export function createEntryMetrics(): EntryMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const counters = new Map<string, Counter>();
+    const gauges = new Map<string, Gauge>();
+    const histograms = new Map<string, Histogram>();
+    for (const [name, { help, labels }] of Object.entries(COUNTERS)) {
+        counters.set(name, new Counter({ name: `${PREFIX}${name}_total`, help, labelNames: [...labels], registers }));
+    }
+    for (const [name, { help }] of Object.entries(GAUGES)) {
+        gauges.set(name, new Gauge({ name: `${PREFIX}${name}`, help, registers }));
+    }
+    for (const [name, { help, labels }] of Object.entries(HISTOGRAMS)) {
+        const buckets = LATENCY_BUCKETS_SECONDS;
+        histograms.set(name, new Histogram({ name: `${PREFIX}${name}`, help, labelNames: [...labels], buckets, registers }));
+    }
+    return {
+        count: (name, labels) => counters.get(name)?.inc(labels),
+        gauge: (name, value) => gauges.get(name)?.set(value),
+        observe: (name, milliseconds, labels) => histograms.get(name)?.observe(labels, milliseconds / 1_000),
+        render: () => registry.metrics(),
+    };
+}
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -15,6 +15,16 @@
  *
  * @module
  */
+export { BoundedOutput, type BoundedOutputOptions } from "./boundedOutput.js";
+export { createDecisionLog, type DecisionLogOptions } from "./decisionLog.js";
+export {
+    type CounterName,
+    createEntryMetrics,
+    type EntryMetrics,
+    type GaugeName,
+    type HistogramName,
+    listEntryMetrics,
+} from "./entryMetrics.js";
 export { createLogger, type LogFields, type Logger, type LoggerOptions } from "./logger.js";
 export {
     type MetricDefinition,
--- /dev/null
+++ b/src/placement/engineKeeper.ts
@@ -0,0 +1,349 @@
+/**
+ * What the holder of one engine knows of it, and the orders that it has open.
+ *
+ * @module
+ */
+import { type HeldModel, type UpstreamAnnouncement } from "../fleet/index.js";
+import { type EngineDefinition } from "../routes/index.js";
+import { type WeightStep } from "./planWeights.js";
+import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
+
+/** An adapter is taken as present this long after its load was accepted. */
+const ADAPTER_LOAD_MILLISECONDS = 12;
+
+/** Adapters that may be on their way to an engine at once. */
+const MOST_ADAPTERS_COMING = 4;
+
+/** An adapter that was asked for within this time is not dropped for another. */
+const ADAPTER_IN_USE_MILLISECONDS = 1_500;
+
+/** A wish that was not repeated for this long is dropped. */
+const WISH_LIFETIME_MILLISECONDS = 1_000;
+
+/** After a conflict, engines' reports, which lag, are trusted from this time on. */
+const REPORT_LAG_MILLISECONDS = 500;
+
+/** A load that takes this many times as long as it should is taken as failed. */
+const LOAD_PATIENCE = 4;
+
+/** Loads faster than this are not waited for less. */
+const SHORTEST_LOAD_PATIENCE_MILLISECONDS = 3_000;
+
+/** The next thing to do on an engine. */
+export type KeeperStep =
+    | { readonly type: "order"; readonly order: EngineOrder; readonly reason: string; }
+    /** Read the engine's report, since the holder no longer knows its order count. */
+    | { readonly type: "read-report"; };
+
+/** What an engine's report says of its memory. */
+export interface EngineReport {
+    readonly orderCount: number;
+    readonly busy: boolean;
+    readonly models: readonly HeldModel[];
+}
+
+interface OpenLoad {
+    readonly model: string;
+    readonly untilMilliseconds: number;
+}
+
+function copyModels(models: readonly HeldModel[]): Map<string, Map<string, number>> {
+    return new Map(models.map(({ name, adapters }) => [name, new Map(adapters.map(adapter => [adapter, 0]))]));
+}
+
+/**
+ * Keeps one engine: its order count, models, adapters and open orders. Orders go out one at a time, each bound to the
+ * order count that it was made for, so that an order that an engine carries out late changes nothing.
+ *
+ * @example
+ * ```ts
+ * const keeper = new EngineKeeper(announcement, definition);
+ * keeper.want("quotes", "a3", now);
+ * const step = keeper.nextAdapterStep(now);
+ * ```
+ */
+export class EngineKeeper {
+    readonly engine: string;
+    readonly definition: EngineDefinition;
+    #startedAtMilliseconds: number | undefined;
+    /** Orders that the engine has accepted, by its report and by what was ordered since. */
+    #orderCount = 0;
+    #models: Map<string, Map<string, number>>;
+    #atHand: ReadonlySet<string>;
+    #open: EngineOrder | undefined;
+    #unanswered: EngineOrder | undefined;
+    #loading: OpenLoad | undefined;
+    /** A model that the engine drops once its last request has ended. */
+    #unloading: string | undefined;
+    #reportAtMilliseconds: number | undefined;
+    readonly #coming = new Map<string, number>();
+    readonly #wishes = new Map<string, { readonly model: string; readonly adapter: string; atMilliseconds: number; }>();
+    #storeLoads: number[] = [];
+
+    constructor(announcement: UpstreamAnnouncement, definition: EngineDefinition) {
+        this.engine = announcement.id;
+        this.definition = definition;
+        this.#startedAtMilliseconds = announcement.startedAtMilliseconds;
+        this.#reportAtMilliseconds = 0;
+        this.#models = copyModels(announcement.models);
+        this.#atHand = new Set([...announcement.weightsAtHand.inMemory, ...announcement.weightsAtHand.onDisk]);
+    }
+
+    /** Takes the engine's own announcement; true where it says something new. */
+    observe(announcement: UpstreamAnnouncement): boolean {
+        this.#atHand = new Set([...announcement.weightsAtHand.inMemory, ...announcement.weightsAtHand.onDisk]);
+        if (announcement.startedAtMilliseconds !== this.#startedAtMilliseconds) {
+            this.#startedAtMilliseconds = announcement.startedAtMilliseconds;
+            this.#forgetOrders();
+            this.#models = copyModels(announcement.models);
+            return true;
+        }
+        if (!announcement.models.some(({ name }) => name === this.#unloading)) {
+            this.#unloading = undefined;
+        }
+        const finished = announcement.models.some(({ name }) => name === this.#loading?.model);
+        this.#loading = finished ? undefined : this.#loading;
+        return this.#adoptModelNames(announcement.models) || finished;
+    }
+
+    /** Takes a request's wish for an adapter. */
+    want(model: string, adapter: string, nowMilliseconds: number): void {
+        this.#wishes.set(`${model}/${adapter}`, { model, adapter, atMilliseconds: nowMilliseconds });
+    }
+
+    /** Takes note that a request uses an adapter, so that it is not dropped. */
+    noteUse(model: string, adapter: string, nowMilliseconds: number): void {
+        const adapters = this.#models.get(model);
+        if (adapters?.has(adapter) === true) {
+            adapters.set(adapter, nowMilliseconds);
+        }
+    }
+
+    /** True while an order is out or the engine loads weights. */
+    get occupied(): boolean {
+        return this.#open !== undefined;
+    }
+
+    get loadingModel(): string | undefined {
+        return this.#loading?.model;
+    }
+
+    get atHand(): string[] {
+        return [...this.#atHand].filter(model => !this.#models.has(model));
+    }
+
+    /** Gives how many loads from the weight store began within the window. */
+    storeLoadsSince(sinceMilliseconds: number): number {
+        this.#storeLoads = this.#storeLoads.filter(at => at >= sinceMilliseconds);
+        return this.#storeLoads.length;
+    }
+
+    /** Gives the next step that needs no plan: a lost order again, a report, or an adapter that is asked for. */
+    nextStep(nowMilliseconds: number): KeeperStep | undefined {
+        this.#finishComing(nowMilliseconds);
+        this.#expireLoad(nowMilliseconds);
+        if (this.#open !== undefined) {
+            return undefined;
+        }
+        if (this.#unanswered !== undefined) {
+            return { type: "order", order: this.#unanswered, reason: "unanswered" };
+        }
+        if (this.#reportAtMilliseconds !== undefined) {
+            return nowMilliseconds >= this.#reportAtMilliseconds ? { type: "read-report" } : undefined;
+        }
+        return this.#nextAdapterStep(nowMilliseconds);
+    }
+
+    /** Makes an order out of a planned step; `undefined` while the engine is not ready for one. */
+    orderFor(step: WeightStep, nowMilliseconds: number): EngineOrder | undefined {
+        this.#expireLoad(nowMilliseconds);
+        const blocked = this.#open !== undefined || this.#unanswered !== undefined || this.#loading !== undefined
+            || this.#unloading !== undefined || this.#reportAtMilliseconds !== undefined || this.#coming.size > 0;
+        return blocked ? undefined : this.#order(step.operation, step.model, undefined);
+    }
+
+    /** Takes note that an order goes out. */
+    sent(order: EngineOrder, nowMilliseconds: number): void {
+        this.#open = order;
+        this.#unanswered = undefined;
+        if (order.operation === "load" && order.adapter === undefined && !this.#atHand.has(order.model)) {
+            this.#storeLoads.push(nowMilliseconds);
+        }
+    }
+
+    /** Takes the outcome of the order that is out. */
+    answered(order: EngineOrder, outcome: OrderOutcome, nowMilliseconds: number): void {
+        if (this.#open !== order) {
+            return;
+        }
+        this.#open = undefined;
+        if (outcome === "accepted" || outcome === "holds") {
+            this.#apply(order, outcome, nowMilliseconds);
+        }
+        else if (outcome === "unknown") {
+            this.#unanswered = order;
+        }
+        else {
+            this.#reportAtMilliseconds = nowMilliseconds + REPORT_LAG_MILLISECONDS;
+        }
+    }
+
+    /** Takes note that the engine's report is being read. */
+    reading(): void {
+        this.#reportAtMilliseconds = Number.POSITIVE_INFINITY;
+    }
+
+    /** Takes the engine's report; without one it is asked again later. */
+    reported(report: EngineReport | undefined, nowMilliseconds: number): void {
+        if (report === undefined) {
+            this.#reportAtMilliseconds = nowMilliseconds + REPORT_LAG_MILLISECONDS;
+            return;
+        }
+        this.#reportAtMilliseconds = undefined;
+        this.#orderCount = report.orderCount;
+        this.#adoptReport(report.models);
+    }
+
+    /** What other hosts should know of the engine. */
+    record(): EngineRecord {
+        return {
+            engine: this.engine,
+            startedAtMilliseconds: this.#startedAtMilliseconds,
+            orderCount: this.#orderCount,
+            models: [...this.#models].map(([name, adapters]) => ({ name, adapters: [...adapters.keys()] })),
+            loading: this.#loading?.model,
+        };
+    }
+
+    #order(operation: EngineOrder["operation"], model: string, adapter: string | undefined): EngineOrder {
+        return { operation, model, adapter, expectedOrderCount: this.#orderCount };
+    }
+
+    #nextAdapterStep(nowMilliseconds: number): KeeperStep | undefined {
+        for (const [key, wish] of this.#wishes) {
+            const adapters = this.#models.get(wish.model);
+            const stale = nowMilliseconds - wish.atMilliseconds > WISH_LIFETIME_MILLISECONDS;
+            if (adapters?.has(wish.adapter) === true || stale) {
+                this.#wishes.delete(key);
+                continue;
+            }
+            if (adapters === undefined || this.#coming.has(key) || this.#coming.size >= MOST_ADAPTERS_COMING) {
+                continue;
+            }
+            if (this.#adaptersHeld() + this.#coming.size < this.definition.adapterSlots) {
+                return { type: "order", order: this.#order("load", wish.model, wish.adapter), reason: "wanted" };
+            }
+            const victim = this.#leastRecentlyUsed(nowMilliseconds);
+            if (victim !== undefined) {
+                const order = this.#order("unload", victim.model, victim.adapter);
+                return { type: "order", order, reason: "make-room" };
+            }
+        }
+        return undefined;
+    }
+
+    #adaptersHeld(): number {
+        return [...this.#models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
+    }
+
+    #leastRecentlyUsed(nowMilliseconds: number): { readonly model: string; readonly adapter: string; } | undefined {
+        let oldest: { readonly model: string; readonly adapter: string; readonly usedAt: number; } | undefined;
+        for (const [model, adapters] of this.#models) {
+            for (const [adapter, usedAt] of adapters) {
+                if (usedAt < (oldest?.usedAt ?? nowMilliseconds - ADAPTER_IN_USE_MILLISECONDS)) {
+                    oldest = { model, adapter, usedAt };
+                }
+            }
+        }
+        return oldest;
+    }
+
+    #apply(order: EngineOrder, outcome: OrderOutcome, nowMilliseconds: number): void {
+        const advances = outcome === "accepted" || order.operation === "unload";
+        this.#orderCount += advances ? 1 : 0;
+        if (order.operation === "unload") {
+            if (order.adapter === undefined) {
+                this.#models.delete(order.model);
+                this.#unloading = outcome === "accepted" ? order.model : undefined;
+            }
+            else {
+                this.#models.get(order.model)?.delete(order.adapter);
+            }
+            return;
+        }
+        if (order.adapter !== undefined) {
+            const ready = outcome === "accepted" ? nowMilliseconds + ADAPTER_LOAD_MILLISECONDS : nowMilliseconds;
+            this.#coming.set(`${order.model}/${order.adapter}`, ready);
+            return;
+        }
+        if (outcome === "holds") {
+            this.#models.set(order.model, new Map());
+            return;
+        }
+        this.#loading = { model: order.model, untilMilliseconds: nowMilliseconds + this.#patienceFor(order.model) };
+    }
+
+    #patienceFor(model: string): number {
+        const definition = this.definition.models.find(({ name }) => name === model);
+        const expected = (definition?.storeLoadMilliseconds ?? 0) * LOAD_PATIENCE;
+        return Math.max(SHORTEST_LOAD_PATIENCE_MILLISECONDS, expected);
+    }
+
+    /** Moves adapters that must have arrived by now to those that are held. */
+    #finishComing(nowMilliseconds: number): void {
+        for (const [key, readyAt] of this.#coming) {
+            if (nowMilliseconds >= readyAt) {
+                this.#coming.delete(key);
+                const split = key.indexOf("/");
+                this.#models.get(key.slice(0, split))?.set(key.slice(split + 1), nowMilliseconds);
+                this.#wishes.delete(key);
+            }
+        }
+    }
+
+    /** Earliest time at which an adapter on its way arrives. */
+    get nextArrivalMilliseconds(): number | undefined {
+        return this.#coming.size === 0 ? undefined : Math.min(...this.#coming.values());
+    }
+
+    #expireLoad(nowMilliseconds: number): void {
+        if (this.#loading !== undefined && nowMilliseconds > this.#loading.untilMilliseconds) {
+            this.#loading = undefined;
+            this.#reportAtMilliseconds = nowMilliseconds;
+        }
+    }
+
+    /** Takes models and adapters from a report, and keeps when adapters were used. */
+    #adoptReport(models: readonly HeldModel[]): void {
+        const before = this.#models;
+        this.#models = copyModels(models.filter(({ name }) => name !== this.#unloading));
+        for (const [name, adapters] of this.#models) {
+            for (const adapter of adapters.keys()) {
+                adapters.set(adapter, before.get(name)?.get(adapter) ?? 0);
+            }
+        }
+        if (this.#loading !== undefined && this.#models.has(this.#loading.model)) {
+            this.#loading = undefined;
+        }
+    }
+
+    /** Takes which models an announcement names; it says nothing new of their adapters. */
+    #adoptModelNames(models: readonly HeldModel[]): boolean {
+        const present = new Set(models.map(({ name }) => name));
+        const missing = [...this.#models.keys()].filter(name => !present.has(name));
+        const added = models.filter(({ name }) => !this.#models.has(name) && name !== this.#unloading);
+        missing.forEach(name => this.#models.delete(name));
+        added.forEach(({ name, adapters }) => this.#models.set(name, new Map(adapters.map(adapter => [adapter, 0]))));
+        return missing.length + added.length > 0;
+    }
+
+    #forgetOrders(): void {
+        this.#orderCount = 0;
+        this.#open = undefined;
+        this.#unanswered = undefined;
+        this.#loading = undefined;
+        this.#unloading = undefined;
+        this.#reportAtMilliseconds = undefined;
+        this.#coming.clear();
+    }
+}
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,16 @@
+/**
+ * What engines hold, and which weights and adapters they load and drop.
+ *
+ * The decisions here need no socket and no clock; the shell that sends the orders is in `src/entry`.
+ *
+ * @example
+ * ```ts
+ * import { planWeights, ResidencyView } from "./index.js";
+ * ```
+ *
+ * @module
+ */
+export { EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
+export { type PlannedEngine, planWeights, type WeightSituation, type WeightStep } from "./planWeights.js";
+export { type Residency, ResidencyView } from "./residencyView.js";
+export { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -21,6 +21,7 @@
     type HostListing,
     type KeyValueEntry,
     type KeyValueService,
+    type KeyValueSnapshot,
     type PlatformError,
     type SwapOptions,
     type SwapOutcome,
--- a/src/platform/keyValueClient.ts
+++ b/src/platform/keyValueClient.ts
@@ -120,6 +120,11 @@
             const answer = await call("/v3/kv/range", range, rangeAnswerSchema);
             return answer.map(({ kvs }) => kvs.map(decodeEntry));
         },
+        async snapshot(prefix) {
+            const range = { key: encodeText(prefix), range_end: encodeRangeEnd(prefix) };
+            const answer = await call("/v3/kv/range", range, rangeAnswerSchema);
+            return answer.map(({ kvs, header }) => ({ entries: kvs.map(decodeEntry), revision: header.revision }));
+        },
         async compareAndSwap(key, swap) {
             const answer = await call("/v3/kv/txn", createSwapRequest(key, swap), transactionAnswerSchema);
             return answer.map(readSwapAnswer);
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -9,9 +9,10 @@
 export interface PlatformError {
     /**
      * `not-sent`: no byte reached the service, so nothing took effect. `no-answer`: a write may have taken effect.
-     * `rejected`: the service answered with an error. `invalid`: its answer does not fit its schema.
+     * `refused`: the service says that it did nothing, for load or an outage. `rejected`: the service answered with an
+     * error. `invalid`: its answer does not fit its schema.
      */
-    readonly kind: "not-sent" | "no-answer" | "rejected" | "invalid";
+    readonly kind: "not-sent" | "no-answer" | "refused" | "rejected" | "invalid";
     readonly message: string;
 }
 
@@ -34,8 +35,20 @@
 export type WatchEvent =
     | { readonly type: "put"; readonly entry: KeyValueEntry; }
     | { readonly type: "delete"; readonly key: string; readonly revision: number; }
-    /** The watch ended; changes since its last event are unknown. The watch does not restart by itself. */
-    | { readonly type: "ended"; readonly message: string; };
+    /** Nothing up to this revision is left to report. */
+    | { readonly type: "progress"; readonly revision: number; }
+    /**
+     * The watch ended; changes since its last event are unknown. The watch does not restart by itself. `historyLost`
+     * where the service no longer has the changes that the watch began from.
+     */
+    | { readonly type: "ended"; readonly message: string; readonly historyLost?: boolean; };
+
+/** All keys under a prefix. */
+export interface KeyValueSnapshot {
+    readonly entries: readonly KeyValueEntry[];
+    /** A watch from the revision after this one misses no change. */
+    readonly revision: number;
+}
 
 /** Options of a compare-and-swap. */
 export interface SwapOptions {
@@ -58,6 +71,8 @@
 export interface KeyValueService {
     get(key: string): Promise<Result<KeyValueEntry | undefined, PlatformError>>;
     list(prefix: string): Promise<Result<readonly KeyValueEntry[], PlatformError>>;
+    /** Lists a prefix with the revision that a watch of it goes on from. */
+    snapshot(prefix: string): Promise<Result<KeyValueSnapshot, PlatformError>>;
     compareAndSwap(key: string, options: SwapOptions): Promise<Result<SwapOutcome, PlatformError>>;
     grantLease(timeToLiveMilliseconds: number): Promise<Result<{ readonly lease: string; }, PlatformError>>;
     /** Gives the remaining time; an ended lease is `rejected`. */
