Plan weights by the load that engines would have; tell a reset at the end of an answer without a length

Ruled out: a reset hidden by our agent (socket.errored was null at the end; a write then fails with ECONNRESET). Change: planWeights weighs the square of each engine's load; a write at the end of such an answer; a resumed answer must be a success; a broken invariant ends one request; silence at a full engine is no failure.

--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -7,10 +7,16 @@
 /** Work counts half as much after this time. */
 const HALF_LIFE_MILLISECONDS = 1_500;
 
-/** Demand below this is not told, in tokens a second. */
-const LEAST_DEMAND = 1;
+/** Demand below this is not told, in requests that run at once. */
+const LEAST_DEMAND = 0.02;
 
-const MILLISECONDS_PER_SECOND = 1_000;
+/** Time that an engine spends on one token of work, until this host has measured it. */
+const FIRST_MILLISECONDS_PER_WORK = 10;
+
+/** Weight of one more measured request. */
+const MEASUREMENT_WEIGHT = 0.05;
+
+const TWO_DIGITS = 100;
 
 /** Work of a prompt token against that of an output token. */
 const PROMPT_TOKEN_WORK = 0.1;
@@ -27,16 +33,18 @@
 }
 
 /**
- * Smooths the work that is asked of each model.
+ * Smooths the work that is asked of each model, and tells it as requests that would run at once.
  *
  * @example
  * ```ts
  * const demand = new DemandMeter();
  * demand.add("quotes", 320, now);
- * demand.rates(now); // { quotes: 147.9 }
+ * demand.noteRun(320, 2_900);
+ * demand.concurrency(now); // { quotes: 1.44 }
  * ```
  */
 export class DemandMeter {
+    #millisecondsPerWork = FIRST_MILLISECONDS_PER_WORK;
     readonly #work = new Map<string, { work: number; atMilliseconds: number; }>();
 
     add(model: string, work: number, nowMilliseconds: number): void {
@@ -46,19 +54,25 @@
         this.#work.set(model, entry);
     }
 
-    /** Gives tokens a second for each model that is asked for. */
-    rates(nowMilliseconds: number): Record<string, number> {
-        const rates: Record<string, number> = {};
+    /** Takes how long an engine ran a request. */
+    noteRun(work: number, tookMilliseconds: number): void {
+        this.#millisecondsPerWork += MEASUREMENT_WEIGHT * (tookMilliseconds / work - this.#millisecondsPerWork);
+    }
+
+    /** Gives how many requests of each model would run at once if all were served. */
+    concurrency(nowMilliseconds: number): Record<string, number> {
+        const demand: Record<string, number> = {};
         for (const [model, entry] of this.#work) {
-            const rate = decay(entry, nowMilliseconds) * Math.LN2 / (HALF_LIFE_MILLISECONDS / MILLISECONDS_PER_SECOND);
-            if (rate >= LEAST_DEMAND) {
-                rates[model] = Math.round(rate);
+            const workPerMillisecond = decay(entry, nowMilliseconds) * Math.LN2 / HALF_LIFE_MILLISECONDS;
+            const concurrent = workPerMillisecond * this.#millisecondsPerWork;
+            if (concurrent >= LEAST_DEMAND) {
+                demand[model] = Math.round(concurrent * TWO_DIGITS) / TWO_DIGITS;
             }
             else {
                 this.#work.delete(model);
             }
         }
-        return rates;
+        return demand;
     }
 }
 
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -26,6 +26,9 @@
 /** Time between two looks at all engines. */
 const TICK_MILLISECONDS = 200;
 
+/** After engines came or went, others may follow at once; weights are planned only after this time. */
+const SETTLED_MILLISECONDS = 1_200;
+
 /** Bounds on loads from the weight store. */
 export interface StoreLoadBounds {
     readonly windowMilliseconds: number;
@@ -48,7 +51,7 @@
     readonly storeLoads: StoreLoadBounds;
     readonly readClocks: () => ClockReading;
     readonly routeTable: () => RouteTable | undefined;
-    /** Tokens a second that callers ask of each model, over all hosts. */
+    /** Requests of each model that would run at once, over all hosts. */
     readonly demand: () => ReadonlyMap<string, number>;
     /** An engine's memory changed, or this host learned of it. */
     readonly onNews: (record: EngineRecord) => void;
@@ -61,6 +64,7 @@
     readonly #acquiring = new Set<string>();
     #ticker: NodeJS.Timeout | undefined;
     #leaving = false;
+    #enginesChangedAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: EngineOrdersOptions) {
         this.#options = options;
@@ -101,6 +105,11 @@
         return true;
     }
 
+    /** Engines came or went. */
+    noteEnginesChanged(): void {
+        this.#enginesChangedAt = this.#now();
+    }
+
     noteUse(engine: string, model: string, adapter: string): void {
         this.#keepers.get(engine)?.noteUse(model, adapter, this.#now());
     }
@@ -214,6 +223,9 @@
     #planStep(keeper: EngineKeeper, announcement: UpstreamAnnouncement): KeeperStep | undefined {
         const now = this.#now();
         const engines = this.#options.view.usable(announcement.service);
+        if (now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
+            return undefined;
+        }
         const step = planWeights({
             engine: keeper.engine,
             engines: engines.map(engine => this.#describe(engine)),
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -538,6 +538,9 @@
             if (change.type === "left") {
                 this.#forget(change.upstream, change.reason);
             }
+            if (change.type === "joined") {
+                this.#orders.noteEnginesChanged();
+            }
             if (change.type !== "updated") {
                 this.#options.logger.info(`upstream ${change.type}`, {
                     upstream: change.upstream.id,
@@ -637,7 +640,7 @@
 
     #totalDemand(): ReadonlyMap<string, number> {
         const now = this.#now();
-        const total = new Map(Object.entries(this.#demand.rates(now)));
+        const total = new Map(Object.entries(this.#demand.concurrency(now)));
         for (const { demand, atMilliseconds } of this.#peerDemand.values()) {
             if (now - atMilliseconds < PEER_DEMAND_MILLISECONDS) {
                 Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
@@ -668,7 +671,7 @@
             ready: this.#isReady(),
             leaving: this.#leaving,
             inFlight: this.#loads.allInFlight(),
-            demand: this.#demand.rates(now),
+            demand: this.#demand.concurrency(now),
             engines: this.#orders.records().map(toMemory),
             suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({ fingerprint, runs: [...runs] })),
         };
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -20,6 +20,7 @@
     type ReportedLoad,
 } from "../forwarding/index.js";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
+import { rankAdapterHomes } from "../placement/index.js";
 import { chooseService, type Route } from "../routes/index.js";
 import { passThroughHeaders } from "./_forwardedHeaders.js";
 import { workOf } from "./demandMeter.js";
@@ -32,6 +33,9 @@
 /** Callers abandon a stream after two seconds without an event, so a silent upstream is left before. */
 const SILENT_STREAM_MILLISECONDS = 1_200;
 
+/** From this load on, as a share of its slots, an upstream may be silent because the request waits there. */
+const BUSY_UPSTREAM_SHARE = 0.85;
+
 /** An idempotent request that is silent for this many times its target is sent to another upstream. */
 const SILENT_TARGETS = 3;
 
@@ -44,6 +48,9 @@
 /** Longest time that a request waits for a model that no engine holds or loads. */
 const ABSENT_MODEL_WAIT_MILLISECONDS = 1_200;
 
+/** Longest time that a request waits for room at an upstream, as a share of its target. */
+const ROOM_WAIT_SHARE = 0.8;
+
 /** A wish for an adapter is repeated after this time, since datagrams may be lost. */
 const WISH_INTERVAL_MILLISECONDS = 120;
 
@@ -95,6 +102,7 @@
     | "out-of-time"
     | "rejected-by-upstreams"
     | "no-service"
+    | "broken-invariant"
     | "budget";
 
 /** Carries one request; created by the forwarder, which is told when it has ended. */
@@ -196,12 +204,16 @@
             return;
         }
         const loadable = usable.filter(upstream => this.#residencyAt(upstream) === "adapter-missing");
-        if (loadable.length > 0) {
+        if (loadable.length > 0 && resident.length === 0) {
             this.#waitForAdapter(loadable);
             return;
         }
+        if (choice.type === "all-full") {
+            this.#waitOrRefuse("all-full", this.#request.route.targetLatencyMilliseconds * ROOM_WAIT_SHARE);
+            return;
+        }
         if (resident.length > 0) {
-            this.#refuse(choice.type === "all-full" ? "all-full" : "no-upstream");
+            this.#refuse("no-upstream");
             return;
         }
         this.#waitForModel(usable);
@@ -256,7 +268,10 @@
         if (load < BUSY_ADAPTER_SHARE) {
             return;
         }
-        const others = usable.filter(upstream => this.#residencyAt(upstream) === "adapter-missing");
+        const others = usable.filter(upstream =>
+            this.#residencyAt(upstream) === "adapter-missing"
+            && this.#adapterSlots(upstream.service) > this.#context.residency.adapterCount(upstream.id)
+        );
         const choice = chooseUpstream(this.#candidates(others), this.#context.random);
         if (choice.type === "send" && this.#loadShare(choice.upstream) < load / 2) {
             this.#context.wishAdapter(choice.upstream, this.#model, this.#adapter);
@@ -282,16 +297,26 @@
         this.#retryTimer = setTimeout(() => this.dispatch(), WISH_INTERVAL_MILLISECONDS);
     }
 
-    /** Asks the holders of the best engines, until one is known to have a holder. */
+    /** Asks the holder of the adapter's home, or of the next engine where that one has no holder. */
     #wish(loadable: readonly UpstreamAnnouncement[]): void {
-        let candidates = this.#candidates(loadable);
-        while (candidates.length > 0 && this.#model !== undefined && this.#adapter !== undefined) {
-            const choice = chooseUpstream(candidates, this.#context.random);
-            if (choice.type !== "send" || this.#context.wishAdapter(choice.upstream, this.#model, this.#adapter)) {
-                return;
-            }
-            candidates = candidates.filter(({ id }) => id !== choice.upstream);
+        const { residency, wishAdapter } = this.#context;
+        const [model, adapter] = [this.#model, this.#adapter];
+        if (model === undefined || adapter === undefined) {
+            return;
         }
+        const homes = rankAdapterHomes(
+            `${model}/${adapter}`,
+            loadable.map(({ id, service }) => ({
+                id,
+                freeSlots: this.#adapterSlots(service) - residency.adapterCount(id),
+                loadShare: this.#loadShare(id),
+            })),
+        );
+        homes.find(engine => wishAdapter(engine, model, adapter));
+    }
+
+    #adapterSlots(service: string): number {
+        return this.#context.routeTable()?.service(service)?.engine?.adapterSlots ?? 0;
     }
 
     #waitForModel(usable: readonly UpstreamAnnouncement[]): void {
@@ -349,7 +374,11 @@
             remainingMilliseconds: Math.round(remaining),
         });
         const attempt = this.#attempt;
-        const isCurrent = (): boolean => this.#attempt === attempt && !this.#ended;
+        const ifCurrent = (step: () => void): void => {
+            if (this.#attempt === attempt && !this.#ended) {
+                this.#guard(step);
+            }
+        };
         this.#call = callUpstream({
             agent: context.agentFor(upstream.service),
             address: upstream.address,
@@ -358,14 +387,26 @@
             headers: this.#headersFor(upstream, remaining),
             body: request.body,
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-            onHead: head => isCurrent() && this.#takeHead(head),
-            onData: piece => isCurrent() && this.#takeData(piece),
-            onEnd: () => isCurrent() && this.#takeEnd(),
-            onFailure: (failure, detail) => isCurrent() && this.#attemptFailed(failure, detail),
+            onHead: head => ifCurrent(() => this.#takeHead(head)),
+            onData: piece => ifCurrent(() => this.#takeData(piece)),
+            onEnd: () => ifCurrent(() => this.#takeEnd()),
+            onFailure: (failure, detail) => ifCurrent(() => this.#attemptFailed(failure, detail)),
         });
         this.#watchSilence();
     }
 
+    /** A broken invariant ends this request alone. */
+    #guard(step: () => void): void {
+        try {
+            step();
+        }
+        catch (error) {
+            const detail = error instanceof Error ? error.stack : String(error);
+            this.#context.logger.error("request handling failed", { request: this.#request.requestId, detail });
+            this.#breakOff("broken-invariant");
+        }
+    }
+
     #headersFor(upstream: UpstreamAnnouncement, remaining: number): string[] {
         const { headers } = this.#context;
         const replaced = new Set([
@@ -403,7 +444,17 @@
         const limit = route.kind === "event-stream"
             ? SILENT_STREAM_MILLISECONDS
             : route.targetLatencyMilliseconds * SILENT_TARGETS;
-        this.#silenceTimer = setTimeout(() => this.#attemptFailed("silent", `nothing came for ${limit} ms`), limit);
+        this.#silenceTimer = setTimeout(() => this.#noteSilence(limit), limit);
+    }
+
+    /** Behind a full upstream a request waits its turn; moving it would only make it wait anew. */
+    #noteSilence(limitMilliseconds: number): void {
+        const upstream = this.#upstream;
+        if (upstream !== undefined && this.#loadShare(upstream.id) >= BUSY_UPSTREAM_SHARE) {
+            this.#watchSilence();
+            return;
+        }
+        this.#attemptFailed("silent", `nothing came for ${limitMilliseconds} ms`);
     }
 
     #takeHead(head: AnswerHead): void {
@@ -448,6 +499,9 @@
         if (head.headers["content-encoding"] !== undefined) {
             return "invalid-answer";
         }
+        if (this.#headSent && !succeeded) {
+            return "upstream-error";
+        }
         if (head.status >= FIRST_SERVER_ERROR && (!hasReceipt || this.#canRepeatError())) {
             return "upstream-error";
         }
@@ -512,6 +566,7 @@
         }
         this.#noteOutcomeAtUpstream(answer.head.status < FIRST_SERVER_ERROR);
         if (this.#isStream()) {
+            this.#noteRun();
             this.#sendHead(answer.head);
             this.#request.response.end();
         }
@@ -557,6 +612,14 @@
         this.#events += count;
     }
 
+    /** A whole stream tells how long engines take for the work of a request. */
+    #noteRun(): void {
+        if (this.#firstByteAt !== undefined && this.#attempt === 1) {
+            const work = workOf(this.#header(this.#context.headers.tokenCount));
+            this.#context.demand.noteRun(work, this.#now() - this.#firstByteAt);
+        }
+    }
+
     #noteOutcomeAtUpstream(succeeded: boolean): void {
         if (this.#upstream === undefined) {
             return;
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -47,6 +47,19 @@
     readonly mayHaveSent: boolean;
 }
 
+/** Tells whether an answer has no length of its own, so that only the end of its connection ends it. */
+function endsWithConnection(answer: IncomingMessage): boolean {
+    return answer.headers["content-length"] === undefined && answer.headers["transfer-encoding"] === undefined;
+}
+
+/**
+ * Finds out whether a connection that ends was reset. The event loop reports a reset that comes together with the last
+ * bytes as an orderly end; a write then still fails, and after an orderly end it does not.
+ */
+function probeResetAtEnd(socket: Socket): void {
+    socket.prependOnceListener("end", () => void socket.write("\r\n"));
+}
+
 class RunningCall implements UpstreamCall {
     readonly #options: UpstreamCallOptions;
     readonly #request;
@@ -118,12 +131,15 @@
             return;
         }
         this.#answer = answer;
+        if (endsWithConnection(answer)) {
+            probeResetAtEnd(answer.socket);
+        }
         answer.on("data", (piece: Buffer) => {
             if (!this.#settled) {
                 this.#options.onData(piece);
             }
         });
-        answer.on("end", () => this.#finish(answer));
+        answer.on("end", () => endsWithConnection(answer) ? this.#finishAtClose(answer) : this.#finish(answer));
         answer.on("error", error => this.#fail("connection-lost", error.message));
         answer.on("aborted", () => this.#fail("connection-lost", "the answer was cut"));
         this.#options.onHead({
@@ -143,6 +159,18 @@
         }
     }
 
+    /** Waits one turn of the event loop for the outcome of the probe. */
+    #finishAtClose(answer: IncomingMessage): void {
+        setImmediate(() => {
+            if (answer.socket.errored === null) {
+                this.#finish(answer);
+            }
+            else {
+                this.#fail("connection-lost", `reset at the end: ${answer.socket.errored.message}`);
+            }
+        });
+    }
+
     #classify(error: Error): CallFailure {
         if (!this.#connected) {
             return "not-connected";
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -6,7 +6,7 @@
 import { type RandomSource } from "../decision/index.js";
 
 /** Requests beyond its slots that an upstream may have before it takes no more, as a share of its slots. */
-const QUEUE_SHARE = 1;
+const QUEUE_SHARE = 0.15;
 
 /** What crossing to another zone counts for, as a share of an upstream's slots. */
 const OTHER_ZONE_SHARE = 0.12;
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -15,7 +15,7 @@
 const MOST_ADAPTERS_COMING = 4;
 
 /** An adapter that was asked for within this time is not dropped for another. */
-const ADAPTER_IN_USE_MILLISECONDS = 1_500;
+const ADAPTER_IN_USE_MILLISECONDS = 500;
 
 /** A wish that was not repeated for this long is dropped. */
 const WISH_LIFETIME_MILLISECONDS = 1_000;
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -12,5 +12,6 @@
  */
 export { EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
 export { type PlannedEngine, planWeights, type WeightSituation, type WeightStep } from "./planWeights.js";
+export { type AdapterHome, rankAdapterHomes } from "./rankAdapterHomes.js";
 export { type Residency, ResidencyView } from "./residencyView.js";
 export { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -1,19 +1,31 @@
 /**
  * Plans which weights an engine loads or drops next.
  *
- * Every holder plans for its own engine, from the same view of all engines. A ranking that all compute alike keeps two
- * holders from loading or dropping the same model at once.
+ * Every holder plans for all engines from the same view, finds the one step that helps most, and takes it where the step
+ * falls to an engine of its own. Two holders therefore do not load or drop the same model at once.
  *
  * @module
  */
 import { rankByRendezvous } from "../decision/index.js";
 import { type EngineDefinition, type ModelDefinition } from "../routes/index.js";
 
-/** A further copy is worth a load where each copy there is has this much more demand than an engine's fair share. */
-const BUSY_COPY_SHARE = 0.5;
+/** Cost of a model without a copy, against the square of an engine's load as a share of its slots. */
+const MISSING_COST = 0.4;
 
-/** A copy is dropped for another model only where that one's copies have this many times the demand. */
-const DROP_RATIO = 2;
+/** Further cost of a model without a copy for each engine's worth of requests that ask for it. */
+const MISSING_DEMAND_COST = 3;
+
+/** Least gain for which weights that are at hand are loaded. */
+const LEAST_GAIN_AT_HAND = 0.03;
+
+/** Least gain for which weights are loaded from the weight store. */
+const LEAST_GAIN_FROM_STORE = 0.1;
+
+/** Before there is traffic, each copy that engines began with stands for this load, as a share of an engine's slots. */
+const PRIOR_LOAD_SHARE = 0.25;
+
+/** Models that are considered for a further copy, the most loaded first; keeps the work small for many models. */
+const MOST_CANDIDATES = 12;
 
 /** One engine, as the plan sees it. */
 export interface PlannedEngine {
@@ -31,7 +43,7 @@
     /** All usable engines of the service, that one included. */
     readonly engines: readonly PlannedEngine[];
     readonly definition: EngineDefinition;
-    /** Work that callers ask of each model, in tokens a second. */
+    /** Requests of each model that would run at once if all were served. */
     readonly demand: ReadonlyMap<string, number>;
     /** False while the engine has used up its part of the weight store's rate. */
     readonly storeLoadAllowed: boolean;
@@ -43,119 +55,150 @@
     readonly model: string;
     /** Why, for the log. */
     readonly reason: "no-copy" | "busy-copies" | "make-room";
+    /** How much better the placement becomes. */
+    readonly gain: number;
 }
 
+/** Loads one model on an engine after dropping others there. */
+interface Move {
+    readonly engine: PlannedEngine;
+    readonly model: ModelDefinition;
+    readonly dropped: readonly string[];
+    readonly gain: number;
+}
+
+/** Which engine has which models, those that are being loaded included. */
+type Placement = ReadonlyMap<string, ReadonlySet<string>>;
+
 interface Fleet {
     readonly situation: WeightSituation;
     readonly definitions: ReadonlyMap<string, ModelDefinition>;
-    readonly totalDemand: number;
+    /** Requests of each model that would run at once, as a share of an engine's slots. */
+    readonly load: ReadonlyMap<string, number>;
+    readonly placement: Placement;
 }
 
-function holdersOf(fleet: Fleet, model: string): PlannedEngine[] {
-    return fleet.situation.engines.filter(engine => engine.models.includes(model));
+function modelsOf(engine: PlannedEngine): Set<string> {
+    return new Set(engine.loading === undefined ? engine.models : [...engine.models, engine.loading]);
 }
 
-function copiesOf(fleet: Fleet, model: string): number {
-    const loading = fleet.situation.engines.filter(engine => engine.loading === model && !engine.models.includes(model));
-    return holdersOf(fleet, model).length + loading.length;
+function countCopies(placement: Placement): Map<string, number> {
+    const copies = new Map<string, number>();
+    for (const models of placement.values()) {
+        models.forEach(model => copies.set(model, (copies.get(model) ?? 0) + 1));
+    }
+    return copies;
 }
 
-function demandOf(fleet: Fleet, model: string): number {
-    return fleet.situation.demand.get(model) ?? 0;
+/** Before there is traffic, the copies that engines began with tell what is asked for. */
+function loadOf({ demand, definition }: WeightSituation, copies: ReadonlyMap<string, number>): Map<string, number> {
+    if (demand.size > 0) {
+        return new Map([...demand].map(([model, requests]) => [model, requests / definition.slots]));
+    }
+    return new Map([...copies].map(([model, count]) => [model, count * PRIOR_LOAD_SHARE]));
+}
+
+/** Cost of a placement: engines with much load weigh more than in proportion, and so do models without a copy. */
+function costOf(fleet: Fleet, placement: Placement): number {
+    const copies = countCopies(placement);
+    let cost = 0;
+    for (const models of placement.values()) {
+        let load = 0;
+        models.forEach(model => {
+            load += (fleet.load.get(model) ?? 0) / (copies.get(model) ?? 1);
+        });
+        cost += load * load;
+    }
+    for (const name of fleet.definitions.keys()) {
+        if (!copies.has(name)) {
+            cost += MISSING_COST + MISSING_DEMAND_COST * (fleet.load.get(name) ?? 0);
+        }
+    }
+    return cost;
 }
 
-/** Demand that each copy has to bear; without a copy, as if there were half of one. */
-function pressureOf(fleet: Fleet, model: string, copies: number): number {
-    return demandOf(fleet, model) / Math.max(copies, 0.5);
+function replace(placement: Placement, engine: string, dropped: readonly string[], added: string): Placement {
+    const models = new Set(placement.get(engine));
+    dropped.forEach(model => models.delete(model));
+    models.add(added);
+    return new Map(placement).set(engine, models);
 }
 
 function adapterReserve({ adapterSlots, models }: EngineDefinition): number {
     return adapterSlots * Math.max(0, ...models.map(({ adapterMegabytes }) => adapterMegabytes));
 }
 
+function sizeOf(fleet: Fleet, model: string): number {
+    return fleet.definitions.get(model)?.weightMegabytes ?? fleet.situation.definition.weightMegabytes;
+}
+
 function freeMegabytes(fleet: Fleet, engine: PlannedEngine): number {
     const { definition } = fleet.situation;
-    const held = new Set([...engine.models, ...engine.loading === undefined ? [] : [engine.loading]]);
-    const used = [...held].reduce(
-        (sum, model) => sum + (fleet.definitions.get(model)?.weightMegabytes ?? definition.weightMegabytes),
-        0,
-    );
+    const used = [...modelsOf(engine)].reduce((sum, model) => sum + sizeOf(fleet, model), 0);
     return definition.weightMegabytes - adapterReserve(definition) - used;
 }
 
-/** Copies that the engine may drop: another engine keeps one, by a ranking that all holders share. */
-function droppable(fleet: Fleet, engine: PlannedEngine): string[] {
-    return engine.models.filter(model => {
-        const holders = holdersOf(fleet, model).map(({ id }) => id);
-        return holders.length > 1 && rankByRendezvous(model, holders)[0] !== engine.id;
-    });
-}
-
-/** The copies to drop, least wanted first, so that the model fits; `undefined` where it cannot. */
-function findRoom(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): string[] | undefined {
-    let free = freeMegabytes(fleet, engine);
-    const wantedPressure = pressureOf(fleet, model.name, copiesOf(fleet, model.name));
-    const hasNoCopy = copiesOf(fleet, model.name) === 0;
-    const candidates = droppable(fleet, engine)
-        .map(name => ({ name, pressure: pressureOf(fleet, name, copiesOf(fleet, name) - 1) }))
-        .filter(({ pressure }) => hasNoCopy || pressure * DROP_RATIO < wantedPressure)
-        .sort((left, right) => left.pressure - right.pressure);
-    const dropped: string[] = [];
-    for (const { name } of candidates) {
-        if (free >= model.weightMegabytes) {
-            break;
-        }
-        dropped.push(name);
-        free += fleet.definitions.get(name)?.weightMegabytes ?? 0;
+/** Ways to make room for a model: one other model alone where that is enough, or as many as it takes. */
+function waysToMakeRoom(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): (readonly string[])[] {
+    const missing = model.weightMegabytes - freeMegabytes(fleet, engine);
+    if (missing <= 0) {
+        return [[]];
     }
-    return free >= model.weightMegabytes ? dropped : undefined;
+    const alone = engine.models.filter(other => sizeOf(fleet, other) >= missing).map(other => [other]);
+    const pairs = engine.models.flatMap((first, index) =>
+        engine.models.slice(index + 1)
+            .filter(second => sizeOf(fleet, first) + sizeOf(fleet, second) >= missing)
+            .map(second => [first, second])
+    );
+    return [...alone, ...pairs];
 }
 
-/** Ranks the engines that could load a model: room first, then weights at hand, then a hash. */
-function bestEngineFor(fleet: Fleet, model: ModelDefinition): string | undefined {
-    const ranked = rankByRendezvous(model.name, fleet.situation.engines.map(({ id }) => id));
-    const able = fleet.situation.engines.flatMap(engine => {
-        if (engine.loading !== undefined || engine.models.includes(model.name)) {
-            return [];
+function bestMoveOn(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, costNow: number): Move | undefined {
+    let best: Move | undefined;
+    for (const dropped of waysToMakeRoom(fleet, engine, model)) {
+        const gain = costNow - costOf(fleet, replace(fleet.placement, engine.id, dropped, model.name));
+        if (gain > (best?.gain ?? 0)) {
+            best = { engine, model, dropped, gain };
         }
-        const dropped = findRoom(fleet, engine, model);
-        if (dropped === undefined) {
-            return [];
+    }
+    return best;
+}
+
+/** Models that may want a copy: those without one, then those whose copies are the busiest. */
+function candidateModels(fleet: Fleet): ModelDefinition[] {
+    const copies = countCopies(fleet.placement);
+    const perCopy = (name: string): number => (fleet.load.get(name) ?? 0) / Math.max(0.5, copies.get(name) ?? 0);
+    const { models } = fleet.situation.definition;
+    const wanted = models.filter(({ name }) => !copies.has(name) || perCopy(name) > 0);
+    return wanted.sort((left, right) => perCopy(right.name) - perCopy(left.name)).slice(0, MOST_CANDIDATES);
+}
+
+function isWorthwhile({ engine, model, gain }: Move): boolean {
+    return gain >= (engine.atHand.includes(model.name) ? LEAST_GAIN_AT_HAND : LEAST_GAIN_FROM_STORE);
+}
+
+/** The step that helps most, over all engines; equal ones are told apart by a hash. */
+function bestMove(fleet: Fleet): Move | undefined {
+    const costNow = costOf(fleet, fleet.placement);
+    const idle = fleet.situation.engines.filter(({ loading }) => loading === undefined);
+    let best: Move | undefined;
+    for (const model of candidateModels(fleet)) {
+        const ranked = rankByRendezvous(model.name, idle.map(({ id }) => id));
+        const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
+        for (const engine of engines.filter(engine => !engine.models.includes(model.name))) {
+            const move = bestMoveOn(fleet, engine, model, costNow);
+            if (move !== undefined && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
+                best = move;
+            }
         }
-        const atHand = engine.atHand.includes(model.name) ? 0 : 1;
-        return [{ id: engine.id, order: [dropped.length === 0 ? 0 : 1, atHand, ranked.indexOf(engine.id)] }];
-    });
-    able.sort((left, right) => compareOrders(left.order, right.order));
-    return able[0]?.id;
-}
-
-function compareOrders(left: readonly number[], right: readonly number[]): number {
-    const at = left.findIndex((value, index) => value !== right[index]);
-    return at === -1 ? 0 : (left[at] ?? 0) - (right[at] ?? 0);
-}
-
-/** Models that want a copy, the most pressing first. */
-function wantedModels(fleet: Fleet): { readonly model: ModelDefinition; readonly reason: WeightStep["reason"]; }[] {
-    const { definition, engines } = fleet.situation;
-    const fairShare = fleet.totalDemand / Math.max(1, engines.length);
-    const missing = definition.models.filter(({ name }) => copiesOf(fleet, name) === 0);
-    const busy = definition.models.filter(({ name }) => {
-        const copies = copiesOf(fleet, name);
-        return copies > 0 && copies < engines.length
-            && pressureOf(fleet, name, copies) > fairShare * BUSY_COPY_SHARE;
-    });
-    const byPressure = (left: ModelDefinition, right: ModelDefinition): number =>
-        pressureOf(fleet, right.name, copiesOf(fleet, right.name))
-        - pressureOf(fleet, left.name, copiesOf(fleet, left.name));
-    return [
-        ...missing.sort(byPressure).map(model => ({ model, reason: "no-copy" as const })),
-        ...busy.sort(byPressure).map(model => ({ model, reason: "busy-copies" as const })),
-    ];
+    }
+    return best;
 }
 
 /**
- * Plans the next step on an engine's weights: a model without a copy first, then a further copy of one whose copies
- * are the busiest. A copy is dropped only while another engine keeps one.
+ * Plans the next step on an engine's weights, so that load is spread and every model has a copy.
+ *
+ * A last copy is dropped only where that relieves engines of much more than the model's absence costs.
  *
  * @param situation All engines, what they hold, and the demand.
  * @returns The step; `undefined` where the engine should stay as it is.
@@ -166,26 +209,24 @@
  * ```
  */
 export function planWeights(situation: WeightSituation): WeightStep | undefined {
-    const own = situation.engines.find(({ id }) => id === situation.engine);
-    if (own === undefined || own.loading !== undefined) {
-        return undefined;
-    }
+    const placement: Placement = new Map(situation.engines.map(engine => [engine.id, modelsOf(engine)]));
     const fleet: Fleet = {
         situation,
         definitions: new Map(situation.definition.models.map(model => [model.name, model])),
-        totalDemand: [...situation.demand.values()].reduce((sum, demand) => sum + demand, 0),
+        load: loadOf(situation, countCopies(placement)),
+        placement,
     };
-    for (const { model, reason } of wantedModels(fleet)) {
-        if (bestEngineFor(fleet, model) !== own.id) {
-            continue;
-        }
-        if (!situation.storeLoadAllowed && !own.atHand.includes(model.name)) {
-            continue;
-        }
-        const dropped = findRoom(fleet, own, model)?.[0];
-        return dropped === undefined
-            ? { operation: "load", model: model.name, reason }
-            : { operation: "unload", model: dropped, reason: "make-room" };
+    const move = bestMove(fleet);
+    if (move === undefined || move.engine.id !== situation.engine) {
+        return undefined;
+    }
+    const [dropped] = move.dropped;
+    if (dropped !== undefined) {
+        return { operation: "unload", model: dropped, reason: "make-room", gain: move.gain };
+    }
+    if (!situation.storeLoadAllowed && !move.engine.atHand.includes(move.model.name)) {
+        return undefined;
     }
-    return undefined;
+    const reason = countCopies(placement).has(move.model.name) ? "busy-copies" : "no-copy";
+    return { operation: "load", model: move.model.name, reason, gain: move.gain };
 }
--- a/src/placement/residencyView.ts
+++ b/src/placement/residencyView.ts
@@ -108,6 +108,12 @@
         return [...this.#engines.get(engine)?.models.get(model) ?? []];
     }
 
+    /** Gives how many adapters an engine holds, over all its models. */
+    adapterCount(engine: string): number {
+        const models = this.#engines.get(engine)?.models.values() ?? [];
+        return [...models].reduce((sum, adapters) => sum + adapters.size, 0);
+    }
+
     loading(engine: string): string | undefined {
         return this.#engines.get(engine)?.loading;
     }
