Wait within callers' patience, tell peers of sends at once, leave unreachable upstreams alone

Ruled out: load as the cause of the pauses (they come at 0 to 16 requests as well). Change: notices of sends between hosts; one home for an adapter; an engine's report that says busy blocks orders; callers keep addresses for one second and a leaving host takes no request after three.

--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -32,6 +32,12 @@
     return Number.isFinite(work) && work > 0 ? work : 1;
 }
 
+/** Gives the prompt tokens of a request from its token counts. */
+export function promptTokensOf(tokenCount: string | undefined): number {
+    const tokens = Number.parseInt(tokenCount ?? "", 10);
+    return Number.isFinite(tokens) && tokens > 0 ? tokens : 0;
+}
+
 /**
  * Smooths the work that is asked of each model, and tells it as requests that would run at once.
  *
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -12,8 +12,8 @@
     type EngineOrder,
     type EngineRecord,
     type KeeperStep,
-    planWeights,
     type PlannedEngine,
+    planWeights,
     type ResidencyView,
 } from "../placement/index.js";
 import { type KeyValueService } from "../platform/index.js";
@@ -26,7 +26,7 @@
 /** Time between two looks at all engines. */
 const TICK_MILLISECONDS = 200;
 
-/** After engines came or went, others may follow at once; weights are planned only after this time. */
+/** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
 const SETTLED_MILLISECONDS = 1_200;
 
 /** Bounds on loads from the weight store. */
@@ -223,14 +223,15 @@
     #planStep(keeper: EngineKeeper, announcement: UpstreamAnnouncement): KeeperStep | undefined {
         const now = this.#now();
         const engines = this.#options.view.usable(announcement.service);
-        if (now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
+        const demand = this.#options.demand();
+        if (demand.size === 0 && now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
             return undefined;
         }
         const step = planWeights({
             engine: keeper.engine,
             engines: engines.map(engine => this.#describe(engine)),
             definition: keeper.definition,
-            demand: this.#options.demand(),
+            demand,
             storeLoadAllowed: this.#mayLoadFromStore(keeper, engines.length, now),
         });
         const order = step === undefined ? undefined : keeper.orderFor(step, now);
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -7,8 +7,15 @@
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
-import { CrashSuspects, PromptMemory, SharedRetryBudget, type SuspectRecord, UpstreamHealth, UpstreamLoads } from "../forwarding/index.js";
-import { type EngineMemory, engineHolderSchema, type HostDigest, hostRegistrationSchema } from "../generated/gossip.js";
+import {
+    CrashSuspects,
+    PromptMemory,
+    SharedRetryBudget,
+    type SuspectRecord,
+    UpstreamHealth,
+    UpstreamLoads,
+} from "../forwarding/index.js";
+import { engineHolderSchema, type EngineMemory, type HostDigest, hostRegistrationSchema } from "../generated/gossip.js";
 import { type GossipLink, type GossipMessage, openGossipLink, PeerTable, rankAddresses } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type EngineRecord, ResidencyView } from "../placement/index.js";
@@ -31,8 +38,8 @@
 /** Time between two digests to peers. */
 const DIGEST_MILLISECONDS = 400;
 
-/** Callers keep an answer with addresses for this long, so that a leaving host is forgotten well within its grace. */
-const KEEP_SECONDS = 2;
+/** Callers keep an answer with addresses for this long, so that a leaving host is forgotten early in its grace time. */
+const KEEP_SECONDS = 1;
 
 /** Some callers keep an answer with addresses for three times as long as it says. */
 const LONGEST_KEEP_FACTOR = 3;
@@ -46,6 +53,9 @@
 /** Demand that a peer told counts for this long. */
 const PEER_DEMAND_MILLISECONDS = 2_000;
 
+/** From this many hosts on, notices of single requests stay within a zone. */
+const LARGE_FLEET_HOSTS = 16;
+
 /** Connections of one host to an upstream, where a configuration says nothing. */
 const DEFAULT_CONNECTIONS = 16;
 
@@ -100,7 +110,10 @@
     readonly #agents = new Map<string, Agent>();
     readonly #revisions = new Map<string, number>();
     readonly #stored = new Map<string, KeyValueEntry>();
-    readonly #peerDemand = new Map<string, { readonly demand: HostDigest["demand"]; readonly atMilliseconds: number; }>();
+    readonly #peerDemand = new Map<
+        string,
+        { readonly demand: HostDigest["demand"]; readonly atMilliseconds: number; }
+    >();
     readonly #newSuspects: SuspectRecord[] = [];
     readonly #servers: Server[] = [];
     #callersServer: Server | undefined;
@@ -109,6 +122,8 @@
     #listed = false;
     #sessionBegun = false;
     #leaving = false;
+    /** Set while the host leaves and takes no further requests. */
+    #closedToCallers = false;
     #closed = false;
     #contactAt = Number.NEGATIVE_INFINITY;
     #storeReachable = true;
@@ -201,6 +216,8 @@
         const keptMilliseconds = KEEP_SECONDS * LONGEST_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
         const finalMilliseconds = this.#settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
         await this.#until(startedAt + Math.min(keptMilliseconds, finalMilliseconds));
+        this.#closedToCallers = true;
+        logger.info("closed to callers", { open: this.#forwarder.open });
         this.#callersServer?.close();
         this.#callersServer?.closeIdleConnections();
         while (this.#forwarder.open > 0 && this.#now() < startedAt + finalMilliseconds) {
@@ -332,9 +349,11 @@
             routeTable: () => this.#table,
             agentFor: service => this.#agentFor(service),
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
+            tellSent: (engine, promptTokens) => this.#tellSent(engine, promptTokens),
             noteAdapterUse: (engine, model, adapter) => this.#orders.noteUse(engine, model, adapter),
             noteUnreachable: upstream => this.#noteCrash(upstream),
             isLeaving: () => this.#leaving,
+            isClosedToCallers: () => this.#closedToCallers,
         };
     }
 
@@ -601,6 +620,9 @@
                 break;
             case "news":
                 this.#takeMemory(message.engine);
+                break;
+            case "sent":
+                this.#loads.startedByPeer(message.engine, message.promptTokens, this.#now());
         }
     }
 
@@ -621,18 +643,28 @@
             models: memory.models,
             loading: memory.loading,
         };
-        if (this.#view.get(memory.engine) !== undefined && this.#residency.takeRecord(record)) {
+        if (this.#view.get(memory.engine) !== undefined && this.#residency.takeRecord(record, this.#now())) {
             this.#forwarder.wake();
         }
     }
 
     #spreadNews(record: EngineRecord): void {
-        this.#residency.takeRecord(record);
+        this.#residency.takeRecord(record, this.#now());
         this.#forwarder.wake();
         const news = { type: "news" as const, host: this.#settings.host, engine: toMemory(record) };
         this.#send(news, this.#peers.all(this.#now()).map(({ addresses }) => addresses.gossip));
     }
 
+    /** In a large fleet only the hosts of the own zone are told, so that the cost does not grow with the fleet. */
+    #tellSent(engine: string, promptTokens: number): void {
+        const peers = this.#peers.heard(this.#now());
+        const told = peers.length < LARGE_FLEET_HOSTS
+            ? peers
+            : peers.filter(({ zone }) => zone === this.#settings.zone);
+        const notice = { type: "sent" as const, host: this.#settings.host, engine, promptTokens };
+        this.#send(notice, told.map(({ addresses }) => addresses.gossip));
+    }
+
     #send(message: GossipMessage, addresses: readonly string[]): void {
         this.#options.metrics.count("gossip_datagrams", { direction: "sent" });
         this.#link?.send(message, addresses);
@@ -673,7 +705,10 @@
             inFlight: this.#loads.allInFlight(),
             demand: this.#demand.concurrency(now),
             engines: this.#orders.records().map(toMemory),
-            suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({ fingerprint, runs: [...runs] })),
+            suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({
+                fingerprint,
+                runs: [...runs],
+            })),
         };
         this.#send(digest, this.#peers.all(now).map(({ addresses }) => addresses.gossip));
     }
@@ -710,7 +745,9 @@
                 this.#takeEntry(entry);
             }
         }
-        if (this.#table !== undefined && !this.#listed && entries.some(({ key }) => key.startsWith(keys.upstreamPrefix))) {
+        if (
+            this.#table !== undefined && !this.#listed && entries.some(({ key }) => key.startsWith(keys.upstreamPrefix))
+        ) {
             this.#listed = true;
         }
     }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type UpstreamAnnouncement } from "../fleet/index.js";
 import {
     type AttemptFailure,
     type AttemptSituation,
@@ -14,16 +15,17 @@
     EventSplitter,
     giveUpRepeat,
     lastSharedPart,
+    longestWait,
     mayRunAgain,
     provesNotRun,
     type RepeatDecision,
     type ReportedLoad,
+    returnAfter,
 } from "../forwarding/index.js";
-import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { rankAdapterHomes } from "../placement/index.js";
 import { chooseService, type Route } from "../routes/index.js";
 import { passThroughHeaders } from "./_forwardedHeaders.js";
-import { workOf } from "./demandMeter.js";
+import { promptTokensOf, workOf } from "./demandMeter.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type AnswerHead, callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
@@ -39,17 +41,11 @@
 /** An idempotent request that is silent for this many times its target is sent to another upstream. */
 const SILENT_TARGETS = 3;
 
-/** Longest time that a request waits for an adapter, which loads in milliseconds once its engine has a holder. */
-const ADAPTER_WAIT_MILLISECONDS = 700;
-
-/** Longest time that a request waits for a model that is being loaded, as a share of its time. */
-const MODEL_WAIT_SHARE = 0.4;
+/** Time until a model that nobody loads yet may be there. */
+const ABSENT_MODEL_MILLISECONDS = 2_500;
 
-/** Longest time that a request waits for a model that no engine holds or loads. */
-const ABSENT_MODEL_WAIT_MILLISECONDS = 1_200;
-
-/** Longest time that a request waits for room at an upstream, as a share of its target. */
-const ROOM_WAIT_SHARE = 0.8;
+/** Time until an upstream that is full, or cannot be reached, may take a request. */
+const ROOM_MILLISECONDS = 1_000;
 
 /** A wish for an adapter is repeated after this time, since datagrams may be lost. */
 const WISH_INTERVAL_MILLISECONDS = 120;
@@ -89,7 +85,6 @@
 interface WaitState {
     readonly sinceMilliseconds: number;
     wishedAtMilliseconds: number;
-    readonly for: "adapter" | "model";
 }
 
 /** Why a request is refused as not run. */
@@ -155,9 +150,16 @@
             .digest("hex").slice(0, FINGERPRINT_DIGITS);
     }
 
-    /** The model that the request waits for; `undefined` where it does not wait. */
-    get waitsFor(): string | undefined {
-        return this.#wait === undefined ? undefined : this.#model;
+    /** True while the request waits for an upstream, a model or an adapter. */
+    get waits(): boolean {
+        return this.#wait !== undefined;
+    }
+
+    /** Where the request stands among those that wait: urgent ones first, and of these those that can be in time. */
+    get rank(): readonly [priority: number, late: number, arrivedAtMilliseconds: number] {
+        const { arrivedAtMilliseconds, route } = this.#request;
+        const late = this.#now() - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
+        return [route.priority, late ? 1 : 0, arrivedAtMilliseconds];
     }
 
     start(): void {
@@ -200,7 +202,7 @@
             }
         }
         if (usable.length === 0) {
-            this.#waitOrRefuse("no-upstream", ABSENT_MODEL_WAIT_MILLISECONDS);
+            this.#waitOrRefuse("no-upstream", ROOM_MILLISECONDS);
             return;
         }
         const loadable = usable.filter(upstream => this.#residencyAt(upstream) === "adapter-missing");
@@ -209,11 +211,15 @@
             return;
         }
         if (choice.type === "all-full") {
-            this.#waitOrRefuse("all-full", this.#request.route.targetLatencyMilliseconds * ROOM_WAIT_SHARE);
+            this.#waitOrRefuse("all-full", ROOM_MILLISECONDS);
+            return;
+        }
+        if (resident.length > 0 && this.#rejected + this.#mayHaveRun > 0) {
+            this.#refuse("no-upstream", ROOM_MILLISECONDS);
             return;
         }
         if (resident.length > 0) {
-            this.#refuse("no-upstream");
+            this.#waitOrRefuse("no-upstream", ROOM_MILLISECONDS);
             return;
         }
         this.#waitForModel(usable);
@@ -222,7 +228,10 @@
     /** Ends the request because the host stops. */
     abort(): void {
         if (!this.#ended) {
-            this.#finishDecision({ type: this.#headSent ? "break-off" : this.#mayHaveRun > 0 ? "fail" : "refuse" }, "out-of-time");
+            this.#finishDecision(
+                { type: this.#headSent ? "break-off" : this.#mayHaveRun > 0 ? "fail" : "refuse" },
+                "out-of-time",
+            );
         }
     }
 
@@ -247,11 +256,14 @@
 
     #candidates(upstreams: readonly UpstreamAnnouncement[]): Candidate[] {
         const now = this.#now();
-        const fresh = upstreams.filter(({ id }) => !this.#tried.has(id));
+        const fresh = upstreams.filter(({ id }) =>
+            !this.#tried.has(id) && !this.#context.health.isUnreachable(id, now)
+        );
         return fresh.map(upstream => ({
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
             requests: this.#context.loads.estimate(upstream.id, now),
+            recentPromptTokens: this.#context.loads.recentPromptTokens(upstream.id, now),
             sameZone: upstream.zone === this.#context.zone,
             avoided: this.#context.health.isAvoided(upstream.id, now),
             knowsPrompt: this.#prompt !== undefined && this.#context.prompts.knows(upstream.id, this.#prompt),
@@ -284,10 +296,10 @@
     }
 
     #waitForAdapter(loadable: readonly UpstreamAnnouncement[]): void {
-        const wait = this.#beginWait("adapter");
+        const wait = this.#beginWait();
         const now = this.#now();
-        if (now - wait.sinceMilliseconds > ADAPTER_WAIT_MILLISECONDS) {
-            this.#refuse("adapter-missing");
+        if (now - wait.sinceMilliseconds > this.#longestWait()) {
+            this.#refuse("adapter-missing", ROOM_MILLISECONDS);
             return;
         }
         if (now - wait.wishedAtMilliseconds >= WISH_INTERVAL_MILLISECONDS) {
@@ -310,6 +322,7 @@
                 id,
                 freeSlots: this.#adapterSlots(service) - residency.adapterCount(id),
                 loadShare: this.#loadShare(id),
+                loading: residency.loading(id) !== undefined,
             })),
         );
         homes.find(engine => wishAdapter(engine, model, adapter));
@@ -319,25 +332,46 @@
         return this.#context.routeTable()?.service(service)?.engine?.adapterSlots ?? 0;
     }
 
+    /** A request waits for a model that comes in time; otherwise its caller comes back when the model is there. */
     #waitForModel(usable: readonly UpstreamAnnouncement[]): void {
-        const loading = usable.some(({ id }) => this.#context.residency.loading(id) === this.#model);
-        const limit = loading
-            ? this.#request.route.timeoutMilliseconds * MODEL_WAIT_SHARE
-            : ABSENT_MODEL_WAIT_MILLISECONDS;
-        this.#waitOrRefuse("model-missing", limit);
+        const expected = this.#expectedModelMilliseconds(usable);
+        const left = this.#longestWait() - (this.#now() - this.#beginWait().sinceMilliseconds);
+        if (expected > left) {
+            this.#refuse("model-missing", expected);
+            return;
+        }
+        this.#retryTimer = setTimeout(() => this.dispatch(), WISH_INTERVAL_MILLISECONDS);
     }
 
-    #waitOrRefuse(reason: RefusalReason, limitMilliseconds: number): void {
-        const wait = this.#beginWait("model");
-        if (this.#now() - wait.sinceMilliseconds > limitMilliseconds) {
-            this.#refuse(reason);
+    /** Time until an engine that loads the model has it, by the time that a load from the weight store takes. */
+    #expectedModelMilliseconds(usable: readonly UpstreamAnnouncement[]): number {
+        const model = this.#model ?? "";
+        const engine = this.#context.routeTable()?.service(this.#service ?? "")?.engine;
+        const load = engine?.models.find(({ name }) => name === model)?.storeLoadMilliseconds ?? 0;
+        const now = this.#now();
+        const expected = usable.flatMap(({ id }) => {
+            const since = this.#context.residency.loadingSince(id, model);
+            return since === undefined ? [] : [Math.max(0, since + load - now)];
+        });
+        return Math.min(ABSENT_MODEL_MILLISECONDS, ...expected);
+    }
+
+    #waitOrRefuse(reason: RefusalReason, expectedMilliseconds: number): void {
+        const wait = this.#beginWait();
+        if (this.#now() - wait.sinceMilliseconds > this.#longestWait()) {
+            this.#refuse(reason, expectedMilliseconds);
             return;
         }
         this.#retryTimer = setTimeout(() => this.dispatch(), WISH_INTERVAL_MILLISECONDS);
     }
 
-    #beginWait(reason: WaitState["for"]): WaitState {
-        this.#wait ??= { sinceMilliseconds: this.#now(), wishedAtMilliseconds: Number.NEGATIVE_INFINITY, for: reason };
+    #longestWait(): number {
+        const { arrivedAtMilliseconds, route } = this.#request;
+        return longestWait(route, this.#deadlineAt - arrivedAtMilliseconds);
+    }
+
+    #beginWait(): WaitState {
+        this.#wait ??= { sinceMilliseconds: this.#now(), wishedAtMilliseconds: Number.NEGATIVE_INFINITY };
         return this.#wait;
     }
 
@@ -356,7 +390,11 @@
         this.#upstream = upstream;
         this.#answer = undefined;
         this.#splitter = new EventSplitter();
-        context.loads.started(upstream.id);
+        const promptTokens = promptTokensOf(this.#header(context.headers.tokenCount));
+        context.loads.started(upstream.id, promptTokens, this.#now());
+        if (this.#model !== undefined) {
+            context.tellSent(upstream.id, promptTokens);
+        }
         context.metrics.count("attempts", { service: upstream.service });
         if (this.#prompt !== undefined) {
             context.prompts.note(upstream.id, this.#prompt);
@@ -475,7 +513,9 @@
             return;
         }
         const [running, waiting, slots] = text.split(",").map(Number);
-        if (running !== undefined && waiting !== undefined && slots !== undefined && Number.isFinite(running + waiting)) {
+        if (
+            running !== undefined && waiting !== undefined && slots !== undefined && Number.isFinite(running + waiting)
+        ) {
             const reported: ReportedLoad = { running, waiting, slots };
             loads.report(this.#upstream.id, reported, this.#now());
         }
@@ -738,7 +778,7 @@
 
     #finishDecision(decision: RepeatDecision, reason: RefusalReason): void {
         if (decision.type === "refuse") {
-            this.#refuse(reason);
+            this.#refuse(reason, reason === "crashes-engines" ? undefined : ROOM_MILLISECONDS / 2);
         }
         else if (decision.type === "break-off") {
             this.#breakOff(reason);
@@ -767,7 +807,7 @@
     }
 
     /** Says that the request has not run and never will, and when to come back. */
-    #refuse(reason: RefusalReason): void {
+    #refuse(reason: RefusalReason, expectedMilliseconds?: number): void {
         if (this.#mayHaveRun > 0) {
             this.#fail(STATUS_BAD_GATEWAY, reason);
             return;
@@ -776,7 +816,9 @@
             this.#breakOff(reason);
             return;
         }
-        const retryAfter = this.#retryAfterMilliseconds(reason);
+        const retryAfter = expectedMilliseconds === undefined
+            ? undefined
+            : returnAfter(expectedMilliseconds, this.#remaining(), this.#context.random());
         this.#context.metrics.count("refusals", { reason });
         const headers: Record<string, string> = { "content-type": "application/json" };
         if (retryAfter !== undefined) {
@@ -787,16 +829,6 @@
         this.#end(`refused: ${reason}`);
     }
 
-    /** A request that crashes engines should not come back; the others are spread over a short time. */
-    #retryAfterMilliseconds(reason: RefusalReason): number | undefined {
-        if (reason === "crashes-engines") {
-            return undefined;
-        }
-        const spread = 0.75 + this.#context.random() / 2;
-        const base = reason === "model-missing" ? 2_000 : reason === "all-full" ? 600 : 300;
-        return Math.round(base * spread);
-    }
-
     /** Says that the request failed, without a promise. */
     #fail(status: number, reason: RefusalReason): void {
         this.#context.metrics.count("failures", { reason });
--- a/src/entry/fetchState.ts
+++ b/src/entry/fetchState.ts
@@ -33,7 +33,9 @@
             answer.on("error", () => resolve(undefined));
             answer.on("end", () => {
                 const text = Buffer.concat(pieces).toString("utf8");
-                const state = answer.statusCode === STATUS_OK ? sharedStateSchema.safeParse(parseJson(text)) : undefined;
+                const state = answer.statusCode === STATUS_OK
+                    ? sharedStateSchema.safeParse(parseJson(text))
+                    : undefined;
                 resolve(state?.data);
             });
         });
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -13,8 +13,8 @@
 const STATUS_TOO_LARGE = 413;
 const STATUS_UNAVAILABLE = 503;
 
-/** A host that knows no configuration yet usually learns one within this time, in seconds. */
-const CONFIGURATION_WAIT_SECONDS = "0.5";
+/** Callers that this host cannot serve find another one within this time, in seconds. */
+const ELSEWHERE_WAIT_SECONDS = "0.2";
 
 /** Used for callers' bodies while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -24,8 +24,8 @@
     handle(message: IncomingMessage, response: ServerResponse): void;
     /** Requests that have no final answer yet. */
     readonly open: number;
-    /** Lets requests that wait look for an upstream again; all, or those that wait for one model. */
-    wake(model?: string): void;
+    /** Lets requests that wait look for an upstream again, the most urgent first. */
+    wake(): void;
     /** Gives every open request its final answer at once. */
     abortAll(): void;
 }
@@ -61,6 +61,7 @@
 class RunningForwarder implements Forwarder {
     readonly #context: ForwardingContext;
     readonly #exchanges = new Set<Exchange>();
+    #wakePlanned = false;
 
     constructor(context: ForwardingContext) {
         this.#context = context;
@@ -74,7 +75,10 @@
         const arrivedAtMilliseconds = this.#context.readClock();
         const table = this.#context.routeTable();
         const limit = table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-        response.on("error", error => this.#context.logger.debug("caller's connection failed", { error: error.message }));
+        response.on(
+            "error",
+            error => this.#context.logger.debug("caller's connection failed", { error: error.message }),
+        );
         readBody(message, limit, body => {
             if (body === "caller-left") {
                 return;
@@ -87,13 +91,10 @@
         });
     }
 
-    wake(model?: string): void {
-        for (const exchange of this.#exchanges) {
-            const waitsFor = exchange.waitsFor;
-            if (waitsFor !== undefined && (model === undefined || model === waitsFor)) {
-                exchange.dispatch();
-            }
-        }
+    wake(): void {
+        const waiting = [...this.#exchanges].filter(({ waits }) => waits);
+        waiting.sort((left, right) => compareRanks(left.rank, right.rank));
+        waiting.forEach(exchange => exchange.dispatch());
     }
 
     abortAll(): void {
@@ -108,6 +109,10 @@
             this.#reject(message, response, STATUS_UNAVAILABLE, "no-configuration");
             return;
         }
+        if (this.#context.isClosedToCallers()) {
+            this.#reject(message, response, STATUS_UNAVAILABLE, "host-leaving");
+            return;
+        }
         const requestId = message.headers[this.#context.headers.requestId];
         if (typeof requestId !== "string" || requestId === "") {
             this.#reject(message, response, STATUS_BAD_REQUEST, "no-request-identifier");
@@ -131,12 +136,26 @@
         const exchange: Exchange = new Exchange(
             this.#context,
             { ...parts, route, configurationVersion },
-            () => this.#exchanges.delete(exchange),
+            () => {
+                this.#exchanges.delete(exchange);
+                this.#wakeSoon();
+            },
         );
         this.#exchanges.add(exchange);
         exchange.start();
     }
 
+    /** A request that ended leaves room; several that end together wake the others once. */
+    #wakeSoon(): void {
+        if (!this.#wakePlanned) {
+            this.#wakePlanned = true;
+            setImmediate(() => {
+                this.#wakePlanned = false;
+                this.wake();
+            });
+        }
+    }
+
     #reject(message: IncomingMessage, response: ServerResponse, status: number, reason: string): void {
         const { headers, logger, metrics } = this.#context;
         const requestId = message.headers[headers.requestId];
@@ -153,7 +172,7 @@
         }
         const body = JSON.stringify({ reason, ran: "not-run" });
         const echoed = typeof requestId === "string" ? { [headers.requestId]: requestId } : {};
-        const later = status === STATUS_UNAVAILABLE ? { "retry-after": CONFIGURATION_WAIT_SECONDS } : {};
+        const later = status === STATUS_UNAVAILABLE ? { "retry-after": ELSEWHERE_WAIT_SECONDS } : {};
         const closing = status === STATUS_TOO_LARGE || this.#context.isLeaving() ? { connection: "close" } : {};
         response.writeHead(status, {
             "content-type": "application/json",
@@ -166,6 +185,10 @@
     }
 }
 
+function compareRanks(left: Exchange["rank"], right: Exchange["rank"]): number {
+    return left[0] - right[0] || left[1] - right[1] || left[2] - right[2];
+}
+
 /**
  * Creates the forwarder of a host.
  *
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -40,9 +40,13 @@
     agentFor(service: string): Agent;
     /** Asks the engine's holder to load an adapter; false where the engine has no holder that this host knows. */
     wishAdapter(engine: string, model: string, adapter: string): boolean;
+    /** Tells peers that a request was sent to an engine. */
+    tellSent(engine: string, promptTokens: number): void;
     /** Tells the engine's holder that a request uses an adapter. */
     noteAdapterUse(engine: string, model: string, adapter: string): void;
     /** An attempt on this upstream met no listener, or another process. */
     noteUnreachable(upstream: string): void;
     isLeaving(): boolean;
+    /** True once callers must have forgotten a host that leaves; it takes no further requests. */
+    isClosedToCallers(): boolean;
 }
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -11,7 +11,6 @@
  * @module
  */
 export { type EntryHost, type EntryHostOptions, startEntryHost } from "./entryHost.js";
-export { createUpstreamAgent } from "./upstreamAgent.js";
 export { type EntryBounds, type EntrySettings, type ListenAddress } from "./settings.js";
 export {
     type AddressQuestion,
@@ -25,3 +24,4 @@
     type SmallAnswer,
     type SmallCalls,
 } from "./siteProtocol.js";
+export { createUpstreamAgent } from "./upstreamAgent.js";
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../platform/index.js";
 import { type Logger } from "../observability/index.js";
+import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../platform/index.js";
 
 /** Pause before the service is asked again after a failure. */
 const RETRY_MILLISECONDS = 250;
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -14,6 +14,9 @@
 /** What a prompt part that the upstream has read lately counts for, as a share of its slots. */
 const KNOWN_PROMPT_SHARE = 0.05;
 
+/** So many prompt tokens that an engine has yet to read count for as much as all of its slots. */
+const PROMPT_TOKENS_OF_FULL_LOAD = 6_000;
+
 /** Largest random part, which keeps hosts with the same view from choosing alike; a share of an upstream's slots. */
 const JITTER_SHARE = 0.03;
 
@@ -23,6 +26,8 @@
     readonly slots: number;
     /** Requests it probably has, running and waiting. */
     readonly requests: number;
+    /** Prompt tokens that it was sent lately and may still have to read. */
+    readonly recentPromptTokens: number;
     readonly sameZone: boolean;
     readonly avoided: boolean;
     /** True where it has read the beginning of the prompt lately. */
@@ -38,6 +43,7 @@
 
 function costOf(candidate: Candidate, random: RandomSource): number {
     return candidate.requests / candidate.slots
+        + candidate.recentPromptTokens / PROMPT_TOKENS_OF_FULL_LOAD
         + (candidate.sameZone ? 0 : OTHER_ZONE_SHARE)
         - (candidate.knowsPrompt ? KNOWN_PROMPT_SHARE : 0)
         + random() * JITTER_SHARE;
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -13,6 +13,7 @@
 export { type Candidate, type Choice, chooseUpstream } from "./chooseUpstream.js";
 export { CrashSuspects, type SuspectRecord } from "./crashSuspects.js";
 export { EventSplitter, type WholeEvents } from "./eventSplitter.js";
+export { longestWait, returnAfter } from "./patience.js";
 export { lastSharedPart, PromptMemory } from "./promptMemory.js";
 export {
     type AttemptSituation,
--- a/src/forwarding/upstreamHealth.ts
+++ b/src/forwarding/upstreamHealth.ts
@@ -51,15 +51,17 @@
         health.unreachableUntilMilliseconds = nowMilliseconds + UNREACHABLE_MILLISECONDS;
     }
 
+    /** Tells whether connections to the upstream failed a moment ago. */
+    isUnreachable(upstream: string, nowMilliseconds: number): boolean {
+        return (this.#health.get(upstream)?.unreachableUntilMilliseconds ?? 0) > nowMilliseconds;
+    }
+
     /** Tells whether others should be tried first; an upstream is tried again once its failures have aged. */
     isAvoided(upstream: string, nowMilliseconds: number): boolean {
         if (!this.#health.has(upstream)) {
             return false;
         }
         const health = this.#weigh(upstream, nowMilliseconds);
-        if (health.unreachableUntilMilliseconds > nowMilliseconds) {
-            return true;
-        }
         const share = health.failures / (health.failures + health.successes);
         return health.failures >= FEWEST_FAILURES && share >= AVOIDED_FAILURE_SHARE;
     }
--- a/src/forwarding/upstreamLoads.ts
+++ b/src/forwarding/upstreamLoads.ts
@@ -10,6 +10,9 @@
 /** What a peer said of its own requests says little after this time. */
 const PEER_LIFETIME_MILLISECONDS = 2_000;
 
+/** Prompt tokens sent to an engine count half as much after this time, in which it has read many of them. */
+const PROMPT_HALF_LIFE_MILLISECONDS = 60;
+
 /** Load that an upstream reports with an answer. */
 export interface ReportedLoad {
     readonly running: number;
@@ -24,6 +27,11 @@
     reportedAtMilliseconds: number;
     /** Requests of this host that the upstream had at its last report. */
     inFlightAtReport: number;
+    /** Requests that peers have sent since the last report. */
+    sentByPeersSinceReport: number;
+    /** Prompt tokens that were sent lately by any host, the older ones weighed less. */
+    recentPromptTokens: number;
+    promptsWeighedAtMilliseconds: number;
 }
 
 interface PeerLoads {
@@ -37,7 +45,7 @@
  * @example
  * ```ts
  * const loads = new UpstreamLoads();
- * loads.started("engine-3");
+ * loads.started("engine-3", 715, now);
  * const requests = loads.estimate("engine-3", now);
  * ```
  */
@@ -45,8 +53,24 @@
     readonly #loads = new Map<string, Load>();
     readonly #peers = new Map<string, PeerLoads>();
 
-    started(upstream: string): void {
-        this.#load(upstream).inFlight += 1;
+    started(upstream: string, promptTokens: number, nowMilliseconds: number): void {
+        const load = this.#load(upstream);
+        load.inFlight += 1;
+        addPrompt(load, promptTokens, nowMilliseconds);
+    }
+
+    /** Takes a peer's word that it has sent a request. */
+    startedByPeer(upstream: string, promptTokens: number, nowMilliseconds: number): void {
+        const load = this.#load(upstream);
+        load.sentByPeersSinceReport += 1;
+        addPrompt(load, promptTokens, nowMilliseconds);
+    }
+
+    /** Gives the prompt tokens that the upstream was sent lately and may still have to read. */
+    recentPromptTokens(upstream: string, nowMilliseconds: number): number {
+        const load = this.#load(upstream);
+        addPrompt(load, 0, nowMilliseconds);
+        return load.recentPromptTokens;
     }
 
     finished(upstream: string): void {
@@ -59,6 +83,7 @@
         load.reported = reported;
         load.reportedAtMilliseconds = nowMilliseconds;
         load.inFlightAtReport = load.inFlight;
+        load.sentByPeersSinceReport = 0;
     }
 
     /** Takes what a peer has in flight at each upstream. */
@@ -71,7 +96,7 @@
         const load = this.#load(upstream);
         const age = nowMilliseconds - load.reportedAtMilliseconds;
         if (load.reported !== undefined && age < REPORT_LIFETIME_MILLISECONDS) {
-            const since = load.inFlight - load.inFlightAtReport;
+            const since = load.inFlight - load.inFlightAtReport + load.sentByPeersSinceReport;
             return Math.max(load.inFlight, load.reported.running + load.reported.waiting + since);
         }
         return load.inFlight + this.#peersInFlight(upstream, nowMilliseconds);
@@ -104,9 +129,22 @@
     }
 
     #load(upstream: string): Load {
-        const load = this.#loads.get(upstream)
-            ?? { inFlight: 0, reported: undefined, reportedAtMilliseconds: 0, inFlightAtReport: 0 };
+        const load = this.#loads.get(upstream) ?? {
+            inFlight: 0,
+            reported: undefined,
+            reportedAtMilliseconds: 0,
+            inFlightAtReport: 0,
+            sentByPeersSinceReport: 0,
+            recentPromptTokens: 0,
+            promptsWeighedAtMilliseconds: 0,
+        };
         this.#loads.set(upstream, load);
         return load;
     }
 }
+
+function addPrompt(load: Load, promptTokens: number, nowMilliseconds: number): void {
+    const age = nowMilliseconds - load.promptsWeighedAtMilliseconds;
+    load.recentPromptTokens = load.recentPromptTokens * 0.5 ** (age / PROMPT_HALF_LIFE_MILLISECONDS) + promptTokens;
+    load.promptsWeighedAtMilliseconds = nowMilliseconds;
+}
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -11,6 +11,8 @@
     engineNewsSchema,
     type HostDigest,
     hostDigestSchema,
+    type SendNotice,
+    sendNoticeSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
 
@@ -18,7 +20,7 @@
 const LARGEST_DATAGRAM_BYTES = 48 * 1024;
 
 /** What hosts tell each other. */
-export type GossipMessage = HostDigest | AdapterWish | EngineNews;
+export type GossipMessage = HostDigest | AdapterWish | EngineNews | SendNotice;
 
 /** Options of a link. */
 export interface GossipLinkOptions {
@@ -36,15 +38,21 @@
     close(): void;
 }
 
-const SCHEMAS = { digest: hostDigestSchema, wish: adapterWishSchema, news: engineNewsSchema };
+const SCHEMAS = {
+    digest: hostDigestSchema,
+    wish: adapterWishSchema,
+    news: engineNewsSchema,
+    sent: sendNoticeSchema,
+};
+
+function isMessageType(type: unknown): type is keyof typeof SCHEMAS {
+    return typeof type === "string" && Object.hasOwn(SCHEMAS, type);
+}
 
 function decode(bytes: Buffer): GossipMessage | undefined {
     const value = parseJson(bytes.toString("utf8"));
     const type = (value as { readonly type?: unknown; } | undefined)?.type;
-    if (type !== "digest" && type !== "wish" && type !== "news") {
-        return undefined;
-    }
-    return SCHEMAS[type].safeParse(value).data;
+    return isMessageType(type) ? SCHEMAS[type].safeParse(value).data : undefined;
 }
 
 function bind(socket: Socket, options: GossipLinkOptions): Promise<void> {
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -51,18 +51,45 @@
 
 /** Takes the measurements of an entry host. */
 export interface EntryMetrics {
-    count<Name extends CounterName>(name: Name, labels: Readonly<Record<(typeof COUNTERS)[Name]["labels"][number], string>>): void;
+    count<Name extends CounterName>(
+        name: Name,
+        labels: Readonly<Record<(typeof COUNTERS)[Name]["labels"][number], string>>,
+    ): void;
     gauge(name: GaugeName, value: number): void;
-    observe<Name extends HistogramName>(name: Name, milliseconds: number, labels: Readonly<Record<(typeof HISTOGRAMS)[Name]["labels"][number], string>>): void;
+    observe<Name extends HistogramName>(
+        name: Name,
+        milliseconds: number,
+        labels: Readonly<Record<(typeof HISTOGRAMS)[Name]["labels"][number], string>>,
+    ): void;
     /** Renders everything in the text exposition format. */
     render(): Promise<string>;
 }
 
 /** All metric names with their meaning, for the page that lists them. */
-export function listEntryMetrics(): readonly { readonly name: string; readonly type: string; readonly help: string; readonly labels: readonly string[]; }[] {
-    const counters = Object.entries(COUNTERS).map(([name, { help, labels }]) => ({ name: `${PREFIX}${name}_total`, type: "counter", help, labels }));
-    const gauges = Object.entries(GAUGES).map(([name, { help }]) => ({ name: `${PREFIX}${name}`, type: "gauge", help, labels: [] }));
-    const histograms = Object.entries(HISTOGRAMS).map(([name, { help, labels }]) => ({ name: `${PREFIX}${name}`, type: "histogram", help, labels }));
+export function listEntryMetrics(): readonly {
+    readonly name: string;
+    readonly type: string;
+    readonly help: string;
+    readonly labels: readonly string[];
+}[] {
+    const counters = Object.entries(COUNTERS).map(([name, { help, labels }]) => ({
+        name: `${PREFIX}${name}_total`,
+        type: "counter",
+        help,
+        labels,
+    }));
+    const gauges = Object.entries(GAUGES).map(([name, { help }]) => ({
+        name: `${PREFIX}${name}`,
+        type: "gauge",
+        help,
+        labels: [],
+    }));
+    const histograms = Object.entries(HISTOGRAMS).map(([name, { help, labels }]) => ({
+        name: `${PREFIX}${name}`,
+        type: "histogram",
+        help,
+        labels,
+    }));
     return [...counters, ...gauges, ...histograms];
 }
 
@@ -90,7 +117,10 @@
     }
     for (const [name, { help, labels }] of Object.entries(HISTOGRAMS)) {
         const buckets = LATENCY_BUCKETS_SECONDS;
-        histograms.set(name, new Histogram({ name: `${PREFIX}${name}`, help, labelNames: [...labels], buckets, registers }));
+        histograms.set(
+            name,
+            new Histogram({ name: `${PREFIX}${name}`, help, labelNames: [...labels], buckets, registers }),
+        );
     }
     return {
         count: (name, labels) => counters.get(name)?.inc(labels),
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -23,6 +23,9 @@
 /** After a conflict, engines' reports, which lag, are trusted from this time on. */
 const REPORT_LAG_MILLISECONDS = 500;
 
+/** An engine that carries out an order which this holder does not know is asked again after this time. */
+const BUSY_REPORT_MILLISECONDS = 700;
+
 /** A load that takes this many times as long as it should is taken as failed. */
 const LOAD_PATIENCE = 4;
 
@@ -202,6 +205,10 @@
         this.#reportAtMilliseconds = undefined;
         this.#orderCount = report.orderCount;
         this.#adoptReport(report.models);
+        const isOwnOrder = this.#loading !== undefined || this.#unloading !== undefined;
+        if (report.busy && !isOwnOrder) {
+            this.#reportAtMilliseconds = nowMilliseconds + BUSY_REPORT_MILLISECONDS;
+        }
     }
 
     /** What other hosts should know of the engine. */
@@ -219,7 +226,11 @@
         return { operation, model, adapter, expectedOrderCount: this.#orderCount };
     }
 
+    /** An engine that carries out an order on weights refuses every other order meanwhile. */
     #nextAdapterStep(nowMilliseconds: number): KeeperStep | undefined {
+        if (this.#loading !== undefined || this.#unloading !== undefined) {
+            return undefined;
+        }
         for (const [key, wish] of this.#wishes) {
             const adapters = this.#models.get(wish.model);
             const stale = nowMilliseconds - wish.atMilliseconds > WISH_LIFETIME_MILLISECONDS;
--- a/src/placement/rankAdapterHomes.ts
+++ b/src/placement/rankAdapterHomes.ts
@@ -14,6 +14,8 @@
     readonly freeSlots: number;
     /** Its requests as a share of its slots. */
     readonly loadShare: number;
+    /** True while it loads weights and takes no order. */
+    readonly loading: boolean;
 }
 
 /**
@@ -33,8 +35,9 @@
     const byId = new Map(engines.map(engine => [engine.id, engine]));
     const grade = (id: string): number => {
         const engine = byId.get(id);
+        const loading = engine?.loading === true ? 4 : 0;
         const busy = (engine?.loadShare ?? 0) >= BUSY_SHARE ? 2 : 0;
-        return busy + ((engine?.freeSlots ?? 0) > 0 ? 0 : 1);
+        return loading + busy + ((engine?.freeSlots ?? 0) > 0 ? 0 : 1);
     };
     return ranked.sort((left, right) => grade(left) - grade(right));
 }
--- a/src/placement/residencyView.ts
+++ b/src/placement/residencyView.ts
@@ -15,6 +15,7 @@
     readonly orderCount: number;
     readonly models: Map<string, Set<string>>;
     readonly loading: string | undefined;
+    readonly loadingSinceMilliseconds: number;
 }
 
 function toMap(models: readonly HeldModel[]): Map<string, Set<string>> {
@@ -32,7 +33,7 @@
  * @example
  * ```ts
  * const residency = new ResidencyView();
- * residency.takeRecord(record);
+ * residency.takeRecord(record, now);
  * residency.holds("engine-3", "quotes", undefined); // "held"
  * ```
  */
@@ -47,7 +48,13 @@
         if (known === undefined || known.startedAtMilliseconds !== startedAtMilliseconds) {
             if (known === undefined || !isOlderRun(startedAtMilliseconds, known)) {
                 const models = announced;
-                this.#engines.set(announcement.id, { startedAtMilliseconds, orderCount: 0, models, loading: undefined });
+                this.#engines.set(announcement.id, {
+                    startedAtMilliseconds,
+                    orderCount: 0,
+                    models,
+                    loading: undefined,
+                    loadingSinceMilliseconds: 0,
+                });
             }
             return;
         }
@@ -61,7 +68,7 @@
     }
 
     /** Takes what an engine's holder tells; true where it was not older than what is known. */
-    takeRecord(record: EngineRecord): boolean {
+    takeRecord(record: EngineRecord, nowMilliseconds: number): boolean {
         const known = this.#engines.get(record.engine);
         if (known !== undefined) {
             const sameRun = known.startedAtMilliseconds === record.startedAtMilliseconds;
@@ -77,6 +84,9 @@
             orderCount: record.orderCount,
             models: toMap(record.models),
             loading: record.loading,
+            loadingSinceMilliseconds: known !== undefined && known.loading === record.loading
+                ? known.loadingSinceMilliseconds
+                : nowMilliseconds,
         });
         return true;
     }
@@ -118,6 +128,12 @@
         return this.#engines.get(engine)?.loading;
     }
 
+    /** Gives since when an engine has been loading a model, as far as this host was told; `undefined` where it is not. */
+    loadingSince(engine: string, model: string): number | undefined {
+        const known = this.#engines.get(engine);
+        return known?.loading === model ? known.loadingSinceMilliseconds : undefined;
+    }
+
     forget(engine: string): void {
         this.#engines.delete(engine);
     }
