--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -140,7 +140,7 @@
             }
             const vacancy = this.#vacancies.get(engine) ?? { sinceMilliseconds: nowMilliseconds };
             this.#vacancies.set(engine, vacancy);
-            const rank = rankByRendezvous(engine, hosts).indexOf(this.#host);
+            const rank = this.#rankFor(engine, hosts);
             const due = vacancy.sinceMilliseconds + rank * RANK_DELAY_MILLISECONDS;
             const expectedRevision = this.#holders.get(engine)?.revision ?? 0;
             return nowMilliseconds >= due ? [{ engine, expectedRevision }] : [];
@@ -168,6 +168,16 @@
             .map(([engine, { revision }]) => ({ engine, expectedRevision: revision }));
     }
 
+    /** The host that held an engine last goes first, since it need not wait for another to have stopped. */
+    #rankFor(engine: string, hosts: readonly string[]): number {
+        const last = this.#holders.get(engine);
+        if (last !== undefined && !last.released && hosts.includes(last.host)) {
+            const others = hosts.filter(host => host !== last.host);
+            return last.host === this.#host ? 0 : 1 + rankByRendezvous(engine, others).indexOf(this.#host);
+        }
+        return rankByRendezvous(engine, hosts).indexOf(this.#host);
+    }
+
     /** How long a new holder waits for the one before it to have stopped. */
     #quietAfter(before: StoredHolder | undefined): number {
         if (before === undefined || before.host === this.#host) {
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -163,6 +163,7 @@
                 this.#duties.setSession(host, undefined);
             },
             onContact: succeeded => this.#noteContact(succeeded),
+            onSilence: () => this.#mirror.restartWatch("a call got no answer"),
         });
         this.#orders = new EngineOrders({
             host,
@@ -629,6 +630,7 @@
     #takeDigest(digest: HostDigest): void {
         const now = this.#now();
         this.#peers.hear(digest, now);
+        this.#mirror.notePeerRevision(digest.storeRevision, now);
         this.#loads.takePeer(digest.host, digest.inFlight, now);
         this.#peerDemand.set(digest.host, { demand: digest.demand, atMilliseconds: now });
         digest.engines.forEach(memory => this.#takeMemory(memory));
@@ -700,6 +702,7 @@
             zone: this.#settings.zone,
             addresses: this.#addresses(),
             configurationVersion: this.#table?.version ?? 0,
+            storeRevision: this.#mirror.revision ?? 0,
             ready: this.#isReady(),
             leaving: this.#leaving,
             inFlight: this.#loads.allInFlight(),
--- a/src/entry/hostSession.ts
+++ b/src/entry/hostSession.ts
@@ -12,10 +12,10 @@
 const LEASE_MILLISECONDS = 4_000;
 
 /** Time between renewals; several fit the time for which a renewal confirms the session. */
-const RENEWAL_MILLISECONDS = 500;
+const RENEWAL_MILLISECONDS = 600;
 
 /** Pause after a failed call. */
-const RETRY_MILLISECONDS = 250;
+const RETRY_MILLISECONDS = 450;
 
 /** Begins the keys of hosts' records. */
 export const HOST_KEY_PREFIX = "hosts/";
@@ -34,6 +34,8 @@
     readonly onConfirmed: (session: string, sentAt: ClockReading) => void;
     readonly onLost: () => void;
     readonly onContact: (succeeded: boolean) => void;
+    /** A call on a connection got no answer in time, as on one that fell silent. */
+    readonly onSilence: () => void;
 }
 
 /** Keeps a session until closed; a session that ended is followed by another. */
@@ -168,6 +170,9 @@
     #noteFailure(call: string, error: PlatformError): void {
         this.#options.logger.debug("session call failed", { call, reason: error.kind, detail: error.message });
         this.#options.onContact(false);
+        if (error.kind === "no-answer") {
+            this.#options.onSilence();
+        }
         this.#next(RETRY_MILLISECONDS);
     }
 }
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -6,8 +6,12 @@
 import { type Logger } from "../observability/index.js";
 import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../platform/index.js";
 
-/** Pause before the service is asked again after a failure. */
-const RETRY_MILLISECONDS = 250;
+/** Pause before the service is asked again after a failure, and its bound as failures follow one another. */
+const FIRST_RETRY_MILLISECONDS = 200;
+const LONGEST_RETRY_MILLISECONDS = 800;
+
+/** A peer's word of a later revision counts once this host has not heard of it for so long. */
+const BEHIND_MILLISECONDS = 900;
 
 /** What the mirror tells. */
 export type MirrorEvent =
@@ -33,6 +37,8 @@
     #revision: number | undefined;
     #watch: { close(): Promise<void>; } | undefined;
     #timer: NodeJS.Timeout | undefined;
+    #retryMilliseconds = FIRST_RETRY_MILLISECONDS;
+    #behindSince: number | undefined;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -48,6 +54,31 @@
         void this.#list();
     }
 
+    /** Takes the revision that a peer has; a watch that stays behind is on a connection that fell silent. */
+    notePeerRevision(revision: number, nowMilliseconds: number): void {
+        if (this.#watch === undefined || revision <= (this.#revision ?? 0)) {
+            this.#behindSince = undefined;
+            return;
+        }
+        this.#behindSince ??= nowMilliseconds;
+        if (nowMilliseconds - this.#behindSince > BEHIND_MILLISECONDS) {
+            this.restartWatch("peers have later revisions");
+        }
+    }
+
+    /** Watches anew on another connection. */
+    restartWatch(reason: string): void {
+        const watch = this.#watch;
+        if (watch === undefined) {
+            return;
+        }
+        this.#options.logger.warn("watch restarted", { reason, revision: this.#revision });
+        this.#watch = undefined;
+        this.#behindSince = undefined;
+        void watch.close();
+        this.#startWatch();
+    }
+
     async close(): Promise<void> {
         this.#closed = true;
         clearTimeout(this.#timer);
@@ -68,6 +99,7 @@
             this.#later(() => void this.#list());
             return;
         }
+        this.#retryMilliseconds = FIRST_RETRY_MILLISECONDS;
         this.#revision = listed.value.revision;
         this.#options.onEvent({ type: "contact", succeeded: true });
         this.#options.onEvent({ type: "listed", entries: listed.value.entries, revision: listed.value.revision });
@@ -93,10 +125,12 @@
                 this.#options.onEvent({ type: "removed", key: event.key, revision: event.revision });
                 break;
             case "progress":
+                this.#retryMilliseconds = FIRST_RETRY_MILLISECONDS;
                 this.#advance(event.revision);
                 this.#options.onEvent({ type: "contact", succeeded: true });
                 break;
             case "ended":
+                this.#watch = undefined;
                 this.#options.logger.warn("watch ended", {
                     detail: event.message,
                     revision: this.#revision,
@@ -120,6 +154,7 @@
             if (!this.#closed) {
                 step();
             }
-        }, RETRY_MILLISECONDS);
+        }, this.#retryMilliseconds);
+        this.#retryMilliseconds = Math.min(LONGEST_RETRY_MILLISECONDS, this.#retryMilliseconds * 2);
     }
 }
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -15,6 +15,9 @@
 /** Further cost of a model without a copy for each engine's worth of requests that ask for it. */
 const MISSING_DEMAND_COST = 3;
 
+/** Cost of dropping a copy for each engine's worth of requests on it: the engine waits for them before it loads. */
+const BUSY_DROP_COST = 0.5;
+
 /** Least gain for which weights that are at hand are loaded. */
 const LEAST_GAIN_AT_HAND = 0.03;
 
@@ -117,6 +120,12 @@
     return cost;
 }
 
+function dropCostOf(fleet: Fleet, dropped: readonly string[]): number {
+    const copies = countCopies(fleet.placement);
+    const load = dropped.reduce((sum, model) => sum + (fleet.load.get(model) ?? 0) / (copies.get(model) ?? 1), 0);
+    return load * BUSY_DROP_COST;
+}
+
 function replace(placement: Placement, engine: string, dropped: readonly string[], added: string): Placement {
     const models = new Set(placement.get(engine));
     dropped.forEach(model => models.delete(model));
@@ -156,7 +165,8 @@
 function bestMoveOn(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, costNow: number): Move | undefined {
     let best: Move | undefined;
     for (const dropped of waysToMakeRoom(fleet, engine, model)) {
-        const gain = costNow - costOf(fleet, replace(fleet.placement, engine.id, dropped, model.name));
+        const costThen = costOf(fleet, replace(fleet.placement, engine.id, dropped, model.name));
+        const gain = costNow - costThen - dropCostOf(fleet, dropped);
         if (gain > (best?.gain ?? 0)) {
             best = { engine, model, dropped, gain };
         }
