--- /dev/null
+++ b/src/duties/engineDuties.test.ts
@@ -0,0 +1,180 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type ClockReading, EngineDuties } from "./index.js";
+
+const BOUNDS = { confirmedMilliseconds: 1_500, handoverMilliseconds: 3_000 };
+
+function at(milliseconds: number, timeOfDayOffset = 0): ClockReading {
+    return { steadyMilliseconds: milliseconds, timeOfDayMilliseconds: 1_000_000 + milliseconds + timeOfDayOffset };
+}
+
+function duties(host: string, session: string): EngineDuties {
+    const created = new EngineDuties(host, BOUNDS);
+    created.confirm(session, at(0));
+    created.setSession(host, session);
+    return created;
+}
+
+test("an engine that nobody ever held is ordered at once", () => {
+    const own = duties("one", "s1");
+    assert.deepEqual(own.vacant(["engine"], 0), [{ engine: "engine", expectedRevision: 0 }]);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 12 }, 10);
+    assert.equal(own.fencingNumber("engine", at(10)), 12);
+    assert.deepEqual(own.vacant(["engine"], 10), []);
+});
+
+test("a new holder waits until the one before it must have stopped, and the hand-over time on top", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, revision: 12 }, 0);
+    own.setSession("two", undefined);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 20 }, 1_000);
+    own.confirm("s1", at(5_000));
+    assert.equal(own.fencingNumber("engine", at(5_400)), undefined);
+    assert.equal(own.fencingNumber("engine", at(5_500)), 20);
+});
+
+test("an engine that was given up is ordered after the hand-over time, by its last holder at once", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: true, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 20 }, 0);
+    own.confirm("s1", at(2_900));
+    assert.equal(own.fencingNumber("engine", at(2_900)), undefined);
+    assert.equal(own.fencingNumber("engine", at(3_000)), 20);
+    const again = duties("two", "s3");
+    again.setHolder("engine", { host: "two", session: "s2", released: false, revision: 12 }, 0);
+    again.setHolder("engine", { host: "two", session: "s3", released: false, revision: 21 }, 0);
+    assert.equal(again.fencingNumber("engine", at(0)), 21);
+});
+
+test("a record whose writing got no answer counts once the service shows it", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 15 }, 0);
+    own.confirm("s1", at(4_500));
+    assert.equal(own.fencingNumber("engine", at(4_500)), 15);
+});
+
+test("a holder stops when its renewals fail, when its session is gone, and when another took over", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 12 }, 0);
+    assert.equal(own.fencingNumber("engine", at(1_500)), 12);
+    assert.equal(own.fencingNumber("engine", at(1_501)), undefined);
+    own.confirm("s1", at(2_000));
+    assert.equal(own.fencingNumber("engine", at(2_000)), 12);
+    own.setHolder("engine", { host: "two", session: "s2", released: false, revision: 13 }, 2_000);
+    assert.equal(own.fencingNumber("engine", at(2_000)), undefined);
+    own.loseSession();
+    assert.deepEqual(own.vacant(["other"], 2_000), []);
+});
+
+test("a holder whose clocks came apart, as by a suspension or a step, stops until its session is confirmed", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 12 }, 0);
+    assert.equal(own.fencingNumber("engine", at(100, 4_000)), undefined);
+    assert.equal(own.fencingNumber("engine", at(100, -4_000)), undefined);
+    own.confirm("s1", at(200, 4_000));
+    assert.equal(own.fencingNumber("engine", at(300, 4_000)), 12);
+});
+
+test("hosts that know the same take an engine over one after the other, the last holder first", () => {
+    const hosts = ["one", "two", "three"];
+    const all = hosts.map(host => {
+        const created = duties(host, `session-${host}`);
+        hosts.forEach(other => created.setSession(other, `session-${other}`));
+        created.setHolder("engine", { host: "two", session: "old", released: false, revision: 4 }, 0);
+        return created;
+    });
+    const due = (now: number): string[] =>
+        hosts.filter((_, index) => (all[index]?.vacant(["engine"], now).length ?? 0) > 0);
+    assert.deepEqual(due(0), ["two"]);
+    assert.equal(due(300).length, 2);
+    assert.equal(due(600).length, 3);
+});
+
+type Event =
+    | { readonly type: "pass"; readonly milliseconds: number; }
+    | { readonly type: "renew"; readonly host: number; readonly reachesStore: boolean; }
+    | { readonly type: "revoke"; readonly host: number; }
+    | { readonly type: "take"; readonly host: number; }
+    | { readonly type: "order"; readonly host: number; };
+
+const hostIndex = fc.integer({ min: 0, max: 2 });
+const events = fc.array(
+    fc.oneof(
+        fc.integer({ min: 1, max: 900 }).map((milliseconds): Event => ({ type: "pass", milliseconds })),
+        fc.record({ type: fc.constant("renew" as const), host: hostIndex, reachesStore: fc.boolean() }),
+        fc.record({ type: fc.constant("revoke" as const), host: hostIndex }),
+        fc.record({ type: fc.constant("take" as const), host: hostIndex }),
+        fc.record({ type: fc.constant("order" as const), host: hostIndex }),
+    ),
+    { minLength: 20, maxLength: 200 },
+);
+
+/** The key-value service as three hosts see it: they hear of records at once, and of revoked sessions only if told. */
+class SharedStore {
+    readonly sessions = new Map<string, string>();
+    holder: { host: string; session: string; released: boolean; revision: number; } | undefined;
+    revision = 0;
+}
+
+test("orders of two holders are never closer than the hand-over time, whatever fails, and numbers only rise", () => {
+    fc.assert(
+        fc.property(events, plan => {
+            const store = new SharedStore();
+            const names = ["one", "two", "three"];
+            const hosts = names.map(name => new EngineDuties(name, BOUNDS));
+            const orders: { readonly host: string; readonly at: number; readonly fence: number; }[] = [];
+            let now = 0;
+            let sessionCount = 0;
+            for (const event of plan) {
+                if (event.type === "pass") {
+                    now += event.milliseconds;
+                    continue;
+                }
+                const name = names[event.host] ?? "";
+                const own = hosts[event.host];
+                const session = store.sessions.get(name);
+                if (event.type === "renew" && event.reachesStore) {
+                    if (session === undefined) {
+                        sessionCount += 1;
+                        store.sessions.set(name, `session-${sessionCount}`);
+                    }
+                    const standing = store.sessions.get(name) ?? "";
+                    own?.confirm(standing, at(now));
+                    hosts.forEach(host => host.setSession(name, standing));
+                }
+                else if (event.type === "revoke") {
+                    store.sessions.delete(name);
+                    hosts.filter(host => host !== own).forEach(host => host.setSession(name, undefined));
+                }
+                else if (event.type === "take" && session !== undefined) {
+                    const [due] = own?.vacant(["engine"], now + 10_000) ?? [];
+                    if (due?.expectedRevision === (store.holder?.revision ?? 0)) {
+                        store.revision += 1;
+                        store.holder = { host: name, session, released: false, revision: store.revision };
+                        const written = store.holder;
+                        hosts.forEach(host => host.setHolder("engine", written, now));
+                    }
+                }
+                else if (event.type === "order") {
+                    const fence = own?.fencingNumber("engine", at(now));
+                    if (fence !== undefined) {
+                        orders.push({ host: name, at: now, fence });
+                    }
+                }
+            }
+            orders.slice(1).forEach((order, index) => {
+                const before = orders[index];
+                assert.ok(before !== undefined && order.fence >= before.fence);
+                if (before.host !== order.host) {
+                    assert.ok(
+                        order.at - before.at >= BOUNDS.handoverMilliseconds,
+                        `${JSON.stringify([before, order])}`,
+                    );
+                }
+            });
+        }),
+        { seed: 41, numRuns: 3_000 },
+    );
+});
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -62,6 +62,8 @@
     readonly #options: EngineOrdersOptions;
     readonly #keepers = new Map<string, EngineKeeper>();
     readonly #acquiring = new Set<string>();
+    /** Changes of each keeper that peers have been told. */
+    readonly #told = new WeakMap<EngineKeeper, number>();
     #ticker: NodeJS.Timeout | undefined;
     #leaving = false;
     #enginesChangedAt = Number.NEGATIVE_INFINITY;
@@ -87,7 +89,6 @@
     observe(announcement: UpstreamAnnouncement): void {
         const keeper = this.#keepers.get(announcement.id);
         if (keeper?.observe(announcement) === true) {
-            this.#tell(keeper);
             this.#work(keeper);
         }
     }
@@ -201,8 +202,16 @@
         this.#options.metrics.gauge("engines_held", this.#keepers.size);
     }
 
-    /** Takes the next step on an engine, if it may be ordered now. */
+    /** Takes the next step on an engine, and tells what changed. */
     #work(keeper: EngineKeeper): void {
+        this.#takeStep(keeper);
+        if (this.#told.get(keeper) !== keeper.changeCount && this.#keepers.get(keeper.engine) === keeper) {
+            this.#told.set(keeper, keeper.changeCount);
+            this.#options.onNews(keeper.record());
+        }
+    }
+
+    #takeStep(keeper: EngineKeeper): void {
         const clocks = this.#options.readClocks();
         const announcement = this.#options.view.get(keeper.engine);
         const fencingNumber = this.#options.duties.fencingNumber(keeper.engine, clocks);
@@ -279,9 +288,7 @@
             fencingNumber,
             outcome,
         });
-        if (outcome === "accepted" || outcome === "holds") {
-            this.#tellWhenArrived(keeper);
-        }
+        this.#workOnArrival(keeper);
         if (outcome !== "unknown") {
             this.#work(keeper);
         }
@@ -296,26 +303,14 @@
             orderCount: report?.orderCount,
             busy: report?.busy,
         });
-        if (report !== undefined) {
-            this.#tell(keeper);
-        }
+        this.#work(keeper);
     }
 
-    /** Tells what the engine holds now, and again once an adapter on its way has arrived. */
-    #tellWhenArrived(keeper: EngineKeeper): void {
-        this.#tell(keeper);
+    /** Looks again once an adapter on its way has arrived. */
+    #workOnArrival(keeper: EngineKeeper): void {
         const arrival = keeper.nextArrivalMilliseconds;
         if (arrival !== undefined) {
-            setTimeout(() => {
-                this.#work(keeper);
-                this.#tell(keeper);
-            }, Math.max(1, arrival - this.#now() + 1));
-        }
-    }
-
-    #tell(keeper: EngineKeeper): void {
-        if (this.#keepers.get(keeper.engine) === keeper) {
-            this.#options.onNews(keeper.record());
+            setTimeout(() => this.#work(keeper), Math.max(1, arrival - this.#now() + 1));
         }
     }
 }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -311,7 +311,7 @@
 
     /** Asks the holder of the adapter's home, or of the next engine where that one has no holder. */
     #wish(loadable: readonly UpstreamAnnouncement[]): void {
-        const { residency, wishAdapter } = this.#context;
+        const { residency } = this.#context;
         const [model, adapter] = [this.#model, this.#adapter];
         if (model === undefined || adapter === undefined) {
             return;
@@ -325,7 +325,7 @@
                 loading: residency.loading(id) !== undefined,
             })),
         );
-        homes.find(engine => wishAdapter(engine, model, adapter));
+        homes.find(engine => this.#context.wishAdapter(engine, model, adapter));
     }
 
     #adapterSlots(service: string): number {
@@ -485,16 +485,29 @@
         this.#silenceTimer = setTimeout(() => this.#noteSilence(limit), limit);
     }
 
-    /** Behind a full upstream a request waits its turn; moving it would only make it wait anew. */
+    /** Behind a full upstream a request waits its turn, and without another upstream there is nothing to gain. */
     #noteSilence(limitMilliseconds: number): void {
         const upstream = this.#upstream;
-        if (upstream !== undefined && this.#loadShare(upstream.id) >= BUSY_UPSTREAM_SHARE) {
+        const waitsItsTurn = upstream !== undefined && this.#loadShare(upstream.id) >= BUSY_UPSTREAM_SHARE;
+        if (waitsItsTurn || !this.#mayMove()) {
             this.#watchSilence();
             return;
         }
         this.#attemptFailed("silent", `nothing came for ${limitMilliseconds} ms`);
     }
 
+    /** Tells whether the request could run on another upstream now. */
+    #mayMove(): boolean {
+        const { route } = this.#request;
+        const service = this.#service ?? "";
+        const others = this.#context.view.usable(service).filter(upstream =>
+            upstream.id !== this.#upstream?.id && this.#residencyAt(upstream) === "held"
+        );
+        return this.#mayHaveRun + 1 < route.maximumAttempts
+            && this.#context.budget.left(service, this.#now()) > 0
+            && chooseUpstream(this.#candidates(others), this.#context.random).type === "send";
+    }
+
     #takeHead(head: AnswerHead): void {
         this.#noteLoad(head);
         const failure = this.#judgeHead(head);
@@ -560,10 +573,7 @@
     /** Tells whether an upstream's own failure is worth another upstream, rather than being passed on. */
     #canRepeatError(): boolean {
         const { route } = this.#request;
-        return mayRunAgain(route.kind, route.resumable)
-            && this.#mayHaveRun + 1 < route.maximumAttempts
-            && this.#context.budget.left(this.#service ?? "", this.#now()) > 0
-            && this.#candidates(this.#context.view.usable(this.#service ?? "")).length > 1;
+        return mayRunAgain(route.kind, route.resumable) && this.#mayMove();
     }
 
     #takeData(piece: Buffer): void {
--- /dev/null
+++ b/src/fleet/upstreamView.test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type UpstreamAnnouncement, UpstreamView } from "./index.js";
+
+const SECOND = 1_000;
+
+function announcement(id: string, overrides: Partial<UpstreamAnnouncement> = {}): UpstreamAnnouncement {
+    return {
+        id,
+        startedAtMilliseconds: 100,
+        service: "orders",
+        address: `10.0.0.1:${id.length}000`,
+        zone: "a",
+        slots: 6,
+        leaving: false,
+        remainingMilliseconds: undefined,
+        announcementNumber: 1,
+        models: [],
+        weightsAtHand: { inMemory: [], onDisk: [] },
+        ...overrides,
+    };
+}
+
+function usableIds(view: UpstreamView): string[] {
+    return view.usable("orders").map(({ id }) => id);
+}
+
+test("an upstream that says it leaves takes no more requests", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x"));
+    const changes = view.put(announcement("x", { leaving: true, announcementNumber: 2 }));
+    assert.deepEqual(changes.map(({ type }) => type), ["left"]);
+    assert.deepEqual(usableIds(view), []);
+});
+
+test("a removed announcement names no upstream while the service is sound", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x"));
+    const [change] = view.remove("x", 10 * SECOND);
+    assert.equal(change?.type, "left");
+    assert.deepEqual(usableIds(view), []);
+});
+
+test("around an outage an upstream stays until the service has been back for two seconds", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x"));
+    view.put(announcement("yy"));
+    view.noteServiceTrouble(10 * SECOND);
+    assert.deepEqual(view.remove("x", 10.2 * SECOND).map(({ type }) => type), ["in-doubt"]);
+    assert.deepEqual(view.remove("yy", 10.2 * SECOND).map(({ type }) => type), ["in-doubt"]);
+    assert.deepEqual(usableIds(view).sort(), ["x", "yy"]);
+    view.put(announcement("yy", { announcementNumber: 9 }));
+    assert.deepEqual(view.expire(11.9 * SECOND), []);
+    assert.deepEqual(view.expire(12 * SECOND).map(change => [change.type, change.upstream.id]), [["left", "x"]]);
+    assert.deepEqual(usableIds(view), ["yy"]);
+});
+
+test("an upstream that leaves is not kept by an outage", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x"));
+    view.put(announcement("x", { leaving: true, announcementNumber: 2 }));
+    view.noteServiceTrouble(SECOND);
+    assert.deepEqual(view.remove("x", SECOND).map(({ type }) => type), ["left"]);
+});
+
+test("an announcement written after a later one, or by a run that has ended, changes nothing", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x", { leaving: true, announcementNumber: 5 }));
+    assert.deepEqual(view.put(announcement("x", { announcementNumber: 4 })), []);
+    view.put(announcement("x", { startedAtMilliseconds: 200, announcementNumber: 1 }));
+    assert.deepEqual(view.put(announcement("x", { leaving: true, announcementNumber: 6 })), []);
+    assert.deepEqual(usableIds(view), ["x"]);
+});
+
+test("an address belongs to the upstream that announced it last", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x", { address: "10.0.0.1:80" }));
+    const changes = view.put(announcement("y", { address: "10.0.0.1:80", startedAtMilliseconds: 300 }));
+    assert.deepEqual(changes.map(change => [change.type, change.upstream.id]), [["left", "x"], ["joined", "y"]]);
+    view.put(announcement("x", { address: "10.0.0.1:80", announcementNumber: 9 }));
+    assert.ok(view.isUsable("y"), "an older run does not take the address back");
+});
+
+test("a listing removes what is missing from it", () => {
+    const view = new UpstreamView();
+    view.put(announcement("x"));
+    view.replaceAll([announcement("yy")], 10 * SECOND);
+    assert.deepEqual(usableIds(view), ["yy"]);
+});
--- /dev/null
+++ b/src/forwarding/crashSuspects.test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CrashSuspects, longestWait, returnAfter } from "./index.js";
+
+test("a request that was running at two crashes is refused, also where a peer saw one of them", () => {
+    const suspects = new CrashSuspects();
+    suspects.noteLost("bad", "engine-1/7", 0);
+    suspects.noteLost("bystander", "engine-1/7", 0);
+    suspects.noteCrashed("engine-1/7", 500);
+    assert.ok(!suspects.isRefused("bad"));
+    suspects.takePeer({ fingerprint: "bad", runs: ["engine-2/3"] }, 1_000);
+    assert.ok(suspects.isRefused("bad"));
+    assert.ok(!suspects.isRefused("bystander"));
+    suspects.expire(62_000);
+    assert.ok(!suspects.isRefused("bad"));
+});
+
+test("the same crash told twice is one crash, and a loss long before a crash has nothing to do with it", () => {
+    const suspects = new CrashSuspects();
+    suspects.noteLost("request", "engine-1/7", 0);
+    const [record] = suspects.noteCrashed("engine-1/7", 100);
+    assert.ok(record !== undefined);
+    suspects.takePeer(record, 200);
+    assert.ok(!suspects.isRefused("request"));
+    suspects.noteLost("request", "engine-2/7", 1_000);
+    suspects.noteCrashed("engine-2/7", 9_000);
+    assert.ok(!suspects.isRefused("request"));
+});
+
+const ROUTE = {
+    name: "quotes",
+    hostName: "h",
+    pathPrefix: "/",
+    kind: "event-stream",
+    timeoutMilliseconds: 15_000,
+    targetLatencyMilliseconds: 300,
+    targetGapMilliseconds: 150,
+    priority: 1,
+    services: [],
+    maximumAttempts: 2,
+    resumable: true,
+} as const;
+
+test("a request waits less than its caller would, and callers come back within the time that they honour", () => {
+    assert.ok(longestWait(ROUTE, 15_000) < 2_000);
+    assert.ok(longestWait({ ...ROUTE, targetLatencyMilliseconds: 4_000 }, 25_000) <= 25_000 / 3);
+    assert.ok(returnAfter(60_000, 9_000, 0.99) <= 3_000);
+    const spread = [0, 0.5, 0.99].map(random => returnAfter(1_000, 9_000, random));
+    assert.deepEqual(spread, [...new Set(spread)], "callers that were refused together come back apart");
+});
--- /dev/null
+++ b/src/forwarding/sharedRetryBudget.test.ts
@@ -0,0 +1,76 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SharedRetryBudget } from "./index.js";
+
+const BOUND = { windowMilliseconds: 10_000, ratio: 0.2, extra: 58 };
+
+interface Step {
+    readonly host: number;
+    readonly afterMilliseconds: number;
+    readonly retries: number;
+}
+
+const steps = fc.array(
+    fc.record({
+        host: fc.integer({ min: 0, max: 8 }),
+        afterMilliseconds: fc.integer({ min: 0, max: 400 }),
+        retries: fc.integer({ min: 0, max: 12 }),
+    }),
+    { maxLength: 300 },
+);
+
+/** Retries of all hosts beyond the bound, at worst over every window that ends with a retry. */
+function worstExcess(requests: readonly number[], retries: readonly number[]): number {
+    const excess = retries.map(end => {
+        const inWindow = (at: number): boolean => at <= end && at > end - BOUND.windowMilliseconds;
+        return retries.filter(inWindow).length - BOUND.ratio * requests.filter(inWindow).length - BOUND.extra;
+    });
+    return Math.max(0, ...excess);
+}
+
+function play(hosts: readonly SharedRetryBudget[], plan: readonly Step[]): number {
+    const requests: number[] = [];
+    const retries: number[] = [];
+    let now = 0;
+    for (const step of plan) {
+        now += step.afterMilliseconds;
+        const budget = hosts[step.host % hosts.length];
+        budget?.recordRequest("orders", now);
+        requests.push(now);
+        for (let retry = 0; retry < step.retries; retry += 1) {
+            if (budget?.tryTake("orders", now) === true) {
+                retries.push(now);
+            }
+        }
+    }
+    return worstExcess(requests, retries);
+}
+
+test("all hosts together stay within the bound in every window", () => {
+    fc.assert(
+        fc.property(steps, fc.integer({ min: 3, max: 9 }), (plan, count) => {
+            const hosts = Array.from({ length: count }, () => new SharedRetryBudget(BOUND));
+            hosts.forEach(budget => budget.setHostCount(count));
+            assert.equal(play(hosts, plan), 0);
+        }),
+        { seed: 11 },
+    );
+});
+
+test("a host that sees fewer hosts than there are keeps to its part of the extra", () => {
+    const budget = new SharedRetryBudget(BOUND);
+    budget.setHostCount(9);
+    budget.setHostCount(1);
+    assert.ok(budget.left("orders", 0) <= Math.floor(58 / 9));
+});
+
+test("services do not share a budget, and retries come back as the window slides", () => {
+    const budget = new SharedRetryBudget(BOUND);
+    while (budget.tryTake("orders", 0)) {
+        // Uses the budget up.
+    }
+    assert.equal(budget.tryTake("orders", 9_999), false);
+    assert.equal(budget.tryTake("stock", 9_999), true);
+    assert.equal(budget.tryTake("orders", 10_001), true);
+});
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -82,6 +82,7 @@
     readonly #coming = new Map<string, number>();
     readonly #wishes = new Map<string, { readonly model: string; readonly adapter: string; atMilliseconds: number; }>();
     #storeLoads: number[] = [];
+    #changeCount = 0;
 
     constructor(announcement: UpstreamAnnouncement, definition: EngineDefinition) {
         this.engine = announcement.id;
@@ -99,6 +100,7 @@
             this.#startedAtMilliseconds = announcement.startedAtMilliseconds;
             this.#forgetOrders();
             this.#models = copyModels(announcement.models);
+            this.#changeCount += 1;
             return true;
         }
         if (!announcement.models.some(({ name }) => name === this.#unloading)) {
@@ -106,7 +108,9 @@
         }
         const finished = announcement.models.some(({ name }) => name === this.#loading?.model);
         this.#loading = finished ? undefined : this.#loading;
-        return this.#adoptModelNames(announcement.models) || finished;
+        const changed = this.#adoptModelNames(announcement.models) || finished;
+        this.#changeCount += changed ? 1 : 0;
+        return changed;
     }
 
     /** Takes a request's wish for an adapter. */
@@ -122,6 +126,11 @@
         }
     }
 
+    /** Rises with each change of what `record` gives. */
+    get changeCount(): number {
+        return this.#changeCount;
+    }
+
     /** True while an order is out or the engine loads weights. */
     get occupied(): boolean {
         return this.#open !== undefined;
@@ -203,6 +212,7 @@
             return;
         }
         this.#reportAtMilliseconds = undefined;
+        this.#changeCount += 1;
         this.#orderCount = report.orderCount;
         this.#adoptReport(report.models);
         const isOwnOrder = this.#loading !== undefined || this.#unloading !== undefined;
@@ -270,6 +280,7 @@
     }
 
     #apply(order: EngineOrder, outcome: OrderOutcome, nowMilliseconds: number): void {
+        this.#changeCount += 1;
         const advances = outcome === "accepted" || order.operation === "unload";
         this.#orderCount += advances ? 1 : 0;
         if (order.operation === "unload") {
@@ -304,6 +315,7 @@
     #finishComing(nowMilliseconds: number): void {
         for (const [key, readyAt] of this.#coming) {
             if (nowMilliseconds >= readyAt) {
+                this.#changeCount += 1;
                 this.#coming.delete(key);
                 const split = key.indexOf("/");
                 this.#models.get(key.slice(0, split))?.set(key.slice(split + 1), nowMilliseconds);
@@ -320,6 +332,7 @@
     #expireLoad(nowMilliseconds: number): void {
         if (this.#loading !== undefined && nowMilliseconds > this.#loading.untilMilliseconds) {
             this.#loading = undefined;
+            this.#changeCount += 1;
             this.#reportAtMilliseconds = nowMilliseconds;
         }
     }
--- /dev/null
+++ b/src/placement/placementPlan.test.ts
@@ -0,0 +1,166 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type EngineDefinition } from "../routes/index.js";
+import { type PlannedEngine, planWeights, rankAdapterHomes, ResidencyView, type WeightSituation } from "./index.js";
+
+const SIZES: Readonly<Record<string, number>> = { hot: 60, warm: 60, cold: 60, rare: 60, small: 30 };
+
+const DEFINITION: EngineDefinition = {
+    slots: 64,
+    cacheTokens: 100_000,
+    weightMegabytes: 130,
+    adapterSlots: 2,
+    loadsPerSecond: 1,
+    models: Object.entries(SIZES).map(([name, weightMegabytes]) => ({
+        name,
+        weightMegabytes,
+        adapterCount: 0,
+        adapterMegabytes: 1,
+        storeLoadMilliseconds: 5_000,
+    })),
+};
+
+function engine(id: string, models: readonly string[], overrides: Partial<PlannedEngine> = {}): PlannedEngine {
+    return { id, models, loading: undefined, atHand: [], ...overrides };
+}
+
+function situation(
+    engines: readonly PlannedEngine[],
+    demand: Readonly<Record<string, number>>,
+): Omit<WeightSituation, "engine"> {
+    return { engines, definition: DEFINITION, demand: new Map(Object.entries(demand)), storeLoadAllowed: true };
+}
+
+/** Lets every holder take its steps until none has one; unloads and loads take effect at once. */
+function settle(start: readonly PlannedEngine[], demand: Readonly<Record<string, number>>): Map<string, Set<string>> {
+    const held = new Map(start.map(({ id, models }) => [id, new Set(models)]));
+    for (let round = 0; round < 100; round += 1) {
+        let moved = false;
+        for (const id of held.keys()) {
+            const engines = [...held].map(([id, models]) => engine(id, [...models]));
+            const step = planWeights({ ...situation(engines, demand), engine: id });
+            moved ||= step !== undefined;
+            if (step?.operation === "load") {
+                held.get(id)?.add(step.model);
+            }
+            else if (step !== undefined) {
+                held.get(id)?.delete(step.model);
+            }
+        }
+        if (!moved) {
+            return held;
+        }
+    }
+    return assert.fail("the plan does not come to rest");
+}
+
+function copies(held: ReadonlyMap<string, ReadonlySet<string>>, model: string): number {
+    return [...held.values()].filter(models => models.has(model)).length;
+}
+
+function weightOn(models: ReadonlySet<string>): number {
+    return [...models].reduce((sum, model) => sum + (SIZES[model] ?? 0), 0);
+}
+
+test("one holder acts at a time: only the engine of the best step has one", () => {
+    const engines = [engine("a", ["hot"]), engine("b", ["warm"]), engine("c", [])];
+    const steps = engines.map(({ id }) => planWeights({ ...situation(engines, { hot: 60, warm: 5 }), engine: id }));
+    assert.equal(steps.filter(step => step !== undefined).length, 1);
+});
+
+test("a busy model gets further copies, and every model keeps one", () => {
+    const start = [
+        engine("a", ["hot", "rare"]),
+        engine("b", ["warm", "cold"]),
+        engine("c", ["small"]),
+        engine("d", []),
+    ];
+    const held = settle(start, { hot: 120, warm: 10, cold: 1, rare: 1, small: 1 });
+    assert.ok(copies(held, "hot") >= 2);
+    for (const model of Object.keys(SIZES)) {
+        assert.ok(copies(held, model) >= 1, `${model} has a copy`);
+    }
+});
+
+test("copies of the busiest model are not given up for models without one before there is traffic", () => {
+    const start = [
+        engine("a", ["hot", "warm"]),
+        engine("b", ["hot", "cold"]),
+        engine("c", ["hot"]),
+        engine("d", ["hot"]),
+    ];
+    const held = settle(start, {});
+    assert.ok(copies(held, "hot") >= 2, `copies of the busiest model: ${copies(held, "hot")}`);
+    assert.ok(copies(held, "rare") === 1 && copies(held, "small") === 1);
+});
+
+test("whatever the demand, no engine is planned beyond its memory, and the plan comes to rest", () => {
+    const names = Object.keys(SIZES);
+    const demands = fc.dictionary(fc.constantFrom(...names), fc.integer({ min: 0, max: 300 }));
+    const placements = fc.array(fc.subarray(names, { maxLength: 2 }), { minLength: 1, maxLength: 5 });
+    fc.assert(
+        fc.property(placements, demands, (placement, demand) => {
+            const held = settle(placement.map((models, index) => engine(`engine-${index}`, models)), demand);
+            for (const models of held.values()) {
+                assert.ok(weightOn(models) <= DEFINITION.weightMegabytes - 2);
+            }
+        }),
+        { seed: 31, numRuns: 200 },
+    );
+});
+
+test("an engine that has used up its part of the weight store's rate loads only what it has at hand", () => {
+    const engines = [engine("a", ["hot"], { atHand: [] }), engine("b", ["hot"])];
+    const asked = { ...situation(engines, { hot: 10, rare: 30 }), storeLoadAllowed: false };
+    assert.equal(planWeights({ ...asked, engine: "a" }) ?? planWeights({ ...asked, engine: "b" }), undefined);
+    const atHand = { ...asked, engines: engines.map(each => ({ ...each, atHand: ["rare"] })) };
+    const step = planWeights({ ...atHand, engine: "a" }) ?? planWeights({ ...atHand, engine: "b" });
+    assert.equal(step?.model, "rare");
+});
+
+test("an adapter has one home for all hosts, on an engine with room that is not loading", () => {
+    const homes = ["a", "b", "c"].map(id => ({ id, freeSlots: 1, loadShare: 0.2, loading: false }));
+    const [home] = rankAdapterHomes("hot/a1", homes);
+    assert.equal(rankAdapterHomes("hot/a1", [...homes].reverse())[0], home);
+    const full = homes.map(each => ({ ...each, freeSlots: each.id === home ? 0 : 1 }));
+    assert.notEqual(rankAdapterHomes("hot/a1", full)[0], home);
+    const loading = homes.map(each => ({ ...each, loading: each.id === home }));
+    assert.equal(rankAdapterHomes("hot/a1", loading).at(-1), home);
+});
+
+test("an announcement says which models are held, the holder which adapters; a restart forgets both", () => {
+    const view = new ResidencyView();
+    const announced = (startedAtMilliseconds: number, models: readonly string[]) => ({
+        id: "a",
+        startedAtMilliseconds,
+        service: "llm",
+        address: "10.0.0.1:80",
+        zone: "z",
+        slots: 64,
+        leaving: false,
+        remainingMilliseconds: undefined,
+        announcementNumber: 1,
+        models: models.map(name => ({ name, adapters: [] })),
+        weightsAtHand: { inMemory: [], onDisk: [] },
+    });
+    const record = {
+        engine: "a",
+        startedAtMilliseconds: 1,
+        orderCount: 3,
+        models: [{ name: "hot", adapters: ["a1"] }],
+        loading: "warm",
+    };
+    view.takeAnnouncement(announced(1, ["hot"]));
+    assert.equal(view.holds("a", "hot", "a1"), "adapter-missing");
+    view.takeRecord(record, 100);
+    assert.equal(view.holds("a", "hot", "a1"), "held");
+    view.takeAnnouncement(announced(1, ["hot", "warm"]));
+    assert.equal(view.holds("a", "hot", "a1"), "held");
+    assert.equal(view.holds("a", "warm", undefined), "held");
+    assert.equal(view.loading("a"), undefined);
+    assert.equal(view.takeRecord({ ...record, orderCount: 2, models: [] }, 200), false, "a datagram that comes late");
+    view.takeAnnouncement(announced(2, []));
+    assert.equal(view.holds("a", "hot", undefined), "absent");
+    assert.equal(view.takeRecord(record, 300), false, "the record of the run before");
+});
--- /dev/null
+++ b/standins/platform/upstream.ts
@@ -0,0 +1,269 @@
+/**
+ * Stand-in of an upstream on the platform: a plain service or a model engine.
+ *
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+
+/** A request as it reached the upstream. */
+export interface ReceivedRequest {
+    readonly id: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly rawHeaders: readonly string[];
+    readonly body: string;
+}
+
+/** What the upstream does with a request, in place of answering it. */
+export type Behaviour =
+    | {
+        readonly type: "answer";
+        readonly status?: number;
+        readonly body?: string;
+        readonly afterMilliseconds?: number;
+    }
+    | {
+        readonly type: "stream";
+        readonly events: number;
+        readonly gapMilliseconds?: number;
+        readonly breakAfter?: number;
+    }
+    /** Says that it has not run the request. */
+    | { readonly type: "not-run"; readonly status: 421 | 429 | 503; }
+    /** Ends the connection without an answer. */
+    | { readonly type: "reset"; }
+    | { readonly type: "silent"; }
+    /** Sends a body without a length, and resets the connection within it. */
+    | { readonly type: "unframed-reset"; }
+    | { readonly type: "without-receipt"; }
+    | { readonly type: "wrong-identifier"; }
+    /** Sends a second answer behind the first. */
+    | { readonly type: "extra-answer"; };
+
+/** Options of an upstream. */
+export interface UpstreamOptions {
+    readonly id: string;
+    readonly behave?: (request: ReceivedRequest) => Behaviour;
+    readonly slots?: number;
+    /** Models held at the start; present for engines. */
+    readonly models?: Readonly<Record<string, readonly string[]>>;
+}
+
+/** An order as it reached the engine, with the answer that it got. */
+export interface ReceivedOrder {
+    readonly order: Readonly<Record<string, unknown>>;
+    readonly status: number;
+}
+
+/** A running upstream. */
+export class PlatformUpstreamStandIn {
+    readonly id: string;
+    readonly received: ReceivedRequest[] = [];
+    readonly orders: ReceivedOrder[] = [];
+    /** Requests whose connection closed before their answer was whole. */
+    readonly abandoned: string[] = [];
+    readonly #options: UpstreamOptions;
+    readonly #models: Map<string, Set<string>>;
+    readonly #server: Server;
+    #running = 0;
+    #orderCount = 0;
+
+    private constructor(options: UpstreamOptions) {
+        this.id = options.id;
+        this.#options = options;
+        this.#models = new Map(
+            Object.entries(options.models ?? {}).map(([name, adapters]) => [name, new Set(adapters)]),
+        );
+        this.#server = createServer(
+            { keepAliveTimeout: 5_000 },
+            (message, response) => void this.#take(message, response),
+        );
+    }
+
+    /** Starts an upstream on a free loopback port. */
+    static async start(options: UpstreamOptions): Promise<PlatformUpstreamStandIn> {
+        const upstream = new PlatformUpstreamStandIn(options);
+        await new Promise<void>(resolve => upstream.#server.listen(0, "127.0.0.1", resolve));
+        return upstream;
+    }
+
+    get address(): string {
+        return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    }
+
+    /** What the upstream writes about itself into the store. */
+    announcement(service: string, overrides: Readonly<Record<string, unknown>> = {}): Record<string, unknown> {
+        return {
+            service,
+            address: this.address,
+            zone: "zone-a",
+            version: "v1",
+            slots: this.#options.slots ?? 6,
+            state: "ready",
+            coldRemainingMs: 0,
+            sequence: 40,
+            born: 1_700_000_000_000,
+            models: this.#describeModels(),
+            ...overrides,
+        };
+    }
+
+    async close(): Promise<void> {
+        this.#server.closeAllConnections();
+        await new Promise(resolve => this.#server.close(resolve));
+    }
+
+    #describeModels(): readonly unknown[] {
+        return [...this.#models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }));
+    }
+
+    async #take(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const pieces: Buffer[] = [];
+        for await (const piece of message) {
+            pieces.push(piece as Buffer);
+        }
+        const body = Buffer.concat(pieces).toString();
+        if (message.url === "/report") {
+            const report = { models: this.#describeModels(), busy: false, sequence: this.#orderCount };
+            response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(report));
+            return;
+        }
+        if (message.url === "/order") {
+            this.#takeOrder(JSON.parse(body) as Record<string, unknown>, response);
+            return;
+        }
+        await this.#run({
+            id: String(message.headers["flamingospread-request-id"]),
+            method: message.method ?? "",
+            path: message.url ?? "",
+            headers: message.headers,
+            rawHeaders: message.rawHeaders,
+            body,
+        }, response);
+    }
+
+    #takeOrder(order: Readonly<Record<string, unknown>>, response: ServerResponse): void {
+        const status = order["expected"] === this.#orderCount ? this.#carryOut(order) : 409;
+        this.orders.push({ order, status });
+        response.writeHead(status).end();
+    }
+
+    #carryOut(order: Readonly<Record<string, unknown>>): number {
+        const model = String(order["model"]);
+        const adapter = order["adapter"];
+        this.#orderCount += 1;
+        if (order["operation"] === "unload") {
+            if (typeof adapter === "string") {
+                this.#models.get(model)?.delete(adapter);
+                return 200;
+            }
+            this.#models.delete(model);
+            return 202;
+        }
+        const adapters = this.#models.get(model) ?? new Set();
+        this.#models.set(model, adapters);
+        if (typeof adapter === "string") {
+            adapters.add(adapter);
+        }
+        return 202;
+    }
+
+    #holds(request: ReceivedRequest): boolean {
+        const wanted = request.headers["flamingospread-model"];
+        if (typeof wanted !== "string") {
+            return true;
+        }
+        const [model = "", adapter] = wanted.split("/");
+        const adapters = this.#models.get(model);
+        return adapters !== undefined && (adapter === undefined || adapters.has(adapter));
+    }
+
+    async #run(request: ReceivedRequest, response: ServerResponse): Promise<void> {
+        if (request.headers["flamingospread-expect-instance"] !== this.id || !this.#holds(request)) {
+            response.writeHead(421, { "Flamingospread-Instance-Id": this.id, "Flamingospread-Not-Executed": "1" })
+                .end();
+            return;
+        }
+        this.received.push(request);
+        this.#running += 1;
+        response.on("close", () => {
+            this.#running -= 1;
+            if (!response.writableFinished) {
+                this.abandoned.push(request.id);
+            }
+        });
+        await this.#behave(this.#options.behave?.(request) ?? { type: "answer" }, request, response);
+    }
+
+    #headers(request: ReceivedRequest): Record<string, string> {
+        return {
+            "Flamingospread-Request-Id": request.id,
+            "Flamingospread-Response-Signature": `receipt-${this.id}`,
+            "Flamingospread-Engine-Load": `${this.#running},0,${this.#options.slots ?? 6}`,
+        };
+    }
+
+    async #behave(behaviour: Behaviour, request: ReceivedRequest, response: ServerResponse): Promise<void> {
+        const headers = this.#headers(request);
+        switch (behaviour.type) {
+            case "answer":
+                await delay(behaviour.afterMilliseconds ?? 0);
+                response.writeHead(behaviour.status ?? 200, headers).end(
+                    behaviour.body ?? `${this.id} ran ${request.id}`,
+                );
+                break;
+            case "stream":
+                await this.#stream(behaviour, request, response);
+                break;
+            case "not-run":
+                response.writeHead(behaviour.status, { "Flamingospread-Not-Executed": "1" }).end();
+                break;
+            case "reset":
+                response.socket?.resetAndDestroy();
+                break;
+            case "silent":
+                break;
+            case "unframed-reset":
+                response.socket?.write(renderHead(headers) + "half of a bo");
+                setImmediate(() => response.socket?.resetAndDestroy());
+                break;
+            case "without-receipt":
+                response.writeHead(200, { "Flamingospread-Request-Id": request.id }).end("whose?");
+                break;
+            case "wrong-identifier":
+                response.writeHead(200, { ...headers, "Flamingospread-Request-Id": "another" }).end("another's");
+                break;
+            case "extra-answer":
+                response.writeHead(200, { ...headers, "Content-Length": "2" }).end("ok");
+                response.socket?.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+        }
+    }
+
+    async #stream(
+        behaviour: Extract<Behaviour, { readonly type: "stream"; }>,
+        request: ReceivedRequest,
+        response: ServerResponse,
+    ): Promise<void> {
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        response.writeHead(200, { ...this.#headers(request), "Content-Type": "text/event-stream" });
+        for (let event = first; event <= behaviour.events; event += 1) {
+            if (event === behaviour.breakAfter) {
+                response.write(`id: ${event}\nda`);
+                await delay(5);
+                response.socket?.resetAndDestroy();
+                return;
+            }
+            response.write(`id: ${event}\ndata: ${event}\n\n`);
+            await delay(behaviour.gapMilliseconds ?? 1);
+        }
+        response.end();
+    }
+}
+
+function renderHead(headers: Readonly<Record<string, string>>): string {
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    return `HTTP/1.1 200 OK\r\n${lines.join("")}Connection: close\r\n\r\n`;
+}
--- /dev/null
+++ b/tests/entryHosts.test.ts
@@ -0,0 +1,247 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { askSmall, callHost, EntrySite, ready, type SiteHost, until } from "./support/entrySite.js";
+
+const ENGINE = {
+    slots: 8,
+    kvCapacity: 10_000,
+    weightsMb: 300,
+    adapterSlots: 2,
+    loadsPerS: 2,
+    models: [
+        { name: "quotes", weightsMb: 100, loadTimeS: 1, adapters: 4, adapterMb: 1 },
+        { name: "specs", weightsMb: 100, loadTimeS: 1, adapters: 0, adapterMb: 1 },
+    ],
+};
+
+async function startSite(context: TestContext): Promise<EntrySite> {
+    const site = await EntrySite.start();
+    context.after(() => site.close());
+    site.configure([{ pathPrefix: "/reads/" }, {
+        pathPrefix: "/llm/",
+        kind: "stream",
+        service: "llm",
+        resumable: true,
+    }], ENGINE);
+    return site;
+}
+
+function logged(host: SiteHost, message: string, fields: Readonly<Record<string, unknown>> = {}): boolean {
+    return host.lines.some(line =>
+        line.message === message && Object.entries(fields).every(([name, value]) => line.fields[name] === value)
+    );
+}
+
+async function addresses(host: SiteHost, zone: string): Promise<string[]> {
+    const { body } = await askSmall(host.settings.directory, `/resolve?name=site.example&region=r&zone=${zone}`);
+    return (JSON.parse(body) as { addresses: string[]; }).addresses.sort();
+}
+
+function callersAddress({ settings }: SiteHost): string {
+    return `${settings.callers.address}:${settings.callers.port}`;
+}
+
+test("a host without a configuration is not ready and refuses; with one it serves", async context => {
+    const site = await EntrySite.start();
+    context.after(() => site.close());
+    const host = await site.addHost("entry-1");
+    assert.equal((await askSmall(host.settings.readiness, "/ready")).status, 503);
+    const refused = await callHost(host, { path: "/reads/1" });
+    assert.deepEqual([refused.status, JSON.parse(refused.body).reason], [503, "no-configuration"]);
+    site.configure([{ pathPrefix: "/reads/" }]);
+    await site.addUpstream({ id: "i-one" });
+    await ready(host);
+    await until(async () => (await callHost(host, { path: "/reads/1" })).status === 200);
+});
+
+test("callers get the hosts of their zone, all hosts where it has too few, and never one that leaves", async context => {
+    const site = await startSite(context);
+    const [one, two, three] = await Promise.all([
+        site.addHost("one"),
+        site.addHost("two"),
+        site.addHost("three", { zone: "zone-b" }),
+    ]);
+    assert.ok(one !== undefined && two !== undefined && three !== undefined);
+    await Promise.all([one, two, three].map(ready));
+    await until(async () => (await addresses(one, "zone-b")).length === 3);
+    assert.deepEqual(await addresses(three, "zone-a"), [callersAddress(one), callersAddress(two)].sort());
+    const stopped = two.host.stop();
+    await until(async () => !(await addresses(one, "zone-a")).includes(callersAddress(two)), 500);
+    assert.equal((await askSmall(two.settings.readiness, "/ready")).status, 503);
+    assert.equal(
+        (await callHost(two, { path: "/unknown/" })).status,
+        404,
+        "callers that kept the address are still served",
+    );
+    await stopped;
+});
+
+test("a host that stops finishes what it took, and refuses as not run what comes after its callers' kept addresses", async context => {
+    const site = await startSite(context);
+    site.configure([{ pathPrefix: "/reads/", timeoutMs: 4_000 }]);
+    await site.addUpstream({
+        id: "i-one",
+        slots: 50,
+        behave: ({ path }) => ({ type: "answer", afterMilliseconds: path === "/reads/slow" ? 2_500 : 0 }),
+    });
+    const host = await site.addHost("entry-1");
+    await ready(host);
+    await until(async () => (await callHost(host, { path: "/reads/1" })).status === 200);
+    const early = callHost(host, { path: "/reads/slow", id: "early" });
+    await delay(50);
+    const stopping = host.host.stop();
+    await delay(600);
+    const late = callHost(host, { path: "/reads/slow", id: "late" });
+    assert.equal((await early).status, 200);
+    assert.deepEqual([(await late).status, (await late).headers.connection], [200, "close"]);
+    await delay(500);
+    const after = await callHost(host, { path: "/reads/1" });
+    assert.ok(after.status === undefined || after.status === 503, `status ${after.status}`);
+    await stopping;
+});
+
+test("a change of the configuration is in force on every host within a second, also where the store turns one away", async context => {
+    const site = await startSite(context);
+    await site.addUpstream({ id: "i-one" });
+    const one = await site.addHost("one");
+    const two = await site.addHost("two");
+    await Promise.all([one, two].map(ready));
+    await until(async () => (await callHost(two, { path: "/reads/1" })).status === 200);
+    site.configure([{ pathPrefix: "/added/" }]);
+    for (const host of [one, two]) {
+        await until(async () => (await callHost(host, { path: "/added/1" })).status === 200, 1_000);
+        assert.equal((await callHost(host, { path: "/reads/1" })).status, 404);
+    }
+    site.store.put("op/config", { version: site.version - 1, routes: [], services: [], limits: {} });
+    await delay(200);
+    assert.equal(
+        (await callHost(one, { path: "/added/1" })).status,
+        200,
+        "an older or unreadable version changes nothing",
+    );
+});
+
+test("requests go on while the store is away, and a host that starts meanwhile learns from a seed", async context => {
+    const site = await startSite(context);
+    await site.addUpstream({ id: "i-one" });
+    const one = await site.addHost("one");
+    await ready(one);
+    await until(async () => (await callHost(one, { path: "/reads/1" })).status === 200);
+    site.store.mode = "refusing";
+    await until(() => logged(one, "key-value service lost"), 9_000);
+    assert.equal((await callHost(one, { path: "/reads/1" })).status, 200);
+    const { state } = one.settings;
+    const late = await site.addHost("late", { seeds: [`${state.address}:${state.port}`] });
+    await until(async () => (await callHost(late, { path: "/reads/1" })).status === 200, 3_000);
+    site.store.mode = "up";
+    await until(() => logged(one, "key-value service regained"), 3_000);
+    await until(() => logged(late, "session began"), 3_000);
+});
+
+test("after the store has lost its history a host lists again and goes on", async context => {
+    const site = await startSite(context);
+    const gone = await site.addUpstream({ id: "i-gone" });
+    const host = await site.addHost("entry-1");
+    await ready(host);
+    await until(() => logged(host, "upstream joined", { upstream: "i-gone" }));
+    site.store.mode = "silent";
+    site.store.remove("servers/i-gone");
+    site.store.compact();
+    await site.addUpstream({ id: "i-new" });
+    site.store.mode = "up";
+    site.store.compact();
+    await until(() => logged(host, "upstream joined", { upstream: "i-new" }), 5_000);
+    await until(() => logged(host, "upstream left", { upstream: "i-gone" }), 5_000);
+    assert.equal(gone.received.length, 0);
+});
+
+test("an adapter that a request names is loaded by the engine's holder, whichever host got the request", async context => {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
+        "llm",
+    );
+    const hosts = [await site.addHost("one"), await site.addHost("two")];
+    await Promise.all(hosts.map(ready));
+    await until(() => hosts.some(host => logged(host, "engine taken", { engine: "i-engine" })));
+    await until(() => hosts.every(host => logged(host, "upstream joined", { upstream: "i-engine" })));
+    for (const [index, host] of hosts.entries()) {
+        const headers = { "Flamingospread-Model": `quotes/a${index + 1}`, "Flamingospread-Token-Count": "100,20" };
+        const answer = await callHost(host, { path: "/llm/1", method: "POST", headers });
+        assert.equal(answer.status, 200, `through ${host.name}`);
+        assert.ok(answer.tookMilliseconds < 600, `${answer.tookMilliseconds} ms`);
+    }
+    const holders = new Set(engine.orders.map(({ order }) => order["holder"]));
+    assert.equal(holders.size, 1, "one holder gives all orders");
+    assert.deepEqual(engine.orders.map(({ status }) => status), [202, 202]);
+});
+
+test("a further adapter takes the place of one that is not in use, and none exceeds the engine's slots", async context => {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 2 }), slots: 8 },
+        "llm",
+    );
+    const host = await site.addHost("one");
+    await ready(host);
+    await until(() => logged(host, "engine taken", { engine: "i-engine" }));
+    for (const adapter of ["a1", "a2", "a3", "a4"]) {
+        const answer = await callHost(host, {
+            path: "/llm/1",
+            method: "POST",
+            headers: { "Flamingospread-Model": `quotes/${adapter}` },
+        });
+        assert.equal(answer.status, 200, adapter);
+    }
+    let held = 0;
+    for (const { order } of engine.orders) {
+        held += order["operation"] === "load" ? 1 : -1;
+        assert.ok(held <= ENGINE.adapterSlots);
+    }
+});
+
+test("a model without a copy is loaded, and requests that wait for it are served", async context => {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [] }, behave: () => ({ type: "stream", events: 2 }), slots: 8 },
+        "llm",
+    );
+    const host = await site.addHost("one");
+    await ready(host);
+    await until(
+        () => engine.orders.some(({ order }) => order["model"] === "specs" && order["operation"] === "load"),
+        4_000,
+    );
+    site.announce(engine, "llm", { sequence: 41 });
+    const answer = await callHost(host, {
+        path: "/llm/1",
+        method: "POST",
+        headers: { "Flamingospread-Model": "specs" },
+    });
+    assert.equal(answer.status, 200);
+});
+
+test("when a holder stops, another host takes its engines and waits before it gives orders", async context => {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 2 }), slots: 8 },
+        "llm",
+    );
+    const hosts = [await site.addHost("one"), await site.addHost("two")];
+    await Promise.all(hosts.map(ready));
+    await until(() => hosts.some(host => logged(host, "engine taken", { engine: "i-engine" })));
+    const holder = hosts.find(host => logged(host, "engine taken", { engine: "i-engine" }));
+    const other = hosts.find(host => host !== holder);
+    assert.ok(holder !== undefined && other !== undefined);
+    const ask = (host: SiteHost, adapter: string): ReturnType<typeof callHost> =>
+        callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
+    await until(async () => (await ask(other, "a1")).status === 200);
+    const stopped = holder.host.stop();
+    await until(() => logged(other, "engine taken", { engine: "i-engine" }));
+    await until(async () => (await ask(other, "a2")).status === 200);
+    const fences = engine.orders.map(({ order }) => Number(order["fenceToken"]));
+    assert.deepEqual(fences, [...fences].sort((left, right) => left - right));
+    assert.ok(new Set(engine.orders.map(({ order }) => order["holder"])).size === 2);
+    await stopped;
+});
--- /dev/null
+++ b/tests/support/entrySite.ts
@@ -0,0 +1,284 @@
+/**
+ * A small site for tests: the store's stand-in, upstreams, and entry hosts in this process.
+ *
+ * @module
+ */
+import { createSocket } from "node:dgram";
+import { createServer, request as sendRequest } from "node:http";
+import { type AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { decodeConfiguration } from "../../platform/configurationCodec.js";
+import { createEngineControl } from "../../platform/engineControl.js";
+import { HEADERS, KEYS } from "../../platform/names.js";
+import { SMALL_CALLS } from "../../platform/smallCalls.js";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { decodeUpstream } from "../../platform/upstreamCodec.js";
+import { type EntryHost, type EntrySettings, startEntryHost } from "../../src/entry/index.js";
+import { createEntryMetrics, type LogFields, type Logger } from "../../src/observability/index.js";
+import { PlatformStoreStandIn } from "../../standins/platform/store.js";
+import { PlatformUpstreamStandIn, type UpstreamOptions } from "../../standins/platform/upstream.js";
+
+export const HOST_NAME = "site.example";
+
+/** One log line of a host. */
+export interface LoggedLine {
+    readonly message: string;
+    readonly fields: LogFields;
+}
+
+/** An answer as its caller got it. */
+export interface CallerAnswer {
+    /** `undefined` where the connection ended without a whole answer. */
+    readonly status: number | undefined;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    readonly whole: boolean;
+    readonly tookMilliseconds: number;
+}
+
+/** What a caller sends. */
+export interface CallerRequest {
+    readonly path: string;
+    readonly method?: string;
+    readonly id?: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly hostName?: string;
+    /** Leaves after this time. */
+    readonly leaveAfterMilliseconds?: number;
+}
+
+/** An entry host of the site. */
+export interface SiteHost {
+    readonly name: string;
+    readonly settings: EntrySettings;
+    readonly host: EntryHost;
+    readonly lines: LoggedLine[];
+}
+
+let identifiers = 0;
+
+export function freeTcpPort(): Promise<number> {
+    return new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+}
+
+function freeUdpPort(): Promise<number> {
+    return new Promise(resolve => {
+        const socket = createSocket("udp4");
+        socket.bind(0, "127.0.0.1", () => {
+            const { port } = socket.address();
+            socket.close(() => resolve(port));
+        });
+    });
+}
+
+/** Sends a request to a host as a caller does. */
+export function callHost(site: SiteHost, request: CallerRequest): Promise<CallerAnswer> {
+    identifiers += 1;
+    const startedAt = performance.now();
+    const { callers } = site.settings;
+    return new Promise(resolve => {
+        const finish = (
+            status: number | undefined,
+            headers: CallerAnswer["headers"],
+            body: string,
+            whole: boolean,
+        ): void => resolve({ status, headers, body, whole, tookMilliseconds: performance.now() - startedAt });
+        const sent = sendRequest({
+            host: callers.address,
+            port: callers.port,
+            agent: false,
+            method: request.method ?? "GET",
+            path: request.path,
+            headers: {
+                "Host": request.hostName ?? HOST_NAME,
+                "Flamingospread-Request-Id": request.id ?? `request-${identifiers}`,
+                ...request.headers,
+            },
+        }, answer => {
+            let body = "";
+            answer.on("data", (piece: Buffer) => {
+                body += piece.toString();
+            });
+            answer.on("end", () => finish(answer.statusCode, answer.headers, body, answer.complete));
+            answer.on("error", () => finish(answer.statusCode, answer.headers, body, false));
+        });
+        sent.on("error", () => finish(undefined, {}, "", false));
+        sent.end(request.body);
+        if (request.leaveAfterMilliseconds !== undefined) {
+            setTimeout(() => sent.destroy(), request.leaveAfterMilliseconds);
+        }
+    });
+}
+
+/** A site that is taken down with `close`. */
+export class EntrySite {
+    readonly store: PlatformStoreStandIn;
+    readonly upstreams: PlatformUpstreamStandIn[] = [];
+    readonly hosts: SiteHost[] = [];
+    #version = 1;
+    #configuration: Readonly<Record<string, unknown>> = {};
+
+    private constructor(store: PlatformStoreStandIn) {
+        this.store = store;
+    }
+
+    static async start(): Promise<EntrySite> {
+        return new EntrySite(await PlatformStoreStandIn.start());
+    }
+
+    /** Writes a configuration: routes by prefix, the model engines' service beside the plain one. */
+    configure(routes: readonly Readonly<Record<string, unknown>>[], engine?: Readonly<Record<string, unknown>>): void {
+        this.#version += 3;
+        this.#configuration = {
+            version: this.#version,
+            routes: routes.map(route => ({
+                name: String(route["pathPrefix"]),
+                host: HOST_NAME,
+                kind: "idempotent",
+                timeoutMs: 2_000,
+                targetLatencyMs: 200,
+                priority: 0,
+                service: "plain",
+                maxAttempts: 2,
+                sticky: false,
+                resumable: false,
+                ...route,
+            })),
+            services: [
+                { name: "plain", healthPath: "/healthz", maxConnections: 100, protocol: "h1", tls: false },
+                {
+                    name: "llm",
+                    healthPath: "/healthz",
+                    maxConnections: 100,
+                    protocol: "h1",
+                    tls: false,
+                    ...engine && { engine },
+                },
+            ],
+            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        };
+        this.store.put(KEYS.configuration, this.#configuration);
+    }
+
+    get version(): number {
+        return this.#version;
+    }
+
+    /** Starts an upstream and announces it. */
+    async addUpstream(
+        options: UpstreamOptions,
+        service = "plain",
+        overrides: Readonly<Record<string, unknown>> = {},
+    ): Promise<PlatformUpstreamStandIn> {
+        const upstream = await PlatformUpstreamStandIn.start(options);
+        this.upstreams.push(upstream);
+        this.announce(upstream, service, overrides);
+        return upstream;
+    }
+
+    announce(
+        upstream: PlatformUpstreamStandIn,
+        service = "plain",
+        overrides: Readonly<Record<string, unknown>> = {},
+    ): void {
+        this.store.put(`${KEYS.upstreamPrefix}${upstream.id}`, upstream.announcement(service, overrides));
+    }
+
+    /** Starts an entry host; `seeds` are state addresses of other hosts. */
+    async addHost(
+        name: string,
+        options: { readonly zone?: string; readonly seeds?: readonly string[]; } = {},
+    ): Promise<SiteHost> {
+        const listen = async (): Promise<EntrySettings["callers"]> => ({
+            address: "127.0.0.1",
+            port: await freeTcpPort(),
+        });
+        const settings: EntrySettings = {
+            host: name,
+            zone: options.zone ?? "zone-a",
+            callers: await listen(),
+            readiness: await listen(),
+            directory: await listen(),
+            state: await listen(),
+            gossip: { address: "127.0.0.1", port: await freeUdpPort() },
+            metrics: undefined,
+            seeds: options.seeds ?? [],
+            bounds: {
+                graceMilliseconds: 4_000,
+                retryWindowMilliseconds: 10_000,
+                retryRatio: 0.2,
+                retryExtra: 58,
+                handoverMilliseconds: 300,
+                storeLoadWindowMilliseconds: 5_000,
+                storeLoadOverage: 1.1,
+                longestKeepSeconds: 5,
+            },
+        };
+        const lines: LoggedLine[] = [];
+        const host = await startEntryHost({
+            settings,
+            protocol: { headers: HEADERS, keys: KEYS, calls: SMALL_CALLS, decodeConfiguration, decodeUpstream },
+            keyValue: createStoreClient(this.store.address, () => undefined),
+            control: createEngineControl(),
+            logger: collectLines(lines),
+            metrics: createEntryMetrics(),
+            random: Math.random,
+            readClocks: () => ({ steadyMilliseconds: performance.now(), timeOfDayMilliseconds: Date.now() }),
+        });
+        const site = { name, settings, host, lines };
+        this.hosts.push(site);
+        return site;
+    }
+
+    async close(): Promise<void> {
+        this.store.mode = "up";
+        await Promise.all(this.hosts.map(({ host }) => host.stop()));
+        await Promise.all(this.upstreams.map(upstream => upstream.close()));
+        await this.store.close();
+    }
+}
+
+function collectLines(lines: LoggedLine[]): Logger {
+    const add = (message: string, fields: LogFields = {}): void => void lines.push({ message, fields });
+    return { error: add, warn: add, info: add, debug: add, close: () => undefined };
+}
+
+/** Waits until something holds, looking every few milliseconds. */
+export async function until(holds: () => boolean | Promise<boolean>, withinMilliseconds = 3_000): Promise<void> {
+    const end = performance.now() + withinMilliseconds;
+    while (!await holds()) {
+        if (performance.now() > end) {
+            throw new Error(`not so within ${withinMilliseconds} ms: ${holds.toString()}`);
+        }
+        await delay(10);
+    }
+}
+
+/** Asks a host's small server. */
+export async function askSmall(
+    address: EntrySettings["callers"],
+    path: string,
+): Promise<{ readonly status: number; readonly body: string; }> {
+    return new Promise((resolve, reject) => {
+        const sent = sendRequest({ host: address.address, port: address.port, agent: false, path }, answer => {
+            let body = "";
+            answer.on("data", (piece: Buffer) => {
+                body += piece.toString();
+            });
+            answer.on("end", () => resolve({ status: answer.statusCode ?? 0, body }));
+        });
+        sent.on("error", reject);
+        sent.end();
+    });
+}
+
+/** Waits until a host is ready. */
+export async function ready(site: SiteHost): Promise<void> {
+    await until(async () => (await askSmall(site.settings.readiness, "/ready")).status === 200);
+}
