--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -170,7 +170,7 @@
                 if (before.host !== order.host) {
                     assert.ok(
                         order.at - before.at >= BOUNDS.handoverMilliseconds,
-                        `${JSON.stringify([before, order])}`,
+                        JSON.stringify([before, order]),
                     );
                 }
             });
--- /dev/null
+++ b/src/gossip/gossip.test.ts
@@ -0,0 +1,128 @@
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { type HostDigest, type HostRegistration } from "../generated/gossip.js";
+import { type GossipMessage, openGossipLink, PeerTable, rankAddresses } from "./index.js";
+
+function addressesOf(host: string): HostDigest["addresses"] {
+    return { callers: `${host}:1`, gossip: `${host}:2`, state: `${host}:3` };
+}
+
+function registration(host: string, zone = "a"): HostRegistration {
+    return { host, session: "s", zone, addresses: addressesOf(host) };
+}
+
+function digest(host: string, overrides: Partial<HostDigest> = {}): HostDigest {
+    return {
+        type: "digest",
+        host,
+        zone: "a",
+        addresses: addressesOf(host),
+        configurationVersion: 3,
+        storeRevision: 10,
+        ready: true,
+        leaving: false,
+        inFlight: {},
+        demand: {},
+        engines: [],
+        suspects: [],
+        ...overrides,
+    };
+}
+
+function advertisedHosts(table: PeerTable, now: number): string[] {
+    return table.advertised(now).map(({ host }) => host).sort();
+}
+
+test("callers are sent to hosts that were heard lately, that are ready and that do not leave", () => {
+    const table = new PeerTable("own");
+    ["one", "two", "three", "four"].forEach(host => {
+        table.register(registration(host), 0);
+        table.hear(digest(host), 0);
+    });
+    table.hear(digest("two", { leaving: true }), 1_000);
+    table.hear(digest("three", { ready: false }), 1_000);
+    table.hear(digest("one"), 1_000);
+    assert.deepEqual(advertisedHosts(table, 1_100), ["four", "one"]);
+    assert.deepEqual(advertisedHosts(table, 2_000), ["one"], "one that fell silent is left out before its lease ends");
+});
+
+test("a host that hears nobody goes by the records", () => {
+    const table = new PeerTable("own");
+    table.register(registration("one"), 0);
+    table.hear(digest("one"), 0);
+    assert.deepEqual(advertisedHosts(table, 20_000), ["one"]);
+    table.unregister("one");
+    assert.deepEqual(advertisedHosts(table, 20_000), []);
+});
+
+test("a peer without a record is remembered for a while, since the store may have been away", () => {
+    const table = new PeerTable("own");
+    table.hear(digest("one"), 0);
+    assert.equal(table.all(20_000).length, 1);
+    assert.equal(table.all(31_000).length, 0);
+});
+
+test("the newest configuration is taken from a peer that was heard", () => {
+    const table = new PeerTable("own");
+    table.hear(digest("one", { configurationVersion: 5 }), 0);
+    table.hear(digest("two", { configurationVersion: 9 }), 0);
+    assert.equal(table.withNewerConfiguration(4, 100)?.host, "two");
+    assert.equal(table.withNewerConfiguration(9, 100), undefined);
+    assert.equal(table.withNewerConfiguration(4, 9_000), undefined);
+});
+
+test("a caller is sent to its zone while that has two hosts", () => {
+    const hosts = [["one", "a"], ["two", "a"], ["three", "b"]].map(([host = "", zone = ""]) => ({
+        host,
+        zone,
+        address: host,
+    }));
+    assert.deepEqual(rankAddresses(hosts, "a"), ["one", "two"]);
+    assert.deepEqual(rankAddresses(hosts, "b"), ["one", "two", "three"]);
+    assert.deepEqual(rankAddresses(hosts, undefined), ["one", "two", "three"]);
+});
+
+test("messages pass between two links; bytes that are none are told and change nothing", async () => {
+    const received: GossipMessage[] = [];
+    const problems: string[] = [];
+    const port = await new Promise<number>(resolve => {
+        const probe = createSocket("udp4");
+        probe.bind(0, "127.0.0.1", () => {
+            const found = probe.address().port;
+            probe.close(() => resolve(found));
+        });
+    });
+    const receiver = await openGossipLink({
+        address: "127.0.0.1",
+        port,
+        onMessage: message => received.push(message),
+        onProblem: problem => problems.push(problem),
+    });
+    const sender = await openGossipLink({
+        address: "127.0.0.1",
+        port: 0,
+        onMessage: () => undefined,
+        onProblem: problem => problems.push(problem),
+    });
+    sender.send(digest("one"), [`127.0.0.1:${port}`]);
+    sender.send({ type: "wish", host: "one", engine: "e", model: "m", adapter: "a1" }, [`127.0.0.1:${port}`]);
+    const raw = createSocket("udp4");
+    for (const bytes of ["{", "{\"type\":\"digest\"}", "{\"type\":\"toString\"}", ""]) {
+        raw.send(bytes, port, "127.0.0.1");
+    }
+    await delay(100);
+    assert.deepEqual(received.map(({ type }) => type).sort(), ["digest", "wish"]);
+    assert.equal(problems.length, 4);
+    sender.send(
+        digest("one", {
+            inFlight: Object.fromEntries(Array.from({ length: 9_000 }, (_, index) => [`engine-${index}`, 1])),
+        }),
+        [],
+    );
+    assert.match(problems.at(-1) ?? "", /was not sent/);
+    raw.close();
+    sender.close();
+    receiver.close();
+});
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -161,25 +161,20 @@
 
     #answer(url: URL, body: unknown, response: ServerResponse): void {
         const [, call = "", argument = ""] = url.pathname.split("/");
-        switch (call) {
-            case "kv-key":
-                return this.#answerKey(url, response);
-            case "kv-range":
-                return this.#answerRange(url, response);
-            case "kv-watch":
-                return this.#answerWatch(url, response);
-            case "kv-txn":
-                return this.#answerTransaction(body as Transaction, response);
-            case "kv-lease":
-                return this.#answerLease(body as { readonly ttlMs: number; }, response);
-            case "kv-keep":
-                return this.#answerKeep(Number(argument), response);
-            case "kv-lease-end":
+        const answers: Readonly<Record<string, () => void>> = {
+            "kv-key": () => this.#answerKey(url, response),
+            "kv-range": () => this.#answerRange(url, response),
+            "kv-watch": () => this.#answerWatch(url, response),
+            "kv-txn": () => this.#answerTransaction(body as Transaction, response),
+            "kv-lease": () => this.#answerLease(body as { readonly ttlMs: number; }, response),
+            "kv-keep": () => this.#answerKeep(Number(argument), response),
+            "kv-lease-end": () => {
                 this.expireLease(Number(argument));
-                return this.#reply(response, 200, {});
-            default:
-                return this.#reply(response, 400, {});
-        }
+                this.#reply(response, 200, {});
+            },
+        };
+        const answer = answers[call] ?? (() => this.#reply(response, 400, {}));
+        answer();
     }
 
     #reply(response: ServerResponse, status: number, body: unknown, isWrite = false): void {
--- a/tests/entryForwarding.test.ts
+++ b/tests/entryForwarding.test.ts
@@ -3,7 +3,7 @@
 import { after, before, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
-import { callHost, EntrySite, HOST_NAME, ready, type SiteHost, until } from "./support/entrySite.js";
+import { callHost, EntrySite, HOST_NAME, ranOf, ready, reasonOf, type SiteHost, until } from "./support/entrySite.js";
 
 /** What upstreams do with a request, by its identifier; the first upstream that gets it takes the first entry. */
 const scripts = new Map<string, Behaviour[]>();
@@ -101,7 +101,7 @@
     });
     assert.equal(answer.status, 503);
     assert.ok(Number(answer.headers["retry-after"]) > 0);
-    assert.equal(JSON.parse(answer.body).ran, "not-run");
+    assert.equal(ranOf(answer), "not-run");
 });
 
 test("a read whose connection is lost, or whose upstream fails, is run by another one", async () => {
@@ -188,11 +188,11 @@
 
 test("bad input gets a clear answer, and the host stays up", async () => {
     const unknown = await callHost(host, { path: "/nowhere/1" });
-    assert.deepEqual([unknown.status, JSON.parse(unknown.body).reason], [404, "no-route"]);
+    assert.deepEqual([unknown.status, reasonOf(unknown)], [404, "no-route"]);
     const otherHost = await callHost(host, { path: "/reads/1", hostName: "other.example" });
     assert.equal(otherHost.status, 404);
     const anonymous = await callHost(host, { path: "/reads/1", id: "" });
-    assert.deepEqual([anonymous.status, JSON.parse(anonymous.body).reason], [400, "no-request-identifier"]);
+    assert.deepEqual([anonymous.status, reasonOf(anonymous)], [400, "no-request-identifier"]);
     const large = await callHost(host, { path: "/orders/1", method: "POST", body: "x".repeat(70_000) });
     assert.equal(large.status, 413);
     const headers = await callHost(host, { path: "/reads/1", headers: { "X-Long": "x".repeat(20_000) } });
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { askSmall, callHost, EntrySite, ready, type SiteHost, until } from "./support/entrySite.js";
+import { askSmall, callHost, EntrySite, ready, reasonOf, type SiteHost, until } from "./support/entrySite.js";
 
 const ENGINE = {
     slots: 8,
@@ -48,7 +48,7 @@
     const host = await site.addHost("entry-1");
     assert.equal((await askSmall(host.settings.readiness, "/ready")).status, 503);
     const refused = await callHost(host, { path: "/reads/1" });
-    assert.deepEqual([refused.status, JSON.parse(refused.body).reason], [503, "no-configuration"]);
+    assert.deepEqual([refused.status, reasonOf(refused)], [503, "no-configuration"]);
     site.configure([{ pathPrefix: "/reads/" }]);
     await site.addUpstream({ id: "i-one" });
     await ready(host);
@@ -62,7 +62,6 @@
         site.addHost("two"),
         site.addHost("three", { zone: "zone-b" }),
     ]);
-    assert.ok(one !== undefined && two !== undefined && three !== undefined);
     await Promise.all([one, two, three].map(ready));
     await until(async () => (await addresses(one, "zone-b")).length === 3);
     assert.deepEqual(await addresses(three, "zone-a"), [callersAddress(one), callersAddress(two)].sort());
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -78,7 +78,10 @@
 }
 
 /** Sends a request to a host as a caller does. */
-export function callHost(site: SiteHost, request: CallerRequest): Promise<CallerAnswer> {
+export function callHost(
+    site: { readonly settings: Pick<EntrySettings, "callers">; },
+    request: CallerRequest,
+): Promise<CallerAnswer> {
     identifiers += 1;
     const startedAt = performance.now();
     const { callers } = site.settings;
@@ -116,6 +119,16 @@
     });
 }
 
+/** Gives why a host refused a request, by the body of its answer. */
+export function reasonOf(answer: CallerAnswer): unknown {
+    return (JSON.parse(answer.body) as { readonly reason?: unknown; }).reason;
+}
+
+/** Gives what a host's own answer says of whether the request ran. */
+export function ranOf(answer: CallerAnswer): unknown {
+    return (JSON.parse(answer.body) as { readonly ran?: unknown; }).ran;
+}
+
 /** A site that is taken down with `close`. */
 export class EntrySite {
     readonly store: PlatformStoreStandIn;
