Move weights as a whole, pass over engines that are down or stuck, and never let an announcement make room

(3) an unload and its load were two plans, and others planned on between them. Change: a move is begun as a whole and told at once; PlanFollower; DownReports; adapters in use are told; costs of crowded engines, of requests that no copy can run, of models nobody asks for.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -12,9 +12,13 @@
     type EngineOrder,
     type EngineRecord,
     type KeeperStep,
+    PlanFollower,
     type PlannedEngine,
     planWeights,
     type ResidencyView,
+    type StoreLoadBound,
+    storeLoadsPerEngine,
+    type WeightMove,
 } from "../placement/index.js";
 import { type KeyValueService } from "../platform/index.js";
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
@@ -29,15 +33,6 @@
 /** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
 const SETTLED_MILLISECONDS = 1_200;
 
-/** Bounds on loads from the weight store. */
-export interface StoreLoadBounds {
-    readonly windowMilliseconds: number;
-    readonly overage: number;
-}
-
-/** A few loads beyond the rate are allowed in each window; this one is kept free. */
-const EXTRA_STORE_LOADS = 2;
-
 /** What keeping engines needs. */
 export interface EngineOrdersOptions {
     readonly host: string;
@@ -48,11 +43,13 @@
     readonly control: EngineControl;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
-    readonly storeLoads: StoreLoadBounds;
+    readonly storeLoads: StoreLoadBound;
     readonly readClocks: () => ClockReading;
     readonly routeTable: () => RouteTable | undefined;
     /** Requests of each model that would run at once, over all hosts. */
     readonly demand: () => ReadonlyMap<string, number>;
+    /** Tells whether several hosts found an engine unreachable a moment ago. */
+    readonly isDown: (engine: string) => boolean;
     /** An engine's memory changed, or this host learned of it. */
     readonly onNews: (record: EngineRecord) => void;
 }
@@ -65,6 +62,7 @@
     /** Changes of each keeper that peers have been told. */
     readonly #told = new WeakMap<EngineKeeper, number>();
     #ticker: NodeJS.Timeout | undefined;
+    readonly #followers = new Map<string, PlanFollower>();
     #leaving = false;
     #enginesChangedAt = Number.NEGATIVE_INFINITY;
 
@@ -106,6 +104,11 @@
         return true;
     }
 
+    /** A request found that an engine does not hold a model. */
+    noteAbsent(engine: string, model: string): void {
+        this.#keepers.get(engine)?.doubt(model, this.#now());
+    }
+
     /** Engines came or went. */
     noteEnginesChanged(): void {
         this.#enginesChangedAt = this.#now();
@@ -218,7 +221,7 @@
         if (this.#leaving || announcement === undefined || announcement.leaving || fencingNumber === undefined) {
             return;
         }
-        const step = keeper.nextStep(clocks.steadyMilliseconds) ?? this.#planStep(keeper, announcement);
+        const step = keeper.nextStep(clocks.steadyMilliseconds) ?? this.#beginPlanned(keeper, announcement);
         if (step === undefined || keeper.occupied) {
             return;
         }
@@ -229,22 +232,47 @@
         void this.#order(keeper, announcement, step, fencingNumber);
     }
 
-    #planStep(keeper: EngineKeeper, announcement: UpstreamAnnouncement): KeeperStep | undefined {
+    /** Begins the plan's next move where it falls to this engine; gives the move's first order. */
+    #beginPlanned(keeper: EngineKeeper, announcement: UpstreamAnnouncement): KeeperStep | undefined {
         const now = this.#now();
-        const engines = this.#options.view.usable(announcement.service);
         const demand = this.#options.demand();
         if (demand.size === 0 && now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
             return undefined;
         }
-        const step = planWeights({
-            engine: keeper.engine,
+        const engines = this.#options.view.usable(announcement.service).filter(({ id }) => !this.#options.isDown(id));
+        const follower = this.#followers.get(announcement.service) ?? new PlanFollower();
+        this.#followers.set(announcement.service, follower);
+        const move = planWeights({
             engines: engines.map(engine => this.#describe(engine)),
             definition: keeper.definition,
             demand,
-            storeLoadAllowed: this.#mayLoadFromStore(keeper, engines.length, now),
+            passedOver: follower.passedOver(now),
         });
-        const order = step === undefined ? undefined : keeper.orderFor(step, now);
-        return step === undefined || order === undefined ? undefined : { type: "order", order, reason: step.reason };
+        follower.note(move, now);
+        const isOwn = move?.engine === keeper.engine && this.#mayLoad(move, keeper, engines.length, now);
+        if (!isOwn || !keeper.begin(move, now)) {
+            return undefined;
+        }
+        this.#options.logger.info("move begun", {
+            engine: keeper.engine,
+            model: move.model,
+            dropped: move.dropped.join(","),
+            reason: move.reason,
+            gain: Math.round(move.gain * 1_000) / 1_000,
+            engines: engines.length,
+            demand: demand.get(move.model),
+        });
+        return keeper.nextStep(now);
+    }
+
+    /** Loads from the weight store are bounded; those of weights at hand are not. */
+    #mayLoad(move: WeightMove, keeper: EngineKeeper, engineCount: number, nowMilliseconds: number): boolean {
+        if (keeper.atHand.includes(move.model)) {
+            return true;
+        }
+        const { storeLoads } = this.#options;
+        const begun = keeper.storeLoadsSince(nowMilliseconds - storeLoads.windowMilliseconds);
+        return begun < storeLoadsPerEngine(keeper.definition.loadsPerSecond, engineCount, storeLoads);
     }
 
     #describe(engine: UpstreamAnnouncement): PlannedEngine {
@@ -257,14 +285,6 @@
         };
     }
 
-    /** Every engine may use an equal part of the loads that the weight store allows in a window. */
-    #mayLoadFromStore(keeper: EngineKeeper, engineCount: number, nowMilliseconds: number): boolean {
-        const { windowMilliseconds, overage } = this.#options.storeLoads;
-        const inWindow = keeper.definition.loadsPerSecond * windowMilliseconds / 1_000 * overage + EXTRA_STORE_LOADS;
-        const part = Math.max(1, Math.floor(inWindow / Math.max(1, engineCount)));
-        return keeper.storeLoadsSince(nowMilliseconds - windowMilliseconds) < part;
-    }
-
     async #order(
         keeper: EngineKeeper,
         target: UpstreamAnnouncement,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -8,7 +8,9 @@
 import { type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
 import {
+    AdapterUse,
     CrashSuspects,
+    DownReports,
     PromptMemory,
     SharedRetryBudget,
     type SuspectRecord,
@@ -100,6 +102,8 @@
     readonly #suspects = new CrashSuspects();
     readonly #prompts = new PromptMemory();
     readonly #demand = new DemandMeter();
+    readonly #adapterUse = new AdapterUse();
+    readonly #down = new DownReports();
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
     readonly #duties: EngineDuties;
@@ -178,6 +182,7 @@
             readClocks,
             routeTable: () => this.#table,
             demand: () => this.#totalDemand(),
+            isDown: engine => this.#down.isDown(engine, this.#now()),
             onNews: record => this.#spreadNews(record),
         });
         this.#forwarder = createForwarder(this.#createForwardingContext());
@@ -347,12 +352,15 @@
             suspects: this.#suspects,
             prompts: this.#prompts,
             demand: this.#demand,
+            adapterUse: this.#adapterUse,
             routeTable: () => this.#table,
             agentFor: service => this.#agentFor(service),
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
             tellSent: (engine, promptTokens) => this.#tellSent(engine, promptTokens),
             noteAdapterUse: (engine, model, adapter) => this.#orders.noteUse(engine, model, adapter),
-            noteUnreachable: upstream => this.#noteCrash(upstream),
+            noteModelAbsent: (engine, model) => this.#orders.noteAbsent(engine, model),
+            noteUnreachable: upstream => this.#noteUnreachable(upstream),
+            noteReached: upstream => this.#down.clear(upstream),
             isLeaving: () => this.#leaving,
             isClosedToCallers: () => this.#closedToCallers,
         };
@@ -385,7 +393,8 @@
     }
 
     /** An upstream that takes no connections right after requests were lost on it has crashed. */
-    #noteCrash(upstream: string): void {
+    #noteUnreachable(upstream: string): void {
+        this.#down.note(upstream, this.#settings.host, this.#now());
         const announcement = this.#view.get(upstream);
         if (announcement !== undefined) {
             this.#takeCrash(announcement);
@@ -584,6 +593,7 @@
             this.#residency.forget(upstream.id);
             this.#health.forget(upstream.id);
             this.#prompts.forget(upstream.id);
+            this.#down.clear(upstream.id);
         }
     }
 
@@ -633,10 +643,22 @@
         this.#mirror.notePeerRevision(digest.storeRevision, now);
         this.#loads.takePeer(digest.host, digest.inFlight, now);
         this.#peerDemand.set(digest.host, { demand: digest.demand, atMilliseconds: now });
+        digest.unreachable.forEach(upstream => this.#down.note(upstream, digest.host, now));
+        this.#noteAdapterUse(digest.adaptersInUse);
         digest.engines.forEach(memory => this.#takeMemory(memory));
         digest.suspects.forEach(suspect => this.#suspects.takePeer(suspect, now));
     }
 
+    /** Adapters that requests use are not dropped. */
+    #noteAdapterUse(adaptersInUse: HostDigest["adaptersInUse"]): void {
+        for (const [engine, adapters] of Object.entries(adaptersInUse)) {
+            for (const adapter of adapters) {
+                const slash = adapter.indexOf("/");
+                this.#orders.noteUse(engine, adapter.slice(0, slash), adapter.slice(slash + 1));
+            }
+        }
+    }
+
     #takeMemory(memory: EngineMemory): void {
         const record: EngineRecord = {
             engine: memory.engine,
@@ -689,6 +711,7 @@
         }
         const now = this.#now();
         this.#noteChanges(this.#view.expire(now));
+        this.#noteAdapterUse(this.#adapterUse.all());
         this.#suspects.expire(now);
         this.#sendDigest();
         void this.#catchUp();
@@ -706,6 +729,8 @@
             ready: this.#isReady(),
             leaving: this.#leaving,
             inFlight: this.#loads.allInFlight(),
+            unreachable: this.#down.reportedBy(this.#settings.host, now),
+            adaptersInUse: this.#adapterUse.all(),
             demand: this.#demand.concurrency(now),
             engines: this.#orders.records().map(toMemory),
             suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -395,6 +395,9 @@
         if (this.#model !== undefined) {
             context.tellSent(upstream.id, promptTokens);
         }
+        if (this.#adapter !== undefined) {
+            context.adapterUse.begin(upstream.id, `${this.#model ?? ""}/${this.#adapter}`);
+        }
         context.metrics.count("attempts", { service: upstream.service });
         if (this.#prompt !== undefined) {
             context.prompts.note(upstream.id, this.#prompt);
@@ -510,6 +513,9 @@
 
     #takeHead(head: AnswerHead): void {
         this.#noteLoad(head);
+        if (this.#upstream !== undefined) {
+            this.#context.noteReached(this.#upstream.id);
+        }
         const failure = this.#judgeHead(head);
         if (failure !== undefined) {
             this.#attemptFailed(failure, `status ${head.status}`);
@@ -686,6 +692,9 @@
         clearTimeout(this.#silenceTimer);
         if (this.#call !== undefined && this.#upstream !== undefined) {
             this.#context.loads.finished(this.#upstream.id);
+            if (this.#adapter !== undefined) {
+                this.#context.adapterUse.end(this.#upstream.id, `${this.#model ?? ""}/${this.#adapter}`);
+            }
         }
         this.#call = undefined;
     }
@@ -748,6 +757,7 @@
                 break;
             case "not-resident":
                 residency.noteAbsent(upstream.id, this.#model ?? "", this.#adapter);
+                this.#context.noteModelAbsent(upstream.id, this.#model ?? "");
                 break;
             case "not-run":
                 this.#tried.add(upstream.id);
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -7,6 +7,7 @@
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamView } from "../fleet/index.js";
 import {
+    type AdapterUse,
     type CrashSuspects,
     type PromptMemory,
     type SharedRetryBudget,
@@ -35,6 +36,7 @@
     readonly suspects: CrashSuspects;
     readonly prompts: PromptMemory;
     readonly demand: DemandMeter;
+    readonly adapterUse: AdapterUse;
     /** `undefined` while no configuration is known. */
     routeTable(): RouteTable | undefined;
     agentFor(service: string): Agent;
@@ -44,8 +46,12 @@
     tellSent(engine: string, promptTokens: number): void;
     /** Tells the engine's holder that a request uses an adapter. */
     noteAdapterUse(engine: string, model: string, adapter: string): void;
+    /** A request found that the engine does not hold a model. */
+    noteModelAbsent(engine: string, model: string): void;
     /** An attempt on this upstream met no listener, or another process. */
     noteUnreachable(upstream: string): void;
+    /** The upstream answered. */
+    noteReached(upstream: string): void;
     isLeaving(): boolean;
     /** True once callers must have forgotten a host that leaves; it takes no further requests. */
     isClosedToCallers(): boolean;
--- a/src/forwarding/crashSuspects.test.ts
+++ b/src/forwarding/crashSuspects.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CrashSuspects, longestWait, returnAfter } from "./index.js";
+import { AdapterUse, CrashSuspects, DownReports, longestWait, returnAfter } from "./index.js";
 
 test("a request that was running at two crashes is refused, also where a peer saw one of them", () => {
     const suspects = new CrashSuspects();
@@ -48,3 +48,29 @@
     const spread = [0, 0.5, 0.99].map(random => returnAfter(1_000, 9_000, random));
     assert.deepEqual(spread, [...new Set(spread)], "callers that were refused together come back apart");
 });
+
+test("an upstream counts as down while two hosts say that they cannot reach it, not for one that is cut off", () => {
+    const down = new DownReports();
+    down.note("engine", "one", 0);
+    down.note("engine", "one", 100);
+    assert.ok(!down.isDown("engine", 100));
+    down.note("engine", "two", 200);
+    assert.ok(down.isDown("engine", 900));
+    assert.ok(!down.isDown("engine", 1_300));
+    assert.deepEqual(down.reportedBy("two", 900), ["engine"]);
+    down.note("engine", "one", 1_300);
+    down.note("engine", "two", 1_300);
+    down.clear("engine");
+    assert.ok(!down.isDown("engine", 1_300));
+});
+
+test("an adapter is in use until the last request that uses it has ended", () => {
+    const use = new AdapterUse();
+    use.begin("engine", "quotes/a1");
+    use.begin("engine", "quotes/a1");
+    use.end("engine", "quotes/a1");
+    assert.deepEqual(use.all(), { engine: ["quotes/a1"] });
+    use.end("engine", "quotes/a1");
+    use.end("engine", "quotes/a1");
+    assert.deepEqual(use.all(), {});
+});
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -10,8 +10,10 @@
  *
  * @module
  */
+export { AdapterUse } from "./adapterUse.js";
 export { type Candidate, type Choice, chooseUpstream } from "./chooseUpstream.js";
 export { CrashSuspects, type SuspectRecord } from "./crashSuspects.js";
+export { DownReports } from "./downReports.js";
 export { EventSplitter, type WholeEvents } from "./eventSplitter.js";
 export { longestWait, returnAfter } from "./patience.js";
 export { lastSharedPart, PromptMemory } from "./promptMemory.js";
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -24,6 +24,8 @@
         ready: true,
         leaving: false,
         inFlight: {},
+        unreachable: [],
+        adaptersInUse: {},
         demand: {},
         engines: [],
         suspects: [],
--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineDefinition } from "../routes/index.js";
-import { EngineKeeper, type EngineOrder, type OrderOutcome } from "./index.js";
+import { EngineKeeper, type EngineOrder, type OrderOutcome, type WeightMove } from "./index.js";
 
 const DEFINITION: EngineDefinition = {
     slots: 64,
@@ -57,8 +57,8 @@
     const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION);
     keeper.reading();
     keeper.reported({ orderCount: 7, busy: true, models: [{ name: "hot", adapters: [] }] }, 0);
-    const step = { operation: "load", model: "warm", reason: "no-copy", gain: 1 } as const;
-    assert.equal(keeper.orderFor(step, 10), undefined);
+    const move = { engine: "engine", model: "warm", dropped: [], reason: "no-copy", gain: 1 } as const;
+    assert.equal(keeper.begin(move, 10), false);
     keeper.want("hot", "a1", 10);
     assert.equal(keeper.nextStep(10), undefined);
     assert.deepEqual(keeper.nextStep(1_000), { type: "read-report" });
@@ -67,7 +67,8 @@
         busy: false,
         models: [{ name: "hot", adapters: [] }, { name: "warm", adapters: [] }],
     }, 1_000);
-    assert.equal(keeper.orderFor(step, 1_000)?.expectedOrderCount, 7);
+    assert.equal(keeper.begin(move, 1_000), true);
+    assert.equal(carryOut(keeper, 1_000, "accepted").expectedOrderCount, 7);
 });
 
 test("an order without an answer is sent again under the same order count, so that it takes effect once", () => {
@@ -107,12 +108,14 @@
     assert.deepEqual(carryOut(keeper, 700, "accepted").adapter, "a3");
 });
 
+function move(model: string, dropped: readonly string[] = []): WeightMove {
+    return { engine: "engine", model, dropped, reason: "no-copy", gain: 1 };
+}
+
 test("weights that are loading take the engine's only order, and count from the announcement on", () => {
     const keeper = keep(["hot"]);
-    const order = keeper.orderFor({ operation: "load", model: "warm", reason: "no-copy", gain: 1 }, 0);
-    assert.ok(order !== undefined);
-    keeper.sent(order, 0);
-    keeper.answered(order, "accepted", 5);
+    assert.ok(keeper.begin(move("warm"), 0));
+    carryOut(keeper, 0, "accepted");
     keeper.want("hot", "a1", 10);
     assert.equal(keeper.nextStep(10), undefined);
     assert.equal(keeper.record().loading, "warm");
@@ -122,25 +125,35 @@
     assert.equal(keeper.nextStep(11)?.type, "order");
 });
 
-test("a model that is being dropped takes no requests and keeps its room until the engine has dropped it", () => {
+test("a move drops its models one after the other, each once the engine has, and then loads", () => {
+    const keeper = keep(["hot", "warm", "cold"]);
+    assert.ok(keeper.begin(move("new", ["warm", "cold"]), 0));
+    assert.equal(keeper.record().loading, "new", "others see at once what the engine will hold");
+    assert.equal(carryOut(keeper, 0, "accepted").model, "warm");
+    keeper.observe(announcement(["hot", "warm", "cold"], { announcementNumber: 901 }));
+    assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot", "cold"], "it takes no requests any more");
+    assert.equal(keeper.nextStep(100), undefined, "its requests have not ended");
+    assert.equal(keeper.begin(move("other"), 100), false);
+    keeper.observe(announcement(["hot", "cold"], { announcementNumber: 902 }));
+    assert.equal(carryOut(keeper, 200, "holds").model, "cold");
+    const load = carryOut(keeper, 201, "accepted");
+    assert.deepEqual([load.operation, load.model], ["load", "new"]);
+});
+
+test("a move that requests hold up for too long is given up", () => {
     const keeper = keep(["hot", "warm"]);
-    const order = keeper.orderFor({ operation: "unload", model: "warm", reason: "make-room", gain: 1 }, 0);
-    assert.ok(order !== undefined);
-    keeper.sent(order, 0);
-    keeper.answered(order, "accepted", 5);
-    keeper.observe(announcement(["hot", "warm"], { announcementNumber: 901 }));
-    assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot"]);
-    const load = { operation: "load", model: "cold", reason: "no-copy", gain: 1 } as const;
-    assert.equal(keeper.orderFor(load, 10), undefined);
+    keeper.begin(move("new", ["warm"]), 0);
+    carryOut(keeper, 0, "accepted");
     keeper.observe(announcement(["hot"], { announcementNumber: 902 }));
-    assert.notEqual(keeper.orderFor(load, 20), undefined);
+    assert.equal(keeper.nextStep(9_000), undefined);
+    assert.equal(keeper.record().loading, undefined);
 });
 
 test("a restart of the engine under its identifier forgets what it held and counted", () => {
     const keeper = keep(["hot"], 9);
     keeper.observe(announcement([], { startedAtMilliseconds: 2, announcementNumber: 1 }));
-    const order = keeper.orderFor({ operation: "load", model: "hot", reason: "no-copy", gain: 1 }, 0);
-    assert.equal(order?.expectedOrderCount, 0);
+    assert.ok(keeper.begin(move("hot"), 0));
+    assert.equal(carryOut(keeper, 0, "accepted").expectedOrderCount, 0);
 });
 
 test("an adapter that arrives is a change to tell, whenever the holder looks", () => {
@@ -154,3 +167,13 @@
     assert.deepEqual(keeper.record().models, [{ name: "hot", adapters: ["a1"] }]);
     assert.notEqual(keeper.changeCount, before);
 });
+
+test("an announcement that was written before a report takes no model away, and so leaves no room for another", () => {
+    const keeper = keep(["hot", "warm"], 4);
+    keeper.observe(announcement(["hot"], { announcementNumber: 905 }));
+    assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot", "warm"]);
+    keeper.doubt("warm", 100);
+    assert.deepEqual(keeper.nextStep(100), { type: "read-report" });
+    keeper.reported({ orderCount: 4, busy: false, models: [{ name: "hot", adapters: [] }] }, 110);
+    assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot"]);
+});
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -5,7 +5,7 @@
  */
 import { type HeldModel, type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineDefinition } from "../routes/index.js";
-import { type WeightStep } from "./planWeights.js";
+import { type WeightMove } from "./planWeights.js";
 import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
 
 /** An adapter is taken as present this long after its load was accepted. */
@@ -29,6 +29,9 @@
 /** A load that takes this many times as long as it should is taken as failed. */
 const LOAD_PATIENCE = 4;
 
+/** A move whose load could not be ordered by then, as where requests keep a model in use, is given up. */
+const LONGEST_MOVE_MILLISECONDS = 8_000;
+
 /** Loads faster than this are not waited for less. */
 const SHORTEST_LOAD_PATIENCE_MILLISECONDS = 3_000;
 
@@ -50,6 +53,13 @@
     readonly untilMilliseconds: number;
 }
 
+/** A move that has begun and whose load is not ordered yet. */
+interface OpenMove {
+    readonly model: string;
+    dropped: readonly string[];
+    readonly untilMilliseconds: number;
+}
+
 function copyModels(models: readonly HeldModel[]): Map<string, Map<string, number>> {
     return new Map(models.map(({ name, adapters }) => [name, new Map(adapters.map(adapter => [adapter, 0]))]));
 }
@@ -78,6 +88,7 @@
     #loading: OpenLoad | undefined;
     /** A model that the engine drops once its last request has ended. */
     #unloading: string | undefined;
+    #move: OpenMove | undefined;
     #reportAtMilliseconds: number | undefined;
     readonly #coming = new Map<string, number>();
     readonly #wishes = new Map<string, { readonly model: string; readonly adapter: string; atMilliseconds: number; }>();
@@ -108,7 +119,7 @@
         }
         const finished = announcement.models.some(({ name }) => name === this.#loading?.model);
         this.#loading = finished ? undefined : this.#loading;
-        const changed = this.#adoptModelNames(announcement.models) || finished;
+        const changed = this.#addModelNames(announcement.models) || finished;
         this.#changeCount += changed ? 1 : 0;
         return changed;
     }
@@ -136,8 +147,9 @@
         return this.#open !== undefined;
     }
 
+    /** The model that is being loaded, or will be once there is room. */
     get loadingModel(): string | undefined {
-        return this.#loading?.model;
+        return this.#loading?.model ?? this.#move?.model;
     }
 
     get atHand(): string[] {
@@ -163,15 +175,22 @@
         if (this.#reportAtMilliseconds !== undefined) {
             return nowMilliseconds >= this.#reportAtMilliseconds ? { type: "read-report" } : undefined;
         }
-        return this.#nextAdapterStep(nowMilliseconds);
+        return this.#nextMoveStep(nowMilliseconds) ?? this.#nextAdapterStep(nowMilliseconds);
     }
 
-    /** Makes an order out of a planned step; `undefined` while the engine is not ready for one. */
-    orderFor(step: WeightStep, nowMilliseconds: number): EngineOrder | undefined {
+    /** Begins a planned move; false while the engine is not ready for one. */
+    begin(move: WeightMove, nowMilliseconds: number): boolean {
         this.#expireLoad(nowMilliseconds);
-        const blocked = this.#open !== undefined || this.#unanswered !== undefined || this.#loading !== undefined
-            || this.#unloading !== undefined || this.#reportAtMilliseconds !== undefined || this.#coming.size > 0;
-        return blocked ? undefined : this.#order(step.operation, step.model, undefined);
+        const blocked = this.#open !== undefined || this.#unanswered !== undefined || this.#move !== undefined
+            || this.#loading !== undefined || this.#unloading !== undefined || this.#reportAtMilliseconds !== undefined
+            || this.#coming.size > 0;
+        if (blocked) {
+            return false;
+        }
+        const untilMilliseconds = nowMilliseconds + LONGEST_MOVE_MILLISECONDS;
+        this.#move = { model: move.model, dropped: move.dropped, untilMilliseconds };
+        this.#changeCount += 1;
+        return true;
     }
 
     /** Takes note that an order goes out. */
@@ -200,6 +219,13 @@
         }
     }
 
+    /** Takes a request's word that the engine does not hold a model; its report tells. */
+    doubt(model: string, nowMilliseconds: number): void {
+        if (this.#models.has(model)) {
+            this.#reportAtMilliseconds ??= nowMilliseconds;
+        }
+    }
+
     /** Takes note that the engine's report is being read. */
     reading(): void {
         this.#reportAtMilliseconds = Number.POSITIVE_INFINITY;
@@ -228,7 +254,7 @@
             startedAtMilliseconds: this.#startedAtMilliseconds,
             orderCount: this.#orderCount,
             models: [...this.#models].map(([name, adapters]) => ({ name, adapters: [...adapters.keys()] })),
-            loading: this.#loading?.model,
+            loading: this.#loading?.model ?? this.#move?.model,
         };
     }
 
@@ -236,6 +262,27 @@
         return { operation, model, adapter, expectedOrderCount: this.#orderCount };
     }
 
+    /** The next order of the move that has begun, once the engine has carried out the one before. */
+    #nextMoveStep(nowMilliseconds: number): KeeperStep | undefined {
+        if (this.#move === undefined || this.#loading !== undefined || this.#unloading !== undefined) {
+            return undefined;
+        }
+        if (nowMilliseconds > this.#move.untilMilliseconds) {
+            this.#endMove();
+            return undefined;
+        }
+        const dropped = this.#move.dropped.find(model => this.#models.has(model));
+        const order = dropped === undefined
+            ? this.#order("load", this.#move.model, undefined)
+            : this.#order("unload", dropped, undefined);
+        return { type: "order", order, reason: dropped === undefined ? "planned" : "make-room" };
+    }
+
+    #endMove(): void {
+        this.#move = undefined;
+        this.#changeCount += 1;
+    }
+
     /** An engine that carries out an order on weights refuses every other order meanwhile. */
     #nextAdapterStep(nowMilliseconds: number): KeeperStep | undefined {
         if (this.#loading !== undefined || this.#unloading !== undefined) {
@@ -298,6 +345,7 @@
             this.#coming.set(`${order.model}/${order.adapter}`, ready);
             return;
         }
+        this.#endMove();
         if (outcome === "holds") {
             this.#models.set(order.model, new Map());
             return;
@@ -351,14 +399,15 @@
         }
     }
 
-    /** Takes which models an announcement names; it says nothing new of their adapters. */
-    #adoptModelNames(models: readonly HeldModel[]): boolean {
-        const present = new Set(models.map(({ name }) => name));
-        const missing = [...this.#models.keys()].filter(name => !present.has(name));
+    /**
+     * Adds the models that an announcement names and that were not known. None is taken away: an announcement may have
+     * been written before what a report or an order has told since, and a model that was left out would leave room for
+     * another that the engine does not have.
+     */
+    #addModelNames(models: readonly HeldModel[]): boolean {
         const added = models.filter(({ name }) => !this.#models.has(name) && name !== this.#unloading);
-        missing.forEach(name => this.#models.delete(name));
         added.forEach(({ name, adapters }) => this.#models.set(name, new Map(adapters.map(adapter => [adapter, 0]))));
-        return missing.length + added.length > 0;
+        return added.length > 0;
     }
 
     #forgetOrders(): void {
@@ -367,6 +416,7 @@
         this.#unanswered = undefined;
         this.#loading = undefined;
         this.#unloading = undefined;
+        this.#move = undefined;
         this.#reportAtMilliseconds = undefined;
         this.#coming.clear();
     }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -11,7 +11,9 @@
  * @module
  */
 export { EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
-export { type PlannedEngine, planWeights, type WeightSituation, type WeightStep } from "./planWeights.js";
+export { PlanFollower } from "./planFollower.js";
+export { type PlannedEngine, planWeights, type WeightMove, type WeightSituation } from "./planWeights.js";
 export { type AdapterHome, rankAdapterHomes } from "./rankAdapterHomes.js";
 export { type Residency, ResidencyView } from "./residencyView.js";
+export { type StoreLoadBound, storeLoadsPerEngine } from "./storeLoadShare.js";
 export { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -2,7 +2,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type EngineDefinition } from "../routes/index.js";
-import { type PlannedEngine, planWeights, rankAdapterHomes, ResidencyView, type WeightSituation } from "./index.js";
+import {
+    PlanFollower,
+    type PlannedEngine,
+    planWeights,
+    rankAdapterHomes,
+    ResidencyView,
+    storeLoadsPerEngine,
+    type WeightSituation,
+} from "./index.js";
 
 const SIZES: Readonly<Record<string, number>> = { hot: 60, warm: 60, cold: 60, rare: 60, small: 30 };
 
@@ -28,29 +36,21 @@
 function situation(
     engines: readonly PlannedEngine[],
     demand: Readonly<Record<string, number>>,
-): Omit<WeightSituation, "engine"> {
-    return { engines, definition: DEFINITION, demand: new Map(Object.entries(demand)), storeLoadAllowed: true };
+): WeightSituation {
+    return { engines, definition: DEFINITION, demand: new Map(Object.entries(demand)), passedOver: new Set() };
 }
 
-/** Lets every holder take its steps until none has one; unloads and loads take effect at once. */
+/** Lets every holder make its moves until none has one; each takes effect at once. */
 function settle(start: readonly PlannedEngine[], demand: Readonly<Record<string, number>>): Map<string, Set<string>> {
     const held = new Map(start.map(({ id, models }) => [id, new Set(models)]));
     for (let round = 0; round < 100; round += 1) {
-        let moved = false;
-        for (const id of held.keys()) {
-            const engines = [...held].map(([id, models]) => engine(id, [...models]));
-            const step = planWeights({ ...situation(engines, demand), engine: id });
-            moved ||= step !== undefined;
-            if (step?.operation === "load") {
-                held.get(id)?.add(step.model);
-            }
-            else if (step !== undefined) {
-                held.get(id)?.delete(step.model);
-            }
-        }
-        if (!moved) {
+        const move = planWeights(situation([...held].map(([id, models]) => engine(id, [...models])), demand));
+        if (move === undefined) {
             return held;
         }
+        const models = held.get(move.engine);
+        move.dropped.forEach(model => models?.delete(model));
+        models?.add(move.model);
     }
     return assert.fail("the plan does not come to rest");
 }
@@ -63,10 +63,27 @@
     return [...models].reduce((sum, model) => sum + (SIZES[model] ?? 0), 0);
 }
 
-test("one holder acts at a time: only the engine of the best step has one", () => {
-    const engines = [engine("a", ["hot"]), engine("b", ["warm"]), engine("c", [])];
-    const steps = engines.map(({ id }) => planWeights({ ...situation(engines, { hot: 60, warm: 5 }), engine: id }));
-    assert.equal(steps.filter(step => step !== undefined).length, 1);
+test("holders that see the same agree on the one step, in whatever order they know the engines", () => {
+    const engines = [engine("a", ["hot"]), engine("b", ["warm"]), engine("c", []), engine("d", [])];
+    const step = planWeights(situation(engines, { hot: 60, warm: 5 }));
+    assert.notEqual(step, undefined);
+    assert.deepEqual(planWeights(situation([...engines].reverse(), { hot: 60, warm: 5 })), step);
+});
+
+test("an engine whose holder does not act is passed over after a while, and comes back", () => {
+    const engines = [engine("a", ["hot"]), engine("b", ["warm"]), engine("c", []), engine("d", [])];
+    const follower = new PlanFollower();
+    const plan = (now: number): string | undefined => {
+        const passedOver = follower.passedOver(now);
+        const step = planWeights({ ...situation(engines, { hot: 60, warm: 5 }), passedOver });
+        follower.note(step, now);
+        return step?.engine;
+    };
+    const first = plan(0);
+    assert.equal(plan(500), first);
+    assert.equal(plan(700), first);
+    assert.notEqual(plan(750), first);
+    assert.equal(plan(6_000), first);
 });
 
 test("a busy model gets further copies, and every model keeps one", () => {
@@ -110,13 +127,23 @@
     );
 });
 
-test("an engine that has used up its part of the weight store's rate loads only what it has at hand", () => {
-    const engines = [engine("a", ["hot"], { atHand: [] }), engine("b", ["hot"])];
-    const asked = { ...situation(engines, { hot: 10, rare: 30 }), storeLoadAllowed: false };
-    assert.equal(planWeights({ ...asked, engine: "a" }) ?? planWeights({ ...asked, engine: "b" }), undefined);
-    const atHand = { ...asked, engines: engines.map(each => ({ ...each, atHand: ["rare"] })) };
-    const step = planWeights({ ...atHand, engine: "a" }) ?? planWeights({ ...atHand, engine: "b" });
-    assert.equal(step?.model, "rare");
+test("engines that each keep to their part stay within the weight store's bound, however many there are", () => {
+    const bound = { windowMilliseconds: 5_000, overage: 1.1 };
+    fc.assert(
+        fc.property(
+            fc.double({ min: 0.5, max: 40, noNaN: true }),
+            fc.integer({ min: 1, max: 300 }),
+            (rate, engineCount) => {
+                const part = storeLoadsPerEngine(rate, engineCount, bound);
+                const allowed = rate * 5 * 1.1 + 3;
+                assert.ok(part === 1 || part * engineCount <= allowed);
+                assert.ok(part >= 1, "an engine that may never load could never be filled");
+            },
+        ),
+        { seed: 37 },
+    );
+    assert.equal(storeLoadsPerEngine(1.4, 6, bound), 1);
+    assert.equal(storeLoadsPerEngine(2.8, 8, bound), 2);
 });
 
 test("an adapter has one home for all hosts, on an engine with room that is not loading", () => {
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -1,8 +1,8 @@
 /**
- * Plans which weights an engine loads or drops next.
+ * Plans which weights engines load or drop next.
  *
- * Every holder plans for all engines from the same view, finds the one step that helps most, and takes it where the step
- * falls to an engine of its own. Two holders therefore do not load or drop the same model at once.
+ * Every holder plans for all engines from the same view, finds the one move that helps most, and begins it where it falls
+ * to an engine of its own. Two holders therefore do not load or drop the same model at once.
  *
  * @module
  */
@@ -10,19 +10,31 @@
 import { type EngineDefinition, type ModelDefinition } from "../routes/index.js";
 
 /** Cost of a model without a copy, against the square of an engine's load as a share of its slots. */
-const MISSING_COST = 0.4;
+const MISSING_COST = 0.25;
 
-/** Further cost of a model without a copy for each engine's worth of requests that ask for it. */
-const MISSING_DEMAND_COST = 3;
+/** Further cost of a model without a copy that requests ask for. */
+const MISSING_ASKED_COST = 0.35;
+
+/** Cost of each engine's worth of requests that no copy can run, beside that a model has no copy at all. */
+const UNSERVED_COST = 4.5;
+
+/** Cost of each engine's worth of requests beyond what an engine can run at once. */
+const OVERLOAD_COST = 4;
+
+/** Load, as a share of an engine's slots, beyond which requests that come together make streams pause. */
+const COMFORTABLE_LOAD = 0.4;
+
+/** Weight of the square of the load beyond that. */
+const CROWDED_WEIGHT = 4;
 
 /** Cost of dropping a copy for each engine's worth of requests on it: the engine waits for them before it loads. */
 const BUSY_DROP_COST = 0.5;
 
 /** Least gain for which weights that are at hand are loaded. */
-const LEAST_GAIN_AT_HAND = 0.03;
+const LEAST_GAIN_AT_HAND = 0.08;
 
 /** Least gain for which weights are loaded from the weight store. */
-const LEAST_GAIN_FROM_STORE = 0.1;
+const LEAST_GAIN_FROM_STORE = 0.12;
 
 /** Before there is traffic, each copy that engines began with stands for this load, as a share of an engine's slots. */
 const PRIOR_LOAD_SHARE = 0.25;
@@ -41,29 +53,29 @@
 
 /** What a plan is made from. */
 export interface WeightSituation {
-    /** The engine that is planned for. */
-    readonly engine: string;
-    /** All usable engines of the service, that one included. */
+    /** All usable engines of the service. */
     readonly engines: readonly PlannedEngine[];
     readonly definition: EngineDefinition;
     /** Requests of each model that would run at once if all were served. */
     readonly demand: ReadonlyMap<string, number>;
-    /** False while the engine has used up its part of the weight store's rate. */
-    readonly storeLoadAllowed: boolean;
+    /** Engines that should take no step now, though their models count. */
+    readonly passedOver: ReadonlySet<string>;
 }
 
-/** The next step on an engine's weights. */
-export interface WeightStep {
-    readonly operation: "load" | "unload";
+/** Loads one model on an engine after dropping others there. */
+export interface WeightMove {
+    readonly engine: string;
     readonly model: string;
+    /** Models that make room, in the order in which they are dropped. */
+    readonly dropped: readonly string[];
     /** Why, for the log. */
-    readonly reason: "no-copy" | "busy-copies" | "make-room";
+    readonly reason: "no-copy" | "busy-copies";
     /** How much better the placement becomes. */
     readonly gain: number;
 }
 
-/** Loads one model on an engine after dropping others there. */
-interface Move {
+/** A move that is being weighed. */
+interface Candidate {
     readonly engine: PlannedEngine;
     readonly model: ModelDefinition;
     readonly dropped: readonly string[];
@@ -110,17 +122,30 @@
         models.forEach(model => {
             load += (fleet.load.get(model) ?? 0) / (copies.get(model) ?? 1);
         });
-        cost += load * load;
+        cost += engineCostOf(load);
     }
     for (const name of fleet.definitions.keys()) {
-        if (!copies.has(name)) {
-            cost += MISSING_COST + MISSING_DEMAND_COST * (fleet.load.get(name) ?? 0);
-        }
+        cost += copies.has(name) ? 0 : missingCostOf(fleet, name);
     }
     return cost;
 }
 
+/** Crowded streams pause and requests wait; what goes beyond an engine's slots is refused, which costs in proportion. */
+function engineCostOf(load: number): number {
+    const within = Math.min(1, load);
+    const crowding = Math.max(0, within - COMFORTABLE_LOAD);
+    return within * within + CROWDED_WEIGHT * crowding * crowding + OVERLOAD_COST * Math.max(0, load - 1);
+}
+
+function missingCostOf(fleet: Fleet, model: string): number {
+    const load = fleet.load.get(model) ?? 0;
+    return MISSING_COST + (load > 0 ? MISSING_ASKED_COST : 0) + UNSERVED_COST * load;
+}
+
 function dropCostOf(fleet: Fleet, dropped: readonly string[]): number {
+    if (fleet.situation.demand.size === 0) {
+        return 0;
+    }
     const copies = countCopies(fleet.placement);
     const load = dropped.reduce((sum, model) => sum + (fleet.load.get(model) ?? 0) / (copies.get(model) ?? 1), 0);
     return load * BUSY_DROP_COST;
@@ -162,8 +187,13 @@
     return [...alone, ...pairs];
 }
 
-function bestMoveOn(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, costNow: number): Move | undefined {
-    let best: Move | undefined;
+function bestMoveOn(
+    fleet: Fleet,
+    engine: PlannedEngine,
+    model: ModelDefinition,
+    costNow: number,
+): Candidate | undefined {
+    let best: Candidate | undefined;
     for (const dropped of waysToMakeRoom(fleet, engine, model)) {
         const costThen = costOf(fleet, replace(fleet.placement, engine.id, dropped, model.name));
         const gain = costNow - costThen - dropCostOf(fleet, dropped);
@@ -183,15 +213,16 @@
     return wanted.sort((left, right) => perCopy(right.name) - perCopy(left.name)).slice(0, MOST_CANDIDATES);
 }
 
-function isWorthwhile({ engine, model, gain }: Move): boolean {
+function isWorthwhile({ engine, model, gain }: Candidate): boolean {
     return gain >= (engine.atHand.includes(model.name) ? LEAST_GAIN_AT_HAND : LEAST_GAIN_FROM_STORE);
 }
 
-/** The step that helps most, over all engines; equal ones are told apart by a hash. */
-function bestMove(fleet: Fleet): Move | undefined {
+/** The move that helps most, over all engines; equal ones are told apart by a hash. */
+function bestMove(fleet: Fleet): Candidate | undefined {
     const costNow = costOf(fleet, fleet.placement);
-    const idle = fleet.situation.engines.filter(({ loading }) => loading === undefined);
-    let best: Move | undefined;
+    const { engines: all, passedOver } = fleet.situation;
+    const idle = all.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
+    let best: Candidate | undefined;
     for (const model of candidateModels(fleet)) {
         const ranked = rankByRendezvous(model.name, idle.map(({ id }) => id));
         const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
@@ -206,37 +237,35 @@
 }
 
 /**
- * Plans the next step on an engine's weights, so that load is spread and every model has a copy.
+ * Plans the next move on the weights of all engines, so that load is spread and every model has a copy.
  *
  * A last copy is dropped only where that relieves engines of much more than the model's absence costs.
  *
  * @param situation All engines, what they hold, and the demand.
- * @returns The step; `undefined` where the engine should stay as it is.
+ * @returns The move and its engine; `undefined` where all should stay as it is.
  *
  * @example
  * ```ts
- * const step = planWeights({ engine: "engine-3", engines, definition, demand, storeLoadAllowed: true });
+ * const move = planWeights({ engines, definition, demand, passedOver: new Set() });
+ * if (move?.engine === "engine-3") {
+ *     keeper.begin(move, now);
+ * }
  * ```
  */
-export function planWeights(situation: WeightSituation): WeightStep | undefined {
+export function planWeights(situation: WeightSituation): WeightMove | undefined {
     const placement: Placement = new Map(situation.engines.map(engine => [engine.id, modelsOf(engine)]));
+    const copies = countCopies(placement);
     const fleet: Fleet = {
         situation,
         definitions: new Map(situation.definition.models.map(model => [model.name, model])),
-        load: loadOf(situation, countCopies(placement)),
+        load: loadOf(situation, copies),
         placement,
     };
-    const move = bestMove(fleet);
-    if (move === undefined || move.engine.id !== situation.engine) {
-        return undefined;
-    }
-    const [dropped] = move.dropped;
-    if (dropped !== undefined) {
-        return { operation: "unload", model: dropped, reason: "make-room", gain: move.gain };
-    }
-    if (!situation.storeLoadAllowed && !move.engine.atHand.includes(move.model.name)) {
+    const best = bestMove(fleet);
+    if (best === undefined) {
         return undefined;
     }
-    const reason = countCopies(placement).has(move.model.name) ? "busy-copies" : "no-copy";
-    return { operation: "load", model: move.model.name, reason, gain: move.gain };
+    const { dropped, engine, gain, model } = best;
+    const reason = copies.has(model.name) ? "busy-copies" : "no-copy";
+    return { engine: engine.id, model: model.name, dropped, reason, gain };
 }
