Explain a request out of the logs; document the platform's hosts

Cause: engineers on call have only logs and metrics; a wait and a refusal left no line with what they were decided from. Ruled out: a store of its own for traces (nothing is kept on hosts).

--- /dev/null
+++ b/scripts/logs.test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { listEntryMetrics } from "../src/observability/index.js";
+
+const FOLDERS = ["src/entry", "platform"];
+
+function messagesInCode(): Set<string> {
+    const files = FOLDERS.flatMap(folder => readdirSync(folder).map(file => join(folder, file)));
+    const sources = files.filter(file => file.endsWith(".ts") && !file.endsWith(".test.ts"));
+    const calls = sources.flatMap(file => [...readFileSync(file, "utf8").matchAll(/logger\s*\.\w+\(\s*"([^"]+)"/g)]);
+    return new Set(calls.map(([, message]) => message ?? ""));
+}
+
+test("docs/LOGS.md lists every message of an entry host, and none that is gone", () => {
+    const page = readFileSync("docs/LOGS.md", "utf8");
+    const listed = new Set([...page.matchAll(/^\| `([^`]+)` \|/gm)].map(([, message]) => message ?? ""));
+    const missing = [...messagesInCode()].filter(message => !listed.has(message));
+    assert.deepEqual(missing, []);
+    const computed = [
+        "engine taken",
+        "engine released",
+        "upstream joined",
+        "upstream left",
+        "upstream in-doubt",
+        "log lines left out",
+        "session began",
+        "key-value service lost",
+        "key-value service regained",
+    ];
+    const gone = [...listed].filter(message => !messagesInCode().has(message) && !computed.includes(message));
+    assert.deepEqual(gone, []);
+});
+
+test("docs/METRICS.md lists every metric that an entry host serves as text", () => {
+    const page = readFileSync("docs/METRICS.md", "utf8");
+    for (const { help, name } of listEntryMetrics()) {
+        assert.ok(page.includes(`| \`${name}\` |`) && page.includes(help), name);
+    }
+});
--- a/src/commands/commandLine.ts
+++ b/src/commands/commandLine.ts
@@ -9,6 +9,7 @@
 import { type CommandContext } from "./context.js";
 import { DrainCommand } from "./drain.js";
 import { EXIT_CODES } from "./exitCodes.js";
+import { ExplainCommand } from "./explain.js";
 import { RunCommand } from "./run.js";
 import { ShowCommand } from "./show.js";
 import { StatusCommand } from "./status.js";
@@ -20,6 +21,7 @@
     ShowCommand,
     StatusCommand,
     DrainCommand,
+    ExplainCommand,
     Builtins.HelpCommand,
     Builtins.VersionCommand,
 ];
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -87,15 +87,15 @@
     wishedAtMilliseconds: number;
 }
 
-/** Why a request is refused as not run. */
+/** Why a request is refused as not run, or given up. */
 type RefusalReason =
+    | AttemptFailure
     | "no-upstream"
     | "all-full"
     | "adapter-missing"
     | "model-missing"
     | "crashes-engines"
     | "out-of-time"
-    | "rejected-by-upstreams"
     | "no-service"
     | "broken-invariant"
     | "budget";
@@ -296,7 +296,7 @@
     }
 
     #waitForAdapter(loadable: readonly UpstreamAnnouncement[]): void {
-        const wait = this.#beginWait();
+        const wait = this.#beginWait("adapter-missing");
         const now = this.#now();
         if (now - wait.sinceMilliseconds > this.#longestWait()) {
             this.#refuse("adapter-missing", ROOM_MILLISECONDS);
@@ -335,7 +335,7 @@
     /** A request waits for a model that comes in time; otherwise its caller comes back when the model is there. */
     #waitForModel(usable: readonly UpstreamAnnouncement[]): void {
         const expected = this.#expectedModelMilliseconds(usable);
-        const left = this.#longestWait() - (this.#now() - this.#beginWait().sinceMilliseconds);
+        const left = this.#longestWait() - (this.#now() - this.#beginWait("model-missing").sinceMilliseconds);
         if (expected > left) {
             this.#refuse("model-missing", expected);
             return;
@@ -357,7 +357,7 @@
     }
 
     #waitOrRefuse(reason: RefusalReason, expectedMilliseconds: number): void {
-        const wait = this.#beginWait();
+        const wait = this.#beginWait(reason);
         if (this.#now() - wait.sinceMilliseconds > this.#longestWait()) {
             this.#refuse(reason, expectedMilliseconds);
             return;
@@ -370,11 +370,28 @@
         return longestWait(route, this.#deadlineAt - arrivedAtMilliseconds);
     }
 
-    #beginWait(): WaitState {
-        this.#wait ??= { sinceMilliseconds: this.#now(), wishedAtMilliseconds: Number.NEGATIVE_INFINITY };
+    #beginWait(reason: RefusalReason): WaitState {
+        if (this.#wait === undefined) {
+            this.#wait = { sinceMilliseconds: this.#now(), wishedAtMilliseconds: Number.NEGATIVE_INFINITY };
+            this.#context.logger.info("request waits", {
+                request: this.#request.requestId,
+                reason,
+                model: this.#model,
+                adapter: this.#adapter,
+                longestMilliseconds: Math.round(this.#longestWait()),
+                ...this.#describeUpstreams(),
+            });
+        }
         return this.#wait;
     }
 
+    /** What the choice of an upstream was made from. */
+    #describeUpstreams(): Record<string, number> {
+        const usable = this.#context.view.usable(this.#service ?? "");
+        const resident = usable.filter(upstream => this.#residencyAt(upstream) === "held");
+        return { usableUpstreams: usable.length, residentUpstreams: resident.length, triedUpstreams: this.#tried.size };
+    }
+
     #endWait(outcome: string): void {
         if (this.#wait !== undefined) {
             const waited = this.#now() - this.#wait.sinceMilliseconds;
@@ -775,7 +792,7 @@
 
     #follow(decision: RepeatDecision, situation: AttemptSituation): void {
         if (decision.type !== "repeat") {
-            this.#finishDecision(decision, "rejected-by-upstreams");
+            this.#finishDecision(decision, situation.failure);
             return;
         }
         const service = this.#service ?? "";
@@ -840,6 +857,15 @@
             ? undefined
             : returnAfter(expectedMilliseconds, this.#remaining(), this.#context.random());
         this.#context.metrics.count("refusals", { reason });
+        this.#context.logger.info("request refused", {
+            request: this.#request.requestId,
+            reason,
+            model: this.#model,
+            adapter: this.#adapter,
+            expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
+            retryAfterMilliseconds: retryAfter,
+            ...this.#describeUpstreams(),
+        });
         const headers: Record<string, string> = { "content-type": "application/json" };
         if (retryAfter !== undefined) {
             headers["retry-after"] = (retryAfter / MILLISECONDS_PER_SECOND).toFixed(2);
--- /dev/null
+++ b/src/explain/index.ts
@@ -0,0 +1,11 @@
+/**
+ * From a request's identifier to its story, out of the logs of any number of hosts.
+ *
+ * @example
+ * ```ts
+ * import { renderStory, RequestStory } from "./index.js";
+ * ```
+ *
+ * @module
+ */
+export { type LogLine, parseLogLine, renderStory, RequestStory, type StoryStep } from "./story.js";
