--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -61,10 +61,7 @@
         return undefined;
     }
     try {
-        const { host, level: _level, message, timestamp, ...fields } = JSON.parse(text.slice(start)) as Record<
-            string,
-            unknown
-        >;
+        const { host, message, timestamp, ...fields } = JSON.parse(text.slice(start)) as Record<string, unknown>;
         if (typeof message !== "string" || typeof timestamp !== "string") {
             return undefined;
         }
@@ -177,7 +174,7 @@
 }
 
 function renderFields({ fields }: LogLine): string {
-    const shown = Object.entries(fields).filter(([name]) => name !== "request");
+    const shown = Object.entries(fields).filter(([name]) => name !== "request" && name !== "level");
     return shown.map(([name, value]) => ` ${name}=${typeof value === "string" ? value : JSON.stringify(value)}`).join(
         "",
     );
