Give an engine up when its holding cannot be confirmed, and say so; keep waiting after a holder takes an engine again

Ruled out: a shorter lease alone (a new holder would still wait 4.5 s for one that is alive and has stopped). Change: unconfirmed holders relinquish for good under their record and tell peers when their last order was; a record says whether its holder had to wait, so that a restarted process waits too.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -18,17 +18,17 @@
 
 test("an engine that nobody ever held is ordered at once", () => {
     const own = duties("one", "s1");
-    assert.deepEqual(own.vacant(["engine"], 0), [{ engine: "engine", expectedRevision: 0 }]);
-    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 12 }, 10);
+    assert.deepEqual(own.vacant(["engine"], 0), [{ engine: "engine", expectedRevision: 0, settled: true }]);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 10);
     assert.equal(own.fencingNumber("engine", at(10)), 12);
     assert.deepEqual(own.vacant(["engine"], 10), []);
 });
 
 test("a new holder waits until the one before it must have stopped, and the hand-over time on top", () => {
     const own = duties("one", "s1");
-    own.setHolder("engine", { host: "two", session: "s2", released: false, revision: 12 }, 0);
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
     own.setSession("two", undefined);
-    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 20 }, 1_000);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 20 }, 1_000);
     own.confirm("s1", at(5_000));
     assert.equal(own.fencingNumber("engine", at(5_400)), undefined);
     assert.equal(own.fencingNumber("engine", at(5_500)), 20);
@@ -36,33 +36,52 @@
 
 test("an engine that was given up is ordered after the hand-over time, by its last holder at once", () => {
     const own = duties("one", "s1");
-    own.setHolder("engine", { host: "two", session: "s2", released: true, revision: 12 }, 0);
-    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 20 }, 0);
+    own.setHolder("engine", { host: "two", session: "s2", released: true, settled: true, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 20 }, 0);
     own.confirm("s1", at(2_900));
     assert.equal(own.fencingNumber("engine", at(2_900)), undefined);
     assert.equal(own.fencingNumber("engine", at(3_000)), 20);
     const again = duties("two", "s3");
-    again.setHolder("engine", { host: "two", session: "s2", released: false, revision: 12 }, 0);
-    again.setHolder("engine", { host: "two", session: "s3", released: false, revision: 21 }, 0);
+    again.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    again.setHolder("engine", { host: "two", session: "s3", released: false, settled: true, revision: 21 }, 0);
     assert.equal(again.fencingNumber("engine", at(0)), 21);
 });
 
+test("a holder that loses its session while it waits for the one before it waits on after it took the engine again", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    own.setSession("two", undefined);
+    const [taken] = [...own.vacant(["engine"], 0), ...own.vacant(["engine"], 5_000)];
+    assert.equal(taken?.settled, false);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 0);
+    own.setSession("one", "s9");
+    own.confirm("s9", at(1_000));
+    own.setHolder("engine", { host: "one", session: "s9", released: false, settled: false, revision: 21 }, 1_000);
+    own.confirm("s9", at(4_400));
+    assert.equal(own.fencingNumber("engine", at(4_400)), undefined);
+    assert.equal(own.fencingNumber("engine", at(4_500)), 21);
+    const restarted = duties("one", "s10");
+    restarted.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 0);
+    restarted.setHolder("engine", { host: "one", session: "s10", released: false, settled: false, revision: 22 }, 0);
+    assert.equal(restarted.fencingNumber("engine", at(100)), undefined, "its process before may have waited still");
+});
+
 test("a record whose writing got no answer counts once the service shows it", () => {
     const own = duties("one", "s1");
-    own.setHolder("engine", { host: "two", session: "s2", released: false, revision: 12 }, 0);
-    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 15 }, 0);
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 15 }, 0);
     own.confirm("s1", at(4_500));
     assert.equal(own.fencingNumber("engine", at(4_500)), 15);
 });
 
 test("a holder stops when its renewals fail, when its session is gone, and when another took over", () => {
     const own = duties("one", "s1");
-    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
     assert.equal(own.fencingNumber("engine", at(1_500)), 12);
     assert.equal(own.fencingNumber("engine", at(1_501)), undefined);
     own.confirm("s1", at(2_000));
     assert.equal(own.fencingNumber("engine", at(2_000)), 12);
-    own.setHolder("engine", { host: "two", session: "s2", released: false, revision: 13 }, 2_000);
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 13 }, 2_000);
     assert.equal(own.fencingNumber("engine", at(2_000)), undefined);
     own.loseSession();
     assert.deepEqual(own.vacant(["other"], 2_000), []);
@@ -70,7 +89,7 @@
 
 test("a holder whose clocks came apart, as by a suspension or a step, stops until its session is confirmed", () => {
     const own = duties("one", "s1");
-    own.setHolder("engine", { host: "one", session: "s1", released: false, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
     assert.equal(own.fencingNumber("engine", at(100, 4_000)), undefined);
     assert.equal(own.fencingNumber("engine", at(100, -4_000)), undefined);
     own.confirm("s1", at(200, 4_000));
@@ -82,7 +101,7 @@
     const all = hosts.map(host => {
         const created = duties(host, `session-${host}`);
         hosts.forEach(other => created.setSession(other, `session-${other}`));
-        created.setHolder("engine", { host: "two", session: "old", released: false, revision: 4 }, 0);
+        created.setHolder("engine", { host: "two", session: "old", released: false, settled: true, revision: 4 }, 0);
         return created;
     });
     const due = (now: number): string[] =>
@@ -92,7 +111,43 @@
     assert.equal(due(600).length, 3);
 });
 
+test("a holder that cannot confirm its session gives its engines up for good, and its word saves the next one time", () => {
+    const old = duties("two", "s2");
+    old.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    old.noteOrder("engine", 1_000);
+    assert.deepEqual(old.relinquishUnconfirmed(at(1_400)), []);
+    assert.deepEqual(old.relinquishUnconfirmed(at(1_600)), ["engine"]);
+    old.confirm("s2", at(1_700));
+    assert.equal(old.fencingNumber("engine", at(1_700)), undefined, "not under this record, also when confirmed again");
+    assert.deepEqual(old.vacant(["engine"], 1_700).length, 1, "it may take the engine anew");
+    const [word] = old.relinquished(2_000);
+    assert.deepEqual(word, { engine: "engine", revision: 12, lastOrderMillisecondsAgo: 1_000 });
+    const next = duties("one", "s1");
+    next.setSession("two", "s2");
+    next.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    assert.equal(next.holderOf("engine"), "two");
+    next.takeRelinquishment(word, 2_000);
+    assert.equal(next.holderOf("engine"), undefined, "before the session has run out");
+    next.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 20 }, 2_400);
+    next.confirm("s1", at(4_100));
+    assert.equal(next.fencingNumber("engine", at(4_100)), undefined);
+    assert.equal(next.fencingNumber("engine", at(4_200)), 20, "the hand-over time after the last order, and a little");
+});
+
+test("a word that comes after the take-over shortens the wait, one on another record does not", () => {
+    const next = duties("one", "s1");
+    next.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    next.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 20 }, 1_000);
+    next.takeRelinquishment({ engine: "engine", revision: 11, lastOrderMillisecondsAgo: 9_000 }, 1_100);
+    next.confirm("s1", at(2_000));
+    assert.equal(next.fencingNumber("engine", at(2_000)), undefined);
+    next.takeRelinquishment({ engine: "engine", revision: 12, lastOrderMillisecondsAgo: 2_500 }, 2_000);
+    assert.equal(next.fencingNumber("engine", at(2_000)), undefined);
+    assert.equal(next.fencingNumber("engine", at(2_700)), 20);
+});
+
 type Event =
+    | { readonly type: "relinquish"; readonly host: number; readonly heard: boolean; }
     | { readonly type: "pass"; readonly milliseconds: number; }
     | { readonly type: "renew"; readonly host: number; readonly reachesStore: boolean; }
     | { readonly type: "revoke"; readonly host: number; }
@@ -106,6 +161,7 @@
         fc.record({ type: fc.constant("renew" as const), host: hostIndex, reachesStore: fc.boolean() }),
         fc.record({ type: fc.constant("revoke" as const), host: hostIndex }),
         fc.record({ type: fc.constant("take" as const), host: hostIndex }),
+        fc.record({ type: fc.constant("relinquish" as const), host: hostIndex, heard: fc.boolean() }),
         fc.record({ type: fc.constant("order" as const), host: hostIndex }),
     ),
     { minLength: 20, maxLength: 200 },
@@ -114,7 +170,7 @@
 /** The key-value service as three hosts see it: they hear of records at once, and of revoked sessions only if told. */
 class SharedStore {
     readonly sessions = new Map<string, string>();
-    holder: { host: string; session: string; released: boolean; revision: number; } | undefined;
+    holder: { host: string; session: string; released: boolean; settled: boolean; revision: number; } | undefined;
     revision = 0;
 }
 
@@ -149,17 +205,34 @@
                     hosts.filter(host => host !== own).forEach(host => host.setSession(name, undefined));
                 }
                 else if (event.type === "take" && session !== undefined) {
+                    own?.vacant(["engine"], now);
                     const [due] = own?.vacant(["engine"], now + 10_000) ?? [];
                     if (due?.expectedRevision === (store.holder?.revision ?? 0)) {
                         store.revision += 1;
-                        store.holder = { host: name, session, released: false, revision: store.revision };
+                        store.holder = {
+                            host: name,
+                            session,
+                            released: false,
+                            settled: due.settled,
+                            revision: store.revision,
+                        };
                         const written = store.holder;
                         hosts.forEach(host => host.setHolder("engine", written, now));
                     }
                 }
+                else if (event.type === "relinquish") {
+                    own?.relinquishUnconfirmed(at(now));
+                    if (event.heard) {
+                        const words = own?.relinquished(now) ?? [];
+                        hosts.filter(host => host !== own).forEach(host =>
+                            words.forEach(word => host.takeRelinquishment(word, now))
+                        );
+                    }
+                }
                 else if (event.type === "order") {
                     const fence = own?.fencingNumber("engine", at(now));
                     if (fence !== undefined) {
+                        own?.noteOrder("engine", now);
                         orders.push({ host: name, at: now, fence });
                     }
                 }
@@ -175,6 +248,6 @@
                 }
             });
         }),
-        { seed: 41, numRuns: 3_000 },
+        { seed: 41, numRuns: 10_000 },
     );
 });
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -15,6 +15,9 @@
 /** The time of day and the steady clock may drift apart by this much before a suspension is assumed. */
 const CLOCK_TOLERANCE_MILLISECONDS = 250;
 
+/** Added to a holder's own word on its last order, for what was on its way. */
+const IN_FLIGHT_MILLISECONDS = 200;
+
 /** Bounds on holding a duty. */
 export interface DutyBounds {
     /** A holder gives orders for this long after it asked for the renewal that succeeded. */
@@ -29,6 +32,8 @@
     readonly session: string;
     /** True where the holder gave the duty up and has sent its last order. */
     readonly released: boolean;
+    /** True where the holder had nobody to wait for when it took the engine. */
+    readonly settled: boolean;
 }
 
 /** A holder's record with the revision that it was written at. */
@@ -40,6 +45,8 @@
 export interface Acquisition {
     readonly engine: string;
     readonly expectedRevision: number;
+    /** True where nobody has to be waited for. */
+    readonly settled: boolean;
 }
 
 /** The two clocks of a host at one moment. */
@@ -48,6 +55,20 @@
     readonly timeOfDayMilliseconds: number;
 }
 
+/** A holder's word that it gives an engine no more orders under a record. */
+export interface Relinquishment {
+    readonly engine: string;
+    /** Of the holder's record. */
+    readonly revision: number;
+    readonly lastOrderMillisecondsAgo: number;
+}
+
+/** The end of a holder's orders. */
+interface LastOrder {
+    readonly revision: number;
+    readonly atMilliseconds: number;
+}
+
 interface Vacancy {
     readonly sinceMilliseconds: number;
 }
@@ -69,6 +90,13 @@
     readonly #holders = new Map<string, StoredHolder>();
     readonly #vacancies = new Map<string, Vacancy>();
     readonly #quietUntil = new Map<string, number>();
+    /** The latest record of another host. */
+    readonly #before = new Map<string, StoredHolder>();
+    /** Records under which this host gives no more orders. */
+    readonly #relinquished = new Map<string, number>();
+    readonly #lastOrders = new Map<string, number>();
+    /** What other holders said of their last orders. */
+    readonly #told = new Map<string, LastOrder>();
     #session: string | undefined;
     #confirmedAt: ClockReading | undefined;
 
@@ -97,10 +125,13 @@
         if (known !== undefined && holder.revision <= known.revision) {
             return;
         }
-        if (holder.host === this.#host) {
-            this.#quietUntil.set(engine, nowMilliseconds + this.#quietAfter(known));
+        if (known !== undefined && known.host !== this.#host) {
+            this.#before.set(engine, known);
         }
         this.#holders.set(engine, holder);
+        if (holder.host === this.#host && holder.session === this.#session) {
+            this.#quietUntil.set(engine, this.#quietUntilAfter(engine, known, nowMilliseconds));
+        }
     }
 
     /** Takes note that this host's session was confirmed by a call that was sent at the reading. */
@@ -123,7 +154,8 @@
     /** Gives the host that holds an engine; `undefined` where nobody does. */
     holderOf(engine: string): string | undefined {
         const holder = this.#holders.get(engine);
-        const valid = holder !== undefined && !holder.released && this.#sessions.get(holder.host) === holder.session;
+        const valid = holder !== undefined && !holder.released && !this.#isRelinquished(engine, holder)
+            && this.#sessions.get(holder.host) === holder.session;
         return valid ? holder.host : undefined;
     }
 
@@ -142,8 +174,9 @@
             this.#vacancies.set(engine, vacancy);
             const rank = this.#rankFor(engine, hosts);
             const due = vacancy.sinceMilliseconds + rank * RANK_DELAY_MILLISECONDS;
-            const expectedRevision = this.#holders.get(engine)?.revision ?? 0;
-            return nowMilliseconds >= due ? [{ engine, expectedRevision }] : [];
+            const before = this.#holders.get(engine);
+            const settled = this.#quietUntilAfter(engine, before, nowMilliseconds) <= nowMilliseconds;
+            return nowMilliseconds >= due ? [{ engine, expectedRevision: before?.revision ?? 0, settled }] : [];
         });
     }
 
@@ -153,7 +186,8 @@
         if (holder === undefined || holder.released || holder.host !== this.#host) {
             return undefined;
         }
-        if (holder.session !== this.#session || !this.#isConfirmed(now)) {
+        const isStopped = this.#relinquished.get(engine) === holder.revision;
+        if (holder.session !== this.#session || isStopped || !this.#isConfirmed(now)) {
             return undefined;
         }
         return now.steadyMilliseconds >= (this.#quietUntil.get(engine) ?? Number.POSITIVE_INFINITY)
@@ -164,8 +198,11 @@
     /** Gives the engines whose record names this host's session, with the revisions of the records. */
     held(): readonly Acquisition[] {
         return [...this.#holders]
-            .filter(([, holder]) => holder.host === this.#host && holder.session === this.#session && !holder.released)
-            .map(([engine, { revision }]) => ({ engine, expectedRevision: revision }));
+            .filter(([engine, holder]) =>
+                holder.host === this.#host && holder.session === this.#session && !holder.released
+                && this.#relinquished.get(engine) !== holder.revision
+            )
+            .map(([engine, { revision, settled }]) => ({ engine, expectedRevision: revision, settled }));
     }
 
     /** The host that held an engine last goes first, since it need not wait for another to have stopped. */
@@ -178,13 +215,80 @@
         return rankByRendezvous(engine, hosts).indexOf(this.#host);
     }
 
-    /** How long a new holder waits for the one before it to have stopped. */
-    #quietAfter(before: StoredHolder | undefined): number {
-        if (before === undefined || before.host === this.#host) {
-            return 0;
+    /** Takes note that this host gave an engine an order. */
+    noteOrder(engine: string, nowMilliseconds: number): void {
+        this.#lastOrders.set(engine, nowMilliseconds);
+    }
+
+    /**
+     * Gives engines up whose holding can no longer be confirmed, for good under their present records, so that other
+     * hosts need not wait for the session to run out.
+     *
+     * @returns The engines that are given up now.
+     */
+    relinquishUnconfirmed(now: ClockReading): readonly string[] {
+        if (this.#isConfirmed(now)) {
+            return [];
+        }
+        const engines = this.held();
+        engines.forEach(({ engine, expectedRevision }) => this.#relinquished.set(engine, expectedRevision));
+        return engines.map(({ engine }) => engine);
+    }
+
+    /** Gives what peers should know of engines that this host gave up. */
+    relinquished(nowMilliseconds: number): Relinquishment[] {
+        return [...this.#relinquished].map(([engine, revision]) => ({
+            engine,
+            revision,
+            lastOrderMillisecondsAgo: Math.round(nowMilliseconds - (this.#lastOrders.get(engine) ?? 0)),
+        }));
+    }
+
+    /** Takes another holder's word that it has stopped. */
+    takeRelinquishment(word: Relinquishment, nowMilliseconds: number): void {
+        const atMilliseconds = nowMilliseconds - word.lastOrderMillisecondsAgo;
+        this.#told.set(word.engine, { revision: word.revision, atMilliseconds });
+        const holder = this.#holders.get(word.engine);
+        const before = this.#before.get(word.engine);
+        if (holder?.host === this.#host && before?.revision === word.revision) {
+            const until = this.#quietUntilAfter(word.engine, before, nowMilliseconds);
+            this.#quietUntil.set(word.engine, Math.min(until, this.#quietUntil.get(word.engine) ?? until));
+        }
+    }
+
+    #isRelinquished(engine: string, holder: StoredHolder): boolean {
+        return this.#told.get(engine)?.revision === holder.revision
+            || (holder.host === this.#host && this.#relinquished.get(engine) === holder.revision);
+    }
+
+    /** Until when a new holder waits, so that the one before it has stopped for the hand-over time. */
+    #quietUntilAfter(engine: string, before: StoredHolder | undefined, nowMilliseconds: number): number {
+        const { confirmedMilliseconds, handoverMilliseconds } = this.#bounds;
+        if (before === undefined) {
+            return nowMilliseconds;
+        }
+        if (before.host === this.#host) {
+            return this.#ownQuietUntil(engine, before, nowMilliseconds);
+        }
+        const told = this.#told.get(engine);
+        if (told?.revision === before.revision) {
+            return told.atMilliseconds + IN_FLIGHT_MILLISECONDS + handoverMilliseconds;
+        }
+        const stopsWithin = before.released ? 0 : confirmedMilliseconds;
+        return nowMilliseconds + stopsWithin + handoverMilliseconds;
+    }
+
+    /**
+     * This host's own earlier record ends no waiting that it had begun under it. Of a record that an earlier process of
+     * this host wrote it knows only whether that one had to wait at all.
+     */
+    #ownQuietUntil(engine: string, before: StoredHolder, nowMilliseconds: number): number {
+        const begun = this.#quietUntil.get(engine);
+        if (begun !== undefined) {
+            return Math.max(nowMilliseconds, begun);
         }
         const { confirmedMilliseconds, handoverMilliseconds } = this.#bounds;
-        return before.released ? handoverMilliseconds : confirmedMilliseconds + handoverMilliseconds;
+        return before.settled ? nowMilliseconds : nowMilliseconds + confirmedMilliseconds + handoverMilliseconds;
     }
 
     /** A clock that ran on alone tells of a suspension, after which the session may have ended. */
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -16,5 +16,6 @@
     type DutyBounds,
     EngineDuties,
     type HolderRecord,
+    type Relinquishment,
     type StoredHolder,
 } from "./engineDuties.js";
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type ClockReading, EngineDuties } from "../duties/index.js";
+import { type Acquisition, type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import { type EngineHolder } from "../generated/gossip.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
@@ -123,7 +123,7 @@
         this.#leaving = true;
         const held = this.#options.duties.held();
         this.#keepers.clear();
-        await Promise.all(held.map(({ engine, expectedRevision }) => this.#write(engine, expectedRevision, true)));
+        await Promise.all(held.map(acquisition => this.#write(acquisition, true)));
     }
 
     close(): void {
@@ -149,6 +149,7 @@
         if (this.#leaving) {
             return;
         }
+        this.#relinquish();
         this.#takeOver();
         this.#syncKeepers();
         for (const keeper of this.#keepers.values()) {
@@ -156,24 +157,34 @@
         }
     }
 
+    /** A host that cannot confirm its session stops, and says so to its peers. */
+    #relinquish(): void {
+        for (const engine of this.#options.duties.relinquishUnconfirmed(this.#options.readClocks())) {
+            this.#keepers.delete(engine);
+            this.#options.metrics.count("holder_changes", { change: "relinquished" });
+            this.#options.logger.warn("engine relinquished", { engine, reason: "session not confirmed" });
+        }
+    }
+
     #takeOver(): void {
         const engines = this.#engines().filter(({ leaving }) => !leaving).map(({ id }) => id);
-        for (const { engine, expectedRevision } of this.#options.duties.vacant(engines, this.#now())) {
+        for (const acquisition of this.#options.duties.vacant(engines, this.#now())) {
+            const { engine } = acquisition;
             if (!this.#acquiring.has(engine)) {
                 this.#acquiring.add(engine);
-                void this.#write(engine, expectedRevision, false).finally(() => this.#acquiring.delete(engine));
+                void this.#write(acquisition, false).finally(() => this.#acquiring.delete(engine));
             }
         }
     }
 
     /** Writes who holds an engine; what the service has by then comes with the answer or the mirror. */
-    async #write(engine: string, expectedRevision: number, released: boolean): Promise<void> {
+    async #write({ engine, expectedRevision, settled }: Acquisition, released: boolean): Promise<void> {
         const { host, duties, keyValue, logger, metrics } = this.#options;
         const session = duties.session;
         if (session === undefined) {
             return;
         }
-        const record: EngineHolder = { host, session, released };
+        const record: EngineHolder = { host, session, released, settled };
         const value = JSON.stringify(record);
         const swapped = await keyValue.compareAndSwap(`${HOLDER_KEY_PREFIX}${engine}`, { expectedRevision, value });
         const change = released ? "released" : "taken";
@@ -294,6 +305,7 @@
         const { control, host, logger, metrics } = this.#options;
         const { order } = step;
         keeper.sent(order, this.#now());
+        this.#options.duties.noteOrder(keeper.engine, this.#now());
         const outcome = await control.order(target, order, { holder: host, fencingNumber });
         keeper.answered(order, outcome, this.#now());
         const kind = order.adapter === undefined ? "weights" : "adapter";
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -644,6 +644,7 @@
         this.#loads.takePeer(digest.host, digest.inFlight, now);
         this.#peerDemand.set(digest.host, { demand: digest.demand, atMilliseconds: now });
         digest.unreachable.forEach(upstream => this.#down.note(upstream, digest.host, now));
+        digest.relinquished.forEach(word => this.#duties.takeRelinquishment(word, now));
         this.#noteAdapterUse(digest.adaptersInUse);
         digest.engines.forEach(memory => this.#takeMemory(memory));
         digest.suspects.forEach(suspect => this.#suspects.takePeer(suspect, now));
@@ -733,6 +734,7 @@
             adaptersInUse: this.#adapterUse.all(),
             demand: this.#demand.concurrency(now),
             engines: this.#orders.records().map(toMemory),
+            relinquished: this.#duties.relinquished(now),
             suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({
                 fingerprint,
                 runs: [...runs],
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -31,6 +31,7 @@
     "upstream in-doubt",
     "engine taken",
     "engine released",
+    "engine relinquished",
     "engine ordered",
     "engine report read",
     "move begun",
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -28,6 +28,7 @@
         adaptersInUse: {},
         demand: {},
         engines: [],
+        relinquished: [],
         suspects: [],
         ...overrides,
     };
