Let a holder that gives an engine up pass its own waiting on

A holder that took an engine, never ordered and gave it up told of no last order, and the next one began 2.93 s after the one before it. Ruled out: late words (they only lengthen the wait). Change: the word carries for how long nobody may begin, the holder's own waiting included.

--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -60,13 +60,14 @@
     readonly engine: string;
     /** Of the holder's record. */
     readonly revision: number;
-    readonly lastOrderMillisecondsAgo: number;
+    /** For which no other holder may begin, for this one's last order and for those of the holders before it. */
+    readonly quietMilliseconds: number;
 }
 
-/** The end of a holder's orders. */
-interface LastOrder {
+/** From when on another holder may begin, by a holder's own word. */
+interface ToldQuiet {
     readonly revision: number;
-    readonly atMilliseconds: number;
+    readonly untilMilliseconds: number;
 }
 
 interface Vacancy {
@@ -95,8 +96,8 @@
     /** Records under which this host gives no more orders. */
     readonly #relinquished = new Map<string, number>();
     readonly #lastOrders = new Map<string, number>();
-    /** What other holders said of their last orders. */
-    readonly #told = new Map<string, LastOrder>();
+    /** What other holders said when they relinquished engines. */
+    readonly #told = new Map<string, ToldQuiet>();
     #session: string | undefined;
     #confirmedAt: ClockReading | undefined;
 
@@ -240,14 +241,23 @@
         return [...this.#relinquished].map(([engine, revision]) => ({
             engine,
             revision,
-            lastOrderMillisecondsAgo: Math.round(nowMilliseconds - (this.#lastOrders.get(engine) ?? 0)),
+            quietMilliseconds: Math.ceil(Math.max(0, this.#clearFrom(engine) - nowMilliseconds)),
         }));
     }
 
+    /** From when on another holder may begin, as far as this host's orders and its own waiting go. */
+    #clearFrom(engine: string): number {
+        const lastOrder = this.#lastOrders.get(engine);
+        const afterOrder = lastOrder === undefined
+            ? Number.NEGATIVE_INFINITY
+            : lastOrder + this.#bounds.handoverMilliseconds + IN_FLIGHT_MILLISECONDS;
+        return Math.max(afterOrder, this.#quietUntil.get(engine) ?? Number.NEGATIVE_INFINITY);
+    }
+
     /** Takes another holder's word that it has stopped. */
     takeRelinquishment(word: Relinquishment, nowMilliseconds: number): void {
-        const atMilliseconds = nowMilliseconds - word.lastOrderMillisecondsAgo;
-        this.#told.set(word.engine, { revision: word.revision, atMilliseconds });
+        const untilMilliseconds = nowMilliseconds + word.quietMilliseconds;
+        this.#told.set(word.engine, { revision: word.revision, untilMilliseconds });
         const holder = this.#holders.get(word.engine);
         const before = this.#before.get(word.engine);
         if (holder?.host === this.#host && before?.revision === word.revision) {
@@ -272,7 +282,7 @@
         }
         const told = this.#told.get(engine);
         if (told?.revision === before.revision) {
-            return told.atMilliseconds + IN_FLIGHT_MILLISECONDS + handoverMilliseconds;
+            return Math.max(nowMilliseconds, told.untilMilliseconds);
         }
         const stopsWithin = before.released ? 0 : confirmedMilliseconds;
         return nowMilliseconds + stopsWithin + handoverMilliseconds;
