Bound how many engines change at once; take engines only while the store answers

Cause: engines changed weights side by side, each without the model that it dropped for up to 8 s; and hosts that had relinquished engines would have tried to take them five times a second in an outage (found on reading, shown by a test). Change: a quarter of the engines at most may change; duties are taken over only by a host whose session is confirmed.

--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -160,6 +160,11 @@
         return valid ? holder.host : undefined;
     }
 
+    /** Tells whether this host's session was confirmed lately, so that the service can be reached. */
+    isConfirmed(now: ClockReading): boolean {
+        return this.#isConfirmed(now);
+    }
+
     /** Gives the engines that this host should take over now. */
     vacant(engines: readonly string[], nowMilliseconds: number): readonly Acquisition[] {
         if (this.#session === undefined || this.#sessions.get(this.#host) !== this.#session) {
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -166,7 +166,11 @@
         }
     }
 
+    /** Engines are taken only while the service answers; in an outage each try would be a call for nothing. */
     #takeOver(): void {
+        if (!this.#options.duties.isConfirmed(this.#options.readClocks())) {
+            return;
+        }
         const engines = this.#engines().filter(({ leaving }) => !leaving).map(({ id }) => id);
         for (const acquisition of this.#options.duties.vacant(engines, this.#now())) {
             const { engine } = acquisition;
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -39,6 +39,9 @@
 /** Before there is traffic, each copy that engines began with stands for this load, as a share of an engine's slots. */
 const PRIOR_LOAD_SHARE = 0.25;
 
+/** Part of the engines that may be changing at once; a model that is dropped takes no requests until another is there. */
+const CHANGING_SHARE = 0.25;
+
 /** Models that are considered for a further copy, the most loaded first; keeps the work small for many models. */
 const MOST_CANDIDATES = 12;
 
@@ -222,13 +225,16 @@
     const costNow = costOf(fleet, fleet.placement);
     const { engines: all, passedOver } = fleet.situation;
     const idle = all.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
+    const changing = all.filter(({ loading }) => loading !== undefined).length;
+    const mayDrop = changing < Math.max(1, Math.floor(all.length * CHANGING_SHARE));
     let best: Candidate | undefined;
     for (const model of candidateModels(fleet)) {
         const ranked = rankByRendezvous(model.name, idle.map(({ id }) => id));
         const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
         for (const engine of engines.filter(engine => !engine.models.includes(model.name))) {
             const move = bestMoveOn(fleet, engine, model, costNow);
-            if (move !== undefined && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
+            const allowed = mayDrop || move?.dropped.length === 0;
+            if (move !== undefined && allowed && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
                 best = move;
             }
         }
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -124,8 +124,10 @@
 test("requests go on while the store is away, and a host that starts meanwhile learns from a seed", async context => {
     const site = await startSite(context);
     await site.addUpstream({ id: "i-one" });
+    await site.addUpstream({ id: "i-engine", models: { quotes: [], specs: [] }, slots: 8 }, "llm");
     const one = await site.addHost("one");
     await ready(one);
+    await until(() => logged(one, "engine taken", { engine: "i-engine" }));
     await until(async () => (await callHost(one, { path: "/reads/1" })).status === 200);
     site.store.mode = "refusing";
     await until(() => logged(one, "key-value service lost"), 9_000);
@@ -133,6 +135,12 @@
     const { state } = one.settings;
     const late = await site.addHost("late", { seeds: [`${state.address}:${state.port}`] });
     await until(async () => (await callHost(late, { path: "/reads/1" })).status === 200, 3_000);
+    await delay(2_500);
+    const before = site.store.calls.length;
+    await delay(2_000);
+    const calls = site.store.calls.slice(before);
+    assert.ok(!calls.includes("/kv-txn"), "nobody tries to take engines in an outage");
+    assert.ok(calls.length <= 20, `${calls.length} calls of two hosts in two seconds of an outage`);
     site.store.mode = "up";
     await until(() => logged(one, "key-value service regained"), 3_000);
     await until(() => logged(late, "session began"), 3_000);
