Split the exchange by job; take two clocks out of tests

Change: facts of a request, judging an answer's head, the answer to the caller and the choice of upstreams are modules of their own, behaviour as before.

--- /dev/null
+++ b/src/entry/_upstreamOptions.ts
@@ -0,0 +1,145 @@
+/**
+ * The upstreams that one request could go to, and what to ask for where none holds what it needs.
+ *
+ * @module
+ */
+import { type UpstreamAnnouncement } from "../fleet/index.js";
+import { type Candidate, type Choice, chooseUpstream } from "../forwarding/index.js";
+import { rankAdapterHomes, type Residency } from "../placement/index.js";
+import { type RequestFacts } from "./_requestFacts.js";
+import { type ForwardingContext } from "./forwardingContext.js";
+
+/** Load, as a share of its slots, from which an adapter is wanted on a further engine too. */
+const BUSY_ADAPTER_SHARE = 0.5;
+
+/** Time until a model that nobody loads yet may be there. */
+const ABSENT_MODEL_MILLISECONDS = 2_500;
+
+/** Looks at the upstreams of a request's service as they are now. */
+export class UpstreamOptions {
+    readonly #context: ForwardingContext;
+    readonly #facts: RequestFacts;
+    /** Upstreams that have failed this request. */
+    readonly #tried = new Set<string>();
+
+    constructor(context: ForwardingContext, facts: RequestFacts) {
+        this.#context = context;
+        this.#facts = facts;
+    }
+
+    /** An upstream that failed the request does not get it again. */
+    noteTried(upstream: string): void {
+        this.#tried.add(upstream);
+    }
+
+    usable(): UpstreamAnnouncement[] {
+        return this.#context.view.usable(this.#facts.service ?? "");
+    }
+
+    residencyAt(upstream: UpstreamAnnouncement): Residency {
+        const { adapter, model } = this.#facts;
+        return model === undefined ? "held" : this.#context.residency.holds(upstream.id, model, adapter);
+    }
+
+    /** Chooses among upstreams; those that cannot be reached or were tried take no part. */
+    choose(upstreams: readonly UpstreamAnnouncement[]): Choice {
+        return chooseUpstream(this.#candidates(upstreams), this.#context.random);
+    }
+
+    /** Tells whether another upstream than the present one could take the request now. */
+    hasOther(present: string | undefined): boolean {
+        const others = this.usable().filter(upstream =>
+            upstream.id !== present && this.residencyAt(upstream) === "held"
+        );
+        return this.choose(others).type === "send";
+    }
+
+    /** Requests at an upstream as a share of its slots. */
+    loadShare(upstream: string): number {
+        const slots = this.#context.view.get(upstream)?.slots ?? 1;
+        return this.#context.loads.estimate(upstream, this.#now()) / Math.max(1, slots);
+    }
+
+    /** Asks the holder of the adapter's home, or of the next engine where that one has no holder. */
+    wishAdapter(loadable: readonly UpstreamAnnouncement[]): void {
+        const { adapter, model } = this.#facts;
+        if (model === undefined || adapter === undefined) {
+            return;
+        }
+        const homes = rankAdapterHomes(
+            `${model}/${adapter}`,
+            loadable.map(upstream => ({
+                id: upstream.id,
+                freeSlots: this.#freeAdapterSlots(upstream),
+                loadShare: this.loadShare(upstream.id),
+                loading: this.#context.residency.loading(upstream.id) !== undefined,
+            })),
+        );
+        homes.find(engine => this.#context.wishAdapter(engine, model, adapter));
+    }
+
+    /** Asks for the adapter on a further engine where the one that was chosen is busy. */
+    wishFurtherCopy(chosen: string): void {
+        const { adapter, model } = this.#facts;
+        if (adapter === undefined || model === undefined) {
+            return;
+        }
+        this.#context.noteAdapterUse(chosen, model, adapter);
+        const load = this.loadShare(chosen);
+        if (load < BUSY_ADAPTER_SHARE) {
+            return;
+        }
+        const others = this.usable().filter(upstream =>
+            this.residencyAt(upstream) === "adapter-missing" && this.#freeAdapterSlots(upstream) > 0
+        );
+        const choice = this.choose(others);
+        if (choice.type === "send" && this.loadShare(choice.upstream) < load / 2) {
+            this.#context.wishAdapter(choice.upstream, model, adapter);
+        }
+    }
+
+    /** Time until an engine that loads the model has it, by the time that a load from the weight store takes. */
+    expectedModelMilliseconds(): number {
+        const model = this.#facts.model ?? "";
+        const engine = this.#context.routeTable()?.service(this.#facts.service ?? "")?.engine;
+        const load = engine?.models.find(({ name }) => name === model)?.storeLoadMilliseconds ?? 0;
+        const now = this.#now();
+        const expected = this.usable().flatMap(({ id }) => {
+            const since = this.#context.residency.loadingSince(id, model);
+            return since === undefined ? [] : [Math.max(0, since + load - now)];
+        });
+        return Math.min(ABSENT_MODEL_MILLISECONDS, ...expected);
+    }
+
+    /** What a choice was made from, for the log. */
+    describe(): Record<string, number> {
+        const usable = this.usable();
+        const resident = usable.filter(upstream => this.residencyAt(upstream) === "held");
+        return { usableUpstreams: usable.length, residentUpstreams: resident.length, triedUpstreams: this.#tried.size };
+    }
+
+    #now(): number {
+        return this.#context.readClock();
+    }
+
+    #freeAdapterSlots({ id, service }: UpstreamAnnouncement): number {
+        const slots = this.#context.routeTable()?.service(service)?.engine?.adapterSlots ?? 0;
+        return slots - this.#context.residency.adapterCount(id);
+    }
+
+    #candidates(upstreams: readonly UpstreamAnnouncement[]): Candidate[] {
+        const { health, loads, prompts, zone } = this.#context;
+        const { sharedPrompt } = this.#facts;
+        const now = this.#now();
+        const fresh = upstreams.filter(({ id }) => !this.#tried.has(id) && !health.isUnreachable(id, now));
+        return fresh.map(upstream => ({
+            id: upstream.id,
+            slots: Math.max(1, upstream.slots),
+            requests: loads.estimate(upstream.id, now),
+            recentPromptTokens: loads.recentPromptTokens(upstream.id, now),
+            sameZone: upstream.zone === zone,
+            avoided: health.isAvoided(upstream.id, now),
+            knowsPrompt: sharedPrompt !== undefined && prompts.knows(upstream.id, sharedPrompt),
+        }));
+    }
+}
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -5,6 +5,7 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Route } from "../routes/index.js";
+import { type CallerRequest } from "./_requestFacts.js";
 import { Exchange } from "./exchange.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
@@ -128,7 +129,7 @@
     }
 
     #start(
-        parts: Omit<ConstructorParameters<typeof Exchange>[1], "route" | "configurationVersion">,
+        parts: Omit<CallerRequest, "route" | "configurationVersion">,
         route: Route,
         configurationVersion: number,
     ): void {
