Load in the place of a dropped model only once a report shows that it is gone

What reading shows: an announcement without the dropped model ended the wait for it, and such an announcement may be older than the model. Change: only a report ends that wait. Test: a move drops its models one after the other (failed before: the load was ordered after the announcement).

--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -135,8 +135,15 @@
     assert.equal(keeper.nextStep(100), undefined, "its requests have not ended");
     assert.equal(keeper.begin(move("other"), 100), false);
     keeper.observe(announcement(["hot", "cold"], { announcementNumber: 902 }));
-    assert.equal(carryOut(keeper, 200, "holds").model, "cold");
-    const load = carryOut(keeper, 201, "accepted");
+    assert.equal(keeper.nextStep(200), undefined, "the announcement may be older than the model");
+    assert.deepEqual(keeper.nextStep(600), { type: "read-report" });
+    const held = ["hot", "cold"].map(name => ({ name, adapters: [] }));
+    keeper.reported({ orderCount: 1, busy: true, models: [...held, { name: "warm", adapters: [] }] }, 600);
+    assert.equal(keeper.nextStep(700), undefined, "it is still there");
+    assert.deepEqual(keeper.nextStep(1_400), { type: "read-report" });
+    keeper.reported({ orderCount: 1, busy: false, models: held }, 1_400);
+    assert.equal(carryOut(keeper, 1_400, "holds").model, "cold");
+    const load = carryOut(keeper, 1_401, "accepted");
     assert.deepEqual([load.operation, load.model], ["load", "new"]);
 });
 
@@ -144,7 +151,8 @@
     const keeper = keep(["hot", "warm"]);
     keeper.begin(move("new", ["warm"]), 0);
     carryOut(keeper, 0, "accepted");
-    keeper.observe(announcement(["hot"], { announcementNumber: 902 }));
+    assert.deepEqual(keeper.nextStep(9_000), { type: "read-report" });
+    keeper.reported({ orderCount: 1, busy: false, models: [{ name: "hot", adapters: [] }] }, 9_000);
     assert.equal(keeper.nextStep(9_000), undefined);
     assert.equal(keeper.record().loading, undefined);
 });
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -86,7 +86,10 @@
     #open: EngineOrder | undefined;
     #unanswered: EngineOrder | undefined;
     #loading: OpenLoad | undefined;
-    /** A model that the engine drops once its last request has ended. */
+    /**
+     * A model that the engine drops once its last request has ended. Only a report tells that it has: an announcement
+     * without the model may have been written before the model was there.
+     */
     #unloading: string | undefined;
     #move: OpenMove | undefined;
     #reportAtMilliseconds: number | undefined;
@@ -114,9 +117,6 @@
             this.#changeCount += 1;
             return true;
         }
-        if (!announcement.models.some(({ name }) => name === this.#unloading)) {
-            this.#unloading = undefined;
-        }
         const finished = announcement.models.some(({ name }) => name === this.#loading?.model);
         this.#loading = finished ? undefined : this.#loading;
         const changed = this.#addModelNames(announcement.models) || finished;
@@ -241,8 +241,11 @@
         this.#changeCount += 1;
         this.#orderCount = report.orderCount;
         this.#adoptReport(report.models);
-        const isOwnOrder = this.#loading !== undefined || this.#unloading !== undefined;
-        if (report.busy && !isOwnOrder) {
+        if (!report.models.some(({ name }) => name === this.#unloading)) {
+            this.#unloading = undefined;
+        }
+        const foreignOrder = report.busy && this.#loading === undefined;
+        if (foreignOrder || this.#unloading !== undefined) {
             this.#reportAtMilliseconds = nowMilliseconds + BUSY_REPORT_MILLISECONDS;
         }
     }
@@ -334,6 +337,9 @@
             if (order.adapter === undefined) {
                 this.#models.delete(order.model);
                 this.#unloading = outcome === "accepted" ? order.model : undefined;
+                this.#reportAtMilliseconds = outcome === "accepted"
+                    ? nowMilliseconds + REPORT_LAG_MILLISECONDS
+                    : undefined;
             }
             else {
                 this.#models.get(order.model)?.delete(order.adapter);
