Hand out test ports that nothing else takes, and close what a failed start of an entry host opened

Cause: free ports were found by listening on port 0 and closing again. Until the host listened, any outgoing connection or another test file (six run at once) could be given that port. The file then did not end, because a host whose start had failed kept its datagram socket and the servers that it had opened. Ruled out: a host that was not stopped by an earlier test (each test stops its site and waits for it).

--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -6,12 +6,10 @@
  * @module
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { createServer } from "node:net";
 import { dirname, join } from "node:path";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
-const LOOPBACK = "127.0.0.1";
 const START_TIMEOUT_MILLISECONDS = 30_000;
 /** Folder of the compiled files, or of the sources when run from there. */
 const BUILD_FOLDER = join(dirname(fileURLToPath(import.meta.url)), "..");
@@ -99,30 +97,6 @@
     });
 }
 
-/**
- * Finds free ports on loopback.
- *
- * @param count How many.
- *
- * @example
- * ```ts
- * const [callersPort, peersPort] = await findFreePorts(2);
- * ```
- */
-export async function findFreePorts(count: number): Promise<number[]> {
-    const servers = Array.from({ length: count }, () => createServer());
-    const ports = await Promise.all(servers.map(server =>
-        new Promise<number>(resolve => {
-            server.listen(0, LOOPBACK, () => {
-                const address = server.address();
-                resolve(typeof address === "object" && address !== null ? address.port : 0);
-            });
-        })
-    ));
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
-
 /** Ends processes and waits for them. */
 export async function stopProcesses(
     processes: readonly StartedProcess[],
--- a/demo/sites.ts
+++ b/demo/sites.ts
@@ -7,7 +7,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
-import { findFreePorts, type StartedProcess, startProcess, stopProcesses, waitForPort } from "./processes.js";
+import { findFreePorts } from "../standins/freePorts.js";
+import { type StartedProcess, startProcess, stopProcesses, waitForPort } from "./processes.js";
 
 const LOOPBACK = "127.0.0.1";
 const READY_TIMEOUT_MILLISECONDS = 60_000;
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -230,7 +230,7 @@
             await this.#until(this.#now() + 20);
         }
         this.#forwarder.abortAll();
-        await this.#close();
+        await this.close();
         logger.info("stopped", { tookMilliseconds: Math.round(this.#now() - startedAt) });
     }
 
@@ -239,7 +239,8 @@
         await this.#session.close();
     }
 
-    async #close(): Promise<void> {
+    /** Closes whatever is open, without a word to peers and callers. */
+    async close(): Promise<void> {
         this.#closed = true;
         clearInterval(this.#digestTimer);
         this.#orders.close();
@@ -287,12 +288,10 @@
             connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
             noDelay: true,
         }, (message, response) => this.#forwarder.handle(message, response));
-        this.#servers.push(
-            await listen(this.#callersServer, callers),
-            await startSmallServer(readiness, url => this.#answerReadiness(url), onProblem),
-            await startSmallServer(directory, url => this.#answerDirectory(url), onProblem),
-            await startSmallServer(state, url => this.#answerState(url), onProblem),
-        );
+        this.#servers.push(await listen(this.#callersServer, callers));
+        this.#servers.push(await startSmallServer(readiness, url => this.#answerReadiness(url), onProblem));
+        this.#servers.push(await startSmallServer(directory, url => this.#answerDirectory(url), onProblem));
+        this.#servers.push(await startSmallServer(state, url => this.#answerState(url), onProblem));
         if (metricsAddress !== undefined) {
             const render = async (url: string): Promise<SmallAnswer | undefined> => {
                 this.#refreshGauges();
@@ -818,6 +817,12 @@
  */
 export async function startEntryHost(options: EntryHostOptions): Promise<EntryHost> {
     const host = new RunningHost(options);
-    await host.start();
+    try {
+        await host.start();
+    }
+    catch (error) {
+        await host.close();
+        throw error;
+    }
     return host;
 }
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -55,6 +55,15 @@
     await until(async () => (await callHost(host, { path: "/reads/1" })).status === 200);
 });
 
+test("a host that cannot listen on one of its addresses says so and closes what it had opened", async context => {
+    const site = await startSite(context);
+    const running = await site.addHost("entry-1");
+    const settings = { ...await site.freeSettings("entry-2"), state: running.settings.state };
+    await assert.rejects(site.startHost(settings), /EADDRINUSE/);
+    const { state } = await site.freeSettings("entry-2");
+    await ready(await site.startHost({ ...settings, state }));
+});
+
 test("callers get the hosts of their zone, all hosts where it has too few, and never one that leaves", async context => {
     const site = await startSite(context);
     const [one, two, three] = await Promise.all([
--- a/tests/entryProcess.test.ts
+++ b/tests/entryProcess.test.ts
@@ -4,9 +4,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test, type TestContext } from "node:test";
+import { findFreePorts } from "../standins/freePorts.js";
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
 import { PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
-import { askSmall, callHost, freeTcpPort, HOST_NAME, until } from "./support/entrySite.js";
+import { askSmall, callHost, HOST_NAME, until } from "./support/entrySite.js";
 
 interface Started {
     readonly child: ChildProcess;
@@ -42,7 +43,7 @@
 async function settingsFor(
     storeAddress: string,
 ): Promise<{ readonly text: string; readonly readiness: number; readonly callers: number; }> {
-    const [callers, readiness, control, directory, gossip] = await Promise.all(Array.from({ length: 5 }, freeTcpPort));
+    const [callers, readiness, control, directory, gossip] = await findFreePorts(5);
     const text = [
         "nodeName=entry-1",
         "ip=127.0.0.1",
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import { createSocket } from "node:dgram";
-import { createServer, request as sendRequest } from "node:http";
-import { type AddressInfo } from "node:net";
+import assert from "node:assert/strict";
+import { request as sendRequest } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { decodeConfiguration } from "../../platform/configurationCodec.js";
 import { createEngineControl } from "../../platform/engineControl.js";
@@ -15,6 +14,7 @@
 import { decodeUpstream } from "../../platform/upstreamCodec.js";
 import { type EntryHost, type EntrySettings, startEntryHost } from "../../src/entry/index.js";
 import { createEntryMetrics, type LogFields, type Logger } from "../../src/observability/index.js";
+import { findFreePorts } from "../../standins/freePorts.js";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
 import { PlatformUpstreamStandIn, type UpstreamOptions } from "../../standins/platform/upstream.js";
 
@@ -48,6 +48,13 @@
     readonly leaveAfterMilliseconds?: number;
 }
 
+/** Where a host stands, and what it is told of others. */
+export interface HostOptions {
+    readonly zone?: string;
+    /** State addresses of other hosts. */
+    readonly seeds?: readonly string[];
+}
+
 /** An entry host of the site. */
 export interface SiteHost {
     readonly name: string;
@@ -58,25 +65,6 @@
 
 let identifiers = 0;
 
-export function freeTcpPort(): Promise<number> {
-    return new Promise(resolve => {
-        const server = createServer().listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-}
-
-function freeUdpPort(): Promise<number> {
-    return new Promise(resolve => {
-        const socket = createSocket("udp4");
-        socket.bind(0, "127.0.0.1", () => {
-            const { port } = socket.address();
-            socket.close(() => resolve(port));
-        });
-    });
-}
-
 /** Sends a request to a host as a caller does. */
 export function callHost(
     site: { readonly settings: Pick<EntrySettings, "callers">; },
@@ -204,22 +192,23 @@
     }
 
     /** Starts an entry host; `seeds` are state addresses of other hosts. */
-    async addHost(
-        name: string,
-        options: { readonly zone?: string; readonly seeds?: readonly string[]; } = {},
-    ): Promise<SiteHost> {
-        const listen = async (): Promise<EntrySettings["callers"]> => ({
-            address: "127.0.0.1",
-            port: await freeTcpPort(),
-        });
-        const settings: EntrySettings = {
+    async addHost(name: string, options: HostOptions = {}): Promise<SiteHost> {
+        return this.startHost(await this.freeSettings(name, options));
+    }
+
+    /** Gives settings of a host with addresses that nothing listens on. */
+    async freeSettings(name: string, options: HostOptions = {}): Promise<EntrySettings> {
+        const ports = await findFreePorts(5);
+        const [callers, readiness, directory, state, gossip] = ports.map(port => ({ address: "127.0.0.1", port }));
+        assert.ok(callers && readiness && directory && state && gossip);
+        return {
             host: name,
             zone: options.zone ?? "zone-a",
-            callers: await listen(),
-            readiness: await listen(),
-            directory: await listen(),
-            state: await listen(),
-            gossip: { address: "127.0.0.1", port: await freeUdpPort() },
+            callers,
+            readiness,
+            directory,
+            state,
+            gossip,
             metrics: undefined,
             seeds: options.seeds ?? [],
             bounds: {
@@ -233,6 +222,9 @@
                 longestKeepSeconds: 5,
             },
         };
+    }
+
+    async startHost(settings: EntrySettings): Promise<SiteHost> {
         const lines: LoggedLine[] = [];
         const host = await startEntryHost({
             settings,
@@ -244,7 +236,7 @@
             random: Math.random,
             readClocks: () => ({ steadyMilliseconds: performance.now(), timeOfDayMilliseconds: Date.now() }),
         });
-        const site = { name, settings, host, lines };
+        const site = { name: settings.host, settings, host, lines };
         this.hosts.push(site);
         return site;
     }
