Keep loads within an engine's memory, begin no request whose caller has left, and plan once a tick

Change: plans take the models of own engines from their keepers, changes are told before a step, and a keeper orders no load for which its own book shows no room.

The holder's view was that old because its watch had hung since the store's silence: a peer as far behind reset the time for which a later revision had been known, so the watch was never begun anew; and each conflict on a holder's record was followed by another 200 ms later (about 30 in 6 s), since the record that came with the refusal was not read. Change: only the watch itself clears what it is behind, a session that is answered again begins the watch anew, and a refused write teaches the record that stands.

Processor time: the plan was made for each engine that a host holds and at each wish for an adapter, and looked at the whole fleet for each way.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -11,7 +11,6 @@
     EngineKeeper,
     type EngineOrder,
     type EngineRecord,
-    type KeeperStep,
     PlanFollower,
     type PlannedEngine,
     planWeights,
@@ -20,7 +19,7 @@
     storeLoadsPerEngine,
     type WeightMove,
 } from "../placement/index.js";
-import { type KeyValueService } from "../platform/index.js";
+import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
 import { type EngineControl } from "./siteProtocol.js";
 
@@ -50,6 +49,8 @@
     readonly demand: () => ReadonlyMap<string, number>;
     /** Tells whether several hosts found an engine unreachable a moment ago. */
     readonly isDown: (engine: string) => boolean;
+    /** The service has a later state of a key than this host knew. */
+    readonly onLaterEntry: (entry: KeyValueEntry) => void;
     /** An engine's memory changed, or this host learned of it. */
     readonly onNews: (record: EngineRecord) => void;
 }
@@ -152,6 +153,7 @@
         this.#relinquish();
         this.#takeOver();
         this.#syncKeepers();
+        this.#planServices();
         for (const keeper of this.#keepers.values()) {
             this.#work(keeper);
         }
@@ -195,6 +197,9 @@
         if (swapped.isErr() || swapped.value.type === "conflict") {
             const reason = swapped.isErr() ? swapped.error.kind : "conflict";
             logger.info("holder record not written", { engine, change, reason, expectedRevision });
+            if (swapped.isOk() && swapped.value.type === "conflict" && swapped.value.current !== undefined) {
+                this.#options.onLaterEntry(swapped.value.current);
+            }
             return;
         }
         duties.setHolder(engine, { ...record, revision: swapped.value.revision }, this.#now());
@@ -220,9 +225,14 @@
         this.#options.metrics.gauge("engines_held", this.#keepers.size);
     }
 
-    /** Takes the next step on an engine, and tells what changed. */
+    /** Takes the next step on an engine, and tells what changed before it and by it. */
     #work(keeper: EngineKeeper): void {
+        this.#tellChanges(keeper);
         this.#takeStep(keeper);
+        this.#tellChanges(keeper);
+    }
+
+    #tellChanges(keeper: EngineKeeper): void {
         if (this.#told.get(keeper) !== keeper.changeCount && this.#keepers.get(keeper.engine) === keeper) {
             this.#told.set(keeper, keeper.changeCount);
             this.#options.onNews(keeper.record());
@@ -236,7 +246,7 @@
         if (this.#leaving || announcement === undefined || announcement.leaving || fencingNumber === undefined) {
             return;
         }
-        const step = keeper.nextStep(clocks.steadyMilliseconds) ?? this.#beginPlanned(keeper, announcement);
+        const step = keeper.nextStep(clocks.steadyMilliseconds);
         if (step === undefined || keeper.occupied) {
             return;
         }
@@ -247,37 +257,52 @@
         void this.#order(keeper, announcement, step, fencingNumber);
     }
 
-    /** Begins the plan's next move where it falls to this engine; gives the move's first order. */
-    #beginPlanned(keeper: EngineKeeper, announcement: UpstreamAnnouncement): KeeperStep | undefined {
+    /** Begins the next move of a service's plan where it falls to an engine that this host holds. */
+    #beginPlanned(service: string, definition: EngineDefinition): void {
         const now = this.#now();
         const demand = this.#options.demand();
         if (demand.size === 0 && now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
-            return undefined;
+            return;
         }
-        const engines = this.#options.view.usable(announcement.service).filter(({ id }) => !this.#options.isDown(id));
-        const follower = this.#followers.get(announcement.service) ?? new PlanFollower();
-        this.#followers.set(announcement.service, follower);
+        const engines = this.#options.view.usable(service).filter(({ id }) => !this.#options.isDown(id));
+        const follower = this.#followers.get(service) ?? new PlanFollower();
+        this.#followers.set(service, follower);
         const move = planWeights({
             engines: engines.map(engine => this.#describe(engine)),
-            definition: keeper.definition,
+            definition,
             demand,
             passedOver: follower.passedOver(now),
         });
         follower.note(move, now);
-        const isOwn = move?.engine === keeper.engine && this.#mayLoad(move, keeper, engines.length, now);
-        if (!isOwn || !keeper.begin(move, now)) {
-            return undefined;
+        const keeper = move === undefined ? undefined : this.#keepers.get(move.engine);
+        if (move === undefined || keeper === undefined || !this.#mayLoad(move, keeper, engines.length, now)) {
+            return;
+        }
+        if (keeper.begin(move, now)) {
+            this.#options.logger.info("move begun", {
+                engine: keeper.engine,
+                model: move.model,
+                dropped: move.dropped.join(","),
+                reason: move.reason,
+                gain: Math.round(move.gain * 1_000) / 1_000,
+                engines: engines.length,
+                demand: demand.get(move.model),
+            });
+        }
+    }
+
+    /** Plans once for each service of which this host holds an engine. */
+    #planServices(): void {
+        const services = new Map<string, EngineDefinition>();
+        for (const keeper of this.#keepers.values()) {
+            const service = this.#options.view.get(keeper.engine)?.service;
+            if (service !== undefined) {
+                services.set(service, keeper.definition);
+            }
+        }
+        for (const [service, definition] of services) {
+            this.#beginPlanned(service, definition);
         }
-        this.#options.logger.info("move begun", {
-            engine: keeper.engine,
-            model: move.model,
-            dropped: move.dropped.join(","),
-            reason: move.reason,
-            gain: Math.round(move.gain * 1_000) / 1_000,
-            engines: engines.length,
-            demand: demand.get(move.model),
-        });
-        return keeper.nextStep(now);
     }
 
     /** Loads from the weight store are bounded; those of weights at hand are not. */
@@ -290,12 +315,15 @@
         return begun < storeLoadsPerEngine(keeper.definition.loadsPerSecond, engineCount, storeLoads);
     }
 
+    /** Of its own engines the holder knows more than they have announced and than peers were told. */
     #describe(engine: UpstreamAnnouncement): PlannedEngine {
         const { inMemory, onDisk } = engine.weightsAtHand;
+        const keeper = this.#keepers.get(engine.id);
+        const { residency } = this.#options;
         return {
             id: engine.id,
-            models: this.#options.residency.models(engine.id),
-            loading: this.#keepers.get(engine.id)?.loadingModel ?? this.#options.residency.loading(engine.id),
+            models: keeper?.models ?? residency.models(engine.id),
+            loading: keeper === undefined ? residency.loading(engine.id) : keeper.loadingModel,
             atHand: [...inMemory, ...onDisk],
         };
     }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -166,7 +166,12 @@
                 this.#duties.loseSession();
                 this.#duties.setSession(host, undefined);
             },
-            onContact: succeeded => this.#noteContact(succeeded),
+            onContact: succeeded => {
+                if (succeeded && !this.#storeReachable) {
+                    this.#mirror.restartWatch("the service answers again");
+                }
+                this.#noteContact(succeeded);
+            },
             onSilence: () => this.#mirror.restartWatch("a call got no answer"),
         });
         this.#orders = new EngineOrders({
@@ -183,6 +188,10 @@
             routeTable: () => this.#table,
             demand: () => this.#totalDemand(),
             isDown: engine => this.#down.isDown(engine, this.#now()),
+            onLaterEntry: entry => {
+                this.#takeEntry(entry);
+                this.#mirror.noteLaterRevision(entry.revision, this.#now());
+            },
             onNews: record => this.#spreadNews(record),
         });
         this.#forwarder = createForwarder(this.#createForwardingContext());
@@ -639,7 +648,7 @@
     #takeDigest(digest: HostDigest): void {
         const now = this.#now();
         this.#peers.hear(digest, now);
-        this.#mirror.notePeerRevision(digest.storeRevision, now);
+        this.#mirror.noteLaterRevision(digest.storeRevision, now);
         this.#loads.takePeer(digest.host, digest.inFlight, now);
         this.#peerDemand.set(digest.host, { demand: digest.demand, atMilliseconds: now });
         digest.unreachable.forEach(upstream => this.#down.note(upstream, digest.host, now));
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -5,6 +5,7 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Route } from "../routes/index.js";
+import { type Arrival, Arrivals } from "./_arrivals.js";
 import { type CallerRequest } from "./_requestFacts.js";
 import { Exchange } from "./exchange.js";
 import { type ForwardingContext } from "./forwardingContext.js";
@@ -17,6 +18,9 @@
 /** Callers that this host cannot serve find another one within this time, in seconds. */
 const ELSEWHERE_WAIT_SECONDS = "0.2";
 
+/** Paths in log lines are cut after so many characters. */
+const LOGGED_PATH_CHARACTERS = 100;
+
 /** Used for callers' bodies while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -62,6 +66,10 @@
 class RunningForwarder implements Forwarder {
     readonly #context: ForwardingContext;
     readonly #exchanges = new Set<Exchange>();
+    readonly #arrivals = new Arrivals({
+        onBegin: arrival => this.#begin(arrival),
+        onCallerLeft: arrival => this.#noteCallerLeft(arrival),
+    });
     #wakePlanned = false;
 
     constructor(context: ForwardingContext) {
@@ -88,7 +96,7 @@
                 this.#reject(message, response, STATUS_TOO_LARGE, "body-too-large");
                 return;
             }
-            this.#begin(message, response, body, arrivedAtMilliseconds);
+            this.#arrivals.add({ message, response, body, arrivedAtMilliseconds });
         });
     }
 
@@ -104,7 +112,11 @@
         }
     }
 
-    #begin(message: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMilliseconds: number): void {
+    #noteCallerLeft({ message }: Arrival): void {
+        this.#noteRejected(message, "caller-left", undefined);
+    }
+
+    #begin({ message, response, body, arrivedAtMilliseconds }: Arrival): void {
         const table = this.#context.routeTable();
         if (table === undefined) {
             this.#reject(message, response, STATUS_UNAVAILABLE, "no-configuration");
@@ -157,17 +169,23 @@
         }
     }
 
-    #reject(message: IncomingMessage, response: ServerResponse, status: number, reason: string): void {
-        const { headers, logger, metrics } = this.#context;
-        const requestId = message.headers[headers.requestId];
-        logger.info("request rejected", {
+    /** Books a request that ends before it began; without a status there is nobody to tell. */
+    #noteRejected(message: IncomingMessage, reason: string, status: number | undefined): void {
+        const requestId = message.headers[this.#context.headers.requestId];
+        this.#context.logger.info("request rejected", {
             request: typeof requestId === "string" ? requestId : undefined,
             reason,
             status,
-            path: message.url?.slice(0, 100),
+            path: message.url?.slice(0, LOGGED_PATH_CHARACTERS),
             configurationVersion: this.#context.routeTable()?.version,
         });
-        metrics.count("refusals", { reason });
+        this.#context.metrics.count("refusals", { reason });
+    }
+
+    #reject(message: IncomingMessage, response: ServerResponse, status: number, reason: string): void {
+        const { headers } = this.#context;
+        const requestId = message.headers[headers.requestId];
+        this.#noteRejected(message, reason, status);
         if (response.headersSent || response.destroyed) {
             return;
         }
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -10,7 +10,7 @@
 const FIRST_RETRY_MILLISECONDS = 200;
 const LONGEST_RETRY_MILLISECONDS = 800;
 
-/** A peer's word of a later revision counts once this host has not heard of it for so long. */
+/** Word of a later revision counts once the watch has not brought it for so long. */
 const BEHIND_MILLISECONDS = 900;
 
 /** What the mirror tells. */
@@ -38,7 +38,8 @@
     #watch: { close(): Promise<void>; } | undefined;
     #timer: NodeJS.Timeout | undefined;
     #retryMilliseconds = FIRST_RETRY_MILLISECONDS;
-    #behindSince: number | undefined;
+    /** The first later revision that the watch has yet to bring. */
+    #behind: { readonly revision: number; readonly sinceMilliseconds: number; } | undefined;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -54,15 +55,14 @@
         void this.#list();
     }
 
-    /** Takes the revision that a peer has; a watch that stays behind is on a connection that fell silent. */
-    notePeerRevision(revision: number, nowMilliseconds: number): void {
+    /** Takes word of a revision, of a peer or a call; a watch that stays behind it is on a connection that fell silent. */
+    noteLaterRevision(revision: number, nowMilliseconds: number): void {
         if (this.#watch === undefined || revision <= (this.#revision ?? 0)) {
-            this.#behindSince = undefined;
             return;
         }
-        this.#behindSince ??= nowMilliseconds;
-        if (nowMilliseconds - this.#behindSince > BEHIND_MILLISECONDS) {
-            this.restartWatch("peers have later revisions");
+        this.#behind ??= { revision, sinceMilliseconds: nowMilliseconds };
+        if (nowMilliseconds - this.#behind.sinceMilliseconds > BEHIND_MILLISECONDS) {
+            this.restartWatch("the service has later revisions");
         }
     }
 
@@ -74,7 +74,7 @@
         }
         this.#options.logger.warn("watch restarted", { reason, revision: this.#revision });
         this.#watch = undefined;
-        this.#behindSince = undefined;
+        this.#behind = undefined;
         void watch.close();
         this.#startWatch();
     }
@@ -147,6 +147,9 @@
 
     #advance(revision: number): void {
         this.#revision = Math.max(this.#revision ?? 0, revision);
+        if (this.#behind !== undefined && this.#behind.revision <= this.#revision) {
+            this.#behind = undefined;
+        }
     }
 
     #later(step: () => void): void {
--- /dev/null
+++ b/src/placement/_placementCost.ts
@@ -0,0 +1,118 @@
+/**
+ * What a placement of models on engines costs, and what one move on it would gain.
+ *
+ * Engines with much load weigh more than in proportion, and so do models without a copy. Only the engines that a move
+ * changes are looked at, so that a large fleet can be planned in little time.
+ *
+ * @module
+ */
+
+/** Cost of a model without a copy, against the square of an engine's load as a share of its slots. */
+const MISSING_COST = 0.25;
+
+/** Further cost of a model without a copy that requests ask for. */
+const MISSING_ASKED_COST = 0.35;
+
+/** Cost of each engine's worth of requests that no copy can run, beside that a model has no copy at all. */
+const UNSERVED_COST = 4.5;
+
+/** Cost of each engine's worth of requests beyond what an engine can run at once. */
+const OVERLOAD_COST = 4;
+
+/** Load, as a share of an engine's slots, beyond which requests that come together make streams pause. */
+const COMFORTABLE_LOAD = 0.4;
+
+/** Weight of the square of the load beyond that. */
+const CROWDED_WEIGHT = 4;
+
+/** Which engine has which models, those that are being loaded included. */
+export type Placement = ReadonlyMap<string, ReadonlySet<string>>;
+
+/** Crowded streams pause and requests wait; what goes beyond an engine's slots is refused, which costs in proportion. */
+function engineCostOf(load: number): number {
+    const within = Math.min(1, load);
+    const crowding = Math.max(0, within - COMFORTABLE_LOAD);
+    return within * within + CROWDED_WEIGHT * crowding * crowding + OVERLOAD_COST * Math.max(0, load - 1);
+}
+
+function missingCostOf(load: number): number {
+    return MISSING_COST + (load > 0 ? MISSING_ASKED_COST : 0) + UNSERVED_COST * load;
+}
+
+/**
+ * The load of each model, spread evenly over its copies.
+ *
+ * @example
+ * ```ts
+ * const cost = new PlacementCost(placement, new Map([["quotes", 1.5]]));
+ * const gain = cost.gainOf("engine-3", "quotes", ["specs"]);
+ * ```
+ */
+export class PlacementCost {
+    readonly #holders = new Map<string, string[]>();
+    readonly #load: ReadonlyMap<string, number>;
+    readonly #engineLoads = new Map<string, number>();
+
+    /**
+     * @param placement What engines hold.
+     * @param load Requests of each model that would run at once, as a share of an engine's slots.
+     */
+    constructor(placement: Placement, load: ReadonlyMap<string, number>) {
+        this.#load = load;
+        for (const [engine, models] of placement) {
+            models.forEach(model => this.#holders.set(model, [...this.#holders.get(model) ?? [], engine]));
+        }
+        for (const [engine, models] of placement) {
+            this.#engineLoads.set(engine, [...models].reduce((sum, model) => sum + this.loadOfCopy(model), 0));
+        }
+    }
+
+    /** Gives how many engines hold a model. */
+    copies(model: string): number {
+        return this.#holders.get(model)?.length ?? 0;
+    }
+
+    /** Gives the load of one copy of a model; all of its load where it has none. */
+    loadOfCopy(model: string): number {
+        return this.loadOf(model) / Math.max(1, this.copies(model));
+    }
+
+    loadOf(model: string): number {
+        return this.#load.get(model) ?? 0;
+    }
+
+    /** Gives how much less the placement costs once the engine has dropped some models and loaded another. */
+    gainOf(engine: string, model: string, dropped: readonly string[]): number {
+        const changes = new Map<string, number>();
+        let gain = this.copies(model) === 0 ? missingCostOf(this.loadOf(model)) : 0;
+        this.#addCopy(changes, engine, model);
+        for (const other of dropped) {
+            this.#dropCopy(changes, engine, other);
+            gain -= this.copies(other) === 1 ? missingCostOf(this.loadOf(other)) : 0;
+        }
+        for (const [changed, difference] of changes) {
+            const load = this.#engineLoads.get(changed) ?? 0;
+            gain += engineCostOf(load) - engineCostOf(Math.max(0, load + difference));
+        }
+        return gain;
+    }
+
+    #addCopy(changes: Map<string, number>, engine: string, model: string): void {
+        const shareThen = this.loadOf(model) / (this.copies(model) + 1);
+        for (const holder of this.#holders.get(model) ?? []) {
+            add(changes, holder, shareThen - this.loadOfCopy(model));
+        }
+        add(changes, engine, shareThen);
+    }
+
+    #dropCopy(changes: Map<string, number>, engine: string, model: string): void {
+        const shareThen = this.loadOf(model) / Math.max(1, this.copies(model) - 1);
+        for (const holder of this.#holders.get(model) ?? []) {
+            add(changes, holder, holder === engine ? -this.loadOfCopy(model) : shareThen - this.loadOfCopy(model));
+        }
+    }
+}
+
+function add(sums: Map<string, number>, key: string, amount: number): void {
+    sums.set(key, (sums.get(key) ?? 0) + amount);
+}
--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -10,7 +10,13 @@
     weightMegabytes: 130,
     adapterSlots: 2,
     loadsPerSecond: 1,
-    models: [],
+    models: ["hot", "warm", "cold", "new", "other"].map(name => ({
+        name,
+        weightMegabytes: 32,
+        adapterCount: 3,
+        adapterMegabytes: 1,
+        storeLoadMilliseconds: 1_000,
+    })),
 };
 
 function announcement(models: readonly string[], overrides: Partial<UpstreamAnnouncement> = {}): UpstreamAnnouncement {
@@ -185,3 +191,13 @@
     keeper.reported({ orderCount: 4, busy: false, models: [{ name: "hot", adapters: [] }] }, 110);
     assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot"]);
 });
+
+test("no load is ordered for which the engine has no room by the holder's own book, whatever was planned", () => {
+    const keeper = keep(["hot", "warm", "cold"]);
+    assert.ok(keeper.begin(move("new"), 0));
+    assert.equal(carryOut(keeper, 0, "accepted").model, "new");
+    keeper.observe(announcement(["hot", "warm", "cold", "new"], { announcementNumber: 901 }));
+    assert.ok(keeper.begin(move("other"), 10), "a plan that does not know of the model that has just arrived");
+    assert.equal(keeper.nextStep(10), undefined);
+    assert.equal(keeper.record().loading, undefined, "the move is given up");
+});
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -5,6 +5,7 @@
  */
 import { type HeldModel, type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineDefinition } from "../routes/index.js";
+import { freeMegabytes } from "./engineRoom.js";
 import { type WeightMove } from "./planWeights.js";
 import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
 
@@ -152,6 +153,11 @@
         return this.#loading?.model ?? this.#move?.model;
     }
 
+    /** The models that the engine holds. */
+    get models(): string[] {
+        return [...this.#models.keys()];
+    }
+
     get atHand(): string[] {
         return [...this.#atHand].filter(model => !this.#models.has(model));
     }
@@ -274,11 +280,21 @@
             this.#endMove();
             return undefined;
         }
+        const { model } = this.#move;
         const dropped = this.#move.dropped.find(model => this.#models.has(model));
-        const order = dropped === undefined
-            ? this.#order("load", this.#move.model, undefined)
-            : this.#order("unload", dropped, undefined);
-        return { type: "order", order, reason: dropped === undefined ? "planned" : "make-room" };
+        if (dropped !== undefined) {
+            return { type: "order", order: this.#order("unload", dropped, undefined), reason: "make-room" };
+        }
+        if (!this.#hasRoomFor(model)) {
+            this.#endMove();
+            return undefined;
+        }
+        return { type: "order", order: this.#order("load", model, undefined), reason: "planned" };
+    }
+
+    /** A plan may be older than what the holder knows; an engine that is loaded beyond its memory crashes. */
+    #hasRoomFor(model: string): boolean {
+        return freeMegabytes(this.definition, new Set([...this.#models.keys(), model])) >= 0;
     }
 
     #endMove(): void {
--- /dev/null
+++ b/src/placement/placementCost.test.ts
@@ -0,0 +1,42 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Placement, PlacementCost } from "./_placementCost.js";
+
+const MODELS = ["a", "b", "c", "d"];
+
+const placements = fc.array(fc.subarray(MODELS), { minLength: 1, maxLength: 6 })
+    .map((engines): Placement => new Map(engines.map((models, index) => [`engine-${index}`, new Set(models)])));
+const loads = fc.array(fc.double({ min: 0, max: 3, noNaN: true }), { minLength: 4, maxLength: 4 })
+    .map(values => new Map(values.map((load, index) => [MODELS[index] ?? "", load])));
+
+function afterMove(placement: Placement, engine: string, dropped: string, added: string): Placement {
+    const models = new Set(placement.get(engine));
+    models.delete(dropped);
+    models.add(added);
+    return new Map(placement).set(engine, models);
+}
+
+test("a move and the move that takes it back gain nothing together", () => {
+    fc.assert(
+        fc.property(placements, loads, fc.constantFrom(...MODELS), fc.nat(5), (placement, load, added, index) => {
+            const engine = `engine-${index % placement.size}`;
+            const [dropped] = [...placement.get(engine) ?? []].filter(model => model !== added);
+            fc.pre(dropped !== undefined && placement.get(engine)?.has(added) === false);
+            const there = new PlacementCost(placement, load).gainOf(engine, added, [dropped]);
+            const moved = afterMove(placement, engine, dropped, added);
+            const back = new PlacementCost(moved, load).gainOf(engine, dropped, [added]);
+            assert.ok(Math.abs(there + back) < 1e-6, `${there} there and ${back} back`);
+        }),
+        { seed: 43, numRuns: 500 },
+    );
+});
+
+test("a first copy gains the more, the more requests ask for the model", () => {
+    const placement: Placement = new Map([["engine-0", new Set(["a"])], ["engine-1", new Set<string>()]]);
+    const gainAt = (asked: number): number =>
+        new PlacementCost(placement, new Map([["a", 0.2], ["b", asked]])).gainOf("engine-1", "b", []);
+    assert.ok(gainAt(0) > 0);
+    assert.ok(gainAt(0.1) > gainAt(0));
+    assert.ok(gainAt(0.5) > gainAt(0.1));
+});
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -8,24 +8,8 @@
  */
 import { rankByRendezvous } from "../decision/index.js";
 import { type EngineDefinition, type ModelDefinition } from "../routes/index.js";
-
-/** Cost of a model without a copy, against the square of an engine's load as a share of its slots. */
-const MISSING_COST = 0.25;
-
-/** Further cost of a model without a copy that requests ask for. */
-const MISSING_ASKED_COST = 0.35;
-
-/** Cost of each engine's worth of requests that no copy can run, beside that a model has no copy at all. */
-const UNSERVED_COST = 4.5;
-
-/** Cost of each engine's worth of requests beyond what an engine can run at once. */
-const OVERLOAD_COST = 4;
-
-/** Load, as a share of an engine's slots, beyond which requests that come together make streams pause. */
-const COMFORTABLE_LOAD = 0.4;
-
-/** Weight of the square of the load beyond that. */
-const CROWDED_WEIGHT = 4;
+import { type Placement, PlacementCost } from "./_placementCost.js";
+import { freeMegabytes } from "./engineRoom.js";
 
 /** Cost of dropping a copy for each engine's worth of requests on it: the engine waits for them before it loads. */
 const BUSY_DROP_COST = 0.5;
@@ -85,99 +69,42 @@
     readonly gain: number;
 }
 
-/** Which engine has which models, those that are being loaded included. */
-type Placement = ReadonlyMap<string, ReadonlySet<string>>;
-
 interface Fleet {
     readonly situation: WeightSituation;
     readonly definitions: ReadonlyMap<string, ModelDefinition>;
-    /** Requests of each model that would run at once, as a share of an engine's slots. */
-    readonly load: ReadonlyMap<string, number>;
-    readonly placement: Placement;
+    readonly cost: PlacementCost;
 }
 
 function modelsOf(engine: PlannedEngine): Set<string> {
     return new Set(engine.loading === undefined ? engine.models : [...engine.models, engine.loading]);
 }
 
-function countCopies(placement: Placement): Map<string, number> {
-    const copies = new Map<string, number>();
-    for (const models of placement.values()) {
-        models.forEach(model => copies.set(model, (copies.get(model) ?? 0) + 1));
-    }
-    return copies;
-}
-
 /** Before there is traffic, the copies that engines began with tell what is asked for. */
-function loadOf({ demand, definition }: WeightSituation, copies: ReadonlyMap<string, number>): Map<string, number> {
+function loadOf({ demand, definition }: WeightSituation, placement: Placement): Map<string, number> {
     if (demand.size > 0) {
         return new Map([...demand].map(([model, requests]) => [model, requests / definition.slots]));
     }
-    return new Map([...copies].map(([model, count]) => [model, count * PRIOR_LOAD_SHARE]));
-}
-
-/** Cost of a placement: engines with much load weigh more than in proportion, and so do models without a copy. */
-function costOf(fleet: Fleet, placement: Placement): number {
-    const copies = countCopies(placement);
-    let cost = 0;
+    const load = new Map<string, number>();
     for (const models of placement.values()) {
-        let load = 0;
-        models.forEach(model => {
-            load += (fleet.load.get(model) ?? 0) / (copies.get(model) ?? 1);
-        });
-        cost += engineCostOf(load);
-    }
-    for (const name of fleet.definitions.keys()) {
-        cost += copies.has(name) ? 0 : missingCostOf(fleet, name);
+        models.forEach(model => load.set(model, (load.get(model) ?? 0) + PRIOR_LOAD_SHARE));
     }
-    return cost;
-}
-
-/** Crowded streams pause and requests wait; what goes beyond an engine's slots is refused, which costs in proportion. */
-function engineCostOf(load: number): number {
-    const within = Math.min(1, load);
-    const crowding = Math.max(0, within - COMFORTABLE_LOAD);
-    return within * within + CROWDED_WEIGHT * crowding * crowding + OVERLOAD_COST * Math.max(0, load - 1);
-}
-
-function missingCostOf(fleet: Fleet, model: string): number {
-    const load = fleet.load.get(model) ?? 0;
-    return MISSING_COST + (load > 0 ? MISSING_ASKED_COST : 0) + UNSERVED_COST * load;
+    return load;
 }
 
-function dropCostOf(fleet: Fleet, dropped: readonly string[]): number {
-    if (fleet.situation.demand.size === 0) {
+function dropCostOf({ cost, situation }: Fleet, dropped: readonly string[]): number {
+    if (situation.demand.size === 0) {
         return 0;
     }
-    const copies = countCopies(fleet.placement);
-    const load = dropped.reduce((sum, model) => sum + (fleet.load.get(model) ?? 0) / (copies.get(model) ?? 1), 0);
-    return load * BUSY_DROP_COST;
-}
-
-function replace(placement: Placement, engine: string, dropped: readonly string[], added: string): Placement {
-    const models = new Set(placement.get(engine));
-    dropped.forEach(model => models.delete(model));
-    models.add(added);
-    return new Map(placement).set(engine, models);
-}
-
-function adapterReserve({ adapterSlots, models }: EngineDefinition): number {
-    return adapterSlots * Math.max(0, ...models.map(({ adapterMegabytes }) => adapterMegabytes));
+    return dropped.reduce((sum, model) => sum + cost.loadOfCopy(model), 0) * BUSY_DROP_COST;
 }
 
 function sizeOf(fleet: Fleet, model: string): number {
     return fleet.definitions.get(model)?.weightMegabytes ?? fleet.situation.definition.weightMegabytes;
 }
 
-function freeMegabytes(fleet: Fleet, engine: PlannedEngine): number {
-    const { definition } = fleet.situation;
-    const used = [...modelsOf(engine)].reduce((sum, model) => sum + sizeOf(fleet, model), 0);
-    return definition.weightMegabytes - adapterReserve(definition) - used;
-}
-
 /** Ways to make room for a model: one other model alone where that is enough, or as many as it takes. */
 function waysToMakeRoom(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): (readonly string[])[] {
-    const missing = model.weightMegabytes - freeMegabytes(fleet, engine);
+    const missing = model.weightMegabytes - freeMegabytes(fleet.situation.definition, modelsOf(engine));
     if (missing <= 0) {
         return [[]];
     }
@@ -190,16 +117,10 @@
     return [...alone, ...pairs];
 }
 
-function bestMoveOn(
-    fleet: Fleet,
-    engine: PlannedEngine,
-    model: ModelDefinition,
-    costNow: number,
-): Candidate | undefined {
+function bestMoveOn(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): Candidate | undefined {
     let best: Candidate | undefined;
     for (const dropped of waysToMakeRoom(fleet, engine, model)) {
-        const costThen = costOf(fleet, replace(fleet.placement, engine.id, dropped, model.name));
-        const gain = costNow - costThen - dropCostOf(fleet, dropped);
+        const gain = fleet.cost.gainOf(engine.id, model.name, dropped) - dropCostOf(fleet, dropped);
         if (gain > (best?.gain ?? 0)) {
             best = { engine, model, dropped, gain };
         }
@@ -209,10 +130,9 @@
 
 /** Models that may want a copy: those without one, then those whose copies are the busiest. */
 function candidateModels(fleet: Fleet): ModelDefinition[] {
-    const copies = countCopies(fleet.placement);
-    const perCopy = (name: string): number => (fleet.load.get(name) ?? 0) / Math.max(0.5, copies.get(name) ?? 0);
-    const { models } = fleet.situation.definition;
-    const wanted = models.filter(({ name }) => !copies.has(name) || perCopy(name) > 0);
+    const { cost, situation: { definition: { models } } } = fleet;
+    const perCopy = (name: string): number => cost.loadOf(name) / Math.max(0.5, cost.copies(name));
+    const wanted = models.filter(({ name }) => cost.copies(name) === 0 || perCopy(name) > 0);
     return wanted.sort((left, right) => perCopy(right.name) - perCopy(left.name)).slice(0, MOST_CANDIDATES);
 }
 
@@ -222,7 +142,6 @@
 
 /** The move that helps most, over all engines; equal ones are told apart by a hash. */
 function bestMove(fleet: Fleet): Candidate | undefined {
-    const costNow = costOf(fleet, fleet.placement);
     const { engines: all, passedOver } = fleet.situation;
     const idle = all.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
     const changing = all.filter(({ loading }) => loading !== undefined).length;
@@ -232,7 +151,7 @@
         const ranked = rankByRendezvous(model.name, idle.map(({ id }) => id));
         const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
         for (const engine of engines.filter(engine => !engine.models.includes(model.name))) {
-            const move = bestMoveOn(fleet, engine, model, costNow);
+            const move = bestMoveOn(fleet, engine, model);
             const allowed = mayDrop || move?.dropped.length === 0;
             if (move !== undefined && allowed && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
                 best = move;
@@ -260,18 +179,16 @@
  */
 export function planWeights(situation: WeightSituation): WeightMove | undefined {
     const placement: Placement = new Map(situation.engines.map(engine => [engine.id, modelsOf(engine)]));
-    const copies = countCopies(placement);
     const fleet: Fleet = {
         situation,
         definitions: new Map(situation.definition.models.map(model => [model.name, model])),
-        load: loadOf(situation, copies),
-        placement,
+        cost: new PlacementCost(placement, loadOf(situation, placement)),
     };
     const best = bestMove(fleet);
     if (best === undefined) {
         return undefined;
     }
     const { dropped, engine, gain, model } = best;
-    const reason = copies.has(model.name) ? "busy-copies" : "no-copy";
+    const reason = fleet.cost.copies(model.name) > 0 ? "busy-copies" : "no-copy";
     return { engine: engine.id, model: model.name, dropped, reason, gain };
 }
--- a/tests/entryForwarding.test.ts
+++ b/tests/entryForwarding.test.ts
@@ -181,6 +181,26 @@
     await until(() => site.upstreams.some(({ abandoned }) => abandoned.includes(id)), 500);
 });
 
+test("a request whose caller has left before it is read reaches no upstream", async () => {
+    await Promise.all(Array.from({ length: 6 }, () => callHost(host, { path: "/reads/warm" })));
+    const { address, port } = host.settings.callers;
+    const identifiers = Array.from({ length: 12 }, (_, index) => `left-${index}`);
+    for (const id of identifiers) {
+        const socket = connect(port, address, () => {
+            socket.write(`GET /reads/1 HTTP/1.1\r\nHost: ${HOST_NAME}\r\nFlamingospread-Request-Id: ${id}\r\n\r\n`);
+            socket.end();
+        });
+        socket.on("error", () => undefined);
+    }
+    await delay(300);
+    assert.deepEqual(identifiers.flatMap(runsOf), []);
+    const noted = host.lines.filter(({ fields, message }) =>
+        message === "request rejected" && fields["reason"] === "caller-left"
+    );
+    assert.equal(noted.length, identifiers.length);
+    assert.equal((await callHost(host, { path: "/reads/1" })).status, 200);
+});
+
 test("a silent stream is taken up by another engine before its caller gives up", async () => {
     const id = script("silent", { type: "silent" }, { type: "stream", events: 3 });
     const answer = await callHost(host, { path: "/streams/1", method: "POST", id });
