Change several engines at once where the models that make room are idle; ask four times a second whether they are gone

At most a quarter of the engines (one of six) could be changing, and a change takes up to 4 s for the last requests of the dropped model and 6 s for the load, in which the engine goes on serving the rest.

Change: the bound holds only where busy copies are dropped. An engine that drops a model is asked every 250 ms instead of after 500 and then every 700 ms; a report that counts fewer orders than were accepted is read again.

Tests: 24 of src/placement passed, two of them new; the first new one failed before.

--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -201,3 +201,16 @@
     assert.equal(keeper.nextStep(10), undefined);
     assert.equal(keeper.record().loading, undefined, "the move is given up");
 });
+
+test("a report that was written before the last order is read again", () => {
+    const keeper = keep(["hot", "warm"], 7);
+    assert.ok(keeper.begin(move("new", ["warm"]), 0));
+    carryOut(keeper, 0, "accepted");
+    const before = { orderCount: 7, busy: false, models: [{ name: "hot", adapters: [] }] };
+    assert.deepEqual(keeper.nextStep(300), { type: "read-report" });
+    keeper.reported(before, 300);
+    assert.equal(keeper.nextStep(301), undefined);
+    assert.deepEqual(keeper.nextStep(600), { type: "read-report" });
+    keeper.reported({ ...before, orderCount: 8 }, 600);
+    assert.equal(carryOut(keeper, 601, "accepted").expectedOrderCount, 8);
+});
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -27,6 +27,9 @@
 /** An engine that carries out an order which this holder does not know is asked again after this time. */
 const BUSY_REPORT_MILLISECONDS = 700;
 
+/** An engine that drops a model is asked this often whether it has; a report that lags still names the model. */
+const DROPPING_REPORT_MILLISECONDS = 250;
+
 /** A load that takes this many times as long as it should is taken as failed. */
 const LOAD_PATIENCE = 4;
 
@@ -86,6 +89,7 @@
     #atHand: ReadonlySet<string>;
     #open: EngineOrder | undefined;
     #unanswered: EngineOrder | undefined;
+    #answeredAtMilliseconds = Number.NEGATIVE_INFINITY;
     #loading: OpenLoad | undefined;
     /**
      * A model that the engine drops once its last request has ended. Only a report tells that it has: an announcement
@@ -214,6 +218,7 @@
             return;
         }
         this.#open = undefined;
+        this.#answeredAtMilliseconds = nowMilliseconds;
         if (outcome === "accepted" || outcome === "holds") {
             this.#apply(order, outcome, nowMilliseconds);
         }
@@ -239,8 +244,8 @@
 
     /** Takes the engine's report; without one it is asked again later. */
     reported(report: EngineReport | undefined, nowMilliseconds: number): void {
-        if (report === undefined) {
-            this.#reportAtMilliseconds = nowMilliseconds + REPORT_LAG_MILLISECONDS;
+        if (report === undefined || this.#isOutdated(report, nowMilliseconds)) {
+            this.#reportAtMilliseconds = nowMilliseconds + DROPPING_REPORT_MILLISECONDS;
             return;
         }
         this.#reportAtMilliseconds = undefined;
@@ -251,11 +256,20 @@
             this.#unloading = undefined;
         }
         const foreignOrder = report.busy && this.#loading === undefined;
-        if (foreignOrder || this.#unloading !== undefined) {
+        if (this.#unloading !== undefined) {
+            this.#reportAtMilliseconds = nowMilliseconds + DROPPING_REPORT_MILLISECONDS;
+        }
+        else if (foreignOrder) {
             this.#reportAtMilliseconds = nowMilliseconds + BUSY_REPORT_MILLISECONDS;
         }
     }
 
+    /** A report that was written before the last order counts fewer orders. */
+    #isOutdated(report: EngineReport, nowMilliseconds: number): boolean {
+        const mayLag = nowMilliseconds - this.#answeredAtMilliseconds < REPORT_LAG_MILLISECONDS;
+        return mayLag && report.orderCount < this.#orderCount;
+    }
+
     /** What other hosts should know of the engine. */
     record(): EngineRecord {
         return {
@@ -354,7 +368,7 @@
                 this.#models.delete(order.model);
                 this.#unloading = outcome === "accepted" ? order.model : undefined;
                 this.#reportAtMilliseconds = outcome === "accepted"
-                    ? nowMilliseconds + REPORT_LAG_MILLISECONDS
+                    ? nowMilliseconds + DROPPING_REPORT_MILLISECONDS
                     : undefined;
             }
             else {
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -112,6 +112,16 @@
     assert.ok(copies(held, "rare") === 1 && copies(held, "small") === 1);
 });
 
+test("copies that nobody asks for make room on several engines at once, busy ones on one after the other", () => {
+    const loading = engine("a", ["warm"], { loading: "hot" });
+    const idle = [engine("b", ["cold", "rare"]), engine("c", ["cold", "warm"]), engine("d", ["cold", "small"])];
+    const shifted = planWeights(situation([loading, ...idle], { hot: 150, warm: 8, rare: 3, small: 2 }));
+    assert.deepEqual([shifted?.model, shifted?.dropped], ["hot", ["cold"]]);
+    const busy = idle.map(({ id, models }) => engine(id, models.map(model => model === "cold" ? "warm" : model)));
+    const crowded = planWeights(situation([loading, ...busy], { hot: 150, warm: 90, rare: 30, small: 30, cold: 1 }));
+    assert.notEqual(crowded?.model, "hot");
+});
+
 test("whatever the demand, no engine is planned beyond its memory, and the plan comes to rest", () => {
     const names = Object.keys(SIZES);
     const demands = fc.dictionary(fc.constantFrom(...names), fc.integer({ min: 0, max: 300 }));
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -23,9 +23,12 @@
 /** Before there is traffic, each copy that engines began with stands for this load, as a share of an engine's slots. */
 const PRIOR_LOAD_SHARE = 0.25;
 
-/** Part of the engines that may be changing at once; a model that is dropped takes no requests until another is there. */
+/** Part of the engines that may be changing at once where busy models are dropped, which take no requests meanwhile. */
 const CHANGING_SHARE = 0.25;
 
+/** Load of a copy, as a share of an engine's slots, up to which nobody misses it while the engine changes. */
+const IDLE_COPY_LOAD = 0.06;
+
 /** Models that are considered for a further copy, the most loaded first; keeps the work small for many models. */
 const MOST_CANDIDATES = 12;
 
@@ -117,9 +120,19 @@
     return [...alone, ...pairs];
 }
 
-function bestMoveOn(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): Candidate | undefined {
+function isIdle({ cost }: Fleet, models: readonly string[]): boolean {
+    return models.every(model => cost.loadOfCopy(model) <= IDLE_COPY_LOAD);
+}
+
+function bestMoveOn(
+    fleet: Fleet,
+    engine: PlannedEngine,
+    model: ModelDefinition,
+    mayDropBusy: boolean,
+): Candidate | undefined {
     let best: Candidate | undefined;
-    for (const dropped of waysToMakeRoom(fleet, engine, model)) {
+    const ways = waysToMakeRoom(fleet, engine, model).filter(dropped => mayDropBusy || isIdle(fleet, dropped));
+    for (const dropped of ways) {
         const gain = fleet.cost.gainOf(engine.id, model.name, dropped) - dropCostOf(fleet, dropped);
         if (gain > (best?.gain ?? 0)) {
             best = { engine, model, dropped, gain };
@@ -145,15 +158,14 @@
     const { engines: all, passedOver } = fleet.situation;
     const idle = all.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
     const changing = all.filter(({ loading }) => loading !== undefined).length;
-    const mayDrop = changing < Math.max(1, Math.floor(all.length * CHANGING_SHARE));
+    const mayDropBusy = changing < Math.max(1, Math.floor(all.length * CHANGING_SHARE));
     let best: Candidate | undefined;
     for (const model of candidateModels(fleet)) {
         const ranked = rankByRendezvous(model.name, idle.map(({ id }) => id));
         const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
         for (const engine of engines.filter(engine => !engine.models.includes(model.name))) {
-            const move = bestMoveOn(fleet, engine, model);
-            const allowed = mayDrop || move?.dropped.length === 0;
-            if (move !== undefined && allowed && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
+            const move = bestMoveOn(fleet, engine, model, mayDropBusy);
+            if (move !== undefined && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
                 best = move;
             }
         }
