Go on ordering engines through an outage by consent of all hosts; drop an adapter once no request uses it

Ruled out: keeping on without asking, since the store may turn away one host and serve the others, and a new holder would then take turns with it. Change: a digest carries a number, the numbers heard from peers, whether the store answered a moment ago, and the holders' revisions. Where every active host has answered a digest with 'it does not answer me either, and I know no later holder', the moment at which that digest was sent counts like a renewal. A host that takes an engine over later waits as long as after a renewal, because its word came before; a frozen host's digests are old and count for nothing. Left: a host that joined within an outage and is served by the store while every host known to the holder is turned away; it waits 4.5 s, and its digests name it to the holder meanwhile (docs/design/platform.md).

Change: the first and the last use of an adapter by a host are told to the holder at once; a free one makes room after 150 ms.

Also: demand halves in 1 s instead of 1.5 s, engines get no more requests than their batch holds, adapters count as load in the plan (all places in use like 0.3 of the slots).

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type ClockReading, EngineDuties } from "./index.js";
+import { type ClockReading, EngineDuties, OutageConsent } from "./index.js";
 
 const BOUNDS = { confirmedMilliseconds: 1_500, handoverMilliseconds: 3_000 };
 
@@ -160,6 +160,10 @@
     | { readonly type: "renew"; readonly host: number; readonly reachesStore: boolean; }
     | { readonly type: "revoke"; readonly host: number; }
     | { readonly type: "take"; readonly host: number; }
+    /** A digest goes out, and others that hear it speak at once. */
+    | { readonly type: "ask"; readonly host: number; readonly deaf: number | undefined; }
+    /** What others said last reaches the host. */
+    | { readonly type: "consent"; readonly host: number; }
     | { readonly type: "order"; readonly host: number; };
 
 const hostIndex = fc.integer({ min: 0, max: 2 });
@@ -171,6 +175,12 @@
         fc.record({ type: fc.constant("take" as const), host: hostIndex }),
         fc.record({ type: fc.constant("relinquish" as const), host: hostIndex, heard: fc.boolean() }),
         fc.record({ type: fc.constant("order" as const), host: hostIndex }),
+        fc.record({
+            type: fc.constant("ask" as const),
+            host: hostIndex,
+            deaf: fc.option(hostIndex, { nil: undefined }),
+        }),
+        fc.record({ type: fc.constant("consent" as const), host: hostIndex }),
     ),
     { minLength: 20, maxLength: 200 },
 );
@@ -192,6 +202,8 @@
                 const store = new SharedStore();
                 const names = ["one", "two", "three"];
                 const hosts = names.map(name => new EngineDuties(name, BOUNDS));
+                const consents = names.map(() => new OutageConsent());
+                let digest = 0;
                 const orders: { readonly host: string; readonly at: number; readonly fence: number; }[] = [];
                 let now = 0;
                 let sessionCount = 0;
@@ -241,6 +253,30 @@
                             );
                         }
                     }
+                    else if (event.type === "ask") {
+                        digest += 1;
+                        consents[event.host]?.sent(digest, at(now));
+                        const speakers = hosts.map((host, index) => ({ host, index })).filter(({ index }) =>
+                            index !== event.host && index !== event.deaf
+                        );
+                        speakers.forEach(({ host, index }) =>
+                            consents[event.host]?.hear({
+                                host: names[index] ?? "",
+                                heard: digest,
+                                serviceAnswers: false,
+                                holderRevisions: host.holderRevisions(),
+                            })
+                        );
+                    }
+                    else if (event.type === "consent") {
+                        const held = new Map(
+                            own?.held().map(({ engine, expectedRevision }) => [engine, expectedRevision]),
+                        );
+                        const agreedAt = consents[event.host]?.agreedAt(names.filter(other => other !== name), held);
+                        if (agreedAt !== undefined) {
+                            own?.confirmByPeers(agreedAt);
+                        }
+                    }
                     else if (event.type === "order") {
                         const fence = own?.fencingNumber("engine", at(now));
                         if (fence !== undefined) {
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -141,6 +141,17 @@
         this.#confirmedAt = sentAt;
     }
 
+    /**
+     * Takes the consent of all other hosts, given in answer to a digest that was sent at the reading. It stands in for a
+     * renewal while this host's session is not known to have ended.
+     */
+    confirmByPeers(sentAt: ClockReading): void {
+        const confirmedAt = this.#confirmedAt;
+        if (confirmedAt !== undefined && sentAt.steadyMilliseconds > confirmedAt.steadyMilliseconds) {
+            this.#confirmedAt = sentAt;
+        }
+    }
+
     /** This host's session; `undefined` while there is none. */
     get session(): string | undefined {
         return this.#session;
@@ -160,9 +171,15 @@
         return valid ? holder.host : undefined;
     }
 
-    /** Tells whether this host's session was confirmed lately, so that the service can be reached. */
+    /** Tells whether this host's session was confirmed lately. A clock that ran on alone tells of a suspension. */
     isConfirmed(now: ClockReading): boolean {
-        return this.#isConfirmed(now);
+        if (this.#confirmedAt === undefined) {
+            return false;
+        }
+        const steady = now.steadyMilliseconds - this.#confirmedAt.steadyMilliseconds;
+        const timeOfDay = now.timeOfDayMilliseconds - this.#confirmedAt.timeOfDayMilliseconds;
+        return steady <= this.#bounds.confirmedMilliseconds
+            && Math.abs(timeOfDay - steady) <= CLOCK_TOLERANCE_MILLISECONDS;
     }
 
     /** Gives the engines that this host should take over now. */
@@ -193,7 +210,7 @@
             return undefined;
         }
         const isStopped = this.#relinquished.get(engine) === holder.revision;
-        if (holder.session !== this.#session || isStopped || !this.#isConfirmed(now)) {
+        if (holder.session !== this.#session || isStopped || !this.isConfirmed(now)) {
             return undefined;
         }
         return now.steadyMilliseconds >= (this.#quietUntil.get(engine) ?? Number.POSITIVE_INFINITY)
@@ -201,6 +218,11 @@
             : undefined;
     }
 
+    /** Gives the revision of each engine's latest record that this host knows. */
+    holderRevisions(): ReadonlyMap<string, number> {
+        return new Map([...this.#holders].map(([engine, { revision }]) => [engine, revision]));
+    }
+
     /** Gives the engines whose record names this host's session, with the revisions of the records. */
     held(): readonly Acquisition[] {
         return [...this.#holders]
@@ -233,7 +255,7 @@
      * @returns The engines that are given up now.
      */
     relinquishUnconfirmed(now: ClockReading): readonly string[] {
-        if (this.#isConfirmed(now)) {
+        if (this.isConfirmed(now)) {
             return [];
         }
         const engines = this.held();
@@ -305,15 +327,4 @@
         const { confirmedMilliseconds, handoverMilliseconds } = this.#bounds;
         return before.settled ? nowMilliseconds : nowMilliseconds + confirmedMilliseconds + handoverMilliseconds;
     }
-
-    /** A clock that ran on alone tells of a suspension, after which the session may have ended. */
-    #isConfirmed(now: ClockReading): boolean {
-        if (this.#confirmedAt === undefined) {
-            return false;
-        }
-        const steady = now.steadyMilliseconds - this.#confirmedAt.steadyMilliseconds;
-        const timeOfDay = now.timeOfDayMilliseconds - this.#confirmedAt.timeOfDayMilliseconds;
-        return steady <= this.#bounds.confirmedMilliseconds
-            && Math.abs(timeOfDay - steady) <= CLOCK_TOLERANCE_MILLISECONDS;
-    }
 }
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -19,3 +19,4 @@
     type Relinquishment,
     type StoredHolder,
 } from "./engineDuties.js";
+export { OutageConsent, type PeerStatement } from "./outageConsent.js";
--- a/src/entry/_upstreamOptions.ts
+++ b/src/entry/_upstreamOptions.ts
@@ -84,7 +84,6 @@
         if (adapter === undefined || model === undefined) {
             return;
         }
-        this.#context.noteAdapterUse(chosen, model, adapter);
         const load = this.loadShare(chosen);
         if (load < BUSY_ADAPTER_SHARE) {
             return;
@@ -135,6 +134,7 @@
         return fresh.map(upstream => ({
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
+            batches: this.#facts.model !== undefined,
             requests: loads.estimate(upstream.id, now),
             recentPromptTokens: loads.recentPromptTokens(upstream.id, now),
             sameZone: upstream.zone === zone,
--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -5,7 +5,7 @@
  */
 
 /** Work counts half as much after this time. */
-const HALF_LIFE_MILLISECONDS = 1_500;
+const HALF_LIFE_MILLISECONDS = 1_000;
 
 /** Demand below this is not told, in requests that run at once. */
 const LEAST_DEMAND = 0.02;
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -43,10 +43,18 @@
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
     readonly storeLoads: StoreLoadBound;
+    /** Tells whether the key-value service answered a moment ago. */
+    readonly serviceAnswers: () => boolean;
+    /** Gives the hosts that do not agree that this one goes on without the service. */
+    readonly hostsWithoutConsent: () => readonly string[];
     readonly readClocks: () => ClockReading;
     readonly routeTable: () => RouteTable | undefined;
     /** Requests of each model that would run at once, over all hosts. */
     readonly demand: () => ReadonlyMap<string, number>;
+    /** The part of these that name an adapter. */
+    readonly adapterDemand: () => ReadonlyMap<string, number>;
+    /** Tells whether a request of any host uses an adapter, named with its model. */
+    readonly isAdapterUsed: (engine: string, adapter: string) => boolean;
     /** Tells whether several hosts found an engine unreachable a moment ago. */
     readonly isDown: (engine: string) => boolean;
     /** The service has a later state of a key than this host knew. */
@@ -161,16 +169,21 @@
 
     /** A host that cannot confirm its session stops, and says so to its peers. */
     #relinquish(): void {
+        const withoutConsent = this.#options.hostsWithoutConsent().join(",");
         for (const engine of this.#options.duties.relinquishUnconfirmed(this.#options.readClocks())) {
             this.#keepers.delete(engine);
             this.#options.metrics.count("holder_changes", { change: "relinquished" });
-            this.#options.logger.warn("engine relinquished", { engine, reason: "session not confirmed" });
+            this.#options.logger.warn("engine relinquished", {
+                engine,
+                reason: "session not confirmed",
+                withoutConsent,
+            });
         }
     }
 
     /** Engines are taken only while the service answers; in an outage each try would be a call for nothing. */
     #takeOver(): void {
-        if (!this.#options.duties.isConfirmed(this.#options.readClocks())) {
+        if (!this.#options.serviceAnswers()) {
             return;
         }
         const engines = this.#engines().filter(({ leaving }) => !leaving).map(({ id }) => id);
@@ -219,7 +232,12 @@
             const announcement = this.#options.view.get(engine);
             const definition = announcement === undefined ? undefined : this.#definitionOf(announcement);
             if (announcement !== undefined && definition !== undefined && !this.#keepers.has(engine)) {
-                this.#keepers.set(engine, new EngineKeeper(announcement, definition));
+                this.#keepers.set(
+                    engine,
+                    new EngineKeeper(announcement, definition, {
+                        isAdapterUsed: adapter => this.#options.isAdapterUsed(engine, adapter),
+                    }),
+                );
             }
         }
         this.#options.metrics.gauge("engines_held", this.#keepers.size);
@@ -271,6 +289,7 @@
             engines: engines.map(engine => this.#describe(engine)),
             definition,
             demand,
+            adapterDemand: this.#options.adapterDemand(),
             passedOver: follower.passedOver(now),
         });
         follower.note(move, now);
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -5,10 +5,11 @@
  */
 import { type Agent, createServer, type Server } from "node:http";
 import { type RandomSource } from "../decision/index.js";
-import { type ClockReading, EngineDuties } from "../duties/index.js";
+import { type ClockReading, EngineDuties, OutageConsent } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
 import {
     AdapterUse,
+    AdapterUsers,
     CrashSuspects,
     DownReports,
     PromptMemory,
@@ -17,7 +18,13 @@
     UpstreamHealth,
     UpstreamLoads,
 } from "../forwarding/index.js";
-import { engineHolderSchema, type EngineMemory, type HostDigest, hostRegistrationSchema } from "../generated/gossip.js";
+import {
+    type AdapterUseNotice,
+    engineHolderSchema,
+    type EngineMemory,
+    type HostDigest,
+    hostRegistrationSchema,
+} from "../generated/gossip.js";
 import { type GossipLink, type GossipMessage, openGossipLink, PeerTable, rankAddresses } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type EngineRecord, ResidencyView } from "../placement/index.js";
@@ -52,6 +59,9 @@
 /** A holder gives orders for this long after a renewal that succeeded. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
+/** The key-value service counts as answering for this long after it did; renewals come more often. */
+const ANSWERS_MILLISECONDS = 700;
+
 /** Demand that a peer told counts for this long. */
 const PEER_DEMAND_MILLISECONDS = 2_000;
 
@@ -88,6 +98,8 @@
 export interface EntryHost {
     /** Leaves: advertised no more, serves what still comes, finishes every request, then closes. */
     stop(): Promise<void>;
+    /** Closes whatever is open at once, without a word to peers and callers. */
+    close(): Promise<void>;
     /** Takes settings that changed while the host runs. */
     reload(settings: EntrySettings): void;
 }
@@ -102,6 +114,8 @@
     readonly #suspects = new CrashSuspects();
     readonly #prompts = new PromptMemory();
     readonly #demand = new DemandMeter();
+    readonly #adapterDemand = new DemandMeter();
+    readonly #adapterUsers = new AdapterUsers();
     readonly #adapterUse = new AdapterUse();
     readonly #down = new DownReports();
     readonly #budget: SharedRetryBudget;
@@ -116,7 +130,7 @@
     readonly #stored = new Map<string, KeyValueEntry>();
     readonly #peerDemand = new Map<
         string,
-        { readonly demand: HostDigest["demand"]; readonly atMilliseconds: number; }
+        Pick<HostDigest, "demand" | "adapterDemand"> & { readonly atMilliseconds: number; }
     >();
     readonly #newSuspects: SuspectRecord[] = [];
     readonly #servers: Server[] = [];
@@ -132,6 +146,11 @@
     #contactAt = Number.NEGATIVE_INFINITY;
     #storeReachable = true;
     #digestTimer: NodeJS.Timeout | undefined;
+    #digestSequence = 0;
+    /** Told to peers when the service ceases to answer, so that holders hear of it in time. */
+    #silenceTimer: NodeJS.Timeout | undefined;
+    readonly #consent = new OutageConsent();
+    readonly #heardDigests = new Map<string, number>();
     #fetching = false;
 
     constructor(options: EntryHostOptions) {
@@ -185,8 +204,12 @@
             metrics,
             storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
             readClocks,
+            serviceAnswers: () => this.#serviceAnswers(),
+            hostsWithoutConsent: () => this.#consent.missing(this.#consentingHosts(), this.#heldRevisions()),
             routeTable: () => this.#table,
-            demand: () => this.#totalDemand(),
+            demand: () => this.#totalDemand("demand", this.#demand),
+            adapterDemand: () => this.#totalDemand("adapterDemand", this.#adapterDemand),
+            isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
             isDown: engine => this.#down.isDown(engine, this.#now()),
             onLaterEntry: entry => {
                 this.#takeEntry(entry);
@@ -219,7 +242,7 @@
     }
 
     async stop(): Promise<void> {
-        if (this.#leaving) {
+        if (this.#leaving || this.#closed) {
             return;
         }
         const { logger } = this.#options;
@@ -248,10 +271,11 @@
         await this.#session.close();
     }
 
-    /** Closes whatever is open, without a word to peers and callers. */
     async close(): Promise<void> {
         this.#closed = true;
+        this.#session.abandon();
         clearInterval(this.#digestTimer);
+        clearTimeout(this.#silenceTimer);
         this.#orders.close();
         await this.#mirror.close();
         await this.#options.keyValue.close();
@@ -360,12 +384,13 @@
             suspects: this.#suspects,
             prompts: this.#prompts,
             demand: this.#demand,
+            adapterDemand: this.#adapterDemand,
             adapterUse: this.#adapterUse,
             routeTable: () => this.#table,
             agentFor: service => this.#agentFor(service),
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
             tellSent: (engine, promptTokens) => this.#tellSent(engine, promptTokens),
-            noteAdapterUse: (engine, model, adapter) => this.#orders.noteUse(engine, model, adapter),
+            tellAdapterUse: (engine, adapter, inUse) => this.#tellAdapterUse(engine, adapter, inUse),
             noteModelAbsent: (engine, model) => this.#orders.noteAbsent(engine, model),
             noteUnreachable: upstream => this.#noteUnreachable(upstream),
             noteReached: upstream => this.#down.clear(upstream),
@@ -439,8 +464,10 @@
 
     #noteContact(succeeded: boolean): void {
         const now = this.#now();
-        if (succeeded) {
+        if (succeeded && !this.#closed) {
             this.#contactAt = now;
+            clearTimeout(this.#silenceTimer);
+            this.#silenceTimer = setTimeout(() => this.#sendDigest(), ANSWERS_MILLISECONDS);
         }
         else {
             this.#view.noteServiceTrouble(now);
@@ -642,6 +669,9 @@
                 break;
             case "sent":
                 this.#loads.startedByPeer(message.engine, message.promptTokens, this.#now());
+                break;
+            case "use":
+                this.#takeAdapterUse(message);
         }
     }
 
@@ -650,21 +680,60 @@
         this.#peers.hear(digest, now);
         this.#mirror.noteLaterRevision(digest.storeRevision, now);
         this.#loads.takePeer(digest.host, digest.inFlight, now);
-        this.#peerDemand.set(digest.host, { demand: digest.demand, atMilliseconds: now });
+        const { adapterDemand, demand } = digest;
+        this.#peerDemand.set(digest.host, { adapterDemand, demand, atMilliseconds: now });
         digest.unreachable.forEach(upstream => this.#down.note(upstream, digest.host, now));
         digest.relinquished.forEach(word => this.#duties.takeRelinquishment(word, now));
-        this.#noteAdapterUse(digest.adaptersInUse);
+        this.#adapterUsers.takeAll(digest.host, digest.adaptersInUse, now);
         digest.engines.forEach(memory => this.#takeMemory(memory));
         digest.suspects.forEach(suspect => this.#suspects.takePeer(suspect, now));
+        this.#takeStatement(digest);
     }
 
-    /** Adapters that requests use are not dropped. */
-    #noteAdapterUse(adaptersInUse: HostDigest["adaptersInUse"]): void {
-        for (const [engine, adapters] of Object.entries(adaptersInUse)) {
-            for (const adapter of adapters) {
-                const slash = adapter.indexOf("/");
-                this.#orders.noteUse(engine, adapter.slice(0, slash), adapter.slice(slash + 1));
-            }
+    /** In an outage the other hosts' consent stands in for the service's word. */
+    #takeStatement({ heard, holderRevisions, host, sequence, serviceAnswers }: HostDigest): void {
+        this.#heardDigests.set(host, sequence);
+        this.#consent.hear({
+            host,
+            heard: heard[this.#settings.host],
+            serviceAnswers,
+            holderRevisions: new Map(Object.entries(holderRevisions)),
+        });
+        if (this.#duties.held().length === 0 || this.#serviceAnswers()) {
+            return;
+        }
+        const agreedAt = this.#consent.agreedAt(this.#consentingHosts(), this.#heldRevisions());
+        if (agreedAt !== undefined) {
+            this.#duties.confirmByPeers(agreedAt);
+        }
+    }
+
+    /** All hosts that could take engines over. */
+    #consentingHosts(): string[] {
+        return this.#peers.active(this.#now()).map(({ host }) => host);
+    }
+
+    #heldRevisions(): Map<string, number> {
+        return new Map(this.#duties.held().map(({ engine, expectedRevision }) => [engine, expectedRevision]));
+    }
+
+    #serviceAnswers(): boolean {
+        return this.#now() - this.#contactAt < ANSWERS_MILLISECONDS;
+    }
+
+    /** Adapters that requests use are not dropped, and those used last are dropped last. */
+    #takeAdapterUse({ adapter, engine, host, inUse }: Omit<AdapterUseNotice, "type">): void {
+        this.#adapterUsers.take(host, { engine, adapter, inUse }, this.#now());
+        const slash = adapter.indexOf("/");
+        this.#orders.noteUse(engine, adapter.slice(0, slash), adapter.slice(slash + 1));
+    }
+
+    #tellAdapterUse(engine: string, adapter: string, inUse: boolean): void {
+        const use = { host: this.#settings.host, engine, adapter, inUse };
+        this.#takeAdapterUse(use);
+        const peer = this.#peers.get(this.#duties.holderOf(engine) ?? "");
+        if (peer !== undefined) {
+            this.#send({ type: "use", ...use }, [peer.addresses.gossip]);
         }
     }
 
@@ -703,10 +772,11 @@
         this.#link?.send(message, addresses);
     }
 
-    #totalDemand(): ReadonlyMap<string, number> {
+    /** Adds what peers told lately to this host's own demand. */
+    #totalDemand(part: "demand" | "adapterDemand", own: DemandMeter): ReadonlyMap<string, number> {
         const now = this.#now();
-        const total = new Map(Object.entries(this.#demand.concurrency(now)));
-        for (const { demand, atMilliseconds } of this.#peerDemand.values()) {
+        const total = new Map(Object.entries(own.concurrency(now)));
+        for (const { atMilliseconds, [part]: demand } of this.#peerDemand.values()) {
             if (now - atMilliseconds < PEER_DEMAND_MILLISECONDS) {
                 Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
             }
@@ -720,7 +790,7 @@
         }
         const now = this.#now();
         this.#noteChanges(this.#view.expire(now));
-        this.#noteAdapterUse(this.#adapterUse.all());
+        this.#adapterUsers.takeAll(this.#settings.host, this.#adapterUse.all(), now);
         this.#suspects.expire(now);
         this.#sendDigest();
         void this.#catchUp();
@@ -728,9 +798,16 @@
 
     #sendDigest(): void {
         const now = this.#now();
+        const serviceAnswers = this.#serviceAnswers();
+        this.#digestSequence += 1;
+        this.#consent.sent(this.#digestSequence, this.#options.readClocks());
         const digest: HostDigest = {
             type: "digest",
             host: this.#settings.host,
+            sequence: this.#digestSequence,
+            heard: serviceAnswers ? {} : Object.fromEntries(this.#heardDigests),
+            serviceAnswers,
+            holderRevisions: serviceAnswers ? {} : Object.fromEntries(this.#duties.holderRevisions()),
             zone: this.#settings.zone,
             addresses: this.#addresses(),
             configurationVersion: this.#table?.version ?? 0,
@@ -741,6 +818,7 @@
             unreachable: this.#down.reportedBy(this.#settings.host, now),
             adaptersInUse: this.#adapterUse.all(),
             demand: this.#demand.concurrency(now),
+            adapterDemand: this.#adapterDemand.concurrency(now),
             engines: this.#orders.records().map(toMemory),
             relinquished: this.#duties.relinquished(now),
             suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -140,6 +140,9 @@
         this.#context.budget.recordRequest(service, arrivedAtMilliseconds);
         if (model !== undefined) {
             this.#context.demand.add(model, work, this.#now());
+            if (this.#facts.adapter !== undefined) {
+                this.#context.adapterDemand.add(model, work, this.#now());
+            }
         }
         if (this.#context.suspects.isRefused(fingerprint)) {
             this.#refuse("crashes-engines");
@@ -303,7 +306,10 @@
             this.#context.tellSent(upstream.id, promptTokens);
         }
         if (adapter !== undefined) {
-            adapterUse.begin(upstream.id, `${model ?? ""}/${adapter}`);
+            const name = `${model ?? ""}/${adapter}`;
+            if (adapterUse.begin(upstream.id, name)) {
+                this.#context.tellAdapterUse(upstream.id, name, true);
+            }
         }
         this.#log("request sent", {
             route: this.#request.route.name,
@@ -475,6 +481,7 @@
         const firstByteAt = this.#answer.firstByteAtMilliseconds;
         if (firstByteAt !== undefined && this.#sends === 1) {
             this.#context.demand.noteRun(this.#facts.work, this.#now() - firstByteAt);
+            this.#context.adapterDemand.noteRun(this.#facts.work, this.#now() - firstByteAt);
         }
     }
 
@@ -489,7 +496,10 @@
         this.#context.loads.finished(upstream);
         const { adapter, model } = this.#facts;
         if (adapter !== undefined) {
-            this.#context.adapterUse.end(upstream, `${model ?? ""}/${adapter}`);
+            const name = `${model ?? ""}/${adapter}`;
+            if (this.#context.adapterUse.end(upstream, name)) {
+                this.#context.tellAdapterUse(upstream, name, false);
+            }
         }
     }
 
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -36,6 +36,8 @@
     readonly suspects: CrashSuspects;
     readonly prompts: PromptMemory;
     readonly demand: DemandMeter;
+    /** Demand of requests that name an adapter. */
+    readonly adapterDemand: DemandMeter;
     readonly adapterUse: AdapterUse;
     /** `undefined` while no configuration is known. */
     routeTable(): RouteTable | undefined;
@@ -44,8 +46,8 @@
     wishAdapter(engine: string, model: string, adapter: string): boolean;
     /** Tells peers that a request was sent to an engine. */
     tellSent(engine: string, promptTokens: number): void;
-    /** Tells the engine's holder that a request uses an adapter. */
-    noteAdapterUse(engine: string, model: string, adapter: string): void;
+    /** Tells the engine's holder that requests of this host began or ceased to use an adapter. */
+    tellAdapterUse(engine: string, adapter: string, inUse: boolean): void;
     /** A request found that the engine does not hold a model. */
     noteModelAbsent(engine: string, model: string): void;
     /** An attempt on this upstream met no listener, or another process. */
--- a/src/entry/hostSession.ts
+++ b/src/entry/hostSession.ts
@@ -12,7 +12,7 @@
 const LEASE_MILLISECONDS = 4_000;
 
 /** Time between renewals; several fit the time for which a renewal confirms the session. */
-const RENEWAL_MILLISECONDS = 600;
+const RENEWAL_MILLISECONDS = 500;
 
 /** Pause after a failed call. */
 const RETRY_MILLISECONDS = 450;
@@ -61,10 +61,15 @@
         }
     }
 
-    /** Ends the session, so that the host's record is gone at once. */
-    async close(): Promise<void> {
+    /** Lets the session run out. */
+    abandon(): void {
         this.#closed = true;
         clearTimeout(this.#timer);
+    }
+
+    /** Ends the session, so that the host's record is gone at once. */
+    async close(): Promise<void> {
+        this.abandon();
         if (this.#lease !== undefined) {
             await this.#options.keyValue.revokeLease(this.#lease);
         }
--- a/src/forwarding/adapterUse.ts
+++ b/src/forwarding/adapterUse.ts
@@ -17,23 +17,28 @@
 export class AdapterUse {
     readonly #engines = new Map<string, Map<string, number>>();
 
-    begin(engine: string, adapter: string): void {
+    /** Takes note of one more request; true where it is the only one. */
+    begin(engine: string, adapter: string): boolean {
         const adapters = this.#engines.get(engine) ?? new Map<string, number>();
         this.#engines.set(engine, adapters);
-        adapters.set(adapter, (adapters.get(adapter) ?? 0) + 1);
+        const count = (adapters.get(adapter) ?? 0) + 1;
+        adapters.set(adapter, count);
+        return count === 1;
     }
 
-    end(engine: string, adapter: string): void {
+    /** Takes note of one request fewer; true where none is left. */
+    end(engine: string, adapter: string): boolean {
         const adapters = this.#engines.get(engine);
         const count = adapters?.get(adapter) ?? 0;
         if (count > 1) {
             adapters?.set(adapter, count - 1);
-            return;
+            return false;
         }
         adapters?.delete(adapter);
         if (adapters?.size === 0) {
             this.#engines.delete(engine);
         }
+        return true;
     }
 
     all(): Record<string, string[]> {
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -7,6 +7,7 @@
     return {
         id,
         slots: 64,
+        batches: false,
         requests: 0,
         recentPromptTokens: 0,
         sameZone: true,
@@ -37,6 +38,9 @@
 
 test("upstreams with as many waiting as they take get nothing more", () => {
     assert.deepEqual(chooseUpstream([candidate("a", { requests: 80 })], random), { type: "all-full" });
+    assert.equal(chooseUpstream([candidate("a", { requests: 66 })], random).type, "send");
+    assert.equal(chooseUpstream([candidate("a", { requests: 64, batches: true })], random).type, "all-full");
+    assert.equal(chooseUpstream([candidate("a", { requests: 63, batches: true })], random).type, "send");
     assert.deepEqual(chooseUpstream([], random), { type: "none" });
 });
 
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -5,8 +5,11 @@
  */
 import { type RandomSource } from "../decision/index.js";
 
-/** Requests beyond its slots that an upstream may have before it takes no more, as a share of its slots. */
-const QUEUE_SHARE = 0.15;
+/** Requests that a plain service may have, running and waiting, as a share of its slots. */
+const MOST_AT_SERVICE_SHARE = 1.15;
+
+/** Requests that an engine may have, as a share of its slots; beyond its batch they would wait where none can pass. */
+const MOST_AT_ENGINE_SHARE = 1;
 
 /** What crossing to another zone counts for, as a share of an upstream's slots. */
 const OTHER_ZONE_SHARE = 0.12;
@@ -24,6 +27,8 @@
 export interface Candidate {
     readonly id: string;
     readonly slots: number;
+    /** True for engines, which run all their requests in one batch. */
+    readonly batches: boolean;
     /** Requests it probably has, running and waiting. */
     readonly requests: number;
     /** Prompt tokens that it was sent lately and may still have to read. */
@@ -50,7 +55,8 @@
 }
 
 function isFull(candidate: Candidate): boolean {
-    return candidate.requests >= candidate.slots * (1 + QUEUE_SHARE);
+    const share = candidate.batches ? MOST_AT_ENGINE_SHARE : MOST_AT_SERVICE_SHARE;
+    return candidate.requests >= candidate.slots * share;
 }
 
 /**
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -11,6 +11,7 @@
  * @module
  */
 export { AdapterUse } from "./adapterUse.js";
+export { AdapterUsers } from "./adapterUsers.js";
 export { type Candidate, type Choice, chooseUpstream } from "./chooseUpstream.js";
 export { CrashSuspects, type SuspectRecord } from "./crashSuspects.js";
 export { DownReports } from "./downReports.js";
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -17,6 +17,10 @@
     return {
         type: "digest",
         host,
+        sequence: 1,
+        heard: {},
+        serviceAnswers: true,
+        holderRevisions: {},
         zone: "a",
         addresses: addressesOf(host),
         configurationVersion: 3,
@@ -27,6 +31,7 @@
         unreachable: [],
         adaptersInUse: {},
         demand: {},
+        adapterDemand: {},
         engines: [],
         relinquished: [],
         suspects: [],
@@ -67,6 +72,16 @@
     assert.equal(table.all(31_000).length, 0);
 });
 
+test("hosts that may order engines have a record or are heard, and do not leave", () => {
+    const table = new PeerTable("own");
+    ["recorded", "heard", "gone", "leaving"].forEach(host => table.hear(digest(host), 0));
+    ["recorded", "gone"].forEach(host => table.register(registration(host), 0));
+    table.unregister("gone");
+    table.hear(digest("heard"), 20_000);
+    table.hear(digest("leaving", { leaving: true }), 20_000);
+    assert.deepEqual(table.active(20_000).map(({ host }) => host).sort(), ["heard", "recorded"]);
+});
+
 test("the newest configuration is taken from a peer that was heard", () => {
     const table = new PeerTable("own");
     table.hear(digest("one", { configurationVersion: 5 }), 0);
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -5,6 +5,8 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import {
+    type AdapterUseNotice,
+    adapterUseNoticeSchema,
     type AdapterWish,
     adapterWishSchema,
     type EngineNews,
@@ -20,7 +22,7 @@
 const LARGEST_DATAGRAM_BYTES = 48 * 1024;
 
 /** What hosts tell each other. */
-export type GossipMessage = HostDigest | AdapterWish | EngineNews | SendNotice;
+export type GossipMessage = HostDigest | AdapterWish | EngineNews | SendNotice | AdapterUseNotice;
 
 /** Options of a link. */
 export interface GossipLinkOptions {
@@ -43,6 +45,7 @@
     wish: adapterWishSchema,
     news: engineNewsSchema,
     sent: sendNoticeSchema,
+    use: adapterUseNoticeSchema,
 };
 
 function isMessageType(type: unknown): type is keyof typeof SCHEMAS {
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -117,6 +117,16 @@
         return [...this.#peers.values()].filter(peer => isHeard(peer, nowMilliseconds));
     }
 
+    /**
+     * Gives the hosts that may give orders to engines: those that have a record, and those that are heard without one. A
+     * host that leaves gives none.
+     */
+    active(nowMilliseconds: number): Peer[] {
+        return [...this.#peers.values()].filter(peer =>
+            !peer.leaving && (peer.registered || isHeard(peer, nowMilliseconds))
+        );
+    }
+
     /**
      * Gives the hosts that callers may be sent to, without this one. A host that hears nobody may itself be cut off, and
      * goes by the records alone.
--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineDefinition } from "../routes/index.js";
-import { EngineKeeper, type EngineOrder, type OrderOutcome, type WeightMove } from "./index.js";
+import { type AdapterUseView, EngineKeeper, type EngineOrder, type OrderOutcome, type WeightMove } from "./index.js";
 
 const DEFINITION: EngineDefinition = {
     slots: 64,
@@ -36,8 +36,10 @@
     };
 }
 
-function keep(models: readonly string[], orderCount = 0): EngineKeeper {
-    const keeper = new EngineKeeper(announcement(models), DEFINITION);
+const NO_USE: AdapterUseView = { isAdapterUsed: () => false };
+
+function keep(models: readonly string[], orderCount = 0, use = NO_USE): EngineKeeper {
+    const keeper = new EngineKeeper(announcement(models), DEFINITION, use);
     keeper.reported({ orderCount, busy: false, models: models.map(name => ({ name, adapters: [] })) }, 0);
     return keeper;
 }
@@ -52,7 +54,7 @@
 }
 
 test("a holder reads the engine's report before its first order; an announcement's number is no order count", () => {
-    const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION);
+    const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION, NO_USE);
     keeper.want("hot", "a1", 0);
     assert.deepEqual(keeper.nextStep(0), { type: "read-report" });
     keeper.reported({ orderCount: 7, busy: false, models: [{ name: "hot", adapters: [] }] }, 0);
@@ -60,7 +62,7 @@
 });
 
 test("an engine that carries out an order of an earlier holder gets none until its report says that it is done", () => {
-    const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION);
+    const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION, NO_USE);
     keeper.reading();
     keeper.reported({ orderCount: 7, busy: true, models: [{ name: "hot", adapters: [] }] }, 0);
     const move = { engine: "engine", model: "warm", dropped: [], reason: "no-copy", gain: 1 } as const;
@@ -214,3 +216,19 @@
     keeper.reported({ ...before, orderCount: 8 }, 600);
     assert.equal(carryOut(keeper, 601, "accepted").expectedOrderCount, 8);
 });
+
+test("an adapter makes room once no request uses it, however short ago that was, and never while one does", () => {
+    const used = new Set(["hot/a1", "hot/a2"]);
+    const keeper = keep(["hot"], 0, { isAdapterUsed: adapter => used.has(adapter) });
+    keeper.want("hot", "a1", 0);
+    keeper.want("hot", "a2", 0);
+    carryOut(keeper, 0, "accepted");
+    carryOut(keeper, 0, "accepted");
+    keeper.want("hot", "a3", 5_000);
+    assert.equal(keeper.nextStep(5_000), undefined, "both run requests, for however long");
+    keeper.noteUse("hot", "a2", 5_000);
+    used.delete("hot/a2");
+    assert.equal(keeper.nextStep(5_100), undefined, "a request that was told of it may be on its way");
+    const dropped = carryOut(keeper, 5_200, "holds");
+    assert.deepEqual([dropped.operation, dropped.adapter], ["unload", "a2"]);
+});
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -15,8 +15,8 @@
 /** Adapters that may be on their way to an engine at once. */
 const MOST_ADAPTERS_COMING = 4;
 
-/** An adapter that was asked for within this time is not dropped for another. */
-const ADAPTER_IN_USE_MILLISECONDS = 500;
+/** An adapter that was asked for within this time is not dropped for another: the request that asked is on its way. */
+const ADAPTER_AWAITED_MILLISECONDS = 150;
 
 /** A wish that was not repeated for this long is dropped. */
 const WISH_LIFETIME_MILLISECONDS = 1_000;
@@ -52,6 +52,12 @@
     readonly models: readonly HeldModel[];
 }
 
+/** What the holder knows of requests on its engine. */
+export interface AdapterUseView {
+    /** Tells whether a request uses an adapter, named with its model before a slash. */
+    readonly isAdapterUsed: (adapter: string) => boolean;
+}
+
 interface OpenLoad {
     readonly model: string;
     readonly untilMilliseconds: number;
@@ -74,7 +80,7 @@
  *
  * @example
  * ```ts
- * const keeper = new EngineKeeper(announcement, definition);
+ * const keeper = new EngineKeeper(announcement, definition, { isAdapterUsed: () => false });
  * keeper.want("quotes", "a3", now);
  * const step = keeper.nextAdapterStep(now);
  * ```
@@ -82,6 +88,7 @@
 export class EngineKeeper {
     readonly engine: string;
     readonly definition: EngineDefinition;
+    readonly #use: AdapterUseView;
     #startedAtMilliseconds: number | undefined;
     /** Orders that the engine has accepted, by its report and by what was ordered since. */
     #orderCount = 0;
@@ -103,7 +110,8 @@
     #storeLoads: number[] = [];
     #changeCount = 0;
 
-    constructor(announcement: UpstreamAnnouncement, definition: EngineDefinition) {
+    constructor(announcement: UpstreamAnnouncement, definition: EngineDefinition, use: AdapterUseView) {
+        this.#use = use;
         this.engine = announcement.id;
         this.definition = definition;
         this.#startedAtMilliseconds = announcement.startedAtMilliseconds;
@@ -351,7 +359,8 @@
         let oldest: { readonly model: string; readonly adapter: string; readonly usedAt: number; } | undefined;
         for (const [model, adapters] of this.#models) {
             for (const [adapter, usedAt] of adapters) {
-                if (usedAt < (oldest?.usedAt ?? nowMilliseconds - ADAPTER_IN_USE_MILLISECONDS)) {
+                const isFree = !this.#use.isAdapterUsed(`${model}/${adapter}`);
+                if (isFree && usedAt < (oldest?.usedAt ?? nowMilliseconds - ADAPTER_AWAITED_MILLISECONDS)) {
                     oldest = { model, adapter, usedAt };
                 }
             }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-export { EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
+export { type AdapterUseView, EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
 export { PlanFollower } from "./planFollower.js";
 export { type PlannedEngine, planWeights, type WeightMove, type WeightSituation } from "./planWeights.js";
 export { type AdapterHome, rankAdapterHomes } from "./rankAdapterHomes.js";
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -37,7 +37,13 @@
     engines: readonly PlannedEngine[],
     demand: Readonly<Record<string, number>>,
 ): WeightSituation {
-    return { engines, definition: DEFINITION, demand: new Map(Object.entries(demand)), passedOver: new Set() };
+    return {
+        engines,
+        definition: DEFINITION,
+        demand: new Map(Object.entries(demand)),
+        adapterDemand: new Map(),
+        passedOver: new Set(),
+    };
 }
 
 /** Lets every holder make its moves until none has one; each takes effect at once. */
@@ -112,6 +118,18 @@
     assert.ok(copies(held, "rare") === 1 && copies(held, "small") === 1);
 });
 
+test("a model whose requests need more adapters than its engines have places for gets a further copy", () => {
+    const engines = [
+        engine("a", ["hot"]),
+        engine("b", ["warm"]),
+        engine("c", ["cold", "rare"]),
+        engine("d", ["small"]),
+    ];
+    const quiet = situation(engines, { hot: 12, warm: 12, cold: 1, rare: 1, small: 1 });
+    assert.equal(planWeights(quiet), undefined);
+    assert.equal(planWeights({ ...quiet, adapterDemand: new Map([["hot", 5]]) })?.model, "hot");
+});
+
 test("copies that nobody asks for make room on several engines at once, busy ones on one after the other", () => {
     const loading = engine("a", ["warm"], { loading: "hot" });
     const idle = [engine("b", ["cold", "rare"]), engine("c", ["cold", "warm"]), engine("d", ["cold", "small"])];
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -29,6 +29,9 @@
 /** Load of a copy, as a share of an engine's slots, up to which nobody misses it while the engine changes. */
 const IDLE_COPY_LOAD = 0.06;
 
+/** Requests that use all places for adapters weigh as much as requests on this share of an engine's slots. */
+const FULL_ADAPTER_SLOTS_LOAD = 0.3;
+
 /** Models that are considered for a further copy, the most loaded first; keeps the work small for many models. */
 const MOST_CANDIDATES = 12;
 
@@ -48,6 +51,8 @@
     readonly definition: EngineDefinition;
     /** Requests of each model that would run at once if all were served. */
     readonly demand: ReadonlyMap<string, number>;
+    /** The part of these that name an adapter. */
+    readonly adapterDemand: ReadonlyMap<string, number>;
     /** Engines that should take no step now, though their models count. */
     readonly passedOver: ReadonlySet<string>;
 }
@@ -83,9 +88,12 @@
 }
 
 /** Before there is traffic, the copies that engines began with tell what is asked for. */
-function loadOf({ demand, definition }: WeightSituation, placement: Placement): Map<string, number> {
+function loadOf(situation: WeightSituation, placement: Placement): Map<string, number> {
+    const { adapterDemand, demand, definition: { adapterSlots, slots } } = situation;
     if (demand.size > 0) {
-        return new Map([...demand].map(([model, requests]) => [model, requests / definition.slots]));
+        const adapterLoad = (model: string): number =>
+            FULL_ADAPTER_SLOTS_LOAD * (adapterDemand.get(model) ?? 0) / Math.max(1, adapterSlots);
+        return new Map([...demand].map(([model, requests]) => [model, Math.max(requests / slots, adapterLoad(model))]));
     }
     const load = new Map<string, number>();
     for (const models of placement.values()) {
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -155,6 +155,32 @@
     await until(() => logged(late, "session began"), 3_000);
 });
 
+test("holders go on giving orders through an outage of the store while all hosts agree, and not when one is gone", async context => {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
+        "llm",
+    );
+    const [one, two] = await Promise.all([site.addHost("one"), site.addHost("two")]);
+    await Promise.all([one, two].map(ready));
+    await until(() => [one, two].some(host => logged(host, "engine taken", { engine: "i-engine" })));
+    const ask = (adapter: string): ReturnType<typeof callHost> =>
+        callHost(one, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
+    await until(async () => (await ask("a1")).status === 200);
+    site.store.mode = "refusing";
+    await delay(1_900);
+    assert.equal((await ask("a2")).status, 200);
+    assert.ok(![one, two].some(host => logged(host, "engine relinquished")));
+    const holder = logged(one, "engine taken") ? one : two;
+    await (holder === one ? two : one).host.close();
+    await until(() => logged(holder, "engine relinquished"), 1_900);
+    const ordered = engine.orders.length;
+    if (holder === one) {
+        assert.notEqual((await ask("a3")).status, 200);
+    }
+    assert.equal(engine.orders.length, ordered);
+});
+
 test("after the store has lost its history a host lists again and goes on", async context => {
     const site = await startSite(context);
     const gone = await site.addUpstream({ id: "i-gone" });
