--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -232,3 +232,16 @@
     const dropped = carryOut(keeper, 5_200, "holds");
     assert.deepEqual([dropped.operation, dropped.adapter], ["unload", "a2"]);
 });
+
+test("a load that no announcement tells of is found out by a report once its time is over", () => {
+    const keeper = keep(["hot"]);
+    assert.ok(keeper.begin(move("warm"), 0));
+    carryOut(keeper, 0, "accepted");
+    assert.equal(keeper.nextStep(900), undefined, "it takes 1,000 ms");
+    assert.deepEqual(keeper.nextStep(1_500), { type: "read-report" });
+    keeper.reported(
+        { orderCount: 1, busy: false, models: [...keeper.record().models, { name: "warm", adapters: [] }] },
+        1_500,
+    );
+    assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot", "warm"]);
+});
