Ask after a load whose time is over, and say which engines a lost session gives up

A holder learned of a load's end from the engine's announcement only, which cannot be written in an outage, and read the report after four times the load's time. It now asks half a second after the load should be done, then twice a second. Weights at hand are asked after from a quarter of the time on, since the configuration names no time for them. A report that was on its way while an announcement told of the end is put aside: it may be older and would take the model away.

Ruled out: a slow machine (all other tests took as long as here), two takers (70 starts, always one), another holder than the test thought, lag of the event loop (at most 13 ms on two cores with eight at once). A lost session now logs each engine that it gives up, and tells the peers from when on they may begin, as an unconfirmed session does; so successors wait for the last order only. Two tests, both failed first.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -87,6 +87,15 @@
     assert.deepEqual(own.vacant(["other"], 2_000), []);
 });
 
+test("a holder whose session is gone names the engines it gives up, and tells others from when on they may begin", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
+    own.noteOrder("engine", 900);
+    assert.deepEqual(own.loseSession(), ["engine"]);
+    assert.deepEqual(own.loseSession(), [], "once");
+    assert.deepEqual(own.relinquished(1_000), [{ engine: "engine", revision: 12, quietMilliseconds: 3_100 }]);
+});
+
 test("a holder whose clocks came apart, as by a suspension or a step, stops until its session is confirmed", () => {
     const own = duties("one", "s1");
     own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -157,10 +157,16 @@
         return this.#session;
     }
 
-    /** This host's session has ended or may have ended. */
-    loseSession(): void {
+    /**
+     * This host's session has ended or may have ended, and with it what it held.
+     *
+     * @returns The engines that are given up now.
+     */
+    loseSession(): readonly string[] {
+        const engines = this.#relinquishHeld();
         this.#session = undefined;
         this.#confirmedAt = undefined;
+        return engines;
     }
 
     /** Gives the host that holds an engine; `undefined` where nobody does. */
@@ -255,9 +261,10 @@
      * @returns The engines that are given up now.
      */
     relinquishUnconfirmed(now: ClockReading): readonly string[] {
-        if (this.isConfirmed(now)) {
-            return [];
-        }
+        return this.isConfirmed(now) ? [] : this.#relinquishHeld();
+    }
+
+    #relinquishHeld(): readonly string[] {
         const engines = this.held();
         engines.forEach(({ engine, expectedRevision }) => this.#relinquished.set(engine, expectedRevision));
         return engines.map(({ engine }) => engine);
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -6,7 +6,7 @@
 import { type Acquisition, type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import { type EngineHolder } from "../generated/gossip.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type EntryMetrics, type LogFields, type Logger } from "../observability/index.js";
 import {
     EngineKeeper,
     type EngineOrder,
@@ -167,17 +167,27 @@
         }
     }
 
+    /** This host's session has ended; others may take its engines over. */
+    loseSession(): void {
+        this.#noteRelinquished(this.#options.duties.loseSession(), { reason: "session lost" });
+    }
+
     /** A host that cannot confirm its session stops, and says so to its peers. */
     #relinquish(): void {
-        const withoutConsent = this.#options.hostsWithoutConsent().join(",");
-        for (const engine of this.#options.duties.relinquishUnconfirmed(this.#options.readClocks())) {
+        const { duties, hostsWithoutConsent, readClocks } = this.#options;
+        const clocks = readClocks();
+        if (!duties.isConfirmed(clocks)) {
+            const withoutConsent = hostsWithoutConsent().join(",");
+            const engines = duties.relinquishUnconfirmed(clocks);
+            this.#noteRelinquished(engines, { reason: "session not confirmed", withoutConsent });
+        }
+    }
+
+    #noteRelinquished(engines: readonly string[], cause: LogFields): void {
+        for (const engine of engines) {
             this.#keepers.delete(engine);
             this.#options.metrics.count("holder_changes", { change: "relinquished" });
-            this.#options.logger.warn("engine relinquished", {
-                engine,
-                reason: "session not confirmed",
-                withoutConsent,
-            });
+            this.#options.logger.warn("engine relinquished", { engine, ...cause });
         }
     }
 
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -182,7 +182,7 @@
                 this.#duties.setSession(host, session);
             },
             onLost: () => {
-                this.#duties.loseSession();
+                this.#orders.loseSession();
                 this.#duties.setSession(host, undefined);
             },
             onContact: succeeded => {
--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -245,3 +245,29 @@
     );
     assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot", "warm"]);
 });
+
+test("a load of weights at hand, which is faster, is asked after sooner, and again until it is done", () => {
+    const keeper = keep(["hot"]);
+    keeper.observe(announcement(["hot"], { weightsAtHand: { inMemory: ["warm"], onDisk: [] } }));
+    assert.ok(keeper.begin(move("warm"), 0));
+    carryOut(keeper, 0, "accepted");
+    assert.deepEqual(keeper.nextStep(800), { type: "read-report" });
+    keeper.reading();
+    keeper.reported({ orderCount: 1, busy: true, models: [{ name: "hot", adapters: [] }] }, 800);
+    assert.equal(keeper.record().loading, "warm", "it still loads");
+    assert.equal(keeper.nextStep(900), undefined);
+    assert.deepEqual(keeper.nextStep(1_300), { type: "read-report" });
+});
+
+test("a report that an announcement has overtaken takes no model away", () => {
+    const keeper = keep(["hot"]);
+    assert.ok(keeper.begin(move("warm"), 0));
+    carryOut(keeper, 0, "accepted");
+    assert.deepEqual(keeper.nextStep(1_500), { type: "read-report" });
+    keeper.reading();
+    keeper.observe(announcement(["hot", "warm"], { announcementNumber: 901 }));
+    keeper.reported({ orderCount: 1, busy: true, models: [{ name: "hot", adapters: [] }] }, 1_520);
+    assert.deepEqual(keeper.models, ["hot", "warm"]);
+    assert.equal(keeper.nextStep(1_600), undefined, "what the engine reports may still lag");
+    assert.deepEqual(keeper.nextStep(2_100), { type: "read-report" });
+});
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -33,6 +33,12 @@
 /** A load that takes this many times as long as it should is taken as failed. */
 const LOAD_PATIENCE = 4;
 
+/** An engine that should have loaded a model by now, but for which no announcement says so, is asked this often. */
+const LOADING_REPORT_MILLISECONDS = 500;
+
+/** Weights at hand load in less than this share of the time from the store; the configuration gives no other. */
+const AT_HAND_LOAD_SHARE = 0.25;
+
 /** A move whose load could not be ordered by then, as where requests keep a model in use, is given up. */
 const LONGEST_MOVE_MILLISECONDS = 8_000;
 
@@ -60,6 +66,9 @@
 
 interface OpenLoad {
     readonly model: string;
+    /** When the engine is asked whether the model is there, unless an announcement has said so by then. */
+    askAtMilliseconds: number;
+    /** When the load is taken as failed. */
     readonly untilMilliseconds: number;
 }
 
@@ -105,6 +114,8 @@
     #unloading: string | undefined;
     #move: OpenMove | undefined;
     #reportAtMilliseconds: number | undefined;
+    /** True where an announcement has told of a load's end while a report was being read. */
+    #reportOvertaken = false;
     readonly #coming = new Map<string, number>();
     readonly #wishes = new Map<string, { readonly model: string; readonly adapter: string; atMilliseconds: number; }>();
     #storeLoads: number[] = [];
@@ -132,6 +143,7 @@
         }
         const finished = announcement.models.some(({ name }) => name === this.#loading?.model);
         this.#loading = finished ? undefined : this.#loading;
+        this.#reportOvertaken ||= finished && this.#reportAtMilliseconds === Number.POSITIVE_INFINITY;
         const changed = this.#addModelNames(announcement.models) || finished;
         this.#changeCount += changed ? 1 : 0;
         return changed;
@@ -183,7 +195,7 @@
     /** Gives the next step that needs no plan: a lost order again, a report, or an adapter that is asked for. */
     nextStep(nowMilliseconds: number): KeeperStep | undefined {
         this.#finishComing(nowMilliseconds);
-        this.#expireLoad(nowMilliseconds);
+        this.#followLoad(nowMilliseconds);
         if (this.#open !== undefined) {
             return undefined;
         }
@@ -198,7 +210,7 @@
 
     /** Begins a planned move; false while the engine is not ready for one. */
     begin(move: WeightMove, nowMilliseconds: number): boolean {
-        this.#expireLoad(nowMilliseconds);
+        this.#followLoad(nowMilliseconds);
         const blocked = this.#open !== undefined || this.#unanswered !== undefined || this.#move !== undefined
             || this.#loading !== undefined || this.#unloading !== undefined || this.#reportAtMilliseconds !== undefined
             || this.#coming.size > 0;
@@ -252,10 +264,16 @@
 
     /** Takes the engine's report; without one it is asked again later. */
     reported(report: EngineReport | undefined, nowMilliseconds: number): void {
+        const overtaken = this.#reportOvertaken;
+        this.#reportOvertaken = false;
         if (report === undefined || this.#isOutdated(report, nowMilliseconds)) {
             this.#reportAtMilliseconds = nowMilliseconds + DROPPING_REPORT_MILLISECONDS;
             return;
         }
+        if (overtaken) {
+            this.#reportAtMilliseconds = nowMilliseconds + REPORT_LAG_MILLISECONDS;
+            return;
+        }
         this.#reportAtMilliseconds = undefined;
         this.#changeCount += 1;
         this.#orderCount = report.orderCount;
@@ -395,13 +413,19 @@
             this.#models.set(order.model, new Map());
             return;
         }
-        this.#loading = { model: order.model, untilMilliseconds: nowMilliseconds + this.#patienceFor(order.model) };
+        this.#loading = this.#openLoad(order.model, nowMilliseconds);
     }
 
-    #patienceFor(model: string): number {
+    #openLoad(model: string, nowMilliseconds: number): OpenLoad {
         const definition = this.definition.models.find(({ name }) => name === model);
-        const expected = (definition?.storeLoadMilliseconds ?? 0) * LOAD_PATIENCE;
-        return Math.max(SHORTEST_LOAD_PATIENCE_MILLISECONDS, expected);
+        const fromStore = definition?.storeLoadMilliseconds ?? 0;
+        const expected = this.#atHand.has(model) ? fromStore * AT_HAND_LOAD_SHARE : fromStore;
+        const patience = Math.max(SHORTEST_LOAD_PATIENCE_MILLISECONDS, fromStore * LOAD_PATIENCE);
+        return {
+            model,
+            askAtMilliseconds: nowMilliseconds + expected + REPORT_LAG_MILLISECONDS,
+            untilMilliseconds: nowMilliseconds + patience,
+        };
     }
 
     /** Moves adapters that must have arrived by now to those that are held. */
@@ -422,11 +446,17 @@
         return this.#coming.size === 0 ? undefined : Math.min(...this.#coming.values());
     }
 
-    #expireLoad(nowMilliseconds: number): void {
-        if (this.#loading !== undefined && nowMilliseconds > this.#loading.untilMilliseconds) {
+    /** Asks for the report of a load whose time is over, and takes one as failed that takes far too long. */
+    #followLoad(nowMilliseconds: number): void {
+        const load = this.#loading;
+        if (load === undefined || nowMilliseconds < load.askAtMilliseconds) {
+            return;
+        }
+        load.askAtMilliseconds = nowMilliseconds + LOADING_REPORT_MILLISECONDS;
+        this.#reportAtMilliseconds ??= nowMilliseconds;
+        if (nowMilliseconds > load.untilMilliseconds) {
             this.#loading = undefined;
             this.#changeCount += 1;
-            this.#reportAtMilliseconds = nowMilliseconds;
         }
     }
 
@@ -463,6 +493,7 @@
         this.#unloading = undefined;
         this.#move = undefined;
         this.#reportAtMilliseconds = undefined;
+        this.#reportOvertaken = false;
         this.#coming.clear();
     }
 }
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -181,6 +181,17 @@
     assert.equal(engine.orders.length, ordered);
 });
 
+test("a holder whose session ends says which engines it gives up", async context => {
+    const site = await startSite(context);
+    await site.addUpstream({ id: "i-engine", models: { quotes: [], specs: [] }, slots: 8 }, "llm");
+    const one = await site.addHost("one");
+    await until(() => logged(one, "engine taken", { engine: "i-engine" }));
+    const began = one.lines.find(({ message }) => message === "session began");
+    site.store.expireLease(Number(began?.fields["session"]));
+    await until(() => logged(one, "session lost"), 1_000);
+    assert.ok(logged(one, "engine relinquished", { engine: "i-engine", reason: "session lost" }));
+});
+
 test("after the store has lost its history a host lists again and goes on", async context => {
     const site = await startSite(context);
     const gone = await site.addUpstream({ id: "i-gone" });
