Split the entry host: entries, contact, agreement, beliefs, demand, gossip and servers own their state

Behaviour stays.

Names of adapters are joined and split in one place.

Ruled out: moving the reading of single records out as well; each is a few lines on what the host owns.

--- a/src/entry/_upstreamOptions.ts
+++ b/src/entry/_upstreamOptions.ts
@@ -5,7 +5,7 @@
  */
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type Candidate, type Choice, chooseUpstream } from "../forwarding/index.js";
-import { rankAdapterHomes, type Residency } from "../placement/index.js";
+import { nameAdapter, rankAdapterHomes, type Residency } from "../placement/index.js";
 import { type RequestFacts } from "./_requestFacts.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
@@ -67,7 +67,7 @@
             return;
         }
         const homes = rankAdapterHomes(
-            `${model}/${adapter}`,
+            nameAdapter(model, adapter),
             loadable.map(upstream => ({
                 id: upstream.id,
                 freeSlots: this.#freeAdapterSlots(upstream),
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -3,83 +3,51 @@
  *
  * @module
  */
-import { type Agent, createServer, type Server } from "node:http";
 import { type RandomSource } from "../decision/index.js";
-import { type ClockReading, EngineDuties, OutageConsent } from "../duties/index.js";
-import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
-import {
-    AdapterUse,
-    AdapterUsers,
-    CrashSuspects,
-    DownReports,
-    PromptMemory,
-    SharedRetryBudget,
-    type SuspectRecord,
-    UpstreamHealth,
-    UpstreamLoads,
-} from "../forwarding/index.js";
-import {
-    type AdapterUseNotice,
-    engineHolderSchema,
-    type EngineMemory,
-    type HostDigest,
-    hostRegistrationSchema,
-} from "../generated/gossip.js";
-import { type GossipLink, type GossipMessage, openGossipLink, PeerTable, rankAddresses } from "../gossip/index.js";
+import { type ClockReading, EngineDuties } from "../duties/index.js";
+import { AdapterUse, AdapterUsers, SharedRetryBudget } from "../forwarding/index.js";
+import { engineHolderSchema, type EngineMemory, type HostDigest, hostRegistrationSchema } from "../generated/gossip.js";
+import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
-import { type EngineRecord, ResidencyView } from "../placement/index.js";
+import { type EngineRecord, splitAdapterName } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
-import { DemandMeter } from "./demandMeter.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
-import { runOf } from "./exchange.js";
-import { fetchState, STATE_PATH } from "./fetchState.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
+import { type AdapterUseWord, HostGossip } from "./hostGossip.js";
+import { HostServers, KEEP_SECONDS } from "./hostServers.js";
 import { HOST_KEY_PREFIX, HostSession } from "./hostSession.js";
+import { OutageAgreement } from "./outageAgreement.js";
+import { PeerCatchUp } from "./peerCatchUp.js";
+import { ServiceContact } from "./serviceContact.js";
 import { type EntrySettings } from "./settings.js";
-import { type EngineControl, type SiteProtocol, type SmallAnswer } from "./siteProtocol.js";
-import { listen, startSmallServer } from "./smallServers.js";
+import { SiteDemand } from "./siteDemand.js";
+import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
+import { StoredEntries } from "./storedEntries.js";
 import { type MirrorEvent, StoreMirror } from "./storeMirror.js";
-import { createUpstreamAgent } from "./upstreamAgent.js";
+import { UpstreamAgents } from "./upstreamAgents.js";
+import { UpstreamBeliefs } from "./upstreamBeliefs.js";
 
 /** Time between two digests to peers. */
 const DIGEST_MILLISECONDS = 400;
 
-/** Callers keep an answer with addresses for this long, so that a leaving host is forgotten early in its grace time. */
-const KEEP_SECONDS = 1;
-
 /** Some callers keep an answer with addresses for three times as long as it says. */
 const LONGEST_KEEP_FACTOR = 3;
 
 /** Kept free at the end of the grace time for the last answers and the exit. */
 const EXIT_MARGIN_MILLISECONDS = 400;
 
+/** Time between two looks at whether the last requests of a leaving host have ended. */
+const LEAVING_CHECK_MILLISECONDS = 20;
+
 /** A holder gives orders for this long after a renewal that succeeded. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
-/** The key-value service counts as answering for this long after it did; renewals come more often. */
-const ANSWERS_MILLISECONDS = 700;
-
-/** Demand that a peer told counts for this long. */
-const PEER_DEMAND_MILLISECONDS = 2_000;
-
-/** From this many hosts on, notices of single requests stay within a zone. */
-const LARGE_FLEET_HOSTS = 16;
+/** Suspected requests that one digest tells at most. */
+const MOST_SUSPECTS_TOLD = 64;
 
-/** Connections of one host to an upstream, where a configuration says nothing. */
-const DEFAULT_CONNECTIONS = 16;
-
-/** Share of an upstream's connections that the hosts use together. */
-const CONNECTION_SHARE = 0.85;
-
-const FEWEST_CONNECTIONS = 4;
-const DEFAULT_IDLE_MILLISECONDS = 15_000;
-const DEFAULT_HEADER_MILLISECONDS = 5_000;
-const CONNECTION_CHECK_MILLISECONDS = 500;
-const STATUS_OK = 200;
-const STATUS_UNAVAILABLE = 503;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What an entry host is made of. */
@@ -107,51 +75,33 @@
 class RunningHost implements EntryHost {
     readonly #options: EntryHostOptions;
     #settings: EntrySettings;
-    readonly #view = new UpstreamView();
-    readonly #residency = new ResidencyView();
-    readonly #loads = new UpstreamLoads();
-    readonly #health = new UpstreamHealth();
-    readonly #suspects = new CrashSuspects();
-    readonly #prompts = new PromptMemory();
-    readonly #demand = new DemandMeter();
-    readonly #adapterDemand = new DemandMeter();
+    readonly #upstreams: UpstreamBeliefs;
+    readonly #demand = new SiteDemand();
     readonly #adapterUsers = new AdapterUsers();
     readonly #adapterUse = new AdapterUse();
-    readonly #down = new DownReports();
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
+    readonly #gossip: HostGossip;
     readonly #duties: EngineDuties;
+    readonly #agreement: OutageAgreement;
+    readonly #contact: ServiceContact;
+    readonly #entries: StoredEntries;
     readonly #mirror: StoreMirror;
     readonly #session: HostSession;
     readonly #orders: EngineOrders;
+    readonly #catchUp: PeerCatchUp;
     readonly #forwarder: Forwarder;
-    readonly #agents = new Map<string, Agent>();
-    readonly #revisions = new Map<string, number>();
-    readonly #stored = new Map<string, KeyValueEntry>();
-    readonly #peerDemand = new Map<
-        string,
-        Pick<HostDigest, "demand" | "adapterDemand"> & { readonly atMilliseconds: number; }
-    >();
-    readonly #newSuspects: SuspectRecord[] = [];
-    readonly #servers: Server[] = [];
-    #callersServer: Server | undefined;
-    #link: GossipLink | undefined;
+    readonly #agents = new UpstreamAgents();
+    readonly #servers: HostServers;
     #table: RouteTable | undefined;
+    /** True once the upstreams are known, from the key-value service or from a peer. */
     #listed = false;
     #sessionBegun = false;
     #leaving = false;
     /** Set while the host leaves and takes no further requests. */
     #closedToCallers = false;
     #closed = false;
-    #contactAt = Number.NEGATIVE_INFINITY;
-    #storeReachable = true;
     #digestTimer: NodeJS.Timeout | undefined;
-    #digestSequence = 0;
-    /** Told to peers when the service ceases to answer, so that holders hear of it in time. */
-    #silenceTimer: NodeJS.Timeout | undefined;
-    readonly #consent = new OutageConsent();
-    readonly #heardDigests = new Map<string, number>();
-    #fetching = false;
 
     constructor(options: EntryHostOptions) {
         this.#options = options;
@@ -164,72 +114,52 @@
             extra: bounds.retryExtra,
         });
         this.#peers = new PeerTable(host);
+        this.#gossip = new HostGossip({
+            host,
+            zone,
+            peers: this.#peers,
+            logger,
+            metrics,
+            readClock: () => this.#now(),
+            onMessage: message => this.#takeGossip(message),
+        });
         this.#duties = new EngineDuties(host, {
             confirmedMilliseconds: HOLDER_CONFIRMED_MILLISECONDS,
             handoverMilliseconds: bounds.handoverMilliseconds,
         });
-        this.#mirror = new StoreMirror({ keyValue, logger, onEvent: event => this.#takeMirrorEvent(event) });
-        this.#session = new HostSession({
-            host,
-            zone,
-            addresses: this.#addresses(),
-            keyValue,
+        this.#contact = new ServiceContact({
             logger,
-            readClocks,
-            recordRevision: () => this.#revisions.get(`${HOST_KEY_PREFIX}${host}`) ?? 0,
-            onConfirmed: (session, sentAt) => {
-                this.#duties.confirm(session, sentAt);
-                this.#duties.setSession(host, session);
-            },
-            onLost: () => {
-                this.#orders.loseSession();
-                this.#duties.setSession(host, undefined);
-            },
-            onContact: succeeded => {
-                if (succeeded && !this.#storeReachable) {
-                    this.#mirror.restartWatch("the service answers again");
-                }
-                this.#noteContact(succeeded);
-            },
-            onSilence: () => this.#mirror.restartWatch("a call got no answer"),
+            readClock: () => this.#now(),
+            revision: () => this.#mirror.revision,
+            onFellSilent: () => this.#sendDigest(),
         });
-        this.#orders = new EngineOrders({
+        this.#agreement = new OutageAgreement({
             host,
             duties: this.#duties,
-            view: this.#view,
-            residency: this.#residency,
-            keyValue,
-            control: options.control,
-            logger,
-            metrics,
-            storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
             readClocks,
-            serviceAnswers: () => this.#serviceAnswers(),
-            hostsWithoutConsent: () => this.#consent.missing(this.#consentingHosts(), this.#heldRevisions()),
-            routeTable: () => this.#table,
-            demand: () => this.#totalDemand("demand", this.#demand),
-            adapterDemand: () => this.#totalDemand("adapterDemand", this.#adapterDemand),
-            isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
-            isDown: engine => this.#down.isDown(engine, this.#now()),
-            onLaterEntry: entry => {
-                this.#takeEntry(entry);
-                this.#mirror.noteLaterRevision(entry.revision, this.#now());
-            },
-            onNews: record => this.#spreadNews(record),
+            serviceAnswers: () => this.#contact.answers(),
+            otherHosts: () => this.#peers.active(this.#now()).map(peer => peer.host),
+        });
+        this.#upstreams = this.#createUpstreams();
+        this.#entries = this.#createEntries();
+        this.#mirror = new StoreMirror({ keyValue, logger, onEvent: event => this.#takeMirrorEvent(event) });
+        this.#session = this.#createSession();
+        this.#orders = this.#createOrders();
+        this.#catchUp = new PeerCatchUp({
+            own: () => this.#addresses().state,
+            sources: () => this.#catchUpSources(),
+            take: (entries, source) => this.#takePeerState(entries, source),
         });
         this.#forwarder = createForwarder(this.#createForwardingContext());
+        this.#servers = this.#createServers();
     }
 
     async start(): Promise<void> {
         const { logger } = this.#options;
         const { host, zone, gossip } = this.#settings;
         logger.info("starting", { host, zone, callers: this.#addresses().callers });
-        this.#link = await openGossipLink({
-            ...gossip,
-            onMessage: message => this.#takeGossip(message),
-            onProblem: problem => logger.debug("gossip problem", { problem }),
-        });
-        await this.#startServers();
+        await this.#gossip.open(gossip);
+        await this.#servers.start();
         this.#mirror.start();
         this.#orders.start();
         this.#digestTimer = setInterval(() => this.#everyDigest(), DIGEST_MILLISECONDS);
@@ -250,43 +180,33 @@
         this.#leaving = true;
         logger.info("stopping", { open: this.#forwarder.open });
         this.#sendDigest();
-        await this.#leaveDuties();
+        await this.#orders.leave();
+        await this.#session.close();
         const keptMilliseconds = KEEP_SECONDS * LONGEST_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
         const finalMilliseconds = this.#settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
         await this.#until(startedAt + Math.min(keptMilliseconds, finalMilliseconds));
         this.#closedToCallers = true;
         logger.info("closed to callers", { open: this.#forwarder.open });
-        this.#callersServer?.close();
-        this.#callersServer?.closeIdleConnections();
+        this.#servers.closeToCallers();
         while (this.#forwarder.open > 0 && this.#now() < startedAt + finalMilliseconds) {
-            await this.#until(this.#now() + 20);
+            await this.#until(this.#now() + LEAVING_CHECK_MILLISECONDS);
         }
         this.#forwarder.abortAll();
         await this.close();
         logger.info("stopped", { tookMilliseconds: Math.round(this.#now() - startedAt) });
     }
 
-    async #leaveDuties(): Promise<void> {
-        await this.#orders.leave();
-        await this.#session.close();
-    }
-
     async close(): Promise<void> {
         this.#closed = true;
         this.#session.abandon();
         clearInterval(this.#digestTimer);
-        clearTimeout(this.#silenceTimer);
+        this.#contact.close();
         this.#orders.close();
         await this.#mirror.close();
         await this.#options.keyValue.close();
-        this.#link?.close();
-        for (const server of this.#servers) {
-            server.close();
-            server.closeAllConnections();
-        }
-        for (const agent of this.#agents.values()) {
-            agent.destroy();
-        }
+        this.#gossip.close();
+        this.#servers.close();
+        this.#agents.close();
     }
 
     #until(atMilliseconds: number): Promise<void> {
@@ -310,65 +230,104 @@
         return this.#table !== undefined && this.#listed && !this.#leaving;
     }
 
-    async #startServers(): Promise<void> {
-        const { logger, metrics } = this.#options;
-        const { callers, directory, metrics: metricsAddress, readiness, state } = this.#settings;
-        const onProblem = (problem: string): void => logger.warn("small call failed", { problem });
-        this.#callersServer = createServer({
-            keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
-            headersTimeout: DEFAULT_HEADER_MILLISECONDS,
-            requestTimeout: 0,
-            connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
-            noDelay: true,
-        }, (message, response) => this.#forwarder.handle(message, response));
-        this.#servers.push(await listen(this.#callersServer, callers));
-        this.#servers.push(await startSmallServer(readiness, url => this.#answerReadiness(url), onProblem));
-        this.#servers.push(await startSmallServer(directory, url => this.#answerDirectory(url), onProblem));
-        this.#servers.push(await startSmallServer(state, url => this.#answerState(url), onProblem));
-        if (metricsAddress !== undefined) {
-            const render = async (url: string): Promise<SmallAnswer | undefined> => {
-                this.#refreshGauges();
-                return url === metricsAddress.path ? { status: STATUS_OK, body: await metrics.render() } : undefined;
-            };
-            this.#servers.push(await startSmallServer(metricsAddress, render, onProblem));
-        }
+    #createUpstreams(): UpstreamBeliefs {
+        const { logger, metrics, protocol } = this.#options;
+        return new UpstreamBeliefs({
+            host: this.#settings.host,
+            decodeUpstream: (upstream, value) => protocol.decodeUpstream(upstream, value),
+            logger,
+            metrics,
+            readClock: () => this.#now(),
+            onAnnounced: announcement => this.#orders.observe(announcement),
+            onJoined: () => this.#orders.noteEnginesChanged(),
+            onChanged: () => this.#forwarder.wake(),
+        });
     }
 
-    #answerReadiness(url: string): SmallAnswer | undefined {
-        if (!this.#options.protocol.calls.isReadinessQuestion(url)) {
-            return undefined;
-        }
-        return { status: this.#isReady() ? STATUS_OK : STATUS_UNAVAILABLE, body: "" };
+    /** Who reads which entries of the key-value service. */
+    #createEntries(): StoredEntries {
+        const { keys } = this.#options.protocol;
+        return new StoredEntries([
+            { prefix: keys.configuration, put: (_name, entry) => this.#takeConfiguration(entry) },
+            {
+                prefix: keys.upstreamPrefix,
+                put: (upstream, entry) => this.#upstreams.take(upstream, entry),
+                removed: upstream => this.#upstreams.remove(upstream),
+            },
+            {
+                prefix: HOST_KEY_PREFIX,
+                put: (_name, entry) => this.#takeRegistration(entry),
+                removed: host => this.#forgetHost(host),
+            },
+            {
+                prefix: HOLDER_KEY_PREFIX,
+                put: (engine, entry) => this.#takeHolder(engine, entry),
+                removed: engine => this.#duties.setHolder(engine, undefined, this.#now()),
+            },
+        ]);
     }
 
-    #answerDirectory(url: string): SmallAnswer | undefined {
-        const { metrics, protocol } = this.#options;
-        const question = protocol.calls.readAddressQuestion(url);
-        if (question === undefined) {
-            return undefined;
-        }
-        const { callers, host, zone } = this.#settings;
-        const own = this.#isReady() ? [{ host, zone, address: `${callers.address}:${callers.port}` }] : [];
-        const hosts = [...own, ...this.#peers.advertised(this.#now())];
-        const addresses = rankAddresses(hosts, question.zone);
-        metrics.count("address_answers", { outcome: addresses.length === 0 ? "none" : "given" });
-        if (addresses.length === 0) {
-            return { status: STATUS_UNAVAILABLE, body: "" };
-        }
-        const keepSeconds = Math.min(KEEP_SECONDS, this.#settings.bounds.longestKeepSeconds);
-        return protocol.calls.renderAddresses(addresses, keepSeconds);
+    #createSession(): HostSession {
+        const { keyValue, logger, readClocks } = this.#options;
+        const { host, zone } = this.#settings;
+        return new HostSession({
+            host,
+            zone,
+            addresses: this.#addresses(),
+            keyValue,
+            logger,
+            readClocks,
+            recordRevision: () => this.#entries.revisionOf(`${HOST_KEY_PREFIX}${host}`),
+            onConfirmed: (session, sentAt) => {
+                this.#duties.confirm(session, sentAt);
+                this.#duties.setSession(host, session);
+            },
+            onLost: () => {
+                this.#orders.loseSession();
+                this.#duties.setSession(host, undefined);
+            },
+            onContact: succeeded => {
+                if (succeeded && !this.#contact.reachable) {
+                    this.#mirror.restartWatch("the service answers again");
+                }
+                this.#noteContact(succeeded);
+            },
+            onSilence: () => this.#mirror.restartWatch("a call got no answer"),
+        });
     }
 
-    #answerState(url: string): SmallAnswer | undefined {
-        if (url !== STATE_PATH) {
-            return undefined;
-        }
-        const entries = [...this.#stored.values()].map(({ key, value, revision }) => ({ key, value, revision }));
-        return { status: STATUS_OK, body: JSON.stringify({ revision: this.#mirror.revision ?? 0, entries }) };
+    #createOrders(): EngineOrders {
+        const { control, keyValue, logger, metrics, readClocks } = this.#options;
+        const { bounds, host } = this.#settings;
+        return new EngineOrders({
+            host,
+            duties: this.#duties,
+            view: this.#upstreams.view,
+            residency: this.#upstreams.residency,
+            keyValue,
+            control,
+            logger,
+            metrics,
+            storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
+            readClocks,
+            serviceAnswers: () => this.#contact.answers(),
+            hostsWithoutConsent: () => this.#agreement.missing(),
+            routeTable: () => this.#table,
+            demand: () => this.#demand.total("demand", this.#now()),
+            adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
+            isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
+            isDown: engine => this.#upstreams.isDown(engine),
+            onLaterEntry: entry => {
+                this.#entries.put(entry);
+                this.#mirror.noteLaterRevision(entry.revision, this.#now());
+            },
+            onNews: record => this.#spreadNews(record),
+        });
     }
 
     #createForwardingContext(): ForwardingContext {
         const { logger, metrics, protocol, random } = this.#options;
+        const { down, health, loads, prompts, residency, suspects, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
             headers: protocol.headers,
@@ -376,40 +335,47 @@
             metrics,
             random,
             readClock: () => this.#now(),
-            view: this.#view,
-            residency: this.#residency,
-            loads: this.#loads,
-            health: this.#health,
+            view,
+            residency,
+            loads,
+            health,
             budget: this.#budget,
-            suspects: this.#suspects,
-            prompts: this.#prompts,
+            suspects,
+            prompts,
             demand: this.#demand,
-            adapterDemand: this.#adapterDemand,
             adapterUse: this.#adapterUse,
             routeTable: () => this.#table,
-            agentFor: service => this.#agentFor(service),
+            agentFor: service => {
+                const limit = this.#table?.service(service)?.maximumConnections;
+                return this.#agents.agentFor(service, limit, this.#peers.all(this.#now()).length + 1);
+            },
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
-            tellSent: (engine, promptTokens) => this.#tellSent(engine, promptTokens),
+            tellSent: (engine, promptTokens) => this.#gossip.tellSent(engine, promptTokens),
             tellAdapterUse: (engine, adapter, inUse) => this.#tellAdapterUse(engine, adapter, inUse),
             noteModelAbsent: (engine, model) => this.#orders.noteAbsent(engine, model),
-            noteUnreachable: upstream => this.#noteUnreachable(upstream),
-            noteReached: upstream => this.#down.clear(upstream),
+            noteUnreachable: upstream => this.#upstreams.noteUnreachable(upstream),
+            noteReached: upstream => down.clear(upstream),
             isLeaving: () => this.#leaving,
             isClosedToCallers: () => this.#closedToCallers,
         };
     }
 
-    #agentFor(service: string): Agent {
-        const known = this.#agents.get(service);
-        if (known !== undefined) {
-            return known;
-        }
-        const limit = this.#table?.service(service)?.maximumConnections;
-        const hosts = this.#peers.all(this.#now()).length + 1;
-        const part = limit === undefined ? DEFAULT_CONNECTIONS : Math.floor(limit * CONNECTION_SHARE / hosts);
-        const agent = createUpstreamAgent(Math.max(FEWEST_CONNECTIONS, part));
-        this.#agents.set(service, agent);
-        return agent;
+    #createServers(): HostServers {
+        const { logger, metrics, protocol } = this.#options;
+        return new HostServers({
+            settings: () => this.#settings,
+            calls: protocol.calls,
+            logger,
+            metrics,
+            forward: (message, response) => this.#forwarder.handle(message, response),
+            isReady: () => this.#isReady(),
+            advertised: () => this.#peers.advertised(this.#now()),
+            sharedState: () => ({
+                revision: this.#mirror.revision ?? 0,
+                entries: this.#entries.all().map(({ key, value, revision }) => ({ key, value, revision })),
+            }),
+            refreshGauges: () => this.#refreshGauges(),
+        });
     }
 
     #wishAdapter(engine: string, model: string, adapter: string): boolean {
@@ -417,33 +383,7 @@
         if (holder === this.#settings.host) {
             return this.#orders.want(engine, model, adapter);
         }
-        const peer = holder === undefined ? undefined : this.#peers.get(holder);
-        if (peer === undefined) {
-            return false;
-        }
-        this.#send({ type: "wish", host: this.#settings.host, engine, model, adapter }, [peer.addresses.gossip]);
-        return true;
-    }
-
-    /** An upstream that takes no connections right after requests were lost on it has crashed. */
-    #noteUnreachable(upstream: string): void {
-        this.#down.note(upstream, this.#settings.host, this.#now());
-        const announcement = this.#view.get(upstream);
-        if (announcement !== undefined) {
-            this.#takeCrash(announcement);
-        }
-    }
-
-    #takeCrash(announcement: UpstreamAnnouncement): void {
-        const suspects = this.#suspects.noteCrashed(runOf(announcement), this.#now());
-        for (const suspect of suspects) {
-            this.#options.logger.warn("request suspected of a crash", {
-                fingerprint: suspect.fingerprint,
-                crashes: suspect.runs.length,
-                upstream: announcement.id,
-            });
-        }
-        this.#newSuspects.push(...suspects);
+        return holder !== undefined && this.#gossip.wishAdapter(holder, { engine, model, adapter });
     }
 
     #takeMirrorEvent(event: MirrorEvent): void {
@@ -455,39 +395,22 @@
                 this.#takeListing(event.entries);
                 break;
             case "put":
-                this.#takeEntry(event.entry);
+                this.#entries.put(event.entry);
                 break;
             case "removed":
-                this.#takeRemoval(event.key);
+                this.#entries.remove(event.key);
         }
     }
 
     #noteContact(succeeded: boolean): void {
-        const now = this.#now();
-        if (succeeded && !this.#closed) {
-            this.#contactAt = now;
-            clearTimeout(this.#silenceTimer);
-            this.#silenceTimer = setTimeout(() => this.#sendDigest(), ANSWERS_MILLISECONDS);
-        }
-        else {
-            this.#view.noteServiceTrouble(now);
-        }
-        if (succeeded !== this.#storeReachable) {
-            this.#storeReachable = succeeded;
-            this.#options.logger.warn(succeeded ? "key-value service regained" : "key-value service lost", {
-                revision: this.#mirror.revision,
-            });
+        if (!succeeded) {
+            this.#upstreams.view.noteServiceTrouble(this.#now());
         }
+        this.#contact.note(succeeded);
     }
 
     #takeListing(entries: readonly KeyValueEntry[]): void {
-        const present = new Set(entries.map(({ key }) => key));
-        for (const key of [...this.#stored.keys()]) {
-            if (!present.has(key)) {
-                this.#takeRemoval(key);
-            }
-        }
-        entries.forEach(entry => this.#takeEntry(entry));
+        this.#entries.replaceAll(entries);
         this.#listed = true;
         this.#options.logger.info("key-value service listed", {
             entries: entries.length,
@@ -500,47 +423,11 @@
         }
     }
 
-    #takeEntry(entry: KeyValueEntry): void {
-        const { keys } = this.#options.protocol;
-        if ((this.#revisions.get(entry.key) ?? -1) >= entry.revision) {
-            return;
-        }
-        this.#revisions.set(entry.key, entry.revision);
-        if (entry.key === keys.configuration) {
-            this.#stored.set(entry.key, entry);
-            this.#takeConfiguration(entry);
-        }
-        else if (entry.key.startsWith(keys.upstreamPrefix)) {
-            this.#stored.set(entry.key, entry);
-            this.#takeAnnouncement(entry.key.slice(keys.upstreamPrefix.length), entry);
-        }
-        else if (entry.key.startsWith(HOST_KEY_PREFIX)) {
-            this.#stored.set(entry.key, entry);
-            this.#takeRegistration(entry);
-        }
-        else if (entry.key.startsWith(HOLDER_KEY_PREFIX)) {
-            this.#stored.set(entry.key, entry);
-            this.#takeHolder(entry);
-        }
-    }
-
-    #takeRemoval(key: string): void {
-        const { keys } = this.#options.protocol;
-        this.#stored.delete(key);
-        this.#revisions.delete(key);
-        if (key.startsWith(keys.upstreamPrefix)) {
-            this.#noteChanges(this.#view.remove(key.slice(keys.upstreamPrefix.length), this.#now()));
-        }
-        else if (key.startsWith(HOST_KEY_PREFIX)) {
-            const host = key.slice(HOST_KEY_PREFIX.length);
-            this.#duties.setSession(host, undefined);
-            this.#peers.unregister(host);
-            if (host === this.#settings.host && !this.#leaving) {
-                this.#session.recordRemoved();
-            }
-        }
-        else if (key.startsWith(HOLDER_KEY_PREFIX)) {
-            this.#duties.setHolder(key.slice(HOLDER_KEY_PREFIX.length), undefined, this.#now());
+    #forgetHost(host: string): void {
+        this.#duties.setSession(host, undefined);
+        this.#peers.unregister(host);
+        if (host === this.#settings.host && !this.#leaving) {
+            this.#session.recordRemoved();
         }
     }
 
@@ -563,75 +450,10 @@
             routes: decoded.value.routes.length,
             services: decoded.value.services.length,
         });
-        this.#applyLimits(this.#table);
+        this.#servers.applyLimits(this.#table.configuration.limits);
         this.#forwarder.wake();
     }
 
-    #applyLimits(table: RouteTable): void {
-        const { limits } = table.configuration;
-        if (this.#callersServer !== undefined) {
-            this.#callersServer.keepAliveTimeout = limits.idleTimeoutMilliseconds;
-            this.#callersServer.headersTimeout = limits.headerTimeoutMilliseconds;
-        }
-    }
-
-    #takeAnnouncement(id: string, entry: KeyValueEntry): void {
-        const decoded = this.#options.protocol.decodeUpstream(id, entry.value);
-        if (decoded.isErr()) {
-            this.#options.logger.warn("announcement not readable", {
-                upstream: id,
-                revision: entry.revision,
-                detail: decoded.error.message,
-            });
-            return;
-        }
-        const before = this.#view.get(id);
-        if (before !== undefined && before.startedAtMilliseconds !== decoded.value.startedAtMilliseconds) {
-            this.#takeCrash(before);
-        }
-        const changes = this.#view.put(decoded.value);
-        if (changes.length > 0) {
-            this.#residency.takeAnnouncement(decoded.value);
-            this.#orders.observe(decoded.value);
-        }
-        this.#noteChanges(changes);
-    }
-
-    #noteChanges(changes: readonly UpstreamChange[]): void {
-        for (const change of changes) {
-            if (change.type === "left") {
-                this.#forget(change.upstream, change.reason);
-            }
-            if (change.type === "joined") {
-                this.#orders.noteEnginesChanged();
-            }
-            if (change.type !== "updated") {
-                this.#options.logger.info(`upstream ${change.type}`, {
-                    upstream: change.upstream.id,
-                    service: change.upstream.service,
-                    address: change.upstream.address,
-                    zone: change.upstream.zone,
-                    startedAt: change.upstream.startedAtMilliseconds,
-                    reason: change.type === "left" ? change.reason : undefined,
-                });
-                this.#options.metrics.count("upstream_changes", { change: change.type });
-            }
-        }
-        if (changes.length > 0) {
-            this.#forwarder.wake();
-        }
-    }
-
-    #forget(upstream: UpstreamAnnouncement, reason: string): void {
-        if (reason !== "announced") {
-            this.#takeCrash(upstream);
-            this.#residency.forget(upstream.id);
-            this.#health.forget(upstream.id);
-            this.#prompts.forget(upstream.id);
-            this.#down.clear(upstream.id);
-        }
-    }
-
     #takeRegistration(entry: KeyValueEntry): void {
         const record = hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
         if (record === undefined) {
@@ -645,18 +467,16 @@
         this.#budget.setHostCount(this.#peers.all(this.#now()).length + 1);
     }
 
-    #takeHolder(entry: KeyValueEntry): void {
+    #takeHolder(engine: string, entry: KeyValueEntry): void {
         const record = engineHolderSchema.safeParse(parseJson(entry.value)).data;
         if (record === undefined) {
             this.#options.logger.warn("holder record not readable", { key: entry.key, revision: entry.revision });
             return;
         }
-        const engine = entry.key.slice(HOLDER_KEY_PREFIX.length);
         this.#duties.setHolder(engine, { ...record, revision: entry.revision }, this.#now());
     }
 
     #takeGossip(message: GossipMessage): void {
-        this.#options.metrics.count("gossip_datagrams", { direction: "received" });
         switch (message.type) {
             case "digest":
                 this.#takeDigest(message);
@@ -668,7 +488,7 @@
                 this.#takeMemory(message.engine);
                 break;
             case "sent":
-                this.#loads.startedByPeer(message.engine, message.promptTokens, this.#now());
+                this.#upstreams.loads.startedByPeer(message.engine, message.promptTokens, this.#now());
                 break;
             case "use":
                 this.#takeAdapterUse(message);
@@ -679,61 +499,29 @@
         const now = this.#now();
         this.#peers.hear(digest, now);
         this.#mirror.noteLaterRevision(digest.storeRevision, now);
-        this.#loads.takePeer(digest.host, digest.inFlight, now);
-        const { adapterDemand, demand } = digest;
-        this.#peerDemand.set(digest.host, { adapterDemand, demand, atMilliseconds: now });
-        digest.unreachable.forEach(upstream => this.#down.note(upstream, digest.host, now));
+        this.#upstreams.loads.takePeer(digest.host, digest.inFlight, now);
+        this.#demand.takePeer(digest.host, digest, now);
+        digest.unreachable.forEach(upstream => this.#upstreams.down.note(upstream, digest.host, now));
         digest.relinquished.forEach(word => this.#duties.takeRelinquishment(word, now));
         this.#adapterUsers.takeAll(digest.host, digest.adaptersInUse, now);
         digest.engines.forEach(memory => this.#takeMemory(memory));
-        digest.suspects.forEach(suspect => this.#suspects.takePeer(suspect, now));
-        this.#takeStatement(digest);
-    }
-
-    /** In an outage the other hosts' consent stands in for the service's word. */
-    #takeStatement({ heard, holderRevisions, host, sequence, serviceAnswers }: HostDigest): void {
-        this.#heardDigests.set(host, sequence);
-        this.#consent.hear({
-            host,
-            heard: heard[this.#settings.host],
-            serviceAnswers,
-            holderRevisions: new Map(Object.entries(holderRevisions)),
-        });
-        if (this.#duties.held().length === 0 || this.#serviceAnswers()) {
-            return;
-        }
-        const agreedAt = this.#consent.agreedAt(this.#consentingHosts(), this.#heldRevisions());
-        if (agreedAt !== undefined) {
-            this.#duties.confirmByPeers(agreedAt);
-        }
-    }
-
-    /** All hosts that could take engines over. */
-    #consentingHosts(): string[] {
-        return this.#peers.active(this.#now()).map(({ host }) => host);
-    }
-
-    #heldRevisions(): Map<string, number> {
-        return new Map(this.#duties.held().map(({ engine, expectedRevision }) => [engine, expectedRevision]));
-    }
-
-    #serviceAnswers(): boolean {
-        return this.#now() - this.#contactAt < ANSWERS_MILLISECONDS;
+        digest.suspects.forEach(suspect => this.#upstreams.suspects.takePeer(suspect, now));
+        this.#agreement.hear(digest);
     }
 
     /** Adapters that requests use are not dropped, and those used last are dropped last. */
-    #takeAdapterUse({ adapter, engine, host, inUse }: Omit<AdapterUseNotice, "type">): void {
+    #takeAdapterUse({ adapter, engine, host, inUse }: AdapterUseWord): void {
         this.#adapterUsers.take(host, { engine, adapter, inUse }, this.#now());
-        const slash = adapter.indexOf("/");
-        this.#orders.noteUse(engine, adapter.slice(0, slash), adapter.slice(slash + 1));
+        const name = splitAdapterName(adapter);
+        this.#orders.noteUse(engine, name.model, name.adapter);
     }
 
     #tellAdapterUse(engine: string, adapter: string, inUse: boolean): void {
         const use = { host: this.#settings.host, engine, adapter, inUse };
         this.#takeAdapterUse(use);
-        const peer = this.#peers.get(this.#duties.holderOf(engine) ?? "");
-        if (peer !== undefined) {
-            this.#send({ type: "use", ...use }, [peer.addresses.gossip]);
+        const holder = this.#duties.holderOf(engine);
+        if (holder !== undefined) {
+            this.#gossip.tellAdapterUse(holder, use);
         }
     }
 
@@ -745,109 +533,61 @@
             models: memory.models,
             loading: memory.loading,
         };
-        if (this.#view.get(memory.engine) !== undefined && this.#residency.takeRecord(record, this.#now())) {
+        if (
+            this.#upstreams.view.get(memory.engine) !== undefined
+            && this.#upstreams.residency.takeRecord(record, this.#now())
+        ) {
             this.#forwarder.wake();
         }
     }
 
     #spreadNews(record: EngineRecord): void {
-        this.#residency.takeRecord(record, this.#now());
+        this.#upstreams.residency.takeRecord(record, this.#now());
         this.#forwarder.wake();
-        const news = { type: "news" as const, host: this.#settings.host, engine: toMemory(record) };
-        this.#send(news, this.#peers.all(this.#now()).map(({ addresses }) => addresses.gossip));
-    }
-
-    /** In a large fleet only the hosts of the own zone are told, so that the cost does not grow with the fleet. */
-    #tellSent(engine: string, promptTokens: number): void {
-        const peers = this.#peers.heard(this.#now());
-        const told = peers.length < LARGE_FLEET_HOSTS
-            ? peers
-            : peers.filter(({ zone }) => zone === this.#settings.zone);
-        const notice = { type: "sent" as const, host: this.#settings.host, engine, promptTokens };
-        this.#send(notice, told.map(({ addresses }) => addresses.gossip));
-    }
-
-    #send(message: GossipMessage, addresses: readonly string[]): void {
-        this.#options.metrics.count("gossip_datagrams", { direction: "sent" });
-        this.#link?.send(message, addresses);
-    }
-
-    /** Adds what peers told lately to this host's own demand. */
-    #totalDemand(part: "demand" | "adapterDemand", own: DemandMeter): ReadonlyMap<string, number> {
-        const now = this.#now();
-        const total = new Map(Object.entries(own.concurrency(now)));
-        for (const { atMilliseconds, [part]: demand } of this.#peerDemand.values()) {
-            if (now - atMilliseconds < PEER_DEMAND_MILLISECONDS) {
-                Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
-            }
-        }
-        return total;
+        this.#gossip.tellNews(toMemory(record));
     }
 
     #everyDigest(): void {
         if (this.#closed) {
             return;
         }
-        const now = this.#now();
-        this.#noteChanges(this.#view.expire(now));
-        this.#adapterUsers.takeAll(this.#settings.host, this.#adapterUse.all(), now);
-        this.#suspects.expire(now);
+        this.#upstreams.expire();
+        this.#adapterUsers.takeAll(this.#settings.host, this.#adapterUse.all(), this.#now());
         this.#sendDigest();
-        void this.#catchUp();
+        void this.#catchUp.run();
     }
 
     #sendDigest(): void {
         const now = this.#now();
-        const serviceAnswers = this.#serviceAnswers();
-        this.#digestSequence += 1;
-        this.#consent.sent(this.#digestSequence, this.#options.readClocks());
+        const suspects = this.#upstreams.takeNewSuspects().slice(-MOST_SUSPECTS_TOLD);
         const digest: HostDigest = {
             type: "digest",
             host: this.#settings.host,
-            sequence: this.#digestSequence,
-            heard: serviceAnswers ? {} : Object.fromEntries(this.#heardDigests),
-            serviceAnswers,
-            holderRevisions: serviceAnswers ? {} : Object.fromEntries(this.#duties.holderRevisions()),
+            ...this.#agreement.nextStatement(),
             zone: this.#settings.zone,
             addresses: this.#addresses(),
             configurationVersion: this.#table?.version ?? 0,
             storeRevision: this.#mirror.revision ?? 0,
             ready: this.#isReady(),
             leaving: this.#leaving,
-            inFlight: this.#loads.allInFlight(),
-            unreachable: this.#down.reportedBy(this.#settings.host, now),
+            inFlight: this.#upstreams.loads.allInFlight(),
+            unreachable: this.#upstreams.down.reportedBy(this.#settings.host, now),
             adaptersInUse: this.#adapterUse.all(),
-            demand: this.#demand.concurrency(now),
-            adapterDemand: this.#adapterDemand.concurrency(now),
+            ...this.#demand.own(now),
             engines: this.#orders.records().map(toMemory),
             relinquished: this.#duties.relinquished(now),
-            suspects: this.#newSuspects.splice(0).slice(-64).map(({ fingerprint, runs }) => ({
-                fingerprint,
-                runs: [...runs],
-            })),
+            suspects: suspects.map(({ fingerprint, runs }) => ({ fingerprint, runs: [...runs] })),
         };
-        this.#send(digest, this.#peers.all(now).map(({ addresses }) => addresses.gossip));
+        this.#gossip.tellDigest(digest);
     }
 
-    /** Takes the state of a peer that has a newer configuration, or of a seed where nothing is known yet. */
-    async #catchUp(): Promise<void> {
-        const now = this.#now();
-        const newer = this.#peers.withNewerConfiguration(this.#table?.version ?? 0, now);
-        const starved = !this.#listed && !this.#storeReachable;
-        const sources = newer !== undefined ? [newer.addresses.state] : starved ? this.#settings.seeds : [];
-        const own = this.#addresses().state;
-        if (this.#fetching || sources.length === 0) {
-            return;
-        }
-        this.#fetching = true;
-        for (const source of sources.filter(source => source !== own)) {
-            const state = await fetchState(source);
-            if (state !== undefined && state.entries.length > 0) {
-                this.#takePeerState(state.entries, source);
-                break;
-            }
+    /** A peer that has a newer configuration, or the seeds where nothing is known yet. */
+    #catchUpSources(): readonly string[] {
+        const newer = this.#peers.withNewerConfiguration(this.#table?.version ?? 0, this.#now());
+        if (newer !== undefined) {
+            return [newer.addresses.state];
         }
-        this.#fetching = false;
+        return !this.#listed && !this.#contact.reachable ? this.#settings.seeds : [];
     }
 
     #takePeerState(entries: readonly KeyValueEntry[], source: string): void {
@@ -858,24 +598,20 @@
                 this.#takeConfiguration(entry);
             }
             else if (!this.#listed) {
-                this.#takeEntry(entry);
+                this.#entries.put(entry);
             }
         }
-        if (
-            this.#table !== undefined && !this.#listed && entries.some(({ key }) => key.startsWith(keys.upstreamPrefix))
-        ) {
-            this.#listed = true;
-        }
+        const namesUpstreams = entries.some(({ key }) => key.startsWith(keys.upstreamPrefix));
+        this.#listed ||= this.#table !== undefined && namesUpstreams;
     }
 
     #refreshGauges(): void {
         const { metrics } = this.#options;
-        const now = this.#now();
         metrics.gauge("configuration_version", this.#table?.version ?? 0);
-        metrics.gauge("store_silence_seconds", Math.max(0, (now - this.#contactAt) / MILLISECONDS_PER_SECOND));
-        metrics.gauge("upstreams", this.#view.all().length);
+        metrics.gauge("store_silence_seconds", this.#contact.silenceSeconds());
+        metrics.gauge("upstreams", this.#upstreams.view.all().length);
         metrics.gauge("requests_open", this.#forwarder.open);
-        metrics.gauge("peers_heard", this.#peers.heard(now).length);
+        metrics.gauge("peers_heard", this.#peers.heard(this.#now()).length);
     }
 }
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -16,11 +16,13 @@
     type RepeatDecision,
     returnAfter,
 } from "../forwarding/index.js";
+import { nameAdapter } from "../placement/index.js";
 import { isServerError, isSuccess, judgeHead, readLoad } from "./_answerHead.js";
 import { CallerAnswer } from "./_callerAnswer.js";
 import { passThroughHeaders } from "./_forwardedHeaders.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
 import { UpstreamOptions } from "./_upstreamOptions.js";
+import { runOf } from "./_upstreamRun.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type AnswerHead, callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
@@ -139,10 +141,8 @@
         }
         this.#context.budget.recordRequest(service, arrivedAtMilliseconds);
         if (model !== undefined) {
-            this.#context.demand.add(model, work, this.#now());
-            if (this.#facts.adapter !== undefined) {
-                this.#context.adapterDemand.add(model, work, this.#now());
-            }
+            const namesAdapter = this.#facts.adapter !== undefined;
+            this.#context.demand.add({ model, namesAdapter, work }, this.#now());
         }
         if (this.#context.suspects.isRefused(fingerprint)) {
             this.#refuse("crashes-engines");
@@ -306,7 +306,7 @@
             this.#context.tellSent(upstream.id, promptTokens);
         }
         if (adapter !== undefined) {
-            const name = `${model ?? ""}/${adapter}`;
+            const name = nameAdapter(model ?? "", adapter);
             if (adapterUse.begin(upstream.id, name)) {
                 this.#context.tellAdapterUse(upstream.id, name, true);
             }
@@ -481,7 +481,6 @@
         const firstByteAt = this.#answer.firstByteAtMilliseconds;
         if (firstByteAt !== undefined && this.#sends === 1) {
             this.#context.demand.noteRun(this.#facts.work, this.#now() - firstByteAt);
-            this.#context.adapterDemand.noteRun(this.#facts.work, this.#now() - firstByteAt);
         }
     }
 
@@ -496,7 +495,7 @@
         this.#context.loads.finished(upstream);
         const { adapter, model } = this.#facts;
         if (adapter !== undefined) {
-            const name = `${model ?? ""}/${adapter}`;
+            const name = nameAdapter(model ?? "", adapter);
             if (this.#context.adapterUse.end(upstream, name)) {
                 this.#context.tellAdapterUse(upstream, name, false);
             }
@@ -715,8 +714,3 @@
         this.#context.logger.info(message, { request: this.#request.requestId, model, adapter, ...fields });
     }
 }
-
-/** Names one run of an upstream's process. */
-export function runOf(upstream: UpstreamAnnouncement): string {
-    return `${upstream.id}/${upstream.startedAtMilliseconds ?? 0}`;
-}
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -17,7 +17,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type ResidencyView } from "../placement/index.js";
 import { type RouteTable } from "../routes/index.js";
-import { type DemandMeter } from "./demandMeter.js";
+import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
 
 /** Beliefs, books and tools of one host that its requests share. */
@@ -35,9 +35,7 @@
     readonly budget: SharedRetryBudget;
     readonly suspects: CrashSuspects;
     readonly prompts: PromptMemory;
-    readonly demand: DemandMeter;
-    /** Demand of requests that name an adapter. */
-    readonly adapterDemand: DemandMeter;
+    readonly demand: SiteDemand;
     readonly adapterUse: AdapterUse;
     /** `undefined` while no configuration is known. */
     routeTable(): RouteTable | undefined;
--- /dev/null
+++ b/src/entry/upstreamBeliefs.ts
@@ -0,0 +1,157 @@
+/**
+ * What this host believes of the upstreams: who is there, what they hold, how they do.
+ *
+ * @module
+ */
+import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
+import {
+    CrashSuspects,
+    DownReports,
+    PromptMemory,
+    type SuspectRecord,
+    UpstreamHealth,
+    UpstreamLoads,
+} from "../forwarding/index.js";
+import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { ResidencyView } from "../placement/index.js";
+import { type KeyValueEntry } from "../platform/index.js";
+import { runOf } from "./_upstreamRun.js";
+import { type SiteProtocol } from "./siteProtocol.js";
+
+/** Options of the beliefs. */
+export interface UpstreamBeliefsOptions {
+    readonly host: string;
+    readonly decodeUpstream: SiteProtocol["decodeUpstream"];
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly readClock: () => number;
+    /** An upstream announced something new. */
+    readonly onAnnounced: (announcement: UpstreamAnnouncement) => void;
+    /** An upstream has joined. */
+    readonly onJoined: () => void;
+    /** Something changed that a waiting request may wait for. */
+    readonly onChanged: () => void;
+}
+
+/** Joins upstreams' announcements with what requests on them met. */
+export class UpstreamBeliefs {
+    readonly view = new UpstreamView();
+    readonly residency = new ResidencyView();
+    readonly loads = new UpstreamLoads();
+    readonly health = new UpstreamHealth();
+    readonly suspects = new CrashSuspects();
+    readonly prompts = new PromptMemory();
+    readonly down = new DownReports();
+    readonly #options: UpstreamBeliefsOptions;
+    readonly #newSuspects: SuspectRecord[] = [];
+
+    constructor(options: UpstreamBeliefsOptions) {
+        this.#options = options;
+    }
+
+    /** Takes an upstream's announcement as the key-value service holds it. */
+    take(id: string, entry: KeyValueEntry): void {
+        const decoded = this.#options.decodeUpstream(id, entry.value);
+        if (decoded.isErr()) {
+            this.#options.logger.warn("announcement not readable", {
+                upstream: id,
+                revision: entry.revision,
+                detail: decoded.error.message,
+            });
+            return;
+        }
+        const before = this.view.get(id);
+        if (before !== undefined && before.startedAtMilliseconds !== decoded.value.startedAtMilliseconds) {
+            this.#noteCrash(before);
+        }
+        const changes = this.view.put(decoded.value);
+        if (changes.length > 0) {
+            this.residency.takeAnnouncement(decoded.value);
+            this.#options.onAnnounced(decoded.value);
+        }
+        this.#noteChanges(changes);
+    }
+
+    /** An upstream's announcement is gone from the key-value service. */
+    remove(id: string): void {
+        this.#noteChanges(this.view.remove(id, this.#now()));
+    }
+
+    /** Lets beliefs end whose time is over. */
+    expire(): void {
+        this.#noteChanges(this.view.expire(this.#now()));
+        this.suspects.expire(this.#now());
+    }
+
+    /** An upstream that takes no connections right after requests were lost on it has crashed. */
+    noteUnreachable(upstream: string): void {
+        this.down.note(upstream, this.#options.host, this.#now());
+        const announcement = this.view.get(upstream);
+        if (announcement !== undefined) {
+            this.#noteCrash(announcement);
+        }
+    }
+
+    isDown(upstream: string): boolean {
+        return this.down.isDown(upstream, this.#now());
+    }
+
+    /** Gives the suspects that peers were not told of, and takes them as told. */
+    takeNewSuspects(): SuspectRecord[] {
+        return this.#newSuspects.splice(0);
+    }
+
+    #noteCrash(announcement: UpstreamAnnouncement): void {
+        const suspects = this.suspects.noteCrashed(runOf(announcement), this.#now());
+        for (const suspect of suspects) {
+            this.#options.logger.warn("request suspected of a crash", {
+                fingerprint: suspect.fingerprint,
+                crashes: suspect.runs.length,
+                upstream: announcement.id,
+            });
+        }
+        this.#newSuspects.push(...suspects);
+    }
+
+    #noteChanges(changes: readonly UpstreamChange[]): void {
+        changes.forEach(change => this.#noteChange(change));
+        if (changes.length > 0) {
+            this.#options.onChanged();
+        }
+    }
+
+    #noteChange(change: UpstreamChange): void {
+        if (change.type === "left") {
+            this.#forget(change.upstream, change.reason);
+        }
+        if (change.type === "joined") {
+            this.#options.onJoined();
+        }
+        if (change.type === "updated") {
+            return;
+        }
+        this.#options.logger.info(`upstream ${change.type}`, {
+            upstream: change.upstream.id,
+            service: change.upstream.service,
+            address: change.upstream.address,
+            zone: change.upstream.zone,
+            startedAt: change.upstream.startedAtMilliseconds,
+            reason: change.type === "left" ? change.reason : undefined,
+        });
+        this.#options.metrics.count("upstream_changes", { change: change.type });
+    }
+
+    #forget(upstream: UpstreamAnnouncement, reason: string): void {
+        if (reason !== "announced") {
+            this.#noteCrash(upstream);
+            this.residency.forget(upstream.id);
+            this.health.forget(upstream.id);
+            this.prompts.forget(upstream.id);
+            this.down.clear(upstream.id);
+        }
+    }
+
+    #now(): number {
+        return this.#options.readClock();
+    }
+}
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -5,6 +5,7 @@
  */
 import { type HeldModel, type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineDefinition } from "../routes/index.js";
+import { nameAdapter, splitAdapterName } from "./adapterName.js";
 import { freeMegabytes } from "./engineRoom.js";
 import { type WeightMove } from "./planWeights.js";
 import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
@@ -151,7 +152,7 @@
 
     /** Takes a request's wish for an adapter. */
     want(model: string, adapter: string, nowMilliseconds: number): void {
-        this.#wishes.set(`${model}/${adapter}`, { model, adapter, atMilliseconds: nowMilliseconds });
+        this.#wishes.set(nameAdapter(model, adapter), { model, adapter, atMilliseconds: nowMilliseconds });
     }
 
     /** Takes note that a request uses an adapter, so that it is not dropped. */
@@ -377,7 +378,7 @@
         let oldest: { readonly model: string; readonly adapter: string; readonly usedAt: number; } | undefined;
         for (const [model, adapters] of this.#models) {
             for (const [adapter, usedAt] of adapters) {
-                const isFree = !this.#use.isAdapterUsed(`${model}/${adapter}`);
+                const isFree = !this.#use.isAdapterUsed(nameAdapter(model, adapter));
                 if (isFree && usedAt < (oldest?.usedAt ?? nowMilliseconds - ADAPTER_AWAITED_MILLISECONDS)) {
                     oldest = { model, adapter, usedAt };
                 }
@@ -405,7 +406,7 @@
         }
         if (order.adapter !== undefined) {
             const ready = outcome === "accepted" ? nowMilliseconds + ADAPTER_LOAD_MILLISECONDS : nowMilliseconds;
-            this.#coming.set(`${order.model}/${order.adapter}`, ready);
+            this.#coming.set(nameAdapter(order.model, order.adapter), ready);
             return;
         }
         this.#endMove();
@@ -434,8 +435,8 @@
             if (nowMilliseconds >= readyAt) {
                 this.#changeCount += 1;
                 this.#coming.delete(key);
-                const split = key.indexOf("/");
-                this.#models.get(key.slice(0, split))?.set(key.slice(split + 1), nowMilliseconds);
+                const { adapter, model } = splitAdapterName(key);
+                this.#models.get(model)?.set(adapter, nowMilliseconds);
                 this.#wishes.delete(key);
             }
         }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -10,6 +10,7 @@
  *
  * @module
  */
+export { nameAdapter, splitAdapterName } from "./adapterName.js";
 export { type AdapterUseView, EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
 export { PlanFollower } from "./planFollower.js";
 export { type PlannedEngine, planWeights, type WeightMove, type WeightSituation } from "./planWeights.js";
