Let a missing model that much is asked of take a busy place at once; prefer engines with its weights

The plan also took no notice of whether weights were at hand.

Ruled out: the holders (all engines had one, moves began within a tick of the plan), the bound on loads from the store (not reached).

Change: a move for a model without any copy that gains half an engine's worth does not wait for other engines' changes. Of equal moves one from weights at hand goes first: a gain from the store counts 0.8. Two tests, both failed before.

--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -140,6 +140,27 @@
     assert.notEqual(crowded?.model, "hot");
 });
 
+test("a model that much is asked of and nobody holds does not wait until other engines have changed", () => {
+    const engines = [
+        engine("one", ["hot", "warm"], { loading: undefined }),
+        engine("two", ["hot", "warm"]),
+        engine("three", ["hot"], { loading: "cold" }),
+    ];
+    const demand = { hot: 40, warm: 20, cold: 4, rare: 60 };
+    const move = planWeights(situation(engines, demand));
+    assert.deepEqual([move?.model, move?.reason], ["rare", "no-copy"]);
+    const calm = planWeights(situation(engines, { ...demand, rare: 0.5 }));
+    assert.equal(calm, undefined, "what little is asked of a model waits for the engine that changes");
+});
+
+test("of engines that are as good otherwise the one with the weights at hand loads", () => {
+    const names = ["one", "two", "three", "four"];
+    for (const name of names) {
+        const engines = names.map(id => engine(id, ["hot"], { atHand: id === name ? ["rare"] : [] }));
+        assert.equal(planWeights(situation(engines, { hot: 60, rare: 10 }))?.engine, name);
+    }
+});
+
 test("whatever the demand, no engine is planned beyond its memory, and the plan comes to rest", () => {
     const names = Object.keys(SIZES);
     const demands = fc.dictionary(fc.constantFrom(...names), fc.integer({ min: 0, max: 300 }));
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -29,6 +29,12 @@
 /** Load of a copy, as a share of an engine's slots, up to which nobody misses it while the engine changes. */
 const IDLE_COPY_LOAD = 0.06;
 
+/** Gain from which a model that has no copy takes a busy one's place, however many engines are changing. */
+const URGENT_GAIN = 0.5;
+
+/** What a gain is worth that comes only once weights have come from the store, against one of weights at hand. */
+const FROM_STORE_WORTH = 0.8;
+
 /** Requests that use all places for adapters weigh as much as requests on this share of an engine's slots. */
 const FULL_ADAPTER_SLOTS_LOAD = 0.3;
 
@@ -75,6 +81,8 @@
     readonly model: ModelDefinition;
     readonly dropped: readonly string[];
     readonly gain: number;
+    /** The gain, less where it comes later. */
+    readonly worth: number;
 }
 
 interface Fleet {
@@ -139,11 +147,13 @@
     mayDropBusy: boolean,
 ): Candidate | undefined {
     let best: Candidate | undefined;
-    const ways = waysToMakeRoom(fleet, engine, model).filter(dropped => mayDropBusy || isIdle(fleet, dropped));
-    for (const dropped of ways) {
+    const isMissing = fleet.cost.copies(model.name) === 0;
+    for (const dropped of waysToMakeRoom(fleet, engine, model)) {
         const gain = fleet.cost.gainOf(engine.id, model.name, dropped) - dropCostOf(fleet, dropped);
-        if (gain > (best?.gain ?? 0)) {
-            best = { engine, model, dropped, gain };
+        const isUrgent = isMissing && gain >= URGENT_GAIN;
+        if (gain > (best?.gain ?? 0) && (mayDropBusy || isUrgent || isIdle(fleet, dropped))) {
+            const worth = engine.atHand.includes(model.name) ? gain : gain * FROM_STORE_WORTH;
+            best = { engine, model, dropped, gain, worth };
         }
     }
     return best;
@@ -173,7 +183,7 @@
         const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
         for (const engine of engines.filter(engine => !engine.models.includes(model.name))) {
             const move = bestMoveOn(fleet, engine, model, mayDropBusy);
-            if (move !== undefined && isWorthwhile(move) && move.gain > (best?.gain ?? 0)) {
+            if (move !== undefined && isWorthwhile(move) && move.worth > (best?.worth ?? 0)) {
                 best = move;
             }
         }
