Send prompts to an engine as it reads them

Change: PromptBacklog tells whether an engine may be sent another prompt, by what all hosts said they sent; those that wait share the room by chance. Waiting requests that need the same are asked once in a round of waking, not each.

--- a/src/entry/_upstreamOptions.ts
+++ b/src/entry/_upstreamOptions.ts
@@ -41,9 +41,14 @@
         return model === undefined ? "held" : this.#context.residency.holds(upstream.id, model, adapter);
     }
 
-    /** Chooses among upstreams; those that cannot be reached or were tried take no part. */
-    choose(upstreams: readonly UpstreamAnnouncement[]): Choice {
-        return chooseUpstream(this.#candidates(upstreams), this.#context.random);
+    /**
+     * Chooses among upstreams; those that cannot be reached or were tried take no part.
+     *
+     * @param upstreams The upstreams that could run the request.
+     * @param waits True for a request that has waited.
+     */
+    choose(upstreams: readonly UpstreamAnnouncement[], waits: boolean): Choice {
+        return chooseUpstream(this.#candidates(upstreams, waits), this.#context.random);
     }
 
     /** Tells whether another upstream than the present one could take the request now. */
@@ -51,7 +56,8 @@
         const others = this.usable().filter(upstream =>
             upstream.id !== present && this.residencyAt(upstream) === "held"
         );
-        return this.choose(others).type === "send";
+        const { type } = this.choose(others, false);
+        return type === "send" || type === "reading";
     }
 
     /** Requests at an upstream as a share of its slots. */
@@ -91,7 +97,7 @@
         const others = this.usable().filter(upstream =>
             this.residencyAt(upstream) === "adapter-missing" && this.#freeAdapterSlots(upstream) > 0
         );
-        const choice = this.choose(others);
+        const choice = this.choose(others, false);
         if (choice.type === "send" && this.loadShare(choice.upstream) < load / 2) {
             this.#context.wishAdapter(choice.upstream, model, adapter);
         }
@@ -126,17 +132,20 @@
         return slots - this.#context.residency.adapterCount(id);
     }
 
-    #candidates(upstreams: readonly UpstreamAnnouncement[]): Candidate[] {
-        const { health, loads, prompts, zone } = this.#context;
-        const { sharedPrompt } = this.#facts;
+    #candidates(upstreams: readonly UpstreamAnnouncement[], waits: boolean): Candidate[] {
+        const { backlog, health, loads, prompts, zone } = this.#context;
+        const { model, promptTokens, sharedPrompt } = this.#facts;
+        const prompt = { promptTokens, waits, hostCount: this.#context.hostCount() };
+        const batches = model !== undefined;
         const now = this.#now();
         const fresh = upstreams.filter(({ id }) => !this.#tried.has(id) && !health.isUnreachable(id, now));
         return fresh.map(upstream => ({
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
-            batches: this.#facts.model !== undefined,
+            batches,
             requests: loads.estimate(upstream.id, now),
-            recentPromptTokens: loads.recentPromptTokens(upstream.id, now),
+            unreadPromptTokens: backlog.unreadTokens(upstream.id, now),
+            takesPrompt: !batches || backlog.takes(upstream.id, prompt, now),
             sameZone: upstream.zone === zone,
             avoided: health.isAvoided(upstream.id, now),
             knowsPrompt: sharedPrompt !== undefined && prompts.knows(upstream.id, sharedPrompt),
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -231,13 +231,14 @@
     }
 
     #createUpstreams(): UpstreamBeliefs {
-        const { logger, metrics, protocol } = this.#options;
+        const { logger, metrics, protocol, random } = this.#options;
         return new UpstreamBeliefs({
             host: this.#settings.host,
             decodeUpstream: (upstream, value) => protocol.decodeUpstream(upstream, value),
             logger,
             metrics,
             readClock: () => this.#now(),
+            random,
             onAnnounced: announcement => this.#orders.observe(announcement),
             onJoined: () => this.#orders.noteEnginesChanged(),
             onChanged: () => this.#forwarder.wake(),
@@ -327,7 +328,7 @@
 
     #createForwardingContext(): ForwardingContext {
         const { logger, metrics, protocol, random } = this.#options;
-        const { down, health, loads, prompts, residency, suspects, view } = this.#upstreams;
+        const { backlog, down, health, loads, prompts, residency, suspects, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
             headers: protocol.headers,
@@ -342,6 +343,7 @@
             budget: this.#budget,
             suspects,
             prompts,
+            backlog,
             demand: this.#demand,
             adapterUse: this.#adapterUse,
             routeTable: () => this.#table,
@@ -349,6 +351,7 @@
                 const limit = this.#table?.service(service)?.maximumConnections;
                 return this.#agents.agentFor(service, limit, this.#peers.all(this.#now()).length + 1);
             },
+            hostCount: () => this.#peers.heard(this.#now()).length + 1,
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
             tellSent: (engine, promptTokens) => this.#gossip.tellSent(engine, promptTokens),
             tellAdapterUse: (engine, adapter, inUse) => this.#tellAdapterUse(engine, adapter, inUse),
@@ -488,7 +491,8 @@
                 this.#takeMemory(message.engine);
                 break;
             case "sent":
-                this.#upstreams.loads.startedByPeer(message.engine, message.promptTokens, this.#now());
+                this.#upstreams.loads.startedByPeer(message.engine);
+                this.#upstreams.backlog.sentByPeer(message.engine, message.promptTokens, this.#now());
                 break;
             case "use":
                 this.#takeAdapterUse(message);
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -60,6 +60,7 @@
     | AttemptFailure
     | "no-upstream"
     | "all-full"
+    | "prompts-unread"
     | "adapter-missing"
     | "model-missing"
     | "crashes-engines"
@@ -81,11 +82,18 @@
     head: AnswerHead | undefined;
 }
 
+/** What the forwarder is told of a request. */
+export interface ExchangeListener {
+    readonly onEnded: () => void;
+    /** It waits until an engine has read the prompts that it was sent before. */
+    readonly onReading: () => void;
+}
+
 /** Carries one request; the forwarder is told when it has ended. */
 export class Exchange {
     readonly #context: ForwardingContext;
     readonly #request: CallerRequest;
-    readonly #onEnded: () => void;
+    readonly #told: ExchangeListener;
     readonly #facts: RequestFacts;
     readonly #options: UpstreamOptions;
     readonly #answer: CallerAnswer;
@@ -101,10 +109,10 @@
     #silenceTimer: NodeJS.Timeout | undefined;
     #retryTimer: NodeJS.Timeout | undefined;
 
-    constructor(context: ForwardingContext, request: CallerRequest, onEnded: () => void) {
+    constructor(context: ForwardingContext, request: CallerRequest, told: ExchangeListener) {
         this.#context = context;
         this.#request = request;
-        this.#onEnded = onEnded;
+        this.#told = told;
         this.#facts = readRequestFacts(request, context.headers);
         this.#options = new UpstreamOptions(context, this.#facts);
         this.#lastEventId = this.#facts.lastEventId;
@@ -123,6 +131,12 @@
         return this.#waitsSinceMilliseconds !== undefined;
     }
 
+    /** Requests that need the same wait for the same upstreams; `undefined` once an upstream has failed this one. */
+    get need(): string | undefined {
+        const { adapter, model, service } = this.#facts;
+        return this.#sends > 0 ? undefined : [service, model, adapter].join(" ");
+    }
+
     get rank(): WaitingRank {
         const { arrivedAtMilliseconds, route } = this.#request;
         const late = this.#now() - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
@@ -159,7 +173,7 @@
         clearTimeout(this.#retryTimer);
         const usable = this.#options.usable();
         const resident = usable.filter(upstream => this.#options.residencyAt(upstream) === "held");
-        const choice = this.#options.choose(resident);
+        const choice = this.#options.choose(resident, this.waits);
         const chosen = choice.type === "send" ? this.#context.view.get(choice.upstream) : undefined;
         if (chosen !== undefined) {
             this.#options.wishFurtherCopy(chosen.id);
@@ -173,6 +187,9 @@
         else if (choice.type === "all-full") {
             this.#waitOrRefuse("all-full", ROOM_MILLISECONDS);
         }
+        else if (choice.type === "reading") {
+            this.#waitForReading();
+        }
         else if (resident.length > 0 && this.#rejectedSends + this.#attemptsThatMayHaveRun > 0) {
             this.#refuse("no-upstream", ROOM_MILLISECONDS);
         }
@@ -205,6 +222,13 @@
         }
     }
 
+    /** The engine has read the prompts before within moments; the forwarder lets those that wait go in order. */
+    #waitForReading(): void {
+        if (this.#waitOrRefuse("prompts-unread", ROOM_MILLISECONDS)) {
+            this.#told.onReading();
+        }
+    }
+
     /** A request waits for a model that comes in time; otherwise its caller comes back when the model is there. */
     #waitForModel(): void {
         const expected = this.#options.expectedModelMilliseconds();
@@ -295,9 +319,10 @@
 
     /** Books the request at its upstream, and tells those who need to know. */
     #noteSent({ number, upstream }: Attempt): void {
-        const { adapterUse, loads, metrics, prompts } = this.#context;
+        const { adapterUse, backlog, loads, metrics, prompts } = this.#context;
         const { adapter, model, promptTokens, sharedPrompt } = this.#facts;
-        loads.started(upstream.id, promptTokens, this.#now());
+        loads.started(upstream.id);
+        backlog.sent(upstream.id, promptTokens, this.#now());
         metrics.count("attempts", { service: upstream.service });
         if (sharedPrompt !== undefined) {
             prompts.note(upstream.id, sharedPrompt);
@@ -316,6 +341,7 @@
             upstream: upstream.id,
             attempt: number,
             load: loads.estimate(upstream.id, this.#now()),
+            unreadTokens: Math.round(backlog.unreadTokens(upstream.id, this.#now())),
             configurationVersion: this.#request.configurationVersion,
             remainingMilliseconds: Math.round(this.#remaining()),
         });
@@ -706,7 +732,7 @@
                 : Math.round(firstByteAt - arrivedAtMilliseconds),
             ...events === 0 ? {} : { events, longestGapMilliseconds },
         });
-        this.#onEnded();
+        this.#told.onEnded();
     }
 
     #log(message: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -18,6 +18,9 @@
 /** Callers that this host cannot serve find another one within this time, in seconds. */
 const ELSEWHERE_WAIT_SECONDS = "0.2";
 
+/** Time in which an engine reads enough of its prompts to take another one. */
+const READING_MILLISECONDS = 10;
+
 /** Paths in log lines are cut after so many characters. */
 const LOGGED_PATH_CHARACTERS = 100;
 
@@ -71,6 +74,7 @@
         onCallerLeft: arrival => this.#noteCallerLeft(arrival),
     });
     #wakePlanned = false;
+    #readingTimer: NodeJS.Timeout | undefined;
 
     constructor(context: ForwardingContext) {
         this.#context = context;
@@ -103,10 +107,21 @@
     wake(): void {
         const waiting = [...this.#exchanges].filter(({ waits }) => waits);
         waiting.sort((left, right) => compareRanks(left.rank, right.rank));
-        waiting.forEach(exchange => exchange.dispatch());
+        const unmet = new Set<string>();
+        for (const exchange of waiting) {
+            const { need } = exchange;
+            if (need !== undefined && unmet.has(need)) {
+                continue;
+            }
+            exchange.dispatch();
+            if (need !== undefined && exchange.waits) {
+                unmet.add(need);
+            }
+        }
     }
 
     abortAll(): void {
+        clearTimeout(this.#readingTimer);
         for (const exchange of [...this.#exchanges]) {
             exchange.abort();
         }
@@ -149,9 +164,12 @@
         const exchange: Exchange = new Exchange(
             this.#context,
             { ...parts, route, configurationVersion },
-            () => {
-                this.#exchanges.delete(exchange);
-                this.#wakeSoon();
+            {
+                onEnded: () => {
+                    this.#exchanges.delete(exchange);
+                    this.#wakeSoon();
+                },
+                onReading: () => this.#wakeOnceRead(),
             },
         );
         this.#exchanges.add(exchange);
@@ -169,6 +187,14 @@
         }
     }
 
+    /** Engines read on all the time, so those that wait for that look again often, all at once. */
+    #wakeOnceRead(): void {
+        this.#readingTimer ??= setTimeout(() => {
+            this.#readingTimer = undefined;
+            this.wake();
+        }, READING_MILLISECONDS);
+    }
+
     /** Books a request that ends before it began; without a status there is nobody to tell. */
     #noteRejected(message: IncomingMessage, reason: string, status: number | undefined): void {
         const requestId = message.headers[this.#context.headers.requestId];
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -9,6 +9,7 @@
 import {
     type AdapterUse,
     type CrashSuspects,
+    type PromptBacklog,
     type PromptMemory,
     type SharedRetryBudget,
     type UpstreamHealth,
@@ -35,11 +36,14 @@
     readonly budget: SharedRetryBudget;
     readonly suspects: CrashSuspects;
     readonly prompts: PromptMemory;
+    readonly backlog: PromptBacklog;
     readonly demand: SiteDemand;
     readonly adapterUse: AdapterUse;
     /** `undefined` while no configuration is known. */
     routeTable(): RouteTable | undefined;
     agentFor(service: string): Agent;
+    /** Hosts that serve callers, this one included. */
+    hostCount(): number;
     /** Asks the engine's holder to load an adapter; false where the engine has no holder that this host knows. */
     wishAdapter(engine: string, model: string, adapter: string): boolean;
     /** Tells peers that a request was sent to an engine. */
--- a/src/entry/upstreamBeliefs.ts
+++ b/src/entry/upstreamBeliefs.ts
@@ -3,10 +3,12 @@
  *
  * @module
  */
+import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
 import {
     CrashSuspects,
     DownReports,
+    PromptBacklog,
     PromptMemory,
     type SuspectRecord,
     UpstreamHealth,
@@ -25,6 +27,7 @@
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
     readonly readClock: () => number;
+    readonly random: RandomSource;
     /** An upstream announced something new. */
     readonly onAnnounced: (announcement: UpstreamAnnouncement) => void;
     /** An upstream has joined. */
@@ -41,12 +44,14 @@
     readonly health = new UpstreamHealth();
     readonly suspects = new CrashSuspects();
     readonly prompts = new PromptMemory();
+    readonly backlog: PromptBacklog;
     readonly down = new DownReports();
     readonly #options: UpstreamBeliefsOptions;
     readonly #newSuspects: SuspectRecord[] = [];
 
     constructor(options: UpstreamBeliefsOptions) {
         this.#options = options;
+        this.backlog = new PromptBacklog(options.random);
     }
 
     /** Takes an upstream's announcement as the key-value service holds it. */
@@ -147,6 +152,7 @@
             this.residency.forget(upstream.id);
             this.health.forget(upstream.id);
             this.prompts.forget(upstream.id);
+            this.backlog.forget(upstream.id);
             this.down.clear(upstream.id);
         }
     }
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createSeededRandom } from "../decision/index.js";
-import { type Candidate, chooseUpstream, UpstreamHealth, UpstreamLoads } from "./index.js";
+import { type Candidate, chooseUpstream, PromptBacklog, UpstreamHealth, UpstreamLoads } from "./index.js";
 
 function candidate(id: string, overrides: Partial<Candidate> = {}): Candidate {
     return {
@@ -9,7 +9,8 @@
         slots: 64,
         batches: false,
         requests: 0,
-        recentPromptTokens: 0,
+        unreadPromptTokens: 0,
+        takesPrompt: true,
         sameZone: true,
         avoided: false,
         knowsPrompt: false,
@@ -44,36 +45,54 @@
     assert.deepEqual(chooseUpstream([], random), { type: "none" });
 });
 
+test("an engine that still reads prompts is passed over, and where all do the request waits for a moment", () => {
+    const reading = candidate("reading", { batches: true, takesPrompt: false });
+    const busy = candidate("busy", { batches: true, requests: 50 });
+    assert.deepEqual(chooseUpstream([reading, busy], random), { type: "send", upstream: "busy" });
+    assert.deepEqual(chooseUpstream([reading], random), { type: "reading" });
+    const full = candidate("full", { batches: true, requests: 64 });
+    assert.deepEqual(chooseUpstream([reading, full], random), { type: "reading" });
+    const sick = candidate("sick", { batches: true, avoided: true });
+    assert.deepEqual(chooseUpstream([reading, sick], random), { type: "reading" }, "a healthy one is worth the moment");
+});
+
 test("hosts that tell each other what they send do not all choose the engine that was free at its last report", () => {
-    const hosts = Array.from({ length: 7 }, () => new UpstreamLoads());
+    const hosts = Array.from({ length: 7 }, () => ({
+        loads: new UpstreamLoads(),
+        backlog: new PromptBacklog(random),
+    }));
     const engines = ["one", "two", "three"];
     const sent = new Map(engines.map(engine => [engine, 0]));
-    for (const loads of hosts) {
+    for (const { loads } of hosts) {
         engines.forEach((engine, index) => loads.report(engine, { running: index * 2, waiting: 0, slots: 64 }, 0));
     }
     for (let request = 0; request < 21; request += 1) {
         const own = hosts[request % hosts.length];
         const candidates = engines.map(id =>
             candidate(id, {
-                requests: own?.estimate(id, 10) ?? 0,
-                recentPromptTokens: own?.recentPromptTokens(id, 10) ?? 0,
+                requests: own?.loads.estimate(id, 10) ?? 0,
+                unreadPromptTokens: own?.backlog.unreadTokens(id, 10) ?? 0,
             })
         );
         const choice = chooseUpstream(candidates, random);
         assert.ok(choice.type === "send");
         sent.set(choice.upstream, (sent.get(choice.upstream) ?? 0) + 1);
-        own?.started(choice.upstream, 700, 10);
-        hosts.filter(loads => loads !== own).forEach(loads => loads.startedByPeer(choice.upstream, 700, 10));
+        own?.loads.started(choice.upstream);
+        own?.backlog.sent(choice.upstream, 700, 10);
+        for (const { backlog, loads } of hosts.filter(host => host !== own)) {
+            loads.startedByPeer(choice.upstream);
+            backlog.sentByPeer(choice.upstream, 700, 10);
+        }
     }
     assert.ok(Math.max(...sent.values()) <= 9, `requests by engine: ${JSON.stringify([...sent])}`);
 });
 
 test("a report and what was sent since give the load; an old report gives way to what peers have in flight", () => {
     const loads = new UpstreamLoads();
-    loads.started("one", 100, 0);
+    loads.started("one");
     loads.report("one", { running: 10, waiting: 2, slots: 64 }, 100);
-    loads.started("one", 100, 110);
-    loads.startedByPeer("one", 100, 120);
+    loads.started("one");
+    loads.startedByPeer("one");
     assert.equal(loads.estimate("one", 150), 14);
     loads.takePeer("entry-2", { one: 5 }, 900);
     assert.equal(loads.estimate("one", 1_000), 7);
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -32,7 +32,9 @@
     /** Requests it probably has, running and waiting. */
     readonly requests: number;
     /** Prompt tokens that it was sent lately and may still have to read. */
-    readonly recentPromptTokens: number;
+    readonly unreadPromptTokens: number;
+    /** False while another prompt would hold up the streams of an engine that still reads others. */
+    readonly takesPrompt: boolean;
     readonly sameZone: boolean;
     readonly avoided: boolean;
     /** True where it has read the beginning of the prompt lately. */
@@ -44,11 +46,13 @@
     | { readonly type: "send"; readonly upstream: string; }
     /** Every candidate has as many waiting as it takes. */
     | { readonly type: "all-full"; }
+    /** An engine has room, and takes the request once it has read the prompts before. */
+    | { readonly type: "reading"; }
     | { readonly type: "none"; };
 
 function costOf(candidate: Candidate, random: RandomSource): number {
     return candidate.requests / candidate.slots
-        + candidate.recentPromptTokens / PROMPT_TOKENS_OF_FULL_LOAD
+        + candidate.unreadPromptTokens / PROMPT_TOKENS_OF_FULL_LOAD
         + (candidate.sameZone ? 0 : OTHER_ZONE_SHARE)
         - (candidate.knowsPrompt ? KNOWN_PROMPT_SHARE : 0)
         + random() * JITTER_SHARE;
@@ -78,11 +82,14 @@
     const healthy = open.filter(({ avoided }) => !avoided);
     const eligible = healthy.length > 0 ? healthy : open;
     let best: { readonly id: string; readonly cost: number; } | undefined;
-    for (const candidate of eligible) {
+    for (const candidate of eligible.filter(({ takesPrompt }) => takesPrompt)) {
         const cost = costOf(candidate, random);
         if (best === undefined || cost < best.cost) {
             best = { id: candidate.id, cost };
         }
     }
-    return best === undefined ? { type: "all-full" } : { type: "send", upstream: best.id };
+    if (best !== undefined) {
+        return { type: "send", upstream: best.id };
+    }
+    return { type: eligible.length > 0 ? "reading" : "all-full" };
 }
--- /dev/null
+++ b/src/forwarding/promptBacklog.test.ts
@@ -0,0 +1,148 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSeededRandom } from "../decision/index.js";
+import { PromptBacklog } from "./index.js";
+
+/** An engine as the sites' pages describe it: prompts are read in pieces, one piece beside each token of all streams. */
+const ENGINE = { stepMilliseconds: 5.5, readTokensPerMillisecond: 38, pieceTokens: 2_048, tokensPerEvent: 5 };
+/** As drafts on the sites: of 715 tokens the engine has 172 from earlier prompts. */
+const PROMPT = { promptTokens: 715, readTokens: 543 };
+const HOSTS = 9;
+const PROMPTS_PER_HOST = 5;
+const TARGET_GAP_MILLISECONDS = 150;
+const GOSSIP_MILLISECONDS = 2;
+const LOOK_AGAIN_MILLISECONDS = 10;
+const EVENTS = 11;
+
+interface Stream {
+    unread: number;
+    tokens: number;
+    eventAt: number | undefined;
+    longestGap: number;
+    firstEventAt: number | undefined;
+}
+
+/** Runs the engine until all streams have ended; `arrivals` gives how many prompts arrive by a step's begin. */
+function runEngine(arrivals: (now: number) => number): Stream[] {
+    const streams: Stream[] = [];
+    const all = HOSTS * PROMPTS_PER_HOST;
+    let now = 0;
+    while (streams.length < all || streams.some(({ tokens }) => tokens < EVENTS * ENGINE.tokensPerEvent)) {
+        for (let arrived = arrivals(now); arrived > 0; arrived -= 1) {
+            const unread = PROMPT.readTokens;
+            streams.push({ unread, tokens: 0, eventAt: undefined, longestGap: 0, firstEventAt: undefined });
+        }
+        let piece = ENGINE.pieceTokens;
+        for (const stream of streams) {
+            const read = Math.min(piece, stream.unread);
+            stream.unread -= read;
+            piece -= read;
+        }
+        now += ENGINE.stepMilliseconds + (ENGINE.pieceTokens - piece) / ENGINE.readTokensPerMillisecond;
+        streams.filter(({ unread }) => unread === 0).forEach(stream => advance(stream, now));
+    }
+    return streams;
+}
+
+function advance(stream: Stream, now: number): void {
+    stream.tokens += 1;
+    if (stream.tokens % ENGINE.tokensPerEvent === 1 && stream.tokens <= EVENTS * ENGINE.tokensPerEvent) {
+        stream.longestGap = Math.max(stream.longestGap, now - (stream.eventAt ?? now));
+        stream.firstEventAt ??= now;
+        stream.eventAt = now;
+    }
+}
+
+/** Hosts whose requests wait for a model that comes at 0, as they send them and tell each other. */
+function paced(seed: number): (now: number) => number {
+    const random = createSeededRandom(seed);
+    const hosts = Array.from({ length: HOSTS }, () => ({
+        backlog: new PromptBacklog(random),
+        waiting: PROMPTS_PER_HOST,
+    }));
+    const told: { readonly atMilliseconds: number; readonly sender: number; }[] = [];
+    let next = 0;
+    return now => {
+        let arrived = 0;
+        for (; next <= now; next += 1) {
+            while (told[0] !== undefined && told[0].atMilliseconds <= next) {
+                const sender = told.shift()?.sender;
+                const listeners = hosts.filter((_host, index) => index !== sender);
+                listeners.forEach(({ backlog }) => backlog.sentByPeer("engine", PROMPT.promptTokens, next));
+            }
+            for (const [sender, host] of next % LOOK_AGAIN_MILLISECONDS === 0 ? hosts.entries() : []) {
+                const prompt = { promptTokens: PROMPT.promptTokens, hostCount: HOSTS, waits: true };
+                while (host.waiting > 0 && host.backlog.takes("engine", prompt, next)) {
+                    host.backlog.sent("engine", PROMPT.promptTokens, next);
+                    host.waiting -= 1;
+                    arrived += 1;
+                    told.push({ atMilliseconds: next + GOSSIP_MILLISECONDS, sender });
+                }
+            }
+        }
+        return arrived;
+    };
+}
+
+function pausesTooLong({ longestGap }: Stream): boolean {
+    return longestGap > TARGET_GAP_MILLISECONDS;
+}
+
+function lastBegin(streams: readonly Stream[]): number {
+    return Math.max(...streams.map(({ firstEventAt }) => firstEventAt ?? 0));
+}
+
+test("requests that waited for the same model pause no stream for longer than callers accept", () => {
+    const together = runEngine(now => now === 0 ? HOSTS * PROMPTS_PER_HOST : 0);
+    assert.ok(together.filter(pausesTooLong).length > 20, "sent together they pause more than 20 of 45");
+    for (let seed = 1; seed <= 20; seed += 1) {
+        const spread = runEngine(paced(seed));
+        const longest = Math.max(...spread.map(({ longestGap }) => longestGap));
+        assert.ok(longest <= TARGET_GAP_MILLISECONDS, `${Math.round(longest)} ms, seed ${seed}`);
+        const later = lastBegin(spread) / lastBegin(together);
+        assert.ok(later < 2.5, `the last one begins ${later.toFixed(2)} times as late, seed ${seed}`);
+    }
+});
+
+test("a prompt that finds the engine idle is sent at once, however long, and the next one once it is nearly read", () => {
+    const backlog = new PromptBacklog(() => 0.5);
+    assert.ok(backlog.takes("engine", { promptTokens: 9_000, hostCount: 9, waits: false }, 0));
+    backlog.sent("engine", 9_000, 0);
+    const next = { promptTokens: 300, hostCount: 9, waits: false };
+    assert.ok(!backlog.takes("engine", next, 50));
+    assert.ok(backlog.takes("engine", next, 200));
+});
+
+test("hosts that see room at the same moment send no more than fills it, on average, and each as often as its share", () => {
+    const random = createSeededRandom(3);
+    const sent: number[] = [];
+    for (let moment = 0; moment < 400; moment += 1) {
+        const hosts = Array.from({ length: 9 }, () => new PromptBacklog(random));
+        const prompt = { promptTokens: 715, hostCount: 9, waits: true };
+        sent.push(hosts.filter(backlog => backlog.takes("engine", prompt, 0)).length);
+    }
+    const mean = sent.reduce((sum, count) => sum + count, 0) / sent.length * 715;
+    assert.ok(mean > 2_400 && mean < 2_800, `${Math.round(mean)} tokens at once`);
+});
+
+test("a host that is alone fills the room, and looks again only once that is read", () => {
+    const backlog = new PromptBacklog(() => 0.5);
+    const prompt = { promptTokens: 700, hostCount: 1, waits: true };
+    let count = 0;
+    while (backlog.takes("engine", prompt, 0)) {
+        backlog.sent("engine", prompt.promptTokens, 0);
+        count += 1;
+    }
+    assert.equal(count, 3);
+    assert.ok(!backlog.takes("engine", prompt, 5));
+    assert.ok(backlog.takes("engine", prompt, 30));
+});
+
+test("what peers have sent counts as what this host has sent", () => {
+    const backlog = new PromptBacklog(() => 0.5);
+    for (let prompt = 0; prompt < 4; prompt += 1) {
+        backlog.sentByPeer("engine", 700, 0);
+    }
+    assert.ok(!backlog.takes("engine", { promptTokens: 700, hostCount: 7, waits: false }, 0));
+    assert.ok(backlog.takes("engine", { promptTokens: 700, hostCount: 7, waits: false }, 50));
+});
--- a/src/forwarding/upstreamLoads.ts
+++ b/src/forwarding/upstreamLoads.ts
@@ -10,9 +10,6 @@
 /** What a peer said of its own requests says little after this time. */
 const PEER_LIFETIME_MILLISECONDS = 2_000;
 
-/** Prompt tokens sent to an engine count half as much after this time, in which it has read many of them. */
-const PROMPT_HALF_LIFE_MILLISECONDS = 60;
-
 /** Load that an upstream reports with an answer. */
 export interface ReportedLoad {
     readonly running: number;
@@ -29,9 +26,6 @@
     inFlightAtReport: number;
     /** Requests that peers have sent since the last report. */
     sentByPeersSinceReport: number;
-    /** Prompt tokens that were sent lately by any host, the older ones weighed less. */
-    recentPromptTokens: number;
-    promptsWeighedAtMilliseconds: number;
 }
 
 interface PeerLoads {
@@ -45,7 +39,7 @@
  * @example
  * ```ts
  * const loads = new UpstreamLoads();
- * loads.started("engine-3", 715, now);
+ * loads.started("engine-3");
  * const requests = loads.estimate("engine-3", now);
  * ```
  */
@@ -53,24 +47,13 @@
     readonly #loads = new Map<string, Load>();
     readonly #peers = new Map<string, PeerLoads>();
 
-    started(upstream: string, promptTokens: number, nowMilliseconds: number): void {
-        const load = this.#load(upstream);
-        load.inFlight += 1;
-        addPrompt(load, promptTokens, nowMilliseconds);
+    started(upstream: string): void {
+        this.#load(upstream).inFlight += 1;
     }
 
     /** Takes a peer's word that it has sent a request. */
-    startedByPeer(upstream: string, promptTokens: number, nowMilliseconds: number): void {
-        const load = this.#load(upstream);
-        load.sentByPeersSinceReport += 1;
-        addPrompt(load, promptTokens, nowMilliseconds);
-    }
-
-    /** Gives the prompt tokens that the upstream was sent lately and may still have to read. */
-    recentPromptTokens(upstream: string, nowMilliseconds: number): number {
-        const load = this.#load(upstream);
-        addPrompt(load, 0, nowMilliseconds);
-        return load.recentPromptTokens;
+    startedByPeer(upstream: string): void {
+        this.#load(upstream).sentByPeersSinceReport += 1;
     }
 
     finished(upstream: string): void {
@@ -135,16 +118,8 @@
             reportedAtMilliseconds: 0,
             inFlightAtReport: 0,
             sentByPeersSinceReport: 0,
-            recentPromptTokens: 0,
-            promptsWeighedAtMilliseconds: 0,
         };
         this.#loads.set(upstream, load);
         return load;
     }
 }
-
-function addPrompt(load: Load, promptTokens: number, nowMilliseconds: number): void {
-    const age = nowMilliseconds - load.promptsWeighedAtMilliseconds;
-    load.recentPromptTokens = load.recentPromptTokens * 0.5 ** (age / PROMPT_HALF_LIFE_MILLISECONDS) + promptTokens;
-    load.promptsWeighedAtMilliseconds = nowMilliseconds;
-}
