Let a holder that leaves in an outage keep its engines until it is gone

Cause: a host that is stopped stopped ordering at once and wrote that its engines are free. In an outage of the store that write cannot be made, so the engines had no holder until the store was back.

Ruled out: a hand-over to another host by consent (a further protocol, for four seconds); writing the release in spite (a write without an answer may take effect seconds later, while this host orders on).

Change: while the service does not answer, a host that leaves keeps the engines that it kept before, takes none over, begins no move, and writes nothing; once the service answers it releases them. At its end it relinquishes what is left and tells its peers. Only keepers from before may order: others no longer ask a leaving host for consent, so a take-over whose answer comes late must give it nothing. The session is ended only while the service answers, for the same reason. The store's stand-in can pause leases in an outage, as the platform's may.

Test: "a holder that leaves in an outage of the store goes on until it is gone, and then says so"; on the code before it failed (503 for 200).

--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -163,7 +163,7 @@
      * @returns The engines that are given up now.
      */
     loseSession(): readonly string[] {
-        const engines = this.#relinquishHeld();
+        const engines = this.relinquishAll();
         this.#session = undefined;
         this.#confirmedAt = undefined;
         return engines;
@@ -261,10 +261,15 @@
      * @returns The engines that are given up now.
      */
     relinquishUnconfirmed(now: ClockReading): readonly string[] {
-        return this.isConfirmed(now) ? [] : this.#relinquishHeld();
+        return this.isConfirmed(now) ? [] : this.relinquishAll();
     }
 
-    #relinquishHeld(): readonly string[] {
+    /**
+     * Gives all engines up, for good under their present records.
+     *
+     * @returns The engines that are given up now.
+     */
+    relinquishAll(): readonly string[] {
         const engines = this.held();
         engines.forEach(({ engine, expectedRevision }) => this.#relinquished.set(engine, expectedRevision));
         return engines.map(({ engine }) => engine);
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -72,7 +72,10 @@
     readonly #told = new WeakMap<EngineKeeper, number>();
     #ticker: NodeJS.Timeout | undefined;
     readonly #followers = new Map<string, PlanFollower>();
+    /** Set once this host leaves: it takes no engine over and begins no move. */
     #leaving = false;
+    /** Set once the engines are given up, or are being given up. */
+    #stopped = false;
     #enginesChangedAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: EngineOrdersOptions) {
@@ -127,9 +130,29 @@
         this.#keepers.get(engine)?.noteUse(model, adapter, this.#now());
     }
 
-    /** Stops ordering and gives the engines up, so that other hosts may take them. */
+    /**
+     * Takes nothing over any more, and gives the engines up so that other hosts may take them. While the key-value service
+     * does not answer nobody could, so they are kept until it does, or until `stop`.
+     */
     async leave(): Promise<void> {
         this.#leaving = true;
+        if (this.#options.serviceAnswers()) {
+            await this.#release();
+        }
+    }
+
+    /** Gives no further orders; what could not be handed over is relinquished. */
+    stop(): void {
+        this.#stopped = true;
+        this.#noteRelinquished(this.#options.duties.relinquishAll(), { reason: "host stops" });
+    }
+
+    /** Writes that the engines are free; no order may follow, since a write without an answer may yet take effect. */
+    async #release(): Promise<void> {
+        if (this.#stopped) {
+            return;
+        }
+        this.#stopped = true;
         const held = this.#options.duties.held();
         this.#keepers.clear();
         await Promise.all(held.map(acquisition => this.#write(acquisition, true)));
@@ -155,13 +178,19 @@
     }
 
     #tick(): void {
-        if (this.#leaving) {
+        if (this.#stopped) {
             return;
         }
         this.#relinquish();
-        this.#takeOver();
+        if (this.#leaving && this.#options.serviceAnswers()) {
+            void this.#release();
+            return;
+        }
         this.#syncKeepers();
-        this.#planServices();
+        if (!this.#leaving) {
+            this.#takeOver();
+            this.#planServices();
+        }
         for (const keeper of this.#keepers.values()) {
             this.#work(keeper);
         }
@@ -230,7 +259,10 @@
         logger.info(`engine ${change}`, { engine, revision: swapped.value.revision, session });
     }
 
-    /** Holds a keeper for each engine that this host's record names. */
+    /**
+     * Holds a keeper for each engine that this host's record names. A host that leaves keeps none that it had not kept
+     * before: others no longer ask for its consent.
+     */
     #syncKeepers(): void {
         const held = new Set(this.#options.duties.held().map(({ engine }) => engine));
         for (const engine of this.#keepers.keys()) {
@@ -238,7 +270,7 @@
                 this.#keepers.delete(engine);
             }
         }
-        for (const engine of held) {
+        for (const engine of this.#leaving ? [] : held) {
             const announcement = this.#options.view.get(engine);
             const definition = announcement === undefined ? undefined : this.#definitionOf(announcement);
             if (announcement !== undefined && definition !== undefined && !this.#keepers.has(engine)) {
@@ -271,7 +303,7 @@
         const clocks = this.#options.readClocks();
         const announcement = this.#options.view.get(keeper.engine);
         const fencingNumber = this.#options.duties.fencingNumber(keeper.engine, clocks);
-        if (this.#leaving || announcement === undefined || announcement.leaving || fencingNumber === undefined) {
+        if (this.#stopped || announcement === undefined || announcement.leaving || fencingNumber === undefined) {
             return;
         }
         const step = keeper.nextStep(clocks.steadyMilliseconds);
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -181,7 +181,7 @@
         logger.info("stopping", { open: this.#forwarder.open });
         this.#sendDigest();
         await this.#orders.leave();
-        await this.#session.close();
+        await this.#endSession();
         const keptMilliseconds = KEEP_SECONDS * LONGEST_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
         const finalMilliseconds = this.#settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
         await this.#until(startedAt + Math.min(keptMilliseconds, finalMilliseconds));
@@ -192,10 +192,25 @@
             await this.#until(this.#now() + LEAVING_CHECK_MILLISECONDS);
         }
         this.#forwarder.abortAll();
+        await this.#leavePeers();
         await this.close();
         logger.info("stopped", { tookMilliseconds: Math.round(this.#now() - startedAt) });
     }
 
+    /** Engines that could not be handed over are given up by word to the peers. */
+    async #leavePeers(): Promise<void> {
+        this.#orders.stop();
+        this.#sendDigest();
+        await this.#endSession();
+    }
+
+    /** While the key-value service does not answer, the session stays; its end might take effect later. */
+    async #endSession(): Promise<void> {
+        if (this.#contact.answers()) {
+            await this.#session.close();
+        }
+    }
+
     async close(): Promise<void> {
         this.#closed = true;
         this.#session.abandon();
--- a/src/entry/hostSession.ts
+++ b/src/entry/hostSession.ts
@@ -70,8 +70,10 @@
     /** Ends the session, so that the host's record is gone at once. */
     async close(): Promise<void> {
         this.abandon();
-        if (this.#lease !== undefined) {
-            await this.#options.keyValue.revokeLease(this.#lease);
+        const lease = this.#lease;
+        this.#lease = undefined;
+        if (lease !== undefined) {
+            await this.#options.keyValue.revokeLease(lease);
         }
     }
 
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -42,6 +42,8 @@
 /** A running store. */
 export class PlatformStoreStandIn {
     mode: StoreMode = "up";
+    /** What leases do while calls are refused or not answered: the platform's may run out or pause. */
+    leasesPause = false;
     /** Calls that arrived, by path. */
     readonly calls: string[] = [];
     readonly #items = new Map<string, Item>();
@@ -112,6 +114,15 @@
         }
     }
 
+    #runOut(lease: number): void {
+        const found = this.#leases.get(lease);
+        if (found !== undefined && this.leasesPause && this.mode !== "up") {
+            found.timer = setTimeout(() => this.#runOut(lease), found.ttlMs);
+            return;
+        }
+        this.expireLease(lease);
+    }
+
     async close(): Promise<void> {
         this.#leases.forEach(({ timer }) => clearTimeout(timer));
         this.#server.closeAllConnections();
@@ -244,7 +255,7 @@
     #answerLease({ ttlMs }: { readonly ttlMs: number; }, response: ServerResponse): void {
         this.#nextLease += 1;
         const lease = this.#nextLease;
-        this.#leases.set(lease, { ttlMs, timer: setTimeout(() => this.expireLease(lease), ttlMs) });
+        this.#leases.set(lease, { ttlMs, timer: setTimeout(() => this.#runOut(lease), ttlMs) });
         this.#reply(response, 200, { lease, ttlMs }, true);
     }
 
@@ -255,7 +266,7 @@
             return;
         }
         clearTimeout(found.timer);
-        found.timer = setTimeout(() => this.expireLease(lease), found.ttlMs);
+        found.timer = setTimeout(() => this.#runOut(lease), found.ttlMs);
         this.#reply(response, 200, { ttlMs: found.ttlMs });
     }
 }
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -181,6 +181,36 @@
     assert.equal(engine.orders.length, ordered);
 });
 
+test("a holder that leaves in an outage of the store goes on until it is gone, and then says so", async context => {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
+        "llm",
+    );
+    const [one, two] = await Promise.all([site.addHost("one"), site.addHost("two")]);
+    await Promise.all([one, two].map(ready));
+    await until(() => [one, two].some(host => logged(host, "engine taken", { engine: "i-engine" })));
+    const [holder, other] = logged(one, "engine taken") ? [one, two] : [two, one];
+    const ask = (adapter: string): ReturnType<typeof callHost> =>
+        callHost(other, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
+    await until(async () => (await ask("a1")).status === 200);
+    site.store.mode = "refusing";
+    await until(() => logged(holder, "key-value service lost"), 2_000);
+    await delay(800);
+    const calls = site.store.calls.length;
+    site.store.leasesPause = true;
+    const stopping = holder.host.stop();
+    await delay(1_500);
+    assert.equal((await ask("a2")).status, 200);
+    await stopping;
+    const written = site.store.calls.slice(calls).filter(call => call === "/kv-txn");
+    assert.deepEqual(written, [], "a release without an answer might come true later");
+    assert.ok(logged(holder, "engine relinquished", { engine: "i-engine", reason: "host stops" }));
+    const ordered = engine.orders.length;
+    assert.notEqual((await ask("a3")).status, 200);
+    assert.equal(engine.orders.length, ordered);
+});
+
 test("a holder whose session ends says which engines it gives up", async context => {
     const site = await startSite(context);
     await site.addUpstream({ id: "i-engine", models: { quotes: [], specs: [] }, slots: 8 }, "llm");
