Leave out of the plan engines that nobody may order; hurry while no copy serves

Ruled out: loads from the store over the bound; engines without memory for the model.

Change: every host knows from the holders' records which engines have no holder or one that waits; the plan leaves these out. A model hurries (takes a busy place beside other changes) while no engine has it loaded, not only while none loads it. Two tests, both failed first.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -96,6 +96,23 @@
     assert.deepEqual(own.relinquished(1_000), [{ engine: "engine", revision: 12, quietMilliseconds: 3_100 }]);
 });
 
+test("every host knows of an engine that nobody orders now, since it has no holder or a new one that waits", () => {
+    const own = duties("one", "s1");
+    own.setSession("two", "s2");
+    assert.ok(!own.isOrdered("engine", 0), "nobody holds it");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: false, revision: 12 }, 0);
+    assert.ok(own.isOrdered("engine", 0), "how long it has been held is not known");
+    own.setSession("three", "s3");
+    own.setHolder("engine", { host: "three", session: "s3", released: false, settled: false, revision: 13 }, 1_000);
+    assert.ok(!own.isOrdered("engine", 5_400));
+    assert.ok(own.isOrdered("engine", 5_600));
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 14 }, 6_000);
+    assert.ok(!own.isOrdered("engine", 10_400));
+    assert.ok(own.isOrdered("engine", 10_600));
+    own.setHolder("other", { host: "two", session: "s2", released: false, settled: true, revision: 15 }, 6_000);
+    assert.ok(own.isOrdered("other", 6_000), "nobody had to be waited for");
+});
+
 test("a holder whose clocks came apart, as by a suspension or a step, stops until its session is confirmed", () => {
     const own = duties("one", "s1");
     own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -91,6 +91,8 @@
     readonly #holders = new Map<string, StoredHolder>();
     readonly #vacancies = new Map<string, Vacancy>();
     readonly #quietUntil = new Map<string, number>();
+    /** Until when holders on other hosts wait, as far as their records tell. */
+    readonly #othersQuietUntil = new Map<string, number>();
     /** The latest record of another host. */
     readonly #before = new Map<string, StoredHolder>();
     /** Records under which this host gives no more orders. */
@@ -133,6 +135,16 @@
         if (holder.host === this.#host && holder.session === this.#session) {
             this.#quietUntil.set(engine, this.#quietUntilAfter(engine, known, nowMilliseconds));
         }
+        else if (known !== undefined && !holder.settled) {
+            this.#othersQuietUntil.set(engine, this.#quietUntilAfter(engine, known, nowMilliseconds));
+        }
+    }
+
+    /** Tells whether somebody may order an engine now: it has a holder, and that one no longer waits. */
+    isOrdered(engine: string, nowMilliseconds: number): boolean {
+        const holder = this.holderOf(engine);
+        const quietUntil = holder === this.#host ? this.#quietUntil : this.#othersQuietUntil;
+        return holder !== undefined && nowMilliseconds >= (quietUntil.get(engine) ?? Number.NEGATIVE_INFINITY);
     }
 
     /** Takes note that this host's session was confirmed by a call that was sent at the reading. */
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -325,6 +325,7 @@
             return;
         }
         const engines = this.#options.view.usable(service).filter(({ id }) => !this.#options.isDown(id));
+        const unordered = engines.filter(({ id }) => !this.#options.duties.isOrdered(id, now)).map(({ id }) => id);
         const follower = this.#followers.get(service) ?? new PlanFollower();
         this.#followers.set(service, follower);
         const move = planWeights({
@@ -332,7 +333,7 @@
             definition,
             demand,
             adapterDemand: this.#options.adapterDemand(),
-            passedOver: follower.passedOver(now),
+            passedOver: new Set([...follower.passedOver(now), ...unordered]),
         });
         follower.note(move, now);
         const keeper = move === undefined ? undefined : this.#keepers.get(move.engine);
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -153,6 +153,23 @@
     assert.equal(calm, undefined, "what little is asked of a model waits for the engine that changes");
 });
 
+test("a model whose only copy is still loading gets another at once where much is asked of it", () => {
+    const engines = [
+        engine("one", ["hot", "warm"]),
+        engine("two", ["hot", "warm"]),
+        engine("three", ["hot"], { loading: "rare" }),
+    ];
+    const demand = { hot: 40, warm: 20, rare: 400 };
+    assert.equal(planWeights(situation(engines, demand))?.model, "rare");
+    const there = engines.map(({ id, models }) => engine(id, id === "three" ? ["hot", "rare"] : models));
+    const changing = there.map(each => each.id === "one" ? { ...each, loading: "cold" } : each);
+    assert.notEqual(
+        planWeights(situation(changing, demand))?.model,
+        "rare",
+        "with a copy that serves it waits its turn",
+    );
+});
+
 test("of engines that are as good otherwise the one with the weights at hand loads", () => {
     const names = ["one", "two", "three", "four"];
     for (const name of names) {
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -29,7 +29,7 @@
 /** Load of a copy, as a share of an engine's slots, up to which nobody misses it while the engine changes. */
 const IDLE_COPY_LOAD = 0.06;
 
-/** Gain from which a model that has no copy takes a busy one's place, however many engines are changing. */
+/** Gain from which a model without a copy that serves takes a busy one's place, however many engines are changing. */
 const URGENT_GAIN = 0.5;
 
 /** What a gain is worth that comes only once weights have come from the store, against one of weights at hand. */
@@ -147,7 +147,7 @@
     mayDropBusy: boolean,
 ): Candidate | undefined {
     let best: Candidate | undefined;
-    const isMissing = fleet.cost.copies(model.name) === 0;
+    const isMissing = fleet.situation.engines.every(({ models }) => !models.includes(model.name));
     for (const dropped of waysToMakeRoom(fleet, engine, model)) {
         const gain = fleet.cost.gainOf(engine.id, model.name, dropped) - dropCostOf(fleet, dropped);
         const isUrgent = isMissing && gain >= URGENT_GAIN;
