--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -631,6 +631,7 @@
         metrics.gauge("upstreams", this.#upstreams.view.all().length);
         metrics.gauge("requests_open", this.#forwarder.open);
         metrics.gauge("peers_heard", this.#peers.heard(this.#now()).length);
+        metrics.gauge("prompt_bound_tokens", this.#upstreams.backlog.boundTokens);
     }
 }
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -342,6 +342,7 @@
             attempt: number,
             load: loads.estimate(upstream.id, this.#now()),
             unreadTokens: Math.round(backlog.unreadTokens(upstream.id, this.#now())),
+            boundTokens: backlog.boundTokens,
             configurationVersion: this.#request.configurationVersion,
             remainingMilliseconds: Math.round(this.#remaining()),
         });
@@ -502,11 +503,20 @@
         this.#context.metrics.observe("first_byte_seconds", waited, { kind: route.kind });
     }
 
-    /** A whole stream tells how long engines take for the work of a request. */
+    /** A whole stream tells how long engines take for the work of a request, and how many prompts they bear. */
     #noteRun(): void {
-        const firstByteAt = this.#answer.firstByteAtMilliseconds;
-        if (firstByteAt !== undefined && this.#sends === 1) {
-            this.#context.demand.noteRun(this.#facts.work, this.#now() - firstByteAt);
+        const { firstByteAtMilliseconds: firstByteAt, longestGapMilliseconds } = this.#answer;
+        if (firstByteAt === undefined || this.#sends !== 1) {
+            return;
+        }
+        this.#context.demand.noteRun(this.#facts.work, this.#now() - firstByteAt);
+        const acceptedPauseMilliseconds = this.#request.route.targetGapMilliseconds;
+        if (this.#lastUpstream !== undefined && acceptedPauseMilliseconds !== undefined) {
+            this.#context.backlog.noteStream(this.#lastUpstream, {
+                startedAtMilliseconds: firstByteAt,
+                longestPauseMilliseconds: longestGapMilliseconds,
+                acceptedPauseMilliseconds,
+            }, this.#now());
         }
     }
 
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -17,7 +17,7 @@
 export { DownReports } from "./downReports.js";
 export { EventSplitter, type WholeEvents } from "./eventSplitter.js";
 export { longestWait, returnAfter } from "./patience.js";
-export { PromptBacklog } from "./promptBacklog.js";
+export { type EndedStream, PromptBacklog } from "./promptBacklog.js";
 export { lastSharedPart, PromptMemory } from "./promptMemory.js";
 export {
     type AttemptSituation,
--- a/src/forwarding/promptBacklog.test.ts
+++ b/src/forwarding/promptBacklog.test.ts
@@ -4,7 +4,8 @@
 import { PromptBacklog } from "./index.js";
 
 /** An engine as the sites' pages describe it: prompts are read in pieces, one piece beside each token of all streams. */
-const ENGINE = { stepMilliseconds: 5.5, readTokensPerMillisecond: 38, pieceTokens: 2_048, tokensPerEvent: 5 };
+const ENGINE = { stepMilliseconds: 5.5, pieceTokens: 2_048, tokensPerEvent: 5 };
+const READ_TOKENS_PER_MILLISECOND = 38;
 /** As drafts on the sites: of 715 tokens the engine has 172 from earlier prompts. */
 const PROMPT = { promptTokens: 715, readTokens: 543 };
 const HOSTS = 9;
@@ -22,8 +23,16 @@
     firstEventAt: number | undefined;
 }
 
+interface Host {
+    readonly backlog: PromptBacklog;
+    waiting: number;
+}
+
 /** Runs the engine until all streams have ended; `arrivals` gives how many prompts arrive by a step's begin. */
-function runEngine(arrivals: (now: number) => number): Stream[] {
+function runEngine(
+    arrivals: (now: number) => number,
+    readTokensPerMillisecond = READ_TOKENS_PER_MILLISECOND,
+): Stream[] {
     const streams: Stream[] = [];
     const all = HOSTS * PROMPTS_PER_HOST;
     let now = 0;
@@ -38,7 +47,7 @@
             stream.unread -= read;
             piece -= read;
         }
-        now += ENGINE.stepMilliseconds + (ENGINE.pieceTokens - piece) / ENGINE.readTokensPerMillisecond;
+        now += ENGINE.stepMilliseconds + (ENGINE.pieceTokens - piece) / readTokensPerMillisecond;
         streams.filter(({ unread }) => unread === 0).forEach(stream => advance(stream, now));
     }
     return streams;
@@ -53,13 +62,16 @@
     }
 }
 
-/** Hosts whose requests wait for a model that comes at 0, as they send them and tell each other. */
-function paced(seed: number): (now: number) => number {
+function createHosts(seed: number): Host[] {
     const random = createSeededRandom(seed);
-    const hosts = Array.from({ length: HOSTS }, () => ({
-        backlog: new PromptBacklog(random),
-        waiting: PROMPTS_PER_HOST,
-    }));
+    return Array.from({ length: HOSTS }, () => ({ backlog: new PromptBacklog(random), waiting: 0 }));
+}
+
+/** Hosts whose requests wait for a model that comes at `begin`, as they send them and tell each other. */
+function paced(hosts: readonly Host[], begin = 0): (now: number) => number {
+    for (const host of hosts) {
+        host.waiting = PROMPTS_PER_HOST;
+    }
     const told: { readonly atMilliseconds: number; readonly sender: number; }[] = [];
     let next = 0;
     return now => {
@@ -68,12 +80,12 @@
             while (told[0] !== undefined && told[0].atMilliseconds <= next) {
                 const sender = told.shift()?.sender;
                 const listeners = hosts.filter((_host, index) => index !== sender);
-                listeners.forEach(({ backlog }) => backlog.sentByPeer("engine", PROMPT.promptTokens, next));
+                listeners.forEach(({ backlog }) => backlog.sentByPeer("engine", PROMPT.promptTokens, begin + next));
             }
             for (const [sender, host] of next % LOOK_AGAIN_MILLISECONDS === 0 ? hosts.entries() : []) {
                 const prompt = { promptTokens: PROMPT.promptTokens, hostCount: HOSTS, waits: true };
-                while (host.waiting > 0 && host.backlog.takes("engine", prompt, next)) {
-                    host.backlog.sent("engine", PROMPT.promptTokens, next);
+                while (host.waiting > 0 && host.backlog.takes("engine", prompt, begin + next)) {
+                    host.backlog.sent("engine", PROMPT.promptTokens, begin + next);
                     host.waiting -= 1;
                     arrived += 1;
                     told.push({ atMilliseconds: next + GOSSIP_MILLISECONDS, sender });
@@ -96,7 +108,7 @@
     const together = runEngine(now => now === 0 ? HOSTS * PROMPTS_PER_HOST : 0);
     assert.ok(together.filter(pausesTooLong).length > 20, "sent together they pause more than 20 of 45");
     for (let seed = 1; seed <= 20; seed += 1) {
-        const spread = runEngine(paced(seed));
+        const spread = runEngine(paced(createHosts(seed)));
         const longest = Math.max(...spread.map(({ longestGap }) => longestGap));
         assert.ok(longest <= TARGET_GAP_MILLISECONDS, `${Math.round(longest)} ms, seed ${seed}`);
         const later = lastBegin(spread) / lastBegin(together);
@@ -104,6 +116,50 @@
     }
 });
 
+/** Gives the share of streams that pause too long, and the bound, once hosts have seen an engine for a while. */
+function settle(readTokensPerMillisecond: number): { readonly paused: number; readonly boundTokens: number; } {
+    const hosts = createHosts(7);
+    let paused = 0;
+    for (let round = 0; round < 600; round += 1) {
+        const begin = round * 10_000;
+        const streams = runEngine(paced(hosts, begin), readTokensPerMillisecond);
+        paused += round < 500 ? 0 : streams.filter(pausesTooLong).length;
+        for (const [index, { firstEventAt, longestGap }] of streams.entries()) {
+            const stream = {
+                startedAtMilliseconds: begin + (firstEventAt ?? 0),
+                longestPauseMilliseconds: longestGap,
+                acceptedPauseMilliseconds: TARGET_GAP_MILLISECONDS,
+            };
+            hosts[index % HOSTS]?.backlog.noteStream("engine", stream, begin + 5_000 + index);
+        }
+    }
+    const boundTokens = hosts.reduce((sum, { backlog }) => sum + backlog.boundTokens, 0) / HOSTS;
+    return { paused: paused / (100 * HOSTS * PROMPTS_PER_HOST), boundTokens };
+}
+
+test("the bound follows engines that read faster or more slowly, and one stream in ten pauses too long at most", () => {
+    const fast = settle(READ_TOKENS_PER_MILLISECOND * 2);
+    const slow = settle(READ_TOKENS_PER_MILLISECOND / 2);
+    const seen = JSON.stringify({ fast, slow });
+    assert.ok(fast.boundTokens > 4_000 && fast.paused < 0.1, seen);
+    assert.ok(slow.boundTokens < 2_000 && slow.paused < 0.1, seen);
+});
+
+test("a stream that paused beside few unread prompts, or for far too long, tells nothing of the bound", () => {
+    const backlog = new PromptBacklog(() => 0.5);
+    const stream = { startedAtMilliseconds: 0, longestPauseMilliseconds: 300, acceptedPauseMilliseconds: 150 };
+    backlog.sent("engine", 700, 10);
+    backlog.noteStream("engine", stream, 500);
+    assert.equal(backlog.boundTokens, 2_600);
+    backlog.sent("engine", 1_400, 510);
+    backlog.noteStream("engine", { ...stream, longestPauseMilliseconds: 900 }, 600);
+    assert.equal(backlog.boundTokens, 2_600);
+    backlog.noteStream("engine", stream, 700);
+    assert.equal(backlog.boundTokens, 2_522);
+    backlog.noteStream("engine", stream, 800);
+    assert.equal(backlog.boundTokens, 2_522, "the same pause");
+});
+
 test("a prompt that finds the engine idle is sent at once, however long, and the next one once it is nearly read", () => {
     const backlog = new PromptBacklog(() => 0.5);
     assert.ok(backlog.takes("engine", { promptTokens: 9_000, hostCount: 9, waits: false }, 0));
--- a/src/forwarding/promptBacklog.ts
+++ b/src/forwarding/promptBacklog.ts
@@ -13,8 +13,25 @@
 /** Tokens that were sent count half as much after this time, in which an engine has read many of them. */
 const HALF_LIFE_MILLISECONDS = 60;
 
-/** Streams pause too long beside more unread tokens than this. */
-const MOST_UNREAD_TOKENS = 2_600;
+/** Streams pause too long beside more unread tokens than this, until pauses have told otherwise. */
+const FIRST_BOUND_TOKENS = 2_600;
+
+/** Between these the bound follows what streams tell. */
+const LEAST_BOUND_TOKENS = 1_300;
+const MOST_BOUND_TOKENS = 10_400;
+
+/** Changes of the bound by streams that paused too long, and by one that did not; it settles within minutes. */
+const LOWER_FACTOR = 0.97;
+const RAISE_FACTOR = 1.0005;
+
+/** Streams that paused too long within this time did so at once, and lower the bound once. */
+const SAME_PAUSE_MILLISECONDS = 400;
+
+/** From this share of the bound on, unread prompts are what streams pause for. */
+const BINDING_SHARE = 0.5;
+
+/** A stream that paused for this many times what callers accept did so for another cause. */
+const OTHER_CAUSE_FACTOR = 4;
 
 /** From fewer unread tokens than this on, a prompt is sent however long it is. */
 const FEW_UNREAD_TOKENS = 100;
@@ -31,6 +48,16 @@
     windowTokens: number;
     /** Decides for the window by how much of a prompt this host may exceed its share; from 0 to 1. */
     draw: number;
+    /** When so many prompts were unread last that streams may have paused for them. */
+    boundAtMilliseconds: number;
+}
+
+/** A stream that one engine ran from its begin to its end. */
+export interface EndedStream {
+    readonly startedAtMilliseconds: number;
+    readonly longestPauseMilliseconds: number;
+    /** Longest pause that its callers accept. */
+    readonly acceptedPauseMilliseconds: number;
 }
 
 /** A prompt that is to be sent. */
@@ -55,6 +82,8 @@
 export class PromptBacklog {
     readonly #random: RandomSource;
     readonly #backlogs = new Map<string, Backlog>();
+    #boundTokens = FIRST_BOUND_TOKENS;
+    #loweredAtMilliseconds = Number.NEGATIVE_INFINITY;
 
     constructor(random: RandomSource) {
         this.#random = random;
@@ -63,13 +92,38 @@
     /** Takes note of a prompt that this host sends. */
     sent(engine: string, promptTokens: number, nowMilliseconds: number): void {
         const backlog = this.#weighed(engine, nowMilliseconds);
-        backlog.unreadTokens += promptTokens;
         backlog.windowTokens += promptTokens;
+        this.#add(backlog, promptTokens, nowMilliseconds);
     }
 
     /** Takes a peer's word that it has sent a prompt. */
     sentByPeer(engine: string, promptTokens: number, nowMilliseconds: number): void {
-        this.#weighed(engine, nowMilliseconds).unreadTokens += promptTokens;
+        this.#add(this.#weighed(engine, nowMilliseconds), promptTokens, nowMilliseconds);
+    }
+
+    /** Unread tokens up to which engines are sent prompts. */
+    get boundTokens(): number {
+        return Math.round(this.#boundTokens);
+    }
+
+    /**
+     * Takes how a stream went. Engines read at speeds that nobody tells; the bound rises while streams beside many unread
+     * prompts pause for less than their callers accept, and falls where they pause for longer.
+     */
+    noteStream(engine: string, stream: EndedStream, nowMilliseconds: number): void {
+        const { acceptedPauseMilliseconds, longestPauseMilliseconds, startedAtMilliseconds } = stream;
+        const boundAt = this.#weighed(engine, nowMilliseconds).boundAtMilliseconds;
+        const hasOtherCause = longestPauseMilliseconds > acceptedPauseMilliseconds * OTHER_CAUSE_FACTOR;
+        if (boundAt < startedAtMilliseconds || hasOtherCause) {
+            return;
+        }
+        if (longestPauseMilliseconds <= acceptedPauseMilliseconds) {
+            this.#boundTokens = Math.min(MOST_BOUND_TOKENS, this.#boundTokens * RAISE_FACTOR);
+        }
+        else if (nowMilliseconds - this.#loweredAtMilliseconds >= SAME_PAUSE_MILLISECONDS) {
+            this.#loweredAtMilliseconds = nowMilliseconds;
+            this.#boundTokens = Math.max(LEAST_BOUND_TOKENS, this.#boundTokens * LOWER_FACTOR);
+        }
     }
 
     /** Gives the tokens that the engine may still have to read. */
@@ -84,8 +138,8 @@
      */
     takes(engine: string, { hostCount, promptTokens, waits }: PromptToSend, nowMilliseconds: number): boolean {
         const { draw, unreadTokens, windowTokens } = this.#weighed(engine, nowMilliseconds);
-        const room = MOST_UNREAD_TOKENS - unreadTokens;
-        const tokens = Math.min(promptTokens, MOST_UNREAD_TOKENS);
+        const room = this.#boundTokens - unreadTokens;
+        const tokens = Math.min(promptTokens, this.#boundTokens);
         if (unreadTokens > FEW_UNREAD_TOKENS && tokens > room) {
             return false;
         }
@@ -97,6 +151,13 @@
         this.#backlogs.delete(engine);
     }
 
+    #add(backlog: Backlog, promptTokens: number, nowMilliseconds: number): void {
+        backlog.unreadTokens += promptTokens;
+        if (backlog.unreadTokens > this.#boundTokens * BINDING_SHARE) {
+            backlog.boundAtMilliseconds = nowMilliseconds;
+        }
+    }
+
     #weighed(engine: string, nowMilliseconds: number): Backlog {
         const backlog = this.#backlogs.get(engine) ?? {
             unreadTokens: 0,
@@ -104,6 +165,7 @@
             windowAtMilliseconds: Number.NEGATIVE_INFINITY,
             windowTokens: 0,
             draw: 0,
+            boundAtMilliseconds: Number.NEGATIVE_INFINITY,
         };
         const age = nowMilliseconds - backlog.weighedAtMilliseconds;
         backlog.unreadTokens *= 0.5 ** (age / HALF_LIFE_MILLISECONDS);
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -32,6 +32,7 @@
     requests_open: { help: "Requests being served." },
     engines_held: { help: "Engines that this host gives orders to." },
     peers_heard: { help: "Hosts heard in the last seconds." },
+    prompt_bound_tokens: { help: "Unread prompt tokens up to which an engine is sent another prompt." },
 } as const;
 
 const HISTOGRAMS = {
