Set up the held engine of the outage tests in one place

Change: startHeldEngine and askFor in tests/entryHosts.test.ts serve both. Every assertion, bound and wait is the one that was there; the holder is looked up before the outage, as the second test did.

--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { type PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
 import { askSmall, callHost, EntrySite, ready, reasonOf, type SiteHost, until } from "./support/entrySite.js";
 
 const ENGINE = {
@@ -33,6 +34,33 @@
     );
 }
 
+/** A site with one engine, which one of two hosts holds. */
+interface HeldEngine {
+    readonly site: EntrySite;
+    readonly engine: PlatformUpstreamStandIn;
+    readonly one: SiteHost;
+    readonly holder: SiteHost;
+    readonly other: SiteHost;
+}
+
+async function startHeldEngine(context: TestContext): Promise<HeldEngine> {
+    const site = await startSite(context);
+    const engine = await site.addUpstream(
+        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
+        "llm",
+    );
+    const [one, two] = await Promise.all([site.addHost("one"), site.addHost("two")]);
+    await Promise.all([one, two].map(ready));
+    await until(() => [one, two].some(host => logged(host, "engine taken", { engine: "i-engine" })));
+    const [holder, other] = logged(one, "engine taken") ? [one, two] : [two, one];
+    return { site, engine, one, holder, other };
+}
+
+/** Asks a host for a stream of an adapter. */
+function askFor(host: SiteHost, adapter: string): ReturnType<typeof callHost> {
+    return callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
+}
+
 async function addresses(host: SiteHost, zone: string): Promise<string[]> {
     const { body } = await askSmall(host.settings.directory, `/resolve?name=site.example&region=r&zone=${zone}`);
     return (JSON.parse(body) as { addresses: string[]; }).addresses.sort();
@@ -156,44 +184,24 @@
 });
 
 test("holders go on giving orders through an outage of the store while all hosts agree, and not when one is gone", async context => {
-    const site = await startSite(context);
-    const engine = await site.addUpstream(
-        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
-        "llm",
-    );
-    const [one, two] = await Promise.all([site.addHost("one"), site.addHost("two")]);
-    await Promise.all([one, two].map(ready));
-    await until(() => [one, two].some(host => logged(host, "engine taken", { engine: "i-engine" })));
-    const ask = (adapter: string): ReturnType<typeof callHost> =>
-        callHost(one, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
-    await until(async () => (await ask("a1")).status === 200);
+    const { engine, holder, one, other, site } = await startHeldEngine(context);
+    await until(async () => (await askFor(one, "a1")).status === 200);
     site.store.mode = "refusing";
     await delay(1_900);
-    assert.equal((await ask("a2")).status, 200);
-    assert.ok(![one, two].some(host => logged(host, "engine relinquished")));
-    const holder = logged(one, "engine taken") ? one : two;
-    await (holder === one ? two : one).host.close();
+    assert.equal((await askFor(one, "a2")).status, 200);
+    assert.ok(![holder, other].some(host => logged(host, "engine relinquished")));
+    await other.host.close();
     await until(() => logged(holder, "engine relinquished"), 1_900);
     const ordered = engine.orders.length;
     if (holder === one) {
-        assert.notEqual((await ask("a3")).status, 200);
+        assert.notEqual((await askFor(one, "a3")).status, 200);
     }
     assert.equal(engine.orders.length, ordered);
 });
 
 test("a holder that leaves in an outage of the store goes on until it is gone, and then says so", async context => {
-    const site = await startSite(context);
-    const engine = await site.addUpstream(
-        { id: "i-engine", models: { quotes: [], specs: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
-        "llm",
-    );
-    const [one, two] = await Promise.all([site.addHost("one"), site.addHost("two")]);
-    await Promise.all([one, two].map(ready));
-    await until(() => [one, two].some(host => logged(host, "engine taken", { engine: "i-engine" })));
-    const [holder, other] = logged(one, "engine taken") ? [one, two] : [two, one];
-    const ask = (adapter: string): ReturnType<typeof callHost> =>
-        callHost(other, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
-    await until(async () => (await ask("a1")).status === 200);
+    const { engine, holder, other, site } = await startHeldEngine(context);
+    await until(async () => (await askFor(other, "a1")).status === 200);
     site.store.mode = "refusing";
     await until(() => logged(holder, "key-value service lost"), 2_000);
     await delay(800);
@@ -201,13 +209,13 @@
     site.store.leasesPause = true;
     const stopping = holder.host.stop();
     await delay(1_500);
-    assert.equal((await ask("a2")).status, 200);
+    assert.equal((await askFor(other, "a2")).status, 200);
     await stopping;
     const written = site.store.calls.slice(calls).filter(call => call === "/kv-txn");
     assert.deepEqual(written, [], "a release without an answer might come true later");
     assert.ok(logged(holder, "engine relinquished", { engine: "i-engine", reason: "host stops" }));
     const ordered = engine.orders.length;
-    assert.notEqual((await ask("a3")).status, 200);
+    assert.notEqual((await askFor(other, "a3")).status, 200);
     assert.equal(engine.orders.length, ordered);
 });
 
