Judge moves of weights by when what they load serves

It counted a copy that was still loading (5 s from the weight store) as if it served, and dropped the only serving copy of a busy model for one that 0.8 requests wanted (`wuzi`, 9.655 s: refused for 14 s). It dropped two models where one made enough room, since spreading load over fewer copies looked like a relief. And it took weights from the weight store (5.2 s) nearly as gladly as weights at hand (1 s), so that a model whose engine had crashed stayed away for 4 s and more.

Change: a move is judged within a horizon of 12 s. What is dropped is missed from now on, reckoned on the copies that serve; what is loaded counts for the rest of the horizon once the engine has dropped, waited for requests and loaded. Two models are dropped only where neither is enough.

--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -10,6 +10,7 @@
  *
  * @module
  */
+export { DemandMeter } from "./demandMeter.js";
 export { type EntryHost, type EntryHostOptions, startEntryHost } from "./entryHost.js";
 export { type EntryBounds, type EntrySettings, type ListenAddress } from "./settings.js";
 export {
--- a/src/placement/_placementCost.ts
+++ b/src/placement/_placementCost.ts
@@ -11,7 +11,7 @@
 const MISSING_COST = 0.25;
 
 /** Further cost of a model without a copy that requests ask for. */
-const MISSING_ASKED_COST = 0.35;
+const MISSING_ASKED_COST = 0.2;
 
 /** Cost of each engine's worth of requests that no copy can run, beside that a model has no copy at all. */
 const UNSERVED_COST = 4.5;
@@ -84,17 +84,32 @@
     /** Gives how much less the placement costs once the engine has dropped some models and loaded another. */
     gainOf(engine: string, model: string, dropped: readonly string[]): number {
         const changes = new Map<string, number>();
-        let gain = this.copies(model) === 0 ? missingCostOf(this.loadOf(model)) : 0;
         this.#addCopy(changes, engine, model);
-        for (const other of dropped) {
-            this.#dropCopy(changes, engine, other);
-            gain -= this.copies(other) === 1 ? missingCostOf(this.loadOf(other)) : 0;
-        }
-        for (const [changed, difference] of changes) {
-            const load = this.#engineLoads.get(changed) ?? 0;
-            gain += engineCostOf(load) - engineCostOf(Math.max(0, load + difference));
+        dropped.forEach(other => this.#dropCopy(changes, engine, other));
+        const found = this.copies(model) === 0 ? missingCostOf(this.loadOf(model)) : 0;
+        return found - this.#missedWithout(dropped) - this.#costOfChanges(changes);
+    }
+
+    /** Gives how much more the placement costs once the engine has dropped some models. */
+    lossOf(engine: string, dropped: readonly string[]): number {
+        const changes = new Map<string, number>();
+        dropped.forEach(other => this.#dropCopy(changes, engine, other));
+        return this.#missedWithout(dropped) + this.#costOfChanges(changes);
+    }
+
+    /** Cost of the models that have no copy once one copy of each is dropped. */
+    #missedWithout(dropped: readonly string[]): number {
+        const last = dropped.filter(model => this.copies(model) === 1);
+        return last.reduce((sum, model) => sum + missingCostOf(this.loadOf(model)), 0);
+    }
+
+    #costOfChanges(changes: ReadonlyMap<string, number>): number {
+        let cost = 0;
+        for (const [engine, difference] of changes) {
+            const load = this.#engineLoads.get(engine) ?? 0;
+            cost += engineCostOf(Math.max(0, load + difference)) - engineCostOf(load);
         }
-        return gain;
+        return cost;
     }
 
     #addCopy(changes: Map<string, number>, engine: string, model: string): void {
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -7,6 +7,7 @@
 import { type EngineDefinition } from "../routes/index.js";
 import { nameAdapter, splitAdapterName } from "./adapterName.js";
 import { freeMegabytes } from "./engineRoom.js";
+import { expectedLoadMilliseconds } from "./loadTime.js";
 import { type WeightMove } from "./planWeights.js";
 import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
 
@@ -37,9 +38,6 @@
 /** An engine that should have loaded a model by now, but for which no announcement says so, is asked this often. */
 const LOADING_REPORT_MILLISECONDS = 500;
 
-/** Weights at hand load in less than this share of the time from the store; the configuration gives no other. */
-const AT_HAND_LOAD_SHARE = 0.25;
-
 /** A move whose load could not be ordered by then, as where requests keep a model in use, is given up. */
 const LONGEST_MOVE_MILLISECONDS = 8_000;
 
@@ -420,7 +418,7 @@
     #openLoad(model: string, nowMilliseconds: number): OpenLoad {
         const definition = this.definition.models.find(({ name }) => name === model);
         const fromStore = definition?.storeLoadMilliseconds ?? 0;
-        const expected = this.#atHand.has(model) ? fromStore * AT_HAND_LOAD_SHARE : fromStore;
+        const expected = expectedLoadMilliseconds({ storeLoadMilliseconds: fromStore }, this.#atHand.has(model));
         const patience = Math.max(SHORTEST_LOAD_PATIENCE_MILLISECONDS, fromStore * LOAD_PATIENCE);
         return {
             model,
--- a/src/placement/engineRoom.ts
+++ b/src/placement/engineRoom.ts
@@ -5,14 +5,42 @@
  */
 import { type EngineDefinition } from "../routes/index.js";
 
-/** A model that the configuration does not name is taken to fill an engine. */
-function sizeOf(definition: EngineDefinition, model: string): number {
-    return definition.models.find(({ name }) => name === model)?.weightMegabytes ?? definition.weightMegabytes;
+/** What is looked up of a definition for each engine and model. */
+interface Sizes {
+    readonly weightMegabytes: ReadonlyMap<string, number>;
+    /** Kept free so that all places for adapters can be used. */
+    readonly adapterReserveMegabytes: number;
 }
 
-/** Kept free so that all places for adapters can be used. */
-function adapterReserve({ adapterSlots, models }: EngineDefinition): number {
-    return adapterSlots * Math.max(0, ...models.map(({ adapterMegabytes }) => adapterMegabytes));
+const sizesOfDefinitions = new WeakMap<EngineDefinition, Sizes>();
+
+function sizesOf(definition: EngineDefinition): Sizes {
+    const known = sizesOfDefinitions.get(definition);
+    if (known !== undefined) {
+        return known;
+    }
+    const { adapterSlots, models } = definition;
+    const sizes: Sizes = {
+        weightMegabytes: new Map(models.map(({ name, weightMegabytes }) => [name, weightMegabytes])),
+        adapterReserveMegabytes: adapterSlots * Math.max(0, ...models.map(({ adapterMegabytes }) => adapterMegabytes)),
+    };
+    sizesOfDefinitions.set(definition, sizes);
+    return sizes;
+}
+
+/**
+ * Gives the size of a model's weights; one that the configuration does not name is taken to fill an engine.
+ *
+ * @param definition What engines of the service are like.
+ * @param model The model's name.
+ *
+ * @example
+ * ```ts
+ * weightMegabytesOf(definition, "quotes"); // 65,500
+ * ```
+ */
+export function weightMegabytesOf(definition: EngineDefinition, model: string): number {
+    return sizesOf(definition).weightMegabytes.get(model) ?? definition.weightMegabytes;
 }
 
 /**
@@ -28,9 +56,9 @@
  * ```
  */
 export function freeMegabytes(definition: EngineDefinition, models: Iterable<string>): number {
-    let used = adapterReserve(definition);
+    let used = sizesOf(definition).adapterReserveMegabytes;
     for (const model of models) {
-        used += sizeOf(definition, model);
+        used += weightMegabytesOf(definition, model);
     }
     return definition.weightMegabytes - used;
 }
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -170,6 +170,40 @@
     );
 });
 
+test("a copy that serves is not given up for one that is still loading elsewhere", () => {
+    const engines = [
+        engine("one", ["hot", "warm"]),
+        engine("two", ["hot"], { loading: "small" }),
+        engine("three", ["small", "rare"]),
+    ];
+    const demand = { hot: 60, warm: 60, cold: 5, rare: 20, small: 10 };
+    assert.equal(planWeights(situation(engines, demand)), undefined);
+    const loaded = engines.map(each => each.id === "two" ? engine("two", ["hot", "small"]) : each);
+    const move = planWeights(situation(loaded, demand));
+    assert.deepEqual([move?.model, move?.dropped], ["cold", ["small"]]);
+});
+
+test("no more is dropped than makes room", () => {
+    const engines = [
+        engine("one", ["cold", "hot"]),
+        engine("two", ["small", "hot"]),
+        engine("three", ["hot", "cold"]),
+    ];
+    const move = planWeights(situation(engines, { hot: 1, warm: 5, cold: 1, rare: 90, small: 90 }));
+    assert.equal(move?.model, "rare");
+    assert.equal(move.dropped.length, 1);
+});
+
+test("a model that nobody serves is loaded where its weights are at hand, also where that relieves engines less", () => {
+    const engines = [
+        engine("one", ["hot", "small"]),
+        engine("two", ["hot", "warm"], { atHand: ["cold"] }),
+        engine("three", ["hot", "small"]),
+    ];
+    const move = planWeights(situation(engines, { hot: 1, warm: 20, cold: 90, rare: 1, small: 10 }));
+    assert.deepEqual([move?.engine, move?.model, move?.dropped], ["two", "cold", ["hot"]]);
+});
+
 test("of engines that are as good otherwise the one with the weights at hand loads", () => {
     const names = ["one", "two", "three", "four"];
     for (const name of names) {
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -6,13 +6,20 @@
  *
  * @module
  */
-import { rankByRendezvous } from "../decision/index.js";
+import { hashText } from "../decision/index.js";
 import { type EngineDefinition, type ModelDefinition } from "../routes/index.js";
 import { type Placement, PlacementCost } from "./_placementCost.js";
-import { freeMegabytes } from "./engineRoom.js";
+import { freeMegabytes, weightMegabytesOf } from "./engineRoom.js";
+import { expectedLoadMilliseconds } from "./loadTime.js";
 
-/** Cost of dropping a copy for each engine's worth of requests on it: the engine waits for them before it loads. */
-const BUSY_DROP_COST = 0.5;
+/** How far ahead a move is judged; demand moves on after that. */
+const HORIZON_MILLISECONDS = 12_000;
+
+/** Time until an engine has dropped models whose requests have to end first. */
+const BUSY_DROP_MILLISECONDS = 2_000;
+
+/** Time until an engine has dropped models that nobody uses, and its holder knows. */
+const IDLE_DROP_MILLISECONDS = 400;
 
 /** Least gain for which weights that are at hand are loaded. */
 const LEAST_GAIN_AT_HAND = 0.08;
@@ -30,10 +37,7 @@
 const IDLE_COPY_LOAD = 0.06;
 
 /** Gain from which a model without a copy that serves takes a busy one's place, however many engines are changing. */
-const URGENT_GAIN = 0.5;
-
-/** What a gain is worth that comes only once weights have come from the store, against one of weights at hand. */
-const FROM_STORE_WORTH = 0.8;
+const URGENT_GAIN = 0.2;
 
 /** Requests that use all places for adapters weigh as much as requests on this share of an engine's slots. */
 const FULL_ADAPTER_SLOTS_LOAD = 0.3;
@@ -81,20 +85,28 @@
     readonly model: ModelDefinition;
     readonly dropped: readonly string[];
     readonly gain: number;
-    /** The gain, less where it comes later. */
-    readonly worth: number;
 }
 
 interface Fleet {
     readonly situation: WeightSituation;
-    readonly definitions: ReadonlyMap<string, ModelDefinition>;
+    readonly horizonMilliseconds: number;
+    /** Of what engines will hold once their loads have ended. */
     readonly cost: PlacementCost;
+    /** Of what engines can serve now. */
+    readonly servingCost: PlacementCost;
 }
 
 function modelsOf(engine: PlannedEngine): Set<string> {
     return new Set(engine.loading === undefined ? engine.models : [...engine.models, engine.loading]);
 }
 
+function placementOf(
+    { engines }: WeightSituation,
+    models: (engine: PlannedEngine) => Set<string>,
+): Placement {
+    return new Map(engines.map(engine => [engine.id, models(engine)]));
+}
+
 /** Before there is traffic, the copies that engines began with tell what is asked for. */
 function loadOf(situation: WeightSituation, placement: Placement): Map<string, number> {
     const { adapterDemand, demand, definition: { adapterSlots, slots } } = situation;
@@ -110,27 +122,19 @@
     return load;
 }
 
-function dropCostOf({ cost, situation }: Fleet, dropped: readonly string[]): number {
-    if (situation.demand.size === 0) {
-        return 0;
-    }
-    return dropped.reduce((sum, model) => sum + cost.loadOfCopy(model), 0) * BUSY_DROP_COST;
-}
-
-function sizeOf(fleet: Fleet, model: string): number {
-    return fleet.definitions.get(model)?.weightMegabytes ?? fleet.situation.definition.weightMegabytes;
-}
-
-/** Ways to make room for a model: one other model alone where that is enough, or as many as it takes. */
+/** Ways to make room for a model: one other model alone where that is enough, else two. */
 function waysToMakeRoom(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): (readonly string[])[] {
-    const missing = model.weightMegabytes - freeMegabytes(fleet.situation.definition, modelsOf(engine));
+    const { definition } = fleet.situation;
+    const missing = model.weightMegabytes - freeMegabytes(definition, modelsOf(engine));
     if (missing <= 0) {
         return [[]];
     }
-    const alone = engine.models.filter(other => sizeOf(fleet, other) >= missing).map(other => [other]);
-    const pairs = engine.models.flatMap((first, index) =>
-        engine.models.slice(index + 1)
-            .filter(second => sizeOf(fleet, first) + sizeOf(fleet, second) >= missing)
+    const sizeOf = (other: string): number => weightMegabytesOf(definition, other);
+    const alone = engine.models.filter(other => sizeOf(other) >= missing).map(other => [other]);
+    const small = engine.models.filter(other => sizeOf(other) < missing);
+    const pairs = small.flatMap((first, index) =>
+        small.slice(index + 1)
+            .filter(second => sizeOf(first) + sizeOf(second) >= missing)
             .map(second => [first, second])
     );
     return [...alone, ...pairs];
@@ -140,6 +144,32 @@
     return models.every(model => cost.loadOfCopy(model) <= IDLE_COPY_LOAD);
 }
 
+/** Part of the horizon in which a model serves that is loaded now; all of it where nobody waits for anything yet. */
+function servingShare(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, dropped: readonly string[]): number {
+    if (fleet.situation.demand.size === 0) {
+        return 1;
+    }
+    const dropping = isIdle(fleet, dropped) ? IDLE_DROP_MILLISECONDS : BUSY_DROP_MILLISECONDS;
+    const waited = (dropped.length > 0 ? dropping : 0)
+        + expectedLoadMilliseconds(model, engine.atHand.includes(model.name));
+    return Math.max(0, 1 - waited / fleet.horizonMilliseconds);
+}
+
+/**
+ * What a move gains within the horizon. What is dropped is missed from now on, also where another copy is on its way;
+ * what is loaded serves once it is there.
+ */
+function gainOf(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, dropped: readonly string[]): number {
+    const share = servingShare(fleet, engine, model, dropped);
+    const gain = fleet.cost.gainOf(engine.id, model.name, dropped);
+    if (dropped.length === 0) {
+        return gain * share;
+    }
+    const lost = fleet.cost.lossOf(engine.id, dropped);
+    const missed = Math.max(0, lost, fleet.servingCost.lossOf(engine.id, dropped));
+    return (gain + lost) * share - missed;
+}
+
 function bestMoveOn(
     fleet: Fleet,
     engine: PlannedEngine,
@@ -147,13 +177,12 @@
     mayDropBusy: boolean,
 ): Candidate | undefined {
     let best: Candidate | undefined;
-    const isMissing = fleet.situation.engines.every(({ models }) => !models.includes(model.name));
+    const isMissing = fleet.servingCost.copies(model.name) === 0;
     for (const dropped of waysToMakeRoom(fleet, engine, model)) {
-        const gain = fleet.cost.gainOf(engine.id, model.name, dropped) - dropCostOf(fleet, dropped);
+        const gain = gainOf(fleet, engine, model, dropped);
         const isUrgent = isMissing && gain >= URGENT_GAIN;
         if (gain > (best?.gain ?? 0) && (mayDropBusy || isUrgent || isIdle(fleet, dropped))) {
-            const worth = engine.atHand.includes(model.name) ? gain : gain * FROM_STORE_WORTH;
-            best = { engine, model, dropped, gain, worth };
+            best = { engine, model, dropped, gain };
         }
     }
     return best;
@@ -171,7 +200,18 @@
     return gain >= (engine.atHand.includes(model.name) ? LEAST_GAIN_AT_HAND : LEAST_GAIN_FROM_STORE);
 }
 
-/** The move that helps most, over all engines; equal ones are told apart by a hash. */
+/** Holders add up the same loads in different orders; gains that differ by less are equal. */
+const SAME_GAIN = 1e-9;
+
+/** Equal moves are told apart by a hash, so that all holders choose the same one. */
+function isBetter(move: Candidate, best: Candidate | undefined): boolean {
+    if (best === undefined || Math.abs(move.gain - best.gain) > SAME_GAIN) {
+        return move.gain > (best?.gain ?? 0);
+    }
+    return hashText(`${move.model.name}/${move.engine.id}`) > hashText(`${best.model.name}/${best.engine.id}`);
+}
+
+/** The move that helps most, over all engines. */
 function bestMove(fleet: Fleet): Candidate | undefined {
     const { engines: all, passedOver } = fleet.situation;
     const idle = all.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
@@ -179,11 +219,9 @@
     const mayDropBusy = changing < Math.max(1, Math.floor(all.length * CHANGING_SHARE));
     let best: Candidate | undefined;
     for (const model of candidateModels(fleet)) {
-        const ranked = rankByRendezvous(model.name, idle.map(({ id }) => id));
-        const engines = [...idle].sort((left, right) => ranked.indexOf(left.id) - ranked.indexOf(right.id));
-        for (const engine of engines.filter(engine => !engine.models.includes(model.name))) {
+        for (const engine of idle.filter(({ models }) => !models.includes(model.name))) {
             const move = bestMoveOn(fleet, engine, model, mayDropBusy);
-            if (move !== undefined && isWorthwhile(move) && move.worth > (best?.worth ?? 0)) {
+            if (move !== undefined && isWorthwhile(move) && isBetter(move, best)) {
                 best = move;
             }
         }
@@ -197,6 +235,7 @@
  * A last copy is dropped only where that relieves engines of much more than the model's absence costs.
  *
  * @param situation All engines, what they hold, and the demand.
+ * @param horizonMilliseconds How far ahead moves are judged: the shorter, the more it counts that weights are at hand.
  * @returns The move and its engine; `undefined` where all should stay as it is.
  *
  * @example
@@ -207,12 +246,17 @@
  * }
  * ```
  */
-export function planWeights(situation: WeightSituation): WeightMove | undefined {
-    const placement: Placement = new Map(situation.engines.map(engine => [engine.id, modelsOf(engine)]));
+export function planWeights(
+    situation: WeightSituation,
+    horizonMilliseconds: number = HORIZON_MILLISECONDS,
+): WeightMove | undefined {
+    const placement = placementOf(situation, modelsOf);
+    const load = loadOf(situation, placement);
     const fleet: Fleet = {
         situation,
-        definitions: new Map(situation.definition.models.map(model => [model.name, model])),
-        cost: new PlacementCost(placement, loadOf(situation, placement)),
+        horizonMilliseconds,
+        cost: new PlacementCost(placement, load),
+        servingCost: new PlacementCost(placementOf(situation, ({ models }) => new Set(models)), load),
     };
     const best = bestMove(fleet);
     if (best === undefined) {
