Halve what a log line costs; a bound on lines by environment

The rendering was a third of it; the rest is winston's chain of streams, the guard against cycles in its JSON format, and joining objects.

Change: a winston format renders level, message and time beside the fields without joining them; the bounded output takes the text. `FLAMINGOSPREAD_LOG_LINES_PER_SECOND` sets the bound, 0 leaves only errors; a value that is no number ends the start with code 3. The load of the measurements stands in one module.

--- a/measurements/entryPath.ts
+++ b/measurements/entryPath.ts
@@ -7,67 +7,27 @@
  */
 import { build, type Histogram } from "hdr-histogram-js";
 import { readFileSync } from "node:fs";
-import { Agent, request } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
 import { PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
 import { createEntrySettings, startEntryProgram } from "../tests/support/entryProgram.js";
+import { closeConnections, CONFIGURATION, processorTimeOf, sendMany, timeRequest } from "./_entryLoad.js";
 
 const PAIRS = 1_000;
 const WARM_UP_PAIRS = 300;
 const REQUESTS = 6_000;
 const STREAMS = 600;
 const EVENTS = 50;
-const CONCURRENCY = 16;
 const REST_MILLISECONDS = 3_000;
 const MICROSECONDS_IN_MILLISECOND = 1_000;
-/** Of `/proc`, by its manual page. */
-const MILLISECONDS_IN_TICK = 10;
-const USER_TICKS_FIELD = 11;
-const HOST_NAME = "site.example";
-
-const CONFIGURATION = {
-    version: 1,
-    routes: [
-        { name: "reads", pathPrefix: "/reads/", kind: "idempotent", service: "plain" },
-        { name: "streams", pathPrefix: "/streams/", kind: "stream", service: "streams", targetGapMs: 150 },
-    ].map(route => ({
-        host: HOST_NAME,
-        timeoutMs: 10_000,
-        targetLatencyMs: 100,
-        priority: 0,
-        maxAttempts: 2,
-        ...route,
-    })),
-    services: [{ name: "plain", maxConnections: 100 }, { name: "streams", maxConnections: 100 }],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-};
-
-const agent = new Agent({ keepAlive: true });
-let identifiers = 0;
-
-/** Sends one request and gives the time until its answer was whole. */
-function time(address: string, path: string): Promise<number> {
-    const [host, port] = address.split(":");
-    identifiers += 1;
-    const headers = { "host": HOST_NAME, "flamingospread-request-id": `measured-${identifiers}` };
-    const startedAt = performance.now();
-    return new Promise((resolve, reject) => {
-        request({ agent, host, port, path, headers }, answer => {
-            answer.resume();
-            answer.on("end", () => resolve(performance.now() - startedAt));
-            answer.on("error", reject);
-        }).on("error", reject).end();
-    });
-}
 
 /** Times a call to each address in turn, the first one now the one and now the other. */
 async function timePairs(direct: string, through: string, path: string): Promise<Histogram> {
     const added = build({ numberOfSignificantValueDigits: 3 });
     for (let pair = 0; pair < PAIRS + WARM_UP_PAIRS; pair += 1) {
         const directFirst = pair % 2 === 0;
-        const first = await time(directFirst ? direct : through, path);
-        const second = await time(directFirst ? through : direct, path);
+        const first = await timeRequest(directFirst ? direct : through, path);
+        const second = await timeRequest(directFirst ? through : direct, path);
         const difference = directFirst ? second - first : first - second;
         if (pair >= WARM_UP_PAIRS) {
             added.recordValue(Math.max(0, Math.round(difference * MICROSECONDS_IN_MILLISECOND)));
@@ -76,34 +36,12 @@
     return added;
 }
 
-async function callMany(address: string, path: string, count: number): Promise<void> {
-    let left = count;
-    await Promise.all(Array.from({ length: CONCURRENCY }, async () => {
-        while (left > 0) {
-            left -= 1;
-            await time(address, path);
-        }
-    }));
-}
-
-function processorMilliseconds(pid: number): number {
-    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]?.split(" ") ?? [];
-    const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[USER_TICKS_FIELD + 1]);
-    return ticks * MILLISECONDS_IN_TICK;
-}
-
 /** Reads a size of `/proc/PID/status`, in MB. */
 function megabytes(pid: number, name: "VmRSS" | "VmHWM"): number {
     const line = readFileSync(`/proc/${pid}/status`, "utf8").split("\n").find(text => text.startsWith(name));
     return Math.round(Number(line?.match(/\d+/)?.[0]) / 1_024);
 }
 
-async function processorTimeOf(pid: number, work: () => Promise<void>): Promise<number> {
-    const before = processorMilliseconds(pid);
-    await work();
-    return processorMilliseconds(pid) - before;
-}
-
 function describe(added: Histogram): string {
     const at = (percentile: number): string =>
         (added.getValueAtPercentile(percentile) / MICROSECONDS_IN_MILLISECOND).toFixed(2);
@@ -128,12 +66,12 @@
 console.log(`memory at rest: ${megabytes(pid, "VmRSS")} MB`);
 console.log(`processor time at rest: ${await processorTimeOf(pid, () => delay(REST_MILLISECONDS)) / 3} ms a second`);
 console.log(`added to a read, ${PAIRS} pairs: ${describe(await timePairs(plain.address, through, "/reads/1"))}`);
-const reads = await processorTimeOf(pid, () => callMany(through, "/reads/1", REQUESTS));
-console.log(`reads, ${CONCURRENCY} at once: ${(reads / REQUESTS * 1_000).toFixed(0)} ms of processor time per 1,000`);
-const streamed = await processorTimeOf(pid, () => callMany(through, "/streams/1", STREAMS));
+const reads = await processorTimeOf(pid, () => sendMany(through, "/reads/1", REQUESTS));
+console.log(`reads, 16 at once: ${(reads / REQUESTS * 1_000).toFixed(0)} ms of processor time per 1,000`);
+const streamed = await processorTimeOf(pid, () => sendMany(through, "/streams/1", STREAMS));
 const perEvents = streamed / (STREAMS * EVENTS) * 10_000;
-console.log(`streams of ${EVENTS} events, ${CONCURRENCY} at once: ${perEvents.toFixed(0)} ms per 10,000 events`);
+console.log(`streams of ${EVENTS} events, 16 at once: ${perEvents.toFixed(0)} ms per 10,000 events`);
 console.log(`memory at its peak: ${megabytes(pid, "VmHWM")} MB`);
-agent.destroy();
+closeConnections();
 await program.close();
 await Promise.all([plain.close(), streams.close(), store.close()]);
--- a/src/observability/decisionLog.ts
+++ b/src/observability/decisionLog.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
-import { Writable } from "node:stream";
 import winston from "winston";
 import { BoundedOutput } from "./boundedOutput.js";
 import { type LogFields, type Logger } from "./logger.js";
 
+/** Where winston's formats leave the rendered line. */
+const RENDERED_LINE = Symbol.for("message");
+
 const STANDARD_OUTPUT = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -18,8 +20,8 @@
 export interface DecisionLogOptions {
     /** Fields on every line, such as the host's name. */
     readonly fields: LogFields;
-    /** Default: 400. */
-    readonly linesPerSecond?: number;
+    /** Lines a second beyond which all but errors are left out and counted. Default: 400. */
+    readonly linesPerSecond?: number | undefined;
     readonly fileDescriptor?: number;
 }
 
@@ -31,6 +33,23 @@
     });
 }
 
+/** A line before it is rendered. Fields stay apart: joined objects take longer to make than a line to render. */
+interface LineParts {
+    readonly level: string;
+    readonly message: string;
+    readonly fields: LogFields;
+}
+
+/** Joins the rendered fields of every line, those of one line, and what each line has. */
+const renderLine = winston.format((line, options) => {
+    const { commonFields } = options as { readonly commonFields: string; };
+    const { fields, level, message } = line as unknown as LineParts;
+    const own = { level, message, timestamp: new Date().toISOString() };
+    const rendered = [commonFields, JSON.stringify(fields), JSON.stringify(own)].map(json => json.slice(1, -1));
+    line[RENDERED_LINE] = `{${rendered.filter(part => part !== "").join(",")}}\n`;
+    return line;
+});
+
 /** Counts lines by the second; information beyond the bound is left out. */
 class RateBound {
     readonly #linesPerSecond: number;
@@ -73,28 +92,19 @@
  */
 export function createDecisionLog(options: DecisionLogOptions): Logger {
     const output = createOutput(options);
-    const stream = new Writable({
-        decodeStrings: false,
-        write: (line: string, _encoding, callback) => {
-            output.write(line);
-            callback();
-        },
-    });
-    const inner = winston.createLogger({
-        level: "debug",
-        defaultMeta: options.fields,
-        format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-        // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- winston types its own transport so
-        transports: [new winston.transports.Stream({ stream, eol: "\n" })],
-    });
+    const format = renderLine({ commonFields: JSON.stringify(options.fields) });
+    const write = (level: string, message: string, fields: LogFields = {}): void => {
+        const line = format.transform({ level, message, fields }, format.options);
+        output.write(String((line as winston.Logform.TransformableInfo)[RENDERED_LINE]));
+    };
     const bound = new RateBound(options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND);
     const log = (level: "error" | "warn" | "info" | "debug", message: string, fields?: LogFields): void => {
         const { admitted, leftOutBefore } = bound.admit();
         if (leftOutBefore > 0) {
-            inner.warn("log lines left out", { count: leftOutBefore, reason: "rate" });
+            write("warn", "log lines left out", { count: leftOutBefore, reason: "rate" });
         }
         if (admitted || level === "error") {
-            inner.log(level, message, fields);
+            write(level, message, fields);
         }
     };
     return {
@@ -102,9 +112,6 @@
         warn: (message, fields) => log("warn", message, fields),
         info: (message, fields) => log("info", message, fields),
         debug: (message, fields) => log("debug", message, fields),
-        close: () => {
-            inner.close();
-            output.close();
-        },
+        close: () => output.close(),
     };
 }
--- a/tests/entryProcess.test.ts
+++ b/tests/entryProcess.test.ts
@@ -6,8 +6,12 @@
 import { createEntrySettings, type EntryProgram, startEntryProgram } from "./support/entryProgram.js";
 import { askSmall, callHost, HOST_NAME, until } from "./support/entrySite.js";
 
-function startProgram(context: TestContext, settings: string): EntryProgram {
-    const program = startEntryProgram(settings);
+function startProgram(
+    context: TestContext,
+    settings: string,
+    environment: Readonly<Record<string, string>> = {},
+): EntryProgram {
+    const program = startEntryProgram(settings, undefined, environment);
     context.after(() => program.close());
     return program;
 }
@@ -20,6 +24,13 @@
     assert.equal(child.exitCode, 3);
 });
 
+test("a bound on log lines that is no number is told, and the program does not start", async context => {
+    const { text } = await createEntrySettings("127.0.0.1:1");
+    const { ended, output } = startProgram(context, text, { FLAMINGOSPREAD_LOG_LINES_PER_SECOND: "few" });
+    assert.equal(await ended, 3);
+    assert.match(output(), /FLAMINGOSPREAD_LOG_LINES_PER_SECOND: "few" is no whole number/);
+});
+
 test("the program serves, takes changed settings, and on SIGTERM finishes what it took and ends with 0", async context => {
     const store = await PlatformStoreStandIn.start();
     const upstream = await PlatformUpstreamStandIn.start({
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -32,16 +32,23 @@
  *
  * @param settings The text of its settings file.
  * @param command What node runs; the sources by default.
+ * @param environment Further variables of its environment.
  */
 export function startEntryProgram(
     settings: string,
     command: readonly string[] = ["--import", "tsx", "platform/main.ts"],
+    environment: Readonly<Record<string, string>> = {},
 ): EntryProgram {
     const folder = mkdtempSync(join(tmpdir(), "entry-process-"));
     const settingsPath = join(folder, "node.conf");
     writeFileSync(settingsPath, settings);
     const child = spawn(process.execPath, command, {
-        env: { ...process.env, FLAMINGOSPREAD_NODE_FILE: settingsPath, FLAMINGOSPREAD_METRICS_PORT: "0" },
+        env: {
+            ...process.env,
+            FLAMINGOSPREAD_NODE_FILE: settingsPath,
+            FLAMINGOSPREAD_METRICS_PORT: "0",
+            ...environment,
+        },
         stdio: ["ignore", "pipe", "pipe"],
     });
     let text = "";
