Let a few hosts hold the engines of a large fleet; tell and ask less often there

An accounting within the program: each host planned for all engines five times a second (7 ms each time), took 150 datagrams a second, and renewed its session twice a second.

Change: at least twelve hosts, and one for eight engines, may take engines over, the first by rendezvous hashing among those with a session. The others renew every 1.3 s. From 16 hosts on, digests go out every 600 ms and the store's changes are gathered for 600 ms; a watch counts as behind only that much later. Hosts are counted for a choice only where a request waits. An engine whose later holder had nobody to wait for is no longer left out of the plan (the old waiting time stayed, up to 4.5 s).

The three new tests of `EngineDuties` failed on the old code. Sites of up to 12 hosts behave as before.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -113,6 +113,53 @@
     assert.ok(own.isOrdered("other", 6_000), "nobody had to be waited for");
 });
 
+test("an engine is ordered again once a later holder had nobody to wait for", () => {
+    const other = duties("three", "s3");
+    other.setSession("one", "s1");
+    other.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    other.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 100);
+    assert.ok(!other.isOrdered("engine", 200));
+    other.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 21 }, 300);
+    assert.ok(other.isOrdered("engine", 300));
+});
+
+test("in a large fleet a few hosts take the engines over, and others only once those are gone", () => {
+    const hosts = Array.from({ length: 60 }, (_, index) => `host-${index}`);
+    const engines = Array.from({ length: 60 }, (_, index) => `engine-${index}`);
+    const takersAmong = (alive: readonly string[]): Set<string> => {
+        const takers = alive.filter(host => {
+            const own = duties(host, `s-${host}`);
+            alive.forEach(other => own.setSession(other, `s-${other}`));
+            own.vacant(engines, 0);
+            return own.vacant(engines, 60_000).length === engines.length;
+        });
+        return new Set(takers);
+    };
+    const first = takersAmong(hosts);
+    assert.equal(first.size, 12);
+    const left = hosts.filter(host => !first.has(host));
+    assert.equal(takersAmong(left).size, 12, "when all of them die, others follow");
+    const most = [...first].slice(1);
+    const after = takersAmong([...most, ...left]);
+    assert.ok(most.every(host => after.has(host)), "those that live go on");
+});
+
+test("a host that neither holds engines nor may take any over knows so", () => {
+    const hosts = Array.from({ length: 60 }, (_, index) => `host-${index}`);
+    const may = hosts.filter(host => {
+        const own = duties(host, `s-${host}`);
+        hosts.forEach(other => own.setSession(other, `s-${other}`));
+        own.vacant(["engine"], 0);
+        return own.mayHold;
+    });
+    assert.equal(may.length, 12);
+    const own = duties("host-a", "s");
+    hosts.forEach(other => own.setSession(other, `s-${other}`));
+    own.setHolder("engine", { host: "host-a", session: "s", released: false, settled: true, revision: 3 }, 0);
+    own.vacant(["engine"], 0);
+    assert.ok(own.mayHold, "one that holds an engine from before keeps it");
+});
+
 test("a holder whose clocks came apart, as by a suspension or a step, stops until its session is confirmed", () => {
     const own = duties("one", "s1");
     own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -18,6 +18,10 @@
 /** Added to a holder's own word on its last order, for what was on its way. */
 const IN_FLIGHT_MILLISECONDS = 200;
 
+/** Hosts that may take engines over are at least so many, and one for so many engines; the others leave it to them. */
+const FEWEST_CANDIDATES = 12;
+const ENGINES_PER_CANDIDATE = 8;
+
 /** Bounds on holding a duty. */
 export interface DutyBounds {
     /** A holder gives orders for this long after it asked for the renewal that succeeded. */
@@ -102,6 +106,7 @@
     readonly #told = new Map<string, ToldQuiet>();
     #session: string | undefined;
     #confirmedAt: ClockReading | undefined;
+    #isCandidate = true;
 
     constructor(host: string, bounds: DutyBounds) {
         this.#host = host;
@@ -138,6 +143,9 @@
         else if (known !== undefined && !holder.settled) {
             this.#othersQuietUntil.set(engine, this.#quietUntilAfter(engine, known, nowMilliseconds));
         }
+        else {
+            this.#othersQuietUntil.delete(engine);
+        }
     }
 
     /** Tells whether somebody may order an engine now: it has a holder, and that one no longer waits. */
@@ -205,7 +213,11 @@
         if (this.#session === undefined || this.#sessions.get(this.#host) !== this.#session) {
             return [];
         }
-        const hosts = [...this.#sessions.keys()];
+        const hosts = this.#candidates(engines.length);
+        this.#isCandidate = hosts.includes(this.#host);
+        if (!this.#isCandidate) {
+            return [];
+        }
         return engines.flatMap(engine => {
             if (this.holderOf(engine) !== undefined) {
                 this.#vacancies.delete(engine);
@@ -221,6 +233,17 @@
         });
     }
 
+    /** True where this host holds engines, or may take some over. */
+    get mayHold(): boolean {
+        return this.#isCandidate || this.held().length > 0;
+    }
+
+    /** The hosts that may take engines over; all hosts that know the same sessions name the same. */
+    #candidates(engineCount: number): string[] {
+        const most = Math.max(FEWEST_CANDIDATES, Math.ceil(engineCount / ENGINES_PER_CANDIDATE));
+        return rankByRendezvous("candidates", [...this.#sessions.keys()]).slice(0, most);
+    }
+
     /** Gives the fencing number under which this host may order an engine now; `undefined` where it may not. */
     fencingNumber(engine: string, now: ClockReading): number | undefined {
         const holder = this.#holders.get(engine);
--- a/src/entry/_upstreamOptions.ts
+++ b/src/entry/_upstreamOptions.ts
@@ -135,7 +135,7 @@
     #candidates(upstreams: readonly UpstreamAnnouncement[], waits: boolean): Candidate[] {
         const { backlog, health, loads, prompts, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
-        const prompt = { promptTokens, waits, hostCount: this.#context.hostCount() };
+        const prompt = { promptTokens, waits, hostCount: waits ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const now = this.#now();
         const fresh = upstreams.filter(({ id }) => !this.#tried.has(id) && !health.isUnreachable(id, now));
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -14,6 +14,7 @@
 import { parseJson } from "../platform/parseJson.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
+import { digestMilliseconds, gatherMilliseconds, renewalMilliseconds } from "./fleetPace.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type AdapterUseWord, HostGossip } from "./hostGossip.js";
@@ -30,9 +31,6 @@
 import { UpstreamAgents } from "./upstreamAgents.js";
 import { UpstreamBeliefs } from "./upstreamBeliefs.js";
 
-/** Time between two digests to peers. */
-const DIGEST_MILLISECONDS = 400;
-
 /** Some callers keep an answer with addresses for three times as long as it says. */
 const LONGEST_KEEP_FACTOR = 3;
 
@@ -142,7 +140,12 @@
         });
         this.#upstreams = this.#createUpstreams();
         this.#entries = this.#createEntries();
-        this.#mirror = new StoreMirror({ keyValue, logger, onEvent: event => this.#takeMirrorEvent(event) });
+        this.#mirror = new StoreMirror({
+            keyValue,
+            logger,
+            gatherMilliseconds: () => gatherMilliseconds(this.#hostCount()),
+            onEvent: event => this.#takeMirrorEvent(event),
+        });
         this.#session = this.#createSession();
         this.#orders = this.#createOrders();
         this.#catchUp = new PeerCatchUp({
@@ -162,7 +165,7 @@
         await this.#servers.start();
         this.#mirror.start();
         this.#orders.start();
-        this.#digestTimer = setInterval(() => this.#everyDigest(), DIGEST_MILLISECONDS);
+        this.#scheduleDigest();
         logger.info("started", { host });
     }
 
@@ -204,9 +207,12 @@
         await this.#endSession();
     }
 
-    /** While the key-value service does not answer, the session stays; its end might take effect later. */
+    /**
+     * While the key-value service does not answer, a holder's session stays; its end might take effect later. A host that
+     * holds nothing renews too seldom to know.
+     */
     async #endSession(): Promise<void> {
-        if (this.#contact.answers()) {
+        if (this.#contact.answers() || !this.#duties.mayHold) {
             await this.#session.close();
         }
     }
@@ -214,7 +220,7 @@
     async close(): Promise<void> {
         this.#closed = true;
         this.#session.abandon();
-        clearInterval(this.#digestTimer);
+        clearTimeout(this.#digestTimer);
         this.#contact.close();
         this.#orders.close();
         await this.#mirror.close();
@@ -232,6 +238,11 @@
         return this.#options.readClocks().steadyMilliseconds;
     }
 
+    /** Hosts that are known, this one included. */
+    #hostCount(): number {
+        return this.#peers.all(this.#now()).length + 1;
+    }
+
     #addresses(): HostDigest["addresses"] {
         const { callers, gossip, state } = this.#settings;
         return {
@@ -293,6 +304,7 @@
             keyValue,
             logger,
             readClocks,
+            renewalMilliseconds: () => renewalMilliseconds(this.#duties.mayHold),
             recordRevision: () => this.#entries.revisionOf(`${HOST_KEY_PREFIX}${host}`),
             onConfirmed: (session, sentAt) => {
                 this.#duties.confirm(session, sentAt);
@@ -364,7 +376,7 @@
             routeTable: () => this.#table,
             agentFor: service => {
                 const limit = this.#table?.service(service)?.maximumConnections;
-                return this.#agents.agentFor(service, limit, this.#peers.all(this.#now()).length + 1);
+                return this.#agents.agentFor(service, limit, this.#hostCount());
             },
             hostCount: () => this.#peers.heard(this.#now()).length + 1,
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
@@ -482,7 +494,7 @@
             this.#duties.setSession(record.host, record.session);
         }
         this.#peers.register(record, this.#now());
-        this.#budget.setHostCount(this.#peers.all(this.#now()).length + 1);
+        this.#budget.setHostCount(this.#hostCount());
     }
 
     #takeHolder(engine: string, entry: KeyValueEntry): void {
@@ -566,10 +578,15 @@
         this.#gossip.tellNews(toMemory(record));
     }
 
+    #scheduleDigest(): void {
+        this.#digestTimer = setTimeout(() => this.#everyDigest(), digestMilliseconds(this.#hostCount()));
+    }
+
     #everyDigest(): void {
         if (this.#closed) {
             return;
         }
+        this.#scheduleDigest();
         this.#upstreams.expire();
         this.#adapterUsers.takeAll(this.#settings.host, this.#adapterUse.all(), this.#now());
         this.#sendDigest();
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -6,11 +6,9 @@
 import { type AdapterUseNotice, type EngineMemory, type HostDigest } from "../generated/gossip.js";
 import { type GossipLink, type GossipMessage, openGossipLink, type Peer, type PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { isLargeFleet } from "./fleetPace.js";
 import { type ListenAddress } from "./settings.js";
 
-/** From this many hosts on, notices of single requests stay within a zone. */
-const LARGE_FLEET_HOSTS = 16;
-
 /** Options of a host's gossip. */
 export interface HostGossipOptions {
     readonly host: string;
@@ -68,7 +66,7 @@
     tellSent(engine: string, promptTokens: number): void {
         const { host, peers, readClock, zone } = this.#options;
         const heard = peers.heard(readClock());
-        const told = heard.length < LARGE_FLEET_HOSTS ? heard : heard.filter(peer => peer.zone === zone);
+        const told = isLargeFleet(heard.length + 1) ? heard.filter(peer => peer.zone === zone) : heard;
         this.#send({ type: "sent", host, engine, promptTokens }, told);
     }
 
--- a/src/entry/hostSession.ts
+++ b/src/entry/hostSession.ts
@@ -11,9 +11,6 @@
 /** A host that dies is taken as gone after this time. */
 const LEASE_MILLISECONDS = 4_000;
 
-/** Time between renewals; several fit the time for which a renewal confirms the session. */
-const RENEWAL_MILLISECONDS = 500;
-
 /** Pause after a failed call. */
 const RETRY_MILLISECONDS = 450;
 
@@ -28,6 +25,8 @@
     readonly keyValue: KeyValueService;
     readonly logger: Logger;
     readonly readClocks: () => ClockReading;
+    /** Time until the next renewal. */
+    readonly renewalMilliseconds: () => number;
     /** Revision of this host's record, as the mirror knows it; 0 for none. */
     readonly recordRevision: () => number;
     /** The session stands; the reading is from before the call that confirmed it. */
@@ -143,7 +142,7 @@
         this.#registered = true;
         this.#options.logger.info(message, { session: lease });
         this.#options.onConfirmed(lease, sentAt);
-        this.#next(RENEWAL_MILLISECONDS);
+        this.#next(this.#options.renewalMilliseconds());
     }
 
     async #renew(lease: string): Promise<void> {
@@ -156,7 +155,7 @@
         if (renewed.isOk()) {
             this.#options.onContact(true);
             this.#options.onConfirmed(lease, sentAt);
-            this.#next(RENEWAL_MILLISECONDS);
+            this.#next(this.#options.renewalMilliseconds());
             return;
         }
         if (renewed.error.kind === "rejected") {
--- a/src/entry/storeMirror.test.ts
+++ b/src/entry/storeMirror.test.ts
@@ -26,10 +26,11 @@
     return { keyValue: keyValue as KeyValueService, begunAt, tell: event => onEvent(event) };
 }
 
-async function startMirror(service: WatchedService): Promise<StoreMirror> {
+async function startMirror(service: WatchedService, gatherMilliseconds = 120): Promise<StoreMirror> {
     const silent = (): void => undefined;
     const mirror = new StoreMirror({
         keyValue: service.keyValue,
+        gatherMilliseconds: () => gatherMilliseconds,
         logger: { error: silent, warn: silent, info: silent, debug: silent, close: silent },
         onEvent: silent,
     });
@@ -59,3 +60,14 @@
     assert.deepEqual(service.begunAt, [89]);
     assert.equal(mirror.revision, 98);
 });
+
+test("a watch that gathers changes for longer has that much longer to bring them", async () => {
+    const service = createService(88);
+    const mirror = await startMirror(service, 600);
+    for (let now = 0; now <= 1_300; now += 100) {
+        mirror.noteLaterRevision(93, now);
+    }
+    assert.deepEqual(service.begunAt, [89]);
+    mirror.noteLaterRevision(93, 1_400);
+    assert.deepEqual(service.begunAt, [89, 89]);
+});
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -10,8 +10,8 @@
 const FIRST_RETRY_MILLISECONDS = 200;
 const LONGEST_RETRY_MILLISECONDS = 800;
 
-/** Word of a later revision counts once the watch has not brought it for so long. */
-const BEHIND_MILLISECONDS = 900;
+/** Word of a later revision counts once the watch has not brought it for so long, beyond the time for gathering. */
+const BEHIND_MILLISECONDS = 780;
 
 /** What the mirror tells. */
 export type MirrorEvent =
@@ -26,6 +26,8 @@
     readonly keyValue: KeyValueService;
     readonly logger: Logger;
     readonly onEvent: (event: MirrorEvent) => void;
+    /** Changes within this time share one answer of the service. */
+    readonly gatherMilliseconds: () => number;
 }
 
 /**
@@ -61,7 +63,8 @@
             return;
         }
         this.#behind ??= { revision, sinceMilliseconds: nowMilliseconds };
-        if (nowMilliseconds - this.#behind.sinceMilliseconds > BEHIND_MILLISECONDS) {
+        const patience = BEHIND_MILLISECONDS + this.#options.gatherMilliseconds();
+        if (nowMilliseconds - this.#behind.sinceMilliseconds > patience) {
             this.restartWatch("the service has later revisions");
         }
     }
@@ -110,8 +113,9 @@
         if (this.#closed) {
             return;
         }
+        const { gatherMilliseconds, keyValue } = this.#options;
         const fromRevision = (this.#revision ?? 0) + 1;
-        this.#watch = this.#options.keyValue.watch("", event => this.#take(event), { fromRevision });
+        this.#watch = keyValue.watch("", event => this.#take(event), { fromRevision, gatherMilliseconds });
     }
 
     #take(event: WatchEvent): void {
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -65,6 +65,8 @@
     readonly fromRevision?: number;
     /** Called once the service has begun the watch; a read after it misses nothing. */
     readonly onStarted?: () => void;
+    /** Changes within this time may share one answer. Default: a time of the client's choice. */
+    readonly gatherMilliseconds?: () => number;
 }
 
 /** The platform's key-value service. */
