--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -9,7 +9,7 @@
     type AttemptSituation,
     decideAfterAttempt,
     EventSplitter,
-    giveUpRepeat,
+    giveUp,
     longestWait,
     mayRunAgain,
     provesNotRun,
@@ -618,12 +618,12 @@
         if (decision.drawsOnBudget && !this.#context.budget.tryTake(service, this.#now())) {
             this.#context.metrics.count("repeats_denied", { service });
             this.#log("repeat denied", { service, reason: "budget" });
-            this.#giveUp(giveUpRepeat(situation), "budget");
+            this.#giveUp(giveUp(situation), "budget");
             return;
         }
         this.#context.metrics.count("repeats", { reason: situation.failure });
         if (this.#context.suspects.isRefused(this.#facts.fingerprint)) {
-            this.#giveUp(giveUpRepeat(situation), "crashes-engines");
+            this.#giveUp(giveUp(situation), "crashes-engines");
             return;
         }
         const wasRejected = situation.failure === "not-resident" || situation.failure === "not-run";
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -22,7 +22,7 @@
 export {
     type AttemptSituation,
     decideAfterAttempt,
-    giveUpRepeat,
+    giveUp,
     mayRunAgain,
     type RepeatDecision,
 } from "./repeatDecision.js";
--- a/src/forwarding/repeatDecision.test.ts
+++ b/src/forwarding/repeatDecision.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type AttemptFailure, type AttemptSituation, decideAfterAttempt, giveUpRepeat, provesNotRun } from "./index.js";
+import { type AttemptFailure, type AttemptSituation, decideAfterAttempt, giveUp, provesNotRun } from "./index.js";
 
 const FAILURES: readonly AttemptFailure[] = [
     "not-connected",
@@ -45,7 +45,7 @@
 test("only a request that cannot have run is refused as not run, and an answer that has begun is broken off", () => {
     fc.assert(
         fc.property(situations, situation => {
-            for (const decision of [decideAfterAttempt(situation), giveUpRepeat(situation)]) {
+            for (const decision of [decideAfterAttempt(situation), giveUp(situation)]) {
                 if (decision.type === "refuse") {
                     assert.equal(situation.attemptsThatMayHaveRun, 0);
                 }
--- a/src/forwarding/repeatDecision.ts
+++ b/src/forwarding/repeatDecision.ts
@@ -44,7 +44,12 @@
     return kind === "idempotent" || (kind === "event-stream" && resumable);
 }
 
-function giveUp(situation: AttemptSituation): RepeatDecision {
+/**
+ * Tells what follows where a request is not repeated, or a repeat was decided and cannot be made.
+ *
+ * @param situation The request's kind and its attempts so far.
+ */
+export function giveUp(situation: AttemptSituation): RepeatDecision {
     if (situation.answerBegun) {
         return { type: "break-off" };
     }
@@ -55,7 +60,7 @@
  * Decides what follows a failed attempt.
  *
  * @param situation The request's kind and its attempts so far.
- * @returns What to do; a repeat that finds no room in the budget is given up by {@linkcode giveUpRepeat}.
+ * @returns What to do; a repeat that finds no room in the budget is given up by {@linkcode giveUp}.
  *
  * @example
  * ```ts
@@ -84,8 +89,3 @@
         ? { type: "repeat", drawsOnBudget: true }
         : giveUp(situation);
 }
-
-/** What follows where a repeat was decided and cannot be made. */
-export function giveUpRepeat(situation: AttemptSituation): RepeatDecision {
-    return giveUp(situation);
-}
--- a/src/placement/engineKeeper.test.ts
+++ b/src/placement/engineKeeper.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type UpstreamAnnouncement } from "../fleet/index.js";
+import { createAnnouncement } from "../../tests/support/announcements.js";
 import { type EngineDefinition } from "../routes/index.js";
 import { type AdapterUseView, EngineKeeper, type EngineOrder, type OrderOutcome, type WeightMove } from "./index.js";
 
@@ -19,27 +19,10 @@
     })),
 };
 
-function announcement(models: readonly string[], overrides: Partial<UpstreamAnnouncement> = {}): UpstreamAnnouncement {
-    return {
-        id: "engine",
-        startedAtMilliseconds: 1,
-        service: "llm",
-        address: "10.0.0.1:80",
-        zone: "z",
-        slots: 64,
-        leaving: false,
-        remainingMilliseconds: undefined,
-        announcementNumber: 900,
-        models: models.map(name => ({ name, adapters: [] })),
-        weightsAtHand: { inMemory: [], onDisk: [] },
-        ...overrides,
-    };
-}
-
 const NO_USE: AdapterUseView = { isAdapterUsed: () => false };
 
 function keep(models: readonly string[], orderCount = 0, use = NO_USE): EngineKeeper {
-    const keeper = new EngineKeeper(announcement(models), DEFINITION, use);
+    const keeper = new EngineKeeper(createAnnouncement(models), DEFINITION, use);
     keeper.reported({ orderCount, busy: false, models: models.map(name => ({ name, adapters: [] })) }, 0);
     return keeper;
 }
@@ -54,7 +37,7 @@
 }
 
 test("a holder reads the engine's report before its first order; an announcement's number is no order count", () => {
-    const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION, NO_USE);
+    const keeper = new EngineKeeper(createAnnouncement(["hot"]), DEFINITION, NO_USE);
     keeper.want("hot", "a1", 0);
     assert.deepEqual(keeper.nextStep(0), { type: "read-report" });
     keeper.reported({ orderCount: 7, busy: false, models: [{ name: "hot", adapters: [] }] }, 0);
@@ -62,7 +45,7 @@
 });
 
 test("an engine that carries out an order of an earlier holder gets none until its report says that it is done", () => {
-    const keeper = new EngineKeeper(announcement(["hot"]), DEFINITION, NO_USE);
+    const keeper = new EngineKeeper(createAnnouncement(["hot"]), DEFINITION, NO_USE);
     keeper.reading();
     keeper.reported({ orderCount: 7, busy: true, models: [{ name: "hot", adapters: [] }] }, 0);
     const move = { engine: "engine", model: "warm", dropped: [], reason: "no-copy", gain: 1 } as const;
@@ -128,7 +111,7 @@
     assert.equal(keeper.nextStep(10), undefined);
     assert.equal(keeper.record().loading, "warm");
     assert.equal(keeper.storeLoadsSince(0), 1);
-    keeper.observe(announcement(["hot", "warm"], { announcementNumber: 901 }));
+    keeper.observe(createAnnouncement(["hot", "warm"], { announcementNumber: 901 }));
     assert.equal(keeper.record().loading, undefined);
     assert.equal(keeper.nextStep(11)?.type, "order");
 });
@@ -138,11 +121,11 @@
     assert.ok(keeper.begin(move("new", ["warm", "cold"]), 0));
     assert.equal(keeper.record().loading, "new", "others see at once what the engine will hold");
     assert.equal(carryOut(keeper, 0, "accepted").model, "warm");
-    keeper.observe(announcement(["hot", "warm", "cold"], { announcementNumber: 901 }));
+    keeper.observe(createAnnouncement(["hot", "warm", "cold"], { announcementNumber: 901 }));
     assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot", "cold"], "it takes no requests any more");
     assert.equal(keeper.nextStep(100), undefined, "its requests have not ended");
     assert.equal(keeper.begin(move("other"), 100), false);
-    keeper.observe(announcement(["hot", "cold"], { announcementNumber: 902 }));
+    keeper.observe(createAnnouncement(["hot", "cold"], { announcementNumber: 902 }));
     assert.equal(keeper.nextStep(200), undefined, "the announcement may be older than the model");
     assert.deepEqual(keeper.nextStep(600), { type: "read-report" });
     const held = ["hot", "cold"].map(name => ({ name, adapters: [] }));
@@ -167,7 +150,7 @@
 
 test("a restart of the engine under its identifier forgets what it held and counted", () => {
     const keeper = keep(["hot"], 9);
-    keeper.observe(announcement([], { startedAtMilliseconds: 2, announcementNumber: 1 }));
+    keeper.observe(createAnnouncement([], { startedAtMilliseconds: 2, announcementNumber: 1 }));
     assert.ok(keeper.begin(move("hot"), 0));
     assert.equal(carryOut(keeper, 0, "accepted").expectedOrderCount, 0);
 });
@@ -186,7 +169,7 @@
 
 test("an announcement that was written before a report takes no model away, and so leaves no room for another", () => {
     const keeper = keep(["hot", "warm"], 4);
-    keeper.observe(announcement(["hot"], { announcementNumber: 905 }));
+    keeper.observe(createAnnouncement(["hot"], { announcementNumber: 905 }));
     assert.deepEqual(keeper.record().models.map(({ name }) => name), ["hot", "warm"]);
     keeper.doubt("warm", 100);
     assert.deepEqual(keeper.nextStep(100), { type: "read-report" });
@@ -198,7 +181,7 @@
     const keeper = keep(["hot", "warm", "cold"]);
     assert.ok(keeper.begin(move("new"), 0));
     assert.equal(carryOut(keeper, 0, "accepted").model, "new");
-    keeper.observe(announcement(["hot", "warm", "cold", "new"], { announcementNumber: 901 }));
+    keeper.observe(createAnnouncement(["hot", "warm", "cold", "new"], { announcementNumber: 901 }));
     assert.ok(keeper.begin(move("other"), 10), "a plan that does not know of the model that has just arrived");
     assert.equal(keeper.nextStep(10), undefined);
     assert.equal(keeper.record().loading, undefined, "the move is given up");
@@ -248,7 +231,7 @@
 
 test("a load of weights at hand, which is faster, is asked after sooner, and again until it is done", () => {
     const keeper = keep(["hot"]);
-    keeper.observe(announcement(["hot"], { weightsAtHand: { inMemory: ["warm"], onDisk: [] } }));
+    keeper.observe(createAnnouncement(["hot"], { weightsAtHand: { inMemory: ["warm"], onDisk: [] } }));
     assert.ok(keeper.begin(move("warm"), 0));
     carryOut(keeper, 0, "accepted");
     assert.deepEqual(keeper.nextStep(800), { type: "read-report" });
@@ -265,7 +248,7 @@
     carryOut(keeper, 0, "accepted");
     assert.deepEqual(keeper.nextStep(1_500), { type: "read-report" });
     keeper.reading();
-    keeper.observe(announcement(["hot", "warm"], { announcementNumber: 901 }));
+    keeper.observe(createAnnouncement(["hot", "warm"], { announcementNumber: 901 }));
     keeper.reported({ orderCount: 1, busy: true, models: [{ name: "hot", adapters: [] }] }, 1_520);
     assert.deepEqual(keeper.models, ["hot", "warm"]);
     assert.equal(keeper.nextStep(1_600), undefined, "what the engine reports may still lag");
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createAnnouncement } from "../../tests/support/announcements.js";
 import { type EngineDefinition } from "../routes/index.js";
 import {
     PlanFollower,
@@ -258,19 +259,8 @@
 
 test("an announcement says which models are held, the holder which adapters; a restart forgets both", () => {
     const view = new ResidencyView();
-    const announced = (startedAtMilliseconds: number, models: readonly string[]) => ({
-        id: "a",
-        startedAtMilliseconds,
-        service: "llm",
-        address: "10.0.0.1:80",
-        zone: "z",
-        slots: 64,
-        leaving: false,
-        remainingMilliseconds: undefined,
-        announcementNumber: 1,
-        models: models.map(name => ({ name, adapters: [] })),
-        weightsAtHand: { inMemory: [], onDisk: [] },
-    });
+    const announced = (startedAtMilliseconds: number, models: readonly string[]) =>
+        createAnnouncement(models, { id: "a", startedAtMilliseconds, announcementNumber: 1 });
     const record = {
         engine: "a",
         startedAtMilliseconds: 1,
--- /dev/null
+++ b/tests/support/announcements.ts
@@ -0,0 +1,32 @@
+/**
+ * Announcements of engines, for tests.
+ *
+ * @module
+ */
+import { type UpstreamAnnouncement } from "../../src/fleet/index.js";
+
+/**
+ * Creates the announcement of an engine that takes requests.
+ *
+ * @param models The models that it holds, without adapters.
+ * @param overrides What is different.
+ */
+export function createAnnouncement(
+    models: readonly string[],
+    overrides: Partial<UpstreamAnnouncement> = {},
+): UpstreamAnnouncement {
+    return {
+        id: "engine",
+        startedAtMilliseconds: 1,
+        service: "llm",
+        address: "10.0.0.1:80",
+        zone: "z",
+        slots: 64,
+        leaving: false,
+        remainingMilliseconds: undefined,
+        announcementNumber: 900,
+        models: models.map(name => ({ name, adapters: [] })),
+        weightsAtHand: { inMemory: [], onDisk: [] },
+        ...overrides,
+    };
+}
