Tell refused callers when their model is really expected

Cause: a caller whose model no engine holds was told to come back after 2.5 s at most, whatever its load takes.

--- a/src/entry/_upstreamOptions.ts
+++ b/src/entry/_upstreamOptions.ts
@@ -5,15 +5,15 @@
  */
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type Candidate, type Choice, chooseUpstream } from "../forwarding/index.js";
-import { nameAdapter, rankAdapterHomes, type Residency } from "../placement/index.js";
+import { expectedArrivalMilliseconds, nameAdapter, rankAdapterHomes, type Residency } from "../placement/index.js";
 import { type RequestFacts } from "./_requestFacts.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
 /** Load, as a share of its slots, from which an adapter is wanted on a further engine too. */
 const BUSY_ADAPTER_SHARE = 0.5;
 
-/** Time until a model that nobody loads yet may be there. */
-const ABSENT_MODEL_MILLISECONDS = 2_500;
+/** Time until a model may be there of which the configuration says nothing. */
+const UNKNOWN_MODEL_MILLISECONDS = 2_500;
 
 /** Looks at the upstreams of a request's service as they are now. */
 export class UpstreamOptions {
@@ -103,17 +103,23 @@
         }
     }
 
-    /** Time until an engine that loads the model has it, by the time that a load from the weight store takes. */
+    /** Time until the request's model is expected on an engine. */
     expectedModelMilliseconds(): number {
-        const model = this.#facts.model ?? "";
+        const name = this.#facts.model ?? "";
         const engine = this.#context.routeTable()?.service(this.#facts.service ?? "")?.engine;
-        const load = engine?.models.find(({ name }) => name === model)?.storeLoadMilliseconds ?? 0;
+        const model = engine?.models.find(each => each.name === name);
+        if (model === undefined) {
+            return UNKNOWN_MODEL_MILLISECONDS;
+        }
         const now = this.#now();
-        const expected = this.usable().flatMap(({ id }) => {
-            const since = this.#context.residency.loadingSince(id, model);
-            return since === undefined ? [] : [Math.max(0, since + load - now)];
+        const prospects = this.usable().map(({ id, weightsAtHand: { inMemory, onDisk } }) => {
+            const since = this.#context.residency.loadingSince(id, name);
+            return {
+                isAtHand: inMemory.includes(name) || onDisk.includes(name),
+                loadingForMilliseconds: since === undefined ? undefined : now - since,
+            };
         });
-        return Math.min(ABSENT_MODEL_MILLISECONDS, ...expected);
+        return expectedArrivalMilliseconds(model, prospects);
     }
 
     /** What a choice was made from, for the log. */
