Consider models without a copy however many others are busier

The plan weighs twelve models for a further copy, the most loaded for each copy first; with twelve busy models one without a copy is never among them.

Ruled out: too little room (63 engines with three places each hold all models); the least gain (a model that one request asks for gains 0.3 in free room, 0.12 is needed).

Change: six models without a copy are weighed beside the twelve busiest. The test failed on the old code.

--- a/measurements/placement/enginePlay.ts
+++ b/measurements/placement/enginePlay.ts
@@ -20,7 +20,7 @@
 /** From a model's last run until its holder knows that it was dropped. */
 const DROP_SEEN_MILLISECONDS = 300;
 
-/** Runs that come sooner than this have no copy to wait for. */
+/** A request that no engine could take for this long is refused. */
 const LONGEST_WAIT_MILLISECONDS = 250;
 
 /** Callers that were refused come again after this long. */
--- a/measurements/placement/playedSite.ts
+++ b/measurements/placement/playedSite.ts
@@ -20,9 +20,6 @@
     readonly lateWorth: number;
     /** How often callers come again after a refusal. */
     readonly retries: number;
-    readonly models: readonly string[];
-    /** Models of which callers ask at one time; the others rest. */
-    readonly activeModels: number;
 }
 
 /** What happens on one day. */
@@ -124,7 +121,7 @@
     const patient = Array.from({ length: options.patientModels }, (_, index) => `patient-${index}`);
     const sizeOf = (model: string): number =>
         model === "patient-0" ? options.modelMegabytes / 2 : options.modelMegabytes;
-    const kinds = createKinds(urgent, patient, options.load);
+    const kinds = createKinds(options.load);
     return {
         definition: {
             slots: 64,
@@ -153,8 +150,8 @@
     };
 }
 
-function createKinds(urgent: readonly string[], patient: readonly string[], load: number): PlayedKind[] {
-    const shared = { retries: 1, activeModels: URGENT_SHARES.length, models: urgent, aimMilliseconds: 300 };
+function createKinds(load: number): PlayedKind[] {
+    const shared = { retries: 1, aimMilliseconds: 300 };
     return [
         {
             ...shared,
@@ -186,8 +183,6 @@
             deadlineMilliseconds: 25_000,
             worth: 1.1,
             lateWorth: 0.54,
-            models: patient,
-            activeModels: patient.length,
         },
     ];
 }
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -213,6 +213,24 @@
     }
 });
 
+test("a model without a copy is loaded however many others are busier", () => {
+    const many = Array.from({ length: 40 }, (_, index) => `model-${index}`);
+    const definition = {
+        ...DEFINITION,
+        models: [...many, "forgotten"].map(name => ({
+            name,
+            weightMegabytes: 60,
+            adapterCount: 0,
+            adapterMegabytes: 1,
+            storeLoadMilliseconds: 5_000,
+        })),
+    };
+    const engines = many.map((model, index) => engine(`engine-${index}`, [model]));
+    const demand = new Map([...many.map((model): [string, number] => [model, 30]), ["forgotten", 1]]);
+    const move = planWeights({ ...situation(engines, {}), definition, demand });
+    assert.equal(move?.model, "forgotten");
+});
+
 test("whatever the demand, no engine is planned beyond its memory, and the plan comes to rest", () => {
     const names = Object.keys(SIZES);
     const demands = fc.dictionary(fc.constantFrom(...names), fc.integer({ min: 0, max: 300 }));
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -43,7 +43,10 @@
 const FULL_ADAPTER_SLOTS_LOAD = 0.3;
 
 /** Models that are considered for a further copy, the most loaded first; keeps the work small for many models. */
-const MOST_CANDIDATES = 12;
+const MOST_BUSY_CANDIDATES = 12;
+
+/** Models without a copy that are considered, the most asked for first; busy models never keep them out. */
+const MOST_MISSING_CANDIDATES = 6;
 
 /** One engine, as the plan sees it. */
 export interface PlannedEngine {
@@ -188,12 +191,13 @@
     return best;
 }
 
-/** Models that may want a copy: those without one, then those whose copies are the busiest. */
+/** Models that may want a copy: those without one, and those whose copies are the busiest. */
 function candidateModels(fleet: Fleet): ModelDefinition[] {
     const { cost, situation: { definition: { models } } } = fleet;
-    const perCopy = (name: string): number => cost.loadOf(name) / Math.max(0.5, cost.copies(name));
-    const wanted = models.filter(({ name }) => cost.copies(name) === 0 || perCopy(name) > 0);
-    return wanted.sort((left, right) => perCopy(right.name) - perCopy(left.name)).slice(0, MOST_CANDIDATES);
+    const byLoad = [...models].sort((left, right) => cost.loadOfCopy(right.name) - cost.loadOfCopy(left.name));
+    const missing = byLoad.filter(({ name }) => cost.copies(name) === 0);
+    const busy = byLoad.filter(({ name }) => cost.copies(name) > 0 && cost.loadOf(name) > 0);
+    return [...missing.slice(0, MOST_MISSING_CANDIDATES), ...busy.slice(0, MOST_BUSY_CANDIDATES)];
 }
 
 function isWorthwhile({ engine, model, gain }: Candidate): boolean {
