Read the change again: one measure of work, names for bare figures in the play

Cause: reading the whole change. The play of placement had its own copy of the product's measure of a request's work, two bare figures, a pace that was always 1 and a count that nobody read; the entry path's output repeated a constant. Change: measurements only. Conclusion: no behaviour changes.

--- a/measurements/_entryLoad.ts
+++ b/measurements/_entryLoad.ts
@@ -11,7 +11,8 @@
 const USER_TICKS_FIELD = 11;
 
 const HOST_NAME = "site.example";
-const CONCURRENCY = 16;
+/** Requests of `sendMany` that are open at once. */
+export const CONCURRENCY = 16;
 
 /** Two routes: reads of a plain service, and streams. */
 export const CONFIGURATION = {
--- a/measurements/placement/enginePlay.ts
+++ b/measurements/placement/enginePlay.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import { createSeededRandom, type RandomSource } from "../../src/decision/index.js";
+import { workOf } from "../../src/entry/demandMeter.js";
 import { type PlannedEngine, type WeightMove, type WeightSituation } from "../../src/placement/index.js";
 import { type EngineDefinition } from "../../src/routes/index.js";
 import { type PlayedKind, type PlayedSite } from "./playedSite.js";
@@ -29,6 +30,12 @@
 /** Prompt tokens that an engine may have to read when it is given another prompt. */
 const MOST_UNREAD_TOKENS = 2_600;
 
+/** After its last arrival a day goes on for this long, so that what has begun can end. */
+const AFTER_DAY_MILLISECONDS = 15_000;
+
+/** What each other run on an engine adds to the time of a token. */
+const MILLISECONDS_PER_OTHER_RUN = 0.012;
+
 /** Tells what is asked of each model, as the plan sees it. */
 export interface PlayedDemand {
     add(model: string, work: number, nowMilliseconds: number): void;
@@ -51,7 +58,6 @@
     readonly attainmentOfKind: Readonly<Record<string, number>>;
     readonly refusals: number;
     readonly loadsFromStore: number;
-    readonly moves: number;
 }
 
 interface PlayedRequest {
@@ -131,7 +137,6 @@
     #worth = new Map<string, number>();
     #possible = new Map<string, number>();
     #refusals = 0;
-    #moves = 0;
     #loadsFromStore = 0;
 
     constructor(options: PlayOptions) {
@@ -151,7 +156,11 @@
     play(): PlayResult {
         const { site } = this.#options;
         const day = site.draw(this.#random);
-        for (this.#now = 0; this.#now < day.lengthMilliseconds + 15_000; this.#now += STEP_MILLISECONDS) {
+        for (
+            this.#now = 0;
+            this.#now < day.lengthMilliseconds + AFTER_DAY_MILLISECONDS;
+            this.#now += STEP_MILLISECONDS
+        ) {
             if (this.#now < day.lengthMilliseconds) {
                 this.#arrive(day.shares(this.#now));
             }
@@ -186,7 +195,7 @@
     #enter(request: PlayedRequest): void {
         request.arrivedAt = this.#now;
         request.attempts += 1;
-        this.#options.demand.add(request.model, workOf(request), this.#now);
+        this.#options.demand.add(request.model, workOfRequest(request), this.#now);
         this.#waiting.push(request);
     }
 
@@ -212,10 +221,10 @@
             return false;
         }
         engine.unreadTokens += request.kind.promptTokens;
-        const { paceOf, promptTokensPerMillisecond, stepMilliseconds } = this.#options.site;
+        const { promptTokensPerMillisecond, stepMilliseconds } = this.#options.site;
         const reads = engine.unreadTokens / promptTokensPerMillisecond;
-        const lasts = reads
-            + request.outputTokens * (stepMilliseconds * paceOf(request.model) + 0.012 * engine.runs.length);
+        const perToken = stepMilliseconds + MILLISECONDS_PER_OTHER_RUN * engine.runs.length;
+        const lasts = reads + request.outputTokens * perToken;
         engine.runs.push({ request, startedAt: this.#now, endsAt: this.#now + lasts });
         return true;
     }
@@ -289,7 +298,7 @@
     }
 
     #answer({ request, startedAt, endsAt }: Run): void {
-        this.#options.demand.noteRun(workOf(request), endsAt - startedAt);
+        this.#options.demand.noteRun(workOfRequest(request), endsAt - startedAt);
         const { aimMilliseconds, lateWorth, name, worth } = request.kind;
         const inTime = !request.wasCut && startedAt - request.askedAt <= aimMilliseconds;
         this.#worth.set(name, (this.#worth.get(name) ?? 0) + (inTime ? worth : lateWorth));
@@ -317,7 +326,6 @@
         const engine = engines.find(({ id }) => id === move?.engine);
         const busy = engine?.move !== undefined || engine?.dropping !== undefined || engine?.loading !== undefined;
         if (move !== undefined && engine !== undefined && !busy) {
-            this.#moves += 1;
             engine.move = { model: move.model, dropped: move.dropped };
         }
     }
@@ -332,13 +340,12 @@
             ),
             refusals: this.#refusals,
             loadsFromStore: this.#loadsFromStore,
-            moves: this.#moves,
         };
     }
 }
 
-function workOf({ kind, outputTokens }: PlayedRequest): number {
-    return kind.promptTokens * 0.1 + outputTokens;
+function workOfRequest({ kind, outputTokens }: PlayedRequest): number {
+    return workOf(`${kind.promptTokens},${outputTokens}`);
 }
 
 /**
--- a/measurements/placement/playedSite.ts
+++ b/measurements/placement/playedSite.ts
@@ -41,7 +41,6 @@
     readonly diskLoadMilliseconds: number;
     readonly promptTokensPerMillisecond: number;
     readonly stepMilliseconds: number;
-    readonly paceOf: (model: string) => number;
     /** Models of each engine at the start. */
     readonly start: (random: RandomSource) => readonly (readonly string[])[];
     readonly draw: (random: RandomSource) => PlayedDay;
@@ -144,7 +143,6 @@
         diskLoadMilliseconds: options.diskLoadMilliseconds,
         promptTokensPerMillisecond: 25,
         stepMilliseconds: 6,
-        paceOf: () => 1,
         start: random => startingPlacement(options.engines, urgent, patient, random),
         draw: random => drawDay(options, urgent, patient, random),
     };
