Leave an engine that says in an answer that it leaves; obey the pause that it asks for

Cause: nothing in the product read `Server-Leaving` or an engine's `Retry-After`. An engine that told a host with its answer that it leaves got further requests until the store said so, also where the store was away; an engine that turned a request away with a pause got the next one at once. Ruled out: marking the address (another engine may have it by the next moment: the word binds the run that answered, and older ones); passing a pause on to other hosts (an engine may be full for those that send most, and tells each itself); holding back orders and reports during a pause (they are no requests, and hosts that are not paused wait for their adapters). Change: `UpstreamView.noteLeaving` binds the run, whatever the store says of it later; digests tell it to peers for 3 s; `UpstreamPauses` rests an upstream on this host, and a request whose upstreams all rest for longer than it may wait is refused at once with that time.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -3,13 +3,14 @@
  *
  * @module
  */
-import { type AttemptFailure, type ReportedLoad } from "../forwarding/index.js";
+import { type AskedPause, type AttemptFailure, readPause, type ReportedLoad } from "../forwarding/index.js";
 import { type HeaderNames } from "./siteProtocol.js";
 import { type AnswerHead } from "./upstreamCall.js";
 
 const STATUS_OK_FIRST = 200;
 const STATUS_OK_LAST = 299;
 const STATUS_MISDIRECTED = 421;
+const STATUS_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
 
 /** What an answer has to fit. */
@@ -69,6 +70,21 @@
     return isServerError(head) && (!hasReceipt || expectation.mayRepeatError()) ? "upstream-error" : undefined;
 }
 
+/**
+ * Tells whether an answer says that the upstream which was asked leaves. An answer of another upstream, which has the
+ * address by now, says nothing of it.
+ */
+export function saysLeaving(head: AnswerHead, upstream: string, names: HeaderNames): boolean {
+    const answering = head.headers[names.answeringUpstream];
+    return head.headers[names.upstreamLeaves] === "1" && (answering === undefined || answering === upstream);
+}
+
+/** Reads for how long an upstream that turned a request away wants no more; `undefined` where it does not say. */
+export function readAskedPause(head: AnswerHead): AskedPause | undefined {
+    const text = head.headers["retry-after"];
+    return head.status === STATUS_UNAVAILABLE && text !== undefined ? readPause(text) : undefined;
+}
+
 /** Reads the load that an upstream reports with an answer; `undefined` where it reports none. */
 export function readLoad(head: AnswerHead, names: HeaderNames): ReportedLoad | undefined {
     const text = head.headers[names.load];
--- a/src/entry/_upstreamOptions.ts
+++ b/src/entry/_upstreamOptions.ts
@@ -51,6 +51,14 @@
         return chooseUpstream(this.#candidates(upstreams, waits), this.#context.random);
     }
 
+    /** Gives when the first of the upstreams takes requests again; `undefined` where one does now, or there is none. */
+    shortestPause(upstreams: readonly UpstreamAnnouncement[]): number | undefined {
+        const untried = upstreams.filter(({ id }) => !this.#tried.has(id));
+        const pauses = untried.map(({ id }) => this.#context.pauses.remaining(id, this.#now()));
+        const shortest = Math.min(...pauses);
+        return pauses.length > 0 && shortest > 0 ? shortest : undefined;
+    }
+
     /** Tells whether another upstream than the present one could take the request now. */
     hasOther(present: string | undefined): boolean {
         const others = this.usable().filter(upstream =>
@@ -139,12 +147,14 @@
     }
 
     #candidates(upstreams: readonly UpstreamAnnouncement[], waits: boolean): Candidate[] {
-        const { backlog, health, loads, prompts, zone } = this.#context;
+        const { backlog, health, loads, pauses, prompts, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits, hostCount: waits ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const now = this.#now();
-        const fresh = upstreams.filter(({ id }) => !this.#tried.has(id) && !health.isUnreachable(id, now));
+        const fresh = upstreams.filter(({ id }) =>
+            !this.#tried.has(id) && !health.isUnreachable(id, now) && pauses.remaining(id, now) === 0
+        );
         return fresh.map(upstream => ({
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -225,7 +225,7 @@
         if (!this.#options.serviceAnswers()) {
             return;
         }
-        const engines = this.#engines().filter(({ leaving }) => !leaving).map(({ id }) => id);
+        const engines = this.#engines().filter(({ id }) => this.#options.view.isUsable(id)).map(({ id }) => id);
         for (const acquisition of this.#options.duties.vacant(engines, this.#now())) {
             const { engine } = acquisition;
             if (!this.#acquiring.has(engine)) {
@@ -303,7 +303,8 @@
         const clocks = this.#options.readClocks();
         const announcement = this.#options.view.get(keeper.engine);
         const fencingNumber = this.#options.duties.fencingNumber(keeper.engine, clocks);
-        if (this.#stopped || announcement === undefined || announcement.leaving || fencingNumber === undefined) {
+        const mayOrder = !this.#stopped && this.#options.view.isUsable(keeper.engine);
+        if (!mayOrder || announcement === undefined || fencingNumber === undefined) {
             return;
         }
         const step = keeper.nextStep(clocks.steadyMilliseconds);
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -5,6 +5,7 @@
  */
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading, EngineDuties } from "../duties/index.js";
+import { type UpstreamRun } from "../fleet/index.js";
 import { AdapterUse, AdapterUsers, SharedRetryBudget } from "../forwarding/index.js";
 import { engineHolderSchema, type EngineMemory, type HostDigest, hostRegistrationSchema } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
@@ -260,6 +261,7 @@
         const { logger, metrics, protocol, random } = this.#options;
         return new UpstreamBeliefs({
             host: this.#settings.host,
+            headers: protocol.headers,
             decodeUpstream: (upstream, value) => protocol.decodeUpstream(upstream, value),
             logger,
             metrics,
@@ -355,7 +357,7 @@
 
     #createForwardingContext(): ForwardingContext {
         const { logger, metrics, protocol, random } = this.#options;
-        const { backlog, down, health, loads, prompts, residency, suspects, view } = this.#upstreams;
+        const { backlog, health, loads, pauses, prompts, residency, suspects, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
             headers: protocol.headers,
@@ -367,6 +369,7 @@
             residency,
             loads,
             health,
+            pauses,
             budget: this.#budget,
             suspects,
             prompts,
@@ -384,7 +387,7 @@
             tellAdapterUse: (engine, adapter, inUse) => this.#tellAdapterUse(engine, adapter, inUse),
             noteModelAbsent: (engine, model) => this.#orders.noteAbsent(engine, model),
             noteUnreachable: upstream => this.#upstreams.noteUnreachable(upstream),
-            noteReached: upstream => down.clear(upstream),
+            takeAnswer: (upstream, head) => this.#upstreams.takeAnswer(upstream, head),
             isLeaving: () => this.#leaving,
             isClosedToCallers: () => this.#closedToCallers,
         };
@@ -533,6 +536,9 @@
         this.#upstreams.loads.takePeer(digest.host, digest.inFlight, now);
         this.#demand.takePeer(digest.host, digest, now);
         digest.unreachable.forEach(upstream => this.#upstreams.down.note(upstream, digest.host, now));
+        digest.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
+            this.#upstreams.takeLeavingRun({ id: upstream, startedAtMilliseconds })
+        );
         digest.relinquished.forEach(word => this.#duties.takeRelinquishment(word, now));
         this.#adapterUsers.takeAll(digest.host, digest.adaptersInUse, now);
         digest.engines.forEach(memory => this.#takeMemory(memory));
@@ -608,6 +614,7 @@
             leaving: this.#leaving,
             inFlight: this.#upstreams.loads.allInFlight(),
             unreachable: this.#upstreams.down.reportedBy(this.#settings.host, now),
+            leavingRuns: this.#upstreams.leavingRuns().map(toLeavingRun),
             adaptersInUse: this.#adapterUse.all(),
             ...this.#demand.own(now),
             engines: this.#orders.records().map(toMemory),
@@ -652,6 +659,10 @@
     }
 }
 
+function toLeavingRun({ id, startedAtMilliseconds }: UpstreamRun): HostDigest["leavingRuns"][number] {
+    return { upstream: id, ...(startedAtMilliseconds === undefined ? {} : { startedAtMilliseconds }) };
+}
+
 function toMemory(record: EngineRecord): EngineMemory {
     return {
         engine: record.engine,
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -17,7 +17,7 @@
     returnAfter,
 } from "../forwarding/index.js";
 import { nameAdapter } from "../placement/index.js";
-import { isServerError, isSuccess, judgeHead, readLoad } from "./_answerHead.js";
+import { isServerError, isSuccess, judgeHead } from "./_answerHead.js";
 import { CallerAnswer } from "./_callerAnswer.js";
 import { passThroughHeaders } from "./_forwardedHeaders.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
@@ -61,6 +61,7 @@
     | "no-upstream"
     | "all-full"
     | "prompts-unread"
+    | "upstreams-pause"
     | "adapter-missing"
     | "model-missing"
     | "crashes-engines"
@@ -180,6 +181,11 @@
             this.#send(chosen);
             return;
         }
+        const pause = this.#options.shortestPause(resident);
+        if (pause !== undefined) {
+            this.#waitForPause(pause);
+            return;
+        }
         const loadable = usable.filter(upstream => this.#options.residencyAt(upstream) === "adapter-missing");
         if (loadable.length > 0 && resident.length === 0) {
             this.#waitForAdapter(loadable);
@@ -222,6 +228,16 @@
         }
     }
 
+    /** All upstreams want nothing for a while: a request waits where that ends in time, and is refused at once otherwise. */
+    #waitForPause(pauseMilliseconds: number): void {
+        const left = this.#longestWait() - this.#waited("upstreams-pause");
+        if (pauseMilliseconds > left) {
+            this.#refuse("upstreams-pause", pauseMilliseconds);
+            return;
+        }
+        this.#lookAgain(pauseMilliseconds);
+    }
+
     /** The engine has read the prompts before within moments; the forwarder lets those that wait go in order. */
     #waitForReading(): void {
         if (this.#waitOrRefuse("prompts-unread", ROOM_MILLISECONDS)) {
@@ -250,9 +266,9 @@
         return true;
     }
 
-    #lookAgain(): void {
+    #lookAgain(milliseconds: number = LOOK_AGAIN_MILLISECONDS): void {
         clearTimeout(this.#retryTimer);
-        this.#retryTimer = setTimeout(() => this.dispatch(), LOOK_AGAIN_MILLISECONDS);
+        this.#retryTimer = setTimeout(() => this.dispatch(), Math.min(milliseconds, LOOK_AGAIN_MILLISECONDS));
     }
 
     #longestWait(): number {
@@ -420,19 +436,14 @@
     }
 
     #takeHead(attempt: Attempt, head: AnswerHead): void {
-        const { headers, loads } = this.#context;
-        const load = readLoad(head, headers);
-        if (load !== undefined) {
-            loads.report(attempt.upstream.id, load, this.#now());
-        }
-        this.#context.noteReached(attempt.upstream.id);
+        this.#context.takeAnswer(attempt.upstream, head);
         const failure = judgeHead(head, {
             requestId: this.#request.requestId,
             upstream: attempt.upstream.id,
             namesModel: this.#facts.model !== undefined,
             answerBegun: this.#answer.begun,
             mayRepeatError: () => this.#mayMove(attempt),
-        }, headers);
+        }, this.#context.headers);
         if (failure !== undefined) {
             this.#attemptFailed(attempt, failure, `status ${head.status}`);
             return;
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -5,7 +5,7 @@
  */
 import { type Agent } from "node:http";
 import { type RandomSource } from "../decision/index.js";
-import { type UpstreamView } from "../fleet/index.js";
+import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import {
     type AdapterUse,
     type CrashSuspects,
@@ -14,12 +14,14 @@
     type SharedRetryBudget,
     type UpstreamHealth,
     type UpstreamLoads,
+    type UpstreamPauses,
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type ResidencyView } from "../placement/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
+import { type AnswerHead } from "./upstreamCall.js";
 
 /** Beliefs, books and tools of one host that its requests share. */
 export interface ForwardingContext {
@@ -33,6 +35,7 @@
     readonly residency: ResidencyView;
     readonly loads: UpstreamLoads;
     readonly health: UpstreamHealth;
+    readonly pauses: UpstreamPauses;
     readonly budget: SharedRetryBudget;
     readonly suspects: CrashSuspects;
     readonly prompts: PromptMemory;
@@ -54,8 +57,8 @@
     noteModelAbsent(engine: string, model: string): void;
     /** An attempt on this upstream met no listener, or another process. */
     noteUnreachable(upstream: string): void;
-    /** The upstream answered. */
-    noteReached(upstream: string): void;
+    /** Takes what an upstream says of itself with an answer. */
+    takeAnswer(upstream: UpstreamAnnouncement, head: AnswerHead): void;
     isLeaving(): boolean;
     /** True once callers must have forgotten a host that leaves; it takes no further requests. */
     isClosedToCallers(): boolean;
--- a/src/entry/siteProtocol.ts
+++ b/src/entry/siteProtocol.ts
@@ -30,6 +30,8 @@
     readonly receipt: string;
     /** Running requests, waiting requests and slots of the upstream that answered. */
     readonly load: string;
+    /** "1" in the answers of an upstream that leaves. */
+    readonly upstreamLeaves: string;
     /** Present where an upstream did not run the request. */
     readonly notRun: string;
     /** Urgency of a request for an engine, 0 first. */
--- a/src/entry/upstreamBeliefs.ts
+++ b/src/entry/upstreamBeliefs.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type RandomSource } from "../decision/index.js";
-import { type UpstreamAnnouncement, type UpstreamChange, UpstreamView } from "../fleet/index.js";
+import { type UpstreamAnnouncement, type UpstreamChange, type UpstreamRun, UpstreamView } from "../fleet/index.js";
 import {
     CrashSuspects,
     DownReports,
@@ -13,16 +13,23 @@
     type SuspectRecord,
     UpstreamHealth,
     UpstreamLoads,
+    UpstreamPauses,
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { ResidencyView } from "../placement/index.js";
 import { type KeyValueEntry } from "../platform/index.js";
+import { readAskedPause, readLoad, saysLeaving } from "./_answerHead.js";
 import { runOf } from "./_upstreamRun.js";
-import { type SiteProtocol } from "./siteProtocol.js";
+import { type HeaderNames, type SiteProtocol } from "./siteProtocol.js";
+import { type AnswerHead } from "./upstreamCall.js";
+
+/** Peers are told for this long that an upstream said it leaves; several digests fit, since any may be lost. */
+const LEAVING_TOLD_MILLISECONDS = 3_000;
 
 /** Options of the beliefs. */
 export interface UpstreamBeliefsOptions {
     readonly host: string;
+    readonly headers: HeaderNames;
     readonly decodeUpstream: SiteProtocol["decodeUpstream"];
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
@@ -42,12 +49,15 @@
     readonly residency = new ResidencyView();
     readonly loads = new UpstreamLoads();
     readonly health = new UpstreamHealth();
+    readonly pauses = new UpstreamPauses();
     readonly suspects = new CrashSuspects();
     readonly prompts = new PromptMemory();
     readonly backlog: PromptBacklog;
     readonly down = new DownReports();
     readonly #options: UpstreamBeliefsOptions;
     readonly #newSuspects: SuspectRecord[] = [];
+    /** Runs that told this host that they leave, with when it heard so. */
+    readonly #heardLeaving = new Map<string, { readonly run: UpstreamRun; readonly atMilliseconds: number; }>();
 
     constructor(options: UpstreamBeliefsOptions) {
         this.#options = options;
@@ -82,6 +92,35 @@
         this.#noteChanges(this.view.remove(id, this.#now()));
     }
 
+    /** Takes what an upstream says of itself with an answer, whatever becomes of the answer. */
+    takeAnswer(upstream: UpstreamAnnouncement, head: AnswerHead): void {
+        const { headers } = this.#options;
+        const load = readLoad(head, headers);
+        if (load !== undefined) {
+            this.loads.report(upstream.id, load, this.#now());
+        }
+        this.down.clear(upstream.id);
+        if (saysLeaving(head, upstream.id, headers)) {
+            this.#noteSaidLeaving(upstream);
+        }
+        this.#notePause(upstream.id, head);
+    }
+
+    /** Takes a peer's word that a run of an upstream told it that it leaves. */
+    takeLeavingRun(run: UpstreamRun): void {
+        this.#noteChanges(this.view.noteLeaving(run));
+    }
+
+    /** Gives the runs that told this host a moment ago that they leave. */
+    leavingRuns(): UpstreamRun[] {
+        for (const [id, { atMilliseconds }] of this.#heardLeaving) {
+            if (this.#now() - atMilliseconds > LEAVING_TOLD_MILLISECONDS) {
+                this.#heardLeaving.delete(id);
+            }
+        }
+        return [...this.#heardLeaving.values()].map(({ run }) => run);
+    }
+
     /** Lets beliefs end whose time is over. */
     expire(): void {
         this.#noteChanges(this.view.expire(this.#now()));
@@ -106,6 +145,33 @@
         return this.#newSuspects.splice(0);
     }
 
+    #noteSaidLeaving({ id, startedAtMilliseconds }: UpstreamAnnouncement): void {
+        const run = { id, startedAtMilliseconds };
+        if (!this.view.saidLeaving(run)) {
+            this.#heardLeaving.set(id, { run, atMilliseconds: this.#now() });
+        }
+        this.#noteChanges(this.view.noteLeaving(run));
+    }
+
+    #notePause(upstream: string, head: AnswerHead): void {
+        const pause = readAskedPause(head);
+        if (pause === undefined) {
+            return;
+        }
+        if (pause.type === "unreadable") {
+            this.#options.metrics.count("upstream_pauses", { outcome: "unreadable" });
+            this.#options.logger.warn("pause not readable", { upstream, value: head.headers["retry-after"] });
+            return;
+        }
+        this.pauses.note(upstream, pause.milliseconds, this.#now());
+        this.#options.metrics.count("upstream_pauses", { outcome: pause.isCut ? "cut" : "obeyed" });
+        this.#options.logger.info("upstream asked for a pause", {
+            upstream,
+            pauseMilliseconds: Math.round(pause.milliseconds),
+            isCut: pause.isCut,
+        });
+    }
+
     #noteCrash(announcement: UpstreamAnnouncement): void {
         const suspects = this.suspects.noteCrashed(runOf(announcement), this.#now());
         for (const suspect of suspects) {
@@ -147,10 +213,11 @@
     }
 
     #forget(upstream: UpstreamAnnouncement, reason: string): void {
-        if (reason !== "announced") {
+        if (reason !== "announced" && reason !== "answered") {
             this.#noteCrash(upstream);
             this.residency.forget(upstream.id);
             this.health.forget(upstream.id);
+            this.pauses.forget(upstream.id);
             this.prompts.forget(upstream.id);
             this.backlog.forget(upstream.id);
             this.down.clear(upstream.id);
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -13,4 +13,4 @@
  * @module
  */
 export { type HeldModel, type UpstreamAnnouncement, type WeightsAtHand } from "./types.js";
-export { isSameRun, type LeavingReason, type UpstreamChange, UpstreamView } from "./upstreamView.js";
+export { isSameRun, type LeavingReason, type UpstreamChange, type UpstreamRun, UpstreamView } from "./upstreamView.js";
--- a/src/fleet/upstreamView.ts
+++ b/src/fleet/upstreamView.ts
@@ -11,8 +11,14 @@
 /** For so long after trouble with the service, a removed announcement may still name a live upstream. */
 const TROUBLE_MEMORY_MILLISECONDS = 1_500;
 
-/** Why an upstream left the view. */
-export type LeavingReason = "announced" | "removed" | "missing-after-outage" | "replaced";
+/** Runs of upstreams that said in an answer that they leave, of which the latest are remembered. */
+const MOST_LEAVING_RUNS = 4_096;
+
+/** Why an upstream left the view; the first two leave it alive for a while. */
+export type LeavingReason = "announced" | "answered" | "removed" | "missing-after-outage" | "replaced";
+
+/** One run of an upstream's process. */
+export type UpstreamRun = Pick<UpstreamAnnouncement, "id" | "startedAtMilliseconds">;
 
 /** What changed in the view. */
 export type UpstreamChange =
@@ -29,8 +35,12 @@
     readonly missing: boolean;
 }
 
-function isOlderRun(candidate: UpstreamAnnouncement, known: UpstreamAnnouncement): boolean {
-    return (candidate.startedAtMilliseconds ?? 0) < (known.startedAtMilliseconds ?? 0);
+function startOf(run: UpstreamRun): number {
+    return run.startedAtMilliseconds ?? 0;
+}
+
+function isOlderRun(candidate: UpstreamRun, known: UpstreamRun): boolean {
+    return startOf(candidate) < startOf(known);
 }
 
 /** An announcement may be written after a later one of the same run, or of a run that has ended. */
@@ -40,16 +50,27 @@
 }
 
 /** Tells whether two announcements come from one run of a process. */
-export function isSameRun(left: UpstreamAnnouncement, right: UpstreamAnnouncement): boolean {
+export function isSameRun(left: UpstreamRun, right: UpstreamRun): boolean {
     return left.id === right.id && left.startedAtMilliseconds === right.startedAtMilliseconds;
 }
 
 /**
- * The upstreams that are known. Not usable are those that leave; an announcement that is removed around an outage of
- * the key-value service stays in doubt until the service has been back for long enough.
+ * The upstreams that are known. Not usable are those that leave, by their announcement or by their own word in an answer,
+ * which no later announcement of the same run takes back. An announcement that is removed around an outage of the key-value
+ * service stays in doubt until the service has been back for long enough.
+ *
+ * @example
+ * ```ts
+ * const view = new UpstreamView();
+ * view.put(announcement);
+ * view.noteLeaving(announcement);
+ * view.usable(announcement.service); // without it
+ * ```
  */
 export class UpstreamView {
     readonly #known = new Map<string, Known>();
+    /** The run of each upstream that said in an answer that it leaves, those heard last at the end. */
+    readonly #leavingRuns = new Map<string, UpstreamRun>();
     /** Latest time at which the service was in trouble, as far as this host saw. */
     #troubleAtMilliseconds = Number.NEGATIVE_INFINITY;
 
@@ -65,7 +86,7 @@
             return [];
         }
         const replaced = this.#dropOthersAt(announcement);
-        const usable = !announcement.leaving;
+        const usable = !announcement.leaving && !this.saidLeaving(announcement);
         this.#known.set(announcement.id, { announcement, usable, missing: false });
         if (before === undefined || !isSameRun(before.announcement, announcement)) {
             return [...replaced, { type: usable ? "joined" : "updated", upstream: announcement }];
@@ -76,6 +97,29 @@
         return [...replaced, { type: "updated", upstream: announcement }];
     }
 
+    /** Takes an upstream's own word that it leaves; it binds this run only, whatever else is heard of it. */
+    noteLeaving(run: UpstreamRun): readonly UpstreamChange[] {
+        const latest = this.#leavingRuns.get(run.id);
+        if (latest !== undefined && startOf(latest) > startOf(run)) {
+            return [];
+        }
+        this.#leavingRuns.delete(run.id);
+        this.#leavingRuns.set(run.id, { id: run.id, startedAtMilliseconds: run.startedAtMilliseconds });
+        this.#forgetOldLeavingRuns();
+        const known = this.#known.get(run.id);
+        if (known?.usable !== true || isOlderRun(run, known.announcement)) {
+            return [];
+        }
+        this.#known.set(run.id, { ...known, usable: false });
+        return [{ type: "left", upstream: known.announcement, reason: "answered" }];
+    }
+
+    /** Tells whether this run of an upstream, or a later one, said in an answer that it leaves. */
+    saidLeaving(run: UpstreamRun): boolean {
+        const leaving = this.#leavingRuns.get(run.id);
+        return leaving !== undefined && startOf(run) <= startOf(leaving);
+    }
+
     /** Takes the removal of an announcement. */
     remove(id: string, nowMilliseconds: number): readonly UpstreamChange[] {
         const known = this.#known.get(id);
@@ -138,6 +182,15 @@
         return [...this.#known.values()].map(({ announcement }) => announcement);
     }
 
+    #forgetOldLeavingRuns(): void {
+        for (const id of this.#leavingRuns.keys()) {
+            if (this.#leavingRuns.size <= MOST_LEAVING_RUNS) {
+                return;
+            }
+            this.#leavingRuns.delete(id);
+        }
+    }
+
     /** An address belongs to the upstream that announced it last. */
     #dropOthersAt(announcement: UpstreamAnnouncement): UpstreamChange[] {
         const others = [...this.#known.values()].filter(({ announcement: other }) =>
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -30,3 +30,4 @@
 export { type AttemptFailure, provesNotRun, type WantedModel } from "./types.js";
 export { UpstreamHealth } from "./upstreamHealth.js";
 export { type ReportedLoad, UpstreamLoads } from "./upstreamLoads.js";
+export { type AskedPause, readPause, UpstreamPauses } from "./upstreamPauses.js";
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -29,6 +29,7 @@
         leaving: false,
         inFlight: {},
         unreachable: [],
+        leavingRuns: [],
         adaptersInUse: {},
         demand: {},
         adapterDemand: {},
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -20,6 +20,7 @@
     store_calls: { help: "Calls on the key-value service by outcome.", labels: ["call", "outcome"] },
     engine_orders: { help: "Orders to engines by outcome.", labels: ["operation", "kind", "outcome"] },
     holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
+    upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
     upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
     address_answers: { help: "Answers to callers that ask for addresses.", labels: ["outcome"] },
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -24,15 +24,21 @@
         readonly status?: number;
         readonly body?: string;
         readonly afterMilliseconds?: number;
+        readonly headers?: Readonly<Record<string, string>>;
     }
     | {
         readonly type: "stream";
         readonly events: number;
         readonly gapMilliseconds?: number;
         readonly breakAfter?: number;
+        readonly headers?: Readonly<Record<string, string>>;
     }
     /** Says that it has not run the request. */
-    | { readonly type: "not-run"; readonly status: 421 | 429 | 503; }
+    | {
+        readonly type: "not-run";
+        readonly status: 421 | 429 | 503;
+        readonly headers?: Readonly<Record<string, string>>;
+    }
     /** Ends the connection without an answer. */
     | { readonly type: "reset"; }
     | { readonly type: "silent"; }
@@ -211,7 +217,7 @@
         switch (behaviour.type) {
             case "answer":
                 await delay(behaviour.afterMilliseconds ?? 0);
-                response.writeHead(behaviour.status ?? 200, headers).end(
+                response.writeHead(behaviour.status ?? 200, { ...headers, ...behaviour.headers }).end(
                     behaviour.body ?? `${this.id} ran ${request.id}`,
                 );
                 break;
@@ -219,7 +225,8 @@
                 await this.#stream(behaviour, request, response);
                 break;
             case "not-run":
-                response.writeHead(behaviour.status, { "Flamingospread-Not-Executed": "1" }).end();
+                response.writeHead(behaviour.status, { "Flamingospread-Not-Executed": "1", ...behaviour.headers })
+                    .end();
                 break;
             case "reset":
                 response.socket?.resetAndDestroy();
@@ -248,7 +255,11 @@
         response: ServerResponse,
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
-        response.writeHead(200, { ...this.#headers(request), "Content-Type": "text/event-stream" });
+        response.writeHead(200, {
+            ...this.#headers(request),
+            "Content-Type": "text/event-stream",
+            ...behaviour.headers,
+        });
         for (let event = first; event <= behaviour.events; event += 1) {
             if (event === behaviour.breakAfter) {
                 response.write(`id: ${event}\nda`);
