Divide the fleet into cells: digests within, sums between; three watches a cell

Cause: every host told every other host everything each 0.6 s, told its zone of each request, told all hosts of each change in an engine, and watched every key; at 195 hosts that is about 63,000 digests a second, and calls for watches grow with the hosts. Ruled out: longer intervals (the square stays); trees of relays (a small fleet gets a root that all depend on); subsets of engines (most models have one copy). Sizes of fleet are no longer asked for anywhere: isLargeFleet and its two paces are gone. Change: `divideIntoCells` (at most 16 hosts, ordered by zone), `CellSummaries`, `CellTalk`; `StoreFeed` decides who watches, `StoreMirror` passes batches on and takes them; wishes are answered to who asked; holders in other cells are told of uses again with each digest; a new holder tells the one before it, which makes consent by the cell enough. A fleet of up to 16 hosts is one cell and tells as before.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -66,6 +66,23 @@
     assert.equal(restarted.fencingNumber("engine", at(100)), undefined, "its process before may have waited still");
 });
 
+test("a new holder tells the one before it for as long as it waits, and that one stops though the store says nothing", () => {
+    const before = duties("two", "s2");
+    before.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    assert.equal(before.fencingNumber("engine", at(100)), 12);
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    own.setSession("two", undefined);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 100);
+    const [succession] = own.waiting(200);
+    assert.ok(succession !== undefined);
+    assert.deepEqual([succession.engine, succession.before, succession.holder.revision], ["engine", "two", 20]);
+    before.setHolder(succession.engine, succession.holder, 200);
+    assert.equal(before.fencingNumber("engine", at(200)), undefined);
+    assert.deepEqual(before.held(), []);
+    assert.deepEqual(own.waiting(5_000), [], "told no more once it may begin");
+});
+
 test("a record whose writing got no answer counts once the service shows it", () => {
     const own = duties("one", "s1");
     own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -74,6 +74,14 @@
     readonly untilMilliseconds: number;
 }
 
+/** A new holder and the one before it, which may not know of it. */
+export interface Succession {
+    readonly engine: string;
+    /** The host that held the engine before. */
+    readonly before: string;
+    readonly holder: StoredHolder;
+}
+
 interface Vacancy {
     readonly sinceMilliseconds: number;
 }
@@ -259,6 +267,18 @@
             : undefined;
     }
 
+    /** Gives the engines for which this host waits until the holder before it has stopped. */
+    waiting(nowMilliseconds: number): Succession[] {
+        return this.held().flatMap(({ engine }) => {
+            const before = this.#before.get(engine);
+            const holder = this.#holders.get(engine);
+            const waits = (this.#quietUntil.get(engine) ?? Number.NEGATIVE_INFINITY) > nowMilliseconds;
+            return waits && before !== undefined && holder !== undefined
+                ? [{ engine, before: before.host, holder }]
+                : [];
+        });
+    }
+
     /** Gives the revision of each engine's latest record that this host knows. */
     holderRevisions(): ReadonlyMap<string, number> {
         return new Map([...this.#holders].map(([engine, { revision }]) => [engine, revision]));
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -18,5 +18,6 @@
     type HolderRecord,
     type Relinquishment,
     type StoredHolder,
+    type Succession,
 } from "./engineDuties.js";
 export { OutageConsent, type PeerStatement } from "./outageConsent.js";
--- /dev/null
+++ b/src/entry/cellTalk.ts
@@ -0,0 +1,86 @@
+/**
+ * What a host does for those outside its cell: whoever speaks for a cell tells the others its sum, and the cell theirs.
+ *
+ * @module
+ */
+import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
+import { CellSummaries, type PeerTable, type SummarySender } from "../gossip/index.js";
+import { type HostGossip } from "./hostGossip.js";
+
+/** A sum of the other cells that is older is not gone by. */
+const REST_LIFETIME_MILLISECONDS = 2_000;
+
+/** Options of the talk between cells. */
+export interface CellTalkOptions {
+    readonly host: string;
+    readonly peers: PeerTable;
+    readonly gossip: HostGossip;
+    readonly readClock: () => number;
+    /** Takes what all other cells tell. */
+    readonly onRest: (rest: FleetSummary) => void;
+}
+
+/** Hears and tells sums; a fleet of one cell tells none. */
+export class CellTalk {
+    readonly #options: CellTalkOptions;
+    readonly #summaries = new CellSummaries();
+    #rest: { readonly summary: FleetSummary; readonly atMilliseconds: number; } | undefined;
+
+    constructor(options: CellTalkOptions) {
+        this.#options = options;
+    }
+
+    /** Takes a digest; one of a host that is in another cell by now is part of that cell's sum. */
+    hearDigest(digest: HostDigest): void {
+        const { peers, readClock } = this.#options;
+        if (peers.division(readClock()).own.some(({ host }) => host === digest.host)) {
+            this.#summaries.hearDigest(digest, readClock());
+        }
+    }
+
+    /** Takes the sum of another cell, or what the speaker of this one tells of all others. */
+    hear(summary: FleetSummary): void {
+        if (summary.scope === "cell") {
+            this.#summaries.hear(summary, this.#options.readClock());
+        }
+        else if (!this.#options.peers.isSpeaker(this.#options.readClock())) {
+            this.#takeRest(summary);
+        }
+    }
+
+    /** Tells sums where this host speaks for its cell; called with each digest of its own. */
+    speak(own: HostDigest): void {
+        const { gossip, peers, readClock } = this.#options;
+        const now = readClock();
+        const { others } = peers.division(now);
+        if (others.length === 0 || !peers.isSpeaker(now)) {
+            return;
+        }
+        const sender = this.#sender();
+        const receivers = others.flatMap(cell => this.#summaries.receiversOf(cell));
+        gossip.tellSum(this.#summaries.sumOfCell(sender, own, now), receivers);
+        const rest = this.#summaries.sumOfRest(sender, now);
+        if (rest !== undefined) {
+            gossip.tellRest(rest);
+            this.#takeRest(rest);
+        }
+    }
+
+    /** Gives the state address of a host of another cell that has a newer configuration. */
+    newerConfiguration(version: number): string | undefined {
+        const isFresh = this.#rest !== undefined
+            && this.#options.readClock() - this.#rest.atMilliseconds < REST_LIFETIME_MILLISECONDS;
+        const newest = isFresh ? this.#rest?.summary : undefined;
+        return newest !== undefined && newest.configurationVersion > version ? newest.state : undefined;
+    }
+
+    #sender(): SummarySender {
+        const { host, peers, readClock } = this.#options;
+        return { host, cell: peers.division(readClock()).own[0]?.host ?? host };
+    }
+
+    #takeRest(summary: FleetSummary): void {
+        this.#rest = { summary, atMilliseconds: this.#options.readClock() };
+        this.#options.onRest(summary);
+    }
+}
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Acquisition, type ClockReading, EngineDuties } from "../duties/index.js";
+import { type Acquisition, type ClockReading, type EngineDuties, type Succession } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import { type EngineHolder } from "../generated/gossip.js";
 import { type EntryMetrics, type LogFields, type Logger } from "../observability/index.js";
@@ -57,6 +57,8 @@
     readonly isAdapterUsed: (engine: string, adapter: string) => boolean;
     /** Tells whether several hosts found an engine unreachable a moment ago. */
     readonly isDown: (engine: string) => boolean;
+    /** Tells a holder that another one has followed it. */
+    readonly tellHolderBefore: (succession: Succession) => void;
     /** The service has a later state of a key than this host knew. */
     readonly onLaterEntry: (entry: KeyValueEntry) => void;
     /** An engine's memory changed, or this host learned of it. */
@@ -116,6 +118,11 @@
         return true;
     }
 
+    /** Gives what this host knows of an engine; `undefined` where it does not hold it. */
+    recordOf(engine: string): EngineRecord | undefined {
+        return this.#keepers.get(engine)?.record();
+    }
+
     /** A request found that an engine does not hold a model. */
     noteAbsent(engine: string, model: string): void {
         this.#keepers.get(engine)?.doubt(model, this.#now());
@@ -182,6 +189,7 @@
             return;
         }
         this.#relinquish();
+        this.#options.duties.waiting(this.#now()).forEach(this.#options.tellHolderBefore);
         if (this.#leaving && this.#options.serviceAnswers()) {
             void this.#release();
             return;
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -7,15 +7,23 @@
 import { type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamRun } from "../fleet/index.js";
 import { AdapterUse, AdapterUsers, SharedRetryBudget } from "../forwarding/index.js";
-import { engineHolderSchema, type EngineMemory, type HostDigest, hostRegistrationSchema } from "../generated/gossip.js";
+import {
+    type AdapterWish,
+    engineHolderSchema,
+    type EngineMemory,
+    type FleetSummary,
+    type HostDigest,
+    hostRegistrationSchema,
+} from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type EngineRecord, splitAdapterName } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
+import { CellTalk } from "./cellTalk.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
-import { digestMilliseconds, gatherMilliseconds, renewalMilliseconds } from "./fleetPace.js";
+import { DIGEST_MILLISECONDS, GATHER_MILLISECONDS, renewalMilliseconds } from "./fleetPace.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type AdapterUseWord, HostGossip } from "./hostGossip.js";
@@ -28,9 +36,11 @@
 import { SiteDemand } from "./siteDemand.js";
 import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
 import { StoredEntries } from "./storedEntries.js";
+import { StoreFeed } from "./storeFeed.js";
 import { type MirrorEvent, StoreMirror } from "./storeMirror.js";
 import { UpstreamAgents } from "./upstreamAgents.js";
 import { UpstreamBeliefs } from "./upstreamBeliefs.js";
+import { Wishers } from "./wishers.js";
 
 /** Some callers keep an answer with addresses for three times as long as it says. */
 const LONGEST_KEEP_FACTOR = 3;
@@ -47,6 +57,9 @@
 /** Suspected requests that one digest tells at most. */
 const MOST_SUSPECTS_TOLD = 64;
 
+/** Under which name the sum of the other cells is kept beside the digests of peers. */
+const REST_OF_FLEET = "(rest of the fleet)";
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What an entry host is made of. */
@@ -81,10 +94,13 @@
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
     readonly #gossip: HostGossip;
+    readonly #cells: CellTalk;
+    readonly #wishers = new Wishers();
     readonly #duties: EngineDuties;
     readonly #agreement: OutageAgreement;
     readonly #contact: ServiceContact;
     readonly #entries: StoredEntries;
+    readonly #feed = new StoreFeed();
     readonly #mirror: StoreMirror;
     readonly #session: HostSession;
     readonly #orders: EngineOrders;
@@ -112,16 +128,22 @@
             ratio: bounds.retryRatio,
             extra: bounds.retryExtra,
         });
-        this.#peers = new PeerTable(host);
+        this.#peers = new PeerTable(host, zone);
         this.#gossip = new HostGossip({
             host,
-            zone,
             peers: this.#peers,
             logger,
             metrics,
             readClock: () => this.#now(),
             onMessage: message => this.#takeGossip(message),
         });
+        this.#cells = new CellTalk({
+            host,
+            peers: this.#peers,
+            gossip: this.#gossip,
+            readClock: () => this.#now(),
+            onRest: rest => this.#takeRest(rest),
+        });
         this.#duties = new EngineDuties(host, {
             confirmedMilliseconds: HOLDER_CONFIRMED_MILLISECONDS,
             handoverMilliseconds: bounds.handoverMilliseconds,
@@ -144,7 +166,9 @@
         this.#mirror = new StoreMirror({
             keyValue,
             logger,
-            gatherMilliseconds: () => gatherMilliseconds(this.#hostCount()),
+            gatherMilliseconds: () => GATHER_MILLISECONDS,
+            mustWatch: () => this.#mustWatch(),
+            onBatch: batch => this.#gossip.passChanges({ ...batch, changes: [...batch.changes] }),
             onEvent: event => this.#takeMirrorEvent(event),
         });
         this.#session = this.#createSession();
@@ -347,6 +371,10 @@
             adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
             isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
             isDown: engine => this.#upstreams.isDown(engine),
+            tellHolderBefore: ({ before, engine, holder }) => {
+                const { revision, ...record } = holder;
+                this.#gossip.tellHolder(before, { engine, revision, holder: record });
+            },
             onLaterEntry: entry => {
                 this.#entries.put(entry);
                 this.#mirror.noteLaterRevision(entry.revision, this.#now());
@@ -381,7 +409,7 @@
                 const limit = this.#table?.service(service)?.maximumConnections;
                 return this.#agents.agentFor(service, limit, this.#hostCount());
             },
-            hostCount: () => this.#peers.heard(this.#now()).length + 1,
+            hostCount: () => this.#peers.live(this.#now()).length + 1,
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
             tellSent: (engine, promptTokens) => this.#gossip.tellSent(engine, promptTokens),
             tellAdapterUse: (engine, adapter, inUse) => this.#tellAdapterUse(engine, adapter, inUse),
@@ -435,6 +463,16 @@
         }
     }
 
+    #mustWatch(): boolean {
+        const now = this.#now();
+        const situation = {
+            host: this.#settings.host,
+            members: this.#peers.heardMembers(now),
+            revision: this.#mirror.revision ?? 0,
+        };
+        return this.#feed.mustWatch(situation, now);
+    }
+
     #noteContact(succeeded: boolean): void {
         if (!succeeded) {
             this.#upstreams.view.noteServiceTrouble(this.#now());
@@ -458,7 +496,7 @@
 
     #forgetHost(host: string): void {
         this.#duties.setSession(host, undefined);
-        this.#peers.unregister(host);
+        this.#peers.unregister(host, this.#now());
         if (host === this.#settings.host && !this.#leaving) {
             this.#session.recordRemoved();
         }
@@ -514,8 +552,21 @@
             case "digest":
                 this.#takeDigest(message);
                 break;
+            case "changes":
+                this.#mirror.takeBatch(message);
+                break;
+            case "summary":
+                this.#cells.hear(message);
+                break;
             case "wish":
-                this.#orders.want(message.engine, message.model, message.adapter);
+                this.#takeWish(message);
+                break;
+            case "holder":
+                this.#duties.setHolder(
+                    message.engine,
+                    { ...message.holder, revision: message.revision },
+                    this.#now(),
+                );
                 break;
             case "news":
                 this.#takeMemory(message.engine);
@@ -530,20 +581,44 @@
     }
 
     #takeDigest(digest: HostDigest): void {
+        this.#peers.hear(digest, this.#now());
+        this.#cells.hearDigest(digest);
+        this.#feed.hear(digest, this.#now());
+        this.#mirror.adjustWatch();
+        this.#adapterUsers.takeAll(digest.host, digest.adaptersInUse, this.#now());
+        this.#takeBeliefs(digest.host, digest);
+        this.#agreement.hear(digest);
+    }
+
+    /** The other cells count as one further peer. */
+    #takeRest(rest: FleetSummary): void {
+        rest.hosts.forEach(host => this.#peers.noteNamed(host, this.#now()));
+        this.#takeBeliefs(REST_OF_FLEET, rest);
+    }
+
+    #takeBeliefs(source: string, told: HostDigest | FleetSummary): void {
         const now = this.#now();
-        this.#peers.hear(digest, now);
-        this.#mirror.noteLaterRevision(digest.storeRevision, now);
-        this.#upstreams.loads.takePeer(digest.host, digest.inFlight, now);
-        this.#demand.takePeer(digest.host, digest, now);
-        digest.unreachable.forEach(upstream => this.#upstreams.down.note(upstream, digest.host, now));
-        digest.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
+        this.#mirror.noteLaterRevision(told.storeRevision, now);
+        this.#upstreams.loads.takePeer(source, told.inFlight, now);
+        this.#demand.takePeer(source, told, now);
+        told.unreachable.forEach(upstream => this.#upstreams.down.note(upstream, source, now));
+        told.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
             this.#upstreams.takeLeavingRun({ id: upstream, startedAtMilliseconds })
         );
-        digest.relinquished.forEach(word => this.#duties.takeRelinquishment(word, now));
-        this.#adapterUsers.takeAll(digest.host, digest.adaptersInUse, now);
-        digest.engines.forEach(memory => this.#takeMemory(memory));
-        digest.suspects.forEach(suspect => this.#upstreams.suspects.takePeer(suspect, now));
-        this.#agreement.hear(digest);
+        told.relinquished.forEach(word => this.#duties.takeRelinquishment(word, now));
+        told.engines.forEach(memory => this.#takeMemory(memory));
+        told.suspects.forEach(suspect => this.#upstreams.suspects.takePeer(suspect, now));
+    }
+
+    /** A host that asks for what is there has not heard of it. */
+    #takeWish({ adapter, engine, host, model }: AdapterWish): void {
+        this.#wishers.note(engine, host, this.#now());
+        this.#orders.want(engine, model, adapter);
+        const record = this.#orders.recordOf(engine);
+        const held = record?.models.find(({ name }) => name === model);
+        if (record !== undefined && held?.adapters.includes(adapter) === true) {
+            this.#gossip.answerWish(host, toMemory(record));
+        }
     }
 
     /** Adapters that requests use are not dropped, and those used last are dropped last. */
@@ -581,11 +656,11 @@
     #spreadNews(record: EngineRecord): void {
         this.#upstreams.residency.takeRecord(record, this.#now());
         this.#forwarder.wake();
-        this.#gossip.tellNews(toMemory(record));
+        this.#gossip.tellNews(toMemory(record), this.#wishers.of(record.engine, this.#now()));
     }
 
     #scheduleDigest(): void {
-        this.#digestTimer = setTimeout(() => this.#everyDigest(), digestMilliseconds(this.#hostCount()));
+        this.#digestTimer = setTimeout(() => this.#everyDigest(), DIGEST_MILLISECONDS);
     }
 
     #everyDigest(): void {
@@ -595,11 +670,27 @@
         this.#scheduleDigest();
         this.#upstreams.expire();
         this.#adapterUsers.takeAll(this.#settings.host, this.#adapterUse.all(), this.#now());
-        this.#sendDigest();
+        this.#mirror.adjustWatch();
+        this.#cells.speak(this.#sendDigest());
+        this.#repeatAdapterUse();
         void this.#catchUp.run();
     }
 
-    #sendDigest(): void {
+    /** Holders in other cells do not hear this host's digests, and datagrams at the begin of a use may be lost. */
+    #repeatAdapterUse(): void {
+        const mates = new Set(this.#peers.cellMates(this.#now()).map(({ host }) => host));
+        for (const [engine, adapters] of Object.entries(this.#adapterUse.all())) {
+            const holder = this.#duties.holderOf(engine);
+            if (holder !== undefined && holder !== this.#settings.host && !mates.has(holder)) {
+                adapters.forEach(adapter => {
+                    const use = { host: this.#settings.host, engine, adapter, inUse: true };
+                    this.#gossip.tellAdapterUse(holder, use);
+                });
+            }
+        }
+    }
+
+    #sendDigest(): HostDigest {
         const now = this.#now();
         const suspects = this.#upstreams.takeNewSuspects().slice(-MOST_SUSPECTS_TOLD);
         const digest: HostDigest = {
@@ -610,6 +701,7 @@
             addresses: this.#addresses(),
             configurationVersion: this.#table?.version ?? 0,
             storeRevision: this.#mirror.revision ?? 0,
+            feeds: this.#mirror.feeds,
             ready: this.#isReady(),
             leaving: this.#leaving,
             inFlight: this.#upstreams.loads.allInFlight(),
@@ -622,6 +714,7 @@
             suspects: suspects.map(({ fingerprint, runs }) => ({ fingerprint, runs: [...runs] })),
         };
         this.#gossip.tellDigest(digest);
+        return digest;
     }
 
     /** A peer that has a newer configuration, or the seeds where nothing is known yet. */
@@ -630,6 +723,10 @@
         if (newer !== undefined) {
             return [newer.addresses.state];
         }
+        const elsewhere = this.#cells.newerConfiguration(this.#table?.version ?? 0);
+        if (elsewhere !== undefined && !this.#contact.reachable) {
+            return [elsewhere];
+        }
         return !this.#listed && !this.#contact.reachable ? this.#settings.seeds : [];
     }
 
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -3,16 +3,28 @@
  *
  * @module
  */
-import { type AdapterUseNotice, type EngineMemory, type HostDigest } from "../generated/gossip.js";
-import { type GossipLink, type GossipMessage, openGossipLink, type Peer, type PeerTable } from "../gossip/index.js";
+import {
+    type AdapterUseNotice,
+    type EngineMemory,
+    type FleetSummary,
+    type HolderWord,
+    type HostDigest,
+    type StoreChanges,
+} from "../generated/gossip.js";
+import {
+    type GossipLink,
+    type GossipMessage,
+    isHeard,
+    openGossipLink,
+    type Peer,
+    type PeerTable,
+} from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
-import { isLargeFleet } from "./fleetPace.js";
 import { type ListenAddress } from "./settings.js";
 
 /** Options of a host's gossip. */
 export interface HostGossipOptions {
     readonly host: string;
-    readonly zone: string;
     readonly peers: PeerTable;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
@@ -54,22 +66,47 @@
     }
 
     tellDigest(digest: HostDigest): void {
-        this.#send(digest, this.#all());
+        this.#send(digest, this.#cellMates());
     }
 
-    /** Tells everybody what an engine holds. */
-    tellNews(engine: EngineMemory): void {
-        this.#send({ type: "news", host: this.#options.host, engine }, this.#all());
+    /** Tells the sum of the own cell to hosts of another one. */
+    tellSum(summary: FleetSummary, hosts: readonly string[]): void {
+        this.#send(summary, this.#named(hosts));
     }
 
-    /** Tells of a request that was sent; in a large fleet only the own zone, so that the cost does not grow with it. */
+    /** Tells the own cell the sum of all others. */
+    tellRest(summary: FleetSummary): void {
+        this.#send(summary, this.#cellMates());
+    }
+
+    /** Tells what an engine holds: the own cell, and hosts that asked for something on it. Others learn it from sums. */
+    tellNews(engine: EngineMemory, askers: readonly string[]): void {
+        const told = new Set([...this.#cellMates(), ...this.#named(askers)]);
+        this.#send({ type: "news", host: this.#options.host, engine }, [...told]);
+    }
+
+    /** Tells one host what an engine holds. */
+    answerWish(asker: string, engine: EngineMemory): void {
+        this.#send({ type: "news", host: this.#options.host, engine }, this.#named([asker]));
+    }
+
+    /** Tells the own cell of a request that was sent. */
     tellSent(engine: string, promptTokens: number): void {
-        const { host, peers, readClock, zone } = this.#options;
-        const heard = peers.heard(readClock());
-        const told = isLargeFleet(heard.length + 1) ? heard.filter(peer => peer.zone === zone) : heard;
+        const { host, readClock } = this.#options;
+        const told = this.#cellMates().filter(peer => isHeard(peer, readClock()));
         this.#send({ type: "sent", host, engine, promptTokens }, told);
     }
 
+    /** Passes changes in the key-value service on to the own cell. */
+    passChanges(changes: Omit<StoreChanges, "type" | "host">): void {
+        this.#send({ type: "changes", host: this.#options.host, ...changes }, this.#cellMates());
+    }
+
+    /** Tells the holder before that another one has followed it. */
+    tellHolder(before: string, word: Omit<HolderWord, "type">): void {
+        this.#send({ type: "holder", ...word }, this.#named([before]));
+    }
+
     /** Asks an engine's holder for an adapter; false where the holder is not known. */
     wishAdapter(holder: string, wish: { engine: string; model: string; adapter: string; }): boolean {
         const peer = this.#options.peers.get(holder);
@@ -88,8 +125,12 @@
         }
     }
 
-    #all(): readonly Peer[] {
-        return this.#options.peers.all(this.#options.readClock());
+    #cellMates(): readonly Peer[] {
+        return this.#options.peers.cellMates(this.#options.readClock());
+    }
+
+    #named(hosts: readonly string[]): readonly Peer[] {
+        return hosts.flatMap(host => this.#options.peers.get(host) ?? []);
     }
 
     #send(message: GossipMessage, peers: readonly Peer[]): void {
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -21,6 +21,20 @@
     /** The service answered, or failed to. */
     | { readonly type: "contact"; readonly succeeded: boolean; };
 
+/** One change; without a value the key was removed. */
+export interface StoreChange {
+    readonly key: string;
+    readonly revision: number;
+    readonly value?: string | undefined;
+}
+
+/** All changes behind one revision, up to another. */
+export interface ChangeBatch {
+    readonly afterRevision: number;
+    readonly revision: number;
+    readonly changes: readonly StoreChange[];
+}
+
 /** Options of a mirror. */
 export interface StoreMirrorOptions {
     readonly keyValue: KeyValueService;
@@ -28,20 +42,31 @@
     readonly onEvent: (event: MirrorEvent) => void;
     /** Changes within this time share one answer of the service. */
     readonly gatherMilliseconds: () => number;
+    /** Tells whether this host has to watch; it goes by what others pass on where not. */
+    readonly mustWatch: () => boolean;
+    /** Takes what the watch has brought, to pass it on. */
+    readonly onBatch: (batch: ChangeBatch) => void;
 }
 
 /**
- * A copy of all keys, kept up to date. After a watch that ended it goes on from the last revision, and lists again where
- * the service has lost the changes since.
+ * A copy of all keys, kept up to date by a watch or by changes that other hosts pass on. After a watch that ended it goes
+ * on from the last revision, and lists again where the service has lost the changes since.
  */
 export class StoreMirror {
     readonly #options: StoreMirrorOptions;
     #revision: number | undefined;
     #watch: { close(): Promise<void>; } | undefined;
+    /** True from an answer of the service on, until a watch ends. */
+    #answered = false;
+    /** Changes that the watch has brought and that were not given to `onBatch` yet. */
+    #batch: StoreChange[] = [];
+    #batchAfterRevision = 0;
     #timer: NodeJS.Timeout | undefined;
     #retryMilliseconds = FIRST_RETRY_MILLISECONDS;
     /** The first later revision that the watch has yet to bring. */
     #behind: { readonly revision: number; readonly sinceMilliseconds: number; } | undefined;
+    /** True while the pause after a failure runs. */
+    #retrying = false;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -53,10 +78,51 @@
         return this.#revision;
     }
 
+    /** True while this host watches the service, which answers. */
+    get feeds(): boolean {
+        return this.#watch !== undefined && this.#answered;
+    }
+
     start(): void {
         void this.#list();
     }
 
+    /** Takes changes that another host passes on; some are known already, and those behind a gap wait for a watch. */
+    takeBatch({ afterRevision, changes, revision }: ChangeBatch): void {
+        const known = this.#revision;
+        if (known === undefined || afterRevision > known || revision <= known) {
+            return;
+        }
+        for (const change of changes.filter(each => each.revision > known)) {
+            const { key, value } = change;
+            this.#options.onEvent(
+                value === undefined
+                    ? { type: "removed", key, revision: change.revision }
+                    : { type: "put", entry: { key, value, revision: change.revision } },
+            );
+        }
+        this.#advance(revision);
+    }
+
+    /** Begins or ends the watch, as this host has to watch or not. */
+    adjustWatch(): void {
+        if (this.#revision === undefined || this.#closed) {
+            return;
+        }
+        const watch = this.#watch;
+        const mustWatch = this.#options.mustWatch();
+        if (watch !== undefined && !mustWatch) {
+            this.#options.logger.info("watch left to others of the cell", { revision: this.#revision });
+            this.#watch = undefined;
+            this.#behind = undefined;
+            void watch.close();
+        }
+        else if (watch === undefined && mustWatch && !this.#retrying) {
+            this.#options.logger.info("watch begun", { revision: this.#revision });
+            this.#startWatch();
+        }
+    }
+
     /** Takes word of a revision, of a peer or a call; a watch that stays behind it is on a connection that fell silent. */
     noteLaterRevision(revision: number, nowMilliseconds: number): void {
         if (this.#watch === undefined || revision <= (this.#revision ?? 0)) {
@@ -104,15 +170,18 @@
         }
         this.#retryMilliseconds = FIRST_RETRY_MILLISECONDS;
         this.#revision = listed.value.revision;
+        this.#answered = true;
         this.#options.onEvent({ type: "contact", succeeded: true });
         this.#options.onEvent({ type: "listed", entries: listed.value.entries, revision: listed.value.revision });
         this.#startWatch();
     }
 
     #startWatch(): void {
-        if (this.#closed) {
+        if (this.#closed || this.#watch !== undefined) {
             return;
         }
+        this.#batch = [];
+        this.#batchAfterRevision = this.#revision ?? 0;
         const { gatherMilliseconds, keyValue } = this.#options;
         const fromRevision = (this.#revision ?? 0) + 1;
         this.#watch = keyValue.watch("", event => this.#take(event), { fromRevision, gatherMilliseconds });
@@ -121,20 +190,25 @@
     #take(event: WatchEvent): void {
         switch (event.type) {
             case "put":
+                this.#batch.push({ key: event.entry.key, value: event.entry.value, revision: event.entry.revision });
                 this.#advance(event.entry.revision);
                 this.#options.onEvent({ type: "put", entry: event.entry });
                 break;
             case "delete":
+                this.#batch.push({ key: event.key, revision: event.revision });
                 this.#advance(event.revision);
                 this.#options.onEvent({ type: "removed", key: event.key, revision: event.revision });
                 break;
             case "progress":
                 this.#retryMilliseconds = FIRST_RETRY_MILLISECONDS;
+                this.#answered = true;
                 this.#advance(event.revision);
                 this.#options.onEvent({ type: "contact", succeeded: true });
+                this.#endBatch(event.revision);
                 break;
             case "ended":
                 this.#watch = undefined;
+                this.#answered = false;
                 this.#options.logger.warn("watch ended", {
                     detail: event.message,
                     revision: this.#revision,
@@ -145,7 +219,17 @@
                     return;
                 }
                 this.#options.onEvent({ type: "contact", succeeded: false });
-                this.#later(() => this.#startWatch());
+                this.#later(() => this.adjustWatch());
+        }
+    }
+
+    #endBatch(revision: number): void {
+        const changes = this.#batch;
+        const afterRevision = this.#batchAfterRevision;
+        this.#batch = [];
+        this.#batchAfterRevision = revision;
+        if (changes.length > 0) {
+            this.#options.onBatch({ afterRevision, revision, changes });
         }
     }
 
@@ -157,7 +241,9 @@
     }
 
     #later(step: () => void): void {
+        this.#retrying = true;
         this.#timer = setTimeout(() => {
+            this.#retrying = false;
             if (!this.#closed) {
                 step();
             }
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -25,6 +25,7 @@
         addresses: addressesOf(host),
         configurationVersion: 3,
         storeRevision: 10,
+        feeds: false,
         ready: true,
         leaving: false,
         inFlight: {},
@@ -45,7 +46,7 @@
 }
 
 test("callers are sent to hosts that were heard lately, that are ready and that do not leave", () => {
-    const table = new PeerTable("own");
+    const table = new PeerTable("own", "a");
     ["one", "two", "three", "four"].forEach(host => {
         table.register(registration(host), 0);
         table.hear(digest(host), 0);
@@ -58,33 +59,33 @@
 });
 
 test("a host that hears nobody goes by the records", () => {
-    const table = new PeerTable("own");
+    const table = new PeerTable("own", "a");
     table.register(registration("one"), 0);
     table.hear(digest("one"), 0);
     assert.deepEqual(advertisedHosts(table, 20_000), ["one"]);
-    table.unregister("one");
+    table.unregister("one", 20_000);
     assert.deepEqual(advertisedHosts(table, 20_000), []);
 });
 
 test("a peer without a record is remembered for a while, since the store may have been away", () => {
-    const table = new PeerTable("own");
+    const table = new PeerTable("own", "a");
     table.hear(digest("one"), 0);
     assert.equal(table.all(20_000).length, 1);
     assert.equal(table.all(31_000).length, 0);
 });
 
 test("hosts that may order engines have a record or are heard, and do not leave", () => {
-    const table = new PeerTable("own");
+    const table = new PeerTable("own", "a");
     ["recorded", "heard", "gone", "leaving"].forEach(host => table.hear(digest(host), 0));
     ["recorded", "gone"].forEach(host => table.register(registration(host), 0));
-    table.unregister("gone");
+    table.unregister("gone", 0);
     table.hear(digest("heard"), 20_000);
     table.hear(digest("leaving", { leaving: true }), 20_000);
     assert.deepEqual(table.active(20_000).map(({ host }) => host).sort(), ["heard", "recorded"]);
 });
 
 test("the newest configuration is taken from a peer that was heard", () => {
-    const table = new PeerTable("own");
+    const table = new PeerTable("own", "a");
     table.hear(digest("one", { configurationVersion: 5 }), 0);
     table.hear(digest("two", { configurationVersion: 9 }), 0);
     assert.equal(table.withNewerConfiguration(4, 100)?.host, "two");
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -11,10 +11,16 @@
     adapterWishSchema,
     type EngineNews,
     engineNewsSchema,
+    type FleetSummary,
+    fleetSummarySchema,
+    type HolderWord,
+    holderWordSchema,
     type HostDigest,
     hostDigestSchema,
     type SendNotice,
     sendNoticeSchema,
+    type StoreChanges,
+    storeChangesSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
 
@@ -22,7 +28,15 @@
 const LARGEST_DATAGRAM_BYTES = 48 * 1024;
 
 /** What hosts tell each other. */
-export type GossipMessage = HostDigest | AdapterWish | EngineNews | SendNotice | AdapterUseNotice;
+export type GossipMessage =
+    | HostDigest
+    | FleetSummary
+    | AdapterWish
+    | EngineNews
+    | SendNotice
+    | AdapterUseNotice
+    | HolderWord
+    | StoreChanges;
 
 /** Options of a link. */
 export interface GossipLinkOptions {
@@ -42,10 +56,13 @@
 
 const SCHEMAS = {
     digest: hostDigestSchema,
+    summary: fleetSummarySchema,
     wish: adapterWishSchema,
     news: engineNewsSchema,
     sent: sendNoticeSchema,
     use: adapterUseNoticeSchema,
+    holder: holderWordSchema,
+    changes: storeChangesSchema,
 };
 
 function isMessageType(type: unknown): type is keyof typeof SCHEMAS {
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -8,6 +8,8 @@
  *
  * @module
  */
+export { divideIntoCells, MOST_HOSTS_OF_CELL, type PlacedHost } from "./cells.js";
+export { CellSummaries, type SummarySender } from "./cellSummaries.js";
 export { type GossipLink, type GossipLinkOptions, type GossipMessage, openGossipLink } from "./gossipLink.js";
-export { type AdvertisedHost, type Peer, PeerTable } from "./peerTable.js";
+export { type AdvertisedHost, type FleetDivision, isHeard, type Peer, PeerTable } from "./peerTable.js";
 export { rankAddresses } from "./rankAddresses.js";
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type HostAddresses, type HostDigest, type HostRegistration } from "../generated/gossip.js";
+import { divideIntoCells, type PlacedHost } from "./cells.js";
 
 /** A host that was not heard for this long is not given to callers. */
 const HEARD_MILLISECONDS = 1_600;
@@ -11,6 +12,9 @@
 /** A host that has registered may not have been heard yet for this long. */
 const NEW_MILLISECONDS = 1_600;
 
+/** A host of another cell that was not named among the hosts heard there for this long is not given to callers. */
+const NAMED_MILLISECONDS = 2_400;
+
 /** A host without a record that was not heard for this long is forgotten. */
 const FORGOTTEN_MILLISECONDS = 30_000;
 
@@ -24,8 +28,19 @@
     readonly configurationVersion: number;
     readonly registered: boolean;
     readonly registeredAtMilliseconds: number;
+    /** When its record was last seen to be there, or to be removed. */
+    readonly recordSeenAtMilliseconds: number;
     /** `undefined` where it was never heard. */
     readonly heardAtMilliseconds: number | undefined;
+    /** When the sum of its cell named it last; `undefined` where none did. */
+    readonly namedAtMilliseconds: number | undefined;
+}
+
+/** The fleet as a host sees it: its own cell, and the others. */
+export interface FleetDivision {
+    /** Members in order, this host included. */
+    readonly own: readonly PlacedHost[];
+    readonly others: readonly (readonly PlacedHost[])[];
 }
 
 /** A host to give to callers. */
@@ -40,7 +55,7 @@
  *
  * @example
  * ```ts
- * const peers = new PeerTable("entry-1");
+ * const peers = new PeerTable("entry-1", "zone-a");
  * peers.register(record, now);
  * peers.hear(digest, now);
  * const advertised = peers.advertised(now);
@@ -48,10 +63,13 @@
  */
 export class PeerTable {
     readonly #host: string;
+    readonly #zone: string;
     readonly #peers = new Map<string, Peer>();
+    #division: FleetDivision | undefined;
 
-    constructor(host: string) {
+    constructor(host: string, zone: string) {
         this.#host = host;
+        this.#zone = zone;
     }
 
     register(record: HostRegistration, nowMilliseconds: number): void {
@@ -60,7 +78,7 @@
         }
         const known = this.#peers.get(record.host);
         const moved = known !== undefined && known.addresses.callers !== record.addresses.callers;
-        this.#peers.set(record.host, {
+        this.#keep({
             host: record.host,
             zone: record.zone,
             addresses: record.addresses,
@@ -69,14 +87,16 @@
             configurationVersion: known?.configurationVersion ?? 0,
             registered: true,
             registeredAtMilliseconds: nowMilliseconds,
+            recordSeenAtMilliseconds: nowMilliseconds,
             heardAtMilliseconds: moved ? undefined : known?.heardAtMilliseconds,
+            namedAtMilliseconds: moved ? undefined : known?.namedAtMilliseconds,
         });
     }
 
-    unregister(host: string): void {
+    unregister(host: string, nowMilliseconds: number): void {
         const known = this.#peers.get(host);
         if (known !== undefined) {
-            this.#peers.set(host, { ...known, registered: false });
+            this.#keep({ ...known, registered: false, recordSeenAtMilliseconds: nowMilliseconds });
         }
     }
 
@@ -85,7 +105,7 @@
             return;
         }
         const known = this.#peers.get(digest.host);
-        this.#peers.set(digest.host, {
+        this.#keep({
             host: digest.host,
             zone: digest.zone,
             addresses: digest.addresses,
@@ -94,35 +114,95 @@
             configurationVersion: digest.configurationVersion,
             registered: known?.registered ?? false,
             registeredAtMilliseconds: known?.registeredAtMilliseconds ?? nowMilliseconds,
+            recordSeenAtMilliseconds: known?.recordSeenAtMilliseconds ?? nowMilliseconds,
             heardAtMilliseconds: nowMilliseconds,
+            namedAtMilliseconds: known?.namedAtMilliseconds,
         });
     }
 
+    /** Takes the word of another cell that a host there was heard lately and takes callers. */
+    noteNamed(host: string, nowMilliseconds: number): void {
+        const known = this.#peers.get(host);
+        if (known !== undefined) {
+            this.#peers.set(host, { ...known, ready: true, leaving: false, namedAtMilliseconds: nowMilliseconds });
+        }
+    }
+
     get(host: string): Peer | undefined {
         return this.#peers.get(host);
     }
 
-    /** Gives the hosts to send digests to. */
+    /** Gives all hosts that are known; those without a record are remembered for a while. */
     all(nowMilliseconds: number): Peer[] {
         for (const [host, peer] of this.#peers) {
-            const heardAt = peer.heardAtMilliseconds ?? peer.registeredAtMilliseconds;
-            if (!peer.registered && nowMilliseconds - heardAt > FORGOTTEN_MILLISECONDS) {
+            const seenAt = Math.max(peer.heardAtMilliseconds ?? 0, peer.recordSeenAtMilliseconds);
+            if (!peer.registered && nowMilliseconds - seenAt > FORGOTTEN_MILLISECONDS) {
                 this.#peers.delete(host);
+                this.#division = undefined;
             }
         }
         return [...this.#peers.values()];
     }
 
+    /** Gives the fleet in cells. */
+    division(nowMilliseconds: number): FleetDivision {
+        const peers = this.all(nowMilliseconds);
+        this.#division ??= this.#divide(peers);
+        return this.#division;
+    }
+
+    /** Gives the other hosts of this host's cell, to which it tells everything. */
+    cellMates(nowMilliseconds: number): Peer[] {
+        return this.division(nowMilliseconds).own.flatMap(({ host }) => this.#peers.get(host) ?? []);
+    }
+
+    /** Gives the hosts of this host's cell that are heard and do not leave, in order, this host included. */
+    heardMembers(nowMilliseconds: number): string[] {
+        const heard = this.division(nowMilliseconds).own.filter(({ host }) => {
+            const peer = this.#peers.get(host);
+            return peer === undefined || (isHeard(peer, nowMilliseconds) && !peer.leaving);
+        });
+        return heard.map(({ host }) => host);
+    }
+
+    /** Tells whether this host speaks for its cell: it is the first of those that are heard. */
+    isSpeaker(nowMilliseconds: number): boolean {
+        return this.heardMembers(nowMilliseconds)[0] === this.#host;
+    }
+
+    #divide(peers: readonly PlacedHost[]): FleetDivision {
+        const all = [...peers.map(({ host, zone }) => ({ host, zone })), { host: this.#host, zone: this.#zone }];
+        const cells = divideIntoCells(all);
+        const isOwn = (cell: readonly PlacedHost[]): boolean => cell.some(({ host }) => host === this.#host);
+        return { own: cells.find(isOwn) ?? [], others: cells.filter(cell => !isOwn(cell)) };
+    }
+
+    /** Keeps what is known of a peer; one that is new, or in another zone, moves the cells. */
+    #keep(peer: Peer): void {
+        const known = this.#peers.get(peer.host);
+        if (known?.zone !== peer.zone) {
+            this.#division = undefined;
+        }
+        this.#peers.set(peer.host, peer);
+    }
+
     heard(nowMilliseconds: number): Peer[] {
         return [...this.#peers.values()].filter(peer => isHeard(peer, nowMilliseconds));
     }
 
+    /** Gives the hosts that live, as far as this host hears or is told. */
+    live(nowMilliseconds: number): Peer[] {
+        return [...this.#peers.values()].filter(peer =>
+            isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds)
+        );
+    }
+
     /**
-     * Gives the hosts that may give orders to engines: those that have a record, and those that are heard without one. A
-     * host that leaves gives none.
+     * Gives the hosts of this host's cell that may give orders to engines: those that have a record, and those that are
+     * heard without one. A host that leaves gives none.
      */
     active(nowMilliseconds: number): Peer[] {
-        return [...this.#peers.values()].filter(peer =>
+        return this.cellMates(nowMilliseconds).filter(peer =>
             !peer.leaving && (peer.registered || isHeard(peer, nowMilliseconds))
         );
     }
@@ -133,9 +213,9 @@
      */
     advertised(nowMilliseconds: number): AdvertisedHost[] {
         const open = [...this.#peers.values()].filter(({ ready, leaving }) => ready && !leaving);
-        const heard = open.filter(peer => isHeard(peer, nowMilliseconds));
+        const heard = open.filter(peer => isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds));
         const fresh = open.filter(peer =>
-            peer.registered && peer.heardAtMilliseconds === undefined
+            peer.registered && peer.heardAtMilliseconds === undefined && peer.namedAtMilliseconds === undefined
             && nowMilliseconds - peer.registeredAtMilliseconds < NEW_MILLISECONDS
         );
         const known = heard.length > 0 ? [...heard, ...fresh] : open.filter(({ registered }) => registered);
@@ -150,6 +230,11 @@
     }
 }
 
-function isHeard(peer: Peer, nowMilliseconds: number): boolean {
+/** Tells whether a peer was heard lately. */
+export function isHeard(peer: Peer, nowMilliseconds: number): boolean {
     return peer.heardAtMilliseconds !== undefined && nowMilliseconds - peer.heardAtMilliseconds < HEARD_MILLISECONDS;
 }
+
+function isNamed({ namedAtMilliseconds }: Peer, nowMilliseconds: number): boolean {
+    return namedAtMilliseconds !== undefined && nowMilliseconds - namedAtMilliseconds < NAMED_MILLISECONDS;
+}
