--- a/tests/entryCells.test.ts
+++ b/tests/entryCells.test.ts
@@ -6,7 +6,8 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { divideIntoCells } from "../src/gossip/index.js";
+import { divideIntoCells, openGossipLink } from "../src/gossip/index.js";
+import { findFreePorts } from "../standins/freePorts.js";
 import { askSmall, callHost, EntrySite, ready, type SiteHost, until } from "./support/entrySite.js";
 
 const HOSTS = 20;
@@ -94,6 +95,44 @@
     }
 });
 
+test("a host of another cell that asks for an adapter is told of the engine, also where the adapter is there already", async context => {
+    const holder = hosts.find(host => countLines(host, "engine taken") > 0);
+    assert.ok(holder !== undefined);
+    const inFirstCell = cells()[0]?.includes(holder) === true;
+    const asker = inFirstCell ? "zz-asker" : "aa-asker";
+    const [port = 0] = await findFreePorts(1);
+    const told: string[][] = [];
+    const link = await openGossipLink({
+        address: "127.0.0.1",
+        port,
+        onMessage: message => {
+            if (message.type === "news") {
+                told.push(message.engine.models.flatMap(({ adapters }) => adapters));
+            }
+        },
+        onProblem: () => undefined,
+    });
+    const address = `127.0.0.1:${port}`;
+    site.store.put(`hosts/${asker}`, {
+        host: asker,
+        session: "none",
+        zone: "zone-a",
+        addresses: { callers: address, gossip: address, state: address },
+    });
+    context.after(() => {
+        link.close();
+        site.store.remove(`hosts/${asker}`);
+    });
+    await delay(IN_FORCE_MILLISECONDS);
+    const { gossip } = holder.settings;
+    const wish = { type: "wish", host: asker, engine: "i-engine", model: "quotes", adapter: "a39" } as const;
+    link.send(wish, [`${gossip.address}:${gossip.port}`]);
+    await until(() => told.some(adapters => adapters.includes("a39")));
+    told.length = 0;
+    link.send(wish, [`${gossip.address}:${gossip.port}`]);
+    await until(() => told.some(adapters => adapters.includes("a39")));
+});
+
 test("callers are given hosts of all cells of their zone", async () => {
     const [first] = hosts;
     assert.ok(first !== undefined);
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { openGossipLink } from "../src/gossip/index.js";
+import { findFreePorts } from "../standins/freePorts.js";
 import { type PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
 import { askSmall, callHost, EntrySite, ready, reasonOf, type SiteHost, until } from "./support/entrySite.js";
 
@@ -335,3 +337,28 @@
     assert.ok(new Set(engine.orders.map(({ order }) => order["holder"])).size === 2);
     await stopped;
 });
+
+test("a host that takes an engine over tells the holder before it, which the store may not reach", async context => {
+    const site = await startSite(context);
+    const [port = 0] = await findFreePorts(1);
+    const words: { readonly engine: string; readonly host: string; }[] = [];
+    const link = await openGossipLink({
+        address: "127.0.0.1",
+        port,
+        onMessage: message => {
+            if (message.type === "holder") {
+                words.push({ engine: message.engine, host: message.holder.host });
+            }
+        },
+        onProblem: () => undefined,
+    });
+    context.after(() => link.close());
+    const address = `127.0.0.1:${port}`;
+    const addresses = { callers: address, gossip: address, state: address };
+    site.store.put("hosts/before", { host: "before", session: "restarted", zone: "zone-a", addresses });
+    site.store.put("holders/i-engine", { host: "before", session: "ended", released: false, settled: true });
+    await site.addUpstream({ id: "i-engine", models: { quotes: [], specs: [] } }, "llm");
+    await site.addHost("entry-1");
+    await until(() => words.length > 0);
+    assert.deepEqual(words[0], { engine: "i-engine", host: "entry-1" });
+});
