--- a/src/entry/cellTalk.ts
+++ b/src/entry/cellTalk.ts
@@ -8,7 +8,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type HostGossip } from "./hostGossip.js";
 
-/** A sum of the other cells that is older is not gone by. */
+/** An older sum of the other cells is ignored. */
 const REST_LIFETIME_MILLISECONDS = 2_000;
 
 /** Options of the talk between cells. */
@@ -35,7 +35,7 @@
         this.#options = options;
     }
 
-    /** Takes a digest; one of a host that is in another cell by now is part of that cell's sum. */
+    /** Takes a digest; one of a host that belongs to another cell by now is left to that cell's sum. */
     hearDigest(digest: HostDigest): void {
         const { peers, readClock } = this.#options;
         if (peers.division(readClock()).own.some(({ host }) => host === digest.host)) {
@@ -53,7 +53,7 @@
         }
     }
 
-    /** Tells sums where this host speaks for its cell; called with each digest of its own. */
+    /** Tells sums where this host speaks for its cell; called after each of its own digests. */
     speak(own: HostDigest): void {
         const { gossip, peers, readClock } = this.#options;
         const now = readClock();
--- a/src/entry/fleetPace.ts
+++ b/src/entry/fleetPace.ts
@@ -7,7 +7,7 @@
 /** Shortest time between two digests to the cell; several fit the time for which a silent host counts as heard. */
 const DIGEST_MILLISECONDS = 400;
 
-/** Time for which each host of a cell has one digest, so that what a host hears a second is bounded. */
+/** Part of the time between two digests for each host of the cell, so that what a host hears a second is bounded. */
 const DIGEST_MILLISECONDS_PER_HOST = 45;
 
 /** Changes in the key-value service within this time share one answer. */
--- a/src/entry/storeFeed.ts
+++ b/src/entry/storeFeed.ts
@@ -1,7 +1,7 @@
 /**
  * Whether a host watches the key-value service itself, or goes by what a few hosts of its cell pass on.
  *
- * Every watch is answered at every change. A few watches a cell keep that cost apart from the number of hosts.
+ * Every watch is answered at every change. With a few watches for each cell that cost does not grow with each host.
  *
  * @module
  */
@@ -9,10 +9,10 @@
 /** Hosts of a cell that watch the service for all of it; any one of them is enough. */
 const WATCHERS_OF_CELL = 3;
 
-/** A host that passes changes on, and was not heard for so long, is not counted on. */
+/** A host that passes changes on is relied on for this long after it was heard. */
 const FEED_LIFETIME_MILLISECONDS = 1_000;
 
-/** Changes that were announced by their revision, and did not come for so long, are asked for. */
+/** Changes that a digest has named by their revision should arrive within this time; then the service is asked. */
 const MISSING_MILLISECONDS = 250;
 
 /** What a host of the cell says with its digest. */
--- a/src/gossip/cellSummaries.ts
+++ b/src/gossip/cellSummaries.ts
@@ -18,7 +18,7 @@
 /** Most entries of the other lists. */
 const MOST_TOLD = 256;
 
-/** Name and place of who sends a sum. */
+/** Who sends a sum. */
 export interface SummarySender {
     readonly host: string;
     /** The first host of the sender's cell. */
@@ -98,7 +98,7 @@
 export class CellSummaries {
     readonly #digests = new Map<string, Heard<HostDigest>>();
     readonly #cells = new Map<string, Heard<FleetSummary>>();
-    /** Told once by whom it comes from, and so passed on once. */
+    /** Suspects yet to be passed on: each host tells its own once. */
     readonly #suspectsOfCell: CrashSuspect[] = [];
     readonly #suspectsOfRest: CrashSuspect[] = [];
     /** Sums given so far, of each scope. */
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -12,7 +12,7 @@
 /** A host that has registered may not have been heard yet for this long. */
 const NEW_MILLISECONDS = 1_600;
 
-/** A host of another cell that was not named among the hosts heard there for this long is not given to callers. */
+/** A host of another cell is given to callers for this long after the sum of its cell has named it. */
 const NAMED_MILLISECONDS = 2_400;
 
 /** A host without a record that was not heard for this long is forgotten. */
@@ -28,7 +28,7 @@
     readonly configurationVersion: number;
     readonly registered: boolean;
     readonly registeredAtMilliseconds: number;
-    /** When its record was last seen to be there, or to be removed. */
+    /** When its record was written or removed last. */
     readonly recordSeenAtMilliseconds: number;
     /** `undefined` where it was never heard. */
     readonly heardAtMilliseconds: number | undefined;
