--- a/src/gossip/cellSummaries.test.ts
+++ b/src/gossip/cellSummaries.test.ts
@@ -1,52 +1,25 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { addressesOf, digestOf } from "../../tests/support/digests.js";
 import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
 import { CellSummaries, PeerTable } from "./index.js";
 
 const SENDER = { host: "a1", cell: "a1" };
 
-function digest(host: string, overrides: Partial<HostDigest> = {}): HostDigest {
-    return {
-        type: "digest",
-        host,
-        sequence: 1,
-        heard: {},
-        serviceAnswers: true,
-        holderRevisions: {},
-        zone: "a",
-        addresses: { callers: `${host}:1`, gossip: `${host}:2`, state: `${host}:3` },
-        configurationVersion: 3,
-        storeRevision: 10,
-        feeds: false,
-        ready: true,
-        leaving: false,
-        inFlight: {},
-        unreachable: [],
-        leavingRuns: [],
-        adaptersInUse: {},
-        demand: {},
-        adapterDemand: {},
-        engines: [],
-        relinquished: [],
-        suspects: [],
-        ...overrides,
-    };
-}
-
 /** The sum that another cell's only host tells. */
 function otherCell(host: string, overrides: Partial<HostDigest> = {}): FleetSummary {
-    return new CellSummaries().sumOfCell({ host, cell: host }, digest(host, overrides), 0);
+    return new CellSummaries().sumOfCell({ host, cell: host }, digestOf(host, overrides), 0);
 }
 
 test("a cell's sum joins the latest digests of its hosts, each counted once", () => {
     const summaries = new CellSummaries();
-    summaries.hearDigest(digest("a2", { inFlight: { engine: 7 }, demand: { quotes: 9 } }), 0);
+    summaries.hearDigest(digestOf("a2", { inFlight: { engine: 7 }, demand: { quotes: 9 } }), 0);
     summaries.hearDigest(
-        digest("a2", { inFlight: { engine: 2 }, demand: { quotes: 1.5 }, configurationVersion: 5 }),
+        digestOf("a2", { inFlight: { engine: 2 }, demand: { quotes: 1.5 }, configurationVersion: 5 }),
         400,
     );
-    summaries.hearDigest(digest("a3", { leaving: true, inFlight: { engine: 1 }, storeRevision: 17 }), 400);
-    const own = digest("a1", { inFlight: { engine: 3, other: 1 }, demand: { quotes: 1 } });
+    summaries.hearDigest(digestOf("a3", { leaving: true, inFlight: { engine: 1 }, storeRevision: 17 }), 400);
+    const own = digestOf("a1", { inFlight: { engine: 3, other: 1 }, demand: { quotes: 1 } });
     const sum = summaries.sumOfCell(SENDER, own, 500);
     assert.deepEqual(sum.inFlight, { engine: 6, other: 1 });
     assert.deepEqual(sum.demand, { quotes: 2.5 });
@@ -56,9 +29,9 @@
 
 test("what was not repeated for two seconds counts no longer", () => {
     const summaries = new CellSummaries();
-    summaries.hearDigest(digest("a2", { inFlight: { engine: 2 } }), 0);
+    summaries.hearDigest(digestOf("a2", { inFlight: { engine: 2 } }), 0);
     summaries.hear(otherCell("b1", { inFlight: { engine: 5 } }), 0);
-    assert.deepEqual(summaries.sumOfCell(SENDER, digest("a1"), 2_001).inFlight, {});
+    assert.deepEqual(summaries.sumOfCell(SENDER, digestOf("a1"), 2_001).inFlight, {});
     assert.equal(summaries.sumOfRest(SENDER, 2_001), undefined);
 });
 
@@ -76,9 +49,9 @@
 test("suspects, which each host tells once, are passed on once", () => {
     const summaries = new CellSummaries();
     const suspect = { fingerprint: "f", runs: ["engine/1"] };
-    summaries.hearDigest(digest("a2", { suspects: [suspect] }), 0);
-    assert.deepEqual(summaries.sumOfCell(SENDER, digest("a1"), 100).suspects, [suspect]);
-    assert.deepEqual(summaries.sumOfCell(SENDER, digest("a1"), 500).suspects, []);
+    summaries.hearDigest(digestOf("a2", { suspects: [suspect] }), 0);
+    assert.deepEqual(summaries.sumOfCell(SENDER, digestOf("a1"), 100).suspects, [suspect]);
+    assert.deepEqual(summaries.sumOfCell(SENDER, digestOf("a1"), 500).suspects, []);
     summaries.hear(otherCell("b1", { suspects: [suspect] }), 500);
     assert.deepEqual(summaries.sumOfRest(SENDER, 600)?.suspects, [suspect]);
     assert.deepEqual(summaries.sumOfRest(SENDER, 700)?.suspects, []);
@@ -109,13 +82,13 @@
     const unheard = new Set<string>();
     for (let turn = 0; turn < 3; turn += 1) {
         summaries.receiversOf(cell).forEach(host => unheard.add(host));
-        summaries.sumOfCell(SENDER, digest("a1"), 0);
+        summaries.sumOfCell(SENDER, digestOf("a1"), 0);
     }
     assert.equal(unheard.size, 3, "all are tried while none was heard");
     summaries.hear({ ...otherCell("b2"), cell: "b1" }, 0);
     for (let turn = 0; turn < 3; turn += 1) {
         assert.ok(summaries.receiversOf(cell).includes("b2"));
-        summaries.sumOfCell(SENDER, digest("a1"), 0);
+        summaries.sumOfCell(SENDER, digestOf("a1"), 0);
     }
 });
 
@@ -124,9 +97,9 @@
     const table = new PeerTable("e00", "a");
     for (let index = 1; index < size; index += 1) {
         const host = `e${String(index).padStart(2, "0")}`;
-        table.register({ host, session: "s", zone: "a", addresses: digest(host).addresses }, 0);
+        table.register({ host, session: "s", zone: "a", addresses: addressesOf(host) }, 0);
     }
-    heard.forEach(host => table.hear(digest(host), now));
+    heard.forEach(host => table.hear(digestOf(host), now));
     return table;
 }
 
@@ -136,8 +109,8 @@
     assert.deepEqual(mates, Array.from({ length: 9 }, (_, index) => `e${String(index + 1).padStart(2, "0")}`));
     assert.ok(table.isSpeaker(1_000));
     const second = new PeerTable("e01", "a");
-    second.register({ host: "e00", session: "s", zone: "a", addresses: digest("e00").addresses }, 0);
-    second.hear(digest("e00"), 0);
+    second.register({ host: "e00", session: "s", zone: "a", addresses: addressesOf("e00") }, 0);
+    second.hear(digestOf("e00"), 0);
     assert.ok(!second.isSpeaker(1_000));
     assert.ok(second.isSpeaker(1_700), "once the first has fallen silent");
 });
@@ -147,6 +120,6 @@
     table.noteNamed("e30", 5_000);
     assert.deepEqual(table.advertised(5_000).map(({ host }) => host), ["e01", "e30"]);
     assert.deepEqual(table.live(5_000).map(({ host }) => host), ["e01", "e30"]);
-    table.hear(digest("e01"), 8_000);
+    table.hear(digestOf("e01"), 8_000);
     assert.deepEqual(table.advertised(8_000).map(({ host }) => host), ["e01"]);
 });
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -2,45 +2,14 @@
 import { createSocket } from "node:dgram";
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { type HostDigest, type HostRegistration } from "../generated/gossip.js";
+import { addressesOf, digestOf } from "../../tests/support/digests.js";
+import { type HostRegistration } from "../generated/gossip.js";
 import { type GossipMessage, openGossipLink, PeerTable, rankAddresses } from "./index.js";
 
-function addressesOf(host: string): HostDigest["addresses"] {
-    return { callers: `${host}:1`, gossip: `${host}:2`, state: `${host}:3` };
-}
-
 function registration(host: string, zone = "a"): HostRegistration {
     return { host, session: "s", zone, addresses: addressesOf(host) };
 }
 
-function digest(host: string, overrides: Partial<HostDigest> = {}): HostDigest {
-    return {
-        type: "digest",
-        host,
-        sequence: 1,
-        heard: {},
-        serviceAnswers: true,
-        holderRevisions: {},
-        zone: "a",
-        addresses: addressesOf(host),
-        configurationVersion: 3,
-        storeRevision: 10,
-        feeds: false,
-        ready: true,
-        leaving: false,
-        inFlight: {},
-        unreachable: [],
-        leavingRuns: [],
-        adaptersInUse: {},
-        demand: {},
-        adapterDemand: {},
-        engines: [],
-        relinquished: [],
-        suspects: [],
-        ...overrides,
-    };
-}
-
 function advertisedHosts(table: PeerTable, now: number): string[] {
     return table.advertised(now).map(({ host }) => host).sort();
 }
@@ -49,11 +18,11 @@
     const table = new PeerTable("own", "a");
     ["one", "two", "three", "four"].forEach(host => {
         table.register(registration(host), 0);
-        table.hear(digest(host), 0);
+        table.hear(digestOf(host), 0);
     });
-    table.hear(digest("two", { leaving: true }), 1_000);
-    table.hear(digest("three", { ready: false }), 1_000);
-    table.hear(digest("one"), 1_000);
+    table.hear(digestOf("two", { leaving: true }), 1_000);
+    table.hear(digestOf("three", { ready: false }), 1_000);
+    table.hear(digestOf("one"), 1_000);
     assert.deepEqual(advertisedHosts(table, 1_100), ["four", "one"]);
     assert.deepEqual(advertisedHosts(table, 2_000), ["one"], "one that fell silent is left out before its lease ends");
 });
@@ -61,7 +30,7 @@
 test("a host that hears nobody goes by the records", () => {
     const table = new PeerTable("own", "a");
     table.register(registration("one"), 0);
-    table.hear(digest("one"), 0);
+    table.hear(digestOf("one"), 0);
     assert.deepEqual(advertisedHosts(table, 20_000), ["one"]);
     table.unregister("one", 20_000);
     assert.deepEqual(advertisedHosts(table, 20_000), []);
@@ -69,25 +38,25 @@
 
 test("a peer without a record is remembered for a while, since the store may have been away", () => {
     const table = new PeerTable("own", "a");
-    table.hear(digest("one"), 0);
+    table.hear(digestOf("one"), 0);
     assert.equal(table.all(20_000).length, 1);
     assert.equal(table.all(31_000).length, 0);
 });
 
 test("hosts that may order engines have a record or are heard, and do not leave", () => {
     const table = new PeerTable("own", "a");
-    ["recorded", "heard", "gone", "leaving"].forEach(host => table.hear(digest(host), 0));
+    ["recorded", "heard", "gone", "leaving"].forEach(host => table.hear(digestOf(host), 0));
     ["recorded", "gone"].forEach(host => table.register(registration(host), 0));
     table.unregister("gone", 0);
-    table.hear(digest("heard"), 20_000);
-    table.hear(digest("leaving", { leaving: true }), 20_000);
+    table.hear(digestOf("heard"), 20_000);
+    table.hear(digestOf("leaving", { leaving: true }), 20_000);
     assert.deepEqual(table.active(20_000).map(({ host }) => host).sort(), ["heard", "recorded"]);
 });
 
 test("the newest configuration is taken from a peer that was heard", () => {
     const table = new PeerTable("own", "a");
-    table.hear(digest("one", { configurationVersion: 5 }), 0);
-    table.hear(digest("two", { configurationVersion: 9 }), 0);
+    table.hear(digestOf("one", { configurationVersion: 5 }), 0);
+    table.hear(digestOf("two", { configurationVersion: 9 }), 0);
     assert.equal(table.withNewerConfiguration(4, 100)?.host, "two");
     assert.equal(table.withNewerConfiguration(9, 100), undefined);
     assert.equal(table.withNewerConfiguration(4, 9_000), undefined);
@@ -126,7 +95,7 @@
         onMessage: () => undefined,
         onProblem: problem => problems.push(problem),
     });
-    sender.send(digest("one"), [`127.0.0.1:${port}`]);
+    sender.send(digestOf("one"), [`127.0.0.1:${port}`]);
     sender.send({ type: "wish", host: "one", engine: "e", model: "m", adapter: "a1" }, [`127.0.0.1:${port}`]);
     const raw = createSocket("udp4");
     for (const bytes of ["{", "{\"type\":\"digest\"}", "{\"type\":\"toString\"}", ""]) {
@@ -138,7 +107,7 @@
     assert.deepEqual(received.map(({ type }) => type).sort(), ["digest", "wish"]);
     assert.equal(problems.length, 4);
     sender.send(
-        digest("one", {
+        digestOf("one", {
             inFlight: Object.fromEntries(Array.from({ length: 9_000 }, (_, index) => [`engine-${index}`, 1])),
         }),
         [],
--- /dev/null
+++ b/tests/support/digests.ts
@@ -0,0 +1,40 @@
+/**
+ * Digests of hosts, as tests tell them.
+ *
+ * @module
+ */
+import { type HostDigest } from "../../src/generated/gossip.js";
+
+/** Gives addresses that name their host. */
+export function addressesOf(host: string): HostDigest["addresses"] {
+    return { callers: `${host}:1`, gossip: `${host}:2`, state: `${host}:3` };
+}
+
+/** Gives the digest of a host that is ready, serves nothing and knows nothing special. */
+export function digestOf(host: string, overrides: Partial<HostDigest> = {}): HostDigest {
+    return {
+        type: "digest",
+        host,
+        sequence: 1,
+        heard: {},
+        serviceAnswers: true,
+        holderRevisions: {},
+        zone: "a",
+        addresses: addressesOf(host),
+        configurationVersion: 3,
+        storeRevision: 10,
+        feeds: false,
+        ready: true,
+        leaving: false,
+        inFlight: {},
+        unreachable: [],
+        leavingRuns: [],
+        adaptersInUse: {},
+        demand: {},
+        adapterDemand: {},
+        engines: [],
+        relinquished: [],
+        suspects: [],
+        ...overrides,
+    };
+}
