--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -705,7 +705,7 @@
             addresses: this.#addresses(),
             configurationVersion: this.#table?.version ?? 0,
             storeRevision: this.#mirror.revision ?? 0,
-            feeds: this.#mirror.feeds,
+            feeds: this.#mirror.feeds && this.#contact.reachable,
             ready: this.#isReady(),
             leaving: this.#leaving,
             inFlight: this.#upstreams.loads.allInFlight(),
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -78,7 +78,10 @@
         return this.#revision;
     }
 
-    /** True while this host watches the service, which answers. */
+    /**
+     * True while this host watches, by what its watch has met. A watch that gets no answers waits as a quiet one does, so
+     * that only other calls tell the two apart.
+     */
     get feeds(): boolean {
         return this.#watch !== undefined && this.#answered;
     }
