Look through the whole fleet once a digest, not at each message

`PeerTable.division` listed and looked through all hosts of the fleet each time that a host asked for its cell: at each digest that it heard, each notice, each piece of news. That is the growth with the fleet that cells are there to end. `StoreMirror` kept a flag beside the timer that says the same. Ruled out: caching the members beside the division (a second copy of what `#peers` holds). Change: hosts without a record are forgotten in a step of their own, with each digest that goes out and wherever all hosts are listed, as before; the division is made anew only as hosts come or go, and takes no time. The mirror's timer is unset when it has run. A test's call lost its time argument; its assertion is unchanged. Conclusion: no decision changes.

--- a/src/entry/cellTalk.ts
+++ b/src/entry/cellTalk.ts
@@ -38,7 +38,7 @@
     /** Takes a digest; one of a host that belongs to another cell by now is left to that cell's sum. */
     hearDigest(digest: HostDigest): void {
         const { peers, readClock } = this.#options;
-        if (peers.division(readClock()).own.some(({ host }) => host === digest.host)) {
+        if (peers.division().own.some(({ host }) => host === digest.host)) {
             this.#summaries.hearDigest(digest, readClock());
         }
     }
@@ -57,7 +57,7 @@
     speak(own: HostDigest): void {
         const { gossip, peers, readClock } = this.#options;
         const now = readClock();
-        const { others } = peers.division(now);
+        const { others } = peers.division();
         this.#notePlace();
         if (others.length === 0 || !peers.isSpeaker(now)) {
             return;
@@ -82,7 +82,7 @@
 
     #notePlace(): void {
         const { logger, metrics, peers, readClock } = this.#options;
-        const { others, own } = peers.division(readClock());
+        const { others, own } = peers.division();
         const place = { cell: this.#sender().cell, members: own.length, cells: others.length + 1 };
         const speaks = peers.isSpeaker(readClock());
         metrics.gauge("cells", place.cells);
@@ -95,8 +95,8 @@
     }
 
     #sender(): SummarySender {
-        const { host, peers, readClock } = this.#options;
-        return { host, cell: peers.division(readClock()).own[0]?.host ?? host };
+        const { host, peers } = this.#options;
+        return { host, cell: peers.division().own[0]?.host ?? host };
     }
 
     #takeRest(summary: FleetSummary): void {
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -663,7 +663,7 @@
     }
 
     #scheduleDigest(): void {
-        const cellHosts = this.#peers.division(this.#now()).own.length;
+        const cellHosts = this.#peers.division().own.length;
         this.#digestTimer = setTimeout(() => this.#everyDigest(), digestMilliseconds(cellHosts));
     }
 
@@ -671,6 +671,7 @@
         if (this.#closed) {
             return;
         }
+        this.#peers.forget(this.#now());
         this.#scheduleDigest();
         this.#upstreams.expire();
         this.#adapterUsers.takeAll(this.#settings.host, this.#adapterUse.all(), this.#now());
@@ -682,7 +683,7 @@
 
     /** Holders in other cells do not hear this host's digests, and datagrams at the begin of a use may be lost. */
     #repeatAdapterUse(): void {
-        const mates = new Set(this.#peers.cellMates(this.#now()).map(({ host }) => host));
+        const mates = new Set(this.#peers.cellMates().map(({ host }) => host));
         for (const [engine, adapters] of Object.entries(this.#adapterUse.all())) {
             const holder = this.#duties.holderOf(engine);
             if (holder !== undefined && holder !== this.#settings.host && !mates.has(holder)) {
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -126,7 +126,7 @@
     }
 
     #cellMates(): readonly Peer[] {
-        return this.#options.peers.cellMates(this.#options.readClock());
+        return this.#options.peers.cellMates();
     }
 
     #named(hosts: readonly string[]): readonly Peer[] {
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -61,12 +61,11 @@
     /** Changes that the watch has brought and that were not given to `onBatch` yet. */
     #batch: StoreChange[] = [];
     #batchAfterRevision = 0;
+    /** Set while the pause after a failure runs. */
     #timer: NodeJS.Timeout | undefined;
     #retryMilliseconds = FIRST_RETRY_MILLISECONDS;
     /** The first later revision that the watch has yet to bring. */
     #behind: { readonly revision: number; readonly sinceMilliseconds: number; } | undefined;
-    /** True while the pause after a failure runs. */
-    #retrying = false;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -120,7 +119,7 @@
             this.#behind = undefined;
             void watch.close();
         }
-        else if (watch === undefined && mustWatch && !this.#retrying) {
+        else if (watch === undefined && mustWatch && this.#timer === undefined) {
             this.#options.logger.info("watch begun", { revision: this.#revision });
             this.#startWatch();
         }
@@ -244,9 +243,8 @@
     }
 
     #later(step: () => void): void {
-        this.#retrying = true;
         this.#timer = setTimeout(() => {
-            this.#retrying = false;
+            this.#timer = undefined;
             if (!this.#closed) {
                 step();
             }
--- a/src/gossip/cellSummaries.test.ts
+++ b/src/gossip/cellSummaries.test.ts
@@ -105,7 +105,7 @@
 
 test("a host tells its cell and no other host, and the first that is heard speaks for the cell", () => {
     const table = fleetTable(40, ["e01", "e02"], 1_000);
-    const mates = table.cellMates(1_000).map(({ host }) => host);
+    const mates = table.cellMates().map(({ host }) => host);
     assert.deepEqual(mates, Array.from({ length: 9 }, (_, index) => `e${String(index + 1).padStart(2, "0")}`));
     assert.ok(table.isSpeaker(1_000));
     const second = new PeerTable("e01", "a");
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -134,6 +134,12 @@
 
     /** Gives all hosts that are known; those without a record are remembered for a while. */
     all(nowMilliseconds: number): Peer[] {
+        this.forget(nowMilliseconds);
+        return [...this.#peers.values()];
+    }
+
+    /** Forgets hosts without a record that were not heard for long; it looks at the whole fleet. */
+    forget(nowMilliseconds: number): void {
         for (const [host, peer] of this.#peers) {
             const seenAt = Math.max(peer.heardAtMilliseconds ?? 0, peer.recordSeenAtMilliseconds);
             if (!peer.registered && nowMilliseconds - seenAt > FORGOTTEN_MILLISECONDS) {
@@ -141,24 +147,22 @@
                 this.#division = undefined;
             }
         }
-        return [...this.#peers.values()];
     }
 
-    /** Gives the fleet in cells. */
-    division(nowMilliseconds: number): FleetDivision {
-        const peers = this.all(nowMilliseconds);
-        this.#division ??= this.#divide(peers);
+    /** Gives the fleet in cells, which change only as hosts come and are forgotten. */
+    division(): FleetDivision {
+        this.#division ??= this.#divide([...this.#peers.values()]);
         return this.#division;
     }
 
     /** Gives the other hosts of this host's cell, to which it tells everything. */
-    cellMates(nowMilliseconds: number): Peer[] {
-        return this.division(nowMilliseconds).own.flatMap(({ host }) => this.#peers.get(host) ?? []);
+    cellMates(): Peer[] {
+        return this.division().own.flatMap(({ host }) => this.#peers.get(host) ?? []);
     }
 
     /** Gives the hosts of this host's cell that are heard and do not leave, in order, this host included. */
     heardMembers(nowMilliseconds: number): string[] {
-        const heard = this.division(nowMilliseconds).own.filter(({ host }) => {
+        const heard = this.division().own.filter(({ host }) => {
             const peer = this.#peers.get(host);
             return peer === undefined || (isHeard(peer, nowMilliseconds) && !peer.leaving);
         });
@@ -202,9 +206,7 @@
      * heard without one. A host that leaves gives none.
      */
     active(nowMilliseconds: number): Peer[] {
-        return this.cellMates(nowMilliseconds).filter(peer =>
-            !peer.leaving && (peer.registered || isHeard(peer, nowMilliseconds))
-        );
+        return this.cellMates().filter(peer => !peer.leaving && (peer.registered || isHeard(peer, nowMilliseconds)));
     }
 
     /**
