--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -98,7 +98,7 @@
         " *",
         " * @module",
         " */",
-        "import { z } from \"zod\";",
+        "import * as z from \"zod\";",
         ...[...imports].sort(),
         "",
         ...definitions,
--- a/src/callers/chatRequest.ts
+++ b/src/callers/chatRequest.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { Err, Ok, type Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import { type ChatRequest, chatRequestSchema, type Refusal } from "../generated/callers.js";
 import { type Deployment, type Model, type RequestClass } from "../generated/deployment.js";
 import { type ModelRequest } from "../requests/index.js";
--- a/src/configuration/_schemaProblems.ts
+++ b/src/configuration/_schemaProblems.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type TextDocument, type TextPath } from "./_document.js";
 import { type TextProblem } from "./problems.js";
 
--- a/src/leases/dutyLease.ts
+++ b/src/leases/dutyLease.ts
@@ -5,7 +5,7 @@
  */
 import { match } from "ts-pattern";
 import { type Result } from "ts-results-es";
-import { type z } from "zod";
+import type * as z from "zod";
 import { type RandomSource } from "../decision/index.js";
 import { heldRecordSchema, leaseRecordSchema } from "../generated/platform.js";
 import {
--- a/src/peers/router.ts
+++ b/src/peers/router.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { initTRPC } from "@trpc/server";
-import { z } from "zod";
+import * as z from "zod";
 import {
     type Digest,
     digestSchema,
--- a/src/platform/_gateway.ts
+++ b/src/platform/_gateway.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type KeyValueEntry } from "./types.js";
 
 const revisionSchema = z.union([z.string().regex(/^\d+$/), z.number().int()]).transform(Number);
--- a/src/platform/_http.ts
+++ b/src/platform/_http.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import { type z } from "zod";
+import type * as z from "zod";
 import {
     describeError,
     failedBeforeSending,
--- a/src/platform/hostListClient.ts
+++ b/src/platform/hostListClient.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { createRenewableAgent } from "../transport/index.js";
 import { callPlatform } from "./_http.js";
 import { type HostList } from "./types.js";
--- a/src/trace/trace.ts
+++ b/src/trace/trace.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import { type Decision } from "../decision/index.js";
 
 /** Validates: One message of a trace. */
--- a/src/trace/traces.test.ts
+++ b/src/trace/traces.test.ts
@@ -2,7 +2,7 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { test } from "node:test";
-import { z } from "zod";
+import * as z from "zod";
 import { createSeededRandom } from "../decision/index.js";
 import { hostIdentitySchema } from "../generated/peers.js";
 import { createOrdersDecision } from "../orders/index.js";
--- a/src/upstreams/engineClient.ts
+++ b/src/upstreams/engineClient.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Result } from "ts-results-es";
-import { type z } from "zod";
+import type * as z from "zod";
 import { cacheEventsSchema } from "../generated/upstreams.js";
 import { createRenewableAgent } from "../transport/index.js";
 import { parseAnswer, readReportOn } from "./_answers.js";
