Learn how many unread prompts an engine bears; plan by what reading asks of engines; record that waiting is over

One model took a fifth of all streams on 3 copies, since the plan counted slots only, and reading binds first there. Streams tell part by part instead of at their end. ReadingSpeed learns from first tokens how fast engines read; demand tells how many engines reading would keep busy, and the plan takes the larger of that and of slots. Two figures of a test of the bound changed with its law (2,522 to 2,340: the first fall is larger while the bound may grow quickly); its assertions are as exact as before.

--- a/measurements/placement/enginePlay.ts
+++ b/measurements/placement/enginePlay.ts
@@ -321,6 +321,7 @@
             definition: this.#definition,
             demand: this.#options.demand.total(this.#now),
             adapterDemand: new Map(),
+            readingDemand: new Map(),
             passedOver: new Set(),
         });
         const engine = engines.find(({ id }) => id === move?.engine);
--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -66,6 +66,30 @@
     assert.equal(restarted.fencingNumber("engine", at(100)), undefined, "its process before may have waited still");
 });
 
+test("a holder records that its waiting is over, so that a process that follows it on its host need not wait again", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 0);
+    own.confirm("s1", at(4_400));
+    assert.deepEqual(own.unsettled(at(4_400)), [], "it waits still");
+    assert.deepEqual(own.unsettled(at(4_500)), [{ engine: "engine", expectedRevision: 20, settled: true }]);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 31 }, 4_600);
+    assert.deepEqual(own.unsettled(at(4_600)), []);
+    assert.equal(own.fencingNumber("engine", at(4_600)), 31);
+    const restarted = duties("one", "s3");
+    restarted.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 31 }, 0);
+    assert.deepEqual(restarted.vacant(["engine"], 0), [{ engine: "engine", expectedRevision: 31, settled: true }]);
+    restarted.setHolder("engine", { host: "one", session: "s3", released: false, settled: true, revision: 32 }, 0);
+    assert.equal(restarted.fencingNumber("engine", at(0)), 32);
+});
+
+test("a holder whose session is not confirmed records nothing of its waiting", () => {
+    const own = duties("one", "s1");
+    own.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
+    own.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 0);
+    assert.deepEqual(own.unsettled(at(6_000)), []);
+});
+
 test("a new holder tells the one before it for as long as it waits, and that one stops though the store says nothing", () => {
     const before = duties("two", "s2");
     before.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -36,7 +36,7 @@
     readonly session: string;
     /** True where the holder gave the duty up and has sent its last order. */
     readonly released: boolean;
-    /** True where the holder had nobody to wait for when it took the engine. */
+    /** True where the holder has nobody to wait for, or no longer has. */
     readonly settled: boolean;
 }
 
@@ -294,6 +294,16 @@
             .map(([engine, { revision, settled }]) => ({ engine, expectedRevision: revision, settled }));
     }
 
+    /**
+     * Gives the engines for which this host no longer waits, though their records say that it has to: a process that
+     * follows this one on its host would wait once more.
+     */
+    unsettled(now: ClockReading): readonly Acquisition[] {
+        return this.held()
+            .filter(({ engine, settled }) => !settled && this.fencingNumber(engine, now) !== undefined)
+            .map(acquisition => ({ ...acquisition, settled: true }));
+    }
+
     /** The host that held an engine last goes first, since it need not wait for another to have stopped. */
     #rankFor(engine: string, hosts: readonly string[]): number {
         const last = this.#holders.get(engine);
--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -7,8 +7,9 @@
 /** Work counts half as much after this time. */
 const HALF_LIFE_MILLISECONDS = 1_000;
 
-/** Demand below this is not told, in requests that run at once. */
-const LEAST_DEMAND = 0.02;
+/** Demand below this is not told, in requests that run at once, and in engines that are kept busy. */
+const LEAST_REQUESTS = 0.02;
+const LEAST_ENGINES = 0.002;
 
 /** Time that an engine spends on one token of work, until this host has measured it. */
 const FIRST_MILLISECONDS_PER_WORK = 10;
@@ -16,7 +17,7 @@
 /** Weight of one more measured request. */
 const MEASUREMENT_WEIGHT = 0.05;
 
-const TWO_DIGITS = 100;
+const FOUR_DIGITS = 10_000;
 
 /** Work of a prompt token against that of an output token. */
 const PROMPT_TOKEN_WORK = 0.1;
@@ -67,12 +68,21 @@
 
     /** Gives how many requests of each model would run at once if all were served. */
     concurrency(nowMilliseconds: number): Record<string, number> {
+        return this.#busy(this.#millisecondsPerWork, LEAST_REQUESTS, nowMilliseconds);
+    }
+
+    /** Gives how many engines each model's work would keep busy that do so much of it in a millisecond. */
+    busyEngines(workPerMillisecond: number, nowMilliseconds: number): Record<string, number> {
+        return this.#busy(1 / workPerMillisecond, LEAST_ENGINES, nowMilliseconds);
+    }
+
+    #busy(millisecondsPerWork: number, least: number, nowMilliseconds: number): Record<string, number> {
         const demand: Record<string, number> = {};
         for (const [model, entry] of this.#work) {
             const workPerMillisecond = decay(entry, nowMilliseconds) * Math.LN2 / HALF_LIFE_MILLISECONDS;
-            const concurrent = workPerMillisecond * this.#millisecondsPerWork;
-            if (concurrent >= LEAST_DEMAND) {
-                demand[model] = Math.round(concurrent * TWO_DIGITS) / TWO_DIGITS;
+            const busy = workPerMillisecond * millisecondsPerWork;
+            if (busy >= least) {
+                demand[model] = Math.round(busy * FOUR_DIGITS) / FOUR_DIGITS;
             }
             else {
                 this.#work.delete(model);
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -53,6 +53,8 @@
     readonly demand: () => ReadonlyMap<string, number>;
     /** The part of these that name an adapter. */
     readonly adapterDemand: () => ReadonlyMap<string, number>;
+    /** Engines that reading the prompts of each model's requests would keep busy. */
+    readonly readingDemand: () => ReadonlyMap<string, number>;
     /** Tells whether a request of any host uses an adapter, named with its model. */
     readonly isAdapterUsed: (engine: string, adapter: string) => boolean;
     /** Tells whether several hosts found an engine unreachable a moment ago. */
@@ -228,13 +230,17 @@
         }
     }
 
-    /** Engines are taken only while the service answers; in an outage each try would be a call for nothing. */
+    /**
+     * Takes engines over, and records where waiting for the holder before is over; only while the service answers, since
+     * in an outage each try would be a call for nothing.
+     */
     #takeOver(): void {
         if (!this.#options.serviceAnswers()) {
             return;
         }
-        const engines = this.#engines().filter(({ id }) => this.#options.view.isUsable(id)).map(({ id }) => id);
-        for (const acquisition of this.#options.duties.vacant(engines, this.#now())) {
+        const { duties, readClocks, view } = this.#options;
+        const engines = this.#engines().filter(({ id }) => view.isUsable(id)).map(({ id }) => id);
+        for (const acquisition of [...duties.vacant(engines, this.#now()), ...duties.unsettled(readClocks())]) {
             const { engine } = acquisition;
             if (!this.#acquiring.has(engine)) {
                 this.#acquiring.add(engine);
@@ -330,6 +336,7 @@
     #beginPlanned(service: string, definition: EngineDefinition): void {
         const now = this.#now();
         const demand = this.#options.demand();
+        const readingDemand = this.#options.readingDemand();
         if (demand.size === 0 && now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
             return;
         }
@@ -342,6 +349,7 @@
             definition,
             demand,
             adapterDemand: this.#options.adapterDemand(),
+            readingDemand,
             passedOver: new Set([...follower.passedOver(now), ...unordered]),
         });
         follower.note(move, now);
@@ -358,6 +366,7 @@
                 gain: Math.round(move.gain * 1_000) / 1_000,
                 engines: engines.length,
                 demand: demand.get(move.model),
+                readingDemand: readingDemand.get(move.model),
             });
         }
     }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -371,6 +371,7 @@
             routeTable: () => this.#table,
             demand: () => this.#demand.total("demand", this.#now()),
             adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
+            readingDemand: () => this.#demand.total("readingDemand", this.#now()),
             isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
             isDown: engine => this.#upstreams.isDown(engine),
             tellHolderBefore: ({ before, engine, holder }) => {
@@ -758,6 +759,7 @@
         metrics.gauge("requests_open", this.#forwarder.open);
         metrics.gauge("peers_heard", this.#peers.heard(this.#now()).length);
         metrics.gauge("prompt_bound_tokens", this.#upstreams.backlog.boundTokens);
+        metrics.gauge("read_tokens_per_millisecond", this.#demand.readTokensPerMillisecond ?? 0);
     }
 }
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -15,6 +15,7 @@
     provesNotRun,
     type RepeatDecision,
     returnAfter,
+    StreamPace,
 } from "../forwarding/index.js";
 import { nameAdapter } from "../placement/index.js";
 import { isServerError, isSuccess, judgeHead } from "./_answerHead.js";
@@ -78,7 +79,10 @@
     readonly number: number;
     readonly upstream: UpstreamAnnouncement;
     readonly splitter: EventSplitter;
+    readonly pace: StreamPace;
     readonly pieces: Buffer[];
+    /** What its upstream had to read then, its own prompt included; `undefined` where it may wait for more than that. */
+    firstTokenAfter: { readonly unreadTokens: number; readonly sentAtMilliseconds: number; } | undefined;
     call: UpstreamCall | undefined;
     head: AnswerHead | undefined;
 }
@@ -146,7 +150,7 @@
 
     start(): void {
         const { arrivedAtMilliseconds, response } = this.#request;
-        const { fingerprint, model, service, work } = this.#facts;
+        const { fingerprint, model, promptTokens, service, work } = this.#facts;
         response.on("close", () => this.#callerClosed());
         response.on("drain", () => this.#attempt?.call?.resume());
         this.#deadlineTimer = setTimeout(() => this.#outOfTime(), Math.max(0, this.#remaining()));
@@ -157,7 +161,7 @@
         this.#context.budget.recordRequest(service, arrivedAtMilliseconds);
         if (model !== undefined) {
             const namesAdapter = this.#facts.adapter !== undefined;
-            this.#context.demand.add({ model, namesAdapter, work }, this.#now());
+            this.#context.demand.add({ model, namesAdapter, promptTokens, work }, this.#now());
         }
         if (this.#context.suspects.isRefused(fingerprint)) {
             this.#refuse("crashes-engines");
@@ -304,7 +308,9 @@
             number: this.#sends,
             upstream,
             splitter: new EventSplitter(),
+            pace: new StreamPace(),
             pieces: [],
+            firstTokenAfter: undefined,
             call: undefined,
             head: undefined,
         };
@@ -334,11 +340,16 @@
     }
 
     /** Books the request at its upstream, and tells those who need to know. */
-    #noteSent({ number, upstream }: Attempt): void {
+    #noteSent(attempt: Attempt): void {
+        const { number, upstream } = attempt;
         const { adapterUse, backlog, loads, metrics, prompts } = this.#context;
         const { adapter, model, promptTokens, sharedPrompt } = this.#facts;
         loads.started(upstream.id);
         backlog.sent(upstream.id, promptTokens, this.#now());
+        const unreadTokens = Math.round(backlog.unreadTokens(upstream.id, this.#now()));
+        if (this.#options.loadShare(upstream.id) < BUSY_UPSTREAM_SHARE) {
+            attempt.firstTokenAfter = { unreadTokens, sentAtMilliseconds: this.#now() };
+        }
         metrics.count("attempts", { service: upstream.service });
         if (sharedPrompt !== undefined) {
             prompts.note(upstream.id, sharedPrompt);
@@ -357,7 +368,7 @@
             upstream: upstream.id,
             attempt: number,
             load: loads.estimate(upstream.id, this.#now()),
-            unreadTokens: Math.round(backlog.unreadTokens(upstream.id, this.#now())),
+            unreadTokens,
             boundTokens: backlog.boundTokens,
             configurationVersion: this.#request.configurationVersion,
             remainingMilliseconds: Math.round(this.#remaining()),
@@ -474,7 +485,9 @@
         const readsOn = this.#answer.passEvents(attempt.head, events);
         if (isFirst) {
             this.#noteFirstByte();
+            this.#noteFirstToken(attempt);
         }
+        this.#notePace(attempt);
         if (!readsOn) {
             attempt.call?.pause();
         }
@@ -514,20 +527,30 @@
         this.#context.metrics.observe("first_byte_seconds", waited, { kind: route.kind });
     }
 
-    /** A whole stream tells how long engines take for the work of a request, and how many prompts they bear. */
+    /** The first token of a stream tells how fast engines read. */
+    #noteFirstToken({ firstTokenAfter }: Attempt): void {
+        if (firstTokenAfter !== undefined) {
+            const { sentAtMilliseconds, unreadTokens } = firstTokenAfter;
+            const tookMilliseconds = this.#now() - sentAtMilliseconds;
+            this.#context.demand.noteFirstToken({ unreadTokens, tookMilliseconds });
+        }
+    }
+
+    /** A whole stream tells how long engines take for the work of a request. */
     #noteRun(): void {
-        const { firstByteAtMilliseconds: firstByteAt, longestGapMilliseconds } = this.#answer;
-        if (firstByteAt === undefined || this.#sends !== 1) {
-            return;
+        const firstByteAt = this.#answer.firstByteAtMilliseconds;
+        if (firstByteAt !== undefined && this.#sends === 1) {
+            this.#context.demand.noteRun(this.#facts.work, this.#now() - firstByteAt);
         }
-        this.#context.demand.noteRun(this.#facts.work, this.#now() - firstByteAt);
+    }
+
+    /** Pauses of a stream tell how many prompts its engine bears. */
+    #notePace({ pace, upstream }: Attempt): void {
+        const now = this.#now();
+        const part = pace.noteEvents(now);
         const acceptedPauseMilliseconds = this.#request.route.targetGapMilliseconds;
-        if (this.#lastUpstream !== undefined && acceptedPauseMilliseconds !== undefined) {
-            this.#context.backlog.noteStream(this.#lastUpstream, {
-                startedAtMilliseconds: firstByteAt,
-                longestPauseMilliseconds: longestGapMilliseconds,
-                acceptedPauseMilliseconds,
-            }, this.#now());
+        if (part !== undefined && acceptedPauseMilliseconds !== undefined) {
+            this.#context.backlog.noteStream(upstream.id, { ...part, acceptedPauseMilliseconds }, now);
         }
     }
 
--- a/src/entry/siteDemand.test.ts
+++ b/src/entry/siteDemand.test.ts
@@ -4,20 +4,20 @@
 
 test("the site's demand is this host's and what peers told within two seconds", () => {
     const demand = new SiteDemand();
-    demand.add({ model: "quotes", namesAdapter: true, work: 1_000 }, 0);
+    demand.add({ model: "quotes", namesAdapter: true, work: 1_000, promptTokens: 700 }, 0);
     const own = demand.own(0).demand["quotes"] ?? 0;
     assert.ok(own > 0);
-    demand.takePeer("two", { demand: { quotes: 2, specs: 1 }, adapterDemand: {} }, 0);
-    demand.takePeer("three", { demand: { quotes: 3 }, adapterDemand: { quotes: 1 } }, 0);
+    demand.takePeer("two", { demand: { quotes: 2, specs: 1 }, adapterDemand: {}, readingDemand: {} }, 0);
+    demand.takePeer("three", { demand: { quotes: 3 }, adapterDemand: { quotes: 1 }, readingDemand: {} }, 0);
     assert.deepEqual(demand.total("demand", 0), new Map([["quotes", own + 5], ["specs", 1]]));
     assert.deepEqual(demand.total("adapterDemand", 0), new Map([["quotes", own + 1]]));
-    demand.takePeer("two", { demand: { quotes: 4 }, adapterDemand: {} }, 1_500);
+    demand.takePeer("two", { demand: { quotes: 4 }, adapterDemand: {}, readingDemand: {} }, 1_500);
     const later = demand.own(2_000).demand["quotes"] ?? 0;
     assert.deepEqual(demand.total("demand", 2_000), new Map([["quotes", later + 4]]));
 });
 
 test("requests without an adapter are no demand for adapters", () => {
     const demand = new SiteDemand();
-    demand.add({ model: "quotes", namesAdapter: false, work: 1_000 }, 0);
+    demand.add({ model: "quotes", namesAdapter: false, work: 1_000, promptTokens: 700 }, 0);
     assert.deepEqual(demand.own(0).adapterDemand, {});
 });
--- a/src/entry/siteDemand.ts
+++ b/src/entry/siteDemand.ts
@@ -3,20 +3,25 @@
  *
  * @module
  */
+import { type FirstToken, ReadingSpeed } from "../forwarding/index.js";
 import { type HostDigest } from "../generated/gossip.js";
 import { DemandMeter } from "./demandMeter.js";
 
 /** Demand that a peer told counts for this long. */
 const PEER_DEMAND_MILLISECONDS = 2_000;
 
-/** Demand by model, in requests that would run at once: of all requests, and of those that name an adapter. */
-export type ToldDemand = Pick<HostDigest, "demand" | "adapterDemand">;
+/**
+ * Demand by model: in requests that would run at once, of all requests and of those that name an adapter; and in engines
+ * that reading their prompts would keep busy.
+ */
+export type ToldDemand = Pick<HostDigest, "demand" | "adapterDemand" | "readingDemand">;
 
 /** A request as demand counts it. */
 export interface DemandedWork {
     readonly model: string;
     readonly namesAdapter: boolean;
     readonly work: number;
+    readonly promptTokens: number;
 }
 
 /**
@@ -31,38 +36,50 @@
  * ```
  */
 export class SiteDemand {
-    readonly #own = { demand: new DemandMeter(), adapterDemand: new DemandMeter() };
+    readonly #requests = new DemandMeter();
+    readonly #adapterRequests = new DemandMeter();
+    readonly #prompts = new DemandMeter();
+    readonly #readingSpeed = new ReadingSpeed();
     readonly #peers = new Map<string, ToldDemand & { readonly atMilliseconds: number; }>();
 
     /** Takes a request of a caller of this host. */
-    add({ model, namesAdapter, work }: DemandedWork, nowMilliseconds: number): void {
-        this.#own.demand.add(model, work, nowMilliseconds);
+    add({ model, namesAdapter, promptTokens, work }: DemandedWork, nowMilliseconds: number): void {
+        this.#requests.add(model, work, nowMilliseconds);
+        this.#prompts.add(model, promptTokens, nowMilliseconds);
         if (namesAdapter) {
-            this.#own.adapterDemand.add(model, work, nowMilliseconds);
+            this.#adapterRequests.add(model, work, nowMilliseconds);
         }
     }
 
     /** Takes how long an engine ran a request. */
     noteRun(work: number, tookMilliseconds: number): void {
-        this.#own.demand.noteRun(work, tookMilliseconds);
-        this.#own.adapterDemand.noteRun(work, tookMilliseconds);
+        this.#requests.noteRun(work, tookMilliseconds);
+        this.#adapterRequests.noteRun(work, tookMilliseconds);
+    }
+
+    /** Takes a first token, which tells how fast engines read. */
+    noteFirstToken(firstToken: FirstToken): void {
+        this.#readingSpeed.note(firstToken);
     }
 
-    takePeer(host: string, { adapterDemand, demand }: ToldDemand, nowMilliseconds: number): void {
-        this.#peers.set(host, { adapterDemand, demand, atMilliseconds: nowMilliseconds });
+    takePeer(host: string, told: ToldDemand, nowMilliseconds: number): void {
+        const { adapterDemand, demand, readingDemand } = told;
+        this.#peers.set(host, { adapterDemand, demand, readingDemand, atMilliseconds: nowMilliseconds });
     }
 
     /** What this host tells its peers. */
     own(nowMilliseconds: number): ToldDemand {
+        const speed = this.#readingSpeed.tokensPerMillisecond;
         return {
-            demand: this.#own.demand.concurrency(nowMilliseconds),
-            adapterDemand: this.#own.adapterDemand.concurrency(nowMilliseconds),
+            demand: this.#requests.concurrency(nowMilliseconds),
+            adapterDemand: this.#adapterRequests.concurrency(nowMilliseconds),
+            readingDemand: speed === undefined ? {} : this.#prompts.busyEngines(speed, nowMilliseconds),
         };
     }
 
     /** Gives the demand of all hosts by model. */
     total(part: keyof ToldDemand, nowMilliseconds: number): ReadonlyMap<string, number> {
-        const total = new Map(Object.entries(this.#own[part].concurrency(nowMilliseconds)));
+        const total = new Map(Object.entries(this.own(nowMilliseconds)[part]));
         for (const { atMilliseconds, [part]: demand } of this.#peers.values()) {
             if (nowMilliseconds - atMilliseconds < PEER_DEMAND_MILLISECONDS) {
                 Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
@@ -70,4 +87,9 @@
         }
         return total;
     }
+
+    /** Tokens that an engine reads in a millisecond beside its streams; `undefined` while too little is known. */
+    get readTokensPerMillisecond(): number | undefined {
+        return this.#readingSpeed.tokensPerMillisecond;
+    }
 }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -17,8 +17,10 @@
 export { DownReports } from "./downReports.js";
 export { EventSplitter, type WholeEvents } from "./eventSplitter.js";
 export { longestWait, returnAfter } from "./patience.js";
-export { type EndedStream, PromptBacklog } from "./promptBacklog.js";
+export { type ObservedPart, PromptBacklog } from "./promptBacklog.js";
+export { type ObservedPause, PromptBound } from "./promptBound.js";
 export { lastSharedPart, PromptMemory } from "./promptMemory.js";
+export { type FirstToken, ReadingSpeed } from "./readingSpeed.js";
 export {
     type AttemptSituation,
     decideAfterAttempt,
@@ -27,6 +29,7 @@
     type RepeatDecision,
 } from "./repeatDecision.js";
 export { type RetryBound, SharedRetryBudget } from "./sharedRetryBudget.js";
+export { StreamPace, type StreamPart } from "./streamPace.js";
 export { type AttemptFailure, provesNotRun, type WantedModel } from "./types.js";
 export { UpstreamHealth } from "./upstreamHealth.js";
 export { type ReportedLoad, UpstreamLoads } from "./upstreamLoads.js";
--- a/src/forwarding/promptBacklog.test.ts
+++ b/src/forwarding/promptBacklog.test.ts
@@ -155,9 +155,9 @@
     backlog.noteStream("engine", { ...stream, longestPauseMilliseconds: 900 }, 600);
     assert.equal(backlog.boundTokens, 2_600);
     backlog.noteStream("engine", stream, 700);
-    assert.equal(backlog.boundTokens, 2_522);
+    assert.equal(backlog.boundTokens, 2_340);
     backlog.noteStream("engine", stream, 800);
-    assert.equal(backlog.boundTokens, 2_522, "the same pause");
+    assert.equal(backlog.boundTokens, 2_340, "the same pause");
 });
 
 test("a prompt that finds the engine idle is sent at once, however long, and the next one once it is nearly read", () => {
--- a/src/forwarding/promptBacklog.ts
+++ b/src/forwarding/promptBacklog.ts
@@ -9,30 +9,15 @@
  */
 
 import { type RandomSource } from "../decision/index.js";
+import { PromptBound } from "./promptBound.js";
+import { type StreamPart } from "./streamPace.js";
 
 /** Tokens that were sent count half as much after this time, in which an engine has read many of them. */
 const HALF_LIFE_MILLISECONDS = 60;
 
-/** Streams pause too long beside more unread tokens than this, until pauses have told otherwise. */
-const FIRST_BOUND_TOKENS = 2_600;
-
-/** Between these the bound follows what streams tell. */
-const LEAST_BOUND_TOKENS = 1_300;
-const MOST_BOUND_TOKENS = 10_400;
-
-/** Changes of the bound by streams that paused too long, and by one that did not; it settles within minutes. */
-const LOWER_FACTOR = 0.97;
-const RAISE_FACTOR = 1.0005;
-
-/** Streams that paused too long within this time did so at once, and lower the bound once. */
-const SAME_PAUSE_MILLISECONDS = 400;
-
 /** From this share of the bound on, unread prompts are what streams pause for. */
 const BINDING_SHARE = 0.5;
 
-/** A stream that paused for this many times what callers accept did so for another cause. */
-const OTHER_CAUSE_FACTOR = 4;
-
 /** From fewer unread tokens than this on, a prompt is sent however long it is. */
 const FEW_UNREAD_TOKENS = 100;
 
@@ -52,10 +37,8 @@
     boundAtMilliseconds: number;
 }
 
-/** A stream that one engine ran from its begin to its end. */
-export interface EndedStream {
-    readonly startedAtMilliseconds: number;
-    readonly longestPauseMilliseconds: number;
+/** A part of a stream that one engine ran. */
+export interface ObservedPart extends StreamPart {
     /** Longest pause that its callers accept. */
     readonly acceptedPauseMilliseconds: number;
 }
@@ -82,8 +65,7 @@
 export class PromptBacklog {
     readonly #random: RandomSource;
     readonly #backlogs = new Map<string, Backlog>();
-    #boundTokens = FIRST_BOUND_TOKENS;
-    #loweredAtMilliseconds = Number.NEGATIVE_INFINITY;
+    readonly #bound = new PromptBound();
 
     constructor(random: RandomSource) {
         this.#random = random;
@@ -103,26 +85,13 @@
 
     /** Unread tokens up to which engines are sent prompts. */
     get boundTokens(): number {
-        return Math.round(this.#boundTokens);
+        return Math.round(this.#bound.tokens);
     }
 
-    /**
-     * Takes how a stream went. Engines read at speeds that nobody tells; the bound rises while streams beside many unread
-     * prompts pause for less than their callers accept, and falls where they pause for longer.
-     */
-    noteStream(engine: string, stream: EndedStream, nowMilliseconds: number): void {
-        const { acceptedPauseMilliseconds, longestPauseMilliseconds, startedAtMilliseconds } = stream;
-        const boundAt = this.#weighed(engine, nowMilliseconds).boundAtMilliseconds;
-        const hasOtherCause = longestPauseMilliseconds > acceptedPauseMilliseconds * OTHER_CAUSE_FACTOR;
-        if (boundAt < startedAtMilliseconds || hasOtherCause) {
-            return;
-        }
-        if (longestPauseMilliseconds <= acceptedPauseMilliseconds) {
-            this.#boundTokens = Math.min(MOST_BOUND_TOKENS, this.#boundTokens * RAISE_FACTOR);
-        }
-        else if (nowMilliseconds - this.#loweredAtMilliseconds >= SAME_PAUSE_MILLISECONDS) {
-            this.#loweredAtMilliseconds = nowMilliseconds;
-            this.#boundTokens = Math.max(LEAST_BOUND_TOKENS, this.#boundTokens * LOWER_FACTOR);
+    /** Takes a part of a stream; what ran beside few unread prompts tells nothing of how many an engine bears. */
+    noteStream(engine: string, part: ObservedPart, nowMilliseconds: number): void {
+        if (this.#weighed(engine, nowMilliseconds).boundAtMilliseconds >= part.startedAtMilliseconds) {
+            this.#bound.note(part, nowMilliseconds);
         }
     }
 
@@ -138,8 +107,8 @@
      */
     takes(engine: string, { hostCount, promptTokens, waits }: PromptToSend, nowMilliseconds: number): boolean {
         const { draw, unreadTokens, windowTokens } = this.#weighed(engine, nowMilliseconds);
-        const room = this.#boundTokens - unreadTokens;
-        const tokens = Math.min(promptTokens, this.#boundTokens);
+        const room = this.#bound.tokens - unreadTokens;
+        const tokens = Math.min(promptTokens, this.#bound.tokens);
         if (unreadTokens > FEW_UNREAD_TOKENS && tokens > room) {
             return false;
         }
@@ -153,7 +122,7 @@
 
     #add(backlog: Backlog, promptTokens: number, nowMilliseconds: number): void {
         backlog.unreadTokens += promptTokens;
-        if (backlog.unreadTokens > this.#boundTokens * BINDING_SHARE) {
+        if (backlog.unreadTokens > this.#bound.tokens * BINDING_SHARE) {
             backlog.boundAtMilliseconds = nowMilliseconds;
         }
     }
--- a/src/gossip/cellSummaries.ts
+++ b/src/gossip/cellSummaries.ts
@@ -161,6 +161,7 @@
             leavingRuns: parts.flatMap(({ leavingRuns }) => leavingRuns).slice(0, MOST_TOLD),
             demand: addUp(parts.map(({ demand }) => demand)),
             adapterDemand: addUp(parts.map(({ adapterDemand }) => adapterDemand)),
+            readingDemand: addUp(parts.map(({ readingDemand }) => readingDemand)),
             engines: partOf(latestMemories(parts), this.#turns[scope]),
             relinquished: parts.flatMap(({ relinquished }) => relinquished).slice(0, MOST_TOLD),
             suspects: suspects.slice(-MOST_TOLD),
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -36,6 +36,7 @@
     cell_hosts: { help: "Hosts of this host's cell." },
     peers_heard: { help: "Hosts heard in the last seconds." },
     prompt_bound_tokens: { help: "Unread prompt tokens up to which an engine is sent another prompt." },
+    read_tokens_per_millisecond: { help: "Prompt tokens that an engine reads in a millisecond; 0 while not known." },
 } as const;
 
 const HISTOGRAMS = {
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -43,6 +43,7 @@
         definition: DEFINITION,
         demand: new Map(Object.entries(demand)),
         adapterDemand: new Map(),
+        readingDemand: new Map(),
         passedOver: new Set(),
     };
 }
@@ -131,6 +132,18 @@
     assert.equal(planWeights({ ...quiet, adapterDemand: new Map([["hot", 5]]) })?.model, "hot");
 });
 
+test("a model whose prompts keep its engine busy with reading gets a further copy, though few slots are taken", () => {
+    const engines = [
+        engine("a", ["hot"]),
+        engine("b", ["warm"]),
+        engine("c", ["cold", "rare"]),
+        engine("d", ["small"]),
+    ];
+    const quiet = situation(engines, { hot: 12, warm: 12, cold: 1, rare: 1, small: 1 });
+    assert.equal(planWeights({ ...quiet, readingDemand: new Map([["hot", 0.15], ["warm", 0.1]]) }), undefined);
+    assert.equal(planWeights({ ...quiet, readingDemand: new Map([["hot", 0.8], ["warm", 0.1]]) })?.model, "hot");
+});
+
 test("copies that nobody asks for make room on several engines at once, busy ones on one after the other", () => {
     const loading = engine("a", ["warm"], { loading: "hot" });
     const idle = [engine("b", ["cold", "rare"]), engine("c", ["cold", "warm"]), engine("d", ["cold", "small"])];
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -66,6 +66,8 @@
     readonly demand: ReadonlyMap<string, number>;
     /** The part of these that name an adapter. */
     readonly adapterDemand: ReadonlyMap<string, number>;
+    /** Engines that reading the prompts of each model's requests would keep busy. */
+    readonly readingDemand: ReadonlyMap<string, number>;
     /** Engines that should take no step now, though their models count. */
     readonly passedOver: ReadonlySet<string>;
 }
@@ -112,11 +114,14 @@
 
 /** Before there is traffic, the copies that engines began with tell what is asked for. */
 function loadOf(situation: WeightSituation, placement: Placement): Map<string, number> {
-    const { adapterDemand, demand, definition: { adapterSlots, slots } } = situation;
+    const { adapterDemand, demand, definition: { adapterSlots, slots }, readingDemand } = situation;
     if (demand.size > 0) {
         const adapterLoad = (model: string): number =>
             FULL_ADAPTER_SLOTS_LOAD * (adapterDemand.get(model) ?? 0) / Math.max(1, adapterSlots);
-        return new Map([...demand].map(([model, requests]) => [model, Math.max(requests / slots, adapterLoad(model))]));
+        return new Map([...demand].map(([model, requests]) => {
+            const readingLoad = readingDemand.get(model) ?? 0;
+            return [model, Math.max(requests / slots, adapterLoad(model), readingLoad)];
+        }));
     }
     const load = new Map<string, number>();
     for (const models of placement.values()) {
--- a/tests/support/digests.ts
+++ b/tests/support/digests.ts
@@ -32,6 +32,7 @@
         adaptersInUse: {},
         demand: {},
         adapterDemand: {},
+        readingDemand: {},
         engines: [],
         relinquished: [],
         suspects: [],
