--- /dev/null
+++ b/measurements/ablation.ts
@@ -0,0 +1,95 @@
+/**
+ * Copies the sources with one mechanism switched off, so that days can be played without it.
+ *
+ * Run with `npx tsx measurements/ablation.ts MECHANISM FOLDER`; without arguments it lists the mechanisms. Nothing in the
+ * product knows of these switches: each is a change of its source text, and one that no longer fits is an error.
+ *
+ * @module
+ */
+import { cpSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+
+const COPIED = ["platform", "src", "schema", "deploy", "package.json", "package-lock.json", "tsconfig.json"];
+
+/** A change of one source file. */
+interface Change {
+    readonly file: string;
+    readonly from: string;
+    readonly to: string;
+}
+
+const MECHANISMS: Readonly<Record<string, readonly Change[]>> = {
+    "prompt-bound": [{
+        file: "src/entry/_upstreamOptions.ts",
+        from: "takesPrompt: !batches || backlog.takes(upstream.id, prompt, now)",
+        to: "takesPrompt: prompt.hostCount > 0",
+    }],
+    "quick-bound": [{
+        file: "src/forwarding/promptBound.ts",
+        from: "const QUICK_FACTOR = 1.03;",
+        to: "const QUICK_FACTOR = 1.0004;",
+    }],
+    "reading-demand": [{
+        file: "src/placement/planWeights.ts",
+        from: "const readingLoad = readingDemand.get(model) ?? 0;",
+        to: "const readingLoad = (readingDemand.get(model) ?? 0) * 0;",
+    }],
+    "moves-together": [{
+        file: "src/placement/planWeights.ts",
+        from: "return together.chosen.map(move => describeMove(fleet, move));",
+        to: "return together.chosen.slice(0, 1).map(move => describeMove(fleet, move));",
+    }],
+    "prompt-memory": [{
+        file: "src/forwarding/chooseUpstream.ts",
+        from: "const KNOWN_PROMPT_SHARE = 0.05;",
+        to: "const KNOWN_PROMPT_SHARE = 0;",
+    }],
+    "zone-preference": [{
+        file: "src/forwarding/chooseUpstream.ts",
+        from: "const OTHER_ZONE_SHARE = 0.12;",
+        to: "const OTHER_ZONE_SHARE = 0;",
+    }],
+    "health": [{
+        file: "src/forwarding/upstreamHealth.ts",
+        from: "return health.failures >= FEWEST_FAILURES && share >= AVOIDED_FAILURE_SHARE;",
+        to: "return health.failures < 0 && share >= AVOIDED_FAILURE_SHARE;",
+    }],
+    "further-adapter-copies": [{
+        file: "src/entry/exchange.ts",
+        from: "this.#options.wishFurtherCopy(chosen.id);",
+        to: "",
+    }],
+    "plan-horizon": [{
+        file: "src/placement/planWeights.ts",
+        from: "const HORIZON_MILLISECONDS = 12_000;",
+        to: "const HORIZON_MILLISECONDS = Number.POSITIVE_INFINITY;",
+    }],
+    "silence-watch": [{
+        file: "src/entry/exchange.ts",
+        from: "if (!mayRunAgain(route.kind, route.resumable)) {\n            return;",
+        to: "if (route.priority >= 0 || !mayRunAgain(route.kind, route.resumable)) {\n            return;",
+    }],
+};
+
+function copyWithout(mechanism: string, changes: readonly Change[], folder: string): void {
+    COPIED.forEach(name => cpSync(name, join(folder, name), { recursive: true }));
+    for (const { file, from, to } of changes) {
+        const path = join(folder, file);
+        const text = readFileSync(path, "utf8");
+        if (!text.includes(from)) {
+            throw new Error(`${mechanism}: ${file} has no "${from}"`);
+        }
+        writeFileSync(path, text.replace(from, to));
+    }
+}
+
+const [mechanism, folder] = process.argv.slice(2);
+const changes = MECHANISMS[mechanism ?? ""];
+if (mechanism === undefined || folder === undefined || changes === undefined) {
+    console.log(`usage: npx tsx measurements/ablation.ts MECHANISM FOLDER\n${Object.keys(MECHANISMS).join("\n")}`);
+    process.exitCode = mechanism === undefined ? 0 : 1;
+}
+else {
+    copyWithout(mechanism, changes, folder);
+    console.log(`${folder}: the sources without ${mechanism}`);
+}
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -5,6 +5,7 @@
 import { type EngineDefinition } from "../routes/index.js";
 import {
     PlanFollower,
+    planMoves,
     type PlannedEngine,
     planWeights,
     rankAdapterHomes,
@@ -83,9 +84,9 @@
     const follower = new PlanFollower();
     const plan = (now: number): string | undefined => {
         const passedOver = follower.passedOver(now);
-        const step = planWeights({ ...situation(engines, { hot: 60, warm: 5 }), passedOver });
-        follower.note(step, now);
-        return step?.engine;
+        const moves = planMoves({ ...situation(engines, { hot: 60, warm: 5 }), passedOver });
+        follower.note(moves, now);
+        return moves[0]?.engine;
     };
     const first = plan(0);
     assert.equal(plan(500), first);
@@ -197,6 +198,64 @@
     assert.deepEqual([move?.model, move?.dropped], ["cold", ["small"]]);
 });
 
+test("models without a copy are loaded on several engines at once, as many as the weight store hands out at full speed", () => {
+    const engines = Array.from({ length: 8 }, (_, index) => engine(`engine-${index}`, index < 3 ? ["hot"] : []));
+    const demand = { hot: 60, warm: 40, cold: 30, rare: 30, small: 20 };
+    const fast = { ...situation(engines, demand), definition: { ...DEFINITION, loadsPerSecond: 2 } };
+    const moves = planMoves(fast);
+    assert.deepEqual(moves.map(({ model }) => model).sort(), ["cold", "rare", "small", "warm"]);
+    assert.equal(new Set(moves.map(({ engine }) => engine)).size, moves.length);
+    const slow = { ...fast, definition: { ...DEFINITION, loadsPerSecond: 0.4 } };
+    assert.equal(planMoves(slow).length, 2, "5 s a load at 0.4 loads a second");
+    const atHand = engines.map(each => ({ ...each, atHand: ["warm", "cold", "rare", "small"] }));
+    assert.ok(planMoves({ ...slow, engines: atHand }).length >= 4, "weights at hand need no store");
+    const loading = engines.map((each, index) => index < 2 ? { ...each, loading: "warm" } : each);
+    assert.deepEqual(planMoves({ ...slow, engines: loading }), [], "two loads are under way");
+});
+
+test("moves that begin together change no engine and no model twice, whatever is held and asked for", () => {
+    const names = Object.keys(SIZES);
+    const placements = fc.array(fc.subarray(names, { maxLength: 2 }), { minLength: 2, maxLength: 8 });
+    const demands = fc.dictionary(fc.constantFrom(...names), fc.integer({ min: 0, max: 300 }));
+    fc.assert(
+        fc.property(
+            placements,
+            demands,
+            fc.double({ min: 0.2, max: 4, noNaN: true }),
+            (held, demand, loadsPerSecond) => {
+                const engines = held.map((models, index) => engine(`engine-${index}`, models));
+                const definition = { ...DEFINITION, loadsPerSecond };
+                const moves = planMoves({ ...situation(engines, demand), definition });
+                const changed = moves.flatMap(({ dropped, model }) => [model, ...dropped]);
+                assert.equal(new Set(changed).size, changed.length);
+                assert.equal(new Set(moves.map(({ engine: name }) => name)).size, moves.length);
+                assert.deepEqual(planMoves({ ...situation([...engines].reverse(), demand), definition }), moves);
+            },
+        ),
+        { seed: 11, numRuns: 300 },
+    );
+});
+
+test("an engine whose holder does not act holds up no move on others", () => {
+    const engines = Array.from({ length: 8 }, (_, index) => engine(`engine-${index}`, index < 3 ? ["hot"] : []));
+    const fast = { ...situation(engines, { hot: 60, warm: 40, cold: 30, rare: 30 }), definition: DEFINITION };
+    const follower = new PlanFollower();
+    const first = planMoves(fast);
+    follower.note(first, 0);
+    const stuck = first[0];
+    assert.ok(stuck !== undefined && first.length > 2);
+    const begun = engines.map(each => {
+        const move = first.slice(1).find(({ engine: name }) => name === each.id);
+        return move === undefined ? each : { ...each, loading: move.model };
+    });
+    for (let now = 100; now <= 700; now += 200) {
+        follower.note(planMoves({ ...fast, engines: begun, passedOver: follower.passedOver(now) }), now);
+    }
+    const later = planMoves({ ...fast, engines: begun, passedOver: follower.passedOver(800) });
+    assert.ok(later.every(({ engine: name }) => name !== stuck.engine), "it is passed over");
+    assert.ok(later.some(({ model }) => model === stuck.model), "another engine takes the model");
+});
+
 test("no more is dropped than makes room", () => {
     const engines = [
         engine("one", ["cold", "hot"]),
--- a/src/placement/planFollower.ts
+++ b/src/placement/planFollower.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps one stuck engine from holding up the plan for all.
+ * Keeps stuck engines from holding up moves that others could make.
  *
  * @module
  */
@@ -13,31 +13,33 @@
 
 /**
  * Watches whether the moves of a plan are begun. A holder may be slow, cut off or waiting for an answer; the others see
- * only that the move stays the best one.
+ * only that its move stays in the plan.
  *
  * @example
  * ```ts
  * const follower = new PlanFollower();
  * const passedOver = follower.passedOver(now);
- * follower.note(planWeights({ ...situation, passedOver }), now);
+ * follower.note(planMoves({ ...situation, passedOver }), now);
  * ```
  */
 export class PlanFollower {
-    #move: WeightMove | undefined;
-    #sinceMilliseconds = 0;
+    /** The moves of the last plan by engine, and since when each has been in the plan. */
+    #planned = new Map<string, { readonly model: string; readonly sinceMilliseconds: number; }>();
     readonly #passedOver = new Map<string, number>();
 
-    /** Takes the best move as it is now. */
-    note(move: WeightMove | undefined, nowMilliseconds: number): void {
-        const same = move !== undefined && move.engine === this.#move?.engine && move.model === this.#move.model;
-        if (!same) {
-            this.#move = move;
-            this.#sinceMilliseconds = nowMilliseconds;
-            return;
-        }
-        if (nowMilliseconds - this.#sinceMilliseconds >= STUCK_MILLISECONDS) {
-            this.#passedOver.set(move.engine, nowMilliseconds + PASSED_OVER_MILLISECONDS);
-            this.#move = undefined;
+    /** Takes the moves as they are planned now. */
+    note(moves: readonly WeightMove[], nowMilliseconds: number): void {
+        const before = this.#planned;
+        this.#planned = new Map();
+        for (const { engine, model } of moves) {
+            const known = before.get(engine);
+            const sinceMilliseconds = known?.model === model ? known.sinceMilliseconds : nowMilliseconds;
+            if (nowMilliseconds - sinceMilliseconds >= STUCK_MILLISECONDS) {
+                this.#passedOver.set(engine, nowMilliseconds + PASSED_OVER_MILLISECONDS);
+            }
+            else {
+                this.#planned.set(engine, { model, sinceMilliseconds });
+            }
         }
     }
 
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -1,8 +1,8 @@
 /**
  * Plans which weights engines load or drop next.
  *
- * Every holder plans for all engines from the same view, finds the one move that helps most, and begins it where it falls
- * to an engine of its own. Two holders therefore do not load or drop the same model at once.
+ * Every holder plans for all engines from the same view, and begins those moves that fall to engines of its own. Two
+ * holders therefore do not load or drop the same model at once.
  *
  * @module
  */
@@ -48,6 +48,8 @@
 /** Models without a copy that are considered, the most asked for first; busy models never keep them out. */
 const MOST_MISSING_CANDIDATES = 6;
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** One engine, as the plan sees it. */
 export interface PlannedEngine {
     readonly id: string;
@@ -210,55 +212,105 @@
 }
 
 /** Holders add up the same loads in different orders; gains that differ by less are equal. */
-const SAME_GAIN = 1e-9;
+const GAIN_STEP = 1e-9;
 
-/** Equal moves are told apart by a hash, so that all holders choose the same one. */
-function isBetter(move: Candidate, best: Candidate | undefined): boolean {
-    if (best === undefined || Math.abs(move.gain - best.gain) > SAME_GAIN) {
-        return move.gain > (best?.gain ?? 0);
-    }
-    return hashText(`${move.model.name}/${move.engine.id}`) > hashText(`${best.model.name}/${best.engine.id}`);
+/** The best move first; equal moves are told apart by a hash, so that all holders choose the same ones. */
+function compareMoves(left: Candidate, right: Candidate): number {
+    const difference = Math.round((right.gain - left.gain) / GAIN_STEP);
+    return difference === 0 ? hashOf(right) - hashOf(left) : difference;
 }
 
-/** The move that helps most, over all engines. */
-function bestMove(fleet: Fleet): Candidate | undefined {
-    const { engines: all, passedOver } = fleet.situation;
-    const idle = all.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
-    const changing = all.filter(({ loading }) => loading !== undefined).length;
-    const mayDropBusy = changing < Math.max(1, Math.floor(all.length * CHANGING_SHARE));
-    let best: Candidate | undefined;
-    for (const model of candidateModels(fleet)) {
-        for (const engine of idle.filter(({ models }) => !models.includes(model.name))) {
-            const move = bestMoveOn(fleet, engine, model, mayDropBusy);
-            if (move !== undefined && isWorthwhile(move) && isBetter(move, best)) {
-                best = move;
-            }
+function hashOf({ engine, model }: Candidate): number {
+    return hashText(`${model.name}/${engine.id}`);
+}
+
+/** All moves that are worth making, alone. */
+function worthwhileMoves(fleet: Fleet, mayDropBusy: boolean): Candidate[] {
+    const { engines, passedOver } = fleet.situation;
+    const idle = engines.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
+    return candidateModels(fleet).flatMap(model =>
+        idle.flatMap(engine => {
+            const holds = engine.models.includes(model.name);
+            const move = holds ? undefined : bestMoveOn(fleet, engine, model, mayDropBusy);
+            return move !== undefined && isWorthwhile(move) ? [move] : [];
+        })
+    );
+}
+
+/** Loads from the weight store that run at full speed together: what it hands out in the time of one. */
+function mostStoreLoads({ loadsPerSecond, models }: EngineDefinition): number {
+    const total = models.reduce((sum, { storeLoadMilliseconds }) => sum + storeLoadMilliseconds, 0);
+    return Math.max(1, Math.ceil(loadsPerSecond * total / Math.max(1, models.length) / MILLISECONDS_PER_SECOND));
+}
+
+/** Keeps account of what may still begin beside what has begun. */
+class MovesTogether {
+    readonly chosen: Candidate[] = [];
+    readonly #fleet: Fleet;
+    readonly #engines = new Set<string>();
+    readonly #models = new Set<string>();
+    #storeLoadsLeft: number;
+    #busyDropsLeft: number;
+
+    constructor(fleet: Fleet) {
+        this.#fleet = fleet;
+        const { definition, engines } = fleet.situation;
+        const changing = engines.filter(({ loading }) => loading !== undefined);
+        const fromStore = changing.filter(({ atHand, loading }) => !atHand.includes(loading ?? ""));
+        this.#storeLoadsLeft = mostStoreLoads(definition) - fromStore.length;
+        this.#busyDropsLeft = Math.max(1, Math.floor(engines.length * CHANGING_SHARE)) - changing.length;
+    }
+
+    get mayDropBusy(): boolean {
+        return this.#busyDropsLeft > 0;
+    }
+
+    /** Takes a move, unless it bears on what a better one changes, or too many begin already. */
+    offer(move: Candidate): void {
+        const { dropped, engine, model } = move;
+        const models = [model.name, ...dropped];
+        const isFromStore = !engine.atHand.includes(model.name);
+        const dropsBusy = !isIdle(this.#fleet, dropped);
+        const isUrgent = this.#fleet.servingCost.copies(model.name) === 0 && move.gain >= URGENT_GAIN;
+        const bearsOnOther = this.#engines.has(engine.id) || models.some(name => this.#models.has(name));
+        const isTooMuch = (isFromStore && this.#storeLoadsLeft <= 0)
+            || (dropsBusy && !isUrgent && this.#busyDropsLeft <= 0);
+        if (bearsOnOther || isTooMuch) {
+            return;
         }
+        this.chosen.push(move);
+        this.#engines.add(engine.id);
+        models.forEach(name => this.#models.add(name));
+        this.#storeLoadsLeft -= isFromStore ? 1 : 0;
+        this.#busyDropsLeft -= dropsBusy ? 1 : 0;
     }
-    return best;
+}
+
+function describeMove({ cost }: Fleet, { dropped, engine, gain, model }: Candidate): WeightMove {
+    const reason = cost.copies(model.name) > 0 ? "busy-copies" : "no-copy";
+    return { engine: engine.id, model: model.name, dropped, reason, gain };
 }
 
 /**
- * Plans the next move on the weights of all engines, so that load is spread and every model has a copy.
+ * Plans the next moves on the weights of all engines, so that load is spread and every model has a copy. They can begin
+ * together: no two change the same engine or copies of the same model, and the weight store hands them out at full speed.
  *
  * A last copy is dropped only where that relieves engines of much more than the model's absence costs.
  *
  * @param situation All engines, what they hold, and the demand.
  * @param horizonMilliseconds How far ahead moves are judged: the shorter, the more it counts that weights are at hand.
- * @returns The move and its engine; `undefined` where all should stay as it is.
+ * @returns The moves, the best first; none where all should stay as it is.
  *
  * @example
  * ```ts
- * const move = planWeights({ engines, definition, demand, passedOver: new Set() });
- * if (move?.engine === "engine-3") {
- *     keeper.begin(move, now);
- * }
+ * const moves = planMoves({ engines, definition, demand, adapterDemand, readingDemand, passedOver: new Set() });
+ * moves.filter(({ engine }) => engine === "engine-3").forEach(move => keeper.begin(move, now));
  * ```
  */
-export function planWeights(
+export function planMoves(
     situation: WeightSituation,
     horizonMilliseconds: number = HORIZON_MILLISECONDS,
-): WeightMove | undefined {
+): readonly WeightMove[] {
     const placement = placementOf(situation, modelsOf);
     const load = loadOf(situation, placement);
     const fleet: Fleet = {
@@ -267,11 +319,24 @@
         cost: new PlacementCost(placement, load),
         servingCost: new PlacementCost(placementOf(situation, ({ models }) => new Set(models)), load),
     };
-    const best = bestMove(fleet);
-    if (best === undefined) {
-        return undefined;
-    }
-    const { dropped, engine, gain, model } = best;
-    const reason = fleet.cost.copies(model.name) > 0 ? "busy-copies" : "no-copy";
-    return { engine: engine.id, model: model.name, dropped, reason, gain };
+    const together = new MovesTogether(fleet);
+    const moves = worthwhileMoves(fleet, together.mayDropBusy);
+    moves.sort(compareMoves).forEach(move => together.offer(move));
+    return together.chosen.map(move => describeMove(fleet, move));
+}
+
+/**
+ * Plans the one move that helps most.
+ *
+ * @param situation All engines, what they hold, and the demand.
+ * @param horizonMilliseconds How far ahead moves are judged.
+ * @returns The move and its engine; `undefined` where all should stay as it is.
+ *
+ * @example
+ * ```ts
+ * const move = planWeights({ engines, definition, demand, adapterDemand, readingDemand, passedOver: new Set() });
+ * ```
+ */
+export function planWeights(situation: WeightSituation, horizonMilliseconds?: number): WeightMove | undefined {
+    return planMoves(situation, horizonMilliseconds)[0];
 }
