Serve on when the store comes back from an older copy; cut answers that have no end

Nothing read Store-Era: after a restore the mirror went by no change until the revision had passed its old value, a condition could meet another change under the same revision, and an engine whose record was lost had a second holder at once. An event without an end, a body and the platform's own answers were gathered whole, whatever they grew to; a peer's state could trickle for ever. Ruled out: an era as a field beside each revision in digests, batches, records and fencing numbers (the same comparison in many places); going on with sessions that the copy still knows (holders whose records it lacks can't be told). Change: the adapter joins era and revision into one number that rises across restores, so feeds, digests, conditions and fencing numbers need no second comparison. A higher era ends waiting watches, makes every host begin a new session and give its engines up; who takes an engine waits until holders whose records are lost have stopped, records that once (key restores), and a process that starts later knows. A copy's older configuration and announcements of upstreams that have left change nothing. Bounds: 256 KB an event, 8 MB an answer and 48 MB for all of a host, 16 interim answers, 16 MB of the platform's and peers' answers, 3 s for a peer's state.

--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -112,6 +112,8 @@
     readonly #lastOrders = new Map<string, number>();
     /** What other holders said when they relinquished engines. */
     readonly #told = new Map<string, ToldQuiet>();
+    /** Until when new holders wait for those whose records the service may have lost. */
+    #lostHoldersUntil = Number.NEGATIVE_INFINITY;
     #session: string | undefined;
     #confirmedAt: ClockReading | undefined;
     #isCandidate = true;
@@ -180,6 +182,25 @@
         }
     }
 
+    /**
+     * Takes note that the service came back from an older copy. Engines may have holders whose records it has lost; they
+     * stop once their last renewals, which were sent before that, no longer confirm them.
+     */
+    noteRestore(nowMilliseconds: number): void {
+        const { confirmedMilliseconds, handoverMilliseconds } = this.#bounds;
+        this.#lostHoldersUntil = nowMilliseconds + confirmedMilliseconds + handoverMilliseconds;
+    }
+
+    /** Takes note that holders whose records were lost have stopped, as another host has found. */
+    noteRestoreSettled(): void {
+        this.#lostHoldersUntil = Number.NEGATIVE_INFINITY;
+    }
+
+    /** True while new holders wait for those whose records may be lost. */
+    waitsForLostHolders(nowMilliseconds: number): boolean {
+        return nowMilliseconds < this.#lostHoldersUntil;
+    }
+
     /** This host's session; `undefined` while there is none. */
     get session(): string | undefined {
         return this.#session;
@@ -377,6 +398,10 @@
 
     /** Until when a new holder waits, so that the one before it has stopped for the hand-over time. */
     #quietUntilAfter(engine: string, before: StoredHolder | undefined, nowMilliseconds: number): number {
+        return Math.max(this.#lostHoldersUntil, this.#quietUntilAfterKnown(engine, before, nowMilliseconds));
+    }
+
+    #quietUntilAfterKnown(engine: string, before: StoredHolder | undefined, nowMilliseconds: number): number {
         const { confirmedMilliseconds, handoverMilliseconds } = this.#bounds;
         if (before === undefined) {
             return nowMilliseconds;
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -12,8 +12,8 @@
     type EngineOrder,
     type EngineRecord,
     PlanFollower,
+    planMoves,
     type PlannedEngine,
-    planWeights,
     type ResidencyView,
     type StoreLoadBound,
     storeLoadsPerEngine,
@@ -26,9 +26,15 @@
 /** Begins the keys of engines' holders. */
 export const HOLDER_KEY_PREFIX = "holders/";
 
+/** The key under which hosts record that they have waited after a restore of the key-value service. */
+export const RESTORES_KEY = "restores";
+
 /** Time between two looks at all engines. */
 const TICK_MILLISECONDS = 200;
 
+/** Planning takes at most this part of a host's time, so that a plan for many engines is made less often. */
+const PLANNING_SHARE = 0.05;
+
 /** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
 const SETTLED_MILLISECONDS = 1_200;
 
@@ -63,6 +69,10 @@
     readonly tellHolderBefore: (succession: Succession) => void;
     /** The service has a later state of a key than this host knew. */
     readonly onLaterEntry: (entry: KeyValueEntry) => void;
+    /** How often the service came back from an older copy; 0 where it tells none. */
+    readonly restores: () => number;
+    /** The entry under `RESTORES_KEY`, as this host knows it. */
+    readonly settledRestores: () => KeyValueEntry | undefined;
     /** An engine's memory changed, or this host learned of it. */
     readonly onNews: (record: EngineRecord) => void;
 }
@@ -81,6 +91,7 @@
     /** Set once the engines are given up, or are being given up. */
     #stopped = false;
     #enginesChangedAt = Number.NEGATIVE_INFINITY;
+    #planAgainAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: EngineOrdersOptions) {
         this.#options = options;
@@ -199,6 +210,7 @@
         this.#syncKeepers();
         if (!this.#leaving) {
             this.#takeOver();
+            this.#recordSettledRestores();
             this.#planServices();
         }
         for (const keeper of this.#keepers.values()) {
@@ -249,6 +261,33 @@
         }
     }
 
+    /** Once the waiting after a restore is over, processes that start from now on need not wait for it. */
+    #recordSettledRestores(): void {
+        const { duties, keyValue, logger, restores, serviceAnswers, settledRestores } = this.#options;
+        const known = settledRestores();
+        const value = JSON.stringify({ restores: restores() });
+        const isDue = restores() > 0 && known?.value !== value && duties.mayHold;
+        if (
+            !isDue || duties.waitsForLostHolders(this.#now()) || !serviceAnswers() || this.#acquiring.has(RESTORES_KEY)
+        ) {
+            return;
+        }
+        this.#acquiring.add(RESTORES_KEY);
+        void keyValue.compareAndSwap(RESTORES_KEY, { expectedRevision: known?.revision ?? 0, value }).then(swapped => {
+            this.#acquiring.delete(RESTORES_KEY);
+            const type = swapped.isOk() ? swapped.value.type : swapped.error.kind;
+            logger.info("restore settled", { restores: restores(), outcome: type });
+            if (swapped.isOk()) {
+                const written = { key: RESTORES_KEY, value };
+                this.#options.onLaterEntry(
+                    swapped.value.type === "written"
+                        ? { ...written, revision: swapped.value.revision }
+                        : swapped.value.current ?? { ...written, revision: 0 },
+                );
+            }
+        });
+    }
+
     /** Writes who holds an engine; what the service has by then comes with the answer or the mirror. */
     async #write({ engine, expectedRevision, settled }: Acquisition, released: boolean): Promise<void> {
         const { host, duties, keyValue, logger, metrics } = this.#options;
@@ -332,7 +371,7 @@
         void this.#order(keeper, announcement, step, fencingNumber);
     }
 
-    /** Begins the next move of a service's plan where it falls to an engine that this host holds. */
+    /** Begins the next moves of a service's plan that fall to engines which this host holds. */
     #beginPlanned(service: string, definition: EngineDefinition): void {
         const now = this.#now();
         const demand = this.#options.demand();
@@ -344,7 +383,7 @@
         const unordered = engines.filter(({ id }) => !this.#options.duties.isOrdered(id, now)).map(({ id }) => id);
         const follower = this.#followers.get(service) ?? new PlanFollower();
         this.#followers.set(service, follower);
-        const move = planWeights({
+        const moves = planMoves({
             engines: engines.map(engine => this.#describe(engine)),
             definition,
             demand,
@@ -352,27 +391,30 @@
             readingDemand,
             passedOver: new Set([...follower.passedOver(now), ...unordered]),
         });
-        follower.note(move, now);
-        const keeper = move === undefined ? undefined : this.#keepers.get(move.engine);
-        if (move === undefined || keeper === undefined || !this.#mayLoad(move, keeper, engines.length, now)) {
-            return;
-        }
-        if (keeper.begin(move, now)) {
-            this.#options.logger.info("move begun", {
-                engine: keeper.engine,
-                model: move.model,
-                dropped: move.dropped.join(","),
-                reason: move.reason,
-                gain: Math.round(move.gain * 1_000) / 1_000,
-                engines: engines.length,
-                demand: demand.get(move.model),
-                readingDemand: readingDemand.get(move.model),
-            });
+        follower.note(moves, now);
+        for (const move of moves) {
+            const keeper = this.#keepers.get(move.engine);
+            if (keeper !== undefined && this.#mayLoad(move, keeper, engines.length, now) && keeper.begin(move, now)) {
+                this.#options.logger.info("move begun", {
+                    engine: keeper.engine,
+                    model: move.model,
+                    dropped: move.dropped.join(","),
+                    reason: move.reason,
+                    gain: Math.round(move.gain * 1_000) / 1_000,
+                    engines: engines.length,
+                    demand: demand.get(move.model),
+                    readingDemand: readingDemand.get(move.model),
+                });
+            }
         }
     }
 
     /** Plans once for each service of which this host holds an engine. */
     #planServices(): void {
+        const startedAt = this.#now();
+        if (startedAt < this.#planAgainAt) {
+            return;
+        }
         const services = new Map<string, EngineDefinition>();
         for (const keeper of this.#keepers.values()) {
             const service = this.#options.view.get(keeper.engine)?.service;
@@ -383,6 +425,7 @@
         for (const [service, definition] of services) {
             this.#beginPlanned(service, definition);
         }
+        this.#planAgainAt = startedAt + (this.#now() - startedAt) / PLANNING_SHARE;
     }
 
     /** Loads from the weight store are bounded; those of weights at hand are not. */
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -6,7 +6,7 @@
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamRun } from "../fleet/index.js";
-import { AdapterUse, AdapterUsers, SharedRetryBudget } from "../forwarding/index.js";
+import { AdapterUse, AdapterUsers, HeldBytes, SharedRetryBudget } from "../forwarding/index.js";
 import {
     type AdapterWish,
     engineHolderSchema,
@@ -14,6 +14,7 @@
     type FleetSummary,
     type HostDigest,
     hostRegistrationSchema,
+    settledRestoresSchema,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
@@ -22,7 +23,7 @@
 import { parseJson } from "../platform/parseJson.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
 import { CellTalk } from "./cellTalk.js";
-import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
+import { EngineOrders, HOLDER_KEY_PREFIX, RESTORES_KEY } from "./engineOrders.js";
 import { digestMilliseconds, GATHER_MILLISECONDS, renewalMilliseconds } from "./fleetPace.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
@@ -112,6 +113,8 @@
     /** True once the upstreams are known, from the key-value service or from a peer. */
     #listed = false;
     #sessionBegun = false;
+    /** Set from a restore of the service until its older copy was listed. */
+    #readsOldCopy = false;
     #leaving = false;
     /** Set while the host leaves and takes no further requests. */
     #closedToCallers = false;
@@ -180,6 +183,7 @@
             sources: () => this.#catchUpSources(),
             take: (entries, source) => this.#takePeerState(entries, source),
         });
+        keyValue.onRestored?.(restores => this.#takeRestore(restores));
         this.#forwarder = createForwarder(this.#createForwardingContext());
         this.#servers = this.#createServers();
     }
@@ -303,7 +307,12 @@
     #createEntries(): StoredEntries {
         const { keys } = this.#options.protocol;
         return new StoredEntries([
-            { prefix: keys.configuration, put: (_name, entry) => this.#takeConfiguration(entry) },
+            {
+                prefix: keys.configuration,
+                put: (_name, entry) => this.#takeConfiguration(entry),
+                isOutdated: (entry, before) => this.#versionOf(entry) < this.#versionOf(before),
+            },
+            { prefix: RESTORES_KEY, put: (_name, entry) => this.#takeSettledRestores(entry) },
             {
                 prefix: keys.upstreamPrefix,
                 put: (upstream, entry) => this.#upstreams.take(upstream, entry),
@@ -382,6 +391,8 @@
                 this.#entries.put(entry);
                 this.#mirror.noteLaterRevision(entry.revision, this.#now());
             },
+            restores: () => this.#restores(),
+            settledRestores: () => this.#entries.get(RESTORES_KEY),
             onNews: record => this.#spreadNews(record),
         });
     }
@@ -405,6 +416,7 @@
             suspects,
             prompts,
             backlog,
+            heldBytes: new HeldBytes(),
             demand: this.#demand,
             adapterUse: this.#adapterUse,
             routeTable: () => this.#table,
@@ -484,7 +496,13 @@
     }
 
     #takeListing(entries: readonly KeyValueEntry[]): void {
-        this.#entries.replaceAll(entries);
+        if (this.#readsOldCopy) {
+            this.#readsOldCopy = false;
+            this.#upstreams.view.readOldCopy(() => this.#entries.replaceAll(entries));
+        }
+        else {
+            this.#entries.replaceAll(entries);
+        }
         this.#listed = true;
         this.#options.logger.info("key-value service listed", {
             entries: entries.length,
@@ -493,6 +511,7 @@
         });
         if (!this.#sessionBegun) {
             this.#sessionBegun = true;
+            this.#noteEarlierRestore();
             this.#session.start();
         }
     }
@@ -505,6 +524,11 @@
         }
     }
 
+    /** Version of a stored configuration; 0 for one that cannot be read. */
+    #versionOf({ value }: KeyValueEntry): number {
+        return this.#options.protocol.decodeConfiguration(value).map(({ version }) => version).unwrapOr(0);
+    }
+
     #takeConfiguration(entry: KeyValueEntry): void {
         const decoded = this.#options.protocol.decodeConfiguration(entry.value);
         if (decoded.isErr()) {
@@ -528,6 +552,43 @@
         this.#forwarder.wake();
     }
 
+    /** The service came back from an older copy: sessions and records may be gone, and others may order engines still. */
+    #takeRestore(restores: number): void {
+        this.#options.logger.warn("key-value service restored from an older copy", {
+            restores,
+            revision: this.#mirror.revision,
+            configurationVersion: this.#table?.version,
+            enginesHeld: this.#orders.held,
+        });
+        this.#options.metrics.count("store_restores", { holder: String(this.#orders.held > 0) });
+        this.#readsOldCopy = true;
+        this.#upstreams.view.noteServiceTrouble(this.#now());
+        this.#session.beginAnew("the service was restored");
+        this.#duties.noteRestore(this.#now());
+        this.#mirror.listAnew("the service was restored");
+    }
+
+    /** Takes a host's word that holders whose records were lost in a restore have stopped. */
+    #takeSettledRestores({ value }: KeyValueEntry): void {
+        const settled = settledRestoresSchema.safeParse(parseJson(value)).data?.restores ?? -1;
+        if (settled >= this.#restores()) {
+            this.#duties.noteRestoreSettled();
+        }
+    }
+
+    #restores(): number {
+        return this.#options.keyValue.restores?.() ?? 0;
+    }
+
+    /** A process that starts cannot know how long ago the service was restored, unless another host has settled that. */
+    #noteEarlierRestore(): void {
+        const { value } = this.#entries.get(RESTORES_KEY) ?? { value: "" };
+        const settled = settledRestoresSchema.safeParse(parseJson(value)).data?.restores ?? 0;
+        if (settled < this.#restores()) {
+            this.#duties.noteRestore(this.#now());
+        }
+    }
+
     #takeRegistration(entry: KeyValueEntry): void {
         const record = hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
         if (record === undefined) {
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -81,6 +81,7 @@
     readonly splitter: EventSplitter;
     readonly pace: StreamPace;
     readonly pieces: Buffer[];
+    heldBytes: number;
     /** What its upstream had to read then, its own prompt included; `undefined` where it may wait for more than that. */
     firstTokenAfter: { readonly unreadTokens: number; readonly sentAtMilliseconds: number; } | undefined;
     call: UpstreamCall | undefined;
@@ -310,6 +311,7 @@
             splitter: new EventSplitter(),
             pace: new StreamPace(),
             pieces: [],
+            heldBytes: 0,
             firstTokenAfter: undefined,
             call: undefined,
             head: undefined,
@@ -473,10 +475,14 @@
         }
         this.#watchSilence(attempt);
         if (!this.#isStream(attempt.head)) {
-            attempt.pieces.push(piece);
+            this.#hold(attempt, piece);
             return;
         }
         const events = attempt.splitter.push(piece);
+        if (attempt.splitter.isEndless) {
+            this.#attemptFailed(attempt, "invalid-answer", "an event without an end");
+            return;
+        }
         if (events.count === 0) {
             return;
         }
@@ -493,6 +499,16 @@
         }
     }
 
+    /** Gathers an answer, so that one which is cut does not reach the caller in part. */
+    #hold(attempt: Attempt, piece: Buffer): void {
+        if (!this.#context.heldBytes.tryHold(piece.length, attempt.heldBytes)) {
+            this.#attemptFailed(attempt, "invalid-answer", `an answer of more than ${attempt.heldBytes} bytes`);
+            return;
+        }
+        attempt.heldBytes += piece.length;
+        attempt.pieces.push(piece);
+    }
+
     #takeEnd(attempt: Attempt): void {
         const { head, splitter, upstream } = attempt;
         if (head === undefined) {
@@ -557,6 +573,7 @@
     /** Takes the request off its upstream's books. */
     #release(): void {
         clearTimeout(this.#silenceTimer);
+        this.#context.heldBytes.release(this.#attempt?.heldBytes ?? 0);
         const upstream = this.#attempt?.upstream.id;
         this.#attempt = undefined;
         if (upstream === undefined) {
--- a/src/entry/fetchState.ts
+++ b/src/entry/fetchState.ts
@@ -6,8 +6,15 @@
 import { get } from "node:http";
 import { type SharedState, sharedStateSchema } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
+import { readLimited } from "../transport/index.js";
 
-const TIMEOUT_MILLISECONDS = 1_000;
+/** A peer that says nothing for this long is given up. */
+const SILENCE_MILLISECONDS = 1_000;
+
+/** The whole state is there by then, or not at all. */
+const LONGEST_MILLISECONDS = 3_000;
+
+const MOST_BYTES = 16 * 1024 * 1024;
 
 /** Path under which hosts serve their shared state. */
 export const STATE_PATH = "/state";
@@ -28,18 +35,19 @@
 export function fetchState(address: string): Promise<SharedState | undefined> {
     return new Promise(resolve => {
         const request = get(`http://${address}${STATE_PATH}`, { agent: false }, answer => {
-            const pieces: Buffer[] = [];
-            answer.on("data", (piece: Buffer) => pieces.push(piece));
-            answer.on("error", () => resolve(undefined));
-            answer.on("end", () => {
-                const text = Buffer.concat(pieces).toString("utf8");
-                const state = answer.statusCode === STATUS_OK
+            readLimited(answer, MOST_BYTES).then(text => {
+                const state = answer.statusCode === STATUS_OK && text !== undefined
                     ? sharedStateSchema.safeParse(parseJson(text))
                     : undefined;
                 resolve(state?.data);
-            });
+            }, () => resolve(undefined));
         });
+        const timer = setTimeout(
+            () => void request.destroy(new Error("no whole answer in time")),
+            LONGEST_MILLISECONDS,
+        );
+        request.on("close", () => clearTimeout(timer));
         request.on("error", () => resolve(undefined));
-        request.setTimeout(TIMEOUT_MILLISECONDS, () => void request.destroy(new Error("no answer in time")));
+        request.setTimeout(SILENCE_MILLISECONDS, () => void request.destroy(new Error("no answer in time")));
     });
 }
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -9,6 +9,7 @@
 import {
     type AdapterUse,
     type CrashSuspects,
+    type HeldBytes,
     type PromptBacklog,
     type PromptMemory,
     type SharedRetryBudget,
@@ -40,6 +41,7 @@
     readonly suspects: CrashSuspects;
     readonly prompts: PromptMemory;
     readonly backlog: PromptBacklog;
+    readonly heldBytes: HeldBytes;
     readonly demand: SiteDemand;
     readonly adapterUse: AdapterUse;
     /** `undefined` while no configuration is known. */
--- a/src/entry/hostSession.ts
+++ b/src/entry/hostSession.ts
@@ -60,6 +60,13 @@
         }
     }
 
+    /** Begins another session, since the service may have lost this one. */
+    beginAnew(reason: string): void {
+        if (this.#lease !== undefined && !this.#closed) {
+            this.#lose(reason);
+        }
+    }
+
     /** Lets the session run out. */
     abandon(): void {
         this.#closed = true;
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -66,6 +66,7 @@
     #retryMilliseconds = FIRST_RETRY_MILLISECONDS;
     /** The first later revision that the watch has yet to bring. */
     #behind: { readonly revision: number; readonly sinceMilliseconds: number; } | undefined;
+    #listing = false;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -150,6 +151,16 @@
         this.#startWatch();
     }
 
+    /** Lists anew, since what was watched so far no longer holds. */
+    listAnew(reason: string): void {
+        this.#options.logger.warn("key-value service listed anew", { reason, revision: this.#revision });
+        const watch = this.#watch;
+        this.#watch = undefined;
+        this.#behind = undefined;
+        void watch?.close();
+        void this.#list();
+    }
+
     async close(): Promise<void> {
         this.#closed = true;
         clearTimeout(this.#timer);
@@ -157,7 +168,12 @@
     }
 
     async #list(): Promise<void> {
+        if (this.#listing) {
+            return;
+        }
+        this.#listing = true;
         const listed = await this.#options.keyValue.snapshot("");
+        this.#listing = false;
         if (this.#closed) {
             return;
         }
--- a/src/entry/storedEntries.ts
+++ b/src/entry/storedEntries.ts
@@ -11,6 +11,8 @@
     readonly prefix: string;
     /** Takes an entry that is new or has changed; the name is its key behind the prefix. */
     readonly put: (name: string, entry: KeyValueEntry) => void;
+    /** Tells whether an entry is out of date beside the one before, as one from an older copy of the service may be. */
+    readonly isOutdated?: (entry: KeyValueEntry, before: KeyValueEntry) => boolean;
     /** Takes note that a key is gone. */
     readonly removed?: (name: string) => void;
 }
@@ -36,6 +38,11 @@
         return [...this.#entries.values()];
     }
 
+    /** Gives a key's latest entry that this host knows. */
+    get(key: string): KeyValueEntry | undefined {
+        return this.#entries.get(key);
+    }
+
     /** Revision of a key's latest entry that this host knows; 0 where it knows none. */
     revisionOf(key: string): number {
         return this.#entries.get(key)?.revision ?? 0;
@@ -47,6 +54,11 @@
         if (reader === undefined || this.revisionOf(entry.key) >= entry.revision) {
             return;
         }
+        const before = this.#entries.get(entry.key);
+        if (before !== undefined && reader.isOutdated?.(entry, before) === true) {
+            this.#entries.set(entry.key, { ...before, revision: entry.revision });
+            return;
+        }
         this.#entries.set(entry.key, entry);
         reader.put(entry.key.slice(reader.prefix.length), entry);
     }
@@ -57,11 +69,11 @@
         reader?.removed?.(key.slice(reader.prefix.length));
     }
 
-    /** Takes a whole listing; what it lacks is gone. */
+    /** Takes a whole listing; what it lacks is gone, but for kinds that nobody removes. */
     replaceAll(entries: readonly KeyValueEntry[]): void {
         const present = new Set(entries.map(({ key }) => key));
         for (const key of [...this.#entries.keys()]) {
-            if (!present.has(key)) {
+            if (!present.has(key) && this.#readerOf(key)?.removed !== undefined) {
                 this.remove(key);
             }
         }
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -6,6 +6,9 @@
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
 
+/** Interim answers before an answer; an upstream that sends more does not come to it. */
+const MOST_INTERIM_ANSWERS = 16;
+
 /** Head of an upstream's answer. */
 export interface AnswerHead {
     readonly status: number;
@@ -66,6 +69,7 @@
     #answer: IncomingMessage | undefined;
     #connected = false;
     #settled = false;
+    #interimAnswers = 0;
     #connectTimer: NodeJS.Timeout | undefined;
 
     constructor(options: UpstreamCallOptions) {
@@ -80,6 +84,7 @@
             headers: [...options.headers] as never,
         });
         this.#request.on("socket", socket => this.#watchConnection(socket));
+        this.#request.on("information", () => this.#noteInterimAnswer());
         this.#request.on("response", answer => this.#takeAnswer(answer));
         this.#request.on("error", error => this.#fail(this.#classify(error), error.message));
         this.#request.on("close", () => this.#fail("connection-lost", "the connection closed"));
@@ -125,6 +130,14 @@
         }
     }
 
+    #noteInterimAnswer(): void {
+        this.#interimAnswers += 1;
+        if (this.#interimAnswers > MOST_INTERIM_ANSWERS) {
+            this.#fail("invalid-answer", "interim answers without an end");
+            this.#request.destroy();
+        }
+    }
+
     #takeAnswer(answer: IncomingMessage): void {
         if (this.#settled) {
             answer.resume();
--- a/src/fleet/upstreamView.ts
+++ b/src/fleet/upstreamView.ts
@@ -14,6 +14,9 @@
 /** Runs of upstreams that said in an answer that they leave, of which the latest are remembered. */
 const MOST_LEAVING_RUNS = 4_096;
 
+/** Announcements that were removed, of which the latest are remembered. */
+const MOST_REMOVED = 4_096;
+
 /** Why an upstream left the view; the first two leave it alive for a while. */
 export type LeavingReason = "announced" | "answered" | "removed" | "missing-after-outage" | "replaced";
 
@@ -71,6 +74,10 @@
     readonly #known = new Map<string, Known>();
     /** The run of each upstream that said in an answer that it leaves, those heard last at the end. */
     readonly #leavingRuns = new Map<string, UpstreamRun>();
+    /** The last announcement of each upstream that is gone, those removed last at the end. */
+    readonly #removed = new Map<string, UpstreamAnnouncement>();
+    /** True while announcements come from an older copy of the service. */
+    #readsOldCopy = false;
     /** Latest time at which the service was in trouble, as far as this host saw. */
     #troubleAtMilliseconds = Number.NEGATIVE_INFINITY;
 
@@ -79,12 +86,26 @@
         this.#troubleAtMilliseconds = nowMilliseconds;
     }
 
+    /**
+     * Reads what the service lists after it came back from an older copy. An upstream that has left since may be announced
+     * there; it is not used for that, until it announces itself again.
+     */
+    readOldCopy(read: () => void): void {
+        this.#readsOldCopy = true;
+        read();
+        this.#readsOldCopy = false;
+    }
+
     /** Takes one announcement as it was written. */
     put(announcement: UpstreamAnnouncement): readonly UpstreamChange[] {
         const before = this.#known.get(announcement.id);
         if (before !== undefined && isOlder(announcement, before.announcement)) {
             return [];
         }
+        if (this.#readsOldCopy && this.#hasLeft(announcement)) {
+            return [];
+        }
+        this.#removed.delete(announcement.id);
         const replaced = this.#dropOthersAt(announcement);
         const usable = !announcement.leaving && !this.saidLeaving(announcement);
         this.#known.set(announcement.id, { announcement, usable, missing: false });
@@ -133,7 +154,7 @@
             this.#known.set(id, { ...known, missing: true });
             return [{ type: "in-doubt", upstream: known.announcement }];
         }
-        this.#known.delete(id);
+        this.#drop(known.announcement);
         return [{ type: "left", upstream: known.announcement, reason: "removed" }];
     }
 
@@ -154,7 +175,7 @@
         }
         const gone = [...this.#known.values()].filter(({ missing }) => missing);
         return gone.map(({ announcement }) => {
-            this.#known.delete(announcement.id);
+            this.#drop(announcement);
             return { type: "left", upstream: announcement, reason: "missing-after-outage" };
         });
     }
@@ -182,6 +203,22 @@
         return [...this.#known.values()].map(({ announcement }) => announcement);
     }
 
+    #drop(announcement: UpstreamAnnouncement): void {
+        this.#known.delete(announcement.id);
+        this.#removed.delete(announcement.id);
+        this.#removed.set(announcement.id, announcement);
+        const [oldest] = this.#removed.keys();
+        if (this.#removed.size > MOST_REMOVED && oldest !== undefined) {
+            this.#removed.delete(oldest);
+        }
+    }
+
+    /** Tells whether this announcement, or a later one of the same run, was removed. */
+    #hasLeft(announcement: UpstreamAnnouncement): boolean {
+        const removed = this.#removed.get(announcement.id);
+        return removed !== undefined && startOf(announcement) <= startOf(removed);
+    }
+
     #forgetOldLeavingRuns(): void {
         for (const id of this.#leavingRuns.keys()) {
             if (this.#leavingRuns.size <= MOST_LEAVING_RUNS) {
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -8,6 +8,9 @@
 const CARRIAGE_RETURN = 0x0d;
 const IDENTIFIER_FIELD = "id:";
 
+/** An event that is longer has no end. */
+const MOST_BYTES_OF_EVENT = 256 * 1024;
+
 /** Whole events out of one piece of a stream. */
 export interface WholeEvents {
     /** The events' bytes as they came; empty where no event is complete yet. */
@@ -48,24 +51,35 @@
  * ```
  */
 export class EventSplitter {
-    #rest: Buffer = Buffer.alloc(0);
+    #pieces: Buffer[] = [];
+    #unfinishedBytes = 0;
 
     /** Takes the next piece of the stream; gives the events that it completes. */
     push(piece: Buffer): WholeEvents {
-        const bytes = this.#rest.length === 0 ? piece : Buffer.concat([this.#rest, piece]);
+        this.#pieces.push(piece);
+        this.#unfinishedBytes += piece.length;
+        if (!piece.includes(LINE_FEED)) {
+            return NO_EVENTS;
+        }
+        const bytes = this.#pieces.length === 1 ? piece : Buffer.concat(this.#pieces);
         const ends = findEventEnds(bytes);
-        const end = ends.at(-1);
-        if (end === undefined) {
-            this.#rest = bytes;
+        const end = ends.at(-1) ?? 0;
+        this.#pieces = end === bytes.length ? [] : [bytes.subarray(end)];
+        this.#unfinishedBytes = bytes.length - end;
+        if (end === 0) {
             return NO_EVENTS;
         }
-        this.#rest = bytes.subarray(end);
         const whole = bytes.subarray(0, end);
         return { bytes: whole, count: ends.length, lastIdentifier: findLastIdentifier(whole.toString("latin1")) };
     }
 
     /** Bytes of an event that is not complete. */
     get unfinishedBytes(): number {
-        return this.#rest.length;
+        return this.#unfinishedBytes;
+    }
+
+    /** True where an event has grown so long that it cannot be one. */
+    get isEndless(): boolean {
+        return this.#unfinishedBytes > MOST_BYTES_OF_EVENT;
     }
 }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -16,6 +16,7 @@
 export { CrashSuspects, type SuspectRecord } from "./crashSuspects.js";
 export { DownReports } from "./downReports.js";
 export { EventSplitter, type WholeEvents } from "./eventSplitter.js";
+export { HeldBytes } from "./heldBytes.js";
 export { longestWait, returnAfter } from "./patience.js";
 export { type ObservedPart, PromptBacklog } from "./promptBacklog.js";
 export { type ObservedPause, PromptBound } from "./promptBound.js";
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -22,6 +22,11 @@
     holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
     upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
     upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
+    store_restores: {
+        help:
+            "Times that the key-value service came back from an older copy of itself, by whether this host held engines.",
+        labels: ["holder"],
+    },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
     address_answers: { help: "Answers to callers that ask for addresses.", labels: ["outcome"] },
 } as const;
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -20,7 +20,10 @@
 export interface KeyValueEntry {
     readonly key: string;
     readonly value: string;
-    /** Rises with each write of this key; 0 stands for a key that does not exist. */
+    /**
+     * Rises with each write of this key, also after the service came back from an older copy; 0 stands for a key that
+     * does not exist.
+     */
     readonly revision: number;
     /** The lease whose end deletes this key, where it has one. */
     readonly lease?: string;
@@ -82,6 +85,16 @@
     revokeLease(lease: string): Promise<Result<void, PlatformError>>;
     /** Reports changes under a prefix until closed or ended. */
     watch(prefix: string, onEvent: (event: WatchEvent) => void, options?: WatchOptions): { close(): Promise<void>; };
+    /**
+     * How often the service has come back from an older copy, as it told last; `undefined` before it has told. Missing on
+     * a service that never does.
+     */
+    readonly restores?: () => number | undefined;
+    /**
+     * Names who is told that the service came back from an older copy, before anything that it says after. What was
+     * written and granted since that copy is gone. Missing on a service that never does.
+     */
+    readonly onRestored?: (listener: (restores: number) => void) => void;
     close(): Promise<void>;
 }
 
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -37,6 +37,14 @@
     readonly answer: () => void;
 }
 
+/** What is stored at one moment. */
+interface Copy {
+    readonly items: ReadonlyMap<string, Item>;
+    readonly changes: readonly Change[];
+    readonly leases: ReadonlySet<number>;
+    readonly revision: number;
+}
+
 const PAGE_ITEMS = 50;
 
 /** A running store. */
@@ -44,6 +52,8 @@
     mode: StoreMode = "up";
     /** What leases do while calls are refused or not answered: the platform's may run out or pause. */
     leasesPause = false;
+    /** Named in all answers, and raised by each restore; answers name none while it is `undefined`. */
+    era: number | undefined;
     /** Calls that arrived, by path. */
     readonly calls: string[] = [];
     readonly #items = new Map<string, Item>();
@@ -54,6 +64,7 @@
     #revision = 1;
     #oldestRevision = 0;
     #nextLease = 77_000;
+    #copy: Copy | undefined;
 
     private constructor() {
         this.#server = createServer((message, response) => void this.#take(message, response));
@@ -104,6 +115,36 @@
         this.#server.closeAllConnections();
     }
 
+    /** Keeps a copy of what is stored now, for `restore`. */
+    keepCopy(): void {
+        this.#copy = {
+            items: new Map(this.#items),
+            changes: [...this.#changes],
+            leases: new Set(this.#leases.keys()),
+            revision: this.#revision,
+        };
+    }
+
+    /** Comes back from the copy: what was written and granted since is gone, and its revisions are given out again. */
+    restore(): void {
+        const copy = this.#copy;
+        if (copy === undefined) {
+            throw new Error("there is no copy");
+        }
+        this.era = (this.era ?? 0) + 1;
+        this.#items.clear();
+        copy.items.forEach((item, key) => this.#items.set(key, item));
+        this.#changes.splice(0, this.#changes.length, ...copy.changes);
+        this.#revision = copy.revision;
+        for (const [lease, { timer }] of this.#leases) {
+            if (!copy.leases.has(lease)) {
+                clearTimeout(timer);
+                this.#leases.delete(lease);
+            }
+        }
+        this.#server.closeAllConnections();
+    }
+
     /** Ends a lease as if its time had run out. */
     expireLease(lease: number): void {
         const found = this.#leases.get(lease);
@@ -161,6 +202,9 @@
         if (this.mode === "silent") {
             return;
         }
+        if (this.era !== undefined) {
+            response.setHeader("store-era", String(this.era));
+        }
         if (this.mode === "refusing") {
             response.writeHead(503).end();
             return;
@@ -212,7 +256,7 @@
     #answerWatch(url: URL, response: ServerResponse): void {
         const prefix = url.searchParams.get("pathPrefix") ?? "";
         const after = Number(url.searchParams.get("after"));
-        if (after < this.#oldestRevision) {
+        if (after < this.#oldestRevision || after > this.#revision) {
             this.#reply(response, 410, {});
             return;
         }
--- a/tests/launch.test.ts
+++ b/tests/launch.test.ts
@@ -1,56 +1,64 @@
-import { build } from "esbuild";
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
-import { existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import { existsSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { after, before, test } from "node:test";
+import { test, type TestContext } from "node:test";
+import { bundleProgram, NODE_OPTIONS } from "./support/bundledProgram.js";
 
-const OPTIONS = ["--max-old-space-size=160"];
 const EXIT_BAD_SETTINGS = 3;
-const folder = mkdtempSync(join(tmpdir(), "launch-"));
-const launcher = join(folder, "flamingospread.cjs");
-const compiled = join(folder, "flamingospread.program.compiled");
-const settings = join(folder, "node.conf");
 
-function bundle(source: string, target: string): Promise<unknown> {
-    return build({ entryPoints: [source], outfile: target, bundle: true, platform: "node", format: "cjs" });
+interface Launched {
+    readonly exit: number | null;
+    readonly told: string;
 }
 
-function runLauncher(options: readonly string[], words: readonly string[]): { exit: number | null; told: string; } {
-    const { status, stderr } = spawnSync(process.execPath, [...options, launcher, ...words], { encoding: "utf8" });
-    return { exit: status, told: stderr };
+interface Launcher {
+    readonly compiled: string;
+    /** Compiles the program as the build does. */
+    readonly prepare: (options?: readonly string[]) => Launched;
+    /** Checks a settings file that lacks nearly everything. */
+    readonly check: () => Launched;
 }
 
-before(async () => {
+async function bundle(context: TestContext): Promise<Launcher> {
+    const bundled = await bundleProgram();
+    const { compiled, folder, launcher } = bundled;
+    context.after(() => bundled.close());
+    const settings = join(folder, "node.conf");
     writeFileSync(settings, "nodeName=entry-1\n");
-    await bundle("platform/program.ts", join(folder, "flamingospread.program.cjs"));
-    await bundle("platform/launch.ts", launcher);
-});
-
-after(() => rmSync(folder, { recursive: true }));
+    const launch = (options: readonly string[], words: readonly string[]): Launched => {
+        const { status, stderr } = spawnSync(process.execPath, [...options, launcher, ...words], { encoding: "utf8" });
+        return { exit: status, told: stderr };
+    };
+    return {
+        compiled,
+        prepare: (options = NODE_OPTIONS) => launch(options, ["prepare"]),
+        check: () => launch(NODE_OPTIONS, ["check", settings]),
+    };
+}
 
-test("the program starts without compiled code, and says so", () => {
-    const { exit, told } = runLauncher(OPTIONS, ["check", settings]);
+test("the program starts without compiled code, and says so", async context => {
+    const { exit, told } = (await bundle(context)).check();
     assert.equal(exit, EXIT_BAD_SETTINGS);
     assert.match(told, /starting without compiled code/);
     assert.match(told, /zone is missing/);
 });
 
-test("the program starts from the code that the build compiled with the same options", () => {
-    assert.equal(runLauncher(OPTIONS, ["prepare"]).exit, 0);
+test("the program starts from the code that the build compiled with the same options", async context => {
+    const { check, compiled, prepare } = await bundle(context);
+    assert.equal(prepare().exit, 0);
     assert.ok(existsSync(compiled));
-    const { exit, told } = runLauncher(OPTIONS, ["check", settings]);
+    const { exit, told } = check();
     assert.equal(exit, EXIT_BAD_SETTINGS);
     assert.doesNotMatch(told, /compiled code/);
     assert.match(told, /zone is missing/);
 });
 
-test("code that was compiled with other options is passed over, and the program says so", () => {
-    assert.equal(runLauncher(["--max-old-space-size=200"], ["prepare"]).exit, 0);
-    const { exit, told } = runLauncher(OPTIONS, ["check", settings]);
-    assert.equal(exit, EXIT_BAD_SETTINGS);
-    assert.match(told, /starting without compiled code: it was compiled by another version of Node.js, or with other/);
+test("code that was compiled with other options, or is none, is passed over, and the program says so", async context => {
+    const { check, compiled, prepare } = await bundle(context);
+    assert.equal(prepare(["--max-old-space-size=200"]).exit, 0);
+    const passedOver = /starting without compiled code: it was compiled by another version of Node.js, or with other/;
+    assert.match(check().told, passedOver);
     writeFileSync(compiled, "not compiled code");
-    assert.equal(runLauncher(OPTIONS, ["check", settings]).exit, EXIT_BAD_SETTINGS);
+    assert.deepEqual([check().exit, passedOver.test(check().told)], [EXIT_BAD_SETTINGS, true]);
 });
