Keep what a restore of the store asks of a host in one place

Cause: reading the change again: the entry host and the orders to engines each held a part of it. Change: src/entry/storeRestores.ts; the record that a restore is settled is written with a digest instead of a look at the engines. A configuration that can't be read is told as before, also where an older one is known. Conclusion: no decision changes where the store tells of no restore.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -26,9 +26,6 @@
 /** Begins the keys of engines' holders. */
 export const HOLDER_KEY_PREFIX = "holders/";
 
-/** The key under which hosts record that they have waited after a restore of the key-value service. */
-export const RESTORES_KEY = "restores";
-
 /** Time between two looks at all engines. */
 const TICK_MILLISECONDS = 200;
 
@@ -69,10 +66,6 @@
     readonly tellHolderBefore: (succession: Succession) => void;
     /** The service has a later state of a key than this host knew. */
     readonly onLaterEntry: (entry: KeyValueEntry) => void;
-    /** How often the service came back from an older copy; 0 where it tells none. */
-    readonly restores: () => number;
-    /** The entry under `RESTORES_KEY`, as this host knows it. */
-    readonly settledRestores: () => KeyValueEntry | undefined;
     /** An engine's memory changed, or this host learned of it. */
     readonly onNews: (record: EngineRecord) => void;
 }
@@ -210,7 +203,6 @@
         this.#syncKeepers();
         if (!this.#leaving) {
             this.#takeOver();
-            this.#recordSettledRestores();
             this.#planServices();
         }
         for (const keeper of this.#keepers.values()) {
@@ -261,33 +253,6 @@
         }
     }
 
-    /** Once the waiting after a restore is over, processes that start from now on need not wait for it. */
-    #recordSettledRestores(): void {
-        const { duties, keyValue, logger, restores, serviceAnswers, settledRestores } = this.#options;
-        const known = settledRestores();
-        const value = JSON.stringify({ restores: restores() });
-        const isDue = restores() > 0 && known?.value !== value && duties.mayHold;
-        if (
-            !isDue || duties.waitsForLostHolders(this.#now()) || !serviceAnswers() || this.#acquiring.has(RESTORES_KEY)
-        ) {
-            return;
-        }
-        this.#acquiring.add(RESTORES_KEY);
-        void keyValue.compareAndSwap(RESTORES_KEY, { expectedRevision: known?.revision ?? 0, value }).then(swapped => {
-            this.#acquiring.delete(RESTORES_KEY);
-            const type = swapped.isOk() ? swapped.value.type : swapped.error.kind;
-            logger.info("restore settled", { restores: restores(), outcome: type });
-            if (swapped.isOk()) {
-                const written = { key: RESTORES_KEY, value };
-                this.#options.onLaterEntry(
-                    swapped.value.type === "written"
-                        ? { ...written, revision: swapped.value.revision }
-                        : swapped.value.current ?? { ...written, revision: 0 },
-                );
-            }
-        });
-    }
-
     /** Writes who holds an engine; what the service has by then comes with the answer or the mirror. */
     async #write({ engine, expectedRevision, settled }: Acquisition, released: boolean): Promise<void> {
         const { host, duties, keyValue, logger, metrics } = this.#options;
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -14,7 +14,6 @@
     type FleetSummary,
     type HostDigest,
     hostRegistrationSchema,
-    settledRestoresSchema,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
@@ -23,7 +22,7 @@
 import { parseJson } from "../platform/parseJson.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
 import { CellTalk } from "./cellTalk.js";
-import { EngineOrders, HOLDER_KEY_PREFIX, RESTORES_KEY } from "./engineOrders.js";
+import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
 import { digestMilliseconds, GATHER_MILLISECONDS, renewalMilliseconds } from "./fleetPace.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
@@ -39,6 +38,7 @@
 import { StoredEntries } from "./storedEntries.js";
 import { StoreFeed } from "./storeFeed.js";
 import { type MirrorEvent, StoreMirror } from "./storeMirror.js";
+import { RESTORES_KEY, StoreRestores } from "./storeRestores.js";
 import { UpstreamAgents } from "./upstreamAgents.js";
 import { UpstreamBeliefs } from "./upstreamBeliefs.js";
 import { Wishers } from "./wishers.js";
@@ -103,6 +103,7 @@
     readonly #entries: StoredEntries;
     readonly #feed = new StoreFeed();
     readonly #mirror: StoreMirror;
+    readonly #restores: StoreRestores;
     readonly #session: HostSession;
     readonly #orders: EngineOrders;
     readonly #catchUp: PeerCatchUp;
@@ -113,8 +114,6 @@
     /** True once the upstreams are known, from the key-value service or from a peer. */
     #listed = false;
     #sessionBegun = false;
-    /** Set from a restore of the service until its older copy was listed. */
-    #readsOldCopy = false;
     #leaving = false;
     /** Set while the host leaves and takes no further requests. */
     #closedToCallers = false;
@@ -176,6 +175,7 @@
             onBatch: batch => this.#gossip.passChanges({ ...batch, changes: [...batch.changes] }),
             onEvent: event => this.#takeMirrorEvent(event),
         });
+        this.#restores = this.#createRestores();
         this.#session = this.#createSession();
         this.#orders = this.#createOrders();
         this.#catchUp = new PeerCatchUp({
@@ -183,7 +183,6 @@
             sources: () => this.#catchUpSources(),
             take: (entries, source) => this.#takePeerState(entries, source),
         });
-        keyValue.onRestored?.(restores => this.#takeRestore(restores));
         this.#forwarder = createForwarder(this.#createForwardingContext());
         this.#servers = this.#createServers();
     }
@@ -310,9 +309,9 @@
             {
                 prefix: keys.configuration,
                 put: (_name, entry) => this.#takeConfiguration(entry),
-                isOutdated: (entry, before) => this.#versionOf(entry) < this.#versionOf(before),
+                isOutdated: (entry, before) => this.#isOutdated(entry, before),
             },
-            { prefix: RESTORES_KEY, put: (_name, entry) => this.#takeSettledRestores(entry) },
+            { prefix: RESTORES_KEY, put: (_name, entry) => this.#restores.takeSettled(entry) },
             {
                 prefix: keys.upstreamPrefix,
                 put: (upstream, entry) => this.#upstreams.take(upstream, entry),
@@ -331,6 +330,24 @@
         ]);
     }
 
+    #createRestores(): StoreRestores {
+        const { keyValue, logger, metrics } = this.#options;
+        return new StoreRestores({
+            keyValue,
+            duties: this.#duties,
+            view: this.#upstreams.view,
+            logger,
+            metrics,
+            readClock: () => this.#now(),
+            settledEntry: () => this.#entries.get(RESTORES_KEY),
+            onRestored: reason => {
+                this.#session.beginAnew(reason);
+                this.#mirror.listAnew(reason);
+            },
+            onLaterEntry: entry => this.#takeLaterEntry(entry),
+        });
+    }
+
     #createSession(): HostSession {
         const { keyValue, logger, readClocks } = this.#options;
         const { host, zone } = this.#settings;
@@ -387,12 +404,7 @@
                 const { revision, ...record } = holder;
                 this.#gossip.tellHolder(before, { engine, revision, holder: record });
             },
-            onLaterEntry: entry => {
-                this.#entries.put(entry);
-                this.#mirror.noteLaterRevision(entry.revision, this.#now());
-            },
-            restores: () => this.#restores(),
-            settledRestores: () => this.#entries.get(RESTORES_KEY),
+            onLaterEntry: entry => this.#takeLaterEntry(entry),
             onNews: record => this.#spreadNews(record),
         });
     }
@@ -478,6 +490,12 @@
         }
     }
 
+    /** A call has shown a later state of a key than the mirror has. */
+    #takeLaterEntry(entry: KeyValueEntry): void {
+        this.#entries.put(entry);
+        this.#mirror.noteLaterRevision(entry.revision, this.#now());
+    }
+
     #mustWatch(): boolean {
         const now = this.#now();
         const situation = {
@@ -496,13 +514,7 @@
     }
 
     #takeListing(entries: readonly KeyValueEntry[]): void {
-        if (this.#readsOldCopy) {
-            this.#readsOldCopy = false;
-            this.#upstreams.view.readOldCopy(() => this.#entries.replaceAll(entries));
-        }
-        else {
-            this.#entries.replaceAll(entries);
-        }
+        this.#restores.readListing(() => this.#entries.replaceAll(entries));
         this.#listed = true;
         this.#options.logger.info("key-value service listed", {
             entries: entries.length,
@@ -511,7 +523,7 @@
         });
         if (!this.#sessionBegun) {
             this.#sessionBegun = true;
-            this.#noteEarlierRestore();
+            this.#restores.noteStart();
             this.#session.start();
         }
     }
@@ -524,9 +536,13 @@
         }
     }
 
-    /** Version of a stored configuration; 0 for one that cannot be read. */
-    #versionOf({ value }: KeyValueEntry): number {
-        return this.#options.protocol.decodeConfiguration(value).map(({ version }) => version).unwrapOr(0);
+    /** Tells whether a stored configuration is older than the one before, as one in an older copy of the service may be. */
+    #isOutdated(entry: KeyValueEntry, before: KeyValueEntry): boolean {
+        const { protocol } = this.#options;
+        const versionOf = ({ value }: KeyValueEntry): number | undefined =>
+            protocol.decodeConfiguration(value).unwrapOr(undefined)?.version;
+        const [version, versionBefore] = [versionOf(entry), versionOf(before)];
+        return version !== undefined && versionBefore !== undefined && version < versionBefore;
     }
 
     #takeConfiguration(entry: KeyValueEntry): void {
@@ -552,43 +568,6 @@
         this.#forwarder.wake();
     }
 
-    /** The service came back from an older copy: sessions and records may be gone, and others may order engines still. */
-    #takeRestore(restores: number): void {
-        this.#options.logger.warn("key-value service restored from an older copy", {
-            restores,
-            revision: this.#mirror.revision,
-            configurationVersion: this.#table?.version,
-            enginesHeld: this.#orders.held,
-        });
-        this.#options.metrics.count("store_restores", { holder: String(this.#orders.held > 0) });
-        this.#readsOldCopy = true;
-        this.#upstreams.view.noteServiceTrouble(this.#now());
-        this.#session.beginAnew("the service was restored");
-        this.#duties.noteRestore(this.#now());
-        this.#mirror.listAnew("the service was restored");
-    }
-
-    /** Takes a host's word that holders whose records were lost in a restore have stopped. */
-    #takeSettledRestores({ value }: KeyValueEntry): void {
-        const settled = settledRestoresSchema.safeParse(parseJson(value)).data?.restores ?? -1;
-        if (settled >= this.#restores()) {
-            this.#duties.noteRestoreSettled();
-        }
-    }
-
-    #restores(): number {
-        return this.#options.keyValue.restores?.() ?? 0;
-    }
-
-    /** A process that starts cannot know how long ago the service was restored, unless another host has settled that. */
-    #noteEarlierRestore(): void {
-        const { value } = this.#entries.get(RESTORES_KEY) ?? { value: "" };
-        const settled = settledRestoresSchema.safeParse(parseJson(value)).data?.restores ?? 0;
-        if (settled < this.#restores()) {
-            this.#duties.noteRestore(this.#now());
-        }
-    }
-
     #takeRegistration(entry: KeyValueEntry): void {
         const record = hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
         if (record === undefined) {
@@ -740,6 +719,9 @@
         this.#mirror.adjustWatch();
         this.#cells.speak(this.#sendDigest());
         this.#repeatAdapterUse();
+        if (!this.#leaving && this.#contact.answers()) {
+            void this.#restores.recordSettled();
+        }
         void this.#catchUp.run();
     }
 
