--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -49,6 +49,17 @@
     };
 }
 
+/** Each model has one copy, and nothing asks for another. */
+function quietSituation(): WeightSituation {
+    const engines = [
+        engine("a", ["hot"]),
+        engine("b", ["warm"]),
+        engine("c", ["cold", "rare"]),
+        engine("d", ["small"]),
+    ];
+    return situation(engines, { hot: 12, warm: 12, cold: 1, rare: 1, small: 1 });
+}
+
 /** Lets every holder make its moves until none has one; each takes effect at once. */
 function settle(start: readonly PlannedEngine[], demand: Readonly<Record<string, number>>): Map<string, Set<string>> {
     const held = new Map(start.map(({ id, models }) => [id, new Set(models)]));
@@ -122,25 +133,13 @@
 });
 
 test("a model whose requests need more adapters than its engines have places for gets a further copy", () => {
-    const engines = [
-        engine("a", ["hot"]),
-        engine("b", ["warm"]),
-        engine("c", ["cold", "rare"]),
-        engine("d", ["small"]),
-    ];
-    const quiet = situation(engines, { hot: 12, warm: 12, cold: 1, rare: 1, small: 1 });
+    const quiet = quietSituation();
     assert.equal(planWeights(quiet), undefined);
     assert.equal(planWeights({ ...quiet, adapterDemand: new Map([["hot", 5]]) })?.model, "hot");
 });
 
 test("a model whose prompts keep its engine busy with reading gets a further copy, though few slots are taken", () => {
-    const engines = [
-        engine("a", ["hot"]),
-        engine("b", ["warm"]),
-        engine("c", ["cold", "rare"]),
-        engine("d", ["small"]),
-    ];
-    const quiet = situation(engines, { hot: 12, warm: 12, cold: 1, rare: 1, small: 1 });
+    const quiet = quietSituation();
     assert.equal(planWeights({ ...quiet, readingDemand: new Map([["hot", 0.15], ["warm", 0.1]]) }), undefined);
     assert.equal(planWeights({ ...quiet, readingDemand: new Map([["hot", 0.8], ["warm", 0.1]]) })?.model, "hot");
 });
