Say things once that the change wrote twice

Cause: reading the whole change once more. Tests had three definitions of the same engines, two of counting log lines, of asking for an adapter and of waiting for a program. Ruled out: merging fetchState with the adapter's JSON calls (the product doesn't depend on the adapter); sharing constants that only have the same shape. Change: each of these stands once.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -349,7 +349,8 @@
         loads.started(upstream.id);
         backlog.sent(upstream.id, promptTokens, this.#now());
         const unreadTokens = Math.round(backlog.unreadTokens(upstream.id, this.#now()));
-        if (this.#options.loadShare(upstream.id) < BUSY_UPSTREAM_SHARE) {
+        const load = loads.estimate(upstream.id, this.#now());
+        if (load / Math.max(1, upstream.slots) < BUSY_UPSTREAM_SHARE) {
             attempt.firstTokenAfter = { unreadTokens, sentAtMilliseconds: this.#now() };
         }
         metrics.count("attempts", { service: upstream.service });
@@ -369,7 +370,7 @@
             route: this.#request.route.name,
             upstream: upstream.id,
             attempt: number,
-            load: loads.estimate(upstream.id, this.#now()),
+            load,
             unreadTokens,
             boundTokens: backlog.boundTokens,
             configurationVersion: this.#request.configurationVersion,
--- a/src/entry/siteDemand.ts
+++ b/src/entry/siteDemand.ts
@@ -69,17 +69,16 @@
 
     /** What this host tells its peers. */
     own(nowMilliseconds: number): ToldDemand {
-        const speed = this.#readingSpeed.tokensPerMillisecond;
         return {
-            demand: this.#requests.concurrency(nowMilliseconds),
-            adapterDemand: this.#adapterRequests.concurrency(nowMilliseconds),
-            readingDemand: speed === undefined ? {} : this.#prompts.busyEngines(speed, nowMilliseconds),
+            demand: this.#ownPart("demand", nowMilliseconds),
+            adapterDemand: this.#ownPart("adapterDemand", nowMilliseconds),
+            readingDemand: this.#ownPart("readingDemand", nowMilliseconds),
         };
     }
 
     /** Gives the demand of all hosts by model. */
     total(part: keyof ToldDemand, nowMilliseconds: number): ReadonlyMap<string, number> {
-        const total = new Map(Object.entries(this.own(nowMilliseconds)[part]));
+        const total = new Map(Object.entries(this.#ownPart(part, nowMilliseconds)));
         for (const { atMilliseconds, [part]: demand } of this.#peers.values()) {
             if (nowMilliseconds - atMilliseconds < PEER_DEMAND_MILLISECONDS) {
                 Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
@@ -92,4 +91,17 @@
     get readTokensPerMillisecond(): number | undefined {
         return this.#readingSpeed.tokensPerMillisecond;
     }
+
+    #ownPart(part: keyof ToldDemand, nowMilliseconds: number): Record<string, number> {
+        switch (part) {
+            case "demand":
+                return this.#requests.concurrency(nowMilliseconds);
+            case "adapterDemand":
+                return this.#adapterRequests.concurrency(nowMilliseconds);
+            case "readingDemand": {
+                const speed = this.#readingSpeed.tokensPerMillisecond;
+                return speed === undefined ? {} : this.#prompts.busyEngines(speed, nowMilliseconds);
+            }
+        }
+    }
 }
--- a/src/entry/storeMirror.ts
+++ b/src/entry/storeMirror.ts
@@ -116,9 +116,7 @@
         const mustWatch = this.#options.mustWatch();
         if (watch !== undefined && !mustWatch) {
             this.#options.logger.info("watch left to others of the cell", { revision: this.#revision });
-            this.#watch = undefined;
-            this.#behind = undefined;
-            void watch.close();
+            this.#leaveWatch();
         }
         else if (watch === undefined && mustWatch && this.#timer === undefined) {
             this.#options.logger.info("watch begun", { revision: this.#revision });
@@ -140,24 +138,18 @@
 
     /** Watches anew on another connection. */
     restartWatch(reason: string): void {
-        const watch = this.#watch;
-        if (watch === undefined) {
+        if (this.#watch === undefined) {
             return;
         }
         this.#options.logger.warn("watch restarted", { reason, revision: this.#revision });
-        this.#watch = undefined;
-        this.#behind = undefined;
-        void watch.close();
+        this.#leaveWatch();
         this.#startWatch();
     }
 
     /** Lists anew, since what was watched so far no longer holds. */
     listAnew(reason: string): void {
         this.#options.logger.warn("key-value service listed anew", { reason, revision: this.#revision });
-        const watch = this.#watch;
-        this.#watch = undefined;
-        this.#behind = undefined;
-        void watch?.close();
+        this.#leaveWatch();
         void this.#list();
     }
 
@@ -194,6 +186,13 @@
         this.#startWatch();
     }
 
+    #leaveWatch(): void {
+        const watch = this.#watch;
+        this.#watch = undefined;
+        this.#behind = undefined;
+        void watch?.close();
+    }
+
     #startWatch(): void {
         if (this.#closed || this.#watch !== undefined) {
             return;
--- a/src/entry/storeRestores.ts
+++ b/src/entry/storeRestores.ts
@@ -76,9 +76,11 @@
     async recordSettled(): Promise<void> {
         const { duties, keyValue, logger, onLaterEntry, readClock, settledEntry } = this.#options;
         const restores = this.#restores();
+        if (restores === 0 || this.#writing || !duties.mayHold || duties.waitsForLostHolders(readClock())) {
+            return;
+        }
         const known = settledEntry();
-        const isDue = restoresIn(known) < restores && duties.mayHold && !duties.waitsForLostHolders(readClock());
-        if (!isDue || this.#writing) {
+        if (restoresIn(known) >= restores) {
             return;
         }
         this.#writing = true;
--- a/src/fleet/upstreamView.ts
+++ b/src/fleet/upstreamView.ts
@@ -52,6 +52,16 @@
     return earlier || isOlderRun(candidate, known);
 }
 
+/** Forgets the entries that were set first, beyond the most that are kept. */
+function forgetFirst(entries: Map<string, unknown>, most: number): void {
+    for (const key of entries.keys()) {
+        if (entries.size <= most) {
+            return;
+        }
+        entries.delete(key);
+    }
+}
+
 /** Tells whether two announcements come from one run of a process. */
 export function isSameRun(left: UpstreamRun, right: UpstreamRun): boolean {
     return left.id === right.id && left.startedAtMilliseconds === right.startedAtMilliseconds;
@@ -126,7 +136,7 @@
         }
         this.#leavingRuns.delete(run.id);
         this.#leavingRuns.set(run.id, { id: run.id, startedAtMilliseconds: run.startedAtMilliseconds });
-        this.#forgetOldLeavingRuns();
+        forgetFirst(this.#leavingRuns, MOST_LEAVING_RUNS);
         const known = this.#known.get(run.id);
         if (known?.usable !== true || isOlderRun(run, known.announcement)) {
             return [];
@@ -207,10 +217,7 @@
         this.#known.delete(announcement.id);
         this.#removed.delete(announcement.id);
         this.#removed.set(announcement.id, announcement);
-        const [oldest] = this.#removed.keys();
-        if (this.#removed.size > MOST_REMOVED && oldest !== undefined) {
-            this.#removed.delete(oldest);
-        }
+        forgetFirst(this.#removed, MOST_REMOVED);
     }
 
     /** Tells whether this announcement, or a later one of the same run, was removed. */
@@ -219,15 +226,6 @@
         return removed !== undefined && startOf(announcement) <= startOf(removed);
     }
 
-    #forgetOldLeavingRuns(): void {
-        for (const id of this.#leavingRuns.keys()) {
-            if (this.#leavingRuns.size <= MOST_LEAVING_RUNS) {
-                return;
-            }
-            this.#leavingRuns.delete(id);
-        }
-    }
-
     /** An address belongs to the upstream that announced it last. */
     #dropOthersAt(announcement: UpstreamAnnouncement): UpstreamChange[] {
         const others = [...this.#known.values()].filter(({ announcement: other }) =>
--- a/src/forwarding/heldBytes.ts
+++ b/src/forwarding/heldBytes.ts
@@ -23,11 +23,6 @@
 export class HeldBytes {
     #bytes = 0;
 
-    /** Bytes that are held now. */
-    get bytes(): number {
-        return this.#bytes;
-    }
-
     /**
      * Books a piece of an answer; `false` where the answer, or all of them, would grow too large.
      *
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -180,6 +180,11 @@
     return (gain + lost) * share - missed;
 }
 
+/** A model that nobody can serve, and that much is asked of, does not wait until other engines have changed. */
+function isUrgent({ servingCost }: Fleet, { gain, model }: Pick<Candidate, "gain" | "model">): boolean {
+    return servingCost.copies(model.name) === 0 && gain >= URGENT_GAIN;
+}
+
 function bestMoveOn(
     fleet: Fleet,
     engine: PlannedEngine,
@@ -187,11 +192,10 @@
     mayDropBusy: boolean,
 ): Candidate | undefined {
     let best: Candidate | undefined;
-    const isMissing = fleet.servingCost.copies(model.name) === 0;
     for (const dropped of waysToMakeRoom(fleet, engine, model)) {
         const gain = gainOf(fleet, engine, model, dropped);
-        const isUrgent = isMissing && gain >= URGENT_GAIN;
-        if (gain > (best?.gain ?? 0) && (mayDropBusy || isUrgent || isIdle(fleet, dropped))) {
+        const mayDrop = mayDropBusy || isUrgent(fleet, { model, gain }) || isIdle(fleet, dropped);
+        if (gain > (best?.gain ?? 0) && mayDrop) {
             best = { engine, model, dropped, gain };
         }
     }
@@ -271,10 +275,9 @@
         const models = [model.name, ...dropped];
         const isFromStore = !engine.atHand.includes(model.name);
         const dropsBusy = !isIdle(this.#fleet, dropped);
-        const isUrgent = this.#fleet.servingCost.copies(model.name) === 0 && move.gain >= URGENT_GAIN;
         const bearsOnOther = this.#engines.has(engine.id) || models.some(name => this.#models.has(name));
         const isTooMuch = (isFromStore && this.#storeLoadsLeft <= 0)
-            || (dropsBusy && !isUrgent && this.#busyDropsLeft <= 0);
+            || (dropsBusy && !isUrgent(this.#fleet, move) && this.#busyDropsLeft <= 0);
         if (bearsOnOther || isTooMuch) {
             return;
         }
--- a/tests/endlessAnswers.test.ts
+++ b/tests/endlessAnswers.test.ts
@@ -5,8 +5,8 @@
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
 import { PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
 import { bundleProgram, NODE_OPTIONS } from "./support/bundledProgram.js";
-import { createEntrySettings, startEntryProgram } from "./support/entryProgram.js";
-import { askSmall, callHost, HOST_NAME, until } from "./support/entrySite.js";
+import { createEntrySettings, programReady, startEntryProgram } from "./support/entryProgram.js";
+import { callHost, HOST_NAME } from "./support/entrySite.js";
 
 /** The smallest machines have this much. */
 const MOST_MEMORY_MEGABYTES = 250;
@@ -120,10 +120,7 @@
     const { callers, readiness, text } = await createEntrySettings(store.address);
     const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher]);
     context.after(() => program.close());
-    await until(async () => {
-        const answer = await askSmall({ address: "127.0.0.1", port: readiness }, "/ready").catch(() => undefined);
-        return answer?.status === 200;
-    }, 10_000);
+    await programReady({ readiness });
     const host = { settings: { callers: { address: "127.0.0.1", port: callers } } };
     let most = 0;
     const sampler = setInterval(() => {
--- a/tests/entryCells.test.ts
+++ b/tests/entryCells.test.ts
@@ -8,7 +8,16 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { divideIntoCells, openGossipLink } from "../src/gossip/index.js";
 import { findFreePorts } from "../standins/freePorts.js";
-import { askSmall, callHost, EntrySite, ready, type SiteHost, until } from "./support/entrySite.js";
+import {
+    askSmall,
+    callHost,
+    countLines,
+    engineSettings,
+    EntrySite,
+    ready,
+    type SiteHost,
+    until,
+} from "./support/entrySite.js";
 
 const HOSTS = 20;
 
@@ -24,14 +33,7 @@
 /** Hosts of a cell that watch the store. */
 const WATCHERS_OF_CELL = 3;
 
-const ENGINE = {
-    slots: 8,
-    kvCapacity: 10_000,
-    weightsMb: 300,
-    adapterSlots: 4,
-    loadsPerS: 2,
-    models: [{ name: "quotes", weightsMb: 100, loadTimeS: 1, adapters: 40, adapterMb: 1 }],
-};
+const ENGINE = engineSettings(4, { quotes: 40 });
 
 let site: EntrySite;
 let hosts: SiteHost[];
@@ -42,10 +44,6 @@
     return divideIntoCells(placed).map(cell => cell.map(member => member.site));
 }
 
-function countLines(host: SiteHost, message: string): number {
-    return host.lines.filter(line => line.message === message).length;
-}
-
 before(async () => {
     site = await EntrySite.start();
     site.configure([{ pathPrefix: "/orders/", kind: "non_idempotent" }, {
--- a/tests/entryHosts.test.ts
+++ b/tests/entryHosts.test.ts
@@ -5,7 +5,17 @@
 import { findFreePorts } from "../standins/freePorts.js";
 import { type PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
 import { startRelay } from "./_relay.js";
-import { askSmall, callHost, EntrySite, ready, reasonOf, type SiteHost, until } from "./support/entrySite.js";
+import {
+    askForAdapter,
+    askSmall,
+    callHost,
+    engineSettings,
+    EntrySite,
+    ready,
+    reasonOf,
+    type SiteHost,
+    until,
+} from "./support/entrySite.js";
 
 /** A configuration is in force by then on a host that reaches the store. */
 const CONFIGURATION_MILLISECONDS = 2_000;
@@ -13,17 +23,7 @@
 /** Trouble of the store that is older excuses nothing. */
 const CORE_STABLE_MILLISECONDS = 3_000;
 
-const ENGINE = {
-    slots: 8,
-    kvCapacity: 10_000,
-    weightsMb: 300,
-    adapterSlots: 2,
-    loadsPerS: 2,
-    models: [
-        { name: "quotes", weightsMb: 100, loadTimeS: 1, adapters: 4, adapterMb: 1 },
-        { name: "specs", weightsMb: 100, loadTimeS: 1, adapters: 0, adapterMb: 1 },
-    ],
-};
+const ENGINE = engineSettings(2, { quotes: 4, specs: 0 });
 
 async function startSite(context: TestContext): Promise<EntrySite> {
     const site = await EntrySite.start();
@@ -65,11 +65,6 @@
     return { site, engine, one, holder, other };
 }
 
-/** Asks a host for a stream of an adapter. */
-function askFor(host: SiteHost, adapter: string): ReturnType<typeof callHost> {
-    return callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
-}
-
 async function addresses(host: SiteHost, zone: string): Promise<string[]> {
     const { body } = await askSmall(host.settings.directory, `/resolve?name=site.example&region=r&zone=${zone}`);
     return (JSON.parse(body) as { addresses: string[]; }).addresses.sort();
@@ -194,23 +189,23 @@
 
 test("holders go on giving orders through an outage of the store while all hosts agree, and not when one is gone", async context => {
     const { engine, holder, one, other, site } = await startHeldEngine(context);
-    await until(async () => (await askFor(one, "a1")).status === 200);
+    await until(async () => (await askForAdapter(one, "a1")).status === 200);
     site.store.mode = "refusing";
     await delay(1_900);
-    assert.equal((await askFor(one, "a2")).status, 200);
+    assert.equal((await askForAdapter(one, "a2")).status, 200);
     assert.ok(![holder, other].some(host => logged(host, "engine relinquished")));
     await other.host.close();
     await until(() => logged(holder, "engine relinquished"), 1_900);
     const ordered = engine.orders.length;
     if (holder === one) {
-        assert.notEqual((await askFor(one, "a3")).status, 200);
+        assert.notEqual((await askForAdapter(one, "a3")).status, 200);
     }
     assert.equal(engine.orders.length, ordered);
 });
 
 test("a holder that leaves in an outage of the store goes on until it is gone, and then says so", async context => {
     const { engine, holder, other, site } = await startHeldEngine(context);
-    await until(async () => (await askFor(other, "a1")).status === 200);
+    await until(async () => (await askForAdapter(other, "a1")).status === 200);
     site.store.mode = "refusing";
     await until(() => logged(holder, "key-value service lost"), 2_000);
     await delay(800);
@@ -218,13 +213,13 @@
     site.store.leasesPause = true;
     const stopping = holder.host.stop();
     await delay(1_500);
-    assert.equal((await askFor(other, "a2")).status, 200);
+    assert.equal((await askForAdapter(other, "a2")).status, 200);
     await stopping;
     const written = site.store.calls.slice(calls).filter(call => call === "/kv-txn");
     assert.deepEqual(written, [], "a release without an answer might come true later");
     assert.ok(logged(holder, "engine relinquished", { engine: "i-engine", reason: "host stops" }));
     const ordered = engine.orders.length;
-    assert.notEqual((await askFor(other, "a3")).status, 200);
+    assert.notEqual((await askForAdapter(other, "a3")).status, 200);
     assert.equal(engine.orders.length, ordered);
 });
 
--- a/tests/entryProcess.test.ts
+++ b/tests/entryProcess.test.ts
@@ -3,8 +3,8 @@
 import { test, type TestContext } from "node:test";
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
 import { PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
-import { createEntrySettings, type EntryProgram, startEntryProgram } from "./support/entryProgram.js";
-import { askSmall, callHost, HOST_NAME, until } from "./support/entrySite.js";
+import { createEntrySettings, type EntryProgram, programReady, startEntryProgram } from "./support/entryProgram.js";
+import { callHost, HOST_NAME, until } from "./support/entrySite.js";
 
 function startProgram(
     context: TestContext,
@@ -60,9 +60,7 @@
     });
     const { callers, readiness, text } = await createEntrySettings(store.address);
     const { child, ended, output, settingsPath } = startProgram(context, text);
-    const isReady = async (): Promise<boolean> =>
-        (await askSmall({ address: "127.0.0.1", port: readiness }, "/ready").catch(() => undefined))?.status === 200;
-    await until(isReady, 10_000);
+    await programReady({ readiness });
     writeFileSync(settingsPath, `${text}\nnewField=1`);
     child.kill("SIGHUP");
     await until(() => output().includes("settings reloaded"));
--- a/tests/storeRestore.test.ts
+++ b/tests/storeRestore.test.ts
@@ -2,19 +2,21 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
-import { callHost, EntrySite, ready, type SiteHost, until } from "./support/entrySite.js";
+import {
+    askForAdapter,
+    callHost,
+    countLines,
+    engineSettings,
+    EntrySite,
+    ready,
+    type SiteHost,
+    until,
+} from "./support/entrySite.js";
 
 /** A holder stops this long after its last renewal that was sent; the test's sites hand over within 300 ms more. */
 const LOST_HOLDERS_MILLISECONDS = 1_800;
 
-const ENGINE = {
-    slots: 8,
-    kvCapacity: 10_000,
-    weightsMb: 300,
-    adapterSlots: 4,
-    loadsPerS: 2,
-    models: [{ name: "quotes", weightsMb: 100, loadTimeS: 1, adapters: 8, adapterMb: 1 }],
-};
+const ENGINE = engineSettings(4, { quotes: 8 });
 
 const ROUTES = [
     { pathPrefix: "/reads/" },
@@ -24,7 +26,7 @@
 interface RestoredSite {
     readonly site: EntrySite;
     readonly engine: PlatformUpstreamStandIn;
-    readonly hosts: readonly SiteHost[];
+    readonly hosts: readonly [SiteHost, SiteHost];
 }
 
 async function startSite(context: TestContext): Promise<RestoredSite> {
@@ -33,7 +35,7 @@
     context.after(() => site.close());
     site.configure(ROUTES, ENGINE);
     await site.addUpstream({ id: "i-plain" });
-    const hosts = await Promise.all(["one", "two"].map(name => site.addHost(name)));
+    const hosts = await Promise.all([site.addHost("one"), site.addHost("two")]);
     await Promise.all(hosts.map(host => ready(host)));
     const engine = await site.addUpstream(
         { id: "i-engine", models: { quotes: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
@@ -42,17 +44,7 @@
     return { site, engine, hosts };
 }
 
-function count(host: SiteHost, message: string): number {
-    return host.lines.filter(line => line.message === message).length;
-}
-
-function askFor(host: SiteHost | undefined, adapter: string): ReturnType<typeof callHost> {
-    assert.ok(host !== undefined);
-    return callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
-}
-
-function askPlain(host: SiteHost | undefined, path = "/reads/1"): ReturnType<typeof callHost> {
-    assert.ok(host !== undefined);
+function askPlain(host: SiteHost, path = "/reads/1"): ReturnType<typeof callHost> {
     return callHost(host, { path });
 }
 
@@ -62,7 +54,7 @@
 
 /** Takes the store away for a moment and brings it back from its copy. */
 async function restore(site: EntrySite, hosts: readonly SiteHost[]): Promise<number> {
-    const before = hosts.map(host => count(host, "key-value service restored from an older copy"));
+    const before = hosts.map(host => countLines(host, "key-value service restored from an older copy"));
     site.store.mode = "refusing";
     await delay(100);
     site.store.restore();
@@ -70,7 +62,7 @@
     const restoredAt = performance.now();
     await until(() =>
         hosts.every((host, index) =>
-            count(host, "key-value service restored from an older copy") > (before[index] ?? 0)
+            countLines(host, "key-value service restored from an older copy") > (before[index] ?? 0)
         )
     );
     return restoredAt;
@@ -103,16 +95,16 @@
 test("after a restore nobody orders until holders whose records are lost have stopped, and fencing numbers only rise", async context => {
     const { engine, hosts, site } = await startSite(context);
     site.store.keepCopy();
-    await until(async () => (await askFor(hosts[0], "a1")).status === 200, 6_000);
+    await until(async () => (await askForAdapter(hosts[0], "a1")).status === 200, 6_000);
     const ordersBefore = engine.orders.length;
     const restoredAt = await restore(site, hosts);
-    const waiting = hosts.map(host => askFor(host, "a2"));
+    const waiting = hosts.map(host => askForAdapter(host, "a2"));
     while (performance.now() < restoredAt + LOST_HOLDERS_MILLISECONDS - 50) {
         assert.equal(engine.orders.length, ordersBefore, "no order yet");
         await delay(20);
     }
     await Promise.all(waiting);
-    await until(async () => (await askFor(hosts[1], "a3")).status === 200, 4_000);
+    await until(async () => (await askForAdapter(hosts[1], "a3")).status === 200, 4_000);
     const given = tokens(engine);
     assert.deepEqual(given, [...given].sort((left, right) => left - right));
     assert.ok((given.at(-1) ?? 0) > (given[ordersBefore - 1] ?? 0));
@@ -123,7 +115,7 @@
     const { engine, hosts, site } = await startSite(context);
     await until(() => site.store.get("restores") !== undefined, 4_000);
     site.store.keepCopy();
-    await until(async () => (await askFor(hosts[0], "a1")).status === 200, 6_000);
+    await until(async () => (await askForAdapter(hosts[0], "a1")).status === 200, 6_000);
     const ordersBefore = engine.orders.length;
     await Promise.all(hosts.map(({ host }) => host.close()));
     site.store.restore();
@@ -131,15 +123,15 @@
     const startedAt = performance.now();
     await ready(early);
     while (performance.now() < startedAt + LOST_HOLDERS_MILLISECONDS - 100) {
-        void askFor(early, "a2");
+        void askForAdapter(early, "a2");
         await delay(100);
         assert.equal(engine.orders.length, ordersBefore, "no order yet");
     }
-    await until(async () => (await askFor(early, "a3")).status === 200, 6_000);
+    await until(async () => (await askForAdapter(early, "a3")).status === 200, 6_000);
     await until(() => site.store.get("restores") === JSON.stringify({ restores: 2 }));
     const late = await site.addHost("late");
     await ready(late);
-    assert.equal(count(late, "key-value service restored from an older copy"), 0);
+    assert.equal(countLines(late, "key-value service restored from an older copy"), 0);
     const other = await site.addUpstream({ id: "i-other", models: { quotes: [] }, slots: 8 }, "llm");
     const announcedAt = performance.now();
     await until(() =>
@@ -147,8 +139,8 @@
             host.lines.some(line => line.message === "engine taken" && line.fields["engine"] === "i-other")
         )
     );
-    void askFor(late, "a4");
-    void askFor(late, "a5");
+    void askForAdapter(late, "a4");
+    void askForAdapter(late, "a5");
     await until(() => other.orders.length + engine.orders.length > ordersBefore + 1, 2_000);
     assert.ok(performance.now() - announcedAt < LOST_HOLDERS_MILLISECONDS);
 });
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -8,6 +8,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { findFreePorts } from "../../standins/freePorts.js";
+import { askSmall, until } from "./entrySite.js";
+
+const PROGRAM_READY_MILLISECONDS = 10_000;
 
 /** A program that was started; `close` ends it and removes its settings. */
 export interface EntryProgram {
@@ -66,6 +69,14 @@
     return { child, output: () => text, ended, settingsPath, close };
 }
 
+/** Waits until a program says that it is ready. */
+export async function programReady({ readiness }: Pick<EntryProgramSettings, "readiness">): Promise<void> {
+    await until(async () => {
+        const answer = await askSmall({ address: "127.0.0.1", port: readiness }, "/ready").catch(() => undefined);
+        return answer?.status === 200;
+    }, PROGRAM_READY_MILLISECONDS);
+}
+
 /** Gives settings with addresses that nothing listens on. */
 export async function createEntrySettings(storeAddress: string): Promise<EntryProgramSettings> {
     const [callers, readiness, control, directory, gossip] = await findFreePorts(5);
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -109,6 +109,42 @@
     });
 }
 
+/** Asks a host for a stream of an adapter of the model `quotes`. */
+export function askForAdapter(host: Pick<SiteHost, "settings">, adapter: string): Promise<CallerAnswer> {
+    return callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": `quotes/${adapter}` } });
+}
+
+/** Counts a host's log lines with a message. */
+export function countLines({ lines }: SiteHost, message: string): number {
+    return lines.filter(line => line.message === message).length;
+}
+
+/** What engines of a test's site have room for, as the operator writes it. */
+export interface EngineSettings extends Readonly<Record<string, unknown>> {
+    readonly adapterSlots: number;
+}
+
+/** Gives what engines have room for, and the models that they may load, with how many adapters each. */
+export function engineSettings(
+    adapterSlots: number,
+    adaptersOfModels: Readonly<Record<string, number>>,
+): EngineSettings {
+    return {
+        slots: 8,
+        kvCapacity: 10_000,
+        weightsMb: 300,
+        adapterSlots,
+        loadsPerS: 2,
+        models: Object.entries(adaptersOfModels).map(([name, adapters]) => ({
+            name,
+            weightsMb: 100,
+            loadTimeS: 1,
+            adapters,
+            adapterMb: 1,
+        })),
+    };
+}
+
 /** Gives why a host refused a request, by the body of its answer. */
 export function reasonOf(answer: CallerAnswer): unknown {
     return (JSON.parse(answer.body) as { readonly reason?: unknown; }).reason;
