Log what a mover saw of copies, and tell planning and datagrams from requests in what a host spends

Change: move begun carries copies, copiesLeft and oldestRecordMilliseconds; a line time spent every 5 s with the process's processor time, planning and datagrams; counters moves, last_copies_dropped, spent_seconds. The test that holds LOGS.md against the code reads src/observability too. Collected log lines for tests stand in one place. Ruled out: a line for each plan (five a second on each holder).

--- a/scripts/logs.test.ts
+++ b/scripts/logs.test.ts
@@ -4,13 +4,17 @@
 import { test } from "node:test";
 import { listEntryMetrics } from "../src/observability/index.js";
 
-const FOLDERS = ["src/entry", "platform"];
+const FOLDERS = ["src/entry", "src/observability", "platform"];
+
+function withoutDocComments(source: string): string {
+    return source.replaceAll(/^ *\*.*$/gm, "");
+}
 
 function messagesInCode(): Set<string> {
     const files = FOLDERS.flatMap(folder => readdirSync(folder).map(file => join(folder, file)));
     const sources = files.filter(file => file.endsWith(".ts") && !file.endsWith(".test.ts"));
     const calls = sources.flatMap(
-        file => [...readFileSync(file, "utf8").matchAll(/(?:logger\s*\.\w+|#log)\(\s*"([^"]+)"/g)],
+        file => [...withoutDocComments(readFileSync(file, "utf8")).matchAll(/(?:logger\s*\.\w+|#log)\(\s*"([^"]+)"/g)],
     );
     return new Set(calls.map(([, message]) => message ?? ""));
 }
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -6,8 +6,9 @@
 import { type Acquisition, type ClockReading, type EngineDuties, type Succession } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import { type EngineHolder } from "../generated/gossip.js";
-import { type EntryMetrics, type LogFields, type Logger } from "../observability/index.js";
+import { type EntryMetrics, type LogFields, type Logger, type TimeSpent } from "../observability/index.js";
 import {
+    countCopiesSeen,
     EngineKeeper,
     type EngineOrder,
     type EngineRecord,
@@ -45,6 +46,7 @@
     readonly control: EngineControl;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
+    readonly timeSpent: TimeSpent;
     readonly storeLoads: StoreLoadBound;
     /** Tells whether the key-value service answered a moment ago. */
     readonly serviceAnswers: () => boolean;
@@ -348,8 +350,9 @@
         const unordered = engines.filter(({ id }) => !this.#options.duties.isOrdered(id, now)).map(({ id }) => id);
         const follower = this.#followers.get(service) ?? new PlanFollower();
         this.#followers.set(service, follower);
+        const planned = engines.map(engine => this.#describe(engine));
         const moves = planMoves({
-            engines: engines.map(engine => this.#describe(engine)),
+            engines: planned,
             definition,
             demand,
             adapterDemand: this.#options.adapterDemand(),
@@ -360,13 +363,7 @@
         for (const move of moves) {
             const keeper = this.#keepers.get(move.engine);
             if (keeper !== undefined && this.#mayLoad(move, keeper, engines.length, now) && keeper.begin(move, now)) {
-                this.#options.logger.info("move begun", {
-                    engine: keeper.engine,
-                    model: move.model,
-                    dropped: move.dropped.join(","),
-                    reason: move.reason,
-                    gain: Math.round(move.gain * 1_000) / 1_000,
-                    engines: engines.length,
+                this.#noteBegun(move, planned, {
                     demand: demand.get(move.model),
                     readingDemand: readingDemand.get(move.model),
                 });
@@ -374,6 +371,37 @@
         }
     }
 
+    /** Books a move, and says what it was planned from. */
+    #noteBegun(move: WeightMove, engines: readonly PlannedEngine[], demand: LogFields): void {
+        const { logger, metrics } = this.#options;
+        const { copies, copiesLeft } = countCopiesSeen(move, engines);
+        metrics.count("moves", { reason: move.reason });
+        if (copiesLeft === 0) {
+            metrics.count("last_copies_dropped", {});
+        }
+        logger.info("move begun", {
+            engine: move.engine,
+            model: move.model,
+            dropped: move.dropped.join(","),
+            reason: move.reason,
+            gain: Math.round(move.gain * 1_000) / 1_000,
+            engines: engines.length,
+            copies,
+            copiesLeft,
+            oldestRecordMilliseconds: this.#oldestRecordMilliseconds(move, engines),
+            ...demand,
+        });
+    }
+
+    /** Age of the oldest record among engines of other hosts that hold what a move adds to or drops. */
+    #oldestRecordMilliseconds({ dropped, model }: WeightMove, engines: readonly PlannedEngine[]): number | undefined {
+        const concerned = engines.filter(({ id, loading, models }) =>
+            !this.#keepers.has(id) && [model, ...dropped].some(name => models.includes(name) || loading === name)
+        );
+        const recordedAt = concerned.flatMap(({ id }) => this.#options.residency.recordedAt(id) ?? []);
+        return recordedAt.length === 0 ? undefined : Math.round(this.#now() - Math.min(...recordedAt));
+    }
+
     /** Plans once for each service of which this host holds an engine. */
     #planServices(): void {
         const startedAt = this.#now();
@@ -388,7 +416,7 @@
             }
         }
         for (const [service, definition] of services) {
-            this.#beginPlanned(service, definition);
+            this.#options.timeSpent.measure("planning", () => this.#beginPlanned(service, definition));
         }
         this.#planAgainAt = startedAt + (this.#now() - startedAt) / PLANNING_SHARE;
     }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -16,7 +16,7 @@
     hostRegistrationSchema,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
 import { type EngineRecord, splitAdapterName } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
@@ -73,6 +73,8 @@
     readonly metrics: EntryMetrics;
     readonly random: RandomSource;
     readonly readClocks: () => ClockReading;
+    /** Processor time of this process so far, in microseconds. */
+    readonly readProcessorMicroseconds: () => number;
 }
 
 /** A running entry host. */
@@ -88,6 +90,7 @@
 class RunningHost implements EntryHost {
     readonly #options: EntryHostOptions;
     #settings: EntrySettings;
+    readonly #timeSpent: TimeSpent;
     readonly #upstreams: UpstreamBeliefs;
     readonly #demand = new SiteDemand();
     readonly #adapterUsers = new AdapterUsers();
@@ -125,6 +128,12 @@
         this.#settings = options.settings;
         const { bounds, host, zone } = options.settings;
         const { keyValue, logger, metrics, readClocks } = options;
+        this.#timeSpent = new TimeSpent({
+            logger,
+            metrics,
+            readClock: () => this.#now(),
+            readProcessorMicroseconds: options.readProcessorMicroseconds,
+        });
         this.#budget = new SharedRetryBudget({
             windowMilliseconds: bounds.retryWindowMilliseconds,
             ratio: bounds.retryRatio,
@@ -136,6 +145,7 @@
             peers: this.#peers,
             logger,
             metrics,
+            timeSpent: this.#timeSpent,
             readClock: () => this.#now(),
             onMessage: message => this.#takeGossip(message),
         });
@@ -390,6 +400,7 @@
             control,
             logger,
             metrics,
+            timeSpent: this.#timeSpent,
             storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
             readClocks,
             serviceAnswers: () => this.#contact.answers(),
@@ -719,6 +730,7 @@
         this.#mirror.adjustWatch();
         this.#cells.speak(this.#sendDigest());
         this.#repeatAdapterUse();
+        this.#timeSpent.report();
         if (!this.#leaving && this.#contact.answers()) {
             void this.#restores.recordSettled();
         }
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -19,7 +19,7 @@
     type Peer,
     type PeerTable,
 } from "../gossip/index.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
 import { type ListenAddress } from "./settings.js";
 
 /** Options of a host's gossip. */
@@ -28,6 +28,7 @@
     readonly peers: PeerTable;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
+    readonly timeSpent: TimeSpent;
     readonly readClock: () => number;
     readonly onMessage: (message: GossipMessage) => void;
 }
@@ -50,9 +51,10 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { logger, metrics, onMessage } = this.#options;
+        const { logger, metrics, onMessage, timeSpent } = this.#options;
         this.#link = await openGossipLink({
             ...address,
+            onDatagram: take => timeSpent.measure("datagrams-read", take),
             onMessage: message => {
                 metrics.count("gossip_datagrams", { direction: "received" });
                 onMessage(message);
@@ -135,6 +137,9 @@
 
     #send(message: GossipMessage, peers: readonly Peer[]): void {
         this.#options.metrics.count("gossip_datagrams", { direction: "sent" });
-        this.#link?.send(message, peers.map(({ addresses }) => addresses.gossip));
+        this.#options.timeSpent.measure(
+            "datagrams-sent",
+            () => this.#link?.send(message, peers.map(({ addresses }) => addresses.gossip)),
+        );
     }
 }
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -45,6 +45,8 @@
     readonly address: string;
     readonly port: number;
     readonly onMessage: (message: GossipMessage) => void;
+    /** Called for each datagram with the step that reads it and takes its message; by default that step is just done. */
+    readonly onDatagram?: (take: () => void) => void;
     /** A datagram could not be read or sent. */
     readonly onProblem: (problem: string) => void;
 }
@@ -111,14 +113,16 @@
     const socket = createSocket({ type: "udp4", lookup: answerAddress });
     await bind(socket, options);
     socket.on("error", error => options.onProblem(error.message));
-    socket.on("message", bytes => {
+    const take = (bytes: Buffer): void => {
         const message = decode(bytes);
         if (message === undefined) {
             options.onProblem("a datagram that is no message");
             return;
         }
         options.onMessage(message);
-    });
+    };
+    const onDatagram = options.onDatagram ?? (step => step());
+    socket.on("message", bytes => onDatagram(() => take(bytes)));
     return {
         send: (message, addresses) => {
             const bytes = Buffer.from(JSON.stringify(message));
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -29,6 +29,15 @@
     },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
     address_answers: { help: "Answers to callers that ask for addresses.", labels: ["outcome"] },
+    moves: { help: "Moves of weights that this host has begun, by reason.", labels: ["reason"] },
+    last_copies_dropped: {
+        help: "Models whose last copy, as far as this host was told, was dropped for another.",
+        labels: [],
+    },
+    spent_seconds: {
+        help: "Time that this host has spent by subject: planning, datagrams-read, datagrams-sent.",
+        labels: ["subject"],
+    },
 } as const;
 
 const GAUGES = {
@@ -65,6 +74,8 @@
         name: Name,
         labels: Readonly<Record<(typeof COUNTERS)[Name]["labels"][number], string>>,
     ): void;
+    /** Adds to the time spent on a subject. */
+    spend(subject: string, milliseconds: number): void;
     gauge(name: GaugeName, value: number): void;
     observe<Name extends HistogramName>(
         name: Name,
@@ -134,6 +145,7 @@
     }
     return {
         count: (name, labels) => counters.get(name)?.inc(labels),
+        spend: (subject, milliseconds) => counters.get("spent_seconds")?.inc({ subject }, milliseconds / 1_000),
         gauge: (name, value) => gauges.get(name)?.set(value),
         observe: (name, milliseconds, labels) => histograms.get(name)?.observe(labels, milliseconds / 1_000),
         render: () => registry.metrics(),
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -34,3 +34,4 @@
     type RetryReason,
 } from "./metricNames.js";
 export { createMetrics, type Metrics, type MetricTags } from "./metrics.js";
+export { type SpendingSubject, TimeSpent, type TimeSpentOptions } from "./timeSpent.js";
--- /dev/null
+++ b/src/placement/copiesSeen.test.ts
@@ -0,0 +1,22 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { countCopiesSeen, type PlannedEngine } from "./index.js";
+
+test("copies are counted beside the engine that moves, those that are being loaded included", () => {
+    const engine = (id: string, models: readonly string[], loading?: string): PlannedEngine => ({
+        id,
+        models,
+        loading,
+        atHand: [],
+    });
+    const engines = [
+        engine("a", ["rare", "busy"]),
+        engine("b", ["busy"]),
+        engine("c", [], "busy"),
+        engine("d", ["new"]),
+    ];
+    const move = { engine: "a", model: "new", dropped: ["busy", "rare"], reason: "busy-copies", gain: 1 } as const;
+    assert.deepEqual(countCopiesSeen(move, engines), { copies: 1, copiesLeft: 0 });
+    assert.deepEqual(countCopiesSeen({ ...move, dropped: ["busy"] }, engines), { copies: 1, copiesLeft: 2 });
+    assert.deepEqual(countCopiesSeen({ ...move, dropped: [] }, engines), { copies: 1, copiesLeft: undefined });
+});
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -11,6 +11,7 @@
  * @module
  */
 export { nameAdapter, splitAdapterName } from "./adapterName.js";
+export { type CopiesSeen, countCopiesSeen } from "./copiesSeen.js";
 export { type AdapterUseView, EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
 export { type EngineProspect, expectedArrivalMilliseconds } from "./modelArrival.js";
 export { PlanFollower } from "./planFollower.js";
--- a/src/placement/residencyView.ts
+++ b/src/placement/residencyView.ts
@@ -16,6 +16,8 @@
     readonly models: Map<string, Set<string>>;
     readonly loading: string | undefined;
     readonly loadingSinceMilliseconds: number;
+    /** When its holder's record came last; `undefined` where only the engine itself was heard. */
+    readonly recordedAtMilliseconds: number | undefined;
 }
 
 function toMap(models: readonly HeldModel[]): Map<string, Set<string>> {
@@ -54,6 +56,7 @@
                     models,
                     loading: undefined,
                     loadingSinceMilliseconds: 0,
+                    recordedAtMilliseconds: undefined,
                 });
             }
             return;
@@ -87,6 +90,7 @@
             loadingSinceMilliseconds: known !== undefined && known.loading === record.loading
                 ? known.loadingSinceMilliseconds
                 : nowMilliseconds,
+            recordedAtMilliseconds: nowMilliseconds,
         });
         return true;
     }
@@ -134,6 +138,11 @@
         return known?.loading === model ? known.loadingSinceMilliseconds : undefined;
     }
 
+    /** Gives when the record of an engine's holder came last; `undefined` where none did. */
+    recordedAt(engine: string): number | undefined {
+        return this.#engines.get(engine)?.recordedAtMilliseconds;
+    }
+
     forget(engine: string): void {
         this.#engines.delete(engine);
     }
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -13,19 +13,14 @@
 import { createStoreClient } from "../../platform/storeClient.js";
 import { decodeUpstream } from "../../platform/upstreamCodec.js";
 import { type EntryHost, type EntrySettings, startEntryHost } from "../../src/entry/index.js";
-import { createEntryMetrics, type LogFields, type Logger } from "../../src/observability/index.js";
+import { createEntryMetrics } from "../../src/observability/index.js";
 import { findFreePorts } from "../../standins/freePorts.js";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
 import { PlatformUpstreamStandIn, type UpstreamOptions } from "../../standins/platform/upstream.js";
+import { collectLines, type LoggedLine } from "./collectedLines.js";
 
 export const HOST_NAME = "site.example";
 
-/** One log line of a host. */
-export interface LoggedLine {
-    readonly message: string;
-    readonly fields: LogFields;
-}
-
 /** An answer as its caller got it. */
 export interface CallerAnswer {
     /** `undefined` where the connection ended without a whole answer. */
@@ -273,6 +268,7 @@
             metrics: createEntryMetrics(),
             random: Math.random,
             readClocks: () => ({ steadyMilliseconds: performance.now(), timeOfDayMilliseconds: Date.now() }),
+            readProcessorMicroseconds: () => 0,
         });
         const site = { name: settings.host, settings, host, lines };
         this.hosts.push(site);
@@ -287,11 +283,6 @@
     }
 }
 
-function collectLines(lines: LoggedLine[]): Logger {
-    const add = (message: string, fields: LogFields = {}): void => void lines.push({ message, fields });
-    return { error: add, warn: add, info: add, debug: add, close: () => undefined };
-}
-
 /** Waits until something holds, looking every few milliseconds. */
 export async function until(holds: () => boolean | Promise<boolean>, withinMilliseconds = 3_000): Promise<void> {
     const end = performance.now() + withinMilliseconds;
