Reproduce what planners in different cells do to each other's copies

Twelve holders in four cells, played on a clock of their own with the product's holders and plan; engines, announcements and what one host tells others are played, the last 1.6 s late between cells (two digests and a sum). Seen: four missing models that are asked for steadily lead to 24 loads of 14 models in place of four, since the other cells take a move that was begun long ago as stuck after 0.7 s, drop and load elsewhere, and then put back what they have dropped. With nothing late between cells (run by hand) there are four loads. Of four copies of a model two are dropped where one plan drops one; that also with nothing late between cells (run by hand), so it has a further cause: before there is traffic the plan takes the present copies for those that engines began with, so that each drop lowers what the next one costs.

--- /dev/null
+++ b/src/entry/fleetPlanning.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EngineFleet, type FleetEngine } from "../../tests/support/engineFleet.js";
+import { type EngineDefinition } from "../routes/index.js";
+
+const CELLS = 4;
+const HOSTS_OF_CELL = 3;
+const HOSTS = CELLS * HOSTS_OF_CELL;
+
+/** Two digests and a sum apart, hosts of other cells are told this late. */
+const BETWEEN_CELLS_MILLISECONDS = 1_600;
+
+const LOAD_MILLISECONDS = 4_000;
+const SLOTS = 12;
+const PLACE_MEGABYTES = 70;
+
+function definitionOf(models: readonly string[], placesOfEngine: number): EngineDefinition {
+    return {
+        slots: SLOTS,
+        cacheTokens: 30_000,
+        weightMegabytes: placesOfEngine * PLACE_MEGABYTES,
+        adapterSlots: 0,
+        loadsPerSecond: 13,
+        models: models.map(name => ({
+            name,
+            weightMegabytes: PLACE_MEGABYTES,
+            adapterCount: 0,
+            adapterMegabytes: 0,
+            storeLoadMilliseconds: LOAD_MILLISECONDS,
+        })),
+    };
+}
+
+function names(prefix: string, count: number): string[] {
+    return Array.from({ length: count }, (_, index) => `${prefix}-${index}`);
+}
+
+/** Holders of neighbouring engines are of different cells. */
+function engineOf(index: number, models: readonly string[]): FleetEngine {
+    const holder = (index * HOSTS_OF_CELL + Math.floor(index / CELLS)) % HOSTS;
+    return { id: `engine-${index}`, models, holder };
+}
+
+test("holders in different cells drop no more copies of a model than one plan drops", async context => {
+    const busyCopies = 4;
+    const fewestByOnePlan = 3;
+    const others = names("other", 8);
+    const engines = [...names("busy", busyCopies).map(() => "busy"), ...others]
+        .map((model, index) => engineOf(index, [model]));
+    const fleet = new EngineFleet(context, {
+        hosts: HOSTS,
+        hostsOfCell: HOSTS_OF_CELL,
+        betweenCellsMilliseconds: BETWEEN_CELLS_MILLISECONDS,
+        definition: definitionOf(["busy", ...others, ...names("missing", 12)], 1),
+        engines,
+        demand: () => new Map(),
+    });
+    let fewest = busyCopies;
+    await fleet.play(15_000, () => {
+        fewest = Math.min(fewest, fleet.copies("busy"));
+    });
+    assert.equal(fewest, fewestByOnePlan, JSON.stringify(fleet.carriedOut));
+});
+
+test("a missing model is loaded by one of its engines' holders, not by several", async context => {
+    const kept = names("kept", 12);
+    const idle = names("idle", 12);
+    const wanted = names("wanted", 4);
+    const models = [...kept, ...idle];
+    const fleet = new EngineFleet(context, {
+        hosts: HOSTS,
+        hostsOfCell: HOSTS_OF_CELL,
+        betweenCellsMilliseconds: BETWEEN_CELLS_MILLISECONDS,
+        definition: definitionOf([...models, ...wanted], 2),
+        engines: names("engine", HOSTS).map((_, index) =>
+            engineOf(index, [models[index] ?? "", models[index + HOSTS] ?? ""])
+        ),
+        demand: () => new Map([...kept, ...wanted].map(name => [name, 3])),
+    });
+    await fleet.play(15_000);
+    const loads = fleet.carriedOut.filter(({ operation }) => operation === "load");
+    const loaded = loads.map(({ model }) => model).sort();
+    assert.deepEqual(loaded, wanted, JSON.stringify(fleet.carriedOut));
+});
--- /dev/null
+++ b/tests/support/engineFleet.ts
@@ -0,0 +1,283 @@
+/**
+ * A fleet of hosts that hold engines, played without sockets: what one host tells reaches its cell at once and the other
+ * cells later.
+ *
+ * @module
+ */
+import { type TestContext } from "node:test";
+import { setImmediate as turn } from "node:timers/promises";
+import { EngineDuties } from "../../src/duties/index.js";
+import { EngineOrders } from "../../src/entry/engineOrders.js";
+import { type EngineControl } from "../../src/entry/siteProtocol.js";
+import { type UpstreamAnnouncement, UpstreamView } from "../../src/fleet/index.js";
+import { createEntryMetrics, TimeSpent } from "../../src/observability/index.js";
+import { type EngineOrder, type EngineRecord, type OrderOutcome, ResidencyView } from "../../src/placement/index.js";
+import { type KeyValueService } from "../../src/platform/index.js";
+import { compileRouteTable, type EngineDefinition } from "../../src/routes/index.js";
+import { createAnnouncement } from "./announcements.js";
+import { collectLines, type LoggedLine } from "./collectedLines.js";
+
+const SERVICE = "llm";
+
+/** Time between two steps of the played clock. */
+const STEP_MILLISECONDS = 10;
+
+/** Holders' sessions are confirmed this often. */
+const CONFIRMED_EVERY_MILLISECONDS = 500;
+
+/** Time until an engine's announcement of a change has reached all hosts. */
+const ANNOUNCED_MILLISECONDS = 150;
+
+const BOUNDS = { confirmedMilliseconds: 1_500, handoverMilliseconds: 3_000 };
+
+/** One engine of the fleet. */
+export interface FleetEngine {
+    readonly id: string;
+    readonly models: readonly string[];
+    /** Which host holds it, counted from 0. */
+    readonly holder: number;
+    readonly atHand?: readonly string[];
+}
+
+/** What is played. */
+export interface EngineFleetOptions {
+    readonly hosts: number;
+    readonly hostsOfCell: number;
+    /** Time until hosts of other cells know what one host has told its own cell. */
+    readonly betweenCellsMilliseconds: number;
+    readonly definition: EngineDefinition;
+    readonly engines: readonly FleetEngine[];
+    /** Requests of each model that would run at once, as all hosts see them. */
+    readonly demand: (nowMilliseconds: number) => ReadonlyMap<string, number>;
+}
+
+/** An order on weights that an engine has carried out. */
+export interface CarriedOut {
+    readonly atMilliseconds: number;
+    readonly engine: string;
+    readonly operation: EngineOrder["operation"];
+    readonly model: string;
+}
+
+interface PlayedEngine {
+    announcement: UpstreamAnnouncement;
+    orderCount: number;
+    loading: { readonly model: string; readonly untilMilliseconds: number; } | undefined;
+}
+
+interface PlayedHost {
+    readonly name: string;
+    readonly cell: number;
+    readonly duties: EngineDuties;
+    readonly view: UpstreamView;
+    readonly residency: ResidencyView;
+    readonly orders: EngineOrders;
+}
+
+/** Nothing of the fleet is stored while it is played: engines keep their holders. */
+const UNUSED_KEY_VALUE = {} as KeyValueService;
+
+const METRICS = createEntryMetrics();
+
+/** Plays holders and engines on a clock of their own; the timers of the test are mocked. */
+export class EngineFleet {
+    /** All orders on weights so far, in order. */
+    readonly carriedOut: CarriedOut[] = [];
+    /** What all hosts have logged. */
+    readonly lines: LoggedLine[] = [];
+    readonly #options: EngineFleetOptions;
+    readonly #test: TestContext;
+    readonly #engines: Map<string, PlayedEngine>;
+    readonly #hosts: PlayedHost[];
+    #later: { readonly atMilliseconds: number; readonly step: () => void; }[] = [];
+    #now = 0;
+
+    constructor(test: TestContext, options: EngineFleetOptions) {
+        this.#options = options;
+        this.#test = test;
+        test.mock.timers.enable({ apis: ["setInterval", "setTimeout"] });
+        this.#engines = new Map(options.engines.map(({ atHand, id, models }, index) => [id, {
+            announcement: createAnnouncement(models, {
+                id,
+                address: `10.0.0.${index + 1}:80`,
+                slots: options.definition.slots,
+                weightsAtHand: { inMemory: [], onDisk: atHand ?? [] },
+            }),
+            orderCount: 0,
+            loading: undefined,
+        }]));
+        this.#hosts = Array.from({ length: options.hosts }, (_, index) => this.#createHost(index));
+        this.#hosts.forEach(host => this.#introduce(host));
+        test.after(() => this.#hosts.forEach(({ orders }) => orders.close()));
+    }
+
+    /** Time that has been played. */
+    get nowMilliseconds(): number {
+        return this.#now;
+    }
+
+    /** Gives how many engines serve a model. */
+    copies(model: string): number {
+        return [...this.#engines.values()].filter(({ announcement }) =>
+            announcement.models.some(({ name }) => name === model)
+        ).length;
+    }
+
+    /** Plays on until a time, and calls back after each step. */
+    async play(untilMilliseconds: number, afterStep: () => void = () => {}): Promise<void> {
+        while (this.#now < untilMilliseconds) {
+            this.#now += STEP_MILLISECONDS;
+            this.#confirm();
+            this.#finishLoads();
+            this.#runLater();
+            this.#test.mock.timers.tick(STEP_MILLISECONDS);
+            await turn();
+            afterStep();
+        }
+    }
+
+    #createHost(index: number): PlayedHost {
+        const name = `host-${index}`;
+        const duties = new EngineDuties(name, BOUNDS);
+        const view = new UpstreamView();
+        const residency = new ResidencyView();
+        const cell = Math.floor(index / this.#options.hostsOfCell);
+        const table = compileRouteTable({
+            version: 1,
+            routes: [],
+            services: [{ name: SERVICE, maximumConnections: 100, engine: this.#options.definition }],
+            limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+        });
+        const logger = collectLines(this.lines);
+        const orders = new EngineOrders({
+            host: name,
+            duties,
+            view,
+            residency,
+            keyValue: UNUSED_KEY_VALUE,
+            control: this.#createControl(),
+            logger,
+            metrics: METRICS,
+            timeSpent: new TimeSpent({
+                logger,
+                metrics: METRICS,
+                readClock: () => this.#now,
+                readProcessorMicroseconds: () => 0,
+            }),
+            storeLoads: { windowMilliseconds: 5_000, overage: 1.1 },
+            serviceAnswers: () => true,
+            hostsWithoutConsent: () => [],
+            readClocks: () => ({ steadyMilliseconds: this.#now, timeOfDayMilliseconds: this.#now }),
+            routeTable: () => table,
+            demand: () => this.#options.demand(this.#now),
+            adapterDemand: () => new Map(),
+            readingDemand: () => new Map(),
+            isAdapterUsed: () => false,
+            isDown: () => false,
+            tellHolderBefore: () => {},
+            onLaterEntry: () => {},
+            onNews: record => this.#tell(cell, record),
+        });
+        return { name, cell, duties, view, residency, orders };
+    }
+
+    /** Tells a host who else there is, who holds what, and what engines announce. */
+    #introduce({ duties, name, orders, residency, view }: PlayedHost): void {
+        duties.confirm(name, { steadyMilliseconds: 0, timeOfDayMilliseconds: 0 });
+        this.#hosts.forEach(host => duties.setSession(host.name, host.name));
+        this.#options.engines.forEach(({ holder, id }) => {
+            const host = this.#hosts[holder]?.name ?? "";
+            duties.setHolder(id, { host, session: host, released: false, settled: true, revision: 1 }, 0);
+        });
+        this.#engines.forEach(({ announcement }) => {
+            view.put(announcement);
+            residency.takeAnnouncement(announcement);
+        });
+        orders.noteEnginesChanged();
+        orders.start();
+    }
+
+    #createControl(): EngineControl {
+        return {
+            order: (target, order) => Promise.resolve(this.#carryOut(target.id, order)),
+            report: target => {
+                const engine = this.#engines.get(target.id);
+                const { models = [] } = engine?.announcement ?? {};
+                const busy = engine?.loading !== undefined;
+                return Promise.resolve({ orderCount: engine?.orderCount ?? 0, busy, models });
+            },
+            close: () => {},
+        };
+    }
+
+    #carryOut(id: string, { expectedOrderCount, model, operation }: EngineOrder): OrderOutcome {
+        const engine = this.#engines.get(id);
+        if (engine === undefined || engine.loading !== undefined || expectedOrderCount !== engine.orderCount) {
+            return "conflict";
+        }
+        engine.orderCount += 1;
+        this.carriedOut.push({ atMilliseconds: this.#now, engine: id, operation, model });
+        const others = engine.announcement.models.filter(({ name }) => name !== model);
+        if (operation === "unload") {
+            const onDisk = [...engine.announcement.weightsAtHand.onDisk, model];
+            this.#announce(engine, { models: others, weightsAtHand: { inMemory: [], onDisk } });
+            return "holds";
+        }
+        engine.loading = { model, untilMilliseconds: this.#now + this.#loadMilliseconds(model) };
+        return "accepted";
+    }
+
+    #loadMilliseconds(model: string): number {
+        return this.#options.definition.models.find(({ name }) => name === model)?.storeLoadMilliseconds ?? 0;
+    }
+
+    #finishLoads(): void {
+        for (const engine of this.#engines.values()) {
+            if (engine.loading !== undefined && this.#now >= engine.loading.untilMilliseconds) {
+                const models = [...engine.announcement.models, { name: engine.loading.model, adapters: [] }];
+                engine.loading = undefined;
+                this.#announce(engine, { models });
+            }
+        }
+    }
+
+    #announce(engine: PlayedEngine, change: Partial<UpstreamAnnouncement>): void {
+        const announcementNumber = engine.announcement.announcementNumber + 1;
+        const announcement = { ...engine.announcement, ...change, announcementNumber };
+        engine.announcement = announcement;
+        this.#after(ANNOUNCED_MILLISECONDS, () =>
+            this.#hosts.forEach(({ orders, residency, view }) => {
+                view.put(announcement);
+                residency.takeAnnouncement(announcement);
+                orders.observe(announcement);
+            }));
+    }
+
+    #tell(cell: number, record: EngineRecord): void {
+        const isOwn = (host: PlayedHost): boolean => host.cell === cell;
+        const take = (hosts: readonly PlayedHost[]): void =>
+            hosts.forEach(({ residency }) => residency.takeRecord(record, this.#now));
+        take(this.#hosts.filter(isOwn));
+        this.#after(
+            this.#options.betweenCellsMilliseconds,
+            () => take(this.#hosts.filter(host => !isOwn(host))),
+        );
+    }
+
+    #after(milliseconds: number, step: () => void): void {
+        this.#later.push({ atMilliseconds: this.#now + milliseconds, step });
+    }
+
+    #runLater(): void {
+        const due = this.#later.filter(({ atMilliseconds }) => atMilliseconds <= this.#now);
+        this.#later = this.#later.filter(({ atMilliseconds }) => atMilliseconds > this.#now);
+        due.forEach(({ step }) => step());
+    }
+
+    #confirm(): void {
+        if (this.#now % CONFIRMED_EVERY_MILLISECONDS === STEP_MILLISECONDS) {
+            const reading = { steadyMilliseconds: this.#now, timeOfDayMilliseconds: this.#now };
+            this.#hosts.forEach(({ duties, name }) => duties.confirm(name, reading));
+        }
+    }
+}
