Plan the weights of the fleet on one host

Callers saw models refused as missing although several engines held them moments before, and the same model loaded on two engines at once. Every holder planned for all engines from a view that is up to 1.6 s old between cells, and took a move that others had begun long ago as stuck after 0.7 s. Ruled out: a longer patience for moves that look stuck (the skew stays for the length of the view's age); a lease for planning (a second waiting time at each change, and the plan needs no safety: holders check what they are asked for). Change: the first live host of those that may hold engines plans (FleetPlanner) and asks holders by datagram, again until the engine's record shows the move. PlannedMoves counts what was asked for as done, and what it drops as gone, so that no later plan relies on either. Holders begin a move only where the engine still holds what would be dropped; else they refuse and tell the planner what it holds. Holders tell the planner each change at once. PlanFollower is gone: its two tests stand in plannedMoves.test.ts with PlannedMoves in its place, patience 1 s for what was 0.7 s, since a datagram and its answer lie between. Why it works: one writer with its own memory of what it has decided has no skew; what is left is the moment in which two hosts both take themselves for the planner, after which holders refuse what no longer fits.

--- a/measurements/placement/enginePlay.ts
+++ b/measurements/placement/enginePlay.ts
@@ -323,6 +323,7 @@
             adapterDemand: new Map(),
             readingDemand: new Map(),
             passedOver: new Set(),
+            withoutStore: new Set(),
         });
         const engine = engines.find(({ id }) => id === move?.engine);
         const busy = engine?.move !== undefined || engine?.dropping !== undefined || engine?.loading !== undefined;
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -117,6 +117,8 @@
     #session: string | undefined;
     #confirmedAt: ClockReading | undefined;
     #isCandidate = true;
+    /** Hosts with a session, in the order in which they may hold engines; made anew as sessions come and go. */
+    #ranked: readonly string[] | undefined;
 
     constructor(host: string, bounds: DutyBounds) {
         this.#host = host;
@@ -125,6 +127,7 @@
 
     /** Takes the session of a host; `undefined` for one that has ended. */
     setSession(host: string, session: string | undefined): void {
+        this.#ranked = undefined;
         if (session === undefined) {
             this.#sessions.delete(host);
         }
@@ -242,7 +245,7 @@
         if (this.#session === undefined || this.#sessions.get(this.#host) !== this.#session) {
             return [];
         }
-        const hosts = this.#candidates(engines.length);
+        const hosts = this.candidates(engines.length);
         this.#isCandidate = hosts.includes(this.#host);
         if (!this.#isCandidate) {
             return [];
@@ -267,10 +270,11 @@
         return this.#isCandidate || this.held().length > 0;
     }
 
-    /** The hosts that may take engines over; all hosts that know the same sessions name the same. */
-    #candidates(engineCount: number): string[] {
+    /** Gives the hosts that may take engines over; all hosts that know the same sessions name the same, in one order. */
+    candidates(engineCount: number): string[] {
         const most = Math.max(FEWEST_CANDIDATES, Math.ceil(engineCount / ENGINES_PER_CANDIDATE));
-        return rankByRendezvous("candidates", [...this.#sessions.keys()]).slice(0, most);
+        this.#ranked ??= rankByRendezvous("candidates", [...this.#sessions.keys()]);
+        return this.#ranked.slice(0, most);
     }
 
     /** Gives the fencing number under which this host may order an engine now; `undefined` where it may not. */
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -6,16 +6,11 @@
 import { type Acquisition, type ClockReading, type EngineDuties, type Succession } from "../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import { type EngineHolder } from "../generated/gossip.js";
-import { type EntryMetrics, type LogFields, type Logger, type TimeSpent } from "../observability/index.js";
+import { type EntryMetrics, type LogFields, type Logger } from "../observability/index.js";
 import {
-    countCopiesSeen,
     EngineKeeper,
     type EngineOrder,
     type EngineRecord,
-    PlanFollower,
-    planMoves,
-    type PlannedEngine,
-    type ResidencyView,
     type StoreLoadBound,
     storeLoadsPerEngine,
     type WeightMove,
@@ -30,23 +25,29 @@
 /** Time between two looks at all engines. */
 const TICK_MILLISECONDS = 200;
 
-/** Planning takes at most this part of a host's time, so that a plan for many engines is made less often. */
-const PLANNING_SHARE = 0.05;
-
-/** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
-const SETTLED_MILLISECONDS = 1_200;
+/** Why a holder does not begin a move that the planner asks for. */
+type MoveRefusal =
+    | "not held"
+    /** It is under way or done; the planner is told again. */
+    | "begun before"
+    /** The engine no longer holds what would be dropped. */
+    | "not as planned"
+    /** The holder waits for the one before it, or its session is not confirmed. */
+    | "not ordered now"
+    /** The engine has begun all loads from the weight store that it may. */
+    | "store rate"
+    /** Another order or move is under way. */
+    | "occupied";
 
 /** What keeping engines needs. */
 export interface EngineOrdersOptions {
     readonly host: string;
     readonly duties: EngineDuties;
     readonly view: UpstreamView;
-    readonly residency: ResidencyView;
     readonly keyValue: KeyValueService;
     readonly control: EngineControl;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
-    readonly timeSpent: TimeSpent;
     readonly storeLoads: StoreLoadBound;
     /** Tells whether the key-value service answered a moment ago. */
     readonly serviceAnswers: () => boolean;
@@ -54,16 +55,10 @@
     readonly hostsWithoutConsent: () => readonly string[];
     readonly readClocks: () => ClockReading;
     readonly routeTable: () => RouteTable | undefined;
-    /** Requests of each model that would run at once, over all hosts. */
-    readonly demand: () => ReadonlyMap<string, number>;
-    /** The part of these that name an adapter. */
-    readonly adapterDemand: () => ReadonlyMap<string, number>;
-    /** Engines that reading the prompts of each model's requests would keep busy. */
-    readonly readingDemand: () => ReadonlyMap<string, number>;
+    /** Plans the weights of all engines where this host is the one to do so. */
+    readonly plan: () => void;
     /** Tells whether a request of any host uses an adapter, named with its model. */
     readonly isAdapterUsed: (engine: string, adapter: string) => boolean;
-    /** Tells whether several hosts found an engine unreachable a moment ago. */
-    readonly isDown: (engine: string) => boolean;
     /** Tells a holder that another one has followed it. */
     readonly tellHolderBefore: (succession: Succession) => void;
     /** The service has a later state of a key than this host knew. */
@@ -80,13 +75,10 @@
     /** Changes of each keeper that peers have been told. */
     readonly #told = new WeakMap<EngineKeeper, number>();
     #ticker: NodeJS.Timeout | undefined;
-    readonly #followers = new Map<string, PlanFollower>();
     /** Set once this host leaves: it takes no engine over and begins no move. */
     #leaving = false;
     /** Set once the engines are given up, or are being given up. */
     #stopped = false;
-    #enginesChangedAt = Number.NEGATIVE_INFINITY;
-    #planAgainAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: EngineOrdersOptions) {
         this.#options = options;
@@ -136,11 +128,6 @@
         this.#keepers.get(engine)?.doubt(model, this.#now());
     }
 
-    /** Engines came or went. */
-    noteEnginesChanged(): void {
-        this.#enginesChangedAt = this.#now();
-    }
-
     noteUse(engine: string, model: string, adapter: string): void {
         this.#keepers.get(engine)?.noteUse(model, adapter, this.#now());
     }
@@ -205,7 +192,7 @@
         this.#syncKeepers();
         if (!this.#leaving) {
             this.#takeOver();
-            this.#planServices();
+            this.#options.plan();
         }
         for (const keeper of this.#keepers.values()) {
             this.#work(keeper);
@@ -338,112 +325,59 @@
         void this.#order(keeper, announcement, step, fencingNumber);
     }
 
-    /** Begins the next moves of a service's plan that fall to engines which this host holds. */
-    #beginPlanned(service: string, definition: EngineDefinition): void {
-        const now = this.#now();
-        const demand = this.#options.demand();
-        const readingDemand = this.#options.readingDemand();
-        if (demand.size === 0 && now - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
+    /** Begins a move that the planner asks for, unless the engine is not as the plan takes it to be. */
+    takeMove(move: WeightMove, planner: string): void {
+        const { logger, metrics } = this.#options;
+        const { dropped, engine, gain, model, reason } = move;
+        const keeper = this.#keepers.get(engine);
+        const refusal = this.#refusalOf(move, keeper);
+        if (keeper !== undefined && refusal === undefined) {
+            metrics.count("moves", { outcome: "begun" });
+            logger.info("move begun", { engine, model, dropped: dropped.join(","), reason, gain, planner });
+            this.#work(keeper);
             return;
         }
-        const engines = this.#options.view.usable(service).filter(({ id }) => !this.#options.isDown(id));
-        const unordered = engines.filter(({ id }) => !this.#options.duties.isOrdered(id, now)).map(({ id }) => id);
-        const follower = this.#followers.get(service) ?? new PlanFollower();
-        this.#followers.set(service, follower);
-        const planned = engines.map(engine => this.#describe(engine));
-        const moves = planMoves({
-            engines: planned,
-            definition,
-            demand,
-            adapterDemand: this.#options.adapterDemand(),
-            readingDemand,
-            passedOver: new Set([...follower.passedOver(now), ...unordered]),
-        });
-        follower.note(moves, now);
-        for (const move of moves) {
-            const keeper = this.#keepers.get(move.engine);
-            if (keeper !== undefined && this.#mayLoad(move, keeper, engines.length, now) && keeper.begin(move, now)) {
-                this.#noteBegun(move, planned, {
-                    demand: demand.get(move.model),
-                    readingDemand: readingDemand.get(move.model),
-                });
-            }
+        if (refusal !== "begun before") {
+            metrics.count("moves", { outcome: "refused" });
+            logger.info("move refused", { engine, model, dropped: dropped.join(","), reason: refusal, planner });
         }
-    }
-
-    /** Books a move, and says what it was planned from. */
-    #noteBegun(move: WeightMove, engines: readonly PlannedEngine[], demand: LogFields): void {
-        const { logger, metrics } = this.#options;
-        const { copies, copiesLeft } = countCopiesSeen(move, engines);
-        metrics.count("moves", { reason: move.reason });
-        if (copiesLeft === 0) {
-            metrics.count("last_copies_dropped", {});
+        if (keeper !== undefined) {
+            this.#options.onNews(keeper.record());
         }
-        logger.info("move begun", {
-            engine: move.engine,
-            model: move.model,
-            dropped: move.dropped.join(","),
-            reason: move.reason,
-            gain: Math.round(move.gain * 1_000) / 1_000,
-            engines: engines.length,
-            copies,
-            copiesLeft,
-            oldestRecordMilliseconds: this.#oldestRecordMilliseconds(move, engines),
-            ...demand,
-        });
-    }
-
-    /** Age of the oldest record among engines of other hosts that hold what a move adds to or drops. */
-    #oldestRecordMilliseconds({ dropped, model }: WeightMove, engines: readonly PlannedEngine[]): number | undefined {
-        const concerned = engines.filter(({ id, loading, models }) =>
-            !this.#keepers.has(id) && [model, ...dropped].some(name => models.includes(name) || loading === name)
-        );
-        const recordedAt = concerned.flatMap(({ id }) => this.#options.residency.recordedAt(id) ?? []);
-        return recordedAt.length === 0 ? undefined : Math.round(this.#now() - Math.min(...recordedAt));
     }
 
-    /** Plans once for each service of which this host holds an engine. */
-    #planServices(): void {
-        const startedAt = this.#now();
-        if (startedAt < this.#planAgainAt) {
-            return;
+    /** Why a move is not begun; `undefined` where it is begun now. */
+    #refusalOf(move: WeightMove, keeper: EngineKeeper | undefined): MoveRefusal | undefined {
+        if (keeper === undefined || this.#leaving || this.#stopped) {
+            return "not held";
         }
-        const services = new Map<string, EngineDefinition>();
-        for (const keeper of this.#keepers.values()) {
-            const service = this.#options.view.get(keeper.engine)?.service;
-            if (service !== undefined) {
-                services.set(service, keeper.definition);
-            }
+        const { duties, readClocks, view } = this.#options;
+        if (keeper.loadingModel === move.model || keeper.models.includes(move.model)) {
+            return "begun before";
+        }
+        if (move.dropped.some(model => !keeper.models.includes(model))) {
+            return "not as planned";
         }
-        for (const [service, definition] of services) {
-            this.#options.timeSpent.measure("planning", () => this.#beginPlanned(service, definition));
+        if (!view.isUsable(move.engine) || duties.fencingNumber(move.engine, readClocks()) === undefined) {
+            return "not ordered now";
         }
-        this.#planAgainAt = startedAt + (this.#now() - startedAt) / PLANNING_SHARE;
+        if (!this.#mayLoad(move, keeper)) {
+            return "store rate";
+        }
+        return keeper.begin(move, this.#now()) ? undefined : "occupied";
     }
 
     /** Loads from the weight store are bounded; those of weights at hand are not. */
-    #mayLoad(move: WeightMove, keeper: EngineKeeper, engineCount: number, nowMilliseconds: number): boolean {
+    #mayLoad(move: WeightMove, keeper: EngineKeeper): boolean {
         if (keeper.atHand.includes(move.model)) {
             return true;
         }
-        const { storeLoads } = this.#options;
-        const begun = keeper.storeLoadsSince(nowMilliseconds - storeLoads.windowMilliseconds);
+        const { storeLoads, view } = this.#options;
+        const begun = keeper.storeLoadsSince(this.#now() - storeLoads.windowMilliseconds);
+        const engineCount = view.usable(view.get(keeper.engine)?.service ?? "").length;
         return begun < storeLoadsPerEngine(keeper.definition.loadsPerSecond, engineCount, storeLoads);
     }
 
-    /** Of its own engines the holder knows more than they have announced and than peers were told. */
-    #describe(engine: UpstreamAnnouncement): PlannedEngine {
-        const { inMemory, onDisk } = engine.weightsAtHand;
-        const keeper = this.#keepers.get(engine.id);
-        const { residency } = this.#options;
-        return {
-            id: engine.id,
-            models: keeper?.models ?? residency.models(engine.id),
-            loading: keeper === undefined ? residency.loading(engine.id) : keeper.loadingModel,
-            atHand: [...inMemory, ...onDisk],
-        };
-    }
-
     async #order(
         keeper: EngineKeeper,
         target: UpstreamAnnouncement,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -17,13 +17,14 @@
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
-import { type EngineRecord, splitAdapterName } from "../placement/index.js";
+import { type EngineRecord, splitAdapterName, type WeightMove } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
 import { CellTalk } from "./cellTalk.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
 import { digestMilliseconds, GATHER_MILLISECONDS, renewalMilliseconds } from "./fleetPace.js";
+import { FleetPlanner } from "./fleetPlanner.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type AdapterUseWord, HostGossip } from "./hostGossip.js";
@@ -108,6 +109,7 @@
     readonly #mirror: StoreMirror;
     readonly #restores: StoreRestores;
     readonly #session: HostSession;
+    readonly #planner: FleetPlanner;
     readonly #orders: EngineOrders;
     readonly #catchUp: PeerCatchUp;
     readonly #forwarder: Forwarder;
@@ -187,6 +189,7 @@
         });
         this.#restores = this.#createRestores();
         this.#session = this.#createSession();
+        this.#planner = this.#createPlanner();
         this.#orders = this.#createOrders();
         this.#catchUp = new PeerCatchUp({
             own: () => this.#addresses().state,
@@ -307,7 +310,7 @@
             readClock: () => this.#now(),
             random,
             onAnnounced: announcement => this.#orders.observe(announcement),
-            onJoined: () => this.#orders.noteEnginesChanged(),
+            onJoined: () => this.#planner.noteEnginesChanged(),
             onChanged: () => this.#forwarder.wake(),
         });
     }
@@ -388,6 +391,39 @@
         });
     }
 
+    #createPlanner(): FleetPlanner {
+        const { logger, metrics } = this.#options;
+        const { bounds, host } = this.#settings;
+        return new FleetPlanner({
+            host,
+            duties: this.#duties,
+            view: this.#upstreams.view,
+            residency: this.#upstreams.residency,
+            logger,
+            metrics,
+            timeSpent: this.#timeSpent,
+            storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
+            readClock: () => this.#now(),
+            routeTable: () => this.#table,
+            isLive: other => other === host ? !this.#leaving : this.#peers.stays(other, this.#now()),
+            demand: () => this.#demand.total("demand", this.#now()),
+            adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
+            readingDemand: () => this.#demand.total("readingDemand", this.#now()),
+            isDown: engine => this.#upstreams.isDown(engine),
+            ownRecord: engine => this.#orders.recordOf(engine),
+            askHolder: (holder, move) => this.#askHolder(holder, move),
+        });
+    }
+
+    #askHolder(holder: string, move: WeightMove): void {
+        if (holder === this.#settings.host) {
+            this.#orders.takeMove(move, holder);
+        }
+        else {
+            this.#gossip.askForMove(holder, { ...move, dropped: [...move.dropped] });
+        }
+    }
+
     #createOrders(): EngineOrders {
         const { control, keyValue, logger, metrics, readClocks } = this.#options;
         const { bounds, host } = this.#settings;
@@ -395,22 +431,17 @@
             host,
             duties: this.#duties,
             view: this.#upstreams.view,
-            residency: this.#upstreams.residency,
             keyValue,
             control,
             logger,
             metrics,
-            timeSpent: this.#timeSpent,
             storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
             readClocks,
             serviceAnswers: () => this.#contact.answers(),
             hostsWithoutConsent: () => this.#agreement.missing(),
             routeTable: () => this.#table,
-            demand: () => this.#demand.total("demand", this.#now()),
-            adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
-            readingDemand: () => this.#demand.total("readingDemand", this.#now()),
             isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
-            isDown: engine => this.#upstreams.isDown(engine),
+            plan: () => this.#planner.tick(),
             tellHolderBefore: ({ before, engine, holder }) => {
                 const { revision, ...record } = holder;
                 this.#gossip.tellHolder(before, { engine, revision, holder: record });
@@ -625,6 +656,9 @@
             case "news":
                 this.#takeMemory(message.engine, this.#now());
                 break;
+            case "move":
+                this.#orders.takeMove(message, message.host);
+                break;
             case "sent":
                 this.#upstreams.loads.startedByPeer(message.engine);
                 this.#upstreams.backlog.sentByPeer(message.engine, message.promptTokens, this.#now());
@@ -711,7 +745,9 @@
     #spreadNews(record: EngineRecord): void {
         this.#upstreams.residency.takeRecord(record, this.#now());
         this.#forwarder.wake();
-        this.#gossip.tellNews(toMemory(record), this.#wishers.of(record.engine, this.#now()));
+        const planner = this.#planner.planner;
+        const wishers = this.#wishers.of(record.engine, this.#now());
+        this.#gossip.tellNews(toMemory(record), planner === undefined ? wishers : [...wishers, planner]);
     }
 
     #scheduleDigest(): void {
--- /dev/null
+++ b/src/entry/fleetPlanner.ts
@@ -0,0 +1,211 @@
+/**
+ * Plans the weights of all engines on one host of the fleet, and asks engines' holders to make the moves.
+ *
+ * What hosts of other cells know is some time old. Were several to plan, each would count on copies that another is about
+ * to drop. One plans, and counts what it has asked for as done. Its host holds no lease: two planners for a moment make
+ * moves that are worth less, and none that an engine cannot bear, since holders check what they are asked for.
+ *
+ * @module
+ */
+import { type EngineDuties } from "../duties/index.js";
+import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
+import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
+import {
+    countCopiesSeen,
+    type EngineRecord,
+    planMoves,
+    type PlannedEngine,
+    PlannedMoves,
+    type ResidencyView,
+    type StoreLoadBound,
+    storeLoadsPerEngine,
+    type WeightMove,
+    type WeightSituation,
+} from "../placement/index.js";
+import { type EngineDefinition, type RouteTable } from "../routes/index.js";
+
+/** Planning takes at most this part of a host's time, so that a plan for many engines is made less often. */
+const PLANNING_SHARE = 0.05;
+
+/** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
+const SETTLED_MILLISECONDS = 1_200;
+
+/** A host that becomes the planner hears of what the one before it has asked for within this time. */
+const SUCCESSION_MILLISECONDS = 1_000;
+
+/** What planning needs. */
+export interface FleetPlannerOptions {
+    readonly host: string;
+    readonly duties: EngineDuties;
+    readonly view: UpstreamView;
+    readonly residency: ResidencyView;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly timeSpent: TimeSpent;
+    readonly storeLoads: StoreLoadBound;
+    readonly readClock: () => number;
+    readonly routeTable: () => RouteTable | undefined;
+    /** Tells whether a host was heard of lately and does not leave. */
+    readonly isLive: (host: string) => boolean;
+    /** Requests of each model that would run at once, over all hosts. */
+    readonly demand: () => ReadonlyMap<string, number>;
+    /** The part of these that name an adapter. */
+    readonly adapterDemand: () => ReadonlyMap<string, number>;
+    /** Engines that reading the prompts of each model's requests would keep busy. */
+    readonly readingDemand: () => ReadonlyMap<string, number>;
+    /** Tells whether several hosts found an engine unreachable a moment ago. */
+    readonly isDown: (engine: string) => boolean;
+    /** What this host knows of an engine that it holds. */
+    readonly ownRecord: (engine: string) => EngineRecord | undefined;
+    /** Asks an engine's holder to begin a move. */
+    readonly askHolder: (holder: string, move: WeightMove) => void;
+}
+
+/** Tells who plans, and plans where that is this host. */
+export class FleetPlanner {
+    readonly #options: FleetPlannerOptions;
+    readonly #planned = new Map<string, PlannedMoves>();
+    #enginesChangedAt = Number.NEGATIVE_INFINITY;
+    #planAgainAt = Number.NEGATIVE_INFINITY;
+    #planner: string | undefined;
+    #planningFrom = Number.NEGATIVE_INFINITY;
+
+    constructor(options: FleetPlannerOptions) {
+        this.#options = options;
+    }
+
+    /** The host that plans, as far as this one knows; `undefined` while it hears of none. */
+    get planner(): string | undefined {
+        return this.#planner;
+    }
+
+    /** Engines came or went. */
+    noteEnginesChanged(): void {
+        this.#enginesChangedAt = this.#options.readClock();
+    }
+
+    /** Looks who plans; plans where it is this host and the time has come. */
+    tick(): void {
+        const { host, readClock, timeSpent } = this.#options;
+        const now = readClock();
+        this.#choosePlanner(now);
+        if (this.#planner !== host || now < Math.max(this.#planAgainAt, this.#planningFrom)) {
+            return;
+        }
+        for (const { engine, name } of this.#options.routeTable()?.configuration.services ?? []) {
+            if (engine !== undefined) {
+                timeSpent.measure("planning", () => this.#plan(name, engine, now));
+            }
+        }
+        this.#planAgainAt = now + (readClock() - now) / PLANNING_SHARE;
+    }
+
+    /**
+     * The first that is live of the hosts that may hold engines, in an order that all hosts know. One that hears of no
+     * other may itself be cut off.
+     */
+    #choosePlanner(nowMilliseconds: number): void {
+        const { duties, host, isLive, logger, view } = this.#options;
+        const candidates = duties.candidates(view.all().length);
+        const live = candidates.filter(isLive);
+        const isAlone = candidates.length > 1 && live.length === 1 && live[0] === host;
+        const planner = isAlone ? undefined : live[0];
+        if (planner === this.#planner) {
+            return;
+        }
+        logger.info("planner changed", { planner, before: this.#planner, candidates: candidates.length });
+        this.#planningFrom = this.#planner === undefined ? nowMilliseconds : nowMilliseconds + SUCCESSION_MILLISECONDS;
+        this.#planner = planner;
+        this.#planned.clear();
+    }
+
+    #plan(service: string, definition: EngineDefinition, nowMilliseconds: number): void {
+        const { duties, isDown, logger, metrics, storeLoads, view } = this.#options;
+        const demand = this.#options.demand();
+        if (demand.size === 0 && nowMilliseconds - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
+            return;
+        }
+        const usable = view.usable(service).filter(({ id }) => !isDown(id));
+        const planned = this.#planned.get(service) ?? new PlannedMoves();
+        this.#planned.set(service, planned);
+        const { engines, givenUp } = planned.follow(usable.map(engine => this.#describe(engine)), nowMilliseconds);
+        for (const { engine, model } of givenUp) {
+            metrics.count("moves", { outcome: "given-up" });
+            logger.warn("move given up", { engine, model, holder: duties.holderOf(engine) });
+        }
+        planned.open().forEach(move => this.#ask(move));
+        const unordered = engines.filter(({ id }) => !duties.isOrdered(id, nowMilliseconds)).map(({ id }) => id);
+        const bound = {
+            windowMilliseconds: storeLoads.windowMilliseconds,
+            mostLoads: storeLoadsPerEngine(definition.loadsPerSecond, engines.length, storeLoads),
+        };
+        const situation: WeightSituation = {
+            engines,
+            definition,
+            demand,
+            adapterDemand: this.#options.adapterDemand(),
+            readingDemand: this.#options.readingDemand(),
+            passedOver: new Set([...planned.passedOver(nowMilliseconds), ...unordered]),
+            withoutStore: planned.withoutStore(bound, nowMilliseconds),
+        };
+        const engineOf = new Map(engines.map(engine => [engine.id, engine]));
+        for (const move of planMoves(situation)) {
+            const isFromStore = engineOf.get(move.engine)?.atHand.includes(move.model) !== true;
+            this.#notePlanned(move, situation);
+            planned.ask(move, isFromStore, nowMilliseconds);
+            this.#ask(move);
+        }
+    }
+
+    #ask(move: WeightMove): void {
+        const holder = this.#options.duties.holderOf(move.engine);
+        if (holder !== undefined) {
+            this.#options.askHolder(holder, move);
+        }
+    }
+
+    /** Says what a move was planned from. */
+    #notePlanned(move: WeightMove, { demand, engines, readingDemand }: WeightSituation): void {
+        const { logger, metrics } = this.#options;
+        const { copies, copiesLeft } = countCopiesSeen(move, engines);
+        metrics.count("moves", { outcome: "planned" });
+        if (copiesLeft === 0) {
+            metrics.count("last_copies_dropped", {});
+        }
+        logger.info("move planned", {
+            engine: move.engine,
+            model: move.model,
+            dropped: move.dropped.join(","),
+            reason: move.reason,
+            gain: Math.round(move.gain * 1_000) / 1_000,
+            engines: engines.length,
+            copies,
+            copiesLeft,
+            oldestRecordMilliseconds: this.#oldestRecordMilliseconds(move, engines),
+            demand: demand.get(move.model),
+            readingDemand: readingDemand.get(move.model),
+        });
+    }
+
+    /** Age of the oldest record among engines of other hosts that hold what a move adds to or drops. */
+    #oldestRecordMilliseconds({ dropped, model }: WeightMove, engines: readonly PlannedEngine[]): number | undefined {
+        const { ownRecord, readClock, residency } = this.#options;
+        const concerned = engines.filter(({ id, loading, models }) =>
+            ownRecord(id) === undefined && [model, ...dropped].some(name => models.includes(name) || loading === name)
+        );
+        const recordedAt = concerned.flatMap(({ id }) => residency.recordedAt(id) ?? []);
+        return recordedAt.length === 0 ? undefined : Math.round(readClock() - Math.min(...recordedAt));
+    }
+
+    /** Of its own engines the host knows more than they have announced. */
+    #describe({ id, weightsAtHand: { inMemory, onDisk } }: UpstreamAnnouncement): PlannedEngine {
+        const { ownRecord, residency } = this.#options;
+        const own = ownRecord(id);
+        return {
+            id,
+            models: own?.models.map(({ name }) => name) ?? residency.models(id),
+            loading: own === undefined ? residency.loading(id) : own.loading,
+            atHand: [...inMemory, ...onDisk],
+        };
+    }
+}
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -9,6 +9,7 @@
     type FleetSummary,
     type HolderWord,
     type HostDigest,
+    type PlannedMove,
     type StoreChanges,
 } from "../generated/gossip.js";
 import {
@@ -81,9 +82,14 @@
         this.#send(summary, this.#cellMates());
     }
 
-    /** Tells what an engine holds: the own cell, and hosts that asked for something on it. Others learn it from sums. */
-    tellNews(engine: EngineMemory, askers: readonly string[]): void {
-        const told = new Set([...this.#cellMates(), ...this.#named(askers)]);
+    /** Asks an engine's holder to begin a move. */
+    askForMove(holder: string, move: Omit<PlannedMove, "type" | "host">): void {
+        this.#send({ type: "move", host: this.#options.host, ...move }, this.#named([holder]));
+    }
+
+    /** Tells what an engine holds: the own cell, and hosts that have to know. Others learn it from sums. */
+    tellNews(engine: EngineMemory, hosts: readonly string[]): void {
+        const told = new Set([...this.#cellMates(), ...this.#named(hosts)]);
         this.#send({ type: "news", host: this.#options.host, engine }, [...told]);
     }
 
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -17,6 +17,8 @@
     holderWordSchema,
     type HostDigest,
     hostDigestSchema,
+    type PlannedMove,
+    plannedMoveSchema,
     type SendNotice,
     sendNoticeSchema,
     type StoreChanges,
@@ -35,6 +37,7 @@
     | FleetSummary
     | AdapterWish
     | EngineNews
+    | PlannedMove
     | SendNotice
     | AdapterUseNotice
     | HolderWord
@@ -63,6 +66,7 @@
     summary: fleetSummarySchema,
     wish: adapterWishSchema,
     news: engineNewsSchema,
+    move: plannedMoveSchema,
     sent: sendNoticeSchema,
     use: adapterUseNoticeSchema,
     holder: holderWordSchema,
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -201,6 +201,13 @@
         );
     }
 
+    /** Tells whether a host lives and does not leave, as far as this host hears or is told. */
+    stays(host: string, nowMilliseconds: number): boolean {
+        const peer = this.#peers.get(host);
+        const lives = peer !== undefined && (isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds));
+        return lives && !peer.leaving;
+    }
+
     /**
      * Gives the hosts of this host's cell that may give orders to engines: those that have a record, and those that are
      * heard without one. A host that leaves gives none.
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -29,7 +29,10 @@
     },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
     address_answers: { help: "Answers to callers that ask for addresses.", labels: ["outcome"] },
-    moves: { help: "Moves of weights that this host has begun, by reason.", labels: ["reason"] },
+    moves: {
+        help: "Moves of weights: planned or given up by this host as the planner, begun or refused as a holder.",
+        labels: ["outcome"],
+    },
     last_copies_dropped: {
         help: "Models whose last copy, as far as this host was told, was dropped for another.",
         labels: [],
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -14,7 +14,7 @@
 export { type CopiesSeen, countCopiesSeen } from "./copiesSeen.js";
 export { type AdapterUseView, EngineKeeper, type EngineReport, type KeeperStep } from "./engineKeeper.js";
 export { type EngineProspect, expectedArrivalMilliseconds } from "./modelArrival.js";
-export { PlanFollower } from "./planFollower.js";
+export { type EngineLoadBound, PlannedMoves } from "./plannedMoves.js";
 export { planMoves, type PlannedEngine, planWeights, type WeightMove, type WeightSituation } from "./planWeights.js";
 export { type AdapterHome, rankAdapterHomes } from "./rankAdapterHomes.js";
 export { type Residency, ResidencyView } from "./residencyView.js";
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -1,9 +1,6 @@
 /**
  * Plans which weights engines load or drop next.
  *
- * Every holder plans for all engines from the same view, and begins those moves that fall to engines of its own. Two
- * holders therefore do not load or drop the same model at once.
- *
  * @module
  */
 import { hashText } from "../decision/index.js";
@@ -72,6 +69,8 @@
     readonly readingDemand: ReadonlyMap<string, number>;
     /** Engines that should take no step now, though their models count. */
     readonly passedOver: ReadonlySet<string>;
+    /** Engines that may begin no load from the weight store now. */
+    readonly withoutStore: ReadonlySet<string>;
 }
 
 /** Loads one model on an engine after dropping others there. */
@@ -211,14 +210,17 @@
     return [...missing.slice(0, MOST_MISSING_CANDIDATES), ...busy.slice(0, MOST_BUSY_CANDIDATES)];
 }
 
-function isWorthwhile({ engine, model, gain }: Candidate): boolean {
-    return gain >= (engine.atHand.includes(model.name) ? LEAST_GAIN_AT_HAND : LEAST_GAIN_FROM_STORE);
+function isWorthwhile({ situation: { withoutStore } }: Fleet, { engine, model, gain }: Candidate): boolean {
+    if (engine.atHand.includes(model.name)) {
+        return gain >= LEAST_GAIN_AT_HAND;
+    }
+    return gain >= LEAST_GAIN_FROM_STORE && !withoutStore.has(engine.id);
 }
 
-/** Holders add up the same loads in different orders; gains that differ by less are equal. */
+/** Loads are added up in any order; gains that differ by less are equal. */
 const GAIN_STEP = 1e-9;
 
-/** The best move first; equal moves are told apart by a hash, so that all holders choose the same ones. */
+/** The best move first; equal moves are told apart by a hash, so that the order of engines does not matter. */
 function compareMoves(left: Candidate, right: Candidate): number {
     const difference = Math.round((right.gain - left.gain) / GAIN_STEP);
     return difference === 0 ? hashOf(right) - hashOf(left) : difference;
@@ -236,7 +238,7 @@
         idle.flatMap(engine => {
             const holds = engine.models.includes(model.name);
             const move = holds ? undefined : bestMoveOn(fleet, engine, model, mayDropBusy);
-            return move !== undefined && isWorthwhile(move) ? [move] : [];
+            return move !== undefined && isWorthwhile(fleet, move) ? [move] : [];
         })
     );
 }
@@ -306,7 +308,7 @@
  *
  * @example
  * ```ts
- * const moves = planMoves({ engines, definition, demand, adapterDemand, readingDemand, passedOver: new Set() });
+ * const moves = planMoves({ ...demands, engines, definition, passedOver: new Set(), withoutStore: new Set() });
  * moves.filter(({ engine }) => engine === "engine-3").forEach(move => keeper.begin(move, now));
  * ```
  */
@@ -337,7 +339,7 @@
  *
  * @example
  * ```ts
- * const move = planWeights({ engines, definition, demand, adapterDemand, readingDemand, passedOver: new Set() });
+ * const move = planWeights({ ...demands, engines, definition, passedOver: new Set(), withoutStore: new Set() });
  * ```
  */
 export function planWeights(situation: WeightSituation, horizonMilliseconds?: number): WeightMove | undefined {
--- /dev/null
+++ b/src/placement/plannedMoves.test.ts
@@ -0,0 +1,124 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type EngineDefinition } from "../routes/index.js";
+import { planMoves, type PlannedEngine, PlannedMoves, type WeightMove, type WeightSituation } from "./index.js";
+
+const MODELS = ["hot", "warm", "cold", "rare", "small"];
+
+const DEFINITION: EngineDefinition = {
+    slots: 64,
+    cacheTokens: 100_000,
+    weightMegabytes: 130,
+    adapterSlots: 0,
+    loadsPerSecond: 4,
+    models: MODELS.map(name => ({
+        name,
+        weightMegabytes: 60,
+        adapterCount: 0,
+        adapterMegabytes: 0,
+        storeLoadMilliseconds: 5_000,
+    })),
+};
+
+function engine(id: string, models: readonly string[], loading?: string): PlannedEngine {
+    return { id, models, loading, atHand: [] };
+}
+
+function move(name: string, model: string, dropped: readonly string[] = []): WeightMove {
+    return { engine: name, model, dropped, reason: "no-copy", gain: 1 };
+}
+
+function situation(engines: readonly PlannedEngine[], demand: Readonly<Record<string, number>>): WeightSituation {
+    return {
+        engines,
+        definition: DEFINITION,
+        demand: new Map(Object.entries(demand)),
+        adapterDemand: new Map(),
+        readingDemand: new Map(),
+        passedOver: new Set(),
+        withoutStore: new Set(),
+    };
+}
+
+test("what was asked for counts as done before any record shows it", () => {
+    const planned = new PlannedMoves();
+    planned.ask(move("a", "rare", ["hot"]), true, 0);
+    const { engines, givenUp } = planned.follow([engine("a", ["hot", "warm"]), engine("b", ["hot"])], 100);
+    assert.deepEqual(engines, [engine("a", ["warm"], "rare"), engine("b", ["hot"])]);
+    assert.deepEqual(givenUp, []);
+    assert.deepEqual(planned.open(), [move("a", "rare", ["hot"])]);
+});
+
+test("a move that its holder has begun is asked for no more, and counts until its load has ended", () => {
+    const planned = new PlannedMoves();
+    planned.ask(move("a", "rare", ["hot"]), true, 0);
+    const begun = planned.follow([engine("a", ["hot", "warm"], "rare")], 100);
+    assert.deepEqual(begun.engines, [engine("a", ["warm"], "rare")]);
+    assert.deepEqual(planned.open(), []);
+    assert.deepEqual(planned.follow([engine("a", ["warm"], "rare")], 9_000).givenUp, []);
+    const ended = [engine("a", ["warm", "rare"])];
+    assert.deepEqual(planned.follow(ended, 9_100).engines, ended);
+});
+
+test("an engine whose holder does not act is passed over for a while, and then asked again", () => {
+    const planned = new PlannedMoves();
+    const recorded = [engine("a", ["hot"])];
+    planned.ask(move("a", "rare"), true, 0);
+    assert.deepEqual(planned.follow(recorded, 990).givenUp, []);
+    assert.deepEqual(planned.follow(recorded, 1_000).givenUp, [move("a", "rare")]);
+    assert.deepEqual(planned.follow(recorded, 1_010).engines, recorded);
+    assert.deepEqual([...planned.passedOver(4_990)], ["a"]);
+    assert.deepEqual([...planned.passedOver(5_000)], []);
+});
+
+test("an engine whose holder does not act holds up no move on others", () => {
+    const recorded = Array.from({ length: 8 }, (_, index) => engine(`engine-${index}`, index < 3 ? ["hot"] : []));
+    const demand = { hot: 60, warm: 40, cold: 30, rare: 30 };
+    const planned = new PlannedMoves();
+    const first = planMoves(situation(recorded, demand));
+    first.forEach(each => planned.ask(each, true, 0));
+    const stuck = first[0];
+    assert.ok(stuck !== undefined && first.length > 2);
+    const begun = recorded.map(each => {
+        const made = first.slice(1).find(({ engine: name }) => name === each.id);
+        return made === undefined ? each : { ...each, loading: made.model };
+    });
+    const { engines } = planned.follow(begun, 1_000);
+    const passedOver = planned.passedOver(1_000);
+    const later = planMoves({ ...situation(engines, demand), passedOver });
+    assert.ok(later.every(({ engine: name }) => name !== stuck.engine), "it is passed over");
+    assert.ok(later.some(({ model }) => model === stuck.model), "another engine takes the model");
+});
+
+test("an engine that has begun its part of the loads from the weight store begins no further one in the window", () => {
+    const planned = new PlannedMoves();
+    const bound = { windowMilliseconds: 5_000, mostLoads: 1 };
+    planned.ask(move("a", "rare"), true, 0);
+    planned.ask(move("b", "warm"), false, 0);
+    assert.deepEqual([...planned.withoutStore(bound, 4_990)], ["a"]);
+    assert.deepEqual([...planned.withoutStore(bound, 5_000)], []);
+});
+
+test("plans made while no record changes ask no engine twice, and load no missing model twice", () => {
+    const placements = fc.array(fc.subarray(MODELS, { maxLength: 2 }), { minLength: 2, maxLength: 8 });
+    const demands = fc.dictionary(fc.constantFrom(...MODELS), fc.integer({ min: 0, max: 30 }), { minKeys: 1 });
+    fc.assert(
+        fc.property(placements, demands, (held, demand) => {
+            const recorded = held.map((models, index) => engine(`engine-${index}`, models));
+            const planned = new PlannedMoves();
+            const asked: WeightMove[] = [];
+            for (let now = 0; now < 1_000; now += 200) {
+                const { engines } = planned.follow(recorded, now);
+                for (const each of planMoves(situation(engines, demand))) {
+                    planned.ask(each, true, now);
+                    asked.push(each);
+                }
+            }
+            const missing = asked.filter(({ reason }) => reason === "no-copy").map(({ model }) => model);
+            assert.equal(new Set(missing).size, missing.length);
+            assert.equal(new Set(asked.map(({ engine: name }) => name)).size, asked.length);
+        }),
+        { seed: 27, numRuns: 200 },
+    );
+});
