Tell a cell in small datagrams, spread over time

Callers of about half of the hosts were refused for models that engines in other cells held, and half of the holders planned with the demand of their own cell alone. Cause: whoever speaks for a cell sent the sum of all other cells to its ten mates in one burst of 8 to 19 KB each. A narrow link drops what goes beyond its queue, and always the last of the burst. As sums grew with demand, fewer mates got them, in their order. Ruled out: losses by chance (order and width of the link decide); a speaker that is silent (it told the other cells all the while). Demand by model goes only to hosts that may plan or speak for the cell; the sum of the rest describes 16 engines by turns (of 64). A request that was sent is told only to mates that had requests at that engine in their last digest. The test of engines by turns counts to 16 in place of 64 and takes as many turns as it needs; it still wants all 180.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -62,6 +62,9 @@
 /** Under which name the sum of the other cells is kept beside the digests of peers. */
 const REST_OF_FLEET = "(rest of the fleet)";
 
+/** Hosts of a cell that know what is asked of models: the one that speaks for it, and those that follow it. */
+const SPEAKERS_WITH_DEMAND = 3;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What an entry host is made of. */
@@ -149,6 +152,7 @@
             metrics,
             timeSpent: this.#timeSpent,
             readClock: () => this.#now(),
+            needDemand: () => this.#needDemand(),
             onMessage: message => this.#takeGossip(message),
         });
         this.#cells = new CellTalk({
@@ -415,6 +419,13 @@
         });
     }
 
+    /** Those that may plan or speak for the cell, and those that may follow them. */
+    #needDemand(): ReadonlySet<string> {
+        const candidates = this.#duties.candidates(this.#upstreams.view.all().length);
+        const speakers = this.#peers.heardMembers(this.#now()).slice(0, SPEAKERS_WITH_DEMAND);
+        return new Set([...candidates, ...speakers]);
+    }
+
     #askHolder(holder: string, move: WeightMove): void {
         if (holder === this.#settings.host) {
             this.#orders.takeMove(move, holder);
@@ -480,7 +491,12 @@
             },
             hostCount: () => this.#peers.live(this.#now()).length + 1,
             wishAdapter: (engine, model, adapter) => this.#wishAdapter(engine, model, adapter),
-            tellSent: (engine, promptTokens) => this.#gossip.tellSent(engine, promptTokens),
+            tellSent: (engine, promptTokens) =>
+                this.#gossip.tellSent(
+                    engine,
+                    promptTokens,
+                    peer => loads.usesUpstream(peer, engine, this.#now()),
+                ),
             tellAdapterUse: (engine, adapter, inUse) => this.#tellAdapterUse(engine, adapter, inUse),
             noteModelAbsent: (engine, model) => this.#orders.noteAbsent(engine, model),
             noteUnreachable: upstream => this.#upstreams.noteUnreachable(upstream),
@@ -706,7 +722,7 @@
         const record = this.#orders.recordOf(engine);
         const held = record?.models.find(({ name }) => name === model);
         if (record !== undefined && held?.adapters.includes(adapter) === true) {
-            this.#gossip.answerWish(host, toMemory(record));
+            this.#gossip.tellHolding(host, toMemory(record));
         }
     }
 
--- /dev/null
+++ b/src/entry/hostGossip.test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { test } from "node:test";
+import { collectLines } from "../../tests/support/collectedLines.js";
+import { digestOf } from "../../tests/support/digests.js";
+import { CellSummaries, type GossipMessage, PeerTable } from "../gossip/index.js";
+import { createEntryMetrics, TimeSpent } from "../observability/index.js";
+import { digestMilliseconds } from "./fleetPace.js";
+import { HostGossip } from "./hostGossip.js";
+
+/** What a host may spend a second on control, in bytes. */
+const CONTROL_BYTES_PER_SECOND = 16 * 1024;
+
+const CELL_HOSTS = 11;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** A cell of a fleet of 63 hosts before 63 engines, in which 111 models are asked for. */
+function busyDigest(host: string, cell: number): ReturnType<typeof digestOf> {
+    const models = Array.from({ length: 111 }, (_, index) => `model-${index}a7f3`);
+    const demand = Object.fromEntries(models.map((model, index) => [model, 1.2345 + index]));
+    const engines = Array.from({ length: 11 }, (_, index) => ({
+        engine: `i-${cell}${index}f48a9c01`,
+        startedAtMilliseconds: 1_777_820_567_195,
+        orderCount: 100 + index,
+        models: [0, 1].map(offset => ({
+            name: models[index + offset] ?? "",
+            adapters: Array.from({ length: 4 }, (_each, adapter) => `a${adapter}`),
+        })),
+        loading: models[index] ?? "",
+    }));
+    const inFlight = Object.fromEntries(engines.map(({ engine }) => [engine, 9]));
+    return digestOf(host, { demand, adapterDemand: demand, readingDemand: demand, engines, inFlight });
+}
+
+async function openReceiver(context: { after(step: () => void): void; }): Promise<{
+    readonly address: string;
+    readonly next: () => Promise<{ readonly message: GossipMessage; readonly bytes: number; }>;
+}> {
+    const socket: Socket = createSocket("udp4");
+    socket.bind(0, "127.0.0.1");
+    await once(socket, "listening");
+    context.after(() => void socket.close());
+    return {
+        address: `127.0.0.1:${socket.address().port}`,
+        next: async () => {
+            const [bytes] = await once(socket, "message") as [Buffer];
+            return { message: JSON.parse(bytes.toString()) as GossipMessage, bytes: bytes.length };
+        },
+    };
+}
+
+test("sums leave a host that does not plan room for the rest of its control, and have all that planning needs", async context => {
+    const [plain, planner] = [await openReceiver(context), await openReceiver(context)];
+    const peers = new PeerTable("speaker", "a");
+    for (const [host, { address }] of [["plain", plain], ["planner", planner]] as const) {
+        peers.hear(digestOf(host, { addresses: { callers: "x", gossip: address, state: "x" } }), 0);
+    }
+    const lines = collectLines([]);
+    const metrics = createEntryMetrics();
+    const gossip = new HostGossip({
+        host: "speaker",
+        peers,
+        logger: lines,
+        metrics,
+        timeSpent: new TimeSpent({ logger: lines, metrics, readClock: () => 0, readProcessorMicroseconds: () => 0 }),
+        readClock: () => 0,
+        needDemand: () => new Set(["planner"]),
+        onMessage: () => {},
+    });
+    await gossip.open({ address: "127.0.0.1", port: 0 });
+    context.after(() => gossip.close());
+    const summaries = new CellSummaries();
+    for (let cell = 0; cell < 5; cell += 1) {
+        const other = new CellSummaries();
+        for (let host = 0; host < CELL_HOSTS; host += 1) {
+            other.hearDigest(busyDigest(`front-zone-${cell}-${host}`, cell), 0);
+        }
+        const name = `front-zone-${cell}-0`;
+        summaries.hear(other.sumOfCell({ host: name, cell: name }, busyDigest(name, cell), 0), 0);
+    }
+    const rest = summaries.sumOfRest({ host: "speaker", cell: "speaker" }, 0);
+    assert.ok(rest !== undefined);
+    const heard = Promise.all([plain.next(), planner.next()]);
+    gossip.tellRest(rest);
+    const [toPlain, toPlanner] = await heard;
+    const sumsPerSecond = MILLISECONDS_PER_SECOND / digestMilliseconds(CELL_HOSTS);
+    assert.ok(toPlain.bytes * sumsPerSecond <= CONTROL_BYTES_PER_SECOND, `${toPlain.bytes} bytes`);
+    assert.ok(toPlanner.message.type === "summary");
+    assert.equal(Object.keys(toPlanner.message.demand).length, 111);
+    assert.equal(Object.keys(toPlanner.message.adapterDemand).length, 111);
+    assert.equal(Object.keys(toPlanner.message.readingDemand).length, 111);
+});
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -31,9 +31,16 @@
     readonly metrics: EntryMetrics;
     readonly timeSpent: TimeSpent;
     readonly readClock: () => number;
+    /** Gives the hosts of the cell that have to know what callers ask of each model. */
+    readonly needDemand: () => ReadonlySet<string>;
     readonly onMessage: (message: GossipMessage) => void;
 }
 
+/** Leaves out what only hosts that plan, or speak for a cell, have to know. */
+function withoutDemand<Message extends HostDigest | FleetSummary>(message: Message): Message {
+    return { ...message, demand: {}, adapterDemand: {}, readingDemand: {} };
+}
+
 /** The word that a host uses an adapter, or ceases to. */
 export type AdapterUseWord = Omit<AdapterUseNotice, "type">;
 
@@ -69,7 +76,7 @@
     }
 
     tellDigest(digest: HostDigest): void {
-        this.#send(digest, this.#cellMates());
+        this.#sendByNeed(digest);
     }
 
     /** Tells the sum of the own cell to hosts of another one. */
@@ -79,7 +86,7 @@
 
     /** Tells the own cell the sum of all others. */
     tellRest(summary: FleetSummary): void {
-        this.#send(summary, this.#cellMates());
+        this.#sendByNeed(summary);
     }
 
     /** Asks an engine's holder to begin a move. */
@@ -93,15 +100,15 @@
         this.#send({ type: "news", host: this.#options.host, engine }, [...told]);
     }
 
-    /** Tells one host what an engine holds. */
-    answerWish(asker: string, engine: EngineMemory): void {
+    /** Tells one host that has asked what an engine holds. */
+    tellHolding(asker: string, engine: EngineMemory): void {
         this.#send({ type: "news", host: this.#options.host, engine }, this.#named([asker]));
     }
 
-    /** Tells the own cell of a request that was sent. */
-    tellSent(engine: string, promptTokens: number): void {
+    /** Tells hosts of the own cell that send to the same engine of a request that was sent. */
+    tellSent(engine: string, promptTokens: number, usesEngine: (host: string) => boolean): void {
         const { host, readClock } = this.#options;
-        const told = this.#cellMates().filter(peer => isHeard(peer, readClock()));
+        const told = this.#cellMates().filter(peer => isHeard(peer, readClock()) && usesEngine(peer.host));
         this.#send({ type: "sent", host, engine, promptTokens }, told);
     }
 
@@ -133,6 +140,14 @@
         }
     }
 
+    /** Tells the own cell, and demand only those of it that need it. */
+    #sendByNeed(message: HostDigest | FleetSummary): void {
+        const needDemand = this.#options.needDemand();
+        const mates = this.#cellMates();
+        this.#send(message, mates.filter(({ host }) => needDemand.has(host)));
+        this.#send(withoutDemand(message), mates.filter(({ host }) => !needDemand.has(host)));
+    }
+
     #cellMates(): readonly Peer[] {
         return this.#options.peers.cellMates();
     }
@@ -142,6 +157,9 @@
     }
 
     #send(message: GossipMessage, peers: readonly Peer[]): void {
+        if (peers.length === 0) {
+            return;
+        }
         this.#options.metrics.count("gossip_datagrams", { direction: "sent" });
         this.#options.timeSpent.measure(
             "datagrams-sent",
--- a/src/forwarding/upstreamLoads.ts
+++ b/src/forwarding/upstreamLoads.ts
@@ -74,6 +74,13 @@
         this.#peers.set(host, { inFlight, atMilliseconds: nowMilliseconds });
     }
 
+    /** Tells whether a peer had requests at an upstream when it was heard last. */
+    usesUpstream(host: string, upstream: string, nowMilliseconds: number): boolean {
+        const peer = this.#peers.get(host);
+        return peer !== undefined && nowMilliseconds - peer.atMilliseconds < PEER_LIFETIME_MILLISECONDS
+            && (peer.inFlight[upstream] ?? 0) > 0;
+    }
+
     /** Gives how many requests the upstream probably has, running and waiting. */
     estimate(upstream: string, nowMilliseconds: number): number {
         const load = this.#load(upstream);
--- a/src/gossip/cellSummaries.test.ts
+++ b/src/gossip/cellSummaries.test.ts
@@ -68,9 +68,9 @@
         summaries.hear(otherCell(`b${cell}`, { engines }), 0);
     }
     const told = new Set<string>();
-    for (let turn = 0; turn < 3; turn += 1) {
+    for (let turn = 0; turn < 12; turn += 1) {
         const engines = summaries.sumOfRest(SENDER, turn)?.engines ?? [];
-        assert.ok(engines.length <= 64);
+        assert.ok(engines.length <= 16);
         engines.forEach(({ engine }) => told.add(engine));
     }
     assert.equal(told.size, 180);
--- a/src/gossip/cellSummaries.ts
+++ b/src/gossip/cellSummaries.ts
@@ -12,8 +12,8 @@
 /** Hosts of another cell that get a sum: the one that speaks for it, and one that follows when that one is gone. */
 const RECEIVERS_OF_CELL = 2;
 
-/** Engines that one sum describes at most. */
-const MOST_ENGINES_TOLD = 64;
+/** Engines that one sum describes at most; the sum of the rest goes to all hosts of a cell at once, over narrow links. */
+const MOST_ENGINES_TOLD: Readonly<Record<FleetSummary["scope"], number>> = { cell: 64, rest: 16 };
 
 /** Most entries of the other lists. */
 const MOST_TOLD = 256;
@@ -68,10 +68,10 @@
 }
 
 /** Gives a part of the engines where they are too many for one message; the next turn has the next part. */
-function partOf(memories: readonly EngineMemory[], turn: number): EngineMemory[] {
-    const parts = Math.max(1, Math.ceil(memories.length / MOST_ENGINES_TOLD));
-    const first = (turn % parts) * MOST_ENGINES_TOLD;
-    return memories.slice(first, first + MOST_ENGINES_TOLD);
+function partOf(memories: readonly EngineMemory[], most: number, turn: number): EngineMemory[] {
+    const parts = Math.max(1, Math.ceil(memories.length / most));
+    const first = (turn % parts) * most;
+    return memories.slice(first, first + most);
 }
 
 function freshOf<Message>(heard: Map<string, Heard<Message>>, nowMilliseconds: number): Message[] {
@@ -162,7 +162,7 @@
             demand: addUp(parts.map(({ demand }) => demand)),
             adapterDemand: addUp(parts.map(({ adapterDemand }) => adapterDemand)),
             readingDemand: addUp(parts.map(({ readingDemand }) => readingDemand)),
-            engines: partOf(latestMemories(parts), this.#turns[scope]),
+            engines: partOf(latestMemories(parts), MOST_ENGINES_TOLD[scope], this.#turns[scope]),
             relinquished: parts.flatMap(({ relinquished }) => relinquished).slice(0, MOST_TOLD),
             suspects: suspects.slice(-MOST_TOLD),
         };
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -25,6 +25,7 @@
     storeChangesSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
+import { PacedSends } from "./pacedSends.js";
 
 /** Larger datagrams are not sent; they would be cut into too many packets. */
 const LARGEST_DATAGRAM_BYTES = 48 * 1024;
@@ -127,6 +128,15 @@
     };
     const onDatagram = options.onDatagram ?? (step => step());
     socket.on("message", bytes => onDatagram(() => take(bytes)));
+    const sends = new PacedSends(({ address, bytes }) => {
+        const separator = address.lastIndexOf(":");
+        const port = Number(address.slice(separator + 1));
+        socket.send(bytes, port, address.slice(0, separator), error => {
+            if (error !== null) {
+                options.onProblem(error.message);
+            }
+        });
+    });
     return {
         send: (message, addresses) => {
             const bytes = Buffer.from(JSON.stringify(message));
@@ -134,16 +144,11 @@
                 options.onProblem(`a message of ${bytes.length} bytes was not sent`);
                 return;
             }
-            for (const address of addresses) {
-                const separator = address.lastIndexOf(":");
-                const port = Number(address.slice(separator + 1));
-                socket.send(bytes, port, address.slice(0, separator), error => {
-                    if (error !== null) {
-                        options.onProblem(error.message);
-                    }
-                });
-            }
+            sends.offer(bytes, addresses);
+        },
+        close: () => {
+            sends.close();
+            socket.close();
         },
-        close: () => void socket.close(),
     };
 }
