Tell the planner that asks what a holder knows; count loads from when they began

Cause: a holder told its news to the host that it took for the planner, which for hosts without sums was another one, so that the planner gave up moves that had begun; and the planner counted an engine's load from the weight store from when it asked, though it begins only once there is room. Change: a holder answers whoever asks for a move with the engine's record; PlannedMoves takes a load as begun when it has ended less the time that it takes.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -28,7 +28,7 @@
 /** Why a holder does not begin a move that the planner asks for. */
 type MoveRefusal =
     | "not held"
-    /** It is under way or done; the planner is told again. */
+    /** It is under way or done. */
     | "begun before"
     /** The engine no longer holds what would be dropped. */
     | "not as planned"
@@ -341,9 +341,6 @@
             metrics.count("moves", { outcome: "refused" });
             logger.info("move refused", { engine, model, dropped: dropped.join(","), reason: refusal, planner });
         }
-        if (keeper !== undefined) {
-            this.#options.onNews(keeper.record());
-        }
     }
 
     /** Why a move is not begun; `undefined` where it is begun now. */
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -14,6 +14,7 @@
     type FleetSummary,
     type HostDigest,
     hostRegistrationSchema,
+    type PlannedMove,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
@@ -673,7 +674,7 @@
                 this.#takeMemory(message.engine, this.#now());
                 break;
             case "move":
-                this.#orders.takeMove(message, message.host);
+                this.#takeMove(message);
                 break;
             case "sent":
                 this.#upstreams.loads.startedByPeer(message.engine);
@@ -684,6 +685,15 @@
         }
     }
 
+    /** The host that asks is told what becomes of the engine, whoever this host takes for the planner. */
+    #takeMove(move: PlannedMove): void {
+        this.#orders.takeMove(move, move.host);
+        const record = this.#orders.recordOf(move.engine);
+        if (record !== undefined) {
+            this.#gossip.tellHolding(move.host, toMemory(record));
+        }
+    }
+
     #takeDigest(digest: HostDigest): void {
         const now = this.#now();
         this.#peers.hear(digest, now);
--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -150,9 +150,10 @@
         };
         const engineOf = new Map(engines.map(engine => [engine.id, engine]));
         for (const move of planMoves(situation)) {
-            const isFromStore = engineOf.get(move.engine)?.atHand.includes(move.model) !== true;
+            const isAtHand = engineOf.get(move.engine)?.atHand.includes(move.model) === true;
+            const model = definition.models.find(({ name }) => name === move.model);
             this.#notePlanned(move, situation);
-            planned.ask(move, isFromStore, nowMilliseconds);
+            planned.ask(move, isAtHand ? undefined : model?.storeLoadMilliseconds, nowMilliseconds);
             this.#ask(move);
         }
     }
--- a/src/placement/plannedMoves.ts
+++ b/src/placement/plannedMoves.ts
@@ -15,6 +15,8 @@
 interface AskedMove {
     readonly move: WeightMove;
     readonly sinceMilliseconds: number;
+    /** How long the load takes, where it is one from the weight store. */
+    readonly storeLoadMilliseconds: number | undefined;
     /** True once the engine's record has named the model. */
     begun: boolean;
 }
@@ -39,15 +41,19 @@
 export class PlannedMoves {
     readonly #asked = new Map<string, AskedMove>();
     readonly #passedOver = new Map<string, number>();
-    /** When each engine was asked to load from the weight store. */
+    /** When each engine began its loads from the weight store, as far as records tell. */
     readonly #storeLoads = new Map<string, number[]>();
 
-    /** Takes note that a holder is asked to begin a move. */
-    ask(move: WeightMove, isFromStore: boolean, nowMilliseconds: number): void {
-        this.#asked.set(move.engine, { move, sinceMilliseconds: nowMilliseconds, begun: false });
-        if (isFromStore) {
-            this.#storeLoads.set(move.engine, [...this.#storeLoads.get(move.engine) ?? [], nowMilliseconds]);
-        }
+    /**
+     * Takes note that a holder is asked to begin a move.
+     *
+     * @param move The move.
+     * @param storeLoadMilliseconds How long its load takes; `undefined` where the weights are at hand.
+     * @param nowMilliseconds The time.
+     */
+    ask(move: WeightMove, storeLoadMilliseconds: number | undefined, nowMilliseconds: number): void {
+        const sinceMilliseconds = nowMilliseconds;
+        this.#asked.set(move.engine, { move, sinceMilliseconds, storeLoadMilliseconds, begun: false });
     }
 
     /**
@@ -118,6 +124,7 @@
         }
         if (asked.begun || models.includes(move.model)) {
             this.#asked.delete(id);
+            this.#noteEnded(id, asked.storeLoadMilliseconds, nowMilliseconds);
             return undefined;
         }
         if (nowMilliseconds - sinceMilliseconds < STUCK_MILLISECONDS) {
@@ -128,6 +135,14 @@
         return move;
     }
 
+    /** A load is ordered only once there is room, so when it began follows from when it has ended. */
+    #noteEnded(engine: string, storeLoadMilliseconds: number | undefined, nowMilliseconds: number): void {
+        if (storeLoadMilliseconds !== undefined) {
+            const begunAt = nowMilliseconds - storeLoadMilliseconds;
+            this.#storeLoads.set(engine, [...this.#storeLoads.get(engine) ?? [], begunAt]);
+        }
+    }
+
     /** What a move drops no longer counts, also while requests keep it in the engine's memory. */
     #expected(engine: PlannedEngine): PlannedEngine {
         const move = this.#asked.get(engine.id)?.move;
