--- a/src/entry/cellTalk.ts
+++ b/src/entry/cellTalk.ts
@@ -11,6 +11,8 @@
 /** An older sum of the other cells is ignored. */
 const REST_LIFETIME_MILLISECONDS = 2_000;
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Options of the talk between cells. */
 export interface CellTalkOptions {
     readonly host: string;
@@ -30,6 +32,9 @@
     /** This host's place in the fleet as it was logged last. */
     #loggedPlace = "";
     #rest: { readonly summary: FleetSummary; readonly atMilliseconds: number; } | undefined;
+    /** Since when the fleet has had other cells; `undefined` while it has none. */
+    #othersSinceMilliseconds: number | undefined;
+    #missesRest = false;
 
     constructor(options: CellTalkOptions) {
         this.#options = options;
@@ -59,6 +64,7 @@
         const now = readClock();
         const { others } = peers.division();
         this.#notePlace();
+        this.#noteRestAge(others.length, now);
         if (others.length === 0 || !peers.isSpeaker(now)) {
             return;
         }
@@ -94,6 +100,29 @@
         }
     }
 
+    /** A datagram that is lost leaves no trace, so the host says when it misses what it should hear. */
+    #noteRestAge(otherCells: number, nowMilliseconds: number): void {
+        const { logger, metrics } = this.#options;
+        this.#othersSinceMilliseconds = otherCells === 0 ? undefined : this.#othersSinceMilliseconds ?? nowMilliseconds;
+        const heardAt = Math.max(
+            this.#rest?.atMilliseconds ?? Number.NEGATIVE_INFINITY,
+            this.#othersSinceMilliseconds ?? nowMilliseconds,
+        );
+        const age = nowMilliseconds - heardAt;
+        metrics.gauge("other_cells_age_seconds", age / MILLISECONDS_PER_SECOND);
+        const misses = age > REST_LIFETIME_MILLISECONDS;
+        if (misses !== this.#missesRest) {
+            this.#missesRest = misses;
+            const fields = { otherCells, ageMilliseconds: Math.round(age) };
+            if (misses) {
+                logger.warn("other cells not heard", fields);
+            }
+            else {
+                logger.info("other cells heard again", fields);
+            }
+        }
+    }
+
     #sender(): SummarySender {
         const { host, peers } = this.#options;
         return { host, cell: peers.division().own[0]?.host ?? host };
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -51,6 +51,7 @@
     engines_held: { help: "Engines that this host gives orders to." },
     cells: { help: "Cells that the fleet is divided into." },
     cell_hosts: { help: "Hosts of this host's cell." },
+    other_cells_age_seconds: { help: "Time since this host heard of the other cells; 0 in a fleet of one cell." },
     peers_heard: { help: "Hosts heard in the last seconds." },
     prompt_bound_tokens: { help: "Unread prompt tokens up to which an engine is sent another prompt." },
     read_tokens_per_millisecond: { help: "Prompt tokens that an engine reads in a millisecond; 0 while not known." },
