--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -24,8 +24,8 @@
 } from "../placement/index.js";
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
 
-/** Planning takes at most this part of a host's time, so that a plan for many engines is made less often. */
-const PLANNING_SHARE = 0.1;
+/** Planning takes at most this part of the planner's time, so that a plan for many engines is made less often. */
+const PLANNING_SHARE = 0.25;
 
 /** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
 const SETTLED_MILLISECONDS = 1_200;
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -89,19 +89,44 @@
 interface Candidate {
     readonly engine: PlannedEngine;
     readonly model: ModelDefinition;
-    readonly dropped: readonly string[];
+    readonly drop: Drop;
     readonly gain: number;
 }
 
-interface Fleet {
+/** Models that an engine could drop together. */
+interface Drop {
+    /** In the order in which they are dropped. */
+    readonly dropped: readonly string[];
+    readonly largestMegabytes: number;
+    readonly totalMegabytes: number;
+    /** How much more the placement costs without them. */
+    readonly lost: number;
+    /** The same until what is loaded serves, with copies that serve now alone; at least 0. */
+    readonly missed: number;
+    /** True where nobody misses them while the engine changes. */
+    readonly isIdle: boolean;
+}
+
+/** What an engine that may change could make room with. */
+interface EngineProspects {
+    readonly freeMegabytes: number;
+    readonly drops: readonly Drop[];
+}
+
+interface PlanCosts {
     readonly situation: WeightSituation;
-    readonly horizonMilliseconds: number;
     /** Of what engines will hold once their loads have ended. */
     readonly cost: PlacementCost;
     /** Of what engines can serve now. */
     readonly servingCost: PlacementCost;
 }
 
+interface Fleet extends PlanCosts {
+    readonly horizonMilliseconds: number;
+    /** Of the engines that may change, looked up for each model that could be loaded there. */
+    readonly prospects: ReadonlyMap<string, EngineProspects>;
+}
+
 function modelsOf(engine: PlannedEngine): Set<string> {
     return new Set(engine.loading === undefined ? engine.models : [...engine.models, engine.loading]);
 }
@@ -131,41 +156,70 @@
     return load;
 }
 
+/** What one engine could drop, whatever it loads then. */
+function dropsOf(engine: PlannedEngine, { cost, servingCost, situation: { definition } }: PlanCosts): Drop[] {
+    const sizeOf = (model: string): number => weightMegabytesOf(definition, model);
+    const pairs = engine.models.flatMap((first, index) =>
+        engine.models.slice(index + 1).map(second => [first, second])
+    );
+    return [...engine.models.map(model => [model]), ...pairs].map(dropped => {
+        const sizes = dropped.map(sizeOf);
+        const lost = cost.lossOf(engine.id, dropped);
+        return {
+            dropped,
+            largestMegabytes: Math.max(...sizes),
+            totalMegabytes: sizes.reduce((sum, size) => sum + size, 0),
+            lost,
+            missed: Math.max(0, lost, servingCost.lossOf(engine.id, dropped)),
+            isIdle: dropped.every(model => cost.loadOfCopy(model) <= IDLE_COPY_LOAD),
+        };
+    });
+}
+
+function prospectsOf(engine: PlannedEngine, costs: PlanCosts): EngineProspects {
+    const freeOnEngine = freeMegabytes(costs.situation.definition, modelsOf(engine));
+    return { freeMegabytes: freeOnEngine, drops: dropsOf(engine, costs) };
+}
+
+/** Nothing is dropped where there is room. */
+const NO_DROP: Drop = {
+    dropped: [],
+    largestMegabytes: 0,
+    totalMegabytes: 0,
+    lost: 0,
+    missed: 0,
+    isIdle: true,
+};
+
 /**
  * Ways to make room for a model: one other model alone where that is enough, else two. Before there is traffic nothing
  * speaks against the copies that engines began with, so none is dropped.
  */
-function waysToMakeRoom(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition): (readonly string[])[] {
-    const { definition, demand } = fleet.situation;
-    const missing = model.weightMegabytes - freeMegabytes(definition, modelsOf(engine));
+function waysToMakeRoom(
+    { prospects, situation }: Fleet,
+    engine: PlannedEngine,
+    model: ModelDefinition,
+): readonly Drop[] {
+    const prospect = prospects.get(engine.id);
+    const missing = model.weightMegabytes - (prospect?.freeMegabytes ?? 0);
     if (missing <= 0) {
-        return [[]];
+        return [NO_DROP];
     }
-    if (demand.size === 0) {
+    if (situation.demand.size === 0) {
         return [];
     }
-    const sizeOf = (other: string): number => weightMegabytesOf(definition, other);
-    const alone = engine.models.filter(other => sizeOf(other) >= missing).map(other => [other]);
-    const small = engine.models.filter(other => sizeOf(other) < missing);
-    const pairs = small.flatMap((first, index) =>
-        small.slice(index + 1)
-            .filter(second => sizeOf(first) + sizeOf(second) >= missing)
-            .map(second => [first, second])
+    return (prospect?.drops ?? []).filter(({ dropped, largestMegabytes, totalMegabytes }) =>
+        totalMegabytes >= missing && (dropped.length === 1 || largestMegabytes < missing)
     );
-    return [...alone, ...pairs];
-}
-
-function isIdle({ cost }: Fleet, models: readonly string[]): boolean {
-    return models.every(model => cost.loadOfCopy(model) <= IDLE_COPY_LOAD);
 }
 
 /** Part of the horizon in which a model serves that is loaded now; all of it where nobody waits for anything yet. */
-function servingShare(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, dropped: readonly string[]): number {
+function servingShare(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, drop: Drop): number {
     if (fleet.situation.demand.size === 0) {
         return 1;
     }
-    const dropping = isIdle(fleet, dropped) ? IDLE_DROP_MILLISECONDS : BUSY_DROP_MILLISECONDS;
-    const waited = (dropped.length > 0 ? dropping : 0)
+    const dropping = drop.isIdle ? IDLE_DROP_MILLISECONDS : BUSY_DROP_MILLISECONDS;
+    const waited = (drop.dropped.length > 0 ? dropping : 0)
         + expectedLoadMilliseconds(model, engine.atHand.includes(model.name));
     return Math.max(0, 1 - waited / fleet.horizonMilliseconds);
 }
@@ -174,15 +228,10 @@
  * What a move gains within the horizon. What is dropped is missed from now on, also where another copy is on its way;
  * what is loaded serves once it is there.
  */
-function gainOf(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, dropped: readonly string[]): number {
-    const share = servingShare(fleet, engine, model, dropped);
-    const gain = fleet.cost.gainOf(engine.id, model.name, dropped);
-    if (dropped.length === 0) {
-        return gain * share;
-    }
-    const lost = fleet.cost.lossOf(engine.id, dropped);
-    const missed = Math.max(0, lost, fleet.servingCost.lossOf(engine.id, dropped));
-    return (gain + lost) * share - missed;
+function gainOf(fleet: Fleet, engine: PlannedEngine, model: ModelDefinition, drop: Drop): number {
+    const share = servingShare(fleet, engine, model, drop);
+    const gain = fleet.cost.gainOf(engine.id, model.name, drop.dropped);
+    return (gain + drop.lost) * share - drop.missed;
 }
 
 /** A model that nobody can serve, and that much is asked of, does not wait until other engines have changed. */
@@ -197,11 +246,11 @@
     mayDropBusy: boolean,
 ): Candidate | undefined {
     let best: Candidate | undefined;
-    for (const dropped of waysToMakeRoom(fleet, engine, model)) {
-        const gain = gainOf(fleet, engine, model, dropped);
-        const mayDrop = mayDropBusy || isUrgent(fleet, { model, gain }) || isIdle(fleet, dropped);
+    for (const drop of waysToMakeRoom(fleet, engine, model)) {
+        const gain = gainOf(fleet, engine, model, drop);
+        const mayDrop = mayDropBusy || isUrgent(fleet, { model, gain }) || drop.isIdle;
         if (gain > (best?.gain ?? 0) && mayDrop) {
-            best = { engine, model, dropped, gain };
+            best = { engine, model, drop, gain };
         }
     }
     return best;
@@ -236,10 +285,13 @@
     return hashText(`${model.name}/${engine.id}`);
 }
 
+function enginesThatMayChange({ engines, passedOver }: WeightSituation): PlannedEngine[] {
+    return engines.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
+}
+
 /** All moves that are worth making, alone. */
 function worthwhileMoves(fleet: Fleet, mayDropBusy: boolean): Candidate[] {
-    const { engines, passedOver } = fleet.situation;
-    const idle = engines.filter(({ id, loading }) => loading === undefined && !passedOver.has(id));
+    const idle = enginesThatMayChange(fleet.situation);
     return candidateModels(fleet).flatMap(model =>
         idle.flatMap(engine => {
             const holds = engine.models.includes(model.name);
@@ -256,7 +308,7 @@
 }
 
 /** Rounds of one plan at most; each takes into account what those before it have changed. */
-const MOST_ROUNDS = 8;
+const MOST_ROUNDS = 6;
 
 /** Keeps account of what may still begin beside what has begun. */
 class MovesTogether {
@@ -282,10 +334,10 @@
 
     /** Takes a move, unless it bears on what a better one changes, or too many begin already. */
     offer(move: Candidate): void {
-        const { dropped, engine, model } = move;
-        const models = [model.name, ...dropped];
+        const { drop, engine, model } = move;
+        const models = [model.name, ...drop.dropped];
         const isFromStore = !engine.atHand.includes(model.name);
-        const dropsBusy = !isIdle(this.#fleet, dropped);
+        const dropsBusy = !drop.isIdle;
         const bearsOnOther = this.#engines.has(engine.id) || models.some(name => this.#models.has(name));
         const isTooMuch = (isFromStore && this.#storeLoadsLeft <= 0)
             || (dropsBusy && !isUrgent(this.#fleet, move) && this.#busyDropsLeft <= 0);
@@ -300,7 +352,7 @@
     }
 }
 
-function describeMove({ cost }: Fleet, { dropped, engine, gain, model }: Candidate): WeightMove {
+function describeMove({ cost }: Fleet, { drop: { dropped }, engine, gain, model }: Candidate): WeightMove {
     const reason = cost.copies(model.name) > 0 ? "busy-copies" : "no-copy";
     return { engine: engine.id, model: model.name, dropped, reason, gain };
 }
@@ -311,12 +363,13 @@
     load: ReadonlyMap<string, number>,
     horizonMilliseconds: number,
 ): readonly WeightMove[] {
-    const fleet: Fleet = {
+    const costs: PlanCosts = {
         situation,
-        horizonMilliseconds,
         cost: new PlacementCost(placementOf(situation, modelsOf), load),
         servingCost: new PlacementCost(placementOf(situation, ({ models }) => new Set(models)), load),
     };
+    const prospects = new Map(enginesThatMayChange(situation).map(engine => [engine.id, prospectsOf(engine, costs)]));
+    const fleet: Fleet = { ...costs, horizonMilliseconds, prospects };
     const together = new MovesTogether(fleet);
     const moves = worthwhileMoves(fleet, together.mayDropBusy);
     moves.sort(compareMoves).forEach(move => together.offer(move));
