Tell demand by measured times from the first measured request on

Callers in the first ten seconds, and after a restart of all hosts, met a plan that took every busy model for several engines' worth more than it was. Cause: a host begins with a guess of 10 ms a token of work and each measured request moved it by a twentieth, on each host apart; a host of a large fleet measures four streams a second. Ruled out: another first guess (right for one kind of engine only). Change: the first measured requests are averaged; from the twentieth on the weight is as before.

--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -11,10 +11,10 @@
 const LEAST_REQUESTS = 0.02;
 const LEAST_ENGINES = 0.002;
 
-/** Time that an engine spends on one token of work, until this host has measured it. */
+/** Time that an engine spends on one token of work, until this host has measured a request. */
 const FIRST_MILLISECONDS_PER_WORK = 10;
 
-/** Weight of one more measured request. */
+/** Least weight of one more measured request; of the first ones the mean is taken. */
 const MEASUREMENT_WEIGHT = 0.05;
 
 const FOUR_DIGITS = 10_000;
@@ -47,11 +47,12 @@
  * const demand = new DemandMeter();
  * demand.add("quotes", 320, now);
  * demand.noteRun(320, 2_900);
- * demand.concurrency(now); // { quotes: 1.44 }
+ * demand.concurrency(now); // { quotes: 2.01 }
  * ```
  */
 export class DemandMeter {
     #millisecondsPerWork = FIRST_MILLISECONDS_PER_WORK;
+    #runs = 0;
     readonly #work = new Map<string, { work: number; atMilliseconds: number; }>();
 
     add(model: string, work: number, nowMilliseconds: number): void {
@@ -63,7 +64,9 @@
 
     /** Takes how long an engine ran a request. */
     noteRun(work: number, tookMilliseconds: number): void {
-        this.#millisecondsPerWork += MEASUREMENT_WEIGHT * (tookMilliseconds / work - this.#millisecondsPerWork);
+        this.#runs += 1;
+        const weight = Math.max(MEASUREMENT_WEIGHT, 1 / this.#runs);
+        this.#millisecondsPerWork += weight * (tookMilliseconds / work - this.#millisecondsPerWork);
     }
 
     /** Gives how many requests of each model would run at once if all were served. */
