--- a/src/placement/copiesSeen.ts
+++ b/src/placement/copiesSeen.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type PlannedEngine, type WeightMove } from "./planWeights.js";
+import { type PlannedEngine, type WeightMove } from "./weightSituation.js";
 
 /** The copies that whoever planned a move saw. */
 export interface CopiesSeen {
--- a/src/placement/engineKeeper.ts
+++ b/src/placement/engineKeeper.ts
@@ -8,8 +8,8 @@
 import { nameAdapter, splitAdapterName } from "./adapterName.js";
 import { freeMegabytes } from "./engineRoom.js";
 import { expectedLoadMilliseconds } from "./loadTime.js";
-import { type WeightMove } from "./planWeights.js";
 import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
+import { type WeightMove } from "./weightSituation.js";
 
 /** An adapter is taken as present this long after its load was accepted. */
 const ADAPTER_LOAD_MILLISECONDS = 12;
--- a/src/placement/plannedMoves.ts
+++ b/src/placement/plannedMoves.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type PlannedEngine, type WeightMove } from "./planWeights.js";
+import { type PlannedEngine, type WeightMove } from "./weightSituation.js";
 
 /** A move that its holder was not seen to begin for this long is left to another engine. */
 const STUCK_MILLISECONDS = 1_000;
