--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -27,6 +27,12 @@
 /** Planning takes at most this part of the planner's time, so that a plan for many engines is made less often. */
 const PLANNING_SHARE = 0.25;
 
+/** Demand changes by half in this time; a plan made sooner after another would follow chance. */
+const PLANNING_MILLISECONDS = 1_000;
+
+/** Until traffic has lasted for so long, a model that nobody has asked for may just not have been asked for yet. */
+const DEMAND_KNOWN_MILLISECONDS = 2_000;
+
 /** When a site starts, engines come one after the other; weights are planned only this long after the last came. */
 const SETTLED_MILLISECONDS = 1_200;
 
@@ -67,7 +73,10 @@
     readonly #planned = new Map<string, PlannedMoves>();
     #enginesChangedAt = Number.NEGATIVE_INFINITY;
     #planAgainAt = Number.NEGATIVE_INFINITY;
+    /** Since when models have been asked for without a break. */
+    #demandSince: number | undefined;
     #planner: string | undefined;
+    #mayPlan = false;
     #planningFrom = Number.NEGATIVE_INFINITY;
 
     constructor(options: FleetPlannerOptions) {
@@ -89,6 +98,7 @@
         const { host, readClock, timeSpent } = this.#options;
         const now = readClock();
         this.#choosePlanner(now);
+        this.#noteDemand(now);
         if (this.#planner !== host || now < Math.max(this.#planAgainAt, this.#planningFrom)) {
             return;
         }
@@ -97,7 +107,7 @@
                 timeSpent.measure("planning", () => this.#plan(name, engine, now));
             }
         }
-        this.#planAgainAt = now + (readClock() - now) / PLANNING_SHARE;
+        this.#planAgainAt = now + Math.max(PLANNING_MILLISECONDS, (readClock() - now) / PLANNING_SHARE);
     }
 
     /**
@@ -107,6 +117,7 @@
     #choosePlanner(nowMilliseconds: number): void {
         const { duties, host, isLive, logger, view } = this.#options;
         const candidates = duties.candidates(view.all().length);
+        this.#mayPlan = candidates.includes(host);
         const live = candidates.filter(isLive);
         const isAlone = candidates.length > 1 && live.length === 1 && live[0] === host;
         const planner = isAlone ? undefined : live[0];
@@ -121,7 +132,7 @@
 
     #plan(service: string, definition: EngineDefinition, nowMilliseconds: number): void {
         const { duties, isDown, logger, metrics, storeLoads, view } = this.#options;
-        const demand = this.#options.demand();
+        const demand = this.#knownDemand(nowMilliseconds);
         if (demand.size === 0 && nowMilliseconds - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
             return;
         }
@@ -158,6 +169,19 @@
         }
     }
 
+    /** Each host that may plan takes note, so that the next planner knows how long there has been demand. */
+    #noteDemand(nowMilliseconds: number): void {
+        const isAsked = this.#mayPlan && this.#options.demand().size > 0;
+        this.#demandSince = isAsked ? this.#demandSince ?? nowMilliseconds : undefined;
+    }
+
+    /** What is asked of models, once traffic has lasted for long enough to tell. */
+    #knownDemand(nowMilliseconds: number): ReadonlyMap<string, number> {
+        const demand = this.#options.demand();
+        const isKnown = nowMilliseconds - (this.#demandSince ?? nowMilliseconds) >= DEMAND_KNOWN_MILLISECONDS;
+        return isKnown ? demand : new Map();
+    }
+
     #ask(move: WeightMove): void {
         const holder = this.#options.duties.holderOf(move.engine);
         if (holder !== undefined) {
--- a/src/entry/fleetPlanning.test.ts
+++ b/src/entry/fleetPlanning.test.ts
@@ -81,3 +81,26 @@
     const loaded = loads.map(({ model }) => model).sort();
     assert.deepEqual(loaded, wanted, JSON.stringify(fleet.carriedOut));
 });
+
+test("a copy is not dropped in the first moments of traffic for want of a request yet", async context => {
+    const asked = names("asked", 12);
+    const models = [...asked, ...names("late", 12)];
+    const fleet = new EngineFleet(context, {
+        hosts: HOSTS,
+        hostsOfCell: HOSTS_OF_CELL,
+        betweenCellsMilliseconds: BETWEEN_CELLS_MILLISECONDS,
+        definition: definitionOf([...models, ...names("missing", 12)], 2),
+        engines: names("engine", HOSTS).map((_, index) =>
+            engineOf(index, [models[index] ?? "", models[index + HOSTS] ?? ""])
+        ),
+        demand: now => {
+            const trafficFor = now - 5_000;
+            const late = trafficFor > 1_500 ? names("late", 12) : [];
+            const missing = trafficFor > 300 ? names("missing", 12) : [];
+            return trafficFor < 0 ? new Map() : new Map([...asked, ...late, ...missing].map(name => [name, 3]));
+        },
+    });
+    await fleet.play(7_000);
+    const dropped = fleet.carriedOut.filter(({ operation }) => operation === "unload");
+    assert.deepEqual(dropped, []);
+});
