Work out once what a plan is weighed with

Change: the prospects carry their engine and are gone through directly; the load of models has a file of its own and is worked out where the placement is.

--- a/src/placement/_weighMoves.ts
+++ b/src/placement/_weighMoves.ts
@@ -5,6 +5,7 @@
  */
 import { hashText } from "../decision/index.js";
 import { type ModelDefinition } from "../routes/index.js";
+import { loadOf } from "./_modelLoad.js";
 import { type Placement, PlacementCost } from "./_placementCost.js";
 import { freeMegabytes, weightMegabytesOf } from "./engineRoom.js";
 import { expectedLoadMilliseconds } from "./loadTime.js";
@@ -56,8 +57,9 @@
     readonly isIdle: boolean;
 }
 
-/** What an engine that may change could make room with. */
+/** An engine that may change, and what it could make room with. */
 interface EngineProspects {
+    readonly engine: PlannedEngine;
     readonly freeMegabytes: number;
     readonly drops: readonly Drop[];
 }
@@ -71,20 +73,19 @@
     readonly servingCost: PlacementCost;
 }
 
-/** What moves of one round are weighed with. */
+/** What moves are weighed with. */
 export interface Fleet extends PlanCosts {
     readonly horizonMilliseconds: number;
-    /** Of the engines that may change, looked up for each model that could be loaded there. */
-    readonly prospects: ReadonlyMap<string, EngineProspects>;
+    /** Of all engines that may change; the same for each model that could be loaded there. */
+    readonly prospects: readonly EngineProspects[];
 }
 
 /** Models that an engine holds or is about to hold. */
-export function modelsOf(engine: PlannedEngine): Set<string> {
+function modelsOf(engine: PlannedEngine): Set<string> {
     return new Set(engine.loading === undefined ? engine.models : [...engine.models, engine.loading]);
 }
 
-/** Gives what each engine has, as far as it is asked for. */
-export function placementOf(
+function placementOf(
     { engines }: WeightSituation,
     models: (engine: PlannedEngine) => Set<string>,
 ): Placement {
@@ -113,7 +114,7 @@
 
 function prospectsOf(engine: PlannedEngine, costs: PlanCosts): EngineProspects {
     const freeOnEngine = freeMegabytes(costs.situation.definition, modelsOf(engine));
-    return { freeMegabytes: freeOnEngine, drops: dropsOf(engine, costs) };
+    return { engine, freeMegabytes: freeOnEngine, drops: dropsOf(engine, costs) };
 }
 
 /** Nothing is dropped where there is room. */
@@ -131,19 +132,18 @@
  * speaks against the copies that engines began with, so none is dropped.
  */
 function waysToMakeRoom(
-    { prospects, situation }: Fleet,
-    engine: PlannedEngine,
+    { situation }: Fleet,
+    { drops, freeMegabytes: free }: EngineProspects,
     model: ModelDefinition,
 ): readonly Drop[] {
-    const prospect = prospects.get(engine.id);
-    const missing = model.weightMegabytes - (prospect?.freeMegabytes ?? 0);
+    const missing = model.weightMegabytes - free;
     if (missing <= 0) {
         return [NO_DROP];
     }
     if (situation.demand.size === 0) {
         return [];
     }
-    return (prospect?.drops ?? []).filter(({ dropped, largestMegabytes, totalMegabytes }) =>
+    return drops.filter(({ dropped, largestMegabytes, totalMegabytes }) =>
         totalMegabytes >= missing && (dropped.length === 1 || largestMegabytes < missing)
     );
 }
@@ -176,12 +176,13 @@
 
 function bestMoveOn(
     fleet: Fleet,
-    engine: PlannedEngine,
+    prospects: EngineProspects,
     model: ModelDefinition,
     mayDropBusy: boolean,
 ): Candidate | undefined {
+    const { engine } = prospects;
     let best: Candidate | undefined;
-    for (const drop of waysToMakeRoom(fleet, engine, model)) {
+    for (const drop of waysToMakeRoom(fleet, prospects, model)) {
         const gain = gainOf(fleet, engine, model, drop);
         const mayDrop = mayDropBusy || isUrgent(fleet, { model, gain }) || drop.isIdle;
         if (gain > (best?.gain ?? 0) && mayDrop) {
@@ -231,11 +232,10 @@
  * @param mayDropBusy Whether further engines may drop models that requests use.
  */
 export function worthwhileMoves(fleet: Fleet, mayDropBusy: boolean): Candidate[] {
-    const idle = enginesThatMayChange(fleet.situation);
     return candidateModels(fleet).flatMap(model =>
-        idle.flatMap(engine => {
-            const holds = engine.models.includes(model.name);
-            const move = holds ? undefined : bestMoveOn(fleet, engine, model, mayDropBusy);
+        fleet.prospects.flatMap(prospects => {
+            const holds = prospects.engine.models.includes(model.name);
+            const move = holds ? undefined : bestMoveOn(fleet, prospects, model, mayDropBusy);
             return move !== undefined && isWorthwhile(fleet, move) ? [move] : [];
         })
     );
@@ -245,19 +245,16 @@
  * Works out what moves are weighed with, once for all of them.
  *
  * @param situation All engines, what they hold, and the demand.
- * @param load Load of each model, as a share of an engine's slots.
  * @param horizonMilliseconds How far ahead moves are judged.
  */
-export function createFleet(
-    situation: WeightSituation,
-    load: ReadonlyMap<string, number>,
-    horizonMilliseconds: number,
-): Fleet {
+export function createFleet(situation: WeightSituation, horizonMilliseconds: number): Fleet {
+    const placement = placementOf(situation, modelsOf);
+    const load = loadOf(situation, placement);
     const costs: PlanCosts = {
         situation,
-        cost: new PlacementCost(placementOf(situation, modelsOf), load),
+        cost: new PlacementCost(placement, load),
         servingCost: new PlacementCost(placementOf(situation, ({ models }) => new Set(models)), load),
     };
-    const prospects = new Map(enginesThatMayChange(situation).map(engine => [engine.id, prospectsOf(engine, costs)]));
+    const prospects = enginesThatMayChange(situation).map(engine => prospectsOf(engine, costs));
     return { ...costs, horizonMilliseconds, prospects };
 }
