Split the planner's long step; ask cheaply whether anything is asked for; say one check once

Found reading the change again. Cause: FleetPlanner.#plan was one function of fifty lines; each host that may plan added up the fleet's demand five times a second only to see whether there is any; 'refusalOf' began the move that it was named to judge; whether a peer is live was written out three times, and the emptied counts of TimeSpent three times. Change: following moves, the situation and the time of a load are functions of their own; SiteDemand.isAsked looks instead of adding up, over the same parts as total; tryBegin; isLive; nothingSpent. No behaviour changes. 51 tests of src/entry, src/gossip and src/observability pass unchanged but for the new option of the played fleet.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -330,21 +330,20 @@
         const { logger, metrics } = this.#options;
         const { dropped, engine, gain, model, reason } = move;
         const keeper = this.#keepers.get(engine);
-        const refusal = this.#refusalOf(move, keeper);
+        const refusal = this.#tryBegin(move, keeper);
         if (keeper !== undefined && refusal === undefined) {
             metrics.count("moves", { outcome: "begun" });
             logger.info("move begun", { engine, model, dropped: dropped.join(","), reason, gain, planner });
             this.#work(keeper);
-            return;
         }
-        if (refusal !== "begun before") {
+        else if (refusal !== "begun before") {
             metrics.count("moves", { outcome: "refused" });
             logger.info("move refused", { engine, model, dropped: dropped.join(","), reason: refusal, planner });
         }
     }
 
-    /** Why a move is not begun; `undefined` where it is begun now. */
-    #refusalOf(move: WeightMove, keeper: EngineKeeper | undefined): MoveRefusal | undefined {
+    /** Begins a move; gives why it does not, or `undefined` once it has. */
+    #tryBegin(move: WeightMove, keeper: EngineKeeper | undefined): MoveRefusal | undefined {
         if (keeper === undefined || this.#leaving || this.#stopped) {
             return "not held";
         }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -411,6 +411,7 @@
             readClock: () => this.#now(),
             routeTable: () => this.#table,
             isLive: other => other === host ? !this.#leaving : this.#peers.stays(other, this.#now()),
+            isAsked: () => this.#demand.isAsked(this.#now()),
             demand: () => this.#demand.total("demand", this.#now()),
             adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
             readingDemand: () => this.#demand.total("readingDemand", this.#now()),
--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -53,6 +53,8 @@
     readonly routeTable: () => RouteTable | undefined;
     /** Tells whether a host was heard of lately and does not leave. */
     readonly isLive: (host: string) => boolean;
+    /** Tells whether any model is asked for, at less cost than `demand`. */
+    readonly isAsked: () => boolean;
     /** Requests of each model that would run at once, over all hosts. */
     readonly demand: () => ReadonlyMap<string, number>;
     /** The part of these that name an adapter. */
@@ -67,6 +69,15 @@
     readonly askHolder: (holder: string, move: WeightMove) => void;
 }
 
+/** Time that a move's load takes; `undefined` where the weights are at hand. */
+function storeLoadMillisecondsOf(
+    { engine, model }: WeightMove,
+    { definition, engines }: WeightSituation,
+): number | undefined {
+    const isAtHand = engines.some(({ atHand, id }) => id === engine && atHand.includes(model));
+    return isAtHand ? undefined : definition.models.find(({ name }) => name === model)?.storeLoadMilliseconds;
+}
+
 /** Tells who plans, and plans where that is this host. */
 export class FleetPlanner {
     readonly #options: FleetPlannerOptions;
@@ -131,47 +142,60 @@
     }
 
     #plan(service: string, definition: EngineDefinition, nowMilliseconds: number): void {
-        const { duties, isDown, logger, metrics, storeLoads, view } = this.#options;
         const demand = this.#knownDemand(nowMilliseconds);
         if (demand.size === 0 && nowMilliseconds - this.#enginesChangedAt < SETTLED_MILLISECONDS) {
             return;
         }
-        const usable = view.usable(service).filter(({ id }) => !isDown(id));
         const planned = this.#planned.get(service) ?? new PlannedMoves();
         this.#planned.set(service, planned);
+        const engines = this.#followMoves(service, planned, nowMilliseconds);
+        const situation = this.#situationOf({ definition, demand, engines, planned }, nowMilliseconds);
+        for (const move of planMoves(situation)) {
+            this.#notePlanned(move, situation);
+            planned.ask(move, storeLoadMillisecondsOf(move, situation), nowMilliseconds);
+            this.#ask(move);
+        }
+    }
+
+    /** Sees what became of the moves that were asked for; gives the engines as they will be after those that go on. */
+    #followMoves(service: string, planned: PlannedMoves, nowMilliseconds: number): readonly PlannedEngine[] {
+        const { duties, isDown, logger, metrics, view } = this.#options;
+        const usable = view.usable(service).filter(({ id }) => !isDown(id));
         const { engines, givenUp } = planned.follow(usable.map(engine => this.#describe(engine)), nowMilliseconds);
         for (const { engine, model } of givenUp) {
             metrics.count("moves", { outcome: "given-up" });
             logger.warn("move given up", { engine, model, holder: duties.holderOf(engine) });
         }
         planned.open().forEach(move => this.#ask(move));
+        return engines;
+    }
+
+    #situationOf(
+        { definition, demand, engines, planned }: Pick<WeightSituation, "definition" | "demand" | "engines"> & {
+            readonly planned: PlannedMoves;
+        },
+        nowMilliseconds: number,
+    ): WeightSituation {
+        const { adapterDemand, duties, readingDemand, storeLoads } = this.#options;
         const unordered = engines.filter(({ id }) => !duties.isOrdered(id, nowMilliseconds)).map(({ id }) => id);
         const bound = {
             windowMilliseconds: storeLoads.windowMilliseconds,
             mostLoads: storeLoadsPerEngine(definition.loadsPerSecond, engines.length, storeLoads),
         };
-        const situation: WeightSituation = {
+        return {
             engines,
             definition,
             demand,
-            adapterDemand: this.#options.adapterDemand(),
-            readingDemand: this.#options.readingDemand(),
+            adapterDemand: adapterDemand(),
+            readingDemand: readingDemand(),
             passedOver: new Set([...planned.passedOver(nowMilliseconds), ...unordered]),
             withoutStore: planned.withoutStore(bound, nowMilliseconds),
         };
-        const engineOf = new Map(engines.map(engine => [engine.id, engine]));
-        for (const move of planMoves(situation)) {
-            const isAtHand = engineOf.get(move.engine)?.atHand.includes(move.model) === true;
-            const model = definition.models.find(({ name }) => name === move.model);
-            this.#notePlanned(move, situation);
-            planned.ask(move, isAtHand ? undefined : model?.storeLoadMilliseconds, nowMilliseconds);
-            this.#ask(move);
-        }
     }
 
     /** Each host that may plan takes note, so that the next planner knows how long there has been demand. */
     #noteDemand(nowMilliseconds: number): void {
-        const isAsked = this.#mayPlan && this.#options.demand().size > 0;
+        const isAsked = this.#mayPlan && this.#options.isAsked();
         this.#demandSince = isAsked ? this.#demandSince ?? nowMilliseconds : undefined;
     }
 
--- a/src/entry/siteDemand.ts
+++ b/src/entry/siteDemand.ts
@@ -78,20 +78,31 @@
 
     /** Gives the demand of all hosts by model. */
     total(part: keyof ToldDemand, nowMilliseconds: number): ReadonlyMap<string, number> {
-        const total = new Map(Object.entries(this.#ownPart(part, nowMilliseconds)));
-        for (const { atMilliseconds, [part]: demand } of this.#peers.values()) {
-            if (nowMilliseconds - atMilliseconds < PEER_DEMAND_MILLISECONDS) {
-                Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
-            }
+        const total = new Map<string, number>();
+        for (const demand of this.#parts(part, nowMilliseconds)) {
+            Object.entries(demand).forEach(([model, rate]) => total.set(model, (total.get(model) ?? 0) + rate));
         }
         return total;
     }
 
+    /** Tells whether any host is asked for a model. */
+    isAsked(nowMilliseconds: number): boolean {
+        return this.#parts("demand", nowMilliseconds).some(demand => Object.keys(demand).length > 0);
+    }
+
     /** Tokens that an engine reads in a millisecond beside its streams; `undefined` while too little is known. */
     get readTokensPerMillisecond(): number | undefined {
         return this.#readingSpeed.tokensPerMillisecond;
     }
 
+    /** This host's demand, and that of the peers that told theirs lately. */
+    #parts(part: keyof ToldDemand, nowMilliseconds: number): Readonly<Record<string, number>>[] {
+        const fresh = [...this.#peers.values()].filter(({ atMilliseconds }) =>
+            nowMilliseconds - atMilliseconds < PEER_DEMAND_MILLISECONDS
+        );
+        return [this.#ownPart(part, nowMilliseconds), ...fresh.map(peer => peer[part])];
+    }
+
     #ownPart(part: keyof ToldDemand, nowMilliseconds: number): Record<string, number> {
         switch (part) {
             case "demand":
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -196,16 +196,13 @@
 
     /** Gives the hosts that live, as far as this host hears or is told. */
     live(nowMilliseconds: number): Peer[] {
-        return [...this.#peers.values()].filter(peer =>
-            isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds)
-        );
+        return [...this.#peers.values()].filter(peer => isLive(peer, nowMilliseconds));
     }
 
     /** Tells whether a host lives and does not leave, as far as this host hears or is told. */
     stays(host: string, nowMilliseconds: number): boolean {
         const peer = this.#peers.get(host);
-        const lives = peer !== undefined && (isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds));
-        return lives && !peer.leaving;
+        return peer !== undefined && isLive(peer, nowMilliseconds) && !peer.leaving;
     }
 
     /**
@@ -222,7 +219,7 @@
      */
     advertised(nowMilliseconds: number): AdvertisedHost[] {
         const open = [...this.#peers.values()].filter(({ ready, leaving }) => ready && !leaving);
-        const heard = open.filter(peer => isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds));
+        const heard = open.filter(peer => isLive(peer, nowMilliseconds));
         const fresh = open.filter(peer =>
             peer.registered && peer.heardAtMilliseconds === undefined && peer.namedAtMilliseconds === undefined
             && nowMilliseconds - peer.registeredAtMilliseconds < NEW_MILLISECONDS
@@ -244,6 +241,11 @@
     return peer.heardAtMilliseconds !== undefined && nowMilliseconds - peer.heardAtMilliseconds < HEARD_MILLISECONDS;
 }
 
+/** Tells whether a peer was heard lately, or named by the sum of its cell. */
+function isLive(peer: Peer, nowMilliseconds: number): boolean {
+    return isHeard(peer, nowMilliseconds) || isNamed(peer, nowMilliseconds);
+}
+
 function isNamed({ namedAtMilliseconds }: Peer, nowMilliseconds: number): boolean {
     return namedAtMilliseconds !== undefined && nowMilliseconds - namedAtMilliseconds < NAMED_MILLISECONDS;
 }
--- a/src/observability/timeSpent.ts
+++ b/src/observability/timeSpent.ts
@@ -14,6 +14,10 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
+function nothingSpent(): Record<SpendingSubject, number> {
+    return { "planning": 0, "datagrams-read": 0, "datagrams-sent": 0 };
+}
+
 /** Options of the measure. */
 export interface TimeSpentOptions {
     readonly logger: Logger;
@@ -36,11 +40,7 @@
  */
 export class TimeSpent {
     readonly #options: TimeSpentOptions;
-    readonly #sinceReport: Record<SpendingSubject, number> = {
-        "planning": 0,
-        "datagrams-read": 0,
-        "datagrams-sent": 0,
-    };
+    #sinceReport = nothingSpent();
     #reportedAtMilliseconds: number;
     #processorMicroseconds: number;
 
@@ -81,8 +81,6 @@
         });
         this.#reportedAtMilliseconds = now;
         this.#processorMicroseconds = processor;
-        this.#sinceReport.planning = 0;
-        this.#sinceReport["datagrams-read"] = 0;
-        this.#sinceReport["datagrams-sent"] = 0;
+        this.#sinceReport = nothingSpent();
     }
 }
--- a/tests/support/engineFleet.ts
+++ b/tests/support/engineFleet.ts
@@ -192,6 +192,7 @@
             readClock: () => this.#now,
             routeTable: () => table,
             isLive: () => true,
+            isAsked: () => this.#options.demand(this.#now).size > 0,
             demand: () => this.#options.demand(this.#now),
             adapterDemand: () => new Map(),
             readingDemand: () => new Map(),
