--- a/src/placement/copiesSeen.test.ts
+++ b/src/placement/copiesSeen.test.ts
@@ -1,18 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { countCopiesSeen, type PlannedEngine } from "./index.js";
+import { plannedEngine as engine } from "../../tests/support/weightSituations.js";
+import { countCopiesSeen } from "./index.js";
 
 test("copies are counted beside the engine that moves, those that are being loaded included", () => {
-    const engine = (id: string, models: readonly string[], loading?: string): PlannedEngine => ({
-        id,
-        models,
-        loading,
-        atHand: [],
-    });
     const engines = [
         engine("a", ["rare", "busy"]),
         engine("b", ["busy"]),
-        engine("c", [], "busy"),
+        engine("c", [], { loading: "busy" }),
         engine("d", ["new"]),
     ];
     const move = { engine: "a", model: "new", dropped: ["busy", "rare"], reason: "busy-copies", gain: 1 } as const;
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createAnnouncement } from "../../tests/support/announcements.js";
+import { createSituation, plannedEngine as engine } from "../../tests/support/weightSituations.js";
 import { type EngineDefinition } from "../routes/index.js";
 import {
     planMoves,
@@ -30,23 +31,8 @@
     })),
 };
 
-function engine(id: string, models: readonly string[], overrides: Partial<PlannedEngine> = {}): PlannedEngine {
-    return { id, models, loading: undefined, atHand: [], ...overrides };
-}
-
-function situation(
-    engines: readonly PlannedEngine[],
-    demand: Readonly<Record<string, number>>,
-): WeightSituation {
-    return {
-        engines,
-        definition: DEFINITION,
-        demand: new Map(Object.entries(demand)),
-        adapterDemand: new Map(),
-        readingDemand: new Map(),
-        passedOver: new Set(),
-        withoutStore: new Set(),
-    };
+function situation(engines: readonly PlannedEngine[], demand: Readonly<Record<string, number>>): WeightSituation {
+    return createSituation(DEFINITION, engines, demand);
 }
 
 /** Each model has one copy, and nothing asks for another. */
--- a/src/placement/plannedMoves.test.ts
+++ b/src/placement/plannedMoves.test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createSituation, plannedEngine as engine } from "../../tests/support/weightSituations.js";
 import { type EngineDefinition } from "../routes/index.js";
 import { planMoves, type PlannedEngine, PlannedMoves, type WeightMove, type WeightSituation } from "./index.js";
 
@@ -21,31 +22,19 @@
     })),
 };
 
-function engine(id: string, models: readonly string[], loading?: string): PlannedEngine {
-    return { id, models, loading, atHand: [] };
-}
-
 function move(name: string, model: string, dropped: readonly string[] = []): WeightMove {
     return { engine: name, model, dropped, reason: "no-copy", gain: 1 };
 }
 
 function situation(engines: readonly PlannedEngine[], demand: Readonly<Record<string, number>>): WeightSituation {
-    return {
-        engines,
-        definition: DEFINITION,
-        demand: new Map(Object.entries(demand)),
-        adapterDemand: new Map(),
-        readingDemand: new Map(),
-        passedOver: new Set(),
-        withoutStore: new Set(),
-    };
+    return createSituation(DEFINITION, engines, demand);
 }
 
 test("what was asked for counts as done before any record shows it", () => {
     const planned = new PlannedMoves();
     planned.ask(move("a", "rare", ["hot"]), 5_000, 0);
     const { engines, givenUp } = planned.follow([engine("a", ["hot", "warm"]), engine("b", ["hot"])], 100);
-    assert.deepEqual(engines, [engine("a", ["warm"], "rare"), engine("b", ["hot"])]);
+    assert.deepEqual(engines, [engine("a", ["warm"], { loading: "rare" }), engine("b", ["hot"])]);
     assert.deepEqual(givenUp, []);
     assert.deepEqual(planned.open(), [move("a", "rare", ["hot"])]);
 });
@@ -53,10 +42,10 @@
 test("a move that its holder has begun is asked for no more, and counts until its load has ended", () => {
     const planned = new PlannedMoves();
     planned.ask(move("a", "rare", ["hot"]), 5_000, 0);
-    const begun = planned.follow([engine("a", ["hot", "warm"], "rare")], 100);
-    assert.deepEqual(begun.engines, [engine("a", ["warm"], "rare")]);
+    const begun = planned.follow([engine("a", ["hot", "warm"], { loading: "rare" })], 100);
+    assert.deepEqual(begun.engines, [engine("a", ["warm"], { loading: "rare" })]);
     assert.deepEqual(planned.open(), []);
-    assert.deepEqual(planned.follow([engine("a", ["warm"], "rare")], 9_000).givenUp, []);
+    assert.deepEqual(planned.follow([engine("a", ["warm"], { loading: "rare" })], 9_000).givenUp, []);
     const ended = [engine("a", ["warm", "rare"])];
     assert.deepEqual(planned.follow(ended, 9_100).engines, ended);
 });
@@ -96,7 +85,7 @@
     const bound = { windowMilliseconds: 5_000, mostLoads: 1 };
     planned.ask(move("a", "rare"), 1_200, 0);
     planned.ask(move("b", "warm"), undefined, 0);
-    planned.follow([engine("a", [], "rare"), engine("b", [], "warm")], 200);
+    planned.follow([engine("a", [], { loading: "rare" }), engine("b", [], { loading: "warm" })], 200);
     planned.follow([engine("a", ["rare"]), engine("b", ["warm"])], 4_000);
     assert.deepEqual([...planned.withoutStore(bound, 7_790)], ["a"]);
     assert.deepEqual([...planned.withoutStore(bound, 7_800)], []);
--- /dev/null
+++ b/tests/support/weightSituations.ts
@@ -0,0 +1,33 @@
+/**
+ * Situations that weights are planned in, for tests.
+ *
+ * @module
+ */
+import { type PlannedEngine, type WeightSituation } from "../../src/placement/index.js";
+import { type EngineDefinition } from "../../src/routes/index.js";
+
+/** Gives an engine that loads nothing and has no other weights at hand. */
+export function plannedEngine(
+    id: string,
+    models: readonly string[],
+    overrides: Partial<PlannedEngine> = {},
+): PlannedEngine {
+    return { id, models, loading: undefined, atHand: [], ...overrides };
+}
+
+/** Gives a situation in which every engine may change, and only the demand is told. */
+export function createSituation(
+    definition: EngineDefinition,
+    engines: readonly PlannedEngine[],
+    demand: Readonly<Record<string, number>>,
+): WeightSituation {
+    return {
+        engines,
+        definition,
+        demand: new Map(Object.entries(demand)),
+        adapterDemand: new Map(),
+        readingDemand: new Map(),
+        passedOver: new Set(),
+        withoutStore: new Set(),
+    };
+}
