Let tests of the planner catch what they did not

Found by removing the new mechanisms one by one, 17 of them: six were not caught. Two properties of the placement's cost held whatever the code did: their loads were drawn as floating-point numbers, of which nine in ten lie next to 0, where all costs are (3,633 of 4,000 below 0.001; 21 between 0.05 and 2.9). Loads are drawn in hundredths now, which both properties meet, and fail without the exact way for moves that meet on an engine. No product source changed.

--- a/src/entry/fleetPlanning.test.ts
+++ b/src/entry/fleetPlanning.test.ts
@@ -104,3 +104,28 @@
     const dropped = fleet.carriedOut.filter(({ operation }) => operation === "unload");
     assert.deepEqual(dropped, []);
 });
+
+test("a holder begins no move that drops what its engine does not hold", async context => {
+    const models = names("model", 4);
+    const fleet = new EngineFleet(context, {
+        hosts: 2,
+        hostsOfCell: 2,
+        betweenCellsMilliseconds: BETWEEN_CELLS_MILLISECONDS,
+        definition: definitionOf(models, 2),
+        engines: [{ id: "engine-0", models: models.slice(0, 2), holder: 0 }],
+        demand: () => new Map(),
+    });
+    await fleet.play(1_000);
+    const move = { engine: "engine-0", model: "model-2", reason: "no-copy", gain: 1 } as const;
+    fleet.askHolder(0, { ...move, dropped: ["model-3"] });
+    const refused = fleet.lines.filter(({ message }) => message === "move refused");
+    assert.deepEqual(refused.map(({ fields }) => fields["reason"]), ["not as planned"]);
+    await fleet.play(2_000);
+    assert.deepEqual(fleet.carriedOut, []);
+    fleet.askHolder(0, { ...move, dropped: ["model-1"] });
+    await fleet.play(3_000);
+    assert.deepEqual(fleet.carriedOut.map(({ model, operation }) => [operation, model]), [
+        ["unload", "model-1"],
+        ["load", "model-2"],
+    ]);
+});
--- a/src/placement/placementCost.test.ts
+++ b/src/placement/placementCost.test.ts
@@ -7,8 +7,9 @@
 
 const placements = fc.array(fc.subarray(MODELS), { minLength: 1, maxLength: 6 })
     .map((engines): Placement => new Map(engines.map((models, index) => [`engine-${index}`, new Set(models)])));
-const loads = fc.array(fc.double({ min: 0, max: 3, noNaN: true }), { minLength: 4, maxLength: 4 })
-    .map(values => new Map(values.map((load, index) => [MODELS[index] ?? "", load])));
+/** In hundredths: floating-point numbers are mostly drawn close to 0, where all costs are. */
+const loads = fc.array(fc.integer({ min: 0, max: 300 }), { minLength: 4, maxLength: 4 })
+    .map(values => new Map(values.map((hundredths, index) => [MODELS[index] ?? "", hundredths / 100])));
 
 function afterMove(placement: Placement, engine: string, dropped: string, added: string): Placement {
     const models = new Set(placement.get(engine));
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -205,6 +205,12 @@
     );
 });
 
+test("an engine that may begin no load from the weight store loads only what is at hand", () => {
+    const engines = [engine("one", ["hot"]), engine("two", ["hot"], { atHand: ["cold"] })];
+    const bound = { ...situation(engines, { hot: 1, rare: 40, cold: 20 }), withoutStore: new Set(["one", "two"]) };
+    assert.deepEqual(planMoves(bound).map(({ engine: name, model }) => [name, model]), [["two", "cold"]]);
+});
+
 test("no more is dropped than makes room", () => {
     const engines = [
         engine("one", ["cold", "hot"]),
--- a/tests/support/engineFleet.ts
+++ b/tests/support/engineFleet.ts
@@ -12,7 +12,13 @@
 import { type EngineControl } from "../../src/entry/siteProtocol.js";
 import { type UpstreamAnnouncement, UpstreamView } from "../../src/fleet/index.js";
 import { createEntryMetrics, TimeSpent } from "../../src/observability/index.js";
-import { type EngineOrder, type EngineRecord, type OrderOutcome, ResidencyView } from "../../src/placement/index.js";
+import {
+    type EngineOrder,
+    type EngineRecord,
+    type OrderOutcome,
+    ResidencyView,
+    type WeightMove,
+} from "../../src/placement/index.js";
 import { type KeyValueService } from "../../src/platform/index.js";
 import { compileRouteTable, type EngineDefinition } from "../../src/routes/index.js";
 import { createAnnouncement } from "./announcements.js";
@@ -130,6 +136,11 @@
         ).length;
     }
 
+    /** Asks an engine's holder for a move, as a planner with another view would. */
+    askHolder(holder: number, move: WeightMove): void {
+        this.#hosts[holder]?.orders.takeMove(move, "another planner");
+    }
+
     /** Plays on until a time, and calls back after each step. */
     async play(untilMilliseconds: number, afterStep: () => void = () => {}): Promise<void> {
         while (this.#now < untilMilliseconds) {
