Log and count the rate limits that upstreams name

Nothing acts on them yet.

New: 'upstream limit changed' (upstream, limit, limit before, host that was told), 'limit not readable', limitPerSecond in 'request sent', the counter upstream_limits; explain shows the change before a request's steps. Limits are read from answers to requests of any status, to orders and to reports. The stand-in names a limit in all its answers. An answer that was overtaken does not raise or end a limit.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type AttemptFailure, parseRetryAfter, type ReportedLoad, type RequestedPause } from "../forwarding/index.js";
+import { type ParsedRateLimit, parseRateLimit } from "../rateLimits/index.js";
 import { type HeaderNames } from "./siteProtocol.js";
 import { type AnswerHead } from "./upstreamCall.js";
 
@@ -70,23 +71,34 @@
     return isServerError(head) && (!hasReceipt || expectation.mayRetryError()) ? "upstream-error" : undefined;
 }
 
-/**
- * Returns whether an answer reports that its upstream is leaving. An answer of another upstream, which may have the
- * address by now, is ignored.
- */
-export function reportsLeaving(head: AnswerHead, upstream: string, names: HeaderNames): boolean {
+/** Status and headers of an answer to a request, an order or a report request. */
+export type AnswerStatusAndHeaders = Pick<AnswerHead, "status" | "headers">;
+
+/** Returns whether an answer is that of another upstream, which may have the address by now. */
+export function isFromOtherUpstream(head: AnswerStatusAndHeaders, upstream: string, names: HeaderNames): boolean {
     const answering = head.headers[names.answeringUpstream];
-    return head.headers[names.upstreamLeaving] === "1" && (answering === undefined || answering === upstream);
+    return answering !== undefined && answering !== upstream;
+}
+
+/** Returns whether an answer reports that its upstream is leaving. */
+export function reportsLeaving(head: AnswerStatusAndHeaders, names: HeaderNames): boolean {
+    return head.headers[names.upstreamLeaving] === "1";
+}
+
+/** Reads the rate limit that an upstream names in an answer; `undefined` where it names none. */
+export function readRateLimit(head: AnswerStatusAndHeaders, names: HeaderNames): ParsedRateLimit | undefined {
+    const text = head.headers[names.rateLimit];
+    return typeof text === "string" ? parseRateLimit(text) : undefined;
 }
 
 /** Reads the pause that an unavailable (503) upstream requests; `undefined` without `Retry-After`. */
-export function readRequestedPause(head: AnswerHead): RequestedPause | undefined {
+export function readRequestedPause(head: AnswerStatusAndHeaders): RequestedPause | undefined {
     const text = head.headers["retry-after"];
     return head.status === STATUS_UNAVAILABLE && text !== undefined ? parseRetryAfter(text) : undefined;
 }
 
 /** Reads the load that an upstream reports in an answer; `undefined` where it reports none. */
-export function readLoad(head: AnswerHead, names: HeaderNames): ReportedLoad | undefined {
+export function readLoad(head: AnswerStatusAndHeaders, names: HeaderNames): ReportedLoad | undefined {
     const text = head.headers[names.load];
     const [running, waiting, slots] = typeof text === "string" ? text.split(",").map(Number) : [];
     if (running === undefined || waiting === undefined || slots === undefined) {
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -17,7 +17,7 @@
 } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
-import { type EngineControl } from "./siteProtocol.js";
+import { type EngineAnswerHandler, type EngineControl } from "./siteProtocol.js";
 
 /** Key prefix of the records that name engines' holders. */
 export const HOLDER_KEY_PREFIX = "holders/";
@@ -63,6 +63,12 @@
     readonly notifyPreviousHolder: (succession: Succession) => void;
     /** A call showed that the service has a later revision of a key than this host knew. */
     readonly onLaterEntry: (entry: KeyValueEntry) => void;
+    /** An engine answered an order or a report request, which was sent at the given time. */
+    readonly onAnswer: (
+        engine: UpstreamAnnouncement,
+        head: Parameters<EngineAnswerHandler>[0],
+        sentAtMilliseconds: number,
+    ) => void;
     /** An engine's memory changed, or this host began to manage it. */
     readonly onRecordChanged: (record: EngineRecord) => void;
 }
@@ -388,11 +394,17 @@
         step: { readonly order: EngineOrder; readonly reason: string; },
         fencingNumber: number,
     ): Promise<void> {
-        const { control, host, logger, metrics } = this.#options;
+        const { control, host, logger, metrics, onAnswer } = this.#options;
         const { order } = step;
         managedEngine.recordOrderSent(order, this.#now());
         this.#options.duties.recordOrder(managedEngine.engine, this.#now());
-        const outcome = await control.order(target, order, { holder: host, fencingNumber });
+        const sentAtMilliseconds = this.#now();
+        const outcome = await control.order(
+            target,
+            order,
+            { holder: host, fencingNumber },
+            head => onAnswer(target, head, sentAtMilliseconds),
+        );
         managedEngine.recordOrderOutcome(order, outcome, this.#now());
         const kind = order.adapter === undefined ? "weights" : "adapter";
         metrics.count("engine_orders", { operation: order.operation, kind, outcome });
@@ -414,7 +426,9 @@
 
     async #readReport(managedEngine: ManagedEngine, target: UpstreamAnnouncement): Promise<void> {
         managedEngine.recordReportRequested();
-        const report = await this.#options.control.report(target);
+        const { control, onAnswer } = this.#options;
+        const sentAtMilliseconds = this.#now();
+        const report = await control.report(target, head => onAnswer(target, head, sentAtMilliseconds));
         managedEngine.recordReport(report, this.#now());
         this.#options.logger.info("engine report read", {
             engine: managedEngine.engine,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -460,13 +460,15 @@
                 this.#gossip.notifyPreviousHolder(previousHost, { engine, revision, holder: record });
             },
             onLaterEntry: entry => this.#applyLaterEntry(entry),
+            onAnswer: (engine, head, sentAtMilliseconds) =>
+                this.#upstreams.recordLimit(engine, head, sentAtMilliseconds),
             onRecordChanged: record => this.#publishRecord(record),
         });
     }
 
     #createForwardingContext(): ForwardingContext {
         const { logger, metrics, protocol, random } = this.#options;
-        const { backlog, health, loads, pauses, prompts, residency, suspects, view } = this.#upstreams;
+        const { backlog, health, limits, loads, pauses, prompts, residency, suspects, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
             headers: protocol.headers,
@@ -479,6 +481,7 @@
             loads,
             health,
             pauses,
+            limits,
             budget: this.#budget,
             suspects,
             prompts,
@@ -502,7 +505,8 @@
             reportAdapterUse: (engine, adapter, inUse) => this.#reportAdapterUse(engine, adapter, inUse),
             recordModelAbsent: (engine, model) => this.#orders.recordModelAbsent(engine, model),
             recordUnreachable: upstream => this.#upstreams.recordUnreachable(upstream),
-            recordAnswerHead: (upstream, head) => this.#upstreams.recordAnswerHead(upstream, head),
+            recordAnswerHead: (upstream, head, sentAtMilliseconds) =>
+                this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
             isLeaving: () => this.#leaving,
             isClosedToCallers: () => this.#closedToCallers,
         };
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -81,6 +81,7 @@
     readonly splitter: EventSplitter;
     readonly pace: StreamPace;
     readonly chunks: Buffer[];
+    readonly sentAtMilliseconds: number;
     heldBytes: number;
     /**
      * Prefill backlog when the request was sent, its own prompt included; `undefined` where the upstream is busy, since
@@ -317,6 +318,7 @@
             splitter: new EventSplitter(),
             pace: new StreamPace(),
             chunks: [],
+            sentAtMilliseconds: this.#now(),
             heldBytes: 0,
             prefillStart: undefined,
             call: undefined,
@@ -350,14 +352,14 @@
     /** Counts the request at its upstream, and reports it to peers and to the engine's holder. */
     #recordSent(attempt: Attempt): void {
         const { number, upstream } = attempt;
-        const { adapterUse, backlog, loads, metrics, prompts } = this.#context;
+        const { adapterUse, backlog, limits, loads, metrics, prompts } = this.#context;
         const { adapter, model, promptTokens, sharedPrompt } = this.#facts;
         loads.recordStarted(upstream.id);
         backlog.recordSent(upstream.id, promptTokens, this.#now());
         const backlogTokens = Math.round(backlog.backlogTokens(upstream.id, this.#now()));
         const load = loads.estimate(upstream.id, this.#now());
         if (load / Math.max(1, upstream.slots) < BUSY_LOAD_SHARE) {
-            attempt.prefillStart = { backlogTokens, sentAtMilliseconds: this.#now() };
+            attempt.prefillStart = { backlogTokens, sentAtMilliseconds: attempt.sentAtMilliseconds };
         }
         metrics.count("attempts", { service: upstream.service });
         if (sharedPrompt !== undefined) {
@@ -376,6 +378,7 @@
             route: this.#request.route.name,
             upstream: upstream.id,
             attempt: number,
+            limitPerSecond: limits.inForce(upstream.id)?.requestsPerSecond,
             load,
             unreadTokens: backlogTokens,
             boundTokens: backlog.limitTokens,
@@ -456,7 +459,7 @@
     }
 
     #handleHead(attempt: Attempt, head: AnswerHead): void {
-        this.#context.recordAnswerHead(attempt.upstream, head);
+        this.#context.recordAnswerHead(attempt.upstream, head, attempt.sentAtMilliseconds);
         const failure = checkHead(head, {
             requestId: this.#request.requestId,
             upstream: attempt.upstream.id,
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -19,6 +19,7 @@
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type ResidencyView } from "../placement/index.js";
+import { type NamedLimits } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
@@ -37,6 +38,7 @@
     readonly loads: UpstreamLoads;
     readonly health: UpstreamHealth;
     readonly pauses: UpstreamPauses;
+    readonly limits: NamedLimits;
     readonly budget: SharedRetryBudget;
     readonly suspects: CrashSuspects;
     readonly prompts: PromptPrefixIndex;
@@ -59,8 +61,8 @@
     recordModelAbsent(engine: string, model: string): void;
     /** Records that an attempt could not connect to an upstream, or reached another process at its address. */
     recordUnreachable(upstream: string): void;
-    /** Records the load, pause and leaving that an upstream reports in an answer's headers. */
-    recordAnswerHead(upstream: UpstreamAnnouncement, head: AnswerHead): void;
+    /** Records the load, pause, leaving and limit that an upstream reports in the headers of an answer. */
+    recordAnswerHead(upstream: UpstreamAnnouncement, head: AnswerHead, sentAtMilliseconds: number): void;
     isLeaving(): boolean;
     /** True once a leaving host's address has expired at all callers; the host then accepts no further requests. */
     isClosedToCallers(): boolean;
--- a/src/entry/siteProtocol.ts
+++ b/src/entry/siteProtocol.ts
@@ -7,6 +7,7 @@
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineOrder, type EngineReport, type OrderOutcome } from "../placement/index.js";
 import { type RoutingConfiguration } from "../routes/index.js";
+import { type AnswerHead } from "./upstreamCall.js";
 
 /** Header names of the site, in lower case. */
 export interface HeaderNames {
@@ -32,6 +33,8 @@
     readonly load: string;
     /** "1" in the answers of an upstream that is leaving. */
     readonly upstreamLeaving: string;
+    /** Requests a second that the upstream that answered accepts from all hosts together. */
+    readonly rateLimit: string;
     /** Present where an upstream did not run the request. */
     readonly notRun: string;
     /** Priority of a request at an engine; 0 is the most urgent. */
@@ -52,11 +55,19 @@
     readonly message: string;
 }
 
+/** Handles the status and headers of an engine's answer to an order or a report request. */
+export type EngineAnswerHandler = (head: Pick<AnswerHead, "status" | "headers">) => void;
+
 /** Sends orders to engines and reads their state. */
 export interface EngineControl {
-    order(target: EngineTarget, order: EngineOrder, fencing: OrderFencing): Promise<OrderOutcome>;
+    order(
+        target: EngineTarget,
+        order: EngineOrder,
+        fencing: OrderFencing,
+        onAnswer?: EngineAnswerHandler,
+    ): Promise<OrderOutcome>;
     /** Reads an engine's report; `undefined` where no readable one was received. */
-    report(target: EngineTarget): Promise<EngineReport | undefined>;
+    report(target: EngineTarget, onAnswer?: EngineAnswerHandler): Promise<EngineReport | undefined>;
     close(): void;
 }
 
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -23,10 +23,17 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { ResidencyView } from "../placement/index.js";
 import { type KeyValueEntry } from "../platform/index.js";
-import { readLoad, readRequestedPause, reportsLeaving } from "./_answerHead.js";
+import { type LimitChange, NamedLimits } from "../rateLimits/index.js";
+import {
+    type AnswerStatusAndHeaders,
+    isFromOtherUpstream,
+    readLoad,
+    readRateLimit,
+    readRequestedPause,
+    reportsLeaving,
+} from "./_answerHead.js";
 import { incarnationOf } from "./_upstreamIncarnation.js";
 import { type HeaderNames, type SiteProtocol } from "./siteProtocol.js";
-import { type AnswerHead } from "./upstreamCall.js";
 
 /** How long digests report that an upstream is leaving; covers several digests, since any one may be lost. */
 const LEAVING_REPORT_MILLISECONDS = 3_000;
@@ -59,8 +66,11 @@
     readonly prompts = new PromptPrefixIndex();
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
+    readonly limits = new NamedLimits();
     readonly #options: UpstreamTrackerOptions;
     readonly #newSuspects: SuspectRecord[] = [];
+    /** The last unreadable limit of each upstream, which is logged once. */
+    readonly #unreadableLimits = new Map<string, string>();
     /** Incarnations that reported to this host that they are leaving, with the time of the report. */
     readonly #leavingReports = new Map<
         string,
@@ -86,6 +96,7 @@
         const previous = this.view.get(id);
         if (previous !== undefined && previous.startedAtMilliseconds !== decoded.value.startedAtMilliseconds) {
             this.#recordCrash(previous);
+            this.limits.forget(id);
         }
         const changes = this.view.put(decoded.value);
         if (changes.length > 0) {
@@ -100,18 +111,47 @@
         this.#handleChanges(this.view.remove(id, this.#now()));
     }
 
-    /** Records the load, leaving and pause in an answer's headers, also where the answer is then rejected. */
-    recordAnswerHead(upstream: UpstreamAnnouncement, head: AnswerHead): void {
+    /**
+     * Records the load, leaving, pause and limit in an answer's headers, also where the answer is then rejected.
+     *
+     * @param upstream The upstream that the request was sent to.
+     * @param head Status and headers of the answer.
+     * @param sentAtMilliseconds When the request was sent.
+     */
+    recordAnswerHead(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
         const { headers } = this.#options;
         const load = readLoad(head, headers);
         if (load !== undefined) {
             this.loads.recordReport(upstream.id, load, this.#now());
         }
         this.unreachableReports.clear(upstream.id);
-        if (reportsLeaving(head, upstream.id, headers)) {
+        if (!isFromOtherUpstream(head, upstream.id, headers) && reportsLeaving(head, headers)) {
             this.#recordLeaving(upstream);
         }
         this.#recordPause(upstream.id, head);
+        this.recordLimit(upstream, head, sentAtMilliseconds);
+    }
+
+    /** Records the limit in an answer to a request, an order or a report request that was sent at the given time. */
+    recordLimit(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
+        const { headers, host } = this.#options;
+        if (isFromOtherUpstream(head, upstream.id, headers) || this.#hasLaterIncarnation(upstream)) {
+            return;
+        }
+        const limit = readRateLimit(head, headers);
+        if (limit?.type === "unreadable") {
+            this.#reportUnreadableLimit(upstream.id, String(head.headers[headers.rateLimit]));
+        }
+        const change = this.limits.record({
+            upstream: { id: upstream.id, startedAtMilliseconds: upstream.startedAtMilliseconds },
+            requestsPerSecond: limit?.type === "limit" ? limit.requestsPerSecond : undefined,
+            sentAtMilliseconds,
+            receivedAtMilliseconds: this.#now(),
+            receivedBy: host,
+        });
+        if (change !== undefined) {
+            this.#reportLimitChange(change, host);
+        }
     }
 
     /** Records a peer's report that an upstream incarnation is leaving. */
@@ -161,7 +201,32 @@
         this.#handleChanges(this.view.recordLeaving(incarnation));
     }
 
-    #recordPause(upstream: string, head: AnswerHead): void {
+    #hasLaterIncarnation({ id, startedAtMilliseconds }: UpstreamAnnouncement): boolean {
+        return (this.view.get(id)?.startedAtMilliseconds ?? 0) > (startedAtMilliseconds ?? 0);
+    }
+
+    #reportUnreadableLimit(upstream: string, value: string): void {
+        this.#options.metrics.count("upstream_limits", { outcome: "unreadable" });
+        if (this.#unreadableLimits.get(upstream) !== value) {
+            this.#unreadableLimits.set(upstream, value);
+            this.#options.logger.warn("limit not readable", { upstream, value });
+        }
+    }
+
+    #reportLimitChange({ previousRequestsPerSecond, requestsPerSecond, upstream }: LimitChange, namedTo: string): void {
+        const named = previousRequestsPerSecond === undefined ? "named" : "changed";
+        const outcome = requestsPerSecond === undefined ? "withdrawn" : named;
+        this.#options.metrics.count("upstream_limits", { outcome });
+        this.#options.logger.info("upstream limit changed", {
+            upstream,
+            outcome,
+            limitPerSecond: requestsPerSecond,
+            previousLimitPerSecond: previousRequestsPerSecond,
+            namedTo,
+        });
+    }
+
+    #recordPause(upstream: string, head: AnswerStatusAndHeaders): void {
         const pause = readRequestedPause(head);
         if (pause === undefined) {
             return;
@@ -229,6 +294,8 @@
             this.prompts.forget(upstream.id);
             this.backlog.forget(upstream.id);
             this.unreachableReports.clear(upstream.id);
+            this.limits.forget(upstream.id);
+            this.#unreadableLimits.delete(upstream.id);
         }
     }
 
--- a/src/explain/requestTimeline.ts
+++ b/src/explain/requestTimeline.ts
@@ -29,6 +29,7 @@
     "upstream joined",
     "upstream left",
     "upstream in-doubt",
+    "upstream limit changed",
     "engine taken",
     "engine released",
     "engine relinquished",
--- /dev/null
+++ b/src/rateLimits/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Rate limits that upstreams name for all hosts together.
+ *
+ * None of these decisions opens a socket or reads a clock.
+ *
+ * @example
+ * ```ts
+ * import { NamedLimits, parseRateLimit } from "./index.js";
+ * ```
+ *
+ * @module
+ */
+export { type LimitChange, type LimitObservation, NamedLimits } from "./namedLimits.js";
+export { type ParsedRateLimit, parseRateLimit } from "./parseRateLimit.js";
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -71,6 +71,8 @@
     readonly orders: ReceivedOrder[] = [];
     /** Requests whose connection closed before the answer was complete. */
     readonly abandoned: string[] = [];
+    /** Value of the header `Server-Limit` in all answers; `undefined` for none. */
+    limit: string | undefined;
     readonly #options: UpstreamOptions;
     readonly #models: Map<string, Set<string>>;
     readonly #server: Server;
@@ -134,7 +136,8 @@
         const body = Buffer.concat(chunks).toString();
         if (message.url === "/report") {
             const report = { models: this.#describeModels(), busy: false, sequence: this.#orderCount };
-            response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(report));
+            response.writeHead(200, { "content-type": "application/json", ...this.#limitHeaders() })
+                .end(JSON.stringify(report));
             return;
         }
         if (message.url === "/order") {
@@ -154,7 +157,7 @@
     #handleOrder(order: Readonly<Record<string, unknown>>, response: ServerResponse): void {
         const status = order["expected"] === this.#orderCount ? this.#applyOrder(order) : 409;
         this.orders.push({ order, status });
-        response.writeHead(status).end();
+        response.writeHead(status, this.#limitHeaders()).end();
     }
 
     #applyOrder(order: Readonly<Record<string, unknown>>): number {
@@ -189,8 +192,11 @@
 
     async #handleRequest(request: ReceivedRequest, response: ServerResponse): Promise<void> {
         if (request.headers["flamingospread-expect-instance"] !== this.id || !this.#isResident(request)) {
-            response.writeHead(421, { "Flamingospread-Instance-Id": this.id, "Flamingospread-Not-Executed": "1" })
-                .end();
+            response.writeHead(421, {
+                "Flamingospread-Instance-Id": this.id,
+                "Flamingospread-Not-Executed": "1",
+                ...this.#limitHeaders(),
+            }).end();
             return;
         }
         this.received.push(request);
@@ -204,8 +210,13 @@
         await this.#respond(this.#options.behave?.(request) ?? { type: "answer" }, request, response);
     }
 
+    #limitHeaders(): Record<string, string> {
+        return this.limit === undefined ? {} : { "Server-Limit": this.limit };
+    }
+
     #answerHeaders(request: ReceivedRequest): Record<string, string> {
         return {
+            ...this.#limitHeaders(),
             "Flamingospread-Request-Id": request.id,
             "Flamingospread-Response-Signature": `receipt-${this.id}`,
             "Flamingospread-Engine-Load": `${this.#running},0,${this.#options.slots ?? 6}`,
@@ -225,8 +236,11 @@
                 await this.#stream(behaviour, request, response);
                 break;
             case "not-run":
-                response.writeHead(behaviour.status, { "Flamingospread-Not-Executed": "1", ...behaviour.headers })
-                    .end();
+                response.writeHead(behaviour.status, {
+                    "Flamingospread-Not-Executed": "1",
+                    ...this.#limitHeaders(),
+                    ...behaviour.headers,
+                }).end();
                 break;
             case "reset":
                 response.socket?.resetAndDestroy();
--- a/tests/support/engineFleet.ts
+++ b/tests/support/engineFleet.ts
@@ -184,6 +184,7 @@
             isAdapterUsed: () => false,
             notifyPreviousHolder: () => {},
             onLaterEntry: () => {},
+            onAnswer: () => undefined,
             onRecordChanged: record => this.#publishRecord(cell, record, planner.planner),
         });
         const planner = new FleetPlanner({
