Keep the hosts' requests to an upstream within the rate limit that it names

What callers and engines saw: an engine in need named a limit of 4 to 5 requests a second for all hosts together and got 14 to 22. Class: a limit on a sum that each host counts alone, or that one host is told and others are not.

Now a request to such an upstream needs a permit. One host issues the permits of an upstream, the first by rendezvous hashing among the live hosts, so that whole requests divide and one host with all the traffic can use all of it. A host asks one issuer at a time, and an issuer grants only the share of the limit that its voters have among all hosts; so hosts that disagree on the issuer (a cut, a freeze, a boundary of cells) do not exceed the limit together. Limits and votes travel in digests and aggregates, and are absent from both in calm: no message, no byte and no store call then. Urgent requests go first. A request is sent elsewhere while another copy has room, and is refused at once as upstream-limit, not run, with the likely time of a turn, where none can come in time. A host that passes a limited upstream over asks for a spare permit twice a second at most, so that the end of a limit is noticed.

--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -42,7 +42,8 @@
     }
 
     /**
-     * Chooses among upstreams; unreachable, paused and already tried ones are excluded.
+     * Chooses among upstreams; excluded are unreachable, paused and already tried ones, and those that need a permit
+     * which is not at hand.
      *
      * @param upstreams The upstreams that could run the request.
      * @param isWaiting True for a request that has waited.
@@ -51,6 +52,16 @@
         return chooseUpstream(this.#candidates(upstreams, isWaiting), this.#context.random);
     }
 
+    /** Returns the upstreams that could run the request, but need a permit of their rate limit that is not at hand. */
+    awaitingPermit(upstreams: readonly UpstreamAnnouncement[]): UpstreamAnnouncement[] {
+        return this.#available(upstreams).filter(({ id }) => this.#needsPermit(id));
+    }
+
+    /** Returns whether an upstream names a rate limit and no permit for it is at hand. */
+    #needsPermit(upstream: string): boolean {
+        return this.#context.rateLimiting.limiter.state(upstream, this.#now()) === "wait";
+    }
+
     /** Returns the shortest remaining pause of untried upstreams; `undefined` if none exist or one is not paused. */
     shortestPause(upstreams: readonly UpstreamAnnouncement[]): number | undefined {
         const untried = upstreams.filter(({ id }) => !this.#tried.has(id));
@@ -74,6 +85,11 @@
         return this.#context.loads.estimate(upstream, this.#now()) / Math.max(1, slots);
     }
 
+    /** Returns the share of an upstream's capacity that is in use, for the choice of where to load adapters. */
+    #usedShare(upstream: string): number {
+        return this.#needsPermit(upstream) ? 1 : this.loadShare(upstream);
+    }
+
     /** Requests the adapter from the holder of its first candidate engine, or of the next where that has no holder. */
     requestAdapter(loadable: readonly UpstreamAnnouncement[]): void {
         const { adapter, model } = this.#facts;
@@ -85,7 +101,7 @@
             loadable.map(upstream => ({
                 id: upstream.id,
                 freeSlots: this.#freeAdapterSlots(upstream),
-                loadShare: this.loadShare(upstream.id),
+                loadShare: this.#usedShare(upstream.id),
                 loading: this.#context.residency.loading(upstream.id) !== undefined,
             })),
         );
@@ -98,7 +114,7 @@
         if (adapter === undefined || model === undefined) {
             return;
         }
-        const load = this.loadShare(chosen);
+        const load = this.#usedShare(chosen);
         if (load < BUSY_ADAPTER_SHARE) {
             return;
         }
@@ -146,16 +162,23 @@
         return slots - this.#context.residency.adapterCount(id);
     }
 
+    /** Returns the upstreams that are reachable, not paused and have not failed the request. */
+    #available(upstreams: readonly UpstreamAnnouncement[]): UpstreamAnnouncement[] {
+        const { health, pauses } = this.#context;
+        const now = this.#now();
+        return upstreams.filter(({ id }) =>
+            !this.#tried.has(id) && !health.isUnreachable(id, now) && pauses.remaining(id, now) === 0
+        );
+    }
+
     #candidates(upstreams: readonly UpstreamAnnouncement[], isWaiting: boolean): Candidate[] {
-        const { backlog, health, loads, pauses, prompts, zone } = this.#context;
+        const { backlog, health, loads, prompts, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const now = this.#now();
-        const available = upstreams.filter(({ id }) =>
-            !this.#tried.has(id) && !health.isUnreachable(id, now) && pauses.remaining(id, now) === 0
-        );
-        return available.map(upstream => ({
+        const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
+        return permitted.map(upstream => ({
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
             batches,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -21,6 +21,7 @@
 import { type EngineRecord, type PlacementMove, splitAdapterName } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
+import { type LimitChange } from "../rateLimits/index.js";
 import { compileRouteTable, type RouteTable } from "../routes/index.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
@@ -34,6 +35,7 @@
 import { InterCellGossip } from "./interCellGossip.js";
 import { OutageAgreement } from "./outageAgreement.js";
 import { PeerCatchUp } from "./peerCatchUp.js";
+import { RateLimiting } from "./rateLimiting.js";
 import { ServiceReachability } from "./serviceReachability.js";
 import { type EntrySettings } from "./settings.js";
 import { SiteDemand } from "./siteDemand.js";
@@ -60,6 +62,12 @@
 /** Upper bound on the suspects in one digest. */
 const MAXIMUM_SUSPECTS_PER_DIGEST = 64;
 
+/** Upper bound on the limits in one digest. */
+const MAXIMUM_LIMITS_PER_DIGEST = 256;
+
+/** Minimum interval of additional digests for limits that upstreams name or withdraw. */
+const LIMIT_PUBLISH_INTERVAL_MILLISECONDS = 200;
+
 /** Stands for the other cells where reported state is kept by host. */
 const OTHER_CELLS_SOURCE = "(rest of the fleet)";
 
@@ -97,6 +105,7 @@
     #settings: EntrySettings;
     readonly #timeSpent: TimeSpent;
     readonly #upstreams: UpstreamTracker;
+    readonly #rateLimiting: RateLimiting;
     readonly #demand = new SiteDemand();
     readonly #adapterUsers = new AdapterUsers();
     readonly #adapterUse = new AdapterUse();
@@ -128,6 +137,7 @@
     #closedToCallers = false;
     #closed = false;
     #digestTimer: NodeJS.Timeout | undefined;
+    #limitPublishedAtMilliseconds = Number.NEGATIVE_INFINITY;
 
     constructor(options: EntryHostOptions) {
         this.#options = options;
@@ -183,6 +193,7 @@
             otherHosts: () => this.#peers.possibleHolders(this.#now()).map(peer => peer.host),
         });
         this.#upstreams = this.#createUpstreams();
+        this.#rateLimiting = this.#createRateLimiting();
         this.#entries = this.#createEntries();
         this.#mirror = new StoreMirror({
             keyValue,
@@ -270,6 +281,7 @@
         this.#session.abandon();
         clearTimeout(this.#digestTimer);
         this.#reachability.close();
+        this.#rateLimiting.close();
         this.#orders.close();
         await this.#mirror.close();
         await this.#options.keyValue.close();
@@ -317,6 +329,32 @@
             onAnnounced: announcement => this.#orders.applyAnnouncement(announcement),
             onJoined: () => this.#planner.recordEnginesJoined(),
             onChanged: () => this.#forwarder.wake(),
+            onLimitChanged: change => this.#handleLimitChange(change),
+        });
+    }
+
+    /** Publishes a new or withdrawn limit to peers at once, but not more often than some times a second. */
+    #handleLimitChange({ previousRequestsPerSecond, requestsPerSecond }: LimitChange): void {
+        this.#rateLimiting.handleLimitChange();
+        const beginsOrEnds = previousRequestsPerSecond === undefined || requestsPerSecond === undefined;
+        const isDue = this.#now() - this.#limitPublishedAtMilliseconds >= LIMIT_PUBLISH_INTERVAL_MILLISECONDS;
+        if (beginsOrEnds && isDue) {
+            this.#limitPublishedAtMilliseconds = this.#now();
+            this.#publishDigest();
+        }
+    }
+
+    #createRateLimiting(): RateLimiting {
+        return new RateLimiting({
+            host: this.#settings.host,
+            limits: this.#upstreams.limits,
+            peers: this.#peers,
+            metrics: this.#options.metrics,
+            readClock: () => this.#now(),
+            isLeaving: () => this.#leaving,
+            send: (host, message) => this.#gossip.sendPermitMessage(host, message),
+            onLimitChanged: (change, receivedBy) => this.#upstreams.reportLimitChange(change, receivedBy),
+            onAnswered: () => this.#forwarder.wake(),
         });
     }
 
@@ -468,7 +506,7 @@
 
     #createForwardingContext(): ForwardingContext {
         const { logger, metrics, protocol, random } = this.#options;
-        const { backlog, health, limits, loads, pauses, prompts, residency, suspects, view } = this.#upstreams;
+        const { backlog, health, loads, pauses, prompts, residency, suspects, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
             headers: protocol.headers,
@@ -481,7 +519,7 @@
             loads,
             health,
             pauses,
-            limits,
+            rateLimiting: this.#rateLimiting,
             budget: this.#budget,
             suspects,
             prompts,
@@ -687,6 +725,10 @@
                 break;
             case "use":
                 this.#recordAdapterUse(message);
+                break;
+            case "permit-request":
+            case "permit-grant":
+                this.#rateLimiting.receive(message);
         }
     }
 
@@ -706,13 +748,17 @@
         this.#watchPolicy.recordStatement(digest, now);
         this.#mirror.adjustWatch();
         this.#adapterUsers.replaceUses(digest.host, digest.adaptersInUse, now);
+        this.#rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
         this.#applyReportedState(digest.host, digest);
         this.#agreement.receiveStatement(digest);
     }
 
     /** Applies the aggregate of the other cells as the report of one further peer. */
     #applyOtherCells(aggregate: FleetSummary): void {
-        aggregate.hosts.forEach(host => this.#peers.recordListed(host, this.#now()));
+        const now = this.#now();
+        aggregate.hosts.forEach(host => this.#peers.recordListed(host, now));
+        this.#rateLimiting.limiter.recordReports(aggregate.limits ?? [], now);
+        this.#rateLimiting.limiter.recordOtherCellsVotes(aggregate.issuerVotes ?? [], now);
         this.#applyReportedState(OTHER_CELLS_SOURCE, aggregate);
     }
 
@@ -824,6 +870,7 @@
     #publishDigest(): HostDigest {
         const now = this.#now();
         const suspects = this.#upstreams.drainNewSuspects().slice(-MAXIMUM_SUSPECTS_PER_DIGEST);
+        const limits = this.#rateLimiting.limiter.ownVotes(now).slice(0, MAXIMUM_LIMITS_PER_DIGEST);
         const digest: HostDigest = {
             type: "digest",
             host: this.#settings.host,
@@ -838,6 +885,7 @@
             inFlight: this.#upstreams.loads.allInFlight(),
             unreachable: this.#upstreams.unreachableReports.reportedBy(this.#settings.host, now),
             leavingRuns: this.#upstreams.leavingIncarnations().map(toLeavingIncarnation),
+            ...limits.length === 0 ? {} : { limits },
             adaptersInUse: this.#adapterUse.all(),
             ...this.#demand.hostDemand(now),
             engines: this.#orders.records().map(toMemory),
@@ -881,6 +929,7 @@
         metrics.gauge("configuration_version", this.#table?.version ?? 0);
         metrics.gauge("store_silence_seconds", this.#reachability.secondsSinceAnswer());
         metrics.gauge("upstreams", this.#upstreams.view.all().length);
+        metrics.gauge("limited_upstreams", this.#upstreams.limits.countInForce());
         metrics.gauge("requests_open", this.#forwarder.openRequestCount);
         metrics.gauge("peers_heard", this.#peers.withRecentDigest(this.#now()).length);
         metrics.gauge("prompt_bound_tokens", this.#upstreams.backlog.limitTokens);
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -42,6 +42,9 @@
 /** Expected time until an upstream that is full or unreachable accepts a request. */
 const EXPECTED_CAPACITY_MILLISECONDS = 1_000;
 
+/** Factor of the expected wait for a permit, since other hosts add requests to the same queue at the same time. */
+const PERMIT_DELAY_FACTOR = 1.25;
+
 /** Interval of a waiting request's dispatches, which repeat its adapter request since datagrams may be lost. */
 const DISPATCH_RETRY_MILLISECONDS = 120;
 
@@ -63,6 +66,7 @@
     | "all-full"
     | "prompts-unread"
     | "upstreams-pause"
+    | "upstream-limit"
     | "adapter-missing"
     | "model-missing"
     | "crashes-engines"
@@ -114,6 +118,10 @@
     #attempt: Attempt | undefined;
     #lastUpstream: string | undefined;
     #waitingSinceMilliseconds: number | undefined;
+    /** The upstream for which the request waits for a permit. */
+    #permitUpstream: string | undefined;
+    /** True once the issuer's queue showed that a permit can be expected in time. */
+    #expectsPermit = false;
     #ended = false;
     #deadlineTimer: NodeJS.Timeout | undefined;
     #silenceTimer: NodeJS.Timeout | undefined;
@@ -188,9 +196,10 @@
         const resident = usable.filter(upstream => this.#selection.residencyAt(upstream) === "held");
         const choice = this.#selection.choose(resident, this.isWaiting);
         const chosen = choice.type === "send" ? this.#context.view.get(choice.upstream) : undefined;
+        const limited = this.#selection.awaitingPermit(resident);
         if (chosen !== undefined) {
             this.#selection.requestFurtherCopy(chosen.id);
-            this.#send(chosen);
+            this.#send(chosen, limited[0]?.id);
             return;
         }
         const pause = this.#selection.shortestPause(resident);
@@ -199,7 +208,13 @@
             return;
         }
         const loadable = usable.filter(upstream => this.#selection.residencyAt(upstream) === "adapter-missing");
-        if (loadable.length > 0 && resident.length === 0) {
+        if (limited.length > 0) {
+            this.#awaitPermit(limited);
+        }
+        if (limited.length > 0 && choice.type === "none") {
+            this.#waitForPermit(loadable);
+        }
+        else if (loadable.length > 0 && resident.length === 0) {
             this.#waitForAdapter(loadable);
         }
         else if (choice.type === "all-full") {
@@ -240,6 +255,63 @@
         }
     }
 
+    /** Requests a permit for one of some upstreams: the one where it can be expected first. */
+    #awaitPermit(limited: readonly UpstreamAnnouncement[]): void {
+        const { limiter } = this.#context.rateLimiting;
+        const { requestId, route: { priority } } = this.#request;
+        const now = this.#now();
+        if (!limited.some(({ id }) => id === this.#permitUpstream)) {
+            const expectations = limited.map(({ id }) => ({
+                id,
+                milliseconds: limiter.expectedMilliseconds(id, priority, now) ?? 0,
+            }));
+            expectations.sort((left, right) => left.milliseconds - right.milliseconds);
+            this.#cancelPermit();
+            this.#permitUpstream = expectations[0]?.id;
+        }
+        if (this.#permitUpstream !== undefined && !this.#isPermitTooLate()) {
+            limiter.await(this.#permitUpstream, requestId, { priority, sinceMilliseconds: now }, now);
+            this.#context.rateLimiting.update();
+        }
+    }
+
+    /** Returns whether a permit is expected later than the request may wait; decided once, when it is first known. */
+    #isPermitTooLate(): boolean {
+        const expectedMilliseconds = this.#expectsPermit ? undefined : this.#expectedPermitMilliseconds();
+        if (expectedMilliseconds === undefined) {
+            return false;
+        }
+        const waitedMilliseconds = this.#now() - (this.#waitingSinceMilliseconds ?? this.#now());
+        const isTooLate = waitedMilliseconds + expectedMilliseconds * PERMIT_DELAY_FACTOR
+            > this.#maximumWaitMilliseconds();
+        this.#expectsPermit = !isTooLate;
+        return isTooLate;
+    }
+
+    #expectedPermitMilliseconds(): number | undefined {
+        const { limiter } = this.#context.rateLimiting;
+        return limiter.expectedMilliseconds(this.#permitUpstream ?? "", this.#request.route.priority, this.#now());
+    }
+
+    #cancelPermit(): void {
+        if (this.#permitUpstream !== undefined) {
+            this.#context.rateLimiting.limiter.remove(this.#permitUpstream, this.#request.requestId);
+            this.#context.rateLimiting.update();
+            this.#permitUpstream = undefined;
+        }
+    }
+
+    /** Waits for a permit, and meanwhile for the adapter elsewhere; refuses at once where none is expected in time. */
+    #waitForPermit(loadable: readonly UpstreamAnnouncement[]): void {
+        const expectedMilliseconds = this.#expectedPermitMilliseconds() ?? EXPECTED_CAPACITY_MILLISECONDS;
+        if (this.#isPermitTooLate()) {
+            this.#refuse("upstream-limit", expectedMilliseconds);
+        }
+        else if (this.#waitOrRefuse("upstream-limit", expectedMilliseconds)) {
+            this.#selection.requestAdapter(loadable);
+        }
+    }
+
     /** Waits until the shortest requested pause ends, or refuses at once if that exceeds the remaining wait time. */
     #waitForPause(pauseMilliseconds: number): void {
         const remainingWaitMilliseconds = this.#maximumWaitMilliseconds() - this.#ensureWaiting("upstreams-pause");
@@ -295,6 +367,7 @@
             this.#log("request waits", {
                 reason,
                 longestMilliseconds: Math.round(this.#maximumWaitMilliseconds()),
+                ...this.#describeLimit(this.#permitUpstream),
                 ...this.#selection.describe(),
             });
         }
@@ -309,8 +382,11 @@
         }
     }
 
-    #send(upstream: UpstreamAnnouncement): void {
+    /** Sends the request; `passedOver` is an upstream that had no room within its rate limit. */
+    #send(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
         this.#endWait("sent");
+        this.#cancelPermit();
+        this.#recordLimits(upstream, passedOver);
         this.#attemptCount += 1;
         const attempt: Attempt = {
             number: this.#attemptCount,
@@ -326,7 +402,7 @@
         };
         this.#attempt = attempt;
         this.#lastUpstream = upstream.id;
-        this.#recordSent(attempt);
+        this.#recordSent(attempt, passedOver);
         const ifCurrent = (step: () => void): void => {
             if (this.#attempt === attempt && !this.#ended) {
                 this.#guard(step);
@@ -349,10 +425,33 @@
         this.#restartSilenceTimer(attempt);
     }
 
+    /** Uses a permit where the upstream needs one, and requests one for later where an upstream was passed over. */
+    #recordLimits(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
+        const { metrics, rateLimiting } = this.#context;
+        const now = this.#now();
+        if (rateLimiting.limiter.state(upstream.id, now) === "permitted") {
+            rateLimiting.limiter.tryUse(upstream.id, now);
+            metrics.count("limit_permits", { outcome: "used" });
+        }
+        if (passedOver !== undefined) {
+            rateLimiting.limiter.requestSpare(passedOver, now);
+            rateLimiting.update();
+            metrics.count("limit_moves", { service: upstream.service });
+        }
+    }
+
+    /** Returns log fields with the rate limit that bears on a request; none where there is no limit. */
+    #describeLimit(upstream: string | undefined): Readonly<Record<string, string | number | undefined>> {
+        const limit = upstream === undefined
+            ? undefined
+            : this.#context.rateLimiting.limiter.describe(upstream, this.#now());
+        return limit === undefined ? {} : { limitedUpstream: upstream, ...limit };
+    }
+
     /** Counts the request at its upstream, and reports it to peers and to the engine's holder. */
-    #recordSent(attempt: Attempt): void {
+    #recordSent(attempt: Attempt, passedOver: string | undefined): void {
         const { number, upstream } = attempt;
-        const { adapterUse, backlog, limits, loads, metrics, prompts } = this.#context;
+        const { adapterUse, backlog, loads, metrics, prompts } = this.#context;
         const { adapter, model, promptTokens, sharedPrompt } = this.#facts;
         loads.recordStarted(upstream.id);
         backlog.recordSent(upstream.id, promptTokens, this.#now());
@@ -378,7 +477,8 @@
             route: this.#request.route.name,
             upstream: upstream.id,
             attempt: number,
-            limitPerSecond: limits.inForce(upstream.id)?.requestsPerSecond,
+            ...this.#describeLimit(passedOver),
+            ...this.#describeLimit(upstream.id),
             load,
             unreadTokens: backlogTokens,
             boundTokens: backlog.limitTokens,
@@ -747,6 +847,7 @@
             reason,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
+            ...this.#describeLimit(this.#permitUpstream),
             ...this.#selection.describe(),
         });
         const retryHeaders: Record<string, string> = retryAfterMilliseconds === undefined
@@ -796,6 +897,7 @@
         clearTimeout(this.#silenceTimer);
         clearTimeout(this.#retryTimer);
         this.#endWait(outcome);
+        this.#cancelPermit();
         const { arrivedAtMilliseconds, route } = this.#request;
         const tookMilliseconds = this.#now() - arrivedAtMilliseconds;
         const firstByteAtMilliseconds = this.#answer.firstByteAtMilliseconds;
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -19,8 +19,8 @@
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type ResidencyView } from "../placement/index.js";
-import { type NamedLimits } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
+import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
 import { type AnswerHead } from "./upstreamCall.js";
@@ -38,7 +38,7 @@
     readonly loads: UpstreamLoads;
     readonly health: UpstreamHealth;
     readonly pauses: UpstreamPauses;
-    readonly limits: NamedLimits;
+    readonly rateLimiting: RateLimiting;
     readonly budget: SharedRetryBudget;
     readonly suspects: CrashSuspects;
     readonly prompts: PromptPrefixIndex;
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -21,6 +21,7 @@
     type PeerTable,
 } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
+import { type PermitMessage } from "../rateLimits/index.js";
 import { type ListenAddress } from "./settings.js";
 
 /** Options of a host's gossip. */
@@ -132,6 +133,11 @@
         return true;
     }
 
+    /** Sends a request for permits to their issuer, or permits to a host. */
+    sendPermitMessage(host: string, message: PermitMessage): void {
+        this.#send(message, this.#peersNamed([host]));
+    }
+
     /** Reports to an engine's holder that this host began or ended using an adapter. */
     reportAdapterUse(holder: string, use: AdapterUseReport): void {
         const peer = this.#options.peers.get(holder);
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -53,6 +53,8 @@
     readonly onJoined: () => void;
     /** A change occurred that a waiting request may be waiting for. */
     readonly onChanged: () => void;
+    /** An answer to this host changed a limit. */
+    readonly onLimitChanged: (change: LimitChange) => void;
 }
 
 /** Combines upstreams' announcements with the outcomes of requests sent to them. */
@@ -150,10 +152,25 @@
             receivedBy: host,
         });
         if (change !== undefined) {
-            this.#reportLimitChange(change, host);
+            this.reportLimitChange(change, host);
+            this.#options.onLimitChanged(change);
         }
     }
 
+    /** Logs and counts a change of a limit, which the upstream named to a host. */
+    reportLimitChange({ previousRequestsPerSecond, requestsPerSecond, upstream }: LimitChange, namedTo: string): void {
+        const named = previousRequestsPerSecond === undefined ? "named" : "changed";
+        const outcome = requestsPerSecond === undefined ? "withdrawn" : named;
+        this.#options.metrics.count("upstream_limits", { outcome });
+        this.#options.logger.info("upstream limit changed", {
+            upstream,
+            outcome,
+            limitPerSecond: requestsPerSecond,
+            previousLimitPerSecond: previousRequestsPerSecond,
+            namedTo,
+        });
+    }
+
     /** Records a peer's report that an upstream incarnation is leaving. */
     recordLeavingIncarnation(incarnation: UpstreamIncarnation): void {
         this.#handleChanges(this.view.recordLeaving(incarnation));
@@ -213,19 +230,6 @@
         }
     }
 
-    #reportLimitChange({ previousRequestsPerSecond, requestsPerSecond, upstream }: LimitChange, namedTo: string): void {
-        const named = previousRequestsPerSecond === undefined ? "named" : "changed";
-        const outcome = requestsPerSecond === undefined ? "withdrawn" : named;
-        this.#options.metrics.count("upstream_limits", { outcome });
-        this.#options.logger.info("upstream limit changed", {
-            upstream,
-            outcome,
-            limitPerSecond: requestsPerSecond,
-            previousLimitPerSecond: previousRequestsPerSecond,
-            namedTo,
-        });
-    }
-
     #recordPause(upstream: string, head: AnswerStatusAndHeaders): void {
         const pause = readRequestedPause(head);
         if (pause === undefined) {
--- a/src/gossip/cellAggregates.ts
+++ b/src/gossip/cellAggregates.ts
@@ -3,7 +3,14 @@
  *
  * @module
  */
-import { type CrashSuspect, type EngineMemory, type FleetSummary, type HostDigest } from "../generated/gossip.js";
+import {
+    type CrashSuspect,
+    type EngineMemory,
+    type FleetSummary,
+    type HostDigest,
+    type IssuerVotes,
+    type LimitReport,
+} from "../generated/gossip.js";
 import { type HostWithZone } from "./cells.js";
 
 /** Digests and aggregates are dropped after this time as out of date. */
@@ -18,6 +25,9 @@
 /** Limit of each other list of an aggregate. */
 const MAXIMUM_LIST_ENTRIES = 256;
 
+/** Limit of the votes for issuers of permits in an aggregate. */
+const MAXIMUM_VOTES = 1_024;
+
 /** The host that sends an aggregate, and its cell. */
 export interface AggregateSender {
     readonly host: string;
@@ -35,8 +45,51 @@
 
 /** Converts a digest; its host is listed only where it is ready for callers and not leaving. */
 function toAggregatePart(digest: HostDigest): AggregatePart {
-    const { addresses, host, leaving, ready } = digest;
-    return { ...digest, state: addresses.state, hosts: ready && !leaving ? [host] : [] };
+    const { addresses, host, leaving, limits = [], ready } = digest;
+    return {
+        ...digest,
+        state: addresses.state,
+        hosts: ready && !leaving ? [host] : [],
+        limits: limits.map(({ report }) => report),
+        issuerVotes: limits.flatMap(({ issuer, report: { upstream } }) =>
+            issuer === undefined ? [] : [{ upstream, issuer, votes: 1 }]
+        ),
+    };
+}
+
+/** Adds the time since a message was received to the ages in its reports. */
+function withPresentAges(
+    { atMilliseconds, message }: Received<AggregatePart>,
+    nowMilliseconds: number,
+): AggregatePart {
+    const heldMilliseconds = Math.round(nowMilliseconds - atMilliseconds);
+    const limits = message.limits?.map(report => ({
+        ...report,
+        sentAgeMilliseconds: report.sentAgeMilliseconds + heldMilliseconds,
+        receivedAgeMilliseconds: report.receivedAgeMilliseconds + heldMilliseconds,
+    }));
+    return { ...message, limits };
+}
+
+/** Returns the latest report of each upstream's limit. */
+function latestLimits(parts: readonly AggregatePart[]): LimitReport[] {
+    const latest = new Map<string, LimitReport>();
+    for (const report of parts.flatMap(({ limits = [] }) => limits)) {
+        const known = latest.get(report.upstream);
+        if (known === undefined || report.sentAgeMilliseconds < known.sentAgeMilliseconds) {
+            latest.set(report.upstream, report);
+        }
+    }
+    return [...latest.values()].slice(0, MAXIMUM_LIST_ENTRIES);
+}
+
+function sumVotes(parts: readonly AggregatePart[]): IssuerVotes[] {
+    const totals = new Map<string, IssuerVotes>();
+    for (const { issuer, upstream, votes } of parts.flatMap(({ issuerVotes = [] }) => issuerVotes)) {
+        const key = JSON.stringify([upstream, issuer]);
+        totals.set(key, { upstream, issuer, votes: votes + (totals.get(key)?.votes ?? 0) });
+    }
+    return [...totals.values()].slice(0, MAXIMUM_VOTES);
 }
 
 function sumByKey(parts: readonly Readonly<Record<string, number>>[]): Record<string, number> {
@@ -77,13 +130,16 @@
 }
 
 /** Removes expired messages and returns those that remain. */
-function removeExpired<Message>(received: Map<string, Received<Message>>, nowMilliseconds: number): Message[] {
+function removeExpired<Message>(
+    received: Map<string, Received<Message>>,
+    nowMilliseconds: number,
+): Received<Message>[] {
     for (const [name, { atMilliseconds }] of received) {
         if (nowMilliseconds - atMilliseconds > MESSAGE_LIFETIME_MILLISECONDS) {
             received.delete(name);
         }
     }
-    return [...received.values()].map(({ message }) => message);
+    return [...received.values()];
 }
 
 /**
@@ -121,14 +177,19 @@
 
     /** Returns the aggregate of the own cell. Each crash suspect received is included in one aggregate only. */
     aggregateOfCell(sender: AggregateSender, ownDigest: HostDigest, nowMilliseconds: number): FleetSummary {
-        const peers = removeExpired(this.#digests, nowMilliseconds).filter(({ host }) => host !== ownDigest.host);
+        const peers = removeExpired(this.#digests, nowMilliseconds)
+            .filter(({ message }) => message.host !== ownDigest.host)
+            .map(({ atMilliseconds, message }) => ({ atMilliseconds, message: toAggregatePart(message) }));
+        const parts = peers.map(part => withPresentAges(part, nowMilliseconds));
         const suspects = [...ownDigest.suspects, ...this.#newSuspectsOfCell.splice(0)];
-        return this.#aggregate(sender, "cell", [ownDigest, ...peers].map(toAggregatePart), suspects);
+        return this.#aggregate(sender, "cell", [toAggregatePart(ownDigest), ...parts], suspects);
     }
 
     /** Returns the aggregate of all other cells; `undefined` where none was received recently. */
     aggregateOfOtherCells(sender: AggregateSender, nowMilliseconds: number): FleetSummary | undefined {
-        const others = removeExpired(this.#aggregates, nowMilliseconds).filter(({ cell }) => cell !== sender.cell);
+        const others = removeExpired(this.#aggregates, nowMilliseconds)
+            .filter(({ message }) => message.cell !== sender.cell)
+            .map(part => withPresentAges(part, nowMilliseconds));
         const suspects = this.#newSuspectsOfOtherCells.splice(0);
         return others.length === 0 ? undefined : this.#aggregate(sender, "rest", others, suspects);
     }
@@ -150,6 +211,8 @@
     ): FleetSummary {
         this.#rounds[scope] += 1;
         const newest = partWithNewestConfiguration(parts);
+        const limits = latestLimits(parts);
+        const issuerVotes = sumVotes(parts);
         return {
             type: "summary",
             scope,
@@ -162,6 +225,8 @@
             inFlight: sumByKey(parts.map(({ inFlight }) => inFlight)),
             unreachable: [...new Set(parts.flatMap(({ unreachable }) => unreachable))].slice(0, MAXIMUM_LIST_ENTRIES),
             leavingRuns: parts.flatMap(({ leavingRuns }) => leavingRuns).slice(0, MAXIMUM_LIST_ENTRIES),
+            ...limits.length === 0 ? {} : { limits },
+            ...issuerVotes.length === 0 ? {} : { issuerVotes },
             demand: sumByKey(parts.map(({ demand }) => demand)),
             adapterDemand: sumByKey(parts.map(({ adapterDemand }) => adapterDemand)),
             readingDemand: sumByKey(parts.map(({ readingDemand }) => readingDemand)),
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -17,6 +17,10 @@
     holderWordSchema,
     type HostDigest,
     hostDigestSchema,
+    type PermitGrant,
+    permitGrantSchema,
+    type PermitRequest,
+    permitRequestSchema,
     type PlannedMove,
     plannedMoveSchema,
     type SendNotice,
@@ -42,6 +46,8 @@
     | SendNotice
     | AdapterUseNotice
     | HolderWord
+    | PermitRequest
+    | PermitGrant
     | StoreChanges;
 
 /** Options of a link. */
@@ -71,6 +77,8 @@
     sent: sendNoticeSchema,
     use: adapterUseNoticeSchema,
     holder: holderWordSchema,
+    "permit-request": permitRequestSchema,
+    "permit-grant": permitGrantSchema,
     changes: storeChangesSchema,
 };
 
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -22,6 +22,14 @@
     holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
     upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
     upstream_limits: { help: "Changes of the rate limits that upstreams name.", labels: ["outcome"] },
+    limit_permits: {
+        help: "Permits for upstreams that name a rate limit, received and used by this host.",
+        labels: ["outcome"],
+    },
+    limit_moves: {
+        help: "Attempts sent elsewhere than to an upstream whose rate limit had no room.",
+        labels: ["service"],
+    },
     upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
     store_restores: {
         help:
@@ -48,6 +56,7 @@
     configuration_version: { help: "Version of the configuration in force; 0 for none." },
     store_silence_seconds: { help: "Time since the key-value service answered last." },
     upstreams: { help: "Upstreams in view." },
+    limited_upstreams: { help: "Upstreams that name a rate limit." },
     requests_open: { help: "Requests being served." },
     engines_held: { help: "Engines that this host gives orders to." },
     cells: { help: "Cells that the fleet is divided into." },
@@ -79,6 +88,12 @@
         name: Name,
         labels: Readonly<Record<(typeof COUNTERS)[Name]["labels"][number], string>>,
     ): void;
+    /** Adds to a counter. */
+    add<Name extends CounterName>(
+        name: Name,
+        labels: Readonly<Record<(typeof COUNTERS)[Name]["labels"][number], string>>,
+        amount: number,
+    ): void;
     /** Adds to the time spent on a subject, in `spent_seconds`. */
     spend(subject: string, milliseconds: number): void;
     gauge(name: GaugeName, value: number): void;
@@ -150,6 +165,7 @@
     }
     return {
         count: (name, labels) => counters.get(name)?.inc(labels),
+        add: (name, labels, amount) => counters.get(name)?.inc(labels, amount),
         spend: (subject, milliseconds) => counters.get("spent_seconds")?.inc({ subject }, milliseconds / 1_000),
         gauge: (name, value) => gauges.get(name)?.set(value),
         observe: (name, milliseconds, labels) => histograms.get(name)?.observe(labels, milliseconds / 1_000),
--- /dev/null
+++ b/src/rateLimits/hostPermits.ts
@@ -0,0 +1,206 @@
+/**
+ * The permits of this host to one upstream, and its requests that wait for some.
+ *
+ * @module
+ */
+import { type PermitGrant, type PermitRequest, type WaitingGroup } from "../generated/gossip.js";
+import { countUpTo, groupWaiting, removeMostUrgent, type WaitingRequest } from "./waitingGroups.js";
+
+/** An unused permit expires after this time, so that permits of several hosts do not accumulate. */
+const PERMIT_LIFETIME_MILLISECONDS = 500;
+
+/** Minimum interval of requests for permits; requests that arrive within it are sent together. */
+const GATHER_MILLISECONDS = 25;
+
+/** Interval at which a request for permits is repeated until the issuer has named one. */
+const DEFAULT_RESEND_MILLISECONDS = 200;
+
+/** An issuer's count of waiting requests is used for this long. */
+const QUEUE_LIFETIME_MILLISECONDS = 1_000;
+
+/** Grants that answer an older request are ignored: this host was suspended, or they were delayed. */
+const MAXIMUM_GRANT_AGE_MILLISECONDS = 1_000;
+
+/** An issuer that has not answered for this time, and this many requests, is unresponsive. */
+const UNRESPONSIVE_MILLISECONDS = 600;
+const UNRESPONSIVE_REQUESTS = 3;
+
+/** Interval at which a spare permit is requested. */
+const SPARE_INTERVAL_MILLISECONDS = 500;
+
+/** Period over which the permits of this host are counted. */
+const SHARE_WINDOW_MILLISECONDS = 4_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What the issuer told of its waiting requests. */
+interface IssuerQueue {
+    readonly atMilliseconds: number;
+    readonly permitsPerSecond: number;
+    readonly waiting: readonly WaitingGroup[];
+}
+
+/** The fields of a request for permits that this decision fills in. */
+export type WantedPermits = Pick<PermitRequest, "sequence" | "lastGrant" | "waiting" | "spare">;
+
+interface SentRequest {
+    readonly sequence: number;
+    readonly atMilliseconds: number;
+}
+
+/**
+ * Tracks waiting requests and permits, and determines when to ask the issuer for more.
+ *
+ * @example
+ * ```ts
+ * const permits = new HostPermits();
+ * permits.add("9c41d07b", { priority: 1, sinceMilliseconds: now });
+ * const wanted = permits.nextRequest(now);
+ * permits.receive(grant, now);
+ * permits.tryUse(now); // true
+ * ```
+ */
+export class HostPermits {
+    readonly #waiting = new Map<string, WaitingRequest>();
+    /** When each unused permit expires. */
+    #permits: number[] = [];
+    /** When permits were received, within the window of `permitsPerSecond`. */
+    #receivedAt: number[] = [];
+    #sequence = 0;
+    #lastGrant = 0;
+    #sent: SentRequest[] = [];
+    /** Number of requests since the issuer's last answer, and the time of the first of them. */
+    #unansweredRequests = 0;
+    #unansweredSinceMilliseconds = Number.POSITIVE_INFINITY;
+    #resendMilliseconds = DEFAULT_RESEND_MILLISECONDS;
+    #queue: IssuerQueue | undefined;
+    #isChanged = false;
+    #spareRequestedAtMilliseconds = Number.NEGATIVE_INFINITY;
+    #wantsSpare = false;
+
+    /** Returns whether requests wait, or a change has not been sent to the issuer. */
+    get isActive(): boolean {
+        return this.#waiting.size > 0 || this.#isChanged || this.#wantsSpare;
+    }
+
+    /** Adds a waiting request. */
+    add(request: string, waiting: WaitingRequest): void {
+        if (!this.#waiting.has(request)) {
+            this.#waiting.set(request, waiting);
+            this.#isChanged = true;
+        }
+    }
+
+    /** Removes a request that no longer waits: it was sent, with or without a permit of this upstream, or it ended. */
+    remove(request: string): void {
+        if (this.#waiting.delete(request)) {
+            this.#isChanged = true;
+        }
+    }
+
+    /** Requests a permit for a later request, unless one is at hand or was requested a short time ago. */
+    requestSpare(nowMilliseconds: number): void {
+        const isDue = nowMilliseconds - this.#spareRequestedAtMilliseconds >= SPARE_INTERVAL_MILLISECONDS;
+        if (isDue && !this.hasPermit(nowMilliseconds)) {
+            this.#spareRequestedAtMilliseconds = nowMilliseconds;
+            this.#wantsSpare = true;
+        }
+    }
+
+    /** Returns whether a permit is at hand. */
+    hasPermit(nowMilliseconds: number): boolean {
+        this.#permits = this.#permits.filter(expiresAt => expiresAt > nowMilliseconds);
+        return this.#permits.length > 0;
+    }
+
+    /** Uses a permit; returns false where none is at hand. */
+    tryUse(nowMilliseconds: number): boolean {
+        return this.hasPermit(nowMilliseconds) && this.#permits.shift() !== undefined;
+    }
+
+    /** Returns the request for permits that is due; `undefined` where none is. */
+    nextRequest(nowMilliseconds: number): WantedPermits | undefined {
+        const sinceLast = nowMilliseconds - (this.#sent.at(-1)?.atMilliseconds ?? Number.NEGATIVE_INFINITY);
+        const atHand = this.hasPermit(nowMilliseconds) ? this.#permits.length : 0;
+        const waiting = removeMostUrgent(groupWaiting(this.#waiting.values(), nowMilliseconds), atHand);
+        const hasNews = (this.#isChanged || this.#wantsSpare) && sinceLast >= GATHER_MILLISECONDS;
+        const isRepeated = waiting.length > 0 && sinceLast >= this.#resendMilliseconds;
+        if (!hasNews && !isRepeated) {
+            return undefined;
+        }
+        const spare = this.#wantsSpare;
+        this.#isChanged = false;
+        this.#wantsSpare = false;
+        this.#sequence += 1;
+        this.#unansweredSinceMilliseconds = this.#unansweredRequests === 0
+            ? nowMilliseconds
+            : this.#unansweredSinceMilliseconds;
+        this.#unansweredRequests += 1;
+        this.#recordSent(nowMilliseconds);
+        return { sequence: this.#sequence, lastGrant: this.#lastGrant, waiting, spare };
+    }
+
+    /** Receives a grant; returns the number of permits taken from it. */
+    receive(grant: PermitGrant, nowMilliseconds: number): number {
+        const answered = this.#sent.find(({ sequence }) => sequence === grant.request);
+        if (answered === undefined) {
+            return 0;
+        }
+        this.#lastGrant = grant.sequence;
+        this.#unansweredRequests = 0;
+        this.#resendMilliseconds = grant.resendMilliseconds;
+        const { permitsPerSecond, waiting } = grant;
+        this.#queue = { atMilliseconds: nowMilliseconds, permitsPerSecond, waiting };
+        for (let index = 0; index < grant.permits; index += 1) {
+            this.#permits.push(nowMilliseconds + PERMIT_LIFETIME_MILLISECONDS);
+            this.#receivedAt.push(nowMilliseconds);
+        }
+        return grant.permits;
+    }
+
+    /** Forgets what an issuer told, since another host is the issuer now. */
+    resetIssuer(): void {
+        this.#lastGrant = 0;
+        this.#sent = [];
+        this.#unansweredRequests = 0;
+        this.#resendMilliseconds = DEFAULT_RESEND_MILLISECONDS;
+        this.#queue = undefined;
+        this.#isChanged ||= this.#waiting.size > 0;
+    }
+
+    /** Returns whether the issuer has left requests of this host unanswered. */
+    isIssuerUnresponsive(nowMilliseconds: number): boolean {
+        return this.#unansweredRequests >= UNRESPONSIVE_REQUESTS
+            && nowMilliseconds - this.#unansweredSinceMilliseconds > UNRESPONSIVE_MILLISECONDS;
+    }
+
+    /**
+     * Returns the time until a request of a priority that arrives now would get a permit; `undefined` where the issuer
+     * has not told recently.
+     */
+    expectedMilliseconds(priority: number, nowMilliseconds: number): number | undefined {
+        const queue = this.#queue;
+        if (queue === undefined || nowMilliseconds - queue.atMilliseconds > QUEUE_LIFETIME_MILLISECONDS) {
+            return undefined;
+        }
+        const newRequests = [...this.#waiting.values()].filter(request =>
+            request.sinceMilliseconds > queue.atMilliseconds && request.priority <= priority
+        );
+        const ahead = countUpTo(queue.waiting, priority) + newRequests.length;
+        const passedMilliseconds = nowMilliseconds - queue.atMilliseconds;
+        const waitMilliseconds = (ahead + 1) * MILLISECONDS_PER_SECOND / queue.permitsPerSecond;
+        return Number.isFinite(waitMilliseconds) ? Math.max(0, waitMilliseconds - passedMilliseconds) : undefined;
+    }
+
+    /** Permits that this host received a second, over the last seconds. */
+    permitsPerSecond(nowMilliseconds: number): number {
+        this.#receivedAt = this.#receivedAt.filter(at => nowMilliseconds - at < SHARE_WINDOW_MILLISECONDS);
+        return this.#receivedAt.length * MILLISECONDS_PER_SECOND / SHARE_WINDOW_MILLISECONDS;
+    }
+
+    #recordSent(nowMilliseconds: number): void {
+        const maximumAge = MAXIMUM_GRANT_AGE_MILLISECONDS + this.#resendMilliseconds;
+        const recent = this.#sent.filter(({ atMilliseconds }) => nowMilliseconds - atMilliseconds < maximumAge);
+        this.#sent = [...recent, { sequence: this.#sequence, atMilliseconds: nowMilliseconds }];
+    }
+}
--- a/src/rateLimits/index.ts
+++ b/src/rateLimits/index.ts
@@ -12,3 +12,11 @@
  */
 export { type LimitChange, type LimitObservation, NamedLimits } from "./namedLimits.js";
 export { type ParsedRateLimit, parseRateLimit } from "./parseRateLimit.js";
+export {
+    type Fleet,
+    type LimitDescription,
+    type PermitMessage,
+    type PermitState,
+    RateLimiter,
+    type RateLimiterOptions,
+} from "./rateLimiter.js";
--- a/src/rateLimits/namedLimits.ts
+++ b/src/rateLimits/namedLimits.ts
@@ -77,12 +77,22 @@
         return observation?.requestsPerSecond === undefined ? undefined : observation;
     }
 
+    /** Returns the latest observation of an upstream that names a limit, or named one a short time ago. */
+    latest(upstream: string): LimitObservation | undefined {
+        return this.#observations.get(upstream);
+    }
+
     /** Returns the latest observation of each upstream that names a limit, or named one a short time ago. */
     all(nowMilliseconds: number): LimitObservation[] {
         this.#expire(nowMilliseconds);
         return [...this.#observations.values()];
     }
 
+    /** Returns the number of upstreams that name a limit. */
+    countInForce(): number {
+        return [...this.#observations.keys()].filter(upstream => this.inForce(upstream) !== undefined).length;
+    }
+
     /** Drops what is known of an upstream. */
     forget(upstream: string): void {
         this.#observations.delete(upstream);
--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -32,6 +32,9 @@
 /** A share of the time limit of a request for which it may wait, and some time to answer. */
 const MAXIMUM_WAIT_MILLISECONDS = 1_500;
 
+/** A request that cannot get a turn is refused within this time. */
+const AT_ONCE_MILLISECONDS = 200;
+
 /** A limited upstream, what reached it, and whom it told of its limit. */
 interface LimitedUpstream {
     readonly standIn: PlatformUpstreamStandIn;
@@ -127,6 +130,8 @@
     }
     const late = refused.filter(({ tookMilliseconds }) => tookMilliseconds > MAXIMUM_WAIT_MILLISECONDS);
     assert.equal(late.length, 0, "refused later than a request may wait");
+    const held = refused.filter(({ tookMilliseconds }) => tookMilliseconds > AT_ONCE_MILLISECONDS);
+    assert.ok(held.length <= refused.length / 10, `${held.length} of ${refused.length} were not refused at once`);
 }
 
 describe("a host reports the limits that upstreams name", () => {
