--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -367,7 +367,12 @@
                 onPut: (_name, entry) => this.#applyConfiguration(entry),
                 isOutdated: (entry, previous) => this.#isOutdated(entry, previous),
             },
-            { prefix: RESTORES_KEY, onPut: (_name, entry) => this.#restores.applySettled(entry) },
+            {
+                prefix: RESTORES_KEY,
+                onPut: (_name, entry) => this.#restores.applySettled(entry),
+                // A record that a restore has lost is removed, so that it can be written anew.
+                onRemoved: () => undefined,
+            },
             {
                 prefix: keys.upstreamPrefix,
                 onPut: (upstream, entry) => this.#upstreams.applyRecord(upstream, entry),
--- a/tests/storeRestore.test.ts
+++ b/tests/storeRestore.test.ts
@@ -172,3 +172,16 @@
     site.announce(leaving, "plain", { sequence: 900 });
     await until(receivesRequests);
 });
+
+test("a restore to a snapshot from before any restore was recorded is recorded as settled", async context => {
+    const site = await EntrySite.start();
+    site.store.era = 1;
+    context.after(() => site.close());
+    site.configure(ROUTES, ENGINE);
+    site.store.takeSnapshot();
+    const host = await site.addHost("one");
+    await site.addUpstream({ id: "i-engine", models: { quotes: [] }, slots: 8 }, "llm");
+    await until(() => site.store.get("restores") === JSON.stringify({ restores: 1 }), 6_000);
+    await restore(site, [host]);
+    await until(() => site.store.get("restores") === JSON.stringify({ restores: 2 }), 6_000);
+});
