Apply leaving and pauses that engines report in answers to orders and reports

Only answers to callers' requests were read; an engine that told its holder with an order's answer that it leaves, or asked it for a pause, went on getting that host's requests until another answer or the key-value service said so.

Two tests over sockets, one each for Server-Leaving and Retry-After in the answer to an order: both failed before (a request reached the engine), both pass now.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -504,7 +504,7 @@
             },
             onLaterEntry: entry => this.#applyLaterEntry(entry),
             onAnswer: (engine, head, sentAtMilliseconds) =>
-                this.#upstreams.recordLimit(engine, head, sentAtMilliseconds),
+                this.#upstreams.recordAnswerHead(engine, head, sentAtMilliseconds),
             onRecordChanged: record => this.#publishRecord(record),
         });
     }
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -116,9 +116,9 @@
     /**
      * Records the load, leaving, pause and limit in an answer's headers, also where the answer is then rejected.
      *
-     * @param upstream The upstream that the request was sent to.
+     * @param upstream The upstream that the request, order or report request was sent to.
      * @param head Status and headers of the answer.
-     * @param sentAtMilliseconds When the request was sent.
+     * @param sentAtMilliseconds When it was sent.
      */
     recordAnswerHead(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
         const { headers } = this.#options;
@@ -131,30 +131,7 @@
             this.#recordLeaving(upstream);
         }
         this.#recordPause(upstream.id, head);
-        this.recordLimit(upstream, head, sentAtMilliseconds);
-    }
-
-    /** Records the limit in an answer to a request, an order or a report request that was sent at the given time. */
-    recordLimit(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
-        const { headers, host } = this.#options;
-        if (isFromOtherUpstream(head, upstream.id, headers) || this.#hasLaterIncarnation(upstream)) {
-            return;
-        }
-        const limit = readRateLimit(head, headers);
-        if (limit?.type === "unreadable") {
-            this.#reportUnreadableLimit(upstream.id, String(head.headers[headers.rateLimit]));
-        }
-        const change = this.limits.record({
-            upstream: { id: upstream.id, startedAtMilliseconds: upstream.startedAtMilliseconds },
-            requestsPerSecond: limit?.type === "limit" ? limit.requestsPerSecond : undefined,
-            sentAtMilliseconds,
-            receivedAtMilliseconds: this.#now(),
-            receivedBy: host,
-        });
-        if (change !== undefined) {
-            this.reportLimitChange(change, host);
-            this.#options.onLimitChanged(change);
-        }
+        this.#recordLimit(upstream, head, sentAtMilliseconds);
     }
 
     /** Logs and counts a change of a limit, which the upstream named to a host. */
@@ -218,6 +195,28 @@
         this.#handleChanges(this.view.recordLeaving(incarnation));
     }
 
+    #recordLimit(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
+        const { headers, host } = this.#options;
+        if (isFromOtherUpstream(head, upstream.id, headers) || this.#hasLaterIncarnation(upstream)) {
+            return;
+        }
+        const limit = readRateLimit(head, headers);
+        if (limit?.type === "unreadable") {
+            this.#reportUnreadableLimit(upstream.id, String(head.headers[headers.rateLimit]));
+        }
+        const change = this.limits.record({
+            upstream: { id: upstream.id, startedAtMilliseconds: upstream.startedAtMilliseconds },
+            requestsPerSecond: limit?.type === "limit" ? limit.requestsPerSecond : undefined,
+            sentAtMilliseconds,
+            receivedAtMilliseconds: this.#now(),
+            receivedBy: host,
+        });
+        if (change !== undefined) {
+            this.reportLimitChange(change, host);
+            this.#options.onLimitChanged(change);
+        }
+    }
+
     #hasLaterIncarnation({ id, startedAtMilliseconds }: UpstreamAnnouncement): boolean {
         return (this.view.get(id)?.startedAtMilliseconds ?? 0) > (startedAtMilliseconds ?? 0);
     }
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -73,6 +73,10 @@
     readonly abandoned: string[] = [];
     /** Value of the header `Server-Limit` in all answers; `undefined` for none. */
     limit: string | undefined;
+    /** Further headers of answers to orders. */
+    orderHeaders: Readonly<Record<string, string>> = {};
+    /** Status of answers to orders, which are then not carried out; `undefined` where they are. */
+    orderStatus: number | undefined;
     readonly #options: UpstreamOptions;
     readonly #models: Map<string, Set<string>>;
     readonly #server: Server;
@@ -155,9 +159,10 @@
     }
 
     #handleOrder(order: Readonly<Record<string, unknown>>, response: ServerResponse): void {
-        const status = order["expected"] === this.#orderCount ? this.#applyOrder(order) : 409;
+        const isExpected = order["expected"] === this.#orderCount;
+        const status = this.orderStatus ?? (isExpected ? this.#applyOrder(order) : 409);
         this.orders.push({ order, status });
-        response.writeHead(status, this.#limitHeaders()).end();
+        response.writeHead(status, { ...this.#limitHeaders(), ...this.orderHeaders }).end();
     }
 
     #applyOrder(order: Readonly<Record<string, unknown>>): number {
--- a/tests/upstreamSignals.test.ts
+++ b/tests/upstreamSignals.test.ts
@@ -8,7 +8,15 @@
 import { after, afterEach, before, beforeEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
-import { callHost, EntrySite, reasonOf, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
+import {
+    callHost,
+    engineSettings,
+    EntrySite,
+    reasonOf,
+    type SiteHost,
+    until,
+    waitUntilReady,
+} from "./support/entrySite.js";
 
 /** From this time after its report on, no new request reaches a leaving upstream. */
 const LEAVING_PERIOD_MILLISECONDS = 2_000;
@@ -72,7 +80,8 @@
     site.configure([
         { pathPrefix: "/orders/", kind: "non_idempotent", timeoutMs: 4_000 },
         { pathPrefix: "/streams/", kind: "stream", resumable: true, targetGapMs: 150, timeoutMs: 15_000 },
-    ]);
+        { pathPrefix: "/llm/", kind: "stream", service: "llm", resumable: true, timeoutMs: 15_000 },
+    ], engineSettings(4, { quotes: 8 }));
     host = await site.addHost("entry-1");
     await waitUntilReady(host);
 });
@@ -182,3 +191,35 @@
     assert.equal((await callHost(host, { path: "/orders/1", method: "POST" })).status, 200);
     assert.ok(host.lines.some(({ message }) => message === "pause not readable"));
 });
+
+for (
+    const [kind, headers] of [["that it is leaving", { "Server-Leaving": "1" }], ["a pause", {
+        "Retry-After": "3",
+    }]] as const
+) {
+    test(`an engine that reports with its answer to an order ${kind} gets no further request`, async () => {
+        const engine = await site.addUpstream(
+            { id: upstreamId("engine"), models: { quotes: [] }, behave: () => ({ type: "stream", events: 3 }) },
+            "llm",
+        );
+        engine.orderHeaders = headers;
+        engine.orderStatus = "Retry-After" in headers ? 503 : undefined;
+        const call = (): ReturnType<typeof callHost> =>
+            callHost(host, {
+                path: "/llm/1",
+                method: "POST",
+                headers: { "Flamingospread-Model": "quotes/a1", "Flamingospread-Deadline-Ms": "4000" },
+            });
+        await call();
+        await until(() => engine.orders.length > 0, 6_000);
+        await delay(IN_FLIGHT_MILLISECONDS);
+        const before = engine.received.length;
+        const refused = await callHost(host, {
+            path: "/llm/1",
+            method: "POST",
+            headers: { "Flamingospread-Model": "quotes", "Flamingospread-Deadline-Ms": "4000" },
+        });
+        assert.equal(refused.status, 503);
+        assert.equal(engine.received.length, before);
+    });
+}
