Count what a rate limit leaves unused of an engine as unavailable in the plan

An engine that names a limit takes few requests, so its load stays low and the planner took it for a free one: no further copy of its models, and new models put there. The part of its slots that the limit leaves unused (by the mean duration of runs) now counts like load. Without a limit nothing changes. The test fails without the new term.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -5,7 +5,7 @@
  */
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading, EngineDuties } from "../duties/index.js";
-import { type UpstreamIncarnation } from "../fleet/index.js";
+import { type UpstreamAnnouncement, type UpstreamIncarnation } from "../fleet/index.js";
 import { AdapterUse, AdapterUsers, BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
 import {
     type AdapterWish,
@@ -460,10 +460,22 @@
             prefillDemand: () => this.#demand.total("readingDemand", this.#now()),
             isUnreachable: engine => this.#upstreams.isUnreachable(engine),
             ownRecord: engine => this.#orders.recordOf(engine),
+            unavailableShare: engine => this.#unavailableShare(engine),
             requestMove: (holder, move) => this.#requestMove(holder, move),
         });
     }
 
+    /** Returns the share of an engine's slots that stays free while it gets no more requests than its limit allows. */
+    #unavailableShare({ id, slots }: UpstreamAnnouncement): number {
+        const requestsPerSecond = this.#upstreams.limits.inForce(id)?.requestsPerSecond;
+        const { meanRunMilliseconds } = this.#demand;
+        if (requestsPerSecond === undefined || meanRunMilliseconds === undefined) {
+            return 0;
+        }
+        const usedSlots = requestsPerSecond * meanRunMilliseconds / MILLISECONDS_PER_SECOND;
+        return 1 - Math.min(1, usedSlots / Math.max(1, slots));
+    }
+
     /** Returns the hosts that may plan or represent the cell now, and those that may succeed them. */
     #hostsNeedingDemand(): ReadonlySet<string> {
         const candidates = this.#duties.candidates(this.#upstreams.view.all().length);
--- a/src/entry/fleetPlanner.test.ts
+++ b/src/entry/fleetPlanner.test.ts
@@ -77,6 +77,7 @@
             prefillDemand: () => new Map(),
             isUnreachable: () => false,
             ownRecord: () => undefined,
+            unavailableShare: () => 0,
             requestMove: () => {
                 this.requestedMoveCount += 1;
             },
--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -65,6 +65,8 @@
     readonly isUnreachable: (engine: string) => boolean;
     /** Returns the memory record of an engine that this host holds; `undefined` for other engines. */
     readonly ownRecord: (engine: string) => EngineRecord | undefined;
+    /** Returns the share of an engine's slots that its rate limit leaves unused; 0 where it names none. */
+    readonly unavailableShare: (engine: UpstreamAnnouncement) => number;
     /** Requests that an engine's holder begin a move. */
     readonly requestMove: (holder: string, move: PlacementMove) => void;
 }
@@ -259,14 +261,16 @@
     }
 
     /** Describes an engine; for those that this host holds, its records are newer than the announcements. */
-    #describeEngine({ id, localWeights: { inMemory, onDisk } }: UpstreamAnnouncement): PlannedEngine {
-        const { ownRecord, residency } = this.#options;
+    #describeEngine(engine: UpstreamAnnouncement): PlannedEngine {
+        const { ownRecord, residency, unavailableShare } = this.#options;
+        const { id, localWeights: { inMemory, onDisk } } = engine;
         const record = ownRecord(id);
         return {
             id,
             models: record?.models.map(({ name }) => name) ?? residency.models(id),
             loading: record === undefined ? residency.loading(id) : record.loading,
             locallyStoredModels: [...inMemory, ...onDisk],
+            unavailableShare: unavailableShare(engine),
         };
     }
 }
--- a/src/entry/siteDemand.ts
+++ b/src/entry/siteDemand.ts
@@ -10,6 +10,9 @@
 /** Time for which a peer's published demand counts. */
 const PEER_DEMAND_MILLISECONDS = 2_000;
 
+/** Weight of the latest run in the mean duration of runs. */
+const RUN_WEIGHT = 0.05;
+
 /**
  * Demand by model: in concurrent requests, of all requests and of those that name an adapter; and in engines that would
  * be kept busy by prefill of their prompts.
@@ -40,6 +43,7 @@
     readonly #adapterRequests = new DemandMeter();
     readonly #prompts = new DemandMeter();
     readonly #prefillThroughput = new PrefillThroughput();
+    #meanRunMilliseconds: number | undefined;
     readonly #peers = new Map<string, PublishedDemand & { readonly atMilliseconds: number; }>();
 
     /** Records a request of one of this host's callers. */
@@ -55,6 +59,8 @@
     recordRun(work: number, tookMilliseconds: number): void {
         this.#requests.recordRun(work, tookMilliseconds);
         this.#adapterRequests.recordRun(work, tookMilliseconds);
+        const mean = this.#meanRunMilliseconds ?? tookMilliseconds;
+        this.#meanRunMilliseconds = mean + RUN_WEIGHT * (tookMilliseconds - mean);
     }
 
     /** Records a first token, from which prefill throughput is estimated. */
@@ -90,6 +96,11 @@
         return this.#parts("demand", nowMilliseconds).some(demand => Object.keys(demand).length > 0);
     }
 
+    /** Mean time for which an engine runs a request; `undefined` until one was measured. */
+    get meanRunMilliseconds(): number | undefined {
+        return this.#meanRunMilliseconds;
+    }
+
     /** Tokens that an engine prefills per millisecond while it runs streams; `undefined` until enough is measured. */
     get prefillTokensPerMillisecond(): number | undefined {
         return this.#prefillThroughput.tokensPerMillisecond;
--- a/src/placement/_moveEvaluation.ts
+++ b/src/placement/_moveEvaluation.ts
@@ -265,10 +265,11 @@
 export function createPlanContext(input: PlacementInput, horizonMilliseconds: number): PlanContext {
     const placement = placementOf(input, modelsOf);
     const load = loadOf(input, placement);
+    const unavailable = new Map(input.engines.map(({ id, unavailableShare = 0 }) => [id, unavailableShare]));
     const costs: PlanCosts = {
         input,
-        cost: new PlacementCost(placement, load),
-        servingCost: new PlacementCost(placementOf(input, ({ models }) => new Set(models)), load),
+        cost: new PlacementCost(placement, load, unavailable),
+        servingCost: new PlacementCost(placementOf(input, ({ models }) => new Set(models)), load, unavailable),
     };
     const changeableEngines = enginesThatMayChange(input).map(engine => describeChangeableEngine(engine, costs));
     return { ...costs, horizonMilliseconds, changeableEngines };
--- a/src/placement/_placementCost.ts
+++ b/src/placement/_placementCost.ts
@@ -61,8 +61,13 @@
     /**
      * @param placement The models on each engine.
      * @param load Requests of each model that would run at once, as a share of an engine's slots.
+     * @param unavailable Share of the slots of some engines that cannot be used; it counts like load.
      */
-    constructor(placement: Placement, load: ReadonlyMap<string, number>) {
+    constructor(
+        placement: Placement,
+        load: ReadonlyMap<string, number>,
+        unavailable: ReadonlyMap<string, number> = new Map(),
+    ) {
         this.#load = load;
         for (const [engine, models] of placement) {
             models.forEach(model =>
@@ -70,7 +75,8 @@
             );
         }
         for (const [engine, models] of placement) {
-            this.#engineLoads.set(engine, [...models].reduce((sum, model) => sum + this.loadOfCopy(model), 0));
+            const modelLoad = [...models].reduce((sum, model) => sum + this.loadOfCopy(model), 0);
+            this.#engineLoads.set(engine, modelLoad + (unavailable.get(engine) ?? 0));
         }
     }
 
--- a/src/placement/placementInput.ts
+++ b/src/placement/placementInput.ts
@@ -13,6 +13,8 @@
     readonly loading: string | undefined;
     /** Models that it can load from its host memory or disk, without the weight store. */
     readonly locallyStoredModels: readonly string[];
+    /** Share of its slots that its rate limit leaves unused, from 0 to 1; 0 where absent. */
+    readonly unavailableShare?: number;
 }
 
 /** Everything that a plan depends on. */
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -117,6 +117,15 @@
     assert.equal(planBestMove({ ...stable, prefillDemand: new Map([["hot", 0.8], ["warm", 0.1]]) })?.model, "hot");
 });
 
+test("a model whose only engine names a rate limit far below its demand gets a copy elsewhere", () => {
+    const input = createStableInput();
+    assert.equal(planBestMove(input), undefined);
+    const limited = input.engines.map(each => each.id === "a" ? { ...each, unavailableShare: 0.9 } : each);
+    const move = planBestMove({ ...input, engines: limited });
+    assert.equal(move?.model, "hot");
+    assert.notEqual(move.engine, "a");
+});
+
 test("idle copies are unloaded on several engines at once, busy ones on one engine at a time", () => {
     const loading = engine("a", ["warm"], { loading: "hot" });
     const idle = [engine("b", ["cold", "rare"]), engine("c", ["cold", "warm"]), engine("d", ["cold", "small"])];
--- a/tests/support/engineFleet.ts
+++ b/tests/support/engineFleet.ts
@@ -210,6 +210,7 @@
             prefillDemand: () => new Map(),
             isUnreachable: () => false,
             ownRecord: engine => orders.recordOf(engine),
+            unavailableShare: () => 0,
             requestMove: (holder, move) =>
                 this.#schedule(
                     DATAGRAM_DELAY_MILLISECONDS,
