Bound what permits cost an issuer in a large fleet, and page limits in aggregates

Requests for permits: the interval at which a host repeats or gathers them grows with the hosts that asked (40 ms each), as does that of spare permits, so an issuer gets about 25 a second from hosts that wait for long and some 200 from hosts with news, however many hosts there are. Aggregates page limits, with the votes of each, as they page engines. Hosts are ranked once for each view of the fleet.

'no request is refused while another upstream has room' failed once: the load began before a host knew the second upstream, and its refusal was right (request 40, 4 ms). The test now waits until every host has joined both; its check is the same.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -774,8 +774,7 @@
     #applyOtherCells(aggregate: FleetSummary): void {
         const now = this.#now();
         aggregate.hosts.forEach(host => this.#peers.recordListed(host, now));
-        this.#rateLimiting.limiter.recordReports(aggregate.limits ?? [], now);
-        this.#rateLimiting.limiter.recordOtherCellsVotes(aggregate.issuerVotes ?? [], now);
+        this.#rateLimiting.limiter.recordOtherCells(aggregate, now);
         this.#applyReportedState(OTHER_CELLS_SOURCE, aggregate);
     }
 
--- a/src/gossip/cellAggregates.ts
+++ b/src/gossip/cellAggregates.ts
@@ -25,6 +25,9 @@
 /** Limit of each other list of an aggregate. */
 const MAXIMUM_LIST_ENTRIES = 256;
 
+/** Rate limits per aggregate, each with the votes for its issuers. */
+const MAXIMUM_LIMITS: Readonly<Record<FleetSummary["scope"], number>> = { cell: 64, rest: 16 };
+
 /** Limit of the votes for issuers of permits in an aggregate. */
 const MAXIMUM_VOTES = 1_024;
 
@@ -80,14 +83,18 @@
             latest.set(report.upstream, report);
         }
     }
-    return [...latest.values()].slice(0, MAXIMUM_LIST_ENTRIES);
+    return [...latest.values()];
 }
 
-function sumVotes(parts: readonly AggregatePart[]): IssuerVotes[] {
+/** Adds up the votes for the issuers of some limits. */
+function sumVotes(parts: readonly AggregatePart[], limits: readonly LimitReport[]): IssuerVotes[] {
+    const upstreams = new Set(limits.map(({ upstream }) => upstream));
     const totals = new Map<string, IssuerVotes>();
     for (const { issuer, upstream, votes } of parts.flatMap(({ issuerVotes = [] }) => issuerVotes)) {
         const key = JSON.stringify([upstream, issuer]);
-        totals.set(key, { upstream, issuer, votes: votes + (totals.get(key)?.votes ?? 0) });
+        if (upstreams.has(upstream)) {
+            totals.set(key, { upstream, issuer, votes: votes + (totals.get(key)?.votes ?? 0) });
+        }
     }
     return [...totals.values()].slice(0, MAXIMUM_VOTES);
 }
@@ -122,11 +129,11 @@
     return [...memories.values()];
 }
 
-/** Returns a page of the engines where they exceed the limit of one message; each round returns the next page. */
-function pageOf(memories: readonly EngineMemory[], maximumEngines: number, round: number): EngineMemory[] {
-    const pages = Math.max(1, Math.ceil(memories.length / maximumEngines));
-    const first = (round % pages) * maximumEngines;
-    return memories.slice(first, first + maximumEngines);
+/** Returns a page of the entries where they exceed the limit of one message; each round returns the next page. */
+function pageOf<Entry>(entries: readonly Entry[], maximumEntries: number, round: number): Entry[] {
+    const pages = Math.max(1, Math.ceil(entries.length / maximumEntries));
+    const first = (round % pages) * maximumEntries;
+    return entries.slice(first, first + maximumEntries);
 }
 
 /** Removes expired messages and returns those that remain. */
@@ -211,8 +218,8 @@
     ): FleetSummary {
         this.#rounds[scope] += 1;
         const newest = partWithNewestConfiguration(parts);
-        const limits = latestLimits(parts);
-        const issuerVotes = sumVotes(parts);
+        const limits = pageOf(latestLimits(parts), MAXIMUM_LIMITS[scope], this.#rounds[scope]);
+        const issuerVotes = sumVotes(parts, limits);
         return {
             type: "summary",
             scope,
--- a/src/rateLimits/hostPermits.ts
+++ b/src/rateLimits/hostPermits.ts
@@ -9,8 +9,11 @@
 /** An unused permit expires after this time, so that permits of several hosts do not accumulate. */
 const PERMIT_LIFETIME_MILLISECONDS = 500;
 
-/** Minimum interval of requests for permits; requests that arrive within it are sent together. */
-const GATHER_MILLISECONDS = 25;
+/** Part of the interval of repeated requests for permits within which no other one is sent, but news gathered. */
+const GATHER_SHARE = 1 / 8;
+
+/** The end of a wait is sent after this time, so that permits are not granted in vain. */
+const END_GATHER_MILLISECONDS = 25;
 
 /** Interval at which a request for permits is repeated until the issuer has named one. */
 const DEFAULT_RESEND_MILLISECONDS = 200;
@@ -25,9 +28,6 @@
 const UNRESPONSIVE_MILLISECONDS = 600;
 const UNRESPONSIVE_REQUESTS = 3;
 
-/** Interval at which a spare permit is requested. */
-const SPARE_INTERVAL_MILLISECONDS = 500;
-
 /** Period over which the permits of this host are counted. */
 const SHARE_WINDOW_MILLISECONDS = 4_000;
 
@@ -75,12 +75,13 @@
     #resendMilliseconds = DEFAULT_RESEND_MILLISECONDS;
     #queue: IssuerQueue | undefined;
     #isChanged = false;
+    #hasEndedWait = false;
     #spareRequestedAtMilliseconds = Number.NEGATIVE_INFINITY;
     #wantsSpare = false;
 
     /** Returns whether requests wait, or a change has not been sent to the issuer. */
     get isActive(): boolean {
-        return this.#waiting.size > 0 || this.#isChanged || this.#wantsSpare;
+        return this.#waiting.size > 0 || this.#isChanged || this.#hasEndedWait || this.#wantsSpare;
     }
 
     /** Adds a waiting request. */
@@ -93,14 +94,17 @@
 
     /** Removes a request that no longer waits: it was sent, with or without a permit of this upstream, or it ended. */
     remove(request: string): void {
-        if (this.#waiting.delete(request)) {
-            this.#isChanged = true;
-        }
+        this.#hasEndedWait = this.#waiting.delete(request) || this.#hasEndedWait;
     }
 
-    /** Requests a permit for a later request, unless one is at hand or was requested a short time ago. */
-    requestSpare(nowMilliseconds: number): void {
-        const isDue = nowMilliseconds - this.#spareRequestedAtMilliseconds >= SPARE_INTERVAL_MILLISECONDS;
+    /**
+     * Requests a permit for a later request, unless one is at hand or was requested a short time ago.
+     *
+     * @param intervalMilliseconds Minimum interval of such requests.
+     * @param nowMilliseconds The time.
+     */
+    requestSpare(intervalMilliseconds: number, nowMilliseconds: number): void {
+        const isDue = nowMilliseconds - this.#spareRequestedAtMilliseconds >= intervalMilliseconds;
         if (isDue && !this.hasPermit(nowMilliseconds)) {
             this.#spareRequestedAtMilliseconds = nowMilliseconds;
             this.#wantsSpare = true;
@@ -123,13 +127,15 @@
         const sinceLast = nowMilliseconds - (this.#sent.at(-1)?.atMilliseconds ?? Number.NEGATIVE_INFINITY);
         const atHand = this.hasPermit(nowMilliseconds) ? this.#permits.length : 0;
         const waiting = removeMostUrgent(groupWaiting(this.#waiting.values(), nowMilliseconds), atHand);
-        const hasNews = (this.#isChanged || this.#wantsSpare) && sinceLast >= GATHER_MILLISECONDS;
+        const hasNews = (this.#isChanged || this.#wantsSpare) && sinceLast >= this.#resendMilliseconds * GATHER_SHARE;
+        const hasEnd = this.#hasEndedWait && sinceLast >= END_GATHER_MILLISECONDS;
         const isRepeated = waiting.length > 0 && sinceLast >= this.#resendMilliseconds;
-        if (!hasNews && !isRepeated) {
+        if (!hasNews && !hasEnd && !isRepeated) {
             return undefined;
         }
         const spare = this.#wantsSpare;
         this.#isChanged = false;
+        this.#hasEndedWait = false;
         this.#wantsSpare = false;
         this.#sequence += 1;
         this.#unansweredSinceMilliseconds = this.#unansweredRequests === 0
--- a/src/rateLimits/issuerVotes.ts
+++ b/src/rateLimits/issuerVotes.ts
@@ -32,7 +32,8 @@
 export class IssuerVotes {
     readonly #host: string;
     readonly #votes = new Map<string, Map<string, Timed<string>>>();
-    #otherCells: Timed<ReadonlyMap<string, number>> | undefined;
+    /** Number of hosts of other cells that ask this host, by upstream. */
+    readonly #otherCells = new Map<string, Timed<number>>();
 
     /** @param host This host. */
     constructor(host: string) {
@@ -59,11 +60,14 @@
         this.#votes.set(host, votes);
     }
 
-    /** Records the number of hosts of other cells that ask this host, by upstream. */
-    recordOtherCells(votesForThisHost: ReadonlyMap<string, number>, nowMilliseconds: number): void {
-        this.#otherCells = votesForThisHost.size === 0
-            ? undefined
-            : { value: votesForThisHost, atMilliseconds: nowMilliseconds };
+    /** Records the number of hosts of other cells that ask this host for permits to an upstream. */
+    recordOtherCells(upstream: string, votes: number, nowMilliseconds: number): void {
+        if (votes === 0) {
+            this.#otherCells.delete(upstream);
+        }
+        else {
+            this.#otherCells.set(upstream, { value: votes, atMilliseconds: nowMilliseconds });
+        }
     }
 
     /**
@@ -92,8 +96,11 @@
     }
 
     #aggregatedVotes(upstream: string, nowMilliseconds: number): number {
-        const isRecent = this.#otherCells !== undefined
-            && nowMilliseconds - this.#otherCells.atMilliseconds < OTHER_CELLS_LIFETIME_MILLISECONDS;
-        return isRecent ? this.#otherCells?.value.get(upstream) ?? 0 : 0;
+        const votes = this.#otherCells.get(upstream);
+        if (votes === undefined || nowMilliseconds - votes.atMilliseconds > OTHER_CELLS_LIFETIME_MILLISECONDS) {
+            this.#otherCells.delete(upstream);
+            return 0;
+        }
+        return votes.value;
     }
 }
--- a/src/rateLimits/permitIssuer.ts
+++ b/src/rateLimits/permitIssuer.ts
@@ -10,8 +10,11 @@
 /** Interval at which a waiting host repeats its request, since datagrams may be lost. */
 const MINIMUM_RESEND_MILLISECONDS = 200;
 
-/** Interval per waiting host; its growth bounds how many requests an issuer receives a second. */
-const RESEND_MILLISECONDS_PER_HOST = 10;
+/** Interval per host that asks; its growth bounds how many requests an issuer receives a second. */
+const RESEND_MILLISECONDS_PER_HOST = 40;
+
+/** Hosts that asked within this time count for the interval. */
+const ASKING_MILLISECONDS = 10_000;
 
 /** A request for permits is dropped unless it is repeated within this many intervals. */
 const INTERVALS_BEFORE_DROP = 3;
@@ -58,6 +61,8 @@
 export class PermitIssuer {
     readonly #bucket: PermitBucket;
     readonly #hosts = new Map<string, WaitingHost>();
+    /** When each host last asked. */
+    readonly #askedAt = new Map<string, number>();
     /** Hosts whose last request has not been answered. */
     readonly #unanswered = new Set<string>();
     #sequence = 0;
@@ -74,7 +79,7 @@
 
     /** Interval at which a waiting host is to repeat its request. */
     get resendMilliseconds(): number {
-        return Math.max(MINIMUM_RESEND_MILLISECONDS, this.#hosts.size * RESEND_MILLISECONDS_PER_HOST);
+        return Math.max(MINIMUM_RESEND_MILLISECONDS, this.#askedAt.size * RESEND_MILLISECONDS_PER_HOST);
     }
 
     /** Returns the waiting requests of all hosts. */
@@ -102,6 +107,7 @@
             unacknowledged,
         });
         this.#unanswered.add(request.host);
+        this.#askedAt.set(request.host, nowMilliseconds);
     }
 
     /** Grants the permits that have accumulated; returns an answer to each host that has not got one, or gets permits. */
@@ -151,6 +157,11 @@
     }
 
     #dropSilentHosts(nowMilliseconds: number): void {
+        for (const [host, atMilliseconds] of this.#askedAt) {
+            if (nowMilliseconds - atMilliseconds > ASKING_MILLISECONDS) {
+                this.#askedAt.delete(host);
+            }
+        }
         const lifetimeMilliseconds = this.resendMilliseconds * INTERVALS_BEFORE_DROP;
         for (const [name, host] of this.#hosts) {
             const isSilent = nowMilliseconds - host.receivedAtMilliseconds > lifetimeMilliseconds;
--- a/src/rateLimits/rateLimiter.ts
+++ b/src/rateLimits/rateLimiter.ts
@@ -5,7 +5,7 @@
  */
 import { rankByRendezvous } from "../decision/index.js";
 import {
-    type IssuerVotes as IssuerVotesReport,
+    type FleetSummary,
     type LimitReport,
     type LimitVote,
     type PermitGrant,
@@ -27,6 +27,10 @@
 /** A withdrawn limit is reported to peers for this long. */
 const WITHDRAWN_REPORT_MILLISECONDS = 3_000;
 
+/** Interval at which a host requests spare permits; its growth with the fleet bounds how many an issuer receives. */
+const MINIMUM_SPARE_INTERVAL_MILLISECONDS = 500;
+const SPARE_INTERVAL_MILLISECONDS_PER_HOST = 40;
+
 /** What this host knows of the fleet. */
 export interface Fleet {
     /** Live hosts that are not leaving, this one included unless it is leaving. */
@@ -91,6 +95,10 @@
     readonly #limited = new Map<string, LimitedUpstream>();
     readonly #issuers = new Map<string, PermitIssuer>();
     readonly #passedOverUntil = new Map<string, number>();
+    readonly #rankings = new Map<
+        string,
+        { readonly liveHosts: readonly string[]; readonly ranked: readonly string[]; }
+    >();
 
     constructor(options: RateLimiterOptions) {
         this.#options = options;
@@ -133,7 +141,13 @@
     /** Requests a permit for a later request, which also shows whether the upstream still names its limit. */
     requestSpare(upstream: string, nowMilliseconds: number): void {
         if (this.#options.limits.inForce(upstream) !== undefined) {
-            this.#limitedUpstream(upstream, nowMilliseconds).permits.requestSpare(nowMilliseconds);
+            this.#limitedUpstream(upstream, nowMilliseconds).permits.requestSpare(
+                Math.max(
+                    MINIMUM_SPARE_INTERVAL_MILLISECONDS,
+                    this.#options.fleet().hostCount * SPARE_INTERVAL_MILLISECONDS_PER_HOST,
+                ),
+                nowMilliseconds,
+            );
             this.#sendRequest(upstream, nowMilliseconds);
         }
     }
@@ -189,11 +203,17 @@
         this.#votes.recordHost(host, new Map(issuers), nowMilliseconds);
     }
 
-    /** Records how many hosts of other cells ask which host. */
-    recordOtherCellsVotes(votes: readonly IssuerVotesReport[], nowMilliseconds: number): void {
-        const forThisHost = votes.filter(({ issuer }) => issuer === this.#options.host);
-        const counts = new Map(forThisHost.map(({ upstream, votes: count }) => [upstream, count]));
-        this.#votes.recordOtherCells(counts, nowMilliseconds);
+    /** Records the limits that hosts of other cells reported, and how many of them ask which host. */
+    recordOtherCells(
+        { issuerVotes = [], limits = [] }: Pick<FleetSummary, "issuerVotes" | "limits">,
+        nowMilliseconds: number,
+    ): void {
+        this.recordReports(limits, nowMilliseconds);
+        const forThisHost = issuerVotes.filter(({ issuer }) => issuer === this.#options.host);
+        const counts = new Map(forThisHost.map(({ upstream, votes }) => [upstream, votes]));
+        for (const { upstream } of limits) {
+            this.#votes.recordOtherCells(upstream, counts.get(upstream) ?? 0, nowMilliseconds);
+        }
     }
 
     /** Returns the limits that this host knows, and whom it asks for permits, to report them to peers. */
@@ -212,6 +232,7 @@
         for (const [upstream, { permits }] of this.#limited) {
             if (this.#options.limits.inForce(upstream) === undefined) {
                 this.#limited.delete(upstream);
+                this.#rankings.delete(upstream);
                 this.#options.onAnswered(upstream, 0);
             }
             else if (permits.isActive) {
@@ -243,11 +264,22 @@
     }
 
     #chooseIssuer(upstream: string, nowMilliseconds: number): string {
-        const { fleet, host } = this.#options;
-        const candidates = fleet().liveHosts.filter(candidate =>
+        const issuer = this.#rankHosts(upstream).find(candidate =>
             (this.#passedOverUntil.get(candidate) ?? Number.NEGATIVE_INFINITY) <= nowMilliseconds
         );
-        return rankByRendezvous(upstream, candidates)[0] ?? host;
+        return issuer ?? this.#options.host;
+    }
+
+    /** Returns the live hosts in the order in which they issue an upstream's permits, computed once for each view. */
+    #rankHosts(upstream: string): readonly string[] {
+        const { liveHosts } = this.#options.fleet();
+        const known = this.#rankings.get(upstream);
+        if (known?.liveHosts === liveHosts) {
+            return known.ranked;
+        }
+        const ranked = rankByRendezvous(upstream, liveHosts);
+        this.#rankings.set(upstream, { liveHosts, ranked });
+        return ranked;
     }
 
     #sendRequest(upstream: string, nowMilliseconds: number): void {
--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -10,6 +10,7 @@
 import {
     type CallerAnswer,
     callHost,
+    countLines,
     EntrySite,
     ranOf,
     reasonOf,
@@ -190,7 +191,7 @@
             if (options.beside === true) {
                 await site.addUpstream({ id: "i-beside", slots: 100 });
             }
-            await until(async () => (await Promise.all(site.hosts.map(send))).every(({ status }) => status === 200));
+            await until(() => site.hosts.every(host => countLines(host, "upstream joined") === site.upstreams.length));
             upstream.standIn.limit = String(LIMIT_PER_SECOND);
             const namedAt = performance.now();
             const answers = await offerLoad(site.hosts.slice(0, options.busyHosts ?? hostCount));
--- a/tests/support/limitFleet.ts
+++ b/tests/support/limitFleet.ts
@@ -350,10 +350,9 @@
         host.limiter.recordVotes(digest.host, digest.limits ?? [], this.#now);
     }
 
-    #receiveOtherCells(host: SimulatedHost, { hosts, issuerVotes = [], limits = [] }: FleetSummary): void {
-        hosts.forEach(name => host.peers.recordListed(name, this.#now));
-        host.limiter.recordReports(limits, this.#now);
-        host.limiter.recordOtherCellsVotes(issuerVotes, this.#now);
+    #receiveOtherCells(host: SimulatedHost, aggregate: FleetSummary): void {
+        aggregate.hosts.forEach(name => host.peers.recordListed(name, this.#now));
+        host.limiter.recordOtherCells(aggregate, this.#now);
     }
 
     #sendPermitMessage(sender: string, receiver: string, message: PermitMessage): void {
