--- a/tests/entryCells.test.ts
+++ b/tests/entryCells.test.ts
@@ -18,6 +18,7 @@
     until,
     waitUntilReady,
 } from "./support/entrySite.js";
+import { findWorstWindow, type LimitArrival, usedShare } from "./support/limitRule.js";
 
 const HOST_COUNT = 20;
 
@@ -37,6 +38,8 @@
 
 let site: EntrySite;
 let hosts: SiteHost[];
+/** Requests that reached the first plain upstream. */
+const arrivals: LimitArrival[] = [];
 let plainHeaders: Readonly<Record<string, string>> = {};
 
 /** Returns the present holder: a host that starts later may have taken the engine from an earlier holder. */
@@ -61,7 +64,14 @@
         service: "llm",
         resumable: true,
     }], ENGINE);
-    await site.addUpstream({ id: "i-plain-1", slots: 50 });
+    await site.addUpstream({
+        id: "i-plain-1",
+        slots: 50,
+        behave: ({ id }) => {
+            arrivals.push({ host: id.split("/")[0] ?? "", atMilliseconds: performance.now() });
+            return { type: "answer" };
+        },
+    });
     await site.addUpstream({ id: "i-plain-2", slots: 50, behave: () => ({ type: "answer", headers: plainHeaders }) });
     await site.addUpstream(
         { id: "i-engine", models: { quotes: [] }, behave: () => ({ type: "stream", events: 3 }), slots: 8 },
@@ -181,6 +191,32 @@
     await until(() => hosts.every(hasLoggedLeaving), IN_FORCE_MILLISECONDS);
 });
 
+test("hosts of several cells together keep to the limit that an upstream names, and use most of it", async () => {
+    const [limited] = site.upstreams;
+    assert.ok(limited !== undefined);
+    limited.limit = "4";
+    const namedAt = performance.now();
+    const end = namedAt + 10_000;
+    const calls: Promise<unknown>[] = [];
+    while (performance.now() < end) {
+        const host = hosts[calls.length % hosts.length];
+        assert.ok(host !== undefined);
+        calls.push(callHost(host, { path: "/orders/1", method: "POST", id: `${host.name}/limit-${calls.length}` }));
+        await delay(25);
+    }
+    await Promise.all(calls);
+    limited.limit = undefined;
+    const history = {
+        steps: [{ atMilliseconds: namedAt, requestsPerSecond: 4 }],
+        arrivals: arrivals.filter(({ atMilliseconds }) => atMilliseconds >= namedAt),
+        toldAtMilliseconds: new Map(hosts.map(({ name }) => [name, namedAt])),
+    };
+    const { allowed, requests } = findWorstWindow(history);
+    assert.ok(requests <= allowed, `${requests} requests in 4 s, allowed ${allowed}`);
+    const used = usedShare(history, namedAt + 3_000, end);
+    assert.ok(used >= 0.8, `${used} of the limit was used`);
+});
+
 test("when the watching hosts of a cell stop, other hosts of the cell take over the watch", async () => {
     const stopped = cells()[1]?.slice(0, WATCHERS_PER_CELL) ?? [];
     await Promise.all(stopped.map(({ host }) => host.close()));
--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -4,13 +4,15 @@
  * @module
  */
 import assert from "node:assert/strict";
-import { after, before, describe, test } from "node:test";
+import { after, afterEach, before, describe, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type Behaviour, type PlatformUpstreamStandIn, type ReceivedRequest } from "../standins/platform/upstream.js";
+import { type LoggedLine } from "./support/collectedLines.js";
 import {
     type CallerAnswer,
     callHost,
     countLines,
+    engineSettings,
     EntrySite,
     ranOf,
     reasonOf,
@@ -72,7 +74,12 @@
 /** Starts a site with hosts before plain upstreams. */
 async function startSite(hostCount: number): Promise<EntrySite> {
     const site = await EntrySite.start();
-    site.configure([{ pathPrefix: "/orders/", kind: "idempotent", timeoutMs: 4_000 }]);
+    site.configure([
+        { pathPrefix: "/orders/", kind: "idempotent", timeoutMs: 4_000 },
+        { pathPrefix: "/batch/", kind: "idempotent", timeoutMs: 4_000, priority: 2 },
+        { pathPrefix: "/streams/", kind: "stream", resumable: true, timeoutMs: 4_000 },
+        { pathPrefix: "/llm/", kind: "stream", service: "llm", resumable: true, timeoutMs: 8_000 },
+    ], engineSettings(4, { quotes: 8 }));
     for (let index = 1; index <= hostCount; index += 1) {
         await site.addHost(`entry-${index}`, { zone: `zone-${index}` });
     }
@@ -81,21 +88,41 @@
     return site;
 }
 
+/** A load on a site with a limited upstream, and what came of it. */
+interface LimitedLoad {
+    readonly upstream: LimitedUpstream;
+    readonly answers: readonly CallerAnswer[];
+    readonly namedAt: number;
+    /** Log lines of all hosts. */
+    readonly lines: readonly LoggedLine[];
+}
+
+/** Returns whether log fields tell the limit, its age, who was told it and this host's share. */
+function explainsLimit(fields: LoggedLine["fields"]): boolean {
+    return fields["limitedUpstream"] === "i-limited" && fields["limitPerSecond"] === LIMIT_PER_SECOND
+        && Number(fields["limitAgeMilliseconds"]) >= 0 && String(fields["limitNamedTo"]).startsWith("entry-")
+        && String(fields["permitIssuer"]).startsWith("entry-") && Number(fields["hostPermitsPerSecond"]) >= 0;
+}
+
 let sent = 0;
 
-function send(host: SiteHost): Promise<CallerAnswer> {
+function send(host: SiteHost, path = "/orders/1"): Promise<CallerAnswer> {
     sent += 1;
-    return callHost(host, { path: "/orders/1", id: `${host.name}/${sent}` });
+    return callHost(host, { path, id: `${host.name}/${sent}` });
 }
 
 /** Sends requests at a steady rate to the hosts in turn; returns their answers. */
-async function offerLoad(hosts: readonly SiteHost[], milliseconds = LOAD_MILLISECONDS): Promise<CallerAnswer[]> {
+async function offerLoad(
+    hosts: readonly SiteHost[],
+    milliseconds = LOAD_MILLISECONDS,
+    path = "/orders/1",
+): Promise<CallerAnswer[]> {
     const answers: Promise<CallerAnswer>[] = [];
     const end = performance.now() + milliseconds;
     while (performance.now() < end) {
         const host = hosts[answers.length % hosts.length];
         assert.ok(host !== undefined);
-        answers.push(send(host));
+        answers.push(send(host, path));
         await delay(1_000 / REQUESTS_PER_SECOND);
     }
     return Promise.all(answers);
@@ -184,7 +211,7 @@
             readonly busyHosts?: number;
             readonly beside?: boolean;
         } = {},
-    ): Promise<{ readonly upstream: LimitedUpstream; readonly answers: CallerAnswer[]; readonly namedAt: number; }> {
+    ): Promise<LimitedLoad> {
         const site = await startSite(hostCount);
         try {
             const upstream = await addLimitedUpstream(site, options.behaveLimited);
@@ -195,7 +222,7 @@
             upstream.standIn.limit = String(LIMIT_PER_SECOND);
             const namedAt = performance.now();
             const answers = await offerLoad(site.hosts.slice(0, options.busyHosts ?? hostCount));
-            return { upstream, answers, namedAt };
+            return { upstream, answers, namedAt, lines: site.hosts.flatMap(({ lines }) => lines) };
         }
         finally {
             await site.close();
@@ -203,10 +230,13 @@
     }
 
     test("three hosts together keep to the limit that an upstream names", async () => {
-        const { upstream, answers, namedAt } = await playLoad(3);
+        const { upstream, answers, namedAt, lines } = await playLoad(3);
         assertWithinLimit(upstream, namedAt);
         assertMostUsed(upstream, namedAt);
         assertRefusedTruly(answers, upstream);
+        const refused = lines.filter(({ message }) => message === "request refused");
+        const explained = refused.filter(({ fields }) => explainsLimit(fields));
+        assert.equal(explained.length, refused.length, "each refusal names the limit and where it comes from");
     });
 
     test("further attempts after rejections keep to the limit", async () => {
@@ -228,4 +258,142 @@
         assertWithinLimit(upstream, namedAt);
         assert.deepEqual(answers.filter(({ status }) => status !== 200), []);
     });
+
+    test("the end of a limit is noticed by all hosts within 2 s", async () => {
+        const site = await startSite(3);
+        try {
+            const { standIn } = await addLimitedUpstream(site);
+            await until(() => site.hosts.every(host => countLines(host, "upstream joined") === 1));
+            standIn.limit = String(LIMIT_PER_SECOND);
+            await offerLoad(site.hosts, 2_000);
+            standIn.limit = undefined;
+            await offerLoad(site.hosts, 2_000);
+            const answers = await offerLoad(site.hosts, 1_000);
+            assert.deepEqual(answers.filter(({ status }) => status !== 200), []);
+        }
+        finally {
+            await site.close();
+        }
+    });
+
+    test("the end of a limit of 0 is noticed, since a request is tried now and then", async () => {
+        const site = await startSite(1);
+        try {
+            const [host] = site.hosts;
+            assert.ok(host !== undefined);
+            const { standIn } = await addLimitedUpstream(site);
+            await until(() => countLines(host, "upstream joined") === 1);
+            standIn.limit = "0";
+            const answers = await offerLoad([host], 1_000);
+            assert.ok(answers.filter(({ status }) => status === 200).length <= 2);
+            standIn.limit = undefined;
+            await offerLoad([host], 4_000);
+            assert.equal((await send(host)).status, 200);
+        }
+        finally {
+            await site.close();
+        }
+    });
+
+    test("urgent requests get the permits before those that may wait", async () => {
+        const site = await startSite(2);
+        try {
+            const { standIn } = await addLimitedUpstream(site);
+            await until(() => site.hosts.every(host => countLines(host, "upstream joined") === 1));
+            standIn.limit = String(LIMIT_PER_SECOND);
+            await offerLoad(site.hosts, 1_500);
+            standIn.received.splice(0);
+            const [first, second] = site.hosts;
+            assert.ok(first !== undefined && second !== undefined);
+            const load = offerLoad([first], 3_000, "/batch/1");
+            await offerLoad([second], 3_000);
+            await load;
+            const urgent = standIn.received.filter(({ path }) => path === "/orders/1").length;
+            assert.ok(urgent >= standIn.received.length * 0.7, `${urgent} of ${standIn.received.length}`);
+        }
+        finally {
+            await site.close();
+        }
+    });
+});
+
+describe("a limit is read from each kind of answer", () => {
+    let site: EntrySite;
+    let host: SiteHost;
+    let round = 0;
+
+    before(async () => {
+        site = await startSite(1);
+        const [first] = site.hosts;
+        assert.ok(first !== undefined);
+        host = first;
+    });
+
+    afterEach(async () => {
+        for (const upstream of site.upstreams.splice(0)) {
+            site.store.remove(`servers/${upstream.id}`);
+            await upstream.close();
+        }
+    });
+
+    after(async () => {
+        await site.close();
+    });
+
+    async function addUpstream(behaviour: Behaviour): Promise<PlatformUpstreamStandIn> {
+        round += 1;
+        const upstream = await site.addUpstream({ id: `i-${round}`, behave: () => behaviour });
+        upstream.limit = "2.5";
+        await until(() => hasLine("upstream joined", upstream.id));
+        return upstream;
+    }
+
+    function hasLine(message: string, upstream: string, fields: LoggedLine["fields"] = {}): boolean {
+        return host.lines.some(line =>
+            line.message === message && line.fields["upstream"] === upstream
+            && Object.entries(fields).every(([name, value]) => line.fields[name] === value)
+        );
+    }
+
+    const ANSWERS: readonly (readonly [string, Behaviour])[] = [
+        ["a success", { type: "answer" }],
+        ["an error answer", { type: "answer", status: 500 }],
+        ["a rejection", { type: "not-run", status: 503 }],
+        ["the head of a stream", { type: "stream", events: 3 }],
+    ];
+    for (const [kind, behaviour] of ANSWERS) {
+        test(`a limit that an upstream names with ${kind} is known`, async () => {
+            const { id } = await addUpstream(behaviour);
+            await callHost(host, { path: behaviour.type === "stream" ? "/streams/1" : "/orders/1" });
+            assert.ok(hasLine("upstream limit changed", id, { outcome: "named", limitPerSecond: 2.5 }));
+        });
+    }
+
+    test("a limit that an engine names with the answer to an order is known", async () => {
+        round += 1;
+        const engine = await site.addUpstream({ id: `i-${round}`, models: { quotes: [] }, slots: 8 }, "llm");
+        await until(() => hasLine("upstream joined", engine.id));
+        engine.limit = "2.5";
+        const call = callHost(host, {
+            path: "/llm/1",
+            method: "POST",
+            headers: { "Flamingospread-Model": "quotes/a1" },
+        });
+        await until(() => hasLine("upstream limit changed", engine.id, { limitPerSecond: 2.5 }), 6_000);
+        await call;
+    });
+
+    test("the next incarnation of an upstream is not bound by the limit of the one before", async () => {
+        const upstream = await addUpstream({ type: "answer" });
+        await callHost(host, { path: "/orders/1" });
+        upstream.limit = undefined;
+        site.announce(upstream, "plain", { born: 1_700_000_009_000, sequence: 1 });
+        await until(() =>
+            host.lines.filter(({ fields, message }) =>
+                message === "upstream joined" && fields["upstream"] === upstream.id
+            ).length === 2
+        );
+        const answers = await Promise.all(Array.from({ length: 6 }, () => callHost(host, { path: "/orders/1" })));
+        assert.deepEqual(answers.map(({ status }) => status), [200, 200, 200, 200, 200, 200]);
+    });
 });
