Spread a model's load over its copies by what rate limits leave of their engines

The plan took a copy on a limited engine for as good as any other and halved the load with each further copy, so busy models got a copy on nearly every engine (6 of 6 in the test) while a quieter model whose only engine was limited got none. Copies now weigh what the limit leaves; without limits all weigh 1 and the plan is as before.

Two limited engines of six, demand 30, 3 and 1 of 64 slots: copies 6, 1, 1 before, 4, 2, 1 now. The test fails on the code before.

--- a/src/placement/_placementCost.ts
+++ b/src/placement/_placementCost.ts
@@ -42,8 +42,12 @@
     return MISSING_COST + (load > 0 ? MISSING_REQUESTED_COST : 0) + UNSERVED_COST * load;
 }
 
+/** Minimum weight of a copy, since even an engine with a low rate limit takes some requests. */
+const MINIMUM_WEIGHT = 0.01;
+
 /**
- * Computes costs and gains on the assumption that the load of each model is spread evenly over its copies.
+ * Computes costs and gains on the assumption that the load of each model is spread over its copies in proportion to the
+ * capacity of their engines, that is evenly where no rate limit leaves a part of an engine unused.
  *
  * @example
  * ```ts
@@ -55,8 +59,11 @@
     readonly #enginesByModel = new Map<string, string[]>();
     readonly #load: ReadonlyMap<string, number>;
     readonly #engineLoads = new Map<string, number>();
-    readonly #costsOfAddedCopy = new Map<string, number>();
-    readonly #costsOfRemovedCopy = new Map<string, number>();
+    readonly #unavailable: ReadonlyMap<string, number>;
+    /** Sum of the weights of each model's copies. */
+    readonly #weightByModel = new Map<string, number>();
+    /** By model and by the change in weight. */
+    readonly #costsOfChangedWeight = new Map<string, Map<number, number>>();
 
     /**
      * @param placement The models on each engine.
@@ -69,13 +76,15 @@
         unavailable: ReadonlyMap<string, number> = new Map(),
     ) {
         this.#load = load;
+        this.#unavailable = unavailable;
         for (const [engine, models] of placement) {
-            models.forEach(model =>
-                this.#enginesByModel.set(model, [...this.#enginesByModel.get(model) ?? [], engine])
-            );
+            models.forEach(model => {
+                this.#enginesByModel.set(model, [...this.#enginesByModel.get(model) ?? [], engine]);
+                add(this.#weightByModel, model, this.#weightOf(engine));
+            });
         }
         for (const [engine, models] of placement) {
-            const modelLoad = [...models].reduce((sum, model) => sum + this.loadOfCopy(model), 0);
+            const modelLoad = [...models].reduce((sum, model) => sum + this.#loadOfCopyOn(engine, model), 0);
             this.#engineLoads.set(engine, modelLoad + (unavailable.get(engine) ?? 0));
         }
     }
@@ -84,9 +93,22 @@
         return this.#enginesByModel.get(model)?.length ?? 0;
     }
 
-    /** Returns the load of one copy of a model; the model's whole load if it has no copy. */
+    /** Returns the load of one copy of a model on a whole engine; the model's whole load if it has no copy. */
     loadOfCopy(model: string): number {
-        return this.loadOf(model) / Math.max(1, this.copies(model));
+        return this.#loadOfCopyAt(model, this.#weightByModel.get(model) ?? 0);
+    }
+
+    /** Returns the load of a copy on a whole engine once the copies of the model have a total weight. */
+    #loadOfCopyAt(model: string, weight: number): number {
+        return this.loadOf(model) / (weight > MINIMUM_WEIGHT / 2 ? weight : 1);
+    }
+
+    #weightOf(engine: string): number {
+        return Math.max(MINIMUM_WEIGHT, 1 - (this.#unavailable.get(engine) ?? 0));
+    }
+
+    #loadOfCopyOn(engine: string, model: string): number {
+        return this.loadOfCopy(model) * this.#weightOf(engine);
     }
 
     loadOf(model: string): number {
@@ -118,16 +140,17 @@
             unloaded.forEach(other => this.#removeCopy(changes, engine, other));
             return this.#costOfLoadChanges(changes);
         }
+        const weight = this.#weightOf(engine);
         let loadChange = 0;
         let cost = 0;
         if (model !== undefined) {
-            loadChange += this.loadOf(model) / (this.copies(model) + 1);
-            cost += this.#costForEnginesWithCopy(model, 1);
+            loadChange += (this.loadOfCopy(model) + this.#loadChangePerCopy(model, weight)) * weight;
+            cost += this.#costForEnginesWithCopy(model, weight);
         }
         for (const other of unloaded) {
-            loadChange -= this.loadOfCopy(other);
-            cost += this.#costForEnginesWithCopy(other, -1)
-                - this.#costOfLoadChange(engine, this.#loadChangePerCopy(other, -1));
+            loadChange -= this.#loadOfCopyOn(engine, other);
+            cost += this.#costForEnginesWithCopy(other, -weight)
+                - this.#costOfLoadChange(engine, this.#loadChangePerCopy(other, -weight) * weight);
         }
         return cost + this.#costOfLoadChange(engine, loadChange);
     }
@@ -143,21 +166,26 @@
         );
     }
 
-    /** Returns the change in load of each copy when the model gains or loses one. */
-    #loadChangePerCopy(model: string, copies: 1 | -1): number {
-        return this.loadOf(model) / Math.max(1, this.copies(model) + copies) - this.loadOfCopy(model);
+    /** Returns the change in load of a copy on a whole engine when the copies of the model gain or lose weight. */
+    #loadChangePerCopy(model: string, weightChange: number): number {
+        const weight = (this.#weightByModel.get(model) ?? 0) + weightChange;
+        return this.#loadOfCopyAt(model, weight) - this.loadOfCopy(model);
     }
 
-    /** Returns the change in cost of all engines that hold a model when it gains or loses a copy elsewhere. */
-    #costForEnginesWithCopy(model: string, copies: 1 | -1): number {
-        const known = copies === 1 ? this.#costsOfAddedCopy : this.#costsOfRemovedCopy;
-        const cost = known.get(model)
-            ?? (this.#enginesByModel.get(model) ?? [])
-                .reduce(
-                    (sum, engine) => sum + this.#costOfLoadChange(engine, this.#loadChangePerCopy(model, copies)),
-                    0,
-                );
-        known.set(model, cost);
+    /** Returns the change in cost of all engines that hold a model when its copies elsewhere gain or lose weight. */
+    #costForEnginesWithCopy(model: string, weightChange: number): number {
+        const known = this.#costsOfChangedWeight.get(model) ?? new Map<number, number>();
+        this.#costsOfChangedWeight.set(model, known);
+        const knownCost = known.get(weightChange);
+        if (knownCost !== undefined) {
+            return knownCost;
+        }
+        const loadChange = this.#loadChangePerCopy(model, weightChange);
+        const cost = (this.#enginesByModel.get(model) ?? []).reduce(
+            (sum, engine) => sum + this.#costOfLoadChange(engine, loadChange * this.#weightOf(engine)),
+            0,
+        );
+        known.set(weightChange, cost);
         return cost;
     }
 
@@ -181,17 +209,21 @@
     }
 
     #addCopy(changes: Map<string, number>, engine: string, model: string): void {
-        const newLoadPerCopy = this.loadOf(model) / (this.copies(model) + 1);
+        const loadChange = this.#loadChangePerCopy(model, this.#weightOf(engine));
         for (const other of this.#enginesByModel.get(model) ?? []) {
-            add(changes, other, newLoadPerCopy - this.loadOfCopy(model));
+            add(changes, other, loadChange * this.#weightOf(other));
         }
-        add(changes, engine, newLoadPerCopy);
+        add(changes, engine, (this.loadOfCopy(model) + loadChange) * this.#weightOf(engine));
     }
 
     #removeCopy(changes: Map<string, number>, engine: string, model: string): void {
-        const newLoadPerCopy = this.loadOf(model) / Math.max(1, this.copies(model) - 1);
+        const loadChange = this.#loadChangePerCopy(model, -this.#weightOf(engine));
         for (const other of this.#enginesByModel.get(model) ?? []) {
-            add(changes, other, other === engine ? -this.loadOfCopy(model) : newLoadPerCopy - this.loadOfCopy(model));
+            add(
+                changes,
+                other,
+                other === engine ? -this.#loadOfCopyOn(engine, model) : loadChange * this.#weightOf(other),
+            );
         }
     }
 }
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -126,6 +126,27 @@
     assert.notEqual(move.engine, "a");
 });
 
+test("models on engines with rate limits get the copies on others that their demand needs, and no more", () => {
+    const limited = [engine("a", ["hot", "warm"]), engine("b", ["hot", "cold"])];
+    let engines: readonly PlannedEngine[] = [
+        ...limited.map(each => ({ ...each, unavailableShare: 0.9 })),
+        ...["c", "d", "e", "f"].map(id => engine(id, [])),
+    ];
+    for (let round = 0; round < 20; round += 1) {
+        const move = planBestMove(createInput(engines, { hot: 30, warm: 3, cold: 1 }));
+        engines = engines.map(each =>
+            each.id === move?.engine
+                ? { ...each, models: [...each.models.filter(model => !move.dropped.includes(model)), move.model] }
+                : each
+        );
+    }
+    const copiesElsewhere = (model: string): number =>
+        engines.filter(({ models, unavailableShare = 0 }) => unavailableShare === 0 && models.includes(model)).length;
+    assert.equal(copiesElsewhere("hot"), 2, "a load of 0.47 fits two engines");
+    assert.equal(copiesElsewhere("warm"), 1);
+    assert.equal(copiesElsewhere("cold"), 0);
+});
+
 test("idle copies are unloaded on several engines at once, busy ones on one engine at a time", () => {
     const loading = engine("a", ["warm"], { loading: "hot" });
     const idle = [engine("b", ["cold", "rare"]), engine("c", ["cold", "warm"]), engine("d", ["cold", "small"])];
