Wait for an adapter or a copy elsewhere rather than refuse for a rate limit

The test over sockets got 'upstream-limit' before; none is refused now. A request whose model another engine is loading waits for it where it should come in time; that has no test of its own yet. A further copy of an adapter is not requested on each use of a limited engine, only where no engine without a limit holds it.

--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -57,6 +57,11 @@
         return this.#available(upstreams).filter(({ id }) => this.#needsPermit(id));
     }
 
+    /** Returns the upstreams that name no rate limit. */
+    withoutLimit(upstreams: readonly UpstreamAnnouncement[]): UpstreamAnnouncement[] {
+        return upstreams.filter(({ id }) => !this.#isLimited(id));
+    }
+
     /** Returns whether an upstream names a rate limit and no permit for it is at hand. */
     #needsPermit(upstream: string): boolean {
         return this.#context.rateLimiting.limiter.state(upstream, this.#now()) === "wait";
@@ -87,7 +92,16 @@
 
     /** Returns the share of an upstream's capacity that is in use, for the choice of where to load adapters. */
     #usedShare(upstream: string): number {
-        return this.#needsPermit(upstream) ? 1 : this.loadShare(upstream);
+        return this.#isLimited(upstream) ? 1 : this.loadShare(upstream);
+    }
+
+    #isLimited(upstream: string): boolean {
+        return this.#context.rateLimiting.limiter.state(upstream, this.#now()) !== "unlimited";
+    }
+
+    /** Returns whether an upstream without a rate limit holds the request's model and adapter. */
+    #hasUnlimitedCopy(): boolean {
+        return this.withoutLimit(this.usable()).some(upstream => this.residencyAt(upstream) === "held");
     }
 
     /** Requests the adapter from the holder of its first candidate engine, or of the next where that has no holder. */
@@ -115,7 +129,7 @@
             return;
         }
         const load = this.#usedShare(chosen);
-        if (load < BUSY_ADAPTER_SHARE) {
+        if (load < BUSY_ADAPTER_SHARE || (this.#isLimited(chosen) && this.#hasUnlimitedCopy())) {
             return;
         }
         const others = this.usable().filter(upstream =>
@@ -146,6 +160,15 @@
         return expectedArrivalMilliseconds(model, prospects);
     }
 
+    /** Returns the time until a copy that is being loaded serves the request's model; `undefined` where none is. */
+    arrivingCopyMilliseconds(): number | undefined {
+        const { residency } = this.#context;
+        const name = this.#facts.model;
+        const isArriving = name !== undefined
+            && this.usable().some(({ id }) => residency.loadingSince(id, name) !== undefined);
+        return isArriving ? this.expectedModelMilliseconds() : undefined;
+    }
+
     /** Returns log fields with the numbers of upstreams that a choice was made from. */
     describe(): Record<string, number> {
         const usable = this.usable();
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -301,17 +301,31 @@
         }
     }
 
-    /** Waits for a permit, and meanwhile for the adapter elsewhere; refuses at once where none is expected in time. */
+    /**
+     * Waits for a permit, for the adapter on another engine or for a copy that is being loaded, whichever comes first;
+     * refuses at once where none is expected in time.
+     */
     #waitForPermit(loadable: readonly UpstreamAnnouncement[]): void {
+        const elsewhere = this.#selection.withoutLimit(loadable);
         const expectedMilliseconds = this.#expectedPermitMilliseconds() ?? EXPECTED_CAPACITY_MILLISECONDS;
-        if (this.#isPermitTooLate()) {
+        if (elsewhere.length > 0) {
+            this.#waitForAdapter(elsewhere);
+        }
+        else if (this.#isPermitTooLate() && !this.#isCopyArriving()) {
             this.#refuse("upstream-limit", expectedMilliseconds);
         }
-        else if (this.#waitOrRefuse("upstream-limit", expectedMilliseconds)) {
-            this.#selection.requestAdapter(loadable);
+        else {
+            this.#waitOrRefuse("upstream-limit", expectedMilliseconds);
         }
     }
 
+    /** Returns whether another engine is loading the model, and should serve it within the request's maximum wait. */
+    #isCopyArriving(): boolean {
+        const arrivalMilliseconds = this.#selection.arrivingCopyMilliseconds() ?? Number.POSITIVE_INFINITY;
+        const waitedMilliseconds = this.#now() - (this.#waitingSinceMilliseconds ?? this.#now());
+        return waitedMilliseconds + arrivalMilliseconds <= this.#maximumWaitMilliseconds();
+    }
+
     /** Waits until the shortest requested pause ends, or refuses at once if that exceeds the remaining wait time. */
     #waitForPause(pauseMilliseconds: number): void {
         const remainingWaitMilliseconds = this.#maximumWaitMilliseconds() - this.#ensureWaiting("upstreams-pause");
--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -16,6 +16,7 @@
     EntrySite,
     ranOf,
     reasonOf,
+    requestAdapter,
     type SiteHost,
     until,
     waitUntilReady,
@@ -259,6 +260,34 @@
         assert.deepEqual(answers.filter(({ status }) => status !== 200), []);
     });
 
+    test("no request is refused while another engine holds the model and can load the adapter", async () => {
+        const site = await startSite(2);
+        try {
+            const behave = (): Behaviour => ({ type: "stream", events: 3 });
+            const engines = [
+                await site.addUpstream({ id: "i-limited", models: { quotes: ["a1"] }, behave, slots: 8 }, "llm"),
+                await site.addUpstream({ id: "i-beside", models: { quotes: [] }, behave, slots: 8 }, "llm"),
+            ];
+            await until(() => site.hosts.every(host => countLines(host, "upstream joined") === engines.length));
+            const call = (host: SiteHost): Promise<CallerAnswer> => requestAdapter(host, "a1");
+            await until(async () => (await Promise.all(site.hosts.map(call))).every(({ status }) => status === 200));
+            await until(() => site.hosts.some(host => countLines(host, "engine taken") > 0), 6_000);
+            engines.forEach(engine => {
+                engine.limit = engine.id === "i-limited" ? "0.5" : undefined;
+            });
+            const answers: Promise<CallerAnswer>[] = [];
+            for (let round = 0; round < 60; round += 1) {
+                answers.push(...site.hosts.map(call));
+                await delay(50);
+            }
+            const refused = (await Promise.all(answers)).filter(({ status }) => status !== 200);
+            assert.deepEqual(refused.map(answer => answer.body), []);
+        }
+        finally {
+            await site.close();
+        }
+    });
+
     test("the end of a limit is noticed by all hosts within 2 s", async () => {
         const site = await startSite(3);
         try {
