--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -30,6 +30,9 @@
 
 const REQUESTS_PER_SECOND = 40;
 
+/** A host takes the engines, demand lasts long enough to be planned for, and a model is loaded. */
+const COPY_MILLISECONDS = 9_000;
+
 /** All hosts know of a limit and have agreed on who issues its permits. */
 const SETTLED_MILLISECONDS = 2_000;
 
@@ -288,6 +291,38 @@
         }
     });
 
+    test("a model whose only engine names a limit far below its demand is served by another engine soon", async () => {
+        const site = await startSite(2);
+        try {
+            const behave = (): Behaviour => ({ type: "stream", events: 5, gapMilliseconds: 100 });
+            const limited = await site.addUpstream(
+                { id: "i-limited", models: { quotes: [] }, behave, slots: 8 },
+                "llm",
+            );
+            await site.addUpstream({ id: "i-beside", models: {}, behave, slots: 8 }, "llm");
+            await until(() => site.hosts.every(host => countLines(host, "upstream joined") === 2));
+            const call = (host: SiteHost): Promise<CallerAnswer> =>
+                callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": "quotes" } });
+            await until(async () => (await Promise.all(site.hosts.map(call))).every(({ status }) => status === 200));
+            limited.limit = "0.5";
+            const offer = async (milliseconds: number): Promise<CallerAnswer[]> => {
+                const answers: Promise<CallerAnswer>[] = [];
+                const end = performance.now() + milliseconds;
+                while (performance.now() < end) {
+                    answers.push(...site.hosts.map(call));
+                    await delay(200);
+                }
+                return Promise.all(answers);
+            };
+            await offer(COPY_MILLISECONDS);
+            const answers = await offer(2_000);
+            assert.deepEqual(answers.filter(({ status }) => status !== 200).map(({ body }) => body), []);
+        }
+        finally {
+            await site.close();
+        }
+    });
+
     test("the end of a limit is noticed by all hosts within 2 s", async () => {
         const site = await startSite(3);
         try {
