--- a/src/explain/explain.test.ts
+++ b/src/explain/explain.test.ts
@@ -46,6 +46,27 @@
     assert.ok(!text.includes("two"), "no state changes of other hosts are shown");
 });
 
+test("a request refused or moved for a rate limit is shown with the change of that limit, however long before", () => {
+    const timeline = new RequestTimeline("r-1");
+    const recent = Array.from(
+        { length: 9 },
+        (_, index) => line(-900 + index, "one", "engine ordered", { engine: "e" }),
+    );
+    const limit = { limitedUpstream: "engine-4", limitPerSecond: 4.1, hostPermitsPerSecond: 0.5 };
+    [
+        line(-70_000, "one", "upstream limit changed", { upstream: "engine-4", outcome: "named", limitPerSecond: 4.1 }),
+        line(-60_000, "one", "upstream joined", { upstream: "engine-4" }),
+        ...recent,
+        line(0, "one", "request refused", { request: "r-1", reason: "upstream-limit", ...limit }),
+    ].forEach(each => timeline.addLine(each));
+    const text = renderTimeline(timeline.steps());
+    assert.match(
+        text,
+        /70000 ms before, one: upstream limit changed upstream=engine-4 outcome=named limitPerSecond=4.1/,
+    );
+    assert.match(text, /limitedUpstream=engine-4 limitPerSecond=4.1 hostPermitsPerSecond=0.5/);
+});
+
 test("a request without log lines has no steps, and text that is no log line is skipped", () => {
     const timeline = new RequestTimeline("r-9");
     ["", "not a line", "{\"half\":", ...LINES].forEach(each => timeline.addLine(each));
--- a/src/explain/requestTimeline.ts
+++ b/src/explain/requestTimeline.ts
@@ -151,7 +151,7 @@
  * Returns the state changes before a line that bear on it.
  *
  * These are the last change of its model on any host, and on its own host the last configuration, the last change of
- * its upstream, and other recent changes.
+ * its upstream and of the rate limit that concerned it, and other recent changes.
  */
 function relevantChanges(line: LogLine, stateChanges: readonly LogLine[]): LogLine[] {
     const upstream = line.fields["upstream"];
@@ -160,9 +160,13 @@
     const onHost = before.filter(({ host }) => host === line.host);
     const configuration = onHost.findLast(({ message }) => message === "configuration in force");
     const ofUpstream = onHost.findLast(({ fields }) => upstream !== undefined && fields["upstream"] === upstream);
+    const limited = line.fields["limitedUpstream"];
+    const ofLimit = onHost.findLast(({ fields, message }) =>
+        limited !== undefined && message === "upstream limit changed" && fields["upstream"] === limited
+    );
     const ofModel = before.findLast(({ fields }) => model !== undefined && fields["model"] === model);
     const recent = onHost.filter(change => line.atMilliseconds - change.atMilliseconds < RECENT_MILLISECONDS);
-    const all = new Set([configuration, ofUpstream, ofModel, ...recent.slice(-MAXIMUM_RECENT_CHANGES)]);
+    const all = new Set([configuration, ofUpstream, ofLimit, ofModel, ...recent.slice(-MAXIMUM_RECENT_CHANGES)]);
     return [...all].filter(change => change !== undefined)
         .sort((left, right) => left.atMilliseconds - right.atMilliseconds);
 }
