--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -21,6 +21,7 @@
 import { checkHead, isServerError, isSuccess } from "./_answerHead.js";
 import { CallerAnswer } from "./_callerAnswer.js";
 import { passThroughHeaders } from "./_forwardedHeaders.js";
+import { PermitWait } from "./_permitWait.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
 import { incarnationOf } from "./_upstreamIncarnation.js";
 import { UpstreamSelection } from "./_upstreamSelection.js";
@@ -42,9 +43,6 @@
 /** Expected time until an upstream that is full or unreachable accepts a request. */
 const EXPECTED_CAPACITY_MILLISECONDS = 1_000;
 
-/** Factor of the expected wait for a permit, since other hosts add requests to the same queue at the same time. */
-const PERMIT_DELAY_FACTOR = 1.25;
-
 /** Interval of a waiting request's dispatches, which repeat its adapter request since datagrams may be lost. */
 const DISPATCH_RETRY_MILLISECONDS = 120;
 
@@ -111,6 +109,7 @@
     readonly #facts: RequestFacts;
     readonly #selection: UpstreamSelection;
     readonly #answer: CallerAnswer;
+    readonly #permitWait: PermitWait;
     #lastEventId: string | undefined;
     #attemptsThatMayHaveRun = 0;
     #rejectedSends = 0;
@@ -118,10 +117,6 @@
     #attempt: Attempt | undefined;
     #lastUpstream: string | undefined;
     #waitingSinceMilliseconds: number | undefined;
-    /** The upstream for which the request waits for a permit. */
-    #permitUpstream: string | undefined;
-    /** True once the issuer's queue showed that a permit can be expected in time. */
-    #expectsPermit = false;
     #ended = false;
     #deadlineTimer: NodeJS.Timeout | undefined;
     #silenceTimer: NodeJS.Timeout | undefined;
@@ -133,6 +128,12 @@
         this.#listener = listener;
         this.#facts = readRequestFacts(request, context.headers);
         this.#selection = new UpstreamSelection(context, this.#facts);
+        this.#permitWait = new PermitWait({
+            rateLimiting: context.rateLimiting,
+            readClock: () => context.readClock(),
+            requestId: request.requestId,
+            priority: request.route.priority,
+        });
         this.#lastEventId = this.#facts.lastEventId;
         this.#answer = new CallerAnswer({
             response: request.response,
@@ -209,7 +210,7 @@
         }
         const loadable = usable.filter(upstream => this.#selection.residencyAt(upstream) === "adapter-missing");
         if (limited.length > 0) {
-            this.#awaitPermit(limited);
+            this.#permitWait.begin(limited.map(({ id }) => id), this.#remainingWaitMilliseconds());
         }
         if (limited.length > 0 && choice.type === "none") {
             this.#waitForPermit(loadable);
@@ -255,63 +256,17 @@
         }
     }
 
-    /** Requests a permit for one of some upstreams: the one where it can be expected first. */
-    #awaitPermit(limited: readonly UpstreamAnnouncement[]): void {
-        const { limiter } = this.#context.rateLimiting;
-        const { requestId, route: { priority } } = this.#request;
-        const now = this.#now();
-        if (!limited.some(({ id }) => id === this.#permitUpstream)) {
-            const expectations = limited.map(({ id }) => ({
-                id,
-                milliseconds: limiter.expectedMilliseconds(id, priority, now) ?? 0,
-            }));
-            expectations.sort((left, right) => left.milliseconds - right.milliseconds);
-            this.#cancelPermit();
-            this.#permitUpstream = expectations[0]?.id;
-        }
-        if (this.#permitUpstream !== undefined && !this.#isPermitTooLate()) {
-            limiter.await(this.#permitUpstream, requestId, { priority, sinceMilliseconds: now }, now);
-            this.#context.rateLimiting.update();
-        }
-    }
-
-    /** Returns whether a permit is expected later than the request may wait; decided once, when it is first known. */
-    #isPermitTooLate(): boolean {
-        const expectedMilliseconds = this.#expectsPermit ? undefined : this.#expectedPermitMilliseconds();
-        if (expectedMilliseconds === undefined) {
-            return false;
-        }
-        const waitedMilliseconds = this.#now() - (this.#waitingSinceMilliseconds ?? this.#now());
-        const isTooLate = waitedMilliseconds + expectedMilliseconds * PERMIT_DELAY_FACTOR
-            > this.#maximumWaitMilliseconds();
-        this.#expectsPermit = !isTooLate;
-        return isTooLate;
-    }
-
-    #expectedPermitMilliseconds(): number | undefined {
-        const { limiter } = this.#context.rateLimiting;
-        return limiter.expectedMilliseconds(this.#permitUpstream ?? "", this.#request.route.priority, this.#now());
-    }
-
-    #cancelPermit(): void {
-        if (this.#permitUpstream !== undefined) {
-            this.#context.rateLimiting.limiter.remove(this.#permitUpstream, this.#request.requestId);
-            this.#context.rateLimiting.update();
-            this.#permitUpstream = undefined;
-        }
-    }
-
     /**
      * Waits for a permit, for the adapter on another engine or for a copy that is being loaded, whichever comes first;
      * refuses at once where none is expected in time.
      */
     #waitForPermit(loadable: readonly UpstreamAnnouncement[]): void {
         const elsewhere = this.#selection.withoutLimit(loadable);
-        const expectedMilliseconds = this.#expectedPermitMilliseconds() ?? EXPECTED_CAPACITY_MILLISECONDS;
+        const expectedMilliseconds = this.#permitWait.expectedMilliseconds ?? EXPECTED_CAPACITY_MILLISECONDS;
         if (elsewhere.length > 0) {
             this.#waitForAdapter(elsewhere);
         }
-        else if (this.#isPermitTooLate() && !this.#isCopyArriving()) {
+        else if (this.#permitWait.isTooLate(this.#remainingWaitMilliseconds()) && !this.#isCopyArriving()) {
             this.#refuse("upstream-limit", expectedMilliseconds);
         }
         else {
@@ -322,8 +277,7 @@
     /** Returns whether another engine is loading the model, and should serve it within the request's maximum wait. */
     #isCopyArriving(): boolean {
         const arrivalMilliseconds = this.#selection.arrivingCopyMilliseconds() ?? Number.POSITIVE_INFINITY;
-        const waitedMilliseconds = this.#now() - (this.#waitingSinceMilliseconds ?? this.#now());
-        return waitedMilliseconds + arrivalMilliseconds <= this.#maximumWaitMilliseconds();
+        return arrivalMilliseconds <= this.#remainingWaitMilliseconds();
     }
 
     /** Waits until the shortest requested pause ends, or refuses at once if that exceeds the remaining wait time. */
@@ -374,6 +328,12 @@
         return maximumWaitMilliseconds(route, this.#facts.deadlineAtMilliseconds - arrivedAtMilliseconds);
     }
 
+    /** Returns the time for which the request may still wait. */
+    #remainingWaitMilliseconds(): number {
+        const now = this.#now();
+        return this.#maximumWaitMilliseconds() - (now - (this.#waitingSinceMilliseconds ?? now));
+    }
+
     /** Starts the wait if the request was not waiting, and returns how long it has waited in milliseconds. */
     #ensureWaiting(reason: FailureReason): number {
         if (this.#waitingSinceMilliseconds === undefined) {
@@ -381,7 +341,7 @@
             this.#log("request waits", {
                 reason,
                 longestMilliseconds: Math.round(this.#maximumWaitMilliseconds()),
-                ...this.#describeLimit(this.#permitUpstream),
+                ...this.#describeLimit(this.#permitWait.upstream),
                 ...this.#selection.describe(),
             });
         }
@@ -399,7 +359,7 @@
     /** Sends the request; `passedOver` is an upstream that had no room within its rate limit. */
     #send(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
         this.#endWait("sent");
-        this.#cancelPermit();
+        this.#permitWait.cancel();
         this.#recordLimits(upstream, passedOver);
         this.#attemptCount += 1;
         const attempt: Attempt = {
@@ -861,7 +821,7 @@
             reason,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
-            ...this.#describeLimit(this.#permitUpstream),
+            ...this.#describeLimit(this.#permitWait.upstream),
             ...this.#selection.describe(),
         });
         const retryHeaders: Record<string, string> = retryAfterMilliseconds === undefined
@@ -911,7 +871,7 @@
         clearTimeout(this.#silenceTimer);
         clearTimeout(this.#retryTimer);
         this.#endWait(outcome);
-        this.#cancelPermit();
+        this.#permitWait.cancel();
         const { arrivedAtMilliseconds, route } = this.#request;
         const tookMilliseconds = this.#now() - arrivedAtMilliseconds;
         const firstByteAtMilliseconds = this.#answer.firstByteAtMilliseconds;
