Take no reports of limits of upstreams that are unknown or have been replaced

A host forgets the limit of an upstream that has left, but a digest of a peer that had not heard of it yet brought it back, and from then on the hosts told it one another for ever: a limit that nobody can withdraw, in every digest. A late report on a crashed incarnation did the same to its successor until the first answer. Reports now count only for upstreams that the host knows, and for no older incarnation.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -352,6 +352,7 @@
             metrics: this.#options.metrics,
             readClock: () => this.#now(),
             isLeaving: () => this.#leaving,
+            isPresent: upstream => this.#upstreams.isPresent(upstream),
             send: (host, message) => this.#gossip.sendPermitMessage(host, message),
             onLimitChanged: (change, receivedBy) => this.#upstreams.reportLimitChange(change, receivedBy),
             onAnswered: () => this.#forwarder.wake(),
--- a/src/entry/rateLimiting.ts
+++ b/src/entry/rateLimiting.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type UpstreamIncarnation } from "../fleet/index.js";
 import { type PeerTable } from "../gossip/index.js";
 import { type EntryMetrics } from "../observability/index.js";
 import {
@@ -27,6 +28,8 @@
     readonly metrics: EntryMetrics;
     readonly readClock: () => number;
     readonly isLeaving: () => boolean;
+    /** Returns whether an upstream is known, and no later incarnation of it. */
+    readonly isPresent: (upstream: UpstreamIncarnation) => boolean;
     /** Sends a message to another host; it may be lost. */
     readonly send: (host: string, message: PermitMessage) => void;
     /** A peer's report changed a limit. */
@@ -45,11 +48,12 @@
     #closed = false;
 
     constructor(options: RateLimitingOptions) {
-        const { host, limits, metrics, onLimitChanged, send } = options;
+        const { host, isPresent, limits, metrics, onLimitChanged, send } = options;
         this.#options = options;
         this.limiter = new RateLimiter({
             host,
             limits,
+            isPresent,
             send,
             onLimitChanged,
             fleet: () => this.#describeFleet(),
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -134,6 +134,12 @@
         this.#recordLimit(upstream, head, sentAtMilliseconds);
     }
 
+    /** Returns whether an upstream is known, and no later incarnation of it. */
+    isPresent({ id, startedAtMilliseconds }: UpstreamIncarnation): boolean {
+        const known = this.view.get(id);
+        return known !== undefined && (known.startedAtMilliseconds ?? 0) <= (startedAtMilliseconds ?? 0);
+    }
+
     /** Logs and counts a change of a limit, which the upstream named to a host. */
     reportLimitChange({ previousRequestsPerSecond, requestsPerSecond, upstream }: LimitChange, namedTo: string): void {
         const named = previousRequestsPerSecond === undefined ? "named" : "changed";
@@ -197,7 +203,7 @@
 
     #recordLimit(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
         const { headers, host } = this.#options;
-        if (isFromOtherUpstream(head, upstream.id, headers) || this.#hasLaterIncarnation(upstream)) {
+        if (isFromOtherUpstream(head, upstream.id, headers) || !this.isPresent(upstream)) {
             return;
         }
         const limit = readRateLimit(head, headers);
@@ -217,10 +223,6 @@
         }
     }
 
-    #hasLaterIncarnation({ id, startedAtMilliseconds }: UpstreamAnnouncement): boolean {
-        return (this.view.get(id)?.startedAtMilliseconds ?? 0) > (startedAtMilliseconds ?? 0);
-    }
-
     #reportUnreadableLimit(upstream: string, value: string): void {
         this.#options.metrics.count("upstream_limits", { outcome: "unreadable" });
         if (this.#unreadableLimits.get(upstream) !== value) {
--- a/src/gossip/cellAggregates.test.ts
+++ b/src/gossip/cellAggregates.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createAddresses, createDigest } from "../../tests/support/digests.js";
-import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
+import { type FleetSummary, type HostDigest, type LimitReport } from "../generated/gossip.js";
 import { CellAggregates, PeerTable } from "./index.js";
 
 const SENDER = { host: "a1", cell: "a1" };
@@ -123,3 +123,41 @@
     table.recordDigest(createDigest("e01"), 8_000);
     assert.deepEqual(table.advertised(8_000).map(({ host }) => host), ["e01"]);
 });
+
+test("aggregates have the latest report of each limit, aged by the time it was held, and the sum of the votes", () => {
+    const aggregates = new CellAggregates();
+    const report = (requestsPerSecond: number, sentAgeMilliseconds: number): LimitReport => ({
+        upstream: "i-1",
+        requestsPerSecond,
+        sentAgeMilliseconds,
+        receivedAgeMilliseconds: sentAgeMilliseconds,
+        receivedBy: "one",
+    });
+    const limitsOf = (requestsPerSecond: number, age: number, issuer: string): HostDigest["limits"] => [
+        { report: report(requestsPerSecond, age), issuer },
+    ];
+    aggregates.recordDigest(createDigest("two", { limits: limitsOf(4, 100, "one") }), 0);
+    aggregates.recordDigest(createDigest("three", { limits: limitsOf(8, 300, "two") }), 0);
+    const own = createDigest("one", { limits: limitsOf(9, 2_000, "one") });
+    const { issuerVotes, limits } = aggregates.aggregateOfCell({ host: "one", cell: "one" }, own, 500);
+    assert.deepEqual(limits, [report(4, 600)]);
+    assert.deepEqual(issuerVotes, [
+        { upstream: "i-1", issuer: "one", votes: 2 },
+        { upstream: "i-1", issuer: "two", votes: 1 },
+    ]);
+});
+
+test("an aggregate without limits has none of their fields, and many limits come in pages with their votes", () => {
+    const aggregates = new CellAggregates();
+    const sender = { host: "one", cell: "one" };
+    const calm = aggregates.aggregateOfCell(sender, createDigest("one"), 0);
+    assert.ok(!("limits" in calm) && !("issuerVotes" in calm));
+    const limits = Array.from({ length: 100 }, (_, index) => ({
+        report: { upstream: `i-${index}`, sentAgeMilliseconds: 0, receivedAgeMilliseconds: 0, receivedBy: "one" },
+        issuer: "one",
+    }));
+    const pages = [1, 2].map(() => aggregates.aggregateOfCell(sender, createDigest("one", { limits }), 0));
+    const upstreams = new Set(pages.flatMap(page => page.limits?.map(({ upstream }) => upstream) ?? []));
+    assert.equal(upstreams.size, 100);
+    pages.forEach(page => assert.equal(page.issuerVotes?.length, page.limits?.length));
+});
--- a/src/rateLimits/issuerVotes.ts
+++ b/src/rateLimits/issuerVotes.ts
@@ -83,7 +83,7 @@
                 continue;
             }
             if (nowMilliseconds - vote.atMilliseconds > VOTE_LIFETIME_MILLISECONDS) {
-                votes.delete(upstream);
+                this.#remove(host, upstream);
             }
             else if (isCellPeer(host)) {
                 ofCell += 1;
@@ -95,6 +95,14 @@
         return ofCell + Math.max(ofOtherCells, this.#aggregatedVotes(upstream, nowMilliseconds));
     }
 
+    #remove(host: string, upstream: string): void {
+        const votes = this.#votes.get(host);
+        votes?.delete(upstream);
+        if (votes?.size === 0) {
+            this.#votes.delete(host);
+        }
+    }
+
     #aggregatedVotes(upstream: string, nowMilliseconds: number): number {
         const votes = this.#otherCells.get(upstream);
         if (votes === undefined || nowMilliseconds - votes.atMilliseconds > OTHER_CELLS_LIFETIME_MILLISECONDS) {
--- a/src/rateLimits/rateLimiter.ts
+++ b/src/rateLimits/rateLimiter.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { rankByRendezvous } from "../decision/index.js";
+import { type UpstreamIncarnation } from "../fleet/index.js";
 import {
     type FleetSummary,
     type LimitReport,
@@ -48,6 +49,8 @@
     readonly host: string;
     readonly limits: NamedLimits;
     readonly fleet: () => Fleet;
+    /** Returns whether an upstream's incarnation, or an older one, is known; reports of others would never be removed. */
+    readonly isPresent: (upstream: UpstreamIncarnation) => boolean;
     /** Sends a message to another host; it may be lost. */
     readonly send: (host: string, message: PermitMessage) => void;
     /** Permits were received, or the time until a permit may be expected is known. */
@@ -187,7 +190,10 @@
     /** Records the limits that peers reported. */
     recordReports(reports: readonly LimitReport[], nowMilliseconds: number): void {
         for (const report of reports) {
-            const change = this.#options.limits.record(toLimitObservation(report, nowMilliseconds));
+            const observation = toLimitObservation(report, nowMilliseconds);
+            const change = this.#options.isPresent(observation.upstream)
+                ? this.#options.limits.record(observation)
+                : undefined;
             if (change !== undefined) {
                 this.#options.onLimitChanged(change, report.receivedBy);
             }
--- a/tests/support/limitFleet.ts
+++ b/tests/support/limitFleet.ts
@@ -211,6 +211,7 @@
                     isCellPeer: host => cell.has(host),
                 };
             },
+            isPresent: () => true,
             send: (receiver, message) => this.#sendPermitMessage(name, receiver, message),
             onAnswered: () => this.#wakeSoon(name),
             onLimitChanged: () => this.#wakeSoon(name),
