Repeat an unanswered request for permits soon, and name the limiter's queue operations

A request for permits that was lost was repeated only after the interval for waiting hosts, 4 s in a fleet of 100; it is repeated after 200 ms until it is answered.

--- a/src/entry/_permitWait.ts
+++ b/src/entry/_permitWait.ts
@@ -52,7 +52,7 @@
         if (this.#upstream !== undefined && !this.isTooLate(remainingMilliseconds)) {
             const { priority, rateLimiting, readClock, requestId } = this.#options;
             const now = readClock();
-            rateLimiting.limiter.await(this.#upstream, requestId, { priority, sinceMilliseconds: now }, now);
+            rateLimiting.limiter.enqueue(this.#upstream, requestId, { priority, sinceMilliseconds: now }, now);
             rateLimiting.update();
         }
     }
@@ -71,7 +71,7 @@
     cancel(): void {
         if (this.#upstream !== undefined) {
             const { rateLimiting, requestId } = this.#options;
-            rateLimiting.limiter.remove(this.#upstream, requestId);
+            rateLimiting.limiter.dequeue(this.#upstream, requestId);
             rateLimiting.update();
             this.#upstream = undefined;
         }
--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -54,7 +54,7 @@
 
     /** Returns the upstreams that could run the request, but need a permit of their rate limit that is not at hand. */
     awaitingPermit(upstreams: readonly UpstreamAnnouncement[]): UpstreamAnnouncement[] {
-        return this.#available(upstreams).filter(({ id }) => this.#needsPermit(id));
+        return this.#available(upstreams.filter(({ id }) => this.#needsPermit(id)));
     }
 
     /** Returns the upstreams that name no rate limit. */
--- a/src/rateLimits/hostPermits.ts
+++ b/src/rateLimits/hostPermits.ts
@@ -18,6 +18,9 @@
 /** Interval at which a request for permits is repeated until the issuer has named one. */
 const DEFAULT_RESEND_MILLISECONDS = 200;
 
+/** A request for permits without an answer is repeated after this time. */
+const RETRY_MILLISECONDS = 200;
+
 /** An issuer's count of waiting requests is used for this long. */
 const QUEUE_LIFETIME_MILLISECONDS = 1_000;
 
@@ -129,7 +132,8 @@
         const waiting = removeMostUrgent(groupWaiting(this.#waiting.values(), nowMilliseconds), atHand);
         const hasNews = (this.#isChanged || this.#wantsSpare) && sinceLast >= this.#resendMilliseconds * GATHER_SHARE;
         const hasEnd = this.#hasEndedWait && sinceLast >= END_GATHER_MILLISECONDS;
-        const isRepeated = waiting.length > 0 && sinceLast >= this.#resendMilliseconds;
+        const resendMilliseconds = this.#unansweredRequests > 0 ? RETRY_MILLISECONDS : this.#resendMilliseconds;
+        const isRepeated = waiting.length > 0 && sinceLast >= resendMilliseconds;
         if (!hasNews && !hasEnd && !isRepeated) {
             return undefined;
         }
--- a/src/rateLimits/issuerChoice.test.ts
+++ b/src/rateLimits/issuerChoice.test.ts
@@ -79,7 +79,7 @@
     const [first, second] = issuersBefore("self");
     const { limiter, sent, setLiveHosts } = createLimiter("self");
     setLiveHosts(["self", first, second]);
-    limiter.await(UPSTREAM.id, "r-1", WAITING, 0);
+    limiter.enqueue(UPSTREAM.id, "r-1", WAITING, 0);
     const [receiver, request] = sent[0] ?? [];
     assert.equal(receiver, first);
     assert.ok(request?.type === "permit-request");
@@ -94,7 +94,7 @@
     const [first, second] = issuersBefore("self");
     const { limiter, sent, setLiveHosts } = createLimiter("self");
     setLiveHosts(["self", first, second]);
-    limiter.await(UPSTREAM.id, "r-1", WAITING, 0);
+    limiter.enqueue(UPSTREAM.id, "r-1", WAITING, 0);
     for (let at = 25; at <= 900; at += 25) {
         limiter.tick(at);
     }
--- a/src/rateLimits/rateLimiter.ts
+++ b/src/rateLimits/rateLimiter.ts
@@ -86,9 +86,9 @@
  *
  * @example
  * ```ts
- * const limiter = new RateLimiter({ host, limits, fleet, send, onAnswered, onLimitChanged });
+ * const limiter = new RateLimiter({ host, limits, fleet, isPresent, send, onAnswered, onLimitChanged });
  * if (limiter.state(upstream, now) === "wait") {
- *     limiter.await(upstream, request, { priority, sinceMilliseconds: now }, now);
+ *     limiter.enqueue(upstream, request, { priority, sinceMilliseconds: now }, now);
  * }
  * ```
  */
@@ -129,7 +129,7 @@
     }
 
     /** Lets a request wait for a permit. */
-    await(upstream: string, request: string, waiting: WaitingRequest, nowMilliseconds: number): void {
+    enqueue(upstream: string, request: string, waiting: WaitingRequest, nowMilliseconds: number): void {
         if (this.#options.limits.inForce(upstream) !== undefined) {
             this.#limitedUpstream(upstream, nowMilliseconds).permits.add(request, waiting);
             this.#sendRequest(upstream, nowMilliseconds);
@@ -137,7 +137,7 @@
     }
 
     /** Removes a request that no longer waits. */
-    remove(upstream: string, request: string): void {
+    dequeue(upstream: string, request: string): void {
         this.#limited.get(upstream)?.permits.remove(request);
     }
 
--- a/tests/support/limitFleet.ts
+++ b/tests/support/limitFleet.ts
@@ -401,7 +401,7 @@
 
     #refuse(host: SimulatedHost, call: WaitingCall): void {
         if (host.calls.delete(call.id)) {
-            host.limiter.remove(UPSTREAM.id, call.id);
+            host.limiter.dequeue(UPSTREAM.id, call.id);
             this.#refused += 1;
         }
     }
@@ -430,7 +430,7 @@
             return this.#waitOrRefuse(host, call);
         }
         host.calls.delete(call.id);
-        host.limiter.remove(UPSTREAM.id, call.id);
+        host.limiter.dequeue(UPSTREAM.id, call.id);
         this.#sentPriorities.push(call.priority);
         const sentAtMilliseconds = this.#now;
         this.#after(1, () => this.#arrive(host, sentAtMilliseconds));
@@ -449,7 +449,7 @@
             return true;
         }
         call.isAdmitted ||= expected !== undefined;
-        limiter.await(UPSTREAM.id, call.id, call, this.#now);
+        limiter.enqueue(UPSTREAM.id, call.id, call, this.#now);
         return false;
     }
 
