--- a/src/rateLimits/permitIssuer.test.ts
+++ b/src/rateLimits/permitIssuer.test.ts
@@ -61,6 +61,15 @@
     assert.deepEqual(issuer.waiting(), []);
 });
 
+test("a host whose process has restarted, and counts its requests anew, gets permits", () => {
+    const issuer = new PermitIssuer(0);
+    for (let host = 0; host < 100; host += 1) {
+        issuer.receive(createRequest(`entry-${host}`, { sequence: 500 }), 0);
+    }
+    issuer.receive(createRequest("entry-7", { sequence: 1, waiting: [waitingAt(0)] }), 2_000);
+    assert.deepEqual(permitsByHost(issuer.issue(1, 2_000))["entry-7"], 1);
+});
+
 test("a spare permit is granted only while no request waits", () => {
     const issuer = new PermitIssuer(0);
     issuer.receive(createRequest("spare", { waiting: [], spare: true }), 0);
--- a/src/rateLimits/permitIssuer.ts
+++ b/src/rateLimits/permitIssuer.ts
@@ -22,6 +22,9 @@
 /** Permits that a host has not acknowledged within this time are taken for lost. */
 const ACKNOWLEDGEMENT_MILLISECONDS = 400;
 
+/** A lower sequence number after this time is that of a restarted process, which counts anew. */
+const MAXIMUM_DELAY_MILLISECONDS = 1_000;
+
 /** An answer to a host; `request` is the sequence number of the host's last request. */
 export interface IssuedPermits {
     readonly host: string;
@@ -90,7 +93,9 @@
     /** Receives a host's request, unless it was overtaken by a later one. */
     receive(request: PermitRequest, nowMilliseconds: number): void {
         const known = this.#hosts.get(request.host);
-        if (known !== undefined && request.sequence < known.request) {
+        const wasRecentlyHeard = known !== undefined
+            && nowMilliseconds - known.receivedAtMilliseconds < MAXIMUM_DELAY_MILLISECONDS;
+        if (wasRecentlyHeard && request.sequence < known.request) {
             return;
         }
         const unacknowledged = (known?.unacknowledged ?? []).filter(({ atMilliseconds, sequence }) =>
