Publish a new limit to other cells at once too, with what its digest carries

Crash suspects stand in one digest only; one that a cell representative published for a limit alone would have kept them from the other cells.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -340,7 +340,7 @@
         const isDue = this.#now() - this.#limitPublishedAtMilliseconds >= LIMIT_PUBLISH_INTERVAL_MILLISECONDS;
         if (beginsOrEnds && isDue) {
             this.#limitPublishedAtMilliseconds = this.#now();
-            this.#publishDigest();
+            this.#interCellGossip.publishAggregates(this.#publishDigest());
         }
     }
 
