--- a/src/rateLimits/rateLimiter.test.ts
+++ b/src/rateLimits/rateLimiter.test.ts
@@ -13,6 +13,7 @@
 const SETTLED_AT_MILLISECONDS = 8_000;
 const END_MILLISECONDS = 25_000;
 const LIMIT_PER_SECOND = 4.1;
+/** Runs of the random test with a small fleet; the environment variable sets more for a long run by hand. */
 const SEEDS = Number(process.env["LIMIT_SEEDS"] ?? 40);
 
 const NAMED: readonly LimitStep[] = [{
