--- a/tests/upstreamSignals.test.ts
+++ b/tests/upstreamSignals.test.ts
@@ -192,18 +192,19 @@
     assert.ok(host.lines.some(({ message }) => message === "pause not readable"));
 });
 
-for (
-    const [kind, headers] of [["that it is leaving", { "Server-Leaving": "1" }], ["a pause", {
-        "Retry-After": "3",
-    }]] as const
-) {
+const ORDER_ANSWERS = [
+    { kind: "that it is leaving", status: undefined, headers: { "Server-Leaving": "1" } },
+    { kind: "a pause", status: 503, headers: { "Retry-After": "3" } },
+];
+
+for (const { headers, kind, status } of ORDER_ANSWERS) {
     test(`an engine that reports with its answer to an order ${kind} gets no further request`, async () => {
         const engine = await site.addUpstream(
             { id: upstreamId("engine"), models: { quotes: [] }, behave: () => ({ type: "stream", events: 3 }) },
             "llm",
         );
         engine.orderHeaders = headers;
-        engine.orderStatus = "Retry-After" in headers ? 503 : undefined;
+        engine.orderStatus = status;
         const call = (): ReturnType<typeof callHost> =>
             callHost(host, {
                 path: "/llm/1",
