Call the existing checks on incarnations and answering upstreams

The work on limits had written three things again: whether an incarnation is older (in NamedLimits and UpstreamTracker, beside the one of UpstreamView, now exported), whether an answer is another upstream's (beside the one in classifyNotRun), and the type of an answer's status and headers.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -39,8 +39,7 @@
     if (head.status !== STATUS_MISDIRECTED) {
         return "not-run";
     }
-    const answering = head.headers[names.answeringUpstream];
-    const isOtherUpstream = answering !== undefined && answering !== expectation.upstream;
+    const isOtherUpstream = isFromOtherUpstream(head, expectation.upstream, names);
     return isOtherUpstream || !expectation.namesModel ? "misdirected" : "not-resident";
 }
 
--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -17,7 +17,8 @@
 } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
-import { type EngineAnswerHandler, type EngineControl } from "./siteProtocol.js";
+import { type AnswerStatusAndHeaders } from "./_answerHead.js";
+import { type EngineControl } from "./siteProtocol.js";
 
 /** Key prefix of the records that name engines' holders. */
 export const HOLDER_KEY_PREFIX = "holders/";
@@ -66,7 +67,7 @@
     /** An engine answered an order or a report request, which was sent at the given time. */
     readonly onAnswer: (
         engine: UpstreamAnnouncement,
-        head: Parameters<EngineAnswerHandler>[0],
+        head: AnswerStatusAndHeaders,
         sentAtMilliseconds: number,
     ) => void;
     /** An engine's memory changed, or this host began to manage it. */
--- a/src/entry/siteProtocol.ts
+++ b/src/entry/siteProtocol.ts
@@ -7,7 +7,7 @@
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineOrder, type EngineReport, type OrderOutcome } from "../placement/index.js";
 import { type RoutingConfiguration } from "../routes/index.js";
-import { type AnswerHead } from "./upstreamCall.js";
+import { type AnswerStatusAndHeaders } from "./_answerHead.js";
 
 /** Header names of the site, in lower case. */
 export interface HeaderNames {
@@ -56,7 +56,7 @@
 }
 
 /** Handles the status and headers of an engine's answer to an order or a report request. */
-export type EngineAnswerHandler = (head: Pick<AnswerHead, "status" | "headers">) => void;
+export type EngineAnswerHandler = (head: AnswerStatusAndHeaders) => void;
 
 /** Sends orders to engines and reads their state. */
 export interface EngineControl {
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -5,6 +5,7 @@
  */
 import { type RandomSource } from "../decision/index.js";
 import {
+    isOlderIncarnation,
     type UpstreamAnnouncement,
     type UpstreamChange,
     type UpstreamIncarnation,
@@ -135,9 +136,9 @@
     }
 
     /** Returns whether an upstream is known, and no later incarnation of it. */
-    isPresent({ id, startedAtMilliseconds }: UpstreamIncarnation): boolean {
-        const known = this.view.get(id);
-        return known !== undefined && (known.startedAtMilliseconds ?? 0) <= (startedAtMilliseconds ?? 0);
+    isPresent(upstream: UpstreamIncarnation): boolean {
+        const known = this.view.get(upstream.id);
+        return known !== undefined && !isOlderIncarnation(upstream, known);
     }
 
     /** Logs and counts a change of a limit, which the upstream named to a host. */
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -14,6 +14,7 @@
  */
 export { type HeldModel, type LocalWeights, type UpstreamAnnouncement } from "./types.js";
 export {
+    isOlderIncarnation,
     isSameIncarnation,
     type LeavingReason,
     type UpstreamChange,
--- a/src/fleet/upstreamView.ts
+++ b/src/fleet/upstreamView.ts
@@ -42,7 +42,8 @@
     return incarnation.startedAtMilliseconds ?? 0;
 }
 
-function isOlderIncarnation(candidate: UpstreamIncarnation, known: UpstreamIncarnation): boolean {
+/** Returns whether an incarnation started before another one of the same upstream. */
+export function isOlderIncarnation(candidate: UpstreamIncarnation, known: UpstreamIncarnation): boolean {
     return startTimeOf(candidate) < startTimeOf(known);
 }
 
--- a/src/rateLimits/namedLimits.ts
+++ b/src/rateLimits/namedLimits.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { isSameIncarnation, type UpstreamIncarnation } from "../fleet/index.js";
+import { isOlderIncarnation, isSameIncarnation, type UpstreamIncarnation } from "../fleet/index.js";
 
 /** How long a withdrawn limit is remembered, so that an older report of a peer does not bring it back. */
 const WITHDRAWN_LIFETIME_MILLISECONDS = 10_000;
@@ -34,10 +34,6 @@
     return requestsPerSecond ?? Number.POSITIVE_INFINITY;
 }
 
-function isOlderIncarnation(candidate: UpstreamIncarnation, known: UpstreamIncarnation): boolean {
-    return (candidate.startedAtMilliseconds ?? 0) < (known.startedAtMilliseconds ?? 0);
-}
-
 /**
  * Keeps the latest observation of each upstream that has named a limit.
  *
