Use permits in the order in which requests wait for them

Cause: a permit at hand was for any request. A request that had just arrived took it before those that waited, and the forwarder wakes waiting requests with those that are past their target latency last, so those that had waited longest got permits last. What was admitted since a permit could be expected in time was overtaken until its wait ended.

Traced: the logs of all such requests show 'request waits', then 'request refused' 1,207 to 1,324 ms later with permits received meanwhile; the engine received requests in the order 12, 50, 6, 90, 114, 132, 68, ... Ruled out: late or lost grants (permits received at 4 a second), the event loop's delay alone (none of over 120 ms in that run).

Change: a permit is for a request if more permits are at hand than requests wait before it, by priority and then by the time since which it waits; this holds for a request that arrives as well. The forwarder wakes requests that wait for permits in the same order, and each of them until it is decided whether it should wait. A request that does not wait for a permit any more (its upstream is paused or full) leaves its permits to others.

Shown: the new test over sockets fails on (the order above) and passes now; by itself: 'a permit is for the request that comes first ...'.

--- a/src/entry/_permitWait.ts
+++ b/src/entry/_permitWait.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type WaitingRequest } from "../rateLimits/index.js";
 import { type RateLimiting } from "./rateLimiting.js";
 
 /** Factor of the expected wait for a permit, since other hosts add requests to the same queue at the same time. */
@@ -21,6 +22,7 @@
 export class PermitWait {
     readonly #options: PermitWaitOptions;
     #upstream: string | undefined;
+    #sinceMilliseconds: number | undefined;
     /** True once the issuer's queue showed that a permit can be expected in time. */
     #isExpected = false;
 
@@ -33,6 +35,17 @@
         return this.#upstream;
     }
 
+    /** The request, for its place among those that need permits. */
+    get request(): WaitingRequest {
+        const { priority, readClock, requestId } = this.#options;
+        return { id: requestId, priority, sinceMilliseconds: this.#sinceMilliseconds ?? readClock() };
+    }
+
+    /** Returns whether the request waits, and it is not known whether its permit can be expected in time. */
+    get isUndecided(): boolean {
+        return this.#upstream !== undefined && !this.#isExpected;
+    }
+
     /** Time until the permit may be expected; `undefined` where the issuer has not told recently. */
     get expectedMilliseconds(): number | undefined {
         return this.#upstream === undefined ? undefined : this.#expectedMillisecondsAt(this.#upstream);
@@ -46,13 +59,14 @@
      */
     begin(upstreams: readonly string[], remainingMilliseconds: number): void {
         if (this.#upstream === undefined || !upstreams.includes(this.#upstream)) {
-            this.cancel();
+            this.#leaveQueue();
             this.#upstream = this.#firstExpected(upstreams);
         }
         if (this.#upstream !== undefined && !this.isTooLate(remainingMilliseconds)) {
-            const { priority, rateLimiting, readClock, requestId } = this.#options;
+            const { rateLimiting, readClock } = this.#options;
             const now = readClock();
-            rateLimiting.limiter.enqueue(this.#upstream, requestId, { priority, sinceMilliseconds: now }, now);
+            this.#sinceMilliseconds ??= now;
+            rateLimiting.limiter.enqueue(this.#upstream, this.request, now);
             rateLimiting.update();
         }
     }
@@ -67,13 +81,19 @@
         return !this.#isExpected;
     }
 
-    /** Ends the wait, since the request was sent or has ended. */
+    /** Ends the wait: the request was sent, has ended, or waits for something else. */
     cancel(): void {
+        this.#leaveQueue();
+        this.#sinceMilliseconds = undefined;
+    }
+
+    #leaveQueue(): void {
         if (this.#upstream !== undefined) {
             const { rateLimiting, requestId } = this.#options;
             rateLimiting.limiter.dequeue(this.#upstream, requestId);
             rateLimiting.update();
             this.#upstream = undefined;
+            this.#isExpected = false;
         }
     }
 
--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -6,6 +6,7 @@
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type Candidate, type Choice, chooseUpstream } from "../forwarding/index.js";
 import { expectedArrivalMilliseconds, nameAdapter, rankAdapterCandidates, type Residency } from "../placement/index.js";
+import { type WaitingRequest } from "../rateLimits/index.js";
 import { type RequestFacts } from "./_requestFacts.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
@@ -19,12 +20,19 @@
 export class UpstreamSelection {
     readonly #context: ForwardingContext;
     readonly #facts: RequestFacts;
+    readonly #permitRequest: () => WaitingRequest;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
 
-    constructor(context: ForwardingContext, facts: RequestFacts) {
+    /**
+     * @param context What all requests of the host share.
+     * @param facts What is known of the request.
+     * @param permitRequest Returns the request's place among those that need permits of rate limits.
+     */
+    constructor(context: ForwardingContext, facts: RequestFacts, permitRequest: () => WaitingRequest) {
         this.#context = context;
         this.#facts = facts;
+        this.#permitRequest = permitRequest;
     }
 
     /** Excludes an upstream that failed the request from further attempts. */
@@ -62,9 +70,9 @@
         return upstreams.filter(({ id }) => !this.#isLimited(id));
     }
 
-    /** Returns whether an upstream names a rate limit and no permit for it is at hand. */
+    /** Returns whether an upstream names a rate limit and no permit is at hand for the request. */
     #needsPermit(upstream: string): boolean {
-        return this.#context.rateLimiting.limiter.state(upstream, this.#now()) === "wait";
+        return this.#context.rateLimiting.limiter.state(upstream, this.#permitRequest(), this.#now()) === "wait";
     }
 
     /** Returns the shortest remaining pause of untried upstreams; `undefined` if none exist or one is not paused. */
@@ -96,7 +104,7 @@
     }
 
     #isLimited(upstream: string): boolean {
-        return this.#context.rateLimiting.limiter.state(upstream, this.#now()) !== "unlimited";
+        return this.#context.rateLimiting.limiter.isLimited(upstream);
     }
 
     /** Returns whether an upstream without a rate limit holds the request's model and adapter. */
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -127,13 +127,13 @@
         this.#request = request;
         this.#listener = listener;
         this.#facts = readRequestFacts(request, context.headers);
-        this.#selection = new UpstreamSelection(context, this.#facts);
         this.#permitWait = new PermitWait({
             rateLimiting: context.rateLimiting,
             readClock: () => context.readClock(),
             requestId: request.requestId,
             priority: request.route.priority,
         });
+        this.#selection = new UpstreamSelection(context, this.#facts, () => this.#permitWait.request);
         this.#lastEventId = this.#facts.lastEventId;
         this.#answer = new CallerAnswer({
             response: request.response,
@@ -152,15 +152,20 @@
 
     /**
      * Equal for requests that can go to the same upstreams; `undefined` once this one was sent, since the upstreams
-     * that failed it are then excluded.
+     * that failed it are then excluded, and until it is decided whether it should wait for a permit.
      */
     get waitKey(): string | undefined {
         const { adapter, model, service } = this.#facts;
-        return this.#attemptCount > 0 ? undefined : [service, model, adapter].join(" ");
+        const isOwn = this.#attemptCount > 0 || this.#permitWait.isUndecided;
+        return isOwn ? undefined : [service, model, adapter].join(" ");
     }
 
+    /** Permits are used in the order in which requests began to wait for them. */
     get rank(): WaitingRank {
         const { arrivedAtMilliseconds, route } = this.#request;
+        if (this.#permitWait.upstream !== undefined) {
+            return [route.priority, 0, this.#permitWait.request.sinceMilliseconds];
+        }
         const late = this.#now() - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
         return [route.priority, late ? 1 : 0, arrivedAtMilliseconds];
     }
@@ -203,15 +208,13 @@
             this.#send(chosen, limited[0]?.id);
             return;
         }
+        this.#updatePermitWait(limited);
         const pause = this.#selection.shortestPause(resident);
         if (pause !== undefined) {
             this.#waitForPause(pause);
             return;
         }
         const loadable = usable.filter(upstream => this.#selection.residencyAt(upstream) === "adapter-missing");
-        if (limited.length > 0) {
-            this.#permitWait.begin(limited.map(({ id }) => id), this.#remainingWaitMilliseconds());
-        }
         if (limited.length > 0 && choice.type === "none") {
             this.#waitForPermit(loadable);
         }
@@ -250,6 +253,16 @@
         return this.#facts.deadlineAtMilliseconds - this.#now();
     }
 
+    /** Waits for a permit of one of some upstreams; leaves permits to other requests where there are none. */
+    #updatePermitWait(limited: readonly UpstreamAnnouncement[]): void {
+        if (limited.length > 0) {
+            this.#permitWait.begin(limited.map(({ id }) => id), this.#remainingWaitMilliseconds());
+        }
+        else {
+            this.#permitWait.cancel();
+        }
+    }
+
     #waitForAdapter(loadable: readonly UpstreamAnnouncement[]): void {
         if (this.#waitOrRefuse("adapter-missing", EXPECTED_CAPACITY_MILLISECONDS)) {
             this.#selection.requestAdapter(loadable);
@@ -359,8 +372,8 @@
     /** Sends the request; `passedOver` is an upstream that had no room within its rate limit. */
     #send(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
         this.#endWait("sent");
-        this.#permitWait.cancel();
         this.#recordLimits(upstream, passedOver);
+        this.#permitWait.cancel();
         this.#attemptCount += 1;
         const attempt: Attempt = {
             number: this.#attemptCount,
@@ -403,12 +416,12 @@
     #recordLimits(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
         const { metrics, rateLimiting } = this.#context;
         const now = this.#now();
-        if (rateLimiting.limiter.state(upstream.id, now) === "permitted") {
-            rateLimiting.limiter.tryUse(upstream.id, now);
+        const { limiter } = rateLimiting;
+        if (limiter.isLimited(upstream.id) && limiter.tryUse(upstream.id, this.#permitWait.request, now)) {
             metrics.count("limit_permits", { outcome: "used" });
         }
         if (passedOver !== undefined) {
-            rateLimiting.limiter.requestSpare(passedOver, now);
+            limiter.requestSpare(passedOver, now);
             rateLimiting.update();
             metrics.count("limit_moves", { service: upstream.service });
         }
--- a/src/rateLimits/hostPermits.test.ts
+++ b/src/rateLimits/hostPermits.test.ts
@@ -20,10 +20,15 @@
     };
 }
 
+const WAITING = [
+    { id: "request-0", priority: 0, sinceMilliseconds: 0 },
+    { id: "request-1", priority: 0, sinceMilliseconds: 0 },
+] as const;
+
 function createWaiting(count: number, priority = 0): HostPermits {
     const permits = new HostPermits();
     for (let index = 0; index < count; index += 1) {
-        permits.add(`request-${index}`, { priority, sinceMilliseconds: 0 });
+        permits.add({ id: `request-${index}`, priority, sinceMilliseconds: 0 });
     }
     return permits;
 }
@@ -32,14 +37,44 @@
     const permits = createWaiting(2);
     permits.nextRequest(0);
     permits.receive(createGrant({ permits: 2 }), 10);
-    assert.equal(permits.tryUse(20), true);
-    assert.equal(permits.tryUse(520), false);
+    const [first, second] = WAITING;
+    assert.equal(permits.tryUse(first, 20), true);
+    permits.remove(first.id);
+    assert.equal(permits.hasPermitFor(second, 500), true);
+    assert.equal(permits.tryUse(second, 520), false);
+});
+
+test("a permit is for the request that comes first, not for one that arrives when it is at hand", () => {
+    const permits = new HostPermits();
+    const patient = { id: "patient", priority: 1, sinceMilliseconds: 0 };
+    const later = { id: "later", priority: 1, sinceMilliseconds: 20 };
+    permits.add(later);
+    permits.add(patient);
+    permits.nextRequest(30);
+    permits.receive(createGrant({ permits: 1 }), 40);
+    const newcomer = { id: "newcomer", priority: 1, sinceMilliseconds: 50 };
+    const urgent = { id: "urgent", priority: 0, sinceMilliseconds: 50 };
+    const allowed = [newcomer, later, patient, urgent].filter(request => permits.hasPermitFor(request, 50));
+    assert.deepEqual(allowed.map(({ id }) => id), ["patient", "urgent"]);
+    assert.equal(permits.tryUse(later, 50), false);
+    assert.equal(permits.tryUse(patient, 50), true);
+    permits.remove(patient.id);
+    assert.equal(permits.hasPermitFor(later, 50), false, "the permit was used");
+});
+
+test("permits that exceed the waiting requests are for any request", () => {
+    const permits = createWaiting(1);
+    permits.nextRequest(0);
+    permits.receive(createGrant({ permits: 2 }), 10);
+    const newcomer = { id: "newcomer", priority: 3, sinceMilliseconds: 20 };
+    assert.equal(permits.tryUse(newcomer, 20), true);
+    assert.equal(permits.tryUse(newcomer, 20), false, "the other one is for the request that waits");
 });
 
 test("a grant is ignored if this host was suspended since the request that it answers", () => {
     const permits = createWaiting(1);
     permits.nextRequest(0);
-    permits.add("later", { priority: 0, sinceMilliseconds: 5_000 });
+    permits.add({ id: "later", priority: 0, sinceMilliseconds: 5_000 });
     permits.nextRequest(5_000);
     assert.equal(permits.receive(createGrant({ permits: 1, request: 1 }), 5_001), 0);
     assert.equal(permits.receive(createGrant({ permits: 1, request: 2 }), 5_002), 1);
@@ -48,7 +83,7 @@
 test("requests are gathered, repeated while they wait, and reduced by the permits at hand", () => {
     const permits = createWaiting(3);
     assert.deepEqual(permits.nextRequest(0)?.waiting.map(({ count }) => count), [3]);
-    permits.add("another", { priority: 0, sinceMilliseconds: 5 });
+    permits.add({ id: "another", priority: 0, sinceMilliseconds: 5 });
     assert.equal(permits.nextRequest(5), undefined, "gathered");
     assert.deepEqual(permits.nextRequest(25)?.waiting.map(({ count }) => count), [4]);
     permits.receive(createGrant({ permits: 1, request: 2, sequence: 7 }), 30);
--- a/src/rateLimits/hostPermits.ts
+++ b/src/rateLimits/hostPermits.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type PermitGrant, type PermitRequest, type WaitingGroup } from "../generated/gossip.js";
-import { countUpTo, groupWaiting, removeMostUrgent, type WaitingRequest } from "./waitingGroups.js";
+import { countUpTo, groupWaiting, isBefore, removeMostUrgent, type WaitingRequest } from "./waitingGroups.js";
 
 /** An unused permit expires after this time, so that permits of several hosts do not accumulate. */
 const PERMIT_LIFETIME_MILLISECONDS = 500;
@@ -57,10 +57,11 @@
  * @example
  * ```ts
  * const permits = new HostPermits();
- * permits.add("9c41d07b", { priority: 1, sinceMilliseconds: now });
+ * const request = { id: "9c41d07b", priority: 1, sinceMilliseconds: now };
+ * permits.add(request);
  * const wanted = permits.nextRequest(now);
  * permits.receive(grant, now);
- * permits.tryUse(now); // true
+ * permits.tryUse(request, now); // true
  * ```
  */
 export class HostPermits {
@@ -88,9 +89,9 @@
     }
 
     /** Adds a waiting request. */
-    add(request: string, waiting: WaitingRequest): void {
-        if (!this.#waiting.has(request)) {
-            this.#waiting.set(request, waiting);
+    add(request: WaitingRequest): void {
+        if (!this.#waiting.has(request.id)) {
+            this.#waiting.set(request.id, request);
             this.#isChanged = true;
         }
     }
@@ -108,28 +109,28 @@
      */
     requestSpare(intervalMilliseconds: number, nowMilliseconds: number): void {
         const isDue = nowMilliseconds - this.#spareRequestedAtMilliseconds >= intervalMilliseconds;
-        if (isDue && !this.hasPermit(nowMilliseconds)) {
+        if (isDue && this.#countAtHand(nowMilliseconds) === 0) {
             this.#spareRequestedAtMilliseconds = nowMilliseconds;
             this.#wantsSpare = true;
         }
     }
 
-    /** Returns whether a permit is at hand. */
-    hasPermit(nowMilliseconds: number): boolean {
-        this.#permits = this.#permits.filter(expiresAt => expiresAt > nowMilliseconds);
-        return this.#permits.length > 0;
+    /** Returns whether more permits are at hand than requests wait that come before a request. */
+    hasPermitFor(request: WaitingRequest, nowMilliseconds: number): boolean {
+        const atHand = this.#countAtHand(nowMilliseconds);
+        return atHand > 0 && atHand > this.#countBefore(request);
     }
 
-    /** Uses a permit; returns false where none is at hand. */
-    tryUse(nowMilliseconds: number): boolean {
-        return this.hasPermit(nowMilliseconds) && this.#permits.shift() !== undefined;
+    /** Uses a permit for a request; returns false where none is at hand for it. */
+    tryUse(request: WaitingRequest, nowMilliseconds: number): boolean {
+        return this.hasPermitFor(request, nowMilliseconds) && this.#permits.shift() !== undefined;
     }
 
     /** Returns the request for permits that is due; `undefined` where none is. */
     nextRequest(nowMilliseconds: number): WantedPermits | undefined {
         const sinceLast = nowMilliseconds - (this.#sent.at(-1)?.atMilliseconds ?? Number.NEGATIVE_INFINITY);
-        const atHand = this.hasPermit(nowMilliseconds) ? this.#permits.length : 0;
-        const waiting = removeMostUrgent(groupWaiting(this.#waiting.values(), nowMilliseconds), atHand);
+        const groups = groupWaiting(this.#waiting.values(), nowMilliseconds);
+        const waiting = removeMostUrgent(groups, this.#countAtHand(nowMilliseconds));
         const hasNews = (this.#isChanged || this.#wantsSpare) && sinceLast >= this.#resendMilliseconds * GATHER_SHARE;
         const hasEnd = this.#hasEndedWait && sinceLast >= END_GATHER_MILLISECONDS;
         const resendMilliseconds = this.#unansweredRequests > 0 ? RETRY_MILLISECONDS : this.#resendMilliseconds;
@@ -208,6 +209,19 @@
         return this.#receivedAt.length * MILLISECONDS_PER_SECOND / SHARE_WINDOW_MILLISECONDS;
     }
 
+    #countAtHand(nowMilliseconds: number): number {
+        this.#permits = this.#permits.filter(expiresAt => expiresAt > nowMilliseconds);
+        return this.#permits.length;
+    }
+
+    #countBefore(request: WaitingRequest): number {
+        let count = 0;
+        for (const other of this.#waiting.values()) {
+            count += other.id !== request.id && isBefore(other, request) ? 1 : 0;
+        }
+        return count;
+    }
+
     #recordSent(nowMilliseconds: number): void {
         const maximumAge = MAXIMUM_GRANT_AGE_MILLISECONDS + this.#resendMilliseconds;
         const recent = this.#sent.filter(({ atMilliseconds }) => nowMilliseconds - atMilliseconds < maximumAge);
--- a/src/rateLimits/index.ts
+++ b/src/rateLimits/index.ts
@@ -20,3 +20,4 @@
     RateLimiter,
     type RateLimiterOptions,
 } from "./rateLimiter.js";
+export { type WaitingRequest } from "./waitingGroups.js";
--- a/src/rateLimits/issuerChoice.test.ts
+++ b/src/rateLimits/issuerChoice.test.ts
@@ -6,7 +6,7 @@
 import { type PermitMessage, RateLimiter } from "./rateLimiter.js";
 
 const UPSTREAM = { id: "i-1", startedAtMilliseconds: 1_000 };
-const WAITING = { priority: 0, sinceMilliseconds: 0 };
+const WAITING = { id: "r-1", priority: 0, sinceMilliseconds: 0 };
 
 interface LimiterUnderTest {
     readonly limiter: RateLimiter;
@@ -79,7 +79,7 @@
     const [first, second] = issuersBefore("self");
     const { limiter, sent, setLiveHosts } = createLimiter("self");
     setLiveHosts(["self", first, second]);
-    limiter.enqueue(UPSTREAM.id, "r-1", WAITING, 0);
+    limiter.enqueue(UPSTREAM.id, WAITING, 0);
     const [receiver, request] = sent[0] ?? [];
     assert.equal(receiver, first);
     assert.ok(request?.type === "permit-request");
@@ -87,14 +87,14 @@
     limiter.tick(30);
     assert.equal(sent.at(-1)?.[0], second, "the next one is asked");
     limiter.receive(createGrant(first, request), 40);
-    assert.equal(limiter.state(UPSTREAM.id, 40), "wait");
+    assert.equal(limiter.state(UPSTREAM.id, WAITING, 40), "wait");
 });
 
 test("an issuer that does not answer is passed over, and asked again later", () => {
     const [first, second] = issuersBefore("self");
     const { limiter, sent, setLiveHosts } = createLimiter("self");
     setLiveHosts(["self", first, second]);
-    limiter.enqueue(UPSTREAM.id, "r-1", WAITING, 0);
+    limiter.enqueue(UPSTREAM.id, WAITING, 0);
     for (let at = 25; at <= 900; at += 25) {
         limiter.tick(at);
     }
--- a/src/rateLimits/rateLimiter.ts
+++ b/src/rateLimits/rateLimiter.ts
@@ -87,8 +87,9 @@
  * @example
  * ```ts
  * const limiter = new RateLimiter({ host, limits, fleet, isPresent, send, onAnswered, onLimitChanged });
- * if (limiter.state(upstream, now) === "wait") {
- *     limiter.enqueue(upstream, request, { priority, sinceMilliseconds: now }, now);
+ * const request = { id: "9c41d07b", priority: 1, sinceMilliseconds: now };
+ * if (limiter.state(upstream, request, now) === "wait") {
+ *     limiter.enqueue(upstream, request, now);
  * }
  * ```
  */
@@ -114,24 +115,30 @@
             || [...this.#issuers.values()].some(issuer => issuer.isActive);
     }
 
-    /** Returns whether a request may be sent to an upstream now. */
-    state(upstream: string, nowMilliseconds: number): PermitState {
-        if (this.#options.limits.inForce(upstream) === undefined) {
+    /** Returns whether an upstream names a limit, so that each request to it needs a permit. */
+    isLimited(upstream: string): boolean {
+        return this.#options.limits.inForce(upstream) !== undefined;
+    }
+
+    /** Returns whether a request may be sent to an upstream now; a permit is for the request that comes first. */
+    state(upstream: string, request: WaitingRequest, nowMilliseconds: number): PermitState {
+        if (!this.isLimited(upstream)) {
             return "unlimited";
         }
-        return this.#limited.get(upstream)?.permits.hasPermit(nowMilliseconds) === true ? "permitted" : "wait";
+        const permits = this.#limited.get(upstream)?.permits;
+        return permits?.hasPermitFor(request, nowMilliseconds) === true ? "permitted" : "wait";
     }
 
-    /** Uses a permit for a request that is sent; returns false where the upstream needs one and none is at hand. */
-    tryUse(upstream: string, nowMilliseconds: number): boolean {
-        return this.#options.limits.inForce(upstream) === undefined
-            || this.#limited.get(upstream)?.permits.tryUse(nowMilliseconds) === true;
+    /** Uses a permit for a request that is sent; returns false where it needs one and none is at hand for it. */
+    tryUse(upstream: string, request: WaitingRequest, nowMilliseconds: number): boolean {
+        return !this.isLimited(upstream)
+            || this.#limited.get(upstream)?.permits.tryUse(request, nowMilliseconds) === true;
     }
 
     /** Lets a request wait for a permit. */
-    enqueue(upstream: string, request: string, waiting: WaitingRequest, nowMilliseconds: number): void {
-        if (this.#options.limits.inForce(upstream) !== undefined) {
-            this.#limitedUpstream(upstream, nowMilliseconds).permits.add(request, waiting);
+    enqueue(upstream: string, request: WaitingRequest, nowMilliseconds: number): void {
+        if (this.isLimited(upstream)) {
+            this.#limitedUpstream(upstream, nowMilliseconds).permits.add(request);
             this.#sendRequest(upstream, nowMilliseconds);
         }
     }
@@ -143,7 +150,7 @@
 
     /** Requests a permit for a later request, which also shows whether the upstream still names its limit. */
     requestSpare(upstream: string, nowMilliseconds: number): void {
-        if (this.#options.limits.inForce(upstream) !== undefined) {
+        if (this.isLimited(upstream)) {
             this.#limitedUpstream(upstream, nowMilliseconds).permits.requestSpare(
                 Math.max(
                     MINIMUM_SPARE_INTERVAL_MILLISECONDS,
@@ -236,7 +243,7 @@
     /** Sends requests for permits that are due, and issues permits. */
     tick(nowMilliseconds: number): void {
         for (const [upstream, { permits }] of this.#limited) {
-            if (this.#options.limits.inForce(upstream) === undefined) {
+            if (!this.isLimited(upstream)) {
                 this.#limited.delete(upstream);
                 this.#rankings.delete(upstream);
                 this.#options.onAnswered(upstream, 0);
--- a/src/rateLimits/waitingGroups.ts
+++ b/src/rateLimits/waitingGroups.ts
@@ -8,13 +8,22 @@
 /** Less urgent requests are counted with this priority, which bounds the number of groups. */
 const LOWEST_PRIORITY = 15;
 
-/** A request that waits for a permit. */
+/** A request that needs a permit. */
 export interface WaitingRequest {
+    readonly id: string;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** When it began to wait; the present time if it does not wait yet. */
     readonly sinceMilliseconds: number;
 }
 
+/** Returns whether a request comes before another: it is more urgent, or as urgent and has waited longer. */
+export function isBefore(left: WaitingRequest, right: WaitingRequest): boolean {
+    return left.priority === right.priority
+        ? left.sinceMilliseconds < right.sinceMilliseconds
+        : left.priority < right.priority;
+}
+
 /** Returns the groups of some requests, the most urgent first. */
 export function groupWaiting(requests: Iterable<WaitingRequest>, nowMilliseconds: number): WaitingGroup[] {
     const groups: WaitingGroup[] = [];
--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -257,6 +257,17 @@
         assertRefusedTruly(answers, upstream);
     });
 
+    test("requests get permits in the order of their arrival, and none waits for one in vain", async () => {
+        const { upstream, answers, lines } = await playLoad(1);
+        const known = lines.find(({ message }) => message === "request waits");
+        const sentAfter = Number(String(known?.fields["request"]).split("/")[1]);
+        const order = upstream.standIn.received.map(({ id }) => Number(id.split("/")[1]));
+        const limited = order.filter(number => number > sentAfter);
+        assert.deepEqual(limited, [...limited].sort((left, right) => left - right));
+        const inVain = answers.filter(({ status, tookMilliseconds }) => status !== 200 && tookMilliseconds > 1_000);
+        assert.deepEqual(inVain.map(({ tookMilliseconds }) => tookMilliseconds), []);
+    });
+
     test("no request is refused while another upstream has room", async () => {
         const { upstream, answers, namedAt } = await playLoad(3, { beside: true });
         assertWithinLimit(upstream, namedAt);
--- a/tests/support/limitFleet.ts
+++ b/tests/support/limitFleet.ts
@@ -426,7 +426,7 @@
 
     /** Sends a call, refuses it, or lets it wait for a permit; returns false where it waits. */
     #dispatch(host: SimulatedHost, call: WaitingCall): boolean {
-        if (!host.limiter.tryUse(UPSTREAM.id, this.#now)) {
+        if (!host.limiter.tryUse(UPSTREAM.id, call, this.#now)) {
             return this.#waitOrRefuse(host, call);
         }
         host.calls.delete(call.id);
@@ -449,7 +449,7 @@
             return true;
         }
         call.isAdmitted ||= expected !== undefined;
-        limiter.enqueue(UPSTREAM.id, call.id, call, this.#now);
+        limiter.enqueue(UPSTREAM.id, call, this.#now);
         return false;
     }
 
