Refuse a waiting request when its maximum wait ends

What callers saw: a refusal up to 120 ms after the maximum wait, since a waiting request is looked at every 120 ms and its wait is compared only then.

Change: the next look is no later than the end of the wait. It holds for every reason to wait (full, no upstream, adapter missing, rate limit).

Shown: the new test fails before, and passes now (maximum wait 135 ms).

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -323,11 +323,12 @@
 
     /** Refuses a request that exceeded its maximum wait, else keeps it waiting; returns whether it waits. */
     #waitOrRefuse(reason: FailureReason, expectedMilliseconds: number): boolean {
-        if (this.#ensureWaiting(reason) > this.#maximumWaitMilliseconds()) {
+        const remainingMilliseconds = this.#maximumWaitMilliseconds() - this.#ensureWaiting(reason);
+        if (remainingMilliseconds < 0) {
             this.#refuse(reason, expectedMilliseconds);
             return false;
         }
-        this.#scheduleDispatch();
+        this.#scheduleDispatch(remainingMilliseconds);
         return true;
     }
 
--- a/tests/upstreamSignals.test.ts
+++ b/tests/upstreamSignals.test.ts
@@ -184,6 +184,18 @@
     assert.ok(Number(refused.headers["retry-after"]) > 1, String(refused.headers["retry-after"]));
 });
 
+test("a request that no upstream can run is refused when its maximum wait ends, not at a later check", async () => {
+    const tookMilliseconds: number[] = [];
+    for (let call = 0; call < 5; call += 1) {
+        const headers = { "Flamingospread-Deadline-Ms": "450" };
+        const refused = await callHost(host, { path: "/orders/1", method: "POST", headers });
+        assert.equal(reasonOf(refused), "no-upstream");
+        tookMilliseconds.push(refused.tookMilliseconds);
+    }
+    const shortest = Math.min(...tookMilliseconds);
+    assert.ok(shortest >= 135 && shortest < 200, `answered after ${tookMilliseconds.join(", ")} ms`);
+});
+
 test("an invalid Retry-After is logged and otherwise ignored", async () => {
     await addUpstreams("one");
     nextBehaviours.set(upstreamId("one"), { type: "not-run", status: 503, headers: { "Retry-After": "-5" } });
