Count the requests let through under a limit of 0 from when the limit is known

Trace: the load starts before any answer has named the limit. Beside busy processes the first answer takes 50 to 110 ms (stand-in and host in one process), and requests come every 25 ms: those sent before it are answered too.

The check as strict as before: one request learns the limit and is answered, then at most one more in the second of load and the wait after it (a limit of 0 is tried every 2 s), where two in all were allowed.

Sites of this file start four at a time in place of ten: they share one process, whose event loop was delayed by up to 280 ms at the start of ten sites, which the bounds on refusals at once measured.

--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -30,6 +30,9 @@
 
 const REQUESTS_PER_SECOND = 40;
 
+/** All sites run in this process, which must answer within a few milliseconds. */
+const SITES_AT_ONCE = 4;
+
 /** A host takes the engines, demand lasts long enough to be planned for, and a model is loaded. */
 const COPY_MILLISECONDS = 9_000;
 
@@ -207,7 +210,7 @@
     });
 });
 
-describe("an upstream that names a limit gets no more requests than it allows", { concurrency: true }, () => {
+describe("an upstream that names a limit gets no more requests than it allows", { concurrency: SITES_AT_ONCE }, () => {
     async function playLoad(
         hostCount: number,
         options: {
@@ -359,8 +362,9 @@
             const { standIn } = await addLimitedUpstream(site);
             await until(() => countLines(host, "upstream joined") === 1);
             standIn.limit = "0";
+            assert.equal((await send(host)).status, 200, "the answer that names the limit");
             const answers = await offerLoad([host], 1_000);
-            assert.ok(answers.filter(({ status }) => status === 200).length <= 2);
+            assert.ok(answers.filter(({ status }) => status === 200).length <= 1);
             standIn.limit = undefined;
             await offerLoad([host], 4_000);
             assert.equal((await send(host)).status, 200);
