Let a request wait for a permit only once the issuer has counted it

Cause: a host admitted a request on the counts of the issuer's last answer, which is up to a second old. So do all others when a place becomes free: as many requests are admitted as hosts have callers, for one place.

Change: a request may be refused at once on the last answer, but is taken for expected in time only after an answer to a message that counted it; the issuer answers messages in turn, so two hosts are not told of the same place. A counted request is no longer added to the count a second time. PermitWait moves beside the limiter, without the host's timer, and the simulated fleet uses it in place of a copy of its decision; it also counts requests that waited in vain.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -18,10 +18,10 @@
     StreamPace,
 } from "../forwarding/index.js";
 import { nameAdapter } from "../placement/index.js";
+import { PermitWait } from "../rateLimits/index.js";
 import { checkHead, isServerError, isSuccess } from "./_answerHead.js";
 import { CallerAnswer } from "./_callerAnswer.js";
 import { passThroughHeaders } from "./_forwardedHeaders.js";
-import { PermitWait } from "./_permitWait.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
 import { incarnationOf } from "./_upstreamIncarnation.js";
 import { UpstreamSelection } from "./_upstreamSelection.js";
@@ -128,7 +128,8 @@
         this.#listener = listener;
         this.#facts = readRequestFacts(request, context.headers);
         this.#permitWait = new PermitWait({
-            rateLimiting: context.rateLimiting,
+            limiter: context.rateLimiting.limiter,
+            onQueueChanged: () => context.rateLimiting.update(),
             readClock: () => context.readClock(),
             requestId: request.requestId,
             priority: request.route.priority,
--- a/src/rateLimits/hostPermits.test.ts
+++ b/src/rateLimits/hostPermits.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { type PermitGrant } from "../generated/gossip.js";
 import { HostPermits } from "./hostPermits.js";
+import { type WaitingRequest } from "./waitingGroups.js";
 
 const REPORT = { upstream: "i-1", sentAgeMilliseconds: 0, receivedAgeMilliseconds: 0, receivedBy: "entry-1" };
 
@@ -102,18 +103,33 @@
 
 test("a permit is expected once the requests that are as urgent have got theirs", () => {
     const permits = createWaiting(1, 2);
+    const ofPriority = (priority: number): WaitingRequest => ({ id: "new", priority, sinceMilliseconds: 10 });
     permits.nextRequest(0);
-    assert.equal(permits.expectedMilliseconds(1, 10), undefined, "the issuer has not told");
+    assert.equal(permits.expect(ofPriority(1), 10), undefined, "the issuer has not told");
     const waiting = [{ priority: 1, count: 3, waitedMilliseconds: 0 }, {
         priority: 2,
         count: 8,
         waitedMilliseconds: 0,
     }];
     permits.receive(createGrant({ waiting }), 10);
-    assert.equal(permits.expectedMilliseconds(0, 10), 250);
-    assert.equal(permits.expectedMilliseconds(1, 10), 1_000);
-    assert.equal(permits.expectedMilliseconds(2, 110), 2_900);
-    assert.equal(permits.expectedMilliseconds(1, 5_000), undefined, "told too long ago");
+    assert.equal(permits.expect(ofPriority(0), 10)?.milliseconds, 250);
+    assert.equal(permits.expect(ofPriority(1), 10)?.milliseconds, 1_000);
+    assert.equal(permits.expect(ofPriority(2), 110)?.milliseconds, 2_900);
+    assert.equal(permits.expect(ofPriority(1), 5_000), undefined, "told too long ago");
+});
+
+test("a request is not taken for counted by the issuer until an answer to a message that had it arrives", () => {
+    const permits = createWaiting(1);
+    permits.nextRequest(0);
+    const late = { id: "late", priority: 0, sinceMilliseconds: 5 };
+    permits.add(late);
+    permits.receive(createGrant({ waiting: [{ priority: 0, count: 1, waitedMilliseconds: 0 }] }), 10);
+    assert.deepEqual(permits.expect(WAITING[0], 10), { milliseconds: 500, isCounted: true });
+    assert.deepEqual(permits.expect(late, 10), { milliseconds: 500, isCounted: false });
+    permits.nextRequest(30);
+    const waiting = [{ priority: 0, count: 4, waitedMilliseconds: 0 }];
+    permits.receive(createGrant({ request: 2, sequence: 2, waiting }), 40);
+    assert.deepEqual(permits.expect(late, 40), { milliseconds: 1_000, isCounted: true });
 });
 
 test("an issuer is unresponsive after several unanswered requests, and not after a pause without any", () => {
--- a/src/rateLimits/hostPermits.ts
+++ b/src/rateLimits/hostPermits.ts
@@ -39,10 +39,20 @@
 /** What the issuer told of its waiting requests. */
 interface IssuerQueue {
     readonly atMilliseconds: number;
+    /** When this host sent the request that the issuer answered: requests that waited then are counted. */
+    readonly askedAtMilliseconds: number;
     readonly permitsPerSecond: number;
     readonly waiting: readonly WaitingGroup[];
 }
 
+/** When a request is expected to get a permit. */
+export interface PermitExpectation {
+    /** Time until then. */
+    readonly milliseconds: number;
+    /** True where the issuer has counted the request, so that no other host's requests can come before it unseen. */
+    readonly isCounted: boolean;
+}
+
 /** The fields of a request for permits that this decision fills in. */
 export type WantedPermits = Pick<PermitRequest, "sequence" | "lastGrant" | "waiting" | "spare">;
 
@@ -161,7 +171,8 @@
         this.#unansweredRequests = 0;
         this.#resendMilliseconds = grant.resendMilliseconds;
         const { permitsPerSecond, waiting } = grant;
-        this.#queue = { atMilliseconds: nowMilliseconds, permitsPerSecond, waiting };
+        const askedAtMilliseconds = answered.atMilliseconds;
+        this.#queue = { atMilliseconds: nowMilliseconds, askedAtMilliseconds, permitsPerSecond, waiting };
         for (let index = 0; index < grant.permits; index += 1) {
             this.#permits.push(nowMilliseconds + PERMIT_LIFETIME_MILLISECONDS);
             this.#receivedAt.push(nowMilliseconds);
@@ -186,21 +197,24 @@
     }
 
     /**
-     * Returns the time until a request of a priority that arrives now would get a permit; `undefined` where the issuer
-     * has not told recently.
+     * Returns when a request would get a permit, as far as the issuer has told; `undefined` where it has not told
+     * recently.
      */
-    expectedMilliseconds(priority: number, nowMilliseconds: number): number | undefined {
+    expect(request: WaitingRequest, nowMilliseconds: number): PermitExpectation | undefined {
         const queue = this.#queue;
         if (queue === undefined || nowMilliseconds - queue.atMilliseconds > QUEUE_LIFETIME_MILLISECONDS) {
             return undefined;
         }
-        const newRequests = [...this.#waiting.values()].filter(request =>
-            request.sinceMilliseconds > queue.atMilliseconds && request.priority <= priority
+        const isCounted = this.#isCounted(request, queue);
+        const uncounted = [...this.#waiting.values()].filter(other =>
+            other.id !== request.id && other.priority <= request.priority && !this.#isCounted(other, queue)
         );
-        const ahead = countUpTo(queue.waiting, priority) + newRequests.length;
+        const upToRequest = countUpTo(queue.waiting, request.priority) + uncounted.length + (isCounted ? 0 : 1);
         const passedMilliseconds = nowMilliseconds - queue.atMilliseconds;
-        const waitMilliseconds = (ahead + 1) * MILLISECONDS_PER_SECOND / queue.permitsPerSecond;
-        return Number.isFinite(waitMilliseconds) ? Math.max(0, waitMilliseconds - passedMilliseconds) : undefined;
+        const waitMilliseconds = upToRequest * MILLISECONDS_PER_SECOND / queue.permitsPerSecond - passedMilliseconds;
+        return Number.isFinite(waitMilliseconds)
+            ? { milliseconds: Math.max(0, waitMilliseconds), isCounted }
+            : undefined;
     }
 
     /** Permits that this host received a second, over the last seconds. */
@@ -209,6 +223,11 @@
         return this.#receivedAt.length * MILLISECONDS_PER_SECOND / SHARE_WINDOW_MILLISECONDS;
     }
 
+    #isCounted({ id }: WaitingRequest, { askedAtMilliseconds }: IssuerQueue): boolean {
+        const waiting = this.#waiting.get(id);
+        return waiting !== undefined && waiting.sinceMilliseconds <= askedAtMilliseconds;
+    }
+
     #countAtHand(nowMilliseconds: number): number {
         this.#permits = this.#permits.filter(expiresAt => expiresAt > nowMilliseconds);
         return this.#permits.length;
--- a/src/rateLimits/index.ts
+++ b/src/rateLimits/index.ts
@@ -10,8 +10,10 @@
  *
  * @module
  */
+export { type PermitExpectation } from "./hostPermits.js";
 export { type LimitChange, type LimitObservation, NamedLimits } from "./namedLimits.js";
 export { type ParsedRateLimit, parseRateLimit } from "./parseRateLimit.js";
+export { PermitWait, type PermitWaitOptions } from "./permitWait.js";
 export {
     type Fleet,
     type LimitDescription,
--- a/src/entry/_permitWait.ts
+++ b/src/rateLimits/permitWait.ts
@@ -3,27 +3,41 @@
  *
  * @module
  */
-import { type WaitingRequest } from "../rateLimits/index.js";
-import { type RateLimiting } from "./rateLimiting.js";
+import { type PermitExpectation } from "./hostPermits.js";
+import { type RateLimiter } from "./rateLimiter.js";
+import { type WaitingRequest } from "./waitingGroups.js";
 
-/** Factor of the expected wait for a permit, since other hosts add requests to the same queue at the same time. */
+/** Factor of the expected wait for a permit, since more urgent requests may come before it later. */
 const DELAY_FACTOR = 1.25;
 
 /** Options of a wait. */
 export interface PermitWaitOptions {
-    readonly rateLimiting: RateLimiting;
+    readonly limiter: RateLimiter;
+    /** The limiter's queue has changed, so that it may have become active. */
+    readonly onQueueChanged: () => void;
     readonly readClock: () => number;
     readonly requestId: string;
     /** Priority of the request; 0 is the most urgent. */
     readonly priority: number;
 }
 
-/** Waits for a permit of one upstream at a time. */
+/**
+ * Waits for a permit of one upstream at a time.
+ *
+ * @example
+ * ```ts
+ * const wait = new PermitWait({ limiter, onQueueChanged, readClock, requestId: "9c41d07b", priority: 1 });
+ * wait.begin(["i-1", "i-2"], maximumWait);
+ * if (wait.isTooLate(maximumWait)) {
+ *     wait.cancel();
+ * }
+ * ```
+ */
 export class PermitWait {
     readonly #options: PermitWaitOptions;
     #upstream: string | undefined;
     #sinceMilliseconds: number | undefined;
-    /** True once the issuer's queue showed that a permit can be expected in time. */
+    /** True once the issuer has counted the request, and a permit can be expected in time. */
     #isExpected = false;
 
     constructor(options: PermitWaitOptions) {
@@ -48,7 +62,7 @@
 
     /** Time until the permit may be expected; `undefined` where the issuer has not told recently. */
     get expectedMilliseconds(): number | undefined {
-        return this.#upstream === undefined ? undefined : this.#expectedMillisecondsAt(this.#upstream);
+        return this.#upstream === undefined ? undefined : this.#expectAt(this.#upstream)?.milliseconds;
     }
 
     /**
@@ -63,22 +77,28 @@
             this.#upstream = this.#firstExpected(upstreams);
         }
         if (this.#upstream !== undefined && !this.isTooLate(remainingMilliseconds)) {
-            const { rateLimiting, readClock } = this.#options;
+            const { limiter, onQueueChanged, readClock } = this.#options;
             const now = readClock();
             this.#sinceMilliseconds ??= now;
-            rateLimiting.limiter.enqueue(this.#upstream, this.request, now);
-            rateLimiting.update();
+            limiter.enqueue(this.#upstream, this.request, now);
+            onQueueChanged();
         }
     }
 
-    /** Returns whether the permit is expected later than the request may wait; decided once, when it is first known. */
+    /**
+     * Returns whether the permit is expected later than the request may wait. That it is expected in time is decided
+     * once, when the issuer has counted the request.
+     */
     isTooLate(remainingMilliseconds: number): boolean {
-        const expectedMilliseconds = this.#isExpected ? undefined : this.expectedMilliseconds;
-        if (expectedMilliseconds === undefined) {
+        const expectation = this.#upstream === undefined || this.#isExpected
+            ? undefined
+            : this.#expectAt(this.#upstream);
+        if (expectation === undefined) {
             return false;
         }
-        this.#isExpected = expectedMilliseconds * DELAY_FACTOR <= remainingMilliseconds;
-        return !this.#isExpected;
+        const isInTime = expectation.milliseconds * DELAY_FACTOR <= remainingMilliseconds;
+        this.#isExpected = isInTime && expectation.isCounted;
+        return !isInTime;
     }
 
     /** Ends the wait: the request was sent, has ended, or waits for something else. */
@@ -89,9 +109,9 @@
 
     #leaveQueue(): void {
         if (this.#upstream !== undefined) {
-            const { rateLimiting, requestId } = this.#options;
-            rateLimiting.limiter.dequeue(this.#upstream, requestId);
-            rateLimiting.update();
+            const { limiter, onQueueChanged, requestId } = this.#options;
+            limiter.dequeue(this.#upstream, requestId);
+            onQueueChanged();
             this.#upstream = undefined;
             this.#isExpected = false;
         }
@@ -100,13 +120,13 @@
     #firstExpected(upstreams: readonly string[]): string | undefined {
         const expectations = upstreams.map(upstream => ({
             upstream,
-            milliseconds: this.#expectedMillisecondsAt(upstream) ?? 0,
+            milliseconds: this.#expectAt(upstream)?.milliseconds ?? 0,
         }));
         return expectations.sort((left, right) => left.milliseconds - right.milliseconds)[0]?.upstream;
     }
 
-    #expectedMillisecondsAt(upstream: string): number | undefined {
-        const { priority, rateLimiting, readClock } = this.#options;
-        return rateLimiting.limiter.expectedMilliseconds(upstream, priority, readClock());
+    #expectAt(upstream: string): PermitExpectation | undefined {
+        const { limiter, readClock } = this.#options;
+        return limiter.expect(upstream, this.request, readClock());
     }
 }
--- a/src/rateLimits/rateLimiter.test.ts
+++ b/src/rateLimits/rateLimiter.test.ts
@@ -28,15 +28,24 @@
     durationMilliseconds: END_MILLISECONDS,
 };
 
+/** What came of a fleet's requests. */
+interface PlayedFleet {
+    /** Share of the limit that was used once it was known. */
+    readonly used: number;
+    readonly worst: string;
+    readonly refused: number;
+    readonly waitedInVain: number;
+}
+
 /** Runs a fleet, checks the rule and returns the share of the limit that was used once it was known. */
-function play(options: LimitFleetOptions): { readonly used: number; readonly worst: string; } {
-    const { history } = new LimitFleet(options).run();
+function play(options: LimitFleetOptions): PlayedFleet {
+    const { history, refused, waitedInVain } = new LimitFleet(options).run();
     const { allowed, endMilliseconds, requests } = findWorstWindow(history);
     const worst = `${requests} requests in 4 s at ${endMilliseconds} ms, allowed ${allowed.toFixed(1)}`;
     assert.ok(requests <= allowed, `seed ${options.seed}, ${options.hostCount} hosts: ${worst}`);
     const withdrawn = options.steps.find(({ requestsPerSecond }) => requestsPerSecond === undefined);
     const end = withdrawn?.atMilliseconds ?? options.durationMilliseconds;
-    return { used: usedShare(history, SETTLED_AT_MILLISECONDS, end), worst };
+    return { used: usedShare(history, SETTLED_AT_MILLISECONDS, end), worst, refused, waitedInVain };
 }
 
 for (const hostCount of [3, 9, 100]) {
@@ -45,14 +54,37 @@
             test(`${hostCount} hosts keep to a limit of ${limit} a second and use most of it, with callers at ${busyHosts}`, context => {
                 const steps = [{ atMilliseconds: NAMED_AT_MILLISECONDS, requestsPerSecond: limit }];
                 const requestsPerSecond = limit * 8;
-                const { used, worst } = play({ ...OVERLOAD, seed: 1, hostCount, busyHosts, steps, requestsPerSecond });
+                const { refused, used, waitedInVain, worst } = play({
+                    ...OVERLOAD,
+                    seed: 1,
+                    hostCount,
+                    busyHosts,
+                    steps,
+                    requestsPerSecond,
+                });
                 context.diagnostic(`${worst}; ${(used * 100).toFixed()} % of the limit used`);
+                context.diagnostic(`${waitedInVain} of ${refused} refused requests waited in vain`);
                 assert.ok(used >= 0.8, `${used} of the limit was used`);
             });
         }
     }
 }
 
+for (const hostCount of [1, 3, 9, 100]) {
+    test(`requests that ${hostCount} hosts do not refuse at once get permits`, context => {
+        const { refused, waitedInVain } = play({
+            ...OVERLOAD,
+            seed: 1,
+            hostCount,
+            busyHosts: hostCount,
+            priorities: 1,
+        });
+        context.diagnostic(`${waitedInVain} of ${refused} refused requests waited in vain`);
+        assert.ok(refused > 0);
+        assert.equal(waitedInVain, 0);
+    });
+}
+
 const FAULTS: readonly HostFault[] = [
     { type: "cut", direction: "both" },
     { type: "cut", direction: "inbound" },
--- a/src/rateLimits/rateLimiter.ts
+++ b/src/rateLimits/rateLimiter.ts
@@ -12,7 +12,7 @@
     type PermitGrant,
     type PermitRequest,
 } from "../generated/gossip.js";
-import { HostPermits } from "./hostPermits.js";
+import { HostPermits, type PermitExpectation } from "./hostPermits.js";
 import { IssuerVotes } from "./issuerVotes.js";
 import { toLimitObservation, toLimitReport } from "./limitReports.js";
 import { type LimitChange, type LimitObservation, type NamedLimits } from "./namedLimits.js";
@@ -162,9 +162,9 @@
         }
     }
 
-    /** Returns the time until a request that arrives now would get a permit; `undefined` where it is not known. */
-    expectedMilliseconds(upstream: string, priority: number, nowMilliseconds: number): number | undefined {
-        return this.#limited.get(upstream)?.permits.expectedMilliseconds(priority, nowMilliseconds);
+    /** Returns when a request is expected to get a permit; `undefined` where the issuer has not told recently. */
+    expect(upstream: string, request: WaitingRequest, nowMilliseconds: number): PermitExpectation | undefined {
+        return this.#limited.get(upstream)?.permits.expect(request, nowMilliseconds);
     }
 
     /** Describes the limit of an upstream; `undefined` where none is in force. */
--- a/tests/support/limitFleet.ts
+++ b/tests/support/limitFleet.ts
@@ -8,7 +8,7 @@
 import { digestIntervalMilliseconds } from "../../src/entry/hostIntervals.js";
 import { type FleetSummary, type HostDigest } from "../../src/generated/gossip.js";
 import { CellAggregates, PeerTable } from "../../src/gossip/index.js";
-import { NamedLimits, type PermitMessage, RateLimiter } from "../../src/rateLimits/index.js";
+import { NamedLimits, type PermitMessage, PermitWait, RateLimiter } from "../../src/rateLimits/index.js";
 import { createAddresses, createDigest } from "./digests.js";
 import { type LimitArrival, type LimitHistory, type LimitStep } from "./limitRule.js";
 
@@ -47,6 +47,8 @@
     /** Number of hosts, the first ones, that callers connect to. */
     readonly busyHosts: number;
     readonly maximumWaitMilliseconds: number;
+    /** Number of priorities of requests, which come in turn; 3 by default. */
+    readonly priorities?: number;
     readonly durationMilliseconds: number;
     /** Share of the messages between hosts that is lost. */
     readonly loss?: number;
@@ -62,6 +64,8 @@
     readonly history: LimitHistory;
     readonly offered: number;
     readonly refused: number;
+    /** Requests that were refused only when they had waited for the maximum time. */
+    readonly waitedInVain: number;
     /** Messages about permits between hosts. */
     readonly permitMessages: number;
     /** Requests in the order in which they were sent, by the order of their arrival. */
@@ -71,9 +75,8 @@
 interface WaitingCall {
     readonly id: string;
     readonly priority: number;
-    readonly sinceMilliseconds: number;
-    /** True once the call is known to get a permit within its maximum wait. */
-    isAdmitted: boolean;
+    readonly arrivedAtMilliseconds: number;
+    readonly permitWait: PermitWait;
 }
 
 interface SimulatedHost {
@@ -109,6 +112,7 @@
     #now = 0;
     #offered = 0;
     #refused = 0;
+    #waitedInVain = 0;
     #permitMessages = 0;
 
     constructor(options: LimitFleetOptions) {
@@ -134,6 +138,7 @@
             history: { steps, arrivals: this.#arrivals, toldAtMilliseconds: this.#toldAt },
             offered: this.#offered,
             refused: this.#refused,
+            waitedInVain: this.#waitedInVain,
             permitMessages: this.#permitMessages,
             sentPriorities: this.#sentPriorities,
         };
@@ -388,20 +393,33 @@
     }
 
     #handleCall(host: SimulatedHost): void {
-        const call = {
-            id: String(this.#offered),
-            priority: this.#offered % 3,
-            sinceMilliseconds: this.#now,
-            isAdmitted: false,
-        };
+        const call = this.#createCall(host);
         host.calls.set(call.id, call);
         this.#dispatch(host, call);
-        this.#afterOn(host, this.#options.maximumWaitMilliseconds, () => this.#refuse(host, call));
+        this.#afterOn(host, this.#options.maximumWaitMilliseconds, () => {
+            if (host.calls.has(call.id)) {
+                this.#waitedInVain += 1;
+                this.#refuse(host, call);
+            }
+        });
+    }
+
+    #createCall({ limiter }: SimulatedHost): WaitingCall {
+        const id = String(this.#offered);
+        const priority = this.#offered % (this.#options.priorities ?? 3);
+        const permitWait = new PermitWait({
+            limiter,
+            onQueueChanged: () => undefined,
+            readClock: () => this.#now,
+            requestId: id,
+            priority,
+        });
+        return { id, priority, arrivedAtMilliseconds: this.#now, permitWait };
     }
 
     #refuse(host: SimulatedHost, call: WaitingCall): void {
         if (host.calls.delete(call.id)) {
-            host.limiter.dequeue(UPSTREAM.id, call.id);
+            call.permitWait.cancel();
             this.#refused += 1;
         }
     }
@@ -414,43 +432,32 @@
     }
 
     #wake(host: SimulatedHost): void {
-        const calls = [...host.calls.values()].sort((left, right) =>
-            left.priority - right.priority || left.sinceMilliseconds - right.sinceMilliseconds
-        );
-        for (const call of calls) {
-            if (!this.#dispatch(host, call)) {
-                return;
-            }
+        for (const call of [...host.calls.values()]) {
+            this.#dispatch(host, call);
         }
     }
 
-    /** Sends a call, refuses it, or lets it wait for a permit; returns false where it waits. */
-    #dispatch(host: SimulatedHost, call: WaitingCall): boolean {
-        if (!host.limiter.tryUse(UPSTREAM.id, call, this.#now)) {
-            return this.#waitOrRefuse(host, call);
+    /** Sends a call, refuses it, or lets it wait for a permit. */
+    #dispatch(host: SimulatedHost, call: WaitingCall): void {
+        const { permitWait } = call;
+        if (host.limiter.tryUse(UPSTREAM.id, permitWait.request, this.#now)) {
+            this.#send(host, call);
+            return;
+        }
+        const waitedMilliseconds = this.#now - call.arrivedAtMilliseconds;
+        const remainingMilliseconds = this.#options.maximumWaitMilliseconds - waitedMilliseconds;
+        permitWait.begin([UPSTREAM.id], remainingMilliseconds);
+        if (permitWait.isTooLate(remainingMilliseconds)) {
+            this.#refuse(host, call);
         }
+    }
+
+    #send(host: SimulatedHost, call: WaitingCall): void {
         host.calls.delete(call.id);
-        host.limiter.dequeue(UPSTREAM.id, call.id);
+        call.permitWait.cancel();
         this.#sentPriorities.push(call.priority);
         const sentAtMilliseconds = this.#now;
         this.#after(1, () => this.#arrive(host, sentAtMilliseconds));
-        return true;
-    }
-
-    #waitOrRefuse(host: SimulatedHost, call: WaitingCall): boolean {
-        const { limiter } = host;
-        const { priority, sinceMilliseconds } = call;
-        const expected = call.isAdmitted
-            ? undefined
-            : limiter.expectedMilliseconds(UPSTREAM.id, priority, this.#now);
-        const latest = sinceMilliseconds + this.#options.maximumWaitMilliseconds;
-        if (expected !== undefined && this.#now + expected > latest) {
-            this.#refuse(host, call);
-            return true;
-        }
-        call.isAdmitted ||= expected !== undefined;
-        limiter.enqueue(UPSTREAM.id, call, this.#now);
-        return false;
     }
 
     /** A call reaches the upstream, whose answer names its limit. */
