Let a host's share of an upstream's connections follow the number of hosts

A host that knew few hosts then (it started first, or in an outage of the key-value service) kept a share that was too large for good, and one that knew more than there are now kept one that was too small; a change of the configured number was not applied to a service in use.

A host that is cut off keeps its peers' records, so its share does not grow. The count is no longer made for each request, which went through the whole fleet.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -298,9 +298,11 @@
         return this.#options.readClocks().steadyMilliseconds;
     }
 
-    /** Returns the number of known hosts, this one included. */
-    #hostCount(): number {
-        return this.#peers.all(this.#now()).length + 1;
+    /** Divides what all hosts share, retries and connections to upstreams, by the number of known hosts. */
+    #shareAmongHosts(): void {
+        const hostCount = this.#peers.all(this.#now()).length + 1;
+        this.#budget.setHostCount(hostCount);
+        this.#agents.setHostCount(hostCount);
     }
 
     #addresses(): HostDigest["addresses"] {
@@ -548,7 +550,7 @@
             routeTable: () => this.#table,
             agentFor: service => {
                 const limit = this.#table?.service(service)?.maximumConnections;
-                return this.#agents.agentFor(service, limit, this.#hostCount());
+                return this.#agents.agentFor(service, limit);
             },
             hostCount: () => this.#peers.live(this.#now()).length + 1,
             requestAdapter: (engine, model, adapter) => this.#requestAdapter(engine, model, adapter),
@@ -651,6 +653,7 @@
     #forgetHost(host: string): void {
         this.#duties.setSession(host, undefined);
         this.#peers.unregister(host, this.#now());
+        this.#shareAmongHosts();
         if (host === this.#settings.host && !this.#leaving) {
             this.#session.handleRecordRemoved();
         }
@@ -698,7 +701,7 @@
             this.#duties.setSession(record.host, record.session);
         }
         this.#peers.register(record, this.#now());
-        this.#budget.setHostCount(this.#hostCount());
+        this.#shareAmongHosts();
     }
 
     #applyHolder(engine: string, entry: KeyValueEntry): void {
