Do not refuse for a rate limit while a copy that was waited for is about to be ready

What callers saw: a request of a model whose only engine names a limit waited 1,192 ms for a copy that another engine was loading, and was refused as upstream-limit 36 ms before that engine was ready (0.4 s of its wait were left).

Cause: a load that takes longer than expected is taken for half a second from its end at every estimate, and the estimate was compared with the remaining wait at every look. So every request that waited for such a load was refused half a second before its wait ended.

Change: that the copy arrives in time is decided once, as for permits; while the load goes on, the request waits to the end of its wait.

The stand-in engine can now take a time for a load.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -117,6 +117,8 @@
     #attempt: Attempt | undefined;
     #lastUpstream: string | undefined;
     #waitingSinceMilliseconds: number | undefined;
+    /** True while the request waits for a copy of its model that another engine is loading. */
+    #waitsForCopy = false;
     #ended = false;
     #deadlineTimer: NodeJS.Timeout | undefined;
     #silenceTimer: NodeJS.Timeout | undefined;
@@ -288,10 +290,15 @@
         }
     }
 
-    /** Returns whether another engine is loading the model, and should serve it within the request's maximum wait. */
+    /**
+     * Returns whether another engine is loading the model, and should serve it within the request's maximum wait. The
+     * latter is decided once: a load that takes longer than expected may end at any moment.
+     */
     #isCopyArriving(): boolean {
         const arrivalMilliseconds = this.#selection.arrivingCopyMilliseconds() ?? Number.POSITIVE_INFINITY;
-        return arrivalMilliseconds <= this.#remainingWaitMilliseconds();
+        const isInTime = this.#waitsForCopy || arrivalMilliseconds <= this.#remainingWaitMilliseconds();
+        this.#waitsForCopy = Number.isFinite(arrivalMilliseconds) && isInTime;
+        return this.#waitsForCopy;
     }
 
     /** Waits until the shortest requested pause ends, or refuses at once if that exceeds the remaining wait time. */
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -56,6 +56,8 @@
     readonly slots?: number;
     /** Models in memory at the start, each with its adapters; present for engines. */
     readonly models?: Readonly<Record<string, readonly string[]>>;
+    /** How long an engine is busy with a model that it was ordered to load; 0 by default. */
+    readonly loadMilliseconds?: number;
 }
 
 /** An order that the engine received, with the status of its answer. */
@@ -82,6 +84,7 @@
     readonly #server: Server;
     #running = 0;
     #orderCount = 0;
+    #isLoading = false;
 
     private constructor(options: UpstreamOptions) {
         this.id = options.id;
@@ -139,7 +142,7 @@
         }
         const body = Buffer.concat(chunks).toString();
         if (message.url === "/report") {
-            const report = { models: this.#describeModels(), busy: false, sequence: this.#orderCount };
+            const report = { models: this.#describeModels(), busy: this.#isLoading, sequence: this.#orderCount };
             response.writeHead(200, { "content-type": "application/json", ...this.#limitHeaders() })
                 .end(JSON.stringify(report));
             return;
@@ -177,14 +180,30 @@
             this.#models.delete(model);
             return 202;
         }
-        const adapters = this.#models.get(model) ?? new Set();
-        this.#models.set(model, adapters);
         if (typeof adapter === "string") {
-            adapters.add(adapter);
+            const adapters = this.#models.get(model) ?? new Set();
+            this.#models.set(model, adapters.add(adapter));
+        }
+        else {
+            this.#load(model);
         }
         return 202;
     }
 
+    #load(model: string): void {
+        this.#isLoading = true;
+        const finish = (): void => {
+            this.#isLoading = false;
+            this.#models.set(model, this.#models.get(model) ?? new Set());
+        };
+        const { loadMilliseconds = 0 } = this.#options;
+        if (loadMilliseconds === 0) {
+            finish();
+            return;
+        }
+        setTimeout(finish, loadMilliseconds);
+    }
+
     #isResident(request: ReceivedRequest): boolean {
         const requested = request.headers["flamingospread-model"];
         if (typeof requested !== "string") {
--- a/tests/rateLimits.test.ts
+++ b/tests/rateLimits.test.ts
@@ -42,6 +42,12 @@
 /** A share of the time limit of a request for which it may wait, and some time to answer. */
 const MAXIMUM_WAIT_MILLISECONDS = 1_500;
 
+/** Longer than the 1 s of the configuration and the time for preparation that hosts expect. */
+const LOAD_OF_COPY_MILLISECONDS = 2_450;
+
+/** All hosts have heard from an engine's holder what it loads. */
+const LOADING_KNOWN_MILLISECONDS = 1_000;
+
 /** A request that cannot get a turn is refused within this time. */
 const AT_ONCE_MILLISECONDS = 200;
 
@@ -78,14 +84,21 @@
     return { standIn, arrivals, toldAtMilliseconds };
 }
 
-/** Starts a site with hosts before plain upstreams. */
-async function startSite(hostCount: number): Promise<EntrySite> {
+/** Starts a site with hosts; streams of models may wait for some time. */
+async function startSite(hostCount: number, modelTargetMs = 200): Promise<EntrySite> {
     const site = await EntrySite.start();
     site.configure([
         { pathPrefix: "/orders/", kind: "idempotent", timeoutMs: 4_000 },
         { pathPrefix: "/batch/", kind: "idempotent", timeoutMs: 4_000, priority: 2 },
         { pathPrefix: "/streams/", kind: "stream", resumable: true, timeoutMs: 4_000 },
-        { pathPrefix: "/llm/", kind: "stream", service: "llm", resumable: true, timeoutMs: 8_000 },
+        {
+            pathPrefix: "/llm/",
+            kind: "stream",
+            service: "llm",
+            resumable: true,
+            timeoutMs: 8_000,
+            targetLatencyMs: modelTargetMs,
+        },
     ], engineSettings(4, { quotes: 8 }));
     for (let index = 1; index <= hostCount; index += 1) {
         await site.addHost(`entry-${index}`, { zone: `zone-${index}` });
@@ -95,6 +108,15 @@
     return site;
 }
 
+/** A site whose model is on an engine with a limit. */
+interface ModelSite {
+    readonly site: EntrySite;
+    /** The engine that can load the model. */
+    readonly beside: PlatformUpstreamStandIn;
+    /** Sends requests of the model to all hosts for some time, or until it is enough. */
+    readonly offer: (milliseconds: number, isEnough?: () => boolean) => Promise<CallerAnswer[]>;
+}
+
 /** A load on a site with a limited upstream, and what came of it. */
 interface LimitedLoad {
     readonly upstream: LimitedUpstream;
@@ -305,29 +327,37 @@
         }
     });
 
+    /** Starts two hosts before an engine that holds a model and will name a limit, and one that can load the model. */
+    async function startModelSite(loadMilliseconds = 0): Promise<ModelSite> {
+        const site = await startSite(2, 625);
+        const behave = (): Behaviour => ({ type: "stream", events: 5, gapMilliseconds: 100 });
+        const limited = await site.addUpstream({ id: "i-limited", models: { quotes: [] }, behave, slots: 8 }, "llm");
+        const beside = await site.addUpstream(
+            { id: "i-beside", models: {}, behave, slots: 8, loadMilliseconds },
+            "llm",
+        );
+        await until(() => site.hosts.every(host => countLines(host, "upstream joined") === 2));
+        const call = (): Promise<CallerAnswer>[] =>
+            site.hosts.map(host =>
+                callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": "quotes" } })
+            );
+        const offer = async (milliseconds: number, isEnough = (): boolean => false): Promise<CallerAnswer[]> => {
+            const answers: Promise<CallerAnswer>[] = [];
+            const end = performance.now() + milliseconds;
+            while (performance.now() < end && !isEnough()) {
+                answers.push(...call());
+                await delay(200);
+            }
+            return Promise.all(answers);
+        };
+        await until(async () => (await Promise.all(call())).every(({ status }) => status === 200));
+        limited.limit = "0.5";
+        return { site, beside, offer };
+    }
+
     test("a model whose only engine names a limit far below its demand is served by another engine soon", async () => {
-        const site = await startSite(2);
+        const { offer, site } = await startModelSite();
         try {
-            const behave = (): Behaviour => ({ type: "stream", events: 5, gapMilliseconds: 100 });
-            const limited = await site.addUpstream(
-                { id: "i-limited", models: { quotes: [] }, behave, slots: 8 },
-                "llm",
-            );
-            await site.addUpstream({ id: "i-beside", models: {}, behave, slots: 8 }, "llm");
-            await until(() => site.hosts.every(host => countLines(host, "upstream joined") === 2));
-            const call = (host: SiteHost): Promise<CallerAnswer> =>
-                callHost(host, { path: "/llm/1", method: "POST", headers: { "Flamingospread-Model": "quotes" } });
-            await until(async () => (await Promise.all(site.hosts.map(call))).every(({ status }) => status === 200));
-            limited.limit = "0.5";
-            const offer = async (milliseconds: number): Promise<CallerAnswer[]> => {
-                const answers: Promise<CallerAnswer>[] = [];
-                const end = performance.now() + milliseconds;
-                while (performance.now() < end) {
-                    answers.push(...site.hosts.map(call));
-                    await delay(200);
-                }
-                return Promise.all(answers);
-            };
             await offer(COPY_MILLISECONDS);
             const answers = await offer(2_000);
             assert.deepEqual(answers.filter(({ status }) => status !== 200).map(({ body }) => body), []);
@@ -337,6 +367,23 @@
         }
     });
 
+    test("requests wait for a copy that another engine is loading rather than be refused for a limit", async () => {
+        const { beside, offer, site } = await startModelSite(LOAD_OF_COPY_MILLISECONDS);
+        try {
+            const isLoading = (): boolean => beside.orders.some(({ order }) => order["model"] === "quotes");
+            const demand = offer(COPY_MILLISECONDS, isLoading);
+            await until(isLoading, COPY_MILLISECONDS);
+            await delay(LOADING_KNOWN_MILLISECONDS);
+            const answers = await offer(200);
+            await demand;
+            assert.deepEqual(answers.filter(({ status }) => status !== 200).map(({ body }) => body), []);
+            assert.ok(answers.every(({ tookMilliseconds }) => tookMilliseconds > AT_ONCE_MILLISECONDS), "they waited");
+        }
+        finally {
+            await site.close();
+        }
+    });
+
     test("the end of a limit is noticed by all hosts within 2 s", async () => {
         const site = await startSite(3);
         try {
