Let the test of the maximum wait begin once the upstreams before it are gone

Cause: the test before it leaves a paused upstream, whose removal had not reached the host; by itself, as it was run until then, no test comes before it. It now waits until a call is answered with no-upstream; what it checks is unchanged.

--- a/tests/upstreamSignals.test.ts
+++ b/tests/upstreamSignals.test.ts
@@ -9,6 +9,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
 import {
+    type CallerAnswer,
     callHost,
     engineSettings,
     EntrySite,
@@ -185,10 +186,12 @@
 });
 
 test("a request that no upstream can run is refused when its maximum wait ends, not at a later check", async () => {
+    const headers = { "Flamingospread-Deadline-Ms": "450" };
+    const call = (): Promise<CallerAnswer> => callHost(host, { path: "/orders/1", method: "POST", headers });
+    await until(async () => reasonOf(await call()) === "no-upstream");
     const tookMilliseconds: number[] = [];
-    for (let call = 0; call < 5; call += 1) {
-        const headers = { "Flamingospread-Deadline-Ms": "450" };
-        const refused = await callHost(host, { path: "/orders/1", method: "POST", headers });
+    for (let count = 0; count < 5; count += 1) {
+        const refused = await call();
         assert.equal(reasonOf(refused), "no-upstream");
         tookMilliseconds.push(refused.tookMilliseconds);
     }
