Log the software version of upstreams, and which stream a request resumes

No line said which version an upstream has, that a request resumes a stream, or whose. With upstreamVersion, resumesAfter and resumes in 'request sent', and softwareVersion in 'upstream joined', the three hypotheses of the incident differ in the logs.

--- a/src/entry/_requestFacts.ts
+++ b/src/entry/_requestFacts.ts
@@ -37,6 +37,8 @@
     readonly work: number;
     /** The last event of the stream that the caller received. */
     readonly lastEventId: string | undefined;
+    /** The caller's request that brought the stream's first event, where the caller resumes a stream. */
+    readonly resumedRequest: string | undefined;
     /** What it has in common with requests that may crash upstreams; the fingerprint is a hash of path and body. */
     readonly attributes: RequestAttributes;
     /** Arrival time plus the shorter of the caller's and the route's time limits. */
@@ -85,6 +87,7 @@
         promptTokens: promptTokensOf(tokenCount),
         work: workOf(tokenCount),
         lastEventId: readHeader(message, headers.lastEventId),
+        resumedRequest: readHeader(message, headers.resumedRequest),
         attributes: { fingerprint: fingerprintOf(message, body), parts },
         deadlineAtMilliseconds: arrivedAtMilliseconds + Math.min(callerLimitMilliseconds, route.timeoutMilliseconds),
     };
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -469,6 +469,9 @@
         this.#log("request sent", {
             route: this.#request.route.name,
             upstream: upstream.id,
+            upstreamVersion: upstream.softwareVersion,
+            resumesAfter: this.#lastEventId,
+            resumes: this.#facts.resumedRequest,
             attempt: number,
             ...describeLimit(this.#context, passedOver),
             ...describeLimit(this.#context, upstream.id),
--- a/src/entry/siteProtocol.ts
+++ b/src/entry/siteProtocol.ts
@@ -17,6 +17,8 @@
     readonly deadline: string;
     /** The last event of a stream that the caller received. */
     readonly lastEventId: string;
+    /** Identifier of the caller's request that brought the first event of the stream that this one resumes. */
+    readonly resumedRequest: string;
     /** Name of the model, followed by a slash and the adapter where one is needed. */
     readonly model: string;
     /** Prompt tokens and maximum output tokens, separated by a comma. */
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -346,6 +346,7 @@
             service: change.upstream.service,
             address: change.upstream.address,
             zone: change.upstream.zone,
+            softwareVersion: change.upstream.softwareVersion,
             startedAt: change.upstream.startedAtMilliseconds,
             reason: change.type === "left" ? change.reason : undefined,
         });
--- a/src/fleet/leavingIncarnations.test.ts
+++ b/src/fleet/leavingIncarnations.test.ts
@@ -14,6 +14,7 @@
         service: "orders",
         address,
         zone: "a",
+        softwareVersion: "v1",
         slots: 6,
         leaving: false,
         remainingMilliseconds: undefined,
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -20,6 +20,8 @@
     /** IP number and port. */
     readonly address: string;
     readonly zone: string;
+    /** Version of the upstream's software, not of the weights that it holds. */
+    readonly softwareVersion: string;
     readonly slots: number;
     readonly leaving: boolean;
     /** Time until the upstream stops even with requests in progress, where it leaves at short notice. */
--- a/src/fleet/upstreamView.test.ts
+++ b/src/fleet/upstreamView.test.ts
@@ -11,6 +11,7 @@
         service: "orders",
         address: `10.0.0.1:${id.length}000`,
         zone: "a",
+        softwareVersion: "v1",
         slots: 6,
         leaving: false,
         remainingMilliseconds: undefined,
--- a/tests/support/announcements.ts
+++ b/tests/support/announcements.ts
@@ -21,6 +21,7 @@
         service: "llm",
         address: "10.0.0.1:80",
         zone: "z",
+        softwareVersion: "v1",
         slots: 64,
         leaving: false,
         remainingMilliseconds: undefined,
