--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -83,6 +83,8 @@
     readonly id: string;
     readonly behave?: (request: ReceivedRequest) => Behaviour;
     readonly slots?: number;
+    /** Version of its software, which it then writes into each event of a stream too. */
+    readonly softwareVersion?: string;
     /** Models in memory at the start, each with its adapters; present for engines. */
     readonly models?: Readonly<Record<string, readonly string[]>>;
     /** How long an engine is busy with a model that it was ordered to load; 0 by default. */
@@ -167,7 +169,7 @@
             service,
             address: this.address,
             zone: "zone-a",
-            version: "v1",
+            version: this.#options.softwareVersion ?? "v1",
             slots: this.#options.slots ?? 6,
             state: "ready",
             coldRemainingMs: 0,
@@ -331,6 +333,11 @@
         await this.#respond(this.#options.behave?.(request) ?? { type: "answer" }, request, response);
     }
 
+    #versionMark(): string {
+        const { softwareVersion } = this.#options;
+        return softwareVersion === undefined ? "" : ` ${softwareVersion}`;
+    }
+
     #limitHeaders(): Record<string, string> {
         return this.limit === undefined ? {} : { "Server-Limit": this.limit };
     }
@@ -419,7 +426,8 @@
                 await endAnswer({ resetsAtEnd: behaviour.breakBy !== "end" }, response, text);
                 return;
             }
-            response.write(`id: ${event}\ndata: ${event}${"x".repeat(behaviour.paddingBytes ?? 0)}\n\n`);
+            const padding = "x".repeat(behaviour.paddingBytes ?? 0);
+            response.write(`id: ${event}\ndata: ${event}${padding}${this.#versionMark()}\n\n`);
             const isSilent = event === behaviour.silentAfter;
             await delay(isSilent ? behaviour.silentMilliseconds : untilNextStep(behaviour.gapMilliseconds ?? 1));
         }
