Let a stream go on only at the software version that began it

Cause: hosts dropped the version of an announcement when they decoded it, and read no Resumes. Each resumption beside two versions, within an answer and over a caller's requests, took any engine with the model.

Ruled out: a later incarnation under the same identifier (no test shows one).

Change: within an answer, the first event binds the stream to the version of its upstream. What is not proved is refused at once, truly not run.

--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -16,22 +16,32 @@
 /** Expected time until a model that is not in the configuration is available. */
 const UNKNOWN_MODEL_WAIT_MILLISECONDS = 2_500;
 
+/** What a selection depends on as the request goes on. */
+export interface UpstreamSelectionOptions {
+    /** Returns the request's place among those that need permits of rate limits. */
+    readonly permitRequest: () => WaitingRequest;
+    /** Returns whether an upstream has the software version that the request needs. */
+    readonly allows: (upstream: UpstreamAnnouncement) => boolean;
+}
+
 /** Evaluates the current upstreams of a request's service, without those that have failed the request. */
 export class UpstreamSelection {
     readonly #context: ForwardingContext;
     readonly #facts: RequestFacts;
     readonly #permitRequest: () => WaitingRequest;
+    readonly #allows: (upstream: UpstreamAnnouncement) => boolean;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
 
     /**
      * @param context What all requests of the host share.
      * @param facts What is known of the request.
-     * @param permitRequest Returns the request's place among those that need permits of rate limits.
+     * @param options What depends on the request's progress.
      */
-    constructor(context: ForwardingContext, facts: RequestFacts, permitRequest: () => WaitingRequest) {
+    constructor(context: ForwardingContext, facts: RequestFacts, { allows, permitRequest }: UpstreamSelectionOptions) {
         this.#context = context;
         this.#facts = facts;
+        this.#allows = allows;
         this.#permitRequest = permitRequest;
     }
 
@@ -41,7 +51,7 @@
     }
 
     usable(): UpstreamAnnouncement[] {
-        return this.#context.view.usable(this.#facts.service ?? "");
+        return this.#context.view.usable(this.#facts.service ?? "").filter(upstream => this.#allows(upstream));
     }
 
     residencyAt(upstream: UpstreamAnnouncement): Residency {
--- /dev/null
+++ b/src/entry/_versionRecordWriter.ts
@@ -0,0 +1,114 @@
+/**
+ * Keeps the record of the versions at which streams may have begun.
+ *
+ * @module
+ */
+import { rankByRendezvous } from "../decision/index.js";
+import { type UpstreamView } from "../fleet/index.js";
+import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
+import { type ServiceVersions, type VersionRecord } from "../streamVersions/index.js";
+
+/** The key of the record. */
+export const VERSIONS_KEY = "streams/versions";
+
+/** Minimum time after a version's last upstream for which the version stays on record. */
+const MINIMUM_RETENTION_MILLISECONDS = 60_000;
+
+/** A caller resumes a stream within this many times the longest time that a request may take. */
+const RETENTION_TIMEOUTS = 2;
+
+/** Each host waits this much longer than the one before it, so that mostly one host writes. */
+const DELAY_PER_RANK_MILLISECONDS = 150;
+
+/** The first record is written after a random time up to this one; at that time hosts do not know each other. */
+const FIRST_RECORD_SPREAD_MILLISECONDS = 150;
+
+/** Options of {@linkcode VersionRecordWriter}. */
+export interface VersionRecordWriterOptions {
+    readonly host: string;
+    readonly keyValue: KeyValueService;
+    readonly view: UpstreamView;
+    readonly versions: ServiceVersions;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly random: () => number;
+    readonly readClock: () => number;
+    /** Returns the names of all live hosts, this one included. */
+    readonly liveHosts: () => readonly string[];
+    /** Returns the services with streams that callers may resume, and the longest time limit of these. */
+    readonly resumable: () => { readonly services: ReadonlySet<string>; readonly timeoutMilliseconds: number; };
+    /** Returns the revision of the record in this host's mirror; 0 for none. */
+    readonly recordRevision: () => number;
+    /** A call showed a later record than the mirror has. */
+    readonly onLaterEntry: (entry: KeyValueEntry) => void;
+}
+
+/** Writes the record once it needs a change and no host before this one has written it. */
+export class VersionRecordWriter {
+    readonly #options: VersionRecordWriterOptions;
+    #timer: NodeJS.Timeout | undefined;
+    #isWriting = false;
+
+    constructor(options: VersionRecordWriterOptions) {
+        this.#options = options;
+    }
+
+    /** Schedules a write where the record needs a change. */
+    check(): void {
+        if (this.#timer === undefined && !this.#isWriting && this.#nextRecord() !== undefined) {
+            this.#timer = setTimeout(() => void this.#write(), this.#delayMilliseconds());
+        }
+    }
+
+    close(): void {
+        clearTimeout(this.#timer);
+    }
+
+    #delayMilliseconds(): number {
+        const { host, liveHosts, random, versions } = this.#options;
+        if (!versions.isKnown) {
+            return random() * FIRST_RECORD_SPREAD_MILLISECONDS;
+        }
+        return rankByRendezvous(VERSIONS_KEY, liveHosts()).indexOf(host) * DELAY_PER_RANK_MILLISECONDS;
+    }
+
+    #nextRecord(): VersionRecord | undefined {
+        const { keyValue, readClock, resumable, versions, view } = this.#options;
+        const { services, timeoutMilliseconds } = resumable();
+        const restores = keyValue.restoreCount?.() ?? 0;
+        const retentionMilliseconds = Math.max(
+            MINIMUM_RETENTION_MILLISECONDS,
+            timeoutMilliseconds * RETENTION_TIMEOUTS,
+        );
+        return versions.nextRecord({ announced: view.all(), services, restores, retentionMilliseconds }, readClock());
+    }
+
+    async #write(): Promise<void> {
+        this.#timer = undefined;
+        const record = this.#nextRecord();
+        if (record === undefined) {
+            return;
+        }
+        const { keyValue, logger, metrics, onLaterEntry, recordRevision } = this.#options;
+        const value = JSON.stringify(record);
+        this.#isWriting = true;
+        const swapped = await keyValue.compareAndSwap(VERSIONS_KEY, { expectedRevision: recordRevision(), value });
+        this.#isWriting = false;
+        logger.info("stream versions recorded", {
+            outcome: swapped.isOk() ? swapped.value.type : swapped.error.kind,
+            versions: record.services.map(({ service, versions }) => `${service}: ${versions.join(", ")}`).join("; "),
+        });
+        if (swapped.isErr()) {
+            return;
+        }
+        metrics.count("version_changes", {});
+        const { value: outcome } = swapped;
+        const written = outcome.type === "written"
+            ? { key: VERSIONS_KEY, value, revision: outcome.revision }
+            : outcome.current;
+        if (written !== undefined) {
+            onLaterEntry(written);
+        }
+    }
+}
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -16,6 +16,7 @@
     type HostDigest,
     hostRegistrationSchema,
     type PlannedMove,
+    type StoreChanges,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
@@ -23,7 +24,9 @@
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { type LimitChange } from "../rateLimits/index.js";
-import { compileRouteTable, type RouteTable } from "../routes/index.js";
+import { compileRouteTable, resumableStreams, type RouteTable } from "../routes/index.js";
+import { JOURNAL_KEY_PREFIX } from "./_streamJournalWriter.js";
+import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
 import { FleetPlanner } from "./fleetPlanner.js";
@@ -42,9 +45,10 @@
 import { SiteDemand } from "./siteDemand.js";
 import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
 import { StoredEntries } from "./storedEntries.js";
-import { type MirrorEvent, StoreMirror } from "./storeMirror.js";
+import { type ChangeBatch, type MirrorEvent, StoreMirror } from "./storeMirror.js";
 import { RESTORES_KEY, StoreRestores } from "./storeRestores.js";
 import { StoreWatchPolicy } from "./storeWatchPolicy.js";
+import { STREAM_KEY_PREFIX, StreamVersions } from "./streamVersions.js";
 import { UpstreamAgents } from "./upstreamAgents.js";
 import { UpstreamTracker } from "./upstreamTracker.js";
 
@@ -123,6 +127,7 @@
     readonly #mirror: StoreMirror;
     readonly #restores: StoreRestores;
     readonly #session: HostSession;
+    readonly #streamVersions: StreamVersions;
     readonly #planner: FleetPlanner;
     readonly #orders: EngineOrders;
     readonly #catchUp: PeerCatchUp;
@@ -205,11 +210,12 @@
             logger,
             batchMilliseconds: () => GATHER_MILLISECONDS,
             mustWatch: () => this.#mustWatch(),
-            onBatch: batch => this.#gossip.forwardChanges({ ...batch, changes: [...batch.changes] }),
+            onBatch: batch => this.#gossip.forwardChanges(withoutJournal(batch)),
             onEvent: event => this.#handleMirrorEvent(event),
         });
         this.#restores = this.#createRestores();
         this.#session = this.#createSession();
+        this.#streamVersions = this.#createStreamVersions();
         this.#planner = this.#createPlanner();
         this.#orders = this.#createOrders();
         this.#catchUp = new PeerCatchUp({
@@ -290,6 +296,7 @@
         clearTimeout(this.#crashNewsTimer);
         this.#reachability.close();
         this.#rateLimiting.close();
+        this.#streamVersions.close();
         this.#orders.close();
         await this.#mirror.close();
         await this.#options.keyValue.close();
@@ -338,7 +345,7 @@
             random,
             onAnnounced: announcement => this.#orders.applyAnnouncement(announcement),
             onJoined: () => this.#planner.recordEnginesJoined(),
-            onChanged: () => this.#forwarder.wake(),
+            onChanged: () => this.#handleUpstreamsChanged(),
             onCrashNews: () => this.#scheduleCrashNews(),
             onLimitChanged: change => this.#handleLimitChange(change),
         });
@@ -422,6 +429,11 @@
                 onPut: (engine, entry) => this.#applyHolder(engine, entry),
                 onRemoved: engine => this.#duties.setHolder(engine, undefined, this.#now()),
             },
+            {
+                prefix: STREAM_KEY_PREFIX,
+                onPut: (name, entry) => this.#streamVersions.applyEntry(name, entry),
+                onRemoved: name => this.#streamVersions.handleRemoved(name),
+            },
         ]);
     }
 
@@ -443,6 +455,30 @@
         });
     }
 
+    #createStreamVersions(): StreamVersions {
+        const { keyValue, logger, metrics, random } = this.#options;
+        return new StreamVersions({
+            host: this.#settings.host,
+            keyValue,
+            logger,
+            metrics,
+            random,
+            peers: this.#peers,
+            view: this.#upstreams.view,
+            readClock: () => this.#now(),
+            resumable: () => resumableStreams(this.#table?.configuration.routes ?? []),
+            recordRevision: () => this.#entries.revisionOf(VERSIONS_KEY),
+            onLaterEntry: entry => this.#applyLaterEntry(entry),
+            send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
+            onChanged: () => this.#forwarder.wake(),
+        });
+    }
+
+    #handleUpstreamsChanged(): void {
+        this.#streamVersions.check();
+        this.#forwarder.wake();
+    }
+
     #createSession(): HostSession {
         const { keyValue, logger, readClocks } = this.#options;
         const { host, zone } = this.#settings;
@@ -573,6 +609,7 @@
             rateLimiting: this.#rateLimiting,
             budget: this.#budget,
             crashes,
+            streamVersions: this.#streamVersions,
             prompts,
             backlog,
             heldBytes: new BufferedAnswerBytes(),
@@ -722,7 +759,7 @@
             services: decoded.value.services.length,
         });
         this.#servers.applyLimits(this.#table.configuration.limits);
-        this.#forwarder.wake();
+        this.#handleUpstreamsChanged();
     }
 
     #applyRegistration(entry: KeyValueEntry): void {
@@ -784,6 +821,10 @@
             case "permit-request":
             case "permit-grant":
                 this.#rateLimiting.receive(message);
+                break;
+            case "streams-begun":
+            case "stream-question":
+                this.#streamVersions.receive(message);
         }
     }
 
@@ -898,6 +939,7 @@
         this.#peers.forget(this.#now());
         this.#scheduleDigest();
         this.#upstreams.expire();
+        this.#streamVersions.check();
         this.#adapterUsers.replaceUses(this.#settings.host, this.#adapterUse.all(), this.#now());
         this.#mirror.adjustWatch();
         this.#interCellGossip.publishAggregates(this.#publishDigest());
@@ -994,6 +1036,11 @@
     }
 }
 
+/** Returns changes without the journal of streams, which other hosts read where they need it. */
+function withoutJournal({ changes, ...revisions }: ChangeBatch): Omit<StoreChanges, "type" | "host"> {
+    return { ...revisions, changes: changes.filter(({ key }) => !key.startsWith(JOURNAL_KEY_PREFIX)) };
+}
+
 function toLeavingIncarnation({ id, startedAtMilliseconds }: UpstreamIncarnation): HostDigest["leavingRuns"][number] {
     return { upstream: id, ...(startedAtMilliseconds === undefined ? {} : { startedAtMilliseconds }) };
 }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -23,8 +23,10 @@
 import { outgoingHeaders } from "./_outgoingHeaders.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
 import { describeLimit, usePermit } from "./_requestPermits.js";
+import { StreamProgress } from "./_streamProgress.js";
 import { UpstreamSelection } from "./_upstreamSelection.js";
 import { type ForwardingContext } from "./forwardingContext.js";
+import { type LookUpOutcome } from "./streamVersions.js";
 import { type AnswerHead, callUpstream } from "./upstreamCall.js";
 
 /** Connecting within a region takes a few milliseconds, or a second if the first packet is lost. */
@@ -71,6 +73,9 @@
     | "model-missing"
     | "crashes-engines"
     | "crash-suspected"
+    | "version-unknown"
+    | "version-unavailable"
+    | "version-gone"
     | "out-of-time"
     | "no-service"
     | "broken-invariant"
@@ -95,7 +100,7 @@
     readonly #selection: UpstreamSelection;
     readonly #answer: CallerAnswer;
     readonly #permitWait: PermitWait;
-    #lastEventId: string | undefined;
+    readonly #progress: StreamProgress;
     #attemptsThatMayHaveRun = 0;
     #rejectedSends = 0;
     #attemptCount = 0;
@@ -128,8 +133,11 @@
             requestId: request.requestId,
             priority: request.route.priority,
         });
-        this.#selection = new UpstreamSelection(context, this.#facts, () => this.#permitWait.request);
-        this.#lastEventId = this.#facts.lastEventId;
+        this.#progress = new StreamProgress({ request, facts: this.#facts, versions: context.streamVersions });
+        this.#selection = new UpstreamSelection(context, this.#facts, {
+            permitRequest: () => this.#permitWait.request,
+            allows: upstream => this.#progress.allows(upstream),
+        });
         this.#answer = new CallerAnswer({
             response: request.response,
             requestId: request.requestId,
@@ -199,7 +207,37 @@
             const namesAdapter = this.#facts.adapter !== undefined;
             this.#context.demand.add({ model, namesAdapter, promptTokens, work }, this.#now());
         }
-        this.#dispatch();
+        this.#startStream();
+    }
+
+    /** Sends the request, once the version is known that began the stream which it resumes. */
+    #startStream(): void {
+        switch (this.#progress.start()) {
+            case "ready":
+                this.#dispatch();
+                break;
+            case "look-up":
+                this.#progress.lookUp(outcome => this.#guard(() => this.#handleLookUp(outcome)));
+                break;
+            case "unavailable":
+                this.#refuse("version-unavailable", EXPECTED_CAPACITY_MILLISECONDS);
+                break;
+            case "unknown":
+                this.#refuse("version-unknown");
+        }
+    }
+
+    #handleLookUp(outcome: LookUpOutcome): void {
+        if (this.#ended) {
+            return;
+        }
+        this.#log("stream version looked up", {
+            resumes: this.#facts.resumedRequest,
+            outcome: outcome.type,
+            ...outcome.type === "found" ? { version: outcome.version, source: outcome.source } : {},
+            tookMilliseconds: Math.round(this.#now() - this.#request.arrivedAtMilliseconds),
+        });
+        this.#startStream();
     }
 
     #dispatch(): void {
@@ -211,6 +249,10 @@
             return;
         }
         const usable = this.#selection.usable();
+        if (this.#progress.version !== undefined && !this.#hasCopyOfVersion(usable)) {
+            this.#refuse("version-gone", usable.length === 0 ? undefined : EXPECTED_CAPACITY_MILLISECONDS);
+            return;
+        }
         const resident = usable.filter(upstream => this.#selection.residencyAt(upstream) === "held");
         const choice = this.#selection.choose(resident, this.isWaiting);
         const chosen = choice.type === "send" ? this.#context.view.get(choice.upstream) : undefined;
@@ -250,6 +292,12 @@
         }
     }
 
+    /** Returns whether one of the upstreams that have the version of the stream holds its model, or is loading it. */
+    #hasCopyOfVersion(usable: readonly UpstreamAnnouncement[]): boolean {
+        return usable.some(upstream => this.#selection.residencyAt(upstream) !== "absent")
+            || this.#selection.arrivingCopyMilliseconds() !== undefined;
+    }
+
     /**
      * Refuses a request that crashes upstreams, and lets one wait that may do so and is not to be tried now; returns
      * false for others.
@@ -470,7 +518,7 @@
             route: this.#request.route.name,
             upstream: upstream.id,
             upstreamVersion: upstream.softwareVersion,
-            resumesAfter: this.#lastEventId,
+            resumesAfter: this.#progress.lastEventId,
             resumes: this.#facts.resumedRequest,
             attempt: number,
             ...describeLimit(this.#context, passedOver),
@@ -515,7 +563,7 @@
             upstream,
             namesModel: this.#facts.model !== undefined,
             remainingMilliseconds: this.#remainingMilliseconds(),
-            lastEventId: this.#lastEventId,
+            lastEventId: this.#progress.lastEventId,
         });
     }
 
@@ -692,7 +740,7 @@
         if (events.count === 0) {
             return;
         }
-        this.#lastEventId = events.lastIdentifier ?? this.#lastEventId;
+        this.#progress.recordEvents(attempt.upstream, events.lastIdentifier);
         const isFirst = this.#answer.firstByteAtMilliseconds === undefined;
         const callerKeepsUp = this.#answer.forwardEvents(attempt.head, events);
         if (isFirst) {
@@ -738,6 +786,7 @@
         }
         if (this.#isStream(head)) {
             this.#recordRun();
+            this.#progress.recordWhole();
             this.#answer.endStream(head);
         }
         else {
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -23,6 +23,7 @@
 import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
+import { type StreamVersions } from "./streamVersions.js";
 import { type AnswerHead } from "./upstreamCall.js";
 
 /** State, counters and services of one host that its requests share. */
@@ -41,6 +42,7 @@
     readonly rateLimiting: RateLimiting;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
+    readonly streamVersions: StreamVersions;
     readonly prompts: PromptPrefixIndex;
     readonly backlog: PrefillBacklog;
     readonly heldBytes: BufferedAnswerBytes;
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -11,6 +11,8 @@
     type HostDigest,
     type PlannedMove,
     type StoreChanges,
+    type StreamQuestion,
+    type StreamsBegun,
 } from "../generated/gossip.js";
 import {
     type GossipLink,
@@ -133,6 +135,11 @@
         return true;
     }
 
+    /** Sends a message about streams' versions to hosts that keep them, or that ask for one. */
+    sendStreamMessage(hosts: readonly string[], message: StreamsBegun | StreamQuestion): void {
+        this.#send(message, this.#peersNamed(hosts));
+    }
+
     /** Sends a request for permits to their issuer, or permits to a host. */
     sendPermitMessage(host: string, message: PermitMessage): void {
         this.#send(message, this.#peersNamed([host]));
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -27,6 +27,10 @@
     sendNoticeSchema,
     type StoreChanges,
     storeChangesSchema,
+    type StreamQuestion,
+    streamQuestionSchema,
+    type StreamsBegun,
+    streamsBegunSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
 import { PacedSender } from "./pacedSender.js";
@@ -48,7 +52,9 @@
     | HolderWord
     | PermitRequest
     | PermitGrant
-    | StoreChanges;
+    | StoreChanges
+    | StreamsBegun
+    | StreamQuestion;
 
 /** Options of a link. */
 export interface GossipLinkOptions {
@@ -80,6 +86,8 @@
     "permit-request": permitRequestSchema,
     "permit-grant": permitGrantSchema,
     changes: storeChangesSchema,
+    "streams-begun": streamsBegunSchema,
+    "stream-question": streamQuestionSchema,
 };
 
 function isMessageType(type: unknown): type is keyof typeof SCHEMAS {
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -31,6 +31,11 @@
         help: "Attempts sent elsewhere than to an upstream whose rate limit had no room.",
         labels: ["service"],
     },
+    resumptions: {
+        help: "Streams that callers resumed, by how the version that began them was found.",
+        labels: ["outcome"],
+    },
+    version_changes: { help: "Changes of the record of the versions at which streams may have begun.", labels: [] },
     upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
     store_restores: {
         help:
--- a/tests/streamVersions.test.ts
+++ b/tests/streamVersions.test.ts
@@ -154,7 +154,7 @@
 test("streams that began before a further version came go on at their own version after their host is killed", async context => {
     const site = await startSite(context, [OLD_VERSION]);
     const begun = site.begin(STREAMS, [0]);
-    await site.untilRunning();
+    await site.untilRunning(0);
     await site.addEngines(NEW_VERSION);
     await delay(NEWS_MILLISECONDS);
     await site.killHost(0);
--- a/tests/support/versionedStreams.ts
+++ b/tests/support/versionedStreams.ts
@@ -18,6 +18,9 @@
 const EVENTS = 60;
 const EVENT_GAP_MILLISECONDS = 25;
 
+/** Streams that have run for this long are on record in the store. */
+const RECORDED_MILLISECONDS = 700;
+
 /** Hosts have heard of an engine's version, and of each other, within this time. */
 const SETTLE_MILLISECONDS = 1_500;
 
@@ -123,10 +126,10 @@
         return Array.from({ length: count }, (_, index) => this.#begin(hostIndexes[index % hostIndexes.length] ?? 0));
     }
 
-    /** Waits until all engines of both versions run streams. */
-    async untilRunning(): Promise<void> {
+    /** Waits until all engines have run streams for some time. */
+    async untilRunning(milliseconds = RECORDED_MILLISECONDS): Promise<void> {
         await until(() => this.site.upstreams.every(({ received }) => received.length > 0));
-        await delay(EVENT_GAP_MILLISECONDS * 10);
+        await delay(milliseconds);
     }
 
     /** Resumes a stream that broke off, as its caller does; without `resumes` the caller does not name the stream. */
