--- a/src/entry/_streamJournalWriter.ts
+++ b/src/entry/_streamJournalWriter.ts
@@ -12,7 +12,7 @@
 export const JOURNAL_KEY_PREFIX = "streams/begun/";
 
 /** Time between two writes; streams that began since the last one cannot go on once all hosts have stopped. */
-const WRITE_INTERVAL_MILLISECONDS = 500;
+const WRITE_INTERVAL_MILLISECONDS = 200;
 
 /** Time before a write that comes long after the last one, for streams that begin together. */
 const FIRST_WRITE_DELAY_MILLISECONDS = 20;
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -81,8 +81,15 @@
     | "broken-invariant"
     | "budget";
 
-/** Sort key of waiting requests: by priority, then those within their target latency first, then by arrival. */
-export type WaitingRank = readonly [priority: number, late: number, arrivedAtMilliseconds: number];
+/**
+ * Sort key of waiting requests: by priority, then streams whose caller has a part already, then those within their target
+ * latency, then by arrival.
+ */
+export type WaitingRank = readonly [priority: number, group: number, arrivedAtMilliseconds: number];
+
+const RESUMED_GROUP = 0;
+const IN_TIME_GROUP = 1;
+const LATE_GROUP = 2;
 
 /** Callbacks from an exchange to its forwarder. */
 export interface ExchangeListener {
@@ -161,17 +168,20 @@
     get waitKey(): string | undefined {
         const { adapter, model, service } = this.#facts;
         const isOwn = this.#attemptCount > 0 || this.#isDoubted || this.#permitWait.isUndecided;
-        return isOwn ? undefined : [service, model, adapter].join(" ");
+        return isOwn ? undefined : [service, model, adapter, this.#progress.version].join(" ");
     }
 
     /** Permits are used in the order in which requests began to wait for them. */
     get rank(): WaitingRank {
         const { arrivedAtMilliseconds, route } = this.#request;
         if (this.#permitWait.upstream !== undefined) {
-            return [route.priority, 0, this.#permitWait.request.sinceMilliseconds];
+            return [route.priority, RESUMED_GROUP, this.#permitWait.request.sinceMilliseconds];
+        }
+        if (this.#progress.version !== undefined) {
+            return [route.priority, RESUMED_GROUP, arrivedAtMilliseconds];
         }
-        const late = this.#now() - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
-        return [route.priority, late ? 1 : 0, arrivedAtMilliseconds];
+        const isLate = this.#now() - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
+        return [route.priority, isLate ? LATE_GROUP : IN_TIME_GROUP, arrivedAtMilliseconds];
     }
 
     start(): void {
