Send callers elsewhere while a host reaches no upstream

Cause: readiness knew the configuration and the entries, not whether any upstream can be reached. A cut host went on to be named by itself and its peers, and let requests wait for an upstream until their time was over.

Change: a host that hears no upstream for 300 ms, several of which it turned to, tries connections; if these fail too, and a peer says later that it hears upstreams, the host is partitioned: not ready, not named, refuses at once with Connection: close. Where nobody hears upstreams, nobody withdraws. It tries connections on, and is back once one succeeds.

--- a/src/entry/_attempt.ts
+++ b/src/entry/_attempt.ts
@@ -70,6 +70,7 @@
         this.#heardAtMilliseconds = now;
         context.recordSent(facts.attributes);
         context.loads.recordStarted(upstream.id);
+        context.contact.recordTurnedTo(upstream.id, now);
         context.backlog.recordSent(upstream.id, facts.promptTokens, now);
         this.backlogTokens = Math.round(context.backlog.backlogTokens(upstream.id, now));
         this.load = context.loads.estimate(upstream.id, now);
@@ -90,6 +91,7 @@
     /** Records that bytes were received. */
     recordHeard(): void {
         this.#heardAtMilliseconds = this.#context.readClock();
+        this.#context.contact.recordHeard(this.#heardAtMilliseconds);
     }
 
     /** Buffers a part of an answer that is not a stream; returns false where the limit on buffered bytes is reached. */
--- a/src/entry/_callerAnswer.ts
+++ b/src/entry/_callerAnswer.ts
@@ -16,7 +16,8 @@
     readonly requestId: string;
     readonly requestIdHeader: string;
     readonly isHead: boolean;
-    readonly isLeaving: () => boolean;
+    /** Returns whether the caller should use another connection for its next request. */
+    readonly closesConnections: () => boolean;
     readonly readClock: () => number;
 }
 
@@ -94,7 +95,7 @@
             "content-length": Buffer.byteLength(body),
             ...headers,
             [requestIdHeader]: requestId,
-            ...this.#options.isLeaving() ? { connection: "close" } : {},
+            ...this.#options.closesConnections() ? { connection: "close" } : {},
         });
         response.end(body);
     }
@@ -122,7 +123,7 @@
     }
 
     #closingHeaders(): string[] {
-        return this.#options.isLeaving() ? ["Connection", "close"] : [];
+        return this.#options.closesConnections() ? ["Connection", "close"] : [];
     }
 
     #recordEvents(count: number): void {
--- /dev/null
+++ b/src/entry/_connectionProbe.ts
@@ -0,0 +1,35 @@
+/**
+ * Tests whether a connection to an upstream can be established.
+ *
+ * @module
+ */
+import { connect } from "node:net";
+
+/** Connecting within a region takes a few milliseconds. */
+const PROBE_TIMEOUT_MILLISECONDS = 250;
+
+/**
+ * Connects to an address and closes the connection at once.
+ *
+ * @param address IP number and port.
+ * @returns Whether the connection was established in time.
+ *
+ * @example
+ * ```ts
+ * const isReachable = await canConnect("10.128.0.9:8080");
+ * ```
+ */
+export function canConnect(address: string): Promise<boolean> {
+    const separator = address.lastIndexOf(":");
+    return new Promise(resolve => {
+        const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+        const timer = setTimeout(() => finish(false), PROBE_TIMEOUT_MILLISECONDS);
+        const finish = (isConnected: boolean): void => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(isConnected);
+        };
+        socket.once("connect", () => finish(true));
+        socket.on("error", () => finish(false));
+    });
+}
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -38,6 +38,7 @@
 import { HOST_KEY_PREFIX, HostSession } from "./hostSession.js";
 import { InterCellGossip } from "./interCellGossip.js";
 import { OutageAgreement } from "./outageAgreement.js";
+import { PartitionWatch } from "./partitionWatch.js";
 import { PeerCatchUp } from "./peerCatchUp.js";
 import { RateLimiting } from "./rateLimiting.js";
 import { ServiceReachability } from "./serviceReachability.js";
@@ -128,6 +129,7 @@
     readonly #restores: StoreRestores;
     readonly #session: HostSession;
     readonly #streamVersions: StreamVersions;
+    readonly #partitionWatch: PartitionWatch;
     readonly #planner: FleetPlanner;
     readonly #orders: EngineOrders;
     readonly #catchUp: PeerCatchUp;
@@ -216,6 +218,7 @@
         this.#restores = this.#createRestores();
         this.#session = this.#createSession();
         this.#streamVersions = this.#createStreamVersions();
+        this.#partitionWatch = this.#createPartitionWatch();
         this.#planner = this.#createPlanner();
         this.#orders = this.#createOrders();
         this.#catchUp = new PeerCatchUp({
@@ -235,6 +238,7 @@
         await this.#servers.start();
         this.#mirror.start();
         this.#orders.start();
+        this.#partitionWatch.start();
         this.#scheduleDigest();
         logger.info("started", { host });
     }
@@ -297,6 +301,7 @@
         this.#reachability.close();
         this.#rateLimiting.close();
         this.#streamVersions.close();
+        this.#partitionWatch.close();
         this.#orders.close();
         await this.#mirror.close();
         await this.#options.keyValue.close();
@@ -330,7 +335,8 @@
     }
 
     #isReady(): boolean {
-        return this.#table !== undefined && this.#upstreamsKnown && !this.#leaving;
+        const isReadable = this.#table !== undefined && this.#upstreamsKnown;
+        return isReadable && !this.#leaving && !this.#partitionWatch.isPartitioned;
     }
 
     #createUpstreams(): UpstreamTracker {
@@ -474,6 +480,22 @@
         });
     }
 
+    #createPartitionWatch(): PartitionWatch {
+        const { logger, metrics, random } = this.#options;
+        return new PartitionWatch({
+            contact: this.#upstreams.contact,
+            view: this.#upstreams.view,
+            logger,
+            metrics,
+            random,
+            readClock: () => this.#now(),
+            onChanged: () => {
+                this.#interCellGossip.publishAggregates(this.#publishDigest());
+                this.#forwarder.wake();
+            },
+        });
+    }
+
     #handleUpstreamsChanged(): void {
         this.#streamVersions.check();
         this.#forwarder.wake();
@@ -610,6 +632,7 @@
             budget: this.#budget,
             crashes,
             streamVersions: this.#streamVersions,
+            contact: this.#upstreams.contact,
             prompts,
             backlog,
             heldBytes: new BufferedAnswerBytes(),
@@ -637,6 +660,8 @@
             recordAnswerHead: (upstream, head, sentAtMilliseconds) =>
                 this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
             isLeaving: () => this.#leaving,
+            isPartitioned: () => this.#partitionWatch.isPartitioned,
+            closesConnections: () => this.#leaving || this.#partitionWatch.isPartitioned,
             isClosedToCallers: () => this.#closedToCallers,
         };
     }
@@ -843,6 +868,7 @@
         this.#interCellGossip.receiveDigest(digest);
         this.#watchPolicy.recordStatement(digest, now);
         this.#mirror.adjustWatch();
+        this.#partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
         this.#adapterUsers.replaceUses(digest.host, digest.adaptersInUse, now);
         this.#rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
         this.#applyReportedState(digest.host, digest);
@@ -853,6 +879,8 @@
     #applyOtherCells(aggregate: FleetSummary): void {
         const now = this.#now();
         aggregate.hosts.forEach(host => this.#peers.recordListed(host, now));
+        aggregate.partitionedHosts?.forEach(host => this.#peers.recordPartitioned(host));
+        this.#partitionWatch.recordStatement(OTHER_CELLS_SOURCE, aggregate.hearsUpstreams);
         this.#rateLimiting.limiter.recordOtherCells(aggregate, now);
         this.#applyReportedState(OTHER_CELLS_SOURCE, aggregate);
     }
@@ -969,6 +997,7 @@
         const now = this.#now();
         const crashes = toPublished(this.#upstreams.crashes.report(now));
         const limits = this.#rateLimiting.limiter.ownVotes(now).slice(0, MAXIMUM_LIMITS_PER_DIGEST);
+        const { isPartitioned } = this.#partitionWatch;
         const digest: HostDigest = {
             type: "digest",
             host: this.#settings.host,
@@ -981,7 +1010,10 @@
             ready: this.#isReady(),
             leaving: this.#leaving,
             inFlight: this.#upstreams.loads.allInFlight(),
-            unreachable: this.#upstreams.unreachableReports.reportedBy(this.#settings.host, now),
+            // A partitioned host tells nothing of single upstreams.
+            unreachable: isPartitioned ? [] : this.#upstreams.unreachableReports.reportedBy(this.#settings.host, now),
+            hearsUpstreams: this.#partitionWatch.isHearing,
+            ...isPartitioned ? { partitioned: true } : {},
             leavingRuns: this.#upstreams.leavingIncarnations().map(toLeavingIncarnation),
             ...limits.length === 0 ? {} : { limits },
             adaptersInUse: this.#adapterUse.all(),
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -47,6 +47,9 @@
 /** Expected time until an upstream that is full or unreachable accepts a request. */
 const EXPECTED_CAPACITY_MILLISECONDS = 1_000;
 
+/** Time after which a caller that this host cannot serve has the address of another host. */
+const OTHER_HOST_MILLISECONDS = 200;
+
 /** Interval of a waiting request's dispatches, which repeat its adapter request since datagrams may be lost. */
 const DISPATCH_RETRY_MILLISECONDS = 120;
 
@@ -73,6 +76,7 @@
     | "model-missing"
     | "crashes-engines"
     | "crash-suspected"
+    | "host-partitioned"
     | "version-unknown"
     | "version-unavailable"
     | "version-gone"
@@ -150,7 +154,7 @@
             requestId: request.requestId,
             requestIdHeader: context.headers.requestId,
             isHead: request.message.method === "HEAD",
-            isLeaving: () => context.isLeaving(),
+            closesConnections: () => context.closesConnections(),
             readClock: () => context.readClock(),
         });
     }
@@ -255,6 +259,10 @@
             return;
         }
         clearTimeout(this.#retryTimer);
+        if (this.#context.isPartitioned()) {
+            this.#refuse("host-partitioned", OTHER_HOST_MILLISECONDS);
+            return;
+        }
         if (this.#isHeldBack()) {
             return;
         }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -145,6 +145,10 @@
             this.#reject(message, response, STATUS_UNAVAILABLE, "host-leaving");
             return;
         }
+        if (this.#context.isPartitioned()) {
+            this.#reject(message, response, STATUS_UNAVAILABLE, "host-partitioned");
+            return;
+        }
         const requestId = message.headers[this.#context.headers.requestId];
         if (typeof requestId !== "string" || requestId === "") {
             this.#reject(message, response, STATUS_BAD_REQUEST, "no-request-identifier");
@@ -222,7 +226,7 @@
         const body = JSON.stringify({ reason, ran: "not-run" });
         const identifierHeaders = typeof requestId === "string" ? { [headers.requestId]: requestId } : {};
         const retryHeaders = status === STATUS_UNAVAILABLE ? { "retry-after": OTHER_HOST_RETRY_SECONDS } : {};
-        const connectionHeaders = status === STATUS_TOO_LARGE || this.#context.isLeaving()
+        const connectionHeaders = status === STATUS_TOO_LARGE || this.#context.closesConnections()
             ? { connection: "close" }
             : {};
         response.writeHead(status, {
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -18,6 +18,7 @@
     type UpstreamPauses,
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView } from "../placement/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type RateLimiting } from "./rateLimiting.js";
@@ -43,6 +44,7 @@
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
     readonly streamVersions: StreamVersions;
+    readonly contact: UpstreamContact;
     readonly prompts: PromptPrefixIndex;
     readonly backlog: PrefillBacklog;
     readonly heldBytes: BufferedAnswerBytes;
@@ -72,6 +74,10 @@
     /** Records the load, pause, leaving and limit that an upstream reports in the headers of an answer. */
     recordAnswerHead(upstream: UpstreamAnnouncement, head: AnswerHead, sentAtMilliseconds: number): void;
     isLeaving(): boolean;
+    /** True while this host reaches no upstream although other hosts do. */
+    isPartitioned(): boolean;
+    /** True where callers should use another host: this one is leaving, or reaches no upstream. */
+    closesConnections(): boolean;
     /** True once a leaving host's address has expired at all callers; the host then accepts no further requests. */
     isClosedToCallers(): boolean;
 }
--- /dev/null
+++ b/src/entry/partitionWatch.ts
@@ -0,0 +1,141 @@
+/**
+ * Finds out whether this host is partitioned from all upstreams, and when that ends.
+ *
+ * @module
+ */
+import { type RandomSource } from "../decision/index.js";
+import { type UpstreamView } from "../fleet/index.js";
+import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { PartitionDetector, type UpstreamContact } from "../partitions/index.js";
+import { canConnect } from "./_connectionProbe.js";
+
+/** Interval at which the contact with upstreams is looked at. */
+const STEP_MILLISECONDS = 150;
+
+/** Upstreams that are connected to at once. */
+const UPSTREAMS_PER_PROBE = 3;
+
+/** Minimum time between two probes. */
+const PROBE_INTERVAL_MILLISECONDS = 300;
+
+/** Options of {@linkcode PartitionWatch}. */
+export interface PartitionWatchOptions {
+    readonly contact: UpstreamContact;
+    readonly view: UpstreamView;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly random: RandomSource;
+    readonly readClock: () => number;
+    /** The host became partitioned, or is no longer. */
+    readonly onChanged: () => void;
+}
+
+/** Whether this host is partitioned from all upstreams, while other hosts reach them. */
+export class PartitionWatch {
+    readonly #options: PartitionWatchOptions;
+    readonly #detector = new PartitionDetector();
+    #isPartitioned = false;
+    #isProbing = false;
+    #probedAtMilliseconds = Number.NEGATIVE_INFINITY;
+    #probesFailedAtMilliseconds: number | undefined;
+    #timer: NodeJS.Timeout | undefined;
+
+    constructor(options: PartitionWatchOptions) {
+        this.#options = options;
+    }
+
+    get isPartitioned(): boolean {
+        return this.#isPartitioned;
+    }
+
+    /** True while this host hears upstreams. */
+    get isHearing(): boolean {
+        return this.#options.contact.isHearing(this.#now());
+    }
+
+    start(): void {
+        this.#timer = setInterval(() => this.#step(), STEP_MILLISECONDS);
+    }
+
+    close(): void {
+        clearInterval(this.#timer);
+    }
+
+    /** Records whether a peer, or some host of the other cells, says that it hears upstreams. */
+    recordStatement(source: string, isHearing: boolean | undefined): void {
+        this.#detector.recordStatement(source, isHearing === true, this.#now());
+    }
+
+    #step(): void {
+        const { contact } = this.#options;
+        const now = this.#now();
+        contact.recordStep(now);
+        const silent = contact.silentUpstreams(now);
+        if (silent.length > 0 || this.#isPartitioned) {
+            void this.#probe(silent);
+        }
+        this.#decide();
+    }
+
+    /** Tries connections to upstreams, silent ones first. */
+    async #probe(silent: readonly string[]): Promise<void> {
+        const now = this.#now();
+        if (this.#isProbing || now - this.#probedAtMilliseconds < PROBE_INTERVAL_MILLISECONDS) {
+            return;
+        }
+        const targets = this.#chooseTargets(silent);
+        if (targets.length === 0) {
+            return;
+        }
+        this.#isProbing = true;
+        this.#probedAtMilliseconds = now;
+        const outcomes = await Promise.all(targets.map(canConnect));
+        this.#isProbing = false;
+        if (outcomes.includes(true)) {
+            this.#options.contact.recordHeard(this.#now());
+            this.#probesFailedAtMilliseconds = undefined;
+        }
+        else {
+            this.#probesFailedAtMilliseconds = this.#now();
+        }
+        this.#decide();
+    }
+
+    /** Returns the addresses of some upstreams; different ones at each probe. */
+    #chooseTargets(silent: readonly string[]): string[] {
+        const { random, view } = this.#options;
+        const upstreams = view.all().map(({ address, id }) => ({
+            address,
+            order: (silent.includes(id) ? 0 : 1) + random(),
+        }));
+        upstreams.sort((left, right) => left.order - right.order);
+        return upstreams.slice(0, UPSTREAMS_PER_PROBE).map(({ address }) => address);
+    }
+
+    #decide(): void {
+        const { contact, logger, metrics, onChanged } = this.#options;
+        const now = this.#now();
+        const { heardAtMilliseconds } = contact;
+        const evidence = { heardAtMilliseconds, probesFailedAtMilliseconds: this.#probesFailedAtMilliseconds };
+        const isPartitioned = this.#detector.decide(evidence, now);
+        if (isPartitioned === this.#isPartitioned) {
+            return;
+        }
+        this.#isPartitioned = isPartitioned;
+        const silentMilliseconds = Number.isFinite(heardAtMilliseconds)
+            ? Math.round(now - heardAtMilliseconds)
+            : undefined;
+        if (isPartitioned) {
+            logger.warn("upstreams not reached", { silentMilliseconds });
+        }
+        else {
+            logger.info("upstreams reached again", { silentMilliseconds });
+        }
+        metrics.count("partitions", { change: isPartitioned ? "began" : "ended" });
+        onChanged();
+    }
+
+    #now(): number {
+        return this.#options.readClock();
+    }
+}
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -27,6 +27,7 @@
     UpstreamPauses,
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { UpstreamContact } from "../partitions/index.js";
 import { ResidencyView } from "../placement/index.js";
 import { type KeyValueEntry } from "../platform/index.js";
 import { type LimitChange, NamedLimits } from "../rateLimits/index.js";
@@ -77,6 +78,7 @@
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
+    readonly contact = new UpstreamContact();
     readonly #options: UpstreamTrackerOptions;
     /** The last unreadable limit of each upstream, which is logged once. */
     readonly #unreadableLimits = new Map<string, string>();
@@ -135,6 +137,7 @@
             this.loads.recordReport(upstream.id, load, this.#now());
         }
         this.unreachableReports.clear(upstream.id);
+        this.contact.recordHeard(this.#now());
         if (!isFromOtherUpstream(head, upstream.id, headers) && reportsLeaving(head, headers)) {
             this.#recordLeaving(upstream);
         }
@@ -206,6 +209,7 @@
     /** Records a failed connection; one refused right after requests were lost means that the upstream crashed. */
     recordUnreachable(upstream: string, isRefused: boolean): void {
         this.unreachableReports.record(upstream, this.#options.host, this.#now());
+        this.contact.recordTurnedTo(upstream, this.#now());
         const announcement = this.view.get(upstream);
         if (isRefused && announcement !== undefined) {
             const incarnation = incarnationOf(announcement);
--- a/src/gossip/cellAggregates.ts
+++ b/src/gossip/cellAggregates.ts
@@ -50,9 +50,10 @@
 
 /** Converts a digest; its host is listed only where it is ready for callers and not leaving. */
 function toAggregatePart(digest: HostDigest): AggregatePart {
-    const { addresses, host, leaving, limits = [], ready } = digest;
+    const { addresses, host, leaving, limits = [], partitioned, ready } = digest;
     return {
         ...digest,
+        partitionedHosts: partitioned === true ? [host] : [],
         state: addresses.state,
         hosts: ready && !leaving ? [host] : [],
         limits: limits.map(({ report }) => report),
@@ -214,6 +215,7 @@
         const newest = partWithNewestConfiguration(parts);
         const limits = pageOf(latestLimits(parts), MAXIMUM_LIMITS[scope], this.#rounds[scope]);
         const issuerVotes = sumVotes(parts, limits);
+        const partitionedHosts = parts.flatMap(part => part.partitionedHosts ?? []);
         return {
             type: "summary",
             scope,
@@ -234,6 +236,8 @@
             engines: pageOf(latestEngineMemories(parts), MAXIMUM_ENGINES[scope], this.#rounds[scope]),
             relinquished: parts.flatMap(({ relinquished }) => relinquished).slice(0, MAXIMUM_LIST_ENTRIES),
             suspects: [],
+            hearsUpstreams: parts.some(({ hearsUpstreams }) => hearsUpstreams === true),
+            ...partitionedHosts.length === 0 ? {} : { partitionedHosts },
             ...sender.crashes === undefined ? {} : { crashes: sender.crashes },
         };
     }
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -131,6 +131,14 @@
         }
     }
 
+    /** Records that another cell's aggregate lists a host as one that reaches no upstream. */
+    recordPartitioned(host: string): void {
+        const known = this.#peers.get(host);
+        if (known !== undefined) {
+            this.#peers.set(host, { ...known, ready: false, lastListedAtMilliseconds: undefined });
+        }
+    }
+
     get(host: string): Peer | undefined {
         return this.#peers.get(host);
     }
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -35,6 +35,10 @@
         help: "Streams that callers resumed, by how the version that began them was found.",
         labels: ["outcome"],
     },
+    partitions: {
+        help: "Times that this host reached no upstream although others did, begun and ended.",
+        labels: ["change"],
+    },
     version_changes: { help: "Changes of the record of the versions at which streams may have begun.", labels: [] },
     upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
     store_restores: {
