--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -20,7 +20,7 @@
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
-import { type EngineRecord, type PlacementMove, splitAdapterName } from "../placement/index.js";
+import { type EngineRecord, type PlacementMove, splitAdapterName, type VersionCopyNeed } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { type LimitChange } from "../rateLimits/index.js";
@@ -645,6 +645,7 @@
             },
             hostCount: () => this.#peers.live(this.#now()).length + 1,
             requestAdapter: (engine, model, adapter) => this.#requestAdapter(engine, model, adapter),
+            requestVersionCopy: need => this.#requestVersionCopy(need),
             publishRequestSent: (engine, promptTokens) =>
                 this.#gossip.publishRequestSent(
                     engine,
@@ -692,6 +693,16 @@
         return holder !== undefined && this.#gossip.requestAdapter(holder, { engine, model, adapter });
     }
 
+    #requestVersionCopy(need: VersionCopyNeed): void {
+        const { planner } = this.#planner;
+        if (planner === this.#settings.host) {
+            this.#planner.recordVersionCopyNeeded(need);
+        }
+        else if (planner !== undefined) {
+            this.#gossip.requestVersionCopy(planner, need);
+        }
+    }
+
     #handleMirrorEvent(event: MirrorEvent): void {
         switch (event.type) {
             case "contact":
@@ -850,6 +861,9 @@
             case "streams-begun":
             case "stream-question":
                 this.#streamVersions.receive(message);
+                break;
+            case "version-copy":
+                this.#planner.recordVersionCopyNeeded(message);
         }
     }
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -124,6 +124,7 @@
     #waitingSinceMilliseconds: number | undefined;
     /** True while the request waits for a copy of its model that another engine is loading. */
     #waitsForCopy = false;
+    #hasRequestedCopy = false;
     /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
     #isDoubted = false;
     #ended = false;
@@ -267,8 +268,8 @@
             return;
         }
         const usable = this.#selection.usable();
-        if (this.#progress.version !== undefined && !this.#hasCopyOfVersion(usable)) {
-            this.#refuse("version-gone", usable.length === 0 ? undefined : EXPECTED_CAPACITY_MILLISECONDS);
+        if (this.#progress.version !== undefined && usable.length === 0) {
+            this.#refuse("version-gone");
             return;
         }
         const resident = usable.filter(upstream => this.#selection.residencyAt(upstream) === "held");
@@ -310,12 +311,6 @@
         }
     }
 
-    /** Returns whether one of the upstreams that have the version of the stream holds its model, or is loading it. */
-    #hasCopyOfVersion(usable: readonly UpstreamAnnouncement[]): boolean {
-        return usable.some(upstream => this.#selection.residencyAt(upstream) !== "absent")
-            || this.#selection.arrivingCopyMilliseconds() !== undefined;
-    }
-
     /**
      * Refuses a request that crashes upstreams, and lets one wait that may do so and is not to be tried now; returns
      * false for others.
@@ -431,6 +426,7 @@
 
     /** Waits for a model that is expected in time; otherwise refuses, so that the caller retries once it is loaded. */
     #waitForModel(): void {
+        this.#requestCopyOfVersion();
         const expectedMilliseconds = this.#selection.expectedModelMilliseconds();
         const remainingWaitMilliseconds = this.#maximumWaitMilliseconds() - this.#ensureWaiting("model-missing");
         if (expectedMilliseconds > remainingWaitMilliseconds) {
@@ -440,6 +436,16 @@
         this.#scheduleDispatch();
     }
 
+    /** Asks for a copy of the model at the version of a stream that goes on; copies at other versions are of no use. */
+    #requestCopyOfVersion(): void {
+        const { model, service } = this.#facts;
+        const { version } = this.#progress;
+        if (model !== undefined && service !== undefined && version !== undefined && !this.#hasRequestedCopy) {
+            this.#hasRequestedCopy = true;
+            this.#context.requestVersionCopy({ service, model, version });
+        }
+    }
+
     /** Refuses a request that exceeded its maximum wait, else keeps it waiting; returns whether it waits. */
     #waitOrRefuse(reason: FailureReason, expectedMilliseconds: number): boolean {
         const remainingMilliseconds = this.#maximumWaitMilliseconds() - this.#ensureWaiting(reason);
--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -21,6 +21,8 @@
     type ResidencyView,
     type StoreLoadBound,
     storeLoadsPerEngine,
+    VersionCopies,
+    type VersionCopyNeed,
 } from "../placement/index.js";
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
 
@@ -84,6 +86,7 @@
 export class FleetPlanner {
     readonly #options: FleetPlannerOptions;
     readonly #plannedMoves = new Map<string, PlannedMoves>();
+    readonly #versionCopies = new VersionCopies();
     #enginesChangedAtMilliseconds = Number.NEGATIVE_INFINITY;
     #nextPlanAtMilliseconds = Number.NEGATIVE_INFINITY;
     /** When the current period of uninterrupted demand began; `undefined` while there is no demand. */
@@ -101,6 +104,11 @@
         return this.#planner;
     }
 
+    /** Records that a stream needs a copy of a model at engines of a version. */
+    recordVersionCopyNeeded(need: VersionCopyNeed): void {
+        this.#versionCopies.record(need, this.#options.readClock());
+    }
+
     /** Records that engines joined; without demand, planning waits until no engine has joined for a while. */
     recordEnginesJoined(): void {
         this.#enginesChangedAtMilliseconds = this.#options.readClock();
@@ -155,13 +163,20 @@
         this.#plannedMoves.set(service, planned);
         const engines = this.#reconcileMoves(service, planned, nowMilliseconds);
         const input = this.#createPlacementInput({ definition, demand, engines, planned }, nowMilliseconds);
-        for (const move of planMoves(input)) {
+        for (const move of this.#planMoves(service, input, nowMilliseconds)) {
             this.#reportPlannedMove(move, input);
             planned.recordRequested(move, storeLoadMillisecondsOf(move, input), nowMilliseconds);
             this.#requestMove(move);
         }
     }
 
+    /** Plans moves for the demand, and those for streams that can go on at one version only. */
+    #planMoves(service: string, input: PlacementInput, nowMilliseconds: number): readonly PlacementMove[] {
+        const planned = planMoves(input);
+        const versionOf = (engine: string): string | undefined => this.#options.view.get(engine)?.softwareVersion;
+        return [...planned, ...this.#versionCopies.plan({ service, input, planned, versionOf }, nowMilliseconds)];
+    }
+
     /** Checks the progress of requested moves; returns the engines as they will be once the remaining ones are made. */
     #reconcileMoves(service: string, planned: PlannedMoves, nowMilliseconds: number): readonly PlannedEngine[] {
         const { duties, isUnreachable, logger, metrics, view } = this.#options;
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -19,7 +19,7 @@
 } from "../forwarding/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
-import { type ResidencyView } from "../placement/index.js";
+import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
@@ -57,6 +57,8 @@
     hostCount(): number;
     /** Requests an adapter from the engine's holder; false where this host knows of no holder. */
     requestAdapter(engine: string, model: string, adapter: string): boolean;
+    /** Asks the planner for a copy of a model at upstreams of a version. */
+    requestVersionCopy(need: VersionCopyNeed): void;
     /** Publishes to peers that a request was sent to an engine. */
     publishRequestSent(engine: string, promptTokens: number): void;
     /** Reports to the engine's holder that requests of this host began or ceased to use an adapter. */
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -23,6 +23,7 @@
     type PeerTable,
 } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
+import { type VersionCopyNeed } from "../placement/index.js";
 import { type PermitMessage } from "../rateLimits/index.js";
 import { type ListenAddress } from "./settings.js";
 
@@ -135,6 +136,11 @@
         return true;
     }
 
+    /** Asks the planner for a copy of a model at upstreams of a version. */
+    requestVersionCopy(planner: string, need: VersionCopyNeed): void {
+        this.#send({ type: "version-copy", host: this.#options.host, ...need }, this.#peersNamed([planner]));
+    }
+
     /** Sends a message about streams' versions to hosts that keep them, or that ask for one. */
     sendStreamMessage(hosts: readonly string[], message: StreamsBegun | StreamQuestion): void {
         this.#send(message, this.#peersNamed(hosts));
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -31,6 +31,8 @@
     streamQuestionSchema,
     type StreamsBegun,
     streamsBegunSchema,
+    type VersionCopyRequest,
+    versionCopyRequestSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
 import { PacedSender } from "./pacedSender.js";
@@ -54,7 +56,8 @@
     | PermitGrant
     | StoreChanges
     | StreamsBegun
-    | StreamQuestion;
+    | StreamQuestion
+    | VersionCopyRequest;
 
 /** Options of a link. */
 export interface GossipLinkOptions {
@@ -88,6 +91,7 @@
     changes: storeChangesSchema,
     "streams-begun": streamsBegunSchema,
     "stream-question": streamQuestionSchema,
+    "version-copy": versionCopyRequestSchema,
 };
 
 function isMessageType(type: unknown): type is keyof typeof SCHEMAS {
