Send resumed streams although engines have prompts to read

A resumed stream is no longer held back for the prefill backlog: it was admitted once, and all of them together are a third of a second of the engines' reading.

--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -22,6 +22,8 @@
     readonly permitRequest: () => WaitingRequest;
     /** Returns whether an upstream has the software version that the request needs. */
     readonly allows: (upstream: UpstreamAnnouncement) => boolean;
+    /** Returns whether the request is a stream of which the caller has a part already. */
+    readonly isResumed: () => boolean;
 }
 
 /** Evaluates the current upstreams of a request's service, without those that have failed the request. */
@@ -30,6 +32,7 @@
     readonly #facts: RequestFacts;
     readonly #permitRequest: () => WaitingRequest;
     readonly #allows: (upstream: UpstreamAnnouncement) => boolean;
+    readonly #isResumed: () => boolean;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
 
@@ -38,10 +41,15 @@
      * @param facts What is known of the request.
      * @param options What depends on the request's progress.
      */
-    constructor(context: ForwardingContext, facts: RequestFacts, { allows, permitRequest }: UpstreamSelectionOptions) {
+    constructor(
+        context: ForwardingContext,
+        facts: RequestFacts,
+        { allows, isResumed, permitRequest }: UpstreamSelectionOptions,
+    ) {
         this.#context = context;
         this.#facts = facts;
         this.#allows = allows;
+        this.#isResumed = isResumed;
         this.#permitRequest = permitRequest;
     }
 
@@ -228,6 +236,8 @@
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const now = this.#now();
+        // The caller of a resumed stream has seen it stop, so its prompt is not held back behind those of new streams.
+        const acceptsAnyPrompt = !batches || this.#isResumed();
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => ({
             id: upstream.id,
@@ -235,7 +245,7 @@
             batches,
             requests: loads.estimate(upstream.id, now),
             prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
-            acceptsPrompt: !batches || backlog.accepts(upstream.id, prompt, now),
+            acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
             sameZone: upstream.zone === zone,
             avoided: health.isAvoided(upstream.id, now),
             hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -149,6 +149,7 @@
         this.#selection = new UpstreamSelection(context, this.#facts, {
             permitRequest: () => this.#permitWait.request,
             allows: upstream => this.#progress.allows(upstream),
+            isResumed: () => this.#progress.version !== undefined,
         });
         this.#answer = new CallerAnswer({
             response: request.response,
