Look again at a quiet attempt whose timer fired early

Callers of a stream whose engine hangs waited for 6 s, one of forty now and then: its silence was never looked at again.

Cause, by the lines of such a stream (one 'request sent', no 'attempt failed'): the timer fires up to a millisecond early, the silence is then just below its limit, and the check returned without another timer. The test with a clock that is slow by a thousandth fails each time without the change.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -632,10 +632,14 @@
      * otherwise the attempt goes on, since its upstream may do so too.
      */
     #handleSilence(attempt: Attempt): void {
-        const limitMilliseconds = this.#silenceLimitMilliseconds();
         const isReplaced = this.#attempt !== attempt || this.#quietAttempt !== undefined;
         const isRead = !this.#request.response.writableNeedDrain;
-        if (this.#ended || isReplaced || !isRead || attempt.quietMilliseconds < limitMilliseconds) {
+        if (this.#ended || isReplaced || !isRead) {
+            return;
+        }
+        const remainingMilliseconds = this.#silenceLimitMilliseconds() - attempt.quietMilliseconds;
+        if (remainingMilliseconds > 0) {
+            this.#scheduleSilenceCheck(attempt, remainingMilliseconds);
             return;
         }
         if (this.#selection.loadShare(attempt.upstream.id) >= BUSY_LOAD_SHARE) {
--- a/tests/silentEngines.test.ts
+++ b/tests/silentEngines.test.ts
@@ -173,6 +173,12 @@
     assertWhole(await runStreams(ONE_FULL, "plain", { bounds: { retryExtra: 600 } }, hanging));
 });
 
+test("a stream of an engine that hangs moves although its timer fires a moment before the silence is long enough", async () => {
+    const hanging: Behaviour = { ...SILENT_STREAM, silentMilliseconds: HANGING_MILLISECONDS };
+    const options = { bounds: { retryExtra: 600 }, clockRate: 0.999 };
+    assertWhole(await runStreams(ONE_FULL, "plain", options, hanging));
+});
+
 test("no stream of a silent engine is cut off where the prefill backlog of the other engines accepts no prompt", async () => {
     const { engine, host, started } = await startSite("llm", SILENT_STREAM, { bounds: { retryExtra: 600 } });
     const headers = { "Flamingospread-Model": "quotes", "Flamingospread-Token-Count": "1300,80" };
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -53,6 +53,8 @@
     readonly storeAddress?: string;
     /** Bounds that differ from those of other hosts. */
     readonly bounds?: Partial<EntrySettings["bounds"]>;
+    /** Speed of the host's clock, by which its timers fire early; 1 by default. */
+    readonly clockRate?: number;
 }
 
 /** An entry host of the site. */
@@ -256,7 +258,7 @@
 
     /** Starts an entry host; `seeds` are state addresses of other hosts. */
     async addHost(name: string, options: HostOptions = {}): Promise<SiteHost> {
-        return this.startHost(await this.createSettings(name, options), options.storeAddress);
+        return this.startHost(await this.createSettings(name, options), options.storeAddress, options.clockRate);
     }
 
     /** Creates settings of a host with addresses on free ports. */
@@ -288,7 +290,11 @@
         };
     }
 
-    async startHost(settings: EntrySettings, storeAddress = this.store.address): Promise<SiteHost> {
+    async startHost(
+        settings: EntrySettings,
+        storeAddress = this.store.address,
+        clockRate = 1,
+    ): Promise<SiteHost> {
         const lines: LoggedLine[] = [];
         const host = await startEntryHost({
             settings,
@@ -298,7 +304,10 @@
             logger: createCollectingLogger(lines),
             metrics: createEntryMetrics(),
             random: Math.random,
-            readClocks: () => ({ steadyMilliseconds: performance.now(), timeOfDayMilliseconds: Date.now() }),
+            readClocks: () => ({
+                steadyMilliseconds: performance.now() * clockRate,
+                timeOfDayMilliseconds: Date.now(),
+            }),
             readProcessorMicroseconds: () => 0,
         });
         const siteHost = { name: settings.host, settings, host, lines };
