--- /dev/null
+++ b/src/entry/_failureReason.ts
@@ -0,0 +1,27 @@
+/**
+ * Reasons for which requests are refused or fail.
+ *
+ * @module
+ */
+import { type AttemptFailure } from "../forwarding/index.js";
+
+/** Why a request is refused as not run, or fails. */
+export type FailureReason =
+    | AttemptFailure
+    | "no-upstream"
+    | "all-full"
+    | "prompts-unread"
+    | "upstreams-pause"
+    | "upstream-limit"
+    | "adapter-missing"
+    | "model-missing"
+    | "crashes-engines"
+    | "crash-suspected"
+    | "host-partitioned"
+    | "version-unknown"
+    | "version-unavailable"
+    | "version-gone"
+    | "out-of-time"
+    | "no-service"
+    | "broken-invariant"
+    | "budget";
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -3,10 +3,9 @@
  *
  * @module
  */
-import { type CrashReport } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading, EngineDuties } from "../duties/index.js";
-import { type UpstreamAnnouncement, type UpstreamIncarnation } from "../fleet/index.js";
+import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { AdapterUse, AdapterUsers, BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
 import {
     type AdapterWish,
@@ -16,7 +15,6 @@
     type HostDigest,
     hostRegistrationSchema,
     type PlannedMove,
-    type StoreChanges,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
@@ -25,7 +23,7 @@
 import { parseJson } from "../platform/parseJson.js";
 import { type LimitChange } from "../rateLimits/index.js";
 import { compileRouteTable, resumableStreams, type RouteTable } from "../routes/index.js";
-import { JOURNAL_KEY_PREFIX } from "./_streamJournalWriter.js";
+import { toLeavingIncarnation, toMemory, toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
@@ -46,7 +44,7 @@
 import { SiteDemand } from "./siteDemand.js";
 import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
 import { StoredEntries } from "./storedEntries.js";
-import { type ChangeBatch, type MirrorEvent, StoreMirror } from "./storeMirror.js";
+import { type MirrorEvent, StoreMirror } from "./storeMirror.js";
 import { RESTORES_KEY, StoreRestores } from "./storeRestores.js";
 import { StoreWatchPolicy } from "./storeWatchPolicy.js";
 import { STREAM_KEY_PREFIX, StreamVersions } from "./streamVersions.js";
@@ -1082,38 +1080,6 @@
     }
 }
 
-/** Returns changes without the journal of streams, which other hosts read where they need it. */
-function withoutJournal({ changes, ...revisions }: ChangeBatch): Omit<StoreChanges, "type" | "host"> {
-    return { ...revisions, changes: changes.filter(({ key }) => !key.startsWith(JOURNAL_KEY_PREFIX)) };
-}
-
-function toLeavingIncarnation({ id, startedAtMilliseconds }: UpstreamIncarnation): HostDigest["leavingRuns"][number] {
-    return { upstream: id, ...(startedAtMilliseconds === undefined ? {} : { startedAtMilliseconds }) };
-}
-
-/** Returns a report as it is published; `undefined` where it has nothing to say. */
-function toPublished({ convictions, sound, suspects, trials }: CrashReport): HostDigest["crashes"] {
-    if (convictions.length + sound.length + suspects.length + trials.length === 0) {
-        return undefined;
-    }
-    return {
-        convictions: convictions.map(conviction => ({ ...conviction, attributes: [...conviction.attributes] })),
-        sound: [...sound],
-        suspects: suspects.map(({ fingerprint, parts, runs }) => ({ fingerprint, parts: [...parts], runs: [...runs] })),
-        trials: trials.map(claim => ({ ...claim, attributes: [...claim.attributes] })),
-    };
-}
-
-function toMemory(record: EngineRecord): EngineMemory {
-    return {
-        engine: record.engine,
-        orderCount: record.orderCount,
-        models: record.models.map(({ name, adapters }) => ({ name, adapters: [...adapters] })),
-        ...(record.startedAtMilliseconds === undefined ? {} : { startedAtMilliseconds: record.startedAtMilliseconds }),
-        ...(record.loading === undefined ? {} : { loading: record.loading }),
-    };
-}
-
 /**
  * Starts an entry host.
  *
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -20,11 +20,13 @@
 import { checkHead, isServerError, isSuccess } from "./_answerHead.js";
 import { Attempt, BUSY_LOAD_SHARE } from "./_attempt.js";
 import { CallerAnswer } from "./_callerAnswer.js";
+import { type FailureReason } from "./_failureReason.js";
 import { outgoingHeaders } from "./_outgoingHeaders.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
 import { describeLimit, usePermit } from "./_requestPermits.js";
 import { StreamProgress } from "./_streamProgress.js";
 import { UpstreamSelection } from "./_upstreamSelection.js";
+import { type WaitingRank, waitingRank } from "./_waitingRank.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type LookUpOutcome } from "./streamVersions.js";
 import { type AnswerHead, callUpstream } from "./upstreamCall.js";
@@ -64,37 +66,6 @@
 const STATUS_GATEWAY_TIMEOUT = 504;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Why a request is refused as not run, or fails. */
-type FailureReason =
-    | AttemptFailure
-    | "no-upstream"
-    | "all-full"
-    | "prompts-unread"
-    | "upstreams-pause"
-    | "upstream-limit"
-    | "adapter-missing"
-    | "model-missing"
-    | "crashes-engines"
-    | "crash-suspected"
-    | "host-partitioned"
-    | "version-unknown"
-    | "version-unavailable"
-    | "version-gone"
-    | "out-of-time"
-    | "no-service"
-    | "broken-invariant"
-    | "budget";
-
-/**
- * Sort key of waiting requests: by priority, then streams whose caller has a part already, then those within their target
- * latency, then by arrival.
- */
-export type WaitingRank = readonly [priority: number, group: number, arrivedAtMilliseconds: number];
-
-const RESUMED_GROUP = 0;
-const IN_TIME_GROUP = 1;
-const LATE_GROUP = 2;
-
 /** Callbacks from an exchange to its forwarder. */
 export interface ExchangeListener {
     readonly onEnded: () => void;
@@ -177,17 +148,15 @@
         return isOwn ? undefined : [service, model, adapter, this.#progress.version].join(" ");
     }
 
-    /** Permits are used in the order in which requests began to wait for them. */
     get rank(): WaitingRank {
         const { arrivedAtMilliseconds, route } = this.#request;
-        if (this.#permitWait.upstream !== undefined) {
-            return [route.priority, RESUMED_GROUP, this.#permitWait.request.sinceMilliseconds];
-        }
-        if (this.#progress.version !== undefined) {
-            return [route.priority, RESUMED_GROUP, arrivedAtMilliseconds];
-        }
-        const isLate = this.#now() - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
-        return [route.priority, isLate ? LATE_GROUP : IN_TIME_GROUP, arrivedAtMilliseconds];
+        const isForPermit = this.#permitWait.upstream !== undefined;
+        return waitingRank({
+            route,
+            arrivedAtMilliseconds,
+            permitSinceMilliseconds: isForPermit ? this.#permitWait.request.sinceMilliseconds : undefined,
+            isResumed: this.#progress.version !== undefined,
+        }, this.#now());
     }
 
     start(): void {
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -7,6 +7,7 @@
 import { type Route } from "../routes/index.js";
 import { type Arrival, Arrivals } from "./_arrivals.js";
 import { type CallerRequest } from "./_requestFacts.js";
+import { compareRanks } from "./_waitingRank.js";
 import { Exchange } from "./exchange.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
@@ -240,10 +241,6 @@
     }
 }
 
-function compareRanks(left: Exchange["rank"], right: Exchange["rank"]): number {
-    return left[0] - right[0] || left[1] - right[1] || left[2] - right[2];
-}
-
 /**
  * Creates the forwarder of a host.
  *
