Probe less where no connection failed, and look at versions once for changes that come together

Read of the diff: a host with few requests, all of them waiting at busy upstreams, would have opened connections every 300 ms to see whether it is partitioned; it now waits for 700 ms of silence where no connection failed. Each change of an upstream's entry looked at all upstreams for their versions; those within 50 ms now share one look, so that the work does not grow with the square of the fleet.

--- a/src/entry/_attempt.ts
+++ b/src/entry/_attempt.ts
@@ -70,7 +70,7 @@
         this.#heardAtMilliseconds = now;
         context.recordSent(facts.attributes);
         context.loads.recordStarted(upstream.id);
-        context.contact.recordTurnedTo(upstream.id, now);
+        context.contact.recordSent(upstream.id, now);
         context.backlog.recordSent(upstream.id, facts.promptTokens, now);
         this.backlogTokens = Math.round(context.backlog.backlogTokens(upstream.id, now));
         this.load = context.loads.estimate(upstream.id, now);
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -31,6 +31,9 @@
 /** Streams per message; a message stays below the size of a datagram. */
 const STREAMS_PER_MESSAGE = 200;
 
+/** Changes of upstreams within this time are looked at together. */
+const CHECK_DELAY_MILLISECONDS = 50;
+
 /** The choice of keepers is computed again after this time. */
 const KEEPERS_LIFETIME_MILLISECONDS = 300;
 
@@ -92,6 +95,7 @@
     readonly #lookUps = new Set<LookUp>();
     #keepers: { readonly keepers: StreamKeepers; readonly atMilliseconds: number; } | undefined;
     #isReading = false;
+    #checkTimer: NodeJS.Timeout | undefined;
     #readTimer: NodeJS.Timeout | undefined;
     readonly #timers = new Set<NodeJS.Timeout>();
 
@@ -108,13 +112,20 @@
     close(): void {
         this.#recordWriter.close();
         this.#journal.close();
+        clearTimeout(this.#checkTimer);
         clearTimeout(this.#readTimer);
         this.#timers.forEach(timer => clearTimeout(timer));
     }
 
-    /** Puts versions on record that upstreams have announced, and removes those long without an upstream. */
+    /**
+     * Puts versions on record that upstreams have announced, and removes those long without an upstream; once for changes
+     * that come together, since that looks at all upstreams.
+     */
     check(): void {
-        this.#recordWriter.check();
+        this.#checkTimer ??= setTimeout(() => {
+            this.#checkTimer = undefined;
+            this.#recordWriter.check();
+        }, CHECK_DELAY_MILLISECONDS);
     }
 
     /** Applies an entry of the key-value service; the name is its key without the prefix. */
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -209,7 +209,7 @@
     /** Records a failed connection; one refused right after requests were lost means that the upstream crashed. */
     recordUnreachable(upstream: string, isRefused: boolean): void {
         this.unreachableReports.record(upstream, this.#options.host, this.#now());
-        this.contact.recordTurnedTo(upstream, this.#now());
+        this.contact.recordFailed(upstream, this.#now());
         const announcement = this.view.get(upstream);
         if (isRefused && announcement !== undefined) {
             const incarnation = incarnationOf(announcement);
--- a/src/partitions/upstreamContact.ts
+++ b/src/partitions/upstreamContact.ts
@@ -4,8 +4,11 @@
  * @module
  */
 
-/** A host without a word from any upstream for this time, to several of which it turned, may be partitioned from them. */
-const SILENCE_MILLISECONDS = 300;
+/** A host that hears no upstream for this time, and could not connect to one, may be partitioned from all. */
+const SILENCE_AFTER_FAILURE_MILLISECONDS = 300;
+
+/** The same where no connection failed; upstreams that are busy may all be silent for a while. */
+const SILENCE_MILLISECONDS = 700;
 
 /** Upstreams that must have stayed silent; one alone may have stopped. */
 const MINIMUM_SILENT_UPSTREAMS = 2;
@@ -22,7 +25,7 @@
  * @example
  * ```ts
  * const contact = new UpstreamContact();
- * contact.recordTurnedTo("engine-3", now);
+ * contact.recordSent("engine-3", now);
  * contact.recordHeard(now);
  * contact.isHearing(now); // true
  * ```
@@ -30,6 +33,7 @@
 export class UpstreamContact {
     /** Upstreams that were sent a request, or could not be connected to, since the last word; with the first time. */
     readonly #silentSince = new Map<string, number>();
+    #hasFailed = false;
     #heardAtMilliseconds = Number.NEGATIVE_INFINITY;
     #ranSinceMilliseconds = Number.NEGATIVE_INFINITY;
     #stepAtMilliseconds = Number.NEGATIVE_INFINITY;
@@ -37,11 +41,18 @@
     /** Records bytes from an upstream, or a connection to one. */
     recordHeard(nowMilliseconds: number): void {
         this.#heardAtMilliseconds = nowMilliseconds;
+        this.#hasFailed = false;
         this.#silentSince.clear();
     }
 
-    /** Records that an upstream was sent a request, or could not be connected to. */
-    recordTurnedTo(upstream: string, nowMilliseconds: number): void {
+    /** Records that an upstream could not be connected to. */
+    recordFailed(upstream: string, nowMilliseconds: number): void {
+        this.#hasFailed = true;
+        this.recordSent(upstream, nowMilliseconds);
+    }
+
+    /** Records that an upstream was sent a request. */
+    recordSent(upstream: string, nowMilliseconds: number): void {
         if (!this.#silentSince.has(upstream)) {
             this.#silentSince.set(upstream, nowMilliseconds);
         }
@@ -67,10 +78,11 @@
 
     /** Returns the upstreams that have stayed silent for long; none where too few have. */
     silentUpstreams(nowMilliseconds: number): string[] {
-        if (nowMilliseconds - this.#ranSinceMilliseconds < SILENCE_MILLISECONDS) {
+        const silence = this.#hasFailed ? SILENCE_AFTER_FAILURE_MILLISECONDS : SILENCE_MILLISECONDS;
+        if (nowMilliseconds - this.#ranSinceMilliseconds < silence) {
             return [];
         }
-        const silent = [...this.#silentSince].filter(([, since]) => nowMilliseconds - since >= SILENCE_MILLISECONDS);
+        const silent = [...this.#silentSince].filter(([, since]) => nowMilliseconds - since >= silence);
         return silent.length < MINIMUM_SILENT_UPSTREAMS ? [] : silent.map(([upstream]) => upstream);
     }
 }
