Probe upstreams of every service before a host counts as partitioned

Found in the read-through: a host with no requests to the living service for a moment, while all upstreams of another one are gone, probed only those that had stayed silent, took itself for partitioned, refused all requests and, since it went on to probe the silent ones, stayed so until they came back. The test failed before (503 for a request to the living service). Probes now take a random upstream of each service.

--- a/src/entry/partitionWatch.ts
+++ b/src/entry/partitionWatch.ts
@@ -6,15 +6,12 @@
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamView } from "../fleet/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
-import { PartitionDetector, type UpstreamContact } from "../partitions/index.js";
+import { chooseProbeTargets, PartitionDetector, type UpstreamContact } from "../partitions/index.js";
 import { canConnect } from "./_connectionProbe.js";
 
 /** Interval at which the contact with upstreams is looked at. */
 const STEP_MILLISECONDS = 150;
 
-/** Upstreams that are connected to at once. */
-const UPSTREAMS_PER_PROBE = 3;
-
 /** Minimum time between two probes. */
 const PROBE_INTERVAL_MILLISECONDS = 300;
 
@@ -70,29 +67,29 @@
         const { contact } = this.#options;
         const now = this.#now();
         contact.recordStep(now);
-        const silent = contact.silentUpstreams(now);
-        if (silent.length > 0 || this.#isPartitioned) {
-            void this.#probe(silent);
+        if (contact.silentUpstreams(now).length > 0 || this.#isPartitioned) {
+            void this.#probe();
         }
         this.#decide();
     }
 
-    /** Tries connections to upstreams, silent ones first. */
-    async #probe(silent: readonly string[]): Promise<void> {
+    /** Tries connections to some upstreams; different ones each time. */
+    async #probe(): Promise<void> {
         const now = this.#now();
         if (this.#isProbing || now - this.#probedAtMilliseconds < PROBE_INTERVAL_MILLISECONDS) {
             return;
         }
-        const targets = this.#chooseTargets(silent);
+        const { contact, random, view } = this.#options;
+        const targets = chooseProbeTargets(view.all(), random);
         if (targets.length === 0) {
             return;
         }
         this.#isProbing = true;
         this.#probedAtMilliseconds = now;
-        const outcomes = await Promise.all(targets.map(canConnect));
+        const outcomes = await Promise.all(targets.map(({ address }) => canConnect(address)));
         this.#isProbing = false;
         if (outcomes.includes(true)) {
-            this.#options.contact.recordHeard(this.#now());
+            contact.recordHeard(this.#now());
             this.#probesFailedAtMilliseconds = undefined;
         }
         else {
@@ -101,17 +98,6 @@
         this.#decide();
     }
 
-    /** Returns the addresses of some upstreams; different ones at each probe. */
-    #chooseTargets(silent: readonly string[]): string[] {
-        const { random, view } = this.#options;
-        const upstreams = view.all().map(({ address, id }) => ({
-            address,
-            order: (silent.includes(id) ? 0 : 1) + random(),
-        }));
-        upstreams.sort((left, right) => left.order - right.order);
-        return upstreams.slice(0, UPSTREAMS_PER_PROBE).map(({ address }) => address);
-    }
-
     #decide(): void {
         const { contact, logger, metrics, onChanged } = this.#options;
         const now = this.#now();
--- a/src/partitions/index.ts
+++ b/src/partitions/index.ts
@@ -8,5 +8,6 @@
  *
  * @module
  */
+export { chooseProbeTargets } from "./chooseProbeTargets.js";
 export { PartitionDetector, type PartitionEvidence } from "./partitionDetector.js";
 export { UpstreamContact } from "./upstreamContact.js";
--- a/src/partitions/partitions.test.ts
+++ b/src/partitions/partitions.test.ts
@@ -5,7 +5,9 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { PartitionDetector, UpstreamContact } from "./index.js";
+import { createAnnouncement } from "../../tests/support/announcements.js";
+import { createSeededRandom } from "../decision/index.js";
+import { chooseProbeTargets, PartitionDetector, UpstreamContact } from "./index.js";
 
 const STEP_MILLISECONDS = 100;
 
@@ -56,6 +58,19 @@
     assert.equal(detector.decide(evidence, 720), false);
 });
 
+test("a probe connects to upstreams of each service, however many upstreams one of them has", () => {
+    const many = Array.from(
+        { length: 60 },
+        (_, index) => createAnnouncement([], { id: `many-${index}`, service: "many" }),
+    );
+    const few = createAnnouncement([], { id: "few", service: "few" });
+    const random = createSeededRandom(1);
+    for (let round = 0; round < 20; round += 1) {
+        const services = chooseProbeTargets([...many, few], random).map(({ service }) => service);
+        assert.ok(services.length > 2 && services.includes("few") && services.includes("many"));
+    }
+});
+
 for (const hostCount of [3, 9, 100, 390]) {
     test(`${hostCount} hosts: none withdraws where no host hears upstreams, and a single cut host does`, () => {
         const names = Array.from({ length: hostCount }, (_, index) => `entry-${index}`);
--- a/tests/cutHosts.test.ts
+++ b/tests/cutHosts.test.ts
@@ -164,6 +164,28 @@
     assert.ok(answer.tookMilliseconds < 200, `refused after ${answer.tookMilliseconds} ms`);
 });
 
+test("a host is not partitioned while all upstreams of one service are gone and those of another live", async context => {
+    const site = await CutSite.start(context);
+    site.site.configure([
+        { pathPrefix: "/reads/", targetLatencyMs: 200, timeoutMs: 2_000 },
+        { pathPrefix: "/gone/", targetLatencyMs: 200, timeoutMs: 2_000, service: "llm" },
+    ]);
+    for (let index = 0; index < UPSTREAM_COUNT; index += 1) {
+        const gone = await site.site.addUpstream({ id: `gone-${index}`, slots: 20 }, "llm");
+        gone.crash();
+    }
+    const [host] = site.hosts;
+    assert.ok(host !== undefined);
+    const end = performance.now() + CONTACT_MILLISECONDS;
+    while (performance.now() < end) {
+        void callHost(host, { path: "/gone/1" });
+        site.hosts.slice(1).forEach(other => void callHost(other, { path: "/reads/1" }));
+        await delay(MILLISECONDS_PER_SECOND / TRIES_PER_SECOND);
+    }
+    assert.equal((await callHost(host, { path: "/reads/1" })).status, 200);
+    assert.ok(!host.lines.some(({ message }) => message === "upstreams not reached"));
+});
+
 test("all hosts go on to be named where none of them reaches an upstream", async context => {
     const site = await CutSite.start(context);
     site.cutHosts.cut(site.hosts.map(({ name }) => name), "refused");
