--- a/src/entry/_connectionProbe.ts
+++ b/src/entry/_connectionProbe.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { connect } from "node:net";
+import { splitAddress } from "../transport/index.js";
 
 /** Connecting within a region takes a few milliseconds. */
 const PROBE_TIMEOUT_MILLISECONDS = 250;
@@ -20,9 +21,8 @@
  * ```
  */
 export function canConnect(address: string): Promise<boolean> {
-    const separator = address.lastIndexOf(":");
     return new Promise(resolve => {
-        const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+        const socket = connect(splitAddress(address));
         const timer = setTimeout(() => finish(false), PROBE_TIMEOUT_MILLISECONDS);
         const finish = (isConnected: boolean): void => {
             clearTimeout(timer);
--- a/src/entry/_streamJournalWriter.ts
+++ b/src/entry/_streamJournalWriter.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import { type StreamJournalRecord } from "../generated/gossip.js";
+import { type BegunStream, type StreamJournalRecord } from "../generated/gossip.js";
 import { type Logger } from "../observability/index.js";
+import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueService } from "../platform/index.js";
-import { type BegunStream, type DueEntry, StreamJournal } from "../streamVersions/index.js";
+import { type DueEntry, StreamJournal } from "../streamVersions/index.js";
 
 /** Prefix of the journal's keys. */
 export const JOURNAL_KEY_PREFIX = "streams/begun/";
@@ -88,10 +89,11 @@
     async #write({ slot, streams }: DueEntry, lease: string): Promise<void> {
         const { host, keyValue, logger } = this.#options;
         const key = `${JOURNAL_KEY_PREFIX}${host}/${this.#processTag}-${slot}`;
-        const record: StreamJournalRecord = { streams: { ...streams } };
+        const record: StreamJournalRecord = { streams };
+        const value = JSON.stringify(record);
         const swapped = await keyValue.compareAndSwap(key, {
             expectedRevision: this.#revisions.get(key) ?? 0,
-            value: JSON.stringify(record),
+            value,
             lease,
         });
         if (swapped.isErr()) {
@@ -101,7 +103,6 @@
             }
             return;
         }
-        const { value: outcome } = swapped;
-        this.#revisions.set(key, outcome.type === "written" ? outcome.revision : outcome.current?.revision ?? 0);
+        this.#revisions.set(key, entryAfterSwap({ key, value }, swapped.value)?.revision ?? 0);
     }
 }
--- a/src/entry/_versionRecordWriter.ts
+++ b/src/entry/_versionRecordWriter.ts
@@ -5,9 +5,11 @@
  */
 import { rankByRendezvous } from "../decision/index.js";
 import { type UpstreamView } from "../fleet/index.js";
+import { type StreamVersionRecord } from "../generated/gossip.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
-import { type ServiceVersions, type VersionRecord } from "../streamVersions/index.js";
+import { type ServiceVersions } from "../streamVersions/index.js";
 
 /** The key of the record. */
 export const VERSIONS_KEY = "streams/versions";
@@ -73,7 +75,7 @@
         return rankByRendezvous(VERSIONS_KEY, liveHosts()).indexOf(host) * DELAY_PER_RANK_MILLISECONDS;
     }
 
-    #nextRecord(): VersionRecord | undefined {
+    #nextRecord(): StreamVersionRecord | undefined {
         const { keyValue, readClock, resumable, versions, view } = this.#options;
         const { services, timeoutMilliseconds } = resumable();
         const restores = keyValue.restoreCount?.() ?? 0;
@@ -103,12 +105,9 @@
             return;
         }
         metrics.count("version_changes", {});
-        const { value: outcome } = swapped;
-        const written = outcome.type === "written"
-            ? { key: VERSIONS_KEY, value, revision: outcome.revision }
-            : outcome.current;
-        if (written !== undefined) {
-            onLaterEntry(written);
+        const current = entryAfterSwap({ key: VERSIONS_KEY, value }, swapped.value);
+        if (current !== undefined) {
+            onLaterEntry(current);
         }
     }
 }
--- a/src/entry/storeRestores.ts
+++ b/src/entry/storeRestores.ts
@@ -7,6 +7,7 @@
 import { type UpstreamView } from "../fleet/index.js";
 import { settledRestoresSchema } from "../generated/gossip.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 
@@ -94,11 +95,7 @@
         const outcome = swapped.isOk() ? swapped.value.type : swapped.error.kind;
         logger.info("restore settled", { restores, outcome });
         if (swapped.isOk()) {
-            const { value: result } = swapped;
-            const written = result.type === "written"
-                ? { key: RESTORES_KEY, value, revision: result.revision }
-                : undefined;
-            const current = result.type === "conflict" ? result.current : written;
+            const current = entryAfterSwap({ key: RESTORES_KEY, value }, swapped.value);
             if (current !== undefined) {
                 onLaterEntry(current);
             }
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+    type BegunStream,
     streamJournalRecordSchema,
     type StreamQuestion,
     type StreamsBegun,
@@ -13,7 +14,6 @@
 import { type KeyValueEntry } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import {
-    type BegunStream,
     BegunStreams,
     identifyStream,
     readJournalEntry,
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -5,6 +5,7 @@
  */
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
+import { splitAddress } from "../transport/index.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
 const MAXIMUM_INTERIM_ANSWERS = 16;
@@ -76,11 +77,9 @@
 
     constructor(options: UpstreamCallOptions) {
         this.#options = options;
-        const separator = options.address.lastIndexOf(":");
         this.#request = sendRequest({
             agent: options.agent,
-            host: options.address.slice(0, separator),
-            port: Number(options.address.slice(separator + 1)),
+            ...splitAddress(options.address),
             method: options.method,
             path: options.path,
             headers: [...options.headers] as never,
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -35,6 +35,7 @@
     versionCopyRequestSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
+import { splitAddress } from "../transport/index.js";
 import { PacedSender } from "./pacedSender.js";
 
 /** Larger datagrams are not sent, since they would be fragmented into too many packets. */
@@ -150,9 +151,8 @@
     const onDatagram = options.onDatagram ?? (handle => handle());
     socket.on("message", bytes => onDatagram(() => receive(bytes)));
     const sender = new PacedSender(({ address, bytes }) => {
-        const separator = address.lastIndexOf(":");
-        const port = Number(address.slice(separator + 1));
-        socket.send(bytes, port, address.slice(0, separator), error => {
+        const { host, port } = splitAddress(address);
+        socket.send(bytes, port, host, error => {
             if (error !== null) {
                 options.onProblem(error.message);
             }
--- a/src/placement/_moveEvaluation.ts
+++ b/src/placement/_moveEvaluation.ts
@@ -81,7 +81,7 @@
 }
 
 /** Returns the models that an engine holds or is loading. */
-function modelsOf(engine: PlannedEngine): Set<string> {
+export function modelsOf(engine: PlannedEngine): Set<string> {
     return new Set(engine.loading === undefined ? engine.models : [...engine.models, engine.loading]);
 }
 
--- a/src/placement/versionCopies.ts
+++ b/src/placement/versionCopies.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { modelsOf } from "./_moveEvaluation.js";
 import { type PlacementInput, type PlacementMove, type PlannedEngine } from "./placementInput.js";
 import { planMoves } from "./planWeights.js";
 
@@ -29,18 +30,13 @@
     readonly versionOf: (engine: string) => string | undefined;
 }
 
-/** Returns the models that an engine holds or is loading. */
-function modelsOf({ loading, models }: PlannedEngine): readonly string[] {
-    return loading === undefined ? models : [...models, loading];
-}
-
 /** Returns the input of a plan for engines of one version alone, in which only the needed model may lack a copy. */
 function inputForVersion(
     { definition, ...input }: PlacementInput,
     engines: readonly PlannedEngine[],
     neededModel: string,
 ): PlacementInput {
-    const held = new Set(engines.flatMap(modelsOf));
+    const held = new Set(engines.flatMap(engine => [...modelsOf(engine)]));
     const models = definition.models.filter(({ name }) => name === neededModel || held.has(name));
     return { ...input, definition: { ...definition, models }, engines };
 }
@@ -70,7 +66,7 @@
         const moves: PlacementMove[] = [];
         for (const { model, version } of this.#needsOf(service, nowMilliseconds)) {
             const engines = input.engines.filter(({ id }) => versionOf(id) === version);
-            if (engines.some(engine => modelsOf(engine).includes(model))) {
+            if (engines.some(engine => modelsOf(engine).has(model))) {
                 continue;
             }
             const changing = new Set([...planned, ...moves].map(({ engine }) => engine));
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+export { entryAfterSwap } from "./entryAfterSwap.js";
 export { createHostListClient, type HostListClientOptions } from "./hostListClient.js";
 export { createKeyValueClient, type KeyValueClientOptions } from "./keyValueClient.js";
 export { parseJson } from "./parseJson.js";
--- a/src/streamVersions/begunStreams.ts
+++ b/src/streamVersions/begunStreams.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type BegunStream } from "./types.js";
+import { type BegunStream } from "../generated/gossip.js";
 
 /** Time for which a stream is remembered; longer than a stream lasts and its caller may take to resume it. */
 const RETENTION_MILLISECONDS = 64_000;
--- a/src/streamVersions/index.ts
+++ b/src/streamVersions/index.ts
@@ -18,4 +18,3 @@
 export { type NextRecordInput, ServiceVersions, UNPROVEN_VERSION } from "./serviceVersions.js";
 export { type DueEntry, type JournalEntry, readJournalEntry, StreamJournal } from "./streamJournal.js";
 export { StreamKeepers } from "./streamKeepers.js";
-export { type BegunStream, type VersionRecord, type VersionsOfService } from "./types.js";
--- a/src/streamVersions/serviceVersions.ts
+++ b/src/streamVersions/serviceVersions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type VersionRecord, type VersionsOfService } from "./types.js";
+import { type StreamVersionRecord } from "../generated/gossip.js";
 
 /** Stands for versions that a restore of the key-value service may have removed from the record; never announced. */
 export const UNPROVEN_VERSION = "(unproven)";
@@ -21,7 +21,7 @@
     readonly retentionMilliseconds: number;
 }
 
-function isSameRecord(left: VersionRecord | undefined, right: VersionRecord): boolean {
+function isSameRecord(left: StreamVersionRecord | undefined, right: StreamVersionRecord): boolean {
     return left !== undefined && JSON.stringify(left) === JSON.stringify(right);
 }
 
@@ -40,7 +40,7 @@
  * ```
  */
 export class ServiceVersions {
-    #record: VersionRecord | undefined;
+    #record: StreamVersionRecord | undefined;
     /** False once the record was removed from the key-value service. */
     #isStored = false;
     readonly #versions = new Map<string, ReadonlySet<string>>();
@@ -48,7 +48,7 @@
     readonly #absentSince = new Map<string, number>();
 
     /** Applies a record of the key-value service. */
-    apply(record: VersionRecord): void {
+    apply(record: StreamVersionRecord): void {
         this.#record = record;
         this.#isStored = true;
         this.#versions.clear();
@@ -83,7 +83,7 @@
     }
 
     /** Returns the record to write; `undefined` where the present one is right. */
-    nextRecord(input: NextRecordInput, nowMilliseconds: number): VersionRecord | undefined {
+    nextRecord(input: NextRecordInput, nowMilliseconds: number): StreamVersionRecord | undefined {
         const names = [...new Set([...this.#versions.keys(), ...input.services])].sort();
         const services = names
             .map(service => ({ service, versions: this.#nextVersions(service, input, nowMilliseconds) }))
@@ -118,6 +118,8 @@
     }
 }
 
-function addUnproven({ service, versions }: VersionsOfService): VersionsOfService {
+function addUnproven(
+    { service, versions }: StreamVersionRecord["services"][number],
+): StreamVersionRecord["services"][number] {
     return { service, versions: [...new Set([...versions, UNPROVEN_VERSION])].sort() };
 }
--- a/src/streamVersions/streamJournal.ts
+++ b/src/streamVersions/streamJournal.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import { type BegunStream, type StreamJournalRecord } from "../generated/gossip.js";
 import { STREAM_IDENTIFIER_CHARACTERS } from "./identifyStream.js";
-import { type BegunStream } from "./types.js";
 
 /** Streams that began within this time share an entry. */
 const SLOT_MILLISECONDS = 4_000;
@@ -13,7 +13,7 @@
 const SLOTS = 16;
 
 /** The streams of one entry: by version, their identifiers one after another. */
-export type JournalEntry = Readonly<Record<string, string>>;
+export type JournalEntry = StreamJournalRecord["streams"];
 
 /** An entry that is to be written. */
 export interface DueEntry {
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -1,5 +1,6 @@
 /**
- * Shared parts of HTTP clients: classification of failed calls, size-limited reading of bodies, and replaceable agents.
+ * Shared parts of clients: addresses, classification of failed calls, size-limited reading of bodies, and replaceable
+ * agents.
  *
  * Retries are left to the clients.
  *
@@ -13,3 +14,4 @@
 export { describeError, failedBeforeSending, isTimeoutError } from "./failures.js";
 export { readLimited } from "./readLimited.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
+export { type HostAndPort, splitAddress } from "./splitAddress.js";
