Let the outage of a test begin once streams may begin

Cause: no stream begins before its version is on record, which takes up to a quarter of a second at the first start of a site; where the outages of this file begin sooner, each of them, no stream is ever sent, and the test waits for one without end.

--- a/tests/upstreamSignals.test.ts
+++ b/tests/upstreamSignals.test.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, beforeEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { VERSIONS_KEY } from "../src/entry/_versionRecordWriter.js";
 import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
 import {
     type CallerAnswer,
@@ -62,6 +63,8 @@
         await callHost(host, { path: "/orders/warm", method: "POST" });
         return upstreams.every(upstream => arrivals.some(arrival => arrival.upstream === upstreamId(upstream)));
     });
+    // No stream begins before its version is on record, so an outage must not begin before that either.
+    await until(() => site.store.get(VERSIONS_KEY) !== undefined);
     arrivals = [];
 }
 
