--- a/src/entry/_streamProgress.ts
+++ b/src/entry/_streamProgress.ts
@@ -25,7 +25,6 @@
     #lastEventId: string | undefined;
     #version: string | undefined;
     #lookUp: LookUpOutcome | undefined;
-    #hasBegunHere = false;
 
     constructor(options: StreamProgressOptions) {
         const { facts, request } = options;
@@ -44,6 +43,11 @@
         return this.#version;
     }
 
+    /** True once the stream is bound to the version that began it. */
+    get isBegun(): boolean {
+        return this.#version !== undefined;
+    }
+
     /** Returns whether the stream may be sent, and binds one that goes on to its version. */
     start(): StreamStart {
         const resumption = this.#resumption();
@@ -84,14 +88,13 @@
         this.#lastEventId = lastIdentifier ?? this.#lastEventId;
         if (this.#isResumable && this.#version === undefined) {
             this.#version = softwareVersion;
-            this.#hasBegunHere = true;
             this.#options.versions.recordBegun(this.#options.request.requestId, softwareVersion);
         }
     }
 
     /** Records that the stream has ended whole, so that nobody resumes it. */
     recordWhole(): void {
-        if (this.#hasBegunHere) {
+        if (this.#options.facts.lastEventId === undefined && this.#version !== undefined) {
             this.#options.versions.recordWhole(this.#options.request.requestId);
         }
     }
--- a/src/entry/_versionRecordWriter.ts
+++ b/src/entry/_versionRecordWriter.ts
@@ -9,6 +9,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
+import { type ResumableStreams } from "../routes/index.js";
 import { type ServiceVersions } from "../streamVersions/index.js";
 
 /** The key of the record. */
@@ -26,6 +27,8 @@
 /** The first record is written after a random time up to this one; at that time hosts do not know each other. */
 const FIRST_RECORD_SPREAD_MILLISECONDS = 150;
 
+const NO_STREAMS: ResumableStreams = { services: new Set(), timeoutMilliseconds: 0 };
+
 /** Options of {@linkcode VersionRecordWriter}. */
 export interface VersionRecordWriterOptions {
     readonly host: string;
@@ -38,8 +41,8 @@
     readonly readClock: () => number;
     /** Returns the names of all live hosts, this one included. */
     readonly liveHosts: () => readonly string[];
-    /** Returns the services with streams that callers may resume, and the longest time limit of these. */
-    readonly resumable: () => { readonly services: ReadonlySet<string>; readonly timeoutMilliseconds: number; };
+    /** Returns the streams that callers may resume; `undefined` while no configuration is known. */
+    readonly resumable: () => ResumableStreams | undefined;
     /** Returns the revision of the record in this host's mirror; 0 for none. */
     readonly recordRevision: () => number;
     /** A call showed a later record than the mirror has. */
@@ -77,7 +80,7 @@
 
     #nextRecord(): StreamVersionRecord | undefined {
         const { keyValue, readClock, resumable, versions, view } = this.#options;
-        const { services, timeoutMilliseconds } = resumable();
+        const { services, timeoutMilliseconds } = resumable() ?? NO_STREAMS;
         const restores = keyValue.restoreCount?.() ?? 0;
         const retentionMilliseconds = Math.max(
             MINIMUM_RETENTION_MILLISECONDS,
--- a/src/entry/_waitingRank.ts
+++ b/src/entry/_waitingRank.ts
@@ -11,7 +11,8 @@
  */
 export type WaitingRank = readonly [priority: number, group: number, arrivedAtMilliseconds: number];
 
-const RESUMED_GROUP = 0;
+/** Requests that wait for permits, and streams whose caller has a part already. */
+const FIRST_GROUP = 0;
 const IN_TIME_GROUP = 1;
 const LATE_GROUP = 2;
 
@@ -40,11 +41,8 @@
     { arrivedAtMilliseconds, isResumed, permitSinceMilliseconds, route }: RankInput,
     nowMilliseconds: number,
 ): WaitingRank {
-    if (permitSinceMilliseconds !== undefined) {
-        return [route.priority, RESUMED_GROUP, permitSinceMilliseconds];
-    }
-    if (isResumed) {
-        return [route.priority, RESUMED_GROUP, arrivedAtMilliseconds];
+    if (permitSinceMilliseconds !== undefined || isResumed) {
+        return [route.priority, FIRST_GROUP, permitSinceMilliseconds ?? arrivedAtMilliseconds];
     }
     const isLate = nowMilliseconds - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
     return [route.priority, isLate ? LATE_GROUP : IN_TIME_GROUP, arrivedAtMilliseconds];
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -22,7 +22,7 @@
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { type LimitChange } from "../rateLimits/index.js";
-import { compileRouteTable, resumableStreams, type RouteTable } from "../routes/index.js";
+import { compileRouteTable, type RouteTable } from "../routes/index.js";
 import { toLeavingIncarnation, toMemory, toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
@@ -470,7 +470,7 @@
             peers: this.#peers,
             view: this.#upstreams.view,
             readClock: () => this.#now(),
-            resumable: () => resumableStreams(this.#table?.configuration.routes ?? []),
+            resumable: () => this.#table?.resumableStreams,
             recordRevision: () => this.#entries.revisionOf(VERSIONS_KEY),
             onLaterEntry: entry => this.#applyLaterEntry(entry),
             send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -50,7 +50,7 @@
 const EXPECTED_CAPACITY_MILLISECONDS = 1_000;
 
 /** Time after which a caller that this host cannot serve has the address of another host. */
-const OTHER_HOST_MILLISECONDS = 200;
+export const OTHER_HOST_MILLISECONDS = 200;
 
 /** Interval of a waiting request's dispatches, which repeat its adapter request since datagrams may be lost. */
 const DISPATCH_RETRY_MILLISECONDS = 120;
@@ -120,7 +120,7 @@
         this.#selection = new UpstreamSelection(context, this.#facts, {
             permitRequest: () => this.#permitWait.request,
             allows: upstream => this.#progress.allows(upstream),
-            isResumed: () => this.#progress.version !== undefined,
+            isResumed: () => this.#progress.isBegun,
         });
         this.#answer = new CallerAnswer({
             response: request.response,
@@ -155,7 +155,7 @@
             route,
             arrivedAtMilliseconds,
             permitSinceMilliseconds: isForPermit ? this.#permitWait.request.sinceMilliseconds : undefined,
-            isResumed: this.#progress.version !== undefined,
+            isResumed: this.#progress.isBegun,
         }, this.#now());
     }
 
@@ -238,7 +238,7 @@
             return;
         }
         const usable = this.#selection.usable();
-        if (this.#progress.version !== undefined && usable.length === 0) {
+        if (this.#progress.isBegun && usable.length === 0) {
             this.#refuse("version-gone");
             return;
         }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -8,7 +8,7 @@
 import { type Arrival, Arrivals } from "./_arrivals.js";
 import { type CallerRequest } from "./_requestFacts.js";
 import { compareRanks } from "./_waitingRank.js";
-import { Exchange } from "./exchange.js";
+import { Exchange, OTHER_HOST_MILLISECONDS } from "./exchange.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
 const STATUS_BAD_REQUEST = 400;
@@ -16,8 +16,7 @@
 const STATUS_TOO_LARGE = 413;
 const STATUS_UNAVAILABLE = 503;
 
-/** Retry delay for callers that this host cannot serve; by then they have the address of another host. */
-const OTHER_HOST_RETRY_SECONDS = "0.2";
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Time in which an engine prefills enough of its backlog to accept another prompt. */
 const PREFILL_RECHECK_MILLISECONDS = 10;
@@ -226,7 +225,9 @@
         }
         const body = JSON.stringify({ reason, ran: "not-run" });
         const identifierHeaders = typeof requestId === "string" ? { [headers.requestId]: requestId } : {};
-        const retryHeaders = status === STATUS_UNAVAILABLE ? { "retry-after": OTHER_HOST_RETRY_SECONDS } : {};
+        const retryHeaders = status === STATUS_UNAVAILABLE
+            ? { "retry-after": String(OTHER_HOST_MILLISECONDS / MILLISECONDS_PER_SECOND) }
+            : {};
         const connectionHeaders = status === STATUS_TOO_LARGE || this.#context.closesConnections()
             ? { connection: "close" }
             : {};
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -196,9 +196,7 @@
         }
         for (const begun of message.streams) {
             this.#remember(begun);
-            if (this.#currentKeepers().keepersOf(begun.stream)[0] === this.#options.host) {
-                this.#journal.add(begun);
-            }
+            this.#recordAsFirstKeeper(begun);
         }
         this.#endKnown("peer");
     }
@@ -240,17 +238,23 @@
         return this.#keepers.keepers;
     }
 
+    /** Writes a stream into the journal where this host is its first keeper. */
+    #recordAsFirstKeeper(begun: BegunStream): void {
+        if (this.#currentKeepers().keepersOf(begun.stream)[0] === this.#options.host) {
+            this.#journal.add(begun);
+        }
+    }
+
     /** Tells the keepers of streams, of which this host may be one. */
     #tellKeepers(streams: readonly BegunStream[]): void {
         const { host, send } = this.#options;
         const byKeeper = new Map<string, BegunStream[]>();
         for (const begun of streams) {
-            const keepers = this.#currentKeepers().keepersOf(begun.stream);
-            if (keepers[0] === host) {
-                this.#journal.add(begun);
-            }
-            for (const keeper of keepers.filter(each => each !== host)) {
-                byKeeper.set(keeper, [...byKeeper.get(keeper) ?? [], begun]);
+            this.#recordAsFirstKeeper(begun);
+            for (const keeper of this.#currentKeepers().keepersOf(begun.stream).filter(each => each !== host)) {
+                const kept = byKeeper.get(keeper) ?? [];
+                byKeeper.set(keeper, kept);
+                kept.push(begun);
             }
         }
         for (const [keeper, kept] of byKeeper) {
--- a/src/partitions/chooseProbeTargets.ts
+++ b/src/partitions/chooseProbeTargets.ts
@@ -28,9 +28,6 @@
         .map(upstream => ({ upstream, order: random() }))
         .sort((left, right) => left.order - right.order)
         .map(({ upstream }) => upstream);
-    const firstOfServices = shuffled.filter((upstream, index) =>
-        shuffled.findIndex(({ service }) => service === upstream.service) === index
-    );
-    const others = shuffled.filter(upstream => !firstOfServices.includes(upstream));
-    return [...firstOfServices, ...others].slice(0, MAXIMUM_TARGETS);
+    const ofServices = new Set(new Map(shuffled.map(upstream => [upstream.service, upstream])).values());
+    return [...new Set([...ofServices, ...shuffled])].slice(0, MAXIMUM_TARGETS);
 }
--- a/src/routes/index.ts
+++ b/src/routes/index.ts
@@ -12,7 +12,7 @@
  *
  * @module
  */
-export { type ResumableStreams, resumableStreams } from "./resumableStreams.js";
+export { type ResumableStreams } from "./resumableStreams.js";
 export { chooseService, compileRouteTable, type RouteTable } from "./routeTable.js";
 export {
     type CallerLimits,
--- a/src/routes/resumableStreams.ts
+++ b/src/routes/resumableStreams.ts
@@ -18,7 +18,7 @@
  *
  * @example
  * ```ts
- * const { services } = resumableStreams(table.configuration.routes);
+ * const { services } = resumableStreams(configuration.routes);
  * ```
  */
 export function resumableStreams(routes: readonly Route[]): ResumableStreams {
--- a/src/routes/routeTable.ts
+++ b/src/routes/routeTable.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { hashText } from "../decision/index.js";
+import { type ResumableStreams, resumableStreams } from "./resumableStreams.js";
 import { type Route, type RoutingConfiguration, type ServiceDefinition } from "./types.js";
 
 const HASH_RANGE = 2 ** 32;
@@ -15,6 +16,7 @@
     /** Returns the route with the longest prefix that matches the path; `undefined` where none does. */
     match(hostName: string, path: string): Route | undefined;
     service(name: string): ServiceDefinition | undefined;
+    readonly resumableStreams: ResumableStreams;
 }
 
 function prefixesOf(path: string): string[] {
@@ -65,6 +67,7 @@
             return prefix === undefined ? undefined : routes.get(prefix);
         },
         service: name => services.get(name),
+        resumableStreams: resumableStreams(configuration.routes),
     };
 }
 
