Log whether an upstream was silent towards all requests, or towards one

Each host now keeps the time of the last byte from each upstream. request sent, attempt failed and quiet upstream goes on have it as upstreamSilentMilliseconds. No decision reads it yet.

--- a/src/entry/_attempt.ts
+++ b/src/entry/_attempt.ts
@@ -92,6 +92,7 @@
     recordHeard(): void {
         this.#heardAtMilliseconds = this.#context.readClock();
         this.#context.contact.recordHeard(this.#heardAtMilliseconds);
+        this.#context.liveness.recordHeard(this.upstream.id, this.#heardAtMilliseconds);
     }
 
     /** Buffers a part of an answer that is not a stream; returns false where the limit on buffered bytes is reached. */
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -631,6 +631,7 @@
             crashes,
             streamVersions: this.#streamVersions,
             contact: this.#upstreams.contact,
+            liveness: this.#upstreams.liveness,
             prompts,
             backlog,
             heldBytes: new BufferedAnswerBytes(),
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -507,7 +507,8 @@
         this.#restartSilenceTimer(attempt);
     }
 
-    #logSent({ backlogTokens, load, number, upstream }: Attempt, passedOver: string | undefined): void {
+    #logSent(attempt: Attempt, passedOver: string | undefined): void {
+        const { backlogTokens, load, number, upstream } = attempt;
         this.#log("request sent", {
             route: this.#request.route.name,
             upstream: upstream.id,
@@ -522,6 +523,7 @@
             boundTokens: this.#context.backlog.limitTokens,
             configurationVersion: this.#request.configurationVersion,
             remainingMilliseconds: Math.round(this.#remainingMilliseconds()),
+            upstreamSilentMilliseconds: this.#upstreamSilentMilliseconds(attempt),
         });
     }
 
@@ -664,6 +666,7 @@
             upstream: attempt.upstream.id,
             attempt: attempt.number,
             replacement: replacement?.upstream.id,
+            ...replacement === undefined ? {} : this.#describeSilence(replacement),
         });
         replacement?.cancel();
         this.#attemptsThatMayHaveRun += 1;
@@ -687,6 +690,21 @@
         }
     }
 
+    /** Returns log fields with the silence of an attempt, and that of its upstream towards all requests. */
+    #describeSilence(attempt: Attempt): Readonly<Record<string, number | boolean | undefined>> {
+        return {
+            quietMilliseconds: Math.round(attempt.quietMilliseconds),
+            upstreamSilentMilliseconds: this.#upstreamSilentMilliseconds(attempt),
+            callerBlocks: this.#request.response.writableNeedDrain,
+        };
+    }
+
+    /** Returns the time since the attempt's upstream was heard on any request; `undefined` where it never was. */
+    #upstreamSilentMilliseconds({ upstream }: Attempt): number | undefined {
+        const milliseconds = this.#context.liveness.silenceMilliseconds(upstream.id, this.#now());
+        return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
+    }
+
     /** Returns whether the request may be retried, and another upstream could accept it now. */
     #canRetryElsewhere({ upstream }: Attempt): boolean {
         const { route } = this.#request;
@@ -829,6 +847,7 @@
         if (provenFailure === "connection-lost") {
             attempt.recordLost();
         }
+        const silence = this.#describeSilence(attempt);
         attempt.cancel();
         if (attempt.recordFailure(provenFailure)) {
             this.#selection.recordTried(attempt.upstream.id);
@@ -843,8 +862,7 @@
             detail,
             decision: this.#quietAttempt === undefined ? decision.type : "go-on",
             sentBefore: this.#attemptsThatMayHaveRun,
-            quietMilliseconds: Math.round(attempt.quietMilliseconds),
-            callerBlocks: this.#request.response.writableNeedDrain,
+            ...silence,
             answerBegun: this.#answer.begun,
             configurationVersion: this.#request.configurationVersion,
             ...provenFailure === "connection-lost" ? attempt.describeLoss() : {},
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -17,6 +17,7 @@
     type UpstreamLoads,
     type UpstreamPauses,
 } from "../forwarding/index.js";
+import { type UpstreamLiveness } from "../hedging/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
@@ -45,6 +46,7 @@
     readonly crashes: CrashAttribution;
     readonly streamVersions: StreamVersions;
     readonly contact: UpstreamContact;
+    readonly liveness: UpstreamLiveness;
     readonly prompts: PromptPrefixIndex;
     readonly backlog: PrefillBacklog;
     readonly heldBytes: BufferedAnswerBytes;
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -26,6 +26,7 @@
     UpstreamLoads,
     UpstreamPauses,
 } from "../forwarding/index.js";
+import { UpstreamLiveness } from "../hedging/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { UpstreamContact } from "../partitions/index.js";
 import { ResidencyView } from "../placement/index.js";
@@ -79,6 +80,7 @@
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
     readonly contact = new UpstreamContact();
+    readonly liveness = new UpstreamLiveness();
     readonly #options: UpstreamTrackerOptions;
     /** The last unreadable limit of each upstream, which is logged once. */
     readonly #unreadableLimits = new Map<string, string>();
@@ -138,8 +140,11 @@
         }
         this.unreachableReports.clear(upstream.id);
         this.contact.recordHeard(this.#now());
-        if (!isFromOtherUpstream(head, upstream.id, headers) && reportsLeaving(head, headers)) {
-            this.#recordLeaving(upstream);
+        if (!isFromOtherUpstream(head, upstream.id, headers)) {
+            this.liveness.recordHeard(upstream.id, this.#now());
+            if (reportsLeaving(head, headers)) {
+                this.#recordLeaving(upstream);
+            }
         }
         this.#recordPause(upstream.id, head);
         this.#recordLimit(upstream, head, sentAtMilliseconds);
@@ -365,6 +370,7 @@
             this.pauses.forget(upstream.id);
             this.prompts.forget(upstream.id);
             this.backlog.forget(upstream.id);
+            this.liveness.forget(upstream.id);
             this.unreachableReports.clear(upstream.id);
             this.limits.forget(upstream.id);
             this.#unreadableLimits.delete(upstream.id);
