Show that answers of engines that pause are given up too soon

What callers saw: an engine pauses for 1.6 s and goes on, and its answers are lost, since each is given up 250 ms after another engine was sent the request, whether that one has answered or not.

The stand-in of an upstream now pauses as a whole, as a stopped process does: it accepts connections, reads nothing, sends nothing (its report neither), and its timers fire when it goes on. It renews no announcement, so that nothing is held there.

--- a/standins/platform/_restartableServer.ts
+++ b/standins/platform/_restartableServer.ts
@@ -1,5 +1,5 @@
 /**
- * An HTTP server that crashes and listens again.
+ * An HTTP server that crashes and listens again, and that can stop reading.
  *
  * @module
  */
@@ -14,6 +14,7 @@
     readonly #sockets = new Set<Socket>();
     #server: Server | undefined;
     #port = 0;
+    #reads = true;
 
     constructor(handle: RequestListener) {
         this.#handle = handle;
@@ -32,8 +33,20 @@
         await this.#listenOn(this.#port).catch(() => this.#listenOn(0));
     }
 
+    /** Reads nothing before `resume`; connections are still accepted, as the kernel does for a stopped process. */
+    pause(): void {
+        this.#reads = false;
+        this.#sockets.forEach(socket => socket.pause());
+    }
+
+    resume(): void {
+        this.#reads = true;
+        this.#sockets.forEach(socket => socket.resume());
+    }
+
     /** Resets all connections, and listens no more. */
     crash(): void {
+        this.#reads = true;
         this.#sockets.forEach(socket => socket.resetAndDestroy());
         this.#server?.close();
         this.#server = undefined;
@@ -50,6 +63,9 @@
         const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MILLISECONDS }, this.#handle);
         server.on("connection", socket => {
             this.#sockets.add(socket);
+            if (!this.#reads) {
+                socket.pause();
+            }
             socket.on("close", () => this.#sockets.delete(socket));
         });
         await new Promise<void>((resolve, reject) => {
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -5,6 +5,7 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
+import { PauseGate } from "./_pauseGate.js";
 import { RestartableServer } from "./_restartableServer.js";
 import { type DeadlyParts } from "./deadlyParts.js";
 
@@ -127,6 +128,8 @@
     readonly #options: UpstreamOptions;
     readonly #models: Map<string, Set<string>>;
     readonly #server: RestartableServer;
+    readonly #pauseGate = new PauseGate();
+    #pauseTimer: NodeJS.Timeout | undefined;
     #startCount = 1;
     #startedAtMilliseconds = FIRST_START_MILLISECONDS;
     #restartTimer: NodeJS.Timeout | undefined;
@@ -180,6 +183,28 @@
         };
     }
 
+    /**
+     * Stops the whole upstream as a stopped process: it reads nothing, sends nothing (neither answers nor its report)
+     * and closes no connection; its timers fire once it goes on. New connections are accepted. Its announcement stays.
+     *
+     * @param milliseconds Time until it goes on; `undefined` for an upstream that hangs until `resume`.
+     */
+    pause(milliseconds?: number): void {
+        this.#pauseGate.close();
+        this.#server.pause();
+        clearTimeout(this.#pauseTimer);
+        if (milliseconds !== undefined) {
+            this.#pauseTimer = setTimeout(() => this.resume(), milliseconds);
+        }
+    }
+
+    /** Ends a pause. */
+    resume(): void {
+        clearTimeout(this.#pauseTimer);
+        this.#server.resume();
+        this.#pauseGate.open();
+    }
+
     /** Resets all connections and stops listening, then starts again where its options say so. */
     crash(): void {
         const { restart } = this.#options;
@@ -187,6 +212,7 @@
             return;
         }
         this.#server.crash();
+        this.resume();
         if (restart !== undefined) {
             this.#restartTimer = setTimeout(() => void this.#restart(restart), restart.afterMilliseconds);
         }
@@ -194,6 +220,7 @@
 
     async close(): Promise<void> {
         clearTimeout(this.#restartTimer);
+        this.resume();
         await this.#server.close();
     }
 
@@ -238,6 +265,7 @@
         for await (const chunk of message) {
             chunks.push(chunk as Buffer);
         }
+        await this.#pauseGate.passed();
         const body = Buffer.concat(chunks).toString();
         if (message.url === "/report") {
             const report = { models: this.#describeModels(), busy: this.#isLoading, sequence: this.#orderCount };
@@ -299,7 +327,13 @@
             finish();
             return;
         }
-        setTimeout(finish, loadMilliseconds);
+        void this.#wait(loadMilliseconds).then(finish);
+    }
+
+    /** Waits for some time, and then until the upstream is not paused. */
+    async #wait(milliseconds: number | undefined): Promise<void> {
+        await delay(milliseconds);
+        await this.#pauseGate.passed();
     }
 
     #isResident(request: ReceivedRequest): boolean {
@@ -355,7 +389,7 @@
         const headers = this.#answerHeaders(request);
         switch (behaviour.type) {
             case "answer":
-                await delay(behaviour.afterMilliseconds ?? 0);
+                await this.#wait(behaviour.afterMilliseconds ?? 0);
                 if (!this.#canBeginAnswer(request, response)) {
                     return;
                 }
@@ -363,9 +397,9 @@
                 response.writeHead(behaviour.status ?? 200, { ...headers, ...behaviour.headers });
                 if (behaviour.bodyAfterMilliseconds !== undefined) {
                     response.flushHeaders();
-                    await delay(behaviour.bodyAfterMilliseconds);
+                    await this.#wait(behaviour.bodyAfterMilliseconds);
                 }
-                await endAnswer(behaviour, response, behaviour.body ?? `${this.id} ran ${request.id}`);
+                await this.#endAnswer(behaviour, response, behaviour.body ?? `${this.id} ran ${request.id}`);
                 break;
             case "stream":
                 await this.#stream(behaviour, request, response);
@@ -378,7 +412,7 @@
                 }).end();
                 break;
             case "reset":
-                await delay(behaviour.afterMilliseconds ?? 0);
+                await this.#wait(behaviour.afterMilliseconds ?? 0);
                 response.socket?.resetAndDestroy();
                 break;
             case "silent":
@@ -409,7 +443,7 @@
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         if (behaviour.firstTokenMilliseconds !== undefined) {
-            await delay(behaviour.firstTokenMilliseconds);
+            await this.#wait(behaviour.firstTokenMilliseconds);
         }
         if (!this.#canBeginAnswer(request, response)) {
             return;
@@ -423,15 +457,25 @@
         for (let event = first; event <= behaviour.events && !response.destroyed; event += 1) {
             if (event === behaviour.breakAfter) {
                 const text = behaviour.breakText ?? `id: ${event}\nda`;
-                await endAnswer({ resetsAtEnd: behaviour.breakBy !== "end" }, response, text);
+                await this.#endAnswer({ resetsAtEnd: behaviour.breakBy !== "end" }, response, text);
                 return;
             }
             const padding = "x".repeat(behaviour.paddingBytes ?? 0);
             response.write(`id: ${event}\ndata: ${event}${padding}${this.#versionMark()}\n\n`);
             const isSilent = event === behaviour.silentAfter;
-            await delay(isSilent ? behaviour.silentMilliseconds : untilNextStep(behaviour.gapMilliseconds ?? 1));
+            await this.#wait(isSilent ? behaviour.silentMilliseconds : untilNextStep(behaviour.gapMilliseconds ?? 1));
         }
-        await endAnswer(behaviour, response, "");
+        await this.#endAnswer(behaviour, response, "");
+    }
+
+    async #endAnswer({ resetsAtEnd }: AnswerEnding, response: ServerResponse, lastText: string): Promise<void> {
+        if (resetsAtEnd !== true) {
+            response.end(lastText);
+            return;
+        }
+        response.write(lastText);
+        await this.#wait(RESET_DELAY_MILLISECONDS);
+        response.socket?.resetAndDestroy();
     }
 }
 
@@ -448,16 +492,6 @@
     }
 }
 
-async function endAnswer({ resetsAtEnd }: AnswerEnding, response: ServerResponse, lastText: string): Promise<void> {
-    if (resetsAtEnd !== true) {
-        response.end(lastText);
-        return;
-    }
-    response.write(lastText);
-    await delay(RESET_DELAY_MILLISECONDS);
-    response.socket?.resetAndDestroy();
-}
-
 function renderHead(headers: Readonly<Record<string, string>>): string {
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
     return `HTTP/1.1 200 OK\r\n${lines.join("")}Connection: close\r\n\r\n`;
