Give an answer up only for an upstream that was heard, not for a timer

What callers saw: while engines pause for a second or so and go on, streams that had begun end or stall for two seconds, and reads fail, although the engine that had them was sound.

Cause: 1.2 s without a byte moved a request to a second engine, and 250 ms after that one was connected to, the first attempt was cancelled whatever the second had said. Where the second pauses too, resets, fails or is slow, the answer of the first, which would have gone on, is lost; with two attempts nothing is left. Class: a timer stands for evidence.

Change: a stalled request is hedged only at an engine that was heard within 400 ms, on whatever request; engines that were not are probed by their health address shortly before. Requests to plain services then run at both until one answers (a stream's event, a whole read). A request that names a model may not run at two engines for long: after 250 ms the first is given up if the second was heard, else the second is cancelled and the first goes on. Where nobody is heard, the request stays: the pause is not its engine's alone. An engine's 5xx counts as a failed attempt while another attempt runs.

Ruled out: keeping both attempts for model requests as well (a request may not go on at two engines for longer than 400 ms); no hedges at all (every stream of an engine that hangs is lost).

--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -101,21 +101,32 @@
         return pauses.length > 0 && shortest > 0 ? shortest : undefined;
     }
 
-    /** Returns whether an upstream other than the current one could accept the request, now or after some prefill. */
-    hasAlternative(current: string | undefined): boolean {
+    /** Returns whether an upstream other than the given ones could accept the request, now or after some prefill. */
+    hasAlternative(current: ReadonlySet<string>): boolean {
         const { type } = this.#choiceWithout(current);
         return type === "send" || type === "reading";
     }
 
-    /** Returns an upstream other than the current one that accepts the request now; `undefined` where none does. */
-    chooseOther(current: string): UpstreamAnnouncement | undefined {
-        const choice = this.#choiceWithout(current);
+    /**
+     * Returns an upstream that accepts the request now; `undefined` where none does.
+     *
+     * @param current Upstreams that have the request already.
+     * @param isEligible Returns whether an upstream may be chosen; all by default.
+     */
+    chooseOther(
+        current: ReadonlySet<string>,
+        isEligible: (upstream: UpstreamAnnouncement) => boolean = () => true,
+    ): UpstreamAnnouncement | undefined {
+        const choice = this.#choiceWithout(current, isEligible);
         return choice.type === "send" ? this.#context.view.get(choice.upstream) : undefined;
     }
 
-    #choiceWithout(current: string | undefined): Choice {
+    #choiceWithout(
+        current: ReadonlySet<string>,
+        isEligible: (upstream: UpstreamAnnouncement) => boolean = () => true,
+    ): Choice {
         const others = this.usable().filter(upstream =>
-            upstream.id !== current && this.residencyAt(upstream) === "held"
+            !current.has(upstream.id) && this.residencyAt(upstream) === "held" && isEligible(upstream)
         );
         return this.choose(others, false);
     }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type Agent } from "node:http";
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading, EngineDuties } from "../duties/index.js";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
@@ -30,6 +31,7 @@
 import { FleetPlanner } from "./fleetPlanner.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
+import { HealthProbes } from "./healthProbes.js";
 import { type AdapterUseReport, HostGossip } from "./hostGossip.js";
 import { digestIntervalMilliseconds, GATHER_MILLISECONDS, renewalIntervalMilliseconds } from "./hostIntervals.js";
 import { ADDRESS_KEEP_SECONDS, HostServers } from "./hostServers.js";
@@ -128,6 +130,7 @@
     readonly #session: HostSession;
     readonly #streamVersions: StreamVersions;
     readonly #partitionWatch: PartitionWatch;
+    readonly #healthProbes: HealthProbes;
     readonly #planner: FleetPlanner;
     readonly #orders: EngineOrders;
     readonly #catchUp: PeerCatchUp;
@@ -217,6 +220,7 @@
         this.#session = this.#createSession();
         this.#streamVersions = this.#createStreamVersions();
         this.#partitionWatch = this.#createPartitionWatch();
+        this.#healthProbes = this.#createHealthProbes();
         this.#planner = this.#createPlanner();
         this.#orders = this.#createOrders();
         this.#catchUp = new PeerCatchUp({
@@ -300,6 +304,7 @@
         this.#rateLimiting.close();
         this.#streamVersions.close();
         this.#partitionWatch.close();
+        this.#healthProbes.close();
         this.#orders.close();
         await this.#mirror.close();
         await this.#options.keyValue.close();
@@ -494,6 +499,23 @@
         });
     }
 
+    #createHealthProbes(): HealthProbes {
+        const { logger, metrics } = this.#options;
+        return new HealthProbes({
+            logger,
+            metrics,
+            readClock: () => this.#now(),
+            agentFor: service => this.#agentFor(service),
+            healthPathOf: service => this.#table?.service(service)?.healthPath,
+            onAnswer: (upstream, head, sentAtMilliseconds) =>
+                this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
+        });
+    }
+
+    #agentFor(service: string): Agent {
+        return this.#agents.agentFor(service, this.#table?.service(service)?.maximumConnections);
+    }
+
     #handleUpstreamsChanged(): void {
         this.#streamVersions.check();
         this.#forwarder.wake();
@@ -632,16 +654,14 @@
             streamVersions: this.#streamVersions,
             contact: this.#upstreams.contact,
             liveness: this.#upstreams.liveness,
+            probes: this.#healthProbes,
             prompts,
             backlog,
             heldBytes: new BufferedAnswerBytes(),
             demand: this.#demand,
             adapterUse: this.#adapterUse,
             routeTable: () => this.#table,
-            agentFor: service => {
-                const limit = this.#table?.service(service)?.maximumConnections;
-                return this.#agents.agentFor(service, limit);
-            },
+            agentFor: service => this.#agentFor(service),
             hostCount: () => this.#peers.live(this.#now()).length + 1,
             requestAdapter: (engine, model, adapter) => this.#requestAdapter(engine, model, adapter),
             requestVersionCopy: need => this.#requestVersionCopy(need),
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -18,12 +18,14 @@
 } from "../forwarding/index.js";
 import { PermitWait } from "../rateLimits/index.js";
 import { checkHead, isServerError, isSuccess } from "./_answerHead.js";
-import { Attempt, BUSY_LOAD_SHARE } from "./_attempt.js";
+import { Attempt } from "./_attempt.js";
 import { CallerAnswer } from "./_callerAnswer.js";
 import { type FailureReason } from "./_failureReason.js";
+import { type HedgeCancellation, Hedging } from "./_hedging.js";
 import { outgoingHeaders } from "./_outgoingHeaders.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
 import { describeLimit, usePermit } from "./_requestPermits.js";
+import { RunningAttempts } from "./_runningAttempts.js";
 import { StreamProgress } from "./_streamProgress.js";
 import { UpstreamSelection } from "./_upstreamSelection.js";
 import { type WaitingRank, waitingRank } from "./_waitingRank.js";
@@ -34,18 +36,6 @@
 /** Connecting within a region takes a few milliseconds, or a second if the first packet is lost. */
 const CONNECT_TIMEOUT_MILLISECONDS = 350;
 
-/** Callers abandon a stream after two seconds without an event; an earlier time-out leaves time for a retry. */
-const STREAM_SILENCE_TIMEOUT_MILLISECONDS = 1_200;
-
-/** An idempotent request is retried on another upstream after this many times its target latency without an answer. */
-const SILENCE_TIMEOUT_TARGETS = 3;
-
-/** Interval at which a quiet attempt is looked at again while no other upstream can take its request. */
-const SILENCE_RECHECK_MILLISECONDS = 60;
-
-/** How long a quiet attempt is kept beside the one that replaces it; an upstream that rejects a request does so sooner. */
-const OVERLAP_MILLISECONDS = 250;
-
 /** Expected time until an upstream that is full or unreachable accepts a request. */
 const EXPECTED_CAPACITY_MILLISECONDS = 1_000;
 
@@ -73,6 +63,10 @@
     readonly onPrefillWait: () => void;
 }
 
+function describeQuiet({ quietMilliseconds }: Attempt): string {
+    return `nothing came for ${Math.round(quietMilliseconds)} ms`;
+}
+
 /** Forwards one request, with retries, and notifies the forwarder when it has ended. */
 export class Exchange {
     readonly #context: ForwardingContext;
@@ -86,11 +80,10 @@
     #attemptsThatMayHaveRun = 0;
     #rejectedSends = 0;
     #attemptCount = 0;
-    #attempt: Attempt | undefined;
-    /** An attempt that went quiet, kept until the current attempt, which replaces it, is answered. */
-    #quietAttempt: Attempt | undefined;
-    /** False once as many upstreams as allowed have turned away a request that was to move off a quiet one. */
-    #mayReplace = true;
+    readonly #attempts = new RunningAttempts();
+    readonly #hedging: Hedging;
+    /** False once as many upstreams as allowed have rejected hedges of the request. */
+    #mayHedge = true;
     #lastUpstream: string | undefined;
     #waitingSinceMilliseconds: number | undefined;
     /** True while the request waits for a copy of its model that another engine is loading. */
@@ -100,8 +93,6 @@
     #isDoubted = false;
     #ended = false;
     #deadlineTimer: NodeJS.Timeout | undefined;
-    #silenceTimer: NodeJS.Timeout | undefined;
-    #overlapTimer: NodeJS.Timeout | undefined;
     #retryTimer: NodeJS.Timeout | undefined;
 
     constructor(context: ForwardingContext, request: CallerRequest, listener: ExchangeListener) {
@@ -122,6 +113,7 @@
             allows: upstream => this.#progress.allows(upstream),
             isResumed: () => this.#progress.isBegun,
         });
+        this.#hedging = this.#createHedging();
         this.#answer = new CallerAnswer({
             response: request.response,
             requestId: request.requestId,
@@ -132,6 +124,24 @@
         });
     }
 
+    #createHedging(): Hedging {
+        const { response, route } = this.#request;
+        return new Hedging({
+            context: this.#context,
+            route,
+            attempts: this.#attempts,
+            selection: this.#selection,
+            isExclusive: this.#facts.model !== undefined,
+            guard: step => this.#guard(step),
+            isReceiving: () => !this.#ended && !response.writableNeedDrain,
+            mayHedge: () => this.#isHedgeAllowed(),
+            payForHedge: () => this.#context.budget.tryConsume(this.#facts.service ?? "", this.#now()),
+            send: upstream => this.#sendHedge(upstream),
+            onGivenUp: attempt => this.#attemptFailed(attempt, "silent", describeQuiet(attempt)),
+            onHedgeCancelled: (hedge, reason) => this.#cancelHedge(hedge, reason),
+        });
+    }
+
     /** True while the request waits for an upstream, a model or an adapter. */
     get isWaiting(): boolean {
         return this.#waitingSinceMilliseconds !== undefined;
@@ -226,7 +236,7 @@
     }
 
     #dispatch(): void {
-        if (this.#ended || this.#attempt !== undefined) {
+        if (this.#ended || this.#attempts.count > 0) {
             return;
         }
         clearTimeout(this.#retryTimer);
@@ -477,11 +487,11 @@
             upstream,
             number: this.#attemptCount,
         });
-        this.#attempt = attempt;
+        this.#attempts.add(attempt);
         this.#lastUpstream = upstream.id;
         this.#logSent(attempt, passedOver);
         const ifOpen = (step: () => void): void => {
-            if (!this.#ended && (this.#attempt === attempt || this.#quietAttempt === attempt)) {
+            if (!this.#ended && this.#attempts.has(attempt)) {
                 this.#guard(step);
             }
         };
@@ -494,7 +504,7 @@
             headers: this.#headersFor(upstream),
             body,
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-            onConnected: () => ifOpen(() => this.#handleConnected(attempt)),
+            onConnected: () => ifOpen(() => this.#hedging.handleConnected(attempt)),
             onHead: head => ifOpen(() => this.#handleHead(attempt, head)),
             onData: chunk => ifOpen(() => this.#handleData(attempt, chunk)),
             onEnd: () => ifOpen(() => this.#handleEnd(attempt)),
@@ -504,7 +514,7 @@
                     this.#attemptFailed(attempt, failure, detail);
                 }),
         });
-        this.#restartSilenceTimer(attempt);
+        this.#hedging.watch();
     }
 
     #logSent(attempt: Attempt, passedOver: string | undefined): void {
@@ -544,7 +554,6 @@
         if (this.#ended) {
             return;
         }
-        this.#attempt?.cancel();
         this.#releaseUpstreams();
         if (this.#answer.begun) {
             this.#abortAnswer("broken-invariant");
@@ -563,131 +572,49 @@
         });
     }
 
-    /** Restarts the timer that moves a request off a quiet upstream; only for requests that may run again. */
-    #restartSilenceTimer(attempt: Attempt): void {
-        clearTimeout(this.#silenceTimer);
-        const { route } = this.#request;
-        if (mayRunAgain(route.kind, route.resumable)) {
-            this.#scheduleSilenceCheck(attempt, this.#silenceLimitMilliseconds());
-        }
-    }
-
-    #silenceLimitMilliseconds(): number {
-        const { kind, targetLatencyMilliseconds } = this.#request.route;
-        return kind === "event-stream"
-            ? STREAM_SILENCE_TIMEOUT_MILLISECONDS
-            : targetLatencyMilliseconds * SILENCE_TIMEOUT_TARGETS;
-    }
-
-    /** Checks an attempt after some time, once what has arrived meanwhile was read. */
-    #scheduleSilenceCheck(attempt: Attempt, milliseconds: number): void {
-        clearTimeout(this.#silenceTimer);
-        this.#silenceTimer = setTimeout(
-            () => setImmediate(() => this.#guard(() => this.#handleSilence(attempt))),
-            milliseconds,
-        );
-    }
-
-    /** The caller reads again; what the upstream sent meanwhile was not received, so its silence begins anew. */
+    /** The caller reads again; what upstreams sent meanwhile was not received, so their silence begins anew. */
     #handleDrain(): void {
-        const attempt = this.#attempt;
-        if (attempt !== undefined && !this.#ended) {
-            attempt.recordHeard();
-            attempt.call?.resume();
-            this.#restartSilenceTimer(attempt);
-        }
-    }
-
-    /**
-     * Sends the request to another upstream beside a quiet attempt, if one accepts it now and the retry budget has room;
-     * otherwise the attempt goes on, since its upstream may do so too.
-     */
-    #handleSilence(attempt: Attempt): void {
-        const isReplaced = this.#attempt !== attempt || this.#quietAttempt !== undefined;
-        const isRead = !this.#request.response.writableNeedDrain;
-        if (this.#ended || isReplaced || !isRead) {
-            return;
-        }
-        const remainingMilliseconds = this.#silenceLimitMilliseconds() - attempt.quietMilliseconds;
-        if (remainingMilliseconds > 0) {
-            this.#scheduleSilenceCheck(attempt, remainingMilliseconds);
-            return;
-        }
-        if (this.#selection.loadShare(attempt.upstream.id) >= BUSY_LOAD_SHARE) {
-            this.#restartSilenceTimer(attempt);
+        if (this.#ended) {
             return;
         }
-        const replacement = this.#chooseReplacement(attempt);
-        if (replacement === undefined) {
-            this.#scheduleSilenceCheck(attempt, SILENCE_RECHECK_MILLISECONDS);
-            return;
+        for (const attempt of this.#attempts.list()) {
+            attempt.recordHeard();
+            attempt.call?.resume();
         }
-        this.#context.metrics.count("repeats", { reason: "silent" });
-        this.#quietAttempt = attempt;
-        this.#send(replacement, undefined);
+        this.#hedging.watch();
     }
 
-    /** Ends a quiet attempt some time after another upstream was sent the request, unless that one turns it away. */
-    #handleConnected(attempt: Attempt): void {
-        if (this.#quietAttempt !== undefined && attempt === this.#attempt) {
-            clearTimeout(this.#overlapTimer);
-            this.#overlapTimer = setTimeout(
-                () => this.#guard(() => this.#abandonQuietAttempt()),
-                OVERLAP_MILLISECONDS,
-            );
-        }
+    /** Returns whether the request may run once more beside the attempts that run. */
+    #isHedgeAllowed(): boolean {
+        return this.#mayHedge
+            && this.#attemptsThatMayHaveRun + this.#attempts.count < this.#request.route.maximumAttempts
+            && this.#verdict().type === "accepted";
     }
 
-    /** Returns an upstream that takes the request now, with the retry paid for; `undefined` where there is none. */
-    #chooseReplacement({ upstream }: Attempt): UpstreamAnnouncement | undefined {
-        const mayRetry = this.#mayReplace
-            && this.#attemptsThatMayHaveRun + 1 < this.#request.route.maximumAttempts;
-        if (!mayRetry || this.#verdict().type !== "accepted") {
-            return undefined;
-        }
-        const replacement = this.#selection.chooseOther(upstream.id);
-        const isPaid = replacement !== undefined
-            && this.#context.budget.tryConsume(this.#facts.service ?? "", this.#now());
-        return isPaid ? replacement : undefined;
+    #sendHedge(upstream: UpstreamAnnouncement): void {
+        const stalled = this.#attempts.last;
+        this.#context.metrics.count("repeats", { reason: "silent" });
+        this.#log("request hedged", {
+            upstream: stalled?.upstream.id,
+            attempt: stalled?.number,
+            hedge: upstream.id,
+            ...stalled === undefined ? {} : this.#describeSilence(stalled),
+        });
+        this.#send(upstream, undefined);
     }
 
-    /** Of a quiet attempt and its replacement, keeps the one whose upstream has answered. */
-    #keepOnly(attempt: Attempt): void {
-        const quietAttempt = this.#quietAttempt;
-        if (quietAttempt === undefined) {
-            return;
-        }
-        if (attempt !== quietAttempt) {
-            this.#abandonQuietAttempt();
-            return;
-        }
-        const replacement = this.#attempt;
-        this.#log("quiet upstream goes on", {
-            upstream: attempt.upstream.id,
-            attempt: attempt.number,
-            replacement: replacement?.upstream.id,
-            ...replacement === undefined ? {} : this.#describeSilence(replacement),
+    #cancelHedge(hedge: Attempt, reason: HedgeCancellation): void {
+        this.#log("hedge cancelled", {
+            reason,
+            upstream: hedge.upstream.id,
+            attempt: hedge.number,
+            ...this.#describeSilence(hedge),
         });
-        replacement?.cancel();
+        this.#context.metrics.count("hedges_cancelled", { reason });
+        this.#attempts.cancel(hedge);
         this.#attemptsThatMayHaveRun += 1;
-        this.#resumeQuietAttempt(quietAttempt);
-        this.#restartSilenceTimer(quietAttempt);
-    }
-
-    #resumeQuietAttempt(quietAttempt: Attempt): void {
-        clearTimeout(this.#overlapTimer);
-        this.#attempt = quietAttempt;
-        this.#quietAttempt = undefined;
-        this.#lastUpstream = quietAttempt.upstream.id;
-    }
-
-    /** Ends a quiet attempt in favour of its replacement. */
-    #abandonQuietAttempt(): void {
-        const quietAttempt = this.#quietAttempt;
-        if (quietAttempt !== undefined) {
-            const quietMilliseconds = Math.round(quietAttempt.quietMilliseconds);
-            this.#attemptFailed(quietAttempt, "silent", `nothing came for ${quietMilliseconds} ms`);
-        }
+        this.#lastUpstream = this.#attempts.last?.upstream.id;
+        this.#hedging.watch();
     }
 
     /** Returns log fields with the silence of an attempt, and that of its upstream towards all requests. */
@@ -709,9 +636,9 @@
     #canRetryElsewhere({ upstream }: Attempt): boolean {
         const { route } = this.#request;
         return mayRunAgain(route.kind, route.resumable)
-            && this.#attemptsThatMayHaveRun + 1 < route.maximumAttempts
+            && this.#attemptsThatMayHaveRun + this.#attempts.count < route.maximumAttempts
             && this.#context.budget.remaining(this.#facts.service ?? "", this.#now()) > 0
-            && this.#selection.hasAlternative(upstream.id);
+            && this.#selection.hasAlternative(new Set([upstream.id]));
     }
 
     #handleHead(attempt: Attempt, head: AnswerHead): void {
@@ -722,15 +649,16 @@
             upstream: attempt.upstream.id,
             namesModel: this.#facts.model !== undefined,
             answerBegun: this.#answer.begun,
-            mayRetryError: () => this.#canRetryElsewhere(attempt),
+            mayRetryError: () => this.#attempts.count > 1 || this.#canRetryElsewhere(attempt),
         }, this.#context.headers);
         if (failure !== undefined) {
             this.#attemptFailed(attempt, failure, `status ${head.status}`);
             return;
         }
-        this.#keepOnly(attempt);
         attempt.head = head;
-        this.#restartSilenceTimer(attempt);
+        if (this.#facts.model !== undefined) {
+            this.#hedging.keepOnly(attempt);
+        }
     }
 
     #isStream(head: AnswerHead): boolean {
@@ -742,8 +670,6 @@
             return;
         }
         attempt.recordHeard();
-        this.#keepOnly(attempt);
-        this.#restartSilenceTimer(attempt);
         if (!this.#isStream(attempt.head)) {
             this.#bufferAnswer(attempt, chunk);
             return;
@@ -756,6 +682,7 @@
         if (events.count === 0) {
             return;
         }
+        this.#hedging.keepOnly(attempt);
         this.#progress.recordEvents(attempt.upstream, events.lastIdentifier);
         const isFirst = this.#answer.firstByteAtMilliseconds === undefined;
         const callerKeepsUp = this.#answer.forwardEvents(attempt.head, events);
@@ -790,7 +717,7 @@
             this.#attemptFailed(attempt, "connection-lost", "stream ended in the middle of an event");
             return;
         }
-        this.#keepOnly(attempt);
+        this.#hedging.keepOnly(attempt);
         if (isServerError(head)) {
             this.#context.health.recordFailure(upstream.id, this.#now());
         }
@@ -809,7 +736,7 @@
             this.#answer.forwardWhole(head, attempt.bufferedAnswer());
             this.#recordFirstByte();
         }
-        this.#releaseUpstreams();
+        this.#attempts.release(attempt);
         this.#end(isServerError(head) ? "upstream-failure" : "answered");
     }
 
@@ -827,19 +754,14 @@
         }
     }
 
-    /** Ends the attempts without cancelling them, and releases what they use. */
+    /** Cancels the attempts that run, and releases what they use. */
     #releaseUpstreams(): void {
-        clearTimeout(this.#silenceTimer);
-        clearTimeout(this.#overlapTimer);
-        this.#attempt?.release();
-        this.#quietAttempt?.cancel();
-        this.#attempt = undefined;
-        this.#quietAttempt = undefined;
+        this.#hedging.close();
+        this.#attempts.cancelAll();
     }
 
     #attemptFailed(attempt: Attempt, failure: AttemptFailure, detail: string): void {
-        const isCurrent = this.#attempt === attempt;
-        if (this.#ended || (!isCurrent && this.#quietAttempt !== attempt)) {
+        if (this.#ended || !this.#attempts.has(attempt)) {
             return;
         }
         const neverSent = failure === "silent" && attempt.call?.mayHaveSent === false;
@@ -848,7 +770,7 @@
             attempt.recordLost();
         }
         const silence = this.#describeSilence(attempt);
-        attempt.cancel();
+        this.#attempts.cancel(attempt);
         if (attempt.recordFailure(provenFailure)) {
             this.#selection.recordTried(attempt.upstream.id);
         }
@@ -860,25 +782,22 @@
             attempt: attempt.number,
             reason: provenFailure,
             detail,
-            decision: this.#quietAttempt === undefined ? decision.type : "go-on",
+            decision: this.#attempts.count === 0 ? decision.type : "go-on",
             sentBefore: this.#attemptsThatMayHaveRun,
             ...silence,
             answerBegun: this.#answer.begun,
             configurationVersion: this.#request.configurationVersion,
             ...provenFailure === "connection-lost" ? attempt.describeLoss() : {},
         });
-        if (this.#quietAttempt === undefined) {
-            this.#releaseUpstreams();
+        if (this.#attempts.count === 0) {
+            this.#hedging.close();
             this.#applyDecision(decision, attemptState);
+            return;
         }
-        else if (isCurrent) {
-            this.#mayReplace = decision.type === "repeat";
-            this.#scheduleSilenceCheck(this.#quietAttempt, SILENCE_RECHECK_MILLISECONDS);
-            this.#resumeQuietAttempt(this.#quietAttempt);
-        }
-        else {
-            clearTimeout(this.#overlapTimer);
-            this.#quietAttempt = undefined;
+        this.#lastUpstream = this.#attempts.last?.upstream.id;
+        if (provenFailure !== "silent") {
+            this.#mayHedge = decision.type === "repeat";
+            this.#hedging.recheck();
         }
     }
 
@@ -940,10 +859,7 @@
         if (this.#ended) {
             return;
         }
-        const call = this.#attempt?.call;
-        const isSent = call?.mayHaveSent === true || this.#quietAttempt !== undefined;
-        const mayHaveRun = isSent || this.#attemptsThatMayHaveRun > 0;
-        call?.cancel();
+        const mayHaveRun = this.#attempts.mayHaveSent || this.#attemptsThatMayHaveRun > 0;
         this.#releaseUpstreams();
         if (this.#answer.begun) {
             this.#abortAnswer("out-of-time");
@@ -1008,14 +924,22 @@
             this.#logUndelivered();
             return;
         }
-        const call = this.#attempt?.call;
-        if (this.#request.route.kind !== "non-idempotent" || call?.mayHaveSent !== true) {
-            call?.cancel();
+        if (this.#request.route.kind === "non-idempotent") {
+            this.#leaveToFinish();
         }
         this.#releaseUpstreams();
         this.#end("caller left");
     }
 
+    /** Releases attempts that upstreams may have received, without cancelling them. */
+    #leaveToFinish(): void {
+        for (const attempt of this.#attempts.list()) {
+            if (attempt.call?.mayHaveSent === true) {
+                this.#attempts.release(attempt);
+            }
+        }
+    }
+
     /** Logs an answer that was handed to the caller's connection and did not leave it whole. */
     #logUndelivered(): void {
         const { response } = this.#request;
@@ -1034,8 +958,7 @@
         }
         this.#ended = true;
         clearTimeout(this.#deadlineTimer);
-        clearTimeout(this.#silenceTimer);
-        clearTimeout(this.#overlapTimer);
+        this.#hedging.close();
         clearTimeout(this.#retryTimer);
         this.#endWait(outcome);
         this.#permitWait.cancel();
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -22,6 +22,7 @@
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
 import { type RouteTable } from "../routes/index.js";
+import { type HealthProbes } from "./healthProbes.js";
 import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
@@ -47,6 +48,7 @@
     readonly streamVersions: StreamVersions;
     readonly contact: UpstreamContact;
     readonly liveness: UpstreamLiveness;
+    readonly probes: HealthProbes;
     readonly prompts: PromptPrefixIndex;
     readonly backlog: PrefillBacklog;
     readonly heldBytes: BufferedAnswerBytes;
--- /dev/null
+++ b/src/hedging/hedging.test.ts
@@ -0,0 +1,111 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Pause, type StallRule, StallSimulation } from "../../tests/support/stallSimulation.js";
+import { createSeededRandom } from "../decision/index.js";
+import { decideOverlap, decideStall, type Stall, UpstreamLiveness } from "./index.js";
+
+const ENGINES = 8;
+const STREAMS_PER_ENGINE = 6;
+const SEEDS = 20;
+const PAUSE_FROM_MILLISECONDS = 1_000;
+
+/** Pauses of sound engines; with the gap between two events, the longest is below what makes a caller leave. */
+const PAUSES_MILLISECONDS = [500, 1_000, 1_300, 1_600, 1_800];
+
+/** Times to the first event of an engine; the longer one is that of a long prompt. */
+const FIRST_EVENTS_MILLISECONDS = [200, 600];
+
+const STALL: Stall = {
+    quietMilliseconds: 1_200,
+    limitMilliseconds: 1_200,
+    isBusy: false,
+    alternative: () => "alive",
+};
+
+interface Case {
+    readonly rule: StallRule;
+    readonly pausedEngines: number;
+    readonly pauseMilliseconds: number;
+    readonly isExclusive: boolean;
+    readonly firstEventMilliseconds: number;
+}
+
+/** Returns the streams that are lost where some of the engines pause at the same moment, summed over seeds. */
+function countLost({ firstEventMilliseconds, isExclusive, pauseMilliseconds, pausedEngines, rule }: Case): number {
+    const pause: Pause = {
+        fromMilliseconds: PAUSE_FROM_MILLISECONDS,
+        toMilliseconds: PAUSE_FROM_MILLISECONDS + pauseMilliseconds,
+    };
+    const pauses = new Map(
+        Array.from({ length: ENGINES }, (_, index) => [`engine-${index}`, index < pausedEngines ? [pause] : []]),
+    );
+    let lost = 0;
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+        const engines = { pauses, isExclusive, firstEventMilliseconds };
+        lost += new StallSimulation(engines, rule, createSeededRandom(seed)).run(STREAMS_PER_ENGINE);
+    }
+    return lost;
+}
+
+test("a stalled request is sent to another upstream only once one was heard a moment ago", () => {
+    assert.deepEqual(decideStall(STALL), { type: "hedge" });
+    assert.equal(decideStall({ ...STALL, alternative: () => "unproven" }).type, "probe");
+    assert.equal(decideStall({ ...STALL, alternative: () => "none" }).type, "wait");
+    assert.equal(decideStall({ ...STALL, isBusy: true }).type, "wait");
+});
+
+test("other upstreams are probed shortly before a request counts as stalled, and not looked for earlier", () => {
+    const early = { ...STALL, quietMilliseconds: 1_110 };
+    assert.deepEqual(decideStall({ ...early, alternative: () => "unproven" }), { type: "probe", milliseconds: 90 });
+    assert.deepEqual(decideStall(early), { type: "wait", milliseconds: 90 });
+    const alternative = () => assert.fail("evaluated");
+    assert.deepEqual(decideStall({ ...STALL, quietMilliseconds: 200, alternative }), {
+        type: "wait",
+        milliseconds: 900,
+    });
+});
+
+test("an attempt is given up only for an upstream that was heard, and only where both may not go on", () => {
+    assert.equal(decideOverlap({ isExclusive: true, isHedgeAlive: true }), "cancel-stalled");
+    assert.equal(decideOverlap({ isExclusive: true, isHedgeAlive: false }), "cancel-hedge");
+    assert.equal(decideOverlap({ isExclusive: false, isHedgeAlive: true }), "cancel-none");
+});
+
+test("an upstream that was never heard, or not for a while, is not alive", () => {
+    const liveness = new UpstreamLiveness();
+    assert.equal(liveness.isAlive("engine-1", 0), false);
+    liveness.recordHeard("engine-1", 1_000);
+    assert.deepEqual([liveness.isAlive("engine-1", 1_399), liveness.isAlive("engine-1", 1_400)], [true, false]);
+    liveness.forget("engine-1");
+    assert.equal(liveness.isAlive("engine-1", 1_000), false);
+});
+
+for (const isExclusive of [true, false]) {
+    const kind = isExclusive ? "model engines" : "plain services";
+    for (const firstEventMilliseconds of FIRST_EVENTS_MILLISECONDS) {
+        const common = { isExclusive, firstEventMilliseconds };
+        const title = `${kind}, first event after ${firstEventMilliseconds} ms`;
+
+        test(`no stream is lost to a pause of one, most or all engines that callers wait out: ${title}`, () => {
+            for (const pauseMilliseconds of PAUSES_MILLISECONDS) {
+                for (const pausedEngines of [1, 5, ENGINES]) {
+                    const lost = countLost({ ...common, rule: "evidence", pausedEngines, pauseMilliseconds });
+                    assert.equal(lost, 0, `${lost} lost, ${pausedEngines} paused for ${pauseMilliseconds} ms`);
+                }
+            }
+        });
+
+        test(`every stream of engines that hang is saved while others answer: ${title}`, () => {
+            for (const pausedEngines of [1, 5]) {
+                const hang = { pausedEngines, pauseMilliseconds: Number.POSITIVE_INFINITY };
+                assert.equal(countLost({ ...common, ...hang, rule: "evidence" }), 0);
+            }
+        });
+    }
+}
+
+test("a rule that moves streams without evidence loses those whose second engine pauses too", () => {
+    const pause = { pausedEngines: ENGINES, pauseMilliseconds: 1_600, isExclusive: true, firstEventMilliseconds: 600 };
+    assert.equal(countLost({ ...pause, rule: "stay" }), 0);
+    assert.ok(countLost({ ...pause, rule: "timer" }) > 0);
+});
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -21,6 +21,12 @@
     engine_orders: { help: "Orders to engines by outcome.", labels: ["operation", "kind", "outcome"] },
     holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
     upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
+    hedges_cancelled: {
+        help:
+            "Attempts beside a silent one that were cancelled, by reason: the silence ended, or the hedge was silent.",
+        labels: ["reason"],
+    },
+    health_probes: { help: "Health checks of upstreams, by outcome.", labels: ["outcome"] },
     crash_convictions: { help: "Convictions of what crashes upstreams, made or lifted.", labels: ["change"] },
     upstream_limits: { help: "Changes of the rate limits that upstreams name.", labels: ["outcome"] },
     limit_permits: {
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -70,6 +70,8 @@
     readonly name: string;
     /** Maximum connections that one upstream accepts from all callers together. */
     readonly maximumConnections: number;
+    /** Path on which its upstreams answer health checks; `undefined` where none is configured. */
+    readonly healthPath?: string | undefined;
     /** `undefined` for plain services. */
     readonly engine: EngineDefinition | undefined;
 }
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -15,6 +15,9 @@
 /** Start time of an upstream that has not crashed. */
 const FIRST_START_MILLISECONDS = 1_700_000_000_000;
 
+/** Path of health checks, which are answered unless the upstream is paused, and not counted as received. */
+const HEALTH_PATH = "/healthz";
+
 /** A request that the upstream received. */
 export interface ReceivedRequest {
     readonly id: string;
@@ -267,6 +270,10 @@
         }
         await this.#pauseGate.passed();
         const body = Buffer.concat(chunks).toString();
+        if (message.url === HEALTH_PATH) {
+            response.setHeader("Flamingospread-Instance-Id", this.id).end();
+            return;
+        }
         if (message.url === "/report") {
             const report = { models: this.#describeModels(), busy: this.#isLoading, sequence: this.#orderCount };
             response.writeHead(200, { "content-type": "application/json", ...this.#limitHeaders() })
--- /dev/null
+++ b/tests/support/stallSimulation.ts
@@ -0,0 +1,205 @@
+/**
+ * Simulates streams at engines that pause or hang, under a rule that decides when a stream moves to another engine.
+ *
+ * @module
+ */
+import { type RandomSource } from "../../src/decision/index.js";
+import {
+    type Alternative,
+    decideOverlap,
+    decideStall,
+    EXCLUSIVE_OVERLAP_MILLISECONDS,
+    UpstreamLiveness,
+} from "../../src/hedging/index.js";
+
+const STEP_MILLISECONDS = 10;
+const EVENT_GAP_MILLISECONDS = 120;
+const EVENTS = 30;
+const STALL_LIMIT_MILLISECONDS = 1_200;
+const MAXIMUM_ATTEMPTS = 2;
+
+/** Callers abandon a stream after a gap of this length. */
+const CALLER_GAP_LIMIT_MILLISECONDS = 2_000;
+
+const END_MILLISECONDS = 12_000;
+
+/** A time in which an engine sends and reads nothing; it hangs for good where there is no end. */
+export interface Pause {
+    readonly fromMilliseconds: number;
+    readonly toMilliseconds: number;
+}
+
+/** The engines, each with its pauses. */
+export interface SimulatedEngines {
+    readonly pauses: ReadonlyMap<string, readonly Pause[]>;
+    /** True where two engines may not work on one request for long. */
+    readonly isExclusive: boolean;
+    /** Time that an engine works on a stream before its first event. */
+    readonly firstEventMilliseconds: number;
+}
+
+/**
+ * `evidence` decides as hosts do. `timer` moves every stalled stream and gives up its first engine after the overlap.
+ * `stay` moves none.
+ */
+export type StallRule = "evidence" | "timer" | "stay";
+
+interface SimulatedAttempt {
+    readonly engine: string;
+    readonly sentAtMilliseconds: number;
+    /** Time for which the engine has worked on it. */
+    workedMilliseconds: number;
+    sentEvents: number;
+}
+
+class SimulatedStream {
+    readonly attempts: SimulatedAttempt[] = [];
+    attemptCount = 0;
+    events = 0;
+    heardAtMilliseconds = 0;
+    eventAtMilliseconds = 0;
+    checkAtMilliseconds = STALL_LIMIT_MILLISECONDS;
+    outcome: "open" | "whole" | "lost" = "open";
+
+    send(engine: string, now: number): void {
+        this.attempts.push({ engine, sentAtMilliseconds: now, workedMilliseconds: 0, sentEvents: 0 });
+        this.attemptCount += 1;
+        this.heardAtMilliseconds = now;
+    }
+
+    keepOnly(attempt: SimulatedAttempt): void {
+        this.attempts.splice(0, this.attempts.length, attempt);
+    }
+}
+
+/** Streams on some engines, from their start to their end. */
+export class StallSimulation {
+    readonly #engines: SimulatedEngines;
+    readonly #rule: StallRule;
+    readonly #random: RandomSource;
+    readonly #liveness = new UpstreamLiveness();
+    readonly #streams: SimulatedStream[] = [];
+    #now = 0;
+
+    constructor(engines: SimulatedEngines, rule: StallRule, random: RandomSource) {
+        this.#engines = engines;
+        this.#rule = rule;
+        this.#random = random;
+    }
+
+    /** Runs some streams at each engine, and returns how many of them were lost. */
+    run(streamsPerEngine: number): number {
+        for (const engine of this.#engines.pauses.keys()) {
+            for (let index = 0; index < streamsPerEngine; index += 1) {
+                const stream = new SimulatedStream();
+                stream.send(engine, 0);
+                stream.attempts.forEach(attempt => {
+                    attempt.workedMilliseconds = Math.floor(this.#random() * EVENT_GAP_MILLISECONDS);
+                });
+                this.#streams.push(stream);
+            }
+        }
+        for (this.#now = 0; this.#now < END_MILLISECONDS; this.#now += STEP_MILLISECONDS) {
+            const open = this.#streams.filter(({ outcome }) => outcome === "open");
+            open.forEach(stream => this.#deliver(stream));
+            open.forEach(stream => this.#decide(stream));
+        }
+        return this.#streams.filter(({ outcome }) => outcome !== "whole").length;
+    }
+
+    #isPaused(engine: string): boolean {
+        const pauses = this.#engines.pauses.get(engine) ?? [];
+        return pauses.some(({ fromMilliseconds, toMilliseconds }) =>
+            fromMilliseconds <= this.#now && this.#now < toMilliseconds
+        );
+    }
+
+    #deliver(stream: SimulatedStream): void {
+        for (const attempt of [...stream.attempts]) {
+            if (this.#isPaused(attempt.engine) || !stream.attempts.includes(attempt)) {
+                continue;
+            }
+            attempt.workedMilliseconds += STEP_MILLISECONDS;
+            const due = this.#engines.firstEventMilliseconds + attempt.sentEvents * EVENT_GAP_MILLISECONDS;
+            if (attempt.workedMilliseconds >= due) {
+                this.#deliverEvent(stream, attempt);
+            }
+        }
+        if (stream.outcome === "open" && this.#now - stream.eventAtMilliseconds >= CALLER_GAP_LIMIT_MILLISECONDS) {
+            stream.outcome = "lost";
+        }
+    }
+
+    #deliverEvent(stream: SimulatedStream, attempt: SimulatedAttempt): void {
+        attempt.sentEvents += 1;
+        this.#liveness.recordHeard(attempt.engine, this.#now);
+        stream.keepOnly(attempt);
+        stream.heardAtMilliseconds = this.#now;
+        stream.eventAtMilliseconds = this.#now;
+        stream.events += 1;
+        if (stream.events === EVENTS) {
+            stream.outcome = "whole";
+        }
+    }
+
+    #decide(stream: SimulatedStream): void {
+        if (stream.outcome !== "open" || this.#rule === "stay") {
+            return;
+        }
+        const [first, hedge] = stream.attempts;
+        if (first !== undefined && hedge !== undefined) {
+            this.#decideOverlap(stream, first, hedge);
+        }
+        else if (first !== undefined && this.#now >= stream.checkAtMilliseconds) {
+            this.#decideStall(stream, first);
+        }
+    }
+
+    #decideStall(stream: SimulatedStream, first: SimulatedAttempt): void {
+        const others = [...this.#engines.pauses.keys()].filter(engine => engine !== first.engine);
+        const candidates = this.#rule === "timer" ? others : others.filter(each => this.#isHeard(each));
+        const alternative: Alternative = candidates.length > 0 ? "alive" : "unproven";
+        const decision = decideStall({
+            quietMilliseconds: this.#now - stream.heardAtMilliseconds,
+            limitMilliseconds: STALL_LIMIT_MILLISECONDS,
+            isBusy: false,
+            alternative: () => stream.attemptCount < MAXIMUM_ATTEMPTS ? alternative : "none",
+        });
+        if (decision.type === "hedge") {
+            stream.send(candidates[Math.floor(this.#random() * candidates.length)] ?? "", this.#now);
+            return;
+        }
+        if (decision.type === "probe") {
+            others.forEach(each => this.#probe(each));
+        }
+        stream.checkAtMilliseconds = this.#now + decision.milliseconds;
+    }
+
+    #decideOverlap(stream: SimulatedStream, first: SimulatedAttempt, hedge: SimulatedAttempt): void {
+        if (this.#now - hedge.sentAtMilliseconds < EXCLUSIVE_OVERLAP_MILLISECONDS) {
+            this.#probe(hedge.engine);
+            return;
+        }
+        const { isExclusive } = this.#engines;
+        const decision = this.#rule === "timer"
+            ? "cancel-stalled"
+            : decideOverlap({ isExclusive, isHedgeAlive: this.#isHeard(hedge.engine) });
+        if (decision === "cancel-stalled") {
+            stream.keepOnly(hedge);
+        }
+        else if (decision === "cancel-hedge") {
+            stream.keepOnly(first);
+            stream.checkAtMilliseconds = this.#now + STALL_LIMIT_MILLISECONDS;
+        }
+    }
+
+    #probe(engine: string): void {
+        if (!this.#isPaused(engine)) {
+            this.#liveness.recordHeard(engine, this.#now);
+        }
+    }
+
+    #isHeard(engine: string): boolean {
+        return this.#liveness.isAlive(engine, this.#now);
+    }
+}
