Move a host's view of the key-value service out of the entry host into a folder

`src/entry/entryHost.ts` held the copy of the service's entries, the session, restores, reachability and the state taken from peers beside everything else. `src/entry/store/` has them now: `HostStore` wires them, `ConfigurationInForce`, `FleetRecords` and `StateFromPeers` are one job each. What all parts share is `HostContext`; the phases of a host are `HostLifecycle`. Behaviour is as before: the steps were moved, none rewritten.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engineOrders.ts
@@ -19,9 +19,7 @@
 import { type EngineDefinition, type RouteTable } from "../routes/index.js";
 import { type AnswerStatusAndHeaders } from "./_answerHead.js";
 import { type EngineControl } from "./siteProtocol.js";
-
-/** Key prefix of the records that name engines' holders. */
-export const HOLDER_KEY_PREFIX = "holders/";
+import { HOLDER_KEY_PREFIX } from "./store/index.js";
 
 /** Interval at which all engines are checked. */
 const TICK_INTERVAL_MILLISECONDS = 200;
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -3,50 +3,38 @@
  *
  * @module
  */
-import { type RandomSource } from "../decision/index.js";
-import { type ClockReading, EngineDuties } from "../duties/index.js";
+import { EngineDuties } from "../duties/index.js";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { AdapterUse, AdapterUsers, BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
 import {
     type AdapterWish,
-    engineHolderSchema,
     type EngineMemory,
     type FleetSummary,
     type HostDigest,
-    hostRegistrationSchema,
     type PlannedMove,
 } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
-import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
 import { type EngineRecord, type PlacementMove, splitAdapterName, type VersionCopyNeed } from "../placement/index.js";
-import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
-import { parseJson } from "../platform/parseJson.js";
 import { type LimitChange } from "../rateLimits/index.js";
-import { compileRouteTable, resumableStreams, type RouteTable } from "../routes/index.js";
+import { resumableStreams } from "../routes/index.js";
 import { toLeavingIncarnation, toMemory, toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
-import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
+import { EngineOrders } from "./engineOrders.js";
 import { FleetPlanner } from "./fleetPlanner.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
+import { addressesOf, createHostContext, type EntryHostOptions, type HostContext } from "./hostContext.js";
 import { type AdapterUseReport, HostGossip } from "./hostGossip.js";
-import { digestIntervalMilliseconds, GATHER_MILLISECONDS, renewalIntervalMilliseconds } from "./hostIntervals.js";
+import { digestIntervalMilliseconds } from "./hostIntervals.js";
 import { ADDRESS_KEEP_SECONDS, HostServers } from "./hostServers.js";
-import { HOST_KEY_PREFIX, HostSession } from "./hostSession.js";
 import { InterCellGossip } from "./interCellGossip.js";
 import { OutageAgreement } from "./outageAgreement.js";
 import { PartitionWatch } from "./partitionWatch.js";
-import { PeerCatchUp } from "./peerCatchUp.js";
 import { RateLimiting } from "./rateLimiting.js";
-import { ServiceReachability } from "./serviceReachability.js";
 import { type EntrySettings } from "./settings.js";
 import { SiteDemand } from "./siteDemand.js";
-import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
-import { StoredEntries } from "./storedEntries.js";
-import { type MirrorEvent, StoreMirror } from "./storeMirror.js";
-import { RESTORES_KEY, StoreRestores } from "./storeRestores.js";
-import { StoreWatchPolicy } from "./storeWatchPolicy.js";
+import { HostStore } from "./store/index.js";
 import { STREAM_KEY_PREFIX, StreamVersions } from "./streamVersions.js";
 import { UpstreamAgents } from "./upstreamAgents.js";
 import { UpstreamTracker } from "./upstreamTracker.js";
@@ -80,20 +68,6 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Options of an entry host. */
-export interface EntryHostOptions {
-    readonly settings: EntrySettings;
-    readonly protocol: SiteProtocol;
-    readonly keyValue: KeyValueService;
-    readonly control: EngineControl;
-    readonly logger: Logger;
-    readonly metrics: EntryMetrics;
-    readonly random: RandomSource;
-    readonly readClocks: () => ClockReading;
-    /** Returns the processor time that this process has used, in microseconds. */
-    readonly readProcessorMicroseconds: () => number;
-}
-
 /** A running entry host. */
 export interface EntryHost {
     /** Leaves the fleet: ends advertising, serves requests that still arrive, lets all requests finish, then closes. */
@@ -105,9 +79,8 @@
 }
 
 class RunningHost implements EntryHost {
-    readonly #options: EntryHostOptions;
+    readonly #context: HostContext;
     #settings: EntrySettings;
-    readonly #timeSpent: TimeSpent;
     readonly #upstreams: UpstreamTracker;
     readonly #rateLimiting: RateLimiting;
     readonly #demand = new SiteDemand();
@@ -120,28 +93,14 @@
     readonly #adapterRequesters = new AdapterRequesters();
     readonly #duties: EngineDuties;
     readonly #agreement: OutageAgreement;
-    readonly #reachability: ServiceReachability;
-    readonly #entries: StoredEntries;
-    readonly #watchPolicy = new StoreWatchPolicy();
-    readonly #mirror: StoreMirror;
-    readonly #restores: StoreRestores;
-    readonly #session: HostSession;
+    readonly #store: HostStore;
     readonly #streamVersions: StreamVersions;
     readonly #partitionWatch: PartitionWatch;
     readonly #planner: FleetPlanner;
     readonly #orders: EngineOrders;
-    readonly #catchUp: PeerCatchUp;
     readonly #forwarder: Forwarder;
     readonly #agents = new UpstreamAgents();
     readonly #servers: HostServers;
-    #table: RouteTable | undefined;
-    /** True once the upstreams are known, from the key-value service or from a peer. */
-    #upstreamsKnown = false;
-    #sessionBegun = false;
-    #leaving = false;
-    /** Set while the host is leaving and accepts no further requests. */
-    #closedToCallers = false;
-    #closed = false;
     /** Resolves once the host has stopped; `undefined` before it is told to. */
     #stopped: Promise<void> | undefined;
     #digestTimer: NodeJS.Timeout | undefined;
@@ -149,16 +108,10 @@
     #limitPublishedAtMilliseconds = Number.NEGATIVE_INFINITY;
 
     constructor(options: EntryHostOptions) {
-        this.#options = options;
         this.#settings = options.settings;
+        this.#context = createHostContext(options, () => this.#settings);
         const { bounds, host, zone } = options.settings;
-        const { keyValue, logger, metrics, readClocks } = options;
-        this.#timeSpent = new TimeSpent({
-            logger,
-            metrics,
-            readClock: () => this.#now(),
-            readProcessorMicroseconds: options.readProcessorMicroseconds,
-        });
+        const { logger, metrics, readClocks } = options;
         this.#budget = new SharedRetryBudget({
             windowMilliseconds: bounds.retryWindowMilliseconds,
             ratio: bounds.retryRatio,
@@ -170,7 +123,7 @@
             peers: this.#peers,
             logger,
             metrics,
-            timeSpent: this.#timeSpent,
+            timeSpent: this.#context.timeSpent,
             readClock: () => this.#now(),
             hostsNeedingDemand: () => this.#hostsNeedingDemand(),
             onMessage: message => this.#handleGossip(message),
@@ -189,52 +142,31 @@
             confirmedMilliseconds: HOLDER_CONFIRMED_MILLISECONDS,
             handoverMilliseconds: bounds.handoverMilliseconds,
         });
-        this.#reachability = new ServiceReachability({
-            logger,
-            readClock: () => this.#now(),
-            revision: () => this.#mirror.revision,
-            onUnresponsive: () => this.#publishDigest(),
-        });
         this.#agreement = new OutageAgreement({
             host,
             duties: this.#duties,
             readClocks,
-            serviceAnswers: () => this.#reachability.hasRecentAnswer(),
+            serviceAnswers: () => this.#store.reachability.hasRecentAnswer(),
             otherHosts: () => this.#peers.possibleHolders(this.#now()).map(peer => peer.host),
         });
         this.#upstreams = this.#createUpstreams();
         this.#rateLimiting = this.#createRateLimiting();
-        this.#entries = this.#createEntries();
-        this.#mirror = new StoreMirror({
-            keyValue,
-            logger,
-            batchMilliseconds: () => GATHER_MILLISECONDS,
-            mustWatch: () => this.#mustWatch(),
-            onBatch: batch => this.#gossip.forwardChanges(withoutJournal(batch)),
-            onEvent: event => this.#handleMirrorEvent(event),
-        });
-        this.#restores = this.#createRestores();
-        this.#session = this.#createSession();
+        this.#store = this.#createStore();
         this.#streamVersions = this.#createStreamVersions();
         this.#partitionWatch = this.#createPartitionWatch();
         this.#planner = this.#createPlanner();
         this.#orders = this.#createOrders();
-        this.#catchUp = new PeerCatchUp({
-            ownAddress: () => this.#addresses().state,
-            sourceAddresses: () => this.#catchUpSources(),
-            applyEntries: (entries, source) => this.#applyPeerEntries(entries, source),
-        });
         this.#forwarder = createForwarder(this.#createForwardingContext());
         this.#servers = this.#createServers();
     }
 
     async start(): Promise<void> {
-        const { logger } = this.#options;
+        const { logger } = this.#context;
         const { host, zone, gossip } = this.#settings;
-        logger.info("starting", { host, zone, callers: this.#addresses().callers });
+        logger.info("starting", { host, zone, callers: addressesOf(this.#settings).callers });
         await this.#gossip.open(gossip);
         await this.#servers.start();
-        this.#mirror.start();
+        this.#store.start();
         this.#orders.start();
         this.#partitionWatch.start();
         this.#scheduleDigest();
@@ -242,27 +174,27 @@
     }
 
     reload(settings: EntrySettings): void {
-        this.#options.logger.info("settings reloaded", { host: settings.host });
+        this.#context.logger.info("settings reloaded", { host: settings.host });
         this.#settings = settings;
     }
 
     stop(): Promise<void> {
-        this.#stopped ??= this.#closed ? Promise.resolve() : this.#leave();
+        this.#stopped ??= this.#context.lifecycle.isClosed ? Promise.resolve() : this.#leave();
         return this.#stopped;
     }
 
     async #leave(): Promise<void> {
-        const { logger } = this.#options;
+        const { logger } = this.#context;
         const startedAt = this.#now();
-        this.#leaving = true;
+        this.#context.lifecycle.leave();
         logger.info("stopping", { open: this.#forwarder.openRequestCount });
         this.#publishDigest();
         await this.#orders.leave();
-        await this.#endSession();
+        await this.#store.endSession();
         const keptMilliseconds = ADDRESS_KEEP_SECONDS * MAXIMUM_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
         const finalMilliseconds = this.#settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
         await this.#waitUntil(startedAt + Math.min(keptMilliseconds, finalMilliseconds));
-        this.#closedToCallers = true;
+        this.#context.lifecycle.closeToCallers();
         logger.info("closed to callers", { open: this.#forwarder.openRequestCount });
         while (this.#forwarder.openRequestCount > 0 && this.#now() < startedAt + finalMilliseconds) {
             await this.#waitUntil(this.#now() + LEAVING_CHECK_INTERVAL_MILLISECONDS);
@@ -278,31 +210,18 @@
     async #leavePeers(): Promise<void> {
         this.#orders.stop();
         this.#publishDigest();
-        await this.#endSession();
-    }
-
-    /**
-     * Ends the session. While the key-value service does not answer, a holder keeps its session, since a request to end
-     * it might take effect later. Other hosts renew too rarely to know whether the service answers.
-     */
-    async #endSession(): Promise<void> {
-        if (this.#reachability.hasRecentAnswer() || !this.#duties.mayHold) {
-            await this.#session.close();
-        }
+        await this.#store.endSession();
     }
 
     async close(): Promise<void> {
-        this.#closed = true;
-        this.#session.abandon();
+        this.#context.lifecycle.close();
         clearTimeout(this.#digestTimer);
         clearTimeout(this.#crashNewsTimer);
-        this.#reachability.close();
         this.#rateLimiting.close();
         this.#streamVersions.close();
         this.#partitionWatch.close();
         this.#orders.close();
-        await this.#mirror.close();
-        await this.#options.keyValue.close();
+        await this.#store.close();
         this.#gossip.close();
         this.#servers.close();
         this.#agents.close();
@@ -313,7 +232,7 @@
     }
 
     #now(): number {
-        return this.#options.readClocks().steadyMilliseconds;
+        return this.#context.readClocks().steadyMilliseconds;
     }
 
     /** Divides what all hosts share, retries and connections to upstreams, by the number of known hosts. */
@@ -323,24 +242,14 @@
         this.#agents.setHostCount(hostCount);
     }
 
-    #addresses(): HostDigest["addresses"] {
-        const { callers, gossip, state } = this.#settings;
-        return {
-            callers: `${callers.address}:${callers.port}`,
-            gossip: `${gossip.address}:${gossip.port}`,
-            state: `${state.address}:${state.port}`,
-        };
-    }
-
     #isReady(): boolean {
-        const isReadable = this.#table !== undefined && this.#upstreamsKnown;
-        return isReadable && !this.#leaving && !this.#partitionWatch.isPartitioned;
+        return this.#store.isReadable && !this.#context.lifecycle.isLeaving && !this.#partitionWatch.isPartitioned;
     }
 
     #createUpstreams(): UpstreamTracker {
-        const { logger, metrics, protocol, random } = this.#options;
+        const { logger, metrics, protocol, random } = this.#context;
         return new UpstreamTracker({
-            host: this.#settings.host,
+            host: this.#context.host,
             headers: protocol.headers,
             decodeUpstream: (upstream, value) => protocol.decodeUpstream(upstream, value),
             logger,
@@ -375,7 +284,7 @@
 
     #publishCrashNews(): void {
         this.#crashNewsTimer = undefined;
-        if (!this.#closed && this.#hasCrashNews()) {
+        if (!this.#context.lifecycle.isClosed && this.#hasCrashNews()) {
             this.#interCellGossip.publishAggregates(this.#publishDigest());
             this.#scheduleCrashNews();
         }
@@ -390,12 +299,12 @@
 
     #createRateLimiting(): RateLimiting {
         return new RateLimiting({
-            host: this.#settings.host,
+            host: this.#context.host,
             limits: this.#upstreams.limits,
             peers: this.#peers,
-            metrics: this.#options.metrics,
+            metrics: this.#context.metrics,
             readClock: () => this.#now(),
-            isLeaving: () => this.#leaving,
+            isLeaving: () => this.#context.lifecycle.isLeaving,
             isPresent: upstream => this.#upstreams.isPresent(upstream),
             send: (host, message) => this.#gossip.sendPermitMessage(host, message),
             onLimitChanged: (change, receivedBy) => this.#upstreams.reportLimitChange(change, receivedBy),
@@ -403,66 +312,40 @@
         });
     }
 
-    /** Creates the copy of the key-value service's entries, with a handler for each kind. */
-    #createEntries(): StoredEntries {
-        const { keys } = this.#options.protocol;
-        return new StoredEntries([
-            {
-                prefix: keys.configuration,
-                onPut: (_name, entry) => this.#applyConfiguration(entry),
-                isOutdated: (entry, previous) => this.#isOutdated(entry, previous),
-            },
-            {
-                prefix: RESTORES_KEY,
-                onPut: (_name, entry) => this.#restores.applySettled(entry),
-                // A record that a restore has lost is removed, so that it can be written anew.
-                onRemoved: () => undefined,
-            },
-            {
-                prefix: keys.upstreamPrefix,
-                onPut: (upstream, entry) => this.#upstreams.applyRecord(upstream, entry),
-                onRemoved: upstream => this.#upstreams.remove(upstream),
-            },
-            {
-                prefix: HOST_KEY_PREFIX,
-                onPut: (_name, entry) => this.#applyRegistration(entry),
-                onRemoved: host => this.#forgetHost(host),
-            },
-            {
-                prefix: HOLDER_KEY_PREFIX,
-                onPut: (engine, entry) => this.#applyHolder(engine, entry),
-                onRemoved: engine => this.#duties.setHolder(engine, undefined, this.#now()),
-            },
-            {
-                prefix: STREAM_KEY_PREFIX,
-                onPut: (name, entry) => this.#streamVersions.applyEntry(name, entry),
-                onRemoved: name => this.#streamVersions.handleRemoved(name),
-            },
-        ]);
-    }
-
-    #createRestores(): StoreRestores {
-        const { keyValue, logger, metrics } = this.#options;
-        return new StoreRestores({
-            keyValue,
+    #createStore(): HostStore {
+        return new HostStore({
+            context: this.#context,
             duties: this.#duties,
+            peers: this.#peers,
             view: this.#upstreams.view,
-            logger,
-            metrics,
-            readClock: () => this.#now(),
-            settledEntry: () => this.#entries.get(RESTORES_KEY),
-            onRestored: reason => {
-                this.#session.restart(reason);
-                this.#mirror.relist(reason);
+            handlers: [
+                {
+                    prefix: this.#context.protocol.keys.upstreamPrefix,
+                    onPut: (upstream, entry) => this.#upstreams.applyRecord(upstream, entry),
+                    onRemoved: upstream => this.#upstreams.remove(upstream),
+                },
+                {
+                    prefix: STREAM_KEY_PREFIX,
+                    onPut: (name, entry) => this.#streamVersions.applyEntry(name, entry),
+                    onRemoved: name => this.#streamVersions.handleRemoved(name),
+                },
+            ],
+            onConfiguration: table => {
+                this.#servers.applyLimits(table.configuration.limits);
+                this.#handleUpstreamsChanged();
             },
-            onLaterEntry: entry => this.#applyLaterEntry(entry),
+            onHostsChanged: () => this.#shareAmongHosts(),
+            onSessionLost: () => this.#orders.handleSessionLost(),
+            onUnresponsive: () => this.#publishDigest(),
+            onBatch: batch => this.#gossip.forwardChanges(withoutJournal(batch)),
+            newerCellAddress: version => this.#interCellGossip.newerConfigurationAddress(version),
         });
     }
 
     #createStreamVersions(): StreamVersions {
-        const { keyValue, logger, metrics, random } = this.#options;
+        const { keyValue, logger, metrics, random } = this.#context;
         return new StreamVersions({
-            host: this.#settings.host,
+            host: this.#context.host,
             keyValue,
             logger,
             metrics,
@@ -470,16 +353,16 @@
             peers: this.#peers,
             view: this.#upstreams.view,
             readClock: () => this.#now(),
-            resumable: () => resumableStreams(this.#table?.configuration.routes ?? []),
-            recordRevision: () => this.#entries.revisionOf(VERSIONS_KEY),
-            onLaterEntry: entry => this.#applyLaterEntry(entry),
+            resumable: () => resumableStreams(this.#store.configuration.table?.configuration.routes ?? []),
+            recordRevision: () => this.#store.revisionOf(VERSIONS_KEY),
+            onLaterEntry: entry => this.#store.applyLaterEntry(entry),
             send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
             onChanged: () => this.#forwarder.wake(),
         });
     }
 
     #createPartitionWatch(): PartitionWatch {
-        const { logger, metrics, random } = this.#options;
+        const { logger, metrics, random } = this.#context;
         return new PartitionWatch({
             contact: this.#upstreams.contact,
             view: this.#upstreams.view,
@@ -499,38 +382,8 @@
         this.#forwarder.wake();
     }
 
-    #createSession(): HostSession {
-        const { keyValue, logger, readClocks } = this.#options;
-        const { host, zone } = this.#settings;
-        return new HostSession({
-            host,
-            zone,
-            addresses: this.#addresses(),
-            keyValue,
-            logger,
-            readClocks,
-            renewalIntervalMilliseconds: () => renewalIntervalMilliseconds(this.#duties.mayHold),
-            hostRecordRevision: () => this.#entries.revisionOf(`${HOST_KEY_PREFIX}${host}`),
-            onConfirmed: (session, sentAt) => {
-                this.#duties.recordRenewal(session, sentAt);
-                this.#duties.setSession(host, session);
-            },
-            onLost: () => {
-                this.#orders.handleSessionLost();
-                this.#duties.setSession(host, undefined);
-            },
-            onCallOutcome: succeeded => {
-                if (succeeded && !this.#reachability.reachable) {
-                    this.#mirror.restartWatch("the service answers again");
-                }
-                this.#recordServiceOutcome(succeeded);
-            },
-            onCallTimeout: () => this.#mirror.restartWatch("a call got no answer"),
-        });
-    }
-
     #createPlanner(): FleetPlanner {
-        const { logger, metrics } = this.#options;
+        const { logger, metrics } = this.#context;
         const { bounds, host } = this.#settings;
         return new FleetPlanner({
             host,
@@ -539,11 +392,14 @@
             residency: this.#upstreams.residency,
             logger,
             metrics,
-            timeSpent: this.#timeSpent,
+            timeSpent: this.#context.timeSpent,
             storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
             readClock: () => this.#now(),
-            routeTable: () => this.#table,
-            isLive: other => other === host ? !this.#leaving : this.#peers.isLiveAndNotLeaving(other, this.#now()),
+            routeTable: () => this.#store.configuration.table,
+            isLive: other =>
+                other === host
+                    ? !this.#context.lifecycle.isLeaving
+                    : this.#peers.isLiveAndNotLeaving(other, this.#now()),
             hasDemand: () => this.#demand.hasDemand(this.#now()),
             demand: () => this.#demand.total("demand", this.#now()),
             adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
@@ -574,7 +430,7 @@
     }
 
     #requestMove(holder: string, move: PlacementMove): void {
-        if (holder === this.#settings.host) {
+        if (holder === this.#context.host) {
             this.#orders.handleMoveRequest(move, holder);
         }
         else {
@@ -583,7 +439,7 @@
     }
 
     #createOrders(): EngineOrders {
-        const { control, keyValue, logger, metrics, readClocks } = this.#options;
+        const { control, keyValue, logger, metrics, readClocks } = this.#context;
         const { bounds, host } = this.#settings;
         return new EngineOrders({
             host,
@@ -595,16 +451,16 @@
             metrics,
             storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
             readClocks,
-            serviceAnswers: () => this.#reachability.hasRecentAnswer(),
+            serviceAnswers: () => this.#store.reachability.hasRecentAnswer(),
             hostsWithoutConsent: () => this.#agreement.hostsWithoutConsent(),
-            routeTable: () => this.#table,
+            routeTable: () => this.#store.configuration.table,
             isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
             plan: () => this.#planner.tick(),
             notifyPreviousHolder: ({ previousHost, engine, holder }) => {
                 const { revision, ...record } = holder;
                 this.#gossip.notifyPreviousHolder(previousHost, { engine, revision, holder: record });
             },
-            onLaterEntry: entry => this.#applyLaterEntry(entry),
+            onLaterEntry: entry => this.#store.applyLaterEntry(entry),
             onAnswer: (engine, head, sentAtMilliseconds) =>
                 this.#upstreams.recordAnswerHead(engine, head, sentAtMilliseconds),
             onRecordChanged: record => this.#publishRecord(record),
@@ -612,7 +468,7 @@
     }
 
     #createForwardingContext(): ForwardingContext {
-        const { logger, metrics, protocol, random } = this.#options;
+        const { logger, metrics, protocol, random } = this.#context;
         const { backlog, crashes, health, loads, pauses, prompts, residency, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
@@ -636,9 +492,9 @@
             heldBytes: new BufferedAnswerBytes(),
             demand: this.#demand,
             adapterUse: this.#adapterUse,
-            routeTable: () => this.#table,
+            routeTable: () => this.#store.configuration.table,
             agentFor: service => {
-                const limit = this.#table?.service(service)?.maximumConnections;
+                const limit = this.#store.configuration.table?.service(service)?.maximumConnections;
                 return this.#agents.agentFor(service, limit);
             },
             hostCount: () => this.#peers.live(this.#now()).length + 1,
@@ -658,15 +514,15 @@
             recordAnswered: (attributes, upstream) => this.#upstreams.recordAnswered(attributes, upstream),
             recordAnswerHead: (upstream, head, sentAtMilliseconds) =>
                 this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
-            isLeaving: () => this.#leaving,
+            isLeaving: () => this.#context.lifecycle.isLeaving,
             isPartitioned: () => this.#partitionWatch.isPartitioned,
-            closesConnections: () => this.#leaving || this.#partitionWatch.isPartitioned,
-            isClosedToCallers: () => this.#closedToCallers,
+            closesConnections: () => this.#context.lifecycle.isLeaving || this.#partitionWatch.isPartitioned,
+            isClosedToCallers: () => this.#context.lifecycle.isClosedToCallers,
         };
     }
 
     #createServers(): HostServers {
-        const { logger, metrics, protocol } = this.#options;
+        const { logger, metrics, protocol } = this.#context;
         return new HostServers({
             settings: () => this.#settings,
             calls: protocol.calls,
@@ -675,17 +531,14 @@
             forward: (message, response) => this.#forwarder.handle(message, response),
             isReady: () => this.#isReady(),
             advertised: () => this.#peers.advertised(this.#now()),
-            sharedState: () => ({
-                revision: this.#mirror.revision ?? 0,
-                entries: this.#entries.all().map(({ key, value, revision }) => ({ key, value, revision })),
-            }),
+            sharedState: () => this.#store.sharedState(),
             refreshGauges: () => this.#refreshGauges(),
         });
     }
 
     #requestAdapter(engine: string, model: string, adapter: string): boolean {
         const holder = this.#duties.holderOf(engine);
-        if (holder === this.#settings.host) {
+        if (holder === this.#context.host) {
             return this.#orders.requestAdapter(engine, model, adapter);
         }
         return holder !== undefined && this.#gossip.requestAdapter(holder, { engine, model, adapter });
@@ -693,7 +546,7 @@
 
     #requestVersionCopy(need: VersionCopyNeed): void {
         const { planner } = this.#planner;
-        if (planner === this.#settings.host) {
+        if (planner === this.#context.host) {
             this.#planner.recordVersionCopyNeeded(need);
         }
         else if (planner !== undefined) {
@@ -701,130 +554,13 @@
         }
     }
 
-    #handleMirrorEvent(event: MirrorEvent): void {
-        switch (event.type) {
-            case "contact":
-                this.#recordServiceOutcome(event.succeeded);
-                break;
-            case "listed":
-                this.#applyListing(event.entries);
-                break;
-            case "put":
-                this.#entries.put(event.entry);
-                break;
-            case "removed":
-                this.#entries.remove(event.key);
-        }
-    }
-
-    /** Applies an entry that a call returned and that is later than the mirror's. */
-    #applyLaterEntry(entry: KeyValueEntry): void {
-        this.#entries.put(entry);
-        this.#mirror.recordLaterRevision(entry.revision, this.#now());
-    }
-
-    #mustWatch(): boolean {
-        const now = this.#now();
-        const input = {
-            host: this.#settings.host,
-            members: this.#peers.membersWithRecentDigest(now),
-            revision: this.#mirror.revision ?? 0,
-        };
-        return this.#watchPolicy.mustWatch(input, now);
-    }
-
-    #recordServiceOutcome(succeeded: boolean): void {
-        if (!succeeded) {
-            this.#upstreams.view.recordServiceFailure(this.#now());
-        }
-        this.#reachability.recordOutcome(succeeded);
-    }
-
-    #applyListing(entries: readonly KeyValueEntry[]): void {
-        this.#restores.applyListing(() => this.#entries.replaceAll(entries));
-        this.#upstreamsKnown = true;
-        this.#options.logger.info("key-value service listed", {
-            entries: entries.length,
-            revision: this.#mirror.revision,
-            configurationVersion: this.#table?.version,
-        });
-        if (!this.#sessionBegun) {
-            this.#sessionBegun = true;
-            this.#restores.handleStart();
-            this.#session.start();
-        }
-    }
-
-    #forgetHost(host: string): void {
-        this.#duties.setSession(host, undefined);
-        this.#peers.unregister(host, this.#now());
-        this.#shareAmongHosts();
-        if (host === this.#settings.host && !this.#leaving) {
-            this.#session.handleRecordRemoved();
-        }
-    }
-
-    /** Returns whether a stored configuration is older than the previous one, as in a restored snapshot. */
-    #isOutdated(entry: KeyValueEntry, previous: KeyValueEntry): boolean {
-        const { protocol } = this.#options;
-        const versionOf = ({ value }: KeyValueEntry): number | undefined =>
-            protocol.decodeConfiguration(value).unwrapOr(undefined)?.version;
-        const [version, previousVersion] = [versionOf(entry), versionOf(previous)];
-        return version !== undefined && previousVersion !== undefined && version < previousVersion;
-    }
-
-    #applyConfiguration(entry: KeyValueEntry): void {
-        const decoded = this.#options.protocol.decodeConfiguration(entry.value);
-        if (decoded.isErr()) {
-            this.#options.logger.error("configuration not readable", {
-                revision: entry.revision,
-                detail: decoded.error.message,
-            });
-            return;
-        }
-        if (decoded.value.version <= (this.#table?.version ?? -1)) {
-            return;
-        }
-        this.#table = compileRouteTable(decoded.value);
-        this.#options.logger.info("configuration in force", {
-            version: decoded.value.version,
-            revision: entry.revision,
-            routes: decoded.value.routes.length,
-            services: decoded.value.services.length,
-        });
-        this.#servers.applyLimits(this.#table.configuration.limits);
-        this.#handleUpstreamsChanged();
-    }
-
-    #applyRegistration(entry: KeyValueEntry): void {
-        const record = hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
-        if (record === undefined) {
-            this.#options.logger.warn("host record not readable", { key: entry.key, revision: entry.revision });
-            return;
-        }
-        if (record.host !== this.#settings.host) {
-            this.#duties.setSession(record.host, record.session);
-        }
-        this.#peers.register(record, this.#now());
-        this.#shareAmongHosts();
-    }
-
-    #applyHolder(engine: string, entry: KeyValueEntry): void {
-        const record = engineHolderSchema.safeParse(parseJson(entry.value)).data;
-        if (record === undefined) {
-            this.#options.logger.warn("holder record not readable", { key: entry.key, revision: entry.revision });
-            return;
-        }
-        this.#duties.setHolder(engine, { ...record, revision: entry.revision }, this.#now());
-    }
-
     #handleGossip(message: GossipMessage): void {
         switch (message.type) {
             case "digest":
                 this.#handleDigest(message);
                 break;
             case "changes":
-                this.#mirror.applyBatch(message);
+                this.#store.applyBatch(message);
                 break;
             case "summary":
                 this.#interCellGossip.receiveAggregate(message);
@@ -878,8 +614,7 @@
         const now = this.#now();
         this.#peers.recordDigest(digest, now);
         this.#interCellGossip.receiveDigest(digest);
-        this.#watchPolicy.recordStatement(digest, now);
-        this.#mirror.adjustWatch();
+        this.#store.recordWatchStatement(digest);
         this.#partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
         this.#adapterUsers.replaceUses(digest.host, digest.adaptersInUse, now);
         this.#rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
@@ -899,7 +634,7 @@
 
     #applyReportedState(source: string, reported: HostDigest | FleetSummary): void {
         const now = this.#now();
-        this.#mirror.recordLaterRevision(reported.storeRevision, now);
+        this.#store.recordLaterRevision(reported.storeRevision);
         this.#upstreams.loads.recordPeerRequests(source, reported.inFlight, now);
         this.#demand.recordPeerDemand(source, reported, now);
         reported.unreachable.forEach(upstream => this.#upstreams.unreachableReports.record(upstream, source, now));
@@ -932,7 +667,7 @@
     }
 
     #reportAdapterUse(engine: string, adapter: string, inUse: boolean): void {
-        const use = { host: this.#settings.host, engine, adapter, inUse };
+        const use = { host: this.#context.host, engine, adapter, inUse };
         this.#recordAdapterUse(use);
         const holder = this.#duties.holderOf(engine);
         if (holder !== undefined) {
@@ -973,22 +708,20 @@
     }
 
     #handleDigestTimer(): void {
-        if (this.#closed) {
+        if (this.#context.lifecycle.isClosed) {
             return;
         }
         this.#peers.forget(this.#now());
         this.#scheduleDigest();
         this.#upstreams.expire();
         this.#streamVersions.check();
-        this.#adapterUsers.replaceUses(this.#settings.host, this.#adapterUse.all(), this.#now());
-        this.#mirror.adjustWatch();
+        this.#adapterUsers.replaceUses(this.#context.host, this.#adapterUse.all(), this.#now());
+        this.#store.adjustWatch();
         this.#interCellGossip.publishAggregates(this.#publishDigest());
         this.#resendAdapterUse();
-        this.#timeSpent.report();
-        if (!this.#leaving && this.#reachability.hasRecentAnswer()) {
-            void this.#restores.recordSettled();
-        }
-        void this.#catchUp.run();
+        this.#context.timeSpent.report();
+        this.#store.recordSettledRestores();
+        this.#store.catchUp();
     }
 
     /** Resends adapter uses to holders in other cells: they get no digests, and datagrams may be lost. */
@@ -996,9 +729,9 @@
         const cellPeers = new Set(this.#peers.cellPeers().map(({ host }) => host));
         for (const [engine, adapters] of Object.entries(this.#adapterUse.all())) {
             const holder = this.#duties.holderOf(engine);
-            if (holder !== undefined && holder !== this.#settings.host && !cellPeers.has(holder)) {
+            if (holder !== undefined && holder !== this.#context.host && !cellPeers.has(holder)) {
                 adapters.forEach(adapter => {
-                    const use = { host: this.#settings.host, engine, adapter, inUse: true };
+                    const use = { host: this.#context.host, engine, adapter, inUse: true };
                     this.#gossip.reportAdapterUse(holder, use);
                 });
             }
@@ -1012,18 +745,18 @@
         const { isPartitioned } = this.#partitionWatch;
         const digest: HostDigest = {
             type: "digest",
-            host: this.#settings.host,
+            host: this.#context.host,
             ...this.#agreement.nextStatement(),
             zone: this.#settings.zone,
-            addresses: this.#addresses(),
-            configurationVersion: this.#table?.version ?? 0,
-            storeRevision: this.#mirror.revision ?? 0,
-            feeds: this.#mirror.isWatchAnswered && this.#reachability.reachable,
+            addresses: addressesOf(this.#settings),
+            configurationVersion: this.#store.configuration.version,
+            storeRevision: this.#store.revision,
+            feeds: this.#store.feeds,
             ready: this.#isReady(),
-            leaving: this.#leaving,
+            leaving: this.#context.lifecycle.isLeaving,
             inFlight: this.#upstreams.loads.allInFlight(),
             // A partitioned host tells nothing of single upstreams.
-            unreachable: isPartitioned ? [] : this.#upstreams.unreachableReports.reportedBy(this.#settings.host, now),
+            unreachable: isPartitioned ? [] : this.#upstreams.unreachableReports.reportedBy(this.#context.host, now),
             hearsUpstreams: this.#partitionWatch.isHearing,
             ...isPartitioned ? { partitioned: true } : {},
             leavingRuns: this.#upstreams.leavingIncarnations().map(toLeavingIncarnation),
@@ -1039,38 +772,10 @@
         return digest;
     }
 
-    /** Returns a peer with a newer configuration, or the seeds while no upstreams are known. */
-    #catchUpSources(): readonly string[] {
-        const newer = this.#peers.withNewerConfiguration(this.#table?.version ?? 0, this.#now());
-        if (newer !== undefined) {
-            return [newer.addresses.state];
-        }
-        const otherCellsSource = this.#interCellGossip.newerConfigurationAddress(this.#table?.version ?? 0);
-        if (otherCellsSource !== undefined && !this.#reachability.reachable) {
-            return [otherCellsSource];
-        }
-        return !this.#upstreamsKnown && !this.#reachability.reachable ? this.#settings.seeds : [];
-    }
-
-    #applyPeerEntries(entries: readonly KeyValueEntry[], source: string): void {
-        const { keys } = this.#options.protocol;
-        this.#options.logger.info("state taken from a peer", { source, entries: entries.length });
-        for (const entry of entries) {
-            if (entry.key === keys.configuration) {
-                this.#applyConfiguration(entry);
-            }
-            else if (!this.#upstreamsKnown) {
-                this.#entries.put(entry);
-            }
-        }
-        const namesUpstreams = entries.some(({ key }) => key.startsWith(keys.upstreamPrefix));
-        this.#upstreamsKnown ||= this.#table !== undefined && namesUpstreams;
-    }
-
     #refreshGauges(): void {
-        const { metrics } = this.#options;
-        metrics.gauge("configuration_version", this.#table?.version ?? 0);
-        metrics.gauge("store_silence_seconds", this.#reachability.secondsSinceAnswer());
+        const { metrics } = this.#context;
+        metrics.gauge("configuration_version", this.#store.configuration.version);
+        metrics.gauge("store_silence_seconds", this.#store.reachability.secondsSinceAnswer());
         metrics.gauge("upstreams", this.#upstreams.view.all().length);
         metrics.gauge("limited_upstreams", this.#upstreams.limits.countInForce());
         metrics.gauge("requests_open", this.#forwarder.openRequestCount);
--- /dev/null
+++ b/src/entry/hostContext.ts
@@ -0,0 +1,78 @@
+/**
+ * What all parts of a host share: its name, settings, clients, logs, metrics and clocks.
+ *
+ * @module
+ */
+import { type RandomSource } from "../decision/index.js";
+import { type ClockReading } from "../duties/index.js";
+import { type HostAddresses } from "../generated/gossip.js";
+import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
+import { type KeyValueService } from "../platform/index.js";
+import { HostLifecycle } from "./hostLifecycle.js";
+import { type EntrySettings } from "./settings.js";
+import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
+
+/** Options of an entry host. */
+export interface EntryHostOptions {
+    readonly settings: EntrySettings;
+    readonly protocol: SiteProtocol;
+    readonly keyValue: KeyValueService;
+    readonly control: EngineControl;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly random: RandomSource;
+    readonly readClocks: () => ClockReading;
+    /** Returns the processor time that this process has used, in microseconds. */
+    readonly readProcessorMicroseconds: () => number;
+}
+
+/** What the parts of one host share. */
+export interface HostContext extends Omit<EntryHostOptions, "settings"> {
+    readonly host: string;
+    readonly zone: string;
+    readonly lifecycle: HostLifecycle;
+    readonly timeSpent: TimeSpent;
+    /** Returns the settings now in force. */
+    readonly settings: () => EntrySettings;
+    /** Returns the steady clock's reading, in milliseconds. */
+    readonly readClock: () => number;
+    readonly isLeaving: () => boolean;
+}
+
+/**
+ * Creates the context of a host.
+ *
+ * @param options The host's options.
+ * @param settings Returns the settings now in force.
+ *
+ * @example
+ * ```ts
+ * const context = createHostContext(options, () => settings);
+ * const gossip = new HostGossip({ ...context, peers, hostsNeedingDemand, onMessage });
+ * ```
+ */
+export function createHostContext(options: EntryHostOptions, settings: () => EntrySettings): HostContext {
+    const { host, zone } = options.settings;
+    const { logger, metrics, readProcessorMicroseconds } = options;
+    const lifecycle = new HostLifecycle();
+    const readClock = (): number => options.readClocks().steadyMilliseconds;
+    return {
+        ...options,
+        host,
+        zone,
+        lifecycle,
+        timeSpent: new TimeSpent({ logger, metrics, readClock, readProcessorMicroseconds }),
+        settings,
+        readClock,
+        isLeaving: () => lifecycle.isLeaving,
+    };
+}
+
+/** Returns the addresses under which peers and callers reach a host. */
+export function addressesOf({ callers, gossip, state }: EntrySettings): HostAddresses {
+    return {
+        callers: `${callers.address}:${callers.port}`,
+        gossip: `${gossip.address}:${gossip.port}`,
+        state: `${state.address}:${state.port}`,
+    };
+}
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -9,9 +9,9 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
-import { STATE_PATH } from "./fetchState.js";
 import { type EntrySettings } from "./settings.js";
 import { type AuxiliaryAnswer, type AuxiliaryCalls } from "./siteProtocol.js";
+import { STATE_PATH } from "./store/index.js";
 
 /** How long callers may cache a directory answer; short, so that they drop a leaving host early in its grace period. */
 export const ADDRESS_KEEP_SECONDS = 1;
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -12,7 +12,8 @@
  * @module
  */
 export { DemandMeter } from "./demandMeter.js";
-export { type EntryHost, type EntryHostOptions, startEntryHost } from "./entryHost.js";
+export { type EntryHost, startEntryHost } from "./entryHost.js";
+export { type EntryHostOptions } from "./hostContext.js";
 export { type EntryBounds, type EntrySettings, type ListenAddress } from "./settings.js";
 export {
     type AddressQuery,
--- a/src/entry/fetchState.ts
+++ b/src/entry/store/fetchState.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { get } from "node:http";
-import { type SharedState, sharedStateSchema } from "../generated/gossip.js";
-import { parseJson } from "../platform/parseJson.js";
-import { readLimited } from "../transport/index.js";
+import { type SharedState, sharedStateSchema } from "../../generated/gossip.js";
+import { parseJson } from "../../platform/parseJson.js";
+import { readLimited } from "../../transport/index.js";
 
 /** A request that receives no data for this long is aborted. */
 const IDLE_TIMEOUT_MILLISECONDS = 1_000;
--- a/src/entry/hostSession.ts
+++ b/src/entry/store/hostSession.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { type ClockReading } from "../duties/index.js";
-import { type HostAddresses, type HostRegistration } from "../generated/gossip.js";
-import { type Logger } from "../observability/index.js";
-import { type KeyValueService, type PlatformError } from "../platform/index.js";
+import { type ClockReading } from "../../duties/index.js";
+import { type HostAddresses, type HostRegistration } from "../../generated/gossip.js";
+import { type Logger } from "../../observability/index.js";
+import { type KeyValueService, type PlatformError } from "../../platform/index.js";
 
 /** The record of a host that crashed expires after this time. */
 const LEASE_MILLISECONDS = 4_000;
--- a/src/entry/peerCatchUp.ts
+++ b/src/entry/store/peerCatchUp.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type KeyValueEntry } from "../platform/index.js";
+import { type KeyValueEntry } from "../../platform/index.js";
 import { fetchState } from "./fetchState.js";
 
 /** Options of catching up from peers. */
--- a/src/entry/serviceReachability.ts
+++ b/src/entry/store/serviceReachability.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Logger } from "../observability/index.js";
+import { type Logger } from "../../observability/index.js";
 
 /** An answer of the service is recent for this long; holders' renewals are more frequent. */
 const RECENT_ANSWER_MILLISECONDS = 700;
--- /dev/null
+++ b/src/entry/store/stateFromPeers.ts
@@ -0,0 +1,98 @@
+/**
+ * Decides when this host takes the shared state from a peer, and applies what it took.
+ *
+ * @module
+ */
+import { type Logger } from "../../observability/index.js";
+import { type KeyValueEntry } from "../../platform/index.js";
+import { type SiteKeys } from "../siteProtocol.js";
+import { type ConfigurationInForce } from "./configurationInForce.js";
+import { PeerCatchUp } from "./peerCatchUp.js";
+import { type StoredEntries } from "./storedEntries.js";
+
+/** Options of {@linkcode StateFromPeers}. */
+export interface StateFromPeersOptions {
+    readonly keys: SiteKeys;
+    readonly configuration: ConfigurationInForce;
+    readonly entries: StoredEntries;
+    readonly logger: Logger;
+    /** Returns the state address of this host. */
+    readonly ownAddress: () => string;
+    /** Returns the state addresses of the settings. */
+    readonly seeds: () => readonly string[];
+    /** Returns whether the key-value service answers this host. */
+    readonly isServiceReachable: () => boolean;
+    /** Returns the state address of a peer whose digest names a newer configuration. */
+    readonly newerPeerAddress: (version: number) => string | undefined;
+    /** Returns the state address of a host of another cell with a newer configuration. */
+    readonly newerCellAddress: (version: number) => string | undefined;
+}
+
+/**
+ * Takes a newer configuration from peers, and all entries while this host knows no upstreams.
+ *
+ * @example
+ * ```ts
+ * const state = new StateFromPeers(options);
+ * await state.catchUp();
+ * console.log(state.isUpstreamsKnown);
+ * ```
+ */
+export class StateFromPeers {
+    readonly #options: StateFromPeersOptions;
+    readonly #catchUp: PeerCatchUp;
+    #isUpstreamsKnown = false;
+
+    constructor(options: StateFromPeersOptions) {
+        this.#options = options;
+        this.#catchUp = new PeerCatchUp({
+            ownAddress: options.ownAddress,
+            sourceAddresses: () => this.#sourceAddresses(),
+            applyEntries: (entries, source) => this.#applyEntries(entries, source),
+        });
+    }
+
+    /** True once the upstreams are known, from the key-value service or from a peer. */
+    get isUpstreamsKnown(): boolean {
+        return this.#isUpstreamsKnown;
+    }
+
+    /** Records that the key-value service listed its entries. */
+    recordListed(): void {
+        this.#isUpstreamsKnown = true;
+    }
+
+    /** Requests the state from peers where some is missing. */
+    async catchUp(): Promise<void> {
+        await this.#catchUp.run();
+    }
+
+    /** Returns a peer with a newer configuration, or the seeds while no upstreams are known. */
+    #sourceAddresses(): readonly string[] {
+        const { configuration, isServiceReachable, newerCellAddress, newerPeerAddress, seeds } = this.#options;
+        const newerPeer = newerPeerAddress(configuration.version);
+        if (newerPeer !== undefined) {
+            return [newerPeer];
+        }
+        const newerCell = newerCellAddress(configuration.version);
+        if (newerCell !== undefined && !isServiceReachable()) {
+            return [newerCell];
+        }
+        return !this.#isUpstreamsKnown && !isServiceReachable() ? seeds() : [];
+    }
+
+    #applyEntries(entries: readonly KeyValueEntry[], source: string): void {
+        const { configuration, keys, logger } = this.#options;
+        logger.info("state taken from a peer", { source, entries: entries.length });
+        for (const entry of entries) {
+            if (entry.key === keys.configuration) {
+                configuration.apply(entry);
+            }
+            else if (!this.#isUpstreamsKnown) {
+                this.#options.entries.put(entry);
+            }
+        }
+        const namesUpstreams = entries.some(({ key }) => key.startsWith(keys.upstreamPrefix));
+        this.#isUpstreamsKnown ||= configuration.table !== undefined && namesUpstreams;
+    }
+}
--- a/src/entry/storeMirror.test.ts
+++ b/src/entry/store/storeMirror.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { Ok } from "ts-results-es";
-import { type KeyValueService, type WatchEvent } from "../platform/index.js";
+import { type KeyValueService, type WatchEvent } from "../../platform/index.js";
 import { type ChangeBatch, type MirrorEvent, StoreMirror } from "./storeMirror.js";
 
 /** A key-value service whose watches deliver the events that a test emits; records each watch's first revision. */
--- a/src/entry/storeMirror.ts
+++ b/src/entry/store/storeMirror.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type Logger } from "../observability/index.js";
-import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../platform/index.js";
+import { type Logger } from "../../observability/index.js";
+import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../../platform/index.js";
 
 /** Delay before the first retry after a failure, and its upper bound, as it doubles with each further failure. */
 const FIRST_RETRY_DELAY_MILLISECONDS = 200;
--- a/src/entry/storeRestores.ts
+++ b/src/entry/store/storeRestores.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import { type EngineDuties } from "../duties/index.js";
-import { type UpstreamView } from "../fleet/index.js";
-import { settledRestoresSchema } from "../generated/gossip.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
-import { entryAfterSwap } from "../platform/entryAfterSwap.js";
-import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
-import { parseJson } from "../platform/parseJson.js";
+import { type EngineDuties } from "../../duties/index.js";
+import { type UpstreamView } from "../../fleet/index.js";
+import { settledRestoresSchema } from "../../generated/gossip.js";
+import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { entryAfterSwap } from "../../platform/entryAfterSwap.js";
+import { type KeyValueEntry, type KeyValueService } from "../../platform/index.js";
+import { parseJson } from "../../platform/parseJson.js";
 
 /** The key of the record that the wait after a restore is over. */
 export const RESTORES_KEY = "restores";
--- a/src/entry/storedEntries.ts
+++ b/src/entry/store/storedEntries.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type KeyValueEntry } from "../platform/index.js";
+import { type KeyValueEntry } from "../../platform/index.js";
 
 /** Handles the entries of one kind. */
 export interface EntryHandler {
