Move a host's engines, their planner and what hosts tell of adapters out of the entry host

`src/entry/engines/` has the orders, the planner and the outage agreement, which were files beside the entry host, and what the entry host itself held: `AdapterExchange` (requests for adapters and their use), `EngineMemories` (what engines hold, as hosts tell each other) and `unavailableShare`. `HostEngines` wires them. Parts that share much get the host's context as a whole. Behaviour is as before.

`npx tsx scripts/test.ts entryHosts entryForwarding entryCells src/entry/engines`: 48 passed, 0 failed.

--- a/src/entry/engineOrders.ts
+++ b/src/entry/engines/engineOrders.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { type Acquisition, type ClockReading, type EngineDuties, type Succession } from "../duties/index.js";
-import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
-import { type EngineHolder } from "../generated/gossip.js";
-import { type EntryMetrics, type LogFields, type Logger } from "../observability/index.js";
+import { type Acquisition, type ClockReading, type EngineDuties, type Succession } from "../../duties/index.js";
+import { type UpstreamAnnouncement, type UpstreamView } from "../../fleet/index.js";
+import { type EngineHolder } from "../../generated/gossip.js";
+import { type EntryMetrics, type LogFields, type Logger } from "../../observability/index.js";
 import {
     type EngineOrder,
     type EngineRecord,
@@ -14,12 +14,12 @@
     type PlacementMove,
     type StoreLoadBound,
     storeLoadsPerEngine,
-} from "../placement/index.js";
-import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
-import { type EngineDefinition, type RouteTable } from "../routes/index.js";
-import { type AnswerStatusAndHeaders } from "./_answerHead.js";
-import { type EngineControl } from "./siteProtocol.js";
-import { HOLDER_KEY_PREFIX } from "./store/index.js";
+} from "../../placement/index.js";
+import { type KeyValueEntry, type KeyValueService } from "../../platform/index.js";
+import { type EngineDefinition, type RouteTable } from "../../routes/index.js";
+import { type AnswerStatusAndHeaders } from "../_answerHead.js";
+import { type EngineControl } from "../siteProtocol.js";
+import { HOLDER_KEY_PREFIX } from "../store/index.js";
 
 /** Interval at which all engines are checked. */
 const TICK_INTERVAL_MILLISECONDS = 200;
--- a/src/entry/fleetPlanner.test.ts
+++ b/src/entry/engines/fleetPlanner.test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createAnnouncement } from "../../tests/support/announcements.js";
-import { createCollectingLogger } from "../../tests/support/collectedLines.js";
-import { EngineDuties } from "../duties/index.js";
-import { UpstreamView } from "../fleet/index.js";
-import { createEntryMetrics, TimeSpent } from "../observability/index.js";
-import { ResidencyView } from "../placement/index.js";
-import { compileRouteTable } from "../routes/index.js";
+import { createAnnouncement } from "../../../tests/support/announcements.js";
+import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
+import { EngineDuties } from "../../duties/index.js";
+import { UpstreamView } from "../../fleet/index.js";
+import { createEntryMetrics, TimeSpent } from "../../observability/index.js";
+import { ResidencyView } from "../../placement/index.js";
+import { compileRouteTable } from "../../routes/index.js";
 import { FleetPlanner } from "./fleetPlanner.js";
 
 const HOSTS = ["host-0", "host-1", "host-2"];
--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/engines/fleetPlanner.ts
@@ -7,9 +7,9 @@
  *
  * @module
  */
-import { type EngineDuties } from "../duties/index.js";
-import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
-import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
+import { type EngineDuties } from "../../duties/index.js";
+import { type UpstreamAnnouncement, type UpstreamView } from "../../fleet/index.js";
+import { type EntryMetrics, type Logger, type TimeSpent } from "../../observability/index.js";
 import {
     countCopies,
     type EngineRecord,
@@ -23,8 +23,8 @@
     storeLoadsPerEngine,
     VersionCopies,
     type VersionCopyNeed,
-} from "../placement/index.js";
-import { type EngineDefinition, type RouteTable } from "../routes/index.js";
+} from "../../placement/index.js";
+import { type EngineDefinition, type RouteTable } from "../../routes/index.js";
 
 /** Maximum share of time spent on planning, so that plans for many engines, which take longer, are made less often. */
 const MAXIMUM_PLANNING_SHARE = 0.25;
--- a/src/entry/fleetPlanning.test.ts
+++ b/src/entry/engines/fleetPlanning.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { EngineFleet, type FleetEngine } from "../../tests/support/engineFleet.js";
-import { type EngineDefinition } from "../routes/index.js";
+import { EngineFleet, type FleetEngine } from "../../../tests/support/engineFleet.js";
+import { type EngineDefinition } from "../../routes/index.js";
 
 const CELLS = 4;
 const HOSTS_OF_CELL = 3;
--- a/src/entry/outageAgreement.ts
+++ b/src/entry/engines/outageAgreement.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type ClockReading, type EngineDuties, OutageConsent } from "../duties/index.js";
-import { type HostDigest } from "../generated/gossip.js";
+import { type ClockReading, type EngineDuties, OutageConsent } from "../../duties/index.js";
+import { type HostDigest } from "../../generated/gossip.js";
 
 /** Digests older than this are no longer confirmed; their sender remembers fewer of its own. */
 const DIGEST_RETENTION_MILLISECONDS = 10_000;
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -1,35 +1,24 @@
 /**
- * One entry host: connects the key-value service's mirror, the forwarder, the managed engines and the gossip.
+ * One entry host: connects the key-value service, the forwarder, the managed engines and the gossip.
  *
  * @module
  */
 import { EngineDuties } from "../duties/index.js";
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { AdapterUse, AdapterUsers, BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
-import {
-    type AdapterWish,
-    type EngineMemory,
-    type FleetSummary,
-    type HostDigest,
-    type PlannedMove,
-} from "../generated/gossip.js";
+import { BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
+import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
 import { type GossipMessage, PeerTable } from "../gossip/index.js";
-import { type EngineRecord, type PlacementMove, splitAdapterName, type VersionCopyNeed } from "../placement/index.js";
 import { type LimitChange } from "../rateLimits/index.js";
 import { resumableStreams } from "../routes/index.js";
 import { toLeavingIncarnation, toMemory, toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
-import { AdapterRequesters } from "./adapterRequesters.js";
-import { EngineOrders } from "./engineOrders.js";
-import { FleetPlanner } from "./fleetPlanner.js";
+import { HostEngines } from "./engines/index.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { addressesOf, createHostContext, type EntryHostOptions, type HostContext } from "./hostContext.js";
-import { type AdapterUseReport, HostGossip } from "./hostGossip.js";
+import { HostGossip } from "./hostGossip.js";
 import { digestIntervalMilliseconds } from "./hostIntervals.js";
 import { ADDRESS_KEEP_SECONDS, HostServers } from "./hostServers.js";
 import { InterCellGossip } from "./interCellGossip.js";
-import { OutageAgreement } from "./outageAgreement.js";
 import { PartitionWatch } from "./partitionWatch.js";
 import { RateLimiting } from "./rateLimiting.js";
 import { type EntrySettings } from "./settings.js";
@@ -84,20 +73,15 @@
     readonly #upstreams: UpstreamTracker;
     readonly #rateLimiting: RateLimiting;
     readonly #demand = new SiteDemand();
-    readonly #adapterUsers = new AdapterUsers();
-    readonly #adapterUse = new AdapterUse();
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
     readonly #gossip: HostGossip;
     readonly #interCellGossip: InterCellGossip;
-    readonly #adapterRequesters = new AdapterRequesters();
     readonly #duties: EngineDuties;
-    readonly #agreement: OutageAgreement;
     readonly #store: HostStore;
     readonly #streamVersions: StreamVersions;
     readonly #partitionWatch: PartitionWatch;
-    readonly #planner: FleetPlanner;
-    readonly #orders: EngineOrders;
+    readonly #engines: HostEngines;
     readonly #forwarder: Forwarder;
     readonly #agents = new UpstreamAgents();
     readonly #servers: HostServers;
@@ -111,7 +95,7 @@
         this.#settings = options.settings;
         this.#context = createHostContext(options, () => this.#settings);
         const { bounds, host, zone } = options.settings;
-        const { logger, metrics, readClocks } = options;
+        const context = this.#context;
         this.#budget = new SharedRetryBudget({
             windowMilliseconds: bounds.retryWindowMilliseconds,
             ratio: bounds.retryRatio,
@@ -119,22 +103,15 @@
         });
         this.#peers = new PeerTable(host, zone);
         this.#gossip = new HostGossip({
-            host,
+            ...context,
             peers: this.#peers,
-            logger,
-            metrics,
-            timeSpent: this.#context.timeSpent,
-            readClock: () => this.#now(),
             hostsNeedingDemand: () => this.#hostsNeedingDemand(),
             onMessage: message => this.#handleGossip(message),
         });
         this.#interCellGossip = new InterCellGossip({
-            host,
+            ...context,
             peers: this.#peers,
             gossip: this.#gossip,
-            logger,
-            metrics,
-            readClock: () => this.#now(),
             crashes: () => toPublished(this.#upstreams.crashes.aggregate(this.#now())),
             onOtherCells: aggregate => this.#applyOtherCells(aggregate),
         });
@@ -142,20 +119,21 @@
             confirmedMilliseconds: HOLDER_CONFIRMED_MILLISECONDS,
             handoverMilliseconds: bounds.handoverMilliseconds,
         });
-        this.#agreement = new OutageAgreement({
-            host,
-            duties: this.#duties,
-            readClocks,
-            serviceAnswers: () => this.#store.reachability.hasRecentAnswer(),
-            otherHosts: () => this.#peers.possibleHolders(this.#now()).map(peer => peer.host),
-        });
         this.#upstreams = this.#createUpstreams();
         this.#rateLimiting = this.#createRateLimiting();
         this.#store = this.#createStore();
         this.#streamVersions = this.#createStreamVersions();
         this.#partitionWatch = this.#createPartitionWatch();
-        this.#planner = this.#createPlanner();
-        this.#orders = this.#createOrders();
+        this.#engines = new HostEngines({
+            context,
+            duties: this.#duties,
+            store: this.#store,
+            peers: this.#peers,
+            gossip: this.#gossip,
+            upstreams: this.#upstreams,
+            demand: this.#demand,
+            onChanged: () => this.#forwarder.wake(),
+        });
         this.#forwarder = createForwarder(this.#createForwardingContext());
         this.#servers = this.#createServers();
     }
@@ -167,7 +145,7 @@
         await this.#gossip.open(gossip);
         await this.#servers.start();
         this.#store.start();
-        this.#orders.start();
+        this.#engines.start();
         this.#partitionWatch.start();
         this.#scheduleDigest();
         logger.info("started", { host });
@@ -189,7 +167,7 @@
         this.#context.lifecycle.leave();
         logger.info("stopping", { open: this.#forwarder.openRequestCount });
         this.#publishDigest();
-        await this.#orders.leave();
+        await this.#engines.orders.leave();
         await this.#store.endSession();
         const keptMilliseconds = ADDRESS_KEEP_SECONDS * MAXIMUM_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
         const finalMilliseconds = this.#settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
@@ -208,7 +186,7 @@
 
     /** Relinquishes the engines that could not be handed over, publishes that to peers, and ends the session. */
     async #leavePeers(): Promise<void> {
-        this.#orders.stop();
+        this.#engines.orders.stop();
         this.#publishDigest();
         await this.#store.endSession();
     }
@@ -220,7 +198,7 @@
         this.#rateLimiting.close();
         this.#streamVersions.close();
         this.#partitionWatch.close();
-        this.#orders.close();
+        this.#engines.close();
         await this.#store.close();
         this.#gossip.close();
         this.#servers.close();
@@ -247,17 +225,13 @@
     }
 
     #createUpstreams(): UpstreamTracker {
-        const { logger, metrics, protocol, random } = this.#context;
+        const { protocol } = this.#context;
         return new UpstreamTracker({
-            host: this.#context.host,
+            ...this.#context,
             headers: protocol.headers,
             decodeUpstream: (upstream, value) => protocol.decodeUpstream(upstream, value),
-            logger,
-            metrics,
-            readClock: () => this.#now(),
-            random,
-            onAnnounced: announcement => this.#orders.applyAnnouncement(announcement),
-            onJoined: () => this.#planner.recordEnginesJoined(),
+            onAnnounced: announcement => this.#engines.orders.applyAnnouncement(announcement),
+            onJoined: () => this.#engines.planner.recordEnginesJoined(),
             onChanged: () => this.#handleUpstreamsChanged(),
             onCrashNews: () => this.#scheduleCrashNews(),
             onLimitChanged: change => this.#handleLimitChange(change),
@@ -299,12 +273,9 @@
 
     #createRateLimiting(): RateLimiting {
         return new RateLimiting({
-            host: this.#context.host,
+            ...this.#context,
             limits: this.#upstreams.limits,
             peers: this.#peers,
-            metrics: this.#context.metrics,
-            readClock: () => this.#now(),
-            isLeaving: () => this.#context.lifecycle.isLeaving,
             isPresent: upstream => this.#upstreams.isPresent(upstream),
             send: (host, message) => this.#gossip.sendPermitMessage(host, message),
             onLimitChanged: (change, receivedBy) => this.#upstreams.reportLimitChange(change, receivedBy),
@@ -335,7 +306,7 @@
                 this.#handleUpstreamsChanged();
             },
             onHostsChanged: () => this.#shareAmongHosts(),
-            onSessionLost: () => this.#orders.handleSessionLost(),
+            onSessionLost: () => this.#engines.orders.handleSessionLost(),
             onUnresponsive: () => this.#publishDigest(),
             onBatch: batch => this.#gossip.forwardChanges(withoutJournal(batch)),
             newerCellAddress: version => this.#interCellGossip.newerConfigurationAddress(version),
@@ -343,16 +314,10 @@
     }
 
     #createStreamVersions(): StreamVersions {
-        const { keyValue, logger, metrics, random } = this.#context;
         return new StreamVersions({
-            host: this.#context.host,
-            keyValue,
-            logger,
-            metrics,
-            random,
+            ...this.#context,
             peers: this.#peers,
             view: this.#upstreams.view,
-            readClock: () => this.#now(),
             resumable: () => resumableStreams(this.#store.configuration.table?.configuration.routes ?? []),
             recordRevision: () => this.#store.revisionOf(VERSIONS_KEY),
             onLaterEntry: entry => this.#store.applyLaterEntry(entry),
@@ -362,14 +327,10 @@
     }
 
     #createPartitionWatch(): PartitionWatch {
-        const { logger, metrics, random } = this.#context;
         return new PartitionWatch({
+            ...this.#context,
             contact: this.#upstreams.contact,
             view: this.#upstreams.view,
-            logger,
-            metrics,
-            random,
-            readClock: () => this.#now(),
             onChanged: () => {
                 this.#interCellGossip.publishAggregates(this.#publishDigest());
                 this.#forwarder.wake();
@@ -382,46 +343,6 @@
         this.#forwarder.wake();
     }
 
-    #createPlanner(): FleetPlanner {
-        const { logger, metrics } = this.#context;
-        const { bounds, host } = this.#settings;
-        return new FleetPlanner({
-            host,
-            duties: this.#duties,
-            view: this.#upstreams.view,
-            residency: this.#upstreams.residency,
-            logger,
-            metrics,
-            timeSpent: this.#context.timeSpent,
-            storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
-            readClock: () => this.#now(),
-            routeTable: () => this.#store.configuration.table,
-            isLive: other =>
-                other === host
-                    ? !this.#context.lifecycle.isLeaving
-                    : this.#peers.isLiveAndNotLeaving(other, this.#now()),
-            hasDemand: () => this.#demand.hasDemand(this.#now()),
-            demand: () => this.#demand.total("demand", this.#now()),
-            adapterDemand: () => this.#demand.total("adapterDemand", this.#now()),
-            prefillDemand: () => this.#demand.total("readingDemand", this.#now()),
-            isUnreachable: engine => this.#upstreams.isUnreachable(engine),
-            ownRecord: engine => this.#orders.recordOf(engine),
-            unavailableShare: engine => this.#unavailableShare(engine),
-            requestMove: (holder, move) => this.#requestMove(holder, move),
-        });
-    }
-
-    /** Returns the share of an engine's slots that stays free while it gets no more requests than its limit allows. */
-    #unavailableShare({ id, slots }: UpstreamAnnouncement): number {
-        const requestsPerSecond = this.#upstreams.limits.inForce(id)?.requestsPerSecond;
-        const { meanRunMilliseconds } = this.#demand;
-        if (requestsPerSecond === undefined || meanRunMilliseconds === undefined) {
-            return 0;
-        }
-        const usedSlots = requestsPerSecond * meanRunMilliseconds / MILLISECONDS_PER_SECOND;
-        return 1 - Math.min(1, usedSlots / Math.max(1, slots));
-    }
-
     /** Returns the hosts that may plan or represent the cell now, and those that may succeed them. */
     #hostsNeedingDemand(): ReadonlySet<string> {
         const candidates = this.#duties.candidates(this.#upstreams.view.all().length);
@@ -429,54 +350,12 @@
         return new Set([...candidates, ...representatives]);
     }
 
-    #requestMove(holder: string, move: PlacementMove): void {
-        if (holder === this.#context.host) {
-            this.#orders.handleMoveRequest(move, holder);
-        }
-        else {
-            this.#gossip.requestMove(holder, { ...move, dropped: [...move.dropped] });
-        }
-    }
-
-    #createOrders(): EngineOrders {
-        const { control, keyValue, logger, metrics, readClocks } = this.#context;
-        const { bounds, host } = this.#settings;
-        return new EngineOrders({
-            host,
-            duties: this.#duties,
-            view: this.#upstreams.view,
-            keyValue,
-            control,
-            logger,
-            metrics,
-            storeLoads: { windowMilliseconds: bounds.storeLoadWindowMilliseconds, overage: bounds.storeLoadOverage },
-            readClocks,
-            serviceAnswers: () => this.#store.reachability.hasRecentAnswer(),
-            hostsWithoutConsent: () => this.#agreement.hostsWithoutConsent(),
-            routeTable: () => this.#store.configuration.table,
-            isAdapterUsed: (engine, adapter) => this.#adapterUsers.isUsed(engine, adapter, this.#now()),
-            plan: () => this.#planner.tick(),
-            notifyPreviousHolder: ({ previousHost, engine, holder }) => {
-                const { revision, ...record } = holder;
-                this.#gossip.notifyPreviousHolder(previousHost, { engine, revision, holder: record });
-            },
-            onLaterEntry: entry => this.#store.applyLaterEntry(entry),
-            onAnswer: (engine, head, sentAtMilliseconds) =>
-                this.#upstreams.recordAnswerHead(engine, head, sentAtMilliseconds),
-            onRecordChanged: record => this.#publishRecord(record),
-        });
-    }
-
     #createForwardingContext(): ForwardingContext {
-        const { logger, metrics, protocol, random } = this.#context;
+        const { protocol } = this.#context;
         const { backlog, crashes, health, loads, pauses, prompts, residency, view } = this.#upstreams;
         return {
-            zone: this.#settings.zone,
+            ...this.#context,
             headers: protocol.headers,
-            logger,
-            metrics,
-            random,
-            readClock: () => this.#now(),
             view,
             residency,
             loads,
@@ -491,30 +370,29 @@
             backlog,
             heldBytes: new BufferedAnswerBytes(),
             demand: this.#demand,
-            adapterUse: this.#adapterUse,
+            adapterUse: this.#engines.adapters.use,
             routeTable: () => this.#store.configuration.table,
             agentFor: service => {
                 const limit = this.#store.configuration.table?.service(service)?.maximumConnections;
                 return this.#agents.agentFor(service, limit);
             },
             hostCount: () => this.#peers.live(this.#now()).length + 1,
-            requestAdapter: (engine, model, adapter) => this.#requestAdapter(engine, model, adapter),
-            requestVersionCopy: need => this.#requestVersionCopy(need),
+            requestAdapter: (engine, model, adapter) => this.#engines.adapters.request(engine, model, adapter),
+            requestVersionCopy: need => this.#engines.requestVersionCopy(need),
             publishRequestSent: (engine, promptTokens) =>
                 this.#gossip.publishRequestSent(
                     engine,
                     promptTokens,
                     peer => loads.usesUpstream(peer, engine, this.#now()),
                 ),
-            reportAdapterUse: (engine, adapter, inUse) => this.#reportAdapterUse(engine, adapter, inUse),
-            recordModelAbsent: (engine, model) => this.#orders.recordModelAbsent(engine, model),
+            reportAdapterUse: (engine, adapter, inUse) => this.#engines.adapters.reportUse(engine, adapter, inUse),
+            recordModelAbsent: (engine, model) => this.#engines.orders.recordModelAbsent(engine, model),
             recordUnreachable: (upstream, isRefused) => this.#upstreams.recordUnreachable(upstream, isRefused),
             recordSent: attributes => this.#upstreams.recordSent(attributes),
             recordLost: (attributes, upstream) => this.#upstreams.recordLost(attributes, upstream),
             recordAnswered: (attributes, upstream) => this.#upstreams.recordAnswered(attributes, upstream),
             recordAnswerHead: (upstream, head, sentAtMilliseconds) =>
                 this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
-            isLeaving: () => this.#context.lifecycle.isLeaving,
             isPartitioned: () => this.#partitionWatch.isPartitioned,
             closesConnections: () => this.#context.lifecycle.isLeaving || this.#partitionWatch.isPartitioned,
             isClosedToCallers: () => this.#context.lifecycle.isClosedToCallers,
@@ -522,12 +400,9 @@
     }
 
     #createServers(): HostServers {
-        const { logger, metrics, protocol } = this.#context;
         return new HostServers({
-            settings: () => this.#settings,
-            calls: protocol.calls,
-            logger,
-            metrics,
+            ...this.#context,
+            calls: this.#context.protocol.calls,
             forward: (message, response) => this.#forwarder.handle(message, response),
             isReady: () => this.#isReady(),
             advertised: () => this.#peers.advertised(this.#now()),
@@ -536,24 +411,6 @@
         });
     }
 
-    #requestAdapter(engine: string, model: string, adapter: string): boolean {
-        const holder = this.#duties.holderOf(engine);
-        if (holder === this.#context.host) {
-            return this.#orders.requestAdapter(engine, model, adapter);
-        }
-        return holder !== undefined && this.#gossip.requestAdapter(holder, { engine, model, adapter });
-    }
-
-    #requestVersionCopy(need: VersionCopyNeed): void {
-        const { planner } = this.#planner;
-        if (planner === this.#context.host) {
-            this.#planner.recordVersionCopyNeeded(need);
-        }
-        else if (planner !== undefined) {
-            this.#gossip.requestVersionCopy(planner, need);
-        }
-    }
-
     #handleGossip(message: GossipMessage): void {
         switch (message.type) {
             case "digest":
@@ -566,7 +423,7 @@
                 this.#interCellGossip.receiveAggregate(message);
                 break;
             case "wish":
-                this.#handleAdapterRequest(message);
+                this.#engines.adapters.receiveRequest(message);
                 break;
             case "holder":
                 this.#duties.setHolder(
@@ -576,17 +433,17 @@
                 );
                 break;
             case "news":
-                this.#applyMemory(message.engine, this.#now());
+                this.#engines.memories.apply(message.engine);
                 break;
             case "move":
-                this.#handleMoveRequest(message);
+                this.#engines.receiveMoveRequest(message);
                 break;
             case "sent":
                 this.#upstreams.loads.recordStartedByPeer(message.engine);
                 this.#upstreams.backlog.recordSentByPeer(message.engine, message.promptTokens, this.#now());
                 break;
             case "use":
-                this.#recordAdapterUse(message);
+                this.#engines.adapters.recordUse(message);
                 break;
             case "permit-request":
             case "permit-grant":
@@ -597,16 +454,7 @@
                 this.#streamVersions.receive(message);
                 break;
             case "version-copy":
-                this.#planner.recordVersionCopyNeeded(message);
-        }
-    }
-
-    /** Handles a move request; sends the engine's memory to the requester, whichever planner this host knows of. */
-    #handleMoveRequest(move: PlannedMove): void {
-        this.#orders.handleMoveRequest(move, move.host);
-        const record = this.#orders.recordOf(move.engine);
-        if (record !== undefined) {
-            this.#gossip.sendEngineMemory(move.host, toMemory(record));
+                this.#engines.planner.recordVersionCopyNeeded(message);
         }
     }
 
@@ -616,10 +464,10 @@
         this.#interCellGossip.receiveDigest(digest);
         this.#store.recordWatchStatement(digest);
         this.#partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
-        this.#adapterUsers.replaceUses(digest.host, digest.adaptersInUse, now);
+        this.#engines.adapters.replaceUses(digest.host, digest.adaptersInUse);
         this.#rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
         this.#applyReportedState(digest.host, digest);
-        this.#agreement.receiveStatement(digest);
+        this.#engines.agreement.receiveStatement(digest);
     }
 
     /** Applies the aggregate of the other cells as the report of one further peer. */
@@ -642,66 +490,12 @@
             this.#upstreams.recordLeavingIncarnation({ id: upstream, startedAtMilliseconds })
         );
         reported.relinquished.forEach(report => this.#duties.recordRelinquishment(report, now));
-        reported.engines.forEach(memory => this.#applyMemory(memory, now));
+        reported.engines.forEach(memory => this.#engines.memories.apply(memory));
         if (reported.crashes !== undefined) {
             this.#upstreams.recordCrashReport(reported.crashes);
         }
     }
 
-    /** Records an adapter request; sends the engine's memory where it already holds the adapter. */
-    #handleAdapterRequest({ adapter, engine, host, model }: AdapterWish): void {
-        this.#adapterRequesters.record(engine, host, this.#now());
-        this.#orders.requestAdapter(engine, model, adapter);
-        const record = this.#orders.recordOf(engine);
-        const held = record?.models.find(({ name }) => name === model);
-        if (record !== undefined && held?.adapters.includes(adapter) === true) {
-            this.#gossip.sendEngineMemory(host, toMemory(record));
-        }
-    }
-
-    /** Records an adapter use: adapters in use are not evicted, others in order of their last use. */
-    #recordAdapterUse({ adapter, engine, host, inUse }: AdapterUseReport): void {
-        this.#adapterUsers.recordUse(host, { engine, adapter, inUse }, this.#now());
-        const name = splitAdapterName(adapter);
-        this.#orders.recordAdapterUse(engine, name.model, name.adapter);
-    }
-
-    #reportAdapterUse(engine: string, adapter: string, inUse: boolean): void {
-        const use = { host: this.#context.host, engine, adapter, inUse };
-        this.#recordAdapterUse(use);
-        const holder = this.#duties.holderOf(engine);
-        if (holder !== undefined) {
-            this.#gossip.reportAdapterUse(holder, use);
-        }
-    }
-
-    #applyMemory(memory: EngineMemory, nowMilliseconds: number): void {
-        const record: EngineRecord = {
-            engine: memory.engine,
-            startedAtMilliseconds: memory.startedAtMilliseconds,
-            orderCount: memory.orderCount,
-            models: memory.models,
-            loading: memory.loading,
-        };
-        if (
-            this.#upstreams.view.get(memory.engine) !== undefined
-            && this.#upstreams.residency.applyRecord(record, nowMilliseconds)
-        ) {
-            this.#forwarder.wake();
-        }
-    }
-
-    #publishRecord(record: EngineRecord): void {
-        this.#upstreams.residency.applyRecord(record, this.#now());
-        this.#forwarder.wake();
-        const planner = this.#planner.planner;
-        const requesters = this.#adapterRequesters.hostsFor(record.engine, this.#now());
-        this.#gossip.publishEngineMemory(
-            toMemory(record),
-            planner === undefined ? requesters : [...requesters, planner],
-        );
-    }
-
     #scheduleDigest(): void {
         const cellHosts = this.#peers.division().ownCell.length;
         this.#digestTimer = setTimeout(() => this.#handleDigestTimer(), digestIntervalMilliseconds(cellHosts));
@@ -715,29 +509,15 @@
         this.#scheduleDigest();
         this.#upstreams.expire();
         this.#streamVersions.check();
-        this.#adapterUsers.replaceUses(this.#context.host, this.#adapterUse.all(), this.#now());
+        this.#engines.adapters.recordOwnUses();
         this.#store.adjustWatch();
         this.#interCellGossip.publishAggregates(this.#publishDigest());
-        this.#resendAdapterUse();
+        this.#engines.adapters.resendUses();
         this.#context.timeSpent.report();
         this.#store.recordSettledRestores();
         this.#store.catchUp();
     }
 
-    /** Resends adapter uses to holders in other cells: they get no digests, and datagrams may be lost. */
-    #resendAdapterUse(): void {
-        const cellPeers = new Set(this.#peers.cellPeers().map(({ host }) => host));
-        for (const [engine, adapters] of Object.entries(this.#adapterUse.all())) {
-            const holder = this.#duties.holderOf(engine);
-            if (holder !== undefined && holder !== this.#context.host && !cellPeers.has(holder)) {
-                adapters.forEach(adapter => {
-                    const use = { host: this.#context.host, engine, adapter, inUse: true };
-                    this.#gossip.reportAdapterUse(holder, use);
-                });
-            }
-        }
-    }
-
     #publishDigest(): HostDigest {
         const now = this.#now();
         const crashes = toPublished(this.#upstreams.crashes.report(now));
@@ -746,7 +526,7 @@
         const digest: HostDigest = {
             type: "digest",
             host: this.#context.host,
-            ...this.#agreement.nextStatement(),
+            ...this.#engines.agreement.nextStatement(),
             zone: this.#settings.zone,
             addresses: addressesOf(this.#settings),
             configurationVersion: this.#store.configuration.version,
@@ -761,9 +541,9 @@
             ...isPartitioned ? { partitioned: true } : {},
             leavingRuns: this.#upstreams.leavingIncarnations().map(toLeavingIncarnation),
             ...limits.length === 0 ? {} : { limits },
-            adaptersInUse: this.#adapterUse.all(),
+            adaptersInUse: this.#engines.adapters.use.all(),
             ...this.#demand.hostDemand(now),
-            engines: this.#orders.records().map(toMemory),
+            engines: this.#engines.orders.records().map(toMemory),
             relinquished: this.#duties.relinquishments(now),
             suspects: [],
             ...crashes === undefined ? {} : { crashes },
--- a/tests/support/engineFleet.ts
+++ b/tests/support/engineFleet.ts
@@ -7,8 +7,8 @@
 import { type TestContext } from "node:test";
 import { setImmediate as nextEventLoopTurn } from "node:timers/promises";
 import { EngineDuties } from "../../src/duties/index.js";
-import { EngineOrders } from "../../src/entry/engineOrders.js";
-import { FleetPlanner } from "../../src/entry/fleetPlanner.js";
+import { EngineOrders } from "../../src/entry/engines/engineOrders.js";
+import { FleetPlanner } from "../../src/entry/engines/fleetPlanner.js";
 import { type EngineControl } from "../../src/entry/siteProtocol.js";
 import { type UpstreamAnnouncement, UpstreamView } from "../../src/fleet/index.js";
 import { createEntryMetrics, TimeSpent } from "../../src/observability/index.js";
