Move a host's digests and the handling of peers' messages out of the entry host

`src/entry/peers/` has what hosts tell each other: `DigestPublisher` composes and publishes digests, `DigestRounds` is their timer, `UrgentDigests` publishes news of crashes and limits before the next round, `ReportedState` applies digests and aggregates, `receiveMessage` passes each message to its part. `HostGossip` and `InterCellGossip` moved there. Behaviour is as before.

--- a/src/entry/engines/adapterExchange.ts
+++ b/src/entry/engines/adapterExchange.ts
@@ -8,7 +8,7 @@
 import { type AdapterWish } from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
 import { splitAdapterName } from "../../placement/index.js";
-import { type AdapterUseReport, type HostGossip } from "../hostGossip.js";
+import { type AdapterUseReport, type HostGossip } from "../peers/index.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
 import { type EngineMemories } from "./engineMemories.js";
 import { type EngineOrders } from "./engineOrders.js";
--- a/src/entry/engines/engineMemories.ts
+++ b/src/entry/engines/engineMemories.ts
@@ -6,7 +6,7 @@
 import { type EngineMemory } from "../../generated/gossip.js";
 import { type EngineRecord } from "../../placement/index.js";
 import { toMemory } from "../_gossipParts.js";
-import { type HostGossip } from "../hostGossip.js";
+import { type HostGossip } from "../peers/index.js";
 import { type UpstreamTracker } from "../upstreamTracker.js";
 
 /** Options of {@linkcode EngineMemories}. */
--- a/src/entry/engines/hostEngines.ts
+++ b/src/entry/engines/hostEngines.ts
@@ -9,7 +9,7 @@
 import { type PeerTable } from "../../gossip/index.js";
 import { type PlacementMove, type StoreLoadBound, type VersionCopyNeed } from "../../placement/index.js";
 import { type HostContext } from "../hostContext.js";
-import { type HostGossip } from "../hostGossip.js";
+import { type HostGossip } from "../peers/index.js";
 import { type SiteDemand } from "../siteDemand.js";
 import { type HostStore } from "../store/index.js";
 import { type UpstreamTracker } from "../upstreamTracker.js";
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -5,21 +5,27 @@
  */
 import { EngineDuties } from "../duties/index.js";
 import { BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
-import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
-import { type GossipMessage, PeerTable } from "../gossip/index.js";
-import { type LimitChange } from "../rateLimits/index.js";
+import { PeerTable } from "../gossip/index.js";
 import { resumableStreams } from "../routes/index.js";
-import { toLeavingIncarnation, toMemory, toPublished, withoutJournal } from "./_gossipParts.js";
+import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { HostEngines } from "./engines/index.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { addressesOf, createHostContext, type EntryHostOptions, type HostContext } from "./hostContext.js";
-import { HostGossip } from "./hostGossip.js";
-import { digestIntervalMilliseconds } from "./hostIntervals.js";
 import { ADDRESS_KEEP_SECONDS, HostServers } from "./hostServers.js";
-import { InterCellGossip } from "./interCellGossip.js";
 import { PartitionWatch } from "./partitionWatch.js";
+import {
+    DigestPublisher,
+    DigestRounds,
+    HostGossip,
+    hostsNeedingDemand,
+    InterCellGossip,
+    type MessageReceivers,
+    receiveMessage,
+    ReportedState,
+    UrgentDigests,
+} from "./peers/index.js";
 import { RateLimiting } from "./rateLimiting.js";
 import { type EntrySettings } from "./settings.js";
 import { SiteDemand } from "./siteDemand.js";
@@ -40,21 +46,6 @@
 /** A holder may send orders for this long after a successful renewal of its session. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
-/** Delay of additional digests that carry news of crashes; several events of one crash come together. */
-const CRASH_NEWS_DELAY_MILLISECONDS = 20;
-
-/** Upper bound on the limits in one digest. */
-const MAXIMUM_LIMITS_PER_DIGEST = 256;
-
-/** Minimum interval of additional digests for limits that upstreams name or withdraw. */
-const LIMIT_PUBLISH_INTERVAL_MILLISECONDS = 200;
-
-/** Stands for the other cells where reported state is kept by host. */
-const OTHER_CELLS_SOURCE = "(rest of the fleet)";
-
-/** Hosts of a cell that get its demand: the cell representative and those next in order, which may succeed it. */
-const REPRESENTATIVES_WITH_DEMAND = 3;
-
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A running entry host. */
@@ -82,14 +73,16 @@
     readonly #streamVersions: StreamVersions;
     readonly #partitionWatch: PartitionWatch;
     readonly #engines: HostEngines;
+    readonly #reportedState: ReportedState;
+    readonly #receivers: MessageReceivers;
+    readonly #digests: DigestPublisher;
+    readonly #urgentDigests: UrgentDigests;
+    readonly #digestRounds: DigestRounds;
     readonly #forwarder: Forwarder;
     readonly #agents = new UpstreamAgents();
     readonly #servers: HostServers;
     /** Resolves once the host has stopped; `undefined` before it is told to. */
     #stopped: Promise<void> | undefined;
-    #digestTimer: NodeJS.Timeout | undefined;
-    #crashNewsTimer: NodeJS.Timeout | undefined;
-    #limitPublishedAtMilliseconds = Number.NEGATIVE_INFINITY;
 
     constructor(options: EntryHostOptions) {
         this.#settings = options.settings;
@@ -106,14 +99,14 @@
             ...context,
             peers: this.#peers,
             hostsNeedingDemand: () => this.#hostsNeedingDemand(),
-            onMessage: message => this.#handleGossip(message),
+            onMessage: message => receiveMessage(message, this.#receivers, this.#now()),
         });
         this.#interCellGossip = new InterCellGossip({
             ...context,
             peers: this.#peers,
             gossip: this.#gossip,
             crashes: () => toPublished(this.#upstreams.crashes.aggregate(this.#now())),
-            onOtherCells: aggregate => this.#applyOtherCells(aggregate),
+            onOtherCells: aggregate => this.#reportedState.applyOtherCells(aggregate),
         });
         this.#duties = new EngineDuties(host, {
             confirmedMilliseconds: HOLDER_CONFIRMED_MILLISECONDS,
@@ -134,6 +127,11 @@
             demand: this.#demand,
             onChanged: () => this.#forwarder.wake(),
         });
+        this.#reportedState = this.#createReportedState();
+        this.#receivers = this.#createReceivers();
+        this.#digests = this.#createDigests();
+        this.#urgentDigests = this.#createUrgentDigests();
+        this.#digestRounds = new DigestRounds({ ...context, peers: this.#peers, onRound: () => this.#performRound() });
         this.#forwarder = createForwarder(this.#createForwardingContext());
         this.#servers = this.#createServers();
     }
@@ -147,7 +145,7 @@
         this.#store.start();
         this.#engines.start();
         this.#partitionWatch.start();
-        this.#scheduleDigest();
+        this.#digestRounds.start();
         logger.info("started", { host });
     }
 
@@ -166,7 +164,7 @@
         const startedAt = this.#now();
         this.#context.lifecycle.leave();
         logger.info("stopping", { open: this.#forwarder.openRequestCount });
-        this.#publishDigest();
+        this.#digests.publish();
         await this.#engines.orders.leave();
         await this.#store.endSession();
         const keptMilliseconds = ADDRESS_KEEP_SECONDS * MAXIMUM_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
@@ -187,14 +185,14 @@
     /** Relinquishes the engines that could not be handed over, publishes that to peers, and ends the session. */
     async #leavePeers(): Promise<void> {
         this.#engines.orders.stop();
-        this.#publishDigest();
+        this.#digests.publish();
         await this.#store.endSession();
     }
 
     async close(): Promise<void> {
         this.#context.lifecycle.close();
-        clearTimeout(this.#digestTimer);
-        clearTimeout(this.#crashNewsTimer);
+        this.#digestRounds.close();
+        this.#urgentDigests.close();
         this.#rateLimiting.close();
         this.#streamVersions.close();
         this.#partitionWatch.close();
@@ -233,44 +231,14 @@
             onAnnounced: announcement => this.#engines.orders.applyAnnouncement(announcement),
             onJoined: () => this.#engines.planner.recordEnginesJoined(),
             onChanged: () => this.#handleUpstreamsChanged(),
-            onCrashNews: () => this.#scheduleCrashNews(),
-            onLimitChanged: change => this.#handleLimitChange(change),
+            onCrashNews: () => this.#urgentDigests.scheduleCrashNews(),
+            onLimitChanged: change => {
+                this.#rateLimiting.handleLimitChange();
+                this.#urgentDigests.publishLimitChange(change);
+            },
         });
     }
 
-    /** Publishes a new or withdrawn limit to peers at once, but not more often than some times a second. */
-    #handleLimitChange({ previousRequestsPerSecond, requestsPerSecond }: LimitChange): void {
-        this.#rateLimiting.handleLimitChange();
-        const beginsOrEnds = previousRequestsPerSecond === undefined || requestsPerSecond === undefined;
-        const isDue = this.#now() - this.#limitPublishedAtMilliseconds >= LIMIT_PUBLISH_INTERVAL_MILLISECONDS;
-        if (beginsOrEnds && isDue) {
-            this.#limitPublishedAtMilliseconds = this.#now();
-            this.#interCellGossip.publishAggregates(this.#publishDigest());
-        }
-    }
-
-    /** Publishes news of crashes before the next digest is due, a few times since datagrams may be lost. */
-    #scheduleCrashNews(): void {
-        if (this.#hasCrashNews()) {
-            this.#crashNewsTimer ??= setTimeout(() => this.#publishCrashNews(), CRASH_NEWS_DELAY_MILLISECONDS);
-        }
-    }
-
-    #publishCrashNews(): void {
-        this.#crashNewsTimer = undefined;
-        if (!this.#context.lifecycle.isClosed && this.#hasCrashNews()) {
-            this.#interCellGossip.publishAggregates(this.#publishDigest());
-            this.#scheduleCrashNews();
-        }
-    }
-
-    /** Returns whether the own cell, or through this host another one, should hear of crashes soon. */
-    #hasCrashNews(): boolean {
-        const { crashes } = this.#upstreams;
-        return crashes.hasUnpublishedNews()
-            || (this.#interCellGossip.publishesAggregates && crashes.hasNewsToPassOn());
-    }
-
     #createRateLimiting(): RateLimiting {
         return new RateLimiting({
             ...this.#context,
@@ -307,7 +275,7 @@
             },
             onHostsChanged: () => this.#shareAmongHosts(),
             onSessionLost: () => this.#engines.orders.handleSessionLost(),
-            onUnresponsive: () => this.#publishDigest(),
+            onUnresponsive: () => this.#digests.publish(),
             onBatch: batch => this.#gossip.forwardChanges(withoutJournal(batch)),
             newerCellAddress: version => this.#interCellGossip.newerConfigurationAddress(version),
         });
@@ -332,22 +300,73 @@
             contact: this.#upstreams.contact,
             view: this.#upstreams.view,
             onChanged: () => {
-                this.#interCellGossip.publishAggregates(this.#publishDigest());
+                this.#digests.publishToAllCells();
                 this.#forwarder.wake();
             },
         });
     }
 
+    #createReportedState(): ReportedState {
+        return new ReportedState({
+            ...this.#context,
+            peers: this.#peers,
+            interCellGossip: this.#interCellGossip,
+            store: this.#store,
+            duties: this.#duties,
+            engines: this.#engines,
+            upstreams: this.#upstreams,
+            rateLimiting: this.#rateLimiting,
+            partitionWatch: this.#partitionWatch,
+            demand: this.#demand,
+        });
+    }
+
+    #createReceivers(): MessageReceivers {
+        return {
+            reportedState: this.#reportedState,
+            interCellGossip: this.#interCellGossip,
+            store: this.#store,
+            duties: this.#duties,
+            engines: this.#engines,
+            upstreams: this.#upstreams,
+            rateLimiting: this.#rateLimiting,
+            streamVersions: this.#streamVersions,
+        };
+    }
+
+    #createDigests(): DigestPublisher {
+        return new DigestPublisher({
+            context: this.#context,
+            gossip: this.#gossip,
+            interCellGossip: this.#interCellGossip,
+            store: this.#store,
+            duties: this.#duties,
+            engines: this.#engines,
+            upstreams: this.#upstreams,
+            rateLimiting: this.#rateLimiting,
+            partitionWatch: this.#partitionWatch,
+            demand: this.#demand,
+            isReady: () => this.#isReady(),
+        });
+    }
+
+    #createUrgentDigests(): UrgentDigests {
+        return new UrgentDigests({
+            ...this.#context,
+            crashes: this.#upstreams.crashes,
+            publishesAggregates: () => this.#interCellGossip.publishesAggregates,
+            publish: () => this.#digests.publishToAllCells(),
+        });
+    }
+
     #handleUpstreamsChanged(): void {
         this.#streamVersions.check();
         this.#forwarder.wake();
     }
 
-    /** Returns the hosts that may plan or represent the cell now, and those that may succeed them. */
     #hostsNeedingDemand(): ReadonlySet<string> {
-        const candidates = this.#duties.candidates(this.#upstreams.view.all().length);
-        const representatives = this.#peers.membersWithRecentDigest(this.#now()).slice(0, REPRESENTATIVES_WITH_DEMAND);
-        return new Set([...candidates, ...representatives]);
+        const engineCount = this.#upstreams.view.all().length;
+        return hostsNeedingDemand({ duties: this.#duties, peers: this.#peers, engineCount }, this.#now());
     }
 
     #createForwardingContext(): ForwardingContext {
@@ -411,147 +430,19 @@
         });
     }
 
-    #handleGossip(message: GossipMessage): void {
-        switch (message.type) {
-            case "digest":
-                this.#handleDigest(message);
-                break;
-            case "changes":
-                this.#store.applyBatch(message);
-                break;
-            case "summary":
-                this.#interCellGossip.receiveAggregate(message);
-                break;
-            case "wish":
-                this.#engines.adapters.receiveRequest(message);
-                break;
-            case "holder":
-                this.#duties.setHolder(
-                    message.engine,
-                    { ...message.holder, revision: message.revision },
-                    this.#now(),
-                );
-                break;
-            case "news":
-                this.#engines.memories.apply(message.engine);
-                break;
-            case "move":
-                this.#engines.receiveMoveRequest(message);
-                break;
-            case "sent":
-                this.#upstreams.loads.recordStartedByPeer(message.engine);
-                this.#upstreams.backlog.recordSentByPeer(message.engine, message.promptTokens, this.#now());
-                break;
-            case "use":
-                this.#engines.adapters.recordUse(message);
-                break;
-            case "permit-request":
-            case "permit-grant":
-                this.#rateLimiting.receive(message);
-                break;
-            case "streams-begun":
-            case "stream-question":
-                this.#streamVersions.receive(message);
-                break;
-            case "version-copy":
-                this.#engines.planner.recordVersionCopyNeeded(message);
-        }
-    }
-
-    #handleDigest(digest: HostDigest): void {
-        const now = this.#now();
-        this.#peers.recordDigest(digest, now);
-        this.#interCellGossip.receiveDigest(digest);
-        this.#store.recordWatchStatement(digest);
-        this.#partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
-        this.#engines.adapters.replaceUses(digest.host, digest.adaptersInUse);
-        this.#rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
-        this.#applyReportedState(digest.host, digest);
-        this.#engines.agreement.receiveStatement(digest);
-    }
-
-    /** Applies the aggregate of the other cells as the report of one further peer. */
-    #applyOtherCells(aggregate: FleetSummary): void {
-        const now = this.#now();
-        aggregate.hosts.forEach(host => this.#peers.recordListed(host, now));
-        aggregate.partitionedHosts?.forEach(host => this.#peers.recordPartitioned(host));
-        this.#partitionWatch.recordStatement(OTHER_CELLS_SOURCE, aggregate.hearsUpstreams);
-        this.#rateLimiting.limiter.recordOtherCells(aggregate, now);
-        this.#applyReportedState(OTHER_CELLS_SOURCE, aggregate);
-    }
-
-    #applyReportedState(source: string, reported: HostDigest | FleetSummary): void {
-        const now = this.#now();
-        this.#store.recordLaterRevision(reported.storeRevision);
-        this.#upstreams.loads.recordPeerRequests(source, reported.inFlight, now);
-        this.#demand.recordPeerDemand(source, reported, now);
-        reported.unreachable.forEach(upstream => this.#upstreams.unreachableReports.record(upstream, source, now));
-        reported.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
-            this.#upstreams.recordLeavingIncarnation({ id: upstream, startedAtMilliseconds })
-        );
-        reported.relinquished.forEach(report => this.#duties.recordRelinquishment(report, now));
-        reported.engines.forEach(memory => this.#engines.memories.apply(memory));
-        if (reported.crashes !== undefined) {
-            this.#upstreams.recordCrashReport(reported.crashes);
-        }
-    }
-
-    #scheduleDigest(): void {
-        const cellHosts = this.#peers.division().ownCell.length;
-        this.#digestTimer = setTimeout(() => this.#handleDigestTimer(), digestIntervalMilliseconds(cellHosts));
-    }
-
-    #handleDigestTimer(): void {
-        if (this.#context.lifecycle.isClosed) {
-            return;
-        }
-        this.#peers.forget(this.#now());
-        this.#scheduleDigest();
+    /** Publishes a digest, and does what else is due at regular intervals. */
+    #performRound(): void {
         this.#upstreams.expire();
         this.#streamVersions.check();
         this.#engines.adapters.recordOwnUses();
         this.#store.adjustWatch();
-        this.#interCellGossip.publishAggregates(this.#publishDigest());
+        this.#digests.publishToAllCells();
         this.#engines.adapters.resendUses();
         this.#context.timeSpent.report();
         this.#store.recordSettledRestores();
         this.#store.catchUp();
     }
 
-    #publishDigest(): HostDigest {
-        const now = this.#now();
-        const crashes = toPublished(this.#upstreams.crashes.report(now));
-        const limits = this.#rateLimiting.limiter.ownVotes(now).slice(0, MAXIMUM_LIMITS_PER_DIGEST);
-        const { isPartitioned } = this.#partitionWatch;
-        const digest: HostDigest = {
-            type: "digest",
-            host: this.#context.host,
-            ...this.#engines.agreement.nextStatement(),
-            zone: this.#settings.zone,
-            addresses: addressesOf(this.#settings),
-            configurationVersion: this.#store.configuration.version,
-            storeRevision: this.#store.revision,
-            feeds: this.#store.feeds,
-            ready: this.#isReady(),
-            leaving: this.#context.lifecycle.isLeaving,
-            inFlight: this.#upstreams.loads.allInFlight(),
-            // A partitioned host tells nothing of single upstreams.
-            unreachable: isPartitioned ? [] : this.#upstreams.unreachableReports.reportedBy(this.#context.host, now),
-            hearsUpstreams: this.#partitionWatch.isHearing,
-            ...isPartitioned ? { partitioned: true } : {},
-            leavingRuns: this.#upstreams.leavingIncarnations().map(toLeavingIncarnation),
-            ...limits.length === 0 ? {} : { limits },
-            adaptersInUse: this.#engines.adapters.use.all(),
-            ...this.#demand.hostDemand(now),
-            engines: this.#engines.orders.records().map(toMemory),
-            relinquished: this.#duties.relinquishments(now),
-            suspects: [],
-            ...crashes === undefined ? {} : { crashes },
-        };
-        this.#gossip.publishDigest(digest);
-        return digest;
-    }
-
     #refreshGauges(): void {
         const { metrics } = this.#context;
         metrics.gauge("configuration_version", this.#store.configuration.version);
--- a/src/entry/hostGossip.test.ts
+++ b/src/entry/peers/hostGossip.test.ts
@@ -2,12 +2,12 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { test } from "node:test";
-import { createCollectingLogger } from "../../tests/support/collectedLines.js";
-import { createDigest } from "../../tests/support/digests.js";
-import { CellAggregates, type GossipMessage, PeerTable } from "../gossip/index.js";
-import { createEntryMetrics, TimeSpent } from "../observability/index.js";
+import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
+import { createDigest } from "../../../tests/support/digests.js";
+import { CellAggregates, type GossipMessage, PeerTable } from "../../gossip/index.js";
+import { createEntryMetrics, TimeSpent } from "../../observability/index.js";
+import { digestIntervalMilliseconds } from "../hostIntervals.js";
 import { HostGossip } from "./hostGossip.js";
-import { digestIntervalMilliseconds } from "./hostIntervals.js";
 
 /** Limit on a host's control traffic. */
 const CONTROL_BYTES_PER_SECOND = 16 * 1024;
--- a/src/entry/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -13,7 +13,7 @@
     type StoreChanges,
     type StreamQuestion,
     type StreamsBegun,
-} from "../generated/gossip.js";
+} from "../../generated/gossip.js";
 import {
     type GossipLink,
     type GossipMessage,
@@ -21,11 +21,11 @@
     openGossipLink,
     type Peer,
     type PeerTable,
-} from "../gossip/index.js";
-import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
-import { type VersionCopyNeed } from "../placement/index.js";
-import { type PermitMessage } from "../rateLimits/index.js";
-import { type ListenAddress } from "./settings.js";
+} from "../../gossip/index.js";
+import { type EntryMetrics, type Logger, type TimeSpent } from "../../observability/index.js";
+import { type VersionCopyNeed } from "../../placement/index.js";
+import { type PermitMessage } from "../../rateLimits/index.js";
+import { type ListenAddress } from "../settings.js";
 
 /** Options of a host's gossip. */
 export interface HostGossipOptions {
--- a/src/entry/interCellGossip.test.ts
+++ b/src/entry/peers/interCellGossip.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createCollectingLogger, type LoggedLine } from "../../tests/support/collectedLines.js";
-import { createDigest } from "../../tests/support/digests.js";
-import { CellAggregates, PeerTable } from "../gossip/index.js";
-import { createEntryMetrics } from "../observability/index.js";
+import { createCollectingLogger, type LoggedLine } from "../../../tests/support/collectedLines.js";
+import { createDigest } from "../../../tests/support/digests.js";
+import { CellAggregates, PeerTable } from "../../gossip/index.js";
+import { createEntryMetrics } from "../../observability/index.js";
 import { type HostGossip } from "./hostGossip.js";
 import { InterCellGossip } from "./interCellGossip.js";
 
--- a/src/entry/interCellGossip.ts
+++ b/src/entry/peers/interCellGossip.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import { type CrashReport, type FleetSummary, type HostDigest } from "../generated/gossip.js";
-import { type AggregateSender, CellAggregates, type PeerTable } from "../gossip/index.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type CrashReport, type FleetSummary, type HostDigest } from "../../generated/gossip.js";
+import { type AggregateSender, CellAggregates, type PeerTable } from "../../gossip/index.js";
+import { type EntryMetrics, type Logger } from "../../observability/index.js";
 import { type HostGossip } from "./hostGossip.js";
 
 /** An aggregate of the other cells older than this is overdue, and no longer names a source of newer configuration. */
--- /dev/null
+++ b/src/entry/peers/reportedState.ts
@@ -0,0 +1,92 @@
+/**
+ * Applies what other hosts report of themselves: digests of the own cell, and the aggregate of the other cells.
+ *
+ * @module
+ */
+import { type EngineDuties } from "../../duties/index.js";
+import { type FleetSummary, type HostDigest } from "../../generated/gossip.js";
+import { type PeerTable } from "../../gossip/index.js";
+import { type HostEngines } from "../engines/index.js";
+import { type PartitionWatch } from "../partitionWatch.js";
+import { type RateLimiting } from "../rateLimiting.js";
+import { type SiteDemand } from "../siteDemand.js";
+import { type HostStore } from "../store/index.js";
+import { type UpstreamTracker } from "../upstreamTracker.js";
+import { type InterCellGossip } from "./interCellGossip.js";
+
+/** Stands for the other cells where reported state is kept by host. */
+const OTHER_CELLS_SOURCE = "(rest of the fleet)";
+
+/** The parts of a host to which reported state is applied. */
+export interface ReportedStateOptions {
+    readonly peers: PeerTable;
+    readonly interCellGossip: InterCellGossip;
+    readonly store: HostStore;
+    readonly duties: EngineDuties;
+    readonly engines: HostEngines;
+    readonly upstreams: UpstreamTracker;
+    readonly rateLimiting: RateLimiting;
+    readonly partitionWatch: PartitionWatch;
+    readonly demand: SiteDemand;
+    readonly readClock: () => number;
+}
+
+/**
+ * Applies digests and aggregates.
+ *
+ * @example
+ * ```ts
+ * const reported = new ReportedState(options);
+ * reported.applyDigest(digest);
+ * reported.applyOtherCells(aggregate);
+ * ```
+ */
+export class ReportedState {
+    readonly #options: ReportedStateOptions;
+
+    constructor(options: ReportedStateOptions) {
+        this.#options = options;
+    }
+
+    /** Applies the digest of a host. */
+    applyDigest(digest: HostDigest): void {
+        const { engines, interCellGossip, partitionWatch, peers, rateLimiting, store } = this.#options;
+        const now = this.#options.readClock();
+        peers.recordDigest(digest, now);
+        interCellGossip.receiveDigest(digest);
+        store.recordWatchStatement(digest);
+        partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
+        engines.adapters.replaceUses(digest.host, digest.adaptersInUse);
+        rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
+        this.#apply(digest.host, digest);
+        engines.agreement.receiveStatement(digest);
+    }
+
+    /** Applies the aggregate of the other cells as the report of one further peer. */
+    applyOtherCells(aggregate: FleetSummary): void {
+        const { partitionWatch, peers, rateLimiting } = this.#options;
+        const now = this.#options.readClock();
+        aggregate.hosts.forEach(host => peers.recordListed(host, now));
+        aggregate.partitionedHosts?.forEach(host => peers.recordPartitioned(host));
+        partitionWatch.recordStatement(OTHER_CELLS_SOURCE, aggregate.hearsUpstreams);
+        rateLimiting.limiter.recordOtherCells(aggregate, now);
+        this.#apply(OTHER_CELLS_SOURCE, aggregate);
+    }
+
+    #apply(source: string, reported: HostDigest | FleetSummary): void {
+        const { demand, duties, engines, store, upstreams } = this.#options;
+        const now = this.#options.readClock();
+        store.recordLaterRevision(reported.storeRevision);
+        upstreams.loads.recordPeerRequests(source, reported.inFlight, now);
+        demand.recordPeerDemand(source, reported, now);
+        reported.unreachable.forEach(upstream => upstreams.unreachableReports.record(upstream, source, now));
+        reported.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
+            upstreams.recordLeavingIncarnation({ id: upstream, startedAtMilliseconds })
+        );
+        reported.relinquished.forEach(report => duties.recordRelinquishment(report, now));
+        reported.engines.forEach(memory => engines.memories.apply(memory));
+        if (reported.crashes !== undefined) {
+            upstreams.recordCrashReport(reported.crashes);
+        }
+    }
+}
