--- a/scripts/logs.test.ts
+++ b/scripts/logs.test.ts
@@ -11,7 +11,9 @@
 }
 
 function messagesInCode(): Set<string> {
-    const files = FOLDERS.flatMap(folder => readdirSync(folder).map(file => join(folder, file)));
+    const files = FOLDERS.flatMap(folder =>
+        readdirSync(folder, { recursive: true, encoding: "utf8" }).map(file => join(folder, file))
+    );
     const sources = files.filter(file => file.endsWith(".ts") && !file.endsWith(".test.ts"));
     const calls = sources.flatMap(
         file => [...withoutDocComments(readFileSync(file, "utf8")).matchAll(/(?:logger\s*\.\w+|#log)\(\s*"([^"]+)"/g)],
