Take no answer to a health check for one to requests

Change: an upstream that has had requests of this host for 400 ms, and sent no byte to any of them, is not known to answer, whatever its health says; health counts where nothing else can be known, and only if it is answered within 50 ms. Requests that may run at two upstreams need only a reachable one. Orders' and reports' answers count as health does.

--- a/src/entry/_attempt.ts
+++ b/src/entry/_attempt.ts
@@ -71,6 +71,7 @@
         context.recordSent(facts.attributes);
         context.loads.recordStarted(upstream.id);
         context.contact.recordSent(upstream.id, now);
+        context.liveness.recordSent(upstream.id, now);
         context.backlog.recordSent(upstream.id, facts.promptTokens, now);
         this.backlogTokens = Math.round(context.backlog.backlogTokens(upstream.id, now));
         this.load = context.loads.estimate(upstream.id, now);
@@ -198,6 +199,7 @@
         this.#released = true;
         this.#context.heldBytes.release(this.#heldBytes);
         this.#context.loads.recordFinished(this.upstream.id);
+        this.#context.liveness.recordEnded(this.upstream.id);
         if (this.#isOnTrial) {
             this.#context.crashes.recordEnded(this.#facts.attributes);
         }
--- a/src/entry/_hedging.ts
+++ b/src/entry/_hedging.ts
@@ -158,17 +158,21 @@
         }
     }
 
-    /** Returns another upstream that accepts the request now and was heard a moment ago, or cannot be probed. */
+    /** Returns another upstream that accepts the request now and is known to answer, or cannot be probed. */
     #chooseAlive(): UpstreamAnnouncement | undefined {
         const { context, selection } = this.#options;
-        const { liveness, readClock } = context;
-        const now = readClock();
         return selection.chooseOther(
             this.#running(),
-            upstream => liveness.isAlive(upstream.id, now) || !context.probes.canProbe(upstream.service),
+            upstream => this.#isAlive(upstream) || !context.probes.canProbe(upstream.service),
         );
     }
 
+    /** A request that both upstreams may run loses nothing at one that answers only probes. */
+    #isAlive({ id }: UpstreamAnnouncement): boolean {
+        const { context: { liveness, readClock }, isExclusive } = this.#options;
+        return isExclusive ? liveness.isAnswering(id, readClock()) : liveness.isReachable(id, readClock());
+    }
+
     #probeOthers(): void {
         const { context, selection } = this.#options;
         const other = selection.chooseOther(this.#running());
@@ -188,8 +192,8 @@
         if (attempts.count < 2 || !attempts.has(hedge)) {
             return;
         }
-        const isHedgeAlive = context.liveness.isAlive(hedge.upstream.id, context.readClock());
-        match(decideOverlap({ isExclusive, isHedgeAlive }))
+        const isHedgeAnswering = context.liveness.isAnswering(hedge.upstream.id, context.readClock());
+        match(decideOverlap({ isExclusive, isHedgeAnswering }))
             .with("cancel-stalled", () => this.keepOnly(hedge))
             .with("cancel-hedge", () => this.#options.onHedgeCancelled(hedge, "hedge-silent"))
             .with("cancel-none", () => undefined)
--- a/src/entry/healthProbes.ts
+++ b/src/entry/healthProbes.ts
@@ -14,8 +14,8 @@
 /** Upstreams of one service that are probed within an interval in search of one that answers. */
 const PROBES_PER_SERVICE = 2;
 
-/** An upstream that answers does so within this time. */
-const PROBE_TIMEOUT_MILLISECONDS = 300;
+/** An upstream that works at its usual pace answers within a few milliseconds. */
+const PROBE_TIMEOUT_MILLISECONDS = 50;
 
 /** Options of {@linkcode HealthProbes}. */
 export interface HealthProbesOptions {
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -141,7 +141,7 @@
         this.unreachableReports.clear(upstream.id);
         this.contact.recordHeard(this.#now());
         if (!isFromOtherUpstream(head, upstream.id, headers)) {
-            this.liveness.recordHeard(upstream.id, this.#now());
+            this.liveness.recordProbed(upstream.id, this.#now());
             if (reportsLeaving(head, headers)) {
                 this.#recordLeaving(upstream);
             }
--- a/src/hedging/decideOverlap.ts
+++ b/src/hedging/decideOverlap.ts
@@ -11,27 +11,27 @@
 export interface Overlap {
     /** True where two upstreams may not work on the request for long, since both would generate its tokens. */
     readonly isExclusive: boolean;
-    /** True where the hedge's upstream was heard since it was sent the request, whatever request that answered. */
-    readonly isHedgeAlive: boolean;
+    /** True where the hedge's upstream is known to answer, this request or others. */
+    readonly isHedgeAnswering: boolean;
 }
 
 /** Which attempt is cancelled. */
 export type OverlapDecision = "cancel-none" | "cancel-hedge" | "cancel-stalled";
 
 /**
- * Decides which attempt is cancelled. An attempt is given up only in favour of an upstream that was heard since it got
- * the request; an upstream that says nothing to anyone may have paused too.
+ * Decides which attempt is cancelled. An attempt is given up only in favour of an upstream that is known to answer; one
+ * that says nothing to anyone may have paused too.
  *
  * @param overlap What is known of the two attempts.
  *
  * @example
  * ```ts
- * decideOverlap({ isExclusive: true, isHedgeAlive: false }); // "cancel-hedge"
+ * decideOverlap({ isExclusive: true, isHedgeAnswering: false }); // "cancel-hedge"
  * ```
  */
-export function decideOverlap({ isExclusive, isHedgeAlive }: Overlap): OverlapDecision {
+export function decideOverlap({ isExclusive, isHedgeAnswering }: Overlap): OverlapDecision {
     if (!isExclusive) {
         return "cancel-none";
     }
-    return isHedgeAlive ? "cancel-stalled" : "cancel-hedge";
+    return isHedgeAnswering ? "cancel-stalled" : "cancel-hedge";
 }
--- a/src/hedging/hedging.test.ts
+++ b/src/hedging/hedging.test.ts
@@ -28,10 +28,13 @@
     readonly pauseMilliseconds: number;
     readonly isExclusive: boolean;
     readonly firstEventMilliseconds: number;
+    readonly answersProbes?: boolean;
 }
 
 /** Returns the streams that are lost where some of the engines pause at the same moment, summed over seeds. */
-function countLost({ firstEventMilliseconds, isExclusive, pauseMilliseconds, pausedEngines, rule }: Case): number {
+function countLost(
+    { answersProbes = false, firstEventMilliseconds, isExclusive, pauseMilliseconds, pausedEngines, rule }: Case,
+): number {
     const pause: Pause = {
         fromMilliseconds: PAUSE_FROM_MILLISECONDS,
         toMilliseconds: PAUSE_FROM_MILLISECONDS + pauseMilliseconds,
@@ -41,7 +44,7 @@
     );
     let lost = 0;
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-        const engines = { pauses, isExclusive, firstEventMilliseconds };
+        const engines = { pauses, isExclusive, firstEventMilliseconds, answersProbes };
         lost += new StallSimulation(engines, rule, createSeededRandom(seed)).run(STREAMS_PER_ENGINE);
     }
     return lost;
@@ -66,18 +69,29 @@
 });
 
 test("an attempt is given up only for an upstream that was heard, and only where both may not go on", () => {
-    assert.equal(decideOverlap({ isExclusive: true, isHedgeAlive: true }), "cancel-stalled");
-    assert.equal(decideOverlap({ isExclusive: true, isHedgeAlive: false }), "cancel-hedge");
-    assert.equal(decideOverlap({ isExclusive: false, isHedgeAlive: true }), "cancel-none");
+    assert.equal(decideOverlap({ isExclusive: true, isHedgeAnswering: true }), "cancel-stalled");
+    assert.equal(decideOverlap({ isExclusive: true, isHedgeAnswering: false }), "cancel-hedge");
+    assert.equal(decideOverlap({ isExclusive: false, isHedgeAnswering: true }), "cancel-none");
 });
 
-test("an upstream that was never heard, or not for a while, is not alive", () => {
+test("an upstream that was never heard, or not for a while, is not known to answer", () => {
     const liveness = new UpstreamLiveness();
-    assert.equal(liveness.isAlive("engine-1", 0), false);
+    assert.equal(liveness.isAnswering("engine-1", 0), false);
     liveness.recordHeard("engine-1", 1_000);
-    assert.deepEqual([liveness.isAlive("engine-1", 1_399), liveness.isAlive("engine-1", 1_400)], [true, false]);
+    assert.deepEqual([1_399, 1_400].map(now => liveness.isAnswering("engine-1", now)), [true, false]);
     liveness.forget("engine-1");
-    assert.equal(liveness.isAlive("engine-1", 1_000), false);
+    assert.equal(liveness.isAnswering("engine-1", 1_000), false);
+});
+
+test("an upstream that answers probes while its requests stand still is reachable, and does not answer", () => {
+    const liveness = new UpstreamLiveness();
+    liveness.recordSent("engine-1", 1_000);
+    liveness.recordProbed("engine-1", 1_300);
+    assert.equal(liveness.isAnswering("engine-1", 1_300), true);
+    assert.equal(liveness.isAnswering("engine-1", 1_400), false);
+    assert.equal(liveness.isReachable("engine-1", 1_400), true);
+    liveness.recordEnded("engine-1");
+    assert.equal(liveness.isAnswering("engine-1", 1_400), true);
 });
 
 for (const isExclusive of [true, false]) {
@@ -104,6 +118,12 @@
     }
 }
 
+test("no stream moves to an engine that answers probes while its own streams stand still", () => {
+    const common = { isExclusive: true, firstEventMilliseconds: 600, answersProbes: true, rule: "evidence" } as const;
+    assert.equal(countLost({ ...common, pausedEngines: ENGINES, pauseMilliseconds: 1_600 }), 0);
+    assert.equal(countLost({ ...common, pausedEngines: 5, pauseMilliseconds: Number.POSITIVE_INFINITY }), 0);
+});
+
 test("a rule that moves streams without evidence loses those whose second engine pauses too", () => {
     const pause = { pausedEngines: ENGINES, pauseMilliseconds: 1_600, isExclusive: true, firstEventMilliseconds: 600 };
     assert.equal(countLost({ ...pause, rule: "stay" }), 0);
--- a/src/hedging/upstreamLiveness.ts
+++ b/src/hedging/upstreamLiveness.ts
@@ -1,42 +1,105 @@
 /**
- * Tracks which upstreams were heard a moment ago, so that a request moves only to one that is known to answer.
+ * Tracks which upstreams answer, so that a request moves only to one that is known to do so.
  *
  * @module
  */
 
-/** An upstream that was heard within this time has not paused for long enough to stall a request. */
-const ALIVE_MILLISECONDS = 400;
+/** What was received within this time shows that an upstream has not paused for long enough to stall a request. */
+const RECENT_MILLISECONDS = 400;
+
+interface Activity {
+    /** Requests of this host that the upstream has. */
+    requests: number;
+    /** Since when it has had requests of this host, and sent no byte of an answer to them. */
+    silentSinceMilliseconds: number;
+    /** When a byte of an answer to a request was last received. */
+    heardAtMilliseconds: number;
+    /** When a health check, an order or the like was last answered. */
+    probedAtMilliseconds: number;
+}
 
 /**
- * The time of the last byte from each upstream, whatever request it belonged to.
+ * The time of the last byte of an answer from each upstream, and of the last answer to a probe. An upstream may answer
+ * probes while the requests that it has stand still.
  *
  * @example
  * ```ts
  * const liveness = new UpstreamLiveness();
- * liveness.recordHeard("engine-3", now);
- * liveness.isAlive("engine-3", now + 100); // true
- * liveness.isAlive("engine-3", now + 1_000); // false
+ * liveness.recordProbed("engine-3", now);
+ * liveness.isAnswering("engine-3", now + 100); // true, since it has no requests
+ * liveness.recordSent("engine-3", now + 100);
+ * liveness.isAnswering("engine-3", now + 600); // false
  * ```
  */
 export class UpstreamLiveness {
-    readonly #heardAtMilliseconds = new Map<string, number>();
+    readonly #activities = new Map<string, Activity>();
+
+    /** Records that a request was sent to an upstream. */
+    recordSent(upstream: string, nowMilliseconds: number): void {
+        const activity = this.#activity(upstream);
+        if (activity.requests === 0) {
+            activity.silentSinceMilliseconds = nowMilliseconds;
+        }
+        activity.requests += 1;
+    }
+
+    /** Records that a request has ended at an upstream. */
+    recordEnded(upstream: string): void {
+        const activity = this.#activity(upstream);
+        activity.requests = Math.max(0, activity.requests - 1);
+    }
 
-    /** Records bytes from an upstream. */
+    /** Records a byte of an answer to a request. */
     recordHeard(upstream: string, nowMilliseconds: number): void {
-        this.#heardAtMilliseconds.set(upstream, nowMilliseconds);
+        const activity = this.#activity(upstream);
+        activity.heardAtMilliseconds = nowMilliseconds;
+        activity.silentSinceMilliseconds = nowMilliseconds;
     }
 
-    /** Returns whether the upstream was heard a moment ago; false where nothing is known. */
-    isAlive(upstream: string, nowMilliseconds: number): boolean {
-        return this.silenceMilliseconds(upstream, nowMilliseconds) < ALIVE_MILLISECONDS;
+    /** Records an answer to a health check, an order or the like. */
+    recordProbed(upstream: string, nowMilliseconds: number): void {
+        this.#activity(upstream).probedAtMilliseconds = nowMilliseconds;
     }
 
-    /** Returns the time since the upstream was last heard; infinite where it never was. */
+    /**
+     * Returns whether the upstream answers requests: it did a moment ago, or it answered a probe, and no request of this
+     * host has been left standing there. False where nothing is known.
+     */
+    isAnswering(upstream: string, nowMilliseconds: number): boolean {
+        const { heardAtMilliseconds, requests, silentSinceMilliseconds } = this.#activity(upstream);
+        if (nowMilliseconds - heardAtMilliseconds < RECENT_MILLISECONDS) {
+            return true;
+        }
+        const isStalled = requests > 0 && nowMilliseconds - silentSinceMilliseconds >= RECENT_MILLISECONDS;
+        return !isStalled && this.isReachable(upstream, nowMilliseconds);
+    }
+
+    /** Returns whether the upstream answered a request or a probe a moment ago. */
+    isReachable(upstream: string, nowMilliseconds: number): boolean {
+        const { heardAtMilliseconds, probedAtMilliseconds } = this.#activity(upstream);
+        return nowMilliseconds - Math.max(heardAtMilliseconds, probedAtMilliseconds) < RECENT_MILLISECONDS;
+    }
+
+    /** Returns the time since the upstream last answered a request; infinite where it never did. */
     silenceMilliseconds(upstream: string, nowMilliseconds: number): number {
-        return nowMilliseconds - (this.#heardAtMilliseconds.get(upstream) ?? Number.NEGATIVE_INFINITY);
+        return nowMilliseconds - this.#activity(upstream).heardAtMilliseconds;
     }
 
+    /** Forgets what an upstream that has left answered; requests that it still has end later. */
     forget(upstream: string): void {
-        this.#heardAtMilliseconds.delete(upstream);
+        if (this.#activity(upstream).requests === 0) {
+            this.#activities.delete(upstream);
+        }
+    }
+
+    #activity(upstream: string): Activity {
+        const activity = this.#activities.get(upstream) ?? {
+            requests: 0,
+            silentSinceMilliseconds: Number.NEGATIVE_INFINITY,
+            heardAtMilliseconds: Number.NEGATIVE_INFINITY,
+            probedAtMilliseconds: Number.NEGATIVE_INFINITY,
+        };
+        this.#activities.set(upstream, activity);
+        return activity;
     }
 }
--- a/tests/support/stallSimulation.ts
+++ b/tests/support/stallSimulation.ts
@@ -36,6 +36,8 @@
     readonly isExclusive: boolean;
     /** Time that an engine works on a stream before its first event. */
     readonly firstEventMilliseconds: number;
+    /** True where engines answer probes also while they send nothing else. */
+    readonly answersProbes: boolean;
 }
 
 /**
@@ -66,10 +68,6 @@
         this.attemptCount += 1;
         this.heardAtMilliseconds = now;
     }
-
-    keepOnly(attempt: SimulatedAttempt): void {
-        this.attempts.splice(0, this.attempts.length, attempt);
-    }
 }
 
 /** Streams on some engines, from their start to their end. */
@@ -92,7 +90,7 @@
         for (const engine of this.#engines.pauses.keys()) {
             for (let index = 0; index < streamsPerEngine; index += 1) {
                 const stream = new SimulatedStream();
-                stream.send(engine, 0);
+                this.#send(stream, engine);
                 stream.attempts.forEach(attempt => {
                     attempt.workedMilliseconds = Math.floor(this.#random() * EVENT_GAP_MILLISECONDS);
                 });
@@ -107,6 +105,18 @@
         return this.#streams.filter(({ outcome }) => outcome !== "whole").length;
     }
 
+    #send(stream: SimulatedStream, engine: string): void {
+        stream.send(engine, this.#now);
+        this.#liveness.recordSent(engine, this.#now);
+    }
+
+    /** Ends the attempts at a stream other than one; all where there is none. */
+    #keepOnly(stream: SimulatedStream, kept?: SimulatedAttempt): void {
+        const ended = stream.attempts.filter(attempt => attempt !== kept);
+        ended.forEach(({ engine }) => this.#liveness.recordEnded(engine));
+        stream.attempts.splice(0, stream.attempts.length, ...kept === undefined ? [] : [kept]);
+    }
+
     #isPaused(engine: string): boolean {
         const pauses = this.#engines.pauses.get(engine) ?? [];
         return pauses.some(({ fromMilliseconds, toMilliseconds }) =>
@@ -127,18 +137,20 @@
         }
         if (stream.outcome === "open" && this.#now - stream.eventAtMilliseconds >= CALLER_GAP_LIMIT_MILLISECONDS) {
             stream.outcome = "lost";
+            this.#keepOnly(stream);
         }
     }
 
     #deliverEvent(stream: SimulatedStream, attempt: SimulatedAttempt): void {
         attempt.sentEvents += 1;
         this.#liveness.recordHeard(attempt.engine, this.#now);
-        stream.keepOnly(attempt);
+        this.#keepOnly(stream, attempt);
         stream.heardAtMilliseconds = this.#now;
         stream.eventAtMilliseconds = this.#now;
         stream.events += 1;
         if (stream.events === EVENTS) {
             stream.outcome = "whole";
+            this.#keepOnly(stream);
         }
     }
 
@@ -157,7 +169,7 @@
 
     #decideStall(stream: SimulatedStream, first: SimulatedAttempt): void {
         const others = [...this.#engines.pauses.keys()].filter(engine => engine !== first.engine);
-        const candidates = this.#rule === "timer" ? others : others.filter(each => this.#isHeard(each));
+        const candidates = this.#rule === "timer" ? others : others.filter(each => this.#isAnswering(each));
         const alternative: Alternative = candidates.length > 0 ? "alive" : "unproven";
         const decision = decideStall({
             quietMilliseconds: this.#now - stream.heardAtMilliseconds,
@@ -166,7 +178,7 @@
             alternative: () => stream.attemptCount < MAXIMUM_ATTEMPTS ? alternative : "none",
         });
         if (decision.type === "hedge") {
-            stream.send(candidates[Math.floor(this.#random() * candidates.length)] ?? "", this.#now);
+            this.#send(stream, candidates[Math.floor(this.#random() * candidates.length)] ?? "");
             return;
         }
         if (decision.type === "probe") {
@@ -183,23 +195,23 @@
         const { isExclusive } = this.#engines;
         const decision = this.#rule === "timer"
             ? "cancel-stalled"
-            : decideOverlap({ isExclusive, isHedgeAlive: this.#isHeard(hedge.engine) });
+            : decideOverlap({ isExclusive, isHedgeAnswering: this.#isAnswering(hedge.engine) });
         if (decision === "cancel-stalled") {
-            stream.keepOnly(hedge);
+            this.#keepOnly(stream, hedge);
         }
         else if (decision === "cancel-hedge") {
-            stream.keepOnly(first);
+            this.#keepOnly(stream, first);
             stream.checkAtMilliseconds = this.#now + STALL_LIMIT_MILLISECONDS;
         }
     }
 
     #probe(engine: string): void {
-        if (!this.#isPaused(engine)) {
-            this.#liveness.recordHeard(engine, this.#now);
+        if (this.#engines.answersProbes || !this.#isPaused(engine)) {
+            this.#liveness.recordProbed(engine, this.#now);
         }
     }
 
-    #isHeard(engine: string): boolean {
-        return this.#liveness.isAlive(engine, this.#now);
+    #isAnswering(engine: string): boolean {
+        return this.#liveness.isAnswering(engine, this.#now);
     }
 }
