--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -42,6 +42,8 @@
         readonly afterMilliseconds?: number;
         /** Time between the head and the body. */
         readonly bodyAfterMilliseconds?: number;
+        /** Time between the halves of the body. */
+        readonly halfAfterMilliseconds?: number;
         readonly headers?: Readonly<Record<string, string>>;
     }
     | AnswerEnding & {
@@ -399,7 +401,7 @@
                     response.flushHeaders();
                     await this.#wait(behaviour.bodyAfterMilliseconds);
                 }
-                await this.#endAnswer(behaviour, response, behaviour.body ?? `${this.id} ran ${request.id}`);
+                await this.#sendBody(behaviour, response, behaviour.body ?? `${this.id} ran ${request.id}`);
                 break;
             case "stream":
                 await this.#stream(behaviour, request, response);
@@ -468,6 +470,21 @@
         await this.#endAnswer(behaviour, response, "");
     }
 
+    async #sendBody(
+        behaviour: Extract<Behaviour, { readonly type: "answer"; }>,
+        response: ServerResponse,
+        body: string,
+    ): Promise<void> {
+        if (behaviour.halfAfterMilliseconds === undefined) {
+            await this.#endAnswer(behaviour, response, body);
+            return;
+        }
+        const middle = Math.floor(body.length / 2);
+        response.write(body.slice(0, middle));
+        await this.#wait(behaviour.halfAfterMilliseconds);
+        await this.#endAnswer(behaviour, response, body.slice(middle));
+    }
+
     async #endAnswer({ resetsAtEnd }: AnswerEnding, response: ServerResponse, lastText: string): Promise<void> {
         if (resetsAtEnd !== true) {
             response.end(lastText);
--- a/tests/support/changeRuns.ts
+++ b/tests/support/changeRuns.ts
@@ -8,6 +8,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createSeededRandom, type RandomSource } from "../../src/decision/index.js";
 import { type Change, type ChangeSite, SHORT_TIMEOUT_MILLISECONDS, startChangeSite } from "./changeSite.js";
+import { measureStalls } from "./processStalls.js";
 import { type Outcome, RequestStates } from "./requestStates.js";
 
 const SEED = Number(process.env["CHANGE_SEED"] ?? "1");
@@ -25,9 +26,6 @@
 /** A final answer is due at most this long after its route's time limit. */
 const ANSWER_TOLERANCE_MILLISECONDS = 500;
 
-/** A process that runs handles the events of its connections within this time. */
-const LONGEST_TURN_MILLISECONDS = 50;
-
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -86,21 +84,6 @@
     return `${id}: status ${status ?? "none"} after ${Math.round(tookMilliseconds)} ms, ${end}, ${body.slice(0, 90)}`;
 }
 
-/** Measures for how long this process did not run; returns a function that ends the measurement. */
-function measureStalls(): () => number {
-    let stalledMilliseconds = 0;
-    let lastAt = performance.now();
-    const timer = setInterval(() => {
-        const now = performance.now();
-        stalledMilliseconds += Math.max(0, now - lastAt - LONGEST_TURN_MILLISECONDS);
-        lastAt = now;
-    }, 1);
-    return () => {
-        clearInterval(timer);
-        return stalledMilliseconds;
-    };
-}
-
 /** Runs requests in every state, makes the change while they are in it, and describes what went wrong. */
 async function findFaults(change: Change, site: ChangeSite, random: RandomSource): Promise<string[]> {
     let begun: ReadonlySet<unknown> = new Set();
@@ -115,16 +98,16 @@
             return change.apply(site, random);
         })
         .then(() => delay(AFTER_CHANGE_MILLISECONDS));
-    const readStalled = measureStalls();
+    const stalls = measureStalls();
     const outcomes = await new RequestStates(site.host, { afterMilliseconds, passed }).run();
-    const stalledMilliseconds = readStalled();
+    stalls.close();
     const faulty = outcomes.filter(outcome =>
         isBroken(outcome)
         || !(begun.has(outcome.id)
             ? isDueAnswer(outcome, site)
             : isProperAnswer(outcome, change))
     );
-    const late = lateTimeouts(outcomes.filter(({ id }) => begun.has(id)), stalledMilliseconds);
+    const late = lateTimeouts(outcomes.filter(({ id }) => begun.has(id)), stalls.read());
     return [...faulty, ...late].map(describeOutcome);
 }
 
