Keep callers' headers to the limit of the configuration in force

Callers with more than 16 KB of headers got 431 where the configuration allowed more, and up to 16 KB were accepted where it allowed less: nothing read `headerBytes`, and the HTTP server kept the limit of its creation, which is Node's default.

The parser's limit now follows the configuration for each new connection, so what a connection buffers of a head stays bounded by the configured limit. On a connection that began under another limit: a lowered one is measured for each request (431); a raised one can't be given to the parser any more, so a head beyond the old limit is answered 503 with Retry-After, which the caller may send again on a new connection, never 4xx. While no configuration is known it is 503 too. A refusal of a head is not written while an earlier request on the connection is open.

Ruled out: one high limit for all connections (4,100 descriptors by its size are buffered before anything is measured); one HTTP server for each limit behind a common listener (Node checks header time-outs only for a server that listens itself).

The stand-ins of upstreams kept Node's 16 KB too and answered 431 themselves; they take 1 MB now.

Not changed: the head of an upstream's answer may have 16 KB.

--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -10,6 +10,7 @@
 import { type CallerLimits } from "../routes/index.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
 import { STATE_PATH } from "./fetchState.js";
+import { HeaderLimit } from "./headerLimit.js";
 import { type EntrySettings } from "./settings.js";
 import { type AuxiliaryAnswer, type AuxiliaryCalls } from "./siteProtocol.js";
 
@@ -45,6 +46,7 @@
     readonly #options: HostServersOptions;
     readonly #servers: Server[] = [];
     #callers: Server | undefined;
+    #headerLimit: HeaderLimit | undefined;
 
     constructor(options: HostServersOptions) {
         this.#options = options;
@@ -56,7 +58,7 @@
      * @throws Rejects where an address cannot be used; servers that were started run until `close`.
      */
     async start(): Promise<void> {
-        const { logger, settings } = this.#options;
+        const { logger, metrics: entryMetrics, settings } = this.#options;
         const { callers, directory, metrics, readiness, state } = settings();
         const onProblem = (problem: string): void => logger.warn("small call failed", { problem });
         this.#callers = createServer({
@@ -65,7 +67,8 @@
             requestTimeout: 0,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
             noDelay: true,
-        }, this.#options.forward);
+        }, (message, response) => this.#accept(message, response));
+        this.#headerLimit = new HeaderLimit(this.#callers, { logger, metrics: entryMetrics });
         this.#servers.push(await listen(this.#callers, callers));
         this.#servers.push(await startAuxiliaryServer(readiness, url => this.#answerReadiness(url), onProblem));
         this.#servers.push(await startAuxiliaryServer(directory, url => this.#answerDirectory(url), onProblem));
@@ -77,8 +80,9 @@
         }
     }
 
-    /** Applies the time-outs for callers from the configuration. */
+    /** Applies the limits for callers from the configuration, but that of bodies. */
     applyLimits(limits: CallerLimits): void {
+        this.#headerLimit?.set(limits.headerBytes);
         if (this.#callers !== undefined) {
             this.#callers.keepAliveTimeout = limits.idleTimeoutMilliseconds;
             this.#callers.headersTimeout = limits.headerTimeoutMilliseconds;
@@ -98,6 +102,12 @@
         }
     }
 
+    #accept(message: IncomingMessage, response: ServerResponse): void {
+        if (this.#headerLimit?.accepts(message, response) !== false) {
+            this.#options.forward(message, response);
+        }
+    }
+
     #answerReadiness(url: string): AuxiliaryAnswer | undefined {
         if (!this.#options.calls.isReadinessRequest(url)) {
             return undefined;
--- a/standins/platform/_restartableServer.ts
+++ b/standins/platform/_restartableServer.ts
@@ -8,6 +8,9 @@
 
 const KEEP_ALIVE_MILLISECONDS = 5_000;
 
+/** More than a configuration of a test allows to callers. */
+const MAXIMUM_HEADER_BYTES = 1024 * 1024;
+
 /** Listens on a loopback port; a crash resets its connections. */
 export class RestartableServer {
     readonly #handle: RequestListener;
@@ -47,7 +50,10 @@
     }
 
     async #listenOn(port: number): Promise<void> {
-        const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MILLISECONDS }, this.#handle);
+        const server = createServer(
+            { keepAliveTimeout: KEEP_ALIVE_MILLISECONDS, maxHeaderSize: MAXIMUM_HEADER_BYTES },
+            this.#handle,
+        );
         server.on("connection", socket => {
             this.#sockets.add(socket);
             socket.on("close", () => this.#sockets.delete(socket));
