--- /dev/null
+++ b/tests/builds.test.ts
@@ -0,0 +1,130 @@
+/**
+ * Messages and records between this build and earlier ones.
+ *
+ * Where one of these fails after a change of `schema/gossip.schema.json`, the change is not one that
+ * `docs/design/builds-side-by-side.md` allows: hosts of the two builds would not hear each other during an upgrade.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import {
+    engineHolderSchema,
+    hostRegistrationSchema,
+    settledRestoresSchema,
+    sharedStateSchema,
+    streamJournalRecordSchema,
+    streamVersionRecordSchema,
+} from "../src/generated/gossip.js";
+import { type GossipLink, type GossipMessage, openGossipLink } from "../src/gossip/index.js";
+import { findFreePorts } from "../standins/freePorts.js";
+import { until } from "./support/entrySite.js";
+import { KEPT_BUILDS, type KeptBuild, openKeptLink, PRESENT_SCHEMA } from "./support/keptBuilds.js";
+
+const LOOPBACK = "127.0.0.1";
+
+/** A datagram that is read at all has arrived within this time. */
+const ARRIVAL_MILLISECONDS = 300;
+
+/** Readers of the records under each prefix of their keys. */
+const RECORD_READERS = {
+    "hosts/": hostRegistrationSchema,
+    "holders/": engineHolderSchema,
+    "restores": settledRestoresSchema,
+    "streams/versions": streamVersionRecordSchema,
+    "streams/begun/": streamJournalRecordSchema,
+} as const;
+
+/** Definitions of records, and of the answer to a request for shared state. */
+const RECORD_DEFINITIONS = [
+    "HostRegistration",
+    "EngineHolder",
+    "SettledRestores",
+    "StreamVersionRecord",
+    "StreamJournalRecord",
+    "SharedState",
+];
+
+/** A link, its address, and the messages that it has received. */
+interface TestLink {
+    readonly link: GossipLink;
+    readonly address: string;
+    readonly received: GossipMessage[];
+}
+
+async function openTestLink(context: TestContext, kept?: KeptBuild): Promise<TestLink> {
+    const [port = 0] = await findFreePorts(1);
+    const received: GossipMessage[] = [];
+    const options = {
+        address: LOOPBACK,
+        port,
+        onMessage: (message: GossipMessage) => received.push(message),
+        onProblem: () => undefined,
+    };
+    const link = await (kept === undefined ? openGossipLink(options) : openKeptLink(kept, options));
+    context.after(() => link.close());
+    return { link, received, address: `${LOOPBACK}:${port}` };
+}
+
+/** Returns an example of each message of this build with all of its fields. */
+function fullMessages(): GossipMessage[] {
+    return [...PRESENT_SCHEMA.messageTypes.values()].map(definition =>
+        PRESENT_SCHEMA.createFullExample(definition) as unknown as GossipMessage
+    );
+}
+
+async function exchange(from: TestLink, to: TestLink, messages: readonly GossipMessage[]): Promise<string[]> {
+    messages.forEach(message => from.link.send(message, [to.address]));
+    const types = messages.map(({ type }) => type);
+    const isMissing = (type: string): boolean => to.received.every(message => message.type !== type);
+    await until(() => !types.some(isMissing), ARRIVAL_MILLISECONDS).catch(() => undefined);
+    return types.filter(isMissing);
+}
+
+for (const kept of KEPT_BUILDS) {
+    const { commit, examples, schema } = kept;
+
+    test(`messages of ${commit} are read`, async context => {
+        const old = await openTestLink(context, kept);
+        const present = await openTestLink(context);
+        const messages = Object.values(examples.messages) as unknown as GossipMessage[];
+        assert.deepEqual(await exchange(old, present, messages), []);
+    });
+
+    test(`records and shared state of ${commit} are read`, () => {
+        for (const [prefix, record] of Object.entries(examples.records)) {
+            const reader = RECORD_READERS[prefix as keyof typeof RECORD_READERS];
+            assert.deepEqual(reader.safeParse(record).data, record, prefix);
+        }
+        assert.deepEqual(sharedStateSchema.safeParse(examples.state).data, examples.state);
+    });
+
+    test(`hosts of ${commit} read every message of a type that they know, with all fields`, async context => {
+        const old = await openTestLink(context, kept);
+        const present = await openTestLink(context);
+        const messages = fullMessages().filter(({ type }) => schema.messageTypes.has(type));
+        assert.deepEqual(await exchange(present, old, messages), []);
+    });
+
+    test(`hosts of ${commit} read every record of a kind that they know, and shared state`, () => {
+        for (const definition of RECORD_DEFINITIONS) {
+            if (schema.has(definition)) {
+                const example = PRESENT_SCHEMA.createFullExample(definition);
+                assert.equal(schema.findProblem(definition, example), undefined, definition);
+            }
+        }
+    });
+}
+
+test("a message with a field of a later build is read, and one of an unknown type does no harm", async context => {
+    const present = await openTestLink(context);
+    const later = await openTestLink(context);
+    const [digest] = fullMessages().filter(({ type }) => type === "digest");
+    assert.ok(digest !== undefined);
+    later.link.send({ type: "of-a-later-build" } as unknown as GossipMessage, [present.address]);
+    const ofALaterBuild = { ...digest, ofALaterBuild: { fields: 1 } };
+    later.link.send(ofALaterBuild, [present.address]);
+    await delay(ARRIVAL_MILLISECONDS);
+    assert.deepEqual(present.received.map(({ type }) => type), ["digest"]);
+});
