Read messages and records of other builds although they have unknown fields

Cause: the schemas of all messages and records between hosts were strict. Operators' text and settings stay strict. The builds that have landed stay strict too: what they are sent is a fault of its own.

--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -16,6 +16,8 @@
 
 interface SchemaFile {
     readonly title: string;
+    /** True where other builds write what the file describes: its readers must ignore fields that they do not know. */
+    readonly "x-sharedBetweenBuilds"?: boolean;
     readonly $defs: Readonly<Record<string, Record<string, unknown>>>;
 }
 
@@ -105,12 +107,20 @@
     ].join("\n");
 }
 
+/** Throws where a reader of what other builds write would be strict. */
+function checkSharedFile(fileName: string, file: SchemaFile): void {
+    if (file["x-sharedBetweenBuilds"] === true && JSON.stringify(file).includes("\"additionalProperties\":false")) {
+        throw new Error(`${fileName}: "additionalProperties": false would make messages of later builds unreadable`);
+    }
+}
+
 async function generate(check: boolean): Promise<readonly string[]> {
     const differing: string[] = [];
     await mkdir(OUTPUT_FOLDER, { recursive: true });
     const fileNames = (await readdir(SCHEMA_FOLDER)).filter(name => name.endsWith(SCHEMA_SUFFIX)).sort();
     for (const fileName of fileNames) {
         const file = JSON.parse(await readFile(join(SCHEMA_FOLDER, fileName), "utf8")) as SchemaFile;
+        checkSharedFile(fileName, file);
         const output = join(OUTPUT_FOLDER, `${basename(fileName, SCHEMA_SUFFIX)}.ts`);
         const generated = renderModule(fileName, file);
         const committed = await readFile(output, "utf8").catch(() => undefined);
