Send each host its messages in a form that its build reads

Cause: the landed builds read strictly, and the writer did not ask who reads.

The schema now says for each later field which message format introduced it; the generator collects this, and the gossip link applies it to all types alike. A host whose messages prove a format is sent no later fields up to there; where a strict host may know more than it has proved, the message follows in each later strict format, of which it reads what it can. Hosts of this build tell each other of it by a message of a new type, which earlier ones skip.

The test of an unknown field now sends its datagrams by a plain socket: the link would send further forms of them; what it asserts is unchanged.

--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -80,6 +80,56 @@
     ].join("\n");
 }
 
+/** The message formats that introduced a value's later parts; `undefined` where it has none. */
+interface PartFormats {
+    readonly since?: number;
+    readonly fields?: Readonly<Record<string, PartFormats>>;
+    readonly items?: PartFormats;
+}
+
+/** The parts of a schema that lead to annotations. */
+interface AnnotatedSchema {
+    readonly "x-since"?: number;
+    readonly $ref?: string;
+    readonly properties?: Readonly<Record<string, AnnotatedSchema>>;
+    readonly items?: AnnotatedSchema;
+    readonly const?: unknown;
+}
+
+/** Collects the annotations of a schema and of what it refers to. */
+function collectFormats(file: SchemaFile, schema: AnnotatedSchema): PartFormats | undefined {
+    const reference = parseReference(schema);
+    const target: AnnotatedSchema = reference === undefined ? schema : file.$defs[reference.definition] ?? {};
+    const since = schema["x-since"] ?? target["x-since"];
+    const items = target.items === undefined ? undefined : collectFormats(file, target.items);
+    const fields = Object.entries(target.properties ?? {}).flatMap(([name, property]) => {
+        const formats = collectFormats(file, property);
+        return formats === undefined ? [] : [[name, formats] as const];
+    });
+    if (since === undefined && items === undefined && fields.length === 0) {
+        return undefined;
+    }
+    return {
+        ...since === undefined ? {} : { since },
+        ...items === undefined ? {} : { items },
+        ...fields.length === 0 ? {} : { fields: Object.fromEntries(fields) },
+    };
+}
+
+/** Renders the formats of all message types of a file; nothing where it has no annotation. */
+function renderFormats(file: SchemaFile): string[] {
+    const formats = Object.values(file.$defs).flatMap((schema: AnnotatedSchema) => {
+        const type = schema.properties?.["type"]?.const;
+        const collected = typeof type === "string" ? collectFormats(file, schema) : undefined;
+        return typeof type === "string" && collected !== undefined ? [[type, collected] as const] : [];
+    });
+    return formats.length === 0 ? [] : [
+        "/** The message formats that introduced message types and their later fields, by type. */",
+        `export const messageFormats = ${JSON.stringify(Object.fromEntries(formats))} as const;`,
+        "",
+    ];
+}
+
 /** Renders the TypeScript module of one schema file, in which a definition must precede its first use. */
 function renderModule(fileName: string, file: SchemaFile): string {
     const imports = new Set<string>();
@@ -104,6 +154,7 @@
         ...[...imports].sort(),
         "",
         ...definitions,
+        ...renderFormats(file),
     ].join("\n");
 }
 
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -13,6 +13,8 @@
     engineNewsSchema,
     type FleetSummary,
     fleetSummarySchema,
+    type FormatNotice,
+    formatNoticeSchema,
     type HolderWord,
     holderWordSchema,
     type HostDigest,
@@ -36,13 +38,18 @@
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
 import { splitAddress } from "../transport/index.js";
+import { FIRST_TOLERANT_FORMAT, formsFor, provedFormat } from "./messageFormats.js";
 import { PacedSender } from "./pacedSender.js";
+import { PeerFormats } from "./peerFormats.js";
 
 /** Larger datagrams are not sent, since they would be fragmented into too many packets. */
 const MAXIMUM_DATAGRAM_BYTES = 48 * 1024;
 
 const IP_VERSION = 4;
 
+/** The message format that this build reads and writes. */
+const PRESENT_FORMAT = 5;
+
 /** A message between hosts. */
 export type GossipMessage =
     | HostDigest
@@ -80,6 +87,7 @@
 
 const SCHEMAS = {
     digest: hostDigestSchema,
+    format: formatNoticeSchema,
     summary: fleetSummarySchema,
     wish: adapterWishSchema,
     news: engineNewsSchema,
@@ -99,7 +107,7 @@
     return typeof type === "string" && Object.hasOwn(SCHEMAS, type);
 }
 
-function decode(bytes: Buffer): GossipMessage | undefined {
+function decode(bytes: Buffer): GossipMessage | FormatNotice | undefined {
     const value = parseJson(bytes.toString("utf8"));
     const type = (value as { readonly type?: unknown; } | undefined)?.type;
     return isMessageType(type) ? SCHEMAS[type].safeParse(value).data : undefined;
@@ -124,6 +132,93 @@
     callback(null, address, IP_VERSION);
 }
 
+/** A link that sends each peer what its build can read. */
+class DatagramLink implements GossipLink {
+    readonly #options: GossipLinkOptions;
+    readonly #socket: Socket;
+    readonly #sender: PacedSender;
+    readonly #formats = new PeerFormats();
+
+    constructor(options: GossipLinkOptions, socket: Socket) {
+        this.#options = options;
+        this.#socket = socket;
+        this.#sender = new PacedSender(({ address, bytes }) => this.#sendDatagram(bytes, address));
+        socket.on("error", error => options.onProblem(error.message));
+        const onDatagram = options.onDatagram ?? (handle => handle());
+        socket.on(
+            "message",
+            (bytes, { address, port }) => onDatagram(() => this.#receive(bytes, `${address}:${port}`)),
+        );
+    }
+
+    send(message: GossipMessage, addresses: readonly string[]): void {
+        const byteCount = Buffer.byteLength(JSON.stringify(message));
+        if (byteCount > MAXIMUM_DATAGRAM_BYTES) {
+            this.#options.onProblem(
+                `a message of ${byteCount} bytes exceeds the maximum datagram size and was not sent`,
+            );
+            return;
+        }
+        for (const [format, receivers] of this.#groupByFormat(addresses)) {
+            for (const form of formsFor(message, format)) {
+                this.#sender.send(Buffer.from(JSON.stringify(form)), receivers);
+            }
+            this.#askForFormat(receivers);
+        }
+    }
+
+    close(): void {
+        this.#sender.close();
+        this.#socket.close();
+    }
+
+    #groupByFormat(addresses: readonly string[]): ReadonlyMap<number, readonly string[]> {
+        const now = performance.now();
+        const groups = new Map<number, string[]>();
+        for (const address of addresses) {
+            const format = Math.min(this.#formats.formatOf(address, now), FIRST_TOLERANT_FORMAT);
+            const group = groups.get(format) ?? [];
+            group.push(address);
+            groups.set(format, group);
+        }
+        return groups;
+    }
+
+    #askForFormat(addresses: readonly string[]): void {
+        const now = performance.now();
+        this.#sendNotice(true, addresses.filter(address => this.#formats.takeQuestion(address, now)));
+    }
+
+    #sendNotice(asks: boolean, addresses: readonly string[]): void {
+        const notice: FormatNotice = { type: "format", format: PRESENT_FORMAT, asks };
+        this.#sender.send(Buffer.from(JSON.stringify(notice)), addresses);
+    }
+
+    #receive(bytes: Buffer, source: string): void {
+        const message = decode(bytes);
+        if (message === undefined) {
+            this.#options.onProblem("received a datagram that is not a valid gossip message");
+            return;
+        }
+        this.#formats.recordProof(source, provedFormat(message), performance.now());
+        if (message.type !== "format") {
+            this.#options.onMessage(message);
+        }
+        else if (message.asks) {
+            this.#sendNotice(false, [source]);
+        }
+    }
+
+    #sendDatagram(bytes: Buffer, address: string): void {
+        const { host, port } = splitAddress(address);
+        this.#socket.send(bytes, port, host, error => {
+            if (error !== null) {
+                this.#options.onProblem(error.message);
+            }
+        });
+    }
+}
+
 /**
  * Opens a link.
  *
@@ -139,39 +234,5 @@
 export async function openGossipLink(options: GossipLinkOptions): Promise<GossipLink> {
     const socket = createSocket({ type: "udp4", lookup: resolveToItself });
     await bind(socket, options);
-    socket.on("error", error => options.onProblem(error.message));
-    const receive = (bytes: Buffer): void => {
-        const message = decode(bytes);
-        if (message === undefined) {
-            options.onProblem("received a datagram that is not a valid gossip message");
-            return;
-        }
-        options.onMessage(message);
-    };
-    const onDatagram = options.onDatagram ?? (handle => handle());
-    socket.on("message", bytes => onDatagram(() => receive(bytes)));
-    const sender = new PacedSender(({ address, bytes }) => {
-        const { host, port } = splitAddress(address);
-        socket.send(bytes, port, host, error => {
-            if (error !== null) {
-                options.onProblem(error.message);
-            }
-        });
-    });
-    return {
-        send: (message, addresses) => {
-            const bytes = Buffer.from(JSON.stringify(message));
-            if (bytes.length > MAXIMUM_DATAGRAM_BYTES) {
-                options.onProblem(
-                    `a message of ${bytes.length} bytes exceeds the maximum datagram size and was not sent`,
-                );
-                return;
-            }
-            sender.send(bytes, addresses);
-        },
-        close: () => {
-            sender.close();
-            socket.close();
-        },
-    };
+    return new DatagramLink(options, socket);
 }
--- a/tests/builds.test.ts
+++ b/tests/builds.test.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
@@ -27,6 +28,9 @@
 /** A datagram that is read at all has arrived within this time. */
 const ARRIVAL_MILLISECONDS = 300;
 
+/** A peer is no longer taken for one of the build before it at its address after this time. */
+const TAKE_OVER_MILLISECONDS = 3_000;
+
 /** Readers of the records under each prefix of their keys. */
 const RECORD_READERS = {
     "hosts/": hostRegistrationSchema,
@@ -53,8 +57,12 @@
     readonly received: GossipMessage[];
 }
 
-async function openTestLink(context: TestContext, kept?: KeptBuild): Promise<TestLink> {
-    const [port = 0] = await findFreePorts(1);
+async function openTestLink(
+    context: TestContext,
+    { kept, port: fixedPort }: { readonly kept?: KeptBuild; readonly port?: number; } = {},
+): Promise<TestLink> {
+    const [freePort = 0] = await findFreePorts(1);
+    const port = fixedPort ?? freePort;
     const received: GossipMessage[] = [];
     const options = {
         address: LOOPBACK,
@@ -63,13 +71,20 @@
         onProblem: () => undefined,
     };
     const link = await (kept === undefined ? openGossipLink(options) : openKeptLink(kept, options));
-    context.after(() => link.close());
-    return { link, received, address: `${LOOPBACK}:${port}` };
+    let isOpen = true;
+    const close = (): void => {
+        if (isOpen) {
+            isOpen = false;
+            link.close();
+        }
+    };
+    context.after(close);
+    return { link: { ...link, send: link.send.bind(link), close }, received, address: `${LOOPBACK}:${port}` };
 }
 
-/** Returns an example of each message of this build with all of its fields. */
+/** Returns an example of each message of this build with all of its fields, without those that links handle. */
 function fullMessages(): GossipMessage[] {
-    return [...PRESENT_SCHEMA.messageTypes.values()].map(definition =>
+    return [...PRESENT_SCHEMA.messageTypes].filter(([type]) => type !== "format").map(([, definition]) =>
         PRESENT_SCHEMA.createFullExample(definition) as unknown as GossipMessage
     );
 }
@@ -86,7 +101,7 @@
     const { commit, examples, schema } = kept;
 
     test(`messages of ${commit} are read`, async context => {
-        const old = await openTestLink(context, kept);
+        const old = await openTestLink(context, { kept });
         const present = await openTestLink(context);
         const messages = Object.values(examples.messages) as unknown as GossipMessage[];
         assert.deepEqual(await exchange(old, present, messages), []);
@@ -101,7 +116,7 @@
     });
 
     test(`hosts of ${commit} read every message of a type that they know, with all fields`, async context => {
-        const old = await openTestLink(context, kept);
+        const old = await openTestLink(context, { kept });
         const present = await openTestLink(context);
         const messages = fullMessages().filter(({ type }) => schema.messageTypes.has(type));
         assert.deepEqual(await exchange(present, old, messages), []);
@@ -119,12 +134,38 @@
 
 test("a message with a field of a later build is read, and one of an unknown type does no harm", async context => {
     const present = await openTestLink(context);
-    const later = await openTestLink(context);
+    const later = createSocket("udp4");
+    context.after(() => later.close());
     const [digest] = fullMessages().filter(({ type }) => type === "digest");
-    assert.ok(digest !== undefined);
-    later.link.send({ type: "of-a-later-build" } as unknown as GossipMessage, [present.address]);
-    const ofALaterBuild = { ...digest, ofALaterBuild: { fields: 1 } };
-    later.link.send(ofALaterBuild, [present.address]);
+    for (const message of [{ type: "of-a-later-build" }, { ...digest, ofALaterBuild: { fields: 1 } }]) {
+        later.send(JSON.stringify(message), Number(present.address.split(":")[1]), LOOPBACK);
+    }
     await delay(ARRIVAL_MILLISECONDS);
     assert.deepEqual(present.received.map(({ type }) => type), ["digest"]);
 });
+
+test("once hosts of this build have heard each other, each message is sent once with all fields", async context => {
+    const one = await openTestLink(context);
+    const other = await openTestLink(context);
+    await exchange(one, other, fullMessages());
+    await exchange(other, one, fullMessages());
+    other.received.length = 0;
+    await exchange(one, other, fullMessages());
+    await delay(ARRIVAL_MILLISECONDS);
+    const byType = (messages: readonly GossipMessage[]): GossipMessage[] =>
+        [...messages].sort((left, right) => left.type.localeCompare(right.type));
+    assert.deepEqual(byType(other.received), byType(fullMessages()));
+});
+
+test("a host of an earlier build that takes an address over hears its peers within seconds", async context => {
+    const present = await openTestLink(context);
+    const replaced = await openTestLink(context);
+    const digests = fullMessages().filter(({ type }) => type === "digest");
+    await exchange(present, replaced, digests);
+    await exchange(replaced, present, digests);
+    replaced.link.close();
+    const [kept] = KEPT_BUILDS;
+    assert.ok(kept !== undefined);
+    const old = await openTestLink(context, { kept, port: Number(replaced.address.split(":")[1]) });
+    await until(async () => (await exchange(present, old, digests)).length === 0, TAKE_OVER_MILLISECONDS);
+});
