--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -16,7 +16,7 @@
     hostRegistrationSchema,
     type PlannedMove,
 } from "../generated/gossip.js";
-import { type GossipMessage, PeerTable } from "../gossip/index.js";
+import { type GossipMessage, type openGossipLink, PeerTable } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
 import { type EngineRecord, type PlacementMove, splitAdapterName, type VersionCopyNeed } from "../placement/index.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
@@ -92,6 +92,8 @@
     readonly readClocks: () => ClockReading;
     /** Returns the processor time that this process has used, in microseconds. */
     readonly readProcessorMicroseconds: () => number;
+    /** Opens the link to the other hosts; {@linkcode openGossipLink} by default. */
+    readonly openLink?: typeof openGossipLink;
 }
 
 /** A running entry host. */
@@ -173,6 +175,7 @@
             timeSpent: this.#timeSpent,
             readClock: () => this.#now(),
             hostsNeedingDemand: () => this.#hostsNeedingDemand(),
+            openLink: options.openLink,
             onMessage: message => this.#handleGossip(message),
         });
         this.#interCellGossip = new InterCellGossip({
--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -37,6 +37,8 @@
     readonly readClock: () => number;
     /** Returns the hosts of the cell that need the demand for each model. */
     readonly hostsNeedingDemand: () => ReadonlySet<string>;
+    /** {@linkcode openGossipLink} by default. */
+    readonly openLink?: typeof openGossipLink | undefined;
     readonly onMessage: (message: GossipMessage) => void;
 }
 
@@ -63,8 +65,8 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { logger, metrics, onMessage, timeSpent } = this.#options;
-        this.#link = await openGossipLink({
+        const { logger, metrics, onMessage, openLink = openGossipLink, timeSpent } = this.#options;
+        this.#link = await openLink({
             ...address,
             onDatagram: handle => timeSpent.measure("datagrams-read", handle),
             onMessage: message => {
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -13,6 +13,7 @@
 import { createStoreClient } from "../../platform/storeClient.js";
 import { decodeUpstream } from "../../platform/upstreamCodec.js";
 import { type EntryHost, type EntrySettings, startEntryHost } from "../../src/entry/index.js";
+import { openGossipLink } from "../../src/gossip/index.js";
 import { createEntryMetrics } from "../../src/observability/index.js";
 import { findFreePorts } from "../../standins/freePorts.js";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
@@ -55,6 +56,8 @@
     readonly bounds?: Partial<EntrySettings["bounds"]>;
     /** Speed of the host's clock, by which its timers fire early; 1 by default. */
     readonly clockRate?: number;
+    /** Opens the host's link to the others, in place of that of this build. */
+    readonly openLink?: typeof openGossipLink;
 }
 
 /** An entry host of the site. */
@@ -258,7 +261,8 @@
 
     /** Starts an entry host; `seeds` are state addresses of other hosts. */
     async addHost(name: string, options: HostOptions = {}): Promise<SiteHost> {
-        return this.startHost(await this.createSettings(name, options), options.storeAddress, options.clockRate);
+        const { clockRate, openLink, storeAddress } = options;
+        return this.startHost(await this.createSettings(name, options), storeAddress, clockRate, openLink);
     }
 
     /** Creates settings of a host with addresses on free ports. */
@@ -294,6 +298,7 @@
         settings: EntrySettings,
         storeAddress = this.store.address,
         clockRate = 1,
+        openLink = openGossipLink,
     ): Promise<SiteHost> {
         const lines: LoggedLine[] = [];
         const host = await startEntryHost({
@@ -309,6 +314,7 @@
                 timeOfDayMilliseconds: Date.now(),
             }),
             readProcessorMicroseconds: () => 0,
+            openLink,
         });
         const siteHost = { name: settings.host, settings, host, lines };
         this.hosts.push(siteHost);
--- a/tests/support/messageSchema.ts
+++ b/tests/support/messageSchema.ts
@@ -37,14 +37,13 @@
  */
 export class MessageSchema {
     readonly #definitions: SchemaFile["$defs"];
+    readonly #readers = new Map<string, z.ZodType>();
+    /** The definition of each message type. */
+    readonly messageTypes: ReadonlyMap<string, string>;
 
     constructor(path: string) {
         this.#definitions = (JSON.parse(readFileSync(path, "utf8")) as SchemaFile).$defs;
-    }
-
-    /** The definition of each message type. */
-    get messageTypes(): ReadonlyMap<string, string> {
-        return new Map(
+        this.messageTypes = new Map(
             Object.entries(this.#definitions).flatMap(([name, { properties }]) => {
                 const type = properties?.["type"]?.const;
                 return typeof type === "string" ? [[type, name]] : [];
@@ -58,8 +57,7 @@
 
     /** Returns why a value does not fit a definition; `undefined` where it does. */
     findProblem(definition: string, value: unknown): string | undefined {
-        const reader = z.fromJSONSchema({ $defs: this.#definitions, $ref: REFERENCE_PREFIX + definition } as never);
-        const parsed = reader.safeParse(value);
+        const parsed = this.#readerOf(definition).safeParse(value);
         return parsed.success ? undefined : z.prettifyError(parsed.error);
     }
 
@@ -80,6 +78,13 @@
         return this.#create({ $ref: REFERENCE_PREFIX + definition }) as Fields;
     }
 
+    #readerOf(definition: string): z.ZodType {
+        const reader = this.#readers.get(definition)
+            ?? z.fromJSONSchema({ $defs: this.#definitions, $ref: REFERENCE_PREFIX + definition } as never);
+        this.#readers.set(definition, reader);
+        return reader;
+    }
+
     #resolve(part: SchemaPart): SchemaPart {
         return part.$ref === undefined ? part : this.#definitions[part.$ref.slice(REFERENCE_PREFIX.length)] ?? {};
     }
