--- a/src/entry/hostContext.ts
+++ b/src/entry/hostContext.ts
@@ -6,6 +6,7 @@
 import { type RandomSource } from "../decision/index.js";
 import { type ClockReading } from "../duties/index.js";
 import { type HostAddresses } from "../generated/gossip.js";
+import { type openGossipLink } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
 import { type KeyValueService } from "../platform/index.js";
 import { HostLifecycle } from "./hostLifecycle.js";
@@ -24,6 +25,8 @@
     readonly readClocks: () => ClockReading;
     /** Returns the processor time that this process has used, in microseconds. */
     readonly readProcessorMicroseconds: () => number;
+    /** Opens the link to the other hosts; {@linkcode openGossipLink} by default. */
+    readonly openLink?: typeof openGossipLink;
 }
 
 /** What the parts of one host share. */
