Count datagrams that a host cannot read, and say so above debug

The link's test now also asserts the reason of each of its four problems; the one for a message beyond a datagram matches the new text, whole.

--- a/src/entry/hostGossip.ts
+++ b/src/entry/hostGossip.ts
@@ -25,6 +25,7 @@
 import { type EntryMetrics, type Logger, type TimeSpent } from "../observability/index.js";
 import { type VersionCopyNeed } from "../placement/index.js";
 import { type PermitMessage } from "../rateLimits/index.js";
+import { GossipProblems } from "./_gossipProblems.js";
 import { type ListenAddress } from "./settings.js";
 
 /** Options of a host's gossip. */
@@ -65,7 +66,8 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { logger, metrics, onMessage, openLink = openGossipLink, timeSpent } = this.#options;
+        const { metrics, onMessage, openLink = openGossipLink, timeSpent } = this.#options;
+        const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
             onDatagram: handle => timeSpent.measure("datagrams-read", handle),
@@ -73,7 +75,7 @@
                 metrics.count("gossip_datagrams", { direction: "received" });
                 onMessage(message);
             },
-            onProblem: problem => logger.debug("gossip problem", { problem }),
+            onProblem: problem => problems.record(problem),
         });
     }
 
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -91,13 +91,13 @@
         address: "127.0.0.1",
         port,
         onMessage: message => received.push(message),
-        onProblem: problem => problems.push(problem),
+        onProblem: ({ detail, reason }) => problems.push(`${reason}: ${detail}`),
     });
     const sender = await openGossipLink({
         address: "127.0.0.1",
         port: 0,
         onMessage: () => undefined,
-        onProblem: problem => problems.push(problem),
+        onProblem: ({ detail, reason }) => problems.push(`${reason}: ${detail}`),
     });
     sender.send(createDigest("one"), [`127.0.0.1:${port}`]);
     sender.send({ type: "wish", host: "one", engine: "e", model: "m", adapter: "a1" }, [`127.0.0.1:${port}`]);
@@ -110,13 +110,15 @@
     }
     assert.deepEqual(received.map(({ type }) => type).sort(), ["digest", "wish"]);
     assert.equal(problems.length, 4);
+    const reasons = problems.map(problem => problem.split(":")[0]).sort();
+    assert.deepEqual(reasons, ["invalid", "no-message", "no-message", "unknown-type"]);
     sender.send(
         createDigest("one", {
             inFlight: Object.fromEntries(Array.from({ length: 9_000 }, (_, index) => [`engine-${index}`, 1])),
         }),
         [],
     );
-    assert.match(problems.at(-1) ?? "", /was not sent/);
+    assert.match(problems.at(-1) ?? "", /^too-large: digest: .* were not sent$/);
     raw.close();
     sender.close();
     receiver.close();
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createSocket, type Socket } from "node:dgram";
+import { Err, Ok, type Result } from "ts-results-es";
 import {
     type AdapterUseNotice,
     adapterUseNoticeSchema,
@@ -47,6 +48,8 @@
 
 const IP_VERSION = 4;
 
+const MAXIMUM_LOGGED_CHARACTERS = 40;
+
 /** The message format that this build reads and writes. */
 const PRESENT_FORMAT = 5;
 
@@ -67,6 +70,27 @@
     | StreamQuestion
     | VersionCopyRequest;
 
+/** Why a datagram was skipped, or a message was not sent. */
+export type GossipProblemReason =
+    /** Not a JSON object with a type. */
+    | "no-message"
+    /** Of a type that this build does not know. */
+    | "unknown-type"
+    /** Holds a value that this build does not know, in a field that has only certain values. */
+    | "unknown-value"
+    /** A field is missing, of another type or beyond its limit. */
+    | "invalid"
+    | "too-large"
+    | "socket";
+
+/** A datagram that was skipped, or a message that was not sent. */
+export interface GossipProblem {
+    readonly reason: GossipProblemReason;
+    /** Address that the datagram came from; `undefined` where it was to be sent. */
+    readonly source?: string;
+    readonly detail: string;
+}
+
 /** Options of a link. */
 export interface GossipLinkOptions {
     readonly address: string;
@@ -75,7 +99,7 @@
     /** Called for each datagram with the function that decodes and handles it; by default, that is called directly. */
     readonly onDatagram?: (handle: () => void) => void;
     /** Called where a datagram could not be decoded or sent. */
-    readonly onProblem: (problem: string) => void;
+    readonly onProblem: (problem: GossipProblem) => void;
 }
 
 /** Sends and receives datagrams until closed. */
@@ -107,10 +131,24 @@
     return typeof type === "string" && Object.hasOwn(SCHEMAS, type);
 }
 
-function decode(bytes: Buffer): GossipMessage | FormatNotice | undefined {
+const UNKNOWN_VALUE_ISSUES: ReadonlySet<string> = new Set(["invalid_value", "invalid_union"]);
+
+function decode(bytes: Buffer): Result<GossipMessage | FormatNotice, GossipProblem> {
     const value = parseJson(bytes.toString("utf8"));
     const type = (value as { readonly type?: unknown; } | undefined)?.type;
-    return isMessageType(type) ? SCHEMAS[type].safeParse(value).data : undefined;
+    if (typeof type !== "string") {
+        return Err({ reason: "no-message", detail: `${bytes.length} bytes that are no message` });
+    }
+    if (!isMessageType(type)) {
+        return Err({ reason: "unknown-type", detail: `type ${type.slice(0, MAXIMUM_LOGGED_CHARACTERS)}` });
+    }
+    const { data, error } = SCHEMAS[type].safeParse(value);
+    if (data !== undefined) {
+        return Ok(data);
+    }
+    const issue = error.issues[0];
+    const reason = UNKNOWN_VALUE_ISSUES.has(issue?.code ?? "") ? "unknown-value" : "invalid";
+    return Err({ reason, detail: `${type}: ${issue?.path.join(".") ?? ""}: ${issue?.message ?? ""}` });
 }
 
 function bind(socket: Socket, options: GossipLinkOptions): Promise<void> {
@@ -143,7 +181,7 @@
         this.#options = options;
         this.#socket = socket;
         this.#sender = new PacedSender(({ address, bytes }) => this.#sendDatagram(bytes, address));
-        socket.on("error", error => options.onProblem(error.message));
+        socket.on("error", error => options.onProblem({ reason: "socket", detail: error.message }));
         const onDatagram = options.onDatagram ?? (handle => handle());
         socket.on(
             "message",
@@ -154,9 +192,8 @@
     send(message: GossipMessage, addresses: readonly string[]): void {
         const byteCount = Buffer.byteLength(JSON.stringify(message));
         if (byteCount > MAXIMUM_DATAGRAM_BYTES) {
-            this.#options.onProblem(
-                `a message of ${byteCount} bytes exceeds the maximum datagram size and was not sent`,
-            );
+            const detail = `${message.type}: ${byteCount} bytes exceed the maximum datagram size and were not sent`;
+            this.#options.onProblem({ reason: "too-large", detail });
             return;
         }
         for (const [format, receivers] of this.#groupByFormat(addresses)) {
@@ -195,11 +232,12 @@
     }
 
     #receive(bytes: Buffer, source: string): void {
-        const message = decode(bytes);
-        if (message === undefined) {
-            this.#options.onProblem("received a datagram that is not a valid gossip message");
+        const decoded = decode(bytes);
+        if (decoded.isErr()) {
+            this.#options.onProblem({ ...decoded.error, source });
             return;
         }
+        const message = decoded.value;
         this.#formats.recordProof(source, provedFormat(message), performance.now());
         if (message.type !== "format") {
             this.#options.onMessage(message);
@@ -213,7 +251,7 @@
         const { host, port } = splitAddress(address);
         this.#socket.send(bytes, port, host, error => {
             if (error !== null) {
-                this.#options.onProblem(error.message);
+                this.#options.onProblem({ reason: "socket", detail: error.message });
             }
         });
     }
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -10,7 +10,14 @@
  */
 export { type AggregateSender, CellAggregates } from "./cellAggregates.js";
 export { divideIntoCells, type HostWithZone, MAXIMUM_HOSTS_PER_CELL } from "./cells.js";
-export { type GossipLink, type GossipLinkOptions, type GossipMessage, openGossipLink } from "./gossipLink.js";
+export {
+    type GossipLink,
+    type GossipLinkOptions,
+    type GossipMessage,
+    type GossipProblem,
+    type GossipProblemReason,
+    openGossipLink,
+} from "./gossipLink.js";
 export { PacedSender, type QueuedDatagram } from "./pacedSender.js";
 export { type AdvertisedHost, type FleetDivision, hasRecentDigest, type Peer, PeerTable } from "./peerTable.js";
 export { selectAddresses } from "./selectAddresses.js";
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -143,6 +143,11 @@
         return this.#peers.get(host);
     }
 
+    /** Returns the name of the host with a gossip address; `undefined` where none is known. */
+    findHostAt(gossipAddress: string): string | undefined {
+        return [...this.#peers.values()].find(({ addresses }) => addresses.gossip === gossipAddress)?.host;
+    }
+
     /** Returns all known hosts. Those without a record are kept for a while: the service may have been unavailable. */
     all(nowMilliseconds: number): Peer[] {
         this.forget(nowMilliseconds);
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -47,6 +47,10 @@
         labels: ["holder"],
     },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
+    gossip_problems: {
+        help: "Datagrams that were skipped or not sent.",
+        labels: ["reason", "peer"],
+    },
     address_answers: { help: "Answers to callers that ask for addresses.", labels: ["outcome"] },
     moves: {
         help: "Moves of weights: planned or given up by this host as the planner, begun or refused as a holder.",
