--- /dev/null
+++ b/src/entry/createForwardingContext.ts
@@ -0,0 +1,123 @@
+/**
+ * Creates what the requests that a host forwards share, from the host's parts.
+ *
+ * @module
+ */
+import { type Agent } from "node:http";
+import { BufferedAnswerBytes, type SharedRetryBudget } from "../forwarding/index.js";
+import { type PeerTable } from "../gossip/index.js";
+import { type HostEngines } from "./engines/index.js";
+import { type ForwardingContext } from "./forwardingContext.js";
+import { type HealthProbes } from "./healthProbes.js";
+import { type HostContext } from "./hostContext.js";
+import { type PartitionWatch } from "./partitionWatch.js";
+import { type HostGossip } from "./peers/index.js";
+import { type RateLimiting } from "./rateLimiting.js";
+import { type SiteDemand } from "./siteDemand.js";
+import { type HostStore } from "./store/index.js";
+import { type StreamVersions } from "./streamVersions.js";
+import { type UpstreamTracker } from "./upstreamTracker.js";
+
+/** The parts of a host that its requests use. */
+export interface ForwardingParts {
+    readonly context: HostContext;
+    readonly store: HostStore;
+    readonly peers: PeerTable;
+    readonly gossip: HostGossip;
+    readonly upstreams: UpstreamTracker;
+    readonly engines: HostEngines;
+    readonly probes: HealthProbes;
+    readonly rateLimiting: RateLimiting;
+    readonly streamVersions: StreamVersions;
+    readonly partitionWatch: PartitionWatch;
+    readonly budget: SharedRetryBudget;
+    readonly demand: SiteDemand;
+    /** Returns the connection pool of a service. */
+    readonly agentFor: (service: string) => Agent;
+}
+
+/**
+ * Creates the context of forwarding.
+ *
+ * @param parts The parts of a host that its requests use.
+ *
+ * @example
+ * ```ts
+ * const forwarder = createForwarder(createForwardingContext(parts));
+ * ```
+ */
+export function createForwardingContext(parts: ForwardingParts): ForwardingContext {
+    const { context, engines, gossip, partitionWatch, peers, store, upstreams } = parts;
+    const { agentFor, budget, demand, probes, rateLimiting, streamVersions } = parts;
+    const { lifecycle, readClock } = context;
+    return {
+        ...context,
+        ...upstreamState(upstreams),
+        agentFor,
+        budget,
+        demand,
+        probes,
+        rateLimiting,
+        streamVersions,
+        headers: context.protocol.headers,
+        heldBytes: new BufferedAnswerBytes(),
+        adapterUse: engines.adapters.use,
+        routeTable: () => store.configuration.table,
+        hostCount: () => peers.live(readClock()).length + 1,
+        requestAdapter: (engine, model, adapter) => engines.adapters.request(engine, model, adapter),
+        requestVersionCopy: need => engines.requestVersionCopy(need),
+        publishRequestSent: (engine, promptTokens) =>
+            gossip.publishRequestSent(
+                engine,
+                promptTokens,
+                peer => upstreams.loads.usesUpstream(peer, engine, readClock()),
+            ),
+        reportAdapterUse: (engine, adapter, inUse) => engines.adapters.reportUse(engine, adapter, inUse),
+        recordModelAbsent: (engine, model) => engines.orders.recordModelAbsent(engine, model),
+        isPartitioned: () => partitionWatch.isPartitioned,
+        closesConnections: () => lifecycle.isLeaving || partitionWatch.isPartitioned,
+        isClosedToCallers: () => lifecycle.isClosedToCallers,
+    };
+}
+
+/** The part of the context that shows the upstreams and records what requests learn of them. */
+type UpstreamState = Pick<
+    ForwardingContext,
+    | "backlog"
+    | "contact"
+    | "crashes"
+    | "health"
+    | "liveness"
+    | "loads"
+    | "pauses"
+    | "prompts"
+    | "residency"
+    | "view"
+    | "recordAnswered"
+    | "recordAnswerHead"
+    | "recordLost"
+    | "recordSent"
+    | "recordUnreachable"
+>;
+
+function upstreamState(upstreams: UpstreamTracker): UpstreamState {
+    const { backlog, contact, crashes, health, liveness, loads, pauses, prompts, residency, view } = upstreams;
+    return {
+        backlog,
+        contact,
+        crashes,
+        health,
+        liveness,
+        loads,
+        pauses,
+        prompts,
+        residency,
+        view,
+        recordAnswered: (attributes, upstream) => upstreams.recordAnswered(attributes, upstream),
+        recordAnswerHead: (upstream, head, sentAtMilliseconds) =>
+            upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
+        recordLost: (attributes, upstream) => upstreams.recordLost(attributes, upstream),
+        recordSent: attributes => upstreams.recordSent(attributes),
+        recordUnreachable: (upstream, isRefused) => upstreams.recordUnreachable(upstream, isRefused),
+    };
+}
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -5,19 +5,22 @@
  */
 import { type Agent } from "node:http";
 import { EngineDuties } from "../duties/index.js";
-import { BufferedAnswerBytes, SharedRetryBudget } from "../forwarding/index.js";
+import { SharedRetryBudget } from "../forwarding/index.js";
 import { PeerTable } from "../gossip/index.js";
 import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
+import { createForwardingContext, type ForwardingParts } from "./createForwardingContext.js";
 import { HostEngines } from "./engines/index.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
-import { type ForwardingContext } from "./forwardingContext.js";
 import { HealthProbes } from "./healthProbes.js";
 import { addressesOf, createHostContext, type EntryHostOptions, type HostContext } from "./hostContext.js";
-import { ADDRESS_KEEP_SECONDS, HostServers } from "./hostServers.js";
+import { refreshGauges } from "./hostGauges.js";
+import { HostServers } from "./hostServers.js";
+import { leaveFleet } from "./leaveFleet.js";
 import { PartitionWatch } from "./partitionWatch.js";
 import {
     DigestPublisher,
+    type DigestPublisherOptions,
     DigestRounds,
     HostGossip,
     hostsNeedingDemand,
@@ -35,20 +38,9 @@
 import { UpstreamAgents } from "./upstreamAgents.js";
 import { UpstreamTracker } from "./upstreamTracker.js";
 
-/** Some callers cache a directory answer for three times as long as it permits. */
-const MAXIMUM_KEEP_FACTOR = 3;
-
-/** Reserved at the end of the grace period for the last answers and the exit. */
-const EXIT_MARGIN_MILLISECONDS = 400;
-
-/** Interval at which a leaving host checks whether its last requests have ended. */
-const LEAVING_CHECK_INTERVAL_MILLISECONDS = 20;
-
 /** A holder may send orders for this long after a successful renewal of its session. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** A running entry host. */
 export interface EntryHost {
     /** Leaves the fleet: ends advertising, serves requests that still arrive, lets all requests finish, then closes. */
@@ -120,22 +112,14 @@
         this.#streamVersions = this.#createStreamVersions();
         this.#partitionWatch = this.#createPartitionWatch();
         this.#healthProbes = this.#createHealthProbes();
-        this.#engines = new HostEngines({
-            context,
-            duties: this.#duties,
-            store: this.#store,
-            peers: this.#peers,
-            gossip: this.#gossip,
-            upstreams: this.#upstreams,
-            demand: this.#demand,
-            onChanged: () => this.#forwarder.wake(),
-        });
-        this.#reportedState = this.#createReportedState();
-        this.#receivers = this.#createReceivers();
-        this.#digests = this.#createDigests();
+        this.#engines = this.#createEngines();
+        const parts = this.#parts();
+        this.#reportedState = new ReportedState({ ...context, ...parts });
+        this.#receivers = { ...parts, reportedState: this.#reportedState };
+        this.#digests = new DigestPublisher({ ...parts, isReady: () => this.#isReady() });
         this.#urgentDigests = this.#createUrgentDigests();
         this.#digestRounds = new DigestRounds({ ...context, peers: this.#peers, onRound: () => this.#performRound() });
-        this.#forwarder = createForwarder(this.#createForwardingContext());
+        this.#forwarder = createForwarder(createForwardingContext(parts));
         this.#servers = this.#createServers();
     }
 
@@ -162,34 +146,16 @@
         return this.#stopped;
     }
 
-    async #leave(): Promise<void> {
-        const { logger } = this.#context;
-        const startedAt = this.#now();
-        this.#context.lifecycle.leave();
-        logger.info("stopping", { open: this.#forwarder.openRequestCount });
-        this.#digests.publish();
-        await this.#engines.orders.leave();
-        await this.#store.endSession();
-        const keptMilliseconds = ADDRESS_KEEP_SECONDS * MAXIMUM_KEEP_FACTOR * MILLISECONDS_PER_SECOND;
-        const finalMilliseconds = this.#settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
-        await this.#waitUntil(startedAt + Math.min(keptMilliseconds, finalMilliseconds));
-        this.#context.lifecycle.closeToCallers();
-        logger.info("closed to callers", { open: this.#forwarder.openRequestCount });
-        while (this.#forwarder.openRequestCount > 0 && this.#now() < startedAt + finalMilliseconds) {
-            await this.#waitUntil(this.#now() + LEAVING_CHECK_INTERVAL_MILLISECONDS);
-        }
-        this.#forwarder.abortAll();
-        this.#servers.closeToCallers();
-        await this.#leavePeers();
-        await this.close();
-        logger.info("stopped", { tookMilliseconds: Math.round(this.#now() - startedAt) });
-    }
-
-    /** Relinquishes the engines that could not be handed over, publishes that to peers, and ends the session. */
-    async #leavePeers(): Promise<void> {
-        this.#engines.orders.stop();
-        this.#digests.publish();
-        await this.#store.endSession();
+    #leave(): Promise<void> {
+        return leaveFleet({
+            context: this.#context,
+            store: this.#store,
+            orders: this.#engines.orders,
+            forwarder: this.#forwarder,
+            servers: this.#servers,
+            publishDigest: () => this.#digests.publish(),
+            close: () => this.close(),
+        });
     }
 
     async close(): Promise<void> {
@@ -207,12 +173,8 @@
         this.#agents.close();
     }
 
-    #waitUntil(atMilliseconds: number): Promise<void> {
-        return new Promise(resolve => setTimeout(resolve, Math.max(0, atMilliseconds - this.#now())));
-    }
-
     #now(): number {
-        return this.#context.readClocks().steadyMilliseconds;
+        return this.#context.readClock();
     }
 
     /** Divides what all hosts share, retries and connections to upstreams, by the number of known hosts. */
@@ -321,52 +283,42 @@
     }
 
     #agentFor(service: string): Agent {
-        const limit = this.#store.configuration.table?.service(service)?.maximumConnections;
-        return this.#agents.agentFor(service, limit);
+        const { table } = this.#store.configuration;
+        return this.#agents.agentFor(service, table?.service(service)?.maximumConnections);
     }
 
-    #createReportedState(): ReportedState {
-        return new ReportedState({
-            ...this.#context,
-            peers: this.#peers,
-            interCellGossip: this.#interCellGossip,
-            store: this.#store,
+    #createEngines(): HostEngines {
+        return new HostEngines({
+            context: this.#context,
             duties: this.#duties,
-            engines: this.#engines,
+            store: this.#store,
+            peers: this.#peers,
+            gossip: this.#gossip,
             upstreams: this.#upstreams,
-            rateLimiting: this.#rateLimiting,
-            partitionWatch: this.#partitionWatch,
             demand: this.#demand,
+            onChanged: () => this.#forwarder.wake(),
         });
     }
 
-    #createReceivers(): MessageReceivers {
+    /** Returns the parts that digests, messages of peers and forwarded requests use. */
+    #parts(): ForwardingParts & Omit<DigestPublisherOptions, "isReady"> {
         return {
-            reportedState: this.#reportedState,
-            interCellGossip: this.#interCellGossip,
-            store: this.#store,
-            duties: this.#duties,
-            engines: this.#engines,
-            upstreams: this.#upstreams,
-            rateLimiting: this.#rateLimiting,
-            streamVersions: this.#streamVersions,
-        };
-    }
-
-    #createDigests(): DigestPublisher {
-        return new DigestPublisher({
             context: this.#context,
+            budget: this.#budget,
+            demand: this.#demand,
+            peers: this.#peers,
             gossip: this.#gossip,
             interCellGossip: this.#interCellGossip,
-            store: this.#store,
             duties: this.#duties,
-            engines: this.#engines,
             upstreams: this.#upstreams,
             rateLimiting: this.#rateLimiting,
+            store: this.#store,
+            streamVersions: this.#streamVersions,
             partitionWatch: this.#partitionWatch,
-            demand: this.#demand,
-            isReady: () => this.#isReady(),
-        });
+            probes: this.#healthProbes,
+            engines: this.#engines,
+            agentFor: service => this.#agentFor(service),
+        };
     }
 
     #createUrgentDigests(): UrgentDigests {
@@ -388,54 +340,6 @@
         return hostsNeedingDemand({ duties: this.#duties, peers: this.#peers, engineCount }, this.#now());
     }
 
-    #createForwardingContext(): ForwardingContext {
-        const { protocol } = this.#context;
-        const { backlog, crashes, health, loads, pauses, prompts, residency, view } = this.#upstreams;
-        return {
-            ...this.#context,
-            headers: protocol.headers,
-            view,
-            residency,
-            loads,
-            health,
-            pauses,
-            rateLimiting: this.#rateLimiting,
-            budget: this.#budget,
-            crashes,
-            streamVersions: this.#streamVersions,
-            contact: this.#upstreams.contact,
-            liveness: this.#upstreams.liveness,
-            probes: this.#healthProbes,
-            prompts,
-            backlog,
-            heldBytes: new BufferedAnswerBytes(),
-            demand: this.#demand,
-            adapterUse: this.#engines.adapters.use,
-            routeTable: () => this.#store.configuration.table,
-            agentFor: service => this.#agentFor(service),
-            hostCount: () => this.#peers.live(this.#now()).length + 1,
-            requestAdapter: (engine, model, adapter) => this.#engines.adapters.request(engine, model, adapter),
-            requestVersionCopy: need => this.#engines.requestVersionCopy(need),
-            publishRequestSent: (engine, promptTokens) =>
-                this.#gossip.publishRequestSent(
-                    engine,
-                    promptTokens,
-                    peer => loads.usesUpstream(peer, engine, this.#now()),
-                ),
-            reportAdapterUse: (engine, adapter, inUse) => this.#engines.adapters.reportUse(engine, adapter, inUse),
-            recordModelAbsent: (engine, model) => this.#engines.orders.recordModelAbsent(engine, model),
-            recordUnreachable: (upstream, isRefused) => this.#upstreams.recordUnreachable(upstream, isRefused),
-            recordSent: attributes => this.#upstreams.recordSent(attributes),
-            recordLost: (attributes, upstream) => this.#upstreams.recordLost(attributes, upstream),
-            recordAnswered: (attributes, upstream) => this.#upstreams.recordAnswered(attributes, upstream),
-            recordAnswerHead: (upstream, head, sentAtMilliseconds) =>
-                this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
-            isPartitioned: () => this.#partitionWatch.isPartitioned,
-            closesConnections: () => this.#context.lifecycle.isLeaving || this.#partitionWatch.isPartitioned,
-            isClosedToCallers: () => this.#context.lifecycle.isClosedToCallers,
-        };
-    }
-
     #createServers(): HostServers {
         return new HostServers({
             ...this.#context,
@@ -462,15 +366,7 @@
     }
 
     #refreshGauges(): void {
-        const { metrics } = this.#context;
-        metrics.gauge("configuration_version", this.#store.configuration.version);
-        metrics.gauge("store_silence_seconds", this.#store.reachability.secondsSinceAnswer());
-        metrics.gauge("upstreams", this.#upstreams.view.all().length);
-        metrics.gauge("limited_upstreams", this.#upstreams.limits.countInForce());
-        metrics.gauge("requests_open", this.#forwarder.openRequestCount);
-        metrics.gauge("peers_heard", this.#peers.withRecentDigest(this.#now()).length);
-        metrics.gauge("prompt_bound_tokens", this.#upstreams.backlog.limitTokens);
-        metrics.gauge("read_tokens_per_millisecond", this.#demand.prefillTokensPerMillisecond ?? 0);
+        refreshGauges({ ...this.#context, ...this.#parts(), forwarder: this.#forwarder });
     }
 }
 
--- /dev/null
+++ b/src/entry/hostGauges.ts
@@ -0,0 +1,44 @@
+/**
+ * The gauges of a host.
+ *
+ * @module
+ */
+import { type PeerTable } from "../gossip/index.js";
+import { type EntryMetrics } from "../observability/index.js";
+import { type Forwarder } from "./forwarder.js";
+import { type SiteDemand } from "./siteDemand.js";
+import { type HostStore } from "./store/index.js";
+import { type UpstreamTracker } from "./upstreamTracker.js";
+
+/** The parts of a host whose state the gauges show. */
+export interface GaugeSources {
+    readonly metrics: EntryMetrics;
+    readonly store: HostStore;
+    readonly upstreams: UpstreamTracker;
+    readonly forwarder: Forwarder;
+    readonly peers: PeerTable;
+    readonly demand: SiteDemand;
+    readonly readClock: () => number;
+}
+
+/**
+ * Sets all gauges to the present state.
+ *
+ * @example
+ * ```ts
+ * refreshGauges(sources);
+ * const text = await metrics.render();
+ * ```
+ */
+export function refreshGauges(
+    { demand, forwarder, metrics, peers, readClock, store, upstreams }: GaugeSources,
+): void {
+    metrics.gauge("configuration_version", store.configuration.version);
+    metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
+    metrics.gauge("upstreams", upstreams.view.all().length);
+    metrics.gauge("limited_upstreams", upstreams.limits.countInForce());
+    metrics.gauge("requests_open", forwarder.openRequestCount);
+    metrics.gauge("peers_heard", peers.withRecentDigest(readClock()).length);
+    metrics.gauge("prompt_bound_tokens", upstreams.backlog.limitTokens);
+    metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
+}
