Take no few bytes of a slow engine for an engine that answers

Cause: one byte of one request counted as evidence that an engine answers. An engine that works 200 times as slowly sends some bytes a second.

Change: an upstream answers if, of most of the requests that it has had for 400 ms from this host, two events came within 400 ms.

--- a/src/entry/_attempt.ts
+++ b/src/entry/_attempt.ts
@@ -5,6 +5,7 @@
  */
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type AttemptFailure, EventSplitter, StreamPace } from "../forwarding/index.js";
+import { type RequestActivity } from "../hedging/index.js";
 import { nameAdapter } from "../placement/index.js";
 import { type Route } from "../routes/index.js";
 import { type RequestFacts } from "./_requestFacts.js";
@@ -52,6 +53,7 @@
     readonly #chunks: Buffer[] = [];
     /** `undefined` where the upstream was busy, since the first token may then have waited for more than prefill. */
     readonly #prefillStart: PrefillStart | undefined;
+    readonly #activity: RequestActivity;
     #heardAtMilliseconds: number;
     #heldBytes = 0;
     #firstEventAtMilliseconds: number | undefined;
@@ -71,7 +73,7 @@
         context.recordSent(facts.attributes);
         context.loads.recordStarted(upstream.id);
         context.contact.recordSent(upstream.id, now);
-        context.liveness.recordSent(upstream.id, now);
+        this.#activity = context.liveness.begin(upstream.id, now);
         context.backlog.recordSent(upstream.id, facts.promptTokens, now);
         this.backlogTokens = Math.round(context.backlog.backlogTokens(upstream.id, now));
         this.load = context.loads.estimate(upstream.id, now);
@@ -93,7 +95,7 @@
     recordHeard(): void {
         this.#heardAtMilliseconds = this.#context.readClock();
         this.#context.contact.recordHeard(this.#heardAtMilliseconds);
-        this.#context.liveness.recordHeard(this.upstream.id, this.#heardAtMilliseconds);
+        this.#activity.recordHeard(this.#heardAtMilliseconds);
     }
 
     /** Buffers a part of an answer that is not a stream; returns false where the limit on buffered bytes is reached. */
@@ -199,7 +201,7 @@
         this.#released = true;
         this.#context.heldBytes.release(this.#heldBytes);
         this.#context.loads.recordFinished(this.upstream.id);
-        this.#context.liveness.recordEnded(this.upstream.id);
+        this.#activity.end();
         if (this.#isOnTrial) {
             this.#context.crashes.recordEnded(this.#facts.attributes);
         }
--- a/src/hedging/index.ts
+++ b/src/hedging/index.ts
@@ -7,7 +7,7 @@
  * import { decideOverlap, decideStall, UpstreamLiveness } from "./index.js";
  *
  * const liveness = new UpstreamLiveness();
- * liveness.recordHeard("engine-3", now);
+ * liveness.recordProbed("engine-3", now);
  * const decision = decideStall({ quietMilliseconds, limitMilliseconds, isBusy, alternative });
  * ```
  *
@@ -15,4 +15,4 @@
  */
 export { decideOverlap, EXCLUSIVE_OVERLAP_MILLISECONDS, type Overlap, type OverlapDecision } from "./decideOverlap.js";
 export { type Alternative, decideStall, type Stall, type StallDecision } from "./decideStall.js";
-export { UpstreamLiveness } from "./upstreamLiveness.js";
+export { type RequestActivity, UpstreamLiveness } from "./upstreamLiveness.js";
--- a/src/hedging/upstreamLiveness.ts
+++ b/src/hedging/upstreamLiveness.ts
@@ -4,56 +4,83 @@
  * @module
  */
 
-/** What was received within this time shows that an upstream has not paused for long enough to stall a request. */
+/** What was received within this time shows that a request has not stalled; younger requests are not judged. */
 const RECENT_MILLISECONDS = 400;
 
-interface Activity {
-    /** Requests of this host that the upstream has. */
-    requests: number;
-    /** Since when it has had requests of this host, and sent no byte of an answer to them. */
-    silentSinceMilliseconds: number;
+/** Share of an upstream's requests whose answers go on, from which it counts as answering. */
+const ANSWERING_SHARE = 0.5;
+
+/** A request that an upstream has. */
+export interface RequestActivity {
+    /** Records a byte of the answer. */
+    recordHeard(nowMilliseconds: number): void;
+    /** The request has ended, or was cancelled. */
+    end(): void;
+}
+
+/** Bytes that arrive within this time of each other are parts of one event. */
+const EVENT_MILLISECONDS = 20;
+
+interface OpenRequest {
+    readonly sentAtMilliseconds: number;
+    /** When the last event of the answer was received, and the one before it. */
+    heardAtMilliseconds: number;
+    heardBeforeAtMilliseconds: number;
+}
+
+interface UpstreamActivity {
+    readonly requests: Set<OpenRequest>;
     /** When a byte of an answer to a request was last received. */
     heardAtMilliseconds: number;
     /** When a health check, an order or the like was last answered. */
     probedAtMilliseconds: number;
 }
 
+function recordEvent(request: OpenRequest, nowMilliseconds: number): void {
+    if (nowMilliseconds - request.heardAtMilliseconds >= EVENT_MILLISECONDS) {
+        request.heardBeforeAtMilliseconds = request.heardAtMilliseconds;
+        request.heardAtMilliseconds = nowMilliseconds;
+    }
+}
+
+function isRecent(atMilliseconds: number, nowMilliseconds: number): boolean {
+    return nowMilliseconds - atMilliseconds < RECENT_MILLISECONDS;
+}
+
 /**
- * The time of the last byte of an answer from each upstream, and of the last answer to a probe. An upstream may answer
- * probes while the requests that it has stand still.
+ * The requests that this host has at each upstream, with the time of the last byte of each answer, and of the last
+ * answer to a probe. An upstream may answer probes, or a few requests, while most of its requests stand still.
  *
  * @example
  * ```ts
  * const liveness = new UpstreamLiveness();
- * liveness.recordProbed("engine-3", now);
- * liveness.isAnswering("engine-3", now + 100); // true, since it has no requests
- * liveness.recordSent("engine-3", now + 100);
- * liveness.isAnswering("engine-3", now + 600); // false
+ * const activity = liveness.begin("engine-3", now);
+ * activity.recordHeard(now + 400);
+ * activity.recordHeard(now + 450);
+ * liveness.isAnswering("engine-3", now + 500); // true
+ * liveness.isAnswering("engine-3", now + 900); // false
+ * activity.end();
  * ```
  */
 export class UpstreamLiveness {
-    readonly #activities = new Map<string, Activity>();
+    readonly #upstreams = new Map<string, UpstreamActivity>();
 
     /** Records that a request was sent to an upstream. */
-    recordSent(upstream: string, nowMilliseconds: number): void {
-        const activity = this.#activity(upstream);
-        if (activity.requests === 0) {
-            activity.silentSinceMilliseconds = nowMilliseconds;
-        }
-        activity.requests += 1;
-    }
-
-    /** Records that a request has ended at an upstream. */
-    recordEnded(upstream: string): void {
-        const activity = this.#activity(upstream);
-        activity.requests = Math.max(0, activity.requests - 1);
-    }
-
-    /** Records a byte of an answer to a request. */
-    recordHeard(upstream: string, nowMilliseconds: number): void {
+    begin(upstream: string, nowMilliseconds: number): RequestActivity {
+        const request = {
+            sentAtMilliseconds: nowMilliseconds,
+            heardAtMilliseconds: Number.NEGATIVE_INFINITY,
+            heardBeforeAtMilliseconds: Number.NEGATIVE_INFINITY,
+        };
         const activity = this.#activity(upstream);
-        activity.heardAtMilliseconds = nowMilliseconds;
-        activity.silentSinceMilliseconds = nowMilliseconds;
+        activity.requests.add(request);
+        return {
+            recordHeard: heardAtMilliseconds => {
+                recordEvent(request, heardAtMilliseconds);
+                activity.heardAtMilliseconds = heardAtMilliseconds;
+            },
+            end: () => activity.requests.delete(request),
+        };
     }
 
     /** Records an answer to a health check, an order or the like. */
@@ -62,22 +89,23 @@
     }
 
     /**
-     * Returns whether the upstream answers requests: it did a moment ago, or it answered a probe, and no request of this
-     * host has been left standing there. False where nothing is known.
+     * Returns whether the upstream answers requests as usual: of most of those that it has had for a while, two events
+     * came a moment ago. Where it has none of this host, an answer to a probe is enough. False where nothing is known.
      */
     isAnswering(upstream: string, nowMilliseconds: number): boolean {
-        const { heardAtMilliseconds, requests, silentSinceMilliseconds } = this.#activity(upstream);
-        if (nowMilliseconds - heardAtMilliseconds < RECENT_MILLISECONDS) {
-            return true;
+        const requests = [...this.#activity(upstream).requests];
+        const judged = requests.filter(({ sentAtMilliseconds }) => !isRecent(sentAtMilliseconds, nowMilliseconds));
+        if (judged.length === 0) {
+            return this.isReachable(upstream, nowMilliseconds);
         }
-        const isStalled = requests > 0 && nowMilliseconds - silentSinceMilliseconds >= RECENT_MILLISECONDS;
-        return !isStalled && this.isReachable(upstream, nowMilliseconds);
+        const goingOn = judged.filter(request => isRecent(request.heardBeforeAtMilliseconds, nowMilliseconds));
+        return goingOn.length >= judged.length * ANSWERING_SHARE;
     }
 
     /** Returns whether the upstream answered a request or a probe a moment ago. */
     isReachable(upstream: string, nowMilliseconds: number): boolean {
         const { heardAtMilliseconds, probedAtMilliseconds } = this.#activity(upstream);
-        return nowMilliseconds - Math.max(heardAtMilliseconds, probedAtMilliseconds) < RECENT_MILLISECONDS;
+        return isRecent(Math.max(heardAtMilliseconds, probedAtMilliseconds), nowMilliseconds);
     }
 
     /** Returns the time since the upstream last answered a request; infinite where it never did. */
@@ -85,21 +113,17 @@
         return nowMilliseconds - this.#activity(upstream).heardAtMilliseconds;
     }
 
-    /** Forgets what an upstream that has left answered; requests that it still has end later. */
     forget(upstream: string): void {
-        if (this.#activity(upstream).requests === 0) {
-            this.#activities.delete(upstream);
-        }
+        this.#upstreams.delete(upstream);
     }
 
-    #activity(upstream: string): Activity {
-        const activity = this.#activities.get(upstream) ?? {
-            requests: 0,
-            silentSinceMilliseconds: Number.NEGATIVE_INFINITY,
+    #activity(upstream: string): UpstreamActivity {
+        const activity = this.#upstreams.get(upstream) ?? {
+            requests: new Set(),
             heardAtMilliseconds: Number.NEGATIVE_INFINITY,
             probedAtMilliseconds: Number.NEGATIVE_INFINITY,
         };
-        this.#activities.set(upstream, activity);
+        this.#upstreams.set(upstream, activity);
         return activity;
     }
 }
