Ask a hedge's engine after it was sent the request, and one hedge at a time

Now: the hedge's upstream must answer something after it got the request (it is probed in the middle of the overlap), and the first must have stayed silent since then; an exclusive request has one hedge at a time; without a health path only standing requests speak against an upstream; upstreams that did not answer a probe, and those whose requests stand still, are passed over in the search for half a second. Also: a health check counts only with status 200 and the upstream's own identity, and changes nothing else that is known of it (it names no rate limit); a hedge that is cancelled as silent is followed by a look 60 ms later, not 1.1 s; one that was never connected is no attempt; requests whose answer has not begun count as stalled after 1.2 s, not 0.4.

--- a/src/entry/_hedging.ts
+++ b/src/entry/_hedging.ts
@@ -6,7 +6,13 @@
 import { match } from "ts-pattern";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { mayRunAgain } from "../forwarding/index.js";
-import { type Alternative, decideOverlap, decideStall, EXCLUSIVE_OVERLAP_MILLISECONDS } from "../hedging/index.js";
+import {
+    type Alternative,
+    decideOverlap,
+    decideStall,
+    EXCLUSIVE_OVERLAP_MILLISECONDS,
+    STALL_RECHECK_MILLISECONDS,
+} from "../hedging/index.js";
 import { type Route } from "../routes/index.js";
 import { type Attempt, BUSY_LOAD_SHARE } from "./_attempt.js";
 import { type RunningAttempts } from "./_runningAttempts.js";
@@ -19,8 +25,8 @@
 /** An idempotent request has stalled after this many times its target latency without an answer. */
 const STALL_TARGETS = 3;
 
-/** Time after which a request is looked at again whose hedge has failed. */
-const RECHECK_MILLISECONDS = 60;
+/** Time after which a hedge's upstream is probed, so that the answer is one to a question asked since it was sent. */
+const OVERLAP_PROBE_MILLISECONDS = 100;
 
 /** Why a hedge is cancelled: the attempt before it goes on, or the hedge's upstream is silent too. */
 export type HedgeCancellation = "stall-ended" | "hedge-silent";
@@ -67,7 +73,7 @@
 
     /** Looks at the request again soon, since a hedge of it has ended. */
     recheck(): void {
-        this.#scheduleCheck(RECHECK_MILLISECONDS);
+        this.#scheduleCheck(STALL_RECHECK_MILLISECONDS);
     }
 
     /** Limits how long an attempt runs beside an earlier one, from the moment at which it can be sent. */
@@ -76,12 +82,12 @@
         if (!isExclusive || attempts.count < 2 || attempt !== attempts.last) {
             return;
         }
-        context.probes.probe(attempt.upstream);
-        clearTimeout(this.#overlapTimer);
-        this.#overlapTimer = setTimeout(
-            () => setImmediate(() => this.#options.guard(() => this.#endOverlap(attempt))),
-            EXCLUSIVE_OVERLAP_MILLISECONDS,
-        );
+        const sinceMilliseconds = context.readClock();
+        this.#scheduleOverlap(OVERLAP_PROBE_MILLISECONDS, () => {
+            this.#probeHedge(attempt, sinceMilliseconds);
+            const remainingMilliseconds = EXCLUSIVE_OVERLAP_MILLISECONDS - OVERLAP_PROBE_MILLISECONDS;
+            this.#scheduleOverlap(remainingMilliseconds, () => this.#endOverlap(attempt, sinceMilliseconds));
+        });
     }
 
     /** Ends the attempts other than the one whose answer goes on. */
@@ -138,8 +144,8 @@
     }
 
     #alternative(): Alternative {
-        const { mayHedge, selection } = this.#options;
-        if (!mayHedge()) {
+        const { attempts, isExclusive, mayHedge, selection } = this.#options;
+        if ((isExclusive && attempts.count > 1) || !mayHedge()) {
             return "none";
         }
         if (this.#chooseAlive() !== undefined) {
@@ -160,24 +166,26 @@
 
     /** Returns another upstream that accepts the request now and is known to answer, or cannot be probed. */
     #chooseAlive(): UpstreamAnnouncement | undefined {
-        const { context, selection } = this.#options;
-        return selection.chooseOther(
-            this.#running(),
-            upstream => this.#isAlive(upstream) || !context.probes.canProbe(upstream.service),
-        );
+        const { context: { liveness, probes, readClock }, selection } = this.#options;
+        return selection.chooseOther(this.#running(), upstream =>
+            this.#mayTake(upstream)
+            && (liveness.isReachable(upstream.id, readClock()) || !probes.canProbe(upstream.service)));
     }
 
-    /** A request that both upstreams may run loses nothing at one that answers only probes. */
-    #isAlive({ id }: UpstreamAnnouncement): boolean {
+    /** A request that both upstreams may run loses nothing at one whose other requests stand still. */
+    #mayTake({ id }: UpstreamAnnouncement): boolean {
         const { context: { liveness, readClock }, isExclusive } = this.#options;
-        return isExclusive ? liveness.isAnswering(id, readClock()) : liveness.isReachable(id, readClock());
+        return !isExclusive || !liveness.isStalled(id, readClock());
     }
 
     #probeOthers(): void {
-        const { context, selection } = this.#options;
-        const other = selection.chooseOther(this.#running());
-        if (other !== undefined && context.probes.mayProbeMore(other.service)) {
-            context.probes.probe(other);
+        const { context: { probes }, selection } = this.#options;
+        const other = selection.chooseOther(
+            this.#running(),
+            upstream => this.#mayTake(upstream) && !probes.wasUnanswered(upstream.id),
+        );
+        if (other !== undefined && probes.mayProbeMore(other.service)) {
+            probes.probe(other);
         }
     }
 
@@ -186,17 +194,34 @@
         return new Set(this.#options.attempts.list().map(({ upstream }) => upstream.id));
     }
 
+    #scheduleOverlap(milliseconds: number, step: () => void): void {
+        clearTimeout(this.#overlapTimer);
+        this.#overlapTimer = setTimeout(() => setImmediate(() => this.#options.guard(step)), milliseconds);
+    }
+
+    #probeHedge({ upstream }: Attempt, sinceMilliseconds: number): void {
+        const { liveness, probes } = this.#options.context;
+        if (!liveness.hasRespondedSince(upstream.id, sinceMilliseconds)) {
+            probes.probe(upstream);
+        }
+    }
+
     /** Ends one of the attempts at an exclusive request: a silent one only in favour of one whose upstream answers. */
-    #endOverlap(hedge: Attempt): void {
-        const { attempts, context, isExclusive } = this.#options;
-        if (attempts.count < 2 || !attempts.has(hedge)) {
+    #endOverlap(hedge: Attempt, sinceMilliseconds: number): void {
+        const { attempts, context: { liveness, probes, readClock }, onHedgeCancelled } = this.#options;
+        const stalled = attempts.list().find(attempt => attempt !== hedge);
+        if (stalled === undefined || !attempts.has(hedge)) {
             return;
         }
-        const isHedgeAnswering = context.liveness.isAnswering(hedge.upstream.id, context.readClock());
-        match(decideOverlap({ isExclusive, isHedgeAnswering }))
+        const { id, service } = hedge.upstream;
+        const hasResponded = liveness.hasRespondedSince(id, sinceMilliseconds) || !probes.canProbe(service);
+        const decision = decideOverlap({
+            hasStallEnded: stalled.quietMilliseconds < readClock() - sinceMilliseconds,
+            isHedgeAnswering: hasResponded && !liveness.isStalled(id, readClock()),
+        });
+        match(decision)
             .with("cancel-stalled", () => this.keepOnly(hedge))
-            .with("cancel-hedge", () => this.#options.onHedgeCancelled(hedge, "hedge-silent"))
-            .with("cancel-none", () => undefined)
+            .with("cancel-hedge", () => onHedgeCancelled(hedge, "hedge-silent"))
             .exhaustive();
     }
 }
--- a/src/entry/_runningAttempts.ts
+++ b/src/entry/_runningAttempts.ts
@@ -13,11 +13,6 @@
         return this.#attempts.length;
     }
 
-    /** The attempt that was sent first. */
-    get first(): Attempt | undefined {
-        return this.#attempts[0];
-    }
-
     /** The attempt that was sent last. */
     get last(): Attempt | undefined {
         return this.#attempts.at(-1);
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -277,8 +277,7 @@
             ...this.#context,
             agentFor: service => this.#agentFor(service),
             healthPathOf: service => this.#store.configuration.table?.service(service)?.healthPath,
-            onAnswer: (upstream, head, sentAtMilliseconds) =>
-                this.#upstreams.recordAnswerHead(upstream, head, sentAtMilliseconds),
+            onAnswer: (upstream, head) => this.#upstreams.recordHealth(upstream, head),
         });
     }
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -611,10 +611,15 @@
             ...this.#describeSilence(hedge),
         });
         this.#context.metrics.count("hedges_cancelled", { reason });
+        this.#attemptsThatMayHaveRun += hedge.call?.mayHaveSent === false ? 0 : 1;
         this.#attempts.cancel(hedge);
-        this.#attemptsThatMayHaveRun += 1;
         this.#lastUpstream = this.#attempts.last?.upstream.id;
-        this.#hedging.watch();
+        if (reason === "hedge-silent") {
+            this.#hedging.recheck();
+        }
+        else {
+            this.#hedging.watch();
+        }
     }
 
     /** Returns log fields with the silence of an attempt, and that of its upstream towards all requests. */
--- a/src/entry/healthProbes.ts
+++ b/src/entry/healthProbes.ts
@@ -14,9 +14,14 @@
 /** Upstreams of one service that are probed within an interval in search of one that answers. */
 const PROBES_PER_SERVICE = 2;
 
+/** An upstream that did not answer is not looked at again, in search of one that answers, for this time. */
+const UNANSWERED_MILLISECONDS = 500;
+
 /** An upstream that works at its usual pace answers within a few milliseconds. */
 const PROBE_TIMEOUT_MILLISECONDS = 50;
 
+const ANSWERED = "answered";
+
 /** Options of {@linkcode HealthProbes}. */
 export interface HealthProbesOptions {
     readonly logger: Logger;
@@ -25,8 +30,7 @@
     readonly agentFor: (service: string) => Agent;
     /** Returns the path that a service's upstreams answer health checks on; `undefined` where it has none. */
     readonly healthPathOf: (service: string) => string | undefined;
-    /** An upstream answered, whatever the status. */
-    readonly onAnswer: (upstream: UpstreamAnnouncement, head: AnswerHead, sentAtMilliseconds: number) => void;
+    readonly onAnswer: (upstream: UpstreamAnnouncement, head: AnswerHead) => void;
 }
 
 interface SentProbe {
@@ -40,6 +44,9 @@
     readonly #running = new Set<UpstreamCall>();
     /** Probes of the last interval, by upstream. */
     readonly #recent = new Map<string, SentProbe>();
+    /** When a probe of an upstream that then did not answer was sent. */
+    readonly #unansweredAtMilliseconds = new Map<string, number>();
+    #isClosed = false;
 
     constructor(options: HealthProbesOptions) {
         this.#options = options;
@@ -50,6 +57,12 @@
         return this.#options.healthPathOf(service) !== undefined;
     }
 
+    /** Returns whether the upstream did not answer its last probe, a moment ago. */
+    wasUnanswered(upstream: string): boolean {
+        this.#forgetOld();
+        return this.#unansweredAtMilliseconds.has(upstream);
+    }
+
     /** Returns whether few upstreams of a service were probed a moment ago. */
     mayProbeMore(service: string): boolean {
         this.#forgetOld();
@@ -72,7 +85,7 @@
         const { id, service } = upstream;
         const path = this.#options.healthPathOf(service);
         this.#forgetOld();
-        if (path === undefined || this.#recent.has(id)) {
+        if (path === undefined || this.#isClosed || this.#recent.has(id)) {
             return;
         }
         const atMilliseconds = this.#options.readClock();
@@ -82,6 +95,7 @@
 
     /** Cancels the probes that run. */
     close(): void {
+        this.#isClosed = true;
         for (const call of this.#running) {
             call.cancel();
         }
@@ -91,11 +105,11 @@
     #send(upstream: UpstreamAnnouncement, path: string, sentAtMilliseconds: number): void {
         const finish = (outcome: string): void => {
             clearTimeout(timer);
-            this.#running.delete(call);
-            call.cancel();
-            this.#record(upstream, outcome, sentAtMilliseconds);
+            if (this.#running.delete(call)) {
+                call.cancel();
+                this.#record(upstream, outcome, sentAtMilliseconds);
+            }
         };
-        const timer = setTimeout(() => finish("silent"), PROBE_TIMEOUT_MILLISECONDS);
         const call = callUpstream({
             agent: this.#options.agentFor(upstream.service),
             address: upstream.address,
@@ -105,18 +119,25 @@
             body: Buffer.alloc(0),
             connectTimeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
             onConnected: () => undefined,
-            onHead: head => this.#options.onAnswer(upstream, head, sentAtMilliseconds),
+            onHead: head => this.#options.onAnswer(upstream, head),
             onData: () => undefined,
-            onEnd: () => finish("answered"),
+            onEnd: () => finish(ANSWERED),
             onFailure: failure => finish(failure),
         });
+        const timer = setTimeout(() => finish("silent"), PROBE_TIMEOUT_MILLISECONDS);
         this.#running.add(call);
     }
 
-    #record(upstream: UpstreamAnnouncement, outcome: string, sentAtMilliseconds: number): void {
+    #record({ id }: UpstreamAnnouncement, outcome: string, sentAtMilliseconds: number): void {
+        if (outcome === ANSWERED) {
+            this.#unansweredAtMilliseconds.delete(id);
+        }
+        else {
+            this.#unansweredAtMilliseconds.set(id, sentAtMilliseconds);
+        }
         const tookMilliseconds = Math.round(this.#options.readClock() - sentAtMilliseconds);
         this.#options.metrics.count("health_probes", { outcome });
-        this.#options.logger.info("upstream probed", { upstream: upstream.id, outcome, tookMilliseconds });
+        this.#options.logger.info("upstream probed", { upstream: id, outcome, tookMilliseconds });
     }
 
     #forgetOld(): void {
@@ -126,5 +147,10 @@
                 this.#recent.delete(upstream);
             }
         }
+        for (const [upstream, atMilliseconds] of this.#unansweredAtMilliseconds) {
+            if (now - atMilliseconds >= UNANSWERED_MILLISECONDS) {
+                this.#unansweredAtMilliseconds.delete(upstream);
+            }
+        }
     }
 }
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -43,6 +43,8 @@
 import { incarnationOf } from "./_upstreamIncarnation.js";
 import { type HeaderNames, type SiteProtocol } from "./siteProtocol.js";
 
+const STATUS_OK = 200;
+
 /** How long digests report that an upstream is leaving; covers several digests, since any one may be lost. */
 const LEAVING_REPORT_MILLISECONDS = 3_000;
 
@@ -141,7 +143,7 @@
         this.unreachableReports.clear(upstream.id);
         this.contact.recordHeard(this.#now());
         if (!isFromOtherUpstream(head, upstream.id, headers)) {
-            this.liveness.recordProbed(upstream.id, this.#now());
+            this.liveness.recordProbeAnswered(upstream.id, this.#now());
             if (reportsLeaving(head, headers)) {
                 this.#recordLeaving(upstream);
             }
@@ -150,6 +152,14 @@
         this.#recordLimit(upstream, head, sentAtMilliseconds);
     }
 
+    /** Records the answer to a health check; only one that the upstream itself gave, and that says that it is healthy. */
+    recordHealth(upstream: UpstreamAnnouncement, { headers, status }: AnswerStatusAndHeaders): void {
+        if (status === STATUS_OK && headers[this.#options.headers.answeringUpstream] === upstream.id) {
+            this.contact.recordHeard(this.#now());
+            this.liveness.recordProbeAnswered(upstream.id, this.#now());
+        }
+    }
+
     /** Returns whether an upstream is known, and no later incarnation of it. */
     isPresent(upstream: UpstreamIncarnation): boolean {
         const known = this.view.get(upstream.id);
--- a/src/hedging/decideOverlap.ts
+++ b/src/hedging/decideOverlap.ts
@@ -7,31 +7,28 @@
 /** How long two upstreams may hold one request that only one of them should work on. */
 export const EXCLUSIVE_OVERLAP_MILLISECONDS = 250;
 
-/** What is known of a hedge when its overlap with the earlier attempt ends. */
+/** What is known when the overlap of a stalled attempt and its hedge ends. */
 export interface Overlap {
-    /** True where two upstreams may not work on the request for long, since both would generate its tokens. */
-    readonly isExclusive: boolean;
-    /** True where the hedge's upstream is known to answer, this request or others. */
+    /** True where a byte of the stalled answer came since the hedge was sent. */
+    readonly hasStallEnded: boolean;
+    /** True where the hedge's upstream answered something since then, and its other requests do not stand still. */
     readonly isHedgeAnswering: boolean;
 }
 
 /** Which attempt is cancelled. */
-export type OverlapDecision = "cancel-none" | "cancel-hedge" | "cancel-stalled";
+export type OverlapDecision = "cancel-hedge" | "cancel-stalled";
 
 /**
- * Decides which attempt is cancelled. An attempt is given up only in favour of an upstream that is known to answer; one
- * that says nothing to anyone may have paused too.
+ * Decides which attempt is cancelled. An attempt is given up only in favour of an upstream that answered after it got
+ * the request; one that says nothing to anyone may have paused too.
  *
  * @param overlap What is known of the two attempts.
  *
  * @example
  * ```ts
- * decideOverlap({ isExclusive: true, isHedgeAnswering: false }); // "cancel-hedge"
+ * decideOverlap({ hasStallEnded: false, isHedgeAnswering: false }); // "cancel-hedge"
  * ```
  */
-export function decideOverlap({ isExclusive, isHedgeAnswering }: Overlap): OverlapDecision {
-    if (!isExclusive) {
-        return "cancel-none";
-    }
-    return isHedgeAnswering ? "cancel-stalled" : "cancel-hedge";
+export function decideOverlap({ hasStallEnded, isHedgeAnswering }: Overlap): OverlapDecision {
+    return isHedgeAnswering && !hasStallEnded ? "cancel-stalled" : "cancel-hedge";
 }
--- a/src/hedging/decideStall.ts
+++ b/src/hedging/decideStall.ts
@@ -8,7 +8,7 @@
 const PROBE_LEAD_MILLISECONDS = 100;
 
 /** Interval at which a stalled request is looked at again while no other upstream can take it. */
-const RECHECK_MILLISECONDS = 60;
+export const STALL_RECHECK_MILLISECONDS = 60;
 
 /**
  * What is known of the other upstreams: none accepts the request now; some accept it, but none of them was heard a
@@ -56,7 +56,7 @@
     if (isBusy) {
         return { type: "wait", milliseconds: limitMilliseconds };
     }
-    const milliseconds = remainingMilliseconds > 0 ? remainingMilliseconds : RECHECK_MILLISECONDS;
+    const milliseconds = remainingMilliseconds > 0 ? remainingMilliseconds : STALL_RECHECK_MILLISECONDS;
     switch (alternative()) {
         case "none":
             return { type: "wait", milliseconds };
--- a/src/hedging/hedging.test.ts
+++ b/src/hedging/hedging.test.ts
@@ -68,18 +68,18 @@
     });
 });
 
-test("an attempt is given up only for an upstream that was heard, and only where both may not go on", () => {
-    assert.equal(decideOverlap({ isExclusive: true, isHedgeAnswering: true }), "cancel-stalled");
-    assert.equal(decideOverlap({ isExclusive: true, isHedgeAnswering: false }), "cancel-hedge");
-    assert.equal(decideOverlap({ isExclusive: false, isHedgeAnswering: true }), "cancel-none");
+test("an attempt is given up only for an upstream that answered, and only while its own answer stands still", () => {
+    assert.equal(decideOverlap({ hasStallEnded: false, isHedgeAnswering: true }), "cancel-stalled");
+    assert.equal(decideOverlap({ hasStallEnded: false, isHedgeAnswering: false }), "cancel-hedge");
+    assert.equal(decideOverlap({ hasStallEnded: true, isHedgeAnswering: true }), "cancel-hedge");
 });
 
 test("an upstream that was never heard, or not for a while, is not known to answer", () => {
     const liveness = new UpstreamLiveness();
     assert.equal(liveness.isAnswering("engine-1", 0), false);
-    liveness.recordProbed("engine-1", 1_000);
+    liveness.recordProbeAnswered("engine-1", 1_000);
     assert.deepEqual([1_399, 1_400].map(now => liveness.isAnswering("engine-1", now)), [true, false]);
-    liveness.recordProbed("engine-1", 2_000);
+    liveness.recordProbeAnswered("engine-1", 2_000);
     liveness.forget("engine-1");
     assert.equal(liveness.isAnswering("engine-1", 2_000), false);
 });
@@ -87,16 +87,30 @@
 test("an upstream that answers probes while its requests stand still is reachable, and does not answer", () => {
     const liveness = new UpstreamLiveness();
     const request = liveness.begin("engine-1", 1_000);
-    liveness.recordProbed("engine-1", 1_300);
+    request.recordHeard(1_100);
+    liveness.recordProbeAnswered("engine-1", 1_300);
     assert.deepEqual([1_399, 1_400].map(now => liveness.isAnswering("engine-1", now)), [true, false]);
     assert.equal(liveness.isReachable("engine-1", 1_400), true);
     request.end();
     assert.equal(liveness.isAnswering("engine-1", 1_400), true);
 });
 
+test("an upstream whose requests have not begun their answers yet is judged by probes for a while", () => {
+    const liveness = new UpstreamLiveness();
+    liveness.begin("engine-1", 0);
+    assert.deepEqual([1_199, 1_200].map(now => liveness.isStalled("engine-1", now)), [false, true]);
+});
+
+test("what an upstream answered before a point in time is no response since then", () => {
+    const liveness = new UpstreamLiveness();
+    liveness.recordProbeAnswered("engine-1", 1_000);
+    assert.deepEqual([999, 1_000].map(since => liveness.hasRespondedSince("engine-1", since)), [true, false]);
+});
+
 test("an upstream answers while most of its requests go on, and does not while a few of them do", () => {
     const liveness = new UpstreamLiveness();
     const requests = Array.from({ length: 4 }, () => liveness.begin("engine-1", 0));
+    requests.forEach(request => request.recordHeard(100));
     const isAnswering = (): boolean => liveness.isAnswering("engine-1", 1_000);
     [800, 990].forEach(at => requests[0]?.recordHeard(at));
     assert.equal(isAnswering(), false);
--- a/src/hedging/upstreamLiveness.ts
+++ b/src/hedging/upstreamLiveness.ts
@@ -7,8 +7,11 @@
 /** What was received within this time shows that a request has not stalled; younger requests are not judged. */
 const RECENT_MILLISECONDS = 400;
 
-/** Share of an upstream's requests whose answers go on, from which it counts as answering. */
-const ANSWERING_SHARE = 0.5;
+/** An answer may take this long to begin, since prompts wait for others to be read. */
+const BEGINNING_MILLISECONDS = 1_200;
+
+/** An upstream has stalled where a smaller share of its requests goes on. */
+const GOING_ON_SHARE = 0.5;
 
 /** A request that an upstream has. */
 export interface RequestActivity {
@@ -43,6 +46,12 @@
     }
 }
 
+/** Returns whether the request is old enough that its answer should go on. */
+function isDue({ heardAtMilliseconds, sentAtMilliseconds }: OpenRequest, nowMilliseconds: number): boolean {
+    const hasBegun = heardAtMilliseconds > Number.NEGATIVE_INFINITY;
+    return nowMilliseconds - sentAtMilliseconds >= (hasBegun ? RECENT_MILLISECONDS : BEGINNING_MILLISECONDS);
+}
+
 function isRecent(atMilliseconds: number, nowMilliseconds: number): boolean {
     return nowMilliseconds - atMilliseconds < RECENT_MILLISECONDS;
 }
@@ -83,29 +92,34 @@
         };
     }
 
-    /** Records an answer to a health check, an order or the like. */
-    recordProbed(upstream: string, nowMilliseconds: number): void {
+    /** Records that the upstream answered a health check, an order or the like. */
+    recordProbeAnswered(upstream: string, nowMilliseconds: number): void {
         this.#activity(upstream).probedAtMilliseconds = nowMilliseconds;
     }
 
+    /** Returns whether the upstream answered a request or a probe a moment ago, and is not stalled. */
+    isAnswering(upstream: string, nowMilliseconds: number): boolean {
+        return this.isReachable(upstream, nowMilliseconds) && !this.isStalled(upstream, nowMilliseconds);
+    }
+
     /**
-     * Returns whether the upstream answers requests as usual: of most of those that it has had for a while, two events
-     * came a moment ago. Where it has none of this host, an answer to a probe is enough. False where nothing is known.
+     * Returns whether most of the requests that the upstream has had for a while stand still, whatever it answers else.
+     * A request goes on if two events of its answer came a moment ago.
      */
-    isAnswering(upstream: string, nowMilliseconds: number): boolean {
-        const requests = [...this.#activity(upstream).requests];
-        const judged = requests.filter(({ sentAtMilliseconds }) => !isRecent(sentAtMilliseconds, nowMilliseconds));
-        if (judged.length === 0) {
-            return this.isReachable(upstream, nowMilliseconds);
-        }
-        const goingOn = judged.filter(request => isRecent(request.heardBeforeAtMilliseconds, nowMilliseconds));
-        return goingOn.length >= judged.length * ANSWERING_SHARE;
+    isStalled(upstream: string, nowMilliseconds: number): boolean {
+        const due = [...this.#activity(upstream).requests].filter(request => isDue(request, nowMilliseconds));
+        const goingOn = due.filter(request => isRecent(request.heardBeforeAtMilliseconds, nowMilliseconds));
+        return goingOn.length < due.length * GOING_ON_SHARE;
     }
 
     /** Returns whether the upstream answered a request or a probe a moment ago. */
     isReachable(upstream: string, nowMilliseconds: number): boolean {
-        const { heardAtMilliseconds, probedAtMilliseconds } = this.#activity(upstream);
-        return isRecent(Math.max(heardAtMilliseconds, probedAtMilliseconds), nowMilliseconds);
+        return isRecent(this.#respondedAtMilliseconds(upstream), nowMilliseconds);
+    }
+
+    /** Returns whether the upstream answered a request or a probe after a point in time. */
+    hasRespondedSince(upstream: string, sinceMilliseconds: number): boolean {
+        return this.#respondedAtMilliseconds(upstream) > sinceMilliseconds;
     }
 
     /** Returns the time since the upstream last answered a request; infinite where it never did. */
@@ -117,6 +131,11 @@
         this.#upstreams.delete(upstream);
     }
 
+    #respondedAtMilliseconds(upstream: string): number {
+        const { heardAtMilliseconds, probedAtMilliseconds } = this.#activity(upstream);
+        return Math.max(heardAtMilliseconds, probedAtMilliseconds);
+    }
+
     #activity(upstream: string): UpstreamActivity {
         const activity = this.#upstreams.get(upstream) ?? {
             requests: new Set(),
--- a/tests/support/stallSimulation.ts
+++ b/tests/support/stallSimulation.ts
@@ -10,6 +10,7 @@
     decideStall,
     EXCLUSIVE_OVERLAP_MILLISECONDS,
     type RequestActivity,
+    STALL_RECHECK_MILLISECONDS,
     UpstreamLiveness,
 } from "../../src/hedging/index.js";
 
@@ -198,29 +199,37 @@
     }
 
     #decideOverlap(stream: SimulatedStream, first: SimulatedAttempt, hedge: SimulatedAttempt): void {
+        const { isExclusive } = this.#engines;
         if (this.#now - hedge.sentAtMilliseconds < EXCLUSIVE_OVERLAP_MILLISECONDS) {
             this.#probe(hedge.engine);
             return;
         }
-        const { isExclusive } = this.#engines;
+        if (this.#rule === "evidence" && !isExclusive) {
+            return;
+        }
         const decision = this.#rule === "timer"
             ? "cancel-stalled"
-            : decideOverlap({ isExclusive, isHedgeAnswering: this.#isAnswering(hedge.engine) });
+            : decideOverlap({ hasStallEnded: false, isHedgeAnswering: this.#hasAnswered(hedge) });
         if (decision === "cancel-stalled") {
             this.#keepOnly(stream, hedge);
         }
         else if (decision === "cancel-hedge") {
             this.#keepOnly(stream, first);
-            stream.checkAtMilliseconds = this.#now + STALL_LIMIT_MILLISECONDS;
+            stream.checkAtMilliseconds = this.#now + STALL_RECHECK_MILLISECONDS;
         }
     }
 
     #probe(engine: string): void {
         if (this.#engines.trickles || !this.#isPaused(engine)) {
-            this.#liveness.recordProbed(engine, this.#now);
+            this.#liveness.recordProbeAnswered(engine, this.#now);
         }
     }
 
+    #hasAnswered({ engine, sentAtMilliseconds }: SimulatedAttempt): boolean {
+        return this.#liveness.hasRespondedSince(engine, sentAtMilliseconds)
+            && !this.#liveness.isStalled(engine, this.#now);
+    }
+
     #isAnswering(engine: string): boolean {
         return this.#liveness.isAnswering(engine, this.#now);
     }
