--- a/tests/support/stallSimulation.ts
+++ b/tests/support/stallSimulation.ts
@@ -213,7 +213,7 @@
         if (decision === "cancel-stalled") {
             this.#keepOnly(stream, hedge);
         }
-        else if (decision === "cancel-hedge") {
+        else {
             this.#keepOnly(stream, first);
             stream.checkAtMilliseconds = this.#now + STALL_RECHECK_MILLISECONDS;
         }
