Bound the requests that a brittle upstream rejects over all hosts

What callers saw: upstreams that say in all their answers how few requests a second they may reject (Server-Brittle) were sent more than that, fall over and lose what they run. Cause: nothing read the header, and hosts learn that an upstream is full from its rejections alone.

The adapter names the header `rejectionTolerance`; each host hears it in the answers that it gets, keeps it like a rate limit (`NamedLimits`), and takes it for other upstreams of the service that it has not heard. While such an upstream is nearly full a host keeps to its share of the slots and to what it had there lately; one more is a risk, of which all hosts together take 0.8 of the tolerated number in a second. No field of a digest is added. Requests that only such upstreams could take wait, and are refused as `rejection-bounds`.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -90,6 +90,15 @@
     return typeof text === "string" ? parseRateLimit(text) : undefined;
 }
 
+/** Reads the rejections a second that an upstream tolerates; `undefined` where it names none. */
+export function readRejectionTolerance(
+    head: AnswerStatusAndHeaders,
+    names: HeaderNames,
+): ParsedRateLimit | undefined {
+    const text = head.headers[names.rejectionTolerance];
+    return typeof text === "string" ? parseRateLimit(text) : undefined;
+}
+
 /** Reads the pause that an unavailable (503) upstream requests; `undefined` without `Retry-After`. */
 export function readRequestedPause(head: AnswerStatusAndHeaders): RequestedPause | undefined {
     const text = head.headers["retry-after"];
--- a/src/entry/_attempt.ts
+++ b/src/entry/_attempt.ts
@@ -6,6 +6,7 @@
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type AttemptFailure, EventSplitter, StreamPace } from "../forwarding/index.js";
 import { nameAdapter } from "../placement/index.js";
+import { type UpstreamUse } from "../rateLimits/index.js";
 import { type Route } from "../routes/index.js";
 import { type RequestFacts } from "./_requestFacts.js";
 import { incarnationOf } from "./_upstreamIncarnation.js";
@@ -69,6 +70,7 @@
         this.sentAtMilliseconds = now;
         this.#heardAtMilliseconds = now;
         context.recordSent(facts.attributes);
+        context.rejectionBounds.recordSent(this.#use(now), now);
         context.loads.recordStarted(upstream.id);
         context.contact.recordSent(upstream.id, now);
         context.backlog.recordSent(upstream.id, facts.promptTokens, now);
@@ -171,6 +173,7 @@
                 health.recordUnreachable(id, now);
                 return true;
             case "not-run":
+                this.#context.rejectionBounds.recordRejected(this.#use(now), now);
                 return true;
             default:
                 health.recordFailure(id, now);
@@ -212,6 +215,13 @@
         this.release();
     }
 
+    #use(nowMilliseconds: number): UpstreamUse {
+        const { loads } = this.#context;
+        const { id, service, slots } = this.upstream;
+        const requests = loads.estimate(id, nowMilliseconds);
+        return { id, service, slots, ownRequests: loads.inFlight(id), requests };
+    }
+
     #recordSent(): void {
         const { adapterUse, metrics, prompts } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
--- a/src/entry/_failureReason.ts
+++ b/src/entry/_failureReason.ts
@@ -10,6 +10,7 @@
     | AttemptFailure
     | "no-upstream"
     | "all-full"
+    | "rejection-bounds"
     | "prompts-unread"
     | "upstreams-pause"
     | "upstream-limit"
--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -69,13 +69,24 @@
 
     /**
      * Chooses among upstreams; excluded are unreachable, paused and already tried ones, and those that need a permit
-     * which is not at hand.
+     * which is not at hand, or may reject one request too many.
      *
      * @param upstreams The upstreams that could run the request.
      * @param isWaiting True for a request that has waited.
      */
     choose(upstreams: readonly UpstreamAnnouncement[], isWaiting: boolean): Choice {
-        return chooseUpstream(this.#candidates(upstreams, isWaiting), this.#context.random);
+        const candidates = this.#candidates(upstreams, isWaiting);
+        const accepting = candidates.filter(candidate => this.#isWithinBounds(candidate));
+        const choice = chooseUpstream(accepting, this.#context.random);
+        const isBound = accepting.length < candidates.length && (choice.type === "none" || choice.type === "all-full");
+        return isBound ? { type: "may-reject" } : choice;
+    }
+
+    /** Returns false for an upstream that tolerates few rejections, where the request may cause one too many. */
+    #isWithinBounds({ id, requests, slots }: Candidate): boolean {
+        const { loads, rejectionBounds } = this.#context;
+        const use = { id, service: this.#facts.service ?? "", slots, requests, ownRequests: loads.inFlight(id) };
+        return rejectionBounds.accepts(use, this.#now());
     }
 
     /** Returns the upstreams that could run the request, but need a permit of their rate limit that is not at hand. */
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -351,6 +351,7 @@
             onJoined: () => this.#planner.recordEnginesJoined(),
             onChanged: () => this.#handleUpstreamsChanged(),
             onCrashNews: () => this.#scheduleCrashNews(),
+            sendingHosts: () => this.#rateLimiting.sendingHosts(),
             onLimitChanged: change => this.#handleLimitChange(change),
         });
     }
@@ -613,7 +614,7 @@
 
     #createForwardingContext(): ForwardingContext {
         const { logger, metrics, protocol, random } = this.#options;
-        const { backlog, crashes, health, loads, pauses, prompts, residency, view } = this.#upstreams;
+        const { backlog, crashes, health, loads, pauses, prompts, rejectionBounds, residency, view } = this.#upstreams;
         return {
             zone: this.#settings.zone,
             headers: protocol.headers,
@@ -627,6 +628,7 @@
             health,
             pauses,
             rateLimiting: this.#rateLimiting,
+            rejectionBounds,
             budget: this.#budget,
             crashes,
             streamVersions: this.#streamVersions,
@@ -1073,6 +1075,7 @@
         metrics.gauge("store_silence_seconds", this.#reachability.secondsSinceAnswer());
         metrics.gauge("upstreams", this.#upstreams.view.all().length);
         metrics.gauge("limited_upstreams", this.#upstreams.limits.countInForce());
+        metrics.gauge("brittle_upstreams", this.#upstreams.tolerances.countInForce());
         metrics.gauge("requests_open", this.#forwarder.openRequestCount);
         metrics.gauge("peers_heard", this.#peers.withRecentDigest(this.#now()).length);
         metrics.gauge("prompt_bound_tokens", this.#upstreams.backlog.limitTokens);
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -267,6 +267,9 @@
         else if (choice.type === "all-full") {
             this.#waitOrRefuse("all-full", EXPECTED_CAPACITY_MILLISECONDS);
         }
+        else if (choice.type === "may-reject") {
+            this.#waitOrRefuse("rejection-bounds", EXPECTED_CAPACITY_MILLISECONDS);
+        }
         else if (choice.type === "reading") {
             this.#waitForPrefill();
         }
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -20,6 +20,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
+import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
@@ -41,6 +42,7 @@
     readonly health: UpstreamHealth;
     readonly pauses: UpstreamPauses;
     readonly rateLimiting: RateLimiting;
+    readonly rejectionBounds: RejectionBounds;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
     readonly streamVersions: StreamVersions;
--- a/src/entry/rateLimiting.ts
+++ b/src/entry/rateLimiting.ts
@@ -42,7 +42,7 @@
 export class RateLimiting {
     readonly limiter: RateLimiter;
     readonly #options: RateLimitingOptions;
-    #fleet: (Fleet & { readonly atMilliseconds: number; }) | undefined;
+    #fleet: (Fleet & { readonly atMilliseconds: number; readonly sendingHosts: readonly string[]; }) | undefined;
     #timer: NodeJS.Timeout | undefined;
     #wakeScheduled = false;
     #closed = false;
@@ -84,6 +84,11 @@
         this.update();
     }
 
+    /** Returns the hosts that send requests, this one included while it leaves; the same array for a short time. */
+    sendingHosts(): readonly string[] {
+        return this.#describeFleet().sendingHosts;
+    }
+
     close(): void {
         this.#closed = true;
         this.#stopTimer();
@@ -114,7 +119,7 @@
         }
     }
 
-    #describeFleet(): Fleet {
+    #describeFleet(): Fleet & { readonly sendingHosts: readonly string[]; } {
         const { host, isLeaving, peers, readClock } = this.#options;
         const now = readClock();
         if (this.#fleet === undefined || now - this.#fleet.atMilliseconds >= FLEET_LIFETIME_MILLISECONDS) {
@@ -123,6 +128,7 @@
             this.#fleet = {
                 atMilliseconds: now,
                 liveHosts: isLeaving() ? livePeers : [...livePeers, host],
+                sendingHosts: [...livePeers, host],
                 hostCount: peers.all(now).length + 1,
                 isCellPeer: other => cell.has(other),
             };
--- a/src/entry/siteProtocol.ts
+++ b/src/entry/siteProtocol.ts
@@ -37,6 +37,8 @@
     readonly upstreamLeaving: string;
     /** Requests a second that the upstream that answered accepts from all hosts together. */
     readonly rateLimit: string;
+    /** Requests a second, of all hosts together, that the upstream that answered may reject before it fails. */
+    readonly rejectionTolerance: string;
     /** Present where an upstream did not run the request. */
     readonly notRun: string;
     /** Priority of a request at an engine; 0 is the most urgent. */
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -30,12 +30,19 @@
 import { UpstreamContact } from "../partitions/index.js";
 import { ResidencyView } from "../placement/index.js";
 import { type KeyValueEntry } from "../platform/index.js";
-import { type LimitChange, NamedLimits } from "../rateLimits/index.js";
+import {
+    type LimitChange,
+    type LimitObservation,
+    NamedLimits,
+    type ParsedRateLimit,
+    RejectionBounds,
+} from "../rateLimits/index.js";
 import {
     type AnswerStatusAndHeaders,
     isFromOtherUpstream,
     readLoad,
     readRateLimit,
+    readRejectionTolerance,
     readRequestedPause,
     reportsLeaving,
 } from "./_answerHead.js";
@@ -62,6 +69,8 @@
     readonly onChanged: () => void;
     /** Called where something may have been learned of crashes that peers should hear soon. */
     readonly onCrashNews: () => void;
+    /** Returns the hosts that send requests; the same array while they are the same. */
+    readonly sendingHosts: () => readonly string[];
     /** An answer to this host changed a limit. */
     readonly onLimitChanged: (change: LimitChange) => void;
 }
@@ -78,6 +87,9 @@
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
+    /** Rejections a second that upstreams tolerate. */
+    readonly tolerances = new NamedLimits();
+    readonly rejectionBounds: RejectionBounds;
     readonly contact = new UpstreamContact();
     readonly #options: UpstreamTrackerOptions;
     /** The last unreadable limit of each upstream, which is logged once. */
@@ -92,6 +104,12 @@
         this.#options = options;
         this.backlog = new PrefillBacklog(options.random);
         this.crashes = new CrashAttribution(options.host);
+        this.rejectionBounds = new RejectionBounds({
+            host: options.host,
+            tolerances: this.tolerances,
+            sendingHosts: options.sendingHosts,
+            upstreamsOf: service => this.view.usable(service).toSorted((left, right) => left.id < right.id ? -1 : 1),
+        });
     }
 
     /** Applies an upstream's announcement from the key-value service; a new start time means that it crashed before. */
@@ -108,7 +126,7 @@
         const previous = this.view.get(id);
         if (previous !== undefined && previous.startedAtMilliseconds !== decoded.value.startedAtMilliseconds) {
             this.#recordCrash(previous);
-            this.limits.forget(id);
+            this.#forgetNamed(id);
         }
         const changes = this.view.put(decoded.value);
         if (changes.length > 0) {
@@ -142,7 +160,10 @@
             this.#recordLeaving(upstream);
         }
         this.#recordPause(upstream.id, head);
-        this.#recordLimit(upstream, head, sentAtMilliseconds);
+        if (!isFromOtherUpstream(head, upstream.id, headers) && this.isPresent(upstream)) {
+            this.#recordLimit(upstream, head, sentAtMilliseconds);
+            this.#recordTolerance(upstream, head, sentAtMilliseconds);
+        }
     }
 
     /** Returns whether an upstream is known, and no later incarnation of it. */
@@ -238,26 +259,58 @@
 
     #recordLimit(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
         const { headers, host } = this.#options;
-        if (isFromOtherUpstream(head, upstream.id, headers) || !this.isPresent(upstream)) {
-            return;
-        }
         const limit = readRateLimit(head, headers);
         if (limit?.type === "unreadable") {
             this.#reportUnreadableLimit(upstream.id, String(head.headers[headers.rateLimit]));
         }
-        const change = this.limits.record({
-            upstream: { id: upstream.id, startedAtMilliseconds: upstream.startedAtMilliseconds },
-            requestsPerSecond: limit?.type === "limit" ? limit.requestsPerSecond : undefined,
-            sentAtMilliseconds,
-            receivedAtMilliseconds: this.#now(),
-            receivedBy: host,
-        });
+        const change = this.limits.record(this.#observe(upstream, limit, sentAtMilliseconds));
         if (change !== undefined) {
             this.reportLimitChange(change, host);
             this.#options.onLimitChanged(change);
         }
     }
 
+    #recordTolerance(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
+        const { headers, logger, metrics } = this.#options;
+        const tolerance = readRejectionTolerance(head, headers);
+        if (tolerance?.type === "unreadable") {
+            metrics.count("rejection_tolerances", { outcome: "unreadable" });
+        }
+        const change = this.tolerances.record(this.#observe(upstream, tolerance, sentAtMilliseconds));
+        if (change === undefined) {
+            return;
+        }
+        const outcome = change.requestsPerSecond === undefined ? "withdrawn" : "named";
+        metrics.count("rejection_tolerances", { outcome });
+        logger.info("upstream rejection tolerance changed", {
+            upstream: upstream.id,
+            outcome,
+            toleratedPerSecond: change.requestsPerSecond,
+            previousToleratedPerSecond: change.previousRequestsPerSecond,
+        });
+    }
+
+    #observe(
+        { id, startedAtMilliseconds }: UpstreamAnnouncement,
+        limit: ParsedRateLimit | undefined,
+        sentAtMilliseconds: number,
+    ): LimitObservation {
+        return {
+            upstream: { id, startedAtMilliseconds },
+            requestsPerSecond: limit?.type === "limit" ? limit.requestsPerSecond : undefined,
+            sentAtMilliseconds,
+            receivedAtMilliseconds: this.#now(),
+            receivedBy: this.#options.host,
+        };
+    }
+
+    /** Drops what an earlier incarnation of an upstream named. */
+    #forgetNamed(upstream: string): void {
+        this.limits.forget(upstream);
+        this.tolerances.forget(upstream);
+        this.rejectionBounds.forget(upstream);
+    }
+
     #reportUnreadableLimit(upstream: string, value: string): void {
         this.#options.metrics.count("upstream_limits", { outcome: "unreadable" });
         if (this.#unreadableLimits.get(upstream) !== value) {
@@ -337,6 +390,8 @@
 
     #handleChange(change: UpstreamChange): void {
         if (change.type === "left") {
+            this.tolerances.forget(change.upstream.id);
+            this.rejectionBounds.forget(change.upstream.id);
             this.#forget(change.upstream, change.reason);
         }
         if (change.type === "joined") {
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -46,6 +46,8 @@
     | { readonly type: "send"; readonly upstream: string; }
     /** Every candidate has its maximum number of requests. */
     | { readonly type: "all-full"; }
+    /** Those that have room tolerate few rejections, and may reject the request. */
+    | { readonly type: "may-reject"; }
     /** An engine has room, and accepts the request once it has prefilled more of its backlog. */
     | { readonly type: "reading"; }
     | { readonly type: "none"; };
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -23,6 +23,10 @@
     upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
     crash_convictions: { help: "Convictions of what crashes upstreams, made or lifted.", labels: ["change"] },
     upstream_limits: { help: "Changes of the rate limits that upstreams name.", labels: ["outcome"] },
+    rejection_tolerances: {
+        help: "Changes of the rejections a second that upstreams tolerate.",
+        labels: ["outcome"],
+    },
     limit_permits: {
         help: "Permits for upstreams that name a rate limit, received and used by this host.",
         labels: ["outcome"],
@@ -66,6 +70,7 @@
     configuration_version: { help: "Version of the configuration in force; 0 for none." },
     store_silence_seconds: { help: "Time since the key-value service answered last." },
     upstreams: { help: "Upstreams in view." },
+    brittle_upstreams: { help: "Upstreams that name how few rejections they tolerate." },
     limited_upstreams: { help: "Upstreams that name a rate limit." },
     requests_open: { help: "Requests being served." },
     engines_held: { help: "Engines that this host gives orders to." },
--- a/src/rateLimits/index.ts
+++ b/src/rateLimits/index.ts
@@ -22,4 +22,5 @@
     RateLimiter,
     type RateLimiterOptions,
 } from "./rateLimiter.js";
+export { RejectionBounds, type RejectionBoundsOptions, type UpstreamUse } from "./rejectionBounds.js";
 export { type WaitingRequest } from "./waitingGroups.js";
