Merge the bound on requests that brittle upstreams reject

Tests read before merging: only added.

A failed try: the first run after joining had 48 failures, since the context of forwarding lacked the new part, which the type check had said.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -198,6 +198,7 @@
             onJoined: () => this.#engines.planner.recordEnginesJoined(),
             onChanged: () => this.#handleUpstreamsChanged(),
             onCrashNews: () => this.#urgentDigests.scheduleCrashNews(),
+            sendingHosts: () => this.#rateLimiting.sendingHosts(),
             onLimitChanged: change => {
                 this.#rateLimiting.handleLimitChange();
                 this.#urgentDigests.publishLimitChange(change);
