Lay pauses of upstreams over changes and hosts that stop

Each of the 21 changes of the tests of the configuration, SIGTERM among them, is made within 0.4 s of a pause of 1.5 to 2.0 s of the first, some or all upstreams, whose requests reset at a second upstream after 600 ms.

--- /dev/null
+++ b/tests/pausedEngineChanges.test.ts
@@ -0,0 +1,9 @@
+/**
+ * Engines pause beside changes of each part of the configuration: no request may be lost.
+ *
+ * @module
+ */
+import { testChangesBesidePauses } from "./support/changeRuns.js";
+import { PART_CHANGES } from "./support/changeSite.js";
+
+testChangesBesidePauses(PART_CHANGES);
--- a/tests/support/changeRuns.ts
+++ b/tests/support/changeRuns.ts
@@ -7,6 +7,7 @@
 import { describe, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { createSeededRandom, type RandomSource } from "../../src/decision/index.js";
+import { type Behaviour } from "../../standins/platform/upstream.js";
 import { type Change, type ChangeSite, SHORT_TIMEOUT_MILLISECONDS, startChangeSite } from "./changeSite.js";
 import { measureStalls } from "./processStalls.js";
 import { type Outcome, RequestStates } from "./requestStates.js";
@@ -26,6 +27,17 @@
 /** A final answer is due at most this long after its route's time limit. */
 const ANSWER_TOLERANCE_MILLISECONDS = 500;
 
+const SHORTEST_PAUSE_MILLISECONDS = 1_500;
+const PAUSE_SPREAD_MILLISECONDS = 500;
+
+/** Share of the runs in which all upstreams pause. */
+const ALL_PAUSE_SHARE = 0.4;
+
+/** A change is made at most this long after the start of a pause. */
+const CHANGE_IN_PAUSE_MILLISECONDS = 400;
+
+const FAILING_REPLACEMENT: Behaviour = { type: "reset", afterMilliseconds: 600 };
+
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -116,9 +128,9 @@
     return host.lines.findLast(({ message }) => message === "configuration in force")?.fields["version"];
 }
 
-async function runChange(change: Change, seed: number): Promise<void> {
+async function runChange(change: Change, seed: number, replacementAnswer?: Behaviour): Promise<void> {
     const random = createSeededRandom(seed);
-    const site = await startChangeSite(random);
+    const site = await startChangeSite(random, replacementAnswer);
     try {
         assert.deepEqual(await findFaults(change, site, random), []);
         assert.deepEqual(site.host.lines.filter(({ message }) => message === "request handling failed"), []);
@@ -143,3 +155,35 @@
         }
     });
 }
+
+/** Pauses the first and some other upstreams of the site, or all of them, and makes the change while they pause. */
+function besidePause(change: Change): Change {
+    return {
+        ...change,
+        apply: async (site, random) => {
+            const pauseMilliseconds = SHORTEST_PAUSE_MILLISECONDS + random() * PAUSE_SPREAD_MILLISECONDS;
+            const share = random();
+            const paused = site.site.upstreams.filter((_, index) =>
+                index === 0 || share < ALL_PAUSE_SHARE || random() < share
+            );
+            paused.forEach(upstream => upstream.pause(pauseMilliseconds));
+            await delay(random() * CHANGE_IN_PAUSE_MILLISECONDS);
+            await change.apply(site, random);
+        },
+    };
+}
+
+/**
+ * Defines a test for each change, made while upstreams pause whose requests no other upstream answers.
+ *
+ * @param changes The changes.
+ */
+export function testChangesBesidePauses(changes: readonly Change[]): void {
+    describe("no request is lost beside a pause and a change", { concurrency: CONCURRENCY }, () => {
+        for (const [index, change] of changes.entries()) {
+            test(`no request is lost beside a pause of upstreams and a change: ${change.name}`, async () => {
+                await runChange(besidePause(change), SEED * changes.length + index, FAILING_REPLACEMENT);
+            });
+        }
+    });
+}
--- a/tests/support/changeSite.ts
+++ b/tests/support/changeSite.ts
@@ -99,12 +99,18 @@
 }
 
 /** Returns how an upstream answers a request: by the last part of its path. */
-function createBehaviour(random: RandomSource): (request: ReceivedRequest) => Behaviour {
+function createBehaviour(
+    random: RandomSource,
+    replacementAnswer: Behaviour | undefined,
+): (request: ReceivedRequest) => Behaviour {
     const seen = new Set<string>();
     return ({ id, path }) => {
         const [action = "", argument] = (path.split("/")[2] ?? "").split("-");
         const isFirst = !seen.has(id);
         seen.add(id);
+        if (!isFirst && replacementAnswer !== undefined) {
+            return replacementAnswer;
+        }
         const behaviours: Readonly<Record<string, () => Behaviour>> = {
             slow: () => ({ type: "answer", afterMilliseconds: SLOW_MILLISECONDS }),
             head: () => ({ type: "answer", bodyAfterMilliseconds: SLOW_MILLISECONDS }),
@@ -137,13 +143,18 @@
     }
 }
 
-/** Starts the site, with all upstreams known to its hosts and the rate limit of one of them told. */
-export async function startChangeSite(random: RandomSource): Promise<ChangeSite> {
+/**
+ * Starts the site, with all upstreams known to its hosts and the rate limit of one of them told.
+ *
+ * @param random Varies the times of silent upstreams.
+ * @param replacementAnswer How upstreams answer requests that another one received before; by default as that one did.
+ */
+export async function startChangeSite(random: RandomSource, replacementAnswer?: Behaviour): Promise<ChangeSite> {
     const site = await EntrySite.start();
     const put = (parts: ConfigurationParts): void =>
         site.configure(parts.routes, undefined, { services: parts.services, limits: parts.limits });
     put(BASE);
-    const behave = createBehaviour(random);
+    const behave = createBehaviour(random, replacementAnswer);
     const slots: Readonly<Record<string, number>> = { plain: 200, other: 200, limited: 50, tight: 1 };
     for (const service of ["plain", "plain", "other", "other", "limited", "tight"]) {
         const id = `i-${service}-${site.upstreams.length}`;
