--- a/tests/support/heldAnswer.ts
+++ b/tests/support/heldAnswer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request as sendRequest } from "node:http";
+import { type Agent, request as sendRequest } from "node:http";
 import { type EntrySettings } from "../../src/entry/index.js";
 import { type CallerAnswer, type CallerRequest, HOST_NAME } from "./entrySite.js";
 
@@ -12,6 +12,11 @@
     readonly longestGapMilliseconds: number;
 }
 
+/** A request, and the connections on which it may be sent; by default on one of its own. */
+export interface HeldRequest extends CallerRequest {
+    readonly agent?: Agent;
+}
+
 /** An answer in progress. */
 export interface HeldAnswer {
     /** Resolves once the answer has ended, complete or not. */
@@ -36,7 +41,7 @@
  */
 export function holdAnswer(
     host: { readonly settings: Pick<EntrySettings, "callers">; },
-    request: CallerRequest,
+    request: HeldRequest,
     isPaused = false,
 ): HeldAnswer {
     requestCount += 1;
@@ -72,7 +77,7 @@
         const clientRequest = sendRequest({
             host: address,
             port,
-            agent: false,
+            agent: request.agent ?? false,
             method: request.method ?? "GET",
             path: request.path,
             headers: {
