--- a/src/entry/_streamJournalWriter.ts
+++ b/src/entry/_streamJournalWriter.ts
@@ -41,6 +41,8 @@
     /** Part of the keys, so that a host that starts anew leaves the entries of its previous process. */
     readonly #processTag: string;
     #lease: { readonly lease: string; readonly grantedAtMilliseconds: number; } | undefined;
+    /** When each stream was added that was not yet taken for a write. */
+    #addedAtMilliseconds: number[] = [];
     #timer: NodeJS.Timeout | undefined;
     #wroteAtMilliseconds = Number.NEGATIVE_INFINITY;
     #closed = false;
@@ -52,6 +54,7 @@
 
     add(stream: BegunStream): void {
         this.#journal.add(stream, this.#options.readClock());
+        this.#addedAtMilliseconds.push(this.#options.readClock());
         if (!this.#closed) {
             this.#timer ??= setTimeout(() => void this.#writeDue(), this.#delayMilliseconds());
         }
@@ -72,10 +75,23 @@
         const lease = await this.#currentLease();
         this.#timer = undefined;
         if (lease !== undefined) {
-            await Promise.all(this.#journal.takeDue().map(entry => this.#write(entry, lease)));
+            const addedAtMilliseconds = this.#addedAtMilliseconds;
+            this.#addedAtMilliseconds = [];
+            const areWritten = await Promise.all(this.#journal.takeDue().map(entry => this.#write(entry, lease)));
+            if (areWritten.every(isWritten => isWritten)) {
+                this.#logWritten(addedAtMilliseconds);
+            }
         }
     }
 
+    #logWritten(addedAtMilliseconds: readonly number[]): void {
+        const { logger, readClock } = this.#options;
+        logger.info("streams recorded", {
+            streams: addedAtMilliseconds.length,
+            oldestMilliseconds: Math.round(readClock() - Math.min(...addedAtMilliseconds)),
+        });
+    }
+
     async #currentLease(): Promise<string | undefined> {
         const now = this.#options.readClock();
         if (this.#lease !== undefined && now - this.#lease.grantedAtMilliseconds < LEASE_USE_MILLISECONDS) {
@@ -86,7 +102,7 @@
         return this.#lease?.lease;
     }
 
-    async #write({ slot, streams }: DueEntry, lease: string): Promise<void> {
+    async #write({ slot, streams }: DueEntry, lease: string): Promise<boolean> {
         const { host, keyValue, logger } = this.#options;
         const key = `${JOURNAL_KEY_PREFIX}${host}/${this.#processTag}-${slot}`;
         const record: StreamJournalRecord = { streams };
@@ -97,12 +113,13 @@
             lease,
         });
         if (swapped.isErr()) {
-            logger.debug("streams not recorded", { reason: swapped.error.kind, detail: swapped.error.message });
+            logger.info("streams not recorded", { reason: swapped.error.kind, detail: swapped.error.message });
             if (swapped.error.kind === "rejected") {
                 this.#lease = undefined;
             }
-            return;
+            return false;
         }
         this.#revisions.set(key, entryAfterSwap({ key, value }, swapped.value)?.revision ?? 0);
+        return swapped.value.type === "written";
     }
 }
--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -24,6 +24,8 @@
     readonly allows: (upstream: UpstreamAnnouncement) => boolean;
     /** Returns whether the request is a stream of which the caller has a part already. */
     readonly isResumed: () => boolean;
+    /** Returns the only version at which the request may go on; `undefined` where any may serve it. */
+    readonly neededVersion: () => string | undefined;
 }
 
 /** Evaluates the current upstreams of a request's service, without those that have failed the request. */
@@ -33,6 +35,7 @@
     readonly #permitRequest: () => WaitingRequest;
     readonly #allows: (upstream: UpstreamAnnouncement) => boolean;
     readonly #isResumed: () => boolean;
+    readonly #neededVersion: () => string | undefined;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
 
@@ -44,12 +47,13 @@
     constructor(
         context: ForwardingContext,
         facts: RequestFacts,
-        { allows, isResumed, permitRequest }: UpstreamSelectionOptions,
+        { allows, isResumed, neededVersion, permitRequest }: UpstreamSelectionOptions,
     ) {
         this.#context = context;
         this.#facts = facts;
         this.#allows = allows;
         this.#isResumed = isResumed;
+        this.#neededVersion = neededVersion;
         this.#permitRequest = permitRequest;
     }
 
@@ -206,10 +210,32 @@
     }
 
     /** Returns log fields with the numbers of upstreams that a choice was made from. */
-    describe(): Record<string, number> {
+    describe(): Record<string, number | string> {
         const usable = this.usable();
         const resident = usable.filter(upstream => this.residencyAt(upstream) === "held");
-        return { usableUpstreams: usable.length, residentUpstreams: resident.length, triedUpstreams: this.#tried.size };
+        return {
+            usableUpstreams: usable.length,
+            residentUpstreams: resident.length,
+            triedUpstreams: this.#tried.size,
+            ...this.#describeVersion(usable),
+        };
+    }
+
+    /** Returns log fields with the copies at the only version at which the request may go on, and elsewhere. */
+    #describeVersion(usable: readonly UpstreamAnnouncement[]): Record<string, number | string> {
+        const neededVersion = this.#neededVersion();
+        if (neededVersion === undefined) {
+            return {};
+        }
+        const { residency, view } = this.#context;
+        const { model = "", service = "" } = this.#facts;
+        const others = view.usable(service).filter(({ softwareVersion }) => softwareVersion !== neededVersion);
+        return {
+            neededVersion,
+            loadingUpstreams: usable.filter(({ id }) => residency.loading(id) === model).length,
+            copiesWithoutAdapter: usable.filter(each => this.residencyAt(each) === "adapter-missing").length,
+            residentElsewhere: others.filter(each => this.residencyAt(each) === "held").length,
+        };
     }
 
     #now(): number {
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -121,6 +121,7 @@
             permitRequest: () => this.#permitWait.request,
             allows: upstream => this.#progress.allows(upstream),
             isResumed: () => this.#progress.version !== undefined,
+            neededVersion: () => this.#progress.version,
         });
         this.#answer = new CallerAnswer({
             response: request.response,
@@ -954,6 +955,7 @@
         this.#context.metrics.count("refusals", { reason });
         this.#log("request refused", {
             reason,
+            resumes: this.#facts.resumedRequest,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
             ...describeLimit(this.#context, this.#permitWait.upstream),
