--- a/tests/streamVersions.test.ts
+++ b/tests/streamVersions.test.ts
@@ -7,7 +7,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { ranOf, reasonOf } from "./support/entrySite.js";
+import { ranOf, reasonOf, until } from "./support/entrySite.js";
 import {
     isWholeOfOneVersion,
     NEW_VERSION,
@@ -27,8 +27,21 @@
 /** Of the streams that break off, at least this share must go on. */
 const RESUMED_SHARE = 0.9;
 
-async function startSite(context: TestContext, versions?: readonly string[]): Promise<VersionedSite> {
-    const site = await VersionedSite.start(versions);
+/** Time that engines need to read a prompt and send the first event. */
+const FIRST_TOKEN_MILLISECONDS = 80;
+
+/** Time for which callers have had the first event of a stream when its host is killed. */
+const FIRST_EVENT_AGE_MILLISECONDS = 25;
+
+/** Time between the starts of two streams that begin one after another. */
+const START_INTERVAL_MILLISECONDS = 8;
+
+async function startSite(
+    context: TestContext,
+    versions?: readonly string[],
+    firstTokenMilliseconds?: number,
+): Promise<VersionedSite> {
+    const site = await VersionedSite.start(versions, firstTokenMilliseconds);
     context.after(() => site.close());
     return site;
 }
@@ -122,6 +135,26 @@
     assertMostWhole(resumed);
 });
 
+test("streams whose first event came just before all hosts were killed are not refused as unknown", async context => {
+    const site = await startSite(context, undefined, FIRST_TOKEN_MILLISECONDS);
+    const earlier: Promise<VersionedStream>[] = [];
+    for (let index = 0; index < STREAMS; index += 1) {
+        earlier.push(...site.begin(1, [index % HOSTS.length]));
+        await delay(START_INTERVAL_MILLISECONDS);
+    }
+    const latest = site.begin(STREAMS);
+    await until(() => site.runCount() === 2 * STREAMS);
+    await delay(FIRST_TOKEN_MILLISECONDS + FIRST_EVENT_AGE_MILLISECONDS);
+    await Promise.all(HOSTS.map(index => site.killHost(index)));
+    await Promise.all(earlier);
+    const broken = (await Promise.all(latest)).filter(stream => isBroken(stream) && stream.events.length > 0);
+    assert.ok(broken.length > STREAMS / 2, `${broken.length} broken`);
+    await Promise.all(HOSTS.map(index => site.restartHost(index)));
+    const resumed = await resumeAll(site, broken, HOSTS);
+    assertNoneJoined(resumed);
+    assertMostWhole(resumed);
+});
+
 test("streams of a version that left while all hosts were down are refused as not run", async context => {
     const site = await startSite(context);
     const broken = await breakStreams(site, HOSTS);
--- a/tests/support/versionedStreams.ts
+++ b/tests/support/versionedStreams.ts
@@ -53,15 +53,25 @@
 /** Hosts and engines; `close` stops them. */
 export class VersionedSite {
     readonly site: EntrySite;
+    readonly #firstTokenMilliseconds: number;
     #requestCount = 0;
 
-    private constructor(site: EntrySite) {
+    private constructor(site: EntrySite, firstTokenMilliseconds: number) {
         this.site = site;
+        this.#firstTokenMilliseconds = firstTokenMilliseconds;
     }
 
-    /** Starts hosts, and engines of the given versions. */
-    static async start(versions: readonly string[] = [OLD_VERSION, NEW_VERSION]): Promise<VersionedSite> {
-        const versionedSite = new VersionedSite(await EntrySite.start());
+    /**
+     * Starts hosts, and engines of the given versions.
+     *
+     * @param versions The engines' versions.
+     * @param firstTokenMilliseconds Time until an engine sends the first event of a stream.
+     */
+    static async start(
+        versions: readonly string[] = [OLD_VERSION, NEW_VERSION],
+        firstTokenMilliseconds = 0,
+    ): Promise<VersionedSite> {
+        const versionedSite = new VersionedSite(await EntrySite.start(), firstTokenMilliseconds);
         const { site } = versionedSite;
         const streams = { kind: "stream", resumable: true, targetGapMs: 150, timeoutMs: 12_000, maxAttempts: 3 };
         site.configure([{ pathPrefix: "/llm/", service: "llm", ...streams }]);
@@ -84,7 +94,12 @@
                 slots: 50,
                 softwareVersion,
                 models: { [MODEL]: [] },
-                behave: () => ({ type: "stream", events: EVENTS, gapMilliseconds: EVENT_GAP_MILLISECONDS }),
+                behave: () => ({
+                    type: "stream",
+                    events: EVENTS,
+                    gapMilliseconds: EVENT_GAP_MILLISECONDS,
+                    firstTokenMilliseconds: this.#firstTokenMilliseconds,
+                }),
             }, "llm");
         }
     }
