Record streams when they are sent, so that a loss of all hosts leaves none unknown

Cause: a stream was told to its keeper after its first event and written up to 200 ms later. Ruled out: copies at the version (no model-missing for a resumed stream).

Change: hosts are told 10 ms after the send, unless the stream was turned away before; from then on the request stays at that version, and no attempt goes to another version while one before may still send the first event. One host writes for each 16, at most 8, all together at most 40 times a second as before. A write that failed is repeated.

--- a/src/entry/_streamJournalWriter.ts
+++ b/src/entry/_streamJournalWriter.ts
@@ -12,11 +12,21 @@
 /** Prefix of the journal's keys. */
 export const JOURNAL_KEY_PREFIX = "streams/begun/";
 
-/** Time between two writes; streams that began since the last one cannot go on once all hosts have stopped. */
-const WRITE_INTERVAL_MILLISECONDS = 200;
+/**
+ * Time between two writes where one host writes all streams; streams that were sent since the last write may be unknown
+ * once all hosts have stopped. With more groups of streams it is as much longer, so that all hosts together write 40
+ * times a second at most.
+ */
+const WRITE_INTERVAL_MILLISECONDS = 25;
 
 /** Time before a write that comes long after the last one, for streams that begin together. */
-const FIRST_WRITE_DELAY_MILLISECONDS = 20;
+const FIRST_WRITE_DELAY_MILLISECONDS = 5;
+
+/** Time before a write that follows a failed one. */
+const RETRY_DELAY_MILLISECONDS = 200;
+
+/** Entries written at a time; after an outage of the key-value service many are due. */
+const MAXIMUM_ENTRIES_PER_WRITE = 8;
 
 /** Entries expire this long after they were last written, or somewhat sooner. */
 const LEASE_MILLISECONDS = 120_000;
@@ -27,13 +37,13 @@
 /** Options of {@linkcode StreamJournalWriter}. */
 export interface StreamJournalWriterOptions {
     readonly host: string;
-    readonly keyValue: KeyValueService;
+    readonly keyValue: Pick<KeyValueService, "compareAndSwap" | "grantLease">;
     readonly logger: Logger;
     readonly random: () => number;
     readonly readClock: () => number;
 }
 
-/** Collects streams and writes them some times a second. What a failed write had is written with the next one. */
+/** Collects streams and writes them many times a second. What a failed write had is written with the next one. */
 export class StreamJournalWriter {
     readonly #options: StreamJournalWriterOptions;
     readonly #journal = new StreamJournal();
@@ -44,6 +54,8 @@
     /** When each stream was added that was not yet taken for a write. */
     #addedAtMilliseconds: number[] = [];
     #timer: NodeJS.Timeout | undefined;
+    #isWriting = false;
+    #groupCount = 1;
     #wroteAtMilliseconds = Number.NEGATIVE_INFINITY;
     #closed = false;
 
@@ -52,12 +64,18 @@
         this.#processTag = Math.floor(options.random() * 0x1_0000_0000).toString(36);
     }
 
-    add(stream: BegunStream): void {
-        this.#journal.add(stream, this.#options.readClock());
-        this.#addedAtMilliseconds.push(this.#options.readClock());
-        if (!this.#closed) {
-            this.#timer ??= setTimeout(() => void this.#writeDue(), this.#delayMilliseconds());
-        }
+    /**
+     * Adds a stream to the next write.
+     *
+     * @param stream The stream.
+     * @param groupCount Number of groups that all streams are divided into.
+     */
+    add(stream: BegunStream, groupCount: number): void {
+        const now = this.#options.readClock();
+        this.#groupCount = groupCount;
+        this.#journal.add(stream, groupCount, now);
+        this.#addedAtMilliseconds.push(now);
+        this.#schedule(this.#delayMilliseconds(now));
     }
 
     close(): void {
@@ -65,30 +83,54 @@
         clearTimeout(this.#timer);
     }
 
-    #delayMilliseconds(): number {
-        const sinceWriteMilliseconds = this.#options.readClock() - this.#wroteAtMilliseconds;
-        return Math.max(FIRST_WRITE_DELAY_MILLISECONDS, WRITE_INTERVAL_MILLISECONDS - sinceWriteMilliseconds);
+    #delayMilliseconds(nowMilliseconds: number): number {
+        const intervalMilliseconds = WRITE_INTERVAL_MILLISECONDS * this.#groupCount;
+        const sinceWriteMilliseconds = nowMilliseconds - this.#wroteAtMilliseconds;
+        return Math.max(FIRST_WRITE_DELAY_MILLISECONDS, intervalMilliseconds - sinceWriteMilliseconds);
+    }
+
+    #schedule(milliseconds: number): void {
+        if (!this.#closed && !this.#isWriting) {
+            this.#timer ??= setTimeout(() => void this.#writeDue(), milliseconds);
+        }
     }
 
     async #writeDue(): Promise<void> {
+        this.#timer = undefined;
+        this.#isWriting = true;
         this.#wroteAtMilliseconds = this.#options.readClock();
+        const isWritten = await this.#write();
+        this.#isWriting = false;
+        if (this.#journal.hasDue) {
+            const now = this.#options.readClock();
+            this.#schedule(isWritten ? this.#delayMilliseconds(now) : RETRY_DELAY_MILLISECONDS);
+        }
+    }
+
+    /** Writes the entries that are due; returns whether all were written. */
+    async #write(): Promise<boolean> {
         const lease = await this.#currentLease();
-        this.#timer = undefined;
-        if (lease !== undefined) {
-            const addedAtMilliseconds = this.#addedAtMilliseconds;
-            this.#addedAtMilliseconds = [];
-            const areWritten = await Promise.all(this.#journal.takeDue().map(entry => this.#write(entry, lease)));
-            if (areWritten.every(isWritten => isWritten)) {
-                this.#logWritten(addedAtMilliseconds);
-            }
+        if (lease === undefined) {
+            return false;
+        }
+        const addedAtMilliseconds = this.#addedAtMilliseconds;
+        this.#addedAtMilliseconds = [];
+        const entries = this.#journal.takeDue(MAXIMUM_ENTRIES_PER_WRITE);
+        const areWritten = await Promise.all(entries.map(entry => this.#writeEntry(entry, lease)));
+        const failed = entries.filter((_, index) => areWritten[index] !== true);
+        failed.forEach(entry => this.#journal.putBack(entry));
+        if (failed.length === 0) {
+            this.#logWritten(addedAtMilliseconds);
         }
+        return failed.length === 0;
     }
 
     #logWritten(addedAtMilliseconds: readonly number[]): void {
         const { logger, readClock } = this.#options;
+        const now = readClock();
         logger.info("streams recorded", {
             streams: addedAtMilliseconds.length,
-            oldestMilliseconds: Math.round(readClock() - Math.min(...addedAtMilliseconds)),
+            oldestMilliseconds: Math.round(now - Math.min(now, ...addedAtMilliseconds)),
         });
     }
 
@@ -102,7 +144,7 @@
         return this.#lease?.lease;
     }
 
-    async #write({ slot, streams }: DueEntry, lease: string): Promise<boolean> {
+    async #writeEntry({ slot, streams }: DueEntry, lease: string): Promise<boolean> {
         const { host, keyValue, logger } = this.#options;
         const key = `${JOURNAL_KEY_PREFIX}${host}/${this.#processTag}-${slot}`;
         const record: StreamJournalRecord = { streams };
--- a/src/entry/_streamProgress.ts
+++ b/src/entry/_streamProgress.ts
@@ -4,15 +4,20 @@
  * @module
  */
 import { type UpstreamAnnouncement } from "../fleet/index.js";
+import { type Route } from "../routes/index.js";
 import { decideResumption, type Resumption } from "../streamVersions/index.js";
 import { type CallerRequest, type RequestFacts } from "./_requestFacts.js";
+import { type SentStream } from "./_sentStreams.js";
 import { type LookUpOutcome, type StreamVersions } from "./streamVersions.js";
 
 /** Options of {@linkcode StreamProgress}. */
 export interface StreamProgressOptions {
-    readonly request: Pick<CallerRequest, "requestId" | "route">;
+    readonly request: Pick<CallerRequest, "requestId"> & { readonly route: Pick<Route, "kind" | "resumable">; };
     readonly facts: Pick<RequestFacts, "lastEventId" | "resumedRequest" | "service">;
-    readonly versions: StreamVersions;
+    readonly versions: Pick<
+        StreamVersions,
+        "lookUp" | "mayBegin" | "recordBegun" | "recordSent" | "recordWhole" | "withdrawSent"
+    >;
 }
 
 /** What a stream waits for before it may be sent: nothing, the version that began it, or nothing that could come. */
@@ -26,6 +31,11 @@
     #version: string | undefined;
     #lookUp: LookUpOutcome | undefined;
     #hasBegunHere = false;
+    /** The version of the upstreams that may send the first event. */
+    #sentVersion: string | undefined;
+    #sent: SentStream | undefined;
+    /** Attempts that may still send the first event. */
+    #liveAttempts = 0;
 
     constructor(options: StreamProgressOptions) {
         const { facts, request } = options;
@@ -44,6 +54,11 @@
         return this.#version;
     }
 
+    /** The only version at which the stream may begin or go on; `undefined` where any may serve it. */
+    get boundVersion(): string | undefined {
+        return this.#version ?? this.#sentVersion;
+    }
+
     /** Returns whether the stream may be sent, and binds one that goes on to its version. */
     start(): StreamStart {
         const resumption = this.#resumption();
@@ -74,9 +89,31 @@
         if (!this.#isResumable) {
             return true;
         }
-        return this.#version === undefined
+        const { boundVersion } = this;
+        return boundVersion === undefined
             ? this.#options.versions.mayBegin(service, softwareVersion)
-            : softwareVersion === this.#version;
+            : softwareVersion === boundVersion;
+    }
+
+    /** Records that the stream was sent to an upstream, whose version it is bound to while that may send events. */
+    recordSent({ softwareVersion }: UpstreamAnnouncement): void {
+        if (!this.#isResumable || this.#version !== undefined) {
+            return;
+        }
+        this.#liveAttempts += 1;
+        if (this.#sentVersion === undefined) {
+            this.#sentVersion = softwareVersion;
+            this.#sent = this.#options.versions.recordSent(this.#options.request.requestId, softwareVersion);
+        }
+    }
+
+    /** Records that an attempt has failed; a stream that no other host was told of may then begin at any version. */
+    recordAttemptFailed(): void {
+        this.#liveAttempts = Math.max(0, this.#liveAttempts - 1);
+        if (this.#liveAttempts === 0 && this.#sent?.isTold !== true) {
+            this.#withdrawSent();
+            this.#sentVersion = undefined;
+        }
     }
 
     /** Records that events of an upstream have come; the first one binds the stream to the upstream's version. */
@@ -85,7 +122,7 @@
         if (this.#isResumable && this.#version === undefined) {
             this.#version = softwareVersion;
             this.#hasBegunHere = true;
-            this.#options.versions.recordBegun(this.#options.request.requestId, softwareVersion);
+            this.#tellBegun(softwareVersion);
         }
     }
 
@@ -96,6 +133,20 @@
         }
     }
 
+    #tellBegun(version: string): void {
+        if (this.#sent?.isTold !== true) {
+            this.#withdrawSent();
+            this.#options.versions.recordBegun(this.#options.request.requestId, version);
+        }
+    }
+
+    #withdrawSent(): void {
+        if (this.#sent !== undefined) {
+            this.#options.versions.withdrawSent(this.#sent);
+            this.#sent = undefined;
+        }
+    }
+
     #resumption(): Resumption {
         const found = this.#lookUp?.type === "found" ? this.#lookUp : undefined;
         return decideResumption({
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -121,7 +121,7 @@
             permitRequest: () => this.#permitWait.request,
             allows: upstream => this.#progress.allows(upstream),
             isResumed: () => this.#progress.version !== undefined,
-            neededVersion: () => this.#progress.version,
+            neededVersion: () => this.#progress.boundVersion,
         });
         this.#answer = new CallerAnswer({
             response: request.response,
@@ -239,7 +239,7 @@
             return;
         }
         const usable = this.#selection.usable();
-        if (this.#progress.version !== undefined && usable.length === 0) {
+        if (this.#progress.boundVersion !== undefined && usable.length === 0) {
             this.#refuse("version-gone");
             return;
         }
@@ -410,7 +410,7 @@
     /** Asks for a copy of the model at the version of a stream that goes on; copies at other versions are of no use. */
     #requestCopyOfVersion(): void {
         const { model, service } = this.#facts;
-        const { version } = this.#progress;
+        const version = this.#progress.boundVersion;
         if (model !== undefined && service !== undefined && version !== undefined && !this.#hasRequestedCopy) {
             this.#hasRequestedCopy = true;
             this.#context.requestVersionCopy({ service, model, version });
@@ -480,6 +480,7 @@
         });
         this.#attempt = attempt;
         this.#lastUpstream = upstream.id;
+        this.#progress.recordSent(upstream);
         this.#logSent(attempt, passedOver);
         const ifOpen = (step: () => void): void => {
             if (!this.#ended && (this.#attempt === attempt || this.#quietAttempt === attempt)) {
@@ -831,6 +832,7 @@
             attempt.recordLost();
         }
         attempt.cancel();
+        this.#progress.recordAttemptFailed();
         if (attempt.recordFailure(provenFailure)) {
             this.#selection.recordTried(attempt.upstream.id);
         }
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -20,6 +20,7 @@
     ServiceVersions,
     StreamKeepers,
 } from "../streamVersions/index.js";
+import { type SentStream, SentStreams } from "./_sentStreams.js";
 import { StreamJournalWriter } from "./_streamJournalWriter.js";
 import { VersionRecordWriter, type VersionRecordWriterOptions, VERSIONS_KEY } from "./_versionRecordWriter.js";
 
@@ -92,6 +93,7 @@
     readonly #streams = new BegunStreams();
     readonly #recordWriter: VersionRecordWriter;
     readonly #journal: StreamJournalWriter;
+    readonly #sentStreams = new SentStreams(streams => this.#handleSentStreams(streams));
     readonly #lookUps = new Set<LookUp>();
     #keepers: { readonly keepers: StreamKeepers; readonly atMilliseconds: number; } | undefined;
     #isReading = false;
@@ -112,6 +114,7 @@
     close(): void {
         this.#recordWriter.close();
         this.#journal.close();
+        this.#sentStreams.close();
         clearTimeout(this.#checkTimer);
         clearTimeout(this.#readTimer);
         this.#timers.forEach(timer => clearTimeout(timer));
@@ -149,7 +152,20 @@
         return this.#versions.mayBegin(service, version);
     }
 
-    /** Records that a version has sent the first event of a stream. */
+    /**
+     * Records that a stream was sent to an upstream of a version, so that it is on record once its first event comes;
+     * `undefined` where one version alone is on record.
+     */
+    recordSent(requestId: string, version: string): SentStream | undefined {
+        return this.#versions.hasSeveral() ? this.#sentStreams.add(requestId, version) : undefined;
+    }
+
+    /** Forgets that a stream was sent, where nobody was told. */
+    withdrawSent(sent: SentStream): void {
+        this.#sentStreams.withdraw(sent);
+    }
+
+    /** Records that a version has sent the first event of a stream of which nobody was told. */
     recordBegun(requestId: string, version: string): void {
         const begun = { stream: identifyStream(requestId), version };
         this.#remember(begun);
@@ -197,7 +213,7 @@
         for (const begun of message.streams) {
             this.#remember(begun);
             if (this.#currentKeepers().keepersOf(begun.stream)[0] === this.#options.host) {
-                this.#journal.add(begun);
+                this.#journal.add(begun, this.#currentKeepers().groupCount);
             }
         }
         this.#endKnown("peer");
@@ -218,6 +234,12 @@
         this.check();
     }
 
+    #handleSentStreams(sent: readonly SentStream[]): void {
+        const streams = sent.map(({ stream, version }) => ({ stream, version }));
+        streams.forEach(stream => this.#remember(stream));
+        this.#tellKeepers(streams);
+    }
+
     #remember(begun: BegunStream): void {
         this.#streams.remember(begun, this.#now());
     }
@@ -247,7 +269,7 @@
         for (const begun of streams) {
             const keepers = this.#currentKeepers().keepersOf(begun.stream);
             if (keepers[0] === host) {
-                this.#journal.add(begun);
+                this.#journal.add(begun, this.#currentKeepers().groupCount);
             }
             for (const keeper of keepers.filter(each => each !== host)) {
                 byKeeper.set(keeper, [...byKeeper.get(keeper) ?? [], begun]);
--- a/src/streamVersions/streamKeepers.ts
+++ b/src/streamVersions/streamKeepers.ts
@@ -6,7 +6,10 @@
 import { hashText, rankByRendezvous } from "../decision/index.js";
 
 /** Streams are kept by group, so that few hosts write into the key-value service however many there are. */
-const GROUPS = 8;
+const MAXIMUM_GROUPS = 8;
+
+/** A group for each so many hosts: the fewer hosts write, the more often each may. */
+const HOSTS_PER_GROUP = 16;
 
 /** Hosts that keep each stream, in addition to the one that began it. */
 const KEEPERS_PER_STREAM = 2;
@@ -24,12 +27,17 @@
  * ```
  */
 export class StreamKeepers {
+    /** Number of groups that all streams are divided into. */
+    readonly groupCount: number;
     readonly #hostsByGroup: readonly (readonly string[])[];
 
     /** @param hosts All live hosts. */
     constructor(hosts: readonly string[]) {
+        // Powers of two divide the slots of the journal without a remainder.
+        const exponent = Math.ceil(Math.log2(Math.max(1, hosts.length / HOSTS_PER_GROUP)));
+        this.groupCount = Math.min(MAXIMUM_GROUPS, 2 ** exponent);
         this.#hostsByGroup = Array.from(
-            { length: GROUPS },
+            { length: this.groupCount },
             (_, group) => rankByRendezvous(`streams-${group}`, hosts).slice(0, HOSTS_ASKED),
         );
     }
@@ -41,6 +49,6 @@
 
     /** Returns the hosts that may keep a stream. */
     candidatesFor(stream: string): readonly string[] {
-        return this.#hostsByGroup[hashText(stream) % GROUPS] ?? [];
+        return this.#hostsByGroup[hashText(stream) % this.groupCount] ?? [];
     }
 }
--- a/src/streamVersions/streamVersions.test.ts
+++ b/src/streamVersions/streamVersions.test.ts
@@ -19,6 +19,10 @@
 
 const RETENTION_MILLISECONDS = 60_000;
 const SERVICE = "bag-llm";
+const GROUPS = 8;
+
+/** Entries that all hosts together may have in the key-value service, besides those of processes that have ended. */
+const MAXIMUM_ENTRIES = 128;
 
 function input(versions: readonly string[], restores = 0): NextRecordInput {
     return {
@@ -105,11 +109,11 @@
     const journal = new StreamJournal();
     const [first, second, third] = ["a", "b", "c"].map(identifyStream);
     assert.ok(first !== undefined && second !== undefined && third !== undefined);
-    journal.add({ stream: first, version: "v1" }, 100);
-    const [entry] = journal.takeDue();
-    journal.add({ stream: second, version: "v2" }, 200);
-    journal.add({ stream: third, version: "v2" }, 4_100);
-    const [again, next, ...others] = journal.takeDue();
+    journal.add({ stream: first, version: "v1" }, GROUPS, 100);
+    const [entry] = journal.takeDue(GROUPS);
+    journal.add({ stream: second, version: "v2" }, GROUPS, 200);
+    journal.add({ stream: third, version: "v2" }, GROUPS, 4_100);
+    const [again, next, ...others] = journal.takeDue(GROUPS);
     assert.ok(entry !== undefined && again !== undefined && next !== undefined && others.length === 0);
     assert.equal(entry.slot, again.slot);
     assert.notEqual(again.slot, next.slot);
@@ -118,7 +122,35 @@
         { stream: second, version: "v2" },
     ]);
     assert.deepEqual(readJournalEntry(next.streams), [{ stream: third, version: "v2" }]);
-    assert.deepEqual(journal.takeDue(), []);
+    assert.deepEqual(journal.takeDue(GROUPS), []);
+});
+
+test("the journal writes an entry that could not be written with the next ones, as it is by then", () => {
+    const journal = new StreamJournal();
+    const [first, second] = ["a", "b"].map(identifyStream);
+    assert.ok(first !== undefined && second !== undefined);
+    journal.add({ stream: first, version: "v1" }, 1, 100);
+    const [entry] = journal.takeDue(GROUPS);
+    assert.ok(entry !== undefined && !journal.hasDue);
+    journal.putBack(entry);
+    assert.deepEqual(journal.takeDue(GROUPS), [entry]);
+    journal.add({ stream: second, version: "v1" }, 1, 200);
+    journal.putBack(entry);
+    const [again, ...others] = journal.takeDue(GROUPS);
+    assert.deepEqual([again?.slot, again?.streams, others], [entry.slot, { v1: first + second }, []]);
+});
+
+test("the number of hosts that write the journal, and of its entries, is bounded", () => {
+    const groupsOf = (hosts: number): number =>
+        new StreamKeepers(Array.from({ length: hosts }, (_, index) => `entry-${index}`)).groupCount;
+    assert.deepEqual([1, 7, 16, 17, 40, 100, 390].map(groupsOf), [1, 1, 1, 2, 4, 8, 8]);
+    for (const groups of [1, 2, 4, 8]) {
+        const journal = new StreamJournal();
+        for (let milliseconds = 0; milliseconds < 200_000; milliseconds += 100) {
+            journal.add({ stream: "stream-0", version: "v1" }, groups, milliseconds);
+        }
+        assert.equal(journal.takeDue(1_000).length, MAXIMUM_ENTRIES / groups);
+    }
 });
 
 test("streams are forgotten after a minute", () => {
