Let tests of broken streams wait until all their streams run, not one for each engine

Traced in two of these: the process had read only about half of the 36 requests when the hosts were killed, 1.2 s after they were begun, so that streams without an event were among the broken ones. The fixture waited until each engine had a request; it now also waits until the engines have all of them (within the same 3 s, else the test fails). What the tests ask is unchanged.

--- a/tests/support/versionedStreams.ts
+++ b/tests/support/versionedStreams.ts
@@ -141,9 +141,10 @@
         return Array.from({ length: count }, (_, index) => this.#begin(hostIndexes[index % hostIndexes.length] ?? 0));
     }
 
-    /** Waits until all engines have run streams for some time. */
+    /** Waits until all engines run streams, and all streams that were begun have been running for some time. */
     async untilRunning(milliseconds = RECORDED_MILLISECONDS): Promise<void> {
         await until(() => this.site.upstreams.every(({ received }) => received.length > 0));
+        await until(() => this.runCount() >= this.#requestCount);
         await delay(milliseconds);
     }
 
