Keep the last copy of a model at a version that streams need, and load it there where it is needed little

Cause: the planner counted copies whatever their version. A plan for the demand dropped the last copy at a version although streams there went on at it (nobody had told it while they did); and the plan for a needed copy saw the engines of that version alone, where each model looked like a last copy, so that a model in little demand was never loaded.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -24,6 +24,7 @@
 import { type LimitChange } from "../rateLimits/index.js";
 import { compileRouteTable, resumableStreams, type RouteTable } from "../routes/index.js";
 import { toLeavingIncarnation, toMemory, toPublished, withoutJournal } from "./_gossipParts.js";
+import { VersionCopyRequests } from "./_versionCopyRequests.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
 import { EngineOrders, HOLDER_KEY_PREFIX } from "./engineOrders.js";
@@ -127,6 +128,7 @@
     readonly #restores: StoreRestores;
     readonly #session: HostSession;
     readonly #streamVersions: StreamVersions;
+    readonly #versionCopyRequests = new VersionCopyRequests();
     readonly #partitionWatch: PartitionWatch;
     readonly #planner: FleetPlanner;
     readonly #orders: EngineOrders;
@@ -693,10 +695,13 @@
 
     #requestVersionCopy(need: VersionCopyNeed): void {
         const { planner } = this.#planner;
+        if (planner === undefined || !this.#versionCopyRequests.isDue(need, this.#now())) {
+            return;
+        }
         if (planner === this.#settings.host) {
             this.#planner.recordVersionCopyNeeded(need);
         }
-        else if (planner !== undefined) {
+        else {
             this.#gossip.requestVersionCopy(planner, need);
         }
     }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -95,7 +95,6 @@
     #waitingSinceMilliseconds: number | undefined;
     /** True while the request waits for a copy of its model that another engine is loading. */
     #waitsForCopy = false;
-    #hasRequestedCopy = false;
     /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
     #isDoubted = false;
     #ended = false;
@@ -200,6 +199,7 @@
     #startStream(): void {
         switch (this.#progress.start()) {
             case "ready":
+                this.#requestCopyOfVersion();
                 this.#dispatch();
                 break;
             case "look-up":
@@ -407,12 +407,11 @@
         this.#scheduleDispatch();
     }
 
-    /** Asks for a copy of the model at the version of a stream that goes on; copies at other versions are of no use. */
+    /** Asks that a copy of the model be at the version of a stream that goes on; others are of no use to it. */
     #requestCopyOfVersion(): void {
         const { model, service } = this.#facts;
         const version = this.#progress.boundVersion;
-        if (model !== undefined && service !== undefined && version !== undefined && !this.#hasRequestedCopy) {
-            this.#hasRequestedCopy = true;
+        if (model !== undefined && service !== undefined && version !== undefined) {
             this.#context.requestVersionCopy({ service, model, version });
         }
     }
--- a/src/entry/fleetPlanner.ts
+++ b/src/entry/fleetPlanner.ts
@@ -171,9 +171,14 @@
     }
 
     /** Plans moves for the demand, and those for streams that can go on at one version only. */
-    #planMoves(service: string, input: PlacementInput, nowMilliseconds: number): readonly PlacementMove[] {
-        const planned = planMoves(input);
+    #planMoves(service: string, placement: PlacementInput, nowMilliseconds: number): readonly PlacementMove[] {
         const versionOf = (engine: string): string | undefined => this.#options.view.get(engine)?.softwareVersion;
+        const engines = this.#versionCopies.keepNeeded(
+            { service, engines: placement.engines, versionOf },
+            nowMilliseconds,
+        );
+        const input = { ...placement, engines };
+        const planned = planMoves(input);
         return [...planned, ...this.#versionCopies.plan({ service, input, planned, versionOf }, nowMilliseconds)];
     }
 
--- a/src/placement/_moveEvaluation.ts
+++ b/src/placement/_moveEvaluation.ts
@@ -98,10 +98,9 @@
     { cost, servingCost, input: { definition } }: PlanCosts,
 ): UnloadOption[] {
     const sizeOf = (model: string): number => weightMegabytesOf(definition, model);
-    const pairs = engine.models.flatMap((first, index) =>
-        engine.models.slice(index + 1).map(second => [first, second])
-    );
-    return [...engine.models.map(model => [model]), ...pairs].map(models => {
+    const unloadable = engine.models.filter(model => engine.keptModels?.includes(model) !== true);
+    const pairs = unloadable.flatMap((first, index) => unloadable.slice(index + 1).map(second => [first, second]));
+    return [...unloadable.map(model => [model]), ...pairs].map(models => {
         const sizes = models.map(sizeOf);
         const costIncrease = cost.lossOf(engine.id, models);
         return {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -21,4 +21,4 @@
 export { type Residency, ResidencyView } from "./residencyView.js";
 export { type StoreLoadBound, storeLoadsPerEngine } from "./storeLoadShare.js";
 export { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
-export { VersionCopies, type VersionCopyInput, type VersionCopyNeed } from "./versionCopies.js";
+export { VersionCopies, type VersionCopyInput, type VersionCopyNeed, type VersionedEngines } from "./versionCopies.js";
--- a/src/placement/placementInput.ts
+++ b/src/placement/placementInput.ts
@@ -15,6 +15,8 @@
     readonly locallyStoredModels: readonly string[];
     /** Share of its slots that its rate limit leaves unused, from 0 to 1; 0 where absent. */
     readonly unavailableShare?: number;
+    /** Models that it may not unload; none where absent. */
+    readonly keptModels?: readonly string[];
 }
 
 /** Everything that a plan depends on. */
--- a/src/placement/planWeights.ts
+++ b/src/placement/planWeights.ts
@@ -67,3 +67,23 @@
 export function planBestMove(input: PlacementInput, horizonMilliseconds?: number): PlacementMove | undefined {
     return planMoves(input, horizonMilliseconds)[0];
 }
+
+/**
+ * Plans the one move with the highest gain that loads a certain model.
+ *
+ * @param input All engines, their models, and the demand.
+ * @param model The model to load.
+ * @returns The move and its engine; `undefined` where no engine should load the model now.
+ *
+ * @example
+ * ```ts
+ * const move = planCopyOf(input, "quotes");
+ * ```
+ */
+export function planCopyOf(input: PlacementInput, model: string): PlacementMove | undefined {
+    const context = createPlanContext(input, HORIZON_MILLISECONDS);
+    const concurrent = new ConcurrentMoves(context);
+    const moves = worthwhileMoves(context, concurrent.mayUnloadBusy).filter(move => move.model.name === model);
+    moves.sort(compareMoves).slice(0, 1).forEach(move => concurrent.addIfCompatible(move));
+    return concurrent.chosen.map(move => describeMove(context, move))[0];
+}
--- a/src/placement/versionCopies.ts
+++ b/src/placement/versionCopies.ts
@@ -5,7 +5,7 @@
  */
 import { modelsOf } from "./_moveEvaluation.js";
 import { type PlacementInput, type PlacementMove, type PlannedEngine } from "./placementInput.js";
-import { planMoves } from "./planWeights.js";
+import { planCopyOf } from "./planWeights.js";
 
 /** A need that nobody has repeated for this time is over. */
 const NEED_LIFETIME_MILLISECONDS = 2_500;
@@ -20,29 +20,52 @@
     readonly version: string;
 }
 
-/** What a plan for copies at versions depends on. */
-export interface VersionCopyInput {
+/** The engines of a service, and their versions. */
+export interface VersionedEngines {
     readonly service: string;
+    readonly engines: readonly PlannedEngine[];
+    /** Returns an engine's software version. */
+    readonly versionOf: (engine: string) => string | undefined;
+}
+
+/** What a plan for copies at versions depends on. */
+export interface VersionCopyInput extends Omit<VersionedEngines, "engines"> {
     readonly input: PlacementInput;
     /** Moves that are planned already; their engines begin no other one. */
     readonly planned: readonly PlacementMove[];
-    /** Returns an engine's software version. */
-    readonly versionOf: (engine: string) => string | undefined;
 }
 
-/** Returns the input of a plan for engines of one version alone, in which only the needed model may lack a copy. */
-function inputForVersion(
-    { definition, ...input }: PlacementInput,
-    engines: readonly PlannedEngine[],
-    neededModel: string,
+/**
+ * Returns the input of a plan in which other engines change nothing, their copies of a model do not count, and no other
+ * model lacks a copy.
+ */
+function inputForEngines(
+    { definition, engines, excludedEngines, ...input }: PlacementInput,
+    model: string,
+    mayLoad: (engine: PlannedEngine) => boolean,
 ): PlacementInput {
+    const others = engines.filter(engine => !mayLoad(engine));
     const held = new Set(engines.flatMap(engine => [...modelsOf(engine)]));
-    const models = definition.models.filter(({ name }) => name === neededModel || held.has(name));
-    return { ...input, definition: { ...definition, models }, engines };
+    const models = definition.models.filter(({ name }) => name === model || held.has(name));
+    return {
+        ...input,
+        definition: { ...definition, models },
+        engines: engines.map(engine => mayLoad(engine) ? engine : withoutModel(engine, model)),
+        excludedEngines: new Set([...excludedEngines, ...others.map(({ id }) => id)]),
+    };
+}
+
+function withoutModel(engine: PlannedEngine, model: string): PlannedEngine {
+    const { loading, models } = engine;
+    return {
+        ...engine,
+        models: models.filter(name => name !== model),
+        loading: loading === model ? undefined : loading,
+    };
 }
 
 /**
- * Remembers which models streams need at which version, and plans a copy where no engine of that version has one.
+ * Remembers which models streams need at which version, keeps the last copy there, and plans one where there is none.
  *
  * @example
  * ```ts
@@ -61,6 +84,22 @@
         }
     }
 
+    /** Returns the engines, of which none may unload the last copy of a model at a version that streams need. */
+    keepNeeded({ engines, service, versionOf }: VersionedEngines, nowMilliseconds: number): PlannedEngine[] {
+        const keptModels = new Map<string, string[]>();
+        for (const { model, version } of this.#needsOf(service, nowMilliseconds)) {
+            const holders = engines.filter(({ id, models }) => models.includes(model) && versionOf(id) === version);
+            const [last, ...others] = holders;
+            if (last !== undefined && others.length === 0) {
+                keptModels.set(last.id, [...keptModels.get(last.id) ?? [], model]);
+            }
+        }
+        return engines.map(engine => {
+            const kept = keptModels.get(engine.id);
+            return kept === undefined ? engine : { ...engine, keptModels: kept };
+        });
+    }
+
     /** Returns the moves that load needed models, at most one on each engine. */
     plan({ input, planned, service, versionOf }: VersionCopyInput, nowMilliseconds: number): PlacementMove[] {
         const moves: PlacementMove[] = [];
@@ -70,8 +109,8 @@
                 continue;
             }
             const changing = new Set([...planned, ...moves].map(({ engine }) => engine));
-            const move = planMoves(inputForVersion(input, engines, model))
-                .find(candidate => candidate.model === model && !changing.has(candidate.engine));
+            const mayLoad = ({ id }: PlannedEngine): boolean => versionOf(id) === version && !changing.has(id);
+            const move = planCopyOf(inputForEngines(input, model, mayLoad), model);
             moves.push(...move === undefined ? [] : [move]);
         }
         return moves;
