Let streams that go on wait in the queue of a full engine, so that new ones do not take its next slots

One model in much demand had one copy at each version; new streams can go to either and filled both before those that were broken off came back, which can use one only.

Cause: an engine is full at its slots for all requests alike, and that resumed ones go first holds among the waiting requests of one host. Ruled out: their versions (all found), the retry budget, the prefill backlog (they pass it).

Change: for a stream that goes on, an engine is full at 1.25 of its slots.

--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/_upstreamSelection.ts
@@ -269,6 +269,7 @@
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
             batches,
+            mayQueue: this.#isResumed(),
             requests: loads.estimate(upstream.id, now),
             prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
             acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -8,6 +8,7 @@
         id,
         slots: 64,
         batches: false,
+        mayQueue: false,
         requests: 0,
         prefillBacklogTokens: 0,
         acceptsPrompt: true,
@@ -119,3 +120,10 @@
     Array.from({ length: 9 }, () => health.recordSuccess("three", 0));
     assert.ok(!health.isAvoided("three", 10));
 });
+
+test("a stream that goes on is not refused at a full engine, which others leave the next slots to", () => {
+    const full = candidate("full", { batches: true, slots: 64, requests: 64 });
+    assert.equal(chooseUpstream([full], () => 0).type, "all-full");
+    assert.equal(chooseUpstream([{ ...full, mayQueue: true }], () => 0).type, "send");
+    assert.equal(chooseUpstream([{ ...full, mayQueue: true, requests: 80 }], () => 0).type, "all-full");
+});
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -11,6 +11,12 @@
 /** Maximum requests of an engine, as a share of its slots; more would wait in its queue, where none can overtake. */
 const MAXIMUM_ENGINE_LOAD_SHARE = 1;
 
+/**
+ * Maximum requests of an engine for a stream that goes on, as a share of its slots. It may be able to go on at this engine
+ * only, so it takes the next slot before requests that hosts hold back.
+ */
+const MAXIMUM_RESUMED_LOAD_SHARE = 1.25;
+
 /** Cost of an upstream in another zone, as a share of its slots. */
 const OTHER_ZONE_SHARE = 0.12;
 
@@ -29,6 +35,8 @@
     readonly slots: number;
     /** True for engines, which run all their requests in one batch. */
     readonly batches: boolean;
+    /** True for a stream that goes on, which may wait in the queue of an engine. */
+    readonly mayQueue: boolean;
     /** Estimated number of its requests, running and waiting. */
     readonly requests: number;
     /** Prompt tokens that it was sent recently and probably has not prefilled yet. */
@@ -59,8 +67,9 @@
 }
 
 function isFull(candidate: Candidate): boolean {
-    const share = candidate.batches ? MAXIMUM_ENGINE_LOAD_SHARE : MAXIMUM_SERVICE_LOAD_SHARE;
-    return candidate.requests >= candidate.slots * share;
+    const { batches, mayQueue, requests, slots } = candidate;
+    const engineShare = mayQueue ? MAXIMUM_RESUMED_LOAD_SHARE : MAXIMUM_ENGINE_LOAD_SHARE;
+    return requests >= slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
 }
 
 /**
