Merge streams that go on beside a release: recorded when sent, kept a place, and copies at their version

Two causes of LOST's second way, each with a test that failed first: a stream was on record only after its caller had a part of it, so that those begun up to 226 ms before all hosts stopped were refused as unknown; and new streams filled the only copy that resumed ones can use. Also the planner dropped the last copy at a version that streams need.

Tests read: the fixture waits for all streams to run before hosts are killed, which traces the failures of streamVersions under load; no assertion is changed.

--- a/src/entry/engines/hostEngines.ts
+++ b/src/entry/engines/hostEngines.ts
@@ -13,6 +13,7 @@
 import { type SiteDemand } from "../siteDemand.js";
 import { type HostStore } from "../store/index.js";
 import { type UpstreamTracker } from "../upstreamTracker.js";
+import { VersionCopyRequests } from "./_versionCopyRequests.js";
 import { AdapterExchange } from "./adapterExchange.js";
 import { EngineMemories } from "./engineMemories.js";
 import { EngineOrders } from "./engineOrders.js";
@@ -41,6 +42,7 @@
     readonly memories: EngineMemories;
     readonly adapters: AdapterExchange;
     readonly #options: HostEnginesOptions;
+    readonly #versionCopyRequests = new VersionCopyRequests();
 
     constructor(options: HostEnginesOptions) {
         this.#options = options;
@@ -83,10 +85,13 @@
     requestVersionCopy(need: VersionCopyNeed): void {
         const { context, gossip } = this.#options;
         const { planner } = this.planner;
+        if (planner === undefined || !this.#versionCopyRequests.isDue(need, context.readClock())) {
+            return;
+        }
         if (planner === context.host) {
             this.planner.recordVersionCopyNeeded(need);
         }
-        else if (planner !== undefined) {
+        else {
             gossip.requestVersionCopy(planner, need);
         }
     }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -88,7 +88,6 @@
     #waitingSinceMilliseconds: number | undefined;
     /** True while the request waits for a copy of its model that another engine is loading. */
     #waitsForCopy = false;
-    #hasRequestedCopy = false;
     /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
     #isDoubted = false;
     #ended = false;
@@ -112,6 +111,7 @@
             permitRequest: () => this.#permitWait.request,
             allows: upstream => this.#progress.allows(upstream),
             isResumed: () => this.#progress.isBegun,
+            neededVersion: () => this.#progress.boundVersion,
         });
         this.#hedging = this.#createHedging();
         this.#answer = new CallerAnswer({
@@ -209,6 +209,7 @@
     #startStream(): void {
         switch (this.#progress.start()) {
             case "ready":
+                this.#requestCopyOfVersion();
                 this.#dispatch();
                 break;
             case "look-up":
@@ -248,7 +249,7 @@
             return;
         }
         const usable = this.#selection.usable();
-        if (this.#progress.isBegun && usable.length === 0) {
+        if (this.#progress.boundVersion !== undefined && usable.length === 0) {
             this.#refuse("version-gone");
             return;
         }
@@ -419,12 +420,11 @@
         this.#scheduleDispatch();
     }
 
-    /** Asks for a copy of the model at the version of a stream that goes on; copies at other versions are of no use. */
+    /** Asks that a copy of the model be at the version of a stream that goes on; others are of no use to it. */
     #requestCopyOfVersion(): void {
         const { model, service } = this.#facts;
-        const { version } = this.#progress;
-        if (model !== undefined && service !== undefined && version !== undefined && !this.#hasRequestedCopy) {
-            this.#hasRequestedCopy = true;
+        const version = this.#progress.boundVersion;
+        if (model !== undefined && service !== undefined && version !== undefined) {
             this.#context.requestVersionCopy({ service, model, version });
         }
     }
@@ -492,6 +492,7 @@
         });
         this.#attempts.add(attempt);
         this.#lastUpstream = upstream.id;
+        this.#progress.recordSent(upstream);
         this.#logSent(attempt, passedOver);
         const ifOpen = (step: () => void): void => {
             if (!this.#ended && this.#attempts.has(attempt)) {
@@ -616,6 +617,7 @@
         this.#context.metrics.count("hedges_cancelled", { reason });
         this.#attemptsThatMayHaveRun += hedge.call?.mayHaveSent === false ? 0 : 1;
         this.#attempts.cancel(hedge);
+        this.#progress.recordAttemptFailed();
         this.#lastUpstream = this.#attempts.last?.upstream.id;
         if (reason === "hedge-silent") {
             this.#hedging.recheck();
@@ -779,6 +781,7 @@
         }
         const silence = this.#describeSilence(attempt);
         this.#attempts.cancel(attempt);
+        this.#progress.recordAttemptFailed();
         if (attempt.recordFailure(provenFailure)) {
             this.#selection.recordTried(attempt.upstream.id);
         }
@@ -896,6 +899,7 @@
         this.#context.metrics.count("refusals", { reason });
         this.#log("request refused", {
             reason,
+            resumes: this.#facts.resumedRequest,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
             ...describeLimit(this.#context, this.#permitWait.upstream),
