Keep what other builds wrote into records

No caller is known to have seen it. Cause: records were rendered from what this build knows, at the revision of the mirror. Holders' records were not affected: their condition is the revision of the last readable one.

Both writers now render the replacement from the stored text: unknown fields at the top level stay; a stored JSON object that this build cannot read is left as it is and logged; text that is no JSON object is no record of any build and is replaced. Unknown fields within the list of services are not kept. Failed first: 'a host that changes a record keeps the fields that it does not know', 'a host never overwrites a record that it cannot read'.

--- a/src/entry/_versionRecordWriter.ts
+++ b/src/entry/_versionRecordWriter.ts
@@ -5,10 +5,11 @@
  */
 import { rankByRendezvous } from "../decision/index.js";
 import { type UpstreamView } from "../fleet/index.js";
-import { type StreamVersionRecord } from "../generated/gossip.js";
+import { type StreamVersionRecord, streamVersionRecordSchema } from "../generated/gossip.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
+import { renderReplacement } from "../platform/renderReplacement.js";
 import { type ServiceVersions } from "../streamVersions/index.js";
 
 /** The key of the record. */
@@ -40,8 +41,8 @@
     readonly liveHosts: () => readonly string[];
     /** Returns the services with streams that callers may resume, and the longest time limit of these. */
     readonly resumable: () => { readonly services: ReadonlySet<string>; readonly timeoutMilliseconds: number; };
-    /** Returns the revision of the record in this host's mirror; 0 for none. */
-    readonly recordRevision: () => number;
+    /** Returns the entry of the record in this host's mirror; `undefined` for none. */
+    readonly recordEntry: () => KeyValueEntry | undefined;
     /** A call showed a later record than the mirror has. */
     readonly onLaterEntry: (entry: KeyValueEntry) => void;
 }
@@ -58,7 +59,7 @@
 
     /** Schedules a write where the record needs a change. */
     check(): void {
-        if (this.#timer === undefined && !this.#isWriting && this.#nextRecord() !== undefined) {
+        if (this.#timer === undefined && !this.#isWriting && this.#nextValue() !== undefined) {
             this.#timer = setTimeout(() => void this.#write(), this.#delayMilliseconds());
         }
     }
@@ -86,16 +87,24 @@
         return versions.nextRecord({ announced: view.all(), services, restores, retentionMilliseconds }, readClock());
     }
 
+    /** Returns the text to write; `undefined` where none is needed, or the present record cannot be read. */
+    #nextValue(): string | undefined {
+        const record = this.#nextRecord();
+        const stored = this.#options.recordEntry()?.value;
+        return record === undefined ? undefined : renderReplacement(streamVersionRecordSchema, record, stored);
+    }
+
     async #write(): Promise<void> {
         this.#timer = undefined;
         const record = this.#nextRecord();
-        if (record === undefined) {
+        const value = this.#nextValue();
+        if (record === undefined || value === undefined) {
             return;
         }
-        const { keyValue, logger, metrics, onLaterEntry, recordRevision } = this.#options;
-        const value = JSON.stringify(record);
+        const { keyValue, logger, metrics, onLaterEntry, recordEntry } = this.#options;
+        const expectedRevision = recordEntry()?.revision ?? 0;
         this.#isWriting = true;
-        const swapped = await keyValue.compareAndSwap(VERSIONS_KEY, { expectedRevision: recordRevision(), value });
+        const swapped = await keyValue.compareAndSwap(VERSIONS_KEY, { expectedRevision, value });
         this.#isWriting = false;
         logger.info("stream versions recorded", {
             outcome: swapped.isOk() ? swapped.value.type : swapped.error.kind,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -474,7 +474,7 @@
             view: this.#upstreams.view,
             readClock: () => this.#now(),
             resumable: () => resumableStreams(this.#table?.configuration.routes ?? []),
-            recordRevision: () => this.#entries.revisionOf(VERSIONS_KEY),
+            recordEntry: () => this.#entries.get(VERSIONS_KEY),
             onLaterEntry: entry => this.#applyLaterEntry(entry),
             send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
             onChanged: () => this.#forwarder.wake(),
--- a/src/entry/storeRestores.ts
+++ b/src/entry/storeRestores.ts
@@ -10,6 +10,7 @@
 import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
+import { renderReplacement } from "../platform/renderReplacement.js";
 
 /** The key of the record that the wait after a restore is over. */
 export const RESTORES_KEY = "restores";
@@ -43,6 +44,8 @@
     /** Set from a restore until the restored snapshot was listed. */
     #awaitsRestoredListing = false;
     #isWriting = false;
+    /** Revision of the record that was last found not to be readable. */
+    #unreadableRevision: number | undefined;
 
     constructor(options: StoreRestoresOptions) {
         this.#options = options;
@@ -87,8 +90,12 @@
         if (settledRestoresIn(known) >= restores) {
             return;
         }
+        const value = renderReplacement(settledRestoresSchema, { restores }, known?.value);
+        if (value === undefined) {
+            this.#reportUnreadable(known?.revision);
+            return;
+        }
         this.#isWriting = true;
-        const value = JSON.stringify({ restores });
         const expectedRevision = known?.revision ?? 0;
         const swapped = await keyValue.compareAndSwap(RESTORES_KEY, { expectedRevision, value });
         this.#isWriting = false;
@@ -102,6 +109,14 @@
         }
     }
 
+    /** Logs once for each revision that the record cannot be read, and so is not written. */
+    #reportUnreadable(revision: number | undefined): void {
+        if (revision !== this.#unreadableRevision) {
+            this.#unreadableRevision = revision;
+            this.#options.logger.warn("restore record not readable", { revision });
+        }
+    }
+
     #handleRestore(restores: number): void {
         const { duties, logger, metrics, onRestored, readClock, view } = this.#options;
         const enginesHeld = duties.held().length;
