--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -92,6 +92,8 @@
     readonly readClocks: () => ClockReading;
     /** Returns the processor time that this process has used, in microseconds. */
     readonly readProcessorMicroseconds: () => number;
+    /** Names the build of this program; `unnamed` by default. */
+    readonly build?: string;
     /** Opens the link to the other hosts; {@linkcode openGossipLink} by default. */
     readonly openLink?: typeof openGossipLink;
 }
@@ -108,6 +110,7 @@
 
 class RunningHost implements EntryHost {
     readonly #options: EntryHostOptions;
+    readonly #build: string;
     #settings: EntrySettings;
     readonly #timeSpent: TimeSpent;
     readonly #upstreams: UpstreamTracker;
@@ -152,6 +155,7 @@
 
     constructor(options: EntryHostOptions) {
         this.#options = options;
+        this.#build = options.build ?? "unnamed";
         this.#settings = options.settings;
         const { bounds, host, zone } = options.settings;
         const { keyValue, logger, metrics, readClocks } = options;
@@ -1029,6 +1033,7 @@
             unreachable: isPartitioned ? [] : this.#upstreams.unreachableReports.reportedBy(this.#settings.host, now),
             hearsUpstreams: this.#partitionWatch.isHearing,
             ...isPartitioned ? { partitioned: true } : {},
+            build: this.#build,
             leavingRuns: this.#upstreams.leavingIncarnations().map(toLeavingIncarnation),
             ...limits.length === 0 ? {} : { limits },
             adaptersInUse: this.#adapterUse.all(),
@@ -1078,6 +1083,8 @@
         metrics.gauge("limited_upstreams", this.#upstreams.limits.countInForce());
         metrics.gauge("requests_open", this.#forwarder.openRequestCount);
         metrics.gauge("peers_heard", this.#peers.withRecentDigest(this.#now()).length);
+        const builds = this.#peers.countBuilds(this.#now());
+        metrics.gaugeByLabel("hosts_by_build", builds.set(this.#build, (builds.get(this.#build) ?? 0) + 1));
         metrics.gauge("prompt_bound_tokens", this.#upstreams.backlog.limitTokens);
         metrics.gauge("read_tokens_per_millisecond", this.#demand.prefillTokensPerMillisecond ?? 0);
     }
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -123,3 +123,14 @@
     sender.close();
     receiver.close();
 });
+
+test("hosts are counted by the build that they tell, so that operators see when an upgrade is done", () => {
+    const table = new PeerTable("own", "a");
+    table.recordDigest(createDigest("one", { build: "b2" }), 0);
+    table.recordDigest(createDigest("two", { build: "b2" }), 0);
+    table.recordDigest(createDigest("three"), 0);
+    assert.deepEqual([...table.countBuilds(100)], [["b2", 2], ["earlier", 1]]);
+    table.recordDigest(createDigest("three", { build: "b2" }), 200);
+    assert.deepEqual([...table.countBuilds(300)], [["b2", 3]]);
+    assert.deepEqual([...table.countBuilds(60_000)], []);
+});
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -18,6 +18,9 @@
 /** A host without a record is removed this long after its last digest or the removal of its record. */
 const UNREGISTERED_RETENTION_MILLISECONDS = 30_000;
 
+/** Stands for builds whose hosts do not tell theirs. */
+const EARLIER_BUILD = "earlier";
+
 /** What this host knows of a peer. */
 export interface Peer {
     readonly host: string;
@@ -26,6 +29,8 @@
     readonly ready: boolean;
     readonly leaving: boolean;
     readonly configurationVersion: number;
+    /** `undefined` where it has not told its build: one of an earlier one does not. */
+    readonly build: string | undefined;
     readonly registered: boolean;
     readonly registeredAtMilliseconds: number;
     /** When its record was last written or removed. */
@@ -86,6 +91,7 @@
             ready: known?.ready ?? true,
             leaving: false,
             configurationVersion: known?.configurationVersion ?? 0,
+            build: known?.build,
             registered: true,
             registeredAtMilliseconds: nowMilliseconds,
             recordChangedAtMilliseconds: nowMilliseconds,
@@ -115,6 +121,7 @@
             ready: digest.ready,
             leaving: digest.leaving,
             configurationVersion: digest.configurationVersion,
+            build: digest.build,
             registered: known?.registered ?? false,
             registeredAtMilliseconds: known?.registeredAtMilliseconds ?? nowMilliseconds,
             recordChangedAtMilliseconds: known?.recordChangedAtMilliseconds ?? nowMilliseconds,
@@ -211,6 +218,15 @@
         return [...this.#peers.values()].filter(peer => hasRecentDigest(peer, nowMilliseconds));
     }
 
+    /** Returns the number of peers with a recent digest by build; those of earlier builds do not tell theirs. */
+    countBuilds(nowMilliseconds: number): Map<string, number> {
+        const counts = new Map<string, number>();
+        for (const { build = EARLIER_BUILD } of this.withRecentDigest(nowMilliseconds)) {
+            counts.set(build, (counts.get(build) ?? 0) + 1);
+        }
+        return counts;
+    }
+
     /** Returns the hosts that are live by their own digests or their cells' aggregates. */
     live(nowMilliseconds: number): Peer[] {
         return [...this.#peers.values()].filter(peer => isLive(peer, nowMilliseconds));
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -81,6 +81,14 @@
     read_tokens_per_millisecond: { help: "Prompt tokens that an engine reads in a millisecond; 0 while not known." },
 } as const;
 
+/** Gauges with one value for each value of a label. */
+const GAUGES_BY_LABEL = {
+    hosts_by_build: {
+        help: "Hosts of this host's cell by build, itself included; `earlier` tells no build.",
+        label: "build",
+    },
+} as const;
+
 const HISTOGRAMS = {
     first_byte_seconds: { help: "From a request's arrival to the first byte of its answer.", labels: ["kind"] },
     answer_seconds: { help: "From a request's arrival to the end of its answer.", labels: ["kind"] },
@@ -93,6 +101,9 @@
 /** Name of a gauge. */
 export type GaugeName = keyof typeof GAUGES;
 
+/** Name of a gauge with a label. */
+export type GaugeByLabelName = keyof typeof GAUGES_BY_LABEL;
+
 /** Name of a histogram. */
 export type HistogramName = keyof typeof HISTOGRAMS;
 
@@ -111,6 +122,8 @@
     /** Adds to the time spent on a subject, in `spent_seconds`. */
     spend(subject: string, milliseconds: number): void;
     gauge(name: GaugeName, value: number): void;
+    /** Replaces all values of a gauge with a label. */
+    gaugeByLabel(name: GaugeByLabelName, values: ReadonlyMap<string, number>): void;
     observe<Name extends HistogramName>(
         name: Name,
         milliseconds: number,
@@ -139,13 +152,19 @@
         help,
         labels: [],
     }));
+    const gaugesByLabel = Object.entries(GAUGES_BY_LABEL).map(([name, { help, label }]) => ({
+        name: `${PREFIX}${name}`,
+        type: "gauge",
+        help,
+        labels: [label],
+    }));
     const histograms = Object.entries(HISTOGRAMS).map(([name, { help, labels }]) => ({
         name: `${PREFIX}${name}`,
         type: "histogram",
         help,
         labels,
     }));
-    return [...counters, ...gauges, ...histograms];
+    return [...counters, ...gauges, ...gaugesByLabel, ...histograms];
 }
 
 /**
@@ -170,6 +189,9 @@
     for (const [name, { help }] of Object.entries(GAUGES)) {
         gauges.set(name, new Gauge({ name: `${PREFIX}${name}`, help, registers }));
     }
+    for (const [name, { help, label }] of Object.entries(GAUGES_BY_LABEL)) {
+        gauges.set(name, new Gauge({ name: `${PREFIX}${name}`, help, labelNames: [label], registers }));
+    }
     for (const [name, { help, labels }] of Object.entries(HISTOGRAMS)) {
         const buckets = LATENCY_BUCKETS_SECONDS;
         histograms.set(
@@ -182,6 +204,11 @@
         add: (name, labels, amount) => counters.get(name)?.inc(labels, amount),
         spend: (subject, milliseconds) => counters.get("spent_seconds")?.inc({ subject }, milliseconds / 1_000),
         gauge: (name, value) => gauges.get(name)?.set(value),
+        gaugeByLabel: (name, values) => {
+            gauges.get(name)?.reset();
+            const { label } = GAUGES_BY_LABEL[name];
+            values.forEach((value, key) => gauges.get(name)?.set({ [label]: key }, value));
+        },
         observe: (name, milliseconds, labels) => histograms.get(name)?.observe(labels, milliseconds / 1_000),
         render: () => registry.metrics(),
     };
--- a/tests/buildsSideBySide.test.ts
+++ b/tests/buildsSideBySide.test.ts
@@ -146,6 +146,10 @@
     return message.type === "digest" && (message.crashes?.suspects.length ?? 0) > 0;
 }
 
+function hasBuild(message: GossipMessage): boolean {
+    return message.type === "digest" && message.build !== undefined;
+}
+
 function isStreamsBegun({ type }: GossipMessage): boolean {
     return type === "streams-begun";
 }
@@ -185,7 +189,9 @@
         assert.equal(hasReceived(present, "old", hasCrashEvidence), reads("crashes"), "crash evidence of old hosts");
         assert.equal(hasReceived(old, "present", isStreamsBegun), knowsStreams, "streams begun at new hosts");
         assert.equal(hasReceived(present, "old", isStreamsBegun), knowsStreams, "streams begun at old hosts");
-        assert.ok(hasReceived(present, "present", message => message.type === "digest" && hasCrashEvidence(message)));
+        assert.ok(hasReceived(present, "present", hasCrashEvidence));
+        assert.ok(hasReceived(present, "present", hasBuild), "hosts of this build tell each other theirs");
+        assert.ok(!hasReceived(old, "present", hasBuild));
         await assertAllNamed(hosts);
     });
 }
