--- a/src/gossip/messageFormats.ts
+++ b/src/gossip/messageFormats.ts
@@ -11,8 +11,12 @@
 /** Hosts from this format on ignore fields that they do not know. */
 export const FIRST_TOLERANT_FORMAT = 5;
 
-/** The format of hosts of which nothing else is known. */
-export const FIRST_FORMAT = 1;
+/**
+ * The format of hosts of which nothing else is known, the earliest that is supported.
+ *
+ * Forms without rate limits are never sent: a receiver that reads both would take the limits as withdrawn in between.
+ */
+export const FIRST_FORMAT = 2;
 
 /** The formats that introduced a value's later parts. */
 interface PartFormats {
@@ -88,7 +92,7 @@
  * @example
  * ```ts
  * formsFor(digest, 5); // [digest]
- * formsFor(digest, 1); // without later fields, then once more for each strict format that adds one
+ * formsFor(digest, 2); // without later fields, then once more for each strict format that adds one
  * ```
  */
 export function formsFor<Message extends TypedMessage>(message: Message, format: number): Message[] {
