--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -254,7 +254,7 @@
             peers: this.#peers,
             view: this.#upstreams.view,
             resumable: () => this.#store.configuration.table?.resumableStreams,
-            recordRevision: () => this.#store.revisionOf(VERSIONS_KEY),
+            recordEntry: () => this.#store.entryOf(VERSIONS_KEY),
             onLaterEntry: entry => this.#store.applyLaterEntry(entry),
             send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
             onChanged: () => this.#forwarder.wake(),
--- a/src/entry/hostContext.ts
+++ b/src/entry/hostContext.ts
@@ -13,6 +13,8 @@
 import { type EntrySettings } from "./settings.js";
 import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
 
+const UNNAMED_BUILD = "unnamed";
+
 /** Options of an entry host. */
 export interface EntryHostOptions {
     readonly settings: EntrySettings;
@@ -25,13 +27,16 @@
     readonly readClocks: () => ClockReading;
     /** Returns the processor time that this process has used, in microseconds. */
     readonly readProcessorMicroseconds: () => number;
+    /** Names the build of this program; `unnamed` by default. */
+    readonly build?: string;
     /** Opens the link to the other hosts; {@linkcode openGossipLink} by default. */
     readonly openLink?: typeof openGossipLink;
 }
 
 /** What the parts of one host share. */
-export interface HostContext extends Omit<EntryHostOptions, "settings"> {
+export interface HostContext extends Omit<EntryHostOptions, "settings" | "build"> {
     readonly host: string;
+    readonly build: string;
     readonly zone: string;
     readonly lifecycle: HostLifecycle;
     readonly timeSpent: TimeSpent;
@@ -61,6 +66,7 @@
     const readClock = (): number => options.readClocks().steadyMilliseconds;
     return {
         ...options,
+        build: options.build ?? UNNAMED_BUILD,
         host,
         zone,
         lifecycle,
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -18,6 +18,8 @@
     readonly forwarder: Forwarder;
     readonly peers: PeerTable;
     readonly demand: SiteDemand;
+    /** The build of this host. */
+    readonly build: string;
     readonly readClock: () => number;
 }
 
@@ -31,7 +33,7 @@
  * ```
  */
 export function refreshGauges(
-    { demand, forwarder, metrics, peers, readClock, store, upstreams }: GaugeSources,
+    { build, demand, forwarder, metrics, peers, readClock, store, upstreams }: GaugeSources,
 ): void {
     metrics.gauge("configuration_version", store.configuration.version);
     metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
@@ -41,5 +43,7 @@
     metrics.gauge("requests_open", forwarder.openRequestCount);
     metrics.gauge("peers_heard", peers.withRecentDigest(readClock()).length);
     metrics.gauge("prompt_bound_tokens", upstreams.backlog.limitTokens);
+    const builds = peers.countBuilds(readClock());
+    metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
 }
--- a/src/entry/peers/digestPublisher.ts
+++ b/src/entry/peers/digestPublisher.ts
@@ -85,6 +85,7 @@
             unreachable: this.#unreachable(nowMilliseconds),
             hearsUpstreams: partitionWatch.isHearing,
             ...partitionWatch.isPartitioned ? { partitioned: true } : {},
+            build: context.build,
             leavingRuns: upstreams.leavingIncarnations().map(toLeavingIncarnation),
             ...limits.length === 0 ? {} : { limits },
             adaptersInUse: engines.adapters.use.all(),
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -121,6 +121,10 @@
     }
 
     /** Returns the revision of a key's latest entry; 0 where this host knows none. */
+    entryOf(key: string): KeyValueEntry | undefined {
+        return this.#entries.get(key);
+    }
+
     revisionOf(key: string): number {
         return this.#entries.revisionOf(key);
     }
