Give a caller's request a folder of its own in the entry host

exchange.ts and the modules that only it uses moved to src/entry/exchange/; the folder's index exports what the forwarder needs. Nothing else changed. measurements/ablation.ts names the new paths.

--- a/measurements/ablation.ts
+++ b/measurements/ablation.ts
@@ -20,7 +20,7 @@
 
 const MECHANISMS: Readonly<Record<string, readonly Change[]>> = {
     "prompt-bound": [{
-        file: "src/entry/_upstreamSelection.ts",
+        file: "src/entry/exchange/upstreamSelection.ts",
         from: "acceptsPrompt: !batches || backlog.accepts(upstream.id, prompt, now)",
         to: "acceptsPrompt: prompt.hostCount > 0",
     }],
@@ -55,7 +55,7 @@
         to: "return health.failures < 0 && share >= AVOIDED_FAILURE_SHARE;",
     }],
     "further-adapter-copies": [{
-        file: "src/entry/exchange.ts",
+        file: "src/entry/exchange/exchange.ts",
         from: "this.#selection.requestFurtherCopy(chosen.id);",
         to: "",
     }],
@@ -65,7 +65,7 @@
         to: "const HORIZON_MILLISECONDS = Number.POSITIVE_INFINITY;",
     }],
     "silence-watch": [{
-        file: "src/entry/exchange.ts",
+        file: "src/entry/exchange/exchange.ts",
         from: "if (!mayRunAgain(route.kind, route.resumable)) {\n            return;",
         to: "if (route.priority >= 0 || !mayRunAgain(route.kind, route.resumable)) {\n            return;",
     }],
--- a/src/entry/_attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -3,14 +3,14 @@
  *
  * @module
  */
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type AttemptFailure, EventSplitter, StreamPace } from "../forwarding/index.js";
-import { nameAdapter } from "../placement/index.js";
-import { type Route } from "../routes/index.js";
-import { type RequestFacts } from "./_requestFacts.js";
-import { incarnationOf } from "./_upstreamIncarnation.js";
-import { type ForwardingContext } from "./forwardingContext.js";
-import { type AnswerHead, type UpstreamCall } from "./upstreamCall.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type AttemptFailure, EventSplitter, StreamPace } from "../../forwarding/index.js";
+import { nameAdapter } from "../../placement/index.js";
+import { type Route } from "../../routes/index.js";
+import { incarnationOf } from "../_upstreamIncarnation.js";
+import { type ForwardingContext } from "../forwardingContext.js";
+import { type AnswerHead, type UpstreamCall } from "../upstreamCall.js";
+import { type RequestFacts } from "./requestFacts.js";
 
 /** Load per slot from which an upstream may be silent only because the request is queued there. */
 export const BUSY_LOAD_SHARE = 0.85;
--- a/src/entry/_callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { type ServerResponse } from "node:http";
-import { type CompleteEvents } from "../forwarding/index.js";
-import { passThroughHeaders } from "./_forwardedHeaders.js";
-import { type AnswerHead } from "./upstreamCall.js";
+import { type CompleteEvents } from "../../forwarding/index.js";
+import { type AnswerHead } from "../upstreamCall.js";
+import { passThroughHeaders } from "./forwardedHeaders.js";
 
 const NO_CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type Verdict } from "../crashes/index.js";
-import { type UpstreamAnnouncement } from "../fleet/index.js";
+import { type Verdict } from "../../crashes/index.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import {
     type AttemptFailure,
     decideAfterAttempt,
@@ -15,23 +15,23 @@
     provesNotRun,
     type RepeatDecision,
     retryDelayMilliseconds,
-} from "../forwarding/index.js";
-import { PermitWait } from "../rateLimits/index.js";
-import { checkHead, isServerError, isSuccess } from "./_answerHead.js";
-import { Attempt } from "./_attempt.js";
-import { CallerAnswer } from "./_callerAnswer.js";
-import { type FailureReason } from "./_failureReason.js";
-import { type HedgeCancellation, Hedging } from "./_hedging.js";
-import { outgoingHeaders } from "./_outgoingHeaders.js";
-import { type CallerRequest, readRequestFacts, type RequestFacts } from "./_requestFacts.js";
-import { describeLimit, usePermit } from "./_requestPermits.js";
-import { RunningAttempts } from "./_runningAttempts.js";
-import { StreamProgress } from "./_streamProgress.js";
-import { UpstreamSelection } from "./_upstreamSelection.js";
-import { type WaitingRank, waitingRank } from "./_waitingRank.js";
-import { type ForwardingContext } from "./forwardingContext.js";
-import { type LookUpOutcome } from "./streamVersions.js";
-import { type AnswerHead, callUpstream } from "./upstreamCall.js";
+} from "../../forwarding/index.js";
+import { PermitWait } from "../../rateLimits/index.js";
+import { checkHead, isServerError, isSuccess } from "../_answerHead.js";
+import { type ForwardingContext } from "../forwardingContext.js";
+import { type LookUpOutcome } from "../streamVersions.js";
+import { type AnswerHead, callUpstream } from "../upstreamCall.js";
+import { Attempt } from "./attempt.js";
+import { CallerAnswer } from "./callerAnswer.js";
+import { type FailureReason } from "./failureReason.js";
+import { type HedgeCancellation, Hedging } from "./hedging.js";
+import { outgoingHeaders } from "./outgoingHeaders.js";
+import { type CallerRequest, readRequestFacts, type RequestFacts } from "./requestFacts.js";
+import { describeLimit, usePermit } from "./requestPermits.js";
+import { RunningAttempts } from "./runningAttempts.js";
+import { StreamProgress } from "./streamProgress.js";
+import { UpstreamSelection } from "./upstreamSelection.js";
+import { type WaitingRank, waitingRank } from "./waitingRank.js";
 
 /** Connecting within a region takes a few milliseconds, or a second if the first packet is lost. */
 const CONNECT_TIMEOUT_MILLISECONDS = 350;
--- a/src/entry/_failureReason.ts
+++ b/src/entry/exchange/failureReason.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type AttemptFailure } from "../forwarding/index.js";
+import { type AttemptFailure } from "../../forwarding/index.js";
 
 /** Why a request is refused as not run, or fails. */
 export type FailureReason =
--- a/src/entry/_hedging.ts
+++ b/src/entry/exchange/hedging.ts
@@ -4,14 +4,14 @@
  * @module
  */
 import { match } from "ts-pattern";
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { mayRunAgain } from "../forwarding/index.js";
-import { type Alternative, decideOverlap, decideStall, EXCLUSIVE_OVERLAP_MILLISECONDS } from "../hedging/index.js";
-import { type Route } from "../routes/index.js";
-import { type Attempt, BUSY_LOAD_SHARE } from "./_attempt.js";
-import { type RunningAttempts } from "./_runningAttempts.js";
-import { type UpstreamSelection } from "./_upstreamSelection.js";
-import { type ForwardingContext } from "./forwardingContext.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { mayRunAgain } from "../../forwarding/index.js";
+import { type Alternative, decideOverlap, decideStall, EXCLUSIVE_OVERLAP_MILLISECONDS } from "../../hedging/index.js";
+import { type Route } from "../../routes/index.js";
+import { type ForwardingContext } from "../forwardingContext.js";
+import { type Attempt, BUSY_LOAD_SHARE } from "./attempt.js";
+import { type RunningAttempts } from "./runningAttempts.js";
+import { type UpstreamSelection } from "./upstreamSelection.js";
 
 /** Callers abandon a stream after two seconds without an event; an earlier limit leaves time for another upstream. */
 const STREAM_STALL_MILLISECONDS = 1_200;
--- /dev/null
+++ b/src/entry/exchange/index.ts
@@ -0,0 +1,16 @@
+/**
+ * One caller's request from its arrival to its final answer: its waiting, its attempts at upstreams, and its end.
+ *
+ * @example
+ * ```ts
+ * import { Exchange } from "./index.js";
+ *
+ * const exchange = new Exchange(context, request, { onEnded, onPrefillWait });
+ * exchange.start();
+ * ```
+ *
+ * @module
+ */
+export { Exchange, type ExchangeListener, OTHER_HOST_MILLISECONDS } from "./exchange.js";
+export { type CallerRequest } from "./requestFacts.js";
+export { compareRanks } from "./waitingRank.js";
--- a/src/entry/_outgoingHeaders.ts
+++ b/src/entry/exchange/outgoingHeaders.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { passThroughHeaders } from "./_forwardedHeaders.js";
-import { type CallerRequest } from "./_requestFacts.js";
-import { type HeaderNames } from "./siteProtocol.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type HeaderNames } from "../siteProtocol.js";
+import { passThroughHeaders } from "./forwardedHeaders.js";
+import { type CallerRequest } from "./requestFacts.js";
 
 /** Engines have ten priority levels; 0 is the most urgent. */
 const LOWEST_ENGINE_PRIORITY = 9;
--- a/src/entry/_requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -5,11 +5,11 @@
  */
 import { createHash } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type RequestAttributes } from "../crashes/index.js";
-import { sharedParts } from "../forwarding/index.js";
-import { chooseService, type Route } from "../routes/index.js";
-import { promptTokensOf, workOf } from "./demandMeter.js";
-import { type HeaderNames } from "./siteProtocol.js";
+import { type RequestAttributes } from "../../crashes/index.js";
+import { sharedParts } from "../../forwarding/index.js";
+import { chooseService, type Route } from "../../routes/index.js";
+import { promptTokensOf, workOf } from "../demandMeter.js";
+import { type HeaderNames } from "../siteProtocol.js";
 
 const FINGERPRINT_DIGITS = 24;
 
--- a/src/entry/_requestPermits.ts
+++ b/src/entry/exchange/requestPermits.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type WaitingRequest } from "../rateLimits/index.js";
-import { type ForwardingContext } from "./forwardingContext.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type WaitingRequest } from "../../rateLimits/index.js";
+import { type ForwardingContext } from "../forwardingContext.js";
 
 /** A request that is being sent. */
 export interface PermittedSend {
--- a/src/entry/_runningAttempts.ts
+++ b/src/entry/exchange/runningAttempts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Attempt } from "./_attempt.js";
+import { type Attempt } from "./attempt.js";
 
 /** Attempts in the order in which they were sent. */
 export class RunningAttempts {
--- a/src/entry/_streamProgress.ts
+++ b/src/entry/exchange/streamProgress.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { decideResumption, type Resumption } from "../streamVersions/index.js";
-import { type CallerRequest, type RequestFacts } from "./_requestFacts.js";
-import { type LookUpOutcome, type StreamVersions } from "./streamVersions.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { decideResumption, type Resumption } from "../../streamVersions/index.js";
+import { type LookUpOutcome, type StreamVersions } from "../streamVersions.js";
+import { type CallerRequest, type RequestFacts } from "./requestFacts.js";
 
 /** Options of {@linkcode StreamProgress}. */
 export interface StreamProgressOptions {
--- a/src/entry/_upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -3,12 +3,17 @@
  *
  * @module
  */
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type Candidate, type Choice, chooseUpstream } from "../forwarding/index.js";
-import { expectedArrivalMilliseconds, nameAdapter, rankAdapterCandidates, type Residency } from "../placement/index.js";
-import { type WaitingRequest } from "../rateLimits/index.js";
-import { type RequestFacts } from "./_requestFacts.js";
-import { type ForwardingContext } from "./forwardingContext.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type Candidate, type Choice, chooseUpstream } from "../../forwarding/index.js";
+import {
+    expectedArrivalMilliseconds,
+    nameAdapter,
+    rankAdapterCandidates,
+    type Residency,
+} from "../../placement/index.js";
+import { type WaitingRequest } from "../../rateLimits/index.js";
+import { type ForwardingContext } from "../forwardingContext.js";
+import { type RequestFacts } from "./requestFacts.js";
 
 /** Load per slot of an engine from which its adapter is requested on a further engine too. */
 const BUSY_ADAPTER_SHARE = 0.5;
--- a/src/entry/_waitingRank.ts
+++ b/src/entry/exchange/waitingRank.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Route } from "../routes/index.js";
+import { type Route } from "../../routes/index.js";
 
 /**
  * Sort key of waiting requests: by priority, then streams whose caller has a part already, then those within their target
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -6,9 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Route } from "../routes/index.js";
 import { type Arrival, Arrivals } from "./_arrivals.js";
-import { type CallerRequest } from "./_requestFacts.js";
-import { compareRanks } from "./_waitingRank.js";
-import { Exchange, OTHER_HOST_MILLISECONDS } from "./exchange.js";
+import { type CallerRequest, compareRanks, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
 const STATUS_BAD_REQUEST = 400;
