Find the replaced text of two ablations again

measurements/ablation.ts ended with an error for prompt-bound and silence-watch, since the text that they replace had changed.

--- a/measurements/ablation.ts
+++ b/measurements/ablation.ts
@@ -21,8 +21,8 @@
 const MECHANISMS: Readonly<Record<string, readonly Change[]>> = {
     "prompt-bound": [{
         file: "src/entry/exchange/upstreamSelection.ts",
-        from: "acceptsPrompt: !batches || backlog.accepts(upstream.id, prompt, now)",
-        to: "acceptsPrompt: prompt.hostCount > 0",
+        from: "acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now)",
+        to: "acceptsPrompt: acceptsAnyPrompt || prompt.hostCount > 0",
     }],
     "quick-bound": [{
         file: "src/forwarding/prefillBacklogLimit.ts",
@@ -65,9 +65,9 @@
         to: "const HORIZON_MILLISECONDS = Number.POSITIVE_INFINITY;",
     }],
     "silence-watch": [{
-        file: "src/entry/exchange/exchange.ts",
-        from: "if (!mayRunAgain(route.kind, route.resumable)) {\n            return;",
-        to: "if (route.priority >= 0 || !mayRunAgain(route.kind, route.resumable)) {\n            return;",
+        file: "src/entry/exchange/hedging.ts",
+        from: "if (mayRunAgain(kind, resumable)) {",
+        to: "if (kind === \"non-idempotent\" && mayRunAgain(kind, resumable)) {",
     }],
 };
 
