Split a request's handling by job

exchange.ts had 989 lines; it now decides where a request goes and wires the modules that each do one job: AttemptSender, AnswerReceiver, AttemptFailures, RequestWait with WaitTime and DispatchTimer, RequestEnding, RequestLogger, SendCounts, and the verdict on requests that may crash upstreams. What they share is RequestParts. RunningAttempts counts the attempts that were sent and knows the last upstream, which the exchange kept beside it.

Behaviour, log messages and metrics stay. A first try named the log part 'log'; scripts/logs.test.ts then found eleven messages missing in the code, since it looks for calls of a logger, so the part is named 'logger'.

--- a/measurements/ablation.ts
+++ b/measurements/ablation.ts
@@ -56,7 +56,7 @@
     }],
     "further-adapter-copies": [{
         file: "src/entry/exchange/exchange.ts",
-        from: "this.#selection.requestFurtherCopy(chosen.id);",
+        from: "selection.requestFurtherCopy(chosen.id);",
         to: "",
     }],
     "plan-horizon": [{
--- /dev/null
+++ b/src/entry/exchange/attemptSender.ts
@@ -0,0 +1,119 @@
+/**
+ * Sends one request to upstreams.
+ *
+ * @module
+ */
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type AttemptFailure } from "../../forwarding/index.js";
+import { callUpstream, type UpstreamCall } from "../upstreamCall.js";
+import { type AnswerReceiver } from "./answerReceiver.js";
+import { Attempt } from "./attempt.js";
+import { type Hedging } from "./hedging.js";
+import { outgoingHeaders } from "./outgoingHeaders.js";
+import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
+import { describeLimit, usePermit } from "./requestPermits.js";
+import { type WaitTime } from "./waitTime.js";
+
+/** Connecting within a region takes a few milliseconds, or a second if the first packet is lost. */
+const CONNECT_TIMEOUT_MILLISECONDS = 350;
+
+/** Error code of a connection to an address at which nobody listens. */
+const CONNECTION_REFUSED = "ECONNREFUSED";
+
+/** Options of {@linkcode AttemptSender}. */
+export interface AttemptSenderOptions {
+    readonly parts: RequestParts;
+    readonly time: WaitTime;
+    readonly hedging: () => Hedging;
+    readonly receiver: AnswerReceiver;
+    readonly isEnded: () => boolean;
+    /** Runs a step of the request so that an exception in it ends this request only. */
+    readonly guard: (step: () => void) => void;
+    readonly onFailed: (attempt: Attempt, failure: AttemptFailure, detail: string) => void;
+}
+
+/** Starts attempts, and passes on what comes of them while they run. */
+export class AttemptSender {
+    readonly #options: AttemptSenderOptions;
+    readonly #parts: RequestParts;
+
+    constructor(options: AttemptSenderOptions) {
+        this.#options = options;
+        this.#parts = options.parts;
+    }
+
+    /** Sends the request; `passedOver` is an upstream that had no room within its rate limit. */
+    send(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
+        const { attempts, context, facts, permitWait } = this.#parts;
+        this.#options.time.end("sent");
+        usePermit(context, { upstream, request: permitWait.request, passedOver });
+        permitWait.cancel();
+        const attempt = new Attempt({ context, facts, upstream, number: attempts.sentCount + 1 });
+        attempts.add(attempt);
+        this.#logSent(attempt, passedOver);
+        attempt.call = this.#call(attempt);
+        this.#options.hedging().watch();
+    }
+
+    #call(attempt: Attempt): UpstreamCall {
+        const { context, request: { body, message } } = this.#parts;
+        const { hedging, receiver } = this.#options;
+        const { address, service } = attempt.upstream;
+        return callUpstream({
+            agent: context.agentFor(service),
+            address,
+            method: message.method ?? "GET",
+            path: message.url ?? "/",
+            headers: this.#headersFor(attempt.upstream),
+            body,
+            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+            onConnected: () => this.#ifRunning(attempt, () => hedging().handleConnected(attempt)),
+            onHead: head => this.#ifRunning(attempt, () => receiver.handleHead(attempt, head)),
+            onData: chunk => this.#ifRunning(attempt, () => receiver.handleData(attempt, chunk)),
+            onEnd: () => this.#ifRunning(attempt, () => receiver.handleEnd(attempt)),
+            onFailure: (failure, detail, code) =>
+                this.#ifRunning(attempt, () => {
+                    attempt.wasConnectionRefused = code === CONNECTION_REFUSED;
+                    this.#options.onFailed(attempt, failure, detail);
+                }),
+        });
+    }
+
+    #ifRunning(attempt: Attempt, step: () => void): void {
+        const { guard, isEnded } = this.#options;
+        if (!isEnded() && this.#parts.attempts.has(attempt)) {
+            guard(step);
+        }
+    }
+
+    #logSent(attempt: Attempt, passedOver: string | undefined): void {
+        const { context, facts, logger, progress, request } = this.#parts;
+        const { backlogTokens, load, number, upstream } = attempt;
+        logger.info("request sent", {
+            route: request.route.name,
+            upstream: upstream.id,
+            upstreamVersion: upstream.softwareVersion,
+            resumesAfter: progress.lastEventId,
+            resumes: facts.resumedRequest,
+            attempt: number,
+            ...describeLimit(context, passedOver),
+            ...describeLimit(context, upstream.id),
+            load,
+            unreadTokens: backlogTokens,
+            boundTokens: context.backlog.limitTokens,
+            configurationVersion: request.configurationVersion,
+            remainingMilliseconds: Math.round(remainingMilliseconds(this.#parts)),
+            upstreamSilentMilliseconds: logger.upstreamSilentMilliseconds(attempt),
+        });
+    }
+
+    #headersFor(upstream: UpstreamAnnouncement): string[] {
+        const { context, facts, progress, request } = this.#parts;
+        return outgoingHeaders(request, context.headers, {
+            upstream,
+            namesModel: facts.model !== undefined,
+            remainingMilliseconds: remainingMilliseconds(this.#parts),
+            lastEventId: progress.lastEventId,
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/exchange/requestEnding.ts
@@ -0,0 +1,206 @@
+/**
+ * How one request ends: answered, refused, failed, with its answer aborted, or without its caller.
+ *
+ * @module
+ */
+import { retryDelayMilliseconds } from "../../forwarding/index.js";
+import { type FailureReason } from "./failureReason.js";
+import { type Hedging } from "./hedging.js";
+import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
+import { describeLimit } from "./requestPermits.js";
+import { STATUS_BAD_GATEWAY, STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE } from "./statuses.js";
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Options of {@linkcode RequestEnding}. */
+export interface RequestEndingOptions {
+    readonly parts: RequestParts;
+    readonly hedging: () => Hedging;
+    /** Ends the request's timers and its wait; called once, before its end is logged. */
+    readonly close: (outcome: string) => void;
+    /** The request has ended; called once. */
+    readonly onEnded: () => void;
+}
+
+/** Ends a request once, with its answer, its metrics and its log line. */
+export class RequestEnding {
+    readonly #options: RequestEndingOptions;
+    readonly #parts: RequestParts;
+    #ended = false;
+
+    constructor(options: RequestEndingOptions) {
+        this.#options = options;
+        this.#parts = options.parts;
+    }
+
+    get ended(): boolean {
+        return this.#ended;
+    }
+
+    /** Answers that the request has not run and never will, and after what time the caller should retry. */
+    refuse(reason: FailureReason, expectedMilliseconds?: number): void {
+        if (this.#parts.answer.begun) {
+            this.abortAnswer(reason);
+            return;
+        }
+        if (this.#parts.counts.mayHaveRun > 0) {
+            this.fail(STATUS_BAD_GATEWAY, reason);
+            return;
+        }
+        const retryAfterMilliseconds = this.#retryAfterMilliseconds(expectedMilliseconds);
+        this.#parts.context.metrics.count("refusals", { reason });
+        this.#logRefusal(reason, expectedMilliseconds, retryAfterMilliseconds);
+        const retryHeaders: Record<string, string> = retryAfterMilliseconds === undefined
+            ? {}
+            : { "retry-after": (retryAfterMilliseconds / MILLISECONDS_PER_SECOND).toFixed(2) };
+        const body = JSON.stringify({ reason, ran: "not-run", retryAfterMilliseconds });
+        this.#parts.answer.sendHostAnswer(STATUS_UNAVAILABLE, retryHeaders, body);
+        this.end(`refused: ${reason}`);
+    }
+
+    /** Answers that the request failed and may have run. */
+    fail(status: number, reason: FailureReason): void {
+        this.#parts.context.metrics.count("failures", { reason });
+        this.#parts.answer.sendHostAnswer(status, {}, JSON.stringify({ reason, ran: "may-have-run" }));
+        this.end(`failed: ${reason}`);
+    }
+
+    /** Aborts an answer that has begun, so that the caller sees it as incomplete. */
+    abortAnswer(reason: FailureReason): void {
+        this.#parts.context.metrics.count("failures", { reason });
+        this.#parts.answer.abort();
+        this.end(`broken off: ${reason}`);
+    }
+
+    /** Ends a request after an exception: fails it, or aborts its answer where one has begun. */
+    failBroken(): void {
+        if (this.#ended) {
+            return;
+        }
+        this.#releaseUpstreams();
+        if (this.#parts.answer.begun) {
+            this.abortAnswer("broken-invariant");
+        }
+        else {
+            this.fail(STATUS_BAD_GATEWAY, "broken-invariant");
+        }
+    }
+
+    /** Ends a request whose deadline has passed, or whose host is stopping. */
+    handleDeadline(): void {
+        if (this.#ended) {
+            return;
+        }
+        const { answer, attempts, counts } = this.#parts;
+        const mayHaveRun = attempts.mayHaveSent || counts.mayHaveRun > 0;
+        this.#releaseUpstreams();
+        if (answer.begun) {
+            this.abortAnswer("out-of-time");
+        }
+        else if (mayHaveRun) {
+            this.fail(STATUS_GATEWAY_TIMEOUT, "out-of-time");
+        }
+        else {
+            this.refuse("out-of-time");
+        }
+    }
+
+    /**
+     * Ends the request after its caller left. A non-idempotent one that may have reached the upstream is left to finish
+     * there, since nobody gains from a partial execution.
+     */
+    handleCallerClosed(): void {
+        if (this.#ended) {
+            this.#logUndelivered();
+            return;
+        }
+        if (this.#parts.request.route.kind === "non-idempotent") {
+            this.#leaveToFinish();
+        }
+        this.#releaseUpstreams();
+        this.end("caller left");
+    }
+
+    end(outcome: string): void {
+        if (this.#ended) {
+            return;
+        }
+        this.#ended = true;
+        this.#options.close(outcome);
+        const { context, request: { arrivedAtMilliseconds, route } } = this.#parts;
+        const tookMilliseconds = context.readClock() - arrivedAtMilliseconds;
+        context.metrics.count("endings", { kind: route.kind, outcome });
+        context.metrics.observe("answer_seconds", tookMilliseconds, { kind: route.kind });
+        this.#logEnd(outcome, tookMilliseconds);
+        this.#options.onEnded();
+    }
+
+    #retryAfterMilliseconds(expectedMilliseconds: number | undefined): number | undefined {
+        return expectedMilliseconds === undefined
+            ? undefined
+            : retryDelayMilliseconds(
+                expectedMilliseconds,
+                remainingMilliseconds(this.#parts),
+                this.#parts.context.random(),
+            );
+    }
+
+    #logRefusal(
+        reason: FailureReason,
+        expectedMilliseconds: number | undefined,
+        retryAfterMilliseconds: number | undefined,
+    ): void {
+        const { context, logger, permitWait, selection } = this.#parts;
+        logger.info("request refused", {
+            reason,
+            expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
+            retryAfterMilliseconds,
+            ...describeLimit(context, permitWait.upstream),
+            ...selection.describe(),
+        });
+    }
+
+    #logEnd(outcome: string, tookMilliseconds: number): void {
+        const { answer, attempts, logger, request: { arrivedAtMilliseconds, route } } = this.#parts;
+        const { events, firstByteAtMilliseconds, longestGapMilliseconds } = answer;
+        logger.info("request ended", {
+            route: route.name,
+            outcome,
+            upstream: attempts.lastUpstream,
+            attempts: attempts.sentCount,
+            tookMilliseconds: Math.round(tookMilliseconds),
+            firstByteMilliseconds: firstByteAtMilliseconds === undefined
+                ? undefined
+                : Math.round(firstByteAtMilliseconds - arrivedAtMilliseconds),
+            ...events === 0 ? {} : { events, longestGapMilliseconds },
+        });
+    }
+
+    /** Logs an answer that was handed to the caller's connection and did not leave it whole. */
+    #logUndelivered(): void {
+        const { answer, context, logger, request: { response } } = this.#parts;
+        if (!response.writableFinished && !answer.aborted) {
+            logger.info("answer not delivered", {
+                unsentBytes: response.writableLength,
+                isLeaving: context.isLeaving(),
+            });
+            context.metrics.count("failures", { reason: "not-delivered" });
+        }
+    }
+
+    /** Cancels the attempts that run, and releases what they use. */
+    #releaseUpstreams(): void {
+        this.#options.hedging().close();
+        this.#parts.attempts.cancelAll();
+    }
+
+    /** Releases attempts that upstreams may have received, without cancelling them. */
+    #leaveToFinish(): void {
+        const { attempts } = this.#parts;
+        for (const attempt of attempts.list()) {
+            if (attempt.call?.mayHaveSent === true) {
+                attempts.release(attempt);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/exchange/requestParts.ts
@@ -0,0 +1,83 @@
+/**
+ * What the steps of one request share.
+ *
+ * @module
+ */
+import { PermitWait } from "../../rateLimits/index.js";
+import { type ForwardingContext } from "../forwardingContext.js";
+import { CallerAnswer } from "./callerAnswer.js";
+import { type CallerRequest, readRequestFacts, type RequestFacts } from "./requestFacts.js";
+import { RequestLogger } from "./requestLogger.js";
+import { RunningAttempts } from "./runningAttempts.js";
+import { SendCounts } from "./sendCounts.js";
+import { StreamProgress } from "./streamProgress.js";
+import { UpstreamSelection } from "./upstreamSelection.js";
+
+/** The parts of one request. */
+export interface RequestParts {
+    readonly context: ForwardingContext;
+    readonly request: CallerRequest;
+    readonly facts: RequestFacts;
+    readonly logger: RequestLogger;
+    readonly answer: CallerAnswer;
+    readonly attempts: RunningAttempts;
+    readonly counts: SendCounts;
+    readonly permitWait: PermitWait;
+    readonly progress: StreamProgress;
+    readonly selection: UpstreamSelection;
+}
+
+function createPermitWait(context: ForwardingContext, { requestId, route }: CallerRequest): PermitWait {
+    return new PermitWait({
+        limiter: context.rateLimiting.limiter,
+        onQueueChanged: () => context.rateLimiting.update(),
+        readClock: () => context.readClock(),
+        requestId,
+        priority: route.priority,
+    });
+}
+
+function createAnswer(context: ForwardingContext, { message, requestId, response }: CallerRequest): CallerAnswer {
+    return new CallerAnswer({
+        response,
+        requestId,
+        requestIdHeader: context.headers.requestId,
+        isHead: message.method === "HEAD",
+        closesConnections: () => context.closesConnections(),
+        readClock: () => context.readClock(),
+    });
+}
+
+/**
+ * Creates the parts of a request.
+ *
+ * @param context What all requests of the host share.
+ * @param request The request.
+ */
+export function createRequestParts(context: ForwardingContext, request: CallerRequest): RequestParts {
+    const facts = readRequestFacts(request, context.headers);
+    const permitWait = createPermitWait(context, request);
+    const progress = new StreamProgress({ request, facts, versions: context.streamVersions });
+    const selection = new UpstreamSelection(context, facts, {
+        permitRequest: () => permitWait.request,
+        allows: upstream => progress.allows(upstream),
+        isResumed: () => progress.isBegun,
+    });
+    return {
+        context,
+        request,
+        facts,
+        logger: new RequestLogger({ context, request, facts }),
+        answer: createAnswer(context, request),
+        attempts: new RunningAttempts(),
+        counts: new SendCounts(),
+        permitWait,
+        progress,
+        selection,
+    };
+}
+
+/** Returns the time until a request's deadline; negative once it has passed. */
+export function remainingMilliseconds({ context, facts }: RequestParts): number {
+    return facts.deadlineAtMilliseconds - context.readClock();
+}
--- a/src/entry/exchange/runningAttempts.ts
+++ b/src/entry/exchange/runningAttempts.ts
@@ -8,7 +8,20 @@
 /** Attempts in the order in which they were sent. */
 export class RunningAttempts {
     readonly #attempts: Attempt[] = [];
+    #sentCount = 0;
+    #lastUpstream: string | undefined;
 
+    /** Attempts so far, with those that have ended. */
+    get sentCount(): number {
+        return this.#sentCount;
+    }
+
+    /** Upstream of the last attempt that runs, or of the one that ended last; `undefined` before the first. */
+    get lastUpstream(): string | undefined {
+        return this.#lastUpstream;
+    }
+
+    /** Attempts that run. */
     get count(): number {
         return this.#attempts.length;
     }
@@ -40,6 +53,8 @@
 
     add(attempt: Attempt): void {
         this.#attempts.push(attempt);
+        this.#sentCount += 1;
+        this.#lastUpstream = attempt.upstream.id;
     }
 
     has(attempt: Attempt): boolean {
@@ -68,6 +83,7 @@
         const index = this.#attempts.indexOf(attempt);
         if (index >= 0) {
             this.#attempts.splice(index, 1);
+            this.#lastUpstream = this.last?.upstream.id ?? this.#lastUpstream;
         }
     }
 }
