--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -311,9 +311,14 @@
             ...this.#parts.logger.describeSilence(hedge),
         });
         this.#context.metrics.count("hedges_cancelled", { reason });
+        this.#parts.counts.recordCancelled(hedge.call?.mayHaveSent !== false);
         this.#parts.attempts.cancel(hedge);
-        this.#parts.counts.recordCancelled();
-        this.#hedging.watch();
+        if (reason === "hedge-silent") {
+            this.#hedging.recheck();
+        }
+        else {
+            this.#hedging.watch();
+        }
     }
 
     /** Ends the timers and the wait of a request that has ended. */
--- a/src/entry/exchange/sendCounts.ts
+++ b/src/entry/exchange/sendCounts.ts
@@ -30,8 +30,8 @@
         }
     }
 
-    /** Records that this host has cancelled an attempt. */
-    recordCancelled(): void {
-        this.#mayHaveRun += 1;
+    /** Records that this host has cancelled an attempt, which the upstream may have been sent. */
+    recordCancelled(mayHaveSent: boolean): void {
+        this.#mayHaveRun += mayHaveSent ? 1 : 0;
     }
 }
--- a/src/hedging/upstreamLiveness.ts
+++ b/src/hedging/upstreamLiveness.ts
@@ -4,80 +4,122 @@
  * @module
  */
 
-/** What was received within this time shows that an upstream has not paused for long enough to stall a request. */
+/** What was received within this time shows that a request has not stalled; younger requests are not judged. */
 const RECENT_MILLISECONDS = 400;
 
-interface Activity {
-    /** Requests of this host that the upstream has. */
-    requests: number;
-    /** Since when it has had requests of this host, and sent no byte of an answer to them. */
-    silentSinceMilliseconds: number;
+/** An answer may take this long to begin, since prompts wait for others to be read. */
+const BEGINNING_MILLISECONDS = 1_200;
+
+/** An upstream has stalled where a smaller share of its requests goes on. */
+const GOING_ON_SHARE = 0.5;
+
+/** A request that an upstream has. */
+export interface RequestActivity {
+    /** Records a byte of the answer. */
+    recordHeard(nowMilliseconds: number): void;
+    /** The request has ended, or was cancelled. */
+    end(): void;
+}
+
+/** Bytes that arrive within this time of each other are parts of one event. */
+const EVENT_MILLISECONDS = 20;
+
+interface OpenRequest {
+    readonly sentAtMilliseconds: number;
+    /** When the last event of the answer was received, and the one before it. */
+    heardAtMilliseconds: number;
+    heardBeforeAtMilliseconds: number;
+}
+
+interface UpstreamActivity {
+    readonly requests: Set<OpenRequest>;
     /** When a byte of an answer to a request was last received. */
     heardAtMilliseconds: number;
     /** When a health check, an order or the like was last answered. */
     probedAtMilliseconds: number;
 }
 
+function recordEvent(request: OpenRequest, nowMilliseconds: number): void {
+    if (nowMilliseconds - request.heardAtMilliseconds >= EVENT_MILLISECONDS) {
+        request.heardBeforeAtMilliseconds = request.heardAtMilliseconds;
+        request.heardAtMilliseconds = nowMilliseconds;
+    }
+}
+
+/** Returns whether the request is old enough that its answer should go on. */
+function isDue({ heardAtMilliseconds, sentAtMilliseconds }: OpenRequest, nowMilliseconds: number): boolean {
+    const hasBegun = heardAtMilliseconds > Number.NEGATIVE_INFINITY;
+    return nowMilliseconds - sentAtMilliseconds >= (hasBegun ? RECENT_MILLISECONDS : BEGINNING_MILLISECONDS);
+}
+
+function isRecent(atMilliseconds: number, nowMilliseconds: number): boolean {
+    return nowMilliseconds - atMilliseconds < RECENT_MILLISECONDS;
+}
+
 /**
- * The time of the last byte of an answer from each upstream, and of the last answer to a probe. An upstream may answer
- * probes while the requests that it has stand still.
+ * The requests that this host has at each upstream, with the time of the last byte of each answer, and of the last
+ * answer to a probe. An upstream may answer probes, or a few requests, while most of its requests stand still.
  *
  * @example
  * ```ts
  * const liveness = new UpstreamLiveness();
- * liveness.recordProbed("engine-3", now);
- * liveness.isAnswering("engine-3", now + 100); // true, since it has no requests
- * liveness.recordSent("engine-3", now + 100);
- * liveness.isAnswering("engine-3", now + 600); // false
+ * const activity = liveness.begin("engine-3", now);
+ * activity.recordHeard(now + 400);
+ * activity.recordHeard(now + 450);
+ * liveness.isAnswering("engine-3", now + 500); // true
+ * liveness.isAnswering("engine-3", now + 900); // false
+ * activity.end();
  * ```
  */
 export class UpstreamLiveness {
-    readonly #activities = new Map<string, Activity>();
+    readonly #upstreams = new Map<string, UpstreamActivity>();
 
     /** Records that a request was sent to an upstream. */
-    recordSent(upstream: string, nowMilliseconds: number): void {
-        const activity = this.#activity(upstream);
-        if (activity.requests === 0) {
-            activity.silentSinceMilliseconds = nowMilliseconds;
-        }
-        activity.requests += 1;
-    }
-
-    /** Records that a request has ended at an upstream. */
-    recordEnded(upstream: string): void {
+    begin(upstream: string, nowMilliseconds: number): RequestActivity {
+        const request = {
+            sentAtMilliseconds: nowMilliseconds,
+            heardAtMilliseconds: Number.NEGATIVE_INFINITY,
+            heardBeforeAtMilliseconds: Number.NEGATIVE_INFINITY,
+        };
         const activity = this.#activity(upstream);
-        activity.requests = Math.max(0, activity.requests - 1);
+        activity.requests.add(request);
+        return {
+            recordHeard: heardAtMilliseconds => {
+                recordEvent(request, heardAtMilliseconds);
+                activity.heardAtMilliseconds = heardAtMilliseconds;
+            },
+            end: () => activity.requests.delete(request),
+        };
     }
 
-    /** Records a byte of an answer to a request. */
-    recordHeard(upstream: string, nowMilliseconds: number): void {
-        const activity = this.#activity(upstream);
-        activity.heardAtMilliseconds = nowMilliseconds;
-        activity.silentSinceMilliseconds = nowMilliseconds;
+    /** Records that the upstream answered a health check, an order or the like. */
+    recordProbeAnswered(upstream: string, nowMilliseconds: number): void {
+        this.#activity(upstream).probedAtMilliseconds = nowMilliseconds;
     }
 
-    /** Records an answer to a health check, an order or the like. */
-    recordProbed(upstream: string, nowMilliseconds: number): void {
-        this.#activity(upstream).probedAtMilliseconds = nowMilliseconds;
+    /** Returns whether the upstream answered a request or a probe a moment ago, and is not stalled. */
+    isAnswering(upstream: string, nowMilliseconds: number): boolean {
+        return this.isReachable(upstream, nowMilliseconds) && !this.isStalled(upstream, nowMilliseconds);
     }
 
     /**
-     * Returns whether the upstream answers requests: it did a moment ago, or it answered a probe, and no request of this
-     * host has been left standing there. False where nothing is known.
+     * Returns whether most of the requests that the upstream has had for a while stand still, whatever it answers else.
+     * A request goes on if two events of its answer came a moment ago.
      */
-    isAnswering(upstream: string, nowMilliseconds: number): boolean {
-        const { heardAtMilliseconds, requests, silentSinceMilliseconds } = this.#activity(upstream);
-        if (nowMilliseconds - heardAtMilliseconds < RECENT_MILLISECONDS) {
-            return true;
-        }
-        const isStalled = requests > 0 && nowMilliseconds - silentSinceMilliseconds >= RECENT_MILLISECONDS;
-        return !isStalled && this.isReachable(upstream, nowMilliseconds);
+    isStalled(upstream: string, nowMilliseconds: number): boolean {
+        const due = [...this.#activity(upstream).requests].filter(request => isDue(request, nowMilliseconds));
+        const goingOn = due.filter(request => isRecent(request.heardBeforeAtMilliseconds, nowMilliseconds));
+        return goingOn.length < due.length * GOING_ON_SHARE;
     }
 
     /** Returns whether the upstream answered a request or a probe a moment ago. */
     isReachable(upstream: string, nowMilliseconds: number): boolean {
-        const { heardAtMilliseconds, probedAtMilliseconds } = this.#activity(upstream);
-        return nowMilliseconds - Math.max(heardAtMilliseconds, probedAtMilliseconds) < RECENT_MILLISECONDS;
+        return isRecent(this.#respondedAtMilliseconds(upstream), nowMilliseconds);
+    }
+
+    /** Returns whether the upstream answered a request or a probe after a point in time. */
+    hasRespondedSince(upstream: string, sinceMilliseconds: number): boolean {
+        return this.#respondedAtMilliseconds(upstream) > sinceMilliseconds;
     }
 
     /** Returns the time since the upstream last answered a request; infinite where it never did. */
@@ -85,21 +127,22 @@
         return nowMilliseconds - this.#activity(upstream).heardAtMilliseconds;
     }
 
-    /** Forgets what an upstream that has left answered; requests that it still has end later. */
     forget(upstream: string): void {
-        if (this.#activity(upstream).requests === 0) {
-            this.#activities.delete(upstream);
-        }
+        this.#upstreams.delete(upstream);
+    }
+
+    #respondedAtMilliseconds(upstream: string): number {
+        const { heardAtMilliseconds, probedAtMilliseconds } = this.#activity(upstream);
+        return Math.max(heardAtMilliseconds, probedAtMilliseconds);
     }
 
-    #activity(upstream: string): Activity {
-        const activity = this.#activities.get(upstream) ?? {
-            requests: 0,
-            silentSinceMilliseconds: Number.NEGATIVE_INFINITY,
+    #activity(upstream: string): UpstreamActivity {
+        const activity = this.#upstreams.get(upstream) ?? {
+            requests: new Set(),
             heardAtMilliseconds: Number.NEGATIVE_INFINITY,
             probedAtMilliseconds: Number.NEGATIVE_INFINITY,
         };
-        this.#activities.set(upstream, activity);
+        this.#upstreams.set(upstream, activity);
         return activity;
     }
 }
