Name the parts of a host once

DigestPublisherOptions, ReportedStateOptions, MessageReceivers and ForwardingParts each listed the same parts with their types; they now take them from HostParts and name what they leave out.

Run: npx tsx scripts/test.ts entryForwarding upstreamSignals requestsBeingRead src/entry scripts/ : 93 passed, 0 failed.

--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -5,33 +5,15 @@
  */
 import { type Agent } from "node:http";
 import { BufferedAnswerBytes, type SharedRetryBudget } from "../forwarding/index.js";
-import { type PeerTable } from "../gossip/index.js";
-import { type HostEngines } from "./engines/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type HealthProbes } from "./healthProbes.js";
-import { type HostContext } from "./hostContext.js";
-import { type PartitionWatch } from "./partitionWatch.js";
-import { type HostGossip } from "./peers/index.js";
-import { type RateLimiting } from "./rateLimiting.js";
-import { type SiteDemand } from "./siteDemand.js";
-import { type HostStore } from "./store/index.js";
-import { type StreamVersions } from "./streamVersions.js";
+import { type HostParts } from "./hostParts.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
 
 /** The parts of a host that its requests use. */
-export interface ForwardingParts {
-    readonly context: HostContext;
-    readonly store: HostStore;
-    readonly peers: PeerTable;
-    readonly gossip: HostGossip;
-    readonly upstreams: UpstreamTracker;
-    readonly engines: HostEngines;
+export interface ForwardingParts extends Omit<HostParts, "duties" | "interCellGossip"> {
     readonly probes: HealthProbes;
-    readonly rateLimiting: RateLimiting;
-    readonly streamVersions: StreamVersions;
-    readonly partitionWatch: PartitionWatch;
     readonly budget: SharedRetryBudget;
-    readonly demand: SiteDemand;
     /** Returns the connection pool of a service. */
     readonly agentFor: (service: string) => Agent;
 }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -15,12 +15,12 @@
 import { HealthProbes } from "./healthProbes.js";
 import { addressesOf, createHostContext, type EntryHostOptions, type HostContext } from "./hostContext.js";
 import { refreshGauges } from "./hostGauges.js";
+import { type HostParts } from "./hostParts.js";
 import { HostServers } from "./hostServers.js";
 import { leaveFleet } from "./leaveFleet.js";
 import { PartitionWatch } from "./partitionWatch.js";
 import {
     DigestPublisher,
-    type DigestPublisherOptions,
     DigestRounds,
     HostGossip,
     hostsNeedingDemand,
@@ -300,7 +300,7 @@
     }
 
     /** Returns the parts that digests, messages of peers and forwarded requests use. */
-    #parts(): ForwardingParts & Omit<DigestPublisherOptions, "isReady"> {
+    #parts(): HostParts & ForwardingParts {
         return {
             context: this.#context,
             budget: this.#budget,
--- a/src/entry/peers/digestPublisher.ts
+++ b/src/entry/peers/digestPublisher.ts
@@ -3,34 +3,16 @@
  *
  * @module
  */
-import { type EngineDuties } from "../../duties/index.js";
 import { type HostDigest } from "../../generated/gossip.js";
 import { toLeavingIncarnation, toMemory, toPublished } from "../_gossipParts.js";
-import { type HostEngines } from "../engines/index.js";
-import { addressesOf, type HostContext } from "../hostContext.js";
-import { type PartitionWatch } from "../partitionWatch.js";
-import { type RateLimiting } from "../rateLimiting.js";
-import { type SiteDemand } from "../siteDemand.js";
-import { type HostStore } from "../store/index.js";
-import { type UpstreamTracker } from "../upstreamTracker.js";
-import { type HostGossip } from "./hostGossip.js";
-import { type InterCellGossip } from "./interCellGossip.js";
+import { addressesOf } from "../hostContext.js";
+import { type HostParts } from "../hostParts.js";
 
 /** Upper bound on the limits in one digest. */
 const MAXIMUM_LIMITS_PER_DIGEST = 256;
 
 /** Options of {@linkcode DigestPublisher}. */
-export interface DigestPublisherOptions {
-    readonly context: HostContext;
-    readonly gossip: HostGossip;
-    readonly interCellGossip: InterCellGossip;
-    readonly store: HostStore;
-    readonly duties: EngineDuties;
-    readonly engines: HostEngines;
-    readonly upstreams: UpstreamTracker;
-    readonly rateLimiting: RateLimiting;
-    readonly partitionWatch: PartitionWatch;
-    readonly demand: SiteDemand;
+export interface DigestPublisherOptions extends Omit<HostParts, "peers" | "streamVersions"> {
     /** Returns whether callers may be directed to this host. */
     readonly isReady: () => boolean;
 }
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -3,26 +3,15 @@
  *
  * @module
  */
-import { type EngineDuties } from "../../duties/index.js";
 import { type GossipMessage } from "../../gossip/index.js";
-import { type HostEngines } from "../engines/index.js";
-import { type RateLimiting } from "../rateLimiting.js";
-import { type HostStore } from "../store/index.js";
-import { type StreamVersions } from "../streamVersions.js";
-import { type UpstreamTracker } from "../upstreamTracker.js";
-import { type InterCellGossip } from "./interCellGossip.js";
+import { type HostParts } from "../hostParts.js";
 import { type ReportedState } from "./reportedState.js";
 
 /** The parts of a host that receive messages. */
-export interface MessageReceivers {
+export interface MessageReceivers
+    extends Omit<HostParts, "context" | "demand" | "gossip" | "partitionWatch" | "peers">
+{
     readonly reportedState: ReportedState;
-    readonly interCellGossip: InterCellGossip;
-    readonly store: HostStore;
-    readonly duties: EngineDuties;
-    readonly engines: HostEngines;
-    readonly upstreams: UpstreamTracker;
-    readonly rateLimiting: RateLimiting;
-    readonly streamVersions: StreamVersions;
 }
 
 /**
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -3,31 +3,14 @@
  *
  * @module
  */
-import { type EngineDuties } from "../../duties/index.js";
 import { type FleetSummary, type HostDigest } from "../../generated/gossip.js";
-import { type PeerTable } from "../../gossip/index.js";
-import { type HostEngines } from "../engines/index.js";
-import { type PartitionWatch } from "../partitionWatch.js";
-import { type RateLimiting } from "../rateLimiting.js";
-import { type SiteDemand } from "../siteDemand.js";
-import { type HostStore } from "../store/index.js";
-import { type UpstreamTracker } from "../upstreamTracker.js";
-import { type InterCellGossip } from "./interCellGossip.js";
+import { type HostParts } from "../hostParts.js";
 
 /** Stands for the other cells where reported state is kept by host. */
 const OTHER_CELLS_SOURCE = "(rest of the fleet)";
 
 /** The parts of a host to which reported state is applied. */
-export interface ReportedStateOptions {
-    readonly peers: PeerTable;
-    readonly interCellGossip: InterCellGossip;
-    readonly store: HostStore;
-    readonly duties: EngineDuties;
-    readonly engines: HostEngines;
-    readonly upstreams: UpstreamTracker;
-    readonly rateLimiting: RateLimiting;
-    readonly partitionWatch: PartitionWatch;
-    readonly demand: SiteDemand;
+export interface ReportedStateOptions extends Omit<HostParts, "context" | "gossip" | "streamVersions"> {
     readonly readClock: () => number;
 }
 
