--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -72,6 +72,7 @@
     | "liveness"
     | "loads"
     | "pauses"
+    | "rejectionBounds"
     | "prompts"
     | "residency"
     | "view"
@@ -83,7 +84,8 @@
 >;
 
 function upstreamState(upstreams: UpstreamTracker): UpstreamState {
-    const { backlog, contact, crashes, health, liveness, loads, pauses, prompts, residency, view } = upstreams;
+    const { backlog, contact, crashes, health, liveness, loads, pauses, prompts, rejectionBounds, residency, view } =
+        upstreams;
     return {
         backlog,
         contact,
@@ -93,6 +95,7 @@
         loads,
         pauses,
         prompts,
+        rejectionBounds,
         residency,
         view,
         recordAnswered: (attributes, upstream) => upstreams.recordAnswered(attributes, upstream),
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -246,6 +246,9 @@
         else if (choice.type === "all-full") {
             this.#wait.waitOrRefuse("all-full", EXPECTED_CAPACITY_MILLISECONDS);
         }
+        else if (choice.type === "may-reject") {
+            this.#wait.waitOrRefuse("rejection-bounds", EXPECTED_CAPACITY_MILLISECONDS);
+        }
         else if (choice.type === "reading") {
             this.#wait.waitForPrefill();
         }
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -21,6 +21,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
+import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type RateLimiting } from "./rateLimiting.js";
@@ -43,6 +44,7 @@
     readonly health: UpstreamHealth;
     readonly pauses: UpstreamPauses;
     readonly rateLimiting: RateLimiting;
+    readonly rejectionBounds: RejectionBounds;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
     readonly streamVersions: StreamVersions;
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -37,6 +37,7 @@
     metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
     metrics.gauge("upstreams", upstreams.view.all().length);
     metrics.gauge("limited_upstreams", upstreams.limits.countInForce());
+    metrics.gauge("brittle_upstreams", upstreams.tolerances.countInForce());
     metrics.gauge("requests_open", forwarder.openRequestCount);
     metrics.gauge("peers_heard", peers.withRecentDigest(readClock()).length);
     metrics.gauge("prompt_bound_tokens", upstreams.backlog.limitTokens);
