--- a/measurements/ablation.ts
+++ b/measurements/ablation.ts
@@ -20,9 +20,9 @@
 
 const MECHANISMS: Readonly<Record<string, readonly Change[]>> = {
     "prompt-bound": [{
-        file: "src/entry/_upstreamSelection.ts",
-        from: "acceptsPrompt: !batches || backlog.accepts(upstream.id, prompt, now)",
-        to: "acceptsPrompt: prompt.hostCount > 0",
+        file: "src/entry/exchange/upstreamSelection.ts",
+        from: "acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now)",
+        to: "acceptsPrompt: acceptsAnyPrompt || prompt.hostCount > 0",
     }],
     "quick-bound": [{
         file: "src/forwarding/prefillBacklogLimit.ts",
@@ -55,8 +55,8 @@
         to: "return health.failures < 0 && share >= AVOIDED_FAILURE_SHARE;",
     }],
     "further-adapter-copies": [{
-        file: "src/entry/exchange.ts",
-        from: "this.#selection.requestFurtherCopy(chosen.id);",
+        file: "src/entry/exchange/exchange.ts",
+        from: "selection.requestFurtherCopy(chosen.id);",
         to: "",
     }],
     "plan-horizon": [{
@@ -65,9 +65,9 @@
         to: "const HORIZON_MILLISECONDS = Number.POSITIVE_INFINITY;",
     }],
     "silence-watch": [{
-        file: "src/entry/exchange.ts",
-        from: "if (!mayRunAgain(route.kind, route.resumable)) {\n            return;",
-        to: "if (route.priority >= 0 || !mayRunAgain(route.kind, route.resumable)) {\n            return;",
+        file: "src/entry/exchange/hedging.ts",
+        from: "if (mayRunAgain(kind, resumable)) {",
+        to: "if (kind === \"non-idempotent\" && mayRunAgain(kind, resumable)) {",
     }],
 };
 
--- a/src/entry/_streamProgress.test.ts
+++ b/src/entry/exchange/streamProgress.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createAnnouncement } from "../../tests/support/announcements.js";
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type SentStream } from "./_sentStreams.js";
-import { StreamProgress } from "./_streamProgress.js";
+import { createAnnouncement } from "../../../tests/support/announcements.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type SentStream } from "../_sentStreams.js";
+import { StreamProgress } from "./streamProgress.js";
 
 const OLD = upstreamOf("v1");
 const NEW = upstreamOf("v1.1");
--- a/src/entry/_streamProgress.ts
+++ b/src/entry/exchange/streamProgress.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type Route } from "../routes/index.js";
-import { decideResumption, type Resumption } from "../streamVersions/index.js";
-import { type CallerRequest, type RequestFacts } from "./_requestFacts.js";
-import { type SentStream } from "./_sentStreams.js";
-import { type LookUpOutcome, type StreamVersions } from "./streamVersions.js";
+import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { type Route } from "../../routes/index.js";
+import { decideResumption, type Resumption } from "../../streamVersions/index.js";
+import { type SentStream } from "../_sentStreams.js";
+import { type LookUpOutcome, type StreamVersions } from "../streamVersions.js";
+import { type CallerRequest, type RequestFacts } from "./requestFacts.js";
 
 /** Options of {@linkcode StreamProgress}. */
 export interface StreamProgressOptions {
