Judge a part strictly whose crashes may all be those of other suspected parts

Cause: the companion was lost beside its deadly part in two crashes and alone in a crash of the other deadly part; no single part explained all three, so it had no rival. Change: where each crash of a part also lost another unproved suspected part, four crashes are needed, as in a tie.

--- a/src/crashes/_judgement.ts
+++ b/src/crashes/_judgement.ts
@@ -238,6 +238,15 @@
     return without.length < CRASHES_TO_CONVICT;
 }
 
+/**
+ * Returns whether each crash of a part may be another unproved part's, of which others are known: a sound part that came
+ * with two deadly ones looks like the cause of all their crashes.
+ */
+function isExplainedByOthers(suspect: Suspect, others: readonly Suspect[]): boolean {
+    const parts = others.filter(other => isPart(other.attribute) && !other.wasAnswered);
+    return [...suspect.runs].every(run => parts.some(other => other.runs.has(run)));
+}
+
 function judgePart(suspect: Suspect, suspects: readonly Suspect[], knowledge: Knowledge): Finding | undefined {
     if (suspect.requests.size < REQUESTS_TO_CONVICT || isOneRequest(suspect)) {
         return undefined;
@@ -248,7 +257,9 @@
     const isOutdone = rivals.some(({ runs }) => runs.size > suspect.runs.size);
     const members = [suspect, ...companions].map(({ attribute }) => attribute);
     const unrivalled = hasAlternatives(suspect, members, knowledge) ? CRASHES_BESIDE_OTHERS : CRASHES_TO_CONVICT;
-    const inTie = rivals.length > 0 ? CRASHES_IN_TIE : unrivalled;
+    const isInTie = rivals.length > 0
+        || isExplainedByOthers(suspect, others.filter(other => !companions.includes(other)));
+    const inTie = isInTie ? CRASHES_IN_TIE : unrivalled;
     if (isOutdone || suspect.crashTimes.length < crashesNeeded(suspect, inTie, knowledge)) {
         return undefined;
     }
