Hold stalled streams to the prompts that another engine can read in time

Cause: a stream that has begun is taken for one that its caller resumes, which is not held back behind prompts and queues. A stalled one still has an engine, and a prompt that is read too late loses it.

--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -84,7 +84,10 @@
      * @param isWaiting True for a request that has waited.
      */
     choose(upstreams: readonly UpstreamAnnouncement[], isWaiting: boolean): Choice {
-        const candidates = this.#candidates(upstreams, isWaiting);
+        return this.#choose(this.#candidates(upstreams, { isWaiting, isPreferred: this.#isResumed() }));
+    }
+
+    #choose(candidates: readonly Candidate[]): Choice {
         const accepting = candidates.filter(candidate => this.#isWithinBounds(candidate));
         const choice = chooseUpstream(accepting, this.#context.random);
         const isBound = accepting.length < candidates.length && (choice.type === "none" || choice.type === "all-full");
@@ -148,7 +151,7 @@
         const others = this.usable().filter(upstream =>
             !current.has(upstream.id) && this.residencyAt(upstream) === "held" && isEligible(upstream)
         );
-        return this.choose(others, false);
+        return this.#choose(this.#candidates(others, { isWaiting: false, isPreferred: false }));
     }
 
     /** Returns the requests at an upstream as a share of its slots. */
@@ -283,20 +286,26 @@
         );
     }
 
-    #candidates(upstreams: readonly UpstreamAnnouncement[], isWaiting: boolean): Candidate[] {
+    /**
+     * Evaluates upstreams for a choice. A preferred request is not held back behind the prompts and queues of others: its
+     * caller has seen the stream stop. One that still has an upstream is not, since its prompt may be read too late there.
+     */
+    #candidates(
+        upstreams: readonly UpstreamAnnouncement[],
+        { isPreferred, isWaiting }: { readonly isPreferred: boolean; readonly isWaiting: boolean; },
+    ): Candidate[] {
         const { backlog, health, loads, prompts, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const now = this.#now();
-        // The caller of a resumed stream has seen it stop, so its prompt is not held back behind those of new streams.
-        const acceptsAnyPrompt = !batches || this.#isResumed();
+        const acceptsAnyPrompt = !batches || isPreferred;
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => ({
             id: upstream.id,
             slots: Math.max(1, upstream.slots),
             batches,
-            mayQueue: this.#isResumed(),
+            mayQueue: isPreferred,
             requests: loads.estimate(upstream.id, now),
             prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
             acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
--- a/tests/hedging.test.ts
+++ b/tests/hedging.test.ts
@@ -15,6 +15,7 @@
 const HEADERS = { "Flamingospread-Model": "quotes" };
 const ENGINE = engineSettings(4, { quotes: 0 });
 const SLOTS = 100;
+const PROMPT_TOKENS = 1_300;
 
 /** Callers abandon a stream after a gap of this length. */
 const CALLER_GAP_LIMIT_MILLISECONDS = 2_000;
@@ -140,6 +141,29 @@
     await assertEndWhole(streams, [hanging]);
 });
 
+test("stalled streams do not move to an engine that has more prompts to read than it can in time", async () => {
+    configure();
+    const paused = await addEngine("i-paused", STREAM);
+    const host = await startHost();
+    const headers = { ...HEADERS, "Flamingospread-Token-Count": `${PROMPT_TOKENS},80` };
+    const streams = Array.from(
+        { length: 30 },
+        (_, index) => holdAnswer(host, { path: `/streams/${index}`, method: "POST", headers }),
+    );
+    await until(() => streams.every(({ readBytes }) => readBytes() > 0));
+    await addEngine("i-other", { ...STREAM, firstTokenMilliseconds: 300 });
+    await joined(host, "i-other");
+    paused.pause(1_600);
+    assertWhole(await Promise.all(streams.map(({ ended }) => ended)));
+    const hedges = host.lines.filter(({ fields, message }) =>
+        message === "request sent" && fields["upstream"] === "i-other"
+    );
+    const tooLong = hedges.filter(({ fields: { boundTokens, unreadTokens } }) =>
+        Number(unreadTokens) > Math.max(Number(boundTokens), PROMPT_TOKENS)
+    );
+    assert.equal(tooLong.length, 0, `${tooLong.length} of ${hedges.length} hedges`);
+});
+
 test("no more than two engines have a request to a model, and none beside another for over 400 ms", async () => {
     configure(60);
     const ids = ["i-1", "i-2", "i-3"];
