--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -151,6 +151,10 @@
     return Err({ reason, detail: `${type}: ${issue?.path.join(".") ?? ""}: ${issue?.message ?? ""}` });
 }
 
+function encode(message: GossipMessage | FormatNotice): Buffer {
+    return Buffer.from(JSON.stringify(message));
+}
+
 function bind(socket: Socket, options: GossipLinkOptions): Promise<void> {
     return new Promise((resolve, reject) => {
         socket.once("error", reject);
@@ -190,15 +194,15 @@
     }
 
     send(message: GossipMessage, addresses: readonly string[]): void {
-        const byteCount = Buffer.byteLength(JSON.stringify(message));
-        if (byteCount > MAXIMUM_DATAGRAM_BYTES) {
-            const detail = `${message.type}: ${byteCount} bytes exceed the maximum datagram size and were not sent`;
+        const bytes = encode(message);
+        if (bytes.length > MAXIMUM_DATAGRAM_BYTES) {
+            const detail = `${message.type}: ${bytes.length} bytes exceed the maximum datagram size and were not sent`;
             this.#options.onProblem({ reason: "too-large", detail });
             return;
         }
         for (const [format, receivers] of this.#groupByFormat(addresses)) {
             for (const form of formsFor(message, format)) {
-                this.#sender.send(Buffer.from(JSON.stringify(form)), receivers);
+                this.#sender.send(form === message ? bytes : encode(form), receivers);
             }
             this.#askForFormat(receivers);
         }
@@ -228,7 +232,7 @@
 
     #sendNotice(asks: boolean, addresses: readonly string[]): void {
         const notice: FormatNotice = { type: "format", format: PRESENT_FORMAT, asks };
-        this.#sender.send(Buffer.from(JSON.stringify(notice)), addresses);
+        this.#sender.send(encode(notice), addresses);
     }
 
     #receive(bytes: Buffer, source: string): void {
