--- /dev/null
+++ b/tests/support/overlappingCaller.ts
@@ -0,0 +1,190 @@
+/**
+ * A caller that sends requests on one connection before the answers to earlier ones are over.
+ *
+ * @module
+ */
+import { connect, type Socket } from "node:net";
+import { type EntrySettings } from "../../src/entry/index.js";
+import { HOST_NAME } from "./entrySite.js";
+
+const LINE_END = "\r\n";
+const HEAD_END = "\r\n\r\n";
+const LENGTH_BASE_OF_CHUNKS = 16;
+
+/** A request, before it is written as bytes. */
+export interface OverlappingRequest {
+    readonly id: string;
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    /** Sends the body in chunks instead of with a length. */
+    readonly isChunked?: boolean;
+}
+
+/** An answer, in the order of the connection. */
+export interface OrderedAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: string;
+    /** False if the connection ended within the answer. */
+    readonly isComplete: boolean;
+}
+
+function renderBody({ body = "", isChunked = false }: OverlappingRequest): string {
+    return isChunked && body !== ""
+        ? `${body.length.toString(LENGTH_BASE_OF_CHUNKS)}${LINE_END}${body}${LINE_END}0${HEAD_END}`
+        : body;
+}
+
+/** Returns the bytes of a request. */
+export function renderRequest(request: OverlappingRequest): string {
+    const { body = "", headers = {}, id, isChunked = false, method, path } = request;
+    const framing = isChunked ? "Transfer-Encoding: chunked" : `Content-Length: ${body.length}`;
+    const lines = [
+        `${method ?? (body === "" ? "GET" : "POST")} ${path} HTTP/1.1`,
+        `Host: ${HOST_NAME}`,
+        `Flamingospread-Request-Id: ${id}`,
+        ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+        ...body === "" ? [] : [framing],
+    ];
+    return lines.join(LINE_END) + HEAD_END + renderBody(request);
+}
+
+interface ParsedBody {
+    readonly body: string;
+    readonly rest: string;
+}
+
+/** Returns a chunked body and what follows it; `undefined` while its last chunk has not arrived. */
+function parseChunks(text: string): ParsedBody | undefined {
+    let body = "";
+    let rest = text;
+    for (;;) {
+        const lineEnd = rest.indexOf(LINE_END);
+        if (lineEnd === -1) {
+            return undefined;
+        }
+        const length = Number.parseInt(rest.slice(0, lineEnd), LENGTH_BASE_OF_CHUNKS);
+        const begin = lineEnd + LINE_END.length;
+        const end = begin + length;
+        if (rest.length < end + LINE_END.length) {
+            return undefined;
+        }
+        body += rest.slice(begin, end);
+        rest = rest.slice(end + LINE_END.length);
+        if (length === 0) {
+            return { body, rest };
+        }
+    }
+}
+
+function parseBody(text: string, headers: OrderedAnswer["headers"]): ParsedBody | undefined {
+    if (headers["transfer-encoding"] === "chunked") {
+        return parseChunks(text);
+    }
+    const length = Number(headers["content-length"] ?? "0");
+    return text.length < length ? undefined : { body: text.slice(0, length), rest: text.slice(length) };
+}
+
+function parseHead(head: string): Pick<OrderedAnswer, "status" | "headers"> {
+    const [statusLine = "", ...lines] = head.split(LINE_END);
+    const fields = lines.map(line => line.split(": "));
+    return {
+        status: Number(statusLine.split(" ")[1]),
+        headers: Object.fromEntries(fields.map(([name = "", value = ""]) => [name.toLowerCase(), value])),
+    };
+}
+
+/** Returns the answers in the bytes of a connection; the last one is incomplete if the bytes end within it. */
+export function parseAnswers(text: string): OrderedAnswer[] {
+    const answers: OrderedAnswer[] = [];
+    let rest = text;
+    for (;;) {
+        const headEnd = rest.indexOf(HEAD_END);
+        if (headEnd === -1) {
+            return answers;
+        }
+        const head = parseHead(rest.slice(0, headEnd));
+        const parsed = parseBody(rest.slice(headEnd + HEAD_END.length), head.headers);
+        if (parsed === undefined) {
+            return [...answers, { ...head, body: rest.slice(headEnd + HEAD_END.length), isComplete: false }];
+        }
+        rest = parsed.rest;
+        if (head.status >= 200) {
+            answers.push({ ...head, body: parsed.body, isComplete: true });
+        }
+    }
+}
+
+/** One connection of a caller to a host; `close` ends it at once. */
+export class OverlappingCaller {
+    readonly #socket: Socket;
+    #text = "";
+    #isClosed = false;
+    #changed: () => void = () => undefined;
+
+    constructor({ settings }: { readonly settings: Pick<EntrySettings, "callers">; }) {
+        this.#socket = connect(settings.callers.port, settings.callers.address);
+        this.#socket.setNoDelay(true);
+        this.#socket.on("data", piece => {
+            this.#text += piece.toString("latin1");
+            this.#changed();
+        });
+        this.#socket.on("error", () => undefined);
+        this.#socket.on("close", () => {
+            this.#isClosed = true;
+            this.#changed();
+        });
+    }
+
+    /** True once the host or the caller has closed the connection. */
+    get isClosed(): boolean {
+        return this.#isClosed;
+    }
+
+    /** Answers received so far. */
+    get answers(): readonly OrderedAnswer[] {
+        return parseAnswers(this.#text);
+    }
+
+    /** Sends bytes in one write. */
+    write(bytes: string): void {
+        this.#socket.write(bytes);
+    }
+
+    /** Stops reading answers, as a slow caller does. */
+    pause(): void {
+        this.#socket.pause();
+    }
+
+    resume(): void {
+        this.#socket.resume();
+    }
+
+    /** Waits for a number of complete answers, or until the connection is closed or the time is over. */
+    async waitForAnswers(count: number, withinMilliseconds: number): Promise<readonly OrderedAnswer[]> {
+        await new Promise<void>(resolve => {
+            const timer = setTimeout(resolve, withinMilliseconds);
+            this.#changed = () => {
+                if (this.#isClosed || this.answers.filter(({ isComplete }) => isComplete).length >= count) {
+                    clearTimeout(timer);
+                    resolve();
+                }
+            };
+            this.#changed();
+        });
+        this.#changed = () => undefined;
+        return this.answers;
+    }
+
+    /** Closes the connection, with an orderly end or with a reset. */
+    close(how: "end" | "reset" = "end"): void {
+        if (how === "reset") {
+            this.#socket.resetAndDestroy();
+        }
+        else {
+            this.#socket.destroy();
+        }
+    }
+}
