--- a/src/entry/_arrivals.ts
+++ b/src/entry/_arrivals.ts
@@ -14,6 +14,8 @@
     readonly response: ServerResponse;
     readonly body: Buffer;
     readonly arrivedAtMilliseconds: number;
+    /** Number of earlier requests on its connection that had no whole answer when this one's head was read. */
+    readonly unansweredBefore: number;
 }
 
 /** Callbacks of {@linkcode Arrivals}; exactly one is called for each request. */
--- /dev/null
+++ b/src/entry/connections/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Callers' connections and the requests that arrive on them.
+ *
+ * @module
+ */
+export { UnansweredRequests } from "./unansweredRequests.js";
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -6,6 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Route } from "../routes/index.js";
 import { type Arrival, Arrivals } from "./_arrivals.js";
+import { UnansweredRequests } from "./connections/index.js";
 import { type CallerRequest, compareRanks, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
@@ -22,6 +23,9 @@
 /** Longer paths are truncated in log lines. */
 const MAXIMUM_LOGGED_PATH_CHARACTERS = 100;
 
+/** A log line names at most this many requests. */
+const MAXIMUM_LOGGED_REQUESTS = 8;
+
 /** Limit on callers' bodies while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -73,6 +77,7 @@
         onBegin: arrival => this.#begin(arrival),
         onCallerLeft: arrival => this.#recordCallerLeft(arrival),
     });
+    readonly #unanswered = new UnansweredRequests(messages => this.#logUnanswered(messages));
     #wakeScheduled = false;
     #prefillTimer: NodeJS.Timeout | undefined;
 
@@ -88,6 +93,8 @@
         const arrivedAtMilliseconds = this.#context.readClock();
         this.#openResponses.add(response);
         response.on("close", () => this.#openResponses.delete(response));
+        const unansweredBefore = this.#unanswered.add(message);
+        response.on("finish", () => this.#unanswered.delete(message));
         const table = this.#context.routeTable();
         const limit = table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
         response.on(
@@ -102,7 +109,7 @@
                 this.#reject(message, response, STATUS_TOO_LARGE, "body-too-large");
                 return;
             }
-            this.#arrivals.add({ message, response, body, arrivedAtMilliseconds });
+            this.#arrivals.add({ message, response, body, arrivedAtMilliseconds, unansweredBefore });
         });
     }
 
@@ -129,8 +136,21 @@
         }
     }
 
-    #recordCallerLeft({ message }: Arrival): void {
-        this.#recordRejected(message, "caller-left", undefined);
+    #recordCallerLeft({ message, unansweredBefore }: Arrival): void {
+        const { destroyed, readableEnded } = message.socket;
+        const isConnected = !destroyed && !readableEnded;
+        this.#recordRejected(message, "caller-left", undefined, { isConnected, unansweredBefore });
+    }
+
+    /** Logs requests whose connection has closed before they were answered whole. */
+    #logUnanswered(messages: readonly IncomingMessage[]): void {
+        const identifiers = messages.map(({ headers }) => headers[this.#context.headers.requestId]);
+        this.#context.logger.info("connection closed before answers", {
+            requests: identifiers.slice(0, MAXIMUM_LOGGED_REQUESTS).join(" "),
+            count: messages.length,
+            readWhole: messages.filter(({ complete }) => complete).length,
+            isLeaving: this.#context.isLeaving(),
+        });
     }
 
     #begin({ message, response, body, arrivedAtMilliseconds }: Arrival): void {
@@ -202,7 +222,12 @@
     }
 
     /** Logs and counts a request that is rejected before it begins; no status where the caller has left. */
-    #recordRejected(message: IncomingMessage, reason: string, status: number | undefined): void {
+    #recordRejected(
+        message: IncomingMessage,
+        reason: string,
+        status: number | undefined,
+        details: Readonly<Record<string, unknown>> = {},
+    ): void {
         const requestId = message.headers[this.#context.headers.requestId];
         this.#context.logger.info("request rejected", {
             request: typeof requestId === "string" ? requestId : undefined,
@@ -210,6 +235,7 @@
             status,
             path: message.url?.slice(0, MAXIMUM_LOGGED_PATH_CHARACTERS),
             configurationVersion: this.#context.routeTable()?.version,
+            ...details,
         });
         this.#context.metrics.count("refusals", { reason });
     }
