Answer the requests of a connection one after another instead of taking waiting ones for left

What callers saw: a request sent on a connection before the answer to the one before was over got neither an answer nor a refusal (8 of 16, and 8 of 24 where three come in one segment).

Cause: whether a caller had left was read from the response's socket. Node gives a response none before its turn on the connection, so 'not yet' was read as 'no longer': absence of a fact taken for a fact.

Ruled out: asking the message's socket alone. Running requests side by side would also hold whole answers in memory, and keep engines at work for a caller whose connection an earlier answer ends.

Change: src/entry/connections reads requests ahead, and begins each only once the answer before it was sent whole. Connection: close is held back while another request waits; one read after such a head is refused (503, not run) behind that answer. 413 and 431 keep their connection where the request was read whole. Bytes that are no request are answered behind the requests before them; before, they ended the connection, or were answered in place of a request that an engine was running. Beyond 16 waiting requests or 256 KiB nothing is read.

Also of this: responses that never got a socket were counted as open for good, so that a host waited its whole grace period for a caller that had left.

The test 'a refusal of long headers is never the answer to the request before them' asked that there be no 431 at all, since the connection was destroyed. It now asks for both answers in order, whole, the first with its request's identifier, which is stricter.

--- /dev/null
+++ b/src/entry/connections/arrival.ts
@@ -0,0 +1,26 @@
+/**
+ * A caller's request as it was read from its connection.
+ *
+ * @module
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+
+/** Why a request is rejected as it was read; its body is empty then. */
+export type RequestProblem = "body-too-large" | "headers-too-large";
+
+/** A request that was read, or of which enough was read to reject it. */
+export interface Arrival {
+    readonly message: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly body: Buffer;
+    /** `undefined` for a request that may be handled. */
+    readonly problem: RequestProblem | undefined;
+    readonly arrivedAtMilliseconds: number;
+    /** Number of earlier requests on its connection that had no whole answer when this one's head was read. */
+    readonly unansweredBefore: number;
+    /**
+     * Decides, when the head of the answer is written, whether it is the last one of its connection: where this is
+     * wanted and no other request waits for its answer there.
+     */
+    readonly closesConnection: (isWanted: boolean) => boolean;
+}
--- a/src/entry/_arrivals.ts
+++ b/src/entry/connections/arrivals.ts
@@ -6,17 +6,7 @@
  *
  * @module
  */
-import { type IncomingMessage, type ServerResponse } from "node:http";
-
-/** A request that was read completely. */
-export interface Arrival {
-    readonly message: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly body: Buffer;
-    readonly arrivedAtMilliseconds: number;
-    /** Number of earlier requests on its connection that had no whole answer when this one's head was read. */
-    readonly unansweredBefore: number;
-}
+import { type Arrival } from "./arrival.js";
 
 /** Callbacks of {@linkcode Arrivals}; exactly one is called for each request. */
 export interface ArrivalsOptions {
@@ -24,9 +14,9 @@
     readonly onCallerLeft: (arrival: Arrival) => void;
 }
 
-function hasCallerLeft({ response }: Arrival): boolean {
-    const { socket } = response;
-    return response.destroyed || socket === null || socket.destroyed || socket.readableEnded;
+/** The message's socket is asked: a response has none before its turn on the connection. */
+function hasCallerLeft({ message: { socket }, response }: Arrival): boolean {
+    return response.destroyed || socket.destroyed || socket.readableEnded;
 }
 
 /** Begins each request one full event loop iteration after it was read, if its caller is still connected. */
--- /dev/null
+++ b/src/entry/connections/callerConnection.ts
@@ -0,0 +1,191 @@
+/**
+ * One connection of a caller.
+ *
+ * @module
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Duplex } from "node:stream";
+import { readBody } from "./_readBody.js";
+import { type Arrival, type RequestProblem } from "./arrival.js";
+import { RequestOrder, type RequestPlace } from "./requestOrder.js";
+
+/** What may wait on one connection: enough for callers that send a few requests ahead. */
+const WAITING_LIMITS = { requests: 16, bytes: 256 * 1024 };
+
+/** Time in which a caller should close a connection on which it was told that no request is read any more. */
+const LINGER_MILLISECONDS = 1_000;
+
+const NO_BODY = Buffer.alloc(0);
+
+/** A request whose head was read. */
+export interface ReceivedHead {
+    readonly message: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly arrivedAtMilliseconds: number;
+    readonly bodyLimitBytes: number;
+    readonly problem: RequestProblem | undefined;
+}
+
+/** Options of {@linkcode CallerConnection}. */
+export interface CallerConnectionOptions {
+    /** A request was read, and those before it on the connection were answered. */
+    readonly onTurn: (arrival: Arrival) => void;
+    /** Returns the bytes that refuse a request which was read after the head of the connection's last answer. */
+    readonly refuseAfterLast: (message: IncomingMessage) => string;
+    /** The connection has closed while requests on it had no whole answer. */
+    readonly onUnanswered: (messages: readonly IncomingMessage[]) => void;
+}
+
+/**
+ * Hands the requests of a connection on one after another, so that none is begun whose answer might not be delivered:
+ * an earlier answer that breaks off or closes the connection ends it for all requests behind it.
+ */
+export class CallerConnection {
+    readonly #socket: Duplex;
+    readonly #options: CallerConnectionOptions;
+    readonly #order = new RequestOrder<Arrival>(WAITING_LIMITS);
+    readonly #unanswered = new Set<IncomingMessage>();
+    /** True once an answer has told the caller that the connection closes. */
+    #isLastAnswer = false;
+    #isReadingPaused = false;
+    /** Answers bytes that are no request, once the requests before them were answered. */
+    #finalAnswer: string | undefined;
+
+    constructor(socket: Duplex, options: CallerConnectionOptions) {
+        this.#socket = socket;
+        this.#options = options;
+        socket.once("close", () => this.#reportUnanswered());
+    }
+
+    /** Number of requests without a whole answer. */
+    get openRequestCount(): number {
+        return this.#order.size;
+    }
+
+    /** True once bytes that are no request were, or are to be, answered; what still arrives is discarded. */
+    get isEnding(): boolean {
+        return this.#finalAnswer !== undefined;
+    }
+
+    /** True while nothing is read since too much waits. */
+    get isReadingPaused(): boolean {
+        return this.#isReadingPaused;
+    }
+
+    /** Reads a request and hands it on in its turn. */
+    add(head: ReceivedHead): void {
+        const { message, response } = head;
+        const unansweredBefore = this.#order.size;
+        const place = this.#order.add();
+        this.#unanswered.add(message);
+        // Runs before Node's own listener, which ends the connection after its last answer.
+        response.prependListener("finish", () => this.#handleAnswered(message));
+        response.on("close", () => this.#handleEnded(place));
+        const createArrival = (body: Buffer, problem = head.problem): Arrival => ({
+            message,
+            response,
+            body,
+            problem,
+            arrivedAtMilliseconds: head.arrivedAtMilliseconds,
+            unansweredBefore,
+            closesConnection: isWanted => this.#decideLast(isWanted, message),
+        });
+        if (head.problem !== undefined) {
+            message.resume();
+            this.#handleRead(place, createArrival(NO_BODY));
+            return;
+        }
+        readBody(message, head.bodyLimitBytes, body => {
+            if (body === "too-large") {
+                this.#handleRead(place, createArrival(NO_BODY, "body-too-large"));
+            }
+            else if (body !== "caller-left") {
+                this.#handleRead(place, createArrival(body));
+            }
+        });
+    }
+
+    /** Answers bytes that are no request, after the requests before them, and closes the connection. */
+    endWith(answer: string): void {
+        if (this.#finalAnswer === undefined) {
+            this.#finalAnswer = answer;
+            this.#endIfAnswered();
+        }
+    }
+
+    /** A request whose bytes still arrive after its answer ends the connection, since nothing behind it is read. */
+    #decideLast(isWanted: boolean, { complete }: IncomingMessage): boolean {
+        const hasSuccessor = this.#order.hasWaiting || this.#finalAnswer !== undefined;
+        this.#isLastAnswer = !complete || (isWanted && !hasSuccessor);
+        return this.#isLastAnswer;
+    }
+
+    #handleRead(place: RequestPlace<Arrival>, arrival: Arrival): void {
+        this.#order.setRead(place, arrival, arrival.body.length);
+        this.#beginNext();
+        this.#updateReading();
+    }
+
+    #handleAnswered(message: IncomingMessage): void {
+        this.#unanswered.delete(message);
+        if (!this.#isLastAnswer) {
+            return;
+        }
+        for (const waiting of this.#order.takeWaiting()) {
+            this.#socket.write(this.#options.refuseAfterLast(waiting.message));
+            this.#unanswered.delete(waiting.message);
+        }
+    }
+
+    #handleEnded(place: RequestPlace<Arrival>): void {
+        this.#order.end(place);
+        if (this.#socket.destroyed) {
+            return;
+        }
+        this.#beginNext();
+        this.#updateReading();
+        this.#endIfAnswered();
+    }
+
+    #beginNext(): void {
+        const arrival = this.#isLastAnswer ? undefined : this.#order.takeTurn();
+        if (arrival !== undefined) {
+            this.#options.onTurn(arrival);
+        }
+    }
+
+    /** Stops reading while too much waits; not within a request, which could then never be answered. */
+    #updateReading(): void {
+        const isPaused = this.#order.isFull && this.#order.isAllRead;
+        if (isPaused === this.#isReadingPaused || this.#socket.destroyed) {
+            return;
+        }
+        this.#isReadingPaused = isPaused;
+        if (isPaused) {
+            this.#socket.pause();
+        }
+        else {
+            this.#socket.resume();
+        }
+    }
+
+    /** True while a request is to be answered before the final answer; one that was not read whole gets the latter. */
+    get #hasAnswerDue(): boolean {
+        return this.#order.hasRead || [...this.#unanswered].some(({ complete }) => complete);
+    }
+
+    #endIfAnswered(): void {
+        const isDue = !this.#isLastAnswer && !this.#hasAnswerDue && this.#socket.writable;
+        if (this.#finalAnswer === undefined || !isDue) {
+            return;
+        }
+        this.#socket.end(this.#finalAnswer);
+        setTimeout(() => this.#socket.destroy(), LINGER_MILLISECONDS).unref();
+    }
+
+    #reportUnanswered(): void {
+        if (this.#unanswered.size > 0) {
+            this.#options.onUnanswered([...this.#unanswered]);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/connections/callerConnections.ts
@@ -0,0 +1,107 @@
+/**
+ * The callers' connections of a host.
+ *
+ * @module
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Duplex } from "node:stream";
+import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { type Arrival, type RequestProblem } from "./arrival.js";
+import { Arrivals } from "./arrivals.js";
+import { CallerConnection } from "./callerConnection.js";
+
+/** Limit on callers' bodies while no configuration is known. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Handles the requests of all connections. */
+export interface RequestHandler {
+    /** Handles a request whose caller is connected, and which is the next to be answered on its connection. */
+    begin(arrival: Arrival): void;
+    /** Records a request whose caller left before it was handled. */
+    recordCallerLeft(arrival: Arrival): void;
+    /** Records requests whose connection has closed before they were answered whole. */
+    recordUnanswered(messages: readonly IncomingMessage[]): void;
+    /** Returns the bytes that refuse a request which was read after the head of its connection's last answer. */
+    refuseAfterLast(message: IncomingMessage): string;
+}
+
+/** Options of {@linkcode CallerConnections}. */
+export interface CallerConnectionsOptions {
+    readonly handler: RequestHandler;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    readonly readClock: () => number;
+}
+
+/**
+ * Reads the requests of callers, and hands those of one connection to the handler one after another.
+ *
+ * @example
+ * ```ts
+ * const connections = new CallerConnections({ handler, logger, metrics, readClock });
+ * server.on("request", (message, response) => connections.add(message, response));
+ * ```
+ */
+export class CallerConnections {
+    readonly #options: CallerConnectionsOptions;
+    readonly #arrivals: Arrivals;
+    readonly #connections = new Map<Duplex, CallerConnection>();
+    #bodyLimitBytes = DEFAULT_BODY_BYTES;
+
+    constructor(options: CallerConnectionsOptions) {
+        const { handler } = options;
+        this.#options = options;
+        this.#arrivals = new Arrivals({
+            onBegin: arrival => handler.begin(arrival),
+            onCallerLeft: arrival => handler.recordCallerLeft(arrival),
+        });
+    }
+
+    /** Number of requests whose answer has not yet been sent whole. */
+    get openRequestCount(): number {
+        let count = 0;
+        for (const connection of this.#connections.values()) {
+            count += connection.openRequestCount;
+        }
+        return count;
+    }
+
+    /** Sets the limit on bodies of the configuration in force, for requests that arrive from now on. */
+    setBodyLimit(limitBytes: number): void {
+        this.#bodyLimitBytes = limitBytes;
+    }
+
+    /** Adds a request whose head was read. */
+    add(message: IncomingMessage, response: ServerResponse, problem?: RequestProblem): void {
+        const { logger, metrics, readClock } = this.#options;
+        const connection = this.of(message.socket);
+        response.on("error", error => logger.debug("caller's connection failed", { error: error.message }));
+        if (connection.openRequestCount > 0) {
+            metrics.count("overlapping_requests", {});
+        }
+        connection.add({
+            message,
+            response,
+            problem,
+            arrivedAtMilliseconds: readClock(),
+            bodyLimitBytes: this.#bodyLimitBytes,
+        });
+    }
+
+    /** Returns the connection of a socket. */
+    of(socket: Duplex): CallerConnection {
+        const known = this.#connections.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const { handler } = this.#options;
+        const connection = new CallerConnection(socket, {
+            onTurn: arrival => this.#arrivals.add(arrival),
+            refuseAfterLast: message => handler.refuseAfterLast(message),
+            onUnanswered: messages => handler.recordUnanswered(messages),
+        });
+        this.#connections.set(socket, connection);
+        socket.once("close", () => this.#connections.delete(socket));
+        return connection;
+    }
+}
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -3,4 +3,8 @@
  *
  * @module
  */
-export { UnansweredRequests } from "./unansweredRequests.js";
+export { type Arrival, type RequestProblem } from "./arrival.js";
+export { CallerConnections, type RequestHandler } from "./callerConnections.js";
+export { HeaderLimit } from "./headerLimit.js";
+export { renderRawAnswer } from "./rawAnswer.js";
+export { UnreadableRequests } from "./unreadableRequests.js";
--- /dev/null
+++ b/src/entry/connections/unreadableRequests.ts
@@ -0,0 +1,86 @@
+/**
+ * Answers bytes that are no proper request.
+ *
+ * @module
+ */
+import { type Server } from "node:http";
+import { type Duplex } from "node:stream";
+import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { type CallerConnection } from "./callerConnection.js";
+import { type HeaderLimit } from "./headerLimit.js";
+import { renderRawAnswer } from "./rawAnswer.js";
+
+const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
+const STATUS_BAD_REQUEST = 400;
+const STATUS_REQUEST_TIMEOUT = 408;
+const STATUS_BODY_TOO_LARGE = 413;
+const STATUS_HEADERS_TOO_LARGE = 431;
+const STATUS_UNAVAILABLE = 503;
+
+/** Statuses for bytes that are no proper request, by error code; all others are bad requests. */
+const STATUS_OF_ERROR: Readonly<Record<string, number>> = {
+    [REQUEST_TIMEOUT]: STATUS_REQUEST_TIMEOUT,
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: STATUS_BODY_TOO_LARGE,
+    [HEADER_OVERFLOW]: STATUS_HEADERS_TOO_LARGE,
+};
+
+/** Options of {@linkcode UnreadableRequests}. */
+export interface UnreadableRequestsOptions {
+    readonly server: Server;
+    readonly headerLimit: HeaderLimit;
+    readonly connectionOf: (socket: Duplex) => CallerConnection;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+}
+
+/**
+ * Answers, behind the requests before them, what a server cannot read as a request, and closes the connection. Where the
+ * header limit was raised since the connection began, a longer head is answered as one that the caller may send again
+ * on a new connection.
+ *
+ * @example
+ * ```ts
+ * new UnreadableRequests({ server, headerLimit, connectionOf: socket => connections.of(socket), logger, metrics });
+ * ```
+ */
+export class UnreadableRequests {
+    readonly #options: UnreadableRequestsOptions;
+
+    constructor(options: UnreadableRequestsOptions) {
+        this.#options = options;
+        const { server } = options;
+        server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => this.#handleError(error, socket));
+    }
+
+    #handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
+        const connection = this.#options.connectionOf(socket);
+        if (connection.isEnding || (error.code === REQUEST_TIMEOUT && connection.isReadingPaused)) {
+            return;
+        }
+        if (!socket.writable) {
+            socket.destroy(error);
+            return;
+        }
+        const status = this.#statusOf(error, socket);
+        if (error.code === HEADER_OVERFLOW) {
+            this.#reportRefused(status);
+        }
+        const headers = status === STATUS_UNAVAILABLE ? { "Retry-After": "0" } : {};
+        connection.endWith(renderRawAnswer({ status, headers }));
+    }
+
+    /** Returns the status for an error; one that allows another try where the limit of the configuration is higher. */
+    #statusOf({ code = "" }: NodeJS.ErrnoException, socket: Duplex): number {
+        return code === HEADER_OVERFLOW && this.#options.headerLimit.isOutdated(socket)
+            ? STATUS_UNAVAILABLE
+            : STATUS_OF_ERROR[code] ?? STATUS_BAD_REQUEST;
+    }
+
+    #reportRefused(status: number): void {
+        const { headerLimit, logger, metrics } = this.#options;
+        const reason = status === STATUS_UNAVAILABLE ? "header-limit-raised" : "headers-too-large";
+        logger.info("request rejected", { reason, status, limitBytes: headerLimit.limitBytes });
+        metrics.count("refusals", { reason });
+    }
+}
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -344,7 +344,7 @@
         return new HostServers({
             ...this.#context,
             calls: this.#context.protocol.calls,
-            forward: (message, response) => this.#forwarder.handle(message, response),
+            handler: this.#forwarder,
             isReady: () => this.#isReady(),
             advertised: () => this.#peers.advertised(this.#now()),
             sharedState: () => this.#store.sharedState(),
@@ -366,7 +366,7 @@
     }
 
     #refreshGauges(): void {
-        refreshGauges({ ...this.#context, ...this.#parts(), forwarder: this.#forwarder });
+        refreshGauges({ ...this.#context, ...this.#parts(), servers: this.#servers });
     }
 }
 
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -16,8 +16,8 @@
     readonly requestId: string;
     readonly requestIdHeader: string;
     readonly isHead: boolean;
-    /** Returns whether the caller should use another connection for its next request. */
-    readonly closesConnections: () => boolean;
+    /** Decides, when the head is written, whether the answer is the last one of its connection. */
+    readonly closesConnection: () => boolean;
     readonly readClock: () => number;
 }
 
@@ -95,7 +95,7 @@
             "content-length": Buffer.byteLength(body),
             ...headers,
             [requestIdHeader]: requestId,
-            ...this.#options.closesConnections() ? { connection: "close" } : {},
+            ...this.#options.closesConnection() ? { connection: "close" } : {},
         });
         response.end(body);
     }
@@ -123,7 +123,7 @@
     }
 
     #closingHeaders(): string[] {
-        return this.#options.closesConnections() ? ["Connection", "close"] : [];
+        return this.#options.closesConnection() ? ["Connection", "close"] : [];
     }
 
     #recordEvents(count: number): void {
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -22,6 +22,8 @@
     readonly route: Route;
     readonly arrivedAtMilliseconds: number;
     readonly configurationVersion: number;
+    /** Decides, when the head of the answer is written, whether it is the last one of its connection. */
+    readonly closesConnection: (isWanted: boolean) => boolean;
 }
 
 /** Properties of a request that forwarding decisions depend on. */
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -37,13 +37,16 @@
     });
 }
 
-function createAnswer(context: ForwardingContext, { message, requestId, response }: CallerRequest): CallerAnswer {
+function createAnswer(
+    context: ForwardingContext,
+    { closesConnection, message, requestId, response }: CallerRequest,
+): CallerAnswer {
     return new CallerAnswer({
         response,
         requestId,
         requestIdHeader: context.headers.requestId,
         isHead: message.method === "HEAD",
-        closesConnections: () => context.closesConnections(),
+        closesConnection: () => closesConnection(context.closesConnections()),
         readClock: () => context.readClock(),
     });
 }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -3,18 +3,21 @@
  *
  * @module
  */
-import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type IncomingMessage } from "node:http";
 import { type Route } from "../routes/index.js";
-import { type Arrival, Arrivals } from "./_arrivals.js";
-import { UnansweredRequests } from "./connections/index.js";
+import { type Arrival, renderRawAnswer, type RequestHandler, type RequestProblem } from "./connections/index.js";
 import { type CallerRequest, compareRanks, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
-const STATUS_TOO_LARGE = 413;
 const STATUS_UNAVAILABLE = 503;
 
+const STATUS_OF_PROBLEM: Readonly<Record<RequestProblem, number>> = {
+    "body-too-large": 413,
+    "headers-too-large": 431,
+};
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Time in which an engine prefills enough of its backlog to accept another prompt. */
@@ -26,58 +29,23 @@
 /** A log line names at most this many requests. */
 const MAXIMUM_LOGGED_REQUESTS = 8;
 
-/** Limit on callers' bodies while no configuration is known. */
-const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+/** A refusal that the host gives before a request begins. */
+interface Refusal {
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: string;
+}
 
 /** Forwards the requests of callers. */
-export interface Forwarder {
-    handle(message: IncomingMessage, response: ServerResponse): void;
-    /** Number of requests whose answer has not yet been sent whole. */
-    readonly openRequestCount: number;
+export interface Forwarder extends RequestHandler {
     /** Dispatches waiting requests again, the most urgent first. */
     wake(): void;
     /** Ends every open request at once. */
     abortAll(): void;
 }
 
-/** Reads a body and calls back once; with `too-large` beyond the limit, `caller-left` if the request is aborted. */
-function readBody(
-    message: IncomingMessage,
-    limit: number,
-    onBody: (body: Buffer | "too-large" | "caller-left") => void,
-): void {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    let settled = false;
-    const settle = (body: Buffer | "too-large" | "caller-left"): void => {
-        if (!settled) {
-            settled = true;
-            onBody(body);
-        }
-    };
-    message.on("data", (chunk: Buffer) => {
-        length += chunk.length;
-        if (length > limit) {
-            settle("too-large");
-            return;
-        }
-        chunks.push(chunk);
-    });
-    message.on("end", () => settle(Buffer.concat(chunks)));
-    message.on("error", () => settle("caller-left"));
-    message.on("close", () => settle("caller-left"));
-}
-
 class RunningForwarder implements Forwarder {
     readonly #context: ForwardingContext;
     readonly #exchanges = new Set<Exchange>();
-    /** Responses of which a part may still have to be sent. */
-    readonly #openResponses = new Set<ServerResponse>();
-    readonly #arrivals = new Arrivals({
-        onBegin: arrival => this.#begin(arrival),
-        onCallerLeft: arrival => this.#recordCallerLeft(arrival),
-    });
-    readonly #unanswered = new UnansweredRequests(messages => this.#logUnanswered(messages));
     #wakeScheduled = false;
     #prefillTimer: NodeJS.Timeout | undefined;
 
@@ -85,34 +53,6 @@
         this.#context = context;
     }
 
-    get openRequestCount(): number {
-        return this.#openResponses.size;
-    }
-
-    handle(message: IncomingMessage, response: ServerResponse): void {
-        const arrivedAtMilliseconds = this.#context.readClock();
-        this.#openResponses.add(response);
-        response.on("close", () => this.#openResponses.delete(response));
-        const unansweredBefore = this.#unanswered.add(message);
-        response.on("finish", () => this.#unanswered.delete(message));
-        const table = this.#context.routeTable();
-        const limit = table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-        response.on(
-            "error",
-            error => this.#context.logger.debug("caller's connection failed", { error: error.message }),
-        );
-        readBody(message, limit, body => {
-            if (body === "caller-left") {
-                return;
-            }
-            if (body === "too-large") {
-                this.#reject(message, response, STATUS_TOO_LARGE, "body-too-large");
-                return;
-            }
-            this.#arrivals.add({ message, response, body, arrivedAtMilliseconds, unansweredBefore });
-        });
-    }
-
     wake(): void {
         const waiting = [...this.#exchanges].filter(({ isWaiting }) => isWaiting);
         waiting.sort((left, right) => compareRanks(left.rank, right.rank));
@@ -136,14 +76,13 @@
         }
     }
 
-    #recordCallerLeft({ message, unansweredBefore }: Arrival): void {
+    recordCallerLeft({ message, unansweredBefore }: Arrival): void {
         const { destroyed, readableEnded } = message.socket;
         const isConnected = !destroyed && !readableEnded;
         this.#recordRejected(message, "caller-left", undefined, { isConnected, unansweredBefore });
     }
 
-    /** Logs requests whose connection has closed before they were answered whole. */
-    #logUnanswered(messages: readonly IncomingMessage[]): void {
+    recordUnanswered(messages: readonly IncomingMessage[]): void {
         const identifiers = messages.map(({ headers }) => headers[this.#context.headers.requestId]);
         this.#context.logger.info("connection closed before answers", {
             requests: identifiers.slice(0, MAXIMUM_LOGGED_REQUESTS).join(" "),
@@ -153,32 +92,46 @@
         });
     }
 
-    #begin({ message, response, body, arrivedAtMilliseconds }: Arrival): void {
+    refuseAfterLast(message: IncomingMessage): string {
+        this.#recordRejected(message, "connection-closing", STATUS_UNAVAILABLE);
+        return renderRawAnswer({
+            status: STATUS_UNAVAILABLE,
+            ...this.#createRefusal(message, STATUS_UNAVAILABLE, "connection-closing"),
+        });
+    }
+
+    begin(arrival: Arrival): void {
+        const { closesConnection, message, problem, response, body, arrivedAtMilliseconds } = arrival;
+        if (problem !== undefined) {
+            this.#reject(arrival, STATUS_OF_PROBLEM[problem], problem);
+            return;
+        }
         const table = this.#context.routeTable();
         if (table === undefined) {
-            this.#reject(message, response, STATUS_UNAVAILABLE, "no-configuration");
+            this.#reject(arrival, STATUS_UNAVAILABLE, "no-configuration");
             return;
         }
         if (this.#context.isClosedToCallers()) {
-            this.#reject(message, response, STATUS_UNAVAILABLE, "host-leaving");
+            this.#reject(arrival, STATUS_UNAVAILABLE, "host-leaving");
             return;
         }
         if (this.#context.isPartitioned()) {
-            this.#reject(message, response, STATUS_UNAVAILABLE, "host-partitioned");
+            this.#reject(arrival, STATUS_UNAVAILABLE, "host-partitioned");
             return;
         }
         const requestId = message.headers[this.#context.headers.requestId];
         if (typeof requestId !== "string" || requestId === "") {
-            this.#reject(message, response, STATUS_BAD_REQUEST, "no-request-identifier");
+            this.#reject(arrival, STATUS_BAD_REQUEST, "no-request-identifier");
             return;
         }
         const path = (message.url ?? "/").split("?")[0] ?? "/";
         const route = table.match(message.headers.host ?? "", path);
         if (route === undefined) {
-            this.#reject(message, response, STATUS_NOT_FOUND, "no-route");
+            this.#reject(arrival, STATUS_NOT_FOUND, "no-route");
             return;
         }
-        this.#start({ message, response, body, requestId, arrivedAtMilliseconds }, route, table.version);
+        const parts = { message, response, body, requestId, arrivedAtMilliseconds, closesConnection };
+        this.#start(parts, route, table.version);
     }
 
     #start(
@@ -240,30 +193,35 @@
         this.#context.metrics.count("refusals", { reason });
     }
 
-    #reject(message: IncomingMessage, response: ServerResponse, status: number, reason: string): void {
-        const { headers } = this.#context;
-        const requestId = message.headers[headers.requestId];
+    #reject({ closesConnection, message, response }: Arrival, status: number, reason: string): void {
         this.#recordRejected(message, reason, status);
         if (response.headersSent || response.destroyed) {
             return;
         }
-        const body = JSON.stringify({ reason, ran: "not-run" });
-        const identifierHeaders = typeof requestId === "string" ? { [headers.requestId]: requestId } : {};
-        const retryHeaders = status === STATUS_UNAVAILABLE
-            ? { "retry-after": String(OTHER_HOST_MILLISECONDS / MILLISECONDS_PER_SECOND) }
-            : {};
-        const connectionHeaders = status === STATUS_TOO_LARGE || this.#context.closesConnections()
-            ? { connection: "close" }
-            : {};
+        const { body, headers } = this.#createRefusal(message, status, reason);
+        const isLast = closesConnection(this.#context.closesConnections());
         response.writeHead(status, {
-            "content-type": "application/json",
+            ...headers,
             "content-length": Buffer.byteLength(body),
-            ...identifierHeaders,
-            ...retryHeaders,
-            ...connectionHeaders,
+            ...isLast ? { connection: "close" } : {},
         });
         response.end(body);
     }
+
+    #createRefusal(message: IncomingMessage, status: number, reason: string): Refusal {
+        const { headers } = this.#context;
+        const requestId = message.headers[headers.requestId];
+        return {
+            body: JSON.stringify({ reason, ran: "not-run" }),
+            headers: {
+                "content-type": "application/json",
+                ...typeof requestId === "string" ? { [headers.requestId]: requestId } : {},
+                ...status === STATUS_UNAVAILABLE
+                    ? { "retry-after": String(OTHER_HOST_MILLISECONDS / MILLISECONDS_PER_SECOND) }
+                    : {},
+            },
+        };
+    }
 }
 
 /**
@@ -274,7 +232,7 @@
  * @example
  * ```ts
  * const forwarder = createForwarder(context);
- * server.on("request", (message, response) => forwarder.handle(message, response));
+ * const connections = new CallerConnections({ handler: forwarder, logger, metrics, readClock });
  * ```
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -5,7 +5,7 @@
  */
 import { type PeerTable } from "../gossip/index.js";
 import { type EntryMetrics } from "../observability/index.js";
-import { type Forwarder } from "./forwarder.js";
+import { type HostServers } from "./hostServers.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HostStore } from "./store/index.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
@@ -15,7 +15,7 @@
     readonly metrics: EntryMetrics;
     readonly store: HostStore;
     readonly upstreams: UpstreamTracker;
-    readonly forwarder: Forwarder;
+    readonly servers: HostServers;
     readonly peers: PeerTable;
     readonly demand: SiteDemand;
     /** The build of this host. */
@@ -33,14 +33,14 @@
  * ```
  */
 export function refreshGauges(
-    { build, demand, forwarder, metrics, peers, readClock, store, upstreams }: GaugeSources,
+    { build, demand, metrics, peers, readClock, servers, store, upstreams }: GaugeSources,
 ): void {
     metrics.gauge("configuration_version", store.configuration.version);
     metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
     metrics.gauge("upstreams", upstreams.view.all().length);
     metrics.gauge("limited_upstreams", upstreams.limits.countInForce());
     metrics.gauge("brittle_upstreams", upstreams.tolerances.countInForce());
-    metrics.gauge("requests_open", forwarder.openRequestCount);
+    metrics.gauge("requests_open", servers.openRequestCount);
     metrics.gauge("peers_heard", peers.withRecentDigest(readClock()).length);
     metrics.gauge("prompt_bound_tokens", upstreams.backlog.limitTokens);
     const builds = peers.countBuilds(readClock());
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -9,7 +9,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
-import { HeaderLimit } from "./headerLimit.js";
+import { CallerConnections, HeaderLimit, type RequestHandler, UnreadableRequests } from "./connections/index.js";
 import { type EntrySettings } from "./settings.js";
 import { type AuxiliaryAnswer, type AuxiliaryCalls } from "./siteProtocol.js";
 import { STATE_PATH } from "./store/index.js";
@@ -30,7 +30,8 @@
     readonly calls: AuxiliaryCalls;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
-    readonly forward: (message: IncomingMessage, response: ServerResponse) => void;
+    readonly handler: RequestHandler;
+    readonly readClock: () => number;
     /** Returns whether callers may be directed to this host. */
     readonly isReady: () => boolean;
     /** Returns the other hosts that callers may be directed to. */
@@ -45,11 +46,18 @@
 export class HostServers {
     readonly #options: HostServersOptions;
     readonly #servers: Server[] = [];
+    readonly #connections: CallerConnections;
     #callers: Server | undefined;
     #headerLimit: HeaderLimit | undefined;
 
     constructor(options: HostServersOptions) {
         this.#options = options;
+        this.#connections = new CallerConnections(options);
+    }
+
+    /** Number of requests whose answer has not yet been sent whole. */
+    get openRequestCount(): number {
+        return this.#connections.openRequestCount;
     }
 
     /**
@@ -68,7 +76,14 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
             noDelay: true,
         }, (message, response) => this.#accept(message, response));
-        this.#headerLimit = new HeaderLimit(this.#callers, { logger, metrics: entryMetrics });
+        this.#headerLimit = new HeaderLimit(this.#callers);
+        new UnreadableRequests({
+            server: this.#callers,
+            headerLimit: this.#headerLimit,
+            connectionOf: socket => this.#connections.of(socket),
+            logger,
+            metrics: entryMetrics,
+        });
         this.#servers.push(await listen(this.#callers, callers));
         this.#servers.push(await startAuxiliaryServer(readiness, url => this.#answerReadiness(url), onProblem));
         this.#servers.push(await startAuxiliaryServer(directory, url => this.#answerDirectory(url), onProblem));
@@ -80,8 +95,9 @@
         }
     }
 
-    /** Applies the limits for callers from the configuration, but that of bodies. */
+    /** Applies the limits for callers from the configuration. */
     applyLimits(limits: CallerLimits): void {
+        this.#connections.setBodyLimit(limits.bodyBytes);
         this.#headerLimit?.set(limits.headerBytes);
         if (this.#callers !== undefined) {
             this.#callers.keepAliveTimeout = limits.idleTimeoutMilliseconds;
@@ -103,9 +119,8 @@
     }
 
     #accept(message: IncomingMessage, response: ServerResponse): void {
-        if (this.#headerLimit?.accepts(message, response) !== false) {
-            this.#options.forward(message, response);
-        }
+        const isAccepted = this.#headerLimit?.accepts(message) !== false;
+        this.#connections.add(message, response, isAccepted ? undefined : "headers-too-large");
     }
 
     #answerReadiness(url: string): AuxiliaryAnswer | undefined {
--- a/src/entry/leaveFleet.ts
+++ b/src/entry/leaveFleet.ts
@@ -48,7 +48,7 @@
     const { lifecycle, logger, readClock } = context;
     const startedAt = readClock();
     lifecycle.leave();
-    logger.info("stopping", { open: forwarder.openRequestCount });
+    logger.info("stopping", { open: servers.openRequestCount });
     publishDigest();
     await orders.leave();
     await store.endSession();
@@ -56,7 +56,7 @@
     const finalMilliseconds = context.settings().bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
     await waitUntil(startedAt + Math.min(keptMilliseconds, finalMilliseconds), readClock);
     lifecycle.closeToCallers();
-    logger.info("closed to callers", { open: forwarder.openRequestCount });
+    logger.info("closed to callers", { open: servers.openRequestCount });
     await waitForRequests(host, startedAt + finalMilliseconds);
     forwarder.abortAll();
     servers.closeToCallers();
@@ -66,9 +66,9 @@
 }
 
 /** Waits until no request is open, or until the given time. */
-async function waitForRequests({ context, forwarder }: LeavingHost, untilMilliseconds: number): Promise<void> {
+async function waitForRequests({ context, servers }: LeavingHost, untilMilliseconds: number): Promise<void> {
     const { readClock } = context;
-    while (forwarder.openRequestCount > 0 && readClock() < untilMilliseconds) {
+    while (servers.openRequestCount > 0 && readClock() < untilMilliseconds) {
         await waitUntil(readClock() + LEAVING_CHECK_INTERVAL_MILLISECONDS, readClock);
     }
 }
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -10,6 +10,10 @@
 
 const COUNTERS = {
     requests: { help: "Requests read from callers.", labels: ["kind"] },
+    overlapping_requests: {
+        help: "Requests that arrived on a connection before the answer to the one before was over.",
+        labels: [],
+    },
     endings: { help: "Requests by how they ended.", labels: ["kind", "outcome"] },
     refusals: { help: "Requests refused as not run, by reason.", labels: ["reason"] },
     failures: { help: "Requests that failed without a promise, by reason.", labels: ["reason"] },
--- a/tests/headerLimit.test.ts
+++ b/tests/headerLimit.test.ts
@@ -17,6 +17,7 @@
     until,
     waitUntilReady,
 } from "./support/entrySite.js";
+import { parseAnswers } from "./support/overlappingCaller.js";
 
 const LOW_BYTES = 6_000;
 const HIGH_BYTES = 40_000;
@@ -166,6 +167,9 @@
     socket.write(`${head("first")}\r\n${head("second")}X-Long: ${"x".repeat(2 * LOW_BYTES)}\r\n\r\n`);
     await Promise.race([closed, delay(CLOSED_MILLISECONDS)]);
     socket.destroy();
-    assert.doesNotMatch(received, /HTTP\/1\.1 431/);
+    const answers = parseAnswers(received);
+    assert.deepEqual(answers.map(({ status }) => status), [200, 431]);
+    assert.equal(answers[0]?.headers["flamingospread-request-id"], "first");
+    assert.ok(answers.every(({ isComplete }) => isComplete));
     assert.equal((await callHost(host, { path: PATH })).status, 200, "the host keeps serving");
 });
