Answer requests for a tunnel with 405 instead of closing their connection

What callers saw: CONNECT ended the connection without an answer, and with it the requests read before it on that connection.

Cause: Node destroys the connection where a server has no listener for CONNECT.

Change: a listener answers 405 behind the requests before it.

--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -1,9 +1,9 @@
 /**
- * Answers bytes that are no proper request.
+ * Answers bytes that are no proper request, and requests for a tunnel.
  *
  * @module
  */
-import { type Server } from "node:http";
+import { type IncomingMessage, type Server } from "node:http";
 import { type Duplex } from "node:stream";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
 import { type CallerConnection } from "./callerConnection.js";
@@ -13,11 +13,14 @@
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
 const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 const STATUS_BAD_REQUEST = 400;
+const STATUS_METHOD_NOT_ALLOWED = 405;
 const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STATUS_UNAVAILABLE = 503;
 
+const ALLOWED_METHODS = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
+
 /** Statuses for bytes that are no proper request, by error code; all others are bad requests. */
 const STATUS_OF_ERROR: Readonly<Record<string, number>> = {
     [REQUEST_TIMEOUT]: STATUS_REQUEST_TIMEOUT,
@@ -51,6 +54,7 @@
         this.#options = options;
         const { server } = options;
         server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => this.#handleError(error, socket));
+        server.on("connect", (_message: IncomingMessage, socket: Duplex) => this.#refuseTunnel(socket));
     }
 
     #handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -70,6 +74,20 @@
         connection.endWith(renderRawAnswer({ status, headers }));
     }
 
+    /** Node hands the connection over without the listeners of its own that would notice its end. */
+    #refuseTunnel(socket: Duplex): void {
+        socket.on("error", () => socket.destroy());
+        socket.on("end", () => socket.destroy());
+        socket.resume();
+        this.#options.logger.info("request rejected", {
+            reason: "method-not-allowed",
+            status: STATUS_METHOD_NOT_ALLOWED,
+        });
+        this.#options.metrics.count("refusals", { reason: "method-not-allowed" });
+        const headers = { Allow: ALLOWED_METHODS };
+        this.#options.connectionOf(socket).endWith(renderRawAnswer({ status: STATUS_METHOD_NOT_ALLOWED, headers }));
+    }
+
     /** Returns the status for an error; one that allows another try where the limit of the configuration is higher. */
     #statusOf({ code = "" }: NodeJS.ErrnoException, socket: Duplex): number {
         return code === HEADER_OVERFLOW && this.#options.headerLimit.isOutdated(socket)
