Route requests whose first line has a whole URL

What callers saw: 404 for GET http://site.example/reads/1, a form that HTTP/1.1 servers must accept.

Cause: the whole URL was looked up as a path.

Change: the target of a request is read once, where it arrives; the URL's host replaces the Host field, path and query keep their bytes. The crash fingerprint and what is sent to engines use the path.

--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type RequestTarget } from "./requestTarget.js";
 
 /** Why a request is rejected as it was read; its body is empty then. */
 export type RequestProblem = "body-too-large" | "headers-too-large";
@@ -12,6 +13,7 @@
 export interface Arrival {
     readonly message: IncomingMessage;
     readonly response: ServerResponse;
+    readonly target: RequestTarget;
     readonly body: Buffer;
     /** `undefined` for a request that may be handled. */
     readonly problem: RequestProblem | undefined;
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -8,6 +8,7 @@
 import { readBody } from "./_readBody.js";
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
+import { readTarget } from "./requestTarget.js";
 
 /** What may wait on one connection: enough for callers that send a few requests ahead. */
 const WAITING_LIMITS = { requests: 16, bytes: 256 * 1024 };
@@ -76,6 +77,7 @@
     add(head: ReceivedHead): void {
         const { message, response } = head;
         const unansweredBefore = this.#order.size;
+        const target = readTarget(message);
         const place = this.#order.add();
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
@@ -84,6 +86,7 @@
         const createArrival = (body: Buffer, problem = head.problem): Arrival => ({
             message,
             response,
+            target,
             body,
             problem,
             arrivedAtMilliseconds: head.arrivedAtMilliseconds,
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -7,4 +7,5 @@
 export { CallerConnections, type RequestHandler } from "./callerConnections.js";
 export { HeaderLimit } from "./headerLimit.js";
 export { renderRawAnswer } from "./rawAnswer.js";
+export { type RequestTarget } from "./requestTarget.js";
 export { UnreadableRequests } from "./unreadableRequests.js";
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -57,14 +57,14 @@
     }
 
     #call(attempt: Attempt): UpstreamCall {
-        const { context, request: { body, message } } = this.#parts;
+        const { context, request: { body, message, target } } = this.#parts;
         const { hedging, receiver } = this.#options;
         const { address, service } = attempt.upstream;
         return callUpstream({
             agent: context.agentFor(service),
             address,
             method: message.method ?? "GET",
-            path: message.url ?? "/",
+            path: target.pathAndQuery,
             headers: this.#headersFor(attempt.upstream),
             body,
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -8,6 +8,7 @@
 import { type RequestAttributes } from "../../crashes/index.js";
 import { sharedParts } from "../../forwarding/index.js";
 import { chooseService, type Route } from "../../routes/index.js";
+import { type RequestTarget } from "../connections/index.js";
 import { promptTokensOf, workOf } from "../demandMeter.js";
 import { type HeaderNames } from "../siteProtocol.js";
 
@@ -17,6 +18,7 @@
 export interface CallerRequest {
     readonly message: IncomingMessage;
     readonly response: ServerResponse;
+    readonly target: RequestTarget;
     readonly body: Buffer;
     readonly requestId: string;
     readonly route: Route;
@@ -57,8 +59,11 @@
     return Number.isFinite(limitMilliseconds) && limitMilliseconds > 0 ? limitMilliseconds : Number.POSITIVE_INFINITY;
 }
 
-function fingerprintOf({ url = "" }: IncomingMessage, body: Buffer): string {
-    return createHash("sha1").update(url).update("\0").update(body).digest("hex").slice(0, FINGERPRINT_DIGITS);
+function fingerprintOf({ body, target }: CallerRequest): string {
+    return createHash("sha1").update(target.pathAndQuery).update("\0").update(body).digest("hex").slice(
+        0,
+        FINGERPRINT_DIGITS,
+    );
 }
 
 /** Splits a header value into the model's name and, after a slash, the adapter's. */
@@ -78,7 +83,7 @@
  * @param headers The site's header names.
  */
 export function readRequestFacts(request: CallerRequest, headers: HeaderNames): RequestFacts {
-    const { arrivedAtMilliseconds, body, message, requestId, route } = request;
+    const { arrivedAtMilliseconds, message, requestId, route } = request;
     const tokenCount = readHeader(message, headers.tokenCount);
     const callerLimitMilliseconds = readTimeLimit(readHeader(message, headers.deadline));
     const parts = sharedParts(readHeader(message, headers.promptParts));
@@ -90,7 +95,7 @@
         work: workOf(tokenCount),
         lastEventId: readHeader(message, headers.lastEventId),
         resumedRequest: readHeader(message, headers.resumedRequest),
-        attributes: { fingerprint: fingerprintOf(message, body), parts },
+        attributes: { fingerprint: fingerprintOf(request), parts },
         deadlineAtMilliseconds: arrivedAtMilliseconds + Math.min(callerLimitMilliseconds, route.timeoutMilliseconds),
     };
 }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -101,7 +101,7 @@
     }
 
     begin(arrival: Arrival): void {
-        const { closesConnection, message, problem, response, body, arrivedAtMilliseconds } = arrival;
+        const { arrivedAtMilliseconds, body, closesConnection, message, problem, response, target } = arrival;
         if (problem !== undefined) {
             this.#reject(arrival, STATUS_OF_PROBLEM[problem], problem);
             return;
@@ -124,13 +124,13 @@
             this.#reject(arrival, STATUS_BAD_REQUEST, "no-request-identifier");
             return;
         }
-        const path = (message.url ?? "/").split("?")[0] ?? "/";
-        const route = table.match(message.headers.host ?? "", path);
+        const path = target.pathAndQuery.split("?")[0] ?? "/";
+        const route = table.match(target.host, path);
         if (route === undefined) {
             this.#reject(arrival, STATUS_NOT_FOUND, "no-route");
             return;
         }
-        const parts = { message, response, body, requestId, arrivedAtMilliseconds, closesConnection };
+        const parts = { message, response, target, body, requestId, arrivedAtMilliseconds, closesConnection };
         this.#start(parts, route, table.version);
     }
 
--- a/tests/requestForms.test.ts
+++ b/tests/requestForms.test.ts
@@ -30,6 +30,16 @@
     await site.close();
 });
 
+test("a request whose first line has a whole URL is not refused as unknown, and is sent on by its path", async () => {
+    const caller = new OverlappingCaller(host);
+    caller.write(renderRequest({ id: "absolute", path: `http://${HOST_NAME}/reads/1?x=%20` }));
+    const [answer] = await caller.waitForAnswers(1, WITHIN_MILLISECONDS);
+    caller.close();
+    assert.equal(answer?.status, 200);
+    const [received] = site.upstreams.flatMap(upstream => upstream.received.filter(({ id }) => id === "absolute"));
+    assert.equal(received?.path, "/reads/1?x=%20");
+});
+
 test("a request for a tunnel does not end its connection without an answer", async () => {
     const caller = new OverlappingCaller(host);
     caller.write(`CONNECT ${HOST_NAME}:443 HTTP/1.1\r\nHost: ${HOST_NAME}\r\n\r\n`);
