Refuse what waits behind the last answers when a host's grace period ends

What callers saw: a request that waits on a connection whose first request still runs when the grace period ends got nothing: 504 for the first, then the close, 8 of 8 connections.

Cause: servers were closed in the same turn of the event loop as the last answers were written.

Change: from then on each answer is the last one of its connection, what was read behind it is refused as not run, and the host waits up to 100 ms of its margin of 400 ms until the answers have left. Before 0 of 8 refused, after 8 of 8 (tests/overlappingRequests.test.ts). What waits behind a stream that the end of the grace period breaks off is still lost: nothing can follow it.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -29,6 +29,8 @@
 
 /** Options of {@linkcode CallerConnection}. */
 export interface CallerConnectionOptions {
+    /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
+    readonly isClosing: () => boolean;
     /** A request was read, and those before it on the connection were answered. */
     readonly onTurn: (arrival: Arrival) => void;
     /** Returns the bytes that refuse a request which was read after the head of the connection's last answer. */
@@ -119,7 +121,7 @@
     /** A request whose bytes still arrive after its answer ends the connection, since nothing behind it is read. */
     #decideLast(isWanted: boolean, { complete }: IncomingMessage): boolean {
         const hasSuccessor = this.#order.hasWaiting || this.#finalAnswer !== undefined;
-        this.#isLastAnswer = !complete || (isWanted && !hasSuccessor);
+        this.#isLastAnswer = !complete || this.#options.isClosing() || (isWanted && !hasSuccessor);
         return this.#isLastAnswer;
     }
 
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -47,6 +47,7 @@
     readonly #arrivals: Arrivals;
     readonly #connections = new Map<Duplex, CallerConnection>();
     #bodyLimitBytes = DEFAULT_BODY_BYTES;
+    #isClosing = false;
 
     constructor(options: CallerConnectionsOptions) {
         const { handler } = options;
@@ -71,6 +72,11 @@
         this.#bodyLimitBytes = limitBytes;
     }
 
+    /** Makes each answer the last one of its connection; requests that wait behind it are refused. */
+    refuseWaiting(): void {
+        this.#isClosing = true;
+    }
+
     /** Adds a request whose head was read. */
     add(message: IncomingMessage, response: ServerResponse, problem?: RequestProblem): void {
         const { logger, metrics, readClock } = this.#options;
@@ -96,6 +102,7 @@
         }
         const { handler } = this.#options;
         const connection = new CallerConnection(socket, {
+            isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
             refuseAfterLast: message => handler.refuseAfterLast(message),
             onUnanswered: messages => handler.recordUnanswered(messages),
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -105,6 +105,11 @@
         }
     }
 
+    /** Makes each answer the last one of its connection; requests that wait behind it are refused. */
+    refuseWaiting(): void {
+        this.#connections.refuseWaiting();
+    }
+
     /** Stops accepting callers' connections; requests in progress continue. */
     closeToCallers(): void {
         this.#callers?.close();
--- a/src/entry/leaveFleet.ts
+++ b/src/entry/leaveFleet.ts
@@ -15,6 +15,9 @@
 /** Reserved at the end of the grace period for the last answers and the exit. */
 const EXIT_MARGIN_MILLISECONDS = 400;
 
+/** Time in which the last answers leave the host. */
+const LAST_ANSWERS_MILLISECONDS = 100;
+
 /** Interval at which a leaving host checks whether its last requests have ended. */
 const LEAVING_CHECK_INTERVAL_MILLISECONDS = 20;
 
@@ -58,7 +61,9 @@
     lifecycle.closeToCallers();
     logger.info("closed to callers", { open: servers.openRequestCount });
     await waitForRequests(host, startedAt + finalMilliseconds);
+    servers.refuseWaiting();
     forwarder.abortAll();
+    await waitForRequests(host, readClock() + LAST_ANSWERS_MILLISECONDS);
     servers.closeToCallers();
     await leavePeers(host);
     await host.close();
--- a/tests/overlappingRequests.test.ts
+++ b/tests/overlappingRequests.test.ts
@@ -13,8 +13,11 @@
 const SLOW_MILLISECONDS = 400;
 const LARGE_BYTES = 3_000_000;
 const WITHIN_MILLISECONDS = 8_000;
+const GRACE_MILLISECONDS = 1_500;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_GATEWAY_TIMEOUT = 504;
 
 const ROUTES = [
     { pathPrefix: "/reads/", timeoutMs: 6_000 },
@@ -35,6 +38,8 @@
             switch (path.split("/")[2]) {
                 case "slow":
                     return { type: "answer", afterMilliseconds: SLOW_MILLISECONDS };
+                case "never":
+                    return { type: "silent" };
                 case "large":
                     return { type: "answer", body: "x".repeat(LARGE_BYTES) };
                 case "events":
@@ -126,3 +131,21 @@
         }
     },
 );
+
+test("a request that waits when the grace period of its host ends is not lost with its connection", async () => {
+    const stopping = await site.addHost("entry-2", { bounds: { graceMilliseconds: GRACE_MILLISECONDS } });
+    await waitUntilReady(stopping);
+    const callers = Array.from({ length: CONNECTIONS }, () => new OverlappingCaller(stopping));
+    callers.forEach((caller, index) => {
+        caller.write(renderRequest({ id: `never-${index}`, path: "/orders/never", method: "POST" }));
+        caller.write(renderRequest({ id: `behind-${index}`, path: "/orders/next", method: "POST" }));
+    });
+    await delay(SLOW_MILLISECONDS);
+    await stopping.host.stop();
+    const answers = await Promise.all(callers.map(caller => caller.waitForAnswers(2, WITHIN_MILLISECONDS)));
+    assert.deepEqual(
+        answers.map(list => list.map(({ status }) => status)),
+        Array.from({ length: CONNECTIONS }, () => [STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE]),
+    );
+    assert.equal(site.upstreams.flatMap(({ received }) => received).some(({ id }) => id.startsWith("behind-")), false);
+});
