Give the models that an engine holds and its adapter loads a module each

managedEngine.ts (526 lines, now 434) kept models, the use of adapters, their requests and loads, moves, orders and reports. What an engine holds and what its adapters need next are now _heldModels.ts and _adapterLoads.ts; AdapterLoads drops settled requests before it looks for the next step, which the loop did on the way. No behaviour is changed: 99 passed, 0 failed (src/placement, src/entry/engines, src/residency), tests untouched.

--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -10,9 +10,10 @@
  *
  * @module
  */
+export { type AdapterUseView } from "./_adapterLoads.js";
 export { nameAdapter, splitAdapterName } from "./adapterName.js";
 export { type CopyCounts, countCopies } from "./copyCounts.js";
-export { type AdapterUseView, type EngineReport, type EngineStep, ManagedEngine } from "./managedEngine.js";
+export { type EngineReport, type EngineStep, ManagedEngine } from "./managedEngine.js";
 export { type EngineProspect, expectedArrivalMilliseconds } from "./modelArrival.js";
 export { type PlacementInput, type PlacementMove, type PlannedEngine } from "./placementInput.js";
 export { type EngineLoadBound, PlannedMoves } from "./plannedMoves.js";
--- a/src/placement/managedEngine.ts
+++ b/src/placement/managedEngine.ts
@@ -5,24 +5,13 @@
  */
 import { type HeldModel, type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EngineDefinition } from "../routes/index.js";
-import { nameAdapter, splitAdapterName } from "./adapterName.js";
+import { AdapterLoads, type AdapterUseView } from "./_adapterLoads.js";
+import { HeldModels } from "./_heldModels.js";
 import { freeMegabytes } from "./engineMemory.js";
 import { expectedLoadMilliseconds } from "./loadTime.js";
 import { type PlacementMove } from "./placementInput.js";
 import { type EngineOrder, type EngineRecord, type OrderOutcome } from "./types.js";
 
-/** Time after which an accepted adapter load counts as finished. */
-const ADAPTER_LOAD_MILLISECONDS = 12;
-
-/** Maximum number of adapters that load on an engine at once. */
-const MAXIMUM_ADAPTER_LOADS = 4;
-
-/** An adapter loaded or used within this time is not unloaded: the request that needs it may still be in flight. */
-const ADAPTER_RETENTION_MILLISECONDS = 150;
-
-/** An adapter request that is not repeated within this time expires. */
-const ADAPTER_REQUEST_LIFETIME_MILLISECONDS = 1_000;
-
 /** Time by which an engine's report may lag; after a conflict, reports are trusted only once it has passed. */
 const REPORT_LAG_MILLISECONDS = 500;
 
@@ -57,12 +46,6 @@
     readonly models: readonly HeldModel[];
 }
 
-/** View of the adapters that requests on the engine use. */
-export interface AdapterUseView {
-    /** Returns whether a request uses an adapter, given by its name from `nameAdapter`. */
-    readonly isAdapterUsed: (adapter: string) => boolean;
-}
-
 interface OpenLoad {
     readonly model: string;
     /** When the engine's report is read, unless an announcement has listed the model by then. */
@@ -78,10 +61,6 @@
     readonly timeoutAtMilliseconds: number;
 }
 
-function copyModels(models: readonly HeldModel[]): Map<string, Map<string, number>> {
-    return new Map(models.map(({ name, adapters }) => [name, new Map(adapters.map(adapter => [adapter, 0]))]));
-}
-
 /**
  * State of one engine at its holder: order count, models, adapters and open orders. Orders are sent one at a time. Each
  * carries the order count that it was made for, so that a delayed order, made for an earlier state, has no effect.
@@ -96,12 +75,11 @@
 export class ManagedEngine {
     readonly engine: string;
     readonly definition: EngineDefinition;
-    readonly #adapterUse: AdapterUseView;
+    readonly #models: HeldModels;
+    readonly #adapters: AdapterLoads;
     #startedAtMilliseconds: number | undefined;
     /** Number of orders that the engine has accepted: from its last report, plus those accepted since. */
     #orderCount = 0;
-    /** The adapters of each model on the engine, and when each was last used or loaded; 0 where unknown. */
-    #models: Map<string, Map<string, number>>;
     /** Models in the engine's host memory or on its disk. */
     #localModels: ReadonlySet<string>;
     #openOrder: EngineOrder | undefined;
@@ -118,22 +96,16 @@
     #reportAtMilliseconds: number | undefined;
     /** True where an announcement has shown the end of a load while a report was being read. */
     #loadEndedDuringReport = false;
-    /** Adapters that are loading, and when each counts as loaded. */
-    readonly #adapterLoads = new Map<string, number>();
-    readonly #adapterRequests = new Map<
-        string,
-        { readonly model: string; readonly adapter: string; atMilliseconds: number; }
-    >();
     #storeLoadStarts: number[] = [];
     #changeCount = 0;
 
     constructor(announcement: UpstreamAnnouncement, definition: EngineDefinition, adapterUse: AdapterUseView) {
-        this.#adapterUse = adapterUse;
+        this.#models = new HeldModels(announcement.models);
+        this.#adapters = new AdapterLoads({ held: this.#models, slots: definition.adapterSlots, use: adapterUse });
         this.engine = announcement.id;
         this.definition = definition;
         this.#startedAtMilliseconds = announcement.startedAtMilliseconds;
         this.#reportAtMilliseconds = 0;
-        this.#models = copyModels(announcement.models);
         this.#localModels = new Set([...announcement.localWeights.inMemory, ...announcement.localWeights.onDisk]);
     }
 
@@ -143,7 +115,7 @@
         if (announcement.startedAtMilliseconds !== this.#startedAtMilliseconds) {
             this.#startedAtMilliseconds = announcement.startedAtMilliseconds;
             this.#resetOrders();
-            this.#models = copyModels(announcement.models);
+            this.#models.reset(announcement.models);
             this.#changeCount += 1;
             return true;
         }
@@ -157,15 +129,12 @@
 
     /** Records a request for an adapter. */
     requestAdapter(model: string, adapter: string, nowMilliseconds: number): void {
-        this.#adapterRequests.set(nameAdapter(model, adapter), { model, adapter, atMilliseconds: nowMilliseconds });
+        this.#adapters.request({ model, adapter }, nowMilliseconds);
     }
 
     /** Records that a request uses an adapter, so that it is not unloaded. */
     recordAdapterUse(model: string, adapter: string, nowMilliseconds: number): void {
-        const adapters = this.#models.get(model);
-        if (adapters?.has(adapter) === true) {
-            adapters.set(adapter, nowMilliseconds);
-        }
+        this.#models.recordUse({ model, adapter }, nowMilliseconds);
     }
 
     /** Rises with each change of the value that `record` returns. */
@@ -184,7 +153,7 @@
     }
 
     get models(): string[] {
-        return [...this.#models.keys()];
+        return this.#models.names;
     }
 
     /** Models not in the engine's accelerator memory that it can load without the weight store. */
@@ -203,7 +172,7 @@
      * requested adapter.
      */
     nextStep(nowMilliseconds: number): EngineStep | undefined {
-        this.#finishAdapterLoads(nowMilliseconds);
+        this.#changeCount += this.#adapters.finish(nowMilliseconds);
         this.#checkLoad(nowMilliseconds);
         if (this.#openOrder !== undefined) {
             return undefined;
@@ -223,7 +192,7 @@
         const isOccupied = this.#openOrder !== undefined || this.#unansweredOrder !== undefined
             || this.#move !== undefined
             || this.#loading !== undefined || this.#unloading !== undefined || this.#reportAtMilliseconds !== undefined
-            || this.#adapterLoads.size > 0;
+            || this.#adapters.isLoading;
         if (isOccupied) {
             return false;
         }
@@ -312,7 +281,7 @@
             engine: this.engine,
             startedAtMilliseconds: this.#startedAtMilliseconds,
             orderCount: this.#orderCount,
-            models: [...this.#models].map(([name, adapters]) => ({ name, adapters: [...adapters.keys()] })),
+            models: this.#models.list(),
             loading: this.#loading?.model ?? this.#move?.model,
         };
     }
@@ -347,7 +316,7 @@
      * that is loaded beyond its memory crashes.
      */
     #hasRoomFor(model: string): boolean {
-        return freeMegabytes(this.definition, new Set([...this.#models.keys(), model])) >= 0;
+        return freeMegabytes(this.definition, new Set([...this.#models.names, model])) >= 0;
     }
 
     #endMove(): void {
@@ -360,52 +329,14 @@
         if (this.#loading !== undefined || this.#unloading !== undefined) {
             return undefined;
         }
-        for (const [key, request] of this.#adapterRequests) {
-            const adapters = this.#models.get(request.model);
-            const isExpired = nowMilliseconds - request.atMilliseconds > ADAPTER_REQUEST_LIFETIME_MILLISECONDS;
-            if (adapters?.has(request.adapter) === true || isExpired) {
-                this.#adapterRequests.delete(key);
-                continue;
-            }
-            if (
-                adapters === undefined || this.#adapterLoads.has(key)
-                || this.#adapterLoads.size >= MAXIMUM_ADAPTER_LOADS
-            ) {
-                continue;
-            }
-            if (this.#countHeldAdapters() + this.#adapterLoads.size < this.definition.adapterSlots) {
-                return {
-                    type: "order",
-                    order: this.#createOrder("load", request.model, request.adapter),
-                    reason: "wanted",
-                };
-            }
-            const evicted = this.#leastRecentlyUsedAdapter(nowMilliseconds);
-            if (evicted !== undefined) {
-                const order = this.#createOrder("unload", evicted.model, evicted.adapter);
-                return { type: "order", order, reason: "make-room" };
-            }
-        }
-        return undefined;
-    }
-
-    #countHeldAdapters(): number {
-        return [...this.#models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
-    }
-
-    #leastRecentlyUsedAdapter(
-        nowMilliseconds: number,
-    ): { readonly model: string; readonly adapter: string; } | undefined {
-        let oldest: { readonly model: string; readonly adapter: string; readonly usedAt: number; } | undefined;
-        for (const [model, adapters] of this.#models) {
-            for (const [adapter, usedAt] of adapters) {
-                const isUnused = !this.#adapterUse.isAdapterUsed(nameAdapter(model, adapter));
-                if (isUnused && usedAt < (oldest?.usedAt ?? nowMilliseconds - ADAPTER_RETENTION_MILLISECONDS)) {
-                    oldest = { model, adapter, usedAt };
-                }
-            }
-        }
-        return oldest;
+        const step = this.#adapters.nextStep(nowMilliseconds);
+        return step === undefined
+            ? undefined
+            : {
+                type: "order",
+                order: this.#createOrder(step.operation, step.model, step.adapter),
+                reason: step.reason,
+            };
     }
 
     #applyOutcome(order: EngineOrder, outcome: OrderOutcome, nowMilliseconds: number): void {
@@ -421,20 +352,18 @@
                     : undefined;
             }
             else {
-                this.#models.get(order.model)?.delete(order.adapter);
+                this.#models.deleteAdapter({ model: order.model, adapter: order.adapter });
             }
             return;
         }
         if (order.adapter !== undefined) {
-            const readyAtMilliseconds = outcome === "accepted"
-                ? nowMilliseconds + ADAPTER_LOAD_MILLISECONDS
-                : nowMilliseconds;
-            this.#adapterLoads.set(nameAdapter(order.model, order.adapter), readyAtMilliseconds);
+            const { adapter, model } = order;
+            this.#adapters.start({ model, adapter }, outcome === "holds", nowMilliseconds);
             return;
         }
         this.#endMove();
         if (outcome === "holds") {
-            this.#models.set(order.model, new Map());
+            this.#models.add(order.model);
             return;
         }
         this.#loading = this.#createOpenLoad(order.model, nowMilliseconds);
@@ -455,22 +384,9 @@
         };
     }
 
-    /** Moves adapters whose load counts as finished to those that the engine holds. */
-    #finishAdapterLoads(nowMilliseconds: number): void {
-        for (const [key, readyAtMilliseconds] of this.#adapterLoads) {
-            if (nowMilliseconds >= readyAtMilliseconds) {
-                this.#changeCount += 1;
-                this.#adapterLoads.delete(key);
-                const { adapter, model } = splitAdapterName(key);
-                this.#models.get(model)?.set(adapter, nowMilliseconds);
-                this.#adapterRequests.delete(key);
-            }
-        }
-    }
-
     /** Earliest time at which a loading adapter counts as loaded; `undefined` where none is loading. */
     get nextAdapterReadyMilliseconds(): number | undefined {
-        return this.#adapterLoads.size === 0 ? undefined : Math.min(...this.#adapterLoads.values());
+        return this.#adapters.nextReadyMilliseconds;
     }
 
     /** Schedules a report when a load is overdue, and records the load as failed once its timeout has passed. */
@@ -489,13 +405,7 @@
 
     /** Replaces models and adapters by those of a report, and keeps the times at which adapters were used. */
     #applyReportedModels(models: readonly HeldModel[]): void {
-        const previousModels = this.#models;
-        this.#models = copyModels(models.filter(({ name }) => name !== this.#unloading));
-        for (const [name, adapters] of this.#models) {
-            for (const adapter of adapters.keys()) {
-                adapters.set(adapter, previousModels.get(name)?.get(adapter) ?? 0);
-            }
-        }
+        this.#models.replace(models.filter(({ name }) => name !== this.#unloading));
         if (this.#loading !== undefined && this.#models.has(this.#loading.model)) {
             this.#loading = undefined;
         }
@@ -507,9 +417,7 @@
      * the holder load another one for which the engine has no memory.
      */
     #addAnnouncedModels(models: readonly HeldModel[]): boolean {
-        const added = models.filter(({ name }) => !this.#models.has(name) && name !== this.#unloading);
-        added.forEach(({ name, adapters }) => this.#models.set(name, new Map(adapters.map(adapter => [adapter, 0]))));
-        return added.length > 0;
+        return this.#models.addUnknown(models.filter(({ name }) => name !== this.#unloading));
     }
 
     #resetOrders(): void {
@@ -521,6 +429,6 @@
         this.#move = undefined;
         this.#reportAtMilliseconds = undefined;
         this.#loadEndedDuringReport = false;
-        this.#adapterLoads.clear();
+        this.#adapters.clear();
     }
 }
