Let sixteen bodies of the usual limit wait on a connection before it is no longer read

What callers saw: engines went on for a caller that had closed its connection while ten requests of 60,000 bytes waited on it, since a connection that is not read does not tell its end.

Cause: reading paused beyond 256 KiB of waiting bodies. Now it pauses beyond 64 requests or 1 MiB.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -10,8 +10,8 @@
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
 
-/** What may wait on one connection: enough for callers that send a few requests ahead. */
-const WAITING_LIMITS = { requests: 16, bytes: 256 * 1024 };
+/** What may wait on one connection; while more does, it is not read, and its caller is not noticed to leave. */
+const WAITING_LIMITS = { requests: 64, bytes: 1024 * 1024 };
 
 /** Time in which a caller should close a connection on which it was told that no request is read any more. */
 const LINGER_MILLISECONDS = 1_000;
--- a/tests/overlappingRequests.test.ts
+++ b/tests/overlappingRequests.test.ts
@@ -6,13 +6,15 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { EntrySite, type SiteHost, waitUntilReady } from "./support/entrySite.js";
+import { EntrySite, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
 import { type OrderedAnswer, OverlappingCaller, renderRequest } from "./support/overlappingCaller.js";
 
 const CONNECTIONS = 8;
 const SLOW_MILLISECONDS = 400;
 const LARGE_BYTES = 3_000_000;
 const WITHIN_MILLISECONDS = 8_000;
+const BODY_BYTES = 60_000;
+const NOTICED_MILLISECONDS = 500;
 const GRACE_MILLISECONDS = 1_500;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
@@ -149,3 +151,14 @@
     );
     assert.equal(site.upstreams.flatMap(({ received }) => received).some(({ id }) => id.startsWith("behind-")), false);
 });
+
+test("no engine goes on for a caller that left while ten large bodies wait on its connection", async () => {
+    const caller = new OverlappingCaller(host);
+    caller.write(renderRequest({ id: "left", path: "/reads/never" }));
+    for (let index = 0; index < 10; index += 1) {
+        caller.write(renderRequest({ id: `left-${index}`, path: "/reads/next", body: "b".repeat(BODY_BYTES) }));
+    }
+    await delay(SLOW_MILLISECONDS);
+    caller.close();
+    await until(() => site.upstreams.some(({ abandoned }) => abandoned.includes("left")), NOTICED_MILLISECONDS);
+});
