--- a/src/entry/leaveFleet.ts
+++ b/src/entry/leaveFleet.ts
@@ -15,6 +15,9 @@
 /** Reserved at the end of the grace period for the last answers and the exit. */
 const EXIT_MARGIN_MILLISECONDS = 400;
 
+/** Time in which the last answers leave the host. */
+const LAST_ANSWERS_MILLISECONDS = 100;
+
 /** Interval at which a leaving host checks whether its last requests have ended. */
 const LEAVING_CHECK_INTERVAL_MILLISECONDS = 20;
 
@@ -48,7 +51,7 @@
     const { lifecycle, logger, readClock } = context;
     const startedAt = readClock();
     lifecycle.leave();
-    logger.info("stopping", { open: forwarder.openRequestCount });
+    logger.info("stopping", { open: servers.openRequestCount });
     publishDigest();
     await orders.leave();
     await store.endSession();
@@ -56,9 +59,11 @@
     const finalMilliseconds = context.settings().bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
     await waitUntil(startedAt + Math.min(keptMilliseconds, finalMilliseconds), readClock);
     lifecycle.closeToCallers();
-    logger.info("closed to callers", { open: forwarder.openRequestCount });
+    logger.info("closed to callers", { open: servers.openRequestCount });
     await waitForRequests(host, startedAt + finalMilliseconds);
+    servers.refuseWaiting();
     forwarder.abortAll();
+    await waitForRequests(host, readClock() + LAST_ANSWERS_MILLISECONDS);
     servers.closeToCallers();
     await leavePeers(host);
     await host.close();
@@ -66,9 +71,9 @@
 }
 
 /** Waits until no request is open, or until the given time. */
-async function waitForRequests({ context, forwarder }: LeavingHost, untilMilliseconds: number): Promise<void> {
+async function waitForRequests({ context, servers }: LeavingHost, untilMilliseconds: number): Promise<void> {
     const { readClock } = context;
-    while (forwarder.openRequestCount > 0 && readClock() < untilMilliseconds) {
+    while (servers.openRequestCount > 0 && readClock() < untilMilliseconds) {
         await waitUntil(readClock() + LEAVING_CHECK_INTERVAL_MILLISECONDS, readClock);
     }
 }
