Send no request to an upstream to which all connections are in use

What callers saw: with all of a host's connections to an upstream in use, a further request was sent there anyway, waited in the host's own pool, and after 350 ms counted as "not connected": the sound upstream counted as unreachable for 400 ms at this host (two hosts that report it leave it out of the placement of models), and the request came late to an upstream that had free connections all the while.

Cause: absence of a connection ("not yet assigned by the own pool") was read as "cannot be connected to". The choice of an upstream knew its slots, not this host's share of its connections.

Ruled out: a longer limit for connecting (a request that waits in the pool cannot be sent elsewhere, nor in order of rank); a limit that begins with the connection (the request then waits in the pool without any limit).

Change: an upstream to which this host's requests use all its connections counts as full for it; requests wait in the host's queue, in their order, or go elsewhere.

--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -298,6 +298,7 @@
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
+        const { maxSockets } = this.#context.agentFor(this.#facts.service ?? "");
         const now = this.#now();
         const acceptsAnyPrompt = !batches || isPreferred;
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
@@ -307,6 +308,7 @@
             batches,
             mayQueue: isPreferred,
             requests: loads.estimate(upstream.id, now),
+            hasFreeConnection: loads.inFlight(upstream.id) < maxSockets,
             prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
             acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
             sameZone: upstream.zone === zone,
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -11,6 +11,7 @@
         mayQueue: false,
         requests: 0,
         prefillBacklogTokens: 0,
+        hasFreeConnection: true,
         acceptsPrompt: true,
         sameZone: true,
         avoided: false,
@@ -46,6 +47,15 @@
     assert.deepEqual(chooseUpstream([], random), { type: "none" });
 });
 
+test("sends no request to an upstream to which all connections are in use while another has a free one", () => {
+    const used = candidate("used", { hasFreeConnection: false });
+    assert.deepEqual(chooseUpstream([used, candidate("busy", { requests: 60 })], random), {
+        type: "send",
+        upstream: "busy",
+    });
+    assert.deepEqual(chooseUpstream([used], random), { type: "all-full" });
+});
+
 test("skips engines that are still prefilling prompts, and delays the request where all healthy engines are", () => {
     const prefilling = candidate("reading", { batches: true, acceptsPrompt: false });
     const busy = candidate("busy", { batches: true, requests: 50 });
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -39,6 +39,8 @@
     readonly mayQueue: boolean;
     /** Estimated number of its requests, running and waiting. */
     readonly requests: number;
+    /** False while requests of this host use all its connections to the upstream; another would wait for one of them. */
+    readonly hasFreeConnection: boolean;
     /** Prompt tokens that it was sent recently and probably has not prefilled yet. */
     readonly prefillBacklogTokens: number;
     /** False while another prompt would delay the streams of an engine that is still prefilling others. */
@@ -52,7 +54,7 @@
 /** Outcome of a choice. */
 export type Choice =
     | { readonly type: "send"; readonly upstream: string; }
-    /** Every candidate has its maximum number of requests. */
+    /** Every candidate has its maximum number of requests, or no free connection. */
     | { readonly type: "all-full"; }
     /** Those that have room tolerate few rejections, and may reject the request. */
     | { readonly type: "may-reject"; }
@@ -69,9 +71,9 @@
 }
 
 function isFull(candidate: Candidate): boolean {
-    const { batches, mayQueue, requests, slots } = candidate;
+    const { batches, hasFreeConnection, mayQueue, requests, slots } = candidate;
     const engineShare = mayQueue ? MAXIMUM_RESUMED_LOAD_SHARE : MAXIMUM_ENGINE_LOAD_SHARE;
-    return requests >= slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
+    return !hasFreeConnection || requests >= slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
 }
 
 /**
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -75,6 +75,7 @@
         mayQueue,
         requests,
         prefillBacklogTokens: 0,
+        hasFreeConnection: true,
         acceptsPrompt: true,
         sameZone: true,
         avoided: false,
