Write answers of the product's other half to their end before its server stops

What callers saw: beside a stop, the connection of a caller that reads a large answer slowly was closed within it, with all requests that had been read behind it on the same connection.

Cause: Node's `closeIdleConnections`, which its `close` calls too, takes a connection for idle once `end` was called on its answer, although most of the answer was not written yet: absence of an open answer read as an idle connection. The server for callers called it every 50 ms while it stopped; that for peers once, and then waited for connections that became idle later until their idle limit.

Ruled out: `Connection: close` on the answers of a stopping server (the connection then ends after the first, whatever was read behind it); waiting for the answer's `finish` instead of its `close` (a broken answer has none).

Change: `TrackedConnections` (src/transport) counts the requests in progress on each connection until their answers are written, and closes a connection only when there is none and nothing was read since the last.

Evidence: src/callers/callersServer.test.ts, over sockets.

--- a/src/callers/callersServer.ts
+++ b/src/callers/callersServer.ts
@@ -7,35 +7,24 @@
 import { type Server } from "node:http";
 import { type AddressInfo, type Socket } from "node:net";
 import { type Endpoint, type Limits } from "../generated/settings.js";
+import { TrackedConnections } from "../transport/index.js";
 import { createCallersApplication } from "./application.js";
 import { type CallerHandlers } from "./types.js";
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
 const IDLE_CONNECTION_MILLISECONDS = 30_000;
-const IDLE_CHECK_MILLISECONDS = 50;
 const KEEP_ALIVE_PROBE_MILLISECONDS = 15_000;
 
 /** A running HTTP server for callers. */
 export interface CallersServer {
     readonly port: number;
-    /** Stops listening and closes connections as they become idle; answers in progress are finished first. */
+    /** Stops listening and closes connections as they become idle; answers in progress are written first. */
     close(): Promise<void>;
     /** Closes all connections immediately. */
     abort(): void;
 }
 
-/** Closes connections as they become idle, and resolves when none is open. */
-function closeGracefully(server: Server): Promise<void> {
-    return new Promise(resolve => {
-        const timer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MILLISECONDS);
-        server.close(() => {
-            clearInterval(timer);
-            resolve();
-        });
-    });
-}
-
 /**
  * Starts the HTTP server for callers.
  *
@@ -61,6 +50,7 @@
             keepAliveTimeout: IDLE_CONNECTION_MILLISECONDS,
         },
     }) as Server;
+    const connections = new TrackedConnections(server);
     server.maxConnections = options.limits.openStreams;
     server.on("connection", (socket: Socket) => {
         socket.setNoDelay(true);
@@ -73,7 +63,7 @@
     let closing: Promise<void> | undefined;
     return {
         port,
-        close: () => closing ??= closeGracefully(server),
+        close: () => closing ??= connections.closeServer(),
         abort: () => server.closeAllConnections(),
     };
 }
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -7,6 +7,7 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type Endpoint } from "../generated/settings.js";
+import { TrackedConnections } from "../transport/index.js";
 import { createPeerRouter, type PeerHandlers } from "./router.js";
 
 const MAXIMUM_MESSAGE_BYTES = 2 * 1024 * 1024;
@@ -41,13 +42,10 @@
 export async function startPeerServer(endpoint: Endpoint, handlers: PeerHandlers): Promise<PeerServer> {
     const handler = createHTTPHandler({ router: createPeerRouter(handlers), maxBodySize: MAXIMUM_MESSAGE_BYTES });
     const server = createServer({ keepAliveTimeout: IDLE_CONNECTION_MILLISECONDS }, handler);
+    const connections = new TrackedConnections(server);
     const port = await listen(server, endpoint);
     return {
         port,
-        close: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            }),
+        close: () => connections.closeServer(),
     };
 }
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -1,6 +1,6 @@
 /**
  * Shared parts of clients: addresses, classification of failed calls, size-limited reading of bodies, and replaceable
- * agents.
+ * agents; and the stop of servers.
  *
  * Retries are left to the clients.
  *
@@ -15,3 +15,4 @@
 export { readLimited } from "./readLimited.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
 export { type HostAndPort, splitAddress } from "./splitAddress.js";
+export { TrackedConnections } from "./trackedConnections.js";
