Do not move a stream from an engine for the time that its prompt takes to be read

What callers saw: a stream whose prompt takes a sound engine over 1.2 s to read was sent to a second engine then, and 250 ms later the first was given up because the second answered its health address; that one began to read anew, and was given up the same way. The first event came after 4.2 s; callers leave after two.

Cause: 1.2 s without a byte stood for a stalled answer, also where the answer cannot have begun yet. That the other engine answers health checks says nothing about the first one.

Ruled out: a health check of the first engine as evidence (an engine that has lost one request answers it too, and the request would stay there); a higher limit for all (running streams need it lower).

Change: before its first event, a stream to a model has stalled only after one and a half times the time in which the engine probably reads what it was sent (its prompt backlog, by the throughput that this host has measured), and not before 1.2 s. While no throughput is measured yet (40 first tokens), as before.

--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -89,6 +89,18 @@
         return this.#context.readClock() - this.#heardAtMilliseconds;
     }
 
+    /**
+     * Time in which the upstream probably reads the prompt, and those that it was sent before; 0 where this is not known
+     * yet, and once the answer has begun.
+     */
+    get readingMilliseconds(): number {
+        const { prefillTokensPerMillisecond } = this.#context.demand;
+        const isReading = this.#facts.model !== undefined && this.#firstEventAtMilliseconds === undefined;
+        return isReading && prefillTokensPerMillisecond !== undefined
+            ? this.backlogTokens / prefillTokensPerMillisecond
+            : 0;
+    }
+
     get heldBytes(): number {
         return this.#heldBytes;
     }
--- a/src/entry/exchange/hedging.ts
+++ b/src/entry/exchange/hedging.ts
@@ -22,6 +22,9 @@
 /** Callers abandon a stream after two seconds without an event; an earlier limit leaves time for another upstream. */
 const STREAM_STALL_MILLISECONDS = 1_200;
 
+/** A stream has not stalled before this many times the time in which its prompt is probably read. */
+const STALL_READING_TIMES = 1.5;
+
 /** An idempotent request has stalled after this many times its target latency without an answer. */
 const STALL_TARGETS = 3;
 
@@ -108,8 +111,12 @@
     }
 
     #limitMilliseconds(): number {
-        const { kind, targetLatencyMilliseconds } = this.#options.route;
-        return kind === "event-stream" ? STREAM_STALL_MILLISECONDS : targetLatencyMilliseconds * STALL_TARGETS;
+        const { attempts, route: { kind, targetLatencyMilliseconds } } = this.#options;
+        if (kind !== "event-stream") {
+            return targetLatencyMilliseconds * STALL_TARGETS;
+        }
+        const readingMilliseconds = attempts.last?.readingMilliseconds ?? 0;
+        return Math.max(STREAM_STALL_MILLISECONDS, readingMilliseconds * STALL_READING_TIMES);
     }
 
     /** Checks the request after some time, once what has arrived meanwhile was read. */
