Keep losses that an answer doesn't disprove when an incarnation proves alive

Cause: bytes from an upstream show that it lived on if they come 100 ms or more after a loss there; for losses less old they may have been on the way when it crashed. The margin was taken from the first loss on the incarnation, and all of its losses were dropped. So where a connection had been reset up to 8 s before, an answer read just after a crash dropped the losses of the crash too, and no request was suspected of it.

Change: each loss keeps its time, and only those older than the margin are dropped. A peer's losses on an incarnation are told with one age, that of the first, and are handled as before.

Test (failed before): "an answer that arrived before a crash disproves no loss of that crash, though a connection was reset earlier".

--- a/src/crashes/_crashLog.test.ts
+++ b/src/crashes/_crashLog.test.ts
@@ -32,11 +32,11 @@
 test("an incarnation that answers was not lost; one that crashed is not revived by a late answer", () => {
     const log = new CrashLog();
     log.recordLoss("i-1/1", createLoss("r1", "a", 1_000), 1_000);
-    log.recordAlive("i-1/1");
+    log.recordAlive("i-1/1", 1_001);
     assert.ok(log.isUnsuspected("part:a"));
     log.recordLoss("i-2/1", createLoss("r1", "a", 1_000), 1_000);
     log.recordCrash("i-2/1", 1_100);
-    log.recordAlive("i-2/1");
+    log.recordAlive("i-2/1", 1_200);
     assert.ok(!log.isUnsuspected("part:a"));
 });
 
--- a/src/crashes/_crashLog.ts
+++ b/src/crashes/_crashLog.ts
@@ -27,6 +27,12 @@
     readonly heardAtMilliseconds: number;
 }
 
+/** A loss in the log. */
+export interface RecordedLoss extends Loss {
+    /** Time of the loss; where a peer reported it, of the earliest one that the peer knew on the incarnation. */
+    readonly atMilliseconds: number;
+}
+
 /** An incarnation on which requests were lost, or that is known to have crashed. */
 export interface Run {
     readonly incarnation: string;
@@ -35,7 +41,7 @@
     isCrash: boolean;
     /** When this host last learned something of it. */
     changedAtMilliseconds: number;
-    readonly losses: Map<string, Loss>;
+    readonly losses: Map<string, RecordedLoss>;
 }
 
 /** Losses and crashes of the last minutes. */
@@ -73,7 +79,7 @@
         if (run.losses.has(loss.fingerprint) || run.losses.size >= MAXIMUM_LOSSES) {
             return false;
         }
-        run.losses.set(loss.fingerprint, loss);
+        run.losses.set(loss.fingerprint, { ...loss, atMilliseconds });
         run.changedAtMilliseconds = loss.heardAtMilliseconds;
         for (const attribute of loss.attributes) {
             const runs = this.#runsByAttribute.get(attribute) ?? new Set();
@@ -93,11 +99,18 @@
         return run;
     }
 
-    /** Drops the losses on an incarnation that has since answered: only their connections were reset. */
-    recordAlive(incarnation: string): void {
+    /**
+     * Drops the losses before a time at which an incarnation is known to have lived: only their connections were reset.
+     */
+    recordAlive(incarnation: string, aliveAtMilliseconds: number): void {
         const run = this.#runs.get(incarnation);
-        if (run !== undefined && !run.isCrash) {
+        if (run === undefined || run.isCrash) {
+            return;
+        }
+        const later = [...run.losses.values()].filter(({ atMilliseconds }) => atMilliseconds >= aliveAtMilliseconds);
+        if (later.length < run.losses.size) {
             this.#remove(run);
+            later.forEach(loss => this.recordLoss(incarnation, loss, loss.atMilliseconds));
         }
     }
 
--- a/src/crashes/crashAttribution.test.ts
+++ b/src/crashes/crashAttribution.test.ts
@@ -117,6 +117,15 @@
     assert.deepEqual(host.verdict(withParts("r9", "rare"), 6_000), { type: "accepted" });
 });
 
+test("an answer that arrived before a crash disproves no loss of that crash, though a connection was reset earlier", () => {
+    const host = createHost();
+    host.recordLost(withParts("r1", "reset"), "i-1/1", 1_000);
+    host.recordLost(withParts("r2", "deadly"), "i-1/1", 1_500);
+    host.recordAnswered(withParts("s1", "other"), "i-1/1", 1_520);
+    const evidence = host.recordCrash("i-1/1", 1_540);
+    assert.deepEqual(evidence.map(({ parts }) => parts), [["deadly"]]);
+});
+
 test("lets one request with a doubted part be tried at a time, late enough for a crash to be a separate one", () => {
     const host = createHost();
     crash(host, withParts("r1", "rare"), "i-1/1", 1_000);
--- a/src/crashes/crashAttribution.ts
+++ b/src/crashes/crashAttribution.ts
@@ -161,10 +161,7 @@
      */
     recordAnswered(attributes: RequestAttributes, incarnation: string, nowMilliseconds: number): void {
         this.#trials.recordEnded(attributes.fingerprint);
-        const run = this.#log.get(incarnation);
-        if (run !== undefined && nowMilliseconds - run.atMilliseconds > ALIVE_MARGIN_MILLISECONDS) {
-            this.#log.recordAlive(incarnation);
-        }
+        this.#log.recordAlive(incarnation, nowMilliseconds - ALIVE_MARGIN_MILLISECONDS);
         for (const name of namesOf(attributes)) {
             const isDoubted = this.#isSuspected(name) || this.#convictions.concerns(name);
             if (isDoubted || isPart(name)) {
