Play lost and replaced engines, adapters and resumed streams in an upgrade

measurements/upgrade.ts played one seed, plain model streams only, and no change of the engines.

Change: in each phase one of four engines is lost and starts again 1.5 s later, or is drained and replaced by one of the next software version, by turns, at a time that the seed chooses. Two more kinds of requests: streams of four adapters (two slots on an engine), and streams whose caller loses the connection after 0.1 to 0.8 s and resumes at any named host, with a check that all 40 events come in order and from one version. Several seeds in one call; totals by kind.

--- a/measurements/upgrade.ts
+++ b/measurements/upgrade.ts
@@ -1,9 +1,10 @@
 /**
  * Plays an upgrade and its rollback with real processes: hosts of an earlier commit are replaced one after the other by
- * hosts of this build, or of a given later commit, and back, while callers send requests and the configuration changes
- * in each phase. Prints what callers saw in each phase.
+ * hosts of this build, or of a given later commit, and back. In each phase the configuration changes, and an engine is lost
+ * or replaced by one of a later software version, while callers send requests, some of them for adapters, and resume
+ * streams. Prints what callers saw in each phase, for each of the seeds.
  *
- * `npx tsx measurements/upgrade.ts COMMIT [SEED] [LATER_COMMIT]`
+ * `npx tsx measurements/upgrade.ts COMMIT [SEED,SEED...] [LATER_COMMIT]`
  *
  * @module
  */
@@ -22,11 +23,14 @@
 import {
     callAuxiliaryServer,
     type CallerAnswer,
+    type CallerRequest,
     callHost,
     engineSettings,
     EntrySite,
 } from "../tests/support/entrySite.js";
 import { findWorstWindow, type LimitArrival } from "../tests/support/limitRule.js";
+import { callResuming } from "./_resumingCaller.js";
+import { ENGINE_SERVICE, MODEL, STREAM_EVENTS, UpgradeEngines } from "./_upgradeEngines.js";
 
 const HOSTS = 6;
 const LOOPBACK = "127.0.0.1";
@@ -45,18 +49,30 @@
 
 const LIMIT_PER_SECOND = 4;
 
-type Kind = "idempotent" | "once" | "stream" | "model" | "limited";
+const ENGINE_SLOTS = 50;
+const ADAPTER_SLOTS = 2;
+const ADAPTERS = ["a1", "a2", "a3", "a4"];
+
+/** Callers who resume a stream lose their connection after this time, at least and at most. */
+const BREAK_MILLISECONDS = { minimum: 100, maximum: 800 };
+
+type Kind = "idempotent" | "once" | "stream" | "model" | "adapter" | "resumed" | "limited";
 type Outcome = "served" | "refused" | "cut" | "failed";
 
-const KINDS: readonly Kind[] = ["idempotent", "once", "stream", "model", "limited"];
+const KINDS: readonly Kind[] = ["idempotent", "once", "stream", "model", "adapter", "resumed", "limited"];
 const PATHS: Readonly<Record<Kind, string>> = {
     idempotent: "/reads/1",
     once: "/orders/1",
     stream: "/streams/1",
     model: "/llm/1",
+    adapter: "/llm/1",
+    resumed: "/llm/1",
     limited: "/limited/1",
 };
 
+/** Kinds of requests that name a model. */
+const MODEL_KINDS: ReadonlySet<Kind> = new Set(["model", "adapter", "resumed"]);
+
 /** A machine; the process on it is replaced. */
 interface Machine {
     readonly name: string;
@@ -72,6 +88,8 @@
     readonly name: string;
     readonly outcomes: Record<Outcome, number>;
     readonly reasons: Map<string, number>;
+    /** What happened to the engines. */
+    readonly events: string[];
     /** Hosts named in each answer to callers that asked a host of the old or the new build. */
     readonly named: { readonly old: number[]; readonly new: number[]; };
     planners: readonly string[];
@@ -87,6 +105,16 @@
     return status === STATUS_UNAVAILABLE ? "refused" : "failed";
 }
 
+function describeAnswer({ body, isComplete, status }: CallerAnswer): string {
+    return status === STATUS_OK && !isComplete
+        ? "answer broken off"
+        : `${status ?? "no answer"} ${body.slice(0, MAXIMUM_REASON_CHARACTERS)}`;
+}
+
+function portOf(address: string): number {
+    return Number(address.split(":")[1]);
+}
+
 function bundle(folder: string): string {
     execFileSync("npm", ["run", "--silent", "bundle"], { cwd: folder });
     return join(folder, LAUNCHER);
@@ -107,6 +135,8 @@
     readonly #executions = new Map<string, number>();
     readonly #pending: Promise<void>[] = [];
     readonly #phases: Phase[] = [];
+    readonly #totals = new Map<string, number>();
+    readonly #engines: UpgradeEngines;
     #addresses: readonly string[] = [];
     #sent = 0;
     #ended = false;
@@ -114,6 +144,7 @@
     constructor(site: EntrySite, random: RandomSource) {
         this.#site = site;
         this.#random = random;
+        this.#engines = new UpgradeEngines(site);
     }
 
     async play(oldLauncher: string, newLauncher: string): Promise<void> {
@@ -153,17 +184,12 @@
                 behave: ({ id, path }) => {
                     this.#executions.set(id, (this.#executions.get(id) ?? 0) + 1);
                     return path === PATHS.stream
-                        ? { type: "stream", events: 40, gapMilliseconds: 25 }
+                        ? { type: "stream", events: STREAM_EVENTS, gapMilliseconds: 25 }
                         : { type: "answer", afterMilliseconds: 20 };
                 },
             });
-            await site.addUpstream({
-                id: `i-engine-${index}`,
-                slots: 50,
-                models: { quotes: [] },
-                behave: () => ({ type: "stream", events: 40, gapMilliseconds: 25 }),
-            }, "llm");
         }
+        await this.#engines.start();
         for (let index = 1; index <= HOSTS; index += 1) {
             const name = `entry-${index}`;
             const created = await createEntrySettings(site.store.address);
@@ -179,6 +205,7 @@
     /** Stores the configuration with a new version. */
     #configure(): void {
         const streams = { kind: "stream", timeoutMs: 8_000, resumable: true };
+        const engine = { ...engineSettings(ADAPTER_SLOTS, { [MODEL]: ADAPTERS.length }), slots: ENGINE_SLOTS };
         const service = { healthPath: "/healthz", maxConnections: 100, protocol: "h1", tls: false };
         this.#site.configure(
             [
@@ -186,14 +213,14 @@
                 { pathPrefix: "/limited/", service: "limited", timeoutMs: 4_000 },
                 { pathPrefix: "/orders/", kind: "non_idempotent", maxAttempts: 1 },
                 { pathPrefix: "/streams/", ...streams },
-                { pathPrefix: "/llm/", service: "llm", ...streams },
+                { pathPrefix: "/llm/", service: ENGINE_SERVICE, ...streams },
             ],
             undefined,
             {
                 services: [
                     { ...service, name: "plain" },
                     { ...service, name: "limited" },
-                    { ...service, name: "llm", engine: engineSettings(2, { quotes: 2 }) },
+                    { ...service, name: ENGINE_SERVICE, engine },
                 ],
             },
         );
@@ -203,6 +230,7 @@
         for (const machine of this.#machines) {
             const number = this.#machines.filter(other => other.isNew).length + (isNew ? 1 : -1);
             this.#beginPhase(`${isNew ? "upgrade" : "rollback"}: ${number} of ${HOSTS} new`);
+            this.#pending.push(this.#changeEngines());
             machine.isServing = false;
             machine.program.child.kill("SIGTERM");
             await machine.program.ended;
@@ -218,6 +246,14 @@
         }
     }
 
+    /** Loses an engine or replaces one, by turns, at some time within the phase. */
+    async #changeEngines(): Promise<void> {
+        const phase = this.#phase;
+        const isLoss = this.#phases.length % 2 === 0;
+        await delay(this.#random() * PHASE_MILLISECONDS);
+        phase.events.push(isLoss ? this.#engines.lose() : await this.#engines.release());
+    }
+
     get #phase(): Phase {
         const phase = this.#phases.at(-1);
         if (phase === undefined) {
@@ -228,7 +264,14 @@
 
     #beginPhase(name: string): void {
         const outcomes = { served: 0, refused: 0, cut: 0, failed: 0 };
-        this.#phases.push({ name, outcomes, reasons: new Map(), named: { old: [], new: [] }, planners: [] });
+        this.#phases.push({
+            name,
+            outcomes,
+            reasons: new Map(),
+            events: [],
+            named: { old: [], new: [] },
+            planners: [],
+        });
     }
 
     #pick<Item>(items: readonly Item[]): Item | undefined {
@@ -269,17 +312,42 @@
         }
         const phase = this.#phase;
         this.#sent += 1;
-        const callers = { address: LOOPBACK, port: Number(address.split(":")[1]) };
-        const answer = await callHost({ settings: { callers } }, {
-            path: PATHS[kind],
-            id: `${kind}/${this.#sent}`,
-            method: kind === "model" ? "POST" : "GET",
-            headers: kind === "model" ? { "Flamingospread-Model": "quotes" } : {},
+        const id = `${kind}/${this.#sent}`;
+        if (kind === "resumed") {
+            await this.#sendResumed(id, phase);
+            return;
+        }
+        const callers = { address: LOOPBACK, port: portOf(address) };
+        const answer = await callHost({ settings: { callers } }, this.#createRequest(kind, id));
+        this.#record(kind, phase, outcomeOf(answer), describeAnswer(answer));
+    }
+
+    #createRequest(kind: Kind, id: string): CallerRequest & { readonly id: string; } {
+        const path = PATHS[kind];
+        if (!MODEL_KINDS.has(kind)) {
+            return { path, id };
+        }
+        const adapter = kind === "adapter" ? `/${this.#pick(ADAPTERS) ?? ""}` : "";
+        return { path, id, method: "POST", headers: { "Flamingospread-Model": MODEL + adapter } };
+    }
+
+    async #sendResumed(id: string, phase: Phase): Promise<void> {
+        const { maximum, minimum } = BREAK_MILLISECONDS;
+        const { answer, problem, requests } = await callResuming(this.#createRequest("resumed", id), {
+            events: STREAM_EVENTS,
+            breakAfterMilliseconds: minimum + this.#random() * (maximum - minimum),
+            choosePort: () => portOf(this.#pick(this.#addresses) ?? ""),
         });
-        const outcome = outcomeOf(answer);
+        const outcome = problem === undefined ? outcomeOf(answer) : "failed";
+        this.#record("resumed", phase, outcome, problem ?? `${describeAnswer(answer)} after ${requests} requests`);
+    }
+
+    #record(kind: Kind, phase: Phase, outcome: Outcome, description: string): void {
         phase.outcomes[outcome] += 1;
+        const total = `${kind} ${outcome}`;
+        this.#totals.set(total, (this.#totals.get(total) ?? 0) + 1);
         if (outcome !== "served") {
-            const reason = `${kind} ${answer.status ?? "no answer"} ${answer.body.slice(0, MAXIMUM_REASON_CHARACTERS)}`;
+            const reason = `${kind} ${description}`;
             phase.reasons.set(reason, (phase.reasons.get(reason) ?? 0) + 1);
         }
     }
@@ -296,34 +364,44 @@
     #report(): void {
         const range = (counts: readonly number[]): string =>
             counts.length === 0 ? "-" : `${Math.min(...counts)}..${Math.max(...counts)}`;
-        for (const { name, named, outcomes, planners, reasons } of this.#phases) {
+        for (const { events, name, named, outcomes, planners, reasons } of this.#phases) {
             const seen = Object.entries(outcomes).map(([outcome, count]) => `${outcome} ${count}`).join(", ");
             console.log(
                 `${name}: ${seen}; named by old ${range(named.old)}, by new ${range(named.new)}; `
-                    + `planners ${planners.join(", ")}`,
+                    + `planners ${planners.join(", ")}; ${events.join(", ")}`,
             );
             reasons.forEach((count, reason) => console.log(`    ${count} x ${reason}`));
         }
+        const totals = [...this.#totals].toSorted(([left], [right]) => left.localeCompare(right));
+        console.log(`in all: ${totals.map(([total, count]) => `${total} ${count}`).join(", ")}`);
         console.log(this.#describeLimit());
         const twice = [...this.#executions].filter(([id, count]) => id.startsWith("once/") && count > 1);
         console.log(`requests sent ${this.#sent}; run twice of those that may run once: ${twice.length}`);
     }
 }
 
+async function playSeed(seed: number, oldLauncher: string, newLauncher: string): Promise<void> {
+    console.log(`seed ${seed}`);
+    const upgrade = new Upgrade(await EntrySite.start(), createSeededRandom(seed));
+    try {
+        await upgrade.play(oldLauncher, newLauncher);
+    }
+    finally {
+        await upgrade.close();
+    }
+}
+
 async function main(): Promise<void> {
-    const [commit, seed = String(DEFAULT_SEED), laterCommit] = process.argv.slice(2);
+    const [commit, seeds = String(DEFAULT_SEED), laterCommit] = process.argv.slice(2);
     if (commit === undefined) {
-        throw new Error("usage: npx tsx measurements/upgrade.ts COMMIT [SEED] [LATER_COMMIT]");
+        throw new Error("usage: npx tsx measurements/upgrade.ts COMMIT [SEED,SEED...] [LATER_COMMIT]");
     }
     const old = checkOutBuild(commit);
     const later = laterCommit === undefined ? undefined : checkOutBuild(laterCommit);
     try {
-        const upgrade = new Upgrade(await EntrySite.start(), createSeededRandom(Number(seed)));
-        try {
-            await upgrade.play(bundle(old.folder), bundle(later?.folder ?? "."));
-        }
-        finally {
-            await upgrade.close();
+        const [oldLauncher, newLauncher] = [bundle(old.folder), bundle(later?.folder ?? ".")];
+        for (const seed of seeds.split(",").map(Number)) {
+            await playSeed(seed, oldLauncher, newLauncher);
         }
     }
     finally {
