--- a/src/callers/callersServer.test.ts
+++ b/src/callers/callersServer.test.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
@@ -17,6 +18,9 @@
 const READ_PAUSE_MILLISECONDS = 400;
 const SLOW_ORDER_MILLISECONDS = 200;
 
+/** Far less than the time after which a server closes connections on which no request arrives. */
+const STOP_MILLISECONDS = 3_000;
+
 function answerWith(body: string): OrderOutcome {
     return { type: "answered", result: { status: 200, contentType: "text/plain", body } };
 }
@@ -101,3 +105,12 @@
     await server.close();
     assert.match(await received, /slow answer/);
 });
+
+test("a stopping server does not wait for a connection on which nothing was sent", async () => {
+    const socket = connect(server.port, "127.0.0.1");
+    const received = readAll(socket);
+    await once(socket, "connect");
+    const closed = server.close().then(() => true);
+    assert.equal(await Promise.race([closed, delay(STOP_MILLISECONDS, false)]), true);
+    assert.equal(await received, "");
+});
--- a/src/transport/trackedConnections.ts
+++ b/src/transport/trackedConnections.ts
@@ -13,8 +13,8 @@
 interface ConnectionUse {
     /** Requests that were read and whose answers are not completely written yet, overlapping ones included. */
     openRequests: number;
-    /** Bytes that had been read when the last answer ended; `undefined` before the first request. */
-    readBytesWhenIdle: number | undefined;
+    /** Bytes that had been read when the last answer ended; 0 before the first request. */
+    readBytesWhenIdle: number;
 }
 
 /** A part of a next request may have been read already, although no answer is in progress. */
@@ -69,7 +69,7 @@
         if (known !== undefined) {
             return known;
         }
-        const use = { openRequests: 0, readBytesWhenIdle: undefined };
+        const use = { openRequests: 0, readBytesWhenIdle: 0 };
         this.#connections.set(socket, use);
         socket.once("close", () => this.#connections.delete(socket));
         return use;
