Keep a connection paused on which too much waits

Cause: Node resumes a socket whenever a message on it is read to its end, also one that others had paused; and reading went on for as long as a request was read in part, which nearly each read of 64 KiB ends with.

Change: a socket that resumes while too much waits is paused again, and reading pauses within a request, too; what is missing of it is read once less waits.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -57,6 +57,7 @@
     constructor(socket: Duplex, options: CallerConnectionOptions) {
         this.#socket = socket;
         this.#options = options;
+        socket.on("resume", () => this.#keepPaused());
         socket.once("close", () => this.#reportUnanswered());
     }
 
@@ -159,14 +160,13 @@
         }
     }
 
-    /** Stops reading while too much waits; not within a request, which could then never be answered. */
+    /** Stops reading while too much waits; what was read of a request in part is read on once less does. */
     #updateReading(): void {
-        const isPaused = this.#order.isFull && this.#order.isAllRead;
-        if (isPaused === this.#isReadingPaused || this.#socket.destroyed) {
+        if (this.#order.isFull === this.#isReadingPaused) {
             return;
         }
-        this.#isReadingPaused = isPaused;
-        if (isPaused) {
+        this.#isReadingPaused = this.#order.isFull;
+        if (this.#isReadingPaused) {
             this.#socket.pause();
         }
         else {
@@ -174,6 +174,13 @@
         }
     }
 
+    /** Node resumes the socket whenever a message is read to its end. */
+    #keepPaused(): void {
+        if (this.#isReadingPaused) {
+            this.#socket.pause();
+        }
+    }
+
     /** True while a request is to be answered before the final answer; one that was not read whole gets the latter. */
     get #hasAnswerDue(): boolean {
         return this.#order.hasRead || [...this.#unanswered].some(({ complete }) => complete);
--- a/src/entry/connections/requestOrder.ts
+++ b/src/entry/connections/requestOrder.ts
@@ -60,11 +60,6 @@
         return this.#places.some(({ request }) => request !== undefined);
     }
 
-    /** True while every request was read, so that none of the next bytes belong to one of them. */
-    get isAllRead(): boolean {
-        return this.#places.every(({ request }) => request !== undefined);
-    }
-
     /** True while more waits than the limits allow. */
     get isFull(): boolean {
         const waiting = this.#places.slice(1);
