--- a/tests/support/overlappingCaller.ts
+++ b/tests/support/overlappingCaller.ts
@@ -11,6 +11,9 @@
 const HEAD_END = "\r\n\r\n";
 const LENGTH_BASE_OF_CHUNKS = 16;
 
+/** Answers with lower statuses are followed by another one to the same request. */
+const STATUS_OK = 200;
+
 /** A request, before it is written as bytes. */
 export interface OverlappingRequest {
     readonly id: string;
@@ -96,32 +99,32 @@
     };
 }
 
-/** Returns the answers in the bytes of a connection; the last one is incomplete if the bytes end within it. */
-export function parseAnswers(text: string): OrderedAnswer[] {
-    const answers: OrderedAnswer[] = [];
-    let rest = text;
-    for (;;) {
-        const headEnd = rest.indexOf(HEAD_END);
-        if (headEnd === -1) {
-            return answers;
-        }
-        const head = parseHead(rest.slice(0, headEnd));
-        const parsed = parseBody(rest.slice(headEnd + HEAD_END.length), head.headers);
-        if (parsed === undefined) {
-            return [...answers, { ...head, body: rest.slice(headEnd + HEAD_END.length), isComplete: false }];
-        }
-        rest = parsed.rest;
-        if (head.status >= 200) {
-            answers.push({ ...head, body: parsed.body, isComplete: true });
-        }
+interface ParsedAnswer {
+    readonly answer: OrderedAnswer;
+    readonly rest: string;
+}
+
+/** Returns the first answer in bytes of a connection, and what follows it; `undefined` before the end of its head. */
+function parseAnswer(text: string): ParsedAnswer | undefined {
+    const headEnd = text.indexOf(HEAD_END);
+    if (headEnd === -1) {
+        return undefined;
     }
+    const head = parseHead(text.slice(0, headEnd));
+    const following = text.slice(headEnd + HEAD_END.length);
+    const parsed = parseBody(following, head.headers);
+    return parsed === undefined
+        ? { answer: { ...head, body: following, isComplete: false }, rest: "" }
+        : { answer: { ...head, body: parsed.body, isComplete: true }, rest: parsed.rest };
 }
 
 /** One connection of a caller to a host; `close` ends it at once. */
 export class OverlappingCaller {
     readonly #socket: Socket;
+    readonly #complete: OrderedAnswer[] = [];
+    /** What follows the complete answers. */
     #text = "";
-    #isClosed = false;
+    #closedAtMilliseconds: number | undefined;
     #changed: () => void = () => undefined;
 
     constructor({ settings }: { readonly settings: Pick<EntrySettings, "callers">; }) {
@@ -129,30 +132,57 @@
         this.#socket.setNoDelay(true);
         this.#socket.on("data", piece => {
             this.#text += piece.toString("latin1");
+            this.#takeComplete();
             this.#changed();
         });
         this.#socket.on("error", () => undefined);
         this.#socket.on("close", () => {
-            this.#isClosed = true;
+            this.#closedAtMilliseconds = performance.now();
             this.#changed();
         });
     }
 
     /** True once the host or the caller has closed the connection. */
     get isClosed(): boolean {
-        return this.#isClosed;
+        return this.#closedAtMilliseconds !== undefined;
+    }
+
+    /** Time at which the connection was closed. */
+    get closedAtMilliseconds(): number | undefined {
+        return this.#closedAtMilliseconds;
     }
 
-    /** Answers received so far. */
+    /** Number of complete answers received so far. */
+    get answerCount(): number {
+        return this.#complete.length;
+    }
+
+    /** Answers received so far; the last one is incomplete if its end has not arrived. */
     get answers(): readonly OrderedAnswer[] {
-        return parseAnswers(this.#text);
+        const last = parseAnswer(this.#text);
+        return last === undefined ? [...this.#complete] : [...this.#complete, last.answer];
+    }
+
+    /** True once an answer said that the connection closes, after which a caller sends nothing on it. */
+    get isToldToClose(): boolean {
+        return this.#complete.some(({ headers }) => headers["connection"] === "close");
+    }
+
+    /** Bytes that were written and that the host has not taken. */
+    get unsentBytes(): number {
+        return this.#socket.writableLength;
     }
 
     /** Sends bytes in one write. */
-    write(bytes: string): void {
+    write(bytes: string | Buffer): void {
         this.#socket.write(bytes);
     }
 
+    /** Ends the caller's direction, and reads on. */
+    endSending(): void {
+        this.#socket.end();
+    }
+
     /** Stops reading answers, as a slow caller does. */
     pause(): void {
         this.#socket.pause();
@@ -167,7 +197,7 @@
         await new Promise<void>(resolve => {
             const timer = setTimeout(resolve, withinMilliseconds);
             this.#changed = () => {
-                if (this.#isClosed || this.answers.filter(({ isComplete }) => isComplete).length >= count) {
+                if (this.isClosed || this.answerCount >= count) {
                     clearTimeout(timer);
                     resolve();
                 }
@@ -187,4 +217,14 @@
             this.#socket.destroy();
         }
     }
+
+    #takeComplete(): void {
+        for (let parsed = parseAnswer(this.#text); parsed?.answer.isComplete === true;) {
+            this.#text = parsed.rest;
+            if (parsed.answer.status >= STATUS_OK) {
+                this.#complete.push(parsed.answer);
+            }
+            parsed = parseAnswer(this.#text);
+        }
+    }
 }
