--- a/tests/overlappingStates.test.ts
+++ b/tests/overlappingStates.test.ts
@@ -7,6 +7,7 @@
 import { after, before, describe, test } from "node:test";
 import { createSeededRandom, type RandomSource } from "../src/decision/index.js";
 import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
+import { STREAM_EVENTS } from "./support/changeSite.js";
 import { engineSettings, EntrySite, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
 import { OverlappingCaller, renderRequest } from "./support/overlappingCaller.js";
 import {
@@ -15,7 +16,6 @@
     type ConnectionPlan,
     createFollower,
     DELIVERIES,
-    FEW_EVENTS,
     findConnectionFaults,
     KINDS,
     nextId,
@@ -37,6 +37,7 @@
 const LOW_HEADER_TIMEOUT_MILLISECONDS = 1_000;
 const LARGE_BYTES = 3_000_000;
 const MANY_EVENTS = 10;
+const BREAK_AFTER_EVENTS = 6;
 const BODY_LIMIT_BYTES = 65_536;
 const HEADER_LIMIT_BYTES = 16_384;
 const LOW_HEADER_LIMIT_BYTES = 6_000;
@@ -88,9 +89,9 @@
         case "events":
             return { type: "stream", events: MANY_EVENTS, gapMilliseconds: SLOW_MILLISECONDS / MANY_EVENTS };
         case "few":
-            return { type: "stream", events: FEW_EVENTS, gapMilliseconds: 2 };
+            return { type: "stream", events: STREAM_EVENTS, gapMilliseconds: 2 };
         case "cut":
-            return { type: "stream", events: MANY_EVENTS, gapMilliseconds: 20, breakAfter: FEW_EVENTS };
+            return { type: "stream", events: MANY_EVENTS, gapMilliseconds: 20, breakAfter: BREAK_AFTER_EVENTS };
         case "reset":
             return { type: "reset", afterMilliseconds: 100 };
         default:
--- a/tests/support/overlappingRuns.ts
+++ b/tests/support/overlappingRuns.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { type RandomSource } from "../../src/decision/index.js";
 import { type PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
+import { STREAM_EVENTS } from "./changeSite.js";
 import { type EntrySite, type SiteHost } from "./entrySite.js";
 import { allEventIds, eventIds } from "./heldAnswer.js";
 import { type OrderedAnswer, OverlappingCaller, type OverlappingRequest, renderRequest } from "./overlappingCaller.js";
@@ -59,14 +60,14 @@
     readonly sentAtMilliseconds: readonly number[];
 }
 
-/** Events of the streams that {@linkcode createFollower} requests. */
-export const FEW_EVENTS = 6;
-
 export const STATUS_OK = 200;
 
 /** Statuses that promise that a request has not run and will not. */
 export const REFUSALS: readonly number[] = [408, 429, 503];
 
+/** Statuses that an order gets only if it has not run. */
+const NOT_RUN: readonly number[] = [...REFUSALS, 400, 404, 413, 431];
+
 /** A request that arrives so shortly before its connection closes crosses the close (`lossSlackMs` of the platform). */
 const CROSSING_MILLISECONDS = 200;
 
@@ -102,7 +103,7 @@
 ): PlannedRequest {
     const common = { id: nextId(kind), statuses, ...bodyFields(body) };
     const model = { "Flamingospread-Model": "quotes" };
-    const events = { type: "events", count: FEW_EVENTS } as const;
+    const events = { type: "events", count: STREAM_EVENTS } as const;
     switch (kind) {
         case "reads":
             return { ...common, path: "/reads/soon", isOrder: false, expects: { type: "plain" } };
@@ -253,7 +254,7 @@
     if (status === STATUS_OK && !isExpectedBody(body, request)) {
         return `another body, ${body.slice(0, 80)}`;
     }
-    return isOrder && REFUSALS.includes(status) && runCount > 0 ? `refused with ${status}, and has run` : undefined;
+    return isOrder && NOT_RUN.includes(status) && runCount > 0 ? `refused with ${status}, and has run` : undefined;
 }
 
 /** Returns whether a request that has no answer may have none: it was not sent whole, or crossed the connection's close. */
