Keep the tests of overlapping requests to one verdict under load

Traced by the host's lines: a step of 5 ms took 100 to 250 ms, so that requests at the end of a connection reached their time limit of 6 s, which runs from their arrival (504, or an answer broken off, "out-of-time"); and one change of the time limits came before the first request had begun. The caller itself took much of the time: it flattened and parsed 6 MB again with each piece.

The caller parses an answer of known length once.

--- a/tests/support/overlappingCaller.ts
+++ b/tests/support/overlappingCaller.ts
@@ -118,10 +118,33 @@
         : { answer: { ...head, body: parsed.body, isComplete: true }, rest: parsed.rest };
 }
 
+/** Returns the length of the first answer; 0 if its head has not arrived or names none. */
+function lengthOfAnswer(text: string): number {
+    const headEnd = text.indexOf(HEAD_END);
+    if (headEnd === -1) {
+        return 0;
+    }
+    const { headers } = parseHead(text.slice(0, headEnd));
+    return headEnd + HEAD_END.length + Number(headers["content-length"] ?? "0");
+}
+
+/** Returns the answers in the bytes of a connection; the last one is incomplete if the bytes end within it. */
+export function parseAnswers(text: string): OrderedAnswer[] {
+    const answers: OrderedAnswer[] = [];
+    for (let parsed = parseAnswer(text); parsed !== undefined; parsed = parseAnswer(parsed.rest)) {
+        if (!parsed.answer.isComplete || parsed.answer.status >= STATUS_OK) {
+            answers.push(parsed.answer);
+        }
+    }
+    return answers;
+}
+
 /** One connection of a caller to a host; `close` ends it at once. */
 export class OverlappingCaller {
     readonly #socket: Socket;
     readonly #complete: OrderedAnswer[] = [];
+    /** Length of the next answer if its head tells that; it is parsed once so much has arrived. */
+    #nextLength = 0;
     /** What follows the complete answers. */
     #text = "";
     #closedAtMilliseconds: number | undefined;
@@ -219,6 +242,9 @@
     }
 
     #takeComplete(): void {
+        if (this.#text.length < this.#nextLength) {
+            return;
+        }
         for (let parsed = parseAnswer(this.#text); parsed?.answer.isComplete === true;) {
             this.#text = parsed.rest;
             if (parsed.answer.status >= STATUS_OK) {
@@ -226,5 +252,6 @@
             }
             parsed = parseAnswer(this.#text);
         }
+        this.#nextLength = lengthOfAnswer(this.#text);
     }
 }
