--- a/tests/overlappingRequests.test.ts
+++ b/tests/overlappingRequests.test.ts
@@ -6,15 +6,20 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { EntrySite, type SiteHost, waitUntilReady } from "./support/entrySite.js";
+import { EntrySite, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
 import { type OrderedAnswer, OverlappingCaller, renderRequest } from "./support/overlappingCaller.js";
 
 const CONNECTIONS = 8;
 const SLOW_MILLISECONDS = 400;
 const LARGE_BYTES = 3_000_000;
 const WITHIN_MILLISECONDS = 8_000;
+const BODY_BYTES = 60_000;
+const NOTICED_MILLISECONDS = 500;
+const GRACE_MILLISECONDS = 1_500;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_GATEWAY_TIMEOUT = 504;
 
 const ROUTES = [
     { pathPrefix: "/reads/", timeoutMs: 6_000 },
@@ -35,6 +40,8 @@
             switch (path.split("/")[2]) {
                 case "slow":
                     return { type: "answer", afterMilliseconds: SLOW_MILLISECONDS };
+                case "never":
+                    return { type: "silent" };
                 case "large":
                     return { type: "answer", body: "x".repeat(LARGE_BYTES) };
                 case "events":
@@ -126,3 +133,32 @@
         }
     },
 );
+
+test("a request that waits when the grace period of its host ends is not lost with its connection", async () => {
+    const stopping = await site.addHost("entry-2", { bounds: { graceMilliseconds: GRACE_MILLISECONDS } });
+    await waitUntilReady(stopping);
+    const callers = Array.from({ length: CONNECTIONS }, () => new OverlappingCaller(stopping));
+    callers.forEach((caller, index) => {
+        caller.write(renderRequest({ id: `never-${index}`, path: "/orders/never", method: "POST" }));
+        caller.write(renderRequest({ id: `behind-${index}`, path: "/orders/next", method: "POST" }));
+    });
+    await delay(SLOW_MILLISECONDS);
+    await stopping.host.stop();
+    const answers = await Promise.all(callers.map(caller => caller.waitForAnswers(2, WITHIN_MILLISECONDS)));
+    assert.deepEqual(
+        answers.map(list => list.map(({ status }) => status)),
+        Array.from({ length: CONNECTIONS }, () => [STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE]),
+    );
+    assert.equal(site.upstreams.flatMap(({ received }) => received).some(({ id }) => id.startsWith("behind-")), false);
+});
+
+test("no engine goes on for a caller that left while ten large bodies wait on its connection", async () => {
+    const caller = new OverlappingCaller(host);
+    caller.write(renderRequest({ id: "left", path: "/reads/never" }));
+    for (let index = 0; index < 10; index += 1) {
+        caller.write(renderRequest({ id: `left-${index}`, path: "/reads/next", body: "b".repeat(BODY_BYTES) }));
+    }
+    await delay(SLOW_MILLISECONDS);
+    caller.close();
+    await until(() => site.upstreams.some(({ abandoned }) => abandoned.includes("left")), NOTICED_MILLISECONDS);
+});
