--- a/tests/support/overlappingCaller.ts
+++ b/tests/support/overlappingCaller.ts
@@ -191,9 +191,9 @@
         return this.#complete.some(({ headers }) => headers["connection"] === "close");
     }
 
-    /** Bytes that were written and that the host has not taken. */
-    get unsentBytes(): number {
-        return this.#socket.writableLength;
+    /** The caller's port; 0 before it is connected. */
+    get localPort(): number {
+        return this.#socket.localPort ?? 0;
     }
 
     /** Sends bytes in one write. */
