Notice callers that leave within a request behind one in progress

What callers saw: engines went on, and a host told to stop waited its whole grace period (11.6 of 12 s), for a caller that ended its connection within a request that followed another one.

Cause: for the end of a connection within a request Node reports an error in place of closing the connection, and the 400 for it waited for the answer before, whose caller had left.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -71,6 +71,11 @@
         return this.#finalAnswer !== undefined;
     }
 
+    /** True while a request that was read whole, or that is being refused, has no whole answer. */
+    get hasAnswerDue(): boolean {
+        return this.#order.hasRead || [...this.#unanswered].some(({ complete }) => complete);
+    }
+
     /** True while nothing is read since too much waits. */
     get isReadingPaused(): boolean {
         return this.#isReadingPaused;
@@ -181,13 +186,8 @@
         }
     }
 
-    /** True while a request is to be answered before the final answer; one that was not read whole gets the latter. */
-    get #hasAnswerDue(): boolean {
-        return this.#order.hasRead || [...this.#unanswered].some(({ complete }) => complete);
-    }
-
     #endIfAnswered(): void {
-        const isDue = !this.#isLastAnswer && !this.#hasAnswerDue && this.#socket.writable;
+        const isDue = !this.#isLastAnswer && !this.hasAnswerDue && this.#socket.writable;
         if (this.#finalAnswer === undefined || !isDue) {
             return;
         }
--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -11,6 +11,7 @@
 import { renderRawAnswer } from "./rawAnswer.js";
 
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+const PREMATURE_END = "HPE_INVALID_EOF_STATE";
 const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 const STATUS_BAD_REQUEST = 400;
 const STATUS_METHOD_NOT_ALLOWED = 405;
@@ -62,7 +63,8 @@
         if (connection.isEnding || (error.code === REQUEST_TIMEOUT && connection.isReadingPaused)) {
             return;
         }
-        if (!socket.writable) {
+        const hasCallerLeft = error.code === PREMATURE_END && connection.hasAnswerDue;
+        if (!socket.writable || hasCallerLeft) {
             socket.destroy(error);
             return;
         }
