Try an engine that paused again where the request's second engine fails

What callers saw: a stream that was moved from a silent engine to one that answered was broken off when that one reset it, although the first had gone on meanwhile and answered its other streams.

Cause: an engine at which a request was given up as silent was excluded for that request for good, as one that failed it: absence of an answer for a while was read as a failure.

Ruled out: trying it again without evidence (it may hang), and before others (an engine that loses single requests answers other ones).

Change: an engine given up as silent may take the request again once it has answered anything since, and only where no other engine is left. What may be repeated, attempts and budget are as before.

Evidence: tests/givenUpEngines.test.ts, over sockets: six streams, their engine pauses for 1.5 s, three of them are moved to an engine that resets them 450 ms later.

--- a/src/entry/exchange/attemptFailures.ts
+++ b/src/entry/exchange/attemptFailures.ts
@@ -73,7 +73,12 @@
         attempts.cancel(attempt);
         progress.recordAttemptFailed();
         if (attempt.recordFailure(provenFailure)) {
-            selection.recordTried(attempt.upstream.id);
+            if (provenFailure === "silent") {
+                selection.recordSilent(attempt.upstream.id);
+            }
+            else {
+                selection.recordTried(attempt.upstream.id);
+            }
         }
         counts.recordFailure(provenFailure);
         const attemptState = this.#stateAfter(provenFailure);
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -43,6 +43,8 @@
     readonly #neededVersion: () => string | undefined;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
+    /** When the request was given up at upstreams that were silent. */
+    readonly #silentSince = new Map<string, number>();
 
     /**
      * @param context What all requests of the host share.
@@ -67,6 +69,11 @@
         this.#tried.add(upstream);
     }
 
+    /** Excludes an upstream at which the request was given up as silent, until it answers something. */
+    recordSilent(upstream: string): void {
+        this.#silentSince.set(upstream, this.#now());
+    }
+
     usable(): UpstreamAnnouncement[] {
         return this.#context.view.usable(this.#facts.service ?? "").filter(upstream => this.#allows(upstream));
     }
@@ -118,7 +125,7 @@
 
     /** Returns the shortest remaining pause of untried upstreams; `undefined` if none exist or one is not paused. */
     shortestPause(upstreams: readonly UpstreamAnnouncement[]): number | undefined {
-        const untried = upstreams.filter(({ id }) => !this.#tried.has(id));
+        const untried = upstreams.filter(({ id }) => !this.#isExcluded(id));
         const pauses = untried.map(({ id }) => this.#context.pauses.remaining(id, this.#now()));
         const shortest = Math.min(...pauses);
         return pauses.length > 0 && shortest > 0 ? shortest : undefined;
@@ -246,7 +253,7 @@
         return {
             usableUpstreams: usable.length,
             residentUpstreams: resident.length,
-            triedUpstreams: this.#tried.size,
+            triedUpstreams: this.#tried.size + this.#silentSince.size,
             ...this.#describeVersion(usable),
         };
     }
@@ -268,6 +275,13 @@
         };
     }
 
+    /** A silent upstream may only have paused. */
+    #isExcluded(upstream: string): boolean {
+        const silentSince = this.#silentSince.get(upstream);
+        const isSilent = silentSince !== undefined && !this.#context.liveness.hasRespondedSince(upstream, silentSince);
+        return isSilent || this.#tried.has(upstream);
+    }
+
     #now(): number {
         return this.#context.readClock();
     }
@@ -277,13 +291,18 @@
         return slots - this.#context.residency.adapterCount(id);
     }
 
-    /** Returns the upstreams that are reachable, not paused and have not failed the request. */
+    /**
+     * Returns the upstreams that are reachable, not paused and have not failed the request; where there is none, those at
+     * which it was given up as silent and that have answered something since.
+     */
     #available(upstreams: readonly UpstreamAnnouncement[]): UpstreamAnnouncement[] {
         const { health, pauses } = this.#context;
         const now = this.#now();
-        return upstreams.filter(({ id }) =>
-            !this.#tried.has(id) && !health.isUnreachable(id, now) && pauses.remaining(id, now) === 0
+        const available = upstreams.filter(({ id }) =>
+            !this.#isExcluded(id) && !health.isUnreachable(id, now) && pauses.remaining(id, now) === 0
         );
+        const others = available.filter(({ id }) => !this.#silentSince.has(id));
+        return others.length > 0 ? others : available;
     }
 
     /**
