--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -360,7 +360,7 @@
         this.#store.adjustWatch();
         this.#digests.publishToAllCells();
         this.#engines.adapters.resendUses();
-        this.#context.timeSpent.report();
+        this.#context.timeSpent.report(() => this.#gossip.takeReceivedSummary());
         this.#store.recordSettledRestores();
         this.#store.catchUp();
     }
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -17,12 +17,19 @@
 import {
     type GossipLink,
     type GossipMessage,
+    type HandledDatagram,
     hasRecentDigest,
     openGossipLink,
     type Peer,
     type PeerTable,
 } from "../../gossip/index.js";
-import { type EntryMetrics, type Logger, type TimeSpent } from "../../observability/index.js";
+import {
+    type EntryMetrics,
+    type LogFields,
+    type Logger,
+    ReceivedDatagrams,
+    type TimeSpent,
+} from "../../observability/index.js";
 import { type VersionCopyNeed } from "../../placement/index.js";
 import { type PermitMessage } from "../../rateLimits/index.js";
 import { type ListenAddress } from "../settings.js";
@@ -54,10 +61,13 @@
 /** Sends datagrams to the peers that need them. Sends are not awaited, and any datagram may be lost. */
 export class HostGossip {
     readonly #options: HostGossipOptions;
+    readonly #received: ReceivedDatagrams;
     #link: GossipLink | undefined;
 
     constructor(options: HostGossipOptions) {
         this.#options = options;
+        const { metrics, peers } = options;
+        this.#received = new ReceivedDatagrams({ metrics, nameSender: source => peers.findHostAt(source) });
     }
 
     /**
@@ -66,11 +76,11 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { metrics, onMessage, openLink = openGossipLink, timeSpent } = this.#options;
+        const { metrics, onMessage, openLink = openGossipLink } = this.#options;
         const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
-            onDatagram: handle => timeSpent.measure("datagrams-read", handle),
+            onHandled: datagram => this.#recordHandled(datagram),
             onMessage: message => {
                 metrics.count("gossip_datagrams", { direction: "received" });
                 onMessage(message);
@@ -83,6 +93,11 @@
         this.#link?.close();
     }
 
+    /** Returns log fields about the datagrams that were received since the last call. */
+    takeReceivedSummary(): LogFields {
+        return this.#received.takeSummary();
+    }
+
     publishDigest(digest: HostDigest): void {
         this.#sendToCell(digest);
     }
@@ -163,6 +178,11 @@
         }
     }
 
+    #recordHandled(datagram: HandledDatagram): void {
+        this.#options.timeSpent.add("datagrams-read", datagram.decodeMilliseconds + datagram.applyMilliseconds);
+        this.#received.record(datagram);
+    }
+
     /** Sends a message to the own cell, with demand only to the hosts that need it. */
     #sendToCell(message: HostDigest | FleetSummary): void {
         const withDemand = this.#options.hostsNeedingDemand();
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -53,6 +53,9 @@
 /** The message format that this build reads and writes. */
 const PRESENT_FORMAT = 5;
 
+/** Stands for the type of datagrams that could not be decoded. */
+const UNREADABLE_TYPE = "unreadable";
+
 /** A message between hosts. */
 export type GossipMessage =
     | HostDigest
@@ -91,13 +94,25 @@
     readonly detail: string;
 }
 
+/** A datagram that was received and handled. */
+export interface HandledDatagram {
+    /** Type of the message; {@linkcode UNREADABLE_TYPE} where it could not be decoded. */
+    readonly type: string;
+    /** Address and port of the sender. */
+    readonly source: string;
+    readonly bytes: number;
+    readonly decodeMilliseconds: number;
+    /** Time that the callback for the message took. */
+    readonly applyMilliseconds: number;
+}
+
 /** Options of a link. */
 export interface GossipLinkOptions {
     readonly address: string;
     readonly port: number;
     readonly onMessage: (message: GossipMessage) => void;
-    /** Called for each datagram with the function that decodes and handles it; by default, that is called directly. */
-    readonly onDatagram?: (handle: () => void) => void;
+    /** Called after a datagram was handled, with its cost. */
+    readonly onHandled?: (datagram: HandledDatagram) => void;
     /** Called where a datagram could not be decoded or sent. */
     readonly onProblem: (problem: GossipProblem) => void;
 }
@@ -186,11 +201,7 @@
         this.#socket = socket;
         this.#sender = new PacedSender(({ address, bytes }) => this.#sendDatagram(bytes, address));
         socket.on("error", error => options.onProblem({ reason: "socket", detail: error.message }));
-        const onDatagram = options.onDatagram ?? (handle => handle());
-        socket.on(
-            "message",
-            (bytes, { address, port }) => onDatagram(() => this.#receive(bytes, `${address}:${port}`)),
-        );
+        socket.on("message", (bytes, { address, port }) => this.#receive(bytes, `${address}:${port}`));
     }
 
     send(message: GossipMessage, addresses: readonly string[]): void {
@@ -236,7 +247,20 @@
     }
 
     #receive(bytes: Buffer, source: string): void {
+        const startedAt = performance.now();
         const decoded = decode(bytes);
+        const decodedAt = performance.now();
+        this.#handle(decoded, source);
+        this.#options.onHandled?.({
+            type: decoded.isOk() ? decoded.value.type : UNREADABLE_TYPE,
+            source,
+            bytes: bytes.length,
+            decodeMilliseconds: decodedAt - startedAt,
+            applyMilliseconds: performance.now() - decodedAt,
+        });
+    }
+
+    #handle(decoded: Result<GossipMessage | FormatNotice, GossipProblem>, source: string): void {
         if (decoded.isErr()) {
             this.#options.onProblem({ ...decoded.error, source });
             return;
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -16,6 +16,7 @@
     type GossipMessage,
     type GossipProblem,
     type GossipProblemReason,
+    type HandledDatagram,
     openGossipLink,
 } from "./gossipLink.js";
 export { PacedSender, type QueuedDatagram } from "./pacedSender.js";
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -57,6 +57,14 @@
         labels: ["holder"],
     },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
+    received_datagrams: {
+        help: "Datagrams received from other hosts, by the type of their message.",
+        labels: ["type"],
+    },
+    received_datagram_bytes: {
+        help: "Bytes of the datagrams received from other hosts, by the type of their message.",
+        labels: ["type"],
+    },
     gossip_problems: {
         help: "Datagrams that were skipped or not sent.",
         labels: ["reason", "peer"],
@@ -71,7 +79,8 @@
         labels: [],
     },
     spent_seconds: {
-        help: "Time that this host has spent by subject: planning, datagrams-read, datagrams-sent.",
+        help:
+            "Time that this host has spent by subject: planning, datagrams-read, datagrams-sent, and of datagrams-read by type.",
         labels: ["subject"],
     },
 } as const;
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -34,4 +34,5 @@
     type RetryReason,
 } from "./metricNames.js";
 export { createMetrics, type Metrics, type MetricTags } from "./metrics.js";
+export { type ReceivedDatagram, ReceivedDatagrams, type ReceivedDatagramsOptions } from "./receivedDatagrams.js";
 export { TimeSpent, type TimeSpentOptions, type WorkSubject } from "./timeSpent.js";
--- /dev/null
+++ b/src/observability/receivedDatagrams.ts
@@ -0,0 +1,96 @@
+/**
+ * Adds up the datagrams that a host receives from its peers: how many, of which size, and what they cost.
+ *
+ * @module
+ */
+import { type EntryMetrics } from "./entryMetrics.js";
+import { type LogFields } from "./logger.js";
+
+/** Senders that a summary names; the number of all is told beside. */
+const MAXIMUM_NAMED_SENDERS = 3;
+
+const BYTES_PER_KILOBYTE = 1_024;
+
+/** A datagram that was received, and the time that was spent on it. */
+export interface ReceivedDatagram {
+    /** Type of the message; `unreadable` where it could not be decoded. */
+    readonly type: string;
+    /** Address and port of the sender. */
+    readonly source: string;
+    readonly bytes: number;
+    readonly decodeMilliseconds: number;
+    /** Time until the parts of the host that the message concerns had applied it. */
+    readonly applyMilliseconds: number;
+}
+
+interface Totals {
+    count: number;
+    bytes: number;
+    decodeMilliseconds: number;
+    applyMilliseconds: number;
+}
+
+/** Options of {@linkcode ReceivedDatagrams}. */
+export interface ReceivedDatagramsOptions {
+    readonly metrics: EntryMetrics;
+    /** Returns the name of the host at an address; `undefined` where none is known. */
+    readonly nameSender: (source: string) => string | undefined;
+}
+
+function describeTotals(type: string, { applyMilliseconds, bytes, count, decodeMilliseconds }: Totals): string {
+    const kilobytes = Math.ceil(bytes / BYTES_PER_KILOBYTE);
+    return `${type} ${count} ${kilobytes} KB ${Math.round(decodeMilliseconds)}+${Math.round(applyMilliseconds)} ms`;
+}
+
+/**
+ * Counts received datagrams in metrics, and by type and sender for the log.
+ *
+ * @example
+ * ```ts
+ * const received = new ReceivedDatagrams({ metrics, nameSender: source => peers.findHostAt(source) });
+ * received.record({ type: "digest", source, bytes: 4_096, decodeMilliseconds: 0.3, applyMilliseconds: 0.1 });
+ * logger.info("time spent", received.takeSummary());
+ * ```
+ */
+export class ReceivedDatagrams {
+    readonly #options: ReceivedDatagramsOptions;
+    readonly #byType = new Map<string, Totals>();
+    readonly #countsBySource = new Map<string, number>();
+
+    constructor(options: ReceivedDatagramsOptions) {
+        this.#options = options;
+    }
+
+    /** Counts a datagram. */
+    record({ applyMilliseconds, bytes, decodeMilliseconds, source, type }: ReceivedDatagram): void {
+        const { metrics } = this.#options;
+        metrics.count("received_datagrams", { type });
+        metrics.add("received_datagram_bytes", { type }, bytes);
+        metrics.spend(`datagrams-decoded-${type}`, decodeMilliseconds);
+        metrics.spend(`datagrams-applied-${type}`, applyMilliseconds);
+        const totals = this.#byType.get(type) ?? { count: 0, bytes: 0, decodeMilliseconds: 0, applyMilliseconds: 0 };
+        totals.count += 1;
+        totals.bytes += bytes;
+        totals.decodeMilliseconds += decodeMilliseconds;
+        totals.applyMilliseconds += applyMilliseconds;
+        this.#byType.set(type, totals);
+        this.#countsBySource.set(source, (this.#countsBySource.get(source) ?? 0) + 1);
+    }
+
+    /** Returns log fields about the datagrams since the last call: all types, and the senders of most. */
+    takeSummary(): LogFields {
+        const types = [...this.#byType].sort(([, left], [, right]) => right.count - left.count);
+        const senders = [...this.#countsBySource].sort(([, left], [, right]) => right - left);
+        const named = senders.slice(0, MAXIMUM_NAMED_SENDERS);
+        const summary = {
+            datagramsReceived: types.map(([type, totals]) => describeTotals(type, totals)).join(", "),
+            datagramSenders: senders.length,
+            mostDatagramsFrom: named
+                .map(([source, count]) => `${this.#options.nameSender(source) ?? source} ${count}`)
+                .join(", "),
+        };
+        this.#byType.clear();
+        this.#countsBySource.clear();
+        return summary;
+    }
+}
--- a/src/observability/timeSpent.ts
+++ b/src/observability/timeSpent.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type EntryMetrics } from "./entryMetrics.js";
-import { type Logger } from "./logger.js";
+import { type LogFields, type Logger } from "./logger.js";
 
 /** Work that is measured separately. The remaining time goes to requests and to the Node.js runtime. */
 export type WorkSubject = "planning" | "datagrams-read" | "datagrams-sent";
@@ -52,20 +52,28 @@
 
     /** Runs a function and adds its duration to a subject, also where it throws. */
     measure<Value>(subject: WorkSubject, work: () => Value): Value {
-        const { metrics, readClock } = this.#options;
+        const { readClock } = this.#options;
         const startedAtMilliseconds = readClock();
         try {
             return work();
         }
         finally {
-            const durationMilliseconds = readClock() - startedAtMilliseconds;
-            this.#spentMilliseconds[subject] += durationMilliseconds;
-            metrics.spend(subject, durationMilliseconds);
+            this.add(subject, readClock() - startedAtMilliseconds);
         }
     }
 
-    /** Logs the time spent since the last report, if that was at least 5 s ago. */
-    report(): void {
+    /** Adds time that was measured elsewhere to a subject. */
+    add(subject: WorkSubject, milliseconds: number): void {
+        this.#spentMilliseconds[subject] += milliseconds;
+        this.#options.metrics.spend(subject, milliseconds);
+    }
+
+    /**
+     * Logs the time spent since the last report, if that was at least 5 s ago.
+     *
+     * @param describe Returns further fields about the same time; called only where a line is logged.
+     */
+    report(describe: () => LogFields = () => ({})): void {
         const now = this.#options.readClock();
         const elapsedMilliseconds = now - this.#reportedAtMilliseconds;
         if (elapsedMilliseconds < REPORT_INTERVAL_MILLISECONDS) {
@@ -80,6 +88,7 @@
             planningMilliseconds: Math.round(this.#spentMilliseconds.planning),
             datagramsReadMilliseconds: Math.round(this.#spentMilliseconds["datagrams-read"]),
             datagramsSentMilliseconds: Math.round(this.#spentMilliseconds["datagrams-sent"]),
+            ...describe(),
         });
         this.#reportedAtMilliseconds = now;
         this.#reportedProcessorMicroseconds = processorMicroseconds;
