--- a/src/entry/peers/hostGossip.test.ts
+++ b/src/entry/peers/hostGossip.test.ts
@@ -2,6 +2,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { test } from "node:test";
+import { createBusyDigest } from "../../../tests/support/busyMessages.js";
 import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
 import { createDigest } from "../../../tests/support/digests.js";
 import { CellAggregates, type GossipMessage, PeerTable } from "../../gossip/index.js";
@@ -15,24 +16,6 @@
 const CELL_HOSTS = 11;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Returns a digest of a host in one cell of a fleet of 63 hosts and 63 engines, with demand for 111 models. */
-function busyDigest(host: string, cell: number): ReturnType<typeof createDigest> {
-    const models = Array.from({ length: 111 }, (_, index) => `model-${index}a7f3`);
-    const demand = Object.fromEntries(models.map((model, index) => [model, 1.2345 + index]));
-    const engines = Array.from({ length: 11 }, (_, index) => ({
-        engine: `i-${cell}${index}f48a9c01`,
-        startedAtMilliseconds: 1_777_820_567_195,
-        orderCount: 100 + index,
-        models: [0, 1].map(offset => ({
-            name: models[index + offset] ?? "",
-            adapters: Array.from({ length: 4 }, (_each, adapter) => `a${adapter}`),
-        })),
-        loading: models[index] ?? "",
-    }));
-    const inFlight = Object.fromEntries(engines.map(({ engine }) => [engine, 9]));
-    return createDigest(host, { demand, adapterDemand: demand, readingDemand: demand, engines, inFlight });
-}
-
 async function openReceiver(context: { after(step: () => void): void; }): Promise<{
     readonly address: string;
     readonly next: () => Promise<{ readonly message: GossipMessage; readonly bytes: number; }>;
@@ -74,10 +57,13 @@
     for (let cell = 0; cell < 5; cell += 1) {
         const other = new CellAggregates();
         for (let host = 0; host < CELL_HOSTS; host += 1) {
-            other.recordDigest(busyDigest(`front-zone-${cell}-${host}`, cell), 0);
+            other.recordDigest(createBusyDigest(`front-zone-${cell}-${host}`, cell), 0);
         }
         const name = `front-zone-${cell}-0`;
-        aggregates.recordAggregate(other.aggregateOfCell({ host: name, cell: name }, busyDigest(name, cell), 0), 0);
+        aggregates.recordAggregate(
+            other.aggregateOfCell({ host: name, cell: name }, createBusyDigest(name, cell), 0),
+            0,
+        );
     }
     const otherCells = aggregates.aggregateOfOtherCells({ host: "speaker", cell: "speaker" }, 0);
     assert.ok(otherCells !== undefined);
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -23,11 +23,13 @@
     close(): Promise<void>;
 }
 
-/** Settings of a host, and its ports for callers and readiness requests. */
+/** Settings of a host, and its ports. */
 export interface EntryProgramSettings {
     readonly text: string;
     readonly readiness: number;
     readonly callers: number;
+    readonly directory: number;
+    readonly gossip: number;
 }
 
 /**
@@ -102,5 +104,11 @@
         "bounds.ttl_max_s=5",
         `platform.address=${storeAddress}`,
     ].join("\n");
-    return { text, readiness: readiness ?? 0, callers: callers ?? 0 };
+    return {
+        text,
+        readiness: readiness ?? 0,
+        callers: callers ?? 0,
+        directory: directory ?? 0,
+        gossip: gossip ?? 0,
+    };
 }
