Give the messages of peers a bounded share of each turn, and bound what waits

What callers saw: requests were read late beside many messages of peers, so that answers and refusals came up to a second after the deadline (peerLoad.test.ts). Cause: the kernel hands over up to 32 datagrams in a turn of the event loop, and each was decoded and applied at once, 1 to 5 ms a digest of a busy fleet in a young process; a request needs about ten turns. Ruled out: that cancellations or requests of callers who left are affected in the same way on a plain service (191 ms at most, none sent on, before the change). A digest, or the aggregate of a cell, replaces the older one of the same sender that waits, in its place; all others count on their own (also the aggregate of the other cells, whose engines go in rotation). At most 64 of these wait for each sender, and 4 MB in all. States and others are taken in turn. What is dropped is counted by reason (metric and log line 'time spent').

--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -81,6 +81,7 @@
         this.#link = await openLink({
             ...address,
             onHandled: datagram => this.#recordHandled(datagram),
+            onDropped: reason => this.#received.recordDropped(reason),
             onMessage: message => {
                 metrics.count("gossip_datagrams", { direction: "received" });
                 onMessage(message);
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -42,6 +42,8 @@
 import { FIRST_TOLERANT_FORMAT, formsFor, provedFormat } from "./messageFormats.js";
 import { PacedSender } from "./pacedSender.js";
 import { PeerFormats } from "./peerFormats.js";
+import { type DropReason, ReceiveQueue, type WaitingDatagram } from "./receiveQueue.js";
+import { TurnBudget } from "./turnBudget.js";
 
 /** Larger datagrams are not sent, since they would be fragmented into too many packets. */
 const MAXIMUM_DATAGRAM_BYTES = 48 * 1024;
@@ -113,6 +115,8 @@
     readonly onMessage: (message: GossipMessage) => void;
     /** Called after a datagram was handled, with its cost. */
     readonly onHandled?: (datagram: HandledDatagram) => void;
+    /** Called for each datagram that was dropped because others wait. */
+    readonly onDropped?: (reason: DropReason) => void;
     /** Called where a datagram could not be decoded or sent. */
     readonly onProblem: (problem: GossipProblem) => void;
 }
@@ -195,13 +199,15 @@
     readonly #socket: Socket;
     readonly #sender: PacedSender;
     readonly #formats = new PeerFormats();
+    readonly #received = new ReceiveQueue();
+    readonly #receiving = new TurnBudget({ work: () => this.#receiveNext() });
 
     constructor(options: GossipLinkOptions, socket: Socket) {
         this.#options = options;
         this.#socket = socket;
         this.#sender = new PacedSender(({ address, bytes }) => this.#sendDatagram(bytes, address));
         socket.on("error", error => options.onProblem({ reason: "socket", detail: error.message }));
-        socket.on("message", (bytes, { address, port }) => this.#receive(bytes, `${address}:${port}`));
+        socket.on("message", (bytes, { address, port }) => this.#enqueue({ bytes, source: `${address}:${port}` }));
     }
 
     send(message: GossipMessage, addresses: readonly string[]): void {
@@ -220,6 +226,8 @@
     }
 
     close(): void {
+        this.#receiving.close();
+        this.#received.clear();
         this.#sender.close();
         this.#socket.close();
     }
@@ -246,7 +254,24 @@
         this.#sender.send(encode(notice), addresses);
     }
 
-    #receive(bytes: Buffer, source: string): void {
+    #enqueue(datagram: WaitingDatagram): void {
+        const dropReason = this.#received.add(datagram);
+        if (dropReason !== undefined) {
+            this.#options.onDropped?.(dropReason);
+        }
+        this.#receiving.start();
+    }
+
+    /** Decodes and handles the next datagram; returns whether there are more. */
+    #receiveNext(): boolean {
+        const datagram = this.#received.take();
+        if (datagram !== undefined) {
+            this.#receive(datagram);
+        }
+        return this.#received.size > 0;
+    }
+
+    #receive({ bytes, source }: WaitingDatagram): void {
         const startedAt = performance.now();
         const decoded = decode(bytes);
         const decodedAt = performance.now();
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -21,4 +21,5 @@
 } from "./gossipLink.js";
 export { PacedSender, type QueuedDatagram } from "./pacedSender.js";
 export { type AdvertisedHost, type FleetDivision, hasRecentDigest, type Peer, PeerTable } from "./peerTable.js";
+export { type DropReason } from "./receiveQueue.js";
 export { selectAddresses } from "./selectAddresses.js";
--- /dev/null
+++ b/src/gossip/receiveQueue.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createBusyAggregate } from "../../tests/support/busyMessages.js";
+import { createDigest } from "../../tests/support/digests.js";
+import { ReceiveQueue, type WaitingDatagram } from "./receiveQueue.js";
+
+const PEER = "127.0.0.1:7001";
+const OTHER_PEER = "127.0.0.1:7002";
+
+function datagramOf(message: object, source = PEER): WaitingDatagram {
+    return { bytes: Buffer.from(JSON.stringify(message)), source };
+}
+
+function digestOf(sequence: number, source = PEER): WaitingDatagram {
+    return datagramOf(createDigest(source, { sequence }), source);
+}
+
+function noticeOf(promptTokens: number, source = PEER): WaitingDatagram {
+    return datagramOf({ type: "sent", host: source, engine: "i-1", promptTokens }, source);
+}
+
+function takeAll(queue: ReceiveQueue): WaitingDatagram[] {
+    return Array.from({ length: queue.size }, () => queue.take()).flatMap(taken => taken ?? []);
+}
+
+test("a host that is behind handles the latest digest of each peer, in the place of the one that came first", () => {
+    const queue = new ReceiveQueue();
+    const latest = digestOf(3);
+    const ofOther = digestOf(1, OTHER_PEER);
+    const reasons = [digestOf(1), ofOther, digestOf(2), latest].map(datagram => queue.add(datagram));
+    assert.deepEqual(reasons, [undefined, undefined, "superseded", "superseded"]);
+    assert.deepEqual(takeAll(queue), [latest, ofOther]);
+    assert.equal(queue.take(), undefined);
+});
+
+test("a notice that counts on its own is never lost to a later one of the same kind and sender", () => {
+    const queue = new ReceiveQueue();
+    const notices = [1, 1, 2].map(tokens => noticeOf(tokens));
+    notices.forEach(notice => assert.equal(queue.add(notice), undefined));
+    assert.deepEqual(takeAll(queue), notices);
+});
+
+test("an aggregate of the other cells is not lost to the next one, which tells of other engines", () => {
+    const queue = new ReceiveQueue();
+    const ofRest = { ...createBusyAggregate(1, 2), scope: "rest" };
+    const [first, second] = [datagramOf(ofRest), datagramOf({ ...ofRest, engines: [] })];
+    assert.equal(queue.add(first), undefined);
+    assert.equal(queue.add(second), undefined);
+    const ofCell = datagramOf(createBusyAggregate(1, 2));
+    assert.equal(queue.add(ofCell), undefined);
+    assert.equal(queue.add(ofCell), "superseded");
+    assert.equal(takeAll(queue).length, 3);
+});
+
+test("many notices do not hold back the digests, nor many digests a notice", () => {
+    const queue = new ReceiveQueue();
+    [1, 2, 3].forEach(tokens => queue.add(noticeOf(tokens)));
+    ["a:1", "b:1", "c:1"].forEach(source => queue.add(digestOf(1, source)));
+    const types = takeAll(queue).map(({ bytes }) => (JSON.parse(bytes.toString()) as { type: string; }).type);
+    assert.deepEqual(types, ["digest", "sent", "digest", "sent", "digest", "sent"]);
+});
+
+test("a sender that floods a host loses its own messages, not those of others", () => {
+    const queue = new ReceiveQueue();
+    const reasons = Array.from({ length: 100 }, () => queue.add(noticeOf(1)));
+    assert.equal(reasons.filter(reason => reason === "sender-limit").length, 36);
+    assert.equal(queue.add(noticeOf(1, OTHER_PEER)), undefined);
+    queue.take();
+    assert.equal(queue.add(noticeOf(1)), undefined);
+    takeAll(queue);
+    assert.equal(queue.add(noticeOf(1)), undefined);
+});
+
+test("what waits stays within 4 MB, however many senders there are", () => {
+    const queue = new ReceiveQueue();
+    const bytes = Buffer.alloc(48 * 1024, " ");
+    const reasons = Array.from({ length: 1_000 }, (_, index) => queue.add({ bytes, source: `a:${index}` }));
+    assert.equal(reasons.filter(reason => reason === undefined).length, 85);
+    assert.equal(reasons.filter(reason => reason === "queue-full").length, 915);
+    takeAll(queue);
+    assert.equal(queue.add({ bytes, source: "a:1" }), undefined);
+    queue.clear();
+    assert.equal(queue.size, 0);
+});
--- /dev/null
+++ b/src/gossip/receiveQueue.ts
@@ -0,0 +1,146 @@
+/**
+ * Datagrams that were received and wait to be decoded and handled.
+ *
+ * Reading a datagram takes a hundredth of the time of handling it. The queue is bounded by what it holds back: a newer
+ * message that states everything that an older one of the same host stated takes its place, and each sender has a share.
+ *
+ * @module
+ */
+
+/** Limit of the bytes that wait; more than all states of a fleet of 390 hosts at one host. */
+const MAXIMUM_WAITING_BYTES = 4 * 1024 * 1024;
+
+/** Limit of the messages of one sender that wait and that no newer one replaces. */
+const MAXIMUM_WAITING_PER_SENDER = 64;
+
+/**
+ * Beginnings of the messages that state everything that the sender's earlier ones of the kind stated. An aggregate of
+ * scope `rest` is not among them: each one describes other engines.
+ */
+const STATE_BEGINNINGS = ["{\"type\":\"digest\",", "{\"type\":\"summary\",\"scope\":\"cell\","];
+
+const LONGEST_BEGINNING = Math.max(...STATE_BEGINNINGS.map(({ length }) => length));
+
+/** A datagram as it was received. */
+export interface WaitingDatagram {
+    readonly bytes: Buffer;
+    /** Address and port of the sender. */
+    readonly source: string;
+}
+
+/** Why a datagram was dropped without being handled. */
+export type DropReason =
+    /** A newer one of the same sender states everything that it stated. */
+    | "superseded"
+    /** Too many of the same sender wait. */
+    | "sender-limit"
+    /** Too many bytes wait. */
+    | "queue-full";
+
+/** Returns what a datagram has in common with those that supersede it; `undefined` where each counts on its own. */
+function stateKeyOf({ bytes, source }: WaitingDatagram): string | undefined {
+    const beginning = bytes.toString("latin1", 0, LONGEST_BEGINNING);
+    const kind = STATE_BEGINNINGS.find(each => beginning.startsWith(each));
+    return kind === undefined ? undefined : `${kind} ${source}`;
+}
+
+/**
+ * Keeps datagrams in the order of their arrival, those that state everything apart from those that count on their own.
+ * Both kinds are taken in turn, so that many of one do not hold back the other.
+ *
+ * @example
+ * ```ts
+ * const queue = new ReceiveQueue();
+ * queue.add({ bytes, source: "10.2.0.40:8145" });
+ * const next = queue.take();
+ * ```
+ */
+export class ReceiveQueue {
+    /** The latest datagram of each sender and kind; a newer one keeps the place of the older. */
+    readonly #states = new Map<string, WaitingDatagram>();
+    /** Datagrams that count on their own, in the order of their arrival. */
+    readonly #others = new Set<WaitingDatagram>();
+    readonly #othersOfSender = new Map<string, number>();
+    #waitingBytes = 0;
+    #takesState = true;
+
+    /** Number of datagrams that wait. */
+    get size(): number {
+        return this.#states.size + this.#others.size;
+    }
+
+    /**
+     * Adds a datagram.
+     *
+     * @returns Why a datagram was dropped for it, or it itself; `undefined` where none was.
+     */
+    add(datagram: WaitingDatagram): DropReason | undefined {
+        const key = stateKeyOf(datagram);
+        const older = key === undefined ? undefined : this.#states.get(key);
+        const addedBytes = datagram.bytes.length - (older?.bytes.length ?? 0);
+        if (this.#waitingBytes + addedBytes > MAXIMUM_WAITING_BYTES) {
+            return "queue-full";
+        }
+        if (key === undefined) {
+            return this.#addOther(datagram);
+        }
+        this.#waitingBytes += addedBytes;
+        this.#states.set(key, datagram);
+        return older === undefined ? undefined : "superseded";
+    }
+
+    /** Removes and returns the next datagram; `undefined` where none waits. */
+    take(): WaitingDatagram | undefined {
+        const takesState = this.#others.size === 0 || (this.#takesState && this.#states.size > 0);
+        this.#takesState = !takesState;
+        const taken = takesState ? this.#takeState() : this.#takeOther();
+        this.#waitingBytes -= taken?.bytes.length ?? 0;
+        return taken;
+    }
+
+    /** Drops everything that waits. */
+    clear(): void {
+        this.#states.clear();
+        this.#others.clear();
+        this.#othersOfSender.clear();
+        this.#waitingBytes = 0;
+    }
+
+    #addOther(datagram: WaitingDatagram): DropReason | undefined {
+        const { bytes, source } = datagram;
+        const count = this.#othersOfSender.get(source) ?? 0;
+        if (count >= MAXIMUM_WAITING_PER_SENDER) {
+            return "sender-limit";
+        }
+        this.#waitingBytes += bytes.length;
+        this.#othersOfSender.set(source, count + 1);
+        this.#others.add(datagram);
+        return undefined;
+    }
+
+    #takeState(): WaitingDatagram | undefined {
+        const [first] = this.#states;
+        if (first === undefined) {
+            return undefined;
+        }
+        const [key, datagram] = first;
+        this.#states.delete(key);
+        return datagram;
+    }
+
+    #takeOther(): WaitingDatagram | undefined {
+        const [datagram] = this.#others;
+        if (datagram === undefined) {
+            return undefined;
+        }
+        this.#others.delete(datagram);
+        const left = (this.#othersOfSender.get(datagram.source) ?? 0) - 1;
+        if (left > 0) {
+            this.#othersOfSender.set(datagram.source, left);
+        }
+        else {
+            this.#othersOfSender.delete(datagram.source);
+        }
+        return datagram;
+    }
+}
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -65,6 +65,10 @@
         help: "Bytes of the datagrams received from other hosts, by the type of their message.",
         labels: ["type"],
     },
+    dropped_datagrams: {
+        help: "Datagrams of other hosts that were received and dropped because others waited, by reason.",
+        labels: ["reason"],
+    },
     gossip_problems: {
         help: "Datagrams that were skipped or not sent.",
         labels: ["reason", "peer"],
--- a/src/observability/receivedDatagrams.ts
+++ b/src/observability/receivedDatagrams.ts
@@ -56,6 +56,7 @@
     readonly #options: ReceivedDatagramsOptions;
     readonly #byType = new Map<string, Totals>();
     readonly #countsBySource = new Map<string, number>();
+    readonly #droppedByReason = new Map<string, number>();
 
     constructor(options: ReceivedDatagramsOptions) {
         this.#options = options;
@@ -77,6 +78,12 @@
         this.#countsBySource.set(source, (this.#countsBySource.get(source) ?? 0) + 1);
     }
 
+    /** Counts a datagram that was dropped without being handled. */
+    recordDropped(reason: string): void {
+        this.#options.metrics.count("dropped_datagrams", { reason });
+        this.#droppedByReason.set(reason, (this.#droppedByReason.get(reason) ?? 0) + 1);
+    }
+
     /** Returns log fields about the datagrams since the last call: all types, and the senders of most. */
     takeSummary(): LogFields {
         const types = [...this.#byType].sort(([, left], [, right]) => right.count - left.count);
@@ -88,9 +95,11 @@
             mostDatagramsFrom: named
                 .map(([source, count]) => `${this.#options.nameSender(source) ?? source} ${count}`)
                 .join(", "),
+            datagramsDropped: [...this.#droppedByReason].map(([reason, count]) => `${reason} ${count}`).join(", "),
         };
         this.#byType.clear();
         this.#countsBySource.clear();
+        this.#droppedByReason.clear();
         return summary;
     }
 }
