Dispatch waiting requests for engines' memories only when these changed, once a message

Cause: the view of engines' memories said 'applied' for each record that was not older than the known one, also for the same one; each such record dispatched all waiting requests anew, and each of these asks the holder for its adapter. So a digest of a holder of 11 engines made 11 rounds of requests on each host of its cell, and a holder's reply ('news') to a request for an adapter set off the next. Ruled out: repeats by the timer of waiting requests, 120 ms (40 a second here). Change: a record counts as a change where what is held or loaded differs from what is known (also where an engine's own answer had removed an adapter); all records of one message dispatch waiting requests once.

--- a/src/entry/engines/engineMemories.ts
+++ b/src/entry/engines/engineMemories.ts
@@ -28,7 +28,7 @@
  * @example
  * ```ts
  * const memories = new EngineMemories(options);
- * memories.apply(memory);
+ * memories.apply([memory]);
  * memories.sendTo("entry-2", "engine-3");
  * ```
  */
@@ -39,9 +39,17 @@
         this.#options = options;
     }
 
-    /** Applies the memory of an engine that its holder published. */
-    apply(memory: EngineMemory): void {
-        const { onChanged, readClock, upstreams } = this.#options;
+    /** Applies the memories of engines that their holders published; reports one change for all. */
+    apply(memories: readonly EngineMemory[]): void {
+        const changed = memories.filter(memory => this.#applyOne(memory));
+        if (changed.length > 0) {
+            this.#options.onChanged();
+        }
+    }
+
+    /** Returns whether the memory of a known engine changed. */
+    #applyOne(memory: EngineMemory): boolean {
+        const { readClock, upstreams } = this.#options;
         const record: EngineRecord = {
             engine: memory.engine,
             startedAtMilliseconds: memory.startedAtMilliseconds,
@@ -50,9 +58,7 @@
             loading: memory.loading,
         };
         const isKnown = upstreams.view.get(memory.engine) !== undefined;
-        if (isKnown && upstreams.residency.applyRecord(record, readClock())) {
-            onChanged();
-        }
+        return isKnown && upstreams.residency.applyRecord(record, readClock());
     }
 
     /** Applies and publishes the memory of an engine that this host manages. */
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -46,7 +46,7 @@
             duties.setHolder(message.engine, { ...message.holder, revision: message.revision }, nowMilliseconds);
             break;
         case "news":
-            engines.memories.apply(message.engine);
+            engines.memories.apply([message.engine]);
             break;
         case "move":
             engines.receiveMoveRequest(message);
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -67,7 +67,7 @@
             upstreams.recordLeavingIncarnation({ id: upstream, startedAtMilliseconds })
         );
         reported.relinquished.forEach(report => duties.recordRelinquishment(report, now));
-        reported.engines.forEach(memory => engines.memories.apply(memory));
+        engines.memories.apply(reported.engines);
         if (reported.crashes !== undefined) {
             upstreams.recordCrashReport(reported.crashes);
         }
--- a/src/placement/placementPlan.test.ts
+++ b/src/placement/placementPlan.test.ts
@@ -374,3 +374,19 @@
     assert.equal(view.residencyOf("a", "hot", undefined), "absent");
     assert.equal(view.applyRecord(record, 300), false, "the record is of the previous incarnation");
 });
+
+test("a record that tells nothing new does not dispatch waiting requests, and one that corrects a lost adapter does", () => {
+    const view = new ResidencyView();
+    const record = { engine: "a", startedAtMilliseconds: 1, orderCount: 3, loading: undefined };
+    const models = [{ name: "hot", adapters: ["a1", "a2"] }];
+    assert.equal(view.applyRecord({ ...record, models }, 100), true);
+    assert.equal(view.applyRecord({ ...record, models }, 200), false);
+    assert.equal(view.applyRecord({ ...record, orderCount: 4, models }, 300), false);
+    view.recordAbsent("a", "hot", "a2");
+    assert.equal(view.applyRecord({ ...record, orderCount: 4, models }, 400), true);
+    assert.equal(view.residencyOf("a", "hot", "a2"), "held");
+    const other = [{ name: "hot", adapters: ["a1", "a3"] }];
+    assert.equal(view.applyRecord({ ...record, orderCount: 5, models: other }, 500), true);
+    assert.equal(view.applyRecord({ ...record, orderCount: 6, models: other, loading: "warm" }, 600), true);
+    assert.equal(view.applyRecord({ ...record, startedAtMilliseconds: 2, models: other, loading: "warm" }, 700), true);
+});
--- a/src/placement/residencyView.ts
+++ b/src/placement/residencyView.ts
@@ -24,6 +24,17 @@
     return new Map(models.map(({ name, adapters }) => [name, new Set(adapters)]));
 }
 
+/** Returns whether two engines' models and adapters are the same. */
+function holdSame(
+    left: ReadonlyMap<string, ReadonlySet<string>>,
+    right: ReadonlyMap<string, ReadonlySet<string>>,
+): boolean {
+    return left.size === right.size && [...left].every(([model, adapters]) => {
+        const others = right.get(model);
+        return others !== undefined && others.size === adapters.size && [...adapters].every(name => others.has(name));
+    });
+}
+
 function isOlderIncarnation(startedAtMilliseconds: number | undefined, known: KnownResidency): boolean {
     return (startedAtMilliseconds ?? 0) < (known.startedAtMilliseconds ?? 0);
 }
@@ -70,7 +81,11 @@
         this.#engines.set(announcement.id, { ...known, models: announced, loading });
     }
 
-    /** Applies a record from an engine's holder; returns false and ignores it if it is older than the known state. */
+    /**
+     * Applies a record from an engine's holder; ignores it if it is older than the known state.
+     *
+     * @returns Whether what the engine holds or loads is now known to be another.
+     */
     applyRecord(record: EngineRecord, nowMilliseconds: number): boolean {
         const known = this.#engines.get(record.engine);
         if (known !== undefined) {
@@ -82,17 +97,19 @@
                 return false;
             }
         }
+        const models = toMap(record.models);
         this.#engines.set(record.engine, {
             startedAtMilliseconds: record.startedAtMilliseconds,
             orderCount: record.orderCount,
-            models: toMap(record.models),
+            models,
             loading: record.loading,
             loadingSinceMilliseconds: known !== undefined && known.loading === record.loading
                 ? known.loadingSinceMilliseconds
                 : nowMilliseconds,
             recordedAtMilliseconds: nowMilliseconds,
         });
-        return true;
+        return known === undefined || known.loading !== record.loading
+            || known.startedAtMilliseconds !== record.startedAtMilliseconds || !holdSame(known.models, models);
     }
 
     /** Records an engine's answer that it does not hold the model or adapter that a request names. */
