Repeat a request for an adapter to its holder at most every 100 ms for all requests

Cause: a request repeats its message with each dispatch; only the timer of 120 ms was meant as the repeat for lost datagrams.

--- a/src/entry/engines/adapterExchange.ts
+++ b/src/entry/engines/adapterExchange.ts
@@ -8,11 +8,15 @@
 import { type AdapterWish } from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
 import { splitAdapterName } from "../../placement/index.js";
-import { type AdapterUseReport, type HostGossip } from "../peers/index.js";
+import { type AdapterRequest, type AdapterUseReport, type HostGossip } from "../peers/index.js";
+import { RecentMessages } from "./_recentMessages.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
 import { type EngineMemories } from "./engineMemories.js";
 import { type EngineOrders } from "./engineOrders.js";
 
+/** Requests for one adapter of all waiting requests together; less than the interval at which each repeats its own. */
+const REQUEST_INTERVAL_MILLISECONDS = 100;
+
 /** Options of {@linkcode AdapterExchange}. */
 export interface AdapterExchangeOptions {
     readonly host: string;
@@ -40,6 +44,7 @@
     readonly #options: AdapterExchangeOptions;
     readonly #users = new AdapterUsers();
     readonly #requesters = new AdapterRequesters();
+    readonly #recentRequests = new RecentMessages(REQUEST_INTERVAL_MILLISECONDS);
 
     constructor(options: AdapterExchangeOptions) {
         this.#options = options;
@@ -47,12 +52,12 @@
 
     /** Requests an adapter from the engine's holder; false where this host knows of no holder. */
     request(engine: string, model: string, adapter: string): boolean {
-        const { duties, gossip, host, orders } = this.#options;
+        const { duties, host, orders } = this.#options;
         const holder = duties.holderOf(engine);
         if (holder === host) {
             return orders.requestAdapter(engine, model, adapter);
         }
-        return holder !== undefined && gossip.requestAdapter(holder, { engine, model, adapter });
+        return holder !== undefined && this.#requestFrom(holder, { engine, model, adapter });
     }
 
     /** Handles a peer's request for an adapter; sends the engine's memory where it already holds the adapter. */
@@ -116,4 +121,18 @@
             }
         }
     }
+
+    /** Requests an adapter from another host, unless that was done a moment ago; false where the host is not known. */
+    #requestFrom(holder: string, request: AdapterRequest): boolean {
+        const { gossip, readClock } = this.#options;
+        const parts = [holder, request.engine, request.model, request.adapter];
+        if (this.#recentRequests.has(parts, readClock())) {
+            return true;
+        }
+        const isSent = gossip.requestAdapter(holder, request);
+        if (isSent) {
+            this.#recentRequests.record(parts, readClock());
+        }
+        return isSent;
+    }
 }
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -5,6 +5,7 @@
  */
 import {
     type AdapterUseNotice,
+    type AdapterWish,
     type EngineMemory,
     type FleetSummary,
     type HolderWord,
@@ -58,6 +59,9 @@
 /** Report that a host began or ended using an adapter. */
 export type AdapterUseReport = Omit<AdapterUseNotice, "type">;
 
+/** Request for an adapter on an engine. */
+export type AdapterRequest = Omit<AdapterWish, "type" | "host">;
+
 /** Sends datagrams to the peers that need them. Sends are not awaited, and any datagram may be lost. */
 export class HostGossip {
     readonly #options: HostGossipOptions;
@@ -147,7 +151,7 @@
     }
 
     /** Requests an adapter from an engine's holder; false where the holder is not known. */
-    requestAdapter(holder: string, request: { engine: string; model: string; adapter: string; }): boolean {
+    requestAdapter(holder: string, request: AdapterRequest): boolean {
         const peer = this.#options.peers.get(holder);
         if (peer === undefined) {
             return false;
--- a/tests/adapterRequests.test.ts
+++ b/tests/adapterRequests.test.ts
@@ -35,21 +35,32 @@
 /** Handles a message that the holder gets, and may answer it. */
 type OnMessage = (message: GossipMessage, answer: (message: GossipMessage) => void) => void;
 
+/** How the holder tells of its engines. */
+interface HolderBehaviour {
+    readonly digestsPerSecond: number;
+    /** True where each digest tells of other adapters, none of them those that requests wait for. */
+    readonly hasNews: boolean;
+}
+
 function engineName(index: number): string {
     return `i-engine-${index}`;
 }
 
-function memoryOf(engine: string) {
+function memoryOf(engine: string, adapters: readonly string[] = []) {
     return {
         engine,
         startedAtMilliseconds: 1_700_000_000_000,
         orderCount: 5,
-        models: [{ name: "quotes", adapters: [] }],
+        models: [{ name: "quotes", adapters: [...adapters] }],
     };
 }
 
 /** Starts a host before engines that another host holds, which orders nothing and sends its digest at a fixed rate. */
-async function startHost(context: TestContext, digestsPerSecond: number, onMessage: OnMessage): Promise<SiteHost> {
+async function startHost(
+    context: TestContext,
+    { digestsPerSecond, hasNews }: HolderBehaviour,
+    onMessage: OnMessage,
+): Promise<SiteHost> {
     const site = await EntrySite.start();
     const route = { pathPrefix: "/llm/", kind: "stream", service: "llm", resumable: true, timeoutMs: 6_000 };
     site.configure([route], engineSettings(4, { quotes: 40 }));
@@ -79,7 +90,10 @@
     let sequence = 0;
     const timer = setInterval(() => {
         sequence += 1;
-        const engines = Array.from({ length: ENGINES }, (_, index) => memoryOf(engineName(index)));
+        const engines = Array.from(
+            { length: ENGINES },
+            (_, index) => memoryOf(engineName(index), hasNews ? [`b${sequence % 2}`] : []),
+        );
         send(createDigest(HOLDER, { sequence, zone: "zone-a", addresses, engines }));
     }, MILLISECONDS_PER_SECOND / digestsPerSecond);
     context.after(async () => {
@@ -94,9 +108,9 @@
 }
 
 /** Counts the requests for adapters that the holder gets in a second, while some requests wait. */
-async function countRequests(context: TestContext, digestsPerSecond: number, onMessage: OnMessage): Promise<number> {
+async function countRequests(context: TestContext, behaviour: HolderBehaviour, onMessage: OnMessage): Promise<number> {
     let count = 0;
-    const host = await startHost(context, digestsPerSecond, (message, answer) => {
+    const host = await startHost(context, behaviour, (message, answer) => {
         if (message.type === "wish") {
             count += 1;
             onMessage(message, answer);
@@ -115,15 +129,29 @@
 const MAXIMUM_REQUESTS = WAITING * (REQUESTS_PER_ADAPTER_AND_SECOND + 1);
 
 test("digests that tell nothing new do not make waiting requests repeat their messages", async context => {
-    const count = await countRequests(context, DIGESTS_OF_CELL_PER_SECOND, () => undefined);
+    const count = await countRequests(
+        context,
+        { digestsPerSecond: DIGESTS_OF_CELL_PER_SECOND, hasNews: false },
+        () => undefined,
+    );
     assert.ok(count > 0 && count <= MAXIMUM_REQUESTS, `${count} requests for adapters in a second`);
 });
 
 test("a holder's answer to a request for an adapter is not answered by the same request", async context => {
-    const count = await countRequests(context, DIGESTS_PER_SECOND, (message, answer) => {
-        if (message.type === "wish") {
-            answer({ type: "news", host: HOLDER, engine: memoryOf(message.engine) });
-        }
-    });
+    const count = await countRequests(
+        context,
+        { digestsPerSecond: DIGESTS_PER_SECOND, hasNews: false },
+        (message, answer) => {
+            if (message.type === "wish") {
+                answer({ type: "news", host: HOLDER, engine: memoryOf(message.engine) });
+            }
+        },
+    );
+    assert.ok(count > 0 && count <= MAXIMUM_REQUESTS, `${count} requests for adapters in a second`);
+});
+
+test("digests with news of other adapters do not make waiting requests repeat their messages", async context => {
+    const behaviour = { digestsPerSecond: DIGESTS_OF_CELL_PER_SECOND, hasNews: true };
+    const count = await countRequests(context, behaviour, () => undefined);
     assert.ok(count > 0 && count <= MAXIMUM_REQUESTS, `${count} requests for adapters in a second`);
 });
