--- a/src/gossip/receiveQueue.test.ts
+++ b/src/gossip/receiveQueue.test.ts
@@ -52,6 +52,16 @@
     assert.equal(takeAll(queue).length, 3);
 });
 
+test("a request that a peer repeats waits once, and is handled again once it was taken", () => {
+    const queue = new ReceiveQueue();
+    const wish = { type: "wish", host: "entry-2", engine: "i-1", model: "quotes", adapter: "a1" };
+    const reasons = [wish, wish, { ...wish, adapter: "a2" }].map(message => queue.add(datagramOf(message)));
+    assert.deepEqual(reasons, [undefined, "superseded", undefined]);
+    assert.equal(queue.add(datagramOf(wish, OTHER_PEER)), undefined);
+    assert.equal(takeAll(queue).length, 3);
+    assert.equal(queue.add(datagramOf(wish)), undefined);
+});
+
 test("many notices do not hold back the digests, nor many digests a notice", () => {
     const queue = new ReceiveQueue();
     [1, 2, 3].forEach(tokens => queue.add(noticeOf(tokens)));
--- a/src/gossip/receiveQueue.ts
+++ b/src/gossip/receiveQueue.ts
@@ -19,6 +19,9 @@
  */
 const STATE_BEGINNINGS = ["{\"type\":\"digest\",", "{\"type\":\"summary\",\"scope\":\"cell\","];
 
+/** Beginning of the requests that a host repeats until they are met; handling one of two equal ones meets both. */
+const REPEATED_BEGINNING = "{\"type\":\"wish\",";
+
 const LONGEST_BEGINNING = Math.max(...STATE_BEGINNINGS.map(({ length }) => length));
 
 /** A datagram as it was received. */
@@ -30,7 +33,7 @@
 
 /** Why a datagram was dropped without being handled. */
 export type DropReason =
-    /** A newer one of the same sender states everything that it stated. */
+    /** A newer one of the same sender states everything that it stated, or an equal request of it waits. */
     | "superseded"
     /** Too many of the same sender wait. */
     | "sender-limit"
@@ -44,6 +47,12 @@
     return kind === undefined ? undefined : `${kind} ${source}`;
 }
 
+/** Returns the key of a repeated request, which equal ones share; `undefined` for a message that is not repeated. */
+function repeatKeyOf({ bytes, source }: WaitingDatagram): string | undefined {
+    const isRepeated = bytes.toString("latin1", 0, REPEATED_BEGINNING.length) === REPEATED_BEGINNING;
+    return isRepeated ? `${bytes.toString("latin1")} ${source}` : undefined;
+}
+
 /**
  * Keeps datagrams in the order of their arrival, those that state everything apart from those that count on their own.
  * Both kinds are taken in turn, so that many of one do not hold back the other.
@@ -58,8 +67,8 @@
 export class ReceiveQueue {
     /** The latest datagram of each sender and kind; a newer one keeps the place of the older. */
     readonly #states = new Map<string, WaitingDatagram>();
-    /** Datagrams that count on their own, in the order of their arrival. */
-    readonly #others = new Set<WaitingDatagram>();
+    /** Datagrams that count on their own, in the order of their arrival; repeated requests by their key. */
+    readonly #others = new Map<string | WaitingDatagram, WaitingDatagram>();
     readonly #othersOfSender = new Map<string, number>();
     #waitingBytes = 0;
     #takesState = true;
@@ -108,13 +117,17 @@
 
     #addOther(datagram: WaitingDatagram): DropReason | undefined {
         const { bytes, source } = datagram;
+        const key = repeatKeyOf(datagram) ?? datagram;
+        if (this.#others.has(key)) {
+            return "superseded";
+        }
         const count = this.#othersOfSender.get(source) ?? 0;
         if (count >= MAXIMUM_WAITING_PER_SENDER) {
             return "sender-limit";
         }
         this.#waitingBytes += bytes.length;
         this.#othersOfSender.set(source, count + 1);
-        this.#others.add(datagram);
+        this.#others.set(key, datagram);
         return undefined;
     }
 
@@ -129,11 +142,12 @@
     }
 
     #takeOther(): WaitingDatagram | undefined {
-        const [datagram] = this.#others;
-        if (datagram === undefined) {
+        const [first] = this.#others;
+        if (first === undefined) {
             return undefined;
         }
-        this.#others.delete(datagram);
+        const [key, datagram] = first;
+        this.#others.delete(key);
         const left = (this.#othersOfSender.get(datagram.source) ?? 0) - 1;
         if (left > 0) {
             this.#othersOfSender.set(datagram.source, left);
