--- a/tests/peerLoad.test.ts
+++ b/tests/peerLoad.test.ts
@@ -30,9 +30,6 @@
 /** Aggregates of another cell a second that its representative sends to that of this one. */
 const AGGREGATES_PER_SECOND = 1.9;
 
-/** Requests for adapters a second of a host whose callers wait for three. */
-const ADAPTER_REQUESTS_PER_SECOND = 25;
-
 /** Closes, deadlines and cancellations are acted on within this time. */
 const REACTION_MILLISECONDS = 500;
 
@@ -70,11 +67,7 @@
         message: createBusyAggregate(index + 1, CELL_PEERS),
         perSecond: AGGREGATES_PER_SECOND,
     }));
-    const requests = peers.map(host => ({
-        message: { type: "wish", host, engine: "i-1", model: "quotes", adapter: "a1" } as const,
-        perSecond: ADAPTER_REQUESTS_PER_SECOND,
-    }));
-    return [...digests, ...aggregates, ...requests];
+    return [...digests, ...aggregates];
 }
 
 /** A host under load, and the service that its callers' requests go to. */
