--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -16,8 +16,10 @@
     type GossipMessage,
     type GossipProblem,
     type GossipProblemReason,
+    type HandledDatagram,
     openGossipLink,
 } from "./gossipLink.js";
 export { PacedSender, type QueuedDatagram } from "./pacedSender.js";
 export { type AdvertisedHost, type FleetDivision, hasRecentDigest, type Peer, PeerTable } from "./peerTable.js";
+export { type DropReason } from "./receiveQueue.js";
 export { selectAddresses } from "./selectAddresses.js";
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -61,6 +61,18 @@
         labels: ["holder"],
     },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
+    received_datagrams: {
+        help: "Datagrams received from other hosts, by the type of their message.",
+        labels: ["type"],
+    },
+    received_datagram_bytes: {
+        help: "Bytes of the datagrams received from other hosts, by the type of their message.",
+        labels: ["type"],
+    },
+    dropped_datagrams: {
+        help: "Datagrams of other hosts that were received and dropped because others waited, by reason.",
+        labels: ["reason"],
+    },
     gossip_problems: {
         help: "Datagrams that were skipped or not sent.",
         labels: ["reason", "peer"],
@@ -75,7 +87,8 @@
         labels: [],
     },
     spent_seconds: {
-        help: "Time that this host has spent by subject: planning, datagrams-read, datagrams-sent.",
+        help:
+            "Time that this host has spent by subject: planning, datagrams-read, datagrams-sent, and of datagrams-read by type.",
         labels: ["subject"],
     },
 } as const;
