Refuse every request that was read whole behind the last answer of a connection

Read, not seen: a request whose last byte was read in the same turn in which the last answer ended was not refused, since its body had not been handed on yet; a refusal of HEAD had a body. Both are decided by the message now.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -142,9 +142,10 @@
         if (!this.#isLastAnswer) {
             return;
         }
-        for (const waiting of this.#order.takeWaiting()) {
-            this.#socket.write(this.#options.refuseAfterLast(waiting.message));
-            this.#unanswered.delete(waiting.message);
+        this.#order.removeWaiting();
+        for (const waiting of [...this.#unanswered].filter(({ complete }) => complete)) {
+            this.#socket.write(this.#options.refuseAfterLast(waiting));
+            this.#unanswered.delete(waiting);
         }
     }
 
--- a/src/entry/connections/requestOrder.test.ts
+++ b/src/entry/connections/requestOrder.test.ts
@@ -28,13 +28,13 @@
     assert.equal(order.isFull, true);
 });
 
-test("requests that are taken away behind the last answer do not begin later", () => {
+test("requests that are removed behind the last answer do not begin later", () => {
     const order = new RequestOrder<number>(LIMITS);
     const first = order.add();
     order.setRead(first, 0, 0);
     order.setRead(order.add(), 1, 0);
     order.add();
-    assert.deepEqual(order.takeWaiting(), [1]);
+    order.removeWaiting();
     order.end(first);
     assert.equal(order.takeTurn(), undefined);
     assert.equal(order.size, 0);
--- a/src/entry/connections/requestOrder.ts
+++ b/src/entry/connections/requestOrder.ts
@@ -101,8 +101,8 @@
         }
     }
 
-    /** Removes the requests after the first one, and returns those that were read. */
-    takeWaiting(): Request[] {
-        return this.#places.splice(1).flatMap(({ request }) => request ?? []);
+    /** Removes the requests after the first one. */
+    removeWaiting(): void {
+        this.#places.splice(1);
     }
 }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -94,10 +94,8 @@
 
     refuseAfterLast(message: IncomingMessage): string {
         this.#recordRejected(message, "connection-closing", STATUS_UNAVAILABLE);
-        return renderRawAnswer({
-            status: STATUS_UNAVAILABLE,
-            ...this.#createRefusal(message, STATUS_UNAVAILABLE, "connection-closing"),
-        });
+        const { body, headers } = this.#createRefusal(message, STATUS_UNAVAILABLE, "connection-closing");
+        return renderRawAnswer({ status: STATUS_UNAVAILABLE, headers, body: message.method === "HEAD" ? "" : body });
     }
 
     begin(arrival: Arrival): void {
--- a/tests/overlappingRequests.test.ts
+++ b/tests/overlappingRequests.test.ts
@@ -16,6 +16,7 @@
 const BODY_BYTES = 60_000;
 const NOTICED_MILLISECONDS = 500;
 const GRACE_MILLISECONDS = 1_500;
+const STREAM_GRACE_MILLISECONDS = 4_000;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
@@ -162,3 +163,23 @@
     caller.close();
     await until(() => site.upstreams.some(({ abandoned }) => abandoned.includes("left")), NOTICED_MILLISECONDS);
 });
+
+test("a request that is read after the head of the last answer of its connection is refused and not run", async () => {
+    const stopping = await site.addHost("entry-3", { bounds: { graceMilliseconds: STREAM_GRACE_MILLISECONDS } });
+    await waitUntilReady(stopping);
+    const stopped = stopping.host.stop();
+    const caller = new OverlappingCaller(stopping);
+    caller.write(renderRequest({ id: "last", path: "/streams/events", method: "POST" }));
+    await until(() => caller.answers.length > 0);
+    caller.write(renderRequest({ id: "after-order", path: "/orders/next", method: "POST" }));
+    caller.write(renderRequest({ id: "after-head", path: "/reads/next", method: "HEAD" }));
+    const answers = await caller.waitForAnswers(3, WITHIN_MILLISECONDS);
+    await stopped;
+    assert.equal(answers[0]?.headers["connection"], "close");
+    assert.deepEqual(answers.map(({ status }) => status), [STATUS_OK, STATUS_UNAVAILABLE, STATUS_UNAVAILABLE]);
+    assert.deepEqual(
+        answers.map(({ headers }) => headers["flamingospread-request-id"]),
+        ["last", "after-order", "after-head"],
+    );
+    assert.equal(site.upstreams.flatMap(({ received }) => received).some(({ id }) => id.startsWith("after-")), false);
+});
