Wait for busy hosts before a resumed stream counts as unknown

Cause: no answer within 80 ms was read as "no host knows the stream". Hosts answer only if they know it, so an answer that is late cannot be told from none; an event loop that is busy for 80 ms is usual where processor time is short.

Ruled out: an answer "not known" of each host (a message that earlier builds do not send); waiting for the whole 600 ms of a look-up (streams that are really unknown are refused that much later, and their callers begin anew).

Change: a question is open for 300 ms, and is sent again after 30 and 120 ms.

A stream that nobody knows is refused after 300 ms (80 ms before). tests/streamVersions.test.ts and the new file: 13 passed.

--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -38,11 +38,11 @@
 /** The choice of keepers is computed again after this time. */
 const KEEPERS_LIFETIME_MILLISECONDS = 300;
 
-/** A question is sent again after this time, since datagrams may be lost. */
-const QUESTION_RETRY_MILLISECONDS = 30;
+/** A question is sent again after these times, since datagrams may be lost. */
+const QUESTION_RETRIES_MILLISECONDS = [30, 120];
 
-/** Other hosts answer a question within this time, if they know the stream. */
-const QUESTION_MILLISECONDS = 80;
+/** Other hosts answer a question within this time, busy ones included, if they know the stream. */
+const QUESTION_MILLISECONDS = 300;
 
 /** The key-value service is read where other hosts have not answered by then, while several versions serve. */
 const READ_DELAY_MILLISECONDS = 25;
@@ -193,7 +193,9 @@
         }
         if (stream !== undefined) {
             this.#ask(stream);
-            this.#after(QUESTION_RETRY_MILLISECONDS, () => this.#lookUps.has(lookUp) && this.#ask(stream));
+            for (const milliseconds of QUESTION_RETRIES_MILLISECONDS) {
+                this.#after(milliseconds, () => this.#lookUps.has(lookUp) && this.#ask(stream));
+            }
         }
         this.#after(QUESTION_MILLISECONDS, () => {
             lookUp.isAsked = true;
