Show over processes that callers wait for seconds beside messages that concern them

The test of load gets a second case: callers who wait for adapters of eleven engines (one more each 10 ms), of which every digest tells.

--- a/tests/peerLoad.test.ts
+++ b/tests/peerLoad.test.ts
@@ -15,7 +15,14 @@
     type RepeatedMessage,
 } from "./support/busyMessages.js";
 import { createEntrySettings, startEntryProgram, waitUntilProgramReady } from "./support/entryProgram.js";
-import { callAuxiliaryServer, type CallerAnswer, callHost, HOST_NAME, until } from "./support/entrySite.js";
+import {
+    callAuxiliaryServer,
+    type CallerAnswer,
+    callHost,
+    engineSettings,
+    HOST_NAME,
+    until,
+} from "./support/entrySite.js";
 import { RecordingService } from "./support/recordingService.js";
 import { measureRunDelays } from "./support/runDelays.js";
 
@@ -42,8 +49,15 @@
 /** Callers that leave do so before their request can be answered, or almost at once. */
 const LEAVING_AFTER_MILLISECONDS = [300, 5];
 
+/** Callers that wait for an adapter, beside. */
+const WAITING_CALLER_INTERVAL_MILLISECONDS = 10;
+
 const LOAD_BEFORE_CALLERS_MILLISECONDS = 1_000;
 
+/** The engines and models of which the digests of the cell tell. */
+const ENGINES = Array.from({ length: 11 }, (_, index) => `i-0${index}f48a9c01`);
+const MODELS = Array.from({ length: 12 }, (_, index) => `model-${index}a7f3`);
+
 const CONFIGURATION = {
     version: 1,
     routes: [{
@@ -56,8 +70,26 @@
         priority: 0,
         service: "plain",
         maxAttempts: 1,
+    }, {
+        name: "llm",
+        host: HOST_NAME,
+        pathPrefix: "/llm/",
+        kind: "stream",
+        timeoutMs: 6_000,
+        targetLatencyMs: 200,
+        priority: 0,
+        service: "llm",
+        maxAttempts: 1,
     }],
-    services: [{ name: "plain", healthPath: "/healthz", maxConnections: 400 }],
+    services: [
+        { name: "plain", healthPath: "/healthz", maxConnections: 400 },
+        {
+            name: "llm",
+            healthPath: "/healthz",
+            maxConnections: 400,
+            engine: engineSettings(4, Object.fromEntries(MODELS.map(model => [model, 40]))),
+        },
+    ],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 };
 
@@ -76,12 +108,13 @@
     readonly service: RecordingService;
     readonly processId: number;
     readonly call: (path: string, disconnectAfterMilliseconds?: number) => Promise<CallerAnswer>;
+    readonly callWithModel: (path: string, model: string) => Promise<CallerAnswer>;
     /** Returns how many hosts it names to callers, itself included. */
     readonly countNamedHosts: () => Promise<number>;
 }
 
 /** Starts the bundled program as a process, and sends it the messages of its peers at a multiple of their usual rate. */
-async function startLoadedHost(context: TestContext): Promise<LoadedHost> {
+async function startLoadedHost(context: TestContext, hasEngines: boolean): Promise<LoadedHost> {
     const store = await PlatformStoreStandIn.start();
     const service = await RecordingService.start();
     store.put("servers/i-1", {
@@ -96,6 +129,9 @@
         born: 1_700_000_000_000,
         models: [],
     });
+    if (hasEngines) {
+        putEngines(store, service.address);
+    }
     store.put("op/config", CONFIGURATION);
     const settings = await createEntrySettings(store.address);
     const bundle = await bundleProgram();
@@ -121,6 +157,8 @@
                 path,
                 ...disconnectAfterMilliseconds === undefined ? {} : { disconnectAfterMilliseconds },
             }),
+        callWithModel: (path, model) =>
+            callHost(host, { path, method: "POST", headers: { "Flamingospread-Model": model } }),
         countNamedHosts: async () => {
             const { body } = await callAuxiliaryServer(directory, "/resolve?zone=zone-a");
             return (JSON.parse(body) as { readonly addresses: readonly string[]; }).addresses.length;
@@ -128,12 +166,41 @@
     };
 }
 
+/** Announces engines with models and without the adapters that callers wait for. */
+function putEngines(store: PlatformStoreStandIn, address: string): void {
+    ENGINES.forEach((engine, index) =>
+        store.put(`servers/${engine}`, {
+            service: "llm",
+            address: address.replace("127.0.0.1", `127.0.1.${index + 1}`),
+            zone: "zone-a",
+            version: "v1",
+            slots: 8,
+            state: "ready",
+            coldRemainingMs: 0,
+            sequence: 40,
+            born: 1_777_820_567_195,
+            models: [MODELS[index], MODELS[index + 1]],
+        })
+    );
+}
+
+/** Keeps callers waiting for adapters that no engine holds, until the test ends. */
+function keepCallersWaiting(context: TestContext, { callWithModel }: Pick<LoadedHost, "callWithModel">): void {
+    let count = 0;
+    const timer = setInterval(() => {
+        count += 1;
+        const model = MODELS[count % MODELS.length] ?? "";
+        void callWithModel(`/llm/${count}`, `${model}/a${4 + count % 36}`);
+    }, WAITING_CALLER_INTERVAL_MILLISECONDS);
+    context.after(() => clearInterval(timer));
+}
+
 function leavingPath(index: number): string {
     return `/a/leaving-${index}`;
 }
 
-test("a host that gets a hundred times the usual messages acts on closes and deadlines within 0.5 s", async context => {
-    const { call, countNamedHosts, processId, service } = await startLoadedHost(context);
+async function assertActsInTime(context: TestContext, host: LoadedHost): Promise<void> {
+    const { call, countNamedHosts, processId, service } = host;
     await until(async () => (await countNamedHosts()) === CELL_PEERS + 1);
     await delay(LOAD_BEFORE_CALLERS_MILLISECONDS);
     const runDelays = [processId, process.pid].map(id => measureRunDelays(id));
@@ -187,4 +254,14 @@
     );
     assert.equal(figures.sentOnOfWaiting, CALLERS, "requests were not sent on");
     assert.equal(namedHosts, CELL_PEERS + 1, "a peer whose messages wait is taken for one that is silent");
+}
+
+test("a host that gets a hundred times the usual messages acts on closes and deadlines within 0.5 s", async context => {
+    await assertActsInTime(context, await startLoadedHost(context, false));
+});
+
+test("so does one whose callers wait for adapters, each of which every message may concern", async context => {
+    const host = await startLoadedHost(context, true);
+    keepCallersWaiting(context, host);
+    await assertActsInTime(context, host);
 });
