--- a/src/gossip/receiveQueue.ts
+++ b/src/gossip/receiveQueue.ts
@@ -1,13 +1,13 @@
 /**
  * Datagrams that were received and wait to be decoded and handled.
  *
- * Reading a datagram takes a hundredth of the time of handling it. The queue is bounded by what it holds back: a newer
- * message that states everything that an older one of the same host stated takes its place, and each sender has a share.
+ * The queue is bounded: a newer message that states everything that an older one of the same host stated takes its
+ * place, and the other messages of each sender are limited in number.
  *
  * @module
  */
 
-/** Limit of the bytes that wait; more than all states of a fleet of 390 hosts at one host. */
+/** Limit of the bytes that wait; a part of the 64 MB that a host may use for control. */
 const MAXIMUM_WAITING_BYTES = 4 * 1024 * 1024;
 
 /** Limit of the messages of one sender that wait and that no newer one replaces. */
--- a/tests/peerLoad.test.ts
+++ b/tests/peerLoad.test.ts
@@ -260,7 +260,7 @@
     await assertActsInTime(context, await startLoadedHost(context, false));
 });
 
-test("so does one whose callers wait for adapters, each of which every message may concern", async context => {
+test("messages that may concern many waiting callers do not hold up the closes and deadlines of others", async context => {
     const host = await startLoadedHost(context, true);
     keepCallersWaiting(context, host);
     await assertActsInTime(context, host);
