--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -5,6 +5,7 @@
  */
 import {
     type AdapterUseNotice,
+    type AdapterWish,
     type EngineMemory,
     type FleetSummary,
     type HolderWord,
@@ -17,12 +18,19 @@
 import {
     type GossipLink,
     type GossipMessage,
+    type HandledDatagram,
     hasRecentDigest,
     openGossipLink,
     type Peer,
     type PeerTable,
 } from "../../gossip/index.js";
-import { type EntryMetrics, type Logger, type TimeSpent } from "../../observability/index.js";
+import {
+    type EntryMetrics,
+    type LogFields,
+    type Logger,
+    ReceivedDatagrams,
+    type TimeSpent,
+} from "../../observability/index.js";
 import { type VersionCopyNeed } from "../../placement/index.js";
 import { type PermitMessage } from "../../rateLimits/index.js";
 import { type ListenAddress } from "../settings.js";
@@ -51,13 +59,19 @@
 /** Report that a host began or ended using an adapter. */
 export type AdapterUseReport = Omit<AdapterUseNotice, "type">;
 
+/** Request for an adapter on an engine. */
+export type AdapterRequest = Omit<AdapterWish, "type" | "host">;
+
 /** Sends datagrams to the peers that need them. Sends are not awaited, and any datagram may be lost. */
 export class HostGossip {
     readonly #options: HostGossipOptions;
+    readonly #received: ReceivedDatagrams;
     #link: GossipLink | undefined;
 
     constructor(options: HostGossipOptions) {
         this.#options = options;
+        const { metrics, peers } = options;
+        this.#received = new ReceivedDatagrams({ metrics, nameSender: source => peers.findHostAt(source) });
     }
 
     /**
@@ -66,11 +80,12 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { metrics, onMessage, openLink = openGossipLink, timeSpent } = this.#options;
+        const { metrics, onMessage, openLink = openGossipLink } = this.#options;
         const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
-            onDatagram: handle => timeSpent.measure("datagrams-read", handle),
+            onHandled: datagram => this.#recordHandled(datagram),
+            onDropped: reason => this.#received.recordDropped(reason),
             onMessage: message => {
                 metrics.count("gossip_datagrams", { direction: "received" });
                 onMessage(message);
@@ -83,6 +98,11 @@
         this.#link?.close();
     }
 
+    /** Returns log fields about the datagrams that were received since the last call. */
+    takeReceivedSummary(): LogFields {
+        return this.#received.takeSummary();
+    }
+
     publishDigest(digest: HostDigest): void {
         this.#sendToCell(digest);
     }
@@ -131,7 +151,7 @@
     }
 
     /** Requests an adapter from an engine's holder; false where the holder is not known. */
-    requestAdapter(holder: string, request: { engine: string; model: string; adapter: string; }): boolean {
+    requestAdapter(holder: string, request: AdapterRequest): boolean {
         const peer = this.#options.peers.get(holder);
         if (peer === undefined) {
             return false;
@@ -163,6 +183,11 @@
         }
     }
 
+    #recordHandled(datagram: HandledDatagram): void {
+        this.#options.timeSpent.add("datagrams-read", datagram.decodeMilliseconds + datagram.applyMilliseconds);
+        this.#received.record(datagram);
+    }
+
     /** Sends a message to the own cell, with demand only to the hosts that need it. */
     #sendToCell(message: HostDigest | FleetSummary): void {
         const withDemand = this.#options.hostsNeedingDemand();
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -42,6 +42,8 @@
 import { FIRST_TOLERANT_FORMAT, formsFor, provedFormat } from "./messageFormats.js";
 import { PacedSender } from "./pacedSender.js";
 import { PeerFormats } from "./peerFormats.js";
+import { type DropReason, ReceiveQueue, type WaitingDatagram } from "./receiveQueue.js";
+import { TurnBudget } from "./turnBudget.js";
 
 /** Larger datagrams are not sent, since they would be fragmented into too many packets. */
 const MAXIMUM_DATAGRAM_BYTES = 48 * 1024;
@@ -53,6 +55,9 @@
 /** The message format that this build reads and writes. */
 const PRESENT_FORMAT = 5;
 
+/** Stands for the type of datagrams that could not be decoded. */
+const UNREADABLE_TYPE = "unreadable";
+
 /** A message between hosts. */
 export type GossipMessage =
     | HostDigest
@@ -91,13 +96,27 @@
     readonly detail: string;
 }
 
+/** A datagram that was received and handled. */
+export interface HandledDatagram {
+    /** Type of the message; {@linkcode UNREADABLE_TYPE} where it could not be decoded. */
+    readonly type: string;
+    /** Address and port of the sender. */
+    readonly source: string;
+    readonly bytes: number;
+    readonly decodeMilliseconds: number;
+    /** Time that the callback for the message took. */
+    readonly applyMilliseconds: number;
+}
+
 /** Options of a link. */
 export interface GossipLinkOptions {
     readonly address: string;
     readonly port: number;
     readonly onMessage: (message: GossipMessage) => void;
-    /** Called for each datagram with the function that decodes and handles it; by default, that is called directly. */
-    readonly onDatagram?: (handle: () => void) => void;
+    /** Called after a datagram was handled, with its cost. */
+    readonly onHandled?: (datagram: HandledDatagram) => void;
+    /** Called for each datagram that was dropped because others wait. */
+    readonly onDropped?: (reason: DropReason) => void;
     /** Called where a datagram could not be decoded or sent. */
     readonly onProblem: (problem: GossipProblem) => void;
 }
@@ -180,17 +199,15 @@
     readonly #socket: Socket;
     readonly #sender: PacedSender;
     readonly #formats = new PeerFormats();
+    readonly #received = new ReceiveQueue();
+    readonly #receiving = new TurnBudget({ work: () => this.#receiveNext() });
 
     constructor(options: GossipLinkOptions, socket: Socket) {
         this.#options = options;
         this.#socket = socket;
         this.#sender = new PacedSender(({ address, bytes }) => this.#sendDatagram(bytes, address));
         socket.on("error", error => options.onProblem({ reason: "socket", detail: error.message }));
-        const onDatagram = options.onDatagram ?? (handle => handle());
-        socket.on(
-            "message",
-            (bytes, { address, port }) => onDatagram(() => this.#receive(bytes, `${address}:${port}`)),
-        );
+        socket.on("message", (bytes, { address, port }) => this.#enqueue({ bytes, source: `${address}:${port}` }));
     }
 
     send(message: GossipMessage, addresses: readonly string[]): void {
@@ -209,6 +226,8 @@
     }
 
     close(): void {
+        this.#receiving.close();
+        this.#received.clear();
         this.#sender.close();
         this.#socket.close();
     }
@@ -235,8 +254,38 @@
         this.#sender.send(encode(notice), addresses);
     }
 
-    #receive(bytes: Buffer, source: string): void {
+    #enqueue(datagram: WaitingDatagram): void {
+        const dropReason = this.#received.add(datagram);
+        if (dropReason !== undefined) {
+            this.#options.onDropped?.(dropReason);
+        }
+        this.#receiving.start();
+    }
+
+    /** Decodes and handles the next datagram; returns whether there are more. */
+    #receiveNext(): boolean {
+        const datagram = this.#received.take();
+        if (datagram !== undefined) {
+            this.#receive(datagram);
+        }
+        return this.#received.size > 0;
+    }
+
+    #receive({ bytes, source }: WaitingDatagram): void {
+        const startedAt = performance.now();
         const decoded = decode(bytes);
+        const decodedAt = performance.now();
+        this.#handle(decoded, source);
+        this.#options.onHandled?.({
+            type: decoded.isOk() ? decoded.value.type : UNREADABLE_TYPE,
+            source,
+            bytes: bytes.length,
+            decodeMilliseconds: decodedAt - startedAt,
+            applyMilliseconds: performance.now() - decodedAt,
+        });
+    }
+
+    #handle(decoded: Result<GossipMessage | FormatNotice, GossipProblem>, source: string): void {
         if (decoded.isErr()) {
             this.#options.onProblem({ ...decoded.error, source });
             return;
