Test the end of a grace period, and callers that leave as they send, with requests waiting

No request behind one that outlasts the grace period may be lost or run; none of a caller that ends, resets or half-closes as it sends may be passed on.

--- a/tests/overlappingCallersLeave.test.ts
+++ b/tests/overlappingCallersLeave.test.ts
@@ -196,4 +196,20 @@
         assert.deepEqual(answers, [[LARGE_BYTES, true]]);
         assert.deepEqual(passedOn, []);
     });
+
+    for (const way of WAYS) {
+        test(`requests of a caller that leaves by ${way} as it sends them are not passed on`, async () => {
+            const host = await site.addHost(`entry-sent-${WAYS.indexOf(way)}`);
+            await waitUntilReady(host);
+            const connected = send(host, { name: "connected", firstPath: "/reads/soon", followers: 0 });
+            await connected.caller.waitForAnswers(1, WITHIN_MILLISECONDS);
+            const ids = Array.from({ length: 3 }, () => nextId("left"));
+            connected.caller.write(ids.map(id => renderRequest({ id, path: "/orders/soon", method: "POST" })).join(""));
+            leave(connected, way);
+            await delay(WATCH_MILLISECONDS);
+            await host.host.close();
+            connected.caller.close();
+            assert.deepEqual(ids.filter(hasReceived), []);
+        });
+    }
 });
--- a/tests/overlappingChanges.test.ts
+++ b/tests/overlappingChanges.test.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
+import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { type Behaviour } from "../standins/platform/upstream.js";
 import { type Change, PART_CHANGES, SERIES_CHANGES } from "./support/changeSite.js";
+import { EntrySite, until, waitUntilReady } from "./support/entrySite.js";
+import { OverlappingCaller, renderRequest } from "./support/overlappingCaller.js";
 import { assertAnsweredBeside } from "./support/overlappingChangeRuns.js";
 
 const SEED = Number(process.env["CHANGE_SEED"] ?? "1");
@@ -17,6 +21,12 @@
 /** A change is made this long after the start of a pause. */
 const CHANGE_IN_PAUSE_MILLISECONDS = 200;
 
+/** Longer than a grace period. */
+const LONG_MILLISECONDS = 30_000;
+const SHORT_GRACE_MILLISECONDS = 5_000;
+const WAITING_IDS = ["waiting-1", "waiting-2", "waiting-3"];
+const STATUS_UNAVAILABLE = 503;
+
 const NO_CHANGE: Change = { name: "nothing else", apply: () => undefined };
 const RELOAD: Change = { name: "SIGHUP", apply: ({ host }) => host.host.reload(host.settings) };
 
@@ -45,4 +55,26 @@
             await assertAnsweredBeside(change, SEED * CHANGES.length + index);
         });
     }
+
+    test("no request that waits on a connection is lost at the end of a host's grace period", async () => {
+        const site = await EntrySite.start();
+        site.configure([{ pathPrefix: "/orders/", kind: "non_idempotent", timeoutMs: 60_000 }]);
+        const behave = (): Behaviour => ({ type: "answer", afterMilliseconds: LONG_MILLISECONDS });
+        const engine = await site.addUpstream({ id: "i-long", slots: 50, behave });
+        const host = await site.addHost("entry-1", { bounds: { graceMilliseconds: SHORT_GRACE_MILLISECONDS } });
+        await waitUntilReady(host);
+        const caller = new OverlappingCaller(host);
+        const ids = ["at-grace-end", ...WAITING_IDS];
+        caller.write(ids.map(id => renderRequest({ id, path: "/orders/1", method: "POST" })).join(""));
+        await until(() => engine.received.length === 1);
+        const stopped = host.host.stop();
+        const answers = await caller.waitForAnswers(ids.length, LONG_MILLISECONDS);
+        await stopped;
+        await site.close();
+        const refused = answers.slice(1).map((
+            { headers, isComplete, status },
+        ) => [headers["flamingospread-request-id"], status, isComplete]);
+        assert.deepEqual(refused, WAITING_IDS.map(id => [id, STATUS_UNAVAILABLE, true]));
+        assert.deepEqual(engine.received.map(({ id }) => id), ["at-grace-end"]);
+    });
 });
