Measure what callers get in the simulation of brittle upstreams

The simulation counted rejections and used slots only, so that a fleet that starves the callers of some hosts looked as good as one that serves all. It now counts the requests that an upstream ran, at the worst served host too, and how long they waited.

--- a/src/rateLimits/rejectionBounds.test.ts
+++ b/src/rateLimits/rejectionBounds.test.ts
@@ -5,7 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { play } from "../../tests/support/brittleFleet.js";
+import { play, type PlayedFleet } from "../../tests/support/brittleFleet.js";
 import { NamedLimits, RejectionBounds } from "./index.js";
 
 /** Runs of each fleet with 6 slots, and with more slots; the environment variable sets more for a long run by hand. */
@@ -80,6 +80,22 @@
     assert.equal(bounds.tolerance({ id: "i-2", service: SERVICE }), 5);
 });
 
+function percentage(shares: readonly number[]): string {
+    return `${(100 * shares.reduce((sum, share) => sum + share, 0) / shares.length).toFixed()} %`;
+}
+
+/** Describes what became of the requests, on average over some plays. */
+function describePlays(plays: readonly PlayedFleet[]): string {
+    const waits = plays.flatMap(({ waitsMilliseconds }) => waitsMilliseconds).sort((left, right) => left - right);
+    const waitAt = (share: number): string => `${waits[Math.floor(waits.length * share)]?.toFixed() ?? "-"} ms`;
+    return [
+        `${percentage(plays.map(({ usedShare }) => usedShare))} of the slots used`,
+        `${percentage(plays.map(({ servedShare }) => servedShare))} of the requests served`,
+        `${percentage(plays.map(({ leastServedShare }) => leastServedShare))} at the worst served host`,
+        `waits ${waitAt(0.5)} at the median and ${waitAt(0.95)} at 95 %`,
+    ].join(", ");
+}
+
 for (const hostCount of [3, 7, 9, 30]) {
     for (const slots of [6, 64]) {
         for (const tolerance of [2, 5, 12]) {
@@ -87,10 +103,7 @@
                 const seeds = slots === 6 ? SEEDS : SEEDS_WITH_MANY_SLOTS;
                 const plays = Array.from({ length: seeds }, (_, seed) => play({ seed, hostCount, slots, tolerance }));
                 const most = Math.max(...plays.map(({ mostRejected }) => mostRejected));
-                const used = plays.reduce((sum, each) => sum + each.usedShare, 0) / plays.length;
-                context.diagnostic(
-                    `at most ${most} rejections in a second; ${(used * 100).toFixed()} % of the slots used`,
-                );
+                context.diagnostic(`at most ${most} rejections in a second; ${describePlays(plays)}`);
                 assert.ok(most <= tolerance, `${most} rejections in a second`);
             });
         }
--- a/tests/support/brittleFleet.ts
+++ b/tests/support/brittleFleet.ts
@@ -41,6 +41,12 @@
     readonly mostRejected: number;
     /** Share of the upstreams' slots that was in use, on average. */
     readonly usedShare: number;
+    /** Share of the arrived requests that an upstream ran. */
+    readonly servedShare: number;
+    /** The same of the requests that arrived at the host whose share is the lowest. */
+    readonly leastServedShare: number;
+    /** Time that each request that an upstream ran had waited at its host, in ascending order. */
+    readonly waitsMilliseconds: readonly number[];
 }
 
 interface Upstream {
@@ -57,6 +63,8 @@
     /** Requests of all hosts at each upstream, as of the last digests. */
     readonly reported: Map<string, number>;
     waiting: Waiting[];
+    arrived: number;
+    served: number;
 }
 
 interface Waiting {
@@ -112,6 +120,7 @@
     readonly #hosts: Host[];
     /** Hosts before this one get all requests. */
     readonly #busyHostCount: number;
+    readonly #waitsMilliseconds: number[] = [];
 
     constructor(options: BrittleFleetOptions) {
         this.#options = options;
@@ -134,6 +143,8 @@
                 inFlight: new Map<string, number>(),
                 reported: new Map<string, number>(),
                 waiting: [],
+                arrived: 0,
+                served: 0,
             };
         });
         this.#busyHostCount = this.#random() < 0.5
@@ -149,9 +160,14 @@
         this.#timeline.runUntil(DURATION_MILLISECONDS);
         const settled = this.#upstreams.map(({ rejectedAt }) => rejectedAt.filter(at => at >= SETTLED_MILLISECONDS));
         const used = this.#upstreams.reduce((sum, { usedMilliseconds }) => sum + usedMilliseconds, 0);
+        const busy = this.#hosts.filter(({ arrived }) => arrived > 0);
+        const arrived = busy.reduce((sum, host) => sum + host.arrived, 0);
         return {
             mostRejected: Math.max(...settled.map(mostInASecond)),
             usedShare: used / (UPSTREAM_COUNT * this.#options.slots * DURATION_MILLISECONDS),
+            servedShare: busy.reduce((sum, { served }) => sum + served, 0) / arrived,
+            leastServedShare: Math.min(...busy.map(host => host.served / host.arrived)),
+            waitsMilliseconds: this.#waitsMilliseconds.toSorted((left, right) => left - right),
         };
     }
 
@@ -161,10 +177,10 @@
             at -= Math.log(1 - this.#random()) * meanMilliseconds;
             const host = this.#hosts[Math.floor(this.#random() * this.#busyHostCount)];
             if (host !== undefined) {
-                this.#timeline.after(
-                    at,
-                    () => this.#add(host, { tried: new Set(), sinceMilliseconds: this.#timeline.now }),
-                );
+                this.#timeline.after(at, () => {
+                    host.arrived += 1;
+                    this.#add(host, { tried: new Set(), sinceMilliseconds: this.#timeline.now });
+                });
             }
         }
     }
@@ -226,6 +242,10 @@
                 if (isRejected) {
                     this.#timeline.after(RETRY_MILLISECONDS, () => this.#add(host, { tried, sinceMilliseconds }));
                 }
+                else {
+                    host.served += 1;
+                    this.#waitsMilliseconds.push(sentAtMilliseconds - sinceMilliseconds);
+                }
                 this.#sendWaiting(host);
             });
         };
