Keep what a host holds of slots where its requests need no lease

A host that leases slots to others, but has not heard itself how many rejections their upstream tolerates, dropped its own view of them 40 times a second, created it anew and had all its waiting requests decided on each time.

Cause: the view was dropped wherever this host needs no leased slot, also while it issues them, and a dropped view counts its messages anew, which the issuer ignores.

Change: the view stays until the upstream goes; requests that wait are decided on once, and no message is sent. Whether this host is the issuer is answered without creating a view.

--- a/src/rateLimits/hostSlots.ts
+++ b/src/rateLimits/hostSlots.ts
@@ -105,6 +105,11 @@
         this.#wanted.askedAtMilliseconds = nowMilliseconds;
     }
 
+    /** No longer wants a slot: requests are sent without one. */
+    stopWanting(): void {
+        this.#wanted = undefined;
+    }
+
     /** Records that a request is sent, which uses a granted slot where there is one. */
     recordSent(nowMilliseconds: number): void {
         if (this.#unused.shift() !== undefined) {
--- a/src/rateLimits/slotLeases.test.ts
+++ b/src/rateLimits/slotLeases.test.ts
@@ -26,6 +26,8 @@
     readonly inFlight = new Map<string, number>();
     readonly issuingHosts = new Map<string, readonly string[]>(HOSTS.map(host => [host, HOSTS]));
     readonly #leases: ReadonlyMap<string, SlotLeases>;
+    isLeased = true;
+    answers = 0;
     now = 0;
 
     constructor() {
@@ -34,11 +36,13 @@
             new SlotLeases({
                 host,
                 issuingHosts: () => this.issuingHosts.get(host) ?? [],
-                isLeased: () => true,
+                isLeased: () => this.isLeased,
                 slotsOf: () => SLOTS,
                 inFlight: () => this.inFlight.get(host) ?? 0,
                 send: (receiver, message) => this.#deliver(host, receiver, message),
-                onAnswered: () => undefined,
+                onAnswered: () => {
+                    this.answers += 1;
+                },
                 onActive: () => undefined,
             }),
         ]));
@@ -162,6 +166,20 @@
     assert.ok(fleet.pass(3_000, FIRST_HOST).includes(FIRST_HOST));
 });
 
+test("requests that wait for a slot are decided on once when none needs one any more, and no message follows", () => {
+    const fleet = createFleet();
+    for (const host of [FIRST_HOST, SECOND_HOST]) {
+        fleet.request(host, fleet.now);
+        fleet.use(host);
+    }
+    fleet.request(THIRD_HOST, fleet.now);
+    const before = fleet.answers;
+    fleet.isLeased = false;
+    fleet.pass(2_000);
+    assert.equal(fleet.answers, before + 1);
+    assert.deepEqual(HOSTS.map(host => fleet.of(host).isActive), HOSTS.map(() => false));
+});
+
 test("slots of requests that the upstream rejects are held back, so that rejections do not follow each other", () => {
     const fleet = createFleet();
     for (const host of [FIRST_HOST, FIRST_HOST]) {
--- a/src/rateLimits/slotLeases.ts
+++ b/src/rateLimits/slotLeases.ts
@@ -66,7 +66,7 @@
     /** Returns whether `tick` must be called every few milliseconds. */
     get isActive(): boolean {
         return [...this.#issuers.values()].some(issuer => issuer.isActive)
-            || [...this.#leased].some(([upstream, { slots }]) => slots.isActive(this.#options.inFlight(upstream)));
+            || [...this.#leased].some(([upstream, { slots }]) => slots.isWanted || this.#isActive(upstream, slots));
     }
 
     /** Returns whether a slot of an upstream is leased to this host that no request uses. */
@@ -124,13 +124,13 @@
     /** Sends requests for slots that are due, and leases slots. */
     tick(nowMilliseconds: number): void {
         for (const [upstream, { slots }] of this.#leased) {
-            if (!this.#options.isLeased(upstream)) {
-                this.#leased.delete(upstream);
-                this.#options.onAnswered(upstream);
-            }
-            else if (slots.isActive(this.#options.inFlight(upstream))) {
+            if (this.#isActive(upstream, slots)) {
                 this.#sendRequest(upstream, nowMilliseconds);
             }
+            else if (slots.isWanted) {
+                slots.stopWanting();
+                this.#options.onAnswered(upstream);
+            }
         }
         for (const upstream of this.#issuers.keys()) {
             this.#issue(upstream, nowMilliseconds);
@@ -144,6 +144,12 @@
         this.#rankings.delete(upstream);
     }
 
+    /** Returns whether the issuer must hear of this host; not once its requests need no leased slot any more. */
+    #isActive(upstream: string, slots: HostSlots): boolean {
+        const { inFlight, isLeased } = this.#options;
+        return isLeased(upstream) && slots.isActive(inFlight(upstream));
+    }
+
     /** Returns the slots of an upstream, and makes sure that they are asked of the present issuer. */
     #leasedUpstream(upstream: string, nowMilliseconds: number): LeasedUpstream {
         const known = this.#leased.get(upstream);
@@ -213,7 +219,10 @@
 
     /** Returns whether this host asks itself; one that asks another leases nothing, since that one may do so. */
     #isIssuer(upstream: string, nowMilliseconds: number): boolean {
-        return this.#leasedUpstream(upstream, nowMilliseconds).issuer === this.#options.host;
+        const issuer = this.#leased.has(upstream)
+            ? this.#leasedUpstream(upstream, nowMilliseconds).issuer
+            : this.#chooseIssuer(upstream, nowMilliseconds);
+        return issuer === this.#options.host;
     }
 
     #issue(upstream: string, nowMilliseconds: number): void {
