Break the circle of imports between the engines, the peers and hostParts

Nine files of src/entry imported each other in a circle: hostParts.ts names the types of engines/ and peers/, digests and messages in peers/ took their options from hostParts.ts, and engines/ took HostGossip from peers/.

Change, types only: engines/ states what it sends to other hosts in an interface of its own (EngineGossip), which HostGossip implements; the digest publisher, the reported state and the receipt of messages name what they use of each part. hostParts.ts is used by entryHost.ts and createForwardingContext.ts only. Of circles in src, the one of two files is left (_answerHead.ts and siteProtocol.ts).

--- a/src/entry/engines/adapterExchange.ts
+++ b/src/entry/engines/adapterExchange.ts
@@ -8,8 +8,8 @@
 import { type AdapterWish } from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
 import { splitAdapterName } from "../../placement/index.js";
-import { type AdapterUseReport, type HostGossip } from "../peers/index.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
+import { type AdapterUseReport, type EngineGossip } from "./engineGossip.js";
 import { type EngineMemories } from "./engineMemories.js";
 import { type EngineOrders } from "./engineOrders.js";
 
@@ -17,7 +17,7 @@
 export interface AdapterExchangeOptions {
     readonly host: string;
     readonly duties: EngineDuties;
-    readonly gossip: HostGossip;
+    readonly gossip: Pick<EngineGossip, "reportAdapterUse" | "requestAdapter">;
     readonly memories: EngineMemories;
     readonly orders: EngineOrders;
     readonly peers: PeerTable;
--- a/src/entry/engines/engineMemories.ts
+++ b/src/entry/engines/engineMemories.ts
@@ -6,12 +6,12 @@
 import { type EngineMemory } from "../../generated/gossip.js";
 import { type EngineRecord } from "../../placement/index.js";
 import { toMemory } from "../_gossipParts.js";
-import { type HostGossip } from "../peers/index.js";
 import { type UpstreamTracker } from "../upstreamTracker.js";
+import { type EngineGossip } from "./engineGossip.js";
 
 /** Options of {@linkcode EngineMemories}. */
 export interface EngineMemoriesOptions {
-    readonly gossip: HostGossip;
+    readonly gossip: Pick<EngineGossip, "publishEngineMemory" | "sendEngineMemory">;
     readonly upstreams: UpstreamTracker;
     readonly readClock: () => number;
     /** Returns the memory record of an engine that this host manages; `undefined` for other engines. */
--- a/src/entry/engines/hostEngines.ts
+++ b/src/entry/engines/hostEngines.ts
@@ -9,12 +9,12 @@
 import { type PeerTable } from "../../gossip/index.js";
 import { type PlacementMove, type StoreLoadBound, type VersionCopyNeed } from "../../placement/index.js";
 import { type HostContext } from "../hostContext.js";
-import { type HostGossip } from "../peers/index.js";
 import { type SiteDemand } from "../siteDemand.js";
 import { type HostStore } from "../store/index.js";
 import { type UpstreamTracker } from "../upstreamTracker.js";
 import { VersionCopyRequests } from "./_versionCopyRequests.js";
 import { AdapterExchange } from "./adapterExchange.js";
+import { type EngineGossip } from "./engineGossip.js";
 import { EngineMemories } from "./engineMemories.js";
 import { EngineOrders } from "./engineOrders.js";
 import { FleetPlanner } from "./fleetPlanner.js";
@@ -27,7 +27,7 @@
     readonly duties: EngineDuties;
     readonly store: HostStore;
     readonly peers: PeerTable;
-    readonly gossip: HostGossip;
+    readonly gossip: EngineGossip;
     readonly upstreams: UpstreamTracker;
     readonly demand: SiteDemand;
     /** A change occurred that a waiting request may be waiting for. */
--- a/src/entry/engines/index.ts
+++ b/src/entry/engines/index.ts
@@ -14,6 +14,7 @@
  *
  * @module
  */
+export { type AdapterUseReport, type EngineGossip } from "./engineGossip.js";
 export { type EngineOrders } from "./engineOrders.js";
 export { HostEngines, type HostEnginesOptions } from "./hostEngines.js";
 export { type OutageAgreement } from "./outageAgreement.js";
--- a/src/entry/peers/digestPublisher.ts
+++ b/src/entry/peers/digestPublisher.ts
@@ -3,16 +3,34 @@
  *
  * @module
  */
+import { type EngineDuties } from "../../duties/index.js";
 import { type HostDigest } from "../../generated/gossip.js";
 import { toLeavingIncarnation, toMemory, toPublished } from "../_gossipParts.js";
-import { addressesOf } from "../hostContext.js";
-import { type HostParts } from "../hostParts.js";
+import { type HostEngines } from "../engines/index.js";
+import { addressesOf, type HostContext } from "../hostContext.js";
+import { type PartitionWatch } from "../partitionWatch.js";
+import { type RateLimiting } from "../rateLimiting.js";
+import { type SiteDemand } from "../siteDemand.js";
+import { type HostStore } from "../store/index.js";
+import { type UpstreamTracker } from "../upstreamTracker.js";
+import { type HostGossip } from "./hostGossip.js";
+import { type InterCellGossip } from "./interCellGossip.js";
 
 /** Upper bound on the limits in one digest. */
 const MAXIMUM_LIMITS_PER_DIGEST = 256;
 
 /** Options of {@linkcode DigestPublisher}. */
-export interface DigestPublisherOptions extends Omit<HostParts, "peers" | "streamVersions"> {
+export interface DigestPublisherOptions {
+    readonly context: HostContext;
+    readonly demand: Pick<SiteDemand, "hostDemand">;
+    readonly duties: Pick<EngineDuties, "relinquishments">;
+    readonly engines: Pick<HostEngines, "adapters" | "agreement" | "orders">;
+    readonly gossip: Pick<HostGossip, "publishDigest">;
+    readonly interCellGossip: Pick<InterCellGossip, "publishAggregates">;
+    readonly partitionWatch: Pick<PartitionWatch, "isHearing" | "isPartitioned">;
+    readonly rateLimiting: Pick<RateLimiting, "limiter">;
+    readonly store: Pick<HostStore, "configuration" | "feeds" | "revision">;
+    readonly upstreams: UpstreamTracker;
     /** Returns whether callers may be directed to this host. */
     readonly isReady: () => boolean;
 }
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {
-    type AdapterUseNotice,
     type EngineMemory,
     type FleetSummary,
     type HolderWord,
@@ -25,6 +24,7 @@
 import { type EntryMetrics, type Logger, type TimeSpent } from "../../observability/index.js";
 import { type VersionCopyNeed } from "../../placement/index.js";
 import { type PermitMessage } from "../../rateLimits/index.js";
+import { type AdapterUseReport, type EngineGossip } from "../engines/index.js";
 import { type ListenAddress } from "../settings.js";
 import { GossipProblems } from "./_gossipProblems.js";
 
@@ -48,11 +48,8 @@
     return { ...message, demand: {}, adapterDemand: {}, readingDemand: {} };
 }
 
-/** Report that a host began or ended using an adapter. */
-export type AdapterUseReport = Omit<AdapterUseNotice, "type">;
-
 /** Sends datagrams to the peers that need them. Sends are not awaited, and any datagram may be lost. */
-export class HostGossip {
+export class HostGossip implements EngineGossip {
     readonly #options: HostGossipOptions;
     #link: GossipLink | undefined;
 
--- a/src/entry/peers/index.ts
+++ b/src/entry/peers/index.ts
@@ -14,7 +14,7 @@
  */
 export { DigestPublisher, type DigestPublisherOptions } from "./digestPublisher.js";
 export { DigestRounds, type DigestRoundsOptions } from "./digestRounds.js";
-export { type AdapterUseReport, HostGossip, type HostGossipOptions } from "./hostGossip.js";
+export { HostGossip, type HostGossipOptions } from "./hostGossip.js";
 export { hostsNeedingDemand } from "./hostsNeedingDemand.js";
 export { InterCellGossip, type InterCellGossipOptions } from "./interCellGossip.js";
 export { type MessageReceivers, receiveMessage } from "./receiveMessage.js";
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -3,15 +3,26 @@
  *
  * @module
  */
+import { type EngineDuties } from "../../duties/index.js";
 import { type GossipMessage } from "../../gossip/index.js";
-import { type HostParts } from "../hostParts.js";
+import { type HostEngines } from "../engines/index.js";
+import { type RateLimiting } from "../rateLimiting.js";
+import { type HostStore } from "../store/index.js";
+import { type StreamVersions } from "../streamVersions.js";
+import { type UpstreamTracker } from "../upstreamTracker.js";
+import { type InterCellGossip } from "./interCellGossip.js";
 import { type ReportedState } from "./reportedState.js";
 
 /** The parts of a host that receive messages. */
-export interface MessageReceivers
-    extends Omit<HostParts, "context" | "demand" | "gossip" | "partitionWatch" | "peers">
-{
+export interface MessageReceivers {
+    readonly duties: Pick<EngineDuties, "setHolder">;
+    readonly engines: Pick<HostEngines, "adapters" | "memories" | "planner" | "receiveMoveRequest">;
+    readonly interCellGossip: Pick<InterCellGossip, "receiveAggregate">;
+    readonly rateLimiting: Pick<RateLimiting, "receive">;
     readonly reportedState: ReportedState;
+    readonly store: Pick<HostStore, "applyBatch">;
+    readonly streamVersions: Pick<StreamVersions, "receive">;
+    readonly upstreams: Pick<UpstreamTracker, "backlog" | "loads">;
 }
 
 /**
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -3,14 +3,31 @@
  *
  * @module
  */
+import { type EngineDuties } from "../../duties/index.js";
 import { type FleetSummary, type HostDigest } from "../../generated/gossip.js";
-import { type HostParts } from "../hostParts.js";
+import { type PeerTable } from "../../gossip/index.js";
+import { type HostEngines } from "../engines/index.js";
+import { type PartitionWatch } from "../partitionWatch.js";
+import { type RateLimiting } from "../rateLimiting.js";
+import { type SiteDemand } from "../siteDemand.js";
+import { type HostStore } from "../store/index.js";
+import { type UpstreamTracker } from "../upstreamTracker.js";
+import { type InterCellGossip } from "./interCellGossip.js";
 
 /** Stands for the other cells where reported state is kept by host. */
 const OTHER_CELLS_SOURCE = "(rest of the fleet)";
 
 /** The parts of a host to which reported state is applied. */
-export interface ReportedStateOptions extends Omit<HostParts, "context" | "gossip" | "streamVersions"> {
+export interface ReportedStateOptions {
+    readonly demand: Pick<SiteDemand, "recordPeerDemand">;
+    readonly duties: Pick<EngineDuties, "recordRelinquishment">;
+    readonly engines: Pick<HostEngines, "adapters" | "agreement" | "memories">;
+    readonly interCellGossip: Pick<InterCellGossip, "receiveDigest">;
+    readonly partitionWatch: Pick<PartitionWatch, "recordStatement">;
+    readonly peers: PeerTable;
+    readonly rateLimiting: Pick<RateLimiting, "limiter">;
+    readonly store: Pick<HostStore, "recordLaterRevision" | "recordWatchStatement">;
+    readonly upstreams: UpstreamTracker;
     readonly readClock: () => number;
 }
 
