--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -4,8 +4,6 @@
  * @module
  */
 import {
-    type AdapterUseNotice,
-    type AdapterWish,
     type EngineMemory,
     type FleetSummary,
     type HolderWord,
@@ -33,6 +31,7 @@
 } from "../../observability/index.js";
 import { type VersionCopyNeed } from "../../placement/index.js";
 import { type PermitMessage, type SlotMessage } from "../../rateLimits/index.js";
+import { type AdapterRequest, type AdapterUseReport, type EngineGossip } from "../engines/index.js";
 import { type ListenAddress } from "../settings.js";
 import { GossipProblems } from "./_gossipProblems.js";
 
@@ -56,14 +55,8 @@
     return { ...message, demand: {}, adapterDemand: {}, readingDemand: {} };
 }
 
-/** Report that a host began or ended using an adapter. */
-export type AdapterUseReport = Omit<AdapterUseNotice, "type">;
-
-/** Request for an adapter on an engine. */
-export type AdapterRequest = Omit<AdapterWish, "type" | "host">;
-
 /** Sends datagrams to the peers that need them. Sends are not awaited, and any datagram may be lost. */
-export class HostGossip {
+export class HostGossip implements EngineGossip {
     readonly #options: HostGossipOptions;
     readonly #received: ReceivedDatagrams;
     #link: GossipLink | undefined;
