Announce the close of a connection on which a request asks for an upgrade

What callers saw: a request in the same segment behind one with Connection: Upgrade got no answer, and its connection stayed open.

Cause: without a handler for upgrades Node answers such a request as any other, and drops the rest of the bytes that it has read with it.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -18,6 +18,14 @@
 
 const NO_BODY = Buffer.alloc(0);
 
+/**
+ * Returns whether requests behind a message cannot be read: its own bytes still arrive, or it asks for an upgrade, after
+ * which Node drops the rest of what it has read.
+ */
+function hidesSuccessors({ complete, headers: { connection = "", upgrade } }: IncomingMessage): boolean {
+    return !complete || (upgrade !== undefined && connection.toLowerCase().includes("upgrade"));
+}
+
 /** A request whose head was read. */
 export interface ReceivedHead {
     readonly message: IncomingMessage;
@@ -124,10 +132,9 @@
         }
     }
 
-    /** A request whose bytes still arrive after its answer ends the connection, since nothing behind it is read. */
-    #decideLast(isWanted: boolean, { complete }: IncomingMessage): boolean {
+    #decideLast(isWanted: boolean, message: IncomingMessage): boolean {
         const hasSuccessor = this.#order.hasWaiting || this.#finalAnswer !== undefined;
-        this.#isLastAnswer = !complete || this.#options.isClosing() || (isWanted && !hasSuccessor);
+        this.#isLastAnswer = hidesSuccessors(message) || this.#options.isClosing() || (isWanted && !hasSuccessor);
         return this.#isLastAnswer;
     }
 
