--- a/src/entry/engines/adapterExchange.ts
+++ b/src/entry/engines/adapterExchange.ts
@@ -8,9 +8,9 @@
 import { type AdapterWish } from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
 import { splitAdapterName } from "../../placement/index.js";
-import { type AdapterRequest, type AdapterUseReport, type HostGossip } from "../peers/index.js";
 import { RecentMessages } from "./_recentMessages.js";
 import { AdapterRequesters } from "./adapterRequesters.js";
+import { type AdapterRequest, type AdapterUseReport, type EngineGossip } from "./engineGossip.js";
 import { type EngineMemories } from "./engineMemories.js";
 import { type EngineOrders } from "./engineOrders.js";
 
@@ -21,7 +21,7 @@
 export interface AdapterExchangeOptions {
     readonly host: string;
     readonly duties: EngineDuties;
-    readonly gossip: HostGossip;
+    readonly gossip: Pick<EngineGossip, "reportAdapterUse" | "requestAdapter">;
     readonly memories: EngineMemories;
     readonly orders: EngineOrders;
     readonly peers: PeerTable;
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -28,6 +28,10 @@
     plannedMoveSchema,
     type SendNotice,
     sendNoticeSchema,
+    type SlotGrant,
+    slotGrantSchema,
+    type SlotRequest,
+    slotRequestSchema,
     type StoreChanges,
     storeChangesSchema,
     type StreamQuestion,
@@ -53,7 +57,7 @@
 const MAXIMUM_LOGGED_CHARACTERS = 40;
 
 /** The message format that this build reads and writes. */
-const PRESENT_FORMAT = 5;
+const PRESENT_FORMAT = 6;
 
 /** Stands for the type of datagrams that could not be decoded. */
 const UNREADABLE_TYPE = "unreadable";
@@ -70,6 +74,8 @@
     | HolderWord
     | PermitRequest
     | PermitGrant
+    | SlotRequest
+    | SlotGrant
     | StoreChanges
     | StreamsBegun
     | StreamQuestion
@@ -140,6 +146,8 @@
     holder: holderWordSchema,
     "permit-request": permitRequestSchema,
     "permit-grant": permitGrantSchema,
+    "slot-request": slotRequestSchema,
+    "slot-grant": slotGrantSchema,
     changes: storeChangesSchema,
     "streams-begun": streamsBegunSchema,
     "stream-question": streamQuestionSchema,
