--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -7,7 +7,7 @@
 import { type RequestTarget } from "./requestTarget.js";
 
 /** Why a request is rejected as it was read; its body is empty then. */
-export type RequestProblem = "body-too-large" | "headers-too-large";
+export type RequestProblem = "body-too-large" | "headers-too-large" | "no-host" | "unknown-expectation";
 
 /** A request that was read, or of which enough was read to reject it. */
 export interface Arrival {
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -19,11 +19,14 @@
 const NO_BODY = Buffer.alloc(0);
 
 /**
- * Returns whether requests behind a message cannot be read: its own bytes still arrive, or it asks for an upgrade, after
- * which Node drops the rest of what it has read.
+ * Returns whether no request behind a message can be answered: its own bytes still arrive, it asks for an upgrade, after
+ * which Node drops the rest of what it has read, or its HTTP version ends answers with their connection.
  */
-function hidesSuccessors({ complete, headers: { connection = "", upgrade } }: IncomingMessage): boolean {
-    return !complete || (upgrade !== undefined && connection.toLowerCase().includes("upgrade"));
+function isLastOfConnection(
+    { complete, headers: { connection = "", upgrade }, httpVersion }: IncomingMessage,
+): boolean {
+    const asksForUpgrade = upgrade !== undefined && connection.toLowerCase().includes("upgrade");
+    return !complete || asksForUpgrade || httpVersion === "1.0";
 }
 
 /** A request whose head was read. */
@@ -134,7 +137,7 @@
 
     #decideLast(isWanted: boolean, message: IncomingMessage): boolean {
         const hasSuccessor = this.#order.hasWaiting || this.#finalAnswer !== undefined;
-        this.#isLastAnswer = hidesSuccessors(message) || this.#options.isClosing() || (isWanted && !hasSuccessor);
+        this.#isLastAnswer = isLastOfConnection(message) || this.#options.isClosing() || (isWanted && !hasSuccessor);
         return this.#isLastAnswer;
     }
 
--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -11,7 +11,6 @@
 import { renderRawAnswer } from "./rawAnswer.js";
 
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
-const PREMATURE_END = "HPE_INVALID_EOF_STATE";
 const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 const STATUS_BAD_REQUEST = 400;
 const STATUS_METHOD_NOT_ALLOWED = 405;
@@ -60,14 +59,14 @@
 
     #handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.#options.connectionOf(socket);
-        if (connection.isEnding || (error.code === REQUEST_TIMEOUT && connection.isReadingPaused)) {
-            return;
-        }
-        const hasCallerLeft = error.code === PREMATURE_END && connection.hasAnswerDue;
+        const hasCallerLeft = socket.readableEnded && connection.hasAnswerDue;
         if (!socket.writable || hasCallerLeft) {
             socket.destroy(error);
             return;
         }
+        if (connection.isEnding || (error.code === REQUEST_TIMEOUT && connection.isReadingPaused)) {
+            return;
+        }
         const status = this.#statusOf(error, socket);
         if (error.code === HEADER_OVERFLOW) {
             this.#reportRefused(status);
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -16,6 +16,8 @@
 const STATUS_OF_PROBLEM: Readonly<Record<RequestProblem, number>> = {
     "body-too-large": 413,
     "headers-too-large": 431,
+    "no-host": 400,
+    "unknown-expectation": 417,
 };
 
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -9,7 +9,13 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
-import { CallerConnections, HeaderLimit, type RequestHandler, UnreadableRequests } from "./connections/index.js";
+import {
+    CallerConnections,
+    HeaderLimit,
+    type RequestHandler,
+    type RequestProblem,
+    UnreadableRequests,
+} from "./connections/index.js";
 import { type EntrySettings } from "./settings.js";
 import { type AuxiliaryAnswer, type AuxiliaryCalls } from "./siteProtocol.js";
 import { STATE_PATH } from "./store/index.js";
@@ -73,9 +79,15 @@
             keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
             headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
             requestTimeout: 0,
+            // Requests that Node would answer itself are answered in their turn.
+            requireHostHeader: false,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
             noDelay: true,
         }, (message, response) => this.#accept(message, response));
+        this.#callers.on(
+            "checkExpectation",
+            (message, response) => this.#connections.add(message, response, "unknown-expectation"),
+        );
         this.#headerLimit = new HeaderLimit(this.#callers);
         new UnreadableRequests({
             server: this.#callers,
@@ -124,8 +136,14 @@
     }
 
     #accept(message: IncomingMessage, response: ServerResponse): void {
-        const isAccepted = this.#headerLimit?.accepts(message) !== false;
-        this.#connections.add(message, response, isAccepted ? undefined : "headers-too-large");
+        this.#connections.add(message, response, this.#findProblem(message));
+    }
+
+    #findProblem(message: IncomingMessage): RequestProblem | undefined {
+        if (this.#headerLimit?.accepts(message) === false) {
+            return "headers-too-large";
+        }
+        return message.httpVersion === "1.1" && message.headers.host === undefined ? "no-host" : undefined;
     }
 
     #answerReadiness(url: string): AuxiliaryAnswer | undefined {
--- a/tests/requestForms.test.ts
+++ b/tests/requestForms.test.ts
@@ -5,22 +5,39 @@
  */
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
-import { EntrySite, HOST_NAME, type SiteHost, waitUntilReady } from "./support/entrySite.js";
+import { setTimeout as delay } from "node:timers/promises";
+import { EntrySite, HOST_NAME, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
 import { OverlappingCaller, renderRequest } from "./support/overlappingCaller.js";
 
 const SLOW_MILLISECONDS = 200;
 const WITHIN_MILLISECONDS = 5_000;
+const HEADER_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Time limits on heads are checked twice a second. */
+const CHECK_MILLISECONDS = 1_000;
+
+const NOTICED_MILLISECONDS = 500;
 
 let site: EntrySite;
 let host: SiteHost;
 
 before(async () => {
     site = await EntrySite.start();
-    site.configure([{ pathPrefix: "/reads/", timeoutMs: 6_000 }]);
+    site.configure([{ pathPrefix: "/reads/", timeoutMs: 10_000, targetLatencyMs: 10_000 }], undefined, {
+        limits: {
+            maxHeaderBytes: 16_384,
+            maxBodyBytes: 65_536,
+            headerTimeoutMs: HEADER_TIMEOUT_MILLISECONDS,
+            idleTimeoutMs: 15_000,
+        },
+    });
     await site.addUpstream({
         id: "i-sound",
         slots: 50,
-        behave: ({ path }) => ({ type: "answer", afterMilliseconds: path === "/reads/slow" ? SLOW_MILLISECONDS : 0 }),
+        behave: ({ path }) =>
+            path === "/reads/never"
+                ? { type: "silent" }
+                : { type: "answer", afterMilliseconds: path === "/reads/slow" ? SLOW_MILLISECONDS : 0 },
     });
     host = await site.addHost("entry-1");
     await waitUntilReady(host);
@@ -30,6 +47,34 @@
     await site.close();
 });
 
+test("a request without a host name, or with an unknown expectation, does not cost the next one its answer", async () => {
+    const caller = new OverlappingCaller(host);
+    const withoutHost = renderRequest({ id: "no-host", path: "/reads/1" }).replace(/Host: .*\r\n/u, "");
+    const expecting = renderRequest({ id: "expecting", path: "/reads/1", headers: { Expect: "200-maybe" } });
+    const slow = renderRequest({ id: "before-no-host", path: "/reads/slow" });
+    caller.write(slow + withoutHost + expecting + renderRequest({ id: "after-no-host", path: "/reads/1" }));
+    const answers = await caller.waitForAnswers(4, WITHIN_MILLISECONDS);
+    caller.close();
+    assert.deepEqual(answers.map(({ status }) => status), [200, 400, 417, 200]);
+    assert.match(answers[3]?.body ?? "", /ran after-no-host/u);
+});
+
+for (
+    const [name, bytes] of Object.entries({
+        "half a head": "GET /reads/1 HTTP/1.1\r\nHos",
+        "no request": "???\r\n\r\n",
+    })
+) {
+    test(`no engine goes on for a caller that left after ${name}, which is to be refused behind its request`, async () => {
+        const caller = new OverlappingCaller(host);
+        const id = `left-${name.replaceAll(" ", "-")}`;
+        caller.write(renderRequest({ id, path: "/reads/never" }) + bytes);
+        await delay(HEADER_TIMEOUT_MILLISECONDS + CHECK_MILLISECONDS);
+        caller.close();
+        await until(() => site.upstreams.some(({ abandoned }) => abandoned.includes(id)), NOTICED_MILLISECONDS);
+    });
+}
+
 test("a request whose first line has a whole URL is not refused as unknown, and is sent on by its path", async () => {
     const caller = new OverlappingCaller(host);
     caller.write(renderRequest({ id: "absolute", path: `http://${HOST_NAME}/reads/1?x=%20` }));
