Handle a waiting digest before later notices of the same host

Cause: states and other messages are taken in turn, whatever their order.

Change: a message is not handled before a state of its sender that arrived earlier. src/gossip/receiveQueue.test.ts: the new test failed before; 10 passed now. An older notice may still be handled after a newer state, as before.

--- a/src/gossip/receiveQueue.test.ts
+++ b/src/gossip/receiveQueue.test.ts
@@ -62,6 +62,16 @@
     assert.equal(queue.add(datagramOf(wish)), undefined);
 });
 
+test("a digest is not handled after a later notice of the same host, which it would take back", () => {
+    const queue = new ReceiveQueue();
+    ["a:1", "b:1", "c:1"].forEach(source => queue.add(digestOf(1, source)));
+    const digest = digestOf(1);
+    const notice = noticeOf(1);
+    [digest, notice].forEach(datagram => queue.add(datagram));
+    const taken = takeAll(queue);
+    assert.ok(taken.indexOf(digest) < taken.indexOf(notice));
+});
+
 test("many notices do not hold back the digests, nor many digests a notice", () => {
     const queue = new ReceiveQueue();
     [1, 2, 3].forEach(tokens => queue.add(noticeOf(tokens)));
--- a/src/gossip/receiveQueue.ts
+++ b/src/gossip/receiveQueue.ts
@@ -44,7 +44,17 @@
 function stateKeyOf({ bytes, source }: WaitingDatagram): string | undefined {
     const beginning = bytes.toString("latin1", 0, LONGEST_BEGINNING);
     const kind = STATE_BEGINNINGS.find(each => beginning.startsWith(each));
-    return kind === undefined ? undefined : `${kind} ${source}`;
+    return kind === undefined ? undefined : keyOfState(kind, source);
+}
+
+function keyOfState(kind: string, source: string): string {
+    return `${kind} ${source}`;
+}
+
+/** A datagram and its number in the order of arrival. */
+interface QueuedDatagram {
+    readonly datagram: WaitingDatagram;
+    readonly arrival: number;
 }
 
 /** Returns the key of a repeated request, which equal ones share; `undefined` for a message that is not repeated. */
@@ -66,11 +76,12 @@
  */
 export class ReceiveQueue {
     /** The latest datagram of each sender and kind; a newer one keeps the place of the older. */
-    readonly #states = new Map<string, WaitingDatagram>();
+    readonly #states = new Map<string, QueuedDatagram>();
     /** Datagrams that count on their own, in the order of their arrival; repeated requests by their key. */
-    readonly #others = new Map<string | WaitingDatagram, WaitingDatagram>();
+    readonly #others = new Map<string | WaitingDatagram, QueuedDatagram>();
     readonly #othersOfSender = new Map<string, number>();
     #waitingBytes = 0;
+    #arrivals = 0;
     #takesState = true;
 
     /** Number of datagrams that wait. */
@@ -86,7 +97,7 @@
     add(datagram: WaitingDatagram): DropReason | undefined {
         const key = stateKeyOf(datagram);
         const older = key === undefined ? undefined : this.#states.get(key);
-        const addedBytes = datagram.bytes.length - (older?.bytes.length ?? 0);
+        const addedBytes = datagram.bytes.length - (older?.datagram.bytes.length ?? 0);
         if (this.#waitingBytes + addedBytes > MAXIMUM_WAITING_BYTES) {
             return "queue-full";
         }
@@ -94,7 +105,7 @@
             return this.#addOther(datagram);
         }
         this.#waitingBytes += addedBytes;
-        this.#states.set(key, datagram);
+        this.#states.set(key, this.#queued(datagram));
         return older === undefined ? undefined : "superseded";
     }
 
@@ -127,18 +138,30 @@
         }
         this.#waitingBytes += bytes.length;
         this.#othersOfSender.set(source, count + 1);
-        this.#others.set(key, datagram);
+        this.#others.set(key, this.#queued(datagram));
         return undefined;
     }
 
     #takeState(): WaitingDatagram | undefined {
-        const [first] = this.#states;
-        if (first === undefined) {
-            return undefined;
-        }
-        const [key, datagram] = first;
+        const [key] = this.#states.keys();
+        return key === undefined ? undefined : this.#removeState(key);
+    }
+
+    #removeState(key: string): WaitingDatagram | undefined {
+        const queued = this.#states.get(key);
         this.#states.delete(key);
-        return datagram;
+        return queued?.datagram;
+    }
+
+    /** Returns the key of a state that arrived before another datagram of its sender, and must not be handled after it. */
+    #findEarlierState({ arrival, datagram: { source } }: QueuedDatagram): string | undefined {
+        const keys = STATE_BEGINNINGS.map(kind => keyOfState(kind, source));
+        return keys.find(key => (this.#states.get(key)?.arrival ?? arrival) < arrival);
+    }
+
+    #queued(datagram: WaitingDatagram): QueuedDatagram {
+        this.#arrivals += 1;
+        return { datagram, arrival: this.#arrivals };
     }
 
     #takeOther(): WaitingDatagram | undefined {
@@ -146,7 +169,12 @@
         if (first === undefined) {
             return undefined;
         }
-        const [key, datagram] = first;
+        const [key, queued] = first;
+        const earlierState = this.#findEarlierState(queued);
+        if (earlierState !== undefined) {
+            return this.#removeState(earlierState);
+        }
+        const { datagram } = queued;
         this.#others.delete(key);
         const left = (this.#othersOfSender.get(datagram.source) ?? 0) - 1;
         if (left > 0) {
