Load an adapter elsewhere where no engine that holds it can be tried

What callers saw, in plays of upgrades: a stream of an adapter was broken off after 14 to 18 of 40 events when its engine was lost, and a later request tried the lost engine 17 times in 8 s and was refused as out-of-time, although another engine could load the adapter.

Cause: an engine that is lost counts as holding its adapters until it is known to be gone, and an adapter that some engine holds was loaded nowhere else.

Change: it is also loaded where none of the engines that hold it can be tried.

--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -241,7 +241,7 @@
         if (limited.length > 0 && choice.type === "none") {
             this.#wait.waitForPermit(loadable);
         }
-        else if (loadable.length > 0 && resident.length === 0) {
+        else if (loadable.length > 0 && (resident.length === 0 || choice.type === "none")) {
             this.#wait.waitForAdapter(loadable);
         }
         else if (choice.type === "all-full") {
