--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -9,6 +9,14 @@
 /** Why a request is rejected as it was read; its body is empty then. */
 export type RequestProblem = "body-too-large" | "headers-too-large" | "no-host" | "unknown-expectation";
 
+/** Options of the decision whether an answer is the last one of its connection. */
+export interface CloseDecisionOptions {
+    /** True where the caller should use another host. */
+    readonly isWanted: boolean;
+    /** False for an answer whose length is not known when its head is written. */
+    readonly hasLength: boolean;
+}
+
 /** A request that was read, or of which enough was read to reject it. */
 export interface Arrival {
     readonly message: IncomingMessage;
@@ -21,8 +29,8 @@
     /** Number of earlier requests on its connection that had no whole answer when this one's head was read. */
     readonly unansweredBefore: number;
     /**
-     * Decides, when the head of the answer is written, whether it is the last one of its connection: where this is
-     * wanted and no other request waits for its answer there.
+     * Decides, when the head of the answer is written, whether it is the last one of its connection: where this cannot be
+     * avoided, or is wanted and no other request waits for its answer there.
      */
-    readonly closesConnection: (isWanted: boolean) => boolean;
+    readonly closesConnection: (options: CloseDecisionOptions) => boolean;
 }
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -6,7 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
 import { readBody } from "./_readBody.js";
-import { type Arrival, type RequestProblem } from "./arrival.js";
+import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
 
@@ -20,13 +20,14 @@
 
 /**
  * Returns whether no request behind a message can be answered: its own bytes still arrive, it asks for an upgrade, after
- * which Node drops the rest of what it has read, or its HTTP version ends answers with their connection.
+ * which Node drops bytes that it has read, or its answer ends with its connection, for lack of a length and of chunks.
  */
 function isLastOfConnection(
-    { complete, headers: { connection = "", upgrade }, httpVersion }: IncomingMessage,
+    { complete, headers: { upgrade }, httpVersion }: IncomingMessage,
+    hasLength: boolean,
 ): boolean {
-    const asksForUpgrade = upgrade !== undefined && connection.toLowerCase().includes("upgrade");
-    return !complete || asksForUpgrade || httpVersion === "1.0";
+    const endsWithConnection = !hasLength && httpVersion === "1.0";
+    return !complete || upgrade !== undefined || endsWithConnection;
 }
 
 /** A request whose head was read. */
@@ -110,7 +111,7 @@
             problem,
             arrivedAtMilliseconds: head.arrivedAtMilliseconds,
             unansweredBefore,
-            closesConnection: isWanted => this.#decideLast(isWanted, message),
+            closesConnection: options => this.#decideLast(message, options),
         });
         if (head.problem !== undefined) {
             message.resume();
@@ -135,9 +136,10 @@
         }
     }
 
-    #decideLast(isWanted: boolean, message: IncomingMessage): boolean {
+    #decideLast(message: IncomingMessage, { hasLength, isWanted }: CloseDecisionOptions): boolean {
+        const isLast = isLastOfConnection(message, hasLength) || this.#options.isClosing();
         const hasSuccessor = this.#order.hasWaiting || this.#finalAnswer !== undefined;
-        this.#isLastAnswer = isLastOfConnection(message) || this.#options.isClosing() || (isWanted && !hasSuccessor);
+        this.#isLastAnswer = isLast || (isWanted && !hasSuccessor);
         return this.#isLastAnswer;
     }
 
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { type Arrival, type RequestProblem } from "./arrival.js";
+export { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
 export { CallerConnections, type RequestHandler } from "./callerConnections.js";
 export { HeaderLimit } from "./headerLimit.js";
 export { renderRawAnswer } from "./rawAnswer.js";
--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -60,13 +60,17 @@
     #handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.#options.connectionOf(socket);
         const hasCallerLeft = socket.readableEnded && connection.hasAnswerDue;
-        if (!socket.writable || hasCallerLeft) {
+        if (hasCallerLeft) {
             socket.destroy(error);
             return;
         }
         if (connection.isEnding || (error.code === REQUEST_TIMEOUT && connection.isReadingPaused)) {
             return;
         }
+        if (!socket.writable) {
+            socket.destroy(error);
+            return;
+        }
         const status = this.#statusOf(error, socket);
         if (error.code === HEADER_OVERFLOW) {
             this.#reportRefused(status);
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -17,7 +17,7 @@
     readonly requestIdHeader: string;
     readonly isHead: boolean;
     /** Decides, when the head is written, whether the answer is the last one of its connection. */
-    readonly closesConnection: () => boolean;
+    readonly closesConnection: (hasLength: boolean) => boolean;
     readonly readClock: () => number;
 }
 
@@ -77,7 +77,7 @@
     forwardWhole(head: AnswerHead, body: Buffer): void {
         const headers = passThroughHeaders(head.rawHeaders, NO_CONTENT_LENGTH);
         const length = this.#options.isHead ? [] : ["Content-Length", String(body.length)];
-        this.#options.response.writeHead(head.status, [...headers, ...length, ...this.#closingHeaders()]);
+        this.#options.response.writeHead(head.status, [...headers, ...length, ...this.#closingHeaders(true)]);
         this.#firstByteAtMilliseconds = this.#options.readClock();
         this.#begun = true;
         this.#options.response.end(body);
@@ -95,7 +95,7 @@
             "content-length": Buffer.byteLength(body),
             ...headers,
             [requestIdHeader]: requestId,
-            ...this.#options.closesConnection() ? { connection: "close" } : {},
+            ...this.#options.closesConnection(true) ? { connection: "close" } : {},
         });
         response.end(body);
     }
@@ -118,12 +118,12 @@
             return;
         }
         const headers = passThroughHeaders(head.rawHeaders, NO_CONTENT_LENGTH);
-        this.#options.response.writeHead(head.status, [...headers, ...this.#closingHeaders()]);
+        this.#options.response.writeHead(head.status, [...headers, ...this.#closingHeaders(false)]);
         this.#begun = true;
     }
 
-    #closingHeaders(): string[] {
-        return this.#options.closesConnection() ? ["Connection", "close"] : [];
+    #closingHeaders(hasLength: boolean): string[] {
+        return this.#options.closesConnection(hasLength) ? ["Connection", "close"] : [];
     }
 
     #recordEvents(count: number): void {
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -8,7 +8,7 @@
 import { type RequestAttributes } from "../../crashes/index.js";
 import { sharedParts } from "../../forwarding/index.js";
 import { chooseService, type Route } from "../../routes/index.js";
-import { type RequestTarget } from "../connections/index.js";
+import { type CloseDecisionOptions, type RequestTarget } from "../connections/index.js";
 import { promptTokensOf, workOf } from "../demandMeter.js";
 import { type HeaderNames } from "../siteProtocol.js";
 
@@ -25,7 +25,7 @@
     readonly arrivedAtMilliseconds: number;
     readonly configurationVersion: number;
     /** Decides, when the head of the answer is written, whether it is the last one of its connection. */
-    readonly closesConnection: (isWanted: boolean) => boolean;
+    readonly closesConnection: (options: CloseDecisionOptions) => boolean;
 }
 
 /** Properties of a request that forwarding decisions depend on. */
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -46,7 +46,7 @@
         requestId,
         requestIdHeader: context.headers.requestId,
         isHead: message.method === "HEAD",
-        closesConnection: () => closesConnection(context.closesConnections()),
+        closesConnection: hasLength => closesConnection({ isWanted: context.closesConnections(), hasLength }),
         readClock: () => context.readClock(),
     });
 }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -199,7 +199,7 @@
             return;
         }
         const { body, headers } = this.#createRefusal(message, status, reason);
-        const isLast = closesConnection(this.#context.closesConnections());
+        const isLast = closesConnection({ isWanted: this.#context.closesConnections(), hasLength: true });
         response.writeHead(status, {
             ...headers,
             "content-length": Buffer.byteLength(body),
--- a/tests/requestForms.test.ts
+++ b/tests/requestForms.test.ts
@@ -105,3 +105,19 @@
     assert.deepEqual(answers.map(({ status }) => status), [200, 405]);
     assert.match(answers[0]?.body ?? "", /ran before-tunnel/u);
 });
+
+test("a request in the body of another one is not run behind a request for an upgrade", async () => {
+    const caller = new OverlappingCaller(host);
+    const hidden = renderRequest({ id: "hidden", path: "/reads/1" });
+    const headers = { "Proxy-Connection": "Upgrade", "Upgrade": "websocket" };
+    const order = renderRequest({ id: "around-hidden", path: "/reads/2", method: "POST", body: hidden });
+    const split = order.length - hidden.length;
+    caller.write(renderRequest({ id: "upgrade", path: "/reads/slow", headers }) + order.slice(0, split));
+    await delay(SLOW_MILLISECONDS / 2);
+    caller.write(order.slice(split));
+    const answers = await caller.waitForAnswers(3, WITHIN_MILLISECONDS);
+    caller.close();
+    assert.equal(answers[0]?.status, 200);
+    assert.ok(answers.slice(1).every(({ status }) => status === 503));
+    assert.equal(site.upstreams.flatMap(({ received }) => received).some(({ id }) => id === "hidden"), false);
+});
