Read a connection's requests and create the callers' server in steps of their own

Found by reading the diff as a newcomer: CallerConnection.add and HostServers.start each did several things, and a class was created for its listeners alone.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -51,6 +51,26 @@
     readonly onUnanswered: (messages: readonly IncomingMessage[]) => void;
 }
 
+/** Reads a request, and calls back once; not at all if its caller leaves before it was read. */
+function readRequest(
+    { bodyLimitBytes, message, problem }: ReceivedHead,
+    onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
+): void {
+    if (problem !== undefined) {
+        message.resume();
+        onRead(NO_BODY, problem);
+        return;
+    }
+    readBody(message, bodyLimitBytes, body => {
+        if (body === "too-large") {
+            onRead(NO_BODY, "body-too-large");
+        }
+        else if (body !== "caller-left") {
+            onRead(body, undefined);
+        }
+    });
+}
+
 /**
  * Hands the requests of a connection on one after another, so that none is begun whose answer might not be delivered:
  * an earlier answer that breaks off or closes the connection ends it for all requests behind it.
@@ -96,36 +116,23 @@
     /** Reads a request and hands it on in its turn. */
     add(head: ReceivedHead): void {
         const { message, response } = head;
-        const unansweredBefore = this.#order.size;
-        const target = readTarget(message);
         const place = this.#order.add();
+        const unansweredBefore = this.#order.size - 1;
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
         response.prependListener("finish", () => this.#handleAnswered(message));
         response.on("close", () => this.#handleEnded(place));
-        const createArrival = (body: Buffer, problem = head.problem): Arrival => ({
-            message,
-            response,
-            target,
-            body,
-            problem,
-            arrivedAtMilliseconds: head.arrivedAtMilliseconds,
-            unansweredBefore,
-            closesConnection: options => this.#decideLast(message, options),
-        });
-        if (head.problem !== undefined) {
-            message.resume();
-            this.#handleRead(place, createArrival(NO_BODY));
-            return;
-        }
-        readBody(message, head.bodyLimitBytes, body => {
-            if (body === "too-large") {
-                this.#handleRead(place, createArrival(NO_BODY, "body-too-large"));
-            }
-            else if (body !== "caller-left") {
-                this.#handleRead(place, createArrival(body));
-            }
-        });
+        readRequest(head, (body, problem) =>
+            this.#handleRead(place, {
+                message,
+                response,
+                target: readTarget(message),
+                body,
+                problem,
+                arrivedAtMilliseconds: head.arrivedAtMilliseconds,
+                unansweredBefore,
+                closesConnection: options => this.#decideLast(message, options),
+            }));
     }
 
     /** Answers bytes that are no request, after the requests before them, and closes the connection. */
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -4,8 +4,9 @@
  * @module
  */
 export { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
+export { type CallerConnection } from "./callerConnection.js";
 export { CallerConnections, type RequestHandler } from "./callerConnections.js";
 export { HeaderLimit } from "./headerLimit.js";
 export { renderRawAnswer } from "./rawAnswer.js";
 export { type RequestTarget } from "./requestTarget.js";
-export { UnreadableRequests } from "./unreadableRequests.js";
+export { answerUnreadableRequests } from "./unreadableRequests.js";
--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -28,7 +28,7 @@
     [HEADER_OVERFLOW]: STATUS_HEADERS_TOO_LARGE,
 };
 
-/** Options of {@linkcode UnreadableRequests}. */
+/** Options of {@linkcode answerUnreadableRequests}. */
 export interface UnreadableRequestsOptions {
     readonly server: Server;
     readonly headerLimit: HeaderLimit;
@@ -37,27 +37,14 @@
     readonly metrics: EntryMetrics;
 }
 
-/**
- * Answers, behind the requests before them, what a server cannot read as a request, and closes the connection. Where the
- * header limit was raised since the connection began, a longer head is answered as one that the caller may send again
- * on a new connection.
- *
- * @example
- * ```ts
- * new UnreadableRequests({ server, headerLimit, connectionOf: socket => connections.of(socket), logger, metrics });
- * ```
- */
-export class UnreadableRequests {
+class UnreadableRequests {
     readonly #options: UnreadableRequestsOptions;
 
     constructor(options: UnreadableRequestsOptions) {
         this.#options = options;
-        const { server } = options;
-        server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => this.#handleError(error, socket));
-        server.on("connect", (_message: IncomingMessage, socket: Duplex) => this.#refuseTunnel(socket));
     }
 
-    #handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
+    handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.#options.connectionOf(socket);
         const hasCallerLeft = socket.readableEnded && connection.hasAnswerDue;
         if (hasCallerLeft) {
@@ -80,7 +67,7 @@
     }
 
     /** Node hands the connection over without the listeners of its own that would notice its end. */
-    #refuseTunnel(socket: Duplex): void {
+    refuseTunnel(socket: Duplex): void {
         socket.on("error", () => socket.destroy());
         socket.on("end", () => socket.destroy());
         socket.resume();
@@ -107,3 +94,24 @@
         metrics.count("refusals", { reason });
     }
 }
+
+/**
+ * Answers, behind the requests before them, what a server cannot read as a request, and closes the connection. Where the
+ * header limit was raised since the connection began, a longer head is answered as one that the caller may send again
+ * on a new connection.
+ *
+ * @param options The server, its header limit and its connections.
+ *
+ * @example
+ * ```ts
+ * answerUnreadableRequests({ server, headerLimit, connectionOf: socket => connections.of(socket), logger, metrics });
+ * ```
+ */
+export function answerUnreadableRequests(options: UnreadableRequestsOptions): void {
+    const requests = new UnreadableRequests(options);
+    options.server.on(
+        "clientError",
+        (error: NodeJS.ErrnoException, socket: Duplex) => requests.handleError(error, socket),
+    );
+    options.server.on("connect", (_message: IncomingMessage, socket: Duplex) => requests.refuseTunnel(socket));
+}
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -4,17 +4,19 @@
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Duplex } from "node:stream";
 import { type SharedState } from "../generated/gossip.js";
 import { type AdvertisedHost, selectAddresses } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
 import {
+    answerUnreadableRequests,
+    type CallerConnection,
     CallerConnections,
     HeaderLimit,
     type RequestHandler,
     type RequestProblem,
-    UnreadableRequests,
 } from "./connections/index.js";
 import { type EntrySettings } from "./settings.js";
 import { type AuxiliaryAnswer, type AuxiliaryCalls } from "./siteProtocol.js";
@@ -72,30 +74,10 @@
      * @throws Rejects where an address cannot be used; servers that were started run until `close`.
      */
     async start(): Promise<void> {
-        const { logger, metrics: entryMetrics, settings } = this.#options;
+        const { logger, settings } = this.#options;
         const { callers, directory, metrics, readiness, state } = settings();
         const onProblem = (problem: string): void => logger.warn("small call failed", { problem });
-        this.#callers = createServer({
-            keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
-            headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
-            requestTimeout: 0,
-            // Requests that Node would answer itself are answered in their turn.
-            requireHostHeader: false,
-            connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
-            noDelay: true,
-        }, (message, response) => this.#accept(message, response));
-        this.#callers.on(
-            "checkExpectation",
-            (message, response) => this.#connections.add(message, response, "unknown-expectation"),
-        );
-        this.#headerLimit = new HeaderLimit(this.#callers);
-        new UnreadableRequests({
-            server: this.#callers,
-            headerLimit: this.#headerLimit,
-            connectionOf: socket => this.#connections.of(socket),
-            logger,
-            metrics: entryMetrics,
-        });
+        this.#callers = this.#createCallersServer();
         this.#servers.push(await listen(this.#callers, callers));
         this.#servers.push(await startAuxiliaryServer(readiness, url => this.#answerReadiness(url), onProblem));
         this.#servers.push(await startAuxiliaryServer(directory, url => this.#answerDirectory(url), onProblem));
@@ -135,6 +117,28 @@
         }
     }
 
+    #createCallersServer(): Server {
+        const { logger, metrics } = this.#options;
+        const server = createServer({
+            keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
+            headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
+            requestTimeout: 0,
+            // Requests that Node would answer itself are answered in their turn.
+            requireHostHeader: false,
+            connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
+            noDelay: true,
+        }, (message, response) => this.#accept(message, response));
+        server.on(
+            "checkExpectation",
+            (message, response) => this.#connections.add(message, response, "unknown-expectation"),
+        );
+        const headerLimit = new HeaderLimit(server);
+        const connectionOf = (socket: Duplex): CallerConnection => this.#connections.of(socket);
+        answerUnreadableRequests({ server, headerLimit, connectionOf, logger, metrics });
+        this.#headerLimit = headerLimit;
+        return server;
+    }
+
     #accept(message: IncomingMessage, response: ServerResponse): void {
         this.#connections.add(message, response, this.#findProblem(message));
     }
--- a/tests/overlappingRequests.test.ts
+++ b/tests/overlappingRequests.test.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that callers send on one connection before the answer to the one before is over.
+ * Requests that overlap on one connection: each is sent before the answer to the one before is over.
  *
  * @module
  */
