Log when a caller's end was read, and a connection that stood late

`request ended` now has `callerEndReadMilliseconds`, and `request connected late` says that the first byte left over 100 ms after `request sent`. No logic changes.

Ruled out: nothing by this change alone.

--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -17,6 +17,9 @@
 /** Connecting within a region takes a few milliseconds, or a second if the first packet is lost. */
 const CONNECT_TIMEOUT_MILLISECONDS = 350;
 
+/** A connection that stood later than this after its request was sent is logged. */
+const LATE_CONNECTION_MILLISECONDS = 100;
+
 /** Error code of a connection to an address at which nobody listens. */
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
@@ -68,7 +71,11 @@
             headers: this.#headersFor(attempt.upstream),
             body,
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-            onConnected: () => this.#ifRunning(attempt, () => hedging().handleConnected(attempt)),
+            onConnected: () =>
+                this.#ifRunning(attempt, () => {
+                    this.#logLateConnection(attempt);
+                    hedging().handleConnected(attempt);
+                }),
             onHead: head => this.#ifRunning(attempt, () => receiver.handleHead(attempt, head)),
             onData: chunk => this.#ifRunning(attempt, () => receiver.handleData(attempt, chunk)),
             onEnd: () => this.#ifRunning(attempt, () => receiver.handleEnd(attempt)),
@@ -108,6 +115,16 @@
         });
     }
 
+    #logLateConnection({ number, quietMilliseconds, upstream }: Attempt): void {
+        if (quietMilliseconds > LATE_CONNECTION_MILLISECONDS) {
+            this.#parts.logger.info("request connected late", {
+                upstream: upstream.id,
+                attempt: number,
+                connectMilliseconds: Math.round(quietMilliseconds),
+            });
+        }
+    }
+
     #headersFor(upstream: UpstreamAnnouncement): string[] {
         const { context, facts, progress, request } = this.#parts;
         return outgoingHeaders(request, context.headers, {
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -50,6 +50,7 @@
     /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
     #isDoubted = false;
     #deadlineTimer: NodeJS.Timeout | undefined;
+    readonly #recordCallerEndRead = (): void => this.#ending.recordCallerEndRead();
 
     constructor(context: ForwardingContext, request: CallerRequest, listener: ExchangeListener) {
         this.#context = context;
@@ -152,9 +153,10 @@
     }
 
     #begin(): void {
-        const { arrivedAtMilliseconds, response } = this.#parts.request;
+        const { arrivedAtMilliseconds, message, response } = this.#parts.request;
         const { model, promptTokens, service, work } = this.#parts.facts;
         response.on("close", () => this.#guard(() => this.#ending.handleCallerClosed()));
+        message.socket.once("end", this.#recordCallerEndRead);
         response.on("drain", () => this.#guard(() => this.#receiver.handleDrain()));
         this.#deadlineTimer = setTimeout(() => this.abort(), Math.max(0, remainingMilliseconds(this.#parts)));
         if (service === undefined) {
@@ -329,6 +331,7 @@
     /** Ends the timers and the wait of a request that has ended. */
     #close(outcome: string): void {
         clearTimeout(this.#deadlineTimer);
+        this.#parts.request.message.socket.off("end", this.#recordCallerEndRead);
         this.#hedging.close();
         this.#dispatchTimer.close();
         this.#waitTime.end(outcome);
