Log the age of the last store answer with each request sent

Callers saw requests run by engines that had said that they leave; the logs could not tell a decision on an old view from a fresh one whose bytes left late.

Cause: `request sent` named the engine and not when this host had last heard the key-value service.

Ruled out: a line of its own for each late decision (volume); the revision of the view (says nothing of time).

Change: the field `viewAgeMilliseconds` in `request sent`, the time since this host last read any answer of the service. It is a lower bound: a poll that was answered early in a stop counts as read when the host goes on, and the answer to a renewal carries no entries.

--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -45,6 +45,7 @@
         heldBytes: new BufferedAnswerBytes(),
         adapterUse: engines.adapters.use,
         routeTable: () => store.configuration.table,
+        viewAgeMilliseconds: () => store.reachability.millisecondsSinceAnswer(),
         hostCount: () => peers.live(readClock()).length + 1,
         requestAdapter: (engine, model, adapter) => engines.adapters.request(engine, model, adapter),
         requestVersionCopy: need => engines.requestVersionCopy(need),
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -104,6 +104,7 @@
             boundTokens: context.backlog.limitTokens,
             configurationVersion: request.configurationVersion,
             remainingMilliseconds: Math.round(remainingMilliseconds(this.#parts)),
+            viewAgeMilliseconds: Math.round(context.viewAgeMilliseconds()),
             upstreamSilentMilliseconds: logger.upstreamSilentMilliseconds(attempt),
         });
     }
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -59,6 +59,8 @@
     /** `undefined` while no configuration is known. */
     routeTable(): RouteTable | undefined;
     agentFor(service: string): Agent;
+    /** Time since this host last read an answer of the key-value service; what it answered may be older. */
+    viewAgeMilliseconds(): number;
     /** Number of hosts that serve callers, this one included. */
     hostCount(): number;
     /** Requests an adapter from the engine's holder; false where this host knows of no holder. */
--- a/src/entry/store/serviceReachability.ts
+++ b/src/entry/store/serviceReachability.ts
@@ -58,9 +58,13 @@
     }
 
     /** Returns the time since the last answer. */
+    millisecondsSinceAnswer(): number {
+        return Math.max(0, this.#options.readClock() - this.#answeredAtMilliseconds);
+    }
+
+    /** Returns the time since the last answer, in seconds. */
     secondsSinceAnswer(): number {
-        const silence = this.#options.readClock() - this.#answeredAtMilliseconds;
-        return Math.max(0, silence / MILLISECONDS_PER_SECOND);
+        return this.millisecondsSinceAnswer() / MILLISECONDS_PER_SECOND;
     }
 
     close(): void {
