Read the store's changes on demand, and apply none that comes after later ones

Found with it, of the class "an older word after a newer one": a removal that the watch delivers after a later entry of the same key had come from a peer removed that entry again, for up to the next answer. Changes that are known when an answer of the watch is read are skipped now; those of one transaction are all applied. Tests: storeMirror (two new; the first fails without the change).

--- a/src/entry/hostContext.ts
+++ b/src/entry/hostContext.ts
@@ -8,7 +8,7 @@
 import { type HostAddresses } from "../generated/gossip.js";
 import { type openGossipLink } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
-import { type KeyValueService } from "../platform/index.js";
+import { type ChangeReader, type KeyValueService } from "../platform/index.js";
 import { HostLifecycle } from "./hostLifecycle.js";
 import { type EntrySettings } from "./settings.js";
 import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
@@ -19,7 +19,7 @@
 export interface EntryHostOptions {
     readonly settings: EntrySettings;
     readonly protocol: SiteProtocol;
-    readonly keyValue: KeyValueService;
+    readonly keyValue: KeyValueService & ChangeReader;
     readonly control: EngineControl;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
--- a/src/entry/store/storeMirror.test.ts
+++ b/src/entry/store/storeMirror.test.ts
@@ -2,20 +2,28 @@
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { Ok } from "ts-results-es";
-import { type KeyValueService, type WatchEvent } from "../../platform/index.js";
+import {
+    type ChangeReader,
+    type KeyValueChanges,
+    type KeyValueService,
+    type WatchEvent,
+} from "../../platform/index.js";
 import { type ChangeBatch, type MirrorEvent, StoreMirror } from "./storeMirror.js";
 
 /** A key-value service whose watches deliver the events that a test emits; records each watch's first revision. */
 interface SimulatedService {
-    readonly keyValue: KeyValueService;
+    readonly keyValue: KeyValueService & ChangeReader;
     readonly watchRevisions: number[];
+    /** Answer to a read of changes. */
+    changes: KeyValueChanges;
     emit(event: WatchEvent): void;
 }
 
 function createService(revision: number): SimulatedService {
     const watchRevisions: number[] = [];
     let onEvent: (event: WatchEvent) => void = () => undefined;
-    const keyValue: Partial<KeyValueService> = {
+    const keyValue: Partial<KeyValueService & ChangeReader> = {
+        changesAfter: () => Promise.resolve(Ok(service.changes)),
         snapshot: () => Promise.resolve(Ok({ entries: [], revision })),
         watch: (_prefix, listener, options) => {
             watchRevisions.push(options?.fromRevision ?? 0);
@@ -23,7 +31,13 @@
             return { close: () => Promise.resolve() };
         },
     };
-    return { keyValue: keyValue as KeyValueService, watchRevisions, emit: event => onEvent(event) };
+    const service: SimulatedService = {
+        keyValue: keyValue as KeyValueService & ChangeReader,
+        watchRevisions,
+        changes: { changes: [], revision },
+        emit: event => onEvent(event),
+    };
+    return service;
 }
 
 interface MirrorOverrides {
@@ -137,3 +151,28 @@
     assert.ok(!mirror.isWatchAnswered);
     await mirror.close();
 });
+
+test("a removal that a watch delivers after a later entry of its key was read does not remove that entry", async () => {
+    const service = createService(88);
+    const events: MirrorEvent[] = [];
+    const mirror = await startMirror(service, { onEvent: event => events.push(event) });
+    const entry = { key: "servers/i-1", value: "{}", revision: 90 };
+    const changes = [{ type: "delete", key: entry.key, revision: 89 }, { type: "put", entry }] as const;
+    service.changes = { changes, revision: 91 };
+    assert.equal(await mirror.readChanges(), true);
+    assert.equal(mirror.revision, 91);
+    changes.forEach(event => service.emit(event));
+    service.emit({ type: "progress", revision: 91 });
+    assert.deepEqual(events.filter(({ type }) => type === "removed").length, 1);
+    assert.deepEqual(events.filter(({ type }) => type === "put").length, 1);
+});
+
+test("all changes of one transaction are applied as a watch delivers them", async () => {
+    const service = createService(88);
+    const events: MirrorEvent[] = [];
+    await startMirror(service, { onEvent: event => events.push(event) });
+    for (const key of ["hosts/entry-1", "hosts/entry-2"]) {
+        service.emit({ type: "delete", key, revision: 89 });
+    }
+    assert.deepEqual(events.filter(({ type }) => type === "removed").length, 2);
+});
--- a/src/entry/store/storeMirror.ts
+++ b/src/entry/store/storeMirror.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import { type Logger } from "../../observability/index.js";
-import { type KeyValueEntry, type KeyValueService, type WatchEvent } from "../../platform/index.js";
+import {
+    type ChangeReader,
+    type KeyValueChanges,
+    type KeyValueEntry,
+    type KeyValueService,
+    type WatchEvent,
+} from "../../platform/index.js";
 
 /** Delay before the first retry after a failure, and its upper bound, as it doubles with each further failure. */
 const FIRST_RETRY_DELAY_MILLISECONDS = 200;
@@ -35,9 +41,15 @@
     readonly changes: readonly StoreChange[];
 }
 
+function toChange(event: KeyValueChanges["changes"][number]): StoreChange {
+    return event.type === "put"
+        ? { key: event.entry.key, value: event.entry.value, revision: event.entry.revision }
+        : { key: event.key, revision: event.revision };
+}
+
 /** Options of a mirror. */
 export interface StoreMirrorOptions {
-    readonly keyValue: KeyValueService;
+    readonly keyValue: Pick<KeyValueService, "snapshot" | "watch"> & ChangeReader;
     readonly logger: Logger;
     readonly onEvent: (event: MirrorEvent) => void;
     /** Returns the time within which the service batches changes into one answer. */
@@ -61,6 +73,8 @@
     /** Changes that the watch delivered and that were not passed to `onBatch` yet. */
     #batch: StoreChange[] = [];
     #batchAfterRevision = 0;
+    /** The revision known when the first change of the watch's answer was read; `undefined` between answers. */
+    #revisionBeforeAnswer: number | undefined;
     /** Set while a retry after a failure is scheduled. */
     #retryTimer: NodeJS.Timeout | undefined;
     #retryDelayMilliseconds = FIRST_RETRY_DELAY_MILLISECONDS;
@@ -93,18 +107,35 @@
     /** Applies changes that another host forwarded; skips known ones, and drops a batch that would leave a gap. */
     applyBatch({ afterRevision, changes, revision }: ChangeBatch): void {
         const known = this.#revision;
-        if (known === undefined || afterRevision > known || revision <= known) {
+        if (known === undefined || afterRevision > known) {
             return;
         }
-        for (const change of changes.filter(each => each.revision > known)) {
-            const { key, value } = change;
-            this.#options.onEvent(
-                value === undefined
-                    ? { type: "removed", key, revision: change.revision }
-                    : { type: "put", entry: { key, value, revision: change.revision } },
-            );
+        this.#applyChanges(changes, { afterRevision: known, revision });
+    }
+
+    /** Reads and applies the changes that this host has not heard of; returns whether the service answered with them. */
+    async readChanges(): Promise<boolean> {
+        const known = this.#revision;
+        if (known === undefined || this.#closed) {
+            return false;
         }
-        this.#advanceRevision(revision);
+        const read = await this.#options.keyValue.changesAfter("", known);
+        if (this.#revision === undefined) {
+            return false;
+        }
+        if (read.isErr()) {
+            const { isHistoryLost, kind, message } = read.error;
+            this.#options.logger.warn("reading changes failed", { reason: kind, detail: message, revision: known });
+            if (isHistoryLost === true) {
+                this.relist(message);
+            }
+            return false;
+        }
+        this.#applyChanges(read.value.changes.map(toChange), {
+            afterRevision: this.#revision,
+            revision: read.value.revision,
+        });
+        return true;
     }
 
     /** Begins or ends the watch according to `mustWatch`. */
@@ -159,6 +190,22 @@
         await this.#watch?.close();
     }
 
+    /** Applies those of some changes that are later than a revision; there are no others up to theirs. */
+    #applyChanges(
+        changes: readonly StoreChange[],
+        { afterRevision, revision }: Pick<ChangeBatch, "afterRevision" | "revision">,
+    ): void {
+        for (const change of changes.filter(each => each.revision > afterRevision)) {
+            const { key, value } = change;
+            this.#options.onEvent(
+                value === undefined
+                    ? { type: "removed", key, revision: change.revision }
+                    : { type: "put", entry: { key, value, revision: change.revision } },
+            );
+        }
+        this.#advanceRevision(revision);
+    }
+
     async #list(): Promise<void> {
         if (this.#listing) {
             return;
@@ -210,18 +257,13 @@
     #handleWatchEvent(event: WatchEvent): void {
         switch (event.type) {
             case "put":
-                this.#batch.push({ key: event.entry.key, value: event.entry.value, revision: event.entry.revision });
-                this.#advanceRevision(event.entry.revision);
-                this.#options.onEvent({ type: "put", entry: event.entry });
-                break;
             case "delete":
-                this.#batch.push({ key: event.key, revision: event.revision });
-                this.#advanceRevision(event.revision);
-                this.#options.onEvent({ type: "removed", key: event.key, revision: event.revision });
+                this.#handleWatchedChange(toChange(event));
                 break;
             case "progress":
                 this.#retryDelayMilliseconds = FIRST_RETRY_DELAY_MILLISECONDS;
                 this.#isAnswered = true;
+                this.#revisionBeforeAnswer = undefined;
                 this.#advanceRevision(event.revision);
                 this.#options.onEvent({ type: "contact", succeeded: true });
                 this.#endBatch(event.revision);
@@ -229,6 +271,7 @@
             case "ended":
                 this.#watch = undefined;
                 this.#isAnswered = false;
+                this.#revisionBeforeAnswer = undefined;
                 this.#options.logger.warn("watch ended", {
                     detail: event.message,
                     revision: this.#revision,
@@ -243,6 +286,13 @@
         }
     }
 
+    /** Keeps a change for other hosts, and applies it unless it has come another way, perhaps with later ones. */
+    #handleWatchedChange(change: StoreChange): void {
+        this.#revisionBeforeAnswer ??= this.#revision ?? 0;
+        this.#batch.push(change);
+        this.#applyChanges([change], { afterRevision: this.#revisionBeforeAnswer, revision: change.revision });
+    }
+
     #endBatch(revision: number): void {
         const changes = this.#batch;
         const afterRevision = this.#batchAfterRevision;
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -18,8 +18,10 @@
 export { createKeyValueClient, type KeyValueClientOptions } from "./keyValueClient.js";
 export { parseJson } from "./parseJson.js";
 export {
+    type ChangeReader,
     type HostList,
     type HostListing,
+    type KeyValueChanges,
     type KeyValueEntry,
     type KeyValueService,
     type KeyValueSnapshot,
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -53,6 +53,24 @@
     readonly revision: number;
 }
 
+/** All changes after a revision, up to and including another, in their order. */
+export interface KeyValueChanges {
+    readonly changes: readonly Extract<WatchEvent, { readonly type: "put" | "delete"; }>[];
+    readonly revision: number;
+}
+
+/** Reads which changes a client has not heard of. */
+export interface ChangeReader {
+    /**
+     * Returns the changes under a prefix after a revision, as of now. Fails with `isHistoryLost` where the service no
+     * longer has them.
+     */
+    changesAfter(
+        prefix: string,
+        revision: number,
+    ): Promise<Result<KeyValueChanges, PlatformError & { readonly isHistoryLost?: boolean; }>>;
+}
+
 /** Options of a compare-and-swap. */
 export interface SwapOptions {
     /** Revision that the key must have; 0 for a key that must not exist. */
