Read what has arrived before acting: dispatches, wakes, hedges and deadlines

What callers saw: requests of callers that had left were sent to engines about a second later (GONE): 4 of 8 that waited for a connection, 8 of 8 that waited for the end of a pause, after their host did not run for two seconds. Cause: timers and wakes acted before the sockets were read; only a request's arrival waited two immediates, and a stop between them passed that too. A waiting request was stopped by its response's `close` alone, which comes turns after the end was read. Ruled out: requests that arrive during the stop (in time before). Change: one queue of acts in a host (src/entry/actQueue.ts). Wakes that come together are one.

--- a/src/entry/connections/arrivals.ts
+++ b/src/entry/connections/arrivals.ts
@@ -6,41 +6,27 @@
  *
  * @module
  */
+import { type Acts } from "../actQueue.js";
 import { type Arrival } from "./arrival.js";
+import { hasCallerLeft } from "./callerPresence.js";
 
-/** Callbacks of {@linkcode Arrivals}; exactly one is called for each request. */
+/** Options of {@linkcode Arrivals}; one of the callbacks is called for each request. */
 export interface ArrivalsOptions {
+    readonly acts: Acts;
     readonly onBegin: (arrival: Arrival) => void;
     readonly onCallerLeft: (arrival: Arrival) => void;
 }
 
-/** The message's socket is asked: a response has none before its turn on the connection. */
-function hasCallerLeft({ message: { socket }, response }: Arrival): boolean {
-    return response.destroyed || socket.destroyed || socket.readableEnded;
-}
-
-/** Begins each request one full event loop iteration after it was read, if its caller is still connected. */
+/** Begins each request in its turn among the acts of the host, if its caller is still connected. */
 export class Arrivals {
     readonly #options: ArrivalsOptions;
-    /** Requests read in the current iteration of the event loop. */
-    #arrivalsOfIteration: Arrival[] = [];
 
     constructor(options: ArrivalsOptions) {
         this.#options = options;
     }
 
     add(arrival: Arrival): void {
-        if (this.#arrivalsOfIteration.length === 0) {
-            setImmediate(() => this.#endIteration());
-        }
-        this.#arrivalsOfIteration.push(arrival);
-    }
-
-    /** Defers the requests by another immediate, which runs after the event loop has polled all sockets again. */
-    #endIteration(): void {
-        const arrivals = this.#arrivalsOfIteration;
-        this.#arrivalsOfIteration = [];
-        setImmediate(() => arrivals.forEach(arrival => this.#begin(arrival)));
+        this.#options.acts.enqueue(() => this.#begin(arrival));
     }
 
     #begin(arrival: Arrival): void {
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -6,6 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { type Acts } from "../actQueue.js";
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { Arrivals } from "./arrivals.js";
 import { CallerConnection } from "./callerConnection.js";
@@ -27,6 +28,7 @@
 
 /** Options of {@linkcode CallerConnections}. */
 export interface CallerConnectionsOptions {
+    readonly acts: Acts;
     readonly handler: RequestHandler;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
@@ -38,7 +40,7 @@
  *
  * @example
  * ```ts
- * const connections = new CallerConnections({ handler, logger, metrics, readClock });
+ * const connections = new CallerConnections({ acts, handler, logger, metrics, readClock });
  * server.on("request", (message, response) => connections.add(message, response));
  * ```
  */
@@ -50,9 +52,10 @@
     #isClosing = false;
 
     constructor(options: CallerConnectionsOptions) {
-        const { handler } = options;
+        const { acts, handler } = options;
         this.#options = options;
         this.#arrivals = new Arrivals({
+            acts,
             onBegin: arrival => handler.begin(arrival),
             onCallerLeft: arrival => handler.recordCallerLeft(arrival),
         });
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -6,6 +6,7 @@
 export { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
 export { type CallerConnection } from "./callerConnection.js";
 export { CallerConnections, type RequestHandler } from "./callerConnections.js";
+export { type CallerMessages, hasCallerLeft } from "./callerPresence.js";
 export { HeaderLimit } from "./headerLimit.js";
 export { renderRawAnswer } from "./rawAnswer.js";
 export { type RequestTarget } from "./requestTarget.js";
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -5,6 +5,7 @@
  */
 import { type Agent } from "node:http";
 import { BufferedAnswerBytes, type SharedRetryBudget } from "../forwarding/index.js";
+import { type Acts } from "./actQueue.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type HostParts } from "./hostParts.js";
@@ -12,6 +13,7 @@
 
 /** The parts of a host that its requests use. */
 export interface ForwardingParts extends Omit<HostParts, "duties" | "interCellGossip"> {
+    readonly acts: Acts;
     readonly probes: HealthProbes;
     readonly budget: SharedRetryBudget;
     /** Returns the connection pool of a service. */
@@ -30,11 +32,12 @@
  */
 export function createForwardingContext(parts: ForwardingParts): ForwardingContext {
     const { context, engines, gossip, partitionWatch, peers, store, upstreams } = parts;
-    const { agentFor, budget, demand, probes, rateLimiting, streamVersions } = parts;
+    const { acts, agentFor, budget, demand, probes, rateLimiting, streamVersions } = parts;
     const { lifecycle, readClock } = context;
     return {
         ...context,
         ...upstreamState(upstreams),
+        acts,
         agentFor,
         budget,
         demand,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -9,6 +9,7 @@
 import { PeerTable } from "../gossip/index.js";
 import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
+import { ActQueue } from "./actQueue.js";
 import { createForwardingContext, type ForwardingParts } from "./createForwardingContext.js";
 import { HostEngines } from "./engines/index.js";
 import { createForwarder, type Forwarder } from "./forwarder.js";
@@ -53,6 +54,7 @@
 
 class RunningHost implements EntryHost {
     readonly #context: HostContext;
+    readonly #acts: ActQueue;
     #settings: EntrySettings;
     readonly #upstreams: UpstreamTracker;
     readonly #rateLimiting: RateLimiting;
@@ -83,6 +85,7 @@
         this.#context = createHostContext(options, () => this.#settings);
         const { bounds, host, zone } = options.settings;
         const context = this.#context;
+        this.#acts = new ActQueue(context);
         this.#budget = new SharedRetryBudget({
             windowMilliseconds: bounds.retryWindowMilliseconds,
             ratio: bounds.retryRatio,
@@ -129,6 +132,7 @@
         logger.info("starting", { host, zone, callers: addressesOf(this.#settings).callers });
         await this.#gossip.open(gossip);
         await this.#servers.start();
+        this.#acts.start();
         this.#store.start();
         this.#engines.start();
         this.#partitionWatch.start();
@@ -160,6 +164,7 @@
 
     async close(): Promise<void> {
         this.#context.lifecycle.close();
+        this.#acts.close();
         this.#digestRounds.close();
         this.#urgentDigests.close();
         this.#rateLimiting.close();
@@ -308,6 +313,7 @@
     #parts(): HostParts & ForwardingParts {
         return {
             context: this.#context,
+            acts: this.#acts,
             budget: this.#budget,
             demand: this.#demand,
             peers: this.#peers,
@@ -347,6 +353,7 @@
     #createServers(): HostServers {
         return new HostServers({
             ...this.#context,
+            acts: this.#acts,
             calls: this.#context.protocol.calls,
             handler: this.#forwarder,
             isReady: () => this.#isReady(),
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { hasCallerLeft } from "../connections/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type LookUpOutcome } from "../streamVersions.js";
 import { AnswerReceiver } from "./answerReceiver.js";
@@ -40,7 +41,7 @@
     readonly #context: ForwardingContext;
     readonly #parts: RequestParts;
     readonly #hedging: Hedging;
-    readonly #dispatchTimer = new DispatchTimer(() => this.dispatch());
+    readonly #dispatchTimer: DispatchTimer;
     readonly #waitTime: WaitTime;
     readonly #wait: RequestWait;
     readonly #ending: RequestEnding;
@@ -56,7 +57,8 @@
         this.#context = context;
         const parts = createRequestParts(context, request);
         const hedging = (): Hedging => this.#hedging;
-        const dispatchTimer = this.#dispatchTimer;
+        const dispatchTimer = new DispatchTimer({ acts: context.acts, dispatch: () => this.dispatch() });
+        this.#dispatchTimer = dispatchTimer;
         this.#parts = parts;
         this.#waitTime = new WaitTime(parts);
         this.#ending = new RequestEnding({
@@ -158,7 +160,10 @@
         response.on("close", () => this.#guard(() => this.#ending.handleCallerClosed()));
         message.socket.once("end", this.#recordCallerEndRead);
         response.on("drain", () => this.#guard(() => this.#receiver.handleDrain()));
-        this.#deadlineTimer = setTimeout(() => this.abort(), Math.max(0, remainingMilliseconds(this.#parts)));
+        this.#deadlineTimer = setTimeout(
+            () => this.#context.acts.afterReading(() => this.abort()),
+            Math.max(0, remainingMilliseconds(this.#parts)),
+        );
         if (service === undefined) {
             this.#ending.refuse("no-service");
             return;
@@ -211,6 +216,10 @@
             return;
         }
         this.#dispatchTimer.close();
+        if (hasCallerLeft(this.#parts.request)) {
+            this.#ending.handleCallerClosed();
+            return;
+        }
         if (this.#context.isPartitioned()) {
             this.#ending.refuse("host-partitioned", OTHER_HOST_MILLISECONDS);
             return;
--- a/src/entry/exchange/hedging.ts
+++ b/src/entry/exchange/hedging.ts
@@ -122,10 +122,8 @@
     /** Checks the request after some time, once what has arrived meanwhile was read. */
     #scheduleCheck(milliseconds: number): void {
         clearTimeout(this.#stallTimer);
-        this.#stallTimer = setTimeout(
-            () => setImmediate(() => this.#options.guard(() => this.#check())),
-            milliseconds,
-        );
+        const { context: { acts }, guard } = this.#options;
+        this.#stallTimer = setTimeout(() => acts.enqueue(() => guard(() => this.#check())), milliseconds);
     }
 
     #check(): void {
@@ -203,7 +201,8 @@
 
     #scheduleOverlap(milliseconds: number, step: () => void): void {
         clearTimeout(this.#overlapTimer);
-        this.#overlapTimer = setTimeout(() => setImmediate(() => this.#options.guard(step)), milliseconds);
+        const { context: { acts }, guard } = this.#options;
+        this.#overlapTimer = setTimeout(() => acts.enqueue(() => guard(step)), milliseconds);
     }
 
     #probeHedge({ upstream }: Attempt, sinceMilliseconds: number): void {
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -39,7 +39,7 @@
 
 /** Forwards the requests of callers. */
 export interface Forwarder extends RequestHandler {
-    /** Dispatches waiting requests again, the most urgent first. */
+    /** Dispatches waiting requests again soon, the most urgent first; once for several calls. */
     wake(): void;
     /** Ends every open request at once. */
     abortAll(): void;
@@ -56,6 +56,16 @@
     }
 
     wake(): void {
+        if (!this.#wakeScheduled) {
+            this.#wakeScheduled = true;
+            this.#context.acts.enqueue(() => {
+                this.#wakeScheduled = false;
+                this.#dispatchWaiting();
+            });
+        }
+    }
+
+    #dispatchWaiting(): void {
         const waiting = [...this.#exchanges].filter(({ isWaiting }) => isWaiting);
         waiting.sort((left, right) => compareRanks(left.rank, right.rank));
         const unmetKeys = new Set<string>();
@@ -146,7 +156,7 @@
             {
                 onEnded: () => {
                     this.#exchanges.delete(exchange);
-                    this.#scheduleWake();
+                    this.wake();
                 },
                 onPrefillWait: () => this.#scheduleWakeAfterPrefill(),
             },
@@ -155,17 +165,6 @@
         exchange.start();
     }
 
-    /** Wakes waiting requests after one has ended and freed a slot; once for several that end together. */
-    #scheduleWake(): void {
-        if (!this.#wakeScheduled) {
-            this.#wakeScheduled = true;
-            setImmediate(() => {
-                this.#wakeScheduled = false;
-                this.wake();
-            });
-        }
-    }
-
     /** Wakes requests that wait for prefill after a short delay, with one timer, since backlogs shrink constantly. */
     #scheduleWakeAfterPrefill(): void {
         this.#prefillTimer ??= setTimeout(() => {
@@ -232,7 +231,7 @@
  * @example
  * ```ts
  * const forwarder = createForwarder(context);
- * const connections = new CallerConnections({ handler: forwarder, logger, metrics, readClock });
+ * const connections = new CallerConnections({ acts, handler: forwarder, logger, metrics, readClock });
  * ```
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -23,6 +23,7 @@
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
 import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
+import { type Acts } from "./actQueue.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
@@ -33,6 +34,8 @@
 /** State, counters and services of one host that its requests share. */
 export interface ForwardingContext {
     readonly zone: string;
+    /** Where acts wait until what has arrived was read. */
+    readonly acts: Acts;
     readonly headers: HeaderNames;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
--- a/src/entry/hostContext.ts
+++ b/src/entry/hostContext.ts
@@ -9,6 +9,7 @@
 import { type openGossipLink } from "../gossip/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
 import { type ChangeReader, type KeyValueService } from "../platform/index.js";
+import { ReadTimes } from "../staleness/index.js";
 import { HostLifecycle } from "./hostLifecycle.js";
 import { type EntrySettings } from "./settings.js";
 import { type EngineControl, type SiteProtocol } from "./siteProtocol.js";
@@ -39,6 +40,8 @@
     readonly build: string;
     readonly zone: string;
     readonly lifecycle: HostLifecycle;
+    /** When this host last read what had arrived. */
+    readonly reads: ReadTimes;
     readonly timeSpent: TimeSpent;
     /** Returns the settings now in force. */
     readonly settings: () => EntrySettings;
@@ -70,6 +73,7 @@
         host,
         zone,
         lifecycle,
+        reads: new ReadTimes(readClock()),
         timeSpent: new TimeSpent({ logger, metrics, readClock, readProcessorMicroseconds }),
         settings,
         readClock,
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -9,6 +9,7 @@
 import { type AdvertisedHost, selectAddresses } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
+import { type Acts } from "./actQueue.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
 import {
     answerUnreadableRequests,
@@ -33,6 +34,7 @@
 
 /** Options of the servers. */
 export interface HostServersOptions {
+    readonly acts: Acts;
     /** Returns the current settings. */
     readonly settings: () => EntrySettings;
     readonly calls: AuxiliaryCalls;
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -22,6 +22,10 @@
     repeats_denied: { help: "Further attempts that the shared budget had no room for.", labels: ["service"] },
     attempt_failures: { help: "Failed attempts by reason.", labels: ["reason"] },
     store_calls: { help: "Calls on the key-value service by outcome.", labels: ["call", "outcome"] },
+    read_gaps: {
+        help: "Times that this host read nothing for so long that its view may have been too old.",
+        labels: [],
+    },
     engine_orders: { help: "Orders to engines by outcome.", labels: ["operation", "kind", "outcome"] },
     holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
     upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
--- a/tests/support/goneCallers.ts
+++ b/tests/support/goneCallers.ts
@@ -210,7 +210,7 @@
         });
         await waitUntilProgramReady(settings);
         await until(() => program.output().includes("\"upstream joined\""));
-        await host.untilAnswered([host.call("reads", "quick")]);
+        await host.untilAnswered([host.call("reads", "quick"), host.call("streams", "quick")]);
         host.callers.length = 0;
         return host;
     }
