Let acts after a gap in reading wait until the store has confirmed the view

What callers saw: requests run by engines up to three seconds after these had said that they leave (DRAIN), and moved routes served by the former service, on hosts that had not run for 0.5 to 6 s. Cause: no decision asked how old the host's view is. The poll that was answered early in the stop is read first and counts as a recent answer; the rest is a round trip and the 120 ms of a batch away (traces: requests sent on a view of "7 ms" that is 1.7 s old). Reading the sockets first does not help. Ruled out: a pause of fixed length after a gap (a timer in place of evidence); asking once for each engine or request (calls grow with them); trusting "the store does not answer" from before the gap (a call in flight during the stop times out first). Change: after a gap in reading of 400 ms, acts wait for the answer to one question that was asked since, which brings the changes themselves; 100 ms at most, then they go on and the log says so. A gap after the question asks anew. Nothing is asked while a host reads, nor where nothing is to be done.

--- a/src/entry/actQueue.test.ts
+++ b/src/entry/actQueue.test.ts
@@ -1,24 +1,35 @@
 import assert from "node:assert/strict";
 import { connect, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
-import { createCollectingLogger } from "../../tests/support/collectedLines.js";
+import { setTimeout as delay } from "node:timers/promises";
+import { createCollectingLogger, type LoggedLine } from "../../tests/support/collectedLines.js";
 import { createEntryMetrics } from "../observability/index.js";
 import { ReadTimes } from "../staleness/index.js";
 import { ActQueue } from "./actQueue.js";
 
 const STALL_MILLISECONDS = 600;
 
-function start(context: TestContext): ActQueue {
+/** Longer than acts wait for the service. */
+const UNANSWERED_MILLISECONDS = 400;
+
+interface Started {
+    readonly acts: ActQueue;
+    readonly lines: LoggedLine[];
+}
+
+function start(context: TestContext, confirmView: () => Promise<boolean>): Started {
+    const lines: LoggedLine[] = [];
     const readClock = (): number => performance.now();
     const acts = new ActQueue({
         reads: new ReadTimes(readClock()),
         readClock,
-        logger: createCollectingLogger([]),
+        logger: createCollectingLogger(lines),
         metrics: createEntryMetrics(),
+        confirmView,
     });
     acts.start();
     context.after(() => acts.close());
-    return acts;
+    return { acts, lines };
 }
 
 function stall(): void {
@@ -43,7 +54,7 @@
 }
 
 test("an act that a timer sets off after a stall runs after what had arrived was read", async context => {
-    const acts = start(context);
+    const { acts } = start(context, () => Promise.resolve(true));
     const { far, near } = await openConnection(context);
     const order: string[] = [];
     near.on("data", () => order.push("data"));
@@ -60,3 +71,41 @@
     await acted;
     assert.deepEqual(order, ["data", "end", "act"]);
 });
+
+test("acts after a gap in reading wait for the answer to one question about the view", async context => {
+    const order: string[] = [];
+    const { acts, lines } = start(context, async () => {
+        await delay(20);
+        order.push("answer");
+        return true;
+    });
+    stall();
+    acts.enqueue(() => order.push("first"));
+    acts.runOrEnqueue(() => order.push("second"));
+    await delay(100);
+    assert.deepEqual(order, ["answer", "first", "second"]);
+    acts.runOrEnqueue(() => order.push("at once"));
+    assert.equal(order.at(-1), "at once");
+    assert.equal(lines.filter(({ message }) => message === "host did not read").length, 1);
+});
+
+test("acts go on, and the log says so, where the service does not answer", async context => {
+    const { acts, lines } = start(context, () => new Promise(() => undefined));
+    stall();
+    const startedAt = performance.now();
+    await new Promise<void>(resolve => acts.enqueue(resolve));
+    assert.ok(performance.now() - startedAt < UNANSWERED_MILLISECONDS);
+    const line = lines.find(({ message }) => message === "view checked after a gap in reading");
+    assert.equal(line?.fields["outcome"], "no-answer");
+});
+
+test("no question is asked while a host reads", async context => {
+    let questions = 0;
+    const { acts } = start(context, () => {
+        questions += 1;
+        return Promise.resolve(true);
+    });
+    await delay(STALL_MILLISECONDS);
+    await new Promise<void>(resolve => acts.enqueue(resolve));
+    assert.equal(questions, 0);
+});
--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -1,5 +1,6 @@
 /**
- * The order of facts and acts in a host: what has arrived is read before anything is done.
+ * The order of facts and acts in a host: what has arrived is read before anything is done, and acts rest on a current
+ * view of the key-value service.
  *
  * The event loop runs timers, and callbacks of other events, before it has read all sockets. After time in which the
  * host did not run, acts that fell due meanwhile would come before the facts that make them wrong.
@@ -7,7 +8,13 @@
  * @module
  */
 import { type EntryMetrics, type Logger } from "../observability/index.js";
-import { READ_INTERVAL_MILLISECONDS, type ReadTimes } from "../staleness/index.js";
+import { READ_INTERVAL_MILLISECONDS, type ReadTimes, ViewConfirmations } from "../staleness/index.js";
+
+/** Acts wait this long for the service to confirm the view; callers gain nothing from waiting for a slow service. */
+const CONFIRMATION_MILLISECONDS = 100;
+
+/** How a question about the view ended. */
+type Confirmation = "confirmed" | "no-answer";
 
 /** Options of {@linkcode ActQueue}. */
 export interface ActQueueOptions {
@@ -15,17 +22,19 @@
     readonly readClock: () => number;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
+    /** Applies the changes of the key-value service that this host has not heard of; false where it does not answer. */
+    readonly confirmView: () => Promise<boolean>;
 }
 
 /** Where acts wait; what parts of a host that act need of an {@linkcode ActQueue}. */
-export type Acts = Pick<ActQueue, "afterReading" | "enqueue">;
+export type Acts = Pick<ActQueue, "afterReading" | "enqueue" | "runOrEnqueue">;
 
 /**
  * Runs acts in the order in which they were added, each once everything was read that arrived before it.
  *
  * @example
  * ```ts
- * const acts = new ActQueue({ reads, readClock, logger, metrics });
+ * const acts = new ActQueue({ reads, readClock, logger, metrics, confirmView });
  * acts.start();
  * acts.enqueue(() => exchange.dispatch());
  * acts.close();
@@ -33,8 +42,13 @@
  */
 export class ActQueue {
     readonly #options: ActQueueOptions;
+    readonly #confirmations = new ViewConfirmations();
     /** Steps of the current iteration of the event loop. */
     #steps: (() => void)[] = [];
+    /** Acts for which the open question was asked. */
+    #asking: (() => void)[] = [];
+    /** Acts that wait for the next question, since the host did not read for a while after the open one was asked. */
+    #held: (() => void)[] = [];
     #timer: NodeJS.Timeout | undefined;
     #closed = false;
 
@@ -51,6 +65,8 @@
     close(): void {
         this.#closed = true;
         clearInterval(this.#timer);
+        this.#asking = [];
+        this.#held = [];
     }
 
     /** Runs a step once everything was read that has arrived by now. */
@@ -61,9 +77,20 @@
         this.#steps.push(step);
     }
 
-    /** Runs an act once everything was read that has arrived by now. */
+    /** Runs an act once everything was read that has arrived by now, and the view is current. */
     enqueue(act: () => void): void {
-        this.afterReading(act);
+        this.afterReading(() => this.#runOnCurrentView(act));
+    }
+
+    /** Runs an act at once on a host that reads and whose view is current; otherwise as {@linkcode enqueue} does. */
+    runOrEnqueue(act: () => void): void {
+        const { readClock, reads } = this.#options;
+        if (this.#confirmations.state === "current" && !reads.isBehind(readClock())) {
+            act();
+        }
+        else {
+            this.enqueue(act);
+        }
     }
 
     /** Defers the steps by another immediate, which runs after the event loop has polled all sockets again. */
@@ -77,6 +104,7 @@
         const { logger, metrics, readClock, reads } = this.#options;
         const gapMilliseconds = reads.recordRead(readClock());
         if (gapMilliseconds !== undefined) {
+            this.#confirmations.recordGap();
             metrics.count("read_gaps", {});
             logger.warn("host did not read", { gapMilliseconds: Math.round(gapMilliseconds) });
             this.#deferOnce(steps);
@@ -95,4 +123,62 @@
             steps.forEach(step => step());
         }
     }
+
+    #runOnCurrentView(act: () => void): void {
+        switch (this.#confirmations.state) {
+            case "current":
+                act();
+                break;
+            case "ask":
+                this.#asking.push(act);
+                void this.#ask();
+                break;
+            case "asked":
+                (this.#confirmations.hasGapSinceAsked ? this.#held : this.#asking).push(act);
+        }
+    }
+
+    async #ask(): Promise<void> {
+        this.#confirmations.recordAsked();
+        const askedAt = this.#options.readClock();
+        const confirmation = await this.#confirmation();
+        if (this.#closed) {
+            return;
+        }
+        this.#confirmations.recordEnded();
+        this.#recordConfirmation(confirmation, askedAt);
+        const acts = this.#asking;
+        this.#asking = [];
+        acts.forEach(act => act());
+        this.#askForHeld();
+    }
+
+    #askForHeld(): void {
+        const held = this.#held;
+        this.#held = [];
+        held.forEach(act => this.#runOnCurrentView(act));
+    }
+
+    #confirmation(): Promise<Confirmation> {
+        return new Promise(resolve => {
+            const timer = setTimeout(
+                () => this.afterReading(() => this.afterReading(() => resolve("no-answer"))),
+                CONFIRMATION_MILLISECONDS,
+            );
+            void this.#options.confirmView().then(isConfirmed => {
+                clearTimeout(timer);
+                resolve(isConfirmed ? "confirmed" : "no-answer");
+            });
+        });
+    }
+
+    #recordConfirmation(outcome: Confirmation, askedAtMilliseconds: number): void {
+        const { logger, metrics, readClock } = this.#options;
+        metrics.count("view_confirmations", { outcome });
+        logger.info("view checked after a gap in reading", {
+            outcome,
+            acts: this.#asking.length,
+            tookMilliseconds: Math.round(readClock() - askedAtMilliseconds),
+        });
+    }
 }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -85,7 +85,7 @@
         this.#context = createHostContext(options, () => this.#settings);
         const { bounds, host, zone } = options.settings;
         const context = this.#context;
-        this.#acts = new ActQueue(context);
+        this.#acts = new ActQueue({ ...context, confirmView: () => this.#store.readChanges() });
         this.#budget = new SharedRetryBudget({
             windowMilliseconds: bounds.retryWindowMilliseconds,
             ratio: bounds.retryRatio,
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -148,6 +148,11 @@
         this.#mirror.applyBatch(batch);
     }
 
+    /** Reads and applies the changes that this host has not heard of; returns whether the service answered with them. */
+    readChanges(): Promise<boolean> {
+        return this.#mirror.readChanges();
+    }
+
     /** Records a revision that a peer has reached. */
     recordLaterRevision(revision: number): void {
         this.#mirror.recordLaterRevision(revision, this.#now());
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -26,6 +26,10 @@
         help: "Times that this host read nothing for so long that its view may have been too old.",
         labels: [],
     },
+    view_confirmations: {
+        help: "Questions whether the view of the key-value service is current, by outcome.",
+        labels: ["outcome"],
+    },
     engine_orders: { help: "Orders to engines by outcome.", labels: ["operation", "kind", "outcome"] },
     holder_changes: { help: "Engines whose orders this host took over or gave up.", labels: ["change"] },
     upstream_pauses: { help: "Pauses that upstreams asked for when they turned requests away.", labels: ["outcome"] },
--- a/src/staleness/readTimes.test.ts
+++ b/src/staleness/readTimes.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { READ_INTERVAL_MILLISECONDS, ReadTimes } from "./index.js";
+import { READ_INTERVAL_MILLISECONDS, ReadTimes, ViewConfirmations } from "./index.js";
 
 test("time in which a host read nothing does not count as time in which it could hear others", () => {
     const reads = new ReadTimes(0);
@@ -26,3 +26,19 @@
         "it counts again once the host reads",
     );
 });
+
+test("a view from before a gap in reading is current only after a question that was asked after the gap has ended", () => {
+    const confirmations = new ViewConfirmations();
+    assert.equal(confirmations.state, "current");
+    confirmations.recordGap();
+    assert.equal(confirmations.state, "ask");
+    confirmations.recordAsked();
+    assert.equal(confirmations.hasGapSinceAsked, false);
+    confirmations.recordGap();
+    assert.equal(confirmations.hasGapSinceAsked, true);
+    confirmations.recordEnded();
+    assert.equal(confirmations.state, "ask", "the answer was to a question from before the second gap");
+    confirmations.recordAsked();
+    confirmations.recordEnded();
+    assert.equal(confirmations.state, "current");
+});
