Look at a request again when its connection stands, before its first byte

What callers saw: requests "sent" before their host stopped reached engines about a second after their callers had left (17 to 49 of 600), or seconds after the engines had said that they leave (up to 53 of 60), with the deadline of the moment of the decision. Cause: the bytes were written as the connection stood, at any later time; nobody looked again at the caller, the deadline or the engine. Traces: connected 1,176 ms after `request sent`, 21 ms after the end of the caller's bytes was read. Ruled out: a shorter time limit for connecting (the late host measures itself, and makes one connection after another). Change: a call connects first and sends once told to; until then it is provably not sent. When the connection stands, at once on a host that reads and in the queue of acts on one that did not, the request is looked at: caller, deadline, this incarnation of the engine, and a permit of its rate limit that has lapsed. What must not go to this engine is withdrawn without drawing on the budget, and dispatched anew. Headers are made when the bytes leave, with the time that is left then.

--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -181,6 +181,8 @@
                 health.recordUnreachable(id, now);
                 this.#context.recordUnreachable(id, this.wasConnectionRefused);
                 return false;
+            case "withdrawn":
+                return false;
             case "not-resident":
                 residency.recordAbsent(id, model, adapter);
                 this.#context.recordModelAbsent(id, model);
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { match } from "ts-pattern";
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { type AttemptFailure } from "../../forwarding/index.js";
 import { callUpstream, type UpstreamCall } from "../upstreamCall.js";
@@ -12,6 +13,7 @@
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit, usePermit } from "./requestPermits.js";
+import { findSendObstacle } from "./sendObstacle.js";
 import { type WaitTime } from "./waitTime.js";
 
 /** Connecting within a region takes a few milliseconds, or a second if the first packet is lost. */
@@ -33,6 +35,10 @@
     /** Runs a step of the request so that an exception in it ends this request only. */
     readonly guard: (step: () => void) => void;
     readonly onFailed: (attempt: Attempt, failure: AttemptFailure, detail: string) => void;
+    /** The caller has left before the request could be sent. */
+    readonly onCallerLeft: () => void;
+    /** The deadline has passed before the request could be sent. */
+    readonly onOutOfTime: () => void;
 }
 
 /** Starts attempts, and passes on what comes of them while they run. */
@@ -61,21 +67,17 @@
 
     #call(attempt: Attempt): UpstreamCall {
         const { context, request: { body, message, target } } = this.#parts;
-        const { hedging, receiver } = this.#options;
+        const { receiver } = this.#options;
         const { address, service } = attempt.upstream;
         return callUpstream({
             agent: context.agentFor(service),
             address,
             method: message.method ?? "GET",
             path: target.pathAndQuery,
-            headers: this.#headersFor(attempt.upstream),
+            headers: () => this.#headersFor(attempt.upstream),
             body,
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-            onConnected: () =>
-                this.#ifRunning(attempt, () => {
-                    this.#logLateConnection(attempt);
-                    hedging().handleConnected(attempt);
-                }),
+            onConnected: () => context.acts.runOrEnqueue(() => this.#ifRunning(attempt, () => this.#release(attempt))),
             onHead: head => this.#ifRunning(attempt, () => receiver.handleHead(attempt, head)),
             onData: chunk => this.#ifRunning(attempt, () => receiver.handleData(attempt, chunk)),
             onEnd: () => this.#ifRunning(attempt, () => receiver.handleEnd(attempt)),
@@ -87,6 +89,21 @@
         });
     }
 
+    /** Sends the request on its connection, unless something has come between. */
+    #release(attempt: Attempt): void {
+        const { hedging, onCallerLeft, onFailed, onOutOfTime } = this.#options;
+        match(findSendObstacle(this.#parts, attempt))
+            .with(undefined, () => {
+                this.#logLateConnection(attempt);
+                attempt.call?.send();
+                hedging().handleConnected(attempt);
+            })
+            .with("caller-left", () => onCallerLeft())
+            .with("out-of-time", () => onOutOfTime())
+            .with("upstream-gone", "permit-lapsed", obstacle => onFailed(attempt, "withdrawn", obstacle))
+            .exhaustive();
+    }
+
     #ifRunning(attempt: Attempt, step: () => void): void {
         const { guard, isEnded } = this.#options;
         if (!isEnded() && this.#parts.attempts.has(attempt)) {
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -91,6 +91,8 @@
             isEnded: () => this.#ending.ended,
             guard: step => this.#guard(step),
             onFailed: (attempt, failure, detail) => this.#failures.handle(attempt, failure, detail),
+            onCallerLeft: () => this.#ending.handleCallerClosed(),
+            onOutOfTime: () => this.#ending.handleDeadline(),
         });
         this.#hedging = this.#createHedging();
     }
--- a/src/entry/exchange/sendCounts.ts
+++ b/src/entry/exchange/sendCounts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type AttemptFailure, provesNotRun } from "../../forwarding/index.js";
+import { type AttemptFailure, provesNotRun, provesNotSent } from "../../forwarding/index.js";
 
 /** Counts the attempts of a request that have ended without an answer. */
 export class SendCounts {
@@ -25,7 +25,7 @@
         if (!provesNotRun(failure)) {
             this.#mayHaveRun += 1;
         }
-        else if (failure !== "not-connected") {
+        else if (!provesNotSent(failure)) {
             this.#rejected += 1;
         }
     }
--- a/src/fleet/upstreamView.ts
+++ b/src/fleet/upstreamView.ts
@@ -214,6 +214,12 @@
         return this.#known.get(id)?.usable === true;
     }
 
+    /** Returns whether this incarnation of an upstream may receive requests, and no later one has taken its place. */
+    isUsableIncarnation(incarnation: UpstreamIncarnation): boolean {
+        const known = this.#known.get(incarnation.id);
+        return known?.usable === true && isSameIncarnation(known.announcement, incarnation);
+    }
+
     all(): UpstreamAnnouncement[] {
         return [...this.#known.values()].map(({ announcement }) => announcement);
     }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -28,7 +28,7 @@
 } from "./repeatDecision.js";
 export { type RetryLimit, SharedRetryBudget } from "./sharedRetryBudget.js";
 export { StreamPace, type StreamPart } from "./streamPace.js";
-export { type AttemptFailure, provesNotRun, type RequestedModel } from "./types.js";
+export { type AttemptFailure, provesNotRun, provesNotSent, type RequestedModel } from "./types.js";
 export { UnreachableReports } from "./unreachableReports.js";
 export { UpstreamHealth } from "./upstreamHealth.js";
 export { type ReportedLoad, UpstreamLoads } from "./upstreamLoads.js";
--- a/src/forwarding/repeatDecision.test.ts
+++ b/src/forwarding/repeatDecision.test.ts
@@ -11,6 +11,7 @@
 
 const FAILURES: readonly AttemptFailure[] = [
     "not-connected",
+    "withdrawn",
     "not-run",
     "misdirected",
     "not-resident",
--- a/src/forwarding/repeatDecision.ts
+++ b/src/forwarding/repeatDecision.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type RequestKind } from "../routes/index.js";
-import { type AttemptFailure, provesNotRun } from "./types.js";
+import { type AttemptFailure, provesNotRun, provesNotSent } from "./types.js";
 
 /** Maximum sends of one request, beyond its attempts, that upstreams rejected without executing it. */
 const MAXIMUM_REJECTED_SENDS = 3;
@@ -85,7 +85,7 @@
         return decideWithoutRetry(failedAttempt);
     }
     if (provesNotRun(failedAttempt.failure)) {
-        return { type: "repeat", drawsOnBudget: failedAttempt.failure !== "not-connected" };
+        return { type: "repeat", drawsOnBudget: !provesNotSent(failedAttempt.failure) };
     }
     return mayRunAgain(failedAttempt.kind, failedAttempt.resumable)
         ? { type: "repeat", drawsOnBudget: true }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -8,6 +8,8 @@
 export type AttemptFailure =
     /** No connection was established, so no byte was sent. */
     | "not-connected"
+    /** The upstream, or the permit to use it, had gone by the time the request could leave; no byte was sent. */
+    | "withdrawn"
     /** The upstream reported that it did not execute the request. */
     | "not-run"
     /** The address belongs to another incarnation or another process. */
@@ -27,11 +29,19 @@
 
 const PROVED_NOT_RUN: ReadonlySet<AttemptFailure> = new Set([
     "not-connected",
+    "withdrawn",
     "not-run",
     "misdirected",
     "not-resident",
 ]);
 
+const NOT_SENT: ReadonlySet<AttemptFailure> = new Set(["not-connected", "withdrawn"]);
+
+/** Returns whether no byte of a failed attempt left this host. */
+export function provesNotSent(failure: AttemptFailure): boolean {
+    return NOT_SENT.has(failure);
+}
+
 /** Returns whether a failed attempt proves that the upstream did not execute the request and never will. */
 export function provesNotRun(failure: AttemptFailure): boolean {
     return PROVED_NOT_RUN.has(failure);
