Read what has arrived before a time limit is taken for silence

Cause, of the same class: time limits fire before the sockets are read. A store call in flight during the stop "got no answer within 900 ms", so the store counted as lost and the view was not asked for; Node looks at its header time-out before it reads; connection attempts and probes counted as silent in the same way, one turn of the event loop apart. Ruled out: longer limits; asking the store only while it is taken for reachable. Change: limits of store calls, engine orders, connection attempts and probes are judged once all sockets were polled in full; a header time-out only if no byte was read then.

--- a/src/entry/_connectionProbe.ts
+++ b/src/entry/_connectionProbe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { connect } from "node:net";
-import { splitAddress } from "../transport/index.js";
+import { afterPolling, splitAddress } from "../transport/index.js";
 
 /** Connecting within a region takes a few milliseconds. */
 const PROBE_TIMEOUT_MILLISECONDS = 250;
@@ -23,7 +23,7 @@
 export function canConnect(address: string): Promise<boolean> {
     return new Promise(resolve => {
         const socket = connect(splitAddress(address));
-        const timer = setTimeout(() => finish(false), PROBE_TIMEOUT_MILLISECONDS);
+        const timer = setTimeout(() => afterPolling(() => finish(false)), PROBE_TIMEOUT_MILLISECONDS);
         const finish = (isConnected: boolean): void => {
             clearTimeout(timer);
             socket.destroy();
--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -9,6 +9,7 @@
  */
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { READ_INTERVAL_MILLISECONDS, type ReadTimes, ViewConfirmations } from "../staleness/index.js";
+import { afterPolling } from "../transport/index.js";
 
 /** Acts wait this long for the service to confirm the view; callers gain nothing from waiting for a slow service. */
 const CONFIRMATION_MILLISECONDS = 100;
@@ -115,7 +116,7 @@
 
     /** Runs steps once everything was read again, since the host did not run while they waited. */
     #deferOnce(steps: readonly (() => void)[]): void {
-        setImmediate(() => setImmediate(() => this.#runSteps(steps)));
+        afterPolling(() => this.#runSteps(steps));
     }
 
     #runSteps(steps: readonly (() => void)[]): void {
--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import { type IncomingMessage, type Server } from "node:http";
+import { type Socket } from "node:net";
 import { type Duplex } from "node:stream";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { type Acts } from "../actQueue.js";
 import { type CallerConnection } from "./callerConnection.js";
 import { type HeaderLimit } from "./headerLimit.js";
 import { renderRawAnswer } from "./rawAnswer.js";
@@ -30,6 +32,7 @@
 
 /** Options of {@linkcode answerUnreadableRequests}. */
 export interface UnreadableRequestsOptions {
+    readonly acts: Pick<Acts, "afterReading">;
     readonly server: Server;
     readonly headerLimit: HeaderLimit;
     readonly connectionOf: (socket: Duplex) => CallerConnection;
@@ -37,6 +40,11 @@
     readonly metrics: EntryMetrics;
 }
 
+/** A caller's socket is one of a network, which Node's types do not say. */
+function bytesReadFrom(socket: Duplex): number {
+    return (socket as Duplex & Pick<Socket, "bytesRead">).bytesRead;
+}
+
 class UnreadableRequests {
     readonly #options: UnreadableRequestsOptions;
 
@@ -45,6 +53,25 @@
     }
 
     handleError(error: NodeJS.ErrnoException, socket: Duplex): void {
+        if (error.code === REQUEST_TIMEOUT) {
+            this.#handleTimeout(error, socket);
+        }
+        else {
+            this.#answer(error, socket);
+        }
+    }
+
+    /** Node looks at the time before it reads the sockets: the bytes that it misses may have arrived. */
+    #handleTimeout(error: NodeJS.ErrnoException, socket: Duplex): void {
+        const bytesBefore = bytesReadFrom(socket);
+        this.#options.acts.afterReading(() => {
+            if (bytesReadFrom(socket) === bytesBefore) {
+                this.#answer(error, socket);
+            }
+        });
+    }
+
+    #answer(error: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.#options.connectionOf(socket);
         const hasCallerLeft = socket.readableEnded && connection.hasAnswerDue;
         if (hasCallerLeft) {
@@ -104,7 +131,7 @@
  *
  * @example
  * ```ts
- * answerUnreadableRequests({ server, headerLimit, connectionOf: socket => connections.of(socket), logger, metrics });
+ * answerUnreadableRequests({ acts, server, headerLimit, connectionOf, logger, metrics });
  * ```
  */
 export function answerUnreadableRequests(options: UnreadableRequestsOptions): void {
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -285,6 +285,7 @@
     #createHealthProbes(): HealthProbes {
         return new HealthProbes({
             ...this.#context,
+            acts: this.#acts,
             agentFor: service => this.#agentFor(service),
             healthPathOf: service => this.#store.configuration.table?.service(service)?.healthPath,
             onAnswer: (upstream, head) => this.#upstreams.recordHealth(upstream, head),
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -70,6 +70,7 @@
         const { receiver } = this.#options;
         const { address, service } = attempt.upstream;
         return callUpstream({
+            acts: context.acts,
             agent: context.agentFor(service),
             address,
             method: message.method ?? "GET",
--- a/src/entry/healthProbes.test.ts
+++ b/src/entry/healthProbes.test.ts
@@ -44,6 +44,7 @@
     const doNothing = (): void => undefined;
     const recordOutcome = (_message: string, fields?: LogFields): void => void outcomes.push(fields?.["outcome"]);
     const probes = new HealthProbes({
+        acts: { afterReading: step => step() },
         logger: { error: doNothing, warn: doNothing, info: recordOutcome, debug: doNothing, close: doNothing },
         metrics: createEntryMetrics(),
         readClock: () => clock.nowMilliseconds,
--- a/src/entry/healthProbes.ts
+++ b/src/entry/healthProbes.ts
@@ -6,6 +6,7 @@
 import { type Agent } from "node:http";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type Acts } from "./actQueue.js";
 import { type AnswerHead, callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
 /** Minimum time between two probes of one upstream, whatever the number of requests that ask for them. */
@@ -24,6 +25,7 @@
 
 /** Options of {@linkcode HealthProbes}. */
 export interface HealthProbesOptions {
+    readonly acts: Pick<Acts, "afterReading">;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
     readonly readClock: () => number;
@@ -111,6 +113,7 @@
             }
         };
         const call = callUpstream({
+            acts: this.#options.acts,
             agent: this.#options.agentFor(upstream.service),
             address: upstream.address,
             method: "GET",
@@ -124,7 +127,8 @@
             onEnd: () => finish(ANSWERED),
             onFailure: failure => finish(failure),
         });
-        const timer = setTimeout(() => finish("silent"), PROBE_TIMEOUT_MILLISECONDS);
+        const { acts } = this.#options;
+        const timer = setTimeout(() => acts.afterReading(() => finish("silent")), PROBE_TIMEOUT_MILLISECONDS);
         this.#running.add(call);
     }
 
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -120,7 +120,7 @@
     }
 
     #createCallersServer(): Server {
-        const { logger, metrics } = this.#options;
+        const { acts, logger, metrics } = this.#options;
         const server = createServer({
             keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
             headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
@@ -136,7 +136,7 @@
         );
         const headerLimit = new HeaderLimit(server);
         const connectionOf = (socket: Duplex): CallerConnection => this.#connections.of(socket);
-        answerUnreadableRequests({ server, headerLimit, connectionOf, logger, metrics });
+        answerUnreadableRequests({ acts, server, headerLimit, connectionOf, logger, metrics });
         this.#headerLimit = headerLimit;
         return server;
     }
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -6,6 +6,7 @@
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
 import { splitAddress } from "../transport/index.js";
+import { type Acts } from "./actQueue.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
 const MAXIMUM_INTERIM_ANSWERS = 16;
@@ -23,6 +24,7 @@
 
 /** The request, its destination and the callbacks for its answer. */
 export interface UpstreamCallOptions {
+    readonly acts: Pick<Acts, "afterReading">;
     readonly agent: Agent;
     /** IP address and port. */
     readonly address: string;
@@ -156,9 +158,9 @@
         }
     }
 
-    /** Fails the call once events that are due in this iteration of the event loop show that it is not connected. */
+    /** Fails the call if, by what has arrived, it is not connected. */
     #handleConnectTimeout(): void {
-        setImmediate(() => {
+        this.#options.acts.afterReading(() => {
             if (!this.#connected) {
                 this.#fail("not-connected", "connection attempt timed out");
                 this.#request.destroy();
@@ -256,6 +258,7 @@
  * @example
  * ```ts
  * const call = callUpstream({
+ *     acts,
  *     agent,
  *     address: "10.128.0.9:8080",
  *     ...request,
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+export { afterPolling } from "./afterPolling.js";
 export { describeError, failedBeforeSending, isTimeoutError } from "./failures.js";
 export { readLimited } from "./readLimited.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
