End a request when the end of its caller's connection is read

What callers saw: nothing; engines worked on for callers that had left (GONE): for a stream whose host held unsent bytes, for as long as it lasted (8 of 8 still at work after 1.5 s, also on a host that was never stopped); in all other states a few turns of the event loop too long, each of them long on a host without processor time. Cause: only the response's `close` ended a request, which comes once the socket has been shut down in both directions, after what is still to be written. Ruled out: half-closed connections that should be served: Node's server ends them, and arrivals on them are rejected, as before. Change: an exchange listens for the end of its caller's socket while it runs. The log field callerEndReadMilliseconds, which told the two apart, has no use any more.

--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -50,8 +50,8 @@
     readonly #sender: AttemptSender;
     /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
     #isDoubted = false;
+    readonly #handleCallerClosed = (): void => this.#guard(() => this.#ending.handleCallerClosed());
     #deadlineTimer: NodeJS.Timeout | undefined;
-    readonly #recordCallerEndRead = (): void => this.#ending.recordCallerEndRead();
 
     constructor(context: ForwardingContext, request: CallerRequest, listener: ExchangeListener) {
         this.#context = context;
@@ -159,8 +159,8 @@
     #begin(): void {
         const { arrivedAtMilliseconds, message, response } = this.#parts.request;
         const { model, promptTokens, service, work } = this.#parts.facts;
-        response.on("close", () => this.#guard(() => this.#ending.handleCallerClosed()));
-        message.socket.once("end", this.#recordCallerEndRead);
+        response.on("close", this.#handleCallerClosed);
+        message.socket.once("end", this.#handleCallerClosed);
         response.on("drain", () => this.#guard(() => this.#receiver.handleDrain()));
         this.#deadlineTimer = setTimeout(
             () => this.#context.acts.afterReading(() => this.abort()),
@@ -342,7 +342,7 @@
     /** Ends the timers and the wait of a request that has ended. */
     #close(outcome: string): void {
         clearTimeout(this.#deadlineTimer);
-        this.#parts.request.message.socket.off("end", this.#recordCallerEndRead);
+        this.#parts.request.message.socket.removeListener("end", this.#handleCallerClosed);
         this.#hedging.close();
         this.#dispatchTimer.close();
         this.#waitTime.end(outcome);
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -27,8 +27,6 @@
     readonly #options: RequestEndingOptions;
     readonly #parts: RequestParts;
     #ended = false;
-    /** When the end of the caller's bytes was read; `undefined` while the caller may send more. */
-    #callerEndReadAtMilliseconds: number | undefined;
 
     constructor(options: RequestEndingOptions) {
         this.#options = options;
@@ -39,11 +37,6 @@
         return this.#ended;
     }
 
-    /** Records that the end of the caller's bytes was read, which precedes the end of its connection. */
-    recordCallerEndRead(): void {
-        this.#callerEndReadAtMilliseconds = this.#parts.context.readClock();
-    }
-
     /** Answers that the request has not run and never will, and after what time the caller should retry. */
     refuse(reason: FailureReason, expectedMilliseconds?: number): void {
         if (this.#parts.answer.begun) {
@@ -181,9 +174,6 @@
                 ? undefined
                 : Math.round(firstByteAtMilliseconds - arrivedAtMilliseconds),
             ...events === 0 ? {} : { events, longestGapMilliseconds },
-            callerEndReadMilliseconds: this.#callerEndReadAtMilliseconds === undefined
-                ? undefined
-                : Math.round(this.#parts.context.readClock() - this.#callerEndReadAtMilliseconds),
         });
     }
 
