Measure the silence of peers by the time in which this host listened

What callers saw: nothing by itself; a host that was held up took its own delay for others' silence: it began to watch the service, changed its cell's representative, and named itself alone to callers that asked for addresses. Cause, of the same class: the age of a digest, a listing or a statement was measured by a clock that ran on while the host read nothing. Change: ReadTimes counts at most 250 ms between two moments at which everything was read; the table of peers and the policy of watches go by it, at every look.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -91,7 +91,7 @@
             ratio: bounds.retryRatio,
             extra: bounds.retryExtra,
         });
-        this.#peers = new PeerTable(host, zone);
+        this.#peers = new PeerTable(host, zone, { listened: now => context.reads.listenedMilliseconds(now) });
         this.#gossip = new HostGossip({
             ...context,
             peers: this.#peers,
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -17,7 +17,6 @@
     type GossipLink,
     type GossipMessage,
     type HandledDatagram,
-    hasRecentDigest,
     openGossipLink,
     type Peer,
     type PeerTable,
@@ -128,8 +127,10 @@
 
     /** Publishes a sent request to the hosts of the own cell that use the same engine. */
     publishRequestSent(engine: string, promptTokens: number, usesEngine: (host: string) => boolean): void {
-        const { host, readClock } = this.#options;
-        const receivers = this.#cellPeers().filter(peer => hasRecentDigest(peer, readClock()) && usesEngine(peer.host));
+        const { host, peers, readClock } = this.#options;
+        const receivers = this.#cellPeers().filter(peer =>
+            peers.hasRecentDigest(peer, readClock()) && usesEngine(peer.host)
+        );
         this.#send({ type: "sent", host, engine, promptTokens }, receivers);
     }
 
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -160,7 +160,7 @@
 
     /** Records whether a peer watches the service, and begins or ends this host's watch accordingly. */
     recordWatchStatement(digest: HostDigest): void {
-        this.#watchPolicy.recordStatement(digest, this.#now());
+        this.#watchPolicy.recordStatement(digest, this.#listened());
         this.#mirror.adjustWatch();
     }
 
@@ -185,6 +185,11 @@
         return this.#options.context.readClock();
     }
 
+    /** Time for which this host could hear others, by which their silence is measured. */
+    #listened(): number {
+        return this.#options.context.reads.listenedMilliseconds(this.#now());
+    }
+
     #createRecords(): FleetRecords {
         const { context, duties, onHostsChanged, peers } = this.#options;
         return new FleetRecords({
@@ -288,7 +293,7 @@
         const { context, peers } = this.#options;
         const now = this.#now();
         const members = peers.membersWithRecentDigest(now);
-        return this.#watchPolicy.mustWatch({ host: context.host, members, revision: this.revision }, now);
+        return this.#watchPolicy.mustWatch({ host: context.host, members, revision: this.revision }, this.#listened());
     }
 
     #handleMirrorEvent(event: MirrorEvent): void {
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -134,3 +134,16 @@
     assert.deepEqual([...table.countBuilds(300)], [["b2", 3]]);
     assert.deepEqual([...table.countBuilds(60_000)], []);
 });
+
+test("time in which a host itself read nothing is not taken for the silence of its peers, and no more than that", () => {
+    let listened = 0;
+    const table = new PeerTable("own", "a", { listened: () => listened });
+    ["one", "two"].forEach(host => table.register(registration(host), 0));
+    table.recordDigest(createDigest("one"), 0);
+    listened = 1_000;
+    table.recordDigest(createDigest("two"), 1_000);
+    listened = 1_250;
+    assert.deepEqual(advertisedHosts(table, 7_000), ["one", "two"]);
+    listened = 1_600;
+    assert.deepEqual(advertisedHosts(table, 7_350), ["two"], "it was silent for 1 s before");
+});
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -20,6 +20,6 @@
     openGossipLink,
 } from "./gossipLink.js";
 export { PacedSender, type QueuedDatagram } from "./pacedSender.js";
-export { type AdvertisedHost, type FleetDivision, hasRecentDigest, type Peer, PeerTable } from "./peerTable.js";
+export { type AdvertisedHost, type FleetDivision, type Peer, PeerTable } from "./peerTable.js";
 export { type DropReason } from "./receiveQueue.js";
 export { selectAddresses } from "./selectAddresses.js";
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -69,12 +69,24 @@
 export class PeerTable {
     readonly #host: string;
     readonly #zone: string;
+    readonly #listened: (nowMilliseconds: number) => number;
     readonly #peers = new Map<string, Peer>();
     #division: FleetDivision | undefined;
 
-    constructor(host: string, zone: string) {
+    /**
+     * @param host This host.
+     * @param zone Its availability zone.
+     * @param options.listened Returns, for a reading of the steady clock, for how long this host could hear others. The
+     *     ages of digests, listings and records are measured by it; by default it is the steady clock.
+     */
+    constructor(
+        host: string,
+        zone: string,
+        { listened = now => now }: { readonly listened?: (nowMilliseconds: number) => number; } = {},
+    ) {
         this.#host = host;
         this.#zone = zone;
+        this.#listened = listened;
     }
 
     /** Records a host's registration; at a new address, its earlier digests and listings no longer count. */
@@ -93,8 +105,8 @@
             configurationVersion: known?.configurationVersion ?? 0,
             build: known?.build,
             registered: true,
-            registeredAtMilliseconds: nowMilliseconds,
-            recordChangedAtMilliseconds: nowMilliseconds,
+            registeredAtMilliseconds: this.#listened(nowMilliseconds),
+            recordChangedAtMilliseconds: this.#listened(nowMilliseconds),
             lastDigestAtMilliseconds: moved ? undefined : known?.lastDigestAtMilliseconds,
             lastListedAtMilliseconds: moved ? undefined : known?.lastListedAtMilliseconds,
         });
@@ -104,7 +116,11 @@
     unregister(host: string, nowMilliseconds: number): void {
         const known = this.#peers.get(host);
         if (known !== undefined) {
-            this.#setPeer({ ...known, registered: false, recordChangedAtMilliseconds: nowMilliseconds });
+            this.#setPeer({
+                ...known,
+                registered: false,
+                recordChangedAtMilliseconds: this.#listened(nowMilliseconds),
+            });
         }
     }
 
@@ -114,6 +130,7 @@
             return;
         }
         const known = this.#peers.get(digest.host);
+        const listenedMilliseconds = this.#listened(nowMilliseconds);
         this.#setPeer({
             host: digest.host,
             zone: digest.zone,
@@ -123,9 +140,9 @@
             configurationVersion: digest.configurationVersion,
             build: digest.build,
             registered: known?.registered ?? false,
-            registeredAtMilliseconds: known?.registeredAtMilliseconds ?? nowMilliseconds,
-            recordChangedAtMilliseconds: known?.recordChangedAtMilliseconds ?? nowMilliseconds,
-            lastDigestAtMilliseconds: nowMilliseconds,
+            registeredAtMilliseconds: known?.registeredAtMilliseconds ?? listenedMilliseconds,
+            recordChangedAtMilliseconds: known?.recordChangedAtMilliseconds ?? listenedMilliseconds,
+            lastDigestAtMilliseconds: listenedMilliseconds,
             lastListedAtMilliseconds: known?.lastListedAtMilliseconds,
         });
     }
@@ -134,7 +151,8 @@
     recordListed(host: string, nowMilliseconds: number): void {
         const known = this.#peers.get(host);
         if (known !== undefined) {
-            this.#peers.set(host, { ...known, ready: true, leaving: false, lastListedAtMilliseconds: nowMilliseconds });
+            const lastListedAtMilliseconds = this.#listened(nowMilliseconds);
+            this.#peers.set(host, { ...known, ready: true, leaving: false, lastListedAtMilliseconds });
         }
     }
 
@@ -163,9 +181,10 @@
 
     /** Removes hosts without a record that sent no digest for long. Iterates over the whole fleet. */
     forget(nowMilliseconds: number): void {
+        const listenedMilliseconds = this.#listened(nowMilliseconds);
         for (const [host, peer] of this.#peers) {
             const seenAt = Math.max(peer.lastDigestAtMilliseconds ?? 0, peer.recordChangedAtMilliseconds);
-            if (!peer.registered && nowMilliseconds - seenAt > UNREGISTERED_RETENTION_MILLISECONDS) {
+            if (!peer.registered && listenedMilliseconds - seenAt > UNREGISTERED_RETENTION_MILLISECONDS) {
                 this.#peers.delete(host);
                 this.#division = undefined;
             }
@@ -187,7 +206,7 @@
     membersWithRecentDigest(nowMilliseconds: number): string[] {
         const members = this.division().ownCell.filter(({ host }) => {
             const peer = this.#peers.get(host);
-            return peer === undefined || (hasRecentDigest(peer, nowMilliseconds) && !peer.leaving);
+            return peer === undefined || (this.hasRecentDigest(peer, nowMilliseconds) && !peer.leaving);
         });
         return members.map(({ host }) => host);
     }
@@ -215,7 +234,7 @@
 
     /** Returns the peers, of any cell, with a recent digest. */
     withRecentDigest(nowMilliseconds: number): Peer[] {
-        return [...this.#peers.values()].filter(peer => hasRecentDigest(peer, nowMilliseconds));
+        return [...this.#peers.values()].filter(peer => this.hasRecentDigest(peer, nowMilliseconds));
     }
 
     /** Returns the number of peers with a recent digest by build; those of earlier builds do not tell theirs. */
@@ -229,13 +248,13 @@
 
     /** Returns the hosts that are live by their own digests or their cells' aggregates. */
     live(nowMilliseconds: number): Peer[] {
-        return [...this.#peers.values()].filter(peer => isLive(peer, nowMilliseconds));
+        return [...this.#peers.values()].filter(peer => this.#isLive(peer, nowMilliseconds));
     }
 
     /** Returns whether a host is live, by its own digests or its cell's aggregates, and not leaving. */
     isLiveAndNotLeaving(host: string, nowMilliseconds: number): boolean {
         const peer = this.#peers.get(host);
-        return peer !== undefined && isLive(peer, nowMilliseconds) && !peer.leaving;
+        return peer !== undefined && this.#isLive(peer, nowMilliseconds) && !peer.leaving;
     }
 
     /**
@@ -244,7 +263,7 @@
      */
     possibleHolders(nowMilliseconds: number): Peer[] {
         return this.cellPeers().filter(peer =>
-            !peer.leaving && (peer.registered || hasRecentDigest(peer, nowMilliseconds))
+            !peer.leaving && (peer.registered || this.hasRecentDigest(peer, nowMilliseconds))
         );
     }
 
@@ -254,11 +273,11 @@
      */
     advertised(nowMilliseconds: number): AdvertisedHost[] {
         const ready = [...this.#peers.values()].filter(({ ready, leaving }) => ready && !leaving);
-        const live = ready.filter(peer => isLive(peer, nowMilliseconds));
+        const live = ready.filter(peer => this.#isLive(peer, nowMilliseconds));
         const newlyRegistered = ready.filter(peer =>
             peer.registered && peer.lastDigestAtMilliseconds === undefined
             && peer.lastListedAtMilliseconds === undefined
-            && nowMilliseconds - peer.registeredAtMilliseconds < NEW_HOST_GRACE_MILLISECONDS
+            && this.#listened(nowMilliseconds) - peer.registeredAtMilliseconds < NEW_HOST_GRACE_MILLISECONDS
         );
         const advertised = live.length > 0
             ? [...live, ...newlyRegistered]
@@ -272,20 +291,20 @@
         newer.sort((left, right) => right.configurationVersion - left.configurationVersion);
         return newer[0];
     }
-}
 
-/** Returns whether a peer's last digest is recent. */
-export function hasRecentDigest(peer: Peer, nowMilliseconds: number): boolean {
-    return peer.lastDigestAtMilliseconds !== undefined
-        && nowMilliseconds - peer.lastDigestAtMilliseconds < RECENT_DIGEST_MILLISECONDS;
-}
+    /** Returns whether a peer's last digest is recent. */
+    hasRecentDigest({ lastDigestAtMilliseconds }: Peer, nowMilliseconds: number): boolean {
+        return lastDigestAtMilliseconds !== undefined
+            && this.#listened(nowMilliseconds) - lastDigestAtMilliseconds < RECENT_DIGEST_MILLISECONDS;
+    }
 
-/** Returns whether a peer sent a recent digest or was recently listed in its cell's aggregate. */
-function isLive(peer: Peer, nowMilliseconds: number): boolean {
-    return hasRecentDigest(peer, nowMilliseconds) || isRecentlyListed(peer, nowMilliseconds);
-}
+    /** Returns whether a peer sent a recent digest or was recently listed in its cell's aggregate. */
+    #isLive(peer: Peer, nowMilliseconds: number): boolean {
+        return this.hasRecentDigest(peer, nowMilliseconds) || this.#isRecentlyListed(peer, nowMilliseconds);
+    }
 
-function isRecentlyListed({ lastListedAtMilliseconds }: Peer, nowMilliseconds: number): boolean {
-    return lastListedAtMilliseconds !== undefined
-        && nowMilliseconds - lastListedAtMilliseconds < RECENT_LISTING_MILLISECONDS;
+    #isRecentlyListed({ lastListedAtMilliseconds }: Peer, nowMilliseconds: number): boolean {
+        return lastListedAtMilliseconds !== undefined
+            && this.#listened(nowMilliseconds) - lastListedAtMilliseconds < RECENT_LISTING_MILLISECONDS;
+    }
 }
