Choose issuers of permits and of slots in one class

What read badly: RateLimiter and SlotLeases held the same choice of the host to ask for an upstream letter for letter: the ranking of hosts, kept for each view of the fleet, the time for which an unresponsive issuer is passed over, and its constant.

Behaviour is unchanged; no test is changed.

Tests, on a machine whose load average was about 25 on 8 cores: scripts/test.ts rateLimit slotLeases brittle permit issuer: 107 passed, 1 failed ("one host with all the traffic keeps to the limit and uses most of it": 23 of 189 were not refused at once). A trial on scratch copies played 60 random fleets of 5 hosts, with lost messages and differing views, to the former classes and to these: all messages, answers and descriptions were equal; with the time of passing over changed by 100 ms the trial fails. Types, format and lint pass.

--- a/src/rateLimits/rateLimiter.ts
+++ b/src/rateLimits/rateLimiter.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { rankByRendezvous } from "../decision/index.js";
 import { type UpstreamIncarnation } from "../fleet/index.js";
 import {
     type FleetSummary,
@@ -12,6 +11,7 @@
     type PermitGrant,
     type PermitRequest,
 } from "../generated/gossip.js";
+import { IssuerChoice } from "./_issuerChoice.js";
 import { HostPermits, type PermitExpectation } from "./hostPermits.js";
 import { IssuerVotes } from "./issuerVotes.js";
 import { toLimitObservation, toLimitReport } from "./limitReports.js";
@@ -19,9 +19,6 @@
 import { type IssuedPermits, PermitIssuer } from "./permitIssuer.js";
 import { type WaitingRequest } from "./waitingGroups.js";
 
-/** An unresponsive issuer is passed over for this long. */
-const PASSED_OVER_MILLISECONDS = 3_000;
-
 /** Minimum rate of permits, so that the end of a limit of 0 is noticed. */
 const MINIMUM_PERMITS_PER_SECOND = 0.5;
 
@@ -95,17 +92,17 @@
  */
 export class RateLimiter {
     readonly #options: RateLimiterOptions;
+    readonly #issuerChoice: IssuerChoice;
     readonly #votes: IssuerVotes;
     readonly #limited = new Map<string, LimitedUpstream>();
     readonly #issuers = new Map<string, PermitIssuer>();
-    readonly #passedOverUntil = new Map<string, number>();
-    readonly #rankings = new Map<
-        string,
-        { readonly liveHosts: readonly string[]; readonly ranked: readonly string[]; }
-    >();
 
     constructor(options: RateLimiterOptions) {
         this.#options = options;
+        this.#issuerChoice = new IssuerChoice({
+            host: options.host,
+            issuingHosts: () => options.fleet().liveHosts,
+        });
         this.#votes = new IssuerVotes(options.host);
     }
 
@@ -245,7 +242,7 @@
         for (const [upstream, { permits }] of this.#limited) {
             if (!this.isLimited(upstream)) {
                 this.#limited.delete(upstream);
-                this.#rankings.delete(upstream);
+                this.#issuerChoice.forget(upstream);
                 this.#options.onAnswered(upstream, 0);
             }
             else if (permits.isActive) {
@@ -261,9 +258,9 @@
     #limitedUpstream(upstream: string, nowMilliseconds: number): LimitedUpstream {
         const known = this.#limited.get(upstream);
         if (known?.permits.isIssuerUnresponsive(nowMilliseconds) === true) {
-            this.#passedOverUntil.set(known.issuer, nowMilliseconds + PASSED_OVER_MILLISECONDS);
+            this.#issuerChoice.passOver(known.issuer, nowMilliseconds);
         }
-        const issuer = this.#chooseIssuer(upstream, nowMilliseconds);
+        const issuer = this.#issuerChoice.choose(upstream, nowMilliseconds);
         if (known === undefined) {
             const limited = { permits: new HostPermits(), issuer };
             this.#limited.set(upstream, limited);
@@ -276,25 +273,6 @@
         return known;
     }
 
-    #chooseIssuer(upstream: string, nowMilliseconds: number): string {
-        const issuer = this.#rankHosts(upstream).find(candidate =>
-            (this.#passedOverUntil.get(candidate) ?? Number.NEGATIVE_INFINITY) <= nowMilliseconds
-        );
-        return issuer ?? this.#options.host;
-    }
-
-    /** Returns the live hosts in the order in which they issue an upstream's permits, computed once for each view. */
-    #rankHosts(upstream: string): readonly string[] {
-        const { liveHosts } = this.#options.fleet();
-        const known = this.#rankings.get(upstream);
-        if (known?.liveHosts === liveHosts) {
-            return known.ranked;
-        }
-        const ranked = rankByRendezvous(upstream, liveHosts);
-        this.#rankings.set(upstream, { liveHosts, ranked });
-        return ranked;
-    }
-
     #sendRequest(upstream: string, nowMilliseconds: number): void {
         const { host, limits, send } = this.#options;
         const { issuer, permits } = this.#limitedUpstream(upstream, nowMilliseconds);
--- a/src/rateLimits/slotLeases.ts
+++ b/src/rateLimits/slotLeases.ts
@@ -3,14 +3,11 @@
  *
  * @module
  */
-import { rankByRendezvous } from "../decision/index.js";
 import { type SlotGrant, type SlotRequest } from "../generated/gossip.js";
+import { IssuerChoice } from "./_issuerChoice.js";
 import { HostSlots } from "./hostSlots.js";
 import { SlotIssuer } from "./slotIssuer.js";
 
-/** An unresponsive issuer is passed over for this long. */
-const PASSED_OVER_MILLISECONDS = 3_000;
-
 /** A message to the host that leases an upstream's slots, or from it. */
 export type SlotMessage = SlotRequest | SlotGrant;
 
@@ -54,13 +51,13 @@
  */
 export class SlotLeases {
     readonly #options: SlotLeasesOptions;
+    readonly #issuerChoice: IssuerChoice;
     readonly #leased = new Map<string, LeasedUpstream>();
     readonly #issuers = new Map<string, SlotIssuer>();
-    readonly #passedOverUntil = new Map<string, number>();
-    readonly #rankings = new Map<string, { readonly hosts: readonly string[]; readonly ranked: readonly string[]; }>();
 
     constructor(options: SlotLeasesOptions) {
         this.#options = options;
+        this.#issuerChoice = new IssuerChoice(options);
     }
 
     /** Returns whether `tick` must be called every few milliseconds. */
@@ -141,7 +138,7 @@
     forget(upstream: string): void {
         this.#leased.delete(upstream);
         this.#issuers.delete(upstream);
-        this.#rankings.delete(upstream);
+        this.#issuerChoice.forget(upstream);
     }
 
     /** Returns whether the issuer must hear of this host; not once its requests need no leased slot any more. */
@@ -154,9 +151,9 @@
     #leasedUpstream(upstream: string, nowMilliseconds: number): LeasedUpstream {
         const known = this.#leased.get(upstream);
         if (known?.slots.isIssuerUnresponsive === true) {
-            this.#passedOverUntil.set(known.issuer, nowMilliseconds + PASSED_OVER_MILLISECONDS);
+            this.#issuerChoice.passOver(known.issuer, nowMilliseconds);
         }
-        const issuer = this.#chooseIssuer(upstream, nowMilliseconds);
+        const issuer = this.#issuerChoice.choose(upstream, nowMilliseconds);
         if (known === undefined) {
             const leased = { slots: new HostSlots(), issuer };
             this.#leased.set(upstream, leased);
@@ -169,25 +166,6 @@
         return known;
     }
 
-    #chooseIssuer(upstream: string, nowMilliseconds: number): string {
-        const issuer = this.#rankHosts(upstream).find(candidate =>
-            (this.#passedOverUntil.get(candidate) ?? Number.NEGATIVE_INFINITY) <= nowMilliseconds
-        );
-        return issuer ?? this.#options.host;
-    }
-
-    /** Returns the hosts in the order in which they lease an upstream's slots, computed once for each view. */
-    #rankHosts(upstream: string): readonly string[] {
-        const hosts = this.#options.issuingHosts();
-        const known = this.#rankings.get(upstream);
-        if (known?.hosts === hosts) {
-            return known.ranked;
-        }
-        const ranked = rankByRendezvous(upstream, hosts);
-        this.#rankings.set(upstream, { hosts, ranked });
-        return ranked;
-    }
-
     #sendRequest(upstream: string, nowMilliseconds: number): void {
         const { host, inFlight, onActive, send } = this.#options;
         const { issuer, slots } = this.#leasedUpstream(upstream, nowMilliseconds);
@@ -221,7 +199,7 @@
     #isIssuer(upstream: string, nowMilliseconds: number): boolean {
         const issuer = this.#leased.has(upstream)
             ? this.#leasedUpstream(upstream, nowMilliseconds).issuer
-            : this.#chooseIssuer(upstream, nowMilliseconds);
+            : this.#issuerChoice.choose(upstream, nowMilliseconds);
         return issuer === this.#options.host;
     }
 
