Give each thing that the upstream tracker records a module of its own

What read badly: upstreamTracker.ts did many jobs in 458 lines: it read limits, tolerances and pauses from answers' headers, kept the reports of leaving, told crashes to the attribution and logged its conclusions, logged changes of the view, and wired all that.

The change: the folder src/entry/upstreams holds a recorder each of limits, tolerances, pauses and crashes, the recent reports of leaving, and the log line of a change of the view. The tracker (296 lines) holds the state that decisions read, and decides which part an event concerns. Its public methods and fields, log lines and metrics are unchanged, as is the order of the effects of an event. No test is changed.

--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,13 +3,7 @@
  *
  * @module
  */
-import {
-    CrashAttribution,
-    type CrashChange,
-    type CrashEvidence,
-    type CrashReport,
-    type RequestAttributes,
-} from "../crashes/index.js";
+import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
     isOlderIncarnation,
@@ -31,31 +25,20 @@
 import { UpstreamContact } from "../partitions/index.js";
 import { ResidencyView } from "../placement/index.js";
 import { type KeyValueEntry } from "../platform/index.js";
-import {
-    type LimitChange,
-    type LimitObservation,
-    NamedLimits,
-    type ParsedRateLimit,
-    RejectionBounds,
-    type SlotLeases,
-} from "../rateLimits/index.js";
-import {
-    type AnswerStatusAndHeaders,
-    isFromOtherUpstream,
-    readLoad,
-    readRateLimit,
-    readRejectionTolerance,
-    readRequestedPause,
-    reportsLeaving,
-} from "./_answerHead.js";
-import { incarnationOf } from "./_upstreamIncarnation.js";
+import { type LimitChange, NamedLimits, RejectionBounds, type SlotLeases } from "../rateLimits/index.js";
+import { type AnswerStatusAndHeaders, isFromOtherUpstream, readLoad, reportsLeaving } from "./_answerHead.js";
 import { type HeaderNames, type SiteProtocol } from "./siteProtocol.js";
+import {
+    CrashRecorder,
+    LeavingReports,
+    LimitRecorder,
+    logUpstreamChange,
+    PauseRecorder,
+    ToleranceRecorder,
+} from "./upstreams/index.js";
 
 const STATUS_OK = 200;
 
-/** How long digests report that an upstream is leaving; covers several digests, since any one may be lost. */
-const LEAVING_REPORT_MILLISECONDS = 3_000;
-
 /** Options of the tracker. */
 export interface UpstreamTrackerOptions {
     readonly host: string;
@@ -81,7 +64,10 @@
     readonly onLimitChanged: (change: LimitChange) => void;
 }
 
-/** Combines upstreams' announcements with the outcomes of requests sent to them. */
+/**
+ * Combines upstreams' announcements with the outcomes of requests sent to them. What an event tells is recorded by the
+ * parts in `upstreams/`; the tracker decides which of them it concerns, and holds the state that decisions read.
+ */
 export class UpstreamTracker {
     readonly view = new UpstreamView();
     readonly residency = new ResidencyView();
@@ -99,13 +85,11 @@
     readonly contact = new UpstreamContact();
     readonly liveness = new UpstreamLiveness();
     readonly #options: UpstreamTrackerOptions;
-    /** The last unreadable limit of each upstream, which is logged once. */
-    readonly #unreadableLimits = new Map<string, string>();
-    /** Incarnations that reported to this host that they are leaving, with the time of the report. */
-    readonly #leavingReports = new Map<
-        string,
-        { readonly incarnation: UpstreamIncarnation; readonly atMilliseconds: number; }
-    >();
+    readonly #crashRecorder: CrashRecorder;
+    readonly #leavingReports = new LeavingReports();
+    readonly #limitRecorder: LimitRecorder;
+    readonly #pauseRecorder: PauseRecorder;
+    readonly #toleranceRecorder: ToleranceRecorder;
 
     constructor(options: UpstreamTrackerOptions) {
         this.#options = options;
@@ -118,6 +102,11 @@
             leases: options.slotLeases,
             upstreamsOf: service => this.view.usable(service).toSorted((left, right) => left.id < right.id ? -1 : 1),
         });
+        const { crashes, limits, pauses, tolerances } = this;
+        this.#crashRecorder = new CrashRecorder({ ...options, crashes });
+        this.#limitRecorder = new LimitRecorder({ ...options, limits });
+        this.#pauseRecorder = new PauseRecorder({ ...options, pauses });
+        this.#toleranceRecorder = new ToleranceRecorder({ ...options, tolerances });
     }
 
     /** Applies an upstream's announcement from the key-value service; a new start time means that it crashed before. */
@@ -133,7 +122,7 @@
         }
         const previous = this.view.get(id);
         if (previous !== undefined && previous.startedAtMilliseconds !== decoded.value.startedAtMilliseconds) {
-            this.#recordCrash(previous);
+            this.#crashRecorder.recordCrash(previous);
             this.#forgetNamed(id);
         }
         const changes = this.view.put(decoded.value);
@@ -170,10 +159,10 @@
                 this.#recordLeaving(upstream);
             }
         }
-        this.#recordPause(upstream.id, head);
+        this.#pauseRecorder.record(upstream.id, head);
         if (!isFromOtherUpstream(head, upstream.id, headers) && this.isPresent(upstream)) {
-            this.#recordLimit(upstream, head, sentAtMilliseconds);
-            this.#recordTolerance(upstream, head, sentAtMilliseconds);
+            this.#limitRecorder.record(upstream, head, sentAtMilliseconds);
+            this.#toleranceRecorder.record(upstream, head, sentAtMilliseconds);
         }
     }
 
@@ -192,17 +181,8 @@
     }
 
     /** Logs and counts a change of a limit, which the upstream named to a host. */
-    reportLimitChange({ previousRequestsPerSecond, requestsPerSecond, upstream }: LimitChange, namedTo: string): void {
-        const named = previousRequestsPerSecond === undefined ? "named" : "changed";
-        const outcome = requestsPerSecond === undefined ? "withdrawn" : named;
-        this.#options.metrics.count("upstream_limits", { outcome });
-        this.#options.logger.info("upstream limit changed", {
-            upstream,
-            outcome,
-            limitPerSecond: requestsPerSecond,
-            previousLimitPerSecond: previousRequestsPerSecond,
-            namedTo,
-        });
+    reportLimitChange(change: LimitChange, namedTo: string): void {
+        this.#limitRecorder.reportChange(change, namedTo);
     }
 
     /** Records a peer's report that an upstream incarnation is leaving. */
@@ -212,37 +192,28 @@
 
     /** Returns the incarnations that recently reported to this host that they are leaving. */
     leavingIncarnations(): UpstreamIncarnation[] {
-        for (const [id, { atMilliseconds }] of this.#leavingReports) {
-            if (this.#now() - atMilliseconds > LEAVING_REPORT_MILLISECONDS) {
-                this.#leavingReports.delete(id);
-            }
-        }
-        return [...this.#leavingReports.values()].map(({ incarnation }) => incarnation);
+        return this.#leavingReports.recent(this.#now());
     }
 
     /** Drops expired upstreams and what is out of date on crashes. */
     expire(): void {
         this.#handleChanges(this.view.expire(this.#now()));
-        this.crashes.expire(this.#now());
-        this.#handleCrashNews();
+        this.#crashRecorder.expire();
     }
 
     /** Records a request that was lost with its connection before its answer had begun. */
     recordLost(attributes: RequestAttributes, upstream: UpstreamAnnouncement): void {
-        this.crashes.recordLost(attributes, incarnationOf(upstream), this.#now());
-        this.#handleCrashNews();
+        this.#crashRecorder.recordLost(attributes, upstream);
     }
 
     /** Records a request whose answer has gone on for a while, or is complete. */
     recordAnswered(attributes: RequestAttributes, upstream: UpstreamAnnouncement): void {
-        this.crashes.recordAnswered(attributes, incarnationOf(upstream), this.#now());
-        this.#handleCrashNews();
+        this.#crashRecorder.recordAnswered(attributes, upstream);
     }
 
     /** Records what a peer reports of crashes; requests that are held back may then be sent or refused. */
     recordCrashReport(report: CrashReport): void {
-        this.crashes.receive(report, this.#now());
-        this.#handleCrashNews();
+        this.#crashRecorder.receive(report);
         this.#options.onChanged();
     }
 
@@ -252,16 +223,13 @@
         this.contact.recordFailed(upstream, this.#now());
         const announcement = this.view.get(upstream);
         if (isRefused && announcement !== undefined) {
-            const incarnation = incarnationOf(announcement);
-            this.#logSuspects(this.crashes.recordRefusedConnection(incarnation, this.#now()), announcement);
-            this.#handleCrashNews();
+            this.#crashRecorder.recordRefusedConnection(announcement);
         }
     }
 
     /** Records that a request is sent; peers hear soon of one that is tried although it may crash upstreams. */
     recordSent(attributes: RequestAttributes): void {
-        this.crashes.recordSent(attributes, this.#now());
-        this.#handleCrashNews();
+        this.#crashRecorder.recordSent(attributes);
     }
 
     /** Returns whether requests to an upstream need a slot that is leased to this host. */
@@ -277,58 +245,11 @@
     #recordLeaving({ id, startedAtMilliseconds }: UpstreamAnnouncement): void {
         const incarnation = { id, startedAtMilliseconds };
         if (!this.view.hasReportedLeaving(incarnation)) {
-            this.#leavingReports.set(id, { incarnation, atMilliseconds: this.#now() });
+            this.#leavingReports.record(incarnation, this.#now());
         }
         this.#handleChanges(this.view.recordLeaving(incarnation));
     }
 
-    #recordLimit(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
-        const { headers, host } = this.#options;
-        const limit = readRateLimit(head, headers);
-        if (limit?.type === "unreadable") {
-            this.#reportUnreadableLimit(upstream.id, String(head.headers[headers.rateLimit]));
-        }
-        const change = this.limits.record(this.#observe(upstream, limit, sentAtMilliseconds));
-        if (change !== undefined) {
-            this.reportLimitChange(change, host);
-            this.#options.onLimitChanged(change);
-        }
-    }
-
-    #recordTolerance(upstream: UpstreamAnnouncement, head: AnswerStatusAndHeaders, sentAtMilliseconds: number): void {
-        const { headers, logger, metrics } = this.#options;
-        const tolerance = readRejectionTolerance(head, headers);
-        if (tolerance?.type === "unreadable") {
-            metrics.count("rejection_tolerances", { outcome: "unreadable" });
-        }
-        const change = this.tolerances.record(this.#observe(upstream, tolerance, sentAtMilliseconds));
-        if (change === undefined) {
-            return;
-        }
-        const outcome = change.requestsPerSecond === undefined ? "withdrawn" : "named";
-        metrics.count("rejection_tolerances", { outcome });
-        logger.info("upstream rejection tolerance changed", {
-            upstream: upstream.id,
-            outcome,
-            toleratedPerSecond: change.requestsPerSecond,
-            previousToleratedPerSecond: change.previousRequestsPerSecond,
-        });
-    }
-
-    #observe(
-        { id, startedAtMilliseconds }: UpstreamAnnouncement,
-        limit: ParsedRateLimit | undefined,
-        sentAtMilliseconds: number,
-    ): LimitObservation {
-        return {
-            upstream: { id, startedAtMilliseconds },
-            requestsPerSecond: limit?.type === "limit" ? limit.requestsPerSecond : undefined,
-            sentAtMilliseconds,
-            receivedAtMilliseconds: this.#now(),
-            receivedBy: this.#options.host,
-        };
-    }
-
     /** Drops what an earlier incarnation of an upstream named. */
     #forgetNamed(upstream: string): void {
         this.limits.forget(upstream);
@@ -336,76 +257,6 @@
         this.rejectionBounds.forget(upstream);
     }
 
-    #reportUnreadableLimit(upstream: string, value: string): void {
-        this.#options.metrics.count("upstream_limits", { outcome: "unreadable" });
-        if (this.#unreadableLimits.get(upstream) !== value) {
-            this.#unreadableLimits.set(upstream, value);
-            this.#options.logger.warn("limit not readable", { upstream, value });
-        }
-    }
-
-    #recordPause(upstream: string, head: AnswerStatusAndHeaders): void {
-        const pause = readRequestedPause(head);
-        if (pause === undefined) {
-            return;
-        }
-        if (pause.type === "unreadable") {
-            this.#options.metrics.count("upstream_pauses", { outcome: "unreadable" });
-            this.#options.logger.warn("pause not readable", { upstream, value: head.headers["retry-after"] });
-            return;
-        }
-        this.pauses.record(upstream, pause.milliseconds, this.#now());
-        this.#options.metrics.count("upstream_pauses", { outcome: pause.isCut ? "cut" : "obeyed" });
-        this.#options.logger.info("upstream asked for a pause", {
-            upstream,
-            pauseMilliseconds: Math.round(pause.milliseconds),
-            isCut: pause.isCut,
-        });
-    }
-
-    #recordCrash(announcement: UpstreamAnnouncement): void {
-        this.#logSuspects(this.crashes.recordCrash(incarnationOf(announcement), this.#now()), announcement);
-        this.#handleCrashNews();
-    }
-
-    #logSuspects(evidence: readonly CrashEvidence[], announcement: UpstreamAnnouncement): void {
-        for (const { fingerprint, parts, runs } of evidence) {
-            this.#options.logger.warn("request suspected of a crash", {
-                fingerprint,
-                promptParts: parts.join(","),
-                crashes: runs.length,
-                upstream: announcement.id,
-                incarnation: incarnationOf(announcement),
-            });
-        }
-    }
-
-    /** Logs what was concluded on crashes, and has news published. */
-    #handleCrashNews(): void {
-        this.crashes.takeChanges().forEach(change => this.#logCrashChange(change));
-        this.#options.onCrashNews();
-    }
-
-    #logCrashChange(change: CrashChange): void {
-        const { attributes, ageMilliseconds, crashes, remainingMilliseconds } = change.conviction;
-        const fields = {
-            attributes: attributes.join(" "),
-            crashes,
-            ageMilliseconds,
-            remainingMilliseconds,
-        };
-        if (change.type === "convicted") {
-            this.#options.logger.warn("requests that crash upstreams are refused", { ...fields, isOwn: change.isOwn });
-        }
-        else {
-            this.#options.logger.warn("requests are no longer refused for crashes", {
-                ...fields,
-                answeredAttribute: change.attribute,
-            });
-        }
-        this.#options.metrics.count("crash_convictions", { change: change.type });
-    }
-
     #handleChanges(changes: readonly UpstreamChange[]): void {
         changes.forEach(change => this.#handleChange(change));
         if (changes.length > 0) {
@@ -422,24 +273,12 @@
         if (change.type === "joined") {
             this.#options.onJoined();
         }
-        if (change.type === "updated") {
-            return;
-        }
-        this.#options.logger.info(`upstream ${change.type}`, {
-            upstream: change.upstream.id,
-            service: change.upstream.service,
-            address: change.upstream.address,
-            zone: change.upstream.zone,
-            softwareVersion: change.upstream.softwareVersion,
-            startedAt: change.upstream.startedAtMilliseconds,
-            reason: change.type === "left" ? change.reason : undefined,
-        });
-        this.#options.metrics.count("upstream_changes", { change: change.type });
+        logUpstreamChange(change, this.#options);
     }
 
     #forget(upstream: UpstreamAnnouncement, reason: string): void {
         if (reason !== "announced" && reason !== "answered") {
-            this.#recordCrash(upstream);
+            this.#crashRecorder.recordCrash(upstream);
             this.residency.forget(upstream.id);
             this.health.forget(upstream.id);
             this.pauses.forget(upstream.id);
@@ -447,8 +286,7 @@
             this.backlog.forget(upstream.id);
             this.liveness.forget(upstream.id);
             this.unreachableReports.clear(upstream.id);
-            this.limits.forget(upstream.id);
-            this.#unreadableLimits.delete(upstream.id);
+            this.#limitRecorder.forget(upstream.id);
         }
     }
 
