Start the site of three tests with one support function

What read badly: adapterRequests, lostAdapterEngine and storeRestore (there twice) each started a site and wrote out its route of streams to engines.

The change: startEngineSite in tests/support/engineSite.ts starts the site and stores the configuration; the tests name what differs (engines, time limit, other routes, era).

Tests, on a machine whose load average was about 15 on 8 cores: scripts/test.ts adapterRequests lostAdapterEngine storeRestore, twice: 10 passed each time. Types, format and lint pass.

--- a/tests/adapterRequests.test.ts
+++ b/tests/adapterRequests.test.ts
@@ -9,14 +9,8 @@
 import { type GossipLink, type GossipMessage, openGossipLink } from "../src/gossip/index.js";
 import { findFreePorts } from "../standins/freePorts.js";
 import { createDigest } from "./support/digests.js";
-import {
-    engineSettings,
-    EntrySite,
-    requestAdapter,
-    type SiteHost,
-    until,
-    waitUntilReady,
-} from "./support/entrySite.js";
+import { startEngineSite } from "./support/engineSite.js";
+import { engineSettings, requestAdapter, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
 
 const HOLDER = "entry-0";
 const SESSION = "77120";
@@ -61,9 +55,7 @@
     { digestsPerSecond, hasNews }: HolderBehaviour,
     onMessage: OnMessage,
 ): Promise<SiteHost> {
-    const site = await EntrySite.start();
-    const route = { pathPrefix: "/llm/", kind: "stream", service: "llm", resumable: true, timeoutMs: 6_000 };
-    site.configure([route], engineSettings(4, { quotes: 40 }));
+    const site = await startEngineSite({ engine: engineSettings(4, { quotes: 40 }), timeoutMs: 6_000 });
     for (let index = 0; index < ENGINES; index += 1) {
         await site.addUpstream({ id: engineName(index), models: { quotes: [] }, slots: 8 }, "llm");
     }
--- a/tests/lostAdapterEngine.test.ts
+++ b/tests/lostAdapterEngine.test.ts
@@ -7,10 +7,10 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
+import { startEngineSite } from "./support/engineSite.js";
 import {
     type CallerAnswer,
     engineSettings,
-    EntrySite,
     requestAdapter,
     type SiteHost,
     until,
@@ -36,10 +36,8 @@
 }
 
 async function startSite(context: TestContext): Promise<AdapterSite> {
-    const site = await EntrySite.start();
+    const site = await startEngineSite({ engine: engineSettings(2, { [MODEL]: 4 }), timeoutMs: 8_000 });
     context.after(() => site.close());
-    const stream = { kind: "stream", resumable: true, timeoutMs: 8_000 };
-    site.configure([{ pathPrefix: "/llm/", service: "llm", ...stream }], engineSettings(2, { [MODEL]: 4 }));
     const addEngine = (id: string, adapters: readonly string[]): Promise<PlatformUpstreamStandIn> =>
         site.addUpstream({
             id,
--- a/tests/storeRestore.test.ts
+++ b/tests/storeRestore.test.ts
@@ -8,11 +8,12 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type PlatformUpstreamStandIn } from "../standins/platform/upstream.js";
+import { ENGINE_ROUTE, startEngineSite } from "./support/engineSite.js";
 import {
     callHost,
     countLines,
     engineSettings,
-    EntrySite,
+    type EntrySite,
     requestAdapter,
     type SiteHost,
     until,
@@ -24,10 +25,7 @@
 
 const ENGINE = engineSettings(4, { quotes: 8 });
 
-const ROUTES = [
-    { pathPrefix: "/reads/" },
-    { pathPrefix: "/llm/", kind: "stream", service: "llm", resumable: true },
-];
+const READS_ROUTE = { pathPrefix: "/reads/" };
 
 interface RestoredSite {
     readonly site: EntrySite;
@@ -35,11 +33,15 @@
     readonly hosts: readonly [SiteHost, SiteHost];
 }
 
-async function startSite(context: TestContext): Promise<RestoredSite> {
-    const site = await EntrySite.start();
-    site.store.era = 1;
+/** Starts a site without hosts or upstreams, whose key-value service was never restored. */
+async function startEmptySite(context: TestContext): Promise<EntrySite> {
+    const site = await startEngineSite({ engine: ENGINE, otherRoutes: [READS_ROUTE], era: 1 });
     context.after(() => site.close());
-    site.configure(ROUTES, ENGINE);
+    return site;
+}
+
+async function startSite(context: TestContext): Promise<RestoredSite> {
+    const site = await startEmptySite(context);
     await site.addUpstream({ id: "i-plain" });
     const hosts = await Promise.all([site.addHost("one"), site.addHost("two")]);
     await Promise.all(hosts.map(host => waitUntilReady(host)));
@@ -78,7 +80,7 @@
     const { hosts, site } = await startSite(context);
     await until(async () => (await callPlain(hosts[0])).status === 200);
     site.store.takeSnapshot();
-    site.configure([...ROUTES, { pathPrefix: "/added/" }], ENGINE);
+    site.configure([READS_ROUTE, ENGINE_ROUTE, { pathPrefix: "/added/" }], ENGINE);
     for (const host of hosts) {
         await until(async () => (await callPlain(host, "/added/1")).status === 200);
     }
@@ -92,7 +94,7 @@
         await delay(50);
     }
     await until(async () => (await callPlain(late, "/added/1")).status === 200, 2_000);
-    site.configure([{ pathPrefix: "/reads/" }, { pathPrefix: "/newest/" }], ENGINE);
+    site.configure([READS_ROUTE, { pathPrefix: "/newest/" }], ENGINE);
     for (const host of [...hosts, late]) {
         await until(async () => (await callPlain(host, "/newest/1")).status === 200, 2_000);
     }
@@ -174,10 +176,7 @@
 });
 
 test("a restore to a snapshot from before any restore was recorded is recorded as settled", async context => {
-    const site = await EntrySite.start();
-    site.store.era = 1;
-    context.after(() => site.close());
-    site.configure(ROUTES, ENGINE);
+    const site = await startEmptySite(context);
     site.store.takeSnapshot();
     const host = await site.addHost("one");
     await site.addUpstream({ id: "i-engine", models: { quotes: [] }, slots: 8 }, "llm");
