--- a/src/entry/peers/hostGossip.test.ts
+++ b/src/entry/peers/hostGossip.test.ts
@@ -48,6 +48,7 @@
         metrics,
         timeSpent: new TimeSpent({ logger: lines, metrics, readClock: () => 0, readProcessorMicroseconds: () => 0 }),
         readClock: () => 0,
+        readProcessorMicroseconds: () => 0,
         hostsNeedingDemand: () => new Set(["planner"]),
         onMessage: () => {},
     });
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -35,6 +35,8 @@
 import { type ListenAddress } from "../settings.js";
 import { GossipProblems } from "./_gossipProblems.js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
 /** Options of a host's gossip. */
 export interface HostGossipOptions {
     readonly host: string;
@@ -43,6 +45,8 @@
     readonly metrics: EntryMetrics;
     readonly timeSpent: TimeSpent;
     readonly readClock: () => number;
+    /** Reads the processor time of the process, by which the cost of datagrams is measured, in microseconds. */
+    readonly readProcessorMicroseconds: () => number;
     /** Returns the hosts of the cell that need the demand for each model. */
     readonly hostsNeedingDemand: () => ReadonlySet<string>;
     /** {@linkcode openGossipLink} by default. */
@@ -73,10 +77,11 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { metrics, onMessage, openLink = openGossipLink } = this.#options;
+        const { metrics, onMessage, openLink = openGossipLink, readProcessorMicroseconds } = this.#options;
         const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
+            readCostClock: () => readProcessorMicroseconds() / MICROSECONDS_PER_MILLISECOND,
             onHandled: datagram => this.#recordHandled(datagram),
             onDropped: reason => this.#received.recordDropped(reason),
             onMessage: message => {
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -110,7 +110,7 @@
     readonly source: string;
     readonly bytes: number;
     readonly decodeMilliseconds: number;
-    /** Time that the callback for the message took. */
+    /** Time of the callback for the message. */
     readonly applyMilliseconds: number;
 }
 
@@ -119,6 +119,8 @@
     readonly address: string;
     readonly port: number;
     readonly onMessage: (message: GossipMessage) => void;
+    /** Reads the clock by which the cost of a datagram is measured, in milliseconds; `performance.now` by default. */
+    readonly readCostClock?: () => number;
     /** Called after a datagram was handled, with its cost. */
     readonly onHandled?: (datagram: HandledDatagram) => void;
     /** Called for each datagram that was dropped because others wait. */
@@ -280,16 +282,17 @@
     }
 
     #receive({ bytes, source }: WaitingDatagram): void {
-        const startedAt = performance.now();
+        const { onHandled, readCostClock = () => performance.now() } = this.#options;
+        const startedAt = readCostClock();
         const decoded = decode(bytes);
-        const decodedAt = performance.now();
+        const decodedAt = readCostClock();
         this.#handle(decoded, source);
-        this.#options.onHandled?.({
+        onHandled?.({
             type: decoded.isOk() ? decoded.value.type : UNREADABLE_TYPE,
             source,
             bytes: bytes.length,
             decodeMilliseconds: decodedAt - startedAt,
-            applyMilliseconds: performance.now() - decodedAt,
+            applyMilliseconds: readCostClock() - decodedAt,
         });
     }
 
--- a/tests/support/busyMessages.ts
+++ b/tests/support/busyMessages.ts
@@ -100,3 +100,59 @@
         this.#sockets.forEach(socket => socket.close());
     }
 }
+
+/** Messages of one host to another at a fixed rate, another one each time. */
+export interface RepeatedMessages {
+    readonly perSecond: number;
+    /** Returns the message of a round, counted from 0. */
+    readonly next: (round: number) => GossipMessage;
+}
+
+/** Sends messages that change, from the sockets of some hosts by turns; `close` ends it. */
+export class VariedMessageSender {
+    readonly #sockets: readonly Socket[];
+    readonly #port: number;
+    #timer: NodeJS.Timeout | undefined;
+
+    private constructor(sockets: readonly Socket[], port: number) {
+        this.#sockets = sockets;
+        this.#port = port;
+    }
+
+    /** Opens the sockets of some hosts, to send to a port of the loopback address. */
+    static async open(hostCount: number, port: number): Promise<VariedMessageSender> {
+        const sockets = await Promise.all(Array.from({ length: hostCount }, async () => {
+            const socket = createSocket("udp4");
+            socket.bind(0, "127.0.0.1");
+            await once(socket, "listening");
+            return socket;
+        }));
+        return new VariedMessageSender(sockets, port);
+    }
+
+    /** Returns the address and port of a host's socket. */
+    addressOf(index: number): string {
+        return `127.0.0.1:${this.#sockets[index]?.address().port ?? 0}`;
+    }
+
+    /** Sends the messages until closed; those of one entry come from one socket. */
+    start(messages: readonly RepeatedMessages[]): void {
+        const startedAt = performance.now();
+        const rounds = messages.map(() => 0);
+        this.#timer = setInterval(() => {
+            const elapsedSeconds = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
+            messages.forEach(({ next, perSecond }, index) => {
+                for (; (rounds[index] ?? 0) < perSecond * elapsedSeconds; rounds[index] = (rounds[index] ?? 0) + 1) {
+                    const bytes = Buffer.from(JSON.stringify(next(rounds[index] ?? 0)));
+                    const socket = this.#sockets[index % this.#sockets.length];
+                    socket?.send(bytes, this.#port, "127.0.0.1", () => undefined);
+                }
+            });
+        }, SEND_INTERVAL_MILLISECONDS);
+    }
+
+    close(): void {
+        clearInterval(this.#timer);
+        this.#sockets.forEach(socket => socket.close());
+    }
+}
