Handle store changes and engine news before the digests and aggregates that wait

While many wait, the change that says that an engine leaves waited behind them and behind aggregates of the rest of the fleet, and requests went on to that engine.

Change: changes in the key-value service, which are numbered, overtake all else; news of an engine's memory all but an earlier digest of the same host, which would take it back. After three in a row another message has its turn, so that a flood of them does not hold back the digests. They count among the messages of their sender that may wait, as before.

--- a/src/gossip/receiveQueue.test.ts
+++ b/src/gossip/receiveQueue.test.ts
@@ -102,3 +102,68 @@
     queue.clear();
     assert.equal(queue.size, 0);
 });
+
+function changesOf(revision: number, source = PEER): WaitingDatagram {
+    const change = { key: "servers/i-1", revision, value: "{}" };
+    return datagramOf(
+        { type: "changes", host: source, afterRevision: revision - 1, revision, changes: [change] },
+        source,
+    );
+}
+
+function newsOf(orderCount: number, source = PEER): WaitingDatagram {
+    return datagramOf({ type: "news", host: source, engine: { engine: "i-1", orderCount, models: [] } }, source);
+}
+
+test("an engine that leaves is heard of before what waits of digests, aggregates and notices", () => {
+    const queue = new ReceiveQueue();
+    Array.from({ length: 10 }, (_, index) => `10.2.0.${index}:1`).forEach(source => {
+        queue.add(digestOf(1, source));
+        queue.add(datagramOf(createBusyAggregate(1, 2), source));
+        queue.add(datagramOf({ ...createBusyAggregate(1, 2), scope: "rest" }, source));
+        queue.add(noticeOf(1, source));
+    });
+    const urgent = [changesOf(7), newsOf(3), changesOf(8)];
+    urgent.forEach(datagram => queue.add(datagram));
+    assert.deepEqual(urgent.map(() => queue.take()), urgent);
+    assert.equal(takeAll(queue).length, 40);
+});
+
+test("changes overtake a digest of their sender, and news of an engine does not, which that would take back", () => {
+    const queue = new ReceiveQueue();
+    const [digest, changes, news] = [digestOf(1), changesOf(7), newsOf(3)];
+    [digestOf(1, OTHER_PEER), digest, news, changes].forEach(datagram => queue.add(datagram));
+    const taken = takeAll(queue);
+    assert.deepEqual(taken.slice(0, 3), [digest, news, changes]);
+    const next = new ReceiveQueue();
+    [digest, changes].forEach(datagram => next.add(datagram));
+    assert.deepEqual(takeAll(next), [changes, digest]);
+});
+
+test("many changes do not hold back the digests for long", () => {
+    const queue = new ReceiveQueue();
+    Array.from({ length: 12 }, (_, index) => queue.add(changesOf(index + 1)));
+    ["a:1", "b:1", "c:1"].forEach(source => queue.add(digestOf(1, source)));
+    const types = takeAll(queue).map(({ bytes }) => (JSON.parse(bytes.toString()) as { type: string; }).type);
+    assert.deepEqual(types.slice(0, 8), [
+        "changes",
+        "changes",
+        "changes",
+        "digest",
+        "changes",
+        "changes",
+        "changes",
+        "digest",
+    ]);
+});
+
+test("changes and news count among the messages of their sender that may wait", () => {
+    const queue = new ReceiveQueue();
+    const reasons = Array.from(
+        { length: 100 },
+        (_, index) => queue.add(index % 2 === 0 ? changesOf(index) : noticeOf(1)),
+    );
+    assert.equal(reasons.filter(reason => reason === "sender-limit").length, 36);
+    takeAll(queue);
+    assert.equal(queue.add(changesOf(101)), undefined);
+});
--- a/src/gossip/receiveQueue.ts
+++ b/src/gossip/receiveQueue.ts
@@ -1,7 +1,8 @@
 /**
  * Datagrams that were received and wait to be decoded and handled.
  *
- * The queue is bounded: a newer message that states everything that an older one of the same host stated takes its
+ * Changes in the key-value service and of engines' memory go first: a request that is dispatched before them may go to an
+ * engine that has left. The queue is bounded: a newer message that states everything that an older one of the same host stated takes its
  * place, and the other messages of each sender are limited in number.
  *
  * @module
@@ -22,6 +23,15 @@
 /** Beginning of the requests that a host repeats until they are met; handling one of two equal ones meets both. */
 const REPEATED_BEGINNING = "{\"type\":\"wish\",";
 
+/** Beginning of changes in the key-value service, which are numbered and overtake all else that their sender said. */
+const CHANGES_BEGINNING = "{\"type\":\"changes\",";
+
+/** Beginning of an engine's memory, which overtakes all but an earlier digest of its sender, as that would take it back. */
+const NEWS_BEGINNING = "{\"type\":\"news\",";
+
+/** Messages that go first in a row while others wait, so that many of them do not hold back the others for long. */
+const MAXIMUM_URGENT_IN_A_ROW = 3;
+
 const LONGEST_BEGINNING = Math.max(...STATE_BEGINNINGS.map(({ length }) => length));
 
 /** A datagram as it was received. */
@@ -47,6 +57,14 @@
     return kind === undefined ? undefined : keyOfState(kind, source);
 }
 
+function beginsWith({ bytes }: WaitingDatagram, beginning: string): boolean {
+    return bytes.toString("latin1", 0, beginning.length) === beginning;
+}
+
+function isUrgent(datagram: WaitingDatagram): boolean {
+    return beginsWith(datagram, CHANGES_BEGINNING) || beginsWith(datagram, NEWS_BEGINNING);
+}
+
 function keyOfState(kind: string, source: string): string {
     return `${kind} ${source}`;
 }
@@ -58,14 +76,14 @@
 }
 
 /** Returns the key of a repeated request, which equal ones share; `undefined` for a message that is not repeated. */
-function repeatKeyOf({ bytes, source }: WaitingDatagram): string | undefined {
-    const isRepeated = bytes.toString("latin1", 0, REPEATED_BEGINNING.length) === REPEATED_BEGINNING;
-    return isRepeated ? `${bytes.toString("latin1")} ${source}` : undefined;
+function repeatKeyOf(datagram: WaitingDatagram): string | undefined {
+    const { bytes, source } = datagram;
+    return beginsWith(datagram, REPEATED_BEGINNING) ? `${bytes.toString("latin1")} ${source}` : undefined;
 }
 
 /**
- * Keeps datagrams in the order of their arrival, those that state everything apart from those that count on their own.
- * Both kinds are taken in turn, so that many of one do not hold back the other.
+ * Keeps datagrams in the order of their arrival: those that go first, those that state everything, and the others that
+ * count on their own. The latter two are taken in turn, so that many of one do not hold back the other.
  *
  * @example
  * ```ts
@@ -79,14 +97,18 @@
     readonly #states = new Map<string, QueuedDatagram>();
     /** Datagrams that count on their own, in the order of their arrival; repeated requests by their key. */
     readonly #others = new Map<string | WaitingDatagram, QueuedDatagram>();
-    readonly #othersOfSender = new Map<string, number>();
+    /** Datagrams that go first, in the order of their arrival. */
+    readonly #urgent = new Set<QueuedDatagram>();
+    /** Number of each sender's datagrams that wait and are not states. */
+    readonly #countsOfSenders = new Map<string, number>();
     #waitingBytes = 0;
     #arrivals = 0;
     #takesState = true;
+    #urgentInARow = 0;
 
     /** Number of datagrams that wait. */
     get size(): number {
-        return this.#states.size + this.#others.size;
+        return this.#states.size + this.#others.size + this.#urgent.size;
     }
 
     /**
@@ -111,9 +133,7 @@
 
     /** Removes and returns the next datagram; `undefined` where none waits. */
     take(): WaitingDatagram | undefined {
-        const takesState = this.#others.size === 0 || (this.#takesState && this.#states.size > 0);
-        this.#takesState = !takesState;
-        const taken = takesState ? this.#takeState() : this.#takeOther();
+        const taken = this.#takesUrgent() ? this.#takeUrgent() : this.#takeInTurn();
         this.#waitingBytes -= taken?.bytes.length ?? 0;
         return taken;
     }
@@ -122,7 +142,8 @@
     clear(): void {
         this.#states.clear();
         this.#others.clear();
-        this.#othersOfSender.clear();
+        this.#urgent.clear();
+        this.#countsOfSenders.clear();
         this.#waitingBytes = 0;
     }
 
@@ -132,16 +153,50 @@
         if (this.#others.has(key)) {
             return "superseded";
         }
-        const count = this.#othersOfSender.get(source) ?? 0;
+        const count = this.#countsOfSenders.get(source) ?? 0;
         if (count >= MAXIMUM_WAITING_PER_SENDER) {
             return "sender-limit";
         }
         this.#waitingBytes += bytes.length;
-        this.#othersOfSender.set(source, count + 1);
-        this.#others.set(key, this.#queued(datagram));
+        this.#countsOfSenders.set(source, count + 1);
+        if (isUrgent(datagram)) {
+            this.#urgent.add(this.#queued(datagram));
+        }
+        else {
+            this.#others.set(key, this.#queued(datagram));
+        }
         return undefined;
     }
 
+    /** Returns whether the next datagram is one of those that go first. */
+    #takesUrgent(): boolean {
+        const hasOthers = this.#states.size + this.#others.size > 0;
+        return this.#urgent.size > 0 && !(hasOthers && this.#urgentInARow >= MAXIMUM_URGENT_IN_A_ROW);
+    }
+
+    #takeUrgent(): WaitingDatagram | undefined {
+        this.#urgentInARow += 1;
+        const [first] = this.#urgent;
+        if (first === undefined) {
+            return undefined;
+        }
+        const { datagram } = first;
+        const earlierState = beginsWith(datagram, CHANGES_BEGINNING) ? undefined : this.#findEarlierState(first);
+        if (earlierState !== undefined) {
+            return this.#removeState(earlierState);
+        }
+        this.#urgent.delete(first);
+        this.#uncount(datagram);
+        return datagram;
+    }
+
+    #takeInTurn(): WaitingDatagram | undefined {
+        this.#urgentInARow = 0;
+        const takesState = this.#others.size === 0 || (this.#takesState && this.#states.size > 0);
+        this.#takesState = !takesState;
+        return takesState ? this.#takeState() : this.#takeOther();
+    }
+
     #takeState(): WaitingDatagram | undefined {
         const [key] = this.#states.keys();
         return key === undefined ? undefined : this.#removeState(key);
@@ -176,13 +231,18 @@
         }
         const { datagram } = queued;
         this.#others.delete(key);
-        const left = (this.#othersOfSender.get(datagram.source) ?? 0) - 1;
+        this.#uncount(datagram);
+        return datagram;
+    }
+
+    /** Counts one datagram less of those of a sender that wait. */
+    #uncount({ source }: WaitingDatagram): void {
+        const left = (this.#countsOfSenders.get(source) ?? 0) - 1;
         if (left > 0) {
-            this.#othersOfSender.set(datagram.source, left);
+            this.#countsOfSenders.set(source, left);
         }
         else {
-            this.#othersOfSender.delete(datagram.source);
+            this.#countsOfSenders.delete(source);
         }
-        return datagram;
     }
 }
