--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -19,6 +19,7 @@
 import { type HostParts } from "./hostParts.js";
 import { HostServers } from "./hostServers.js";
 import { leaveFleet } from "./leaveFleet.js";
+import { PacedWakes } from "./pacedWakes.js";
 import { PartitionWatch } from "./partitionWatch.js";
 import {
     DigestPublisher,
@@ -75,6 +76,7 @@
     readonly #urgentDigests: UrgentDigests;
     readonly #digestRounds: DigestRounds;
     readonly #forwarder: Forwarder;
+    readonly #wakes: PacedWakes;
     readonly #agents = new UpstreamAgents();
     readonly #servers: HostServers;
     /** Resolves once the host has stopped; `undefined` before it is told to. */
@@ -86,6 +88,7 @@
         const { bounds, host, zone } = options.settings;
         const context = this.#context;
         this.#acts = new ActQueue({ ...context, confirmView: () => this.#store.readChanges() });
+        this.#wakes = new PacedWakes({ ...context, wake: () => this.#forwarder.wake() });
         this.#budget = new SharedRetryBudget({
             windowMilliseconds: bounds.retryWindowMilliseconds,
             ratio: bounds.retryRatio,
@@ -172,6 +175,7 @@
         this.#partitionWatch.close();
         this.#healthProbes.close();
         this.#engines.close();
+        this.#wakes.close();
         await this.#store.close();
         this.#gossip.close();
         this.#servers.close();
@@ -306,7 +310,7 @@
             gossip: this.#gossip,
             upstreams: this.#upstreams,
             demand: this.#demand,
-            onChanged: () => this.#forwarder.wake(),
+            onChanged: () => this.#wakes.request(),
         });
     }
 
@@ -343,7 +347,7 @@
 
     #handleUpstreamsChanged(): void {
         this.#streamVersions.check();
-        this.#forwarder.wake();
+        this.#wakes.request();
     }
 
     #hostsNeedingDemand(): ReadonlySet<string> {
@@ -378,6 +382,7 @@
     }
 
     #refreshGauges(): void {
+        this.#gossip.updateMetrics();
         refreshGauges({ ...this.#context, ...this.#parts(), servers: this.#servers });
     }
 }
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -34,6 +34,8 @@
 import { type ListenAddress } from "../settings.js";
 import { GossipProblems } from "./_gossipProblems.js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
 /** Options of a host's gossip. */
 export interface HostGossipOptions {
     readonly host: string;
@@ -42,6 +44,8 @@
     readonly metrics: EntryMetrics;
     readonly timeSpent: TimeSpent;
     readonly readClock: () => number;
+    /** Reads the processor time of the process, by which the cost of datagrams is measured, in microseconds. */
+    readonly readProcessorMicroseconds: () => number;
     /** Returns the hosts of the cell that need the demand for each model. */
     readonly hostsNeedingDemand: () => ReadonlySet<string>;
     /** {@linkcode openGossipLink} by default. */
@@ -58,6 +62,8 @@
 export class HostGossip implements EngineGossip {
     readonly #options: HostGossipOptions;
     readonly #received: ReceivedDatagrams;
+    /** Messages that the metrics do not contain yet. */
+    #receivedMessages = 0;
     #link: GossipLink | undefined;
 
     constructor(options: HostGossipOptions) {
@@ -72,14 +78,15 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress): Promise<void> {
-        const { metrics, onMessage, openLink = openGossipLink } = this.#options;
+        const { onMessage, openLink = openGossipLink, readProcessorMicroseconds } = this.#options;
         const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
+            readCostClock: () => readProcessorMicroseconds() / MICROSECONDS_PER_MILLISECOND,
             onHandled: datagram => this.#recordHandled(datagram),
             onDropped: reason => this.#received.recordDropped(reason),
             onMessage: message => {
-                metrics.count("gossip_datagrams", { direction: "received" });
+                this.#receivedMessages += 1;
                 onMessage(message);
             },
             onProblem: problem => problems.record(problem),
@@ -90,6 +97,13 @@
         this.#link?.close();
     }
 
+    /** Adds the datagrams that were received since the last call to the metrics. */
+    updateMetrics(): void {
+        this.#received.updateMetrics();
+        this.#options.metrics.add("gossip_datagrams", { direction: "received" }, this.#receivedMessages);
+        this.#receivedMessages = 0;
+    }
+
     /** Returns log fields about the datagrams that were received since the last call. */
     takeReceivedSummary(): LogFields {
         return this.#received.takeSummary();
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -20,6 +20,7 @@
     holderWordSchema,
     type HostDigest,
     hostDigestSchema,
+    messageReaders,
     type PermitGrant,
     permitGrantSchema,
     type PermitRequest,
@@ -110,7 +111,7 @@
     readonly source: string;
     readonly bytes: number;
     readonly decodeMilliseconds: number;
-    /** Time that the callback for the message took. */
+    /** Time of the callback for the message. */
     readonly applyMilliseconds: number;
 }
 
@@ -119,6 +120,8 @@
     readonly address: string;
     readonly port: number;
     readonly onMessage: (message: GossipMessage) => void;
+    /** Reads the clock by which the cost of a datagram is measured, in milliseconds; `performance.now` by default. */
+    readonly readCostClock?: () => number;
     /** Called after a datagram was handled, with its cost. */
     readonly onHandled?: (datagram: HandledDatagram) => void;
     /** Called for each datagram that was dropped because others wait. */
@@ -160,6 +163,7 @@
 
 const UNKNOWN_VALUE_ISSUES: ReadonlySet<string> = new Set(["invalid_value", "invalid_union"]);
 
+/** Decodes a message by its plain reader; the schema decides on what that does not accept, and says why. */
 function decode(bytes: Buffer): Result<GossipMessage | FormatNotice, GossipProblem> {
     const value = parseJson(bytes.toString("utf8"));
     const type = (value as { readonly type?: unknown; } | undefined)?.type;
@@ -169,6 +173,10 @@
     if (!isMessageType(type)) {
         return Err({ reason: "unknown-type", detail: `type ${type.slice(0, MAXIMUM_LOGGED_CHARACTERS)}` });
     }
+    const read = messageReaders[type](value);
+    if (read !== undefined) {
+        return Ok(read);
+    }
     const { data, error } = SCHEMAS[type].safeParse(value);
     if (data !== undefined) {
         return Ok(data);
@@ -280,16 +288,17 @@
     }
 
     #receive({ bytes, source }: WaitingDatagram): void {
-        const startedAt = performance.now();
+        const { onHandled, readCostClock = () => performance.now() } = this.#options;
+        const startedAt = readCostClock();
         const decoded = decode(bytes);
-        const decodedAt = performance.now();
+        const decodedAt = readCostClock();
         this.#handle(decoded, source);
-        this.#options.onHandled?.({
+        onHandled?.({
             type: decoded.isOk() ? decoded.value.type : UNREADABLE_TYPE,
             source,
             bytes: bytes.length,
             decodeMilliseconds: decodedAt - startedAt,
-            applyMilliseconds: performance.now() - decodedAt,
+            applyMilliseconds: readCostClock() - decodedAt,
         });
     }
 
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -37,8 +37,6 @@
     readonly recordChangedAtMilliseconds: number;
     /** `undefined` where none was received, or none since it registered at another address. */
     readonly lastDigestAtMilliseconds: number | undefined;
-    /** When its cell's aggregate last listed it as ready for callers; `undefined` where none has. */
-    readonly lastListedAtMilliseconds: number | undefined;
 }
 
 /** The fleet divided into cells: this host's own, and the others. */
@@ -71,6 +69,8 @@
     readonly #zone: string;
     readonly #listened: (nowMilliseconds: number) => number;
     readonly #peers = new Map<string, Peer>();
+    /** When the aggregates of peers' cells last listed them as ready for callers; without those that none has listed. */
+    readonly #listedAtMilliseconds = new Map<string, number>();
     #division: FleetDivision | undefined;
 
     /**
@@ -96,6 +96,9 @@
         }
         const known = this.#peers.get(record.host);
         const moved = known !== undefined && known.addresses.callers !== record.addresses.callers;
+        if (moved) {
+            this.#listedAtMilliseconds.delete(record.host);
+        }
         this.#setPeer({
             host: record.host,
             zone: record.zone,
@@ -108,7 +111,6 @@
             registeredAtMilliseconds: this.#listened(nowMilliseconds),
             recordChangedAtMilliseconds: this.#listened(nowMilliseconds),
             lastDigestAtMilliseconds: moved ? undefined : known?.lastDigestAtMilliseconds,
-            lastListedAtMilliseconds: moved ? undefined : known?.lastListedAtMilliseconds,
         });
     }
 
@@ -143,16 +145,18 @@
             registeredAtMilliseconds: known?.registeredAtMilliseconds ?? listenedMilliseconds,
             recordChangedAtMilliseconds: known?.recordChangedAtMilliseconds ?? listenedMilliseconds,
             lastDigestAtMilliseconds: listenedMilliseconds,
-            lastListedAtMilliseconds: known?.lastListedAtMilliseconds,
         });
     }
 
     /** Records that another cell's aggregate lists a host as ready for callers. */
     recordListed(host: string, nowMilliseconds: number): void {
         const known = this.#peers.get(host);
-        if (known !== undefined) {
-            const lastListedAtMilliseconds = this.#listened(nowMilliseconds);
-            this.#peers.set(host, { ...known, ready: true, leaving: false, lastListedAtMilliseconds });
+        if (known === undefined) {
+            return;
+        }
+        this.#listedAtMilliseconds.set(host, this.#listened(nowMilliseconds));
+        if (!known.ready || known.leaving) {
+            this.#peers.set(host, { ...known, ready: true, leaving: false });
         }
     }
 
@@ -160,7 +164,8 @@
     recordPartitioned(host: string): void {
         const known = this.#peers.get(host);
         if (known !== undefined) {
-            this.#peers.set(host, { ...known, ready: false, lastListedAtMilliseconds: undefined });
+            this.#peers.set(host, { ...known, ready: false });
+            this.#listedAtMilliseconds.delete(host);
         }
     }
 
@@ -186,6 +191,7 @@
             const seenAt = Math.max(peer.lastDigestAtMilliseconds ?? 0, peer.recordChangedAtMilliseconds);
             if (!peer.registered && listenedMilliseconds - seenAt > UNREGISTERED_RETENTION_MILLISECONDS) {
                 this.#peers.delete(host);
+                this.#listedAtMilliseconds.delete(host);
                 this.#division = undefined;
             }
         }
@@ -257,6 +263,13 @@
         return peer !== undefined && this.#isLive(peer, nowMilliseconds) && !peer.leaving;
     }
 
+    /** Returns whether a peer sent a recent digest or was recently listed in its cell's aggregate. */
+    #isLive(peer: Peer, nowMilliseconds: number): boolean {
+        const listedAt = this.#listedAtMilliseconds.get(peer.host) ?? Number.NEGATIVE_INFINITY;
+        return this.hasRecentDigest(peer, nowMilliseconds)
+            || this.#listened(nowMilliseconds) - listedAt < RECENT_LISTING_MILLISECONDS;
+    }
+
     /**
      * Returns the other hosts of this host's cell that may hold engines and send them orders: those with a record or a
      * recent digest. A leaving host sends no orders.
@@ -276,7 +289,7 @@
         const live = ready.filter(peer => this.#isLive(peer, nowMilliseconds));
         const newlyRegistered = ready.filter(peer =>
             peer.registered && peer.lastDigestAtMilliseconds === undefined
-            && peer.lastListedAtMilliseconds === undefined
+            && !this.#listedAtMilliseconds.has(peer.host)
             && this.#listened(nowMilliseconds) - peer.registeredAtMilliseconds < NEW_HOST_GRACE_MILLISECONDS
         );
         const advertised = live.length > 0
@@ -297,14 +310,4 @@
         return lastDigestAtMilliseconds !== undefined
             && this.#listened(nowMilliseconds) - lastDigestAtMilliseconds < RECENT_DIGEST_MILLISECONDS;
     }
-
-    /** Returns whether a peer sent a recent digest or was recently listed in its cell's aggregate. */
-    #isLive(peer: Peer, nowMilliseconds: number): boolean {
-        return this.hasRecentDigest(peer, nowMilliseconds) || this.#isRecentlyListed(peer, nowMilliseconds);
-    }
-
-    #isRecentlyListed({ lastListedAtMilliseconds }: Peer, nowMilliseconds: number): boolean {
-        return lastListedAtMilliseconds !== undefined
-            && this.#listened(nowMilliseconds) - lastListedAtMilliseconds < RECENT_LISTING_MILLISECONDS;
-    }
 }
