Answer with addresses on a current view, and keep acts behind an exception

What callers saw: after a stop a host could name hosts by what it knew before it; an exception in one queued act would have dropped all that waited behind it (read by the lead, not seen). Cause: answers to address queries were made outside the queue of acts; a list of acts was run without a guard for each. Change: address queries are answered at once on a host that reads, otherwise in the queue; each act is run by itself and its exception logged (`act failed`). With it a crash report of a peer is received once instead of twice when it has news. Tests: actQueue (the new one fails without: acts behind the exception never run), logs, brokenInvariants: 9 passed.

--- a/src/entry/actQueue.test.ts
+++ b/src/entry/actQueue.test.ts
@@ -109,3 +109,17 @@
     await new Promise<void>(resolve => acts.enqueue(resolve));
     assert.equal(questions, 0);
 });
+
+test("an exception in an act does not drop the acts behind it", async context => {
+    const { acts, lines } = start(context, () => Promise.resolve(true));
+    acts.enqueue(() => {
+        throw new Error("broken");
+    });
+    await new Promise<void>(resolve => acts.enqueue(resolve));
+    stall();
+    acts.enqueue(() => {
+        throw new Error("broken");
+    });
+    await new Promise<void>(resolve => acts.enqueue(resolve));
+    assert.equal(lines.filter(({ message }) => message === "act failed").length, 2);
+});
--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -121,7 +121,18 @@
 
     #runSteps(steps: readonly (() => void)[]): void {
         if (!this.#closed) {
-            steps.forEach(step => step());
+            steps.forEach(step => this.#runGuarded(step));
+        }
+    }
+
+    /** Runs a step so that an exception in it does not drop those behind it. */
+    #runGuarded(step: () => void): void {
+        try {
+            step();
+        }
+        catch (error) {
+            const detail = error instanceof Error ? error.stack : String(error);
+            this.#options.logger.error("act failed", { detail });
         }
     }
 
@@ -150,7 +161,7 @@
         this.#recordConfirmation(confirmation, askedAt);
         const acts = this.#asking;
         this.#asking = [];
-        acts.forEach(act => act());
+        acts.forEach(act => this.#runGuarded(act));
         this.#askForHeld();
     }
 
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -82,7 +82,7 @@
         this.#callers = this.#createCallersServer();
         this.#servers.push(await listen(this.#callers, callers));
         this.#servers.push(await startAuxiliaryServer(readiness, url => this.#answerReadiness(url), onProblem));
-        this.#servers.push(await startAuxiliaryServer(directory, url => this.#answerDirectory(url), onProblem));
+        this.#servers.push(await startAuxiliaryServer(directory, url => this.#answerOnCurrentView(url), onProblem));
         this.#servers.push(await startAuxiliaryServer(state, url => this.#answerState(url), onProblem));
         if (metrics !== undefined) {
             const render = (url: string): Promise<AuxiliaryAnswer | undefined> =>
@@ -159,6 +159,20 @@
         return { status: this.#options.isReady() ? STATUS_OK : STATUS_UNAVAILABLE, body: "" };
     }
 
+    /** Names hosts once what other hosts have said meanwhile was read. */
+    #answerOnCurrentView(url: string): Promise<AuxiliaryAnswer | undefined> {
+        return new Promise((resolve, reject) => {
+            this.#options.acts.runOrEnqueue(() => {
+                try {
+                    resolve(this.#answerDirectory(url));
+                }
+                catch (error) {
+                    reject(error instanceof Error ? error : new Error(String(error)));
+                }
+            });
+        });
+    }
+
     #answerDirectory(url: string): AuxiliaryAnswer | undefined {
         const { advertised, calls, isReady, metrics, settings } = this.#options;
         const query = calls.parseAddressQuery(url);
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type EngineDuties } from "../../duties/index.js";
-import { type CrashReport, type FleetSummary, type HostDigest } from "../../generated/gossip.js";
+import { type FleetSummary, type HostDigest } from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
 import { type HostEngines } from "../engines/index.js";
 import { type PartitionWatch } from "../partitionWatch.js";
@@ -86,15 +86,7 @@
         reported.relinquished.forEach(report => duties.recordRelinquishment(report, now));
         engines.memories.apply(reported.engines);
         if (reported.crashes !== undefined) {
-            this.#applyCrashReport(reported.crashes);
-        }
-    }
-
-    /** Applies a report of crashes; the tracker dispatches held back requests, so it hears only of those with news. */
-    #applyCrashReport(report: CrashReport): void {
-        const { readClock, upstreams } = this.#options;
-        if (upstreams.crashes.receive(report, readClock())) {
-            upstreams.recordCrashReport(report);
+            upstreams.recordCrashReport(reported.crashes);
         }
     }
 }
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -213,8 +213,9 @@
 
     /** Records what a peer reports of crashes; requests that are held back may then be sent or refused. */
     recordCrashReport(report: CrashReport): void {
-        this.#crashRecorder.receive(report);
-        this.#options.onChanged();
+        if (this.#crashRecorder.receive(report)) {
+            this.#options.onChanged();
+        }
     }
 
     /** Records a failed connection; one refused right after requests were lost means that the upstream crashed. */
--- a/src/entry/upstreams/crashRecorder.ts
+++ b/src/entry/upstreams/crashRecorder.ts
@@ -65,10 +65,11 @@
         this.#handleNews();
     }
 
-    /** Records what a peer reports of crashes. */
-    receive(report: CrashReport): void {
-        this.#options.crashes.receive(report, this.#options.readClock());
+    /** Records what a peer reports of crashes; returns whether it says anything new. */
+    receive(report: CrashReport): boolean {
+        const hasNews = this.#options.crashes.receive(report, this.#options.readClock());
         this.#handleNews();
+        return hasNews;
     }
 
     /** Drops what is out of date. */
