Let the change come once the requests beside it have begun

What callers saw: nothing wrong. The tests "no request is lost beside a pause of upstreams and a change" failed beside load with requests between attempts that were answered 502 connection-lost.

Cause: the time to the change counted from before the requests were sent. Beside load, the change came before the host had read all of them.

Ruled out: requests lost before they were written, and a closed kept-alive connection: each attempt of the traced requests was reset by the engine that had received it, at the time that the test sets.

Change: the time to the change counts once each request that is sent at once has begun or is answered; where a host stops and so closes to callers at its own time, the list of begun requests and the pause still wait for that. The checks of the answers are as before. A test stalls its process as the requests begin.

--- a/tests/support/changeRuns.ts
+++ b/tests/support/changeRuns.ts
@@ -9,6 +9,7 @@
 import { createSeededRandom, type RandomSource } from "../../src/decision/index.js";
 import { type Behaviour } from "../../standins/platform/upstream.js";
 import { type Change, type ChangeSite, SHORT_TIMEOUT_MILLISECONDS, startChangeSite } from "./changeSite.js";
+import { until } from "./entrySite.js";
 import { measureStalls } from "./processStalls.js";
 import { type Outcome, RequestStates } from "./requestStates.js";
 
@@ -17,7 +18,10 @@
 /** Sites that run at once. */
 const CONCURRENCY = 2;
 
-/** Time from the start of the requests until the change. */
+/** The host has begun the requests within this time, also where this process gets little time to run. */
+const BEGIN_MILLISECONDS = 5_000;
+
+/** Time from the begin of the requests until the change. */
 const EARLIEST_CHANGE_MILLISECONDS = 400;
 const CHANGE_SPREAD_MILLISECONDS = 300;
 
@@ -96,7 +100,14 @@
     return `${id}: status ${status ?? "none"} after ${Math.round(tookMilliseconds)} ms, ${end}, ${body.slice(0, 90)}`;
 }
 
-/** Runs requests in every state, makes the change while they are in it, and describes what went wrong. */
+function stall(milliseconds = 0): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+/**
+ * Runs requests in every state, makes the change while they are in it, and describes what went wrong. The time to the
+ * change counts once they are in it; a host that stops closes to callers at its own time, so it counts at once there.
+ */
 async function findFaults(change: Change, site: ChangeSite, random: RandomSource): Promise<string[]> {
     let begun: ReadonlySet<unknown> = new Set();
     const afterMilliseconds = EARLIEST_CHANGE_MILLISECONDS + random() * CHANGE_SPREAD_MILLISECONDS;
@@ -104,14 +115,19 @@
         void site.host.host.stop();
         await delay(change.stopsBeforeMilliseconds - afterMilliseconds);
     }
-    const passed = delay(afterMilliseconds)
+    const states = new RequestStates(site.host);
+    const inState = until(() => states.areInState(begunRequests(site)), BEGIN_MILLISECONDS);
+    const counted = change.stopsBeforeMilliseconds === undefined ? inState : Promise.resolve();
+    const passed = Promise.all([inState, counted.then(() => delay(afterMilliseconds))])
         .then(() => {
             begun = begunRequests(site);
             return change.apply(site, random);
         })
         .then(() => delay(AFTER_CHANGE_MILLISECONDS));
     const stalls = measureStalls();
-    const outcomes = await new RequestStates(site.host, { afterMilliseconds, passed }).run();
+    const ended = states.run({ afterMilliseconds, counted, passed });
+    stall(change.stallMilliseconds);
+    const outcomes = await ended;
     stalls.close();
     const faulty = outcomes.filter(outcome =>
         isBroken(outcome)
--- a/tests/support/changeSite.ts
+++ b/tests/support/changeSite.ts
@@ -97,6 +97,8 @@
     readonly closesConnections?: boolean;
     /** Time before the change at which the host must be told to stop, for the change to be its close to callers. */
     readonly stopsBeforeMilliseconds?: number;
+    /** Time for which this process does not run when the requests have been sent. */
+    readonly stallMilliseconds?: number;
     readonly apply: (site: ChangeSite, random: RandomSource) => Promise<void> | void;
 }
 
--- a/tests/support/requestStates.ts
+++ b/tests/support/requestStates.ts
@@ -34,8 +34,10 @@
 
 /** The moment of the change, for requests that time themselves by it. */
 export interface ChangeMoment {
-    /** Time from the start of the requests to the change. */
+    /** Time from `counted` to the change. */
     readonly afterMilliseconds: number;
+    /** Resolves when the time to the change begins to count. */
+    readonly counted: Promise<void>;
     /** Resolves some time after the change was made. */
     readonly passed: Promise<void>;
 }
@@ -65,29 +67,34 @@
 /** Begins requests in all states; returns their outcomes once all have ended. */
 export class RequestStates {
     readonly #host: SiteHost;
-    readonly #moment: ChangeMoment;
     readonly #outcomes: Promise<Outcome>[] = [];
+    readonly #sentAtOnce: string[] = [];
+    readonly #answered = new Set<string>();
     #count = 0;
 
-    constructor(host: SiteHost, moment: ChangeMoment) {
+    constructor(host: SiteHost) {
         this.#host = host;
-        this.#moment = moment;
     }
 
-    /** Begins the requests; some of them start only shortly before the change. */
-    async run(): Promise<Outcome[]> {
-        this.#readInPieces();
+    /** Sends the requests, and returns their outcomes; some of them start only shortly before the change. */
+    run(moment: ChangeMoment): Promise<Outcome[]> {
+        this.#readInPieces(moment);
         this.#waiting();
-        this.#atEngine();
-        this.#reusing();
-        const { afterMilliseconds } = this.#moment;
+        this.#atEngine(moment);
+        this.#reusing(moment);
         for (const around of AROUND_CHANGE_MILLISECONDS) {
-            this.#betweenAttempts(afterMilliseconds + around);
-            this.#waitingForAdapter(afterMilliseconds + around);
+            this.#betweenAttempts(moment.afterMilliseconds + around);
+            this.#waitingForAdapter(moment, around);
         }
         return Promise.all(this.#outcomes);
     }
 
+    /** Returns whether each of the requests that were sent at once has begun, or is answered. */
+    areInState(begun: ReadonlySet<unknown>): boolean {
+        return this.#sentAtOnce.length > 0
+            && this.#sentAtOnce.every(id => begun.has(id) || this.#answered.has(id));
+    }
+
     #nextId(state: string): string {
         this.#count += 1;
         return `${state.replaceAll(" ", "-")}-${this.#count}`;
@@ -105,12 +112,18 @@
         this.#outcomes.push(outcome);
     }
 
-    #readInPieces(): void {
+    #addSentAtOnce(state: string, due: Due, id: string, expected: Body, answer: Promise<CallerAnswer>): void {
+        this.#sentAtOnce.push(id);
+        void answer.then(() => this.#answered.add(id));
+        this.#add(state, due, id, expected, answer);
+    }
+
+    #readInPieces({ passed }: ChangeMoment): void {
         for (const splitAt of ["head", "body"] as const) {
             const state = `${splitAt} being read`;
             for (const path of ["/orders/soon", "/reads/soon"]) {
                 const id = this.#nextId(state);
-                const request = { path, id, body: PIECEWISE_BODY, splitAt, goOn: this.#moment.passed };
+                const request = { path, id, body: PIECEWISE_BODY, splitAt, goOn: passed };
                 this.#add(state, "answer-or-refusal", id, "plain", sendPiecewise(this.#host, request));
             }
         }
@@ -119,7 +132,7 @@
     #call(state: string, due: Due, path: string, method: string, expected: Body, headers = {}): void {
         const id = this.#nextId(state);
         const caller = holdAnswer(this.#host, { path, method, id, headers });
-        this.#add(state, due, id, expected, caller.ended);
+        this.#addSentAtOnce(state, due, id, expected, caller.ended);
     }
 
     #waiting(): void {
@@ -132,16 +145,18 @@
         }
     }
 
-    #waitingForAdapter(afterMilliseconds: number): void {
+    #waitingForAdapter({ afterMilliseconds, counted }: ChangeMoment, around: number): void {
         const state = "waiting for an adapter";
         const id = this.#nextId(state);
         const headers = { "Flamingospread-Model": `quotes/a${this.#count % 8 + 1}` };
         const request = { path: "/llm/few", method: "POST", id, headers };
-        const answer = delay(afterMilliseconds).then(() => callHost(this.#host, request));
+        const answer = counted
+            .then(() => delay(afterMilliseconds + around))
+            .then(() => callHost(this.#host, request));
         this.#add(state, "answer-or-refusal", id, "events", answer);
     }
 
-    #atEngine(): void {
+    #atEngine({ passed }: ChangeMoment): void {
         for (let index = 0; index < 3; index += 1) {
             this.#call("sent without a head", "answer", "/reads/slow", "GET", "plain");
             this.#call("sent without a head", "answer", "/orders/slow", "POST", "plain");
@@ -152,8 +167,8 @@
         }
         const id = this.#nextId("unsent bytes");
         const caller = holdAnswer(this.#host, { path: "/orders/large", method: "POST", id }, true);
-        void this.#moment.passed.then(() => caller.resume());
-        this.#add("unsent bytes", "answer", id, "large", caller.ended);
+        void passed.then(() => caller.resume());
+        this.#addSentAtOnce("unsent bytes", "answer", id, "large", caller.ended);
     }
 
     #betweenAttempts(resetAfterMilliseconds: number): void {
@@ -162,12 +177,13 @@
     }
 
     /** Reuses connections whose idle time is at its longest before, at and after the change. */
-    #reusing(): void {
+    #reusing({ counted }: ChangeMoment): void {
         const idleMilliseconds = IDLE_LIMIT_MILLISECONDS * IDLE_SHARE;
         for (const startsAtMilliseconds of [0, 100, 200]) {
             const state = "connection reused";
             const id = this.#nextId(state);
-            const answer = delay(startsAtMilliseconds)
+            const answer = counted
+                .then(() => delay(startsAtMilliseconds))
                 .then(() => reuseConnection(this.#host, ["/orders/1", "/orders/2"], idleMilliseconds, id));
             this.#add(state, "answer-or-refusal", id, "plain", answer);
         }
