--- a/tests/support/requestStates.ts
+++ b/tests/support/requestStates.ts
@@ -26,6 +26,7 @@
     readonly due: Due;
     readonly id: string;
     readonly answer: CallerAnswer;
+    readonly answeredAtMilliseconds: number;
     /** True if the body is the whole one that the engine sent. */
     readonly isBodyWhole: boolean;
     /** True if the host was reading the request when the change arrived. */
@@ -106,6 +107,7 @@
             due,
             id,
             answer: each,
+            answeredAtMilliseconds: performance.now(),
             isBeingRead: state.endsWith("being read"),
             isBodyWhole: isWhole(each.body, expected, id),
         }));
