--- a/tests/pausedEngineChanges.test.ts
+++ b/tests/pausedEngineChanges.test.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import { testChangesBesidePauses } from "./support/changeRuns.js";
+import { besideStall, testChangesBesidePauses } from "./support/changeRuns.js";
 import { PART_CHANGES } from "./support/changeSite.js";
 
 testChangesBesidePauses(PART_CHANGES);
+
+testChangesBesidePauses(PART_CHANGES.slice(0, 1).map(besideStall));
