Give a connection its header time-out once more where bytes had arrived at the limit

Change: where bytes had arrived, the limit runs once more, and a head that is still not whole is answered 408. Test: unreadableRequestsTimeout failed before, passes.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -83,6 +83,7 @@
     /** True once an answer has told the caller that the connection closes. */
     #isLastAnswer = false;
     #isReadingPaused = false;
+    #headCount = 0;
     /** Answers bytes that are no request, once the requests before them were answered. */
     #finalAnswer: string | undefined;
 
@@ -93,6 +94,11 @@
         socket.once("close", () => this.#reportUnanswered());
     }
 
+    /** Number of requests whose head was read. */
+    get headCount(): number {
+        return this.#headCount;
+    }
+
     /** Number of requests without a whole answer. */
     get openRequestCount(): number {
         return this.#order.size;
@@ -116,6 +122,7 @@
     /** Reads a request and hands it on in its turn. */
     add(head: ReceivedHead): void {
         const { message, response } = head;
+        this.#headCount += 1;
         const place = this.#order.add();
         const unansweredBefore = this.#order.size - 1;
         this.#unanswered.add(message);
--- a/src/entry/connections/unreadableRequests.ts
+++ b/src/entry/connections/unreadableRequests.ts
@@ -61,13 +61,25 @@
         }
     }
 
-    /** Node looks at the time before it reads the sockets: the bytes that it misses may have arrived. */
+    /**
+     * Node looks at the time before it reads the sockets, and only once: where bytes that it missed have arrived, the
+     * connection has the time limit of a head once more.
+     */
     #handleTimeout(error: NodeJS.ErrnoException, socket: Duplex): void {
+        const { acts, connectionOf, server } = this.#options;
         const bytesBefore = bytesReadFrom(socket);
-        this.#options.acts.afterReading(() => {
+        const headsBefore = connectionOf(socket).headCount;
+        acts.afterReading(() => {
             if (bytesReadFrom(socket) === bytesBefore) {
                 this.#answer(error, socket);
+                return;
             }
+            const timer = setTimeout(() => {
+                if (connectionOf(socket).headCount === headsBefore) {
+                    this.#answer(error, socket);
+                }
+            }, server.headersTimeout);
+            socket.once("close", () => clearTimeout(timer));
         });
     }
 
