Read changes after a listing that is under way, and wait for one that is due

Change: reading changes comes after an open listing, and ends with the listing that it makes necessary; changes of peers wait for an open listing. Tests: storeMirrorRelist (2) failed before, pass; lostHistoryDrain passes before and after.

--- a/src/entry/store/storeMirror.ts
+++ b/src/entry/store/storeMirror.ts
@@ -80,7 +80,8 @@
     #retryDelayMilliseconds = FIRST_RETRY_DELAY_MILLISECONDS;
     /** The first reported revision that the watch has not delivered yet. */
     #awaitedRevision: { readonly revision: number; readonly sinceMilliseconds: number; } | undefined;
-    #listing = false;
+    /** Resolves to whether the service listed its keys; `undefined` while none is asked for. */
+    #listing: Promise<boolean> | undefined;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -107,32 +108,34 @@
     /** Applies changes that another host forwarded; skips known ones, and drops a batch that would leave a gap. */
     applyBatch({ afterRevision, changes, revision }: ChangeBatch): void {
         const known = this.#revision;
-        if (known === undefined || afterRevision > known) {
+        if (known === undefined || afterRevision > known || this.#listing !== undefined) {
             return;
         }
         this.#applyChanges(changes, { afterRevision: known, revision });
     }
 
-    /** Reads and applies the changes that this host has not heard of; returns whether the service answered with them. */
+    /**
+     * Reads and applies the changes that this host has not heard of, by a listing where these are lost; returns whether
+     * the service answered. A listing that was asked for before may be older, and comes first.
+     */
     async readChanges(): Promise<boolean> {
+        await this.#listing;
         const known = this.#revision;
         if (known === undefined || this.#closed) {
             return false;
         }
         const read = await this.#options.keyValue.changesAfter("", known);
-        if (this.#revision === undefined) {
-            return false;
+        const listing = this.#openListing();
+        if (listing !== undefined) {
+            return listing;
         }
         if (read.isErr()) {
             const { isHistoryLost, kind, message } = read.error;
             this.#options.logger.warn("reading changes failed", { reason: kind, detail: message, revision: known });
-            if (isHistoryLost === true) {
-                this.relist(message);
-            }
-            return false;
+            return isHistoryLost === true ? this.#relist(message) : false;
         }
         this.#applyChanges(read.value.changes.map(toChange), {
-            afterRevision: this.#revision,
+            afterRevision: this.#revision ?? known,
             revision: read.value.revision,
         });
         return true;
@@ -179,9 +182,7 @@
 
     /** Ends the watch and lists again, since the copy may no longer match the service. */
     relist(reason: string): void {
-        this.#options.logger.warn("key-value service listed anew", { reason, revision: this.#revision });
-        this.#closeWatch();
-        void this.#list();
+        void this.#relist(reason);
     }
 
     async close(): Promise<void> {
@@ -206,15 +207,28 @@
         this.#advanceRevision(revision);
     }
 
-    async #list(): Promise<void> {
-        if (this.#listing) {
-            return;
-        }
-        this.#listing = true;
+    #openListing(): Promise<boolean> | undefined {
+        return this.#listing;
+    }
+
+    #relist(reason: string): Promise<boolean> {
+        this.#options.logger.warn("key-value service listed anew", { reason, revision: this.#revision });
+        this.#closeWatch();
+        return this.#list();
+    }
+
+    /** Lists all keys; returns whether the service answered with them. */
+    #list(): Promise<boolean> {
+        this.#listing ??= this.#listOnce().finally(() => {
+            this.#listing = undefined;
+        });
+        return this.#listing;
+    }
+
+    async #listOnce(): Promise<boolean> {
         const listed = await this.#options.keyValue.snapshot("");
-        this.#listing = false;
         if (this.#closed) {
-            return;
+            return false;
         }
         if (listed.isErr()) {
             this.#options.logger.warn("listing the key-value service failed", {
@@ -223,7 +237,7 @@
             });
             this.#options.onEvent({ type: "contact", succeeded: false });
             this.#scheduleRetry(() => void this.#list());
-            return;
+            return false;
         }
         this.#retryDelayMilliseconds = FIRST_RETRY_DELAY_MILLISECONDS;
         this.#revision = listed.value.revision;
@@ -231,6 +245,7 @@
         this.#options.onEvent({ type: "contact", succeeded: true });
         this.#options.onEvent({ type: "listed", entries: listed.value.entries, revision: listed.value.revision });
         this.#startWatch();
+        return true;
     }
 
     #closeWatch(): void {
