Ask anew where an answer about the view is a second old, and once more after an error

Change: acts are released once what has arrived was read; after a further gap an answer to a question that is a second old or more is asked for again, once, so that a host that runs 10 of each 500 ms does not starve; an error is followed by a second question after 40 ms, within the same 100 ms. Tests: actQueueGaps (first) failed before, passes; actQueueSlowHost passes.

--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { setTimeout as delay } from "node:timers/promises";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { READ_INTERVAL_MILLISECONDS, type ReadTimes, ViewConfirmations } from "../staleness/index.js";
 import { afterPolling } from "../transport/index.js";
@@ -14,9 +15,23 @@
 /** Acts wait this long for the service to confirm the view; callers gain nothing from waiting for a slow service. */
 const CONFIRMATION_MILLISECONDS = 100;
 
+/** A question that failed at once is asked a second time after this time. */
+const CONFIRMATION_RETRY_MILLISECONDS = 40;
+
+/** Upstreams that leave go on for two seconds at least; an answer that is read this late leaves half of that. */
+const MAXIMUM_ANSWER_AGE_MILLISECONDS = 1_000;
+
 /** How a question about the view ended. */
 type Confirmation = "confirmed" | "no-answer";
 
+/** A question that was answered, or whose answer acts no longer wait for. */
+interface EndedQuestion {
+    readonly outcome: Confirmation;
+    readonly askedAt: number;
+    /** True where the acts had waited for another question before. */
+    readonly isRepeated: boolean;
+}
+
 /** Options of {@linkcode ActQueue}. */
 export interface ActQueueOptions {
     readonly reads: ReadTimes;
@@ -131,11 +146,15 @@
             step();
         }
         catch (error) {
-            const detail = error instanceof Error ? error.stack : String(error);
-            this.#options.logger.error("act failed", { detail });
+            this.#logFailure(error);
         }
     }
 
+    #logFailure(error: unknown): void {
+        const detail = error instanceof Error ? error.stack : String(error);
+        this.#options.logger.error("act failed", { detail });
+    }
+
     #runOnCurrentView(act: () => void): void {
         switch (this.#confirmations.state) {
             case "current":
@@ -150,40 +169,61 @@
         }
     }
 
-    async #ask(): Promise<void> {
+    async #ask(isRepeated = false): Promise<void> {
         this.#confirmations.recordAsked();
         const askedAt = this.#options.readClock();
-        const confirmation = await this.#confirmation();
-        if (this.#closed) {
+        const outcome = await this.#confirmation();
+        this.afterReading(() => this.#settle({ outcome, askedAt, isRepeated }));
+    }
+
+    /** Runs the acts for which a question was asked; asks once more if the host did not read for a while meanwhile. */
+    #settle({ askedAt, isRepeated, outcome }: EndedQuestion): void {
+        const ageMilliseconds = this.#options.readClock() - askedAt;
+        const isOld = this.#confirmations.hasGapSinceAsked && ageMilliseconds >= MAXIMUM_ANSWER_AGE_MILLISECONDS;
+        const mustRepeat = isOld && !isRepeated;
+        this.#confirmations.recordEnded();
+        this.#recordConfirmation(outcome, askedAt);
+        if (mustRepeat) {
+            this.#asking.push(...this.#held.splice(0));
+            void this.#ask(true);
             return;
         }
-        this.#confirmations.recordEnded();
-        this.#recordConfirmation(confirmation, askedAt);
-        const acts = this.#asking;
-        this.#asking = [];
+        const acts = this.#asking.splice(0);
         acts.forEach(act => this.#runGuarded(act));
-        this.#askForHeld();
-    }
-
-    #askForHeld(): void {
-        const held = this.#held;
-        this.#held = [];
+        const held = this.#held.splice(0);
         held.forEach(act => this.#runOnCurrentView(act));
     }
 
+    /** Asks for the view to be confirmed, a second time after an error, and waits for a limited time in all. */
     #confirmation(): Promise<Confirmation> {
         return new Promise(resolve => {
             const timer = setTimeout(
                 () => this.afterReading(() => this.afterReading(() => resolve("no-answer"))),
                 CONFIRMATION_MILLISECONDS,
             );
-            void this.#options.confirmView().then(isConfirmed => {
+            const end = (outcome: Confirmation): void => {
                 clearTimeout(timer);
-                resolve(isConfirmed ? "confirmed" : "no-answer");
+                resolve(outcome);
+            };
+            void this.#isConfirmed().then(async isConfirmed => {
+                if (!isConfirmed) {
+                    await delay(CONFIRMATION_RETRY_MILLISECONDS);
+                }
+                end(isConfirmed || await this.#isConfirmed() ? "confirmed" : "no-answer");
             });
         });
     }
 
+    async #isConfirmed(): Promise<boolean> {
+        try {
+            return await this.#options.confirmView();
+        }
+        catch (error) {
+            this.#logFailure(error);
+            return false;
+        }
+    }
+
     #recordConfirmation(outcome: Confirmation, askedAtMilliseconds: number): void {
         const { logger, metrics, readClock } = this.#options;
         metrics.count("view_confirmations", { outcome });
