Tell a connection that ended before its request was sent from one that was refused

Change: both are withdrawn: not sent, no budget, no conviction; headers are written before the request counts as sent.

--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -20,7 +20,13 @@
 }
 
 /** Why a call ended without a complete answer. */
-export type CallFailure = "not-connected" | "connection-lost" | "invalid-answer";
+export type CallFailure =
+    /** No connection was established. */
+    | "not-connected"
+    /** The connection was closed, or brought bytes, before the request was sent on it. */
+    | "withdrawn"
+    | "connection-lost"
+    | "invalid-answer";
 
 /** The request, its destination and the callbacks for its answer. */
 export interface UpstreamCallOptions {
@@ -98,11 +104,7 @@
         );
         this.#request.on(
             "close",
-            () =>
-                this.#fail(
-                    this.#sent ? "connection-lost" : "not-connected",
-                    "connection closed before the answer was complete",
-                ),
+            () => this.#fail(this.#failureAtClose, "connection closed before the answer was complete"),
         );
         this.#connectTimer = setTimeout(() => this.#handleConnectTimeout(), options.connectTimeoutMilliseconds);
     }
@@ -116,8 +118,8 @@
             return;
         }
         const { body } = this.#options;
-        this.#sent = true;
         this.#writeHeaders();
+        this.#sent = true;
         this.#request.end(body.length === 0 ? undefined : body);
     }
 
@@ -181,6 +183,11 @@
             answer.resume();
             return;
         }
+        if (!this.#sent) {
+            this.#fail("withdrawn", "an answer came before the request was sent");
+            this.#request.destroy();
+            return;
+        }
         this.#answer = answer;
         if (endsAtConnectionClose(answer)) {
             probeResetAtEnd(answer.socket);
@@ -225,9 +232,16 @@
         });
     }
 
+    get #failureAtClose(): CallFailure {
+        if (this.#sent) {
+            return "connection-lost";
+        }
+        return this.#connected ? "withdrawn" : "not-connected";
+    }
+
     #classify(error: Error): CallFailure {
         if (!this.#sent) {
-            return "not-connected";
+            return this.#failureAtClose;
         }
         const { code } = error as NodeJS.ErrnoException;
         return code?.startsWith("HPE_") === true ? "invalid-answer" : "connection-lost";
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -8,7 +8,7 @@
 export type AttemptFailure =
     /** No connection was established, so no byte was sent. */
     | "not-connected"
-    /** The upstream, or the permit to use it, had gone by the time the request could leave; no byte was sent. */
+    /** The upstream, the permit to use it or the connection had gone when the request could leave; no byte was sent. */
     | "withdrawn"
     /** The upstream reported that it did not execute the request. */
     | "not-run"
