--- a/src/entry/healthProbes.ts
+++ b/src/entry/healthProbes.ts
@@ -105,6 +105,8 @@
     }
 
     #send(upstream: UpstreamAnnouncement, path: string, sentAtMilliseconds: number): void {
+        const { acts } = this.#options;
+        let timer: NodeJS.Timeout | undefined;
         const finish = (outcome: string): void => {
             clearTimeout(timer);
             if (this.#running.delete(call)) {
@@ -113,7 +115,7 @@
             }
         };
         const call = callUpstream({
-            acts: this.#options.acts,
+            acts,
             agent: this.#options.agentFor(upstream.service),
             address: upstream.address,
             method: "GET",
@@ -121,14 +123,15 @@
             headers: () => ["Host", upstream.address],
             body: Buffer.alloc(0),
             connectTimeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
-            onConnected: () => call.send(),
+            onConnected: () => {
+                call.send();
+                timer = setTimeout(() => acts.afterReading(() => finish("silent")), PROBE_TIMEOUT_MILLISECONDS);
+            },
             onHead: head => this.#options.onAnswer(upstream, head),
             onData: () => undefined,
             onEnd: () => finish(ANSWERED),
             onFailure: failure => finish(failure),
         });
-        const { acts } = this.#options;
-        const timer = setTimeout(() => acts.afterReading(() => finish("silent")), PROBE_TIMEOUT_MILLISECONDS);
         this.#running.add(call);
     }
 
