Do not log answers as not delivered to callers that left

Change: a request that ended since its caller left has no answer to deliver. Test: departedCallers failed before, passes.

--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -27,6 +27,8 @@
     readonly #options: RequestEndingOptions;
     readonly #parts: RequestParts;
     #ended = false;
+    /** True where the request ended because its caller left. */
+    #hasCallerLeft = false;
 
     constructor(options: RequestEndingOptions) {
         this.#options = options;
@@ -111,9 +113,12 @@
      */
     handleCallerClosed(): void {
         if (this.#ended) {
-            this.#logUndelivered();
+            if (!this.#hasCallerLeft) {
+                this.#logUndelivered();
+            }
             return;
         }
+        this.#hasCallerLeft = true;
         if (this.#parts.request.route.kind === "non-idempotent") {
             this.#leaveToFinish();
         }
