Read what has arrived before a resumed stream is taken for unknown

What callers saw (review, F10; older): a resumed stream was refused as unknown although a peer's answer lay unread. Change: the limits of look-ups are judged after reading.

--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -20,6 +20,7 @@
     ServiceVersions,
     StreamKeepers,
 } from "../streamVersions/index.js";
+import { afterPolling } from "../transport/index.js";
 import { type SentStream, SentStreams } from "./_sentStreams.js";
 import { StreamJournalWriter } from "./_streamJournalWriter.js";
 import { VersionRecordWriter, type VersionRecordWriterOptions, VERSIONS_KEY } from "./_versionRecordWriter.js";
@@ -364,7 +365,7 @@
     #after(milliseconds: number, step: () => void): void {
         const timer = setTimeout(() => {
             this.#timers.delete(timer);
-            step();
+            afterPolling(step);
         }, milliseconds);
         this.#timers.add(timer);
     }
