--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -277,6 +277,7 @@
     #createPartitionWatch(): PartitionWatch {
         return new PartitionWatch({
             ...this.#context,
+            acts: this.#acts,
             contact: this.#upstreams.contact,
             view: this.#upstreams.view,
             onChanged: () => {
--- a/src/entry/partitionWatch.ts
+++ b/src/entry/partitionWatch.ts
@@ -8,6 +8,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { chooseProbeTargets, PartitionDetector, type UpstreamContact } from "../partitions/index.js";
 import { canConnect } from "./_connectionProbe.js";
+import { type Acts } from "./actQueue.js";
 
 /** Interval at which the contact with upstreams is looked at. */
 const STEP_MILLISECONDS = 150;
@@ -17,6 +18,7 @@
 
 /** Options of {@linkcode PartitionWatch}. */
 export interface PartitionWatchOptions {
+    readonly acts: Pick<Acts, "afterReading">;
     readonly contact: UpstreamContact;
     readonly view: UpstreamView;
     readonly logger: Logger;
@@ -51,7 +53,7 @@
     }
 
     start(): void {
-        this.#timer = setInterval(() => this.#step(), STEP_MILLISECONDS);
+        this.#timer = setInterval(() => this.#options.acts.afterReading(() => this.#step()), STEP_MILLISECONDS);
     }
 
     close(): void {
