Read what arrives between the acts of a long turn

Cause, by reading: all acts that waited for one answer of the store, and all waiting requests of one wake, were run in one turn of the event loop; with little processor time such a turn takes longer than a second, and its later acts rest on facts from its beginning. The class: work whose amount others decide, done without a bound. Change: acts of a turn are begun for 20 ms; then all sockets are polled in full before the next ones, in the same order. Dispatches of a wake are acts one by one. Test: actQueue, 20 acts of 30 ms: the last ran without a look at the sockets before; passes.

--- a/src/entry/actQueue.test.ts
+++ b/src/entry/actQueue.test.ts
@@ -123,3 +123,25 @@
     await new Promise<void>(resolve => acts.enqueue(resolve));
     assert.equal(lines.filter(({ message }) => message === "act failed").length, 2);
 });
+
+test("what arrives while many acts take long is read before the later ones", async context => {
+    const { acts } = start(context, () => Promise.resolve(true));
+    const { far, near } = await openConnection(context);
+    let isLeft = false;
+    near.on("data", () => undefined);
+    near.on("end", () => {
+        isLeft = true;
+    });
+    const actedAfterLeaving: boolean[] = [];
+    for (let index = 0; index < 20; index += 1) {
+        acts.enqueue(() => {
+            if (index === 0) {
+                far.end();
+            }
+            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 30);
+            actedAfterLeaving.push(isLeft);
+        });
+    }
+    await new Promise<void>(resolve => acts.enqueue(resolve));
+    assert.equal(actedAfterLeaving.at(-1), true, "20 acts of 30 ms each ran without a look at the sockets");
+});
--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -21,6 +21,9 @@
 /** Upstreams that leave go on for two seconds at least; an answer that is read this late leaves half of that. */
 const MAXIMUM_ANSWER_AGE_MILLISECONDS = 1_000;
 
+/** Acts of one turn of the event loop take about this long at most; then what has arrived is read again. */
+const TURN_MILLISECONDS = 20;
+
 /** How a question about the view ended. */
 type Confirmation = "confirmed" | "no-answer";
 
@@ -43,7 +46,7 @@
 }
 
 /** Where acts wait; what parts of a host that act need of an {@linkcode ActQueue}. */
-export type Acts = Pick<ActQueue, "afterReading" | "enqueue" | "runOrEnqueue">;
+export type Acts = Pick<ActQueue, "afterReading" | "enqueue" | "runInTurns" | "runOrEnqueue">;
 
 /**
  * Runs acts in the order in which they were added, each once everything was read that arrived before it.
@@ -65,6 +68,9 @@
     #asking: (() => void)[] = [];
     /** Acts that wait for the next question, since the host did not read for a while after the open one was asked. */
     #held: (() => void)[] = [];
+    /** Steps that are to be run, a part of them in each turn of the event loop. */
+    #due: (() => void)[] = [];
+    #isRunning = false;
     #timer: NodeJS.Timeout | undefined;
     #closed = false;
 
@@ -83,6 +89,7 @@
         clearInterval(this.#timer);
         this.#asking = [];
         this.#held = [];
+        this.#due = [];
     }
 
     /** Runs a step once everything was read that has arrived by now. */
@@ -109,6 +116,17 @@
         }
     }
 
+    /** Runs steps in their order, after those that are due already; what arrives while they take long is read between. */
+    runInTurns(steps: readonly (() => void)[]): void {
+        if (this.#closed) {
+            return;
+        }
+        this.#due.push(...steps);
+        if (!this.#isRunning) {
+            this.#runDue();
+        }
+    }
+
     /** Defers the steps by another immediate, which runs after the event loop has polled all sockets again. */
     #endIteration(): void {
         const steps = this.#steps;
@@ -123,20 +141,25 @@
             this.#confirmations.recordGap();
             metrics.count("read_gaps", {});
             logger.warn("host did not read", { gapMilliseconds: Math.round(gapMilliseconds) });
-            this.#deferOnce(steps);
+            afterPolling(() => this.runInTurns(steps));
             return;
         }
-        this.#runSteps(steps);
-    }
-
-    /** Runs steps once everything was read again, since the host did not run while they waited. */
-    #deferOnce(steps: readonly (() => void)[]): void {
-        afterPolling(() => this.#runSteps(steps));
+        this.runInTurns(steps);
     }
 
-    #runSteps(steps: readonly (() => void)[]): void {
-        if (!this.#closed) {
-            steps.forEach(step => this.#runGuarded(step));
+    #runDue(): void {
+        const { readClock } = this.#options;
+        const endMilliseconds = readClock() + TURN_MILLISECONDS;
+        this.#isRunning = true;
+        let count = 0;
+        while (count < this.#due.length && (count === 0 || readClock() < endMilliseconds)) {
+            this.#runGuarded(this.#due[count] ?? (() => undefined));
+            count += 1;
+        }
+        this.#due.splice(0, count);
+        this.#isRunning = this.#due.length > 0;
+        if (this.#isRunning) {
+            afterPolling(() => this.#runDue());
         }
     }
 
@@ -188,8 +211,7 @@
             void this.#ask(true);
             return;
         }
-        const acts = this.#asking.splice(0);
-        acts.forEach(act => this.#runGuarded(act));
+        this.runInTurns(this.#asking.splice(0));
         const held = this.#held.splice(0);
         held.forEach(act => this.#runOnCurrentView(act));
     }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -45,6 +45,23 @@
     abortAll(): void;
 }
 
+/**
+ * Dispatches a waiting request, unless one that can go to the same upstreams could not be sent.
+ *
+ * @param exchange The request.
+ * @param unmetKeys What requests before it could not be sent; with that of this one afterwards.
+ */
+function dispatchUnlessUnmet(exchange: Exchange, unmetKeys: Set<string>): void {
+    const { isWaiting, waitKey } = exchange;
+    if (!isWaiting || (waitKey !== undefined && unmetKeys.has(waitKey))) {
+        return;
+    }
+    exchange.dispatch();
+    if (waitKey !== undefined && exchange.isWaiting) {
+        unmetKeys.add(waitKey);
+    }
+}
+
 class RunningForwarder implements Forwarder {
     readonly #context: ForwardingContext;
     readonly #exchanges = new Set<Exchange>();
@@ -69,16 +86,7 @@
         const waiting = [...this.#exchanges].filter(({ isWaiting }) => isWaiting);
         waiting.sort((left, right) => compareRanks(left.rank, right.rank));
         const unmetKeys = new Set<string>();
-        for (const exchange of waiting) {
-            const { waitKey } = exchange;
-            if (waitKey !== undefined && unmetKeys.has(waitKey)) {
-                continue;
-            }
-            exchange.dispatch();
-            if (waitKey !== undefined && exchange.isWaiting) {
-                unmetKeys.add(waitKey);
-            }
-        }
+        this.#context.acts.runInTurns(waiting.map(exchange => () => dispatchUnlessUnmet(exchange, unmetKeys)));
     }
 
     abortAll(): void {
