Act on a deadline at once on a host that reads

A deadline waited for two polls of all sockets since, each of them long while 200 upstreams send 80 MB a second. Change: as for a connection, the deadline acts at once where the host reads, and waits its turn only after a gap. endlessAnswers and entryForwarding: 19 passed.

--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -163,7 +163,7 @@
         message.socket.once("end", this.#handleCallerClosed);
         response.on("drain", () => this.#guard(() => this.#receiver.handleDrain()));
         this.#deadlineTimer = setTimeout(
-            () => this.#context.acts.afterReading(() => this.abort()),
+            () => this.#context.acts.runOrEnqueue(() => this.abort()),
             Math.max(0, remainingMilliseconds(this.#parts)),
         );
         if (service === undefined) {
