Count what a host sends to its peers, and trace GONE to the link of cell representatives

The time spent on datagrams was logged, their size was not.

With the bytes that leave: a representative sends 2,231 KB in a second over a link of 875 KB, 1,996 of them aggregates, published again and again for news of lost requests; a neighbour without the role 28 to 160 KB.

Ruled out: the processor (turns of 50 to 100 ms), the engines (others reach them), connections of callers and store (20 to 40 KB a second).

Change: `time spent` and two metrics tell what is sent, by type.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -377,7 +377,7 @@
         this.#store.adjustWatch();
         this.#digests.publishToAllCells();
         this.#engines.adapters.resendUses();
-        this.#context.timeSpent.report(() => this.#gossip.takeReceivedSummary());
+        this.#context.timeSpent.report(() => this.#gossip.takeDatagramSummary());
         this.#store.recordSettledRestores();
         this.#store.catchUp();
     }
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -26,6 +26,7 @@
     type LogFields,
     type Logger,
     ReceivedDatagrams,
+    SentDatagrams,
     type TimeSpent,
 } from "../../observability/index.js";
 import { type VersionCopyNeed } from "../../placement/index.js";
@@ -62,6 +63,7 @@
 export class HostGossip implements EngineGossip {
     readonly #options: HostGossipOptions;
     readonly #received: ReceivedDatagrams;
+    readonly #sent: SentDatagrams;
     /** Messages that the metrics do not contain yet. */
     #receivedMessages = 0;
     #link: GossipLink | undefined;
@@ -70,6 +72,7 @@
         this.#options = options;
         const { metrics, peers } = options;
         this.#received = new ReceivedDatagrams({ metrics, nameSender: source => peers.findHostAt(source) });
+        this.#sent = new SentDatagrams(metrics);
     }
 
     /**
@@ -84,6 +87,7 @@
             ...address,
             readCostClock: () => readProcessorMicroseconds() / MICROSECONDS_PER_MILLISECOND,
             onHandled: datagram => this.#recordHandled(datagram),
+            onSent: message => this.#sent.record(message),
             onDropped: reason => this.#received.recordDropped(reason),
             onMessage: message => {
                 this.#receivedMessages += 1;
@@ -100,13 +104,14 @@
     /** Adds the datagrams that were received since the last call to the metrics. */
     updateMetrics(): void {
         this.#received.updateMetrics();
+        this.#sent.updateMetrics();
         this.#options.metrics.add("gossip_datagrams", { direction: "received" }, this.#receivedMessages);
         this.#receivedMessages = 0;
     }
 
-    /** Returns log fields about the datagrams that were received since the last call. */
-    takeReceivedSummary(): LogFields {
-        return this.#received.takeSummary();
+    /** Returns log fields about the datagrams that were received and sent since the last call. */
+    takeDatagramSummary(): LogFields {
+        return { ...this.#received.takeSummary(), ...this.#sent.takeSummary() };
     }
 
     publishDigest(digest: HostDigest): void {
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -115,6 +115,15 @@
     readonly applyMilliseconds: number;
 }
 
+/** A message that was handed to the network, or waits to be. */
+export interface SentMessage {
+    readonly type: string;
+    /** Bytes of one datagram. */
+    readonly bytes: number;
+    /** Peers that it is sent to, each in a datagram of its own. */
+    readonly receivers: number;
+}
+
 /** Options of a link. */
 export interface GossipLinkOptions {
     readonly address: string;
@@ -124,6 +133,8 @@
     readonly readCostClock?: () => number;
     /** Called after a datagram was handled, with its cost. */
     readonly onHandled?: (datagram: HandledDatagram) => void;
+    /** Called for each message that is sent, with its size. */
+    readonly onSent?: (message: SentMessage) => void;
     /** Called for each datagram that was dropped because others wait. */
     readonly onDropped?: (reason: DropReason) => void;
     /** Called where a datagram could not be decoded or sent. */
@@ -235,7 +246,7 @@
         }
         for (const [format, receivers] of this.#groupByFormat(addresses)) {
             for (const form of formsFor(message, format)) {
-                this.#sender.send(form === message ? bytes : encode(form), receivers);
+                this.#sendForm(form.type, form === message ? bytes : encode(form), receivers);
             }
             this.#askForFormat(receivers);
         }
@@ -267,7 +278,14 @@
 
     #sendNotice(asks: boolean, addresses: readonly string[]): void {
         const notice: FormatNotice = { type: "format", format: PRESENT_FORMAT, asks };
-        this.#sender.send(encode(notice), addresses);
+        this.#sendForm(notice.type, encode(notice), addresses);
+    }
+
+    #sendForm(type: string, bytes: Buffer, receivers: readonly string[]): void {
+        if (receivers.length > 0) {
+            this.#sender.send(bytes, receivers);
+            this.#options.onSent?.({ type, bytes: bytes.length, receivers: receivers.length });
+        }
     }
 
     #enqueue(datagram: WaitingDatagram): void {
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -69,6 +69,14 @@
         labels: ["holder"],
     },
     gossip_datagrams: { help: "Datagrams between hosts.", labels: ["direction"] },
+    sent_datagrams: {
+        help: "Datagrams sent to other hosts, by the type of their message.",
+        labels: ["type"],
+    },
+    sent_datagram_bytes: {
+        help: "Bytes of the datagrams sent to other hosts, by the type of their message.",
+        labels: ["type"],
+    },
     received_datagrams: {
         help: "Datagrams received from other hosts, by the type of their message.",
         labels: ["type"],
