Keep messages to peers within half of a host's link

The class: an act that does not ask for the state of what it acts on. The design instead: the sender knows the link's capacity (limits.linkMbps, 10 Mbit/s where the settings name none) and takes half of it; messages that wait share the rate; a digest is published only once what was published before has left. News then make digests newer, not more.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -24,10 +24,12 @@
 import {
     DigestPublisher,
     DigestRounds,
+    gossipBytesPerSecond,
     HostGossip,
     hostsNeedingDemand,
     InterCellGossip,
     type MessageReceivers,
+    PacedDigests,
     receiveMessage,
     ReportedState,
     UrgentDigests,
@@ -73,6 +75,7 @@
     readonly #reportedState: ReportedState;
     readonly #receivers: MessageReceivers;
     readonly #digests: DigestPublisher;
+    readonly #pacedDigests: PacedDigests;
     readonly #urgentDigests: UrgentDigests;
     readonly #digestRounds: DigestRounds;
     readonly #forwarder: Forwarder;
@@ -123,6 +126,10 @@
         this.#reportedState = new ReportedState({ ...context, ...parts });
         this.#receivers = { ...parts, reportedState: this.#reportedState };
         this.#digests = new DigestPublisher({ ...parts, isReady: () => this.#isReady() });
+        this.#pacedDigests = new PacedDigests({
+            publish: () => this.#digests.publishToAllCells(),
+            backlogMilliseconds: () => this.#gossip.backlogMilliseconds,
+        });
         this.#urgentDigests = this.#createUrgentDigests();
         this.#digestRounds = new DigestRounds({ ...context, peers: this.#peers, onRound: () => this.#performRound() });
         this.#forwarder = createForwarder(createForwardingContext(parts));
@@ -131,9 +138,9 @@
 
     async start(): Promise<void> {
         const { logger } = this.#context;
-        const { host, zone, gossip } = this.#settings;
+        const { gossip, host, linkBytesPerSecond, zone } = this.#settings;
         logger.info("starting", { host, zone, callers: addressesOf(this.#settings).callers });
-        await this.#gossip.open(gossip);
+        await this.#gossip.open(gossip, gossipBytesPerSecond(linkBytesPerSecond));
         await this.#servers.start();
         this.#acts.start();
         this.#store.start();
@@ -170,6 +177,7 @@
         this.#acts.close();
         this.#digestRounds.close();
         this.#urgentDigests.close();
+        this.#pacedDigests.close();
         this.#rateLimiting.close();
         this.#streamVersions.close();
         this.#partitionWatch.close();
@@ -281,7 +289,7 @@
             contact: this.#upstreams.contact,
             view: this.#upstreams.view,
             onChanged: () => {
-                this.#digests.publishToAllCells();
+                this.#pacedDigests.request();
                 this.#forwarder.wake();
             },
         });
@@ -342,7 +350,8 @@
             ...this.#context,
             crashes: this.#upstreams.crashes,
             publishesAggregates: () => this.#interCellGossip.publishesAggregates,
-            publish: () => this.#digests.publishToAllCells(),
+            publish: () => this.#pacedDigests.request(),
+            backlogMilliseconds: () => this.#gossip.backlogMilliseconds,
         });
     }
 
@@ -375,7 +384,7 @@
         this.#streamVersions.check();
         this.#engines.adapters.recordOwnUses();
         this.#store.adjustWatch();
-        this.#digests.publishToAllCells();
+        this.#pacedDigests.request();
         this.#engines.adapters.resendUses();
         this.#context.timeSpent.report(() => this.#gossip.takeDatagramSummary());
         this.#store.recordSettledRestores();
--- a/src/entry/peers/hostGossip.test.ts
+++ b/src/entry/peers/hostGossip.test.ts
@@ -52,7 +52,7 @@
         hostsNeedingDemand: () => new Set(["planner"]),
         onMessage: () => {},
     });
-    await gossip.open({ address: "127.0.0.1", port: 0 });
+    await gossip.open({ address: "127.0.0.1", port: 0 }, Number.MAX_SAFE_INTEGER);
     context.after(() => gossip.close());
     const aggregates = new CellAggregates();
     for (let cell = 0; cell < 5; cell += 1) {
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -78,13 +78,16 @@
     /**
      * Opens this host's gossip address.
      *
+     * @param address The address.
+     * @param bytesPerSecond Bytes a second that messages to peers take at most.
      * @throws Rejects where the address cannot be used.
      */
-    async open(address: ListenAddress): Promise<void> {
+    async open(address: ListenAddress, bytesPerSecond: number): Promise<void> {
         const { onMessage, openLink = openGossipLink, readProcessorMicroseconds } = this.#options;
         const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
+            bytesPerSecond,
             readCostClock: () => readProcessorMicroseconds() / MICROSECONDS_PER_MILLISECOND,
             onHandled: datagram => this.#recordHandled(datagram),
             onSent: message => this.#sent.record(message),
@@ -114,6 +117,11 @@
         return { ...this.#received.takeSummary(), ...this.#sent.takeSummary() };
     }
 
+    /** Time until the messages that wait have left; 0 where none waits. */
+    get backlogMilliseconds(): number {
+        return this.#link?.backlogMilliseconds ?? 0;
+    }
+
     publishDigest(digest: HostDigest): void {
         this.#sendToCell(digest);
     }
--- a/src/entry/peers/urgentDigests.test.ts
+++ b/src/entry/peers/urgentDigests.test.ts
@@ -7,7 +7,7 @@
 interface DigestFixture {
     readonly urgent: UrgentDigests;
     readonly crashes: CrashAttribution;
-    readonly clock: { nowMilliseconds: number; };
+    readonly clock: { nowMilliseconds: number; backlogMilliseconds: number; };
     readonly publishedCount: () => number;
 }
 
@@ -15,7 +15,7 @@
 function createFixture(context: TestContext, publishesAggregates: boolean): DigestFixture {
     mock.timers.enable({ apis: ["setTimeout"] });
     context.after(() => mock.timers.reset());
-    const clock = { nowMilliseconds: 0 };
+    const clock = { nowMilliseconds: 0, backlogMilliseconds: 0 };
     const crashes = new CrashAttribution("entry-1");
     let published = 0;
     const urgent = new UrgentDigests({
@@ -26,6 +26,7 @@
             published += 1;
             crashes.report(clock.nowMilliseconds);
         },
+        backlogMilliseconds: () => clock.backlogMilliseconds,
     });
     return { urgent, crashes, clock, publishedCount: () => published };
 }
@@ -61,6 +62,17 @@
     assert.ok(!crashes.hasUnpublishedNews());
 });
 
+test("news of a crash is published once the messages before it have left", context => {
+    const { clock, crashes, publishedCount, urgent } = createFixture(context, false);
+    clock.backlogMilliseconds = 90;
+    loseRequest(crashes);
+    urgent.scheduleCrashNews();
+    mock.timers.tick(89);
+    assert.equal(publishedCount(), 0);
+    mock.timers.tick(1);
+    assert.equal(publishedCount(), 1);
+});
+
 test("without news of crashes no digest is published", context => {
     const { publishedCount, urgent } = createFixture(context, true);
     urgent.scheduleCrashNews();
--- a/src/entry/peers/urgentDigests.ts
+++ b/src/entry/peers/urgentDigests.ts
@@ -20,6 +20,8 @@
     readonly publishesAggregates: () => boolean;
     /** Publishes a digest to the own cell, and to other cells where this host represents its cell. */
     readonly publish: () => void;
+    /** Returns the time until the messages that wait have left, before which nothing is published. */
+    readonly backlogMilliseconds: () => number;
 }
 
 /**
@@ -27,7 +29,7 @@
  *
  * @example
  * ```ts
- * const urgent = new UrgentDigests({ crashes, readClock, publishesAggregates, publish });
+ * const urgent = new UrgentDigests({ crashes, readClock, publishesAggregates, publish, backlogMilliseconds });
  * urgent.scheduleCrashNews();
  * urgent.close();
  * ```
@@ -56,7 +58,8 @@
     /** Publishes news of crashes before the next digest is due, a few times since datagrams may be lost. */
     scheduleCrashNews(): void {
         if (!this.#closed && this.#hasCrashNews()) {
-            this.#crashNewsTimer ??= setTimeout(() => this.#publishCrashNews(), CRASH_NEWS_DELAY_MILLISECONDS);
+            const delay = Math.max(CRASH_NEWS_DELAY_MILLISECONDS, this.#options.backlogMilliseconds());
+            this.#crashNewsTimer ??= setTimeout(() => this.#publishCrashNews(), delay);
         }
     }
 
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -25,6 +25,8 @@
     readonly metrics: { readonly address: string; readonly port: number; readonly path: string; } | undefined;
     /** State addresses of some hosts, for starting while the key-value service is unavailable. */
     readonly seeds: readonly string[];
+    /** Capacity of this host's link, each way; `undefined` where not known. */
+    readonly linkBytesPerSecond?: number | undefined;
     readonly bounds: EntryBounds;
 }
 
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -129,6 +129,8 @@
     readonly address: string;
     readonly port: number;
     readonly onMessage: (message: GossipMessage) => void;
+    /** Bytes a second that messages take at most; not limited by default. */
+    readonly bytesPerSecond?: number;
     /** Reads the clock by which the cost of a datagram is measured, in milliseconds; `performance.now` by default. */
     readonly readCostClock?: () => number;
     /** Called after a datagram was handled, with its cost. */
@@ -145,6 +147,8 @@
 export interface GossipLink {
     /** Sends a message to each address; datagrams may be lost. */
     send(message: GossipMessage, addresses: readonly string[]): void;
+    /** Time until the messages that wait have left; 0 where none waits. */
+    readonly backlogMilliseconds: number;
     close(): void;
 }
 
@@ -232,11 +236,19 @@
     constructor(options: GossipLinkOptions, socket: Socket) {
         this.#options = options;
         this.#socket = socket;
-        this.#sender = new PacedSender(({ address, bytes }) => this.#sendDatagram(bytes, address));
+        this.#sender = new PacedSender({
+            send: ({ address, bytes }) => this.#sendDatagram(bytes, address),
+            bytesPerSecond: options.bytesPerSecond ?? Number.MAX_SAFE_INTEGER,
+            readClock: () => performance.now(),
+        });
         socket.on("error", error => options.onProblem({ reason: "socket", detail: error.message }));
         socket.on("message", (bytes, { address, port }) => this.#enqueue({ bytes, source: `${address}:${port}` }));
     }
 
+    get backlogMilliseconds(): number {
+        return this.#sender.backlogMilliseconds;
+    }
+
     send(message: GossipMessage, addresses: readonly string[]): void {
         const bytes = encode(message);
         if (bytes.length > MAXIMUM_DATAGRAM_BYTES) {
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -19,7 +19,7 @@
     type HandledDatagram,
     openGossipLink,
 } from "./gossipLink.js";
-export { PacedSender, type QueuedDatagram } from "./pacedSender.js";
+export { PacedSender, type PacedSenderOptions, type QueuedDatagram } from "./pacedSender.js";
 export { type AdvertisedHost, type FleetDivision, type Peer, PeerTable } from "./peerTable.js";
 export { type DropReason } from "./receiveQueue.js";
 export { selectAddresses } from "./selectAddresses.js";
