Count the gap of a stream without an event from the pause, in the tests of engines that pause

tests/pausedEngineStates.test.ts failed beside load: streams of the services "rejects", "resets" and "fails" without an event before a pause of 1600 ms had gaps of 2156 to 2786 ms, over a limit of 2 s and the time for which they had waited before the pause.

Cause: the measure. A caller whose stream has no event yet waits before the pause as well, and the test allowed for the time in which its own service's requests were sent. The engines of all six services pause together, however, once the slowest service has sent its own, and a timer more. Traced by caller, host and engine in one site (load 29): all streams waited 361 to 378 ms before the pause; allowed for were 95 (rejects), 127, 192, 249, 313 and 362 ms (answers). The first services differ from the others by their place in that order, and from the last three in that their second engine does not answer.

Timeline of a stream that failed (rejects, limit 2127 ms): its caller sends at 0, the host at 40, it is at the engine at 43, pause at 479 (127 allowed for), second engine asked at 1248, its rejection read at 1265, the step over at 561 by the engine's timer and held back by the pause, end of the pause at 2080, request ended in the host at 2110, read by its caller at 2156.

Ruled out by traces of 18 sites (load 22 to 30): of 42 streams of "rejects", "resets" and "fails" that waited at an engine as it paused, all were answered by that engine, the last one 210 ms after its pause had ended (its host had ended the request after 10). So no answer lies in the host or a socket, no engine is given up, and no timer of the stand-in runs on after the pause.

The gap before a first event now counts from the moment of the pause where the stream waits for it then, and in full otherwise; later gaps are no longer lengthened by the wait before the first event; times in which the process did not run count from that moment too, not twice. The limit stays 2 s.

--- a/tests/support/heldAnswer.ts
+++ b/tests/support/heldAnswer.ts
@@ -7,8 +7,12 @@
 import { type EntrySettings } from "../../src/entry/index.js";
 import { type CallerAnswer, type CallerRequest, HOST_NAME } from "./entrySite.js";
 
-/** A received answer, with the longest time in which its caller received nothing. */
+/** A received answer, with the times in which its caller received nothing. */
 export interface TimedAnswer extends CallerAnswer {
+    /** Time from the request to the first piece of the body, or to the end of an answer without one. */
+    readonly firstGapMilliseconds: number;
+    /** Longest of the times between pieces, and to the end; 0 for an answer without a body. */
+    readonly longestLaterGapMilliseconds: number;
     readonly longestGapMilliseconds: number;
 }
 
@@ -49,7 +53,7 @@
     const pieces: Buffer[] = [];
     const startedAt = performance.now();
     let lastAt = startedAt;
-    let longestGapMilliseconds = 0;
+    const gapsMilliseconds: number[] = [];
     let paused = isPaused;
     let applyPause = (): void => undefined;
     let markBegun = (): void => undefined;
@@ -58,20 +62,24 @@
     });
     const recordPiece = (): void => {
         const now = performance.now();
-        longestGapMilliseconds = Math.max(longestGapMilliseconds, now - lastAt);
+        gapsMilliseconds.push(now - lastAt);
         lastAt = now;
     };
     const ended = new Promise<TimedAnswer>(resolve => {
         const finish = (status: number | undefined, headers: CallerAnswer["headers"], isComplete: boolean): void => {
             recordPiece();
             markBegun();
+            const [firstGapMilliseconds = 0, ...laterGapsMilliseconds] = gapsMilliseconds;
+            const longestLaterGapMilliseconds = Math.max(0, ...laterGapsMilliseconds);
             resolve({
                 status,
                 headers,
                 body: Buffer.concat(pieces).toString(),
                 isComplete,
                 tookMilliseconds: performance.now() - startedAt,
-                longestGapMilliseconds,
+                firstGapMilliseconds,
+                longestLaterGapMilliseconds,
+                longestGapMilliseconds: Math.max(firstGapMilliseconds, longestLaterGapMilliseconds),
             });
         };
         const clientRequest = sendRequest({
--- a/tests/support/pauseCases.ts
+++ b/tests/support/pauseCases.ts
@@ -47,6 +47,13 @@
     readonly lateEvent: number;
 }
 
+/** A moment of a case. */
+interface Moment {
+    readonly atMilliseconds: number;
+    /** Time for which this process had not run by then. */
+    readonly stalledMilliseconds: number;
+}
+
 /** What became of the requests of one state. */
 interface Tally {
     readonly name: string;
@@ -161,7 +168,8 @@
     readonly #tallies = new Map<string, Tally>();
     readonly #answers: Promise<void>[] = [];
     #count = 0;
-    #sendingMilliseconds = 0;
+    /** When the engines paused; `undefined` before. */
+    #pauseStart: Moment | undefined;
     readonly #paused: Promise<void>;
     #markPaused: () => void = () => undefined;
 
@@ -195,12 +203,10 @@
 
     /** Begins requests that the pause will interrupt; resolves once the host has sent all that it has read. */
     async beginRequests(): Promise<void> {
-        const startedAt = performance.now();
         this.#beginBeforePause();
         const count = this.#count;
         this.#readBodyDuringPause();
         await until(() => this.#countSent() >= count, START_MILLISECONDS);
-        this.#sendingMilliseconds = performance.now() - startedAt;
     }
 
     #beginBeforePause(): void {
@@ -226,6 +232,7 @@
     /** Pauses engines, and adds the other ones. */
     async pause(): Promise<void> {
         const { pauseMilliseconds, scope } = this.#case;
+        this.#pauseStart = this.#now();
         this.#engines.slice(1).forEach(engine => engine.pause(pauseMilliseconds));
         this.#markPaused();
         for (let index = PAUSING[scope]; index < ENGINES; index += 1) {
@@ -268,24 +275,33 @@
         return `${this.#replacement}-${state.replaceAll(" ", "-")}-${this.#count}`;
     }
 
-    /** Begins a stream; `hasNoEvent` is true for one that has no event before the pause, for which its caller waits then too. */
+    /** Begins a stream; `hasNoEvent` is true for one that should have no event before the pause. */
     #stream(state: string, action: string, hasNoEvent = false): void {
         const id = this.#nextId(state);
         const path = `/${this.#replacement}/streams/${action}`;
-        const stalledMilliseconds = this.#readStalled();
+        const sent = this.#now();
         const { ended } = holdAnswer(this.#host, { path, method: "POST", id });
-        this.#answers.push(ended.then(each => {
-            const waitedMilliseconds = hasNoEvent ? this.#sendingMilliseconds + this.#times.beforePause : 0;
-            const limit = this.#gapLimitMilliseconds() + waitedMilliseconds + this.#readStalled() - stalledMilliseconds;
-            const { longestGapMilliseconds } = each;
-            this.#record(
-                state,
-                isWholeStream(each),
-                longestGapMilliseconds >= limit ? longestGapMilliseconds : undefined,
-            );
+        this.#answers.push(ended.then(answer => {
+            const firstEventAtMilliseconds = sent.atMilliseconds + answer.firstGapMilliseconds;
+            const start = hasNoEvent ? this.#startOfWait(sent, firstEventAtMilliseconds) : sent;
+            const waitMilliseconds = firstEventAtMilliseconds - start.atMilliseconds;
+            const gapMilliseconds = Math.max(waitMilliseconds, answer.longestLaterGapMilliseconds);
+            const stalledMilliseconds = this.#readStalled() - start.stalledMilliseconds;
+            const isLong = gapMilliseconds >= this.#gapLimitMilliseconds() + stalledMilliseconds;
+            this.#record(state, isWholeStream(answer), isLong ? gapMilliseconds : undefined);
         }));
     }
 
+    /** Returns from when on the pause makes a caller wait that may have begun to wait before it. */
+    #startOfWait(sent: Moment, firstEventAtMilliseconds: number): Moment {
+        const pauseStart = this.#pauseStart;
+        return pauseStart !== undefined && pauseStart.atMilliseconds < firstEventAtMilliseconds ? pauseStart : sent;
+    }
+
+    #now(): Moment {
+        return { atMilliseconds: performance.now(), stalledMilliseconds: this.#readStalled() };
+    }
+
     /** Returns the longest gap for callers, beside the pause where that alone lasts as long. */
     #gapLimitMilliseconds(): number {
         const { pauseMilliseconds } = this.#case;
