Show what the host logged of a request that is lost beside a change, and when

It now has the host's lines of that request and of its stop, with their times since the request was sent. Nothing is judged differently.

The host's grace is 8 s in these tests, so the time is that of a stopping host which ends what is left; why a stream was left is not known.

--- a/tests/support/changeRuns.ts
+++ b/tests/support/changeRuns.ts
@@ -132,9 +132,16 @@
     return status !== undefined && (!isComplete || (status === STATUS_OK && !isBodyWhole));
 }
 
-function describeOutcome({ answer: { body, isComplete, status, tookMilliseconds }, id }: Outcome): string {
+/** Describes an answer, with what the host logged of its request and when, from the moment at which it was sent. */
+function describeOutcome(outcome: Outcome, { host }: ChangeSite): string {
+    const { answer: { body, isComplete, status, tookMilliseconds }, answeredAtMilliseconds, id } = outcome;
+    const sentAtMilliseconds = answeredAtMilliseconds - tookMilliseconds;
     const end = isComplete ? "complete" : "cut off";
-    return `${id}: status ${status ?? "none"} after ${Math.round(tookMilliseconds)} ms, ${end}, ${body.slice(0, 90)}`;
+    const lines = host.lines.filter(({ fields, message }) => fields["request"] === id || message === "stopping").map((
+        { atMilliseconds, fields, message },
+    ) => `${Math.round(atMilliseconds - sentAtMilliseconds)} ms ${message} ${JSON.stringify(fields)}`);
+    const summary = `${id}: status ${status ?? "none"} after ${Math.round(tookMilliseconds)} ms, ${end}`;
+    return [`${summary}, ${JSON.stringify(body.slice(0, 90))}`, ...lines].join("\n");
 }
 
 function stall(milliseconds = 0): void {
@@ -178,7 +185,7 @@
             : isProperAnswer(outcome, change, site))
     );
     const late = lateTimeouts(outcomes.filter(({ id }) => begun.has(id)), stalls.read() + lateBeginMilliseconds);
-    return [...faulty, ...late].map(describeOutcome);
+    return [...faulty, ...late].map(outcome => describeOutcome(outcome, site));
 }
 
 /** Returns the newest version that the host has put in force. */
