Forward changes to hosts that rely on this one, whichever cell they are in

What callers saw: for up to a second after a host joined, hosts of a fleet that had run all the while sent requests to an engine whose leaving the store had acknowledged.

Cause: a cell's watchers forward a batch of changes after they have applied it. Where the batch holds the record of a host whose joining divides the fleet into cells anew, the watchers send it, and all later ones, to the hosts of their new cell. The hosts on the other side of the border are not told that there is a border. They rely on the watchers' last statement, which holds for 1 s, and only then begin to watch.

Change: a statement "I watch the service" is kept like a lease. A host forwards changes to its cell and to every peer that it has told so within the statement's lifetime (1 s) and the time in which a slow peer may read it (2 s).

Weighed: a host that moves to another cell begins to watch at once (it cannot know that it has moved); a shorter lifetime of statements (a call of each fed host whenever digests are late); an answer to each batch (more datagrams).

Statements that no digest renews end after 1 s, so such watchers are replaced.

--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -33,6 +33,7 @@
 import { type AdapterRequest, type AdapterUseReport, type EngineGossip } from "../engines/index.js";
 import { type ListenAddress } from "../settings.js";
 import { GossipProblems } from "./_gossipProblems.js";
+import { FedPeers } from "./fedPeers.js";
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
@@ -62,6 +63,7 @@
 export class HostGossip implements EngineGossip {
     readonly #options: HostGossipOptions;
     readonly #received: ReceivedDatagrams;
+    readonly #fedPeers = new FedPeers();
     /** Messages that the metrics do not contain yet. */
     #receivedMessages = 0;
     #link: GossipLink | undefined;
@@ -110,6 +112,9 @@
     }
 
     publishDigest(digest: HostDigest): void {
+        if (digest.feeds) {
+            this.#fedPeers.recordStatement(this.#cellPeers().map(({ host }) => host), this.#options.readClock());
+        }
         this.#sendToCell(digest);
     }
 
@@ -148,9 +153,11 @@
         this.#send({ type: "sent", host, engine, promptTokens }, receivers);
     }
 
-    /** Forwards changes in the key-value service to the own cell. */
+    /** Forwards changes in the key-value service to the own cell, and to others that may still rely on this host. */
     forwardChanges(changes: Omit<StoreChanges, "type" | "host">): void {
-        this.#send({ type: "changes", host: this.#options.host, ...changes }, this.#cellPeers());
+        const relying = this.#peersNamed(this.#fedPeers.relying(this.#options.readClock()));
+        const receivers = new Set([...this.#cellPeers(), ...relying]);
+        this.#send({ type: "changes", host: this.#options.host, ...changes }, [...receivers]);
     }
 
     /** Notifies the previous holder of its successor. */
--- a/src/entry/store/index.ts
+++ b/src/entry/store/index.ts
@@ -21,3 +21,4 @@
 export { type ServiceReachability } from "./serviceReachability.js";
 export { type EntryHandler } from "./storedEntries.js";
 export { type ChangeBatch } from "./storeMirror.js";
+export { STATEMENT_LIFETIME_MILLISECONDS } from "./storeWatchPolicy.js";
--- a/src/entry/store/storeWatchPolicy.ts
+++ b/src/entry/store/storeWatchPolicy.ts
@@ -10,7 +10,7 @@
 const WATCHERS_PER_CELL = 3;
 
 /** A host's statement that it watches the service is valid for this long. */
-const STATEMENT_LIFETIME_MILLISECONDS = 1_000;
+export const STATEMENT_LIFETIME_MILLISECONDS = 1_000;
 
 /** Time for forwarded changes up to a published revision to arrive; after that this host watches the service itself. */
 const MAXIMUM_MISSING_MILLISECONDS = 250;
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -81,11 +81,11 @@
     }, PROGRAM_READY_MILLISECONDS);
 }
 
-/** Creates settings with addresses on free ports. */
-export async function createEntrySettings(storeAddress: string): Promise<EntryProgramSettings> {
+/** Creates settings of a host with addresses on free ports. */
+export async function createEntrySettings(storeAddress: string, name = "entry-1"): Promise<EntryProgramSettings> {
     const [callers, readiness, control, directory, gossip] = await findFreePorts(5);
     const text = [
-        "nodeName=entry-1",
+        `nodeName=${name}`,
         "ip=127.0.0.1",
         "zone=zone-a",
         `listen.front=127.0.0.1:${callers ?? 0}`,
