Record that hosts whose watchers get no answers to their polls send late

What callers would see: where the store answers all calls but the open polls of a cell's three watchers, the whole cell sends requests to an engine that left for as long as a poll lasts (8 s). An open poll without an answer looks like a store without changes: the watchers go on to say that they watch, and the hosts that rely on them hear nothing else.

No record shows that a store does this.

Not mended: only a call can tell the two apart. While changes come, an answered poll each second does it for nothing; at rest it takes one question a second for a cell, told in the watchers' digests, to some 24 calls a second of a full cell now. Calls are priced, so whether this is worth it is a question for the lead. The last cheap evidence, revisions named in answers to writes, restarts a watcher's poll already, but only on the host that wrote.

--- a/tests/fedHostDrain.test.ts
+++ b/tests/fedHostDrain.test.ts
@@ -115,3 +115,10 @@
     const latest = await measureLastArrival(started);
     assert.ok(latest <= DRAIN_MILLISECONDS, `a request reached the engine ${Math.round(latest)} ms after`);
 });
+
+test("hosts whose watchers get no answers to their polls send an engine nothing 3 s after it said that it leaves", async context => {
+    const started = await startCell(context);
+    started.cell.watchers.forEach(({ relay }) => relay.hold());
+    const latest = await measureLastArrival(started);
+    assert.ok(latest <= DRAIN_MILLISECONDS, `a request reached the engine ${Math.round(latest)} ms after`);
+});
