Watch the store while its keys are being listed

What callers saw: hosts that list the store anew, since it no longer has the changes that they had not read, sent requests to an engine that left as long as the listing went on. A listing has a page for each 50 keys; eleven pages of 350 ms take 3.9 s, and the rule is 3 s.

Cause: a listing ended the watch, and dropped what other hosts of the cell forward, until its last page was read. All watchers of a cell lose the same history, so nobody had anything to forward. The pages are also as old as their calls: at its end a listing stated for the engines what had been so seconds before. Beside that, each digest of a peer began a watch from the lost revision again, which the store refused at once.

Change: from the answer of the first page on, the host watches from that page's revision. What the watch delivers is applied at once, and merged into the listing at its end, each key by its latest revision. A first listing, and one after a restore of the store, show nothing before they are complete; then they are current too. A host that lists does not say that it watches, and begins no watch from a revision that the store has lost. A listing of one page is as before.

Weighed: asking for the changes once at the listing's end (nothing is heard meanwhile, which is the fault); hosts that list in turn (a wait for hosts that have no view at all); refusing requests meanwhile (the fleet would).

Store calls of a fleet that lists once, in one page, are as before.

A question after a gap in reading still waits for the end of a listing that is open (100 ms at most, as before), while the watch brings the changes.

--- a/src/entry/store/storeMirror.ts
+++ b/src/entry/store/storeMirror.ts
@@ -9,8 +9,10 @@
     type KeyValueChanges,
     type KeyValueEntry,
     type KeyValueService,
+    type KeyValueSnapshot,
     type WatchEvent,
 } from "../../platform/index.js";
+import { ListingChanges } from "./listingChanges.js";
 
 /** Delay before the first retry after a failure, and its upper bound, as it doubles with each further failure. */
 const FIRST_RETRY_DELAY_MILLISECONDS = 200;
@@ -82,6 +84,10 @@
     #awaitedRevision: { readonly revision: number; readonly sinceMilliseconds: number; } | undefined;
     /** Resolves to whether the service listed its keys; `undefined` while none is asked for. */
     #listing: Promise<boolean> | undefined;
+    /** What the watch delivers during a listing; `undefined` before the listing's first page, and between listings. */
+    #listingChanges: ListingChanges | undefined;
+    /** True where the service was restored, until its keys are listed: what was known before does not count. */
+    #isRestored = false;
     #closed = false;
 
     constructor(options: StoreMirrorOptions) {
@@ -95,10 +101,11 @@
 
     /**
      * True while this host watches and the service has answered since a watch last ended. A watch on a dead connection
-     * looks like one without changes; only other calls to the service tell the two apart.
+     * looks like one without changes; only other calls to the service tell the two apart. During a listing this host
+     * lacks changes that others may need.
      */
     get isWatchAnswered(): boolean {
-        return this.#watch !== undefined && this.#isAnswered;
+        return this.#watch !== undefined && this.#isAnswered && this.#listing === undefined;
     }
 
     start(): void {
@@ -143,6 +150,10 @@
 
     /** Begins or ends the watch according to `mustWatch`. */
     adjustWatch(): void {
+        if (this.#listing !== undefined) {
+            this.#watchDuringListing();
+            return;
+        }
         if (this.#revision === undefined || this.#closed) {
             return;
         }
@@ -160,7 +171,7 @@
 
     /** Records a revision seen by a peer or a call; restarts a watch that stays behind it, as on a dead connection. */
     recordLaterRevision(revision: number, nowMilliseconds: number): void {
-        if (this.#watch === undefined || revision <= (this.#revision ?? 0)) {
+        if (this.#watch === undefined || revision <= this.#reachedRevision) {
             return;
         }
         this.#awaitedRevision ??= { revision, sinceMilliseconds: nowMilliseconds };
@@ -180,8 +191,9 @@
         this.#startWatch();
     }
 
-    /** Ends the watch and lists again, since the copy may no longer match the service. */
+    /** Ends the watch and lists again, since the service was restored and the copy may no longer match it. */
     relist(reason: string): void {
+        this.#isRestored = true;
         void this.#relist(reason);
     }
 
@@ -196,17 +208,23 @@
         changes: readonly StoreChange[],
         { afterRevision, revision }: Pick<ChangeBatch, "afterRevision" | "revision">,
     ): void {
-        for (const change of changes.filter(each => each.revision > afterRevision)) {
-            const { key, value } = change;
-            this.#options.onEvent(
-                value === undefined
-                    ? { type: "removed", key, revision: change.revision }
-                    : { type: "put", entry: { key, value, revision: change.revision } },
-            );
-        }
+        changes.filter(change => change.revision > afterRevision).forEach(change => this.#reportChange(change));
         this.#advanceRevision(revision);
     }
 
+    #reportChange({ key, revision, value }: StoreChange): void {
+        this.#options.onEvent(
+            value === undefined
+                ? { type: "removed", key, revision }
+                : { type: "put", entry: { key, value, revision } },
+        );
+    }
+
+    /** The revision up to which this host knows the changes since its copy, or since the first page of a listing. */
+    get #reachedRevision(): number {
+        return this.#listingChanges?.revision ?? this.#revision ?? 0;
+    }
+
     #openListing(): Promise<boolean> | undefined {
         return this.#listing;
     }
@@ -225,8 +243,31 @@
         return this.#listing;
     }
 
+    /** Watches from a listing's first page on, since the last page may come seconds later. */
+    #beginListingChanges(revision: number): void {
+        this.#closeWatch();
+        this.#listingChanges = new ListingChanges(revision);
+        this.#watchDuringListing();
+    }
+
+    #watchDuringListing(): void {
+        if (this.#listingChanges?.isHistoryLost === false && this.#retryTimer === undefined) {
+            this.#startWatch();
+        }
+    }
+
+    /** Ends the watch of a listing that failed, as its changes are of no use. */
+    #dropListingChanges(): void {
+        if (this.#listingChanges !== undefined) {
+            this.#listingChanges = undefined;
+            this.#closeWatch();
+        }
+    }
+
     async #listOnce(): Promise<boolean> {
-        const listed = await this.#options.keyValue.snapshot("");
+        const listed = await this.#options.keyValue.snapshot("", {
+            onFirstPage: revision => this.#beginListingChanges(revision),
+        });
         if (this.#closed) {
             return false;
         }
@@ -235,17 +276,25 @@
                 reason: listed.error.kind,
                 detail: listed.error.message,
             });
+            this.#dropListingChanges();
             this.#options.onEvent({ type: "contact", succeeded: false });
             this.#scheduleRetry(() => void this.#list());
             return false;
         }
+        this.#applyListing(listed.value);
+        return true;
+    }
+
+    #applyListing({ entries, revision }: KeyValueSnapshot): void {
+        const changes = this.#listingChanges ?? new ListingChanges(revision);
+        this.#listingChanges = undefined;
         this.#retryDelayMilliseconds = FIRST_RETRY_DELAY_MILLISECONDS;
-        this.#revision = listed.value.revision;
+        this.#isRestored = false;
+        this.#revision = changes.revision;
         this.#isAnswered = true;
         this.#options.onEvent({ type: "contact", succeeded: true });
-        this.#options.onEvent({ type: "listed", entries: listed.value.entries, revision: listed.value.revision });
+        this.#options.onEvent({ type: "listed", entries: changes.mergeInto(entries), revision: changes.revision });
         this.#startWatch();
-        return true;
     }
 
     #closeWatch(): void {
@@ -260,9 +309,9 @@
             return;
         }
         this.#batch = [];
-        this.#batchAfterRevision = this.#revision ?? 0;
+        this.#batchAfterRevision = this.#reachedRevision;
         const { batchMilliseconds, keyValue } = this.#options;
-        const fromRevision = (this.#revision ?? 0) + 1;
+        const fromRevision = this.#reachedRevision + 1;
         this.#watch = keyValue.watch("", event => this.#handleWatchEvent(event), {
             fromRevision,
             batchMilliseconds,
@@ -279,7 +328,7 @@
                 this.#retryDelayMilliseconds = FIRST_RETRY_DELAY_MILLISECONDS;
                 this.#isAnswered = true;
                 this.#revisionBeforeAnswer = undefined;
-                this.#advanceRevision(event.revision);
+                this.#recordWatchedRevision(event.revision);
                 this.#options.onEvent({ type: "contact", succeeded: true });
                 this.#endBatch(event.revision);
                 break;
@@ -293,6 +342,7 @@
                     historyLost: event.historyLost,
                 });
                 if (event.historyLost === true) {
+                    this.#listingChanges?.recordHistoryLost();
                     void this.#list();
                     return;
                 }
@@ -305,7 +355,23 @@
     #handleWatchedChange(change: StoreChange): void {
         this.#revisionBeforeAnswer ??= this.#revision ?? 0;
         this.#batch.push(change);
-        this.#applyChanges([change], { afterRevision: this.#revisionBeforeAnswer, revision: change.revision });
+        if (this.#listingChanges === undefined) {
+            this.#applyChanges([change], { afterRevision: this.#revisionBeforeAnswer, revision: change.revision });
+            return;
+        }
+        this.#listingChanges.record(change);
+        if (this.#revision !== undefined && !this.#isRestored) {
+            this.#reportChange(change);
+        }
+    }
+
+    #recordWatchedRevision(revision: number): void {
+        if (this.#listingChanges === undefined) {
+            this.#advanceRevision(revision);
+            return;
+        }
+        this.#listingChanges.recordRevision(revision);
+        this.#forgetAwaitedRevision(revision);
     }
 
     #endBatch(revision: number): void {
@@ -320,7 +386,11 @@
 
     #advanceRevision(revision: number): void {
         this.#revision = Math.max(this.#revision ?? 0, revision);
-        if (this.#awaitedRevision !== undefined && this.#awaitedRevision.revision <= this.#revision) {
+        this.#forgetAwaitedRevision(this.#revision);
+    }
+
+    #forgetAwaitedRevision(reachedRevision: number): void {
+        if (this.#awaitedRevision !== undefined && this.#awaitedRevision.revision <= reachedRevision) {
             this.#awaitedRevision = undefined;
         }
     }
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -26,6 +26,7 @@
     type KeyValueService,
     type KeyValueSnapshot,
     type PlatformError,
+    type SnapshotOptions,
     type SwapOptions,
     type SwapOutcome,
     type WatchEvent,
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -90,12 +90,18 @@
     readonly batchMilliseconds?: () => number;
 }
 
+/** Options of a listing. */
+export interface SnapshotOptions {
+    /** Called with the revision of the listing's first page where there are further ones. */
+    readonly onFirstPage?: (revision: number) => void;
+}
+
 /** The platform's key-value service. */
 export interface KeyValueService {
     get(key: string): Promise<Result<KeyValueEntry | undefined, PlatformError>>;
     list(prefix: string): Promise<Result<readonly KeyValueEntry[], PlatformError>>;
     /** Lists the keys under a prefix, with the revision after which a watch of it must start. */
-    snapshot(prefix: string): Promise<Result<KeyValueSnapshot, PlatformError>>;
+    snapshot(prefix: string, options?: SnapshotOptions): Promise<Result<KeyValueSnapshot, PlatformError>>;
     compareAndSwap(key: string, options: SwapOptions): Promise<Result<SwapOutcome, PlatformError>>;
     grantLease(timeToLiveMilliseconds: number): Promise<Result<{ readonly lease: string; }, PlatformError>>;
     /** Renews a lease and returns its remaining time; fails as `rejected` where the lease has ended. */
--- a/tests/support/pollRelay.ts
+++ b/tests/support/pollRelay.ts
@@ -9,11 +9,14 @@
 
 const LOOPBACK = "127.0.0.1";
 const POLL_PATH = "/kv-watch";
+const LISTING_PATH = "/kv-range";
 
 /** A running relay. */
 export class PollRelay {
     /** Paths of the calls of the host, oldest first. */
     readonly calls: string[] = [];
+    /** Delay of each page of a listing. */
+    pageDelayMilliseconds = 0;
     readonly #server: Server;
     readonly #target: { readonly host: string; readonly port: number; };
     #isHolding = false;
@@ -32,6 +35,9 @@
                 if (this.#isHolding && url.startsWith(POLL_PATH)) {
                     this.#held.push(deliver);
                 }
+                else if (url.startsWith(LISTING_PATH)) {
+                    setTimeout(deliver, this.pageDelayMilliseconds);
+                }
                 else {
                     deliver();
                 }
@@ -63,6 +69,13 @@
         this.#held.splice(0).forEach(deliver => deliver());
     }
 
+    /** Closes the host's connections without the answers that are held back. */
+    disconnect(): void {
+        this.#held = [];
+        this.#isHolding = false;
+        this.#server.closeAllConnections();
+    }
+
     async close(): Promise<void> {
         this.release();
         this.#server.closeAllConnections();
