Test that small datagrams leave larger ones a part of the rate

Datagrams of up to 512 bytes leave at once and are taken off the credit without a limit. While they alone take the rate, the credit stays below zero, and no digest leaves: peers take the host for silent after 1.6 s. Known red till its mend.

--- a/src/gossip/pacedSender.test.ts
+++ b/src/gossip/pacedSender.test.ts
@@ -131,3 +131,16 @@
     assert.equal(readBacklog(), 0);
     assert.equal(link.sent.length, ADDRESSES.length);
 });
+
+test("larger messages leave also while small datagrams alone take the whole rate", context => {
+    const link = new PacedLink(context);
+    for (let step = 0; step < 100; step += 1) {
+        link.sender.send(Buffer.alloc(400), [...ADDRESSES, ...ADDRESSES, ...ADDRESSES]);
+        if (step === 20) {
+            link.sender.send(Buffer.alloc(12_000), ADDRESSES);
+        }
+        link.pass(20);
+    }
+    const larger = link.sent.filter(({ bytes }) => bytes === 12_000);
+    assert.equal(larger.length, ADDRESSES.length, `${larger.length} of ${ADDRESSES.length} left`);
+});
