Leave larger messages a part of the rate beside small datagrams

Callers of no play saw it; a test showed it: while datagrams of up to 512 bytes alone take the rate, 3 of 11 datagrams of a larger message leave in 1.6 s, and later ones none.

Cause: each datagram sent at once lowers the credit, without a limit to the debt. Change: they are taken off what is earned, up to half of it, and what is owed beyond that is at most one burst. The rest of the rate is for larger messages, so the sum exceeds the rate by half at most, and only while small datagrams take more than half.

--- a/src/gossip/pacedSender.ts
+++ b/src/gossip/pacedSender.ts
@@ -16,6 +16,9 @@
 /** Datagrams up to this size are sent at once; messages about single requests are this small. */
 const MAXIMUM_UNPACED_BYTES = 512;
 
+/** Part of the rate that datagrams sent at once take from larger ones at most. */
+const MAXIMUM_UNPACED_SHARE = 0.5;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A datagram to be sent. */
@@ -74,6 +77,8 @@
     #messages: QueuedMessage[] = [];
     /** Bytes that may leave now; below zero after a datagram that was larger than that. */
     #credit = 0;
+    /** Bytes that were sent at once and are not yet taken off the credit. */
+    #unpacedBytes = 0;
     #creditedAtMilliseconds = Number.NEGATIVE_INFINITY;
     #timer: NodeJS.Timeout | undefined;
     /** Paced messages so far; each starts with a different address, so that no address is always last. */
@@ -92,7 +97,8 @@
     /** Sends the same bytes to each address, at once or paced. */
     send(bytes: Buffer, addresses: readonly string[]): void {
         if (bytes.length <= MAXIMUM_UNPACED_BYTES) {
-            addresses.forEach(address => this.#sendNow({ bytes, address }));
+            this.#unpacedBytes += bytes.length * addresses.length;
+            addresses.forEach(address => this.#options.send({ bytes, address }));
             return;
         }
         const first = this.#pacedMessages % Math.max(1, addresses.length);
@@ -111,11 +117,6 @@
         this.#messages = [];
     }
 
-    #sendNow(datagram: QueuedDatagram): void {
-        this.#credit -= datagram.bytes.length;
-        this.#options.send(datagram);
-    }
-
     #sendBurst(): void {
         this.#timer = undefined;
         this.#addCredit();
@@ -132,7 +133,9 @@
         const now = readClock();
         const maximumCredit = bytesPerSecond * MAXIMUM_BURST_MILLISECONDS / MILLISECONDS_PER_SECOND;
         const earned = bytesPerSecond * (now - this.#creditedAtMilliseconds) / MILLISECONDS_PER_SECOND;
-        this.#credit = Math.min(maximumCredit, this.#credit + earned);
+        const unpaced = Math.min(this.#unpacedBytes, earned * MAXIMUM_UNPACED_SHARE);
+        this.#unpacedBytes = Math.min(this.#unpacedBytes - unpaced, maximumCredit);
+        this.#credit = Math.min(maximumCredit, this.#credit + earned - unpaced);
         this.#creditedAtMilliseconds = now;
     }
 
@@ -142,7 +145,8 @@
         if (message !== undefined && address !== undefined) {
             message.next += 1;
             message.sentBytes += message.bytes.length;
-            this.#sendNow({ bytes: message.bytes, address });
+            this.#credit -= message.bytes.length;
+            this.#options.send({ bytes: message.bytes, address });
         }
         this.#messages = this.#messages.filter(({ addresses, next }) => next < addresses.length);
     }
