Let types of messages share the rate, each in its order

Over sockets, no digest left in 4.0 s beside changes that take more than the rate, 1.3 s passed without one beside a change of 20 KB at 200 KB a second, and a peer got digest 3 before 2. What a host says of its watch is valid for 1.0 s and its digest for 1.6 s, so its cell would watch the store by itself, or take the host for silent.

Cause: the wait for what was sent before counted all messages, and messages shared the rate one by one, each from another first address, so that two of one kind crossed. Change: the sender has a queue for each type. Types share the rate, messages of a type leave in order, and a digest waits for digests and aggregates alone.

Weighed: a longest wait before a digest is published all the same (n waiting news still leave it a share of 1 / n); changes before all else (a long configuration holds up digests as before). What this does not change: a digest may name a revision whose changes, a large configuration, are still on their way; a host that misses them for 250 ms watches the store itself.

A test's messages of different sizes have different types now, since a message waits behind an earlier one of its type.

--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -37,6 +37,9 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
+/** Messages that are published together, each in place of the one before. */
+const DIGEST_TYPES = ["digest", "summary"] as const;
+
 /** Options of a host's gossip. */
 export interface HostGossipOptions {
     readonly host: string;
@@ -117,9 +120,9 @@
         return { ...this.#received.takeSummary(), ...this.#sent.takeSummary() };
     }
 
-    /** Time until the messages that wait have left; 0 where none waits. */
+    /** Time that digests and aggregates that wait take to leave at least; 0 where none waits. */
     get backlogMilliseconds(): number {
-        return this.#link?.backlogMilliseconds ?? 0;
+        return this.#link?.backlogMilliseconds(DIGEST_TYPES) ?? 0;
     }
 
     publishDigest(digest: HostDigest): void {
--- a/src/entry/peers/pacedDigests.ts
+++ b/src/entry/peers/pacedDigests.ts
@@ -1,5 +1,5 @@
 /**
- * When digests are published: never while messages of this host to its peers still wait to leave.
+ * When digests are published: never while earlier ones of this host still wait to leave.
  *
  * @module
  */
@@ -8,13 +8,13 @@
 export interface PacedDigestsOptions {
     /** Publishes a digest to the own cell, and to other cells where this host represents its cell. */
     readonly publish: () => void;
-    /** Returns the time until the messages that wait have left. */
+    /** Returns how long the digests and aggregates that wait take to leave at least; 0 where none waits. */
     readonly backlogMilliseconds: () => number;
 }
 
 /**
- * Publishes digests on request. Requests while earlier messages wait have one digest published once these have left,
- * with what is known by then.
+ * Publishes digests on request. Requests while earlier digests wait have one published once these have left, with what
+ * is known by then. Messages of other kinds, which share the rate with digests, do not hold them up.
  *
  * @example
  * ```ts
@@ -32,7 +32,7 @@
         this.#options = options;
     }
 
-    /** Has a digest published, now or once earlier messages have left. */
+    /** Has a digest published, now or once earlier ones have left. */
     request(): void {
         if (this.#closed || this.#timer !== undefined) {
             return;
--- a/src/entry/peers/urgentDigests.ts
+++ b/src/entry/peers/urgentDigests.ts
@@ -20,7 +20,7 @@
     readonly publishesAggregates: () => boolean;
     /** Publishes a digest to the own cell, and to other cells where this host represents its cell. */
     readonly publish: () => void;
-    /** Returns the time until the messages that wait have left, before which nothing is published. */
+    /** Returns how long earlier digests that wait take to leave at least, before which none is published. */
     readonly backlogMilliseconds: () => number;
 }
 
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -147,8 +147,8 @@
 export interface GossipLink {
     /** Sends a message to each address; datagrams may be lost. */
     send(message: GossipMessage, addresses: readonly string[]): void;
-    /** Time until the messages that wait have left; 0 where none waits. */
-    readonly backlogMilliseconds: number;
+    /** Returns how long messages of some types that wait take to leave at least; 0 where none waits. */
+    backlogMilliseconds(types: readonly GossipMessage["type"][]): number;
     close(): void;
 }
 
@@ -245,8 +245,8 @@
         socket.on("message", (bytes, { address, port }) => this.#enqueue({ bytes, source: `${address}:${port}` }));
     }
 
-    get backlogMilliseconds(): number {
-        return this.#sender.backlogMilliseconds;
+    backlogMilliseconds(types: readonly GossipMessage["type"][]): number {
+        return this.#sender.backlogMilliseconds(types);
     }
 
     send(message: GossipMessage, addresses: readonly string[]): void {
@@ -295,7 +295,7 @@
 
     #sendForm(type: string, bytes: Buffer, receivers: readonly string[]): void {
         if (receivers.length > 0) {
-            this.#sender.send(bytes, receivers);
+            this.#sender.send(type, bytes, receivers);
             this.#options.onSent?.({ type, bytes: bytes.length, receivers: receivers.length });
         }
     }
--- a/src/gossip/pacedSender.test.ts
+++ b/src/gossip/pacedSender.test.ts
@@ -63,7 +63,7 @@
     const firstAddresses = new Set<string>();
     for (let round = 0; round < ADDRESSES.length; round += 1) {
         const before = link.sent.length;
-        link.sender.send(Buffer.alloc(12_000), ADDRESSES);
+        link.sender.send("digest", Buffer.alloc(12_000), ADDRESSES);
         link.pass(500);
         const sentInRound = link.sent.slice(before);
         assert.deepEqual(sentInRound.map(({ address }) => address).sort(), [...ADDRESSES].sort());
@@ -75,8 +75,8 @@
 test("messages that come faster than the link carries them leave at its rate, in any window of time", context => {
     const link = new PacedLink(context);
     for (let step = 0; step < 100; step += 1) {
-        link.sender.send(Buffer.alloc(2_000), ADDRESSES);
-        link.sender.send(Buffer.alloc(80), ADDRESSES);
+        link.sender.send("digest", Buffer.alloc(2_000), ADDRESSES);
+        link.sender.send("sent", Buffer.alloc(80), ADDRESSES);
         link.pass(20);
     }
     for (const window of [100, 250, 1_000]) {
@@ -91,7 +91,7 @@
 
 test("a host that did not run for a while sends no burst that makes up for it", context => {
     const link = new PacedLink(context);
-    link.sender.send(Buffer.alloc(4_000), [...ADDRESSES, ...ADDRESSES, ...ADDRESSES]);
+    link.sender.send("digest", Buffer.alloc(4_000), [...ADDRESSES, ...ADDRESSES, ...ADDRESSES]);
     link.pass(30);
     const from = link.now + 1;
     link.stall(2_000);
@@ -101,17 +101,17 @@
 
 test("small datagrams are sent at once, even while larger ones are queued", context => {
     const link = new PacedLink(context);
-    link.sender.send(Buffer.alloc(25_000), ADDRESSES);
-    link.sender.send(Buffer.alloc(80), ADDRESSES);
+    link.sender.send("digest", Buffer.alloc(25_000), ADDRESSES);
+    link.sender.send("sent", Buffer.alloc(80), ADDRESSES);
     assert.equal(link.sent.filter(({ bytes }) => bytes === 80).length, ADDRESSES.length);
     assert.ok(link.sent.filter(({ bytes }) => bytes === 25_000).length < ADDRESSES.length);
 });
 
 test("a message does not wait behind a far larger one, and both are sent whole", context => {
     const link = new PacedLink(context);
-    link.sender.send(Buffer.alloc(48_000), ADDRESSES);
+    link.sender.send("changes", Buffer.alloc(48_000), ADDRESSES);
     link.pass(200);
-    link.sender.send(Buffer.alloc(2_000), ADDRESSES);
+    link.sender.send("digest", Buffer.alloc(2_000), ADDRESSES);
     const sentAt = link.now;
     link.pass(2_000);
     const smaller = link.sent.filter(({ bytes }) => bytes === 2_000);
@@ -122,9 +122,9 @@
 
 test("the backlog is the time in which what waits will have left", context => {
     const link = new PacedLink(context);
-    const readBacklog = (): number => link.sender.backlogMilliseconds;
+    const readBacklog = (): number => link.sender.backlogMilliseconds(["digest"]);
     assert.equal(readBacklog(), 0);
-    link.sender.send(Buffer.alloc(20_000), ADDRESSES);
+    link.sender.send("digest", Buffer.alloc(20_000), ADDRESSES);
     const backlog = readBacklog();
     assert.ok(backlog > 0 && backlog <= ADDRESSES.length * 20_000 / BYTES_PER_MILLISECOND);
     link.pass(Math.ceil(backlog) + 100);
@@ -135,12 +135,20 @@
 test("larger messages leave also while small datagrams alone take the whole rate", context => {
     const link = new PacedLink(context);
     for (let step = 0; step < 100; step += 1) {
-        link.sender.send(Buffer.alloc(400), [...ADDRESSES, ...ADDRESSES, ...ADDRESSES]);
+        link.sender.send("sent", Buffer.alloc(400), [...ADDRESSES, ...ADDRESSES, ...ADDRESSES]);
         if (step === 20) {
-            link.sender.send(Buffer.alloc(12_000), ADDRESSES);
+            link.sender.send("digest", Buffer.alloc(12_000), ADDRESSES);
         }
         link.pass(20);
     }
     const larger = link.sent.filter(({ bytes }) => bytes === 12_000);
     assert.equal(larger.length, ADDRESSES.length, `${larger.length} of ${ADDRESSES.length} left`);
 });
+
+test("a message to nobody holds up no other", context => {
+    const link = new PacedLink(context);
+    link.sender.send("summary", Buffer.alloc(2_000), []);
+    link.sender.send("digest", Buffer.alloc(2_000), ADDRESSES);
+    link.pass(100);
+    assert.equal(link.sent.length, ADDRESSES.length);
+});
--- a/src/gossip/pacedSender.ts
+++ b/src/gossip/pacedSender.ts
@@ -27,13 +27,11 @@
     readonly address: string;
 }
 
-/** A message of which some datagrams wait. */
-interface QueuedMessage {
-    readonly bytes: Buffer;
-    readonly addresses: readonly string[];
-    /** Index of the next address. */
-    next: number;
-    /** Bytes sent of this message, counted from those of the messages that waited when it came. */
+/** Datagrams of one kind that wait, in order. */
+interface KindQueue {
+    readonly kind: string;
+    readonly datagrams: QueuedDatagram[];
+    /** Bytes sent of this kind, counted from those of the kinds that waited when the first of these came. */
     sentBytes: number;
 }
 
@@ -45,21 +43,21 @@
     readonly readClock: () => number;
 }
 
-/** Returns the message of which least was sent, the one that came first among equals. */
-function leastSent(messages: readonly QueuedMessage[]): QueuedMessage | undefined {
-    return messages.reduce<QueuedMessage | undefined>(
-        (least, message) => least === undefined || message.sentBytes < least.sentBytes ? message : least,
+/** Returns the queue of which least was sent, the one that came first among equals. */
+function leastSent(queues: ReadonlyMap<string, KindQueue>): KindQueue | undefined {
+    return [...queues.values()].reduce<KindQueue | undefined>(
+        (least, queue) => least === undefined || queue.sentBytes < least.sentBytes ? queue : least,
         undefined,
     );
 }
 
-function waitingBytesOf({ addresses, bytes, next }: QueuedMessage): number {
-    return (addresses.length - next) * bytes.length;
+function bytesOf({ datagrams }: KindQueue): number {
+    return datagrams.reduce((total, { bytes }) => total + bytes.length, 0);
 }
 
 /**
- * Sends small datagrams at once and larger ones at a limited rate, until closed. Messages that wait share the rate, so
- * that a large one does not hold up the others.
+ * Sends small datagrams at once and larger ones at a limited rate, until closed. Kinds of messages that wait share the
+ * rate, so that much of one does not hold up the others; those of one kind leave in their order.
  *
  * @example
  * ```ts
@@ -68,13 +66,13 @@
  *     bytesPerSecond: 500_000,
  *     readClock: () => performance.now(),
  * });
- * sender.send(bytes, addresses);
+ * sender.send("digest", bytes, addresses);
  * sender.close();
  * ```
  */
 export class PacedSender {
     readonly #options: PacedSenderOptions;
-    #messages: QueuedMessage[] = [];
+    readonly #queues = new Map<string, KindQueue>();
     /** Bytes that may leave now; below zero after a datagram that was larger than that. */
     #credit = 0;
     /** Bytes that were sent at once and are not yet taken off the credit. */
@@ -88,24 +86,34 @@
         this.#options = options;
     }
 
-    /** Time until what waits has left. */
-    get backlogMilliseconds(): number {
-        const waitingBytes = this.#messages.reduce((total, message) => total + waitingBytesOf(message), 0);
-        return waitingBytes * MILLISECONDS_PER_SECOND / this.#options.bytesPerSecond;
+    /**
+     * Returns how long what waits of some kinds takes to leave, at least one interval between bursts; 0 where none waits.
+     * It takes longer where other kinds share the rate.
+     */
+    backlogMilliseconds(kinds: readonly string[]): number {
+        const waitingBytes = kinds.reduce((total, kind) => total + this.#waitingBytes(kind), 0);
+        return waitingBytes === 0
+            ? 0
+            : Math.max(
+                BURST_INTERVAL_MILLISECONDS,
+                waitingBytes * MILLISECONDS_PER_SECOND / this.#options.bytesPerSecond,
+            );
     }
 
-    /** Sends the same bytes to each address, at once or paced. */
-    send(bytes: Buffer, addresses: readonly string[]): void {
+    /** Sends the same bytes to each address, at once or paced; `kind` names the messages with which it keeps its order. */
+    send(kind: string, bytes: Buffer, addresses: readonly string[]): void {
+        if (addresses.length === 0) {
+            return;
+        }
         if (bytes.length <= MAXIMUM_UNPACED_BYTES) {
             this.#unpacedBytes += bytes.length * addresses.length;
             addresses.forEach(address => this.#options.send({ bytes, address }));
             return;
         }
-        const first = this.#pacedMessages % Math.max(1, addresses.length);
+        const first = this.#pacedMessages % addresses.length;
         this.#pacedMessages += 1;
         const rotated = [...addresses.slice(first), ...addresses.slice(0, first)];
-        const sentBytes = leastSent(this.#messages)?.sentBytes ?? 0;
-        this.#messages.push({ bytes, addresses: rotated, next: 0, sentBytes });
+        this.#queueOf(kind).datagrams.push(...rotated.map(address => ({ bytes, address })));
         if (this.#timer === undefined) {
             this.#sendBurst();
         }
@@ -114,16 +122,29 @@
     /** Drops what still waits. */
     close(): void {
         clearTimeout(this.#timer);
-        this.#messages = [];
+        this.#queues.clear();
+    }
+
+    #waitingBytes(kind: string): number {
+        const queue = this.#queues.get(kind);
+        return queue === undefined ? 0 : bytesOf(queue);
+    }
+
+    /** Returns the queue of a kind; a new one has been sent as much of as the others that wait. */
+    #queueOf(kind: string): KindQueue {
+        const queue = this.#queues.get(kind)
+            ?? { kind, datagrams: [], sentBytes: leastSent(this.#queues)?.sentBytes ?? 0 };
+        this.#queues.set(kind, queue);
+        return queue;
     }
 
     #sendBurst(): void {
         this.#timer = undefined;
         this.#addCredit();
-        while (this.#credit > 0 && this.#messages.length > 0) {
+        while (this.#credit > 0 && this.#queues.size > 0) {
             this.#sendNext();
         }
-        if (this.#messages.length > 0) {
+        if (this.#queues.size > 0) {
             this.#timer = setTimeout(() => this.#sendBurst(), BURST_INTERVAL_MILLISECONDS);
         }
     }
@@ -140,14 +161,15 @@
     }
 
     #sendNext(): void {
-        const message = leastSent(this.#messages);
-        const address = message?.addresses[message.next];
-        if (message !== undefined && address !== undefined) {
-            message.next += 1;
-            message.sentBytes += message.bytes.length;
-            this.#credit -= message.bytes.length;
-            this.#options.send({ bytes: message.bytes, address });
+        const queue = leastSent(this.#queues);
+        const datagram = queue?.datagrams.shift();
+        if (queue !== undefined && datagram !== undefined) {
+            queue.sentBytes += datagram.bytes.length;
+            this.#credit -= datagram.bytes.length;
+            this.#options.send(datagram);
+            if (queue.datagrams.length === 0) {
+                this.#queues.delete(queue.kind);
+            }
         }
-        this.#messages = this.#messages.filter(({ addresses, next }) => next < addresses.length);
     }
 }
--- a/tests/support/keptBuilds.ts
+++ b/tests/support/keptBuilds.ts
@@ -70,7 +70,7 @@
     });
     let isOpen = true;
     return {
-        backlogMilliseconds: 0,
+        backlogMilliseconds: () => 0,
         send: (message, addresses) => {
             const definition = schema.messageTypes.get(message.type);
             if (definition === undefined || !isOpen) {
