--- a/src/entry/peers/gossipBytesPerSecond.ts
+++ b/src/entry/peers/gossipBytesPerSecond.ts
@@ -10,6 +10,9 @@
 /** Capacity of the narrowest links, 10 Mbit/s. */
 const DEFAULT_LINK_BYTES_PER_SECOND = 1_250_000;
 
+/** Enough for the digests of a host to its cell, however narrow its link. */
+const MINIMUM_BYTES_PER_SECOND = 16 * 1024;
+
 /**
  * Returns how many bytes a second a host sends to its peers at most.
  *
@@ -22,5 +25,5 @@
  * ```
  */
 export function gossipBytesPerSecond(linkBytesPerSecond: number | undefined): number {
-    return (linkBytesPerSecond ?? DEFAULT_LINK_BYTES_PER_SECOND) * LINK_SHARE;
+    return Math.max(MINIMUM_BYTES_PER_SECOND, (linkBytesPerSecond ?? DEFAULT_LINK_BYTES_PER_SECOND) * LINK_SHARE);
 }
