Let the last digest of a host leave before the host is closed

In a test the host was closed while 80 ms of its messages waited: what peers should hear last, the engines that it relinquished, was dropped.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -168,6 +168,7 @@
             forwarder: this.#forwarder,
             servers: this.#servers,
             publishDigest: () => this.#digests.publish(),
+            backlogMilliseconds: () => this.#gossip.backlogMilliseconds,
             close: () => this.close(),
         });
     }
--- a/src/entry/leaveFleet.ts
+++ b/src/entry/leaveFleet.ts
@@ -18,7 +18,10 @@
 /** Time in which the last answers leave the host. */
 const LAST_ANSWERS_MILLISECONDS = 100;
 
-/** Interval at which a leaving host checks whether its last requests have ended. */
+/** Time in which the last digest leaves the host. */
+const LAST_DIGEST_MILLISECONDS = 150;
+
+/** Interval at which a leaving host checks whether its last requests have ended, and its last digest has left. */
 const LEAVING_CHECK_INTERVAL_MILLISECONDS = 20;
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -32,6 +35,8 @@
     readonly servers: HostServers;
     /** Publishes a digest to peers. */
     readonly publishDigest: () => void;
+    /** Returns how long digests that wait take to leave at least; 0 where none waits. */
+    readonly backlogMilliseconds: () => number;
     /** Closes everything. */
     readonly close: () => Promise<void>;
 }
@@ -43,7 +48,7 @@
  *
  * @example
  * ```ts
- * await leaveFleet({ context, store, orders, forwarder, servers, publishDigest, close });
+ * await leaveFleet({ context, store, orders, forwarder, servers, publishDigest, backlogMilliseconds, close });
  * ```
  */
 export async function leaveFleet(host: LeavingHost): Promise<void> {
@@ -71,18 +76,25 @@
 }
 
 /** Waits until no request is open, or until the given time. */
-async function waitForRequests({ context, servers }: LeavingHost, untilMilliseconds: number): Promise<void> {
-    const { readClock } = context;
-    while (servers.openRequestCount > 0 && readClock() < untilMilliseconds) {
-        await waitUntil(readClock() + LEAVING_CHECK_INTERVAL_MILLISECONDS, readClock);
-    }
+function waitForRequests({ context, servers }: LeavingHost, untilMilliseconds: number): Promise<void> {
+    return waitFor(() => servers.openRequestCount === 0, untilMilliseconds, context.readClock);
 }
 
 /** Relinquishes the engines that could not be handed over, publishes that to peers, and ends the session. */
-async function leavePeers({ orders, publishDigest, store }: LeavingHost): Promise<void> {
+async function leavePeers({ backlogMilliseconds, context, orders, publishDigest, store }: LeavingHost): Promise<void> {
+    const { readClock } = context;
     orders.stop();
     publishDigest();
+    const untilMilliseconds = readClock() + LAST_DIGEST_MILLISECONDS;
     await store.endSession();
+    await waitFor(() => backlogMilliseconds() === 0, untilMilliseconds, readClock);
+}
+
+/** Waits until a condition holds, or until the given time. */
+async function waitFor(holds: () => boolean, untilMilliseconds: number, readClock: () => number): Promise<void> {
+    while (!holds() && readClock() < untilMilliseconds) {
+        await waitUntil(readClock() + LEAVING_CHECK_INTERVAL_MILLISECONDS, readClock);
+    }
 }
 
 function waitUntil(atMilliseconds: number, readClock: () => number): Promise<void> {
