--- a/tests/support/busyMessages.ts
+++ b/tests/support/busyMessages.ts
@@ -151,8 +151,13 @@
         }, SEND_INTERVAL_MILLISECONDS);
     }
 
-    close(): void {
+    /** Ends the messages; others can be started. */
+    stop(): void {
         clearInterval(this.#timer);
+    }
+
+    close(): void {
+        this.stop();
         this.#sockets.forEach(socket => socket.close());
     }
 }
