Read announcements and engines' reports by plain generated readers

A young host prepared a schema and checked every announcement by it: once for each upstream at its start, and for each change that its cell forwards. The readers are generated from the schema, as those of peers' messages are; what they do not accept is left to the schema, which also words the errors. The schemas name the platform's fields and are in platform/schema.

Readers now check lengths and patterns of strings, and fill in defaults. Tests compare them with the schemas for every place of an example; unlike the readers of messages they must accept exactly what the schema does.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import typescriptEslint from "typescript-eslint";
 
 export default typescriptEslint.config(
-    { ignores: ["dist/**", "target/**", "node_modules/**", "src/generated/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "src/generated/**", "platform/generated/**"] },
     eslint.configs.recommended,
     ...typescriptEslint.configs.strictTypeChecked,
     {
--- a/scripts/_renderReaders.ts
+++ b/scripts/_renderReaders.ts
@@ -12,6 +12,9 @@
     readonly const?: string;
     readonly enum?: readonly string[];
     readonly minimum?: number;
+    readonly minLength?: number;
+    readonly pattern?: string;
+    readonly default?: unknown;
     readonly maxItems?: number;
     readonly items?: ReadableSchema;
     readonly additionalProperties?: ReadableSchema;
@@ -25,6 +28,9 @@
     "const",
     "enum",
     "minimum",
+    "minLength",
+    "pattern",
+    "default",
     "maxItems",
     "items",
     "additionalProperties",
@@ -65,7 +71,7 @@
     }
     switch (schema.type) {
         case "string":
-            return `isString(${value})`;
+            return conditionOfString(schema, value);
         case "boolean":
             return `isBoolean(${value})`;
         case "integer":
@@ -81,6 +87,15 @@
     }
 }
 
+/** Returns the condition under which a value is a string of the schema's length and form. */
+function conditionOfString({ minLength, pattern }: ReadableSchema, value: string): string {
+    return [
+        `isString(${value})`,
+        ...minLength === undefined ? [] : [`${value}.length >= ${minLength}`],
+        ...pattern === undefined ? [] : [`new RegExp(${JSON.stringify(pattern)}).test(${value})`],
+    ].join(" && ");
+}
+
 /** Returns the condition that completes a call with a check of each item. */
 function conditionOfItems(items: ReadableSchema | undefined, call: string): string | undefined {
     const condition = items === undefined ? undefined : conditionOf(items, "each");
@@ -101,14 +116,16 @@
     /** Renders the reader of an object and returns the function's name. */
     addObject(name: string, type: string, schema: ReadableSchema): string {
         const { properties = {}, required = [] } = schema;
-        const names = Object.keys(properties);
+        const names = Object.entries(properties).map(([field, property]) =>
+            property.default === undefined ? field : `${field} = ${JSON.stringify(property.default)}`
+        );
         const parts: string[] = [];
         const conditions: string[] = [];
         const present: string[] = [];
         const optional: string[] = [];
         for (const [field, property] of Object.entries(properties)) {
             checkParts(property, `${name}.${field}`);
-            const isRequired = required.includes(field);
+            const isRequired = required.includes(field) || property.default !== undefined;
             const condition = conditionOf(property, field);
             const result = condition === undefined ? `${field}Read` : field;
             if (condition === undefined) {
@@ -167,26 +184,31 @@
     }
 }
 
-/** Renders the table of the readers of messages, by type. */
-function renderMessageReaders(definitions: Readonly<Record<string, ReadableSchema>>): string {
+/** Renders the table of the readers of messages, by type; nothing where there are no messages. */
+function renderMessageReaders(definitions: Readonly<Record<string, ReadableSchema>>): string[] {
     const entries = Object.entries(definitions).flatMap(([name, { properties = {} }]) => {
         const type = properties["type"]?.const;
         return type === undefined ? [] : [`    ${JSON.stringify(type)}: ${readerName(name)},`];
     });
-    return ["/** The readers of messages, by type. */", "export const messageReaders = {", ...entries, "};"].join("\n");
+    return entries.length === 0
+        ? []
+        : [["/** The readers of messages, by type. */", "export const messageReaders = {", ...entries, "};"].join(
+            "\n",
+        )];
 }
 
 /**
  * Renders the readers of all definitions of a file.
  *
  * @param definitions The definitions by name.
+ * @param helpersPath Path of `src/platform` from the rendered module.
  *
  * @example
  * ```ts
- * const { imports, readers } = renderReaders(file.$defs);
+ * const { imports, readers } = renderReaders(file.$defs, "../platform");
  * ```
  */
-export function renderReaders(definitions: Readonly<Record<string, ReadableSchema>>): {
+export function renderReaders(definitions: Readonly<Record<string, ReadableSchema>>, helpersPath: string): {
     readonly imports: readonly string[];
     readonly readers: readonly string[];
 } {
@@ -201,7 +223,7 @@
     const text = readers.join("\n");
     const used = HELPERS.filter(helper => text.includes(`${helper}(`) || text.includes(`, ${helper})`));
     return {
-        imports: [`import { ${used.join(", ")} } from "../platform/plainValues.js";`],
-        readers: [...readers, renderMessageReaders(definitions)].map(reader => `${reader}\n`),
+        imports: [`import { ${used.join(", ")} } from "${helpersPath}/plainValues.js";`],
+        readers: [...readers, ...renderMessageReaders(definitions)].map(reader => `${reader}\n`),
     };
 }
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -1,5 +1,6 @@
 /**
- * Generates validators and types from the JSON Schemas in `schema/` into `src/generated/`.
+ * Generates validators and types from the JSON Schemas in `schema/` into `src/generated/`, and from those that name the
+ * platform's fields, in `platform/schema/`, into `platform/generated/`.
  *
  * Run with `npm run generate`. With `--check` it writes nothing and fails where a committed file differs.
  *
@@ -10,8 +11,22 @@
 import { basename, join } from "node:path";
 import { renderReaders } from "./_renderReaders.js";
 
-const SCHEMA_FOLDER = "schema";
-const OUTPUT_FOLDER = join("src", "generated");
+/** A folder of schemas, and where what is generated from them is written. */
+interface SchemaFolder {
+    readonly schemas: string;
+    readonly output: string;
+    /** Path of `src/platform` from there. */
+    readonly helpersPath: string;
+}
+
+const SCHEMA_FOLDERS: readonly SchemaFolder[] = [
+    { schemas: "schema", output: join("src", "generated"), helpersPath: "../platform" },
+    {
+        schemas: join("platform", "schema"),
+        output: join("platform", "generated"),
+        helpersPath: "../../src/platform",
+    },
+];
 const SCHEMA_SUFFIX = ".schema.json";
 const DEFINITIONS_POINTER = "#/$defs/";
 
@@ -134,7 +149,7 @@
 }
 
 /** Renders the TypeScript module of one schema file, in which a definition must precede its first use. */
-function renderModule(fileName: string, file: SchemaFile): string {
+function renderModule({ helpersPath, schemas }: SchemaFolder, fileName: string, file: SchemaFile): string {
     const imports = new Set<string>();
     function importDefinition(reference: Reference): void {
         if (reference.fileName !== "") {
@@ -146,13 +161,13 @@
         renderDefinition(name, schema, importDefinition)
     );
     const { imports: readerImports, readers } = file["x-plainReaders"] === true
-        ? renderReaders(file.$defs)
+        ? renderReaders(file.$defs, helpersPath)
         : { imports: [], readers: [] };
     return [
         "/**",
         ` * ${file.title}`,
         " *",
-        ` * Generated from \`schema/${fileName}\` by \`npm run generate\`; do not edit.`,
+        ` * Generated from \`${schemas}/${fileName}\` by \`npm run generate\`; do not edit.`,
         " *",
         " * @module",
         " */",
@@ -173,15 +188,15 @@
     }
 }
 
-async function generate(check: boolean): Promise<readonly string[]> {
+async function generate(folder: SchemaFolder, check: boolean): Promise<readonly string[]> {
     const differing: string[] = [];
-    await mkdir(OUTPUT_FOLDER, { recursive: true });
-    const fileNames = (await readdir(SCHEMA_FOLDER)).filter(name => name.endsWith(SCHEMA_SUFFIX)).sort();
+    await mkdir(folder.output, { recursive: true });
+    const fileNames = (await readdir(folder.schemas)).filter(name => name.endsWith(SCHEMA_SUFFIX)).sort();
     for (const fileName of fileNames) {
-        const file = JSON.parse(await readFile(join(SCHEMA_FOLDER, fileName), "utf8")) as SchemaFile;
+        const file = JSON.parse(await readFile(join(folder.schemas, fileName), "utf8")) as SchemaFile;
         checkSharedFile(fileName, file);
-        const output = join(OUTPUT_FOLDER, `${basename(fileName, SCHEMA_SUFFIX)}.ts`);
-        const generated = renderModule(fileName, file);
+        const output = join(folder.output, `${basename(fileName, SCHEMA_SUFFIX)}.ts`);
+        const generated = renderModule(folder, fileName, file);
         const committed = await readFile(output, "utf8").catch(() => undefined);
         if (committed === generated) {
             continue;
@@ -195,7 +210,7 @@
 }
 
 const check = process.argv.includes("--check");
-const differing = await generate(check);
+const differing = (await Promise.all(SCHEMA_FOLDERS.map(folder => generate(folder, check)))).flat();
 for (const output of differing) {
     console.log(check ? `differs from its schema: ${output}` : `written: ${output}`);
 }
--- a/src/gossip/messageReaders.test.ts
+++ b/src/gossip/messageReaders.test.ts
@@ -8,29 +8,11 @@
 import * as z from "zod";
 import { createBusyAggregate, createBusyDigest } from "../../tests/support/busyMessages.js";
 import { KEPT_BUILDS, PRESENT_SCHEMA } from "../../tests/support/keptBuilds.js";
+import { changed, FOREIGN_VALUES, pathsOf } from "../../tests/support/readerCases.js";
 import * as generated from "../generated/gossip.js";
 
 type MessageType = keyof typeof generated.messageReaders;
 
-/** What may stand in any place of a message that another process wrote, beside what belongs there. */
-const FOREIGN_VALUES: readonly unknown[] = [
-    null,
-    true,
-    0,
-    -1,
-    1.5,
-    2 ** 60,
-    "",
-    "rest",
-    [],
-    [null],
-    [""],
-    {},
-    { name: null },
-    { name: 1 },
-    Array.from({ length: 5_000 }, () => ""),
-];
-
 const MESSAGE_TYPES = Object.keys(generated.messageReaders) as MessageType[];
 
 function schemaOf(type: MessageType): z.ZodType {
@@ -44,23 +26,6 @@
     return PRESENT_SCHEMA.createFullExample(PRESENT_SCHEMA.messageTypes.get(type) ?? "");
 }
 
-type Path = readonly string[];
-
-/** Returns the paths of all parts of a value. */
-function pathsOf(value: unknown, path: Path = []): Path[] {
-    const parts = typeof value === "object" && value !== null ? Object.entries(value) : [];
-    return [path, ...parts.flatMap(([name, part]) => pathsOf(part, [...path, name]))];
-}
-
-/** Returns a copy of a value after a change of the object or list that contains a path's last name. */
-function changed(value: unknown, path: Path, change: (parent: object, name: string) => void): unknown {
-    const copy = structuredClone({ whole: value });
-    const full = ["whole", ...path];
-    const parent = full.slice(0, -1).reduce((part: object, name) => Reflect.get(part, name) as object, copy);
-    change(parent, full.at(-1) ?? "");
-    return JSON.parse(JSON.stringify(copy.whole)) as unknown;
-}
-
 /** Fails where a reader returns anything but what the schema does; it may leave a value to the schema. */
 function assertLikeSchema(type: MessageType, value: unknown): void {
     const read = generated.messageReaders[type](structuredClone(value));
