Dispatch requests that lack a copy only when the copies have changed

Each end of a request and each message of a peer woke all waiting requests, and each kind of them looked at every upstream of its service several times, asked again for its adapter and began its timer anew. A request for which no engine holds the model or the adapter can only go on once that changes.

- The view of upstreams counts changes of what is usable, and the view of residency those of a model; announcements and records that say the same again are none.
A wake leaves out requests that lacked a copy at their last dispatch where neither count has changed.
Their own timer dispatches them every 120 ms as before, which is also how often they repeat their request for an adapter.
- Changes of where requests may go at all (configuration, versions of streams, partitions) wake all, as before.
The usable upstreams of a service are listed once a change, not several times a dispatch.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -252,6 +252,7 @@
             onConfiguration: table => {
                 this.#servers.applyLimits(table.configuration.limits);
                 this.#handleUpstreamsChanged();
+                this.#forwarder.wakeAll();
             },
             onHostsChanged: () => this.#shareAmongHosts(),
             onSessionLost: () => this.#engines.orders.handleSessionLost(),
@@ -270,7 +271,7 @@
             recordEntry: () => this.#store.entryOf(VERSIONS_KEY),
             onLaterEntry: entry => this.#store.applyLaterEntry(entry),
             send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
-            onChanged: () => this.#forwarder.wake(),
+            onChanged: () => this.#forwarder.wakeAll(),
         });
     }
 
@@ -282,7 +283,7 @@
             view: this.#upstreams.view,
             onChanged: () => {
                 this.#digests.publishToAllCells();
-                this.#forwarder.wake();
+                this.#forwarder.wakeAll();
             },
         });
     }
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -12,6 +12,7 @@
 import { AttemptFailures } from "./attemptFailures.js";
 import { AttemptSender } from "./attemptSender.js";
 import { crashVerdict, logConviction } from "./crashVerdict.js";
+import { type WaitingRequest } from "./dispatchInOrder.js";
 import { DispatchTimer } from "./dispatchTimer.js";
 import { EXPECTED_CAPACITY_MILLISECONDS } from "./expectedCapacity.js";
 import { type HedgeCancellation, Hedging } from "./hedging.js";
@@ -37,7 +38,7 @@
 }
 
 /** Forwards one request, with retries, and notifies the forwarder when it has ended. */
-export class Exchange {
+export class Exchange implements WaitingRequest {
     readonly #context: ForwardingContext;
     readonly #parts: RequestParts;
     readonly #hedging: Hedging;
@@ -52,6 +53,8 @@
     #isDoubted = false;
     readonly #handleCallerClosed = (): void => this.#guard(() => this.#ending.handleCallerClosed());
     #deadlineTimer: NodeJS.Timeout | undefined;
+    /** State of the copies at the last dispatch, where there was none that could run the request. */
+    #lackedCopiesAt: string | undefined;
 
     constructor(context: ForwardingContext, request: CallerRequest, listener: ExchangeListener) {
         this.#context = context;
@@ -131,6 +134,11 @@
         return isOwn ? undefined : [service, model, adapter, progress.version].join(" ");
     }
 
+    /** True while no upstream holds what the request needs, and nothing has changed in this since its last dispatch. */
+    get lacksCopies(): boolean {
+        return this.#lackedCopiesAt !== undefined && this.#lackedCopiesAt === this.#parts.selection.copiesState;
+    }
+
     get rank(): WaitingRank {
         const { permitWait, progress, request: { arrivedAtMilliseconds, route } } = this.#parts;
         const isForPermit = permitWait.upstream !== undefined;
@@ -218,6 +226,7 @@
             return;
         }
         this.#dispatchTimer.close();
+        this.#lackedCopiesAt = undefined;
         if (hasCallerLeft(this.#parts.request)) {
             this.#ending.handleCallerClosed();
             return;
@@ -236,6 +245,7 @@
             return;
         }
         const resident = usable.filter(upstream => selection.residencyAt(upstream) === "held");
+        this.#lackedCopiesAt = resident.length === 0 ? selection.copiesState : undefined;
         const choice = selection.choose(resident, this.isWaiting);
         const chosen = choice.type === "send" ? this.#context.view.get(choice.upstream) : undefined;
         const limited = selection.awaitingPermit(resident);
--- a/src/entry/exchange/index.ts
+++ b/src/entry/exchange/index.ts
@@ -11,6 +11,6 @@
  *
  * @module
  */
+export { dispatchInOrder } from "./dispatchInOrder.js";
 export { Exchange, type ExchangeListener, OTHER_HOST_MILLISECONDS } from "./exchange.js";
 export { type CallerRequest } from "./requestFacts.js";
-export { compareRanks } from "./waitingRank.js";
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -78,6 +78,14 @@
         return this.#context.view.usable(this.#facts.service ?? "").filter(upstream => this.#allows(upstream));
     }
 
+    /**
+     * Returns a value that stays the same while the same upstreams are usable and hold the same of the request's model.
+     */
+    get copiesState(): string {
+        const { residency, view } = this.#context;
+        return `${view.usableChanges} ${residency.changesOf(this.#facts.model ?? "")}`;
+    }
+
     residencyAt(upstream: UpstreamAnnouncement): Residency {
         const { adapter, model } = this.#facts;
         return model === undefined ? "held" : this.#context.residency.residencyOf(upstream.id, model, adapter);
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -6,7 +6,7 @@
 import { type IncomingMessage } from "node:http";
 import { type Route } from "../routes/index.js";
 import { type Arrival, renderRawAnswer, type RequestHandler, type RequestProblem } from "./connections/index.js";
-import { type CallerRequest, compareRanks, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
+import { type CallerRequest, dispatchInOrder, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
 const STATUS_BAD_REQUEST = 400;
@@ -41,31 +41,17 @@
 export interface Forwarder extends RequestHandler {
     /** Dispatches waiting requests again soon, the most urgent first; once for several calls. */
     wake(): void;
+    /** As {@linkcode wake}, after a change of where requests may go: those that lack a copy are dispatched, too. */
+    wakeAll(): void;
     /** Ends every open request at once. */
     abortAll(): void;
 }
 
-/**
- * Dispatches a waiting request, unless one that can go to the same upstreams could not be sent.
- *
- * @param exchange The request.
- * @param unmetKeys What requests before it could not be sent; with that of this one afterwards.
- */
-function dispatchUnlessUnmet(exchange: Exchange, unmetKeys: Set<string>): void {
-    const { isWaiting, waitKey } = exchange;
-    if (!isWaiting || (waitKey !== undefined && unmetKeys.has(waitKey))) {
-        return;
-    }
-    exchange.dispatch();
-    if (waitKey !== undefined && exchange.isWaiting) {
-        unmetKeys.add(waitKey);
-    }
-}
-
 class RunningForwarder implements Forwarder {
     readonly #context: ForwardingContext;
     readonly #exchanges = new Set<Exchange>();
     #wakeScheduled = false;
+    #wakesAll = false;
     #prefillTimer: NodeJS.Timeout | undefined;
 
     constructor(context: ForwardingContext) {
@@ -82,11 +68,15 @@
         }
     }
 
+    wakeAll(): void {
+        this.#wakesAll = true;
+        this.wake();
+    }
+
     #dispatchWaiting(): void {
-        const waiting = [...this.#exchanges].filter(({ isWaiting }) => isWaiting);
-        waiting.sort((left, right) => compareRanks(left.rank, right.rank));
-        const unmetKeys = new Set<string>();
-        this.#context.acts.runInTurns(waiting.map(exchange => () => dispatchUnlessUnmet(exchange, unmetKeys)));
+        const includesLacking = this.#wakesAll;
+        this.#wakesAll = false;
+        this.#context.acts.runInTurns(dispatchInOrder(this.#exchanges, { includesLacking }));
     }
 
     abortAll(): void {
--- a/src/fleet/upstreamView.test.ts
+++ b/src/fleet/upstreamView.test.ts
@@ -88,3 +88,25 @@
     view.replaceAll([announcement("yy")], 10 * SECOND);
     assert.deepEqual(usableIds(view), ["yy"]);
 });
+
+test("changes of the usable upstreams are counted, and announcements that say the same again are none", () => {
+    const view = new UpstreamView();
+    const steps: (() => unknown)[] = [
+        () => view.put(announcement("x")),
+        () => view.put(announcement("yy")),
+        () => view.recordLeaving({ id: "yy", startedAtMilliseconds: announcement("yy").startedAtMilliseconds }),
+        () => view.put(announcement("x", { announcementNumber: 2, softwareVersion: "another" })),
+        () => view.remove("x", 10 * SECOND),
+    ];
+    for (const step of steps) {
+        const before = view.usableChanges;
+        step();
+        assert.equal(view.usableChanges, before + 1, step.toString());
+    }
+    view.put(announcement("z"));
+    const before = view.usableChanges;
+    assert.deepEqual(usableIds(view), ["z"]);
+    view.put(announcement("z", { announcementNumber: 3 }));
+    assert.equal(view.usableChanges, before);
+    assert.equal(view.usable("orders")[0]?.announcementNumber, 3);
+});
--- a/src/fleet/upstreamView.ts
+++ b/src/fleet/upstreamView.ts
@@ -54,6 +54,12 @@
     return hasLowerNumber || isOlderIncarnation(candidate, known);
 }
 
+/** Returns whether the same requests can go to an upstream after an announcement as before it. */
+function canReceiveSame(before: UpstreamAnnouncement, after: UpstreamAnnouncement): boolean {
+    return isSameIncarnation(before, after) && before.service === after.service
+        && before.softwareVersion === after.softwareVersion && before.slots === after.slots;
+}
+
 /** Removes the entries that were set first, down to a maximum size. */
 function evictOldest(entries: Map<string, unknown>, maximumSize: number): void {
     for (const key of entries.keys()) {
@@ -84,6 +90,9 @@
  */
 export class UpstreamView {
     readonly #known = new Map<string, KnownUpstream>();
+    /** The usable upstreams of each service that was asked for since the last change. */
+    readonly #usable = new Map<string, readonly UpstreamAnnouncement[]>();
+    #usableChanges = 0;
     /** The latest incarnation of each upstream that reported in an answer that it leaves; most recent report last. */
     readonly #leavingIncarnations = new Map<string, UpstreamIncarnation>();
     /** The last announcement of each upstream that was removed from the view; most recent removal last. */
@@ -120,7 +129,7 @@
         this.#removed.delete(announcement.id);
         const replaced = this.#replaceOthersAtAddress(announcement);
         const usable = !announcement.leaving && !this.hasReportedLeaving(announcement);
-        this.#known.set(announcement.id, { announcement, usable, missing: false });
+        this.#setKnown(announcement.id, { announcement, usable, missing: false });
         if (before === undefined || !isSameIncarnation(before.announcement, announcement)) {
             return [...replaced, { type: usable ? "joined" : "updated", upstream: announcement }];
         }
@@ -146,7 +155,7 @@
         if (known?.usable !== true || isOlderIncarnation(incarnation, known.announcement)) {
             return [];
         }
-        this.#known.set(incarnation.id, { ...known, usable: false });
+        this.#setKnown(incarnation.id, { ...known, usable: false });
         return [{ type: "left", upstream: known.announcement, reason: "answered" }];
     }
 
@@ -166,7 +175,7 @@
             if (known.missing) {
                 return [];
             }
-            this.#known.set(id, { ...known, missing: true });
+            this.#setKnown(id, { ...known, missing: true });
             return [{ type: "in-doubt", upstream: known.announcement }];
         }
         this.#removeUpstream(known.announcement);
@@ -200,7 +209,18 @@
     }
 
     /** Returns the upstreams of a service that may receive requests. */
-    usable(service: string): UpstreamAnnouncement[] {
+    usable(service: string): readonly UpstreamAnnouncement[] {
+        const usable = this.#usable.get(service) ?? this.#findUsable(service);
+        this.#usable.set(service, usable);
+        return usable;
+    }
+
+    /** Rises whenever another incarnation of an upstream, or a version of its software, can or cannot receive requests. */
+    get usableChanges(): number {
+        return this.#usableChanges;
+    }
+
+    #findUsable(service: string): UpstreamAnnouncement[] {
         const found: UpstreamAnnouncement[] = [];
         for (const { announcement, usable } of this.#known.values()) {
             if (usable && announcement.service === service) {
@@ -224,8 +244,23 @@
         return [...this.#known.values()].map(({ announcement }) => announcement);
     }
 
+    #setKnown(id: string, known: KnownUpstream): void {
+        const before = this.#known.get(id);
+        this.#known.set(id, known);
+        this.#usable.clear();
+        const isSame = before !== undefined && before.usable === known.usable
+            && canReceiveSame(before.announcement, known.announcement);
+        this.#usableChanges += isSame ? 0 : 1;
+    }
+
+    #deleteKnown(id: string): void {
+        this.#known.delete(id);
+        this.#usable.clear();
+        this.#usableChanges += 1;
+    }
+
     #removeUpstream(announcement: UpstreamAnnouncement): void {
-        this.#known.delete(announcement.id);
+        this.#deleteKnown(announcement.id);
         this.#removed.delete(announcement.id);
         this.#removed.set(announcement.id, announcement);
         evictOldest(this.#removed, MAXIMUM_REMOVED_ANNOUNCEMENTS);
@@ -239,13 +274,14 @@
 
     /** Removes other upstreams at the same address, which belongs to the upstream that started last. */
     #replaceOthersAtAddress(announcement: UpstreamAnnouncement): UpstreamChange[] {
-        const others = [...this.#known.values()].filter(({ announcement: other }) =>
-            other.address === announcement.address && other.id !== announcement.id
-        );
-        const older = others.filter(({ announcement: other }) => !isOlderIncarnation(announcement, other));
-        return older.map(({ announcement: other }) => {
-            this.#known.delete(other.id);
-            return { type: "left", upstream: other, reason: "replaced" };
-        });
+        const replaced: UpstreamChange[] = [];
+        for (const { announcement: other } of this.#known.values()) {
+            const isSameAddress = other.address === announcement.address && other.id !== announcement.id;
+            if (isSameAddress && !isOlderIncarnation(announcement, other)) {
+                this.#deleteKnown(other.id);
+                replaced.push({ type: "left", upstream: other, reason: "replaced" });
+            }
+        }
+        return replaced;
     }
 }
--- a/src/placement/residencyView.test.ts
+++ b/src/placement/residencyView.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type HeldModel } from "../fleet/index.js";
-import { ResidencyView } from "./index.js";
+import { type EngineRecord, ResidencyView } from "./index.js";
 
 const FIRST: readonly HeldModel[] = [{ name: "quotes", adapters: ["a1", "a2"] }, { name: "tone", adapters: [] }];
 
@@ -44,3 +44,33 @@
     assert.equal(applyModels(view, FIRST, 2), true);
     assert.equal(view.residencyOf("i-1", "quotes", "a1"), "held");
 });
+
+test("the changes of a model are counted, and records that say the same again are none", () => {
+    const view = new ResidencyView();
+    const models = (
+        adapters: readonly string[],
+    ): readonly HeldModel[] => [{ name: "quotes", adapters: [...adapters] }];
+    const record = (orderCount: number, adapters: readonly string[], loading?: string): EngineRecord => ({
+        engine: "engine-1",
+        startedAtMilliseconds: 1,
+        orderCount,
+        models: models(adapters),
+        loading,
+    });
+    const counts = (): number[] => ["quotes", "mill", "other"].map(model => view.changesOf(model));
+    view.applyRecord(record(1, ["a"]), 0);
+    assert.deepEqual(counts(), [1, 0, 0]);
+    view.applyRecord(record(2, ["a"]), 1);
+    view.applyRecord(record(1, ["b"]), 2);
+    assert.deepEqual(counts(), [1, 0, 0]);
+    view.applyRecord(record(3, ["b"]), 3);
+    assert.deepEqual(counts(), [2, 0, 0]);
+    view.applyRecord(record(4, ["b"], "mill"), 4);
+    assert.deepEqual(counts(), [2, 1, 0]);
+    view.recordAbsent("engine-1", "quotes", "b");
+    assert.deepEqual(counts(), [3, 1, 0]);
+    view.forget("engine-1");
+    assert.deepEqual(counts(), [4, 2, 0]);
+    view.forget("engine-1");
+    assert.deepEqual(counts(), [4, 2, 0]);
+});
--- a/src/placement/residencyView.ts
+++ b/src/placement/residencyView.ts
@@ -49,6 +49,16 @@
     return true;
 }
 
+/** Returns the models of which two states of an engine hold other adapters, or that one of them does not hold or load. */
+function changedModels(before: KnownResidency | undefined, after: KnownResidency | undefined): string[] {
+    const names = new Set([...before?.models.keys() ?? [], ...after?.models.keys() ?? []]);
+    const isSame = (left: ReadonlySet<string> | undefined, right: ReadonlySet<string> | undefined): boolean =>
+        left === right || (left !== undefined && left.size === right?.size && [...left].every(each => right.has(each)));
+    const changed = [...names].filter(name => !isSame(before?.models.get(name), after?.models.get(name)));
+    const loading = before?.loading === after?.loading ? [] : [before?.loading, after?.loading];
+    return [...changed, ...loading.filter(name => name !== undefined)];
+}
+
 function isOlderIncarnation(startedAtMilliseconds: number | undefined, known: KnownResidency): boolean {
     return (startedAtMilliseconds ?? 0) < (known.startedAtMilliseconds ?? 0);
 }
@@ -66,6 +76,7 @@
  */
 export class ResidencyView {
     readonly #engines = new Map<string, KnownResidency>();
+    readonly #changes = new Map<string, number>();
 
     /** Applies an engine's announcement, unless it comes from an earlier incarnation than the known state. */
     applyAnnouncement(announcement: UpstreamAnnouncement): void {
@@ -75,7 +86,7 @@
         if (known === undefined || known.startedAtMilliseconds !== startedAtMilliseconds) {
             if (known === undefined || !isOlderIncarnation(startedAtMilliseconds, known)) {
                 const models = announced;
-                this.#engines.set(announcement.id, {
+                this.#set(announcement.id, {
                     startedAtMilliseconds,
                     orderCount: 0,
                     models,
@@ -92,7 +103,7 @@
             }
         }
         const loading = announced.has(known.loading ?? "") ? undefined : known.loading;
-        this.#engines.set(announcement.id, { ...known, models: announced, loading });
+        this.#set(announcement.id, { ...known, models: announced, loading });
     }
 
     /**
@@ -113,7 +124,7 @@
         }
         const isSame = known !== undefined && holdsExactly(known.models, record.models);
         const models = isSame ? known.models : toMap(record.models);
-        this.#engines.set(record.engine, {
+        this.#set(record.engine, {
             startedAtMilliseconds: record.startedAtMilliseconds,
             orderCount: record.orderCount,
             models,
@@ -137,6 +148,12 @@
         else {
             models?.get(model)?.delete(adapter);
         }
+        this.#countChange(model);
+    }
+
+    /** Rises whenever an engine begins or ceases to hold or load a model, or holds other adapters of it. */
+    changesOf(model: string): number {
+        return this.#changes.get(model) ?? 0;
     }
 
     residencyOf(engine: string, model: string, adapter: string | undefined): Residency {
@@ -177,6 +194,19 @@
     }
 
     forget(engine: string): void {
+        changedModels(this.#engines.get(engine), undefined).forEach(model => this.#countChange(model));
         this.#engines.delete(engine);
     }
+
+    #set(engine: string, residency: KnownResidency): void {
+        const before = this.#engines.get(engine);
+        if (before?.models !== residency.models || before.loading !== residency.loading) {
+            changedModels(before, residency).forEach(model => this.#countChange(model));
+        }
+        this.#engines.set(engine, residency);
+    }
+
+    #countChange(model: string): void {
+        this.#changes.set(model, this.changesOf(model) + 1);
+    }
 }
