Write the host's name once in each line

The lines "starting", "started" and "settings reloaded" had the field "host" twice: the log writes it into every line, and these named it again.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -131,8 +131,8 @@
 
     async start(): Promise<void> {
         const { logger } = this.#context;
-        const { host, zone, gossip } = this.#settings;
-        logger.info("starting", { host, zone, callers: addressesOf(this.#settings).callers });
+        const { zone, gossip } = this.#settings;
+        logger.info("starting", { zone, callers: addressesOf(this.#settings).callers });
         await this.#gossip.open(gossip);
         await this.#servers.start();
         this.#acts.start();
@@ -140,11 +140,11 @@
         this.#engines.start();
         this.#partitionWatch.start();
         this.#digestRounds.start();
-        logger.info("started", { host });
+        logger.info("started");
     }
 
     reload(settings: EntrySettings): void {
-        this.#context.logger.info("settings reloaded", { host: settings.host });
+        this.#context.logger.info("settings reloaded");
         this.#settings = settings;
     }
 
