Read the store's answers and the records of hosts by plain generated readers

A host lists the store at its start (hosts, engines, holders) and, where it watches, reads a poll's changes; each item was checked by a schema that is prepared and compiled anew in every process, each change of a watch twice. Items, pages and removals have generated readers now, beside those of announcements; what they do not accept is left to the schema. Registrations and holders are read by the readers that the messages between hosts have already. Rare answers (writes, leases) stay with their schemas.

--- a/scripts/_renderReaders.ts
+++ b/scripts/_renderReaders.ts
@@ -9,7 +9,7 @@
 interface ReadableSchema {
     readonly $ref?: string;
     readonly type?: string;
-    readonly const?: string;
+    readonly const?: string | boolean;
     readonly enum?: readonly string[];
     readonly minimum?: number;
     readonly minLength?: number;
@@ -188,7 +188,7 @@
 function renderMessageReaders(definitions: Readonly<Record<string, ReadableSchema>>): string[] {
     const entries = Object.entries(definitions).flatMap(([name, { properties = {} }]) => {
         const type = properties["type"]?.const;
-        return type === undefined ? [] : [`    ${JSON.stringify(type)}: ${readerName(name)},`];
+        return typeof type !== "string" ? [] : [`    ${JSON.stringify(type)}: ${readerName(name)},`];
     });
     return entries.length === 0
         ? []
--- a/src/entry/store/fleetRecords.ts
+++ b/src/entry/store/fleetRecords.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { type EngineDuties } from "../../duties/index.js";
-import { engineHolderSchema, hostRegistrationSchema } from "../../generated/gossip.js";
+import {
+    engineHolderSchema,
+    hostRegistrationSchema,
+    readEngineHolder,
+    readHostRegistration,
+} from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
 import { type Logger } from "../../observability/index.js";
 import { type KeyValueEntry } from "../../platform/index.js";
@@ -46,7 +51,8 @@
     /** Applies the record with which a host registered. */
     applyRegistration(entry: KeyValueEntry): void {
         const { duties, host, logger, onHostsChanged, peers, readClock } = this.#options;
-        const record = hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
+        const record = readHostRegistration(parseJson(entry.value))
+            ?? hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
         if (record === undefined) {
             logger.warn("host record not readable", { key: entry.key, revision: entry.revision });
             return;
@@ -72,7 +78,8 @@
     /** Applies the record that names an engine's holder. */
     applyHolder(engine: string, entry: KeyValueEntry): void {
         const { duties, logger, readClock } = this.#options;
-        const record = engineHolderSchema.safeParse(parseJson(entry.value)).data;
+        const record = readEngineHolder(parseJson(entry.value))
+            ?? engineHolderSchema.safeParse(parseJson(entry.value)).data;
         if (record === undefined) {
             logger.warn("holder record not readable", { key: entry.key, revision: entry.revision });
             return;
