Write each event of a stream to its caller in one piece

Node.js writes a chunk as four pieces (length, line end, bytes, line end), each a write to the socket's stream with a callback of its own, which it joins again at the end of the turn. The host now frames the chunk itself, in one buffer, once Node.js has written a head that says that the answer comes in chunks; where it says otherwise (HTTP/1.0, HEAD) nothing changes.

The last identifier of a piece is searched from its end in the bytes; before, the text was decoded and split into lines by an expression. A property compares both.

--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -10,6 +10,22 @@
 
 const NO_CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
+/** Last chunk of an answer in chunks. */
+const LAST_CHUNK = "0\r\n\r\n";
+
+const HEXADECIMAL = 16;
+const LINE_END = "\r\n";
+
+/** Returns bytes as one chunk of an answer in chunks. */
+function frameChunk(bytes: Buffer): Buffer {
+    const head = `${bytes.length.toString(HEXADECIMAL)}${LINE_END}`;
+    const chunk = Buffer.allocUnsafe(head.length + bytes.length + LINE_END.length);
+    chunk.write(head, "latin1");
+    bytes.copy(chunk, head.length);
+    chunk.write(LINE_END, head.length + bytes.length, "latin1");
+    return chunk;
+}
+
 /** Options of a caller's answer. */
 export interface CallerAnswerOptions {
     readonly response: ServerResponse;
@@ -25,6 +41,8 @@
 export class CallerAnswer {
     readonly #options: CallerAnswerOptions;
     #begun = false;
+    /** True for a stream in chunks, which are framed here: the response would write four pieces for each. */
+    #framesChunks = false;
     #aborted = false;
     #firstByteAtMilliseconds: number | undefined;
     #lastEventsAtMilliseconds = 0;
@@ -64,13 +82,13 @@
     forwardEvents(head: AnswerHead, events: CompleteEvents): boolean {
         this.#writeHead(head);
         this.#recordEvents(events.count);
-        return this.#options.response.write(events.bytes);
+        return this.#options.response.write(this.#framesChunks ? frameChunk(events.bytes) : events.bytes);
     }
 
     /** Ends a stream that is complete. */
     endStream(head: AnswerHead): void {
         this.#writeHead(head);
-        this.#options.response.end();
+        this.#options.response.end(this.#framesChunks ? LAST_CHUNK : undefined);
     }
 
     /** Forwards an upstream's complete answer. */
@@ -107,7 +125,7 @@
     abort(): void {
         this.#aborted = true;
         const { response } = this.#options;
-        if (response.headersSent && !response.chunkedEncoding) {
+        if (response.headersSent && !this.#framesChunks) {
             response.socket?.resetAndDestroy();
         }
         response.destroy();
@@ -117,8 +135,11 @@
         if (this.#begun) {
             return;
         }
+        const { response } = this.#options;
         const headers = passThroughHeaders(head.rawHeaders, NO_CONTENT_LENGTH);
-        this.#options.response.writeHead(head.status, [...headers, ...this.#closingHeaders(false)]);
+        response.writeHead(head.status, [...headers, ...this.#closingHeaders(false)]);
+        this.#framesChunks = response.chunkedEncoding;
+        response.chunkedEncoding = false;
         this.#begun = true;
     }
 
--- a/src/forwarding/eventSplitter.test.ts
+++ b/src/forwarding/eventSplitter.test.ts
@@ -33,3 +33,28 @@
     assert.equal(splitter.push(Buffer.from("ta: b\n")).count, 0);
     assert.equal(splitter.push(Buffer.from("\n")).lastIdentifier, "2");
 });
+
+test("finds the last identifier as a search through all lines does", () => {
+    const lines = fc.constantFrom(
+        "id: 7",
+        "id:",
+        "id:8 ",
+        "data: id: 9",
+        "xid: 1",
+        " id: 2",
+        "ID: 3",
+        "data: a",
+        ": id:",
+        "",
+    );
+    const ends = fc.constantFrom("\n", "\r\n", "\r");
+    fc.assert(
+        fc.property(fc.array(fc.tuple(lines, ends), { maxLength: 8 }), pieces => {
+            const text = `${pieces.map(([line, end]) => `${line}${end}`).join("")}\n\n`;
+            const { bytes, lastIdentifier } = new EventSplitter().push(Buffer.from(text));
+            const line = bytes.toString().split(/\r?\n/).findLast(each => each.startsWith("id:"));
+            assert.equal(lastIdentifier, line?.slice("id:".length).trim());
+        }),
+        { seed: 31, numRuns: 2_000 },
+    );
+});
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -6,7 +6,7 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const IDENTIFIER_FIELD = "id:";
+const IDENTIFIER_FIELD = Buffer.from("id:");
 
 /** Maximum size of an event; a longer one is treated as never ending. */
 const MAXIMUM_EVENT_BYTES = 256 * 1024;
@@ -35,10 +35,17 @@
     return ends;
 }
 
-function findLastIdentifier(text: string): string | undefined {
-    const lines = text.split(/\r?\n/);
-    const line = lines.findLast(line => line.startsWith(IDENTIFIER_FIELD));
-    return line?.slice(IDENTIFIER_FIELD.length).trim();
+/** Returns the value of the last line that begins with the field of identifiers. */
+function findLastIdentifier(bytes: Buffer): string | undefined {
+    let at = bytes.lastIndexOf(IDENTIFIER_FIELD);
+    while (at > 0 && bytes[at - 1] !== LINE_FEED) {
+        at = bytes.lastIndexOf(IDENTIFIER_FIELD, at - 1);
+    }
+    if (at === -1) {
+        return undefined;
+    }
+    const end = bytes.indexOf(LINE_FEED, at);
+    return bytes.toString("latin1", at + IDENTIFIER_FIELD.length, end === -1 ? bytes.length : end).trim();
 }
 
 /**
@@ -70,7 +77,7 @@
             return NO_EVENTS;
         }
         const whole = bytes.subarray(0, end);
-        return { bytes: whole, count: ends.length, lastIdentifier: findLastIdentifier(whole.toString("latin1")) };
+        return { bytes: whole, count: ends.length, lastIdentifier: findLastIdentifier(whole) };
     }
 
     /** Number of buffered bytes of an incomplete event. */
