--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -138,8 +138,8 @@
 
     async start(): Promise<void> {
         const { logger } = this.#context;
-        const { gossip, host, linkBytesPerSecond, zone } = this.#settings;
-        logger.info("starting", { host, zone, callers: addressesOf(this.#settings).callers });
+        const { gossip, linkBytesPerSecond, zone } = this.#settings;
+        logger.info("starting", { zone, callers: addressesOf(this.#settings).callers });
         await this.#gossip.open(gossip, gossipBytesPerSecond(linkBytesPerSecond));
         await this.#servers.start();
         this.#acts.start();
@@ -147,11 +147,11 @@
         this.#engines.start();
         this.#partitionWatch.start();
         this.#digestRounds.start();
-        logger.info("started", { host });
+        logger.info("started");
     }
 
     reload(settings: EntrySettings): void {
-        this.#context.logger.info("settings reloaded", { host: settings.host });
+        this.#context.logger.info("settings reloaded");
         this.#settings = settings;
     }
 
@@ -261,6 +261,7 @@
             onConfiguration: table => {
                 this.#servers.applyLimits(table.configuration.limits);
                 this.#handleUpstreamsChanged();
+                this.#forwarder.wakeAll();
             },
             onHostsChanged: () => this.#shareAmongHosts(),
             onSessionLost: () => this.#engines.orders.handleSessionLost(),
@@ -279,7 +280,7 @@
             recordEntry: () => this.#store.entryOf(VERSIONS_KEY),
             onLaterEntry: entry => this.#store.applyLaterEntry(entry),
             send: (hosts, message) => this.#gossip.sendStreamMessage(hosts, message),
-            onChanged: () => this.#forwarder.wake(),
+            onChanged: () => this.#forwarder.wakeAll(),
         });
     }
 
@@ -291,7 +292,7 @@
             view: this.#upstreams.view,
             onChanged: () => {
                 this.#pacedDigests.request();
-                this.#forwarder.wake();
+                this.#forwarder.wakeAll();
             },
         });
     }
