Count a deadline from the earliest time at which a request can have arrived

What callers saw: a host that did not run for seconds gave each request that it then read its whole time limit again.

Cause: the limit is relative and counted from when the request was read. A socket does not tell when its bytes arrived.

What a host does know: bytes on an open connection arrived after the last time at which everything was read; those of a connection that waited to be accepted, after the last time at which none waited.

A request of which it is not sure that any time is left is refused as not run, read-late, with a Retry-After of about 0.2 s, since its caller may have time left; where the time has passed for certain it is out-of-time, as before.

Weighed: half of the gap as the age (wrong for half of them; engines still get up to half a gap more than callers have); the caller's connection that is still open as evidence (callers that do not close are worked for after their time); the whole gap (refuses callers that surely have time left).

--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -131,12 +131,13 @@
     #endIteration(): void {
         const steps = this.#steps;
         this.#steps = [];
-        setImmediate(() => this.#handleRead(steps));
+        const polledAfter = this.#options.readClock();
+        setImmediate(() => this.#handleRead(steps, polledAfter));
     }
 
-    #handleRead(steps: readonly (() => void)[]): void {
+    #handleRead(steps: readonly (() => void)[], polledAfter: number): void {
         const { logger, metrics, readClock, reads } = this.#options;
-        const gapMilliseconds = reads.recordRead(readClock());
+        const gapMilliseconds = reads.recordRead(readClock(), polledAfter);
         if (gapMilliseconds !== undefined) {
             this.#confirmations.recordGap();
             metrics.count("read_gaps", {});
--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -25,7 +25,10 @@
     readonly body: Buffer;
     /** `undefined` for a request that may be handled. */
     readonly problem: RequestProblem | undefined;
+    /** When its head was read. */
     readonly arrivedAtMilliseconds: number;
+    /** The longest time for which it may have lain unread before. */
+    readonly longestUnreadMilliseconds: number;
     /** Number of earlier requests on its connection that had no whole answer when this one's head was read. */
     readonly unansweredBefore: number;
     /**
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -35,6 +35,8 @@
     readonly message: IncomingMessage;
     readonly response: ServerResponse;
     readonly arrivedAtMilliseconds: number;
+    /** The longest time for which it may have lain unread before. */
+    readonly longestUnreadMilliseconds: number;
     readonly bodyLimitBytes: number;
     readonly problem: RequestProblem | undefined;
 }
@@ -137,6 +139,7 @@
                 body,
                 problem,
                 arrivedAtMilliseconds: head.arrivedAtMilliseconds,
+                longestUnreadMilliseconds: head.longestUnreadMilliseconds,
                 unansweredBefore,
                 closesConnection: options => this.#decideLast(message, options),
             }));
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -6,10 +6,12 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { type ReadTimes } from "../../staleness/index.js";
 import { type Acts } from "../actQueue.js";
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { Arrivals } from "./arrivals.js";
 import { CallerConnection } from "./callerConnection.js";
+import { UnreadTimes } from "./unreadTimes.js";
 
 /** Limit on callers' bodies while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -32,6 +34,7 @@
     readonly handler: RequestHandler;
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
+    readonly reads: Pick<ReadTimes, "readUntilMilliseconds">;
     readonly readClock: () => number;
 }
 
@@ -40,13 +43,15 @@
  *
  * @example
  * ```ts
- * const connections = new CallerConnections({ acts, handler, logger, metrics, readClock });
+ * const connections = new CallerConnections({ acts, handler, logger, metrics, reads, readClock });
+ * server.on("connection", socket => connections.recordAccepted(socket));
  * server.on("request", (message, response) => connections.add(message, response));
  * ```
  */
 export class CallerConnections {
     readonly #options: CallerConnectionsOptions;
     readonly #arrivals: Arrivals;
+    readonly #unreadTimes: UnreadTimes;
     readonly #connections = new Map<Duplex, CallerConnection>();
     #bodyLimitBytes = DEFAULT_BODY_BYTES;
     #isClosing = false;
@@ -54,6 +59,7 @@
     constructor(options: CallerConnectionsOptions) {
         const { acts, handler } = options;
         this.#options = options;
+        this.#unreadTimes = new UnreadTimes(options);
         this.#arrivals = new Arrivals({
             acts,
             onBegin: arrival => handler.begin(arrival),
@@ -80,6 +86,11 @@
         this.#isClosing = true;
     }
 
+    /** Records that a connection was accepted, before anything is read from it. */
+    recordAccepted(socket: Duplex): void {
+        this.#unreadTimes.recordAccepted(socket);
+    }
+
     /** Adds a request whose head was read. */
     add(message: IncomingMessage, response: ServerResponse, problem?: RequestProblem): void {
         const { logger, metrics, readClock } = this.#options;
@@ -93,6 +104,7 @@
             response,
             problem,
             arrivedAtMilliseconds: readClock(),
+            longestUnreadMilliseconds: this.#unreadTimes.longestMilliseconds(message.socket),
             bodyLimitBytes: this.#bodyLimitBytes,
         });
     }
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -13,7 +13,7 @@
 import { AttemptSender } from "./attemptSender.js";
 import { crashVerdict, logConviction } from "./crashVerdict.js";
 import { DispatchTimer } from "./dispatchTimer.js";
-import { EXPECTED_CAPACITY_MILLISECONDS } from "./expectedCapacity.js";
+import { EXPECTED_CAPACITY_MILLISECONDS, OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 import { type HedgeCancellation, Hedging } from "./hedging.js";
 import { RequestEnding } from "./requestEnding.js";
 import { type CallerRequest } from "./requestFacts.js";
@@ -22,9 +22,6 @@
 import { type WaitingRank, waitingRank } from "./waitingRank.js";
 import { WaitTime } from "./waitTime.js";
 
-/** Time after which a caller that this host cannot serve has the address of another host. */
-export const OTHER_HOST_MILLISECONDS = 200;
-
 /** Callbacks from an exchange to its forwarder. */
 export interface ExchangeListener {
     readonly onEnded: () => void;
@@ -171,7 +168,7 @@
             return;
         }
         if (remainingMilliseconds(this.#parts) <= 0) {
-            this.#ending.refuse("out-of-time");
+            this.#ending.refuseOutOfTime();
             return;
         }
         this.#context.budget.recordRequest(service, arrivedAtMilliseconds);
--- a/src/entry/exchange/failureReason.ts
+++ b/src/entry/exchange/failureReason.ts
@@ -23,6 +23,7 @@
     | "version-unavailable"
     | "version-gone"
     | "out-of-time"
+    | "read-late"
     | "no-service"
     | "broken-invariant"
     | "budget";
--- a/src/entry/exchange/index.ts
+++ b/src/entry/exchange/index.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
-export { Exchange, type ExchangeListener, OTHER_HOST_MILLISECONDS } from "./exchange.js";
+export { Exchange, type ExchangeListener } from "./exchange.js";
+export { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 export { type CallerRequest } from "./requestFacts.js";
 export { compareRanks } from "./waitingRank.js";
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { retryDelayMilliseconds } from "../../forwarding/index.js";
+import { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 import { type FailureReason } from "./failureReason.js";
 import { type Hedging } from "./hedging.js";
-import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
+import { longestRemainingMilliseconds, remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit } from "./requestPermits.js";
 import { STATUS_BAD_GATEWAY, STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE } from "./statuses.js";
 
@@ -60,6 +61,20 @@
         this.end(`refused: ${reason}`);
     }
 
+    /**
+     * Refuses a request that must not be sent any more. Where it may only have lain unread for too long, its caller is
+     * told to come back.
+     */
+    refuseOutOfTime(): void {
+        const mayBeInTime = remainingMilliseconds(this.#parts) <= 0 && longestRemainingMilliseconds(this.#parts) > 0;
+        if (mayBeInTime) {
+            this.refuse("read-late", OTHER_HOST_MILLISECONDS);
+        }
+        else {
+            this.refuse("out-of-time");
+        }
+    }
+
     /** Answers that the request failed and may have run. */
     fail(status: number, reason: FailureReason): void {
         this.#parts.context.metrics.count("failures", { reason });
@@ -103,7 +118,7 @@
             this.fail(STATUS_GATEWAY_TIMEOUT, "out-of-time");
         }
         else {
-            this.refuse("out-of-time");
+            this.refuseOutOfTime();
         }
     }
 
@@ -145,7 +160,7 @@
             ? undefined
             : retryDelayMilliseconds(
                 expectedMilliseconds,
-                remainingMilliseconds(this.#parts),
+                longestRemainingMilliseconds(this.#parts),
                 this.#parts.context.random(),
             );
     }
@@ -155,9 +170,10 @@
         expectedMilliseconds: number | undefined,
         retryAfterMilliseconds: number | undefined,
     ): void {
-        const { context, facts, logger, permitWait, selection } = this.#parts;
+        const { context, facts, logger, permitWait, request, selection } = this.#parts;
         logger.info("request refused", {
             reason,
+            longestUnreadMilliseconds: Math.round(request.longestUnreadMilliseconds),
             resumes: facts.resumedRequest,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -14,6 +14,9 @@
 
 const FINGERPRINT_DIGITS = 24;
 
+/** An engine may work for a caller for this long after the caller's time limit. */
+const MAXIMUM_EXCESS_MILLISECONDS = 500;
+
 /** A complete request as read from a caller. */
 export interface CallerRequest {
     readonly message: IncomingMessage;
@@ -22,7 +25,10 @@
     readonly body: Buffer;
     readonly requestId: string;
     readonly route: Route;
+    /** When its head was read. */
     readonly arrivedAtMilliseconds: number;
+    /** The longest time for which it may have lain unread before. */
+    readonly longestUnreadMilliseconds: number;
     readonly configurationVersion: number;
     /** Decides, when the head of the answer is written, whether it is the last one of its connection. */
     readonly closesConnection: (options: CloseDecisionOptions) => boolean;
@@ -45,8 +51,13 @@
     readonly resumedRequest: string | undefined;
     /** What it has in common with requests that may crash upstreams; the fingerprint is a hash of path and body. */
     readonly attributes: RequestAttributes;
-    /** Arrival time plus the shorter of the caller's and the route's time limits. */
+    /**
+     * Arrival time plus the shorter of the caller's and the route's time limits; earlier for a request that may have lain
+     * unread for long, so that no engine works for long for a caller whose time has passed.
+     */
     readonly deadlineAtMilliseconds: number;
+    /** When the time limit ends of a caller whose request did not lie unread. */
+    readonly latestDeadlineAtMilliseconds: number;
 }
 
 function readHeader(message: IncomingMessage, name: string): string | undefined {
@@ -83,9 +94,12 @@
  * @param headers The site's header names.
  */
 export function readRequestFacts(request: CallerRequest, headers: HeaderNames): RequestFacts {
-    const { arrivedAtMilliseconds, message, requestId, route } = request;
+    const { arrivedAtMilliseconds, longestUnreadMilliseconds, message, requestId, route } = request;
     const tokenCount = readHeader(message, headers.tokenCount);
     const callerLimitMilliseconds = readTimeLimit(readHeader(message, headers.deadline));
+    const limitMilliseconds = Math.min(callerLimitMilliseconds, route.timeoutMilliseconds);
+    const latestDeadlineAtMilliseconds = arrivedAtMilliseconds + limitMilliseconds;
+    const unreadMilliseconds = Math.max(0, longestUnreadMilliseconds - MAXIMUM_EXCESS_MILLISECONDS);
     const parts = sharedParts(readHeader(message, headers.promptParts));
     return {
         ...readModel(readHeader(message, headers.model)),
@@ -96,6 +110,7 @@
         lastEventId: readHeader(message, headers.lastEventId),
         resumedRequest: readHeader(message, headers.resumedRequest),
         attributes: { fingerprint: fingerprintOf(request), parts },
-        deadlineAtMilliseconds: arrivedAtMilliseconds + Math.min(callerLimitMilliseconds, route.timeoutMilliseconds),
+        deadlineAtMilliseconds: latestDeadlineAtMilliseconds - unreadMilliseconds,
+        latestDeadlineAtMilliseconds,
     };
 }
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -85,3 +85,8 @@
 export function remainingMilliseconds({ context, facts }: RequestParts): number {
     return facts.deadlineAtMilliseconds - context.readClock();
 }
+
+/** Returns the longest time that the caller may have left; negative once its time limit has passed for certain. */
+export function longestRemainingMilliseconds({ context, facts }: RequestParts): number {
+    return facts.latestDeadlineAtMilliseconds - context.readClock();
+}
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -119,7 +119,7 @@
     }
 
     begin(arrival: Arrival): void {
-        const { arrivedAtMilliseconds, body, closesConnection, message, problem, response, target } = arrival;
+        const { body, message, problem, response, target } = arrival;
         if (problem !== undefined) {
             this.#reject(arrival, STATUS_OF_PROBLEM[problem], problem);
             return;
@@ -148,7 +148,9 @@
             this.#reject(arrival, STATUS_NOT_FOUND, "no-route");
             return;
         }
-        const parts = { message, response, target, body, requestId, arrivedAtMilliseconds, closesConnection };
+        const { arrivedAtMilliseconds, closesConnection, longestUnreadMilliseconds } = arrival;
+        const times = { arrivedAtMilliseconds, longestUnreadMilliseconds };
+        const parts = { message, response, target, body, requestId, closesConnection, ...times };
         this.#start(parts, route, table.version);
     }
 
@@ -239,7 +241,7 @@
  * @example
  * ```ts
  * const forwarder = createForwarder(context);
- * const connections = new CallerConnections({ acts, handler: forwarder, logger, metrics, readClock });
+ * const connections = new CallerConnections({ acts, handler: forwarder, logger, metrics, reads, readClock });
  * ```
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -9,6 +9,7 @@
 import { type AdvertisedHost, selectAddresses } from "../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
+import { type ReadTimes } from "../staleness/index.js";
 import { type Acts } from "./actQueue.js";
 import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
 import {
@@ -41,6 +42,7 @@
     readonly logger: Logger;
     readonly metrics: EntryMetrics;
     readonly handler: RequestHandler;
+    readonly reads: Pick<ReadTimes, "readUntilMilliseconds">;
     readonly readClock: () => number;
     /** Returns whether callers may be directed to this host. */
     readonly isReady: () => boolean;
@@ -130,6 +132,7 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
             noDelay: true,
         }, (message, response) => this.#accept(message, response));
+        server.on("connection", (socket: Duplex) => this.#connections.recordAccepted(socket));
         server.on(
             "checkExpectation",
             (message, response) => this.#connections.add(message, response, "unknown-expectation"),
--- a/src/staleness/readTimes.test.ts
+++ b/src/staleness/readTimes.test.ts
@@ -27,6 +27,13 @@
     );
 });
 
+test("what arrived after the sockets were polled does not count as read", () => {
+    const reads = new ReadTimes(10);
+    assert.equal(reads.readUntilMilliseconds, 10);
+    assert.equal(reads.recordRead(3_410, 20), 3_400);
+    assert.equal(reads.readUntilMilliseconds, 20);
+});
+
 test("a view from before a gap in reading is current only after a question that was asked after the gap has ended", () => {
     const confirmations = new ViewConfirmations();
     assert.equal(confirmations.state, "current");
--- a/src/staleness/readTimes.ts
+++ b/src/staleness/readTimes.ts
@@ -28,22 +28,32 @@
  */
 export class ReadTimes {
     #readAtMilliseconds: number;
+    #readUntilMilliseconds: number;
     #listenedMilliseconds = 0;
 
     /** @param nowMilliseconds Reading of the steady clock. */
     constructor(nowMilliseconds: number) {
         this.#readAtMilliseconds = nowMilliseconds;
+        this.#readUntilMilliseconds = nowMilliseconds;
+    }
+
+    /** Everything that arrived before this time on connections that were being read has been read. */
+    get readUntilMilliseconds(): number {
+        return this.#readUntilMilliseconds;
     }
 
     /**
      * Records that everything was read that had arrived.
      *
+     * @param nowMilliseconds Reading of the steady clock.
+     * @param polledAfterMilliseconds A time before the sockets were polled.
      * @returns The time since the last such moment, if a view may have become too old meanwhile; otherwise `undefined`.
      */
-    recordRead(nowMilliseconds: number): number | undefined {
+    recordRead(nowMilliseconds: number, polledAfterMilliseconds = nowMilliseconds): number | undefined {
         this.#listenedMilliseconds = this.listenedMilliseconds(nowMilliseconds);
         const gapMilliseconds = nowMilliseconds - this.#readAtMilliseconds;
         this.#readAtMilliseconds = nowMilliseconds;
+        this.#readUntilMilliseconds = polledAfterMilliseconds;
         return gapMilliseconds >= GAP_MILLISECONDS ? gapMilliseconds : undefined;
     }
 
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import assert from "node:assert/strict";
-import { request as sendRequest } from "node:http";
+import { type Agent, request as sendRequest } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { decodeConfiguration } from "../../platform/configurationCodec.js";
 import { createEngineControl } from "../../platform/engineControl.js";
@@ -41,6 +41,8 @@
     readonly body?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly hostName?: string;
+    /** Keeps connections open; the request has a connection of its own without it. */
+    readonly agent?: Agent | undefined;
     /** The caller disconnects after this time. */
     readonly disconnectAfterMilliseconds?: number;
 }
@@ -88,7 +90,7 @@
         const clientRequest = sendRequest({
             host: callers.address,
             port: callers.port,
-            agent: false,
+            agent: request.agent ?? false,
             method: request.method ?? "GET",
             path: request.path,
             headers: {
--- a/tests/support/stoppedHost.ts
+++ b/tests/support/stoppedHost.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type ChildProcess } from "node:child_process";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
@@ -19,6 +19,7 @@
 import { callHost } from "./entrySite.js";
 
 const HEALTH_PATH = "/healthz";
+const DEADLINE_HEADER = "flamingospread-deadline-ms";
 const UPSTREAM_KEY_PREFIX = "servers/";
 const CONFIGURATION_KEY = "op/config";
 const STATUS_MISDIRECTED = 421;
@@ -36,6 +37,8 @@
     readonly path: string;
     /** The engine that the host meant. */
     readonly engine: string;
+    /** The time limit that the host names to the engine. */
+    readonly limitMilliseconds: number;
     readonly atMilliseconds: number;
 }
 
@@ -44,9 +47,18 @@
     readonly path: string;
     readonly status: number | undefined;
     readonly body: string;
+    readonly retryAfterSeconds: number | undefined;
     readonly atMilliseconds: number;
 }
 
+/** How a caller sends its request. */
+export interface CallOptions {
+    /** Keeps connections open; each request has a connection of its own without it. */
+    readonly agent?: Agent;
+    /** The caller's own time limit. */
+    readonly limitMilliseconds?: number;
+}
+
 /** An engine of a plain service that answers with its identifier, and records what reaches it. */
 export class RecordingEngine {
     readonly service: string;
@@ -112,7 +124,8 @@
             return;
         }
         const engine = String(headers["flamingospread-expect-instance"]);
-        this.arrivals.push({ path, engine, atMilliseconds: performance.now() });
+        const limitMilliseconds = Number(headers[DEADLINE_HEADER]);
+        this.arrivals.push({ path, engine, limitMilliseconds, atMilliseconds: performance.now() });
         const identity = { "Flamingospread-Instance-Id": this.#id, "Flamingospread-Not-Executed": "1" };
         if (engine !== this.#id) {
             response.writeHead(STATUS_MISDIRECTED, identity).end();
@@ -200,10 +213,13 @@
         this.store.remove(`${UPSTREAM_KEY_PREFIX}${id}`);
     }
 
-    async call(path: string): Promise<CallerOutcome> {
+    async call(path: string, { agent, limitMilliseconds }: CallOptions = {}): Promise<CallerOutcome> {
         const host = { settings: { callers: { address: "127.0.0.1", port: this.#settings.callers } } };
-        const { body, status } = await callHost(host, { path });
-        return { path, status, body, atMilliseconds: performance.now() };
+        const limit = limitMilliseconds === undefined ? {} : { [DEADLINE_HEADER]: String(limitMilliseconds) };
+        const { body, headers, status } = await callHost(host, { path, agent, headers: limit });
+        const retryAfter = headers["retry-after"];
+        const retryAfterSeconds = retryAfter === undefined ? undefined : Number(retryAfter);
+        return { path, status, body, retryAfterSeconds, atMilliseconds: performance.now() };
     }
 
     /** Stops the process for a time, with steps meanwhile, and lets it go on. */
