--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -8,12 +8,15 @@
 import { type RequestAttributes } from "../../crashes/index.js";
 import { sharedParts } from "../../forwarding/index.js";
 import { chooseService, type Route } from "../../routes/index.js";
-import { type CloseDecisionOptions, type RequestTarget } from "../connections/index.js";
+import { type CloseDecisionOptions, type RequestAge, type RequestTarget } from "../connections/index.js";
 import { promptTokensOf, workOf } from "../demandMeter.js";
 import { type HeaderNames } from "../siteProtocol.js";
 
 const FINGERPRINT_DIGITS = 24;
 
+/** An engine may work for a caller for this long after the caller's time limit. */
+const MAXIMUM_EXCESS_MILLISECONDS = 500;
+
 /** A complete request as read from a caller. */
 export interface CallerRequest {
     readonly message: IncomingMessage;
@@ -22,7 +25,10 @@
     readonly body: Buffer;
     readonly requestId: string;
     readonly route: Route;
+    /** When its head was read. */
     readonly arrivedAtMilliseconds: number;
+    /** How old it was then. */
+    readonly age: RequestAge;
     readonly configurationVersion: number;
     /** Decides, when the head of the answer is written, whether it is the last one of its connection. */
     readonly closesConnection: (options: CloseDecisionOptions) => boolean;
@@ -45,8 +51,13 @@
     readonly resumedRequest: string | undefined;
     /** What it has in common with requests that may crash upstreams; the fingerprint is a hash of path and body. */
     readonly attributes: RequestAttributes;
-    /** Arrival time plus the shorter of the caller's and the route's time limits. */
+    /**
+     * When its first byte was read, plus the shorter of the caller's and the route's time limits; earlier for a request
+     * that may have lain unread for long, so that no engine works for long for a caller whose time has passed.
+     */
     readonly deadlineAtMilliseconds: number;
+    /** When the time limit ends of a caller whose request did not lie unread. */
+    readonly latestDeadlineAtMilliseconds: number;
 }
 
 function readHeader(message: IncomingMessage, name: string): string | undefined {
@@ -83,9 +94,12 @@
  * @param headers The site's header names.
  */
 export function readRequestFacts(request: CallerRequest, headers: HeaderNames): RequestFacts {
-    const { arrivedAtMilliseconds, message, requestId, route } = request;
+    const { age, arrivedAtMilliseconds, message, requestId, route } = request;
     const tokenCount = readHeader(message, headers.tokenCount);
     const callerLimitMilliseconds = readTimeLimit(readHeader(message, headers.deadline));
+    const limitMilliseconds = Math.min(callerLimitMilliseconds, route.timeoutMilliseconds);
+    const latestDeadlineAtMilliseconds = arrivedAtMilliseconds - age.knownMilliseconds + limitMilliseconds;
+    const earliestDeadlineAtMilliseconds = arrivedAtMilliseconds - age.longestMilliseconds + limitMilliseconds;
     const parts = sharedParts(readHeader(message, headers.promptParts));
     return {
         ...readModel(readHeader(message, headers.model)),
@@ -96,6 +110,10 @@
         lastEventId: readHeader(message, headers.lastEventId),
         resumedRequest: readHeader(message, headers.resumedRequest),
         attributes: { fingerprint: fingerprintOf(request), parts },
-        deadlineAtMilliseconds: arrivedAtMilliseconds + Math.min(callerLimitMilliseconds, route.timeoutMilliseconds),
+        deadlineAtMilliseconds: Math.min(
+            latestDeadlineAtMilliseconds,
+            earliestDeadlineAtMilliseconds + MAXIMUM_EXCESS_MILLISECONDS,
+        ),
+        latestDeadlineAtMilliseconds,
     };
 }
