Tell the own cell in each round, also while aggregates wait

Each round now publishes a digest to the own cell while aggregates wait; urgent ones still wait, so news cost no more.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -128,6 +128,7 @@
         this.#digests = new DigestPublisher({ ...parts, isReady: () => this.#isReady() });
         this.#pacedDigests = new PacedDigests({
             publish: () => this.#digests.publishToAllCells(),
+            publishToOwnCell: () => this.#digests.publish(),
             backlogMilliseconds: () => this.#gossip.backlogMilliseconds,
         });
         this.#urgentDigests = this.#createUrgentDigests();
@@ -386,7 +387,7 @@
         this.#streamVersions.check();
         this.#engines.adapters.recordOwnUses();
         this.#store.adjustWatch();
-        this.#pacedDigests.request();
+        this.#pacedDigests.requestRound();
         this.#engines.adapters.resendUses();
         this.#context.timeSpent.report(() => this.#gossip.takeDatagramSummary());
         this.#store.recordSettledRestores();
--- a/src/entry/peers/digestsBesideOthers.test.ts
+++ b/src/entry/peers/digestsBesideOthers.test.ts
@@ -69,8 +69,10 @@
 /** Publishes digests in rounds, and has other messages sent, until the time is over. */
 async function observe(context: TestContext, cell: Cell, sendOther: () => void, interval: number): Promise<void> {
     const { gossip } = cell;
+    const publish = (): void => gossip.publishDigest(createDigest("entry", { inFlight: { engine: 1 } }));
     const digests = new PacedDigests({
-        publish: () => gossip.publishDigest(createDigest("entry", { inFlight: { engine: 1 } })),
+        publish,
+        publishToOwnCell: publish,
         backlogMilliseconds: () => gossip.backlogMilliseconds,
     });
     const rounds = setInterval(() => digests.request(), ROUND_MILLISECONDS);
--- a/src/entry/peers/pacedDigests.ts
+++ b/src/entry/peers/pacedDigests.ts
@@ -8,6 +8,8 @@
 export interface PacedDigestsOptions {
     /** Publishes a digest to the own cell, and to other cells where this host represents its cell. */
     readonly publish: () => void;
+    /** Publishes a digest to the own cell alone. */
+    readonly publishToOwnCell: () => void;
     /** Returns how long the digests and aggregates that wait take to leave at least; 0 where none waits. */
     readonly backlogMilliseconds: () => number;
 }
@@ -18,7 +20,7 @@
  *
  * @example
  * ```ts
- * const digests = new PacedDigests({ publish, backlogMilliseconds });
+ * const digests = new PacedDigests({ publish, publishToOwnCell, backlogMilliseconds });
  * digests.request();
  * digests.close();
  * ```
@@ -47,6 +49,15 @@
         }
     }
 
+    /** Publishes a digest to the own cell, which takes a silent host for one that has stopped, and requests one to all. */
+    requestRound(): void {
+        const { backlogMilliseconds, publishToOwnCell } = this.#options;
+        if (!this.#closed && backlogMilliseconds() > 0) {
+            publishToOwnCell();
+        }
+        this.request();
+    }
+
     close(): void {
         this.#closed = true;
         clearTimeout(this.#timer);
