Revert "Count a deadline from the first byte of a request's head"

It also rests on a method of Node's parser that is not documented.

Open again: a request with a limit of 1 s whose head takes 1.3 s to come is sent on with its whole limit.

--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -5,7 +5,6 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type RequestTarget } from "./requestTarget.js";
-import { type RequestAge } from "./unreadTimes.js";
 
 /** Why a request is rejected as it was read; its body is empty then. */
 export type RequestProblem = "body-too-large" | "headers-too-large" | "no-host" | "unknown-expectation";
@@ -28,8 +27,8 @@
     readonly problem: RequestProblem | undefined;
     /** When its head was read. */
     readonly arrivedAtMilliseconds: number;
-    /** How old it was then. */
-    readonly age: RequestAge;
+    /** The longest time for which it may have lain unread before. */
+    readonly longestUnreadMilliseconds: number;
     /** Number of earlier requests on its connection that had no whole answer when this one's head was read. */
     readonly unansweredBefore: number;
     /**
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -9,7 +9,6 @@
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
-import { type RequestAge } from "./unreadTimes.js";
 
 /** What may wait on one connection; while more does, it is not read, and its caller is not noticed to leave. */
 const WAITING_LIMITS = { requests: 64, bytes: 1024 * 1024 };
@@ -36,7 +35,8 @@
     readonly message: IncomingMessage;
     readonly response: ServerResponse;
     readonly arrivedAtMilliseconds: number;
-    readonly age: RequestAge;
+    /** The longest time for which it may have lain unread before. */
+    readonly longestUnreadMilliseconds: number;
     readonly bodyLimitBytes: number;
     readonly problem: RequestProblem | undefined;
 }
@@ -139,7 +139,7 @@
                 body,
                 problem,
                 arrivedAtMilliseconds: head.arrivedAtMilliseconds,
-                age: head.age,
+                longestUnreadMilliseconds: head.longestUnreadMilliseconds,
                 unansweredBefore,
                 closesConnection: options => this.#decideLast(message, options),
             }));
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -104,7 +104,7 @@
             response,
             problem,
             arrivedAtMilliseconds: readClock(),
-            age: this.#unreadTimes.ageOf(message.socket),
+            longestUnreadMilliseconds: this.#unreadTimes.longestMilliseconds(message.socket),
             bodyLimitBytes: this.#bodyLimitBytes,
         });
     }
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -11,4 +11,3 @@
 export { renderRawAnswer } from "./rawAnswer.js";
 export { type RequestTarget } from "./requestTarget.js";
 export { answerUnreadableRequests } from "./unreadableRequests.js";
-export { type RequestAge } from "./unreadTimes.js";
--- a/src/entry/connections/unreadTimes.ts
+++ b/src/entry/connections/unreadTimes.ts
@@ -18,23 +18,6 @@
     readonly readClock: () => number;
 }
 
-/** How old a request is when its head was read. */
-export interface RequestAge {
-    /** Time since its first byte was read. */
-    readonly knownMilliseconds: number;
-    /** The longest time for which it may have been there, some of it unread. */
-    readonly longestMilliseconds: number;
-}
-
-/** Node's HTTP parser of a connection, which Node's types do not name. */
-interface ParsedSocket {
-    readonly parser?: { readonly duration?: () => number; } | null;
-}
-
-function millisecondsSinceFirstByte(socket: Duplex): number {
-    return (socket as ParsedSocket).parser?.duration?.() ?? 0;
-}
-
 /** When a connection was accepted, and since when it may have waited for that. */
 interface Acceptance {
     readonly atMilliseconds: number;
@@ -42,13 +25,13 @@
 }
 
 /**
- * Bounds the age of requests, which may have lain in their sockets.
+ * Bounds the time for which requests have lain in their sockets.
  *
  * @example
  * ```ts
  * const unread = new UnreadTimes({ acts, reads, readClock });
  * server.on("connection", socket => unread.recordAccepted(socket));
- * server.on("request", message => unread.ageOf(message.socket)); // at most 3400 ms after a stop of 3.4 s
+ * server.on("request", message => unread.longestMilliseconds(message.socket)); // 3400 after a stop of 3.4 s
  * ```
  */
 export class UnreadTimes {
@@ -76,14 +59,8 @@
         });
     }
 
-    /** Returns the age of the request whose head has just been read from a connection. */
-    ageOf(socket: Duplex): RequestAge {
-        const knownMilliseconds = millisecondsSinceFirstByte(socket);
-        const longestMilliseconds = Math.max(knownMilliseconds, this.#longestUnreadMilliseconds(socket));
-        return { knownMilliseconds, longestMilliseconds };
-    }
-
-    #longestUnreadMilliseconds(socket: Duplex): number {
+    /** Returns the longest time for which what is now being read from a connection may have lain unread. */
+    longestMilliseconds(socket: Duplex): number {
         const { readClock, reads: { readUntilMilliseconds } } = this.#options;
         const acceptance = this.#acceptances.get(socket);
         const isFirstRead = acceptance !== undefined && acceptance.atMilliseconds >= readUntilMilliseconds;
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -173,7 +173,7 @@
         const { context, facts, logger, permitWait, request, selection } = this.#parts;
         logger.info("request refused", {
             reason,
-            longestAgeMilliseconds: Math.round(request.age.longestMilliseconds),
+            longestUnreadMilliseconds: Math.round(request.longestUnreadMilliseconds),
             resumes: facts.resumedRequest,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -8,7 +8,7 @@
 import { type RequestAttributes } from "../../crashes/index.js";
 import { sharedParts } from "../../forwarding/index.js";
 import { chooseService, type Route } from "../../routes/index.js";
-import { type CloseDecisionOptions, type RequestAge, type RequestTarget } from "../connections/index.js";
+import { type CloseDecisionOptions, type RequestTarget } from "../connections/index.js";
 import { promptTokensOf, workOf } from "../demandMeter.js";
 import { type HeaderNames } from "../siteProtocol.js";
 
@@ -27,8 +27,8 @@
     readonly route: Route;
     /** When its head was read. */
     readonly arrivedAtMilliseconds: number;
-    /** How old it was then. */
-    readonly age: RequestAge;
+    /** The longest time for which it may have lain unread before. */
+    readonly longestUnreadMilliseconds: number;
     readonly configurationVersion: number;
     /** Decides, when the head of the answer is written, whether it is the last one of its connection. */
     readonly closesConnection: (options: CloseDecisionOptions) => boolean;
@@ -52,8 +52,8 @@
     /** What it has in common with requests that may crash upstreams; the fingerprint is a hash of path and body. */
     readonly attributes: RequestAttributes;
     /**
-     * When its first byte was read, plus the shorter of the caller's and the route's time limits; earlier for a request
-     * that may have lain unread for long, so that no engine works for long for a caller whose time has passed.
+     * Arrival time plus the shorter of the caller's and the route's time limits; earlier for a request that may have lain
+     * unread for long, so that no engine works for long for a caller whose time has passed.
      */
     readonly deadlineAtMilliseconds: number;
     /** When the time limit ends of a caller whose request did not lie unread. */
@@ -94,12 +94,12 @@
  * @param headers The site's header names.
  */
 export function readRequestFacts(request: CallerRequest, headers: HeaderNames): RequestFacts {
-    const { age, arrivedAtMilliseconds, message, requestId, route } = request;
+    const { arrivedAtMilliseconds, longestUnreadMilliseconds, message, requestId, route } = request;
     const tokenCount = readHeader(message, headers.tokenCount);
     const callerLimitMilliseconds = readTimeLimit(readHeader(message, headers.deadline));
     const limitMilliseconds = Math.min(callerLimitMilliseconds, route.timeoutMilliseconds);
-    const latestDeadlineAtMilliseconds = arrivedAtMilliseconds - age.knownMilliseconds + limitMilliseconds;
-    const earliestDeadlineAtMilliseconds = arrivedAtMilliseconds - age.longestMilliseconds + limitMilliseconds;
+    const latestDeadlineAtMilliseconds = arrivedAtMilliseconds + limitMilliseconds;
+    const unreadMilliseconds = Math.max(0, longestUnreadMilliseconds - MAXIMUM_EXCESS_MILLISECONDS);
     const parts = sharedParts(readHeader(message, headers.promptParts));
     return {
         ...readModel(readHeader(message, headers.model)),
@@ -110,10 +110,7 @@
         lastEventId: readHeader(message, headers.lastEventId),
         resumedRequest: readHeader(message, headers.resumedRequest),
         attributes: { fingerprint: fingerprintOf(request), parts },
-        deadlineAtMilliseconds: Math.min(
-            latestDeadlineAtMilliseconds,
-            earliestDeadlineAtMilliseconds + MAXIMUM_EXCESS_MILLISECONDS,
-        ),
+        deadlineAtMilliseconds: latestDeadlineAtMilliseconds - unreadMilliseconds,
         latestDeadlineAtMilliseconds,
     };
 }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -138,8 +138,9 @@
             this.#reject(arrival, STATUS_NOT_FOUND, "no-route");
             return;
         }
-        const { age, arrivedAtMilliseconds, closesConnection } = arrival;
-        const parts = { message, response, target, body, requestId, arrivedAtMilliseconds, age, closesConnection };
+        const { arrivedAtMilliseconds, closesConnection, longestUnreadMilliseconds } = arrival;
+        const times = { arrivedAtMilliseconds, longestUnreadMilliseconds };
+        const parts = { message, response, target, body, requestId, closesConnection, ...times };
         this.#start(parts, route, table.version);
     }
 
