Add review case 5: a 503 of an engine that ran the request is passed on

The engine's 503 without Flamingospread-Not-Executed doesn't say that the request did not run; passed on to the client it does, and the client sends the order again.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
