Add review case 3: two holders of one engine beside a cut between cells

A zone that is cut off from the store and the other zone is a cell of its own; its holders go on by the consent of their cell while hosts of the other zone order the same engines.

--- a/review/support/harness.mjs
+++ b/review/support/harness.mjs
@@ -258,11 +258,13 @@
         });
     }
 
-    addHosts(count, bounds) {
+    /** Adds and starts hosts; `storeAddressOf` names the address at which each reaches the store. */
+    addHosts(count, { bounds = {}, storeAddressOf = () => this.store.address, zones = ZONES } = {}) {
         for (let index = 0; index < count; index += 1) {
-            const zone = ZONES[index % ZONES.length];
+            const zone = zones[index % zones.length];
             const seeds = () => this.hosts.slice(0, 3).map(({ address }) => `${address}:8144`);
-            this.hosts.push(new Host(`front-${zone}-${index + 1}`, zone, () => this.store.address, seeds, bounds));
+            const name = `front-${zone}-${index + 1}`;
+            this.hosts.push(new Host(name, zone, () => storeAddressOf(name), seeds, bounds));
         }
         this.hosts.forEach(host => host.start());
     }
