Give each run of a review script loopback addresses of its own

Runs at the same time could take the same addresses (200 ranges by process id), and an address ending in 0 was replaced by one that the next call returned too. Each process id now has a range of 256 addresses of 50,000, and all of them are used once. The reading of a host's resident memory goes, since the case that used it is left out.

--- a/review/support/harness.mjs
+++ b/review/support/harness.mjs
@@ -26,8 +26,8 @@
 
 const startedAt = performance.now();
 let recordPath;
-/** The last part of loopback addresses, different in runs at the same time. */
-let nextAddress = process.pid % 200 * 256 + 256;
+/** Number of the last loopback address taken; those of this process are its own, so that all their ports are free. */
+let lastAddress = process.pid % 50_000 * 256;
 
 /** Starts the record of a case. */
 export function openRecord(path) {
@@ -46,8 +46,8 @@
 
 /** Returns a loopback address that no other part of this script has. */
 export function takeAddress() {
-    nextAddress += 1;
-    return `127.${20 + (nextAddress >> 16)}.${nextAddress >> 8 & 255}.${Math.max(1, nextAddress & 255)}`;
+    lastAddress += 1;
+    return `127.${20 + (lastAddress >> 16)}.${lastAddress >> 8 & 255}.${lastAddress & 255}`;
 }
 
 /** Waits until a condition holds; throws after a time limit. */
@@ -92,7 +92,6 @@
         this.logPath = join(this.folder, "log");
         this.ends = [];
         this.restarts = true;
-        this.memoryMegabytes = 0;
         this.child = undefined;
     }
 
@@ -192,17 +191,6 @@
         this.child?.kill(name);
     }
 
-    /** Resident memory of the process in MB, as the kernel tells it. */
-    residentMegabytes() {
-        try {
-            const text = readFileSync(`/proc/${this.child?.pid}/status`, "utf8");
-            return Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / 1_024;
-        }
-        catch {
-            return 0;
-        }
-    }
-
     async isReady() {
         return (await getJson(this.address, 8141, "/ready")).status === 200;
     }
