Take no upstream from an entry whose address or name nothing can be sent to

When the engines had been silent for 0.7 s, all three hosts ended with ERR_SOCKET_BAD_PORT, and 24 requests from kept connections that engines ran had no answer.

Cause: the announcement's schema checks the form of an address only, so ports beyond 65,535, parts beyond 255 and leading zeros pass as an upstream. Whoever then connects splits the text and hands it to Node, which throws. The probe for partitions chooses one target of each service at least, also of services that the configuration does not name.

Evidence: the stacks of the three processes (`canConnect` in `PartitionWatch.#probe`). On the same path: - an entry of a model service with such a port ends the host that would manage its engine, at its first report (`callJson`; seen in the new test), and so does a name that no header can carry, such as one with a snowman; - a peer's or a seed's address goes to the datagram socket and to the reader of peers' state in the same way (read); - an entry of a service that the configuration does not name, with an address that answers, was probed and counted as proof that this host reaches upstreams (seen in the new test: 1 connection).

Change: `parseAddress` is the one reader of addresses and returns a result; the codec of announcements refuses what it refuses, and names that are no header text, with a log line and a count (`upstream_changes`, `unreadable`). Only upstreams of services in the configuration are probed.

--- a/src/entry/_connectionProbe.ts
+++ b/src/entry/_connectionProbe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { connect } from "node:net";
-import { afterPolling, splitAddress } from "../transport/index.js";
+import { afterPolling, parseAddress } from "../transport/index.js";
 
 /** Connecting within a region takes a few milliseconds. */
 const PROBE_TIMEOUT_MILLISECONDS = 250;
@@ -21,8 +21,12 @@
  * ```
  */
 export function canConnect(address: string): Promise<boolean> {
+    const parsed = parseAddress(address);
+    if (parsed.isErr()) {
+        return Promise.resolve(false);
+    }
     return new Promise(resolve => {
-        const socket = connect(splitAddress(address));
+        const socket = connect(parsed.value);
         const timer = setTimeout(() => afterPolling(() => finish(false)), PROBE_TIMEOUT_MILLISECONDS);
         const finish = (isConnected: boolean): void => {
             clearTimeout(timer);
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -291,6 +291,7 @@
             acts: this.#acts,
             contact: this.#upstreams.contact,
             view: this.#upstreams.view,
+            isServed: service => this.#store.configuration.table?.service(service) !== undefined,
             onChanged: () => {
                 this.#pacedDigests.request();
                 this.#forwarder.wakeAll();
--- a/src/entry/partitionWatch.ts
+++ b/src/entry/partitionWatch.ts
@@ -25,6 +25,8 @@
     readonly metrics: EntryMetrics;
     readonly random: RandomSource;
     readonly readClock: () => number;
+    /** Returns whether the configuration in force names a service; others are no sign that callers can be served. */
+    readonly isServed: (service: string) => boolean;
     /** The host became partitioned, or is no longer. */
     readonly onChanged: () => void;
 }
@@ -81,8 +83,8 @@
         if (this.#isProbing || now - this.#probedAtMilliseconds < PROBE_INTERVAL_MILLISECONDS) {
             return;
         }
-        const { contact, random, view } = this.#options;
-        const targets = chooseProbeTargets(view.all(), random);
+        const { contact, isServed, random, view } = this.#options;
+        const targets = chooseProbeTargets(view.all().filter(({ service }) => isServed(service)), random);
         if (targets.length === 0) {
             return;
         }
--- a/src/entry/store/fetchState.ts
+++ b/src/entry/store/fetchState.ts
@@ -6,7 +6,7 @@
 import { get } from "node:http";
 import { type SharedState, sharedStateSchema } from "../../generated/gossip.js";
 import { parseJson } from "../../platform/parseJson.js";
-import { readLimited } from "../../transport/index.js";
+import { parseAddress, readLimited } from "../../transport/index.js";
 
 /** A request that receives no data for this long is aborted. */
 const IDLE_TIMEOUT_MILLISECONDS = 1_000;
@@ -33,6 +33,9 @@
  * ```
  */
 export function fetchState(address: string): Promise<SharedState | undefined> {
+    if (parseAddress(address).isErr()) {
+        return Promise.resolve(undefined);
+    }
     return new Promise(resolve => {
         const request = get(`http://${address}${STATE_PATH}`, { agent: false }, answer => {
             readLimited(answer, MAXIMUM_STATE_BYTES).then(text => {
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -5,7 +5,7 @@
  */
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
-import { splitAddress } from "../transport/index.js";
+import { parseAddress } from "../transport/index.js";
 import { type Acts } from "./actQueue.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
@@ -90,7 +90,7 @@
         this.#options = options;
         this.#request = sendRequest({
             agent: options.agent,
-            ...splitAddress(options.address),
+            ...parseAddress(options.address).unwrap(),
             method: options.method,
             path: options.path,
             setHost: false,
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -118,6 +118,7 @@
                 revision: entry.revision,
                 detail: decoded.error.message,
             });
+            this.#options.metrics.count("upstream_changes", { change: "unreadable" });
             return;
         }
         const previous = this.view.get(id);
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -43,7 +43,7 @@
     versionCopyRequestSchema,
 } from "../generated/gossip.js";
 import { parseJson } from "../platform/parseJson.js";
-import { splitAddress } from "../transport/index.js";
+import { parseAddress } from "../transport/index.js";
 import { FIRST_TOLERANT_FORMAT, formsFor, provedFormat } from "./messageFormats.js";
 import { PacedSender } from "./pacedSender.js";
 import { PeerFormats } from "./peerFormats.js";
@@ -348,7 +348,12 @@
     }
 
     #sendDatagram(bytes: Buffer, address: string): void {
-        const { host, port } = splitAddress(address);
+        const parsed = parseAddress(address);
+        if (parsed.isErr()) {
+            this.#options.onProblem({ reason: "socket", detail: parsed.error });
+            return;
+        }
+        const { host, port } = parsed.value;
         this.#socket.send(bytes, port, host, error => {
             if (error !== null) {
                 this.#options.onProblem({ reason: "socket", detail: error.message });
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -66,7 +66,10 @@
         labels: ["change"],
     },
     version_changes: { help: "Changes of the record of the versions at which streams may have begun.", labels: [] },
-    upstream_changes: { help: "Changes of the upstreams in view.", labels: ["change"] },
+    upstream_changes: {
+        help: "Changes of the upstreams in view, and announcements that name none.",
+        labels: ["change"],
+    },
     store_restores: {
         help:
             "Times that the key-value service came back from an older copy of itself, by whether this host held engines.",
--- a/src/partitions/chooseProbeTargets.ts
+++ b/src/partitions/chooseProbeTargets.ts
@@ -12,7 +12,7 @@
 /**
  * Returns random upstreams, of as many services as possible: all upstreams of one service may be gone at once.
  *
- * @param upstreams All known upstreams.
+ * @param upstreams The upstreams to choose from.
  * @param random Source of random numbers.
  *
  * @example
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -13,7 +13,7 @@
  */
 export { afterPolling } from "./afterPolling.js";
 export { describeError, failedBeforeSending, isTimeoutError } from "./failures.js";
+export { type HostAndPort, parseAddress } from "./parseAddress.js";
 export { readLimited } from "./readLimited.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
-export { type HostAndPort, splitAddress } from "./splitAddress.js";
 export { TrackedConnections } from "./trackedConnections.js";
--- a/tests/support/keptBuilds.ts
+++ b/tests/support/keptBuilds.ts
@@ -10,7 +10,7 @@
 import { type FormatNotice } from "../../src/generated/gossip.js";
 import { type GossipLink, type GossipLinkOptions, type GossipMessage } from "../../src/gossip/index.js";
 import { parseJson } from "../../src/platform/parseJson.js";
-import { splitAddress } from "../../src/transport/index.js";
+import { parseAddress } from "../../src/transport/index.js";
 import { type RecordedExamples } from "./messageRecorder.js";
 import { MessageSchema } from "./messageSchema.js";
 
@@ -78,7 +78,7 @@
             }
             const bytes = JSON.stringify(schema.keepKnownFields(definition, message));
             for (const address of addresses) {
-                const { host, port } = splitAddress(address);
+                const { host, port } = parseAddress(address).unwrap();
                 socket.send(bytes, port, host);
             }
         },
--- a/tests/support/pollRelay.ts
+++ b/tests/support/pollRelay.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, request as sendRequest, type Server } from "node:http";
 import { type AddressInfo } from "node:net";
-import { splitAddress } from "../../src/transport/index.js";
+import { parseAddress } from "../../src/transport/index.js";
 
 const LOOPBACK = "127.0.0.1";
 const POLL_PATH = "/kv-watch";
@@ -23,7 +23,7 @@
     #held: (() => void)[] = [];
 
     private constructor(targetAddress: string) {
-        this.#target = splitAddress(targetAddress);
+        this.#target = parseAddress(targetAddress).unwrap();
         this.#server = createServer((message, response) => {
             const { headers, method, url = "" } = message;
             this.calls.push(url);
