Forward no answer whose status promises that the request did not run

The host passed 503 on, which promises the client that the order has not run and never will, so the client sent it again under another id, and it ran twice.

Cause: `checkHead` took any answer with a receipt and the request's own id for one to forward, unless it was a server error that may be retried elsewhere; what the status then tells the caller was looked at nowhere. 429 and 408 were passed on in the same way, also for requests that may run again, without another try.

Ruled out: the two other ways to such a status. `RequestEnding.refuse` gives 502 once an attempt may have run, and `Forwarder` rejects before anything is sent. The older half of the product maps statuses to failures of its own.

Change: an answer with 408, 421, 429 or 503 that does not prove its promise is the upstream's failure. What may be repeated goes to another upstream, all else ends with the host's 502, which promises nothing.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -14,6 +14,9 @@
 const STATUS_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
 
+/** Statuses that promise a caller that its request did not run and never will: 408, 421, 429 and 503. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE]);
+
 /** Properties of a request against which its answer is checked. */
 export interface AnswerExpectation {
     readonly requestId: string;
@@ -44,7 +47,8 @@
 }
 
 /**
- * Checks the head of an answer against its request.
+ * Checks the head of an answer against its request. An answer whose status promises that the request did not run is
+ * never forwarded: the host gives that promise itself, where it is proved.
  *
  * @param head The head.
  * @param expectation Properties of the request.
@@ -64,7 +68,7 @@
     if (isForOtherRequest || (isSuccess(head) && !hasReceipt) || head.headers["content-encoding"] !== undefined) {
         return "invalid-answer";
     }
-    if (expectation.answerBegun && !isSuccess(head)) {
+    if (PROMISES_NOT_RUN.has(head.status) || (expectation.answerBegun && !isSuccess(head))) {
         return "upstream-error";
     }
     return isServerError(head) && (!hasReceipt || expectation.mayRetryError()) ? "upstream-error" : undefined;
