Take nothing that an upstream says of another request as proof that this one did not run

Cause: `checkHead` looked at the header that says "not run", and at status 421, before it compared the identifiers of request and answer.

Change: an answer that does not name this request is no valid answer to it, whatever it says; the connection is closed, and what may be repeated is.

Tests: the table in src/entry/_answerHead.test.ts now asks for the own identifier in a proof (two of four failed before: another's 200 with "not run"), and an order over a real host in tests/falsePromises.test.ts (failed before: the order ran at both upstreams); all pass.

--- a/src/entry/_answerHead.test.ts
+++ b/src/entry/_answerHead.test.ts
@@ -65,8 +65,8 @@
 }
 
 /** Returns whether the upstream said in its answer to this request that it did not run it. */
-function isProof({ isNotRun, status }: AnswerCase): boolean {
-    return isNotRun || status === 421;
+function isProof({ id, isNotRun, status }: AnswerCase): boolean {
+    return id === OWN_ID && (isNotRun || status === 421);
 }
 
 describe("each answer of an upstream", () => {
@@ -77,6 +77,7 @@
         }
     });
 
+    // Guards against a late second answer to one request that counts as the answer to the next one, which then runs twice.
     test("counts as proof that the request did not run only where the upstream says so", () => {
         for (const answer of listCases()) {
             const failure = failureOf(answer);
--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -47,8 +47,9 @@
 }
 
 /**
- * Checks the head of an answer against its request. An answer whose status promises that the request did not run is
- * never forwarded: the host gives that promise itself, where it is proved.
+ * Checks the head of an answer against its request. An upstream may send a second answer to an earlier request, so an
+ * answer that does not name this one proves nothing of it. An answer whose status promises that the request did not run
+ * is never forwarded: the host gives that promise itself, where it is proved.
  *
  * @param head The head.
  * @param expectation Properties of the request.
@@ -60,12 +61,14 @@
     expectation: AnswerExpectation,
     names: HeaderNames,
 ): AttemptFailure | undefined {
+    if (head.headers[names.requestId] !== expectation.requestId) {
+        return "invalid-answer";
+    }
     if (head.headers[names.notRun] !== undefined || head.status === STATUS_MISDIRECTED) {
         return classifyNotRun(head, expectation, names);
     }
     const hasReceipt = head.headers[names.receipt] !== undefined;
-    const isForOtherRequest = head.headers[names.requestId] !== expectation.requestId;
-    if (isForOtherRequest || (isSuccess(head) && !hasReceipt) || head.headers["content-encoding"] !== undefined) {
+    if ((isSuccess(head) && !hasReceipt) || head.headers["content-encoding"] !== undefined) {
         return "invalid-answer";
     }
     if (PROMISES_NOT_RUN.has(head.status) || (expectation.answerBegun && !isSuccess(head))) {
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -359,6 +359,7 @@
         this.#recordDeadlyArrival(request);
         if (request.headers["flamingospread-expect-instance"] !== this.id || !this.#isResident(request)) {
             response.writeHead(421, {
+                "Flamingospread-Request-Id": request.id,
                 "Flamingospread-Instance-Id": this.id,
                 "Flamingospread-Not-Executed": "1",
                 ...this.#limitHeaders(),
@@ -415,6 +416,7 @@
                 break;
             case "not-run":
                 response.writeHead(behaviour.status, {
+                    "Flamingospread-Request-Id": request.id,
                     "Flamingospread-Not-Executed": "1",
                     ...this.#limitHeaders(),
                     ...behaviour.headers,
--- a/tests/falsePromises.test.ts
+++ b/tests/falsePromises.test.ts
@@ -69,3 +69,15 @@
     const answer = await callHost(host, { path: "/reads/1", id });
     assert.deepEqual([answer.status, ranOf(answer), runsOf(id)], [502, "may-have-run", 2]);
 });
+
+// Guards against orders that run twice since a second answer to an earlier request says that it did not run.
+test("an order at whose turn an answer to an earlier request says that it did not run is sent to no other upstream", async () => {
+    for (const earlier of ["promised-0", undefined]) {
+        for (const status of [421, 429, 503]) {
+            const headers = { "Flamingospread-Request-Id": earlier ?? "", "Flamingospread-Not-Executed": "1" };
+            const id = scriptRequest({ type: "answer", status, headers });
+            const answer = await callHost(host, { path: "/orders/1", method: "POST", id });
+            assert.deepEqual([answer.status, ranOf(answer), runsOf(id)], [502, "may-have-run", 1], `status ${status}`);
+        }
+    }
+});
