Pass on an answer that has no body by its status or method

Cause: an answer without a length and without chunks was taken for one that ends with its connection. One with 204 or 304, or to HEAD, has no body and needs no length. It ends at once, its connection goes back to the agent, which takes the socket from it, and the immediate that looks at that socket later throws outside of any request's scope.

Change: what has a body is decided in one place (`hasBody`), for answers of upstreams and those to callers, which now name no length for 204 and 304 either. The probe for a reset keeps the socket that it has put its question to.

--- a/src/entry/exchange/callerAnswer.test.ts
+++ b/src/entry/exchange/callerAnswer.test.ts
@@ -32,7 +32,7 @@
         response,
         requestId: "request",
         requestIdHeader: "request-id",
-        isHead: message.method === "HEAD",
+        method: message.method ?? "GET",
         closesConnection: () => message.url === "/last",
         readClock: () => 0,
     });
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -5,6 +5,7 @@
  */
 import { type ServerResponse } from "node:http";
 import { type CompleteEvents } from "../../forwarding/index.js";
+import { hasBody } from "../_hasBody.js";
 import { type AnswerHead } from "../upstreamCall.js";
 import { passThroughHeaders } from "./forwardedHeaders.js";
 
@@ -31,7 +32,8 @@
     readonly response: ServerResponse;
     readonly requestId: string;
     readonly requestIdHeader: string;
-    readonly isHead: boolean;
+    /** Method of the request. */
+    readonly method: string;
     /** Decides, when the head is written, whether the answer is the last one of its connection. */
     readonly closesConnection: (hasLength: boolean) => boolean;
     readonly readClock: () => number;
@@ -94,7 +96,7 @@
     /** Forwards an upstream's complete answer. */
     forwardWhole(head: AnswerHead, body: Buffer): void {
         const headers = passThroughHeaders(head.rawHeaders, NO_CONTENT_LENGTH);
-        const length = this.#options.isHead ? [] : ["Content-Length", String(body.length)];
+        const length = hasBody(head.status, this.#options.method) ? ["Content-Length", String(body.length)] : [];
         this.#options.response.writeHead(head.status, [...headers, ...length, ...this.#closingHeaders(true)]);
         this.#firstByteAtMilliseconds = this.#options.readClock();
         this.#begun = true;
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -45,7 +45,7 @@
         response,
         requestId,
         requestIdHeader: context.headers.requestId,
-        isHead: message.method === "HEAD",
+        method: message.method ?? "GET",
         closesConnection: hasLength => closesConnection({ isWanted: context.closesConnections(), hasLength }),
         readClock: () => context.readClock(),
     });
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -6,6 +6,7 @@
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
 import { parseAddress } from "../transport/index.js";
+import { hasBody } from "./_hasBody.js";
 import { type Acts } from "./actQueue.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
@@ -63,9 +64,10 @@
     readonly mayHaveSent: boolean;
 }
 
-/** Returns whether an answer has neither a length nor chunked framing, so that only closing its connection ends it. */
-function endsAtConnectionClose(answer: IncomingMessage): boolean {
-    return answer.headers["content-length"] === undefined && answer.headers["transfer-encoding"] === undefined;
+/** Returns whether an answer has a body without a length or chunks, so that only closing its connection ends it. */
+function endsAtConnectionClose({ headers, statusCode = 0 }: IncomingMessage, method: string): boolean {
+    const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    return !isFramed && hasBody(statusCode, method);
 }
 
 /**
@@ -189,15 +191,17 @@
             return;
         }
         this.#answer = answer;
-        if (endsAtConnectionClose(answer)) {
-            probeResetAtEnd(answer.socket);
+        const { socket } = answer;
+        const endsAtClose = endsAtConnectionClose(answer, this.#options.method);
+        if (endsAtClose) {
+            probeResetAtEnd(socket);
         }
         answer.on("data", (chunk: Buffer) => {
             if (!this.#settled) {
                 this.#options.onData(chunk);
             }
         });
-        answer.on("end", () => endsAtConnectionClose(answer) ? this.#finishAtClose(answer) : this.#finish(answer));
+        answer.on("end", () => endsAtClose ? this.#finishAtClose(answer, socket) : this.#finish(answer));
         answer.on("error", error => this.#fail("connection-lost", error.message));
         answer.on("aborted", () => this.#fail("connection-lost", "connection aborted during the answer"));
         this.#options.onHead({
@@ -217,17 +221,14 @@
         }
     }
 
-    /** Waits one event loop iteration for the outcome of the reset probe. */
-    #finishAtClose(answer: IncomingMessage): void {
+    /** Waits one event loop iteration for the outcome of the reset probe. An answer that has ended has no socket. */
+    #finishAtClose(answer: IncomingMessage, socket: Socket): void {
         setImmediate(() => {
-            if (answer.socket.errored === null) {
+            if (socket.errored === null) {
                 this.#finish(answer);
             }
             else {
-                this.#fail(
-                    "connection-lost",
-                    `connection reset at the end of the answer: ${answer.socket.errored.message}`,
-                );
+                this.#fail("connection-lost", `connection reset at the end of the answer: ${socket.errored.message}`);
             }
         });
     }
