Keep a host running when a task that nobody waits for throws

Some 20 asynchronous steps of an entry host are started without anybody who hears of a throw, and a rejection without a handler ends the process.

Cause: `void this.#step()`. Where the process survived, some of these steps would still have been lost for good: a flag that says "is running" stayed set (probe, three writers, two readers), the session's next step and the mirror's next listing were never scheduled, and an engine waited for a report that was no more asked for.

Change: `runInBackground` names the step in the log (`background task failed`) and ends nothing else. Used in all such places of the entry host but the act queue's question, which catches all that it calls.

Ruled out as a cure: a handler for the whole process alone. It keeps the process, and leaves the flags set.

--- a/src/entry/_streamJournalWriter.ts
+++ b/src/entry/_streamJournalWriter.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type BegunStream, type StreamJournalRecord } from "../generated/gossip.js";
-import { type Logger } from "../observability/index.js";
+import { type Logger, runInBackground } from "../observability/index.js";
 import { entryAfterSwap } from "../platform/entryAfterSwap.js";
 import { type KeyValueService } from "../platform/index.js";
 import { type DueEntry, StreamJournal } from "../streamVersions/index.js";
@@ -91,7 +91,10 @@
 
     #schedule(milliseconds: number): void {
         if (!this.#closed && !this.#isWriting) {
-            this.#timer ??= setTimeout(() => void this.#writeDue(), milliseconds);
+            this.#timer ??= setTimeout(
+                () => runInBackground(this.#options.logger, "journal of streams", () => this.#writeDue()),
+                milliseconds,
+            );
         }
     }
 
@@ -99,11 +102,16 @@
         this.#timer = undefined;
         this.#isWriting = true;
         this.#wroteAtMilliseconds = this.#options.readClock();
-        const isWritten = await this.#write();
-        this.#isWriting = false;
-        if (this.#journal.hasDue) {
-            const now = this.#options.readClock();
-            this.#schedule(isWritten ? this.#delayMilliseconds(now) : RETRY_DELAY_MILLISECONDS);
+        let isWritten = false;
+        try {
+            isWritten = await this.#write();
+        }
+        finally {
+            this.#isWriting = false;
+            if (this.#journal.hasDue) {
+                const now = this.#options.readClock();
+                this.#schedule(isWritten ? this.#delayMilliseconds(now) : RETRY_DELAY_MILLISECONDS);
+            }
         }
     }
 
--- a/src/entry/_versionRecordWriter.ts
+++ b/src/entry/_versionRecordWriter.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
+import { type Result } from "ts-results-es";
 import { rankByRendezvous } from "../decision/index.js";
 import { type UpstreamView } from "../fleet/index.js";
 import { type StreamVersionRecord, streamVersionRecordSchema } from "../generated/gossip.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type EntryMetrics, type Logger, runInBackground } from "../observability/index.js";
 import { entryAfterSwap } from "../platform/entryAfterSwap.js";
-import { type KeyValueEntry, type KeyValueService } from "../platform/index.js";
+import { type KeyValueEntry, type KeyValueService, type PlatformError, type SwapOutcome } from "../platform/index.js";
 import { renderReplacement } from "../platform/renderReplacement.js";
 import { type ResumableStreams } from "../routes/index.js";
 import { type ServiceVersions } from "../streamVersions/index.js";
@@ -63,7 +64,10 @@
     /** Schedules a write where the record needs a change. */
     check(): void {
         if (this.#timer === undefined && !this.#isWriting && this.#nextValue() !== undefined) {
-            this.#timer = setTimeout(() => void this.#write(), this.#delayMilliseconds());
+            this.#timer = setTimeout(
+                () => runInBackground(this.#options.logger, "record of stream versions", () => this.#write()),
+                this.#delayMilliseconds(),
+            );
         }
     }
 
@@ -104,11 +108,8 @@
         if (record === undefined || value === undefined) {
             return;
         }
-        const { keyValue, logger, metrics, onLaterEntry, recordEntry } = this.#options;
-        const expectedRevision = recordEntry()?.revision ?? 0;
-        this.#isWriting = true;
-        const swapped = await keyValue.compareAndSwap(VERSIONS_KEY, { expectedRevision, value });
-        this.#isWriting = false;
+        const { logger, metrics, onLaterEntry } = this.#options;
+        const swapped = await this.#replaceRecord(value);
         logger.info("stream versions recorded", {
             outcome: swapped.isOk() ? swapped.value.type : swapped.error.kind,
             versions: record.services.map(({ service, versions }) => `${service}: ${versions.join(", ")}`).join("; "),
@@ -122,4 +123,18 @@
             onLaterEntry(current);
         }
     }
+
+    async #replaceRecord(value: string): Promise<Result<SwapOutcome, PlatformError>> {
+        const { keyValue, recordEntry } = this.#options;
+        this.#isWriting = true;
+        try {
+            return await keyValue.compareAndSwap(VERSIONS_KEY, {
+                expectedRevision: recordEntry()?.revision ?? 0,
+                value,
+            });
+        }
+        finally {
+            this.#isWriting = false;
+        }
+    }
 }
--- a/src/entry/engines/engineOrders.ts
+++ b/src/entry/engines/engineOrders.ts
@@ -6,11 +6,18 @@
 import { type Acquisition, type ClockReading, type EngineDuties, type Succession } from "../../duties/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../../fleet/index.js";
 import { type EngineHolder } from "../../generated/gossip.js";
-import { type EntryMetrics, type LogFields, type Logger } from "../../observability/index.js";
+import {
+    describeThrown,
+    type EntryMetrics,
+    type LogFields,
+    type Logger,
+    runInBackground,
+} from "../../observability/index.js";
 import {
     type EngineOrder,
     type EngineRecord,
     ManagedEngine,
+    type OrderOutcome,
     type PlacementMove,
     type StoreLoadBound,
     storeLoadsPerEngine,
@@ -191,7 +198,7 @@
         this.#relinquishUnconfirmed();
         this.#options.duties.pendingSuccessions(this.#now()).forEach(this.#options.notifyPreviousHolder);
         if (this.#leaving && this.#options.serviceAnswers()) {
-            void this.#releaseAll();
+            this.#runInBackground("release of engines", () => this.#releaseAll());
             return;
         }
         this.#syncManagedEngines();
@@ -247,7 +254,10 @@
             const { engine } = acquisition;
             if (!this.#acquiring.has(engine)) {
                 this.#acquiring.add(engine);
-                void this.#writeHolder(acquisition, false).finally(() => this.#acquiring.delete(engine));
+                this.#runInBackground(
+                    "holder record",
+                    () => this.#writeHolder(acquisition, false).finally(() => this.#acquiring.delete(engine)),
+                );
             }
         }
     }
@@ -332,10 +342,13 @@
             return;
         }
         if (step.type === "read-report") {
-            void this.#readReport(managedEngine, announcement);
+            this.#runInBackground("engine report", () => this.#readReport(managedEngine, announcement));
             return;
         }
-        void this.#sendOrder(managedEngine, announcement, step, fencingNumber);
+        this.#runInBackground(
+            "engine order",
+            () => this.#sendOrder(managedEngine, announcement, step, fencingNumber),
+        );
     }
 
     /** Begins a move that the planner requested, unless the engine differs from what the plan assumed. */
@@ -398,12 +411,13 @@
         managedEngine.recordOrderSent(order, this.#now());
         this.#options.duties.recordOrder(managedEngine.engine, this.#now());
         const sentAtMilliseconds = this.#now();
-        const outcome = await control.order(
-            target,
-            order,
-            { holder: host, fencingNumber },
-            head => onAnswer(target, head, sentAtMilliseconds),
-        );
+        const outcome = await this.#callEngine<OrderOutcome>("unknown", () =>
+            control.order(
+                target,
+                order,
+                { holder: host, fencingNumber },
+                head => onAnswer(target, head, sentAtMilliseconds),
+            ));
         managedEngine.recordOrderOutcome(order, outcome, this.#now());
         const kind = order.adapter === undefined ? "weights" : "adapter";
         metrics.count("engine_orders", { operation: order.operation, kind, outcome });
@@ -427,7 +441,10 @@
         managedEngine.recordReportRequested();
         const { control, onAnswer } = this.#options;
         const sentAtMilliseconds = this.#now();
-        const report = await control.report(target, head => onAnswer(target, head, sentAtMilliseconds));
+        const report = await this.#callEngine(
+            undefined,
+            () => control.report(target, head => onAnswer(target, head, sentAtMilliseconds)),
+        );
         managedEngine.recordReport(report, this.#now());
         this.#options.logger.info("engine report read", {
             engine: managedEngine.engine,
@@ -437,6 +454,21 @@
         this.#advance(managedEngine);
     }
 
+    /** Calls an engine; a call that throws has the outcome of one without an answer, so that the engine is not stuck. */
+    async #callEngine<Outcome>(withoutAnswer: Outcome, call: () => Promise<Outcome>): Promise<Outcome> {
+        try {
+            return await call();
+        }
+        catch (error) {
+            this.#options.logger.error("engine call failed", { detail: describeThrown(error) });
+            return withoutAnswer;
+        }
+    }
+
+    #runInBackground(task: string, step: () => Promise<unknown>): void {
+        runInBackground(this.#options.logger, task, step);
+    }
+
     /** Schedules the next step for the time when the next adapter load should be complete. */
     #advanceAfterAdapterLoad(managedEngine: ManagedEngine): void {
         const arrival = managedEngine.nextAdapterReadyMilliseconds;
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
+import { describeThrown } from "../../observability/index.js";
 import { hasCallerLeft } from "../connections/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type LookUpOutcome } from "../streamVersions.js";
@@ -309,8 +310,10 @@
             step();
         }
         catch (error) {
-            const detail = error instanceof Error ? error.stack : String(error);
-            this.#context.logger.error("request handling failed", { request: this.#parts.request.requestId, detail });
+            this.#context.logger.error("request handling failed", {
+                request: this.#parts.request.requestId,
+                detail: describeThrown(error),
+            });
             this.#ending.failBroken();
         }
     }
--- a/src/entry/partitionWatch.ts
+++ b/src/entry/partitionWatch.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import { type RandomSource } from "../decision/index.js";
-import { type UpstreamView } from "../fleet/index.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
+import { type EntryMetrics, type Logger, runInBackground } from "../observability/index.js";
 import { chooseProbeTargets, PartitionDetector, type UpstreamContact } from "../partitions/index.js";
 import { canConnect } from "./_connectionProbe.js";
 import { type Acts } from "./actQueue.js";
@@ -72,7 +72,7 @@
         const now = this.#now();
         contact.recordStep(now);
         if (contact.silentUpstreams(now).length > 0 || this.#isPartitioned) {
-            void this.#probe();
+            runInBackground(this.#options.logger, "probe of upstreams", () => this.#probe());
         }
         this.#decide();
     }
@@ -88,11 +88,8 @@
         if (targets.length === 0) {
             return;
         }
-        this.#isProbing = true;
         this.#probedAtMilliseconds = now;
-        const outcomes = await Promise.all(targets.map(({ address }) => canConnect(address)));
-        this.#isProbing = false;
-        if (outcomes.includes(true)) {
+        if (await this.#canConnectToAny(targets)) {
             contact.recordHeard(this.#now());
             this.#probesFailedAtMilliseconds = undefined;
         }
@@ -102,6 +99,17 @@
         this.#decide();
     }
 
+    async #canConnectToAny(targets: readonly UpstreamAnnouncement[]): Promise<boolean> {
+        this.#isProbing = true;
+        try {
+            const outcomes = await Promise.all(targets.map(({ address }) => canConnect(address)));
+            return outcomes.includes(true);
+        }
+        finally {
+            this.#isProbing = false;
+        }
+    }
+
     #decide(): void {
         const { contact, logger, metrics, onChanged } = this.#options;
         const now = this.#now();
--- a/src/entry/store/hostSession.ts
+++ b/src/entry/store/hostSession.ts
@@ -5,7 +5,7 @@
  */
 import { type ClockReading } from "../../duties/index.js";
 import { type HostAddresses, type HostRegistration } from "../../generated/gossip.js";
-import { type Logger } from "../../observability/index.js";
+import { type Logger, runInBackground } from "../../observability/index.js";
 import { type KeyValueService, type PlatformError } from "../../platform/index.js";
 
 /** The record of a host that crashed expires after this time. */
@@ -50,7 +50,7 @@
     }
 
     start(): void {
-        void this.#performStep();
+        this.#beginStep();
     }
 
     /** Ends the session after the host's record was removed, which the lease's renewals do not show. */
@@ -83,6 +83,18 @@
         }
     }
 
+    #beginStep(): void {
+        runInBackground(this.#options.logger, "session in the key-value service", async () => {
+            try {
+                await this.#performStep();
+            }
+            catch (error) {
+                this.#scheduleStep(RETRY_DELAY_MILLISECONDS);
+                throw error;
+            }
+        });
+    }
+
     async #performStep(): Promise<void> {
         if (this.#lease === undefined) {
             await this.#acquireLease();
@@ -97,7 +109,8 @@
 
     #scheduleStep(milliseconds: number): void {
         if (!this.#closed) {
-            this.#timer = setTimeout(() => void this.#performStep(), milliseconds);
+            clearTimeout(this.#timer);
+            this.#timer = setTimeout(() => this.#beginStep(), milliseconds);
         }
     }
 
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -7,6 +7,7 @@
 import { type UpstreamView } from "../../fleet/index.js";
 import { type HostDigest, type SharedState } from "../../generated/gossip.js";
 import { type PeerTable } from "../../gossip/index.js";
+import { runInBackground } from "../../observability/index.js";
 import { type KeyValueEntry } from "../../platform/index.js";
 import { type RouteTable } from "../../routes/index.js";
 import { addressesOf, type HostContext } from "../hostContext.js";
@@ -172,13 +173,13 @@
     /** Records that the wait after a restore is over, once it is, while the service answers. */
     recordSettledRestores(): void {
         if (!this.#options.context.isLeaving() && this.reachability.hasRecentAnswer()) {
-            void this.#restores.recordSettled();
+            runInBackground(this.#options.context.logger, "settled restore", () => this.#restores.recordSettled());
         }
     }
 
     /** Requests the shared state from peers where some is missing. */
     catchUp(): void {
-        void this.#stateFromPeers.catchUp();
+        runInBackground(this.#options.context.logger, "state from peers", () => this.#stateFromPeers.catchUp());
     }
 
     #now(): number {
--- a/src/entry/store/peerCatchUp.ts
+++ b/src/entry/store/peerCatchUp.ts
@@ -33,13 +33,22 @@
             return;
         }
         this.#isRunning = true;
+        try {
+            await this.#takeFromFirst(sources);
+        }
+        finally {
+            this.#isRunning = false;
+        }
+    }
+
+    /** Applies the state of the first source that has any. */
+    async #takeFromFirst(sources: readonly string[]): Promise<void> {
         for (const source of sources) {
             const state = await fetchState(source);
             if (state !== undefined && state.entries.length > 0) {
                 this.#options.applyEntries(state.entries, source);
-                break;
+                return;
             }
         }
-        this.#isRunning = false;
     }
 }
--- a/src/entry/store/storeMirror.ts
+++ b/src/entry/store/storeMirror.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Logger } from "../../observability/index.js";
+import { type Logger, runInBackground } from "../../observability/index.js";
 import {
     type ChangeReader,
     type KeyValueChanges,
@@ -21,6 +21,9 @@
 /** A watch that has not delivered a known later revision within this time, plus the batch time, is restarted. */
 const MAXIMUM_LAG_MILLISECONDS = 780;
 
+/** Names the listing in log lines. */
+const LISTING = "listing of the key-value service";
+
 /** Event of the mirror. */
 export type MirrorEvent =
     | { readonly type: "listed"; readonly entries: readonly KeyValueEntry[]; readonly revision: number; }
@@ -109,7 +112,7 @@
     }
 
     start(): void {
-        void this.#list();
+        this.#beginListing();
     }
 
     /** Applies changes that another host forwarded; skips known ones, and drops a batch that would leave a gap. */
@@ -194,7 +197,7 @@
     /** Ends the watch and lists again, since the service was restored and the copy may no longer match it. */
     relist(reason: string): void {
         this.#isRestored = true;
-        void this.#relist(reason);
+        runInBackground(this.#options.logger, LISTING, () => this.#relist(reason));
     }
 
     async close(): Promise<void> {
@@ -235,14 +238,30 @@
         return this.#list();
     }
 
+    #beginListing(): void {
+        runInBackground(this.#options.logger, LISTING, () => this.#list());
+    }
+
     /** Lists all keys; returns whether the service answered with them. */
     #list(): Promise<boolean> {
-        this.#listing ??= this.#listOnce().finally(() => {
+        this.#listing ??= this.#listOrRetry().finally(() => {
             this.#listing = undefined;
         });
         return this.#listing;
     }
 
+    /** Lists all keys; after an exception, what was not applied comes with another listing. */
+    async #listOrRetry(): Promise<boolean> {
+        try {
+            return await this.#listOnce();
+        }
+        catch (error) {
+            this.#dropListingChanges();
+            this.#scheduleRetry(() => this.#beginListing());
+            throw error;
+        }
+    }
+
     /** Watches from a listing's first page on, since the last page may come seconds later. */
     #beginListingChanges(revision: number): void {
         this.#closeWatch();
@@ -278,7 +297,7 @@
             });
             this.#dropListingChanges();
             this.#options.onEvent({ type: "contact", succeeded: false });
-            this.#scheduleRetry(() => void this.#list());
+            this.#scheduleRetry(() => this.#beginListing());
             return false;
         }
         this.#applyListing(listed.value);
@@ -343,7 +362,7 @@
                 });
                 if (event.historyLost === true) {
                     this.#listingChanges?.recordHistoryLost();
-                    void this.#list();
+                    this.#beginListing();
                     return;
                 }
                 this.#options.onEvent({ type: "contact", succeeded: false });
--- a/src/entry/store/storeRestores.ts
+++ b/src/entry/store/storeRestores.ts
@@ -3,12 +3,18 @@
  *
  * @module
  */
+import { type Result } from "ts-results-es";
 import { type EngineDuties } from "../../duties/index.js";
 import { type UpstreamView } from "../../fleet/index.js";
 import { settledRestoresSchema } from "../../generated/gossip.js";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
 import { entryAfterSwap } from "../../platform/entryAfterSwap.js";
-import { type KeyValueEntry, type KeyValueService } from "../../platform/index.js";
+import {
+    type KeyValueEntry,
+    type KeyValueService,
+    type PlatformError,
+    type SwapOutcome,
+} from "../../platform/index.js";
 import { parseJson } from "../../platform/parseJson.js";
 import { renderReplacement } from "../../platform/renderReplacement.js";
 
@@ -81,7 +87,7 @@
 
     /** Records that the wait is over, once it is. */
     async recordSettled(): Promise<void> {
-        const { duties, keyValue, logger, onLaterEntry, readClock, settledEntry } = this.#options;
+        const { duties, logger, onLaterEntry, readClock, settledEntry } = this.#options;
         const restores = this.#restores();
         if (restores === 0 || this.#isWriting || !duties.mayHold || duties.waitsForLostHolders(readClock())) {
             return;
@@ -95,10 +101,7 @@
             this.#reportUnreadable(known?.revision);
             return;
         }
-        this.#isWriting = true;
-        const expectedRevision = known?.revision ?? 0;
-        const swapped = await keyValue.compareAndSwap(RESTORES_KEY, { expectedRevision, value });
-        this.#isWriting = false;
+        const swapped = await this.#replaceRecord(known?.revision ?? 0, value);
         const outcome = swapped.isOk() ? swapped.value.type : swapped.error.kind;
         logger.info("restore settled", { restores, outcome });
         if (swapped.isOk()) {
@@ -109,6 +112,16 @@
         }
     }
 
+    async #replaceRecord(expectedRevision: number, value: string): Promise<Result<SwapOutcome, PlatformError>> {
+        this.#isWriting = true;
+        try {
+            return await this.#options.keyValue.compareAndSwap(RESTORES_KEY, { expectedRevision, value });
+        }
+        finally {
+            this.#isWriting = false;
+        }
+    }
+
     /** Logs once for each revision that the record cannot be read, and so is not written. */
     #reportUnreadable(revision: number | undefined): void {
         if (revision !== this.#unreadableRevision) {
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type Result } from "ts-results-es";
 import {
     type BegunStream,
     streamJournalRecordSchema,
@@ -11,7 +12,8 @@
     streamVersionRecordSchema,
 } from "../generated/gossip.js";
 import { type PeerTable } from "../gossip/index.js";
-import { type KeyValueEntry } from "../platform/index.js";
+import { runInBackground } from "../observability/index.js";
+import { type KeyValueEntry, type PlatformError } from "../platform/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import {
     BegunStreams,
@@ -308,7 +310,10 @@
     }
 
     #scheduleRead(milliseconds: number): void {
-        this.#readTimer ??= setTimeout(() => void this.#read(), milliseconds);
+        this.#readTimer ??= setTimeout(
+            () => runInBackground(this.#options.logger, "look-up of streams", () => this.#read()),
+            milliseconds,
+        );
     }
 
     /** Reads the record and the journal, for the look-ups that have begun so far. */
@@ -318,9 +323,7 @@
         if (reading.length === 0 || this.#isReading) {
             return;
         }
-        this.#isReading = true;
-        const listed = await this.#options.keyValue.list(STREAM_KEY_PREFIX);
-        this.#isReading = false;
+        const listed = await this.#listStreams();
         if (listed.isOk()) {
             listed.value.forEach(entry => this.#options.onLaterEntry(entry));
         }
@@ -332,6 +335,16 @@
         this.#scheduleRead(READ_INTERVAL_MILLISECONDS);
     }
 
+    async #listStreams(): Promise<Result<readonly KeyValueEntry[], PlatformError>> {
+        this.#isReading = true;
+        try {
+            return await this.#options.keyValue.list(STREAM_KEY_PREFIX);
+        }
+        finally {
+            this.#isReading = false;
+        }
+    }
+
     #endKnown(source: "peer" | "store"): void {
         for (const lookUp of [...this.#lookUps]) {
             const version = this.#versionOf(lookUp);
