Start a host once its predecessor has freed its addresses

Cause: each address was tried once, and any error of `listen` or `bind` ended the start.

Change: `retryWhileInUse` tries an address again every 50 ms while it is in use, for the grace period and 2 s, and logs `address in use` once; any other error still ends the start at once. A datagram socket that could not be bound is closed.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -7,6 +7,7 @@
 import { EngineDuties } from "../duties/index.js";
 import { SharedRetryBudget } from "../forwarding/index.js";
 import { PeerTable } from "../gossip/index.js";
+import { retryWhileInUse } from "../transport/index.js";
 import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { ActQueue } from "./actQueue.js";
@@ -35,7 +36,7 @@
     UrgentDigests,
 } from "./peers/index.js";
 import { RateLimiting } from "./rateLimiting.js";
-import { type EntrySettings } from "./settings.js";
+import { type EntrySettings, type ListenAddress } from "./settings.js";
 import { SiteDemand } from "./siteDemand.js";
 import { HostStore } from "./store/index.js";
 import { STREAM_KEY_PREFIX, StreamVersions } from "./streamVersions.js";
@@ -45,6 +46,9 @@
 /** A holder may send orders for this long after a successful renewal of its session. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
+/** Time beyond its grace period in which a process that leaves is ended. */
+const PREDECESSOR_END_MILLISECONDS = 2_000;
+
 /** A running entry host. */
 export interface EntryHost {
     /** Leaves the fleet: ends advertising, serves requests that still arrive, lets all requests finish, then closes. */
@@ -141,7 +145,8 @@
         const { logger } = this.#context;
         const { gossip, linkBytesPerSecond, zone } = this.#settings;
         logger.info("starting", { zone, callers: addressesOf(this.#settings).callers });
-        await this.#gossip.open(gossip, gossipBytesPerSecond(linkBytesPerSecond));
+        const bytesPerSecond = gossipBytesPerSecond(linkBytesPerSecond);
+        await this.#bindWhenFree(gossip, () => this.#gossip.open(gossip, bytesPerSecond));
         await this.#servers.start();
         this.#acts.start();
         this.#store.start();
@@ -379,6 +384,15 @@
             advertised: () => this.#peers.advertised(this.#now()),
             sharedState: () => this.#store.sharedState(),
             refreshGauges: () => this.#refreshGauges(),
+            bindWhenFree: (address, bind) => this.#bindWhenFree(address, bind),
+        });
+    }
+
+    /** Binds an address; a process that leaves there frees it within its grace period. */
+    #bindWhenFree<Bound>({ address, port }: ListenAddress, bind: () => Promise<Bound>): Promise<Bound> {
+        return retryWhileInUse(bind, {
+            limitMilliseconds: this.#settings.bounds.graceMilliseconds + PREDECESSOR_END_MILLISECONDS,
+            onInUse: () => this.#context.logger.warn("address in use", { address: `${address}:${port}` }),
         });
     }
 
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -11,7 +11,7 @@
 import { type CallerLimits } from "../routes/index.js";
 import { type ReadTimes } from "../staleness/index.js";
 import { type Acts } from "./actQueue.js";
-import { listen, startAuxiliaryServer } from "./auxiliaryServers.js";
+import { type AuxiliaryHandler, listen, startAuxiliaryServer } from "./auxiliaryServers.js";
 import {
     answerUnreadableRequests,
     type CallerConnection,
@@ -20,7 +20,7 @@
     type RequestHandler,
     type RequestProblem,
 } from "./connections/index.js";
-import { type EntrySettings } from "./settings.js";
+import { type EntrySettings, type ListenAddress } from "./settings.js";
 import { type AuxiliaryAnswer, type AuxiliaryCalls } from "./siteProtocol.js";
 import { STATE_PATH } from "./store/index.js";
 
@@ -52,6 +52,8 @@
     readonly sharedState: () => SharedState;
     /** Updates the gauges before they are rendered. */
     readonly refreshGauges: () => void;
+    /** Binds an address, once another process that leaves there has freed it. */
+    readonly bindWhenFree: <Bound>(address: ListenAddress, bind: () => Promise<Bound>) => Promise<Bound>;
 }
 
 /** Starts the servers one after another, and closes those that were started. */
@@ -81,15 +83,19 @@
         const { logger, settings } = this.#options;
         const { callers, directory, metrics, readiness, state } = settings();
         const onProblem = (problem: string): void => logger.warn("small call failed", { problem });
-        this.#callers = this.#createCallersServer();
-        this.#servers.push(await listen(this.#callers, callers));
-        this.#servers.push(await startAuxiliaryServer(readiness, url => this.#answerReadiness(url), onProblem));
-        this.#servers.push(await startAuxiliaryServer(directory, url => this.#answerOnCurrentView(url), onProblem));
-        this.#servers.push(await startAuxiliaryServer(state, url => this.#answerState(url), onProblem));
+        const start = async (address: ListenAddress, bind: () => Promise<Server>): Promise<void> => {
+            this.#servers.push(await this.#options.bindWhenFree(address, bind));
+        };
+        const startAuxiliary = (address: ListenAddress, handler: AuxiliaryHandler): Promise<void> =>
+            start(address, () => startAuxiliaryServer(address, handler, onProblem));
+        const callersServer = this.#createCallersServer();
+        this.#callers = callersServer;
+        await start(callers, () => listen(callersServer, callers));
+        await startAuxiliary(readiness, url => this.#answerReadiness(url));
+        await startAuxiliary(directory, url => this.#answerOnCurrentView(url));
+        await startAuxiliary(state, url => this.#answerState(url));
         if (metrics !== undefined) {
-            const render = (url: string): Promise<AuxiliaryAnswer | undefined> =>
-                this.#answerMetrics(url, metrics.path);
-            this.#servers.push(await startAuxiliaryServer(metrics, render, onProblem));
+            await startAuxiliary(metrics, url => this.#answerMetrics(url, metrics.path));
         }
     }
 
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -376,6 +376,12 @@
  */
 export async function openGossipLink(options: GossipLinkOptions): Promise<GossipLink> {
     const socket = createSocket({ type: "udp4", lookup: resolveToItself });
-    await bind(socket, options);
+    try {
+        await bind(socket, options);
+    }
+    catch (error) {
+        socket.close();
+        throw error;
+    }
     return new DatagramLink(options, socket);
 }
