Let nothing that happens while the program starts end it, and log each end

Each exception that nobody handled ended a running host, with a stack on standard error and no line in the log, so that a FAULT could not be told from a kill.

Cause: signals were handled once the host had started; the file was read once; nothing listened for uncaught errors.

A stop before the start says so and ends with 0.

Not covered: the time that Node.js takes before its first line of ours, in which a signal has its default effect.

--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -26,6 +26,7 @@
     repeats_denied: { help: "Further attempts that the shared budget had no room for.", labels: ["service"] },
     attempt_failures: { help: "Failed attempts by reason.", labels: ["reason"] },
     store_calls: { help: "Calls on the key-value service by outcome.", labels: ["call", "outcome"] },
+    uncaught_errors: { help: "Errors that nothing handled; the host went on.", labels: ["origin"] },
     read_gaps: {
         help: "Times that this host read nothing for so long that its view may have been too old.",
         labels: [],
--- /dev/null
+++ b/tests/programStart.test.ts
@@ -0,0 +1,131 @@
+/**
+ * What may happen to the program while it starts: none of it ends the process.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { after, before, test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { PlatformStoreStandIn } from "../standins/platform/store.js";
+import { type BundledProgram, bundleProgram, NODE_OPTIONS } from "./support/bundledProgram.js";
+import {
+    createEntrySettings,
+    type EntryProgram,
+    type EntryProgramSettings,
+    startEntryProgram,
+    waitUntilProgramReady,
+} from "./support/entryProgram.js";
+import { until } from "./support/entrySite.js";
+
+/** Time for which a port is taken, or a settings file is not whole. */
+const HINDERED_MILLISECONDS = 800;
+
+const CONFIGURATION = {
+    version: 1,
+    routes: [],
+    services: [],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+};
+
+let bundled: BundledProgram;
+let store: PlatformStoreStandIn;
+
+before(async () => {
+    bundled = await bundleProgram();
+    store = await PlatformStoreStandIn.start();
+    store.put("op/config", CONFIGURATION);
+});
+
+after(async () => {
+    bundled.close();
+    await store.close();
+});
+
+function start(context: TestContext, text: string): EntryProgram {
+    const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher]);
+    context.after(() => program.close());
+    return program;
+}
+
+/** Returns the messages of a program's log lines. */
+function messagesOf({ output }: EntryProgram): string[] {
+    return output().split("\n").filter(line => line.startsWith("{")).map(line => {
+        return (JSON.parse(line) as { readonly message: string; }).message;
+    });
+}
+
+/** Waits until a program is ready, or has ended. */
+async function assertReady(program: EntryProgram, settings: EntryProgramSettings): Promise<void> {
+    const ended = program.ended.then(code => assert.fail(`ended with code ${code}: ${program.output()}`));
+    await Promise.race([waitUntilProgramReady(settings), ended]);
+}
+
+async function end(program: EntryProgram): Promise<void> {
+    program.child.kill("SIGKILL");
+    await program.ended;
+}
+
+/** Takes a port as the host that is being replaced does, and gives it back after a while. */
+async function takePort(port: number): Promise<void> {
+    const holder = createServer(socket => socket.destroy());
+    await new Promise<void>(resolve => holder.listen(port, "127.0.0.1", resolve));
+    setTimeout(() => holder.close(), HINDERED_MILLISECONDS);
+}
+
+// Guards against a process that ends since its settings are read while their file is being replaced.
+test("a program whose settings file is not whole yet starts once it is", async context => {
+    const settings = await createEntrySettings(store.address);
+    for (const part of ["", settings.text.slice(0, settings.text.length / 2)]) {
+        const program = start(context, part);
+        await delay(HINDERED_MILLISECONDS);
+        writeFileSync(program.settingsPath, settings.text);
+        await assertReady(program, settings);
+        await end(program);
+    }
+});
+
+// Guards against a host that does not start at its address while its predecessor still leaves there.
+test("a program whose ports are still taken starts once they are free", async context => {
+    const settings = await createEntrySettings(store.address);
+    for (const port of [settings.callers, settings.directory, settings.readiness]) {
+        await takePort(port);
+        const program = start(context, settings.text);
+        await assertReady(program, settings);
+        assert.ok(messagesOf(program).includes("address in use"));
+        await end(program);
+    }
+});
+
+test("a program takes over the addresses of one that leaves", async context => {
+    const settings = await createEntrySettings(store.address);
+    const predecessor = start(context, settings.text);
+    await assertReady(predecessor, settings);
+    predecessor.child.kill("SIGTERM");
+    await delay(HINDERED_MILLISECONDS / 2);
+    const successor = start(context, settings.text);
+    assert.equal(await predecessor.ended, 0);
+    await until(() => messagesOf(successor).includes("started"), 10_000);
+});
+
+// Guards against a process that ends since it is told of changed settings before it has started.
+test("a program that is told of changed settings while it loads goes on", async context => {
+    const settings = await createEntrySettings(store.address);
+    const program = start(context, settings.text);
+    await until(() => program.output().includes("starting without compiled code"), 5_000);
+    for (let count = 0; count < 20; count += 1) {
+        program.child.kill("SIGHUP");
+        await delay(10);
+    }
+    await assertReady(program, settings);
+});
+
+test("a program that is told to stop while it starts says so and ends with code 0", async context => {
+    const settings = await createEntrySettings(store.address);
+    const program = start(context, settings.text);
+    await until(() => program.output().includes("starting without compiled code"), 5_000);
+    program.child.kill("SIGTERM");
+    assert.equal(await program.ended, 0);
+    assert.ok(messagesOf(program).some(message => message === "stopped" || message === "stopped before the start"));
+});
