Bound the memory of callers' bodies of all connections together

It goes over 350 MB in 2 s and is killed, with some 20 requests that it had passed on.

Cause: `readBody` bounded one body, and one connection what waits on it; nothing bounded all of them.

Change: `BodyBytes` counts the bytes of bodies from their arrival to the end of their answer, 128 MiB at most. Beyond it a request is refused at once, as not run and with a time to come back (`no-room-for-bodies`), before it is passed on.

Evidence: tests/callerBodies.test.ts, 44 callers with 4 MiB each: 44 bodies held before (failed); now at most 32, the others get 503 and never run, and there is room again after.

Ruled out: reserving by Content-Length, which callers that send slowly would hold without any memory.

--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -7,7 +7,13 @@
 import { type RequestTarget } from "./requestTarget.js";
 
 /** Why a request is rejected as it was read; its body is empty then. */
-export type RequestProblem = "body-too-large" | "headers-too-large" | "no-host" | "unknown-expectation";
+export type RequestProblem =
+    | "body-too-large"
+    | "headers-too-large"
+    | "no-host"
+    /** The host holds as many bytes of bodies as it may. */
+    | "no-room-for-bodies"
+    | "unknown-expectation";
 
 /** Options of the decision whether an answer is the last one of its connection. */
 export interface CloseDecisionOptions {
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -7,6 +7,7 @@
 import { type Duplex } from "node:stream";
 import { readBody } from "./_readBody.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
+import { type BodyBytes, type BodyReservation } from "./bodyBytes.js";
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
 
@@ -43,6 +44,8 @@
 
 /** Options of {@linkcode CallerConnection}. */
 export interface CallerConnectionOptions {
+    /** Bodies of all connections. */
+    readonly bodyBytes: BodyBytes;
     /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
     readonly isClosing: () => boolean;
     /** A request was read, and those before it on the connection were answered. */
@@ -56,6 +59,7 @@
 /** Reads a request, and calls back once; not at all if its caller leaves before it was read. */
 function readRequest(
     { bodyLimitBytes, message, problem }: ReceivedHead,
+    reservation: BodyReservation,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
     if (problem !== undefined) {
@@ -63,10 +67,13 @@
         onRead(NO_BODY, problem);
         return;
     }
-    readBody(message, bodyLimitBytes, body => {
+    readBody(message, { limitBytes: bodyLimitBytes, reservation }, body => {
         if (body === "too-large") {
             onRead(NO_BODY, "body-too-large");
         }
+        else if (body === "no-room") {
+            onRead(NO_BODY, "no-room-for-bodies");
+        }
         else if (body !== "caller-left") {
             onRead(body, undefined);
         }
@@ -130,8 +137,12 @@
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
         response.prependListener("finish", () => this.#handleAnswered(message));
-        response.on("close", () => this.#handleEnded(place));
-        readRequest(head, (body, problem) =>
+        const reservation = this.#options.bodyBytes.begin();
+        response.on("close", () => {
+            reservation.release();
+            this.#handleEnded(place);
+        });
+        readRequest(head, reservation, (body, problem) =>
             this.#handleRead(place, {
                 message,
                 response,
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -10,6 +10,7 @@
 import { type Acts } from "../actQueue.js";
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { Arrivals } from "./arrivals.js";
+import { BodyBytes } from "./bodyBytes.js";
 import { CallerConnection } from "./callerConnection.js";
 import { UnreadTimes } from "./unreadTimes.js";
 
@@ -52,6 +53,7 @@
     readonly #options: CallerConnectionsOptions;
     readonly #arrivals: Arrivals;
     readonly #unreadTimes: UnreadTimes;
+    readonly #bodyBytes = new BodyBytes();
     readonly #connections = new Map<Duplex, CallerConnection>();
     #bodyLimitBytes = DEFAULT_BODY_BYTES;
     #isClosing = false;
@@ -117,6 +119,7 @@
         }
         const { handler } = this.#options;
         const connection = new CallerConnection(socket, {
+            bodyBytes: this.#bodyBytes,
             isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
             refuseAfterLast: message => handler.refuseAfterLast(message),
--- a/src/entry/connections/unreadableRequestsTimeout.test.ts
+++ b/src/entry/connections/unreadableRequestsTimeout.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
 import { createEntryMetrics } from "../../observability/index.js";
+import { BodyBytes } from "./bodyBytes.js";
 import { CallerConnection } from "./callerConnection.js";
 import { HeaderLimit } from "./headerLimit.js";
 import { answerUnreadableRequests } from "./unreadableRequests.js";
@@ -32,6 +33,7 @@
         headerLimit: new HeaderLimit(server),
         connectionOf: socket => {
             const connection = connections.get(socket) ?? new CallerConnection(socket, {
+                bodyBytes: new BodyBytes(),
                 isClosing: () => false,
                 onTurn: doNothing,
                 refuseAfterLast: () => "",
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -17,6 +17,7 @@
     "body-too-large": 413,
     "headers-too-large": 431,
     "no-host": 400,
+    "no-room-for-bodies": STATUS_UNAVAILABLE,
     "unknown-expectation": 417,
 };
 
