--- a/tests/programStart.test.ts
+++ b/tests/programStart.test.ts
@@ -5,7 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { writeFileSync } from "node:fs";
-import { createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 import { after, before, test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
@@ -19,7 +19,7 @@
 } from "./support/entryProgram.js";
 import { until } from "./support/entrySite.js";
 
-/** Time for which a port is taken, or a settings file is not whole. */
+/** Time for which a settings file is not whole. */
 const HINDERED_MILLISECONDS = 800;
 
 const CONFIGURATION = {
@@ -67,11 +67,11 @@
     await program.ended;
 }
 
-/** Takes a port as the host that is being replaced does, and gives it back after a while. */
-async function takePort(port: number): Promise<void> {
+/** Takes a port as the host that is being replaced does. */
+async function takePort(port: number): Promise<Server> {
     const holder = createServer(socket => socket.destroy());
     await new Promise<void>(resolve => holder.listen(port, "127.0.0.1", resolve));
-    setTimeout(() => holder.close(), HINDERED_MILLISECONDS);
+    return holder;
 }
 
 // Guards against a process that ends since its settings are read while their file is being replaced.
@@ -90,10 +90,11 @@
 test("a program whose ports are still taken starts once they are free", async context => {
     const settings = await createEntrySettings(store.address);
     for (const port of [settings.callers, settings.directory, settings.readiness]) {
-        await takePort(port);
+        const holder = await takePort(port);
         const program = start(context, settings.text);
+        await until(() => messagesOf(program).includes("address in use"), 10_000);
+        holder.close();
         await assertReady(program, settings);
-        assert.ok(messagesOf(program).includes("address in use"));
         await end(program);
     }
 });
