Name the statuses that promise, and say the text of a thrown value in one place

No behaviour changes, but that the act queue falls back to an error's message where it has no stack.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -10,12 +10,19 @@
 
 const STATUS_OK_FIRST = 200;
 const STATUS_OK_LAST = 299;
+const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_MISDIRECTED = 421;
+const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
 
-/** Statuses that promise a caller that its request did not run and never will: 408, 421, 429 and 503. */
-const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE]);
+/** Statuses that promise a caller that its request did not run and never will. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([
+    STATUS_REQUEST_TIMEOUT,
+    STATUS_MISDIRECTED,
+    STATUS_TOO_MANY_REQUESTS,
+    STATUS_UNAVAILABLE,
+]);
 
 /** Properties of a request against which its answer is checked. */
 export interface AnswerExpectation {
--- a/src/entry/actQueue.ts
+++ b/src/entry/actQueue.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import { setTimeout as delay } from "node:timers/promises";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { describeThrown, type EntryMetrics, type Logger } from "../observability/index.js";
 import { READ_INTERVAL_MILLISECONDS, type ReadTimes, ViewConfirmations } from "../staleness/index.js";
 import { afterPolling } from "../transport/index.js";
 
@@ -175,8 +175,7 @@
     }
 
     #logFailure(error: unknown): void {
-        const detail = error instanceof Error ? error.stack : String(error);
-        this.#options.logger.error("act failed", { detail });
+        this.#options.logger.error("act failed", { detail: describeThrown(error) });
     }
 
     #runOnCurrentView(act: () => void): void {
