Show a host's memory beside its machine's, and count what is reserved

MemoryBudget is the one budget that every buffer is to draw on; no part does yet, so nothing is refused differently.

--- a/scripts/logs.test.ts
+++ b/scripts/logs.test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { listEntryMetrics } from "../src/observability/index.js";
 
-const FOLDERS = ["src/entry", "src/observability", "platform"];
+const FOLDERS = ["src/entry", "src/memory", "src/observability", "platform"];
 
 function withoutDocComments(source: string): string {
     return source.replaceAll(/^ *\*.*$/gm, "");
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -159,6 +159,7 @@
     reload(settings: EntrySettings): void {
         this.#context.logger.info("settings reloaded");
         this.#settings = settings;
+        this.#context.memory.setMachineBytes(settings.memoryBytes);
     }
 
     stop(): Promise<void> {
@@ -405,6 +406,7 @@
         this.#pacedDigests.requestRound();
         this.#engines.adapters.resendUses();
         this.#context.timeSpent.report(() => this.#gossip.takeDatagramSummary());
+        this.#context.memoryWatch.check();
         this.#store.recordSettledRestores();
         this.#store.catchUp();
     }
--- a/src/entry/hostContext.ts
+++ b/src/entry/hostContext.ts
@@ -7,6 +7,7 @@
 import { type ClockReading } from "../duties/index.js";
 import { type HostAddresses } from "../generated/gossip.js";
 import { type openGossipLink } from "../gossip/index.js";
+import { MemoryBudget, MemoryWatch } from "../memory/index.js";
 import { type EntryMetrics, type Logger, TimeSpent } from "../observability/index.js";
 import { type ChangeReader, type KeyValueService } from "../platform/index.js";
 import { ReadTimes } from "../staleness/index.js";
@@ -28,6 +29,8 @@
     readonly readClocks: () => ClockReading;
     /** Returns the processor time that this process has used, in microseconds. */
     readonly readProcessorMicroseconds: () => number;
+    /** Returns the resident memory of this process. */
+    readonly readResidentBytes: () => number;
     /** Names the build of this program; `unnamed` by default. */
     readonly build?: string;
     /** Opens the link to the other hosts; {@linkcode openGossipLink} by default. */
@@ -43,6 +46,9 @@
     /** When this host last read what had arrived. */
     readonly reads: ReadTimes;
     readonly timeSpent: TimeSpent;
+    /** The memory that all parts of this host draw on. */
+    readonly memory: MemoryBudget;
+    readonly memoryWatch: MemoryWatch;
     /** Returns the settings now in force. */
     readonly settings: () => EntrySettings;
     /** Returns the steady clock's reading, in milliseconds. */
@@ -64,9 +70,10 @@
  */
 export function createHostContext(options: EntryHostOptions, settings: () => EntrySettings): HostContext {
     const { host, zone } = options.settings;
-    const { logger, metrics, readProcessorMicroseconds } = options;
+    const { logger, metrics, readProcessorMicroseconds, readResidentBytes } = options;
     const lifecycle = new HostLifecycle();
     const readClock = (): number => options.readClocks().steadyMilliseconds;
+    const memory = new MemoryBudget({ machineBytes: options.settings.memoryBytes });
     return {
         ...options,
         build: options.build ?? UNNAMED_BUILD,
@@ -75,6 +82,8 @@
         lifecycle,
         reads: new ReadTimes(readClock()),
         timeSpent: new TimeSpent({ logger, metrics, readClock, readProcessorMicroseconds }),
+        memory,
+        memoryWatch: new MemoryWatch({ logger, memory, readResidentBytes }),
         settings,
         readClock,
         isLeaving: () => lifecycle.isLeaving,
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type PeerTable } from "../gossip/index.js";
+import { type MemoryBudget, type MemoryWatch } from "../memory/index.js";
 import { type EntryMetrics } from "../observability/index.js";
 import { type HostServers } from "./hostServers.js";
 import { type SiteDemand } from "./siteDemand.js";
@@ -18,6 +19,8 @@
     readonly servers: HostServers;
     readonly peers: PeerTable;
     readonly demand: SiteDemand;
+    readonly memory: MemoryBudget;
+    readonly memoryWatch: MemoryWatch;
     /** The build of this host. */
     readonly build: string;
     readonly readClock: () => number;
@@ -33,7 +36,7 @@
  * ```
  */
 export function refreshGauges(
-    { build, demand, metrics, peers, readClock, servers, store, upstreams }: GaugeSources,
+    { build, demand, memory, memoryWatch, metrics, peers, readClock, servers, store, upstreams }: GaugeSources,
 ): void {
     metrics.gauge("configuration_version", store.configuration.version);
     metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
@@ -43,6 +46,9 @@
     metrics.gauge("requests_open", servers.openRequestCount);
     metrics.gauge("peers_heard", peers.withRecentDigest(readClock()).length);
     metrics.gauge("prompt_bound_tokens", upstreams.backlog.limitTokens);
+    metrics.gauge("machine_memory_bytes", memory.machineBytes);
+    metrics.gauge("resident_memory_bytes", memoryWatch.readResidentBytes());
+    metrics.gaugeByLabel("reserved_memory_bytes", memory.reservedByUse());
     const builds = peers.countBuilds(readClock());
     metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -27,6 +27,8 @@
     readonly seeds: readonly string[];
     /** Capacity of this host's link, each way; `undefined` where not known. */
     readonly linkBytesPerSecond?: number | undefined;
+    /** Memory beyond which this host's process is killed; `undefined` where not known. */
+    readonly memoryBytes?: number | undefined;
     readonly bounds: EntryBounds;
 }
 
--- /dev/null
+++ b/src/memory/index.ts
@@ -0,0 +1,21 @@
+/**
+ * One budget of memory for all that a host holds, from the memory of its machine.
+ *
+ * @example
+ * ```ts
+ * import { MemoryBudget } from "./index.js";
+ *
+ * const budget = new MemoryBudget({ machineBytes: 350_000_000 });
+ * console.log(budget.budgetBytes, budget.hasRoomFor("requests", 4_194_304));
+ * ```
+ *
+ * @module
+ */
+export {
+    DEFAULT_MACHINE_BYTES,
+    MemoryBudget,
+    type MemoryBudgetOptions,
+    type MemoryReservation,
+    type MemoryUse,
+} from "./memoryBudget.js";
+export { MemoryWatch, type MemoryWatchOptions } from "./memoryWatch.js";
--- /dev/null
+++ b/src/memory/memoryBudget.test.ts
@@ -0,0 +1,56 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { MemoryBudget, type MemoryReservation } from "./index.js";
+
+const MEGABYTE = 1_000_000;
+
+test("the budget of a machine leaves room for the program", () => {
+    for (const megabytes of [160, 250, 350, 602]) {
+        const { budgetBytes } = new MemoryBudget({ machineBytes: megabytes * MEGABYTE });
+        assert.ok(budgetBytes > 0 && budgetBytes < (megabytes - 100) * MEGABYTE, `${megabytes} MB`);
+    }
+    assert.ok(new MemoryBudget({ machineBytes: 64 * MEGABYTE }).budgetBytes > 0);
+});
+
+test("requests find no room while answers still do", () => {
+    const budget = new MemoryBudget({ machineBytes: 350 * MEGABYTE });
+    const requests = budget.begin("requests");
+    const answers = budget.begin("answers");
+    const piece = Math.floor(budget.budgetBytes / 100);
+    while (requests.tryReserve(piece)) {
+        assert.ok(requests.bytes <= budget.budgetBytes);
+    }
+    assert.equal(answers.tryReserve(piece), true);
+    requests.release();
+    assert.equal(requests.tryReserve(piece), true);
+});
+
+test("memory that is in use already is counted beyond the budget", () => {
+    const budget = new MemoryBudget({ machineBytes: 350 * MEGABYTE });
+    const answers = budget.begin("answers");
+    answers.reserve(2 * budget.budgetBytes);
+    assert.equal(answers.tryReserve(1), false);
+    answers.release(2 * budget.budgetBytes);
+    assert.equal(answers.tryReserve(1), true);
+});
+
+test("what is reserved is the sum of what its holders hold, and within the budget, in any order", () => {
+    const step = fc.record({ holder: fc.nat(4), bytes: fc.nat(80 * MEGABYTE), releases: fc.boolean() });
+    fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+        const budget = new MemoryBudget({ machineBytes: 250 * MEGABYTE });
+        const holders: MemoryReservation[] = Array.from({ length: 5 }, () => budget.begin("requests"));
+        for (const { bytes, holder, releases } of steps) {
+            const reservation = holders[holder];
+            if (releases) {
+                reservation?.release(bytes);
+            }
+            else {
+                reservation?.tryReserve(bytes);
+            }
+            const heldBytes = holders.reduce((total, each) => total + each.bytes, 0);
+            assert.equal(budget.reservedBytes("requests"), heldBytes);
+            assert.ok(heldBytes <= budget.budgetBytes);
+        }
+    }));
+});
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -124,6 +124,8 @@
     brittle_upstreams: { help: "Upstreams that name how few rejections they tolerate." },
     limited_upstreams: { help: "Upstreams that name a rate limit." },
     requests_open: { help: "Requests being served." },
+    machine_memory_bytes: { help: "Memory beyond which the process is killed, from the settings." },
+    resident_memory_bytes: { help: "Resident memory of the process." },
     engines_held: { help: "Engines that this host gives orders to." },
     cells: { help: "Cells that the fleet is divided into." },
     cell_hosts: { help: "Hosts of this host's cell." },
@@ -135,6 +137,10 @@
 
 /** Gauges with one value for each value of a label. */
 const GAUGES_BY_LABEL = {
+    reserved_memory_bytes: {
+        help: "Memory that is reserved of the host's budget, by what it is reserved for.",
+        label: "use",
+    },
     hosts_by_build: {
         help: "Hosts of this host's cell by build, itself included; `earlier` tells no build.",
         label: "build",
--- a/tests/support/entrySite.ts
+++ b/tests/support/entrySite.ts
@@ -316,6 +316,7 @@
                 timeOfDayMilliseconds: Date.now(),
             }),
             readProcessorMicroseconds: () => 0,
+            readResidentBytes: () => 0,
             openLink,
         });
         const siteHost = { name: settings.host, settings, host, lines };
