Wait for a configuration that is on its way before asking a peer for it

Cause: a peer's digest that names a newer configuration was taken for proof that the change would not arrive by itself. Digests and changes leave at about the same time, so it mostly proves the opposite.

Change: while the service answers this host, it waits 300 to 600 ms from when it first sees that it lacks a version; each host draws its time. Where the service does not answer it, it asks at once, as before. Deadlines stand: a host that gets no changes has asked within 1 s.

Ruled out: asking a random peer (the load spreads, the requests stay needless).

--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -282,6 +282,8 @@
             configuration: this.configuration,
             entries: this.#entries,
             logger: context.logger,
+            random: context.random,
+            readClock: context.readClock,
             ownAddress: () => addressesOf(context.settings()).state,
             seeds: () => context.settings().seeds,
             isServiceReachable: () => this.reachability.reachable,
--- a/src/entry/store/stateFromPeers.ts
+++ b/src/entry/store/stateFromPeers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type RandomSource } from "../../decision/index.js";
 import { type Logger } from "../../observability/index.js";
 import { type KeyValueEntry } from "../../platform/index.js";
 import { type SiteKeys } from "../siteProtocol.js";
@@ -10,12 +11,25 @@
 import { PeerCatchUp } from "./peerCatchUp.js";
 import { type StoredEntries } from "./storedEntries.js";
 
+/** Changes that the key-value service or the cell is delivering arrive within this time after a peer's digest. */
+const DELIVERY_MILLISECONDS = 300;
+
+/** A configuration that a peer has and this host lacks. */
+interface LackedConfiguration {
+    /** Version of this host's configuration. */
+    readonly ownVersion: number;
+    /** Until then its delivery is awaited. */
+    readonly awaitedUntilMilliseconds: number;
+}
+
 /** Options of {@linkcode StateFromPeers}. */
 export interface StateFromPeersOptions {
     readonly keys: SiteKeys;
     readonly configuration: ConfigurationInForce;
     readonly entries: StoredEntries;
     readonly logger: Logger;
+    readonly random: RandomSource;
+    readonly readClock: () => number;
     /** Returns the state address of this host. */
     readonly ownAddress: () => string;
     /** Returns the state addresses of the settings. */
@@ -42,6 +56,7 @@
     readonly #options: StateFromPeersOptions;
     readonly #catchUp: PeerCatchUp;
     #isUpstreamsKnown = false;
+    #lacked: LackedConfiguration | undefined;
 
     constructor(options: StateFromPeersOptions) {
         this.#options = options;
@@ -72,8 +87,9 @@
         const { configuration, isServiceReachable, newerCellAddress, newerPeerAddress, seeds } = this.#options;
         const newerPeer = newerPeerAddress(configuration.version);
         if (newerPeer !== undefined) {
-            return [newerPeer];
+            return this.#isDeliveryAwaited() ? [] : [newerPeer];
         }
+        this.#lacked = undefined;
         const newerCell = newerCellAddress(configuration.version);
         if (newerCell !== undefined && !isServiceReachable()) {
             return [newerCell];
@@ -81,6 +97,24 @@
         return !this.#isUpstreamsKnown && !isServiceReachable() ? seeds() : [];
     }
 
+    /**
+     * Returns whether a newer configuration may be on its way, so that no peer is asked yet. Hosts wait for different
+     * times, so that those that ask do not all ask at once.
+     */
+    #isDeliveryAwaited(): boolean {
+        const { configuration, isServiceReachable, random, readClock } = this.#options;
+        if (!isServiceReachable()) {
+            return false;
+        }
+        if (this.#lacked?.ownVersion !== configuration.version) {
+            this.#lacked = {
+                ownVersion: configuration.version,
+                awaitedUntilMilliseconds: readClock() + DELIVERY_MILLISECONDS * (1 + random()),
+            };
+        }
+        return readClock() < this.#lacked.awaitedUntilMilliseconds;
+    }
+
     #applyEntries(entries: readonly KeyValueEntry[], source: string): void {
         const { configuration, keys, logger } = this.#options;
         logger.info("state taken from a peer", { source, entries: entries.length });
