Wait for a predecessor's addresses without a limit (FAULT)

What was seen: beside a predecessor that was stopped for 14 s and then killed, the new process ended with code 1 after the grace period and 2 s. While it waited for its directory's or readiness port, it took callers whom it could not serve. With its metrics port taken, it ended too.

Cause: the limit stood for the longest time in which a predecessor leaves, but the platform ends one that hangs some time later; the port for callers was bound first; metrics counted as much as callers.

Evidence: of the new tests of tests/programStart.test.ts four failed before: a stopped predecessor, no callers while another address is awaited, a metrics port in use or out of range, an address that the machine does not have (which ended at once, with the machine still booting).

Change: an address in use is tried until it is free, with a line every 5 s that tells the time waited; SIGTERM ends the wait with 0, close ends it too. One that the machine does not have is tried for 3 s, then the start fails as before; other errors fail at once. The callers' port is bound last: until then it is closed, and readiness and directory answer 503. Metrics are bound beside, and a host without them says so and serves. A retry leaves no listener on its server.

Ruled out: binding all addresses or none, which would reset connections at each try; the gossip port, bound first, already keeps two successors apart.

--- a/src/entry/auxiliaryServers.ts
+++ b/src/entry/auxiliaryServers.ts
@@ -62,10 +62,16 @@
  */
 export function listen(server: Server, { address, port }: ListenAddress): Promise<Server> {
     return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, address, () => {
-            server.removeListener("error", reject);
+        const handleListening = (): void => {
+            server.removeListener("error", handleError);
             resolve(server);
-        });
+        };
+        const handleError = (error: Error): void => {
+            server.removeListener("listening", handleListening);
+            reject(error);
+        };
+        server.once("error", handleError);
+        server.once("listening", handleListening);
+        server.listen(port, address);
     });
 }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -7,7 +7,7 @@
 import { EngineDuties } from "../duties/index.js";
 import { SharedRetryBudget } from "../forwarding/index.js";
 import { PeerTable } from "../gossip/index.js";
-import { retryWhileInUse } from "../transport/index.js";
+import { type BindObstacle, retryWhileInUse } from "../transport/index.js";
 import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
 import { ActQueue } from "./actQueue.js";
@@ -46,8 +46,10 @@
 /** A holder may send orders for this long after a successful renewal of its session. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
-/** Time beyond its grace period in which a process that leaves is ended. */
-const PREDECESSOR_END_MILLISECONDS = 2_000;
+const BIND_OBSTACLE_MESSAGES: Readonly<Record<BindObstacle, string>> = {
+    "in-use": "address in use",
+    "not-available": "address not available",
+};
 
 /** A running entry host. */
 export interface EntryHost {
@@ -86,6 +88,7 @@
     readonly #wakes: PacedWakes;
     readonly #agents = new UpstreamAgents();
     readonly #servers: HostServers;
+    readonly #closed = new AbortController();
     /** Resolves once the host has stopped; `undefined` before it is told to. */
     #stopped: Promise<void> | undefined;
 
@@ -182,6 +185,7 @@
 
     async close(): Promise<void> {
         this.#context.lifecycle.close();
+        this.#closed.abort();
         this.#acts.close();
         this.#digestRounds.close();
         this.#urgentDigests.close();
@@ -389,11 +393,15 @@
         });
     }
 
-    /** Binds an address; a process that leaves there frees it within its grace period. */
+    /** Binds an address, once a predecessor that leaves there, or hangs until it is killed, has freed it. */
     #bindWhenFree<Bound>({ address, port }: ListenAddress, bind: () => Promise<Bound>): Promise<Bound> {
         return retryWhileInUse(bind, {
-            limitMilliseconds: this.#settings.bounds.graceMilliseconds + PREDECESSOR_END_MILLISECONDS,
-            onInUse: () => this.#context.logger.warn("address in use", { address: `${address}:${port}` }),
+            signal: this.#closed.signal,
+            onWaiting: (obstacle, waitedMilliseconds) =>
+                this.#context.logger.warn(BIND_OBSTACLE_MESSAGES[obstacle], {
+                    address: `${address}:${port}`,
+                    waitedMilliseconds,
+                }),
         });
     }
 
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -7,7 +7,7 @@
 import { type Duplex } from "node:stream";
 import { type SharedState } from "../generated/gossip.js";
 import { type AdvertisedHost, selectAddresses } from "../gossip/index.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { describeThrown, type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
 import { type ReadTimes } from "../staleness/index.js";
 import { type Acts } from "./actQueue.js";
@@ -63,6 +63,7 @@
     readonly #connections: CallerConnections;
     #callers: Server | undefined;
     #headerLimit: HeaderLimit | undefined;
+    #isClosed = false;
 
     constructor(options: HostServersOptions) {
         this.#options = options;
@@ -75,27 +76,42 @@
     }
 
     /**
-     * Starts all servers.
+     * Starts all servers. The one for callers comes last: until it listens, the host is not ready, and callers that find
+     * its port closed turn to another host at once. No caller waits for the one for metrics.
      *
      * @throws Rejects where an address cannot be used; servers that were started run until `close`.
      */
     async start(): Promise<void> {
-        const { logger, settings } = this.#options;
-        const { callers, directory, metrics, readiness, state } = settings();
-        const onProblem = (problem: string): void => logger.warn("small call failed", { problem });
-        const start = async (address: ListenAddress, bind: () => Promise<Server>): Promise<void> => {
-            this.#servers.push(await this.#options.bindWhenFree(address, bind));
-        };
-        const startAuxiliary = (address: ListenAddress, handler: AuxiliaryHandler): Promise<void> =>
-            start(address, () => startAuxiliaryServer(address, handler, onProblem));
+        const { callers, directory, metrics, readiness, state } = this.#options.settings();
         const callersServer = this.#createCallersServer();
         this.#callers = callersServer;
-        await start(callers, () => listen(callersServer, callers));
-        await startAuxiliary(readiness, url => this.#answerReadiness(url));
-        await startAuxiliary(directory, url => this.#answerOnCurrentView(url));
-        await startAuxiliary(state, url => this.#answerState(url));
         if (metrics !== undefined) {
-            await startAuxiliary(metrics, url => this.#answerMetrics(url, metrics.path));
+            this.#startAuxiliary(metrics, url => this.#answerMetrics(url, metrics.path))
+                .catch((error: unknown) => this.#reportNoMetrics(error));
+        }
+        await this.#startAuxiliary(readiness, url => this.#answerReadiness(url));
+        await this.#startAuxiliary(directory, url => this.#answerOnCurrentView(url));
+        await this.#startAuxiliary(state, url => this.#answerState(url));
+        await this.#start(callers, () => listen(callersServer, callers));
+    }
+
+    async #start(address: ListenAddress, bind: () => Promise<Server>): Promise<void> {
+        const server = await this.#options.bindWhenFree(address, bind);
+        if (this.#isClosed) {
+            server.close();
+            return;
+        }
+        this.#servers.push(server);
+    }
+
+    #startAuxiliary(address: ListenAddress, handler: AuxiliaryHandler): Promise<void> {
+        const onProblem = (problem: string): void => this.#options.logger.warn("small call failed", { problem });
+        return this.#start(address, () => startAuxiliaryServer(address, handler, onProblem));
+    }
+
+    #reportNoMetrics(error: unknown): void {
+        if (!this.#isClosed) {
+            this.#options.logger.error("metrics not served", { detail: describeThrown(error) });
         }
     }
 
@@ -121,6 +137,7 @@
     }
 
     close(): void {
+        this.#isClosed = true;
         for (const server of this.#servers) {
             server.close();
             server.closeAllConnections();
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -16,5 +16,5 @@
 export { type HostAndPort, parseAddress } from "./parseAddress.js";
 export { readLimited } from "./readLimited.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
-export { retryWhileInUse, type RetryWhileInUseOptions } from "./retryWhileInUse.js";
+export { type BindObstacle, retryWhileInUse, type RetryWhileInUseOptions } from "./retryWhileInUse.js";
 export { TrackedConnections } from "./trackedConnections.js";
--- a/src/transport/retryWhileInUse.ts
+++ b/src/transport/retryWhileInUse.ts
@@ -1,56 +1,79 @@
 /**
- * Binds addresses that another process may still hold.
+ * Binds addresses that another process still holds, or that the machine does not have yet.
  *
  * @module
  */
 import { setTimeout as delay } from "node:timers/promises";
 
 const RETRY_INTERVAL_MILLISECONDS = 50;
-const ADDRESS_IN_USE = "EADDRINUSE";
+
+/** Interval at which a wait that goes on is reported. */
+const REPORT_INTERVAL_MILLISECONDS = 5_000;
+
+/** A machine that boots has its addresses within this time; an address that is not its own never comes. */
+const OWN_ADDRESS_MILLISECONDS = 3_000;
+
+/** Why an address cannot be bound yet. */
+export type BindObstacle =
+    /** Another process holds it. */
+    | "in-use"
+    /** The machine does not have it. */
+    | "not-available";
 
 /** Options of {@linkcode retryWhileInUse}. */
 export interface RetryWhileInUseOptions {
-    /** Time for which the address may be in use. */
-    readonly limitMilliseconds: number;
-    /** The address is in use; called once, before the wait. */
-    readonly onInUse: () => void;
+    /** Called before the wait and at intervals while it goes on, with the time waited. */
+    readonly onWaiting: (obstacle: BindObstacle, waitedMilliseconds: number) => void;
+    /** Ends the wait. */
+    readonly signal: AbortSignal;
 }
 
-/** Returns whether an error says that another process holds an address. */
-function isAddressInUse(error: unknown): boolean {
-    return error instanceof Error && (error as NodeJS.ErrnoException).code === ADDRESS_IN_USE;
+const OBSTACLES: ReadonlyMap<string | undefined, BindObstacle> = new Map([
+    ["EADDRINUSE", "in-use"],
+    ["EADDRNOTAVAIL", "not-available"],
+]);
+
+/** Returns why an address may be bound later; `undefined` where another try would fail too. */
+function passingObstacle(error: unknown, waitedMilliseconds: number): BindObstacle | undefined {
+    const obstacle = error instanceof Error ? OBSTACLES.get((error as NodeJS.ErrnoException).code) : undefined;
+    return obstacle === "not-available" && waitedMilliseconds >= OWN_ADDRESS_MILLISECONDS ? undefined : obstacle;
 }
 
 /**
- * Binds an address, and tries again while another process holds it, such as one that leaves there.
+ * Binds an address, and tries again while another process holds it, such as one that leaves there or is about to be
+ * killed, and for a few seconds while the machine does not have it.
  *
  * @param bind Binds the address.
- * @param options How long to try, and a callback for the first address in use.
+ * @param options A callback for the wait, and what ends it.
  * @returns What `bind` resolved to.
- * @throws Rejects with the error of `bind` where it is another one, or the address is in use beyond the limit.
+ * @throws Rejects with the error of `bind` where it is another one, or the machine does not get the address.
  *
  * @example
  * ```ts
- * const server = await retryWhileInUse(() => listen(createServer(), address), { limitMilliseconds: 8_000, onInUse });
+ * const server = await retryWhileInUse(() => listen(createServer(), address), { onWaiting, signal });
  * ```
  */
 export async function retryWhileInUse<Bound>(
     bind: () => Promise<Bound>,
-    { limitMilliseconds, onInUse }: RetryWhileInUseOptions,
+    { onWaiting, signal }: RetryWhileInUseOptions,
 ): Promise<Bound> {
-    const endMilliseconds = performance.now() + limitMilliseconds;
-    for (let isFirst = true;; isFirst = false) {
+    const startedAt = performance.now();
+    let reportedAt = -Infinity;
+    for (;;) {
         try {
             return await bind();
         }
         catch (error) {
-            if (!isAddressInUse(error) || performance.now() >= endMilliseconds) {
+            const now = performance.now();
+            const obstacle = passingObstacle(error, now - startedAt);
+            if (obstacle === undefined) {
                 throw error;
             }
+            if (now - reportedAt >= REPORT_INTERVAL_MILLISECONDS) {
+                reportedAt = now;
+                onWaiting(obstacle, Math.round(now - startedAt));
+            }
         }
-        if (isFirst) {
-            onInUse();
-        }
-        await delay(RETRY_INTERVAL_MILLISECONDS);
+        await delay(RETRY_INTERVAL_MILLISECONDS, undefined, { signal });
     }
 }
--- a/tests/programStart.test.ts
+++ b/tests/programStart.test.ts
@@ -8,6 +8,7 @@
 import { createServer, type Server } from "node:net";
 import { after, before, test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts } from "../standins/freePorts.js";
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
 import { type BundledProgram, bundleProgram, NODE_OPTIONS } from "./support/bundledProgram.js";
 import {
@@ -17,7 +18,7 @@
     startEntryProgram,
     waitUntilProgramReady,
 } from "./support/entryProgram.js";
-import { until } from "./support/entrySite.js";
+import { callAuxiliaryServer, until } from "./support/entrySite.js";
 
 /** Time for which a settings file is not whole. */
 const HINDERED_MILLISECONDS = 800;
@@ -43,8 +44,12 @@
     await store.close();
 });
 
-function start(context: TestContext, text: string): EntryProgram {
-    const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher]);
+function start(
+    context: TestContext,
+    text: string,
+    environment: Readonly<Record<string, string>> = {},
+): EntryProgram {
+    const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher], environment);
     context.after(() => program.close());
     return program;
 }
@@ -67,6 +72,11 @@
     await program.ended;
 }
 
+/** Asks a server of the program; `undefined` where it does not answer. */
+function callPort(port: number, path: string): Promise<{ readonly status: number; } | undefined> {
+    return callAuxiliaryServer({ address: "127.0.0.1", port }, path).catch(() => undefined);
+}
+
 /** Takes a port as the host that is being replaced does. */
 async function takePort(port: number): Promise<Server> {
     const holder = createServer(socket => socket.destroy());
@@ -99,6 +109,80 @@
     }
 });
 
+/** Longer than the grace period of 0 s, and the 2 s within which the platform ends a process after it. */
+const HANGING_MILLISECONDS = 3_500;
+
+// Guards against a host that ends, again at each restart, since its predecessor hangs until it is killed.
+test("a program whose predecessor is stopped waits until it is gone", async context => {
+    const settings = await createEntrySettings(store.address);
+    const text = settings.text.replace("bounds.graceS=4", "bounds.graceS=0");
+    const predecessor = start(context, text);
+    await assertReady(predecessor, settings);
+    predecessor.child.kill("SIGSTOP");
+    const successor = start(context, text);
+    await delay(HANGING_MILLISECONDS);
+    assert.equal(successor.child.exitCode, null, successor.output());
+    await end(predecessor);
+    await assertReady(successor, settings);
+});
+
+test("a program that waits for an address is told to stop and ends with code 0", async context => {
+    const settings = await createEntrySettings(store.address);
+    const holder = await takePort(settings.callers);
+    context.after(() => holder.close());
+    const program = start(context, settings.text);
+    await until(() => messagesOf(program).includes("address in use"), 10_000);
+    program.child.kill("SIGTERM");
+    assert.equal(await program.ended, 0);
+    assert.ok(messagesOf(program).includes("stopped before the start"));
+});
+
+// Guards against callers that are taken in, or directed to a host, before it can serve them.
+test("a program that waits for an address takes no callers and is not ready", async context => {
+    const settings = await createEntrySettings(store.address);
+    for (const port of [settings.callers, settings.directory, settings.readiness]) {
+        const holder = await takePort(port);
+        const program = start(context, settings.text);
+        await until(() => messagesOf(program).includes("address in use"), 10_000);
+        for (const [served, path] of [[settings.directory, "/resolve"], [settings.readiness, "/ready"]] as const) {
+            const answer = await callPort(served, path);
+            assert.ok(answer === undefined || answer.status === 503, JSON.stringify(answer));
+        }
+        if (port !== settings.callers) {
+            assert.equal(await callPort(settings.callers, "/"), undefined);
+        }
+        holder.close();
+        await assertReady(program, settings);
+        await end(program);
+    }
+});
+
+// Guards against a host that serves no callers since something else holds the port of its metrics.
+test("a program whose metrics cannot be served serves callers, and metrics once their port is free", async context => {
+    const settings = await createEntrySettings(store.address);
+    const [metricsPort] = await findFreePorts(1);
+    assert.ok(metricsPort !== undefined);
+    const holder = await takePort(metricsPort);
+    const program = start(context, settings.text, { FLAMINGOSPREAD_METRICS_PORT: String(metricsPort) });
+    await assertReady(program, settings);
+    assert.ok(messagesOf(program).includes("address in use"));
+    holder.close();
+    await until(async () => (await callPort(metricsPort, "/metrics"))?.status === 200, 5_000);
+    await end(program);
+    const withoutPort = start(context, settings.text, { FLAMINGOSPREAD_METRICS_PORT: "99999" });
+    await assertReady(withoutPort, settings);
+    assert.ok(messagesOf(withoutPort).includes("metrics not served"));
+});
+
+test("a program with an address that its machine does not have says so and ends", async context => {
+    const settings = await createEntrySettings(store.address);
+    const text = settings.text.replace(/^listen\.front=.*$/m, `listen.front=192.0.2.1:${settings.callers}`);
+    const program = start(context, text);
+    assert.equal(await program.ended, 1);
+    assert.ok(messagesOf(program).includes("address not available"));
+    assert.match(program.output(), /"detail":"Error: listen EADDRNOTAVAIL[^\n]*"message":"start failed"/);
+});
+
 test("a program takes over the addresses of one that leaves", async context => {
     const settings = await createEntrySettings(store.address);
     const predecessor = start(context, settings.text);
