Stop by SIGINT and SIGQUIT as by SIGTERM, and bear SIGUSR1 and SIGUSR2 (FAULT)

What was seen: SIGINT and SIGQUIT ended a process at once, at work and while draining, with the requests it had; SIGUSR2 ended it too; SIGUSR1 opened a debugger's port. While the program loaded, only SIGHUP and SIGTERM were borne.

Cause: only SIGTERM and SIGHUP had handlers; all others kept the default effect.

Evidence: three tests of tests/programStart.test.ts failed before, each at its first signal: at work with further signals while draining, while loading, and signals without effect.

Change: SIGINT, SIGQUIT and SIGTERM stop the host; further ones, and SIGHUP while draining, change nothing (code 0). SIGUSR1 and SIGUSR2 have a line in the log and no other effect; Node.js ignores SIGPIPE, which the test confirms.

Ruled out: a second SIGINT that ends at once, as on a terminal: requests count more. Left: signals before the first line of ours, which nothing can catch.

--- a/tests/programStart.test.ts
+++ b/tests/programStart.test.ts
@@ -214,3 +214,54 @@
     assert.equal(await program.ended, 0);
     assert.ok(messagesOf(program).some(message => message === "stopped" || message === "stopped before the start"));
 });
+
+/** Signals that stop a program; SIGINT comes from a terminal, SIGQUIT from supervisors too. */
+const STOP_SIGNALS = ["SIGINT", "SIGQUIT", "SIGTERM"] as const;
+
+/** Signals that have no effect; by default SIGUSR1 opens a debugger's port and SIGUSR2 ends the process. */
+const IGNORED_SIGNALS = ["SIGPIPE", "SIGUSR1", "SIGUSR2"] as const;
+
+// Guards against requests that are cut since a signal has its default effect.
+test("a program at work stops by each signal that stops, and by several of them, with code 0", async context => {
+    for (const signal of STOP_SIGNALS) {
+        const settings = await createEntrySettings(store.address);
+        const program = start(context, settings.text);
+        await assertReady(program, settings);
+        program.child.kill(signal);
+        await until(() => messagesOf(program).includes("stopping"), 5_000);
+        for (const later of [...STOP_SIGNALS, "SIGHUP"] as const) {
+            program.child.kill(later);
+            await delay(20);
+        }
+        assert.equal(await program.ended, 0, signal);
+        assert.equal(messagesOf(program).at(-1), "stopped");
+    }
+});
+
+test("a program that loads stops by SIGINT and SIGQUIT too, with code 0", async context => {
+    for (const signal of ["SIGINT", "SIGQUIT"] as const) {
+        const settings = await createEntrySettings(store.address);
+        const program = start(context, settings.text);
+        await until(() => program.output().includes("starting without compiled code"), 5_000);
+        program.child.kill(signal);
+        assert.equal(await program.ended, 0, signal);
+    }
+});
+
+test("a program goes on after signals without effect, while it loads and at work, and opens no port", async context => {
+    const settings = await createEntrySettings(store.address);
+    const program = start(context, settings.text);
+    await until(() => program.output().includes("starting without compiled code"), 5_000);
+    const sendAll = async (): Promise<void> => {
+        for (const signal of IGNORED_SIGNALS) {
+            program.child.kill(signal);
+            await delay(50);
+        }
+    };
+    await sendAll();
+    await assertReady(program, settings);
+    await sendAll();
+    await until(() => messagesOf(program).includes("signal ignored"), 5_000);
+    assert.equal((await callPort(settings.readiness, "/ready"))?.status, 200);
+    assert.doesNotMatch(program.output(), /Debugger listening/);
+});
