Hold answers within the machine's memory, and pass on those there is no room for

What did not fit was given up, though the engine had answered.

Now the bytes of an answer are reserved of the host's MemoryBudget from when they are read until the caller's connection has taken them. Else its head and first part are written, with the engine's length or in chunks, and the engine is read on as the caller reads. Such an answer is not retried or hedged any more: if it breaks off, its connection is closed within it. Refusing instead was weighed: the engine has done the work, and most callers read. Whole answers go out in pieces too, so that memory is free as soon as it was taken.

Streams count their unfinished event, what waits for a slow caller, and a paused connection. Counted: answers_passed_on, answer_pauses; `request ended` tells passedOnFor, pauseCount, pausedMilliseconds.

--- a/src/entry/_answerHead.test.ts
+++ b/src/entry/_answerHead.test.ts
@@ -98,6 +98,7 @@
                     rejectedSends: 0,
                     maximumAttempts: 1,
                     answerBegun: answer.answerBegun,
+                    isPassedOn: false,
                 });
                 assert.notEqual(decision.type, "refuse", JSON.stringify(answer));
             }
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import { type Agent } from "node:http";
-import { BufferedAnswerBytes, type SharedRetryBudget } from "../forwarding/index.js";
+import { type SharedRetryBudget } from "../forwarding/index.js";
 import { type Acts } from "./actQueue.js";
+import { PagePool } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type HostParts } from "./hostParts.js";
@@ -45,7 +46,7 @@
         rateLimiting,
         streamVersions,
         headers: context.protocol.headers,
-        heldBytes: new BufferedAnswerBytes(),
+        pages: new PagePool(),
         adapterUse: engines.adapters.use,
         routeTable: () => store.configuration.table,
         viewAgeMilliseconds: () => store.reachability.millisecondsSinceAnswer(),
--- a/src/entry/exchange/answerReceiver.ts
+++ b/src/entry/exchange/answerReceiver.ts
@@ -7,7 +7,9 @@
 import { checkHead, isServerError, isSuccess } from "../_answerHead.js";
 import { type AnswerHead } from "../upstreamCall.js";
 import { type Attempt } from "./attempt.js";
+import { type BufferingLimit } from "./bufferedAnswer.js";
 import { type Hedging } from "./hedging.js";
+import { type AnswerPiece } from "./pagePool.js";
 import { type RequestParts } from "./requestParts.js";
 
 /** Options of {@linkcode AnswerReceiver}. */
@@ -59,10 +61,11 @@
         }
         attempt.recordHeard();
         if (!this.#isStream(attempt.head)) {
-            this.#bufferAnswer(attempt, chunk);
+            this.#receiveBody(attempt, attempt.head, chunk);
             return;
         }
         const events = attempt.splitter.push(chunk);
+        attempt.holdMemory();
         if (attempt.splitter.isTooLong) {
             this.#options.onFailed(attempt, "invalid-answer", "stream event exceeds the size limit");
             return;
@@ -81,7 +84,7 @@
         }
         attempt.recordEvents(request.route);
         if (!callerKeepsUp) {
-            attempt.call?.pause();
+            this.#pause(attempt);
         }
     }
 
@@ -107,12 +110,13 @@
 
     /** The caller reads again; what upstreams sent meanwhile was not received, so their silence begins anew. */
     handleDrain(): void {
-        if (this.#options.isEnded()) {
+        const callerKeepsUp = this.#parts.answer.handleDrain();
+        if (!callerKeepsUp || this.#options.isEnded()) {
             return;
         }
         for (const attempt of this.#parts.attempts.list()) {
             attempt.recordHeard();
-            attempt.call?.resume();
+            attempt.resume();
         }
         this.#options.hedging().watch();
     }
@@ -121,17 +125,45 @@
         return this.#parts.request.route.kind === "event-stream" && isSuccess(head);
     }
 
-    /** Buffers an answer that is not a stream, so that a truncated one does not reach the caller in part. */
-    #bufferAnswer(attempt: Attempt, chunk: Buffer): void {
-        if (!attempt.buffer(chunk)) {
-            this.#options.onFailed(
-                attempt,
-                "invalid-answer",
-                `answer too large to buffer beyond ${attempt.heldBytes} bytes`,
-            );
+    /**
+     * Buffers an answer that is not a stream, so that a truncated one does not reach the caller in part. Where there is
+     * no room for it, it is passed on as its caller reads it.
+     */
+    #receiveBody(attempt: Attempt, head: AnswerHead, chunk: Buffer): void {
+        const { answer, context: { pages } } = this.#parts;
+        if (answer.passedOnFor !== undefined) {
+            this.#passOn(attempt, pages.store(chunk));
+            return;
+        }
+        const limit = attempt.buffered.tryAdd(chunk);
+        if (limit !== undefined) {
+            this.#beginPassingOn(attempt, head, limit);
+            this.#passOn(attempt, [...attempt.buffered.take(), ...pages.store(chunk)]);
         }
     }
 
+    #beginPassingOn(attempt: Attempt, head: AnswerHead, limit: BufferingLimit): void {
+        const { answer, context: { metrics } } = this.#parts;
+        this.#options.hedging().keepOnly(attempt);
+        metrics.count("answers_passed_on", { reason: limit });
+        answer.beginPassingOn(head, limit);
+        this.#recordFirstByte();
+    }
+
+    #passOn(attempt: Attempt, pieces: readonly AnswerPiece[]): void {
+        if (!this.#parts.answer.passOn(pieces)) {
+            this.#pause(attempt);
+        }
+    }
+
+    /** Stops reading from an upstream until the caller has read. */
+    #pause(attempt: Attempt): void {
+        const { answer, context: { metrics }, request: { route } } = this.#parts;
+        answer.recordPause();
+        metrics.count("answer_pauses", { kind: route.kind });
+        attempt.pause();
+    }
+
     #recordHealth({ upstream }: Attempt, head: AnswerHead): void {
         const { health, readClock } = this.#parts.context;
         if (isServerError(head)) {
@@ -149,8 +181,11 @@
             progress.recordWhole();
             answer.endStream(head);
         }
+        else if (answer.passedOnFor !== undefined) {
+            answer.endPassingOn();
+        }
         else {
-            answer.forwardWhole(head, attempt.bufferedAnswer());
+            answer.forwardWhole(head, attempt.buffered.take());
             this.#recordFirstByte();
         }
     }
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -6,12 +6,14 @@
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { type AttemptFailure, EventSplitter, StreamPace } from "../../forwarding/index.js";
 import { type RequestActivity } from "../../hedging/index.js";
+import { type MemoryReservation } from "../../memory/index.js";
 import { nameAdapter } from "../../placement/index.js";
 import { type UpstreamUse } from "../../rateLimits/index.js";
 import { type Route } from "../../routes/index.js";
 import { incarnationOf } from "../_upstreamIncarnation.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type AnswerHead, type UpstreamCall } from "../upstreamCall.js";
+import { BufferedAnswer } from "./bufferedAnswer.js";
 import { type RequestFacts } from "./requestFacts.js";
 
 /** Load per slot from which an upstream may be silent only because the request is queued there. */
@@ -20,6 +22,9 @@
 /** An answer that has gone on for this long shows that its upstream did not crash when it began it. */
 const ANSWERING_MILLISECONDS = 100;
 
+/** What a connection that is not read on may have read already. */
+const PAUSED_CONNECTION_BYTES = 64 * 1024;
+
 /** Prefill backlog of an engine, with a request's own prompt, at the moment at which the request was sent. */
 interface PrefillStart {
     readonly backlogTokens: number;
@@ -40,6 +45,8 @@
     readonly upstream: UpstreamAnnouncement;
     readonly number: number;
     readonly splitter = new EventSplitter();
+    /** What was received of an answer that is not a stream. */
+    readonly buffered: BufferedAnswer;
     readonly sentAtMilliseconds: number;
     /** Requests at the upstream when this one was sent, itself included. */
     readonly load: number;
@@ -51,12 +58,13 @@
     readonly #context: ForwardingContext;
     readonly #facts: RequestFacts;
     readonly #pace = new StreamPace();
-    readonly #chunks: Buffer[] = [];
+    /** Holds the unfinished event of a stream, and what a paused connection has read. */
+    readonly #reservation: MemoryReservation;
     /** `undefined` where the upstream was busy, since the first token may then have waited for more than prefill. */
     readonly #prefillStart: PrefillStart | undefined;
     readonly #activity: RequestActivity;
     #heardAtMilliseconds: number;
-    #heldBytes = 0;
+    #isPaused = false;
     #firstEventAtMilliseconds: number | undefined;
     /** True while the request may still crash the upstream, as far as is known. */
     #isOnTrial = true;
@@ -68,6 +76,8 @@
         this.#facts = facts;
         this.upstream = upstream;
         this.number = number;
+        this.buffered = new BufferedAnswer(context);
+        this.#reservation = context.memory.begin("answers");
         const now = context.readClock();
         this.sentAtMilliseconds = now;
         this.#heardAtMilliseconds = now;
@@ -101,10 +111,6 @@
             : 0;
     }
 
-    get heldBytes(): number {
-        return this.#heldBytes;
-    }
-
     /** Records that bytes were received. */
     recordHeard(): void {
         this.#heardAtMilliseconds = this.#context.readClock();
@@ -112,19 +118,29 @@
         this.#activity.recordHeard(this.#heardAtMilliseconds);
     }
 
-    /** Buffers a part of an answer that is not a stream; returns false where the limit on buffered bytes is reached. */
-    buffer(chunk: Buffer): boolean {
-        if (!this.#context.heldBytes.tryReserve(chunk.length, this.#heldBytes)) {
-            return false;
+    /** Stops reading the answer; has no effect while it is not read. */
+    pause(): void {
+        if (!this.#isPaused) {
+            this.#isPaused = true;
+            this.call?.pause();
+            this.holdMemory();
+        }
+    }
+
+    /** Reads the answer on; has no effect while it is read. */
+    resume(): void {
+        if (this.#isPaused) {
+            this.#isPaused = false;
+            this.call?.resume();
+            this.holdMemory();
         }
-        this.#heldBytes += chunk.length;
-        this.#chunks.push(chunk);
-        return true;
     }
 
-    /** Returns what was buffered. */
-    bufferedAnswer(): Buffer {
-        return Buffer.concat(this.#chunks);
+    /** Reserves the memory that the unfinished event of a stream and a paused connection take now. */
+    holdMemory(): void {
+        const pausedBytes = this.#isPaused ? PAUSED_CONNECTION_BYTES : 0;
+        this.#reservation.release();
+        this.#reservation.reserve(this.splitter.unfinishedBytes + pausedBytes);
     }
 
     /** Records the time to a stream's first token, from which prefill throughput is estimated. */
@@ -210,13 +226,14 @@
         };
     }
 
-    /** Releases the upstream's slot, the use of its adapter and the buffered bytes; has no effect a second time. */
+    /** Releases the upstream's slot, the use of its adapter and the memory; has no effect a second time. */
     release(): void {
         if (this.#released) {
             return;
         }
         this.#released = true;
-        this.#context.heldBytes.release(this.#heldBytes);
+        this.buffered.release();
+        this.#reservation.release();
         this.#context.loads.recordFinished(this.upstream.id);
         this.#context.rejectionBounds.recordEnded(this.upstream.id, this.#context.readClock());
         this.#activity.end();
--- a/src/entry/exchange/attemptFailures.ts
+++ b/src/entry/exchange/attemptFailures.ts
@@ -46,7 +46,9 @@
 
     /** Returns whether the request may run once more beside the attempts that run. */
     isHedgeAllowed(): boolean {
-        return this.#mayHedge && this.#hasAttemptsLeft() && crashVerdict(this.#parts).type === "accepted";
+        const { answer } = this.#parts;
+        return this.#mayHedge && answer.passedOnFor === undefined && this.#hasAttemptsLeft()
+            && crashVerdict(this.#parts).type === "accepted";
     }
 
     /** Returns whether the request may be retried, and another upstream could accept it now. */
@@ -122,6 +124,7 @@
             rejectedSends: counts.rejected,
             maximumAttempts,
             answerBegun: answer.begun,
+            isPassedOn: answer.passedOnFor !== undefined,
         };
     }
 
--- a/src/entry/exchange/callerAnswer.test.ts
+++ b/src/entry/exchange/callerAnswer.test.ts
@@ -3,7 +3,9 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test } from "node:test";
+import { MemoryBudget } from "../../memory/index.js";
 import { CallerAnswer } from "./callerAnswer.js";
+import { PagePool } from "./pagePool.js";
 
 const EVENTS = Array.from({ length: 40 }, (_, index) => `id: ${index}\ndata: ${"x".repeat(index * 7)}\n\n`);
 const HEAD = { status: 200, rawHeaders: ["Content-Type", "text/event-stream", "Content-Length", "5"], headers: {} };
@@ -32,6 +34,8 @@
         response,
         requestId: "request",
         requestIdHeader: "request-id",
+        reservation: new MemoryBudget({ machineBytes: undefined }).begin("answers"),
+        pages: new PagePool(),
         method: message.method ?? "GET",
         closesConnection: () => message.url === "/last",
         readClock: () => 0,
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -5,9 +5,13 @@
  */
 import { type ServerResponse } from "node:http";
 import { type CompleteEvents } from "../../forwarding/index.js";
+import { type MemoryReservation } from "../../memory/index.js";
 import { hasBody } from "../_hasBody.js";
 import { type AnswerHead } from "../upstreamCall.js";
+import { AnswerDelivery } from "./answerDelivery.js";
+import { type BufferingLimit } from "./bufferedAnswer.js";
 import { passThroughHeaders } from "./forwardedHeaders.js";
+import { type AnswerPiece, type PagePool, totalLength } from "./pagePool.js";
 
 const NO_CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
@@ -32,6 +36,9 @@
     readonly response: ServerResponse;
     readonly requestId: string;
     readonly requestIdHeader: string;
+    /** Holds what the caller's connection has not taken yet. */
+    readonly reservation: MemoryReservation;
+    readonly pages: PagePool;
     /** Method of the request. */
     readonly method: string;
     /** Decides, when the head is written, whether the answer is the last one of its connection. */
@@ -46,6 +53,12 @@
     /** True for a stream in chunks, which are framed here: the response would write four pieces for each. */
     #framesChunks = false;
     #aborted = false;
+    /** Writes an answer that is not a stream. */
+    readonly #delivery: AnswerDelivery;
+    #passedOnFor: BufferingLimit | undefined;
+    #pauseCount = 0;
+    #pausedMilliseconds = 0;
+    #pausedAtMilliseconds: number | undefined;
     #firstByteAtMilliseconds: number | undefined;
     #lastEventsAtMilliseconds = 0;
     #events = 0;
@@ -53,6 +66,8 @@
 
     constructor(options: CallerAnswerOptions) {
         this.#options = options;
+        this.#delivery = new AnswerDelivery(options);
+        options.response.once("close", () => this.#delivery.close());
     }
 
     /** True once part of the answer was written. */
@@ -65,6 +80,25 @@
         return this.#aborted;
     }
 
+    /** Why an answer that is not a stream was begun before it was whole; `undefined` where it was not. */
+    get passedOnFor(): BufferingLimit | undefined {
+        return this.#passedOnFor;
+    }
+
+    /** Times that the upstream was not read on until the caller had read. */
+    get pauseCount(): number {
+        return this.#pauseCount;
+    }
+
+    get pausedMilliseconds(): number {
+        return Math.round(this.#readPausedMilliseconds());
+    }
+
+    /** Bytes that the caller's connection has not taken. */
+    get unsentBytes(): number {
+        return this.#delivery.waitingBytes + this.#options.response.writableLength;
+    }
+
     get firstByteAtMilliseconds(): number | undefined {
         return this.#firstByteAtMilliseconds;
     }
@@ -84,7 +118,13 @@
     forwardEvents(head: AnswerHead, events: CompleteEvents): boolean {
         this.#writeHead(head);
         this.#recordEvents(events.count);
-        return this.#options.response.write(this.#framesChunks ? frameChunk(events.bytes) : events.bytes);
+        const { reservation, response } = this.#options;
+        const keepsUp = response.write(this.#framesChunks ? frameChunk(events.bytes) : events.bytes);
+        if (!keepsUp) {
+            reservation.release();
+            reservation.reserve(response.writableLength);
+        }
+        return keepsUp;
     }
 
     /** Ends a stream that is complete. */
@@ -94,13 +134,48 @@
     }
 
     /** Forwards an upstream's complete answer. */
-    forwardWhole(head: AnswerHead, body: Buffer): void {
-        const headers = passThroughHeaders(head.rawHeaders, NO_CONTENT_LENGTH);
-        const length = hasBody(head.status, this.#options.method) ? ["Content-Length", String(body.length)] : [];
-        this.#options.response.writeHead(head.status, [...headers, ...length, ...this.#closingHeaders(true)]);
-        this.#firstByteAtMilliseconds = this.#options.readClock();
-        this.#begun = true;
-        this.#options.response.end(body);
+    forwardWhole(head: AnswerHead, pieces: readonly AnswerPiece[]): void {
+        const length = hasBody(head.status, this.#options.method) ? String(totalLength(pieces)) : undefined;
+        this.#beginBody(head, length);
+        this.#delivery.deliver(pieces);
+    }
+
+    /** Begins an answer that is not whole yet, with the length that the upstream has named, or in chunks. */
+    beginPassingOn(head: AnswerHead, limit: BufferingLimit): void {
+        this.#passedOnFor = limit;
+        const isInChunks = head.headers["transfer-encoding"] !== undefined;
+        this.#beginBody(head, isInChunks ? undefined : head.headers["content-length"]);
+    }
+
+    /** Passes on pieces of an answer that was begun; returns false while the caller reads too slowly. */
+    passOn(pieces: readonly AnswerPiece[]): boolean {
+        this.#delivery.add(pieces);
+        return this.#delivery.keepsUp;
+    }
+
+    /** Ends an answer that was passed on and is complete. */
+    endPassingOn(): void {
+        this.#delivery.end();
+    }
+
+    /** Records that the upstream is not read on until the caller has read. */
+    recordPause(): void {
+        this.#pauseCount += 1;
+        this.#pausedAtMilliseconds ??= this.#options.readClock();
+    }
+
+    /** Writes on once the connection has taken what was written; returns whether the caller keeps up. */
+    handleDrain(): boolean {
+        if (this.#events > 0) {
+            this.#options.reservation.release();
+        }
+        this.#delivery.pump();
+        const { keepsUp } = this.#delivery;
+        if (keepsUp) {
+            this.#pausedMilliseconds = this.#readPausedMilliseconds();
+            this.#pausedAtMilliseconds = undefined;
+        }
+        return keepsUp;
     }
 
     /** Sends an answer made by this host, such as a refusal. */
@@ -133,6 +208,24 @@
         response.destroy();
     }
 
+    #readPausedMilliseconds(): number {
+        const now = this.#options.readClock();
+        return this.#pausedMilliseconds + now - (this.#pausedAtMilliseconds ?? now);
+    }
+
+    #beginBody(head: AnswerHead, length: string | undefined): void {
+        const headers = passThroughHeaders(head.rawHeaders, NO_CONTENT_LENGTH);
+        const lengthHeaders = length === undefined ? [] : ["Content-Length", length];
+        const hasLength = length !== undefined || !hasBody(head.status, this.#options.method);
+        this.#options.response.writeHead(head.status, [
+            ...headers,
+            ...lengthHeaders,
+            ...this.#closingHeaders(hasLength),
+        ]);
+        this.#firstByteAtMilliseconds = this.#options.readClock();
+        this.#begun = true;
+    }
+
     #writeHead(head: AnswerHead): void {
         if (this.#begun) {
             return;
--- a/src/entry/exchange/index.ts
+++ b/src/entry/exchange/index.ts
@@ -14,4 +14,5 @@
 export { dispatchInOrder } from "./dispatchInOrder.js";
 export { Exchange, type ExchangeListener } from "./exchange.js";
 export { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
+export { PagePool } from "./pagePool.js";
 export { type CallerRequest } from "./requestFacts.js";
--- /dev/null
+++ b/src/entry/exchange/pagePool.ts
@@ -0,0 +1,75 @@
+/**
+ * Memory for the bodies of answers that is used again, so that little of what was read stays resident until it is
+ * collected.
+ *
+ * @module
+ */
+
+const PAGE_BYTES = 16 * 1024;
+
+/** Smaller pieces are held as they were read. */
+const MINIMUM_COPIED_BYTES = PAGE_BYTES / 2;
+
+/** Pages that are kept while none needs them. */
+const MAXIMUM_FREE_PAGES = 512;
+
+/** A piece of a body. */
+export interface AnswerPiece {
+    readonly bytes: Buffer;
+    /** The page that holds the bytes; `undefined` for a piece that is held as it was read. */
+    readonly page: Buffer | undefined;
+}
+
+/** Returns the size of pieces together. */
+export function totalLength(pieces: readonly AnswerPiece[]): number {
+    return pieces.reduce((total, { bytes }) => total + bytes.length, 0);
+}
+
+/** Returns the memory that a piece takes. */
+export function heldBytes({ bytes, page }: AnswerPiece): number {
+    return page?.length ?? bytes.length;
+}
+
+/** Returns the memory that received bytes will take. */
+export function neededBytes({ length }: Buffer): number {
+    return length < MINIMUM_COPIED_BYTES ? length : Math.ceil(length / PAGE_BYTES) * PAGE_BYTES;
+}
+
+/**
+ * Copies what was received into pages, and takes pages back.
+ *
+ * @example
+ * ```ts
+ * const pool = new PagePool();
+ * const pieces = pool.store(received);
+ * pieces.forEach(piece => pool.free(piece));
+ * ```
+ */
+export class PagePool {
+    readonly #free: Buffer[] = [];
+
+    /** Number of pages that are kept while none needs them. */
+    get freeCount(): number {
+        return this.#free.length;
+    }
+
+    /** Copies received bytes into pages. */
+    store(received: Buffer): AnswerPiece[] {
+        if (received.length < MINIMUM_COPIED_BYTES) {
+            return [{ bytes: received, page: undefined }];
+        }
+        const pieces: AnswerPiece[] = [];
+        for (let at = 0; at < received.length; at += PAGE_BYTES) {
+            const page = this.#free.pop() ?? Buffer.allocUnsafeSlow(PAGE_BYTES);
+            pieces.push({ bytes: page.subarray(0, received.copy(page, 0, at)), page });
+        }
+        return pieces;
+    }
+
+    /** Takes back the page of a piece that nothing reads any more; called once for a piece. */
+    free({ page }: AnswerPiece): void {
+        if (page !== undefined && this.#free.length < MAXIMUM_FREE_PAGES) {
+            this.#free.push(page);
+        }
+    }
+}
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -184,7 +184,8 @@
 
     #logEnd(outcome: string, tookMilliseconds: number): void {
         const { answer, attempts, logger, request: { arrivedAtMilliseconds, route } } = this.#parts;
-        const { events, firstByteAtMilliseconds, longestGapMilliseconds } = answer;
+        const { events, firstByteAtMilliseconds, longestGapMilliseconds, passedOnFor } = answer;
+        const { pauseCount, pausedMilliseconds } = answer;
         logger.info("request ended", {
             route: route.name,
             outcome,
@@ -195,6 +196,8 @@
                 ? undefined
                 : Math.round(firstByteAtMilliseconds - arrivedAtMilliseconds),
             ...events === 0 ? {} : { events, longestGapMilliseconds },
+            passedOnFor,
+            ...pauseCount === 0 ? {} : { pauseCount, pausedMilliseconds },
         });
     }
 
@@ -203,7 +206,7 @@
         const { answer, context, logger, request: { response } } = this.#parts;
         if (!response.writableFinished && !answer.aborted) {
             logger.info("answer not delivered", {
-                unsentBytes: response.writableLength,
+                unsentBytes: answer.unsentBytes,
                 isLeaving: context.isLeaving(),
             });
             context.metrics.count("failures", { reason: "not-delivered" });
@@ -221,6 +224,7 @@
         const { attempts } = this.#parts;
         for (const attempt of attempts.list()) {
             if (attempt.call?.mayHaveSent === true) {
+                attempt.resume();
                 attempts.release(attempt);
             }
         }
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -45,6 +45,8 @@
         response,
         requestId,
         requestIdHeader: context.headers.requestId,
+        reservation: context.memory.begin("answers"),
+        pages: context.pages,
         method: message.method ?? "GET",
         closesConnection: hasLength => closesConnection({ isWanted: context.closesConnections(), hasLength }),
         readClock: () => context.readClock(),
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -9,7 +9,6 @@
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
 import {
     type AdapterUse,
-    type BufferedAnswerBytes,
     type PrefillBacklog,
     type PromptPrefixIndex,
     type SharedRetryBudget,
@@ -18,12 +17,14 @@
     type UpstreamPauses,
 } from "../forwarding/index.js";
 import { type UpstreamLiveness } from "../hedging/index.js";
+import { type MemoryBudget } from "../memory/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
 import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type Acts } from "./actQueue.js";
+import { type PagePool } from "./exchange/index.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type RateLimiting } from "./rateLimiting.js";
 import { type SiteDemand } from "./siteDemand.js";
@@ -56,7 +57,9 @@
     readonly probes: HealthProbes;
     readonly prompts: PromptPrefixIndex;
     readonly backlog: PrefillBacklog;
-    readonly heldBytes: BufferedAnswerBytes;
+    /** The memory that callers' requests and answers are held in. */
+    readonly memory: MemoryBudget;
+    readonly pages: PagePool;
     readonly demand: SiteDemand;
     readonly adapterUse: AdapterUse;
     /** `undefined` while no configuration is known. */
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -12,7 +12,6 @@
  */
 export { AdapterUse } from "./adapterUse.js";
 export { AdapterUsers } from "./adapterUsers.js";
-export { BufferedAnswerBytes } from "./bufferedAnswerBytes.js";
 export { type Candidate, type Choice, chooseUpstream } from "./chooseUpstream.js";
 export { type CompleteEvents, EventSplitter } from "./eventSplitter.js";
 export { type ObservedPart, PrefillBacklog } from "./prefillBacklog.js";
--- a/src/forwarding/repeatDecision.test.ts
+++ b/src/forwarding/repeatDecision.test.ts
@@ -30,8 +30,10 @@
     rejectedSends: fc.integer({ min: 0, max: 6 }),
     maximumAttempts: fc.integer({ min: 1, max: 4 }),
     answerBegun: fc.boolean(),
+    isPassedOn: fc.boolean(),
 }).map(({ earlierAttempts, ...rest }): FailedAttempt => ({
     ...rest,
+    isPassedOn: rest.answerBegun && rest.isPassedOn,
     attemptsThatMayHaveRun: earlierAttempts + (provesNotRun(rest.failure) ? 0 : 1),
 }));
 
@@ -65,6 +67,17 @@
     );
 });
 
+test("an answer that no other one can continue is aborted, whatever failed", () => {
+    fc.assert(
+        fc.property(failedAttempts, failedAttempt => {
+            if (failedAttempt.isPassedOn) {
+                assert.equal(decideAfterAttempt(failedAttempt).type, "break-off");
+            }
+        }),
+        { seed: 6, numRuns: 2_000 },
+    );
+});
+
 test("limits the upstreams that may execute a request to the route's maximum, and limits rejected sends", () => {
     fc.assert(
         fc.property(failedAttempts, failedAttempt => {
@@ -85,6 +98,7 @@
         rejectedSends: 0,
         maximumAttempts: 1,
         answerBegun: false,
+        isPassedOn: false,
     } as const;
     assert.deepEqual(decideAfterAttempt({ ...base, failure: "not-connected" }), {
         type: "repeat",
--- a/src/forwarding/repeatDecision.ts
+++ b/src/forwarding/repeatDecision.ts
@@ -21,6 +21,8 @@
     readonly maximumAttempts: number;
     /** True once a part of the answer was sent to the caller. */
     readonly answerBegun: boolean;
+    /** True where that answer is no stream, so that no other attempt can continue it. */
+    readonly isPassedOn: boolean;
 }
 
 /** What to do after a failed attempt. */
@@ -72,6 +74,7 @@
  *     rejectedSends: 0,
  *     maximumAttempts: 2,
  *     answerBegun: false,
+ *     isPassedOn: false,
  * }); // { type: "repeat", drawsOnBudget: true }
  * ```
  */
@@ -81,6 +84,9 @@
     ) {
         return decideWithoutRetry(failedAttempt);
     }
+    if (failedAttempt.isPassedOn) {
+        return decideWithoutRetry(failedAttempt);
+    }
     if (failedAttempt.rejectedSends > MAXIMUM_REJECTED_SENDS) {
         return decideWithoutRetry(failedAttempt);
     }
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -21,6 +21,14 @@
     endings: { help: "Requests by how they ended.", labels: ["kind", "outcome"] },
     refusals: { help: "Requests refused as not run, by reason.", labels: ["reason"] },
     failures: { help: "Requests that failed without a promise, by reason.", labels: ["reason"] },
+    answers_passed_on: {
+        help: "Answers that were not buffered whole before their callers got the first part, by reason.",
+        labels: ["reason"],
+    },
+    answer_pauses: {
+        help: "Times that an upstream was not read on until the caller of its answer had read.",
+        labels: ["kind"],
+    },
     attempts: { help: "Attempts on upstreams.", labels: ["service"] },
     repeats: { help: "Further attempts of a request, by the failure before.", labels: ["reason"] },
     repeats_denied: { help: "Further attempts that the shared budget had no room for.", labels: ["service"] },
--- /dev/null
+++ b/tests/support/answerLoad.ts
@@ -0,0 +1,116 @@
+/**
+ * A host as a process before an engine with large answers, its callers, and the memory that it takes.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { createServer, type Socket } from "node:net";
+import { type TestContext } from "node:test";
+import { PlatformStoreStandIn } from "../../standins/platform/store.js";
+import { PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
+import { type BundledProgram, NODE_OPTIONS } from "./bundledProgram.js";
+import { createEntrySettings, startEntryProgram, waitUntilProgramReady } from "./entryProgram.js";
+import { HOST_NAME } from "./entrySite.js";
+
+const POLL_MILLISECONDS = 20;
+const KILOBYTES_PER_MEGABYTE = 1_024;
+
+/** Time limit of the route. */
+export const ROUTE_TIMEOUT_MILLISECONDS = 10_000;
+
+/** A running host, and its peak of resident memory. */
+export interface LoadedHost {
+    readonly settings: { readonly callers: { readonly address: string; readonly port: number; }; };
+    readonly peakMegabytes: () => number;
+    readonly output: () => string;
+}
+
+/** Starts an engine that answers each request with a body of a size; returns its address. */
+async function startLargeEngine(context: TestContext, answerBytes: number): Promise<string> {
+    const body = Buffer.alloc(answerBytes, "x");
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", (piece: Buffer) => {
+            for (const [, id] of piece.toString("latin1").matchAll(/flamingospread-request-id: (\S+)/gi)) {
+                socket.write(
+                    `HTTP/1.1 200 OK\r\nFlamingospread-Request-Id: ${id ?? ""}\r\n`
+                        + `Flamingospread-Response-Signature: s\r\nContent-Length: ${body.length}\r\n\r\n`,
+                );
+                socket.write(body);
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    context.after(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    const address = server.address();
+    assert.ok(address !== null && typeof address === "object");
+    return `127.0.0.1:${address.port}`;
+}
+
+function configure(store: PlatformStoreStandIn): void {
+    store.put("op/config", {
+        version: 1,
+        routes: [{
+            name: "r",
+            host: HOST_NAME,
+            pathPrefix: "/large/",
+            kind: "idempotent",
+            timeoutMs: ROUTE_TIMEOUT_MILLISECONDS,
+            targetLatencyMs: 400,
+            priority: 0,
+            service: "large",
+            maxAttempts: 2,
+        }],
+        services: [{ name: "large", maxConnections: 400 }],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    });
+}
+
+/** Returns the resident memory of a process. */
+function residentMegabytes(pid: number | undefined): number {
+    const kilobytes = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid ?? 0}/status`, "utf8"))?.[1];
+    return Number(kilobytes) / KILOBYTES_PER_MEGABYTE;
+}
+
+/**
+ * Starts a host on a machine with little memory, whose engine answers with large bodies.
+ *
+ * @param context The test; all that is started ends with it.
+ * @param bundled The program.
+ * @param sizes Memory of the machine, and size of the answers.
+ */
+export async function startLoadedHost(
+    context: TestContext,
+    bundled: BundledProgram,
+    { answerBytes, memoryMegabytes }: { readonly answerBytes: number; readonly memoryMegabytes: number; },
+): Promise<LoadedHost> {
+    const store = await PlatformStoreStandIn.start();
+    const announced = await PlatformUpstreamStandIn.start({ id: "i-large", slots: 500 });
+    context.after(async () => {
+        await announced.close();
+        await store.close();
+    });
+    configure(store);
+    const address = await startLargeEngine(context, answerBytes);
+    store.put("servers/i-large", { ...announced.announcement("large"), address, slots: 1_000 });
+    const { callers, readiness, text } = await createEntrySettings(store.address, "entry-1", { memoryMegabytes });
+    const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher]);
+    context.after(() => program.close());
+    await waitUntilProgramReady({ readiness });
+    let peakMegabytes = 0;
+    const poll = setInterval(() => {
+        peakMegabytes = Math.max(peakMegabytes, residentMegabytes(program.child.pid));
+    }, POLL_MILLISECONDS);
+    context.after(() => clearInterval(poll));
+    return {
+        settings: { callers: { address: "127.0.0.1", port: callers } },
+        peakMegabytes: () => peakMegabytes,
+        output: program.output,
+    };
+}
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -81,8 +81,18 @@
     }, PROGRAM_READY_MILLISECONDS);
 }
 
+/** Settings that a host may have beside those that each has. */
+export interface OptionalEntrySettings {
+    /** Memory of the host's machine. */
+    readonly memoryMegabytes?: number;
+}
+
 /** Creates settings of a host with addresses on free ports. */
-export async function createEntrySettings(storeAddress: string, name = "entry-1"): Promise<EntryProgramSettings> {
+export async function createEntrySettings(
+    storeAddress: string,
+    name = "entry-1",
+    { memoryMegabytes }: OptionalEntrySettings = {},
+): Promise<EntryProgramSettings> {
     const [callers, readiness, control, directory, gossip] = await findFreePorts(5);
     const text = [
         `nodeName=${name}`,
@@ -103,6 +113,7 @@
         "bounds.ceilingOverage=1.1",
         "bounds.ttl_max_s=5",
         `platform.address=${storeAddress}`,
+        ...memoryMegabytes === undefined ? [] : [`limits.memoryMb=${memoryMegabytes}`],
     ].join("\n");
     return {
         text,
