Keep a whole answer whose connection ends while its caller does not read

Callers that read slowly saw their answer broken off although the engine had sent it whole: where the engine closes its connection after the answer, and the host had paused the call with a part of the answer still unread.

Cause: the end of the connection was taken for a lost one before the answer's end was read; Node.js reports `close` of the request first, and the end of the answer once its last part was read.

Now a connection's end is no failure once the answer is complete by its framing; its end follows when it was read. An error counts still for an answer that only its connection ends, as such an answer may be truncated.

Test: pausedCall; before the change three forms of a whole answer (length, chunks, end of the connection) ended as connection-lost after 10,000 of 40,000 bytes; the three truncated forms failed as they should, and do.

--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -82,6 +82,7 @@
     readonly #options: UpstreamCallOptions;
     readonly #request;
     #answer: IncomingMessage | undefined;
+    #endsAtClose = false;
     #connected = false;
     #sent = false;
     #settled = false;
@@ -100,14 +101,8 @@
         this.#request.on("socket", socket => this.#watchConnection(socket));
         this.#request.on("information", () => this.#recordInterimAnswer());
         this.#request.on("response", answer => this.#handleAnswer(answer));
-        this.#request.on(
-            "error",
-            error => this.#fail(this.#classify(error), error.message, (error as NodeJS.ErrnoException).code),
-        );
-        this.#request.on(
-            "close",
-            () => this.#fail(this.#failureAtClose, "connection closed before the answer was complete"),
-        );
+        this.#request.on("error", (error: NodeJS.ErrnoException) => this.#handleError(error));
+        this.#request.on("close", () => this.#handleClose());
         this.#connectTimer = setTimeout(() => this.#handleConnectTimeout(), options.connectTimeoutMilliseconds);
     }
 
@@ -192,8 +187,8 @@
         }
         this.#answer = answer;
         const { socket } = answer;
-        const endsAtClose = endsAtConnectionClose(answer, this.#options.method);
-        if (endsAtClose) {
+        this.#endsAtClose = endsAtConnectionClose(answer, this.#options.method);
+        if (this.#endsAtClose) {
             probeResetAtEnd(socket);
         }
         answer.on("data", (chunk: Buffer) => {
@@ -201,7 +196,7 @@
                 this.#options.onData(chunk);
             }
         });
-        answer.on("end", () => endsAtClose ? this.#finishAtClose(answer, socket) : this.#finish(answer));
+        answer.on("end", () => this.#endsAtClose ? this.#finishAtClose(answer, socket) : this.#finish(answer));
         answer.on("error", error => this.#fail("connection-lost", error.message));
         answer.on("aborted", () => this.#fail("connection-lost", "connection aborted during the answer"));
         this.#options.onHead({
@@ -211,6 +206,23 @@
         });
     }
 
+    /** A whole answer of which a part is still to be read ends when that was read. */
+    get #isWholeAnswerPending(): boolean {
+        return this.#answer?.complete === true;
+    }
+
+    #handleError(error: NodeJS.ErrnoException): void {
+        if (!this.#isWholeAnswerPending || this.#endsAtClose) {
+            this.#fail(this.#classify(error), error.message, error.code);
+        }
+    }
+
+    #handleClose(): void {
+        if (!this.#isWholeAnswerPending) {
+            this.#fail(this.#failureAtClose, "connection closed before the answer was complete");
+        }
+    }
+
     #finish(answer: IncomingMessage): void {
         if (!answer.complete) {
             this.#fail("connection-lost", "answer truncated");
