Let callers' requests draw on the memory of their machine

Callers saw connections that ended without an answer: a host that is sent many bodies at once takes more memory than its machine has, and is killed; beside it, some refusals were lost, since the connection was closed, and so reset, while the caller still sent its body.

Cause: bodies were limited by a constant of 128 MiB that knows no machine; their pieces, a second copy of the whole, and the pieces of bodies already refused waited for a collection (32 MB of young external memory, and more once promoted).

Change: each request reserves memory from the host's budget when its head is read, and its body's Content-Length with it; a body in chunks reserves as it grows. What finds no room is refused at once as not run (`no-room-for-bodies`). A body is read into memory that is allocated once; its pieces, and those of a body that is discarded, are freed at once (`freeBytes`), without waiting for a collection. A refusal's connection stays until the rest of its request was read, 2 s at most.

Ruled out: fragmentation of malloc (the same peaks with MALLOC_MMAP_THRESHOLD_ and MALLOC_TRIM_THRESHOLD_ set); `structuredClone` with a transfer list (detaches, but the memory stays until it is collected: the same peaks, 129 to 155).

--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage } from "node:http";
-import { type BodyReservation } from "./bodyBytes.js";
+import { freeBytes, type MemoryReservation } from "../../memory/index.js";
+import { BodyBuffer } from "./_bodyBuffer.js";
 
 /** A body, or why there is none. */
 export type ReadBody = Buffer | "too-large" | "no-room" | "caller-left";
@@ -8,48 +9,67 @@
 export interface ReadBodyOptions {
     /** Maximum size of the body. */
     readonly limitBytes: number;
-    readonly reservation: BodyReservation;
+    readonly reservation: MemoryReservation;
+}
+
+/** Returns the length of a body that its head states; `undefined` for one in chunks. */
+function lengthOf({ headers }: IncomingMessage): number | undefined {
+    const length = headers["content-length"];
+    return headers["transfer-encoding"] !== undefined || length === undefined ? undefined : Number(length);
+}
+
+/** Reads the rest of a request that is not wanted, and frees it. */
+export function discardBody(message: IncomingMessage): void {
+    message.on("data", freeBytes);
 }
 
 /**
- * Reads a body and calls back once; with `too-large` beyond the limit, `no-room` where the host holds too many bodies,
- * `caller-left` if the request is aborted.
+ * Reads a body and calls back once; with `too-large` beyond the limit, `no-room` where the host has no memory left for
+ * it, `caller-left` if the request is aborted. What its head tells is decided before anything of the body is read; the
+ * rest of a body that is not wanted is discarded.
  */
 export function readBody(
     message: IncomingMessage,
     { limitBytes, reservation }: ReadBodyOptions,
     onBody: (body: ReadBody) => void,
 ): void {
-    let chunks: Buffer[] = [];
-    let length = 0;
+    const lengthBytes = lengthOf(message);
+    const buffer = new BodyBuffer({ lengthBytes, limitBytes, reservation });
+    let receivedBytes = 0;
     let settled = false;
     const settle = (body: ReadBody): void => {
         if (!settled) {
             settled = true;
-            chunks = [];
             onBody(body);
         }
     };
-    const giveUp = (reason: "too-large" | "no-room"): void => {
-        reservation.release();
-        settle(reason);
+    const giveUp = (reason: Exclude<ReadBody, Buffer>): void => {
+        if (!settled) {
+            buffer.clear();
+            reservation.release();
+            settle(reason);
+        }
     };
-    message.on("data", (chunk: Buffer) => {
-        length += chunk.length;
+    message.on("data", (piece: Buffer) => {
+        receivedBytes += piece.length;
         if (settled) {
+            freeBytes(piece);
             return;
         }
-        if (length > limitBytes) {
+        if (receivedBytes > limitBytes) {
             giveUp("too-large");
         }
-        else if (reservation.tryReserve(chunk.length)) {
-            chunks.push(chunk);
-        }
-        else {
+        else if (!buffer.append(piece)) {
             giveUp("no-room");
         }
     });
-    message.on("end", () => settle(Buffer.concat(chunks)));
-    message.on("error", () => settle("caller-left"));
-    message.on("close", () => settle("caller-left"));
+    message.on("end", () => settle(buffer.read()));
+    message.on("error", () => giveUp("caller-left"));
+    message.on("close", () => giveUp("caller-left"));
+    if (lengthBytes !== undefined && lengthBytes > limitBytes) {
+        giveUp("too-large");
+    }
+    else if (!buffer.reserveKnown()) {
+        giveUp("no-room");
+    }
 }
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -5,9 +5,9 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
-import { readBody } from "./_readBody.js";
+import { type MemoryBudget, type MemoryReservation } from "../../memory/index.js";
+import { discardBody, readBody } from "./_readBody.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
-import { type BodyBytes, type BodyReservation } from "./bodyBytes.js";
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
 
@@ -17,6 +17,9 @@
 /** Time in which a caller should close a connection on which it was told that no request is read any more. */
 const LINGER_MILLISECONDS = 1_000;
 
+/** Memory of a request beside its body: its headers, and what the host knows of it until it is answered. */
+const REQUEST_BYTES = 8 * 1024;
+
 const NO_BODY = Buffer.alloc(0);
 
 /**
@@ -44,8 +47,8 @@
 
 /** Options of {@linkcode CallerConnection}. */
 export interface CallerConnectionOptions {
-    /** Bodies of all connections. */
-    readonly bodyBytes: BodyBytes;
+    /** Memory of the host, which the requests of all connections draw on. */
+    readonly memory: MemoryBudget;
     /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
     readonly isClosing: () => boolean;
     /** A request was read, and those before it on the connection were answered. */
@@ -59,12 +62,13 @@
 /** Reads a request, and calls back once; not at all if its caller leaves before it was read. */
 function readRequest(
     { bodyLimitBytes, message, problem }: ReceivedHead,
-    reservation: BodyReservation,
+    reservation: MemoryReservation,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
-    if (problem !== undefined) {
-        message.resume();
-        onRead(NO_BODY, problem);
+    const foundProblem = problem ?? (reservation.tryReserve(REQUEST_BYTES) ? undefined : "no-room-for-bodies");
+    if (foundProblem !== undefined) {
+        discardBody(message);
+        onRead(NO_BODY, foundProblem);
         return;
     }
     readBody(message, { limitBytes: bodyLimitBytes, reservation }, body => {
@@ -137,7 +141,7 @@
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
         response.prependListener("finish", () => this.#handleAnswered(message));
-        const reservation = this.#options.bodyBytes.begin();
+        const reservation = this.#options.memory.begin("requests");
         response.on("close", () => {
             reservation.release();
             this.#handleEnded(place);
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -5,12 +5,12 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
+import { type MemoryBudget } from "../../memory/index.js";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
 import { type ReadTimes } from "../../staleness/index.js";
 import { type Acts } from "../actQueue.js";
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { Arrivals } from "./arrivals.js";
-import { BodyBytes } from "./bodyBytes.js";
 import { CallerConnection } from "./callerConnection.js";
 import { UnreadTimes } from "./unreadTimes.js";
 
@@ -34,6 +34,7 @@
     readonly acts: Acts;
     readonly handler: RequestHandler;
     readonly logger: Logger;
+    readonly memory: MemoryBudget;
     readonly metrics: EntryMetrics;
     readonly reads: Pick<ReadTimes, "readUntilMilliseconds">;
     readonly readClock: () => number;
@@ -44,7 +45,7 @@
  *
  * @example
  * ```ts
- * const connections = new CallerConnections({ acts, handler, logger, metrics, reads, readClock });
+ * const connections = new CallerConnections({ acts, handler, logger, memory, metrics, reads, readClock });
  * server.on("connection", socket => connections.recordAccepted(socket));
  * server.on("request", (message, response) => connections.add(message, response));
  * ```
@@ -53,7 +54,6 @@
     readonly #options: CallerConnectionsOptions;
     readonly #arrivals: Arrivals;
     readonly #unreadTimes: UnreadTimes;
-    readonly #bodyBytes = new BodyBytes();
     readonly #connections = new Map<Duplex, CallerConnection>();
     #bodyLimitBytes = DEFAULT_BODY_BYTES;
     #isClosing = false;
@@ -119,7 +119,7 @@
         }
         const { handler } = this.#options;
         const connection = new CallerConnection(socket, {
-            bodyBytes: this.#bodyBytes,
+            memory: this.#options.memory,
             isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
             refuseAfterLast: message => handler.refuseAfterLast(message),
--- a/src/entry/connections/unreadableRequestsTimeout.test.ts
+++ b/src/entry/connections/unreadableRequestsTimeout.test.ts
@@ -4,8 +4,8 @@
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
+import { MemoryBudget } from "../../memory/index.js";
 import { createEntryMetrics } from "../../observability/index.js";
-import { BodyBytes } from "./bodyBytes.js";
 import { CallerConnection } from "./callerConnection.js";
 import { HeaderLimit } from "./headerLimit.js";
 import { answerUnreadableRequests } from "./unreadableRequests.js";
@@ -33,7 +33,7 @@
         headerLimit: new HeaderLimit(server),
         connectionOf: socket => {
             const connection = connections.get(socket) ?? new CallerConnection(socket, {
-                bodyBytes: new BodyBytes(),
+                memory: new MemoryBudget({ machineBytes: undefined }),
                 isClosing: () => false,
                 onTurn: doNothing,
                 refuseAfterLast: () => "",
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type IncomingMessage } from "node:http";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Route } from "../routes/index.js";
 import { type Arrival, renderRawAnswer, type RequestHandler, type RequestProblem } from "./connections/index.js";
 import { type CallerRequest, dispatchInOrder, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
@@ -26,6 +26,9 @@
 /** Time in which an engine prefills enough of its backlog to accept another prompt. */
 const PREFILL_RECHECK_MILLISECONDS = 10;
 
+/** Time in which the rest of a request that was refused may arrive. */
+const REST_MILLISECONDS = 2_000;
+
 /** Longer paths are truncated in log lines. */
 const MAXIMUM_LOGGED_PATH_CHARACTERS = 100;
 
@@ -38,6 +41,22 @@
     readonly body: string;
 }
 
+/**
+ * Ends a refusal once the rest of the request was read: a connection that is closed before is reset, and its caller may
+ * lose the answer.
+ */
+function endOnceRead(message: IncomingMessage, response: ServerResponse, body: string): void {
+    if (message.complete) {
+        response.end(body);
+        return;
+    }
+    response.write(body);
+    const end = (): void => void response.end();
+    const timer = setTimeout(end, REST_MILLISECONDS);
+    message.once("end", end);
+    response.once("close", () => clearTimeout(timer));
+}
+
 /** Forwards the requests of callers. */
 export interface Forwarder extends RequestHandler {
     /** Dispatches waiting requests again soon, the most urgent first; once for several calls. */
@@ -205,7 +224,7 @@
             "content-length": Buffer.byteLength(body),
             ...isLast ? { connection: "close" } : {},
         });
-        response.end(body);
+        endOnceRead(message, response, body);
     }
 
     #createRefusal(message: IncomingMessage, status: number, reason: string): Refusal {
@@ -232,7 +251,7 @@
  * @example
  * ```ts
  * const forwarder = createForwarder(context);
- * const connections = new CallerConnections({ acts, handler: forwarder, logger, metrics, reads, readClock });
+ * const connections = new CallerConnections({ acts, handler: forwarder, logger, memory, metrics, reads, readClock });
  * ```
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -7,6 +7,7 @@
 import { type Duplex } from "node:stream";
 import { type SharedState } from "../generated/gossip.js";
 import { type AdvertisedHost, selectAddresses } from "../gossip/index.js";
+import { type MemoryBudget } from "../memory/index.js";
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type CallerLimits } from "../routes/index.js";
 import { type ReadTimes } from "../staleness/index.js";
@@ -40,6 +41,7 @@
     readonly settings: () => EntrySettings;
     readonly calls: AuxiliaryCalls;
     readonly logger: Logger;
+    readonly memory: MemoryBudget;
     readonly metrics: EntryMetrics;
     readonly handler: RequestHandler;
     readonly reads: Pick<ReadTimes, "readUntilMilliseconds">;
--- a/src/memory/index.ts
+++ b/src/memory/index.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+export { freeBytes } from "./freeBytes.js";
 export {
     DEFAULT_MACHINE_BYTES,
     MemoryBudget,
--- a/tests/callerBodies.test.ts
+++ b/tests/callerBodies.test.ts
@@ -5,13 +5,14 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { MemoryBudget } from "../src/memory/index.js";
 import { callHost, EntrySite, ranOf, reasonOf, until, waitUntilReady } from "./support/entrySite.js";
 
 const BODY_BYTES = 4 * 1024 * 1024;
 const CALLERS = 44;
 
-/** Bytes of bodies that a host holds at most. */
-const HELD_BYTES = 128 * 1024 * 1024;
+/** Bytes that a host holds at most on a machine whose settings do not name its memory. */
+const HELD_BYTES = new MemoryBudget({ machineBytes: undefined }).budgetBytes;
 
 // Guards against a host that is killed for its memory since it holds the bodies of all connections.
 test("bodies beyond what a host may hold are refused as not run, and there is room again once others ended", async () => {
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -81,8 +81,19 @@
     }, PROGRAM_READY_MILLISECONDS);
 }
 
+/** What settings of a host may state beyond their defaults. */
+export interface EntrySettingsOptions {
+    /** Name of the host; `entry-1` by default. */
+    readonly name?: string;
+    /** Memory of the machine; not stated by default. */
+    readonly memoryMegabytes?: number;
+}
+
 /** Creates settings of a host with addresses on free ports. */
-export async function createEntrySettings(storeAddress: string, name = "entry-1"): Promise<EntryProgramSettings> {
+export async function createEntrySettings(
+    storeAddress: string,
+    { memoryMegabytes, name = "entry-1" }: EntrySettingsOptions = {},
+): Promise<EntryProgramSettings> {
     const [callers, readiness, control, directory, gossip] = await findFreePorts(5);
     const text = [
         `nodeName=${name}`,
@@ -103,6 +114,7 @@
         "bounds.ceilingOverage=1.1",
         "bounds.ttl_max_s=5",
         `platform.address=${storeAddress}`,
+        ...memoryMegabytes === undefined ? [] : [`limits.memoryMb=${memoryMegabytes}`],
     ].join("\n");
     return {
         text,
--- a/tests/support/programCell.ts
+++ b/tests/support/programCell.ts
@@ -121,7 +121,7 @@
         const cell = new ProgramCell(store, () => bundle.close());
         for (const name of names) {
             const relay = await PollRelay.start(store.address);
-            const settings = await createEntrySettings(relay.address, name);
+            const settings = await createEntrySettings(relay.address, { name });
             const program = startEntryProgram(settings.text, [...NODE_OPTIONS, bundle.launcher]);
             cell.hosts.push(new CellHost(name, relay, program, settings));
         }
