--- a/tests/support/answerLoad.ts
+++ b/tests/support/answerLoad.ts
@@ -99,7 +99,7 @@
     configure(store);
     const address = await startLargeEngine(context, answerBytes);
     store.put("servers/i-large", { ...announced.announcement("large"), address, slots: 1_000 });
-    const { callers, readiness, text } = await createEntrySettings(store.address, "entry-1", { memoryMegabytes });
+    const { callers, readiness, text } = await createEntrySettings(store.address, { memoryMegabytes });
     const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher]);
     context.after(() => program.close());
     await waitUntilProgramReady({ readiness });
--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -81,17 +81,18 @@
     }, PROGRAM_READY_MILLISECONDS);
 }
 
-/** Settings that a host may have beside those that each has. */
-export interface OptionalEntrySettings {
-    /** Memory of the host's machine. */
+/** What settings of a host may state beyond their defaults. */
+export interface EntrySettingsOptions {
+    /** Name of the host; `entry-1` by default. */
+    readonly name?: string;
+    /** Memory of the machine; not stated by default. */
     readonly memoryMegabytes?: number;
 }
 
 /** Creates settings of a host with addresses on free ports. */
 export async function createEntrySettings(
     storeAddress: string,
-    name = "entry-1",
-    { memoryMegabytes }: OptionalEntrySettings = {},
+    { memoryMegabytes, name = "entry-1" }: EntrySettingsOptions = {},
 ): Promise<EntryProgramSettings> {
     const [callers, readiness, control, directory, gossip] = await findFreePorts(5);
     const text = [
