Refuse settings that a host cannot run with, and name the missing path (FAULT)

Cause: the reader trusted the file's size, and the parser left these values to the sockets.

Evidence: two new tests of tests/programStart.test.ts failed before. The test of a closed standard error fails with the launcher of: the message on compiled code met EPIPE and ended the start with code 1.

Change: more than 1 MiB, ports outside 1 to 65535, equal listen addresses and an ip that is none are problems of the settings (code 3, file, line and value; the old settings stay at work). A missing path is told at once.

--- a/tests/programStart.test.ts
+++ b/tests/programStart.test.ts
@@ -194,6 +194,34 @@
     await until(() => messagesOf(successor).includes("started"), 10_000);
 });
 
+// Guards against settings that a host cannot run with: it hung, ran out of memory or could not be reached by peers.
+test("a program whose settings cannot be used says why and ends with code 3", async context => {
+    const { callers, text } = await createEntrySettings(store.address);
+    const manyFields = Array.from({ length: 500_000 }, (_, index) => `field${index}=of some length`).join("\n");
+    const cases = [
+        [`${text}\n${manyFields}`, /has \d{8} bytes, more than 1048576/],
+        [text.replace(/^internalPortRange=.*$/m, "internalPortRange=99999,99999"), /is not between 1 and 65535/],
+        [text.replace(/^internalPortRange=.*$/m, "internalPortRange=0,0"), /is not between 1 and 65535/],
+        [text.replace(/^ip=.*$/m, "ip=host.invalid"), /ip: "host.invalid" is not an IP number/],
+        [
+            text.replace(/^listen\.directory=.*$/m, `listen.directory=127.0.0.1:${callers}`),
+            /listen.directory: "127.0.0.1:\d+" is the address of listen.front too/,
+        ],
+    ] as const;
+    await Promise.all(cases.map(async ([settings, problem]) => {
+        const program = start(context, settings);
+        const code = await Promise.race([program.ended, delay(10_000, "none", { ref: false })]);
+        assert.equal(code, 3, program.output().slice(0, 500));
+        assert.match(program.output(), problem);
+    }));
+});
+
+test("a program without the path of a settings file says so", async context => {
+    const program = start(context, "", { FLAMINGOSPREAD_NODE_FILE: "" });
+    assert.equal(await program.ended, 3);
+    assert.match(program.output(), /FLAMINGOSPREAD_NODE_FILE is not set/);
+});
+
 // Guards against a process that ends since it is told of changed settings before it has started.
 test("a program that is told of changed settings while it loads goes on", async context => {
     const settings = await createEntrySettings(store.address);
@@ -265,3 +293,11 @@
     assert.equal((await callPort(settings.readiness, "/ready"))?.status, 200);
     assert.doesNotMatch(program.output(), /Debugger listening/);
 });
+
+// Guards against a start that ends since nobody reads what it reports.
+test("a program whose standard error is closed starts", async context => {
+    const settings = await createEntrySettings(store.address);
+    const program = start(context, settings.text);
+    program.child.stderr?.destroy();
+    await assertReady(program, settings);
+});
