Give up a body of which nothing more comes

A caller that sends a part of a body and then nothing, with its connection open, held the memory of its request for ever; enough of them, and no other caller's body finds room.

Cause: no time limit of the server covers a body (`requestTimeout` is 0, since bodies may be slow).

Change: a body of which no byte comes for the configuration's idle time limit is given up: 408, `body-stalled`, not run, and the connection closes. A host that was suspended reads what has arrived first; while it pauses the reading of a connection itself, no time limit runs out.

--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -1,15 +1,22 @@
 import { type IncomingMessage } from "node:http";
 import { freeBytes, type MemoryReservation } from "../../memory/index.js";
+import { type Acts } from "../actQueue.js";
 import { BodyBuffer } from "./_bodyBuffer.js";
+import { BodyIdleTimer } from "./_bodyIdleTimer.js";
 
 /** A body, or why there is none. */
-export type ReadBody = Buffer | "too-large" | "no-room" | "caller-left";
+export type ReadBody = Buffer | "too-large" | "no-room" | "idle" | "caller-left";
 
 /** Options of {@linkcode readBody}. */
 export interface ReadBodyOptions {
     /** Maximum size of the body. */
     readonly limitBytes: number;
     readonly reservation: MemoryReservation;
+    readonly acts: Pick<Acts, "afterReading">;
+    /** Time without a byte after which the body is given up. */
+    readonly idleTimeoutMilliseconds: number;
+    /** Returns whether the host itself reads nothing of the connection for now. */
+    readonly isReadingPaused: () => boolean;
 }
 
 /** Returns the length of a body that its head states; `undefined` for one in chunks. */
@@ -25,21 +32,28 @@
 
 /**
  * Reads a body and calls back once; with `too-large` beyond the limit, `no-room` where the host has no memory left for
- * it, `caller-left` if the request is aborted. What its head tells is decided before anything of the body is read; the
+ * it, `idle` where nothing more of it comes, `caller-left` if the request is aborted. What its head tells is decided before anything of the body is read; the
  * rest of a body that is not wanted is discarded.
  */
 export function readBody(
     message: IncomingMessage,
-    { limitBytes, reservation }: ReadBodyOptions,
+    { acts, idleTimeoutMilliseconds, isReadingPaused, limitBytes, reservation }: ReadBodyOptions,
     onBody: (body: ReadBody) => void,
 ): void {
     const lengthBytes = lengthOf(message);
     const buffer = new BodyBuffer({ lengthBytes, limitBytes, reservation });
     let receivedBytes = 0;
     let settled = false;
+    const timer = new BodyIdleTimer({
+        acts,
+        timeoutMilliseconds: idleTimeoutMilliseconds,
+        isReadingPaused,
+        onIdle: () => giveUp("idle"),
+    });
     const settle = (body: ReadBody): void => {
         if (!settled) {
             settled = true;
+            timer.close();
             onBody(body);
         }
     };
@@ -52,6 +66,7 @@
     };
     message.on("data", (piece: Buffer) => {
         receivedBytes += piece.length;
+        timer.recordPiece();
         if (settled) {
             freeBytes(piece);
             return;
--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -8,10 +8,12 @@
 
 /** Why a request is rejected as it was read; its body is empty then. */
 export type RequestProblem =
+    /** Nothing more of the body came within the time limit. */
+    | "body-stalled"
     | "body-too-large"
     | "headers-too-large"
     | "no-host"
-    /** The host holds as many bytes of bodies as it may. */
+    /** The host has no memory left for the request and its body. */
     | "no-room-for-bodies"
     | "unknown-expectation";
 
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -5,8 +5,9 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
-import { type MemoryBudget, type MemoryReservation } from "../../memory/index.js";
-import { discardBody, readBody } from "./_readBody.js";
+import { type MemoryBudget } from "../../memory/index.js";
+import { type Acts } from "../actQueue.js";
+import { discardBody, type ReadBody, readBody, type ReadBodyOptions } from "./_readBody.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
 import { RequestOrder, type RequestPlace } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
@@ -42,11 +43,14 @@
     /** The longest time for which it may have lain unread before. */
     readonly longestUnreadMilliseconds: number;
     readonly bodyLimitBytes: number;
+    /** Time without a byte after which a body is given up. */
+    readonly idleTimeoutMilliseconds: number;
     readonly problem: RequestProblem | undefined;
 }
 
 /** Options of {@linkcode CallerConnection}. */
 export interface CallerConnectionOptions {
+    readonly acts: Pick<Acts, "afterReading">;
     /** Memory of the host, which the requests of all connections draw on. */
     readonly memory: MemoryBudget;
     /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
@@ -59,27 +63,31 @@
     readonly onUnanswered: (messages: readonly IncomingMessage[]) => void;
 }
 
+const PROBLEM_OF_BODY: Readonly<Record<Exclude<ReadBody, Buffer | "caller-left">, RequestProblem>> = {
+    "too-large": "body-too-large",
+    "no-room": "no-room-for-bodies",
+    "idle": "body-stalled",
+};
+
 /** Reads a request, and calls back once; not at all if its caller leaves before it was read. */
 function readRequest(
-    { bodyLimitBytes, message, problem }: ReceivedHead,
-    reservation: MemoryReservation,
+    { message, problem }: ReceivedHead,
+    options: ReadBodyOptions,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
-    const foundProblem = problem ?? (reservation.tryReserve(REQUEST_BYTES) ? undefined : "no-room-for-bodies");
+    const hasRoom = options.reservation.tryReserve(REQUEST_BYTES);
+    const foundProblem = problem ?? (hasRoom ? undefined : "no-room-for-bodies");
     if (foundProblem !== undefined) {
         discardBody(message);
         onRead(NO_BODY, foundProblem);
         return;
     }
-    readBody(message, { limitBytes: bodyLimitBytes, reservation }, body => {
-        if (body === "too-large") {
-            onRead(NO_BODY, "body-too-large");
-        }
-        else if (body === "no-room") {
-            onRead(NO_BODY, "no-room-for-bodies");
+    readBody(message, options, body => {
+        if (typeof body !== "string") {
+            onRead(body, undefined);
         }
         else if (body !== "caller-left") {
-            onRead(body, undefined);
+            onRead(NO_BODY, PROBLEM_OF_BODY[body]);
         }
     });
 }
@@ -146,7 +154,14 @@
             reservation.release();
             this.#handleEnded(place);
         });
-        readRequest(head, reservation, (body, problem) =>
+        const options = {
+            limitBytes: head.bodyLimitBytes,
+            reservation,
+            acts: this.#options.acts,
+            idleTimeoutMilliseconds: head.idleTimeoutMilliseconds,
+            isReadingPaused: () => this.#isReadingPaused,
+        };
+        readRequest(head, options, (body, problem) =>
             this.#handleRead(place, {
                 message,
                 response,
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -7,6 +7,7 @@
 import { type Duplex } from "node:stream";
 import { type MemoryBudget } from "../../memory/index.js";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
+import { type CallerLimits } from "../../routes/index.js";
 import { type ReadTimes } from "../../staleness/index.js";
 import { type Acts } from "../actQueue.js";
 import { type Arrival, type RequestProblem } from "./arrival.js";
@@ -17,6 +18,12 @@
 /** Limit on callers' bodies while no configuration is known. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Time without a byte after which a body is given up, while no configuration is known. */
+const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000;
+
+/** Limits on callers' bodies. */
+type BodyLimits = Pick<CallerLimits, "bodyBytes" | "idleTimeoutMilliseconds">;
+
 /** Handles the requests of all connections. */
 export interface RequestHandler {
     /** Handles a request whose caller is connected, and which is the next to be answered on its connection. */
@@ -55,7 +62,7 @@
     readonly #arrivals: Arrivals;
     readonly #unreadTimes: UnreadTimes;
     readonly #connections = new Map<Duplex, CallerConnection>();
-    #bodyLimitBytes = DEFAULT_BODY_BYTES;
+    #limits: BodyLimits = { bodyBytes: DEFAULT_BODY_BYTES, idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS };
     #isClosing = false;
 
     constructor(options: CallerConnectionsOptions) {
@@ -78,9 +85,9 @@
         return count;
     }
 
-    /** Sets the limit on bodies of the configuration in force, for requests that arrive from now on. */
-    setBodyLimit(limitBytes: number): void {
-        this.#bodyLimitBytes = limitBytes;
+    /** Sets the limits on bodies of the configuration in force, for requests that arrive from now on. */
+    setLimits(limits: BodyLimits): void {
+        this.#limits = limits;
     }
 
     /** Makes each answer the last one of its connection; requests that wait behind it are refused. */
@@ -107,7 +114,8 @@
             problem,
             arrivedAtMilliseconds: readClock(),
             longestUnreadMilliseconds: this.#unreadTimes.longestMilliseconds(message.socket),
-            bodyLimitBytes: this.#bodyLimitBytes,
+            bodyLimitBytes: this.#limits.bodyBytes,
+            idleTimeoutMilliseconds: this.#limits.idleTimeoutMilliseconds,
         });
     }
 
@@ -119,6 +127,7 @@
         }
         const { handler } = this.#options;
         const connection = new CallerConnection(socket, {
+            acts: this.#options.acts,
             memory: this.#options.memory,
             isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
--- a/src/entry/connections/unreadableRequestsTimeout.test.ts
+++ b/src/entry/connections/unreadableRequestsTimeout.test.ts
@@ -33,6 +33,7 @@
         headerLimit: new HeaderLimit(server),
         connectionOf: socket => {
             const connection = connections.get(socket) ?? new CallerConnection(socket, {
+                acts: { afterReading: step => void setTimeout(step, READING_MILLISECONDS) },
                 memory: new MemoryBudget({ machineBytes: undefined }),
                 isClosing: () => false,
                 onTurn: doNothing,
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -14,6 +14,7 @@
 const STATUS_UNAVAILABLE = 503;
 
 const STATUS_OF_PROBLEM: Readonly<Record<RequestProblem, number>> = {
+    "body-stalled": 408,
     "body-too-large": 413,
     "headers-too-large": 431,
     "no-host": 400,
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -103,7 +103,7 @@
 
     /** Applies the limits for callers from the configuration. */
     applyLimits(limits: CallerLimits): void {
-        this.#connections.setBodyLimit(limits.bodyBytes);
+        this.#connections.setLimits(limits);
         this.#headerLimit?.set(limits.headerBytes);
         if (this.#callers !== undefined) {
             this.#callers.keepAliveTimeout = limits.idleTimeoutMilliseconds;
--- a/tests/callerBodies.test.ts
+++ b/tests/callerBodies.test.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { MemoryBudget } from "../src/memory/index.js";
 import { callHost, EntrySite, ranOf, reasonOf, until, waitUntilReady } from "./support/entrySite.js";
 
@@ -48,3 +50,50 @@
     assert.equal((await send("after")).status, 200);
     await site.close();
 });
+
+const IDLE_TIMEOUT_MILLISECONDS = 500;
+
+// Guards against memory that is held for as long as a caller leaves its connection open.
+test("a body whose caller sends nothing more is refused as not run, and one that comes slowly is not", async () => {
+    const site = await EntrySite.start();
+    site.configure([{ pathPrefix: "/orders/", kind: "non_idempotent", timeoutMs: 20_000 }], undefined, {
+        limits: {
+            maxHeaderBytes: 16_384,
+            maxBodyBytes: BODY_BYTES,
+            headerTimeoutMs: 3_000,
+            idleTimeoutMs: IDLE_TIMEOUT_MILLISECONDS,
+        },
+    });
+    const upstream = await site.addUpstream({ id: "plain-1", behave: () => ({ type: "answer" }) });
+    const host = await site.addHost("entry-1");
+    await waitUntilReady(host);
+    await until(() => host.lines.some(({ message }) => message === "upstream joined"));
+    const { callers } = host.settings;
+    const begin = (id: string): { readonly socket: Socket; readonly answer: () => string; } => {
+        const socket = connect(callers.port, callers.address);
+        let answer = "";
+        socket.on("data", (bytes: Buffer) => {
+            answer += bytes.toString();
+        });
+        socket.on("error", () => undefined);
+        socket.write(
+            "POST /orders/1 HTTP/1.1\r\nHost: site.example\r\nFlamingospread-Request-Id: "
+                + `${id}\r\nContent-Length: 20\r\n\r\n`,
+        );
+        return { socket, answer: () => answer };
+    };
+    const stalled = begin("stalled");
+    stalled.socket.write("1234567890");
+    const slow = begin("slow");
+    for (let count = 0; count < 20; count += 1) {
+        slow.socket.write("x");
+        await delay(IDLE_TIMEOUT_MILLISECONDS / 5);
+    }
+    await until(() => slow.answer().startsWith("HTTP/1.1 200"));
+    assert.match(stalled.answer(), /^HTTP\/1\.1 408 /);
+    assert.match(stalled.answer(), /"reason":"body-stalled","ran":"not-run"/);
+    assert.deepEqual(upstream.received.map(({ id }) => id), ["slow"]);
+    stalled.socket.destroy();
+    slow.socket.destroy();
+    await site.close();
+});
