Ask for the consent of all hosts that may take an engine over, of whichever cell

What callers and engines saw: fourteen hosts, two cells, one a zone. A zone is cut off from the store and from the other zone, and its sessions are taken away.

Cause: in an outage a holder asked the hosts of its own cell only, and those of other cells may take over as well; which hosts may was unbounded, since hosts become candidates as sessions end.

A host takes over from a holder that may not have stopped only if it is among the first hosts (twice the candidates, 24 with up to 96 engines) of those with a session and those whose session ended within a minute. A holder needs the consent of its cell and of the first 32 hosts in the same order, as known when the service last answered it; in an outage this set grows, and loses only hosts that leave and know no later holder. Hosts of other cells are asked in an outage only (consent-question, consent-answer, message format 7). Hosts of earlier builds skip the question, and a holder without their word stops. A fleet of one cell sends what it sent.

The property test plays cuts along zones and across cells, one-way cuts, hosts turned away, revoked sessions, hosts that join, leave and start again, lost and late datagrams.

Ruled out: that the store's or the engines' stand-in mixes orders up (with the other zone asked, nothing else changed, no breach is left). Not covered, as before: a host that starts within the cut, is unknown to the holder, and is alone served while all that the holder asks are cut off.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -12,7 +12,7 @@
 function createDuties(host: string, session: string): EngineDuties {
     const created = new EngineDuties(host, BOUNDS);
     created.recordRenewal(session, at(0));
-    created.setSession(host, session);
+    created.setSession(host, session, 0);
     return created;
 }
 
@@ -27,7 +27,7 @@
 test("a new holder waits until the previous one must have stopped, and then for the hand-over time", () => {
     const duties = createDuties("one", "s1");
     duties.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
-    duties.setSession("two", undefined);
+    duties.setSession("two", undefined, 0);
     duties.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 20 }, 1_000);
     duties.recordRenewal("s1", at(5_000));
     assert.equal(duties.fencingNumber("engine", at(5_400)), undefined);
@@ -50,11 +50,11 @@
 test("a holder that loses its session while it waits resumes the wait when it reacquires the engine", () => {
     const duties = createDuties("one", "s1");
     duties.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
-    duties.setSession("two", undefined);
+    duties.setSession("two", undefined, 0);
     const [acquisition] = [...duties.dueAcquisitions(["engine"], 0), ...duties.dueAcquisitions(["engine"], 5_000)];
     assert.equal(acquisition?.settled, false);
     duties.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 0);
-    duties.setSession("one", "s9");
+    duties.setSession("one", "s9", 0);
     duties.recordRenewal("s9", at(1_000));
     duties.setHolder("engine", { host: "one", session: "s9", released: false, settled: false, revision: 21 }, 1_000);
     duties.recordRenewal("s9", at(4_400));
@@ -124,7 +124,7 @@
     assert.equal(previousDuties.fencingNumber("engine", at(100)), 12);
     const duties = createDuties("one", "s1");
     duties.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
-    duties.setSession("two", undefined);
+    duties.setSession("two", undefined, 0);
     duties.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 100);
     const [succession] = duties.pendingSuccessions(200);
     assert.ok(succession !== undefined);
@@ -167,11 +167,11 @@
 
 test("every host knows when an engine has no active holder: none at all, or a new one that still waits", () => {
     const duties = createDuties("one", "s1");
-    duties.setSession("two", "s2");
+    duties.setSession("two", "s2", 0);
     assert.ok(!duties.hasActiveHolder("engine", 0), "it has no holder");
     duties.setHolder("engine", { host: "two", session: "s2", released: false, settled: false, revision: 12 }, 0);
     assert.ok(duties.hasActiveHolder("engine", 0), "how long it has held the engine is not known");
-    duties.setSession("three", "s3");
+    duties.setSession("three", "s3", 0);
     duties.setHolder("engine", { host: "three", session: "s3", released: false, settled: false, revision: 13 }, 1_000);
     assert.ok(!duties.hasActiveHolder("engine", 5_400));
     assert.ok(duties.hasActiveHolder("engine", 5_600));
@@ -184,7 +184,7 @@
 
 test("an engine has an active holder once its holder records that it no longer waits", () => {
     const other = createDuties("three", "s3");
-    other.setSession("one", "s1");
+    other.setSession("one", "s1", 0);
     other.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
     other.setHolder("engine", { host: "one", session: "s1", released: false, settled: false, revision: 20 }, 100);
     assert.ok(!other.hasActiveHolder("engine", 200));
@@ -198,7 +198,7 @@
     const acquiringHosts = (liveHosts: readonly string[]): Set<string> => {
         const result = liveHosts.filter(host => {
             const duties = createDuties(host, `s-${host}`);
-            liveHosts.forEach(other => duties.setSession(other, `s-${other}`));
+            liveHosts.forEach(other => duties.setSession(other, `s-${other}`, 0));
             duties.dueAcquisitions(engines, 0);
             return duties.dueAcquisitions(engines, 60_000).length === engines.length;
         });
@@ -217,13 +217,13 @@
     const hosts = Array.from({ length: 60 }, (_, index) => `host-${index}`);
     const possibleHolders = hosts.filter(host => {
         const duties = createDuties(host, `s-${host}`);
-        hosts.forEach(other => duties.setSession(other, `s-${other}`));
+        hosts.forEach(other => duties.setSession(other, `s-${other}`, 0));
         duties.dueAcquisitions(["engine"], 0);
         return duties.mayHold;
     });
     assert.equal(possibleHolders.length, 12);
     const duties = createDuties("host-a", "s");
-    hosts.forEach(other => duties.setSession(other, `s-${other}`));
+    hosts.forEach(other => duties.setSession(other, `s-${other}`, 0));
     duties.setHolder("engine", { host: "host-a", session: "s", released: false, settled: true, revision: 3 }, 0);
     duties.dueAcquisitions(["engine"], 0);
     assert.ok(duties.mayHold, "a host that holds an engine stays a holder");
@@ -242,7 +242,7 @@
     const hosts = ["one", "two", "three"];
     const dutiesOfHosts = hosts.map(host => {
         const created = createDuties(host, `session-${host}`);
-        hosts.forEach(other => created.setSession(other, `session-${other}`));
+        hosts.forEach(other => created.setSession(other, `session-${other}`, 0));
         created.setHolder("engine", { host: "two", session: "old", released: false, settled: true, revision: 4 }, 0);
         return created;
     });
@@ -269,7 +269,7 @@
     const [relinquishment] = previousDuties.relinquishments(2_000);
     assert.deepEqual(relinquishment, { engine: "engine", revision: 12, quietMilliseconds: 2_200 });
     const nextDuties = createDuties("one", "s1");
-    nextDuties.setSession("two", "s2");
+    nextDuties.setSession("two", "s2", 0);
     nextDuties.setHolder("engine", { host: "two", session: "s2", released: false, settled: true, revision: 12 }, 0);
     assert.equal(nextDuties.holderOf("engine"), "two");
     nextDuties.recordRelinquishment(relinquishment, 2_000);
@@ -375,11 +375,11 @@
                         }
                         const currentSession = store.sessions.get(name) ?? "";
                         duties?.recordRenewal(currentSession, at(now));
-                        hosts.forEach(host => host.setSession(name, currentSession));
+                        hosts.forEach(host => host.setSession(name, currentSession, now));
                     }
                     else if (event.type === "revoke") {
                         store.sessions.delete(name);
-                        hosts.filter(host => host !== duties).forEach(host => host.setSession(name, undefined));
+                        hosts.filter(host => host !== duties).forEach(host => host.setSession(name, undefined, now));
                     }
                     else if (event.type === "take" && session !== undefined) {
                         duties?.dueAcquisitions(["engine"], now);
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import { rankByRendezvous } from "../decision/index.js";
+import { firstCandidates, possibleTakers, rankHosts } from "./candidates.js";
 
 /** Acquisition delay for each rank, so that the highest-ranked host writes first. */
 const RANK_DELAY_MILLISECONDS = 300;
@@ -18,9 +19,8 @@
 /** Added to the hand-over time after a holder's last order, for orders that were still in flight. */
 const IN_FLIGHT_MILLISECONDS = 200;
 
-/** Number of hosts that may acquire engines: one for each `ENGINES_PER_CANDIDATE` engines, but at least this many. */
-const MINIMUM_CANDIDATES = 12;
-const ENGINES_PER_CANDIDATE = 8;
+/** A host whose session ended may be cut off, and hold engines by consent; it is remembered for this long. */
+const ENDED_SESSION_RETENTION_MILLISECONDS = 60_000;
 
 /** Time limits of holding an engine. */
 export interface DutyBounds {
@@ -102,6 +102,8 @@
     readonly #host: string;
     readonly #bounds: DutyBounds;
     readonly #sessions = new Map<string, string>();
+    /** When the sessions of hosts without one ended. */
+    readonly #endedSessions = new Map<string, number>();
     readonly #holders = new Map<string, StoredHolder>();
     readonly #vacancies = new Map<string, Vacancy>();
     /** When this host may begin to send an engine orders; kept also after it lost the engine. */
@@ -121,6 +123,8 @@
     #session: string | undefined;
     #confirmedAt: ClockReading | undefined;
     #isCandidate = true;
+    /** The number of engines that hosts could acquire when the service last answered. */
+    #engineCount = 0;
     /** Hosts with a session, in order of preference as holders; cleared when a session begins or ends. */
     #rankedHosts: readonly string[] | undefined;
 
@@ -130,13 +134,14 @@
     }
 
     /** Records the session of a host; `undefined` where it has ended. */
-    setSession(host: string, session: string | undefined): void {
+    setSession(host: string, session: string | undefined, nowMilliseconds: number): void {
         this.#rankedHosts = undefined;
-        if (session === undefined) {
-            this.#sessions.delete(host);
-        }
-        else {
+        if (session !== undefined) {
             this.#sessions.set(host, session);
+            this.#endedSessions.delete(host);
+        }
+        else if (this.#sessions.delete(host)) {
+            this.#endedSessions.set(host, nowMilliseconds);
         }
     }
 
@@ -246,6 +251,7 @@
 
     /** Returns the records that this host should write now to acquire engines without a holder. */
     dueAcquisitions(engines: readonly string[], nowMilliseconds: number): readonly Acquisition[] {
+        this.#engineCount = engines.length;
         if (this.#session === undefined || this.#sessions.get(this.#host) !== this.#session) {
             return [];
         }
@@ -254,11 +260,15 @@
         if (!this.#isCandidate) {
             return [];
         }
+        const mayTakeOver = this.#mayTakeOver(nowMilliseconds);
         return engines.flatMap(engine => {
             if (this.holderOf(engine) !== undefined) {
                 this.#vacancies.delete(engine);
                 return [];
             }
+            if (!mayTakeOver && this.#mayHaveOtherHolder(engine, nowMilliseconds)) {
+                return [];
+            }
             const vacancy = this.#vacancies.get(engine) ?? { sinceMilliseconds: nowMilliseconds };
             this.#vacancies.set(engine, vacancy);
             const rank = this.#rankOfThisHost(engine, hosts);
@@ -271,6 +281,30 @@
         });
     }
 
+    /** The number of engines that hosts could acquire when the service last answered. */
+    get engineCount(): number {
+        return this.#engineCount;
+    }
+
+    /** Returns whether all holders that may go on by consent need that of this host. */
+    #mayTakeOver(nowMilliseconds: number): boolean {
+        for (const [host, endedAtMilliseconds] of this.#endedSessions) {
+            if (nowMilliseconds - endedAtMilliseconds > ENDED_SESSION_RETENTION_MILLISECONDS) {
+                this.#endedSessions.delete(host);
+            }
+        }
+        const hosts = [...this.#sessions.keys(), ...this.#endedSessions.keys()];
+        return possibleTakers(hosts, this.#engineCount).includes(this.#host);
+    }
+
+    /** Returns whether another host may still order an engine under a record whose session has ended. */
+    #mayHaveOtherHolder(engine: string, nowMilliseconds: number): boolean {
+        const previous = this.#holders.get(engine);
+        return previous === undefined
+            ? this.waitsForLostHolders(nowMilliseconds)
+            : previous.host !== this.#host && !previous.released && !this.#isRelinquished(engine, previous);
+    }
+
     /** True where this host holds engines, or is a candidate to acquire them. */
     get mayHold(): boolean {
         return this.#isCandidate || this.held().length > 0;
@@ -278,9 +312,8 @@
 
     /** Returns the hosts that may acquire engines; hosts that know the same sessions return the same list. */
     candidates(engineCount: number): string[] {
-        const maximumCandidates = Math.max(MINIMUM_CANDIDATES, Math.ceil(engineCount / ENGINES_PER_CANDIDATE));
-        this.#rankedHosts ??= rankByRendezvous("candidates", [...this.#sessions.keys()]);
-        return this.#rankedHosts.slice(0, maximumCandidates);
+        this.#rankedHosts ??= rankHosts([...this.#sessions.keys()]);
+        return firstCandidates(this.#rankedHosts, engineCount);
     }
 
     /** Returns the fencing number for orders to an engine; `undefined` where this host may send none now. */
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -21,3 +21,4 @@
     type Succession,
 } from "./engineDuties.js";
 export { OutageConsent, type PeerStatement } from "./outageConsent.js";
+export { type KnownFleet, OutageWitnesses } from "./outageWitnesses.js";
--- a/src/duties/outageConsent.test.ts
+++ b/src/duties/outageConsent.test.ts
@@ -53,7 +53,7 @@
 test("a holder continues during an outage while the others consent, and stops once their consent is outdated", () => {
     const duties = new EngineDuties("one", { confirmedMilliseconds: 1_500, handoverMilliseconds: 3_000 });
     duties.recordRenewal("s1", at(0));
-    duties.setSession("one", "s1");
+    duties.setSession("one", "s1", 0);
     duties.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 41 }, 0);
     duties.recordPeerConsent(at(1_000));
     assert.equal(duties.fencingNumber("engine", at(2_400)), 41);
--- a/src/duties/restores.test.ts
+++ b/src/duties/restores.test.ts
@@ -13,7 +13,7 @@
 function createDuties(host: string, session: string, confirmedAt: number): EngineDuties {
     const created = new EngineDuties(host, BOUNDS);
     created.recordRenewal(session, at(confirmedAt));
-    created.setSession(host, session);
+    created.setSession(host, session, 0);
     return created;
 }
 
@@ -38,7 +38,7 @@
     duties.loseSession();
     duties.recordRestore(1_000);
     duties.recordRenewal("s2", at(1_100));
-    duties.setSession("one", "s2");
+    duties.setSession("one", "s2", 0);
     duties.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 1_005 }, 1_100);
     duties.setHolder("engine", { host: "one", session: "s2", released: false, settled: false, revision: 1_006 }, 1_200);
     duties.recordRenewal("s2", at(5_000));
--- a/src/entry/engines/engineGossip.ts
+++ b/src/entry/engines/engineGossip.ts
@@ -6,6 +6,8 @@
 import {
     type AdapterUseNotice,
     type AdapterWish,
+    type ConsentAnswer,
+    type ConsentQuestion,
     type EngineMemory,
     type HolderWord,
     type PlannedMove,
@@ -28,6 +30,10 @@
     sendEngineMemory(requester: string, engine: EngineMemory): void;
     /** Notifies the previous holder of its successor. */
     notifyPreviousHolder(previousHolder: string, holder: Omit<HolderWord, "type">): void;
+    /** Asks hosts of other cells whether this host may go on as a holder while the key-value service does not answer. */
+    askForConsent(hosts: readonly string[], question: Omit<ConsentQuestion, "type" | "host">): void;
+    /** Answers a host that asked for consent. */
+    answerConsentQuestion(asker: string, answer: Omit<ConsentAnswer, "type" | "host">): void;
     /** Requests an adapter from an engine's holder; false where the holder is not known. */
     requestAdapter(holder: string, request: AdapterRequest): boolean;
     /** Asks the planner for a copy of a model at upstreams of a version. */
--- a/src/entry/engines/fleetPlanner.test.ts
+++ b/src/entry/engines/fleetPlanner.test.ts
@@ -22,7 +22,7 @@
     constructor() {
         const duties = new EngineDuties("", { confirmedMilliseconds: 1_500, handoverMilliseconds: 3_000 });
         HOSTS.forEach(host => {
-            duties.setSession(host, host);
+            duties.setSession(host, host, 0);
         });
         duties.setHolder(
             "engine",
--- a/src/entry/engines/hostEngines.ts
+++ b/src/entry/engines/hostEngines.ts
@@ -51,7 +51,9 @@
             ...context,
             duties,
             serviceAnswers: () => store.reachability.hasRecentAnswer(),
-            otherHosts: () => peers.possibleHolders(context.readClock()).map(({ host }) => host),
+            cellHosts: () => peers.possibleHolders(context.readClock()).map(({ host }) => host),
+            possibleTakers: () => peers.possibleTakers(context.readClock()).map(({ host }) => host),
+            gossip,
         });
         this.planner = this.#createPlanner();
         this.orders = this.#createOrders();
--- a/src/entry/peers/digestPublisher.ts
+++ b/src/entry/peers/digestPublisher.ts
@@ -52,10 +52,11 @@
         this.#options = options;
     }
 
-    /** Publishes a digest to the own cell. */
+    /** Publishes a digest to the own cell; in an outage, asks other cells for their consent with it. */
     publish(): HostDigest {
         const digest = this.#compose(this.#options.context.readClock());
         this.#options.gossip.publishDigest(digest);
+        this.#options.engines.agreement.exchangeWithOtherCells();
         return digest;
     }
 
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import {
+    type ConsentAnswer,
+    type ConsentQuestion,
     type EngineMemory,
     type FleetSummary,
     type HolderWord,
@@ -181,6 +183,16 @@
         this.#send({ type: "holder", ...holder }, this.#peersNamed([previousHolder]));
     }
 
+    /** Asks hosts of other cells whether this host may go on as a holder while the key-value service does not answer. */
+    askForConsent(hosts: readonly string[], question: Omit<ConsentQuestion, "type" | "host">): void {
+        this.#send({ type: "consent-question", host: this.#options.host, ...question }, this.#peersNamed(hosts));
+    }
+
+    /** Answers a host that asked for consent. */
+    answerConsentQuestion(asker: string, answer: Omit<ConsentAnswer, "type" | "host">): void {
+        this.#send({ type: "consent-answer", host: this.#options.host, ...answer }, this.#peersNamed([asker]));
+    }
+
     /** Requests an adapter from an engine's holder; false where the holder is not known. */
     requestAdapter(holder: string, request: AdapterRequest): boolean {
         const peer = this.#options.peers.get(holder);
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -16,7 +16,7 @@
 /** The parts of a host that receive messages. */
 export interface MessageReceivers {
     readonly duties: Pick<EngineDuties, "setHolder">;
-    readonly engines: Pick<HostEngines, "adapters" | "memories" | "planner" | "receiveMoveRequest">;
+    readonly engines: Pick<HostEngines, "adapters" | "agreement" | "memories" | "planner" | "receiveMoveRequest">;
     readonly interCellGossip: Pick<InterCellGossip, "receiveAggregate">;
     readonly rateLimiting: Pick<RateLimiting, "receive">;
     readonly reportedState: ReportedState;
@@ -56,6 +56,12 @@
         case "holder":
             duties.setHolder(message.engine, { ...message.holder, revision: message.revision }, nowMilliseconds);
             break;
+        case "consent-question":
+            engines.agreement.receiveQuestion(message);
+            break;
+        case "consent-answer":
+            engines.agreement.receiveAnswer(message);
+            break;
         case "news":
             engines.memories.apply([message.engine]);
             break;
--- a/src/entry/store/fleetRecords.ts
+++ b/src/entry/store/fleetRecords.ts
@@ -58,7 +58,7 @@
             return;
         }
         if (record.host !== host) {
-            duties.setSession(record.host, record.session);
+            duties.setSession(record.host, record.session, readClock());
         }
         peers.register(record, readClock());
         onHostsChanged();
@@ -67,7 +67,7 @@
     /** Handles the removal of a host's record. */
     removeRegistration(removed: string): void {
         const { duties, host, onHostsChanged, onOwnRecordRemoved, peers, readClock } = this.#options;
-        duties.setSession(removed, undefined);
+        duties.setSession(removed, undefined, readClock());
         peers.unregister(removed, readClock());
         onHostsChanged();
         if (removed === host) {
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -259,11 +259,11 @@
             hostRecordRevision: () => this.revisionOf(`${HOST_KEY_PREFIX}${host}`),
             onConfirmed: (session, sentAt) => {
                 duties.recordRenewal(session, sentAt);
-                duties.setSession(host, session);
+                duties.setSession(host, session, this.#now());
             },
             onLost: () => {
                 onSessionLost();
-                duties.setSession(host, undefined);
+                duties.setSession(host, undefined, this.#now());
             },
             onCallOutcome: succeeded => {
                 if (succeeded && !this.reachability.reachable) {
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -10,6 +10,10 @@
     adapterUseNoticeSchema,
     type AdapterWish,
     adapterWishSchema,
+    type ConsentAnswer,
+    consentAnswerSchema,
+    type ConsentQuestion,
+    consentQuestionSchema,
     type EngineNews,
     engineNewsSchema,
     type FleetSummary,
@@ -58,7 +62,7 @@
 const MAXIMUM_LOGGED_CHARACTERS = 40;
 
 /** The message format that this build reads and writes. */
-const PRESENT_FORMAT = 6;
+const PRESENT_FORMAT = 7;
 
 /** Stands for the type of datagrams that could not be decoded. */
 const UNREADABLE_TYPE = "unreadable";
@@ -73,6 +77,8 @@
     | SendNotice
     | AdapterUseNotice
     | HolderWord
+    | ConsentQuestion
+    | ConsentAnswer
     | PermitRequest
     | PermitGrant
     | SlotRequest
@@ -162,6 +168,8 @@
     sent: sendNoticeSchema,
     use: adapterUseNoticeSchema,
     holder: holderWordSchema,
+    "consent-question": consentQuestionSchema,
+    "consent-answer": consentAnswerSchema,
     "permit-request": permitRequestSchema,
     "permit-grant": permitGrantSchema,
     "slot-request": slotRequestSchema,
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -280,6 +280,16 @@
         );
     }
 
+    /**
+     * Returns the other hosts of the whole fleet that may take engines over: those with a record or lately heard of.
+     * A leaving host takes none over.
+     */
+    possibleTakers(nowMilliseconds: number): Peer[] {
+        return [...this.#peers.values()].filter(peer =>
+            !peer.leaving && (peer.registered || this.#isLive(peer, nowMilliseconds))
+        );
+    }
+
     /**
      * Returns the other hosts that callers may connect to. A host that knows no live peer may itself be partitioned and
      * relies on the records alone.
--- a/tests/support/engineFleet.ts
+++ b/tests/support/engineFleet.ts
@@ -223,7 +223,7 @@
     /** Gives a host the fleet's initial state: sessions, holders and announcements. */
     #initializeHost({ duties, name, orders, planner, residency, view }: SimulatedHost): void {
         duties.recordRenewal(name, { steadyMilliseconds: 0, timeOfDayMilliseconds: 0 });
-        this.#hosts.forEach(host => duties.setSession(host.name, host.name));
+        this.#hosts.forEach(host => duties.setSession(host.name, host.name, 0));
         this.#options.engines.forEach(({ holder, id }) => {
             const host = this.#hosts[holder]?.name ?? "";
             duties.setHolder(id, { host, session: host, released: false, settled: true, revision: 1 }, 0);
