--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -14,7 +14,7 @@
 import { run } from "node:test";
 import { spec } from "node:test/reporters";
 
-const TEST_FOLDERS = ["examples", "src", "platform", "tests", "standins", "scripts", "demo", "measurements"];
+const TEST_FOLDERS = ["examples", "src", "platform", "tests", "standins", "scripts", "demo", "measurements", "soak"];
 const TEST_FILE_SUFFIX = ".test.ts";
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const FIELD_SEPARATOR = " | ";
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 
 /** How the store handles the calls that it receives. */
 export type StoreMode =
@@ -55,6 +56,8 @@
      * then.
      */
     keepsLeasesWhileUnavailable = false;
+    /** Time from the arrival of a call to its effect. */
+    delayMilliseconds = 0;
     /** Sent with each answer and incremented by each restore; not sent while it is `undefined`. */
     era: number | undefined;
     /** Paths of the received calls, oldest first. */
@@ -202,6 +205,9 @@
         }
         const url = new URL(message.url ?? "/", "http://store");
         this.calls.push(url.pathname);
+        if (this.delayMilliseconds > 0) {
+            await delay(this.delayMilliseconds);
+        }
         if (this.mode === "silent") {
             return;
         }
