--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
+import { readBody } from "./_readBody.js";
 
 /** How the store handles the calls that it receives. */
 export type StoreMode =
@@ -199,9 +200,9 @@
     }
 
     async #handleCall(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const chunks: Buffer[] = [];
-        for await (const chunk of message) {
-            chunks.push(chunk as Buffer);
+        const text = await readBody(message);
+        if (text === undefined) {
+            return;
         }
         const url = new URL(message.url ?? "/", "http://store");
         this.calls.push(url.pathname);
@@ -218,7 +219,6 @@
             response.writeHead(503).end();
             return;
         }
-        const text = Buffer.concat(chunks).toString();
         const body: unknown = text === "" ? {} : JSON.parse(text);
         this.#answer(url, body, response);
     }
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -6,6 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { PauseGate } from "./_pauseGate.js";
+import { readBody } from "./_readBody.js";
 import { RestartableServer } from "./_restartableServer.js";
 import { type DeadlyParts } from "./deadlyParts.js";
 
@@ -266,12 +267,11 @@
     }
 
     async #handleMessage(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const chunks: Buffer[] = [];
-        for await (const chunk of message) {
-            chunks.push(chunk as Buffer);
+        const body = await readBody(message);
+        if (body === undefined) {
+            return;
         }
         await this.#pauseGate.passed();
-        const body = Buffer.concat(chunks).toString();
         if (message.url === HEALTH_PATH) {
             response.setHeader("Flamingospread-Instance-Id", this.id).end();
             return;
