--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -34,6 +34,8 @@
     readonly kind: RequestKind;
     readonly path?: string;
     readonly body?: Buffer;
+    /** Bytes of the body that the caller states and never sends. */
+    readonly withheldBytes?: number;
     readonly agent?: Agent;
     readonly deadlineMilliseconds?: number;
     /** The caller closes its connection after this time. */
@@ -76,7 +78,7 @@
     caller: CallerRequest,
 ): Promise<RequestRecord & { readonly retryAfterSeconds: number; }> {
     requestCount += 1;
-    const { body, deadlineMilliseconds = 4_000, kind, unreadMilliseconds = 0 } = caller;
+    const { body, deadlineMilliseconds = 4_000, kind, unreadMilliseconds = 0, withheldBytes = 0 } = caller;
     const id = `${process.pid.toString(16)}-${requestCount}`;
     const startedAt = log.now();
     let [isConnected, hasLeft, isOver]: boolean[] = [false, false, false];
@@ -102,7 +104,7 @@
                 writtenAt,
                 endedAt: log.now(),
                 deadlineMilliseconds,
-                isSlow: unreadMilliseconds > 0,
+                isSlow: unreadMilliseconds > 0 || withheldBytes > 0,
                 ending: hasLeft && ending !== "answered" ? "left" : ending,
                 status: answer?.statusCode,
                 signature: header("flamingospread-response-signature"),
@@ -122,7 +124,7 @@
                 "Host": SITE_HOST,
                 "Flamingospread-Request-Id": id,
                 "Flamingospread-Deadline-Ms": String(deadlineMilliseconds),
-                "Content-Length": String(body?.length ?? 0),
+                "Content-Length": String((body?.length ?? 0) + withheldBytes),
                 ...kind === "chat" || kind === "digest" ? { "Flamingospread-Model": "quotes" } : {},
             },
         });
@@ -151,7 +153,12 @@
             const ending = isConnected ? "broken" : "not-connected";
             finish(undefined, isGarbled ? "garbled" : ending);
         });
-        request.end(body);
+        if (withheldBytes > 0) {
+            request.write(body);
+        }
+        else {
+            request.end(body);
+        }
     });
 }
 
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -20,6 +20,10 @@
 const BURST_DEADLINE_MILLISECONDS = 8_000;
 const LARGEST_BODY = Buffer.alloc(4_190_000, "x");
 const LARGEST_ANSWER_BYTES = 7_500_000;
+/** Part of the bursts whose bodies or answers have the largest size. */
+const LARGEST_PART = 0.5;
+/** Part of the bursts whose bodies are sent to their ends. */
+const WHOLE_PART = 0.75;
 const RESTART_MILLISECONDS = 500;
 const EARLY_MILLISECONDS = 600;
 const LINK_MEGABITS = 1_000;
@@ -133,21 +137,25 @@
     endTrouble();
 }
 
-/** Sends requests at once to one host, half of them with bodies or answers of the largest size. */
+/**
+ * Sends requests at once to one host, with bodies or answers of which half have the largest size. A quarter of the
+ * bursts of bodies withholds the last byte of each.
+ */
 async function burst(
     { deployment: { hosts }, log, trouble: { amount, choice, kind, milliseconds } }: Stage,
 ): Promise<void> {
     const host = choose(hosts, choice);
     const endTrouble = log.beginTrouble(kind, []);
     const part = choice * hosts.length % 1;
-    const size = part < 0.5 ? 1 : part;
+    const size = part < LARGEST_PART ? 1 : part;
+    const withheldBytes = part > WHOLE_PART ? 1 : 0;
     const callers = Array.from({ length: Math.ceil(amount * MAXIMUM_BURST) }, () => {
         const agent = new Agent({ keepAlive: true, maxSockets: 1 });
         const shared = { agent, deadlineMilliseconds: BURST_DEADLINE_MILLISECONDS };
         const body = LARGEST_BODY.subarray(0, Math.floor(size * LARGEST_BODY.length));
         const path = `/reads/${Math.floor(size * LARGEST_ANSWER_BYTES)}`;
         const sent = kind === "large-bodies"
-            ? sendToHost(log, host, { ...shared, kind: "order", body })
+            ? sendToHost(log, host, { ...shared, kind: "order", body, withheldBytes })
             : sendToHost(log, host, { ...shared, kind: "read", path, unreadMilliseconds: milliseconds });
         return sent.finally(() => agent.destroy());
     });
