--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -5,6 +5,8 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { readBody } from "./_readBody.js";
 
 /** How the store handles the calls that it receives. */
 export type StoreMode =
@@ -55,6 +57,8 @@
      * then.
      */
     keepsLeasesWhileUnavailable = false;
+    /** Time from the arrival of a call to its effect. */
+    delayMilliseconds = 0;
     /** Sent with each answer and incremented by each restore; not sent while it is `undefined`. */
     era: number | undefined;
     /** Paths of the received calls, oldest first. */
@@ -196,12 +200,15 @@
     }
 
     async #handleCall(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const chunks: Buffer[] = [];
-        for await (const chunk of message) {
-            chunks.push(chunk as Buffer);
+        const text = await readBody(message);
+        if (text === undefined) {
+            return;
         }
         const url = new URL(message.url ?? "/", "http://store");
         this.calls.push(url.pathname);
+        if (this.delayMilliseconds > 0) {
+            await delay(this.delayMilliseconds);
+        }
         if (this.mode === "silent") {
             return;
         }
@@ -212,7 +219,6 @@
             response.writeHead(503).end();
             return;
         }
-        const text = Buffer.concat(chunks).toString();
         const body: unknown = text === "" ? {} : JSON.parse(text);
         this.#answer(url, body, response);
     }
