Cut off an answer that nobody has taken by its deadline once memory is short

Callers that read nothing kept the memory of whole answers for as long as their connections were open: the exchange had ended with the engine's answer, and with it the timer of its deadline. Where they hold much, callers' bodies are refused.

Now the timer runs on until the connection has taken the answer. Once the deadline has passed, and while a body of 4 MiB finds no room, the connection is closed within the answer (`answer not delivered`, isOutOfTime); else the caller may read on, as before. Cutting off at the deadline in any case was weighed: a caller with a slow link would lose an answer that takes no memory from anybody.

Answers that are passed on end at their deadline, or at the end of a stopping host's grace period, like streams: their engine's connection and memory are free then. This needed no change and has its tests.

Tests: answerMemory of tests/: what is reserved returns to 0 after each way in which an exchange ends (answered in four forms, retried, hedged, broken off, error on a stream's route, unfinished event, caller left, deadline), 1, 3 and 9 slow callers beside 20 others, a caller that reads 1 KB a second, a stopping host; without the limit its test of whole answers fails (reserved bytes stay).

--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -75,6 +75,11 @@
         return this.#begun;
     }
 
+    /** True once the connection has taken the whole answer, or was closed. */
+    get isClosed(): boolean {
+        return this.#options.response.closed;
+    }
+
     /** True once the connection was closed within the answer. */
     get aborted(): boolean {
         return this.#aborted;
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -24,6 +24,12 @@
 import { type WaitingRank, waitingRank } from "./waitingRank.js";
 import { WaitTime } from "./waitTime.js";
 
+/** Memory is short where a request's body of this size finds no room. */
+const BODY_ROOM_BYTES = 4 * 1024 * 1024;
+
+/** Interval at which an answer that its caller has not taken by its deadline is looked at again. */
+const DELIVERY_CHECK_MILLISECONDS = 500;
+
 /** Callbacks from an exchange to its forwarder. */
 export interface ExchangeListener {
     readonly onEnded: () => void;
@@ -50,6 +56,11 @@
     /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
     #isDoubted = false;
     readonly #handleCallerClosed = (): void => this.#guard(() => this.#ending.handleCallerClosed());
+    readonly #handleResponseClosed = (): void => {
+        this.#handleCallerClosed();
+        clearTimeout(this.#deadlineTimer);
+    };
+    /** Runs until the caller's connection has taken the answer. */
     #deadlineTimer: NodeJS.Timeout | undefined;
     /** State of the copies at the last dispatch, where there was none that could run the request. */
     #lackedCopiesAt: string | undefined;
@@ -165,13 +176,10 @@
     #begin(): void {
         const { arrivedAtMilliseconds, message, response } = this.#parts.request;
         const { model, promptTokens, service, work } = this.#parts.facts;
-        response.on("close", this.#handleCallerClosed);
+        response.on("close", this.#handleResponseClosed);
         message.socket.once("end", this.#handleCallerClosed);
         response.on("drain", () => this.#guard(() => this.#receiver.handleDrain()));
-        this.#deadlineTimer = setTimeout(
-            () => this.#context.acts.runOrEnqueue(() => this.abort()),
-            Math.max(0, remainingMilliseconds(this.#parts)),
-        );
+        this.#scheduleDeadline(Math.max(0, remainingMilliseconds(this.#parts)));
         if (service === undefined) {
             this.#ending.refuse("no-service");
             return;
@@ -188,6 +196,37 @@
         this.#startStream();
     }
 
+    #scheduleDeadline(milliseconds: number): void {
+        clearTimeout(this.#deadlineTimer);
+        this.#deadlineTimer = setTimeout(
+            () => this.#context.acts.runOrEnqueue(() => this.#guard(() => this.#handleDeadline())),
+            milliseconds,
+        );
+    }
+
+    #handleDeadline(): void {
+        if (this.#ending.ended) {
+            this.#limitDelivery();
+        }
+        else {
+            this.#ending.handleDeadline();
+        }
+    }
+
+    /** Cuts off an answer that its caller has not taken by its deadline, once memory is short. */
+    #limitDelivery(): void {
+        const { answer, context: { memory } } = this.#parts;
+        if (answer.isClosed) {
+            return;
+        }
+        if (memory.hasRoomFor("requests", BODY_ROOM_BYTES)) {
+            this.#scheduleDeadline(DELIVERY_CHECK_MILLISECONDS);
+        }
+        else {
+            this.#ending.cutOffDelivery();
+        }
+    }
+
     /** Sends the request, once the version is known that began the stream which it resumes. */
     #startStream(): void {
         switch (this.#parts.progress.start()) {
@@ -349,9 +388,11 @@
         }
     }
 
-    /** Ends the timers and the wait of a request that has ended. */
+    /** Ends the timers and the wait of a request that has ended, but for that of its answer's delivery. */
     #close(outcome: string): void {
-        clearTimeout(this.#deadlineTimer);
+        if (this.#parts.answer.isClosed) {
+            clearTimeout(this.#deadlineTimer);
+        }
         this.#parts.request.message.socket.removeListener("end", this.#handleCallerClosed);
         this.#hedging.close();
         this.#dispatchTimer.close();
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -141,6 +141,12 @@
         this.end("caller left");
     }
 
+    /** Closes the connection of an answer that has ended, and that its caller has not taken whole. */
+    cutOffDelivery(): void {
+        this.#logUndelivered();
+        this.#parts.answer.abort();
+    }
+
     end(outcome: string): void {
         if (this.#ended) {
             return;
@@ -201,13 +207,14 @@
         });
     }
 
-    /** Logs an answer that was handed to the caller's connection and did not leave it whole. */
+    /** Logs an answer that was handed to the caller's connection and does not leave it whole. */
     #logUndelivered(): void {
         const { answer, context, logger, request: { response } } = this.#parts;
         if (!response.writableFinished && !answer.aborted) {
             logger.info("answer not delivered", {
                 unsentBytes: answer.unsentBytes,
                 isLeaving: context.isLeaving(),
+                isOutOfTime: remainingMilliseconds(this.#parts) <= 0,
             });
             context.metrics.count("failures", { reason: "not-delivered" });
         }
