Let messages of peers that wait draw on the memory of the host

Messages that wait to be handled were limited to 4 MiB of their own, beside what callers and engines held, so that no sum was held to the machine.

Change: the receive queue reserves what waits (use `peers`); a message that finds no room is dropped as beyond the queue's own limit (`queue-full`). A message that is dropped for another reason (an equal one waits, its sender has too many) says that reason though the queue is full, too.

Evidence: the new test of receiveQueue.test.ts; nothing was reserved before.

--- a/src/entry/peers/digestsBesideOthers.test.ts
+++ b/src/entry/peers/digestsBesideOthers.test.ts
@@ -10,6 +10,7 @@
 import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
 import { createDigest } from "../../../tests/support/digests.js";
 import { openGossipLink, PeerTable } from "../../gossip/index.js";
+import { MemoryBudget } from "../../memory/index.js";
 import { createEntryMetrics, TimeSpent } from "../../observability/index.js";
 import { HostGossip, PacedDigests } from "./index.js";
 
@@ -57,6 +58,7 @@
         host: "entry",
         peers,
         logger,
+        memory: new MemoryBudget({ machineBytes: undefined }),
         metrics,
         timeSpent: new TimeSpent({ logger, metrics, readClock: () => 0, readProcessorMicroseconds: () => 0 }),
         readClock: () => 0,
--- a/src/entry/peers/hostGossip.test.ts
+++ b/src/entry/peers/hostGossip.test.ts
@@ -6,6 +6,7 @@
 import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
 import { createDigest } from "../../../tests/support/digests.js";
 import { CellAggregates, type GossipMessage, PeerTable } from "../../gossip/index.js";
+import { MemoryBudget } from "../../memory/index.js";
 import { createEntryMetrics, TimeSpent } from "../../observability/index.js";
 import { digestIntervalMilliseconds } from "../hostIntervals.js";
 import { HostGossip } from "./hostGossip.js";
@@ -45,6 +46,7 @@
         host: "speaker",
         peers,
         logger: lines,
+        memory: new MemoryBudget({ machineBytes: undefined }),
         metrics,
         timeSpent: new TimeSpent({ logger: lines, metrics, readClock: () => 0, readProcessorMicroseconds: () => 0 }),
         readClock: () => 0,
--- a/src/entry/peers/hostGossip.ts
+++ b/src/entry/peers/hostGossip.ts
@@ -21,6 +21,7 @@
     type Peer,
     type PeerTable,
 } from "../../gossip/index.js";
+import { type MemoryBudget } from "../../memory/index.js";
 import {
     type EntryMetrics,
     type LogFields,
@@ -46,6 +47,7 @@
     readonly host: string;
     readonly peers: PeerTable;
     readonly logger: Logger;
+    readonly memory: MemoryBudget;
     readonly metrics: EntryMetrics;
     readonly timeSpent: TimeSpent;
     readonly readClock: () => number;
@@ -88,11 +90,12 @@
      * @throws Rejects where the address cannot be used.
      */
     async open(address: ListenAddress, bytesPerSecond: number): Promise<void> {
-        const { onMessage, openLink = openGossipLink, readProcessorMicroseconds } = this.#options;
+        const { memory, onMessage, openLink = openGossipLink, readProcessorMicroseconds } = this.#options;
         const problems = new GossipProblems(this.#options);
         this.#link = await openLink({
             ...address,
             bytesPerSecond,
+            reservation: memory.begin("peers"),
             readCostClock: () => readProcessorMicroseconds() / MICROSECONDS_PER_MILLISECOND,
             onHandled: datagram => this.#recordHandled(datagram),
             onSent: message => this.#sent.record(message),
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -42,6 +42,7 @@
     type VersionCopyRequest,
     versionCopyRequestSchema,
 } from "../generated/gossip.js";
+import { type MemoryReservation } from "../memory/index.js";
 import { parseJson } from "../platform/parseJson.js";
 import { parseAddress } from "../transport/index.js";
 import { FIRST_TOLERANT_FORMAT, formsFor, provedFormat } from "./messageFormats.js";
@@ -128,6 +129,8 @@
 export interface GossipLinkOptions {
     readonly address: string;
     readonly port: number;
+    /** Memory that the messages draw on which wait to be handled. */
+    readonly reservation?: MemoryReservation | undefined;
     readonly onMessage: (message: GossipMessage) => void;
     /** Bytes a second that messages take at most; not limited by default. */
     readonly bytesPerSecond?: number;
@@ -230,10 +233,11 @@
     readonly #socket: Socket;
     readonly #sender: PacedSender;
     readonly #formats = new PeerFormats();
-    readonly #received = new ReceiveQueue();
+    readonly #received: ReceiveQueue;
     readonly #receiving = new TurnBudget({ work: () => this.#receiveNext() });
 
     constructor(options: GossipLinkOptions, socket: Socket) {
+        this.#received = new ReceiveQueue(options.reservation);
         this.#options = options;
         this.#socket = socket;
         this.#sender = new PacedSender({
--- a/src/gossip/receiveQueue.test.ts
+++ b/src/gossip/receiveQueue.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { createBusyAggregate } from "../../tests/support/busyMessages.js";
 import { createDigest } from "../../tests/support/digests.js";
+import { MemoryBudget } from "../memory/index.js";
 import { ReceiveQueue, type WaitingDatagram } from "./receiveQueue.js";
 
 const PEER = "127.0.0.1:7001";
@@ -167,3 +168,20 @@
     takeAll(queue);
     assert.equal(queue.add(changesOf(101)), undefined);
 });
+
+test("what waits draws on the memory of the host, and is dropped where there is none left", () => {
+    const budget = new MemoryBudget({ machineBytes: 160_000_000 });
+    const others = budget.begin("answers");
+    others.reserve(budget.budgetBytes - 100_000);
+    const queue = new ReceiveQueue(budget.begin("peers"));
+    const sources = Array.from({ length: 1_000 }, (_, index) => `peer-${index}:1`);
+    const reasons = sources.map(source => queue.add(digestOf(1, source)));
+    assert.ok(reasons.includes("queue-full"));
+    assert.ok(queue.size > 0 && budget.reservedBytes("peers") <= 100_000);
+    sources.slice(0, queue.size).forEach(source => queue.add(digestOf(2, source)));
+    takeAll(queue);
+    assert.equal(budget.reservedBytes("peers"), 0);
+    queue.add(noticeOf(1));
+    queue.clear();
+    assert.equal(budget.reservedBytes("peers"), 0);
+});
--- a/src/gossip/receiveQueue.ts
+++ b/src/gossip/receiveQueue.ts
@@ -8,6 +8,8 @@
  * @module
  */
 
+import { type MemoryReservation } from "../memory/index.js";
+
 /** Limit of the bytes that wait; a part of the 64 MB that a host may use for control. */
 const MAXIMUM_WAITING_BYTES = 4 * 1024 * 1024;
 
@@ -47,7 +49,7 @@
     | "superseded"
     /** Too many of the same sender wait. */
     | "sender-limit"
-    /** Too many bytes wait. */
+    /** Too many bytes wait, or the host has no memory left for more. */
     | "queue-full";
 
 /** Returns what a datagram has in common with those that supersede it; `undefined` where each counts on its own. */
@@ -93,6 +95,7 @@
  * ```
  */
 export class ReceiveQueue {
+    readonly #reservation: MemoryReservation | undefined;
     /** The latest datagram of each sender and kind; a newer one keeps the place of the older. */
     readonly #states = new Map<string, QueuedDatagram>();
     /** Datagrams that count on their own, in the order of their arrival; repeated requests by their key. */
@@ -106,6 +109,13 @@
     #takesState = true;
     #urgentInARow = 0;
 
+    /**
+     * @param reservation Memory that the datagrams draw on; beside their own limit there is none without it.
+     */
+    constructor(reservation?: MemoryReservation) {
+        this.#reservation = reservation;
+    }
+
     /** Number of datagrams that wait. */
     get size(): number {
         return this.#states.size + this.#others.size + this.#urgent.size;
@@ -120,13 +130,12 @@
         const key = stateKeyOf(datagram);
         const older = key === undefined ? undefined : this.#states.get(key);
         const addedBytes = datagram.bytes.length - (older?.datagram.bytes.length ?? 0);
-        if (this.#waitingBytes + addedBytes > MAXIMUM_WAITING_BYTES) {
-            return "queue-full";
-        }
         if (key === undefined) {
             return this.#addOther(datagram);
         }
-        this.#waitingBytes += addedBytes;
+        if (!this.#tryReserve(addedBytes)) {
+            return "queue-full";
+        }
         this.#states.set(key, this.#queued(datagram));
         return older === undefined ? undefined : "superseded";
     }
@@ -134,7 +143,7 @@
     /** Removes and returns the next datagram; `undefined` where none waits. */
     take(): WaitingDatagram | undefined {
         const taken = this.#takesUrgent() ? this.#takeUrgent() : this.#takeInTurn();
-        this.#waitingBytes -= taken?.bytes.length ?? 0;
+        this.#release(taken?.bytes.length ?? 0);
         return taken;
     }
 
@@ -144,7 +153,24 @@
         this.#others.clear();
         this.#urgent.clear();
         this.#countsOfSenders.clear();
-        this.#waitingBytes = 0;
+        this.#release(this.#waitingBytes);
+    }
+
+    /** Counts bytes that are added; returns `false`, and counts none, where there is no room for them. */
+    #tryReserve(bytes: number): boolean {
+        if (bytes <= 0) {
+            this.#release(-bytes);
+            return true;
+        }
+        const hasRoom = this.#waitingBytes + bytes <= MAXIMUM_WAITING_BYTES
+            && this.#reservation?.tryReserve(bytes) !== false;
+        this.#waitingBytes += hasRoom ? bytes : 0;
+        return hasRoom;
+    }
+
+    #release(bytes: number): void {
+        this.#waitingBytes -= bytes;
+        this.#reservation?.release(bytes);
     }
 
     #addOther(datagram: WaitingDatagram): DropReason | undefined {
@@ -157,7 +183,9 @@
         if (count >= MAXIMUM_WAITING_PER_SENDER) {
             return "sender-limit";
         }
-        this.#waitingBytes += bytes.length;
+        if (!this.#tryReserve(bytes.length)) {
+            return "queue-full";
+        }
         this.#countsOfSenders.set(source, count + 1);
         if (isUrgent(datagram)) {
             this.#urgent.add(this.#queued(datagram));
