Wait for the log line of a metrics address in a test

The test of metrics that cannot be served failed in the full run of tests/programStart.test.ts and in three of three runs by itself: twice at "address in use", once at "metrics not served". It looked for the line at the moment of readiness, but log lines are written in batches of 50 ms. Both lines are still required, now within 5 s, with the port still taken.

--- a/tests/programStart.test.ts
+++ b/tests/programStart.test.ts
@@ -165,13 +165,13 @@
     const holder = await takePort(metricsPort);
     const program = start(context, settings.text, { FLAMINGOSPREAD_METRICS_PORT: String(metricsPort) });
     await assertReady(program, settings);
-    assert.ok(messagesOf(program).includes("address in use"));
+    await until(() => messagesOf(program).includes("address in use"), 5_000);
     holder.close();
     await until(async () => (await callPort(metricsPort, "/metrics"))?.status === 200, 5_000);
     await end(program);
     const withoutPort = start(context, settings.text, { FLAMINGOSPREAD_METRICS_PORT: "99999" });
     await assertReady(withoutPort, settings);
-    assert.ok(messagesOf(withoutPort).includes("metrics not served"));
+    await until(() => messagesOf(withoutPort).includes("metrics not served"), 5_000);
 });
 
 test("a program with an address that its machine does not have says so and ends", async context => {
