Wait for the holder before one that gave an engine up while it still waited

What an engine could see: a holder that is cut off orders it until 1.5 s after its last renewal; the next host takes it, leaves within its own wait of 4.5 s and releases it; the one after that waited the hand-over time only and ordered 1.6 s or more behind the first, less than leaseMs (ONE). Read in the code while the consent of other cells was worked on; not seen in a run of hosts.

Cause: a released record was taken for the end of all earlier holders, also where it was never settled.

The change: after a released record that is not settled, the next holder waits the confirmed and the hand-over time. The price is 1.5 s more where a host that leaves had just taken the engine from one that left.

Evidence: the test failed before ("one may have ordered until 1,500 ms") and passes now.

--- a/src/duties/engineDuties.test.ts
+++ b/src/duties/engineDuties.test.ts
@@ -304,6 +304,17 @@
     assert.equal(duties.fencingNumber("engine", at(2_700)), 20);
 });
 
+test("after a holder that gave an engine up while it waited, the next one still waits for the holder before", () => {
+    const duties = createDuties("three", "s3");
+    duties.setHolder("engine", { host: "one", session: "s1", released: false, settled: true, revision: 12 }, 0);
+    duties.setHolder("engine", { host: "two", session: "s2", released: false, settled: false, revision: 13 }, 0);
+    duties.setHolder("engine", { host: "two", session: "s2", released: true, settled: false, revision: 14 }, 100);
+    duties.setHolder("engine", { host: "three", session: "s3", released: false, settled: false, revision: 15 }, 200);
+    duties.recordRenewal("s3", at(4_000));
+    assert.equal(duties.fencingNumber("engine", at(4_400)), undefined, "one may have ordered until 1,500 ms");
+    assert.equal(duties.fencingNumber("engine", at(4_700)), 15);
+});
+
 type Event =
     | { readonly type: "relinquish"; readonly host: number; readonly isReceived: boolean; }
     | { readonly type: "pass"; readonly milliseconds: number; }
--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -459,7 +459,8 @@
         if (reported?.revision === previous.revision) {
             return Math.max(nowMilliseconds, reported.untilMilliseconds);
         }
-        const stopsWithin = previous.released ? 0 : confirmedMilliseconds;
+        const hasStopped = previous.released && previous.settled;
+        const stopsWithin = hasStopped ? 0 : confirmedMilliseconds;
         return nowMilliseconds + stopsWithin + handoverMilliseconds;
     }
 
