--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -7,6 +7,7 @@
 import { EngineDuties } from "../duties/index.js";
 import { SharedRetryBudget } from "../forwarding/index.js";
 import { PeerTable } from "../gossip/index.js";
+import { type LogFields } from "../observability/index.js";
 import { type BindObstacle, retryWhileInUse } from "../transport/index.js";
 import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
@@ -46,11 +47,6 @@
 /** A holder may send orders for this long after a successful renewal of its session. */
 const HOLDER_CONFIRMED_MILLISECONDS = 1_500;
 
-const BIND_OBSTACLE_MESSAGES: Readonly<Record<BindObstacle, string>> = {
-    "in-use": "address in use",
-    "not-available": "address not available",
-};
-
 /** A running entry host. */
 export interface EntryHost {
     /** Leaves the fleet: ends advertising, serves requests that still arrive, lets all requests finish, then closes. */
@@ -398,13 +394,20 @@
         return retryWhileInUse(bind, {
             signal: this.#closed.signal,
             onWaiting: (obstacle, waitedMilliseconds) =>
-                this.#context.logger.warn(BIND_OBSTACLE_MESSAGES[obstacle], {
-                    address: `${address}:${port}`,
-                    waitedMilliseconds,
-                }),
+                this.#logWaiting(obstacle, { address: `${address}:${port}`, waitedMilliseconds }),
         });
     }
 
+    #logWaiting(obstacle: BindObstacle, fields: LogFields): void {
+        const { logger } = this.#context;
+        if (obstacle === "in-use") {
+            logger.warn("address in use", fields);
+        }
+        else {
+            logger.warn("address not available", fields);
+        }
+    }
+
     /** Publishes a digest, and does what else is due at regular intervals. */
     #performRound(): void {
         this.#upstreams.expire();
