--- a/src/entry/exchange/answerDelivery.ts
+++ b/src/entry/exchange/answerDelivery.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
 import { type MemoryReservation } from "../../memory/index.js";
 import { type AnswerPiece, heldBytes, type PagePool, totalLength } from "./pagePool.js";
 
@@ -35,6 +36,8 @@
     readonly #reservation: MemoryReservation;
     readonly #pages: PagePool;
     #waiting: AnswerPiece[] = [];
+    /** The connection of a body that is whole and has not been written whole. */
+    #socket: Socket | undefined;
     #isEnded = false;
 
     constructor({ pages, reservation, response }: AnswerDeliveryOptions) {
@@ -66,9 +69,12 @@
         this.pump();
     }
 
-    /** Writes a whole body, with its end. */
+    /** Writes a whole body, with its end; at once where the caller closes its sending half. */
     deliver(pieces: readonly AnswerPiece[]): void {
         if (totalLength(pieces) > WINDOW_BYTES) {
+            // Runs before Node's own listener, which ends the connection after what was written by then.
+            this.#socket = this.#response.socket ?? undefined;
+            this.#socket?.prependOnceListener("end", this.#writeAll);
             this.add(pieces);
             this.end();
             return;
@@ -80,7 +86,22 @@
 
     /** Writes what the connection takes; called when it has taken what was written. */
     pump(): void {
-        while (!this.#response.destroyed && this.#response.writableLength < WINDOW_BYTES) {
+        this.#writeUpTo(WINDOW_BYTES);
+    }
+
+    /** Forgets what waits, and releases all that is reserved; called when the answer or its connection has closed. */
+    close(): void {
+        this.#socket?.removeListener("end", this.#writeAll);
+        this.#waiting.forEach(piece => this.#pages.free(piece));
+        this.#waiting = [];
+        this.#reservation.release();
+    }
+
+    readonly #writeAll = (): void => this.#writeUpTo(Infinity);
+
+    /** Writes pieces while fewer bytes than these wait in the connection. */
+    #writeUpTo(windowBytes: number): void {
+        while (!this.#response.destroyed && this.#response.writableLength < windowBytes) {
             const piece = this.#waiting.shift();
             if (piece === undefined) {
                 this.#endResponse();
@@ -90,13 +111,6 @@
         }
     }
 
-    /** Forgets what waits, and releases all that is reserved; called when the connection has closed. */
-    close(): void {
-        this.#waiting.forEach(piece => this.#pages.free(piece));
-        this.#waiting = [];
-        this.#reservation.release();
-    }
-
     #reserve(pieces: readonly AnswerPiece[]): void {
         this.#reservation.reserve(pieces.reduce((total, piece) => total + heldBytes(piece), 0));
     }
