Release what waiting requests hold when their connection closes

Callers that pipeline requests and leave took the host's memory, and its count of open requests, for ever, so that it refused everybody (4 of 5 probes after 120 connections of 40 requests): Node reports no close of responses that wait behind another one. And a body behind an answer that its caller did not read got an untrue 408 (2 of 2): Node pauses such a connection by itself.

Each request now ends once, with its answer or with its connection; a body's idle time does not run while the connection is paused by anybody. Both tests of callerConnectionMemory failed before (2 of 2) and pass; callerMemory, callerBodies, overlappingMemory and answerMemory pass.

--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -43,6 +43,8 @@
     /** The longest time for which it may have lain unread before. */
     readonly longestUnreadMilliseconds: number;
     readonly bodyLimitBytes: number;
+    /** The request has been answered, or its connection has closed; called once. */
+    readonly onEnded: () => void;
     /** Time without a byte after which a body is given up. */
     readonly idleTimeoutMilliseconds: number;
     readonly problem: RequestProblem | undefined;
@@ -101,6 +103,8 @@
     readonly #options: CallerConnectionOptions;
     readonly #order = new RequestOrder<Arrival>(WAITING_LIMITS);
     readonly #unanswered = new Set<IncomingMessage>();
+    /** Ends each request that is open, once. */
+    readonly #endings = new Set<() => void>();
     /** True once an answer has told the caller that the connection closes. */
     #isLastAnswer = false;
     #isReadingPaused = false;
@@ -112,7 +116,7 @@
         this.#socket = socket;
         this.#options = options;
         socket.on("resume", () => this.#keepPaused());
-        socket.once("close", () => this.#reportUnanswered());
+        socket.once("close", () => this.#handleClosed());
     }
 
     /** Number of requests whose head was read. */
@@ -150,16 +154,21 @@
         // Runs before Node's own listener, which ends the connection after its last answer.
         response.prependListener("finish", () => this.#handleAnswered(message));
         const reservation = this.#options.memory.begin("requests");
-        response.on("close", () => {
-            reservation.release();
-            this.#handleEnded(place);
-        });
+        const end = (): void => {
+            if (this.#endings.delete(end)) {
+                reservation.release();
+                head.onEnded();
+                this.#handleEnded(place);
+            }
+        };
+        this.#endings.add(end);
+        response.on("close", end);
         const options = {
             limitBytes: head.bodyLimitBytes,
             reservation,
             acts: this.#options.acts,
             idleTimeoutMilliseconds: head.idleTimeoutMilliseconds,
-            isReadingPaused: () => this.#isReadingPaused,
+            isReadingPaused: () => this.#socket.isPaused(),
         };
         readRequest(head, options, (body, problem) =>
             this.#handleRead(place, {
@@ -255,6 +264,12 @@
         setTimeout(() => this.#socket.destroy(), LINGER_MILLISECONDS).unref();
     }
 
+    /** Node does not report the close of responses that wait behind another one. */
+    #handleClosed(): void {
+        this.#reportUnanswered();
+        this.#endings.forEach(end => end());
+    }
+
     #reportUnanswered(): void {
         if (this.#unanswered.size > 0) {
             this.#options.onUnanswered([...this.#unanswered]);
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -67,7 +67,7 @@
     readonly #connections = new Map<Duplex, CallerConnection>();
     #limits: BodyLimits = { bodyBytes: DEFAULT_BODY_BYTES, idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS };
     #isClosing = false;
-    #openResponses = 0;
+    #openRequests = 0;
 
     constructor(options: CallerConnectionsOptions) {
         const { acts, handler } = options;
@@ -112,14 +112,14 @@
         if (connection.openRequestCount > 0) {
             metrics.count("overlapping_requests", {});
         }
-        this.#openResponses += 1;
-        response.once("close", () => {
-            this.#openResponses -= 1;
-        });
+        this.#openRequests += 1;
         connection.add({
             message,
             response,
-            problem: problem ?? (this.#openResponses > MAXIMUM_OPEN_REQUESTS ? "no-room-for-bodies" : undefined),
+            problem: problem ?? (this.#openRequests > MAXIMUM_OPEN_REQUESTS ? "no-room-for-bodies" : undefined),
+            onEnded: () => {
+                this.#openRequests -= 1;
+            },
             arrivedAtMilliseconds: readClock(),
             longestUnreadMilliseconds: this.#unreadTimes.longestMilliseconds(message.socket),
             bodyLimitBytes: this.#limits.bodyBytes,
