--- a/src/memory/memoryBudget.ts
+++ b/src/memory/memoryBudget.ts
@@ -22,10 +22,8 @@
     | "requests"
     /** Answers on their way to callers. */
     | "answers"
-    /** Messages of peers, and state that is fetched from them. */
-    | "peers"
-    /** Answers of the key-value service. */
-    | "store";
+    /** Messages of peers that wait to be handled. */
+    | "peers";
 
 /**
  * The share of the budget up to which a use may take memory, whatever holds the rest. Requests that have not run are
@@ -35,9 +33,11 @@
     requests: 0.6,
     answers: 0.9,
     peers: 1,
-    store: 1,
 };
 
+/** Memory that a use always finds, whatever the others hold: hosts that hear nothing of each other serve worse. */
+const MINIMUM_BYTES: Readonly<Record<MemoryUse, number>> = { requests: 0, answers: 0, peers: 1024 * 1024 };
+
 /** Memory that one holder has reserved; it is released whole or in parts. */
 export interface MemoryReservation {
     /** Bytes that are reserved now. */
@@ -76,7 +76,7 @@
 export class MemoryBudget {
     #machineBytes: number;
     #budgetBytes: number;
-    readonly #reservedBytes: Record<MemoryUse, number> = { requests: 0, answers: 0, peers: 0, store: 0 };
+    readonly #reservedBytes: Record<MemoryUse, number> = { requests: 0, answers: 0, peers: 0 };
     #totalBytes = 0;
 
     constructor({ machineBytes = DEFAULT_MACHINE_BYTES }: MemoryBudgetOptions) {
@@ -112,7 +112,8 @@
 
     /** Returns whether there is room for a use. */
     hasRoomFor(use: MemoryUse, bytes: number): boolean {
-        return this.#totalBytes + bytes <= this.#budgetBytes * SHARE_OF_BUDGET[use];
+        return this.#totalBytes + bytes <= this.#budgetBytes * SHARE_OF_BUDGET[use]
+            || this.#reservedBytes[use] + bytes <= MINIMUM_BYTES[use];
     }
 
     /** Begins the reservation of one holder. */
