--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -32,8 +32,8 @@
 
 /**
  * Reads a body and calls back once; with `too-large` beyond the limit, `no-room` where the host has no memory left for
- * it, `idle` where nothing more of it comes, `caller-left` if the request is aborted. What its head tells is decided before anything of the body is read; the
- * rest of a body that is not wanted is discarded.
+ * it, `idle` where nothing more of it comes, `caller-left` if the request is aborted. What its head tells is decided
+ * before anything of the body is read; the rest of a body that is not wanted is discarded.
  */
 export function readBody(
     message: IncomingMessage,
