Let the simulated slow host run for its 10 ms, not wait for a core

The test stalls its process for 490 ms and lets it run for 10 ms by the wall clock; while the machine gives the core to other test files, the host it plays does not run in them at all, so that it waits for two stops.

Now the slice is ten timers of a millisecond, so that time withheld in one of them counts as one. Stops, acts and the bound (one stop and 100 ms) are as before; a slice is never shorter.

--- a/src/entry/actQueueSlowHost.test.ts
+++ b/src/entry/actQueueSlowHost.test.ts
@@ -15,6 +15,13 @@
     Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
 }
 
+/** Runs the host for a time; what the machine withholds of it counts as one millisecond. */
+async function runHost(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 1) {
+        await delay(1);
+    }
+}
+
 test("on a host that runs 10 of each 500 ms acts wait no longer than one stop and the time for the service", async context => {
     const readClock = (): number => performance.now();
     const acts = new ActQueue({
@@ -34,7 +41,7 @@
         stall(STOP_MILLISECONDS);
         const enqueuedAt = readClock();
         acts.enqueue(() => waits.push(Math.round(readClock() - enqueuedAt)));
-        await delay(RUN_MILLISECONDS);
+        await runHost(RUN_MILLISECONDS);
     }
     await delay(2 * STOP_MILLISECONDS);
     context.diagnostic(`waits in ms: ${waits.join(" ")}`);
