Rank the fleet for a take-over only where one is in question

A host's control cost is not to grow with the fleet. The ranking is made where it is needed, once a look; sessions that ended are forgotten as before.

--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -260,14 +260,18 @@
         if (!this.#isCandidate) {
             return [];
         }
-        const mayTakeOver = this.#mayTakeOver(nowMilliseconds);
+        this.#forgetEndedSessions(nowMilliseconds);
+        let mayTakeOver: boolean | undefined;
         return engines.flatMap(engine => {
             if (this.holderOf(engine) !== undefined) {
                 this.#vacancies.delete(engine);
                 return [];
             }
-            if (!mayTakeOver && this.#mayHaveOtherHolder(engine, nowMilliseconds)) {
-                return [];
+            if (this.#mayHaveOtherHolder(engine, nowMilliseconds)) {
+                mayTakeOver ??= this.#mayTakeOver();
+                if (!mayTakeOver) {
+                    return [];
+                }
             }
             const vacancy = this.#vacancies.get(engine) ?? { sinceMilliseconds: nowMilliseconds };
             this.#vacancies.set(engine, vacancy);
@@ -286,13 +290,16 @@
         return this.#engineCount;
     }
 
-    /** Returns whether all holders that may go on by consent need that of this host. */
-    #mayTakeOver(nowMilliseconds: number): boolean {
+    #forgetEndedSessions(nowMilliseconds: number): void {
         for (const [host, endedAtMilliseconds] of this.#endedSessions) {
             if (nowMilliseconds - endedAtMilliseconds > ENDED_SESSION_RETENTION_MILLISECONDS) {
                 this.#endedSessions.delete(host);
             }
         }
+    }
+
+    /** Returns whether all holders that may go on by consent need that of this host; ranks the whole fleet. */
+    #mayTakeOver(): boolean {
         const hosts = [...this.#sessions.keys(), ...this.#endedSessions.keys()];
         return possibleTakers(hosts, this.#engineCount).includes(this.#host);
     }
