--- a/src/duties/outageWitnesses.ts
+++ b/src/duties/outageWitnesses.ts
@@ -31,17 +31,35 @@
     readonly #host: string;
     readonly #hosts = new Set<string>();
     readonly #leaving = new Set<string>();
+    /** The fleet when the service last answered, until it is ranked. */
+    #unranked: KnownFleet | undefined;
 
     constructor(host: string) {
         this.#host = host;
     }
 
     /** Records the fleet as known now, in place of what was known if the service answers. */
-    recordFleet({ cellHosts, engineCount, possibleTakers, serviceAnswers }: KnownFleet): void {
-        if (serviceAnswers) {
+    recordFleet(fleet: KnownFleet): void {
+        if (fleet.serviceAnswers) {
             this.#hosts.clear();
             this.#leaving.clear();
+            this.#unranked = fleet;
+            return;
         }
+        this.#rankKnown();
+        this.#add(fleet);
+    }
+
+    /** Adds the fleet of when the service last answered; it is not ranked again and again before an outage. */
+    #rankKnown(): void {
+        const fleet = this.#unranked;
+        this.#unranked = undefined;
+        if (fleet !== undefined) {
+            this.#add(fleet);
+        }
+    }
+
+    #add({ cellHosts, engineCount, possibleTakers }: KnownFleet): void {
         this.recordCellHosts(cellHosts);
         for (const host of firstWitnesses([this.#host, ...possibleTakers], engineCount)) {
             this.#hosts.add(host);
@@ -66,6 +84,7 @@
 
     /** Returns the hosts whose consent is needed. */
     hosts(): string[] {
+        this.#rankKnown();
         return [...this.#hosts].filter(host => !this.#leaving.has(host));
     }
 }
--- a/src/entry/connections/_bodyIdleTimer.ts
+++ b/src/entry/connections/_bodyIdleTimer.ts
@@ -9,7 +9,7 @@
 export interface BodyIdleTimerOptions {
     readonly acts: Pick<Acts, "afterReading">;
     readonly timeoutMilliseconds: number;
-    /** Returns whether the host itself reads nothing of the connection for now. */
+    /** Returns whether nothing of the connection is read for now. */
     readonly isReadingPaused: () => boolean;
     /** Nothing came for the time limit, though the host read what had arrived. */
     readonly onIdle: () => void;
--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -15,7 +15,7 @@
     readonly acts: Pick<Acts, "afterReading">;
     /** Time without a byte after which the body is given up. */
     readonly idleTimeoutMilliseconds: number;
-    /** Returns whether the host itself reads nothing of the connection for now. */
+    /** Returns whether nothing of the connection is read for now. */
     readonly isReadingPaused: () => boolean;
 }
 
