--- a/tests/buildsSideBySide.test.ts
+++ b/tests/buildsSideBySide.test.ts
@@ -5,13 +5,14 @@
  * @module
  */
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
+import { describe, test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type GossipMessage, openGossipLink } from "../src/gossip/index.js";
 import { callAuxiliaryServer, callHost, engineSettings, EntrySite, type SiteHost, until } from "./support/entrySite.js";
 import { KEPT_BUILDS, type KeptBuild, openKeptLink } from "./support/keptBuilds.js";
 import { findWorstWindow, type LimitArrival } from "./support/limitRule.js";
 
+const FLEETS_AT_ONCE = 2;
 const HOSTS_OF_EACH_BUILD = 3;
 const HOSTS = 2 * HOSTS_OF_EACH_BUILD;
 
@@ -212,33 +213,43 @@
     await delay(NEWS_MILLISECONDS);
 }
 
-for (const kept of KEPT_BUILDS) {
-    test(`three hosts of ${kept.commit} and three of this build are one fleet`, async context => {
-        const fleet = await startFleet(context, kept);
-        const { arrivals, old, present, toldAtMilliseconds } = fleet;
-        const hosts = [...old, ...present];
-        await assertAllNamed(hosts);
-        await delay(SETTLED_MILLISECONDS);
-        const planners = new Set(hosts.map(plannerOf));
-        assert.equal(planners.size, 1, `planners: ${[...planners].join(", ")}`);
-        await offerLoad(hosts);
-        const namedAt = arrivals[0]?.atMilliseconds ?? 0;
-        const steps = [{ atMilliseconds: namedAt, requestsPerSecond: LIMIT_PER_SECOND }];
-        const worst = findWorstWindow({ steps, arrivals, toldAtMilliseconds });
-        assert.ok(worst.requests <= worst.allowed, `${worst.requests} requests where ${worst.allowed} are allowed`);
-        assert.ok(arrivals.length > LIMIT_PER_SECOND, "the limit is used");
-        const reads = (field: string): boolean => Object.hasOwn(kept.examples.messages["digest"] ?? {}, field);
-        const readers = reads("crashes") ? hosts : present;
-        sendCrashingRequests(hosts);
-        await assertEvidenceHeard(readers, readers);
-        await sendStreams(hosts);
-        const knowsStreams = kept.schema.messageTypes.has("streams-begun");
-        assert.equal(hasReceived(old, "present", hasCrashEvidence), reads("crashes"), "crash evidence to old hosts");
-        assert.equal(hasReceived(present, "old", hasCrashEvidence), reads("crashes"), "crash evidence of old hosts");
-        assert.equal(hasReceived(old, "present", isStreamsBegun), knowsStreams, "streams begun at new hosts");
-        assert.equal(hasReceived(present, "old", isStreamsBegun), knowsStreams, "streams begun at old hosts");
-        assert.ok(hasReceived(present, "present", hasBuild), "hosts of this build tell each other theirs");
-        assert.equal(hasReceived(old, "present", hasBuild), reads("build"), "builds to old hosts");
-        await assertAllNamed(hosts);
-    });
-}
+describe("hosts of two builds", { concurrency: FLEETS_AT_ONCE }, () => {
+    for (const kept of KEPT_BUILDS) {
+        test(`three hosts of ${kept.commit} and three of this build are one fleet`, async context => {
+            const fleet = await startFleet(context, kept);
+            const { arrivals, old, present, toldAtMilliseconds } = fleet;
+            const hosts = [...old, ...present];
+            await assertAllNamed(hosts);
+            await delay(SETTLED_MILLISECONDS);
+            const planners = new Set(hosts.map(plannerOf));
+            assert.equal(planners.size, 1, `planners: ${[...planners].join(", ")}`);
+            await offerLoad(hosts);
+            const namedAt = arrivals[0]?.atMilliseconds ?? 0;
+            const steps = [{ atMilliseconds: namedAt, requestsPerSecond: LIMIT_PER_SECOND }];
+            const worst = findWorstWindow({ steps, arrivals, toldAtMilliseconds });
+            assert.ok(worst.requests <= worst.allowed, `${worst.requests} requests where ${worst.allowed} are allowed`);
+            assert.ok(arrivals.length > LIMIT_PER_SECOND, "the limit is used");
+            const reads = (field: string): boolean => Object.hasOwn(kept.examples.messages["digest"] ?? {}, field);
+            const readers = reads("crashes") ? hosts : present;
+            sendCrashingRequests(hosts);
+            await assertEvidenceHeard(readers, readers);
+            await sendStreams(hosts);
+            const knowsStreams = kept.schema.messageTypes.has("streams-begun");
+            assert.equal(
+                hasReceived(old, "present", hasCrashEvidence),
+                reads("crashes"),
+                "crash evidence to old hosts",
+            );
+            assert.equal(
+                hasReceived(present, "old", hasCrashEvidence),
+                reads("crashes"),
+                "crash evidence of old hosts",
+            );
+            assert.equal(hasReceived(old, "present", isStreamsBegun), knowsStreams, "streams begun at new hosts");
+            assert.equal(hasReceived(present, "old", isStreamsBegun), knowsStreams, "streams begun at old hosts");
+            assert.ok(hasReceived(present, "present", hasBuild), "hosts of this build tell each other theirs");
+            assert.equal(hasReceived(old, "present", hasBuild), reads("build"), "builds to old hosts");
+            await assertAllNamed(hosts);
+        });
+    }
+});
