Hold DRAIN and GONE in the soak

Change: the store's confirmation that an engine leaves is a record; `departures.ts` finds executions later than `drainMs` after it, at hosts and a store without trouble, and executions more than 0.5 s after their caller left, where they are more than three. What the checks share moves to `sortedRecords.ts`.

Also: `measurements/upgrade.ts` starts hosts with the options of the deploy file.

--- a/measurements/upgrade.ts
+++ b/measurements/upgrade.ts
@@ -42,7 +42,7 @@
 const PHASE_MILLISECONDS = 3_000;
 
 const LAUNCHER = join("target", "flamingospread.cjs");
-const NODE_OPTIONS = ["--single-threaded", "--max-old-space-size=160"];
+const NODE_OPTIONS = ["--single-threaded", "--max-old-space-size=160", "--max-semi-space-size=8"];
 const MAXIMUM_REASON_CHARACTERS = 50;
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
--- a/soak/engines.ts
+++ b/soak/engines.ts
@@ -95,6 +95,7 @@
     async replace(engine: SoakEngine): Promise<void> {
         this.all.splice(this.all.indexOf(engine), 1);
         this.#announce(engine, "draining");
+        this.#log.add({ type: "leave", engine: engine.upstream.id, at: this.#log.now() });
         await this.add(engine.service);
         await delay(DRAIN_MILLISECONDS);
         this.#store.remove(`servers/${engine.upstream.id}`);
--- a/soak/judge.test.ts
+++ b/soak/judge.test.ts
@@ -7,6 +7,7 @@
 import { test } from "node:test";
 import { judge } from "./judge.js";
 import {
+    type LeaveRecord,
     type LifeRecord,
     type RequestRecord,
     type RunRecord,
@@ -56,10 +57,21 @@
 const kill: SignalRecord = { type: "signal", host: "host-1", pid: 7, signal: "SIGKILL", at: 30_000 };
 const trouble: TroubleRecord = { type: "trouble", kind: "freeze", targets: ["host-1"], from: 19_000, until: 19_500 };
 const other: RequestRecord = { ...request, id: "r0", kind: "read", signature: "engine-0", answeredId: "r0" };
-const sound: readonly SoakRecord[] = [other, { ...run, id: "r0", signature: "engine-0" }, life];
+const sound: readonly SoakRecord[] = [other, { ...run, id: "r0", engine: "engine-0", signature: "engine-0" }, life];
 const broken: RequestRecord = { ...request, ending: "broken", status: undefined, signature: undefined };
 const killed: LifeRecord = { ...life, endedAt: 30_001, exit: { code: null, signal: "SIGKILL" } };
 
+const leave: LeaveRecord = { type: "leave", engine: "engine-1", at: 18_000 };
+const storeTrouble: TroubleRecord = { ...trouble, kind: "store-silent", targets: ["store"] };
+
+/** Plants requests that reached an engine some time after their callers had left. */
+function plantGone(count: number, afterMilliseconds: number): SoakRecord[] {
+    return Array.from({ length: count }, (_, index) => `gone-${index}`).flatMap(id => [
+        { ...broken, id, ending: "left" as const },
+        { ...run, id, at: broken.endedAt + afterMilliseconds },
+    ]);
+}
+
 function rulesOf(...records: readonly SoakRecord[]): string[] {
     return judge([...sound, ...records], MEMORY_BYTES).map(({ rule }) => rule);
 }
@@ -94,6 +106,8 @@
     "an order that ran and is not answered": ["LOST", broken, run],
     "an order that was read and is not answered": ["LOST", broken],
     "an answer that ends early": ["LOST", { ...request, ending: "broken" }, run],
+    "a request at an engine that has left": ["DRAIN", request, run, leave],
+    "requests that reach engines long after their callers left": ["GONE", ...plantGone(4, 600)],
 };
 
 const ALLOWED: Readonly<Record<string, readonly SoakRecord[]>> = {
@@ -113,6 +127,11 @@
     "a request whose engine broke off": [broken, { ...run, isSound: false }],
     "a request whose host ended": [broken, run, { ...kill, at: 20_390 }, { ...killed, endedAt: 20_395 }],
     "a request whose caller left": [{ ...broken, ending: "left" }, run],
+    "a request at an engine that leaves": [request, run, { ...leave, at: 18_200 }],
+    "a request at an engine that left while the store was away": [request, run, leave, storeTrouble],
+    "a request at an engine that left while its host did not run": [request, run, leave, trouble],
+    "a few requests that reach engines long after their callers left": plantGone(3, 600),
+    "requests that reach engines just after their callers left": plantGone(8, 400),
 };
 
 for (const [name, [rule, ...records]] of Object.entries(PLANTED)) {
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { findGone, findUndrained } from "./departures.js";
 import {
     type LifeRecord,
     type RequestRecord,
@@ -10,9 +11,9 @@
     type SignalRecord,
     type SoakRecord,
     STORE,
-    type TroubleRecord,
     type Violation,
 } from "./records.js";
+import { describeRequest, isTroubled, type SortedRecords, sortRecords } from "./sortedRecords.js";
 
 /** A process is ready within this time of its start. */
 const READY_MILLISECONDS = 10_000;
@@ -20,51 +21,12 @@
 /** A host has read a request whose connection stays open for this time after its last byte. */
 const READ_MILLISECONDS = 200;
 
-/** A trouble counts for this time after its end. */
-const AFTER_TROUBLE_MILLISECONDS = 3_000;
-
 /** A request may end unanswered once it has used this part of its time. */
 const USED_TIME_PART = 0.7;
 
 /** Statuses that promise that the request has not run and never will. */
 const PROMISING_STATUSES: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503]);
 
-/** The records of a soak by type. */
-interface SortedRecords {
-    readonly requests: readonly RequestRecord[];
-    readonly runs: ReadonlyMap<string, readonly RunRecord[]>;
-    readonly signals: readonly SignalRecord[];
-    readonly lives: readonly LifeRecord[];
-    readonly troubles: readonly TroubleRecord[];
-}
-
-function sortRecords(records: readonly SoakRecord[]): SortedRecords {
-    const ofType = <T extends SoakRecord["type"]>(type: T): Extract<SoakRecord, { readonly type: T; }>[] =>
-        records.filter((record): record is Extract<SoakRecord, { readonly type: T; }> => record.type === type);
-    const runs = new Map<string, RunRecord[]>();
-    for (const run of ofType("run")) {
-        runs.set(run.id, [...runs.get(run.id) ?? [], run]);
-    }
-    const [requests, signals, lives, troubles] = [
-        ofType("request"),
-        ofType("signal"),
-        ofType("life"),
-        ofType("trouble"),
-    ];
-    return { requests, runs, signals, lives, troubles };
-}
-
-function describe({ host, id, kind, status }: RequestRecord): string {
-    return `${kind} ${id} at ${host}, status ${status ?? "none"}`;
-}
-
-function isTroubled(troubles: readonly TroubleRecord[], target: string, from: number, until: number): boolean {
-    return troubles.some(trouble =>
-        trouble.targets.includes(target) && trouble.from <= until
-        && trouble.until + AFTER_TROUBLE_MILLISECONDS >= from
-    );
-}
-
 /** Returns true where a signal of the soak explains how a process ended. */
 function isExpectedEnd({ exit, pid }: LifeRecord, signals: readonly SignalRecord[]): boolean {
     const sent = new Set(signals.filter(signal => signal.pid === pid).map(({ signal }) => signal));
@@ -116,7 +78,7 @@
         return executions.length < 2 ? [] : [{
             rule: "TWICE",
             at: executions[1]?.at ?? 0,
-            message: `${describe(request)}, ran at ${executions.map(({ engine }) => engine).join(" and ")}`,
+            message: `${describeRequest(request)}, ran at ${executions.map(({ engine }) => engine).join(" and ")}`,
         }];
     });
 }
@@ -127,7 +89,7 @@
     return requests.filter(request => isPromised(request) && runs.has(request.id)).map(request => ({
         rule: "REFUSED",
         at: request.endedAt,
-        message: `${describe(request)}, ran at ${runs.get(request.id)?.[0]?.engine ?? ""}`,
+        message: `${describeRequest(request)}, ran at ${runs.get(request.id)?.[0]?.engine ?? ""}`,
     }));
 }
 
@@ -159,7 +121,7 @@
         const mixture = findMixture(request, runs.get(request.id) ?? []);
         return mixture === undefined
             ? []
-            : [{ rule: "MIXED", at: request.endedAt, message: `${describe(request)}: ${mixture}` }];
+            : [{ rule: "MIXED", at: request.endedAt, message: `${describeRequest(request)}: ${mixture}` }];
     });
 }
 
@@ -186,7 +148,7 @@
     return records.requests.filter(request => isLost(request, records)).map(request => ({
         rule: "LOST",
         at: request.endedAt,
-        message: `${describe(request)}, ended after ${Math.round(request.endedAt - request.startedAt)} ms, ran ${
+        message: `${describeRequest(request)}, ended after ${Math.round(request.endedAt - request.startedAt)} ms, ran ${
             records.runs.get(request.id)?.length ?? 0
         } times`,
     }));
@@ -215,5 +177,7 @@
         ...findBrokenPromises(sorted),
         ...findMixed(sorted),
         ...findLost(sorted),
+        ...findUndrained(sorted),
+        ...findGone(sorted),
     ].sort((first, second) => first.at - second.at);
 }
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -88,12 +88,19 @@
     readonly until: number;
 }
 
+/** The store's confirmation that an engine leaves. */
+export interface LeaveRecord {
+    readonly type: "leave";
+    readonly engine: string;
+    readonly at: number;
+}
+
 /** Any record of a soak. */
-export type SoakRecord = RequestRecord | RunRecord | SignalRecord | LifeRecord | TroubleRecord;
+export type SoakRecord = RequestRecord | RunRecord | SignalRecord | LifeRecord | TroubleRecord | LeaveRecord;
 
 /** A promise that was broken. */
 export interface Violation {
-    readonly rule: "FAULT" | "TWICE" | "REFUSED" | "MIXED" | "LOST";
+    readonly rule: "FAULT" | "TWICE" | "REFUSED" | "MIXED" | "LOST" | "DRAIN" | "GONE";
     readonly at: number;
     readonly message: string;
 }
