Keep sessions apart from the duties that rest on them

No behaviour changes: the tests of the folder and of the agreement during an outage are untouched and pass.

--- a/src/duties/engineDuties.ts
+++ b/src/duties/engineDuties.ts
@@ -8,20 +8,17 @@
  * @module
  */
 import { rankByRendezvous } from "../decision/index.js";
-import { firstCandidates, possibleTakers, rankHosts } from "./candidates.js";
+import { FleetSessions } from "./_fleetSessions.js";
+import { OwnSession } from "./_ownSession.js";
+import { firstCandidates, possibleTakers } from "./candidates.js";
+import { type ClockReading } from "./clockReading.js";
 
 /** Acquisition delay for each rank, so that the highest-ranked host writes first. */
 const RANK_DELAY_MILLISECONDS = 300;
 
-/** A larger difference between the wall clock and the monotonic clock is treated as a suspension of the host. */
-const CLOCK_TOLERANCE_MILLISECONDS = 250;
-
 /** Added to the hand-over time after a holder's last order, for orders that were still in flight. */
 const IN_FLIGHT_MILLISECONDS = 200;
 
-/** A host whose session ended may be cut off, and hold engines by consent; it is remembered for this long. */
-const ENDED_SESSION_RETENTION_MILLISECONDS = 60_000;
-
 /** Time limits of holding an engine. */
 export interface DutyBounds {
     /** A holder may send orders for this long after it sent a renewal that succeeded. */
@@ -54,12 +51,6 @@
     readonly settled: boolean;
 }
 
-/** A host's monotonic clock and wall clock, read at the same time. */
-export interface ClockReading {
-    readonly steadyMilliseconds: number;
-    readonly timeOfDayMilliseconds: number;
-}
-
 /** A holder's report that it sends an engine no more orders under a record. */
 export interface Relinquishment {
     readonly engine: string;
@@ -101,9 +92,8 @@
 export class EngineDuties {
     readonly #host: string;
     readonly #bounds: DutyBounds;
-    readonly #sessions = new Map<string, string>();
-    /** When the sessions of hosts without one ended. */
-    readonly #endedSessions = new Map<string, number>();
+    readonly #fleet = new FleetSessions();
+    readonly #own: OwnSession;
     readonly #holders = new Map<string, StoredHolder>();
     readonly #vacancies = new Map<string, Vacancy>();
     /** When this host may begin to send an engine orders; kept also after it lost the engine. */
@@ -120,29 +110,19 @@
     readonly #reportedQuietTimes = new Map<string, ReportedQuietTime>();
     /** End of the wait for holders whose records a restore of the service may have lost. */
     #waitsForLostHoldersUntil = Number.NEGATIVE_INFINITY;
-    #session: string | undefined;
-    #confirmedAt: ClockReading | undefined;
     #isCandidate = true;
     /** The number of engines that hosts could acquire when the service last answered. */
     #engineCount = 0;
-    /** Hosts with a session, in order of preference as holders; cleared when a session begins or ends. */
-    #rankedHosts: readonly string[] | undefined;
 
     constructor(host: string, bounds: DutyBounds) {
         this.#host = host;
         this.#bounds = bounds;
+        this.#own = new OwnSession(bounds.confirmedMilliseconds);
     }
 
     /** Records the session of a host; `undefined` where it has ended. */
     setSession(host: string, session: string | undefined, nowMilliseconds: number): void {
-        this.#rankedHosts = undefined;
-        if (session !== undefined) {
-            this.#sessions.set(host, session);
-            this.#endedSessions.delete(host);
-        }
-        else if (this.#sessions.delete(host)) {
-            this.#endedSessions.set(host, nowMilliseconds);
-        }
+        this.#fleet.set(host, session, nowMilliseconds);
     }
 
     /** Records an engine's holder, as read from the service or written by this host; ignores outdated records. */
@@ -159,7 +139,7 @@
             this.#previousHolders.set(engine, known);
         }
         this.#holders.set(engine, holder);
-        if (holder.host === this.#host && holder.session === this.#session) {
+        if (holder.host === this.#host && holder.session === this.session) {
             this.#waitsUntil.set(engine, this.#waitEndAfter(engine, known, nowMilliseconds));
         }
         else if (known !== undefined && !holder.settled) {
@@ -179,8 +159,7 @@
 
     /** Records that the service renewed this host's session, by a call that was sent at the reading. */
     recordRenewal(session: string, sentAt: ClockReading): void {
-        this.#session = session;
-        this.#confirmedAt = sentAt;
+        this.#own.confirm(session, sentAt);
     }
 
     /**
@@ -188,10 +167,7 @@
      * renewal while this host's session is not known to have ended.
      */
     recordPeerConsent(sentAt: ClockReading): void {
-        const confirmedAt = this.#confirmedAt;
-        if (confirmedAt !== undefined && sentAt.steadyMilliseconds > confirmedAt.steadyMilliseconds) {
-            this.#confirmedAt = sentAt;
-        }
+        this.#own.extend(sentAt);
     }
 
     /**
@@ -215,7 +191,7 @@
 
     /** This host's session; `undefined` while there is none. */
     get session(): string | undefined {
-        return this.#session;
+        return this.#own.session;
     }
 
     /**
@@ -225,8 +201,7 @@
      */
     loseSession(): readonly string[] {
         const engines = this.relinquishAll();
-        this.#session = undefined;
-        this.#confirmedAt = undefined;
+        this.#own.end();
         return engines;
     }
 
@@ -234,25 +209,19 @@
     holderOf(engine: string): string | undefined {
         const holder = this.#holders.get(engine);
         const isValid = holder !== undefined && !holder.released && !this.#isRelinquished(engine, holder)
-            && this.#sessions.get(holder.host) === holder.session;
+            && this.#fleet.sessionOf(holder.host) === holder.session;
         return isValid ? holder.host : undefined;
     }
 
     /** Returns whether this host's session was confirmed recently; false where its clocks diverge (suspension). */
     isConfirmed(now: ClockReading): boolean {
-        if (this.#confirmedAt === undefined) {
-            return false;
-        }
-        const steadyElapsed = now.steadyMilliseconds - this.#confirmedAt.steadyMilliseconds;
-        const timeOfDayElapsed = now.timeOfDayMilliseconds - this.#confirmedAt.timeOfDayMilliseconds;
-        return steadyElapsed <= this.#bounds.confirmedMilliseconds
-            && Math.abs(timeOfDayElapsed - steadyElapsed) <= CLOCK_TOLERANCE_MILLISECONDS;
+        return this.#own.isConfirmed(now);
     }
 
     /** Returns the records that this host should write now to acquire engines without a holder. */
     dueAcquisitions(engines: readonly string[], nowMilliseconds: number): readonly Acquisition[] {
         this.#engineCount = engines.length;
-        if (this.#session === undefined || this.#sessions.get(this.#host) !== this.#session) {
+        if (this.session === undefined || this.#fleet.sessionOf(this.#host) !== this.session) {
             return [];
         }
         const hosts = this.candidates(engines.length);
@@ -260,7 +229,7 @@
         if (!this.#isCandidate) {
             return [];
         }
-        this.#forgetEndedSessions(nowMilliseconds);
+        this.#fleet.forgetEnded(nowMilliseconds);
         let mayTakeOver: boolean | undefined;
         return engines.flatMap(engine => {
             if (this.holderOf(engine) !== undefined) {
@@ -290,18 +259,9 @@
         return this.#engineCount;
     }
 
-    #forgetEndedSessions(nowMilliseconds: number): void {
-        for (const [host, endedAtMilliseconds] of this.#endedSessions) {
-            if (nowMilliseconds - endedAtMilliseconds > ENDED_SESSION_RETENTION_MILLISECONDS) {
-                this.#endedSessions.delete(host);
-            }
-        }
-    }
-
     /** Returns whether all holders that may go on by consent need that of this host; ranks the whole fleet. */
     #mayTakeOver(): boolean {
-        const hosts = [...this.#sessions.keys(), ...this.#endedSessions.keys()];
-        return possibleTakers(hosts, this.#engineCount).includes(this.#host);
+        return possibleTakers(this.#fleet.presentAndEnded(), this.#engineCount).includes(this.#host);
     }
 
     /** Returns whether another host may still order an engine under a record whose session has ended. */
@@ -319,8 +279,7 @@
 
     /** Returns the hosts that may acquire engines; hosts that know the same sessions return the same list. */
     candidates(engineCount: number): string[] {
-        this.#rankedHosts ??= rankHosts([...this.#sessions.keys()]);
-        return firstCandidates(this.#rankedHosts, engineCount);
+        return firstCandidates(this.#fleet.ranked(), engineCount);
     }
 
     /** Returns the fencing number for orders to an engine; `undefined` where this host may send none now. */
@@ -330,7 +289,7 @@
             return undefined;
         }
         const isRelinquished = this.#relinquishedRevisions.get(engine) === holder.revision;
-        if (holder.session !== this.#session || isRelinquished || !this.isConfirmed(now)) {
+        if (holder.session !== this.session || isRelinquished || !this.isConfirmed(now)) {
             return undefined;
         }
         return now.steadyMilliseconds >= (this.#waitsUntil.get(engine) ?? Number.POSITIVE_INFINITY)
@@ -359,7 +318,7 @@
     held(): readonly Acquisition[] {
         return [...this.#holders]
             .filter(([engine, holder]) =>
-                holder.host === this.#host && holder.session === this.#session && !holder.released
+                holder.host === this.#host && holder.session === this.session && !holder.released
                 && this.#relinquishedRevisions.get(engine) !== holder.revision
             )
             .map(([engine, { revision, settled }]) => ({ engine, expectedRevision: revision, settled }));
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -10,9 +10,9 @@
  *
  * @module
  */
+export { type ClockReading } from "./clockReading.js";
 export {
     type Acquisition,
-    type ClockReading,
     type DutyBounds,
     EngineDuties,
     type HolderRecord,
--- a/src/duties/outageConsent.ts
+++ b/src/duties/outageConsent.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { type ClockReading } from "./engineDuties.js";
+import { type ClockReading } from "./clockReading.js";
 
 /** Digests whose sending time is kept; a reply to an older one is too old to confirm a session. */
 const RETAINED_DIGESTS = 16;
