Show that an earlier incarnation of an upstream receives no request

The mutation "DRAIN: an earlier incarnation may be sent a request" was noticed by no test (`npx tsx scripts/mutate.ts`): a request whose connection is established after its upstream has restarted must not leave. The new test fails under that mutation and passes without it.

--- a/src/fleet/upstreamView.test.ts
+++ b/src/fleet/upstreamView.test.ts
@@ -110,3 +110,13 @@
     assert.equal(view.usableChanges, before);
     assert.equal(view.usable("orders")[0]?.announcementNumber, 3);
 });
+
+test("an incarnation that was chosen may receive no request once a later one has announced itself", () => {
+    const view = new UpstreamView();
+    const chosen = announcement("x");
+    view.put(chosen);
+    assert.ok(view.isUsableIncarnation(chosen));
+    view.put(announcement("x", { startedAtMilliseconds: 200 }));
+    assert.ok(view.isUsable("x"));
+    assert.ok(!view.isUsableIncarnation(chosen));
+});
