Ask in turn where nobody in a cell has confirmed the view (DRAIN)

Requests reached an engine that had said that it leaves for as long as it was observed (3.5 s), on hosts whose watchers' polls got no answers while the store answered all else; a poll ends after 8 s only.

Cause: a watch whose answer is late or lost looks like one without changes, to its host and to all whom it feeds. Nobody knew the age of what was forwarded, and no other call brings the store's revision.

Now what is forwarded says how long ago the store answered at most (the time since the call), so that each host knows how old its view is. Where nothing has confirmed it for 1 s, the first responsive host of the cell asks for the changes since its revision (`kv-watch` of 1 ms), and forwards the answer also where it has no changes; each further host waits 200 ms longer, so that it asks only where those before it bring nothing, whether it watches or not. A host whose question gets no answer pauses, up to 8 s; none asks while its other calls fail. Messages of earlier builds have no age and confirm nothing; they read the new field as unknown, strict ones are sent the form without it.

--- a/src/entry/_gossipParts.ts
+++ b/src/entry/_gossipParts.ts
@@ -8,10 +8,10 @@
 import { type EngineMemory, type HostDigest, type StoreChanges } from "../generated/gossip.js";
 import { type EngineRecord } from "../placement/index.js";
 import { JOURNAL_KEY_PREFIX } from "./_streamJournalWriter.js";
-import { type ChangeBatch } from "./store/index.js";
+import { type ForwardedBatch } from "./store/index.js";
 
 /** Returns changes without the journal of streams, which other hosts read where they need it. */
-export function withoutJournal({ changes, ...revisions }: ChangeBatch): Omit<StoreChanges, "type" | "host"> {
+export function withoutJournal({ changes, ...revisions }: ForwardedBatch): Omit<StoreChanges, "type" | "host"> {
     return { ...revisions, changes: changes.filter(({ key }) => !key.startsWith(JOURNAL_KEY_PREFIX)) };
 }
 
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -250,6 +250,7 @@
     #createStore(): HostStore {
         return new HostStore({
             context: this.#context,
+            acts: this.#acts,
             duties: this.#duties,
             peers: this.#peers,
             view: this.#upstreams.view,
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -10,6 +10,7 @@
 import { runInBackground } from "../../observability/index.js";
 import { type KeyValueEntry } from "../../platform/index.js";
 import { type RouteTable } from "../../routes/index.js";
+import { type Acts } from "../actQueue.js";
 import { addressesOf, type HostContext } from "../hostContext.js";
 import { GATHER_MILLISECONDS, renewalIntervalMilliseconds } from "../hostIntervals.js";
 import { ConfigurationInForce } from "./configurationInForce.js";
@@ -18,13 +19,15 @@
 import { ServiceReachability } from "./serviceReachability.js";
 import { StateFromPeers } from "./stateFromPeers.js";
 import { type EntryHandler, StoredEntries } from "./storedEntries.js";
-import { type ChangeBatch, type MirrorEvent, StoreMirror } from "./storeMirror.js";
+import { type ChangeBatch, type ForwardedBatch, type MirrorEvent, StoreMirror } from "./storeMirror.js";
 import { RESTORES_KEY, StoreRestores } from "./storeRestores.js";
 import { StoreWatchPolicy } from "./storeWatchPolicy.js";
+import { ViewQuestions } from "./viewQuestions.js";
 
 /** Options of {@linkcode HostStore}. */
 export interface HostStoreOptions {
     readonly context: HostContext;
+    readonly acts: Pick<Acts, "afterReading">;
     readonly duties: EngineDuties;
     readonly peers: PeerTable;
     readonly view: UpstreamView;
@@ -37,8 +40,8 @@
     readonly onSessionLost: () => void;
     /** The last answer of the service is no longer recent. */
     readonly onUnresponsive: () => void;
-    /** Handles the changes that the watch delivered, to forward them. */
-    readonly onBatch: (batch: ChangeBatch) => void;
+    /** Forwards what the service answered to a watch, or to a question that was due. */
+    readonly onBatch: (batch: ForwardedBatch) => void;
     /** Returns the state address of a host of another cell with a newer configuration. */
     readonly newerCellAddress: (version: number) => string | undefined;
 }
@@ -52,14 +55,18 @@
     readonly #entries: StoredEntries;
     readonly #watchPolicy = new StoreWatchPolicy();
     readonly #mirror: StoreMirror;
+    readonly #questions: ViewQuestions;
     readonly #restores: StoreRestores;
     readonly #session: HostSession;
     readonly #stateFromPeers: StateFromPeers;
     #sessionBegun = false;
+    /** When the watch last delivered changes; before that, when this host began. */
+    #batchAtMilliseconds: number;
 
     constructor(options: HostStoreOptions) {
         this.#options = options;
-        const { context, onBatch, onConfiguration, onUnresponsive } = options;
+        this.#batchAtMilliseconds = options.context.readClock();
+        const { context, onConfiguration, onUnresponsive } = options;
         this.configuration = new ConfigurationInForce({
             decodeConfiguration: value => context.protocol.decodeConfiguration(value),
             logger: context.logger,
@@ -76,9 +83,10 @@
             ...context,
             batchMilliseconds: () => GATHER_MILLISECONDS,
             mustWatch: () => this.#mustWatch(),
-            onBatch,
+            onBatch: batch => this.#forwardWatched(batch),
             onEvent: event => this.#handleMirrorEvent(event),
         });
+        this.#questions = this.#createQuestions();
         this.#restores = this.#createRestores();
         this.#session = this.#createSession();
         this.#stateFromPeers = this.#createStateFromPeers();
@@ -101,11 +109,13 @@
 
     start(): void {
         this.#mirror.start();
+        this.#questions.start();
     }
 
     /** Stops the session without ending it, and closes the connections to the service. */
     async close(): Promise<void> {
         this.#session.abandon();
+        this.#questions.close();
         this.reachability.close();
         await this.#mirror.close();
         await this.#options.context.keyValue.close();
@@ -145,13 +155,14 @@
     }
 
     /** Applies changes that another host forwarded. */
-    applyBatch(batch: ChangeBatch): void {
+    applyBatch(batch: ForwardedBatch): void {
         this.#mirror.applyBatch(batch);
+        this.#recordConfirmed(batch);
     }
 
     /** Reads and applies the changes that this host has not heard of; returns whether the service answered with them. */
     readChanges(): Promise<boolean> {
-        return this.#mirror.readChanges();
+        return this.#readChanges(() => undefined);
     }
 
     /** Records a revision that a peer has reached. */
@@ -191,6 +202,64 @@
         return this.#options.context.reads.listenedMilliseconds(this.#now());
     }
 
+    /** Reads changes, and passes on what was read with its age. */
+    async #readChanges(forward: (batch: ForwardedBatch) => void): Promise<boolean> {
+        const askedAt = this.#now();
+        const ageMilliseconds = (): number => Math.ceil(this.#now() - askedAt);
+        const isAnswered = await this.#mirror.readChanges(batch =>
+            forward({ ...batch, ageMilliseconds: ageMilliseconds() })
+        );
+        if (isAnswered) {
+            this.#questions.recordConfirmed(ageMilliseconds());
+        }
+        return isAnswered;
+    }
+
+    /** Asks for changes that no watch has delivered, and tells the cell of the answer also where there are none. */
+    #askForChanges(): Promise<boolean> {
+        const { context, onBatch } = this.#options;
+        const { viewAgeMilliseconds } = this.#questions;
+        return this.#readChanges(batch => {
+            if (batch.changes.length > 0) {
+                context.logger.info("changes found by asking", {
+                    changes: batch.changes.length,
+                    revision: batch.revision,
+                    viewAgeMilliseconds: Math.round(viewAgeMilliseconds),
+                });
+            }
+            onBatch(batch);
+        });
+    }
+
+    /** Forwards what the watch delivered. The answer is as old as the call at most, which came after the batch before. */
+    #forwardWatched(batch: ChangeBatch): void {
+        const now = this.#now();
+        const ageMilliseconds = Math.ceil(now - this.#batchAtMilliseconds);
+        this.#batchAtMilliseconds = now;
+        const forwarded = { ...batch, ageMilliseconds };
+        this.#recordConfirmed(forwarded);
+        this.#options.onBatch(forwarded);
+    }
+
+    /** Records that the view was current when the service answered, unless this host lacks some of the changes. */
+    #recordConfirmed({ ageMilliseconds, revision }: ForwardedBatch): void {
+        if (ageMilliseconds !== undefined && this.revision >= revision) {
+            this.#questions.recordConfirmed(ageMilliseconds);
+        }
+    }
+
+    #createQuestions(): ViewQuestions {
+        const { acts, context, peers } = this.#options;
+        return new ViewQuestions({
+            acts,
+            logger: context.logger,
+            listened: () => this.#listened(),
+            turn: () => Math.max(0, peers.membersWithRecentDigest(this.#now()).indexOf(context.host)),
+            mayAsk: () => this.#mirror.revision !== undefined && this.reachability.reachable,
+            ask: () => this.#askForChanges(),
+        });
+    }
+
     #createRecords(): FleetRecords {
         const { context, duties, onHostsChanged, peers } = this.#options;
         return new FleetRecords({
--- a/src/entry/store/index.ts
+++ b/src/entry/store/index.ts
@@ -20,5 +20,5 @@
 export { HostStore, type HostStoreOptions } from "./hostStore.js";
 export { type ServiceReachability } from "./serviceReachability.js";
 export { type EntryHandler } from "./storedEntries.js";
-export { type ChangeBatch } from "./storeMirror.js";
+export { type ChangeBatch, type ForwardedBatch } from "./storeMirror.js";
 export { STATEMENT_LIFETIME_MILLISECONDS } from "./storeWatchPolicy.js";
--- a/src/entry/store/storeMirror.ts
+++ b/src/entry/store/storeMirror.ts
@@ -46,6 +46,12 @@
     readonly changes: readonly StoreChange[];
 }
 
+/** A batch that hosts forward to each other. */
+export interface ForwardedBatch extends ChangeBatch {
+    /** The service answered at most this long ago; `undefined` where that is not known. */
+    readonly ageMilliseconds?: number | undefined;
+}
+
 function toChange(event: KeyValueChanges["changes"][number]): StoreChange {
     return event.type === "put"
         ? { key: event.entry.key, value: event.entry.value, revision: event.entry.revision }
@@ -127,8 +133,10 @@
     /**
      * Reads and applies the changes that this host has not heard of, by a listing where these are lost; returns whether
      * the service answered. A listing that was asked for before may be older, and comes first.
+     *
+     * @param onRead Handles what was read, if it needed no listing; does nothing by default.
      */
-    async readChanges(): Promise<boolean> {
+    async readChanges(onRead: (batch: ChangeBatch) => void = () => undefined): Promise<boolean> {
         await this.#listing;
         const known = this.#revision;
         if (known === undefined || this.#closed) {
@@ -144,10 +152,10 @@
             this.#options.logger.warn("reading changes failed", { reason: kind, detail: message, revision: known });
             return isHistoryLost === true ? this.#relist(message) : false;
         }
-        this.#applyChanges(read.value.changes.map(toChange), {
-            afterRevision: this.#revision ?? known,
-            revision: read.value.revision,
-        });
+        const { revision } = read.value;
+        const changes = read.value.changes.map(toChange);
+        this.#applyChanges(changes, { afterRevision: this.#revision ?? known, revision });
+        onRead({ afterRevision: known, revision, changes });
         return true;
     }
 
--- a/src/staleness/index.ts
+++ b/src/staleness/index.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export { READ_INTERVAL_MILLISECONDS, ReadTimes } from "./readTimes.js";
+export { ViewAge } from "./viewAge.js";
 export { ViewConfirmations, type ViewState } from "./viewConfirmations.js";
--- a/tests/entryCells.test.ts
+++ b/tests/entryCells.test.ts
@@ -23,6 +23,8 @@
 
 const HOST_COUNT = 20;
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Waiting requests resend their adapter request this often, since datagrams may be lost. */
 const REQUEST_INTERVAL_MILLISECONDS = 120;
 
@@ -32,6 +34,9 @@
 /** Time by which all hosts are ready when they start at the same time. */
 const READY_MILLISECONDS = 15_000;
 
+/** In calm times, the hosts of a cell together ask once a second whether their view is current. */
+const CALM_SECONDS = 4;
+
 /** Hosts of each cell that watch the key-value service. */
 const WATCHERS_PER_CELL = 3;
 
@@ -107,6 +112,14 @@
     assert.ok(watches <= 2 * WATCHERS_PER_CELL * cells().length, `${watches} watches began for one change`);
 });
 
+test("in calm times the hosts of a cell together read the key-value service once a second beside their watches", async () => {
+    const countReads = (): number => site.store.calls.filter(path => !path.startsWith("/kv-keep")).length;
+    const readsBefore = countReads();
+    await delay(CALM_SECONDS * MILLISECONDS_PER_SECOND);
+    const reads = countReads() - readsBefore;
+    assert.ok(reads <= cells().length * (CALM_SECONDS + 1 + WATCHERS_PER_CELL), `${reads} calls`);
+});
+
 test("a host of any cell can have the engine's holder load an adapter", async () => {
     const edgeHosts = cells().flatMap(cell => [cell[0], cell.at(-1)]).filter(host => host !== undefined);
     for (const [index, host] of edgeHosts.entries()) {
--- a/tests/fedHostDrain.test.ts
+++ b/tests/fedHostDrain.test.ts
@@ -8,6 +8,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { HOST_NAME } from "./support/entrySite.js";
+import { isWatch } from "./support/pollRelay.js";
 import { measureStalls } from "./support/processStalls.js";
 import { type CellHost, ProgramCell, type RunShare } from "./support/programCell.js";
 import { type EngineAnswer, type RecordingEngine } from "./support/stoppedHost.js";
@@ -35,6 +36,9 @@
 /** A request may reach an engine for this long after the store acknowledged that the engine leaves. */
 const DRAIN_MILLISECONDS = 3_000;
 
+/** The least time for which engines that leave go on. */
+const SHORTEST_DRAIN_MILLISECONDS = 2_000;
+
 /** Changes are batched for 120 ms and are forwarded at once. */
 const FORWARDED_MILLISECONDS = 350;
 
@@ -122,3 +126,10 @@
     const latest = await measureLastArrival(started);
     assert.ok(latest <= DRAIN_MILLISECONDS, `a request reached the engine ${Math.round(latest)} ms after`);
 });
+
+test("hosts whose watchers' polls stay open although there are changes send an engine nothing 2 s after it said that it leaves", async context => {
+    const started = await startCell(context);
+    started.cell.watchers.forEach(({ relay }) => relay.hold(isWatch));
+    const latest = await measureLastArrival(started);
+    assert.ok(latest <= SHORTEST_DRAIN_MILLISECONDS, `a request reached the engine ${Math.round(latest)} ms after`);
+});
--- a/tests/support/pollRelay.ts
+++ b/tests/support/pollRelay.ts
@@ -11,6 +11,18 @@
 const POLL_PATH = "/kv-watch";
 const LISTING_PATH = "/kv-range";
 
+/** A poll that may wait for longer is a watch; others ask for the changes until now. */
+const SHORT_WAIT_MILLISECONDS = 100;
+
+function isPoll(url: string): boolean {
+    return url.startsWith(POLL_PATH);
+}
+
+/** Returns whether a call is a poll that waits for changes. */
+export function isWatch(url: string): boolean {
+    return isPoll(url) && Number(new URL(url, "http://store").searchParams.get("waitMs")) > SHORT_WAIT_MILLISECONDS;
+}
+
 /** A running relay. */
 export class PollRelay {
     /** Paths of the calls of the host, oldest first. */
@@ -19,7 +31,8 @@
     pageDelayMilliseconds = 0;
     readonly #server: Server;
     readonly #target: { readonly host: string; readonly port: number; };
-    #isHolding = false;
+    /** Chooses the calls whose answers are held back; `undefined` where none are. */
+    #isHeld: ((url: string) => boolean) | undefined;
     #held: (() => void)[] = [];
 
     private constructor(targetAddress: string) {
@@ -32,7 +45,7 @@
                     response.writeHead(answer.statusCode ?? 0, answer.headers);
                     answer.pipe(response);
                 };
-                if (this.#isHolding && url.startsWith(POLL_PATH)) {
+                if (this.#isHeld?.(url) === true) {
                     this.#held.push(deliver);
                 }
                 else if (url.startsWith(LISTING_PATH)) {
@@ -59,20 +72,24 @@
         return `${LOOPBACK}:${(this.#server.address() as AddressInfo).port}`;
     }
 
-    /** Holds back answers to polls until `release`. */
-    hold(): void {
-        this.#isHolding = true;
+    /**
+     * Holds back answers to polls until `release`.
+     *
+     * @param isHeld Chooses the calls; all polls by default, those that do not wait included.
+     */
+    hold(isHeld: (url: string) => boolean = isPoll): void {
+        this.#isHeld = isHeld;
     }
 
     release(): void {
-        this.#isHolding = false;
+        this.#isHeld = undefined;
         this.#held.splice(0).forEach(deliver => deliver());
     }
 
     /** Closes the host's connections without the answers that are held back. */
     disconnect(): void {
         this.#held = [];
-        this.#isHolding = false;
+        this.#isHeld = undefined;
         this.#server.closeAllConnections();
     }
 
