Keep the memory of an order's body reserved until connection and call have let it go (FAULT)

Cause: what was reserved for a request was released when its connection closed, while RequestEnding left an order to finish, and call and exchange went on to hold its body until the engine answered; a hanging engine held it for ever.

Now the memory of a request (HeldMemory) has holders: the connection from its head to its end, and each call from its start until the body was written whole or the connection to the upstream is closed. The last one to let go frees the bytes at once and releases the reservation, once. A body in chunks is freed with the whole of its buffer. A body that an upstream has not taken by the order's deadline is given up once memory is short, by the rule of answers that nobody takes (logged: `request of a departed caller cancelled`); before, only the orders of callers that stay were ended at their deadline. An order whose body was taken whole is left to finish as before.

Ruled out: releasing at the call's settlement alone (a connection that is being destroyed still reads the body: freed memory would be sent), and at the answer's end alone (a late engine would have kept 5 bodies reserved though none is needed: an order whose caller left is never sent again).

--- a/src/entry/connections/_bodyBuffer.ts
+++ b/src/entry/connections/_bodyBuffer.ts
@@ -63,7 +63,7 @@
         return this.#bytes.subarray(0, this.#length);
     }
 
-    /** Drops what was read, and was not handed on. */
+    /** Frees what was read; called where it was not handed on, or nobody holds it any more. */
     clear(): void {
         freeBytes(this.#bytes);
         this.#bytes = NO_BYTES;
--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -1,5 +1,5 @@
 import { type IncomingMessage } from "node:http";
-import { freeBytes, type MemoryReservation } from "../../memory/index.js";
+import { freeBytes, type HeldMemory } from "../../memory/index.js";
 import { type Acts } from "../actQueue.js";
 import { BodyBuffer } from "./_bodyBuffer.js";
 import { BodyIdleTimer } from "./_bodyIdleTimer.js";
@@ -11,7 +11,7 @@
 export interface ReadBodyOptions {
     /** Maximum size of the body. */
     readonly limitBytes: number;
-    readonly reservation: MemoryReservation;
+    readonly memory: HeldMemory;
     readonly acts: Pick<Acts, "afterReading">;
     /** Time without a byte after which the body is given up. */
     readonly idleTimeoutMilliseconds: number;
@@ -37,9 +37,10 @@
  */
 export function readBody(
     message: IncomingMessage,
-    { acts, idleTimeoutMilliseconds, isReadingPaused, limitBytes, reservation }: ReadBodyOptions,
+    { acts, idleTimeoutMilliseconds, isReadingPaused, limitBytes, memory }: ReadBodyOptions,
     onBody: (body: ReadBody) => void,
 ): void {
+    const { reservation } = memory;
     const lengthBytes = lengthOf(message);
     const buffer = new BodyBuffer({ lengthBytes, limitBytes, reservation });
     let receivedBytes = 0;
@@ -78,7 +79,10 @@
             giveUp("no-room");
         }
     });
-    message.on("end", () => settle(buffer.read()));
+    message.on("end", () => {
+        memory.setFree(() => buffer.clear());
+        settle(buffer.read());
+    });
     message.on("error", () => giveUp("caller-left"));
     message.on("close", () => giveUp("caller-left"));
     if (lengthBytes !== undefined && lengthBytes > limitBytes) {
--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -31,6 +31,8 @@
     readonly response: ServerResponse;
     readonly target: RequestTarget;
     readonly body: Buffer;
+    /** Keeps the body in memory until the function that it returns is called, or the request has ended if that is later. */
+    readonly holdBody: () => () => void;
     /** `undefined` for a request that may be handled. */
     readonly problem: RequestProblem | undefined;
     /** When its head was read. */
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -5,7 +5,7 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
-import { type MemoryBudget } from "../../memory/index.js";
+import { HeldMemory, type MemoryBudget } from "../../memory/index.js";
 import { type Acts } from "../actQueue.js";
 import { discardBody, type ReadBody, readBody, type ReadBodyOptions } from "./_readBody.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
@@ -77,7 +77,7 @@
     options: ReadBodyOptions,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
-    const hasRoom = options.reservation.tryReserve(REQUEST_BYTES);
+    const hasRoom = options.memory.reservation.tryReserve(REQUEST_BYTES);
     const foundProblem = problem ?? (hasRoom ? undefined : "no-room-for-bodies");
     if (foundProblem !== undefined) {
         discardBody(message);
@@ -153,10 +153,11 @@
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
         response.prependListener("finish", () => this.#handleAnswered(message));
-        const reservation = this.#options.memory.begin("requests");
+        const memory = new HeldMemory(this.#options.memory.begin("requests"));
+        const giveUpMemory = memory.hold();
         const end = (): void => {
             if (this.#endings.delete(end)) {
-                reservation.release();
+                giveUpMemory();
                 head.onEnded();
                 this.#handleEnded(place);
             }
@@ -165,7 +166,7 @@
         response.on("close", end);
         const options = {
             limitBytes: head.bodyLimitBytes,
-            reservation,
+            memory,
             acts: this.#options.acts,
             idleTimeoutMilliseconds: head.idleTimeoutMilliseconds,
             isReadingPaused: () => this.#socket.isPaused(),
@@ -176,6 +177,7 @@
                 response,
                 target: readTarget(message),
                 body,
+                holdBody: () => memory.hold(),
                 problem,
                 arrivedAtMilliseconds: head.arrivedAtMilliseconds,
                 longestUnreadMilliseconds: head.longestUnreadMilliseconds,
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -66,7 +66,7 @@
     }
 
     #call(attempt: Attempt): UpstreamCall {
-        const { context, request: { body, message, target } } = this.#parts;
+        const { context, request: { body, holdBody, message, target } } = this.#parts;
         const { receiver } = this.#options;
         const { address, service } = attempt.upstream;
         return callUpstream({
@@ -77,6 +77,7 @@
             path: target.pathAndQuery,
             headers: () => this.#headersFor(attempt.upstream),
             body,
+            onBodyReleased: holdBody(),
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
             onConnected: () => context.acts.runOrEnqueue(() => this.#ifRunning(attempt, () => this.#release(attempt))),
             onHead: head => this.#ifRunning(attempt, () => receiver.handleHead(attempt, head)),
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -21,15 +21,10 @@
 import { type CallerRequest } from "./requestFacts.js";
 import { createRequestParts, remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { RequestWait } from "./requestWait.js";
+import { isMemoryShort, MEMORY_CHECK_MILLISECONDS } from "./shortMemory.js";
 import { type WaitingRank, waitingRank } from "./waitingRank.js";
 import { WaitTime } from "./waitTime.js";
 
-/** Memory is short where a request's body of this size finds no room. */
-const BODY_ROOM_BYTES = 4 * 1024 * 1024;
-
-/** Interval at which an answer that its caller has not taken by its deadline is looked at again. */
-const DELIVERY_CHECK_MILLISECONDS = 500;
-
 /** Callbacks from an exchange to its forwarder. */
 export interface ExchangeListener {
     readonly onEnded: () => void;
@@ -219,11 +214,11 @@
         if (answer.isClosed) {
             return;
         }
-        if (memory.hasRoomFor("requests", BODY_ROOM_BYTES)) {
-            this.#scheduleDeadline(DELIVERY_CHECK_MILLISECONDS);
+        if (isMemoryShort(memory)) {
+            this.#ending.cutOffDelivery();
         }
         else {
-            this.#ending.cutOffDelivery();
+            this.#scheduleDeadline(MEMORY_CHECK_MILLISECONDS);
         }
     }
 
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -4,11 +4,15 @@
  * @module
  */
 import { retryDelayMilliseconds } from "../../forwarding/index.js";
+import { type UpstreamCall } from "../upstreamCall.js";
+import { type Attempt } from "./attempt.js";
 import { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 import { type FailureReason } from "./failureReason.js";
 import { type Hedging } from "./hedging.js";
+import { limitLeftCall } from "./leftCall.js";
 import { longestRemainingMilliseconds, remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit } from "./requestPermits.js";
+import { isMemoryShort } from "./shortMemory.js";
 import { STATUS_BAD_GATEWAY, STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE } from "./statuses.js";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -124,7 +128,7 @@
 
     /**
      * Ends the request after its caller left. A non-idempotent one that may have reached the upstream is left to finish
-     * there, since nobody gains from a partial execution.
+     * there, since nobody gains from a partial execution; its body is held until the upstream has taken it.
      */
     handleCallerClosed(): void {
         if (this.#ended) {
@@ -233,7 +237,18 @@
             if (attempt.call?.mayHaveSent === true) {
                 attempt.resume();
                 attempts.release(attempt);
+                this.#limitLeft(attempt, attempt.call);
             }
         }
     }
+
+    #limitLeft({ number, upstream }: Attempt, call: UpstreamCall): void {
+        const { context: { memory }, logger } = this.#parts;
+        limitLeftCall(call, {
+            remainingMilliseconds: remainingMilliseconds(this.#parts),
+            isMemoryShort: () => isMemoryShort(memory),
+            onCancelled: () =>
+                logger.info("request of a departed caller cancelled", { upstream: upstream.id, attempt: number }),
+        });
+    }
 }
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -23,6 +23,8 @@
     readonly response: ServerResponse;
     readonly target: RequestTarget;
     readonly body: Buffer;
+    /** Keeps the body in memory until the function that it returns is called, or the request has ended if that is later. */
+    readonly holdBody: () => () => void;
     readonly requestId: string;
     readonly route: Route;
     /** When its head was read. */
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -159,9 +159,9 @@
             this.#reject(arrival, STATUS_NOT_FOUND, "no-route");
             return;
         }
-        const { arrivedAtMilliseconds, closesConnection, longestUnreadMilliseconds } = arrival;
+        const { arrivedAtMilliseconds, closesConnection, holdBody, longestUnreadMilliseconds } = arrival;
         const times = { arrivedAtMilliseconds, longestUnreadMilliseconds };
-        const parts = { message, response, target, body, requestId, closesConnection, ...times };
+        const parts = { message, response, target, body, holdBody, requestId, closesConnection, ...times };
         this.#start(parts, route, table.version);
     }
 
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -40,6 +40,8 @@
     /** Returns alternating names and values, when the request is sent. */
     readonly headers: () => readonly string[];
     readonly body: Buffer;
+    /** The body is not read any more: it was written whole, or never will be; called once. */
+    readonly onBodyReleased?: () => void;
     /** Time after which an unestablished connection fails the call. */
     readonly connectTimeoutMilliseconds: number;
     /** A connection is established. No byte of the request leaves before {@linkcode UpstreamCall.send} is called. */
@@ -62,6 +64,8 @@
     resume(): void;
     /** False while no byte can have left this host. */
     readonly mayHaveSent: boolean;
+    /** True while the body may still be read. */
+    readonly holdsBody: boolean;
 }
 
 /** Returns whether an answer has a body without a length or chunks, so that only closing its connection ends it. */
@@ -86,6 +90,7 @@
     #connected = false;
     #sent = false;
     #settled = false;
+    #holdsBody = true;
     #interimAnswers = 0;
     #connectTimer: NodeJS.Timeout | undefined;
 
@@ -102,7 +107,11 @@
         this.#request.on("information", () => this.#recordInterimAnswer());
         this.#request.on("response", answer => this.#handleAnswer(answer));
         this.#request.on("error", (error: NodeJS.ErrnoException) => this.#handleError(error));
-        this.#request.on("close", () => this.#handleClose());
+        this.#request.on("finish", () => this.#handleWritten());
+        this.#request.on("close", () => {
+            this.#releaseBody();
+            this.#handleClose();
+        });
         this.#connectTimer = setTimeout(() => this.#handleConnectTimeout(), options.connectTimeoutMilliseconds);
     }
 
@@ -110,6 +119,10 @@
         return this.#sent;
     }
 
+    get holdsBody(): boolean {
+        return this.#holdsBody;
+    }
+
     send(): void {
         if (this.#settled || this.#sent || !this.#connected) {
             return;
@@ -273,8 +286,25 @@
             return false;
         }
         this.#settled = true;
+        if (!this.#sent) {
+            this.#releaseBody();
+        }
         return true;
     }
+
+    /** A connection that is being closed may read the body until it is closed. */
+    #handleWritten(): void {
+        if (!this.#request.destroyed && this.#request.socket?.destroyed !== true) {
+            this.#releaseBody();
+        }
+    }
+
+    #releaseBody(): void {
+        if (this.#holdsBody) {
+            this.#holdsBody = false;
+            this.#options.onBodyReleased?.();
+        }
+    }
 }
 
 /**
--- a/src/memory/index.ts
+++ b/src/memory/index.ts
@@ -12,6 +12,7 @@
  * @module
  */
 export { freeBytes } from "./freeBytes.js";
+export { HeldMemory } from "./heldMemory.js";
 export {
     DEFAULT_MACHINE_BYTES,
     MemoryBudget,
--- a/tests/support/answerLoad.ts
+++ b/tests/support/answerLoad.ts
@@ -53,8 +53,8 @@
     return `127.0.0.1:${address.port}`;
 }
 
-function configure(store: PlatformStoreStandIn): void {
-    store.put("op/config", {
+function createConfiguration(): object {
+    return {
         version: 1,
         routes: [{
             name: "r",
@@ -69,7 +69,7 @@
         }],
         services: [{ name: "large", maxConnections: 400 }],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-    });
+    };
 }
 
 /** Returns the resident memory of a process. */
@@ -89,6 +89,37 @@
     context: TestContext,
     bundled: BundledProgram,
     { answerBytes, memoryMegabytes }: { readonly answerBytes: number; readonly memoryMegabytes: number; },
+): Promise<LoadedHost> {
+    const address = await startLargeEngine(context, answerBytes);
+    return await startMeasuredHost(context, bundled, {
+        address,
+        configuration: createConfiguration(),
+        memoryMegabytes,
+        service: "large",
+    });
+}
+
+/** A host's engine, configuration and machine. */
+export interface MeasuredHostOptions {
+    /** Address of its only engine. */
+    readonly address: string;
+    /** Service of the engine. */
+    readonly service: string;
+    readonly configuration: object;
+    readonly memoryMegabytes: number;
+}
+
+/**
+ * Starts a host before one engine, and watches its resident memory.
+ *
+ * @param context The test; all that is started ends with it.
+ * @param bundled The program.
+ * @param options Engine, configuration and memory of the machine.
+ */
+export async function startMeasuredHost(
+    context: TestContext,
+    bundled: BundledProgram,
+    { address, configuration, memoryMegabytes, service }: MeasuredHostOptions,
 ): Promise<LoadedHost> {
     const store = await PlatformStoreStandIn.start();
     const announced = await PlatformUpstreamStandIn.start({ id: "i-large", slots: 500 });
@@ -96,9 +127,8 @@
         await announced.close();
         await store.close();
     });
-    configure(store);
-    const address = await startLargeEngine(context, answerBytes);
-    store.put("servers/i-large", { ...announced.announcement("large"), address, slots: 1_000 });
+    store.put("op/config", configuration);
+    store.put("servers/i-large", { ...announced.announcement(service), address, slots: 1_000 });
     const { callers, readiness, text } = await createEntrySettings(store.address, { memoryMegabytes });
     const program = startEntryProgram(text, [...NODE_OPTIONS, bundled.launcher]);
     context.after(() => program.close());
