Free at once what was read of an engine's answer

A host with limits.memoryMb=160 whose callers do not read large answers came near its machine's memory or beyond it. Traced in the process (memoryUsage each 0.5 s, 1,200 callers, 7.5 MB): 171 MB resident with 43 MB of array buffers, 64 MB before a collection. Each read of an engine leaves two buffers of up to 64 KiB, the one that was read and the parser's copy of the body, and both wait for V8's collector after the bytes were copied into pages.

Now the copy is freed once it is in pages, the read once Node's parser has copied it (8 KiB and more; smaller reads, those of streams, are left), and pages beyond 128 free ones (512 before) are freed, not left to be collected.

--- a/src/entry/exchange/answerReceiver.ts
+++ b/src/entry/exchange/answerReceiver.ts
@@ -4,12 +4,13 @@
  * @module
  */
 import { type AttemptFailure } from "../../forwarding/index.js";
+import { freeBytes } from "../../memory/index.js";
 import { checkHead, isServerError, isSuccess } from "../_answerHead.js";
 import { type AnswerHead } from "../upstreamCall.js";
 import { type Attempt } from "./attempt.js";
 import { type BufferingLimit } from "./bufferedAnswer.js";
 import { type Hedging } from "./hedging.js";
-import { type AnswerPiece } from "./pagePool.js";
+import { type AnswerPiece, isCopied } from "./pagePool.js";
 import { type RequestParts } from "./requestParts.js";
 
 /** Options of {@linkcode AnswerReceiver}. */
@@ -62,6 +63,9 @@
         attempt.recordHeard();
         if (!this.#isStream(attempt.head)) {
             this.#receiveBody(attempt, attempt.head, chunk);
+            if (isCopied(chunk)) {
+                freeBytes(chunk);
+            }
             return;
         }
         const events = attempt.splitter.push(chunk);
--- a/src/entry/exchange/pagePool.ts
+++ b/src/entry/exchange/pagePool.ts
@@ -5,13 +5,15 @@
  * @module
  */
 
+import { freeBytes } from "../../memory/index.js";
+
 const PAGE_BYTES = 16 * 1024;
 
 /** Smaller pieces are held as they were read. */
 const MINIMUM_COPIED_BYTES = PAGE_BYTES / 2;
 
 /** Pages that are kept while none needs them. */
-const MAXIMUM_FREE_PAGES = 512;
+const MAXIMUM_FREE_PAGES = 128;
 
 /** A piece of a body. */
 export interface AnswerPiece {
@@ -30,9 +32,15 @@
     return page?.length ?? bytes.length;
 }
 
+/** Returns whether received bytes are copied, so that they are not needed any more. */
+export function isCopied({ length }: Buffer): boolean {
+    return length >= MINIMUM_COPIED_BYTES;
+}
+
 /** Returns the memory that received bytes will take. */
-export function neededBytes({ length }: Buffer): number {
-    return length < MINIMUM_COPIED_BYTES ? length : Math.ceil(length / PAGE_BYTES) * PAGE_BYTES;
+export function neededBytes(received: Buffer): number {
+    const { length } = received;
+    return isCopied(received) ? Math.ceil(length / PAGE_BYTES) * PAGE_BYTES : length;
 }
 
 /**
@@ -53,9 +61,9 @@
         return this.#free.length;
     }
 
-    /** Copies received bytes into pages. */
+    /** Copies received bytes into pages; smaller ones are held as they are. */
     store(received: Buffer): AnswerPiece[] {
-        if (received.length < MINIMUM_COPIED_BYTES) {
+        if (!isCopied(received)) {
             return [{ bytes: received, page: undefined }];
         }
         const pieces: AnswerPiece[] = [];
@@ -68,8 +76,14 @@
 
     /** Takes back the page of a piece that nothing reads any more; called once for a piece. */
     free({ page }: AnswerPiece): void {
-        if (page !== undefined && this.#free.length < MAXIMUM_FREE_PAGES) {
+        if (page === undefined) {
+            return;
+        }
+        if (this.#free.length < MAXIMUM_FREE_PAGES) {
             this.#free.push(page);
         }
+        else {
+            freeBytes(page);
+        }
     }
 }
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -5,6 +5,7 @@
  */
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
+import { freeBytes } from "../memory/index.js";
 import { parseAddress } from "../transport/index.js";
 import { hasBody } from "./_hasBody.js";
 import { type Acts } from "./actQueue.js";
@@ -12,6 +13,9 @@
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
 const MAXIMUM_INTERIM_ANSWERS = 16;
 
+/** Smaller reads are left to be collected. */
+const MINIMUM_FREED_BYTES = 8 * 1024;
+
 /** Head of an upstream's answer. */
 export interface AnswerHead {
     readonly status: number;
@@ -82,6 +86,13 @@
     socket.prependOnceListener("end", () => void socket.write("\r\n"));
 }
 
+/** Frees what was read from a connection and parsed. */
+function freeLargeRead(bytes: Buffer): void {
+    if (bytes.length >= MINIMUM_FREED_BYTES) {
+        freeBytes(bytes);
+    }
+}
+
 class RunningCall implements UpstreamCall {
     readonly #options: UpstreamCallOptions;
     readonly #request;
@@ -154,6 +165,9 @@
     }
 
     #watchConnection(socket: Socket): void {
+        // Runs after Node's own listener, which copies what it reads.
+        socket.on("data", freeLargeRead);
+        this.#request.once("close", () => socket.removeListener("data", freeLargeRead));
         if (socket.connecting) {
             socket.once("connect", () => this.#recordConnected());
         }
