Send a request only where its answer has room, and refuse it as not run elsewhere (FAULT)

Cause: about 1,000 requests were admitted, at 20 KiB each, before the first answer came. Each call then brought what its connection reads before it pauses, and `reserve` cannot refuse what was read already.

Now a call that is not a stream reserves three reads (192 KiB: one that is passed on, one in the answer's stream, one in the socket's) before it is sent, and its answer counts against that first (ExpectedMemory, use `calls`): the sum is the larger of the two. A request that finds no room for it (0.7 of the budget) is refused as not run, 503 `no-room-for-answer` with Retry-After; one that was sent before keeps its room. Six MiB of calls (32) always find room, and do not count for others: a host that calls nobody serves nobody. Resident memory is not read for any of this.

Tried: the expectation counted for requests and answers, too, and a paused connection as 128 KiB: tests/answerMemory.test.ts (9 unread answers on a budget of 2 MB) refused the others. A paused connection counts 64 KiB as before. Not taken: an expectation learned from earlier answers, which a first burst of large ones exceeds; a stop of the socket's handle, which would lose answers whose connection is reset after they came (pausedCall.test.ts).

Open: streams expect nothing; on 160 MB about 150 calls (computed) are under way at once.

--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -6,7 +6,7 @@
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { type AttemptFailure, EventSplitter, StreamPace } from "../../forwarding/index.js";
 import { type RequestActivity } from "../../hedging/index.js";
-import { type MemoryReservation } from "../../memory/index.js";
+import { type ExpectedMemory, type MemoryReservation } from "../../memory/index.js";
 import { nameAdapter } from "../../placement/index.js";
 import { type UpstreamUse } from "../../rateLimits/index.js";
 import { type Route } from "../../routes/index.js";
@@ -22,8 +22,22 @@
 /** An answer that has gone on for this long shows that its upstream did not crash when it began it. */
 const ANSWERING_MILLISECONDS = 100;
 
+/** What one read of a connection brings at most. */
+const READ_BYTES = 64 * 1024;
+
 /** What a connection that is not read on may have read already. */
-const PAUSED_CONNECTION_BYTES = 64 * 1024;
+const PAUSED_CONNECTION_BYTES = READ_BYTES;
+
+/** Reads of a connection before it pauses: one that is passed on, one for the answer's stream, one for the socket's. */
+const READS_BEFORE_PAUSE = 3;
+
+/**
+ * Returns what the answer of a call may take whether there is room for it or not. Streams come in
+ * small pieces, and are counted as they come.
+ */
+export function expectedAnswerBytes({ kind }: Pick<Route, "kind">): number {
+    return kind === "event-stream" ? 0 : READS_BEFORE_PAUSE * READ_BYTES;
+}
 
 /** Prefill backlog of an engine, with a request's own prompt, at the moment at which the request was sent. */
 interface PrefillStart {
@@ -36,6 +50,7 @@
     readonly context: ForwardingContext;
     readonly facts: RequestFacts;
     readonly upstream: UpstreamAnnouncement;
+    readonly answerMemory: ExpectedMemory;
     /** Counts the attempts of a request, from 1. */
     readonly number: number;
 }
@@ -71,13 +86,17 @@
     #released = false;
 
     /** Counts the request at its upstream, and reports it to peers and to the engine's holder. */
-    constructor({ context, facts, number, upstream }: AttemptOptions) {
+    constructor({ answerMemory, context, facts, number, upstream }: AttemptOptions) {
         this.#context = context;
         this.#facts = facts;
         this.upstream = upstream;
         this.number = number;
-        this.buffered = new BufferedAnswer(context);
-        this.#reservation = context.memory.begin("answers");
+        this.buffered = new BufferedAnswer({
+            memory: context.memory,
+            pages: context.pages,
+            reservation: answerMemory.begin("answers"),
+        });
+        this.#reservation = answerMemory.begin("answers");
         const now = context.readClock();
         this.sentAtMilliseconds = now;
         this.#heardAtMilliseconds = now;
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -8,7 +8,7 @@
 import { type AttemptFailure } from "../../forwarding/index.js";
 import { callUpstream, type UpstreamCall } from "../upstreamCall.js";
 import { type AnswerReceiver } from "./answerReceiver.js";
-import { Attempt } from "./attempt.js";
+import { Attempt, expectedAnswerBytes } from "./attempt.js";
 import { type Hedging } from "./hedging.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
@@ -53,12 +53,13 @@
 
     /** Sends the request; `passedOver` is an upstream that had no room within its rate limit. */
     send(upstream: UpstreamAnnouncement, passedOver: string | undefined): void {
-        const { attempts, context, facts, permitWait, progress } = this.#parts;
+        const { answerMemory, attempts, context, facts, permitWait, progress, request: { route } } = this.#parts;
         this.#options.time.end("sent");
         usePermit(context, { upstream, request: permitWait.request, passedOver });
         permitWait.cancel();
-        const attempt = new Attempt({ context, facts, upstream, number: attempts.sentCount + 1 });
+        const attempt = new Attempt({ context, facts, upstream, answerMemory, number: attempts.sentCount + 1 });
         attempts.add(attempt);
+        answerMemory.expect(attempts.count * expectedAnswerBytes(route));
         progress.recordSent(upstream);
         this.#logSent(attempt, passedOver);
         attempt.call = this.#call(attempt);
--- a/src/entry/exchange/bufferedAnswer.ts
+++ b/src/entry/exchange/bufferedAnswer.ts
@@ -23,6 +23,8 @@
 export interface BufferedAnswerOptions {
     readonly memory: MemoryBudget;
     readonly pages: PagePool;
+    /** Holds the pieces; one of the same memory by default. */
+    readonly reservation?: MemoryReservation;
 }
 
 /**
@@ -42,7 +44,7 @@
 
     constructor(options: BufferedAnswerOptions) {
         this.#options = options;
-        this.#reservation = options.memory.begin("answers");
+        this.#reservation = options.reservation ?? options.memory.begin("answers");
     }
 
     /** Adds what was received; returns the limit that forbids it, and adds nothing then. */
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -9,7 +9,7 @@
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type LookUpOutcome } from "../streamVersions.js";
 import { AnswerReceiver } from "./answerReceiver.js";
-import { type Attempt } from "./attempt.js";
+import { type Attempt, expectedAnswerBytes } from "./attempt.js";
 import { AttemptFailures } from "./attemptFailures.js";
 import { AttemptSender } from "./attemptSender.js";
 import { crashVerdict, logConviction } from "./crashVerdict.js";
@@ -281,6 +281,10 @@
         const choice = selection.choose(resident, this.isWaiting);
         const chosen = choice.type === "send" ? this.#context.view.get(choice.upstream) : undefined;
         const limited = selection.awaitingPermit(resident);
+        if (chosen !== undefined && !this.#hasRoomForAnswer()) {
+            this.#ending.refuse("no-room-for-answer", OTHER_HOST_MILLISECONDS);
+            return;
+        }
         if (chosen !== undefined) {
             selection.requestFurtherCopy(chosen.id);
             this.#sender.send(chosen, limited[0]?.id);
@@ -319,6 +323,13 @@
         }
     }
 
+    /** Returns whether the answer has room; that of a request which was sent before keeps the room that it had. */
+    #hasRoomForAnswer(): boolean {
+        const { attempts, context: { memory }, request: { route } } = this.#parts;
+        const bytes = expectedAnswerBytes(route);
+        return bytes === 0 || attempts.sentCount > 0 || memory.hasRoomFor("calls", bytes);
+    }
+
     /**
      * Refuses a request that crashes upstreams, and lets one wait that may do so and is not to be tried now; returns
      * false for others.
@@ -393,5 +404,6 @@
         this.#dispatchTimer.close();
         this.#waitTime.end(outcome);
         this.#parts.permitWait.cancel();
+        this.#parts.answerMemory.expect(0);
     }
 }
--- a/src/entry/exchange/failureReason.ts
+++ b/src/entry/exchange/failureReason.ts
@@ -9,6 +9,8 @@
 export type FailureReason =
     | AttemptFailure
     | "no-upstream"
+    /** The host has no memory for what an upstream may answer. */
+    | "no-room-for-answer"
     | "all-full"
     | "rejection-bounds"
     | "prompts-unread"
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ExpectedMemory } from "../../memory/index.js";
 import { PermitWait } from "../../rateLimits/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { CallerAnswer } from "./callerAnswer.js";
@@ -21,6 +22,8 @@
     readonly logger: RequestLogger;
     readonly answer: CallerAnswer;
     readonly attempts: RunningAttempts;
+    /** What the answer takes, and is expected to take while an upstream is called. */
+    readonly answerMemory: ExpectedMemory;
     readonly counts: SendCounts;
     readonly permitWait: PermitWait;
     readonly progress: StreamProgress;
@@ -40,12 +43,13 @@
 function createAnswer(
     context: ForwardingContext,
     { closesConnection, message, requestId, response }: CallerRequest,
+    answerMemory: ExpectedMemory,
 ): CallerAnswer {
     return new CallerAnswer({
         response,
         requestId,
         requestIdHeader: context.headers.requestId,
-        reservation: context.memory.begin("answers"),
+        reservation: answerMemory.begin("answers"),
         pages: context.pages,
         method: message.method ?? "GET",
         closesConnection: hasLength => closesConnection({ isWanted: context.closesConnections(), hasLength }),
@@ -62,6 +66,7 @@
 export function createRequestParts(context: ForwardingContext, request: CallerRequest): RequestParts {
     const facts = readRequestFacts(request, context.headers);
     const permitWait = createPermitWait(context, request);
+    const answerMemory = new ExpectedMemory(context.memory);
     const progress = new StreamProgress({ request, facts, versions: context.streamVersions });
     const selection = new UpstreamSelection(context, facts, {
         permitRequest: () => permitWait.request,
@@ -74,7 +79,8 @@
         request,
         facts,
         logger: new RequestLogger({ context, request, facts }),
-        answer: createAnswer(context, request),
+        answer: createAnswer(context, request, answerMemory),
+        answerMemory,
         attempts: new RunningAttempts(),
         counts: new SendCounts(),
         permitWait,
--- a/src/memory/index.ts
+++ b/src/memory/index.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+export { ExpectedMemory } from "./expectedMemory.js";
 export { freeBytes } from "./freeBytes.js";
 export { HeldMemory } from "./heldMemory.js";
 export {
--- a/src/memory/memoryBudget.test.ts
+++ b/src/memory/memoryBudget.test.ts
@@ -54,3 +54,17 @@
         }
     }));
 });
+
+test("calls find no room while what they are expected to bring exceeds the budget, but a few always do", () => {
+    const budget = new MemoryBudget({ machineBytes: 160 * MEGABYTE });
+    const calls = budget.begin("calls");
+    const piece = 196_608;
+    while (calls.tryReserve(piece)) {
+        assert.ok(calls.bytes <= budget.budgetBytes);
+    }
+    assert.ok(budget.hasRoomFor("requests", piece), "requests are read, and refused when they are sent");
+    assert.ok(budget.hasRoomFor("answers", piece));
+    calls.release();
+    budget.begin("answers").reserve(2 * budget.budgetBytes);
+    assert.ok(calls.tryReserve(piece));
+});
--- a/src/memory/memoryBudget.ts
+++ b/src/memory/memoryBudget.ts
@@ -22,21 +22,34 @@
     | "requests"
     /** Answers on their way to callers. */
     | "answers"
+    /** What calls under way are expected to bring, beyond what they have brought. */
+    | "calls"
     /** Messages of peers that wait to be handled. */
     | "peers";
 
 /**
  * The share of the budget up to which a use may take memory, whatever holds the rest. Requests that have not run are
- * refused while there is still room for the answers of those that have.
+ * refused while there is still room for the answers of those that have. What calls are only expected to
+ * bring does not count for requests, since whether there is room for a call is decided when the request is sent, nor for
+ * others up to the minimum of calls.
  */
 const SHARE_OF_BUDGET: Readonly<Record<MemoryUse, number>> = {
     requests: 0.6,
+    calls: 0.7,
     answers: 0.9,
     peers: 1,
 };
 
-/** Memory that a use always finds, whatever the others hold: hosts that hear nothing of each other serve worse. */
-const MINIMUM_BYTES: Readonly<Record<MemoryUse, number>> = { requests: 0, answers: 0, peers: 1024 * 1024 };
+/**
+ * Memory that a use always finds, whatever the others hold: hosts that hear nothing of each other serve worse, and one
+ * that calls no upstream serves nobody.
+ */
+const MINIMUM_BYTES: Readonly<Record<MemoryUse, number>> = {
+    requests: 0,
+    answers: 0,
+    calls: 6 * 1024 * 1024,
+    peers: 1024 * 1024,
+};
 
 /** Memory that one holder has reserved; it is released whole or in parts. */
 export interface MemoryReservation {
@@ -76,7 +89,7 @@
 export class MemoryBudget {
     #machineBytes: number;
     #budgetBytes: number;
-    readonly #reservedBytes: Record<MemoryUse, number> = { requests: 0, answers: 0, peers: 0 };
+    readonly #reservedBytes: Record<MemoryUse, number> = { requests: 0, answers: 0, calls: 0, peers: 0 };
     #totalBytes = 0;
 
     constructor({ machineBytes = DEFAULT_MACHINE_BYTES }: MemoryBudgetOptions) {
@@ -112,7 +125,9 @@
 
     /** Returns whether there is room for a use. */
     hasRoomFor(use: MemoryUse, bytes: number): boolean {
-        return this.#totalBytes + bytes <= this.#budgetBytes * SHARE_OF_BUDGET[use]
+        const { calls } = this.#reservedBytes;
+        const uncountedBytes = use === "requests" ? calls : Math.min(calls, MINIMUM_BYTES.calls);
+        return this.#totalBytes - uncountedBytes + bytes <= this.#budgetBytes * SHARE_OF_BUDGET[use]
             || this.#reservedBytes[use] + bytes <= MINIMUM_BYTES[use];
     }
 
--- a/tests/answerMemory.test.ts
+++ b/tests/answerMemory.test.ts
@@ -148,13 +148,13 @@
     await site.close();
 });
 
-async function reservedBytes(): Promise<number> {
+async function reservedBytes(use = "answers"): Promise<number> {
     const { body } = await callAuxiliaryServer(metrics, metrics.path);
-    return Number(/flamingospread_reserved_memory_bytes\{use="answers"\} (\d+)/.exec(body)?.[1]);
+    return Number(new RegExp(`flamingospread_reserved_memory_bytes\\{use="${use}"\\} (\\d+)`).exec(body)?.[1]);
 }
 
 async function untilReleased(): Promise<void> {
-    await until(async () => await reservedBytes() === 0, 1_000);
+    await until(async () => await reservedBytes() === 0 && await reservedBytes("calls") === 0, 1_000);
 }
 
 function nextId(): string {
--- a/tests/slowCallersMemory.test.ts
+++ b/tests/slowCallersMemory.test.ts
@@ -10,7 +10,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { type LoadedHost, startLoadedHost } from "./support/answerLoad.js";
 import { type BundledProgram, bundleProgram } from "./support/bundledProgram.js";
-import { HOST_NAME } from "./support/entrySite.js";
+import { callHost, HOST_NAME, until } from "./support/entrySite.js";
 
 /** Memory of the smallest machines. */
 const MACHINE_MEGABYTES = 160;
@@ -83,6 +83,26 @@
     await holdUnread(context, 300, MEDIUM_ANSWER_BYTES);
 });
 
+test("1,200 callers that do not read answers of 7.5 MB exhaust the memory of the smallest machine, or take it for ever", async context => {
+    const sizes = { answerBytes: LARGE_ANSWER_BYTES, memoryMegabytes: MACHINE_MEGABYTES };
+    const host = await startLoadedHost(context, bundled, sizes);
+    const sockets = sendUnread(host, 1_200);
+    context.after(() => sockets.forEach(socket => socket.destroy()));
+    await delay(NOT_READING_MILLISECONDS);
+    const others = await Promise.all(Array.from({ length: 20 }, () => callHost(host, { path: "/large/1" })));
+    const refused = others.filter(({ status }) => status === 503);
+    context.diagnostic(`${refused.length} of ${others.length} refused beside them`);
+    assert.ok(refused.length > 0, "requests are taken on for whose answers there is no memory");
+    for (const { body, headers } of refused) {
+        assert.match(body, /"ran":"not-run"/);
+        assert.ok(Number(headers["retry-after"]) > 0);
+    }
+    assert.ok(others.every(each => refused.includes(each) || each.body.length === LARGE_ANSWER_BYTES));
+    sockets.forEach(socket => socket.destroy());
+    await until(async () => (await callHost(host, { path: "/large/1" })).body.length === LARGE_ANSWER_BYTES);
+    assertWithinMachine(context, host);
+});
+
 test("60 callers that read answers of 7.5 MB exhaust the memory of the smallest machine, or get none", async context => {
     const sizes = { answerBytes: LARGE_ANSWER_BYTES, memoryMegabytes: MACHINE_MEGABYTES };
     const host = await startLoadedHost(context, bundled, sizes);
