Read a connection no further while its requests find no room

Cause: the 64 requests that may wait on a connection bounded their bodies only. Heads counted as a part of a flat 20 KiB, and a request that was refused for lack of memory counted nothing, kept its head until its turn and did not keep the host from reading the next ones.

Ruled out: one lower limit for all times. A connection that is not read does not tell that its caller has left, and ten large bodies may wait without that (tests/overlappingRequests).

Change: heads count towards what may wait and, beyond 4 KiB, in the request's reservation beside its flat 20 KiB. Once requests have taken half of their share, 8 requests or 64 KiB may wait on a connection. Behind a request that found no room nothing is read while another one waits. A refused request keeps its identifier and the beginning of its URL, and reserves 4 KiB.

--- /dev/null
+++ b/src/entry/connections/_requestHead.ts
@@ -0,0 +1,34 @@
+/**
+ * What the head of a request takes of memory.
+ *
+ * @module
+ */
+import { type IncomingMessage } from "node:http";
+
+/** Characters of a dropped head's URL that are kept, for log lines. */
+const KEPT_URL_CHARACTERS = 100;
+
+/** Returns the length of a request's URL and of the names and values of its header fields, without separators. */
+export function headBytes({ rawHeaders, url = "" }: IncomingMessage): number {
+    return rawHeaders.reduce((total, text) => total + text.length, url.length);
+}
+
+/** Returns the beginning of a text in memory of its own: a part of a string keeps the whole of it. */
+function copyBeginning(text: string): string {
+    return text.length <= KEPT_URL_CHARACTERS ? text : Buffer.from(text.slice(0, KEPT_URL_CHARACTERS)).toString();
+}
+
+/**
+ * Drops the head of a request that is refused, but for some header fields and the beginning of its URL.
+ *
+ * @param message The request.
+ * @param keptNames Names of the header fields that are kept, in lower case.
+ */
+export function dropHead(message: IncomingMessage, keptNames: readonly string[]): void {
+    const { headers, url = "" } = message;
+    message.headers = Object.fromEntries(
+        keptNames.filter(name => headers[name] !== undefined).map(name => [name, headers[name]]),
+    );
+    message.rawHeaders = [];
+    message.url = copyBeginning(url);
+}
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -5,22 +5,32 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
-import { type MemoryBudget } from "../../memory/index.js";
+import { type MemoryBudget, type MemoryReservation } from "../../memory/index.js";
 import { type Acts } from "../actQueue.js";
 import { discardBody, type ReadBody, readBody, type ReadBodyOptions } from "./_readBody.js";
+import { dropHead, headBytes } from "./_requestHead.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
-import { RequestOrder, type RequestPlace } from "./requestOrder.js";
+import { RequestOrder, type RequestPlace, type WaitingLimits } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
 
 /** What may wait on one connection; while more does, it is not read, and its caller is not noticed to leave. */
-const WAITING_LIMITS = { requests: 64, bytes: 1024 * 1024 };
+const WAITING_LIMITS: WaitingLimits = { requests: 64, bytes: 1024 * 1024 };
+
+/** What may wait on one connection while the memory for requests is short. */
+const SHORT_WAITING_LIMITS: WaitingLimits = { requests: 8, bytes: 64 * 1024 };
 
 /** Time in which a caller should close a connection on which it was told that no request is read any more. */
 const LINGER_MILLISECONDS = 1_000;
 
-/** Memory of a request beside its body: its connection, its headers, and what is known of it until it is answered. */
+/** Memory of a request beside its body: its connection, a usual head, and what is known of it until it is answered. */
 const REQUEST_BYTES = 20 * 1024;
 
+/** The part of these that is for the head; what a longer one has beyond it counts, too. */
+const USUAL_HEAD_BYTES = 4 * 1024;
+
+/** Memory of a request that was refused, until it is answered. */
+const REFUSED_BYTES = 4 * 1024;
+
 const NO_BODY = Buffer.alloc(0);
 
 /**
@@ -55,6 +65,8 @@
     readonly acts: Pick<Acts, "afterReading">;
     /** Memory of the host, which the requests of all connections draw on. */
     readonly memory: MemoryBudget;
+    /** Names of the header fields that are kept of a request which is refused, in lower case. */
+    readonly keptHeaders: readonly string[];
     /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
     readonly isClosing: () => boolean;
     /** A request was read, and those before it on the connection were answered. */
@@ -77,7 +89,7 @@
     options: ReadBodyOptions,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
-    const hasRoom = options.reservation.tryReserve(REQUEST_BYTES);
+    const hasRoom = options.reservation.tryReserve(REQUEST_BYTES + Math.max(0, headBytes(message) - USUAL_HEAD_BYTES));
     const foundProblem = problem ?? (hasRoom ? undefined : "no-room-for-bodies");
     if (foundProblem !== undefined) {
         discardBody(message);
@@ -101,10 +113,12 @@
 export class CallerConnection {
     readonly #socket: Duplex;
     readonly #options: CallerConnectionOptions;
-    readonly #order = new RequestOrder<Arrival>(WAITING_LIMITS);
+    readonly #order = new RequestOrder<Arrival>();
     readonly #unanswered = new Set<IncomingMessage>();
     /** Ends each request that is open, once. */
     readonly #endings = new Set<() => void>();
+    /** Open requests that were refused for lack of memory. */
+    readonly #withoutRoom = new Set<RequestPlace<Arrival>>();
     /** True once an answer has told the caller that the connection closes. */
     #isLastAnswer = false;
     #isReadingPaused = false;
@@ -148,7 +162,7 @@
     add(head: ReceivedHead): void {
         const { message, response } = head;
         this.#headCount += 1;
-        const place = this.#order.add();
+        const place = this.#order.add(headBytes(message));
         const unansweredBefore = this.#order.size - 1;
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
@@ -157,6 +171,7 @@
         const end = (): void => {
             if (this.#endings.delete(end)) {
                 reservation.release();
+                this.#withoutRoom.delete(place);
                 head.onEnded();
                 this.#handleEnded(place);
             }
@@ -170,7 +185,11 @@
             idleTimeoutMilliseconds: head.idleTimeoutMilliseconds,
             isReadingPaused: () => this.#socket.isPaused(),
         };
-        readRequest(head, options, (body, problem) =>
+        readRequest(head, options, (body, problem) => {
+            if (problem !== undefined && this.#endings.has(end)) {
+                this.#shrinkRefused(message, reservation);
+                this.#noteProblem(place, problem);
+            }
             this.#handleRead(place, {
                 message,
                 response,
@@ -181,7 +200,8 @@
                 longestUnreadMilliseconds: head.longestUnreadMilliseconds,
                 unansweredBefore,
                 closesConnection: options => this.#decideLast(message, options),
-            }));
+            });
+        });
     }
 
     /** Answers bytes that are no request, after the requests before them, and closes the connection. */
@@ -192,6 +212,19 @@
         }
     }
 
+    /** Keeps of a refused request no more than its answer needs. */
+    #shrinkRefused(message: IncomingMessage, reservation: MemoryReservation): void {
+        dropHead(message, [...this.#options.keptHeaders, "upgrade"]);
+        reservation.release();
+        reservation.reserve(REFUSED_BYTES);
+    }
+
+    #noteProblem(place: RequestPlace<Arrival>, problem: RequestProblem): void {
+        if (problem === "no-room-for-bodies") {
+            this.#withoutRoom.add(place);
+        }
+    }
+
     #decideLast(message: IncomingMessage, { hasLength, isWanted }: CloseDecisionOptions): boolean {
         const isLast = isLastOfConnection(message, hasLength) || this.#options.isClosing();
         const hasSuccessor = this.#order.hasWaiting || this.#finalAnswer !== undefined;
@@ -234,12 +267,19 @@
         }
     }
 
+    /** True while more waits than may; behind a request that found no room, none is likely to find any. */
+    get #isFull(): boolean {
+        const limits = this.#options.memory.isShortFor("requests") ? SHORT_WAITING_LIMITS : WAITING_LIMITS;
+        return this.#order.exceeds(limits) || (this.#withoutRoom.size > 0 && this.#order.hasWaiting);
+    }
+
     /** Stops reading while too much waits; what was read of a request in part is read on once less does. */
     #updateReading(): void {
-        if (this.#order.isFull === this.#isReadingPaused) {
+        const isFull = this.#isFull;
+        if (isFull === this.#isReadingPaused) {
             return;
         }
-        this.#isReadingPaused = this.#order.isFull;
+        this.#isReadingPaused = isFull;
         if (this.#isReadingPaused) {
             this.#socket.pause();
         }
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -29,6 +29,8 @@
 
 /** Handles the requests of all connections. */
 export interface RequestHandler {
+    /** Names of the header fields that are kept of a request which is refused, in lower case. */
+    readonly keptHeaders: readonly string[];
     /** Handles a request whose caller is connected, and which is the next to be answered on its connection. */
     begin(arrival: Arrival): void;
     /** Records a request whose caller left before it was handled. */
@@ -137,6 +139,7 @@
         const connection = new CallerConnection(socket, {
             acts: this.#options.acts,
             memory: this.#options.memory,
+            keptHeaders: handler.keptHeaders,
             isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
             refuseAfterLast: message => handler.refuseAfterLast(message),
--- a/src/entry/connections/headerLimit.ts
+++ b/src/entry/connections/headerLimit.ts
@@ -5,15 +5,11 @@
  */
 import { type IncomingMessage, type Server } from "node:http";
 import { type Duplex } from "node:stream";
+import { headBytes } from "./_requestHead.js";
 
 /** Limit while no configuration is known. */
 const DEFAULT_HEADER_BYTES = 16 * 1024;
 
-/** Returns the length of a request's URL and of the names and values of its header fields, without separators. */
-function headerBytes({ rawHeaders, url = "" }: IncomingMessage): number {
-    return rawHeaders.reduce((total, text) => total + text.length, url.length);
-}
-
 /**
  * Applies the limit of the configuration in force to each request of a server. The server's parser bounds what is
  * buffered of a head, by the limit that held when its connection began; where the limit was lowered since, the head is
@@ -52,7 +48,7 @@
     /** Returns whether a request is within the limit. */
     accepts(message: IncomingMessage): boolean {
         const limitBytes = this.#limitBytes ?? DEFAULT_HEADER_BYTES;
-        return this.#readLimitOf(message.socket) <= limitBytes || headerBytes(message) <= limitBytes;
+        return this.#readLimitOf(message.socket) <= limitBytes || headBytes(message) <= limitBytes;
     }
 
     /** Returns whether a head that is too long on this connection may be within the limit on a new one. */
--- a/src/entry/connections/requestOrder.ts
+++ b/src/entry/connections/requestOrder.ts
@@ -27,24 +27,19 @@
  *
  * @example
  * ```ts
- * const order = new RequestOrder<string>({ requests: 16, bytes: 65_536 });
- * const first = order.add();
- * const second = order.add();
+ * const order = new RequestOrder<string>();
+ * const first = order.add(300);
+ * const second = order.add(300);
  * order.setRead(second, "second", 0);
  * order.setRead(first, "first", 0);
  * console.log(order.takeTurn(), order.takeTurn()); // "first" undefined
  * order.end(first);
- * console.log(order.takeTurn()); // "second"
+ * console.log(order.exceeds({ requests: 16, bytes: 65_536 }), order.takeTurn()); // false "second"
  * ```
  */
 export class RequestOrder<Request> {
-    readonly #limits: WaitingLimits;
     readonly #places: MutablePlace<Request>[] = [];
 
-    constructor(limits: WaitingLimits) {
-        this.#limits = limits;
-    }
-
     /** Number of requests that have not ended. */
     get size(): number {
         return this.#places.length;
@@ -60,26 +55,26 @@
         return this.#places.some(({ request }) => request !== undefined);
     }
 
-    /** True while more waits than the limits allow. */
-    get isFull(): boolean {
+    /** Returns whether more waits than limits allow. */
+    exceeds(limits: WaitingLimits): boolean {
         const waiting = this.#places.slice(1);
-        return waiting.length > this.#limits.requests
-            || waiting.reduce((total, { bytes }) => total + bytes, 0) > this.#limits.bytes;
+        return waiting.length > limits.requests
+            || waiting.reduce((total, { bytes }) => total + bytes, 0) > limits.bytes;
     }
 
-    /** Appends a request whose first bytes were read. */
-    add(): RequestPlace<Request> {
-        const place: MutablePlace<Request> = { request: undefined, bytes: 0, hasBegun: false };
+    /** Appends a request whose head was read, with the bytes of that. */
+    add(headBytes: number): RequestPlace<Request> {
+        const place: MutablePlace<Request> = { request: undefined, bytes: headBytes, hasBegun: false };
         this.#places.push(place);
         return place;
     }
 
-    /** Records that a request was read, and the memory that it takes while it waits. */
-    setRead(place: RequestPlace<Request>, request: Request, bytes: number): void {
+    /** Records that a request was read whole, and the bytes of its body. */
+    setRead(place: RequestPlace<Request>, request: Request, bodyBytes: number): void {
         const known = this.#places.find(each => each === place);
         if (known !== undefined) {
             known.request = request;
-            known.bytes = bytes;
+            known.bytes += bodyBytes;
         }
     }
 
--- a/src/entry/connections/unreadableRequestsTimeout.test.ts
+++ b/src/entry/connections/unreadableRequestsTimeout.test.ts
@@ -35,6 +35,7 @@
             const connection = connections.get(socket) ?? new CallerConnection(socket, {
                 acts: { afterReading: step => void setTimeout(step, READING_MILLISECONDS) },
                 memory: new MemoryBudget({ machineBytes: undefined }),
+                keptHeaders: [],
                 isClosing: () => false,
                 onTurn: doNothing,
                 refuseAfterLast: () => "",
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -79,6 +79,10 @@
         this.#context = context;
     }
 
+    get keptHeaders(): readonly string[] {
+        return [this.#context.headers.requestId];
+    }
+
     wake(): void {
         if (!this.#wakeScheduled) {
             this.#wakeScheduled = true;
--- a/src/memory/memoryBudget.test.ts
+++ b/src/memory/memoryBudget.test.ts
@@ -26,6 +26,17 @@
     assert.equal(requests.tryReserve(piece), true);
 });
 
+test("memory is short for requests once half of what they may take is in use, by whatever", () => {
+    const budget = new MemoryBudget({ machineBytes: 350 * MEGABYTE });
+    const answers = budget.begin("answers");
+    answers.reserve(Math.floor(0.29 * budget.budgetBytes));
+    assert.equal(budget.isShortFor("requests"), false);
+    answers.reserve(Math.floor(0.02 * budget.budgetBytes));
+    assert.equal(budget.isShortFor("requests"), true);
+    answers.release();
+    assert.equal(budget.isShortFor("requests"), false);
+});
+
 test("memory that is in use already is counted beyond the budget", () => {
     const budget = new MemoryBudget({ machineBytes: 350 * MEGABYTE });
     const answers = budget.begin("answers");
--- a/src/memory/memoryBudget.ts
+++ b/src/memory/memoryBudget.ts
@@ -35,6 +35,9 @@
     peers: 1,
 };
 
+/** The part of its share beyond which memory is short for a use. */
+const SHORT_PART = 0.5;
+
 /** Memory that a use always finds, whatever the others hold: hosts that hear nothing of each other serve worse. */
 const MINIMUM_BYTES: Readonly<Record<MemoryUse, number>> = { requests: 0, answers: 0, peers: 1024 * 1024 };
 
@@ -116,6 +119,11 @@
             || this.#reservedBytes[use] + bytes <= MINIMUM_BYTES[use];
     }
 
+    /** Returns whether less than half of what a use may take is left for it. */
+    isShortFor(use: MemoryUse): boolean {
+        return !this.hasRoomFor(use, this.#budgetBytes * SHARE_OF_BUDGET[use] * SHORT_PART);
+    }
+
     /** Begins the reservation of one holder. */
     begin(use: MemoryUse): MemoryReservation {
         let heldBytes = 0;
--- /dev/null
+++ b/tests/support/smallMachine.ts
@@ -0,0 +1,115 @@
+/**
+ * A host as a process on the smallest machine, before an engine that answers late, and the memory that it takes.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { connect, type Socket } from "node:net";
+import { type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { PlatformStoreStandIn } from "../../standins/platform/store.js";
+import { PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
+import { type BundledProgram, NODE_OPTIONS } from "./bundledProgram.js";
+import { createEntrySettings, type EntryProgram, startEntryProgram, waitUntilProgramReady } from "./entryProgram.js";
+import { HOST_NAME } from "./entrySite.js";
+
+/** Memory of the smallest machine. */
+const MACHINE_MEGABYTES = 160;
+const MACHINE_BYTES = MACHINE_MEGABYTES * 1_000_000;
+
+const POLL_MILLISECONDS = 10;
+const JOINED_MILLISECONDS = 500;
+
+const CONFIGURATION = {
+    version: 1,
+    routes: [{
+        name: "orders",
+        host: HOST_NAME,
+        pathPrefix: "/orders/",
+        kind: "idempotent",
+        timeoutMs: 15_000,
+        targetLatencyMs: 400,
+        priority: 0,
+        service: "plain",
+        maxAttempts: 2,
+        sticky: false,
+        resumable: false,
+    }],
+    services: [{ name: "plain", healthPath: "/healthz", maxConnections: 400, protocol: "h1", tls: false }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+};
+
+/** Returns the resident memory of a process, in bytes; 0 once it has ended. */
+function readResidentBytes(processId: number | undefined): number {
+    try {
+        const status = readFileSync(`/proc/${processId ?? 0}/status`, "latin1");
+        return Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * 1_024;
+    }
+    catch {
+        return 0;
+    }
+}
+
+/** A running host on the smallest machine. */
+export interface SmallHost {
+    readonly program: EntryProgram;
+    readonly upstream: PlatformUpstreamStandIn;
+    /** Opens a connection to the host, which ends with the test. */
+    connect(): Socket;
+    /** Fails where the process has ended, or where its resident memory was ever beyond the machine's. */
+    assertWithinMachine(): void;
+}
+
+/**
+ * Starts a host on the smallest machine.
+ *
+ * @param context The test; all that is started ends with it.
+ * @param bundled The program.
+ * @param options Time after which the engine answers.
+ */
+export async function startSmallHost(
+    context: TestContext,
+    bundled: BundledProgram,
+    { answersAfterMilliseconds }: { readonly answersAfterMilliseconds: number; },
+): Promise<SmallHost> {
+    const store = await PlatformStoreStandIn.start();
+    store.put("op/config", CONFIGURATION);
+    const upstream = await PlatformUpstreamStandIn.start({
+        id: "plain-1",
+        slots: 400,
+        behave: () => ({ type: "answer", afterMilliseconds: answersAfterMilliseconds }),
+    });
+    store.put("servers/plain-1", upstream.announcement("plain"));
+    const settings = await createEntrySettings(store.address, { memoryMegabytes: MACHINE_MEGABYTES });
+    const program = startEntryProgram(settings.text, [...NODE_OPTIONS, bundled.launcher]);
+    const sockets: Socket[] = [];
+    let peakBytes = 0;
+    const poll = setInterval(() => {
+        peakBytes = Math.max(peakBytes, readResidentBytes(program.child.pid));
+    }, POLL_MILLISECONDS);
+    context.after(async () => {
+        clearInterval(poll);
+        sockets.forEach(socket => socket.destroy());
+        await program.close();
+        await upstream.close();
+        await store.close();
+    });
+    await waitUntilProgramReady(settings);
+    await delay(JOINED_MILLISECONDS);
+    return {
+        program,
+        upstream,
+        connect: () => {
+            const socket = connect(settings.callers, "127.0.0.1");
+            socket.on("error", () => undefined);
+            sockets.push(socket);
+            return socket;
+        },
+        assertWithinMachine: () => {
+            context.diagnostic(`${Math.round(peakBytes / 1_000_000)} MB at most`);
+            assert.equal(program.child.exitCode, null, program.output());
+            assert.ok(peakBytes > 0 && peakBytes < MACHINE_BYTES, `${peakBytes} bytes were resident`);
+        },
+    };
+}
