Draw a body's memory as it arrives, and refuse stalled ones first

Cause: the whole stated length was reserved at the head, and any byte within the idle time limit kept it.

Ruled out: the whole length with a minimum rate and 408 (docs/DECISIONS.md); a copy that reserves old and new bytes together while a body grows (not tried: one body is copied at a time); counting a body's own length twice at its head (tried: 4 of 72 bodies of 4.19 MB answered in place of 5).

Change: a body reserves in doubling steps up to its stated length. At the head of one of more than 256 KiB the host looks whether it fits beside what others that make progress still bring. Where a request or body finds no room, bodies of which less than 16 KiB came in the last second the host read are refused first (503, not run), where that makes room. None waits for memory, so bodies that each hold a part cannot block one another.

--- a/src/entry/connections/_bodyBuffer.ts
+++ b/src/entry/connections/_bodyBuffer.ts
@@ -5,10 +5,10 @@
  */
 import { freeBytes, type MemoryReservation } from "../../memory/index.js";
 
-/** First size of the memory of a body whose length is not known. */
+/** First size of the memory of a body. */
 const FIRST_BYTES = 16 * 1024;
 
-/** Factor by which the memory of such a body grows. */
+/** Factor by which the memory of a body grows. */
 const GROWTH = 2;
 
 const NO_BYTES = Buffer.alloc(0);
@@ -23,8 +23,8 @@
 }
 
 /**
- * Copies the pieces of a body into memory that was reserved before: whole where the length is known, else in steps. The
- * pieces are freed at once, and a body of many small ones takes no more memory than one of a few.
+ * Copies the pieces of a body into memory that is reserved in steps, as they arrive. The pieces are freed at once, and a
+ * body of many small ones takes no more memory than one of a few.
  */
 export class BodyBuffer {
     readonly #options: BodyBufferOptions;
@@ -35,19 +35,11 @@
         this.#options = options;
     }
 
-    /** Reserves the memory of a body of known length; returns `false` where there is no room. */
-    reserveKnown(): boolean {
-        const { lengthBytes = 0, reservation } = this.#options;
-        return reservation.tryReserve(lengthBytes);
-    }
-
     /** Appends a piece, whose bytes are taken over; returns `false` where there is no room for it. */
     append(piece: Buffer): boolean {
         const length = this.#length + piece.length;
         if (piece.length === this.#options.lengthBytes) {
-            this.#bytes = piece;
-            this.#length = length;
-            return true;
+            return this.#takeWhole(piece);
         }
         if (length > this.#bytes.length && !this.#grow(length)) {
             return false;
@@ -70,18 +62,25 @@
         this.#length = 0;
     }
 
+    #takeWhole(piece: Buffer): boolean {
+        if (!this.#options.reservation.tryReserve(piece.length)) {
+            return false;
+        }
+        this.#bytes = piece;
+        this.#length = piece.length;
+        return true;
+    }
+
+    /** The host copies one body at a time, so that the older bytes beside their copy need no room of their own. */
     #grow(neededBytes: number): boolean {
-        const { lengthBytes, reservation } = this.#options;
-        const olderBytes = this.#bytes.length;
-        const size = lengthBytes ?? this.#nextSize(neededBytes);
-        if (lengthBytes === undefined && !reservation.tryReserve(size)) {
+        const size = this.#nextSize(neededBytes);
+        if (!this.#options.reservation.tryReserve(size - this.#bytes.length)) {
             return false;
         }
         const grown = Buffer.allocUnsafeSlow(size);
         this.#bytes.copy(grown, 0, 0, this.#length);
         freeBytes(this.#bytes);
         this.#bytes = grown;
-        reservation.release(lengthBytes === undefined ? olderBytes : 0);
         return true;
     }
 
@@ -90,6 +89,7 @@
         while (size < neededBytes) {
             size *= GROWTH;
         }
-        return Math.max(neededBytes, Math.min(size, this.#options.limitBytes));
+        const { lengthBytes, limitBytes } = this.#options;
+        return Math.max(neededBytes, Math.min(size, lengthBytes ?? limitBytes));
     }
 }
--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -3,6 +3,7 @@
 import { type Acts } from "../actQueue.js";
 import { BodyBuffer } from "./_bodyBuffer.js";
 import { BodyIdleTimer } from "./_bodyIdleTimer.js";
+import { type RequestMemory } from "./requestMemory.js";
 
 /** A body, or why there is none. */
 export type ReadBody = Buffer | "too-large" | "no-room" | "idle" | "caller-left";
@@ -11,6 +12,7 @@
 export interface ReadBodyOptions {
     /** Maximum size of the body. */
     readonly limitBytes: number;
+    readonly memory: RequestMemory;
     readonly reservation: MemoryReservation;
     readonly acts: Pick<Acts, "afterReading">;
     /** Time without a byte after which the body is given up. */
@@ -37,10 +39,12 @@
  */
 export function readBody(
     message: IncomingMessage,
-    { acts, idleTimeoutMilliseconds, isReadingPaused, limitBytes, reservation }: ReadBodyOptions,
+    { acts, idleTimeoutMilliseconds, isReadingPaused, limitBytes, memory, reservation }: ReadBodyOptions,
     onBody: (body: ReadBody) => void,
 ): void {
     const lengthBytes = lengthOf(message);
+    const isTooLarge = lengthBytes !== undefined && lengthBytes > limitBytes;
+    const hasRoom = isTooLarge || memory.expectsRoomFor(lengthBytes ?? 0);
     const buffer = new BodyBuffer({ lengthBytes, limitBytes, reservation });
     let receivedBytes = 0;
     let settled = false;
@@ -50,10 +54,12 @@
         isReadingPaused,
         onIdle: () => giveUp("idle"),
     });
+    const progress = memory.follow({ reservation, lengthBytes: lengthBytes ?? 0, refuse: () => giveUp("no-room") });
     const settle = (body: ReadBody): void => {
         if (!settled) {
             settled = true;
             timer.close();
+            progress.close();
             onBody(body);
         }
     };
@@ -67,6 +73,7 @@
     message.on("data", (piece: Buffer) => {
         receivedBytes += piece.length;
         timer.recordPiece();
+        progress.record(piece.length);
         if (settled) {
             freeBytes(piece);
             return;
@@ -81,10 +88,10 @@
     message.on("end", () => settle(buffer.read()));
     message.on("error", () => giveUp("caller-left"));
     message.on("close", () => giveUp("caller-left"));
-    if (lengthBytes !== undefined && lengthBytes > limitBytes) {
+    if (isTooLarge) {
         giveUp("too-large");
     }
-    else if (!buffer.reserveKnown()) {
+    else if (!hasRoom) {
         giveUp("no-room");
     }
 }
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -5,11 +5,12 @@
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Duplex } from "node:stream";
-import { type MemoryBudget, type MemoryReservation } from "../../memory/index.js";
+import { type MemoryReservation } from "../../memory/index.js";
 import { type Acts } from "../actQueue.js";
 import { discardBody, type ReadBody, readBody, type ReadBodyOptions } from "./_readBody.js";
 import { dropHead, headBytes } from "./_requestHead.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
+import { type RequestMemory } from "./requestMemory.js";
 import { RequestOrder, type RequestPlace, type WaitingLimits } from "./requestOrder.js";
 import { readTarget } from "./requestTarget.js";
 
@@ -63,8 +64,8 @@
 /** Options of {@linkcode CallerConnection}. */
 export interface CallerConnectionOptions {
     readonly acts: Pick<Acts, "afterReading">;
-    /** Memory of the host, which the requests of all connections draw on. */
-    readonly memory: MemoryBudget;
+    /** Memory of the requests of all connections. */
+    readonly memory: RequestMemory;
     /** Names of the header fields that are kept of a request which is refused, in lower case. */
     readonly keptHeaders: readonly string[];
     /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
@@ -167,7 +168,7 @@
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
         response.prependListener("finish", () => this.#handleAnswered(message));
-        const reservation = this.#options.memory.begin("requests");
+        const reservation = this.#options.memory.begin();
         const end = (): void => {
             if (this.#endings.delete(end)) {
                 reservation.release();
@@ -180,6 +181,7 @@
         response.on("close", end);
         const options = {
             limitBytes: head.bodyLimitBytes,
+            memory: this.#options.memory,
             reservation,
             acts: this.#options.acts,
             idleTimeoutMilliseconds: head.idleTimeoutMilliseconds,
@@ -269,7 +271,7 @@
 
     /** True while more waits than may; behind a request that found no room, none is likely to find any. */
     get #isFull(): boolean {
-        const limits = this.#options.memory.isShortFor("requests") ? SHORT_WAITING_LIMITS : WAITING_LIMITS;
+        const limits = this.#options.memory.isShort ? SHORT_WAITING_LIMITS : WAITING_LIMITS;
         return this.#order.exceeds(limits) || (this.#withoutRoom.size > 0 && this.#order.hasWaiting);
     }
 
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -13,6 +13,7 @@
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { Arrivals } from "./arrivals.js";
 import { CallerConnection } from "./callerConnection.js";
+import { RequestMemory } from "./requestMemory.js";
 import { UnreadTimes } from "./unreadTimes.js";
 
 /** Limit on callers' bodies while no configuration is known. */
@@ -66,6 +67,7 @@
     readonly #options: CallerConnectionsOptions;
     readonly #arrivals: Arrivals;
     readonly #unreadTimes: UnreadTimes;
+    readonly #memory: RequestMemory;
     readonly #connections = new Map<Duplex, CallerConnection>();
     #limits: BodyLimits = { bodyBytes: DEFAULT_BODY_BYTES, idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS };
     #isClosing = false;
@@ -75,6 +77,7 @@
         const { acts, handler } = options;
         this.#options = options;
         this.#unreadTimes = new UnreadTimes(options);
+        this.#memory = new RequestMemory(options);
         this.#arrivals = new Arrivals({
             acts,
             onBegin: arrival => handler.begin(arrival),
@@ -138,7 +141,7 @@
         const { handler } = this.#options;
         const connection = new CallerConnection(socket, {
             acts: this.#options.acts,
-            memory: this.#options.memory,
+            memory: this.#memory,
             keptHeaders: handler.keptHeaders,
             isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
--- a/src/entry/connections/unreadableRequestsTimeout.test.ts
+++ b/src/entry/connections/unreadableRequestsTimeout.test.ts
@@ -8,6 +8,7 @@
 import { createEntryMetrics } from "../../observability/index.js";
 import { CallerConnection } from "./callerConnection.js";
 import { HeaderLimit } from "./headerLimit.js";
+import { RequestMemory } from "./requestMemory.js";
 import { answerUnreadableRequests } from "./unreadableRequests.js";
 
 const HEADER_TIMEOUT_MILLISECONDS = 200;
@@ -34,7 +35,11 @@
         connectionOf: socket => {
             const connection = connections.get(socket) ?? new CallerConnection(socket, {
                 acts: { afterReading: step => void setTimeout(step, READING_MILLISECONDS) },
-                memory: new MemoryBudget({ machineBytes: undefined }),
+                memory: new RequestMemory({
+                    memory: new MemoryBudget({ machineBytes: undefined }),
+                    reads: { readUntilMilliseconds: 0 },
+                    readClock: () => 0,
+                }),
                 keptHeaders: [],
                 isClosing: () => false,
                 onTurn: doNothing,
