--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -3,6 +3,7 @@
 import { type Acts } from "../actQueue.js";
 import { BodyBuffer } from "./_bodyBuffer.js";
 import { BodyIdleTimer } from "./_bodyIdleTimer.js";
+import { type RequestMemory } from "./requestMemory.js";
 
 /** A body, or why there is none. */
 export type ReadBody = Buffer | "too-large" | "no-room" | "idle" | "caller-left";
@@ -11,7 +12,9 @@
 export interface ReadBodyOptions {
     /** Maximum size of the body. */
     readonly limitBytes: number;
-    readonly memory: HeldMemory;
+    readonly memory: RequestMemory;
+    /** Holds the body. */
+    readonly held: HeldMemory;
     readonly acts: Pick<Acts, "afterReading">;
     /** Time without a byte after which the body is given up. */
     readonly idleTimeoutMilliseconds: number;
@@ -37,11 +40,13 @@
  */
 export function readBody(
     message: IncomingMessage,
-    { acts, idleTimeoutMilliseconds, isReadingPaused, limitBytes, memory }: ReadBodyOptions,
+    { acts, held, idleTimeoutMilliseconds, isReadingPaused, limitBytes, memory }: ReadBodyOptions,
     onBody: (body: ReadBody) => void,
 ): void {
-    const { reservation } = memory;
+    const { reservation } = held;
     const lengthBytes = lengthOf(message);
+    const isTooLarge = lengthBytes !== undefined && lengthBytes > limitBytes;
+    const hasRoom = isTooLarge || memory.expectsRoomFor(lengthBytes ?? 0);
     const buffer = new BodyBuffer({ lengthBytes, limitBytes, reservation });
     let receivedBytes = 0;
     let settled = false;
@@ -51,10 +56,12 @@
         isReadingPaused,
         onIdle: () => giveUp("idle"),
     });
+    const progress = memory.follow({ reservation, lengthBytes: lengthBytes ?? 0, refuse: () => giveUp("no-room") });
     const settle = (body: ReadBody): void => {
         if (!settled) {
             settled = true;
             timer.close();
+            progress.close();
             onBody(body);
         }
     };
@@ -68,6 +75,7 @@
     message.on("data", (piece: Buffer) => {
         receivedBytes += piece.length;
         timer.recordPiece();
+        progress.record(piece.length);
         if (settled) {
             freeBytes(piece);
             return;
@@ -80,15 +88,15 @@
         }
     });
     message.on("end", () => {
-        memory.setFree(() => buffer.clear());
+        held.setFree(() => buffer.clear());
         settle(buffer.read());
     });
     message.on("error", () => giveUp("caller-left"));
     message.on("close", () => giveUp("caller-left"));
-    if (lengthBytes !== undefined && lengthBytes > limitBytes) {
+    if (isTooLarge) {
         giveUp("too-large");
     }
-    else if (!buffer.reserveKnown()) {
+    else if (!hasRoom) {
         giveUp("no-room");
     }
 }
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -13,6 +13,7 @@
 import { type Arrival, type RequestProblem } from "./arrival.js";
 import { Arrivals } from "./arrivals.js";
 import { CallerConnection } from "./callerConnection.js";
+import { RequestMemory } from "./requestMemory.js";
 import { UnreadTimes } from "./unreadTimes.js";
 
 /** Limit on callers' bodies while no configuration is known. */
@@ -29,6 +30,8 @@
 
 /** Handles the requests of all connections. */
 export interface RequestHandler {
+    /** Names of the header fields that are kept of a request which is refused, in lower case. */
+    readonly keptHeaders: readonly string[];
     /** Handles a request whose caller is connected, and which is the next to be answered on its connection. */
     begin(arrival: Arrival): void;
     /** Records a request whose caller left before it was handled. */
@@ -64,6 +67,7 @@
     readonly #options: CallerConnectionsOptions;
     readonly #arrivals: Arrivals;
     readonly #unreadTimes: UnreadTimes;
+    readonly #memory: RequestMemory;
     readonly #connections = new Map<Duplex, CallerConnection>();
     #limits: BodyLimits = { bodyBytes: DEFAULT_BODY_BYTES, idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS };
     #isClosing = false;
@@ -73,6 +77,7 @@
         const { acts, handler } = options;
         this.#options = options;
         this.#unreadTimes = new UnreadTimes(options);
+        this.#memory = new RequestMemory(options);
         this.#arrivals = new Arrivals({
             acts,
             onBegin: arrival => handler.begin(arrival),
@@ -136,7 +141,8 @@
         const { handler } = this.#options;
         const connection = new CallerConnection(socket, {
             acts: this.#options.acts,
-            memory: this.#options.memory,
+            memory: this.#memory,
+            keptHeaders: handler.keptHeaders,
             isClosing: () => this.#isClosing,
             onTurn: arrival => this.#arrivals.add(arrival),
             refuseAfterLast: message => handler.refuseAfterLast(message),
