Refuse paths that no upstream can get, and hold a body only for a call that has begun (FAULT)

Cause: the body was held before the call was made, so an exception in between left a holder that nobody knows.

Change: the call takes its hold itself, once its request to the upstream exists. Such targets are refused with 400 invalid-target, not run.

--- a/src/entry/bodyRelease.test.ts
+++ b/src/entry/bodyRelease.test.ts
@@ -42,7 +42,7 @@
             path: "/",
             headers: () => ["content-length", String(BODY_BYTES)],
             body: Buffer.alloc(BODY_BYTES, "y"),
-            onBodyReleased: () => {
+            holdBody: () => () => {
                 releases += 1;
                 resolve();
             },
@@ -104,7 +104,7 @@
         path: "/",
         headers: () => [],
         body: Buffer.alloc(1),
-        onBodyReleased: () => releases += 1,
+        holdBody: () => () => void (releases += 1),
         connectTimeoutMilliseconds: 1_000,
         onConnected: () => undefined,
         onHead: () => undefined,
@@ -117,3 +117,30 @@
     await delay(HOLD_MILLISECONDS);
     assert.equal(releases, 1);
 });
+
+test("the body of a call that cannot begin is held for ever", () => {
+    const agent = createUpstreamAgent(4);
+    let isHeld = false;
+    assert.throws(() =>
+        callUpstream({
+            acts: { afterReading: step => void setImmediate(step) },
+            agent,
+            address: "127.0.0.1:9",
+            method: "GET",
+            path: "/\t",
+            headers: () => [],
+            body: Buffer.alloc(1),
+            holdBody: () => {
+                isHeld = true;
+                return () => undefined;
+            },
+            connectTimeoutMilliseconds: 1_000,
+            onConnected: () => undefined,
+            onHead: () => undefined,
+            onData: () => undefined,
+            onEnd: () => undefined,
+            onFailure: () => undefined,
+        })
+    );
+    assert.equal(isHeld, false);
+});
--- a/src/entry/connections/arrival.ts
+++ b/src/entry/connections/arrival.ts
@@ -12,6 +12,8 @@
     | "body-stalled"
     | "body-too-large"
     | "headers-too-large"
+    /** Its path has characters that HTTP does not allow there. */
+    | "invalid-target"
     | "no-host"
     /** The host has no memory left for the request and its body. */
     | "no-room-for-bodies"
--- a/src/entry/connections/requestTarget.test.ts
+++ b/src/entry/connections/requestTarget.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { readTarget } from "./requestTarget.js";
+import { isValidTarget, readTarget } from "./requestTarget.js";
 
 const headers = { host: "site.example" };
 
@@ -20,3 +20,8 @@
         assert.deepEqual(readTarget({ headers, url }), { host, pathAndQuery });
     }
 });
+
+test("a path with characters that no request to an upstream can have is not valid", () => {
+    assert.ok(["/", "/a%20b", "/\u00e9", "*", "http://other.example/a"].every(url => isValidTarget({ url })));
+    assert.ok(["/a\tb", "/\f", "/a b", "/\u0000", "/\u2603"].every(url => !isValidTarget({ url })));
+});
--- a/src/entry/connections/requestTarget.ts
+++ b/src/entry/connections/requestTarget.ts
@@ -7,6 +7,9 @@
 
 const ABSOLUTE_FORM = /^https?:\/\/([^/?#]*)(.*)$/iu;
 
+/** Bytes that no request to an upstream can have in its path, though the parser of callers' requests accepts some. */
+const INVALID_CHARACTER = /[^\u0021-\u00ff]/u;
+
 /** The target of a request. */
 export interface RequestTarget {
     readonly host: string;
@@ -33,3 +36,17 @@
     }
     return { host: authority, pathAndQuery: rest.startsWith("/") ? rest : `/${rest}` };
 }
+
+/**
+ * Returns whether a request's path or URL has only characters that can be sent to an upstream.
+ *
+ * @param message The request's first line.
+ *
+ * @example
+ * ```ts
+ * isValidTarget({ url: "/orders/\t1" }); // false
+ * ```
+ */
+export function isValidTarget({ url = "/" }: Pick<IncomingMessage, "url">): boolean {
+    return !INVALID_CHARACTER.test(url);
+}
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -78,7 +78,7 @@
             path: target.pathAndQuery,
             headers: () => this.#headersFor(attempt.upstream),
             body,
-            onBodyReleased: holdBody(),
+            holdBody,
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
             onConnected: () => context.acts.runOrEnqueue(() => this.#ifRunning(attempt, () => this.#release(attempt))),
             onHead: head => this.#ifRunning(attempt, () => receiver.handleHead(attempt, head)),
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -17,7 +17,8 @@
     "body-stalled": 408,
     "body-too-large": 413,
     "headers-too-large": 431,
-    "no-host": 400,
+    "invalid-target": STATUS_BAD_REQUEST,
+    "no-host": STATUS_BAD_REQUEST,
     "no-room-for-bodies": STATUS_UNAVAILABLE,
     "unknown-expectation": 417,
 };
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -18,6 +18,7 @@
     type CallerConnection,
     CallerConnections,
     HeaderLimit,
+    isValidTarget,
     type RequestHandler,
     type RequestProblem,
 } from "./connections/index.js";
@@ -177,6 +178,9 @@
         if (this.#headerLimit?.accepts(message) === false) {
             return "headers-too-large";
         }
+        if (!isValidTarget(message)) {
+            return "invalid-target";
+        }
         return message.httpVersion === "1.1" && message.headers.host === undefined ? "no-host" : undefined;
     }
 
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -44,8 +44,11 @@
     /** Returns alternating names and values, when the request is sent. */
     readonly headers: () => readonly string[];
     readonly body: Buffer;
-    /** The body is not read any more: it was written whole, or never will be; called once. */
-    readonly onBodyReleased?: () => void;
+    /**
+     * Holds the body for the call, once it has begun; what it returns is called once, when the body is not read any
+     * more: it was written whole, or never will be.
+     */
+    readonly holdBody?: () => () => void;
     /** Time after which an unestablished connection fails the call. */
     readonly connectTimeoutMilliseconds: number;
     /** A connection is established. No byte of the request leaves before {@linkcode UpstreamCall.send} is called. */
@@ -102,6 +105,7 @@
     #sent = false;
     #settled = false;
     #holdsBody = true;
+    readonly #giveUpBody: () => void;
     #interimAnswers = 0;
     #connectTimer: NodeJS.Timeout | undefined;
 
@@ -114,6 +118,7 @@
             path: options.path,
             setHost: false,
         });
+        this.#giveUpBody = options.holdBody?.() ?? (() => undefined);
         this.#request.on("socket", socket => this.#watchConnection(socket));
         this.#request.on("information", () => this.#recordInterimAnswer());
         this.#request.on("response", answer => this.#handleAnswer(answer));
@@ -316,7 +321,7 @@
     #releaseBody(): void {
         if (this.#holdsBody) {
             this.#holdsBody = false;
-            this.#options.onBodyReleased?.();
+            this.#giveUpBody();
         }
     }
 }
--- a/tests/requestForms.test.ts
+++ b/tests/requestForms.test.ts
@@ -59,6 +59,18 @@
     assert.match(answers[3]?.body ?? "", /ran after-no-host/u);
 });
 
+test("a request whose path no engine may get is sent on, counts as a fault of the host, or keeps its memory", async () => {
+    const caller = new OverlappingCaller(host);
+    const requests = ["\t", "\f"].map((character, index) =>
+        renderRequest({ id: `invalid-${index}`, path: `/reads/${character}1` })
+    );
+    caller.write(requests.join("") + renderRequest({ id: "after-invalid", path: "/reads/1" }));
+    const answers = await caller.waitForAnswers(3, WITHIN_MILLISECONDS);
+    caller.close();
+    assert.deepEqual(answers.map(({ status }) => status), [400, 400, 200]);
+    assert.match(answers[0]?.body ?? "", /"reason":"invalid-target","ran":"not-run"/u);
+});
+
 for (
     const [name, bytes] of Object.entries({
         "half a head": "GET /reads/1 HTTP/1.1\r\nHos",
