Give up bodies that an upstream does not take after it has answered (FAULT)

Cause: an answered request has no deadline any more, and only the calls of callers that left were looked at.

Change: whatever a request leaves to its upstream, after its answer or after its caller, goes by one rule (leaveCall): past the deadline, once memory is short, a body that was not taken is given up. An engine may still read on later while there is memory (UNASKED).

--- a/src/entry/exchange/answerReceiver.ts
+++ b/src/entry/exchange/answerReceiver.ts
@@ -10,6 +10,7 @@
 import { type Attempt } from "./attempt.js";
 import { type BufferingLimit } from "./bufferedAnswer.js";
 import { type Hedging } from "./hedging.js";
+import { leaveCall } from "./leftCall.js";
 import { type AnswerPiece, isCopied } from "./pagePool.js";
 import { type RequestParts } from "./requestParts.js";
 
@@ -108,7 +109,7 @@
             attempt.recordAnswered();
         }
         this.#finishAnswer(attempt, head);
-        this.#parts.attempts.release(attempt);
+        leaveCall(this.#parts, attempt);
         this.#options.onAnswered(isServerError(head) ? "upstream-failure" : "answered");
     }
 
--- a/src/entry/exchange/leftCall.ts
+++ b/src/entry/exchange/leftCall.ts
@@ -1,10 +1,12 @@
 /**
- * Calls that go on although their callers left.
+ * Calls that go on although their requests have ended: their callers left, or the answer came before the body was taken.
  *
  * @module
  */
 import { type UpstreamCall } from "../upstreamCall.js";
-import { MEMORY_CHECK_MILLISECONDS } from "./shortMemory.js";
+import { type Attempt } from "./attempt.js";
+import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
+import { isMemoryShort, MEMORY_CHECK_MILLISECONDS } from "./shortMemory.js";
 
 /** Options of {@linkcode limitLeftCall}. */
 export interface LeftCallOptions {
@@ -44,3 +46,23 @@
     };
     setTimeout(check, Math.max(0, remainingMilliseconds)).unref();
 }
+
+/**
+ * Releases an attempt whose request has ended, and leaves its call to the upstream, which may still take the body.
+ *
+ * @param parts The request.
+ * @param attempt The attempt, of which no more answer is expected.
+ */
+export function leaveCall(parts: RequestParts, attempt: Attempt): void {
+    const { attempts, context: { memory }, logger } = parts;
+    const { call, number, upstream } = attempt;
+    attempts.release(attempt);
+    if (call?.holdsBody === true) {
+        limitLeftCall(call, {
+            remainingMilliseconds: remainingMilliseconds(parts),
+            isMemoryShort: () => isMemoryShort(memory),
+            onCancelled: () =>
+                logger.info("body of an ended request given up", { upstream: upstream.id, attempt: number }),
+        });
+    }
+}
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -4,15 +4,12 @@
  * @module
  */
 import { retryDelayMilliseconds } from "../../forwarding/index.js";
-import { type UpstreamCall } from "../upstreamCall.js";
-import { type Attempt } from "./attempt.js";
 import { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 import { type FailureReason } from "./failureReason.js";
 import { type Hedging } from "./hedging.js";
-import { limitLeftCall } from "./leftCall.js";
+import { leaveCall } from "./leftCall.js";
 import { longestRemainingMilliseconds, remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit } from "./requestPermits.js";
-import { isMemoryShort } from "./shortMemory.js";
 import { STATUS_BAD_GATEWAY, STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE } from "./statuses.js";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -236,19 +233,8 @@
         for (const attempt of attempts.list()) {
             if (attempt.call?.mayHaveSent === true) {
                 attempt.resume();
-                attempts.release(attempt);
-                this.#limitLeft(attempt, attempt.call);
+                leaveCall(this.#parts, attempt);
             }
         }
     }
-
-    #limitLeft({ number, upstream }: Attempt, call: UpstreamCall): void {
-        const { context: { memory }, logger } = this.#parts;
-        limitLeftCall(call, {
-            remainingMilliseconds: remainingMilliseconds(this.#parts),
-            isMemoryShort: () => isMemoryShort(memory),
-            onCancelled: () =>
-                logger.info("request of a departed caller cancelled", { upstream: upstream.id, attempt: number }),
-        });
-    }
 }
--- a/tests/departedOrdersMemory.test.ts
+++ b/tests/departedOrdersMemory.test.ts
@@ -1,5 +1,6 @@
 /**
- * Orders with large bodies whose callers leave: the host keeps within its machine's memory until they have ended.
+ * Orders with large bodies that end before an engine has taken them: their callers leave, or the engine answers first. The
+ * host keeps within its machine's memory, and has room again.
  *
  * @module
  */
@@ -58,7 +59,11 @@
 
 async function startLateEngine(
     context: TestContext,
-    { readsBodies }: { readonly readsBodies: boolean; },
+    { answersUnread = false, readsBodies }: {
+        readonly readsBodies: boolean;
+        /** Answers each order once its head was read, and reads no further. */
+        readonly answersUnread?: boolean;
+    },
 ): Promise<LateEngine> {
     const sockets = new Set<Socket>();
     const received = new Set<string>();
@@ -72,13 +77,13 @@
                 return;
             }
             received.add(id);
-            if (answers) {
+            if (answers || answersUnread) {
                 socket.write(
                     `HTTP/1.1 200 OK\r\nFlamingospread-Request-Id: ${id}\r\n`
                         + "Flamingospread-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
                 );
             }
-            else if (!readsBodies) {
+            if (answersUnread || (!answers && !readsBodies)) {
                 socket.pause();
             }
         });
@@ -149,3 +154,18 @@
     }, RECOVERY_MILLISECONDS);
     assertWithinMachine(context, host);
 });
+
+test("orders that an engine answers before it has taken them take the memory for ever", async context => {
+    const engine = await startLateEngine(context, { readsBodies: false, answersUnread: true });
+    const host = await startHost(context, engine);
+    const order = { method: "POST", path: "/orders/1", body: "y".repeat(BODY_BYTES) };
+    const send = async (): Promise<number | undefined> => (await callHost(host, order)).status;
+    const statuses: (number | undefined)[] = [];
+    for (let count = 0; count < 2 * CALLERS_IN_WAVE; count += 1) {
+        statuses.push(await send());
+    }
+    assert.ok(statuses.includes(200), statuses.join(", "));
+    assert.ok(statuses.includes(503), "more bodies are held than the machine has memory for");
+    await until(async () => await send() === 200, RECOVERY_MILLISECONDS);
+    assertWithinMachine(context, host);
+});
