Log the age of the view that a request was sent on

What was missing (found by the fresh review, by reading): `viewAgeMilliseconds` of `request sent` was the time since any answer of the store, so that a watch whose answers are lost looked fresh in the very line that is read then. It is now the time since this host's view was last confirmed, as the cell's questions use it.

--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -49,7 +49,7 @@
         pages: new PagePool(),
         adapterUse: engines.adapters.use,
         routeTable: () => store.configuration.table,
-        viewAgeMilliseconds: () => store.reachability.millisecondsSinceAnswer(),
+        viewAgeMilliseconds: () => store.viewAgeMilliseconds,
         hostCount: () => peers.live(readClock()).length + 1,
         requestAdapter: (engine, model, adapter) => engines.adapters.request(engine, model, adapter),
         requestVersionCopy: need => engines.requestVersionCopy(need),
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -65,7 +65,7 @@
     /** `undefined` while no configuration is known. */
     routeTable(): RouteTable | undefined;
     agentFor(service: string): Agent;
-    /** Time since this host last read an answer of the key-value service; what it answered may be older. */
+    /** Time since this host's view of the key-value service was last confirmed, by its own calls or by those of its cell. */
     viewAgeMilliseconds(): number;
     /** Number of hosts that serve callers, this one included. */
     hostCount(): number;
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -92,6 +92,11 @@
         this.#stateFromPeers = this.#createStateFromPeers();
     }
 
+    /** Time since this host's view of the service was last confirmed. */
+    get viewAgeMilliseconds(): number {
+        return this.#questions.viewAgeMilliseconds;
+    }
+
     /** The revision up to which the copy is complete; 0 before the first listing. */
     get revision(): number {
         return this.#mirror.revision ?? 0;
@@ -218,7 +223,7 @@
     /** Asks for changes that no watch has delivered, and tells the cell of the answer also where there are none. */
     #askForChanges(): Promise<boolean> {
         const { context, onBatch } = this.#options;
-        const { viewAgeMilliseconds } = this.#questions;
+        const { viewAgeMilliseconds } = this;
         return this.#readChanges(batch => {
             if (batch.changes.length > 0) {
                 context.logger.info("changes found by asking", {
--- a/src/entry/store/serviceReachability.ts
+++ b/src/entry/store/serviceReachability.ts
@@ -57,14 +57,9 @@
         return this.#options.readClock() - this.#answeredAtMilliseconds < RECENT_ANSWER_MILLISECONDS;
     }
 
-    /** Returns the time since the last answer. */
-    millisecondsSinceAnswer(): number {
-        return Math.max(0, this.#options.readClock() - this.#answeredAtMilliseconds);
-    }
-
     /** Returns the time since the last answer, in seconds. */
     secondsSinceAnswer(): number {
-        return this.millisecondsSinceAnswer() / MILLISECONDS_PER_SECOND;
+        return Math.max(0, this.#options.readClock() - this.#answeredAtMilliseconds) / MILLISECONDS_PER_SECOND;
     }
 
     close(): void {
