--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -33,7 +33,7 @@
  */
 export function createForwardingContext(parts: ForwardingParts): ForwardingContext {
     const { context, engines, gossip, partitionWatch, peers, store, upstreams } = parts;
-    const { acts, agentFor, budget, demand, probes, rateLimiting, streamVersions } = parts;
+    const { acts, agentFor, budget, demand, probes, quotas, rateLimiting, streamVersions } = parts;
     const { lifecycle, readClock } = context;
     return {
         ...context,
@@ -43,6 +43,7 @@
         budget,
         demand,
         probes,
+        quotas,
         rateLimiting,
         streamVersions,
         headers: context.protocol.headers,
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -8,6 +8,7 @@
 import { SharedRetryBudget } from "../forwarding/index.js";
 import { PeerTable } from "../gossip/index.js";
 import { type LogFields } from "../observability/index.js";
+import { AccountQuotas } from "../quotas/index.js";
 import { type BindObstacle, retryWhileInUse } from "../transport/index.js";
 import { toPublished, withoutJournal } from "./_gossipParts.js";
 import { VERSIONS_KEY } from "./_versionRecordWriter.js";
@@ -63,6 +64,7 @@
     #settings: EntrySettings;
     readonly #upstreams: UpstreamTracker;
     readonly #rateLimiting: RateLimiting;
+    readonly #quotas: AccountQuotas;
     readonly #demand = new SiteDemand();
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
@@ -120,6 +122,7 @@
         });
         this.#upstreams = this.#createUpstreams();
         this.#rateLimiting = this.#createRateLimiting();
+        this.#quotas = this.#createQuotas();
         this.#store = this.#createStore();
         this.#streamVersions = this.#createStreamVersions();
         this.#partitionWatch = this.#createPartitionWatch();
@@ -247,6 +250,14 @@
         });
     }
 
+    #createQuotas(): AccountQuotas {
+        return new AccountQuotas({
+            random: this.#context.random,
+            hostCount: () => this.#peers.all(this.#now()).length + 1,
+            hearsPeers: now => this.#peers.all(now).length === 0 || this.#peers.live(now).length > 0,
+        });
+    }
+
     #createStore(): HostStore {
         return new HostStore({
             context: this.#context,
@@ -268,6 +279,7 @@
             ],
             onConfiguration: table => {
                 this.#servers.applyLimits(table.configuration.limits);
+                this.#quotas.setAccounts(table.configuration.accounts ?? [], this.#now());
                 this.#handleUpstreamsChanged();
                 this.#forwarder.wakeAll();
             },
@@ -347,6 +359,7 @@
             duties: this.#duties,
             upstreams: this.#upstreams,
             rateLimiting: this.#rateLimiting,
+            quotas: this.#quotas,
             store: this.#store,
             streamVersions: this.#streamVersions,
             partitionWatch: this.#partitionWatch,
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -21,6 +21,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
+import { type AccountQuotas } from "../quotas/index.js";
 import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type Acts } from "./actQueue.js";
@@ -48,6 +49,8 @@
     readonly health: UpstreamHealth;
     readonly pauses: UpstreamPauses;
     readonly rateLimiting: RateLimiting;
+    /** Quotas of client accounts. */
+    readonly quotas: AccountQuotas;
     readonly rejectionBounds: RejectionBounds;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
--- a/src/entry/hostParts.ts
+++ b/src/entry/hostParts.ts
@@ -5,6 +5,7 @@
  */
 import { type EngineDuties } from "../duties/index.js";
 import { type PeerTable } from "../gossip/index.js";
+import { type AccountQuotas } from "../quotas/index.js";
 import { type HostEngines } from "./engines/index.js";
 import { type HostContext } from "./hostContext.js";
 import { type PartitionWatch } from "./partitionWatch.js";
@@ -26,6 +27,7 @@
     readonly engines: HostEngines;
     readonly upstreams: UpstreamTracker;
     readonly rateLimiting: RateLimiting;
+    readonly quotas: AccountQuotas;
     readonly streamVersions: StreamVersions;
     readonly partitionWatch: PartitionWatch;
     readonly demand: SiteDemand;
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type Account } from "../accounts/index.js";
 
 /** How often a request of a route may be executed. */
 export type RequestKind =
@@ -39,6 +40,8 @@
     readonly maximumAttempts: number;
     /** True where another upstream may resume a stream after the last delivered event. */
     readonly resumable: boolean;
+    /** True where callers need no key, also if accounts are configured. */
+    readonly isPublic?: boolean | undefined;
 }
 
 /** A model that the engines of a service can run. */
@@ -90,4 +93,6 @@
     readonly routes: readonly Route[];
     readonly services: readonly ServiceDefinition[];
     readonly limits: CallerLimits;
+    /** `undefined` where no accounts are configured: callers then need no key. */
+    readonly accounts?: readonly Account[] | undefined;
 }
