Identify the client account of each request, and refuse unknown keys

Requests were served whoever sent them, and API keys in the configuration went in plain text from host to host with it. Without accounts the headers to engines are built as before.

--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -5,9 +5,17 @@
  *
  * @example
  * ```ts
- * import { type Account } from "./index.js";
+ * import { AccountDirectory } from "./index.js";
+ *
+ * const identity = new AccountDirectory(accounts).identify(authorization);
  * ```
  *
  * @module
  */
-export { type Account, type AccountQuota } from "./types.js";
+export { AccountDirectory } from "./accountDirectory.js";
+export { accountTag, bindToAccount } from "./bindToAccount.js";
+export { type ConfigurationEvidence, decideUnknownKey, type UnknownKeyVerdict } from "./decideUnknownKey.js";
+export { findAccountProblem } from "./findAccountProblem.js";
+export { digestKey, isUsableKey, loggedKey, readBearerKey } from "./keyDigest.js";
+export { requestTokens } from "./requestTokens.js";
+export { type Account, type AccountQuota, type Identity, type RequestAccount } from "./types.js";
--- a/src/accounts/types.ts
+++ b/src/accounts/types.ts
@@ -23,3 +23,21 @@
     /** `undefined` for an account without a limit. */
     readonly quota: AccountQuota | undefined;
 }
+
+/** The account of one request, and what the request costs it. */
+export interface RequestAccount {
+    readonly account: Account;
+    /** Digest of the key that the request came with. */
+    readonly keyDigest: string;
+    /** Short digest of the account's name. */
+    readonly tag: string;
+    readonly tokens: number;
+}
+
+/** Who a request belongs to. */
+export type Identity =
+    | { readonly type: "account"; readonly account: Account; readonly keyDigest: string; }
+    /** It has no key, or not in the one form that is accepted. */
+    | { readonly type: "no-key"; }
+    /** No account holds its key. */
+    | { readonly type: "unknown-key"; readonly keyDigest: string; };
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -12,8 +12,11 @@
 import { type HostParts } from "./hostParts.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
 
+/** Time within which each change of the configuration is in force, where the settings name none. */
+const CONFIGURATION_DEADLINE_MILLISECONDS = 3_000;
+
 /** The parts of a host that its requests use. */
-export interface ForwardingParts extends Omit<HostParts, "duties" | "interCellGossip"> {
+export interface ForwardingParts extends Omit<HostParts, "duties"> {
     readonly acts: Acts;
     readonly probes: HealthProbes;
     readonly budget: SharedRetryBudget;
@@ -32,7 +35,7 @@
  * ```
  */
 export function createForwardingContext(parts: ForwardingParts): ForwardingContext {
-    const { context, engines, gossip, partitionWatch, peers, store, upstreams } = parts;
+    const { context, engines, gossip, interCellGossip, partitionWatch, peers, store, upstreams } = parts;
     const { acts, agentFor, budget, demand, probes, quotas, rateLimiting, streamVersions } = parts;
     const { lifecycle, readClock } = context;
     return {
@@ -51,6 +54,16 @@
         adapterUse: engines.adapters.use,
         routeTable: () => store.configuration.table,
         viewAgeMilliseconds: () => store.viewAgeMilliseconds,
+        configurationEvidence: () => {
+            const { version } = store.configuration;
+            const newerPeer = peers.withNewerConfiguration(version, readClock());
+            return {
+                knowsNewer: newerPeer !== undefined || interCellGossip.newerConfigurationAddress(version) !== undefined,
+                viewAgeMilliseconds: store.unconfirmedMilliseconds,
+                deadlineMilliseconds: context.settings().bounds.configurationDeadlineMilliseconds
+                    ?? CONFIGURATION_DEADLINE_MILLISECONDS,
+            };
+        },
         hostCount: () => peers.live(readClock()).length + 1,
         requestAdapter: (engine, model, adapter) => engines.adapters.request(engine, model, adapter),
         requestVersionCopy: need => engines.requestVersionCopy(need),
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -10,6 +10,7 @@
 import { type AnswerReceiver } from "./answerReceiver.js";
 import { Attempt, expectedAnswerBytes } from "./attempt.js";
 import { type Hedging } from "./hedging.js";
+import { holdsKey } from "./keyProblem.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit, usePermit } from "./requestPermits.js";
@@ -103,7 +104,7 @@
             })
             .with("caller-left", () => onCallerLeft())
             .with("out-of-time", () => onOutOfTime())
-            .with("upstream-gone", "permit-lapsed", obstacle => onFailed(attempt, "withdrawn", obstacle))
+            .with("upstream-gone", "permit-lapsed", "key-removed", obstacle => onFailed(attempt, "withdrawn", obstacle))
             .exhaustive();
     }
 
@@ -153,6 +154,8 @@
             namesModel: facts.model !== undefined,
             remainingMilliseconds: remainingMilliseconds(this.#parts),
             lastEventId: progress.lastEventId,
+            hasAccounts: request.account !== undefined || context.routeTable()?.accounts !== undefined,
+            account: holdsKey(this.#parts) ? request.account?.account.name : undefined,
         });
     }
 }
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -17,6 +17,7 @@
 import { DispatchTimer } from "./dispatchTimer.js";
 import { EXPECTED_CAPACITY_MILLISECONDS, OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 import { type HedgeCancellation, Hedging } from "./hedging.js";
+import { findKeyProblem } from "./keyProblem.js";
 import { RequestEnding } from "./requestEnding.js";
 import { type CallerRequest } from "./requestFacts.js";
 import { createRequestParts, remainingMilliseconds, type RequestParts } from "./requestParts.js";
@@ -114,7 +115,7 @@
             isExclusive: facts.model !== undefined,
             guard: step => this.#guard(step),
             isReceiving: () => !this.#ending.ended && !response.writableNeedDrain,
-            mayHedge: () => this.#failures.isHedgeAllowed(),
+            mayHedge: () => this.#failures.isHedgeAllowed() && findKeyProblem(this.#parts) === undefined,
             payForHedge: () => this.#context.budget.tryConsume(facts.service ?? "", this.#context.readClock()),
             send: upstream => this.#sendHedge(upstream),
             onGivenUp: attempt => this.#failures.handle(attempt, "silent", describeQuiet(attempt)),
@@ -267,7 +268,7 @@
             this.#ending.refuse("host-partitioned", OTHER_HOST_MILLISECONDS);
             return;
         }
-        if (this.#isHeldBack()) {
+        if (this.#isKeyRemoved() || this.#isHeldBack()) {
             return;
         }
         const { counts, progress, selection } = this.#parts;
@@ -330,6 +331,16 @@
         return bytes === 0 || attempts.sentCount > 0 || memory.hasRoomFor("calls", bytes);
     }
 
+    /** Refuses a request whose key was removed while it waited; returns false for others. */
+    #isKeyRemoved(): boolean {
+        const problem = findKeyProblem(this.#parts);
+        if (problem === undefined) {
+            return false;
+        }
+        this.#ending.refuse(problem, problem === "unknown-key" ? undefined : OTHER_HOST_MILLISECONDS);
+        return true;
+    }
+
     /**
      * Refuses a request that crashes upstreams, and lets one wait that may do so and is not to be tried now; returns
      * false for others.
--- a/src/entry/exchange/failureReason.ts
+++ b/src/entry/exchange/failureReason.ts
@@ -27,5 +27,9 @@
     | "out-of-time"
     | "read-late"
     | "no-service"
+    /** The account no longer holds the key that the request came with. */
+    | "unknown-key"
+    /** As above, in a configuration that may not be the newest. */
+    | "configuration-outdated"
     | "broken-invariant"
     | "budget";
--- a/src/entry/exchange/index.ts
+++ b/src/entry/exchange/index.ts
@@ -15,4 +15,5 @@
 export { Exchange, type ExchangeListener } from "./exchange.js";
 export { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 export { PagePool } from "./pagePool.js";
+export { AUTHENTICATE_HEADERS } from "./requestEnding.js";
 export { type CallerRequest } from "./requestFacts.js";
--- a/src/entry/exchange/outgoingHeaders.ts
+++ b/src/entry/exchange/outgoingHeaders.ts
@@ -18,6 +18,10 @@
     readonly remainingMilliseconds: number;
     /** The last event that the caller has; `undefined` for an answer from its beginning. */
     readonly lastEventId: string | undefined;
+    /** True where accounts are configured: no key is then sent to an upstream. */
+    readonly hasAccounts: boolean;
+    /** The account that the request belongs to; `undefined` where it belongs to none. */
+    readonly account: string | undefined;
 }
 
 /**
@@ -30,7 +34,7 @@
 export function outgoingHeaders(
     { body, message, route }: CallerRequest,
     names: HeaderNames,
-    { lastEventId, namesModel, remainingMilliseconds, upstream }: OutgoingHeaderOptions,
+    { account, hasAccounts, lastEventId, namesModel, remainingMilliseconds, upstream }: OutgoingHeaderOptions,
 ): string[] {
     const replaced = new Set([
         ...names.reserved,
@@ -39,6 +43,7 @@
         names.priority,
         names.lastEventId,
         "content-length",
+        ...hasAccounts ? [names.authorization, names.account] : [],
     ]);
     const headers = passThroughHeaders(message.rawHeaders, replaced);
     headers.push(names.expectedUpstream, upstream.id);
@@ -49,6 +54,9 @@
     if (lastEventId !== undefined) {
         headers.push(names.lastEventId, lastEventId);
     }
+    if (account !== undefined) {
+        headers.push(names.account, account);
+    }
     const hadLength = message.headers["content-length"] !== undefined;
     if (body.length > 0 || hadLength || message.method === "POST") {
         headers.push("content-length", String(body.length));
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -10,10 +10,13 @@
 import { leaveCall } from "./leftCall.js";
 import { longestRemainingMilliseconds, remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit } from "./requestPermits.js";
-import { STATUS_BAD_GATEWAY, STATUS_GATEWAY_TIMEOUT, STATUS_UNAVAILABLE } from "./statuses.js";
+import { STATUS_BAD_GATEWAY, STATUS_GATEWAY_TIMEOUT, STATUS_UNAUTHORIZED, STATUS_UNAVAILABLE } from "./statuses.js";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Names the form in which a key is accepted; each answer with status 401 has to. */
+export const AUTHENTICATE_HEADERS: Readonly<Record<string, string>> = { "www-authenticate": "Bearer" };
+
 /** Options of {@linkcode RequestEnding}. */
 export interface RequestEndingOptions {
     readonly parts: RequestParts;
@@ -58,7 +61,14 @@
             ? {}
             : { "retry-after": (retryAfterMilliseconds / MILLISECONDS_PER_SECOND).toFixed(2) };
         const body = JSON.stringify({ reason, ran: "not-run", retryAfterMilliseconds });
-        this.#parts.answer.sendHostAnswer(STATUS_UNAVAILABLE, retryHeaders, body);
+        this.#giveBackTokens();
+        if (reason === "unknown-key") {
+            this.#countAccountRefusal(reason);
+            this.#parts.answer.sendHostAnswer(STATUS_UNAUTHORIZED, AUTHENTICATE_HEADERS, body);
+        }
+        else {
+            this.#parts.answer.sendHostAnswer(STATUS_UNAVAILABLE, retryHeaders, body);
+        }
         this.end(`refused: ${reason}`);
     }
 
@@ -135,6 +145,10 @@
             return;
         }
         this.#hasCallerLeft = true;
+        const { answer, attempts, counts } = this.#parts;
+        if (!answer.begun && !attempts.mayHaveSent && counts.mayHaveRun === 0) {
+            this.#giveBackTokens();
+        }
         if (this.#parts.request.route.kind === "non-idempotent") {
             this.#leaveToFinish();
         }
@@ -158,10 +172,37 @@
         const tookMilliseconds = context.readClock() - arrivedAtMilliseconds;
         context.metrics.count("endings", { kind: route.kind, outcome });
         context.metrics.observe("answer_seconds", tookMilliseconds, { kind: route.kind });
+        this.#countAccountRequest(outcome);
         this.#logEnd(outcome, tookMilliseconds);
         this.#options.onEnded();
     }
 
+    /** Gives the account back the tokens of a request that no upstream has run. */
+    #giveBackTokens(): void {
+        const { context, request: { account } } = this.#parts;
+        if (account !== undefined) {
+            context.quotas.giveBack(account.account.name, account.tokens, context.readClock());
+            const labels = { account: account.account.name, outcome: "returned" };
+            context.metrics.add("account_tokens", labels, account.tokens);
+        }
+    }
+
+    /** Counts the end of an account's request, by the first words of its outcome. */
+    #countAccountRequest(outcome: string): void {
+        const { context, request: { account } } = this.#parts;
+        if (account !== undefined) {
+            const [ending = outcome] = outcome.split(":");
+            context.metrics.count("account_requests", { account: account.account.name, outcome: ending });
+        }
+    }
+
+    #countAccountRefusal(reason: FailureReason): void {
+        const { context, request: { account } } = this.#parts;
+        if (account !== undefined) {
+            context.metrics.count("account_refusals", { account: account.account.name, reason });
+        }
+    }
+
     #retryAfterMilliseconds(expectedMilliseconds: number | undefined): number | undefined {
         return expectedMilliseconds === undefined
             ? undefined
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -5,6 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { bindToAccount, type RequestAccount } from "../../accounts/index.js";
 import { type RequestAttributes } from "../../crashes/index.js";
 import { sharedParts } from "../../forwarding/index.js";
 import { chooseService, type Route } from "../../routes/index.js";
@@ -26,7 +27,10 @@
     /** Keeps the body in memory until the function that it returns is called, or the request has ended if that is later. */
     readonly holdBody: () => () => void;
     readonly requestId: string;
+    /** With the priority of the request's account. */
     readonly route: Route;
+    /** `undefined` for a request that belongs to no account. */
+    readonly account?: RequestAccount | undefined;
     /** When its head was read. */
     readonly arrivedAtMilliseconds: number;
     /** The longest time for which it may have lain unread before. */
@@ -72,11 +76,26 @@
     return Number.isFinite(limitMilliseconds) && limitMilliseconds > 0 ? limitMilliseconds : Number.POSITIVE_INFINITY;
 }
 
-function fingerprintOf({ body, target }: CallerRequest): string {
-    return createHash("sha1").update(target.pathAndQuery).update("\0").update(body).digest("hex").slice(
-        0,
-        FINGERPRINT_DIGITS,
-    );
+function fingerprintOf({ account, body, target }: CallerRequest): string {
+    const path = bindToAccount(target.pathAndQuery, account?.account.name);
+    return createHash("sha1").update(path).update("\0").update(body).digest("hex").slice(0, FINGERPRINT_DIGITS);
+}
+
+/** Returns what crashes are attributed to; each account has attributes of its own, since callers choose them. */
+function attributesOf(request: CallerRequest, parts: readonly string[]): RequestAttributes {
+    const tag = request.account?.tag;
+    return {
+        fingerprint: fingerprintOf(request),
+        // A part has no colon.
+        parts: tag === undefined ? parts : parts.map(part => `${tag}:${part}`),
+    };
+}
+
+/** Returns the identifier by which hosts know a request; that of an account differs from all of others. */
+export function identifierOf(
+    { account, requestId }: Pick<CallerRequest, "account" | "requestId">,
+): string {
+    return bindToAccount(requestId, account?.account.name);
 }
 
 /** Splits a header value into the model's name and, after a slash, the adapter's. */
@@ -111,7 +130,7 @@
         work: workOf(tokenCount),
         lastEventId: readHeader(message, headers.lastEventId),
         resumedRequest: readHeader(message, headers.resumedRequest),
-        attributes: { fingerprint: fingerprintOf(request), parts },
+        attributes: attributesOf(request, parts),
         deadlineAtMilliseconds: latestDeadlineAtMilliseconds - unreadMilliseconds,
         latestDeadlineAtMilliseconds,
     };
--- a/src/entry/exchange/requestLogger.ts
+++ b/src/entry/exchange/requestLogger.ts
@@ -24,8 +24,9 @@
     }
 
     info(message: string, fields: LogFields): void {
-        const { context, facts: { adapter, model }, request: { requestId } } = this.#options;
-        context.logger.info(message, { request: requestId, model, adapter, ...fields });
+        const { context, facts: { adapter, model }, request: { account, requestId } } = this.#options;
+        const accountField = account === undefined ? {} : { account: account.account.name };
+        context.logger.info(message, { request: requestId, ...accountField, model, adapter, ...fields });
     }
 
     /** Returns log fields with the silence of an attempt, and that of its upstream towards all requests. */
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -7,7 +7,7 @@
 import { PermitWait } from "../../rateLimits/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { CallerAnswer } from "./callerAnswer.js";
-import { type CallerRequest, readRequestFacts, type RequestFacts } from "./requestFacts.js";
+import { type CallerRequest, identifierOf, readRequestFacts, type RequestFacts } from "./requestFacts.js";
 import { RequestLogger } from "./requestLogger.js";
 import { RunningAttempts } from "./runningAttempts.js";
 import { SendCounts } from "./sendCounts.js";
@@ -30,13 +30,13 @@
     readonly selection: UpstreamSelection;
 }
 
-function createPermitWait(context: ForwardingContext, { requestId, route }: CallerRequest): PermitWait {
+function createPermitWait(context: ForwardingContext, request: CallerRequest): PermitWait {
     return new PermitWait({
         limiter: context.rateLimiting.limiter,
         onQueueChanged: () => context.rateLimiting.update(),
         readClock: () => context.readClock(),
-        requestId,
-        priority: route.priority,
+        requestId: identifierOf(request),
+        priority: request.route.priority,
     });
 }
 
--- a/src/entry/exchange/sendObstacle.ts
+++ b/src/entry/exchange/sendObstacle.ts
@@ -5,13 +5,14 @@
  */
 import { hasCallerLeft } from "../connections/index.js";
 import { type Attempt } from "./attempt.js";
+import { findKeyProblem } from "./keyProblem.js";
 import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
 
 /** A request that leaves later than this after it was permitted counts in another window of the upstream's limit. */
 const PERMIT_LIFETIME_MILLISECONDS = 350;
 
 /** Why a request must not leave: for good, or for the upstream that was chosen. */
-export type SendObstacle = "caller-left" | "out-of-time" | "upstream-gone" | "permit-lapsed";
+export type SendObstacle = "caller-left" | "out-of-time" | "upstream-gone" | "permit-lapsed" | "key-removed";
 
 function hasPermitLapsed({ context }: RequestParts, { sentAtMilliseconds, upstream }: Attempt): boolean {
     return context.readClock() - sentAtMilliseconds > PERMIT_LIFETIME_MILLISECONDS
@@ -31,6 +32,9 @@
     if (remainingMilliseconds(parts) <= 0) {
         return "out-of-time";
     }
+    if (findKeyProblem(parts) !== undefined) {
+        return "key-removed";
+    }
     if (!parts.context.view.isUsableIncarnation(attempt.upstream)) {
         return "upstream-gone";
     }
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -4,13 +4,25 @@
  * @module
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type Route } from "../routes/index.js";
+import { decideUnknownKey, loggedKey, type RequestAccount } from "../accounts/index.js";
+import { type LogFields } from "../observability/index.js";
+import { type QuotaDecision } from "../quotas/index.js";
+import { type Route, type RouteTable, withPriorityOf } from "../routes/index.js";
+import { accountOfRequest, identifyCaller } from "./callerIdentity.js";
 import { type Arrival, renderRawAnswer, type RequestHandler, type RequestProblem } from "./connections/index.js";
-import { type CallerRequest, dispatchInOrder, Exchange, OTHER_HOST_MILLISECONDS } from "./exchange/index.js";
+import {
+    AUTHENTICATE_HEADERS,
+    type CallerRequest,
+    dispatchInOrder,
+    Exchange,
+    OTHER_HOST_MILLISECONDS,
+} from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 
 const STATUS_BAD_REQUEST = 400;
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
+const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_UNAVAILABLE = 503;
 
 const STATUS_OF_PROBLEM: Readonly<Record<RequestProblem, number>> = {
@@ -37,6 +49,16 @@
 /** A log line names at most this many requests. */
 const MAXIMUM_LOGGED_REQUESTS = 8;
 
+/** Why a request is rejected before it begins. */
+interface Rejection {
+    readonly status: number;
+    readonly reason: string;
+    /** Time after which the caller may come back. */
+    readonly retryAfterMilliseconds?: number | undefined;
+    /** Further fields of the log line. */
+    readonly fields?: LogFields;
+}
+
 /** A refusal that the host gives before a request begins. */
 interface Refusal {
     readonly headers: Readonly<Record<string, string>>;
@@ -59,6 +81,11 @@
     response.once("close", () => clearTimeout(timer));
 }
 
+/** Returns a time in seconds for `Retry-After`, with as many decimals as it needs up to three. */
+function renderSeconds(milliseconds: number): string {
+    return String(Math.ceil(milliseconds) / MILLISECONDS_PER_SECOND);
+}
+
 /** Forwards the requests of callers. */
 export interface Forwarder extends RequestHandler {
     /** Dispatches waiting requests again soon, the most urgent first; once for several calls. */
@@ -130,44 +157,131 @@
 
     refuseAfterLast(message: IncomingMessage): string {
         this.#recordRejected(message, "connection-closing", STATUS_UNAVAILABLE);
-        const { body, headers } = this.#createRefusal(message, STATUS_UNAVAILABLE, "connection-closing");
+        const { body, headers } = this.#createRefusal(message, {
+            status: STATUS_UNAVAILABLE,
+            reason: "connection-closing",
+        });
         return renderRawAnswer({ status: STATUS_UNAVAILABLE, headers, body: message.method === "HEAD" ? "" : body });
     }
 
     begin(arrival: Arrival): void {
         const { body, message, problem, response, target } = arrival;
         if (problem !== undefined) {
-            this.#reject(arrival, STATUS_OF_PROBLEM[problem], problem);
+            this.#reject(arrival, { status: STATUS_OF_PROBLEM[problem], reason: problem });
             return;
         }
         const table = this.#context.routeTable();
         if (table === undefined) {
-            this.#reject(arrival, STATUS_UNAVAILABLE, "no-configuration");
+            this.#reject(arrival, { status: STATUS_UNAVAILABLE, reason: "no-configuration" });
             return;
         }
         if (this.#context.isClosedToCallers()) {
-            this.#reject(arrival, STATUS_UNAVAILABLE, "host-leaving");
+            this.#reject(arrival, { status: STATUS_UNAVAILABLE, reason: "host-leaving" });
             return;
         }
         if (this.#context.isPartitioned()) {
-            this.#reject(arrival, STATUS_UNAVAILABLE, "host-partitioned");
+            this.#reject(arrival, { status: STATUS_UNAVAILABLE, reason: "host-partitioned" });
+            return;
+        }
+        const path = target.pathAndQuery.split("?")[0] ?? "/";
+        const route = table.match(target.host, path);
+        const caller = this.#identify(arrival, table, route);
+        if (caller === "rejected") {
             return;
         }
         const requestId = message.headers[this.#context.headers.requestId];
         if (typeof requestId !== "string" || requestId === "") {
-            this.#reject(arrival, STATUS_BAD_REQUEST, "no-request-identifier");
+            this.#reject(arrival, { status: STATUS_BAD_REQUEST, reason: "no-request-identifier" });
             return;
         }
-        const path = target.pathAndQuery.split("?")[0] ?? "/";
-        const route = table.match(target.host, path);
         if (route === undefined) {
-            this.#reject(arrival, STATUS_NOT_FOUND, "no-route");
+            this.#rejectWithoutRoute(arrival, table);
+            return;
+        }
+        if (caller !== undefined && !this.#admit(arrival, caller)) {
             return;
         }
         const { arrivedAtMilliseconds, closesConnection, holdBody, longestUnreadMilliseconds } = arrival;
         const times = { arrivedAtMilliseconds, longestUnreadMilliseconds };
         const parts = { message, response, target, body, holdBody, requestId, closesConnection, ...times };
-        this.#start(parts, route, table.version);
+        this.#start({ ...parts, account: caller }, withPriorityOf(route, caller?.account), table.version);
+    }
+
+    /** Returns the account of a request, if it belongs to one; rejects one that needs a key and has none that is known. */
+    #identify(
+        arrival: Arrival,
+        { accounts }: RouteTable,
+        route: Route | undefined,
+    ): RequestAccount | "rejected" | undefined {
+        if (accounts === undefined || route === undefined) {
+            return undefined;
+        }
+        const { headers } = this.#context;
+        const identity = identifyCaller(arrival.message, accounts, headers);
+        if (identity.type === "account" || route.isPublic === true) {
+            return accountOfRequest(arrival.message, identity, accounts, headers);
+        }
+        const reason = decideUnknownKey(this.#context.configurationEvidence());
+        this.#reject(arrival, {
+            status: reason === "unknown-key" ? STATUS_UNAUTHORIZED : STATUS_UNAVAILABLE,
+            reason,
+            ...identity.type === "unknown-key" ? { fields: { key: loggedKey(identity.keyDigest) } } : {},
+        });
+        return "rejected";
+    }
+
+    /** A host that may lack the newest configuration says so, if accounts are configured: their routes may be new. */
+    #rejectWithoutRoute(arrival: Arrival, { accounts }: RouteTable): void {
+        const isOutdated = accounts !== undefined
+            && decideUnknownKey(this.#context.configurationEvidence()) === "configuration-outdated";
+        this.#reject(
+            arrival,
+            isOutdated
+                ? { status: STATUS_UNAVAILABLE, reason: "configuration-outdated" }
+                : { status: STATUS_NOT_FOUND, reason: "no-route" },
+        );
+    }
+
+    /** Returns whether a request is within its account's quota; rejects one that is not. */
+    #admit(arrival: Arrival, { account: { name }, tokens }: RequestAccount): boolean {
+        const { metrics, quotas, readClock } = this.#context;
+        const decision = quotas.admit(name, tokens, readClock());
+        if (decision.type === "admitted") {
+            metrics.add("account_tokens", { account: name, outcome: "admitted" }, tokens);
+            return true;
+        }
+        metrics.count("account_refusals", { account: name, reason: decision.type });
+        this.#rejectOverQuota(arrival, { name, tokens, decision });
+        return false;
+    }
+
+    #rejectOverQuota(
+        arrival: Arrival,
+        { decision, name, tokens }: {
+            readonly name: string;
+            readonly tokens: number;
+            readonly decision: Extract<QuotaDecision, { readonly type: "over-quota"; }>;
+        },
+    ): void {
+        const { quotas, readClock } = this.#context;
+        const { retryAfterMilliseconds, type } = decision;
+        const state = quotas.describe(name, readClock());
+        this.#reject(arrival, {
+            status: STATUS_TOO_MANY_REQUESTS,
+            reason: type,
+            retryAfterMilliseconds,
+            fields: {
+                account: name,
+                tokens,
+                retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+                levelTokens: state === undefined ? undefined : Math.round(state.levelTokens),
+                tokensPerSecond: state?.tokensPerSecond,
+                offeredTokensPerSecond: state === undefined ? undefined : Math.round(state.offeredTokensPerSecond),
+                newsAgeMilliseconds: state?.newsAgeMilliseconds === undefined
+                    ? undefined
+                    : Math.round(state.newsAgeMilliseconds),
+            },
+        });
     }
 
     #start(
@@ -218,12 +332,13 @@
         this.#context.metrics.count("refusals", { reason });
     }
 
-    #reject({ closesConnection, message, response }: Arrival, status: number, reason: string): void {
-        this.#recordRejected(message, reason, status);
+    #reject({ closesConnection, message, response }: Arrival, rejection: Rejection): void {
+        const { fields, reason, status } = rejection;
+        this.#recordRejected(message, reason, status, fields);
         if (response.headersSent || response.destroyed) {
             return;
         }
-        const { body, headers } = this.#createRefusal(message, status, reason);
+        const { body, headers } = this.#createRefusal(message, rejection);
         const isLast = closesConnection({ isWanted: this.#context.closesConnections(), hasLength: true });
         response.writeHead(status, {
             ...headers,
@@ -233,17 +348,17 @@
         endOnceRead(message, response, body);
     }
 
-    #createRefusal(message: IncomingMessage, status: number, reason: string): Refusal {
+    #createRefusal(message: IncomingMessage, { reason, retryAfterMilliseconds, status }: Rejection): Refusal {
         const { headers } = this.#context;
+        const pauseMilliseconds = status === STATUS_UNAVAILABLE ? OTHER_HOST_MILLISECONDS : retryAfterMilliseconds;
         const requestId = message.headers[headers.requestId];
         return {
-            body: JSON.stringify({ reason, ran: "not-run" }),
+            body: JSON.stringify({ reason, ran: "not-run", retryAfterMilliseconds }),
             headers: {
                 "content-type": "application/json",
                 ...typeof requestId === "string" ? { [headers.requestId]: requestId } : {},
-                ...status === STATUS_UNAVAILABLE
-                    ? { "retry-after": String(OTHER_HOST_MILLISECONDS / MILLISECONDS_PER_SECOND) }
-                    : {},
+                ...pauseMilliseconds === undefined ? {} : { "retry-after": renderSeconds(pauseMilliseconds) },
+                ...status === STATUS_UNAUTHORIZED ? AUTHENTICATE_HEADERS : {},
             },
         };
     }
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Agent } from "node:http";
+import { type ConfigurationEvidence } from "../accounts/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -70,6 +71,8 @@
     agentFor(service: string): Agent;
     /** Time since this host's view of the key-value service was last confirmed, by its own calls or by those of its cell. */
     viewAgeMilliseconds(): number;
+    /** Returns what this host knows of configurations that it may lack. */
+    configurationEvidence(): ConfigurationEvidence;
     /** Number of hosts that serve callers, this one included. */
     hostCount(): number;
     /** Requests an adapter from the engine's holder; false where this host knows of no holder. */
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -6,6 +6,7 @@
 import { type PeerTable } from "../gossip/index.js";
 import { type MemoryBudget, type MemoryWatch } from "../memory/index.js";
 import { type EntryMetrics } from "../observability/index.js";
+import { type AccountQuotas } from "../quotas/index.js";
 import { type HostServers } from "./hostServers.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HostStore } from "./store/index.js";
@@ -21,11 +22,26 @@
     readonly demand: SiteDemand;
     readonly memory: MemoryBudget;
     readonly memoryWatch: MemoryWatch;
+    readonly quotas: AccountQuotas;
     /** The build of this host. */
     readonly build: string;
     readonly readClock: () => number;
 }
 
+/** Returns the part of its rate that each account uses over all hosts. */
+function quotaUse(
+    { configuration }: HostStore,
+    admittedRates: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> {
+    const used = new Map<string, number>();
+    for (const { name, quota } of configuration.table?.accounts?.accounts ?? []) {
+        if (quota !== undefined) {
+            used.set(name, (admittedRates.get(name) ?? 0) / quota.tokensPerSecond);
+        }
+    }
+    return used;
+}
+
 /**
  * Sets all gauges to the present state.
  *
@@ -36,7 +52,7 @@
  * ```
  */
 export function refreshGauges(
-    { build, demand, memory, memoryWatch, metrics, peers, readClock, servers, store, upstreams }: GaugeSources,
+    { build, demand, memory, memoryWatch, metrics, peers, quotas, readClock, servers, store, upstreams }: GaugeSources,
 ): void {
     metrics.gauge("configuration_version", store.configuration.version);
     metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
@@ -52,4 +68,5 @@
     const builds = peers.countBuilds(readClock());
     metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
+    metrics.gaugeByLabel("account_quota_used", quotaUse(store, quotas.admittedRates(readClock())));
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -46,4 +46,6 @@
     readonly storeLoadOverage: number;
     /** Maximum time that callers cache an answer with addresses. */
     readonly maximumKeepSeconds: number;
+    /** Time within which each change of the configuration is in force at all hosts in contact. */
+    readonly configurationDeadlineMilliseconds?: number | undefined;
 }
--- a/src/entry/siteProtocol.ts
+++ b/src/entry/siteProtocol.ts
@@ -43,6 +43,10 @@
     readonly notRun: string;
     /** Priority of a request at an engine; 0 is the most urgent. */
     readonly priority: string;
+    /** The key of the caller's account. */
+    readonly authorization: string;
+    /** Name of the account that a request belongs to, for engines. */
+    readonly account: string;
     /** Headers that only the system may set; dropped from callers' requests. */
     readonly reserved: readonly string[];
 }
--- a/src/entry/store/configurationInForce.ts
+++ b/src/entry/store/configurationInForce.ts
@@ -61,6 +61,7 @@
             revision: entry.revision,
             routes: decoded.value.routes.length,
             services: decoded.value.services.length,
+            ...decoded.value.accounts === undefined ? {} : { accounts: decoded.value.accounts.length },
         });
         onChanged(this.#table);
     }
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -59,13 +59,17 @@
     readonly #restores: StoreRestores;
     readonly #session: HostSession;
     readonly #stateFromPeers: StateFromPeers;
+    readonly #startedAtMilliseconds: number;
     #sessionBegun = false;
+    /** A time at which the service had nothing beyond this host's view, by the steady clock. */
+    #confirmedAtMilliseconds = Number.NEGATIVE_INFINITY;
     /** When the watch last delivered changes; before that, when this host began. */
     #batchAtMilliseconds: number;
 
     constructor(options: HostStoreOptions) {
         this.#options = options;
-        this.#batchAtMilliseconds = options.context.readClock();
+        this.#startedAtMilliseconds = options.context.readClock();
+        this.#batchAtMilliseconds = this.#startedAtMilliseconds;
         const { context, onConfiguration, onUnresponsive } = options;
         this.configuration = new ConfigurationInForce({
             decodeConfiguration: value => context.protocol.decodeConfiguration(value),
@@ -97,6 +101,14 @@
         return this.#questions.viewAgeMilliseconds;
     }
 
+    /**
+     * The longest time for which the service may have had changes that this host lacks. Unlike the view's age, it counts
+     * the time in which this host did not run; infinite before the first listing.
+     */
+    get unconfirmedMilliseconds(): number {
+        return this.#now() - this.#confirmedAtMilliseconds;
+    }
+
     /** The revision up to which the copy is complete; 0 before the first listing. */
     get revision(): number {
         return this.#mirror.revision ?? 0;
@@ -216,6 +228,7 @@
         );
         if (isAnswered) {
             this.#questions.recordConfirmed(ageMilliseconds());
+            this.#recordConfirmedAt(askedAt);
         }
         return isAnswered;
     }
@@ -250,9 +263,16 @@
     #recordConfirmed({ ageMilliseconds, revision }: ForwardedBatch): void {
         if (ageMilliseconds !== undefined && this.revision >= revision) {
             this.#questions.recordConfirmed(ageMilliseconds);
+            // A datagram may have waited since this host last read everything that had arrived.
+            const { readUntilMilliseconds } = this.#options.context.reads;
+            this.#recordConfirmedAt(Math.min(this.#now(), readUntilMilliseconds) - ageMilliseconds);
         }
     }
 
+    #recordConfirmedAt(atMilliseconds: number): void {
+        this.#confirmedAtMilliseconds = Math.max(this.#confirmedAtMilliseconds, atMilliseconds);
+    }
+
     #createQuestions(): ViewQuestions {
         const { acts, context, peers } = this.#options;
         return new ViewQuestions({
@@ -399,6 +419,7 @@
     #applyListing(entries: readonly KeyValueEntry[]): void {
         this.#restores.applyListing(() => this.#entries.replaceAll(entries));
         this.#stateFromPeers.recordListed();
+        this.#recordConfirmedAt(this.#startedAtMilliseconds);
         this.#options.context.logger.info("key-value service listed", {
             entries: entries.length,
             revision: this.#mirror.revision,
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -8,10 +8,14 @@
 import Gauge from "prom-client/lib/gauge.js";
 import Histogram from "prom-client/lib/histogram.js";
 import Registry from "prom-client/lib/registry.js";
+import { BoundedLabels } from "./_boundedLabels.js";
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8, 16, 32];
 const PREFIX = "flamingospread_";
 
+/** More accounts are counted together, since each label value is kept for as long as the process runs. */
+const MAXIMUM_ACCOUNTS = 64;
+
 const COUNTERS = {
     requests: { help: "Requests read from callers.", labels: ["kind"] },
     overlapping_requests: {
@@ -20,6 +24,15 @@
     },
     endings: { help: "Requests by how they ended.", labels: ["kind", "outcome"] },
     refusals: { help: "Requests refused as not run, by reason.", labels: ["reason"] },
+    account_requests: { help: "Requests of accounts by how they ended.", labels: ["account", "outcome"] },
+    account_refusals: {
+        help: "Requests refused for their account: over its quota, or with a key that was removed while they waited.",
+        labels: ["account", "reason"],
+    },
+    account_tokens: {
+        help: "Tokens of requests that were admitted, and those returned since no upstream ran the request.",
+        labels: ["account", "outcome"],
+    },
     failures: { help: "Requests that failed without a promise, by reason.", labels: ["reason"] },
     answers_passed_on: {
         help: "Answers that were not buffered whole before their callers got the first part, by reason.",
@@ -149,6 +162,10 @@
         help: "Memory that is reserved of the host's budget, by what it is reserved for.",
         label: "use",
     },
+    account_quota_used: {
+        help: "Tokens a second that all hosts admit, as a part of the account's rate.",
+        label: "account",
+    },
     hosts_by_build: {
         help: "Hosts of this host's cell by build, itself included; `earlier` tells no build.",
         label: "build",
@@ -233,6 +250,19 @@
     return [...counters, ...gauges, ...gaugesByLabel, ...histograms];
 }
 
+/** Returns the highest of the values that share a label. */
+function boundedMaxima(
+    values: ReadonlyMap<string, number>,
+    boundLabel: (label: string) => string,
+): ReadonlyMap<string, number> {
+    const maxima = new Map<string, number>();
+    values.forEach((value, key) => {
+        const label = boundLabel(key);
+        maxima.set(label, Math.max(value, maxima.get(label) ?? value));
+    });
+    return maxima;
+}
+
 /**
  * Creates the metrics of one entry host, in a registry of their own.
  *
@@ -246,6 +276,7 @@
 export function createEntryMetrics(): EntryMetrics {
     const registry = new Registry();
     const registers = [registry];
+    const accounts = new BoundedLabels(MAXIMUM_ACCOUNTS);
     const counters = new Map<string, Counter>();
     const gauges = new Map<string, Gauge>();
     const histograms = new Map<string, Histogram>();
@@ -266,14 +297,16 @@
         );
     }
     return {
-        count: (name, labels) => counters.get(name)?.inc(labels),
-        add: (name, labels, amount) => counters.get(name)?.inc(labels, amount),
+        count: (name, labels) => counters.get(name)?.inc(accounts.bound(labels)),
+        add: (name, labels, amount) => counters.get(name)?.inc(accounts.bound(labels), amount),
         spend: (subject, milliseconds) => counters.get("spent_seconds")?.inc({ subject }, milliseconds / 1_000),
         gauge: (name, value) => gauges.get(name)?.set(value),
         gaugeByLabel: (name, values) => {
             gauges.get(name)?.reset();
             const { label } = GAUGES_BY_LABEL[name];
-            values.forEach((value, key) => gauges.get(name)?.set({ [label]: key }, value));
+            boundedMaxima(values, key => accounts.bound({ [label]: key })[label] ?? key).forEach((value, key) =>
+                gauges.get(name)?.set({ [label]: key }, value)
+            );
         },
         observe: (name, milliseconds, labels) => histograms.get(name)?.observe(labels, milliseconds / 1_000),
         render: () => registry.metrics(),
--- a/src/routes/index.ts
+++ b/src/routes/index.ts
@@ -24,3 +24,4 @@
     type ServiceDefinition,
     type WeightedService,
 } from "./types.js";
+export { withPriorityOf } from "./withPriority.js";
--- a/src/routes/routeTable.ts
+++ b/src/routes/routeTable.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { AccountDirectory } from "../accounts/index.js";
 import { hashText } from "../decision/index.js";
 import { type ResumableStreams, resumableStreams } from "./resumableStreams.js";
 import { type Route, type RoutingConfiguration, type ServiceDefinition } from "./types.js";
@@ -17,6 +18,8 @@
     match(hostName: string, path: string): Route | undefined;
     service(name: string): ServiceDefinition | undefined;
     readonly resumableStreams: ResumableStreams;
+    /** `undefined` where no accounts are configured. */
+    readonly accounts: AccountDirectory | undefined;
 }
 
 function prefixesOf(path: string): string[] {
@@ -54,6 +57,7 @@
         routes.set(route.pathPrefix, route);
         byHost.set(hostName, routes);
     }
+    const { accounts = [] } = configuration;
     const services = new Map(configuration.services.map(service => [service.name, service]));
     return {
         version: configuration.version,
@@ -68,6 +72,7 @@
         },
         service: name => services.get(name),
         resumableStreams: resumableStreams(configuration.routes),
+        accounts: accounts.length === 0 ? undefined : new AccountDirectory(accounts),
     };
 }
 
