Bind streams to the account that began them

A caller could resume a stream of another account by naming its request: streams are known by the caller's request identifier alone. An account's streams now have identifiers of their own, and the mark of their owner is remembered beside them; a stream of another account is unknown to its caller. Kept out: a new field in the messages between hosts, since the mark fits in the place of a version and builds side by side need no new format.

--- a/src/entry/exchange/keyProblem.ts
+++ b/src/entry/exchange/keyProblem.ts
@@ -15,9 +15,11 @@
 
 /** Returns whether the account of a request still holds its key, or needs none. */
 export function holdsKey({ context, request: { account } }: KeyCheckParts): boolean {
+    if (account === undefined) {
+        return true;
+    }
     const accounts = context.routeTable()?.accounts;
-    return account === undefined || accounts === undefined
-        || accounts.holdsKey(account.account.name, account.keyDigest);
+    return accounts === undefined || accounts.holdsKey(account.account.name, account.keyDigest);
 }
 
 /**
--- a/src/entry/exchange/streamProgress.ts
+++ b/src/entry/exchange/streamProgress.ts
@@ -3,16 +3,19 @@
  *
  * @module
  */
+import { bindToAccount } from "../../accounts/index.js";
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { type Route } from "../../routes/index.js";
-import { decideResumption, type Resumption } from "../../streamVersions/index.js";
+import { decideResumption, findOwnStream, isOnRecord, ownerMark, type Resumption } from "../../streamVersions/index.js";
 import { type SentStream } from "../_sentStreams.js";
 import { type LookUpOutcome, type StreamVersions } from "../streamVersions.js";
-import { type CallerRequest, type RequestFacts } from "./requestFacts.js";
+import { type CallerRequest, identifierOf, type RequestFacts } from "./requestFacts.js";
 
 /** Options of {@linkcode StreamProgress}. */
 export interface StreamProgressOptions {
-    readonly request: Pick<CallerRequest, "requestId"> & { readonly route: Pick<Route, "kind" | "resumable">; };
+    readonly request: Pick<CallerRequest, "account" | "requestId"> & {
+        readonly route: Pick<Route, "kind" | "resumable">;
+    };
     readonly facts: Pick<RequestFacts, "lastEventId" | "resumedRequest" | "service">;
     readonly versions: Pick<
         StreamVersions,
@@ -82,10 +85,29 @@
 
     /** Looks for the version of a stream that the caller resumes; `onEnd` is called once. */
     lookUp(onEnd: (outcome: LookUpOutcome) => void): void {
-        const { facts, versions } = this.#options;
-        versions.lookUp({ service: facts.service ?? "", requestId: facts.resumedRequest }, outcome => {
-            this.#lookUp = outcome;
-            onEnd(outcome);
+        const { facts: { resumedRequest, service = "" }, request: { account }, versions } = this.#options;
+        const isForOwner = account !== undefined && resumedRequest !== undefined;
+        let own: LookUpOutcome | undefined;
+        let unbound: LookUpOutcome | undefined = isForOwner ? undefined : { type: "unknown" };
+        const endOnceKnown = (): void => {
+            if (this.#lookUp !== undefined || own === undefined || (unbound === undefined && !isOnRecord(own))) {
+                return;
+            }
+            this.#lookUp = findOwnStream(own, unbound ?? { type: "unknown" }, account?.tag);
+            onEnd(this.#lookUp);
+        };
+        if (isForOwner) {
+            versions.lookUp({ service, requestId: resumedRequest, isForOwner }, outcome => {
+                unbound = outcome;
+                endOnceKnown();
+            });
+        }
+        const requestId = resumedRequest === undefined
+            ? undefined
+            : bindToAccount(resumedRequest, account?.account.name);
+        versions.lookUp({ service, requestId }, outcome => {
+            own = outcome;
+            endOnceKnown();
         });
     }
 
@@ -108,7 +130,7 @@
         this.#liveAttempts += 1;
         if (this.#sentVersion === undefined) {
             this.#sentVersion = softwareVersion;
-            this.#sent = this.#options.versions.recordSent(this.#options.request.requestId, softwareVersion);
+            this.#sent = this.#options.versions.recordSent(identifierOf(this.#options.request), softwareVersion);
         }
     }
 
@@ -128,20 +150,33 @@
             this.#version = softwareVersion;
             this.#hasBegunHere = true;
             this.#tellBegun(softwareVersion);
+            this.#markOwner();
         }
     }
 
     /** Records that the stream has ended whole, so that nobody resumes it. */
     recordWhole(): void {
         if (this.#hasBegunHere) {
-            this.#options.versions.recordWhole(this.#options.request.requestId);
+            const { request, versions } = this.#options;
+            versions.recordWhole(identifierOf(request));
+            if (request.account !== undefined) {
+                versions.recordWhole(request.requestId);
+            }
         }
     }
 
     #tellBegun(version: string): void {
         if (this.#sent?.isTold !== true) {
             this.#withdrawSent();
-            this.#options.versions.recordBegun(this.#options.request.requestId, version);
+            this.#options.versions.recordBegun(identifierOf(this.#options.request), version);
+        }
+    }
+
+    /** Records whose stream it is, so that no other account resumes it. */
+    #markOwner(): void {
+        const { request: { account, requestId }, versions } = this.#options;
+        if (account !== undefined) {
+            versions.recordBegun(requestId, ownerMark(account.tag));
         }
     }
 
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -53,6 +53,9 @@
 /** Time between two reads of the key-value service, which several look-ups share. */
 const READ_INTERVAL_MILLISECONDS = 40;
 
+/** The hosts of the own cell answer in this time who owns a stream, unless they are busy. */
+const OWNER_QUESTION_MILLISECONDS = 60;
+
 /** A look-up ends after this time, whatever is known. */
 const LOOK_UP_MILLISECONDS = 600;
 
@@ -69,11 +72,14 @@
     readonly service: string;
     /** The caller's request that brought the first event; `undefined` where the caller does not name it. */
     readonly requestId: string | undefined;
+    /** True where the look-up is for the mark of the stream's owner, in whose place no version in service stands. */
+    readonly isForOwner?: boolean;
 }
 
 interface LookUp {
     readonly service: string;
     readonly stream: string | undefined;
+    readonly isForOwner: boolean;
     readonly onEnd: (outcome: LookUpOutcome) => void;
     /** Set once the key-value service was read after the look-up began; true where it answered. */
     isRead: boolean | undefined;
@@ -185,9 +191,16 @@
     }
 
     /** Finds the version of a stream; calls back once, perhaps before this function returns. */
-    lookUp({ requestId, service }: ResumedStream, onEnd: (outcome: LookUpOutcome) => void): void {
+    lookUp({ isForOwner = false, requestId, service }: ResumedStream, onEnd: (outcome: LookUpOutcome) => void): void {
         const stream = requestId === undefined ? undefined : identifyStream(requestId);
-        const lookUp: LookUp = { service, stream, onEnd, isRead: undefined, isAsked: stream === undefined };
+        const lookUp: LookUp = {
+            service,
+            stream,
+            isForOwner,
+            onEnd,
+            isRead: undefined,
+            isAsked: stream === undefined,
+        };
         this.#lookUps.add(lookUp);
         const known = this.#versionOf(lookUp);
         if (known !== undefined) {
@@ -200,7 +213,7 @@
                 this.#after(milliseconds, () => this.#lookUps.has(lookUp) && this.#ask(stream));
             }
         }
-        this.#after(QUESTION_MILLISECONDS, () => {
+        this.#after(isForOwner ? OWNER_QUESTION_MILLISECONDS : QUESTION_MILLISECONDS, () => {
             lookUp.isAsked = true;
             this.#endIfDone(lookUp);
         });
@@ -355,9 +368,9 @@
     }
 
     #endIfDone(lookUp: LookUp): void {
-        const { isAsked, isRead, service } = lookUp;
+        const { isAsked, isForOwner, isRead, service } = lookUp;
         const restores = this.#options.keyValue.restoreCount?.() ?? 0;
-        const version = isRead === true ? this.#versions.onlyVersion(service, restores) : undefined;
+        const version = isRead === true && !isForOwner ? this.#versions.onlyVersion(service, restores) : undefined;
         if (version !== undefined) {
             this.#end(lookUp, { type: "found", version, source: "only-version" });
         }
@@ -368,9 +381,11 @@
 
     #end(lookUp: LookUp, outcome: LookUpOutcome): void {
         if (this.#lookUps.delete(lookUp)) {
-            this.#options.metrics.count("resumptions", {
-                outcome: outcome.type === "found" ? outcome.source : outcome.type,
-            });
+            if (!lookUp.isForOwner) {
+                this.#options.metrics.count("resumptions", {
+                    outcome: outcome.type === "found" ? outcome.source : outcome.type,
+                });
+            }
             lookUp.onEnd(outcome);
         }
     }
--- a/src/streamVersions/index.ts
+++ b/src/streamVersions/index.ts
@@ -18,3 +18,4 @@
 export { type NextRecordInput, ServiceVersions, UNPROVEN_VERSION } from "./serviceVersions.js";
 export { type DueEntry, type JournalEntry, readJournalEntry, StreamJournal } from "./streamJournal.js";
 export { StreamKeepers } from "./streamKeepers.js";
+export { findOwnStream, type FoundStream, isOnRecord, ownerMark } from "./streamOwner.js";
