--- a/src/explain/explain.test.ts
+++ b/src/explain/explain.test.ts
@@ -101,3 +101,20 @@
     assert.ok((step?.beliefs.length ?? 0) > 0);
     assert.equal(step?.beliefs.at(-1)?.atMilliseconds, START);
 });
+
+test("a request refused for its key or its account's quota is shown with what decided it", () => {
+    const timeline = new RequestTimeline("r-1");
+    const quota = { levelTokens: -900, offeredTokensPerSecond: 4_100, newsAgeMilliseconds: 240 };
+    [
+        line(-9_000, "one", "configuration in force", { version: 8, accounts: 16 }),
+        line(0, "one", "request rejected", { request: "r-1", reason: "unknown-key", status: 401, key: "5b0c77aa91e2" }),
+        line(10, "one", "request rejected", { request: "r-1", reason: "over-quota", account: "mill", ...quota }),
+    ].forEach(each => timeline.addLine(each));
+    const text = renderTimeline(timeline.steps());
+    assert.match(text, /configuration in force version=8 accounts=16/);
+    assert.match(text, /request rejected reason=unknown-key status=401 key=5b0c77aa91e2/);
+    assert.match(
+        text,
+        /reason=over-quota account=mill levelTokens=-900 offeredTokensPerSecond=4100 newsAgeMilliseconds=240/,
+    );
+});
