Let a waiting request go on whose key is held by an account of another name

A renamed account's waiting requests would have been refused with 401, although each configuration held their key. The key alone decides now, and engines are told the name that holds it as the request is sent.

--- a/src/accounts/accountDirectory.ts
+++ b/src/accounts/accountDirectory.ts
@@ -62,8 +62,8 @@
         return tag;
     }
 
-    /** Returns whether an account holds a key, given by its digest. */
-    holdsKey(account: string, keyDigest: string): boolean {
-        return this.#byKey.get(keyDigest)?.name === account;
+    /** Returns the account that holds a key, given by its digest. */
+    holderOf(keyDigest: string): Account | undefined {
+        return this.#byKey.get(keyDigest);
     }
 }
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -10,7 +10,7 @@
 import { type AnswerReceiver } from "./answerReceiver.js";
 import { Attempt, expectedAnswerBytes } from "./attempt.js";
 import { type Hedging } from "./hedging.js";
-import { holdsKey } from "./keyProblem.js";
+import { currentHolder } from "./keyProblem.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { describeLimit, usePermit } from "./requestPermits.js";
@@ -155,7 +155,7 @@
             remainingMilliseconds: remainingMilliseconds(this.#parts),
             lastEventId: progress.lastEventId,
             hasAccounts: request.account !== undefined || context.routeTable()?.accounts !== undefined,
-            account: holdsKey(this.#parts) ? request.account?.account.name : undefined,
+            account: currentHolder(this.#parts)?.name,
         });
     }
 }
--- a/src/entry/exchange/keyProblem.ts
+++ b/src/entry/exchange/keyProblem.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { decideUnknownKey, type UnknownKeyVerdict } from "../../accounts/index.js";
+import { type Account, decideUnknownKey, type UnknownKeyVerdict } from "../../accounts/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type CallerRequest } from "./requestFacts.js";
 
@@ -13,13 +13,13 @@
     readonly request: Pick<CallerRequest, "account" | "target">;
 }
 
-/** Returns whether the account of a request still holds its key, or needs none. */
-export function holdsKey({ context, request: { account } }: KeyCheckParts): boolean {
-    if (account === undefined) {
-        return true;
-    }
-    const accounts = context.routeTable()?.accounts;
-    return accounts === undefined || accounts.holdsKey(account.account.name, account.keyDigest);
+/**
+ * Returns the account that holds a request's key now: another than it was accepted for where the account was renamed, and
+ * none where the key was removed.
+ */
+export function currentHolder({ context, request: { account } }: KeyCheckParts): Account | undefined {
+    const accounts = account === undefined ? undefined : context.routeTable()?.accounts;
+    return account === undefined || accounts === undefined ? account?.account : accounts.holderOf(account.keyDigest);
 }
 
 /**
@@ -29,10 +29,10 @@
  * @returns `undefined` where it may be sent.
  */
 export function findKeyProblem(parts: KeyCheckParts): UnknownKeyVerdict | undefined {
-    if (holdsKey(parts)) {
+    const { context, request: { account, target } } = parts;
+    if (account === undefined || currentHolder(parts) !== undefined) {
         return undefined;
     }
-    const { context, request: { target } } = parts;
     const path = target.pathAndQuery.split("?")[0] ?? "/";
     const needsKey = context.routeTable()?.match(target.host, path)?.isPublic !== true;
     return needsKey ? decideUnknownKey(context.configurationEvidence()) : undefined;
