--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Agent } from "node:http";
+import { type ConfigurationEvidence } from "../accounts/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -21,6 +22,7 @@
 import { type EntryMetrics, type Logger } from "../observability/index.js";
 import { type UpstreamContact } from "../partitions/index.js";
 import { type ResidencyView, type VersionCopyNeed } from "../placement/index.js";
+import { type AccountQuotas } from "../quotas/index.js";
 import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
 import { type Acts } from "./actQueue.js";
@@ -48,6 +50,8 @@
     readonly health: UpstreamHealth;
     readonly pauses: UpstreamPauses;
     readonly rateLimiting: RateLimiting;
+    /** Quotas of client accounts. */
+    readonly quotas: AccountQuotas;
     readonly rejectionBounds: RejectionBounds;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
@@ -67,6 +71,8 @@
     agentFor(service: string): Agent;
     /** Time since this host's view of the key-value service was last confirmed, by its own calls or by those of its cell. */
     viewAgeMilliseconds(): number;
+    /** Returns what this host knows of configurations that it may lack. */
+    configurationEvidence(): ConfigurationEvidence;
     /** Number of hosts that serve callers, this one included. */
     hostCount(): number;
     /** Requests an adapter from the engine's holder; false where this host knows of no holder. */
