Keep client accounts' quotas over all hosts with replicated token buckets

Callers could use any number of tokens: the skeleton admitted everything. Each host now keeps a replica of each account's bucket and takes off what others report.

--- /dev/null
+++ b/src/quotas/_accountState.ts
@@ -0,0 +1,52 @@
+/**
+ * What this host keeps of one account with a quota.
+ *
+ * @module
+ */
+import { type AccountQuota } from "../accounts/index.js";
+import { type RandomSource } from "../decision/index.js";
+import { AdmissionShare } from "./admissionShare.js";
+import { ADMITTED_TIME_CONSTANT_MILLISECONDS, BucketReplica } from "./bucketReplica.js";
+import { MovingRate } from "./movingRate.js";
+
+/** Time constant of offered rates: short, so that a jump is followed; a small account has a few requests in it. */
+const OFFERED_TIME_CONSTANT_MILLISECONDS = 2_000;
+
+/** Time in which a surplus or a debt is spread over requests; longer than most reports take to arrive. */
+const HORIZON_SECONDS = 1;
+
+/** Mean age of what other hosts report: up to 0.5 s in a cell, about 0.7 s from other cells. */
+const MEAN_REPORT_AGE_SECONDS = 0.5;
+
+/** An account's bucket, rates and admission share at this host. */
+export class AccountState {
+    readonly bucket: BucketReplica;
+    readonly share: AdmissionShare;
+    readonly admitted = new MovingRate(ADMITTED_TIME_CONSTANT_MILLISECONDS);
+    readonly offered = new MovingRate(OFFERED_TIME_CONSTANT_MILLISECONDS);
+    /** Tokens a second that other hosts are asked for. */
+    othersOffered = 0;
+
+    constructor(quota: AccountQuota, random: RandomSource, nowMilliseconds: number) {
+        this.bucket = new BucketReplica(quota, nowMilliseconds);
+        this.share = new AdmissionShare(random);
+    }
+
+    /** Tokens a second that callers ask for at all hosts. */
+    offeredPerSecond(nowMilliseconds: number): number {
+        return this.offered.read(nowMilliseconds) + this.othersOffered;
+    }
+
+    /** Returns the part of the requests that may be admitted now, over all hosts; 1 or more for all of them. */
+    admissibleShare(nowMilliseconds: number): number {
+        const unreported = this.bucket.othersPerSecond * MEAN_REPORT_AGE_SECONDS;
+        const level = this.bucket.level(nowMilliseconds) - unreported;
+        const admissible = this.bucket.tokensPerSecond + level / HORIZON_SECONDS;
+        return admissible / Math.max(1, this.offeredPerSecond(nowMilliseconds));
+    }
+
+    /** Returns whether nothing of the account's use is left: it is then as one that has used nothing. */
+    isIdle(nowMilliseconds: number): boolean {
+        return this.othersOffered < 1 && this.bucket.isFull(nowMilliseconds);
+    }
+}
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -3,49 +3,254 @@
  *
  * @module
  */
-import { type Account } from "../accounts/index.js";
+import { type Account, type AccountQuota } from "../accounts/index.js";
 import { type RandomSource } from "../decision/index.js";
-import { type AccountUse, type QuotaDecision, type QuotaState } from "./types.js";
+import { AccountState } from "./_accountState.js";
+import { mostUsed } from "./_mostUsed.js";
+import { retryDelayMilliseconds } from "./retryDelay.js";
+import { type AccountUse, MAXIMUM_ACCOUNTS_PER_MESSAGE, type QuotaDecision, type QuotaState } from "./types.js";
+import { type ReportedChange, UseSources } from "./useSources.js";
+
+/** While this part of the known hosts is heard, the whole quota is used: the overage covers the rest. */
+const MOST_HOSTS_PART = 0.95;
+
+/** Admitted rates of all hosts are computed again after this time. */
+const RATES_LIFETIME_MILLISECONDS = 200;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const ADMITTED: QuotaDecision = { type: "admitted" };
 
 /** Options of {@linkcode AccountQuotas}. */
 export interface AccountQuotasOptions {
     readonly random: RandomSource;
-    /** Number of known hosts, this one included. */
+    /** Number of known hosts, this one included; called for every message, so it should not iterate over them. */
     readonly hostCount: () => number;
     /** Returns whether this host hears other hosts, or knows of none. */
     readonly hearsPeers: (nowMilliseconds: number) => boolean;
 }
 
-/** Admits requests within the quota of their account. */
+/** How a report of use was made. */
+export interface UseReport {
+    /** Number of hosts that it adds up; by default, one. */
+    readonly hosts?: number;
+}
+
+/** A quota, and since when the account has had one. */
+interface KnownQuota {
+    readonly quota: AccountQuota;
+    readonly sinceMilliseconds: number;
+}
+
+/** Rates of all accounts at one time. */
+interface KnownRates {
+    readonly rates: ReadonlyMap<string, number>;
+    readonly atMilliseconds: number;
+}
+
+/**
+ * Admits requests within the quota of their account. Each host keeps a replica of each account's token bucket, and
+ * hosts tell each other their rates, see `docs/design/account-quotas.md`.
+ *
+ * @example
+ * ```ts
+ * const quotas = new AccountQuotas({ random, hostCount: () => 3, hearsPeers: () => true });
+ * quotas.setAccounts(accounts, now);
+ * quotas.recordUse("entry-2", [{ account: "a", admitted: 400, offered: 400 }], now);
+ * quotas.admit("a", 1_500, now); // { type: "admitted" }
+ * ```
+ */
 export class AccountQuotas {
-    constructor(_options: AccountQuotasOptions) {}
+    readonly #options: AccountQuotasOptions;
+    readonly #quotas = new Map<string, KnownQuota>();
+    /** States of the accounts in use; an account without one has used nothing for long. */
+    readonly #states = new Map<string, AccountState>();
+    readonly #sources = new UseSources((change, now) => this.#applyChange(change, now));
+    /** Part of the quotas that falls to this host and those that it hears. */
+    #share = 1;
+    #shareChangedAtMilliseconds = Number.NEGATIVE_INFINITY;
+    #known: KnownRates = { rates: new Map(), atMilliseconds: Number.NEGATIVE_INFINITY };
+
+    constructor(options: AccountQuotasOptions) {
+        this.#options = options;
+    }
 
     /** Sets the accounts of the configuration in force. */
-    setAccounts(_accounts: readonly Account[], _nowMilliseconds: number): void {}
+    setAccounts(accounts: readonly Account[], nowMilliseconds: number): void {
+        const quotas = new Map(accounts.flatMap(({ name, quota }) => quota === undefined ? [] : [[name, quota]]));
+        for (const name of this.#quotas.keys()) {
+            if (!quotas.has(name)) {
+                this.#quotas.delete(name);
+                this.#states.delete(name);
+            }
+        }
+        for (const [name, quota] of quotas) {
+            const sinceMilliseconds = this.#quotas.get(name)?.sinceMilliseconds ?? nowMilliseconds;
+            this.#quotas.set(name, { quota, sinceMilliseconds });
+            this.#states.get(name)?.bucket.setQuota(quota, nowMilliseconds);
+        }
+        this.#updateShare(nowMilliseconds);
+    }
 
     /** Decides whether a request is within its account's quota; one that is uses its tokens. */
-    admit(_account: string, _tokens: number, _nowMilliseconds: number): QuotaDecision {
-        return { type: "admitted" };
+    admit(account: string, tokens: number, nowMilliseconds: number): QuotaDecision {
+        const state = this.#stateOf(account, nowMilliseconds);
+        if (state === undefined) {
+            return ADMITTED;
+        }
+        if (this.#sources.expire(nowMilliseconds)) {
+            this.#updateShare(nowMilliseconds);
+        }
+        state.offered.add(tokens, nowMilliseconds);
+        if (state.share.take(state.admissibleShare(nowMilliseconds))) {
+            state.admitted.add(tokens, nowMilliseconds);
+            state.bucket.take(tokens, nowMilliseconds);
+            return ADMITTED;
+        }
+        const retryAfterMilliseconds = retryDelayMilliseconds({
+            tokens,
+            levelTokens: state.bucket.level(nowMilliseconds),
+            tokensPerSecond: state.bucket.tokensPerSecond,
+            offeredPerSecond: state.offeredPerSecond(nowMilliseconds),
+            random: this.#options.random,
+        });
+        return { type: "over-quota", retryAfterMilliseconds };
     }
 
     /** Gives back the tokens of an admitted request that no upstream ran. */
-    giveBack(_account: string, _tokens: number, _nowMilliseconds: number): void {}
+    giveBack(account: string, tokens: number, nowMilliseconds: number): void {
+        const state = this.#states.get(account);
+        state?.admitted.add(-tokens, nowMilliseconds);
+        state?.bucket.take(-tokens, nowMilliseconds);
+    }
 
-    /** Returns this host's use for its digest; `undefined` where it has none. */
-    ownUse(_nowMilliseconds: number): AccountUse[] | undefined {
-        return undefined;
+    /** Returns this host's use for its digest, at most 64 accounts; `undefined` where no account has a quota. */
+    ownUse(nowMilliseconds: number): AccountUse[] | undefined {
+        if (this.#sources.expire(nowMilliseconds)) {
+            this.#updateShare(nowMilliseconds);
+        }
+        if (this.#quotas.size === 0) {
+            return undefined;
+        }
+        const use: AccountUse[] = [];
+        for (const [account, state] of this.#states) {
+            const admitted = Math.round(state.admitted.read(nowMilliseconds));
+            const offered = Math.round(state.offered.read(nowMilliseconds));
+            if (admitted > 0 || offered > 0) {
+                use.push({ account, admitted, offered: Math.max(admitted, offered) });
+            }
+            else if (state.isIdle(nowMilliseconds)) {
+                this.#states.delete(account);
+            }
+        }
+        return this.selectForMessage(use);
     }
 
-    /** Records the use that another host, or the other cells together, reported. */
-    recordUse(_source: string, _use: readonly AccountUse[], _nowMilliseconds: number): void {}
+    /** Returns the entries that a message has room for: those with the largest use relative to their quota. */
+    selectForMessage(use: readonly AccountUse[]): AccountUse[] {
+        return mostUsed(use, account => this.#quotas.get(account)?.quota.tokensPerSecond);
+    }
 
-    /** Returns the tokens a second admitted at all hosts, by account. */
-    admittedRates(_nowMilliseconds: number): ReadonlyMap<string, number> {
-        return new Map();
+    /**
+     * Records the use that another host, or the other cells together, reported.
+     *
+     * @param source The host, or a name for the other cells.
+     * @param use Its report, which replaces the one before.
+     * @param nowMilliseconds The time.
+     * @param report.hosts Number of hosts that the report adds up; by default, one.
+     */
+    recordUse(
+        source: string,
+        use: readonly AccountUse[],
+        nowMilliseconds: number,
+        { hosts = 1 }: UseReport = {},
+    ): void {
+        const isPartial = use.length >= MAXIMUM_ACCOUNTS_PER_MESSAGE;
+        this.#sources.record(source, use, { hosts, isPartial, nowMilliseconds });
+        this.#updateShare(nowMilliseconds);
+    }
+
+    /** Returns the tokens a second admitted at all hosts, by account; the same map for a short time. */
+    admittedRates(nowMilliseconds: number): ReadonlyMap<string, number> {
+        if (nowMilliseconds - this.#known.atMilliseconds >= RATES_LIFETIME_MILLISECONDS) {
+            const rates = new Map<string, number>();
+            for (const [account, { admitted, bucket }] of this.#states) {
+                const rate = admitted.read(nowMilliseconds) + bucket.othersPerSecond;
+                if (rate >= 1) {
+                    rates.set(account, rate);
+                }
+            }
+            this.#known = { rates, atMilliseconds: nowMilliseconds };
+        }
+        return this.#known.rates;
     }
 
     /** Describes an account's quota; `undefined` for an account without one. */
-    describe(_account: string, _nowMilliseconds: number): QuotaState | undefined {
-        return undefined;
+    describe(account: string, nowMilliseconds: number): QuotaState | undefined {
+        const known = this.#quotas.get(account);
+        const state = this.#states.get(account);
+        if (known === undefined) {
+            return undefined;
+        }
+        const oldest = this.#sources.oldestAtMilliseconds;
+        return {
+            levelTokens: state?.bucket.level(nowMilliseconds) ?? this.#unusedTokens(known, nowMilliseconds),
+            tokensPerSecond: known.quota.tokensPerSecond,
+            offeredTokensPerSecond: state?.offeredPerSecond(nowMilliseconds) ?? 0,
+            newsAgeMilliseconds: oldest === undefined ? undefined : nowMilliseconds - oldest,
+        };
+    }
+
+    /** Returns the state of an account with a quota, and begins one where it has been idle. */
+    #stateOf(account: string, nowMilliseconds: number): AccountState | undefined {
+        const state = this.#states.get(account);
+        if (state !== undefined) {
+            return state;
+        }
+        const known = this.#quotas.get(account);
+        if (known === undefined) {
+            return undefined;
+        }
+        const begun = new AccountState(known.quota, this.#options.random, nowMilliseconds);
+        begun.bucket.setShare(this.#share, nowMilliseconds);
+        begun.bucket.take(-this.#unusedTokens(known, nowMilliseconds), nowMilliseconds);
+        const others = this.#sources.sum(account);
+        begun.bucket.adjustOthers(others.admitted, 0, nowMilliseconds);
+        begun.othersOffered = others.offered;
+        this.#states.set(account, begun);
+        return begun;
+    }
+
+    /** Returns the tokens in the bucket of an account that has used none since it was configured. */
+    #unusedTokens({ quota, sinceMilliseconds }: KnownQuota, nowMilliseconds: number): number {
+        const since = Math.max(sinceMilliseconds, this.#shareChangedAtMilliseconds);
+        const filled = quota.tokensPerSecond * (nowMilliseconds - since) / MILLISECONDS_PER_SECOND;
+        return Math.min(quota.burstTokens, filled) * this.#share;
+    }
+
+    #applyChange({ account, admitted, counted, offered }: ReportedChange, nowMilliseconds: number): void {
+        const known = this.#states.get(account);
+        const state = known ?? this.#stateOf(account, nowMilliseconds);
+        if (state === undefined) {
+            return;
+        }
+        state.bucket.adjustOthers(admitted, counted, nowMilliseconds);
+        state.othersOffered = Math.max(0, state.othersOffered + offered);
+    }
+
+    /**
+     * Divides the quotas by the hosts that this one hears. A silent host may go on with the part of the quota that falls
+     * to it alone, until it is no longer known.
+     */
+    #updateShare(nowMilliseconds: number): void {
+        const { hearsPeers, hostCount } = this.#options;
+        const heard = hearsPeers(nowMilliseconds) ? 1 + this.#sources.hosts : 1;
+        const part = heard / Math.max(1, hostCount());
+        const share = part >= MOST_HOSTS_PART ? 1 : part;
+        if (share !== this.#share) {
+            this.#share = share;
+            this.#shareChangedAtMilliseconds = nowMilliseconds;
+            this.#states.forEach(({ bucket }) => bucket.setShare(share, nowMilliseconds));
+        }
     }
 }
--- a/src/quotas/index.ts
+++ b/src/quotas/index.ts
@@ -10,5 +10,11 @@
  *
  * @module
  */
-export { AccountQuotas, type AccountQuotasOptions } from "./accountQuotas.js";
-export { type AccountUse, type QuotaDecision, type QuotaState } from "./types.js";
+export { AccountQuotas, type AccountQuotasOptions, type UseReport } from "./accountQuotas.js";
+export { fairLevel, isOverFairShare } from "./fairShares.js";
+export {
+    type AccountUse,
+    MAXIMUM_ACCOUNTS_PER_MESSAGE,
+    type QuotaDecision,
+    type QuotaState,
+} from "./types.js";
--- a/src/quotas/types.ts
+++ b/src/quotas/types.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+/** Accounts in one message between hosts. */
+export const MAXIMUM_ACCOUNTS_PER_MESSAGE = 64;
+
 /** Whether a request is within its account's quota. */
 export type QuotaDecision =
     | { readonly type: "admitted"; }
@@ -12,9 +15,9 @@
 /** Use of one account's quota at one host, or at several together. */
 export interface AccountUse {
     readonly account: string;
-    /** Tokens a second of requests that were admitted. */
+    /** Tokens a second of requests that were admitted, averaged over 3 s with exponential weights. */
     readonly admitted: number;
-    /** Tokens a second of all requests, admitted or refused. */
+    /** Tokens a second of all requests, admitted or refused, averaged over 2 s with exponential weights. */
     readonly offered: number;
 }
 
--- /dev/null
+++ b/src/quotas/useSources.ts
@@ -0,0 +1,141 @@
+/**
+ * The use that other hosts report.
+ *
+ * @module
+ */
+import { type AccountUse } from "./types.js";
+
+/**
+ * A source's report counts for this long. Reports come every 400 to 540 ms, so that two lost in a row expire it at the
+ * earliest. A host that is only silent goes on with its part of the quota, which is then kept free for it.
+ */
+const SOURCE_LIFETIME_MILLISECONDS = 1_300;
+
+/** A change of the rates that the sources together report of an account. */
+export interface ReportedChange {
+    readonly account: string;
+    /** Change of the admitted rate in tokens a second. */
+    readonly admitted: number;
+    /** The part of it that stands for tokens not yet counted. */
+    readonly counted: number;
+    /** Change of the offered rate in tokens a second. */
+    readonly offered: number;
+}
+
+interface Source {
+    use: ReadonlyMap<string, AccountUse>;
+    hosts: number;
+    atMilliseconds: number;
+}
+
+/** Options of {@linkcode UseSources.record}. */
+export interface ReportOptions {
+    /** Number of hosts that the report adds up. */
+    readonly hosts: number;
+    /** True where the report leaves accounts out for want of space. */
+    readonly isPartial: boolean;
+    readonly nowMilliseconds: number;
+}
+
+/**
+ * Keeps the latest report of each source, and tells how it changes the sums.
+ *
+ * @example
+ * ```ts
+ * const sources = new UseSources(change => replicas.get(change.account)?.apply(change));
+ * sources.record("entry-2", use, { hosts: 1, isPartial: false, nowMilliseconds: now });
+ * sources.hosts; // 1
+ * ```
+ */
+export class UseSources {
+    readonly #onChange: (change: ReportedChange, nowMilliseconds: number) => void;
+    readonly #sources = new Map<string, Source>();
+    #hosts = 0;
+    #expiresAtMilliseconds = Number.POSITIVE_INFINITY;
+
+    constructor(onChange: (change: ReportedChange, nowMilliseconds: number) => void) {
+        this.#onChange = onChange;
+    }
+
+    /** Number of hosts whose use the latest reports hold. */
+    get hosts(): number {
+        return this.#hosts;
+    }
+
+    /** Time of the oldest report in use; `undefined` where there is none. */
+    get oldestAtMilliseconds(): number | undefined {
+        const times = [...this.#sources.values()].map(({ atMilliseconds }) => atMilliseconds);
+        return times.length === 0 ? undefined : Math.min(...times);
+    }
+
+    /** Returns the sum of the reports of an account. */
+    sum(account: string): Pick<AccountUse, "admitted" | "offered"> {
+        let admitted = 0;
+        let offered = 0;
+        for (const { use } of this.#sources.values()) {
+            admitted += use.get(account)?.admitted ?? 0;
+            offered += use.get(account)?.offered ?? 0;
+        }
+        return { admitted, offered };
+    }
+
+    /** Replaces a source's report. */
+    record(name: string, use: readonly AccountUse[], { hosts, isPartial, nowMilliseconds }: ReportOptions): void {
+        this.expire(nowMilliseconds);
+        const known = this.#sources.get(name);
+        const reported = new Map(use.map(entry => [entry.account, entry]));
+        // A host that joins or leaves the sum has counted its use elsewhere, so only the rest of a change counts here.
+        const growth = known === undefined || known.hosts === 0 ? undefined : hosts / known.hosts;
+        for (const [account, before] of known?.use ?? []) {
+            if (!reported.has(account) && isPartial) {
+                reported.set(account, before);
+            }
+            else if (!reported.has(account)) {
+                this.#change(account, before, undefined, growth, nowMilliseconds);
+            }
+        }
+        for (const entry of use) {
+            this.#change(entry.account, known?.use.get(entry.account), entry, growth, nowMilliseconds);
+        }
+        this.#hosts += hosts - (known?.hosts ?? 0);
+        this.#sources.set(name, { use: reported, hosts, atMilliseconds: nowMilliseconds });
+        this.#expiresAtMilliseconds = Math.min(
+            this.#expiresAtMilliseconds,
+            nowMilliseconds + SOURCE_LIFETIME_MILLISECONDS,
+        );
+    }
+
+    /** Drops the reports that are too old; returns whether there were any. */
+    expire(nowMilliseconds: number): boolean {
+        if (nowMilliseconds <= this.#expiresAtMilliseconds) {
+            return false;
+        }
+        const before = this.#sources.size;
+        this.#expiresAtMilliseconds = Number.POSITIVE_INFINITY;
+        for (const [name, { atMilliseconds, hosts, use }] of this.#sources) {
+            const expiresAt = atMilliseconds + SOURCE_LIFETIME_MILLISECONDS;
+            if (nowMilliseconds > expiresAt) {
+                this.#sources.delete(name);
+                this.#hosts -= hosts;
+                use.forEach(entry => this.#change(entry.account, entry, undefined, undefined, nowMilliseconds));
+            }
+            else {
+                this.#expiresAtMilliseconds = Math.min(this.#expiresAtMilliseconds, expiresAt);
+            }
+        }
+        return this.#sources.size < before;
+    }
+
+    #change(
+        account: string,
+        before: AccountUse | undefined,
+        after: AccountUse | undefined,
+        growth: number | undefined,
+        nowMilliseconds: number,
+    ): void {
+        const admitted = (after?.admitted ?? 0) - (before?.admitted ?? 0);
+        const offered = (after?.offered ?? 0) - (before?.offered ?? 0);
+        const counted = growth === undefined ? 0 : (after?.admitted ?? 0) - (before?.admitted ?? 0) * growth;
+        this.#onChange({ account, admitted, counted, offered }, nowMilliseconds);
+    }
+}
