Send the use of quotas in digests and aggregates

Hosts did not know what others admit. Digests and aggregates carry accountUse (format 8), at most 64 accounts, absent where no account has a quota. Hosts are counted once a round rather than for each request. Tests of src/gossip, src/entry/peers and tests/builds pass.

--- a/measurements/quotas.ts
+++ b/measurements/quotas.ts
@@ -10,7 +10,7 @@
 
 const [hosts = "73", seeds = "100", firstSeed = "1", only] = process.argv.slice(2);
 const hostCount = Number(hosts);
-const outcomes = new Map<string, (Outcome & { readonly seed: number })[]>();
+const outcomes = new Map<string, (Outcome & { readonly seed: number; })[]>();
 const profiles = PROFILES.filter(profile => only === undefined || profile === only);
 for (let seed = Number(firstSeed); seed < Number(firstSeed) + Number(seeds); seed += 1) {
     const profile = profiles[seed % profiles.length] as Profile;
@@ -26,7 +26,11 @@
     const mean = accepted.reduce((sum, value) => sum + value, 0) / accepted.length;
     const low = accepted.filter(value => value < 0.95).length;
     console.log(
-        `${hostCount} hosts ${key} ${of.length} runs: worst ${worst?.worst.toFixed(3)} (seed ${worst?.seed}, ${worst?.worstAtMilliseconds} ms), `
-            + `${over} over; accepted ${accepted[0]?.toFixed(3) ?? "-"} least, ${mean.toFixed(3)} mean, ${low} below 0.95`,
+        `${hostCount} hosts ${key} ${of.length} runs: worst ${
+            worst?.worst.toFixed(3)
+        } (seed ${worst?.seed}, ${worst?.worstAtMilliseconds} ms), `
+            + `${over} over; accepted ${accepted[0]?.toFixed(3) ?? "-"} least, ${
+                mean.toFixed(3)
+            } mean, ${low} below 0.95`,
     );
 }
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -65,6 +65,7 @@
     readonly #upstreams: UpstreamTracker;
     readonly #rateLimiting: RateLimiting;
     readonly #quotas: AccountQuotas;
+    #quotaHosts = { count: 1, hearsPeers: true };
     readonly #demand = new SiteDemand();
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
@@ -114,6 +115,7 @@
             peers: this.#peers,
             gossip: this.#gossip,
             crashes: () => toPublished(this.#upstreams.crashes.aggregate(this.#now())),
+            selectUse: use => this.#quotas.selectForMessage(use),
             onOtherCells: aggregate => this.#reportedState.applyOtherCells(aggregate),
         });
         this.#duties = new EngineDuties(host, {
@@ -210,6 +212,7 @@
         const hostCount = this.#peers.all(this.#now()).length + 1;
         this.#budget.setHostCount(hostCount);
         this.#agents.setHostCount(hostCount);
+        this.#countQuotaHosts();
     }
 
     #isReady(): boolean {
@@ -253,11 +256,22 @@
     #createQuotas(): AccountQuotas {
         return new AccountQuotas({
             random: this.#context.random,
-            hostCount: () => this.#peers.all(this.#now()).length + 1,
-            hearsPeers: now => this.#peers.all(now).length === 0 || this.#peers.live(now).length > 0,
+            hostCount: () => this.#quotaHosts.count,
+            hearsPeers: () => this.#quotaHosts.hearsPeers,
         });
     }
 
+    /**
+     * Counts the hosts that may use quotas, once a round and when hosts change. A host that has said that it leaves is not
+     * one of them; a silent one is until it is forgotten, since callers may still reach it.
+     */
+    #countQuotaHosts(): void {
+        const now = this.#now();
+        const staying = this.#peers.all(now).filter(({ leaving }) => !leaving);
+        const hearsPeers = staying.length === 0 || this.#peers.live(now).length > 0;
+        this.#quotaHosts = { count: staying.length + 1, hearsPeers };
+    }
+
     #createStore(): HostStore {
         return new HostStore({
             context: this.#context,
@@ -279,6 +293,7 @@
             ],
             onConfiguration: table => {
                 this.#servers.applyLimits(table.configuration.limits);
+                this.#countQuotaHosts();
                 this.#quotas.setAccounts(table.configuration.accounts ?? [], this.#now());
                 this.#handleUpstreamsChanged();
                 this.#forwarder.wakeAll();
@@ -424,6 +439,7 @@
 
     /** Publishes a digest, and does what else is due at regular intervals. */
     #performRound(): void {
+        this.#countQuotaHosts();
         this.#upstreams.expire();
         this.#streamVersions.check();
         this.#engines.adapters.recordOwnUses();
--- a/src/entry/peers/digestPublisher.ts
+++ b/src/entry/peers/digestPublisher.ts
@@ -5,6 +5,8 @@
  */
 import { type EngineDuties } from "../../duties/index.js";
 import { type HostDigest } from "../../generated/gossip.js";
+import { encodeAccountUse } from "../../gossip/index.js";
+import { type AccountQuotas } from "../../quotas/index.js";
 import { toLeavingIncarnation, toMemory, toPublished } from "../_gossipParts.js";
 import { type HostEngines } from "../engines/index.js";
 import { addressesOf, type HostContext } from "../hostContext.js";
@@ -28,6 +30,7 @@
     readonly gossip: Pick<HostGossip, "publishDigest">;
     readonly interCellGossip: Pick<InterCellGossip, "publishAggregates">;
     readonly partitionWatch: Pick<PartitionWatch, "isHearing" | "isPartitioned">;
+    readonly quotas: Pick<AccountQuotas, "ownUse">;
     readonly rateLimiting: Pick<RateLimiting, "limiter">;
     readonly store: Pick<HostStore, "configuration" | "feeds" | "revision">;
     readonly upstreams: UpstreamTracker;
@@ -66,11 +69,12 @@
     }
 
     #compose(nowMilliseconds: number): HostDigest {
-        const { context, demand, duties, engines, isReady, partitionWatch, rateLimiting, store, upstreams } =
+        const { context, demand, duties, engines, isReady, partitionWatch, quotas, rateLimiting, store, upstreams } =
             this.#options;
         const settings = context.settings();
         const crashes = toPublished(upstreams.crashes.report(nowMilliseconds));
         const limits = rateLimiting.limiter.ownVotes(nowMilliseconds).slice(0, MAXIMUM_LIMITS_PER_DIGEST);
+        const use = quotas.ownUse(nowMilliseconds);
         return {
             type: "digest",
             host: settings.host,
@@ -94,6 +98,7 @@
             engines: engines.orders.records().map(toMemory),
             relinquished: duties.relinquishments(nowMilliseconds),
             suspects: [],
+            ...use === undefined ? {} : { accountUse: encodeAccountUse(use) },
             ...crashes === undefined ? {} : { crashes },
         };
     }
--- a/src/entry/peers/interCellGossip.ts
+++ b/src/entry/peers/interCellGossip.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type CrashReport, type FleetSummary, type HostDigest } from "../../generated/gossip.js";
-import { type AggregateSender, CellAggregates, type PeerTable } from "../../gossip/index.js";
+import { type AggregateSender, CellAggregates, type PeerTable, type UseSelection } from "../../gossip/index.js";
 import { type EntryMetrics, type Logger } from "../../observability/index.js";
 import { type HostGossip } from "./hostGossip.js";
 
@@ -24,6 +24,8 @@
     readonly readClock: () => number;
     /** Returns what this host knows of crashes, its own and what others have reported; `undefined` for nothing. */
     readonly crashes: () => CrashReport | undefined;
+    /** Chooses the accounts whose use an aggregate has room for; by default, all of them. */
+    readonly selectUse?: UseSelection;
     /** Handles the aggregate of all other cells. */
     readonly onOtherCells: (aggregate: FleetSummary) => void;
 }
@@ -135,8 +137,9 @@
     }
 
     #sender(): AggregateSender {
-        const { host, peers } = this.#options;
-        return { host, cell: peers.division().ownCell[0]?.host ?? host };
+        const { host, peers, selectUse } = this.#options;
+        const cell = peers.division().ownCell[0]?.host ?? host;
+        return { host, cell, ...selectUse === undefined ? {} : { selectUse } };
     }
 
     #applyOtherCells(aggregate: FleetSummary): void {
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -5,7 +5,8 @@
  */
 import { type EngineDuties } from "../../duties/index.js";
 import { type FleetSummary, type HostDigest } from "../../generated/gossip.js";
-import { type PeerTable } from "../../gossip/index.js";
+import { decodeAccountUse, type PeerTable } from "../../gossip/index.js";
+import { type AccountQuotas } from "../../quotas/index.js";
 import { type HostEngines } from "../engines/index.js";
 import { type PartitionWatch } from "../partitionWatch.js";
 import { type RateLimiting } from "../rateLimiting.js";
@@ -25,6 +26,7 @@
     readonly interCellGossip: Pick<InterCellGossip, "receiveDigest">;
     readonly partitionWatch: Pick<PartitionWatch, "recordStatement">;
     readonly peers: PeerTable;
+    readonly quotas: Pick<AccountQuotas, "recordUse">;
     readonly rateLimiting: Pick<RateLimiting, "limiter">;
     readonly store: Pick<HostStore, "recordLaterRevision" | "recordWatchStatement">;
     readonly upstreams: UpstreamTracker;
@@ -50,7 +52,7 @@
 
     /** Applies the digest of a host. */
     applyDigest(digest: HostDigest): void {
-        const { engines, interCellGossip, partitionWatch, peers, rateLimiting, store } = this.#options;
+        const { engines, interCellGossip, partitionWatch, peers, quotas, rateLimiting, store } = this.#options;
         const now = this.#options.readClock();
         peers.recordDigest(digest, now);
         interCellGossip.receiveDigest(digest);
@@ -58,18 +60,25 @@
         partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
         engines.adapters.replaceUses(digest.host, digest.adaptersInUse);
         rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
+        if (digest.accountUse !== undefined) {
+            quotas.recordUse(digest.host, decodeAccountUse(digest.accountUse), now);
+        }
         this.#apply(digest.host, digest);
         engines.agreement.receiveStatement(digest);
     }
 
     /** Applies the aggregate of the other cells as the report of one further peer. */
     applyOtherCells(aggregate: FleetSummary): void {
-        const { partitionWatch, peers, rateLimiting } = this.#options;
+        const { partitionWatch, peers, quotas, rateLimiting } = this.#options;
         const now = this.#options.readClock();
         aggregate.hosts.forEach(host => peers.recordListed(host, now));
         aggregate.partitionedHosts?.forEach(host => peers.recordPartitioned(host));
         partitionWatch.recordStatement(OTHER_CELLS_SOURCE, aggregate.hearsUpstreams);
         rateLimiting.limiter.recordOtherCells(aggregate, now);
+        if (aggregate.accountUse !== undefined) {
+            const use = decodeAccountUse(aggregate.accountUse);
+            quotas.recordUse(OTHER_CELLS_SOURCE, use, now, { hosts: aggregate.accountUseHosts });
+        }
         this.#apply(OTHER_CELLS_SOURCE, aggregate);
     }
 
--- /dev/null
+++ b/src/gossip/accountUse.ts
@@ -0,0 +1,70 @@
+/**
+ * Use of client accounts' quotas in messages: by account, the admitted rate and, if larger, the offered rate.
+ *
+ * @module
+ */
+import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
+import { type AccountUse } from "../quotas/index.js";
+
+/** A report of use older than this is not added up: its host may have been cut off and counts as silent. */
+const USE_LIFETIME_MILLISECONDS = 1_200;
+
+type EncodedUse = NonNullable<HostDigest["accountUse"]>;
+
+/** A report of use, and the time for which it was held. */
+export interface HeldUse {
+    readonly message: Pick<FleetSummary, "accountUse" | "accountUseHosts">;
+    readonly heldMilliseconds: number;
+}
+
+/** Chooses the entries that a message has room for. */
+export type UseSelection = (use: readonly AccountUse[]) => readonly AccountUse[];
+
+/** Returns use as it is written in messages. */
+export function encodeAccountUse(use: readonly AccountUse[]): EncodedUse {
+    return Object.fromEntries(use.map(({ account, admitted, offered }) => {
+        const rates = [Math.round(admitted), Math.round(offered)];
+        return [account, rates[0] === rates[1] ? rates.slice(0, 1) : rates];
+    }));
+}
+
+/** Returns use as read from a message. */
+export function decodeAccountUse(encoded: EncodedUse): AccountUse[] {
+    return Object.entries(encoded).map(([account, [admitted = 0, offered = admitted]]) => ({
+        account,
+        admitted,
+        offered,
+    }));
+}
+
+/**
+ * Adds up reports of use, as fields of an aggregate; without them where there is no recent report.
+ *
+ * @example
+ * ```ts
+ * sumAccountUse([{ message: { accountUse: { a: [400] }, accountUseHosts: 1 }, heldMilliseconds: 0 }], use => use);
+ * // { accountUse: { a: [400] }, accountUseHosts: 1 }
+ * ```
+ */
+export function sumAccountUse(
+    parts: readonly HeldUse[],
+    select: UseSelection,
+): Pick<FleetSummary, "accountUse" | "accountUseHosts"> {
+    const totals = new Map<string, { account: string; admitted: number; offered: number; }>();
+    let hosts = 0;
+    for (const { heldMilliseconds, message: { accountUse, accountUseHosts = 0 } } of parts) {
+        if (accountUse === undefined || heldMilliseconds > USE_LIFETIME_MILLISECONDS) {
+            continue;
+        }
+        hosts += accountUseHosts;
+        for (const { account, admitted, offered } of decodeAccountUse(accountUse)) {
+            const total = totals.get(account) ?? { account, admitted: 0, offered: 0 };
+            total.admitted += admitted;
+            total.offered += offered;
+            totals.set(account, total);
+        }
+    }
+    return hosts === 0
+        ? {}
+        : { accountUse: encodeAccountUse(select([...totals.values()])), accountUseHosts: hosts };
+}
--- a/src/gossip/cellAggregates.ts
+++ b/src/gossip/cellAggregates.ts
@@ -11,6 +11,7 @@
     type IssuerVotes,
     type LimitReport,
 } from "../generated/gossip.js";
+import { sumAccountUse, type UseSelection } from "./accountUse.js";
 import { type HostWithZone } from "./cells.js";
 
 /** Digests and aggregates are dropped after this time as out of date. */
@@ -38,11 +39,19 @@
     readonly cell: string;
     /** What the host knows of crashes, its own and what others have reported; `undefined` for nothing. */
     readonly crashes?: CrashReport | undefined;
+    /** Chooses the accounts whose use an aggregate has room for; by default, all of them. */
+    readonly selectUse?: UseSelection;
 }
 
 /** The fields of a digest or an aggregate that are added up. */
 type AggregatePart = Omit<FleetSummary, "type" | "scope" | "cell" | "host">;
 
+/** A part, and the time for which it was held. */
+interface HeldPart {
+    readonly message: AggregatePart;
+    readonly heldMilliseconds: number;
+}
+
 interface Received<Message> {
     readonly message: Message;
     readonly atMilliseconds: number;
@@ -50,9 +59,10 @@
 
 /** Converts a digest; its host is listed only where it is ready for callers and not leaving. */
 function toAggregatePart(digest: HostDigest): AggregatePart {
-    const { addresses, host, leaving, limits = [], partitioned, ready } = digest;
+    const { accountUse, addresses, host, leaving, limits = [], partitioned, ready } = digest;
     return {
         ...digest,
+        ...accountUse === undefined ? {} : { accountUseHosts: 1 },
         partitionedHosts: partitioned === true ? [host] : [],
         state: addresses.state,
         hosts: ready && !leaving ? [host] : [],
@@ -67,14 +77,14 @@
 function withPresentAges(
     { atMilliseconds, message }: Received<AggregatePart>,
     nowMilliseconds: number,
-): AggregatePart {
+): HeldPart {
     const heldMilliseconds = Math.round(nowMilliseconds - atMilliseconds);
     const limits = message.limits?.map(report => ({
         ...report,
         sentAgeMilliseconds: report.sentAgeMilliseconds + heldMilliseconds,
         receivedAgeMilliseconds: report.receivedAgeMilliseconds + heldMilliseconds,
     }));
-    return { ...message, limits };
+    return { message: { ...message, limits }, heldMilliseconds };
 }
 
 /** Returns the latest report of each upstream's limit. */
@@ -186,7 +196,8 @@
             .filter(({ message }) => message.host !== ownDigest.host)
             .map(({ atMilliseconds, message }) => ({ atMilliseconds, message: toAggregatePart(message) }));
         const parts = peers.map(part => withPresentAges(part, nowMilliseconds));
-        return this.#aggregate(sender, "cell", [toAggregatePart(ownDigest), ...parts]);
+        const own = { message: toAggregatePart(ownDigest), heldMilliseconds: 0 };
+        return this.#aggregate(sender, "cell", [own, ...parts]);
     }
 
     /** Returns the aggregate of all other cells; `undefined` where none was received recently. */
@@ -209,8 +220,9 @@
     #aggregate(
         sender: AggregateSender,
         scope: FleetSummary["scope"],
-        parts: readonly AggregatePart[],
+        heldParts: readonly HeldPart[],
     ): FleetSummary {
+        const parts = heldParts.map(({ message }) => message);
         this.#rounds[scope] += 1;
         const newest = partWithNewestConfiguration(parts);
         const limits = pageOf(latestLimits(parts), MAXIMUM_LIMITS[scope], this.#rounds[scope]);
@@ -237,6 +249,7 @@
             relinquished: parts.flatMap(({ relinquished }) => relinquished).slice(0, MAXIMUM_LIST_ENTRIES),
             suspects: [],
             hearsUpstreams: parts.some(({ hearsUpstreams }) => hearsUpstreams === true),
+            ...sumAccountUse(heldParts, sender.selectUse ?? (use => use)),
             ...partitionedHosts.length === 0 ? {} : { partitionedHosts },
             ...sender.crashes === undefined ? {} : { crashes: sender.crashes },
         };
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -63,7 +63,7 @@
 const MAXIMUM_LOGGED_CHARACTERS = 40;
 
 /** The message format that this build reads and writes. */
-const PRESENT_FORMAT = 7;
+const PRESENT_FORMAT = 8;
 
 /** Stands for the type of datagrams that could not be decoded. */
 const UNREADABLE_TYPE = "unreadable";
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+export { decodeAccountUse, encodeAccountUse, type UseSelection } from "./accountUse.js";
 export { type AggregateSender, CellAggregates } from "./cellAggregates.js";
 export { divideIntoCells, type HostWithZone, MAXIMUM_HOSTS_PER_CELL } from "./cells.js";
 export {
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -33,7 +33,7 @@
 /** How a report of use was made. */
 export interface UseReport {
     /** Number of hosts that it adds up; by default, one. */
-    readonly hosts?: number;
+    readonly hosts?: number | undefined;
 }
 
 /** A quota, and since when the account has had one. */
--- a/src/quotas/index.ts
+++ b/src/quotas/index.ts
@@ -12,9 +12,4 @@
  */
 export { AccountQuotas, type AccountQuotasOptions, type UseReport } from "./accountQuotas.js";
 export { fairLevel, isOverFairShare } from "./fairShares.js";
-export {
-    type AccountUse,
-    MAXIMUM_ACCOUNTS_PER_MESSAGE,
-    type QuotaDecision,
-    type QuotaState,
-} from "./types.js";
+export { type AccountUse, MAXIMUM_ACCOUNTS_PER_MESSAGE, type QuotaDecision, type QuotaState } from "./types.js";
--- a/tests/support/quotaFleet.ts
+++ b/tests/support/quotaFleet.ts
@@ -31,7 +31,7 @@
     /** Number of hosts that callers connect to, the first ones. */
     readonly usedHosts: (nowMilliseconds: number) => number;
     /** When the quota becomes this part of it, and which. */
-    readonly lowered?: { readonly atMilliseconds: number; readonly part: number } | undefined;
+    readonly lowered?: { readonly atMilliseconds: number; readonly part: number; } | undefined;
 }
 
 export interface QuotaFleetOptions {
@@ -71,7 +71,7 @@
     readonly held: (() => void)[];
 }
 
-function addUp(parts: readonly Heard[]): { use: Map<string, AccountUse>; hosts: number } {
+function addUp(parts: readonly Heard[]): { use: Map<string, AccountUse>; hosts: number; } {
     const use = new Map<string, AccountUse>();
     let hosts = 0;
     for (const part of parts) {
@@ -88,6 +88,10 @@
     return { use, hosts };
 }
 
+function addAt(values: Float64Array, index: number, tokens: number): void {
+    values[index] = (values[index] ?? 0) + tokens;
+}
+
 /** Plays a fleet: digests within cells, aggregates between them one round later. */
 export class QuotaFleet {
     readonly #options: QuotaFleetOptions;
@@ -123,7 +127,7 @@
             admitted: new Float64Array(steps),
             exact: new Float64Array(steps),
             retryMilliseconds: [],
-        } as PlayedAccount]));
+        }]));
         const levels = new Map(accounts.map(({ name, quota }) => [name, quota.burstTokens]));
         const cellOf = new Map(this.#cells.flatMap((cell, index) => cell.map(host => [host, index] as const)));
         for (let step = 0; step < steps; step += 1) {
@@ -171,7 +175,10 @@
     }
 
     #lower({ lowered }: AccountLoad): void {
-        if (lowered !== undefined && this.#now >= lowered.atMilliseconds && this.#now < lowered.atMilliseconds + STEP_MILLISECONDS) {
+        if (
+            lowered !== undefined && this.#now >= lowered.atMilliseconds
+            && this.#now < lowered.atMilliseconds + STEP_MILLISECONDS
+        ) {
             this.#hosts.forEach(host => this.#deliver(host, () => this.#configure(host.quotas)));
         }
     }
@@ -278,15 +285,15 @@
             if (host === undefined || host.isDown) {
                 continue;
             }
-            played.offered[step]! += tokens;
+            addAt(played.offered, step, tokens);
             if (level >= Math.min(tokens, burst)) {
                 level -= tokens;
-                played.exact[step]! += tokens;
+                addAt(played.exact, step, tokens);
             }
             this.#deliver(host, () => {
                 const decision = host.quotas.admit(name, tokens, this.#now);
                 if (decision.type === "admitted") {
-                    played.admitted[Math.floor(this.#now / STEP_MILLISECONDS)]! += tokens;
+                    addAt(played.admitted, Math.floor(this.#now / STEP_MILLISECONDS), tokens);
                 }
                 else if (played.retryMilliseconds.length < 1_000) {
                     played.retryMilliseconds.push(decision.retryAfterMilliseconds);
--- a/tests/support/quotaScenarios.ts
+++ b/tests/support/quotaScenarios.ts
@@ -5,7 +5,13 @@
  */
 import { type AccountQuota } from "../../src/accounts/index.js";
 import { createSeededRandom } from "../../src/decision/index.js";
-import { type AccountLoad, QuotaFleet, type QuotaFleetOptions, type PlayedAccount, STEP_MILLISECONDS } from "./quotaFleet.js";
+import {
+    type AccountLoad,
+    type PlayedAccount,
+    QuotaFleet,
+    type QuotaFleetOptions,
+    STEP_MILLISECONDS,
+} from "./quotaFleet.js";
 
 const WINDOW_SECONDS = 8;
 const WINDOW_STEPS = WINDOW_SECONDS * 1_000 / STEP_MILLISECONDS;
@@ -43,7 +49,8 @@
 export function drawFleet(profile: Profile, seed: number, hostCount: number): QuotaFleetOptions {
     const random = createSeededRandom(seed * 31 + hostCount);
     const at = 9_000 + random() * 3_000;
-    const jumps = profile === "jump" || (isTroubled(profile) && random() < 0.5) || (profile === "lowered" && random() < 0.5);
+    const jumps = profile === "jump" || (isTroubled(profile) && random() < 0.5)
+        || (profile === "lowered" && random() < 0.5);
     const jumpAt = at + (profile === "jump" ? 0 : Math.round((random() - 0.5) * 4_000));
     const steady = profile === "steady-95" ? 0.95 : profile === "steady-55" ? 0.55 : USUAL;
     const few = 1 + Math.floor(random() * Math.min(5, hostCount));
@@ -70,7 +77,12 @@
         loss: random() < 0.5 ? 0.01 : 0.05,
         accounts: [load("small", SMALL), load("large", LARGE)],
         faults: isTroubled(profile)
-            ? [{ type: profile as "cut" | "restart" | "freeze", hosts: hit, beginMilliseconds: begin, endMilliseconds: begin + Math.round(lasts / STEP_MILLISECONDS) * STEP_MILLISECONDS }]
+            ? [{
+                type: profile as "cut" | "restart" | "freeze",
+                hosts: hit,
+                beginMilliseconds: begin,
+                endMilliseconds: begin + Math.round(lasts / STEP_MILLISECONDS) * STEP_MILLISECONDS,
+            }]
             : [],
     };
 }
@@ -79,7 +91,11 @@
     return (tokensPerSecond * WINDOW_SECONDS + burstTokens) * part * (1 + OVERAGE) + SLACK_TOKENS;
 }
 
-function judgeAccount({ lowered, name, quota }: AccountLoad, played: PlayedAccount, comparesAccepted: boolean): Outcome {
+function judgeAccount(
+    { lowered, name, quota }: AccountLoad,
+    played: PlayedAccount,
+    comparesAccepted: boolean,
+): Outcome {
     let worst = 0;
     let worstAtMilliseconds = 0;
     let window = 0;
@@ -93,8 +109,14 @@
             worstAtMilliseconds = step * STEP_MILLISECONDS;
         }
     }
-    const total = (values: Float64Array): number => values.subarray(SETTLED_MILLISECONDS / STEP_MILLISECONDS).reduce((sum, value) => sum + value, 0);
-    return { account: name, worst, worstAtMilliseconds, accepted: comparesAccepted ? total(played.admitted) / total(played.exact) : undefined };
+    const total = (values: Float64Array): number =>
+        values.subarray(SETTLED_MILLISECONDS / STEP_MILLISECONDS).reduce((sum, value) => sum + value, 0);
+    return {
+        account: name,
+        worst,
+        worstAtMilliseconds,
+        accepted: comparesAccepted ? total(played.admitted) / total(played.exact) : undefined,
+    };
 }
 
 /** Plays a run and judges each account. */
