Measure rates from the start of a host, and distrust reports after a standstill

With all hosts restarted during a jump, offered rates began at zero and everything was admitted for half a second (1.07 of the bound at 73 hosts).

--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -11,6 +11,7 @@
 
 /** Time constant of offered rates: short, so that a jump is followed; a small account has a few requests in it. */
 const OFFERED_TIME_CONSTANT_MILLISECONDS = 2_000;
+const OFFERED_TIME_CONSTANT_SECONDS = OFFERED_TIME_CONSTANT_MILLISECONDS / 1_000;
 
 /** Time in which a surplus or a debt is spread over requests; longer than most reports take to arrive. */
 const HORIZON_SECONDS = 1;
@@ -27,21 +28,31 @@
     readonly areFewer: boolean;
 }
 
+/** Options of {@linkcode AccountState}. */
+export interface AccountStateOptions {
+    readonly random: RandomSource;
+    readonly sinceMilliseconds: number;
+    readonly nowMilliseconds: number;
+}
+
 /** An account's bucket, rates and admission share at this host. */
 export class AccountState {
     readonly bucket: BucketReplica;
     /** The bucket that this host would have alone with its part of the quota. */
     readonly ownPart: BucketReplica;
-    readonly share: AdmissionShare;
+    readonly #share: AdmissionShare;
     readonly admitted = new MovingRate(ADMITTED_TIME_CONSTANT_MILLISECONDS);
-    readonly offered = new MovingRate(OFFERED_TIME_CONSTANT_MILLISECONDS);
+    readonly #offered = new MovingRate(OFFERED_TIME_CONSTANT_MILLISECONDS);
     /** Tokens a second that other hosts are asked for. */
     othersOffered = 0;
+    readonly #sinceMilliseconds: number;
 
-    constructor(quota: AccountQuota, random: RandomSource, nowMilliseconds: number) {
+    /** @param options.sinceMilliseconds Since when this host counts the account's requests. */
+    constructor(quota: AccountQuota, { nowMilliseconds, random, sinceMilliseconds }: AccountStateOptions) {
+        this.#sinceMilliseconds = sinceMilliseconds;
         this.bucket = new BucketReplica(quota, nowMilliseconds);
         this.ownPart = new BucketReplica(quota, nowMilliseconds);
-        this.share = new AdmissionShare(random);
+        this.#share = new AdmissionShare(random);
     }
 
     /** Applies a changed quota. */
@@ -69,17 +80,34 @@
         }
     }
 
+    /** Tokens a second that callers ask this host for. */
+    ownOffered(nowMilliseconds: number): number {
+        return this.#offered.readSince(this.#sinceMilliseconds, nowMilliseconds);
+    }
+
     /** Tokens a second that callers ask for at all hosts. */
     offeredPerSecond(nowMilliseconds: number): number {
-        return this.offered.read(nowMilliseconds) + this.othersOffered;
+        return this.ownOffered(nowMilliseconds) + this.othersOffered;
+    }
+
+    /** Returns whether a request is admitted; one that is uses its tokens. */
+    admit(tokens: number, nowMilliseconds: number): boolean {
+        // One request shortly after the start must not be taken for a high rate.
+        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / OFFERED_TIME_CONSTANT_SECONDS;
+        this.#offered.add(tokens, nowMilliseconds);
+        const isAdmitted = this.#share.take(this.#admissiblePerSecond(nowMilliseconds) / Math.max(1, offered));
+        if (isAdmitted) {
+            this.take(tokens, nowMilliseconds);
+        }
+        return isAdmitted;
     }
 
-    /** Returns the part of the requests that may be admitted now, over all hosts; 1 or more for all of them. */
-    admissibleShare(nowMilliseconds: number): number {
-        const unreported = this.bucket.othersPerSecond * MEAN_REPORT_AGE_SECONDS;
+    /** Returns the tokens a second that all hosts in contact may admit now. */
+    #admissiblePerSecond(nowMilliseconds: number): number {
+        const { othersPerSecond, tokensPerSecond } = this.bucket;
+        const unreported = Math.min(othersPerSecond, tokensPerSecond) * MEAN_REPORT_AGE_SECONDS;
         const level = this.bucket.level(nowMilliseconds) - unreported;
-        const admissible = this.bucket.tokensPerSecond + level / HORIZON_SECONDS;
-        return admissible / Math.max(1, this.offeredPerSecond(nowMilliseconds));
+        return tokensPerSecond + level / HORIZON_SECONDS;
     }
 
     /** Returns whether nothing of the account's use is left: it is then as one that has used nothing. */
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -17,6 +17,12 @@
 /** Hosts become many fewer where this part of them or less is left. */
 const FEWER_HOSTS_PART = 0.75;
 
+/** A host that performs no round for this long, rounds being up to 540 ms apart, has stood still. */
+const STANDSTILL_MILLISECONDS = 1_300;
+
+/** After a standstill, reports that arrive within this time may have waited for the host. */
+const OLD_REPORTS_MILLISECONDS = 100;
+
 /** Admitted rates of all hosts are computed again after this time. */
 const RATES_LIFETIME_MILLISECONDS = 200;
 
@@ -74,6 +80,9 @@
     /** The part that fell to them when they last became many fewer, or a larger one since. */
     #formerShare = 1;
     #shareChangedAtMilliseconds = Number.NEGATIVE_INFINITY;
+    /** Time of the last call of `ownUse`, once a round. */
+    #roundAtMilliseconds = Number.POSITIVE_INFINITY;
+    #trustsReportsAtMilliseconds = Number.NEGATIVE_INFINITY;
     #known: KnownRates = { rates: new Map(), atMilliseconds: Number.NEGATIVE_INFINITY };
 
     constructor(options: AccountQuotasOptions) {
@@ -103,12 +112,8 @@
         if (state === undefined) {
             return ADMITTED;
         }
-        if (this.#sources.expire(nowMilliseconds)) {
-            this.#updateShare(nowMilliseconds);
-        }
-        state.offered.add(tokens, nowMilliseconds);
-        if (state.share.take(state.admissibleShare(nowMilliseconds))) {
-            state.take(tokens, nowMilliseconds);
+        this.#notice(nowMilliseconds);
+        if (state.admit(tokens, nowMilliseconds)) {
             return ADMITTED;
         }
         const retryAfterMilliseconds = retryDelayMilliseconds({
@@ -128,16 +133,15 @@
 
     /** Returns this host's use for its digest, at most 64 accounts; `undefined` where no account has a quota. */
     ownUse(nowMilliseconds: number): AccountUse[] | undefined {
-        if (this.#sources.expire(nowMilliseconds)) {
-            this.#updateShare(nowMilliseconds);
-        }
+        this.#notice(nowMilliseconds);
+        this.#roundAtMilliseconds = nowMilliseconds;
         if (this.#quotas.size === 0) {
             return undefined;
         }
         const use: AccountUse[] = [];
         for (const [account, state] of this.#states) {
             const admitted = Math.round(state.admitted.read(nowMilliseconds));
-            const offered = Math.round(state.offered.read(nowMilliseconds));
+            const offered = Math.round(state.ownOffered(nowMilliseconds));
             if (admitted > 0 || offered > 0) {
                 use.push({ account, admitted, offered: Math.max(admitted, offered) });
             }
@@ -167,6 +171,10 @@
         nowMilliseconds: number,
         { hosts = 1 }: UseReport = {},
     ): void {
+        this.#notice(nowMilliseconds);
+        if (nowMilliseconds < this.#trustsReportsAtMilliseconds) {
+            return;
+        }
         const isPartial = use.length >= MAXIMUM_ACCOUNTS_PER_MESSAGE;
         this.#sources.record(source, use, { hosts, isPartial, nowMilliseconds });
         this.#updateShare(nowMilliseconds);
@@ -203,6 +211,19 @@
         };
     }
 
+    /** Notices that reports have expired, or that this host has stood still: what it hears first then is old. */
+    #notice(nowMilliseconds: number): void {
+        if (nowMilliseconds - this.#roundAtMilliseconds > STANDSTILL_MILLISECONDS) {
+            this.#roundAtMilliseconds = nowMilliseconds;
+            this.#trustsReportsAtMilliseconds = nowMilliseconds + OLD_REPORTS_MILLISECONDS;
+            this.#sources.clear(nowMilliseconds);
+            this.#updateShare(nowMilliseconds);
+        }
+        else if (this.#sources.expire(nowMilliseconds)) {
+            this.#updateShare(nowMilliseconds);
+        }
+    }
+
     /** Returns the state of an account with a quota, and begins one where it has been idle. */
     #stateOf(account: string, nowMilliseconds: number): AccountState | undefined {
         const state = this.#states.get(account);
@@ -213,7 +234,11 @@
         if (known === undefined) {
             return undefined;
         }
-        const begun = new AccountState(known.quota, this.#options.random, nowMilliseconds);
+        const begun = new AccountState(known.quota, {
+            random: this.#options.random,
+            sinceMilliseconds: known.sinceMilliseconds,
+            nowMilliseconds,
+        });
         begun.setHosts(this.#hosts, nowMilliseconds);
         const unused = this.#unusedTokens(known, nowMilliseconds);
         begun.bucket.take(-unused, nowMilliseconds);
--- a/src/quotas/movingRate.ts
+++ b/src/quotas/movingRate.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+/** A rate is not estimated from less time than this. */
+const MINIMUM_MEASURED_MILLISECONDS = 200;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
@@ -35,6 +38,16 @@
         this.#atMilliseconds = nowMilliseconds;
     }
 
+    /**
+     * Returns the average in tokens a second of what was added since a time.
+     *
+     * The plain average takes the time before as time without tokens, and is too low until several time constants later.
+     */
+    readSince(sinceMilliseconds: number, nowMilliseconds: number): number {
+        const elapsed = Math.max(MINIMUM_MEASURED_MILLISECONDS, nowMilliseconds - sinceMilliseconds);
+        return this.read(nowMilliseconds) / (1 - Math.exp(-elapsed / this.#timeConstantMilliseconds));
+    }
+
     /** Returns the average in tokens a second. */
     read(nowMilliseconds: number): number {
         if (this.#tokensPerSecond === 0) {
--- a/src/quotas/useSources.ts
+++ b/src/quotas/useSources.ts
@@ -130,6 +130,13 @@
         return this.#sources.size < before;
     }
 
+    /** Drops all reports. */
+    clear(nowMilliseconds: number): void {
+        this.#heardAtMilliseconds = Number.NEGATIVE_INFINITY;
+        this.#checksAtMilliseconds = Number.NEGATIVE_INFINITY;
+        this.expire(nowMilliseconds);
+    }
+
     #change(
         account: string,
         before: AccountUse | undefined,
