--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -28,6 +28,14 @@
     readonly areFewer: boolean;
 }
 
+/**
+ * Where this host counts an account's requests only for this time, and others report less than this share of the quota,
+ * all hosts may have been restarted at once, and callers may ask for this many times the quota.
+ */
+const UNREPORTED_MILLISECONDS = 600;
+const UNREPORTED_SHARE = 0.1;
+const ASSUMED_OVERLOAD = 2;
+
 /** Options of {@linkcode AccountState}. */
 export interface AccountStateOptions {
     readonly random: RandomSource;
@@ -87,7 +95,11 @@
 
     /** Tokens a second that callers ask for at all hosts. */
     offeredPerSecond(nowMilliseconds: number): number {
-        return this.ownOffered(nowMilliseconds) + this.othersOffered;
+        const offered = this.ownOffered(nowMilliseconds) + this.othersOffered;
+        const { tokensPerSecond } = this.bucket;
+        const isUnknown = nowMilliseconds - this.#sinceMilliseconds < UNREPORTED_MILLISECONDS
+            && this.othersOffered < tokensPerSecond * UNREPORTED_SHARE;
+        return isUnknown ? Math.max(offered, tokensPerSecond * ASSUMED_OVERLOAD) : offered;
     }
 
     /** Returns whether a request is admitted; one that is uses its tokens. */
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -23,6 +23,12 @@
 /** After a standstill, reports that arrive within this time may have waited for the host. */
 const OLD_REPORTS_MILLISECONDS = 100;
 
+/**
+ * Sums of other cells that arrive within this time of the start may be from before: where all hosts are restarted at
+ * once, they tell of many hosts and no use.
+ */
+const OLD_SUMS_MILLISECONDS = 1_200;
+
 /** Admitted rates of all hosts are computed again after this time. */
 const RATES_LIFETIME_MILLISECONDS = 200;
 
@@ -83,6 +89,7 @@
     /** Time of the last call of `ownUse`, once a round. */
     #roundAtMilliseconds = Number.POSITIVE_INFINITY;
     #trustsReportsAtMilliseconds = Number.NEGATIVE_INFINITY;
+    #trustsSumsAtMilliseconds = Number.NEGATIVE_INFINITY;
     #known: KnownRates = { rates: new Map(), atMilliseconds: Number.NEGATIVE_INFINITY };
 
     constructor(options: AccountQuotasOptions) {
@@ -91,6 +98,9 @@
 
     /** Sets the accounts of the configuration in force. */
     setAccounts(accounts: readonly Account[], nowMilliseconds: number): void {
+        if (this.#quotas.size === 0) {
+            this.#trustsSumsAtMilliseconds = nowMilliseconds + OLD_SUMS_MILLISECONDS;
+        }
         const quotas = new Map(accounts.flatMap(({ name, quota }) => quota === undefined ? [] : [[name, quota]]));
         for (const name of this.#quotas.keys()) {
             if (!quotas.has(name)) {
@@ -172,7 +182,8 @@
         { hosts = 1 }: UseReport = {},
     ): void {
         this.#notice(nowMilliseconds);
-        if (nowMilliseconds < this.#trustsReportsAtMilliseconds) {
+        const trustsAt = hosts > 1 ? this.#trustsSumsAtMilliseconds : this.#trustsReportsAtMilliseconds;
+        if (nowMilliseconds < trustsAt) {
             return;
         }
         const isPartial = use.length >= MAXIMUM_ACCOUNTS_PER_MESSAGE;
--- a/src/quotas/bucketReplica.ts
+++ b/src/quotas/bucketReplica.ts
@@ -11,6 +11,15 @@
 /** A debt is at most this many seconds of the rate: longer than a window, no window holds what caused it. */
 const MAXIMUM_DEBT_SECONDS = 6;
 
+/** Hosts that come into contact are taken to have a debt of at most this many seconds of their part of the rate. */
+const MAXIMUM_JOINED_DEBT_SECONDS = 2;
+
+/**
+ * Part of the slack of 7,400 tokens in 8 s that is given out. Requests of a small account are so few and large that
+ * hosts would otherwise use less than its quota in some minutes.
+ */
+const USED_SLACK_TOKENS_PER_SECOND = 140;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 const ADMITTED_TIME_CONSTANT_SECONDS = ADMITTED_TIME_CONSTANT_MILLISECONDS / MILLISECONDS_PER_SECOND;
@@ -49,9 +58,9 @@
         return this.#quota;
     }
 
-    /** Rate of the quota that falls to the hosts in contact. */
+    /** Rate at which the hosts in contact may admit. */
     get tokensPerSecond(): number {
-        return this.#quota.tokensPerSecond * this.#share;
+        return (this.#quota.tokensPerSecond + USED_SLACK_TOKENS_PER_SECOND) * this.#share;
     }
 
     /** Tokens a second that other hosts admit. */
@@ -59,18 +68,26 @@
         return this.#othersPerSecond;
     }
 
-    /** Applies a changed quota; a debt shrinks with the rate, so that it is repaid in the same time. */
+    /** Applies a changed quota. Use before a lower one counted within the one before, so hardly any debt remains. */
     setQuota(quota: AccountQuota, nowMilliseconds: number): void {
         this.#advance(nowMilliseconds);
         if (this.#levelTokens < 0 && quota.tokensPerSecond < this.#quota.tokensPerSecond) {
-            this.#levelTokens *= quota.tokensPerSecond / this.#quota.tokensPerSecond;
+            this.#levelTokens = Math.max(this.#levelTokens, -quota.tokensPerSecond * this.#share);
         }
         this.#quota = quota;
     }
 
-    /** Sets the part of the quota that falls to the hosts in contact. */
+    /**
+     * Sets the part of the quota that falls to the hosts in contact. Where they become more, those that join are taken to
+     * have a debt in proportion to that of the others.
+     */
     setShare(share: number, nowMilliseconds: number): void {
         this.#advance(nowMilliseconds);
+        if (share > this.#share && this.#levelTokens < 0) {
+            const joinedDebt = this.#levelTokens * share / this.#share;
+            const maximum = -this.#quota.tokensPerSecond * share * MAXIMUM_JOINED_DEBT_SECONDS;
+            this.#levelTokens = Math.min(this.#levelTokens, Math.max(joinedDebt, maximum));
+        }
         this.#share = share;
     }
 
@@ -112,11 +129,11 @@
     }
 
     #advance(nowMilliseconds: number): void {
-        const { burstTokens, tokensPerSecond } = this.#quota;
+        const { burstTokens } = this.#quota;
         const elapsedSeconds = Math.max(0, nowMilliseconds - this.#atMilliseconds) / MILLISECONDS_PER_SECOND;
-        const change = (tokensPerSecond * this.#share - this.#othersPerSecond) * elapsedSeconds;
+        const change = (this.tokensPerSecond - this.#othersPerSecond) * elapsedSeconds;
         const level = Math.min(burstTokens * this.#share, this.#levelTokens + change);
-        this.#levelTokens = Math.max(-tokensPerSecond * this.#share * MAXIMUM_DEBT_SECONDS, level);
+        this.#levelTokens = Math.max(-this.tokensPerSecond * MAXIMUM_DEBT_SECONDS, level);
         this.#atMilliseconds = Math.max(nowMilliseconds, this.#atMilliseconds);
     }
 }
