--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -6,6 +6,7 @@
 import { type PeerTable } from "../gossip/index.js";
 import { type MemoryBudget, type MemoryWatch } from "../memory/index.js";
 import { type EntryMetrics } from "../observability/index.js";
+import { type AccountQuotas } from "../quotas/index.js";
 import { type HostServers } from "./hostServers.js";
 import { type SiteDemand } from "./siteDemand.js";
 import { type HostStore } from "./store/index.js";
@@ -19,6 +20,7 @@
     readonly servers: HostServers;
     readonly peers: PeerTable;
     readonly demand: SiteDemand;
+    readonly quotas: Pick<AccountQuotas, "quotaUse">;
     readonly memory: MemoryBudget;
     readonly memoryWatch: MemoryWatch;
     /** The build of this host. */
@@ -36,7 +38,7 @@
  * ```
  */
 export function refreshGauges(
-    { build, demand, memory, memoryWatch, metrics, peers, readClock, servers, store, upstreams }: GaugeSources,
+    { build, demand, memory, memoryWatch, metrics, peers, quotas, readClock, servers, store, upstreams }: GaugeSources,
 ): void {
     metrics.gauge("configuration_version", store.configuration.version);
     metrics.gauge("store_silence_seconds", store.reachability.secondsSinceAnswer());
@@ -51,5 +53,6 @@
     metrics.gaugeByLabel("reserved_memory_bytes", memory.reservedByUse());
     const builds = peers.countBuilds(readClock());
     metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
+    metrics.gaugeByLabel("quota_use", quotas.quotaUse(readClock()));
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
 }
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -149,6 +149,11 @@
         help: "Memory that is reserved of the host's budget, by what it is reserved for.",
         label: "use",
     },
+    quota_use: {
+        help: "Part of its quota that an account uses over all hosts, 1 for all of it; at most 64 accounts are named, "
+            + "`other` is the largest of the rest.",
+        label: "account",
+    },
     hosts_by_build: {
         help: "Hosts of this host's cell by build, itself included; `earlier` tells no build.",
         label: "build",
--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -9,15 +9,21 @@
 import { ADMITTED_TIME_CONSTANT_MILLISECONDS, BucketReplica } from "./bucketReplica.js";
 import { MovingRate } from "./movingRate.js";
 
-/** Time constant of offered rates: short, so that a jump is followed; a small account has a few requests in it. */
-const OFFERED_TIME_CONSTANT_MILLISECONDS = 2_000;
-const OFFERED_TIME_CONSTANT_SECONDS = OFFERED_TIME_CONSTANT_MILLISECONDS / 1_000;
+/**
+ * Offered rates are averaged over the time in which an account may use this many tokens, within bounds: a short time
+ * follows a jump, and a few requests of a small account say little about its rate.
+ */
+const OFFERED_SAMPLE_TOKENS = 10_000;
+const MINIMUM_OFFERED_TIME_CONSTANT_SECONDS = 1;
+const MAXIMUM_OFFERED_TIME_CONSTANT_SECONDS = 2;
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Time in which a surplus or a debt is spread over requests; longer than most reports take to arrive. */
 const HORIZON_SECONDS = 1;
 
-/** Mean age of what other hosts report: up to 0.5 s in a cell, about 0.7 s from other cells. */
-const MEAN_REPORT_AGE_SECONDS = 0.5;
+/** Time for which the use of other hosts is taken to be unreported; reports are 0.25 s old in a cell, 0.7 s from others. */
+const MEAN_REPORT_AGE_SECONDS = 0.3;
 
 /** The hosts that this one hears, itself included, and the part of a quota that falls to them. */
 export interface HeardHosts {
@@ -50,7 +56,8 @@
     readonly ownPart: BucketReplica;
     readonly #share: AdmissionShare;
     readonly admitted = new MovingRate(ADMITTED_TIME_CONSTANT_MILLISECONDS);
-    readonly #offered = new MovingRate(OFFERED_TIME_CONSTANT_MILLISECONDS);
+    readonly #offeredTimeConstantSeconds: number;
+    readonly #offered: MovingRate;
     /** Tokens a second that other hosts are asked for. */
     othersOffered = 0;
     readonly #sinceMilliseconds: number;
@@ -58,6 +65,11 @@
     /** @param options.sinceMilliseconds Since when this host counts the account's requests. */
     constructor(quota: AccountQuota, { nowMilliseconds, random, sinceMilliseconds }: AccountStateOptions) {
         this.#sinceMilliseconds = sinceMilliseconds;
+        this.#offeredTimeConstantSeconds = Math.min(
+            MAXIMUM_OFFERED_TIME_CONSTANT_SECONDS,
+            Math.max(MINIMUM_OFFERED_TIME_CONSTANT_SECONDS, OFFERED_SAMPLE_TOKENS / quota.tokensPerSecond),
+        );
+        this.#offered = new MovingRate(this.#offeredTimeConstantSeconds * MILLISECONDS_PER_SECOND);
         this.bucket = new BucketReplica(quota, nowMilliseconds);
         this.ownPart = new BucketReplica(quota, nowMilliseconds);
         this.#share = new AdmissionShare(random);
@@ -105,7 +117,7 @@
     /** Returns whether a request is admitted; one that is uses its tokens. */
     admit(tokens: number, nowMilliseconds: number): boolean {
         // One request shortly after the start must not be taken for a high rate.
-        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / OFFERED_TIME_CONSTANT_SECONDS;
+        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / this.#offeredTimeConstantSeconds;
         this.#offered.add(tokens, nowMilliseconds);
         const isAdmitted = this.#share.take(this.#admissiblePerSecond(nowMilliseconds) / Math.max(1, offered));
         if (isAdmitted) {
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -32,6 +32,10 @@
 /** Admitted rates of all hosts are computed again after this time. */
 const RATES_LIFETIME_MILLISECONDS = 200;
 
+/** Accounts that a gauge names, and the name of the rest. */
+const MAXIMUM_NAMED_ACCOUNTS = 64;
+const OTHER_ACCOUNTS = "other";
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 const ADMITTED: QuotaDecision = { type: "admitted" };
@@ -206,6 +210,22 @@
         return this.#known.rates;
     }
 
+    /**
+     * Returns the part of the quotas in use by account, over all hosts. Of many accounts, those with the largest part are
+     * named, and `other` has the largest of the rest.
+     */
+    quotaUse(nowMilliseconds: number): ReadonlyMap<string, number> {
+        const rates = this.admittedRates(nowMilliseconds);
+        const parts = [...rates].map(([account, rate]): [string, number] => [
+            account,
+            rate / (this.#quotas.get(account)?.quota.tokensPerSecond ?? Number.POSITIVE_INFINITY),
+        ]);
+        parts.sort(([, left], [, right]) => right - left);
+        const named = new Map(parts.slice(0, MAXIMUM_NAMED_ACCOUNTS));
+        const [, largestOther] = parts[MAXIMUM_NAMED_ACCOUNTS] ?? [];
+        return largestOther === undefined ? named : named.set(OTHER_ACCOUNTS, largestOther);
+    }
+
     /** Describes an account's quota; `undefined` for an account without one. */
     describe(account: string, nowMilliseconds: number): QuotaState | undefined {
         const known = this.#quotas.get(account);
