--- a/src/quotas/useSources.ts
+++ b/src/quotas/useSources.ts
@@ -10,9 +10,11 @@
 
 /**
  * All reports expire this long after the last one of any source: this host is then cut off. Reports come every 400 to
- * 540 ms, so that a host with one source loses two in a row.
+ * 540 ms, so that a host with few sources loses two in a row of each, and one with many loses one of each.
  */
 const SILENCE_MILLISECONDS = 1_300;
+const SILENCE_OF_MANY_MILLISECONDS = 700;
+const MANY_SOURCES = 4;
 
 /** A change of the rates that the sources together report of an account. */
 export interface ReportedChange {
@@ -104,7 +106,7 @@
         this.#hosts += hosts - (known?.hosts ?? 0);
         this.#sources.set(name, { use: reported, hosts, atMilliseconds: nowMilliseconds });
         this.#heardAtMilliseconds = nowMilliseconds;
-        this.#checksAtMilliseconds = Math.min(this.#checksAtMilliseconds, nowMilliseconds + SILENCE_MILLISECONDS);
+        this.#checksAtMilliseconds = Math.min(this.#checksAtMilliseconds, nowMilliseconds + this.#silenceMilliseconds);
     }
 
     /** Drops the reports that are too old; returns whether there were any. */
@@ -113,8 +115,9 @@
             return false;
         }
         const before = this.#sources.size;
-        const isSilent = nowMilliseconds - this.#heardAtMilliseconds > SILENCE_MILLISECONDS;
-        let nextAt = this.#heardAtMilliseconds + SILENCE_MILLISECONDS;
+        const silentAt = this.#heardAtMilliseconds + this.#silenceMilliseconds;
+        const isSilent = nowMilliseconds > silentAt;
+        let nextAt = silentAt;
         for (const [name, { atMilliseconds, hosts, use }] of this.#sources) {
             const expiresAt = atMilliseconds + SOURCE_LIFETIME_MILLISECONDS;
             if (isSilent || nowMilliseconds > expiresAt) {
@@ -130,6 +133,10 @@
         return this.#sources.size < before;
     }
 
+    get #silenceMilliseconds(): number {
+        return this.#sources.size < MANY_SOURCES ? SILENCE_MILLISECONDS : SILENCE_OF_MANY_MILLISECONDS;
+    }
+
     /** Drops all reports. */
     clear(nowMilliseconds: number): void {
         this.#heardAtMilliseconds = Number.NEGATIVE_INFINITY;
