--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -9,15 +9,9 @@
 import { ADMITTED_TIME_CONSTANT_MILLISECONDS, BucketReplica } from "./bucketReplica.js";
 import { MovingRate } from "./movingRate.js";
 
-/**
- * Offered rates are averaged over the time in which an account may use this many tokens, within bounds: a short time
- * follows a jump, and a few requests of a small account say little about its rate.
- */
-const OFFERED_SAMPLE_TOKENS = 10_000;
-const MINIMUM_OFFERED_TIME_CONSTANT_SECONDS = 1;
-const MAXIMUM_OFFERED_TIME_CONSTANT_SECONDS = 2;
-
-const MILLISECONDS_PER_SECOND = 1_000;
+/** Time constant of offered rates; longer ones follow a jump too late. */
+const OFFERED_TIME_CONSTANT_MILLISECONDS = 1_000;
+const OFFERED_TIME_CONSTANT_SECONDS = OFFERED_TIME_CONSTANT_MILLISECONDS / 1_000;
 
 /** Time in which a surplus or a debt is spread over requests; longer than most reports take to arrive. */
 const HORIZON_SECONDS = 1;
@@ -56,8 +50,7 @@
     readonly ownPart: BucketReplica;
     readonly #share: AdmissionShare;
     readonly admitted = new MovingRate(ADMITTED_TIME_CONSTANT_MILLISECONDS);
-    readonly #offeredTimeConstantSeconds: number;
-    readonly #offered: MovingRate;
+    readonly #offered = new MovingRate(OFFERED_TIME_CONSTANT_MILLISECONDS);
     /** Tokens a second that other hosts are asked for. */
     othersOffered = 0;
     readonly #sinceMilliseconds: number;
@@ -65,11 +58,6 @@
     /** @param options.sinceMilliseconds Since when this host counts the account's requests. */
     constructor(quota: AccountQuota, { nowMilliseconds, random, sinceMilliseconds }: AccountStateOptions) {
         this.#sinceMilliseconds = sinceMilliseconds;
-        this.#offeredTimeConstantSeconds = Math.min(
-            MAXIMUM_OFFERED_TIME_CONSTANT_SECONDS,
-            Math.max(MINIMUM_OFFERED_TIME_CONSTANT_SECONDS, OFFERED_SAMPLE_TOKENS / quota.tokensPerSecond),
-        );
-        this.#offered = new MovingRate(this.#offeredTimeConstantSeconds * MILLISECONDS_PER_SECOND);
         this.bucket = new BucketReplica(quota, nowMilliseconds);
         this.ownPart = new BucketReplica(quota, nowMilliseconds);
         this.#share = new AdmissionShare(random);
@@ -117,7 +105,7 @@
     /** Returns whether a request is admitted; one that is uses its tokens. */
     admit(tokens: number, nowMilliseconds: number): boolean {
         // One request shortly after the start must not be taken for a high rate.
-        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / this.#offeredTimeConstantSeconds;
+        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / OFFERED_TIME_CONSTANT_SECONDS;
         this.#offered.add(tokens, nowMilliseconds);
         const isAdmitted = this.#share.take(this.#admissiblePerSecond(nowMilliseconds) / Math.max(1, offered));
         if (isAdmitted) {
--- a/src/quotas/accountQuotas.test.ts
+++ b/src/quotas/accountQuotas.test.ts
@@ -70,6 +70,7 @@
 
 test("tokens that were given back are not lost to the account", () => {
     const quotas = createQuotas(1);
+    quotas.ownUse(9_000);
     quotas.admit("a", 800, 10_000);
     quotas.giveBack("a", 800, 10_000);
     assert.equal(quotas.describe("a", 10_000)?.levelTokens, 1_000);
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -29,6 +29,13 @@
  */
 const OLD_SUMS_MILLISECONDS = 1_200;
 
+/**
+ * Within a window after its start a host uses only this part of quotas: where all hosts are restarted at once after a
+ * jump, none of them knows of the debt.
+ */
+const STARTING_MILLISECONDS = 8_000;
+const STARTING_PART = 0.9;
+
 /** Admitted rates of all hosts are computed again after this time. */
 const RATES_LIFETIME_MILLISECONDS = 200;
 
@@ -93,7 +100,8 @@
     /** Time of the last call of `ownUse`, once a round. */
     #roundAtMilliseconds = Number.POSITIVE_INFINITY;
     #trustsReportsAtMilliseconds = Number.NEGATIVE_INFINITY;
-    #trustsSumsAtMilliseconds = Number.NEGATIVE_INFINITY;
+    /** When this host first knew of a quota. */
+    #startedAtMilliseconds = Number.NEGATIVE_INFINITY;
     #known: KnownRates = { rates: new Map(), atMilliseconds: Number.NEGATIVE_INFINITY };
 
     constructor(options: AccountQuotasOptions) {
@@ -103,7 +111,7 @@
     /** Sets the accounts of the configuration in force. */
     setAccounts(accounts: readonly Account[], nowMilliseconds: number): void {
         if (this.#quotas.size === 0) {
-            this.#trustsSumsAtMilliseconds = nowMilliseconds + OLD_SUMS_MILLISECONDS;
+            this.#startedAtMilliseconds = nowMilliseconds;
         }
         const quotas = new Map(accounts.flatMap(({ name, quota }) => quota === undefined ? [] : [[name, quota]]));
         for (const name of this.#quotas.keys()) {
@@ -149,6 +157,7 @@
     ownUse(nowMilliseconds: number): AccountUse[] | undefined {
         this.#notice(nowMilliseconds);
         this.#roundAtMilliseconds = nowMilliseconds;
+        this.#updateShare(nowMilliseconds);
         if (this.#quotas.size === 0) {
             return undefined;
         }
@@ -186,7 +195,9 @@
         { hosts = 1 }: UseReport = {},
     ): void {
         this.#notice(nowMilliseconds);
-        const trustsAt = hosts > 1 ? this.#trustsSumsAtMilliseconds : this.#trustsReportsAtMilliseconds;
+        const trustsAt = hosts > 1
+            ? this.#startedAtMilliseconds + OLD_SUMS_MILLISECONDS
+            : this.#trustsReportsAtMilliseconds;
         if (nowMilliseconds < trustsAt) {
             return;
         }
@@ -307,7 +318,8 @@
         const heard = hearsPeers(nowMilliseconds) ? 1 + this.#sources.hosts : 1;
         const known = Math.max(1, hostCount());
         const part = heard / known;
-        const share = part >= MOST_HOSTS_PART ? 1 : part;
+        const isStarting = nowMilliseconds < this.#startedAtMilliseconds + STARTING_MILLISECONDS;
+        const share = (part >= MOST_HOSTS_PART ? 1 : part) * (isStarting ? STARTING_PART : 1);
         if (share !== this.#hosts.share || known !== this.#hosts.known) {
             this.#shareChangedAtMilliseconds = share === this.#hosts.share
                 ? this.#shareChangedAtMilliseconds
--- a/src/quotas/types.ts
+++ b/src/quotas/types.ts
@@ -17,7 +17,7 @@
     readonly account: string;
     /** Tokens a second of requests that were admitted, averaged over 3 s with exponential weights. */
     readonly admitted: number;
-    /** Tokens a second of all requests, admitted or refused, averaged over 1 s, or up to 2 s for small quotas. */
+    /** Tokens a second of all requests, admitted or refused, averaged over 1 s with exponential weights. */
     readonly offered: number;
 }
 
