--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -11,7 +11,9 @@
 
 /** Time constant of offered rates; longer ones follow a jump too late. */
 const OFFERED_TIME_CONSTANT_MILLISECONDS = 1_000;
-const OFFERED_TIME_CONSTANT_SECONDS = OFFERED_TIME_CONSTANT_MILLISECONDS / 1_000;
+
+/** A request counts among what is offered as one in this time, beside those before it. */
+const OWN_REQUEST_SECONDS = 3;
 
 /** Time in which a surplus or a debt is spread over requests; longer than most reports take to arrive. */
 const HORIZON_SECONDS = 1;
@@ -105,7 +107,7 @@
     /** Returns whether a request is admitted; one that is uses its tokens. */
     admit(tokens: number, nowMilliseconds: number): boolean {
         // One request shortly after the start must not be taken for a high rate.
-        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / OFFERED_TIME_CONSTANT_SECONDS;
+        const offered = this.offeredPerSecond(nowMilliseconds) + tokens / OWN_REQUEST_SECONDS;
         this.#offered.add(tokens, nowMilliseconds);
         const isAdmitted = this.#share.take(this.#admissiblePerSecond(nowMilliseconds) / Math.max(1, offered));
         if (isAdmitted) {
