--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -20,28 +20,14 @@
     readonly servers: HostServers;
     readonly peers: PeerTable;
     readonly demand: SiteDemand;
+    readonly quotas: Pick<AccountQuotas, "quotaUse">;
     readonly memory: MemoryBudget;
     readonly memoryWatch: MemoryWatch;
-    readonly quotas: AccountQuotas;
     /** The build of this host. */
     readonly build: string;
     readonly readClock: () => number;
 }
 
-/** Returns the part of its rate that each account uses over all hosts. */
-function quotaUse(
-    { configuration }: HostStore,
-    admittedRates: ReadonlyMap<string, number>,
-): ReadonlyMap<string, number> {
-    const used = new Map<string, number>();
-    for (const { name, quota } of configuration.table?.accounts?.accounts ?? []) {
-        if (quota !== undefined) {
-            used.set(name, (admittedRates.get(name) ?? 0) / quota.tokensPerSecond);
-        }
-    }
-    return used;
-}
-
 /**
  * Sets all gauges to the present state.
  *
@@ -67,6 +53,6 @@
     metrics.gaugeByLabel("reserved_memory_bytes", memory.reservedByUse());
     const builds = peers.countBuilds(readClock());
     metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
+    metrics.gaugeByLabel("quota_use", quotas.quotaUse(readClock()));
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
-    metrics.gaugeByLabel("account_quota_used", quotaUse(store, quotas.admittedRates(readClock())));
 }
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -162,8 +162,9 @@
         help: "Memory that is reserved of the host's budget, by what it is reserved for.",
         label: "use",
     },
-    account_quota_used: {
-        help: "Tokens a second that all hosts admit, as a part of the account's rate.",
+    quota_use: {
+        help: "Part of its quota that an account uses over all hosts, 1 for all of it; at most 64 accounts are named, "
+            + "`other` is the largest of the rest.",
         label: "account",
     },
     hosts_by_build: {
