Repay a quota's debt over two seconds, and let a host that is alone refuse nothing after its start

On a host without others, half of an idle account's requests were refused in the first 0.6 s after a configuration.

Cause: a debt was repaid within a second, while news of other hosts is up to 1.5 s old. A host assumed twice the quota of requests at others, also where there are none.

--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -15,8 +15,11 @@
 /** A request counts among what is offered as one in this time, beside those before it. */
 const OWN_REQUEST_SECONDS = 3;
 
-/** Time in which a surplus or a debt is spread over requests; longer than most reports take to arrive. */
-const HORIZON_SECONDS = 1;
+/** Time in which a surplus is spread over requests; longer than most reports take to arrive. */
+const SURPLUS_HORIZON_SECONDS = 1;
+
+/** Time in which a debt is repaid: hosts that repay it faster than reports arrive refuse everything for seconds. */
+const DEBT_HORIZON_SECONDS = 2;
 
 /** Time for which the use of other hosts is taken to be unreported; reports are 0.25 s old in a cell, 0.7 s from others. */
 const MEAN_REPORT_AGE_SECONDS = 0.3;
@@ -56,6 +59,8 @@
     /** Tokens a second that other hosts are asked for. */
     othersOffered = 0;
     readonly #sinceMilliseconds: number;
+    /** True where this host knows others, whose requests it may not have heard of yet. */
+    #hasPeers = false;
 
     /** @param options.sinceMilliseconds Since when this host counts the account's requests. */
     constructor(quota: AccountQuota, { nowMilliseconds, random, sinceMilliseconds }: AccountStateOptions) {
@@ -83,6 +88,7 @@
      * before they noticed is a debt: each of them is taken to have as much of it as this one.
      */
     setHosts({ areFewer, heard, known, share }: HeardHosts, nowMilliseconds: number): void {
+        this.#hasPeers = known > 1;
         this.bucket.setShare(share, nowMilliseconds);
         this.ownPart.setShare(1 / known, nowMilliseconds);
         if (areFewer) {
@@ -99,7 +105,7 @@
     offeredPerSecond(nowMilliseconds: number): number {
         const offered = this.ownOffered(nowMilliseconds) + this.othersOffered;
         const { tokensPerSecond } = this.bucket;
-        const isUnknown = nowMilliseconds - this.#sinceMilliseconds < UNREPORTED_MILLISECONDS
+        const isUnknown = this.#hasPeers && nowMilliseconds - this.#sinceMilliseconds < UNREPORTED_MILLISECONDS
             && this.othersOffered < tokensPerSecond * UNREPORTED_SHARE;
         return isUnknown ? Math.max(offered, tokensPerSecond * ASSUMED_OVERLOAD) : offered;
     }
@@ -121,7 +127,7 @@
         const { othersPerSecond, tokensPerSecond } = this.bucket;
         const unreported = Math.min(othersPerSecond, tokensPerSecond) * MEAN_REPORT_AGE_SECONDS;
         const level = this.bucket.level(nowMilliseconds) - unreported;
-        return tokensPerSecond + level / HORIZON_SECONDS;
+        return tokensPerSecond + level / (level > 0 ? SURPLUS_HORIZON_SECONDS : DEBT_HORIZON_SECONDS);
     }
 
     /** Returns whether nothing of the account's use is left: it is then as one that has used nothing. */
