Read the body of a request whose key is unknown on a host that may lack a configuration

A host that did not run looked a key up, as it read the head, in the configuration from before; the request was then answered 503 although the key had been added. It is now marked only where the host could say 401 at once, and decided in its turn otherwise, once the host has asked for changes.

--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -224,14 +224,19 @@
         this.#start({ ...parts, account: caller }, withPriorityOf(route, caller?.account), table.version);
     }
 
-    /** Looks for a key before the body is read; what is found holds for as long as the configuration does. */
+    /**
+     * Looks for a key before the body is read; what is found holds for as long as the configuration does. A host that may
+     * lack a configuration, such as one that did not run, reads the body and decides in the request's turn.
+     */
     findProblem(message: IncomingMessage): RequestProblem | undefined {
         const table = this.#context.routeTable();
         if (table?.accounts === undefined) {
             return undefined;
         }
         const caller = this.#identify(message, table, matchRoute(table, readTarget(message)));
-        return caller === "unknown-key" ? caller : undefined;
+        return caller === "unknown-key" && decideUnknownKey(this.#context.configurationEvidence()) === "unknown-key"
+            ? caller
+            : undefined;
     }
 
     /** Returns the account of a request, if it belongs to one; `unknown-key` for one that needs a key and has none. */
