Let held use decay, and add up use for as long as other fields

An account that a full message left out kept its last rate for good. It now decays as if unused. Aggregates no longer drop use after 1.2 s: a lost message then changed the share of all hosts; partitions are noticed by the hosts cut off.

--- a/src/gossip/accountUse.ts
+++ b/src/gossip/accountUse.ts
@@ -6,16 +6,10 @@
 import { type FleetSummary, type HostDigest } from "../generated/gossip.js";
 import { type AccountUse } from "../quotas/index.js";
 
-/** A report of use older than this is not added up: its host may have been cut off and counts as silent. */
-const USE_LIFETIME_MILLISECONDS = 1_200;
-
 type EncodedUse = NonNullable<HostDigest["accountUse"]>;
 
-/** A report of use, and the time for which it was held. */
-export interface HeldUse {
-    readonly message: Pick<FleetSummary, "accountUse" | "accountUseHosts">;
-    readonly heldMilliseconds: number;
-}
+/** The use in a message, and the number of hosts that it is of. */
+type ReportedUse = Pick<FleetSummary, "accountUse" | "accountUseHosts">;
 
 /** Chooses the entries that a message has room for. */
 export type UseSelection = (use: readonly AccountUse[]) => readonly AccountUse[];
@@ -38,24 +32,18 @@
 }
 
 /**
- * Adds up reports of use, as fields of an aggregate; without them where there is no recent report.
+ * Adds up reports of use, as fields of an aggregate; without them where there is no report.
  *
  * @example
  * ```ts
- * sumAccountUse([{ message: { accountUse: { a: [400] }, accountUseHosts: 1 }, heldMilliseconds: 0 }], use => use);
+ * sumAccountUse([{ accountUse: { a: [400] }, accountUseHosts: 1 }], use => use);
  * // { accountUse: { a: [400] }, accountUseHosts: 1 }
  * ```
  */
-export function sumAccountUse(
-    parts: readonly HeldUse[],
-    select: UseSelection,
-): Pick<FleetSummary, "accountUse" | "accountUseHosts"> {
+export function sumAccountUse(parts: readonly ReportedUse[], select: UseSelection): ReportedUse {
     const totals = new Map<string, { account: string; admitted: number; offered: number; }>();
     let hosts = 0;
-    for (const { heldMilliseconds, message: { accountUse, accountUseHosts = 0 } } of parts) {
-        if (accountUse === undefined || heldMilliseconds > USE_LIFETIME_MILLISECONDS) {
-            continue;
-        }
+    for (const { accountUse = {}, accountUseHosts = 0 } of parts) {
         hosts += accountUseHosts;
         for (const { account, admitted, offered } of decodeAccountUse(accountUse)) {
             const total = totals.get(account) ?? { account, admitted: 0, offered: 0 };
--- a/src/gossip/cellAggregates.ts
+++ b/src/gossip/cellAggregates.ts
@@ -46,12 +46,6 @@
 /** The fields of a digest or an aggregate that are added up. */
 type AggregatePart = Omit<FleetSummary, "type" | "scope" | "cell" | "host">;
 
-/** A part, and the time for which it was held. */
-interface HeldPart {
-    readonly message: AggregatePart;
-    readonly heldMilliseconds: number;
-}
-
 interface Received<Message> {
     readonly message: Message;
     readonly atMilliseconds: number;
@@ -77,14 +71,14 @@
 function withPresentAges(
     { atMilliseconds, message }: Received<AggregatePart>,
     nowMilliseconds: number,
-): HeldPart {
+): AggregatePart {
     const heldMilliseconds = Math.round(nowMilliseconds - atMilliseconds);
     const limits = message.limits?.map(report => ({
         ...report,
         sentAgeMilliseconds: report.sentAgeMilliseconds + heldMilliseconds,
         receivedAgeMilliseconds: report.receivedAgeMilliseconds + heldMilliseconds,
     }));
-    return { message: { ...message, limits }, heldMilliseconds };
+    return { ...message, limits };
 }
 
 /** Returns the latest report of each upstream's limit. */
@@ -196,8 +190,7 @@
             .filter(({ message }) => message.host !== ownDigest.host)
             .map(({ atMilliseconds, message }) => ({ atMilliseconds, message: toAggregatePart(message) }));
         const parts = peers.map(part => withPresentAges(part, nowMilliseconds));
-        const own = { message: toAggregatePart(ownDigest), heldMilliseconds: 0 };
-        return this.#aggregate(sender, "cell", [own, ...parts]);
+        return this.#aggregate(sender, "cell", [toAggregatePart(ownDigest), ...parts]);
     }
 
     /** Returns the aggregate of all other cells; `undefined` where none was received recently. */
@@ -220,9 +213,8 @@
     #aggregate(
         sender: AggregateSender,
         scope: FleetSummary["scope"],
-        heldParts: readonly HeldPart[],
+        parts: readonly AggregatePart[],
     ): FleetSummary {
-        const parts = heldParts.map(({ message }) => message);
         this.#rounds[scope] += 1;
         const newest = partWithNewestConfiguration(parts);
         const limits = pageOf(latestLimits(parts), MAXIMUM_LIMITS[scope], this.#rounds[scope]);
@@ -249,7 +241,7 @@
             relinquished: parts.flatMap(({ relinquished }) => relinquished).slice(0, MAXIMUM_LIST_ENTRIES),
             suspects: [],
             hearsUpstreams: parts.some(({ hearsUpstreams }) => hearsUpstreams === true),
-            ...sumAccountUse(heldParts, sender.selectUse ?? (use => use)),
+            ...sumAccountUse(parts, sender.selectUse ?? (use => use)),
             ...partitionedHosts.length === 0 ? {} : { partitionedHosts },
             ...sender.crashes === undefined ? {} : { crashes: sender.crashes },
         };
--- a/src/quotas/useSources.ts
+++ b/src/quotas/useSources.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ADMITTED_TIME_CONSTANT_MILLISECONDS } from "./bucketReplica.js";
 import { type AccountUse } from "./types.js";
 
 /** A source's report counts for this long while others are heard: some lost messages do not end it. */
@@ -33,6 +34,14 @@
     atMilliseconds: number;
 }
 
+/** Returns the use that a report without room for it is taken to leave: what is left of the averages without more use. */
+function holdUse({ atMilliseconds, use }: Source, nowMilliseconds: number): AccountUse[] {
+    const decay = Math.exp((atMilliseconds - nowMilliseconds) / ADMITTED_TIME_CONSTANT_MILLISECONDS);
+    return [...use.values()]
+        .map(({ account, admitted, offered }) => ({ account, admitted: admitted * decay, offered: offered * decay }))
+        .filter(({ offered }) => offered >= 1);
+}
+
 /** Options of {@linkcode UseSources.record}. */
 export interface ReportOptions {
     /** Number of hosts that the report adds up. */
@@ -90,17 +99,20 @@
         this.expire(nowMilliseconds);
         const known = this.#sources.get(name);
         const reported = new Map(use.map(entry => [entry.account, entry]));
+        const held = known !== undefined && isPartial ? holdUse(known, nowMilliseconds) : [];
+        for (const entry of held) {
+            if (!reported.has(entry.account)) {
+                reported.set(entry.account, entry);
+            }
+        }
         // A host that joins or leaves the sum has counted its use elsewhere, so only the rest of a change counts here.
         const growth = known === undefined || known.hosts === 0 ? undefined : hosts / known.hosts;
         for (const [account, before] of known?.use ?? []) {
-            if (!reported.has(account) && isPartial) {
-                reported.set(account, before);
-            }
-            else if (!reported.has(account)) {
+            if (!reported.has(account)) {
                 this.#change(account, before, undefined, growth, nowMilliseconds);
             }
         }
-        for (const entry of use) {
+        for (const entry of reported.values()) {
             this.#change(entry.account, known?.use.get(entry.account), entry, growth, nowMilliseconds);
         }
         this.#hosts += hosts - (known?.hosts ?? 0);
