--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -150,8 +150,8 @@
         label: "use",
     },
     quota_use: {
-        help: "Part of its quota that an account uses over all hosts, 1 for all of it; at most 64 accounts are named, "
-            + "`other` is the largest of the rest.",
+        help:
+            "Part of its quota that an account uses over all hosts, 1 for all of it; at most 64 accounts are named, `other` is the largest of the rest.",
         label: "account",
     },
     hosts_by_build: {
--- a/src/quotas/useSources.ts
+++ b/src/quotas/useSources.ts
@@ -34,12 +34,18 @@
     atMilliseconds: number;
 }
 
-/** Returns the use that a report without room for it is taken to leave: what is left of the averages without more use. */
-function holdUse({ atMilliseconds, use }: Source, nowMilliseconds: number): AccountUse[] {
+/** Adds the accounts that a report had no room for, with what is left of their averages without further use. */
+function holdUse(
+    { atMilliseconds, use }: Source,
+    reported: Map<string, AccountUse>,
+    nowMilliseconds: number,
+): void {
     const decay = Math.exp((atMilliseconds - nowMilliseconds) / ADMITTED_TIME_CONSTANT_MILLISECONDS);
-    return [...use.values()]
-        .map(({ account, admitted, offered }) => ({ account, admitted: admitted * decay, offered: offered * decay }))
-        .filter(({ offered }) => offered >= 1);
+    for (const { account, admitted, offered } of use.values()) {
+        if (!reported.has(account) && offered * decay >= 1) {
+            reported.set(account, { account, admitted: admitted * decay, offered: offered * decay });
+        }
+    }
 }
 
 /** Options of {@linkcode UseSources.record}. */
@@ -99,11 +105,8 @@
         this.expire(nowMilliseconds);
         const known = this.#sources.get(name);
         const reported = new Map(use.map(entry => [entry.account, entry]));
-        const held = known !== undefined && isPartial ? holdUse(known, nowMilliseconds) : [];
-        for (const entry of held) {
-            if (!reported.has(entry.account)) {
-                reported.set(entry.account, entry);
-            }
+        if (known !== undefined && isPartial) {
+            holdUse(known, reported, nowMilliseconds);
         }
         // A host that joins or leaves the sum has counted its use elsewhere, so only the rest of a change counts here.
         const growth = known === undefined || known.hosts === 0 ? undefined : hosts / known.hosts;
