--- a/src/quotas/useSources.ts
+++ b/src/quotas/useSources.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ADMITTED_TIME_CONSTANT_MILLISECONDS } from "./bucketReplica.js";
 import { type AccountUse } from "./types.js";
 
 /** A source's report counts for this long while others are heard: some lost messages do not end it. */
@@ -33,6 +34,20 @@
     atMilliseconds: number;
 }
 
+/** Adds the accounts that a report had no room for, with what is left of their averages without further use. */
+function holdUse(
+    { atMilliseconds, use }: Source,
+    reported: Map<string, AccountUse>,
+    nowMilliseconds: number,
+): void {
+    const decay = Math.exp((atMilliseconds - nowMilliseconds) / ADMITTED_TIME_CONSTANT_MILLISECONDS);
+    for (const { account, admitted, offered } of use.values()) {
+        if (!reported.has(account) && offered * decay >= 1) {
+            reported.set(account, { account, admitted: admitted * decay, offered: offered * decay });
+        }
+    }
+}
+
 /** Options of {@linkcode UseSources.record}. */
 export interface ReportOptions {
     /** Number of hosts that the report adds up. */
@@ -90,17 +105,17 @@
         this.expire(nowMilliseconds);
         const known = this.#sources.get(name);
         const reported = new Map(use.map(entry => [entry.account, entry]));
+        if (known !== undefined && isPartial) {
+            holdUse(known, reported, nowMilliseconds);
+        }
         // A host that joins or leaves the sum has counted its use elsewhere, so only the rest of a change counts here.
         const growth = known === undefined || known.hosts === 0 ? undefined : hosts / known.hosts;
         for (const [account, before] of known?.use ?? []) {
-            if (!reported.has(account) && isPartial) {
-                reported.set(account, before);
-            }
-            else if (!reported.has(account)) {
+            if (!reported.has(account)) {
                 this.#change(account, before, undefined, growth, nowMilliseconds);
             }
         }
-        for (const entry of use) {
+        for (const entry of reported.values()) {
             this.#change(entry.account, known?.use.get(entry.account), entry, growth, nowMilliseconds);
         }
         this.#hosts += hosts - (known?.hosts ?? 0);
