Choose upstreams by expected completion where they report how fast they work

Callers saw: engines of one service differ in speed (0.6 to 1.6) and are slowed by neighbours for spells; the choice by load per slot gave all the same load, so that requests at slow engines were late.

Change: the fourth figure of an upstream's load report is read; EngineSpeeds combines it with the usual speed, taken from the pace of streams and the time of whole answers, into one slowdown. The cost of an upstream, its prefill backlog and the limit of that backlog scale with it. EngineMemoryUse estimates what an engine's requests hold, and an engine that a request may overfill is passed over while another has room.

Ruled out: trusting the figure as it is. It counts relative to the mean of the upstream's own figures, so that a constantly false one has no effect.

Without a figure the choice is the same to the bit; a test compares 5,000 choices with the previous rule.

--- /dev/null
+++ b/src/capacity/index.ts
@@ -0,0 +1,14 @@
+/**
+ * How fast upstreams work now, and how much memory their requests hold.
+ *
+ * None of these opens a socket or reads a clock.
+ *
+ * @example
+ * ```ts
+ * import { EngineSpeeds } from "./index.js";
+ * ```
+ *
+ * @module
+ */
+export { EngineMemoryUse, type EngineRequests, type SentTokens } from "./engineMemoryUse.js";
+export { EngineSpeeds, type ObservedPace, type SpeedDescription } from "./engineSpeeds.js";
--- a/src/entry/_answerHead.test.ts
+++ b/src/entry/_answerHead.test.ts
@@ -7,7 +7,7 @@
 import { describe, test } from "node:test";
 import { HEADERS } from "../../platform/names.js";
 import { type AttemptFailure, decideWithoutRetry, provesNotRun } from "../forwarding/index.js";
-import { checkHead } from "./_answerHead.js";
+import { checkHead, readLoad } from "./_answerHead.js";
 
 const OWN_ID = "request-1";
 
@@ -119,3 +119,13 @@
         }
     });
 });
+
+test("a fourth figure of the load that is no usable number is no figure, and does not cost the other three", () => {
+    const loadOf = (text: string) => readLoad({ status: 200, headers: { [HEADERS.load]: text } }, HEADERS);
+    const load = { running: 3, waiting: 1, slots: 12 };
+    assert.deepEqual(loadOf("3,1,12,250"), { ...load, slowdown: 2.5 });
+    for (const figure of ["", ",", ",x", ",-100", ",0", ",Infinity", ",NaN"]) {
+        assert.deepEqual(loadOf(`3,1,12${figure}`), load, figure);
+    }
+    assert.equal(loadOf("3,x,12,100"), undefined);
+});
--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -16,6 +16,9 @@
 const STATUS_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
 
+/** Figure of an upstream on whose machine work takes as long as usual. */
+const USUAL_WORK_TIME = 100;
+
 /** Statuses that promise a caller that its request did not run and never will. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([
     STATUS_REQUEST_TIMEOUT,
@@ -122,9 +125,15 @@
 /** Reads the load that an upstream reports in an answer; `undefined` where it reports none. */
 export function readLoad(head: AnswerStatusAndHeaders, names: HeaderNames): ReportedLoad | undefined {
     const text = head.headers[names.load];
-    const [running, waiting, slots] = typeof text === "string" ? text.split(",").map(Number) : [];
+    const [running, waiting, slots, workTime = Number.NaN] = typeof text === "string"
+        ? text.split(",").map(Number)
+        : [];
     if (running === undefined || waiting === undefined || slots === undefined) {
         return undefined;
     }
-    return Number.isFinite(running + waiting) ? { running, waiting, slots } : undefined;
+    if (!Number.isFinite(running + waiting)) {
+        return undefined;
+    }
+    const load = { running, waiting, slots };
+    return workTime > 0 && Number.isFinite(workTime) ? { ...load, slowdown: workTime / USUAL_WORK_TIME } : load;
 }
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -77,10 +77,12 @@
     | "health"
     | "liveness"
     | "loads"
+    | "memoryUse"
     | "pauses"
     | "rejectionBounds"
     | "prompts"
     | "residency"
+    | "speeds"
     | "view"
     | "recordAnswered"
     | "recordAnswerHead"
@@ -93,6 +95,8 @@
     const { backlog, contact, crashes, health, liveness, loads, pauses, prompts, rejectionBounds, residency, view } =
         upstreams;
     return {
+        memoryUse: upstreams.memoryUse,
+        speeds: upstreams.speeds,
         backlog,
         contact,
         crashes,
--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -39,6 +39,13 @@
     return Number.isFinite(tokens) && tokens > 0 ? tokens : 0;
 }
 
+/** Returns the tokens of a request's prompt and whole output from its token counts; 0 where they are unusable. */
+export function totalTokensOf(tokenCount: string | undefined): number {
+    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
+    const tokens = prompt + output;
+    return Number.isFinite(tokens) && tokens > 0 ? tokens : 0;
+}
+
 /**
  * Averages the work requested of each model with exponential decay, and expresses it as concurrent requests.
  *
--- a/src/entry/exchange/answerReceiver.ts
+++ b/src/entry/exchange/answerReceiver.ts
@@ -87,7 +87,7 @@
             this.#recordFirstByte();
             attempt.recordFirstToken();
         }
-        attempt.recordEvents(request.route);
+        attempt.recordEvents(request.route, events.count);
         if (!callerKeepsUp) {
             this.#pause(attempt);
         }
@@ -107,6 +107,9 @@
         this.#recordHealth(attempt, head);
         if (isSuccess(head)) {
             attempt.recordAnswered();
+            if (!this.#isStream(head)) {
+                attempt.recordWholeAnswer();
+            }
         }
         this.#finishAnswer(attempt, head);
         leaveCall(this.#parts, attempt);
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -22,6 +22,9 @@
 /** An answer that has gone on for this long shows that its upstream did not crash when it began it. */
 const ANSWERING_MILLISECONDS = 100;
 
+/** Minimum number of events after a stream's first from which the pace of its upstream is taken. */
+const PACE_EVENTS = 3;
+
 /** What one read of a connection brings at most. */
 const READ_BYTES = 64 * 1024;
 
@@ -81,6 +84,10 @@
     #heardAtMilliseconds: number;
     #isPaused = false;
     #firstEventAtMilliseconds: number | undefined;
+    #lastEventAtMilliseconds = 0;
+    #eventCount = 0;
+    /** True once reading paused for the caller, so that the times of events say nothing of the upstream. */
+    #wasPaused = false;
     /** True while the request may still crash the upstream, as far as is known. */
     #isOnTrial = true;
     #released = false;
@@ -103,6 +110,11 @@
         context.recordSent(facts.attributes);
         context.rejectionBounds.recordSent(this.#use(now), now);
         context.loads.recordStarted(upstream.id);
+        context.memoryUse.recordStarted({
+            engine: upstream.id,
+            service: upstream.service,
+            tokens: facts.totalTokens,
+        });
         context.contact.recordSent(upstream.id, now);
         this.#activity = context.liveness.begin(upstream.id, now);
         context.backlog.recordSent(upstream.id, facts.promptTokens, now);
@@ -141,6 +153,7 @@
     pause(): void {
         if (!this.#isPaused) {
             this.#isPaused = true;
+            this.#wasPaused = true;
             this.call?.pause();
             this.holdMemory();
         }
@@ -172,9 +185,15 @@
     }
 
     /** Records events of a stream, and the gaps between them, from which the limit of prefill backlogs is adjusted. */
-    recordEvents({ targetGapMilliseconds }: Route): void {
+    recordEvents({ targetGapMilliseconds }: Route, count: number): void {
         const now = this.#context.readClock();
-        this.#firstEventAtMilliseconds ??= now;
+        if (this.#firstEventAtMilliseconds === undefined) {
+            this.#firstEventAtMilliseconds = now;
+        }
+        else {
+            this.#eventCount += count;
+        }
+        this.#lastEventAtMilliseconds = now;
         if (now - this.#firstEventAtMilliseconds >= ANSWERING_MILLISECONDS) {
             this.recordAnswered();
         }
@@ -185,6 +204,16 @@
         }
     }
 
+    /** Records the time to a whole answer that is not a stream, from which the upstream's usual speed is estimated. */
+    recordWholeAnswer(): void {
+        if (this.#prefillStart !== undefined && !this.#wasPaused) {
+            this.#context.speeds.recordPace(this.upstream.id, {
+                measure: `${this.upstream.service} whole`,
+                millisecondsPerUnit: (this.#context.readClock() - this.sentAtMilliseconds) / this.#facts.work,
+            });
+        }
+    }
+
     /** Records that the answer has gone on for a while, or is complete: its request has not crashed the upstream. */
     recordAnswered(): void {
         if (this.#isOnTrial) {
@@ -254,6 +283,8 @@
         this.buffered.release();
         this.#reservation.release();
         this.#context.loads.recordFinished(this.upstream.id);
+        this.#context.memoryUse.recordFinished({ engine: this.upstream.id, tokens: this.#facts.totalTokens });
+        this.#recordStreamPace();
         this.#context.rejectionBounds.recordEnded(this.upstream.id, this.#context.readClock());
         this.#activity.end();
         if (this.#isOnTrial) {
@@ -278,6 +309,18 @@
         return { id, service, slots, ownRequests: loads.inFlight(id), requests };
     }
 
+    /** Records how long a stream's events took after the first, from which the upstream's usual speed is estimated. */
+    #recordStreamPace(): void {
+        if (this.#firstEventAtMilliseconds === undefined || this.#eventCount < PACE_EVENTS || this.#wasPaused) {
+            return;
+        }
+        const tookMilliseconds = this.#lastEventAtMilliseconds - this.#firstEventAtMilliseconds;
+        this.#context.speeds.recordPace(this.upstream.id, {
+            measure: `${this.upstream.service} stream`,
+            millisecondsPerUnit: tookMilliseconds / this.#eventCount,
+        });
+    }
+
     #recordSent(): void {
         const { adapterUse, metrics, prompts } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -9,6 +9,7 @@
 import { callUpstream, type UpstreamCall } from "../upstreamCall.js";
 import { type AnswerReceiver } from "./answerReceiver.js";
 import { Attempt, expectedAnswerBytes } from "./attempt.js";
+import { describeSpeed } from "./describeSpeed.js";
 import { type Hedging } from "./hedging.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { remainingMilliseconds, type RequestParts } from "./requestParts.js";
@@ -128,6 +129,7 @@
             ...describeLimit(context, upstream.id),
             load,
             unreadTokens: backlogTokens,
+            ...describeSpeed(context.speeds.describe(upstream.id, attempt.sentAtMilliseconds)),
             boundTokens: context.backlog.limitTokens,
             configurationVersion: request.configurationVersion,
             remainingMilliseconds: Math.round(remainingMilliseconds(this.#parts)),
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -9,7 +9,7 @@
 import { sharedParts } from "../../forwarding/index.js";
 import { chooseService, type Route } from "../../routes/index.js";
 import { type CloseDecisionOptions, type RequestTarget } from "../connections/index.js";
-import { promptTokensOf, workOf } from "../demandMeter.js";
+import { promptTokensOf, totalTokensOf, workOf } from "../demandMeter.js";
 import { type HeaderNames } from "../siteProtocol.js";
 
 const FINGERPRINT_DIGITS = 24;
@@ -45,6 +45,8 @@
     /** The last part of the prompt that other requests share. */
     readonly sharedPrompt: string | undefined;
     readonly promptTokens: number;
+    /** Tokens of the prompt and the whole output. */
+    readonly totalTokens: number;
     /** Work for an engine, in output tokens; prompt tokens count in part. */
     readonly work: number;
     /** The last event of the stream that the caller received. */
@@ -108,6 +110,7 @@
         service: chooseService(route, requestId),
         sharedPrompt: parts.at(-1),
         promptTokens: promptTokensOf(tokenCount),
+        totalTokens: totalTokensOf(tokenCount),
         work: workOf(tokenCount),
         lastEventId: readHeader(message, headers.lastEventId),
         resumedRequest: readHeader(message, headers.resumedRequest),
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -341,26 +341,49 @@
         upstreams: readonly UpstreamAnnouncement[],
         { isPreferred, isWaiting }: { readonly isPreferred: boolean; readonly isWaiting: boolean; },
     ): Candidate[] {
-        const { backlog, health, loads, prompts, zone } = this.#context;
+        const { backlog, health, loads, prompts, speeds, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const { maxSockets } = this.#context.agentFor(this.#facts.service ?? "");
         const now = this.#now();
         const acceptsAnyPrompt = !batches || isPreferred;
+        const memoryTokens = this.#engineMemoryTokens();
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
-        return permitted.map(upstream => ({
-            id: upstream.id,
-            slots: Math.max(1, upstream.slots),
-            batches,
-            mayQueue: isPreferred,
-            requests: loads.estimate(upstream.id, now),
-            hasFreeConnection: loads.inFlight(upstream.id) < maxSockets,
-            prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
-            acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
-            sameZone: upstream.zone === zone,
-            avoided: health.isAvoided(upstream.id, now),
-            hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
-        }));
+        return permitted.map(upstream => {
+            const requests = loads.estimate(upstream.id, now);
+            return {
+                id: upstream.id,
+                slots: Math.max(1, upstream.slots),
+                batches,
+                mayQueue: isPreferred,
+                requests,
+                hasFreeConnection: loads.inFlight(upstream.id) < maxSockets,
+                prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
+                acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
+                sameZone: upstream.zone === zone,
+                avoided: health.isAvoided(upstream.id, now),
+                hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
+                slowdown: speeds.slowdown(upstream.id, now),
+                hasMemory: memoryTokens === undefined || this.#hasMemory(upstream, requests, memoryTokens),
+            };
+        });
+    }
+
+    /** Returns the memory of an engine of the request's service, in tokens; `undefined` where it is not known. */
+    #engineMemoryTokens(): number | undefined {
+        const { model, service } = this.#facts;
+        const engine = model === undefined ? undefined : this.#context.routeTable()?.service(service ?? "")?.engine;
+        return engine !== undefined && engine.cacheTokens > 0 ? engine.cacheTokens : undefined;
+    }
+
+    /** Returns whether the request fits in an engine's memory beside its requests; true where it reports no speed. */
+    #hasMemory({ id, service }: UpstreamAnnouncement, requests: number, memoryTokens: number): boolean {
+        const { loads, memoryUse, speeds } = this.#context;
+        if (!speeds.isReporting(id)) {
+            return true;
+        }
+        const held = memoryUse.heldTokens({ engine: id, service, requests, ownRequests: loads.inFlight(id) });
+        return held + this.#facts.totalTokens <= memoryTokens;
     }
 }
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Agent } from "node:http";
+import { type EngineMemoryUse, type EngineSpeeds } from "../capacity/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -59,6 +60,9 @@
     readonly liveness: UpstreamLiveness;
     readonly probes: HealthProbes;
     readonly prompts: PromptPrefixIndex;
+    readonly speeds: EngineSpeeds;
+    /** Estimates of what engines' requests hold in their memory. */
+    readonly memoryUse: EngineMemoryUse;
     readonly backlog: PrefillBacklog;
     /** The memory that callers' requests and answers are held in. */
     readonly memory: MemoryBudget;
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { EngineMemoryUse, EngineSpeeds } from "../capacity/index.js";
 import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
@@ -76,6 +77,8 @@
     readonly pauses = new UpstreamPauses();
     readonly crashes: CrashAttribution;
     readonly prompts = new PromptPrefixIndex();
+    readonly speeds = new EngineSpeeds();
+    readonly memoryUse = new EngineMemoryUse();
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
@@ -93,7 +96,7 @@
 
     constructor(options: UpstreamTrackerOptions) {
         this.#options = options;
-        this.backlog = new PrefillBacklog(options.random);
+        this.backlog = new PrefillBacklog(options.random, (engine, now) => this.speeds.slowdown(engine, now));
         this.crashes = new CrashAttribution(options.host);
         this.rejectionBounds = new RejectionBounds({
             host: options.host,
@@ -151,6 +154,7 @@
         const load = readLoad(head, headers);
         if (load !== undefined) {
             this.loads.recordReport(upstream.id, load, this.#now());
+            this.speeds.recordReport(upstream.id, load.slowdown, this.#now());
         }
         this.unreachableReports.clear(upstream.id);
         this.contact.recordHeard(this.#now());
@@ -269,6 +273,7 @@
     #handleChange(change: UpstreamChange): void {
         if (change.type === "left") {
             this.tolerances.forget(change.upstream.id);
+            this.speeds.forget(change.upstream.id);
             this.rejectionBounds.forget(change.upstream.id);
             this.#forget(change.upstream, change.reason);
         }
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -16,6 +16,8 @@
         sameZone: true,
         avoided: false,
         hasCachedPrompt: false,
+        slowdown: 1,
+        hasMemory: true,
         ...overrides,
     };
 }
@@ -137,3 +139,59 @@
     assert.equal(chooseUpstream([{ ...full, mayQueue: true }], () => 0).type, "send");
     assert.equal(chooseUpstream([{ ...full, mayQueue: true, requests: 80 }], () => 0).type, "all-full");
 });
+
+/** The choice before upstreams reported speeds. */
+function chooseByLoad(candidates: readonly Candidate[], source: () => number): string | undefined {
+    const withRoom = candidates.filter(({ batches, hasFreeConnection, mayQueue, requests, slots }) =>
+        hasFreeConnection && requests < slots * (batches ? mayQueue ? 1.25 : 1 : 1.15)
+    );
+    const healthy = withRoom.filter(({ avoided }) => !avoided);
+    const accepting = (healthy.length > 0 ? healthy : withRoom).filter(({ acceptsPrompt }) => acceptsPrompt);
+    const costs = accepting.map(each =>
+        each.requests / each.slots + each.prefillBacklogTokens / 6_000 + (each.sameZone ? 0 : 0.12)
+        - (each.hasCachedPrompt ? 0.05 : 0) + source() * 0.03
+    );
+    return accepting[costs.indexOf(Math.min(...costs))]?.id;
+}
+
+test("without reported speeds the choice is the one by load, whatever the candidates", () => {
+    const draw = createSeededRandom(11);
+    const pick = <T>(values: readonly T[]) => values[Math.floor(draw() * values.length)] as T;
+    for (let round = 0; round < 5_000; round += 1) {
+        const slots = pick([6, 12, 64]);
+        const batches = draw() < 0.5;
+        const candidates = Array.from({ length: Math.floor(draw() * 12) }, (_, index) =>
+            candidate(`u-${index}`, {
+                slots,
+                batches,
+                requests: Math.floor(draw() * slots * 1.3),
+                prefillBacklogTokens: draw() * 4_000,
+                hasFreeConnection: draw() < 0.9,
+                acceptsPrompt: draw() < 0.8,
+                sameZone: draw() < 0.4,
+                avoided: draw() < 0.2,
+                hasCachedPrompt: draw() < 0.3,
+            }));
+        const choice = chooseUpstream(candidates, createSeededRandom(round));
+        const expected = chooseByLoad(candidates, createSeededRandom(round));
+        assert.equal(choice.type === "send" ? choice.upstream : undefined, expected, `round ${round}`);
+    }
+});
+
+test("slow upstreams get fewer requests, and the zone is left only where it is slower than the other costs", () => {
+    const slow = candidate("slow", { slots: 12, requests: 4, slowdown: 1.6 });
+    const fast = candidate("fast", { slots: 12, requests: 6, slowdown: 0.6 });
+    assert.deepEqual(chooseUpstream([slow, fast], random), { type: "send", upstream: "fast" });
+    const far = candidate("far", { slots: 12, requests: 4, sameZone: false });
+    const near = candidate("near", { slots: 12, requests: 4, slowdown: 1.1 });
+    assert.deepEqual(chooseUpstream([near, far], random), { type: "send", upstream: "near" });
+    assert.deepEqual(chooseUpstream([{ ...near, slowdown: 2.5 }, far], random), { type: "send", upstream: "far" });
+});
+
+test("no request exceeds an engine's memory while another engine has room, even one that is prefilling", () => {
+    const empty = candidate("empty", { batches: true, hasMemory: false });
+    const busy = candidate("busy", { batches: true, requests: 60 });
+    assert.deepEqual(chooseUpstream([empty, busy], random), { type: "send", upstream: "busy" });
+    assert.deepEqual(chooseUpstream([empty, { ...busy, acceptsPrompt: false }], random), { type: "reading" });
+    assert.deepEqual(chooseUpstream([empty], random), { type: "send", upstream: "empty" });
+});
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -23,6 +23,12 @@
 /** Cost reduction for a prompt prefix that the upstream recently prefilled, as a share of its slots. */
 const CACHED_PROMPT_SHARE = 0.05;
 
+/**
+ * Load per slot that an idle upstream of the usual speed counts as where speeds differ. An idle upstream of half the
+ * speed then costs as much as one of the usual speed at this load.
+ */
+const OWN_WORK_SHARE = 0.35;
+
 /** Prefill backlog that costs as much as the use of all slots. */
 const FULL_LOAD_BACKLOG_TOKENS = 6_000;
 
@@ -49,6 +55,10 @@
     readonly avoided: boolean;
     /** True where it recently prefilled the beginning of the prompt. */
     readonly hasCachedPrompt: boolean;
+    /** How long work takes there now, relative to the usual of its service; 1 where nothing is known. */
+    readonly slowdown: number;
+    /** False where the request's tokens and those of the upstream's requests may exceed its memory. */
+    readonly hasMemory: boolean;
 }
 
 /** Outcome of a choice. */
@@ -62,12 +72,18 @@
     | { readonly type: "reading"; }
     | { readonly type: "none"; };
 
+/**
+ * Returns the expected time until the request is complete, in the time that all slots of an upstream of the usual speed
+ * take. With a slowdown of 1 this is the load per slot, to the bit.
+ */
 function costOf(candidate: Candidate, random: RandomSource): number {
-    return candidate.requests / candidate.slots
-        + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS
+    const { slowdown } = candidate;
+    return candidate.requests / candidate.slots * slowdown
+        + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS * slowdown
         + (candidate.sameZone ? 0 : OTHER_ZONE_SHARE)
         - (candidate.hasCachedPrompt ? CACHED_PROMPT_SHARE : 0)
-        + random() * JITTER_SHARE;
+        + random() * JITTER_SHARE
+        + OWN_WORK_SHARE * (slowdown - 1);
 }
 
 function isFull(candidate: Candidate): boolean {
@@ -77,8 +93,8 @@
 }
 
 /**
- * Chooses the upstream with the lowest cost, which is mainly its load per slot; those that fail often are chosen only
- * where no other has room.
+ * Chooses the upstream with the lowest cost, which is mainly its load per slot; those that fail often, and then those
+ * whose memory the request may exceed, are chosen only where no other has room.
  *
  * @param candidates Upstreams that the request may be sent to.
  * @param random Source of the jitter.
@@ -95,8 +111,12 @@
     const withRoom = candidates.filter(candidate => !isFull(candidate));
     const healthy = withRoom.filter(({ avoided }) => !avoided);
     const eligible = healthy.length > 0 ? healthy : withRoom;
+    const needsMemory = eligible.some(({ hasMemory }) => hasMemory);
     let best: { readonly id: string; readonly cost: number; } | undefined;
-    for (const candidate of eligible.filter(({ acceptsPrompt }) => acceptsPrompt)) {
+    for (const candidate of eligible) {
+        if (!candidate.acceptsPrompt || (needsMemory && !candidate.hasMemory)) {
+            continue;
+        }
         const cost = costOf(candidate, random);
         if (best === undefined || cost < best.cost) {
             best = { id: candidate.id, cost };
--- a/src/forwarding/prefillBacklog.ts
+++ b/src/forwarding/prefillBacklog.ts
@@ -25,6 +25,8 @@
 const PEER_REPORT_DELAY_MILLISECONDS = 10;
 
 interface Backlog {
+    /** How long work takes at the engine now, relative to the usual of its service. */
+    slowdown: number;
     /** Tokens sent by any host, decayed by age. */
     backlogTokens: number;
     decayedAtMilliseconds: number;
@@ -65,10 +67,16 @@
 export class PrefillBacklog {
     readonly #random: RandomSource;
     readonly #backlogs = new Map<string, Backlog>();
+    readonly #slowdownOf: (engine: string, nowMilliseconds: number) => number;
     readonly #limit = new PrefillBacklogLimit();
 
-    constructor(random: RandomSource) {
+    /**
+     * @param random Source of the random shares of hosts whose requests wait.
+     * @param slowdownOf Returns how long work takes at an engine, relative to the usual of its service; 1 by default.
+     */
+    constructor(random: RandomSource, slowdownOf: (engine: string, nowMilliseconds: number) => number = () => 1) {
         this.#random = random;
+        this.#slowdownOf = slowdownOf;
     }
 
     /** Records a prompt that this host sends. */
@@ -83,7 +91,7 @@
         this.#add(this.#decayed(engine, nowMilliseconds), promptTokens, nowMilliseconds);
     }
 
-    /** Backlog tokens up to which engines are sent prompts. */
+    /** Backlog tokens up to which engines of the usual speed are sent prompts. */
     get limitTokens(): number {
         return Math.round(this.#limit.tokens);
     }
@@ -106,9 +114,10 @@
      * the room; it sends a prompt larger than the share with probability share / prompt tokens.
      */
     accepts(engine: string, { hostCount, promptTokens, waits }: PromptToSend, nowMilliseconds: number): boolean {
-        const { draw, backlogTokens, windowTokens } = this.#decayed(engine, nowMilliseconds);
-        const room = this.#limit.tokens - backlogTokens;
-        const tokens = Math.min(promptTokens, this.#limit.tokens);
+        const { draw, backlogTokens, slowdown, windowTokens } = this.#decayed(engine, nowMilliseconds);
+        const limitTokens = this.#limit.tokens / slowdown;
+        const room = limitTokens - backlogTokens;
+        const tokens = Math.min(promptTokens, limitTokens);
         if (backlogTokens > NEGLIGIBLE_BACKLOG_TOKENS && tokens > room) {
             return false;
         }
@@ -122,13 +131,14 @@
 
     #add(backlog: Backlog, promptTokens: number, nowMilliseconds: number): void {
         backlog.backlogTokens += promptTokens;
-        if (backlog.backlogTokens > this.#limit.tokens * LIMITING_SHARE) {
+        if (backlog.backlogTokens > this.#limit.tokens / backlog.slowdown * LIMITING_SHARE) {
             backlog.limitingAtMilliseconds = nowMilliseconds;
         }
     }
 
     #decayed(engine: string, nowMilliseconds: number): Backlog {
         const backlog = this.#backlogs.get(engine) ?? {
+            slowdown: 1,
             backlogTokens: 0,
             decayedAtMilliseconds: nowMilliseconds,
             windowAtMilliseconds: Number.NEGATIVE_INFINITY,
@@ -137,7 +147,8 @@
             limitingAtMilliseconds: Number.NEGATIVE_INFINITY,
         };
         const age = nowMilliseconds - backlog.decayedAtMilliseconds;
-        backlog.backlogTokens *= 0.5 ** (age / HALF_LIFE_MILLISECONDS);
+        backlog.slowdown = this.#slowdownOf(engine, nowMilliseconds);
+        backlog.backlogTokens *= 0.5 ** (age / (HALF_LIFE_MILLISECONDS * backlog.slowdown));
         backlog.decayedAtMilliseconds = nowMilliseconds;
         if (nowMilliseconds - backlog.windowAtMilliseconds >= PEER_REPORT_DELAY_MILLISECONDS) {
             backlog.windowAtMilliseconds = nowMilliseconds;
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -80,6 +80,8 @@
         sameZone: true,
         avoided: false,
         hasCachedPrompt: false,
+        slowdown: 1,
+        hasMemory: true,
     };
 }
 
--- a/src/forwarding/upstreamLoads.ts
+++ b/src/forwarding/upstreamLoads.ts
@@ -15,6 +15,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes on its machine now, 1 as usual; absent where it reports none. */
+    readonly slowdown?: number;
 }
 
 interface Load {
