Keep hosts from sending to the same engines on the same old news

Callers saw: the busiest engine had 2.3 times the mean load, requests of the urgent route were late with a p99 of 4.1 s, although engines were free.

Cause, found with the engine model in tests/support/engineModel.ts: with 73 hosts before 78 engines nearly all of an engine's requests are known only from aggregates of other cells, about 0.7 s old. All hosts follow them at once, fill the engines that were free then, and leave those that are free now. The requests that peers of the cell send were not counted without a report of the last 400 ms. The model shows the same figures: p99 3.6 s, busiest 1.9 times the mean.

Change, where upstreams report how fast they work: other cells count with the mean over their last aggregates, peers with what they sent since their digests, and each host prefers other upstreams (a fixed hash of host and upstream). The cost of another zone is above most differences of load and preference, so a zone with room keeps its requests. An upstream that this host has not heard yet reports if others of its service do; otherwise all hosts preferred those.

Ruled out by trials in the model: more random cost (up to 1.2 of an engine's slots: p99 stayed above 3.2 s), scaling the load by the slowdown alone (no gain), a larger share of a request's own work (0.35, 0.7: more late near saturation).

--- a/src/capacity/engineSpeeds.ts
+++ b/src/capacity/engineSpeeds.ts
@@ -44,6 +44,14 @@
     slowdownAtMilliseconds: number;
 }
 
+/** The figure in an upstream's answer. */
+export interface SpeedReport {
+    readonly upstream: string;
+    readonly service: string;
+    /** How long work takes on its machine now, 1 as usual; `undefined` where the answer holds no figure. */
+    readonly slowdown: number | undefined;
+}
+
 interface ServicePace {
     logarithm: number;
     paces: number;
@@ -78,7 +86,7 @@
  * @example
  * ```ts
  * const speeds = new EngineSpeeds();
- * speeds.recordReport("engine-3", 2.5, now);
+ * speeds.recordReport({ upstream: "engine-3", service: "chat", slowdown: 2.5 }, now);
  * speeds.recordPace("engine-3", { measure: "chat stream", millisecondsPerUnit: 61 });
  * speeds.slowdown("engine-3", now); // 2.1
  * ```
@@ -86,18 +94,20 @@
 export class EngineSpeeds {
     readonly #speeds = new Map<string, Speed>();
     readonly #services = new Map<string, ServicePace>();
+    readonly #reportingServices = new Set<string>();
 
-    /** Records the figure in an answer, 1 as usual; without one (`undefined`) the slowdown is 1. */
-    recordReport(upstream: string, reported: number | undefined, nowMilliseconds: number): void {
-        if (reported === undefined || !Number.isFinite(reported) || reported <= 0) {
-            const silent = this.#speeds.get(upstream);
-            if (silent !== undefined) {
-                silent.isReporting = false;
-            }
+    /** Records the figure in an answer, or that it holds none: the slowdown is then 1. */
+    recordReport({ service, slowdown: reported, upstream }: SpeedReport, nowMilliseconds: number): void {
+        const isFigure = reported !== undefined && Number.isFinite(reported) && reported > 0;
+        if (!isFigure && !this.#reportingServices.has(service)) {
             return;
         }
+        this.#reportingServices.add(service);
         const speed = this.#speeds.get(upstream) ?? this.#add(upstream);
-        speed.isReporting = true;
+        speed.isReporting = isFigure;
+        if (!isFigure) {
+            return;
+        }
         const factor = clamp(reported, MINIMUM_FACTOR, MAXIMUM_FACTOR);
         speed.reports += 1;
         const weight = Math.max(REPORT_WEIGHT, 1 / (PRIOR_REPORTS + speed.reports));
@@ -128,9 +138,12 @@
         speed.slowdownAtMilliseconds = Number.NaN;
     }
 
-    /** Returns whether the upstream's last answer held a figure. */
-    isReporting(upstream: string): boolean {
-        return this.#speeds.get(upstream)?.isReporting === true;
+    /**
+     * Returns whether the upstream's last answer held a figure. One that this host has not heard yet is taken for one
+     * that reports, if others of its service do: otherwise all hosts would prefer those that they have not heard.
+     */
+    isReporting(upstream: string, service: string): boolean {
+        return this.#speeds.get(upstream)?.isReporting ?? this.#reportingServices.has(service);
     }
 
     /** Returns how long work takes at the upstream now, relative to its service's usual; 1 where it reports no figure. */
--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -11,4 +11,5 @@
  * @module
  */
 export { EngineMemoryUse, type EngineRequests, type SentTokens } from "./engineMemoryUse.js";
-export { EngineSpeeds, type ObservedPace, type SpeedDescription } from "./engineSpeeds.js";
+export { EngineSpeeds, type ObservedPace, type SpeedDescription, type SpeedReport } from "./engineSpeeds.js";
+export { HostPreferences } from "./hostPreferences.js";
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -80,6 +80,7 @@
     | "memoryUse"
     | "pauses"
     | "rejectionBounds"
+    | "preferences"
     | "prompts"
     | "residency"
     | "speeds"
@@ -96,6 +97,7 @@
         upstreams;
     return {
         memoryUse: upstreams.memoryUse,
+        preferences: upstreams.preferences,
         speeds: upstreams.speeds,
         backlog,
         contact,
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -341,7 +341,7 @@
         upstreams: readonly UpstreamAnnouncement[],
         { isPreferred, isWaiting }: { readonly isPreferred: boolean; readonly isWaiting: boolean; },
     ): Candidate[] {
-        const { backlog, health, loads, prompts, speeds, zone } = this.#context;
+        const { backlog, health, loads, preferences, prompts, speeds, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
@@ -351,7 +351,10 @@
         const memoryTokens = this.#engineMemoryTokens();
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => {
-            const requests = loads.estimate(upstream.id, now);
+            const isReporting = speeds.isReporting(upstream.id, upstream.service);
+            const requests = isReporting
+                ? loads.steadyEstimate(upstream.id, now)
+                : loads.estimate(upstream.id, now);
             return {
                 id: upstream.id,
                 slots: Math.max(1, upstream.slots),
@@ -365,7 +368,9 @@
                 avoided: health.isAvoided(upstream.id, now),
                 hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
                 slowdown: speeds.slowdown(upstream.id, now),
-                hasMemory: memoryTokens === undefined || this.#hasMemory(upstream, requests, memoryTokens),
+                preference: isReporting ? preferences.of(upstream.id) : undefined,
+                hasMemory: memoryTokens === undefined || !isReporting
+                    || this.#hasMemory(upstream, requests, memoryTokens),
             };
         });
     }
@@ -377,12 +382,9 @@
         return engine !== undefined && engine.cacheTokens > 0 ? engine.cacheTokens : undefined;
     }
 
-    /** Returns whether the request fits in an engine's memory beside its requests; true where it reports no speed. */
+    /** Returns whether the request fits in an engine's memory beside its requests. */
     #hasMemory({ id, service }: UpstreamAnnouncement, requests: number, memoryTokens: number): boolean {
-        const { loads, memoryUse, speeds } = this.#context;
-        if (!speeds.isReporting(id)) {
-            return true;
-        }
+        const { loads, memoryUse } = this.#context;
         const held = memoryUse.heldTokens({ engine: id, service, requests, ownRequests: loads.inFlight(id) });
         return held + this.#facts.totalTokens <= memoryTokens;
     }
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -69,7 +69,7 @@
             engines.receiveMoveRequest(message);
             break;
         case "sent":
-            upstreams.loads.recordStartedByPeer(message.engine);
+            upstreams.loads.recordStartedByPeer(message.engine, message.host);
             upstreams.backlog.recordSentByPeer(message.engine, message.promptTokens, nowMilliseconds);
             break;
         case "use":
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -58,6 +58,7 @@
         partitionWatch.recordStatement(digest.host, digest.hearsUpstreams);
         engines.adapters.replaceUses(digest.host, digest.adaptersInUse);
         rateLimiting.limiter.recordVotes(digest.host, digest.limits ?? [], now);
+        this.#options.upstreams.loads.recordPeerRequests(digest.host, digest.inFlight, now);
         this.#apply(digest.host, digest);
         engines.agreement.receiveStatement(digest);
     }
@@ -70,6 +71,7 @@
         aggregate.partitionedHosts?.forEach(host => peers.recordPartitioned(host));
         partitionWatch.recordStatement(OTHER_CELLS_SOURCE, aggregate.hearsUpstreams);
         rateLimiting.limiter.recordOtherCells(aggregate, now);
+        this.#options.upstreams.loads.recordOtherCells(aggregate.inFlight, now);
         this.#apply(OTHER_CELLS_SOURCE, aggregate);
     }
 
@@ -77,7 +79,6 @@
         const { demand, duties, engines, store, upstreams } = this.#options;
         const now = this.#options.readClock();
         store.recordLaterRevision(reported.storeRevision);
-        upstreams.loads.recordPeerRequests(source, reported.inFlight, now);
         demand.recordPeerDemand(source, reported, now);
         reported.unreachable.forEach(upstream => upstreams.unreachableReports.record(upstream, source, now));
         reported.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { EngineMemoryUse, EngineSpeeds } from "../capacity/index.js";
+import { EngineMemoryUse, EngineSpeeds, HostPreferences } from "../capacity/index.js";
 import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
@@ -79,6 +79,7 @@
     readonly prompts = new PromptPrefixIndex();
     readonly speeds = new EngineSpeeds();
     readonly memoryUse = new EngineMemoryUse();
+    readonly preferences: HostPreferences;
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
@@ -96,6 +97,7 @@
 
     constructor(options: UpstreamTrackerOptions) {
         this.#options = options;
+        this.preferences = new HostPreferences(options.host);
         this.backlog = new PrefillBacklog(options.random, (engine, now) => this.speeds.slowdown(engine, now));
         this.crashes = new CrashAttribution(options.host);
         this.rejectionBounds = new RejectionBounds({
@@ -154,7 +156,8 @@
         const load = readLoad(head, headers);
         if (load !== undefined) {
             this.loads.recordReport(upstream.id, load, this.#now());
-            this.speeds.recordReport(upstream.id, load.slowdown, this.#now());
+            const { id, service } = upstream;
+            this.speeds.recordReport({ upstream: id, service, slowdown: load.slowdown }, this.#now());
         }
         this.unreachableReports.clear(upstream.id);
         this.contact.recordHeard(this.#now());
@@ -274,6 +277,7 @@
         if (change.type === "left") {
             this.tolerances.forget(change.upstream.id);
             this.speeds.forget(change.upstream.id);
+            this.preferences.forget(change.upstream.id);
             this.rejectionBounds.forget(change.upstream.id);
             this.#forget(change.upstream, change.reason);
         }
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -20,6 +20,15 @@
 /** Cost of an upstream in another zone, as a share of its slots. */
 const OTHER_ZONE_SHARE = 0.12;
 
+/**
+ * The same where upstreams report how fast they work. It exceeds most differences of load and preference, since bytes
+ * between zones are dear.
+ */
+const REPORTING_OTHER_ZONE_SHARE = 0.5;
+
+/** Maximum cost of an upstream that other hosts prefer, as a share of its slots. */
+const PREFERENCE_SHARE = 0.6;
+
 /** Cost reduction for a prompt prefix that the upstream recently prefilled, as a share of its slots. */
 const CACHED_PROMPT_SHARE = 0.05;
 
@@ -27,7 +36,7 @@
  * Load per slot that an idle upstream of the usual speed counts as where speeds differ. An idle upstream of half the
  * speed then costs as much as one of the usual speed at this load.
  */
-const OWN_WORK_SHARE = 0.35;
+const OWN_WORK_SHARE = 0.1;
 
 /** Prefill backlog that costs as much as the use of all slots. */
 const FULL_LOAD_BACKLOG_TOKENS = 6_000;
@@ -57,6 +66,8 @@
     readonly hasCachedPrompt: boolean;
     /** How long work takes there now, relative to the usual of its service; 1 where nothing is known. */
     readonly slowdown: number;
+    /** How little this host prefers it to others, from 0 to 1; `undefined` where it does not report how fast it works. */
+    readonly preference: number | undefined;
     /** False where the request's tokens and those of the upstream's requests may exceed its memory. */
     readonly hasMemory: boolean;
 }
@@ -77,13 +88,15 @@
  * take. With a slowdown of 1 this is the load per slot, to the bit.
  */
 function costOf(candidate: Candidate, random: RandomSource): number {
-    const { slowdown } = candidate;
+    const { preference, slowdown } = candidate;
+    const otherZoneShare = preference === undefined ? OTHER_ZONE_SHARE : REPORTING_OTHER_ZONE_SHARE;
     return candidate.requests / candidate.slots * slowdown
         + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS * slowdown
-        + (candidate.sameZone ? 0 : OTHER_ZONE_SHARE)
+        + (candidate.sameZone ? 0 : otherZoneShare)
         - (candidate.hasCachedPrompt ? CACHED_PROMPT_SHARE : 0)
         + random() * JITTER_SHARE
-        + OWN_WORK_SHARE * (slowdown - 1);
+        + OWN_WORK_SHARE * (slowdown - 1)
+        + (preference ?? 0) * PREFERENCE_SHARE;
 }
 
 function isFull(candidate: Candidate): boolean {
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -81,6 +81,7 @@
         avoided: false,
         hasCachedPrompt: false,
         slowdown: 1,
+        preference: undefined,
         hasMemory: true,
     };
 }
