Estimate the memory of engines' requests with their lengths, and weigh it in the choice

Callers saw: requests preempted at engines for want of memory.

Cause: the estimate took the mean request sent for what other hosts' requests hold. Requests with long outputs stay for longer, so engines hold more.

--- a/src/capacity/unevenEngines.test.ts
+++ b/src/capacity/unevenEngines.test.ts
@@ -40,6 +40,17 @@
     targetMilliseconds: 150,
 };
 
+/** Prompts of which twelve exceed an engine's memory; nearly all memory is in use. */
+const LONG_PROMPTS = {
+    ...SMALL_FLEET,
+    requestsPerSecond: 40,
+    sizes: [
+        { name: "short", promptTokens: 383, outputTokens: 120, share: 0.3 },
+        { name: "long", promptTokens: 1_500, outputTokens: 280, share: 0.3 },
+        { name: "longest", promptTokens: 4_500, outputTokens: 280, share: 0.4 },
+    ],
+};
+
 type Load = Omit<EngineModelOptions, "seed" | "usesFigures">;
 
 function meanOf(results: readonly EngineModelResult[], figure: (result: EngineModelResult) => number): number {
@@ -91,6 +102,13 @@
     assert.ok(figures.crossZone < without.crossZone / 2, seen);
 });
 
+test("prompts that fill engines' memory are preempted less often, and short ones beside them are on time", () => {
+    const { figures, seen, without } = compare(LONG_PROMPTS, 4);
+    assert.ok(figures.preemptions < without.preemptions, seen);
+    assert.ok((figures.attainment["short"] ?? 0) > (without.attainment["short"] ?? 1) + 0.02, seen);
+    assert.ok((figures.attainment["longest"] ?? 0) > (without.attainment["longest"] ?? 1), seen);
+});
+
 test("engines that report false figures, or whose reports stop, cost no more than a few late requests", () => {
     const honest = compare(SMALL_FLEET, 3);
     const reports: Record<string, EngineModelOptions["report"]> = {
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -114,6 +114,7 @@
             engine: upstream.id,
             service: upstream.service,
             tokens: facts.totalTokens,
+            outputTokens: Math.max(0, facts.totalTokens - facts.promptTokens),
         });
         context.contact.recordSent(upstream.id, now);
         this.#activity = context.liveness.begin(upstream.id, now);
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -369,8 +369,9 @@
                 hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
                 slowdown: speeds.slowdown(upstream.id, now),
                 preference: isReporting ? preferences.of(upstream.id) : undefined,
-                hasMemory: memoryTokens === undefined || !isReporting
-                    || this.#hasMemory(upstream, requests, memoryTokens),
+                memoryShare: memoryTokens === undefined || !isReporting
+                    ? 0
+                    : this.#heldTokens(upstream, requests) / memoryTokens,
             };
         });
     }
@@ -382,10 +383,10 @@
         return engine !== undefined && engine.cacheTokens > 0 ? engine.cacheTokens : undefined;
     }
 
-    /** Returns whether the request fits in an engine's memory beside its requests. */
-    #hasMemory({ id, service }: UpstreamAnnouncement, requests: number, memoryTokens: number): boolean {
+    /** Returns the estimated tokens that an engine's requests hold together with this one. */
+    #heldTokens({ id, service }: UpstreamAnnouncement, requests: number): number {
         const { loads, memoryUse } = this.#context;
         const held = memoryUse.heldTokens({ engine: id, service, requests, ownRequests: loads.inFlight(id) });
-        return held + this.#facts.totalTokens <= memoryTokens;
+        return held + this.#facts.totalTokens;
     }
 }
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -18,7 +18,7 @@
         hasCachedPrompt: false,
         slowdown: 1,
         preference: undefined,
-        hasMemory: true,
+        memoryShare: 0,
         ...overrides,
     };
 }
@@ -190,7 +190,7 @@
 });
 
 test("no request exceeds an engine's memory while another engine has room, even one that is prefilling", () => {
-    const empty = candidate("empty", { batches: true, hasMemory: false });
+    const empty = candidate("empty", { batches: true, memoryShare: 1.01 });
     const busy = candidate("busy", { batches: true, requests: 60 });
     assert.deepEqual(chooseUpstream([empty, busy], random), { type: "send", upstream: "busy" });
     assert.deepEqual(chooseUpstream([empty, { ...busy, acceptsPrompt: false }], random), { type: "reading" });
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -68,8 +68,8 @@
     readonly slowdown: number;
     /** How little this host prefers it to others, from 0 to 1; `undefined` where it does not report how fast it works. */
     readonly preference: number | undefined;
-    /** False where the request's tokens and those of the upstream's requests may exceed its memory. */
-    readonly hasMemory: boolean;
+    /** Estimated tokens of its requests and of this one, as a share of its memory; 0 where they are not known. */
+    readonly memoryShare: number;
 }
 
 /** Outcome of a choice. */
@@ -88,9 +88,9 @@
  * take. With a slowdown of 1 this is the load per slot, to the bit.
  */
 function costOf(candidate: Candidate, random: RandomSource): number {
-    const { preference, slowdown } = candidate;
+    const { memoryShare, preference, slowdown } = candidate;
     const otherZoneShare = preference === undefined ? OTHER_ZONE_SHARE : REPORTING_OTHER_ZONE_SHARE;
-    return candidate.requests / candidate.slots * slowdown
+    return Math.max(candidate.requests / candidate.slots, memoryShare) * slowdown
         + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS * slowdown
         + (candidate.sameZone ? 0 : otherZoneShare)
         - (candidate.hasCachedPrompt ? CACHED_PROMPT_SHARE : 0)
@@ -99,6 +99,10 @@
         + (preference ?? 0) * PREFERENCE_SHARE;
 }
 
+function hasMemory({ memoryShare }: Candidate): boolean {
+    return memoryShare <= 1;
+}
+
 function isFull(candidate: Candidate): boolean {
     const { batches, hasFreeConnection, mayQueue, requests, slots } = candidate;
     const engineShare = mayQueue ? MAXIMUM_RESUMED_LOAD_SHARE : MAXIMUM_ENGINE_LOAD_SHARE;
@@ -124,10 +128,10 @@
     const withRoom = candidates.filter(candidate => !isFull(candidate));
     const healthy = withRoom.filter(({ avoided }) => !avoided);
     const eligible = healthy.length > 0 ? healthy : withRoom;
-    const needsMemory = eligible.some(({ hasMemory }) => hasMemory);
+    const needsMemory = eligible.some(hasMemory);
     let best: { readonly id: string; readonly cost: number; } | undefined;
     for (const candidate of eligible) {
-        if (!candidate.acceptsPrompt || (needsMemory && !candidate.hasMemory)) {
+        if (!candidate.acceptsPrompt || (needsMemory && !hasMemory(candidate))) {
             continue;
         }
         const cost = costOf(candidate, random);
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -82,7 +82,7 @@
         hasCachedPrompt: false,
         slowdown: 1,
         preference: undefined,
-        hasMemory: true,
+        memoryShare: 0,
     };
 }
 
--- a/tests/support/engineModel.ts
+++ b/tests/support/engineModel.ts
@@ -233,7 +233,7 @@
                 hasCachedPrompt: false,
                 slowdown: this.speeds.slowdown(id, now),
                 preference: this.speeds.isReporting(id, SERVICE) ? this.preferences.of(id) : undefined,
-                hasMemory: !usesFigures || held + size.promptTokens + size.outputTokens <= memoryTokens,
+                memoryShare: usesFigures ? (held + size.promptTokens + size.outputTokens) / memoryTokens : 0,
             };
         });
         const choice = chooseUpstream(candidates, this.#random);
@@ -288,7 +288,7 @@
         const tokens = size.promptTokens + size.outputTokens;
         host.loads.recordStarted(engine.id);
         host.backlog.recordSent(engine.id, size.promptTokens, now);
-        host.memoryUse.recordStarted({ engine: engine.id, service: SERVICE, tokens });
+        host.memoryUse.recordStarted({ engine: engine.id, service: SERVICE, tokens, outputTokens: size.outputTokens });
         engine.waiting.push(request);
         engine.received += 1;
         crossZone += engine.zone === host.zone ? 0 : 1;
@@ -349,6 +349,9 @@
             const host = hosts[Math.floor(arrivals() * hosts.length)] as Host;
             let draw = arrivals();
             const size = options.sizes.find(({ share }) => (draw -= share) < 0) ?? options.sizes[0];
+            if (size === undefined) {
+                throw new Error("no sizes");
+            }
             const request = {
                 host,
                 size,
