Steer long prompts to engines that already read long ones

Callers saw: requests that took more than half of their target to the first event, since short prompts waited at engines behind long ones.

Change, where upstreams report how fast they work: PromptSizes tells long prompts (more than twice the mean of their service); a prefill backlog of long prompts costs other prompts, and draws further long ones.

--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -13,3 +13,4 @@
 export { EngineMemoryUse, type EngineRequests, type SentTokens } from "./engineMemoryUse.js";
 export { EngineSpeeds, type ObservedPace, type SpeedDescription, type SpeedReport } from "./engineSpeeds.js";
 export { HostPreferences } from "./hostPreferences.js";
+export { PromptSizes } from "./promptSizes.js";
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -81,6 +81,7 @@
     | "pauses"
     | "rejectionBounds"
     | "preferences"
+    | "promptSizes"
     | "prompts"
     | "residency"
     | "speeds"
@@ -98,6 +99,7 @@
     return {
         memoryUse: upstreams.memoryUse,
         preferences: upstreams.preferences,
+        promptSizes: upstreams.promptSizes,
         speeds: upstreams.speeds,
         backlog,
         contact,
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -118,7 +118,9 @@
         });
         context.contact.recordSent(upstream.id, now);
         this.#activity = context.liveness.begin(upstream.id, now);
-        context.backlog.recordSent(upstream.id, facts.promptTokens, now);
+        const isLong = context.promptSizes.isLong(upstream.service, facts.promptTokens);
+        context.promptSizes.record(upstream.service, facts.promptTokens);
+        context.backlog.recordSent(upstream.id, facts.promptTokens, now, isLong);
         this.backlogTokens = Math.round(context.backlog.backlogTokens(upstream.id, now));
         this.load = context.loads.estimate(upstream.id, now);
         const isBusy = this.load / Math.max(1, upstream.slots) >= BUSY_LOAD_SHARE;
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -341,13 +341,14 @@
         upstreams: readonly UpstreamAnnouncement[],
         { isPreferred, isWaiting }: { readonly isPreferred: boolean; readonly isWaiting: boolean; },
     ): Candidate[] {
-        const { backlog, health, loads, preferences, prompts, speeds, zone } = this.#context;
+        const { backlog, health, loads, preferences, promptSizes, prompts, speeds, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
         const { maxSockets } = this.#context.agentFor(this.#facts.service ?? "");
         const now = this.#now();
         const acceptsAnyPrompt = !batches || isPreferred;
+        const hasLongPrompt = promptSizes.isLong(this.#facts.service ?? "", promptTokens);
         const memoryTokens = this.#engineMemoryTokens();
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => {
@@ -369,6 +370,8 @@
                 hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
                 slowdown: speeds.slowdown(upstream.id, now),
                 preference: isReporting ? preferences.of(upstream.id) : undefined,
+                longPromptTokens: isReporting ? backlog.longTokens(upstream.id, now) : 0,
+                hasLongPrompt,
                 memoryShare: memoryTokens === undefined || !isReporting
                     ? 0
                     : this.#heldTokens(upstream, requests) / memoryTokens,
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Agent } from "node:http";
-import { type EngineMemoryUse, type EngineSpeeds, type HostPreferences } from "../capacity/index.js";
+import { type EngineMemoryUse, type EngineSpeeds, type HostPreferences, type PromptSizes } from "../capacity/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -65,6 +65,7 @@
     readonly memoryUse: EngineMemoryUse;
     /** Upstreams that this host prefers among those that report how fast they work. */
     readonly preferences: HostPreferences;
+    readonly promptSizes: PromptSizes;
     readonly backlog: PrefillBacklog;
     /** The memory that callers' requests and answers are held in. */
     readonly memory: MemoryBudget;
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -22,7 +22,7 @@
     readonly reportedState: ReportedState;
     readonly store: Pick<HostStore, "applyBatch">;
     readonly streamVersions: Pick<StreamVersions, "receive">;
-    readonly upstreams: Pick<UpstreamTracker, "backlog" | "loads">;
+    readonly upstreams: Pick<UpstreamTracker, "recordPromptSentByPeer" | "loads">;
 }
 
 /**
@@ -70,7 +70,7 @@
             break;
         case "sent":
             upstreams.loads.recordStartedByPeer(message.engine, message.host);
-            upstreams.backlog.recordSentByPeer(message.engine, message.promptTokens, nowMilliseconds);
+            upstreams.recordPromptSentByPeer(message.engine, message.promptTokens, nowMilliseconds);
             break;
         case "use":
             engines.adapters.recordUse(message);
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { EngineMemoryUse, EngineSpeeds, HostPreferences } from "../capacity/index.js";
+import { EngineMemoryUse, EngineSpeeds, HostPreferences, PromptSizes } from "../capacity/index.js";
 import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
@@ -80,6 +80,7 @@
     readonly speeds = new EngineSpeeds();
     readonly memoryUse = new EngineMemoryUse();
     readonly preferences: HostPreferences;
+    readonly promptSizes = new PromptSizes();
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
@@ -209,6 +210,12 @@
         this.#crashRecorder.expire();
     }
 
+    /** Records a peer's report that it has sent a prompt. */
+    recordPromptSentByPeer(engine: string, promptTokens: number, nowMilliseconds: number): void {
+        const isLong = this.promptSizes.isLong(this.view.get(engine)?.service ?? "", promptTokens);
+        this.backlog.recordSentByPeer(engine, promptTokens, nowMilliseconds, isLong);
+    }
+
     /** Records a request that was lost with its connection before its answer had begun. */
     recordLost(attributes: RequestAttributes, upstream: UpstreamAnnouncement): void {
         this.#crashRecorder.recordLost(attributes, upstream);
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -18,6 +18,8 @@
         hasCachedPrompt: false,
         slowdown: 1,
         preference: undefined,
+        longPromptTokens: 0,
+        hasLongPrompt: false,
         memoryShare: 0,
         ...overrides,
     };
@@ -189,6 +191,15 @@
     assert.deepEqual(chooseUpstream([{ ...near, slowdown: 2.5 }, far], random), { type: "send", upstream: "far" });
 });
 
+test("long prompts go where long ones are being prefilled, and short ones do not wait behind them", () => {
+    const reading = candidate("reading", { slots: 12, batches: true, requests: 3, longPromptTokens: 1_800 });
+    const other = candidate("other", { slots: 12, batches: true, requests: 3 });
+    const choose = (hasLongPrompt: boolean) =>
+        chooseUpstream([reading, other].map(each => ({ ...each, hasLongPrompt })), random);
+    assert.deepEqual(choose(true), { type: "send", upstream: "reading" });
+    assert.deepEqual(choose(false), { type: "send", upstream: "other" });
+});
+
 test("no request exceeds an engine's memory while another engine has room, even one that is prefilling", () => {
     const empty = candidate("empty", { batches: true, memoryShare: 1.01 });
     const busy = candidate("busy", { batches: true, requests: 60 });
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -29,6 +29,12 @@
 /** Maximum cost of an upstream that other hosts prefer, as a share of its slots. */
 const PREFERENCE_SHARE = 0.6;
 
+/** Prefill of long prompts in progress beside which an upstream is fully avoided by other prompts. */
+const LONG_PROMPT_TOKENS = 1_500;
+
+/** Cost of long prompts in progress for other prompts, and cost reduction for a further long one. */
+const LONG_PROMPT_SHARE = 0.2;
+
 /** Cost reduction for a prompt prefix that the upstream recently prefilled, as a share of its slots. */
 const CACHED_PROMPT_SHARE = 0.05;
 
@@ -68,6 +74,10 @@
     readonly slowdown: number;
     /** How little this host prefers it to others, from 0 to 1; `undefined` where it does not report how fast it works. */
     readonly preference: number | undefined;
+    /** Tokens of long prompts that it probably has not prefilled yet; 0 where it does not report how fast it works. */
+    readonly longPromptTokens: number;
+    /** True where the request's own prompt is long; it goes where others keep short ones away already. */
+    readonly hasLongPrompt: boolean;
     /** Estimated tokens of its requests and of this one, as a share of its memory; 0 where they are not known. */
     readonly memoryShare: number;
 }
@@ -83,6 +93,12 @@
     | { readonly type: "reading"; }
     | { readonly type: "none"; };
 
+/** Steers long prompts together, so that the first tokens of other prompts wait for them at few engines. */
+function longPromptCost({ hasLongPrompt, longPromptTokens }: Candidate): number {
+    const cost = Math.min(1, longPromptTokens / LONG_PROMPT_TOKENS) * LONG_PROMPT_SHARE;
+    return hasLongPrompt ? -cost : cost;
+}
+
 /**
  * Returns the expected time until the request is complete, in the time that all slots of an upstream of the usual speed
  * take. With a slowdown of 1 this is the load per slot, to the bit.
@@ -96,7 +112,8 @@
         - (candidate.hasCachedPrompt ? CACHED_PROMPT_SHARE : 0)
         + random() * JITTER_SHARE
         + OWN_WORK_SHARE * (slowdown - 1)
-        + (preference ?? 0) * PREFERENCE_SHARE;
+        + (preference ?? 0) * PREFERENCE_SHARE
+        + longPromptCost(candidate);
 }
 
 function hasMemory({ memoryShare }: Candidate): boolean {
--- a/src/forwarding/prefillBacklog.ts
+++ b/src/forwarding/prefillBacklog.ts
@@ -29,6 +29,8 @@
     slowdown: number;
     /** Tokens sent by any host, decayed by age. */
     backlogTokens: number;
+    /** The part of them that belongs to long prompts. */
+    longTokens: number;
     decayedAtMilliseconds: number;
     /** Start of the window in which peers may not have received this host's reports, and the tokens it sent in it. */
     windowAtMilliseconds: number;
@@ -79,16 +81,19 @@
         this.#slowdownOf = slowdownOf;
     }
 
-    /** Records a prompt that this host sends. */
-    recordSent(engine: string, promptTokens: number, nowMilliseconds: number): void {
+    /** Records a prompt that this host sends; `isLong` where it is long for its service. */
+    recordSent(engine: string, promptTokens: number, nowMilliseconds: number, isLong = false): void {
         const backlog = this.#decayed(engine, nowMilliseconds);
         backlog.windowTokens += promptTokens;
+        backlog.longTokens += isLong ? promptTokens : 0;
         this.#add(backlog, promptTokens, nowMilliseconds);
     }
 
     /** Records a peer's report that it has sent a prompt. */
-    recordSentByPeer(engine: string, promptTokens: number, nowMilliseconds: number): void {
-        this.#add(this.#decayed(engine, nowMilliseconds), promptTokens, nowMilliseconds);
+    recordSentByPeer(engine: string, promptTokens: number, nowMilliseconds: number, isLong = false): void {
+        const backlog = this.#decayed(engine, nowMilliseconds);
+        backlog.longTokens += isLong ? promptTokens : 0;
+        this.#add(backlog, promptTokens, nowMilliseconds);
     }
 
     /** Backlog tokens up to which engines of the usual speed are sent prompts. */
@@ -108,6 +113,11 @@
         return this.#decayed(engine, nowMilliseconds).backlogTokens;
     }
 
+    /** Returns the tokens of long prompts that the engine probably has not prefilled yet. */
+    longTokens(engine: string, nowMilliseconds: number): number {
+        return this.#decayed(engine, nowMilliseconds).longTokens;
+    }
+
     /**
      * Returns whether the engine may be sent a prompt now. Hosts whose requests wait for the same engine see room at
      * the same moment, before they receive each other's reports. So for such requests each host uses only its share of
@@ -140,6 +150,7 @@
         const backlog = this.#backlogs.get(engine) ?? {
             slowdown: 1,
             backlogTokens: 0,
+            longTokens: 0,
             decayedAtMilliseconds: nowMilliseconds,
             windowAtMilliseconds: Number.NEGATIVE_INFINITY,
             windowTokens: 0,
@@ -148,7 +159,9 @@
         };
         const age = nowMilliseconds - backlog.decayedAtMilliseconds;
         backlog.slowdown = this.#slowdownOf(engine, nowMilliseconds);
-        backlog.backlogTokens *= 0.5 ** (age / (HALF_LIFE_MILLISECONDS * backlog.slowdown));
+        const remaining = 0.5 ** (age / (HALF_LIFE_MILLISECONDS * backlog.slowdown));
+        backlog.backlogTokens *= remaining;
+        backlog.longTokens *= remaining;
         backlog.decayedAtMilliseconds = nowMilliseconds;
         if (nowMilliseconds - backlog.windowAtMilliseconds >= PEER_REPORT_DELAY_MILLISECONDS) {
             backlog.windowAtMilliseconds = nowMilliseconds;
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -82,6 +82,8 @@
         hasCachedPrompt: false,
         slowdown: 1,
         preference: undefined,
+        longPromptTokens: 0,
+        hasLongPrompt: false,
         memoryShare: 0,
     };
 }
--- a/tests/support/engineModel.ts
+++ b/tests/support/engineModel.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { EngineMemoryUse, EngineSpeeds, HostPreferences } from "../../src/capacity/index.js";
+import { EngineMemoryUse, EngineSpeeds, HostPreferences, PromptSizes } from "../../src/capacity/index.js";
 import { createSeededRandom, type RandomSource } from "../../src/decision/index.js";
 import { type Candidate, chooseUpstream, PrefillBacklog, UpstreamLoads } from "../../src/forwarding/index.js";
 
@@ -194,6 +194,7 @@
     readonly memoryUse = new EngineMemoryUse();
     readonly backlog: PrefillBacklog;
     readonly preferences: HostPreferences;
+    readonly promptSizes = new PromptSizes();
     readonly queue: Request[] = [];
     readonly name: string;
     readonly #options: EngineModelOptions;
@@ -233,6 +234,8 @@
                 hasCachedPrompt: false,
                 slowdown: this.speeds.slowdown(id, now),
                 preference: this.speeds.isReporting(id, SERVICE) ? this.preferences.of(id) : undefined,
+                longPromptTokens: this.speeds.isReporting(id, SERVICE) ? this.backlog.longTokens(id, now) : 0,
+                hasLongPrompt: this.promptSizes.isLong(SERVICE, size.promptTokens),
                 memoryShare: usesFigures ? (held + size.promptTokens + size.outputTokens) / memoryTokens : 0,
             };
         });
@@ -287,7 +290,9 @@
         const { host, size } = request;
         const tokens = size.promptTokens + size.outputTokens;
         host.loads.recordStarted(engine.id);
-        host.backlog.recordSent(engine.id, size.promptTokens, now);
+        const isLong = host.promptSizes.isLong(SERVICE, size.promptTokens);
+        host.promptSizes.record(SERVICE, size.promptTokens);
+        host.backlog.recordSent(engine.id, size.promptTokens, now, isLong);
         host.memoryUse.recordStarted({ engine: engine.id, service: SERVICE, tokens, outputTokens: size.outputTokens });
         engine.waiting.push(request);
         engine.received += 1;
@@ -297,7 +302,7 @@
         const apply = () => {
             for (const peer of peers) {
                 peer.loads.recordStartedByPeer(engine.id, host.name);
-                peer.backlog.recordSentByPeer(engine.id, size.promptTokens, at);
+                peer.backlog.recordSentByPeer(engine.id, size.promptTokens, at, isLong);
             }
         };
         news.push({ at, apply });
