--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -74,6 +74,7 @@
     | "backlog"
     | "contact"
     | "crashes"
+    | "forecast"
     | "health"
     | "liveness"
     | "loads"
@@ -97,6 +98,7 @@
     const { backlog, contact, crashes, health, liveness, loads, pauses, prompts, rejectionBounds, residency, view } =
         upstreams;
     return {
+        forecast: upstreams.forecast,
         memoryUse: upstreams.memoryUse,
         preferences: upstreams.preferences,
         promptSizes: upstreams.promptSizes,
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -82,6 +82,8 @@
     readonly #prefillStart: PrefillStart | undefined;
     readonly #activity: RequestActivity;
     #heardAtMilliseconds: number;
+    /** How long work took at the upstream when the request was sent, relative to the usual of its service. */
+    readonly #slowdown: number;
     #isPaused = false;
     #firstEventAtMilliseconds: number | undefined;
     #lastEventAtMilliseconds = 0;
@@ -107,6 +109,7 @@
         const now = context.readClock();
         this.sentAtMilliseconds = now;
         this.#heardAtMilliseconds = now;
+        this.#slowdown = context.speeds.slowdown(upstream.id, now);
         context.recordSent(facts.attributes);
         context.rejectionBounds.recordSent(this.#use(now), now);
         context.loads.recordStarted(upstream.id);
@@ -141,7 +144,7 @@
         const { prefillTokensPerMillisecond } = this.#context.demand;
         const isReading = this.#facts.model !== undefined && this.#firstEventAtMilliseconds === undefined;
         return isReading && prefillTokensPerMillisecond !== undefined
-            ? this.backlogTokens / prefillTokensPerMillisecond
+            ? this.backlogTokens / prefillTokensPerMillisecond * this.#slowdown
             : 0;
     }
 
@@ -184,6 +187,7 @@
             const { sentAtMilliseconds, backlogTokens } = this.#prefillStart;
             const tookMilliseconds = this.#context.readClock() - sentAtMilliseconds;
             this.#context.demand.recordFirstToken({ prefillTokens: backlogTokens, tookMilliseconds });
+            this.#recordForecast(backlogTokens, tookMilliseconds);
         }
     }
 
@@ -312,6 +316,15 @@
         return { id, service, slots, ownRequests: loads.inFlight(id), requests };
     }
 
+    #recordForecast(backlogTokens: number, tookMilliseconds: number): void {
+        const { demand: { prefillTokensPerMillisecond }, forecast, speeds } = this.#context;
+        const { id, service } = this.upstream;
+        if (prefillTokensPerMillisecond !== undefined && speeds.isReporting(id, service)) {
+            const predictedMilliseconds = backlogTokens / prefillTokensPerMillisecond * this.#slowdown;
+            forecast.record({ predictedMilliseconds, tookMilliseconds });
+        }
+    }
+
     /** Records how long a stream's events took after the first, from which the upstream's usual speed is estimated. */
     #recordStreamPace(): void {
         if (this.#firstEventAtMilliseconds === undefined || this.#eventCount < PACE_EVENTS || this.#wasPaused) {
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import { type Agent } from "node:http";
-import { type EngineMemoryUse, type EngineSpeeds, type HostPreferences, type PromptSizes } from "../capacity/index.js";
+import {
+    type EngineMemoryUse,
+    type EngineSpeeds,
+    type FirstEventForecast,
+    type HostPreferences,
+    type PromptSizes,
+} from "../capacity/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -66,6 +72,7 @@
     /** Upstreams that this host prefers among those that report how fast they work. */
     readonly preferences: HostPreferences;
     readonly promptSizes: PromptSizes;
+    readonly forecast: FirstEventForecast;
     readonly backlog: PrefillBacklog;
     /** The memory that callers' requests and answers are held in. */
     readonly memory: MemoryBudget;
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -11,6 +11,8 @@
 import { type HostStore } from "./store/index.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** The parts of a host whose state the gauges show. */
 export interface GaugeSources {
     readonly metrics: EntryMetrics;
@@ -51,5 +53,8 @@
     metrics.gaugeByLabel("reserved_memory_bytes", memory.reservedByUse());
     const builds = peers.countBuilds(readClock());
     metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
+    const { meanPredictedMilliseconds, meanTookMilliseconds } = upstreams.forecast;
+    metrics.gauge("predicted_prefill_seconds", meanPredictedMilliseconds / MILLISECONDS_PER_SECOND);
+    metrics.gauge("measured_first_event_seconds", meanTookMilliseconds / MILLISECONDS_PER_SECOND);
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
 }
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { EngineMemoryUse, EngineSpeeds, HostPreferences, PromptSizes } from "../capacity/index.js";
+import { EngineMemoryUse, EngineSpeeds, FirstEventForecast, HostPreferences, PromptSizes } from "../capacity/index.js";
 import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
@@ -81,6 +81,7 @@
     readonly memoryUse = new EngineMemoryUse();
     readonly preferences: HostPreferences;
     readonly promptSizes = new PromptSizes();
+    readonly forecast = new FirstEventForecast();
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -140,6 +140,13 @@
     other_cells_age_seconds: { help: "Time since this host heard of the other cells; 0 in a fleet of one cell." },
     peers_heard: { help: "Hosts heard in the last seconds." },
     prompt_bound_tokens: { help: "Unread prompt tokens up to which an engine is sent another prompt." },
+    predicted_prefill_seconds: {
+        help:
+            "Mean prefill time that was predicted for streams at upstreams that report how fast they work; 0 without any.",
+    },
+    measured_first_event_seconds: {
+        help: "Mean time to the first event of the same streams, from when they were sent; 0 without any.",
+    },
     read_tokens_per_millisecond: { help: "Prompt tokens that an engine reads in a millisecond; 0 while not known." },
 } as const;
 
