--- a/src/forwarding/prefillBacklog.ts
+++ b/src/forwarding/prefillBacklog.ts
@@ -147,7 +147,11 @@
     }
 
     #decayed(engine: string, nowMilliseconds: number): Backlog {
-        const backlog = this.#backlogs.get(engine) ?? {
+        const known = this.#backlogs.get(engine);
+        if (known?.decayedAtMilliseconds === nowMilliseconds) {
+            return known;
+        }
+        const backlog = known ?? {
             slowdown: 1,
             backlogTokens: 0,
             longTokens: 0,
