--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -87,13 +87,18 @@
     | "backlog"
     | "contact"
     | "crashes"
+    | "forecast"
     | "health"
     | "liveness"
     | "loads"
+    | "memoryUse"
     | "pauses"
     | "rejectionBounds"
+    | "preferences"
+    | "promptSizes"
     | "prompts"
     | "residency"
+    | "speeds"
     | "view"
     | "recordAnswered"
     | "recordAnswerHead"
@@ -106,6 +111,11 @@
     const { backlog, contact, crashes, health, liveness, loads, pauses, prompts, rejectionBounds, residency, view } =
         upstreams;
     return {
+        forecast: upstreams.forecast,
+        memoryUse: upstreams.memoryUse,
+        preferences: upstreams.preferences,
+        promptSizes: upstreams.promptSizes,
+        speeds: upstreams.speeds,
         backlog,
         contact,
         crashes,
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -22,6 +22,9 @@
 /** An answer that has gone on for this long shows that its upstream did not crash when it began it. */
 const ANSWERING_MILLISECONDS = 100;
 
+/** Minimum number of events after a stream's first from which the pace of its upstream is taken. */
+const PACE_EVENTS = 3;
+
 /** What one read of a connection brings at most. */
 const READ_BYTES = 64 * 1024;
 
@@ -79,8 +82,14 @@
     readonly #prefillStart: PrefillStart | undefined;
     readonly #activity: RequestActivity;
     #heardAtMilliseconds: number;
+    /** How long work took at the upstream when the request was sent, relative to the usual of its service. */
+    readonly #slowdown: number;
     #isPaused = false;
     #firstEventAtMilliseconds: number | undefined;
+    #lastEventAtMilliseconds = 0;
+    #eventCount = 0;
+    /** True once reading paused for the caller, so that the times of events say nothing of the upstream. */
+    #wasPaused = false;
     /** True while the request may still crash the upstream, as far as is known. */
     #isOnTrial = true;
     #released = false;
@@ -100,12 +109,21 @@
         const now = context.readClock();
         this.sentAtMilliseconds = now;
         this.#heardAtMilliseconds = now;
+        this.#slowdown = context.speeds.slowdown(upstream.id, now);
         context.recordSent(facts.attributes);
         context.rejectionBounds.recordSent(this.#use(now), now);
         context.loads.recordStarted(upstream.id);
+        context.memoryUse.recordStarted({
+            engine: upstream.id,
+            service: upstream.service,
+            tokens: facts.totalTokens,
+            outputTokens: Math.max(0, facts.totalTokens - facts.promptTokens),
+        });
         context.contact.recordSent(upstream.id, now);
         this.#activity = context.liveness.begin(upstream.id, now);
-        context.backlog.recordSent(upstream.id, facts.promptTokens, now);
+        const isLong = context.promptSizes.isLong(upstream.service, facts.promptTokens);
+        context.promptSizes.record(upstream.service, facts.promptTokens);
+        context.backlog.recordSent(upstream.id, facts.promptTokens, now, isLong);
         this.backlogTokens = Math.round(context.backlog.backlogTokens(upstream.id, now));
         this.load = context.loads.estimate(upstream.id, now);
         const isBusy = this.load / Math.max(1, upstream.slots) >= BUSY_LOAD_SHARE;
@@ -126,7 +144,7 @@
         const { prefillTokensPerMillisecond } = this.#context.demand;
         const isReading = this.#facts.model !== undefined && this.#firstEventAtMilliseconds === undefined;
         return isReading && prefillTokensPerMillisecond !== undefined
-            ? this.backlogTokens / prefillTokensPerMillisecond
+            ? this.backlogTokens / prefillTokensPerMillisecond * this.#slowdown
             : 0;
     }
 
@@ -141,6 +159,7 @@
     pause(): void {
         if (!this.#isPaused) {
             this.#isPaused = true;
+            this.#wasPaused = true;
             this.call?.pause();
             this.holdMemory();
         }
@@ -168,13 +187,20 @@
             const { sentAtMilliseconds, backlogTokens } = this.#prefillStart;
             const tookMilliseconds = this.#context.readClock() - sentAtMilliseconds;
             this.#context.demand.recordFirstToken({ prefillTokens: backlogTokens, tookMilliseconds });
+            this.#recordForecast(backlogTokens, tookMilliseconds);
         }
     }
 
     /** Records events of a stream, and the gaps between them, from which the limit of prefill backlogs is adjusted. */
-    recordEvents({ targetGapMilliseconds }: Route): void {
+    recordEvents({ targetGapMilliseconds }: Route, count: number): void {
         const now = this.#context.readClock();
-        this.#firstEventAtMilliseconds ??= now;
+        if (this.#firstEventAtMilliseconds === undefined) {
+            this.#firstEventAtMilliseconds = now;
+        }
+        else {
+            this.#eventCount += count;
+        }
+        this.#lastEventAtMilliseconds = now;
         if (now - this.#firstEventAtMilliseconds >= ANSWERING_MILLISECONDS) {
             this.recordAnswered();
         }
@@ -185,6 +211,16 @@
         }
     }
 
+    /** Records the time to a whole answer that is not a stream, from which the upstream's usual speed is estimated. */
+    recordWholeAnswer(): void {
+        if (this.#prefillStart !== undefined && !this.#wasPaused) {
+            this.#context.speeds.recordPace(this.upstream.id, {
+                measure: `${this.upstream.service} whole`,
+                millisecondsPerUnit: (this.#context.readClock() - this.sentAtMilliseconds) / this.#facts.work,
+            });
+        }
+    }
+
     /** Records that the answer has gone on for a while, or is complete: its request has not crashed the upstream. */
     recordAnswered(): void {
         if (this.#isOnTrial) {
@@ -254,6 +290,8 @@
         this.buffered.release();
         this.#reservation.release();
         this.#context.loads.recordFinished(this.upstream.id);
+        this.#context.memoryUse.recordFinished({ engine: this.upstream.id, tokens: this.#facts.totalTokens });
+        this.#recordStreamPace();
         this.#context.rejectionBounds.recordEnded(this.upstream.id, this.#context.readClock());
         this.#activity.end();
         if (this.#isOnTrial) {
@@ -278,6 +316,27 @@
         return { id, service, slots, ownRequests: loads.inFlight(id), requests };
     }
 
+    #recordForecast(backlogTokens: number, tookMilliseconds: number): void {
+        const { demand: { prefillTokensPerMillisecond }, forecast, speeds } = this.#context;
+        const { id, service } = this.upstream;
+        if (prefillTokensPerMillisecond !== undefined && speeds.isReporting(id, service)) {
+            const predictedMilliseconds = backlogTokens / prefillTokensPerMillisecond * this.#slowdown;
+            forecast.record({ predictedMilliseconds, tookMilliseconds });
+        }
+    }
+
+    /** Records how long a stream's events took after the first, from which the upstream's usual speed is estimated. */
+    #recordStreamPace(): void {
+        if (this.#firstEventAtMilliseconds === undefined || this.#eventCount < PACE_EVENTS || this.#wasPaused) {
+            return;
+        }
+        const tookMilliseconds = this.#lastEventAtMilliseconds - this.#firstEventAtMilliseconds;
+        this.#context.speeds.recordPace(this.upstream.id, {
+            measure: `${this.upstream.service} stream`,
+            millisecondsPerUnit: tookMilliseconds / this.#eventCount,
+        });
+    }
+
     #recordSent(): void {
         const { adapterUse, metrics, prompts } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -5,6 +5,13 @@
  */
 import { type Agent } from "node:http";
 import { type ConfigurationEvidence } from "../accounts/index.js";
+import {
+    type EngineMemoryUse,
+    type EngineSpeeds,
+    type FirstEventForecast,
+    type HostPreferences,
+    type PromptSizes,
+} from "../capacity/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -60,6 +67,13 @@
     readonly liveness: UpstreamLiveness;
     readonly probes: HealthProbes;
     readonly prompts: PromptPrefixIndex;
+    readonly speeds: EngineSpeeds;
+    /** Estimates of what engines' requests hold in their memory. */
+    readonly memoryUse: EngineMemoryUse;
+    /** Upstreams that this host prefers among those that report how fast they work. */
+    readonly preferences: HostPreferences;
+    readonly promptSizes: PromptSizes;
+    readonly forecast: FirstEventForecast;
     readonly backlog: PrefillBacklog;
     /** The memory that callers' requests and answers are held in. */
     readonly memory: MemoryBudget;
--- a/src/entry/hostGauges.ts
+++ b/src/entry/hostGauges.ts
@@ -12,6 +12,8 @@
 import { type HostStore } from "./store/index.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** The parts of a host whose state the gauges show. */
 export interface GaugeSources {
     readonly metrics: EntryMetrics;
@@ -54,5 +56,8 @@
     const builds = peers.countBuilds(readClock());
     metrics.gaugeByLabel("hosts_by_build", builds.set(build, (builds.get(build) ?? 0) + 1));
     metrics.gaugeByLabel("quota_use", quotas.quotaUse(readClock()));
+    const { meanPredictedMilliseconds, meanTookMilliseconds } = upstreams.forecast;
+    metrics.gauge("predicted_prefill_seconds", meanPredictedMilliseconds / MILLISECONDS_PER_SECOND);
+    metrics.gauge("measured_first_event_seconds", meanTookMilliseconds / MILLISECONDS_PER_SECOND);
     metrics.gauge("read_tokens_per_millisecond", demand.prefillTokensPerMillisecond ?? 0);
 }
--- a/src/entry/peers/receiveMessage.ts
+++ b/src/entry/peers/receiveMessage.ts
@@ -22,7 +22,7 @@
     readonly reportedState: ReportedState;
     readonly store: Pick<HostStore, "applyBatch">;
     readonly streamVersions: Pick<StreamVersions, "receive">;
-    readonly upstreams: Pick<UpstreamTracker, "backlog" | "loads">;
+    readonly upstreams: Pick<UpstreamTracker, "recordPromptSentByPeer" | "loads">;
 }
 
 /**
@@ -69,8 +69,8 @@
             engines.receiveMoveRequest(message);
             break;
         case "sent":
-            upstreams.loads.recordStartedByPeer(message.engine);
-            upstreams.backlog.recordSentByPeer(message.engine, message.promptTokens, nowMilliseconds);
+            upstreams.loads.recordStartedByPeer(message.engine, message.host);
+            upstreams.recordPromptSentByPeer(message.engine, message.promptTokens, nowMilliseconds);
             break;
         case "use":
             engines.adapters.recordUse(message);
--- a/src/entry/peers/reportedState.ts
+++ b/src/entry/peers/reportedState.ts
@@ -63,6 +63,7 @@
         if (digest.accountUse !== undefined) {
             quotas.recordUse(digest.host, decodeAccountUse(digest.accountUse), now);
         }
+        this.#options.upstreams.loads.recordPeerRequests(digest.host, digest.inFlight, now);
         this.#apply(digest.host, digest);
         engines.agreement.receiveStatement(digest);
     }
@@ -79,6 +80,7 @@
             const use = decodeAccountUse(aggregate.accountUse);
             quotas.recordUse(OTHER_CELLS_SOURCE, use, now, { hosts: aggregate.accountUseHosts });
         }
+        this.#options.upstreams.loads.recordOtherCells(aggregate.inFlight, now);
         this.#apply(OTHER_CELLS_SOURCE, aggregate);
     }
 
@@ -86,7 +88,6 @@
         const { demand, duties, engines, store, upstreams } = this.#options;
         const now = this.#options.readClock();
         store.recordLaterRevision(reported.storeRevision);
-        upstreams.loads.recordPeerRequests(source, reported.inFlight, now);
         demand.recordPeerDemand(source, reported, now);
         reported.unreachable.forEach(upstream => upstreams.unreachableReports.record(upstream, source, now));
         reported.leavingRuns.forEach(({ startedAtMilliseconds, upstream }) =>
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { EngineMemoryUse, EngineSpeeds, FirstEventForecast, HostPreferences, PromptSizes } from "../capacity/index.js";
 import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
@@ -76,6 +77,11 @@
     readonly pauses = new UpstreamPauses();
     readonly crashes: CrashAttribution;
     readonly prompts = new PromptPrefixIndex();
+    readonly speeds = new EngineSpeeds();
+    readonly memoryUse = new EngineMemoryUse();
+    readonly preferences: HostPreferences;
+    readonly promptSizes = new PromptSizes();
+    readonly forecast = new FirstEventForecast();
     readonly backlog: PrefillBacklog;
     readonly unreachableReports = new UnreachableReports();
     readonly limits = new NamedLimits();
@@ -93,7 +99,8 @@
 
     constructor(options: UpstreamTrackerOptions) {
         this.#options = options;
-        this.backlog = new PrefillBacklog(options.random);
+        this.preferences = new HostPreferences(options.host);
+        this.backlog = new PrefillBacklog(options.random, (engine, now) => this.speeds.slowdown(engine, now));
         this.crashes = new CrashAttribution(options.host);
         this.rejectionBounds = new RejectionBounds({
             host: options.host,
@@ -151,6 +158,8 @@
         const load = readLoad(head, headers);
         if (load !== undefined) {
             this.loads.recordReport(upstream.id, load, this.#now());
+            const { id, service } = upstream;
+            this.speeds.recordReport({ upstream: id, service, slowdown: load.slowdown }, this.#now());
         }
         this.unreachableReports.clear(upstream.id);
         this.contact.recordHeard(this.#now());
@@ -202,6 +211,12 @@
         this.#crashRecorder.expire();
     }
 
+    /** Records a peer's report that it has sent a prompt. */
+    recordPromptSentByPeer(engine: string, promptTokens: number, nowMilliseconds: number): void {
+        const isLong = this.promptSizes.isLong(this.view.get(engine)?.service ?? "", promptTokens);
+        this.backlog.recordSentByPeer(engine, promptTokens, nowMilliseconds, isLong);
+    }
+
     /** Records a request that was lost with its connection before its answer had begun. */
     recordLost(attributes: RequestAttributes, upstream: UpstreamAnnouncement): void {
         this.#crashRecorder.recordLost(attributes, upstream);
@@ -269,6 +284,8 @@
     #handleChange(change: UpstreamChange): void {
         if (change.type === "left") {
             this.tolerances.forget(change.upstream.id);
+            this.speeds.forget(change.upstream.id);
+            this.preferences.forget(change.upstream.id);
             this.rejectionBounds.forget(change.upstream.id);
             this.#forget(change.upstream, change.reason);
         }
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -20,9 +20,30 @@
 /** Cost of an upstream in another zone, as a share of its slots. */
 const OTHER_ZONE_SHARE = 0.12;
 
+/**
+ * The same where upstreams report how fast they work. It exceeds most differences of load and preference, since bytes
+ * between zones are dear.
+ */
+const REPORTING_OTHER_ZONE_SHARE = 0.5;
+
+/** Maximum cost of an upstream that other hosts prefer, as a share of its slots. */
+const PREFERENCE_SHARE = 0.6;
+
+/** Prefill of long prompts in progress beside which an upstream is fully avoided by other prompts. */
+const LONG_PROMPT_TOKENS = 1_500;
+
+/** Cost of long prompts in progress for other prompts, and cost reduction for a further long one. */
+const LONG_PROMPT_SHARE = 0.2;
+
 /** Cost reduction for a prompt prefix that the upstream recently prefilled, as a share of its slots. */
 const CACHED_PROMPT_SHARE = 0.05;
 
+/**
+ * Load per slot that an idle upstream of the usual speed counts as where speeds differ. An idle upstream of half the
+ * speed then costs as much as one of the usual speed at this load.
+ */
+const OWN_WORK_SHARE = 0.1;
+
 /** Prefill backlog that costs as much as the use of all slots. */
 const FULL_LOAD_BACKLOG_TOKENS = 6_000;
 
@@ -49,6 +70,16 @@
     readonly avoided: boolean;
     /** True where it recently prefilled the beginning of the prompt. */
     readonly hasCachedPrompt: boolean;
+    /** How long work takes there now, relative to the usual of its service; 1 where nothing is known. */
+    readonly slowdown: number;
+    /** How little this host prefers it to others, from 0 to 1; `undefined` where it does not report how fast it works. */
+    readonly preference: number | undefined;
+    /** Tokens of long prompts that it probably has not prefilled yet; 0 where it does not report how fast it works. */
+    readonly longPromptTokens: number;
+    /** True where the request's own prompt is long; it goes where others keep short ones away already. */
+    readonly hasLongPrompt: boolean;
+    /** Estimated tokens of its requests and of this one, as a share of its memory; 0 where they are not known. */
+    readonly memoryShare: number;
 }
 
 /** Outcome of a choice. */
@@ -62,12 +93,31 @@
     | { readonly type: "reading"; }
     | { readonly type: "none"; };
 
+/** Steers long prompts together, so that the first tokens of other prompts wait for them at few engines. */
+function longPromptCost({ hasLongPrompt, longPromptTokens }: Candidate): number {
+    const cost = Math.min(1, longPromptTokens / LONG_PROMPT_TOKENS) * LONG_PROMPT_SHARE;
+    return hasLongPrompt ? -cost : cost;
+}
+
+/**
+ * Returns the expected time until the request is complete, in the time that all slots of an upstream of the usual speed
+ * take. With a slowdown of 1 this is the load per slot, to the bit.
+ */
 function costOf(candidate: Candidate, random: RandomSource): number {
-    return candidate.requests / candidate.slots
-        + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS
-        + (candidate.sameZone ? 0 : OTHER_ZONE_SHARE)
+    const { memoryShare, preference, slowdown } = candidate;
+    const otherZoneShare = preference === undefined ? OTHER_ZONE_SHARE : REPORTING_OTHER_ZONE_SHARE;
+    return Math.max(candidate.requests / candidate.slots, memoryShare) * slowdown
+        + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS * slowdown
+        + (candidate.sameZone ? 0 : otherZoneShare)
         - (candidate.hasCachedPrompt ? CACHED_PROMPT_SHARE : 0)
-        + random() * JITTER_SHARE;
+        + random() * JITTER_SHARE
+        + OWN_WORK_SHARE * (slowdown - 1)
+        + (preference ?? 0) * PREFERENCE_SHARE
+        + longPromptCost(candidate);
+}
+
+function hasMemory({ memoryShare }: Candidate): boolean {
+    return memoryShare <= 1;
 }
 
 function isFull(candidate: Candidate): boolean {
@@ -77,8 +127,8 @@
 }
 
 /**
- * Chooses the upstream with the lowest cost, which is mainly its load per slot; those that fail often are chosen only
- * where no other has room.
+ * Chooses the upstream with the lowest cost, which is mainly its load per slot; those that fail often, and then those
+ * whose memory the request may exceed, are chosen only where no other has room.
  *
  * @param candidates Upstreams that the request may be sent to.
  * @param random Source of the jitter.
@@ -95,8 +145,12 @@
     const withRoom = candidates.filter(candidate => !isFull(candidate));
     const healthy = withRoom.filter(({ avoided }) => !avoided);
     const eligible = healthy.length > 0 ? healthy : withRoom;
+    const needsMemory = eligible.some(hasMemory);
     let best: { readonly id: string; readonly cost: number; } | undefined;
-    for (const candidate of eligible.filter(({ acceptsPrompt }) => acceptsPrompt)) {
+    for (const candidate of eligible) {
+        if (!candidate.acceptsPrompt || (needsMemory && !hasMemory(candidate))) {
+            continue;
+        }
         const cost = costOf(candidate, random);
         if (best === undefined || cost < best.cost) {
             best = { id: candidate.id, cost };
--- a/src/forwarding/prefillBacklog.ts
+++ b/src/forwarding/prefillBacklog.ts
@@ -25,8 +25,12 @@
 const PEER_REPORT_DELAY_MILLISECONDS = 10;
 
 interface Backlog {
+    /** How long work takes at the engine now, relative to the usual of its service. */
+    slowdown: number;
     /** Tokens sent by any host, decayed by age. */
     backlogTokens: number;
+    /** The part of them that belongs to long prompts. */
+    longTokens: number;
     decayedAtMilliseconds: number;
     /** Start of the window in which peers may not have received this host's reports, and the tokens it sent in it. */
     windowAtMilliseconds: number;
@@ -65,25 +69,34 @@
 export class PrefillBacklog {
     readonly #random: RandomSource;
     readonly #backlogs = new Map<string, Backlog>();
+    readonly #slowdownOf: (engine: string, nowMilliseconds: number) => number;
     readonly #limit = new PrefillBacklogLimit();
 
-    constructor(random: RandomSource) {
+    /**
+     * @param random Source of the random shares of hosts whose requests wait.
+     * @param slowdownOf Returns how long work takes at an engine, relative to the usual of its service; 1 by default.
+     */
+    constructor(random: RandomSource, slowdownOf: (engine: string, nowMilliseconds: number) => number = () => 1) {
         this.#random = random;
+        this.#slowdownOf = slowdownOf;
     }
 
-    /** Records a prompt that this host sends. */
-    recordSent(engine: string, promptTokens: number, nowMilliseconds: number): void {
+    /** Records a prompt that this host sends; `isLong` where it is long for its service. */
+    recordSent(engine: string, promptTokens: number, nowMilliseconds: number, isLong = false): void {
         const backlog = this.#decayed(engine, nowMilliseconds);
         backlog.windowTokens += promptTokens;
+        backlog.longTokens += isLong ? promptTokens : 0;
         this.#add(backlog, promptTokens, nowMilliseconds);
     }
 
     /** Records a peer's report that it has sent a prompt. */
-    recordSentByPeer(engine: string, promptTokens: number, nowMilliseconds: number): void {
-        this.#add(this.#decayed(engine, nowMilliseconds), promptTokens, nowMilliseconds);
+    recordSentByPeer(engine: string, promptTokens: number, nowMilliseconds: number, isLong = false): void {
+        const backlog = this.#decayed(engine, nowMilliseconds);
+        backlog.longTokens += isLong ? promptTokens : 0;
+        this.#add(backlog, promptTokens, nowMilliseconds);
     }
 
-    /** Backlog tokens up to which engines are sent prompts. */
+    /** Backlog tokens up to which engines of the usual speed are sent prompts. */
     get limitTokens(): number {
         return Math.round(this.#limit.tokens);
     }
@@ -100,15 +113,21 @@
         return this.#decayed(engine, nowMilliseconds).backlogTokens;
     }
 
+    /** Returns the tokens of long prompts that the engine probably has not prefilled yet. */
+    longTokens(engine: string, nowMilliseconds: number): number {
+        return this.#decayed(engine, nowMilliseconds).longTokens;
+    }
+
     /**
      * Returns whether the engine may be sent a prompt now. Hosts whose requests wait for the same engine see room at
      * the same moment, before they receive each other's reports. So for such requests each host uses only its share of
      * the room; it sends a prompt larger than the share with probability share / prompt tokens.
      */
     accepts(engine: string, { hostCount, promptTokens, waits }: PromptToSend, nowMilliseconds: number): boolean {
-        const { draw, backlogTokens, windowTokens } = this.#decayed(engine, nowMilliseconds);
-        const room = this.#limit.tokens - backlogTokens;
-        const tokens = Math.min(promptTokens, this.#limit.tokens);
+        const { draw, backlogTokens, slowdown, windowTokens } = this.#decayed(engine, nowMilliseconds);
+        const limitTokens = this.#limit.tokens / slowdown;
+        const room = limitTokens - backlogTokens;
+        const tokens = Math.min(promptTokens, limitTokens);
         if (backlogTokens > NEGLIGIBLE_BACKLOG_TOKENS && tokens > room) {
             return false;
         }
@@ -122,14 +141,20 @@
 
     #add(backlog: Backlog, promptTokens: number, nowMilliseconds: number): void {
         backlog.backlogTokens += promptTokens;
-        if (backlog.backlogTokens > this.#limit.tokens * LIMITING_SHARE) {
+        if (backlog.backlogTokens > this.#limit.tokens / backlog.slowdown * LIMITING_SHARE) {
             backlog.limitingAtMilliseconds = nowMilliseconds;
         }
     }
 
     #decayed(engine: string, nowMilliseconds: number): Backlog {
-        const backlog = this.#backlogs.get(engine) ?? {
+        const known = this.#backlogs.get(engine);
+        if (known?.decayedAtMilliseconds === nowMilliseconds) {
+            return known;
+        }
+        const backlog = known ?? {
+            slowdown: 1,
             backlogTokens: 0,
+            longTokens: 0,
             decayedAtMilliseconds: nowMilliseconds,
             windowAtMilliseconds: Number.NEGATIVE_INFINITY,
             windowTokens: 0,
@@ -137,7 +162,10 @@
             limitingAtMilliseconds: Number.NEGATIVE_INFINITY,
         };
         const age = nowMilliseconds - backlog.decayedAtMilliseconds;
-        backlog.backlogTokens *= 0.5 ** (age / HALF_LIFE_MILLISECONDS);
+        backlog.slowdown = this.#slowdownOf(engine, nowMilliseconds);
+        const remaining = 0.5 ** (age / (HALF_LIFE_MILLISECONDS * backlog.slowdown));
+        backlog.backlogTokens *= remaining;
+        backlog.longTokens *= remaining;
         backlog.decayedAtMilliseconds = nowMilliseconds;
         if (nowMilliseconds - backlog.windowAtMilliseconds >= PEER_REPORT_DELAY_MILLISECONDS) {
             backlog.windowAtMilliseconds = nowMilliseconds;
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -80,6 +80,11 @@
         sameZone: true,
         avoided: false,
         hasCachedPrompt: false,
+        slowdown: 1,
+        preference: undefined,
+        longPromptTokens: 0,
+        hasLongPrompt: false,
+        memoryShare: 0,
     };
 }
 
