Add the decisions on who waits and who is refused while capacity is short

Cause: the order of waiting knows priority and arrival only, nothing measures how many waiting requests a host can send, and a request is held for 0.3 of its time before it is refused.

src/admission measures the dispatches of waiting requests by group while any wait, and derives the expected wait of a request and a bound that the wait surely exceeds. Time without waiting requests is left out: dispatches are then as rare as requests. Nothing uses this yet.

--- /dev/null
+++ b/src/admission/admission.ts
@@ -0,0 +1,241 @@
+/**
+ * Decides which waiting requests go first, and which are refused before their time to wait has passed.
+ *
+ * @module
+ */
+import { DispatchRates } from "./dispatchRates.js";
+import { FirstEventTimes } from "./firstEventTimes.js";
+import { compareQueueRanks, type QueueRank } from "./queueRank.js";
+import { ServedShares } from "./servedShares.js";
+import { type EarlyRefusal, type QueueFacts, type WaitEstimate } from "./types.js";
+
+/** Interval in which what has not been used for long is forgotten. */
+const PRUNE_INTERVAL_MILLISECONDS = 10_000;
+
+/** Options of {@linkcode Admission}. */
+export interface AdmissionOptions {
+    /** Returns whether the requests of a service are ordered and refused by what is measured here. */
+    readonly isInForce: (service: string) => boolean;
+    /** Returns whether an account uses more than its fair share; never by default. */
+    readonly isOverFairShare?: (account: string) => boolean;
+}
+
+/** A waiting request with its rank. */
+export interface RankedRequest<Request> {
+    readonly request: Request;
+    readonly rank: QueueRank;
+}
+
+/** What an order of waiting requests depends on beside their ranks. */
+export interface QueuedRequest {
+    readonly waitKey: string | undefined;
+    readonly queueFacts: QueueFacts;
+    /** Requests of its group in front of it at the last pass; `undefined` before its first. */
+    passPosition: number | undefined;
+}
+
+/** Requests of one group at the last pass. */
+interface Pass {
+    readonly ranks: readonly QueueRank[];
+    /** Requests that have ceased to wait since. */
+    ended: number;
+}
+
+/** What an early refusal depends on. */
+export interface RefusalInput {
+    readonly facts: QueueFacts;
+    readonly estimate: WaitEstimate | undefined;
+    /** Time for which the request may still wait. */
+    readonly remainingWaitMilliseconds: number;
+    /** Time until its deadline. */
+    readonly remainingMilliseconds: number;
+}
+
+function serviceKey({ service }: QueueFacts): string {
+    return service;
+}
+
+function shareKeys({ account, priority, service }: QueueFacts): string[] {
+    const keys = [`${service} priority ${priority}`];
+    return account === undefined ? keys : [...keys, `${service} account ${account}`];
+}
+
+/** Returns how many ranks of a sorted list are below a rank. */
+function countBelow(ranks: readonly QueueRank[], rank: QueueRank): number {
+    let low = 0;
+    let high = ranks.length;
+    while (low < high) {
+        const middle = (low + high) >>> 1;
+        const other = ranks[middle];
+        if (other !== undefined && compareQueueRanks(other, rank) < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+/**
+ * The waiting requests of one host, as far as decisions on them need.
+ *
+ * @example
+ * ```ts
+ * const admission = new Admission({ isInForce: () => true });
+ * admission.recordBegun("chat", now);
+ * const estimate = admission.estimate("chat", { rank, passPosition: undefined }, now);
+ * const refusal = admission.decideRefusal({ facts, estimate, remainingWaitMilliseconds, remainingMilliseconds });
+ * ```
+ */
+export class Admission {
+    readonly firstEvents = new FirstEventTimes();
+    readonly #options: AdmissionOptions;
+    readonly #rates = new DispatchRates();
+    readonly #shares = new ServedShares();
+    readonly #passes = new Map<string, Pass>();
+    #prunedAtMilliseconds = 0;
+
+    constructor(options: AdmissionOptions) {
+        this.#options = options;
+    }
+
+    /** Returns whether the requests of a service are ordered and refused by what is measured here. */
+    isInForce(service: string): boolean {
+        return this.#options.isInForce(service);
+    }
+
+    isOverFairShare(account: string | undefined): boolean {
+        return account !== undefined && this.#options.isOverFairShare?.(account) === true;
+    }
+
+    /** Records that a request of a group begins to wait. */
+    recordBegun(key: string, nowMilliseconds: number): void {
+        this.#rates.recordBegun(key, nowMilliseconds);
+    }
+
+    /** Records that a request of a group has ceased to wait. */
+    recordEnded(key: string, outcome: "sent" | "not-sent", nowMilliseconds: number): void {
+        this.#rates.recordEnded(key, outcome, nowMilliseconds);
+        const pass = this.#passes.get(key);
+        if (pass !== undefined) {
+            pass.ended += 1;
+        }
+    }
+
+    /** Records that a request was sent for the first time, or ended without. */
+    recordOutcome(facts: QueueFacts, isServed: boolean, nowMilliseconds: number): void {
+        this.#shares.record(serviceKey(facts), shareKeys(facts), isServed, nowMilliseconds);
+    }
+
+    /**
+     * Returns the expected wait of a waiting request; `undefined` where too little is known of its group.
+     *
+     * @param key The request's group.
+     * @param place Its rank, and its position at the last pass if it was part of it.
+     * @param nowMilliseconds The time.
+     */
+    estimate(
+        key: string,
+        { passPosition, rank }: { readonly passPosition: number | undefined; readonly rank: QueueRank; },
+        nowMilliseconds: number,
+    ): WaitEstimate | undefined {
+        const pass = this.#passes.get(key);
+        const position = passPosition ?? (pass === undefined ? 0 : countBelow(pass.ranks, rank));
+        const others = Math.max(0, this.#rates.waiting(key) - 1);
+        const inFront = Math.min(Math.max(0, position - (pass?.ended ?? 0)), others);
+        return this.#rates.estimate(key, inFront, nowMilliseconds);
+    }
+
+    /** Returns the expected wait of a request that comes back after all that wait now; `undefined` where not known. */
+    estimateReturn(key: string, nowMilliseconds: number): WaitEstimate | undefined {
+        return this.#rates.estimate(key, this.#rates.waiting(key), nowMilliseconds);
+    }
+
+    /** Returns why a request that no upstream has room for is refused at once; `undefined` where it may wait. */
+    decideRefusal(
+        { estimate, facts, remainingMilliseconds, remainingWaitMilliseconds }: RefusalInput,
+    ): EarlyRefusal | undefined {
+        const servableMilliseconds = remainingMilliseconds - this.firstEvents.short(facts.service);
+        if (servableMilliseconds < 0) {
+            return "too-little-time";
+        }
+        const isTooLong = estimate !== undefined
+            && estimate.surelyMilliseconds > Math.min(remainingWaitMilliseconds, servableMilliseconds);
+        return isTooLong && !this.#isUnderserved(facts) ? "expected-wait" : undefined;
+    }
+
+    /**
+     * Begins a pass over the waiting requests, sorted by rank: sets their positions, and lets one request of each group go
+     * first whose priority or account is served too seldom.
+     */
+    arrange<Request extends QueuedRequest>(
+        sorted: readonly RankedRequest<Request>[],
+        nowMilliseconds: number,
+    ): readonly RankedRequest<Request>[] {
+        const measured = sorted.filter(({ request }) => this.isInForce(request.queueFacts.service));
+        if (measured.length === 0) {
+            this.#passes.clear();
+            return sorted;
+        }
+        this.#prune(nowMilliseconds);
+        this.#passes.clear();
+        const ranksOf = new Map<string, QueueRank[]>();
+        for (const { rank, request } of measured) {
+            const { waitKey } = request;
+            if (waitKey !== undefined) {
+                const ranks = ranksOf.get(waitKey) ?? [];
+                ranksOf.set(waitKey, ranks);
+                request.passPosition = ranks.length;
+                ranks.push(rank);
+            }
+        }
+        ranksOf.forEach((ranks, key) => this.#passes.set(key, { ranks, ended: 0 }));
+        return this.#favourUnderserved(sorted);
+    }
+
+    #favourUnderserved<Request extends QueuedRequest>(
+        sorted: readonly RankedRequest<Request>[],
+    ): readonly RankedRequest<Request>[] {
+        const underserved = new Map<string, boolean>();
+        const favoured = new Set<string>();
+        const first: RankedRequest<Request>[] = [];
+        const others: RankedRequest<Request>[] = [];
+        for (const ranked of sorted) {
+            const { queueFacts, waitKey } = ranked.request;
+            const isMeasured = waitKey !== undefined && this.isInForce(queueFacts.service);
+            const key = isMeasured ? this.#findUnderserved(queueFacts, underserved) : undefined;
+            const favour = `${waitKey} ${key}`;
+            if (key !== undefined && !favoured.has(favour)) {
+                favoured.add(favour);
+                ranked.request.passPosition = 0;
+                first.push(ranked);
+            }
+            else {
+                others.push(ranked);
+            }
+        }
+        return first.length === 0 ? sorted : [...first, ...others];
+    }
+
+    /** Returns what a request has in common with those that are served too seldom; `known` holds what was found before. */
+    #findUnderserved(facts: QueueFacts, known: Map<string, boolean>): string | undefined {
+        return shareKeys(facts).find(key => {
+            const isUnderserved = known.get(key) ?? this.#shares.isUnderserved(serviceKey(facts), key);
+            known.set(key, isUnderserved);
+            return isUnderserved;
+        });
+    }
+
+    #isUnderserved(facts: QueueFacts): boolean {
+        return shareKeys(facts).some(key => this.#shares.isUnderserved(serviceKey(facts), key));
+    }
+
+    #prune(nowMilliseconds: number): void {
+        if (nowMilliseconds - this.#prunedAtMilliseconds >= PRUNE_INTERVAL_MILLISECONDS) {
+            this.#prunedAtMilliseconds = nowMilliseconds;
+            this.#rates.prune(nowMilliseconds);
+            this.#shares.prune(nowMilliseconds);
+        }
+    }
+}
