Order, refuse and send back waiting requests by their expected wait where accounts are configured

Callers saw refusals after 0.3 of their time although the queue was far too long for them from the start, and were told to come back after one second whatever the queue.

Where the configuration in force has accounts, waiting requests are ordered by src/admission, one whose wait surely exceeds what it may wait is refused at once, and Retry-After comes from the measured rate. Elsewhere the rank, the waits and the delays are computed as before; waitKey moved to QueuePlace unchanged.

--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Agent } from "node:http";
+import { Admission } from "../admission/index.js";
 import { type SharedRetryBudget } from "../forwarding/index.js";
 import { type Acts } from "./actQueue.js";
 import { PagePool } from "./exchange/index.js";
@@ -39,6 +40,9 @@
         ...context,
         ...upstreamState(upstreams),
         acts,
+        admission: new Admission({
+            isInForce: () => store.configuration.table?.configuration.accounts !== undefined,
+        }),
         agentFor,
         budget,
         demand,
--- a/src/entry/exchange/answerReceiver.ts
+++ b/src/entry/exchange/answerReceiver.ts
@@ -84,7 +84,7 @@
         const isFirst = answer.firstByteAtMilliseconds === undefined;
         const callerKeepsUp = answer.forwardEvents(attempt.head, events);
         if (isFirst) {
-            this.#recordFirstByte();
+            this.#recordFirstByte(attempt);
             attempt.recordFirstToken();
         }
         attempt.recordEvents(request.route);
@@ -152,7 +152,7 @@
         this.#options.hedging().keepOnly(attempt);
         metrics.count("answers_passed_on", { reason: limit });
         answer.beginPassingOn(head, limit);
-        this.#recordFirstByte();
+        this.#recordFirstByte(attempt);
     }
 
     #passOn(attempt: Attempt, pieces: readonly AnswerPiece[]): void {
@@ -191,13 +191,15 @@
         }
         else {
             answer.forwardWhole(head, attempt.buffered.take());
-            this.#recordFirstByte();
+            this.#recordFirstByte(attempt);
         }
     }
 
-    #recordFirstByte(): void {
+    #recordFirstByte({ sentAtMilliseconds, upstream }: Attempt): void {
         const { answer, context, request: { arrivedAtMilliseconds, route } } = this.#parts;
-        const tookMilliseconds = (answer.firstByteAtMilliseconds ?? context.readClock()) - arrivedAtMilliseconds;
+        const firstByteAtMilliseconds = answer.firstByteAtMilliseconds ?? context.readClock();
+        const tookMilliseconds = firstByteAtMilliseconds - arrivedAtMilliseconds;
+        context.admission.firstEvents.record(upstream.service, firstByteAtMilliseconds - sentAtMilliseconds);
         context.metrics.observe("first_byte_seconds", tookMilliseconds, { kind: route.kind });
     }
 
--- a/src/entry/exchange/attemptFailures.ts
+++ b/src/entry/exchange/attemptFailures.ts
@@ -14,7 +14,6 @@
 import { type Attempt } from "./attempt.js";
 import { crashVerdict, logConviction } from "./crashVerdict.js";
 import { type DispatchTimer } from "./dispatchTimer.js";
-import { EXPECTED_CAPACITY_MILLISECONDS } from "./expectedCapacity.js";
 import { type FailureReason } from "./failureReason.js";
 import { type Hedging } from "./hedging.js";
 import { type RequestEnding } from "./requestEnding.js";
@@ -155,7 +154,8 @@
     #abortRetries(decision: RepeatDecision, reason: FailureReason): void {
         const { ending } = this.#options;
         if (decision.type === "refuse") {
-            ending.refuse(reason, reason === "crashes-engines" ? undefined : EXPECTED_CAPACITY_MILLISECONDS / 2);
+            const capacityMilliseconds = this.#parts.place.expectedCapacityMilliseconds;
+            ending.refuse(reason, reason === "crashes-engines" ? undefined : capacityMilliseconds / 2);
         }
         else if (decision.type === "break-off") {
             ending.abortAnswer(reason);
--- a/src/entry/exchange/dispatchInOrder.ts
+++ b/src/entry/exchange/dispatchInOrder.ts
@@ -16,6 +16,20 @@
     dispatch(): void;
 }
 
+/** A waiting request with its rank. */
+export interface RankedRequest<Request> {
+    readonly request: Request;
+    readonly rank: WaitingRank;
+}
+
+/** Options of {@linkcode dispatchInOrder}. */
+export interface DispatchInOrderOptions<Request> {
+    /** True where requests that lack a copy are not left out. */
+    readonly includesLacking: boolean;
+    /** Changes the order of the sorted requests; leaves it by default. */
+    readonly arrange?: (sorted: readonly RankedRequest<Request>[]) => readonly RankedRequest<Request>[];
+}
+
 /** Dispatches a request; adds to `unmetKeys` what it waits for where it cannot be sent. */
 function dispatchUnlessUnmet(request: WaitingRequest, unmetKeys: Set<string>): void {
     const { isWaiting, waitKey } = request;
@@ -34,20 +48,20 @@
  * not.
  *
  * @param requests The requests.
- * @param options.includesLacking True where those that lack a copy are not left out.
+ * @param options Which are dispatched, and in which order.
  *
  * @example
  * ```ts
  * acts.runInTurns(dispatchInOrder(exchanges, { includesLacking: false }));
  * ```
  */
-export function dispatchInOrder(
-    requests: Iterable<WaitingRequest>,
-    { includesLacking }: { readonly includesLacking: boolean; },
+export function dispatchInOrder<Request extends WaitingRequest>(
+    requests: Iterable<Request>,
+    { arrange = sorted => sorted, includesLacking }: DispatchInOrderOptions<Request>,
 ): (() => void)[] {
     const waiting = [...requests].filter(request => request.isWaiting && (includesLacking || !request.lacksCopies));
     const ranked = waiting.map(request => ({ request, rank: request.rank }));
     ranked.sort((left, right) => compareRanks(left.rank, right.rank));
     const unmetKeys = new Set<string>();
-    return ranked.map(({ request }) => () => dispatchUnlessUnmet(request, unmetKeys));
+    return arrange(ranked).map(({ request }) => () => dispatchUnlessUnmet(request, unmetKeys));
 }
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type QueueFacts } from "../../admission/index.js";
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { describeThrown } from "../../observability/index.js";
 import { hasCallerLeft } from "../connections/index.js";
@@ -15,14 +16,14 @@
 import { crashVerdict, logConviction } from "./crashVerdict.js";
 import { type WaitingRequest } from "./dispatchInOrder.js";
 import { DispatchTimer } from "./dispatchTimer.js";
-import { EXPECTED_CAPACITY_MILLISECONDS, OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
+import { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
 import { type HedgeCancellation, Hedging } from "./hedging.js";
 import { RequestEnding } from "./requestEnding.js";
 import { type CallerRequest } from "./requestFacts.js";
 import { createRequestParts, remainingMilliseconds, type RequestParts } from "./requestParts.js";
 import { RequestWait } from "./requestWait.js";
 import { isMemoryShort, MEMORY_CHECK_MILLISECONDS } from "./shortMemory.js";
-import { type WaitingRank, waitingRank } from "./waitingRank.js";
+import { type WaitingRank } from "./waitingRank.js";
 import { WaitTime } from "./waitTime.js";
 
 /** Callbacks from an exchange to its forwarder. */
@@ -48,8 +49,6 @@
     readonly #failures: AttemptFailures;
     readonly #receiver: AnswerReceiver;
     readonly #sender: AttemptSender;
-    /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
-    #isDoubted = false;
     readonly #handleCallerClosed = (): void => this.#guard(() => this.#ending.handleCallerClosed());
     readonly #handleResponseClosed = (): void => {
         this.#handleCallerClosed();
@@ -127,15 +126,22 @@
         return this.#waitTime.isWaiting;
     }
 
-    /**
-     * Equal for requests that can go to the same upstreams; `undefined` once this one was sent, since the upstreams
-     * that failed it are then excluded, while its own attributes hold it back, and until it is decided whether it should
-     * wait for a permit.
-     */
+    /** Equal for requests that can go to the same upstreams; `undefined` for one that only its own dispatch decides. */
     get waitKey(): string | undefined {
-        const { attempts, facts: { adapter, model, service }, permitWait, progress } = this.#parts;
-        const isOwn = attempts.sentCount > 0 || this.#isDoubted || permitWait.isUndecided;
-        return isOwn ? undefined : [service, model, adapter, progress.version].join(" ");
+        return this.#parts.place.waitKey;
+    }
+
+    get queueFacts(): QueueFacts {
+        return this.#parts.place.queueFacts;
+    }
+
+    /** Requests of its group in front of it at the last pass over the waiting requests. */
+    get passPosition(): number | undefined {
+        return this.#parts.place.passPosition;
+    }
+
+    set passPosition(position: number | undefined) {
+        this.#parts.place.passPosition = position;
     }
 
     /** True while no upstream holds what the request needs, and nothing has changed in this since its last dispatch. */
@@ -144,14 +150,7 @@
     }
 
     get rank(): WaitingRank {
-        const { permitWait, progress, request: { arrivedAtMilliseconds, route } } = this.#parts;
-        const isForPermit = permitWait.upstream !== undefined;
-        return waitingRank({
-            route,
-            arrivedAtMilliseconds,
-            permitSinceMilliseconds: isForPermit ? permitWait.request.sinceMilliseconds : undefined,
-            isResumed: progress.isBegun,
-        }, this.#context.readClock());
+        return this.#parts.place.rank;
     }
 
     start(): void {
@@ -233,7 +232,7 @@
                 this.#parts.progress.lookUp(outcome => this.#guard(() => this.#handleLookUp(outcome)));
                 break;
             case "unavailable":
-                this.#ending.refuse("version-unavailable", EXPECTED_CAPACITY_MILLISECONDS);
+                this.#ending.refuse("version-unavailable", this.#parts.place.expectedCapacityMilliseconds);
                 break;
             case "unknown":
                 this.#ending.refuse("version-unknown");
@@ -304,7 +303,7 @@
             this.#wait.waitForAdapter(loadable);
         }
         else if (choice.type === "all-full") {
-            this.#wait.waitOrRefuse("all-full", EXPECTED_CAPACITY_MILLISECONDS);
+            this.#wait.waitForCapacity("all-full");
         }
         else if (choice.type === "may-reject") {
             this.#wait.waitForSlot(resident);
@@ -313,10 +312,10 @@
             this.#wait.waitForPrefill();
         }
         else if (resident.length > 0 && counts.rejected + counts.mayHaveRun > 0) {
-            this.#ending.refuse("no-upstream", EXPECTED_CAPACITY_MILLISECONDS);
+            this.#ending.refuse("no-upstream", this.#parts.place.expectedCapacityMilliseconds);
         }
         else if (resident.length > 0 || usable.length === 0) {
-            this.#wait.waitOrRefuse("no-upstream", EXPECTED_CAPACITY_MILLISECONDS);
+            this.#wait.waitOrRefuse("no-upstream");
         }
         else {
             this.#wait.waitForModel();
@@ -336,7 +335,7 @@
      */
     #isHeldBack(): boolean {
         const verdict = crashVerdict(this.#parts);
-        this.#isDoubted = verdict.type === "doubted";
+        this.#parts.place.isDoubted = verdict.type === "doubted";
         if (verdict.type === "refused") {
             logConviction(this.#parts, verdict);
             this.#ending.refuse("crashes-engines");
--- /dev/null
+++ b/src/entry/exchange/queuePlace.ts
@@ -0,0 +1,213 @@
+/**
+ * A request's place among the waiting ones of its host, and what follows from it.
+ *
+ * @module
+ */
+import {
+    type Admission,
+    type EarlyRefusal,
+    type QueueFacts,
+    type QueueRank,
+    queueRank,
+    retryDelay,
+    type WaitEstimate,
+} from "../../admission/index.js";
+import { maximumWaitMilliseconds } from "../../forwarding/index.js";
+import { type EntryMetrics } from "../../observability/index.js";
+import { type PermitWait } from "../../rateLimits/index.js";
+import { EXPECTED_CAPACITY_MILLISECONDS } from "./expectedCapacity.js";
+import { type CallerRequest, type RequestFacts } from "./requestFacts.js";
+import { type RunningAttempts } from "./runningAttempts.js";
+import { type StreamProgress } from "./streamProgress.js";
+import { waitingRank } from "./waitingRank.js";
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Options of {@linkcode QueuePlace}. */
+export interface QueuePlaceOptions {
+    readonly admission: Admission;
+    readonly metrics: EntryMetrics;
+    readonly readClock: () => number;
+    readonly request: CallerRequest;
+    readonly facts: RequestFacts;
+    readonly attempts: RunningAttempts;
+    readonly permitWait: PermitWait;
+    readonly progress: StreamProgress;
+}
+
+/** One request's place in the order of waiting, its expected wait, and when it is refused for that. */
+export class QueuePlace {
+    readonly queueFacts: QueueFacts;
+    /** Requests of its group in front of it at the last pass; `undefined` before its first. */
+    passPosition: number | undefined;
+    /** True while the request waits since another one that may crash upstreams for the same reason is tried. */
+    isDoubted = false;
+    readonly #options: QueuePlaceOptions;
+    readonly #maximumWaitMilliseconds: number;
+    /** The group in which it waits; `undefined` while it does not wait, or waits for something of its own. */
+    #waitsIn: string | undefined;
+    #sinceMilliseconds: number | undefined;
+    #expectedAtStart: WaitEstimate | undefined;
+    #refusal: EarlyRefusal | undefined;
+    #isOutcomeKnown = false;
+
+    constructor(options: QueuePlaceOptions) {
+        this.#options = options;
+        const { facts, request: { arrivedAtMilliseconds, route } } = options;
+        this.queueFacts = {
+            service: facts.service ?? "",
+            priority: route.priority,
+            account: undefined,
+            arrivedAtMilliseconds,
+            targetLatencyMilliseconds: route.targetLatencyMilliseconds,
+        };
+        this.#maximumWaitMilliseconds = maximumWaitMilliseconds(
+            route,
+            facts.deadlineAtMilliseconds - arrivedAtMilliseconds,
+        );
+    }
+
+    /**
+     * Equal for requests that can go to the same upstreams; `undefined` once this one was sent, since the upstreams
+     * that failed it are then excluded, while its own attributes hold it back, and until it is decided whether it should
+     * wait for a permit.
+     */
+    get waitKey(): string | undefined {
+        const { attempts, permitWait } = this.#options;
+        return attempts.sentCount > 0 || this.isDoubted || permitWait.isUndecided ? undefined : this.#group;
+    }
+
+    get rank(): QueueRank {
+        const { admission, permitWait, progress, request: { arrivedAtMilliseconds, route } } = this.#options;
+        const isForPermit = permitWait.upstream !== undefined;
+        const waiting = {
+            permitSinceMilliseconds: isForPermit ? permitWait.request.sinceMilliseconds : undefined,
+            isResumed: progress.isBegun,
+        };
+        if (!this.#isInForce) {
+            return waitingRank({ route, arrivedAtMilliseconds, ...waiting }, this.#now());
+        }
+        const { account, service } = this.queueFacts;
+        return queueRank({
+            ...this.queueFacts,
+            ...waiting,
+            firstEventMilliseconds: admission.firstEvents.usual(service),
+            waitsSinceMilliseconds: this.#sinceMilliseconds,
+            maximumWaitMilliseconds: this.#maximumWaitMilliseconds,
+            isOverFairShare: admission.isOverFairShare(account),
+        }, this.#now());
+    }
+
+    /** The request begins to wait. */
+    begin(): void {
+        const { admission } = this.#options;
+        const key = this.waitKey;
+        this.#sinceMilliseconds = this.#now();
+        if (this.#isInForce && key !== undefined) {
+            this.#waitsIn = key;
+            admission.recordBegun(key, this.#now());
+            this.#expectedAtStart = this.#estimate();
+        }
+    }
+
+    /** The request is sent, or ends; called whether or not it waited. */
+    end(outcome: "sent" | "not-sent"): void {
+        const { admission } = this.#options;
+        if (this.#waitsIn !== undefined) {
+            admission.recordEnded(this.#waitsIn, outcome, this.#now());
+            this.#observeWait(outcome);
+        }
+        if (this.#isInForce && !this.#isOutcomeKnown) {
+            admission.recordOutcome(this.queueFacts, outcome === "sent", this.#now());
+        }
+        this.#isOutcomeKnown = true;
+        this.#waitsIn = undefined;
+        this.#sinceMilliseconds = undefined;
+    }
+
+    /** Returns why the request is refused although it could wait longer; `undefined` where it may wait. */
+    decideRefusal(remainingWaitMilliseconds: number): EarlyRefusal | undefined {
+        const { admission, facts, metrics } = this.#options;
+        if (!this.#isInForce || this.#waitsIn === undefined) {
+            return undefined;
+        }
+        this.#refusal = admission.decideRefusal({
+            facts: this.queueFacts,
+            estimate: this.#estimate(),
+            remainingWaitMilliseconds,
+            remainingMilliseconds: facts.deadlineAtMilliseconds - this.#now(),
+        });
+        if (this.#refusal !== undefined) {
+            metrics.count("early_refusals", { reason: this.#refusal });
+        }
+        return this.#refusal;
+    }
+
+    /** Returns the expected time until upstreams that are full or unreachable accept the request. */
+    get expectedCapacityMilliseconds(): number {
+        const estimate = this.#isInForce
+            ? this.#options.admission.estimateReturn(this.#group, this.#now())
+            : undefined;
+        return estimate?.expectedMilliseconds ?? EXPECTED_CAPACITY_MILLISECONDS;
+    }
+
+    /**
+     * Returns the delay after which the refused caller should come back; `undefined` where nothing is measured for its
+     * service.
+     *
+     * @param expectedMilliseconds Time until the request could be served.
+     * @param remainingMilliseconds Remaining time of the caller.
+     * @param spread Random number of at least 0 and below 1.
+     */
+    retryDelay(expectedMilliseconds: number, remainingMilliseconds: number, spread: number): number | undefined {
+        const { priority } = this.queueFacts;
+        const waitedMilliseconds = this.#now() - (this.#sinceMilliseconds ?? this.#now());
+        const waitedShare = waitedMilliseconds / Math.max(1, this.#maximumWaitMilliseconds);
+        return this.#isInForce
+            ? retryDelay({ expectedMilliseconds, remainingMilliseconds, priority, waitedShare, spread })
+            : undefined;
+    }
+
+    /** Returns log fields with the request's expected wait; none where nothing is known. */
+    describe(): Record<string, number | string | undefined> {
+        const estimate = this.#isInForce ? this.#estimate() : undefined;
+        return estimate === undefined ? { early: this.#refusal } : {
+            early: this.#refusal,
+            inFront: estimate.inFront,
+            expectedWaitMilliseconds: Math.round(estimate.expectedMilliseconds),
+            dispatchesPerSecond: Number(estimate.perSecond.toFixed(1)),
+            dispatchDoubt: Number(estimate.doubt.toFixed(2)),
+        };
+    }
+
+    get #isInForce(): boolean {
+        return this.#options.admission.isInForce(this.queueFacts.service);
+    }
+
+    get #group(): string {
+        const { facts: { adapter, model, service }, progress } = this.#options;
+        return [service, model, adapter, progress.version].join(" ");
+    }
+
+    #estimate(): WaitEstimate | undefined {
+        const { passPosition, rank } = this;
+        return this.#options.admission.estimate(this.#waitsIn ?? this.#group, { passPosition, rank }, this.#now());
+    }
+
+    /** Observes the real wait of a request that is sent, as a multiple of the wait that was expected. */
+    #observeWait(outcome: "sent" | "not-sent"): void {
+        const expectedMilliseconds = this.#expectedAtStart?.expectedMilliseconds;
+        if (outcome === "sent" && expectedMilliseconds !== undefined && expectedMilliseconds > 0) {
+            const waitedMilliseconds = this.#now() - (this.#sinceMilliseconds ?? this.#now());
+            this.#options.metrics.observe(
+                "wait_ratio",
+                waitedMilliseconds / expectedMilliseconds * MILLISECONDS_PER_SECOND,
+                {},
+            );
+        }
+    }
+
+    #now(): number {
+        return this.#options.readClock();
+    }
+}
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -163,13 +163,13 @@
     }
 
     #retryAfterMilliseconds(expectedMilliseconds: number | undefined): number | undefined {
-        return expectedMilliseconds === undefined
-            ? undefined
-            : retryDelayMilliseconds(
-                expectedMilliseconds,
-                longestRemainingMilliseconds(this.#parts),
-                this.#parts.context.random(),
-            );
+        if (expectedMilliseconds === undefined) {
+            return undefined;
+        }
+        const remaining = longestRemainingMilliseconds(this.#parts);
+        const spread = this.#parts.context.random();
+        return this.#parts.place.retryDelay(expectedMilliseconds, remaining, spread)
+            ?? retryDelayMilliseconds(expectedMilliseconds, remaining, spread);
     }
 
     #logRefusal(
@@ -177,13 +177,14 @@
         expectedMilliseconds: number | undefined,
         retryAfterMilliseconds: number | undefined,
     ): void {
-        const { context, facts, logger, permitWait, request, selection } = this.#parts;
+        const { context, facts, logger, permitWait, place, request, selection } = this.#parts;
         logger.info("request refused", {
             reason,
             longestUnreadMilliseconds: Math.round(request.longestUnreadMilliseconds),
             resumes: facts.resumedRequest,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
+            ...place.describe(),
             ...describeLimit(context, permitWait.upstream),
             ...selection.describe(),
         });
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -7,6 +7,7 @@
 import { PermitWait } from "../../rateLimits/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { CallerAnswer } from "./callerAnswer.js";
+import { QueuePlace, type QueuePlaceOptions } from "./queuePlace.js";
 import { type CallerRequest, readRequestFacts, type RequestFacts } from "./requestFacts.js";
 import { RequestLogger } from "./requestLogger.js";
 import { RunningAttempts } from "./runningAttempts.js";
@@ -26,6 +27,7 @@
     readonly answerMemory: ExpectedMemory;
     readonly counts: SendCounts;
     readonly permitWait: PermitWait;
+    readonly place: QueuePlace;
     readonly progress: StreamProgress;
     readonly selection: UpstreamSelection;
 }
@@ -57,6 +59,13 @@
     });
 }
 
+function createPlace(
+    { admission, metrics, readClock }: ForwardingContext,
+    parts: Omit<QueuePlaceOptions, "admission" | "metrics" | "readClock">,
+): QueuePlace {
+    return new QueuePlace({ admission, metrics, readClock, ...parts });
+}
+
 /**
  * Creates the parts of a request.
  *
@@ -66,6 +75,7 @@
 export function createRequestParts(context: ForwardingContext, request: CallerRequest): RequestParts {
     const facts = readRequestFacts(request, context.headers);
     const permitWait = createPermitWait(context, request);
+    const attempts = new RunningAttempts();
     const answerMemory = new ExpectedMemory(context.memory);
     const progress = new StreamProgress({ request, facts, versions: context.streamVersions });
     const selection = new UpstreamSelection(context, facts, {
@@ -81,9 +91,10 @@
         logger: new RequestLogger({ context, request, facts }),
         answer: createAnswer(context, request, answerMemory),
         answerMemory,
-        attempts: new RunningAttempts(),
+        attempts,
         counts: new SendCounts(),
         permitWait,
+        place: createPlace(context, { request, facts, attempts, permitWait, progress }),
         progress,
         selection,
     };
--- a/src/entry/exchange/requestWait.ts
+++ b/src/entry/exchange/requestWait.ts
@@ -5,7 +5,6 @@
  */
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { type DispatchTimer } from "./dispatchTimer.js";
-import { EXPECTED_CAPACITY_MILLISECONDS } from "./expectedCapacity.js";
 import { type FailureReason } from "./failureReason.js";
 import { type RequestParts } from "./requestParts.js";
 import { type WaitTime } from "./waitTime.js";
@@ -16,7 +15,7 @@
     readonly time: WaitTime;
     readonly dispatchTimer: DispatchTimer;
     /** Answers that the request has not run, and when the caller should retry. */
-    readonly refuse: (reason: FailureReason, expectedMilliseconds: number) => void;
+    readonly refuse: (reason: FailureReason, expectedMilliseconds?: number) => void;
     /** The request waits until an engine has prefilled the prompts that it was sent before. */
     readonly onPrefillWait: () => void;
 }
@@ -50,7 +49,7 @@
     }
 
     waitForAdapter(loadable: readonly UpstreamAnnouncement[]): void {
-        if (this.waitOrRefuse("adapter-missing", EXPECTED_CAPACITY_MILLISECONDS)) {
+        if (this.waitOrRefuse("adapter-missing")) {
             this.#parts.selection.requestAdapter(loadable);
         }
     }
@@ -60,9 +59,9 @@
      * refuses at once where none is expected in time.
      */
     waitForPermit(loadable: readonly UpstreamAnnouncement[]): void {
-        const { permitWait, selection } = this.#parts;
+        const { permitWait, place, selection } = this.#parts;
         const elsewhere = selection.withoutLimit(loadable);
-        const expectedMilliseconds = permitWait.expectedMilliseconds ?? EXPECTED_CAPACITY_MILLISECONDS;
+        const expectedMilliseconds = permitWait.expectedMilliseconds ?? place.expectedCapacityMilliseconds;
         if (elsewhere.length > 0) {
             this.waitForAdapter(elsewhere);
         }
@@ -76,7 +75,7 @@
 
     /** Waits until one of some upstreams that tolerate few rejections can be sent the request. */
     waitForSlot(upstreams: readonly UpstreamAnnouncement[]): void {
-        if (this.waitOrRefuse("rejection-bounds", EXPECTED_CAPACITY_MILLISECONDS)) {
+        if (this.waitForCapacity("rejection-bounds")) {
             this.#parts.selection.requestSlot(upstreams, this.#parts.request.arrivedAtMilliseconds);
         }
     }
@@ -88,7 +87,7 @@
 
     /** Waits for engines to reduce their prefill backlog; the forwarder wakes the waiting requests in order. */
     waitForPrefill(): void {
-        if (this.waitOrRefuse("prompts-unread", EXPECTED_CAPACITY_MILLISECONDS)) {
+        if (this.waitForCapacity("prompts-unread")) {
             this.#options.onPrefillWait();
         }
     }
@@ -105,11 +104,29 @@
         this.#options.dispatchTimer.schedule();
     }
 
+    /**
+     * Waits for upstreams that have no room now; refuses at once where the request would not be sent in time. Returns
+     * whether it waits.
+     */
+    waitForCapacity(reason: FailureReason): boolean {
+        const remainingMilliseconds = this.#options.time.begin(reason);
+        const refusal = remainingMilliseconds < 0 ? undefined : this.#parts.place.decideRefusal(remainingMilliseconds);
+        if (refusal === "too-little-time") {
+            this.#options.refuse("out-of-time");
+            return false;
+        }
+        if (refusal === "expected-wait") {
+            this.#options.refuse(reason, this.#parts.place.expectedCapacityMilliseconds);
+            return false;
+        }
+        return this.waitOrRefuse(reason);
+    }
+
     /** Refuses a request that exceeded its maximum wait, else keeps it waiting; returns whether it waits. */
-    waitOrRefuse(reason: FailureReason, expectedMilliseconds: number): boolean {
+    waitOrRefuse(reason: FailureReason, expectedMilliseconds?: number): boolean {
         const remainingMilliseconds = this.#options.time.begin(reason);
         if (remainingMilliseconds < 0) {
-            this.#options.refuse(reason, expectedMilliseconds);
+            this.#options.refuse(reason, expectedMilliseconds ?? this.#parts.place.expectedCapacityMilliseconds);
             return false;
         }
         this.#options.dispatchTimer.schedule(remainingMilliseconds);
--- a/src/entry/exchange/waitTime.ts
+++ b/src/entry/exchange/waitTime.ts
@@ -36,13 +36,15 @@
     begin(reason: FailureReason): number {
         if (this.#sinceMilliseconds === undefined) {
             this.#sinceMilliseconds = this.#now();
+            this.#parts.place.begin();
             this.#logBegun(reason);
         }
         return this.maximumMilliseconds - (this.#now() - this.#sinceMilliseconds);
     }
 
-    /** Ends the wait, if the request was waiting. */
+    /** Ends the wait, if the request was waiting; the outcome is `sent` where it was sent. */
     end(outcome: string): void {
+        this.#parts.place.end(outcome === "sent" ? "sent" : "not-sent");
         if (this.#sinceMilliseconds !== undefined) {
             const waitedMilliseconds = this.#now() - this.#sinceMilliseconds;
             this.#parts.context.metrics.observe("residency_wait_seconds", waitedMilliseconds, { outcome });
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -102,7 +102,11 @@
     #dispatchWaiting(): void {
         const includesLacking = this.#wakesAll;
         this.#wakesAll = false;
-        this.#context.acts.runInTurns(dispatchInOrder(this.#exchanges, { includesLacking }));
+        const { acts, admission, readClock } = this.#context;
+        acts.runInTurns(dispatchInOrder(this.#exchanges, {
+            includesLacking,
+            arrange: sorted => admission.arrange(sorted, readClock()),
+        }));
     }
 
     abortAll(): void {
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Agent } from "node:http";
+import { type Admission } from "../admission/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import { type UpstreamAnnouncement, type UpstreamView } from "../fleet/index.js";
@@ -52,6 +53,8 @@
     /** Quotas of client accounts. */
     readonly quotas: AccountQuotas;
     readonly rejectionBounds: RejectionBounds;
+    /** The order and the expected waits of waiting requests. */
+    readonly admission: Admission;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
     readonly streamVersions: StreamVersions;
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -20,6 +20,10 @@
     },
     endings: { help: "Requests by how they ended.", labels: ["kind", "outcome"] },
     refusals: { help: "Requests refused as not run, by reason.", labels: ["reason"] },
+    early_refusals: {
+        help: "Requests refused although they could have waited longer, by reason.",
+        labels: ["reason"],
+    },
     failures: { help: "Requests that failed without a promise, by reason.", labels: ["reason"] },
     answers_passed_on: {
         help: "Answers that were not buffered whole before their callers got the first part, by reason.",
@@ -158,6 +162,10 @@
 const HISTOGRAMS = {
     first_byte_seconds: { help: "From a request's arrival to the first byte of its answer.", labels: ["kind"] },
     answer_seconds: { help: "From a request's arrival to the end of its answer.", labels: ["kind"] },
+    wait_ratio: {
+        help: "Wait of requests that were sent after one, as a multiple of the wait expected at its begin.",
+        labels: [],
+    },
     residency_wait_seconds: { help: "Time that requests waited for a model or adapter.", labels: ["outcome"] },
 } as const;
 
