Leave a slot free for more urgent requests of other hosts while capacity is short

Callers with the most urgent requests were served less often than patient ones.

Cause: with many hosts each has few waiting requests, so that its own order of waiting decides little. A slot that becomes free goes to whichever host looks first, and a patient request looks for 6 s where an urgent one may wait for 1.2 s.

Where the switch is on, a request leaves one slot of each upstream free while more urgent ones have come in the last minute, and another one where its account is over its fair share; none where its priority or account is served too seldom, and none at the end of its wait if it can still meet its target.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -12,6 +12,9 @@
 /** Interval in which what has not been used for long is forgotten. */
 const PRUNE_INTERVAL_MILLISECONDS = 10_000;
 
+/** Slots of an upstream are kept free for a priority if a request of it has come within this time. */
+const PRESENCE_MILLISECONDS = 60_000;
+
 /** Options of {@linkcode Admission}. */
 export interface AdmissionOptions {
     /** Returns whether the requests of a service are ordered and refused by what is measured here. */
@@ -94,6 +97,8 @@
     readonly #rates = new DispatchRates();
     readonly #shares = new ServedShares();
     readonly #passes = new Map<string, Pass>();
+    /** When the last request of each priority came, by service. */
+    readonly #lastRequests = new Map<string, Map<number, number>>();
     #prunedAtMilliseconds = 0;
 
     constructor(options: AdmissionOptions) {
@@ -126,6 +131,35 @@
     /** Records that a request was sent for the first time, or ended without. */
     recordOutcome(facts: QueueFacts, isServed: boolean, nowMilliseconds: number): void {
         this.#shares.record(serviceKey(facts), shareKeys(facts), isServed, nowMilliseconds);
+        const priorities = this.#lastRequests.get(facts.service) ?? new Map<number, number>();
+        this.#lastRequests.set(facts.service, priorities);
+        priorities.set(facts.priority, nowMilliseconds);
+    }
+
+    /**
+     * Returns how many slots of each upstream a request leaves free: one for more urgent requests, and one for accounts
+     * within their fair share. Other hosts may have such requests waiting, which this host cannot see; an order of its own
+     * waiting requests does not help them.
+     *
+     * @param facts The request.
+     * @param nowMilliseconds The time.
+     */
+    slotsLeftFree(facts: QueueFacts, nowMilliseconds: number): number {
+        if (!this.isInForce(facts.service)) {
+            return 0;
+        }
+        const left = (this.#isMoreUrgentPresent(facts, nowMilliseconds) ? 1 : 0)
+            + (this.isOverFairShare(facts.account) ? 1 : 0);
+        return left > 0 && this.#isUnderserved(facts) ? 0 : left;
+    }
+
+    #isMoreUrgentPresent({ priority, service }: QueueFacts, nowMilliseconds: number): boolean {
+        for (const [other, atMilliseconds] of this.#lastRequests.get(service) ?? []) {
+            if (other < priority && nowMilliseconds - atMilliseconds < PRESENCE_MILLISECONDS) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
--- a/src/entry/exchange/dispatchInOrder.test.ts
+++ b/src/entry/exchange/dispatchInOrder.test.ts
@@ -7,6 +7,7 @@
 class CountedRequest implements WaitingRequest {
     isWaiting = true;
     lacksCopies = false;
+    slotsLeftFree = 0;
     dispatchCount = 0;
     rankCount = 0;
     readonly waitKey: string | undefined;
@@ -72,3 +73,13 @@
     wake(lacking, true);
     assert.equal(lacking.reduce((sum, { dispatchCount }) => sum + dispatchCount, 0), 42);
 });
+
+test("a request that leaves several slots free holds back those that need not", () => {
+    const requests = [2, 1, 2, 0].map((slotsLeftFree, index) => {
+        const request = new CountedRequest("model", index);
+        request.slotsLeftFree = slotsLeftFree;
+        return request;
+    });
+    wake(requests);
+    assert.deepEqual(requests.map(({ dispatchCount }) => dispatchCount), [1, 1, 0, 1]);
+});
--- a/src/entry/exchange/dispatchInOrder.ts
+++ b/src/entry/exchange/dispatchInOrder.ts
@@ -13,6 +13,8 @@
     readonly waitKey: string | undefined;
     /** True while no upstream holds what the request needs, and nothing has changed in this since its last dispatch. */
     readonly lacksCopies: boolean;
+    /** Slots of each upstream that the request leaves free for others; none by default. */
+    readonly slotsLeftFree?: number;
     dispatch(): void;
 }
 
@@ -30,15 +32,19 @@
     readonly arrange?: (sorted: readonly RankedRequest<Request>[]) => readonly RankedRequest<Request>[];
 }
 
-/** Dispatches a request; adds to `unmetKeys` what it waits for where it cannot be sent. */
-function dispatchUnlessUnmet(request: WaitingRequest, unmetKeys: Set<string>): void {
+/**
+ * Dispatches a request, unless one that can go to the same upstreams and leaves no more slots free could not be sent; adds
+ * to `unmet` what it waits for where it cannot be sent.
+ */
+function dispatchUnlessUnmet(request: WaitingRequest, unmet: Map<string, number>): void {
     const { isWaiting, waitKey } = request;
-    if (!isWaiting || (waitKey !== undefined && unmetKeys.has(waitKey))) {
+    const unmetSlots = waitKey === undefined ? undefined : unmet.get(waitKey);
+    if (!isWaiting || (unmetSlots !== undefined && (request.slotsLeftFree ?? 0) >= unmetSlots)) {
         return;
     }
     request.dispatch();
     if (waitKey !== undefined && request.isWaiting) {
-        unmetKeys.add(waitKey);
+        unmet.set(waitKey, request.slotsLeftFree ?? 0);
     }
 }
 
@@ -62,6 +68,6 @@
     const waiting = [...requests].filter(request => request.isWaiting && (includesLacking || !request.lacksCopies));
     const ranked = waiting.map(request => ({ request, rank: request.rank }));
     ranked.sort((left, right) => compareRanks(left.rank, right.rank));
-    const unmetKeys = new Set<string>();
-    return arrange(ranked).map(({ request }) => () => dispatchUnlessUnmet(request, unmetKeys));
+    const unmet = new Map<string, number>();
+    return arrange(ranked).map(({ request }) => () => dispatchUnlessUnmet(request, unmet));
 }
--- a/src/entry/exchange/exchange.ts
+++ b/src/entry/exchange/exchange.ts
@@ -135,6 +135,10 @@
         return this.#parts.place.queueFacts;
     }
 
+    get slotsLeftFree(): number {
+        return this.#parts.place.slotsLeftFree;
+    }
+
     /** Requests of its group in front of it at the last pass over the waiting requests. */
     get passPosition(): number | undefined {
         return this.#parts.place.passPosition;
--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -143,12 +143,35 @@
         return this.#refusal;
     }
 
-    /** Returns the expected time until upstreams that are full or unreachable accept the request. */
+    /**
+     * Slots of each upstream that the request leaves free for others. None at the end of its wait where it can still meet
+     * its target: it would be refused otherwise.
+     */
+    get slotsLeftFree(): number {
+        const { admission } = this.#options;
+        if (!this.#isInForce) {
+            return 0;
+        }
+        const { arrivedAtMilliseconds, service, targetLatencyMilliseconds } = this.queueFacts;
+        const now = this.#now();
+        const isWaitOver = now - (this.#sinceMilliseconds ?? now) >= this.#maximumWaitMilliseconds;
+        const latestStartMilliseconds = arrivedAtMilliseconds + targetLatencyMilliseconds
+            - admission.firstEvents.usual(service);
+        return isWaitOver && now <= latestStartMilliseconds ? 0 : admission.slotsLeftFree(this.queueFacts, now);
+    }
+
+    /**
+     * Expected time until upstreams that are full or unreachable accept the request; at least as long as it has waited in
+     * vain.
+     */
     get expectedCapacityMilliseconds(): number {
-        const estimate = this.#isInForce
-            ? this.#options.admission.estimateReturn(this.#group, this.#now())
-            : undefined;
-        return estimate?.expectedMilliseconds ?? EXPECTED_CAPACITY_MILLISECONDS;
+        if (!this.#isInForce) {
+            return EXPECTED_CAPACITY_MILLISECONDS;
+        }
+        const now = this.#now();
+        const estimate = this.#options.admission.estimateReturn(this.#group, now);
+        const waitedMilliseconds = now - (this.#sinceMilliseconds ?? now);
+        return Math.max(estimate?.expectedMilliseconds ?? EXPECTED_CAPACITY_MILLISECONDS, waitedMilliseconds);
     }
 
     /**
--- a/src/entry/exchange/requestParts.ts
+++ b/src/entry/exchange/requestParts.ts
@@ -78,11 +78,13 @@
     const attempts = new RunningAttempts();
     const answerMemory = new ExpectedMemory(context.memory);
     const progress = new StreamProgress({ request, facts, versions: context.streamVersions });
+    const place = createPlace(context, { request, facts, attempts, permitWait, progress });
     const selection = new UpstreamSelection(context, facts, {
         permitRequest: () => permitWait.request,
         allows: upstream => progress.allows(upstream),
         isResumed: () => progress.isBegun,
         neededVersion: () => progress.boundVersion,
+        slotsLeftFree: () => place.slotsLeftFree,
     });
     return {
         context,
@@ -94,7 +96,7 @@
         attempts,
         counts: new SendCounts(),
         permitWait,
-        place: createPlace(context, { request, facts, attempts, permitWait, progress }),
+        place,
         progress,
         selection,
     };
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -31,6 +31,8 @@
     readonly isResumed: () => boolean;
     /** Returns the only version at which the request may go on; `undefined` where any may serve it. */
     readonly neededVersion: () => string | undefined;
+    /** Returns how many slots of each upstream the request leaves free. */
+    readonly slotsLeftFree: () => number;
 }
 
 /** Evaluates the current upstreams of a request's service, without those that have failed the request. */
@@ -41,6 +43,7 @@
     readonly #allows: (upstream: UpstreamAnnouncement) => boolean;
     readonly #isResumed: () => boolean;
     readonly #neededVersion: () => string | undefined;
+    readonly #slotsLeftFree: () => number;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
     /** When the request was given up at upstreams that were silent. */
@@ -54,7 +57,7 @@
     constructor(
         context: ForwardingContext,
         facts: RequestFacts,
-        { allows, isResumed, neededVersion, permitRequest }: UpstreamSelectionOptions,
+        { allows, isResumed, neededVersion, permitRequest, slotsLeftFree }: UpstreamSelectionOptions,
     ) {
         this.#context = context;
         this.#facts = facts;
@@ -62,6 +65,7 @@
         this.#isResumed = isResumed;
         this.#neededVersion = neededVersion;
         this.#permitRequest = permitRequest;
+        this.#slotsLeftFree = slotsLeftFree;
     }
 
     /** Excludes an upstream that failed the request from further attempts. */
@@ -348,6 +352,7 @@
         const { maxSockets } = this.#context.agentFor(this.#facts.service ?? "");
         const now = this.#now();
         const acceptsAnyPrompt = !batches || isPreferred;
+        const slotsLeftFree = isPreferred ? 0 : this.#slotsLeftFree();
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => ({
             id: upstream.id,
@@ -356,6 +361,7 @@
             mayQueue: isPreferred,
             requests: loads.estimate(upstream.id, now),
             hasFreeConnection: loads.inFlight(upstream.id) < maxSockets,
+            slotsLeftFree,
             prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
             acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
             sameZone: upstream.zone === zone,
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -41,6 +41,8 @@
     readonly requests: number;
     /** False while requests of this host use all its connections to the upstream; another would wait for one of them. */
     readonly hasFreeConnection: boolean;
+    /** Slots that the request leaves free for more urgent ones; none by default. */
+    readonly slotsLeftFree?: number;
     /** Prompt tokens that it was sent recently and probably has not prefilled yet. */
     readonly prefillBacklogTokens: number;
     /** False while another prompt would delay the streams of an engine that is still prefilling others. */
@@ -71,9 +73,11 @@
 }
 
 function isFull(candidate: Candidate): boolean {
-    const { batches, hasFreeConnection, mayQueue, requests, slots } = candidate;
+    const { batches, hasFreeConnection, mayQueue, requests, slots, slotsLeftFree = 0 } = candidate;
     const engineShare = mayQueue ? MAXIMUM_RESUMED_LOAD_SHARE : MAXIMUM_ENGINE_LOAD_SHARE;
-    return !hasFreeConnection || requests >= slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
+    const maximumRequests = slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
+    const isAtLimit = requests >= maximumRequests || requests >= Math.max(1, maximumRequests - slotsLeftFree);
+    return !hasFreeConnection || isAtLimit;
 }
 
 /**
