Refuse early only what hardly ever would have been sent

Cause: requests in front that leave without a dispatch move those behind them up, too, and a request that may take any slot at the end of its wait is mostly sent then.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -7,7 +7,7 @@
 import { FirstEventTimes } from "./firstEventTimes.js";
 import { compareQueueRanks, type QueueRank } from "./queueRank.js";
 import { ServedShares } from "./servedShares.js";
-import { type EarlyRefusal, type QueueFacts, type WaitEstimate } from "./types.js";
+import { type EarlyRefusal, type QueueFacts, type WaitEstimate, type WaitOutcome } from "./types.js";
 
 /** Interval in which what has not been used for long is forgotten. */
 const PRUNE_INTERVAL_MILLISECONDS = 10_000;
@@ -52,6 +52,8 @@
     readonly remainingWaitMilliseconds: number;
     /** Time until its deadline. */
     readonly remainingMilliseconds: number;
+    /** True where it need not leave slots free at the end of its wait. */
+    readonly takesAnySlotAtEnd: boolean;
 }
 
 function serviceKey({ service }: QueueFacts): string {
@@ -120,7 +122,7 @@
     }
 
     /** Records that a request of a group has ceased to wait. */
-    recordEnded(key: string, outcome: "sent" | "not-sent", nowMilliseconds: number): void {
+    recordEnded(key: string, outcome: WaitOutcome, nowMilliseconds: number): void {
         this.#rates.recordEnded(key, outcome, nowMilliseconds);
         const pass = this.#passes.get(key);
         if (pass !== undefined) {
@@ -188,7 +190,7 @@
 
     /** Returns why a request that no upstream has room for is refused at once; `undefined` where it may wait. */
     decideRefusal(
-        { estimate, facts, remainingMilliseconds, remainingWaitMilliseconds }: RefusalInput,
+        { estimate, facts, remainingMilliseconds, remainingWaitMilliseconds, takesAnySlotAtEnd }: RefusalInput,
     ): EarlyRefusal | undefined {
         const servableMilliseconds = remainingMilliseconds - this.firstEvents.short(facts.service);
         if (servableMilliseconds < 0) {
@@ -196,7 +198,7 @@
         }
         const isTooLong = estimate !== undefined
             && estimate.surelyMilliseconds > Math.min(remainingWaitMilliseconds, servableMilliseconds);
-        return isTooLong && !this.#isUnderserved(facts) ? "expected-wait" : undefined;
+        return isTooLong && !takesAnySlotAtEnd && !this.#isUnderserved(facts) ? "expected-wait" : undefined;
     }
 
     /**
--- a/src/admission/dispatchRates.ts
+++ b/src/admission/dispatchRates.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type WaitEstimate } from "./types.js";
+import { type WaitEstimate, type WaitOutcome } from "./types.js";
 
 /** Time with waiting requests after which a dispatch counts half. */
 const BUSY_HALF_LIFE_MILLISECONDS = 3_000;
@@ -15,7 +15,7 @@
 const MINIMUM_DISPATCHES = 4;
 
 /** Standard deviations that a sure wait is below the expected one, for the rate and for the requests in front. */
-const SURE_DEVIATIONS = 1;
+const SURE_DEVIATIONS = 0.75;
 
 /** Groups without waiting requests are forgotten after this time. */
 const GROUP_LIFETIME_MILLISECONDS = 60_000;
@@ -27,6 +27,8 @@
     waiting: number;
     /** Dispatches of waiting requests, as far as they still count. */
     dispatches: number;
+    /** Waiting requests that left without a dispatch, likewise; those behind them move up, too. */
+    left: number;
     /** The time in which they took place, without that in which none waited. */
     busyMilliseconds: number;
     updatedAtMilliseconds: number;
@@ -39,6 +41,7 @@
     const halfLife = group.waiting > 0 ? BUSY_HALF_LIFE_MILLISECONDS : IDLE_HALF_LIFE_MILLISECONDS;
     const kept = 0.5 ** (elapsed / halfLife);
     group.dispatches *= kept;
+    group.left *= kept;
     group.busyMilliseconds *= kept;
     if (group.waiting > 0) {
         group.busyMilliseconds += (1 - kept) * BUSY_HALF_LIFE_MILLISECONDS / Math.LN2;
@@ -63,14 +66,14 @@
     /** Records that a request of a group begins to wait. */
     recordBegun(key: string, nowMilliseconds: number): void {
         const group = this.#groups.get(key)
-            ?? { waiting: 0, dispatches: 0, busyMilliseconds: 0, updatedAtMilliseconds: nowMilliseconds };
+            ?? { waiting: 0, dispatches: 0, left: 0, busyMilliseconds: 0, updatedAtMilliseconds: nowMilliseconds };
         this.#groups.set(key, group);
         advance(group, nowMilliseconds);
         group.waiting += 1;
     }
 
     /** Records that a request of a group has ceased to wait. */
-    recordEnded(key: string, outcome: "sent" | "not-sent", nowMilliseconds: number): void {
+    recordEnded(key: string, outcome: WaitOutcome, nowMilliseconds: number): void {
         const group = this.#groups.get(key);
         if (group === undefined) {
             return;
@@ -78,6 +81,7 @@
         advance(group, nowMilliseconds);
         group.waiting = Math.max(0, group.waiting - 1);
         group.dispatches += outcome === "sent" ? 1 : 0;
+        group.left += outcome === "left" ? 1 : 0;
     }
 
     /** Returns the requests of a group that wait. */
@@ -98,21 +102,22 @@
             return undefined;
         }
         advance(group, nowMilliseconds);
-        const { busyMilliseconds, dispatches } = group;
+        const { busyMilliseconds, dispatches, left } = group;
         if (dispatches < 0.5 || busyMilliseconds <= 0) {
             return undefined;
         }
         const turns = inFront + 1;
-        const highestDispatches = dispatches + SURE_DEVIATIONS * Math.sqrt(dispatches) + 1;
+        const moves = dispatches + left;
+        const mostMoves = moves + SURE_DEVIATIONS * Math.sqrt(moves) + 1;
         const fewestTurns = Math.max(0, turns - SURE_DEVIATIONS * Math.sqrt(turns));
         return {
             inFront,
             perSecond: dispatches / busyMilliseconds * MILLISECONDS_PER_SECOND,
             doubt: 1 / Math.sqrt(dispatches),
             expectedMilliseconds: turns * busyMilliseconds / dispatches,
-            surelyMilliseconds: dispatches < MINIMUM_DISPATCHES
+            surelyMilliseconds: dispatches < MINIMUM_DISPATCHES || inFront === 0
                 ? 0
-                : fewestTurns * busyMilliseconds / highestDispatches,
+                : fewestTurns * busyMilliseconds / mostMoves,
         };
     }
 
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -23,4 +23,4 @@
 export { compareQueueRanks, type QueueRank, queueRank, type QueueRankInput } from "./queueRank.js";
 export { retryDelay, type RetryDelayInput } from "./retryDelay.js";
 export { ServedShares } from "./servedShares.js";
-export { type EarlyRefusal, type QueueFacts, type WaitEstimate } from "./types.js";
+export { type EarlyRefusal, type QueueFacts, type WaitEstimate, type WaitOutcome } from "./types.js";
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -15,6 +15,13 @@
     readonly targetLatencyMilliseconds: number;
 }
 
+/** How the wait of a request ended. */
+export type WaitOutcome =
+    | "sent"
+    /** Its time to wait has passed, or its caller has left. */
+    | "left"
+    | "refused-early";
+
 /** How long a request is expected to wait, and how far that is known. */
 export interface WaitEstimate {
     /** Requests in front of it that can go to the same upstreams. */
--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -114,7 +114,8 @@
     end(outcome: "sent" | "not-sent"): void {
         const { admission } = this.#options;
         if (this.#waitsIn !== undefined) {
-            admission.recordEnded(this.#waitsIn, outcome, this.#now());
+            const notSent = this.#refusal === undefined ? "left" : "refused-early";
+            admission.recordEnded(this.#waitsIn, outcome === "sent" ? "sent" : notSent, this.#now());
             this.#observeWait(outcome);
         }
         if (this.#isInForce && !this.#isOutcomeKnown) {
@@ -135,6 +136,8 @@
             facts: this.queueFacts,
             estimate: this.#estimate(),
             remainingWaitMilliseconds,
+            takesAnySlotAtEnd: this.#now() + remainingWaitMilliseconds <= this.#latestStartMilliseconds
+                && admission.slotsLeftFree(this.queueFacts, this.#now()) > 0,
             remainingMilliseconds: facts.deadlineAtMilliseconds - this.#now(),
         });
         if (this.#refusal !== undefined) {
@@ -152,12 +155,9 @@
         if (!this.#isInForce) {
             return 0;
         }
-        const { arrivedAtMilliseconds, service, targetLatencyMilliseconds } = this.queueFacts;
         const now = this.#now();
         const isWaitOver = now - (this.#sinceMilliseconds ?? now) >= this.#maximumWaitMilliseconds;
-        const latestStartMilliseconds = arrivedAtMilliseconds + targetLatencyMilliseconds
-            - admission.firstEvents.usual(service);
-        return isWaitOver && now <= latestStartMilliseconds ? 0 : admission.slotsLeftFree(this.queueFacts, now);
+        return isWaitOver && now <= this.#latestStartMilliseconds ? 0 : admission.slotsLeftFree(this.queueFacts, now);
     }
 
     /**
@@ -207,6 +207,13 @@
         return this.#options.admission.isInForce(this.queueFacts.service);
     }
 
+    /** When it would have to be sent to meet its target. */
+    get #latestStartMilliseconds(): number {
+        const { arrivedAtMilliseconds, service, targetLatencyMilliseconds } = this.queueFacts;
+        const firstEventMilliseconds = this.#options.admission.firstEvents.usual(service);
+        return arrivedAtMilliseconds + targetLatencyMilliseconds - firstEventMilliseconds;
+    }
+
     get #group(): string {
         const { facts: { adapter, model, service }, progress } = this.#options;
         return [service, model, adapter, progress.version].join(" ");
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -137,3 +137,9 @@
     assert.equal(chooseUpstream([{ ...full, mayQueue: true }], () => 0).type, "send");
     assert.equal(chooseUpstream([{ ...full, mayQueue: true, requests: 80 }], () => 0).type, "all-full");
 });
+
+test("the last slots of an upstream, or its only one, are given to requests that leave some free", () => {
+    const type = (requests: number, slots: number): string =>
+        chooseUpstream([candidate("a", { batches: true, requests, slots, slotsLeftFree: 2 })], random).type;
+    assert.deepEqual([type(9, 12), type(10, 12), type(0, 1), type(1, 1)], ["send", "all-full", "send", "all-full"]);
+});
