Give times that are known as they are, let hedges use any slot, and describe waiting and refusing

With the switch on, a caller whose upstreams all pause was told to come back before the pause ended (seen by tests/upstreamSignals with the switch forced on: 0.86 s of a pause of 3 s). Cause: the spread meant for an estimated capacity was applied to every refusal. Only refusals for want of capacity use it now.

A hedge beside a silent attempt no longer leaves slots free for others: its caller is being served already.

--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -10,12 +10,14 @@
     type QueueRank,
     queueRank,
     retryDelay,
+    type RetryDelayInput,
     type WaitEstimate,
 } from "../../admission/index.js";
 import { maximumWaitMilliseconds } from "../../forwarding/index.js";
 import { type EntryMetrics } from "../../observability/index.js";
 import { type PermitWait } from "../../rateLimits/index.js";
 import { EXPECTED_CAPACITY_MILLISECONDS } from "./expectedCapacity.js";
+import { type FailureReason } from "./failureReason.js";
 import { type CallerRequest, type RequestFacts } from "./requestFacts.js";
 import { type RunningAttempts } from "./runningAttempts.js";
 import { type StreamProgress } from "./streamProgress.js";
@@ -23,6 +25,14 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Reasons to refuse a request for which nothing but the rate of dispatches tells when it could be served. */
+const CAPACITY_REASONS: ReadonlySet<FailureReason> = new Set([
+    "all-full",
+    "no-upstream",
+    "prompts-unread",
+    "rejection-bounds",
+]);
+
 /** Options of {@linkcode QueuePlace}. */
 export interface QueuePlaceOptions {
     readonly admission: Admission;
@@ -176,17 +186,22 @@
 
     /**
      * Returns the delay after which the refused caller should come back; `undefined` where nothing is measured for its
-     * service.
+     * service, or what it waited for has a time of its own, before which it need not come back.
      *
-     * @param expectedMilliseconds Time until the request could be served.
-     * @param remainingMilliseconds Remaining time of the caller.
-     * @param spread Random number of at least 0 and below 1.
+     * @param reason Why it is refused.
+     * @param input When it could be served, and how long its caller can wait for that.
      */
-    retryDelay(expectedMilliseconds: number, remainingMilliseconds: number, spread: number): number | undefined {
+    retryDelay(
+        reason: FailureReason,
+        { expectedMilliseconds, remainingMilliseconds, spread }: Pick<
+            RetryDelayInput,
+            "expectedMilliseconds" | "remainingMilliseconds" | "spread"
+        >,
+    ): number | undefined {
         const { priority } = this.queueFacts;
         const waitedMilliseconds = this.#now() - (this.#sinceMilliseconds ?? this.#now());
         const waitedShare = waitedMilliseconds / Math.max(1, this.#maximumWaitMilliseconds);
-        return this.#isInForce
+        return this.#isInForce && CAPACITY_REASONS.has(reason)
             ? retryDelay({ expectedMilliseconds, remainingMilliseconds, priority, waitedShare, spread })
             : undefined;
     }
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -51,7 +51,7 @@
             this.fail(STATUS_BAD_GATEWAY, reason);
             return;
         }
-        const retryAfterMilliseconds = this.#retryAfterMilliseconds(expectedMilliseconds);
+        const retryAfterMilliseconds = this.#retryAfterMilliseconds(reason, expectedMilliseconds);
         this.#parts.context.metrics.count("refusals", { reason });
         this.#logRefusal(reason, expectedMilliseconds, retryAfterMilliseconds);
         const retryHeaders: Record<string, string> = retryAfterMilliseconds === undefined
@@ -162,14 +162,17 @@
         this.#options.onEnded();
     }
 
-    #retryAfterMilliseconds(expectedMilliseconds: number | undefined): number | undefined {
+    #retryAfterMilliseconds(
+        reason: FailureReason,
+        expectedMilliseconds: number | undefined,
+    ): number | undefined {
         if (expectedMilliseconds === undefined) {
             return undefined;
         }
-        const remaining = longestRemainingMilliseconds(this.#parts);
+        const remainingMilliseconds = longestRemainingMilliseconds(this.#parts);
         const spread = this.#parts.context.random();
-        return this.#parts.place.retryDelay(expectedMilliseconds, remaining, spread)
-            ?? retryDelayMilliseconds(expectedMilliseconds, remaining, spread);
+        return this.#parts.place.retryDelay(reason, { expectedMilliseconds, remainingMilliseconds, spread })
+            ?? retryDelayMilliseconds(expectedMilliseconds, remainingMilliseconds, spread);
     }
 
     #logRefusal(
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -103,7 +103,9 @@
      * @param isWaiting True for a request that has waited.
      */
     choose(upstreams: readonly UpstreamAnnouncement[], isWaiting: boolean): Choice {
-        return this.#choose(this.#candidates(upstreams, { isWaiting, isPreferred: this.#isResumed() }));
+        const isPreferred = this.#isResumed();
+        const slotsLeftFree = isPreferred ? 0 : this.#slotsLeftFree();
+        return this.#choose(this.#candidates(upstreams, { isWaiting, isPreferred, slotsLeftFree }));
     }
 
     #choose(candidates: readonly Candidate[]): Choice {
@@ -190,7 +192,7 @@
         const others = this.usable().filter(upstream =>
             !current.has(upstream.id) && this.residencyAt(upstream) === "held" && isEligible(upstream)
         );
-        return this.#choose(this.#candidates(others, { isWaiting: false, isPreferred: false }));
+        return this.#choose(this.#candidates(others, { isWaiting: false, isPreferred: false, slotsLeftFree: 0 }));
     }
 
     /** Returns the requests at an upstream as a share of its slots. */
@@ -343,7 +345,11 @@
      */
     #candidates(
         upstreams: readonly UpstreamAnnouncement[],
-        { isPreferred, isWaiting }: { readonly isPreferred: boolean; readonly isWaiting: boolean; },
+        { isPreferred, isWaiting, slotsLeftFree }: {
+            readonly isPreferred: boolean;
+            readonly isWaiting: boolean;
+            readonly slotsLeftFree: number;
+        },
     ): Candidate[] {
         const { backlog, health, loads, prompts, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
@@ -352,7 +358,6 @@
         const { maxSockets } = this.#context.agentFor(this.#facts.service ?? "");
         const now = this.#now();
         const acceptsAnyPrompt = !batches || isPreferred;
-        const slotsLeftFree = isPreferred ? 0 : this.#slotsLeftFree();
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => ({
             id: upstream.id,
