Leave a slot free for each more urgent priority, and let accounts over their share wait for others to the end

Two slots at most are left free for more urgent priorities, one for each, and never more than a quarter of an upstream's. An account over its fair share leaves one slot free to the end.

--- a/src/admission/admission.test.ts
+++ b/src/admission/admission.test.ts
@@ -237,5 +237,5 @@
     }));
     assert.equal(admission.arrange(sorted, 0), sorted);
     assert.equal(sorted[0]?.request.passPosition, undefined);
-    assert.equal(admission.slotsLeftFree({ ...FACTS, account: "loud" }, 0), 0);
+    assert.equal(admission.slotsLeftFree({ ...FACTS, account: "loud" }, false, 0), 0);
 });
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -15,6 +15,15 @@
 /** Slots of an upstream are kept free for a priority if a request of it has come within this time. */
 const PRESENCE_MILLISECONDS = 60_000;
 
+/** Slots that a request leaves free for more urgent priorities, one for each, at most. */
+const MAXIMUM_PRIORITY_SLOTS = 2;
+
+/**
+ * Share of the sure wait that counts for accounts over their fair share: their requests go last within their priority, and
+ * before the others once they have waited half of what they may.
+ */
+const OVERTAKING_SHARE = 0.5;
+
 /** Options of {@linkcode Admission}. */
 export interface AdmissionOptions {
     /** Returns whether the requests of a service are ordered and refused by what is measured here. */
@@ -139,29 +148,33 @@
     }
 
     /**
-     * Returns how many slots of each upstream a request leaves free: one for more urgent requests, and one for accounts
-     * within their fair share. Other hosts may have such requests waiting, which this host cannot see; an order of its own
+     * Returns how many slots of each upstream a request leaves free: one for each more urgent priority, and one for
+     * accounts within their fair share. Other hosts may have such requests waiting, which this host cannot see; an order of its own
      * waiting requests does not help them.
      *
      * @param facts The request.
+     * @param isLastMoment True at the end of its wait, if it can still meet its target: it then leaves none for more urgent
+     * requests, since it would be refused.
      * @param nowMilliseconds The time.
      */
-    slotsLeftFree(facts: QueueFacts, nowMilliseconds: number): number {
+    slotsLeftFree(facts: QueueFacts, isLastMoment: boolean, nowMilliseconds: number): number {
         if (!this.isInForce(facts.service)) {
             return 0;
         }
-        const left = (this.#isMoreUrgentPresent(facts, nowMilliseconds) ? 1 : 0)
-            + (this.isOverFairShare(facts.account) ? 1 : 0);
+        const forUrgent = isLastMoment ? 0 : this.#countMoreUrgent(facts, nowMilliseconds);
+        const left = Math.min(MAXIMUM_PRIORITY_SLOTS, forUrgent) + (this.isOverFairShare(facts.account) ? 1 : 0);
         return left > 0 && this.#isUnderserved(facts) ? 0 : left;
     }
 
-    #isMoreUrgentPresent({ priority, service }: QueueFacts, nowMilliseconds: number): boolean {
+    /** Returns how many more urgent priorities a service had requests of lately. */
+    #countMoreUrgent({ priority, service }: QueueFacts, nowMilliseconds: number): number {
+        let count = 0;
         for (const [other, atMilliseconds] of this.#lastRequests.get(service) ?? []) {
             if (other < priority && nowMilliseconds - atMilliseconds < PRESENCE_MILLISECONDS) {
-                return true;
+                count += 1;
             }
         }
-        return false;
+        return count;
     }
 
     /**
@@ -196,8 +209,9 @@
         if (servableMilliseconds < 0) {
             return "too-little-time";
         }
+        const share = this.isOverFairShare(facts.account) ? OVERTAKING_SHARE : 1;
         const isTooLong = estimate !== undefined
-            && estimate.surelyMilliseconds > Math.min(remainingWaitMilliseconds, servableMilliseconds);
+            && estimate.surelyMilliseconds * share > Math.min(remainingWaitMilliseconds, servableMilliseconds);
         return isTooLong && !takesAnySlotAtEnd && !this.#isUnderserved(facts) ? "expected-wait" : undefined;
     }
 
--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -147,7 +147,8 @@
             estimate: this.#estimate(),
             remainingWaitMilliseconds,
             takesAnySlotAtEnd: this.#now() + remainingWaitMilliseconds <= this.#latestStartMilliseconds
-                && admission.slotsLeftFree(this.queueFacts, this.#now()) > 0,
+                && admission.slotsLeftFree(this.queueFacts, true, this.#now()) === 0
+                && admission.slotsLeftFree(this.queueFacts, false, this.#now()) > 0,
             remainingMilliseconds: facts.deadlineAtMilliseconds - this.#now(),
         });
         if (this.#refusal !== undefined) {
@@ -157,8 +158,8 @@
     }
 
     /**
-     * Slots of each upstream that the request leaves free for others. None at the end of its wait where it can still meet
-     * its target: it would be refused otherwise.
+     * Slots of each upstream that the request leaves free for others; fewer at the end of its wait where it can still meet
+     * its target, since it would be refused otherwise.
      */
     get slotsLeftFree(): number {
         const { admission } = this.#options;
@@ -167,7 +168,8 @@
         }
         const now = this.#now();
         const isWaitOver = now - (this.#sinceMilliseconds ?? now) >= this.#maximumWaitMilliseconds;
-        return isWaitOver && now <= this.#latestStartMilliseconds ? 0 : admission.slotsLeftFree(this.queueFacts, now);
+        const isLastMoment = isWaitOver && now <= this.#latestStartMilliseconds;
+        return admission.slotsLeftFree(this.queueFacts, isLastMoment, now);
     }
 
     /**
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -141,5 +141,7 @@
 test("the last slots of an upstream, or its only one, are given to requests that leave some free", () => {
     const type = (requests: number, slots: number): string =>
         chooseUpstream([candidate("a", { batches: true, requests, slots, slotsLeftFree: 2 })], random).type;
-    assert.deepEqual([type(9, 12), type(10, 12), type(0, 1), type(1, 1)], ["send", "all-full", "send", "all-full"]);
+    assert.deepEqual([type(9, 12), type(10, 12)], ["send", "all-full"]);
+    assert.deepEqual([type(4, 6), type(5, 6)], ["send", "all-full"], "at most a quarter of the slots");
+    assert.deepEqual([type(0, 1), type(1, 1)], ["send", "all-full"]);
 });
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -17,6 +17,9 @@
  */
 const MAXIMUM_RESUMED_LOAD_SHARE = 1.25;
 
+/** Largest share of an upstream's slots that a request leaves free for more urgent ones. */
+const MAXIMUM_FREE_SHARE = 0.25;
+
 /** Cost of an upstream in another zone, as a share of its slots. */
 const OTHER_ZONE_SHARE = 0.12;
 
@@ -76,8 +79,8 @@
     const { batches, hasFreeConnection, mayQueue, requests, slots, slotsLeftFree = 0 } = candidate;
     const engineShare = mayQueue ? MAXIMUM_RESUMED_LOAD_SHARE : MAXIMUM_ENGINE_LOAD_SHARE;
     const maximumRequests = slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
-    const isAtLimit = requests >= maximumRequests || requests >= Math.max(1, maximumRequests - slotsLeftFree);
-    return !hasFreeConnection || isAtLimit;
+    const leftFree = Math.min(slotsLeftFree, Math.floor(slots * MAXIMUM_FREE_SHARE));
+    return !hasFreeConnection || requests >= maximumRequests - leftFree;
 }
 
 /**
--- a/tests/support/queueModel.ts
+++ b/tests/support/queueModel.ts
@@ -306,7 +306,7 @@
     get slotsLeftFree(): number {
         const { admission, model: { time } } = this.#host;
         const isWaitOver = time.now - (this.#since ?? time.now) >= this.#maximumWait;
-        return isWaitOver && time.now <= this.#latestStart ? 0 : admission.slotsLeftFree(this.queueFacts, time.now);
+        return admission.slotsLeftFree(this.queueFacts, isWaitOver && time.now <= this.#latestStart, time.now);
     }
 
     get #latestStart(): number {
@@ -326,7 +326,8 @@
             estimate: admission.estimate(SERVICE, this, time.now),
             remainingWaitMilliseconds: remainingWait,
             takesAnySlotAtEnd: time.now + remainingWait <= this.#latestStart
-                && admission.slotsLeftFree(this.queueFacts, time.now) > 0,
+                && admission.slotsLeftFree(this.queueFacts, true, time.now) === 0
+                && admission.slotsLeftFree(this.queueFacts, false, time.now) > 0,
             remainingMilliseconds: this.#deadline - time.now,
         });
         if (refusal !== undefined && remainingWait >= 0 && !this.#isEarly) {
