--- a/src/capacity/engineSpeeds.ts
+++ b/src/capacity/engineSpeeds.ts
@@ -138,6 +138,11 @@
         speed.slowdownAtMilliseconds = Number.NaN;
     }
 
+    /** Returns whether upstreams of a service have reported figures. */
+    isReportingService(service: string): boolean {
+        return this.#reportingServices.has(service);
+    }
+
     /**
      * Returns whether the upstream's last answer held a figure. One that this host has not heard yet is taken for one
      * that reports, if others of its service do: otherwise all hosts would prefer those that they have not heard.
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import { type Agent } from "node:http";
+import { Admission } from "../admission/index.js";
 import { type SharedRetryBudget } from "../forwarding/index.js";
+import { isOverFairShare } from "../quotas/index.js";
 import { type Acts } from "./actQueue.js";
 import { PagePool } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
@@ -42,6 +44,11 @@
         ...context,
         ...upstreamState(upstreams),
         acts,
+        admission: new Admission({
+            isInForce: service =>
+                store.configuration.table?.accounts !== undefined || upstreams.speeds.isReportingService(service),
+            isOverFairShare: account => isOverFairShare(account, quotas.admittedRates(readClock())),
+        }),
         agentFor,
         budget,
         demand,
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -54,7 +54,7 @@
             this.fail(STATUS_BAD_GATEWAY, reason);
             return;
         }
-        const retryAfterMilliseconds = this.#retryAfterMilliseconds(expectedMilliseconds);
+        const retryAfterMilliseconds = this.#retryAfterMilliseconds(reason, expectedMilliseconds);
         this.#parts.context.metrics.count("refusals", { reason });
         this.#logRefusal(reason, expectedMilliseconds, retryAfterMilliseconds);
         const retryHeaders: Record<string, string> = retryAfterMilliseconds === undefined
@@ -203,14 +203,17 @@
         }
     }
 
-    #retryAfterMilliseconds(expectedMilliseconds: number | undefined): number | undefined {
-        return expectedMilliseconds === undefined
-            ? undefined
-            : retryDelayMilliseconds(
-                expectedMilliseconds,
-                longestRemainingMilliseconds(this.#parts),
-                this.#parts.context.random(),
-            );
+    #retryAfterMilliseconds(
+        reason: FailureReason,
+        expectedMilliseconds: number | undefined,
+    ): number | undefined {
+        if (expectedMilliseconds === undefined) {
+            return undefined;
+        }
+        const remainingMilliseconds = longestRemainingMilliseconds(this.#parts);
+        const spread = this.#parts.context.random();
+        return this.#parts.place.retryDelay(reason, { expectedMilliseconds, remainingMilliseconds, spread })
+            ?? retryDelayMilliseconds(expectedMilliseconds, remainingMilliseconds, spread);
     }
 
     #logRefusal(
@@ -218,13 +221,14 @@
         expectedMilliseconds: number | undefined,
         retryAfterMilliseconds: number | undefined,
     ): void {
-        const { context, facts, logger, permitWait, request, selection } = this.#parts;
+        const { context, facts, logger, permitWait, place, request, selection } = this.#parts;
         logger.info("request refused", {
             reason,
             longestUnreadMilliseconds: Math.round(request.longestUnreadMilliseconds),
             resumes: facts.resumedRequest,
             expectedMilliseconds: expectedMilliseconds === undefined ? undefined : Math.round(expectedMilliseconds),
             retryAfterMilliseconds,
+            ...place.describe(),
             ...describeLimit(context, permitWait.upstream),
             ...selection.describe(),
         });
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -31,6 +31,8 @@
     readonly isResumed: () => boolean;
     /** Returns the only version at which the request may go on; `undefined` where any may serve it. */
     readonly neededVersion: () => string | undefined;
+    /** Returns how many slots of each upstream the request leaves free. */
+    readonly slotsLeftFree: () => number;
 }
 
 /** Evaluates the current upstreams of a request's service, without those that have failed the request. */
@@ -41,6 +43,7 @@
     readonly #allows: (upstream: UpstreamAnnouncement) => boolean;
     readonly #isResumed: () => boolean;
     readonly #neededVersion: () => string | undefined;
+    readonly #slotsLeftFree: () => number;
     /** Upstreams that have failed this request. */
     readonly #tried = new Set<string>();
     /** When the request was given up at upstreams that were silent. */
@@ -54,7 +57,7 @@
     constructor(
         context: ForwardingContext,
         facts: RequestFacts,
-        { allows, isResumed, neededVersion, permitRequest }: UpstreamSelectionOptions,
+        { allows, isResumed, neededVersion, permitRequest, slotsLeftFree }: UpstreamSelectionOptions,
     ) {
         this.#context = context;
         this.#facts = facts;
@@ -62,6 +65,7 @@
         this.#isResumed = isResumed;
         this.#neededVersion = neededVersion;
         this.#permitRequest = permitRequest;
+        this.#slotsLeftFree = slotsLeftFree;
     }
 
     /** Excludes an upstream that failed the request from further attempts. */
@@ -99,7 +103,9 @@
      * @param isWaiting True for a request that has waited.
      */
     choose(upstreams: readonly UpstreamAnnouncement[], isWaiting: boolean): Choice {
-        return this.#choose(this.#candidates(upstreams, { isWaiting, isPreferred: this.#isResumed() }));
+        const isPreferred = this.#isResumed();
+        const slotsLeftFree = isPreferred ? 0 : this.#slotsLeftFree();
+        return this.#choose(this.#candidates(upstreams, { isWaiting, isPreferred, slotsLeftFree }));
     }
 
     #choose(candidates: readonly Candidate[]): Choice {
@@ -186,7 +192,7 @@
         const others = this.usable().filter(upstream =>
             !current.has(upstream.id) && this.residencyAt(upstream) === "held" && isEligible(upstream)
         );
-        return this.#choose(this.#candidates(others, { isWaiting: false, isPreferred: false }));
+        return this.#choose(this.#candidates(others, { isWaiting: false, isPreferred: false, slotsLeftFree: 0 }));
     }
 
     /** Returns the requests at an upstream as a share of its slots. */
@@ -339,7 +345,11 @@
      */
     #candidates(
         upstreams: readonly UpstreamAnnouncement[],
-        { isPreferred, isWaiting }: { readonly isPreferred: boolean; readonly isWaiting: boolean; },
+        { isPreferred, isWaiting, slotsLeftFree }: {
+            readonly isPreferred: boolean;
+            readonly isWaiting: boolean;
+            readonly slotsLeftFree: number;
+        },
     ): Candidate[] {
         const { backlog, health, loads, preferences, promptSizes, prompts, speeds, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
@@ -363,6 +373,7 @@
                 mayQueue: isPreferred,
                 requests,
                 hasFreeConnection: loads.inFlight(upstream.id) < maxSockets,
+                slotsLeftFree,
                 prefillBacklogTokens: backlog.backlogTokens(upstream.id, now),
                 acceptsPrompt: acceptsAnyPrompt || backlog.accepts(upstream.id, prompt, now),
                 sameZone: upstream.zone === zone,
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -5,6 +5,7 @@
  */
 import { type Agent } from "node:http";
 import { type ConfigurationEvidence } from "../accounts/index.js";
+import { type Admission } from "../admission/index.js";
 import {
     type EngineMemoryUse,
     type EngineSpeeds,
@@ -60,6 +61,8 @@
     /** Quotas of client accounts. */
     readonly quotas: AccountQuotas;
     readonly rejectionBounds: RejectionBounds;
+    /** The order and the expected waits of waiting requests. */
+    readonly admission: Admission;
     readonly budget: SharedRetryBudget;
     readonly crashes: CrashAttribution;
     readonly streamVersions: StreamVersions;
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -207,3 +207,11 @@
     assert.deepEqual(chooseUpstream([empty, { ...busy, acceptsPrompt: false }], random), { type: "reading" });
     assert.deepEqual(chooseUpstream([empty], random), { type: "send", upstream: "empty" });
 });
+
+test("the last slots of an upstream, or its only one, are given to requests that leave some free", () => {
+    const type = (requests: number, slots: number): string =>
+        chooseUpstream([candidate("a", { batches: true, requests, slots, slotsLeftFree: 2 })], random).type;
+    assert.deepEqual([type(9, 12), type(10, 12)], ["send", "all-full"]);
+    assert.deepEqual([type(4, 6), type(5, 6)], ["send", "all-full"], "at most a quarter of the slots");
+    assert.deepEqual([type(0, 1), type(1, 1)], ["send", "all-full"]);
+});
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -17,6 +17,9 @@
  */
 const MAXIMUM_RESUMED_LOAD_SHARE = 1.25;
 
+/** Largest share of an upstream's slots that a request leaves free for more urgent ones. */
+const MAXIMUM_FREE_SHARE = 0.25;
+
 /** Cost of an upstream in another zone, as a share of its slots. */
 const OTHER_ZONE_SHARE = 0.12;
 
@@ -62,6 +65,8 @@
     readonly requests: number;
     /** False while requests of this host use all its connections to the upstream; another would wait for one of them. */
     readonly hasFreeConnection: boolean;
+    /** Slots that the request leaves free for more urgent ones; none by default. */
+    readonly slotsLeftFree?: number;
     /** Prompt tokens that it was sent recently and probably has not prefilled yet. */
     readonly prefillBacklogTokens: number;
     /** False while another prompt would delay the streams of an engine that is still prefilling others. */
@@ -121,9 +126,11 @@
 }
 
 function isFull(candidate: Candidate): boolean {
-    const { batches, hasFreeConnection, mayQueue, requests, slots } = candidate;
+    const { batches, hasFreeConnection, mayQueue, requests, slots, slotsLeftFree = 0 } = candidate;
     const engineShare = mayQueue ? MAXIMUM_RESUMED_LOAD_SHARE : MAXIMUM_ENGINE_LOAD_SHARE;
-    return !hasFreeConnection || requests >= slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
+    const maximumRequests = slots * (batches ? engineShare : MAXIMUM_SERVICE_LOAD_SHARE);
+    const leftFree = Math.min(slotsLeftFree, Math.floor(slots * MAXIMUM_FREE_SHARE));
+    return !hasFreeConnection || requests >= maximumRequests - leftFree;
 }
 
 /**
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -33,6 +33,10 @@
         help: "Tokens of requests that were admitted, and those returned since no upstream ran the request.",
         labels: ["account", "outcome"],
     },
+    early_refusals: {
+        help: "Requests refused although they could have waited longer, by reason.",
+        labels: ["reason"],
+    },
     failures: { help: "Requests that failed without a promise, by reason.", labels: ["reason"] },
     answers_passed_on: {
         help: "Answers that were not buffered whole before their callers got the first part, by reason.",
@@ -183,6 +187,10 @@
 const HISTOGRAMS = {
     first_byte_seconds: { help: "From a request's arrival to the first byte of its answer.", labels: ["kind"] },
     answer_seconds: { help: "From a request's arrival to the end of its answer.", labels: ["kind"] },
+    wait_ratio: {
+        help: "Wait of requests that were sent after one, as a multiple of the wait expected at its begin.",
+        labels: [],
+    },
     residency_wait_seconds: { help: "Time that requests waited for a model or adapter.", labels: ["outcome"] },
 } as const;
 
