Test that a host which did not run does not call an added key unknown while the service is silent

With the view's age in listened time, in which a stop hardly counts, the host answered 401 (shown by putting it in); by the steady clock it answers 503, configuration-outdated.

--- a/tests/accountsOnStoppedHost.test.ts
+++ b/tests/accountsOnStoppedHost.test.ts
@@ -13,7 +13,7 @@
     startEntryProgram,
     waitUntilProgramReady,
 } from "./support/entryProgram.js";
-import { type CallerAnswer, callHost, EntrySite } from "./support/entrySite.js";
+import { type CallerAnswer, callHost, EntrySite, until } from "./support/entrySite.js";
 
 const OLD_KEY = "asnmgkcuyj8pjbvk9m68";
 const NEW_KEY = "k7b2ex5wa5xwyhks8nbk";
@@ -21,6 +21,8 @@
 /** Longer than the deadline of configurations. */
 const STOPPED_MILLISECONDS = 4_000;
 
+const RECOVERED_MILLISECONDS = 12_000;
+
 let site: EntrySite;
 let settings: EntryProgramSettings;
 let program: EntryProgram;
@@ -61,3 +63,17 @@
     program.child.kill("SIGCONT");
     assert.deepEqual([(await added).status, (await removed).status], [200, 401]);
 });
+
+test("a host that did not run, and cannot ask for changes, does not say that an added key is unknown", async () => {
+    assert.equal((await call(NEW_KEY)).status, 200);
+    site.store.mode = "silent";
+    program.child.kill("SIGSTOP");
+    configure(OLD_KEY);
+    const added = call(OLD_KEY);
+    await delay(STOPPED_MILLISECONDS);
+    program.child.kill("SIGCONT");
+    const { body, status } = await added;
+    assert.deepEqual([status, body.includes("configuration-outdated")], [503, true]);
+    site.store.mode = "up";
+    await until(async () => (await call(OLD_KEY)).status === 200, RECOVERED_MILLISECONDS);
+});
