Test hosts against crowds that send far ahead or in very small parts

Callers saw: a host of 160 MB takes 169 to 227 MB and may be killed when 150 connections send 500 pipelined requests, or heads of 2,280 fields, and read no answers. Ordinary requests beside 100 open bodies of one-byte chunks wait for seconds. Cause: Node.js emits all requests of a read of 64 KiB before any limit holds; a head counts by its characters, not by its fields. Ruled out: the test itself; with no crowd every port answers and 74 MB are resident.

--- a/tests/support/entryProgram.ts
+++ b/tests/support/entryProgram.ts
@@ -30,6 +30,7 @@
     readonly callers: number;
     readonly directory: number;
     readonly gossip: number;
+    readonly state: number;
 }
 
 /**
@@ -122,5 +123,6 @@
         callers: callers ?? 0,
         directory: directory ?? 0,
         gossip: gossip ?? 0,
+        state: control ?? 0,
     };
 }
--- a/tests/support/smallMachine.ts
+++ b/tests/support/smallMachine.ts
@@ -7,6 +7,7 @@
 import { connect, type Socket } from "node:net";
 import { type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts } from "../../standins/freePorts.js";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
 import { PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
 import { type BundledProgram, NODE_OPTIONS } from "./bundledProgram.js";
@@ -40,12 +41,16 @@
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 };
 
+/** The listening ports of a host. */
+export type PortName = "callers" | "directory" | "metrics" | "readiness" | "state";
+
 /** A running host on the smallest machine. */
 export interface SmallHost {
     readonly program: EntryProgram;
     readonly upstream: PlatformUpstreamStandIn;
-    /** Opens a connection to the host, which ends with the test. */
-    connect(): Socket;
+    readonly ports: Readonly<Record<PortName, number>>;
+    /** Opens a connection to the host, to the port for callers by default; it ends with the test. */
+    connect(port?: PortName): Socket;
     /** Fails where the process has ended, or where its resident memory was ever beyond the machine's. */
     assertWithinMachine(): void;
 }
@@ -71,7 +76,11 @@
     });
     store.put("servers/plain-1", upstream.announcement("plain"));
     const settings = await createEntrySettings(store.address, { memoryMegabytes: MACHINE_MEGABYTES });
-    const program = startEntryProgram(settings.text, [...NODE_OPTIONS, bundled.launcher]);
+    const { callers, directory, readiness, state } = settings;
+    const [metrics = 0] = await findFreePorts(1);
+    const ports = { callers, directory, metrics, readiness, state };
+    const environment = { FLAMINGOSPREAD_METRICS_PORT: String(metrics) };
+    const program = startEntryProgram(settings.text, [...NODE_OPTIONS, bundled.launcher], environment);
     const sockets: Socket[] = [];
     let peakBytes = 0;
     const poll = setInterval(() => {
@@ -89,8 +98,9 @@
     return {
         program,
         upstream,
-        connect: () => {
-            const socket = connect(settings.callers, "127.0.0.1");
+        ports,
+        connect: (port = "callers") => {
+            const socket = connect(ports[port], "127.0.0.1");
             socket.on("error", () => undefined);
             sockets.push(socket);
             return socket;
