Parse what a connection sends ahead one request at a time

Callers saw: a host of 160 MB was killed, or refused everybody, when connections sent hundreds of requests ahead. Cause: Node.js reads sockets in its own code and emits all requests and pieces of a read of 64 KiB before a pause takes effect; a paused stream still reads once more; a head counted by its characters, not by its fields. Ruled out: pausing in the request listener, which comes after the whole read; maxRequestsPerSocket, which makes an object for each refused request. Fields count 56 bytes for each name and value. Pieces below 1 KiB are left to the collector.

--- a/src/entry/connections/_bodyBuffer.ts
+++ b/src/entry/connections/_bodyBuffer.ts
@@ -13,6 +13,16 @@
 
 const NO_BYTES = Buffer.alloc(0);
 
+/** Pieces below this size are left to be collected; freeing one at once takes longer than parsing it. */
+const FREED_PIECE_BYTES = 1_024;
+
+/** Frees a piece that was copied. */
+export function freeLargePiece(piece: Buffer): void {
+    if (piece.length >= FREED_PIECE_BYTES) {
+        freeBytes(piece);
+    }
+}
+
 /** Options of {@linkcode BodyBuffer}. */
 export interface BodyBufferOptions {
     /** Length of the body; `undefined` where it is not known. */
@@ -45,7 +55,7 @@
             return false;
         }
         piece.copy(this.#bytes, this.#length);
-        freeBytes(piece);
+        freeLargePiece(piece);
         this.#length = length;
         return true;
     }
--- a/src/entry/connections/_readBody.ts
+++ b/src/entry/connections/_readBody.ts
@@ -1,7 +1,7 @@
 import { type IncomingMessage } from "node:http";
-import { freeBytes, type HeldMemory } from "../../memory/index.js";
+import { type HeldMemory } from "../../memory/index.js";
 import { type Acts } from "../actQueue.js";
-import { BodyBuffer } from "./_bodyBuffer.js";
+import { BodyBuffer, freeLargePiece } from "./_bodyBuffer.js";
 import { BodyIdleTimer } from "./_bodyIdleTimer.js";
 import { type RequestMemory } from "./requestMemory.js";
 
@@ -30,7 +30,7 @@
 
 /** Reads the rest of a request that is not wanted, and frees it. */
 export function discardBody(message: IncomingMessage): void {
-    message.on("data", freeBytes);
+    message.on("data", freeLargePiece);
 }
 
 /**
@@ -77,7 +77,7 @@
         timer.recordPiece();
         progress.record(piece.length);
         if (settled) {
-            freeBytes(piece);
+            freeLargePiece(piece);
             return;
         }
         if (receivedBytes > limitBytes) {
--- a/src/entry/connections/_requestHead.ts
+++ b/src/entry/connections/_requestHead.ts
@@ -8,11 +8,21 @@
 /** Characters of a dropped head's URL that are kept, for log lines. */
 const KEPT_URL_CHARACTERS = 100;
 
+/** Memory of the name or value of a header field beside its characters: a string, and its places in lists and objects. */
+const TEXT_BYTES = 56;
+
 /** Returns the length of a request's URL and of the names and values of its header fields, without separators. */
 export function headBytes({ rawHeaders, url = "" }: IncomingMessage): number {
     return rawHeaders.reduce((total, text) => total + text.length, url.length);
 }
 
+/**
+ * Returns the memory that the head of a request takes, at least: its characters, and the objects that hold its fields.
+ */
+export function headMemory(message: IncomingMessage): number {
+    return headBytes(message) + message.rawHeaders.length * TEXT_BYTES;
+}
+
 /** Returns the beginning of a text in memory of its own: a part of a string keeps the whole of it. */
 function copyBeginning(text: string): string {
     return text.length <= KEPT_URL_CHARACTERS ? text : Buffer.from(text.slice(0, KEPT_URL_CHARACTERS)).toString();
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -8,7 +8,7 @@
 import { HeldMemory, type MemoryReservation } from "../../memory/index.js";
 import { type Acts } from "../actQueue.js";
 import { discardBody, type ReadBody, readBody, type ReadBodyOptions } from "./_readBody.js";
-import { dropHead, headBytes } from "./_requestHead.js";
+import { dropHead, headMemory } from "./_requestHead.js";
 import { type Arrival, type CloseDecisionOptions, type RequestProblem } from "./arrival.js";
 import { type RequestMemory } from "./requestMemory.js";
 import { RequestOrder, type RequestPlace, type WaitingLimits } from "./requestOrder.js";
@@ -70,6 +70,8 @@
     readonly keptHeaders: readonly string[];
     /** Returns whether all connections are being closed, so that every answer is the last one of its connection. */
     readonly isClosing: () => boolean;
+    /** Returns whether something was read from the connection and is not yet parsed. */
+    readonly hasUnparsed: () => boolean;
     /** A request was read, and those before it on the connection were answered. */
     readonly onTurn: (arrival: Arrival) => void;
     /** Returns the bytes that refuse a request which was read after the head of the connection's last answer. */
@@ -90,7 +92,7 @@
     options: ReadBodyOptions,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
-    const wantedBytes = REQUEST_BYTES + Math.max(0, headBytes(message) - USUAL_HEAD_BYTES);
+    const wantedBytes = REQUEST_BYTES + Math.max(0, headMemory(message) - USUAL_HEAD_BYTES);
     const hasRoom = options.held.reservation.tryReserve(wantedBytes);
     const foundProblem = problem ?? (hasRoom ? undefined : "no-room-for-bodies");
     if (foundProblem !== undefined) {
@@ -155,16 +157,16 @@
         return this.#order.hasRead || [...this.#unanswered].some(({ complete }) => complete);
     }
 
-    /** True while nothing is read since too much waits. */
+    /** True while nothing is read since too much waits, or something that was read is not yet parsed. */
     get isReadingPaused(): boolean {
-        return this.#isReadingPaused;
+        return this.#isReadingPaused || this.#options.hasUnparsed();
     }
 
     /** Reads a request and hands it on in its turn. */
     add(head: ReceivedHead): void {
         const { message, response } = head;
         this.#headCount += 1;
-        const place = this.#order.add(headBytes(message));
+        const place = this.#order.add(headMemory(message));
         const unansweredBefore = this.#order.size - 1;
         this.#unanswered.add(message);
         // Runs before Node's own listener, which ends the connection after its last answer.
@@ -187,7 +189,7 @@
             held,
             acts: this.#options.acts,
             idleTimeoutMilliseconds: head.idleTimeoutMilliseconds,
-            isReadingPaused: () => this.#socket.isPaused(),
+            isReadingPaused: () => this.#socket.isPaused() || this.#options.hasUnparsed(),
         };
         readRequest(head, options, (body, problem) => {
             if (problem !== undefined && this.#endings.has(end)) {
--- a/src/entry/connections/callerConnections.ts
+++ b/src/entry/connections/callerConnections.ts
@@ -46,6 +46,8 @@
 export interface CallerConnectionsOptions {
     readonly acts: Acts;
     readonly handler: RequestHandler;
+    /** Returns whether something was read from a connection and is not yet parsed. */
+    readonly hasUnparsed: (socket: Duplex) => boolean;
     readonly logger: Logger;
     readonly memory: MemoryBudget;
     readonly metrics: EntryMetrics;
@@ -58,7 +60,7 @@
  *
  * @example
  * ```ts
- * const connections = new CallerConnections({ acts, handler, logger, memory, metrics, reads, readClock });
+ * const connections = new CallerConnections({ acts, handler, hasUnparsed, logger, memory, metrics, reads, readClock });
  * server.on("connection", socket => connections.recordAccepted(socket));
  * server.on("request", (message, response) => connections.add(message, response));
  * ```
@@ -144,6 +146,7 @@
             memory: this.#memory,
             keptHeaders: handler.keptHeaders,
             isClosing: () => this.#isClosing,
+            hasUnparsed: () => this.#options.hasUnparsed(socket),
             onTurn: arrival => this.#arrivals.add(arrival),
             refuseAfterLast: message => handler.refuseAfterLast(message),
             onUnanswered: messages => handler.recordUnanswered(messages),
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -8,6 +8,7 @@
 export { CallerConnections, type RequestHandler } from "./callerConnections.js";
 export { type CallerMessages, hasCallerLeft } from "./callerPresence.js";
 export { HeaderLimit } from "./headerLimit.js";
+export { ParserFeeds, type ParserFeedsOptions } from "./parserFeeds.js";
 export { renderRawAnswer } from "./rawAnswer.js";
 export { isValidTarget, type RequestTarget } from "./requestTarget.js";
 export { answerUnreadableRequests } from "./unreadableRequests.js";
--- a/src/entry/connections/unreadableRequestsTimeout.test.ts
+++ b/src/entry/connections/unreadableRequestsTimeout.test.ts
@@ -42,6 +42,7 @@
                 }),
                 keptHeaders: [],
                 isClosing: () => false,
+                hasUnparsed: () => false,
                 onTurn: doNothing,
                 refuseAfterLast: () => "",
                 onUnanswered: doNothing,
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -19,6 +19,8 @@
     CallerConnections,
     HeaderLimit,
     isValidTarget,
+    ParserFeeds,
+    renderRawAnswer,
     type RequestHandler,
     type RequestProblem,
 } from "./connections/index.js";
@@ -32,6 +34,11 @@
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 5_000;
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
+
+/** Reason for refusing what a connection sent ahead, while the memory for requests is taken. */
+const NO_ROOM_AHEAD = "no-room-ahead";
+const RETRY_SECONDS = "1";
+
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -64,13 +71,21 @@
     readonly #options: HostServersOptions;
     readonly #servers: Server[] = [];
     readonly #connections: CallerConnections;
+    readonly #callerFeeds: ParserFeeds;
     #callers: Server | undefined;
     #headerLimit: HeaderLimit | undefined;
     #isClosed = false;
 
     constructor(options: HostServersOptions) {
         this.#options = options;
-        this.#connections = new CallerConnections(options);
+        this.#callerFeeds = new ParserFeeds({
+            memory: options.memory,
+            onNoRoom: socket => this.#refuseUnparsed(socket),
+        });
+        this.#connections = new CallerConnections({
+            ...options,
+            hasUnparsed: socket => this.#callerFeeds.hasUnparsed(socket),
+        });
     }
 
     /** Number of requests whose answer has not yet been sent whole. */
@@ -108,8 +123,9 @@
     }
 
     #startAuxiliary(address: ListenAddress, handler: AuxiliaryHandler): Promise<void> {
+        const { memory, metrics } = this.#options;
         const onProblem = (problem: string): void => this.#options.logger.warn("small call failed", { problem });
-        return this.#start(address, () => startAuxiliaryServer(address, handler, onProblem));
+        return this.#start(address, () => startAuxiliaryServer(address, { handler, onProblem, memory, metrics }));
     }
 
     #reportNoMetrics(error: unknown): void {
@@ -167,9 +183,19 @@
         const connectionOf = (socket: Duplex): CallerConnection => this.#connections.of(socket);
         answerUnreadableRequests({ acts, server, headerLimit, connectionOf, logger, metrics });
         this.#headerLimit = headerLimit;
+        this.#callerFeeds.attach(server);
         return server;
     }
 
+    /** Refuses what a connection sent ahead and no memory was found for, behind the answers before it. */
+    #refuseUnparsed(socket: Duplex): void {
+        const { logger, metrics } = this.#options;
+        logger.info("request rejected", { reason: NO_ROOM_AHEAD, status: STATUS_UNAVAILABLE });
+        metrics.count("refusals", { reason: NO_ROOM_AHEAD });
+        const headers = { "Retry-After": RETRY_SECONDS };
+        this.#connections.of(socket).endWith(renderRawAnswer({ status: STATUS_UNAVAILABLE, headers }));
+    }
+
     #accept(message: IncomingMessage, response: ServerResponse): void {
         this.#connections.add(message, response, this.#findProblem(message));
     }
