Join small chunks of a body before they are parsed

Callers saw: an ordinary request beside 100 open bodies of 40,000 one-byte chunks waited for seconds. Cause: the parser makes an object of each chunk. Change: the framing of a body in chunks is followed, and runs of whole chunks up to 1 KiB reach the parser as one; what is not the plain form (extensions, the last chunk, trailers) goes to the parser as it came. Line ends at the end of a read wait for what follows, so that an empty line is never cut.

--- /dev/null
+++ b/src/entry/connections/_chunks.ts
@@ -0,0 +1,120 @@
+/**
+ * Joins the small chunks of a body before they are parsed: the parser makes an object of each.
+ *
+ * @module
+ */
+
+/** Chunks up to this size are joined. */
+const SMALL_CHUNK_BYTES = 1_024;
+
+/** Bytes of small chunks that are joined at once. */
+const JOINED_BYTES = 16 * 1024;
+
+/** Digits of the size of a chunk that is read here. */
+const MAXIMUM_DIGITS = 6;
+
+/** Length of the line with the size of a joined chunk. */
+const SIZE_LINE_BYTES = 8;
+
+const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
+const LINE_END_BYTES = 2;
+
+/** The beginning of a body in chunks, from the beginning of a chunk on. */
+export type ChunkRun =
+    /** Whole small chunks, and one chunk with the same data. */
+    | { readonly type: "joined"; readonly bytes: number; readonly chunk: Buffer; }
+    /** One chunk, from its size to the end of its line; it may not be there whole. */
+    | { readonly type: "chunk"; readonly bytes: number; }
+    /** A size whose line is not there whole. */
+    | { readonly type: "incomplete"; }
+    /** The last chunk, or bytes that only the parser understands. */
+    | { readonly type: "other"; };
+
+interface ChunkSize {
+    readonly type: "size";
+    readonly size: number;
+    /** Length of the line with the size. */
+    readonly lineBytes: number;
+}
+
+function digitOf(code: number | undefined): number {
+    if (code === undefined) {
+        return -1;
+    }
+    if (code >= 0x30 && code <= 0x39) {
+        return code - 0x30;
+    }
+    const letter = code | 0x20;
+    return letter >= 0x61 && letter <= 0x66 ? letter - 0x61 + 10 : -1;
+}
+
+/** Reads the line with the size of a chunk; one with an extension is left to the parser. */
+function readSize(bytes: Buffer, start: number): ChunkSize | "incomplete" | "other" {
+    let size = 0;
+    let position = start;
+    for (; position < bytes.length && position - start <= MAXIMUM_DIGITS; position += 1) {
+        const digit = digitOf(bytes[position]);
+        if (digit === -1) {
+            break;
+        }
+        size = size * 16 + digit;
+    }
+    const digits = position - start;
+    const isOver = position < bytes.length;
+    if (digits > MAXIMUM_DIGITS || (isOver && (digits === 0 || bytes[position] !== CARRIAGE_RETURN))) {
+        return "other";
+    }
+    if (position + 1 >= bytes.length) {
+        return "incomplete";
+    }
+    const isSize = bytes[position + 1] === LINE_FEED && size > 0;
+    return isSize ? { type: "size", size, lineBytes: digits + LINE_END_BYTES } : "other";
+}
+
+function hasLineEnd(bytes: Buffer, position: number): boolean {
+    return bytes[position] === CARRIAGE_RETURN && bytes[position + 1] === LINE_FEED;
+}
+
+/**
+ * Reads from the beginning of a chunk on.
+ *
+ * @param bytes What is unparsed.
+ */
+export function readChunks(bytes: Buffer): ChunkRun {
+    const joined = Buffer.allocUnsafe(Math.min(bytes.length, JOINED_BYTES + SMALL_CHUNK_BYTES) + 2 * SIZE_LINE_BYTES);
+    let position = 0;
+    let chunks = 0;
+    let length = SIZE_LINE_BYTES;
+    while (position < JOINED_BYTES) {
+        const line = readSize(bytes, position);
+        if (typeof line === "string") {
+            if (chunks === 0) {
+                return { type: line };
+            }
+            break;
+        }
+        const dataStart = position + line.lineBytes;
+        const end = dataStart + line.size + LINE_END_BYTES;
+        const isJoined = line.size <= SMALL_CHUNK_BYTES && end <= bytes.length
+            && hasLineEnd(bytes, end - LINE_END_BYTES);
+        if (!isJoined) {
+            if (chunks === 0) {
+                return { type: "chunk", bytes: end };
+            }
+            break;
+        }
+        for (let index = dataStart; index < end - LINE_END_BYTES; index += 1) {
+            joined[length] = bytes[index] ?? 0;
+            length += 1;
+        }
+        chunks += 1;
+        position = end;
+    }
+    if (chunks === 1) {
+        return { type: "chunk", bytes: position };
+    }
+    joined.write(`${(length - SIZE_LINE_BYTES).toString(16).padStart(SIZE_LINE_BYTES - LINE_END_BYTES, "0")}\r\n`);
+    length += joined.write("\r\n", length);
+    return { type: "joined", bytes: position, chunk: joined.subarray(0, length) };
+}
--- a/src/entry/connections/_connectionFeed.ts
+++ b/src/entry/connections/_connectionFeed.ts
@@ -39,6 +39,8 @@
     readonly #options: ConnectionFeedOptions;
     #read: Buffer = NO_BYTES;
     #offset = 0;
+    /** A few bytes that mean something only with what follows them. */
+    #beginning: Buffer = NO_BYTES;
     #body: BodyForm = { type: "none" };
     #unanswered = 0;
     #isReading = true;
@@ -75,13 +77,18 @@
         this.#continue();
     }
 
-    /** Parses the next part. */
+    /** Parses the next part; keeps the beginning of one of which more must be read. */
     parsePart(): void {
         const rest = this.#read.subarray(this.#offset);
-        const { body, bytes } = measurePart(rest, this.#body);
-        this.#offset += bytes;
+        const { body, bytes, replacement } = measurePart(rest, this.#body);
         this.#body = body;
-        this.#options.parse(bytes === this.#read.length ? this.#read : rest.subarray(0, bytes));
+        if (bytes === 0) {
+            this.#beginning = Buffer.from(rest);
+            this.#dropRead();
+            return;
+        }
+        this.#offset += bytes;
+        this.#options.parse(replacement ?? (bytes === this.#read.length ? this.#read : rest.subarray(0, bytes)));
         if (!this.hasUnparsed) {
             this.#dropRead();
         }
@@ -122,7 +129,9 @@
         if (this.#isEnded) {
             return;
         }
-        this.#read = this.hasUnparsed ? Buffer.concat([this.#read.subarray(this.#offset), bytes]) : bytes;
+        const before = this.hasUnparsed ? this.#read.subarray(this.#offset) : this.#beginning;
+        this.#read = before.length > 0 ? Buffer.concat([before, bytes]) : bytes;
+        this.#beginning = NO_BYTES;
         this.#offset = 0;
         this.parsePart();
         if (this.isReady) {
--- a/src/entry/connections/_requestParts.ts
+++ b/src/entry/connections/_requestParts.ts
@@ -4,30 +4,43 @@
  * @module
  */
 import { type IncomingMessage } from "node:http";
+import { match } from "ts-pattern";
+import { type ChunkRun, readChunks } from "./_chunks.js";
 
-/** Lines of a part without the end of a head; a chunk has two. */
+/** Lines of a part without the end of a head. */
 const PART_LINES = 512;
 
+/** Line ends without the last byte of the empty line that they may become. */
+const LINE_ENDS_BYTES = 3;
+
+const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
 
 /** The body whose bytes come next. */
 export type BodyForm =
     | { readonly type: "none"; }
     | { readonly type: "sized"; readonly leftBytes: number; }
-    /** A body in chunks, whose end only the parser tells. */
-    | { readonly type: "chunked"; readonly message: Pick<IncomingMessage, "complete">; };
+    /** A body in chunks, at the beginning of a chunk or within one. */
+    | { readonly type: "chunked"; readonly message: ParsedMessage; readonly leftBytes: number; }
+    /** The rest of a body in chunks, whose form only the parser knows. */
+    | { readonly type: "unknown"; readonly message: ParsedMessage; };
+
+/** A request whose head was parsed; it is complete once its body was, too. */
+type ParsedMessage = Pick<IncomingMessage, "complete">;
 
 /** The beginning of what is unparsed, and the body that the bytes behind it belong to. */
 export interface RequestPart {
     readonly bytes: number;
     readonly body: BodyForm;
+    /** Bytes to parse in the place of these. */
+    readonly replacement?: Buffer;
 }
 
 /** Returns the form of a request's body, from its head. */
 export function bodyFormOf(message: Pick<IncomingMessage, "complete" | "headers">): BodyForm {
     const { "content-length": length, "transfer-encoding": encoding } = message.headers;
     if (encoding !== undefined) {
-        return { type: "chunked", message };
+        return { type: "chunked", message, leftBytes: 0 };
     }
     const leftBytes = Number(length ?? 0);
     return leftBytes > 0 ? { type: "sized", leftBytes } : { type: "none" };
@@ -57,12 +70,39 @@
     return index === -1 ? undefined : end;
 }
 
+/** Measures up to an empty line; line ends at the end of what was read may be the beginning of one, and are left. */
+function measureLineEnds(bytes: Buffer): number {
+    let end = bytes.length;
+    while (
+        end > Math.max(0, bytes.length - LINE_ENDS_BYTES)
+        && (bytes[end - 1] === LINE_FEED || bytes[end - 1] === CARRIAGE_RETURN)
+    ) {
+        end -= 1;
+    }
+    return end;
+}
+
+function measureChunked(bytes: Buffer, message: ParsedMessage, chunkBytes: number): RequestPart {
+    if (chunkBytes > 0) {
+        const taken = Math.min(bytes.length, chunkBytes);
+        return { bytes: taken, body: { type: "chunked", message, leftBytes: chunkBytes - taken } };
+    }
+    const atChunk: BodyForm = { type: "chunked", message, leftBytes: 0 };
+    return match<ChunkRun, RequestPart>(readChunks(bytes))
+        .with({ type: "joined" }, run => ({ bytes: run.bytes, body: atChunk, replacement: run.chunk }))
+        .with({ type: "chunk" }, run => measureChunked(bytes, message, run.bytes))
+        .with({ type: "incomplete" }, () => ({ bytes: 0, body: atChunk }))
+        .with({ type: "other" }, () => measurePart(bytes, { type: "unknown", message }))
+        .exhaustive();
+}
+
 /**
- * Measures the next part to parse: a sized body as far as it is there; otherwise up to the end of a head, or a bounded
- * number of lines.
+ * Measures the next part to parse: of a sized body or a chunk, as far as it is there; of a body in chunks, small ones
+ * joined; otherwise up to the end of a head, or a bounded number of lines.
  *
  * @param bytes What is unparsed; not empty.
  * @param body The body whose bytes come next.
+ * @returns The part; without bytes where more must be read before any can be parsed.
  */
 export function measurePart(bytes: Buffer, body: BodyForm): RequestPart {
     if (body.type === "sized") {
@@ -70,10 +110,13 @@
         const leftBytes = body.leftBytes - taken;
         return { bytes: taken, body: leftBytes > 0 ? { type: "sized", leftBytes } : { type: "none" } };
     }
-    const isChunked = body.type === "chunked" && !body.message.complete;
-    const toEmptyLine = measureToEmptyLine(bytes) ?? bytes.length;
+    if (body.type === "chunked" && !body.message.complete) {
+        return measureChunked(bytes, body.message, body.leftBytes);
+    }
+    const isUnknown = body.type === "unknown" && !body.message.complete;
+    const toEmptyLine = measureToEmptyLine(bytes) ?? measureLineEnds(bytes);
     return {
-        bytes: isChunked ? Math.min(toEmptyLine, measureLines(bytes, PART_LINES)) : toEmptyLine,
-        body: isChunked ? body : { type: "none" },
+        bytes: isUnknown ? Math.min(toEmptyLine, measureLines(bytes, PART_LINES)) : toEmptyLine,
+        body: isUnknown ? body : { type: "none" },
     };
 }
