--- a/src/entry/connections/_connectionFeed.ts
+++ b/src/entry/connections/_connectionFeed.ts
@@ -11,6 +11,9 @@
 /** Reads at least this large are freed without waiting for their collection. */
 const FREED_BYTES = 16 * 1024;
 
+/** Parts of one read that are parsed at once, where they belong to one body; of requests, two are. */
+const FIRST_PARTS = 8;
+
 const NO_BYTES = Buffer.alloc(0);
 
 /** The part of a socket's handle that starts and stops reading; Node's types do not name it. */
@@ -97,6 +100,10 @@
     /** Reads on once nothing is left, and reserves memory for what is left. */
     settle(): void {
         const { onNoRoom, onReady, reservation } = this.#options;
+        if (!this.hasUnparsed && reservation.bytes === 0) {
+            this.#updateReading();
+            return;
+        }
         const leftBytes = this.hasUnparsed && !this.#isEnded ? this.#read.length : 0;
         if (leftBytes < reservation.bytes) {
             reservation.release(reservation.bytes - leftBytes);
@@ -133,9 +140,11 @@
         this.#read = before.length > 0 ? Buffer.concat([before, bytes]) : bytes;
         this.#beginning = NO_BYTES;
         this.#offset = 0;
-        this.parsePart();
-        if (this.isReady) {
+        for (let parts = 0; parts < FIRST_PARTS && this.isReady; parts += 1) {
             this.parsePart();
+            if (parts > 0 && this.#body.type === "none") {
+                break;
+            }
         }
         this.settle();
     }
--- a/src/entry/connections/_requestParts.ts
+++ b/src/entry/connections/_requestParts.ts
@@ -16,6 +16,10 @@
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
 
+/** Line ends before and of an empty line. */
+const EMPTY_LINE = Buffer.from("\n\r\n");
+const SHORT_EMPTY_LINE = Buffer.from("\n\n");
+
 /** The body whose bytes come next. */
 export type BodyForm =
     | { readonly type: "none"; }
@@ -61,11 +65,11 @@
 
 /** Returns the length up to the first empty line, at which a head or a body in chunks ends; the parser takes LF for CRLF. */
 function measureToEmptyLine(bytes: Buffer): number | undefined {
-    const index = bytes.indexOf("\n\r\n");
-    const end = index === -1 ? bytes.length : index + 3;
-    const short = bytes.subarray(0, end).indexOf("\n\n");
+    const index = bytes.indexOf(EMPTY_LINE);
+    const end = index === -1 ? bytes.length : index + EMPTY_LINE.length;
+    const short = bytes.subarray(0, end).indexOf(SHORT_EMPTY_LINE);
     if (short !== -1) {
-        return short + 2;
+        return short + SHORT_EMPTY_LINE.length;
     }
     return index === -1 ? undefined : end;
 }
--- a/src/entry/connections/parserFeeds.ts
+++ b/src/entry/connections/parserFeeds.ts
@@ -95,7 +95,9 @@
     #begin(message: IncomingMessage, response: ServerResponse): void {
         const feed = this.#feeds.get(message.socket);
         feed?.beginRequest(message);
-        response.once("close", () => feed?.endRequest());
+        if (this.#options.maximumUnanswered !== undefined) {
+            response.once("close", () => feed?.endRequest());
+        }
     }
 
     #schedule(feed: ConnectionFeed): void {
