--- a/src/entry/connections/_chunks.ts
+++ b/src/entry/connections/_chunks.ts
@@ -16,6 +16,8 @@
 /** Length of the line with the size of a joined chunk. */
 const SIZE_LINE_BYTES = 8;
 
+const NO_BYTES = Buffer.alloc(0);
+
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
 const LINE_END_BYTES = 2;
@@ -72,6 +74,11 @@
     return isSize ? { type: "size", size, lineBytes: digits + LINE_END_BYTES } : "other";
 }
 
+/** Returns room for the line with the size, and for what may be joined of the bytes. */
+function allocateJoined({ length }: Buffer): Buffer {
+    return Buffer.allocUnsafe(Math.min(length, JOINED_BYTES + SMALL_CHUNK_BYTES) + 2 * SIZE_LINE_BYTES);
+}
+
 function hasLineEnd(bytes: Buffer, position: number): boolean {
     return bytes[position] === CARRIAGE_RETURN && bytes[position + 1] === LINE_FEED;
 }
@@ -82,7 +89,7 @@
  * @param bytes What is unparsed.
  */
 export function readChunks(bytes: Buffer): ChunkRun {
-    const joined = Buffer.allocUnsafe(Math.min(bytes.length, JOINED_BYTES + SMALL_CHUNK_BYTES) + 2 * SIZE_LINE_BYTES);
+    let joined: Buffer = NO_BYTES;
     let position = 0;
     let chunks = 0;
     let length = SIZE_LINE_BYTES;
@@ -104,6 +111,9 @@
             }
             break;
         }
+        if (chunks === 0) {
+            joined = allocateJoined(bytes);
+        }
         for (let index = dataStart; index < end - LINE_END_BYTES; index += 1) {
             joined[length] = bytes[index] ?? 0;
             length += 1;
--- a/tests/support/hostileCrowd.ts
+++ b/tests/support/hostileCrowd.ts
@@ -15,7 +15,7 @@
 import { type PortName, type SmallHost, startSmallHost } from "./smallMachine.js";
 
 /** Path that each port answers with status 200. */
-const KNOWN_PATH: Readonly<Record<PortName, string>> = {
+export const KNOWN_PATH: Readonly<Record<PortName, string>> = {
     callers: "/orders/1",
     directory: "/resolve",
     metrics: "/metrics",
