Break the import circle of src/entry/exchange

20 files were in one circle of imports (types and values). The pool moved beside forwardingContext.ts; no file of the folder is in a circle any more (counted with a script over all imports).

--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -7,10 +7,10 @@
 import { Admission } from "../admission/index.js";
 import { type SharedRetryBudget } from "../forwarding/index.js";
 import { type Acts } from "./actQueue.js";
-import { PagePool } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type HostParts } from "./hostParts.js";
+import { PagePool } from "./pagePool.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
 
 /** The parts of a host that its requests use. */
--- a/src/entry/exchange/answerDelivery.ts
+++ b/src/entry/exchange/answerDelivery.ts
@@ -6,7 +6,7 @@
 import { type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { type MemoryReservation } from "../../memory/index.js";
-import { type AnswerPiece, heldBytes, type PagePool, totalLength } from "./pagePool.js";
+import { type AnswerPiece, heldBytes, type PagePool, totalLength } from "../pagePool.js";
 
 /** What is handed to a caller's connection before it has taken it; a smaller body is written at once. */
 const WINDOW_BYTES = 64 * 1024;
--- a/src/entry/exchange/answerMemory.test.ts
+++ b/src/entry/exchange/answerMemory.test.ts
@@ -3,9 +3,9 @@
 import { type ServerResponse } from "node:http";
 import { test } from "node:test";
 import { MemoryBudget } from "../../memory/index.js";
+import { PagePool } from "../pagePool.js";
 import { AnswerDelivery } from "./answerDelivery.js";
 import { BufferedAnswer } from "./bufferedAnswer.js";
-import { PagePool } from "./pagePool.js";
 
 const HIGH_WATER_MARK_BYTES = 16 * 1024;
 
--- a/src/entry/exchange/bufferedAnswer.ts
+++ b/src/entry/exchange/bufferedAnswer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type MemoryBudget, type MemoryReservation } from "../../memory/index.js";
-import { type AnswerPiece, neededBytes, type PagePool } from "./pagePool.js";
+import { type AnswerPiece, neededBytes, type PagePool } from "../pagePool.js";
 
 /** Maximum size of an answer that is buffered whole. */
 const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/src/entry/exchange/callerAnswer.test.ts
+++ b/src/entry/exchange/callerAnswer.test.ts
@@ -4,8 +4,8 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { MemoryBudget } from "../../memory/index.js";
+import { PagePool } from "../pagePool.js";
 import { CallerAnswer } from "./callerAnswer.js";
-import { PagePool } from "./pagePool.js";
 
 const EVENTS = Array.from({ length: 40 }, (_, index) => `id: ${index}\ndata: ${"x".repeat(index * 7)}\n\n`);
 const HEAD = { status: 200, rawHeaders: ["Content-Type", "text/event-stream", "Content-Length", "5"], headers: {} };
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -7,11 +7,11 @@
 import { type CompleteEvents } from "../../forwarding/index.js";
 import { type MemoryReservation } from "../../memory/index.js";
 import { hasBody } from "../_hasBody.js";
+import { type AnswerPiece, type PagePool, totalLength } from "../pagePool.js";
 import { type AnswerHead } from "../upstreamCall.js";
 import { AnswerDelivery } from "./answerDelivery.js";
 import { type BufferingLimit } from "./bufferedAnswer.js";
 import { passThroughHeaders } from "./forwardedHeaders.js";
-import { type AnswerPiece, type PagePool, totalLength } from "./pagePool.js";
 
 const NO_CONTENT_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
--- a/src/entry/exchange/index.ts
+++ b/src/entry/exchange/index.ts
@@ -14,5 +14,4 @@
 export { dispatchInOrder } from "./dispatchInOrder.js";
 export { Exchange, type ExchangeListener } from "./exchange.js";
 export { OTHER_HOST_MILLISECONDS } from "./expectedCapacity.js";
-export { PagePool } from "./pagePool.js";
 export { type CallerRequest } from "./requestFacts.js";
--- a/src/entry/exchange/pagePool.ts
+++ b/src/entry/pagePool.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { freeBytes } from "../../memory/index.js";
+import { freeBytes } from "../memory/index.js";
 
 const PAGE_BYTES = 16 * 1024;
 
