--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -8,10 +8,10 @@
 import { type SharedRetryBudget } from "../forwarding/index.js";
 import { isOverFairShare } from "../quotas/index.js";
 import { type Acts } from "./actQueue.js";
-import { PagePool } from "./exchange/index.js";
 import { type ForwardingContext } from "./forwardingContext.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type HostParts } from "./hostParts.js";
+import { PagePool } from "./pagePool.js";
 import { type UpstreamTracker } from "./upstreamTracker.js";
 
 /** Time within which each change of the configuration is in force, where the settings name none. */
