--- a/scripts/_mutations.ts
+++ b/scripts/_mutations.ts
@@ -25,6 +25,7 @@
 const DUTY_TESTS = ["src/duties/engineDuties.test.ts", "src/duties/restores.test.ts"];
 const MEMORY = "src/memory/memoryBudget.ts";
 const MEMORY_TESTS = ["src/memory/memoryBudget.test.ts"];
+const QUOTA_TESTS = ["src/quotas/accountQuotas.test.ts"];
 const ORDER = "src/entry/connections/requestOrder.ts";
 const ORDER_TESTS = ["src/entry/connections/requestOrder.test.ts"];
 const JUDGEMENT = "src/crashes/_judgement.ts";
@@ -228,4 +229,32 @@
         replacement: "if (this.#confirmations.state === \"current\") {",
         tests: ["src/entry/actQueue.test.ts", "src/entry/actQueueGaps.test.ts"],
     },
+    {
+        name: "QUOTA: tokens that others report count only over time",
+        file: "src/quotas/bucketReplica.ts",
+        original: "this.#levelTokens -= counted * ADMITTED_TIME_CONSTANT_SECONDS;",
+        replacement: "this.#levelTokens -= counted * 0;",
+        tests: QUOTA_TESTS,
+    },
+    {
+        name: "QUOTA: nothing is reserved for silent hosts",
+        file: "src/quotas/accountQuotas.ts",
+        original: "(part >= MOST_HOSTS_PART ? 1 : part)",
+        replacement: "(part >= MOST_HOSTS_PART ? 1 : 1)",
+        tests: QUOTA_TESTS,
+    },
+    {
+        name: "QUOTA: hosts do not know what is offered to others",
+        file: "src/quotas/_accountState.ts",
+        original: "this.ownOffered(nowMilliseconds) + this.othersOffered",
+        replacement: "this.ownOffered(nowMilliseconds)",
+        tests: ["src/quotas/quotaFleet.test.ts"],
+    },
+    {
+        name: "QUOTA: what hosts admit before they notice a partition is not repaid",
+        file: "src/quotas/_accountState.ts",
+        original: "if (areFewer) {",
+        replacement: "if (areFewer && heard < 0) {",
+        tests: ["src/quotas/quotaFleet.test.ts"],
+    },
 ];
