--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -207,3 +207,30 @@
     assert.deepEqual(chooseUpstream([empty, { ...busy, acceptsPrompt: false }], random), { type: "reading" });
     assert.deepEqual(chooseUpstream([empty], random), { type: "send", upstream: "empty" });
 });
+
+test("a steady estimate counts what peers sent since their digests, until the digest or the peer's silence", () => {
+    const loads = new UpstreamLoads();
+    loads.recordPeerRequests("peer", { one: 2 }, 0);
+    loads.recordStartedByPeer("one", "peer");
+    loads.recordStartedByPeer("one", "peer");
+    assert.equal(loads.estimate("one", 500), 2);
+    assert.equal(loads.steadyEstimate("one", 500), 4);
+    loads.recordPeerRequests("peer", { one: 3 }, 540);
+    assert.equal(loads.steadyEstimate("one", 600), 3, "the digest holds them");
+    loads.recordStartedByPeer("one", "peer");
+    loads.recordPeerRequests("other", {}, 2_600);
+    assert.equal(loads.steadyEstimate("one", 2_700), 0, "the peer is silent");
+});
+
+test("a steady estimate follows the other cells slowly, so that hosts do not rush to where there was room", () => {
+    const loads = new UpstreamLoads();
+    loads.recordOtherCells({ one: 10 }, 0);
+    assert.equal(loads.steadyEstimate("one", 100), 10);
+    loads.recordOtherCells({ two: 10 }, 500);
+    assert.equal(loads.estimate("one", 600), 0);
+    assert.equal(Math.round(loads.steadyEstimate("one", 600) * 10), 85);
+    assert.equal(Math.round(loads.steadyEstimate("two", 600) * 10), 15);
+    assert.equal(loads.steadyEstimate("one", 3_000), 0, "other cells that are not heard any more count for nothing");
+    loads.recordReport("one", { running: 3, waiting: 0, slots: 12 }, 600);
+    assert.equal(loads.steadyEstimate("one", 700), 3, "the engine's own report comes first");
+});
