--- a/src/capacity/unevenEngines.test.ts
+++ b/src/capacity/unevenEngines.test.ts
@@ -51,6 +51,17 @@
     ],
 };
 
+/** The same in several cells, where engines that all hosts choose at once run out of memory. */
+const LONG_PROMPTS_OF_CELLS = {
+    ...LARGE_FLEET,
+    requestsPerSecond: 300,
+    sizes: [
+        { name: "short", promptTokens: 383, outputTokens: 120, share: 0.5 },
+        { name: "long", promptTokens: 1_500, outputTokens: 280, share: 0.3 },
+        { name: "longest", promptTokens: 4_500, outputTokens: 280, share: 0.2 },
+    ],
+};
+
 type Load = Omit<EngineModelOptions, "seed" | "usesFigures">;
 
 function meanOf(results: readonly EngineModelResult[], figure: (result: EngineModelResult) => number): number {
@@ -109,6 +120,12 @@
     assert.ok((figures.attainment["longest"] ?? 0) > (without.attainment["longest"] ?? 1), seen);
 });
 
+test("several cells: requests are not preempted for want of memory at engines that all hosts chose at once", () => {
+    const { figures, seen, without } = compare(LONG_PROMPTS_OF_CELLS, 1);
+    assert.ok(without.preemptions > 10 && figures.preemptions < without.preemptions / 4, seen);
+    assert.ok((figures.attainment["short"] ?? 0) > 2 * (without.attainment["short"] ?? 1), seen);
+});
+
 test("engines that report false figures, or whose reports stop, cost no more than a few late requests", () => {
     const honest = compare(SMALL_FLEET, 3);
     const reports: Record<string, EngineModelOptions["report"]> = {
