Keep the plain estimate of requests for upstreams that tolerate few rejections

The bounds on rejections were shown for the estimate that follows the last news; the steady one may be lower. Upstreams that name a tolerance keep the former, also where they report how fast they work.

--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -353,9 +353,7 @@
         const permitted = this.#available(upstreams).filter(({ id }) => !this.#needsPermit(id));
         return permitted.map(upstream => {
             const isReporting = speeds.isReporting(upstream.id, upstream.service);
-            const requests = isReporting
-                ? loads.steadyEstimate(upstream.id, now)
-                : loads.estimate(upstream.id, now);
+            const requests = this.#estimateRequests(upstream, isReporting, now);
             return {
                 id: upstream.id,
                 slots: Math.max(1, upstream.slots),
@@ -379,6 +377,17 @@
         });
     }
 
+    /**
+     * Estimates an upstream's requests. The bounds on rejections hold for the estimate that follows the last news, so it
+     * stays for upstreams that tolerate few.
+     */
+    #estimateRequests(upstream: UpstreamAnnouncement, isReporting: boolean, now: number): number {
+        const { loads, rejectionBounds } = this.#context;
+        return isReporting && rejectionBounds.tolerance(upstream) === undefined
+            ? loads.steadyEstimate(upstream.id, now)
+            : loads.estimate(upstream.id, now);
+    }
+
     /** Returns the memory of an engine of the request's service, in tokens; `undefined` where it is not known. */
     #engineMemoryTokens(): number | undefined {
         const { model, service } = this.#facts;
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -174,6 +174,7 @@
                 sameZone: draw() < 0.4,
                 avoided: draw() < 0.2,
                 hasCachedPrompt: draw() < 0.3,
+                hasLongPrompt: draw() < 0.3,
             }));
         const choice = chooseUpstream(candidates, createSeededRandom(round));
         const expected = chooseByLoad(candidates, createSeededRandom(round));
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -101,7 +101,7 @@
 
 /**
  * Returns the expected time until the request is complete, in the time that all slots of an upstream of the usual speed
- * take. With a slowdown of 1 this is the load per slot, to the bit.
+ * take. For upstreams that report no speed this is their load per slot.
  */
 function costOf(candidate: Candidate, random: RandomSource): number {
     const { memoryShare, preference, slowdown } = candidate;
