Take the findings of a review of accounts, quotas and waiting

A review by one who had not written them found, by reading: - a request larger than all that a quota allows in a window weighed on all other requests of its account, was sometimes admitted, and could make rates unreadable to peers: it is refused at once and not counted; - a restarted host's fallen rate credited its tokens to the account at all others: a fall faster than the average decays credits nothing now; - Retry-After of a host that hears nobody was computed from its part of the quota, up to 30 s: the whole quota counts; - sums of other cells were trusted at once after a standstill; - requests that callers gave up counted as not served, which put their account before more urgent ones: only what was sent or refused for want of capacity counts; - an account over its fair share left a slot free also where no other account used the service: one must have come within 2 s.

Ruled out: leaving the fair-share slot free only before the last moment of a wait; the test of an account at 5 times its usual then failed.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -15,6 +15,9 @@
 /** Slots of an upstream are kept free for a priority if a request of it has come within this time. */
 const PRESENCE_MILLISECONDS = 60_000;
 
+/** A slot is kept free for accounts within their fair share if a request of one has come within this time. */
+const SHARE_PRESENCE_MILLISECONDS = 2_000;
+
 /** Slots that a request leaves free for more urgent priorities, one for each, at most. */
 const MAXIMUM_PRIORITY_SLOTS = 2;
 
@@ -110,6 +113,8 @@
     readonly #passes = new Map<string, Pass>();
     /** When the last request of each priority came, by service. */
     readonly #lastRequests = new Map<string, Map<number, number>>();
+    /** When the last request of an account within its fair share came, by service. */
+    readonly #lastWithinShare = new Map<string, number>();
     #prunedAtMilliseconds = 0;
 
     constructor(options: AdmissionOptions) {
@@ -145,16 +150,19 @@
         const priorities = this.#lastRequests.get(facts.service) ?? new Map<number, number>();
         this.#lastRequests.set(facts.service, priorities);
         priorities.set(facts.priority, nowMilliseconds);
+        if (facts.account !== undefined && !this.isOverFairShare(facts.account)) {
+            this.#lastWithinShare.set(facts.service, nowMilliseconds);
+        }
     }
 
     /**
      * Returns how many slots of each upstream a request leaves free: one for each more urgent priority, and one for
-     * accounts within their fair share. Other hosts may have such requests waiting, which this host cannot see; an order of its own
-     * waiting requests does not help them.
+     * accounts within their fair share. Other hosts may have such requests waiting, which this host cannot see; an order
+     * of its own waiting requests does not help them.
      *
      * @param facts The request.
-     * @param isLastMoment True at the end of its wait, if it can still meet its target: it then leaves none for more urgent
-     * requests, since it would be refused.
+     * @param isLastMoment True at the end of its wait, if it can still meet its target: it then leaves none for
+     * more urgent requests, since it would be refused.
      * @param nowMilliseconds The time.
      */
     slotsLeftFree(facts: QueueFacts, isLastMoment: boolean, nowMilliseconds: number): number {
@@ -162,10 +170,17 @@
             return 0;
         }
         const forUrgent = isLastMoment ? 0 : this.#countMoreUrgent(facts, nowMilliseconds);
-        const left = Math.min(MAXIMUM_PRIORITY_SLOTS, forUrgent) + (this.isOverFairShare(facts.account) ? 1 : 0);
+        const forOthers = this.#isBesideSmallerAccounts(facts, nowMilliseconds) ? 1 : 0;
+        const left = Math.min(MAXIMUM_PRIORITY_SLOTS, forUrgent) + forOthers;
         return left > 0 && this.#isUnderserved(facts) ? 0 : left;
     }
 
+    /** Returns whether a request's account is over its fair share, and one within its own has used the service lately. */
+    #isBesideSmallerAccounts({ account, service }: QueueFacts, nowMilliseconds: number): boolean {
+        const atMilliseconds = this.#lastWithinShare.get(service) ?? Number.NEGATIVE_INFINITY;
+        return nowMilliseconds - atMilliseconds < SHARE_PRESENCE_MILLISECONDS && this.isOverFairShare(account);
+    }
+
     /** Returns how many more urgent priorities a service had requests of lately. */
     #countMoreUrgent({ priority, service }: QueueFacts, nowMilliseconds: number): number {
         let count = 0;
--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -258,6 +258,7 @@
             random: this.#context.random,
             hostCount: () => this.#quotaHosts.count,
             hearsPeers: () => this.#quotaHosts.hearsPeers,
+            slackTokensPerSecond: this.#settings.bounds.quotaSlackTokensPerSecond,
         });
     }
 
--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -60,6 +60,7 @@
     #expectedAtStart: WaitEstimate | undefined;
     #refusal: EarlyRefusal | undefined;
     #isOutcomeKnown = false;
+    #isRefusedForCapacity = false;
 
     constructor(options: QueuePlaceOptions) {
         this.#options = options;
@@ -123,7 +124,15 @@
         }
     }
 
-    /** The request is sent, or ends; called whether or not it waited. */
+    /** The request is refused; called before its end. */
+    recordRefused(reason: FailureReason): void {
+        this.#isRefusedForCapacity = CAPACITY_REASONS.has(reason);
+    }
+
+    /**
+     * The request is sent, or ends; called whether or not it waited. Others that were not sent, such as those whose caller
+     * left, tell nothing of how the service serves.
+     */
     end(outcome: "sent" | "not-sent"): void {
         const { admission } = this.#options;
         if (this.#waitsIn !== undefined) {
@@ -131,7 +140,7 @@
             admission.recordEnded(this.#waitsIn, outcome === "sent" ? "sent" : notSent, this.#now());
             this.#observeWait(outcome);
         }
-        if (this.#isInForce && !this.#isOutcomeKnown) {
+        if (this.#isInForce && !this.#isOutcomeKnown && (outcome === "sent" || this.#isRefusedForCapacity)) {
             admission.recordOutcome(this.queueFacts, outcome === "sent", this.#now());
         }
         this.#isOutcomeKnown = true;
--- a/src/entry/exchange/requestEnding.ts
+++ b/src/entry/exchange/requestEnding.ts
@@ -54,6 +54,7 @@
             this.fail(STATUS_BAD_GATEWAY, reason);
             return;
         }
+        this.#parts.place.recordRefused(reason);
         const retryAfterMilliseconds = this.#retryAfterMilliseconds(reason, expectedMilliseconds);
         this.#parts.context.metrics.count("refusals", { reason });
         this.#logRefusal(reason, expectedMilliseconds, retryAfterMilliseconds);
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -48,4 +48,6 @@
     readonly maximumKeepSeconds: number;
     /** Time within which each change of the configuration is in force at all hosts in contact. */
     readonly configurationDeadlineMilliseconds?: number | undefined;
+    /** Tokens a second by which an account may exceed its quota, over a window. */
+    readonly quotaSlackTokensPerSecond?: number | undefined;
 }
--- a/src/quotas/_accountState.ts
+++ b/src/quotas/_accountState.ts
@@ -15,6 +15,9 @@
 /** A request counts among what is offered as one in this time, beside those before it. */
 const OWN_REQUEST_SECONDS = 3;
 
+/** Window over which a quota holds. */
+const WINDOW_SECONDS = 8;
+
 /** Time in which a surplus is spread over requests; longer than most reports take to arrive. */
 const SURPLUS_HORIZON_SECONDS = 1;
 
@@ -46,6 +49,8 @@
     readonly random: RandomSource;
     readonly sinceMilliseconds: number;
     readonly nowMilliseconds: number;
+    /** Rate beyond the quota that is given out. */
+    readonly spareTokensPerSecond: number;
 }
 
 /** An account's bucket, rates and admission share at this host. */
@@ -63,10 +68,11 @@
     #hasPeers = false;
 
     /** @param options.sinceMilliseconds Since when this host counts the account's requests. */
-    constructor(quota: AccountQuota, { nowMilliseconds, random, sinceMilliseconds }: AccountStateOptions) {
+    constructor(quota: AccountQuota, options: AccountStateOptions) {
+        const { nowMilliseconds, random, sinceMilliseconds, spareTokensPerSecond } = options;
         this.#sinceMilliseconds = sinceMilliseconds;
-        this.bucket = new BucketReplica(quota, nowMilliseconds);
-        this.ownPart = new BucketReplica(quota, nowMilliseconds);
+        this.bucket = new BucketReplica(quota, nowMilliseconds, spareTokensPerSecond);
+        this.ownPart = new BucketReplica(quota, nowMilliseconds, spareTokensPerSecond);
         this.#share = new AdmissionShare(random);
     }
 
@@ -104,14 +110,17 @@
     /** Tokens a second that callers ask for at all hosts. */
     offeredPerSecond(nowMilliseconds: number): number {
         const offered = this.ownOffered(nowMilliseconds) + this.othersOffered;
-        const { tokensPerSecond } = this.bucket;
+        const { refillTokensPerSecond } = this.bucket;
         const isUnknown = this.#hasPeers && nowMilliseconds - this.#sinceMilliseconds < UNREPORTED_MILLISECONDS
-            && this.othersOffered < tokensPerSecond * UNREPORTED_SHARE;
-        return isUnknown ? Math.max(offered, tokensPerSecond * ASSUMED_OVERLOAD) : offered;
+            && this.othersOffered < refillTokensPerSecond * UNREPORTED_SHARE;
+        return isUnknown ? Math.max(offered, refillTokensPerSecond * ASSUMED_OVERLOAD) : offered;
     }
 
     /** Returns whether a request is admitted; one that is uses its tokens. */
     admit(tokens: number, nowMilliseconds: number): boolean {
+        if (this.#neverFits(tokens)) {
+            return false;
+        }
         // One request shortly after the start must not be taken for a high rate.
         const offered = this.offeredPerSecond(nowMilliseconds) + tokens / OWN_REQUEST_SECONDS;
         this.#offered.add(tokens, nowMilliseconds);
@@ -122,12 +131,18 @@
         return isAdmitted;
     }
 
+    /** Returns whether a request is larger than all that the quota allows in a window: it must not weigh on others. */
+    #neverFits(tokens: number): boolean {
+        const { burstTokens, tokensPerSecond } = this.bucket.quota;
+        return tokens > tokensPerSecond * WINDOW_SECONDS + burstTokens;
+    }
+
     /** Returns the tokens a second that all hosts in contact may admit now. */
     #admissiblePerSecond(nowMilliseconds: number): number {
-        const { othersPerSecond, tokensPerSecond } = this.bucket;
-        const unreported = Math.min(othersPerSecond, tokensPerSecond) * MEAN_REPORT_AGE_SECONDS;
+        const { othersPerSecond, refillTokensPerSecond } = this.bucket;
+        const unreported = Math.min(othersPerSecond, refillTokensPerSecond) * MEAN_REPORT_AGE_SECONDS;
         const level = this.bucket.level(nowMilliseconds) - unreported;
-        return tokensPerSecond + level / (level > 0 ? SURPLUS_HORIZON_SECONDS : DEBT_HORIZON_SECONDS);
+        return refillTokensPerSecond + level / (level > 0 ? SURPLUS_HORIZON_SECONDS : DEBT_HORIZON_SECONDS);
     }
 
     /** Returns whether nothing of the account's use is left: it is then as one that has used nothing. */
--- a/src/quotas/accountQuotas.test.ts
+++ b/src/quotas/accountQuotas.test.ts
@@ -11,7 +11,12 @@
 }
 
 function createQuotas(hostCount: number, accounts: readonly Account[] = [createAccount("a")]): AccountQuotas {
-    const options = { random: createSeededRandom(1), hostCount: () => hostCount, hearsPeers: () => true };
+    const options = {
+        random: createSeededRandom(1),
+        hostCount: () => hostCount,
+        hearsPeers: () => true,
+        slackTokensPerSecond: 925,
+    };
     const quotas = new AccountQuotas(options);
     quotas.setAccounts(accounts, 0);
     return quotas;
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -43,6 +43,12 @@
 const MAXIMUM_NAMED_ACCOUNTS = 64;
 const OTHER_ACCOUNTS = "other";
 
+/**
+ * Part of the slack that is given out: requests of a small account are so few and large that hosts would otherwise use
+ * less than its quota in some minutes. The rest is for what hosts admit on old reports.
+ */
+const GIVEN_SLACK_PART = 0.15;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 const ADMITTED: QuotaDecision = { type: "admitted" };
@@ -54,6 +60,8 @@
     readonly hostCount: () => number;
     /** Returns whether this host hears other hosts, or knows of none. */
     readonly hearsPeers: (nowMilliseconds: number) => boolean;
+    /** Tokens a second by which an account may exceed its quota over a window; none by default. */
+    readonly slackTokensPerSecond?: number | undefined;
 }
 
 /** How a report of use was made. */
@@ -141,7 +149,7 @@
         const retryAfterMilliseconds = retryDelayMilliseconds({
             tokens,
             levelTokens: state.bucket.level(nowMilliseconds),
-            tokensPerSecond: state.bucket.tokensPerSecond,
+            tokensPerSecond: state.bucket.quota.tokensPerSecond,
             offeredPerSecond: state.offeredPerSecond(nowMilliseconds),
             random: this.#options.random,
         });
@@ -195,10 +203,8 @@
         { hosts = 1 }: UseReport = {},
     ): void {
         this.#notice(nowMilliseconds);
-        const trustsAt = hosts > 1
-            ? this.#startedAtMilliseconds + OLD_SUMS_MILLISECONDS
-            : this.#trustsReportsAtMilliseconds;
-        if (nowMilliseconds < trustsAt) {
+        const isOldSum = hosts > 1 && nowMilliseconds < this.#startedAtMilliseconds + OLD_SUMS_MILLISECONDS;
+        if (isOldSum || nowMilliseconds < this.#trustsReportsAtMilliseconds) {
             return;
         }
         const isPartial = use.length >= MAXIMUM_ACCOUNTS_PER_MESSAGE;
@@ -280,6 +286,7 @@
             random: this.#options.random,
             sinceMilliseconds: known.sinceMilliseconds,
             nowMilliseconds,
+            spareTokensPerSecond: (this.#options.slackTokensPerSecond ?? 0) * GIVEN_SLACK_PART,
         });
         begun.setHosts(this.#hosts, nowMilliseconds);
         const unused = this.#unusedTokens(known, nowMilliseconds);
--- a/src/quotas/bucketReplica.ts
+++ b/src/quotas/bucketReplica.ts
@@ -14,12 +14,6 @@
 /** Hosts that come into contact are taken to have a debt of at most this many seconds of their part of the rate. */
 const MAXIMUM_JOINED_DEBT_SECONDS = 2;
 
-/**
- * Part of the slack of 7,400 tokens in 8 s that is given out. Requests of a small account are so few and large that
- * hosts would otherwise use less than its quota in some minutes.
- */
-const USED_SLACK_TOKENS_PER_SECOND = 140;
-
 const MILLISECONDS_PER_SECOND = 1_000;
 
 const ADMITTED_TIME_CONSTANT_SECONDS = ADMITTED_TIME_CONSTANT_MILLISECONDS / MILLISECONDS_PER_SECOND;
@@ -48,9 +42,18 @@
     #atMilliseconds: number;
     #othersPerSecond = 0;
 
-    /** The bucket starts empty, since hosts may have used the burst before this one started. */
-    constructor(quota: AccountQuota, nowMilliseconds: number) {
+    readonly #spareTokensPerSecond: number;
+
+    /**
+     * The bucket starts empty, since hosts may have used the burst before this one started.
+     *
+     * @param quota The account's quota.
+     * @param nowMilliseconds The time.
+     * @param spareTokensPerSecond Rate beyond the quota that is given out.
+     */
+    constructor(quota: AccountQuota, nowMilliseconds: number, spareTokensPerSecond = 0) {
         this.#quota = quota;
+        this.#spareTokensPerSecond = spareTokensPerSecond;
         this.#atMilliseconds = nowMilliseconds;
     }
 
@@ -59,8 +62,8 @@
     }
 
     /** Rate at which the hosts in contact may admit. */
-    get tokensPerSecond(): number {
-        return (this.#quota.tokensPerSecond + USED_SLACK_TOKENS_PER_SECOND) * this.#share;
+    get refillTokensPerSecond(): number {
+        return (this.#quota.tokensPerSecond + this.#spareTokensPerSecond) * this.#share;
     }
 
     /** Tokens a second that other hosts admit. */
@@ -131,9 +134,9 @@
     #advance(nowMilliseconds: number): void {
         const { burstTokens } = this.#quota;
         const elapsedSeconds = Math.max(0, nowMilliseconds - this.#atMilliseconds) / MILLISECONDS_PER_SECOND;
-        const change = (this.tokensPerSecond - this.#othersPerSecond) * elapsedSeconds;
+        const change = (this.refillTokensPerSecond - this.#othersPerSecond) * elapsedSeconds;
         const level = Math.min(burstTokens * this.#share, this.#levelTokens + change);
-        this.#levelTokens = Math.max(-this.tokensPerSecond * MAXIMUM_DEBT_SECONDS, level);
+        this.#levelTokens = Math.max(-this.refillTokensPerSecond * MAXIMUM_DEBT_SECONDS, level);
         this.#atMilliseconds = Math.max(nowMilliseconds, this.#atMilliseconds);
     }
 }
--- a/src/quotas/useSources.ts
+++ b/src/quotas/useSources.ts
@@ -48,6 +48,24 @@
     }
 }
 
+/** The reports of an account before and after a message. */
+interface ChangedUse {
+    readonly before: AccountUse | undefined;
+    readonly after: AccountUse | undefined;
+    /** Number of hosts that the report adds up, relative to the one before; `undefined` where there was none. */
+    readonly growth: number | undefined;
+    /** Part of the rate before that is left of a moving average without further requests. */
+    readonly decayed: number;
+}
+
+/**
+ * Returns the part of a change that stands for tokens. A rate that falls faster than a moving average can is that of a
+ * host which was restarted, and has not taken its tokens back.
+ */
+function countChange(after: number, before: number, decayed: number): number {
+    return Math.max(after, before * decayed) - before;
+}
+
 /** Options of {@linkcode UseSources.record}. */
 export interface ReportOptions {
     /** Number of hosts that the report adds up. */
@@ -108,15 +126,19 @@
         if (known !== undefined && isPartial) {
             holdUse(known, reported, nowMilliseconds);
         }
+        const decayed = known === undefined
+            ? 0
+            : Math.exp((known.atMilliseconds - nowMilliseconds) / ADMITTED_TIME_CONSTANT_MILLISECONDS);
         // A host that joins or leaves the sum has counted its use elsewhere, so only the rest of a change counts here.
         const growth = known === undefined || known.hosts === 0 ? undefined : hosts / known.hosts;
         for (const [account, before] of known?.use ?? []) {
             if (!reported.has(account)) {
-                this.#change(account, before, undefined, growth, nowMilliseconds);
+                this.#change(account, { before, after: undefined, growth, decayed }, nowMilliseconds);
             }
         }
         for (const entry of reported.values()) {
-            this.#change(entry.account, known?.use.get(entry.account), entry, growth, nowMilliseconds);
+            const before = known?.use.get(entry.account);
+            this.#change(entry.account, { before, after: entry, growth, decayed }, nowMilliseconds);
         }
         this.#hosts += hosts - (known?.hosts ?? 0);
         this.#sources.set(name, { use: reported, hosts, atMilliseconds: nowMilliseconds });
@@ -138,7 +160,8 @@
             if (isSilent || nowMilliseconds > expiresAt) {
                 this.#sources.delete(name);
                 this.#hosts -= hosts;
-                use.forEach(entry => this.#change(entry.account, entry, undefined, undefined, nowMilliseconds));
+                const gone = { after: undefined, growth: undefined, decayed: 0 };
+                use.forEach(before => this.#change(before.account, { before, ...gone }, nowMilliseconds));
             }
             else {
                 nextAt = Math.min(nextAt, expiresAt);
@@ -159,16 +182,12 @@
         this.expire(nowMilliseconds);
     }
 
-    #change(
-        account: string,
-        before: AccountUse | undefined,
-        after: AccountUse | undefined,
-        growth: number | undefined,
-        nowMilliseconds: number,
-    ): void {
+    #change(account: string, { after, before, decayed, growth }: ChangedUse, nowMilliseconds: number): void {
         const admitted = (after?.admitted ?? 0) - (before?.admitted ?? 0);
         const offered = (after?.offered ?? 0) - (before?.offered ?? 0);
-        const counted = growth === undefined ? 0 : (after?.admitted ?? 0) - (before?.admitted ?? 0) * growth;
+        const counted = growth === undefined
+            ? 0
+            : countChange(after?.admitted ?? 0, (before?.admitted ?? 0) * growth, decayed);
         this.#onChange({ account, admitted, counted, offered }, nowMilliseconds);
     }
 }
--- a/tests/support/quotaFleet.ts
+++ b/tests/support/quotaFleet.ts
@@ -8,6 +8,11 @@
 import { AccountQuotas, type AccountUse } from "../../src/quotas/index.js";
 
 export const STEP_MILLISECONDS = 10;
+
+/** Window over which a quota holds, and the tokens beyond it that are allowed there. */
+export const WINDOW_SECONDS = 8;
+export const SLACK_TOKENS = 7_400;
+
 const CELL_HOSTS = 12;
 const AGGREGATE_MILLISECONDS = 2_000;
 const MINIMUM_TOKENS = 90;
@@ -155,6 +160,7 @@
             random: createSeededRandom(this.#options.seed * 7_919 + index + this.#now),
             hostCount: () => this.#options.hostCount,
             hearsPeers: () => true,
+            slackTokensPerSecond: SLACK_TOKENS / WINDOW_SECONDS,
         });
         this.#configure(quotas);
         return quotas;
--- a/tests/support/quotaScenarios.ts
+++ b/tests/support/quotaScenarios.ts
@@ -10,13 +10,13 @@
     type PlayedAccount,
     QuotaFleet,
     type QuotaFleetOptions,
+    SLACK_TOKENS,
     STEP_MILLISECONDS,
+    WINDOW_SECONDS,
 } from "./quotaFleet.js";
 
-const WINDOW_SECONDS = 8;
 const WINDOW_STEPS = WINDOW_SECONDS * 1_000 / STEP_MILLISECONDS;
 const OVERAGE = 0.1;
-const SLACK_TOKENS = 7_400;
 const CONFIGURATION_MILLISECONDS = 3_000;
 const DURATION_MILLISECONDS = 30_000;
 /** Buckets of hosts begin empty; until here the load is the usual one, and what is accepted is compared from here on. */
