--- a/src/accounts/accounts.test.ts
+++ b/src/accounts/accounts.test.ts
@@ -116,7 +116,7 @@
             if (inForceAt(readAt)) {
                 return;
             }
-            const evidence = { knowsNewer: false, viewAgeMilliseconds: waited, deadlineMilliseconds: deadline };
+            const evidence = { knowsNewer: false, millisecondsSinceConfirmed: waited, deadlineMilliseconds: deadline };
             const isAlwaysAllowed = inForceAt(now - deadline)
                 && accepted.every(each => each.at < now - deadline || each.at > now || each.hasKey);
             if (isAlwaysAllowed) {
--- a/src/accounts/decideUnknownKey.ts
+++ b/src/accounts/decideUnknownKey.ts
@@ -9,7 +9,7 @@
     /** True where another host has a newer configuration than this one. */
     readonly knowsNewer: boolean;
     /** The key-value service had nothing beyond this host's view at some moment not longer ago than this. */
-    readonly viewAgeMilliseconds: number;
+    readonly millisecondsSinceConfirmed: number;
     /** Time within which each change of the configuration has to be in force. */
     readonly deadlineMilliseconds: number;
 }
@@ -25,11 +25,11 @@
  *
  * @example
  * ```ts
- * decideUnknownKey({ knowsNewer: false, viewAgeMilliseconds: 900, deadlineMilliseconds: 3_000 }); // "unknown-key"
+ * decideUnknownKey({ knowsNewer: false, millisecondsSinceConfirmed: 900, deadlineMilliseconds: 3_000 }); // "unknown-key"
  * ```
  */
 export function decideUnknownKey(
-    { deadlineMilliseconds, knowsNewer, viewAgeMilliseconds }: ConfigurationEvidence,
+    { deadlineMilliseconds, knowsNewer, millisecondsSinceConfirmed }: ConfigurationEvidence,
 ): UnknownKeyVerdict {
-    return knowsNewer || viewAgeMilliseconds > deadlineMilliseconds ? "configuration-outdated" : "unknown-key";
+    return knowsNewer || millisecondsSinceConfirmed > deadlineMilliseconds ? "configuration-outdated" : "unknown-key";
 }
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -102,7 +102,8 @@
  * const admission = new Admission({ isInForce: () => true });
  * admission.recordBegun("chat", now);
  * const estimate = admission.estimate("chat", { rank, passPosition: undefined }, now);
- * const refusal = admission.decideRefusal({ facts, estimate, remainingWaitMilliseconds, remainingMilliseconds });
+ * const times = { remainingWaitMilliseconds, remainingMilliseconds, takesAnySlotAtEnd: false };
+ * const refusal = admission.decideRefusal({ facts, estimate, ...times });
  * ```
  */
 export class Admission {
--- a/src/admission/servedShares.ts
+++ b/src/admission/servedShares.ts
@@ -29,7 +29,7 @@
  * ```ts
  * const shares = new ServedShares();
  * shares.record("chat", ["chat p3"], false, now);
- * const isUnderserved = shares.isUnderserved("chat", "chat p3", now);
+ * const isUnderserved = shares.isUnderserved("chat", "chat p3");
  * ```
  */
 export class ServedShares {
--- a/src/capacity/hostPreferences.ts
+++ b/src/capacity/hostRanks.ts
@@ -1,5 +1,5 @@
 /**
- * Gives each host upstreams that it prefers, so that hosts do not all choose the same.
+ * Ranks upstreams by rendezvous hashing, so that hosts with the same news do not all choose the same one.
  *
  * @module
  */
@@ -13,11 +13,11 @@
  *
  * @example
  * ```ts
- * const preferences = new HostPreferences("entry-1");
- * preferences.of("engine-3"); // 0.71, always the same for this host
+ * const hostRanks = new HostRanks("entry-1");
+ * hostRanks.of("engine-3"); // 0.71, always the same for this host
  * ```
  */
-export class HostPreferences {
+export class HostRanks {
     readonly #host: string;
     readonly #ranks = new Map<string, number>();
 
@@ -26,7 +26,7 @@
         this.#host = host;
     }
 
-    /** Returns a number from 0 (preferred most) to 1 that is fixed for this host and the upstream. */
+    /** Returns the rank of an upstream for this host, from 0 (first choice) to 1; always the same. */
     of(upstream: string): number {
         let rank = this.#ranks.get(upstream);
         if (rank === undefined) {
--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -13,5 +13,5 @@
 export { EngineMemoryUse, type EngineRequests, type SentTokens } from "./engineMemoryUse.js";
 export { EngineSpeeds, type ObservedPace, type SpeedDescription, type SpeedReport } from "./engineSpeeds.js";
 export { FirstEventForecast, type FirstEventTimes } from "./firstEventForecast.js";
-export { HostPreferences } from "./hostPreferences.js";
+export { HostRanks } from "./hostRanks.js";
 export { PromptSizes } from "./promptSizes.js";
--- a/src/entry/createForwardingContext.ts
+++ b/src/entry/createForwardingContext.ts
@@ -66,7 +66,7 @@
             const newerPeer = peers.withNewerConfiguration(version, readClock());
             return {
                 knowsNewer: newerPeer !== undefined || interCellGossip.newerConfigurationAddress(version) !== undefined,
-                viewAgeMilliseconds: store.unconfirmedMilliseconds,
+                millisecondsSinceConfirmed: store.millisecondsSinceConfirmed,
                 deadlineMilliseconds: context.settings().bounds.configurationDeadlineMilliseconds
                     ?? CONFIGURATION_DEADLINE_MILLISECONDS,
             };
@@ -101,7 +101,7 @@
     | "memoryUse"
     | "pauses"
     | "rejectionBounds"
-    | "preferences"
+    | "hostRanks"
     | "promptSizes"
     | "prompts"
     | "residency"
@@ -120,7 +120,7 @@
     return {
         forecast: upstreams.forecast,
         memoryUse: upstreams.memoryUse,
-        preferences: upstreams.preferences,
+        hostRanks: upstreams.hostRanks,
         promptSizes: upstreams.promptSizes,
         speeds: upstreams.speeds,
         backlog,
--- a/src/entry/exchange/keyProblem.test.ts
+++ b/src/entry/exchange/keyProblem.test.ts
@@ -9,11 +9,11 @@
 interface Configured {
     readonly accounts?: readonly (readonly [name: string, keyDigest: string])[];
     readonly isPublic?: boolean;
-    readonly viewAgeMilliseconds?: number;
+    readonly millisecondsSinceConfirmed?: number;
 }
 
 /** A request that was accepted for the account `mill`, and the configuration in force now. */
-function partsOf({ accounts, isPublic = false, viewAgeMilliseconds = 0 }: Configured): KeyCheckParts {
+function partsOf({ accounts, isPublic = false, millisecondsSinceConfirmed = 0 }: Configured): KeyCheckParts {
     const table = compileRouteTable({
         version: 2,
         routes: [{ hostName: "site.example", pathPrefix: "/reads/", isPublic } as unknown as Route],
@@ -21,7 +21,7 @@
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
         accounts: accounts?.map(([name, keyDigest]) => ({ name, keyDigests: [keyDigest] }) as unknown as Account),
     });
-    const evidence = { knowsNewer: false, viewAgeMilliseconds, deadlineMilliseconds: 3_000 };
+    const evidence = { knowsNewer: false, millisecondsSinceConfirmed, deadlineMilliseconds: 3_000 };
     return {
         context: { routeTable: () => table, configurationEvidence: () => evidence },
         request: {
@@ -34,7 +34,7 @@
 test("a waiting request is refused for its key only where no account holds it any more", () => {
     const removed: Configured = { accounts: [["mill", digestKey("another")]] };
     assert.equal(findKeyProblem(partsOf(removed)), "unknown-key");
-    assert.equal(findKeyProblem(partsOf({ ...removed, viewAgeMilliseconds: 3_001 })), "configuration-outdated");
+    assert.equal(findKeyProblem(partsOf({ ...removed, millisecondsSinceConfirmed: 3_001 })), "configuration-outdated");
     assert.equal(findKeyProblem(partsOf({ ...removed, isPublic: true })), undefined);
     assert.equal(findKeyProblem(partsOf({ accounts: [["mill", KEY]] })), undefined);
     assert.equal(findKeyProblem(partsOf({ accounts: [["renamed", KEY]] })), undefined);
--- a/src/entry/exchange/upstreamSelection.ts
+++ b/src/entry/exchange/upstreamSelection.ts
@@ -351,7 +351,7 @@
             readonly slotsLeftFree: number;
         },
     ): Candidate[] {
-        const { backlog, health, loads, preferences, promptSizes, prompts, speeds, zone } = this.#context;
+        const { backlog, health, loads, hostRanks, promptSizes, prompts, speeds, zone } = this.#context;
         const { model, promptTokens, sharedPrompt } = this.#facts;
         const prompt = { promptTokens, waits: isWaiting, hostCount: isWaiting ? this.#context.hostCount() : 1 };
         const batches = model !== undefined;
@@ -378,7 +378,7 @@
                 avoided: health.isAvoided(upstream.id, now),
                 hasCachedPrompt: sharedPrompt !== undefined && prompts.has(upstream.id, sharedPrompt),
                 slowdown: speeds.slowdown(upstream.id, now),
-                preference: isReporting ? preferences.of(upstream.id) : undefined,
+                hostRank: isReporting ? hostRanks.of(upstream.id) : undefined,
                 longPromptTokens: isReporting ? backlog.longTokens(upstream.id, now) : 0,
                 hasLongPrompt,
                 memoryShare: memoryTokens === undefined || !isReporting
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -10,7 +10,7 @@
     type EngineMemoryUse,
     type EngineSpeeds,
     type FirstEventForecast,
-    type HostPreferences,
+    type HostRanks,
     type PromptSizes,
 } from "../capacity/index.js";
 import { type CrashAttribution, type RequestAttributes } from "../crashes/index.js";
@@ -74,7 +74,7 @@
     /** Estimates of what engines' requests hold in their memory. */
     readonly memoryUse: EngineMemoryUse;
     /** Upstreams that this host prefers among those that report how fast they work. */
-    readonly preferences: HostPreferences;
+    readonly hostRanks: HostRanks;
     readonly promptSizes: PromptSizes;
     readonly forecast: FirstEventForecast;
     readonly backlog: PrefillBacklog;
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -105,7 +105,7 @@
      * The longest time for which the service may have had changes that this host lacks. Unlike the view's age, it counts
      * the time in which this host did not run; infinite before the first listing.
      */
-    get unconfirmedMilliseconds(): number {
+    get millisecondsSinceConfirmed(): number {
         return this.#now() - this.#confirmedAtMilliseconds;
     }
 
--- a/src/entry/upstreamTracker.ts
+++ b/src/entry/upstreamTracker.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { EngineMemoryUse, EngineSpeeds, FirstEventForecast, HostPreferences, PromptSizes } from "../capacity/index.js";
+import { EngineMemoryUse, EngineSpeeds, FirstEventForecast, HostRanks, PromptSizes } from "../capacity/index.js";
 import { CrashAttribution, type CrashReport, type RequestAttributes } from "../crashes/index.js";
 import { type RandomSource } from "../decision/index.js";
 import {
@@ -79,7 +79,7 @@
     readonly prompts = new PromptPrefixIndex();
     readonly speeds = new EngineSpeeds();
     readonly memoryUse = new EngineMemoryUse();
-    readonly preferences: HostPreferences;
+    readonly hostRanks: HostRanks;
     readonly promptSizes = new PromptSizes();
     readonly forecast = new FirstEventForecast();
     readonly backlog: PrefillBacklog;
@@ -99,7 +99,7 @@
 
     constructor(options: UpstreamTrackerOptions) {
         this.#options = options;
-        this.preferences = new HostPreferences(options.host);
+        this.hostRanks = new HostRanks(options.host);
         this.backlog = new PrefillBacklog(options.random, (engine, now) => this.speeds.slowdown(engine, now));
         this.crashes = new CrashAttribution(options.host);
         this.rejectionBounds = new RejectionBounds({
@@ -285,7 +285,7 @@
         if (change.type === "left") {
             this.tolerances.forget(change.upstream.id);
             this.speeds.forget(change.upstream.id);
-            this.preferences.forget(change.upstream.id);
+            this.hostRanks.forget(change.upstream.id);
             this.rejectionBounds.forget(change.upstream.id);
             this.#forget(change.upstream, change.reason);
         }
--- a/src/forwarding/chooseUpstream.test.ts
+++ b/src/forwarding/chooseUpstream.test.ts
@@ -17,7 +17,7 @@
         avoided: false,
         hasCachedPrompt: false,
         slowdown: 1,
-        preference: undefined,
+        hostRank: undefined,
         longPromptTokens: 0,
         hasLongPrompt: false,
         memoryShare: 0,
@@ -183,11 +183,11 @@
 });
 
 test("slow upstreams get fewer requests, and the zone is left only where it is slower than the other costs", () => {
-    const slow = candidate("slow", { slots: 12, requests: 4, slowdown: 1.6, preference: 0.5 });
-    const fast = candidate("fast", { slots: 12, requests: 6, slowdown: 0.6, preference: 0.5 });
+    const slow = candidate("slow", { slots: 12, requests: 4, slowdown: 1.6, hostRank: 0.5 });
+    const fast = candidate("fast", { slots: 12, requests: 6, slowdown: 0.6, hostRank: 0.5 });
     assert.deepEqual(chooseUpstream([slow, fast], random), { type: "send", upstream: "fast" });
-    const far = candidate("far", { slots: 12, requests: 4, sameZone: false, preference: 0.5 });
-    const near = candidate("near", { slots: 12, requests: 7, slowdown: 1.1, preference: 0.5 });
+    const far = candidate("far", { slots: 12, requests: 4, sameZone: false, hostRank: 0.5 });
+    const near = candidate("near", { slots: 12, requests: 7, slowdown: 1.1, hostRank: 0.5 });
     assert.deepEqual(chooseUpstream([near, far], random), { type: "send", upstream: "near" });
     assert.deepEqual(chooseUpstream([{ ...near, slowdown: 2.5 }, far], random), { type: "send", upstream: "far" });
 });
--- a/src/forwarding/chooseUpstream.ts
+++ b/src/forwarding/chooseUpstream.ts
@@ -24,13 +24,13 @@
 const OTHER_ZONE_SHARE = 0.12;
 
 /**
- * The same where upstreams report how fast they work. It exceeds most differences of load and preference, since bytes
- * between zones are dear.
+ * The same where upstreams report how fast they work. It exceeds most differences of load and rank, since traffic
+ * between availability zones is expensive.
  */
 const REPORTING_OTHER_ZONE_SHARE = 0.5;
 
-/** Maximum cost of an upstream that other hosts prefer, as a share of its slots. */
-const PREFERENCE_SHARE = 0.6;
+/** Maximum cost of an upstream that ranks last for this host, as a share of its slots. */
+const HOST_RANK_SHARE = 0.6;
 
 /** Prefill of long prompts in progress beside which an upstream is fully avoided by other prompts. */
 const LONG_PROMPT_TOKENS = 1_500;
@@ -77,8 +77,8 @@
     readonly hasCachedPrompt: boolean;
     /** How long work takes there now, relative to the usual of its service; 1 where nothing is known. */
     readonly slowdown: number;
-    /** How little this host prefers it to others, from 0 to 1; `undefined` where it does not report how fast it works. */
-    readonly preference: number | undefined;
+    /** Its rank for this host, from 0 (first choice) to 1; `undefined` where it does not report how fast it works. */
+    readonly hostRank: number | undefined;
     /** Tokens of long prompts that it probably has not prefilled yet; 0 where it does not report how fast it works. */
     readonly longPromptTokens: number;
     /** True where the request's own prompt is long; it goes where others keep short ones away already. */
@@ -109,15 +109,15 @@
  * take. For upstreams that report no speed this is their load per slot.
  */
 function costOf(candidate: Candidate, random: RandomSource): number {
-    const { memoryShare, preference, slowdown } = candidate;
-    const otherZoneShare = preference === undefined ? OTHER_ZONE_SHARE : REPORTING_OTHER_ZONE_SHARE;
+    const { memoryShare, hostRank, slowdown } = candidate;
+    const otherZoneShare = hostRank === undefined ? OTHER_ZONE_SHARE : REPORTING_OTHER_ZONE_SHARE;
     return Math.max(candidate.requests / candidate.slots, memoryShare) * slowdown
         + candidate.prefillBacklogTokens / FULL_LOAD_BACKLOG_TOKENS * slowdown
         + (candidate.sameZone ? 0 : otherZoneShare)
         - (candidate.hasCachedPrompt ? CACHED_PROMPT_SHARE : 0)
         + random() * JITTER_SHARE
         + OWN_WORK_SHARE * (slowdown - 1)
-        + (preference ?? 0) * PREFERENCE_SHARE
+        + (hostRank ?? 0) * HOST_RANK_SHARE
         + longPromptCost(candidate);
 }
 
--- a/src/forwarding/resumedStreams.test.ts
+++ b/src/forwarding/resumedStreams.test.ts
@@ -81,7 +81,7 @@
         avoided: false,
         hasCachedPrompt: false,
         slowdown: 1,
-        preference: undefined,
+        hostRank: undefined,
         longPromptTokens: 0,
         hasLongPrompt: false,
         memoryShare: 0,
--- a/tests/support/engineModel.ts
+++ b/tests/support/engineModel.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { EngineMemoryUse, EngineSpeeds, HostPreferences, PromptSizes } from "../../src/capacity/index.js";
+import { EngineMemoryUse, EngineSpeeds, HostRanks, PromptSizes } from "../../src/capacity/index.js";
 import { createSeededRandom, type RandomSource } from "../../src/decision/index.js";
 import { type Candidate, chooseUpstream, PrefillBacklog, UpstreamLoads } from "../../src/forwarding/index.js";
 
@@ -193,7 +193,7 @@
     readonly speeds = new EngineSpeeds();
     readonly memoryUse = new EngineMemoryUse();
     readonly backlog: PrefillBacklog;
-    readonly preferences: HostPreferences;
+    readonly hostRanks: HostRanks;
     readonly promptSizes = new PromptSizes();
     readonly queue: Request[] = [];
     readonly name: string;
@@ -206,7 +206,7 @@
         this.zone = Math.floor(index * ZONES / options.hosts);
         this.#options = options;
         this.#random = random;
-        this.preferences = new HostPreferences(this.name);
+        this.hostRanks = new HostRanks(this.name);
         this.backlog = new PrefillBacklog(random, (engine, now) => this.speeds.slowdown(engine, now));
     }
 
@@ -233,7 +233,7 @@
                 avoided: false,
                 hasCachedPrompt: false,
                 slowdown: this.speeds.slowdown(id, now),
-                preference: this.speeds.isReporting(id, SERVICE) ? this.preferences.of(id) : undefined,
+                hostRank: this.speeds.isReporting(id, SERVICE) ? this.hostRanks.of(id) : undefined,
                 longPromptTokens: this.speeds.isReporting(id, SERVICE) ? this.backlog.longTokens(id, now) : 0,
                 hasLongPrompt: this.promptSizes.isLong(SERVICE, size.promptTokens),
                 memoryShare: usesFigures ? (held + size.promptTokens + size.outputTokens) / memoryTokens : 0,
