Let the soak's callers belong to client accounts, and judge whose name and key engines see

The soak knew no accounts. Its callers send one of two keys now; a request that runs for another account or with its key, and a known key that is refused, are violations.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
+import { accountOf } from "./accounts.js";
 import { callInterface, type SoakHost } from "./hostProcess.js";
 import { type RequestEnding, type RequestKind, type RequestRecord } from "./records.js";
 import { PORTS, SITE_HOST } from "./settings.js";
@@ -99,6 +100,7 @@
                 type: "request" as const,
                 id,
                 kind,
+                account: accountOf(id).name,
                 host: host.name,
                 startedAt,
                 writtenAt,
@@ -122,6 +124,7 @@
             path: caller.path ?? PATHS[kind],
             headers: {
                 "Host": SITE_HOST,
+                "Authorization": `Bearer ${accountOf(id).key}`,
                 "Flamingospread-Request-Id": id,
                 "Flamingospread-Deadline-Ms": String(deadlineMilliseconds),
                 "Content-Length": String((body?.length ?? 0) + withheldBytes),
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { PlatformStoreStandIn } from "../standins/platform/store.js";
+import { ACCOUNTS } from "./accounts.js";
 import { SoakEngines } from "./engines.js";
 import { SoakHost } from "./hostProcess.js";
 import { type SoakPlan } from "./plan.js";
@@ -117,7 +118,7 @@
         }));
         const service = { healthPath: "/healthz", maxConnections: 370, protocol: "h1", tls: false };
         const services = [{ name: "mill-ops", ...service }, { name: "bag-llm", ...service, engine: ENGINE }];
-        this.store.put("op/config", { version: this.#version, routes, services, limits: LIMITS });
+        this.store.put("op/config", { version: this.#version, routes, services, limits: LIMITS, tenants: ACCOUNTS });
     }
 
     async close(): Promise<void> {
--- a/soak/engines.ts
+++ b/soak/engines.ts
@@ -120,6 +120,8 @@
             type: "run",
             id: request.id,
             engine: upstream.id,
+            account: request.headers["flamingospread-tenant"] as string | undefined,
+            hasKey: request.headers.authorization !== undefined,
             at: this.#log.now(),
             status: condition === "failing" ? 500 : 200,
             signature: `receipt-${upstream.id}`,
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -27,6 +27,9 @@
 /** Statuses that promise that the request has not run and never will. */
 const PROMISING_STATUSES: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503]);
 
+/** Statuses of requests that no configuration allows. */
+const DENYING_STATUSES: ReadonlySet<number> = new Set([401, 403, 404]);
+
 /** Returns true where a signal of the soak explains how a process ended. */
 function isExpectedEnd({ exit, pid }: LifeRecord, signals: readonly SignalRecord[]): boolean {
     const sent = new Set(signals.filter(signal => signal.pid === pid).map(({ signal }) => signal));
@@ -154,6 +157,28 @@
     }));
 }
 
+/** Finds executions of requests for another account than the caller's, or with the caller's key. */
+function findMisattributed({ requests, runs }: SortedRecords): Violation[] {
+    return requests.flatMap(request =>
+        (runs.get(request.id) ?? []).filter(run => run.hasKey || run.account !== request.account).map(run => ({
+            rule: "UNASKED" as const,
+            at: run.at,
+            message: `${describeRequest(request)} ran at ${run.engine} for account ${run.account ?? "none"}${
+                run.hasKey ? ", with a key" : ""
+            }`,
+        }))
+    );
+}
+
+/** Finds requests that were refused although their key and their route were in force all the time. */
+function findDenied({ requests }: SortedRecords): Violation[] {
+    return requests.filter(({ status }) => status !== undefined && DENYING_STATUSES.has(status)).map(request => ({
+        rule: "DENIED" as const,
+        at: request.endedAt,
+        message: `${describeRequest(request)}, status ${request.status ?? "none"}`,
+    }));
+}
+
 /**
  * Finds all broken promises.
  *
@@ -176,6 +201,8 @@
         ...findRepeated(sorted),
         ...findBrokenPromises(sorted),
         ...findMixed(sorted),
+        ...findMisattributed(sorted),
+        ...findDenied(sorted),
         ...findLost(sorted),
         ...findUndrained(sorted),
         ...findGone(sorted),
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -25,6 +25,8 @@
     readonly type: "request";
     readonly id: string;
     readonly kind: RequestKind;
+    /** The account whose key it brings along. */
+    readonly account: string;
     readonly host: string;
     readonly startedAt: number;
     /** When its last byte was handed to the connection; `undefined` where it was not. */
@@ -47,6 +49,10 @@
     readonly type: "run";
     readonly id: string;
     readonly engine: string;
+    /** The account that the request names. */
+    readonly account: string | undefined;
+    /** True where the request brought its caller's key along. */
+    readonly hasKey: boolean;
     readonly at: number;
     readonly status: number;
     readonly signature: string;
@@ -100,7 +106,7 @@
 
 /** A promise that was broken. */
 export interface Violation {
-    readonly rule: "FAULT" | "TWICE" | "REFUSED" | "MIXED" | "LOST" | "DRAIN" | "GONE";
+    readonly rule: "FAULT" | "TWICE" | "REFUSED" | "MIXED" | "UNASKED" | "DENIED" | "LOST" | "DRAIN" | "GONE";
     readonly at: number;
     readonly message: string;
 }
