--- a/src/capacity/firstEventForecast.ts
+++ b/src/capacity/firstEventForecast.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { RunningMean } from "../decision/index.js";
 
 /** Weight of a new stream in the means. */
 const STREAM_WEIGHT = 0.02;
@@ -25,24 +26,21 @@
  * ```
  */
 export class FirstEventForecast {
-    #streams = 0;
-    #predictedMilliseconds = 0;
-    #tookMilliseconds = 0;
+    readonly #predicted = new RunningMean(STREAM_WEIGHT);
+    readonly #took = new RunningMean(STREAM_WEIGHT);
 
     record({ predictedMilliseconds, tookMilliseconds }: FirstEventTimes): void {
-        this.#streams += 1;
-        const weight = Math.max(STREAM_WEIGHT, 1 / this.#streams);
-        this.#predictedMilliseconds += weight * (predictedMilliseconds - this.#predictedMilliseconds);
-        this.#tookMilliseconds += weight * (tookMilliseconds - this.#tookMilliseconds);
+        this.#predicted.add(predictedMilliseconds);
+        this.#took.add(tookMilliseconds);
     }
 
     /** Mean predicted time; 0 until a stream was recorded. */
     get meanPredictedMilliseconds(): number {
-        return this.#predictedMilliseconds;
+        return this.#predicted.value;
     }
 
     /** Mean real time; 0 until a stream was recorded. */
     get meanTookMilliseconds(): number {
-        return this.#tookMilliseconds;
+        return this.#took.value;
     }
 }
--- a/src/capacity/promptSizes.ts
+++ b/src/capacity/promptSizes.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { RunningMean } from "../decision/index.js";
 
 /** Prompts of more than this many times the mean of their service are long. */
 const LONG_FACTOR = 2;
@@ -21,19 +22,18 @@
  * ```
  */
 export class PromptSizes {
-    readonly #means = new Map<string, { tokens: number; prompts: number; }>();
+    readonly #means = new Map<string, RunningMean>();
 
     /** Records the prompt of a request that is sent. */
     record(service: string, promptTokens: number): void {
-        const mean = this.#means.get(service) ?? { tokens: 0, prompts: 0 };
+        const mean = this.#means.get(service) ?? new RunningMean(PROMPT_WEIGHT);
         this.#means.set(service, mean);
-        mean.prompts += 1;
-        mean.tokens += Math.max(PROMPT_WEIGHT, 1 / mean.prompts) * (promptTokens - mean.tokens);
+        mean.add(promptTokens);
     }
 
     /** Returns whether a prompt is long for its service; false while none was sent. */
     isLong(service: string, promptTokens: number): boolean {
         const mean = this.#means.get(service);
-        return mean !== undefined && promptTokens > mean.tokens * LONG_FACTOR;
+        return mean !== undefined && promptTokens > mean.value * LONG_FACTOR;
     }
 }
--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { RunningMean } from "../decision/index.js";
 
 /** Half-life of the weight of a request's work. */
 const HALF_LIFE_MILLISECONDS = 1_000;
@@ -22,13 +23,19 @@
 /** Work of a prompt token relative to that of an output token. */
 const PROMPT_TOKEN_WEIGHT = 0.1;
 
+/** Returns the two numbers of a token count as they are written; they may be unusable. */
+function readCounts(tokenCount: string | undefined): readonly [promptTokens: number, outputTokens: number] {
+    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
+    return [prompt, output];
+}
+
 /**
  * Returns the work of a request, in output tokens; 1 where the counts are unusable.
  *
  * @param tokenCount Prompt tokens and maximum output tokens, separated by a comma.
  */
 export function workOf(tokenCount: string | undefined): number {
-    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
+    const [prompt, output] = readCounts(tokenCount);
     const work = prompt * PROMPT_TOKEN_WEIGHT + output;
     return Number.isFinite(work) && work > 0 ? work : 1;
 }
@@ -41,7 +48,7 @@
 
 /** Returns the tokens of a request's prompt and whole output from its token counts; 0 where they are unusable. */
 export function totalTokensOf(tokenCount: string | undefined): number {
-    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
+    const [prompt, output] = readCounts(tokenCount);
     const tokens = prompt + output;
     return Number.isFinite(tokens) && tokens > 0 ? tokens : 0;
 }
@@ -58,8 +65,7 @@
  * ```
  */
 export class DemandMeter {
-    #millisecondsPerWork = INITIAL_MILLISECONDS_PER_WORK;
-    #measuredRuns = 0;
+    readonly #millisecondsPerWork = new RunningMean(MINIMUM_MEASUREMENT_WEIGHT, INITIAL_MILLISECONDS_PER_WORK);
     readonly #work = new Map<string, { work: number; atMilliseconds: number; }>();
 
     add(model: string, work: number, nowMilliseconds: number): void {
@@ -71,14 +77,12 @@
 
     /** Records how long an engine ran a request. */
     recordRun(work: number, tookMilliseconds: number): void {
-        this.#measuredRuns += 1;
-        const weight = Math.max(MINIMUM_MEASUREMENT_WEIGHT, 1 / this.#measuredRuns);
-        this.#millisecondsPerWork += weight * (tookMilliseconds / work - this.#millisecondsPerWork);
+        this.#millisecondsPerWork.add(tookMilliseconds / work);
     }
 
     /** Returns how many requests of each model would run concurrently if all were served. */
     concurrency(nowMilliseconds: number): Record<string, number> {
-        return this.#busy(this.#millisecondsPerWork, MINIMUM_REQUESTS, nowMilliseconds);
+        return this.#busy(this.#millisecondsPerWork.value, MINIMUM_REQUESTS, nowMilliseconds);
     }
 
     /** Returns how many engines each model's work would keep busy, given an engine's work per millisecond. */
