--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -141,11 +141,16 @@
      * yet, and once the answer has begun.
      */
     get readingMilliseconds(): number {
-        const { prefillTokensPerMillisecond } = this.#context.demand;
         const isReading = this.#facts.model !== undefined && this.#firstEventAtMilliseconds === undefined;
-        return isReading && prefillTokensPerMillisecond !== undefined
-            ? this.backlogTokens / prefillTokensPerMillisecond * this.#slowdown
-            : 0;
+        return isReading ? this.#predictPrefillMilliseconds(this.backlogTokens) ?? 0 : 0;
+    }
+
+    /** Returns how long the upstream probably reads some tokens; `undefined` while its throughput is not known. */
+    #predictPrefillMilliseconds(tokens: number): number | undefined {
+        const { prefillTokensPerMillisecond } = this.#context.demand;
+        return prefillTokensPerMillisecond === undefined
+            ? undefined
+            : tokens / prefillTokensPerMillisecond * this.#slowdown;
     }
 
     /** Records that bytes were received. */
@@ -317,10 +322,10 @@
     }
 
     #recordForecast(backlogTokens: number, tookMilliseconds: number): void {
-        const { demand: { prefillTokensPerMillisecond }, forecast, speeds } = this.#context;
+        const { forecast, speeds } = this.#context;
         const { id, service } = this.upstream;
-        if (prefillTokensPerMillisecond !== undefined && speeds.isReporting(id, service)) {
-            const predictedMilliseconds = backlogTokens / prefillTokensPerMillisecond * this.#slowdown;
+        const predictedMilliseconds = this.#predictPrefillMilliseconds(backlogTokens);
+        if (predictedMilliseconds !== undefined && speeds.isReporting(id, service)) {
             forecast.record({ predictedMilliseconds, tookMilliseconds });
         }
     }
--- a/src/entry/exchange/keyProblem.ts
+++ b/src/entry/exchange/keyProblem.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Account, decideUnknownKey, type UnknownKeyVerdict } from "../../accounts/index.js";
+import { pathOf } from "../connections/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type CallerRequest } from "./requestFacts.js";
 
@@ -33,7 +34,6 @@
     if (account === undefined || currentHolder(parts) !== undefined) {
         return undefined;
     }
-    const path = target.pathAndQuery.split("?")[0] ?? "/";
-    const needsKey = context.routeTable()?.match(target.host, path)?.isPublic !== true;
+    const needsKey = context.routeTable()?.match(target.host, pathOf(target))?.isPublic !== true;
     return needsKey ? decideUnknownKey(context.configurationEvidence()) : undefined;
 }
--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -6,6 +6,7 @@
 import {
     type Admission,
     type EarlyRefusal,
+    latestStart,
     type QueueFacts,
     type QueueRank,
     queueRank,
@@ -238,9 +239,8 @@
 
     /** When it would have to be sent to meet its target. */
     get #latestStartMilliseconds(): number {
-        const { arrivedAtMilliseconds, service, targetLatencyMilliseconds } = this.queueFacts;
-        const firstEventMilliseconds = this.#options.admission.firstEvents.usual(service);
-        return arrivedAtMilliseconds + targetLatencyMilliseconds - firstEventMilliseconds;
+        const firstEventMilliseconds = this.#options.admission.firstEvents.usual(this.queueFacts.service);
+        return latestStart({ ...this.queueFacts, firstEventMilliseconds });
     }
 
     get #group(): string {
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -11,6 +11,7 @@
 import { accountOfRequest, identifyCaller } from "./callerIdentity.js";
 import {
     type Arrival,
+    pathOf,
     readTarget,
     renderRawAnswer,
     type RequestHandler,
@@ -88,8 +89,8 @@
     response.once("close", () => clearTimeout(timer));
 }
 
-function matchRoute(table: RouteTable, { host, pathAndQuery }: RequestTarget): Route | undefined {
-    return table.match(host, pathAndQuery.split("?")[0] ?? "/");
+function matchRoute(table: RouteTable, target: RequestTarget): Route | undefined {
+    return table.match(target.host, pathOf(target));
 }
 
 /** Returns a time in seconds for `Retry-After`, with as many decimals as it needs up to three. */
