--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -20,7 +20,7 @@
 } from "./admission.js";
 export { DispatchRates } from "./dispatchRates.js";
 export { FirstEventTimes } from "./firstEventTimes.js";
-export { compareQueueRanks, latestStart, type QueueRank, queueRank, type QueueRankInput } from "./queueRank.js";
+export { compareQueueRanks, type QueueRank, queueRank, type QueueRankInput } from "./queueRank.js";
 export { retryDelay, type RetryDelayInput } from "./retryDelay.js";
 export { ServedShares } from "./servedShares.js";
 export { type EarlyRefusal, type QueueFacts, type WaitEstimate, type WaitOutcome } from "./types.js";
--- a/src/admission/queueRank.ts
+++ b/src/admission/queueRank.ts
@@ -57,22 +57,13 @@
     if (waitedMilliseconds > 0 && waitedMilliseconds >= maximumWaitMilliseconds * AGED_SHARE) {
         return [priority, AGED_GROUP, arrivedAtMilliseconds];
     }
-    const latestStartMilliseconds = latestStart(input);
+    const latestStartMilliseconds = arrivedAtMilliseconds + input.targetLatencyMilliseconds
+        - input.firstEventMilliseconds;
     const isInTime = nowMilliseconds <= latestStartMilliseconds;
     const group = (isInTime ? IN_TIME_GROUP : LATE_GROUP) + (input.isOverFairShare ? OVER_SHARE_GROUPS : 0);
     return [priority, group, isInTime ? latestStartMilliseconds : arrivedAtMilliseconds];
 }
 
-/** Returns when a request would have to be sent to meet its target. */
-export function latestStart(
-    { arrivedAtMilliseconds, firstEventMilliseconds, targetLatencyMilliseconds }: Pick<
-        QueueRankInput,
-        "arrivedAtMilliseconds" | "firstEventMilliseconds" | "targetLatencyMilliseconds"
-    >,
-): number {
-    return arrivedAtMilliseconds + targetLatencyMilliseconds - firstEventMilliseconds;
-}
-
 /** Compares ranks for a sort of the first to be dispatched first. */
 export function compareQueueRanks(left: QueueRank, right: QueueRank): number {
     return left[0] - right[0] || left[1] - right[1] || left[2] - right[2];
--- a/src/admission/retryDelay.ts
+++ b/src/admission/retryDelay.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** Callers honour a delay up to a third of the time that they have left, by clocks that may differ a little. */
+/** Callers honour a delay up to a third of the time that they have left; the rest is for their clocks. */
 const MAXIMUM_REMAINING_SHARE = 0.32;
 
 const MINIMUM_DELAY_MILLISECONDS = 150;
--- a/src/entry/connections/index.ts
+++ b/src/entry/connections/index.ts
@@ -10,5 +10,5 @@
 export { HeaderLimit } from "./headerLimit.js";
 export { ParserFeeds, type ParserFeedsOptions } from "./parserFeeds.js";
 export { renderRawAnswer } from "./rawAnswer.js";
-export { isValidTarget, pathOf, readTarget, type RequestTarget } from "./requestTarget.js";
+export { isValidTarget, readTarget, type RequestTarget } from "./requestTarget.js";
 export { answerUnreadableRequests } from "./unreadableRequests.js";
--- a/src/entry/connections/requestTarget.ts
+++ b/src/entry/connections/requestTarget.ts
@@ -37,11 +37,6 @@
     return { host: authority, pathAndQuery: rest.startsWith("/") ? rest : `/${rest}` };
 }
 
-/** Returns the path of a target, without its query. */
-export function pathOf({ pathAndQuery }: RequestTarget): string {
-    return pathAndQuery.split("?")[0] ?? "/";
-}
-
 /**
  * Returns whether a request's path or URL has only characters that can be sent to an upstream.
  *
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -141,16 +141,11 @@
      * yet, and once the answer has begun.
      */
     get readingMilliseconds(): number {
-        const isReading = this.#facts.model !== undefined && this.#firstEventAtMilliseconds === undefined;
-        return isReading ? this.#predictPrefillMilliseconds(this.backlogTokens) ?? 0 : 0;
-    }
-
-    /** Returns how long the upstream probably reads some tokens; `undefined` while its throughput is not known. */
-    #predictPrefillMilliseconds(tokens: number): number | undefined {
         const { prefillTokensPerMillisecond } = this.#context.demand;
-        return prefillTokensPerMillisecond === undefined
-            ? undefined
-            : tokens / prefillTokensPerMillisecond * this.#slowdown;
+        const isReading = this.#facts.model !== undefined && this.#firstEventAtMilliseconds === undefined;
+        return isReading && prefillTokensPerMillisecond !== undefined
+            ? this.backlogTokens / prefillTokensPerMillisecond * this.#slowdown
+            : 0;
     }
 
     /** Records that bytes were received. */
@@ -322,10 +317,10 @@
     }
 
     #recordForecast(backlogTokens: number, tookMilliseconds: number): void {
-        const { forecast, speeds } = this.#context;
+        const { demand: { prefillTokensPerMillisecond }, forecast, speeds } = this.#context;
         const { id, service } = this.upstream;
-        const predictedMilliseconds = this.#predictPrefillMilliseconds(backlogTokens);
-        if (predictedMilliseconds !== undefined && speeds.isReporting(id, service)) {
+        if (prefillTokensPerMillisecond !== undefined && speeds.isReporting(id, service)) {
+            const predictedMilliseconds = backlogTokens / prefillTokensPerMillisecond * this.#slowdown;
             forecast.record({ predictedMilliseconds, tookMilliseconds });
         }
     }
--- a/src/entry/exchange/dispatchInOrder.ts
+++ b/src/entry/exchange/dispatchInOrder.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { compareQueueRanks, type RankedRequest } from "../../admission/index.js";
-import { type WaitingRank } from "./waitingRank.js";
+import { compareRanks, type WaitingRank } from "./waitingRank.js";
 
 /** A request that may be waiting. */
 export interface WaitingRequest {
@@ -19,6 +18,12 @@
     dispatch(): void;
 }
 
+/** A waiting request with its rank. */
+export interface RankedRequest<Request> {
+    readonly request: Request;
+    readonly rank: WaitingRank;
+}
+
 /** Options of {@linkcode dispatchInOrder}. */
 export interface DispatchInOrderOptions<Request> {
     /** True where requests that lack a copy are not left out. */
@@ -62,7 +67,7 @@
 ): (() => void)[] {
     const waiting = [...requests].filter(request => request.isWaiting && (includesLacking || !request.lacksCopies));
     const ranked = waiting.map(request => ({ request, rank: request.rank }));
-    ranked.sort((left, right) => compareQueueRanks(left.rank, right.rank));
+    ranked.sort((left, right) => compareRanks(left.rank, right.rank));
     const unmet = new Map<string, number>();
     return arrange(ranked).map(({ request }) => () => dispatchUnlessUnmet(request, unmet));
 }
--- a/src/entry/exchange/keyProblem.ts
+++ b/src/entry/exchange/keyProblem.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { type Account, decideUnknownKey, type UnknownKeyVerdict } from "../../accounts/index.js";
-import { pathOf } from "../connections/index.js";
 import { type ForwardingContext } from "../forwardingContext.js";
 import { type CallerRequest } from "./requestFacts.js";
 
@@ -34,6 +33,7 @@
     if (account === undefined || currentHolder(parts) !== undefined) {
         return undefined;
     }
-    const needsKey = context.routeTable()?.match(target.host, pathOf(target))?.isPublic !== true;
+    const path = target.pathAndQuery.split("?")[0] ?? "/";
+    const needsKey = context.routeTable()?.match(target.host, path)?.isPublic !== true;
     return needsKey ? decideUnknownKey(context.configurationEvidence()) : undefined;
 }
--- a/src/entry/exchange/queuePlace.ts
+++ b/src/entry/exchange/queuePlace.ts
@@ -6,7 +6,6 @@
 import {
     type Admission,
     type EarlyRefusal,
-    latestStart,
     type QueueFacts,
     type QueueRank,
     queueRank,
@@ -239,8 +238,9 @@
 
     /** When it would have to be sent to meet its target. */
     get #latestStartMilliseconds(): number {
-        const firstEventMilliseconds = this.#options.admission.firstEvents.usual(this.queueFacts.service);
-        return latestStart({ ...this.queueFacts, firstEventMilliseconds });
+        const { arrivedAtMilliseconds, service, targetLatencyMilliseconds } = this.queueFacts;
+        const firstEventMilliseconds = this.#options.admission.firstEvents.usual(service);
+        return arrivedAtMilliseconds + targetLatencyMilliseconds - firstEventMilliseconds;
     }
 
     get #group(): string {
--- a/src/entry/exchange/requestFacts.ts
+++ b/src/entry/exchange/requestFacts.ts
@@ -88,7 +88,7 @@
     const tag = request.account?.tag;
     return {
         fingerprint: fingerprintOf(request),
-        // Parts contain no colon, so those of two accounts differ.
+        // A part has no colon.
         parts: tag === undefined ? parts : parts.map(part => `${tag}:${part}`),
     };
 }
--- a/src/entry/exchange/waitingRank.ts
+++ b/src/entry/exchange/waitingRank.ts
@@ -3,14 +3,13 @@
  *
  * @module
  */
-import { type QueueRank } from "../../admission/index.js";
 import { type Route } from "../../routes/index.js";
 
 /**
  * Sort key of waiting requests: by priority, then streams whose caller has a part already, then those within their target
  * latency, then by arrival.
  */
-export type WaitingRank = QueueRank;
+export type WaitingRank = readonly [priority: number, group: number, arrivedAtMilliseconds: number];
 
 /** Requests that wait for permits, and streams whose caller has a part already. */
 const FIRST_GROUP = 0;
@@ -48,3 +47,8 @@
     const isLate = nowMilliseconds - arrivedAtMilliseconds > route.targetLatencyMilliseconds;
     return [route.priority, isLate ? LATE_GROUP : IN_TIME_GROUP, arrivedAtMilliseconds];
 }
+
+/** Compares ranks for a sort of the most urgent first. */
+export function compareRanks(left: WaitingRank, right: WaitingRank): number {
+    return left[0] - right[0] || left[1] - right[1] || left[2] - right[2];
+}
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -11,7 +11,6 @@
 import { accountOfRequest, identifyCaller } from "./callerIdentity.js";
 import {
     type Arrival,
-    pathOf,
     readTarget,
     renderRawAnswer,
     type RequestHandler,
@@ -89,8 +88,8 @@
     response.once("close", () => clearTimeout(timer));
 }
 
-function matchRoute(table: RouteTable, target: RequestTarget): Route | undefined {
-    return table.match(target.host, pathOf(target));
+function matchRoute(table: RouteTable, { host, pathAndQuery }: RequestTarget): Route | undefined {
+    return table.match(host, pathAndQuery.split("?")[0] ?? "/");
 }
 
 /** Returns a time in seconds for `Retry-After`, with as many decimals as it needs up to three. */
--- a/src/quotas/accountQuotas.ts
+++ b/src/quotas/accountQuotas.ts
@@ -7,7 +7,7 @@
 import { type RandomSource } from "../decision/index.js";
 import { AccountState, type HeardHosts } from "./_accountState.js";
 import { mostUsed } from "./_mostUsed.js";
-import { quotaRetryDelayMilliseconds } from "./retryDelay.js";
+import { retryDelayMilliseconds } from "./retryDelay.js";
 import { type AccountUse, MAXIMUM_ACCOUNTS_PER_MESSAGE, type QuotaDecision, type QuotaState } from "./types.js";
 import { type ReportedChange, UseSources } from "./useSources.js";
 
@@ -146,7 +146,7 @@
         if (state.admit(tokens, nowMilliseconds)) {
             return ADMITTED;
         }
-        const retryAfterMilliseconds = quotaRetryDelayMilliseconds({
+        const retryAfterMilliseconds = retryDelayMilliseconds({
             tokens,
             levelTokens: state.bucket.level(nowMilliseconds),
             tokensPerSecond: state.bucket.quota.tokensPerSecond,
--- a/src/quotas/retryDelay.ts
+++ b/src/quotas/retryDelay.ts
@@ -24,10 +24,10 @@
  *
  * @example
  * ```ts
- * quotaRetryDelayMilliseconds({ tokens: 950, levelTokens: 0, tokensPerSecond: 1_900, offeredPerSecond: 3_800, random });
+ * retryDelayMilliseconds({ tokens: 950, levelTokens: 0, tokensPerSecond: 1_900, offeredPerSecond: 3_800, random });
  * ```
  */
-export function quotaRetryDelayMilliseconds(
+export function retryDelayMilliseconds(
     { levelTokens, offeredPerSecond, random, tokens, tokensPerSecond }: RefusedRequest,
 ): number {
     const missingTokens = Math.max(0, tokens - levelTokens);
