--- a/src/capacity/engineSpeeds.ts
+++ b/src/capacity/engineSpeeds.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { RunningMean } from "../decision/index.js";
 
 /** Time after which a reported figure says half as much, since neighbours slow a machine for about 600 ms at a time. */
 const REPORT_HALF_LIFE_MILLISECONDS = 400;
@@ -38,7 +37,8 @@
     meanReported: number;
     reports: number;
     /** Mean logarithm of the upstream's paces relative to those of its service. */
-    readonly pace: RunningMean;
+    logarithmicPace: number;
+    paces: number;
     /** The slowdown at the time of the last question, which is asked several times for each request. */
     slowdown: number;
     slowdownAtMilliseconds: number;
@@ -52,6 +52,11 @@
     readonly slowdown: number | undefined;
 }
 
+interface ServicePace {
+    logarithm: number;
+    paces: number;
+}
+
 /** How long an upstream took for a unit of work. */
 export interface ObservedPace {
     /** Names what is comparable: the service, and the kind of answer. */
@@ -88,8 +93,7 @@
  */
 export class EngineSpeeds {
     readonly #speeds = new Map<string, Speed>();
-    /** Mean logarithm of the paces by measure. */
-    readonly #services = new Map<string, RunningMean>();
+    readonly #services = new Map<string, ServicePace>();
     readonly #reportingServices = new Set<string>();
 
     /** Records the figure in an answer, or that it holds none: the slowdown is then 1. */
@@ -120,10 +124,17 @@
             return;
         }
         const logarithm = Math.log(millisecondsPerUnit);
-        const service = this.#services.get(measure) ?? new RunningMean(SERVICE_PACE_WEIGHT);
+        const service = this.#services.get(measure) ?? { logarithm, paces: 0 };
         this.#services.set(measure, service);
-        service.add(logarithm);
-        speed.pace.add(clamp(logarithm - service.value, Math.log(MINIMUM_FACTOR), Math.log(MAXIMUM_FACTOR)));
+        service.paces += 1;
+        service.logarithm += Math.max(SERVICE_PACE_WEIGHT, 1 / service.paces) * (logarithm - service.logarithm);
+        const relative = clamp(
+            logarithm - service.logarithm,
+            Math.log(MINIMUM_FACTOR),
+            Math.log(MAXIMUM_FACTOR),
+        );
+        speed.paces += 1;
+        speed.logarithmicPace += Math.max(UPSTREAM_PACE_WEIGHT, 1 / speed.paces) * (relative - speed.logarithmicPace);
         speed.slowdownAtMilliseconds = Number.NaN;
     }
 
@@ -177,7 +188,8 @@
             reportedAtMilliseconds: 0,
             meanReported: 1,
             reports: 0,
-            pace: new RunningMean(UPSTREAM_PACE_WEIGHT),
+            logarithmicPace: 0,
+            paces: 0,
             slowdown: 1,
             slowdownAtMilliseconds: Number.NaN,
         };
@@ -186,10 +198,10 @@
     }
 }
 
-function doubtOf({ pace }: Speed): number {
-    return PRIOR_PACES / (PRIOR_PACES + pace.count);
+function doubtOf({ paces }: Speed): number {
+    return PRIOR_PACES / (PRIOR_PACES + paces);
 }
 
 function usualSlowdown(speed: Speed): number {
-    return Math.exp(speed.pace.value * (1 - doubtOf(speed)));
+    return Math.exp(speed.logarithmicPace * (1 - doubtOf(speed)));
 }
--- a/src/capacity/firstEventForecast.ts
+++ b/src/capacity/firstEventForecast.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { RunningMean } from "../decision/index.js";
 
 /** Weight of a new stream in the means. */
 const STREAM_WEIGHT = 0.02;
@@ -26,21 +25,24 @@
  * ```
  */
 export class FirstEventForecast {
-    readonly #predicted = new RunningMean(STREAM_WEIGHT);
-    readonly #took = new RunningMean(STREAM_WEIGHT);
+    #streams = 0;
+    #predictedMilliseconds = 0;
+    #tookMilliseconds = 0;
 
     record({ predictedMilliseconds, tookMilliseconds }: FirstEventTimes): void {
-        this.#predicted.add(predictedMilliseconds);
-        this.#took.add(tookMilliseconds);
+        this.#streams += 1;
+        const weight = Math.max(STREAM_WEIGHT, 1 / this.#streams);
+        this.#predictedMilliseconds += weight * (predictedMilliseconds - this.#predictedMilliseconds);
+        this.#tookMilliseconds += weight * (tookMilliseconds - this.#tookMilliseconds);
     }
 
     /** Mean predicted time; 0 until a stream was recorded. */
     get meanPredictedMilliseconds(): number {
-        return this.#predicted.value;
+        return this.#predictedMilliseconds;
     }
 
     /** Mean real time; 0 until a stream was recorded. */
     get meanTookMilliseconds(): number {
-        return this.#took.value;
+        return this.#tookMilliseconds;
     }
 }
--- a/src/capacity/promptSizes.ts
+++ b/src/capacity/promptSizes.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { RunningMean } from "../decision/index.js";
 
 /** Prompts of more than this many times the mean of their service are long. */
 const LONG_FACTOR = 2;
@@ -22,18 +21,19 @@
  * ```
  */
 export class PromptSizes {
-    readonly #means = new Map<string, RunningMean>();
+    readonly #means = new Map<string, { tokens: number; prompts: number; }>();
 
     /** Records the prompt of a request that is sent. */
     record(service: string, promptTokens: number): void {
-        const mean = this.#means.get(service) ?? new RunningMean(PROMPT_WEIGHT);
+        const mean = this.#means.get(service) ?? { tokens: 0, prompts: 0 };
         this.#means.set(service, mean);
-        mean.add(promptTokens);
+        mean.prompts += 1;
+        mean.tokens += Math.max(PROMPT_WEIGHT, 1 / mean.prompts) * (promptTokens - mean.tokens);
     }
 
     /** Returns whether a prompt is long for its service; false while none was sent. */
     isLong(service: string, promptTokens: number): boolean {
         const mean = this.#means.get(service);
-        return mean !== undefined && promptTokens > mean.value * LONG_FACTOR;
+        return mean !== undefined && promptTokens > mean.tokens * LONG_FACTOR;
     }
 }
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -14,5 +14,4 @@
  */
 export { type Decision, type IdentifierSource, type RandomSource } from "./decision.js";
 export { hashText, rankByRendezvous } from "./rendezvous.js";
-export { RunningMean } from "./runningMean.js";
 export { createSeededRandom } from "./seededRandom.js";
--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { RunningMean } from "../decision/index.js";
 
 /** Half-life of the weight of a request's work. */
 const HALF_LIFE_MILLISECONDS = 1_000;
@@ -23,19 +22,13 @@
 /** Work of a prompt token relative to that of an output token. */
 const PROMPT_TOKEN_WEIGHT = 0.1;
 
-/** Returns the two numbers of a token count as they are written; they may be unusable. */
-function readCounts(tokenCount: string | undefined): readonly [promptTokens: number, outputTokens: number] {
-    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
-    return [prompt, output];
-}
-
 /**
  * Returns the work of a request, in output tokens; 1 where the counts are unusable.
  *
  * @param tokenCount Prompt tokens and maximum output tokens, separated by a comma.
  */
 export function workOf(tokenCount: string | undefined): number {
-    const [prompt, output] = readCounts(tokenCount);
+    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
     const work = prompt * PROMPT_TOKEN_WEIGHT + output;
     return Number.isFinite(work) && work > 0 ? work : 1;
 }
@@ -48,7 +41,7 @@
 
 /** Returns the tokens of a request's prompt and whole output from its token counts; 0 where they are unusable. */
 export function totalTokensOf(tokenCount: string | undefined): number {
-    const [prompt, output] = readCounts(tokenCount);
+    const [prompt = 0, output = 0] = (tokenCount ?? "").split(",").map(Number);
     const tokens = prompt + output;
     return Number.isFinite(tokens) && tokens > 0 ? tokens : 0;
 }
@@ -65,7 +58,8 @@
  * ```
  */
 export class DemandMeter {
-    readonly #millisecondsPerWork = new RunningMean(MINIMUM_MEASUREMENT_WEIGHT, INITIAL_MILLISECONDS_PER_WORK);
+    #millisecondsPerWork = INITIAL_MILLISECONDS_PER_WORK;
+    #measuredRuns = 0;
     readonly #work = new Map<string, { work: number; atMilliseconds: number; }>();
 
     add(model: string, work: number, nowMilliseconds: number): void {
@@ -77,12 +71,14 @@
 
     /** Records how long an engine ran a request. */
     recordRun(work: number, tookMilliseconds: number): void {
-        this.#millisecondsPerWork.add(tookMilliseconds / work);
+        this.#measuredRuns += 1;
+        const weight = Math.max(MINIMUM_MEASUREMENT_WEIGHT, 1 / this.#measuredRuns);
+        this.#millisecondsPerWork += weight * (tookMilliseconds / work - this.#millisecondsPerWork);
     }
 
     /** Returns how many requests of each model would run concurrently if all were served. */
     concurrency(nowMilliseconds: number): Record<string, number> {
-        return this.#busy(this.#millisecondsPerWork.value, MINIMUM_REQUESTS, nowMilliseconds);
+        return this.#busy(this.#millisecondsPerWork, MINIMUM_REQUESTS, nowMilliseconds);
     }
 
     /** Returns how many engines each model's work would keep busy, given an engine's work per millisecond. */
