Hold back an answer that only its connection ends until it is known that nobody reset it

Callers saw: a complete 200 with the 1,200 of 3,000 bytes that an engine had sent before it reset the connection, while their upload was still being written.

Cause: an answer with neither a length nor chunks is complete once its connection ends. The event loop reports a reset that comes with the last bytes as an end. A probe was written when the end came, and the socket's error looked at one iteration later. But what is written goes behind the request: while the body waits in the socket, or its write has not been reported yet, the probe stays in the stream's buffer, and Node's HTTP client destroys the connection within the same "end" (socketOnEnd of _http_client), which drops body and probe without an error. So nothing ever asked the kernel, and the look found no error. Without a body the probe is written at once, which is why the tests of unframedAnswers held.

All that went through ran writev call, data 1295, end with 4,194,516 to 4,194,517 bytes still counted as written to the stream, _destroy from socketOnEnd within 0.1 to 1 ms, writev callback without an error. All that ended as 502 had ECONNRESET from the writev or from a read. It happens even where the kernel had taken the whole body (write queue 0), since the completion of the writev was not reported yet.

Change: confirmConnectionEnd takes the listeners of the connection's end, Node's among them, and calls them only once a write behind the whole request has succeeded. A write fails after a reset, whoever took the error before, and succeeds after an end; so the look can't miss one. An end within the request counts once the request was taken whole. One decision for buffered answers, for those that are passed on and for streams; broken ones have a log line (answer broken) and a counter (broken_answers, by reader and fault).

An answer that ends in order within the upload is whole before and after.

One thing is stricter: an engine that ends such an answer within the upload and then resets the connection (a close without reading the rest does) is taken for a lost one. The two can't be told apart by then.

--- a/src/entry/exchange/attemptSender.ts
+++ b/src/entry/exchange/attemptSender.ts
@@ -6,6 +6,7 @@
 import { match } from "ts-pattern";
 import { type UpstreamAnnouncement } from "../../fleet/index.js";
 import { type AttemptFailure } from "../../forwarding/index.js";
+import { reportBrokenAnswer } from "../../observability/index.js";
 import { callUpstream, type UpstreamCall } from "../upstreamCall.js";
 import { type AnswerReceiver } from "./answerReceiver.js";
 import { Attempt, expectedAnswerBytes } from "./attempt.js";
@@ -69,7 +70,7 @@
     }
 
     #call(attempt: Attempt): UpstreamCall {
-        const { context, request: { body, holdBody, message, target } } = this.#parts;
+        const { context, request: { body, holdBody, message, requestId, target } } = this.#parts;
         const { receiver } = this.#options;
         const { address, service } = attempt.upstream;
         return callUpstream({
@@ -86,6 +87,7 @@
             onHead: head => this.#ifRunning(attempt, () => receiver.handleHead(attempt, head)),
             onData: chunk => this.#ifRunning(attempt, () => receiver.handleData(attempt, chunk)),
             onEnd: () => this.#ifRunning(attempt, () => receiver.handleEnd(attempt)),
+            onBroken: fault => reportBrokenAnswer(context, { reader: "request", address, fault, request: requestId }),
             onFailure: (failure, detail, code) =>
                 this.#ifRunning(attempt, () => {
                     attempt.wasConnectionRefused = code === CONNECTION_REFUSED;
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -6,7 +6,7 @@
 import { type ServerResponse } from "node:http";
 import { type CompleteEvents } from "../../forwarding/index.js";
 import { type MemoryReservation } from "../../memory/index.js";
-import { hasBody } from "../_hasBody.js";
+import { hasBody } from "../../transport/answers/index.js";
 import { type AnswerPiece, type PagePool, totalLength } from "../pagePool.js";
 import { type AnswerHead } from "../upstreamCall.js";
 import { AnswerDelivery } from "./answerDelivery.js";
--- a/src/entry/healthProbes.ts
+++ b/src/entry/healthProbes.ts
@@ -5,7 +5,7 @@
  */
 import { type Agent } from "node:http";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
-import { type EntryMetrics, type Logger } from "../observability/index.js";
+import { type EntryMetrics, type Logger, reportBrokenAnswer } from "../observability/index.js";
 import { type Acts } from "./actQueue.js";
 import { type AnswerHead, callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
@@ -130,6 +130,8 @@
             onHead: head => this.#options.onAnswer(upstream, head),
             onData: () => undefined,
             onEnd: () => finish(ANSWERED),
+            onBroken: fault =>
+                reportBrokenAnswer(this.#options, { reader: "health-probe", address: upstream.address, fault }),
             onFailure: failure => finish(failure),
         });
         this.#running.add(call);
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -6,8 +6,8 @@
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
 import { freeBytes } from "../memory/index.js";
+import { type AnswerFault, confirmConnectionEnd, framingOf } from "../transport/answers/index.js";
 import { parseAddress } from "../transport/index.js";
-import { hasBody } from "./_hasBody.js";
 import { type Acts } from "./actQueue.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
@@ -57,6 +57,8 @@
     onData(chunk: Buffer): void;
     /** The answer is complete according to its framing. */
     onEnd(): void;
+    /** The answer is broken; `onFailure` follows. */
+    onBroken?(fault: AnswerFault): void;
     /** The call failed; called at most once, and in place of `onEnd`. `code` is that of a system error. */
     onFailure(failure: CallFailure, detail: string, code: string | undefined): void;
 }
@@ -75,20 +77,6 @@
     readonly holdsBody: boolean;
 }
 
-/** Returns whether an answer has a body without a length or chunks, so that only closing its connection ends it. */
-function endsAtConnectionClose({ headers, statusCode = 0 }: IncomingMessage, method: string): boolean {
-    const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-    return !isFramed && hasBody(statusCode, method);
-}
-
-/**
- * Detects whether a connection that ends was reset. The event loop reports a reset that arrives together with the last
- * bytes as an orderly end; a write then fails, while after an orderly end it succeeds.
- */
-function probeResetAtEnd(socket: Socket): void {
-    socket.prependOnceListener("end", () => void socket.write("\r\n"));
-}
-
 /** Frees what was read from a connection and parsed. */
 function freeLargeRead(bytes: Buffer): void {
     if (bytes.length >= MINIMUM_FREED_BYTES) {
@@ -100,7 +88,6 @@
     readonly #options: UpstreamCallOptions;
     readonly #request;
     #answer: IncomingMessage | undefined;
-    #endsAtClose = false;
     #connected = false;
     #sent = false;
     #settled = false;
@@ -218,24 +205,19 @@
             return;
         }
         this.#answer = answer;
-        const { socket } = answer;
-        this.#endsAtClose = endsAtConnectionClose(answer, this.#options.method);
-        if (this.#endsAtClose) {
-            probeResetAtEnd(socket);
+        const head = { status: answer.statusCode ?? 0, headers: answer.headers, rawHeaders: answer.rawHeaders };
+        if (framingOf(head, this.#options.method) === "connection-end") {
+            confirmConnectionEnd(answer.socket, error => this.#handleReset(error));
         }
         answer.on("data", (chunk: Buffer) => {
             if (!this.#settled) {
                 this.#options.onData(chunk);
             }
         });
-        answer.on("end", () => this.#endsAtClose ? this.#finishAtClose(answer, socket) : this.#finish(answer));
+        answer.on("end", () => this.#finish(answer));
         answer.on("error", error => this.#fail("connection-lost", error.message));
         answer.on("aborted", () => this.#fail("connection-lost", "connection aborted during the answer"));
-        this.#options.onHead({
-            status: answer.statusCode ?? 0,
-            headers: answer.headers,
-            rawHeaders: answer.rawHeaders,
-        });
+        this.#options.onHead(head);
     }
 
     /** A whole answer of which a part is still to be read ends when that was read. */
@@ -244,7 +226,7 @@
     }
 
     #handleError(error: NodeJS.ErrnoException): void {
-        if (!this.#isWholeAnswerPending || this.#endsAtClose) {
+        if (!this.#isWholeAnswerPending) {
             this.#fail(this.#classify(error), error.message, error.code);
         }
     }
@@ -265,16 +247,15 @@
         }
     }
 
-    /** Waits one event loop iteration for the outcome of the reset probe. An answer that has ended has no socket. */
-    #finishAtClose(answer: IncomingMessage, socket: Socket): void {
-        setImmediate(() => {
-            if (socket.errored === null) {
-                this.#finish(answer);
-            }
-            else {
-                this.#fail("connection-lost", `connection reset at the end of the answer: ${socket.errored.message}`);
-            }
-        });
+    #handleReset(error: NodeJS.ErrnoException): void {
+        this.#reportBroken("reset-at-end");
+        this.#fail("connection-lost", `connection reset at the end of the answer: ${error.message}`, error.code);
+    }
+
+    #reportBroken(fault: AnswerFault): void {
+        if (!this.#settled) {
+            this.#options.onBroken?.(fault);
+        }
     }
 
     get #failureAtClose(): CallFailure {
--- a/src/observability/entryMetrics.ts
+++ b/src/observability/entryMetrics.ts
@@ -49,6 +49,10 @@
     attempts: { help: "Attempts on upstreams.", labels: ["service"] },
     repeats: { help: "Further attempts of a request, by the failure before.", labels: ["reason"] },
     repeats_denied: { help: "Further attempts that the shared budget had no room for.", labels: ["service"] },
+    broken_answers: {
+        help: "Answers that were broken and not taken, by what they were read for and what was wrong with them.",
+        labels: ["reader", "fault"],
+    },
     attempt_failures: { help: "Failed attempts by reason.", labels: ["reason"] },
     store_calls: { help: "Calls on the key-value service by outcome.", labels: ["call", "outcome"] },
     uncaught_errors: { help: "Errors that nothing handled; the host went on.", labels: ["origin"] },
--- /dev/null
+++ b/src/observability/reportBrokenAnswer.ts
@@ -0,0 +1,40 @@
+/**
+ * Logs and counts broken answers, whichever part of a host reads them.
+ *
+ * @module
+ */
+import { type AnswerFault } from "../transport/answers/index.js";
+import { type EntryMetrics } from "./entryMetrics.js";
+import { type Logger } from "./logger.js";
+
+/** What an answer was read for. */
+export type AnswerReader = "request" | "health-probe";
+
+/** A broken answer. */
+export interface BrokenAnswer {
+    readonly reader: AnswerReader;
+    /** IP number and port that it came from. */
+    readonly address: string;
+    readonly fault: AnswerFault;
+    /** Identifier of the caller's request, where there is one. */
+    readonly request?: string;
+}
+
+/**
+ * Logs and counts a broken answer.
+ *
+ * @param host Logger and metrics of the host.
+ * @param answer The answer.
+ *
+ * @example
+ * ```ts
+ * reportBrokenAnswer({ logger, metrics }, { reader: "health-probe", address: "10.128.0.9:8080", fault: "reset-at-end" });
+ * ```
+ */
+export function reportBrokenAnswer(
+    { logger, metrics }: { readonly logger: Logger; readonly metrics: EntryMetrics; },
+    { address, fault, reader, request }: BrokenAnswer,
+): void {
+    metrics.count("broken_answers", { reader, fault });
+    logger.info("answer broken", { request, reader, address, fault });
+}
--- /dev/null
+++ b/src/transport/answers/answerFault.ts
@@ -0,0 +1,10 @@
+/**
+ * What is wrong with an answer that is not taken for one.
+ *
+ * @module
+ */
+
+/** Why an answer is broken, as logs and counters name it. */
+export type AnswerFault =
+    /** Only the end of the connection would have completed it, and the connection was reset. */
+    "reset-at-end";
