Refuse a body in a transfer coding that is not undone, and take identity for what it is

Cause: an answer counted as framed where its head had a transfer-encoding, of whatever kind. Only chunks frame a body. With another coding Node's parser reads until the connection ends, so the check of that end was not made; and it undoes no coding.

Change: framingOf decides from the codings: chunks last, or the end of the connection. findHeadFault refuses an answer whose codings are not undone, as invalid-answer, which is repeated elsewhere where the route allows, with the reason in log line and counter. A length is named to a caller only where it frames the answer.

Evidence: tests/brokenHeads, red on: "gzip: 200 where 502 is due" and "identity, reset: 200 where 502 is due". identity that ends in order is whole before and after. The reset has to arrive with the body to show it: 5 ms later it was found before, too.

--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -6,7 +6,7 @@
 import { type ServerResponse } from "node:http";
 import { type CompleteEvents } from "../../forwarding/index.js";
 import { type MemoryReservation } from "../../memory/index.js";
-import { hasBody } from "../../transport/answers/index.js";
+import { framingOf, hasBody } from "../../transport/answers/index.js";
 import { type AnswerPiece, type PagePool, totalLength } from "../pagePool.js";
 import { type AnswerHead } from "../upstreamCall.js";
 import { AnswerDelivery } from "./answerDelivery.js";
@@ -148,8 +148,8 @@
     /** Begins an answer that is not whole yet, with the length that the upstream has named, or in chunks. */
     beginPassingOn(head: AnswerHead, limit: BufferingLimit): void {
         this.#passedOnFor = limit;
-        const isInChunks = head.headers["transfer-encoding"] !== undefined;
-        this.#beginBody(head, isInChunks ? undefined : head.headers["content-length"]);
+        const hasLength = framingOf(head, this.#options.method) === "length";
+        this.#beginBody(head, hasLength ? head.headers["content-length"] : undefined);
     }
 
     /** Passes on pieces of an answer that was begun; returns false while the caller reads too slowly. */
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -6,7 +6,7 @@
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
 import { freeBytes } from "../memory/index.js";
-import { type AnswerFault, confirmConnectionEnd, framingOf } from "../transport/answers/index.js";
+import { type AnswerFault, confirmConnectionEnd, findHeadFault, framingOf } from "../transport/answers/index.js";
 import { parseAddress } from "../transport/index.js";
 import { type Acts } from "./actQueue.js";
 
@@ -204,8 +204,13 @@
             this.#request.destroy();
             return;
         }
-        this.#answer = answer;
         const head = { status: answer.statusCode ?? 0, headers: answer.headers, rawHeaders: answer.rawHeaders };
+        const fault = findHeadFault(head);
+        if (fault !== undefined) {
+            this.#refuseHead(fault);
+            return;
+        }
+        this.#answer = answer;
         if (framingOf(head, this.#options.method) === "connection-end") {
             confirmConnectionEnd(answer.socket, error => this.#handleReset(error));
         }
@@ -252,6 +257,12 @@
         this.#fail("connection-lost", `connection reset at the end of the answer: ${error.message}`, error.code);
     }
 
+    #refuseHead(fault: AnswerFault): void {
+        this.#reportBroken(fault);
+        this.#fail("invalid-answer", `broken head: ${fault}`);
+        this.#request.destroy();
+    }
+
     #reportBroken(fault: AnswerFault): void {
         if (!this.#settled) {
             this.#options.onBroken?.(fault);
--- a/src/transport/answers/answerFault.ts
+++ b/src/transport/answers/answerFault.ts
@@ -7,4 +7,6 @@
 /** Why an answer is broken, as logs and counters name it. */
 export type AnswerFault =
     /** Only the end of the connection would have completed it, and the connection was reset. */
-    "reset-at-end";
+    | "reset-at-end"
+    /** Its body is in a transfer coding other than chunks. */
+    | "transfer-coding";
--- a/src/transport/answers/answerFraming.ts
+++ b/src/transport/answers/answerFraming.ts
@@ -5,6 +5,11 @@
  */
 import { hasBody } from "./hasBody.js";
 
+const CHUNKED = "chunked";
+
+/** Names no coding at all; of an earlier edition of HTTP/1.1. */
+const IDENTITY = "identity";
+
 /** What marks the end of an answer's body. */
 export type AnswerFraming =
     /** The answer has no body. */
@@ -21,6 +26,28 @@
     readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 }
 
+/** Returns the transfer codings of a body, in lower case and in the order in which they were applied. */
+function transferCodings({ headers }: Pick<FramingHead, "headers">): readonly string[] {
+    const value = headers["transfer-encoding"];
+    return value === undefined ? [] : String(value).split(",").map(coding => coding.trim().toLowerCase());
+}
+
+/**
+ * Returns whether what a reader gets of an answer's body is the body itself: chunks are taken apart for it, other
+ * transfer codings are not undone.
+ *
+ * @param head Headers of the answer.
+ *
+ * @example
+ * ```ts
+ * isBodyReadable({ headers: { "transfer-encoding": "gzip, chunked" } }); // false
+ * ```
+ */
+export function isBodyReadable(head: Pick<FramingHead, "headers">): boolean {
+    const [coding, ...more] = transferCodings(head);
+    return coding === undefined || (more.length === 0 && (coding === CHUNKED || coding === IDENTITY));
+}
+
 /**
  * Returns what marks the end of an answer's body.
  *
@@ -32,12 +59,13 @@
  * framingOf({ status: 200, headers: { "content-length": "5" } }, "GET"); // "length"
  * ```
  */
-export function framingOf({ headers, status }: FramingHead, method: string): AnswerFraming {
-    if (!hasBody(status, method)) {
+export function framingOf(head: FramingHead, method: string): AnswerFraming {
+    if (!hasBody(head.status, method)) {
         return "no-body";
     }
-    if (headers["transfer-encoding"] !== undefined) {
-        return "chunks";
+    const codings = transferCodings(head);
+    if (codings.length > 0) {
+        return codings.at(-1) === CHUNKED ? "chunks" : "connection-end";
     }
-    return headers["content-length"] === undefined ? "connection-end" : "length";
+    return head.headers["content-length"] === undefined ? "connection-end" : "length";
 }
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -3,12 +3,13 @@
  *
  * @example
  * ```ts
- * import { framingOf } from "./index.js";
+ * import { framingOf, isBodyReadable } from "./index.js";
  * ```
  *
  * @module
  */
 export { type AnswerFault } from "./answerFault.js";
-export { type AnswerFraming, type FramingHead, framingOf } from "./answerFraming.js";
+export { type AnswerFraming, type FramingHead, framingOf, isBodyReadable } from "./answerFraming.js";
 export { confirmConnectionEnd } from "./confirmConnectionEnd.js";
+export { findHeadFault } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -67,8 +67,8 @@
         readonly breakBy?: "reset" | "end";
         readonly headers?: Readonly<Record<string, string>>;
     }
-    /** Writes these bytes in place of an answer, and closes the connection. */
-    | { readonly type: "raw"; readonly bytes: string; }
+    /** Writes these bytes in place of an answer, and closes the connection, or resets it at once. */
+    | { readonly type: "raw"; readonly bytes: string; readonly resetsAtEnd?: boolean; }
     /** Answers that it has not executed the request. */
     | {
         readonly type: "not-run";
@@ -429,7 +429,7 @@
             case "silent":
                 break;
             case "raw":
-                response.socket?.end(behaviour.bytes);
+                this.#sendRaw(behaviour, response);
                 break;
             case "unframed-reset":
                 response.socket?.write(renderHead(headers) + "half of a bo");
@@ -494,6 +494,18 @@
         await this.#endAnswer(behaviour, response, body.slice(middle));
     }
 
+    #sendRaw(
+        { bytes, resetsAtEnd }: Extract<Behaviour, { readonly type: "raw"; }>,
+        { socket }: ServerResponse,
+    ): void {
+        if (resetsAtEnd !== true) {
+            socket?.end(bytes, "latin1");
+            return;
+        }
+        socket?.write(bytes, "latin1");
+        socket?.resetAndDestroy();
+    }
+
     async #endAnswer({ resetsAtEnd }: AnswerEnding, response: ServerResponse, lastText: string): Promise<void> {
         if (resetsAtEnd !== true) {
             response.end(lastText);
--- /dev/null
+++ b/tests/brokenHeads.test.ts
@@ -0,0 +1,100 @@
+/**
+ * Answers of upstreams whose heads no answer has: they reach no caller, and are repeated elsewhere where that is allowed.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
+import { type CallerAnswer, callHost, EntrySite, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
+
+const BODY = "forty reels";
+const PLAIN_ANSWER: Behaviour = { type: "answer", body: "all reels" };
+const EVENTS = "id: 1\ndata: 1\n\n";
+const WHOLE_STREAM: Behaviour = { type: "stream", events: 1 };
+
+/** Behaviours of upstreams by request identifier; each attempt consumes the next entry, in order. */
+const behavioursById = new Map<string, Behaviour[]>();
+let scriptedCount = 0;
+let site: EntrySite;
+let host: SiteHost;
+
+function behave(request: ReceivedRequest): Behaviour {
+    return behavioursById.get(request.id)?.shift() ?? PLAIN_ANSWER;
+}
+
+/** Returns an answer with these lines in its head, which each end with CR and LF. */
+function renderAnswer(id: string, lines: string, status = "200 OK", body = BODY): string {
+    return `HTTP/1.1 ${status}\r\nFlamingospread-Request-Id: ${id}\r\nFlamingospread-Response-Signature: s\r\n`
+        + `${lines}\r\n${body}`;
+}
+
+interface BrokenAnswer {
+    readonly lines?: string;
+    readonly status?: string;
+    readonly body?: string;
+    readonly resetsAtEnd?: boolean;
+}
+
+/** Calls a host; the first upstream that is asked sends the broken answer, a further one a sound answer. */
+async function callWithBroken(
+    path: string,
+    { body, lines = `Content-Length: ${BODY.length}\r\n`, resetsAtEnd = false, status }: BrokenAnswer,
+): Promise<{ readonly answer: CallerAnswer; readonly executions: number; }> {
+    scriptedCount += 1;
+    const id = `broken-${scriptedCount}`;
+    const bytes = renderAnswer(id, lines, status, body);
+    const sound = path.startsWith("/streams/") ? WHOLE_STREAM : PLAIN_ANSWER;
+    behavioursById.set(id, [{ type: "raw", bytes, resetsAtEnd }, sound]);
+    const answer = await callHost(host, { path, method: "POST", id });
+    const executions = site.upstreams.flatMap(({ received }) => received.filter(request => request.id === id)).length;
+    return { answer, executions };
+}
+
+/** Asserts that a broken answer reaches no caller, and that a request which may run again is answered elsewhere. */
+async function assertNotTaken(name: string, broken: BrokenAnswer): Promise<void> {
+    const order = await callWithBroken("/orders/1", broken);
+    assert.deepEqual([order.answer.status, order.executions], [502, 1], `${name}: ${order.answer.body}`);
+    const read = await callWithBroken("/reads/1", broken);
+    assert.deepEqual([read.answer.status, read.answer.body, read.executions], [200, "all reels", 2], name);
+    const stream = await callWithBroken("/streams/1", { body: EVENTS, ...broken });
+    assert.deepEqual([stream.answer.status, stream.answer.body, stream.executions], [200, EVENTS, 2], name);
+}
+
+/** Returns what is wrong with the broken answers to requests that the host has logged since a line. */
+function loggedFaults(firstLine: number): Set<unknown> {
+    const lines = host.lines.slice(firstLine).filter(({ message }) => message === "answer broken");
+    return new Set(lines.map(line => line.fields["fault"]));
+}
+
+before(async () => {
+    site = await EntrySite.start();
+    site.configure([
+        { pathPrefix: "/reads/", kind: "idempotent" },
+        { pathPrefix: "/orders/", kind: "non_idempotent" },
+        { pathPrefix: "/streams/", kind: "stream", resumable: true },
+    ]);
+    for (const id of ["i-one", "i-two", "i-three"]) {
+        await site.addUpstream({ id, behave, slots: 50 });
+    }
+    host = await site.addHost("entry-1");
+    await waitUntilReady(host);
+    await until(async () => (await callHost(host, { path: "/reads/1" })).status === 200);
+});
+
+after(() => site.close());
+
+test("a body in a transfer coding that is not undone does not reach a caller", async () => {
+    const firstLine = host.lines.length;
+    for (const coding of ["gzip", "gzip, chunked", "chunked, gzip", "x-odd"]) {
+        await assertNotTaken(coding, { lines: `Transfer-Encoding: ${coding}\r\n` });
+    }
+    assert.ok(loggedFaults(firstLine).has("transfer-coding"));
+});
+
+test("an answer with the transfer coding identity is cut off by a reset, and whole after an end in order", async () => {
+    const lines = "Transfer-Encoding: identity\r\n";
+    await assertNotTaken("identity, reset", { lines, resetsAtEnd: true });
+    const { answer, executions } = await callWithBroken("/orders/1", { lines });
+    assert.deepEqual([answer.status, answer.body, executions], [200, BODY, 1]);
+});
