Take no answer with a status that no final answer has

Cause: nobody checked the status. 000 to 099 did not get through only because writeHead throws a RangeError, which ends the request as broken-invariant.

Change: findHeadFault takes 200 to 599; anything else is an invalid-answer with the fault "status", so it is repeated like other broken answers. An upgrade is handled by the same check, and its connection closed.

Control bytes in names and values of fields were refused by Node's parser before; their test is kept, nothing else was done for them.

tests/brokenInvariants took status 099 for its exception, which none is any more. Its exception now comes from the head of the caller's answer itself, at the same place, and the test asks for the reason broken-invariant, too, so that it can't pass without an exception.

--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -5,6 +5,7 @@
  */
 import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
+import { type Duplex } from "node:stream";
 import { freeBytes } from "../memory/index.js";
 import { type AnswerFault, confirmConnectionEnd, findHeadFault, framingOf } from "../transport/answers/index.js";
 import { parseAddress } from "../transport/index.js";
@@ -109,6 +110,7 @@
         this.#request.on("socket", socket => this.#watchConnection(socket));
         this.#request.on("information", () => this.#recordInterimAnswer());
         this.#request.on("response", answer => this.#handleAnswer(answer));
+        this.#request.on("upgrade", (answer, socket) => this.#handleUpgrade(answer, socket));
         this.#request.on("error", (error: NodeJS.ErrnoException) => this.#handleError(error));
         this.#request.on("finish", () => this.#handleWritten());
         this.#request.on("close", () => {
@@ -257,6 +259,12 @@
         this.#fail("connection-lost", `connection reset at the end of the answer: ${error.message}`, error.code);
     }
 
+    /** Nobody asked for another protocol; the request has given up the connection. */
+    #handleUpgrade(answer: IncomingMessage, socket: Duplex): void {
+        this.#handleAnswer(answer);
+        socket.destroy();
+    }
+
     #refuseHead(fault: AnswerFault): void {
         this.#reportBroken(fault);
         this.#fail("invalid-answer", `broken head: ${fault}`);
--- a/src/transport/answers/answerFault.ts
+++ b/src/transport/answers/answerFault.ts
@@ -8,5 +8,7 @@
 export type AnswerFault =
     /** Only the end of the connection would have completed it, and the connection was reset. */
     | "reset-at-end"
+    /** Its status is none of a final answer: 101, or outside 200 to 599. */
+    | "status"
     /** Its body is in a transfer coding other than chunks. */
     | "transfer-coding";
--- a/src/transport/answers/findHeadFault.ts
+++ b/src/transport/answers/findHeadFault.ts
@@ -6,6 +6,9 @@
 import { type AnswerFault } from "./answerFault.js";
 import { type FramingHead, isBodyReadable } from "./answerFraming.js";
 
+const FIRST_FINAL_STATUS = 200;
+const LAST_FINAL_STATUS = 599;
+
 /**
  * Returns what is wrong with the head of an answer, whatever it answers; `undefined` for a sound one.
  *
@@ -17,5 +20,8 @@
  * ```
  */
 export function findHeadFault(head: FramingHead): AnswerFault | undefined {
+    if (!(head.status >= FIRST_FINAL_STATUS && head.status <= LAST_FINAL_STATUS)) {
+        return "status";
+    }
     return isBodyReadable(head) ? undefined : "transfer-coding";
 }
--- a/tests/brokenHeads.test.ts
+++ b/tests/brokenHeads.test.ts
@@ -77,7 +77,7 @@
     for (const id of ["i-one", "i-two", "i-three"]) {
         await site.addUpstream({ id, behave, slots: 50 });
     }
-    host = await site.addHost("entry-1");
+    host = await site.addHost("entry-1", { bounds: { retryExtra: 1_000 } });
     await waitUntilReady(host);
     await until(async () => (await callHost(host, { path: "/reads/1" })).status === 200);
 });
@@ -98,3 +98,29 @@
     const { answer, executions } = await callWithBroken("/orders/1", { lines });
     assert.deepEqual([answer.status, answer.body, executions], [200, BODY, 1]);
 });
+
+test("a status that no final answer has does not reach a caller, and its request is repeated where it may be", async () => {
+    const firstLine = host.lines.length;
+    for (const status of ["000 Odd", "001 Odd", "099 Odd", "101 Odd", "600 Odd", "999 Odd"]) {
+        await assertNotTaken(status, { status });
+    }
+    const lines = "Connection: upgrade\r\nUpgrade: odd\r\n";
+    await assertNotTaken("101 with an upgrade", { status: "101 Switching Protocols", lines });
+    assert.deepEqual([...loggedFaults(firstLine)], ["status"]);
+});
+
+test("statuses of all classes that final answers have reach the caller of an order", async () => {
+    for (const status of [200, 299, 302, 404, 499]) {
+        const { answer } = await callWithBroken("/orders/1", { status: `${status} Odd` });
+        assert.deepEqual([answer.status, answer.body], [status, BODY]);
+    }
+});
+
+test("control bytes in the name or value of a field do not reach a caller", async () => {
+    const length = `Content-Length: ${BODY.length}\r\n`;
+    const fields = ["\0", "\u0001", "\t", "\r", "\u007f"].map(byte => `X${byte}Odd: 1\r\n`);
+    const values = ["\0", "\u0001", "\r", "\u007f"].map(byte => `X-Odd: a${byte}b\r\n`);
+    for (const field of [...fields, ...values]) {
+        await assertNotTaken(JSON.stringify(field), { lines: length + field });
+    }
+});
--- a/tests/brokenInvariants.test.ts
+++ b/tests/brokenInvariants.test.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import assert from "node:assert/strict";
-import { after, before, test } from "node:test";
+import { ServerResponse } from "node:http";
+import { after, before, mock, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
-import { callHost, EntrySite, type SiteHost, waitUntilReady } from "./support/entrySite.js";
+import { callHost, EntrySite, reasonOf, type SiteHost, waitUntilReady } from "./support/entrySite.js";
 
 const SLOTS = 2;
 
@@ -17,18 +18,33 @@
 let site: EntrySite;
 let host: SiteHost;
 
-/** A status that is read, but that cannot be written. */
-function renderImpossibleAnswer(id: string): string {
-    return "HTTP/1.1 099 Odd\r\n"
+/** A status that is read, and with which {@linkcode throwOnOddStatus} lets the answer to the caller throw. */
+const ODD_STATUS = 299;
+
+function renderOddAnswer(id: string): string {
+    return `HTTP/1.1 ${ODD_STATUS} Odd\r\n`
         + `Flamingospread-Request-Id: ${id}\r\n`
+        + "Flamingospread-Response-Signature: s\r\n"
         + "Content-Length: 2\r\n\r\nno";
 }
 
+/** Lets the head of an answer with the odd status throw when it is written; the upstream writes its answer as bytes. */
+function throwOnOddStatus(): void {
+    const writeHead = Reflect.get(ServerResponse.prototype, "writeHead") as (...head: readonly unknown[]) => unknown;
+    mock.method(ServerResponse.prototype, "writeHead", function(this: ServerResponse, ...head: readonly unknown[]) {
+        if (head[0] === ODD_STATUS) {
+            throw new RangeError(`status ${ODD_STATUS} cannot be written`);
+        }
+        return Reflect.apply(writeHead, this, head);
+    });
+}
+
 function behave({ id, path }: ReceivedRequest): Behaviour {
-    return path === "/orders/odd" ? { type: "raw", bytes: renderImpossibleAnswer(id) } : { type: "answer" };
+    return path === "/orders/odd" ? { type: "raw", bytes: renderOddAnswer(id) } : { type: "answer" };
 }
 
 before(async () => {
+    throwOnOddStatus();
     site = await EntrySite.start();
     site.configure([{ pathPrefix: "/orders/", kind: "non_idempotent" }]);
     await site.addUpstream({ id: "i-odd", slots: SLOTS, behave });
@@ -37,17 +53,20 @@
 });
 
 after(async () => {
+    mock.restoreAll();
     await site.close();
 });
 
 test("a request whose handling throws before its answer has begun is answered with 502", async () => {
     const answer = await callHost(host, { path: "/orders/odd", method: "POST" });
     assert.deepEqual([answer.status, answer.isComplete], [502, true]);
+    assert.equal(reasonOf(answer), "broken-invariant");
 });
 
 test("a request whose handling throws occupies no slot of its upstream afterwards", async () => {
     for (let round = 0; round < SLOTS * 2; round += 1) {
-        await callHost(host, { path: "/orders/odd", method: "POST" });
+        const answer = await callHost(host, { path: "/orders/odd", method: "POST" });
+        assert.equal(reasonOf(answer), "broken-invariant");
     }
     await delay(REPORT_LIFETIME_MILLISECONDS);
     const answer = await callHost(host, { path: "/orders/sound", method: "POST" });
