Take no answer whose fields have names or values that none can have

Cause: nobody checked names. Node's parser lets a blank through, and only writeHead, which throws ERR_INVALID_HTTP_TOKEN, kept such a line from the caller, as broken-invariant. With a blank inside "Content Length" or "Transfer Encoding" the answer had lost its framing, too, and a host took it for one that its connection ends.

Change: findHeadFault checks all names and values of the head before anything is made of it; the fault "field" stands in log line and counter.

--- a/src/transport/answers/answerFault.ts
+++ b/src/transport/answers/answerFault.ts
@@ -10,5 +10,7 @@
     | "reset-at-end"
     /** Its status is none of a final answer: 101, or outside 200 to 599. */
     | "status"
+    /** The name or the value of a field has characters that none has, such as a blank in a name. */
+    | "field"
     /** Its body is in a transfer coding other than chunks. */
     | "transfer-coding";
--- a/src/transport/answers/findHeadFault.ts
+++ b/src/transport/answers/findHeadFault.ts
@@ -6,9 +6,26 @@
 import { type AnswerFault } from "./answerFault.js";
 import { type FramingHead, isBodyReadable } from "./answerFraming.js";
 
+/** Characters of a field's name, as RFC 9110 has them. */
+const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+
+/** Visible and blank characters, and bytes beyond ASCII. */
+const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
+
 const FIRST_FINAL_STATUS = 200;
 const LAST_FINAL_STATUS = 599;
 
+/** Head of an answer. */
+export interface AnswerFields extends FramingHead {
+    /** Alternating names and values, as received. */
+    readonly rawHeaders: readonly string[];
+}
+
+/** Returns whether what stands at an index of alternating names and values can do so. */
+function isSoundPart(part: string, index: number): boolean {
+    return (index % 2 === 0 ? FIELD_NAME : FIELD_VALUE).test(part);
+}
+
 /**
  * Returns what is wrong with the head of an answer, whatever it answers; `undefined` for a sound one.
  *
@@ -16,12 +33,15 @@
  *
  * @example
  * ```ts
- * findHeadFault({ status: 200, headers: { "transfer-encoding": "gzip" } }); // "transfer-coding"
+ * findHeadFault({ status: 99, headers: {}, rawHeaders: [] }); // "status"
  * ```
  */
-export function findHeadFault(head: FramingHead): AnswerFault | undefined {
+export function findHeadFault(head: AnswerFields): AnswerFault | undefined {
     if (!(head.status >= FIRST_FINAL_STATUS && head.status <= LAST_FINAL_STATUS)) {
         return "status";
     }
+    if (!head.rawHeaders.every(isSoundPart)) {
+        return "field";
+    }
     return isBodyReadable(head) ? undefined : "transfer-coding";
 }
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -11,5 +11,5 @@
 export { type AnswerFault } from "./answerFault.js";
 export { type AnswerFraming, type FramingHead, framingOf, isBodyReadable } from "./answerFraming.js";
 export { confirmConnectionEnd } from "./confirmConnectionEnd.js";
-export { findHeadFault } from "./findHeadFault.js";
+export { type AnswerFields, findHeadFault } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
--- a/tests/brokenHeads.test.ts
+++ b/tests/brokenHeads.test.ts
@@ -124,3 +124,15 @@
         await assertNotTaken(JSON.stringify(field), { lines: length + field });
     }
 });
+
+test("a name of a field that cannot be one does not reach a caller, and its request is repeated where it may be", async () => {
+    const firstLine = host.lines.length;
+    const length = `Content-Length: ${BODY.length}\r\n`;
+    const names = ["X Odd", "X-Odd ", " X-Odd", "", "X(Odd)", "X\u00e9"];
+    for (const name of names) {
+        await assertNotTaken(`"${name}"`, { lines: `${length}${name}: 1\r\n` });
+    }
+    await assertNotTaken("length without framing", { lines: `Content Length: ${BODY.length}\r\n` });
+    await assertNotTaken("chunks without framing", { lines: "Transfer Encoding: chunked\r\n" });
+    assert.ok(loggedFaults(firstLine).has("field"));
+});
