Read orders, reports, the store's answers and peers' states by the same rules

What happened on: an answer without length that was reset with its last bytes was taken for whole by all of these readers: an order counted as held, a report as read, a write to the store as written, a peer's state as its state. So was one with a blank in a name or with gzip as transfer coding. A store that answered a write with status 099 counted as having rejected it, which says that nothing was written; it may have been. A 101 with Upgrade was waited for until the call's time limit (402, 500 and 901 ms), since nobody took the connection.

Cause: the same as for requests, in two readers that decided for themselves: callJson, and fetchState, which did not ask whether the answer was complete.

Change: receiveAnswer is the one way to an answer of Node's HTTP client, for requests, probes, orders, reports, adapter orders, the store (its watches, too) and peers' states: the check of the head, the decision on the framing, the end held back, the upgrade refused. A broken answer counts as none, so a write may have taken effect and an order is unknown; log line and counter name reader and fault.

--- a/src/entry/store/fetchState.ts
+++ b/src/entry/store/fetchState.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import { get } from "node:http";
+import { get, type IncomingMessage } from "node:http";
 import { type SharedState, sharedStateSchema } from "../../generated/gossip.js";
 import { parseJson } from "../../platform/parseJson.js";
+import { type AnswerFault, receiveAnswer } from "../../transport/answers/index.js";
 import { parseAddress, readLimited } from "../../transport/index.js";
 
 /** A request that receives no data for this long is aborted. */
@@ -21,29 +22,44 @@
 
 const STATUS_OK = 200;
 
+/** Options of {@linkcode fetchState}. */
+export interface FetchStateOptions {
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: (fault: AnswerFault) => void;
+}
+
+/** Reads the state from a complete answer; `undefined` where the answer is another one, or does not fit the schema. */
+async function readState(answer: IncomingMessage): Promise<SharedState | undefined> {
+    const text = await readLimited(answer, MAXIMUM_STATE_BYTES);
+    return answer.complete && answer.statusCode === STATUS_OK && text !== undefined
+        ? sharedStateSchema.safeParse(parseJson(text)).data
+        : undefined;
+}
+
 /**
  * Requests a peer's shared state.
  *
  * @param address The peer's state address, an IP number and a port.
- * @returns The state; `undefined` where the request failed, timed out, or its answer does not fit the schema.
+ * @param options A callback for a broken answer.
+ * @returns The state; `undefined` where the request failed, timed out, or its answer is broken or does not fit the schema.
  *
  * @example
  * ```ts
  * const state = await fetchState("10.2.0.40:8144");
  * ```
  */
-export function fetchState(address: string): Promise<SharedState | undefined> {
+export function fetchState(address: string, { onBroken }: FetchStateOptions = {}): Promise<SharedState | undefined> {
     if (parseAddress(address).isErr()) {
         return Promise.resolve(undefined);
     }
     return new Promise(resolve => {
-        const request = get(`http://${address}${STATE_PATH}`, { agent: false }, answer => {
-            readLimited(answer, MAXIMUM_STATE_BYTES).then(text => {
-                const state = answer.statusCode === STATUS_OK && text !== undefined
-                    ? sharedStateSchema.safeParse(parseJson(text))
-                    : undefined;
-                resolve(state?.data);
-            }, () => resolve(undefined));
+        const request = get(`http://${address}${STATE_PATH}`, { agent: false });
+        receiveAnswer(request, {
+            onAnswer: answer => void readState(answer).then(resolve, () => resolve(undefined)),
+            onBroken: fault => {
+                onBroken?.(fault);
+                resolve(undefined);
+            },
         });
         const timer = setTimeout(
             () => void request.destroy(new Error("shared state not received completely in time")),
--- a/src/entry/store/hostStore.ts
+++ b/src/entry/store/hostStore.ts
@@ -376,6 +376,7 @@
             configuration: this.configuration,
             entries: this.#entries,
             logger: context.logger,
+            metrics: context.metrics,
             random: context.random,
             readClock: context.readClock,
             ownAddress: () => addressesOf(context.settings()).state,
--- a/src/entry/store/peerCatchUp.ts
+++ b/src/entry/store/peerCatchUp.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type KeyValueEntry } from "../../platform/index.js";
+import { type AnswerFault } from "../../transport/answers/index.js";
 import { fetchState } from "./fetchState.js";
 
 /** Options of catching up from peers. */
@@ -12,6 +13,8 @@
     readonly ownAddress: () => string;
     /** Returns the state addresses to request from, in order; none where no state is missing. */
     readonly sourceAddresses: () => readonly string[];
+    /** Called with what is wrong with a source's broken answer. */
+    readonly onBroken: (source: string, fault: AnswerFault) => void;
     /** Applies the entries of the first peer that returned any. */
     readonly applyEntries: (entries: readonly KeyValueEntry[], source: string) => void;
 }
@@ -44,7 +47,7 @@
     /** Applies the state of the first source that has any. */
     async #takeFromFirst(sources: readonly string[]): Promise<void> {
         for (const source of sources) {
-            const state = await fetchState(source);
+            const state = await fetchState(source, { onBroken: fault => this.#options.onBroken(source, fault) });
             if (state !== undefined && state.entries.length > 0) {
                 this.#options.applyEntries(state.entries, source);
                 return;
--- a/src/entry/store/stateFromPeers.test.ts
+++ b/src/entry/store/stateFromPeers.test.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
 import { createCollectingLogger } from "../../../tests/support/collectedLines.js";
+import { createEntryMetrics } from "../../observability/index.js";
 import { ConfigurationInForce } from "./configurationInForce.js";
 import { StateFromPeers } from "./stateFromPeers.js";
 import { StoredEntries } from "./storedEntries.js";
@@ -58,6 +59,7 @@
         ),
         entries: new StoredEntries([]),
         logger,
+        metrics: createEntryMetrics(),
         random,
         readClock,
         ownAddress: () => "127.0.0.1:1",
--- a/src/entry/store/stateFromPeers.ts
+++ b/src/entry/store/stateFromPeers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type RandomSource } from "../../decision/index.js";
-import { type Logger } from "../../observability/index.js";
+import { type EntryMetrics, type Logger, reportBrokenAnswer } from "../../observability/index.js";
 import { type KeyValueEntry } from "../../platform/index.js";
 import { type SiteKeys } from "../siteProtocol.js";
 import { type ConfigurationInForce } from "./configurationInForce.js";
@@ -28,6 +28,7 @@
     readonly configuration: ConfigurationInForce;
     readonly entries: StoredEntries;
     readonly logger: Logger;
+    readonly metrics: EntryMetrics;
     readonly random: RandomSource;
     readonly readClock: () => number;
     /** Returns the state address of this host. */
@@ -63,6 +64,7 @@
         this.#catchUp = new PeerCatchUp({
             ownAddress: options.ownAddress,
             sourceAddresses: () => this.#sourceAddresses(),
+            onBroken: (address, fault) => reportBrokenAnswer(options, { reader: "peer-state", address, fault }),
             applyEntries: (entries, source) => this.#applyEntries(entries, source),
         });
     }
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import { type Agent, type IncomingHttpHeaders, type IncomingMessage, request as sendRequest } from "node:http";
+import { type Agent, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
-import { type Duplex } from "node:stream";
 import { freeBytes } from "../memory/index.js";
-import { type AnswerFault, confirmConnectionEnd, findHeadFault, framingOf } from "../transport/answers/index.js";
+import { type AnswerFault, type AnswerHead, receiveAnswer } from "../transport/answers/index.js";
 import { parseAddress } from "../transport/index.js";
 import { type Acts } from "./actQueue.js";
 
@@ -17,13 +16,7 @@
 /** Smaller reads are left to be collected. */
 const MINIMUM_FREED_BYTES = 8 * 1024;
 
-/** Head of an upstream's answer. */
-export interface AnswerHead {
-    readonly status: number;
-    readonly headers: IncomingHttpHeaders;
-    /** Alternating names and values, as received. */
-    readonly rawHeaders: readonly string[];
-}
+export { type AnswerHead };
 
 /** Why a call ended without a complete answer. */
 export type CallFailure =
@@ -109,8 +102,10 @@
         this.#giveUpBody = options.holdBody?.() ?? (() => undefined);
         this.#request.on("socket", socket => this.#watchConnection(socket));
         this.#request.on("information", () => this.#recordInterimAnswer());
-        this.#request.on("response", answer => this.#handleAnswer(answer));
-        this.#request.on("upgrade", (answer, socket) => this.#handleUpgrade(answer, socket));
+        receiveAnswer(this.#request, {
+            onAnswer: (answer, head) => this.#handleAnswer(answer, head),
+            onBroken: (fault, error) => this.#handleBroken(fault, error),
+        });
         this.#request.on("error", (error: NodeJS.ErrnoException) => this.#handleError(error));
         this.#request.on("finish", () => this.#handleWritten());
         this.#request.on("close", () => {
@@ -196,26 +191,16 @@
         }
     }
 
-    #handleAnswer(answer: IncomingMessage): void {
+    #handleAnswer(answer: IncomingMessage, head: AnswerHead): void {
         if (this.#settled) {
             answer.resume();
             return;
         }
         if (!this.#sent) {
-            this.#fail("withdrawn", "an answer came before the request was sent");
-            this.#request.destroy();
-            return;
-        }
-        const head = { status: answer.statusCode ?? 0, headers: answer.headers, rawHeaders: answer.rawHeaders };
-        const fault = findHeadFault(head);
-        if (fault !== undefined) {
-            this.#refuseHead(fault);
+            this.#failUnsent();
             return;
         }
         this.#answer = answer;
-        if (framingOf(head, this.#options.method) === "connection-end") {
-            confirmConnectionEnd(answer.socket, error => this.#handleReset(error));
-        }
         answer.on("data", (chunk: Buffer) => {
             if (!this.#settled) {
                 this.#options.onData(chunk);
@@ -254,29 +239,28 @@
         }
     }
 
-    #handleReset(error: NodeJS.ErrnoException): void {
-        this.#reportBroken("reset-at-end");
-        this.#fail("connection-lost", `connection reset at the end of the answer: ${error.message}`, error.code);
-    }
-
-    /** Nobody asked for another protocol; the request has given up the connection. */
-    #handleUpgrade(answer: IncomingMessage, socket: Duplex): void {
-        this.#handleAnswer(answer);
-        socket.destroy();
+    #handleBroken(fault: AnswerFault, error: NodeJS.ErrnoException | undefined): void {
+        if (this.#settled) {
+            return;
+        }
+        if (!this.#sent) {
+            this.#failUnsent();
+            return;
+        }
+        this.#options.onBroken?.(fault);
+        if (error === undefined) {
+            this.#fail("invalid-answer", `broken head: ${fault}`);
+        }
+        else {
+            this.#fail("connection-lost", `connection reset at the end of the answer: ${error.message}`, error.code);
+        }
     }
 
-    #refuseHead(fault: AnswerFault): void {
-        this.#reportBroken(fault);
-        this.#fail("invalid-answer", `broken head: ${fault}`);
+    #failUnsent(): void {
+        this.#fail("withdrawn", "an answer came before the request was sent");
         this.#request.destroy();
     }
 
-    #reportBroken(fault: AnswerFault): void {
-        if (!this.#settled) {
-            this.#options.onBroken?.(fault);
-        }
-    }
-
     get #failureAtClose(): CallFailure {
         if (this.#sent) {
             return "connection-lost";
--- a/src/observability/reportBrokenAnswer.ts
+++ b/src/observability/reportBrokenAnswer.ts
@@ -8,7 +8,7 @@
 import { type Logger } from "./logger.js";
 
 /** What an answer was read for. */
-export type AnswerReader = "request" | "health-probe";
+export type AnswerReader = "request" | "health-probe" | "order" | "report" | "store" | "peer-state";
 
 /** A broken answer. */
 export interface BrokenAnswer {
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -13,3 +13,4 @@
 export { confirmConnectionEnd } from "./confirmConnectionEnd.js";
 export { type AnswerFields, findHeadFault } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
+export { type AnswerHead, receiveAnswer, type ReceiveAnswerOptions } from "./receiveAnswer.js";
