Let the readers through undici refuse broken heads, and a reset take no answer for whole

Cause: undici takes a reset for the end of an answer without a length, by design (onHttpSocketError), and a reset that the event loop reports as an end as well; and nobody checked the heads.

Change: SingleConnection (plain services, orders, reports) holds back the end of such an answer as Node's client now does, and looks at the connection's error once the body has ended. refuseBrokenResponse brings the check of heads to all readers through undici: plain services, engines, streams, the key-value service and its watches, the list of hosts, peers, the operators' commands. Each has a reason, a log line and the counter answers.broken.

What held: a status below 200 and a blank in a name, by undici's own parser; streams of completions, whose end marker decides; JSON documents, which end themselves, so a reset after a whole one changes nothing.

--- a/src/commands/_hostCall.ts
+++ b/src/commands/_hostCall.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import { request } from "undici";
+import { refuseBrokenResponse } from "../transport/answers/index.js";
 import { checkUrlOption, type CommandOutcome, createFailure } from "./_operatorCommand.js";
 import { EXIT_CODES } from "./exitCodes.js";
 
@@ -30,6 +31,10 @@
     try {
         const signal = AbortSignal.timeout(TIMEOUT_MILLISECONDS);
         const answer = await request(`${host}${path}`, { method, signal });
+        const fault = refuseBrokenResponse(answer);
+        if (fault !== undefined) {
+            return new Err(createFailure(EXIT_CODES.failed, "no-answer", `${host} gave a broken answer: ${fault}`));
+        }
         const body = await answer.body.text();
         return answer.statusCode < FIRST_ERROR_STATUS
             ? new Ok(JSON.parse(body) as unknown)
--- a/src/host/createContext.ts
+++ b/src/host/createContext.ts
@@ -5,9 +5,10 @@
  */
 import { type HostIdentity } from "../generated/peers.js";
 import { type Settings } from "../generated/settings.js";
-import { createLogger, createMetrics } from "../observability/index.js";
+import { type AnswerReader, createLogger, createMetrics } from "../observability/index.js";
 import { createPeerClient } from "../peers/index.js";
 import { createHostListClient, createKeyValueClient } from "../platform/index.js";
+import { type AnswerFault } from "../transport/answers/index.js";
 import { createEngineClient, createPlainServiceClient } from "../upstreams/index.js";
 import { createClientDirectory } from "./clientDirectory.js";
 import { createIncarnation, processClock } from "./clock.js";
@@ -42,6 +43,11 @@
         callersUrl: formatUrl(settings.callers),
         peersUrl: formatUrl(settings.peers),
     };
+    const metrics = createMetrics(settings.metrics, settings.host);
+    const reportBroken = (reader: AnswerReader) => (address: string, fault: AnswerFault): void => {
+        metrics.increment("answers.broken", { reader, fault });
+        logger.info("answer broken", { reader, address, fault });
+    };
     return {
         settings,
         identity,
@@ -49,13 +55,17 @@
         random: Math.random,
         logger,
         traces: createTraceLog(logger, settings.log.trace),
-        metrics: createMetrics(settings.metrics, settings.host),
+        metrics,
         events: createHostEvents(),
-        keyValue: createKeyValueClient({ urls: settings.platform.keyValue }),
-        hostList: createHostListClient({ url: settings.platform.hostList }),
-        peers: createClientDirectory((_name, url) => createPeerClient(url)),
-        engines: createClientDirectory((name, url) => createEngineClient({ name, url })),
-        plainServices: createPlainServiceClient(),
+        keyValue: createKeyValueClient({ urls: settings.platform.keyValue, onBroken: reportBroken("store") }),
+        hostList: createHostListClient({ url: settings.platform.hostList, onBroken: reportBroken("host-list") }),
+        peers: createClientDirectory((_name, url) =>
+            createPeerClient(url, { onBroken: fault => reportBroken("peer-call")(url, fault) })
+        ),
+        engines: createClientDirectory((name, url) =>
+            createEngineClient({ name, url, onBroken: (reader, fault) => reportBroken(reader)(url, fault) })
+        ),
+        plainServices: createPlainServiceClient({ onBroken: reportBroken("service-call") }),
     };
 }
 
--- a/src/observability/metricNames.ts
+++ b/src/observability/metricNames.ts
@@ -58,6 +58,11 @@
     "leases.held": { kind: "gauge", description: "Duties that this host holds.", tags: [] },
     "configuration.revision": { kind: "gauge", description: "Revision in force on this host.", tags: [] },
     "membership.peers": { kind: "gauge", description: "Live peers.", tags: [] },
+    "answers.broken": {
+        kind: "counter",
+        description: "Answers that were broken and not taken, by what they were read for and what was wrong with them.",
+        tags: ["reader", "fault"],
+    },
     "platform.errors": {
         kind: "counter",
         description: "Calls on the platform without a usable answer.",
--- a/src/observability/reportBrokenAnswer.ts
+++ b/src/observability/reportBrokenAnswer.ts
@@ -8,22 +8,37 @@
 import { type Logger } from "./logger.js";
 
 /** What an answer was read for. */
-export type AnswerReader = "request" | "health-probe" | "order" | "report" | "store" | "peer-state";
+export type AnswerReader =
+    | "request"
+    | "health-probe"
+    | "order"
+    | "report"
+    | "store"
+    | "host-list"
+    | "service-call"
+    | "peer-call"
+    | "peer-state";
 
 /** A broken answer. */
 export interface BrokenAnswer {
     readonly reader: AnswerReader;
-    /** IP number and port that it came from. */
+    /** IP number and port, or URL, that it came from. */
     readonly address: string;
     readonly fault: AnswerFault;
     /** Identifier of the caller's request, where there is one. */
     readonly request?: string;
 }
 
+/** Where broken answers are reported. */
+export interface BrokenAnswerReport {
+    readonly logger: Logger;
+    readonly metrics: Pick<EntryMetrics, "count">;
+}
+
 /**
  * Logs and counts a broken answer.
  *
- * @param host Logger and metrics of the host.
+ * @param report Logger and metrics of the host.
  * @param answer The answer.
  *
  * @example
@@ -32,7 +47,7 @@
  * ```
  */
 export function reportBrokenAnswer(
-    { logger, metrics }: { readonly logger: Logger; readonly metrics: EntryMetrics; },
+    { logger, metrics }: BrokenAnswerReport,
     { address, fault, reader, request }: BrokenAnswer,
 ): void {
     metrics.count("broken_answers", { reader, fault });
--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -16,6 +16,7 @@
     type WitnessRequest,
 } from "../generated/peers.js";
 import { type ConfigurationRecord } from "../generated/platform.js";
+import { type AnswerFault, refuseBrokenResponse } from "../transport/answers/index.js";
 import { createReplaceableAgent, failedBeforeSending, type ReplaceableAgent } from "../transport/index.js";
 import { type AdapterRequest, type PeerRouter } from "./router.js";
 
@@ -45,6 +46,12 @@
     close(): Promise<void>;
 }
 
+/** Options of {@linkcode createPeerClient}. */
+export interface PeerClientOptions {
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: ((fault: AnswerFault) => void) | undefined;
+}
+
 function classify(error: unknown): PeerError {
     const message = error instanceof Error ? error.message : String(error);
     if (error instanceof TRPCClientError && error.data !== undefined && error.data !== null) {
@@ -77,17 +84,32 @@
     json(): Promise<unknown>;
 }
 
+/** Connections to a peer, and a callback for broken answers. */
+interface PeerConnections extends PeerClientOptions {
+    readonly agent: ReplaceableAgent;
+}
+
 /** Sends a call on the agent's current connections, and retires all of them if the call reaches its time limit. */
-async function sendRequest(agent: ReplaceableAgent, url: string, options: LinkRequest): Promise<LinkResponse> {
+async function sendRequest(
+    { agent, onBroken }: PeerConnections,
+    url: string,
+    options: LinkRequest,
+): Promise<LinkResponse> {
     const dispatcher = agent.current;
     try {
-        const { statusCode, body } = await request(url, {
+        const answer = await request(url, {
             method: options.method === "POST" ? "POST" : "GET",
             headers: options.headers as Record<string, string>,
             body: typeof options.body === "string" ? options.body : null,
             signal: options.signal ?? undefined,
             dispatcher,
         });
+        const fault = refuseBrokenResponse(answer);
+        if (fault !== undefined) {
+            onBroken?.(fault);
+            throw new Error(`broken answer: ${fault}`);
+        }
+        const { statusCode, body } = answer;
         const content: unknown = await body.json();
         return { ok: statusCode < MINIMUM_ERROR_STATUS, status: statusCode, json: () => Promise.resolve(content) };
     }
@@ -110,6 +132,7 @@
  * connections that stopped answering together cost one failed call, not one each: the next call opens a new one.
  *
  * @param url The peer's base URL, with an IP address.
+ * @param options A callback for broken answers.
  *
  * @example
  * ```ts
@@ -118,7 +141,7 @@
  * await client.close();
  * ```
  */
-export function createPeerClient(url: string): PeerClient {
+export function createPeerClient(url: string, { onBroken }: PeerClientOptions = {}): PeerClient {
     const agent = createReplaceableAgent({
         connections: MAXIMUM_CONNECTIONS,
         connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
@@ -127,7 +150,7 @@
         links: [
             httpLink({
                 url,
-                fetch: (input, options) => sendRequest(agent, String(input), options ?? {}),
+                fetch: (input, options) => sendRequest({ agent, onBroken }, String(input), options ?? {}),
             }),
         ],
     });
--- a/src/platform/_http.ts
+++ b/src/platform/_http.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import type * as z from "zod";
+import { type AnswerFault, refuseBrokenResponse } from "../transport/answers/index.js";
 import {
     describeError,
     failedBeforeSending,
@@ -27,6 +28,8 @@
     readonly schema: Schema;
     readonly timeoutMilliseconds: number;
     readonly maximumAnswerBytes: number;
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: ((fault: AnswerFault) => void) | undefined;
 }
 
 function parseAnswer<Schema extends z.ZodType>(schema: Schema, text: string): Result<z.infer<Schema>, PlatformError> {
@@ -65,6 +68,11 @@
             headers: { "content-type": "application/json" },
             signal: AbortSignal.timeout(call.timeoutMilliseconds),
         });
+        const fault = refuseBrokenResponse(answer);
+        if (fault !== undefined) {
+            call.onBroken?.(fault);
+            return Err({ kind: "no-answer", message: `broken answer: ${fault}` });
+        }
         const text = await readLimited(answer.body, call.maximumAnswerBytes);
         if (text === undefined) {
             return Err({ kind: "invalid", message: `answer larger than ${call.maximumAnswerBytes} bytes` });
--- a/src/platform/_watch.ts
+++ b/src/platform/_watch.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type AnswerFault, refuseBrokenResponse } from "../transport/answers/index.js";
 import { describeError, type ReplaceableAgent } from "../transport/index.js";
 import { decodeEntry, decodeText, encodeRangeEnd, encodeText, watchMessageSchema } from "./_gateway.js";
 import { type WatchEvent, type WatchOptions } from "./types.js";
@@ -18,6 +19,8 @@
     readonly idleTimeoutMilliseconds: number;
     readonly maximumMessageBytes: number;
     readonly onEvent: (event: WatchEvent) => void;
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: ((fault: AnswerFault) => void) | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -87,6 +90,11 @@
             bodyTimeout: options.idleTimeoutMilliseconds,
             signal: options.signal,
         });
+        const fault = refuseBrokenResponse(answer);
+        if (fault !== undefined) {
+            options.onBroken?.(fault);
+            return `broken answer: ${fault}`;
+        }
         if (answer.statusCode >= FIRST_ERROR_STATUS) {
             await answer.body.dump();
             return `status ${answer.statusCode}`;
--- a/src/platform/keyValueClient.ts
+++ b/src/platform/keyValueClient.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import type * as z from "zod";
+import { type AnswerFault } from "../transport/answers/index.js";
 import { createReplaceableAgent } from "../transport/index.js";
 import {
     decodeEntry,
@@ -35,6 +36,8 @@
     readonly timeoutMilliseconds?: number;
     /** A watch is ended after this long without data. Default: 30000. */
     readonly watchIdleTimeoutMilliseconds?: number;
+    /** Called with what is wrong with a broken answer, which counts as none, and the address that it came from. */
+    readonly onBroken?: ((url: string, fault: AnswerFault) => void) | undefined;
 }
 
 function createSwapRequest(key: string, options: SwapOptions): unknown {
@@ -100,8 +103,13 @@
         });
         for (let attempt = 0; attempt < options.urls.length; attempt += 1) {
             const bounds = { timeoutMilliseconds, maximumAnswerBytes: MAXIMUM_ANSWER_BYTES };
-            const target = { agent, origin: chooseUrl(), path, method: "POST" as const, body, schema };
-            outcome = await callPlatform({ ...target, ...bounds });
+            const origin = chooseUrl();
+            const target = { agent, origin, path, method: "POST" as const, body, schema };
+            outcome = await callPlatform({
+                ...target,
+                ...bounds,
+                onBroken: fault => options.onBroken?.(origin, fault),
+            });
             if (outcome.isOk() || outcome.error.kind === "rejected" || outcome.error.kind === "invalid") {
                 return outcome;
             }
@@ -151,10 +159,12 @@
         },
         watch(prefix, onEvent, watchOptions = {}) {
             const abort = new AbortController();
+            const origin = chooseUrl();
             const finished = runWatch({
                 ...watchOptions,
                 agent,
-                origin: chooseUrl(),
+                origin,
+                onBroken: fault => options.onBroken?.(origin, fault),
                 prefix,
                 idleTimeoutMilliseconds: options.watchIdleTimeoutMilliseconds
                     ?? DEFAULT_WATCH_IDLE_TIMEOUT_MILLISECONDS,
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -14,3 +14,4 @@
 export { type AnswerFields, findHeadFault } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
 export { type AnswerHead, receiveAnswer, type ReceiveAnswerOptions } from "./receiveAnswer.js";
+export { refuseBrokenResponse, type ResponseHead } from "./refuseBrokenResponse.js";
--- a/src/upstreams/_completion.ts
+++ b/src/upstreams/_completion.ts
@@ -6,6 +6,7 @@
 import { type Dispatcher } from "undici";
 import { upstreamRefusalSchema } from "../generated/upstreams.js";
 import { type AttemptFailure } from "../requests/messages.js";
+import { type AnswerFault, refuseBrokenResponse } from "../transport/answers/index.js";
 import { describeError, failedBeforeSending, readLimited, type ReplaceableAgent } from "../transport/index.js";
 import { type ChunkOutcome, createChunkReader } from "./_chunks.js";
 import { type Completion, type CompletionEvent, type CompletionOptions } from "./types.js";
@@ -26,6 +27,8 @@
     readonly url: string;
     readonly maximumLineBytes: number;
     readonly maximumAnswerBytes: number;
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken: (fault: AnswerFault) => void;
 }
 
 /** Maps the status of an error answer, and its code, to the failure of the attempt. */
@@ -197,6 +200,11 @@
             body: createBody(options),
             signal: abort.signal,
         });
+        const fault = refuseBrokenResponse(answer);
+        if (fault !== undefined) {
+            target.onBroken(fault);
+            return { type: "failed", failure: "incomplete", message: `broken answer: ${fault}` };
+        }
         if (answer.statusCode !== STATUS_OK) {
             return readRefusal(answer);
         }
--- a/src/upstreams/_orderConnections.ts
+++ b/src/upstreams/_orderConnections.ts
@@ -8,6 +8,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import { type EngineOrder, type EngineOrderAnswer, engineOrderAnswerSchema } from "../generated/upstreams.js";
+import { type AnswerFault } from "../transport/answers/index.js";
 import { parseAnswer, readReportOn } from "./_answers.js";
 import { SingleConnection } from "./_singleConnection.js";
 import { type UpstreamError } from "./types.js";
@@ -19,6 +20,8 @@
 export interface OrderConnectionsOptions {
     readonly url: string;
     readonly connectTimeoutMilliseconds: number;
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: ((fault: AnswerFault) => void) | undefined;
     /** Time limit for reading the report that names the incarnation. */
     readonly reportTimeoutMilliseconds: number;
     readonly orderTimeoutMilliseconds: number;
@@ -94,7 +97,7 @@
 
     /** Opens a connection and reads a report on it to verify the incarnation. On failure, the order was not sent. */
     async #openVerified(incarnation: string): Promise<Result<VerifiedConnection, UpstreamError>> {
-        const connection = new SingleConnection(this.#options.url, this.#options.connectTimeoutMilliseconds);
+        const connection = new SingleConnection(this.#options.url, this.#options);
         this.#open.add(connection);
         const report = await readReportOn(connection, this.#options.reportTimeoutMilliseconds);
         if (report.isOk() && report.value.incarnation === incarnation) {
--- a/src/upstreams/_singleConnection.ts
+++ b/src/upstreams/_singleConnection.ts
@@ -5,8 +5,16 @@
  *
  * @module
  */
+import { type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { buildConnector, Client } from "undici";
+import {
+    type AnswerFault,
+    confirmConnectionEnd,
+    framingOf,
+    refuseBrokenResponse,
+    type ResponseHead,
+} from "../transport/answers/index.js";
 import { describeError, readLimited } from "../transport/index.js";
 import { type UpstreamError } from "./types.js";
 
@@ -30,19 +38,35 @@
 /** Reported where undici tries to connect a second time. */
 class ConnectionEndedError extends Error {}
 
+/** Returns whether an error comes from the network; undici ends a connection that it gives up with one of its own. */
+function isSystemError(error: Error | null | undefined): boolean {
+    return error instanceof Error && "syscall" in error;
+}
+
+/** Settings of a connection. */
+export interface SingleConnectionOptions {
+    readonly connectTimeoutMilliseconds: number;
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: ((fault: AnswerFault) => void) | undefined;
+}
+
 /** One connection to an upstream. It is established by the first call; calls run one after another. */
 export class SingleConnection {
     readonly #client: Client;
-    #connected = false;
+    readonly #onBroken: SingleConnectionOptions["onBroken"];
+    #socket: Socket | undefined;
+    /** True once an answer has ended with a reset of the connection. */
+    #wasReset = false;
     #ended = false;
 
     /**
      * Creates a connection without establishing it.
      *
      * @param url The upstream's origin.
-     * @param connectTimeoutMilliseconds Time limit for connecting.
+     * @param options Time limit for connecting, and a callback for broken answers.
      */
-    constructor(url: string, connectTimeoutMilliseconds: number) {
+    constructor(url: string, { connectTimeoutMilliseconds, onBroken }: SingleConnectionOptions) {
+        this.#onBroken = onBroken;
         const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
         let connectRequested = false;
         this.#client = new Client(url, {
@@ -56,7 +80,7 @@
                 }
                 connectRequested = true;
                 connect(options, (...outcome) => {
-                    this.#connected = outcome[0] === null;
+                    this.#socket = outcome[1] ?? undefined;
                     callback(...outcome);
                 });
             },
@@ -87,7 +111,15 @@
                 body: call.body ?? null,
                 signal: AbortSignal.timeout(call.timeoutMilliseconds),
             });
+            const fault = refuseBrokenResponse(answer);
+            if (fault !== undefined) {
+                return await this.#refuse(fault);
+            }
+            this.#holdBackEnd(answer, call.method);
             const body = await readLimited(answer.body, call.maximumAnswerBytes);
+            if (this.#isCutOff(answer, call.method)) {
+                return await this.#refuse("reset-at-end");
+            }
             if (body === undefined) {
                 return Err({ kind: "invalid", message: `an answer over ${call.maximumAnswerBytes} bytes` });
             }
@@ -95,11 +127,36 @@
             return Ok({ status: answer.statusCode, contentType, body });
         }
         catch (error) {
-            const notSent = !this.#connected || error instanceof ConnectionEndedError;
+            if (this.#wasReset) {
+                return this.#refuse("reset-at-end");
+            }
+            const notSent = this.#socket === undefined || error instanceof ConnectionEndedError;
             return Err({ kind: notSent ? "not-sent" : "no-answer", message: describeError(error) });
         }
     }
 
+    /** Holds back the end of an answer that only the end of the connection completes. */
+    #holdBackEnd({ headers, statusCode: status }: ResponseHead, method: string): void {
+        if (this.#socket !== undefined && framingOf({ status, headers }, method) === "connection-end") {
+            confirmConnectionEnd(this.#socket, () => {
+                this.#wasReset = true;
+            });
+        }
+    }
+
+    /** Returns whether an answer ended with a reset; undici takes one for the end of an answer that has no length. */
+    #isCutOff({ headers, statusCode: status }: ResponseHead, method: string): boolean {
+        const endsWithConnection = framingOf({ status, headers }, method) === "connection-end";
+        return endsWithConnection && (this.#wasReset || isSystemError(this.#socket?.errored));
+    }
+
+    /** Gives up the connection after a broken answer. */
+    async #refuse(fault: AnswerFault): Promise<Result<HttpAnswer, UpstreamError>> {
+        this.#onBroken?.(fault);
+        await this.close();
+        return Err({ kind: "no-answer", message: `broken answer: ${fault}` });
+    }
+
     async close(): Promise<void> {
         this.#ended = true;
         await this.#client.destroy();
--- a/src/upstreams/engineClient.ts
+++ b/src/upstreams/engineClient.ts
@@ -6,6 +6,8 @@
 import { type Result } from "ts-results-es";
 import type * as z from "zod";
 import { cacheEventsSchema } from "../generated/upstreams.js";
+import { type AnswerReader } from "../observability/index.js";
+import { type AnswerFault } from "../transport/answers/index.js";
 import { createReplaceableAgent } from "../transport/index.js";
 import { parseAnswer, readReportOn } from "./_answers.js";
 import { startCompletion } from "./_completion.js";
@@ -36,6 +38,8 @@
     readonly maximumLineBytes?: number;
     /** Maximum length of a streamed answer. Default: 16 MiB. */
     readonly maximumAnswerBytes?: number;
+    /** Called with what is wrong with a broken answer, which counts as none. */
+    readonly onBroken?: ((reader: AnswerReader, fault: AnswerFault) => void) | undefined;
 }
 
 /**
@@ -60,27 +64,34 @@
         bodyTimeout: 0,
         connect: { timeout: connectTimeoutMilliseconds },
     });
+    const { onBroken } = options;
+    const readOptions = {
+        connectTimeoutMilliseconds,
+        onBroken: (fault: AnswerFault) => onBroken?.("report", fault),
+    };
     const target = {
+        onBroken: (fault: AnswerFault) => onBroken?.("request", fault),
         agent,
         url: options.url,
         maximumLineBytes: options.maximumLineBytes ?? DEFAULT_MAXIMUM_LINE_BYTES,
         maximumAnswerBytes: options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES,
     };
     const orders = new OrderConnections({
+        onBroken: fault => onBroken?.("order", fault),
         url: options.url,
         connectTimeoutMilliseconds,
         reportTimeoutMilliseconds,
         orderTimeoutMilliseconds: options.orderTimeoutMilliseconds ?? DEFAULT_ORDER_TIMEOUT_MILLISECONDS,
         maximumConcurrentOrders: MAXIMUM_CONCURRENT_ORDERS,
     });
-    let readConnection = new SingleConnection(options.url, connectTimeoutMilliseconds);
+    let readConnection = new SingleConnection(options.url, readOptions);
 
     /** Makes a call on the persistent connection for reports and cache events; replaces one that has ended. */
     async function callOnReadConnection<Value>(
         callOn: (connection: SingleConnection) => Promise<Result<Value, UpstreamError>>,
     ): Promise<Result<Value, UpstreamError>> {
         if (readConnection.ended) {
-            readConnection = new SingleConnection(options.url, connectTimeoutMilliseconds);
+            readConnection = new SingleConnection(options.url, readOptions);
         }
         const connection = readConnection;
         const answer = await callOn(connection);
--- a/src/upstreams/plainServiceClient.ts
+++ b/src/upstreams/plainServiceClient.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type AnswerFault } from "../transport/answers/index.js";
 import { SingleConnection } from "./_singleConnection.js";
 import { type PlainServiceClient } from "./types.js";
 
@@ -15,6 +16,8 @@
     readonly connectTimeoutMilliseconds?: number;
     /** Maximum length of an answer. Default: 1 MiB. */
     readonly maximumAnswerBytes?: number;
+    /** Called with what is wrong with a broken answer, which counts as none, and the address that it came from. */
+    readonly onBroken?: ((url: string, fault: AnswerFault) => void) | undefined;
 }
 
 /**
@@ -43,7 +46,10 @@
     const open = new Set<SingleConnection>();
     return {
         async call(url, { call, key, body, contentType, timeoutMilliseconds }) {
-            const connection = new SingleConnection(new URL(url).origin, connectTimeoutMilliseconds);
+            const connection = new SingleConnection(new URL(url).origin, {
+                connectTimeoutMilliseconds,
+                onBroken: fault => options.onBroken?.(url, fault),
+            });
             open.add(connection);
             const answer = await connection.call({
                 method: "POST",
