--- a/scripts/_mutations.ts
+++ b/scripts/_mutations.ts
@@ -19,6 +19,8 @@
 const REPEAT_TESTS = [`${FORWARDING}/repeatDecision.test.ts`];
 const HEAD = "src/entry/_answerHead.ts";
 const HEAD_TESTS = ["src/entry/_answerHead.test.ts"];
+const ANSWERS = "src/transport/answers";
+const ANSWER_TESTS = ["tests/unframedAnswers.test.ts", "tests/brokenHeads.test.ts"];
 const VIEW = "src/fleet/upstreamView.ts";
 const VIEW_TESTS = ["src/fleet/upstreamView.test.ts", "src/fleet/leavingIncarnations.test.ts"];
 const DUTIES = "src/duties/engineDuties.ts";
@@ -47,6 +49,34 @@
         replacement: "if (head.headers[names.requestId] === undefined) {",
         tests: HEAD_TESTS,
     },
+    {
+        name: "MIXED: the end of a connection that was reset completes an answer",
+        file: `${ANSWERS}/confirmConnectionEnd.ts`,
+        original: "if (error instanceof Error) {",
+        replacement: "if (error instanceof TypeError) {",
+        tests: ["tests/unframedUploads.test.ts"],
+    },
+    {
+        name: "MIXED: an answer's framing is not looked at",
+        file: `${ANSWERS}/answerFraming.ts`,
+        original: "return codings.at(-1) === CHUNKED ? \"chunks\" : \"connection-end\";",
+        replacement: "return \"chunks\";",
+        tests: ANSWER_TESTS,
+    },
+    {
+        name: "MIXED: statuses of no final answer are taken",
+        file: `${ANSWERS}/findHeadFault.ts`,
+        original: "head.status <= LAST_FINAL_STATUS",
+        replacement: "head.status <= Number.POSITIVE_INFINITY",
+        tests: ANSWER_TESTS,
+    },
+    {
+        name: "MIXED: names of fields are not checked",
+        file: `${ANSWERS}/findHeadFault.ts`,
+        original: "(index % 2 === 0 ? FIELD_NAME : FIELD_VALUE)",
+        replacement: "FIELD_VALUE",
+        tests: ANSWER_TESTS,
+    },
     {
         name: "REFUSED: an upstream's promise that a request has not run is passed on",
         file: HEAD,
