Report a reset only where the network says so, not where this host gave up

Read again: where a host gave up a call while its end was held back (a time limit, a caller that left), the write behind it failed, too, and the answer was counted as reset. isNetworkError tells the two apart, for both clients.

--- a/scripts/_mutations.ts
+++ b/scripts/_mutations.ts
@@ -51,9 +51,9 @@
     },
     {
         name: "MIXED: the end of a connection that was reset completes an answer",
-        file: `${ANSWERS}/confirmConnectionEnd.ts`,
-        original: "if (error instanceof Error) {",
-        replacement: "if (error instanceof TypeError) {",
+        file: `${ANSWERS}/receiveAnswer.ts`,
+        original: "if (framingOf(head, request.method) === \"connection-end\") {",
+        replacement: "if (framingOf(head, request.method) === \"no-body\") {",
         tests: ["tests/unframedUploads.test.ts"],
     },
     {
--- a/src/transport/answers/confirmConnectionEnd.ts
+++ b/src/transport/answers/confirmConnectionEnd.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Socket } from "node:net";
+import { isNetworkError } from "./isNetworkError.js";
 
 /** Servers skip an empty line in front of a request. */
 const EMPTY_LINE = "\r\n";
@@ -17,7 +18,8 @@
  * taken whole.
  *
  * @param socket The connection, on which an answer has begun that only its end completes.
- * @param onReset Called where the connection was reset; its end is then not reported to anyone.
+ * @param onReset Called where the connection was reset; its end is then not reported to anyone, nor is that of a
+ * connection that is destroyed meanwhile.
  *
  * @example
  * ```ts
@@ -26,16 +28,17 @@
  * });
  * ```
  */
-export function confirmConnectionEnd(socket: Socket, onReset: (error: Error) => void): void {
+export function confirmConnectionEnd(socket: Socket, onReset: (error: NodeJS.ErrnoException) => void): void {
     const listeners = socket.rawListeners("end");
     socket.removeAllListeners("end");
     socket.once("end", () => {
         socket.write(EMPTY_LINE, error => {
-            if (error instanceof Error) {
+            if (isNetworkError(error)) {
                 onReset(error);
-                return;
             }
-            listeners.forEach(listener => void Reflect.apply(listener, socket, []));
+            else if (!(error instanceof Error)) {
+                listeners.forEach(listener => void Reflect.apply(listener, socket, []));
+            }
         });
     });
 }
--- a/src/transport/answers/findHeadFault.ts
+++ b/src/transport/answers/findHeadFault.ts
@@ -15,13 +15,13 @@
 const FIRST_FINAL_STATUS = 200;
 const LAST_FINAL_STATUS = 599;
 
-/** Head of an answer. */
-export interface AnswerFields extends FramingHead {
+/** Head of an answer, with its fields as they were received. */
+export interface ReceivedHead extends FramingHead {
     /** Alternating names and values, as received. */
     readonly rawHeaders: readonly string[];
 }
 
-/** Returns whether what stands at an index of alternating names and values can do so. */
+/** Returns whether an element of alternating names and values has only characters that it may have. */
 function isSoundPart(part: string, index: number): boolean {
     return (index % 2 === 0 ? FIELD_NAME : FIELD_VALUE).test(part);
 }
@@ -36,7 +36,7 @@
  * findHeadFault({ status: 99, headers: {}, rawHeaders: [] }); // "status"
  * ```
  */
-export function findHeadFault(head: AnswerFields): AnswerFault | undefined {
+export function findHeadFault(head: ReceivedHead): AnswerFault | undefined {
     if (!(head.status >= FIRST_FINAL_STATUS && head.status <= LAST_FINAL_STATUS)) {
         return "status";
     }
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -11,7 +11,8 @@
 export { type AnswerFault } from "./answerFault.js";
 export { type AnswerFraming, type FramingHead, framingOf, isBodyReadable } from "./answerFraming.js";
 export { confirmConnectionEnd } from "./confirmConnectionEnd.js";
-export { type AnswerFields, findHeadFault } from "./findHeadFault.js";
+export { findHeadFault, type ReceivedHead } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
+export { isNetworkError } from "./isNetworkError.js";
 export { type AnswerHead, receiveAnswer, type ReceiveAnswerOptions } from "./receiveAnswer.js";
 export { refuseBrokenResponse, type ResponseHead } from "./refuseBrokenResponse.js";
--- a/src/upstreams/_singleConnection.ts
+++ b/src/upstreams/_singleConnection.ts
@@ -12,6 +12,7 @@
     type AnswerFault,
     confirmConnectionEnd,
     framingOf,
+    isNetworkError,
     refuseBrokenResponse,
     type ResponseHead,
 } from "../transport/answers/index.js";
@@ -38,11 +39,6 @@
 /** Reported where undici tries to connect a second time. */
 class ConnectionEndedError extends Error {}
 
-/** Returns whether an error comes from the network; undici ends a connection that it gives up with one of its own. */
-function isSystemError(error: Error | null | undefined): boolean {
-    return error instanceof Error && "syscall" in error;
-}
-
 /** Settings of a connection. */
 export interface SingleConnectionOptions {
     readonly connectTimeoutMilliseconds: number;
@@ -144,10 +140,13 @@
         }
     }
 
-    /** Returns whether an answer ended with a reset; undici takes one for the end of an answer that has no length. */
+    /**
+     * Returns whether an answer ended with a reset. Undici takes one for the end of an answer that has no length, and
+     * destroys the connection with an error of its own after a sound one.
+     */
     #isCutOff({ headers, statusCode: status }: ResponseHead, method: string): boolean {
         const endsWithConnection = framingOf({ status, headers }, method) === "connection-end";
-        return endsWithConnection && (this.#wasReset || isSystemError(this.#socket?.errored));
+        return endsWithConnection && (this.#wasReset || isNetworkError(this.#socket?.errored));
     }
 
     /** Gives up the connection after a broken answer. */
