Name what the tests of uploads cut off and ask for

sendPartAndReset takes options in place of four parameters in a row, and what a caller takes for whole has one name.

--- a/tests/support/uploadingSite.ts
+++ b/tests/support/uploadingSite.ts
@@ -44,10 +44,9 @@
     readonly bytes: number;
 }
 
-/** Returns the head of a success that names the request, with further lines that each end with CR and LF. */
-export function renderSuccess(id: string, lines = "", version = "1.1"): string {
-    return `HTTP/${version} 200 OK\r\nFlamingospread-Request-Id: ${id}\r\nFlamingospread-Response-Signature: s\r\n`
-        + `${lines}\r\n`;
+/** Returns the head of a success that names the request, and neither a length nor chunks. */
+export function renderSuccess(id: string, version = "1.1"): string {
+    return `HTTP/${version} 200 OK\r\nFlamingospread-Request-Id: ${id}\r\nFlamingospread-Response-Signature: s\r\n\r\n`;
 }
 
 /** Reads what arrives on a connection, and reports the head of its only request. */
--- a/tests/unframedUploads.test.ts
+++ b/tests/unframedUploads.test.ts
@@ -41,9 +41,10 @@
     "at once, the body being read": upload => sendPartAndReset(upload),
     "after a moment, the body not read": upload => {
         upload.socket.pause();
-        return sendPartAndReset(upload, SHORT_DELAY_MILLISECONDS);
+        return sendPartAndReset(upload, { afterMilliseconds: SHORT_DELAY_MILLISECONDS });
     },
-    "after a moment, the body being read": upload => sendPartAndReset(upload, SHORT_DELAY_MILLISECONDS),
+    "after a moment, the body being read": upload =>
+        sendPartAndReset(upload, { afterMilliseconds: SHORT_DELAY_MILLISECONDS }),
     "once the beginning of the body was read": async upload => {
         await upload.read(EARLY_READ_BYTES);
         await sendPartAndReset(upload);
@@ -53,22 +54,32 @@
         await sendPartAndReset(upload);
     },
     "after a moment, in an answer of HTTP/1.0": upload =>
-        sendPartAndReset(upload, OLD_VERSION_DELAY_MILLISECONDS, "1.0"),
+        sendPartAndReset(upload, { afterMilliseconds: OLD_VERSION_DELAY_MILLISECONDS, version: "1.0" }),
 };
 
+interface CutAnswer {
+    /** Time until the reset; it comes at once without it. */
+    readonly afterMilliseconds?: number;
+    readonly part?: string;
+    readonly version?: string;
+}
+
 async function sendPartAndReset(
     { id, socket }: ArrivedUpload,
-    milliseconds = 0,
-    version = "1.1",
-    part = SENT_PART,
+    { afterMilliseconds, part = SENT_PART, version }: CutAnswer = {},
 ): Promise<void> {
-    socket.write(renderSuccess(id, "", version) + part);
-    if (milliseconds > 0) {
-        await delay(milliseconds);
+    socket.write(renderSuccess(id, version) + part);
+    if (afterMilliseconds !== undefined) {
+        await delay(afterMilliseconds);
     }
     socket.resetAndDestroy();
 }
 
+/** Returns the answers that their callers take for whole successes. */
+function wholeSuccesses(answers: readonly CallerAnswer[]): readonly string[] {
+    return answers.filter(({ isComplete, status }) => isComplete && status === 200).map(describe);
+}
+
 function describe({ body, isComplete, status }: CallerAnswer): string {
     return `${status ?? "none"} ${isComplete ? "complete" : "cut"} ${status === 200 ? body.length : ""}`.trim();
 }
@@ -96,14 +107,14 @@
             answers.push(...await site.uploadSideBySide(["/reads/1", "/orders/1"], options));
         }
         context.diagnostic(JSON.stringify(countBy(answers.map(describe))));
-        assert.deepEqual(answers.filter(({ isComplete, status }) => isComplete && status === 200).length, 0);
+        assert.deepEqual(wholeSuccesses(answers), []);
     });
 }
 
 test("a stream without chunks that is reset between events within an upload does not look complete", async () => {
-    site.answer = upload => sendPartAndReset(upload, SHORT_DELAY_MILLISECONDS, "1.1", EVENTS);
+    site.answer = upload => sendPartAndReset(upload, { afterMilliseconds: SHORT_DELAY_MILLISECONDS, part: EVENTS });
     const answers = await site.uploadSideBySide(["/once/1"], { count: UPLOADS, bytes: UPLOAD_BYTES });
-    assert.deepEqual(answers.filter(({ isComplete, status }) => isComplete && status === 200), []);
+    assert.deepEqual(wholeSuccesses(answers), []);
 });
 
 test("a long unframed answer that is passed on and reset within an upload does not look complete", async context => {
@@ -118,7 +129,7 @@
     };
     const answers = await site.uploadSideBySide(["/orders/1"], { count: UPLOADS / 2, bytes: UPLOAD_BYTES });
     context.diagnostic(JSON.stringify(countBy(answers.map(describe))));
-    assert.deepEqual(answers.filter(({ isComplete, status }) => isComplete && status === 200).length, 0);
+    assert.deepEqual(wholeSuccesses(answers), []);
 });
 
 test("an unframed answer that ends in order within an upload is whole, and its engine gets the whole upload", async () => {
