--- a/tests/callerConnectionMemory.test.ts
+++ b/tests/callerConnectionMemory.test.ts
@@ -47,8 +47,9 @@
 }
 
 // Guards against a host that refuses all callers: Node reports no close of responses that wait behind another one.
-test("callers that leave with requests waiting on their connections do not take the host's memory for ever", async () => {
+test("callers that leave with requests waiting on their connections do not take the host's memory for ever", async context => {
     const { host, site } = await startSite();
+    context.after(() => site.close());
     const { address, port } = host.settings.callers;
     const sockets = Array.from({ length: CONNECTIONS }, (_, index) => {
         const socket = connect(port, address);
@@ -65,12 +66,12 @@
         const answer = await callHost(host, { path: "/orders/1", method: "POST", id: `after-${count}`, body: "x" });
         assert.equal(answer.status, 200, JSON.stringify(answer.body));
     }
-    await site.close();
 });
 
 // Guards against an untrue 408: Node does not read a connection whose caller does not take an earlier answer.
-test("a body behind an answer that its caller does not read for a while is not given up", async () => {
+test("a body behind an answer that its caller does not read for a while is not given up", async context => {
     const { host, site } = await startSite();
+    context.after(() => site.close());
     const { address, port } = host.settings.callers;
     const socket = connect(port, address);
     socket.on("error", () => undefined);
@@ -88,5 +89,4 @@
     await until(() => (received.match(/HTTP\/1\.1 \d+/g) ?? []).length === 2, 10_000);
     assert.deepEqual(received.match(/HTTP\/1\.1 \d+/g), ["HTTP/1.1 200", "HTTP/1.1 200"]);
     socket.destroy();
-    await site.close();
 });
