Report broken answers in one way in both hosts

The clients of `flamingospread run` named a broken answer in three shapes, and createContext wrote the log line that reportBrokenAnswer writes once more.

--- a/src/host/createContext.ts
+++ b/src/host/createContext.ts
@@ -5,10 +5,15 @@
  */
 import { type HostIdentity } from "../generated/peers.js";
 import { type Settings } from "../generated/settings.js";
-import { type AnswerReader, createLogger, createMetrics } from "../observability/index.js";
+import {
+    type BrokenAnswer,
+    type BrokenAnswerReport,
+    createLogger,
+    createMetrics,
+    reportBrokenAnswer,
+} from "../observability/index.js";
 import { createPeerClient } from "../peers/index.js";
 import { createHostListClient, createKeyValueClient } from "../platform/index.js";
-import { type AnswerFault } from "../transport/answers/index.js";
 import { createEngineClient, createPlainServiceClient } from "../upstreams/index.js";
 import { createClientDirectory } from "./clientDirectory.js";
 import { createIncarnation, processClock } from "./clock.js";
@@ -44,10 +49,11 @@
         peersUrl: formatUrl(settings.peers),
     };
     const metrics = createMetrics(settings.metrics, settings.host);
-    const reportBroken = (reader: AnswerReader) => (address: string, fault: AnswerFault): void => {
-        metrics.increment("answers.broken", { reader, fault });
-        logger.info("answer broken", { reader, address, fault });
+    const report: BrokenAnswerReport = {
+        logger,
+        metrics: { count: (_name, labels) => metrics.increment("answers.broken", labels) },
     };
+    const onBrokenAnswer = (answer: BrokenAnswer): void => reportBrokenAnswer(report, answer);
     return {
         settings,
         identity,
@@ -57,15 +63,11 @@
         traces: createTraceLog(logger, settings.log.trace),
         metrics,
         events: createHostEvents(),
-        keyValue: createKeyValueClient({ urls: settings.platform.keyValue, onBroken: reportBroken("store") }),
-        hostList: createHostListClient({ url: settings.platform.hostList, onBroken: reportBroken("host-list") }),
-        peers: createClientDirectory((_name, url) =>
-            createPeerClient(url, { onBroken: fault => reportBroken("peer-call")(url, fault) })
-        ),
-        engines: createClientDirectory((name, url) =>
-            createEngineClient({ name, url, onBroken: (reader, fault) => reportBroken(reader)(url, fault) })
-        ),
-        plainServices: createPlainServiceClient({ onBroken: reportBroken("service-call") }),
+        keyValue: createKeyValueClient({ urls: settings.platform.keyValue, onBrokenAnswer }),
+        hostList: createHostListClient({ url: settings.platform.hostList, onBrokenAnswer }),
+        peers: createClientDirectory((_name, url) => createPeerClient(url, { onBrokenAnswer })),
+        engines: createClientDirectory((name, url) => createEngineClient({ name, url, onBrokenAnswer })),
+        plainServices: createPlainServiceClient({ onBrokenAnswer }),
     };
 }
 
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -35,7 +35,12 @@
 } from "./metricNames.js";
 export { createMetrics, type Metrics, type MetricTags } from "./metrics.js";
 export { type ReceivedDatagram, ReceivedDatagrams, type ReceivedDatagramsOptions } from "./receivedDatagrams.js";
-export { type AnswerReader, type BrokenAnswer, reportBrokenAnswer } from "./reportBrokenAnswer.js";
+export {
+    type AnswerReader,
+    type BrokenAnswer,
+    type BrokenAnswerReport,
+    reportBrokenAnswer,
+} from "./reportBrokenAnswer.js";
 export { describeThrown, runInBackground } from "./runInBackground.js";
 export { SentDatagrams, type SentMessage } from "./sentDatagrams.js";
 export { TimeSpent, type TimeSpentOptions, type WorkSubject } from "./timeSpent.js";
--- a/src/observability/reportBrokenAnswer.ts
+++ b/src/observability/reportBrokenAnswer.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { type AnswerFault } from "../transport/answers/index.js";
-import { type EntryMetrics } from "./entryMetrics.js";
 import { type Logger } from "./logger.js";
 
 /** What an answer was read for. */
@@ -32,7 +31,9 @@
 /** Where broken answers are reported. */
 export interface BrokenAnswerReport {
     readonly logger: Logger;
-    readonly metrics: Pick<EntryMetrics, "count">;
+    readonly metrics: {
+        count(name: "broken_answers", labels: Readonly<Record<"reader" | "fault", string>>): void;
+    };
 }
 
 /**
--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -16,7 +16,8 @@
     type WitnessRequest,
 } from "../generated/peers.js";
 import { type ConfigurationRecord } from "../generated/platform.js";
-import { type AnswerFault, refuseBrokenResponse } from "../transport/answers/index.js";
+import { type BrokenAnswer } from "../observability/index.js";
+import { refuseBrokenResponse } from "../transport/answers/index.js";
 import { createReplaceableAgent, failedBeforeSending, type ReplaceableAgent } from "../transport/index.js";
 import { type AdapterRequest, type PeerRouter } from "./router.js";
 
@@ -48,8 +49,8 @@
 
 /** Options of {@linkcode createPeerClient}. */
 export interface PeerClientOptions {
-    /** Called with what is wrong with a broken answer, which counts as none. */
-    readonly onBroken?: ((fault: AnswerFault) => void) | undefined;
+    /** Called with each broken answer, which counts as none. */
+    readonly onBrokenAnswer?: ((answer: BrokenAnswer) => void) | undefined;
 }
 
 function classify(error: unknown): PeerError {
@@ -91,7 +92,7 @@
 
 /** Sends a call on the agent's current connections, and retires all of them if the call reaches its time limit. */
 async function sendRequest(
-    { agent, onBroken }: PeerConnections,
+    { agent, onBrokenAnswer }: PeerConnections,
     url: string,
     options: LinkRequest,
 ): Promise<LinkResponse> {
@@ -106,7 +107,7 @@
         });
         const fault = refuseBrokenResponse(answer);
         if (fault !== undefined) {
-            onBroken?.(fault);
+            onBrokenAnswer?.({ reader: "peer-call", address: new URL(url).origin, fault });
             throw new Error(`broken answer: ${fault}`);
         }
         const { statusCode, body } = answer;
@@ -141,7 +142,7 @@
  * await client.close();
  * ```
  */
-export function createPeerClient(url: string, { onBroken }: PeerClientOptions = {}): PeerClient {
+export function createPeerClient(url: string, { onBrokenAnswer }: PeerClientOptions = {}): PeerClient {
     const agent = createReplaceableAgent({
         connections: MAXIMUM_CONNECTIONS,
         connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
@@ -150,7 +151,7 @@
         links: [
             httpLink({
                 url,
-                fetch: (input, options) => sendRequest({ agent, onBroken }, String(input), options ?? {}),
+                fetch: (input, options) => sendRequest({ agent, onBrokenAnswer }, String(input), options ?? {}),
             }),
         ],
     });
--- a/src/platform/hostListClient.ts
+++ b/src/platform/hostListClient.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as z from "zod";
-import { type AnswerFault } from "../transport/answers/index.js";
+import { type BrokenAnswer } from "../observability/index.js";
 import { createReplaceableAgent } from "../transport/index.js";
 import { callPlatform } from "./_http.js";
 import { type HostList } from "./types.js";
@@ -23,8 +23,8 @@
     readonly url: string;
     /** Time limit of one call. Default: 2000. */
     readonly timeoutMilliseconds?: number;
-    /** Called with what is wrong with a broken answer, which counts as none, and the address that it came from. */
-    readonly onBroken?: ((url: string, fault: AnswerFault) => void) | undefined;
+    /** Called with each broken answer, which counts as none. */
+    readonly onBrokenAnswer?: ((answer: BrokenAnswer) => void) | undefined;
 }
 
 /**
@@ -52,7 +52,7 @@
                 schema: listingSchema,
                 timeoutMilliseconds,
                 maximumAnswerBytes: MAXIMUM_ANSWER_BYTES,
-                onBroken: fault => options.onBroken?.(options.url, fault),
+                onBroken: fault => options.onBrokenAnswer?.({ reader: "host-list", address: options.url, fault }),
             }),
         close: () => agent.destroy(),
     };
--- a/src/platform/keyValueClient.ts
+++ b/src/platform/keyValueClient.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import type * as z from "zod";
+import { type BrokenAnswer } from "../observability/index.js";
 import { type AnswerFault } from "../transport/answers/index.js";
 import { createReplaceableAgent } from "../transport/index.js";
 import {
@@ -36,8 +37,8 @@
     readonly timeoutMilliseconds?: number;
     /** A watch is ended after this long without data. Default: 30000. */
     readonly watchIdleTimeoutMilliseconds?: number;
-    /** Called with what is wrong with a broken answer, which counts as none, and the address that it came from. */
-    readonly onBroken?: ((url: string, fault: AnswerFault) => void) | undefined;
+    /** Called with each broken answer, which counts as none. */
+    readonly onBrokenAnswer?: ((answer: BrokenAnswer) => void) | undefined;
 }
 
 function createSwapRequest(key: string, options: SwapOptions): unknown {
@@ -92,6 +93,10 @@
         return options.urls[urlIndex % options.urls.length] ?? "";
     }
 
+    function reportBroken(address: string): (fault: AnswerFault) => void {
+        return fault => options.onBrokenAnswer?.({ reader: "store", address, fault });
+    }
+
     async function call<Schema extends z.ZodType>(
         path: string,
         body: unknown,
@@ -105,11 +110,7 @@
             const bounds = { timeoutMilliseconds, maximumAnswerBytes: MAXIMUM_ANSWER_BYTES };
             const origin = chooseUrl();
             const target = { agent, origin, path, method: "POST" as const, body, schema };
-            outcome = await callPlatform({
-                ...target,
-                ...bounds,
-                onBroken: fault => options.onBroken?.(origin, fault),
-            });
+            outcome = await callPlatform({ ...target, ...bounds, onBroken: reportBroken(origin) });
             if (outcome.isOk() || outcome.error.kind === "rejected" || outcome.error.kind === "invalid") {
                 return outcome;
             }
@@ -164,7 +165,7 @@
                 ...watchOptions,
                 agent,
                 origin,
-                onBroken: fault => options.onBroken?.(origin, fault),
+                onBroken: reportBroken(origin),
                 prefix,
                 idleTimeoutMilliseconds: options.watchIdleTimeoutMilliseconds
                     ?? DEFAULT_WATCH_IDLE_TIMEOUT_MILLISECONDS,
--- a/src/upstreams/engineClient.ts
+++ b/src/upstreams/engineClient.ts
@@ -6,7 +6,7 @@
 import { type Result } from "ts-results-es";
 import type * as z from "zod";
 import { cacheEventsSchema } from "../generated/upstreams.js";
-import { type AnswerReader } from "../observability/index.js";
+import { type AnswerReader, type BrokenAnswer } from "../observability/index.js";
 import { type AnswerFault } from "../transport/answers/index.js";
 import { createReplaceableAgent } from "../transport/index.js";
 import { parseAnswer, readReportOn } from "./_answers.js";
@@ -38,8 +38,8 @@
     readonly maximumLineBytes?: number;
     /** Maximum length of a streamed answer. Default: 16 MiB. */
     readonly maximumAnswerBytes?: number;
-    /** Called with what is wrong with a broken answer, which counts as none. */
-    readonly onBroken?: ((reader: AnswerReader, fault: AnswerFault) => void) | undefined;
+    /** Called with each broken answer, which counts as none. */
+    readonly onBrokenAnswer?: ((answer: BrokenAnswer) => void) | undefined;
 }
 
 /**
@@ -64,20 +64,18 @@
         bodyTimeout: 0,
         connect: { timeout: connectTimeoutMilliseconds },
     });
-    const { onBroken } = options;
-    const readOptions = {
-        connectTimeoutMilliseconds,
-        onBroken: (fault: AnswerFault) => onBroken?.("report", fault),
-    };
+    const reportBroken = (reader: AnswerReader) => (fault: AnswerFault): void =>
+        options.onBrokenAnswer?.({ reader, address: options.url, fault });
+    const readOptions = { connectTimeoutMilliseconds, onBroken: reportBroken("report") };
     const target = {
-        onBroken: (fault: AnswerFault) => onBroken?.("request", fault),
+        onBroken: reportBroken("request"),
         agent,
         url: options.url,
         maximumLineBytes: options.maximumLineBytes ?? DEFAULT_MAXIMUM_LINE_BYTES,
         maximumAnswerBytes: options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES,
     };
     const orders = new OrderConnections({
-        onBroken: fault => onBroken?.("order", fault),
+        onBroken: reportBroken("order"),
         url: options.url,
         connectTimeoutMilliseconds,
         reportTimeoutMilliseconds,
--- a/src/upstreams/plainServiceClient.ts
+++ b/src/upstreams/plainServiceClient.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type AnswerFault } from "../transport/answers/index.js";
+import { type BrokenAnswer } from "../observability/index.js";
 import { SingleConnection } from "./_singleConnection.js";
 import { type PlainServiceClient } from "./types.js";
 
@@ -16,8 +16,8 @@
     readonly connectTimeoutMilliseconds?: number;
     /** Maximum length of an answer. Default: 1 MiB. */
     readonly maximumAnswerBytes?: number;
-    /** Called with what is wrong with a broken answer, which counts as none, and the address that it came from. */
-    readonly onBroken?: ((url: string, fault: AnswerFault) => void) | undefined;
+    /** Called with each broken answer, which counts as none. */
+    readonly onBrokenAnswer?: ((answer: BrokenAnswer) => void) | undefined;
 }
 
 /**
@@ -48,7 +48,7 @@
         async call(url, { call, key, body, contentType, timeoutMilliseconds }) {
             const connection = new SingleConnection(new URL(url).origin, {
                 connectTimeoutMilliseconds,
-                onBroken: fault => options.onBroken?.(url, fault),
+                onBroken: fault => options.onBrokenAnswer?.({ reader: "service-call", address: url, fault }),
             });
             open.add(connection);
             const answer = await connection.call({
