Derive what a connection knows of a reset, and let heads of answers be one type

SingleConnection kept a flag for what its socket's error tells, and asked for the framing of one answer twice; it now keeps whether the answer is the last one of the connection. AnswerHead extends the head that findHeadFault checks, and its readers take it from the module that has it, not by way of upstreamCall. isBodyReadable is no longer offered, since nobody else calls it.

--- a/src/entry/_answerHead.ts
+++ b/src/entry/_answerHead.ts
@@ -5,8 +5,8 @@
  */
 import { type AttemptFailure, parseRetryAfter, type ReportedLoad, type RequestedPause } from "../forwarding/index.js";
 import { type ParsedRateLimit, parseRateLimit } from "../rateLimits/index.js";
+import { type AnswerHead } from "../transport/answers/index.js";
 import { type HeaderNames } from "./siteProtocol.js";
-import { type AnswerHead } from "./upstreamCall.js";
 
 const STATUS_OK_FIRST = 200;
 const STATUS_OK_LAST = 299;
--- a/src/entry/exchange/answerReceiver.ts
+++ b/src/entry/exchange/answerReceiver.ts
@@ -5,9 +5,9 @@
  */
 import { type AttemptFailure } from "../../forwarding/index.js";
 import { freeBytes } from "../../memory/index.js";
+import { type AnswerHead } from "../../transport/answers/index.js";
 import { checkHead, isServerError, isSuccess } from "../_answerHead.js";
 import { type AnswerPiece, isCopied } from "../pagePool.js";
-import { type AnswerHead } from "../upstreamCall.js";
 import { type Attempt } from "./attempt.js";
 import { type BufferingLimit } from "./bufferedAnswer.js";
 import { type Hedging } from "./hedging.js";
--- a/src/entry/exchange/attempt.ts
+++ b/src/entry/exchange/attempt.ts
@@ -10,9 +10,10 @@
 import { nameAdapter } from "../../placement/index.js";
 import { type UpstreamUse } from "../../rateLimits/index.js";
 import { type Route } from "../../routes/index.js";
+import { type AnswerHead } from "../../transport/answers/index.js";
 import { incarnationOf } from "../_upstreamIncarnation.js";
 import { type ForwardingContext } from "../forwardingContext.js";
-import { type AnswerHead, type UpstreamCall } from "../upstreamCall.js";
+import { type UpstreamCall } from "../upstreamCall.js";
 import { BufferedAnswer } from "./bufferedAnswer.js";
 import { type RequestFacts } from "./requestFacts.js";
 
--- a/src/entry/exchange/callerAnswer.ts
+++ b/src/entry/exchange/callerAnswer.ts
@@ -6,9 +6,8 @@
 import { type ServerResponse } from "node:http";
 import { type CompleteEvents } from "../../forwarding/index.js";
 import { type MemoryReservation } from "../../memory/index.js";
-import { framingOf, hasBody } from "../../transport/answers/index.js";
+import { type AnswerHead, framingOf, hasBody } from "../../transport/answers/index.js";
 import { type AnswerPiece, type PagePool, totalLength } from "../pagePool.js";
-import { type AnswerHead } from "../upstreamCall.js";
 import { AnswerDelivery } from "./answerDelivery.js";
 import { type BufferingLimit } from "./bufferedAnswer.js";
 import { passThroughHeaders } from "./forwardedHeaders.js";
--- a/src/entry/forwardingContext.ts
+++ b/src/entry/forwardingContext.ts
@@ -33,6 +33,7 @@
 import { type AccountQuotas } from "../quotas/index.js";
 import { type RejectionBounds } from "../rateLimits/index.js";
 import { type RouteTable } from "../routes/index.js";
+import { type AnswerHead } from "../transport/answers/index.js";
 import { type Acts } from "./actQueue.js";
 import { type HealthProbes } from "./healthProbes.js";
 import { type PagePool } from "./pagePool.js";
@@ -40,7 +41,6 @@
 import { type SiteDemand } from "./siteDemand.js";
 import { type HeaderNames } from "./siteProtocol.js";
 import { type StreamVersions } from "./streamVersions.js";
-import { type AnswerHead } from "./upstreamCall.js";
 
 /** State, counters and services of one host that its requests share. */
 export interface ForwardingContext {
--- a/src/entry/healthProbes.ts
+++ b/src/entry/healthProbes.ts
@@ -6,8 +6,9 @@
 import { type Agent } from "node:http";
 import { type UpstreamAnnouncement } from "../fleet/index.js";
 import { type EntryMetrics, type Logger, reportBrokenAnswer } from "../observability/index.js";
+import { type AnswerHead } from "../transport/answers/index.js";
 import { type Acts } from "./actQueue.js";
-import { type AnswerHead, callUpstream, type UpstreamCall } from "./upstreamCall.js";
+import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
 /** Minimum time between two probes of one upstream, whatever the number of requests that ask for them. */
 const PROBE_INTERVAL_MILLISECONDS = 100;
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -16,8 +16,6 @@
 /** Smaller reads are left to be collected. */
 const MINIMUM_FREED_BYTES = 8 * 1024;
 
-export { type AnswerHead };
-
 /** Why a call ended without a complete answer. */
 export type CallFailure =
     /** No connection was established. */
--- a/src/transport/answers/confirmConnectionEnd.ts
+++ b/src/transport/answers/confirmConnectionEnd.ts
@@ -18,8 +18,8 @@
  * taken whole.
  *
  * @param socket The connection, on which an answer has begun that only its end completes.
- * @param onReset Called where the connection was reset; its end is then not reported to anyone, nor is that of a
- * connection that is destroyed meanwhile.
+ * @param onReset Called where the connection was reset, before it fails with that error; its end is then not reported to
+ * anyone, nor is that of a connection that is destroyed meanwhile.
  *
  * @example
  * ```ts
@@ -28,13 +28,13 @@
  * });
  * ```
  */
-export function confirmConnectionEnd(socket: Socket, onReset: (error: NodeJS.ErrnoException) => void): void {
+export function confirmConnectionEnd(socket: Socket, onReset?: (error: NodeJS.ErrnoException) => void): void {
     const listeners = socket.rawListeners("end");
     socket.removeAllListeners("end");
     socket.once("end", () => {
         socket.write(EMPTY_LINE, error => {
             if (isNetworkError(error)) {
-                onReset(error);
+                onReset?.(error);
             }
             else if (!(error instanceof Error)) {
                 listeners.forEach(listener => void Reflect.apply(listener, socket, []));
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -3,13 +3,13 @@
  *
  * @example
  * ```ts
- * import { framingOf, isBodyReadable } from "./index.js";
+ * import { findHeadFault, framingOf } from "./index.js";
  * ```
  *
  * @module
  */
 export { type AnswerFault } from "./answerFault.js";
-export { type AnswerFraming, type FramingHead, framingOf, isBodyReadable } from "./answerFraming.js";
+export { type AnswerFraming, type FramingHead, framingOf } from "./answerFraming.js";
 export { confirmConnectionEnd } from "./confirmConnectionEnd.js";
 export { findHeadFault, type ReceivedHead } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
--- a/src/transport/answers/receiveAnswer.ts
+++ b/src/transport/answers/receiveAnswer.ts
@@ -7,14 +7,11 @@
 import { type AnswerFault } from "./answerFault.js";
 import { framingOf } from "./answerFraming.js";
 import { confirmConnectionEnd } from "./confirmConnectionEnd.js";
-import { findHeadFault } from "./findHeadFault.js";
+import { findHeadFault, type ReceivedHead } from "./findHeadFault.js";
 
-/** Head of an answer. */
-export interface AnswerHead {
-    readonly status: number;
+/** Head of an answer that Node's HTTP client has read. */
+export interface AnswerHead extends ReceivedHead {
     readonly headers: IncomingHttpHeaders;
-    /** Alternating names and values, as received. */
-    readonly rawHeaders: readonly string[];
 }
 
 /** Callbacks for an answer. */
--- a/src/upstreams/_singleConnection.ts
+++ b/src/upstreams/_singleConnection.ts
@@ -14,7 +14,6 @@
     framingOf,
     isNetworkError,
     refuseBrokenResponse,
-    type ResponseHead,
 } from "../transport/answers/index.js";
 import { describeError, readLimited } from "../transport/index.js";
 import { type UpstreamError } from "./types.js";
@@ -51,8 +50,8 @@
     readonly #client: Client;
     readonly #onBroken: SingleConnectionOptions["onBroken"];
     #socket: Socket | undefined;
-    /** True once an answer has ended with a reset of the connection. */
-    #wasReset = false;
+    /** True once an answer has begun that only the end of the connection completes, so that it is the last one. */
+    #endsWithAnswer = false;
     #ended = false;
 
     /**
@@ -111,9 +110,13 @@
             if (fault !== undefined) {
                 return await this.#refuse(fault);
             }
-            this.#holdBackEnd(answer, call.method);
+            const head = { status: answer.statusCode, headers: answer.headers };
+            if (this.#socket !== undefined && framingOf(head, call.method) === "connection-end") {
+                this.#endsWithAnswer = true;
+                confirmConnectionEnd(this.#socket);
+            }
             const body = await readLimited(answer.body, call.maximumAnswerBytes);
-            if (this.#isCutOff(answer, call.method)) {
+            if (this.#isCutOff) {
                 return await this.#refuse("reset-at-end");
             }
             if (body === undefined) {
@@ -123,7 +126,7 @@
             return Ok({ status: answer.statusCode, contentType, body });
         }
         catch (error) {
-            if (this.#wasReset) {
+            if (this.#isCutOff) {
                 return this.#refuse("reset-at-end");
             }
             const notSent = this.#socket === undefined || error instanceof ConnectionEndedError;
@@ -131,22 +134,12 @@
         }
     }
 
-    /** Holds back the end of an answer that only the end of the connection completes. */
-    #holdBackEnd({ headers, statusCode: status }: ResponseHead, method: string): void {
-        if (this.#socket !== undefined && framingOf({ status, headers }, method) === "connection-end") {
-            confirmConnectionEnd(this.#socket, () => {
-                this.#wasReset = true;
-            });
-        }
-    }
-
     /**
-     * Returns whether an answer ended with a reset. Undici takes one for the end of an answer that has no length, and
-     * destroys the connection with an error of its own after a sound one.
+     * True where an answer ended with a reset. Undici takes one for the end of an answer that has no length, and destroys
+     * the connection with an error of its own after a sound one.
      */
-    #isCutOff({ headers, statusCode: status }: ResponseHead, method: string): boolean {
-        const endsWithConnection = framingOf({ status, headers }, method) === "connection-end";
-        return endsWithConnection && (this.#wasReset || isNetworkError(this.#socket?.errored));
+    get #isCutOff(): boolean {
+        return this.#endsWithAnswer && isNetworkError(this.#socket?.errored);
     }
 
     /** Gives up the connection after a broken answer. */
