Script the behaviours of upstreams in one place for three tests

brokenHeads wrote again what unframedAnswers and entryForwarding had each: behaviours by request, consumed an attempt at a time, and the executions of a request. tests/support/scriptedBehaviours.ts serves the three. Heads of successes come from renderHead of rawEngine, which stood twice more.

--- a/tests/brokenHeads.test.ts
+++ b/tests/brokenHeads.test.ts
@@ -5,30 +5,21 @@
  */
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
-import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
+import { type Behaviour } from "../standins/platform/upstream.js";
 import { type CallerAnswer, callHost, EntrySite, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
+import { renderHead } from "./support/rawEngine.js";
+import { executionsOf, ScriptedBehaviours } from "./support/scriptedBehaviours.js";
 
 const BODY = "forty reels";
 const PLAIN_ANSWER: Behaviour = { type: "answer", body: "all reels" };
 const EVENTS = "id: 1\ndata: 1\n\n";
 const WHOLE_STREAM: Behaviour = { type: "stream", events: 1 };
 
-/** Behaviours of upstreams by request identifier; each attempt consumes the next entry, in order. */
-const behavioursById = new Map<string, Behaviour[]>();
+const script = new ScriptedBehaviours(PLAIN_ANSWER);
 let scriptedCount = 0;
 let site: EntrySite;
 let host: SiteHost;
 
-function behave(request: ReceivedRequest): Behaviour {
-    return behavioursById.get(request.id)?.shift() ?? PLAIN_ANSWER;
-}
-
-/** Returns an answer with these lines in its head, which each end with CR and LF. */
-function renderAnswer(id: string, lines: string, status = "200 OK", body = BODY): string {
-    return `HTTP/1.1 ${status}\r\nFlamingospread-Request-Id: ${id}\r\nFlamingospread-Response-Signature: s\r\n`
-        + `${lines}\r\n${body}`;
-}
-
 interface BrokenAnswer {
     readonly lines?: string;
     readonly status?: string;
@@ -39,16 +30,15 @@
 /** Calls a host; the first upstream that is asked sends the broken answer, a further one a sound answer. */
 async function callWithBroken(
     path: string,
-    { body, lines = `Content-Length: ${BODY.length}\r\n`, resetsAtEnd = false, status }: BrokenAnswer,
+    { body = BODY, lines = `Content-Length: ${BODY.length}\r\n`, resetsAtEnd = false, status }: BrokenAnswer,
 ): Promise<{ readonly answer: CallerAnswer; readonly executions: number; }> {
     scriptedCount += 1;
     const id = `broken-${scriptedCount}`;
-    const bytes = renderAnswer(id, lines, status, body);
+    const bytes = renderHead(id, lines, status) + body;
     const sound = path.startsWith("/streams/") ? WHOLE_STREAM : PLAIN_ANSWER;
-    behavioursById.set(id, [{ type: "raw", bytes, resetsAtEnd }, sound]);
+    script.set(id, { type: "raw", bytes, resetsAtEnd }, sound);
     const answer = await callHost(host, { path, method: "POST", id });
-    const executions = site.upstreams.flatMap(({ received }) => received.filter(request => request.id === id)).length;
-    return { answer, executions };
+    return { answer, executions: executionsOf(site, id).length };
 }
 
 /** Asserts that a broken answer reaches no caller, and that a request which may run again is answered elsewhere. */
@@ -75,7 +65,7 @@
         { pathPrefix: "/streams/", kind: "stream", resumable: true },
     ]);
     for (const id of ["i-one", "i-two", "i-three"]) {
-        await site.addUpstream({ id, behave, slots: 50 });
+        await site.addUpstream({ id, behave: script.behave, slots: 50 });
     }
     host = await site.addHost("entry-1", { bounds: { retryExtra: 1_000 } });
     await waitUntilReady(host);
--- a/tests/entryForwarding.test.ts
+++ b/tests/entryForwarding.test.ts
@@ -7,7 +7,7 @@
 import { connect } from "node:net";
 import { after, before, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
+import { type Behaviour } from "../standins/platform/upstream.js";
 import {
     callHost,
     EntrySite,
@@ -18,6 +18,7 @@
     until,
     waitUntilReady,
 } from "./support/entrySite.js";
+import { executionsOf, ScriptedBehaviours } from "./support/scriptedBehaviours.js";
 
 /** Callers abandon a stream after a gap of this length. */
 const CALLER_GAP_LIMIT_MILLISECONDS = 2_000;
@@ -27,26 +28,10 @@
 /** A final answer is due at most this long after its route's time limit. */
 const ANSWER_TOLERANCE_MILLISECONDS = 500;
 
-/** Behaviours of upstreams by request identifier; each attempt consumes the next entry, in order. */
-const behavioursById = new Map<string, Behaviour[]>();
+const script = new ScriptedBehaviours();
 let site: EntrySite;
 let host: SiteHost;
 
-function behave(request: ReceivedRequest): Behaviour {
-    return behavioursById.get(request.id)?.shift() ?? { type: "answer" };
-}
-
-/** Returns the executions of a request on all upstreams. */
-function executionsOf(id: string): ReceivedRequest[] {
-    return site.upstreams.flatMap(({ received }) => received.filter(request => request.id === id));
-}
-
-/** Sets the behaviours of upstreams for a request; returns its identifier. */
-function scriptRequest(id: string, ...behaviours: Behaviour[]): string {
-    behavioursById.set(id, behaviours);
-    return id;
-}
-
 before(async () => {
     site = await EntrySite.start();
     site.configure([
@@ -57,7 +42,7 @@
         { pathPrefix: "/short/", kind: "non_idempotent", timeoutMs: SHORT_TIMEOUT_MILLISECONDS },
     ]);
     for (const id of ["i-one", "i-two", "i-three"]) {
-        await site.addUpstream({ id, behave, slots: 50 });
+        await site.addUpstream({ id, behave: script.behave, slots: 50 });
     }
     host = await site.addHost("entry-1");
     await waitUntilReady(host);
@@ -84,7 +69,7 @@
         },
     });
     assert.equal(answer.status, 200);
-    const [execution] = executionsOf("unchanged");
+    const [execution] = executionsOf(site, "unchanged");
     assert.ok(execution !== undefined);
     assert.deepEqual([execution.method, execution.path, execution.body], [
         "POST",
@@ -106,17 +91,17 @@
     const answer = await callHost(host, {
         path: "/orders/1",
         method: "POST",
-        id: scriptRequest("lost-order", { type: "reset" }),
+        id: script.set("lost-order", { type: "reset" }),
     });
     assert.equal(answer.status, 502);
-    assert.equal(executionsOf("lost-order").length, 1);
+    assert.equal(executionsOf(site, "lost-order").length, 1);
 });
 
 test("an order that an upstream rejects as not executed is retried at another upstream", async () => {
-    const id = scriptRequest("rejected-order", { type: "not-run", status: 503 });
+    const id = script.set("rejected-order", { type: "not-run", status: 503 });
     const answer = await callHost(host, { path: "/orders/1", method: "POST", id });
     assert.equal(answer.status, 200);
-    assert.equal(executionsOf(id).length, 2);
+    assert.equal(executionsOf(site, id).length, 2);
 });
 
 test("an order that every upstream rejects is refused as not run, with a Retry-After header", async () => {
@@ -124,7 +109,7 @@
     const answer = await callHost(host, {
         path: "/orders/1",
         method: "POST",
-        id: scriptRequest("refused-order", ...rejections),
+        id: script.set("refused-order", ...rejections),
     });
     assert.equal(answer.status, 503);
     assert.ok(Number(answer.headers["retry-after"]) > 0);
@@ -133,14 +118,14 @@
 
 test("a read whose connection is lost, or whose upstream fails, is retried at another upstream", async () => {
     for (const behaviour of [{ type: "reset" }, { type: "answer", status: 500 }] as const) {
-        const id = scriptRequest(`lost-read-${behaviour.type}`, behaviour);
+        const id = script.set(`lost-read-${behaviour.type}`, behaviour);
         assert.equal((await callHost(host, { path: "/reads/1", id })).status, 200);
-        assert.equal(executionsOf(id).length, 2);
+        assert.equal(executionsOf(site, id).length, 2);
     }
 });
 
 test("an upstream's error answer to an order reaches the caller unchanged", async () => {
-    const id = scriptRequest("failed-order", { type: "answer", status: 500, body: "out of reels" });
+    const id = script.set("failed-order", { type: "answer", status: 500, body: "out of reels" });
     const answer = await callHost(host, { path: "/orders/1", method: "POST", id });
     assert.deepEqual([answer.status, answer.body], [500, "out of reels"]);
     assert.match(String(answer.headers["flamingospread-response-signature"]), /^receipt-i-/);
@@ -151,10 +136,10 @@
         const order = await callHost(host, {
             path: "/orders/1",
             method: "POST",
-            id: scriptRequest(`order-${type}`, { type }),
+            id: script.set(`order-${type}`, { type }),
         });
         assert.equal(order.status, 502, type);
-        const read = await callHost(host, { path: "/reads/1", id: scriptRequest(`read-${type}`, { type }) });
+        const read = await callHost(host, { path: "/reads/1", id: script.set(`read-${type}`, { type }) });
         assert.deepEqual([read.status, read.body.includes(`ran read-${type}`)], [200, true], type);
     }
 });
@@ -163,7 +148,7 @@
     for (let round = 0; round < 6; round += 1) {
         const first = await callHost(host, {
             path: "/reads/1",
-            id: scriptRequest(`extra-${round}`, { type: "extra-answer" }),
+            id: script.set(`extra-${round}`, { type: "extra-answer" }),
         });
         assert.equal(first.body, "ok");
         const next = await callHost(host, { path: "/orders/2", method: "POST", id: `after-extra-${round}` });
@@ -176,32 +161,35 @@
 }
 
 test("a stream that breaks within an event is resumed at another engine after the last complete event", async () => {
-    const id = scriptRequest("broken-stream", { type: "stream", events: 12, breakAfter: 5 }, {
+    const id = script.set("broken-stream", { type: "stream", events: 12, breakAfter: 5 }, {
         type: "stream",
         events: 12,
     });
     const answer = await callHost(host, { path: "/streams/1", method: "POST", id });
     assert.equal(answer.isComplete, true);
     assert.deepEqual(eventIds(answer.body), Array.from({ length: 12 }, (_, index) => index + 1));
-    assert.deepEqual(executionsOf(id).map(execution => execution.headers["last-event-id"]).sort(), ["4", undefined]);
+    assert.deepEqual(executionsOf(site, id).map(execution => execution.headers["last-event-id"]).sort(), [
+        "4",
+        undefined,
+    ]);
 });
 
 test("a stream that cannot be resumed ends visibly incomplete, and the host keeps serving", async () => {
-    const id = scriptRequest("lost-stream", { type: "stream", events: 9, breakAfter: 4 }, {
+    const id = script.set("lost-stream", { type: "stream", events: 9, breakAfter: 4 }, {
         type: "answer",
         status: 500,
     });
     const answer = await callHost(host, { path: "/streams/1", method: "POST", id });
     assert.equal(answer.isComplete, false);
-    const notResumableId = scriptRequest("once-stream", { type: "stream", events: 9, breakAfter: 4 });
+    const notResumableId = script.set("once-stream", { type: "stream", events: 9, breakAfter: 4 });
     const second = await callHost(host, { path: "/once/1", method: "POST", id: notResumableId });
     assert.equal(second.isComplete, false);
-    assert.equal(executionsOf(notResumableId).length, 1);
+    assert.equal(executionsOf(site, notResumableId).length, 1);
     assert.equal((await callHost(host, { path: "/reads/1" })).status, 200);
 });
 
 test("a stream is cancelled at the engine when its caller disconnects", async () => {
-    const id = scriptRequest("left", { type: "stream", events: 400, gapMilliseconds: 10 });
+    const id = script.set("left", { type: "stream", events: 400, gapMilliseconds: 10 });
     await callHost(host, { path: "/streams/1", method: "POST", id, disconnectAfterMilliseconds: 100 });
     await until(() => site.upstreams.some(({ abandoned }) => abandoned.includes(id)), 500);
 });
@@ -218,7 +206,7 @@
         socket.on("error", () => undefined);
     }
     await delay(300);
-    assert.deepEqual(identifiers.flatMap(executionsOf), []);
+    assert.deepEqual(identifiers.flatMap(id => executionsOf(site, id)), []);
     const rejected = host.lines.filter(({ fields, message }) =>
         message === "request rejected" && fields["reason"] === "caller-left"
     );
@@ -227,7 +215,7 @@
 });
 
 test("a stalled stream is resumed at another engine before its caller abandons it", async () => {
-    const id = scriptRequest("silent", { type: "silent" }, { type: "stream", events: 3 });
+    const id = script.set("silent", { type: "silent" }, { type: "stream", events: 3 });
     const answer = await callHost(host, { path: "/streams/1", method: "POST", id });
     assert.deepEqual(eventIds(answer.body), [1, 2, 3]);
     const failed = host.lines.find(({ fields, message }) => message === "attempt failed" && fields["request"] === id);
@@ -239,7 +227,7 @@
     const answer = await callHost(host, {
         path: "/short/1",
         method: "POST",
-        id: scriptRequest("slow", { type: "silent" }),
+        id: script.set("slow", { type: "silent" }),
     });
     assert.equal(answer.status, 504);
     const overrunMilliseconds = answer.tookMilliseconds - SHORT_TIMEOUT_MILLISECONDS;
@@ -273,11 +261,11 @@
     );
     await delay(300);
     socket.destroy();
-    assert.deepEqual(executionsOf("hidden"), []);
+    assert.deepEqual(executionsOf(site, "hidden"), []);
 });
 
 test("a draining upstream gets no further requests, and none for another upstream that is announced at its address", async () => {
-    const leaving = await site.addUpstream({ id: "i-leaving", behave, slots: 50 });
+    const leaving = await site.addUpstream({ id: "i-leaving", behave: script.behave, slots: 50 });
     await until(() =>
         host.lines.some(({ fields, message }) => message === "upstream joined" && fields["upstream"] === "i-leaving")
     );
--- a/tests/support/uploadingSite.ts
+++ b/tests/support/uploadingSite.ts
@@ -10,6 +10,7 @@
 import { PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
 import { createEntrySettings, type EntryProgram, startEntryProgram, waitUntilProgramReady } from "./entryProgram.js";
 import { type CallerAnswer, type CallerRequest, callHost, HOST_NAME, until } from "./entrySite.js";
+import { renderHead } from "./rawEngine.js";
 
 const HEAD_END = "\r\n\r\n";
 
@@ -46,7 +47,7 @@
 
 /** Returns the head of a success that names the request, and neither a length nor chunks. */
 export function renderSuccess(id: string, version = "1.1"): string {
-    return `HTTP/${version} 200 OK\r\nFlamingospread-Request-Id: ${id}\r\nFlamingospread-Response-Signature: s\r\n\r\n`;
+    return renderHead(id, "").replace("HTTP/1.1", `HTTP/${version}`);
 }
 
 /** Reads what arrives on a connection, and reports the head of its only request. */
--- a/tests/unframedAnswers.test.ts
+++ b/tests/unframedAnswers.test.ts
@@ -7,8 +7,9 @@
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
 import { after, before, test } from "node:test";
-import { type Behaviour, type ReceivedRequest } from "../standins/platform/upstream.js";
+import { type Behaviour } from "../standins/platform/upstream.js";
 import { callHost, EntrySite, HOST_NAME, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
+import { executionsOf, ScriptedBehaviours } from "./support/scriptedBehaviours.js";
 
 const EVENT_COUNT = 8;
 
@@ -22,28 +23,10 @@
 const WHOLE_STREAM: Behaviour = { type: "stream", events: EVENT_COUNT };
 const PLAIN_ANSWER: Behaviour = { type: "answer" };
 
-/** Behaviours of upstreams by request identifier; each attempt consumes the next entry, in order. */
-const behavioursById = new Map<string, Behaviour[]>();
-let scriptedCount = 0;
+const script = new ScriptedBehaviours(PLAIN_ANSWER);
 let site: EntrySite;
 let host: SiteHost;
 
-function behave(request: ReceivedRequest): Behaviour {
-    return behavioursById.get(request.id)?.shift() ?? PLAIN_ANSWER;
-}
-
-/** Sets the behaviours of upstreams for a request; returns its identifier. */
-function scriptRequest(...behaviours: Behaviour[]): string {
-    scriptedCount += 1;
-    const id = `unframed-${scriptedCount}`;
-    behavioursById.set(id, behaviours);
-    return id;
-}
-
-function executionsOf(id: string): ReceivedRequest[] {
-    return site.upstreams.flatMap(({ received }) => received.filter(request => request.id === id));
-}
-
 function breakWithin(breakText: string, isUnframed = true): Behaviour {
     return { type: "stream", events: EVENT_COUNT, breakAfter: BROKEN_EVENT, breakText, breakBy: "end", isUnframed };
 }
@@ -108,7 +91,7 @@
         { pathPrefix: "/once/", kind: "stream", resumable: false },
     ]);
     for (const id of ["i-one", "i-two", "i-three"]) {
-        await site.addUpstream({ id, behave, slots: 50 });
+        await site.addUpstream({ id, behave: script.behave, slots: 50 });
     }
     host = await site.addHost("entry-1");
     await waitUntilReady(host);
@@ -125,7 +108,7 @@
     const [address, port] = upstream.address.split(":");
     for (const behaviour of [{ type: "answer", isUnframed: true }, UNFRAMED_STREAM] as const) {
         const instance = `Flamingospread-Expect-Instance: ${upstream.id}\r\n`;
-        const request = renderRequest("/reads/1", scriptRequest(behaviour), "1.1", instance);
+        const request = renderRequest("/reads/1", script.add(behaviour), "1.1", instance);
         const { head, wasReset } = await readUntilEnd(connect(Number(port), address), request);
         assert.match(head, /^HTTP\/1\.1 200 /);
         assert.doesNotMatch(head, /content-length|transfer-encoding|connection:/i);
@@ -136,36 +119,36 @@
 test("an unframed answer that ends with its connection is not taken for a lost one, nor run again", async () => {
     for (const headers of [{}, { Connection: "close" }]) {
         for (const path of ["/reads/1", "/orders/1"]) {
-            const id = scriptRequest({ type: "answer", body: "forty reels", isUnframed: true, headers });
+            const id = script.add({ type: "answer", body: "forty reels", isUnframed: true, headers });
             const { body, isComplete, status } = await callHost(host, { path, method: "POST", id });
             assert.deepEqual([status, body, isComplete], [200, "forty reels", true], path);
-            assert.equal(executionsOf(id).length, 1);
+            assert.equal(executionsOf(site, id).length, 1);
         }
     }
 });
 
 test("an empty unframed answer is not taken for a lost one", async () => {
-    const id = scriptRequest({ type: "answer", body: "", isUnframed: true });
+    const id = script.add({ type: "answer", body: "", isUnframed: true });
     const { body, isComplete, status } = await callHost(host, { path: "/orders/1", method: "POST", id });
     assert.deepEqual([status, body, isComplete], [200, "", true]);
 });
 
 test("an unframed stream that ends at an event's end is whole, and is not resumed", async () => {
     for (const path of ["/streams/1", "/once/1"]) {
-        const id = scriptRequest(UNFRAMED_STREAM);
+        const id = script.add(UNFRAMED_STREAM);
         const { body, isComplete, status } = await callHost(host, { path, method: "POST", id });
         assert.deepEqual([status, body, isComplete], [200, renderEvents(EVENT_COUNT), true], path);
-        assert.equal(executionsOf(id).length, 1);
+        assert.equal(executionsOf(site, id).length, 1);
     }
 });
 
 test("a stream that ends inside an event is resumed after the last whole event, and no part is sent twice", async () => {
     for (const isUnframed of [true, false]) {
         for (const text of ENDS_WITHIN_EVENT) {
-            const id = scriptRequest(breakWithin(text, isUnframed), WHOLE_STREAM);
+            const id = script.add(breakWithin(text, isUnframed), WHOLE_STREAM);
             const { body, isComplete, status } = await callHost(host, { path: "/streams/1", method: "POST", id });
             assert.deepEqual([status, body, isComplete], [200, renderEvents(EVENT_COUNT), true], text);
-            const resumedAfter = executionsOf(id).map(execution => execution.headers["last-event-id"]);
+            const resumedAfter = executionsOf(site, id).map(execution => execution.headers["last-event-id"]);
             assert.deepEqual(resumedAfter.sort(), [String(BROKEN_EVENT - 1), undefined]);
         }
     }
@@ -174,31 +157,31 @@
 test("a stream that ends inside an event and cannot be resumed does not look complete", async () => {
     for (const isUnframed of [true, false]) {
         for (const text of ENDS_WITHIN_EVENT) {
-            const id = scriptRequest(breakWithin(text, isUnframed));
+            const id = script.add(breakWithin(text, isUnframed));
             const answer = await callHost(host, { path: "/once/1", method: "POST", id });
             assert.equal(answer.isComplete, false, text);
-            assert.equal(executionsOf(id).length, 1);
+            assert.equal(executionsOf(site, id).length, 1);
         }
     }
 });
 
 test("an unframed answer whose connection is reset after its last byte is not passed on as whole", async () => {
     const cut: Behaviour = { type: "answer", body: "forty reels", isUnframed: true, resetsAtEnd: true };
-    const orderId = scriptRequest(cut);
+    const orderId = script.add(cut);
     const order = await callHost(host, { path: "/orders/1", method: "POST", id: orderId });
     assert.equal(order.status, 502);
-    assert.equal(executionsOf(orderId).length, 1);
-    const readId = scriptRequest(cut, { type: "answer", body: "all reels" });
+    assert.equal(executionsOf(site, orderId).length, 1);
+    const readId = script.add(cut, { type: "answer", body: "all reels" });
     const read = await callHost(host, { path: "/reads/1", id: readId });
     assert.deepEqual([read.status, read.body], [200, "all reels"]);
 });
 
 test("an unframed stream whose connection is reset after an event's end is resumed, or does not look complete", async () => {
     const cut: Behaviour = { type: "stream", events: BROKEN_EVENT, isUnframed: true, resetsAtEnd: true };
-    const id = scriptRequest(cut, WHOLE_STREAM);
+    const id = script.add(cut, WHOLE_STREAM);
     const resumed = await callHost(host, { path: "/streams/1", method: "POST", id });
     assert.deepEqual([resumed.body, resumed.isComplete], [renderEvents(EVENT_COUNT), true]);
-    const lost = await callHost(host, { path: "/once/1", method: "POST", id: scriptRequest(cut) });
+    const lost = await callHost(host, { path: "/once/1", method: "POST", id: script.add(cut) });
     assert.equal(lost.isComplete, false);
 });
 
@@ -208,14 +191,14 @@
     socket.on("data", (piece: Buffer) => {
         text += piece.toString();
     });
-    const readId = scriptRequest({ type: "answer", body: "forty reels", isUnframed: true });
+    const readId = script.add({ type: "answer", body: "forty reels", isUnframed: true });
     socket.write(renderRequest("/reads/1", readId, "1.1"));
     await until(() => text.endsWith("forty reels"));
     assert.match(text, /content-length: 11/i);
-    socket.write(renderRequest("/streams/1", scriptRequest(UNFRAMED_STREAM), "1.1"));
+    socket.write(renderRequest("/streams/1", script.add(UNFRAMED_STREAM), "1.1"));
     await until(() => text.endsWith("\r\n0\r\n\r\n"));
     assert.match(text, /transfer-encoding: chunked/i);
-    const lastId = scriptRequest(PLAIN_ANSWER);
+    const lastId = script.add(PLAIN_ANSWER);
     socket.write(renderRequest("/reads/1", lastId, "1.1"));
     await until(() => text.endsWith(`ran ${lastId}`));
     assert.equal(socket.closed, false);
@@ -225,12 +208,12 @@
 test("an HTTP/1.0 caller gets answers and streams without chunks, which end with its connection", async () => {
     for (const isUnframed of [true, false]) {
         for (const headers of ["", "Connection: keep-alive\r\n"]) {
-            const id = scriptRequest({ type: "stream", events: EVENT_COUNT, isUnframed });
+            const id = script.add({ type: "stream", events: EVENT_COUNT, isUnframed });
             const stream = await callAsOldCaller("/streams/1", id, headers);
             assertUnchunked(stream);
             assert.deepEqual([stream.body, stream.wasReset], [renderEvents(EVENT_COUNT), false]);
         }
-        const id = scriptRequest({ type: "answer", body: "forty reels", isUnframed });
+        const id = script.add({ type: "answer", body: "forty reels", isUnframed });
         const answer = await callAsOldCaller("/reads/1", id);
         assertUnchunked(answer);
         assert.deepEqual([answer.body, answer.wasReset], ["forty reels", false]);
@@ -239,7 +222,7 @@
 
 test("a stream to an HTTP/1.0 caller that breaks inside an event is resumed without a trace", async () => {
     for (const isUnframed of [true, false]) {
-        const id = scriptRequest(breakWithin(`id: ${BROKEN_EVENT}\nda`, isUnframed), WHOLE_STREAM);
+        const id = script.add(breakWithin(`id: ${BROKEN_EVENT}\nda`, isUnframed), WHOLE_STREAM);
         const stream = await callAsOldCaller("/streams/1", id);
         assertUnchunked(stream);
         assert.deepEqual([stream.body, stream.wasReset], [renderEvents(EVENT_COUNT), false]);
@@ -254,7 +237,7 @@
         { type: "stream", events: BROKEN_EVENT, isUnframed: true, resetsAtEnd: true },
     ];
     for (const behaviour of brokenOff) {
-        const { body, wasReset } = await callAsOldCaller("/once/1", scriptRequest(behaviour));
+        const { body, wasReset } = await callAsOldCaller("/once/1", script.add(behaviour));
         assert.ok(wasReset || !body.endsWith("\n\n"), `ended in order after ${body.length} bytes`);
     }
 });
