--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -349,6 +349,7 @@
     service;
     connections = new Set();
     #server;
+    #address;
     #count = 0;
 
     static async start({ id, service, onRequest, host = "127.0.2.1" }) {
@@ -364,7 +365,7 @@
     }
 
     get address() {
-        const { address, port } = this.#server.address();
+        const { address, port } = this.#address ?? this.#server.address();
         return `${address}:${port}`;
     }
 
@@ -397,6 +398,19 @@
         });
     }
 
+    /** Ends as a process that crashes: its connections are reset, and nothing listens any more. */
+    stop() {
+        this.#address ??= this.#server.address();
+        this.#server.close();
+        this.connections.forEach(({ socket }) => socket.resetAndDestroy());
+    }
+
+    /** Listens again, at the same address. */
+    async startAgain() {
+        const { address, port } = this.#address;
+        await new Promise(resolve => this.#server.listen(port, address, resolve));
+    }
+
     async close() {
         for (const { socket } of this.connections) {
             socket.destroy();
