--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -36,11 +36,11 @@
 const OPENING_MILLISECONDS = 25;
 
 /** Fields of a head, and its bytes without its end; `maxHeaderBytes` is 16,384. */
-const FIELDS = 900;
-const HEAD_BYTES = 15_800;
+const FIELDS = 1_000;
+const HEAD_BYTES = 16_200;
 
 /** Times that the crowd sends heads, and the time for each. */
-const WAVES = 4;
+const WAVES = 6;
 const WAVE_MILLISECONDS = 12_000;
 
 /** Connections that the rule allows to be closed without an answer. */
@@ -80,6 +80,8 @@
 
 /** Clients that keep their connections open, each after one small request that was answered. */
 class Crowd {
+    /** True where this process may not open as many connections. */
+    lacksDescriptors = false;
     #host;
     #sockets = new Set();
 
@@ -93,6 +95,9 @@
 
     async open() {
         while (this.#sockets.size < CONNECTIONS && !this.#host.hasEnded) {
+            if (this.lacksDescriptors) {
+                throw new Error("the script may not open enough connections");
+            }
             const missing = Math.min(OPENED_AT_ONCE, CONNECTIONS - this.#sockets.size);
             Array.from({ length: missing }, (_, index) => this.#connect(`crowd-${this.#sockets.size}-${index}`));
             await delay(OPENING_MILLISECONDS);
@@ -105,7 +110,9 @@
         socket.on("connect", () => socket.write(renderRequest({ method: "GET", path: "/none", id })));
         socket.on("data", () => undefined);
         socket.on("end", () => socket.destroy());
-        socket.on("error", () => undefined);
+        socket.on("error", ({ code }) => {
+            this.lacksDescriptors ||= code === "EMFILE";
+        });
         socket.on("close", () => this.#sockets.delete(socket));
     }
 
--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -220,7 +220,7 @@
             "faultTolerance.zones": 0,
             "faultTolerance.regions": 0,
             ...Object.fromEntries(Object.entries(BOUNDS).map(([name, value]) => [`bounds.${name}`, value])),
-            "platform.address": storeAddress,
+            "platform.address": Array.isArray(storeAddress) ? storeAddress[index] : storeAddress,
             "platform.form": "kv",
             "platform.writesPerS": 400,
             "platform.readsPerS": 2000,
