--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -81,6 +81,14 @@
     return PlatformStoreStandIn.start();
 }
 
+/** Processes that run; they end with the script, however it ends. */
+const running = new Set();
+
+process.on("exit", () => running.forEach(child => child.kill("SIGKILL")));
+for (const signal of ["SIGHUP", "SIGINT", "SIGTERM"]) {
+    process.on(signal, () => process.exit(NOT_RUN));
+}
+
 /** A process of the deployment, on a loopback address of its own. */
 class Host {
     name;
@@ -91,6 +99,7 @@
     ended;
     #folder;
     #environment;
+    #isClosed = false;
 
     constructor({ name, ip, ports, settings }) {
         this.name = name;
@@ -103,13 +112,19 @@
         this.start();
     }
 
+    /** Starts the process, once the one before has ended; has no effect on a closed host. */
     start() {
+        if (this.#isClosed) {
+            return;
+        }
         const [command, ...words] = deployedCommand();
-        this.child = spawn(command === "node" ? process.execPath : command, words, {
+        const child = spawn(command === "node" ? process.execPath : command, words, {
             cwd: REPOSITORY,
             env: this.#environment,
             stdio: ["ignore", "pipe", "pipe"],
         });
+        this.child = child;
+        running.add(child);
         const add = piece => {
             this.output += piece.toString();
         };
@@ -118,6 +133,7 @@
         this.hasEnded = false;
         this.ended = new Promise(resolve =>
             this.child.on("exit", (code, signal) => {
+                running.delete(child);
                 this.hasEnded = true;
                 resolve({ code, signal });
             })
@@ -148,6 +164,7 @@
     }
 
     async close() {
+        this.#isClosed = true;
         if (!this.hasEnded) {
             this.child.kill("SIGKILL");
             await this.ended;
