Join the small chunks of answers before they are held or handled

Cause: Node's parser makes a buffer of some hundred bytes of each chunk. A host held them as they came and counted their data alone, so its limit of 8 MiB was some 800 MB. An answer that was passed on then handed all pieces over as the arguments of one call, which throws. Beside that each chunk ran through the host by itself, so it answered nobody for 1.4 s under chunks of 100 bytes.

Evidence: tests/smallPieces on (x86-64, one run): 1 byte: the host ends, 332 MB; 100 bytes, three at once: 1,408 ms without an answer to the readiness check, orders refused with 503; sound answers of 200,000 and 1,000,000 bytes: reset, 3 of 3. With BufferedAnswer alone mended no host ends (159 MB), but three at once take 88 ms a turn and events in chunks of two bytes 5.4 s.

Change: ChunkJoiner joins what one read brings, in UpstreamCall, so every reader behind it gets reads; PagePool.append joins a small piece with a small one before it, and counts the objects; AnswerDelivery adds pieces one by one.

--- a/src/entry/exchange/answerDelivery.ts
+++ b/src/entry/exchange/answerDelivery.ts
@@ -59,7 +59,9 @@
     /** Appends pieces, which are in memory already, and writes what the connection takes. */
     add(pieces: readonly AnswerPiece[]): void {
         this.#reserve(pieces);
-        this.#waiting.push(...pieces);
+        for (const piece of pieces) {
+            this.#waiting.push(piece);
+        }
         this.pump();
     }
 
--- a/src/entry/exchange/bufferedAnswer.ts
+++ b/src/entry/exchange/bufferedAnswer.ts
@@ -50,7 +50,7 @@
     /** Adds what was received; returns the limit that forbids it, and adds nothing then. */
     tryAdd(received: Buffer): BufferingLimit | undefined {
         const { memory, pages } = this.#options;
-        const bytes = neededBytes(received);
+        const bytes = neededBytes(received, this.#pieces.at(-1));
         if (this.#reservation.bytes + bytes > MAXIMUM_ANSWER_BYTES) {
             return "too-large";
         }
@@ -58,7 +58,7 @@
         if (!isWithinShare || !this.#reservation.tryReserve(bytes)) {
             return "no-room";
         }
-        this.#pieces.push(...pages.store(received));
+        pages.append(this.#pieces, received);
         return undefined;
     }
 
--- a/src/entry/pagePool.ts
+++ b/src/entry/pagePool.ts
@@ -9,9 +9,12 @@
 
 const PAGE_BYTES = 16 * 1024;
 
-/** Smaller pieces are held as they were read. */
+/** Smaller pieces are held as they were read, or joined with a small one before them. */
 const MINIMUM_COPIED_BYTES = PAGE_BYTES / 2;
 
+/** Memory of a small piece beside its bytes: objects that refer to them. */
+const PIECE_OVERHEAD_BYTES = 256;
+
 /** Pages that are kept while none needs them. */
 const MAXIMUM_FREE_PAGES = 128;
 
@@ -29,7 +32,7 @@
 
 /** Returns the memory that a piece takes. */
 export function heldBytes({ bytes, page }: AnswerPiece): number {
-    return page?.length ?? bytes.length;
+    return page?.length ?? bytes.length + PIECE_OVERHEAD_BYTES;
 }
 
 /** Returns whether received bytes are copied, so that they are not needed any more. */
@@ -37,10 +40,26 @@
     return length >= MINIMUM_COPIED_BYTES;
 }
 
-/** Returns the memory that received bytes will take. */
-export function neededBytes(received: Buffer): number {
+/** Returns whether received bytes are joined with the last piece, so that any two small pieces together are large. */
+function isJoined(last: AnswerPiece | undefined, received: Buffer): last is AnswerPiece {
+    return last !== undefined && last.page === undefined
+        && last.bytes.length + received.length < MINIMUM_COPIED_BYTES;
+}
+
+/** Returns the memory that received bytes will take behind the last piece of the same answer. */
+export function neededBytes(received: Buffer, last?: AnswerPiece): number {
     const { length } = received;
-    return isCopied(received) ? Math.ceil(length / PAGE_BYTES) * PAGE_BYTES : length;
+    if (isJoined(last, received)) {
+        return length;
+    }
+    return isCopied(received) ? Math.ceil(length / PAGE_BYTES) * PAGE_BYTES : length + PIECE_OVERHEAD_BYTES;
+}
+
+function join(first: Buffer, second: Buffer): Buffer {
+    const joined = Buffer.allocUnsafeSlow(first.length + second.length);
+    first.copy(joined);
+    second.copy(joined, first.length);
+    return joined;
 }
 
 /**
@@ -61,6 +80,17 @@
         return this.#free.length;
     }
 
+    /** Stores received bytes behind pieces of the same answer; the memory of many small ones follows from their bytes. */
+    append(pieces: AnswerPiece[], received: Buffer): void {
+        const last = pieces.at(-1);
+        if (isJoined(last, received)) {
+            pieces[pieces.length - 1] = { bytes: join(last.bytes, received), page: undefined };
+        }
+        else {
+            pieces.push(...this.store(received));
+        }
+    }
+
     /** Copies received bytes into pages; smaller ones are held as they are. */
     store(received: Buffer): AnswerPiece[] {
         if (!isCopied(received)) {
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -6,7 +6,7 @@
 import { type Agent, type IncomingMessage, request as sendRequest } from "node:http";
 import { type Socket } from "node:net";
 import { freeBytes } from "../memory/index.js";
-import { type AnswerFault, type AnswerHead, receiveAnswer } from "../transport/answers/index.js";
+import { type AnswerFault, type AnswerHead, ChunkJoiner, receiveAnswer } from "../transport/answers/index.js";
 import { parseAddress } from "../transport/index.js";
 import { type Acts } from "./actQueue.js";
 
@@ -80,6 +80,7 @@
     readonly #options: UpstreamCallOptions;
     readonly #request;
     #answer: IncomingMessage | undefined;
+    readonly #joiner: ChunkJoiner;
     #connected = false;
     #sent = false;
     #settled = false;
@@ -97,6 +98,7 @@
             path: options.path,
             setHost: false,
         });
+        this.#joiner = new ChunkJoiner(bytes => this.#handleData(bytes));
         this.#giveUpBody = options.holdBody?.() ?? (() => undefined);
         this.#request.on("socket", socket => this.#watchConnection(socket));
         this.#request.on("information", () => this.#recordInterimAnswer());
@@ -199,17 +201,19 @@
             return;
         }
         this.#answer = answer;
-        answer.on("data", (chunk: Buffer) => {
-            if (!this.#settled) {
-                this.#options.onData(chunk);
-            }
-        });
+        answer.on("data", (chunk: Buffer) => this.#joiner.add(chunk));
         answer.on("end", () => this.#finish(answer));
         answer.on("error", error => this.#fail("connection-lost", error.message));
         answer.on("aborted", () => this.#fail("connection-lost", "connection aborted during the answer"));
         this.#options.onHead(head);
     }
 
+    #handleData(bytes: Buffer): void {
+        if (!this.#settled) {
+            this.#options.onData(bytes);
+        }
+    }
+
     /** A whole answer of which a part is still to be read ends when that was read. */
     get #isWholeAnswerPending(): boolean {
         return this.#answer?.complete === true;
@@ -228,6 +232,7 @@
     }
 
     #finish(answer: IncomingMessage): void {
+        this.#joiner.flush();
         if (!answer.complete) {
             this.#fail("connection-lost", "answer truncated");
             return;
@@ -275,6 +280,7 @@
     }
 
     #fail(failure: CallFailure, detail: string, code?: string): void {
+        this.#joiner.flush();
         if (this.#settle()) {
             this.#options.onFailure(failure, detail, code);
         }
--- a/src/transport/answers/index.ts
+++ b/src/transport/answers/index.ts
@@ -10,6 +10,7 @@
  */
 export { type AnswerFault } from "./answerFault.js";
 export { type AnswerFraming, type FramingHead, framingOf } from "./answerFraming.js";
+export { ChunkJoiner } from "./chunkJoiner.js";
 export { confirmConnectionEnd } from "./confirmConnectionEnd.js";
 export { findHeadFault, type ReceivedHead } from "./findHeadFault.js";
 export { hasBody } from "./hasBody.js";
