Read connections that bring much in turns

What callers saw: while an engine, or many, sent as fast as a host could parse, the host answered the readiness check late, and ordinary callers with it.

Cause: the event loop reads a socket whose read was full up to 32 times before it turns to the next, and all that bring as much before it looks at the rest; 64 KiB hold ten thousand chunks. How long a turn takes followed from the number of such answers.

Change: ReadTurns stops a connection's handle after a read of 16 KiB or more, and starts two in each iteration of the event loop, in the order of their reads. A paused stream would read once more, and Node resumes it for its reader.

A trial that paused the answer after a number of chunks was dropped: Node goes on parsing, so what waits takes twice the memory (57 -> 111 MB in a bare client).

--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -7,7 +7,7 @@
 import { type Socket } from "node:net";
 import { freeBytes } from "../memory/index.js";
 import { type AnswerFault, type AnswerHead, ChunkJoiner, receiveAnswer } from "../transport/answers/index.js";
-import { parseAddress } from "../transport/index.js";
+import { parseAddress, READ_TURNS } from "../transport/index.js";
 import { type Acts } from "./actQueue.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
@@ -76,6 +76,12 @@
     }
 }
 
+/** Handles what was read from a connection and parsed. */
+function handleRead(socket: Socket, bytes: Buffer): void {
+    READ_TURNS.recordRead(socket, bytes);
+    freeLargeRead(bytes);
+}
+
 class RunningCall implements UpstreamCall {
     readonly #options: UpstreamCallOptions;
     readonly #request;
@@ -154,9 +160,10 @@
     }
 
     #watchConnection(socket: Socket): void {
+        const onRead = (bytes: Buffer): void => handleRead(socket, bytes);
         // Runs after Node's own listener, which copies what it reads.
-        socket.on("data", freeLargeRead);
-        this.#request.once("close", () => socket.removeListener("data", freeLargeRead));
+        socket.on("data", onRead);
+        this.#request.once("close", () => socket.removeListener("data", onRead));
         if (socket.connecting) {
             socket.once("connect", () => this.#recordConnected());
         }
--- a/tests/smallPieces.test.ts
+++ b/tests/smallPieces.test.ts
@@ -72,9 +72,11 @@
 
 const ENDLESS: Readonly<Record<string, Endless>> = {
     "answers in chunks of one byte": { path: "/read/1", data: "x", requests: 1 },
+    "40 answers in chunks of one byte": { path: "/read/1", data: "x", requests: 40 },
     "answers in chunks of 100 bytes": { path: "/read/1", data: "x".repeat(100), requests: 3 },
     "events in chunks of two bytes": { path: "/stream/1", data: "x\n", requests: 2 },
     "streams in chunks of one byte": { path: "/stream/1", data: "x", requests: 2 },
+    "40 streams of very small events": { path: "/stream/1", data: "x\n\n", requests: 40 },
     "streams of very small events": { path: "/stream/1", data: "x\n\n", requests: 2 },
 };
 
