Check documents of others up to their first fault

Cause: the schema made an issue of each of 500,000 faulty items, and all of them became one text for the log. 387 MB and 0.6 s for the issues alone (a trial with zod), before any is rendered.

Change: parseDocument stops at the first fault, describeFault renders up to 500 characters, mapOf is the schema of maps, which zod checks to their end in any mode. The operators' text lists all faults up to 64 KiB.

abortEarly is an option that zod names in its internal types; the alternative, a list schema of our own for each list, would hide the lists from those who look at schemas (configuration/_schemaProblems).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -38,6 +38,27 @@
             ],
         },
     },
+    {
+        files: ["src/**", "platform/**"],
+        // Texts that operators write and check list all their faults; tests, and traces of our own, are trusted.
+        ignores: [
+            "**/*.test.ts",
+            "src/platform/parseDocument.ts",
+            "src/configuration/parse.ts",
+            "src/trace/**",
+            "platform/settingsFile.ts",
+        ],
+        rules: {
+            "no-restricted-syntax": [
+                "error",
+                { selector: "ExportDefaultDeclaration", message: "Use a named export." },
+                {
+                    selector: "CallExpression[callee.property.name='safeParse']",
+                    message: "Use parseDocument, which stops at the first fault.",
+                },
+            ],
+        },
+    },
     {
         files: ["**/*.mjs"],
         extends: [typescriptEslint.configs.disableTypeChecked],
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -28,6 +28,8 @@
     },
 ];
 const SCHEMA_SUFFIX = ".schema.json";
+/** Maps are checked by a schema of this project's, which stops at the first faulty value. */
+const RECORD_BEGINNING = "z.record(z.string(), ";
 const DEFINITIONS_POINTER = "#/$defs/";
 
 interface SchemaFile {
@@ -72,7 +74,7 @@
             return referenceExpression(reference.definition, part as { default?: unknown; });
         },
     });
-    return code.trim();
+    return code.trim().replaceAll(RECORD_BEGINNING, "mapOf(");
 }
 
 function referenceExpression(definition: string, schema: { readonly default?: unknown; }): string {
@@ -163,6 +165,9 @@
     const { imports: readerImports, readers } = file["x-plainReaders"] === true
         ? renderReaders(file.$defs, helpersPath)
         : { imports: [], readers: [] };
+    const mapImports = definitions.some(text => text.includes("mapOf("))
+        ? [`import { mapOf } from "${helpersPath}/mapOf.js";`]
+        : [];
     return [
         "/**",
         ` * ${file.title}`,
@@ -173,6 +178,7 @@
         " */",
         "import * as z from \"zod\";",
         ...[...imports].sort(),
+        ...mapImports,
         ...readerImports,
         "",
         ...definitions,
--- a/src/callers/chatRequest.ts
+++ b/src/callers/chatRequest.ts
@@ -5,9 +5,9 @@
  */
 import { createHash } from "node:crypto";
 import { Err, Ok, type Result } from "ts-results-es";
-import * as z from "zod";
 import { type ChatRequest, chatRequestSchema, type Refusal } from "../generated/callers.js";
 import { type Deployment, type Model, type RequestClass } from "../generated/deployment.js";
+import { describeFault, parseDocument } from "../platform/parseDocument.js";
 import { type ModelRequest } from "../requests/index.js";
 import { createPrefixKeys } from "../upstreams/index.js";
 import { createRefusal } from "./refusals.js";
@@ -33,9 +33,9 @@
     catch (error) {
         return Err(createRefusal("invalid-request", `the body is not JSON: ${String(error)}`));
     }
-    const checked = chatRequestSchema.safeParse(value);
+    const checked = parseDocument(chatRequestSchema, value);
     if (!checked.success) {
-        return Err(createRefusal("invalid-request", `the body does not fit: ${z.prettifyError(checked.error)}`));
+        return Err(createRefusal("invalid-request", `the body does not fit: ${describeFault(checked.error)}`));
     }
     return Ok(checked.data);
 }
--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -7,6 +7,7 @@
 import type * as z from "zod";
 import { type Deployment, deploymentSchema } from "../generated/deployment.js";
 import { type Settings, settingsSchema } from "../generated/settings.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { capacityProblems } from "./_capacity.js";
 import { TextDocument } from "./_document.js";
 import { cycleProblems, duplicateProblems, referenceProblems } from "./_references.js";
@@ -20,6 +21,9 @@
     readonly fileName: string;
 }
 
+/** Of a longer text the first fault alone is reported: each fault takes a thousand times the memory of its text. */
+const MAXIMUM_LISTED_CHARACTERS = 64 * 1024;
+
 type Outcome<Value> = Result<Value, readonly TextProblem[]>;
 type Check<Value> = (document: TextDocument, value: Value) => readonly TextProblem[];
 
@@ -39,7 +43,10 @@
     if (syntaxProblems.length > 0) {
         return new Err(syntaxProblems);
     }
-    const parsed = schema.safeParse(document.value());
+    const value = document.value();
+    const bounded = parseDocument(schema, value);
+    const listsAllFaults = !bounded.success && text.length <= MAXIMUM_LISTED_CHARACTERS;
+    const parsed = listsAllFaults ? schema.safeParse(value) : bounded;
     if (!parsed.success) {
         return new Err(schemaProblems(parsed.error.issues, schema, document).sort(byPosition));
     }
--- a/src/configuration/store.ts
+++ b/src/configuration/store.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "ts-results-es";
 import { type ConfigurationRecord, configurationRecordSchema } from "../generated/platform.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { parseJson } from "../platform/parseJson.js";
 import { type KeyValueEntry, type KeyValueService, type PlatformError } from "../platform/types.js";
 
@@ -31,7 +32,7 @@
     if (entry === undefined) {
         return new Ok({ record: undefined, storeRevision: 0 });
     }
-    const parsed = configurationRecordSchema.safeParse(parseJson(entry.value));
+    const parsed = parseDocument(configurationRecordSchema, parseJson(entry.value));
     return parsed.success
         ? new Ok({ record: parsed.data, storeRevision: entry.revision })
         : new Err({
--- a/src/entry/store/fetchState.ts
+++ b/src/entry/store/fetchState.ts
@@ -5,6 +5,7 @@
  */
 import { get, type IncomingMessage } from "node:http";
 import { type SharedState, sharedStateSchema } from "../../generated/gossip.js";
+import { parseDocument } from "../../platform/parseDocument.js";
 import { parseJson } from "../../platform/parseJson.js";
 import { type AnswerFault, receiveAnswer } from "../../transport/answers/index.js";
 import { parseAddress, readLimited } from "../../transport/index.js";
@@ -32,7 +33,7 @@
 async function readState(answer: IncomingMessage): Promise<SharedState | undefined> {
     const text = await readLimited(answer, MAXIMUM_STATE_BYTES);
     return answer.complete && answer.statusCode === STATUS_OK && text !== undefined
-        ? sharedStateSchema.safeParse(parseJson(text)).data
+        ? parseDocument(sharedStateSchema, parseJson(text)).data
         : undefined;
 }
 
--- a/src/entry/store/fleetRecords.ts
+++ b/src/entry/store/fleetRecords.ts
@@ -13,6 +13,7 @@
 import { type PeerTable } from "../../gossip/index.js";
 import { type Logger } from "../../observability/index.js";
 import { type KeyValueEntry } from "../../platform/index.js";
+import { parseDocument } from "../../platform/parseDocument.js";
 import { parseJson } from "../../platform/parseJson.js";
 
 /** Key prefix of the records that name engines' holders. */
@@ -52,7 +53,7 @@
     applyRegistration(entry: KeyValueEntry): void {
         const { duties, host, logger, onHostsChanged, peers, readClock } = this.#options;
         const record = readHostRegistration(parseJson(entry.value))
-            ?? hostRegistrationSchema.safeParse(parseJson(entry.value)).data;
+            ?? parseDocument(hostRegistrationSchema, parseJson(entry.value)).data;
         if (record === undefined) {
             logger.warn("host record not readable", { key: entry.key, revision: entry.revision });
             return;
@@ -79,7 +80,7 @@
     applyHolder(engine: string, entry: KeyValueEntry): void {
         const { duties, logger, readClock } = this.#options;
         const record = readEngineHolder(parseJson(entry.value))
-            ?? engineHolderSchema.safeParse(parseJson(entry.value)).data;
+            ?? parseDocument(engineHolderSchema, parseJson(entry.value)).data;
         if (record === undefined) {
             logger.warn("holder record not readable", { key: entry.key, revision: entry.revision });
             return;
--- a/src/entry/store/storeRestores.ts
+++ b/src/entry/store/storeRestores.ts
@@ -15,6 +15,7 @@
     type PlatformError,
     type SwapOutcome,
 } from "../../platform/index.js";
+import { parseDocument } from "../../platform/parseDocument.js";
 import { parseJson } from "../../platform/parseJson.js";
 import { renderReplacement } from "../../platform/renderReplacement.js";
 
@@ -38,7 +39,7 @@
 }
 
 function settledRestoresIn(entry: KeyValueEntry | undefined): number {
-    return settledRestoresSchema.safeParse(parseJson(entry?.value ?? "")).data?.restores ?? 0;
+    return parseDocument(settledRestoresSchema, parseJson(entry?.value ?? "")).data?.restores ?? 0;
 }
 
 /**
--- a/src/entry/streamVersions.ts
+++ b/src/entry/streamVersions.ts
@@ -14,6 +14,7 @@
 import { type PeerTable } from "../gossip/index.js";
 import { runInBackground } from "../observability/index.js";
 import { type KeyValueEntry, type PlatformError } from "../platform/index.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { parseJson } from "../platform/parseJson.js";
 import {
     BegunStreams,
@@ -146,7 +147,7 @@
             this.#applyRecord(value);
             return;
         }
-        const journal = streamJournalRecordSchema.safeParse(parseJson(value)).data;
+        const journal = parseDocument(streamJournalRecordSchema, parseJson(value)).data;
         readJournalEntry(journal?.streams ?? {}).forEach(stream => this.#remember(stream));
     }
 
@@ -236,7 +237,7 @@
     }
 
     #applyRecord(value: string): void {
-        const record = streamVersionRecordSchema.safeParse(parseJson(value)).data;
+        const record = parseDocument(streamVersionRecordSchema, parseJson(value)).data;
         if (record === undefined) {
             this.#options.logger.warn("stream versions not readable", {});
             return;
--- a/src/gossip/gossipLink.ts
+++ b/src/gossip/gossipLink.ts
@@ -47,6 +47,7 @@
     versionCopyRequestSchema,
 } from "../generated/gossip.js";
 import { type MemoryReservation } from "../memory/index.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { parseJson } from "../platform/parseJson.js";
 import { parseAddress } from "../transport/index.js";
 import { FIRST_TOLERANT_FORMAT, formsFor, provedFormat } from "./messageFormats.js";
@@ -203,7 +204,7 @@
     if (read !== undefined) {
         return Ok(read);
     }
-    const { data, error } = SCHEMAS[type].safeParse(value);
+    const { data, error } = parseDocument(SCHEMAS[type], value);
     if (data !== undefined) {
         return Ok(data);
     }
--- a/src/host/claimsTask.ts
+++ b/src/host/claimsTask.ts
@@ -14,6 +14,7 @@
     type VersionedClaims,
 } from "../orders/index.js";
 import { type KeyValueEntry, parseJson } from "../platform/index.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { createIdentifier } from "./clock.js";
 import { type HostContext } from "./context.js";
 import { createTask } from "./task.js";
@@ -36,7 +37,7 @@
     if (entry === undefined) {
         return { revision: 0, record: undefined };
     }
-    const record = claimRecordSchema.safeParse(parseJson(entry.value));
+    const record = parseDocument(claimRecordSchema, parseJson(entry.value));
     return record.success ? { revision: entry.revision, record: record.data } : undefined;
 }
 
--- a/src/host/configurationTask.ts
+++ b/src/host/configurationTask.ts
@@ -15,6 +15,7 @@
 import { type ConfigurationRecord, configurationRecordSchema } from "../generated/platform.js";
 import { type MembershipPresence } from "../membership/index.js";
 import { parseJson, type WatchEvent } from "../platform/index.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { type HostContext } from "./context.js";
 import { createTask } from "./task.js";
 
@@ -120,7 +121,9 @@
     }
 
     #handleStoreValue(value: string | undefined): void {
-        const record = value === undefined ? undefined : configurationRecordSchema.safeParse(parseJson(value)).data;
+        const record = value === undefined
+            ? undefined
+            : parseDocument(configurationRecordSchema, parseJson(value)).data;
         if (value !== undefined && record === undefined) {
             this.#context.logger.error("the configuration record does not fit its schema");
         }
--- a/src/host/residencyTask.ts
+++ b/src/host/residencyTask.ts
@@ -9,6 +9,7 @@
 import { type EngineOrder } from "../generated/upstreams.js";
 import { createDutyLease, type DutyLease } from "../leases/index.js";
 import { parseJson } from "../platform/index.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { createResidencyDecision, type ResidencyEffect, type ResidencyMessage } from "../residency/index.js";
 import { type HostContext, listEngines, type PoolEngine } from "./context.js";
 import { type HostEvent } from "./events.js";
@@ -202,7 +203,7 @@
         }
         const record = entry.value === undefined
             ? undefined
-            : engineRecordSchema.safeParse(parseJson(entry.value.value));
+            : parseDocument(engineRecordSchema, parseJson(entry.value.value));
         if (record?.success === false) {
             this.#context.logger.error("an engine's record does not fit its schema", { engine });
             this.#task.send({ type: "record-read-failed", engine });
--- a/src/leases/dutyLease.ts
+++ b/src/leases/dutyLease.ts
@@ -15,6 +15,7 @@
     type PlatformError,
     type SwapOutcome,
 } from "../platform/index.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { createDutyLeaseDecision } from "./dutyLeaseDecision.js";
 import { type DutyLeaseEffect, type DutyLeaseMessage, type LeaseAnswer, type LeaseCall } from "./messages.js";
 
@@ -55,7 +56,7 @@
     schema: Schema,
     entry: KeyValueEntry | undefined,
 ): z.infer<Schema> | undefined {
-    return entry === undefined ? undefined : schema.safeParse(parseJson(entry.value)).data;
+    return entry === undefined ? undefined : parseDocument(schema, parseJson(entry.value)).data;
 }
 
 function toFailureAnswer(error: PlatformError): LeaseAnswer {
--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -17,6 +17,7 @@
 } from "../generated/peers.js";
 import { type ConfigurationRecord } from "../generated/platform.js";
 import { type BrokenAnswer } from "../observability/index.js";
+import { describeFault, parseDocument } from "../platform/parseDocument.js";
 import { refuseBrokenResponse } from "../transport/answers/index.js";
 import { createReplaceableAgent, failedBeforeSending, type ReplaceableAgent } from "../transport/index.js";
 import { type AdapterRequest, type PeerRouter } from "./router.js";
@@ -124,8 +125,8 @@
 }
 
 function checkSharedState(state: unknown): Result<SharedState, PeerError> {
-    const checked = sharedStateSchema.safeParse(state);
-    return checked.success ? Ok(checked.data) : Err({ kind: "rejected", message: checked.error.message });
+    const checked = parseDocument(sharedStateSchema, state);
+    return checked.success ? Ok(checked.data) : Err({ kind: "rejected", message: describeFault(checked.error) });
 }
 
 /**
--- a/src/platform/_http.ts
+++ b/src/platform/_http.ts
@@ -13,6 +13,7 @@
     readLimited,
     type ReplaceableAgent,
 } from "../transport/index.js";
+import { describeFault, parseDocument } from "./parseDocument.js";
 import { type PlatformError } from "./types.js";
 
 const FIRST_ERROR_STATUS = 400;
@@ -34,8 +35,8 @@
 
 function parseAnswer<Schema extends z.ZodType>(schema: Schema, text: string): Result<z.infer<Schema>, PlatformError> {
     try {
-        const parsed = schema.safeParse(JSON.parse(text));
-        return parsed.success ? Ok(parsed.data) : Err({ kind: "invalid", message: parsed.error.message });
+        const parsed = parseDocument(schema, JSON.parse(text));
+        return parsed.success ? Ok(parsed.data) : Err({ kind: "invalid", message: describeFault(parsed.error) });
     }
     catch (error) {
         return Err({ kind: "invalid", message: describeError(error) });
--- a/src/platform/renderReplacement.ts
+++ b/src/platform/renderReplacement.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type z } from "zod";
+import { parseDocument } from "./parseDocument.js";
 import { parseJson } from "./parseJson.js";
 
 /**
@@ -29,5 +30,5 @@
     if (typeof fields !== "object" || fields === null || Array.isArray(fields)) {
         return JSON.stringify(record);
     }
-    return schema.safeParse(fields).success ? JSON.stringify({ ...fields, ...record as object }) : undefined;
+    return parseDocument(schema, fields).success ? JSON.stringify({ ...fields, ...record as object }) : undefined;
 }
--- a/src/upstreams/_answers.ts
+++ b/src/upstreams/_answers.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import type * as z from "zod";
 import { type EngineReport, engineReportSchema } from "../generated/upstreams.js";
+import { describeFault, parseDocument } from "../platform/parseDocument.js";
 import { describeError } from "../transport/index.js";
 import { type HttpAnswer, type SingleConnection } from "./_singleConnection.js";
 import { type UpstreamError } from "./types.js";
@@ -24,8 +25,8 @@
         return Err({ kind: "rejected", message });
     }
     try {
-        const parsed = schema.safeParse(JSON.parse(answer.body));
-        return parsed.success ? Ok(parsed.data) : Err({ kind: "invalid", message: parsed.error.message });
+        const parsed = parseDocument(schema, JSON.parse(answer.body));
+        return parsed.success ? Ok(parsed.data) : Err({ kind: "invalid", message: describeFault(parsed.error) });
     }
     catch (error) {
         return Err({ kind: "invalid", message: describeError(error) });
--- a/src/upstreams/_chunks.ts
+++ b/src/upstreams/_chunks.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { completionChunkSchema } from "../generated/upstreams.js";
+import { describeFault, parseDocument } from "../platform/parseDocument.js";
 import { type CompletionEvent } from "./types.js";
 
 const DATA_PREFIX = "data:";
@@ -60,9 +61,9 @@
     }
 
     function handleChunk(data: string): ChunkOutcome {
-        const chunk = completionChunkSchema.safeParse(JSON.parse(data));
+        const chunk = parseDocument(completionChunkSchema, JSON.parse(data));
         if (!chunk.success) {
-            return failIncomplete(chunk.error.message);
+            return failIncomplete(describeFault(chunk.error));
         }
         if (chunk.data.id !== identifier) {
             return failIncomplete("a chunk carries the identifier of another request");
--- a/src/upstreams/_completion.ts
+++ b/src/upstreams/_completion.ts
@@ -5,6 +5,7 @@
  */
 import { type Dispatcher } from "undici";
 import { upstreamRefusalSchema } from "../generated/upstreams.js";
+import { parseDocument } from "../platform/parseDocument.js";
 import { type AttemptFailure } from "../requests/messages.js";
 import { type AnswerFault, refuseBrokenResponse } from "../transport/answers/index.js";
 import { describeError, failedBeforeSending, readLimited, type ReplaceableAgent } from "../transport/index.js";
@@ -48,7 +49,7 @@
 
 function readRefusalCode(text: string | undefined): string | undefined {
     try {
-        return upstreamRefusalSchema.safeParse(JSON.parse(text ?? "")).data?.error.code;
+        return parseDocument(upstreamRefusalSchema, JSON.parse(text ?? "")).data?.error.code;
     }
     catch {
         return undefined;
--- a/tests/support/observedSite.ts
+++ b/tests/support/observedSite.ts
@@ -108,17 +108,25 @@
     }
 }
 
+/** What differs from a site with sound entries. */
+export interface ObservedSiteOptions {
+    /** Further entries of upstreams that are there when the host starts, by name. */
+    readonly entries?: Readonly<Record<string, object>>;
+}
+
 /**
  * Starts the site.
  *
  * @param context The test; all that is started ends with it.
  * @param bundled The program.
  * @param answer How the engine of the service `pieces` answers.
+ * @param options Further entries.
  */
 export async function startObservedSite(
     context: TestContext,
     bundled: BundledProgram,
     answer: Answer,
+    { entries = {} }: ObservedSiteOptions = {},
 ): Promise<ObservedSite> {
     const store = await PlatformStoreStandIn.start();
     const announced = await PlatformUpstreamStandIn.start({ id: "i-orders", slots: 500 });
@@ -126,6 +134,7 @@
     store.put("op/config", CONFIGURATION);
     store.put("servers/i-pieces", { ...announced.announcement("pieces"), address });
     store.put("servers/i-orders", announced.announcement("orders"));
+    Object.values(entries).forEach((entry, index) => store.put(`servers/x-${index}`, entry));
     const { callers, readiness, text } = await createEntrySettings(store.address, {
         memoryMegabytes: MACHINE_MEGABYTES,
     });
