Limit the answers to orders and reports, and the values of a JSON text

Cause: one limit of 16 MiB for all JSON calls; 15 MB of `{},` become some 300 MB of objects on a heap of 160 MB.

--- a/src/transport/answers/answerFault.ts
+++ b/src/transport/answers/answerFault.ts
@@ -13,4 +13,6 @@
     /** The name or the value of a field has characters that none has, such as a blank in a name. */
     | "field"
     /** Its body is in a transfer coding other than chunks. */
-    | "transfer-coding";
+    | "transfer-coding"
+    /** Its body is larger than any sound one of its kind. */
+    | "too-large";
