--- a/scripts/_mutations.ts
+++ b/scripts/_mutations.ts
@@ -38,8 +38,8 @@
     {
         name: "MIXED: a part of an event is passed on",
         file: `${FORWARDING}/eventSplitter.ts`,
-        original: "const end = ends.at(-1) ?? 0;",
-        replacement: "const end = bytes.length;",
+        original: "const whole = this.#takeWhole(piece.subarray(0, end));",
+        replacement: "const whole = this.#takeWhole(piece);",
         tests: [`${FORWARDING}/eventSplitter.test.ts`],
     },
     {
@@ -287,4 +287,39 @@
         replacement: "if (areFewer && heard < 0) {",
         tests: ["src/quotas/quotaFleet.test.ts"],
     },
+    {
+        name: "LOST: each chunk of an answer is handled by itself",
+        file: `${ANSWERS}/chunkJoiner.ts`,
+        original: "if (chunk.length >= SMALL_CHUNK_BYTES) {",
+        replacement: "if (chunk.length >= 0) {",
+        tests: [`${ANSWERS}/chunkJoiner.test.ts`],
+    },
+    {
+        name: "LOST: each small piece of an answer is held apart",
+        file: "src/entry/pagePool.ts",
+        original: "last.bytes.length + received.length < MINIMUM_COPIED_BYTES",
+        replacement: "last.bytes.length + received.length < 0",
+        tests: ["src/entry/pagePool.test.ts"],
+    },
+    {
+        name: "CONFIG: all connections that bring much are read in one turn",
+        file: "src/transport/readTurns.ts",
+        original: "if (connections === CONNECTIONS_IN_TURN) {",
+        replacement: "if (connections < 0) {",
+        tests: ["src/transport/readTurns.test.ts"],
+    },
+    {
+        name: "LOST: each fault of a document becomes an issue",
+        file: "src/platform/parseDocument.ts",
+        original: "= { abortEarly: true };",
+        replacement: "= {} as never;",
+        tests: ["platform/malformedDocuments.test.ts"],
+    },
+    {
+        name: "LOST: a JSON text may hold any number of values",
+        file: "src/platform/parseJson.ts",
+        original: "return values > MAXIMUM_VALUES;",
+        replacement: "return values > Infinity;",
+        tests: ["src/platform/parseJson.test.ts"],
+    },
 ];
--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -21,7 +21,7 @@
     readonly fileName: string;
 }
 
-/** Of a longer text the first fault alone is reported: each fault takes a thousand times the memory of its text. */
+/** Of a longer text the first fault alone is reported: each takes hundreds of times the memory of its text. */
 const MAXIMUM_LISTED_CHARACTERS = 64 * 1024;
 
 type Outcome<Value> = Result<Value, readonly TextProblem[]>;
--- a/src/entry/upstreamCall.ts
+++ b/src/entry/upstreamCall.ts
@@ -7,7 +7,7 @@
 import { type Socket } from "node:net";
 import { freeBytes } from "../memory/index.js";
 import { type AnswerFault, type AnswerHead, ChunkJoiner, receiveAnswer } from "../transport/answers/index.js";
-import { parseAddress, READ_TURNS } from "../transport/index.js";
+import { parseAddress, readTurns } from "../transport/index.js";
 import { type Acts } from "./actQueue.js";
 
 /** Interim (1xx) answers accepted before the final one; guards against an upstream that sends them without end. */
@@ -78,7 +78,7 @@
 
 /** Handles what was read from a connection and parsed. */
 function handleRead(socket: Socket, bytes: Buffer): void {
-    READ_TURNS.recordRead(socket, bytes);
+    readTurns.recordRead(socket, bytes);
     freeLargeRead(bytes);
 }
 
--- a/src/platform/parseDocument.ts
+++ b/src/platform/parseDocument.ts
@@ -13,7 +13,7 @@
 
 /**
  * Checks a value by a schema, and stops at the first fault: a list of 1 MB may hold 500,000 faulty items, each of which
- * would become an issue of a thousand bytes.
+ * would become an issue of hundreds of bytes.
  *
  * @param schema The schema; its maps are those of {@linkcode mapOf}.
  * @param value The value, such as parsed JSON.
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -15,7 +15,7 @@
 export { describeError, failedBeforeSending, isTimeoutError } from "./failures.js";
 export { type HostAndPort, parseAddress } from "./parseAddress.js";
 export { readLimited } from "./readLimited.js";
-export { READ_TURNS, ReadTurns } from "./readTurns.js";
+export { ReadTurns, readTurns } from "./readTurns.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
 export { type BindObstacle, retryWhileInUse, type RetryWhileInUseOptions } from "./retryWhileInUse.js";
 export { TrackedConnections } from "./trackedConnections.js";
--- a/src/transport/readTurns.ts
+++ b/src/transport/readTurns.ts
@@ -75,4 +75,4 @@
 }
 
 /** The turns of all connections of this process, which share its event loop. */
-export const READ_TURNS = new ReadTurns();
+export const readTurns = new ReadTurns();
