Start the raw servers of tests in one place

Five supports and tests wrote the same server; startRawServer serves three of them, and renderHead renders the heads of the new tests. The checks are the same.

--- a/tests/cutAnswers.test.ts
+++ b/tests/cutAnswers.test.ts
@@ -14,6 +14,7 @@
 import { type BundledProgram, bundleProgram } from "./support/bundledProgram.js";
 import { callHost } from "./support/entrySite.js";
 import { type Answer, startObservedSite } from "./support/observedSite.js";
+import { renderHead } from "./support/rawEngine.js";
 
 const SOUND_ANSWERS = 12;
 const MAXIMUM_ENDLESS_ANSWERS = 2;
@@ -84,10 +85,7 @@
 
 async function send(socket: Socket, requestId: string, answer: CutAnswer): Promise<void> {
     const { chunks } = render(answer);
-    socket.write(
-        `HTTP/1.1 200 OK\r\nFlamingospread-Request-Id: ${requestId}\r\nFlamingospread-Response-Signature: s\r\n`
-            + "Transfer-Encoding: chunked\r\n\r\n",
-    );
+    socket.write(renderHead(requestId, "Transfer-Encoding: chunked\r\n"));
     const writeBytes = Math.ceil(chunks.length / answer.writes);
     do {
         for (let at = 0; at < chunks.length && !socket.destroyed; at += writeBytes) {
--- a/tests/smallPieces.test.ts
+++ b/tests/smallPieces.test.ts
@@ -6,12 +6,12 @@
  */
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { type Socket } from "node:net";
 import { after, before, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { type BundledProgram, bundleProgram } from "./support/bundledProgram.js";
 import { callHost } from "./support/entrySite.js";
 import { type Answer, ROUTE_TIMEOUT_MILLISECONDS, startObservedSite } from "./support/observedSite.js";
+import { renderHead } from "./support/rawEngine.js";
 
 const HEXADECIMAL = 16;
 
@@ -29,11 +29,7 @@
 
 after(() => bundled.close());
 
-const writeHead = (socket: Socket, requestId: string): void =>
-    void socket.write(
-        `HTTP/1.1 200 OK\r\nFlamingospread-Request-Id: ${requestId}\r\nFlamingospread-Response-Signature: s\r\n`
-            + "Transfer-Encoding: chunked\r\n\r\n",
-    );
+const CHUNKED = "Transfer-Encoding: chunked\r\n";
 
 const frame = (data: string): string => `${data.length.toString(HEXADECIMAL)}\r\n${data}\r\n`;
 
@@ -48,7 +44,7 @@
             }
         }
     };
-    writeHead(socket, requestId);
+    socket.write(renderHead(requestId, CHUNKED));
     void send();
 };
 
@@ -58,7 +54,7 @@
     for (let at = 0; at < body.length; at += chunkBytes) {
         chunks.push(frame(body.slice(at, at + chunkBytes)));
     }
-    writeHead(socket, requestId);
+    socket.write(renderHead(requestId, CHUNKED));
     socket.write(`${chunks.join("")}0\r\n\r\n`);
 };
 
--- a/tests/support/answerLoad.ts
+++ b/tests/support/answerLoad.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import assert from "node:assert/strict";
-import { createServer, type Socket } from "node:net";
 import { type TestContext } from "node:test";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
 import { PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
@@ -12,6 +10,8 @@
 import { createEntrySettings, startEntryProgram, waitUntilProgramReady } from "./entryProgram.js";
 import { HOST_NAME } from "./entrySite.js";
 import { residentMebibytes } from "./processMemory.js";
+import { renderHead } from "./rawEngine.js";
+import { startRawServer } from "./rawServer.js";
 
 const POLL_MILLISECONDS = 20;
 
@@ -28,28 +28,14 @@
 /** Starts an engine that answers each request with a body of a size; returns its address. */
 async function startLargeEngine(context: TestContext, answerBytes: number): Promise<string> {
     const body = Buffer.alloc(answerBytes, "x");
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("error", () => undefined);
-        socket.on("data", (piece: Buffer) => {
-            for (const [, id] of piece.toString("latin1").matchAll(/flamingospread-request-id: (\S+)/gi)) {
-                socket.write(
-                    `HTTP/1.1 200 OK\r\nFlamingospread-Request-Id: ${id ?? ""}\r\n`
-                        + `Flamingospread-Response-Signature: s\r\nContent-Length: ${body.length}\r\n\r\n`,
-                );
-                socket.write(body);
-            }
-        });
+    const server = await startRawServer((socket, piece) => {
+        for (const [, id] of piece.toString("latin1").matchAll(/flamingospread-request-id: (\S+)/gi)) {
+            socket.write(renderHead(id ?? "", `Content-Length: ${body.length}\r\n`));
+            socket.write(body);
+        }
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    context.after(() => {
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-    });
-    const address = server.address();
-    assert.ok(address !== null && typeof address === "object");
-    return `127.0.0.1:${address.port}`;
+    context.after(() => server.close());
+    return server.address;
 }
 
 function createConfiguration(): object {
--- a/tests/support/observedSite.ts
+++ b/tests/support/observedSite.ts
@@ -5,7 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
-import { createServer, type Socket } from "node:net";
+import { type Socket } from "node:net";
 import { type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { PlatformStoreStandIn } from "../../standins/platform/store.js";
@@ -14,6 +14,7 @@
 import { createEntrySettings, startEntryProgram, waitUntilProgramReady } from "./entryProgram.js";
 import { callAuxiliaryServer, callHost, HOST_NAME } from "./entrySite.js";
 import { readResidentBytes } from "./processMemory.js";
+import { startRawServer } from "./rawServer.js";
 
 /** Memory of the machine. */
 const MACHINE_MEGABYTES = 350;
@@ -62,30 +63,6 @@
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 };
 
-/** Starts an engine that answers each request as `answer` does; returns its address. */
-async function startRawEngine(context: TestContext, answer: Answer): Promise<string> {
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("close", () => sockets.delete(socket));
-        socket.on("error", () => undefined);
-        socket.on("data", (piece: Buffer) => {
-            const id = /flamingospread-request-id: (\S+)/i.exec(piece.toString("latin1"))?.[1];
-            if (id !== undefined) {
-                answer(socket, id);
-            }
-        });
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    context.after(() => {
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-    });
-    const address = server.address();
-    assert.ok(address !== null && typeof address === "object");
-    return `127.0.0.1:${address.port}`;
-}
-
 /** Calls steps again and again, with pauses, until it is closed. */
 class Repeater {
     readonly #running: Promise<void>[] = [];
@@ -130,9 +107,14 @@
 ): Promise<ObservedSite> {
     const store = await PlatformStoreStandIn.start();
     const announced = await PlatformUpstreamStandIn.start({ id: "i-orders", slots: 500 });
-    const address = await startRawEngine(context, answer);
+    const engine = await startRawServer((socket, piece) => {
+        const id = /flamingospread-request-id: (\S+)/i.exec(piece.toString("latin1"))?.[1];
+        if (id !== undefined) {
+            answer(socket, id);
+        }
+    });
     store.put("op/config", CONFIGURATION);
-    store.put("servers/i-pieces", { ...announced.announcement("pieces"), address });
+    store.put("servers/i-pieces", { ...announced.announcement("pieces"), address: engine.address });
     store.put("servers/i-orders", announced.announcement("orders"));
     Object.values(entries).forEach((entry, index) => store.put(`servers/x-${index}`, entry));
     const { callers, readiness, text } = await createEntrySettings(store.address, {
@@ -146,6 +128,7 @@
         await program.close();
         await stopped;
         agents.forEach(agent => agent.destroy());
+        engine.close();
         await announced.close();
         await store.close();
     });
--- a/tests/support/rawEngine.ts
+++ b/tests/support/rawEngine.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import assert from "node:assert/strict";
-import { createServer, type Socket } from "node:net";
+import { type Socket } from "node:net";
 import { PlatformUpstreamStandIn } from "../../standins/platform/upstream.js";
 import { type EntrySite } from "./entrySite.js";
+import { startRawServer } from "./rawServer.js";
 
 /** A request that the engine received. */
 export interface RawRequest {
@@ -40,35 +40,26 @@
     answer: (request: RawRequest, socket: Socket) => void,
 ): Promise<RawEngine> {
     const announced = await PlatformUpstreamStandIn.start({ id, slots: 100 });
-    const sockets = new Set<Socket>();
     const received: RawRequest[] = [];
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("error", () => undefined);
-        socket.on("close", () => sockets.delete(socket));
-        socket.on("data", (piece: Buffer) => {
-            const text = piece.toString("latin1");
-            const request = {
-                id: /flamingospread-request-id: (\S+)/i.exec(text)?.[1] ?? "",
-                path: text.split(" ")[1] ?? "",
-            };
-            if (request.id === "") {
-                socket.write(`HTTP/1.1 200 OK\r\nFlamingospread-Instance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
-                return;
-            }
-            received.push(request);
-            answer(request, socket);
-        });
+    const server = await startRawServer((socket, piece) => {
+        const text = piece.toString("latin1");
+        const request = {
+            id: /flamingospread-request-id: (\S+)/i.exec(text)?.[1] ?? "",
+            path: text.split(" ")[1] ?? "",
+        };
+        if (request.id === "") {
+            socket.write(`HTTP/1.1 200 OK\r\nFlamingospread-Instance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+            return;
+        }
+        received.push(request);
+        answer(request, socket);
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const address = server.address();
-    assert.ok(address !== null && typeof address === "object");
-    site.store.put(`servers/${id}`, { ...announced.announcement("plain"), address: `127.0.0.1:${address.port}` });
+    const { address, sockets } = server;
+    site.store.put(`servers/${id}`, { ...announced.announcement("plain"), address });
     return {
         received,
         sockets,
         close: async () => {
-            sockets.forEach(socket => socket.destroy());
             server.close();
             await announced.close();
         },
