Name the handle of a socket in one place

ReadTurns described the part of a socket that starts and stops reading a second time, beside ConnectionFeed; both take it from readHandleOf. Behaviour and tests as before.

--- a/src/entry/connections/_connectionFeed.ts
+++ b/src/entry/connections/_connectionFeed.ts
@@ -6,6 +6,7 @@
 import { type IncomingMessage } from "node:http";
 import { type Socket } from "node:net";
 import { freeBytes, type MemoryReservation } from "../../memory/index.js";
+import { readHandleOf } from "../../transport/index.js";
 import { type BodyForm, bodyFormOf, measurePart } from "./_requestParts.js";
 
 /** Reads at least this large are freed without waiting for their collection. */
@@ -16,12 +17,6 @@
 
 const NO_BYTES = Buffer.alloc(0);
 
-/** The part of a socket's handle that starts and stops reading; Node's types do not name it. */
-interface ReadHandle {
-    readStart(): void;
-    readStop(): void;
-}
-
 /** Options of {@linkcode ConnectionFeed}. */
 export interface ConnectionFeedOptions {
     /** Node's own listener, which hands bytes to the parser. */
@@ -170,8 +165,8 @@
     /** A paused stream would still read once more; its handle is stopped instead. */
     #updateReading(): void {
         const isReading = this.#isEnded || (!this.hasUnparsed && this.#mayParse);
-        const { _handle: handle } = this.#socket as Socket & { readonly _handle?: ReadHandle | null; };
-        if (isReading === this.#isReading || handle === undefined || handle === null) {
+        const handle = readHandleOf(this.#socket);
+        if (isReading === this.#isReading || handle === undefined) {
             return;
         }
         this.#isReading = isReading;
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -14,6 +14,7 @@
 export { afterPolling } from "./afterPolling.js";
 export { describeError, failedBeforeSending, isTimeoutError } from "./failures.js";
 export { type HostAndPort, parseAddress } from "./parseAddress.js";
+export { type ReadHandle, readHandleOf } from "./readHandle.js";
 export { readLimited } from "./readLimited.js";
 export { ReadTurns, readTurns } from "./readTurns.js";
 export { createReplaceableAgent, type ReplaceableAgent } from "./replaceableAgent.js";
--- a/src/transport/readTurns.ts
+++ b/src/transport/readTurns.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Socket } from "node:net";
+import { readHandleOf } from "./readHandle.js";
 
 /** Reads this large wait for their connection's next turn; 64 KiB hold ten thousand chunks of one byte. */
 const LARGE_READ_BYTES = 16 * 1024;
@@ -11,18 +12,6 @@
 /** Connections with large reads that are read on in one iteration of the event loop. */
 const CONNECTIONS_IN_TURN = 2;
 
-/** The part of a socket's handle that starts and stops reading; Node's types do not name it. */
-interface ReadHandle {
-    /** Whether the socket's stream wants to read. */
-    readonly reading: boolean;
-    readStart(): void;
-    readStop(): void;
-}
-
-interface SocketWithHandle extends Socket {
-    readonly _handle?: ReadHandle | null;
-}
-
 /**
  * Stops reading a connection after a large read, and reads on in its turn. Otherwise the event loop reads a connection
  * up to 32 times before it turns to another, and all that bring much before it turns to the rest.
@@ -36,13 +25,16 @@
  * ```
  */
 export class ReadTurns {
-    readonly #waiting = new Set<SocketWithHandle>();
+    readonly #waiting = new Set<Socket>();
     #isScheduled = false;
 
     /** Records what was read of a connection; to be called in a listener of its data. */
     recordRead(socket: Socket, { length }: Buffer): void {
-        const { _handle: handle } = socket as SocketWithHandle;
-        if (length < LARGE_READ_BYTES || handle === undefined || handle === null) {
+        if (length < LARGE_READ_BYTES) {
+            return;
+        }
+        const handle = readHandleOf(socket);
+        if (handle === undefined) {
             return;
         }
         handle.readStop();
@@ -66,8 +58,9 @@
                 return;
             }
             this.#waiting.delete(socket);
-            if (socket._handle?.reading === true) {
-                socket._handle.readStart();
+            const handle = readHandleOf(socket);
+            if (handle?.reading === true) {
+                handle.readStart();
                 connections += 1;
             }
         }
