--- a/src/entry/pagePool.ts
+++ b/src/entry/pagePool.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { freeBytes } from "../memory/index.js";
+import { concatenate, freeBytes } from "../memory/index.js";
 
 const PAGE_BYTES = 16 * 1024;
 
@@ -55,13 +55,6 @@
     return isCopied(received) ? Math.ceil(length / PAGE_BYTES) * PAGE_BYTES : length + PIECE_OVERHEAD_BYTES;
 }
 
-function join(first: Buffer, second: Buffer): Buffer {
-    const joined = Buffer.allocUnsafeSlow(first.length + second.length);
-    first.copy(joined);
-    second.copy(joined, first.length);
-    return joined;
-}
-
 /**
  * Copies what was received into pages, and takes pages back.
  *
@@ -84,7 +77,8 @@
     append(pieces: AnswerPiece[], received: Buffer): void {
         const last = pieces.at(-1);
         if (isJoined(last, received)) {
-            pieces[pieces.length - 1] = { bytes: join(last.bytes, received), page: undefined };
+            const length = last.bytes.length + received.length;
+            pieces[pieces.length - 1] = { bytes: concatenate([last.bytes, received], length), page: undefined };
         }
         else {
             pieces.push(...this.store(received));
--- a/src/memory/index.ts
+++ b/src/memory/index.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+export { concatenate } from "./concatenate.js";
 export { ExpectedMemory } from "./expectedMemory.js";
 export { freeBytes } from "./freeBytes.js";
 export { GrowingBuffer } from "./growingBuffer.js";
--- a/src/transport/answers/chunkJoiner.ts
+++ b/src/transport/answers/chunkJoiner.ts
@@ -3,21 +3,11 @@
  *
  * @module
  */
+import { concatenate } from "../../memory/index.js";
 
 /** Larger chunks are handed on as they are. */
 const SMALL_CHUNK_BYTES = 4 * 1024;
 
-/** Returns the bytes of all chunks in memory of their own. */
-function concatenate(chunks: readonly Buffer[], length: number): Buffer {
-    const joined = Buffer.allocUnsafeSlow(length);
-    let position = 0;
-    for (const chunk of chunks) {
-        joined.set(chunk, position);
-        position += chunk.length;
-    }
-    return joined;
-}
-
 /**
  * Hands the chunks of an answer on, the small ones of a read joined: a read of 64 KiB may hold ten thousand chunks.
  *
