Check the operators' text, and parse records of hosts and holders, once

A short text with a fault was checked twice: how many faults are listed follows from its length alone. A record that its plain reader does not take was parsed as JSON twice, up to 1 MB of another writer's.

--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -44,9 +44,8 @@
         return new Err(syntaxProblems);
     }
     const value = document.value();
-    const bounded = parseDocument(schema, value);
-    const listsAllFaults = !bounded.success && text.length <= MAXIMUM_LISTED_CHARACTERS;
-    const parsed = listsAllFaults ? schema.safeParse(value) : bounded;
+    const listsAllFaults = text.length <= MAXIMUM_LISTED_CHARACTERS;
+    const parsed = listsAllFaults ? schema.safeParse(value) : parseDocument(schema, value);
     if (!parsed.success) {
         return new Err(schemaProblems(parsed.error.issues, schema, document).sort(byPosition));
     }
--- a/src/entry/store/fleetRecords.ts
+++ b/src/entry/store/fleetRecords.ts
@@ -52,8 +52,8 @@
     /** Applies the record with which a host registered. */
     applyRegistration(entry: KeyValueEntry): void {
         const { duties, host, logger, onHostsChanged, peers, readClock } = this.#options;
-        const record = readHostRegistration(parseJson(entry.value))
-            ?? parseDocument(hostRegistrationSchema, parseJson(entry.value)).data;
+        const value = parseJson(entry.value);
+        const record = readHostRegistration(value) ?? parseDocument(hostRegistrationSchema, value).data;
         if (record === undefined) {
             logger.warn("host record not readable", { key: entry.key, revision: entry.revision });
             return;
@@ -79,8 +79,8 @@
     /** Applies the record that names an engine's holder. */
     applyHolder(engine: string, entry: KeyValueEntry): void {
         const { duties, logger, readClock } = this.#options;
-        const record = readEngineHolder(parseJson(entry.value))
-            ?? parseDocument(engineHolderSchema, parseJson(entry.value)).data;
+        const value = parseJson(entry.value);
+        const record = readEngineHolder(value) ?? parseDocument(engineHolderSchema, value).data;
         if (record === undefined) {
             logger.warn("holder record not readable", { key: entry.key, revision: entry.revision });
             return;
