Hold another answer where one stopped at a short read

Cause: the test's wait, not the host. Traced with 300 held answers: the host reserves 64 KiB for what a paused connection may have read, and the read that it is passing on. Reads of the large answer alternate between 65,536 and 29,696 bytes (two pages, 32,768); where the caller's connection stops taking at a short one, the host keeps 98,304 bytes for good.

Change: the test holds answers until the host keeps as much as before, opening another where one stopped early. The memory that is filled and the check of the others' answers are as strict as they were.

--- a/tests/answerMemory.test.ts
+++ b/tests/answerMemory.test.ts
@@ -28,9 +28,12 @@
 /** Of this, requests may take 1.8 MB; nine answers that are passed on, and two small ones, fill nearly all of it. */
 const NEARLY_FULL_MACHINE_BYTES = 24_000_000;
 
-/** What a host keeps of an answer that it passes on and nobody reads, with what its upstream's connection has read. */
+/** What a host keeps of an answer that it passes on and nobody reads, with what its upstream's connection may have read. */
 const PASSED_ON_BYTES = 128 * 1024;
 
+/** Longer than an answer that is being passed on keeps the same memory. */
+const STALL_MILLISECONDS = 50;
+
 const SMALL_BYTES = 300_000;
 
 /** More than the connections of both sides hold, and less than may be buffered whole on a larger machine. */
@@ -183,6 +186,26 @@
     return socket;
 }
 
+/**
+ * Holds answers until a host keeps as much as of so many that stopped at a full read; one that stopped at a shorter
+ * read keeps less, and another is held then.
+ */
+async function holdAnswers(count: number): Promise<Socket[]> {
+    const sockets = Array.from({ length: count }, () => holdRequest("/large/1", nextId()));
+    let bytesBefore = 0;
+    await until(async () => {
+        await delay(STALL_MILLISECONDS);
+        const bytes = await reservedBytes();
+        const isEnough = bytes >= count * PASSED_ON_BYTES;
+        if (!isEnough && bytes === bytesBefore) {
+            sockets.push(holdRequest("/large/1", nextId()));
+        }
+        bytesBefore = bytes;
+        return isEnough;
+    });
+    return sockets;
+}
+
 const ENDINGS: Readonly<Record<string, { readonly status: number; readonly bytes: number; readonly runs: number; }>> = {
     small: { status: 200, bytes: SMALL_BYTES, runs: 1 },
     large: { status: 200, bytes: LARGE_BYTES, runs: 1 },
@@ -241,8 +264,7 @@
 for (const count of [1, 3, 9]) {
     test(`beside ${count} callers that do not read, others get no answers while little memory is left`, async () => {
         host.host.reload({ ...host.settings, metrics, memoryBytes: NEARLY_FULL_MACHINE_BYTES });
-        const sockets = Array.from({ length: count }, () => holdRequest("/large/1", nextId()));
-        await until(async () => await reservedBytes() >= count * PASSED_ON_BYTES);
+        const sockets = await holdAnswers(count);
         const answers: CallerAnswer[] = [];
         for (let request = 0; request < 20; request += 1) {
             answers.push(await callHost(host, { path: "/small/1", id: nextId() }));
