Keep header fields as bytes until they are whole

Cause: what was there of a head went to Node's parser as it came, which makes two strings of each field; the memory budget counted a head only once it was whole. Trailers of bodies in chunks went the same way.

Change: the parser gets the first line, so that the time limit of the head runs as before, and the fields once they are whole; the last chunk and its trailers likewise. What is kept is reserved as it grows, and refused above 4 KiB while less than half of the requests' memory is left. Fields as long as the limit for headers are handed on, so that the parser refuses long ones as before, and what it has of them is counted by lines.

New: the time limit of a head on a kept connection, and the count and the refusal while memory is short.

For callers: a malformed field of a head without its end is now answered 408 at the time limit for heads, not 400 at once.

--- a/scripts/_mutations.ts
+++ b/scripts/_mutations.ts
@@ -301,6 +301,20 @@
         replacement: "last.bytes.length + received.length < 0",
         tests: ["src/entry/pagePool.test.ts"],
     },
+    {
+        name: "MEMORY: header fields without their end are parsed as they come",
+        file: "src/entry/connections/_requestParts.ts",
+        original: "return bytes.length < maximumFieldsBytes\n",
+        replacement: "return bytes.length < 0\n",
+        tests: ["tests/unfinishedFieldCrowds.test.ts"],
+    },
+    {
+        name: "MEMORY: header fields without their end are held beside the budget",
+        file: "src/entry/connections/_connectionFeed.ts",
+        original: "return this.#beginning.heldBytes + ",
+        replacement: "return ",
+        tests: ["src/entry/connections/parserFeeds.test.ts"],
+    },
     {
         name: "CONFIG: all connections that bring much are read in one turn",
         file: "src/transport/readTurns.ts",
--- a/src/entry/connections/_chunks.ts
+++ b/src/entry/connections/_chunks.ts
@@ -30,7 +30,9 @@
     | { readonly type: "chunk"; readonly bytes: number; }
     /** A size whose line is not there whole. */
     | { readonly type: "incomplete"; }
-    /** The last chunk, or bytes that only the parser understands. */
+    /** The line of the last chunk, behind which trailers or an empty line come. */
+    | { readonly type: "last"; readonly bytes: number; }
+    /** Bytes that only the parser understands. */
     | { readonly type: "other"; };
 
 interface ChunkSize {
@@ -70,8 +72,7 @@
     if (position + 1 >= bytes.length) {
         return "incomplete";
     }
-    const isSize = bytes[position + 1] === LINE_FEED && size > 0;
-    return isSize ? { type: "size", size, lineBytes: digits + LINE_END_BYTES } : "other";
+    return bytes[position + 1] === LINE_FEED ? { type: "size", size, lineBytes: digits + LINE_END_BYTES } : "other";
 }
 
 /** Returns room for the line with the size, and for what may be joined of the bytes. */
@@ -101,6 +102,12 @@
             }
             break;
         }
+        if (line.size === 0) {
+            if (chunks === 0) {
+                return { type: "last", bytes: line.lineBytes };
+            }
+            break;
+        }
         const dataStart = position + line.lineBytes;
         const end = dataStart + line.size + LINE_END_BYTES;
         const isJoined = line.size <= SMALL_CHUNK_BYTES && end <= bytes.length
--- a/src/entry/connections/_connectionFeed.ts
+++ b/src/entry/connections/_connectionFeed.ts
@@ -5,9 +5,10 @@
  */
 import { type IncomingMessage } from "node:http";
 import { type Socket } from "node:net";
-import { freeBytes, type MemoryReservation } from "../../memory/index.js";
+import { freeBytes, GrowingBuffer, type MemoryReservation } from "../../memory/index.js";
 import { readHandleOf } from "../../transport/index.js";
-import { type BodyForm, bodyFormOf, measurePart } from "./_requestParts.js";
+import { unfinishedFieldsMemory } from "./_requestHead.js";
+import { countLines, endsFields, measurePart, positionBehindHead, type ReadPosition } from "./_requestParts.js";
 
 /** Reads at least this large are freed without waiting for their collection. */
 const FREED_BYTES = 16 * 1024;
@@ -15,6 +16,9 @@
 /** Parts of one read that are parsed at once, where they belong to one body; of requests, two are. */
 const FIRST_PARTS = 8;
 
+/** Memory that header fields without their end may take while memory is short, so that whole requests find room. */
+const SHORT_FIELDS_BYTES = 4 * 1024;
+
 const NO_BYTES = Buffer.alloc(0);
 
 /** Options of {@linkcode ConnectionFeed}. */
@@ -23,6 +27,10 @@
     readonly parse: (bytes: Buffer) => void;
     /** Holds the memory of what is not yet parsed. */
     readonly reservation: MemoryReservation;
+    /** Returns whether less than half of the memory for what is not yet parsed is left. */
+    readonly isMemoryShort: () => boolean;
+    /** Length from which header fields are parsed before they are whole, so that the parser refuses too long ones. */
+    readonly maximumFieldsBytes: number;
     /** Requests that may be unanswered when the next is parsed. */
     readonly maximumUnanswered: number;
     /** There is more to parse, and it may be parsed now. */
@@ -37,9 +45,12 @@
     readonly #options: ConnectionFeedOptions;
     #read: Buffer = NO_BYTES;
     #offset = 0;
-    /** A few bytes that mean something only with what follows them. */
-    #beginning: Buffer = NO_BYTES;
-    #body: BodyForm = { type: "none" };
+    /** Bytes that are parsed with what follows them: header fields without their end, or a few others. */
+    readonly #beginning = new GrowingBuffer();
+    /** Lines of header fields or trailers without their end that the parser has, and their length. */
+    #openLines = 0;
+    #openBytes = 0;
+    #position: ReadPosition = { type: "none" };
     #unanswered = 0;
     #isReading = true;
     #isEnded = false;
@@ -65,7 +76,7 @@
 
     /** Records a request whose head was parsed. */
     beginRequest(message: IncomingMessage): void {
-        this.#body = bodyFormOf(message);
+        this.#position = positionBehindHead(message);
         this.#unanswered += 1;
     }
 
@@ -78,15 +89,17 @@
     /** Parses the next part; keeps the beginning of one of which more must be read. */
     parsePart(): void {
         const rest = this.#read.subarray(this.#offset);
-        const { body, bytes, replacement } = measurePart(rest, this.#body);
-        this.#body = body;
+        const { bytes, next, replacement } = measurePart(rest, this.#position, this.#options.maximumFieldsBytes);
+        this.#position = next;
         if (bytes === 0) {
-            this.#beginning = Buffer.from(rest);
+            this.#beginning.append(rest);
             this.#dropRead();
             return;
         }
         this.#offset += bytes;
-        this.#options.parse(replacement ?? (bytes === this.#read.length ? this.#read : rest.subarray(0, bytes)));
+        const part = replacement ?? (bytes === this.#read.length ? this.#read : rest.subarray(0, bytes));
+        this.#options.parse(part);
+        this.#recordParsed(part);
         if (!this.hasUnparsed) {
             this.#dropRead();
         }
@@ -95,15 +108,7 @@
     /** Reads on once nothing is left, and reserves memory for what is left. */
     settle(): void {
         const { onNoRoom, onReady, reservation } = this.#options;
-        if (!this.hasUnparsed && reservation.bytes === 0) {
-            this.#updateReading();
-            return;
-        }
-        const leftBytes = this.hasUnparsed && !this.#isEnded ? this.#read.length : 0;
-        if (leftBytes < reservation.bytes) {
-            reservation.release(reservation.bytes - leftBytes);
-        }
-        else if (!reservation.tryReserve(leftBytes - reservation.bytes)) {
+        if (!this.#tryReserve(reservation)) {
             this.end();
             onNoRoom();
             return;
@@ -118,6 +123,9 @@
     end(): void {
         this.#isEnded = true;
         this.#dropRead();
+        this.#beginning.take();
+        this.#openLines = 0;
+        this.#openBytes = 0;
         this.#options.reservation.release();
         this.#updateReading();
     }
@@ -131,19 +139,61 @@
         if (this.#isEnded) {
             return;
         }
-        const before = this.hasUnparsed ? this.#read.subarray(this.#offset) : this.#beginning;
-        this.#read = before.length > 0 ? Buffer.concat([before, bytes]) : bytes;
-        this.#beginning = NO_BYTES;
-        this.#offset = 0;
+        this.#add(bytes);
         for (let parts = 0; parts < FIRST_PARTS && this.isReady; parts += 1) {
             this.parsePart();
-            if (parts > 0 && this.#body.type === "none") {
+            if (this.#openLines > 0 || (parts > 0 && this.#position.type === "none")) {
                 break;
             }
         }
         this.settle();
     }
 
+    /** Adds what was read to what is to be parsed, or to header fields that are still without their end. */
+    #add(bytes: Buffer): void {
+        if (this.hasUnparsed) {
+            this.#read = Buffer.concat([this.#read.subarray(this.#offset), bytes]);
+        }
+        else if (this.#beginning.length === 0) {
+            this.#read = bytes;
+        }
+        else {
+            const searchedBytes = this.#beginning.length;
+            this.#beginning.append(bytes);
+            this.#read = this.#isBeginningWhole(searchedBytes) ? this.#beginning.take() : NO_BYTES;
+        }
+        this.#offset = 0;
+    }
+
+    #isBeginningWhole(searchedBytes: number): boolean {
+        return this.#position.type !== "fields" || this.#beginning.length >= this.#options.maximumFieldsBytes
+            || endsFields(this.#beginning.bytes, searchedBytes);
+    }
+
+    /** Counts what the parser keeps of header fields or trailers until they are whole. */
+    #recordParsed(part: Buffer): void {
+        const isOpen = this.#position.type === "long-fields"
+            || (this.#position.type === "unknown" && !this.#position.message.complete);
+        this.#openLines = isOpen ? this.#openLines + countLines(part) : 0;
+        this.#openBytes = isOpen ? Math.min(this.#openBytes + part.length, this.#options.maximumFieldsBytes) : 0;
+    }
+
+    get #unfinishedFieldsBytes(): number {
+        return this.#beginning.heldBytes + unfinishedFieldsMemory(this.#openLines, this.#openBytes);
+    }
+
+    /** Reserves memory for what is left, or releases some; returns false where there is no room. */
+    #tryReserve(reservation: MemoryReservation): boolean {
+        const fieldsBytes = this.#unfinishedFieldsBytes;
+        const addedBytes = (this.hasUnparsed ? this.#read.length : 0) + fieldsBytes - reservation.bytes;
+        if (this.#isEnded || addedBytes <= 0) {
+            reservation.release(this.#isEnded ? reservation.bytes : -addedBytes);
+            return true;
+        }
+        const isTooLarge = fieldsBytes > SHORT_FIELDS_BYTES && this.#options.isMemoryShort();
+        return !isTooLarge && reservation.tryReserve(addedBytes);
+    }
+
     #continue(): void {
         if (this.isReady) {
             this.#options.onReady();
--- a/src/entry/connections/_requestHead.ts
+++ b/src/entry/connections/_requestHead.ts
@@ -11,6 +11,9 @@
 /** Memory of the name or value of a header field beside its characters: a string, and its places in lists and objects. */
 const TEXT_BYTES = 56;
 
+/** Header fields that Node's parser keeps of a head or of trailers. */
+const MAXIMUM_FIELDS = 2_000;
+
 /** Returns the length of a request's URL and of the names and values of its header fields, without separators. */
 export function headBytes({ rawHeaders, url = "" }: IncomingMessage): number {
     return rawHeaders.reduce((total, text) => total + text.length, url.length);
@@ -23,6 +26,16 @@
     return headBytes(message) + message.rawHeaders.length * TEXT_BYTES;
 }
 
+/**
+ * Returns the memory that the parser takes, at most, for header fields or trailers without their end.
+ *
+ * @param lines Number of their lines that were parsed.
+ * @param bytes Length of these.
+ */
+export function unfinishedFieldsMemory(lines: number, bytes: number): number {
+    return bytes + Math.min(lines, MAXIMUM_FIELDS) * 2 * TEXT_BYTES;
+}
+
 /** Returns the beginning of a text in memory of its own: a part of a string keeps the whole of it. */
 function copyBeginning(text: string): string {
     return text.length <= KEPT_URL_CHARACTERS ? text : Buffer.from(text.slice(0, KEPT_URL_CHARACTERS)).toString();
--- a/src/entry/connections/parserFeeds.test.ts
+++ b/src/entry/connections/parserFeeds.test.ts
@@ -3,12 +3,17 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { test, type TestContext } from "node:test";
+import { until } from "../../../tests/support/entrySite.js";
 import { MemoryBudget } from "../../memory/index.js";
 import { ParserFeeds, type ParserFeedsOptions } from "./parserFeeds.js";
 
 const SEED = 66;
 const RUNS = 150;
 
+/** Time between two looks of a server at the time limits of its connections. */
+const CHECK_MILLISECONDS = 50;
+const HEADER_MILLISECONDS = 300;
+
 interface Site {
     readonly server: Server;
     readonly received: string[];
@@ -21,7 +26,7 @@
 async function startSite(context: TestContext, options: Partial<ParserFeedsOptions> = {}): Promise<Site> {
     const received: string[] = [];
     const events = { pieces: 0 };
-    const server = createServer((message, response) => {
+    const server = createServer({ connectionsCheckingInterval: CHECK_MILLISECONDS }, (message, response) => {
         let body = "";
         message.on("data", (piece: Buffer) => {
             events.pieces += 1;
@@ -71,12 +76,21 @@
     isUpperCase: fc.boolean(),
 });
 const request = fc.oneof(
-    fc.constant({ bytes: "GET /none HTTP/1.1\r\nHost: h\r\n\r\n", received: "GET /none " }),
+    fc.constantFrom(
+        "GET /none HTTP/1.1\r\nHost: h\r\n\r\n",
+        "\r\nGET /none HTTP/1.1\r\nHost: h\r\nX-Empty:\r\nX-Last: 1\r\n\r\n",
+        // Its fields are within the parser's limit, which does not count blanks, and beyond what is kept unparsed.
+        `GET /none HTTP/1.1\r\nHost: h\r\nX-Wide:${" ".repeat(17_000)}y\r\nX-Last: 1\r\n\r\n`,
+    ).map(bytes => ({ bytes, received: "GET /none " })),
     text.map(body => ({
         bytes: `POST /sized HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
         received: `POST /sized ${body}`,
     })),
-    fc.tuple(fc.array(chunk, { maxLength: 20 }), fc.constantFrom("", "X-Trailer: 1\r\n")).map(([chunks, trailer]) => {
+    fc.tuple(
+        fc.array(chunk, { maxLength: 20 }),
+        fc.constantFrom("", "", ";a=b"),
+        fc.constantFrom("", "X-Trailer: 1\r\n", "X-Trailer: 1\r\nX-Last:\r\n"),
+    ).map(([chunks, lastExtension, trailer]) => {
         const sizes = chunks.map(({ data, extension, isUpperCase }) => {
             const size = data.length.toString(16);
             return `${isUpperCase ? size.toUpperCase() : size}${extension}\r\n${data}\r\n`;
@@ -84,7 +98,7 @@
         return {
             bytes: `POST /chunks HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n${
                 sizes.join("")
-            }0\r\n${trailer}\r\n`,
+            }0${lastExtension}\r\n${trailer}\r\n`,
             received: `POST /chunks ${chunks.map(({ data }) => data).join("")}`,
         };
     }),
@@ -149,3 +163,42 @@
     );
     assert.deepEqual(site.received, []);
 });
+
+// Guards against a head that is kept unparsed and never given up: the parser counts the time from its first byte.
+test("a head without its end on a connection that is kept is given up after its time limit", async context => {
+    const site = await startSite(context);
+    Object.assign(site.server, { headersTimeout: HEADER_MILLISECONDS });
+    const errors: unknown[] = [];
+    site.server.on("clientError", ({ code }: NodeJS.ErrnoException, socket) => {
+        errors.push(code);
+        socket.destroy();
+    });
+    await site.send(["GET /none HTTP/1.1\r\nHost: h\r\n\r\n", "GET /none HTTP/1.1\r\nHost: h\r\nX-Open: 1\r\n"]);
+    assert.deepEqual([site.received, errors], [["GET /none "], ["ERR_HTTP_REQUEST_TIMEOUT"]]);
+});
+
+// Guards against crowds whose heads without their end take the memory of the machine, or that of whole requests.
+test("heads without their end are counted, and refused while memory is short", async context => {
+    const memory = new MemoryBudget({ machineBytes: 1_000_000 });
+    let refused = 0;
+    const site = await startSite(context, {
+        memory,
+        onNoRoom: socket => {
+            refused += 1;
+            socket.destroy();
+        },
+    });
+    const head = `GET /none HTTP/1.1\r\nHost: h\r\n${"X-Many: 1\r\n".repeat(1_000)}`;
+    const sockets = Array.from({ length: 10 }, () => {
+        const socket = connect((site.server.address() as AddressInfo).port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(head);
+        return socket;
+    });
+    await until(() => refused > 0);
+    const heldBytes = memory.reservedBytes("requests");
+    assert.ok(heldBytes >= head.length && heldBytes < sockets.length * head.length, `${heldBytes} bytes`);
+    assert.match(await site.send([`GET /last HTTP/1.1\r\nHost: h\r\n\r\n`]), /^HTTP\/1.1 200/);
+    sockets.forEach(socket => socket.destroy());
+    await until(() => memory.reservedBytes("requests") === 0);
+});
--- a/src/entry/connections/parserFeeds.ts
+++ b/src/entry/connections/parserFeeds.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, maxHeaderSize, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { type Duplex } from "node:stream";
 import { type MemoryBudget } from "../../memory/index.js";
@@ -30,6 +30,11 @@
     readonly onNoRoom: (socket: Duplex) => void;
 }
 
+/** Returns the limit for the header fields of a server's connections that begin now, which Node's types do not name. */
+function headerBytesOf(server: Server): number {
+    return (server as Server & { readonly maxHeaderSize?: number; }).maxHeaderSize ?? maxHeaderSize;
+}
+
 /**
  * Hands what the connections of servers bring to their parsers in parts that hold one request, or a bounded number of
  * chunks. The first parts of a read are parsed at once; the rest in turns with other connections, while its connection
@@ -54,7 +59,7 @@
 
     /** Takes over the connections of a server; to be called once its own listeners are set, before it listens. */
     attach(server: Server): void {
-        server.on("connection", (socket: Socket) => this.#add(socket));
+        server.on("connection", (socket: Socket) => this.#add(socket, headerBytesOf(server)));
         const begin = (message: IncomingMessage, response: ServerResponse): void => this.#begin(message, response);
         server.prependListener("request", begin);
         // Without a listener Node itself answers an unknown expectation.
@@ -75,7 +80,7 @@
     }
 
     /** Node reads a connection in its own code until somebody else listens for its data. */
-    #add(socket: Socket): void {
+    #add(socket: Socket, maximumFieldsBytes: number): void {
         const [parse] = socket.listeners("data") as ((bytes: Buffer) => void)[];
         if (parse === undefined) {
             return;
@@ -84,6 +89,8 @@
         const feed: ConnectionFeed = new ConnectionFeed(socket, {
             parse,
             reservation: memory.begin("requests"),
+            isMemoryShort: () => memory.isShortFor("requests"),
+            maximumFieldsBytes,
             maximumUnanswered,
             onReady: () => this.#schedule(feed),
             onNoRoom: () => onNoRoom(socket),
--- a/src/memory/growingBuffer.ts
+++ b/src/memory/growingBuffer.ts
@@ -34,6 +34,11 @@
         return this.#bytes.length;
     }
 
+    /** All bytes, until more are appended or they are taken. */
+    get bytes(): Buffer {
+        return this.#bytes.subarray(0, this.#length);
+    }
+
     append(piece: Buffer): void {
         const length = this.#length + piece.length;
         if (length > this.#bytes.length) {
@@ -47,7 +52,7 @@
 
     /** Returns all bytes, and is empty again. */
     take(): Buffer {
-        const bytes = this.#bytes.subarray(0, this.#length);
+        const { bytes } = this;
         this.#bytes = NO_BYTES;
         this.#length = 0;
         return bytes;
--- a/tests/support/hostileCrowd.ts
+++ b/tests/support/hostileCrowd.ts
@@ -74,13 +74,34 @@
     return Buffer.from(`${renderHead("POST", path, id)}Transfer-Encoding: chunked\r\n\r\n${chunk.repeat(chunks)}`);
 }
 
+function renderFields(): string {
+    return joinTexts(FIELDS, index => `${index.toString(36).padStart(FIELD_NAME_LENGTH, "f")}:1\r\n`).toString();
+}
+
 /** Renders pipelined requests of about 16 KB in fields of a few bytes. */
 export function manyFields(path: string, requests: number, id: string): Buffer {
-    const fields = joinTexts(FIELDS, index => `${index.toString(36).padStart(FIELD_NAME_LENGTH, "f")}:1\r\n`);
-    const text = fields.toString();
+    const text = renderFields();
     return joinTexts(requests, index => `${renderHead("GET", path, `${id}-${index}`)}${text}\r\n`);
 }
 
+/** Renders the head of a request in fields of a few bytes, without its end, behind a whole request. */
+export function unfinishedHead(path: string, id: string): Buffer {
+    return Buffer.from(
+        `${renderHead("GET", path, `${id}-whole`)}\r\n${renderHead("GET", path, id)}${renderFields()}`,
+    );
+}
+
+/**
+ * Renders a request whose body in chunks ends with trailers in fields of a few bytes, without their end.
+ *
+ * @param extension Stands behind the size of the last chunk.
+ */
+export function unfinishedTrailers(path: string, id: string, extension = ""): Buffer {
+    return Buffer.from(
+        `${renderHead("POST", path, id)}Transfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0${extension}\r\n${renderFields()}`,
+    );
+}
+
 /** Renders a request whose body of a stated length lacks its last byte. */
 export function shortBody(path: string, lengthBytes: number, id: string): Buffer {
     const head = `${renderHead("POST", path, id)}Content-Length: ${lengthBytes}\r\n\r\n`;
