Keep no demand for models that no engine may run

Cause: the demand of a request was recorded under whatever name it carried, before anything asked whether there is such a model. A name of 15,000 letters stayed until its demand had decayed, and in the meter of prompts until the host had measured how fast engines read; none of it is in the memory budget.

Change: demand is kept for models that the configuration lists for the engines of a service, or that an engine has held. Moves are planned for configured models only, so demand under any other name had no use; it also counted for whether there is any demand.

--- a/src/entry/entryHost.ts
+++ b/src/entry/entryHost.ts
@@ -66,7 +66,7 @@
     readonly #rateLimiting: RateLimiting;
     readonly #quotas: AccountQuotas;
     #quotaHosts = { count: 1, hearsPeers: true };
-    readonly #demand = new SiteDemand();
+    readonly #demand = new SiteDemand({ mayRun: model => this.#mayRun(model) });
     readonly #budget: SharedRetryBudget;
     readonly #peers: PeerTable;
     readonly #gossip: HostGossip;
@@ -400,6 +400,12 @@
         this.#wakes.request();
     }
 
+    /** Returns whether a model is configured, or some engine has held it. */
+    #mayRun(model: string): boolean {
+        return this.#store.configuration.table?.hasModel(model) === true
+            || this.#upstreams.residency.changesOf(model) > 0;
+    }
+
     #hostsNeedingDemand(): ReadonlySet<string> {
         const engineCount = this.#upstreams.view.all().length;
         return hostsNeedingDemand({ duties: this.#duties, peers: this.#peers, engineCount }, this.#now());
--- a/src/entry/siteDemand.test.ts
+++ b/src/entry/siteDemand.test.ts
@@ -3,7 +3,7 @@
 import { SiteDemand } from "./siteDemand.js";
 
 test("total demand adds up the host's demand and that published by peers within two seconds", () => {
-    const demand = new SiteDemand();
+    const demand = new SiteDemand({ mayRun: () => true });
     demand.add({ model: "quotes", namesAdapter: true, work: 1_000, promptTokens: 700 }, 0);
     const own = demand.hostDemand(0).demand["quotes"] ?? 0;
     assert.ok(own > 0);
@@ -17,7 +17,16 @@
 });
 
 test("requests without an adapter do not count as adapter demand", () => {
-    const demand = new SiteDemand();
+    const demand = new SiteDemand({ mayRun: () => true });
     demand.add({ model: "quotes", namesAdapter: false, work: 1_000, promptTokens: 700 }, 0);
     assert.deepEqual(demand.hostDemand(0).adapterDemand, {});
 });
+
+test("names of models that no engine may run are kept as demand", () => {
+    const demand = new SiteDemand({ mayRun: model => model === "quotes" });
+    for (const model of ["quotes", "none"]) {
+        demand.add({ model, namesAdapter: true, work: 1_000, promptTokens: 700 }, 0);
+    }
+    assert.deepEqual([...demand.total("demand", 0).keys()], ["quotes"]);
+    assert.deepEqual([...demand.total("adapterDemand", 0).keys()], ["quotes"]);
+});
--- a/src/entry/siteDemand.ts
+++ b/src/entry/siteDemand.ts
@@ -27,18 +27,25 @@
     readonly promptTokens: number;
 }
 
+/** Options of {@linkcode SiteDemand}. */
+export interface SiteDemandOptions {
+    /** Returns whether any engine may run a model; what callers ask of others is not kept. */
+    readonly mayRun: (model: string) => boolean;
+}
+
 /**
  * Adds this host's demand to that which its peers published recently.
  *
  * @example
  * ```ts
- * const demand = new SiteDemand();
+ * const demand = new SiteDemand({ mayRun: model => configuredModels.has(model) });
  * demand.add({ model: "quotes", namesAdapter: false, work: 320, promptTokens: 700 }, now);
  * demand.recordPeerDemand("entry-2", digest, now);
  * demand.total("demand", now); // Map { "quotes" => 4.1 }
  * ```
  */
 export class SiteDemand {
+    readonly #options: SiteDemandOptions;
     readonly #requests = new DemandMeter();
     readonly #adapterRequests = new DemandMeter();
     readonly #prompts = new DemandMeter();
@@ -46,8 +53,15 @@
     #meanRunMilliseconds: number | undefined;
     readonly #peers = new Map<string, PublishedDemand & { readonly atMilliseconds: number; }>();
 
+    constructor(options: SiteDemandOptions) {
+        this.#options = options;
+    }
+
     /** Records a request of one of this host's callers. */
     add({ model, namesAdapter, promptTokens, work }: DemandedWork, nowMilliseconds: number): void {
+        if (!this.#options.mayRun(model)) {
+            return;
+        }
         this.#requests.add(model, work, nowMilliseconds);
         this.#prompts.add(model, promptTokens, nowMilliseconds);
         if (namesAdapter) {
--- a/src/routes/routeTable.ts
+++ b/src/routes/routeTable.ts
@@ -17,6 +17,8 @@
     /** Returns the route with the longest prefix that matches the path; `undefined` where none does. */
     match(hostName: string, path: string): Route | undefined;
     service(name: string): ServiceDefinition | undefined;
+    /** Returns whether the engines of a service can run a model. */
+    hasModel(name: string): boolean;
     readonly resumableStreams: ResumableStreams;
     /** `undefined` where no accounts are configured. */
     readonly accounts: AccountDirectory | undefined;
@@ -59,6 +61,9 @@
     }
     const { accounts = [] } = configuration;
     const services = new Map(configuration.services.map(service => [service.name, service]));
+    const models = new Set(
+        configuration.services.flatMap(({ engine }) => engine?.models ?? []).map(model => model.name),
+    );
     return {
         version: configuration.version,
         configuration,
@@ -71,6 +76,7 @@
             return prefix === undefined ? undefined : routes.get(prefix);
         },
         service: name => services.get(name),
+        hasModel: name => models.has(name),
         resumableStreams: resumableStreams(configuration.routes),
         accounts: accounts.length === 0 ? undefined : new AccountDirectory(accounts),
     };
--- a/tests/support/hostileCrowd.ts
+++ b/tests/support/hostileCrowd.ts
@@ -45,6 +45,8 @@
 const FIELDS = 2_280;
 const FIELD_NAME_LENGTH = 3;
 
+const MODEL_CHARACTERS = 15_000;
+
 /** Equal callers, of which each opens one connection. */
 export interface CrowdPart {
     readonly connections: number;
@@ -102,6 +104,15 @@
     );
 }
 
+/** Renders pipelined requests of about 15 KB, each for another model. */
+export function manyModels(path: string, requests: number, id: string): Buffer {
+    return joinTexts(requests, index => {
+        const model = `${id}-${index}`.padEnd(MODEL_CHARACTERS, "m");
+        return `${renderHead("GET", path, `${id}-${index}`)}Flamingospread-Model: ${model}\r\n`
+            + "Flamingospread-Token-Count: 543,280\r\nFlamingospread-Deadline-Ms: 1000\r\n\r\n";
+    });
+}
+
 /** Renders a request whose body of a stated length lacks its last byte. */
 export function shortBody(path: string, lengthBytes: number, id: string): Buffer {
     const head = `${renderHead("POST", path, id)}Content-Length: ${lengthBytes}\r\n\r\n`;
