Read chunk sizes that carry an extension

Now a line with an extension is read like one without; its chunk is handed on as it came. A body is left to the parser where the line of a size is malformed, or where an extension of 256 bytes and more is not there whole.

--- a/src/entry/connections/_chunks.ts
+++ b/src/entry/connections/_chunks.ts
@@ -13,6 +13,9 @@
 /** Digits of the size of a chunk that is read here. */
 const MAXIMUM_DIGITS = 6;
 
+/** Length of an extension that is read here where its line is not there whole. */
+const MAXIMUM_OPEN_EXTENSION_BYTES = 256;
+
 /** Length of the line with the size of a joined chunk. */
 const SIZE_LINE_BYTES = 8;
 
@@ -20,6 +23,7 @@
 
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
+const SEMICOLON = 0x3b;
 const LINE_END_BYTES = 2;
 
 /** The beginning of a body in chunks, from the beginning of a chunk on. */
@@ -40,6 +44,7 @@
     readonly size: number;
     /** Length of the line with the size. */
     readonly lineBytes: number;
+    readonly hasExtension: boolean;
 }
 
 function digitOf(code: number | undefined): number {
@@ -53,7 +58,16 @@
     return letter >= 0x61 && letter <= 0x66 ? letter - 0x61 + 10 : -1;
 }
 
-/** Reads the line with the size of a chunk; one with an extension is left to the parser. */
+/** Returns the length of a line from its extension on; a long one that is not there whole is left to the parser. */
+function measureExtension(bytes: Buffer, start: number): number | "incomplete" | "other" {
+    const end = bytes.indexOf(LINE_FEED, start);
+    if (end === -1) {
+        return bytes.length - start < MAXIMUM_OPEN_EXTENSION_BYTES ? "incomplete" : "other";
+    }
+    return bytes[end - 1] === CARRIAGE_RETURN ? end + 1 - start : "other";
+}
+
+/** Reads the line with the size of a chunk. */
 function readSize(bytes: Buffer, start: number): ChunkSize | "incomplete" | "other" {
     let size = 0;
     let position = start;
@@ -65,6 +79,12 @@
         size = size * 16 + digit;
     }
     const digits = position - start;
+    if (digits > 0 && digits <= MAXIMUM_DIGITS && bytes[position] === SEMICOLON) {
+        const rest = measureExtension(bytes, position);
+        return typeof rest === "string"
+            ? rest
+            : { type: "size", size, lineBytes: digits + rest, hasExtension: true };
+    }
     const isOver = position < bytes.length;
     if (digits > MAXIMUM_DIGITS || (isOver && (digits === 0 || bytes[position] !== CARRIAGE_RETURN))) {
         return "other";
@@ -72,7 +92,9 @@
     if (position + 1 >= bytes.length) {
         return "incomplete";
     }
-    return bytes[position + 1] === LINE_FEED ? { type: "size", size, lineBytes: digits + LINE_END_BYTES } : "other";
+    return bytes[position + 1] === LINE_FEED
+        ? { type: "size", size, lineBytes: digits + LINE_END_BYTES, hasExtension: false }
+        : "other";
 }
 
 /** Returns room for the line with the size, and for what may be joined of the bytes. */
@@ -110,7 +132,7 @@
         }
         const dataStart = position + line.lineBytes;
         const end = dataStart + line.size + LINE_END_BYTES;
-        const isJoined = line.size <= SMALL_CHUNK_BYTES && end <= bytes.length
+        const isJoined = !line.hasExtension && line.size <= SMALL_CHUNK_BYTES && end <= bytes.length
             && hasLineEnd(bytes, end - LINE_END_BYTES);
         if (!isJoined) {
             if (chunks === 0) {
