Take all header fields of a request

Cause: Node's server drops fields beyond 1,000 without an error (maxHeadersCount); the host took what was left for the request.

Change: the callers' server has no limit on the number of fields; their bytes are limited as before. What the parser may keep of unfinished fields is bounded by their bytes, no longer by Node's number.

The stand-in of upstreams had the same limit, so it could not have told.

Not changed: answers with more than 1,000 fields still lose some. Without the limit the head of an answer of 16 KiB may become 1.8 MB that no budget counts.

--- a/src/entry/connections/_requestHead.ts
+++ b/src/entry/connections/_requestHead.ts
@@ -11,9 +11,6 @@
 /** Memory of the name or value of a header field beside its characters: a string, and its places in lists and objects. */
 const TEXT_BYTES = 56;
 
-/** Header fields that Node's parser keeps of a head or of trailers. */
-const MAXIMUM_FIELDS = 2_000;
-
 /** Returns the length of a request's URL and of the names and values of its header fields, without separators. */
 export function headBytes({ rawHeaders, url = "" }: IncomingMessage): number {
     return rawHeaders.reduce((total, text) => total + text.length, url.length);
@@ -30,10 +27,10 @@
  * Returns the memory that the parser takes, at most, for header fields or trailers without their end.
  *
  * @param lines Number of their lines that were parsed.
- * @param bytes Length of these.
+ * @param bytes Length of these, up to the limit for headers; a field has at least one.
  */
 export function unfinishedFieldsMemory(lines: number, bytes: number): number {
-    return bytes + Math.min(lines, MAXIMUM_FIELDS) * 2 * TEXT_BYTES;
+    return bytes + Math.min(lines, bytes) * 2 * TEXT_BYTES;
 }
 
 /** Returns the beginning of a text in memory of its own: a part of a string keeps the whole of it. */
--- a/src/entry/connections/callerConnection.ts
+++ b/src/entry/connections/callerConnection.ts
@@ -26,9 +26,12 @@
 /** Memory of a request beside its body: its connection, a usual head, and what is known of it until it is answered. */
 const REQUEST_BYTES = 20 * 1024;
 
-/** The part of these that is for the head; what a longer one has beyond it counts, too. */
+/** The part of these that is for the head; what a longer one has beyond it counts as often as it is held. */
 const USUAL_HEAD_BYTES = 4 * 1024;
 
+/** A head is held as it was received, and as it is sent on. */
+const HEADS_OF_REQUEST = 2;
+
 /** Memory of a request that was refused, until it is answered. */
 const REFUSED_BYTES = 4 * 1024;
 
@@ -92,7 +95,7 @@
     options: ReadBodyOptions,
     onRead: (body: Buffer, problem: RequestProblem | undefined) => void,
 ): void {
-    const wantedBytes = REQUEST_BYTES + Math.max(0, headMemory(message) - USUAL_HEAD_BYTES);
+    const wantedBytes = REQUEST_BYTES + HEADS_OF_REQUEST * Math.max(0, headMemory(message) - USUAL_HEAD_BYTES);
     const hasRoom = options.held.reservation.tryReserve(wantedBytes);
     const foundProblem = problem ?? (hasRoom ? undefined : "no-room-for-bodies");
     if (foundProblem !== undefined) {
--- a/src/entry/hostServers.ts
+++ b/src/entry/hostServers.ts
@@ -174,6 +174,8 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
             noDelay: true,
         }, (message, response) => this.#accept(message, response));
+        // Node drops fields beyond the limit without an error; their bytes are limited.
+        server.maxHeadersCount = 0;
         server.on("connection", (socket: Duplex) => this.#connections.recordAccepted(socket));
         server.on(
             "checkExpectation",
--- a/standins/platform/_restartableServer.ts
+++ b/standins/platform/_restartableServer.ts
@@ -67,6 +67,8 @@
             { keepAliveTimeout: KEEP_ALIVE_MILLISECONDS, maxHeaderSize: MAXIMUM_HEADER_BYTES },
             this.#handle,
         );
+        // Node would drop fields beyond a number of them.
+        server.maxHeadersCount = 0;
         server.on("connection", socket => {
             this.#sockets.add(socket);
             if (!this.#reads) {
--- a/tests/entryForwarding.test.ts
+++ b/tests/entryForwarding.test.ts
@@ -87,6 +87,23 @@
     assert.equal(answer.headers["flamingospread-request-id"], "unchanged");
 });
 
+// Guards against engines that run another request than the caller's: Node drops fields beyond a number of them.
+test("fields behind very many short ones do not reach the upstream", async () => {
+    const many = Object.fromEntries(Array.from({ length: 1_200 }, (_, index) => [`x-${index.toString(36)}`, "1"]));
+    const last = { "Flamingospread-Token-Count": "543,280", "Flamingospread-Prompt-Prefix": "5c1e07a2:800" };
+    await callHost(host, {
+        path: "/orders/1",
+        id: "many-fields",
+        headers: { ...many, ...last, "Flamingospread-Deadline-Ms": "1500" },
+    });
+    const [execution] = executionsOf(site, "many-fields");
+    const headers = execution?.headers ?? {};
+    assert.deepEqual(Object.keys(many).filter(name => headers[name] !== "1"), []);
+    assert.equal(headers["flamingospread-token-count"], last["Flamingospread-Token-Count"]);
+    assert.equal(headers["flamingospread-prompt-prefix"], last["Flamingospread-Prompt-Prefix"]);
+    assert.ok(Number(headers["flamingospread-deadline-ms"]) <= 1_500);
+});
+
 test("an order whose connection is lost is not retried and not reported as not run", async () => {
     const answer = await callHost(host, {
         path: "/orders/1",
