Report answers whose fields Node's parser refuses itself

Six tests of broken heads failed on x86-64 with Node.js 20.20.2 (llhttp 9.3.1) and stood in KNOWN-RED. There the parser refuses a name of a field with a blank itself (HPE_INVALID_HEADER_TOKEN), before the host sees a head: the answer counted as none, as it must, but no log line and no counter said that it was broken, so an operator saw a lost connection.

Change: receiveAnswer takes that error of the request for the fault `field`, unless the answer was complete by then; it listens before its callers do, so the report comes before the error. What becomes of the request is as before.

Measured: the six pass, with the 57 others of brokenAnswers, brokenHeads, unframedAnswers and upstreamCall (63 passed, 0 failed). On arm64 with Node.js 20.19 the parser lets such a name pass and the check of heads finds it; that way is unchanged, and not run here.

--- a/src/transport/answers/receiveAnswer.ts
+++ b/src/transport/answers/receiveAnswer.ts
@@ -9,6 +9,9 @@
 import { confirmConnectionEnd } from "./confirmConnectionEnd.js";
 import { findHeadFault, type ReceivedHead } from "./findHeadFault.js";
 
+/** Code of the parser's error for a field's name or value; which of them it refuses itself depends on its version. */
+const INVALID_FIELD = "HPE_INVALID_HEADER_TOKEN";
+
 /** Head of an answer that Node's HTTP client has read. */
 export interface AnswerHead extends ReceivedHead {
     readonly headers: IncomingHttpHeaders;
@@ -26,7 +29,8 @@
 }
 
 /**
- * Receives the final answer to a request.
+ * Receives the final answer to a request. To be called before other listeners for errors of the request are added, so that
+ * a broken answer is reported before its error.
  *
  * @param request The request, which need not have been sent.
  * @param options Callbacks for the answer.
@@ -40,7 +44,9 @@
  * ```
  */
 export function receiveAnswer(request: ClientRequest, { onAnswer, onBroken }: ReceiveAnswerOptions): void {
+    let received: IncomingMessage | undefined;
     const receive = (answer: IncomingMessage): void => {
+        received = answer;
         const { headers, rawHeaders, statusCode: status = 0 } = answer;
         const head = { status, headers, rawHeaders };
         const fault = findHeadFault(head);
@@ -55,6 +61,11 @@
         onAnswer(answer, head);
     };
     request.on("response", receive);
+    request.on("error", ({ code }: NodeJS.ErrnoException) => {
+        if (code === INVALID_FIELD && received?.complete !== true) {
+            onBroken("field");
+        }
+    });
     // An answer that changes the protocol, which nobody asked for, leaves its connection to the listener.
     request.on("upgrade", (answer, socket) => {
         receive(answer);
