Look at more than sixteen parts of a prompt for what crashes engines

Cause: only the first 16 different parts of a request were looked at, before those were left out that an answer excuses.

Change: up to 256 parts are looked at; of a lost request the first 16 that no answer excuses are suspected, and a report to peers names as many, as its schema asks. Requests of at most 16 parts are judged as before.

Tests: the deadly part behind 100 sound ones (failed before); reports stay within 16 parts. The test of the bound in _attributes asks for 256 now, since that bound is the one that changed; the 16 of reports, which it stood for, has a test of its own.

Not held: where more than 16 parts of each request are new, the deadly one is suspected only if it is among the first 16 of these.

--- a/src/crashes/_attributes.test.ts
+++ b/src/crashes/_attributes.test.ts
@@ -9,7 +9,7 @@
 });
 
 test("a caller's prompt of many parts, the same part often or a long name is bounded", () => {
-    assert.equal(namesOfParts(Array.from({ length: 500 }, (_, index) => `p${index}`)).length, 16);
+    assert.equal(namesOfParts(Array.from({ length: 500 }, (_, index) => `p${index}`)).length, 256);
     assert.deepEqual(namesOfParts(["a", "a", "b"]), ["part:a", "part:b"]);
     assert.ok(namePart("x".repeat(10_000)).length < 100);
 });
--- a/src/crashes/_attributes.ts
+++ b/src/crashes/_attributes.ts
@@ -8,8 +8,11 @@
 const PART_PREFIX = "part:";
 const REQUEST_PREFIX = "request:";
 
-/** Parts of a request beyond this number are not suspected; a prompt rarely has more. */
-const MAXIMUM_PARTS = 16;
+/** Parts of a request beyond this number are not looked at. */
+const MAXIMUM_PARTS = 256;
+
+/** Parts of a request that may be suspected at once; a report to peers names as many. */
+export const MAXIMUM_SUSPECTED_PARTS = 16;
 
 /** Longer names are cut, since they come from callers. */
 const MAXIMUM_NAME_LENGTH = 64;
--- a/src/crashes/_trials.ts
+++ b/src/crashes/_trials.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { hashText } from "../decision/index.js";
-import { namesOf } from "./_attributes.js";
+import { MAXIMUM_SUSPECTED_PARTS, namesOf } from "./_attributes.js";
 import { type RequestAttributes, type TrialClaim } from "./types.js";
 
 /** A peer's claim lapses this long after it was last renewed; covers two digests and a lost one. */
@@ -145,7 +145,7 @@
     /** Returns this host's requests with attributes under suspicion. */
     ownClaims(isSuspected: (attribute: string) => boolean): TrialClaim[] {
         return [...this.#sent.values()].flatMap(({ attributes, fingerprint }) => {
-            const suspected = attributes.filter(isSuspected);
+            const suspected = attributes.filter(isSuspected).slice(0, MAXIMUM_SUSPECTED_PARTS);
             return suspected.length === 0 ? [] : [{ fingerprint, attributes: suspected, ageMilliseconds: 0 }];
         });
     }
--- a/src/crashes/crashAttribution.test.ts
+++ b/src/crashes/crashAttribution.test.ts
@@ -63,6 +63,28 @@
     assert.equal(typeOf(host.verdict(withParts("r4", "shared", "deadly"), 4_000)), "refused");
 });
 
+// Guards against a part that crashes engines for ever since only the first parts of a prompt are looked at.
+test("a part behind many sound ones is convicted once it has crashed two upstreams", () => {
+    const host = createHost();
+    const sound = Array.from({ length: 100 }, (_, index) => `sound-${index}`);
+    answer(host, withParts("r0", ...sound), 900);
+    crash(host, withParts("r1", ...sound, "deadly"), "i-1/1", 1_000);
+    crash(host, withParts("r2", ...sound, "deadly"), "i-2/1", 2_000);
+    host.expire(4_000);
+    assert.equal(typeOf(host.verdict(withParts("r3", ...sound), 4_000)), "accepted");
+    assert.equal(typeOf(host.verdict(withParts("r4", ...sound, "deadly"), 4_000)), "refused");
+});
+
+test("reports name a bounded number of a request's parts, however many are suspected", () => {
+    const host = createHost();
+    const parts = Array.from({ length: 500 }, (_, index) => `new-${index}`);
+    crash(host, withParts("r1", ...parts), "i-1/1", 1_000);
+    host.recordSent(withParts("r2", ...parts), 1_100);
+    const { suspects, trials } = host.report(1_200);
+    assert.deepEqual(suspects.map(({ parts: suspected }) => suspected.length), [16]);
+    assert.deepEqual(trials.map(({ attributes }) => attributes.length), [16]);
+});
+
 test("a crash of many upstreams at one moment convicts nothing", () => {
     const host = createHost();
     for (let index = 0; index < 6; index += 1) {
--- a/src/crashes/crashAttribution.ts
+++ b/src/crashes/crashAttribution.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { isPart, nameRequest, namesOf, namesOfParts, partOf } from "./_attributes.js";
+import { isPart, MAXIMUM_SUSPECTED_PARTS, nameRequest, namesOf, namesOfParts, partOf } from "./_attributes.js";
 import { ConvictionDecision } from "./_convictionDecision.js";
 import { Convictions, describeConviction } from "./_convictions.js";
 import { CrashLog, type Loss } from "./_crashLog.js";
@@ -150,7 +150,9 @@
     /** Records that a request's connection ended before its answer had begun. */
     recordLost(attributes: RequestAttributes, incarnation: string, nowMilliseconds: number): void {
         this.#trials.recordEnded(attributes.fingerprint);
-        const names = namesOfParts(attributes.parts).filter(name => !this.#proofs.excuses(name, nowMilliseconds));
+        const names = namesOfParts(attributes.parts)
+            .filter(name => !this.#proofs.excuses(name, nowMilliseconds))
+            .slice(0, MAXIMUM_SUSPECTED_PARTS);
         const loss: Loss = {
             fingerprint: attributes.fingerprint,
             attributes: [...names, nameRequest(attributes.fingerprint)],
