--- a/src/entry/connections/_requestParts.ts
+++ b/src/entry/connections/_requestParts.ts
@@ -192,8 +192,8 @@
 }
 
 /**
- * Measures the next part to parse: the first line of a request, its header fields once they are whole, of a sized body or
- * a chunk what is there, of a body in chunks small ones joined, and of its trailers a bounded number of lines.
+ * Measures the next part to parse: the first line of a request; its header fields, or trailers, once they are whole; of a
+ * sized body or a chunk what is there; small chunks, joined; a bounded number of lines of what only the parser understands.
  *
  * @param bytes What is unparsed; not empty.
  * @param position What they belong to.
