Refuse unfinished fields for their own sum, not for memory that others hold

Cause, traced: refuses more than 4 KiB of fields without their end while less than half of the requests' memory is left, whoever holds it. Bodies held it there, so a slow caller with a head of over 4 KiB was refused in busy times, which was not so before.

Change: the fields of all connections of a port together may hold half of the requests' memory; what else holds memory does not matter, as long as there is room.

--- a/src/entry/connections/_connectionFeed.ts
+++ b/src/entry/connections/_connectionFeed.ts
@@ -16,8 +16,8 @@
 /** Parts of one read that are parsed at once, where they belong to one body; of requests, two are. */
 const FIRST_PARTS = 8;
 
-/** Memory that header fields without their end may take while memory is short, so that whole requests find room. */
-const SHORT_FIELDS_BYTES = 4 * 1024;
+/** Memory that the header fields of a connection may take without their end, whatever those of others do. */
+const SMALL_FIELDS_BYTES = 4 * 1024;
 
 const NO_BYTES = Buffer.alloc(0);
 
@@ -27,8 +27,8 @@
     readonly parse: (bytes: Buffer) => void;
     /** Holds the memory of what is not yet parsed. */
     readonly reservation: MemoryReservation;
-    /** Returns whether less than half of the memory for what is not yet parsed is left. */
-    readonly isMemoryShort: () => boolean;
+    /** Counts the memory of header fields without their end, in place of what they took before; returns whether it may be taken. */
+    readonly holdFields: (bytes: number) => boolean;
     /** Length from which header fields are parsed before they are whole, so that the parser refuses too long ones. */
     readonly maximumFieldsBytes: number;
     /** Requests that may be unanswered when the next is parsed. */
@@ -126,6 +126,7 @@
         this.#beginning.take();
         this.#openLines = 0;
         this.#openBytes = 0;
+        this.#options.holdFields(0);
         this.#options.reservation.release();
         this.#updateReading();
     }
@@ -185,13 +186,13 @@
     /** Reserves memory for what is left, or releases some; returns false where there is no room. */
     #tryReserve(reservation: MemoryReservation): boolean {
         const fieldsBytes = this.#unfinishedFieldsBytes;
+        const mayHold = this.#options.holdFields(fieldsBytes) || fieldsBytes <= SMALL_FIELDS_BYTES;
         const addedBytes = (this.hasUnparsed ? this.#read.length : 0) + fieldsBytes - reservation.bytes;
         if (this.#isEnded || addedBytes <= 0) {
             reservation.release(this.#isEnded ? reservation.bytes : -addedBytes);
             return true;
         }
-        const isTooLarge = fieldsBytes > SHORT_FIELDS_BYTES && this.#options.isMemoryShort();
-        return !isTooLarge && reservation.tryReserve(addedBytes);
+        return mayHold && reservation.tryReserve(addedBytes);
     }
 
     #continue(): void {
--- a/src/entry/connections/parserFeeds.test.ts
+++ b/src/entry/connections/parserFeeds.test.ts
@@ -178,7 +178,7 @@
 });
 
 // Guards against crowds whose heads without their end take the memory of the machine, or that of whole requests.
-test("heads without their end are counted, and refused while memory is short", async context => {
+test("heads without their end are counted, and refused once they hold half of the requests' memory", async context => {
     const memory = new MemoryBudget({ machineBytes: 1_000_000 });
     let refused = 0;
     const site = await startSite(context, {
--- a/src/entry/connections/parserFeeds.ts
+++ b/src/entry/connections/parserFeeds.ts
@@ -18,6 +18,9 @@
 /** Parts of one connection that are parsed before another connection's. */
 const PARTS_AT_ONCE = 4;
 
+/** Part of the requests' memory that header fields without their end may take, so that whole requests find room. */
+const FIELDS_PART = 0.5;
+
 /** Error codes of the parser begin with this. */
 const PARSER_ERROR_PREFIX = "HPE_";
 
@@ -51,6 +54,8 @@
     readonly #feeds = new WeakMap<Duplex, ConnectionFeed>();
     /** Connections with something to parse, in the order of their turns. */
     readonly #ready = new Set<ConnectionFeed>();
+    /** Memory of header fields without their end, of all connections. */
+    #fieldsBytes = 0;
     #isScheduled = false;
 
     constructor(options: ParserFeedsOptions) {
@@ -89,7 +94,7 @@
         const feed: ConnectionFeed = new ConnectionFeed(socket, {
             parse,
             reservation: memory.begin("requests"),
-            isMemoryShort: () => memory.isShortFor("requests"),
+            holdFields: this.#createFieldsCount(),
             maximumFieldsBytes,
             maximumUnanswered,
             onReady: () => this.#schedule(feed),
@@ -99,6 +104,21 @@
         this.#feeds.set(socket, feed);
     }
 
+    /** Returns what counts the memory of one connection's header fields without their end. */
+    #createFieldsCount(): (bytes: number) => boolean {
+        let heldBytes = 0;
+        return bytes => {
+            const totalBytes = this.#fieldsBytes - heldBytes + bytes;
+            const mayHold = bytes <= heldBytes
+                || totalBytes <= this.#options.memory.shareBytes("requests") * FIELDS_PART;
+            if (mayHold) {
+                this.#fieldsBytes = totalBytes;
+                heldBytes = bytes;
+            }
+            return mayHold;
+        };
+    }
+
     #begin(message: IncomingMessage, response: ServerResponse): void {
         const feed = this.#feeds.get(message.socket);
         feed?.beginRequest(message);
--- a/src/memory/memoryBudget.ts
+++ b/src/memory/memoryBudget.ts
@@ -126,17 +126,22 @@
         this.#budgetBytes = budgetOf(machineBytes);
     }
 
+    /** Returns the bytes of the budget up to which a use may take memory. */
+    shareBytes(use: MemoryUse): number {
+        return this.#budgetBytes * SHARE_OF_BUDGET[use];
+    }
+
     /** Returns whether there is room for a use. */
     hasRoomFor(use: MemoryUse, bytes: number): boolean {
         const { calls } = this.#reservedBytes;
         const uncountedBytes = use === "requests" ? calls : Math.min(calls, MINIMUM_BYTES.calls);
-        return this.#totalBytes - uncountedBytes + bytes <= this.#budgetBytes * SHARE_OF_BUDGET[use]
+        return this.#totalBytes - uncountedBytes + bytes <= this.shareBytes(use)
             || this.#reservedBytes[use] + bytes <= MINIMUM_BYTES[use];
     }
 
     /** Returns whether less than half of what a use may take is left for it. */
     isShortFor(use: MemoryUse): boolean {
-        return !this.hasRoomFor(use, this.#budgetBytes * SHARE_OF_BUDGET[use] * SHORT_PART);
+        return !this.hasRoomFor(use, this.shareBytes(use) * SHORT_PART);
     }
 
     /** Begins the reservation of one holder. */
