--- a/scripts/_mutations.ts
+++ b/scripts/_mutations.ts
@@ -227,8 +227,8 @@
     {
         name: "FAULT: requests fill the memory of answers under way",
         file: MEMORY,
-        original: "<= this.#budgetBytes * SHARE_OF_BUDGET[use]",
-        replacement: "<= this.#budgetBytes",
+        original: "bytes <= this.shareBytes(use)",
+        replacement: "bytes <= this.#budgetBytes",
         tests: MEMORY_TESTS,
     },
     {
