--- a/src/entry/connections/_chunks.ts
+++ b/src/entry/connections/_chunks.ts
@@ -106,6 +106,30 @@
     return bytes[position] === CARRIAGE_RETURN && bytes[position + 1] === LINE_FEED;
 }
 
+/** A small chunk that is there whole and has no extension. */
+interface SmallChunk {
+    readonly type: "small";
+    readonly dataStart: number;
+    /** Position behind its line end. */
+    readonly end: number;
+}
+
+/** Reads one chunk, or says why it cannot be joined with others. */
+function readChunk(bytes: Buffer, start: number): SmallChunk | Exclude<ChunkRun, { readonly type: "joined"; }> {
+    const line = readSize(bytes, start);
+    if (typeof line === "string") {
+        return { type: line };
+    }
+    if (line.size === 0) {
+        return { type: "last", bytes: line.lineBytes };
+    }
+    const dataStart = start + line.lineBytes;
+    const end = dataStart + line.size + LINE_END_BYTES;
+    const isSmall = !line.hasExtension && line.size <= SMALL_CHUNK_BYTES && end <= bytes.length
+        && hasLineEnd(bytes, end - LINE_END_BYTES);
+    return isSmall ? { type: "small", dataStart, end } : { type: "chunk", bytes: end - start };
+}
+
 /**
  * Reads from the beginning of a chunk on.
  *
@@ -117,38 +141,22 @@
     let chunks = 0;
     let length = SIZE_LINE_BYTES;
     while (position < JOINED_BYTES) {
-        const line = readSize(bytes, position);
-        if (typeof line === "string") {
-            if (chunks === 0) {
-                return { type: line };
-            }
-            break;
-        }
-        if (line.size === 0) {
-            if (chunks === 0) {
-                return { type: "last", bytes: line.lineBytes };
-            }
-            break;
-        }
-        const dataStart = position + line.lineBytes;
-        const end = dataStart + line.size + LINE_END_BYTES;
-        const isJoined = !line.hasExtension && line.size <= SMALL_CHUNK_BYTES && end <= bytes.length
-            && hasLineEnd(bytes, end - LINE_END_BYTES);
-        if (!isJoined) {
+        const chunk = readChunk(bytes, position);
+        if (chunk.type !== "small") {
             if (chunks === 0) {
-                return { type: "chunk", bytes: end };
+                return chunk;
             }
             break;
         }
         if (chunks === 0) {
             joined = allocateJoined(bytes);
         }
-        for (let index = dataStart; index < end - LINE_END_BYTES; index += 1) {
+        for (let index = chunk.dataStart; index < chunk.end - LINE_END_BYTES; index += 1) {
             joined[length] = bytes[index] ?? 0;
             length += 1;
         }
         chunks += 1;
-        position = end;
+        position = chunk.end;
     }
     if (chunks === 1) {
         return { type: "chunk", bytes: position };
--- a/src/entry/connections/_connectionFeed.ts
+++ b/src/entry/connections/_connectionFeed.ts
@@ -27,7 +27,10 @@
     readonly parse: (bytes: Buffer) => void;
     /** Holds the memory of what is not yet parsed. */
     readonly reservation: MemoryReservation;
-    /** Counts the memory of header fields without their end, in place of what they took before; returns whether it may be taken. */
+    /**
+     * Counts the memory of header fields without their end, in place of what they took before; returns whether it may be
+     * taken.
+     */
     readonly holdFields: (bytes: number) => boolean;
     /** Length from which header fields are parsed before they are whole, so that the parser refuses too long ones. */
     readonly maximumFieldsBytes: number;
