Measure memory after a collection in one place

The test of the parts of prompts had the collection that overlappingMemory has. Both call memoryAfterCollection now; their assertions are as they were.

--- a/src/forwarding/promptPrefixIndex.test.ts
+++ b/src/forwarding/promptPrefixIndex.test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
+import { memoryAfterCollection } from "../../tests/support/processMemory.js";
 import { sharedParts } from "./index.js";
 
 const PROMPTS = 4_000;
@@ -17,17 +16,13 @@
 
 // Guards against a host whose memory is taken by the headers of requests that were answered long ago.
 test("the shared parts of prompts keep the headers that named them, or their length, in memory", () => {
-    setFlagsFromString("--expose-gc");
-    const collect = runInNewContext("gc") as () => void;
-    collect();
-    const before = process.memoryUsage().heapUsed;
+    const before = memoryAfterCollection().heapUsed;
     const parts = Array.from({ length: PROMPTS }, (_, index) => {
         const short = `${index}`.padEnd(32, "p");
         const long = `${index}`.padEnd(PROMPT_CHARACTERS, "q");
         return sharedParts(Buffer.from(`${short}:1,${long}:1,last:1`).toString());
     });
-    collect();
-    const keptBytes = process.memoryUsage().heapUsed - before;
+    const keptBytes = memoryAfterCollection().heapUsed - before;
     assert.equal(new Set(parts.flat()).size, 2 * PROMPTS);
     assert.ok(keptBytes < KEPT_BYTES, `${keptBytes} bytes`);
 });
--- a/tests/overlappingMemory.test.ts
+++ b/tests/overlappingMemory.test.ts
@@ -9,10 +9,9 @@
 import { type Socket } from "node:net";
 import { after, before, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { EntrySite, type SiteHost, until, waitUntilReady } from "./support/entrySite.js";
 import { OverlappingCaller, renderRequest } from "./support/overlappingCaller.js";
+import { memoryAfterCollection } from "./support/processMemory.js";
 import { measureStalls } from "./support/processStalls.js";
 
 const BODY_LIMIT_BYTES = 65_536;
@@ -115,9 +114,7 @@
 
 /** Returns the memory in use after a collection of what is not. */
 function readUsedBytes(): number {
-    setFlagsFromString("--expose-gc");
-    (runInNewContext("gc") as () => void)();
-    const { external, heapUsed } = process.memoryUsage();
+    const { external, heapUsed } = memoryAfterCollection();
     return heapUsed + external;
 }
 
--- a/tests/support/processMemory.ts
+++ b/tests/support/processMemory.ts
@@ -1,9 +1,11 @@
 /**
- * Memory of a process, as the kernel tells it.
+ * Memory of a process, as the kernel tells it, and of this one, as Node.js does.
  *
  * @module
  */
 import { readFileSync } from "node:fs";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 
 const BYTES_PER_KIBIBYTE = 1_024;
 
@@ -38,3 +40,10 @@
     }
     return bytes / (BYTES_PER_KIBIBYTE * BYTES_PER_KIBIBYTE);
 }
+
+/** Returns the memory of this process after a collection of what is not in use. */
+export function memoryAfterCollection(): NodeJS.MemoryUsage {
+    setFlagsFromString("--expose-gc");
+    (runInNewContext("gc") as () => void)();
+    return process.memoryUsage();
+}
